--- /dev/null
+++ b/crates/config/src/reader.rs
@@ -0,0 +1,159 @@
+//! Typed reading of one section, with every fault collected.
+//!
+//! [`Section`] wraps a parsed section and knows which fields were asked for;
+//! [`Section::finish`] reports the ones nobody asked for, so a misspelt field
+//! is a fault and not a silent default.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::ops::RangeInclusive;
+use std::str::FromStr;
+
+use ini::Properties;
+
+use crate::fault::Fault;
+use crate::source::LineIndex;
+
+/// Collects faults from many sections of many files.
+#[derive(Debug, Default)]
+pub struct FaultList(RefCell<Vec<Fault>>);
+
+impl FaultList {
+    pub fn push(&self, fault: Fault) {
+        self.0.borrow_mut().push(fault);
+    }
+
+    pub fn into_vec(self) -> Vec<Fault> {
+        self.0.into_inner()
+    }
+}
+
+/// One section being read.
+pub struct Section<'a> {
+    file: &'a str,
+    name: &'a str,
+    fields: &'a Properties,
+    index: &'a LineIndex,
+    faults: &'a FaultList,
+    asked: RefCell<BTreeSet<String>>,
+}
+
+impl<'a> Section<'a> {
+    pub fn new(
+        file: &'a str,
+        name: &'a str,
+        fields: &'a Properties,
+        index: &'a LineIndex,
+        faults: &'a FaultList,
+    ) -> Self {
+        Section {
+            file,
+            name,
+            fields,
+            index,
+            faults,
+            asked: RefCell::default(),
+        }
+    }
+
+    /// Section name as written.
+    pub fn name(&self) -> &'a str {
+        self.name
+    }
+
+    /// The part after the first dot of `[kind.name]`.
+    pub fn item_name(&self) -> &'a str {
+        self.name.split_once('.').map_or("", |(_, name)| name)
+    }
+
+    /// Records a fault at `key` (or at the header when `key` is absent).
+    pub fn fault(&self, key: &str, message: impl Into<String>) {
+        let field = match key {
+            "" => self.name.to_string(),
+            _ => format!("{}.{key}", self.name),
+        };
+        self.faults.push(Fault {
+            file: self.file.into(),
+            line: self.index.line(self.name, key),
+            field,
+            message: message.into(),
+        });
+    }
+
+    /// An optional text field.
+    pub fn text(&self, key: &str) -> Option<&'a str> {
+        self.asked.borrow_mut().insert(key.to_string());
+        self.fields
+            .get(key)
+            .map(str::trim)
+            .filter(|text| !text.is_empty())
+    }
+
+    /// A field that must be there; a fault and `""` when it is not.
+    pub fn required(&self, key: &str) -> &'a str {
+        self.text(key).unwrap_or_else(|| {
+            self.fault(key, "is missing; add it to this section");
+            ""
+        })
+    }
+
+    /// A comma-separated list; empty when absent.
+    pub fn list(&self, key: &str) -> Vec<&'a str> {
+        self.text(key)
+            .map(|text| text.split(',').map(str::trim).collect())
+            .unwrap_or_default()
+    }
+
+    /// A parsed value, `default` when absent, a fault when it does not parse.
+    pub fn parsed<T: FromStr>(&self, key: &str, default: T, wanted: &str) -> T {
+        match self.text(key).map(str::parse) {
+            None => default,
+            Some(Ok(value)) => value,
+            Some(Err(_)) => {
+                self.fault(key, format!("is not {wanted}"));
+                default
+            }
+        }
+    }
+
+    /// A number within bounds, `default` when absent.
+    pub fn number<T>(&self, key: &str, default: T, bounds: RangeInclusive<T>) -> T
+    where
+        T: FromStr + PartialOrd + Copy + std::fmt::Display,
+    {
+        let wanted = format!("a number from {} to {}", bounds.start(), bounds.end());
+        let value = self.parsed(key, default, &wanted);
+        if self.text(key).is_some() && !bounds.contains(&value) {
+            self.fault(key, format!("is not {wanted}"));
+            return default;
+        }
+        value
+    }
+
+    /// `yes` or `no`, `default` when absent.
+    pub fn flag(&self, key: &str, default: bool) -> bool {
+        match self.text(key) {
+            None => default,
+            Some("yes") => true,
+            Some("no") => false,
+            Some(_) => {
+                self.fault(key, "is neither yes nor no");
+                default
+            }
+        }
+    }
+
+    /// Reports fields that no reader asked for.
+    pub fn finish(self) {
+        let asked = self.asked.take();
+        for (key, _) in self.fields.iter().filter(|(key, _)| !asked.contains(*key)) {
+            let known: Vec<_> = asked.iter().map(String::as_str).collect();
+            self.faults.push(Fault {
+                file: self.file.into(),
+                line: self.index.line(self.name, key),
+                field: format!("{}.{key}", self.name),
+                message: format!("is not a field here; known fields: {}", known.join(", ")),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/callers.rs
@@ -0,0 +1,427 @@
+//! The callers' interface: `POST /v1/pipelines/{name}`, `POST /v1/tickets`,
+//! `GET /health`. Peers use the same handlers under `/peer` for requests that
+//! they pass on.
+//!
+//! A request is judged from its headers first: organisation, pipeline,
+//! deadline, and whether this entry may serve it at all. Only then is its body
+//! read, checked, and run.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::http::header::HeaderMap;
+use actix_web::{web, HttpRequest, HttpResponse};
+use futures_util::StreamExt;
+use hollowsail_config::{OrganisationKey, PipelineKey};
+use hollowsail_fleet::{Member, Standing};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::answer::AnswerBody;
+use crate::auth;
+use crate::configuration::Configuration;
+use crate::headers;
+use crate::kinds::ErrorKind;
+use crate::permit;
+use crate::pipeline::{self, Job};
+use crate::relay::{self, Relay, RelayError, SharedBody};
+use crate::streaming;
+use crate::view::InFlight;
+use crate::worker::Worker;
+
+/// Most tickets of one call.
+const MAX_TICKETS: usize = 1000;
+
+/// Body of a pipeline request.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RequestBody {
+    input: Value,
+    session: Option<String>,
+}
+
+/// Body of a ticket answer.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Tickets {
+    pub tickets: Vec<String>,
+    /// How long they may be presented, in milliseconds from now.
+    pub valid_ms: u64,
+}
+
+/// A request as judged from its headers.
+pub struct Judged {
+    pub request: String,
+    pub configuration: Arc<Configuration>,
+    pub org: OrganisationKey,
+    pub pipeline: PipelineKey,
+    pub accepted: Instant,
+    pub deadline: Duration,
+}
+
+impl Judged {
+    pub fn org_name(&self) -> &str {
+        &self.configuration.deployment.organisation(self.org).name
+    }
+
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.accepted.elapsed())
+    }
+}
+
+/// Who sent a request to this listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sender {
+    Caller,
+    /// A peer that passed it on; it is not passed on again.
+    Peer,
+}
+
+/// Routes of the callers' listener.
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.route("/v1/pipelines/{name}", web::post().to(from_caller))
+        .route("/v1/tickets", web::post().to(tickets_for_caller))
+        .route("/health", web::get().to(health));
+}
+
+async fn from_caller(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    name: web::Path<String>,
+    body: web::Payload,
+) -> HttpResponse {
+    serve(&worker, &req, &name, body, Sender::Caller).await
+}
+
+/// The balancer's check: 200 while new requests are welcome.
+async fn health(worker: web::Data<Worker>) -> HttpResponse {
+    let view = worker.entry.view();
+    let welcome = view.standing == Standing::InTouch && !view.is_stopping();
+    if welcome {
+        HttpResponse::Ok().body("ok\n")
+    } else {
+        HttpResponse::ServiceUnavailable().body("takes no new requests\n")
+    }
+}
+
+/// Serves one request, here or through the entry that may.
+pub async fn serve(
+    worker: &Worker,
+    req: &HttpRequest,
+    name: &str,
+    body: web::Payload,
+    sender: Sender,
+) -> HttpResponse {
+    let request = match headers::request_id(req.headers()) {
+        Ok(request) => request,
+        Err(message) => {
+            return AnswerBody::refusal("-", ErrorKind::BadRequest, message).into_response()
+        }
+    };
+    let _counted = InFlight::new(&worker.entry.in_flight);
+    match judge(worker, req.headers(), &request, name) {
+        Ok(judged) => admit(worker, req, judged, body, sender).await,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+fn judge(
+    worker: &Worker,
+    headers: &HeaderMap,
+    request: &str,
+    name: &str,
+) -> Result<Judged, AnswerBody> {
+    let refuse = |kind, message: String| AnswerBody::refusal(request, kind, message);
+    let view = worker.entry.view();
+    let in_flight = worker.entry.in_flight.load(Ordering::Relaxed) as usize;
+    if in_flight > worker.entry.settings.limits.max_in_flight {
+        let message = format!("{in_flight} requests are in flight here");
+        return Err(refuse(ErrorKind::Overloaded, message));
+    }
+    let Some(configuration) = view.configuration.clone() else {
+        let message = "no configuration is in force here yet".to_string();
+        return Err(refuse(ErrorKind::NoConfiguration, message));
+    };
+    if view.standing == Standing::Isolated {
+        let message = "this entry reaches neither the store nor its peers".to_string();
+        return Err(refuse(ErrorKind::Isolated, message));
+    }
+    let deployment = &configuration.deployment;
+    let Some(org) = auth::organisation(headers, deployment) else {
+        let message = "the key belongs to no organisation".to_string();
+        return Err(refuse(ErrorKind::Unauthorized, message));
+    };
+    let Some(pipeline) = deployment.find_pipeline(name) else {
+        let message = format!("there is no pipeline {name}");
+        return Err(refuse(ErrorKind::UnknownPipeline, message));
+    };
+    if !deployment.may_call(org, pipeline) {
+        let message = format!("the organisation may not call {name}");
+        return Err(refuse(ErrorKind::NotAllowed, message));
+    }
+    let longest = deployment.pipeline(pipeline).deadline_ms;
+    let deadline =
+        headers::deadline(headers, longest).map_err(|(kind, message)| refuse(kind, message))?;
+    Ok(Judged {
+        request: request.into(),
+        configuration,
+        org,
+        pipeline,
+        accepted: Instant::now(),
+        deadline,
+    })
+}
+
+async fn admit(
+    worker: &Worker,
+    req: &HttpRequest,
+    judged: Judged,
+    body: web::Payload,
+    sender: Sender,
+) -> HttpResponse {
+    let body = SharedBody::new(body);
+    let permitted = serves_here(worker, &judged);
+    if !permitted {
+        return match sender {
+            Sender::Caller => relay_to_permitted(worker, req, &judged, body).await,
+            Sender::Peer => no_permitted_entry(&judged).into_response(),
+        };
+    }
+    let runs_once = judged
+        .configuration
+        .deployment
+        .pipeline(judged.pipeline)
+        .runs_once();
+    if runs_once {
+        return permit::serve_once(worker, req, judged, body, sender).await;
+    }
+    match read_job(worker, &judged, body).await {
+        Ok((job, _)) => answer(worker, req, job).await,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+async fn answer(worker: &Worker, req: &HttpRequest, job: Job) -> HttpResponse {
+    if headers::wants_events(req.headers()) {
+        return streaming::respond(worker, job);
+    }
+    pipeline::run(worker, &job, None).await.into_response()
+}
+
+/// True when this entry stands in a hall that the organisation permits.
+fn serves_here(worker: &Worker, judged: &Judged) -> bool {
+    let deployment = &judged.configuration.deployment;
+    deployment
+        .find_hall(&worker.entry.settings.hall)
+        .is_some_and(|hall| deployment.permits(judged.org, hall))
+}
+
+fn no_permitted_entry(judged: &Judged) -> AnswerBody {
+    let message = format!(
+        "no entry in a hall permitted to {} can be reached",
+        judged.org_name()
+    );
+    AnswerBody::refusal(&judged.request, ErrorKind::NoPermittedEntry, message)
+}
+
+/// Live entries in halls that the organisation permits, in random order.
+fn permitted_entries(worker: &Worker, judged: &Judged) -> Vec<Member> {
+    use rand::seq::SliceRandom;
+    let deployment = &judged.configuration.deployment;
+    let mut members: Vec<Member> = worker
+        .entry
+        .view()
+        .members
+        .iter()
+        .filter(|member| member.takes_work())
+        .filter(|member| {
+            deployment
+                .find_hall(&member.hall)
+                .is_some_and(|hall| deployment.permits(judged.org, hall))
+        })
+        .cloned()
+        .collect();
+    members.shuffle(&mut rand::rng());
+    members
+}
+
+async fn relay_to_permitted(
+    worker: &Worker,
+    req: &HttpRequest,
+    judged: &Judged,
+    body: SharedBody,
+) -> HttpResponse {
+    for member in permitted_entries(worker, judged) {
+        match pass_on(worker, req, judged, body.clone(), &member, false).await {
+            Ok(response) => return response,
+            Err(RelayError::NotSent) => {}
+            Err(RelayError::Broken(reason)) => return relay_broken(&judged.request, &reason),
+        }
+    }
+    no_permitted_entry(judged).into_response()
+}
+
+/// The other entry may be running the request: nothing is known of it.
+pub fn relay_broken(request: &str, reason: &str) -> HttpResponse {
+    let message = format!("the entry that has the request did not answer: {reason}");
+    AnswerBody::unknown(request, ErrorKind::RelayFailed, message).into_response()
+}
+
+/// Passes a request on under the peers' path.
+pub async fn pass_on(
+    worker: &Worker,
+    req: &HttpRequest,
+    judged: &Judged,
+    body: SharedBody,
+    member: &Member,
+    claim_owner: bool,
+) -> Result<HttpResponse, RelayError> {
+    let path = format!("/peer{}", req.path().trim_start_matches("/peer"));
+    let relay = Relay {
+        path: &path,
+        request: &judged.request,
+        headers: req.headers(),
+        body,
+        remaining: judged.remaining(),
+        claim_owner,
+    };
+    relay::relay(worker, member, &relay).await
+}
+
+/// Reads and checks the body; returns the job and the raw bytes.
+pub async fn read_job(
+    worker: &Worker,
+    judged: &Judged,
+    body: SharedBody,
+) -> Result<(Job, Vec<u8>), AnswerBody> {
+    let refuse = |kind, message: String| AnswerBody::refusal(&judged.request, kind, message);
+    let limit = worker.entry.settings.limits.max_body_bytes;
+    let bytes = read_body(body, limit)
+        .await
+        .map_err(|(kind, message)| refuse(kind, message))?;
+    let parsed: RequestBody = serde_json::from_slice(&bytes).map_err(|err| {
+        let message = format!("the body is not a valid request: {err}");
+        refuse(ErrorKind::BadRequest, message)
+    })?;
+    let job = Job {
+        request: judged.request.clone(),
+        run: worker.entry.new_run_id(),
+        org: judged.org_name().to_string(),
+        configuration: judged.configuration.clone(),
+        pipeline: judged.pipeline,
+        accepted: judged.accepted,
+        deadline: judged.deadline,
+        session: parsed.session,
+        input: parsed.input,
+    };
+    Ok((job, bytes))
+}
+
+async fn read_body(mut body: SharedBody, limit: usize) -> Result<Vec<u8>, (ErrorKind, String)> {
+    let mut bytes = Vec::new();
+    while let Some(piece) = body.next().await {
+        let piece = piece.map_err(|err| {
+            let message = format!("the body broke off: {err}");
+            (ErrorKind::BadRequest, message)
+        })?;
+        if bytes.len() + piece.len() > limit {
+            let message = format!("the body has more than {limit} bytes");
+            return Err((ErrorKind::BodyTooLarge, message));
+        }
+        bytes.extend_from_slice(&piece);
+    }
+    Ok(bytes)
+}
+
+#[derive(Debug, Deserialize)]
+pub struct TicketQuery {
+    count: Option<usize>,
+}
+
+async fn tickets_for_caller(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    query: web::Query<TicketQuery>,
+    body: web::Payload,
+) -> HttpResponse {
+    tickets(&worker, &req, &query, body, Sender::Caller).await
+}
+
+/// Issues tickets, here or at an entry that may serve the organisation.
+pub async fn tickets(
+    worker: &Worker,
+    req: &HttpRequest,
+    query: &TicketQuery,
+    body: web::Payload,
+    sender: Sender,
+) -> HttpResponse {
+    let view = worker.entry.view();
+    let refuse = |kind, message: &str| AnswerBody::refusal("-", kind, message).into_response();
+    let Some(configuration) = view.configuration.clone() else {
+        return refuse(
+            ErrorKind::NoConfiguration,
+            "no configuration is in force here yet",
+        );
+    };
+    let Some(org) = auth::organisation(req.headers(), &configuration.deployment) else {
+        return refuse(
+            ErrorKind::Unauthorized,
+            "the key belongs to no organisation",
+        );
+    };
+    let count = query.count.unwrap_or(1);
+    if !(1..=MAX_TICKETS).contains(&count) {
+        let message = format!("count is not a number from 1 to {MAX_TICKETS}");
+        return refuse(ErrorKind::BadRequest, &message);
+    }
+    let judged = Judged {
+        request: "-".into(),
+        configuration,
+        org,
+        pipeline: PipelineKey(0),
+        accepted: Instant::now(),
+        deadline: TICKET_TIME,
+    };
+    let elsewhere = !serves_here(worker, &judged) || view.is_stopping();
+    if elsewhere && sender == Sender::Caller {
+        return relay_tickets(worker, req, &judged, count, SharedBody::new(body)).await;
+    }
+    let entry = &worker.entry;
+    let issued = entry.once.lock().expect("no panic while held").issue(
+        entry.now(),
+        judged.org_name(),
+        count,
+    );
+    let key = &entry.settings.fleet_key;
+    HttpResponse::Ok().json(Tickets {
+        tickets: issued.iter().map(|ticket| ticket.encode(key)).collect(),
+        valid_ms: entry.settings.limits.ticket_ms,
+    })
+}
+
+/// Time for getting tickets from another entry.
+const TICKET_TIME: Duration = Duration::from_secs(2);
+
+async fn relay_tickets(
+    worker: &Worker,
+    req: &HttpRequest,
+    judged: &Judged,
+    count: usize,
+    body: SharedBody,
+) -> HttpResponse {
+    let path = format!("/peer/v1/tickets?count={count}");
+    for member in permitted_entries(worker, judged) {
+        let relay = Relay {
+            path: &path,
+            request: &judged.request,
+            headers: req.headers(),
+            body: body.clone(),
+            remaining: judged.remaining(),
+            claim_owner: false,
+        };
+        if let Ok(response) = relay::relay(worker, &member, &relay).await {
+            return response;
+        }
+    }
+    no_permitted_entry(judged).into_response()
+}
--- /dev/null
+++ b/crates/entry/src/configuration.rs
@@ -0,0 +1,95 @@
+//! A configuration in force: head, files, typed deployment, and its chunks
+//! for peers that ask.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hollowsail_config::chunk::{self, ChunkError, ChunkHash, Head};
+use hollowsail_config::{check, Deployment, Faults, SourceFile};
+use snafu::{ResultExt, Snafu};
+
+/// Key of the head in the store.
+pub const HEAD_KEY: &str = "config/head";
+
+/// Key of a chunk in the store.
+pub fn chunk_key(hash: &ChunkHash) -> String {
+    format!("config/chunk/{}", hex::encode(hash))
+}
+
+/// Chunks by hash, shared between revisions.
+pub type Chunks = HashMap<ChunkHash, Arc<Vec<u8>>>;
+
+/// Why a head's chunks make no configuration.
+#[derive(Debug, Snafu)]
+pub enum BuildError {
+    #[snafu(display("{source}"))]
+    Join { source: ChunkError },
+    #[snafu(display("revision {revision} does not pass the check here: {source}"))]
+    Check { revision: u64, source: Faults },
+}
+
+/// One revision, immutable.
+#[derive(Debug)]
+pub struct Configuration {
+    pub head: Head,
+    pub files: Vec<SourceFile>,
+    pub deployment: Deployment,
+    pub chunks: Chunks,
+}
+
+impl Configuration {
+    /// Builds a revision from its head and every chunk it names.
+    pub fn build(head: Head, chunks: Chunks) -> Result<Configuration, BuildError> {
+        let fetch = |hash: &ChunkHash| chunks.get(hash).map(|bytes| bytes.to_vec());
+        let files = chunk::join(&head, fetch).context(JoinSnafu)?;
+        let deployment = check(&files).context(CheckSnafu {
+            revision: head.revision,
+        })?;
+        Ok(Configuration {
+            head,
+            files,
+            deployment,
+            chunks,
+        })
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.head.revision
+    }
+}
+
+/// Makes the head and chunks of an apply that follows `parent`.
+pub fn propose(files: &[SourceFile], parent: u64, apply_id: &str) -> (Head, Chunks) {
+    let (entries, pieces) = chunk::split(files);
+    let head = Head {
+        revision: parent + 1,
+        parent,
+        apply_id: apply_id.into(),
+        files: entries,
+    };
+    let chunks = pieces
+        .into_iter()
+        .map(|(hash, bytes)| (hash, Arc::new(bytes)))
+        .collect();
+    (head, chunks)
+}
+
+/// Names of files that differ between two heads.
+pub fn changed_files(a: &Head, b: &Head) -> Vec<String> {
+    let chunks_of = |head: &Head, name: &str| {
+        head.files
+            .iter()
+            .find(|file| file.name == name)
+            .map(|file| file.chunks.clone())
+    };
+    let mut names: Vec<String> = a
+        .files
+        .iter()
+        .chain(&b.files)
+        .map(|file| file.name.clone())
+        .collect();
+    names.sort();
+    names.dedup();
+    names.retain(|name| chunks_of(a, name) != chunks_of(b, name));
+    names
+}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,99 @@
+//! The one context that is passed down: what all threads of an entry share.
+
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Instant;
+
+use actix::Addr;
+use arc_swap::ArcSwap;
+use hollowsail_config::Settings;
+use hollowsail_fleet::{Incarnation, Millis};
+
+use crate::configuration::Configuration;
+use crate::control::{Control, Fact};
+use crate::events::{self, Event};
+use crate::metrics;
+use crate::once::OnceBook;
+use crate::view::View;
+
+/// State of one entry process, shared by its threads.
+pub struct Entry {
+    pub settings: Settings,
+    pub incarnation: Incarnation,
+    started: Instant,
+    view: ArcSwap<View>,
+    pub once: Mutex<OnceBook>,
+    /// Requests being served, for planned stops and for the limit.
+    pub in_flight: Arc<AtomicU32>,
+    next_run: AtomicU64,
+    control: Mutex<Option<Addr<Control>>>,
+}
+
+impl Entry {
+    pub fn new(settings: Settings, incarnation: Incarnation, view: View) -> Self {
+        let once = OnceBook::new(incarnation, &settings.limits);
+        Entry {
+            settings,
+            incarnation,
+            started: Instant::now(),
+            view: ArcSwap::from_pointee(view),
+            once: Mutex::new(once),
+            in_flight: Arc::default(),
+            next_run: AtomicU64::new(1),
+            control: Mutex::new(None),
+        }
+    }
+
+    /// Milliseconds since this process started: the clock of every state
+    /// machine.
+    pub fn now(&self) -> Millis {
+        self.started.elapsed().as_millis() as Millis
+    }
+
+    /// The newest snapshot.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Publishes a snapshot; called by the control thread alone.
+    pub fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+    }
+
+    /// The configuration in force here.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.view.load().configuration.clone()
+    }
+
+    /// An id that no other run of any process has.
+    pub fn new_run_id(&self) -> String {
+        let number = self.next_run.fetch_add(1, Ordering::Relaxed);
+        format!("{:x}-{number:x}", self.incarnation)
+    }
+
+    /// Connects traffic to the control thread.
+    pub fn set_control(&self, control: Addr<Control>) {
+        *self.control.lock().expect("no panic while held") = Some(control);
+    }
+
+    /// Address of the control thread.
+    pub fn control(&self) -> Addr<Control> {
+        self.control
+            .lock()
+            .expect("no panic while held")
+            .clone()
+            .expect("set before any listener is open")
+    }
+
+    /// Tells the control thread a fact; dropped and counted when it is behind.
+    pub fn tell(&self, fact: Fact) {
+        if self.control().try_send(fact).is_err() {
+            metrics::count_dropped_fact(&self.settings.name);
+        }
+    }
+
+    /// Writes a log event.
+    pub fn log(&self, event: Event, fields: std::fmt::Arguments<'_>) {
+        events::emit(event, &self.settings.name, fields);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/control/gossip.rs
@@ -0,0 +1,92 @@
+//! Exchanges with peers: at every tick with one, and at once with a few when
+//! there is news.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use awc::Client;
+use hollowsail_fleet::{Exchange, Output};
+use rand::Rng;
+
+use crate::auth::{peer_token, PEER_HEADER};
+use crate::control::Control;
+
+/// Longest wait for a peer's half.
+const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Largest exchange in bytes.
+const MAX_EXCHANGE_BYTES: usize = 64 * 1024;
+/// Peers told at once when there is news.
+const NEWS_FANOUT: usize = 3;
+
+impl Control {
+    /// Begins ticking, at a random phase so that entries started together do
+    /// not speak together.
+    pub(crate) fn start_gossip(&mut self, cx: &mut Context<Self>) {
+        let phase = self.tick.mul_f64(self.rng.random());
+        cx.run_later(phase, |control, cx| {
+            control.gossip(cx);
+            cx.run_interval(control.tick, |control, cx| control.gossip(cx));
+        });
+    }
+
+    fn gossip(&mut self, cx: &mut Context<Self>) {
+        let now = self.now();
+        let outputs = self.fleet.tick(now, &mut self.rng);
+        for Output::Exchange(address) in outputs {
+            self.exchange(address, cx);
+        }
+        self.publish();
+    }
+
+    /// Tells a few peers at once.
+    pub(crate) fn spread_news(&mut self, cx: &mut Context<Self>) {
+        for address in self.fleet.random_peers(NEWS_FANOUT, &mut self.rng) {
+            self.exchange(address, cx);
+        }
+    }
+
+    /// Tells every peer; used once, by an entry that is about to go.
+    pub(crate) fn spread_to_all(&mut self, cx: &mut Context<Self>) {
+        for address in self.fleet.random_peers(usize::MAX, &mut self.rng) {
+            self.exchange(address, cx);
+        }
+    }
+
+    fn exchange(&mut self, address: SocketAddr, cx: &mut Context<Self>) {
+        let message = self.fleet.message();
+        let token = peer_token(&self.entry.settings.fleet_key);
+        let sent = send_exchange(self.client.clone(), address, token, message);
+        let done = sent.into_actor(self).map(move |reply, control, cx| {
+            let now = control.now();
+            match reply {
+                Some(reply) => control.fleet.receive(now, reply),
+                None => control.fleet.fail(now, address),
+            }
+            control.publish();
+            control.look_for_newer(cx);
+        });
+        cx.spawn(done);
+    }
+}
+
+async fn send_exchange(
+    client: Client,
+    address: SocketAddr,
+    token: String,
+    message: Exchange,
+) -> Option<Exchange> {
+    let body = rmp_serde::to_vec(&message).ok()?;
+    let mut res = client
+        .post(format!("http://{address}/peer/exchange"))
+        .timeout(EXCHANGE_TIMEOUT)
+        .insert_header((PEER_HEADER, token))
+        .send_body(body)
+        .await
+        .ok()?;
+    if !res.status().is_success() {
+        return None;
+    }
+    let body = res.body().limit(MAX_EXCHANGE_BYTES).await.ok()?;
+    rmp_serde::from_slice(&body).ok()
+}
--- /dev/null
+++ b/crates/entry/src/control/messages.rs
@@ -0,0 +1,207 @@
+//! Messages to the control thread, and their handlers.
+
+use std::sync::Arc;
+
+use actix::{Context, Handler, Message, MessageResult};
+use hollowsail_fleet::{Exchange, Incarnation, Member, Standing, Stopping};
+use serde::{Deserialize, Serialize};
+
+use crate::configuration::Configuration;
+use crate::control::{Control, Fact};
+use crate::events;
+
+/// A peer's half of an exchange; answered with ours.
+#[derive(Message)]
+#[rtype(result = "MessageResponse")]
+pub struct Incoming(pub Exchange);
+
+/// Our half of an exchange.
+pub struct MessageResponse(pub Exchange);
+
+impl Handler<Incoming> for Control {
+    type Result = MessageResult<Incoming>;
+
+    fn handle(&mut self, message: Incoming, cx: &mut Context<Self>) -> Self::Result {
+        let now = self.now();
+        self.fleet.receive(now, message.0);
+        self.publish();
+        self.look_for_newer(cx);
+        MessageResult(MessageResponse(self.fleet.message()))
+    }
+}
+
+impl Handler<Fact> for Control {
+    type Result = ();
+
+    fn handle(&mut self, fact: Fact, _: &mut Context<Self>) {
+        self.take_fact(&fact);
+    }
+}
+
+/// Puts a configuration in force that this entry has accepted.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Adopt(pub Arc<Configuration>);
+
+impl Handler<Adopt> for Control {
+    type Result = bool;
+
+    fn handle(&mut self, message: Adopt, cx: &mut Context<Self>) -> bool {
+        let adopted = self.adopt(message.0, "apply");
+        self.spread_news(cx);
+        adopted
+    }
+}
+
+/// An operator says that a host is leaving.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct Drain(pub String);
+
+impl Handler<Drain> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: Drain, cx: &mut Context<Self>) {
+        self.learn_leaving(&message.0, "operator");
+        self.spread_news(cx);
+    }
+}
+
+/// A planned stop of this entry begins.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct BeginStop;
+
+impl Handler<BeginStop> for Control {
+    type Result = ();
+
+    fn handle(&mut self, _: BeginStop, cx: &mut Context<Self>) {
+        self.entry.log(events::STOP_BEGUN, format_args!(""));
+        self.fleet.set_stopping(Stopping::Leaving, None);
+        self.publish();
+        self.spread_news(cx);
+    }
+}
+
+/// This entry has stopped; a successor answers for its tickets, if any.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct LeaveFor(pub Option<Incarnation>);
+
+impl Handler<LeaveFor> for Control {
+    type Result = ();
+
+    fn handle(&mut self, message: LeaveFor, cx: &mut Context<Self>) {
+        self.fleet.set_stopping(Stopping::Left, message.0);
+        self.publish();
+        self.spread_to_all(cx);
+    }
+}
+
+/// Asks for what operators want to know.
+#[derive(Message)]
+#[rtype(result = "StatusReply")]
+pub struct Status;
+
+/// What this entry knows of itself and the others.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct StatusReport {
+    pub entry: String,
+    pub revision: u64,
+    pub apply_id: Option<String>,
+    pub standing: String,
+    /// Milliseconds since the store last answered; `None`: never.
+    pub store_age_ms: Option<u64>,
+    pub ledger_open: usize,
+    pub ledger_records: usize,
+    pub members: Vec<MemberStatus>,
+    pub targets: Vec<TargetStatus>,
+}
+
+/// One entry, as the answering one sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MemberStatus {
+    pub name: String,
+    pub hall: String,
+    pub incarnation: String,
+    pub health: String,
+    pub stopping: String,
+    pub revision: u64,
+}
+
+impl From<&Member> for MemberStatus {
+    fn from(member: &Member) -> Self {
+        MemberStatus {
+            name: member.name.clone(),
+            hall: member.hall.clone(),
+            incarnation: format!("{:x}", member.incarnation),
+            health: format!("{:?}", member.health),
+            stopping: format!("{:?}", member.stopping),
+            revision: member.revision,
+        }
+    }
+}
+
+/// One target, as the answering entry sees it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct TargetStatus {
+    pub name: String,
+    pub in_flight: u32,
+    pub average_ms: f64,
+    pub ejected: bool,
+    pub takes_work: bool,
+}
+
+/// Envelope, since actix wants a type of its own for the answer.
+pub struct StatusReply(pub StatusReport);
+
+impl Handler<Status> for Control {
+    type Result = MessageResult<Status>;
+
+    fn handle(&mut self, _: Status, _: &mut Context<Self>) -> Self::Result {
+        let now = self.now();
+        let (open, records) = {
+            let once = self.entry.once.lock().expect("no panic while held");
+            (once.open_records(), once.records())
+        };
+        let view = self.entry.view();
+        let standing = match view.standing {
+            Standing::Starting => "starting",
+            Standing::InTouch => "in touch",
+            Standing::Isolated => "isolated",
+        };
+        let members = std::iter::once(self.fleet.own())
+            .chain(self.fleet.others())
+            .map(MemberStatus::from)
+            .collect();
+        MessageResult(StatusReply(StatusReport {
+            entry: self.entry.settings.name.clone(),
+            revision: view.revision(),
+            apply_id: self.configuration.as_ref().map(|c| c.head.apply_id.clone()),
+            standing: standing.into(),
+            store_age_ms: self.spread.last_store.map(|at| now - at),
+            ledger_open: open,
+            ledger_records: records,
+            members,
+            targets: target_statuses(&view),
+        }))
+    }
+}
+
+fn target_statuses(view: &crate::view::View) -> Vec<TargetStatus> {
+    let Some(deployment) = view.deployment() else {
+        return Vec::new();
+    };
+    deployment
+        .targets
+        .iter()
+        .zip(&view.targets)
+        .map(|(target, state)| TargetStatus {
+            name: target.name.clone(),
+            in_flight: state.in_flight.load(std::sync::atomic::Ordering::Relaxed),
+            average_ms: state.average_ms,
+            ejected: state.ejected,
+            takes_work: state.takes_work,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/entry/src/events.rs
@@ -0,0 +1,70 @@
+//! Numbered log events. `docs/LOG-EVENTS.md` is their catalogue.
+//!
+//! A line reads `HS0201 route key=value ...`. Fields never hold payload.
+
+use std::fmt::Arguments;
+
+use log::Level;
+
+/// One kind of log line.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Event {
+    pub code: u16,
+    pub name: &'static str,
+    pub level: Level,
+    /// For the catalogue.
+    pub meaning: &'static str,
+}
+
+macro_rules! events {
+    ($($id:ident, $code:literal, $name:literal, $level:ident, $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $id: Event = Event {
+                code: $code,
+                name: $name,
+                level: Level::$level,
+                meaning: $meaning,
+            };
+        )*
+        /// Every event, in order of code.
+        pub const ALL: &[Event] = &[$($id),*];
+    };
+}
+
+events! {
+    STARTED, 101, "started", Info, "The entry listens.";
+    STOP_BEGUN, 102, "stop_begun", Info, "A planned stop began; the health check fails from now on.";
+    STOP_DRAINED, 103, "stop_drained", Info, "Nothing is in flight any more.";
+    HANDED_OVER, 104, "handed_over", Info, "The ledger went to a successor.";
+    HAND_OVER_FAILED, 105, "hand_over_failed", Warn, "No successor took the ledger; its tickets end as unknown.";
+    ADOPTED_LEDGER, 106, "adopted_ledger", Info, "This entry answers for a stopped entry's tickets.";
+    ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
+    NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
+    ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt gave no valid answer.";
+    REQUEST_ENDED, 204, "request_ended", Info, "A request was answered.";
+    RELAYED, 205, "relayed", Info, "A request was passed on to another entry.";
+    TARGET_EJECTED, 206, "target_ejected", Warn, "A target is out for a while.";
+    HOST_LEAVING, 207, "host_leaving", Info, "A host takes no new work from now on.";
+    LIST_NOT_BELIEVED, 208, "list_not_believed", Warn, "The host list shrank too much at once; the last one stays.";
+    CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force here.";
+    CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
+    CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
+    CONFIGURATION_UNREADABLE, 304, "configuration_unreadable", Error, "A revision cannot be read here; the last one stays in force.";
+    STORE_WENT_BACK, 305, "store_went_back", Error, "The store holds an older revision than the one in force; never adopted.";
+    STORE_LOST, 306, "store_lost", Warn, "The store does not answer.";
+    STORE_BACK, 307, "store_back", Info, "The store answers again.";
+    STANDING, 308, "standing", Warn, "Whether this entry takes new work changed.";
+    MEMBER, 401, "member", Info, "A member's health or stop changed.";
+}
+
+/// Writes one line.
+pub fn emit(event: Event, entry: &str, fields: Arguments<'_>) {
+    log::log!(
+        target: "hollowsail",
+        event.level,
+        "HS{:04} {} entry={entry} {fields}",
+        event.code,
+        event.name
+    );
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,37 @@
+//! The entry: the process between callers and targets.
+//!
+//! Requests come in at [`callers`] (or from another entry at [`peers`]), are
+//! judged from their headers, and run stage by stage in [`pipeline`] and
+//! [`attempt`]; those that must not be repeated pass through [`permit`] and
+//! the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
+//! that traffic reads. [`server::start`] puts it all together.
+
+pub mod answer;
+pub mod apply;
+pub mod attempt;
+pub mod auth;
+pub mod callers;
+pub mod configuration;
+pub mod context;
+pub mod control;
+pub mod events;
+pub mod headers;
+pub mod kinds;
+pub mod metrics;
+pub mod once;
+pub mod operators;
+pub mod peers;
+pub mod permit;
+pub mod pipeline;
+pub mod relay;
+pub mod server;
+pub mod stop;
+pub mod streaming;
+pub mod tls;
+pub mod view;
+pub mod worker;
+
+pub use answer::{AnswerBody, StageReport};
+pub use configuration::Configuration;
+pub use kinds::ErrorKind;
+pub use server::{start, RunningEntry, StartError, StartOptions};
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,75 @@
+//! Metrics, by the `metrics` crate, exposed for Prometheus on the operators'
+//! listener. Labels name entries, services, pipelines and kinds; never payload.
+
+use std::sync::OnceLock;
+
+use hollowsail_routing::{Outcome, StageStatus};
+use metrics::{counter, gauge, histogram};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::kinds::ErrorKind;
+
+static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
+
+/// Installs the recorder once per process; later calls do nothing.
+pub fn install() {
+    RECORDER.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
+}
+
+/// Text for a scrape; empty when another recorder was installed first.
+pub fn render() -> String {
+    RECORDER
+        .get()
+        .and_then(|recorder| recorder.as_ref())
+        .map(PrometheusHandle::render)
+        .unwrap_or_default()
+}
+
+/// A request was answered.
+pub fn count_request(
+    entry: &str,
+    pipeline: &str,
+    outcome: Outcome,
+    kind: Option<ErrorKind>,
+    ms: u64,
+) {
+    let kind = kind.map_or("none", |kind| kind.answer().name);
+    let outcome = match outcome {
+        Outcome::Whole => "whole",
+        Outcome::NotRun => "not_run",
+        Outcome::Unknown => "unknown",
+    };
+    counter!("hollowsail_requests_total", "entry" => entry.to_string(),
+        "pipeline" => pipeline.to_string(), "outcome" => outcome, "kind" => kind)
+    .increment(1);
+    histogram!("hollowsail_request_seconds", "entry" => entry.to_string(),
+        "pipeline" => pipeline.to_string())
+    .record(ms as f64 / 1000.0);
+}
+
+/// An attempt at a stage ended.
+pub fn count_attempt(entry: &str, service: &str, status: StageStatus, ms: u64) {
+    let status = match status {
+        StageStatus::Ran => "ran",
+        StageStatus::NotRun => "not_run",
+        StageStatus::Unknown => "unknown",
+    };
+    counter!("hollowsail_attempts_total", "entry" => entry.to_string(),
+        "service" => service.to_string(), "status" => status)
+    .increment(1);
+    counter!("hollowsail_stage_milliseconds_total", "entry" => entry.to_string(),
+        "service" => service.to_string())
+    .increment(ms);
+}
+
+/// The control thread was behind and a fact was dropped.
+pub fn count_dropped_fact(entry: &str) {
+    counter!("hollowsail_dropped_facts_total", "entry" => entry.to_string()).increment(1);
+}
+
+/// Figures that the control thread publishes at every tick.
+pub fn set_control_gauges(entry: &str, revision: u64, members: usize, ledger: usize) {
+    gauge!("hollowsail_revision", "entry" => entry.to_string()).set(revision as f64);
+    gauge!("hollowsail_members", "entry" => entry.to_string()).set(members as f64);
+    gauge!("hollowsail_ledger_records", "entry" => entry.to_string()).set(ledger as f64);
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,90 @@
+//! The operators' interface: apply, status, drain, stop, metrics.
+
+use actix_web::{web, HttpRequest, HttpResponse};
+use serde::{Deserialize, Serialize};
+
+use crate::apply::{self, ApplyRequest};
+use crate::auth::is_operator;
+use crate::control::{Drain, Status};
+use crate::metrics;
+use crate::worker::Worker;
+
+/// Largest set of files in bytes.
+pub const MAX_APPLY_BYTES: usize = 16 * 1024 * 1024;
+
+/// Body of a drain request.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DrainRequest {
+    /// Name of a target.
+    pub host: String,
+}
+
+/// Routes of the operators' listener.
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.app_data(web::JsonConfig::default().limit(MAX_APPLY_BYTES))
+        .route("/v1/configuration", web::post().to(apply_configuration))
+        .route("/v1/status", web::get().to(status))
+        .route("/v1/drain", web::post().to(drain))
+        .route("/metrics", web::get().to(scrape));
+}
+
+fn known(worker: &Worker, req: &HttpRequest) -> bool {
+    is_operator(req.headers(), &worker.entry.settings.operator_key)
+}
+
+fn stranger() -> HttpResponse {
+    HttpResponse::Unauthorized().body("send the operators' key as a bearer token\n")
+}
+
+async fn apply_configuration(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    body: web::Json<ApplyRequest>,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    let result = apply::apply(&worker, body.into_inner()).await;
+    HttpResponse::build(result.status()).json(result)
+}
+
+async fn status(worker: web::Data<Worker>, req: HttpRequest) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    match worker.entry.control().send(Status).await {
+        Ok(reply) => HttpResponse::Ok().json(reply.0),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn drain(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    body: web::Json<DrainRequest>,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    let name = body.into_inner().host;
+    let exists = worker
+        .entry
+        .configuration()
+        .is_some_and(|c| c.deployment.targets.iter().any(|t| t.name == name));
+    if !exists {
+        let message = format!("there is no target {name}; see `hollowsail status`\n");
+        return HttpResponse::NotFound().body(message);
+    }
+    match worker.entry.control().send(Drain(name)).await {
+        Ok(()) => HttpResponse::Ok().json(serde_json::json!({})),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+/// Open to scrapers: metrics hold names and counts only.
+async fn scrape() -> HttpResponse {
+    HttpResponse::Ok()
+        .content_type("text/plain; version=0.0.4")
+        .body(metrics::render())
+}
--- /dev/null
+++ b/crates/entry/src/peers.rs
@@ -0,0 +1,148 @@
+//! The peers' interface: exchanges, configurations, relayed requests, and
+//! ledgers of entries that stop.
+
+use actix_web::{web, HttpRequest, HttpResponse};
+use hollowsail_config::chunk::ChunkHash;
+use hollowsail_fleet::Exchange;
+use hollowsail_ledger::HandOver;
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use serde_bytes::ByteBuf;
+
+use crate::auth::is_peer;
+use crate::callers::{self, Sender, TicketQuery};
+use crate::control::spread::{ChunkReply, ChunkRequest};
+use crate::control::Incoming;
+use crate::events;
+use crate::worker::Worker;
+
+/// Largest ledger or chunk request in bytes.
+pub const MAX_PEER_BODY: usize = 64 * 1024 * 1024;
+
+/// Routes of the peers' listener.
+pub fn routes(cfg: &mut web::ServiceConfig) {
+    cfg.route("/peer/exchange", web::post().to(exchange))
+        .route("/peer/configuration", web::post().to(configuration))
+        .route("/peer/ledger", web::post().to(adopt_ledger))
+        .route("/peer/v1/pipelines/{name}", web::post().to(relayed))
+        .route("/peer/v1/tickets", web::post().to(relayed_tickets));
+}
+
+fn known(worker: &Worker, req: &HttpRequest) -> bool {
+    is_peer(req.headers(), &worker.entry.settings.fleet_key)
+}
+
+fn stranger() -> HttpResponse {
+    HttpResponse::Unauthorized().body("not a peer of this fleet; check the fleet key\n")
+}
+
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, HttpResponse> {
+    rmp_serde::from_slice(body)
+        .map_err(|err| HttpResponse::BadRequest().body(format!("unreadable message: {err}\n")))
+}
+
+fn reply<T: Serialize>(message: &T) -> HttpResponse {
+    match rmp_serde::to_vec(message) {
+        Ok(bytes) => HttpResponse::Ok().body(bytes),
+        Err(_) => HttpResponse::InternalServerError().finish(),
+    }
+}
+
+async fn exchange(worker: web::Data<Worker>, req: HttpRequest, body: web::Bytes) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    let message: Exchange = match read(&body) {
+        Ok(message) => message,
+        Err(res) => return res,
+    };
+    match worker.entry.control().send(Incoming(message)).await {
+        Ok(answer) => reply(&answer.0),
+        Err(_) => HttpResponse::ServiceUnavailable().finish(),
+    }
+}
+
+async fn configuration(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    let request: ChunkRequest = match read(&body) {
+        Ok(request) => request,
+        Err(res) => return res,
+    };
+    let Some(configuration) = worker.entry.configuration() else {
+        return HttpResponse::NotFound().finish();
+    };
+    let chunks: Option<Vec<ByteBuf>> = request
+        .hashes
+        .iter()
+        .map(|hash| {
+            let hash: ChunkHash = hash.as_slice().try_into().ok()?;
+            let bytes = configuration.chunks.get(&hash)?;
+            Some(ByteBuf::from(bytes.as_slice()))
+        })
+        .collect();
+    match chunks {
+        Some(chunks) => reply(&ChunkReply {
+            head: configuration.head.clone(),
+            chunks,
+        }),
+        None => HttpResponse::NotFound().finish(),
+    }
+}
+
+async fn adopt_ledger(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    let hand_over: HandOver = match read(&body) {
+        Ok(hand_over) => hand_over,
+        Err(res) => return res,
+    };
+    let from = hand_over.from;
+    let records: usize = hand_over.issuers.iter().map(|i| i.records.len()).sum();
+    let adopted = {
+        let mut once = worker.entry.once.lock().expect("no panic while held");
+        once.adopt(worker.entry.now(), hand_over)
+    };
+    if !adopted {
+        return HttpResponse::Conflict().body("stopping too; choose another successor\n");
+    }
+    worker.entry.log(
+        events::ADOPTED_LEDGER,
+        format_args!("from={from:x} records={records}"),
+    );
+    HttpResponse::Ok().finish()
+}
+
+async fn relayed(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    name: web::Path<String>,
+    body: web::Payload,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    callers::serve(&worker, &req, &name, body, Sender::Peer).await
+}
+
+async fn relayed_tickets(
+    worker: web::Data<Worker>,
+    req: HttpRequest,
+    query: web::Query<TicketQuery>,
+    body: web::Payload,
+) -> HttpResponse {
+    if !known(&worker, &req) {
+        return stranger();
+    }
+    callers::tickets(&worker, &req, &query, body, Sender::Peer).await
+}
--- /dev/null
+++ b/crates/entry/src/pipeline.rs
@@ -0,0 +1,177 @@
+//! Runs one request through its pipeline.
+//!
+//! Stage by stage: plan the time, run attempts until one answers or none may
+//! follow, feed the output to the next stage. What each attempt proved is
+//! folded into the stage's status by `hollowsail-routing`'s table.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hollowsail_config::{Pipeline, PipelineKey, Stage};
+use hollowsail_routing::{deadline, stage_status, StageStatus};
+use serde_json::Value;
+use tokio::sync::mpsc;
+
+use crate::answer::{AnswerBody, StageReport};
+use crate::attempt::{self, StageRun};
+use crate::configuration::Configuration;
+use crate::events;
+use crate::kinds::ErrorKind;
+use crate::metrics;
+use crate::worker::Worker;
+
+/// One request, accepted and ready to run.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// The caller's id, for answers and logs.
+    pub request: String,
+    /// Unique in the fleet, for dispatch ids.
+    pub run: String,
+    pub org: String,
+    pub configuration: Arc<Configuration>,
+    pub pipeline: PipelineKey,
+    pub accepted: Instant,
+    pub deadline: Duration,
+    pub session: Option<String>,
+    pub input: Value,
+}
+
+impl Job {
+    pub fn pipeline(&self) -> &Pipeline {
+        self.configuration.deployment.pipeline(self.pipeline)
+    }
+
+    /// Time left until the deadline.
+    pub fn remaining(&self) -> Duration {
+        self.deadline.saturating_sub(self.accepted.elapsed())
+    }
+
+    pub fn remaining_ms(&self) -> u64 {
+        self.remaining().as_millis() as u64
+    }
+}
+
+/// What a streaming caller sees before the final answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Progress {
+    Token {
+        offset: u32,
+        text: String,
+    },
+    /// Tokens so far belong to an attempt that was given up; start anew.
+    Restart,
+}
+
+/// Where a streaming caller's events go.
+pub type Sink = mpsc::Sender<Progress>;
+
+/// Runs every stage; always ends in an answer.
+pub async fn run(worker: &Worker, job: &Job, sink: Option<&Sink>) -> AnswerBody {
+    let mut reports = Vec::new();
+    let mut input = job.input.clone();
+    let mut failure = None;
+    for (at, stage) in job.pipeline().stages.iter().enumerate() {
+        let begun = Instant::now();
+        let last = at + 1 == job.pipeline().stages.len();
+        let sink = sink.filter(|_| last);
+        let (run, result) = run_stage(worker, job, at, stage, input, sink).await;
+        reports.push(report(stage, &run, begun));
+        match result {
+            Ok(output) => input = output,
+            Err(err) => {
+                failure = Some(err);
+                input = Value::Null;
+                break;
+            }
+        }
+    }
+    let result = match failure {
+        None => Ok(input),
+        Some(err) => Err(err),
+    };
+    finish(worker, job, reports, result)
+}
+
+fn report(stage: &Stage, run: &StageRun, begun: Instant) -> StageReport {
+    StageReport {
+        stage: stage.name.clone(),
+        status: stage_status(run.attempts.iter().copied()),
+        attempts: run.attempts.len() as u32,
+        ms: begun.elapsed().as_millis() as u64,
+    }
+}
+
+async fn run_stage(
+    worker: &Worker,
+    job: &Job,
+    at: usize,
+    stage: &Stage,
+    input: Value,
+    sink: Option<&Sink>,
+) -> (StageRun, Result<Value, (ErrorKind, String)>) {
+    let view = worker.entry.view();
+    let expected = view.expectations(job.pipeline, at);
+    let plan = match deadline::plan(job.remaining_ms(), expected) {
+        Ok(plan) => plan,
+        Err(late) => {
+            let kind = match job.remaining_ms() {
+                0 => ErrorKind::DeadlineExceeded,
+                _ => ErrorKind::CannotFinish,
+            };
+            let message = format!(
+                "{} ms are left before stage {} and {} ms are needed",
+                job.remaining_ms(),
+                stage.name,
+                late.needed_ms
+            );
+            return (StageRun::default(), Err((kind, message)));
+        }
+    };
+    attempt::run_attempts(worker, job, at, stage, input, plan, sink).await
+}
+
+/// Adds the stages that were never reached and closes the answer.
+fn finish(
+    worker: &Worker,
+    job: &Job,
+    mut reports: Vec<StageReport>,
+    result: Result<Value, (ErrorKind, String)>,
+) -> AnswerBody {
+    let stages = &job.pipeline().stages;
+    for stage in &stages[reports.len()..] {
+        reports.push(StageReport {
+            stage: stage.name.clone(),
+            status: StageStatus::NotRun,
+            attempts: 0,
+            ms: 0,
+        });
+    }
+    let safe = result.is_err() && safe_to_repeat(stages, &reports);
+    let mut answer = AnswerBody::ended(&job.request, reports, safe, result);
+    answer.revision = job.configuration.revision();
+    record(worker, job, &answer);
+    answer
+}
+
+/// True when no stage that must not be repeated ran or may have run.
+fn safe_to_repeat(stages: &[Stage], reports: &[StageReport]) -> bool {
+    stages
+        .iter()
+        .zip(reports)
+        .all(|(stage, report)| stage.repeatable || report.status == StageStatus::NotRun)
+}
+
+fn record(worker: &Worker, job: &Job, answer: &AnswerBody) {
+    let ms = job.accepted.elapsed().as_millis() as u64;
+    let pipeline = &job.pipeline().name;
+    let name = &worker.entry.settings.name;
+    metrics::count_request(name, pipeline, answer.outcome, answer.kind, ms);
+    let kind = answer.kind.map_or("none", |kind| kind.answer().name);
+    worker.entry.log(
+        events::REQUEST_ENDED,
+        format_args!(
+            "request={} run={} org={} pipeline={pipeline} outcome={:?} kind={kind} ms={ms}",
+            job.request, job.run, job.org, answer.outcome
+        ),
+    );
+}
--- /dev/null
+++ b/crates/entry/src/relay.rs
@@ -0,0 +1,125 @@
+//! Passing a request on, unread, to the entry that may or must serve it.
+//!
+//! Two reasons: the caller's organisation may not be served in this hall, or
+//! the ticket was issued elsewhere. The decision is made from headers alone;
+//! body and answer stream through without being looked at. A relayed request
+//! is never relayed again, so views that differ cannot make a loop.
+
+use std::cell::RefCell;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_web::error::PayloadError;
+use actix_web::http::header::{
+    HeaderMap, HeaderName, ACCEPT, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
+};
+use actix_web::web::{Bytes, Payload};
+use actix_web::{HttpResponse, HttpResponseBuilder};
+use futures_util::Stream;
+use hollowsail_fleet::Member;
+use hollowsail_platform::http::nothing_sent;
+
+use crate::auth::{peer_token, PEER_HEADER};
+use crate::events;
+use crate::headers;
+use crate::worker::Worker;
+
+/// Headers of a caller that go on with a relayed request.
+const PASSED_ON: [HeaderName; 4] = [ACCEPT, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE];
+/// Headers of an answer that go back.
+const PASSED_BACK: [HeaderName; 3] = [CONTENT_TYPE, CONTENT_LENGTH, RETRY_AFTER];
+
+/// Why a relay gave no answer.
+#[derive(Debug)]
+pub enum RelayError {
+    /// Nothing was handed to a socket: another entry may be tried.
+    NotSent,
+    /// The other entry may be running the request.
+    Broken(String),
+}
+
+type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
+
+/// A request body that several relay attempts share: one that fails before it
+/// reads anything leaves the body whole for the next.
+#[derive(Clone)]
+pub struct SharedBody(Rc<RefCell<BodyStream>>);
+
+impl SharedBody {
+    pub fn new(body: Payload) -> Self {
+        SharedBody(Rc::new(RefCell::new(Box::pin(body))))
+    }
+
+    /// A body that was read already.
+    pub fn of_bytes(bytes: Vec<u8>) -> Self {
+        let stream = futures_util::stream::iter([Ok(Bytes::from(bytes))]);
+        SharedBody(Rc::new(RefCell::new(Box::pin(stream))))
+    }
+}
+
+impl Stream for SharedBody {
+    type Item = Result<Bytes, PayloadError>;
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        self.0.borrow_mut().as_mut().poll_next(cx)
+    }
+}
+
+/// What is passed on besides the caller's own headers.
+pub struct Relay<'a> {
+    pub path: &'a str,
+    pub request: &'a str,
+    pub headers: &'a HeaderMap,
+    pub body: SharedBody,
+    /// Time left for the whole request.
+    pub remaining: Duration,
+    /// True when the other entry owns the claim on the caller's id.
+    pub claim_owner: bool,
+}
+
+/// Passes a request on to one peer.
+pub async fn relay(
+    worker: &Worker,
+    peer: &Member,
+    relay: &Relay<'_>,
+) -> Result<HttpResponse, RelayError> {
+    worker.entry.log(
+        events::RELAYED,
+        format_args!("request={} to={}", relay.request, peer.name),
+    );
+    let mut req = worker
+        .single_use
+        .post(format!("http://{}{}", peer.peer, relay.path))
+        .timeout(relay.remaining)
+        .insert_header((PEER_HEADER, peer_token(&worker.entry.settings.fleet_key)))
+        .insert_header((headers::REQUEST, relay.request))
+        .insert_header((headers::DEADLINE, relay.remaining.as_millis().to_string()));
+    for name in PASSED_ON {
+        if let Some(value) = relay.headers.get(&name) {
+            req = req.insert_header((name, value.clone()));
+        }
+    }
+    for name in headers::ONCE {
+        if let Some(value) = relay.headers.get(name) {
+            req = req.insert_header((name, value.clone()));
+        }
+    }
+    if relay.claim_owner {
+        req = req.insert_header((headers::CLAIM_OWNER, "1"));
+    }
+    match req.send_stream(relay.body.clone()).await {
+        Ok(res) => {
+            let mut back = HttpResponseBuilder::new(res.status());
+            for name in PASSED_BACK {
+                if let Some(value) = res.headers().get(&name) {
+                    back.insert_header((name, value.clone()));
+                }
+            }
+            Ok(back.streaming(res))
+        }
+        Err(err) if nothing_sent(&err) => Err(RelayError::NotSent),
+        Err(err) => Err(RelayError::Broken(err.to_string())),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/server.rs
@@ -0,0 +1,205 @@
+//! Starting an entry: listeners, traffic threads, control thread.
+
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::{Actor, Arbiter};
+use actix_web::dev::{Server, ServerHandle};
+use actix_web::{web, App, HttpServer};
+use hollowsail_config::settings::Settings;
+use hollowsail_fleet::{Fleet, FleetTiming, Health, Member, Standing, Stopping};
+use rand::rngs::SmallRng;
+use rand::SeedableRng;
+use snafu::{ResultExt, Snafu};
+
+use crate::configuration::Configuration;
+use crate::context::Entry;
+use crate::control::{Adopt, Control};
+use crate::events;
+use crate::metrics;
+use crate::tls;
+use crate::view::View;
+use crate::worker::Worker;
+use crate::{callers, operators, peers, stop};
+
+/// How long an idle caller's connection stays open.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// How long closing listeners wait for connections; requests are done by then.
+const SHUTDOWN_SECONDS: u64 = 5;
+
+/// Why an entry does not start.
+#[derive(Debug, Snafu)]
+pub enum StartError {
+    #[snafu(display("cannot listen on {address}: {source}; check [listen] in the settings"))]
+    Listen {
+        address: SocketAddr,
+        source: std::io::Error,
+    },
+    #[snafu(display("{source}"))]
+    Tls { source: tls::TlsError },
+    #[snafu(display("cannot start a listener: {source}; check limits of open files"))]
+    Serve { source: std::io::Error },
+    #[snafu(display("no randomness: {reason}; the system has to provide it"))]
+    Randomness { reason: String },
+}
+
+/// A running entry.
+pub struct RunningEntry {
+    pub entry: Arc<Entry>,
+    pub callers: SocketAddr,
+    pub peers: SocketAddr,
+    pub operators: SocketAddr,
+    servers: Vec<ServerHandle>,
+    control: Arbiter,
+}
+
+/// What a start may vary; tests and the bench use shorter times.
+#[derive(Debug, Clone, Default)]
+pub struct StartOptions {
+    pub timing: FleetTiming,
+    /// Configuration in force from the first moment, without store or peers.
+    pub configuration: Option<Arc<Configuration>>,
+}
+
+/// Starts an entry inside a running actix system.
+pub async fn start(settings: Settings, options: StartOptions) -> Result<RunningEntry, StartError> {
+    metrics::install();
+    let callers_at = listen(settings.callers)?;
+    let peers_at = listen(settings.peers)?;
+    let operators_at = listen(settings.operators)?;
+    let callers_address = address_of(&callers_at)?;
+    let peers_address = address_of(&peers_at)?;
+    let operators_address = address_of(&operators_at)?;
+    let incarnation = new_incarnation()?;
+    let own = Member {
+        incarnation,
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        peer: peers_address,
+        version: 0,
+        health: Health::Alive,
+        stopping: Stopping::No,
+        successor: None,
+        revision: 0,
+    };
+    let entry = Arc::new(Entry::new(settings, incarnation, empty_view(own.clone())));
+    let control = start_control(&entry, own, &options);
+    if let Some(configuration) = options.configuration {
+        let _ = entry.control().send(Adopt(configuration)).await;
+    }
+    let servers = vec![
+        serve(&entry, callers_at, callers::routes, Secured::Yes)?,
+        serve(&entry, peers_at, peers::routes, Secured::No)?,
+        serve(&entry, operators_at, operators::routes, Secured::Yes)?,
+    ];
+    let handles = servers.iter().map(Server::handle).collect();
+    servers.into_iter().for_each(|server| {
+        actix_rt::spawn(server);
+    });
+    entry.log(
+        events::STARTED,
+        format_args!(
+            "incarnation={incarnation:x} hall={} callers={callers_address} \
+             peers={peers_address} operators={operators_address}",
+            entry.settings.hall
+        ),
+    );
+    Ok(RunningEntry {
+        entry,
+        callers: callers_address,
+        peers: peers_address,
+        operators: operators_address,
+        servers: handles,
+        control,
+    })
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StartError> {
+    TcpListener::bind(address).context(ListenSnafu { address })
+}
+
+fn address_of(listener: &TcpListener) -> Result<SocketAddr, StartError> {
+    listener.local_addr().context(ServeSnafu)
+}
+
+fn new_incarnation() -> Result<u64, StartError> {
+    getrandom::u64().map_err(|err| StartError::Randomness {
+        reason: err.to_string(),
+    })
+}
+
+fn empty_view(own: Member) -> View {
+    View {
+        configuration: None,
+        targets: Vec::new(),
+        stages: Vec::new(),
+        own,
+        members: Vec::new(),
+        standing: Standing::Starting,
+    }
+}
+
+fn start_control(entry: &Arc<Entry>, own: Member, options: &StartOptions) -> Arbiter {
+    let arbiter = Arbiter::new();
+    let tick = Duration::from_millis(options.timing.tick_ms);
+    let fleet = Fleet::new(own, entry.settings.seeds.clone(), options.timing);
+    let rng = SmallRng::seed_from_u64(entry.incarnation);
+    let shared = entry.clone();
+    let address = Control::start_in_arbiter(&arbiter.handle(), move |_| {
+        Control::new(shared, fleet, tick, rng)
+    });
+    entry.set_control(address);
+    arbiter
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Secured {
+    Yes,
+    No,
+}
+
+fn serve(
+    entry: &Arc<Entry>,
+    listener: TcpListener,
+    routes: fn(&mut web::ServiceConfig),
+    secured: Secured,
+) -> Result<Server, StartError> {
+    let shared = entry.clone();
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::new(Worker::new(shared.clone())))
+            .app_data(web::PayloadConfig::new(peers::MAX_PEER_BODY))
+            .configure(routes)
+    })
+    .workers(entry.settings.limits.threads)
+    .keep_alive(KEEP_ALIVE)
+    .shutdown_timeout(SHUTDOWN_SECONDS)
+    .disable_signals();
+    let server = match (&entry.settings.tls, secured) {
+        (Some(files), Secured::Yes) => {
+            let config = tls::load(files).context(TlsSnafu)?;
+            server.listen_rustls_0_23(listener, config)
+        }
+        _ => server.listen(listener),
+    };
+    Ok(server.context(ServeSnafu)?.run())
+}
+
+impl RunningEntry {
+    /// A planned stop: nothing is cut.
+    pub async fn stop(self) {
+        stop::run(self.entry.clone()).await;
+        self.close(true).await;
+    }
+
+    /// Ends at once, as a crash would.
+    pub async fn kill(self) {
+        self.close(false).await;
+    }
+
+    async fn close(self, graceful: bool) {
+        self.control.stop();
+        futures_util::future::join_all(self.servers.iter().map(|s| s.stop(graceful))).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,97 @@
+//! The snapshot that the control thread publishes and traffic reads.
+//!
+//! A traffic thread loads one [`View`] per decision and never waits for the
+//! control thread. Counters of requests in flight are shared atomics: they
+//! change with every dispatch, faster than snapshots are made.
+
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+
+use hollowsail_config::{Deployment, PipelineKey, TargetKey};
+use hollowsail_fleet::{member, Incarnation, Member, Standing, Stopping};
+use hollowsail_routing::StageExpectation;
+
+use crate::configuration::Configuration;
+
+/// One target, in the order of the deployment's arena.
+#[derive(Debug, Clone)]
+pub struct TargetView {
+    /// Calls of this entry in flight there.
+    pub in_flight: Arc<AtomicU32>,
+    /// Recent latency in milliseconds; 0 before any answer.
+    pub average_ms: f64,
+    pub ejected: bool,
+    /// Not leaving and not gone.
+    pub takes_work: bool,
+    /// Load the target last reported, aged; `None` when it reports none.
+    pub reported: Option<f64>,
+}
+
+/// Everything a traffic decision may look at.
+#[derive(Debug, Clone)]
+pub struct View {
+    pub configuration: Option<Arc<Configuration>>,
+    pub targets: Vec<TargetView>,
+    /// Expected times by pipeline and stage.
+    pub stages: Vec<Vec<StageExpectation>>,
+    pub own: Member,
+    pub members: Vec<Member>,
+    pub standing: Standing,
+}
+
+impl View {
+    pub fn target(&self, key: TargetKey) -> &TargetView {
+        &self.targets[key.index()]
+    }
+
+    /// Expectations of a pipeline's stages from `stage` on.
+    pub fn expectations(&self, pipeline: PipelineKey, stage: usize) -> &[StageExpectation] {
+        self.stages
+            .get(pipeline.index())
+            .and_then(|stages| stages.get(stage..))
+            .unwrap_or(&[])
+    }
+
+    pub fn deployment(&self) -> Option<&Deployment> {
+        self.configuration
+            .as_ref()
+            .map(|configuration| &configuration.deployment)
+    }
+
+    pub fn revision(&self) -> u64 {
+        self.configuration
+            .as_ref()
+            .map_or(0, |configuration| configuration.revision())
+    }
+
+    /// The member that answers for the tickets of `issuer`.
+    pub fn answering(&self, issuer: Incarnation) -> Option<&Member> {
+        member::answering(issuer, |wanted| {
+            self.members
+                .iter()
+                .chain([&self.own])
+                .find(|member| member.incarnation == wanted)
+        })
+    }
+
+    pub fn is_stopping(&self) -> bool {
+        self.own.stopping != Stopping::No
+    }
+}
+
+/// Counts one call in flight for as long as it lives.
+#[derive(Debug)]
+pub struct InFlight(Arc<AtomicU32>);
+
+impl InFlight {
+    pub fn new(counter: &Arc<AtomicU32>) -> Self {
+        counter.fetch_add(1, Ordering::Relaxed);
+        InFlight(counter.clone())
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/worker.rs
@@ -0,0 +1,41 @@
+//! What one traffic thread has: the shared context and its own clients.
+
+use std::sync::Arc;
+
+use awc::Client;
+use hollowsail_platform::http;
+use hollowsail_platform::StoreClient;
+
+use crate::context::Entry;
+
+/// Thread-local side of traffic; `awc` clients stay on their thread.
+#[derive(Clone)]
+pub struct Worker {
+    pub entry: Arc<Entry>,
+    /// Reuses connections; for calls that may be repeated.
+    pub pooled: Client,
+    /// A connection per call; for calls that may not.
+    pub single_use: Client,
+    pub store: Option<StoreClient>,
+}
+
+impl Worker {
+    pub fn new(entry: Arc<Entry>) -> Self {
+        let store = entry.settings.store.map(StoreClient::new);
+        Worker {
+            entry,
+            pooled: http::pooled_client(),
+            single_use: http::single_use_client(),
+            store,
+        }
+    }
+
+    /// The client for a call that may or may not be repeated.
+    pub fn client(&self, repeatable: bool) -> &Client {
+        if repeatable {
+            &self.pooled
+        } else {
+            &self.single_use
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,27 @@
+//! How entries know of each other, of the newest configuration, and of hosts
+//! that leave.
+//!
+//! Each entry exchanges a small message with one random peer at every tick.
+//! An exchange is at once a probe (a peer that does not answer is suspected),
+//! a carrier of member records and leaving hosts, and a comparison of
+//! configuration revisions. All state machines are pure: time and seeded
+//! randomness come in as arguments, [`Output`]s go out.
+
+pub mod fleet;
+pub mod leaving;
+pub mod member;
+pub mod rendezvous;
+pub mod standing;
+pub mod wire;
+
+pub use fleet::{Fleet, FleetTiming, Output};
+pub use leaving::{HostView, LeavingHost, ListedHost};
+pub use member::{Health, Member, Stopping};
+pub use standing::{Standing, StandingRule};
+pub use wire::Exchange;
+
+/// Milliseconds since the owning process started.
+pub type Millis = u64;
+
+/// Identifies one run of one entry process; random, never reused.
+pub type Incarnation = u64;
--- /dev/null
+++ b/crates/fleet/src/wire.rs
@@ -0,0 +1,21 @@
+//! Messages between entries, carried by `rmp-serde` over HTTP.
+
+use serde::{Deserialize, Serialize};
+
+use crate::leaving::LeavingHost;
+use crate::member::Member;
+
+/// Member records in one exchange.
+pub const MAX_RECORDS: usize = 16;
+/// Leaving hosts in one exchange.
+pub const MAX_LEAVING: usize = 16;
+
+/// One half of an exchange; the reply has the same shape.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exchange {
+    /// The sender's own record, always fresh.
+    pub from: Member,
+    /// Records that the sender has passed on least often.
+    pub members: Vec<Member>,
+    pub leaving: Vec<LeavingHost>,
+}
--- /dev/null
+++ b/crates/local/src/fleet.rs
@@ -0,0 +1,208 @@
+//! Starting, changing and stopping a fleet on loopback.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hollowsail_config::key::hash_key;
+use hollowsail_config::settings::{Limits, Settings};
+use hollowsail_config::{check, Deployment, Faults, SourceFile};
+use hollowsail_entry::apply::{self, ApplyRequest, ApplyResult};
+use hollowsail_entry::worker::Worker;
+use hollowsail_entry::{start, RunningEntry, StartError, StartOptions};
+use hollowsail_fleet::FleetTiming;
+use hollowsail_platform::{HostRecord, HostStatus};
+use hollowsail_standins::{HostListStandIn, Profile, StoreStandIn, TargetStandIns};
+use snafu::{ResultExt, Snafu};
+
+use crate::localize::localize;
+
+/// The operators' key of every local entry.
+pub const OPERATOR_KEY: &str = "local-operator";
+/// The fleet's key.
+const FLEET_KEY: &[u8] = b"a fleet on loopback";
+/// How long an apply waits to be in force everywhere.
+const APPLY_WAIT_MS: u64 = 10_000;
+
+/// Why a local fleet does not start.
+#[derive(Debug, Snafu)]
+pub enum LocalError {
+    #[snafu(display("{source}"))]
+    Check { source: Faults },
+    #[snafu(display("cannot start a stand-in: {source}; check limits of open files"))]
+    StandIn { source: std::io::Error },
+    #[snafu(display("{source}"))]
+    Entry { source: StartError },
+    #[snafu(display("the configuration was not accepted: {result:?}"))]
+    Apply { result: ApplyResult },
+}
+
+/// What a local fleet may vary.
+#[derive(Debug, Clone)]
+pub struct LocalOptions {
+    pub entries: usize,
+    pub profile: Profile,
+    /// For faults drawn at random in stand-ins.
+    pub seed: u64,
+    pub host_list_lag: Duration,
+    pub limits: Limits,
+    pub timing: FleetTiming,
+}
+
+impl Default for LocalOptions {
+    fn default() -> Self {
+        LocalOptions {
+            entries: 3,
+            profile: Profile::default(),
+            seed: 1,
+            host_list_lag: Duration::from_secs(2),
+            limits: Limits::default(),
+            timing: FleetTiming::default(),
+        }
+    }
+}
+
+/// A running fleet. Entries keep their place when they are stopped.
+pub struct LocalFleet {
+    pub deployment: Deployment,
+    /// Files in force, with the stand-ins' addresses.
+    pub files: Vec<SourceFile>,
+    pub store: StoreStandIn,
+    pub host_list: HostListStandIn,
+    pub targets: TargetStandIns,
+    pub entries: Vec<Option<RunningEntry>>,
+    options: LocalOptions,
+    next_entry: usize,
+}
+
+impl LocalFleet {
+    /// Starts stand-ins and entries and applies the files.
+    pub async fn start(files: &[SourceFile], options: LocalOptions) -> Result<Self, LocalError> {
+        let deployment = check(files).context(CheckSnafu)?;
+        let targets = TargetStandIns::start(&deployment, options.profile).context(StandInSnafu)?;
+        let files = localize(files, &targets.addresses);
+        let deployment = check(&files).context(CheckSnafu)?;
+        let store = StoreStandIn::start(options.seed).context(StandInSnafu)?;
+        let host_list = HostListStandIn::start(live_hosts(&deployment), options.host_list_lag)
+            .context(StandInSnafu)?;
+        let mut fleet = LocalFleet {
+            deployment,
+            files,
+            store,
+            host_list,
+            targets,
+            entries: Vec::new(),
+            options,
+            next_entry: 0,
+        };
+        for _ in 0..fleet.options.entries {
+            fleet.start_entry().await?;
+        }
+        let files = fleet.files.clone();
+        match fleet.apply(0, files, 0, "first").await {
+            ApplyResult::Accepted { .. } => Ok(fleet),
+            result => Err(LocalError::Apply { result }),
+        }
+    }
+
+    /// Starts one more entry, in the halls by turns; returns its place.
+    pub async fn start_entry(&mut self) -> Result<usize, LocalError> {
+        let place = self.next_entry;
+        let hall = &self.deployment.halls[place % self.deployment.halls.len()];
+        let name = format!("entry-{}", place + 1);
+        let settings = self.settings(&name, &hall.name);
+        let options = StartOptions {
+            timing: self.options.timing,
+            configuration: None,
+        };
+        let running = start(settings, options).await.context(EntrySnafu)?;
+        self.entries.push(Some(running));
+        self.next_entry += 1;
+        Ok(place)
+    }
+
+    /// Settings of a new entry; every running entry is a seed.
+    pub fn settings(&self, name: &str, hall: &str) -> Settings {
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        Settings {
+            name: name.into(),
+            hall: hall.into(),
+            callers: any,
+            peers: any,
+            operators: any,
+            fleet_key: FLEET_KEY.to_vec(),
+            seeds: self.running().map(|entry| entry.peers).collect(),
+            store: Some(self.store.address),
+            host_list: Some(self.host_list.address),
+            operator_key: hash_key(OPERATOR_KEY),
+            tls: None,
+            limits: self.options.limits,
+        }
+    }
+
+    /// Entries that run now.
+    pub fn running(&self) -> impl Iterator<Item = &RunningEntry> {
+        self.entries.iter().flatten()
+    }
+
+    /// The entry at a place.
+    ///
+    /// # Panics
+    /// When it was stopped.
+    pub fn entry(&self, place: usize) -> &RunningEntry {
+        self.entries[place]
+            .as_ref()
+            .expect("this entry was stopped")
+    }
+
+    /// Callers' addresses of all running entries.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.running().map(|entry| entry.callers).collect()
+    }
+
+    /// Applies files at an entry, as an operator would.
+    pub async fn apply(
+        &self,
+        place: usize,
+        files: Vec<SourceFile>,
+        base: u64,
+        apply_id: &str,
+    ) -> ApplyResult {
+        let worker = Worker::new(self.entry(place).entry.clone());
+        let request = ApplyRequest {
+            files,
+            base,
+            apply_id: apply_id.into(),
+            wait_ms: APPLY_WAIT_MS,
+        };
+        apply::apply(&worker, request).await
+    }
+
+    /// Takes an entry out of the fleet, to stop or kill it.
+    pub fn take_entry(&mut self, place: usize) -> Option<RunningEntry> {
+        self.entries[place].take()
+    }
+
+    /// Ends everything at once.
+    pub async fn shut_down(mut self) {
+        for place in 0..self.entries.len() {
+            if let Some(entry) = self.take_entry(place) {
+                entry.kill().await;
+            }
+        }
+        self.targets.stop().await;
+        self.host_list.stop().await;
+        self.store.stop().await;
+    }
+}
+
+fn live_hosts(deployment: &Deployment) -> Vec<HostRecord> {
+    deployment
+        .targets
+        .iter()
+        .map(|target| HostRecord {
+            name: target.name.clone(),
+            incarnation: 1,
+            status: HostStatus::Live,
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/routing/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions of traffic: what an attempt proved, how long it may take,
+//! where it goes, and whether another is allowed.
+//!
+//! Every module is a plain state machine or a pure function. The entry feeds
+//! facts in (an answer after so many milliseconds, a refusal, a load report)
+//! and reads decisions out; clocks and randomness are arguments.
+
+pub mod budget;
+pub mod choose;
+pub mod deadline;
+pub mod health;
+pub mod latency;
+pub mod progress;
+
+pub use budget::RetryBudget;
+pub use choose::{choose, Candidate, Choice, Reason};
+pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
+pub use health::{HealthRules, Observation, TargetHealth};
+pub use latency::LatencyWindow;
+pub use progress::{
+    attempt_status, may_try_again, outcome_of, stage_status, Outcome, Progress, StageStatus,
+};
+
+/// Milliseconds since the owning process started.
+pub type Millis = u64;
--- /dev/null
+++ b/src/bin/hollowsail/commands/mod.rs
@@ -0,0 +1,48 @@
+//! One file per subcommand.
+
+mod apply;
+mod call;
+mod check;
+mod drain;
+mod entry;
+mod local;
+mod status;
+
+use argh::FromArgs;
+use hollowsail::{Context, Exit};
+
+/// The subcommands.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Apply(apply::Arguments),
+    Call(call::Arguments),
+    Check(check::Arguments),
+    Drain(drain::Arguments),
+    Entry(entry::Arguments),
+    Local(local::Arguments),
+    Status(status::Arguments),
+}
+
+impl Command {
+    /// Runs the subcommand.
+    pub async fn run(self, cx: &mut Context<'_>) -> Exit {
+        match self {
+            Command::Apply(arguments) => arguments.run(cx).await,
+            Command::Call(arguments) => arguments.run(cx).await,
+            Command::Check(arguments) => arguments.run(cx),
+            Command::Drain(arguments) => arguments.run(cx).await,
+            Command::Entry(arguments) => arguments.run(cx).await,
+            Command::Local(arguments) => arguments.run(cx).await,
+            Command::Status(arguments) => arguments.run(cx).await,
+        }
+    }
+
+    /// The daemon logs its decisions; commands for people only what is wrong.
+    pub fn default_log_level(&self) -> &'static str {
+        match self {
+            Command::Entry(_) => "info",
+            _ => "error",
+        }
+    }
+}
--- /dev/null
+++ b/src/ops/mod.rs
@@ -0,0 +1,10 @@
+//! One module per operation.
+
+pub mod apply;
+pub mod call;
+pub mod check;
+pub mod drain;
+pub mod entry;
+pub mod local;
+pub mod operator;
+pub mod status;
