--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -41,17 +41,26 @@
     pub revision: u64,
 }
 
+/// An answer that ends a request early; boxed, since it travels as an error.
+pub type Refusal = Box<AnswerBody>;
+
 impl AnswerBody {
     /// A refusal before any stage: not run.
-    pub fn refusal(request: &str, kind: ErrorKind, message: impl Into<String>) -> Self {
-        AnswerBody::without_output(request, Outcome::NotRun, kind, message.into())
+    pub fn refusal(request: &str, kind: ErrorKind, message: impl Into<String>) -> Refusal {
+        let outcome = Outcome::NotRun;
+        Box::new(AnswerBody::without_output(
+            request,
+            outcome,
+            kind,
+            message.into(),
+        ))
     }
 
     /// Nothing is run now, and whether an earlier send ran is not known.
-    pub fn unknown(request: &str, kind: ErrorKind, message: impl Into<String>) -> Self {
+    pub fn unknown(request: &str, kind: ErrorKind, message: impl Into<String>) -> Refusal {
         let mut body = AnswerBody::without_output(request, Outcome::Unknown, kind, message.into());
         body.safe_to_repeat = false;
-        body
+        Box::new(body)
     }
 
     fn without_output(request: &str, outcome: Outcome, kind: ErrorKind, message: String) -> Self {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -18,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::answer::AnswerBody;
+use crate::answer::{AnswerBody, Refusal};
 use crate::auth;
 use crate::configuration::Configuration;
 use crate::headers;
@@ -130,7 +130,7 @@
     headers: &HeaderMap,
     request: &str,
     name: &str,
-) -> Result<Judged, AnswerBody> {
+) -> Result<Judged, Refusal> {
     let refuse = |kind, message: String| AnswerBody::refusal(request, kind, message);
     let view = worker.entry.view();
     let in_flight = worker.entry.in_flight.load(Ordering::Relaxed) as usize;
@@ -216,7 +216,7 @@
         .is_some_and(|hall| deployment.permits(judged.org, hall))
 }
 
-fn no_permitted_entry(judged: &Judged) -> AnswerBody {
+fn no_permitted_entry(judged: &Judged) -> Refusal {
     let message = format!(
         "no entry in a hall permitted to {} can be reached",
         judged.org_name()
@@ -293,7 +293,7 @@
     worker: &Worker,
     judged: &Judged,
     body: SharedBody,
-) -> Result<(Job, Vec<u8>), AnswerBody> {
+) -> Result<(Job, Vec<u8>), Refusal> {
     let refuse = |kind, message: String| AnswerBody::refusal(&judged.request, kind, message);
     let limit = worker.entry.settings.limits.max_body_bytes;
     let bytes = read_body(body, limit)
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -15,7 +15,7 @@
 use hollowsail_platform::{Expect, StoreClient, StoreError, StoreReply};
 use tokio::sync::oneshot;
 
-use crate::answer::AnswerBody;
+use crate::answer::{AnswerBody, Refusal};
 use crate::context::Entry;
 use crate::kinds::ErrorKind;
 
@@ -192,7 +192,7 @@
 
 /// The answer for a presentation that neither runs nor waits, except for kept
 /// answers, which are given again as they are.
-pub fn refusal(request: &str, presented: &Presented) -> AnswerBody {
+pub fn refusal(request: &str, presented: &Presented) -> Refusal {
     use ErrorKind::*;
     match presented {
         Presented::OtherRequest => AnswerBody::refusal(
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -36,9 +36,12 @@
     HttpResponse::Unauthorized().body("not a peer of this fleet; check the fleet key\n")
 }
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, HttpResponse> {
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, rmp_serde::decode::Error> {
     rmp_serde::from_slice(body)
-        .map_err(|err| HttpResponse::BadRequest().body(format!("unreadable message: {err}\n")))
+}
+
+fn unreadable(err: rmp_serde::decode::Error) -> HttpResponse {
+    HttpResponse::BadRequest().body(format!("unreadable message: {err}; run the same version\n"))
 }
 
 fn reply<T: Serialize>(message: &T) -> HttpResponse {
@@ -54,7 +57,7 @@
     }
     let message: Exchange = match read(&body) {
         Ok(message) => message,
-        Err(res) => return res,
+        Err(err) => return unreadable(err),
     };
     match worker.entry.control().send(Incoming(message)).await {
         Ok(answer) => reply(&answer.0),
@@ -72,7 +75,7 @@
     }
     let request: ChunkRequest = match read(&body) {
         Ok(request) => request,
-        Err(res) => return res,
+        Err(err) => return unreadable(err),
     };
     let Some(configuration) = worker.entry.configuration() else {
         return HttpResponse::NotFound().finish();
@@ -105,7 +108,7 @@
     }
     let hand_over: HandOver = match read(&body) {
         Ok(hand_over) => hand_over,
-        Err(res) => return res,
+        Err(err) => return unreadable(err),
     };
     let from = hand_over.from;
     let records: usize = hand_over.issuers.iter().map(|i| i.records.len()).sum();
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -15,7 +15,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::answer::AnswerBody;
+use crate::answer::{AnswerBody, Refusal};
 use crate::callers::{self, Judged, Sender};
 use crate::headers;
 use crate::kinds::ErrorKind;
@@ -50,7 +50,7 @@
     AnswerBody::refusal(&judged.request, ErrorKind::TicketRequired, message).into_response()
 }
 
-fn read_ticket(worker: &Worker, judged: &Judged, text: &str) -> Result<Ticket, AnswerBody> {
+fn read_ticket(worker: &Worker, judged: &Judged, text: &str) -> Result<Ticket, Refusal> {
     let refuse =
         |message: String| AnswerBody::refusal(&judged.request, ErrorKind::TicketInvalid, message);
     let ticket = Ticket::decode(text, &worker.entry.settings.fleet_key)
@@ -95,7 +95,7 @@
     worker: &Worker,
     judged: &Judged,
     body: SharedBody,
-) -> Result<(Job, Identity, Vec<u8>), AnswerBody> {
+) -> Result<(Job, Identity, Vec<u8>), Refusal> {
     let (job, bytes) = callers::read_job(worker, judged, body).await?;
     let mut hash = Sha256::new();
     hash.update(job.pipeline().name.as_bytes());
@@ -201,7 +201,7 @@
     req: &HttpRequest,
     judged: &Judged,
     id: &str,
-) -> Result<OwnId, AnswerBody> {
+) -> Result<OwnId, Refusal> {
     let headers = req.headers();
     let sent = headers::text(headers, headers::IDEMPOTENCY_TIME)
         .and_then(|text| text.parse::<u64>().ok())
@@ -305,7 +305,7 @@
 }
 
 /// Claims the id in the store, unless this entry knows it already.
-async fn claim_id(worker: &Worker, judged: &Judged, own_id: &OwnId) -> Result<Claimed, AnswerBody> {
+async fn claim_id(worker: &Worker, judged: &Judged, own_id: &OwnId) -> Result<Claimed, Refusal> {
     let unavailable =
         |message: &str| AnswerBody::unknown(&judged.request, ErrorKind::ClaimUnavailable, message);
     let Some(store) = &worker.store else {
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -109,11 +109,8 @@
     ) -> Result<Answered, CallerError> {
         let mut res = self.send(entry, request, true).await?;
         let status = res.status().as_u16();
-        if !res
-            .headers()
-            .get("content-type")
-            .is_some_and(|kind| kind == "text/event-stream")
-        {
+        let kind = res.headers().get("content-type");
+        if kind.is_none_or(|kind| kind != "text/event-stream") {
             let body = with_limit(request, res.body()).await?;
             return Ok(Answered {
                 status,
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -122,23 +122,18 @@
 pub fn eject_worst(now: Millis, rules: &HealthRules, targets: &mut [TargetHealth]) -> Vec<usize> {
     let median_ms = median_latency(targets);
     let most_out = targets.len() / 2;
-    let mut out = targets.iter().filter(|t| t.is_ejected(now)).count();
+    let out = targets.iter().filter(|t| t.is_ejected(now)).count();
     let mut deserving: Vec<_> = (0..targets.len())
         .filter(|&at| !targets[at].is_ejected(now))
         .filter(|&at| targets[at].deserves_ejection(rules, median_ms))
         .collect();
     deserving.sort_by(|&a, &b| targets[b].average_ms.total_cmp(&targets[a].average_ms));
-    let mut ejected = Vec::new();
-    for at in deserving {
-        if out >= most_out {
-            break;
-        }
+    deserving.truncate(most_out.saturating_sub(out));
+    for &at in &deserving {
         targets[at].eject(now, rules);
-        ejected.push(at);
-        out += 1;
     }
     targets.iter_mut().for_each(|t| t.forgive(now, rules));
-    ejected
+    deserving
 }
 
 fn median_latency(targets: &[TargetHealth]) -> f64 {
