Count only failed dials as nothing sent

Cause: awc reports a connection that closes under a request as SendRequestError::Connect(Disconnected). The adapter took every connect error for a failed dial, so a target that died after reading part of a payment was answered as not run, and the payment was tried elsewhere. Ruled out: the not-run table (unit of judgement is right), ejection.

Change: connect errors are listed one by one; only those that come from dialling count.

--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -5,9 +5,10 @@
 //! use a client whose connections are never reused: a pooled connection that
 //! the other end has just closed cannot take such a call down with it.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use awc::{Client, Connector};
 
 /// Longest time to set up a connection.
@@ -45,9 +46,31 @@
 
 /// True when the error shows that no byte of the request was handed to a
 /// socket. Everything else may have reached the other end.
+///
+/// The client reports a connection that closed under a request as a connect
+/// error too, so connect errors are listed one by one: what is not known to
+/// come from dialling alone does not count.
 pub fn nothing_sent(err: &SendRequestError) -> bool {
-    matches!(
-        err,
-        SendRequestError::Url(_) | SendRequestError::Connect(_) | SendRequestError::Http(_)
-    )
+    match err {
+        SendRequestError::Url(_) | SendRequestError::Http(_) => true,
+        SendRequestError::Connect(err) => failed_to_dial(err),
+        _ => false,
+    }
+}
+
+fn failed_to_dial(err: &ConnectError) -> bool {
+    match err {
+        ConnectError::Resolver(_)
+        | ConnectError::NoRecords
+        | ConnectError::Timeout
+        | ConnectError::Unresolved => true,
+        ConnectError::Io(err) => matches!(
+            err.kind(),
+            ErrorKind::ConnectionRefused
+                | ErrorKind::HostUnreachable
+                | ErrorKind::NetworkUnreachable
+                | ErrorKind::AddrNotAvailable
+        ),
+        _ => false,
+    }
 }
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -1,5 +1,7 @@
 //! Faults that a test or a scenario switches on while stand-ins run.
 
+use std::net::SocketAddr;
+
 /// What is wrong with one target.
 #[derive(Debug, Clone, PartialEq)]
 pub struct TargetFaults {
@@ -23,8 +25,8 @@
     pub wrong_length: bool,
     /// Sends every token event twice.
     pub double_tokens: bool,
-    /// Answers with a redirect to itself.
-    pub redirect: bool,
+    /// Answers with a redirect to this address, unexecuted.
+    pub redirect: Option<SocketAddr>,
 }
 
 impl Default for TargetFaults {
@@ -40,7 +42,7 @@
             cross_answers: false,
             wrong_length: false,
             double_tokens: false,
-            redirect: false,
+            redirect: None,
         }
     }
 }
--- a/crates/standins/src/record.rs
+++ b/crates/standins/src/record.rs
@@ -8,16 +8,16 @@
     pub target: String,
     pub hall: String,
     pub org: String,
-    /// `request/stage/attempt` as received.
+    /// `request~run/stage/attempt` as received.
     pub dispatch: String,
     /// True once the target computed its answer to the end.
     pub finished: bool,
 }
 
 impl Execution {
-    /// The request part of the dispatch id.
+    /// The caller's request id, without the run that the entry adds.
     pub fn request(&self) -> &str {
-        self.dispatch.split('/').next().unwrap_or("")
+        self.dispatch.split(['~', '/']).next().unwrap_or("")
     }
 
     /// The stage part of the dispatch id.
--- a/crates/standins/src/targets.rs
+++ b/crates/standins/src/targets.rs
@@ -210,7 +210,7 @@
         return HttpResponse::NotFound().finish();
     };
     let faults = state.faults();
-    if let Some(refusal) = refuse(&state, &faults, &req) {
+    if let Some(refusal) = refuse(&state, &faults) {
         return refusal;
     }
     let held = Counted::new(&state.held);
@@ -235,17 +235,16 @@
     run.answer().await
 }
 
-fn refuse(state: &TargetState, faults: &TargetFaults, req: &HttpRequest) -> Option<HttpResponse> {
+fn refuse(state: &TargetState, faults: &TargetFaults) -> Option<HttpResponse> {
     if faults.leaving {
         let refusal = HttpResponse::ServiceUnavailable()
             .insert_header((LEAVING_HEADER, "1"))
             .finish();
         return Some(refusal);
     }
-    if faults.redirect {
-        let own = format!("http://{}/call", req.app_config().local_addr());
+    if let Some(address) = faults.redirect {
         let refusal = HttpResponse::TemporaryRedirect()
-            .insert_header(("location", own))
+            .insert_header(("location", format!("http://{address}/call")))
             .finish();
         return Some(refusal);
     }
