Prove the promises on sockets, and tell every peer before leaving

Cause: a stopping entry told its peers who answers for its tickets by choosing 'all' of them with an absurd count, which panicked its control thread; and it waited a fixed time instead of for their answers. Tickets of an entry that had stopped were then answered as unknown although its successor held them. Ruled out: the hand-over itself (the successor had the records).

Change: LeaveFor ends when every present peer has answered or timed out.

Conclusion: kept outcomes and unused tickets survive single stops, chains of stops, and the replacement of every entry.

--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -1,11 +1,13 @@
 //! Exchanges with peers: at every tick with one, and at once with a few when
 //! there is news.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use awc::Client;
+use futures_util::future::join_all;
 use hollowsail_fleet::{Exchange, Output};
 use rand::Rng;
 
@@ -46,11 +48,20 @@
         }
     }
 
-    /// Tells every peer; used once, by an entry that is about to go.
-    pub(crate) fn spread_to_all(&mut self, cx: &mut Context<Self>) {
-        for address in self.fleet.random_peers(usize::MAX, &mut self.rng) {
-            self.exchange(address, cx);
-        }
+    /// Tells every peer; used once, by an entry that is about to go. The
+    /// future ends when each has answered or not in time, and gives the number
+    /// that did.
+    pub(crate) fn spread_to_all(&mut self) -> impl Future<Output = usize> {
+        let message = self.fleet.message();
+        let token = peer_token(&self.entry.settings.fleet_key);
+        let sent: Vec<_> = self
+            .fleet
+            .present_peers()
+            .map(|address| {
+                send_exchange(self.client.clone(), address, token.clone(), message.clone())
+            })
+            .collect();
+        async move { join_all(sent).await.iter().flatten().count() }
     }
 
     fn exchange(&mut self, address: SocketAddr, cx: &mut Context<Self>) {
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use actix::{Context, Handler, Message, MessageResult};
+use actix::{Context, Handler, Message, MessageResult, ResponseFuture};
 use hollowsail_fleet::{Exchange, Incarnation, Member, Standing, Stopping};
 use serde::{Deserialize, Serialize};
 
@@ -83,18 +83,19 @@
     }
 }
 
-/// This entry has stopped; a successor answers for its tickets, if any.
+/// This entry has stopped; a successor answers for its tickets, if any. The
+/// answer is the number of peers that know.
 #[derive(Message)]
-#[rtype(result = "()")]
+#[rtype(result = "usize")]
 pub struct LeaveFor(pub Option<Incarnation>);
 
 impl Handler<LeaveFor> for Control {
-    type Result = ();
+    type Result = ResponseFuture<usize>;
 
-    fn handle(&mut self, message: LeaveFor, cx: &mut Context<Self>) {
+    fn handle(&mut self, message: LeaveFor, _: &mut Context<Self>) -> Self::Result {
         self.fleet.set_stopping(Stopping::Left, message.0);
         self.publish();
-        self.spread_to_all(cx);
+        Box::pin(self.spread_to_all())
     }
 }
 
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -39,6 +39,7 @@
     HANDED_OVER, 104, "handed_over", Info, "The ledger went to a successor.";
     HAND_OVER_FAILED, 105, "hand_over_failed", Warn, "No successor took the ledger; its tickets end as unknown.";
     ADOPTED_LEDGER, 106, "adopted_ledger", Info, "This entry answers for a stopped entry's tickets.";
+    LEFT, 107, "left", Info, "The stop is complete; peers know who answers for this entry's tickets.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt gave no valid answer.";
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -27,9 +27,6 @@
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(250);
 /// Longest wait for a successor's answer.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time for the last exchanges to arrive.
-const FAREWELL: Duration = Duration::from_millis(500);
-
 /// Runs a planned stop to its end; the listeners may be closed after.
 pub async fn run(entry: Arc<Entry>) {
     let _ = entry.control().send(BeginStop).await;
@@ -37,8 +34,8 @@
     entry.once.lock().expect("no panic while held").stop();
     drain(&entry).await;
     let successor = hand_over(&entry).await;
-    let _ = entry.control().send(LeaveFor(successor)).await;
-    tokio::time::sleep(FAREWELL).await;
+    let told = entry.control().send(LeaveFor(successor)).await.unwrap_or(0);
+    entry.log(events::LEFT, format_args!("peers_told={told}"));
 }
 
 async fn drain(entry: &Entry) {
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -157,7 +157,8 @@
         self.present_peers().choose_multiple(rng, count)
     }
 
-    fn present_peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
+    /// Addresses of all members that still answer peers.
+    pub fn present_peers(&self) -> impl Iterator<Item = SocketAddr> + '_ {
         self.known
             .values()
             .filter(|known| known.member.is_present())
--- a/crates/local/tests/suite/fixture.rs
+++ b/crates/local/tests/suite/fixture.rs
@@ -1,7 +1,6 @@
 //! A small deployment and the steps that most tests share.
 
 use std::collections::HashMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -109,15 +108,6 @@
     }
 }
 
-/// Like [`wait_until`], for a condition that needs calls.
-pub async fn wait_for<F: Future<Output = bool>>(what: &str, mut holds: impl FnMut() -> F) {
-    let end = Instant::now() + PATIENCE;
-    while !holds().await {
-        assert!(Instant::now() < end, "never came about: {what}");
-        actix_rt::time::sleep(Duration::from_millis(10)).await;
-    }
-}
-
 /// A request with an id, to find it again in the record of executions.
 pub fn request<'a>(pipeline: &'a str, key: &'a str, id: &'a str) -> Request<'a> {
     let mut request = Request::new(pipeline, key, json!("input"));
--- a/crates/local/tests/suite/stopping.rs
+++ b/crates/local/tests/suite/stopping.rs
@@ -1,1 +1,97 @@
-//! Later.
+//! A planned stop cuts no request and hands its ledger on.
+
+use std::time::Duration;
+
+use hollowsail_local::{Caller, CallerError};
+use hollowsail_routing::Outcome;
+
+use crate::fixture::{self, BOTH};
+
+#[actix_rt::test]
+async fn requests_in_flight_end_whole_and_new_ones_are_served_while_the_balancer_lags() {
+    let mut options = fixture::options(2);
+    options.profile.engine.token = 20.0;
+    let mut fleet = fixture::start_with(options).await;
+    let address = fleet.entry(0).callers;
+    let mut calls = Vec::new();
+    let stop = actix_rt::spawn(fleet.take_entry(0).expect("it runs").stop());
+    // The balancer has not noticed yet: requests still come.
+    for at in 0..8 {
+        calls.push(actix_rt::spawn(async move {
+            let id = format!("late-{at}");
+            let request = fixture::request("read", BOTH, &id);
+            Caller::default().call(address, &request).await
+        }));
+        actix_rt::time::sleep(Duration::from_millis(15)).await;
+    }
+    for call in calls {
+        let answered = call.await.expect("no panic").expect("an answer");
+        assert_eq!(answered.body.outcome, Outcome::Whole);
+    }
+    stop.await.expect("no panic");
+    let request = fixture::request("read", BOTH, "after");
+    let refused = Caller::default().call(address, &request).await;
+    assert!(
+        matches!(refused, Err(CallerError::NotSent { .. })),
+        "the listener is closed"
+    );
+    fleet.shut_down().await;
+}
+
+#[actix_rt::test]
+async fn kept_outcomes_and_unused_tickets_go_to_a_successor() {
+    let mut fleet = fixture::start(3).await;
+    let used = fixture::ticket(&fleet, 0, BOTH).await;
+    let unused = fixture::ticket(&fleet, 0, BOTH).await;
+    let first = fixture::payment(BOTH, "used", &used);
+    let kept = fixture::call(&fleet, 0, &first).await.body;
+    fleet.take_entry(0).expect("it runs").stop().await;
+    for place in [1, 2] {
+        let again = fixture::call(&fleet, place, &first).await.body;
+        assert_eq!(again, kept);
+        let second = fixture::payment(BOTH, "unused", &unused);
+        let answer = fixture::call(&fleet, place, &second).await.body;
+        assert_eq!(answer.outcome, Outcome::Whole, "{answer:?}");
+    }
+    assert_eq!(fixture::executions(&fleet, "used", "confirm"), 1);
+    assert_eq!(fixture::executions(&fleet, "unused", "confirm"), 1);
+    fleet.shut_down().await;
+}
+
+#[actix_rt::test]
+async fn a_chain_of_stops_keeps_the_first_entrys_outcomes() {
+    let mut fleet = fixture::start(3).await;
+    let ticket = fixture::ticket(&fleet, 0, BOTH).await;
+    let payment = fixture::payment(BOTH, "chained", &ticket);
+    let kept = fixture::call(&fleet, 0, &payment).await.body;
+    for place in [0, 2] {
+        fleet.take_entry(place).expect("it runs").stop().await;
+    }
+    let again = fixture::call(&fleet, 1, &payment).await.body;
+    assert_eq!(again, kept);
+    assert_eq!(fixture::executions(&fleet, "chained", "confirm"), 1);
+    fleet.shut_down().await;
+}
+
+#[actix_rt::test]
+async fn replacing_every_entry_one_by_one_loses_no_outcome() {
+    let mut fleet = fixture::start(3).await;
+    let ticket = fixture::ticket(&fleet, 0, BOTH).await;
+    let payment = fixture::payment(BOTH, "rolling", &ticket);
+    let kept = fixture::call(&fleet, 0, &payment).await.body;
+    for place in 0..3 {
+        let new = fleet.start_entry().await.expect("it starts");
+        let entry = fleet.entry(new).entry.clone();
+        fixture::wait_until("the new entry serves", || {
+            entry.view().revision() == 1 && entry.view().members.len() >= 3
+        })
+        .await;
+        fleet.take_entry(place).expect("it runs").stop().await;
+    }
+    for place in 3..6 {
+        let again = fixture::call(&fleet, place, &payment).await.body;
+        assert_eq!(again, kept, "at the entry in place {place}");
+    }
+    assert_eq!(fixture::executions(&fleet, "rolling", "confirm"), 1);
+    fleet.shut_down().await;
+}
