Fuzz the decisions against oracles; judge slowness in logarithms

Change: accepting a configuration is a pure machine (fleet::Accept); the head remembers the last 32 apply ids; an apply sent again says so and is never told 'unchanged' while a write of its first send may arrive. Slowness is relative to what a stage typically takes and averaged in logarithms. Every fault of operators' files is listed in order; a syntax error names the line that misled the parser.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -49,10 +49,7 @@
     sections.into_iter().for_each(Section::finish);
     match (faults.into_vec(), deployment) {
         (found, deployment) if found.is_empty() => Ok(deployment),
-        (mut found, _) => {
-            found.sort_by(|a, b| (&a.file, a.line, &a.field).cmp(&(&b.file, b.line, &b.field)));
-            Err(Faults(found))
-        }
+        (found, _) => Err(Faults::in_order(found)),
     }
 }
 
@@ -185,7 +182,7 @@
         };
         self.link_targets(&mut deployment);
         self.link_keys(&mut deployment);
-        self.report_unused_stages();
+        self.report_unused_stages(&deployment);
         deployment
     }
 
@@ -360,11 +357,18 @@
         }
     }
 
-    fn report_unused_stages(&self) {
+    fn report_unused_stages(&self, deployment: &Deployment) {
         for section in self.stages.values() {
-            let pipeline = section.item_name().split('.').next().unwrap_or("");
-            if !self.pipelines.contains_key(pipeline) {
-                section.fault("", format!("belongs to no [pipeline.{pipeline}]"));
+            let (owner, name) = section.item_name().split_once('.').unwrap_or_default();
+            let Some(&at) = self.pipelines.get(owner) else {
+                section.fault("", format!("belongs to no [pipeline.{owner}]"));
+                continue;
+            };
+            let pipeline = &deployment.pipelines[usize::from(at)];
+            if !pipeline.stages.iter().any(|stage| stage.name == name) {
+                // Reading it marks its fields as known.
+                self.read_stage(section, name);
+                section.fault("", format!("is not among the stages of [pipeline.{owner}]"));
             }
         }
     }
--- a/crates/config/src/chunk.rs
+++ b/crates/config/src/chunk.rs
@@ -28,9 +28,22 @@
     pub parent: u64,
     /// Chosen by whoever applied; settles lost answers.
     pub apply_id: String,
+    /// Applies before this one, newest first; settles answers that were lost
+    /// while others went on.
+    pub recent: Vec<RecentApply>,
     pub files: Vec<FileEntry>,
 }
 
+/// An apply that was accepted earlier.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecentApply {
+    pub revision: u64,
+    pub apply_id: String,
+}
+
+/// Applies that a head remembers.
+pub const RECENT_APPLIES: usize = 32;
+
 /// One file of a revision.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FileEntry {
@@ -76,6 +89,45 @@
 }
 
 impl Head {
+    /// The head that follows `parent` (`None`: the first).
+    pub fn following(parent: Option<&Head>, apply_id: &str, files: Vec<FileEntry>) -> Head {
+        let recent = parent.map_or(Vec::new(), |parent| {
+            let before = RecentApply {
+                revision: parent.revision,
+                apply_id: parent.apply_id.clone(),
+            };
+            let older = parent.recent.iter().cloned();
+            std::iter::once(before)
+                .chain(older)
+                .take(RECENT_APPLIES)
+                .collect()
+        });
+        let base = parent.map_or(0, |parent| parent.revision);
+        Head {
+            revision: base + 1,
+            parent: base,
+            apply_id: apply_id.into(),
+            recent,
+            files,
+        }
+    }
+
+    /// Revision that an apply id was accepted as, as far as is remembered.
+    pub fn revision_of(&self, apply_id: &str) -> Option<u64> {
+        if self.apply_id == apply_id {
+            return Some(self.revision);
+        }
+        self.recent
+            .iter()
+            .find(|recent| recent.apply_id == apply_id)
+            .map(|recent| recent.revision)
+    }
+
+    /// Oldest revision whose apply id is remembered.
+    pub fn remembers_from(&self) -> u64 {
+        self.recent.last().map_or(self.revision, |r| r.revision)
+    }
+
     /// All chunk hashes, in order, with repetitions.
     pub fn chunk_hashes(&self) -> impl Iterator<Item = &ChunkHash> {
         self.files.iter().flat_map(|file| &file.chunks)
--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -34,6 +34,14 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Faults(pub Vec<Fault>);
 
+impl Faults {
+    /// Faults in the order in which an operator reads the files.
+    pub fn in_order(mut faults: Vec<Fault>) -> Self {
+        faults.sort_by(|a, b| (&a.file, a.line, &a.field).cmp(&(&b.file, b.line, &b.field)));
+        Faults(faults)
+    }
+}
+
 impl fmt::Display for Faults {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for fault in &self.0 {
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -109,7 +109,7 @@
         sections.into_iter().for_each(Section::finish);
         match faults.into_vec() {
             found if found.is_empty() => Ok(settings),
-            found => Err(Faults(found)),
+            found => Err(Faults::in_order(found)),
         }
     }
 }
--- a/crates/config/src/source.rs
+++ b/crates/config/src/source.rs
@@ -19,12 +19,25 @@
     pub fn parse(&self) -> Result<Ini, Fault> {
         Ini::load_from_str(&self.text).map_err(|err| Fault {
             file: self.name.clone(),
-            line: err.line + 1,
+            // The parser stops where it gives up, often long after the line
+            // that misled it.
+            line: self.first_odd_line().unwrap_or(err.line + 1),
             field: "syntax".into(),
-            message: format!("{}; write [section] or key = value", err.msg),
+            message: "is neither [section] nor key = value; correct this line".into(),
         })
     }
 
+    /// First line (1-based) that is no header, key, comment, or blank.
+    fn first_odd_line(&self) -> Option<usize> {
+        let is_odd = |raw: &str| {
+            let line = raw.trim();
+            let header = line.starts_with('[') && line.ends_with(']');
+            let comment = line.starts_with(';') || line.starts_with('#');
+            !line.is_empty() && !header && !comment && !line.contains(['=', ':'])
+        };
+        self.text.lines().position(is_odd).map(|at| at + 1)
+    }
+
     /// Lines of every section header and key, for fault messages and for
     /// finding doubled ones.
     ///
--- /dev/null
+++ b/crates/config/tests/suite/main.rs
@@ -0,0 +1,7 @@
+//! Operators' files and settings, checked whole.
+
+mod chunks;
+mod faults;
+mod large;
+mod settings;
+mod shipped;
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -6,23 +6,23 @@
 //! finding the apply id, so an apply can be sent again until it is known. At
 //! the end the entry waits until every live entry reports the revision.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
-use hollowsail_config::chunk::{ChunkHash, Head};
+use hollowsail_config::chunk::{FileEntry, Head};
 use hollowsail_config::{check, Fault, SourceFile};
+use hollowsail_fleet::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
 use hollowsail_platform::{Expect, StoreClient, StoreError, StoreReply};
 use serde::{Deserialize, Serialize};
 
-use crate::configuration::{changed_files, chunk_key, propose, Chunks, Configuration, HEAD_KEY};
+use crate::configuration::{changed_files, chunk_key, split, Chunks, Configuration, HEAD_KEY};
 use crate::control::spread::chunks_from_store;
 use crate::control::Adopt;
 use crate::events;
 use crate::worker::Worker;
 
-/// Times one apply tries the head before it answers "unknown".
+/// Failed calls to the store after which an apply gives up.
 const MAX_TRIES: u32 = 5;
 /// Between two tries.
 const TRY_PAUSE: Duration = Duration::from_millis(300);
@@ -40,6 +40,9 @@
     pub base: u64,
     /// Chosen by the operator; the same id is never applied twice.
     pub apply_id: String,
+    /// The same apply was sent before, and its answer was lost or unknown.
+    #[serde(default)]
+    pub resent: bool,
     /// How long to wait until it is in force everywhere, in milliseconds.
     pub wait_ms: u64,
 }
@@ -86,28 +89,24 @@
         return ApplyResult::Faulty { faults: faults.0 };
     }
     let accepted = match &worker.store {
-        Some(store) => accept_in_store(store, &request).await,
+        Some(store) => accept_in_store(worker, store, &request).await,
         None => accept_alone(worker, &request),
     };
-    let (head, chunks) = match accepted {
+    let (revision, head, chunks) = match accepted {
         Ok(accepted) => accepted,
         Err(result) => {
             refused(worker, "conflict or store");
             return result;
         }
     };
-    let revision = head.revision;
     worker.entry.log(
         events::CONFIGURATION_ACCEPTED,
         format_args!("revision={revision} apply_id={}", request.apply_id),
     );
     let built = actix_web::web::block(move || Configuration::build(head, chunks)).await;
     if let Ok(Ok(configuration)) = built {
-        let _ = worker
-            .entry
-            .control()
-            .send(Adopt(Arc::new(configuration)))
-            .await;
+        let adopt = Adopt(Arc::new(configuration));
+        let _ = worker.entry.control().send(adopt).await;
     }
     let missing = wait_in_force(worker, revision, request.wait_ms.min(MAX_WAIT_MS)).await;
     ApplyResult::Accepted { revision, missing }
@@ -119,152 +118,153 @@
         .log(events::CONFIGURATION_REFUSED, format_args!("why=\"{why}\""));
 }
 
-/// Without a store this entry alone decides.
-fn accept_alone(worker: &Worker, request: &ApplyRequest) -> Result<(Head, Chunks), ApplyResult> {
-    let (head, chunks) = propose(&request.files, request.base, &request.apply_id);
-    match worker.entry.configuration() {
-        Some(current) if current.head.apply_id == request.apply_id => {
-            Ok((current.head.clone(), current.chunks.clone()))
-        }
-        Some(current) if current.revision() != request.base => {
-            Err(conflict(&current.head, &head, request.base))
-        }
-        None if request.base != 0 => Err(ApplyResult::Conflict {
-            in_force: 0,
-            differs_in: Vec::new(),
-            message: format!(
-                "no configuration is in force, not {}; apply with base 0",
-                request.base
-            ),
-        }),
-        _ => Ok((head, chunks)),
+/// Revision of the apply, newest head, and the chunks of that head.
+type Taken = (u64, Head, Chunks);
+
+fn wanted(request: &ApplyRequest, files: &[FileEntry]) -> Apply {
+    Apply {
+        base: request.base,
+        apply_id: request.apply_id.clone(),
+        files: files.to_vec(),
+        resent: request.resent,
     }
 }
 
-fn conflict(current: &Head, proposed: &Head, base: u64) -> ApplyResult {
-    ApplyResult::Conflict {
-        in_force: current.revision,
-        differs_in: changed_files(current, proposed),
-        message: format!(
-            "revision {} is in force, not {base}: look at what differs, then apply with base {}",
-            current.revision, current.revision
-        ),
+/// Without a store this entry alone decides, by the same rules.
+fn accept_alone(worker: &Worker, request: &ApplyRequest) -> Result<Taken, ApplyResult> {
+    let (files, mut chunks) = split(&request.files);
+    let current = worker.entry.configuration();
+    let mut accept = Accept::new(wanted(request, &files), 0);
+    let head = current.as_ref().map(|current| (0, current.head.clone()));
+    let ended = accept
+        .answer(HeadAnswer::Read(head))
+        .or_else(|| accept.answer(HeadAnswer::Written));
+    if let Some(current) = current {
+        chunks.extend(current.chunks.clone());
     }
+    conclude(ended, request, &files).map(|(revision, head)| (revision, head, chunks))
 }
 
 async fn accept_in_store(
+    worker: &Worker,
     store: &StoreClient,
     request: &ApplyRequest,
-) -> Result<(Head, Chunks), ApplyResult> {
-    let (proposed, chunks) = propose(&request.files, request.base, &request.apply_id);
-    let mut may_have_taken_effect = false;
-    for attempt in 0..MAX_TRIES {
-        if attempt > 0 {
-            tokio::time::sleep(TRY_PAUSE).await;
-        }
-        let Ok(current) = read_head(store).await else {
-            continue;
-        };
-        let (expect, current) = match current {
-            Some((version, head)) => (Expect::Version(version), Some(head)),
-            None => (Expect::Absent, None),
-        };
-        if let Some(head) = accepted_earlier(current.as_ref(), request) {
-            return find_accepted(store, head, request, chunks).await;
-        }
-        let in_force = current.as_ref().map_or(0, |head| head.revision);
-        if in_force != request.base {
-            // A write of ours may stand below the head that is there now.
-            if may_have_taken_effect {
-                break;
+) -> Result<Taken, ApplyResult> {
+    let (files, chunks) = split(&request.files);
+    let in_force = worker
+        .entry
+        .configuration()
+        .map_or(Chunks::new(), |configuration| configuration.chunks.clone());
+    let mut accept = Accept::new(wanted(request, &files), MAX_TRIES);
+    let ended = loop {
+        let answer = match accept.step().clone() {
+            AcceptStep::ReadHead => read_head(store).await,
+            AcceptStep::WriteHead { over, head } => {
+                write(store, over, &head, &chunks, &in_force).await
             }
-            return Err(match current {
-                Some(head) => conflict(&head, &proposed, request.base),
-                None => conflict(&empty_head(), &proposed, request.base),
-            });
+        };
+        let answered = !matches!(answer, HeadAnswer::NotDone | HeadAnswer::Lost);
+        if let Some(ended) = accept.answer(answer) {
+            break ended;
         }
-        if write_chunks(store, current.as_ref(), &chunks)
-            .await
-            .is_err()
-        {
-            continue;
+        if !answered {
+            tokio::time::sleep(TRY_PAUSE).await;
         }
-        match write_head(store, &proposed, expect).await {
-            Ok(true) => return Ok((proposed, chunks)),
-            Ok(false) => {}
-            Err(StoreError::Unclear { .. }) => may_have_taken_effect = true,
-            Err(_) => {}
+    };
+    let (revision, head) = conclude(Some(ended), request, &files)?;
+    chunks_from_store(store, &head, chunks)
+        .await
+        .map(|chunks| (revision, head, chunks))
+        .map_err(|message| ApplyResult::Unknown { message })
+}
+
+fn conclude(
+    ended: Option<Accepted>,
+    request: &ApplyRequest,
+    files: &[FileEntry],
+) -> Result<(u64, Head), ApplyResult> {
+    match ended {
+        Some(Accepted::Yes { revision, newest }) => {
+            let reused = newest.apply_id == request.apply_id && newest.files != files;
+            if reused {
+                return Err(ApplyResult::Conflict {
+                    in_force: newest.revision,
+                    differs_in: changed_files(&newest.files, files),
+                    message: "this apply id was used for other files; choose a new one".into(),
+                });
+            }
+            Ok((revision, *newest))
         }
-    }
-    Err(if may_have_taken_effect {
-        ApplyResult::Unknown {
+        Some(Accepted::Conflict(head)) => Err(conflict(head.as_deref(), files, request.base)),
+        Some(Accepted::Unavailable) => Err(ApplyResult::Unavailable {
+            message: "the store does not answer; nothing was changed; apply again later".into(),
+        }),
+        Some(Accepted::Unknown) | None => Err(ApplyResult::Unknown {
             message: "the store did not say whether it took the change; \
-                      apply again with the same id"
+                      send the same apply again with the same id and base"
                 .into(),
-        }
-    } else {
-        ApplyResult::Unavailable {
-            message: "the store does not answer; nothing was changed; apply again later".into(),
-        }
-    })
+        }),
+    }
 }
 
-fn empty_head() -> Head {
-    Head {
-        revision: 0,
-        parent: 0,
-        apply_id: String::new(),
-        files: Vec::new(),
+fn conflict(head: Option<&Head>, files: &[FileEntry], base: u64) -> ApplyResult {
+    let in_force = head.map_or(0, |head| head.revision);
+    ApplyResult::Conflict {
+        in_force,
+        differs_in: changed_files(head.map_or(&[], |head| &head.files), files),
+        message: format!(
+            "revision {in_force} is in force, not {base}: \
+             look at what differs, then apply with base {in_force}"
+        ),
     }
 }
 
-fn accepted_earlier<'a>(current: Option<&'a Head>, request: &ApplyRequest) -> Option<&'a Head> {
-    current.filter(|head| head.apply_id == request.apply_id)
+async fn read_head(store: &StoreClient) -> HeadAnswer {
+    match store.get(HEAD_KEY).await {
+        Ok(None) => HeadAnswer::Read(None),
+        Ok(Some((version, bytes))) => match rmp_serde::from_slice(&bytes) {
+            Ok(head) => HeadAnswer::Read(Some((version, head))),
+            Err(_) => HeadAnswer::NotDone,
+        },
+        Err(_) => HeadAnswer::NotDone,
+    }
 }
 
-/// The head is ours already: an earlier answer was lost.
-async fn find_accepted(
+/// Writes the head's chunks, then the head.
+async fn write(
     store: &StoreClient,
+    over: Option<u64>,
     head: &Head,
-    request: &ApplyRequest,
-    chunks: Chunks,
-) -> Result<(Head, Chunks), ApplyResult> {
-    let (proposed, _) = propose(&request.files, head.parent, &request.apply_id);
-    if proposed.files != head.files {
-        return Err(ApplyResult::Conflict {
-            in_force: head.revision,
-            differs_in: changed_files(head, &proposed),
-            message: "this apply id was used for other files; choose a new one".into(),
-        });
+    chunks: &Chunks,
+    in_force: &Chunks,
+) -> HeadAnswer {
+    if write_chunks(store, chunks, in_force).await.is_err() {
+        return HeadAnswer::NotDone;
     }
-    chunks_from_store(store, head, chunks)
-        .await
-        .map(|chunks| (head.clone(), chunks))
-        .map_err(|message| ApplyResult::Unknown { message })
-}
-
-async fn read_head(store: &StoreClient) -> Result<Option<(u64, Head)>, StoreError> {
-    let Some((version, bytes)) = store.get(HEAD_KEY).await? else {
-        return Ok(None);
+    let Ok(bytes) = rmp_serde::to_vec(head) else {
+        return HeadAnswer::NotDone;
     };
-    let head = rmp_serde::from_slice(&bytes).map_err(|err| StoreError::Unclear {
-        reason: format!("the head is not readable: {err}"),
-    })?;
-    Ok(Some((version, head)))
+    let expect = over.map_or(Expect::Absent, Expect::Version);
+    match store.put(HEAD_KEY, bytes, expect, None).await {
+        Ok(StoreReply::Written { .. }) => HeadAnswer::Written,
+        Ok(_) => HeadAnswer::Moved,
+        Err(StoreError::Unclear { .. }) => HeadAnswer::Lost,
+        Err(_) => HeadAnswer::NotDone,
+    }
 }
 
-/// Writes chunks that the present head does not name. They are addressed by
-/// content, so writing one twice changes nothing.
+/// Writes the chunks that the revision in force here does not name: those are
+/// in the store already. Chunks are addressed by content, so writing one twice
+/// changes nothing.
 async fn write_chunks(
     store: &StoreClient,
-    current: Option<&Head>,
     chunks: &Chunks,
+    in_force: &Chunks,
 ) -> Result<(), StoreError> {
-    let present: HashSet<&ChunkHash> = current
+    for (hash, bytes) in chunks
         .iter()
-        .flat_map(|head| head.chunk_hashes())
-        .collect();
-    for (hash, bytes) in chunks.iter().filter(|(hash, _)| !present.contains(hash)) {
+        .filter(|(hash, _)| !in_force.contains_key(*hash))
+    {
         let key = chunk_key(hash);
         store
             .put(&key, bytes.to_vec(), Expect::Anything, None)
@@ -273,15 +273,6 @@
     Ok(())
 }
 
-/// True when the head is written, false when another one came first.
-async fn write_head(store: &StoreClient, head: &Head, expect: Expect) -> Result<bool, StoreError> {
-    let bytes = rmp_serde::to_vec(head).map_err(|err| StoreError::NotSent {
-        reason: err.to_string(),
-    })?;
-    let reply = store.put(HEAD_KEY, bytes, expect, None).await?;
-    Ok(matches!(reply, StoreReply::Written { .. }))
-}
-
 /// Waits for every live entry; returns the names of those that do not report
 /// the revision in time.
 async fn wait_in_force(worker: &Worker, revision: u64, wait_ms: u64) -> Vec<String> {
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -103,7 +103,7 @@
         let waited = sent.elapsed();
         let progress = judge(worker, job, stage, &result);
         run.attempts.push(progress);
-        tell(worker, job, at, &route, &result, waited);
+        tell(worker, job, at, &route, &result, waited, limit);
         count(worker, job, stage, progress, waited);
         let err = match result {
             Ok((output, _)) => return (run, Ok(output)),
@@ -242,7 +242,7 @@
             Candidate {
                 target: key,
                 load: f64::from(own).max(state.reported.unwrap_or(0.0)),
-                latency_ms: state.average_ms,
+                slowness: state.slowness,
                 ejected: state.ejected,
                 affinity: affinity
                     .as_deref()
@@ -389,6 +389,7 @@
     route: &Route,
     result: &Result<(Value, TargetNotice), CallError>,
     waited: Duration,
+    limit: Duration,
 ) {
     let ms = waited.as_millis() as u64;
     let (observation, notice) = match result {
@@ -398,7 +399,11 @@
                 leaving: err.leaving,
                 load: None,
             };
-            (Observation::Failed, notice)
+            let observation = match waited >= limit {
+                true => Observation::TimedOut(ms),
+                false => Observation::Failed,
+            };
+            (observation, notice)
         }
     };
     worker.entry.tell(Fact {
--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use hollowsail_config::chunk::{self, ChunkError, ChunkHash, Head};
+use hollowsail_config::chunk::{self, ChunkError, ChunkHash, FileEntry, Head};
 use hollowsail_config::{check, Deployment, Faults, SourceFile};
 use snafu::{ResultExt, Snafu};
 
@@ -58,38 +58,31 @@
     }
 }
 
-/// Makes the head and chunks of an apply that follows `parent`.
-pub fn propose(files: &[SourceFile], parent: u64, apply_id: &str) -> (Head, Chunks) {
+/// Splits files into the entries of a head and the chunks that they name.
+pub fn split(files: &[SourceFile]) -> (Vec<FileEntry>, Chunks) {
     let (entries, pieces) = chunk::split(files);
-    let head = Head {
-        revision: parent + 1,
-        parent,
-        apply_id: apply_id.into(),
-        files: entries,
-    };
     let chunks = pieces
         .into_iter()
         .map(|(hash, bytes)| (hash, Arc::new(bytes)))
         .collect();
-    (head, chunks)
+    (entries, chunks)
 }
 
-/// Names of files that differ between two heads.
-pub fn changed_files(a: &Head, b: &Head) -> Vec<String> {
-    let chunks_of = |head: &Head, name: &str| {
-        head.files
+/// Names of files that differ between a head and an apply.
+pub fn changed_files(in_force: &[FileEntry], proposed: &[FileEntry]) -> Vec<String> {
+    let chunks_of = |files: &[FileEntry], name: &str| {
+        files
             .iter()
             .find(|file| file.name == name)
             .map(|file| file.chunks.clone())
     };
-    let mut names: Vec<String> = a
-        .files
+    let mut names: Vec<String> = in_force
         .iter()
-        .chain(&b.files)
+        .chain(proposed)
         .map(|file| file.name.clone())
         .collect();
     names.sort();
     names.dedup();
-    names.retain(|name| chunks_of(a, name) != chunks_of(b, name));
+    names.retain(|name| chunks_of(in_force, name) != chunks_of(proposed, name));
     names
 }
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -128,8 +128,9 @@
         if self.configuration.as_ref().map(|c| c.revision()) != Some(fact.revision) {
             return;
         }
+        let typical_ms = self.typical_ms(fact.pipeline, fact.stage);
         if let Some(state) = self.targets.get_mut(fact.target.index()) {
-            state.health.observe(fact.observation);
+            state.health.observe(fact.observation, typical_ms);
             if let Some(load) = fact.notice.load {
                 state.reported = Some((f64::from(load), now));
             }
@@ -143,6 +144,14 @@
         }
     }
 
+    fn typical_ms(&self, pipeline: PipelineKey, stage: usize) -> Millis {
+        let Some(deployment) = self.deployment() else {
+            return 1;
+        };
+        let expected = deployment.pipeline(pipeline).stages[stage].expected_ms;
+        expectation(u64::from(expected), &self.stages[pipeline.index()][stage]).typical_ms
+    }
+
     /// Ejects what deserves it; returns the targets newly out.
     fn eject(&mut self, now: Millis) -> Vec<TargetKey> {
         let Some(configuration) = self.configuration.clone() else {
@@ -176,7 +185,7 @@
             .zip(&self.targets)
             .map(|(target, state)| TargetView {
                 in_flight: state.in_flight.clone(),
-                average_ms: state.health.average_ms,
+                slowness: state.health.slowness(),
                 ejected: state.health.is_ejected(now),
                 takes_work: hosts.takes_work(&target.name),
                 reported: state.reported.map(|(load, at)| aged(load, now - at)),
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -148,7 +148,8 @@
 pub struct TargetStatus {
     pub name: String,
     pub in_flight: u32,
-    pub average_ms: f64,
+    /// Recent times over typical ones; 1 is as usual.
+    pub slowness: f64,
     pub ejected: bool,
     pub takes_work: bool,
 }
@@ -200,7 +201,7 @@
         .map(|(target, state)| TargetStatus {
             name: target.name.clone(),
             in_flight: state.in_flight.load(std::sync::atomic::Ordering::Relaxed),
-            average_ms: state.average_ms,
+            slowness: state.slowness,
             ejected: state.ejected,
             takes_work: state.takes_work,
         })
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -18,8 +18,8 @@
 pub struct TargetView {
     /// Calls of this entry in flight there.
     pub in_flight: Arc<AtomicU32>,
-    /// Recent latency in milliseconds; 0 before any answer.
-    pub average_ms: f64,
+    /// Recent times over typical ones; 1 is as usual.
+    pub slowness: f64,
     pub ejected: bool,
     /// Not leaving and not gone.
     pub takes_work: bool,
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,9 +4,10 @@
 //! Each entry exchanges a small message with one random peer at every tick.
 //! An exchange is at once a probe (a peer that does not answer is suspected),
 //! a carrier of member records and leaving hosts, and a comparison of
-//! configuration revisions. All state machines are pure: time and seeded
+//! configuration revisions. [`Accept`] drives an apply through the store. All state machines are pure: time and seeded
 //! randomness come in as arguments, [`Output`]s go out.
 
+pub mod accept;
 pub mod fleet;
 pub mod leaving;
 pub mod member;
@@ -14,6 +15,7 @@
 pub mod standing;
 pub mod wire;
 
+pub use accept::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
 pub use fleet::{Fleet, FleetTiming, Output};
 pub use leaving::{HostView, LeavingHost, ListedHost};
 pub use member::{Health, Member, Stopping};
--- /dev/null
+++ b/crates/fleet/tests/suite/main.rs
@@ -0,0 +1,25 @@
+//! Membership, leaving hosts, and accepting configurations, against simple
+//! oracles.
+
+mod accept;
+mod leaving;
+mod membership;
+mod standing;
+
+/// Cases per property; the long mode sets more.
+pub fn cases() -> u32 {
+    std::env::var("HOLLOWSAIL_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(256)
+}
+
+/// The same cases in every run.
+pub fn config(seed: u64) -> proptest::test_runner::Config {
+    proptest::test_runner::Config {
+        cases: cases(),
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -166,12 +166,35 @@
         files: Vec<SourceFile>,
         base: u64,
         apply_id: &str,
+    ) -> ApplyResult {
+        self.send_apply(place, files, base, apply_id, false).await
+    }
+
+    /// Applies files again whose first apply ended in doubt.
+    pub async fn apply_again(
+        &self,
+        place: usize,
+        files: Vec<SourceFile>,
+        base: u64,
+        apply_id: &str,
+    ) -> ApplyResult {
+        self.send_apply(place, files, base, apply_id, true).await
+    }
+
+    async fn send_apply(
+        &self,
+        place: usize,
+        files: Vec<SourceFile>,
+        base: u64,
+        apply_id: &str,
+        resent: bool,
     ) -> ApplyResult {
         let worker = Worker::new(self.entry(place).entry.clone());
         let request = ApplyRequest {
             files,
             base,
             apply_id: apply_id.into(),
+            resent,
             wait_ms: APPLY_WAIT_MS,
         };
         apply::apply(&worker, request).await
--- a/crates/local/tests/suite/configuration.rs
+++ b/crates/local/tests/suite/configuration.rs
@@ -89,7 +89,7 @@
                 ),
                 "{result:?}"
             );
-            result = fleet.apply(1, files.clone(), base, &id).await;
+            result = fleet.apply_again(1, files.clone(), base, &id).await;
         }
         let expected = ApplyResult::Accepted {
             revision: base + 1,
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -13,10 +13,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Candidate {
     pub target: TargetKey,
-    /// Expected wait: load of the target, own and reported, times its latency.
+    /// Requests it holds, by own count and by its reports.
     pub load: f64,
-    /// Recent latency in milliseconds.
-    pub latency_ms: f64,
+    /// Recent times over typical ones; 1 is as usual.
+    pub slowness: f64,
     pub ejected: bool,
     /// Rendezvous score for the request's prefix; `None` without affinity.
     pub affinity: Option<u64>,
@@ -105,7 +105,7 @@
     }
     let first = candidates[(draw % count) as usize];
     let second = candidates[((draw >> 32) % count) as usize];
-    let wait = |c: &Candidate| (c.load + 1.0) * c.latency_ms.max(1.0);
+    let wait = |c: &Candidate| (c.load + 1.0) * c.slowness;
     let better = if wait(second) < wait(first) {
         second
     } else {
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -1,9 +1,14 @@
-//! What one target's recent answers say of it: latency, failures, ejection.
+//! What one target's recent answers say of it: slowness, failures, ejection.
+//!
+//! Slowness is relative: an answer's time over what the stage typically takes,
+//! so that targets which happen to serve long requests do not look slow. It is
+//! averaged in logarithms, where a rare long answer weighs little and a target
+//! that is slow all the time shows within a few answers.
 //!
 //! A target is ejected after several failures in a row or when it is far
 //! slower than its service's median, and comes back gradually: after its time
-//! is over it counts as loaded until answers show otherwise. How many may be
-//! out at once is limited where ejections are decided for a whole service.
+//! is over its record starts anew. How many may be out at once is limited
+//! where ejections are decided for a whole service.
 
 use crate::Millis;
 
@@ -14,8 +19,8 @@
     Answered(Millis),
     /// No valid answer; the target is to blame.
     Failed,
-    /// Timed out after this many milliseconds, for want of time or because
-    /// the target hangs.
+    /// No answer after this many milliseconds, when the caller of the target
+    /// had to give up.
     TimedOut(Millis),
 }
 
@@ -24,7 +29,7 @@
 pub struct HealthRules {
     /// Failures in a row that eject.
     pub failures: u32,
-    /// Multiple of the service's median latency that ejects.
+    /// Multiple of the service's median slowness that ejects.
     pub slow_factor: f64,
     /// Answers needed before slowness is judged.
     pub min_samples: u32,
@@ -46,14 +51,14 @@
     }
 }
 
-/// Weight of a new latency in the moving average.
+/// Weight of a new answer in the moving average.
 const NEW_WEIGHT: f64 = 0.15;
 
 /// One target as one entry sees it.
 #[derive(Debug, Clone, Default)]
 pub struct TargetHealth {
-    /// Moving average of latency in milliseconds; 0 before any answer.
-    pub average_ms: f64,
+    /// Moving average of the logarithm of relative times.
+    log_slowness: f64,
     samples: u32,
     failures_in_row: u32,
     ejections: u32,
@@ -61,29 +66,33 @@
 }
 
 impl TargetHealth {
-    /// Takes one observation.
-    pub fn observe(&mut self, observation: Observation) {
+    /// Takes one observation of a stage that typically takes `typical_ms`.
+    pub fn observe(&mut self, observation: Observation, typical_ms: Millis) {
         match observation {
-            Observation::Answered(latency) => {
+            Observation::Answered(ms) => {
                 self.failures_in_row = 0;
-                self.take_latency(latency);
+                self.take(log_ratio(ms, typical_ms));
             }
-            Observation::TimedOut(waited) => {
-                self.failures_in_row += 1;
-                self.take_latency(waited);
+            // How long it would have taken is not known, only that it is more.
+            Observation::TimedOut(ms) => {
+                let at_least = log_ratio(ms, typical_ms);
+                if at_least > self.log_slowness {
+                    self.failures_in_row += 1;
+                    self.take(at_least);
+                }
             }
             Observation::Failed => self.failures_in_row += 1,
         }
     }
 
-    fn take_latency(&mut self, latency: Millis) {
-        let latency = latency as f64;
+    fn take(&mut self, log_ratio: f64) {
         self.samples = self.samples.saturating_add(1);
-        self.average_ms = if self.samples == 1 {
-            latency
-        } else {
-            self.average_ms + NEW_WEIGHT * (latency - self.average_ms)
-        };
+        self.log_slowness += NEW_WEIGHT * (log_ratio - self.log_slowness);
+    }
+
+    /// Recent answers over typical ones: 1 is as usual, 5 is five times slower.
+    pub fn slowness(&self) -> f64 {
+        self.log_slowness.exp()
     }
 
     /// True while the target is out.
@@ -92,11 +101,10 @@
     }
 
     /// True when its answers call for an ejection.
-    pub fn deserves_ejection(&self, rules: &HealthRules, median_ms: f64) -> bool {
+    pub fn deserves_ejection(&self, rules: &HealthRules, median_slowness: f64) -> bool {
         let failing = self.failures_in_row >= rules.failures;
         let slow = self.samples >= rules.min_samples
-            && median_ms > 0.0
-            && self.average_ms > rules.slow_factor * median_ms;
+            && self.slowness() > rules.slow_factor * median_slowness;
         failing || slow
     }
 
@@ -107,6 +115,7 @@
         self.ejections += 1;
         self.failures_in_row = 0;
         self.samples = 0;
+        self.log_slowness = 0.0;
     }
 
     /// Forgets earlier ejections after a good stretch.
@@ -120,14 +129,14 @@
 /// Ejects the targets of one service that deserve it, worst first, while at
 /// most half of them are out. Returns the positions newly ejected.
 pub fn eject_worst(now: Millis, rules: &HealthRules, targets: &mut [TargetHealth]) -> Vec<usize> {
-    let median_ms = median_latency(targets);
+    let median = median_slowness(targets);
     let most_out = targets.len() / 2;
     let out = targets.iter().filter(|t| t.is_ejected(now)).count();
     let mut deserving: Vec<_> = (0..targets.len())
         .filter(|&at| !targets[at].is_ejected(now))
-        .filter(|&at| targets[at].deserves_ejection(rules, median_ms))
+        .filter(|&at| targets[at].deserves_ejection(rules, median))
         .collect();
-    deserving.sort_by(|&a, &b| targets[b].average_ms.total_cmp(&targets[a].average_ms));
+    deserving.sort_by(|&a, &b| targets[b].log_slowness.total_cmp(&targets[a].log_slowness));
     deserving.truncate(most_out.saturating_sub(out));
     for &at in &deserving {
         targets[at].eject(now, rules);
@@ -136,12 +145,13 @@
     deserving
 }
 
-fn median_latency(targets: &[TargetHealth]) -> f64 {
-    let mut averages: Vec<_> = targets
-        .iter()
-        .map(|target| target.average_ms)
-        .filter(|average| *average > 0.0)
-        .collect();
-    averages.sort_by(f64::total_cmp);
-    averages.get(averages.len() / 2).copied().unwrap_or(0.0)
+fn median_slowness(targets: &[TargetHealth]) -> f64 {
+    let mut all: Vec<_> = targets.iter().map(TargetHealth::slowness).collect();
+    all.sort_by(f64::total_cmp);
+    all.get(all.len() / 2).copied().unwrap_or(1.0)
+}
+
+/// Times below a millisecond are all alike.
+fn log_ratio(ms: Millis, typical_ms: Millis) -> f64 {
+    (ms.max(1) as f64 / typical_ms.max(1) as f64).ln()
 }
--- /dev/null
+++ b/crates/routing/tests/suite/main.rs
@@ -0,0 +1,21 @@
+//! The decisions of traffic.
+
+mod budget;
+mod choose;
+mod deadline;
+mod health;
+mod progress;
+
+/// The same cases in every run; the long mode has more.
+pub fn config(seed: u64) -> proptest::test_runner::Config {
+    let cases = std::env::var("HOLLOWSAIL_CASES")
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(256);
+    proptest::test_runner::Config {
+        cases,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(seed),
+        failure_persistence: None,
+        ..Default::default()
+    }
+}
--- a/src/bin/hollowsail/commands/apply.rs
+++ b/src/bin/hollowsail/commands/apply.rs
@@ -29,7 +29,7 @@
     #[argh(option)]
     key: String,
 
-    /// id of this apply; send the same again when an answer was lost
+    /// id of an apply whose answer was lost: sends the same apply again
     #[argh(option)]
     id: Option<String>,
 
@@ -40,6 +40,7 @@
 
 impl Arguments {
     pub async fn run(self, cx: &mut Context<'_>) -> Exit {
+        let resent = self.id.is_some();
         let apply_id = self
             .id
             .unwrap_or_else(|| format!("{:016x}", rand::random::<u64>()));
@@ -51,6 +52,7 @@
             paths: self.files,
             base: self.base,
             apply_id,
+            resent,
             wait_ms: self.wait_ms,
         };
         ops::apply::run(cx, apply).await
--- a/src/ops/apply.rs
+++ b/src/ops/apply.rs
@@ -19,6 +19,8 @@
     pub paths: Vec<PathBuf>,
     pub base: u64,
     pub apply_id: String,
+    /// The same apply was sent before.
+    pub resent: bool,
     pub wait_ms: u64,
 }
 
@@ -38,6 +40,7 @@
         files,
         base: apply.base,
         apply_id: apply.apply_id,
+        resent: apply.resent,
         wait_ms: apply.wait_ms,
     };
     let wait = Duration::from_millis(apply.wait_ms) + STORE_TIME;
@@ -49,8 +52,8 @@
         Ok(result) => report(cx, &request.apply_id, result),
         Err(err) => {
             cx.complain(format_args!(
-                "error: {err}\nIt may have been accepted: apply again with --id {}",
-                request.apply_id
+                "error: {err}\nIt may have been accepted: apply again with --base {} --id {}",
+                request.base, request.apply_id
             ));
             Exit::Unusable
         }
--- a/src/ops/status.rs
+++ b/src/ops/status.rs
@@ -55,10 +55,10 @@
     cx.say("targets:");
     for target in &report.targets {
         cx.say(format_args!(
-            "  {:<14} in flight {:<4} average {:>7.1} ms{}{}",
+            "  {:<14} in flight {:<4} {:>5.1} times its usual time{}{}",
             target.name,
             target.in_flight,
-            target.average_ms,
+            target.slowness,
             if target.ejected { ", ejected" } else { "" },
             if target.takes_work {
                 ""
