--- /dev/null
+++ b/crates/entry/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tables of the entry that documents show, and parts that need no sockets.
+
+mod catalogues;
+mod tls;
--- a/crates/local/tests/suite/stopping.rs
+++ b/crates/local/tests/suite/stopping.rs
@@ -11,6 +11,7 @@
 async fn requests_in_flight_end_whole_and_new_ones_are_served_while_the_balancer_lags() {
     let mut options = fixture::options(2);
     options.profile.engine.token = 20.0;
+    options.limits.stop_grace_ms = 1_500;
     let mut fleet = fixture::start_with(options).await;
     let address = fleet.entry(0).callers;
     let mut calls = Vec::new();
--- /dev/null
+++ b/tests/suite/daemon.rs
@@ -0,0 +1,219 @@
+//! The daemon as separate processes: serving, pausing, stopping, dying.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use hollowsail::{ops, Context, Exit};
+use hollowsail_config::{check, SourceFile};
+use hollowsail_entry::control::StatusReport;
+use hollowsail_entry::AnswerBody;
+use hollowsail_local::caller::Request;
+use hollowsail_local::{localize, read_directory, Caller, Once};
+use hollowsail_routing::Outcome;
+use hollowsail_standins::{Profile, StoreStandIn, TargetStandIns};
+use serde_json::json;
+
+use crate::process::{Daemon, OPERATOR_KEY};
+
+const KEY: &str = "demo-market-collections";
+
+/// Daemons in acc-a, acc-b and tema-a, with Accra's configuration in force.
+struct Fleet {
+    daemons: Vec<Daemon>,
+    targets: TargetStandIns,
+    _store: StoreStandIn,
+    _directory: tempfile::TempDir,
+}
+
+fn accra() -> Vec<SourceFile> {
+    read_directory(Path::new("examples/accra")).expect("it ships")
+}
+
+async fn start() -> Fleet {
+    let directory = tempfile::tempdir().expect("a directory");
+    let mut profile = Profile::default();
+    profile.plain_ms = 200.0;
+    let deployment = check(&accra()).expect("it is right");
+    let targets = TargetStandIns::start(&deployment, profile).expect("targets");
+    let store = StoreStandIn::start(1).expect("a store");
+    let mut daemons: Vec<Daemon> = Vec::new();
+    for (at, hall) in ["acc-a", "acc-b", "tema-a"].iter().enumerate() {
+        let seeds: Vec<SocketAddr> = daemons.iter().map(|daemon| daemon.peers).collect();
+        let name = format!("entry-{at}");
+        daemons.push(Daemon::start(
+            directory.path(),
+            &name,
+            hall,
+            store.address,
+            &seeds,
+        ));
+    }
+    wait_for_members(&daemons[0], 3).await;
+    let paths = localize(&accra(), &targets.addresses)
+        .iter()
+        .map(|file| {
+            let name = Path::new(&file.name).file_name().expect("a name");
+            let path = directory.path().join(name);
+            std::fs::write(&path, &file.text).expect("it can be written");
+            path
+        })
+        .collect();
+    let apply = ops::apply::Apply {
+        operator: operator(&daemons[0]),
+        paths,
+        base: 0,
+        apply_id: "first".into(),
+        resent: false,
+        wait_ms: 20_000,
+    };
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    let mut cx = Context {
+        out: &mut out,
+        err: &mut err,
+    };
+    let exit = ops::apply::run(&mut cx, apply).await;
+    assert_eq!(exit, Exit::Success, "{}", String::from_utf8_lossy(&err));
+    Fleet {
+        daemons,
+        targets,
+        _store: store,
+        _directory: directory,
+    }
+}
+
+fn operator(daemon: &Daemon) -> ops::operator::Operator {
+    ops::operator::Operator {
+        address: daemon.operators.to_string(),
+        key: OPERATOR_KEY.into(),
+    }
+}
+
+async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let end = Instant::now() + Duration::from_secs(30);
+    while !holds().await {
+        assert!(Instant::now() < end, "never came about: {what}");
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+async fn wait_for_members(daemon: &Daemon, count: usize) {
+    let operator = operator(daemon);
+    wait_until("all entries know each other", async || {
+        let status: Result<StatusReport, _> =
+            operator.get("/v1/status", Duration::from_secs(5)).await;
+        status.is_ok_and(|status| status.members.len() == count)
+    })
+    .await;
+}
+
+async fn ticket(daemon: &Daemon) -> String {
+    let tickets = Caller::default().tickets(daemon.callers, KEY, 1).await;
+    tickets.expect("a ticket").remove(0)
+}
+
+fn payment<'a>(id: &'a str, ticket: &str) -> Request<'a> {
+    let mut request = Request::new("payment-confirmation", KEY, json!("a fee"));
+    request.id = Some(id);
+    request.once = Once::Ticket(ticket.into());
+    request
+}
+
+async fn pay(daemon: &Daemon, id: &str, ticket: &str) -> AnswerBody {
+    let answered = Caller::default()
+        .call(daemon.callers, &payment(id, ticket))
+        .await;
+    answered.expect("an answer").body
+}
+
+#[actix_rt::test]
+async fn sigterm_under_load_cuts_no_request_and_hands_the_ledger_on() {
+    let mut fleet = start().await;
+    let used = ticket(&fleet.daemons[0]).await;
+    let kept = pay(&fleet.daemons[0], "kept", &used).await;
+    assert_eq!(kept.outcome, Outcome::Whole, "{kept:?}");
+    let address = fleet.daemons[0].callers;
+    let calls: Vec<_> = (0..20)
+        .map(|at| {
+            actix_rt::spawn(async move {
+                actix_rt::time::sleep(Duration::from_millis(10 * at)).await;
+                let request = Request::new("appeal-draft", KEY, json!(at));
+                Caller::default().call(address, &request).await
+            })
+        })
+        .collect();
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    fleet.daemons[0].signal("TERM");
+    for call in calls {
+        let answer = call.await.expect("no panic").expect("an answer").body;
+        assert_eq!(answer.outcome, Outcome::Whole, "{answer:?}");
+    }
+    let mut stopped = fleet.daemons.remove(0);
+    wait_until("it ends by itself", async || stopped.has_ended_well()).await;
+    for daemon in &fleet.daemons {
+        assert_eq!(pay(daemon, "kept", &used).await, kept);
+    }
+    assert_eq!(fleet.targets.log.count("kept", "confirm"), 1);
+}
+
+#[actix_rt::test]
+async fn an_entry_paused_while_a_payment_runs_makes_nobody_run_it_again() {
+    let fleet = start().await;
+    let ticket = ticket(&fleet.daemons[0]).await;
+    let address = fleet.daemons[1].callers;
+    let copy = ticket.clone();
+    let first = actix_rt::spawn(async move {
+        Caller::default()
+            .call(address, &payment("paused", &copy))
+            .await
+    });
+    let log = fleet.targets.log.clone();
+    wait_until("the payment begins", async || {
+        log.count("paused", "confirm") == 1
+    })
+    .await;
+    fleet.daemons[0].signal("STOP");
+    let again = pay(&fleet.daemons[2], "paused", &ticket).await;
+    assert_eq!(again.outcome, Outcome::Unknown, "{again:?}");
+    fleet.daemons[0].signal("CONT");
+    let first = first.await.expect("no panic");
+    if let Ok(answered) = first {
+        assert_ne!(answered.body.outcome, Outcome::NotRun);
+    }
+    let settled = pay(&fleet.daemons[2], "paused", &ticket).await;
+    assert_ne!(settled.outcome, Outcome::NotRun, "{settled:?}");
+    assert_eq!(log.count("paused", "confirm"), 1);
+}
+
+#[actix_rt::test]
+async fn an_entry_killed_and_replaced_never_answers_for_its_former_tickets() {
+    let mut fleet = start().await;
+    let ticket = ticket(&fleet.daemons[0]).await;
+    let first = pay(&fleet.daemons[1], "killed", &ticket).await;
+    assert_eq!(first.outcome, Outcome::Whole, "{first:?}");
+    drop(fleet.daemons.remove(0));
+    for daemon in &fleet.daemons {
+        let again = pay(daemon, "killed", &ticket).await;
+        assert_eq!(again.outcome, Outcome::Unknown, "{again:?}");
+    }
+    assert_eq!(fleet.targets.log.count("killed", "confirm"), 1);
+}
+
+#[test]
+fn faulty_settings_end_the_daemon_with_every_fault() {
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = directory.path().join("entry.ini");
+    std::fs::write(&path, "[entry]\nname = x\n[listen]\ncallers = here\n").expect("written");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_hollowsail"))
+        .args(["entry", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("it runs");
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        text.contains("entry.ini:4: listen.callers: holds here"),
+        "{text}"
+    );
+    assert!(text.contains("entry.hall: is missing"), "{text}");
+}
--- /dev/null
+++ b/tests/suite/output.rs
@@ -0,0 +1,147 @@
+//! What people read: snapshots of answers and results.
+
+use expect_test::expect;
+use hollowsail::ops::{apply, call, status};
+use hollowsail::{Context, Exit};
+use hollowsail_entry::apply::ApplyResult;
+use hollowsail_entry::control::messages::{MemberStatus, TargetStatus};
+use hollowsail_entry::control::StatusReport;
+use hollowsail_entry::{AnswerBody, ErrorKind, StageReport};
+use hollowsail_routing::StageStatus;
+use serde_json::json;
+
+/// Everything an operation wrote, results first.
+fn written(write: impl FnOnce(&mut Context<'_>)) -> String {
+    let (mut out, mut err) = (Vec::new(), Vec::new());
+    write(&mut Context {
+        out: &mut out,
+        err: &mut err,
+    });
+    out.extend(err);
+    String::from_utf8(out).expect("it is text")
+}
+
+fn stages() -> Vec<StageReport> {
+    [
+        ("encode", StageStatus::Ran, 1),
+        ("confirm", StageStatus::Unknown, 1),
+    ]
+    .map(|(stage, status, attempts)| StageReport {
+        stage: stage.into(),
+        status,
+        attempts,
+        ms: 7,
+    })
+    .to_vec()
+}
+
+#[test]
+fn an_answer_shows_outcome_stages_and_what_to_do() {
+    let failed = (
+        ErrorKind::TargetFailed,
+        "stage confirm may have run: cut".to_string(),
+    );
+    let answer = AnswerBody::ended("r", stages(), false, Err(failed));
+    expect![[r#"
+        pay: unknown
+          target_failed: stage confirm may have run: cut; see the stages' status for what ran
+          encode     ran, 1 attempt(s), 7 ms
+          confirm    unknown, 1 attempt(s), 7 ms
+    "#]]
+    .assert_eq(&written(|cx| call::print(cx, "pay", &answer)));
+    let mut ran = stages();
+    ran[1].status = StageStatus::Ran;
+    let whole = AnswerBody::ended("r", ran, false, Ok(json!({ "text": "x".repeat(500) })));
+    expect![[r#"
+        pay: whole
+          encode     ran, 1 attempt(s), 7 ms
+          confirm    ran, 1 attempt(s), 7 ms
+          output: {"text":"xxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxxx... (511 bytes)
+    "#]].assert_eq(&written(|cx| call::print(cx, "pay", &whole)));
+}
+
+fn shown(result: ApplyResult) -> (Exit, String) {
+    let mut exit = Exit::Unusable;
+    let text = written(|cx| exit = apply::report(cx, "id-1", result));
+    (exit, text)
+}
+
+#[test]
+fn an_apply_says_how_it_ended() {
+    let (exit, text) = shown(ApplyResult::Accepted {
+        revision: 7,
+        missing: vec![],
+    });
+    assert_eq!(exit, Exit::Success);
+    expect![[r#"
+        revision 7 is in force everywhere
+    "#]]
+    .assert_eq(&text);
+    let (exit, text) = shown(ApplyResult::Accepted {
+        revision: 7,
+        missing: vec!["entry-2".into()],
+    });
+    assert_eq!(exit, Exit::Failure);
+    expect![[r#"
+        revision 7 is accepted and final
+        not yet reported by: entry-2; see `hollowsail status`
+    "#]]
+    .assert_eq(&text);
+    let (exit, text) = shown(ApplyResult::Conflict {
+        in_force: 8,
+        differs_in: vec!["models.ini".into()],
+        message: "revision 8 is in force, not 7".into(),
+    });
+    assert_eq!(exit, Exit::Failure);
+    expect![[r#"
+        conflict: revision 8 is in force, not 7
+          differs: models.ini
+    "#]]
+    .assert_eq(&text);
+    let (exit, text) = shown(ApplyResult::Unknown {
+        message: "the store did not say".into(),
+    });
+    assert_eq!(exit, Exit::Failure);
+    expect![[r#"
+        unknown: the store did not say (--id id-1)
+    "#]]
+    .assert_eq(&text);
+}
+
+#[test]
+fn status_shows_entries_and_targets() {
+    let report = StatusReport {
+        entry: "entry-1".into(),
+        revision: 3,
+        apply_id: Some("abc".into()),
+        standing: "in touch".into(),
+        store_age_ms: Some(40),
+        ledger_open: 1,
+        ledger_records: 9,
+        members: vec![MemberStatus {
+            name: "entry-1".into(),
+            hall: "mtl-a".into(),
+            incarnation: "1f".into(),
+            health: "Alive".into(),
+            stopping: "No".into(),
+            revision: 3,
+        }],
+        targets: vec![TargetStatus {
+            name: "llm-01".into(),
+            in_flight: 2,
+            slowness: 1.25,
+            ejected: true,
+            takes_work: false,
+        }],
+    };
+    expect![[r#"
+        entry-1: revision 3 (apply abc), in touch
+        store answered 40 ms ago
+        ledger: 1 open, 9 records
+        entries:
+          entry-1      hall mtl-a      revision 3      Alive, stopping: No
+        targets:
+          llm-01         in flight 2      1.2 times its usual time, ejected, takes no new work
+    "#]]
+    .assert_eq(&written(|cx| status::print(cx, &report)));
+}
