--- a/tests/suite/daemon.rs
+++ b/tests/suite/daemon.rs
@@ -32,8 +32,10 @@
 
 async fn start() -> Fleet {
     let directory = tempfile::tempdir().expect("a directory");
-    let mut profile = Profile::default();
-    profile.plain_ms = 200.0;
+    let profile = Profile {
+        plain_ms: 200.0,
+        ..Profile::default()
+    };
     let deployment = check(&accra()).expect("it is right");
     let targets = TargetStandIns::start(&deployment, profile).expect("targets");
     let store = StoreStandIn::start(1).expect("a store");
