--- /dev/null
+++ b/crates/bench/src/arrivals.rs
@@ -0,0 +1,131 @@
+//! Arrivals: what is sent when, decided before anything is sent.
+//!
+//! Open-loop: a slow answer holds nothing back. Times between arrivals are
+//! exponential at a rate that faults may multiply; everything follows from the
+//! seed, so each policy gets the same arrivals.
+
+use std::time::Duration;
+
+use hollowsail_config::{Deployment, PipelineKey};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use crate::scenario::{FaultKind, FaultPlan, Scenario};
+
+/// Sessions of one organisation whose prompts share a prefix.
+const SESSIONS: u32 = 40;
+/// Sessions are called by a skewed draw: small numbers come more often.
+const SESSION_SKEW: f64 = 2.0;
+
+/// One request to come.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    pub at: Duration,
+    pub id: String,
+    pub org: String,
+    pub pipeline: PipelineKey,
+    pub session: String,
+    /// Sent to a second entry at the same moment.
+    pub duplicate: bool,
+}
+
+/// All arrivals of a run, in order of time.
+pub fn plan(
+    scenario: &Scenario,
+    deployment: &Deployment,
+    rate: f64,
+    seconds: f64,
+    seed: u64,
+) -> Vec<Arrival> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let callers = pairs(scenario, deployment);
+    let mut arrivals = Vec::new();
+    let mut at = 0.0;
+    loop {
+        let weights: Vec<f64> = callers
+            .iter()
+            .map(|pair| pair.weight * factor(&scenario.faults, &pair.org, at))
+            .collect();
+        let total: f64 = weights.iter().sum();
+        let base: f64 = callers.iter().map(|pair| pair.weight).sum();
+        if total <= 0.0 || base <= 0.0 {
+            return arrivals;
+        }
+        let uniform: f64 = rng.random_range(f64::MIN_POSITIVE..1.0);
+        at += -uniform.ln() / (rate * total / base);
+        if at >= seconds {
+            return arrivals;
+        }
+        let pair = &callers[draw(&weights, total, &mut rng)];
+        let session = (rng.random::<f64>().powf(SESSION_SKEW) * f64::from(SESSIONS)) as u32;
+        arrivals.push(Arrival {
+            at: Duration::from_secs_f64(at),
+            id: format!("{seed}-{}", arrivals.len()),
+            org: pair.org.clone(),
+            pipeline: pair.pipeline,
+            session: format!("s{session}"),
+            duplicate: rng.random_bool(scenario.duplicates),
+        });
+    }
+}
+
+struct Pair {
+    org: String,
+    pipeline: PipelineKey,
+    weight: f64,
+}
+
+/// Every organisation with every pipeline that it may call.
+fn pairs(scenario: &Scenario, deployment: &Deployment) -> Vec<Pair> {
+    let mut pairs = Vec::new();
+    for org in &deployment.organisations {
+        let key = deployment
+            .find_organisation(&org.name)
+            .expect("it is there");
+        let share = match scenario.shares.is_empty() {
+            true => 1.0,
+            false => scenario.shares.get(&org.name).copied().unwrap_or(0.0),
+        };
+        let callable: Vec<_> = scenario
+            .mix
+            .iter()
+            .filter_map(|(name, weight)| Some((deployment.find_pipeline(name)?, *weight)))
+            .filter(|(pipeline, _)| deployment.may_call(key, *pipeline))
+            .collect();
+        let total: f64 = callable.iter().map(|(_, weight)| weight).sum();
+        pairs.extend(callable.into_iter().map(|(pipeline, weight)| Pair {
+            org: org.name.clone(),
+            pipeline,
+            weight: share * weight / total,
+        }));
+    }
+    pairs
+}
+
+/// By how much faults multiply an organisation's arrivals at a moment.
+fn factor(faults: &[FaultPlan], org: &str, at: f64) -> f64 {
+    let at_ms = (at * 1000.0) as u64;
+    faults
+        .iter()
+        .filter(|fault| (fault.at_ms..fault.at_ms + fault.for_ms).contains(&at_ms))
+        .map(|fault| match &fault.kind {
+            FaultKind::Burst { factor } => *factor,
+            FaultKind::Flood {
+                organisation,
+                factor,
+            } if organisation == org => *factor,
+            _ => 1.0,
+        })
+        .product()
+}
+
+fn draw(weights: &[f64], total: f64, rng: &mut SmallRng) -> usize {
+    let mut left = rng.random_range(0.0..total);
+    for (at, weight) in weights.iter().enumerate() {
+        left -= weight;
+        if left < 0.0 {
+            return at;
+        }
+    }
+    weights.len() - 1
+}
--- /dev/null
+++ b/crates/bench/src/commands/mod.rs
@@ -0,0 +1,38 @@
+//! One file per subcommand. Each returns whether the result is a good one.
+
+mod compare;
+mod control;
+mod overhead;
+mod run;
+
+use argh::FromArgs;
+use hollowsail_bench::run::BenchError;
+
+/// The subcommands.
+#[derive(FromArgs)]
+#[argh(subcommand)]
+pub enum Command {
+    Compare(compare::Arguments),
+    Control(control::Arguments),
+    Overhead(overhead::Arguments),
+    Run(run::Arguments),
+}
+
+impl Command {
+    pub async fn run(self) -> Result<bool, BenchError> {
+        match self {
+            Command::Compare(arguments) => arguments.run().await,
+            Command::Control(arguments) => arguments.run().await,
+            Command::Overhead(arguments) => arguments.run().await,
+            Command::Run(arguments) => arguments.run().await,
+        }
+    }
+}
+
+/// Prints a value as JSON.
+pub fn print_json(value: &impl serde::Serialize) {
+    match serde_json::to_string_pretty(value) {
+        Ok(text) => println!("{text}"),
+        Err(err) => eprintln!("error: {err}"),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/control.rs
@@ -0,0 +1,213 @@
+//! What control costs: processor time, bytes, store calls and memory per
+//! entry, at rest and through a configuration change.
+//!
+//! All entries run in this process beside the store's stand-in, and nothing
+//! else uses the loopback interface meanwhile; so the figures are the whole
+//! process's over the number of entries, stand-ins included: an upper bound.
+
+use std::time::{Duration, Instant};
+
+use hollowsail_config::key::hash_key;
+use hollowsail_config::settings::Limits;
+use hollowsail_config::SourceFile;
+use hollowsail_entry::apply::ApplyResult;
+use hollowsail_local::{LocalFleet, LocalOptions};
+use hollowsail_standins::Profile;
+use serde::Serialize;
+use snafu::ResultExt;
+
+use crate::run::{BenchError, StartSnafu};
+
+/// Size of the configuration and of the fleet.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Size {
+    pub entries: usize,
+    pub organisations: usize,
+    pub targets: usize,
+    pub pipelines: usize,
+}
+
+/// Cost per entry.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct Cost {
+    /// Share of one core.
+    pub core_share: f64,
+    /// Bytes sent and received a second, headers of all layers included.
+    pub bytes_per_second: f64,
+    /// Calls of the whole fleet a second.
+    pub store_calls_per_second: f64,
+}
+
+/// All figures of one size.
+#[derive(Debug, Clone, Serialize)]
+pub struct ControlReport {
+    pub size: Size,
+    pub at_rest: Cost,
+    /// While one organisation changes every second.
+    pub changing: Cost,
+    pub changes: usize,
+    /// From sending an apply until every entry reports it, in milliseconds.
+    pub in_force_ms: Vec<u64>,
+    /// Resident memory of the whole process over the number of entries, in MB.
+    pub memory_mb: f64,
+    /// Largest value written to the store, in bytes.
+    pub largest_chunk: usize,
+}
+
+/// How long each phase is measured.
+const PHASE: Duration = Duration::from_secs(8);
+/// After the start, until things are quiet.
+const SETTLE: Duration = Duration::from_secs(4);
+/// Between two changes.
+const CHANGE_EVERY: Duration = Duration::from_secs(1);
+
+/// Measures one size.
+pub async fn run(size: Size) -> Result<ControlReport, BenchError> {
+    let files = vec![files(size, 1)];
+    let options = LocalOptions {
+        entries: size.entries,
+        profile: Profile::instant(),
+        limits: Limits {
+            threads: 1,
+            ..Limits::default()
+        },
+        ..LocalOptions::default()
+    };
+    let before = resident_bytes();
+    let fleet = LocalFleet::start(&files, options)
+        .await
+        .context(StartSnafu)?;
+    tokio::time::sleep(SETTLE).await;
+    let at_rest = measure(&fleet, size, tokio::time::sleep(PHASE)).await;
+    let mut in_force_ms = Vec::new();
+    let changing = measure(&fleet, size, change(&fleet, &mut in_force_ms)).await;
+    let memory = resident_bytes().saturating_sub(before) as f64 / size.entries as f64;
+    let (_, chunks) = hollowsail_config::chunk::split(&fleet.files);
+    let report = ControlReport {
+        size,
+        at_rest,
+        changing,
+        changes: in_force_ms.len(),
+        in_force_ms,
+        memory_mb: memory / 1e6,
+        largest_chunk: chunks
+            .iter()
+            .map(|(_, bytes)| bytes.len())
+            .max()
+            .unwrap_or(0),
+    };
+    fleet.shut_down().await;
+    Ok(report)
+}
+
+async fn measure(
+    fleet: &LocalFleet,
+    size: Size,
+    phase: impl std::future::Future<Output = ()>,
+) -> Cost {
+    let cpu = processor_seconds();
+    let bytes = loopback_bytes();
+    let calls = fleet.store.calls();
+    let begun = Instant::now();
+    phase.await;
+    let elapsed = begun.elapsed().as_secs_f64();
+    let after = fleet.store.calls();
+    let calls = (after.0 - calls.0 + after.1 - calls.1) as f64;
+    // Each byte is sent by one end and received by another.
+    let moved = 2.0 * (loopback_bytes() - bytes) as f64;
+    Cost {
+        core_share: (processor_seconds() - cpu) / elapsed / size.entries as f64,
+        bytes_per_second: moved / elapsed / size.entries as f64,
+        store_calls_per_second: calls / elapsed,
+    }
+}
+
+/// Changes one organisation's weight every second.
+async fn change(fleet: &LocalFleet, in_force_ms: &mut Vec<u64>) {
+    let changes = PHASE.as_secs() / CHANGE_EVERY.as_secs();
+    for at in 0..changes {
+        let due = Instant::now() + CHANGE_EVERY;
+        let base = fleet.entry(0).entry.view().revision();
+        let mut files = fleet.files.clone();
+        let old = "[organisation.o0]\nhalls=h0, h1\nweight=1";
+        let new = format!("[organisation.o0]\nhalls=h0, h1\nweight={}", at + 2);
+        files[0].text = files[0].text.replace(old, &new);
+        let begun = Instant::now();
+        let result = fleet.apply(0, files, base, &format!("change-{at}")).await;
+        if matches!(&result, ApplyResult::Accepted { missing, .. } if missing.is_empty()) {
+            in_force_ms.push(begun.elapsed().as_millis() as u64);
+        }
+        tokio::time::sleep_until(due.into()).await;
+    }
+}
+
+/// Files of a deployment of the given size.
+pub fn files(size: Size, weight: u32) -> SourceFile {
+    let mut text = String::from("[deployment]\nname = sized\n");
+    for hall in 0..4 {
+        text += &format!("[hall.h{hall}]\nregion = r{}\n", hall / 2);
+    }
+    for service in 0..5 {
+        text += &format!("[service.s{service}]\nkind = plain\n");
+    }
+    for target in 0..size.targets.max(5) {
+        text += &format!(
+            "[target.t{target}]\nservice = s{}\nhall = h{}\naddress = 127.0.0.1:{}\n",
+            target % 5,
+            target % 4,
+            target + 1
+        );
+    }
+    for pipeline in 0..size.pipelines {
+        text += &format!("[pipeline.p{pipeline}]\nstages = a, b, c, d\n");
+        for (at, stage) in ["a", "b", "c", "d"].iter().enumerate() {
+            text += &format!("[stage.p{pipeline}.{stage}]\nservice = s{at}\n");
+        }
+    }
+    for org in 0..size.organisations {
+        let hash: String = hash_key(&org.to_string())
+            .iter()
+            .map(|byte| format!("{byte:02x}"))
+            .collect();
+        text += &format!(
+            "[organisation.o{org}]\nhalls = h0, h1\nweight = {weight}\nkey_sha256 = {hash}\n"
+        );
+    }
+    SourceFile {
+        name: "sized.ini".into(),
+        text,
+    }
+}
+
+/// User and system time of this process, in seconds.
+fn processor_seconds() -> f64 {
+    // Fields 14 and 15, counted from the state that follows the last bracket.
+    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let after_name = stat.rsplit(')').next().unwrap_or("");
+    let ticks: f64 = after_name
+        .split_whitespace()
+        .skip(11)
+        .take(2)
+        .filter_map(|field| field.parse::<f64>().ok())
+        .sum();
+    ticks / TICKS_PER_SECOND
+}
+
+/// Linux's unit of processor time in `/proc`.
+const TICKS_PER_SECOND: f64 = 100.0;
+
+fn loopback_bytes() -> u64 {
+    std::fs::read_to_string("/sys/class/net/lo/statistics/tx_bytes")
+        .ok()
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or(0)
+}
+
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))
+        .and_then(|rest| rest.split_whitespace().next()?.parse::<u64>().ok())
+        .map_or(0, |kilobytes| kilobytes * 1024)
+}
--- /dev/null
+++ b/crates/bench/src/history.rs
@@ -0,0 +1,236 @@
+//! Checks what callers were told against what targets executed.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use hollowsail_config::{Deployment, ServiceKind};
+use hollowsail_entry::AnswerBody;
+use hollowsail_local::LocalFleet;
+use hollowsail_platform::target::Call;
+use hollowsail_routing::{Outcome, StageStatus};
+use hollowsail_standins::{output, Execution};
+use serde::Serialize;
+use serde_json::{json, Value};
+
+use crate::load::CallRecord;
+
+/// One promise: how often it was checked and how often it was broken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct Promise {
+    pub checks: usize,
+    pub broken: usize,
+}
+
+impl Promise {
+    fn check(&mut self, holds: bool) {
+        self.checks += 1;
+        self.broken += usize::from(!holds);
+    }
+
+    fn add(&mut self, other: Promise) {
+        self.checks += other.checks;
+        self.broken += other.broken;
+    }
+}
+
+/// Every promise by name.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct Promises(pub BTreeMap<&'static str, Promise>);
+
+impl Promises {
+    fn check(&mut self, name: &'static str, holds: bool) {
+        self.0.entry(name).or_default().check(holds);
+    }
+
+    /// Broken promises of all kinds.
+    pub fn broken(&self) -> usize {
+        self.0.values().map(|promise| promise.broken).sum()
+    }
+
+    /// Adds the counts of another run.
+    pub fn add(&mut self, other: &Promises) {
+        for (name, promise) in &other.0 {
+            self.0.entry(name).or_default().add(*promise);
+        }
+    }
+}
+
+/// Compares callers' records with targets' executions.
+pub fn check(
+    deployment: &Deployment,
+    records: &[CallRecord],
+    executions: &[Execution],
+    revisions: &[Vec<u64>],
+) -> Promises {
+    let mut promises = Promises::default();
+    let by_request = group(executions);
+    for record in records {
+        let executed = by_request
+            .get(record.arrival.id.as_str())
+            .map_or(&[][..], Vec::as_slice);
+        if let Some(answer) = &record.answer {
+            check_answer(&mut promises, deployment, record, answer, executed);
+        }
+        if !record.second {
+            check_once(&mut promises, deployment, record, executed);
+        }
+    }
+    check_places(&mut promises, deployment, executions);
+    check_same_answer(&mut promises, deployment, records);
+    for seen in revisions {
+        let rises = seen.windows(2).all(|pair| pair[0] <= pair[1]);
+        promises.check("no configuration goes back", rises);
+    }
+    promises
+}
+
+fn group(executions: &[Execution]) -> HashMap<&str, Vec<&Execution>> {
+    let mut groups: HashMap<&str, Vec<&Execution>> = HashMap::new();
+    for execution in executions {
+        groups
+            .entry(execution.request())
+            .or_default()
+            .push(execution);
+    }
+    groups
+}
+
+fn check_answer(
+    promises: &mut Promises,
+    deployment: &Deployment,
+    record: &CallRecord,
+    answer: &AnswerBody,
+    executed: &[&Execution],
+) {
+    let own = answer.request == record.arrival.id;
+    promises.check("an answer is its request's own", own);
+    match answer.outcome {
+        Outcome::Whole => {
+            let expected = expected_output(deployment, record);
+            let same = answer.output.as_ref() == Some(&expected);
+            promises.check("a whole answer is the targets' own", same);
+        }
+        Outcome::NotRun => {
+            promises.check("what is not run was not executed", executed.is_empty());
+        }
+        Outcome::Unknown => {}
+    }
+    for stage in &answer.stages {
+        let begun = executed.iter().any(|e| e.stage() == stage.stage);
+        match stage.status {
+            StageStatus::NotRun => {
+                promises.check("a stage not run was not executed", !begun);
+            }
+            StageStatus::Ran => promises.check("a stage that ran was executed", begun),
+            StageStatus::Unknown => {}
+        }
+    }
+}
+
+fn check_once(
+    promises: &mut Promises,
+    deployment: &Deployment,
+    record: &CallRecord,
+    executed: &[&Execution],
+) {
+    let pipeline = deployment.pipeline(record.arrival.pipeline);
+    for stage in pipeline.stages.iter().filter(|stage| !stage.repeatable) {
+        let runs = executed.iter().filter(|e| e.stage() == stage.name).count();
+        promises.check("what may not be repeated runs at most once", runs <= 1);
+    }
+}
+
+fn check_places(promises: &mut Promises, deployment: &Deployment, executions: &[Execution]) {
+    for execution in executions {
+        let org = deployment.find_organisation(&execution.org);
+        let hall = deployment.find_hall(&execution.hall);
+        let permitted =
+            matches!((org, hall), (Some(org), Some(hall)) if deployment.permits(org, hall));
+        promises.check("data stays in permitted halls", permitted);
+    }
+}
+
+/// Two sends under one ticket never get two different whole answers.
+fn check_same_answer(promises: &mut Promises, deployment: &Deployment, records: &[CallRecord]) {
+    let mut first: HashMap<&str, &Value> = HashMap::new();
+    let once = records
+        .iter()
+        .filter(|record| deployment.pipeline(record.arrival.pipeline).runs_once());
+    for record in once {
+        let Some(output) = record.answer.as_ref().and_then(|a| a.output.as_ref()) else {
+            continue;
+        };
+        let before = first.entry(&record.arrival.id).or_insert(output);
+        promises.check("one ticket has one answer", *before == output);
+    }
+}
+
+/// What the stand-ins answer to a request, computed without any entry.
+fn expected_output(deployment: &Deployment, record: &CallRecord) -> Value {
+    let pipeline = deployment.pipeline(record.arrival.pipeline);
+    let org = deployment.find_organisation(&record.arrival.org);
+    pipeline
+        .stages
+        .iter()
+        .fold(record.input.clone(), |input, stage| {
+            let call = Call {
+                dispatch: String::new(),
+                stage: stage.name.clone(),
+                model: stage.model.map(|key| {
+                    let model = deployment.model(key);
+                    format!("{}@{}", model.name, model.version)
+                }),
+                adapter: org.and_then(|org| deployment.organisation(org).adapter.clone()),
+                priority: pipeline.priority,
+                session: None,
+                max_tokens: stage.max_tokens,
+                from_token: 0,
+                input,
+            };
+            match deployment.service(stage.service).kind {
+                ServiceKind::Engine => {
+                    json!({ "text": output::text_for(&call), "tokens": output::token_count(&call) })
+                }
+                kind => output::answer_for(kind, &call),
+            }
+        })
+}
+
+/// Samples the revision that each entry has in force, until it is dropped.
+pub struct RevisionSampler {
+    seen: Arc<Mutex<HashMap<String, Vec<u64>>>>,
+}
+
+impl RevisionSampler {
+    /// Takes one sample of every running entry.
+    pub fn sample(&self, fleet: &LocalFleet) {
+        let mut seen = self.seen.lock().expect("no panic while held");
+        for running in fleet.running() {
+            seen.entry(format!("{:x}", running.entry.incarnation))
+                .or_default()
+                .push(running.entry.view().revision());
+        }
+    }
+
+    pub fn new() -> Self {
+        RevisionSampler {
+            seen: Arc::default(),
+        }
+    }
+
+    /// Revisions by entry, in order of time.
+    pub fn revisions(&self) -> Vec<Vec<u64>> {
+        let seen = self.seen.lock().expect("no panic while held");
+        seen.values().cloned().collect()
+    }
+}
+
+impl Default for RevisionSampler {
+    fn default() -> Self {
+        RevisionSampler::new()
+    }
+}
+
+/// Between two samples of revisions.
+pub const SAMPLE_EVERY: Duration = Duration::from_millis(100);
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,1 +1,27 @@
-fn main() {}
+//! The `hollowsail-bench` command: parses arguments and hands them to the
+//! library.
+
+mod commands;
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+/// Loads a fleet of entries and stand-ins on loopback, and measures.
+#[derive(FromArgs)]
+struct HollowsailBench {
+    #[argh(subcommand)]
+    command: commands::Command,
+}
+
+fn main() -> ExitCode {
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    let arguments: HollowsailBench = argh::from_env();
+    match actix_rt::System::new().block_on(arguments.command.run()) {
+        Ok(good) => ExitCode::from(u8::from(!good)),
+        Err(err) => {
+            eprintln!("error: {err}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/src/run.rs
@@ -0,0 +1,153 @@
+//! One run of a scenario: a fleet, arrivals, faults, and what came of it.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_config::settings::Limits;
+use hollowsail_config::{Faults, SourceFile};
+use hollowsail_local::localize::ReadError;
+use hollowsail_local::{read_directory, LocalError, LocalFleet, LocalOptions};
+use hollowsail_routing::Switches;
+use hollowsail_standins::engine::EngineTimes;
+use hollowsail_standins::Profile;
+use ini::Ini;
+use snafu::{ResultExt, Snafu};
+
+use crate::arrivals;
+use crate::faults;
+use crate::history::{self, RevisionSampler};
+use crate::load::Callers;
+use crate::report::RunReport;
+use crate::scenario::Scenario;
+
+/// One event of a stand-in's stream stands for this many tokens: the machine
+/// that runs the bench could not carry them one by one.
+const TOKENS_PER_EVENT: u32 = 8;
+
+/// Why a run does not come about.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum BenchError {
+    #[snafu(display("{source}"))]
+    Read { source: ReadError },
+    #[snafu(display("{source}"))]
+    Start { source: LocalError },
+    #[snafu(display("{source}"))]
+    Scenario { source: Faults },
+    #[snafu(display("{message}"))]
+    Usage { message: String },
+}
+
+/// What a run needs besides its scenario.
+#[derive(Debug, Clone, Copy)]
+pub struct RunPlan {
+    pub switches: Switches,
+    /// Requests a second that the fleet's targets can serve.
+    pub capacity: f64,
+    pub seconds: f64,
+    pub seed: u64,
+}
+
+/// Starts a fleet as scenarios want it.
+pub async fn start_fleet(scenario: &Scenario, plan: &RunPlan) -> Result<LocalFleet, BenchError> {
+    let files = read_directory(&scenario.deployment).context(ReadSnafu)?;
+    let options = LocalOptions {
+        entries: scenario.entries,
+        profile: profile(),
+        seed: plan.seed,
+        switches: plan.switches,
+        limits: Limits {
+            threads: 1,
+            stop_grace_ms: 1_500,
+            ..Limits::default()
+        },
+        ..LocalOptions::default()
+    };
+    LocalFleet::start(&fewer_tokens(&files), options)
+        .await
+        .context(StartSnafu)
+}
+
+fn profile() -> Profile {
+    let times = EngineTimes::default();
+    let events = f64::from(TOKENS_PER_EVENT);
+    Profile {
+        engine: EngineTimes {
+            prefill_per_token: times.prefill_per_token,
+            token: times.token * events,
+            token_per_sequence: times.token_per_sequence * events,
+        },
+        ..Profile::default()
+    }
+}
+
+/// The files with token counts in stream events instead of tokens.
+fn fewer_tokens(files: &[SourceFile]) -> Vec<SourceFile> {
+    files
+        .iter()
+        .map(|file| SourceFile {
+            name: file.name.clone(),
+            text: fewer_tokens_in(&file.text).unwrap_or_else(|| file.text.clone()),
+        })
+        .collect()
+}
+
+fn fewer_tokens_in(text: &str) -> Option<String> {
+    let mut ini = Ini::load_from_str(text).ok()?;
+    for (_, fields) in ini.iter_mut() {
+        let tokens = fields
+            .get("max_tokens")
+            .and_then(|text| text.parse::<u32>().ok());
+        if let Some(tokens) = tokens {
+            fields.insert("max_tokens", (tokens / TOKENS_PER_EVENT).max(1).to_string());
+        }
+    }
+    let mut written = Vec::new();
+    ini.write_to(&mut written).ok()?;
+    String::from_utf8(written).ok()
+}
+
+/// Runs a scenario once.
+pub async fn run(scenario: &Scenario, plan: &RunPlan) -> Result<RunReport, BenchError> {
+    let mut fleet = start_fleet(scenario, plan).await?;
+    let deployment = Rc::new(fleet.deployment.clone());
+    let callers = Callers::new(deployment.clone(), fleet.callers());
+    let rate = scenario.load * plan.capacity;
+    let arrivals = arrivals::plan(scenario, &deployment, rate, plan.seconds, plan.seed);
+    let start = Instant::now();
+    let end = start + Duration::from_secs_f64(plan.seconds);
+    let store_before = fleet.store.calls();
+    let busy_before = fleet.targets.target_seconds();
+    let sampler = RevisionSampler::new();
+    {
+        let sending = callers.send_all(arrivals, start);
+        let injecting = faults::inject(&mut fleet, &callers, &scenario.faults, start, end);
+        tokio::join!(sending, injecting);
+    }
+    sampler.sample(&fleet);
+    // Targets that were given up on write down their end a moment later.
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let records = callers.records.borrow().clone();
+    let executions = fleet.targets.log.all();
+    let promises = history::check(&deployment, &records, &executions, &sampler.revisions());
+    let store_after = fleet.store.calls();
+    let spent = fleet
+        .targets
+        .target_seconds()
+        .into_iter()
+        .zip(busy_before)
+        .map(|((service, after), (_, before))| (service, after - before))
+        .collect();
+    let elapsed = start.elapsed().as_secs_f64();
+    let calls = (store_after.0 - store_before.0) + (store_after.1 - store_before.1);
+    let report = RunReport::new(
+        scenario,
+        &deployment,
+        &records,
+        spent,
+        promises,
+        calls as f64 / elapsed,
+    );
+    fleet.shut_down().await;
+    Ok(report)
+}
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -86,7 +86,7 @@
             return (run, Err((ErrorKind::DeadlineExceeded, message)));
         }
         call.dispatch = dispatch_id(job, stage, run.attempts.len() + 1);
-        let limit = attempt_limit(stage, &plan, left, route.others);
+        let limit = attempt_limit(worker, stage, &plan, left, route.others);
         let tokens_before = partial.tokens;
         let sent = Instant::now();
         let result = dispatch(
@@ -152,8 +152,14 @@
 }
 
 /// An attempt gets less than the whole stage only if another could follow.
-fn attempt_limit(stage: &Stage, plan: &StagePlan, left: Duration, others: usize) -> Duration {
-    if stage.repeatable && others > 0 {
+fn attempt_limit(
+    worker: &Worker,
+    stage: &Stage,
+    plan: &StagePlan,
+    left: Duration,
+    others: usize,
+) -> Duration {
+    if worker.entry.switches.attempt_limits && stage.repeatable && others > 0 {
         left.min(Duration::from_millis(plan.attempt_ms))
     } else {
         left
@@ -171,10 +177,17 @@
     let view = worker.entry.view();
     let deployment = view.deployment()?;
     let service = job.configuration.deployment.service(stage.service);
-    let candidates = candidates(&view, deployment, job, &service.name, tried);
+    let switches = worker.entry.switches;
+    let mut candidates = candidates(&view, deployment, job, &service.name, tried);
+    for candidate in &mut candidates {
+        candidate.ejected &= switches.ejection;
+        candidate.affinity = candidate.affinity.filter(|_| switches.affinity);
+    }
     let draw = rand::rng().random();
-    let choice = resume_choice(&candidates, partial)
-        .or_else(|| hollowsail_routing::choose(&candidates, draw))?;
+    let choice = resume_choice(&candidates, partial).or_else(|| {
+        let turn = worker.entry.next_turn();
+        worker.entry.switches.choose(&candidates, draw, turn)
+    })?;
     let target = deployment.target(choice.target);
     worker.entry.log(
         events::ROUTE,
@@ -241,7 +254,8 @@
             let own = state.in_flight.load(std::sync::atomic::Ordering::Relaxed);
             Candidate {
                 target: key,
-                load: f64::from(own).max(state.reported.unwrap_or(0.0)),
+                load: f64::from(own).max(state.aged_load),
+                reported: state.reported,
                 slowness: state.slowness,
                 ejected: state.ejected,
                 affinity: affinity
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -69,12 +69,28 @@
     }
 }
 
-/// Who sent a request to this listener.
+/// How a request came to this entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Sender {
-    Caller,
-    /// A peer that passed it on; it is not passed on again.
-    Peer,
+pub struct Sender {
+    /// Times it was passed on; 0 when it came from its caller.
+    pub hops: u8,
+}
+
+/// Twice: to a permitted hall, and there to the owner of a ticket or id.
+const MAX_HOPS: u8 = 2;
+
+impl Sender {
+    pub const CALLER: Sender = Sender { hops: 0 };
+
+    pub fn is_peer(self) -> bool {
+        self.hops > 0
+    }
+
+    /// True while it may be passed on; the bound keeps views that differ from
+    /// making a loop.
+    pub fn may_pass_on(self) -> bool {
+        self.hops < MAX_HOPS
+    }
 }
 
 /// Routes of the callers' listener.
@@ -90,13 +106,15 @@
     name: web::Path<String>,
     body: web::Payload,
 ) -> HttpResponse {
-    serve(&worker, &req, &name, body, Sender::Caller).await
+    serve(&worker, &req, &name, body, Sender::CALLER).await
 }
 
 /// The balancer's check: 200 while new requests are welcome.
 async fn health(worker: web::Data<Worker>) -> HttpResponse {
     let view = worker.entry.view();
-    let welcome = view.standing == Standing::InTouch && !view.is_stopping();
+    // Without peers an entry cannot pass on what it may not serve itself.
+    let alone = view.members.is_empty() && !worker.entry.settings.seeds.is_empty();
+    let welcome = view.standing == Standing::InTouch && !view.is_stopping() && !alone;
     if welcome {
         HttpResponse::Ok().body("ok\n")
     } else {
@@ -181,11 +199,11 @@
 ) -> HttpResponse {
     let body = SharedBody::new(body);
     let permitted = serves_here(worker, &judged);
+    if !permitted && sender.is_peer() {
+        return no_permitted_entry(&judged).into_response();
+    }
     if !permitted {
-        return match sender {
-            Sender::Caller => relay_to_permitted(worker, req, &judged, body).await,
-            Sender::Peer => no_permitted_entry(&judged).into_response(),
-        };
+        return relay_to_permitted(worker, req, &judged, body).await;
     }
     let runs_once = judged
         .configuration
@@ -252,7 +270,16 @@
     body: SharedBody,
 ) -> HttpResponse {
     for member in permitted_entries(worker, judged) {
-        match pass_on(worker, req, judged, body.clone(), &member, false).await {
+        let relay = pass_on(
+            worker,
+            req,
+            judged,
+            body.clone(),
+            &member,
+            Sender::CALLER,
+            false,
+        );
+        match relay.await {
             Ok(response) => return response,
             Err(RelayError::NotSent) => {}
             Err(RelayError::Broken(reason)) => return relay_broken(&judged.request, &reason),
@@ -274,6 +301,7 @@
     judged: &Judged,
     body: SharedBody,
     member: &Member,
+    sender: Sender,
     claim_owner: bool,
 ) -> Result<HttpResponse, RelayError> {
     let path = format!("/peer{}", req.path().trim_start_matches("/peer"));
@@ -283,6 +311,7 @@
         headers: req.headers(),
         body,
         remaining: judged.remaining(),
+        hops: sender.hops + 1,
         claim_owner,
     };
     relay::relay(worker, member, &relay).await
@@ -344,7 +373,7 @@
     query: web::Query<TicketQuery>,
     body: web::Payload,
 ) -> HttpResponse {
-    tickets(&worker, &req, &query, body, Sender::Caller).await
+    tickets(&worker, &req, &query, body, Sender::CALLER).await
 }
 
 /// Issues tickets, here or at an entry that may serve the organisation.
@@ -383,7 +412,7 @@
         deadline: TICKET_TIME,
     };
     let elsewhere = !serves_here(worker, &judged) || view.is_stopping();
-    if elsewhere && sender == Sender::Caller {
+    if elsewhere && !sender.is_peer() {
         return relay_tickets(worker, req, &judged, count, SharedBody::new(body)).await;
     }
     let entry = &worker.entry;
@@ -417,6 +446,7 @@
             headers: req.headers(),
             body: body.clone(),
             remaining: judged.remaining(),
+            hops: 1,
             claim_owner: false,
         };
         if let Ok(response) = relay::relay(worker, &member, &relay).await {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,6 @@
 //! The one context that is passed down: what all threads of an entry share.
 
-use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
@@ -8,6 +8,7 @@
 use arc_swap::ArcSwap;
 use hollowsail_config::Settings;
 use hollowsail_fleet::{Incarnation, Millis};
+use hollowsail_routing::Switches;
 
 use crate::configuration::Configuration;
 use crate::control::{Control, Fact};
@@ -19,7 +20,10 @@
 /// State of one entry process, shared by its threads.
 pub struct Entry {
     pub settings: Settings,
+    /// Mechanisms at work; all of them, but for the bench.
+    pub switches: Switches,
     pub incarnation: Incarnation,
+    turn: AtomicUsize,
     started: Instant,
     view: ArcSwap<View>,
     pub once: Mutex<OnceBook>,
@@ -30,11 +34,18 @@
 }
 
 impl Entry {
-    pub fn new(settings: Settings, incarnation: Incarnation, view: View) -> Self {
+    pub fn new(
+        settings: Settings,
+        switches: Switches,
+        incarnation: Incarnation,
+        view: View,
+    ) -> Self {
         let once = OnceBook::new(incarnation, &settings.limits);
         Entry {
             settings,
+            switches,
             incarnation,
+            turn: AtomicUsize::new(0),
             started: Instant::now(),
             view: ArcSwap::from_pointee(view),
             once: Mutex::new(once),
@@ -71,6 +82,11 @@
         format!("{:x}-{number:x}", self.incarnation)
     }
 
+    /// Counts choices, for choosing by turns.
+    pub fn next_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Connects traffic to the control thread.
     pub fn set_control(&self, control: Addr<Control>) {
         *self.control.lock().expect("no panic while held") = Some(control);
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -188,7 +188,10 @@
                 slowness: state.health.slowness(),
                 ejected: state.health.is_ejected(now),
                 takes_work: hosts.takes_work(&target.name),
-                reported: state.reported.map(|(load, at)| aged(load, now - at)),
+                reported: state.reported.map_or(0.0, |(load, _)| load),
+                aged_load: state
+                    .reported
+                    .map_or(0.0, |(load, at)| aged(load, now - at)),
             })
             .collect()
     }
--- a/crates/entry/src/events.rs
+++ b/crates/entry/src/events.rs
@@ -48,6 +48,7 @@
     TARGET_EJECTED, 206, "target_ejected", Warn, "A target is out for a while.";
     HOST_LEAVING, 207, "host_leaving", Info, "A host takes no new work from now on.";
     LIST_NOT_BELIEVED, 208, "list_not_believed", Warn, "The host list shrank too much at once; the last one stays.";
+    RELAY_FAILED, 209, "relay_failed", Warn, "A request could not be passed on; nothing was sent.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force here.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -19,6 +19,8 @@
 pub const IDEMPOTENCY_TIME: &str = "hollowsail-idempotency-time";
 /// Between entries: the receiver owns the claim on the id.
 pub const CLAIM_OWNER: &str = "hollowsail-claim-owner";
+/// Between entries: how often the request was passed on.
+pub const HOPS: &str = "hollowsail-hops";
 /// Headers by which a request runs once.
 pub const ONCE: [&str; 3] = [TICKET, IDEMPOTENCY_KEY, IDEMPOTENCY_TIME];
 /// Longest id a caller may choose.
@@ -60,6 +62,13 @@
         })
 }
 
+/// How often a peer's request was passed on; at least once.
+pub fn hops(headers: &HeaderMap) -> u8 {
+    text(headers, HOPS)
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(u8::MAX)
+}
+
 /// True when the caller wants server-sent events.
 pub fn wants_events(headers: &HeaderMap) -> bool {
     text(headers, ACCEPT.as_str()).is_some_and(|accept| accept.contains("text/event-stream"))
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::control::spread::{ChunkReply, ChunkRequest};
 use crate::control::Incoming;
 use crate::events;
+use crate::headers;
 use crate::worker::Worker;
 
 /// Largest ledger or chunk request in bytes.
@@ -126,6 +127,12 @@
     HttpResponse::Ok().finish()
 }
 
+fn from_peer(req: &HttpRequest) -> Sender {
+    Sender {
+        hops: headers::hops(req.headers()),
+    }
+}
+
 async fn relayed(
     worker: web::Data<Worker>,
     req: HttpRequest,
@@ -135,7 +142,7 @@
     if !known(&worker, &req) {
         return stranger();
     }
-    callers::serve(&worker, &req, &name, body, Sender::Peer).await
+    callers::serve(&worker, &req, &name, body, from_peer(&req)).await
 }
 
 async fn relayed_tickets(
@@ -147,5 +154,5 @@
     if !known(&worker, &req) {
         return stranger();
     }
-    callers::tickets(&worker, &req, &query, body, Sender::Peer).await
+    callers::tickets(&worker, &req, &query, body, from_peer(&req)).await
 }
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -122,13 +122,13 @@
     let gone = |message: &str| {
         AnswerBody::unknown(&judged.request, ErrorKind::IssuerGone, message).into_response()
     };
-    if sender == Sender::Peer {
+    if !sender.may_pass_on() {
         return gone("the entry it was passed on to does not answer for it");
     }
     let Some(member) = worker.entry.view().answering(owner).cloned() else {
         return gone("the entry that answers for it is gone");
     };
-    match callers::pass_on(worker, req, judged, body, &member, claim_owner).await {
+    match callers::pass_on(worker, req, judged, body, &member, sender, claim_owner).await {
         Ok(response) => response,
         Err(RelayError::NotSent) => gone("the entry that answers for it cannot be reached"),
         Err(RelayError::Broken(reason)) => callers::relay_broken(&judged.request, &reason),
@@ -249,7 +249,7 @@
         Ok(read) => read,
         Err(refusal) => return refusal.into_response(),
     };
-    let claimed = if sender == Sender::Peer && own_id.owned {
+    let claimed = if sender.is_peer() && own_id.owned {
         Claimed::Theirs(worker.entry.incarnation)
     } else {
         match claim_id(worker, &judged, &own_id).await {
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_config::{Pipeline, PipelineKey, Stage};
-use hollowsail_routing::{deadline, stage_status, StageStatus};
+use hollowsail_routing::{deadline, stage_status, StagePlan, StageStatus};
 use serde_json::Value;
 use tokio::sync::mpsc;
 
@@ -111,7 +111,13 @@
 ) -> (StageRun, Result<Value, (ErrorKind, String)>) {
     let view = worker.entry.view();
     let expected = view.expectations(job.pipeline, at);
-    let plan = match deadline::plan(job.remaining_ms(), expected) {
+    let plan = deadline::plan(job.remaining_ms(), expected).or_else(|late| {
+        match worker.entry.switches.early_refusal || job.remaining_ms() == 0 {
+            true => Err(late),
+            false => Ok(StagePlan::all_of(job.remaining_ms())),
+        }
+    });
+    let plan = match plan {
         Ok(plan) => plan,
         Err(late) => {
             let kind = match job.remaining_ms() {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Two reasons: the caller's organisation may not be served in this hall, or
 //! the ticket was issued elsewhere. The decision is made from headers alone;
-//! body and answer stream through without being looked at. A relayed request
-//! is never relayed again, so views that differ cannot make a loop.
+//! body and answer stream through without being looked at. A request is passed on
+//! a bounded number of times, so views that differ cannot make a loop.
 
 use std::cell::RefCell;
 use std::pin::Pin;
@@ -75,6 +75,8 @@
     pub body: SharedBody,
     /// Time left for the whole request.
     pub remaining: Duration,
+    /// Times the request will have been passed on.
+    pub hops: u8,
     /// True when the other entry owns the claim on the caller's id.
     pub claim_owner: bool,
 }
@@ -94,6 +96,7 @@
         .post(format!("http://{}{}", peer.peer, relay.path))
         .timeout(relay.remaining)
         .insert_header((PEER_HEADER, peer_token(&worker.entry.settings.fleet_key)))
+        .insert_header((headers::HOPS, relay.hops.to_string()))
         .insert_header((headers::REQUEST, relay.request))
         .insert_header((headers::DEADLINE, relay.remaining.as_millis().to_string()));
     for name in PASSED_ON {
@@ -119,7 +122,16 @@
             }
             Ok(back.streaming(res))
         }
-        Err(err) if nothing_sent(&err) => Err(RelayError::NotSent),
+        Err(err) if nothing_sent(&err) => {
+            worker.entry.log(
+                events::RELAY_FAILED,
+                format_args!(
+                    "request={} to={} reason=\"{err}\"",
+                    relay.request, peer.name
+                ),
+            );
+            Err(RelayError::NotSent)
+        }
         Err(err) => Err(RelayError::Broken(err.to_string())),
     }
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -9,6 +9,7 @@
 use actix_web::{web, App, HttpServer};
 use hollowsail_config::settings::Settings;
 use hollowsail_fleet::{Fleet, FleetTiming, Health, Member, Standing, Stopping};
+use hollowsail_routing::Switches;
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 use snafu::{ResultExt, Snafu};
@@ -58,6 +59,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct StartOptions {
     pub timing: FleetTiming,
+    pub switches: Switches,
     /// Configuration in force from the first moment, without store or peers.
     pub configuration: Option<Arc<Configuration>>,
 }
@@ -83,7 +85,12 @@
         successor: None,
         revision: 0,
     };
-    let entry = Arc::new(Entry::new(settings, incarnation, empty_view(own.clone())));
+    let entry = Arc::new(Entry::new(
+        settings,
+        options.switches,
+        incarnation,
+        empty_view(own.clone()),
+    ));
     let control = start_control(&entry, own, &options);
     if let Some(configuration) = options.configuration {
         let _ = entry.control().send(Adopt(configuration)).await;
@@ -174,6 +181,8 @@
     })
     .workers(entry.settings.limits.threads)
     .keep_alive(KEEP_ALIVE)
+    // A caller that goes away ends a run that may be repeated.
+    .h1_allow_half_closed(false)
     .shutdown_timeout(SHUTDOWN_SECONDS)
     .disable_signals();
     let server = match (&entry.settings.tls, secured) {
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -23,8 +23,10 @@
     pub ejected: bool,
     /// Not leaving and not gone.
     pub takes_work: bool,
-    /// Load the target last reported, aged; `None` when it reports none.
-    pub reported: Option<f64>,
+    /// Load the target last reported; 0 when it reports none.
+    pub reported: f64,
+    /// The same, worth less the older the report is.
+    pub aged_load: f64,
 }
 
 /// Everything a traffic decision may look at.
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -11,6 +11,7 @@
 use hollowsail_entry::{start, RunningEntry, StartError, StartOptions};
 use hollowsail_fleet::FleetTiming;
 use hollowsail_platform::{HostRecord, HostStatus};
+use hollowsail_routing::Switches;
 use hollowsail_standins::{HostListStandIn, Profile, StoreStandIn, TargetStandIns};
 use snafu::{ResultExt, Snafu};
 
@@ -23,6 +24,9 @@
 /// How long an apply waits to be in force everywhere.
 const APPLY_WAIT_MS: u64 = 10_000;
 
+/// Between two looks at who knows whom.
+const MEMBERS_PAUSE: Duration = Duration::from_millis(20);
+
 /// Why a local fleet does not start.
 #[derive(Debug, Snafu)]
 pub enum LocalError {
@@ -46,6 +50,7 @@
     pub host_list_lag: Duration,
     pub limits: Limits,
     pub timing: FleetTiming,
+    pub switches: Switches,
 }
 
 impl Default for LocalOptions {
@@ -57,6 +62,7 @@
             host_list_lag: Duration::from_secs(2),
             limits: Limits::default(),
             timing: FleetTiming::default(),
+            switches: Switches::default(),
         }
     }
 }
@@ -99,11 +105,28 @@
         }
         let files = fleet.files.clone();
         match fleet.apply(0, files, 0, "first").await {
-            ApplyResult::Accepted { .. } => Ok(fleet),
+            ApplyResult::Accepted { .. } => {
+                fleet.wait_for_members().await;
+                Ok(fleet)
+            }
             result => Err(LocalError::Apply { result }),
         }
     }
 
+    /// Waits until all running entries know each other and have the files in
+    /// force: a balancer would send them nothing before.
+    pub async fn wait_for_members(&self) {
+        let count = self.running().count();
+        let ready = |entry: &RunningEntry| {
+            let view = entry.entry.view();
+            let present = view.members.iter().filter(|m| m.is_present()).count();
+            present + 1 >= count && view.revision() > 0
+        };
+        while !self.running().all(ready) {
+            tokio::time::sleep(MEMBERS_PAUSE).await;
+        }
+    }
+
     /// Starts one more entry, in the halls by turns; returns its place.
     pub async fn start_entry(&mut self) -> Result<usize, LocalError> {
         let place = self.next_entry;
@@ -112,6 +135,7 @@
         let settings = self.settings(&name, &hall.name);
         let options = StartOptions {
             timing: self.options.timing,
+            switches: self.options.switches,
             configuration: None,
         };
         let running = start(settings, options).await.context(EntrySnafu)?;
--- a/crates/local/tests/suite/fixture.rs
+++ b/crates/local/tests/suite/fixture.rs
@@ -86,17 +86,9 @@
 
 /// A small fleet with other options.
 pub async fn start_with(options: LocalOptions) -> LocalFleet {
-    let entries = options.entries;
-    let fleet = LocalFleet::start(&files(), options)
+    LocalFleet::start(&files(), options)
         .await
-        .expect("it starts");
-    wait_until("all entries know each other", || {
-        fleet
-            .running()
-            .all(|e| e.entry.view().members.len() + 1 == entries)
-    })
-    .await;
-    fleet
+        .expect("it starts")
 }
 
 /// Waits until a condition holds; panics when it never does.
--- a/crates/local/tests/suite/places.rs
+++ b/crates/local/tests/suite/places.rs
@@ -2,7 +2,7 @@
 
 use hollowsail_config::SourceFile;
 use hollowsail_entry::ErrorKind;
-use hollowsail_local::{Caller, LocalFleet};
+use hollowsail_local::{Caller, LocalFleet, Once};
 use hollowsail_routing::Outcome;
 use hollowsail_standins::TargetFaults;
 
@@ -132,3 +132,27 @@
     );
     fleet.shut_down().await;
 }
+
+#[actix_rt::test]
+async fn from_another_hall_a_ticket_or_id_finds_its_owner_among_several_permitted_entries() {
+    let fleet = fixture::start(4).await;
+    for round in 0..6 {
+        let ticket = fixture::ticket(&fleet, 1, NORTH).await;
+        let id = format!("ticket-{round}");
+        let payment = fixture::payment(NORTH, &id, &ticket);
+        for place in [1, 3, 1] {
+            let answer = fixture::call(&fleet, place, &payment).await.body;
+            assert_eq!(answer.outcome, Outcome::Whole, "{answer:?}");
+        }
+        assert_eq!(fixture::executions(&fleet, &id, "confirm"), 1);
+        let id = format!("own-{round}");
+        let mut own = fixture::request("pay", NORTH, &id);
+        own.once = Once::Id(id.clone(), fixture::wall_clock_ms());
+        for place in [1, 3, 1] {
+            let answer = fixture::call(&fleet, place, &own).await.body;
+            assert_eq!(answer.outcome, Outcome::Whole, "{answer:?}");
+        }
+        assert_eq!(fixture::executions(&fleet, &id, "confirm"), 1);
+    }
+    fleet.shut_down().await;
+}
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -15,6 +15,8 @@
     pub target: TargetKey,
     /// Requests it holds, by own count and by its reports.
     pub load: f64,
+    /// What it last reported, however old; 0 when it reports nothing.
+    pub reported: f64,
     /// Recent times over typical ones; 1 is as usual.
     pub slowness: f64,
     pub ejected: bool,
@@ -33,6 +35,8 @@
     Only,
     /// All are ejected; one of them has to serve.
     AllEjected,
+    /// A simple policy of the bench chose.
+    Baseline,
 }
 
 impl Reason {
@@ -43,6 +47,7 @@
             Reason::LessLoaded => "less_loaded",
             Reason::Only => "only",
             Reason::AllEjected => "all_ejected",
+            Reason::Baseline => "baseline",
         }
     }
 }
--- a/crates/routing/src/deadline.rs
+++ b/crates/routing/src/deadline.rs
@@ -26,6 +26,16 @@
     pub attempt_ms: Millis,
 }
 
+impl StagePlan {
+    /// Everything that is left, for this stage and one attempt.
+    pub fn all_of(remaining_ms: Millis) -> Self {
+        StagePlan {
+            stage_ms: remaining_ms,
+            attempt_ms: remaining_ms,
+        }
+    }
+}
+
 /// The remaining stages cannot finish in the remaining time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TooLate {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod deadline;
 pub mod health;
 pub mod latency;
+pub mod policy;
 pub mod progress;
 
 pub use budget::RetryBudget;
@@ -17,6 +18,7 @@
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use health::{HealthRules, Observation, TargetHealth};
 pub use latency::LatencyWindow;
+pub use policy::{Choosing, Switches};
 pub use progress::{
     attempt_status, may_try_again, outcome_of, stage_status, Outcome, Progress, StageStatus,
 };
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -25,6 +25,8 @@
     pub wrong_length: bool,
     /// Sends every token event twice.
     pub double_tokens: bool,
+    /// Reports this load whatever it holds.
+    pub frozen_load: Option<u32>,
     /// Answers with a redirect to this address, unexecuted.
     pub redirect: Option<SocketAddr>,
 }
@@ -42,6 +44,7 @@
             cross_answers: false,
             wrong_length: false,
             double_tokens: false,
+            frozen_load: None,
             redirect: None,
         }
     }
--- a/crates/standins/src/targets.rs
+++ b/crates/standins/src/targets.rs
@@ -6,9 +6,9 @@
 
 use std::collections::HashMap;
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_web::dev::ServerHandle;
 use actix_web::http::StatusCode;
@@ -29,6 +29,9 @@
 /// How long "never answers" is.
 const HANG: Duration = Duration::from_secs(600);
 
+/// How old a reported load may be.
+const LOAD_LAG: Duration = Duration::from_millis(300);
+
 /// Speeds of the stand-ins.
 #[derive(Debug, Clone, Copy)]
 pub struct Profile {
@@ -90,16 +93,58 @@
     running: Arc<AtomicU32>,
     cache: Mutex<PrefixCache>,
     faults: Mutex<TargetFaults>,
+    load: Mutex<LaggingLoad>,
+    /// Slot-time of the whole service in microseconds.
+    busy: Arc<AtomicU64>,
     profile: Profile,
     log: ExecutionLog,
 }
 
+/// A load as it was some time ago.
+#[derive(Default)]
+struct LaggingLoad {
+    seen: Option<(Instant, u32)>,
+}
+
+impl LaggingLoad {
+    fn read(&mut self, now: u32) -> u32 {
+        match self.seen {
+            Some((at, load)) if at.elapsed() < LOAD_LAG => load,
+            _ => {
+                self.seen = Some((Instant::now(), now));
+                now
+            }
+        }
+    }
+}
+
 impl TargetState {
+    /// What the target says of its load: late, or frozen by a fault.
+    fn reported_load(&self, faults: &TargetFaults) -> u32 {
+        let now = self.held.load(Ordering::Relaxed);
+        let lagging = self.load.lock().expect("no panic while held").read(now);
+        faults.frozen_load.unwrap_or(lagging)
+    }
+
     fn faults(&self) -> TargetFaults {
         self.faults.lock().expect("no panic while held").clone()
     }
 }
 
+/// Adds the time it lives to a service's busy time.
+struct Busy {
+    since: Instant,
+    /// Slot-time of the service in microseconds.
+    total: Arc<AtomicU64>,
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        let micros = self.since.elapsed().as_micros() as u64;
+        self.total.fetch_add(micros, Ordering::Relaxed);
+    }
+}
+
 /// Counts a call for as long as it lives.
 struct Counted(Arc<AtomicU32>);
 
@@ -122,6 +167,8 @@
     pub addresses: HashMap<String, SocketAddr>,
     pub log: ExecutionLog,
     states: HashMap<String, Arc<TargetState>>,
+    /// Slots of one target and slot-time, by service.
+    busy: Vec<(String, u32, Arc<AtomicU64>)>,
     handle: ServerHandle,
 }
 
@@ -133,6 +180,8 @@
         let mut states = HashMap::new();
         let mut by_port = HashMap::new();
         let mut listeners = Vec::new();
+        let busy: Vec<Arc<AtomicU64>> =
+            deployment.services.iter().map(|_| Arc::default()).collect();
         for target in &deployment.targets {
             let listener = TcpListener::bind("127.0.0.1:0")?;
             let address = listener.local_addr()?;
@@ -148,6 +197,8 @@
                 running: Arc::default(),
                 cache: Mutex::default(),
                 faults: Mutex::default(),
+                load: Mutex::default(),
+                busy: busy[target.service.index()].clone(),
                 profile,
                 log: log.clone(),
             });
@@ -161,6 +212,12 @@
             addresses,
             log,
             states,
+            busy: deployment
+                .services
+                .iter()
+                .zip(busy)
+                .map(|(service, busy)| (service.name.clone(), service.concurrency, busy))
+                .collect(),
             handle,
         })
     }
@@ -172,6 +229,18 @@
         }
     }
 
+    /// Seconds of whole targets spent so far, by service: slot-time over the
+    /// slots of a target, wasted work included.
+    pub fn target_seconds(&self) -> Vec<(String, f64)> {
+        self.busy
+            .iter()
+            .map(|(service, slots, micros)| {
+                let seconds = micros.load(Ordering::Relaxed) as f64 / 1e6;
+                (service.clone(), seconds / f64::from(*slots))
+            })
+            .collect()
+    }
+
     /// Stops listening.
     pub async fn stop(self) {
         self.handle.stop(false).await;
@@ -189,6 +258,8 @@
             .route("/call", web::post().to(handle_call))
     })
     .workers(2)
+    // A caller that goes away ends its call, as on an engine that can cancel.
+    .h1_allow_half_closed(false)
     .disable_signals()
     .shutdown_timeout(1);
     for listener in listeners {
@@ -217,6 +288,10 @@
     let Ok(slot) = state.slots.clone().acquire_owned().await else {
         return HttpResponse::ServiceUnavailable().finish();
     };
+    let busy = Busy {
+        since: Instant::now(),
+        total: state.busy.clone(),
+    };
     let place = state.log.begin(Execution {
         target: state.name.clone(),
         hall: state.hall.clone(),
@@ -230,6 +305,7 @@
         call: call.into_inner(),
         place,
         _held: held,
+        _busy: busy,
         _slot: slot,
     };
     run.answer().await
@@ -251,7 +327,7 @@
     let status = StatusCode::from_u16(faults.refuse?).ok()?;
     let mut refusal = HttpResponse::build(status);
     if state.reports_load {
-        refusal.insert_header((LOAD_HEADER, state.held.load(Ordering::Relaxed).to_string()));
+        refusal.insert_header((LOAD_HEADER, state.reported_load(faults).to_string()));
     }
     Some(refusal.finish())
 }
@@ -271,6 +347,7 @@
     call: Call,
     place: usize,
     _held: Counted,
+    _busy: Busy,
     _slot: OwnedSemaphorePermit,
 }
 
@@ -303,7 +380,7 @@
         let mut res = HttpResponse::Ok();
         res.insert_header((DISPATCH_HEADER, self.echo()));
         if self.state.reports_load {
-            let load = self.state.held.load(Ordering::Relaxed);
+            let load = self.state.reported_load(&self.faults);
             res.insert_header((LOAD_HEADER, load.to_string()));
         }
         res
