Keep control traffic flat: read the host list for each other, repeat less

Cause, by hollowsail-bench control with 3800 organisations, 770 targets, 30 pipelines: every entry read the whole host list every second (46 KB), and every exchange repeated 16 member records though nothing was new.

Change: two readers a hall poll the list by its tag, the others read it when a peer reports another list; records are passed on as news 12 times, then two at a time in turn.

--- a/crates/bench/src/control.rs
+++ b/crates/bench/src/control.rs
@@ -54,8 +54,10 @@
     pub largest_chunk: usize,
 }
 
-/// How long each phase is measured.
-const PHASE: Duration = Duration::from_secs(8);
+/// How long rest is measured: two waits of a watch.
+const REST: Duration = Duration::from_secs(20);
+/// How long changes are measured.
+const CHANGING: Duration = Duration::from_secs(8);
 /// After the start, until things are quiet.
 const SETTLE: Duration = Duration::from_secs(4);
 /// Between two changes.
@@ -78,7 +80,7 @@
         .await
         .context(StartSnafu)?;
     tokio::time::sleep(SETTLE).await;
-    let at_rest = measure(&fleet, size, tokio::time::sleep(PHASE)).await;
+    let at_rest = measure(&fleet, size, tokio::time::sleep(REST)).await;
     let mut in_force_ms = Vec::new();
     let changing = measure(&fleet, size, change(&fleet, &mut in_force_ms)).await;
     let memory = resident_bytes().saturating_sub(before) as f64 / size.entries as f64;
@@ -124,7 +126,7 @@
 
 /// Changes one organisation's weight every second.
 async fn change(fleet: &LocalFleet, in_force_ms: &mut Vec<u64>) {
-    let changes = PHASE.as_secs() / CHANGE_EVERY.as_secs();
+    let changes = CHANGING.as_secs() / CHANGE_EVERY.as_secs();
     for at in 0..changes {
         let due = Instant::now() + CHANGE_EVERY;
         let base = fleet.entry(0).entry.view().revision();
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -50,6 +50,9 @@
     }
 }
 
+/// Tickets fetched ahead, by issuing entry and organisation.
+type TicketPool = HashMap<(SocketAddr, String), Vec<String>>;
+
 /// Shared by all callers of a run.
 #[derive(Clone)]
 pub struct Callers {
@@ -57,7 +60,7 @@
     deployment: Rc<Deployment>,
     /// Entries that the balancer knows of; changes when entries come and go.
     pub entries: Rc<RefCell<Vec<SocketAddr>>>,
-    tickets: Rc<RefCell<HashMap<(SocketAddr, String), Vec<String>>>>,
+    tickets: Rc<RefCell<TicketPool>>,
     next: Rc<RefCell<usize>>,
     pub records: Rc<RefCell<Vec<CallRecord>>>,
 }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -90,12 +90,7 @@
     }
 
     fn should_watch(&self) -> bool {
-        let own = self.fleet.own();
-        self.configuration.is_none()
-            || self
-                .fleet
-                .watchers(&own.hall, WATCHERS_PER_HALL)
-                .contains(&own.incarnation)
+        self.configuration.is_none() || self.fleet.asks_for_all("store", WATCHERS_PER_HALL)
     }
 
     fn watch_if_due(&mut self, cx: &mut Context<Self>) {
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -84,6 +84,7 @@
         stopping: Stopping::No,
         successor: None,
         revision: 0,
+        list_hash: 0,
     };
     let entry = Arc::new(Entry::new(
         settings,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -17,9 +17,14 @@
 use crate::leaving::HostView;
 use crate::member::{Health, Member, Stopping};
 use crate::rendezvous;
-use crate::wire::{Exchange, MAX_RECORDS};
+use crate::wire::{Exchange, MAX_NEWS, MAX_REPEATED};
 use crate::{Incarnation, Millis};
 
+/// Times a changed record is passed on as news. With every entry passing news
+/// on so often, all of some hundreds hear of it with near certainty; the few
+/// that do not hear it from repeated records.
+const NEWS_TIMES: u32 = 12;
+
 /// Times of the membership protocol, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetTiming {
@@ -108,6 +113,21 @@
         self.own.revision = self.own.revision.max(revision);
     }
 
+    /// Publishes the hash of the host list that this entry has read.
+    pub fn set_list_hash(&mut self, hash: u64) {
+        self.own.list_hash = hash;
+    }
+
+    /// True when some present member has read another host list than this
+    /// entry: one of the two is older.
+    pub fn list_differs(&self) -> bool {
+        self.known
+            .values()
+            .map(|known| &known.member)
+            .filter(|member| member.is_present() && member.list_hash != 0)
+            .any(|member| member.list_hash != self.own.list_hash)
+    }
+
     /// Highest revision any present member reports, and where.
     pub fn newest_revision(&self) -> Option<(u64, SocketAddr)> {
         self.known
@@ -123,16 +143,17 @@
         self.own.successor = self.own.successor.or(successor);
     }
 
-    /// Members of `hall` that watch the store for all, this entry included.
-    pub fn watchers(&self, hall: &str, count: usize) -> Vec<Incarnation> {
+    /// True when this entry is one of the `count` in its hall that ask the
+    /// platform for `what` on behalf of all.
+    pub fn asks_for_all(&self, what: &str, count: usize) -> bool {
         let candidates = self
             .known
             .values()
             .map(|known| &known.member)
             .chain([&self.own])
-            .filter(|member| member.hall == hall && member.takes_work())
+            .filter(|member| member.hall == self.own.hall && member.takes_work())
             .map(|member| member.incarnation);
-        rendezvous::choose("store watch", candidates, count)
+        rendezvous::choose(what, candidates, count).contains(&self.own.incarnation)
     }
 
     /// One tick: ages suspicions and chooses whom to exchange with.
@@ -200,12 +221,14 @@
         }
     }
 
+    /// News first; then a few old records in turn, for whoever missed them.
     fn records_to_spread(&mut self) -> Vec<Member> {
         let mut order: Vec<_> = self.known.values_mut().collect();
         order.sort_by_key(|known| (known.passed_on, known.member.incarnation));
+        let news = order.iter().filter(|k| k.passed_on < NEWS_TIMES).count();
         order
             .into_iter()
-            .take(MAX_RECORDS)
+            .take(news.clamp(MAX_REPEATED, MAX_NEWS))
             .map(|known| {
                 known.passed_on += 1;
                 known.member.clone()
@@ -218,6 +241,9 @@
         self.last_contact = Some(now);
         self.replace_earlier_run(now, &message.from);
         self.take_record(now, &message.from);
+        if let Some(known) = self.known.get_mut(&message.from.incarnation) {
+            known.member.list_hash = message.from.list_hash;
+        }
         for member in &message.members {
             self.take_record(now, member);
         }
--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -83,6 +83,16 @@
             .retain(|name, _| missing.get(name).copied().unwrap_or(0) <= MISSING_READS);
     }
 
+    /// The list was read once more and is still the same.
+    pub fn read_again(&mut self) {
+        self.missing.values_mut().for_each(|reads| *reads += 1);
+    }
+
+    /// True when one more read of the same list would change nothing.
+    pub fn is_settled(&self) -> bool {
+        self.missing.values().all(|reads| *reads >= MISSING_READS)
+    }
+
     /// Learns that a host incarnation is leaving; true when it is news.
     pub fn learn(&mut self, host: LeavingHost) -> bool {
         if !self.leaving.insert(host.clone()) {
--- a/crates/fleet/src/member.rs
+++ b/crates/fleet/src/member.rs
@@ -40,6 +40,9 @@
     pub successor: Option<Incarnation>,
     /// Configuration revision it has in force.
     pub revision: u64,
+    /// Hash of the host list it last read; 0 before any. Known only from the
+    /// member itself, since lists have no order.
+    pub list_hash: u64,
 }
 
 impl Member {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -5,8 +5,10 @@
 use crate::leaving::LeavingHost;
 use crate::member::Member;
 
-/// Member records in one exchange.
-pub const MAX_RECORDS: usize = 16;
+/// Member records in one exchange that are still news.
+pub const MAX_NEWS: usize = 16;
+/// Records in one exchange that are repeated to be sure.
+pub const MAX_REPEATED: usize = 2;
 /// Leaving hosts in one exchange.
 pub const MAX_LEAVING: usize = 16;
 
--- a/crates/fleet/tests/suite/leaving.rs
+++ b/crates/fleet/tests/suite/leaving.rs
@@ -118,3 +118,14 @@
     view.observe(&live(&["a"]));
     assert!(view.takes_work("new"));
 }
+
+#[test]
+fn reading_the_same_list_again_counts_too() {
+    let mut view = HostView::default();
+    view.observe(&live(&HOSTS));
+    assert!(view.is_settled());
+    view.observe(&live(&["a", "b", "c"]));
+    assert!(view.takes_work("d") && !view.is_settled());
+    view.read_again();
+    assert!(!view.takes_work("d") && view.is_settled());
+}
--- a/crates/fleet/tests/suite/membership.rs
+++ b/crates/fleet/tests/suite/membership.rs
@@ -123,6 +123,7 @@
         stopping: Stopping::No,
         successor: None,
         revision: 0,
+        list_hash: 0,
     };
     Place {
         fleet: Fleet::new(own, (0..PLACES).map(address).collect(), TIMING),
--- a/crates/platform/src/host_list.rs
+++ b/crates/platform/src/host_list.rs
@@ -1,8 +1,13 @@
 //! Client of the platform's host list: live and leaving hosts, with a lag.
+//!
+//! A reader names the tag of the list it has; an unchanged list is not sent
+//! again.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use awc::http::header::{ETAG, IF_NONE_MATCH};
+use awc::http::StatusCode;
 use awc::Client;
 use serde::{Deserialize, Serialize};
 use snafu::Snafu;
@@ -32,6 +37,14 @@
     pub status: HostStatus,
 }
 
+/// A list as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostList {
+    /// The platform's tag for this version; `None` when it gives none.
+    pub tag: Option<String>,
+    pub hosts: Vec<HostRecord>,
+}
+
 /// The list could not be read; the last one stays in use.
 #[derive(Debug, Snafu)]
 #[snafu(display("the host list could not be read: {reason}; keeping the last one"))]
@@ -54,16 +67,20 @@
         }
     }
 
-    /// Reads the whole list.
-    pub async fn read(&self) -> Result<Vec<HostRecord>, HostListError> {
+    /// Reads the list; `None` when it is still the one tagged `known`.
+    pub async fn read(&self, known: Option<&str>) -> Result<Option<HostList>, HostListError> {
         let failed = |reason: String| HostListError { reason };
-        let mut res = self
+        let mut req = self
             .client
             .get(format!("http://{}/hosts", self.address))
-            .timeout(CALL_TIMEOUT)
-            .send()
-            .await
-            .map_err(|err| failed(err.to_string()))?;
+            .timeout(CALL_TIMEOUT);
+        if let Some(tag) = known {
+            req = req.insert_header((IF_NONE_MATCH, tag));
+        }
+        let mut res = req.send().await.map_err(|err| failed(err.to_string()))?;
+        if res.status() == StatusCode::NOT_MODIFIED {
+            return Ok(None);
+        }
         if !res.status().is_success() {
             return Err(failed(format!("status {}", res.status())));
         }
@@ -72,6 +89,12 @@
             .limit(MAX_LIST_BYTES)
             .await
             .map_err(|err| failed(err.to_string()))?;
-        serde_json::from_slice(&body).map_err(|err| failed(err.to_string()))
+        let hosts = serde_json::from_slice(&body).map_err(|err| failed(err.to_string()))?;
+        let tag = res
+            .headers()
+            .get(ETAG)
+            .and_then(|tag| tag.to_str().ok())
+            .map(String::from);
+        Ok(Some(HostList { tag, hosts }))
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod store;
 pub mod target;
 
-pub use host_list::{HostListClient, HostRecord, HostStatus};
+pub use host_list::{HostList, HostListClient, HostRecord, HostStatus};
 pub use store::{Expect, StoreClient, StoreError, StoreReply, StoreRequest};
 pub use target::{Call, CallError, Sent, TokenEvent, TokenStream};
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -6,13 +6,20 @@
 use std::time::{Duration, Instant};
 
 use actix_web::dev::ServerHandle;
-use actix_web::{web, App, HttpResponse, HttpServer};
+use actix_web::http::header::{ETAG, IF_NONE_MATCH};
+use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
 use hollowsail_platform::{HostRecord, HostStatus};
 
 struct Shared {
     lag: Duration,
-    /// Versions of the list with the moments they were made, oldest first.
-    versions: Mutex<VecDeque<(Instant, Vec<HostRecord>)>>,
+    versions: Mutex<Versions>,
+}
+
+/// Versions of the list with the moments they were made, oldest first.
+struct Versions {
+    kept: VecDeque<(Instant, Vec<HostRecord>)>,
+    /// Number of the oldest one kept; its tag.
+    oldest: u64,
 }
 
 /// A running host list.
@@ -29,7 +36,10 @@
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             lag,
-            versions: Mutex::new(VecDeque::from([(Instant::now(), hosts)])),
+            versions: Mutex::new(Versions {
+                kept: VecDeque::from([(Instant::now(), hosts)]),
+                oldest: 0,
+            }),
         });
         let data = web::Data::from(shared.clone());
         let server = HttpServer::new(move || {
@@ -55,11 +65,12 @@
     pub fn change(&self, change: impl FnOnce(&mut Vec<HostRecord>)) {
         let mut versions = self.shared.versions.lock().expect("no panic");
         let mut hosts = versions
+            .kept
             .back()
             .map(|(_, hosts)| hosts.clone())
             .unwrap_or_default();
         change(&mut hosts);
-        versions.push_back((Instant::now(), hosts));
+        versions.kept.push_back((Instant::now(), hosts));
     }
 
     /// Shows a host as leaving after the lag.
@@ -77,10 +88,18 @@
     }
 }
 
-async fn handle(shared: web::Data<Shared>) -> HttpResponse {
+async fn handle(shared: web::Data<Shared>, req: HttpRequest) -> HttpResponse {
     let mut versions = shared.versions.lock().expect("no panic");
-    while versions.len() > 1 && versions[1].0.elapsed() >= shared.lag {
-        versions.pop_front();
+    while versions.kept.len() > 1 && versions.kept[1].0.elapsed() >= shared.lag {
+        versions.kept.pop_front();
+        versions.oldest += 1;
+    }
+    let tag = format!("\"{}\"", versions.oldest);
+    let known = req.headers().get(IF_NONE_MATCH);
+    if known.is_some_and(|known| known == tag.as_str()) {
+        return HttpResponse::NotModified().finish();
     }
-    HttpResponse::Ok().json(&versions[0].1)
+    HttpResponse::Ok()
+        .insert_header((ETAG, tag))
+        .json(&versions.kept[0].1)
 }
