Judge requests before their first stage; tell newcomers everything once

Cause: (1) nothing refused work that could not finish: under overload all queues fill.

Change: routing::admission weighs backlogs, stage times and weighted shares; extra attempts come out of a budget per service. A newcomer asks its first peer for every record, and its health check waits for that.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -11,7 +11,7 @@
 use hollowsail_fleet::rendezvous;
 use hollowsail_platform::target::{self, Call, CallError, Sent, StreamStep, TargetNotice};
 use hollowsail_routing::{
-    attempt_status, may_try_again, Candidate, Choice, Observation, Progress, StagePlan,
+    attempt_status, may_try_again, Candidate, Choice, Observation, Progress, RetryBudget, StagePlan,
 };
 use rand::Rng;
 use serde_json::{json, Value};
@@ -74,6 +74,7 @@
     let mut partial = Partial::default();
     let mut call = new_call(job, stage, input);
     let mut last_failure = None;
+    earn_retries(worker, job, stage);
     loop {
         let left = stage_time.saturating_sub(begun.elapsed());
         let Some(route) = choose_route(worker, job, stage, &run, &tried, &partial) else {
@@ -117,7 +118,8 @@
         let failure = final_failure(job, stage, &err, progress);
         let may_go_on = may_try_again(progress, stage.repeatable)
             && run.attempts.len() < MAX_ATTEMPTS
-            && job.remaining() > Duration::ZERO;
+            && job.remaining() > Duration::ZERO
+            && grants_retry(worker, job, stage);
         if !may_go_on {
             return (run, Err(failure));
         }
@@ -125,6 +127,34 @@
     }
 }
 
+/// Counts a first attempt towards the budget of extra ones.
+fn earn_retries(worker: &Worker, job: &Job, stage: &Stage) {
+    with_budget(worker, job, stage, RetryBudget::earn);
+}
+
+/// Takes an extra attempt out of the service's budget.
+fn grants_retry(worker: &Worker, job: &Job, stage: &Stage) -> bool {
+    !worker.entry.switches.retry_budget
+        || with_budget(worker, job, stage, RetryBudget::spend).unwrap_or(true)
+}
+
+fn with_budget<T>(
+    worker: &Worker,
+    job: &Job,
+    stage: &Stage,
+    change: impl FnOnce(&mut RetryBudget) -> T,
+) -> Option<T> {
+    let view = worker.entry.view();
+    let name = &job.configuration.deployment.service(stage.service).name;
+    let services = &view.deployment()?.services;
+    let at = services.iter().position(|service| service.name == *name)?;
+    let mut budget = view.services[at]
+        .retries
+        .lock()
+        .expect("no panic while held");
+    Some(change(&mut budget))
+}
+
 fn new_call(job: &Job, stage: &Stage, input: Value) -> Call {
     let deployment = &job.configuration.deployment;
     let org = deployment
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -112,9 +112,9 @@
 /// The balancer's check: 200 while new requests are welcome.
 async fn health(worker: web::Data<Worker>) -> HttpResponse {
     let view = worker.entry.view();
-    // Without peers an entry cannot pass on what it may not serve itself.
-    let alone = view.members.is_empty() && !worker.entry.settings.seeds.is_empty();
-    let welcome = view.standing == Standing::InTouch && !view.is_stopping() && !alone;
+    // An entry that has peers cannot pass requests on before it knows them.
+    let ready = view.joined || worker.entry.settings.seeds.is_empty();
+    let welcome = view.standing == Standing::InTouch && !view.is_stopping() && ready;
     if welcome {
         HttpResponse::Ok().body("ok\n")
     } else {
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -10,6 +10,7 @@
 use hollowsail_fleet::{Incarnation, Millis};
 use hollowsail_routing::Switches;
 
+use crate::admission::Holdings;
 use crate::configuration::Configuration;
 use crate::control::{Control, Fact};
 use crate::events::{self, Event};
@@ -29,6 +30,8 @@
     pub once: Mutex<OnceBook>,
     /// Requests being served, for planned stops and for the limit.
     pub in_flight: Arc<AtomicU32>,
+    /// What each organisation has in flight here.
+    pub holdings: Arc<Holdings>,
     next_run: AtomicU64,
     control: Mutex<Option<Addr<Control>>>,
 }
@@ -50,6 +53,7 @@
             view: ArcSwap::from_pointee(view),
             once: Mutex::new(once),
             in_flight: Arc::default(),
+            holdings: Arc::default(),
             next_run: AtomicU64::new(1),
             control: Mutex::new(None),
         }
--- a/crates/entry/src/control/gossip.rs
+++ b/crates/entry/src/control/gossip.rs
@@ -16,8 +16,8 @@
 
 /// Longest wait for a peer's half.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1000);
-/// Largest exchange in bytes.
-const MAX_EXCHANGE_BYTES: usize = 64 * 1024;
+/// Largest exchange in bytes: what a newcomer is told.
+const MAX_EXCHANGE_BYTES: usize = 1024 * 1024;
 /// Peers told at once when there is news.
 const NEWS_FANOUT: usize = 3;
 
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -6,7 +6,7 @@
 
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU32;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use actix::Message;
 use hollowsail_config::{Deployment, PipelineKey, TargetKey};
@@ -14,13 +14,13 @@
 use hollowsail_platform::target::TargetNotice;
 use hollowsail_routing::health::eject_worst;
 use hollowsail_routing::{
-    HealthRules, LatencyWindow, Millis, Observation, StageExpectation, TargetHealth,
+    HealthRules, LatencyWindow, Millis, Observation, RetryBudget, StageExpectation, TargetHealth,
 };
 
 use crate::configuration::Configuration;
 use crate::control::Control;
 use crate::events;
-use crate::view::TargetView;
+use crate::view::{ServiceView, TargetView};
 
 /// A reported load counts half after this many milliseconds.
 const LOAD_HALF_LIFE_MS: f64 = 500.0;
@@ -60,6 +60,7 @@
 pub struct HealthState {
     configuration: Option<Arc<Configuration>>,
     targets: Vec<TargetState>,
+    services: Vec<ServiceView>,
     stages: Vec<Vec<LatencyWindow>>,
     rules: HealthRules,
 }
@@ -70,6 +71,14 @@
         let mut known_targets = self.take_targets();
         let mut known_stages = self.take_stages();
         let deployment = &configuration.deployment;
+        let ratio = deployment.policy.retry_budget;
+        self.services = deployment
+            .services
+            .iter()
+            .map(|_| ServiceView {
+                retries: Arc::new(Mutex::new(RetryBudget::new(ratio))),
+            })
+            .collect();
         self.targets = deployment
             .targets
             .iter()
@@ -196,6 +205,11 @@
             .collect()
     }
 
+    /// The view's services, in the order of the arena.
+    pub fn service_views(&self) -> Vec<ServiceView> {
+        self.services.clone()
+    }
+
     /// Expected times by pipeline and stage.
     pub fn expectations(&self) -> Vec<Vec<StageExpectation>> {
         let Some(deployment) = self.deployment() else {
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -23,10 +23,11 @@
 
     fn handle(&mut self, message: Incoming, cx: &mut Context<Self>) -> Self::Result {
         let now = self.now();
+        let newcomer = message.0.wants_all;
         self.fleet.receive(now, message.0);
         self.publish();
         self.look_for_newer(cx);
-        MessageResult(MessageResponse(self.fleet.message()))
+        MessageResult(MessageResponse(self.fleet.reply(newcomer)))
     }
 }
 
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -88,9 +88,11 @@
         let view = View {
             configuration: self.configuration.clone(),
             targets: self.health.target_views(self.now(), &self.fleet.hosts),
+            services: self.health.service_views(),
             stages: self.health.expectations(),
             own: self.fleet.own().clone(),
             members: self.fleet.others().into_iter().cloned().collect(),
+            joined: self.fleet.has_joined(),
             standing: self.standing,
         };
         self.entry.publish(view);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
 //! that traffic reads. [`server::start`] puts it all together.
 
+pub mod admission;
 pub mod answer;
 pub mod apply;
 pub mod attempt;
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use tokio::sync::mpsc;
 
+use crate::admission;
 use crate::answer::{AnswerBody, StageReport};
 use crate::attempt::{self, StageRun};
 use crate::configuration::Configuration;
@@ -65,8 +66,27 @@
 /// Where a streaming caller's events go.
 pub type Sink = mpsc::Sender<Progress>;
 
-/// Runs every stage; always ends in an answer.
+/// Judges the request, then runs every stage; always ends in an answer.
 pub async fn run(worker: &Worker, job: &Job, sink: Option<&Sink>) -> AnswerBody {
+    let deployment = &job.configuration.deployment;
+    let admitted = deployment
+        .find_organisation(&job.org)
+        .ok_or_else(|| {
+            (
+                ErrorKind::NotAllowed,
+                "the organisation is gone".to_string(),
+            )
+        })
+        .and_then(|org| {
+            admission::judge(worker, deployment, org, job.pipeline, job.remaining_ms())
+        });
+    match admitted {
+        Ok(_held) => run_stages(worker, job, sink).await,
+        Err(refusal) => finish(worker, job, Vec::new(), Err(refusal)),
+    }
+}
+
+async fn run_stages(worker: &Worker, job: &Job, sink: Option<&Sink>) -> AnswerBody {
     let mut reports = Vec::new();
     let mut input = job.input.clone();
     let mut failure = None;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -141,9 +141,11 @@
     View {
         configuration: None,
         targets: Vec::new(),
+        services: Vec::new(),
         stages: Vec::new(),
         own,
         members: Vec::new(),
+        joined: false,
         standing: Standing::Starting,
     }
 }
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -5,11 +5,11 @@
 //! change with every dispatch, faster than snapshots are made.
 
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use hollowsail_config::{Deployment, PipelineKey, TargetKey};
 use hollowsail_fleet::{member, Incarnation, Member, Standing, Stopping};
-use hollowsail_routing::StageExpectation;
+use hollowsail_routing::{RetryBudget, StageExpectation};
 
 use crate::configuration::Configuration;
 
@@ -29,15 +29,25 @@
     pub aged_load: f64,
 }
 
+/// One service, in the order of the deployment's arena.
+#[derive(Debug, Clone)]
+pub struct ServiceView {
+    /// Extra attempts that this entry may make.
+    pub retries: Arc<Mutex<RetryBudget>>,
+}
+
 /// Everything a traffic decision may look at.
 #[derive(Debug, Clone)]
 pub struct View {
     pub configuration: Option<Arc<Configuration>>,
     pub targets: Vec<TargetView>,
+    pub services: Vec<ServiceView>,
     /// Expected times by pipeline and stage.
     pub stages: Vec<Vec<StageExpectation>>,
     pub own: Member,
     pub members: Vec<Member>,
+    /// Peers have told this entry what they know.
+    pub joined: bool,
     pub standing: Standing,
 }
 
@@ -76,6 +86,11 @@
         })
     }
 
+    /// Entries that share the targets with this one, itself included.
+    pub fn entries(&self) -> usize {
+        1 + self.members.iter().filter(|m| m.is_present()).count()
+    }
+
     pub fn is_stopping(&self) -> bool {
         self.own.stopping != Stopping::No
     }
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -74,6 +74,8 @@
     known: HashMap<Incarnation, Known>,
     pub hosts: HostView,
     ticks: u64,
+    /// Some peer has told this entry all it knows.
+    joined: bool,
     last_contact: Option<Millis>,
 }
 
@@ -87,10 +89,16 @@
             known: HashMap::new(),
             hosts: HostView::default(),
             ticks: 0,
+            joined: false,
             last_contact: None,
         }
     }
 
+    /// True once this entry knows what its peers know.
+    pub fn has_joined(&self) -> bool {
+        self.joined
+    }
+
     /// This entry's own record.
     pub fn own(&self) -> &Member {
         &self.own
@@ -212,15 +220,29 @@
         });
     }
 
-    /// The message to send, as a request or as a reply.
+    /// The message to send as a request.
     pub fn message(&mut self) -> Exchange {
         Exchange {
             from: self.own.clone(),
+            wants_all: !self.joined,
+            holds_all: false,
             members: self.records_to_spread(),
             leaving: self.hosts.to_spread(),
         }
     }
 
+    /// The message to send as a reply; a newcomer gets every record, for it
+    /// has to know who answers for the tickets of those that left before.
+    pub fn reply(&mut self, newcomer: bool) -> Exchange {
+        let mut message = self.message();
+        if newcomer {
+            message.holds_all = true;
+            message.members = self.others().into_iter().cloned().collect();
+            message.leaving = self.hosts.all_leaving();
+        }
+        message
+    }
+
     /// News first; then a few old records in turn, for whoever missed them.
     fn records_to_spread(&mut self) -> Vec<Member> {
         let mut order: Vec<_> = self.known.values_mut().collect();
@@ -239,6 +261,7 @@
     /// Takes a peer's message. Its sender is alive: it has just spoken.
     pub fn receive(&mut self, now: Millis, message: Exchange) {
         self.last_contact = Some(now);
+        self.joined |= message.holds_all;
         self.replace_earlier_run(now, &message.from);
         self.take_record(now, &message.from);
         if let Some(known) = self.known.get_mut(&message.from.incarnation) {
--- a/crates/fleet/src/leaving.rs
+++ b/crates/fleet/src/leaving.rs
@@ -130,6 +130,11 @@
         !gone && !self.leaving.contains(&host)
     }
 
+    /// Every leaving host, for a newcomer.
+    pub fn all_leaving(&self) -> Vec<LeavingHost> {
+        self.spread.iter().map(|(_, host)| host.clone()).collect()
+    }
+
     /// Leaving hosts to pass on, those passed on least often first.
     pub fn to_spread(&mut self) -> Vec<LeavingHost> {
         let mut order: Vec<usize> = (0..self.spread.len()).collect();
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -17,6 +17,10 @@
 pub struct Exchange {
     /// The sender's own record, always fresh.
     pub from: Member,
+    /// The sender has just started and wants every record, once.
+    pub wants_all: bool,
+    /// `members` are all that the sender knows.
+    pub holds_all: bool,
     /// Records that the sender has passed on least often.
     pub members: Vec<Member>,
     pub leaving: Vec<LeavingHost>,
--- a/crates/fleet/tests/suite/membership.rs
+++ b/crates/fleet/tests/suite/membership.rs
@@ -158,8 +158,9 @@
                 continue;
             }
             let request = self.places[place].fleet.message();
+            let newcomer = request.wants_all;
             self.places[at].fleet.receive(self.now, request);
-            let reply = self.places[at].fleet.message();
+            let reply = self.places[at].fleet.reply(newcomer);
             match fate {
                 Fate::Exchanged => self.places[place].fleet.receive(self.now, reply),
                 _ => self.places[place].fleet.fail(self.now, peer),
@@ -312,3 +313,25 @@
     assert_eq!(answering(5), None);
     assert_eq!(answering(9), None);
 }
+
+#[test]
+fn a_newcomer_learns_in_one_exchange_who_left_long_ago() {
+    let mut old = new_place(0, 1).fleet;
+    for incarnation in 10..60 {
+        let mut left = member(incarnation, Stopping::Left, Some(1));
+        left.peer = address(incarnation as usize);
+        let mut farewell = old.message();
+        farewell.from = left;
+        farewell.members = Vec::new();
+        old.receive(0, farewell);
+    }
+    // Long ago: nothing of it is news any more.
+    (0..200).for_each(|_| drop(old.message()));
+    let mut newcomer = new_place(1, 2).fleet;
+    let hello = newcomer.message();
+    assert!(hello.wants_all && !newcomer.has_joined());
+    old.receive(1, hello);
+    newcomer.receive(1, old.reply(true));
+    assert!(newcomer.has_joined() && !newcomer.message().wants_all);
+    assert_eq!(newcomer.others().len(), 51);
+}
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -120,7 +120,8 @@
         let ready = |entry: &RunningEntry| {
             let view = entry.entry.view();
             let present = view.members.iter().filter(|m| m.is_present()).count();
-            present + 1 >= count && view.revision() > 0
+            let joined = view.joined || entry.entry.settings.seeds.is_empty();
+            present + 1 >= count && view.revision() > 0 && joined
         };
         while !self.running().all(ready) {
             tokio::time::sleep(MEMBERS_PAUSE).await;
--- a/crates/local/tests/suite/stopping.rs
+++ b/crates/local/tests/suite/stopping.rs
@@ -81,12 +81,8 @@
     let payment = fixture::payment(BOTH, "rolling", &ticket);
     let kept = fixture::call(&fleet, 0, &payment).await.body;
     for place in 0..3 {
-        let new = fleet.start_entry().await.expect("it starts");
-        let entry = fleet.entry(new).entry.clone();
-        fixture::wait_until("the new entry serves", || {
-            entry.view().revision() == 1 && entry.view().members.len() >= 3
-        })
-        .await;
+        fleet.start_entry().await.expect("it starts");
+        fleet.wait_for_members().await;
         fleet.take_entry(place).expect("it runs").stop().await;
     }
     for place in 3..6 {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -5,6 +5,7 @@
 //! facts in (an answer after so many milliseconds, a refusal, a load report)
 //! and reads decisions out; clocks and randomness are arguments.
 
+pub mod admission;
 pub mod budget;
 pub mod choose;
 pub mod deadline;
@@ -13,6 +14,7 @@
 pub mod policy;
 pub mod progress;
 
+pub use admission::{admit, Holding, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! The decisions of traffic.
 
+mod admission;
 mod budget;
 mod choose;
 mod deadline;
