Say 'not run' of the request, not of the send; wait at the entry by urgency

(2) A ticket refused by a full or stopping ledger could run on a later send, or at the successor. (3) Under overload all requests queued at targets, and a service that slowed down as a whole had its attempts cut as hung.

Change: refusals before the ledger are 'unknown' when a ticket or id came along; the ledger remembers what it refused, hands that over, and claims nothing after a hand-over. Requests wait at the entry's gate per service, by share, priority and latest start; a target gets no more than its slots; only first attempts are cut short, and only while a retry would be granted. attempt.rs is now attempt, routes and dispatch.

--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -2,11 +2,10 @@
 //! this entry has in flight for each organisation.
 
 use std::collections::HashMap;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex};
 
 use hollowsail_config::{Deployment, OrganisationKey, PipelineKey, Service};
-use hollowsail_routing::{admit, Holding, ServiceLoad, StageDemand, Verdict};
+use hollowsail_routing::{admit, Holding, Rank, ServiceLoad, StageDemand, Verdict};
 
 use crate::kinds::ErrorKind;
 use crate::view::View;
@@ -27,6 +26,8 @@
 pub struct Admitted {
     holdings: Arc<Holdings>,
     org: String,
+    /// Its organisation held more than its share: it waits behind the others.
+    pub over_share: bool,
 }
 
 impl Drop for Admitted {
@@ -56,7 +57,7 @@
         }
     }
 
-    fn take(self: &Arc<Self>, org: &str, weight: u32) -> Admitted {
+    fn take(self: &Arc<Self>, org: &str, weight: u32, over_share: bool) -> Admitted {
         let mut all = self.0.lock().expect("no panic while held");
         let held = all
             .entry(org.to_string())
@@ -66,6 +67,7 @@
         Admitted {
             holdings: self.clone(),
             org: org.into(),
+            over_share,
         }
     }
 }
@@ -78,28 +80,22 @@
     pipeline: PipelineKey,
     remaining_ms: u64,
 ) -> Result<Admitted, (ErrorKind, String)> {
-    let switches = worker.entry.switches;
     let organisation = deployment.organisation(org);
     let (name, weight) = (&organisation.name, organisation.weight);
     let holding = worker.entry.holdings.of(name, weight);
-    let view = worker.entry.view();
-    let stages = match switches.early_refusal {
-        true => demands(&view, deployment, org, pipeline),
-        false => Vec::new(),
-    };
-    let caution = 1.0 - deployment.policy.attainment_weight;
-    let shares = Some(holding).filter(|_| switches.fair_shares);
-    match admit(remaining_ms, &stages, shares, caution) {
-        Verdict::Admit => Ok(worker.entry.holdings.take(name, weight)),
-        Verdict::CannotFinish(needed) => {
+    let over_share = worker.entry.switches.fair_shares && holding.is_over();
+    if worker.entry.switches.early_refusal {
+        let view = worker.entry.view();
+        let priority = deployment.pipeline(pipeline).priority;
+        let rank = |latest| worker.entry.new_rank(over_share, priority, latest);
+        let stages = demands(&view, deployment, org, pipeline, remaining_ms, rank);
+        let caution = 1.0 - deployment.policy.attainment_weight;
+        if let Verdict::CannotFinish(needed) = admit(remaining_ms, &stages, caution) {
             let message = format!("{remaining_ms} ms are left and about {needed} ms are needed");
-            Err((ErrorKind::CannotFinish, message))
-        }
-        Verdict::OverShare => {
-            let message = format!("{name} holds more than its share of what is contended");
-            Err((ErrorKind::Overloaded, message))
+            return Err((ErrorKind::CannotFinish, message));
         }
     }
+    Ok(worker.entry.holdings.take(name, weight, over_share))
 }
 
 /// What each stage of a pipeline meets. Empty when the newest configuration is
@@ -109,6 +105,8 @@
     deployment: &Deployment,
     org: OrganisationKey,
     pipeline: PipelineKey,
+    remaining_ms: u64,
+    rank: impl Fn(u64) -> Rank,
 ) -> Vec<StageDemand> {
     let same = view
         .deployment()
@@ -116,14 +114,22 @@
     if !same {
         return Vec::new();
     }
-    deployment
-        .pipeline(pipeline)
-        .stages
+    let expected = view.expectations(pipeline, 0);
+    let stages = &deployment.pipeline(pipeline).stages;
+    stages
         .iter()
-        .zip(view.expectations(pipeline, 0))
-        .map(|(stage, expected)| StageDemand {
-            expected: *expected,
-            load: load_of(view, deployment, org, deployment.service(stage.service)),
+        .zip(expected)
+        .enumerate()
+        .map(|(at, (stage, expectation))| {
+            let rest: u64 = expected[at..].iter().map(|e| e.typical_ms).sum();
+            let rank = rank(remaining_ms.saturating_sub(rest));
+            let gate = &view.services[stage.service.index()].gate;
+            let mut load = load_of(view, deployment, org, deployment.service(stage.service));
+            load.ahead += (gate.ahead_of(&rank) * view.entries()) as f64;
+            StageDemand {
+                expected: *expectation,
+                load,
+            }
         })
         .collect()
 }
@@ -134,25 +140,17 @@
     org: OrganisationKey,
     service: &Service,
 ) -> ServiceLoad {
-    let entries = view.entries() as f64;
     let mut load = ServiceLoad {
         slots: 0.0,
-        held: 0.0,
+        ahead: 0.0,
     };
     for &key in &service.targets {
         let state = view.target(key);
         let usable = state.takes_work && !state.ejected;
-        if !usable || !deployment.permits(org, deployment.target(key).hall) {
-            continue;
+        if usable && deployment.permits(org, deployment.target(key).hall) {
+            load.slots += f64::from(service.concurrency);
+            load.ahead += view.held_by(key, service);
         }
-        let own = f64::from(state.in_flight.load(Ordering::Relaxed));
-        load.slots += f64::from(service.concurrency);
-        // Where targets report nothing, the other entries are taken to send as
-        // much as this one.
-        load.held += match service.reports_load {
-            true => own.max(state.aged_load),
-            false => own * entries,
-        };
     }
     load
 }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -63,6 +63,13 @@
         Box::new(body)
     }
 
+    /// The same, without the claim that nothing ran.
+    pub fn in_doubt(mut self: Box<Self>) -> Refusal {
+        self.outcome = Outcome::Unknown;
+        self.safe_to_repeat = false;
+        self
+    }
+
     fn without_output(request: &str, outcome: Outcome, kind: ErrorKind, message: String) -> Self {
         let row = kind.answer();
         AnswerBody {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -139,7 +139,16 @@
     let _counted = InFlight::new(&worker.entry.in_flight);
     match judge(worker, req.headers(), &request, name) {
         Ok(judged) => admit(worker, req, judged, body, sender).await,
-        Err(refusal) => refusal.into_response(),
+        Err(refusal) => true_refusal(req.headers(), refusal).into_response(),
+    }
+}
+
+/// A refusal is about the request, not about this send of it. With a ticket or
+/// id another send may have run, and only the ledger that answers for it knows.
+fn true_refusal(headers: &HeaderMap, refusal: Refusal) -> Refusal {
+    match headers::runs_once(headers) {
+        true => refusal.in_doubt(),
+        false => refusal,
     }
 }
 
@@ -152,7 +161,9 @@
     let refuse = |kind, message: String| AnswerBody::refusal(request, kind, message);
     let view = worker.entry.view();
     let in_flight = worker.entry.in_flight.load(Ordering::Relaxed) as usize;
-    if in_flight > worker.entry.settings.limits.max_in_flight {
+    // What carries a ticket or id is bounded by the ledger.
+    let bounded = !headers::runs_once(headers);
+    if bounded && in_flight > worker.entry.settings.limits.max_in_flight {
         let message = format!("{in_flight} requests are in flight here");
         return Err(refuse(ErrorKind::Overloaded, message));
     }
@@ -200,7 +211,7 @@
     let body = SharedBody::new(body);
     let permitted = serves_here(worker, &judged);
     if !permitted && sender.is_peer() {
-        return no_permitted_entry(&judged).into_response();
+        return true_refusal(req.headers(), no_permitted_entry(&judged)).into_response();
     }
     if !permitted {
         return relay_to_permitted(worker, req, &judged, body).await;
@@ -285,7 +296,7 @@
             Err(RelayError::Broken(reason)) => return relay_broken(&judged.request, &reason),
         }
     }
-    no_permitted_entry(judged).into_response()
+    true_refusal(req.headers(), no_permitted_entry(judged)).into_response()
 }
 
 /// The other entry may be running the request: nothing is known of it.
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -8,7 +8,7 @@
 use arc_swap::ArcSwap;
 use hollowsail_config::Settings;
 use hollowsail_fleet::{Incarnation, Millis};
-use hollowsail_routing::Switches;
+use hollowsail_routing::{Rank, Switches};
 
 use crate::admission::Holdings;
 use crate::configuration::Configuration;
@@ -86,6 +86,16 @@
         format!("{:x}-{number:x}", self.incarnation)
     }
 
+    /// A place in a queue; `latest_start` is in milliseconds from now.
+    pub fn new_rank(&self, over_share: bool, priority: u8, latest_start: u64) -> Rank {
+        Rank {
+            over_share,
+            urgency: Rank::urgency_of(priority),
+            latest_start: self.now() + latest_start,
+            arrival: self.next_run.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
     /// Counts choices, for choosing by turns.
     pub fn next_turn(&self) -> usize {
         self.turn.fetch_add(1, Ordering::Relaxed)
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -20,6 +20,7 @@
 use crate::configuration::Configuration;
 use crate::control::Control;
 use crate::events;
+use crate::gate::Gate;
 use crate::view::{ServiceView, TargetView};
 
 /// A reported load counts half after this many milliseconds.
@@ -70,13 +71,15 @@
     pub fn rebuild(&mut self, configuration: &Arc<Configuration>) {
         let mut known_targets = self.take_targets();
         let mut known_stages = self.take_stages();
+        let mut known_gates = self.take_gates();
         let deployment = &configuration.deployment;
         let ratio = deployment.policy.retry_budget;
         self.services = deployment
             .services
             .iter()
-            .map(|_| ServiceView {
+            .map(|service| ServiceView {
                 retries: Arc::new(Mutex::new(RetryBudget::new(ratio))),
+                gate: known_gates.remove(&service.name).unwrap_or_default(),
             })
             .collect();
         self.targets = deployment
@@ -113,6 +116,16 @@
         names.into_iter().zip(states).collect()
     }
 
+    /// Requests may wait at a gate while the revision changes.
+    fn take_gates(&mut self) -> HashMap<String, Arc<Gate>> {
+        let views = std::mem::take(&mut self.services);
+        let names = self.deployment().map_or(Vec::new(), |deployment| {
+            deployment.services.iter().map(|s| s.name.clone()).collect()
+        });
+        let gates = views.into_iter().map(|view| view.gate);
+        names.into_iter().zip(gates).collect()
+    }
+
     fn take_stages(&mut self) -> HashMap<(String, String), LatencyWindow> {
         let windows = std::mem::take(&mut self.stages);
         let Some(deployment) = self.deployment() else {
@@ -148,7 +161,11 @@
             .stages
             .get_mut(fact.pipeline.index())
             .and_then(|stages| stages.get_mut(fact.stage));
-        if let (Some(window), Observation::Answered(ms)) = (window, fact.observation) {
+        // A timed-out attempt counts with the time it waited: when a service
+        // slows down as a whole, what counts as hung has to follow.
+        if let (Some(window), Observation::Answered(ms) | Observation::TimedOut(ms)) =
+            (window, fact.observation)
+        {
             window.record(now, ms);
         }
     }
@@ -259,6 +276,14 @@
         }
     }
 
+    /// Other entries' calls end unseen: whoever is next looks again.
+    pub(crate) fn wake_waiting(&self) {
+        self.health
+            .services
+            .iter()
+            .for_each(|service| service.gate.wake_one());
+    }
+
     pub(crate) fn judge_health(&mut self) {
         let now = self.now();
         let ejected = self.health.eject(now);
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -179,6 +179,7 @@
         cx.run_interval(HEALTH_TICK, |control, _| {
             control.judge_health();
             control.publish();
+            control.wake_waiting();
         });
         cx.run_interval(HOUSEKEEPING, |control, _| control.housekeep());
     }
--- a/crates/entry/src/headers.rs
+++ b/crates/entry/src/headers.rs
@@ -62,6 +62,11 @@
         })
 }
 
+/// True when the request carries a ticket or an id of its caller's own.
+pub fn runs_once(headers: &HeaderMap) -> bool {
+    headers.contains_key(TICKET) || headers.contains_key(IDEMPOTENCY_KEY)
+}
+
 /// How often a peer's request was passed on; at least once.
 pub fn hops(headers: &HeaderMap) -> u8 {
     text(headers, HOPS)
--- a/crates/entry/src/kinds.rs
+++ b/crates/entry/src/kinds.rs
@@ -75,6 +75,8 @@
     TicketReused, "ticket_reused", 409, None, "use a new ticket for a new request";
     /// Too old to say whether it ran; not run now.
     TicketExpired, "ticket_expired", 410, None, "find out by other means whether an earlier send ran";
+    /// The ticket or id was refused before as not run.
+    TicketRefused, "ticket_refused", 409, None, "make the request anew with a new ticket";
     /// It ended, but its answer is no longer kept.
     AnswerDropped, "answer_dropped", 410, None, "it ended before; do not send it again";
     /// The entry that answers for the ticket is gone.
@@ -82,7 +84,7 @@
     /// The store cannot say whether the id was used.
     ClaimUnavailable, "claim_unavailable", 503, Some(2_000), "send the same id again later, or use a ticket";
     /// The ledger is full.
-    LedgerFull, "ledger_full", 503, Some(1_000), "send the same request again later";
+    LedgerFull, "ledger_full", 503, Some(1_000), "make the request anew later, with a new ticket";
     /// Too many requests in flight.
     Overloaded, "overloaded", 503, Some(500), "send the same request again later";
     /// The remaining time does not suffice for the remaining stages.
@@ -100,7 +102,7 @@
     /// This entry reaches neither store nor peers.
     Isolated, "isolated", 503, Some(1_000), "send the same request to another entry";
     /// This entry is stopping.
-    Stopping, "stopping", 503, Some(500), "send the same request to another entry";
+    Stopping, "stopping", 503, Some(500), "make the request anew at another entry, with a new ticket";
     /// No configuration is in force here yet.
     NoConfiguration, "no_configuration", 503, Some(1_000), "send the same request again later";
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,8 +1,8 @@
 //! The entry: the process between callers and targets.
 //!
 //! Requests come in at [`callers`] (or from another entry at [`peers`]), are
-//! judged from their headers, and run stage by stage in [`pipeline`] and
-//! [`attempt`]; those that must not be repeated pass through [`permit`] and
+//! judged from their headers, and run stage by stage in [`pipeline`],
+//! [`attempt`], [`routes`] and [`dispatch`]; those that must not be repeated pass through [`permit`] and
 //! the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
 //! that traffic reads. [`server::start`] puts it all together.
 
@@ -15,7 +15,9 @@
 pub mod configuration;
 pub mod context;
 pub mod control;
+pub mod dispatch;
 pub mod events;
+pub mod gate;
 pub mod headers;
 pub mod kinds;
 pub mod metrics;
@@ -25,6 +27,7 @@
 pub mod permit;
 pub mod pipeline;
 pub mod relay;
+pub mod routes;
 pub mod server;
 pub mod stop;
 pub mod streaming;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -132,7 +132,7 @@
         self.ledger.stop();
     }
 
-    pub fn hand_over(&self, now: Millis, may_hold: impl Fn(&str) -> bool) -> Option<HandOver> {
+    pub fn hand_over(&mut self, now: Millis, may_hold: impl Fn(&str) -> bool) -> Option<HandOver> {
         self.ledger.hand_over(now, may_hold)
     }
 
@@ -210,6 +210,21 @@
         }
         Presented::Full => AnswerBody::refusal(request, LedgerFull, "the ledger is full"),
         Presented::Stopped => AnswerBody::refusal(request, Stopping, "this entry is stopping"),
+        Presented::Refused => AnswerBody::refusal(
+            request,
+            TicketRefused,
+            "it was refused before, and stays so",
+        ),
+        Presented::HandedOver => AnswerBody::unknown(
+            request,
+            Stopping,
+            "this entry's ledger went to another entry, which alone can say",
+        ),
+        Presented::Unsure => AnswerBody::unknown(
+            request,
+            LedgerFull,
+            "the ledger is full, and another send of it may still run",
+        ),
         _ => AnswerBody::unknown(
             request,
             IssuerGone,
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -12,9 +12,9 @@
 use serde_json::Value;
 use tokio::sync::mpsc;
 
-use crate::admission;
+use crate::admission::{self, Admitted};
 use crate::answer::{AnswerBody, StageReport};
-use crate::attempt::{self, StageRun};
+use crate::attempt::{self, StageRun, StageTask};
 use crate::configuration::Configuration;
 use crate::events;
 use crate::kinds::ErrorKind;
@@ -81,12 +81,17 @@
             admission::judge(worker, deployment, org, job.pipeline, job.remaining_ms())
         });
     match admitted {
-        Ok(_held) => run_stages(worker, job, sink).await,
+        Ok(admitted) => run_stages(worker, job, &admitted, sink).await,
         Err(refusal) => finish(worker, job, Vec::new(), Err(refusal)),
     }
 }
 
-async fn run_stages(worker: &Worker, job: &Job, sink: Option<&Sink>) -> AnswerBody {
+async fn run_stages(
+    worker: &Worker,
+    job: &Job,
+    admitted: &Admitted,
+    sink: Option<&Sink>,
+) -> AnswerBody {
     let mut reports = Vec::new();
     let mut input = job.input.clone();
     let mut failure = None;
@@ -94,7 +99,8 @@
         let begun = Instant::now();
         let last = at + 1 == job.pipeline().stages.len();
         let sink = sink.filter(|_| last);
-        let (run, result) = run_stage(worker, job, at, stage, input, sink).await;
+        let stage_at = StageAt { at, stage };
+        let (run, result) = run_stage(worker, job, admitted, stage_at, input, sink).await;
         reports.push(report(stage, &run, begun));
         match result {
             Ok(output) => input = output,
@@ -121,11 +127,17 @@
     }
 }
 
+/// A stage and its position in the pipeline.
+struct StageAt<'a> {
+    at: usize,
+    stage: &'a Stage,
+}
+
 async fn run_stage(
     worker: &Worker,
     job: &Job,
-    at: usize,
-    stage: &Stage,
+    admitted: &Admitted,
+    StageAt { at, stage }: StageAt<'_>,
     input: Value,
     sink: Option<&Sink>,
 ) -> (StageRun, Result<Value, (ErrorKind, String)>) {
@@ -153,7 +165,16 @@
             return (StageRun::default(), Err((kind, message)));
         }
     };
-    attempt::run_attempts(worker, job, at, stage, input, plan, sink).await
+    let task = StageTask {
+        worker,
+        job,
+        at,
+        stage,
+        plan,
+        over_share: admitted.over_share,
+        sink,
+    };
+    attempt::run_attempts(&task, input).await
 }
 
 /// Adds the stages that were never reached and closes the answer.
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -105,7 +105,7 @@
             matches!((org, hall), (Some(org), Some(hall)) if deployment.permits(org, hall))
         })
     };
-    let once = entry.once.lock().expect("no panic while held");
+    let mut once = entry.once.lock().expect("no panic while held");
     once.hand_over(entry.now(), may_hold)
 }
 
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -7,11 +7,12 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
-use hollowsail_config::{Deployment, PipelineKey, TargetKey};
+use hollowsail_config::{Deployment, PipelineKey, Service, TargetKey};
 use hollowsail_fleet::{member, Incarnation, Member, Standing, Stopping};
 use hollowsail_routing::{RetryBudget, StageExpectation};
 
 use crate::configuration::Configuration;
+use crate::gate::Gate;
 
 /// One target, in the order of the deployment's arena.
 #[derive(Debug, Clone)]
@@ -34,6 +35,8 @@
 pub struct ServiceView {
     /// Extra attempts that this entry may make.
     pub retries: Arc<Mutex<RetryBudget>>,
+    /// Requests that wait here for a slot.
+    pub gate: Arc<Gate>,
 }
 
 /// Everything a traffic decision may look at.
@@ -56,6 +59,24 @@
         &self.targets[key.index()]
     }
 
+    /// A service by name, since keys of other revisions do not fit.
+    pub fn service_named(&self, name: &str) -> Option<&ServiceView> {
+        let services = &self.deployment()?.services;
+        let at = services.iter().position(|service| service.name == name)?;
+        self.services.get(at)
+    }
+
+    /// Requests that a target holds, as far as this entry can tell. Where it
+    /// reports nothing, the others are taken to send as much as this entry.
+    pub fn held_by(&self, key: TargetKey, service: &Service) -> f64 {
+        let state = self.target(key);
+        let own = f64::from(state.in_flight.load(Ordering::Relaxed));
+        match service.reports_load {
+            true => own.max(state.aged_load),
+            false => own * self.entries() as f64,
+        }
+    }
+
     /// Expectations of a pipeline's stages from `stage` on.
     pub fn expectations(&self, pipeline: PipelineKey, stage: usize) -> &[StageExpectation] {
         self.stages
--- a/crates/ledger/src/hand_over.rs
+++ b/crates/ledger/src/hand_over.rs
@@ -24,6 +24,16 @@
     /// The issuer's clock at the moment of the hand-over.
     pub clock: Millis,
     pub records: Vec<HandedRecord>,
+    /// What was refused as not run, and must stay so.
+    pub refused: Vec<HandedRefusal>,
+}
+
+/// One refusal for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HandedRefusal {
+    pub slot: Slot,
+    /// Milliseconds until it may be forgotten.
+    pub expires_in: Millis,
 }
 
 /// One closed record.
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -9,7 +9,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::hand_over::{HandOver, HandedIssuer, HandedRecord};
+use crate::hand_over::{HandOver, HandedIssuer, HandedRecord, HandedRefusal};
 use crate::ticket::Ticket;
 use crate::{Incarnation, Millis};
 
@@ -66,10 +66,17 @@
     Expired,
     /// This ledger does not answer for that issuer.
     NotIssuer,
-    /// The ledger is at its bound; not run.
+    /// The ledger is at its bound; not run, and never will be.
     Full,
-    /// This entry is stopping and opens nothing more; not run.
+    /// This entry is stopping; not run, and never will be.
     Stopped,
+    /// It was refused before as not run; it stays so.
+    Refused,
+    /// The ledger went to a successor, which alone can say.
+    HandedOver,
+    /// Refused now, but there is no room to remember it: another send of it
+    /// may still run.
+    Unsure,
 }
 
 #[derive(Debug, Clone)]
@@ -111,11 +118,16 @@
     /// Closed records whose answer is kept, oldest first.
     kept: VecDeque<RecordId>,
     kept_bytes: usize,
+    /// Tickets and ids that were refused as "not run", by when they may be
+    /// forgotten: saying so is true only if no later send runs them.
+    refused: HashMap<RecordId, Millis>,
     /// Every record by the moment it may be forgotten.
     by_expiry: BTreeSet<(Millis, RecordId)>,
     open: usize,
     next_number: u64,
     stopped: bool,
+    /// A successor may answer by now.
+    handed_over: bool,
 }
 
 impl Ledger {
@@ -128,10 +140,12 @@
             records: HashMap::new(),
             kept: VecDeque::new(),
             kept_bytes: 0,
+            refused: HashMap::new(),
             by_expiry: BTreeSet::new(),
             open: 0,
             next_number: 0,
             stopped: false,
+            handed_over: false,
         }
     }
 
@@ -201,15 +215,21 @@
         if let Some(record) = self.records.get(&id) {
             return answer_again(record, identity);
         }
+        if self.refused.contains_key(&id) {
+            return Presented::Refused;
+        }
         if !may_open {
             return Presented::Expired;
         }
-        if self.stopped {
-            return Presented::Stopped;
+        if self.handed_over {
+            return Presented::HandedOver;
         }
         self.forget_expired(now);
+        if self.stopped {
+            return self.refuse(id, expires, Presented::Stopped);
+        }
         if self.records.len() >= self.bounds.records {
-            return Presented::Full;
+            return self.refuse(id, expires, Presented::Full);
         }
         self.insert(
             id,
@@ -223,6 +243,15 @@
         Presented::Run
     }
 
+    /// Refuses for good, if there is room to remember it.
+    fn refuse(&mut self, id: RecordId, expires: Millis, why: Presented) -> Presented {
+        if self.refused.len() >= self.bounds.records {
+            return Presented::Unsure;
+        }
+        self.refused.insert(id, expires);
+        why
+    }
+
     fn insert(&mut self, id: RecordId, record: Record) {
         self.by_expiry.insert((record.expires, id));
         self.records.insert(id, record);
@@ -278,6 +307,7 @@
 
     /// Forgets closed records whose time has come.
     pub fn forget_expired(&mut self, now: Millis) {
+        self.refused.retain(|_, expires| *expires > now);
         let due: Vec<_> = self
             .by_expiry
             .iter()
@@ -323,10 +353,11 @@
     ///
     /// `may_hold` says whether the successor may hold an organisation's
     /// answers; where not, only the fact that the request ended goes over.
-    pub fn hand_over(&self, now: Millis, may_hold: impl Fn(&str) -> bool) -> Option<HandOver> {
+    pub fn hand_over(&mut self, now: Millis, may_hold: impl Fn(&str) -> bool) -> Option<HandOver> {
         if !self.stopped || self.open > 0 {
             return None;
         }
+        self.handed_over = true;
         let issuers = self
             .issuers
             .iter()
@@ -334,6 +365,7 @@
                 issuer,
                 clock: clock.there + (now - clock.here),
                 records: self.handed_records(now, issuer, &may_hold),
+                refused: self.handed_refusals(now, issuer),
             })
             .collect();
         Some(HandOver {
@@ -342,6 +374,17 @@
         })
     }
 
+    fn handed_refusals(&self, now: Millis, issuer: Incarnation) -> Vec<HandedRefusal> {
+        self.refused
+            .iter()
+            .filter(|(id, _)| id.issuer == issuer)
+            .map(|(id, expires)| HandedRefusal {
+                slot: id.slot,
+                expires_in: expires.saturating_sub(now),
+            })
+            .collect()
+    }
+
     fn handed_records(
         &self,
         now: Millis,
@@ -385,6 +428,13 @@
             for record in handed.records {
                 self.adopt_record(now, handed.issuer, record);
             }
+            for refusal in handed.refused {
+                let id = RecordId {
+                    issuer: handed.issuer,
+                    slot: refusal.slot,
+                };
+                self.refused.insert(id, now + refusal.expires_in);
+            }
         }
         self.drop_answers();
         true
--- a/crates/ledger/src/lib.rs
+++ b/crates/ledger/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod ledger;
 pub mod ticket;
 
-pub use hand_over::{HandOver, HandedIssuer, HandedRecord};
+pub use hand_over::{HandOver, HandedIssuer, HandedRecord, HandedRefusal};
 pub use ledger::{Bounds, Identity, Ledger, Presented, RecordId, Slot};
 pub use ticket::{Ticket, TicketError};
 
--- a/crates/ledger/tests/suite/ledger.rs
+++ b/crates/ledger/tests/suite/ledger.rs
@@ -93,6 +93,8 @@
     open_at: Option<usize>,
     first: Option<Identity>,
     answer: Option<Vec<u8>>,
+    /// Somebody was told that it is not run.
+    told_not_run: bool,
 }
 
 struct World {
@@ -126,6 +128,7 @@
         match presented {
             Presented::Run => {
                 assert_eq!(known.runs, 0, "told to run again");
+                assert!(!known.told_not_run, "runs after somebody was told not run");
                 assert!(!old, "told to run after its time");
                 assert!(!self.stopped[ledger], "told to run by a stopped ledger");
                 assert_eq!(identity.org, known.ticket.org);
@@ -153,12 +156,12 @@
                 assert!(known.first.as_ref() != Some(&identity) || identity.org != known.ticket.org)
             }
             Presented::Expired => assert!(old, "refused as old before its time"),
-            Presented::NotIssuer | Presented::Stopped => {
+            Presented::NotIssuer | Presented::Unsure | Presented::HandedOver => {
                 assert_ne!(known.open_at, Some(ledger), "an open record is gone");
             }
-            Presented::Full => {
-                assert_ne!(known.open_at, Some(ledger), "an open record is gone");
-                assert!(self.ledgers[ledger].len() >= BOUNDS.records);
+            Presented::Full | Presented::Stopped | Presented::Refused => {
+                assert_eq!(known.runs, 0, "told not run, and it ran");
+                known.told_not_run = true;
             }
         }
     }
@@ -244,6 +247,7 @@
                     open_at: None,
                     first: None,
                     answer: None,
+                    told_not_run: false,
                 });
             }
             Step::Present {
--- a/crates/local/tests/suite/once.rs
+++ b/crates/local/tests/suite/once.rs
@@ -282,3 +282,47 @@
     assert_eq!(fixture::executions(&fleet, "claimed", "confirm"), 1);
     fleet.shut_down().await;
 }
+
+#[actix_rt::test]
+async fn a_second_send_that_is_refused_early_does_not_claim_that_the_first_did_not_run() {
+    let fleet = fixture::start(2).await;
+    let ticket = fixture::ticket(&fleet, 0, BOTH).await;
+    let payment = fixture::payment(BOTH, "twice", &ticket);
+    let first = fixture::call(&fleet, 0, &payment).await.body;
+    assert_eq!(first.outcome, Outcome::Whole);
+    let mut late = payment.clone();
+    late.deadline_ms = Some(0);
+    let mut elsewhere = payment.clone();
+    elsewhere.pipeline = "nowhere";
+    for refused in [late, elsewhere] {
+        let answer = fixture::call(&fleet, 1, &refused).await.body;
+        assert_eq!(answer.outcome, Outcome::Unknown, "{answer:?}");
+        assert!(!answer.safe_to_repeat);
+    }
+    fleet.shut_down().await;
+}
+
+#[actix_rt::test]
+async fn a_ticket_refused_as_not_run_never_runs_later() {
+    let mut options = fixture::options(1);
+    options.limits.ledger_records = 1;
+    options.limits.ticket_ms = 1_500;
+    let fleet = fixture::start_with(options).await;
+    let first = fixture::ticket(&fleet, 0, BOTH).await;
+    let payment = fixture::payment(BOTH, "first", &first);
+    assert_eq!(
+        fixture::call(&fleet, 0, &payment).await.body.outcome,
+        Outcome::Whole
+    );
+    let second = fixture::ticket(&fleet, 0, BOTH).await;
+    let payment = fixture::payment(BOTH, "second", &second);
+    let refused = fixture::call(&fleet, 0, &payment).await.body;
+    assert_eq!(refused.outcome, Outcome::NotRun);
+    for _ in 0..20 {
+        let again = fixture::call(&fleet, 0, &payment).await.body;
+        assert_ne!(again.outcome, Outcome::Whole);
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(fixture::executions(&fleet, "second", "encode"), 0);
+    fleet.shut_down().await;
+}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -1,11 +1,12 @@
 //! Whether a request is begun at all.
 //!
 //! A request that cannot finish in time costs its earlier stages and misses all
-//! the same; under overload such requests would fill every queue until all
-//! miss. So each is judged before its first stage: the wait that its services'
-//! backlogs make, and the time its stages take, must fit into its deadline.
-//! While a service is contended, organisations share by weight: one that holds
-//! more than its share is refused first; what others leave unused is lent.
+//! the same. So each is judged before its first stage: the wait behind those
+//! that go before it, and the time its stages take, must fit into its deadline.
+//!
+//! An organisation that holds more than its weighted share of what is in flight
+//! waits behind the others ([`Holding::is_over`]); what they leave unused is
+//! lent to it, since nobody waits then.
 
 use crate::deadline::StageExpectation;
 use crate::Millis;
@@ -15,26 +16,18 @@
 pub struct ServiceLoad {
     /// Requests that its targets serve at a time.
     pub slots: f64,
-    /// Requests that they hold, running and waiting.
-    pub held: f64,
+    /// Requests that they hold, and those that go before the one judged.
+    pub ahead: f64,
 }
 
 impl ServiceLoad {
     /// Time until a slot is free for one more, when each takes `typical_ms`.
     pub fn wait_ms(&self, typical_ms: Millis) -> f64 {
-        let waiting = (self.held + 1.0 - self.slots).max(0.0);
+        let waiting = (self.ahead + 1.0 - self.slots).max(0.0);
         waiting / self.slots.max(1.0) * typical_ms as f64
     }
-
-    /// True when requests wait, or are about to.
-    pub fn is_contended(&self) -> bool {
-        self.held >= CONTENDED * self.slots
-    }
 }
 
-/// Share of the slots from which on a service counts as contended.
-const CONTENDED: f64 = 0.9;
-
 /// One stage of a request to come.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct StageDemand {
@@ -53,16 +46,18 @@
 }
 
 impl Holding {
-    /// True when one more would be above the share, with some slack for small
-    /// numbers.
-    fn is_over(&self) -> bool {
+    /// True when one more would be far above the share.
+    pub fn is_over(&self) -> bool {
         let fair = self.share * f64::from(self.all + 1);
-        f64::from(self.own + 1) > fair * (1.0 + SLACK) + 1.0
+        f64::from(self.own + 1) > fair * (1.0 + SLACK) + SLACK_REQUESTS
     }
 }
 
-/// How far above its share an organisation may be before it is refused.
-const SLACK: f64 = 0.1;
+/// How far above its share an organisation may be: entries see only their own
+/// part of the traffic, and some halls get more of an organisation's than others.
+const SLACK: f64 = 0.25;
+/// The same, for small numbers.
+const SLACK_REQUESTS: f64 = 1.0;
 
 /// What is decided of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -70,8 +65,6 @@
     Admit,
     /// It would need about so many milliseconds.
     CannotFinish(Millis),
-    /// Its organisation holds more than its share of a contended service.
-    OverShare,
 }
 
 /// Judges a request with `remaining_ms` left.
@@ -79,20 +72,12 @@
 /// `caution`, 0 to 1, is the operators' weight of cost against attainment: at
 /// 0 a request is begun when a typical one would make it, at 1 only when a
 /// slow one would.
-pub fn admit(
-    remaining_ms: Millis,
-    stages: &[StageDemand],
-    holding: Option<Holding>,
-    caution: f64,
-) -> Verdict {
+pub fn admit(remaining_ms: Millis, stages: &[StageDemand], caution: f64) -> Verdict {
     let needed: f64 = stages.iter().map(|stage| needed_ms(stage, caution)).sum();
     if needed > remaining_ms as f64 {
-        return Verdict::CannotFinish(needed as Millis);
-    }
-    let contended = stages.iter().any(|stage| stage.load.is_contended());
-    match holding {
-        Some(holding) if contended && holding.is_over() => Verdict::OverShare,
-        _ => Verdict::Admit,
+        Verdict::CannotFinish(needed as Millis)
+    } else {
+        Verdict::Admit
     }
 }
 
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -28,9 +28,14 @@
         self.tokens = (self.tokens + self.ratio).min(MAX_SAVED);
     }
 
+    /// True when an extra attempt would be granted.
+    pub fn has_token(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Takes a token for an extra attempt; false when there is none.
     pub fn spend(&mut self) -> bool {
-        let granted = self.tokens >= 1.0;
+        let granted = self.has_token();
         if granted {
             self.tokens -= 1.0;
         }
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -35,6 +35,8 @@
     Only,
     /// All are ejected; one of them has to serve.
     AllEjected,
+    /// It holds the first part of a broken stream.
+    Resumed,
     /// A simple policy of the bench chose.
     Baseline,
 }
@@ -47,6 +49,7 @@
             Reason::LessLoaded => "less_loaded",
             Reason::Only => "only",
             Reason::AllEjected => "all_ejected",
+            Reason::Resumed => "resumed",
             Reason::Baseline => "baseline",
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod latency;
 pub mod policy;
 pub mod progress;
+pub mod queue;
 
 pub use admission::{admit, Holding, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
@@ -24,6 +25,7 @@
 pub use progress::{
     attempt_status, may_try_again, outcome_of, stage_status, Outcome, Progress, StageStatus,
 };
+pub use queue::{Rank, WaitQueue};
 
 /// Milliseconds since the owning process started.
 pub type Millis = u64;
