Age load reports by service time; loosen shares; callers on four threads

Change: a report counts half after the service's longest typical stage time, and the less it counts the more the others are taken to send what this entry sends; small organisations may hold up to twice their share; callers run on four threads.

--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -134,10 +134,7 @@
 async fn add_entry(fleet: &mut LocalFleet, callers: &Callers) {
     if let Ok(place) = fleet.start_entry().await {
         fleet.wait_for_members().await;
-        callers
-            .entries
-            .borrow_mut()
-            .push(fleet.entry(place).callers);
+        callers.add_entry(fleet.entry(place).callers);
     }
 }
 
@@ -146,11 +143,7 @@
     let callers = callers.clone();
     actix_rt::spawn(async move {
         tokio::time::sleep(BALANCER_LAG).await;
-        callers
-            .entries
-            .borrow_mut()
-            .retain(|entry| *entry != address);
-        callers.forget_tickets(address);
+        callers.drop_entry(address);
     });
 }
 
--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -4,18 +4,22 @@
 //! to the next one only when nothing was sent. Latency counts from the moment
 //! the request was due, not from when it could be sent.
 
-use std::cell::RefCell;
 use std::collections::HashMap;
+use std::future::Future;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use actix_rt::Arbiter;
+use futures_util::future::join_all;
 use hollowsail_config::Deployment;
 use hollowsail_entry::{AnswerBody, ErrorKind};
 use hollowsail_local::caller::Request;
 use hollowsail_local::{Caller, CallerError, Once};
 use hollowsail_routing::Outcome;
 use serde_json::{json, Value};
+use tokio::sync::oneshot;
 
 use crate::arrivals::Arrival;
 
@@ -53,32 +57,106 @@
 /// Tickets fetched ahead, by issuing entry and organisation.
 type TicketPool = HashMap<(SocketAddr, String), Vec<String>>;
 
+/// Threads that callers run on: one could not keep up with a burst.
+const THREADS: usize = 4;
+
 /// Shared by all callers of a run.
 #[derive(Clone)]
-pub struct Callers {
-    caller: Caller,
-    deployment: Rc<Deployment>,
+pub struct Callers(Arc<Shared>);
+
+struct Shared {
+    deployment: Deployment,
     /// Entries that the balancer knows of; changes when entries come and go.
-    pub entries: Rc<RefCell<Vec<SocketAddr>>>,
-    tickets: Rc<RefCell<TicketPool>>,
-    next: Rc<RefCell<usize>>,
-    pub records: Rc<RefCell<Vec<CallRecord>>>,
+    entries: Mutex<Vec<SocketAddr>>,
+    tickets: Mutex<TicketPool>,
+    next: AtomicUsize,
+    records: Mutex<Vec<CallRecord>>,
 }
 
 impl Callers {
-    pub fn new(deployment: Rc<Deployment>, entries: Vec<SocketAddr>) -> Self {
-        Callers {
-            caller: Caller::default(),
+    pub fn new(deployment: Deployment, entries: Vec<SocketAddr>) -> Self {
+        Callers(Arc::new(Shared {
             deployment,
-            entries: Rc::new(RefCell::new(entries)),
-            tickets: Rc::default(),
-            next: Rc::default(),
-            records: Rc::default(),
-        }
+            entries: Mutex::new(entries),
+            tickets: Mutex::default(),
+            next: AtomicUsize::new(0),
+            records: Mutex::default(),
+        }))
+    }
+
+    /// What came of all requests so far.
+    pub fn records(&self) -> Vec<CallRecord> {
+        lock(&self.0.records).clone()
     }
 
     /// Sends every arrival when it is due and waits for all answers.
     pub async fn send_all(&self, arrivals: Vec<Arrival>, start: Instant) {
+        let mut parts: Vec<Vec<Arrival>> = vec![Vec::new(); THREADS];
+        for (at, arrival) in arrivals.into_iter().enumerate() {
+            parts[at % THREADS].push(arrival);
+        }
+        let parts = parts.into_iter().map(|part| {
+            let callers = self.clone();
+            on_thread(move || {
+                let callers = callers.on_this_thread();
+                async move { callers.send_part(part, start).await }
+            })
+        });
+        join_all(parts).await;
+    }
+
+    /// A caller bound to the thread it is made on.
+    pub fn on_this_thread(&self) -> ThreadCallers {
+        ThreadCallers {
+            caller: Caller::default(),
+            shared: self.0.clone(),
+        }
+    }
+
+    /// The balancer begins to send to an entry.
+    pub fn add_entry(&self, entry: SocketAddr) {
+        lock(&self.0.entries).push(entry);
+    }
+
+    /// The balancer stops sending to an entry; its tickets go with it.
+    pub fn drop_entry(&self, entry: SocketAddr) {
+        lock(&self.0.entries).retain(|known| *known != entry);
+        lock(&self.0.tickets).retain(|(at, _), _| *at != entry);
+    }
+}
+
+/// Makes a future on a thread of its own and runs it there to its end.
+pub async fn on_thread<F, W>(make: F)
+where
+    F: FnOnce() -> W + Send + 'static,
+    W: Future<Output = ()> + 'static,
+{
+    let arbiter = Arbiter::new();
+    let (tx, rx) = oneshot::channel();
+    arbiter.spawn_fn(move || {
+        let work = make();
+        actix_rt::spawn(async move {
+            work.await;
+            let _ = tx.send(());
+        });
+    });
+    let _ = rx.await;
+    arbiter.stop();
+}
+
+fn lock<T>(shared: &Mutex<T>) -> MutexGuard<'_, T> {
+    shared.lock().expect("no panic while held")
+}
+
+/// Callers of one thread.
+#[derive(Clone)]
+pub struct ThreadCallers {
+    caller: Caller,
+    shared: Arc<Shared>,
+}
+
+impl ThreadCallers {
+    async fn send_part(&self, arrivals: Vec<Arrival>, start: Instant) {
         let mut running = Vec::with_capacity(arrivals.len());
         for arrival in arrivals {
             let due = start + arrival.at;
@@ -88,12 +166,16 @@
                 callers.send(arrival, due).await;
             }));
         }
-        futures_util::future::join_all(running).await;
+        join_all(running).await;
     }
 
     /// Sends one request and records what came of it.
     pub async fn send(&self, arrival: Arrival, due: Instant) {
-        let runs_once = self.deployment.pipeline(arrival.pipeline).runs_once();
+        let runs_once = self
+            .shared
+            .deployment
+            .pipeline(arrival.pipeline)
+            .runs_once();
         let ticket = match runs_once {
             true => self.ticket(&arrival.org).await,
             false => None,
@@ -114,7 +196,7 @@
         due: Instant,
         second: bool,
     ) {
-        let pipeline = self.deployment.pipeline(arrival.pipeline);
+        let pipeline = self.shared.deployment.pipeline(arrival.pipeline);
         let key = format!("demo-{}", arrival.org);
         let input = json!({ "of": arrival.id });
         let mut request = Request::new(&pipeline.name, &key, input.clone());
@@ -122,7 +204,7 @@
         request.session = Some(&arrival.session);
         request.once = ticket.map_or(Once::No, Once::Ticket);
         request.deadline_ms = Some(u64::from(pipeline.deadline_ms));
-        let tries = self.entries.borrow().len();
+        let tries = lock(&self.shared.entries).len();
         let mut answer = None;
         for _ in 0..tries {
             match self.caller.call(self.next_entry(), &request).await {
@@ -132,7 +214,7 @@
             }
             break;
         }
-        self.records.borrow_mut().push(CallRecord {
+        lock(&self.shared.records).push(CallRecord {
             arrival: arrival.clone(),
             input,
             latency: due.elapsed(),
@@ -142,36 +224,26 @@
     }
 
     fn next_entry(&self) -> SocketAddr {
-        let mut next = self.next.borrow_mut();
-        *next += 1;
-        let entries = self.entries.borrow();
-        entries[*next % entries.len()]
+        let next = self.shared.next.fetch_add(1, Ordering::Relaxed);
+        let entries = lock(&self.shared.entries);
+        entries[next % entries.len()]
     }
 
     /// A ticket fetched ahead; the first of each batch waits for it.
     async fn ticket(&self, org: &str) -> Option<String> {
         let entry = self.next_entry();
         let known = (entry, org.to_string());
-        let kept = self.tickets.borrow_mut().get_mut(&known).and_then(Vec::pop);
+        let kept = lock(&self.shared.tickets)
+            .get_mut(&known)
+            .and_then(Vec::pop);
         if kept.is_some() {
             return kept;
         }
-        let fetched = self
-            .caller
-            .tickets(entry, &format!("demo-{org}"), TICKETS)
-            .await;
-        let mut fetched = fetched.ok()?;
+        let key = format!("demo-{org}");
+        let mut fetched = self.caller.tickets(entry, &key, TICKETS).await.ok()?;
         let one = fetched.pop();
-        self.tickets
-            .borrow_mut()
-            .entry(known)
-            .or_default()
-            .extend(fetched);
+        let mut tickets = lock(&self.shared.tickets);
+        tickets.entry(known).or_default().extend(fetched);
         one
     }
-
-    /// Drops tickets of an entry that is known to be gone.
-    pub fn forget_tickets(&self, entry: SocketAddr) {
-        self.tickets.borrow_mut().retain(|(at, _), _| *at != entry);
-    }
 }
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -1,6 +1,5 @@
 //! One run of a scenario: a fleet, arrivals, faults, and what came of it.
 
-use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hollowsail_config::settings::Limits;
@@ -110,7 +109,7 @@
 /// Runs a scenario once.
 pub async fn run(scenario: &Scenario, plan: &RunPlan) -> Result<RunReport, BenchError> {
     let mut fleet = start_fleet(scenario, plan).await?;
-    let deployment = Rc::new(fleet.deployment.clone());
+    let deployment = fleet.deployment.clone();
     let callers = Callers::new(deployment.clone(), fleet.callers());
     let rate = scenario.load * plan.capacity;
     let arrivals = arrivals::plan(scenario, &deployment, rate, plan.seconds, plan.seed);
@@ -127,7 +126,7 @@
     sampler.sample(&fleet);
     // Targets that were given up on write down their end a moment later.
     tokio::time::sleep(Duration::from_millis(200)).await;
-    let records = callers.records.borrow().clone();
+    let records = callers.records();
     let executions = fleet.targets.log.all();
     let promises = history::check(&deployment, &records, &executions, &sampler.revisions());
     let store_after = fleet.store.calls();
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -149,7 +149,7 @@
         let usable = state.takes_work && !state.ejected;
         if usable && deployment.permits(org, deployment.target(key).hall) {
             load.slots += f64::from(service.concurrency);
-            load.ahead += view.held_by(key, service);
+            load.ahead += view.held_by(key);
         }
     }
     load
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -23,8 +23,6 @@
 use crate::gate::Gate;
 use crate::view::{ServiceView, TargetView};
 
-/// A reported load counts half after this many milliseconds.
-const LOAD_HALF_LIFE_MS: f64 = 500.0;
 /// Share of requests that the fast figure of a stage stands for.
 const FAST: f64 = 0.05;
 /// Share that the typical figure stands for.
@@ -205,23 +203,40 @@
         let Some(deployment) = self.deployment() else {
             return Vec::new();
         };
+        let half_lives = self.half_lives(deployment);
         deployment
             .targets
             .iter()
             .zip(&self.targets)
-            .map(|(target, state)| TargetView {
-                in_flight: state.in_flight.clone(),
-                slowness: state.health.slowness(),
-                ejected: state.health.is_ejected(now),
-                takes_work: hosts.takes_work(&target.name),
-                reported: state.reported.map_or(0.0, |(load, _)| load),
-                aged_load: state
-                    .reported
-                    .map_or(0.0, |(load, at)| aged(load, now - at)),
+            .map(|(target, state)| {
+                let half_life = half_lives[target.service.index()];
+                let weight = |at| 0.5f64.powf((now - at) as f64 / half_life);
+                TargetView {
+                    in_flight: state.in_flight.clone(),
+                    slowness: state.health.slowness(),
+                    ejected: state.health.is_ejected(now),
+                    takes_work: hosts.takes_work(&target.name),
+                    reported: state.reported.map_or(0.0, |(load, _)| load),
+                    report_weight: state.reported.map_or(0.0, |(_, at)| weight(at)),
+                }
             })
             .collect()
     }
 
+    /// A reported load says little once its requests have ended: it counts half
+    /// after the longest typical time of the service's stages.
+    fn half_lives(&self, deployment: &Deployment) -> Vec<f64> {
+        let mut longest = vec![1; deployment.services.len()];
+        for (pipeline, windows) in deployment.pipelines.iter().zip(&self.stages) {
+            for (stage, window) in pipeline.stages.iter().zip(windows) {
+                let typical = expectation(u64::from(stage.expected_ms), window).typical_ms;
+                let service = &mut longest[stage.service.index()];
+                *service = typical.max(*service);
+            }
+        }
+        longest.into_iter().map(|ms| ms as f64).collect()
+    }
+
     /// The view's services, in the order of the arena.
     pub fn service_views(&self) -> Vec<ServiceView> {
         self.services.clone()
@@ -248,10 +263,6 @@
     }
 }
 
-fn aged(load: f64, age: Millis) -> f64 {
-    load * 0.5f64.powf(age as f64 / LOAD_HALF_LIFE_MS)
-}
-
 fn expectation(expected_ms: u64, window: &LatencyWindow) -> StageExpectation {
     StageExpectation {
         fast_ms: window.quantile(FAST).unwrap_or(0),
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -127,7 +127,7 @@
                 let name = &deployment.target(key).name;
                 Candidate {
                     target: key,
-                    load: view.held_by(key, service),
+                    load: view.held_by(key),
                     reported: state.reported,
                     slowness: state.slowness,
                     ejected: state.ejected && switches.ejection,
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 
-use hollowsail_config::{Deployment, PipelineKey, Service, TargetKey};
+use hollowsail_config::{Deployment, PipelineKey, TargetKey};
 use hollowsail_fleet::{member, Incarnation, Member, Standing, Stopping};
 use hollowsail_routing::{RetryBudget, StageExpectation};
 
@@ -26,8 +26,8 @@
     pub takes_work: bool,
     /// Load the target last reported; 0 when it reports none.
     pub reported: f64,
-    /// The same, worth less the older the report is.
-    pub aged_load: f64,
+    /// How much that report still says, 1 to 0.
+    pub report_weight: f64,
 }
 
 /// One service, in the order of the deployment's arena.
@@ -66,15 +66,15 @@
         self.services.get(at)
     }
 
-    /// Requests that a target holds, as far as this entry can tell. Where it
-    /// reports nothing, the others are taken to send as much as this entry.
-    pub fn held_by(&self, key: TargetKey, service: &Service) -> f64 {
+    /// Requests that a target holds, as far as this entry can tell: its own,
+    /// and those of the others as the target reported them or, the less that
+    /// report still says, as if every entry sent as much as this one.
+    pub fn held_by(&self, key: TargetKey) -> f64 {
         let state = self.target(key);
         let own = f64::from(state.in_flight.load(Ordering::Relaxed));
-        match service.reports_load {
-            true => own.max(state.aged_load),
-            false => own * self.entries() as f64,
-        }
+        let reported = (state.reported - own).max(0.0);
+        let assumed = own * (self.entries() - 1) as f64;
+        own + state.report_weight * reported + (1.0 - state.report_weight) * assumed
     }
 
     /// Expectations of a pipeline's stages from `stage` on.
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -49,13 +49,15 @@
     /// True when one more would be far above the share.
     pub fn is_over(&self) -> bool {
         let fair = self.share * f64::from(self.all + 1);
-        f64::from(self.own + 1) > fair * (1.0 + SLACK) + SLACK_REQUESTS
+        let slack = 1.0 + SLACK * (1.0 - self.share);
+        f64::from(self.own + 1) > fair * slack + SLACK_REQUESTS
     }
 }
 
-/// How far above its share an organisation may be: entries see only their own
-/// part of the traffic, and some halls get more of an organisation's than others.
-const SLACK: f64 = 0.25;
+/// How far above its share a small organisation may be: an entry sees only its
+/// own part of the traffic, and some halls get more of an organisation's than
+/// others. A large one may be less far above.
+const SLACK: f64 = 1.0;
 /// The same, for small numbers.
 const SLACK_REQUESTS: f64 = 1.0;
 
