--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod control;
+mod decision;
 mod overhead;
 mod run;
 
@@ -14,6 +15,7 @@
 pub enum Command {
     Compare(compare::Arguments),
     Control(control::Arguments),
+    Decision(decision::Arguments),
     Overhead(overhead::Arguments),
     Run(run::Arguments),
 }
@@ -23,6 +25,7 @@
         match self {
             Command::Compare(arguments) => arguments.run().await,
             Command::Control(arguments) => arguments.run().await,
+            Command::Decision(arguments) => arguments.run().await,
             Command::Overhead(arguments) => arguments.run().await,
             Command::Run(arguments) => arguments.run().await,
         }
--- a/crates/bench/src/faults.rs
+++ b/crates/bench/src/faults.rs
@@ -1,10 +1,14 @@
 //! Switching faults on and off while a run goes on.
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+use hollowsail_entry::apply::ApplyResult;
 use hollowsail_local::LocalFleet;
 use hollowsail_standins::{StoreFaults, TargetFaults};
+use serde::Serialize;
 
+use crate::history::RevisionSampler;
 use crate::load::Callers;
 use crate::scenario::{FaultKind, FaultPlan};
 
@@ -18,59 +22,196 @@
     kind: FaultKind,
 }
 
-/// Carries out all faults of a run, in order of time.
-pub async fn inject(
-    fleet: &mut LocalFleet,
-    callers: &Callers,
-    plans: &[FaultPlan],
-    start: Instant,
-    end: Instant,
-) {
+/// What came of applies that raced each other.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct ApplyCounts {
+    pub sent: usize,
+    pub accepted: usize,
+    pub conflicts: usize,
+    /// The store did not answer, or not clearly.
+    pub unanswered: usize,
+}
+
+impl ApplyCounts {
+    /// The sum of two counts.
+    pub fn plus(self, other: ApplyCounts) -> ApplyCounts {
+        ApplyCounts {
+            sent: self.sent + other.sent,
+            accepted: self.accepted + other.accepted,
+            conflicts: self.conflicts + other.conflicts,
+            unanswered: self.unanswered + other.unanswered,
+        }
+    }
+
+    fn count(&mut self, result: &ApplyResult) {
+        self.sent += 1;
+        match result {
+            ApplyResult::Accepted { .. } => self.accepted += 1,
+            ApplyResult::Conflict { .. } => self.conflicts += 1,
+            _ => self.unanswered += 1,
+        }
+    }
+}
+
+/// What faults change in a run.
+pub struct Injection<'a> {
+    pub fleet: &'a mut LocalFleet,
+    pub callers: &'a Callers,
+    pub sampler: &'a RevisionSampler,
+    pub applies: ApplyCounts,
+}
+
+impl Injection<'_> {
+    /// Carries out all faults of a run, in order of time.
+    pub async fn run(&mut self, plans: &[FaultPlan], start: Instant, end: Instant) {
+        for switch in switches(plans) {
+            let due = start + switch.at;
+            if due >= end {
+                break;
+            }
+            tokio::time::sleep_until(due.into()).await;
+            self.carry_out(&switch).await;
+        }
+    }
+
+    async fn carry_out(&mut self, switch: &Switch) {
+        match &switch.kind {
+            FaultKind::Burst { .. } | FaultKind::Flood { .. } => {}
+            FaultKind::StoreDown => self.fleet.store.set_faults(StoreFaults {
+                down: switch.on,
+                ..StoreFaults::default()
+            }),
+            FaultKind::StoreLosesAnswers { share } => self.fleet.store.set_faults(StoreFaults {
+                lose_answers: if switch.on { *share } else { 0.0 },
+                ..StoreFaults::default()
+            }),
+            FaultKind::EntryKilled { place } if switch.on => self.kill_entry(*place).await,
+            FaultKind::EntryKilled { .. } => self.add_entry().await,
+            FaultKind::RollingRestart if switch.on => self.restart_all().await,
+            FaultKind::RollingRestart => {}
+            FaultKind::RacingApplies { .. } if switch.on => self.race_applies().await,
+            FaultKind::RacingApplies { .. } => {}
+            FaultKind::HallLost { hall } => self.lose_hall(hall, switch.on).await,
+            of_targets => set_target_faults(self.fleet, of_targets, switch.on),
+        }
+    }
+
+    async fn kill_entry(&mut self, place: usize) {
+        if let Some(entry) = self.fleet.take_entry(place) {
+            let address = entry.callers;
+            entry.kill().await;
+            balancer_notices(self.callers, address);
+        }
+    }
+
+    async fn add_entry(&mut self) {
+        if let Ok(place) = self.fleet.start_entry().await {
+            self.sampler.watch(&self.fleet.entry(place).entry);
+            self.fleet.wait_for_members().await;
+            self.callers.add_entry(self.fleet.entry(place).callers);
+        }
+    }
+
+    async fn restart_all(&mut self) {
+        for place in 0..self.fleet.entries.len() {
+            self.add_entry().await;
+            if let Some(entry) = self.fleet.take_entry(place) {
+                balancer_notices(self.callers, entry.callers);
+                entry.stop().await;
+            }
+        }
+    }
+
+    /// Two applies on the same base, at the first and the last running entry.
+    async fn race_applies(&mut self) {
+        let places: Vec<usize> = (0..self.fleet.entries.len())
+            .filter(|&place| self.fleet.entries[place].is_some())
+            .collect();
+        let (Some(&first), Some(&last)) = (places.first(), places.last()) else {
+            return;
+        };
+        let base = self.fleet.entry(first).entry.view().revision();
+        let changed = |who: &str| {
+            let mut files = self.fleet.files.clone();
+            files[0].text += &format!("; applied by {who} on {base}\n");
+            files
+        };
+        let ids = [format!("one-{base}"), format!("two-{base}")];
+        let (one, two) = tokio::join!(
+            self.fleet
+                .apply_without_waiting(first, changed("one"), base, &ids[0]),
+            self.fleet
+                .apply_without_waiting(last, changed("two"), base, &ids[1]),
+        );
+        self.applies.count(&one);
+        self.applies.count(&two);
+    }
+
+    async fn lose_hall(&mut self, hall: &str, on: bool) {
+        let hang = TargetFaults {
+            hang: on,
+            ..TargetFaults::default()
+        };
+        let Some(key) = self.fleet.deployment.find_hall(hall) else {
+            return;
+        };
+        for target in self
+            .fleet
+            .deployment
+            .targets
+            .iter()
+            .filter(|t| t.hall == key)
+        {
+            self.fleet.targets.set_faults(&target.name, hang.clone());
+        }
+        let places: Vec<usize> = (0..self.fleet.entries.len())
+            .filter(|&place| {
+                self.fleet.entries[place]
+                    .as_ref()
+                    .is_some_and(|entry| entry.entry.settings.hall == hall)
+            })
+            .collect();
+        for place in places.into_iter().filter(|_| on) {
+            self.kill_entry(place).await;
+        }
+    }
+}
+
+/// Switches of all faults in order of time; applies race again and again.
+fn switches(plans: &[FaultPlan]) -> Vec<Switch> {
     let mut switches: Vec<Switch> = plans
         .iter()
         .flat_map(|plan| {
-            let at = |ms| Duration::from_millis(ms);
-            let switch = |at, on| Switch {
-                at,
+            let on = match plan.kind {
+                FaultKind::RacingApplies { every_ms } => (0..plan.for_ms)
+                    .step_by(every_ms as usize)
+                    .map(|ms| plan.at_ms + ms)
+                    .collect(),
+                _ => vec![plan.at_ms],
+            };
+            let switch = |ms, on| Switch {
+                at: Duration::from_millis(ms),
                 on,
                 kind: plan.kind.clone(),
             };
-            [
-                switch(at(plan.at_ms), true),
-                switch(at(plan.at_ms + plan.for_ms), false),
-            ]
+            let off = switch(plan.at_ms + plan.for_ms, false);
+            on.into_iter()
+                .map(move |ms| switch(ms, true))
+                .chain([off])
+                .collect::<Vec<_>>()
         })
         .collect();
     switches.sort_by_key(|switch| switch.at);
-    for switch in switches {
-        let due = start + switch.at;
-        if due >= end {
-            break;
-        }
-        tokio::time::sleep_until(due.into()).await;
-        carry_out(fleet, callers, &switch).await;
-    }
+    switches
 }
 
-async fn carry_out(fleet: &mut LocalFleet, callers: &Callers, switch: &Switch) {
-    match &switch.kind {
-        FaultKind::Burst { .. } | FaultKind::Flood { .. } => {}
-        FaultKind::StoreDown => fleet.store.set_faults(StoreFaults {
-            down: switch.on,
-            ..StoreFaults::default()
-        }),
-        FaultKind::StoreLosesAnswers { share } => fleet.store.set_faults(StoreFaults {
-            lose_answers: if switch.on { *share } else { 0.0 },
-            ..StoreFaults::default()
-        }),
-        FaultKind::EntryKilled { place } => {
-            entry_killed(fleet, callers, *place, switch.on).await;
-        }
-        FaultKind::RollingRestart if switch.on => rolling_restart(fleet, callers).await,
-        FaultKind::RollingRestart => {}
-        FaultKind::HallLost { hall } => hall_lost(fleet, callers, hall, switch.on).await,
-        of_targets => set_target_faults(fleet, of_targets, switch.on),
-    }
+/// The balancer drops an entry after its lag; tickets go with it.
+fn balancer_notices(callers: &Callers, address: SocketAddr) {
+    let callers = callers.clone();
+    actix_rt::spawn(async move {
+        tokio::time::sleep(BALANCER_LAG).await;
+        callers.drop_entry(address);
+    });
 }
 
 /// Faults of targets by the beginning of their names.
@@ -118,64 +259,3 @@
     };
     Some((targets, faults))
 }
-
-async fn entry_killed(fleet: &mut LocalFleet, callers: &Callers, place: usize, on: bool) {
-    if on {
-        if let Some(entry) = fleet.take_entry(place) {
-            let address = entry.callers;
-            entry.kill().await;
-            balancer_notices(callers, address);
-        }
-    } else {
-        add_entry(fleet, callers).await;
-    }
-}
-
-async fn add_entry(fleet: &mut LocalFleet, callers: &Callers) {
-    if let Ok(place) = fleet.start_entry().await {
-        fleet.wait_for_members().await;
-        callers.add_entry(fleet.entry(place).callers);
-    }
-}
-
-/// The balancer drops an entry after its lag; tickets go with it.
-fn balancer_notices(callers: &Callers, address: std::net::SocketAddr) {
-    let callers = callers.clone();
-    actix_rt::spawn(async move {
-        tokio::time::sleep(BALANCER_LAG).await;
-        callers.drop_entry(address);
-    });
-}
-
-async fn rolling_restart(fleet: &mut LocalFleet, callers: &Callers) {
-    for place in 0..fleet.entries.len() {
-        add_entry(fleet, callers).await;
-        if let Some(entry) = fleet.take_entry(place) {
-            balancer_notices(callers, entry.callers);
-            entry.stop().await;
-        }
-    }
-}
-
-async fn hall_lost(fleet: &mut LocalFleet, callers: &Callers, hall: &str, on: bool) {
-    let hang = TargetFaults {
-        hang: on,
-        ..TargetFaults::default()
-    };
-    let Some(key) = fleet.deployment.find_hall(hall) else {
-        return;
-    };
-    for target in fleet.deployment.targets.iter().filter(|t| t.hall == key) {
-        fleet.targets.set_faults(&target.name, hang.clone());
-    }
-    let places: Vec<usize> = (0..fleet.entries.len())
-        .filter(|&place| {
-            fleet.entries[place]
-                .as_ref()
-                .is_some_and(|entry| entry.entry.settings.hall == hall)
-        })
-        .collect();
-    for place in places.into_iter().filter(|_| on) {
-        entry_killed(fleet, callers, place, true).await;
-    }
-}
--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use hollowsail_config::{Deployment, ServiceKind};
+use hollowsail_entry::context::Entry;
 use hollowsail_entry::AnswerBody;
-use hollowsail_local::LocalFleet;
 use hollowsail_platform::target::Call;
 use hollowsail_routing::{Outcome, StageStatus};
 use hollowsail_standins::{output, Execution};
@@ -78,9 +78,8 @@
     }
     check_places(&mut promises, deployment, executions);
     check_same_answer(&mut promises, deployment, records);
-    for seen in revisions {
-        let rises = seen.windows(2).all(|pair| pair[0] <= pair[1]);
-        promises.check("no configuration goes back", rises);
+    for pair in revisions.iter().flat_map(|seen| seen.windows(2)) {
+        promises.check("no configuration goes back", pair[0] <= pair[1]);
     }
     promises
 }
@@ -197,40 +196,43 @@
         })
 }
 
-/// Samples the revision that each entry has in force, until it is dropped.
+/// Samples the revision that each entry has in force, while a run goes on.
+#[derive(Clone, Default)]
 pub struct RevisionSampler {
-    seen: Arc<Mutex<HashMap<String, Vec<u64>>>>,
+    watched: Arc<Mutex<Vec<Watched>>>,
 }
 
-impl RevisionSampler {
-    /// Takes one sample of every running entry.
-    pub fn sample(&self, fleet: &LocalFleet) {
-        let mut seen = self.seen.lock().expect("no panic while held");
-        for running in fleet.running() {
-            seen.entry(format!("{:x}", running.entry.incarnation))
-                .or_default()
-                .push(running.entry.view().revision());
-        }
-    }
+struct Watched {
+    entry: Arc<Entry>,
+    seen: Vec<u64>,
+}
 
-    pub fn new() -> Self {
-        RevisionSampler {
-            seen: Arc::default(),
+/// Between two samples of revisions.
+const SAMPLE_EVERY: Duration = Duration::from_millis(20);
+
+impl RevisionSampler {
+    /// Watches an entry from now on, also after it has stopped.
+    pub fn watch(&self, entry: &Arc<Entry>) {
+        let mut watched = self.watched.lock().expect("no panic while held");
+        watched.push(Watched {
+            entry: entry.clone(),
+            seen: Vec::new(),
+        });
+    }
+
+    /// Samples until it is dropped.
+    pub async fn run(&self) {
+        loop {
+            for one in self.watched.lock().expect("no panic while held").iter_mut() {
+                one.seen.push(one.entry.view().revision());
+            }
+            tokio::time::sleep(SAMPLE_EVERY).await;
         }
     }
 
     /// Revisions by entry, in order of time.
     pub fn revisions(&self) -> Vec<Vec<u64>> {
-        let seen = self.seen.lock().expect("no panic while held");
-        seen.values().cloned().collect()
-    }
-}
-
-impl Default for RevisionSampler {
-    fn default() -> Self {
-        RevisionSampler::new()
+        let watched = self.watched.lock().expect("no panic while held");
+        watched.iter().map(|one| one.seen.clone()).collect()
     }
 }
-
-/// Between two samples of revisions.
-pub const SAMPLE_EVERY: Duration = Duration::from_millis(100);
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arrivals;
 pub mod capacity;
 pub mod control;
+pub mod decision;
 pub mod faults;
 pub mod history;
 pub mod load;
--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -7,6 +7,7 @@
 use hollowsail_config::Deployment;
 use serde::Serialize;
 
+use crate::faults::ApplyCounts;
 use crate::history::Promises;
 use crate::load::CallRecord;
 use crate::scenario::Scenario;
@@ -32,6 +33,8 @@
     /// Attainment before, during and after each fault.
     pub around_faults: BTreeMap<String, [f64; 3]>,
     pub store_calls_per_second: f64,
+    /// Applies that raced each other while the run went on.
+    pub applies: ApplyCounts,
     pub promises: Promises,
 }
 
@@ -43,6 +46,7 @@
         spent: Vec<(String, f64)>,
         promises: Promises,
         store_calls_per_second: f64,
+        applies: ApplyCounts,
     ) -> Self {
         let firsts: Vec<&CallRecord> = records.iter().filter(|r| !r.second).collect();
         let attained = |record: &CallRecord| record.attained(deadline(deployment, record));
@@ -96,6 +100,7 @@
                 })
                 .collect(),
             store_calls_per_second,
+            applies,
             promises,
         }
     }
@@ -243,6 +248,16 @@
             promise.broken, promise.checks
         );
     }
+    let applies = report
+        .runs
+        .iter()
+        .fold(ApplyCounts::default(), |sum, run| sum.plus(run.applies));
+    if applies.sent > 0 {
+        text += &format!(
+            "  applies: {} sent, {} accepted, {} conflicts, {} without an answer from the store\n",
+            applies.sent, applies.accepted, applies.conflicts, applies.unanswered
+        );
+    }
     let calls = report.spread_of(|run| run.store_calls_per_second).median;
     text += &format!("  store calls a second: {calls:.2}\n");
     text
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -13,7 +13,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::arrivals;
-use crate::faults;
+use crate::faults::{ApplyCounts, Injection};
 use crate::history::{self, RevisionSampler};
 use crate::load::Callers;
 use crate::report::RunReport;
@@ -117,13 +117,26 @@
     let end = start + Duration::from_secs_f64(plan.seconds);
     let store_before = fleet.store.calls();
     let busy_before = fleet.targets.target_seconds();
-    let sampler = RevisionSampler::new();
-    {
+    let sampler = RevisionSampler::default();
+    fleet
+        .running()
+        .for_each(|running| sampler.watch(&running.entry));
+    let mut injection = Injection {
+        fleet: &mut fleet,
+        callers: &callers,
+        sampler: &sampler,
+        applies: ApplyCounts::default(),
+    };
+    let applies = {
         let sending = callers.send_all(arrivals, start);
-        let injecting = faults::inject(&mut fleet, &callers, &scenario.faults, start, end);
-        tokio::join!(sending, injecting);
-    }
-    sampler.sample(&fleet);
+        let injecting = injection.run(&scenario.faults, start, end);
+        let sampling = sampler.run();
+        tokio::select! {
+            _ = async { tokio::join!(sending, injecting) } => {}
+            _ = sampling => {}
+        }
+        injection.applies
+    };
     // Targets that were given up on write down their end a moment later.
     tokio::time::sleep(Duration::from_millis(200)).await;
     let records = callers.records();
@@ -146,6 +159,7 @@
         spent,
         promises,
         calls as f64 / elapsed,
+        applies,
     );
     fleet.shut_down().await;
     Ok(report)
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -81,6 +81,10 @@
     },
     /// Every entry is stopped and replaced, one after the other.
     RollingRestart,
+    /// Two operators apply at once, at two entries, again and again.
+    RacingApplies {
+        every_ms: u64,
+    },
     /// All targets of a hall hang and its entries die.
     HallLost {
         hall: String,
@@ -191,6 +195,9 @@
             place: section.number("place", 0, 0..=63),
         },
         "rolling-restart" => FaultKind::RollingRestart,
+        "racing-applies" => FaultKind::RacingApplies {
+            every_ms: section.number("every_ms", 500, 10..=60_000),
+        },
         "hall-lost" => FaultKind::HallLost {
             hall: section.required("hall").into(),
         },
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -179,9 +179,10 @@
             pipelines: self.each("pipeline", |s| self.read_pipeline(s)),
             organisations: self.each("organisation", |s| self.read_organisation(s)),
             by_key_hash: HashMap::new(),
+            organisations_by_name: HashMap::new(),
         };
         self.link_targets(&mut deployment);
-        self.link_keys(&mut deployment);
+        self.link_organisations(&mut deployment);
         self.report_unused_stages(&deployment);
         deployment
     }
@@ -342,10 +343,13 @@
         }
     }
 
-    fn link_keys(&self, deployment: &mut Deployment) {
+    fn link_organisations(&self, deployment: &mut Deployment) {
         let sections = of_kind(self.sections, "organisation");
         for ((at, org), section) in deployment.organisations.iter().enumerate().zip(sections) {
             let key = OrganisationKey(at as u16);
+            deployment
+                .organisations_by_name
+                .insert(org.name.clone(), key);
             for hash in &org.key_hashes {
                 if deployment.by_key_hash.insert(*hash, key).is_some() {
                     section.fault(
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -180,6 +180,7 @@
     pub pipelines: Vec<Pipeline>,
     pub organisations: Vec<Organisation>,
     pub(crate) by_key_hash: HashMap<KeyHash, OrganisationKey>,
+    pub(crate) organisations_by_name: HashMap<String, OrganisationKey>,
 }
 
 impl Deployment {
@@ -219,7 +220,7 @@
 
     /// Finds an organisation by name.
     pub fn find_organisation(&self, name: &str) -> Option<OrganisationKey> {
-        position(&self.organisations, |org| org.name == name).map(OrganisationKey)
+        self.organisations_by_name.get(name).copied()
     }
 
     /// The organisation that a presented key belongs to.
--- a/crates/ledger/tests/suite/ledger.rs
+++ b/crates/ledger/tests/suite/ledger.rs
@@ -16,7 +16,7 @@
 const LEDGERS: usize = 3;
 const TICKET_MS: u64 = 1000;
 const BOUNDS: Bounds = Bounds {
-    records: 6,
+    records: 3,
     bytes: 40,
     ticket_ms: TICKET_MS,
     claim_ms: 5000,
@@ -40,6 +40,10 @@
     Wait {
         ms: u64,
     },
+    /// Housekeeping of one ledger.
+    Forget {
+        ledger: usize,
+    },
     Stop {
         ledger: usize,
     },
@@ -73,7 +77,8 @@
             8 => (ledger.clone(), 0usize..6, 0u8..3)
                 .prop_map(|(ledger, ticket, who)| Step::Present { ledger, ticket, who }),
             4 => (0usize..6).prop_map(|ticket| Step::Close { ticket }),
-            2 => (0u64..700).prop_map(|ms| Step::Wait { ms }),
+            2 => (0u64..1500).prop_map(|ms| Step::Wait { ms }),
+            2 => ledger.clone().prop_map(|ledger| Step::Forget { ledger }),
             1 => ledger.clone().prop_map(|ledger| Step::Stop { ledger }),
             2 => (ledger.clone(), ledger).prop_map(|(from, to)| Step::HandOver { from, to }),
             1 => (0usize..4).prop_map(|at| Step::Redeliver { at }),
@@ -265,6 +270,10 @@
                 }
             }
             Step::Wait { ms } => world.now += ms,
+            Step::Forget { ledger } => {
+                let clock = world.clock(ledger);
+                world.ledgers[ledger].forget_expired(clock);
+            }
             Step::Stop { ledger } => {
                 world.ledgers[ledger].stop();
                 world.stopped[ledger] = true;
@@ -316,7 +325,13 @@
 
 #[test]
 fn under_pressure_the_answer_goes_and_the_fact_stays() {
-    let mut ledger = Ledger::new(1, BOUNDS);
+    let mut ledger = Ledger::new(
+        1,
+        Bounds {
+            records: 6,
+            ..BOUNDS
+        },
+    );
     let tickets: Vec<Ticket> = (0..5).map(|_| ledger.issue(0, "o")).collect();
     for ticket in &tickets {
         assert_eq!(
@@ -374,3 +389,39 @@
     let presented = successor.present_ticket(101, &ticket, &identity());
     assert_eq!(presented, Presented::AnswerDropped);
 }
+
+#[test]
+fn an_open_record_is_never_forgotten() {
+    let mut ledger = Ledger::new(1, BOUNDS);
+    let ticket = ledger.issue(0, "o");
+    ledger.present_ticket(0, &ticket, &identity());
+    let long_after = 100 * TICKET_MS;
+    ledger.forget_expired(long_after);
+    let presented = ledger.present_ticket(long_after, &ticket, &identity());
+    assert_eq!(presented, Presented::Wait);
+    assert_eq!(ledger.open_records(), 1);
+}
+
+#[test]
+fn what_a_full_ledger_refused_stays_refused_when_there_is_room_again() {
+    let mut ledger = Ledger::new(1, BOUNDS);
+    let old: Vec<Ticket> = (0..BOUNDS.records).map(|_| ledger.issue(0, "o")).collect();
+    let young = ledger.issue(900, "o");
+    for ticket in &old {
+        ledger.present_ticket(900, ticket, &identity());
+        let id = RecordId {
+            issuer: 1,
+            slot: Slot::Ticket(ticket.number),
+        };
+        ledger.close(id, vec![1]);
+    }
+    assert_eq!(
+        ledger.present_ticket(900, &young, &identity()),
+        Presented::Full
+    );
+    let room_again = 1100;
+    ledger.forget_expired(room_again);
+    assert!(ledger.is_empty());
+    let presented = ledger.present_ticket(room_again, &young, &identity());
+    assert_eq!(presented, Presented::Refused);
+}
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -192,36 +192,36 @@
         base: u64,
         apply_id: &str,
     ) -> ApplyResult {
-        self.send_apply(place, files, base, apply_id, false).await
+        let request = request(files, base, apply_id, false, APPLY_WAIT_MS);
+        self.send_apply(place, request).await
     }
 
-    /// Applies files again whose first apply ended in doubt.
-    pub async fn apply_again(
+    /// Applies files and does not wait until they are in force everywhere.
+    pub async fn apply_without_waiting(
         &self,
         place: usize,
         files: Vec<SourceFile>,
         base: u64,
         apply_id: &str,
     ) -> ApplyResult {
-        self.send_apply(place, files, base, apply_id, true).await
+        self.send_apply(place, request(files, base, apply_id, false, 0))
+            .await
     }
 
-    async fn send_apply(
+    /// Applies files again whose first apply ended in doubt.
+    pub async fn apply_again(
         &self,
         place: usize,
         files: Vec<SourceFile>,
         base: u64,
         apply_id: &str,
-        resent: bool,
     ) -> ApplyResult {
+        let request = request(files, base, apply_id, true, APPLY_WAIT_MS);
+        self.send_apply(place, request).await
+    }
+
+    async fn send_apply(&self, place: usize, request: ApplyRequest) -> ApplyResult {
         let worker = Worker::new(self.entry(place).entry.clone());
-        let request = ApplyRequest {
-            files,
-            base,
-            apply_id: apply_id.into(),
-            resent,
-            wait_ms: APPLY_WAIT_MS,
-        };
         apply::apply(&worker, request).await
     }
 
@@ -254,3 +254,19 @@
         })
         .collect()
 }
+
+fn request(
+    files: Vec<SourceFile>,
+    base: u64,
+    apply_id: &str,
+    resent: bool,
+    wait_ms: u64,
+) -> ApplyRequest {
+    ApplyRequest {
+        files,
+        base,
+        apply_id: apply_id.into(),
+        resent,
+        wait_ms,
+    }
+}
--- a/crates/local/tests/suite/main.rs
+++ b/crates/local/tests/suite/main.rs
@@ -10,4 +10,5 @@
 mod places;
 mod raw_target;
 mod stopping;
+mod tls;
 mod truth;
