Split large files and keep one copy of what stood twice

Change: callers, judge and tickets; targets, target_state, target_run and profile; check and build; standins::output::of_pipeline; peers::receive.

--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -4,14 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use hollowsail_config::{Deployment, ServiceKind};
+use hollowsail_config::Deployment;
 use hollowsail_entry::context::Entry;
 use hollowsail_entry::AnswerBody;
-use hollowsail_platform::target::Call;
 use hollowsail_routing::{Outcome, StageStatus};
 use hollowsail_standins::{output, Execution};
 use serde::Serialize;
-use serde_json::{json, Value};
+use serde_json::Value;
 
 use crate::load::CallRecord;
 
@@ -107,7 +106,7 @@
     match answer.outcome {
         Outcome::Whole => {
             let expected = expected_output(deployment, record);
-            let same = answer.output.as_ref() == Some(&expected);
+            let same = expected.is_some() && answer.output == expected;
             promises.check("a whole answer is the targets' own", same);
         }
         Outcome::NotRun => {
@@ -166,34 +165,11 @@
 }
 
 /// What the stand-ins answer to a request, computed without any entry.
-fn expected_output(deployment: &Deployment, record: &CallRecord) -> Value {
-    let pipeline = deployment.pipeline(record.arrival.pipeline);
-    let org = deployment.find_organisation(&record.arrival.org);
-    pipeline
-        .stages
-        .iter()
-        .fold(record.input.clone(), |input, stage| {
-            let call = Call {
-                dispatch: String::new(),
-                stage: stage.name.clone(),
-                model: stage.model.map(|key| {
-                    let model = deployment.model(key);
-                    format!("{}@{}", model.name, model.version)
-                }),
-                adapter: org.and_then(|org| deployment.organisation(org).adapter.clone()),
-                priority: pipeline.priority,
-                session: None,
-                max_tokens: stage.max_tokens,
-                from_token: 0,
-                input,
-            };
-            match deployment.service(stage.service).kind {
-                ServiceKind::Engine => {
-                    json!({ "text": output::text_for(&call), "tokens": output::token_count(&call) })
-                }
-                kind => output::answer_for(kind, &call),
-            }
-        })
+fn expected_output(deployment: &Deployment, record: &CallRecord) -> Option<Value> {
+    let org = deployment.find_organisation(&record.arrival.org)?;
+    let pipeline = record.arrival.pipeline;
+    let input = record.input.clone();
+    Some(output::of_pipeline(deployment, org, pipeline, input))
 }
 
 /// Samples the revision that each entry has in force, while a run goes on.
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`chunk`]s for the store and for peers. Nothing here touches a socket or a
 //! clock; the caller reads files and passes their texts in.
 
+mod build;
 pub mod check;
 pub mod chunk;
 pub mod fault;
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -6,33 +6,26 @@
 //! deadline, and whether this entry may serve it at all. Only then is its body
 //! read, checked, and run.
 
-use std::sync::atomic::Ordering;
-use std::sync::Arc;
-use std::time::{Duration, Instant};
-
-use actix_web::http::header::HeaderMap;
 use actix_web::{web, HttpRequest, HttpResponse};
 use futures_util::StreamExt;
-use hollowsail_config::{OrganisationKey, PipelineKey};
 use hollowsail_fleet::{Member, Standing};
-use serde::{Deserialize, Serialize};
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::answer::{AnswerBody, Refusal};
-use crate::auth;
-use crate::configuration::Configuration;
 use crate::headers;
+use crate::judge::{
+    judge, no_permitted_entry, permitted_entries, serves_here, true_refusal, Judged,
+};
 use crate::kinds::ErrorKind;
 use crate::permit;
 use crate::pipeline::{self, Job};
 use crate::relay::{self, Relay, RelayError, SharedBody};
 use crate::streaming;
+use crate::tickets;
 use crate::view::InFlight;
 use crate::worker::Worker;
 
-/// Most tickets of one call.
-const MAX_TICKETS: usize = 1000;
-
 /// Body of a pipeline request.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -41,34 +34,6 @@
     session: Option<String>,
 }
 
-/// Body of a ticket answer.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct Tickets {
-    pub tickets: Vec<String>,
-    /// How long they may be presented, in milliseconds from now.
-    pub valid_ms: u64,
-}
-
-/// A request as judged from its headers.
-pub struct Judged {
-    pub request: String,
-    pub configuration: Arc<Configuration>,
-    pub org: OrganisationKey,
-    pub pipeline: PipelineKey,
-    pub accepted: Instant,
-    pub deadline: Duration,
-}
-
-impl Judged {
-    pub fn org_name(&self) -> &str {
-        &self.configuration.deployment.organisation(self.org).name
-    }
-
-    pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_sub(self.accepted.elapsed())
-    }
-}
-
 /// How a request came to this entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sender {
@@ -96,7 +61,7 @@
 /// Routes of the callers' listener.
 pub fn routes(cfg: &mut web::ServiceConfig) {
     cfg.route("/v1/pipelines/{name}", web::post().to(from_caller))
-        .route("/v1/tickets", web::post().to(tickets_for_caller))
+        .route("/v1/tickets", web::post().to(tickets::tickets_for_caller))
         .route("/health", web::get().to(health));
 }
 
@@ -143,64 +108,6 @@
     }
 }
 
-/// A refusal is about the request, not about this send of it. With a ticket or
-/// id another send may have run, and only the ledger that answers for it knows.
-fn true_refusal(headers: &HeaderMap, refusal: Refusal) -> Refusal {
-    match headers::runs_once(headers) {
-        true => refusal.in_doubt(),
-        false => refusal,
-    }
-}
-
-fn judge(
-    worker: &Worker,
-    headers: &HeaderMap,
-    request: &str,
-    name: &str,
-) -> Result<Judged, Refusal> {
-    let refuse = |kind, message: String| AnswerBody::refusal(request, kind, message);
-    let view = worker.entry.view();
-    let in_flight = worker.entry.in_flight.load(Ordering::Relaxed) as usize;
-    // What carries a ticket or id is bounded by the ledger.
-    let bounded = !headers::runs_once(headers);
-    if bounded && in_flight > worker.entry.settings.limits.max_in_flight {
-        let message = format!("{in_flight} requests are in flight here");
-        return Err(refuse(ErrorKind::Overloaded, message));
-    }
-    let Some(configuration) = view.configuration.clone() else {
-        let message = "no configuration is in force here yet".to_string();
-        return Err(refuse(ErrorKind::NoConfiguration, message));
-    };
-    if view.standing == Standing::Isolated {
-        let message = "this entry reaches neither the store nor its peers".to_string();
-        return Err(refuse(ErrorKind::Isolated, message));
-    }
-    let deployment = &configuration.deployment;
-    let Some(org) = auth::organisation(headers, deployment) else {
-        let message = "the key belongs to no organisation".to_string();
-        return Err(refuse(ErrorKind::Unauthorized, message));
-    };
-    let Some(pipeline) = deployment.find_pipeline(name) else {
-        let message = format!("there is no pipeline {name}");
-        return Err(refuse(ErrorKind::UnknownPipeline, message));
-    };
-    if !deployment.may_call(org, pipeline) {
-        let message = format!("the organisation may not call {name}");
-        return Err(refuse(ErrorKind::NotAllowed, message));
-    }
-    let longest = deployment.pipeline(pipeline).deadline_ms;
-    let deadline =
-        headers::deadline(headers, longest).map_err(|(kind, message)| refuse(kind, message))?;
-    Ok(Judged {
-        request: request.into(),
-        configuration,
-        org,
-        pipeline,
-        accepted: Instant::now(),
-        deadline,
-    })
-}
-
 async fn admit(
     worker: &Worker,
     req: &HttpRequest,
@@ -237,43 +144,6 @@
     pipeline::run(worker, &job, None).await.into_response()
 }
 
-/// True when this entry stands in a hall that the organisation permits.
-fn serves_here(worker: &Worker, judged: &Judged) -> bool {
-    let deployment = &judged.configuration.deployment;
-    deployment
-        .find_hall(&worker.entry.settings.hall)
-        .is_some_and(|hall| deployment.permits(judged.org, hall))
-}
-
-fn no_permitted_entry(judged: &Judged) -> Refusal {
-    let message = format!(
-        "no entry in a hall permitted to {} can be reached",
-        judged.org_name()
-    );
-    AnswerBody::refusal(&judged.request, ErrorKind::NoPermittedEntry, message)
-}
-
-/// Live entries in halls that the organisation permits, in random order.
-fn permitted_entries(worker: &Worker, judged: &Judged) -> Vec<Member> {
-    use rand::seq::SliceRandom;
-    let deployment = &judged.configuration.deployment;
-    let mut members: Vec<Member> = worker
-        .entry
-        .view()
-        .members
-        .iter()
-        .filter(|member| member.takes_work())
-        .filter(|member| {
-            deployment
-                .find_hall(&member.hall)
-                .is_some_and(|hall| deployment.permits(judged.org, hall))
-        })
-        .cloned()
-        .collect();
-    members.shuffle(&mut rand::rng());
-    members
-}
-
 async fn relay_to_permitted(
     worker: &Worker,
     req: &HttpRequest,
@@ -372,97 +242,3 @@
     }
     Ok(bytes)
 }
-
-#[derive(Debug, Deserialize)]
-pub struct TicketQuery {
-    count: Option<usize>,
-}
-
-async fn tickets_for_caller(
-    worker: web::Data<Worker>,
-    req: HttpRequest,
-    query: web::Query<TicketQuery>,
-    body: web::Payload,
-) -> HttpResponse {
-    tickets(&worker, &req, &query, body, Sender::CALLER).await
-}
-
-/// Issues tickets, here or at an entry that may serve the organisation.
-pub async fn tickets(
-    worker: &Worker,
-    req: &HttpRequest,
-    query: &TicketQuery,
-    body: web::Payload,
-    sender: Sender,
-) -> HttpResponse {
-    let view = worker.entry.view();
-    let refuse = |kind, message: &str| AnswerBody::refusal("-", kind, message).into_response();
-    let Some(configuration) = view.configuration.clone() else {
-        return refuse(
-            ErrorKind::NoConfiguration,
-            "no configuration is in force here yet",
-        );
-    };
-    let Some(org) = auth::organisation(req.headers(), &configuration.deployment) else {
-        return refuse(
-            ErrorKind::Unauthorized,
-            "the key belongs to no organisation",
-        );
-    };
-    let count = query.count.unwrap_or(1);
-    if !(1..=MAX_TICKETS).contains(&count) {
-        let message = format!("count is not a number from 1 to {MAX_TICKETS}");
-        return refuse(ErrorKind::BadRequest, &message);
-    }
-    let judged = Judged {
-        request: "-".into(),
-        configuration,
-        org,
-        pipeline: PipelineKey(0),
-        accepted: Instant::now(),
-        deadline: TICKET_TIME,
-    };
-    let elsewhere = !serves_here(worker, &judged) || view.is_stopping();
-    if elsewhere && !sender.is_peer() {
-        return relay_tickets(worker, req, &judged, count, SharedBody::new(body)).await;
-    }
-    let entry = &worker.entry;
-    let issued = entry.once.lock().expect("no panic while held").issue(
-        entry.now(),
-        judged.org_name(),
-        count,
-    );
-    let key = &entry.settings.fleet_key;
-    HttpResponse::Ok().json(Tickets {
-        tickets: issued.iter().map(|ticket| ticket.encode(key)).collect(),
-        valid_ms: entry.settings.limits.ticket_ms,
-    })
-}
-
-/// Time for getting tickets from another entry.
-const TICKET_TIME: Duration = Duration::from_secs(2);
-
-async fn relay_tickets(
-    worker: &Worker,
-    req: &HttpRequest,
-    judged: &Judged,
-    count: usize,
-    body: SharedBody,
-) -> HttpResponse {
-    let path = format!("/peer/v1/tickets?count={count}");
-    for member in permitted_entries(worker, judged) {
-        let relay = Relay {
-            path: &path,
-            request: &judged.request,
-            headers: req.headers(),
-            body: body.clone(),
-            remaining: judged.remaining(),
-            hops: 1,
-            claim_owner: false,
-        };
-        if let Ok(response) = relay::relay(worker, &member, &relay).await {
-            return response;
-        }
-    }
-    no_permitted_entry(judged).into_response()
-}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,7 +1,7 @@
 //! The entry: the process between callers and targets.
 //!
 //! Requests come in at [`callers`] (or from another entry at [`peers`]), are
-//! judged from their headers, and run stage by stage in [`pipeline`],
+//! judged from their headers by [`judge`], and run stage by stage in [`pipeline`],
 //! [`attempt`], [`routes`] and [`dispatch`]; those that must not be repeated pass through [`permit`] and
 //! the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
 //! that traffic reads. [`server::start`] puts it all together.
@@ -19,6 +19,7 @@
 pub mod events;
 pub mod gate;
 pub mod headers;
+pub mod judge;
 pub mod kinds;
 pub mod metrics;
 pub mod once;
@@ -31,6 +32,7 @@
 pub mod server;
 pub mod stop;
 pub mod streaming;
+pub mod tickets;
 pub mod tls;
 pub mod view;
 pub mod worker;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,11 +10,12 @@
 use serde_bytes::ByteBuf;
 
 use crate::auth::is_peer;
-use crate::callers::{self, Sender, TicketQuery};
+use crate::callers::{self, Sender};
 use crate::control::spread::{ChunkReply, ChunkRequest};
 use crate::control::Incoming;
 use crate::events;
 use crate::headers;
+use crate::tickets::{self, TicketQuery};
 use crate::worker::Worker;
 
 /// Largest ledger or chunk request in bytes.
@@ -37,12 +38,19 @@
     HttpResponse::Unauthorized().body("not a peer of this fleet; check the fleet key\n")
 }
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(body)
-}
-
-fn unreadable(err: rmp_serde::decode::Error) -> HttpResponse {
-    HttpResponse::BadRequest().body(format!("unreadable message: {err}; run the same version\n"))
+/// A peer's message, or the answer to whoever did not send one.
+fn receive<T: DeserializeOwned>(
+    worker: &Worker,
+    req: &HttpRequest,
+    body: &[u8],
+) -> Result<T, Box<HttpResponse>> {
+    if !known(worker, req) {
+        return Err(Box::new(stranger()));
+    }
+    rmp_serde::from_slice(body).map_err(|err| {
+        let message = format!("unreadable message: {err}; run the same version\n");
+        Box::new(HttpResponse::BadRequest().body(message))
+    })
 }
 
 fn reply<T: Serialize>(message: &T) -> HttpResponse {
@@ -53,12 +61,9 @@
 }
 
 async fn exchange(worker: web::Data<Worker>, req: HttpRequest, body: web::Bytes) -> HttpResponse {
-    if !known(&worker, &req) {
-        return stranger();
-    }
-    let message: Exchange = match read(&body) {
+    let message: Exchange = match receive(&worker, &req, &body) {
         Ok(message) => message,
-        Err(err) => return unreadable(err),
+        Err(answer) => return *answer,
     };
     match worker.entry.control().send(Incoming(message)).await {
         Ok(answer) => reply(&answer.0),
@@ -71,12 +76,9 @@
     req: HttpRequest,
     body: web::Bytes,
 ) -> HttpResponse {
-    if !known(&worker, &req) {
-        return stranger();
-    }
-    let request: ChunkRequest = match read(&body) {
-        Ok(request) => request,
-        Err(err) => return unreadable(err),
+    let request: ChunkRequest = match receive(&worker, &req, &body) {
+        Ok(message) => message,
+        Err(answer) => return *answer,
     };
     let Some(configuration) = worker.entry.configuration() else {
         return HttpResponse::NotFound().finish();
@@ -104,12 +106,9 @@
     req: HttpRequest,
     body: web::Bytes,
 ) -> HttpResponse {
-    if !known(&worker, &req) {
-        return stranger();
-    }
-    let hand_over: HandOver = match read(&body) {
-        Ok(hand_over) => hand_over,
-        Err(err) => return unreadable(err),
+    let hand_over: HandOver = match receive(&worker, &req, &body) {
+        Ok(message) => message,
+        Err(answer) => return *answer,
     };
     let from = hand_over.from;
     let records: usize = hand_over.issuers.iter().map(|i| i.records.len()).sum();
@@ -154,5 +153,5 @@
     if !known(&worker, &req) {
         return stranger();
     }
-    callers::tickets(&worker, &req, &query, body, from_peer(&req)).await
+    tickets::tickets(&worker, &req, &query, body, from_peer(&req)).await
 }
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -16,8 +16,9 @@
 use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, Refusal};
-use crate::callers::{self, Judged, Sender};
+use crate::callers::{self, Sender};
 use crate::headers;
+use crate::judge::Judged;
 use crate::kinds::ErrorKind;
 use crate::once::{self, Admission, KeptAnswer, OpenRecord};
 use crate::pipeline::{self, Job};
--- a/crates/local/tests/suite/pipelines.rs
+++ b/crates/local/tests/suite/pipelines.rs
@@ -2,44 +2,15 @@
 
 use std::path::Path;
 
-use hollowsail_config::{Deployment, ServiceKind};
+use hollowsail_config::PipelineKey;
 use hollowsail_local::caller::Request;
 use hollowsail_local::{read_directory, Caller, LocalFleet, LocalOptions, Once};
-use hollowsail_platform::target::Call;
 use hollowsail_routing::{Outcome, StageStatus};
 use hollowsail_standins::output;
-use serde_json::{json, Value};
+use serde_json::json;
 
 use crate::fixture;
 
-/// What the stand-ins answer to a pipeline, computed without any entry.
-fn expected(deployment: &Deployment, pipeline: usize, org: &str, input: Value) -> Value {
-    let org = deployment.find_organisation(org).expect("it is there");
-    let pipeline = &deployment.pipelines[pipeline];
-    pipeline.stages.iter().fold(input, |input, stage| {
-        let call = Call {
-            dispatch: String::new(),
-            stage: stage.name.clone(),
-            model: stage.model.map(|key| {
-                let model = deployment.model(key);
-                format!("{}@{}", model.name, model.version)
-            }),
-            adapter: deployment.organisation(org).adapter.clone(),
-            priority: pipeline.priority,
-            session: None,
-            max_tokens: stage.max_tokens,
-            from_token: 0,
-            input,
-        };
-        match deployment.service(stage.service).kind {
-            ServiceKind::Engine => {
-                json!({ "text": output::text_for(&call), "tokens": output::token_count(&call) })
-            }
-            kind => output::answer_for(kind, &call),
-        }
-    })
-}
-
 async fn every_pipeline_of(directory: &str) {
     let path = Path::new(env!("CARGO_MANIFEST_DIR"))
         .join("../../examples")
@@ -78,7 +49,13 @@
             .stages
             .iter()
             .all(|s| s.status == StageStatus::Ran));
-        let wanted = expected(&fleet.deployment, at, &org.name, json!({ "log": at }));
+        let org = fleet
+            .deployment
+            .find_organisation(&org.name)
+            .expect("it is there");
+        let pipeline_key = PipelineKey(at as u16);
+        let input = json!({ "log": at });
+        let wanted = output::of_pipeline(&fleet.deployment, org, pipeline_key, input);
         assert_eq!(answered.body.output, Some(wanted), "{}", pipeline.name);
     }
     fleet.shut_down().await;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,12 +10,16 @@
 pub mod faults;
 pub mod host_list;
 pub mod output;
+pub mod profile;
 pub mod record;
 pub mod store;
+mod target_run;
+mod target_state;
 pub mod targets;
 
 pub use faults::{StoreFaults, TargetFaults};
 pub use host_list::HostListStandIn;
+pub use profile::Profile;
 pub use record::{Execution, ExecutionLog};
 pub use store::StoreStandIn;
-pub use targets::{Profile, TargetStandIns};
+pub use targets::TargetStandIns;
--- a/crates/standins/src/output.rs
+++ b/crates/standins/src/output.rs
@@ -1,7 +1,7 @@
 //! What a stand-in answers: a pure function of the call, so that anybody can
 //! tell whether an answer belongs to its request.
 
-use hollowsail_config::ServiceKind;
+use hollowsail_config::{Deployment, OrganisationKey, PipelineKey, ServiceKind};
 use hollowsail_platform::target::Call;
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
@@ -66,3 +66,37 @@
 pub fn text_for(call: &Call) -> String {
     (0..token_count(call)).map(|at| token(call, at)).collect()
 }
+
+/// What a whole pipeline answers to an organisation's input: each stage's
+/// output is the next one's input. Nothing is called; tests and history checks
+/// compare real answers with it.
+pub fn of_pipeline(
+    deployment: &Deployment,
+    org: OrganisationKey,
+    pipeline: PipelineKey,
+    input: Value,
+) -> Value {
+    let pipeline = deployment.pipeline(pipeline);
+    pipeline.stages.iter().fold(input, |input, stage| {
+        let call = Call {
+            dispatch: String::new(),
+            stage: stage.name.clone(),
+            model: stage.model.map(|key| {
+                let model = deployment.model(key);
+                format!("{}@{}", model.name, model.version)
+            }),
+            adapter: deployment.organisation(org).adapter.clone(),
+            priority: pipeline.priority,
+            session: None,
+            max_tokens: stage.max_tokens,
+            from_token: 0,
+            input,
+        };
+        match deployment.service(stage.service).kind {
+            ServiceKind::Engine => {
+                json!({ "text": text_for(&call), "tokens": token_count(&call) })
+            }
+            kind => answer_for(kind, &call),
+        }
+    })
+}
