--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -5,8 +5,10 @@
 //! Traffic tells it [`Fact`]s over a bounded mailbox. What it does over the
 //! network runs as futures of the actor and comes back as a method call:
 //! [`gossip`] exchanges with peers, [`spread`] finds newer configurations,
-//! [`hosts`] reads the host list, [`health`] judges targets.
+//! [`hosts`] reads the host list, [`health`] judges targets, [`claims`] lets the
+//! keys of old claims lapse.
 
+pub mod claims;
 pub mod gossip;
 pub mod health;
 pub mod hosts;
@@ -49,6 +51,7 @@
     pub(crate) spread: spread::SpreadState,
     pub(crate) health: health::HealthState,
     pub(crate) hosts: hosts::HostState,
+    pub(crate) claims: claims::LapsingClaims,
     standing_rule: StandingRule,
     standing: Standing,
     logged_members: Vec<Member>,
@@ -70,6 +73,7 @@
             configuration: None,
             spread: spread::SpreadState::new(settings.store.map(StoreClient::new)),
             health: health::HealthState::default(),
+            claims: claims::LapsingClaims::default(),
             hosts: hosts::HostState::new(settings.host_list.map(HostListClient::new)),
             standing_rule,
             standing: Standing::Starting,
@@ -130,13 +134,14 @@
         true
     }
 
-    fn housekeep(&mut self) {
+    fn housekeep(&mut self, cx: &mut Context<Self>) {
         let now = self.now();
-        let records = {
+        let (records, lapsed) = {
             let mut once = self.entry.once.lock().expect("no panic while held");
-            once.forget_expired(now);
-            once.records()
+            let lapsed = once.housekeep(now);
+            (once.records(), lapsed)
         };
+        self.lapse_claims(lapsed, cx);
         let revision = self.configuration.as_ref().map_or(0, |c| c.revision());
         let members = self.fleet.others().len() + 1;
         metrics::set_control_gauges(&self.entry.settings.name, revision, members, records);
@@ -181,6 +186,6 @@
             control.publish();
             control.wake_waiting();
         });
-        cx.run_interval(HOUSEKEEPING, |control, _| control.housekeep());
+        cx.run_interval(HOUSEKEEPING, |control, cx| control.housekeep(cx));
     }
 }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -64,6 +64,11 @@
             store_revision: 0,
         }
     }
+
+    /// The store's client, if the settings name a store.
+    pub fn store(&self) -> Option<StoreClient> {
+        self.store.clone()
+    }
 }
 
 /// A peer's request for what it lacks.
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -116,8 +116,9 @@
         self.claims.take(now)
     }
 
-    pub fn forget_expired(&mut self, now: Millis) {
-        self.ledger.forget_expired(now);
+    /// Forgets what has expired; returns claims whose keys may go.
+    pub fn housekeep(&mut self, now: Millis) -> Vec<[u8; 32]> {
+        self.ledger.housekeep(now)
     }
 
     pub fn open_records(&self) -> usize {
--- a/crates/ledger/src/ledger.rs
+++ b/crates/ledger/src/ledger.rs
@@ -123,6 +123,8 @@
     refused: HashMap<RecordId, Millis>,
     /// Every record by the moment it may be forgotten.
     by_expiry: BTreeSet<(Millis, RecordId)>,
+    /// Claims that were forgotten on the way, not yet reported.
+    lapsed_claims: Vec<[u8; 32]>,
     open: usize,
     next_number: u64,
     stopped: bool,
@@ -142,6 +144,7 @@
             kept_bytes: 0,
             refused: HashMap::new(),
             by_expiry: BTreeSet::new(),
+            lapsed_claims: Vec::new(),
             open: 0,
             next_number: 0,
             stopped: false,
@@ -305,8 +308,14 @@
         }
     }
 
-    /// Forgets closed records whose time has come.
-    pub fn forget_expired(&mut self, now: Millis) {
+    /// Forgets closed records whose time has come; returns the hashes of all
+    /// claims forgotten since the last call, whose keys in the store may go too.
+    pub fn housekeep(&mut self, now: Millis) -> Vec<[u8; 32]> {
+        self.forget_expired(now);
+        std::mem::take(&mut self.lapsed_claims)
+    }
+
+    fn forget_expired(&mut self, now: Millis) {
         self.refused.retain(|_, expires| *expires > now);
         let due: Vec<_> = self
             .by_expiry
@@ -315,8 +324,8 @@
             .filter(|(_, id)| !self.is_open(*id))
             .copied()
             .collect();
-        for entry in due {
-            self.by_expiry.remove(&entry);
+        for entry in &due {
+            self.by_expiry.remove(entry);
             if let Some(Record {
                 state: State::Closed(Some(answer)),
                 ..
@@ -327,6 +336,11 @@
         }
         let records = &self.records;
         self.kept.retain(|id| records.contains_key(id));
+        let claims = due.into_iter().filter_map(|(_, id)| match id.slot {
+            Slot::Claim(hash) => Some(hash),
+            Slot::Ticket(_) => None,
+        });
+        self.lapsed_claims.extend(claims);
     }
 
     /// Records open at this moment.
--- a/crates/ledger/tests/suite/ledger.rs
+++ b/crates/ledger/tests/suite/ledger.rs
@@ -272,7 +272,7 @@
             Step::Wait { ms } => world.now += ms,
             Step::Forget { ledger } => {
                 let clock = world.clock(ledger);
-                world.ledgers[ledger].forget_expired(clock);
+                world.ledgers[ledger].housekeep(clock);
             }
             Step::Stop { ledger } => {
                 world.ledgers[ledger].stop();
@@ -396,7 +396,7 @@
     let ticket = ledger.issue(0, "o");
     ledger.present_ticket(0, &ticket, &identity());
     let long_after = 100 * TICKET_MS;
-    ledger.forget_expired(long_after);
+    ledger.housekeep(long_after);
     let presented = ledger.present_ticket(long_after, &ticket, &identity());
     assert_eq!(presented, Presented::Wait);
     assert_eq!(ledger.open_records(), 1);
@@ -420,8 +420,22 @@
         Presented::Full
     );
     let room_again = 1100;
-    ledger.forget_expired(room_again);
+    ledger.housekeep(room_again);
     assert!(ledger.is_empty());
     let presented = ledger.present_ticket(room_again, &young, &identity());
     assert_eq!(presented, Presented::Refused);
 }
+
+#[test]
+fn a_claim_is_reported_once_when_it_is_forgotten_and_never_while_it_is_open() {
+    let mut ledger = Ledger::new(1, BOUNDS);
+    let id = RecordId {
+        issuer: 1,
+        slot: Slot::Claim([7; 32]),
+    };
+    ledger.present_claim(0, id, &identity(), true);
+    assert!(ledger.housekeep(BOUNDS.claim_ms + 1).is_empty());
+    ledger.close(id, vec![1]);
+    assert_eq!(ledger.housekeep(BOUNDS.claim_ms + 1), [[7; 32]]);
+    assert!(ledger.housekeep(BOUNDS.claim_ms + 2).is_empty());
+}
--- a/crates/local/tests/suite/configuration.rs
+++ b/crates/local/tests/suite/configuration.rs
@@ -199,3 +199,25 @@
     .await;
     fleet.shut_down().await;
 }
+
+#[actix_rt::test]
+async fn a_store_that_comes_back_is_asked_by_a_few_watchers_alone() {
+    let entries = 6;
+    let fleet = fixture::start(entries).await;
+    // Two watchers in each of the two halls.
+    let watchers = 4;
+    fleet.store.set_faults(down());
+    let calls = || {
+        let (reads, writes) = fleet.store.calls();
+        reads + writes
+    };
+    // Long enough for pauses to have grown; calls to a dead store count not.
+    actix_rt::time::sleep(std::time::Duration::from_millis(3_000)).await;
+    let before = calls();
+    fleet.store.set_faults(StoreFaults::default());
+    fixture::wait_until("every watcher has asked", || calls() >= before + watchers).await;
+    actix_rt::time::sleep(std::time::Duration::from_millis(1_000)).await;
+    let asked = calls() - before;
+    assert!(asked <= 2 * watchers, "{asked} calls of {entries} entries");
+    fleet.shut_down().await;
+}
--- a/crates/local/tests/suite/once.rs
+++ b/crates/local/tests/suite/once.rs
@@ -326,3 +326,19 @@
     assert_eq!(fixture::executions(&fleet, "second", "encode"), 0);
     fleet.shut_down().await;
 }
+
+#[actix_rt::test]
+async fn keys_of_old_claims_go_from_the_store() {
+    let mut options = fixture::options(1);
+    options.limits.claim_ms = 2_000;
+    let fleet = fixture::start_with(options).await;
+    let request = own_id(BOTH, "short-lived", fixture::wall_clock_ms());
+    let answer = fixture::call(&fleet, 0, &request).await.body;
+    assert_eq!(answer.outcome, Outcome::Whole);
+    assert_eq!(fleet.store.count_keys("claim/"), 1);
+    fixture::wait_until("the key is gone", || fleet.store.count_keys("claim/") == 0).await;
+    let again = fixture::call(&fleet, 0, &request).await.body;
+    assert_eq!(again.outcome, Outcome::Unknown, "the id is too old to say");
+    assert_eq!(fixture::executions(&fleet, "short-lived", "confirm"), 1);
+    fleet.shut_down().await;
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -2,7 +2,7 @@
 //!
 //! Token time grows with the running batch; prefill time grows with prompt
 //! tokens that the prefix cache does not hold. The cache is an LRU over
-//! sessions in a limited number of slots.
+//! sessions of organisations in a limited number of slots.
 
 use std::collections::VecDeque;
 use std::time::Duration;
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -96,7 +96,12 @@
     /// Number of keys that begin with `prefix`.
     pub fn count_keys(&self, prefix: &str) -> usize {
         let values = self.shared.values.lock().expect("no panic");
-        values.keys().filter(|key| key.starts_with(prefix)).count()
+        let now = Instant::now();
+        values
+            .iter()
+            .filter(|(key, _)| key.starts_with(prefix))
+            .filter(|(_, value)| value.lapses.is_none_or(|at| at > now))
+            .count()
     }
 
     /// Overwrites a key from outside, as an operator's mishap would.
--- a/crates/standins/src/target_run.rs
+++ b/crates/standins/src/target_run.rs
@@ -22,6 +22,7 @@
 pub(crate) struct Run {
     pub(crate) state: Arc<TargetState>,
     pub(crate) faults: TargetFaults,
+    pub(crate) org: String,
     pub(crate) call: Call,
     pub(crate) place: usize,
     pub(crate) _held: Counted,
@@ -92,7 +93,10 @@
 
     async fn answer_stream(self) -> HttpResponse {
         let cached = match &self.call.session {
-            Some(session) => self.state.cache.lock().expect("no panic").touch(session),
+            Some(session) => {
+                let prefix = format!("{}/{session}", self.org);
+                self.state.cache.lock().expect("no panic").touch(&prefix)
+            }
             None => false,
         };
         let prefill = self.state.profile.engine.prefill(cached);
--- a/crates/standins/src/targets.rs
+++ b/crates/standins/src/targets.rs
@@ -154,16 +154,18 @@
         since: Instant::now(),
         total: state.busy.clone(),
     };
+    let org = header(&req, ORGANISATION_HEADER);
     let place = state.log.begin(Execution {
         target: state.name.clone(),
         hall: state.hall.clone(),
-        org: header(&req, ORGANISATION_HEADER),
+        org: org.clone(),
         dispatch: call.dispatch.clone(),
         finished: false,
     });
     let run = Run {
         state,
         faults,
+        org,
         call: call.into_inner(),
         place,
         _held: held,
