A planned stop waits for streams; a body has to come in time

Cause, found by reading the stop as a newcomer: a request counted as in flight until its handler returned, and the handler of a stream, or of a request that is passed on, returns before the answer has gone out. A stop then closed the listeners 5 s later and cut what still streamed. A body that never ended kept a request in flight until the stop's own limit.

Change: streams, here and where they pass through, hold their count until they end; reading a body ends at the request's deadline, not run.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod arrivals;
 pub mod capacity;
+pub mod chaos;
 pub mod control;
 pub mod decision;
 pub mod faults;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_config::settings::Limits;
-use hollowsail_config::{Faults, SourceFile};
+use hollowsail_config::{Deployment, Faults, SourceFile};
 use hollowsail_local::localize::ReadError;
 use hollowsail_local::{read_directory, LocalError, LocalFleet, LocalOptions};
 use hollowsail_routing::Switches;
@@ -13,6 +13,7 @@
 use snafu::{ResultExt, Snafu};
 
 use crate::arrivals;
+use crate::chaos;
 use crate::faults::{ApplyCounts, Injection};
 use crate::history::{self, RevisionSampler};
 use crate::load::Callers;
@@ -47,6 +48,19 @@
     pub seed: u64,
 }
 
+fn with_drawn_faults(scenario: &Scenario, plan: &RunPlan, deployment: &Deployment) -> Scenario {
+    let drawn = chaos::draw(
+        scenario.drawn_faults,
+        plan.seed,
+        plan.seconds,
+        scenario.entries,
+        deployment,
+    );
+    let mut scenario = scenario.clone();
+    scenario.faults.extend(drawn);
+    scenario
+}
+
 /// Starts a fleet as scenarios want it.
 pub async fn start_fleet(scenario: &Scenario, plan: &RunPlan) -> Result<LocalFleet, BenchError> {
     let files = read_directory(&scenario.deployment).context(ReadSnafu)?;
@@ -110,6 +124,7 @@
 pub async fn run(scenario: &Scenario, plan: &RunPlan) -> Result<RunReport, BenchError> {
     let mut fleet = start_fleet(scenario, plan).await?;
     let deployment = fleet.deployment.clone();
+    let scenario = &with_drawn_faults(scenario, plan, &deployment);
     let callers = Callers::new(deployment.clone(), fleet.callers());
     let rate = scenario.load * plan.capacity;
     let arrivals = arrivals::plan(scenario, &deployment, rate, plan.seconds, plan.seed);
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -18,6 +18,8 @@
     pub load: f64,
     /// Share of requests under a ticket that are sent to two entries at once.
     pub duplicates: f64,
+    /// Faults drawn from the run's seed, besides those named.
+    pub drawn_faults: usize,
     /// Weight of each pipeline; missing ones are not called.
     pub mix: BTreeMap<String, f64>,
     /// Weight of each organisation in the arrivals; all equal when empty.
@@ -118,6 +120,7 @@
             entries: 3,
             load: 0.6,
             duplicates: 0.0,
+            drawn_faults: 0,
             mix: BTreeMap::new(),
             shares: BTreeMap::new(),
             faults: Vec::new(),
@@ -160,6 +163,7 @@
     scenario.entries = section.number("entries", 3, 1..=64);
     scenario.load = section.number("load", 0.6, 0.01..=10.0);
     scenario.duplicates = section.number("duplicates", 0.0, 0.0..=1.0);
+    scenario.drawn_faults = section.number("drawn_faults", 0, 0..=1000);
 }
 
 fn read_weights(section: &Section<'_>, fields: &ini::Properties) -> BTreeMap<String, f64> {
--- a/crates/bench/tests/suite/arrivals.rs
+++ b/crates/bench/tests/suite/arrivals.rs
@@ -12,6 +12,7 @@
         entries: 3,
         load: 0.5,
         duplicates: 0.2,
+        drawn_faults: 0,
         mix: BTreeMap::from([("ticket-check".into(), 3.0), ("appeal-draft".into(), 1.0)]),
         shares: BTreeMap::new(),
         faults,
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! The bench's own parts: scenarios, arrivals, and the history check.
 
 mod arrivals;
+mod chaos;
 mod history;
 mod scenario;
 
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -11,6 +11,7 @@
 use hollowsail_fleet::{Member, Standing};
 use serde::Deserialize;
 use serde_json::Value;
+use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, Refusal};
 use crate::headers;
@@ -206,8 +207,12 @@
 ) -> Result<(Job, Vec<u8>), Refusal> {
     let refuse = |kind, message: String| AnswerBody::refusal(&judged.request, kind, message);
     let limit = worker.entry.settings.limits.max_body_bytes;
-    let bytes = read_body(body, limit)
+    let bytes = timeout(judged.remaining(), read_body(body, limit))
         .await
+        .unwrap_or_else(|_| {
+            let message = "the body did not come in time".to_string();
+            Err((ErrorKind::DeadlineExceeded, message))
+        })
         .map_err(|(kind, message)| refuse(kind, message))?;
     let parsed: RequestBody = serde_json::from_slice(&bytes).map_err(|err| {
         let message = format!("the body is not a valid request: {err}");
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -17,13 +17,14 @@
 };
 use actix_web::web::{Bytes, Payload};
 use actix_web::{HttpResponse, HttpResponseBuilder};
-use futures_util::Stream;
+use futures_util::{Stream, StreamExt};
 use hollowsail_fleet::Member;
 use hollowsail_platform::http::nothing_sent;
 
 use crate::auth::{peer_token, PEER_HEADER};
 use crate::events;
 use crate::headers;
+use crate::view::InFlight;
 use crate::worker::Worker;
 
 /// Headers of a caller that go on with a relayed request.
@@ -120,7 +121,12 @@
                     back.insert_header((name, value.clone()));
                 }
             }
-            Ok(back.streaming(res))
+            // A planned stop waits until the answer has passed through.
+            let in_flight = InFlight::new(&worker.entry.in_flight);
+            Ok(back.streaming(res.map(move |piece| {
+                let _held = &in_flight;
+                piece
+            })))
         }
         Err(err) if nothing_sent(&err) => {
             worker.entry.log(
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -16,6 +16,7 @@
 use crate::answer::AnswerBody;
 use crate::once::OpenRecord;
 use crate::pipeline::{self, Job, Progress};
+use crate::view::InFlight;
 use crate::worker::Worker;
 
 /// Events that may wait for a slow caller.
@@ -33,6 +34,8 @@
     task: JoinHandle<()>,
     abort_on_drop: bool,
     ended: bool,
+    /// A planned stop waits for the stream, not only for its beginning.
+    _in_flight: InFlight,
 }
 
 impl Drop for EventStream {
@@ -92,6 +95,7 @@
     let (progress_tx, progress) = mpsc::channel(BUFFERED);
     let (answer_tx, answer) = mpsc::channel(1);
     let abort_on_drop = record.is_none();
+    let in_flight = InFlight::new(&worker.entry.in_flight);
     let worker = worker.clone();
     let task = actix_rt::spawn(async move {
         let ended = pipeline::run(&worker, &job, Some(&progress_tx)).await;
@@ -110,5 +114,6 @@
             task,
             abort_on_drop,
             ended: false,
+            _in_flight: in_flight,
         })
 }
--- a/crates/local/tests/suite/stopping.rs
+++ b/crates/local/tests/suite/stopping.rs
@@ -5,7 +5,7 @@
 use hollowsail_local::{Caller, CallerError};
 use hollowsail_routing::Outcome;
 
-use crate::fixture::{self, BOTH};
+use crate::fixture::{self, BOTH, NORTH};
 
 #[actix_rt::test]
 async fn requests_in_flight_end_whole_and_new_ones_are_served_while_the_balancer_lags() {
@@ -92,3 +92,61 @@
     assert_eq!(fixture::executions(&fleet, "rolling", "confirm"), 1);
     fleet.shut_down().await;
 }
+
+/// Longer than closing listeners wait for connections by themselves.
+#[actix_rt::test]
+async fn a_long_stream_is_not_cut_here_nor_where_it_is_passed_on() {
+    let mut options = fixture::options(3);
+    options.profile.engine.token = 800.0;
+    let mut fleet = fixture::start_with(options).await;
+    // The second entry stands in the south and passes the north's stream on.
+    let streams: Vec<_> = [(0, BOTH), (1, NORTH)]
+        .into_iter()
+        .map(|(place, key)| {
+            let address = fleet.entry(place).callers;
+            actix_rt::spawn(async move {
+                let id = format!("long-{place}");
+                let request = fixture::request("read", key, &id);
+                Caller::default().stream(address, &request).await
+            })
+        })
+        .collect();
+    let log = fleet.targets.log.clone();
+    fixture::wait_until("both streams have begun", || {
+        log.count("long-0", "generate") == 1 && log.count("long-1", "generate") == 1
+    })
+    .await;
+    let stops: Vec<_> = [1, 0]
+        .into_iter()
+        .map(|place| actix_rt::spawn(fleet.take_entry(place).expect("it runs").stop()))
+        .collect();
+    for stream in streams {
+        let answer = stream.await.expect("no panic").expect("the whole stream");
+        assert_eq!(answer.body.outcome, Outcome::Whole);
+    }
+    for stop in stops {
+        stop.await.expect("no panic");
+    }
+    fleet.shut_down().await;
+}
+
+#[actix_rt::test]
+async fn a_body_that_never_ends_is_refused_at_its_deadline_and_holds_up_no_stop() {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let mut fleet = fixture::start(2).await;
+    let mut socket = tokio::net::TcpStream::connect(fleet.entry(0).callers)
+        .await
+        .expect("it connects");
+    let head = format!(
+        "POST /v1/pipelines/read HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {BOTH}\r\n\
+         hollowsail-deadline-ms: 500\r\ncontent-length: 100\r\n\r\n{{"
+    );
+    socket.write_all(head.as_bytes()).await.expect("it is sent");
+    let mut answer = vec![0; 4096];
+    let read = socket.read(&mut answer).await.expect("an answer comes");
+    let answer = String::from_utf8_lossy(&answer[..read]);
+    assert!(answer.contains("\"not_run\""), "{answer}");
+    assert!(answer.contains("deadline_exceeded"), "{answer}");
+    fleet.take_entry(0).expect("it runs").stop().await;
+    fleet.shut_down().await;
+}
