Keep only the chunks that a revision names

Cause: without a store, an accepted revision kept the chunks of all revisions before it. Ruled out by a run with two allocator arenas, which grew alike: fragmentation.

Change: building a revision lets go of chunks that its head does not name.

--- a/crates/entry/src/configuration.rs
+++ b/crates/entry/src/configuration.rs
@@ -1,7 +1,7 @@
 //! A configuration in force: head, files, typed deployment, and its chunks
 //! for peers that ask.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use hollowsail_config::chunk::{self, ChunkError, ChunkHash, FileEntry, Head};
@@ -38,8 +38,11 @@
 }
 
 impl Configuration {
-    /// Builds a revision from its head and every chunk it names.
-    pub fn build(head: Head, chunks: Chunks) -> Result<Configuration, BuildError> {
+    /// Builds a revision from its head and every chunk it names; other chunks
+    /// are let go, or each revision would keep all that came before it.
+    pub fn build(head: Head, mut chunks: Chunks) -> Result<Configuration, BuildError> {
+        let named: HashSet<&ChunkHash> = head.chunk_hashes().collect();
+        chunks.retain(|hash, _| named.contains(hash));
         let fetch = |hash: &ChunkHash| chunks.get(hash).map(|bytes| bytes.to_vec());
         let files = chunk::join(&head, fetch).context(JoinSnafu)?;
         let deployment = check(&files).context(CheckSnafu {
