--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -110,6 +110,8 @@
 pub struct StatusReport {
     pub entry: String,
     pub revision: u64,
+    /// Milliseconds since that revision came in force here.
+    pub revision_age_ms: Option<u64>,
     pub apply_id: Option<String>,
     pub standing: String,
     /// Milliseconds since the store last answered; `None`: never.
@@ -129,10 +131,13 @@
     pub health: String,
     pub stopping: String,
     pub revision: u64,
+    /// Milliseconds since it spoke to the answering entry itself; `None`: not
+    /// yet. What is shown of it may be as old as that.
+    pub heard_ms_ago: Option<u64>,
 }
 
-impl From<&Member> for MemberStatus {
-    fn from(member: &Member) -> Self {
+impl MemberStatus {
+    fn new(member: &Member, heard_ms_ago: Option<u64>) -> Self {
         MemberStatus {
             name: member.name.clone(),
             hall: member.hall.clone(),
@@ -140,6 +145,7 @@
             health: format!("{:?}", member.health),
             stopping: format!("{:?}", member.stopping),
             revision: member.revision,
+            heard_ms_ago,
         }
     }
 }
@@ -173,13 +179,18 @@
             Standing::InTouch => "in touch",
             Standing::Isolated => "isolated",
         };
-        let members = std::iter::once(self.fleet.own())
-            .chain(self.fleet.others())
-            .map(MemberStatus::from)
+        let own = self.fleet.own();
+        let others = self.fleet.others().into_iter().map(|member| {
+            let heard = self.fleet.last_heard(member.incarnation);
+            MemberStatus::new(member, heard.map(|at| now - at))
+        });
+        let members = std::iter::once(MemberStatus::new(own, Some(0)))
+            .chain(others)
             .collect();
         MessageResult(StatusReply(StatusReport {
             entry: self.entry.settings.name.clone(),
             revision: view.revision(),
+            revision_age_ms: self.in_force_since.map(|at| now - at),
             apply_id: self.configuration.as_ref().map(|c| c.head.apply_id.clone()),
             standing: standing.into(),
             store_age_ms: self.spread.last_store.map(|at| now - at),
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -48,6 +48,8 @@
     pub(crate) rng: SmallRng,
     pub(crate) client: Client,
     pub(crate) configuration: Option<Arc<Configuration>>,
+    /// When that configuration came in force here.
+    pub(crate) in_force_since: Option<u64>,
     pub(crate) spread: spread::SpreadState,
     pub(crate) health: health::HealthState,
     pub(crate) hosts: hosts::HostState,
@@ -71,6 +73,7 @@
             rng,
             client: http::pooled_client(),
             configuration: None,
+            in_force_since: None,
             spread: spread::SpreadState::new(settings.store.map(StoreClient::new)),
             health: health::HealthState::default(),
             claims: claims::LapsingClaims::default(),
@@ -125,6 +128,7 @@
         }
         self.health.rebuild(&configuration);
         self.configuration = Some(configuration);
+        self.in_force_since = Some(self.now());
         self.fleet.set_revision(revision);
         self.entry.log(
             events::CONFIGURATION_IN_FORCE,
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -62,6 +62,8 @@
     member: Member,
     /// When its health or stop last changed here.
     since: Millis,
+    /// When it last spoke to this entry itself.
+    heard: Option<Millis>,
     /// Times this record was passed on in its present form.
     passed_on: u32,
 }
@@ -116,6 +118,11 @@
         members
     }
 
+    /// When a member last spoke to this entry itself.
+    pub fn last_heard(&self, incarnation: Incarnation) -> Option<Millis> {
+        self.known.get(&incarnation)?.heard
+    }
+
     /// Publishes the revision that this entry has in force.
     pub fn set_revision(&mut self, revision: u64) {
         self.own.revision = self.own.revision.max(revision);
@@ -266,6 +273,7 @@
         self.take_record(now, &message.from);
         if let Some(known) = self.known.get_mut(&message.from.incarnation) {
             known.member.list_hash = message.from.list_hash;
+            known.heard = Some(now);
         }
         for member in &message.members {
             self.take_record(now, member);
@@ -320,6 +328,7 @@
                     Known {
                         member: member.clone(),
                         since: now,
+                        heard: None,
                         passed_on: 0,
                     },
                 );
--- a/src/ops/status.rs
+++ b/src/ops/status.rs
@@ -34,8 +34,11 @@
 pub fn print(cx: &mut Context<'_>, report: &StatusReport) {
     let apply_id = report.apply_id.as_deref().unwrap_or("none");
     cx.say(format_args!(
-        "{}: revision {} (apply {apply_id}), {}",
-        report.entry, report.revision, report.standing
+        "{}: revision {} (apply {apply_id}) in force for {}, {}",
+        report.entry,
+        report.revision,
+        age(report.revision_age_ms),
+        report.standing
     ));
     match report.store_age_ms {
         Some(ms) => cx.say(format_args!("store answered {ms} ms ago")),
@@ -48,8 +51,13 @@
     cx.say("entries:");
     for member in &report.members {
         cx.say(format_args!(
-            "  {:<12} hall {:<10} revision {:<6} {}, stopping: {}",
-            member.name, member.hall, member.revision, member.health, member.stopping
+            "  {:<12} hall {:<10} revision {:<6} {}, stopping: {}, heard of {} ago",
+            member.name,
+            member.hall,
+            member.revision,
+            member.health,
+            member.stopping,
+            age(member.heard_ms_ago)
         ));
     }
     cx.say("targets:");
@@ -68,3 +76,12 @@
         ));
     }
 }
+
+/// Milliseconds for people.
+fn age(ms: Option<u64>) -> String {
+    match ms {
+        None => "an unknown time".to_string(),
+        Some(ms) if ms < 10_000 => format!("{ms} ms"),
+        Some(ms) => format!("{} s", ms / 1000),
+    }
+}
--- a/tests/suite/output.rs
+++ b/tests/suite/output.rs
@@ -113,6 +113,7 @@
     let report = StatusReport {
         entry: "entry-1".into(),
         revision: 3,
+        revision_age_ms: Some(75_000),
         apply_id: Some("abc".into()),
         standing: "in touch".into(),
         store_age_ms: Some(40),
@@ -125,6 +126,7 @@
             health: "Alive".into(),
             stopping: "No".into(),
             revision: 3,
+            heard_ms_ago: Some(120),
         }],
         targets: vec![TargetStatus {
             name: "llm-01".into(),
@@ -135,11 +137,11 @@
         }],
     };
     expect![[r#"
-        entry-1: revision 3 (apply abc), in touch
+        entry-1: revision 3 (apply abc) in force for 75 s, in touch
         store answered 40 ms ago
         ledger: 1 open, 9 records
         entries:
-          entry-1      hall mtl-a      revision 3      Alive, stopping: No
+          entry-1      hall mtl-a      revision 3      Alive, stopping: No, heard of 120 ms ago
         targets:
           llm-01         in flight 2      1.2 times its usual time, ejected, takes no new work
     "#]]
