Refuse files without a deployment, and adapters that no model lists

Cause: hollowsail check with no file at all said 'ok', and an organisation could name an adapter that no model has.

Change: both are faults with file, line and field.

--- a/crates/config/src/build.rs
+++ b/crates/config/src/build.rs
@@ -63,6 +63,7 @@
         };
         self.link_targets(&mut deployment);
         self.link_organisations(&mut deployment);
+        self.report_unknown_adapters(&deployment);
         self.report_unused_stages(&deployment);
         deployment
     }
@@ -241,6 +242,22 @@
         }
     }
 
+    fn report_unknown_adapters(&self, deployment: &Deployment) {
+        let sections = of_kind(self.sections, "organisation");
+        for (section, org) in sections.zip(&deployment.organisations) {
+            let Some(adapter) = &org.adapter else {
+                continue;
+            };
+            if !deployment
+                .models
+                .iter()
+                .any(|m| m.adapters.contains(adapter))
+            {
+                section.fault("adapter", format!("names {adapter}, which no model lists"));
+            }
+        }
+    }
+
     fn report_unused_stages(&self, deployment: &Deployment) {
         for section in self.stages.values() {
             let (owner, name) = section.item_name().split_once('.').unwrap_or_default();
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -35,6 +35,10 @@
     let faults = FaultList::default();
     let parsed = parse_all(files, &faults);
     let sections = collect_sections(&parsed, &faults);
+    // A file that does not parse may hold it.
+    if parsed.len() == files.len() {
+        report_missing_deployment(files, &sections, &faults);
+    }
     let deployment = Builder::new(&sections).build();
     sections.into_iter().for_each(Section::finish);
     match (faults.into_vec(), deployment) {
@@ -91,6 +95,21 @@
     sections
 }
 
+fn report_missing_deployment(files: &[SourceFile], sections: &[Section<'_>], faults: &FaultList) {
+    if sections
+        .iter()
+        .any(|section| section.name() == "deployment")
+    {
+        return;
+    }
+    faults.push(Fault {
+        file: files.first().map_or("no file", |file| &file.name).into(),
+        line: 0,
+        field: "deployment".into(),
+        message: "is in none of the files; add [deployment] with a name".into(),
+    });
+}
+
 fn report_doubled(file: &ParsedFile<'_>, faults: &FaultList) {
     for (section, key, line) in file.index.doubled() {
         let field = match key {
--- a/crates/config/tests/suite/faults.rs
+++ b/crates/config/tests/suite/faults.rs
@@ -107,3 +107,30 @@
             1 fault(s); nothing was changed. Correct them and try again."#]],
     );
 }
+
+#[test]
+fn no_file_and_a_file_without_a_deployment_are_faults() {
+    faults_of(
+        &[],
+        expect![[r#"
+            no file:0: deployment: is in none of the files; add [deployment] with a name
+            1 fault(s); nothing was changed. Correct them and try again."#]],
+    );
+    faults_of(
+        &[source("a.ini", "[hall.a]\nregion = r\n")],
+        expect![[r#"
+            a.ini:0: deployment: is in none of the files; add [deployment] with a name
+            1 fault(s); nothing was changed. Correct them and try again."#]],
+    );
+}
+
+#[test]
+fn an_adapter_that_no_model_lists_is_a_fault() {
+    let text = GOOD.replace("[organisation.o]", "[organisation.o]\nadapter = legal");
+    faults_of(
+        &[source("a.ini", &text)],
+        expect![[r#"
+            a.ini:20: organisation.o.adapter: names legal, which no model lists
+            1 fault(s); nothing was changed. Correct them and try again."#]],
+    );
+}
