Keep an entry that has only the store in touch between its answers

Cause: a watch waits 10 s in the store, as long as the default time until an entry counts as isolated; an entry without peers then refused work for a moment, again and again. Found while asking why a test with a short isolation time passed: it looked for 'not whole' and would have taken a refusal.

Change: without peers the watch waits a third of the isolation time, whose default is 15 s now.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -77,7 +77,7 @@
             claim_ms: 3_600_000,
             claims_per_second: 20,
             stop_grace_ms: 3_000,
-            isolation_ms: 10_000,
+            isolation_ms: 15_000,
         }
     }
 }
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -26,7 +26,8 @@
 
 /// Watchers of the store in each hall.
 const WATCHERS_PER_HALL: usize = 2;
-/// How long one watch waits in the store.
+/// How long one watch waits in the store; shorter than the default time until
+/// an entry counts as isolated.
 const WATCH_WAIT: Duration = Duration::from_secs(10);
 /// First pause after a failed call; doubles up to [`MAX_PAUSE`].
 const MIN_PAUSE: Duration = Duration::from_millis(250);
@@ -107,13 +108,25 @@
         };
         self.spread.watching = true;
         let seen = self.spread.seen_version;
-        let watch = async move { store.watch(HEAD_KEY, seen, WATCH_WAIT).await };
+        let wait = self.watch_wait();
+        let watch = async move { store.watch(HEAD_KEY, seen, wait).await };
         let done = watch
             .into_actor(self)
             .map(|result, control, cx| control.on_watch(result, cx));
         cx.spawn(done);
     }
 
+    /// Without peers the store is the only contact: its answers must come well
+    /// before this entry would count as isolated.
+    fn watch_wait(&self) -> Duration {
+        let has_peers = self.fleet.present_peers().next().is_some();
+        let isolation = Duration::from_millis(self.entry.settings.limits.isolation_ms);
+        match has_peers {
+            true => WATCH_WAIT,
+            false => WATCH_WAIT.min(isolation / 3),
+        }
+    }
+
     fn on_watch(
         &mut self,
         result: Result<Option<(u64, Vec<u8>)>, StoreError>,
--- a/crates/local/tests/suite/configuration.rs
+++ b/crates/local/tests/suite/configuration.rs
@@ -221,3 +221,16 @@
     assert!(asked <= 2 * watchers, "{asked} calls of {entries} entries");
     fleet.shut_down().await;
 }
+
+#[actix_rt::test]
+async fn an_entry_that_has_only_the_store_stays_in_touch_between_its_answers() {
+    let mut options = fixture::options(1);
+    options.limits.isolation_ms = 4_000;
+    let fleet = fixture::start_with(options).await;
+    let entry = fleet.entry(0).entry.clone();
+    for _ in 0..70 {
+        actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+        assert_eq!(entry.view().standing, hollowsail_fleet::Standing::InTouch);
+    }
+    fleet.shut_down().await;
+}
