Make one piece of what stood twice, and compute one quantile where one is read

Cause, found by reading the whole change again: whether an organisation permits a hall of some name was spelled out in four places, and 'knows its peers' in two; each answer, and each published view, computed three quantiles of a stage to read the middle one; two methods of the wait queue had no caller.

Change: Deployment::permits_named, Entry::knows_peers, health::typical; the two methods are gone. Behaviour is as it was; no test changed.

--- a/crates/bench/src/history.rs
+++ b/crates/bench/src/history.rs
@@ -142,9 +142,7 @@
 fn check_places(promises: &mut Promises, deployment: &Deployment, executions: &[Execution]) {
     for execution in executions {
         let org = deployment.find_organisation(&execution.org);
-        let hall = deployment.find_hall(&execution.hall);
-        let permitted =
-            matches!((org, hall), (Some(org), Some(hall)) if deployment.permits(org, hall));
+        let permitted = org.is_some_and(|org| deployment.permits_named(org, &execution.hall));
         promises.check("data stays in permitted halls", permitted);
     }
 }
--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -238,6 +238,12 @@
     pub fn permits(&self, org: OrganisationKey, hall: HallKey) -> bool {
         self.organisation(org).halls.contains(&hall)
     }
+
+    /// The same by the hall's name; a hall that is not known is not permitted.
+    pub fn permits_named(&self, org: OrganisationKey, hall: &str) -> bool {
+        self.find_hall(hall)
+            .is_some_and(|hall| self.permits(org, hall))
+    }
 }
 
 fn position<T>(items: &[T], matches: impl Fn(&T) -> bool) -> Option<u16> {
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -79,7 +79,7 @@
 async fn health(worker: web::Data<Worker>) -> HttpResponse {
     let view = worker.entry.view();
     // An entry that has peers cannot pass requests on before it knows them.
-    let ready = view.joined || worker.entry.settings.seeds.is_empty();
+    let ready = worker.entry.knows_peers();
     let welcome = view.standing == Standing::InTouch && !view.is_stopping() && ready;
     if welcome {
         HttpResponse::Ok().body("ok\n")
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -75,6 +75,11 @@
         self.view.store(Arc::new(view));
     }
 
+    /// True when this entry knows its peers, or its settings name none.
+    pub fn knows_peers(&self) -> bool {
+        self.view.load().joined || self.settings.seeds.is_empty()
+    }
+
     /// The configuration in force here.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.view.load().configuration.clone()
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -173,7 +173,7 @@
             return 1;
         };
         let expected = deployment.pipeline(pipeline).stages[stage].expected_ms;
-        expectation(u64::from(expected), &self.stages[pipeline.index()][stage]).typical_ms
+        typical(u64::from(expected), &self.stages[pipeline.index()][stage])
     }
 
     /// Ejects what deserves it; returns the targets newly out.
@@ -229,7 +229,7 @@
         let mut longest = vec![1; deployment.services.len()];
         for (pipeline, windows) in deployment.pipelines.iter().zip(&self.stages) {
             for (stage, window) in pipeline.stages.iter().zip(windows) {
-                let typical = expectation(u64::from(stage.expected_ms), window).typical_ms;
+                let typical = typical(u64::from(stage.expected_ms), window);
                 let service = &mut longest[stage.service.index()];
                 *service = typical.max(*service);
             }
@@ -263,10 +263,14 @@
     }
 }
 
+fn typical(expected_ms: u64, window: &LatencyWindow) -> Millis {
+    window.quantile(TYPICAL).unwrap_or(expected_ms)
+}
+
 fn expectation(expected_ms: u64, window: &LatencyWindow) -> StageExpectation {
     StageExpectation {
         fast_ms: window.quantile(FAST).unwrap_or(0),
-        typical_ms: window.quantile(TYPICAL).unwrap_or(expected_ms),
+        typical_ms: typical(expected_ms, window),
         slow_ms: window
             .quantile(SLOW)
             .unwrap_or(UNMEASURED_SLOW * expected_ms),
--- a/crates/entry/src/judge.rs
+++ b/crates/entry/src/judge.rs
@@ -98,9 +98,7 @@
 /// True when this entry stands in a hall that the organisation permits.
 pub fn serves_here(worker: &Worker, judged: &Judged) -> bool {
     let deployment = &judged.configuration.deployment;
-    deployment
-        .find_hall(&worker.entry.settings.hall)
-        .is_some_and(|hall| deployment.permits(judged.org, hall))
+    deployment.permits_named(judged.org, &worker.entry.settings.hall)
 }
 
 /// The refusal of a request that no entry may serve now.
@@ -122,11 +120,7 @@
         .members
         .iter()
         .filter(|member| member.takes_work())
-        .filter(|member| {
-            deployment
-                .find_hall(&member.hall)
-                .is_some_and(|hall| deployment.permits(judged.org, hall))
-        })
+        .filter(|member| deployment.permits_named(judged.org, &member.hall))
         .cloned()
         .collect();
     members.shuffle(&mut rand::rng());
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -100,9 +100,9 @@
     let may_hold = |org: &str| {
         configuration.as_ref().is_some_and(|configuration| {
             let deployment = &configuration.deployment;
-            let hall = deployment.find_hall(&member.hall);
-            let org = deployment.find_organisation(org);
-            matches!((org, hall), (Some(org), Some(hall)) if deployment.permits(org, hall))
+            deployment
+                .find_organisation(org)
+                .is_some_and(|org| deployment.permits_named(org, &member.hall))
         })
     };
     let mut once = entry.once.lock().expect("no panic while held");
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -120,8 +120,7 @@
         let ready = |entry: &RunningEntry| {
             let view = entry.entry.view();
             let present = view.members.iter().filter(|m| m.is_present()).count();
-            let joined = view.joined || entry.entry.settings.seeds.is_empty();
-            present + 1 >= count && view.revision() > 0 && joined
+            present + 1 >= count && view.revision() > 0 && entry.entry.knows_peers()
         };
         while !self.running().all(ready) {
             tokio::time::sleep(MEMBERS_PAUSE).await;
--- a/crates/routing/src/queue.rs
+++ b/crates/routing/src/queue.rs
@@ -70,12 +70,4 @@
     pub fn has_ahead_of(&self, rank: &Rank) -> bool {
         self.waiting.range(..rank).next().is_some()
     }
-
-    pub fn len(&self) -> usize {
-        self.waiting.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
 }
