--- a/crates/bench/src/overhead.rs
+++ b/crates/bench/src/overhead.rs
@@ -5,12 +5,12 @@
 use std::time::Instant;
 
 use hdrhistogram::Histogram;
+use hollowsail_clients::http;
+use hollowsail_clients::target::{self, Call, StreamStep};
 use hollowsail_config::settings::Limits;
 use hollowsail_config::ServiceKind;
 use hollowsail_local::caller::Request;
 use hollowsail_local::{read_directory, Caller, LocalFleet, LocalOptions};
-use hollowsail_platform::http;
-use hollowsail_platform::target::{self, Call, StreamStep};
 use hollowsail_standins::Profile;
 use serde::Serialize;
 use serde_json::{json, Value};
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -121,7 +121,10 @@
     /// The HTTP response.
     pub fn into_response(self) -> HttpResponse {
         let row = self.kind.map(ErrorKind::answer);
-        let status = row.map_or(actix_web::http::StatusCode::OK, |row| row.status_code());
+        let status = row.map_or(actix_web::http::StatusCode::OK, |row| {
+            actix_web::http::StatusCode::from_u16(row.status)
+                .expect("the table holds valid statuses")
+        });
         let mut res = HttpResponse::build(status);
         if let Some(ms) = self.retry_after_ms {
             res.insert_header((RETRY_AFTER, ms.div_ceil(1000).to_string()));
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -10,10 +10,10 @@
 use std::time::{Duration, Instant};
 
 use actix_web::http::StatusCode;
+use hollowsail_clients::{Expect, StoreClient, StoreError, StoreReply};
 use hollowsail_config::chunk::{FileEntry, Head};
 use hollowsail_config::{check, Fault, SourceFile};
 use hollowsail_fleet::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
-use hollowsail_platform::{Expect, StoreClient, StoreError, StoreReply};
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::{changed_files, chunk_key, split, Chunks, Configuration, HEAD_KEY};
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -7,8 +7,8 @@
 
 use std::time::{Duration, Instant};
 
+use hollowsail_clients::target::{CallError, Sent, TargetNotice};
 use hollowsail_config::Stage;
-use hollowsail_platform::target::{CallError, Sent, TargetNotice};
 use hollowsail_routing::{
     attempt_status, may_try_again, Observation, Progress, RetryBudget, StagePlan, StageStatus,
 };
--- a/crates/entry/src/control/claims.rs
+++ b/crates/entry/src/control/claims.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
-use hollowsail_platform::Expect;
+use hollowsail_clients::Expect;
 
 use crate::control::Control;
 use crate::once::claim_key;
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -9,9 +9,9 @@
 use std::sync::{Arc, Mutex};
 
 use actix::Message;
+use hollowsail_clients::target::TargetNotice;
 use hollowsail_config::{Deployment, PipelineKey, TargetKey};
 use hollowsail_fleet::HostView;
-use hollowsail_platform::target::TargetNotice;
 use hollowsail_routing::health::eject_worst;
 use hollowsail_routing::{
     HealthRules, LatencyWindow, Millis, Observation, RetryBudget, StageExpectation, TargetHealth,
--- a/crates/entry/src/control/hosts.rs
+++ b/crates/entry/src/control/hosts.rs
@@ -8,8 +8,8 @@
 use std::time::Duration;
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
+use hollowsail_clients::{HostList, HostListClient, HostStatus};
 use hollowsail_fleet::{ListedHost, Millis};
-use hollowsail_platform::{HostList, HostListClient, HostStatus};
 
 use crate::control::Control;
 use crate::events;
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -20,8 +20,8 @@
 
 use actix::{Actor, AsyncContext, Context};
 use awc::Client;
+use hollowsail_clients::{http, HostListClient, StoreClient};
 use hollowsail_fleet::{Fleet, Member, Standing, StandingRule};
-use hollowsail_platform::{http, HostListClient, StoreClient};
 use rand::rngs::SmallRng;
 
 use crate::configuration::Configuration;
--- a/crates/entry/src/control/spread.rs
+++ b/crates/entry/src/control/spread.rs
@@ -13,8 +13,8 @@
 
 use actix::{ActorFutureExt, AsyncContext, Context, WrapFuture};
 use awc::Client;
+use hollowsail_clients::{StoreClient, StoreError};
 use hollowsail_config::chunk::{hash_chunk, ChunkHash, Head};
-use hollowsail_platform::{StoreClient, StoreError};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use serde_bytes::ByteBuf;
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -3,8 +3,8 @@
 
 use std::time::{Duration, Instant};
 
+use hollowsail_clients::target::{self, Call, CallError, Sent, StreamStep, TargetNotice};
 use hollowsail_config::{ServiceKind, TargetKey};
-use hollowsail_platform::target::{self, Call, CallError, Sent, StreamStep, TargetNotice};
 use serde_json::{json, Value};
 use tokio::time::timeout;
 
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -7,12 +7,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use hollowsail_clients::{Expect, StoreClient, StoreError, StoreReply};
 use hollowsail_config::settings::Limits;
 use hollowsail_ledger::claim::{Claim, ClaimStep, ClaimValue, Claimed, Progress, StoreAnswer};
 use hollowsail_ledger::{
     Bounds, HandOver, Identity, Incarnation, Ledger, Millis, Presented, RecordId, Slot, Ticket,
 };
-use hollowsail_platform::{Expect, StoreClient, StoreError, StoreReply};
 use tokio::sync::oneshot;
 
 use crate::answer::{AnswerBody, Refusal};
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -18,8 +18,8 @@
 use actix_web::web::{Bytes, Payload};
 use actix_web::{HttpResponse, HttpResponseBuilder};
 use futures_util::{Stream, StreamExt};
+use hollowsail_clients::http::nothing_sent;
 use hollowsail_fleet::Member;
-use hollowsail_platform::http::nothing_sent;
 
 use crate::auth::{peer_token, PEER_HEADER};
 use crate::events;
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -8,9 +8,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollowsail_clients::http::{nothing_sent, pooled_client};
 use hollowsail_fleet::{Incarnation, Member};
 use hollowsail_ledger::HandOver;
-use hollowsail_platform::http::{nothing_sent, pooled_client};
 
 use crate::auth::{peer_token, PEER_HEADER};
 use crate::context::Entry;
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use awc::Client;
-use hollowsail_platform::http;
-use hollowsail_platform::StoreClient;
+use hollowsail_clients::http;
+use hollowsail_clients::StoreClient;
 
 use crate::context::Entry;
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -4,8 +4,9 @@
 //! Each entry exchanges a small message with one random peer at every tick.
 //! An exchange is at once a probe (a peer that does not answer is suspected),
 //! a carrier of member records and leaving hosts, and a comparison of
-//! configuration revisions. [`Accept`] drives an apply through the store. All state machines are pure: time and seeded
-//! randomness come in as arguments, [`Output`]s go out.
+//! configuration revisions. [`Accept`] drives an apply through the store, and
+//! [`TargetBook`] keeps which targets there are. All state machines are pure:
+//! time and seeded randomness come in as arguments, [`Output`]s go out.
 
 pub mod accept;
 pub mod fleet;
@@ -13,6 +14,7 @@
 pub mod member;
 pub mod rendezvous;
 pub mod standing;
+pub mod target_book;
 pub mod wire;
 
 pub use accept::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
@@ -20,6 +22,7 @@
 pub use leaving::{HostView, LeavingHost, ListedHost};
 pub use member::{Health, Member, Stopping};
 pub use standing::{Standing, StandingRule};
+pub use target_book::{BookTiming, TargetBook};
 pub use wire::Exchange;
 
 /// Milliseconds since the owning process started.
--- /dev/null
+++ b/crates/fleet/src/target_book.rs
@@ -0,0 +1,193 @@
+//! Which targets there are, by what the store tells, through outages of it.
+//!
+//! While the store answers, a record that goes means that its target is gone.
+//! A record that lapses because the store was away means nothing: the target
+//! may live on and write it again soon after the store's return. So what goes
+//! during an outage, or shortly after it, stays in the book as [`State::Doubted`]
+//! until [`BookTiming::return_ms`] after the return, and only then goes.
+//!
+//! An incarnation that was seen draining never becomes usable again, whatever
+//! older record arrives later.
+
+use std::collections::BTreeMap;
+
+use crate::Millis;
+
+/// How long a record may be missing after the store's return.
+#[derive(Debug, Clone, Copy)]
+pub struct BookTiming {
+    /// Time from the store's return after which a missing record means that
+    /// its target is gone, in milliseconds.
+    pub return_ms: Millis,
+}
+
+/// What the book says of one target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// Its record is there.
+    Recorded,
+    /// Its record went while the store was away; usable for now.
+    Doubted,
+    /// It takes no new work.
+    Draining,
+}
+
+#[derive(Debug, Clone)]
+struct Entry<R> {
+    record: R,
+    revision: u64,
+    state: State,
+}
+
+/// Whether the store answers this process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum StoreState {
+    Away,
+    /// Since this moment; 0 when it never was away.
+    Back(Millis),
+}
+
+/// Targets by their incarnations.
+#[derive(Debug, Clone)]
+pub struct TargetBook<R> {
+    timing: BookTiming,
+    entries: BTreeMap<String, Entry<R>>,
+    store: StoreState,
+}
+
+impl<R> TargetBook<R> {
+    /// An empty book of a store that answers.
+    pub fn new(timing: BookTiming) -> Self {
+        TargetBook {
+            timing,
+            entries: BTreeMap::new(),
+            store: StoreState::Back(0),
+        }
+    }
+
+    /// The store stopped answering. True when it is news.
+    pub fn store_away(&mut self) -> bool {
+        let was_there = self.store != StoreState::Away;
+        self.store = StoreState::Away;
+        was_there
+    }
+
+    /// The store answers. True when it is news.
+    pub fn store_back(&mut self, now: Millis) -> bool {
+        let was_away = self.store == StoreState::Away;
+        if was_away {
+            self.store = StoreState::Back(now.max(1));
+        }
+        was_away
+    }
+
+    /// True while a missing record proves nothing.
+    fn is_unsettled(&self, now: Millis) -> bool {
+        match self.store {
+            StoreState::Away => true,
+            StoreState::Back(0) => false,
+            StoreState::Back(since) => now < since + self.timing.return_ms,
+        }
+    }
+
+    /// A record was written at a revision. True when the book changed.
+    pub fn put(&mut self, incarnation: &str, revision: u64, record: R, draining: bool) -> bool {
+        let known = self.entries.get(incarnation);
+        if known.is_some_and(|known| known.revision > revision) {
+            return false;
+        }
+        let was_draining = known.is_some_and(|known| known.state == State::Draining);
+        let state = if draining || was_draining {
+            State::Draining
+        } else {
+            State::Recorded
+        };
+        let changed = known.is_none_or(|known| known.state != state);
+        let entry = Entry {
+            record,
+            revision,
+            state,
+        };
+        self.entries.insert(incarnation.to_string(), entry);
+        changed
+    }
+
+    /// A record went. True when the book changed.
+    pub fn deleted(&mut self, incarnation: &str, revision: u64, now: Millis) -> bool {
+        let unsettled = self.is_unsettled(now);
+        let Some(entry) = self.entries.get_mut(incarnation) else {
+            return false;
+        };
+        if entry.revision > revision {
+            return false;
+        }
+        entry.revision = revision;
+        if unsettled && entry.state != State::Draining {
+            entry.state = State::Doubted;
+            return false;
+        }
+        self.entries.remove(incarnation);
+        true
+    }
+
+    /// All records there are, as of a revision: what isn't among them went.
+    /// Returns the incarnations that left the book.
+    pub fn reconcile(&mut self, present: &[&str], revision: u64, now: Millis) -> Vec<String> {
+        let missing: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(incarnation, _)| !present.contains(&incarnation.as_str()))
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect();
+        missing
+            .into_iter()
+            .filter(|incarnation| self.deleted(incarnation, revision, now))
+            .collect()
+    }
+
+    /// Drops what is still missing some time after the store's return.
+    pub fn settle(&mut self, now: Millis) -> Vec<String> {
+        if self.is_unsettled(now) {
+            return Vec::new();
+        }
+        let doubted: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.state == State::Doubted)
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect();
+        for incarnation in &doubted {
+            self.entries.remove(incarnation);
+        }
+        doubted
+    }
+
+    /// When [`TargetBook::settle`] has something to do, if ever.
+    pub fn settles_at(&self) -> Option<Millis> {
+        let is_doubted = |entry: &Entry<R>| entry.state == State::Doubted;
+        match self.store {
+            StoreState::Back(since) if self.entries.values().any(is_doubted) => {
+                Some(since + self.timing.return_ms)
+            }
+            _ => None,
+        }
+    }
+
+    /// Targets that may get new work.
+    pub fn usable(&self) -> impl Iterator<Item = &R> {
+        self.entries
+            .values()
+            .filter(|entry| entry.state != State::Draining)
+            .map(|entry| &entry.record)
+    }
+
+    /// Targets in the book, leaving ones included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// True when no target is known.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/records.rs
@@ -0,0 +1,140 @@
+//! Follows the targets' records in the store.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowsail_observe::events;
+use hollowsail_platform::store::{Change, Item, Range, StoreError};
+use hollowsail_platform::targets::{self, PREFIX};
+
+use super::backoff::Backoff;
+use super::Control;
+
+/// How long a watch waits; see the configuration's.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
+
+/// Follows until the thread ends.
+pub async fn follow(cx: Rc<Control>) {
+    let mut backoff = Backoff::default();
+    loop {
+        match follow_once(&cx, &mut backoff).await {
+            Ok(()) | Err(StoreError::HistoryGone) => {}
+            Err(err) => {
+                cx.store_failed(&err);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Reads all records, then takes their changes until the store fails.
+async fn follow_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let range = cx.store.range(PREFIX, false).await?;
+    cx.store_answered();
+    backoff.reset();
+    cx.take_records(&range);
+    cx.settle_later();
+    let mut revision = range.revision;
+    loop {
+        let changes = cx.store.watch(PREFIX, revision, WATCH_WAIT).await?;
+        cx.store_answered();
+        revision = changes.revision;
+        let mut changed = false;
+        for change in &changes.changes {
+            changed |= cx.take_change(change);
+        }
+        if changed {
+            cx.publish();
+        }
+        cx.settle_later();
+    }
+}
+
+impl Control {
+    fn take_records(&self, range: &Range) {
+        for item in &range.items {
+            self.take_record(item);
+        }
+        let present: Vec<&str> = range
+            .items
+            .iter()
+            .filter_map(|item| item.key.strip_prefix(PREFIX))
+            .collect();
+        let now = self.clock.now();
+        let gone = self
+            .book
+            .borrow_mut()
+            .reconcile(&present, range.revision, now);
+        self.log_gone(&gone, "not_listed");
+        self.publish();
+    }
+
+    fn take_change(&self, change: &Change) -> bool {
+        match change {
+            Change::Put(item) => self.take_record(item),
+            Change::Deleted { key, revision } => {
+                let Some(incarnation) = key.strip_prefix(PREFIX) else {
+                    return false;
+                };
+                let now = self.clock.now();
+                let gone = self.book.borrow_mut().deleted(incarnation, *revision, now);
+                if gone {
+                    self.log_gone(&[incarnation.to_string()], "record_deleted");
+                }
+                gone
+            }
+        }
+    }
+
+    /// Takes one record into the book. True when the book changed.
+    fn take_record(&self, item: &Item) -> bool {
+        let Some(incarnation) = targets::incarnation_of(&item.key) else {
+            return false;
+        };
+        let record = match targets::decode(incarnation, &item.value) {
+            Ok(record) => record,
+            Err(err) => {
+                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                self.log.line(events::RECORD_UNREADABLE, fields);
+                return false;
+            }
+        };
+        let id = record.incarnation.0.clone();
+        let draining = record.draining;
+        let fields = format!(
+            "target={id} service={} addr={} hall={} draining={draining} revision={}",
+            record.service, record.addr, record.hall, item.revision
+        );
+        let mut book = self.book.borrow_mut();
+        let changed = book.put(&id, item.revision, Arc::new(record), draining);
+        if changed {
+            self.log
+                .line(events::TARGET_RECORD, format_args!("{fields}"));
+        }
+        changed
+    }
+
+    fn log_gone(&self, gone: &[String], why: &str) {
+        for incarnation in gone {
+            let fields = format_args!("target={incarnation} why={why}");
+            self.log.line(events::TARGET_GONE, fields);
+        }
+    }
+
+    /// Drops records that are still missing once the store's return is settled.
+    fn settle_later(self: &Rc<Self>) {
+        let Some(at) = self.book.borrow().settles_at() else {
+            return;
+        };
+        let cx = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(cx.clock.moment(at).into()).await;
+            let gone = cx.book.borrow_mut().settle(cx.clock.now());
+            if !gone.is_empty() {
+                cx.log_gone(&gone, "not_back_after_outage");
+                cx.publish();
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,27 @@
+//! The daemon that serves callers on the users' platform.
+//!
+//! Two threads. Control ([`control`]) watches the platform's store and
+//! publishes a [`view::View`] whenever the configuration or the targets change.
+//! Traffic ([`traffic`]) takes connections from callers ([`callers`]) and walks
+//! each request through its life ([`request`]): admission, the stages before it
+//! ([`pools`]), and its sends to targets ([`targets`]). A request reads one view
+//! at each decision; nothing here waits for control.
+//!
+//! The platform's names live in `hollowsail-platform`; the decisions in
+//! `hollowsail-routing`, `hollowsail-stages` and `hollowsail-fleet`.
+
+mod answer;
+mod callers;
+mod clock;
+mod control;
+mod log;
+mod pools;
+mod readiness;
+mod request;
+mod start;
+mod stop;
+mod targets;
+mod traffic;
+mod view;
+
+pub use start::{start, Running, StartError};
--- /dev/null
+++ b/crates/gateway/src/pools/call.rs
@@ -0,0 +1,214 @@
+//! One call to a target of a stage service.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_connect::Reuse;
+use hollowsail_observe::events;
+use hollowsail_platform::heads::TargetHead;
+use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
+use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece};
+use http::StatusCode;
+use snafu::Snafu;
+
+use super::batcher::Batcher;
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+/// Longest time for a call. Its pieces go to other targets long before, when
+/// they are overdue; this only bounds how long a silent target holds a place.
+const CALL_WITHIN: Duration = Duration::from_secs(4);
+/// Longest time for a call that gives results up.
+const FREE_WITHIN: Duration = Duration::from_secs(1);
+/// Longest answer read.
+const MOST_ANSWER_BYTES: usize = 256 << 10;
+/// Times that a piece is made again after a failure.
+const MOST_FAILURES: u32 = 4;
+
+/// Why a call gave no results.
+#[derive(Debug, Snafu)]
+enum CallError {
+    #[snafu(display("{source}"))]
+    Send {
+        source: hollowsail_connect::SendError,
+    },
+    #[snafu(display("the answer broke off: {source}"))]
+    CutOff {
+        source: hollowsail_connect::BodyError,
+    },
+    #[snafu(display("no answer within {} ms", CALL_WITHIN.as_millis()))]
+    Silent,
+    #[snafu(display("refused with status {status}"))]
+    Refused { status: StatusCode },
+    #[snafu(display("unexpected status {status}"))]
+    Status { status: StatusCode },
+    #[snafu(display("unreadable results: {source}"))]
+    Malformed { source: serde_json::Error },
+    #[snafu(display("an answer with {got} results for {asked} pieces"))]
+    Count { got: usize, asked: usize },
+}
+
+/// Makes the call and hands each piece its end.
+pub(super) async fn run(
+    cx: Rc<Traffic>,
+    batcher: Rc<Batcher>,
+    started: StartedCall,
+    target: Rc<Target>,
+) {
+    let begun = cx.clock.now();
+    let asked = pieces_of(&batcher, &started);
+    let result = match tokio::time::timeout(CALL_WITHIN, exchange(&target, &asked)).await {
+        Ok(result) => result,
+        Err(_) => Err(CallError::Silent),
+    };
+    let took = cx.clock.now() - begun;
+    let (outcome, end) = match &result {
+        Ok(_) => ("answered".to_string(), CallEnd::Answered),
+        Err(err @ CallError::Refused { .. }) => (err.to_string(), CallEnd::Refused),
+        Err(err) => (err.to_string(), CallEnd::Failed),
+    };
+    cx.log.line(
+        events::CALL_ENDED,
+        format_args!(
+            "service={} target={} pieces={} ms={took} outcome=\"{outcome}\"",
+            batcher.service,
+            target.incarnation().0,
+            asked.len(),
+        ),
+    );
+    if let Ok(results) = result {
+        hand_out(&cx, &batcher, &started, &asked, results);
+    }
+    let left = batcher
+        .queue
+        .borrow_mut()
+        .end_call(started.call, end, cx.clock.now());
+    give_back(&batcher, left, end);
+    batcher.pump();
+}
+
+/// A piece as it goes into a call.
+struct Asked {
+    started: StartedPiece,
+    piece: Piece,
+}
+
+/// The pieces of a call that somebody still waits for; one may be given up
+/// between the choice and the call.
+fn pieces_of(batcher: &Batcher, started: &StartedCall) -> Vec<Asked> {
+    let mut queue = batcher.queue.borrow_mut();
+    let mut asked = Vec::with_capacity(started.pieces.len());
+    for piece in &started.pieces {
+        match queue.job(piece.key) {
+            Some(job) => asked.push(Asked {
+                started: *piece,
+                piece: job.piece.clone(),
+            }),
+            None => queue.free(started.worker, piece.result_bytes),
+        }
+    }
+    asked
+}
+
+async fn exchange(target: &Rc<Target>, asked: &[Asked]) -> Result<Vec<PieceResult>, CallError> {
+    if asked.is_empty() {
+        return Ok(Vec::new());
+    }
+    let req = pieces::run_call(target.incarnation(), asked.iter().map(|asked| &asked.piece));
+    let exchange = target
+        .pool
+        .send(req, Reuse::Any)
+        .await
+        .map_err(|source| CallError::Send { source })?;
+    let status = exchange.response().status();
+    let head = TargetHead::read(status, exchange.response().headers());
+    let (_, body) = exchange.into_body(true);
+    let whole = body
+        .collect(MOST_ANSWER_BYTES)
+        .await
+        .map_err(|source| CallError::CutOff { source })?;
+    if head.not_run {
+        return Err(CallError::Refused { status });
+    }
+    if status != StatusCode::OK {
+        return Err(CallError::Status { status });
+    }
+    let json = whole.ok_or(CallError::Status { status })?;
+    let results = pieces::read_results(&json).map_err(|source| CallError::Malformed { source })?;
+    if results.len() != asked.len() {
+        return Err(CallError::Count {
+            got: results.len(),
+            asked: asked.len(),
+        });
+    }
+    Ok(results)
+}
+
+fn hand_out(
+    cx: &Rc<Traffic>,
+    batcher: &Rc<Batcher>,
+    started: &StartedCall,
+    asked: &[Asked],
+    results: Vec<PieceResult>,
+) {
+    for (Asked { started: at, piece }, result) in asked.iter().zip(results) {
+        let (key, bytes) = (at.key, at.result_bytes);
+        match result {
+            PieceResult::Made(handle) => {
+                let held = batcher.held(started.worker, handle, bytes);
+                batcher.end_piece(key, Ok(held));
+            }
+            PieceResult::Failed(failure) => {
+                batcher.queue.borrow_mut().free(started.worker, bytes);
+                cx.log.line(
+                    events::PIECE_FAILED,
+                    format_args!(
+                        "request={} stage={} piece={} why={failure:?}",
+                        piece.request_id, piece.stage, piece.piece
+                    ),
+                );
+                let is_final = matches!(failure, PieceFailure::Late | PieceFailure::InputGone);
+                if is_final {
+                    batcher.end_piece(key, Err(failure));
+                }
+            }
+        }
+    }
+}
+
+/// Pieces that a call left unmade wait again, a few times.
+fn give_back(batcher: &Rc<Batcher>, left: Vec<PieceKey>, end: CallEnd) {
+    for key in left {
+        let failures = batcher
+            .queue
+            .borrow_mut()
+            .job_mut(key)
+            .map_or(MOST_FAILURES, |job| {
+                // A full target says nothing of the piece.
+                job.failures += u32::from(end != CallEnd::Refused);
+                job.failures
+            });
+        if failures < MOST_FAILURES {
+            batcher.queue.borrow_mut().requeue(key);
+        } else {
+            batcher.end_piece(key, Err(PieceFailure::Failed));
+        }
+    }
+}
+
+/// Gives results up at the target that made them. Best effort: the target
+/// drops them by itself after a while.
+pub(super) async fn free(target: Rc<Target>, handles: Vec<String>) {
+    let req = pieces::free_call(target.incarnation(), &handles);
+    let send = async {
+        let exchange = target.pool.send(req, Reuse::Any).await.ok()?;
+        let (_, body) = exchange.into_body(true);
+        body.collect(MOST_ANSWER_BYTES).await.ok()
+    };
+    if tokio::time::timeout(FREE_WITHIN, send).await.is_err() {
+        log::debug!(
+            "results at {} were not given up in time",
+            target.record.addr
+        );
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/admit.rs
@@ -0,0 +1,172 @@
+//! Reads a request whole and finds what governs it.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use hollowsail_observe::ErrorKind;
+use hollowsail_platform::deployment::{Deployment, OrganisationKey, Route, RouteKey};
+use hollowsail_platform::heads::CallerHead;
+use http::request::Parts;
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+
+use crate::answer::Refusal;
+use crate::traffic::Traffic;
+
+/// A request that may be served.
+pub struct Admitted {
+    pub deployment: Arc<Deployment>,
+    pub route: RouteKey,
+    pub organisation: Option<OrganisationKey>,
+    /// The organisation's priority, or the route's; 0 is the most urgent.
+    pub priority: u8,
+    pub head: Parts,
+    pub caller: CallerHead,
+    pub body: Bytes,
+    pub arrived: Instant,
+    /// When the caller or the route gives the request up.
+    pub until: Instant,
+}
+
+impl Admitted {
+    /// Its route.
+    pub fn route(&self) -> &Route {
+        self.deployment.route(self.route)
+    }
+
+    /// Time that is left.
+    pub fn remaining(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+
+    /// Moment by which an answer earns its full worth.
+    pub fn due(&self) -> Instant {
+        self.arrived + self.route().target_latency
+    }
+
+    /// Name of its organisation.
+    pub fn organisation_name(&self) -> Option<&str> {
+        let key = self.organisation?;
+        Some(&self.deployment.organisation(key).name)
+    }
+}
+
+/// A request that is refused before anything else is known of it.
+pub struct Rejected {
+    pub request_id: Option<String>,
+    pub refusal: Refusal,
+}
+
+/// Longest time a caller is given for its body where its deadline and route
+/// allow more.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+
+/// Reads a request.
+pub async fn admit(
+    cx: &Rc<Traffic>,
+    head: Parts,
+    body: Incoming,
+    arrived: Instant,
+) -> Result<Admitted, Rejected> {
+    let caller = CallerHead::read(&head.headers).map_err(|fault| Rejected {
+        request_id: None,
+        refusal: Refusal::new(
+            ErrorKind::BadRequest,
+            format!("header {} is missing or malformed", fault.header()),
+        ),
+    })?;
+    let reject = |refusal| Rejected {
+        request_id: Some(caller.request_id.clone()),
+        refusal,
+    };
+    let deployment = cx.deployment().ok_or_else(|| {
+        reject(Refusal::new(
+            ErrorKind::NoConfiguration,
+            "none is known yet",
+        ))
+    })?;
+    let route = find_route(&deployment, &head).map_err(reject)?;
+    let organisation = find_organisation(&deployment, route, &caller).map_err(reject)?;
+    let longest = deployment.route(route).longest;
+    let until = arrived
+        + caller
+            .deadline
+            .map_or(longest, |deadline| deadline.min(longest));
+    let most = deployment.limits.body_bytes;
+    let body = read_body(body, most, until).await.map_err(reject)?;
+    let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
+    let priority = own_priority.unwrap_or(deployment.route(route).priority);
+    Ok(Admitted {
+        deployment,
+        route,
+        organisation,
+        priority,
+        head,
+        caller,
+        body,
+        arrived,
+        until,
+    })
+}
+
+fn find_route(deployment: &Deployment, head: &Parts) -> Result<RouteKey, Refusal> {
+    let host = head
+        .headers
+        .get(http::header::HOST)
+        .and_then(|value| value.to_str().ok())
+        .or(head.uri.host())
+        .unwrap_or_default();
+    let name = host.split(':').next().unwrap_or(host).to_ascii_lowercase();
+    deployment
+        .route_of(&name, head.uri.path())
+        .ok_or_else(|| Refusal::new(ErrorKind::UnknownRoute, "no route for this host and path"))
+}
+
+fn find_organisation(
+    deployment: &Deployment,
+    route: RouteKey,
+    caller: &CallerHead,
+) -> Result<Option<OrganisationKey>, Refusal> {
+    let known = caller
+        .api_key
+        .as_deref()
+        .and_then(|api_key| deployment.organisation_of(api_key));
+    let needs_key = deployment.has_organisations() && !deployment.route(route).public;
+    if needs_key && known.is_none() {
+        let detail = "the key is missing or of no organisation";
+        return Err(Refusal::new(ErrorKind::Unauthorized, detail));
+    }
+    Ok(known)
+}
+
+async fn read_body(mut body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refusal> {
+    let too_large = || Refusal::new(ErrorKind::BodyTooLarge, format!("over {most} bytes"));
+    if body.size_hint().lower() > most as u64 {
+        return Err(too_large());
+    }
+    let latest = until.min(Instant::now() + BODY_WITHIN);
+    let read = async {
+        let mut whole = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|err| {
+                Refusal::new(ErrorKind::BadRequest, format!("the body broke off: {err}"))
+            })?;
+            if let Ok(data) = frame.into_data() {
+                if whole.len() + data.len() > most {
+                    return Err(too_large());
+                }
+                whole.extend_from_slice(&data);
+            }
+        }
+        Ok(whole.freeze())
+    };
+    match tokio::time::timeout_at(latest.into(), read).await {
+        Ok(result) => result,
+        Err(_) => Err(Refusal::new(
+            ErrorKind::BodyLate,
+            "the body did not come in time",
+        )),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/request/attempt.rs
@@ -0,0 +1,136 @@
+//! One send of a request to one target.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_connect::{AnswerBody, Reuse};
+use hollowsail_platform::deployment::Repeat;
+use hollowsail_platform::heads::{self, ForTarget, TargetHead};
+use hollowsail_routing::Progress;
+use http::response::Parts;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+
+use super::admit::Admitted;
+use crate::targets::{InFlight, Target};
+
+/// A request that must not be lost uses a connection that rested at most this
+/// long: long enough for a late extra answer to show, short enough that the
+/// target hasn't begun to close it.
+const FRESH_FOR: Duration = Duration::from_millis(1_500);
+
+/// A target's answer, its body yet to come.
+pub struct Answered {
+    pub parts: Parts,
+    pub body: AnswerBody,
+    pub head: TargetHead,
+    pub target: Rc<Target>,
+    pub in_flight: InFlight,
+}
+
+/// An attempt that gave no answer to pass on.
+#[derive(Debug)]
+pub struct Failure {
+    /// What it proves.
+    pub progress: Progress,
+    pub why: String,
+    /// When the target wants to be asked again.
+    pub retry_after: Option<Duration>,
+}
+
+impl Failure {
+    fn new(progress: Progress, why: impl Into<String>) -> Self {
+        Failure {
+            progress,
+            why: why.into(),
+            retry_after: None,
+        }
+    }
+}
+
+/// What an attempt is given beside the request.
+pub struct Send<'a> {
+    pub inputs: &'a [String],
+    /// When this attempt is given up.
+    pub until: Instant,
+    /// Take a stream up after this event.
+    pub resume_after: Option<&'a str>,
+    /// Prompt tokens that the target has to read.
+    pub unread_tokens: u64,
+}
+
+/// Sends a request and waits for the head of the answer.
+pub async fn run(
+    admitted: &Admitted,
+    target: &Rc<Target>,
+    send: &Send<'_>,
+) -> Result<Answered, Failure> {
+    let in_flight = target.enter(send.unread_tokens);
+    let req = request_for(admitted, target, send);
+    let reuse = match admitted.route().repeat {
+        Repeat::Once | Repeat::StreamOnce => Reuse::Within(FRESH_FOR),
+        Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
+    };
+    let sent = target.pool.send(req, reuse);
+    let exchange = match tokio::time::timeout_at(send.until.into(), sent).await {
+        Ok(Ok(exchange)) => exchange,
+        Ok(Err(err)) if err.nothing_sent() => {
+            return Err(Failure::new(Progress::NothingSent, err.to_string()))
+        }
+        Ok(Err(err)) => return Err(Failure::new(Progress::Broken, err.to_string())),
+        Err(_) => return Err(Failure::new(Progress::Broken, "no answer in time")),
+    };
+    let head = TargetHead::read(exchange.response().status(), exchange.response().headers());
+    check(admitted, exchange.response().status(), &head)?;
+    let (parts, body) = exchange.into_body(true);
+    Ok(Answered {
+        parts,
+        body,
+        head,
+        target: target.clone(),
+        in_flight,
+    })
+}
+
+fn request_for(
+    admitted: &Admitted,
+    target: &Target,
+    send: &Send<'_>,
+) -> Request<Full<bytes::Bytes>> {
+    let is_engine = admitted.caller.generation.is_some();
+    let to = ForTarget {
+        incarnation: target.incarnation(),
+        remaining: send.until.saturating_duration_since(Instant::now()),
+        organisation: admitted.organisation_name(),
+        inputs: send.inputs,
+        priority: is_engine.then_some(admitted.priority.min(9)),
+        resume_after: send.resume_after,
+    };
+    let path = admitted.head.uri.path_and_query();
+    let mut req = Request::new(Full::from(admitted.body.clone()));
+    *req.method_mut() = admitted.head.method.clone();
+    *req.uri_mut() = path.map_or_else(http::Uri::default, |path| path.clone().into());
+    *req.headers_mut() = heads::rewrite_for_target(&admitted.head.headers, &to);
+    req
+}
+
+/// True answers bear the request's own id; a success bears the seal, too.
+fn check(admitted: &Admitted, status: StatusCode, head: &TargetHead) -> Result<(), Failure> {
+    if head.not_run {
+        return Err(Failure {
+            progress: Progress::FinalRefusal,
+            why: format!("the target refused with status {}", status.as_u16()),
+            retry_after: head.retry_after,
+        });
+    }
+    if head.request_id.as_deref() != Some(admitted.caller.request_id.as_str()) {
+        return Err(Failure::new(
+            Progress::Broken,
+            "an answer to another request",
+        ));
+    }
+    if status.is_success() && !head.sealed {
+        return Err(Failure::new(Progress::Broken, "a success without its seal"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/request/dispatch.rs
@@ -0,0 +1,283 @@
+//! Sends a request to targets until one answers or nothing more may be tried.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_fleet::rendezvous;
+use hollowsail_observe::{events, ErrorKind};
+use hollowsail_platform::deployment::ServiceKey;
+use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::{
+    choose, may_try_again, stage_status, Candidate, Observation, Progress, Reason, StageStatus,
+};
+use rand::Rng;
+
+use super::admit::Admitted;
+use super::attempt::{self, Answered, Failure, Send};
+use super::prepare::Prepared;
+use super::{relay, Trace};
+use crate::answer::{AnswerStream, Refusal};
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+/// Sends that reached no target and don't count as attempts; bounds a service
+/// whose targets are all unreachable.
+const MOST_UNREACHED: u32 = 4;
+
+/// The sends of one request, so far.
+pub struct Sends {
+    pub service: ServiceKey,
+    tried: HashSet<Incarnation>,
+    progress: Vec<Progress>,
+    /// Sends that may have reached a target.
+    arrivals: u32,
+    unreached: u32,
+    last_why: String,
+    retry_after: Option<Duration>,
+}
+
+impl Sends {
+    /// Nothing sent yet.
+    pub fn new(admitted: &Admitted) -> Self {
+        Sends {
+            service: choose_service(admitted),
+            tried: HashSet::new(),
+            progress: Vec::new(),
+            arrivals: 0,
+            unreached: 0,
+            last_why: "nothing was sent".to_string(),
+            retry_after: None,
+        }
+    }
+
+    /// Takes a failed attempt.
+    fn failed(&mut self, target: &Target, failure: Failure) {
+        self.tried.insert(target.incarnation().clone());
+        match failure.progress {
+            Progress::NothingSent => self.unreached += 1,
+            _ => self.arrivals += 1,
+        }
+        self.progress.push(failure.progress);
+        self.last_why = failure.why;
+        self.retry_after = failure.retry_after.or(self.retry_after);
+    }
+
+    /// What may be said of the request when no target answers it.
+    pub fn refusal(&self, kind_if_not_run: ErrorKind) -> Refusal {
+        let ran = stage_status(self.progress.iter().copied());
+        let kind = match ran {
+            StageStatus::NotRun => kind_if_not_run,
+            StageStatus::Unknown | StageStatus::Ran => ErrorKind::TargetFailed,
+        };
+        let refusal = Refusal::new(kind, self.last_why.clone());
+        match self.retry_after {
+            Some(after) => refusal.come_back_after(after),
+            None => refusal,
+        }
+    }
+}
+
+/// Sends a request and passes the answer on.
+pub async fn run(
+    cx: &Rc<Traffic>,
+    admitted: &Rc<Admitted>,
+    prepared: Prepared,
+    trace: &mut Trace,
+) -> Result<http::Response<AnswerStream>, Refusal> {
+    let mut sends = Sends::new(admitted);
+    loop {
+        let answered = next_answer(cx, admitted, &prepared, &mut sends, None).await;
+        trace.attempts = sends.arrivals + sends.unreached + 1;
+        let answered = answered?;
+        trace
+            .last_target
+            .clone_from(&answered.target.incarnation().0);
+        if admitted.route().repeat.is_stream() && answered.parts.status.is_success() {
+            return Ok(relay::stream(cx, admitted, answered, prepared, sends));
+        }
+        match relay::whole(cx, admitted, answered, &mut sends).await {
+            relay::Whole::Response(response) => return Ok(*response),
+            relay::Whole::TryAgain => {}
+        }
+    }
+}
+
+/// Sends until a target answers. `resume_after` takes a stream up.
+pub async fn next_answer(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &mut Sends,
+    resume_after: Option<&str>,
+) -> Result<Answered, Refusal> {
+    loop {
+        if admitted.remaining().is_zero() {
+            return Err(out_of_time(sends));
+        }
+        let target = choose_target(cx, admitted, prepared, sends)
+            .ok_or_else(|| sends.refusal(ErrorKind::NoTarget))?;
+        let send = Send {
+            inputs: &prepared.inputs,
+            until: admitted.until,
+            resume_after,
+            unread_tokens: admitted
+                .caller
+                .generation
+                .as_ref()
+                .map_or(0, |g| g.prompt_tokens),
+        };
+        if sends.progress.is_empty() {
+            cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
+        }
+        match attempt::run(admitted, &target, &send).await {
+            Ok(answered) => return Ok(answered),
+            Err(failure) => take_failure(cx, admitted, sends, &target, failure)?,
+        }
+    }
+}
+
+/// Counts a failed attempt. An error means that no other may follow.
+pub fn take_failure(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    sends: &mut Sends,
+    target: &Rc<Target>,
+    failure: Failure,
+) -> Result<(), Refusal> {
+    let progress = failure.progress;
+    cx.log.line(
+        events::ATTEMPT_FAILED,
+        format_args!(
+            "request={} target={} progress={progress:?} why=\"{}\"",
+            admitted.caller.request_id,
+            target.incarnation().0,
+            failure.why,
+        ),
+    );
+    if progress != Progress::FinalRefusal {
+        target.observe(Observation::Failed, 1);
+        for ejected in cx.targets().eject_worst(sends.service, cx.clock.now()) {
+            let fields = format_args!("target={} why=failures", ejected.incarnation().0);
+            cx.log.line(events::TARGET_EJECTED, fields);
+        }
+    }
+    sends.failed(target, failure);
+    if admitted.remaining().is_zero() {
+        return Err(out_of_time(sends));
+    }
+    let route = admitted.route();
+    let may_again = may_try_again(progress, route.repeat.is_repeatable())
+        && sends.arrivals < route.max_attempts
+        && sends.unreached < MOST_UNREACHED;
+    if !may_again {
+        return Err(sends.refusal(ErrorKind::Overloaded));
+    }
+    // Only a send after an earlier arrival adds to what the service gets.
+    let is_granted = sends.arrivals == 0
+        || cx.with_budget(&admitted.deployment, sends.service, |budget| budget.spend());
+    if is_granted {
+        Ok(())
+    } else {
+        Err(sends.refusal(ErrorKind::Overloaded))
+    }
+}
+
+fn out_of_time(sends: &Sends) -> Refusal {
+    let mut refusal = sends.refusal(ErrorKind::CannotFinish);
+    if refusal.kind == ErrorKind::TargetFailed {
+        refusal.kind = ErrorKind::DeadlineExceeded;
+    }
+    refusal
+}
+
+/// The service of a request, by the weights of its route.
+fn choose_service(admitted: &Admitted) -> ServiceKey {
+    let services = &admitted.route().services;
+    let total: u32 = services.iter().map(|(_, weight)| weight).sum();
+    let mut draw = rand::rng().random_range(0..total.max(1));
+    for (service, weight) in services {
+        if draw < *weight {
+            return *service;
+        }
+        draw -= weight;
+    }
+    services
+        .first()
+        .map_or(ServiceKey(u16::MAX), |(service, _)| *service)
+}
+
+fn choose_target(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &Sends,
+) -> Option<Rc<Target>> {
+    // A view newer than the request's may have dropped targets.
+    cx.deployment()?;
+    let name = &admitted.deployment.service(sends.service).name;
+    let service = cx.deployment_in_use()?.service_named(name)?;
+    let now = cx.clock.now();
+    let table = cx.targets();
+    let untried: Vec<&Rc<Target>> = table
+        .of(service)
+        .iter()
+        .filter(|target| !sends.tried.contains(target.incarnation()))
+        .collect();
+    let hall = prepared.hall();
+    let in_hall = |target: &Rc<Target>| hall.as_ref().is_some_and(|h| *h == target.record.hall);
+    let shared_part = shared_part(admitted);
+    let candidates: Vec<Candidate<usize>> = untried
+        .iter()
+        .enumerate()
+        .map(|(at, target)| Candidate {
+            target: at,
+            load: f64::from(target.in_flight.get()),
+            reported: 0.0,
+            slowness: target.health.borrow().slowness(),
+            ejected: target.health.borrow().is_ejected(now),
+            affinity: shared_part.map(|part| {
+                let score = rendezvous::score(part, &target.incarnation().0) >> 1;
+                score | (u64::from(in_hall(target)) << 63)
+            }),
+        })
+        .collect();
+    let choice = choose(&candidates, rand::rng().random())?;
+    let target = untried[choice.target].clone();
+    log_choice(cx, admitted, &target, choice.reason, candidates.len());
+    Some(target)
+}
+
+/// The last part of a prompt that other requests share.
+fn shared_part(admitted: &Admitted) -> Option<&str> {
+    let parts = &admitted.caller.generation.as_ref()?.parts;
+    let shared = parts.len().checked_sub(2).or(parts.len().checked_sub(1))?;
+    Some(&parts[shared].id)
+}
+
+fn log_choice(
+    cx: &Traffic,
+    admitted: &Admitted,
+    target: &Target,
+    reason: Reason,
+    candidates: usize,
+) {
+    cx.log.line(
+        events::ROUTE,
+        format_args!(
+            "request={} target={} addr={} hall={} reason={} candidates={candidates} \
+             in_flight={} left_ms={} view={}",
+            admitted.caller.request_id,
+            target.incarnation().0,
+            target.record.addr,
+            target.record.hall,
+            reason.name(),
+            target.in_flight.get(),
+            admitted
+                .until
+                .saturating_duration_since(Instant::now())
+                .as_millis(),
+            cx.view_number(),
+        ),
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/request/relay.rs
@@ -0,0 +1,240 @@
+//! Passes a target's answer on to the caller.
+//!
+//! Short answers are read whole first, so that one that breaks off can still be
+//! made up for elsewhere, or be told as failed. Streams are passed on event by
+//! event; one that breaks goes on at another target if its route allows, and
+//! else breaks at the caller too.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use hollowsail_observe::events;
+use hollowsail_platform::heads::without_connection_headers;
+use hollowsail_routing::{Observation, Progress};
+use http::{header, Response};
+use http_body::Frame;
+use http_body_util::StreamBody;
+
+use super::admit::Admitted;
+use super::attempt::{Answered, Failure};
+use super::dispatch::{self, Sends};
+use super::events::EventCutter;
+use super::prepare::Prepared;
+use crate::answer::{whole as whole_body, AnswerStream, BodyFault};
+use crate::traffic::Traffic;
+
+/// Longest answer that is read whole before it is passed on, in bytes.
+const MOST_WHOLE_BYTES: usize = 1 << 20;
+/// Time past a stream's end of time in which what is under way still passes.
+const STREAM_SLACK: Duration = Duration::from_millis(250);
+
+/// What came of reading an answer whole.
+pub enum Whole {
+    Response(Box<Response<AnswerStream>>),
+    /// It broke off or failed, and another target may be asked.
+    TryAgain,
+}
+
+/// Reads an answer whole and passes it on.
+pub async fn whole(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    answered: Answered,
+    sends: &mut Sends,
+) -> Whole {
+    let Answered {
+        parts,
+        body,
+        target,
+        in_flight,
+        ..
+    } = answered;
+    let read = tokio::time::timeout_at(admitted.until.into(), body.collect(MOST_WHOLE_BYTES)).await;
+    drop(in_flight);
+    let failure = |why: String| Failure {
+        progress: Progress::Broken,
+        why,
+        retry_after: None,
+    };
+    let failure = match read {
+        Ok(Ok(Some(bytes))) => {
+            let ms = admitted.arrived.elapsed().as_millis() as u64;
+            let typical = cx
+                .typical_ms(&admitted.deployment, sends.service)
+                .unwrap_or(ms);
+            if !parts.status.is_server_error() {
+                target.observe(Observation::Answered(ms), typical);
+                cx.record_latency(&admitted.deployment, sends.service, ms);
+            }
+            let response = Whole::Response(Box::new(passed_on(parts, whole_body(bytes))));
+            return response;
+        }
+        Ok(Ok(None)) => failure(format!("an answer of over {MOST_WHOLE_BYTES} bytes")),
+        Ok(Err(err)) => failure(format!("the answer broke off: {err}")),
+        Err(_) => failure("the answer was not whole in time".to_string()),
+    };
+    match dispatch::take_failure(cx, admitted, sends, &target, failure) {
+        Ok(()) => Whole::TryAgain,
+        Err(refusal) => {
+            let id = Some(admitted.caller.request_id.as_str());
+            Whole::Response(Box::new(refusal.into_response(id)))
+        }
+    }
+}
+
+/// The answer as the caller gets it.
+fn passed_on(parts: http::response::Parts, body: AnswerStream) -> Response<AnswerStream> {
+    let mut response = Response::new(body);
+    *response.status_mut() = parts.status;
+    *response.headers_mut() = without_connection_headers(&parts.headers);
+    response
+}
+
+/// A stream on its way through.
+struct Passing {
+    cx: Rc<Traffic>,
+    admitted: Rc<Admitted>,
+    sends: Sends,
+    answered: Answered,
+    prepared: Prepared,
+    cutter: EventCutter,
+    is_done: bool,
+}
+
+/// Passes a stream on as it comes.
+pub fn stream(
+    cx: &Rc<Traffic>,
+    admitted: &Rc<Admitted>,
+    answered: Answered,
+    prepared: Prepared,
+    sends: Sends,
+) -> Response<AnswerStream> {
+    let parts = {
+        let mut parts = Response::new(()).into_parts().0;
+        parts.status = answered.parts.status;
+        parts.headers = answered.parts.headers.clone();
+        // A stream that goes on elsewhere may differ in length of heads.
+        if admitted.route().repeat.is_repeatable() {
+            parts.headers.remove(header::CONTENT_LENGTH);
+        }
+        parts
+    };
+    let passing = Passing {
+        cx: cx.clone(),
+        admitted: admitted.clone(),
+        sends,
+        answered,
+        prepared,
+        cutter: EventCutter::default(),
+        is_done: false,
+    };
+    let frames = stream::unfold(passing, |mut passing| async move {
+        let next = passing.next().await?;
+        Some((next.map(Frame::data), passing))
+    });
+    passed_on(parts, Box::pin(StreamBody::new(frames)))
+}
+
+impl Passing {
+    /// The next whole events; `None` after the last.
+    async fn next(&mut self) -> Option<Result<Bytes, BodyFault>> {
+        while !self.is_done {
+            let limit = self.admitted.until + STREAM_SLACK;
+            let chunk = tokio::time::timeout_at(limit.into(), self.answered.body.chunk()).await;
+            match chunk {
+                Ok(Some(Ok(bytes))) => {
+                    if let Some(events) = self.cutter.push(&bytes) {
+                        self.first_event_seen();
+                        return Some(Ok(events));
+                    }
+                }
+                Ok(None) => return self.end(),
+                Ok(Some(Err(source))) => {
+                    let why = source.to_string();
+                    if !self.resume(&why).await {
+                        return self.break_off(BodyFault::Target { source });
+                    }
+                }
+                Err(_) => return self.break_off(BodyFault::TimeOver),
+            }
+        }
+        None
+    }
+
+    /// The prompt is read: what it started from is of no use any more, unless
+    /// another target may have to start over.
+    fn first_event_seen(&mut self) {
+        self.answered.in_flight.prompt_read();
+        if !self.admitted.route().repeat.is_repeatable() {
+            self.prepared = Prepared::default();
+        }
+    }
+
+    fn end(&mut self) -> Option<Result<Bytes, BodyFault>> {
+        self.is_done = true;
+        self.answered.target.observe(Observation::Answered(1), 1);
+        let rest = self.cutter.take_rest();
+        (!rest.is_empty()).then_some(Ok(rest))
+    }
+
+    fn break_off(&mut self, fault: BodyFault) -> Option<Result<Bytes, BodyFault>> {
+        self.is_done = true;
+        self.cx.log.line(
+            events::ATTEMPT_FAILED,
+            format_args!(
+                "request={} target={} progress=Broken why=\"{fault}\"",
+                self.admitted.caller.request_id,
+                self.answered.target.incarnation().0,
+            ),
+        );
+        Some(Err(fault))
+    }
+
+    /// Goes on at another target after the last whole event, if that is
+    /// allowed. True when it does.
+    async fn resume(&mut self, why: &str) -> bool {
+        let failure = Failure {
+            progress: Progress::Broken,
+            why: why.to_string(),
+            retry_after: None,
+        };
+        let target = self.answered.target.clone();
+        let (cx, admitted) = (&self.cx, &self.admitted);
+        if dispatch::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
+            return false;
+        }
+        let after = self
+            .cutter
+            .last_id()
+            .or(self.admitted.caller.last_event.as_deref());
+        let after = after.map(str::to_string);
+        let next = dispatch::next_answer(
+            cx,
+            admitted,
+            &self.prepared,
+            &mut self.sends,
+            after.as_deref(),
+        );
+        let Ok(answered) = next.await else {
+            return false;
+        };
+        if !answered.parts.status.is_success() {
+            return false;
+        }
+        cx.log.line(
+            events::STREAM_RESUMED,
+            format_args!(
+                "request={} from={} to={} after={}",
+                admitted.caller.request_id,
+                target.incarnation().0,
+                answered.target.incarnation().0,
+                after.as_deref().unwrap_or("start"),
+            ),
+        );
+        self.cutter.take_rest();
+        self.answered = answered;
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/targets.rs
@@ -0,0 +1,161 @@
+//! Targets as traffic sees them: connections, what is in flight, health.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hollowsail_connect::{Pool, PoolRules};
+use hollowsail_platform::deployment::{Deployment, Service, ServiceKey};
+use hollowsail_platform::targets::{Incarnation, TargetRecord};
+use hollowsail_routing::{HealthRules, Millis, Observation, TargetHealth};
+
+use crate::view::View;
+
+/// Longest time for a connection to a target: a lost opening packet is sent
+/// again after seconds, and another target is quicker than that.
+const DIAL_WITHIN: Duration = Duration::from_millis(400);
+/// Longest rest of a connection that is used again.
+const IDLE_FOR: Duration = Duration::from_secs(8);
+/// Most idle connections kept to one target.
+const MOST_IDLE: u32 = 16;
+/// Entries among which a target's connections are shared at least; the number
+/// of live ones isn't known here.
+const SHARING_ENTRIES: u32 = 16;
+
+/// One incarnation of a target.
+pub struct Target {
+    pub record: Arc<TargetRecord>,
+    pub pool: Rc<Pool>,
+    /// Requests of this entry that it has.
+    pub in_flight: Cell<u32>,
+    /// Prompt tokens of this entry's requests that it has yet to read.
+    pub unread_tokens: Cell<u64>,
+    pub health: RefCell<TargetHealth>,
+}
+
+/// Counts a request at a target until it is dropped.
+pub struct InFlight {
+    target: Rc<Target>,
+    unread_tokens: u64,
+}
+
+impl Target {
+    fn new(record: Arc<TargetRecord>, service: &Service) -> Rc<Self> {
+        let rules = PoolRules {
+            dial_within: DIAL_WITHIN,
+            max_idle: (service.max_connections / SHARING_ENTRIES).clamp(1, MOST_IDLE) as usize,
+            idle_for: IDLE_FOR,
+        };
+        Rc::new(Target {
+            pool: Pool::new(record.addr, rules),
+            record,
+            in_flight: Cell::new(0),
+            unread_tokens: Cell::new(0),
+            health: RefCell::default(),
+        })
+    }
+
+    /// Which start of the target this is.
+    pub fn incarnation(&self) -> &Incarnation {
+        &self.record.incarnation
+    }
+
+    /// Counts a request, with the prompt tokens that the target has to read.
+    pub fn enter(self: &Rc<Self>, unread_tokens: u64) -> InFlight {
+        self.in_flight.set(self.in_flight.get() + 1);
+        self.unread_tokens
+            .set(self.unread_tokens.get() + unread_tokens);
+        InFlight {
+            target: self.clone(),
+            unread_tokens,
+        }
+    }
+
+    /// Takes what an attempt showed.
+    pub fn observe(&self, observation: Observation, typical_ms: Millis) {
+        self.health.borrow_mut().observe(observation, typical_ms);
+    }
+}
+
+impl InFlight {
+    /// The prompt is read.
+    pub fn prompt_read(&mut self) {
+        let unread = std::mem::take(&mut self.unread_tokens);
+        let left = self.target.unread_tokens.get().saturating_sub(unread);
+        self.target.unread_tokens.set(left);
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.prompt_read();
+        let left = self.target.in_flight.get().saturating_sub(1);
+        self.target.in_flight.set(left);
+    }
+}
+
+/// Usable targets by service, and all that still have requests.
+#[derive(Default)]
+pub struct TargetTable {
+    by_service: Vec<Vec<Rc<Target>>>,
+    by_incarnation: HashMap<Incarnation, Rc<Target>>,
+}
+
+impl TargetTable {
+    /// Takes a new view over; targets that stay keep their connections and
+    /// health.
+    pub fn take(&mut self, view: &View) {
+        let Some(deployment) = &view.deployment else {
+            return;
+        };
+        let mut kept = HashMap::with_capacity(view.targets.len());
+        let mut by_service = vec![Vec::new(); deployment.services.len()];
+        for record in &view.targets {
+            let Some(key) = deployment.service_named(&record.service) else {
+                continue;
+            };
+            let target = self.take_or_make(record, deployment, key);
+            by_service[usize::from(key.0)].push(target.clone());
+            kept.insert(record.incarnation.clone(), target);
+        }
+        self.by_service = by_service;
+        self.by_incarnation = kept;
+    }
+
+    fn take_or_make(
+        &self,
+        record: &Arc<TargetRecord>,
+        deployment: &Deployment,
+        key: ServiceKey,
+    ) -> Rc<Target> {
+        match self.by_incarnation.get(&record.incarnation) {
+            Some(known) if known.record == *record => known.clone(),
+            _ => Target::new(record.clone(), deployment.service(key)),
+        }
+    }
+
+    /// Usable targets of a service.
+    pub fn of(&self, service: ServiceKey) -> &[Rc<Target>] {
+        self.by_service
+            .get(usize::from(service.0))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Puts targets of a service out that deserve it, at most half of them.
+    /// Returns those newly put out.
+    pub fn eject_worst(&self, service: ServiceKey, now: Millis) -> Vec<Rc<Target>> {
+        let targets = self.of(service);
+        let mut healths: Vec<TargetHealth> = targets
+            .iter()
+            .map(|target| target.health.borrow().clone())
+            .collect();
+        let rules = HealthRules::default();
+        let ejected = hollowsail_routing::health::eject_worst(now, &rules, &mut healths);
+        for (target, health) in targets.iter().zip(healths) {
+            *target.health.borrow_mut() = health;
+        }
+        ejected.into_iter().map(|at| targets[at].clone()).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/traffic.rs
@@ -0,0 +1,139 @@
+//! State of the traffic thread.
+
+use std::cell::{Cell, Ref, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use hollowsail_platform::deployment::{Deployment, ServiceKey};
+use hollowsail_platform::settings::Settings;
+use hollowsail_routing::{LatencyWindow, Millis, RetryBudget};
+use tokio::sync::Notify;
+
+use crate::clock::Clock;
+use crate::log::Log;
+use crate::pools::Pools;
+use crate::targets::TargetTable;
+use crate::view::{Published, View};
+
+/// Everything that requests share.
+pub struct Traffic {
+    pub settings: Arc<Settings>,
+    pub clock: Clock,
+    pub log: Log,
+    published: Arc<Published>,
+    view: RefCell<Arc<View>>,
+    targets: RefCell<TargetTable>,
+    pub pools: Pools,
+    /// By the service's name.
+    budgets: RefCell<HashMap<String, RetryBudget>>,
+    /// Recent times of whole requests, by the service's name.
+    latencies: RefCell<HashMap<String, LatencyWindow>>,
+    /// Requests between their head and the end of their answer.
+    pub in_flight: Cell<usize>,
+    /// Connections of callers.
+    pub connections: Cell<usize>,
+    /// A planned stop began.
+    pub stopping: Cell<bool>,
+    /// Told when idle connections of callers are to close.
+    pub close_idle: Notify,
+}
+
+impl Traffic {
+    /// State before the first view.
+    pub fn new(settings: Arc<Settings>, clock: Clock, published: Arc<Published>) -> Rc<Self> {
+        Rc::new(Traffic {
+            log: Log::new(&settings.host),
+            pools: Pools::default(),
+            view: RefCell::new(published.load()),
+            published,
+            settings,
+            clock,
+            targets: RefCell::default(),
+            budgets: RefCell::default(),
+            latencies: RefCell::default(),
+            in_flight: Cell::new(0),
+            connections: Cell::new(0),
+            stopping: Cell::new(false),
+            close_idle: Notify::new(),
+        })
+    }
+
+    /// Takes views over as they are published.
+    pub async fn follow_views(self: Rc<Self>) {
+        loop {
+            self.published.changed().await;
+            self.take_view();
+        }
+    }
+
+    fn take_view(self: &Rc<Self>) {
+        let newest = self.published.load();
+        if newest.number == self.view.borrow().number {
+            return;
+        }
+        self.targets.borrow_mut().take(&newest);
+        *self.view.borrow_mut() = newest;
+        self.pools.take_targets(self);
+    }
+
+    /// The configuration in force, if one is known. Looks for a newer view
+    /// first, so that a decision never lags behind what control knows.
+    pub fn deployment(self: &Rc<Self>) -> Option<Arc<Deployment>> {
+        self.take_view();
+        self.view.borrow().deployment.clone()
+    }
+
+    /// The configuration of the view in use.
+    pub fn deployment_in_use(&self) -> Option<Arc<Deployment>> {
+        self.view.borrow().deployment.clone()
+    }
+
+    /// True when new connections may come.
+    pub fn is_ready(self: &Rc<Self>) -> bool {
+        !self.stopping.get() && self.deployment().is_some()
+    }
+
+    /// Targets by service.
+    pub fn targets(&self) -> Ref<'_, TargetTable> {
+        self.targets.borrow()
+    }
+
+    /// Number of the view in use, for log lines.
+    pub fn view_number(&self) -> u64 {
+        self.view.borrow().number
+    }
+
+    /// Runs a change on the retry budget of a service.
+    pub fn with_budget<T>(
+        &self,
+        deployment: &Deployment,
+        service: ServiceKey,
+        change: impl FnOnce(&mut RetryBudget) -> T,
+    ) -> T {
+        let name = &deployment.service(service).name;
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets
+            .entry(name.clone())
+            .or_insert_with(|| RetryBudget::new(self.settings.bounds.retry_ratio * RETRY_SHARE));
+        change(budget)
+    }
+
+    /// What a request at a service typically takes; `None` before it is known.
+    pub fn typical_ms(&self, deployment: &Deployment, service: ServiceKey) -> Option<Millis> {
+        let name = &deployment.service(service).name;
+        self.latencies.borrow().get(name)?.quantile(0.5)
+    }
+
+    /// Takes the time of one request at a service.
+    pub fn record_latency(&self, deployment: &Deployment, service: ServiceKey, ms: Millis) {
+        let name = &deployment.service(service).name;
+        let mut latencies = self.latencies.borrow_mut();
+        let window = latencies.entry(name.clone()).or_default();
+        window.record(self.clock.now(), ms);
+    }
+}
+
+/// Part of the allowed ratio of retries that is used; the rest is left for what
+/// arrives twice without our doing.
+const RETRY_SHARE: f64 = 0.8;
--- /dev/null
+++ b/crates/gateway/src/view.rs
@@ -0,0 +1,43 @@
+//! What traffic knows of the world: one immutable snapshot.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use hollowsail_platform::deployment::Deployment;
+use hollowsail_platform::targets::TargetRecord;
+use tokio::sync::Notify;
+
+/// The configuration in force and the targets that may get new work.
+#[derive(Debug, Default)]
+pub struct View {
+    /// Rises with each publication.
+    pub number: u64,
+    /// Absent until the first one is known.
+    pub deployment: Option<Arc<Deployment>>,
+    pub targets: Vec<Arc<TargetRecord>>,
+}
+
+/// Where control puts views and traffic finds them.
+#[derive(Debug, Default)]
+pub struct Published {
+    current: ArcSwap<View>,
+    changed: Notify,
+}
+
+impl Published {
+    /// The newest view.
+    pub fn load(&self) -> Arc<View> {
+        self.current.load_full()
+    }
+
+    /// Puts a view in force.
+    pub fn publish(&self, view: View) {
+        self.current.store(Arc::new(view));
+        self.changed.notify_one();
+    }
+
+    /// Waits until a view is put in force that no earlier wait told of.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
--- a/crates/local/src/caller.rs
+++ b/crates/local/src/caller.rs
@@ -6,9 +6,9 @@
 use awc::Client;
 use eventsource_stream::Eventsource;
 use futures_util::StreamExt;
+use hollowsail_clients::http;
 use hollowsail_entry::tickets::Tickets;
 use hollowsail_entry::{headers, AnswerBody};
-use hollowsail_platform::http;
 use serde_json::{json, Value};
 use snafu::Snafu;
 
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hollowsail_clients::{HostRecord, HostStatus};
 use hollowsail_config::key::hash_key;
 use hollowsail_config::settings::{Limits, Settings};
 use hollowsail_config::{check, Deployment, Faults, SourceFile};
@@ -10,7 +11,6 @@
 use hollowsail_entry::worker::Worker;
 use hollowsail_entry::{start, RunningEntry, StartError, StartOptions};
 use hollowsail_fleet::FleetTiming;
-use hollowsail_platform::{HostRecord, HostStatus};
 use hollowsail_routing::Switches;
 use hollowsail_standins::{HostListStandIn, Profile, StoreStandIn, TargetStandIns};
 use snafu::{ResultExt, Snafu};
--- a/crates/local/tests/suite/leaving.rs
+++ b/crates/local/tests/suite/leaving.rs
@@ -1,8 +1,8 @@
 //! A leaving target gets no new work, whoever says first that it leaves.
 
+use hollowsail_clients::HostStatus;
 use hollowsail_entry::control::Drain;
 use hollowsail_local::LocalFleet;
-use hollowsail_platform::HostStatus;
 use hollowsail_routing::Outcome;
 use hollowsail_standins::TargetFaults;
 
--- a/crates/entry/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -40,6 +40,8 @@
     HAND_OVER_FAILED, 105, "hand_over_failed", Warn, "No successor took the ledger; its tickets end as unknown.";
     ADOPTED_LEDGER, 106, "adopted_ledger", Info, "This entry answers for a stopped entry's tickets.";
     LEFT, 107, "left", Info, "The stop is complete; peers know who answers for this entry's tickets.";
+    BAD_INPUT, 108, "bad_input", Warn, "A connection was closed because its caller went over a limit.";
+    RELOADED, 109, "reloaded", Info, "The settings file was read again.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt gave no valid answer.";
@@ -49,6 +51,9 @@
     HOST_LEAVING, 207, "host_leaving", Info, "A host takes no new work from now on.";
     LIST_NOT_BELIEVED, 208, "list_not_believed", Warn, "The host list shrank too much at once; the last one stays.";
     RELAY_FAILED, 209, "relay_failed", Warn, "A request could not be passed on; nothing was sent.";
+    CALL_ENDED, 210, "call_ended", Info, "A call with pieces of stages ended.";
+    PIECE_FAILED, 211, "piece_failed", Warn, "A piece of a stage was not made; it is made again or its request ends.";
+    STREAM_RESUMED, 212, "stream_resumed", Warn, "A stream that broke goes on at another target.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force here.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
@@ -57,6 +62,9 @@
     STORE_LOST, 306, "store_lost", Warn, "The store does not answer.";
     STORE_BACK, 307, "store_back", Info, "The store answers again.";
     STANDING, 308, "standing", Warn, "Whether this entry takes new work changed.";
+    RECORD_UNREADABLE, 309, "record_unreadable", Error, "A target's record cannot be read here; what was known of it stays.";
+    TARGET_RECORD, 310, "target_record", Info, "A target came, or began to drain.";
+    TARGET_GONE, 311, "target_gone", Info, "A target gets no work any more.";
     MEMBER, 401, "member", Info, "A member's health or stop changed.";
 }
 
--- a/crates/entry/src/kinds.rs
+++ b/crates/observe/src/kinds.rs
@@ -4,7 +4,6 @@
 //! table says which HTTP status it gets, whether to come back and when, and
 //! what the caller can do. `docs/ERRORS.md` shows the same table.
 
-use actix_web::http::StatusCode;
 use serde::{Deserialize, Serialize};
 
 macro_rules! error_kinds {
@@ -48,12 +47,6 @@
     pub advice: &'static str,
 }
 
-impl KindAnswer {
-    pub fn status_code(&self) -> StatusCode {
-        StatusCode::from_u16(self.status).expect("the table holds valid statuses")
-    }
-}
-
 error_kinds! {
     /// The request itself is malformed.
     BadRequest, "bad_request", 400, None, "correct the request as the message says";
@@ -63,6 +56,10 @@
     NotAllowed, "not_allowed", 403, None, "ask the operators to allow this pipeline";
     /// No such pipeline.
     UnknownPipeline, "unknown_pipeline", 404, None, "check the pipeline's name";
+    /// No route for the host and path.
+    UnknownRoute, "unknown_route", 404, None, "check the host and the path";
+    /// The body didn't come in time; nothing of the request ran.
+    BodyLate, "body_late", 408, Some(500), "send the whole body sooner";
     /// The body exceeds the limit.
     BodyTooLarge, "body_too_large", 413, None, "send a smaller body";
     /// The deadline is no number, 0, or beyond the pipeline's.
@@ -97,6 +94,8 @@
     NoPermittedEntry, "no_permitted_entry", 503, Some(1_000), "send the same request again later";
     /// A target failed and the stage could not be run elsewhere.
     TargetFailed, "target_failed", 502, Some(500), "see the stages' status for what ran";
+    /// A stage before the request could not be run; the request itself did not.
+    StageFailed, "stage_failed", 503, Some(1_000), "send the same request again later";
     /// The entry that the request was passed on to did not answer.
     RelayFailed, "relay_failed", 502, Some(500), "present the same ticket again";
     /// This entry reaches neither store nor peers.
--- /dev/null
+++ b/crates/observe/src/lib.rs
@@ -0,0 +1,8 @@
+//! What the daemons say of themselves: numbered log events, the closed list of
+//! error kinds, and the recorder behind the metrics address.
+
+pub mod events;
+pub mod kinds;
+pub mod output;
+
+pub use kinds::ErrorKind;
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -11,8 +11,9 @@
 
 /// One target as the choice sees it.
 #[derive(Debug, Clone, Copy)]
-pub struct Candidate {
-    pub target: TargetKey,
+pub struct Candidate<K = TargetKey> {
+    /// Key by which the caller knows it.
+    pub target: K,
     /// Requests it holds, by own count and by its reports.
     pub load: f64,
     /// What it last reported, however old; 0 when it reports nothing.
@@ -57,8 +58,8 @@
 
 /// A chosen target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Choice {
-    pub target: TargetKey,
+pub struct Choice<K = TargetKey> {
+    pub target: K,
     pub reason: Reason,
 }
 
@@ -66,10 +67,10 @@
 const AFFINITY_BOUND: f64 = 1.25;
 
 /// Chooses among candidates; `draw` is a random number.
-pub fn choose(candidates: &[Candidate], draw: u64) -> Option<Choice> {
-    let healthy: Vec<&Candidate> = candidates.iter().filter(|c| !c.ejected).collect();
+pub fn choose<K: Copy + Ord>(candidates: &[Candidate<K>], draw: u64) -> Option<Choice<K>> {
+    let healthy: Vec<&Candidate<K>> = candidates.iter().filter(|c| !c.ejected).collect();
     if healthy.is_empty() {
-        let all: Vec<&Candidate> = candidates.iter().collect();
+        let all: Vec<&Candidate<K>> = candidates.iter().collect();
         return better_of_two(&all, draw).map(|target| Choice {
             target,
             reason: Reason::AllEjected,
@@ -95,7 +96,7 @@
 }
 
 /// The first in rendezvous order whose load is within the bound.
-fn preferred(candidates: &[&Candidate]) -> Option<TargetKey> {
+fn preferred<K: Copy + Ord>(candidates: &[&Candidate<K>]) -> Option<K> {
     let total: f64 = candidates.iter().map(|c| c.load).sum();
     let bound = AFFINITY_BOUND * (total + 1.0) / candidates.len() as f64;
     candidates
@@ -106,14 +107,14 @@
         .map(|(_, target)| target)
 }
 
-fn better_of_two(candidates: &[&Candidate], draw: u64) -> Option<TargetKey> {
+fn better_of_two<K: Copy + Ord>(candidates: &[&Candidate<K>], draw: u64) -> Option<K> {
     let count = candidates.len() as u64;
     if count == 0 {
         return None;
     }
     let first = candidates[(draw % count) as usize];
     let second = candidates[((draw >> 32) % count) as usize];
-    let wait = |c: &Candidate| (c.load + 1.0) * c.slowness;
+    let wait = |c: &Candidate<K>| (c.load + 1.0) * c.slowness;
     let better = if wait(second) < wait(first) {
         second
     } else {
--- /dev/null
+++ b/crates/stages/src/batch.rs
@@ -0,0 +1,423 @@
+//! One queue for all workers of a stage service.
+//!
+//! A call to a worker costs a fixed time and some for each piece, so pieces
+//! share calls. They wait here, not at workers: whichever worker is free next
+//! takes the most urgent ones, up to a whole batch. Pieces of all requests mix.
+//!
+//! A worker's memory for results is counted here too: a piece goes only where
+//! its result has room, until [`BatchQueue::free`] tells that it was given up.
+//!
+//! A call that lasts much longer than it should makes its worker suspect: its
+//! pieces go back to the queue for others ([`BatchQueue::take_overdue`]), and
+//! the first result counts.
+
+use std::collections::BTreeSet;
+
+use slotmap::{new_key_type, SlotMap};
+
+use crate::Millis;
+
+new_key_type! {
+    /// One worker.
+    pub struct WorkerKey;
+    /// One piece, until its result is in or it is given up.
+    pub struct PieceKey;
+    /// One call under way.
+    pub struct CallKey;
+}
+
+/// What one worker does, by the configuration.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct PoolRules {
+    /// Calls at work at once.
+    pub running: usize,
+    /// Pieces in a call at most.
+    pub batch: usize,
+    /// Time of a call besides that of its pieces.
+    pub call_ms: f64,
+    /// About the time of a piece.
+    pub piece_ms: f64,
+    /// Memory for results.
+    pub result_bytes: u64,
+}
+
+impl PoolRules {
+    /// Time of a call with so many pieces.
+    pub fn expected_ms(&self, pieces: usize) -> f64 {
+        self.call_ms + self.piece_ms * pieces as f64
+    }
+}
+
+/// How urgent a piece is, and what its result takes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PieceOrder {
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When the result should be there.
+    pub due: Millis,
+    /// When the result is of no use any more.
+    pub expires: Millis,
+    /// About the size of the result.
+    pub result_bytes: u64,
+}
+
+/// A call to make now.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartedCall {
+    pub call: CallKey,
+    pub worker: WorkerKey,
+    pub pieces: Vec<StartedPiece>,
+}
+
+/// One piece of a call, and the memory that is set aside for its result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StartedPiece {
+    pub key: PieceKey,
+    pub result_bytes: u64,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The worker answered, whatever it says of the pieces.
+    Answered,
+    /// The worker was full; it did nothing.
+    Refused,
+    /// No answer.
+    Failed,
+}
+
+type Rank = (u8, Millis, u64);
+
+#[derive(Debug)]
+struct Piece<T> {
+    order: PieceOrder,
+    rank: Rank,
+    /// Calls under way that make it.
+    calls: u32,
+    job: T,
+}
+
+#[derive(Debug, Default)]
+struct Worker {
+    calls: usize,
+    held_bytes: u64,
+    /// Takes nothing new before this.
+    out_until: Millis,
+    /// Failures in a row.
+    failures: u32,
+    /// Takes nothing new ever; goes with its last call.
+    leaving: bool,
+    /// Recent times of its calls over the expected ones.
+    slowness: f64,
+}
+
+#[derive(Debug)]
+struct Call {
+    worker: WorkerKey,
+    pieces: Vec<StartedPiece>,
+    started: Millis,
+    expected_ms: f64,
+    overdue: bool,
+}
+
+/// Weight of the newest call in a worker's slowness.
+const NEW_WEIGHT: f64 = 0.4;
+/// A call is overdue after this multiple of its expected time ...
+const OVERDUE_FACTOR: f64 = 1.8;
+/// ... and this many milliseconds; a worker's host may lag a little.
+const OVERDUE_SLACK_MS: f64 = 80.0;
+/// How long a worker that failed takes nothing, in milliseconds; doubles with
+/// each failure in a row.
+const OUT_MS: Millis = 300;
+/// Most doublings of [`OUT_MS`].
+const MOST_DOUBLINGS: u32 = 4;
+/// How long a worker that was full takes nothing, in milliseconds.
+const FULL_MS: Millis = 20;
+/// Part of a worker's memory that is filled; the rest is for results whose
+/// size was told too small.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// The queue of one stage service.
+#[derive(Debug)]
+pub struct BatchQueue<T> {
+    rules: PoolRules,
+    workers: SlotMap<WorkerKey, Worker>,
+    pieces: SlotMap<PieceKey, Piece<T>>,
+    calls: SlotMap<CallKey, Call>,
+    waiting: BTreeSet<(Rank, PieceKey)>,
+    arrivals: u64,
+}
+
+impl<T> BatchQueue<T> {
+    /// An empty queue.
+    pub fn new(rules: PoolRules) -> Self {
+        BatchQueue {
+            rules,
+            workers: SlotMap::with_key(),
+            pieces: SlotMap::with_key(),
+            calls: SlotMap::with_key(),
+            waiting: BTreeSet::new(),
+            arrivals: 0,
+        }
+    }
+
+    /// Takes new rules for calls to come.
+    pub fn set_rules(&mut self, rules: PoolRules) {
+        self.rules = rules;
+    }
+
+    /// What a worker does.
+    pub fn rules(&self) -> &PoolRules {
+        &self.rules
+    }
+
+    /// A worker came.
+    pub fn add_worker(&mut self) -> WorkerKey {
+        self.workers.insert(Worker {
+            slowness: 1.0,
+            ..Worker::default()
+        })
+    }
+
+    /// A worker leaves: it gets nothing new.
+    pub fn remove_worker(&mut self, worker: WorkerKey) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.leaving = true;
+            if state.calls == 0 {
+                self.workers.remove(worker);
+            }
+        }
+    }
+
+    /// A piece waits from now on.
+    pub fn push(&mut self, order: PieceOrder, job: T) -> PieceKey {
+        self.arrivals += 1;
+        let rank = (order.priority, order.due, self.arrivals);
+        let key = self.pieces.insert(Piece {
+            order,
+            rank,
+            calls: 0,
+            job,
+        });
+        self.waiting.insert((rank, key));
+        key
+    }
+
+    /// The job of a piece that isn't finished.
+    pub fn job(&self, piece: PieceKey) -> Option<&T> {
+        self.pieces.get(piece).map(|piece| &piece.job)
+    }
+
+    /// The same, to change it.
+    pub fn job_mut(&mut self, piece: PieceKey) -> Option<&mut T> {
+        self.pieces.get_mut(piece).map(|piece| &mut piece.job)
+    }
+
+    /// Ends a piece, made or given up. `None` when it ended before.
+    pub fn finish(&mut self, piece: PieceKey) -> Option<T> {
+        let piece_state = self.pieces.remove(piece)?;
+        self.waiting.remove(&(piece_state.rank, piece));
+        Some(piece_state.job)
+    }
+
+    /// A piece that is in no call any more waits again.
+    pub fn requeue(&mut self, piece: PieceKey) {
+        if let Some(state) = self.pieces.get(piece) {
+            self.waiting.insert((state.rank, piece));
+        }
+    }
+
+    /// Pieces that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Calls under way.
+    pub fn running(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Workers that take new work.
+    pub fn usable_workers(&self, now: Millis) -> usize {
+        let usable = |worker: &&Worker| !worker.leaving && worker.out_until <= now;
+        self.workers.values().filter(usable).count()
+    }
+
+    /// Waiting pieces whose time is over; the caller finishes them.
+    pub fn expired(&self, now: Millis) -> Vec<PieceKey> {
+        self.waiting
+            .iter()
+            .map(|(_, key)| *key)
+            .filter(|key| self.pieces[*key].order.expires <= now)
+            .collect()
+    }
+
+    /// The next call to make, if a worker is free and a piece waits.
+    pub fn next_call(&mut self, now: Millis) -> Option<StartedCall> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let mut free = self.free_workers(now);
+        free.sort_by(|a, b| self.burden(*a).total_cmp(&self.burden(*b)));
+        free.into_iter().find_map(|worker| {
+            let pieces = self.choose_pieces(worker, now);
+            (!pieces.is_empty()).then(|| self.start(worker, pieces, now))
+        })
+    }
+
+    /// Slowness and filled memory of a worker; the least burdened goes first.
+    fn burden(&self, worker: WorkerKey) -> f64 {
+        let worker = &self.workers[worker];
+        worker.slowness + worker.held_bytes as f64 / self.rules.result_bytes.max(1) as f64
+    }
+
+    fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| !worker.leaving && worker.out_until <= now)
+            .filter(|(_, worker)| worker.calls < self.rules.running)
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// The most urgent pieces whose results have room: first those that can
+    /// still be in time, then the late ones.
+    fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
+        let soonest = now + self.rules.expected_ms(1) as Millis;
+        let in_time = |key: &PieceKey| self.pieces[*key].order.due >= soonest;
+        let keys = || self.waiting.iter().map(|(_, key)| *key);
+        let mut room = (self.rules.result_bytes as f64 * MEMORY_SHARE) as u64;
+        room = room.saturating_sub(self.workers[worker].held_bytes);
+        keys()
+            .filter(in_time)
+            .chain(keys().filter(|key| !in_time(key)))
+            .filter(|key| {
+                let needed = self.pieces[*key].order.result_bytes;
+                let fits = needed <= room;
+                if fits {
+                    room -= needed;
+                }
+                fits
+            })
+            .take(self.rules.batch)
+            .collect()
+    }
+
+    fn start(&mut self, worker: WorkerKey, chosen: Vec<PieceKey>, now: Millis) -> StartedCall {
+        let mut pieces = Vec::with_capacity(chosen.len());
+        for key in chosen {
+            let piece = &mut self.pieces[key];
+            piece.calls += 1;
+            let result_bytes = piece.order.result_bytes;
+            pieces.push(StartedPiece { key, result_bytes });
+            self.waiting.remove(&(piece.rank, key));
+            self.workers[worker].held_bytes += result_bytes;
+        }
+        self.workers[worker].calls += 1;
+        let call = self.calls.insert(Call {
+            worker,
+            pieces: pieces.clone(),
+            started: now,
+            expected_ms: self.rules.expected_ms(pieces.len()),
+            overdue: false,
+        });
+        StartedCall {
+            call,
+            worker,
+            pieces,
+        }
+    }
+
+    /// A call ended. Unless it was answered, the memory set aside for its
+    /// results is free again; else each result is freed by [`BatchQueue::free`].
+    /// Its pieces that aren't finished and are in no other call
+    /// are given back: the caller finishes or requeues each.
+    pub fn end_call(&mut self, call: CallKey, end: CallEnd, now: Millis) -> Vec<PieceKey> {
+        let Some(call) = self.calls.remove(call) else {
+            return Vec::new();
+        };
+        self.judge_worker(&call, end, now);
+        let mut left = Vec::new();
+        for StartedPiece { key, result_bytes } in call.pieces {
+            if end != CallEnd::Answered {
+                self.free(call.worker, result_bytes);
+            }
+            let Some(piece) = self.pieces.get_mut(key) else {
+                continue;
+            };
+            piece.calls -= 1;
+            if piece.calls == 0 && !self.waiting.contains(&(piece.rank, key)) {
+                left.push(key);
+            }
+        }
+        left
+    }
+
+    fn judge_worker(&mut self, call: &Call, end: CallEnd, now: Millis) {
+        let Some(worker) = self.workers.get_mut(call.worker) else {
+            return;
+        };
+        worker.calls -= 1;
+        match end {
+            CallEnd::Answered => {
+                let ratio = (now - call.started) as f64 / call.expected_ms.max(1.0);
+                worker.slowness += NEW_WEIGHT * (ratio - worker.slowness);
+                worker.failures = 0;
+                worker.out_until = now;
+            }
+            CallEnd::Refused => worker.out_until = now + FULL_MS,
+            CallEnd::Failed => {
+                let doublings = worker.failures.min(MOST_DOUBLINGS);
+                worker.out_until = now + (OUT_MS << doublings);
+                worker.failures += 1;
+            }
+        }
+        if worker.leaving && worker.calls == 0 {
+            self.workers.remove(call.worker);
+        }
+    }
+
+    /// Results of so many bytes were given up at a worker.
+    pub fn free(&mut self, worker: WorkerKey, bytes: u64) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.held_bytes = worker.held_bytes.saturating_sub(bytes);
+        }
+    }
+
+    /// Pieces of calls that last far too long wait again, for other workers.
+    /// Returns the workers that turned out slow.
+    pub fn take_overdue(&mut self, now: Millis) -> Vec<WorkerKey> {
+        let mut slow = Vec::new();
+        for call in self.calls.values_mut() {
+            let limit = call.expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS;
+            if call.overdue || ((now - call.started) as f64) < limit {
+                continue;
+            }
+            call.overdue = true;
+            slow.push(call.worker);
+            for StartedPiece { key, .. } in &call.pieces {
+                if let Some(piece) = self.pieces.get(*key) {
+                    self.waiting.insert((piece.rank, *key));
+                }
+            }
+        }
+        for worker in &slow {
+            if let Some(worker) = self.workers.get_mut(*worker) {
+                worker.slowness = worker.slowness.max(OVERDUE_FACTOR);
+            }
+        }
+        slow
+    }
+
+    /// When a call becomes overdue next.
+    pub fn next_overdue(&self) -> Option<Millis> {
+        self.calls
+            .values()
+            .filter(|call| !call.overdue)
+            .map(|call| {
+                call.started + (call.expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS) as Millis
+            })
+            .min()
+    }
+}
--- a/crates/standins/src/host_list.rs
+++ b/crates/standins/src/host_list.rs
@@ -8,7 +8,7 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::header::{ETAG, IF_NONE_MATCH};
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
-use hollowsail_platform::{HostRecord, HostStatus};
+use hollowsail_clients::{HostRecord, HostStatus};
 
 struct Shared {
     lag: Duration,
--- a/crates/standins/src/output.rs
+++ b/crates/standins/src/output.rs
@@ -1,8 +1,8 @@
 //! What a stand-in answers: a pure function of the call, so that anybody can
 //! tell whether an answer belongs to its request.
 
+use hollowsail_clients::target::Call;
 use hollowsail_config::{Deployment, OrganisationKey, PipelineKey, ServiceKind};
-use hollowsail_platform::target::Call;
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 
--- a/crates/standins/src/store.rs
+++ b/crates/standins/src/store.rs
@@ -11,7 +11,7 @@
 use actix_web::{web, App, HttpResponse, HttpServer};
 use bytes::Bytes;
 use futures_util::stream;
-use hollowsail_platform::{Expect, StoreReply, StoreRequest};
+use hollowsail_clients::{Expect, StoreReply, StoreRequest};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::sync::Notify;
--- a/crates/standins/src/target_run.rs
+++ b/crates/standins/src/target_run.rs
@@ -7,8 +7,8 @@
 use actix_web::HttpResponse;
 use bytes::Bytes;
 use futures_util::stream;
+use hollowsail_clients::target::{Answer, Call, TokenEvent, DISPATCH_HEADER, LOAD_HEADER};
 use hollowsail_config::ServiceKind;
-use hollowsail_platform::target::{Answer, Call, TokenEvent, DISPATCH_HEADER, LOAD_HEADER};
 use tokio::sync::OwnedSemaphorePermit;
 
 use crate::faults::TargetFaults;
--- a/crates/standins/src/targets.rs
+++ b/crates/standins/src/targets.rs
@@ -13,8 +13,8 @@
 use actix_web::dev::ServerHandle;
 use actix_web::http::StatusCode;
 use actix_web::{web, App, HttpRequest, HttpResponse, HttpServer};
+use hollowsail_clients::target::{Call, LEAVING_HEADER, LOAD_HEADER, ORGANISATION_HEADER};
 use hollowsail_config::Deployment;
-use hollowsail_platform::target::{Call, LEAVING_HEADER, LOAD_HEADER, ORGANISATION_HEADER};
 use tokio::sync::Semaphore;
 
 use crate::faults::TargetFaults;
--- a/src/bin/hollowsail/commands/mod.rs
+++ b/src/bin/hollowsail/commands/mod.rs
@@ -5,6 +5,7 @@
 mod check;
 mod drain;
 mod entry;
+mod gateway;
 mod local;
 mod status;
 
@@ -20,6 +21,7 @@
     Check(check::Arguments),
     Drain(drain::Arguments),
     Entry(entry::Arguments),
+    Gateway(gateway::Arguments),
     Local(local::Arguments),
     Status(status::Arguments),
 }
@@ -33,15 +35,22 @@
             Command::Check(arguments) => arguments.run(cx),
             Command::Drain(arguments) => arguments.run(cx).await,
             Command::Entry(arguments) => arguments.run(cx).await,
+            Command::Gateway(arguments) => arguments.run(cx).await,
             Command::Local(arguments) => arguments.run(cx).await,
             Command::Status(arguments) => arguments.run(cx).await,
         }
     }
 
+    /// True when log lines go to standard output: a daemon on the platform has
+    /// nothing else to write there.
+    pub fn logs_to_output(&self) -> bool {
+        matches!(self, Command::Gateway(_))
+    }
+
     /// The daemon logs its decisions; commands for people only what is wrong.
     pub fn default_log_level(&self) -> &'static str {
         match self {
-            Command::Entry(_) => "info",
+            Command::Entry(_) | Command::Gateway(_) => "info",
             _ => "error",
         }
     }
--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -5,8 +5,8 @@
 use hollowsail_config::Settings;
 use hollowsail_entry::{start, StartOptions};
 use hollowsail_local::localize::read_file;
-use tokio::signal::unix::{signal, SignalKind};
 
+use crate::ops::signals;
 use crate::{Context, Exit};
 
 /// Reads settings, serves, and on SIGTERM or SIGINT makes a planned stop.
@@ -37,21 +37,7 @@
         running.callers, running.peers, running.operators
     ));
     let _ = cx.out.flush();
-    wait_for_signal().await;
+    signals::wait_for_stop().await;
     running.stop().await;
     Exit::Success
 }
-
-async fn wait_for_signal() {
-    let (Ok(mut terminate), Ok(mut interrupt)) = (
-        signal(SignalKind::terminate()),
-        signal(SignalKind::interrupt()),
-    ) else {
-        // Without signals only a kill ends the process.
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
-}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -5,6 +5,8 @@
 pub mod check;
 pub mod drain;
 pub mod entry;
+pub mod gateway;
 pub mod local;
 pub mod operator;
+pub mod signals;
 pub mod status;
