--- /dev/null
+++ b/crates/gateway/src/control/membership.rs
@@ -0,0 +1,184 @@
+//! Keeps this entry's record in the store, and follows the other entries'.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_observe::events;
+use hollowsail_platform::store::{Change, Item, Lease, StoreError};
+
+use super::backoff::Backoff;
+use super::Control;
+use crate::peers::{PeerRecord, PREFIX};
+
+/// How long the record of an entry that fell silent stays. Peers notice a dead
+/// one sooner, when it owes them an answer.
+const LEASE: Duration = Duration::from_secs(6);
+/// Between two renewals; two may be lost.
+const RENEW_EVERY: Duration = Duration::from_millis(1_900);
+/// How long a watch waits; see the configuration's.
+const WATCH_WAIT: Duration = Duration::from_secs(12);
+/// Pause between two watches, so that the entries of a fleet that starts
+/// together are told in a few answers.
+const WATCH_PAUSE: Duration = Duration::from_millis(250);
+
+/// Keeps the record of this entry until the thread ends.
+pub async fn keep_own_record(cx: Rc<Control>) {
+    let mut backoff = Backoff::default();
+    loop {
+        if let Err(err) = keep_once(&cx, &mut backoff).await {
+            cx.log.line(
+                events::MEMBER,
+                format_args!("state=unrecorded why=\"{err}\""),
+            );
+            backoff.pause().await;
+        }
+    }
+}
+
+/// Writes the record and renews its lease until that fails.
+async fn keep_once(cx: &Control, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let lease = cx.store.lease(LEASE).await?;
+    let value = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
+    match cx.store.put(&cx.me.key(), 0, &value, lease).await {
+        Ok(_) => {}
+        // The record of an earlier lease, whose answer was lost, is still there.
+        Err(StoreError::Conflict) => replace_record(cx, &value, lease).await?,
+        Err(err) => return Err(err),
+    }
+    cx.lease.set(Some(lease));
+    backoff.reset();
+    loop {
+        tokio::time::sleep(RENEW_EVERY).await;
+        renew(cx, lease).await?;
+    }
+}
+
+async fn replace_record(cx: &Control, value: &[u8], lease: Lease) -> Result<(), StoreError> {
+    let key = cx.me.key();
+    let revision = cx.store.get(&key).await?.map_or(0, |item| item.revision);
+    cx.store.put(&key, revision, value, lease).await?;
+    Ok(())
+}
+
+/// Renews until the lease is over; a store that is away says nothing of it.
+async fn renew(cx: &Control, lease: Lease) -> Result<(), StoreError> {
+    match cx.store.renew(lease).await {
+        Err(StoreError::LeaseOver) => Err(StoreError::LeaseOver),
+        Err(err) => {
+            cx.store_failed(&err);
+            Ok(())
+        }
+        Ok(()) => Ok(()),
+    }
+}
+
+/// Follows the entries' records until the thread ends.
+pub async fn follow(cx: Rc<Control>) {
+    let mut backoff = Backoff::default();
+    loop {
+        match follow_once(&cx, &mut backoff).await {
+            Ok(()) | Err(StoreError::HistoryGone) => {}
+            Err(err) => {
+                cx.store_failed(&err);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+async fn follow_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let range = cx.store.range(PREFIX, false).await?;
+    cx.store_answered();
+    backoff.reset();
+    for item in &range.items {
+        cx.take_peer(item);
+    }
+    let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
+    let now = cx.clock.now();
+    cx.peers
+        .borrow_mut()
+        .reconcile(&present, range.revision, now);
+    cx.publish();
+    cx.settle_peers_later();
+    let mut revision = range.revision;
+    loop {
+        let changes = cx.store.watch(PREFIX, revision, WATCH_WAIT).await?;
+        cx.store_answered();
+        revision = changes.revision;
+        let mut changed = false;
+        for change in &changes.changes {
+            changed |= cx.take_peer_change(change);
+        }
+        if changed {
+            cx.publish();
+        }
+        cx.settle_peers_later();
+        tokio::time::sleep(WATCH_PAUSE).await;
+    }
+}
+
+impl Control {
+    fn take_peer(&self, item: &Item) -> bool {
+        let record: PeerRecord = match rmp_serde::from_slice(&item.value) {
+            Ok(record) => record,
+            Err(err) => {
+                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                self.log.line(events::RECORD_UNREADABLE, fields);
+                return false;
+            }
+        };
+        let line = format!(
+            "peer={} addr={} hall={}",
+            record.host, record.addr, record.hall
+        );
+        let changed = self
+            .peers
+            .borrow_mut()
+            .put(&item.key, item.revision, record, false);
+        if changed {
+            self.log
+                .line(events::MEMBER, format_args!("{line} state=live"));
+        }
+        changed
+    }
+
+    fn take_peer_change(&self, change: &Change) -> bool {
+        match change {
+            Change::Put(item) => self.take_peer(item),
+            Change::Deleted { key, revision } => {
+                let now = self.clock.now();
+                let gone = self.peers.borrow_mut().deleted(key, *revision, now);
+                if gone {
+                    let fields = format_args!("key={key} state=gone why=record_deleted");
+                    self.log.line(events::MEMBER, fields);
+                }
+                gone
+            }
+        }
+    }
+
+    /// Drops peers that are still missing once the store's return is settled.
+    fn settle_peers_later(self: &Rc<Self>) {
+        let Some(at) = self.peers.borrow().settles_at() else {
+            return;
+        };
+        let cx = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(cx.clock.moment(at).into()).await;
+            if !cx.peers.borrow_mut().settle(cx.clock.now()).is_empty() {
+                cx.publish();
+            }
+        });
+    }
+
+    /// Gives this entry's record up, so that peers pass it over at once.
+    pub async fn leave(&self) {
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        if let Err(err) = self.store.end_lease(lease).await {
+            let fields = format_args!("state=leaving why=\"{err}\"");
+            self.log.line(events::MEMBER, fields);
+        }
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! publishes a [`view::View`] whenever the configuration or the targets change.
 //! Traffic ([`traffic`]) takes connections from callers ([`callers`]) and walks
 //! each request through its life ([`request`]): admission, the stages before it
-//! ([`pools`]), and its sends to targets ([`targets`]). A request reads one view
+//! ([`pools`], shared with the other entries through [`peers`]), and its sends to targets ([`targets`]). A request reads one view
 //! at each decision; nothing here waits for control.
 //!
 //! The platform's names live in `hollowsail-platform`; the decisions in
@@ -15,6 +15,7 @@
 mod clock;
 mod control;
 mod log;
+mod peers;
 mod pools;
 mod readiness;
 mod request;
--- /dev/null
+++ b/crates/gateway/src/peers/link.rs
@@ -0,0 +1,223 @@
+//! Messages to one peer.
+//!
+//! One envelope is under way at a time; what is to be sent meanwhile goes into
+//! the next one. While answers are awaited from the peer, an empty envelope
+//! goes out now and then: a peer that takes none in time is lost, and everything
+//! that waits for it is told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hollowsail_connect::{Pool, PoolRules, Reuse, SendError};
+use hollowsail_platform::pieces::PieceFailure;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use snafu::Snafu;
+use tokio::sync::oneshot;
+
+use super::messages::{Envelope, Made, MakePiece, Message, PieceId, PATH};
+use super::record::PeerRecord;
+use crate::traffic::Traffic;
+
+/// Longest time for a peer to take an envelope. A healthy one needs a few
+/// milliseconds, a slowed one some dozens.
+const TAKEN_WITHIN: Duration = Duration::from_millis(350);
+/// Silence after which a peer that owes an answer is asked whether it lives.
+const ASK_AFTER: Duration = Duration::from_millis(200);
+/// Time in which messages gather before they are sent.
+const GATHER: Duration = Duration::from_millis(1);
+
+/// The peer took no envelope in time; what it was asked may be done or not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkLost;
+
+/// How a piece at a peer ended.
+pub type RemoteEnd = Result<Result<Made, PieceFailure>, LinkLost>;
+
+#[derive(Debug, Snafu)]
+enum LinkError {
+    #[snafu(display("{source}"))]
+    Send { source: SendError },
+    #[snafu(display("no envelope taken within {} ms", TAKEN_WITHIN.as_millis()))]
+    Silent,
+    #[snafu(display("envelope refused with status {status}"))]
+    Refused { status: StatusCode },
+}
+
+/// Messages to one run of one peer.
+pub struct Link {
+    cx: Weak<Traffic>,
+    pub peer: PeerRecord,
+    pool: Rc<Pool>,
+    outbox: RefCell<Vec<Message>>,
+    awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteEnd>>>,
+    is_sending: Cell<bool>,
+    is_asking: Cell<bool>,
+    heard: Cell<Instant>,
+    is_closed: Cell<bool>,
+}
+
+/// Tells the peer when a piece is no longer waited for.
+struct Awaited<'a> {
+    link: &'a Rc<Link>,
+    id: PieceId,
+}
+
+impl Drop for Awaited<'_> {
+    fn drop(&mut self) {
+        if self.link.awaited.borrow_mut().remove(&self.id).is_some() {
+            self.link.send(Message::GiveUp(self.id));
+        }
+    }
+}
+
+impl Link {
+    pub fn new(cx: &Rc<Traffic>, peer: PeerRecord) -> Rc<Self> {
+        let rules = PoolRules {
+            dial_within: TAKEN_WITHIN,
+            max_idle: 1,
+            idle_for: Duration::from_secs(60),
+        };
+        Rc::new(Link {
+            cx: Rc::downgrade(cx),
+            pool: Pool::new(peer.addr, rules),
+            peer,
+            outbox: RefCell::default(),
+            awaited: RefCell::default(),
+            is_sending: Cell::new(false),
+            is_asking: Cell::new(false),
+            heard: Cell::new(Instant::now()),
+            is_closed: Cell::new(false),
+        })
+    }
+
+    /// Sends a message, with others that come at the same time.
+    pub fn send(self: &Rc<Self>, message: Message) {
+        if self.is_closed.get() {
+            return;
+        }
+        self.outbox.borrow_mut().push(message);
+        if !self.is_sending.replace(true) {
+            actix_rt::spawn(self.clone().send_all());
+        }
+    }
+
+    /// Has a piece made by the peer. Dropping the future gives it up.
+    pub async fn make(self: &Rc<Self>, piece: MakePiece) -> RemoteEnd {
+        if self.is_closed.get() {
+            return Err(LinkLost);
+        }
+        let id = piece.id;
+        let (tx, rx) = oneshot::channel();
+        self.awaited.borrow_mut().insert(id, tx);
+        let _awaited = Awaited { link: self, id };
+        self.send(Message::Make(Box::new(piece)));
+        self.ask_while_awaiting();
+        rx.await.unwrap_or(Err(LinkLost))
+    }
+
+    /// The peer told how a piece ended. False when nobody waits for it.
+    pub fn ended(&self, id: PieceId, end: Result<Made, PieceFailure>) -> bool {
+        let waiter = self.awaited.borrow_mut().remove(&id);
+        waiter.is_some_and(|tx| tx.send(Ok(end)).is_ok())
+    }
+
+    /// The peer was heard.
+    pub fn heard(&self) {
+        self.heard.set(Instant::now());
+    }
+
+    /// Ends the link; everything that waits is told.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+        self.outbox.borrow_mut().clear();
+        let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
+        for tx in waiting.into_values() {
+            // A waiter that left needs no answer.
+            let _left = tx.send(Err(LinkLost));
+        }
+    }
+
+    async fn send_all(self: Rc<Self>) {
+        tokio::time::sleep(GATHER).await;
+        loop {
+            let messages = std::mem::take(&mut *self.outbox.borrow_mut());
+            if messages.is_empty() {
+                self.is_sending.set(false);
+                return;
+            }
+            if !self.deliver(messages).await {
+                return;
+            }
+        }
+    }
+
+    /// Delivers an envelope; on failure closes the link. True when it was
+    /// taken.
+    async fn deliver(&self, messages: Vec<Message>) -> bool {
+        let Some(cx) = self.cx.upgrade() else {
+            return false;
+        };
+        let result = match tokio::time::timeout(TAKEN_WITHIN, self.post(&cx, messages)).await {
+            Ok(result) => result,
+            Err(_) => Err(LinkError::Silent),
+        };
+        match result {
+            Ok(()) => {
+                self.heard();
+                true
+            }
+            Err(err) => {
+                cx.peers.suspect(&cx, &self.peer, &err.to_string());
+                self.close();
+                false
+            }
+        }
+    }
+
+    async fn post(&self, cx: &Traffic, messages: Vec<Message>) -> Result<(), LinkError> {
+        let envelope = Envelope {
+            from: cx.me.clone(),
+            to: self.peer.id,
+            messages,
+        };
+        let body = rmp_serde::to_vec(&envelope).expect("these types always encode");
+        let req = Request::post(PATH)
+            .header(http::header::HOST, "peer")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the path is valid");
+        let exchange = self
+            .pool
+            .send(req, Reuse::Any)
+            .await
+            .map_err(|source| LinkError::Send { source })?;
+        let (parts, body) = exchange.into_body(true);
+        // The answer has no body; reading its end gives the connection back.
+        drop(body.collect(0).await);
+        match parts.status {
+            StatusCode::NO_CONTENT => Ok(()),
+            status => Err(LinkError::Refused { status }),
+        }
+    }
+
+    /// Asks a silent peer whether it lives, as long as it owes answers.
+    fn ask_while_awaiting(self: &Rc<Self>) {
+        if self.is_asking.replace(true) {
+            return;
+        }
+        let link = self.clone();
+        actix_rt::spawn(async move {
+            while !link.awaited.borrow().is_empty() && !link.is_closed.get() {
+                tokio::time::sleep(ASK_AFTER).await;
+                let is_silent = link.heard.get().elapsed() >= ASK_AFTER;
+                if is_silent && !link.is_sending.get() && !link.deliver(Vec::new()).await {
+                    break;
+                }
+            }
+            link.is_asking.set(false);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers/messages.rs
@@ -0,0 +1,68 @@
+//! What entries tell each other: batches of messages in MessagePack.
+
+use std::net::SocketAddr;
+
+use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_platform::targets::Incarnation;
+use serde::{Deserialize, Serialize};
+
+use super::record::{PeerId, PeerRecord};
+
+/// Path that takes an [`Envelope`].
+pub const PATH: &str = "/hollowsail/messages";
+
+/// Some messages from one entry to another.
+#[derive(Debug, Serialize, Deserialize)]
+pub struct Envelope {
+    pub from: PeerRecord,
+    /// The run that is meant; another at the same address refuses.
+    pub to: PeerId,
+    pub messages: Vec<Message>,
+}
+
+/// A piece that a requester waits for; the number is the requester's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PieceId(pub u64);
+
+/// One message.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub enum Message {
+    /// To the owner of a queue: have a piece made.
+    Make(Box<MakePiece>),
+    /// To the owner: the requester waits no longer.
+    GiveUp(PieceId),
+    /// To the requester: how its piece ended.
+    Ended(PieceId, Result<Made, PieceFailure>),
+    /// To the owner: results that nobody needs any more.
+    Free { queue: String, handles: Vec<String> },
+}
+
+/// A piece to be made by a queue's owner.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct MakePiece {
+    pub id: PieceId,
+    /// Name of the queue.
+    pub queue: String,
+    pub piece: Piece,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// Time until it should be made, in milliseconds; negative when late.
+    pub due_in_ms: i64,
+    /// Time until it is of no use, in milliseconds.
+    pub expires_in_ms: u64,
+    /// About the size of its result.
+    pub result_bytes: u64,
+    /// Data hall where the result is wanted.
+    pub hall: Option<String>,
+}
+
+/// A result that was made.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Made {
+    pub handle: String,
+    /// Its maker.
+    pub target: Incarnation,
+    pub addr: SocketAddr,
+    /// Data hall of its maker.
+    pub hall: String,
+}
--- /dev/null
+++ b/crates/gateway/src/peers/mod.rs
@@ -0,0 +1,104 @@
+//! The other entries: who they are, who owns what, and messages to them.
+//!
+//! Every entry keeps a record of itself in the platform's store under a lease;
+//! control follows them and puts them into the view. Rendezvous hashing over
+//! the live ones gives each queue of a stage service one owner without any
+//! agreement; two views may name two owners for a while, which costs time and
+//! nothing else. An owner that doesn't answer is passed over.
+
+mod link;
+mod listen;
+mod messages;
+mod record;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use hollowsail_fleet::rendezvous;
+use hollowsail_observe::events;
+use hollowsail_routing::Millis;
+
+use crate::traffic::Traffic;
+
+pub use link::Link;
+pub use listen::start;
+pub use messages::{Made, MakePiece, Message, PieceId};
+pub use record::{PeerId, PeerRecord, PREFIX};
+
+/// How long a peer that didn't answer is passed over, in milliseconds. Long
+/// enough that a frozen process costs few requests, short against a restart.
+const SUSPECT_MS: Millis = 1_500;
+
+/// Who owns something.
+pub enum Owner {
+    /// This entry.
+    Me,
+    Peer(Rc<Link>),
+}
+
+/// Live peers and the links to them.
+#[derive(Default)]
+pub struct Peers {
+    /// Every live entry, this one included.
+    live: RefCell<Vec<PeerRecord>>,
+    links: RefCell<HashMap<PeerId, Rc<Link>>>,
+    suspects: RefCell<HashMap<PeerId, Millis>>,
+}
+
+impl Peers {
+    /// Takes the live entries of a new view.
+    pub fn take(&self, live: &[PeerRecord]) {
+        *self.live.borrow_mut() = live.to_vec();
+        let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
+        let mut links = self.links.borrow_mut();
+        let gone: Vec<PeerId> = links.keys().copied().filter(|id| !is_live(id)).collect();
+        let closed: Vec<Rc<Link>> = gone.iter().filter_map(|id| links.remove(id)).collect();
+        drop(links);
+        closed.iter().for_each(|link| link.close());
+    }
+
+    /// Live entries, this one included; at least 1.
+    pub fn count(&self) -> usize {
+        self.live.borrow().len().max(1)
+    }
+
+    /// The owner of `what` among the entries that aren't under suspicion.
+    pub fn owner_of(&self, cx: &Rc<Traffic>, what: &str) -> Owner {
+        let now = cx.clock.now();
+        let suspects = self.suspects.borrow();
+        let live = self.live.borrow();
+        let owner = live
+            .iter()
+            .filter(|peer| suspects.get(&peer.id).is_none_or(|until| *until <= now))
+            .max_by_key(|peer| rendezvous::score(what, &peer.host));
+        match owner {
+            Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, peer)),
+            _ => Owner::Me,
+        }
+    }
+
+    /// The link to a peer, made when there is none.
+    pub fn link_to(&self, cx: &Rc<Traffic>, peer: &PeerRecord) -> Rc<Link> {
+        let mut links = self.links.borrow_mut();
+        let link = links
+            .entry(peer.id)
+            .or_insert_with(|| Link::new(cx, peer.clone()));
+        link.clone()
+    }
+
+    /// A peer didn't answer: it owns nothing for a while.
+    pub fn suspect(&self, cx: &Rc<Traffic>, peer: &PeerRecord, why: &str) {
+        let until = cx.clock.now() + SUSPECT_MS;
+        self.suspects.borrow_mut().insert(peer.id, until);
+        self.links.borrow_mut().remove(&peer.id);
+        cx.log.line(
+            events::MEMBER,
+            format_args!(
+                "peer={} state=suspect for_ms={SUSPECT_MS} why=\"{why}\"",
+                peer.host
+            ),
+        );
+        cx.pools.requester_lost(peer.id);
+    }
+}
--- a/crates/gateway/src/pools/batcher.rs
+++ b/crates/gateway/src/pools/batcher.rs
@@ -1,9 +1,9 @@
-//! Makes the pieces of one stage service.
+//! Makes the pieces of one queue.
 //!
-//! Requests hand pieces in with [`Batcher::make`]; the queue of
-//! `hollowsail-stages` says which pieces share a call to which target;
-//! [`super::call`] makes the call and hands results back. A result is a
-//! [`HeldResult`], which gives it up at its maker when dropped.
+//! Requests and peers hand pieces in; the queue of `hollowsail-stages` says
+//! which pieces share a call to which target; [`super::call`] makes the call.
+//! Results are remembered until they are given up, or until their maker drops
+//! them by itself.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,11 +14,14 @@
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_stages::{BatchQueue, PieceKey, PieceOrder, PoolRules, WorkerKey};
+use hollowsail_routing::Millis;
+use hollowsail_stages::{BatchQueue, HallKey, PieceKey, PieceOrder, PoolRules, WorkerKey};
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
-use super::call;
+use super::held::HeldResult;
+use super::{call, PieceEnd, Requester, Wanted};
+use crate::peers::{Link, Made, Message, PeerId, PieceId};
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -28,25 +31,43 @@
 /// Results given up within this time share a call.
 const FREE_AFTER: Duration = Duration::from_millis(8);
 
-/// What a request gets for a piece.
-pub type PieceEnd = Result<HeldResult, PieceFailure>;
-
 /// A piece that waits or is being made.
 pub(super) struct Job {
     pub piece: Piece,
     /// Times that it was given back.
     pub failures: u32,
-    pub reply: oneshot::Sender<PieceEnd>,
+    reply: Reply,
+}
+
+/// Who waits for a piece.
+enum Reply {
+    Here(oneshot::Sender<PieceEnd>),
+    Peer(Requester),
+}
+
+/// A result that lies at its maker.
+struct Kept {
+    worker: WorkerKey,
+    bytes: u64,
+    /// When its maker drops it by itself.
+    until: Millis,
+    /// The peer that has it, if one does.
+    at_peer: Option<(PeerId, PieceId)>,
 }
 
-/// One stage service.
+/// One queue.
 pub struct Batcher {
     cx: Weak<Traffic>,
-    pub(super) service: String,
+    name: String,
     pub(super) queue: RefCell<BatchQueue<Job>>,
     workers: RefCell<Workers>,
+    results: RefCell<HashMap<String, Kept>>,
+    /// Pieces that peers wait for.
+    of_peers: RefCell<HashMap<(PeerId, PieceId), PieceKey>>,
     /// Handles to give up, by the worker that made them.
     spent: RefCell<HashMap<WorkerKey, Vec<String>>>,
+    /// How long a maker keeps a result, in milliseconds.
+    kept_ms: Cell<Millis>,
     will_pump: Cell<bool>,
     is_ticking: Cell<bool>,
     is_freeing: Cell<bool>,
@@ -56,36 +77,18 @@
 struct Workers {
     by_incarnation: HashMap<Incarnation, WorkerKey>,
     targets: SecondaryMap<WorkerKey, Rc<Target>>,
+    halls: Vec<String>,
 }
 
-/// A result at its maker; given up when dropped.
-pub struct HeldResult {
-    batcher: Rc<Batcher>,
-    worker: WorkerKey,
-    pub handle: String,
-    bytes: u64,
-}
-
-impl Drop for HeldResult {
-    fn drop(&mut self) {
-        let handle = std::mem::take(&mut self.handle);
-        self.batcher.give_up(self.worker, handle, self.bytes);
-    }
-}
-
-impl HeldResult {
-    /// Data hall of its maker.
-    pub fn hall(&self) -> Option<String> {
-        let workers = self.batcher.workers.borrow();
-        workers
-            .targets
-            .get(self.worker)
-            .map(|target| target.record.hall.clone())
-    }
-
-    /// About its size.
-    pub fn bytes(&self) -> u64 {
-        self.bytes
+impl Workers {
+    /// The number of a hall.
+    fn hall(&mut self, name: &str) -> HallKey {
+        let known = self.halls.iter().position(|hall| hall == name);
+        let at = known.unwrap_or_else(|| {
+            self.halls.push(name.to_string());
+            self.halls.len() - 1
+        });
+        HallKey(at as u16)
     }
 }
 
@@ -113,22 +116,31 @@
 
 impl Batcher {
     /// A batcher without targets.
-    pub fn new(cx: &Rc<Traffic>, service: &str, pool: &StagePool) -> Rc<Self> {
+    pub fn new(cx: &Rc<Traffic>, name: &str, pool: &StagePool) -> Rc<Self> {
         Rc::new(Batcher {
             cx: Rc::downgrade(cx),
-            service: service.to_string(),
+            name: name.to_string(),
             queue: RefCell::new(BatchQueue::new(rules_of(pool))),
             workers: RefCell::default(),
+            results: RefCell::default(),
+            of_peers: RefCell::default(),
             spent: RefCell::default(),
+            kept_ms: Cell::new(pool.kept_for.as_millis() as Millis),
             will_pump: Cell::new(false),
             is_ticking: Cell::new(false),
             is_freeing: Cell::new(false),
         })
     }
 
+    /// Name of its queue.
+    pub fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Takes new rules for calls to come.
     pub fn set_rules(&self, pool: &StagePool) {
         self.queue.borrow_mut().set_rules(rules_of(pool));
+        self.kept_ms.set(pool.kept_for.as_millis() as Millis);
     }
 
     /// Takes the targets that may get new work.
@@ -145,7 +157,8 @@
         });
         for target in targets {
             if !workers.by_incarnation.contains_key(target.incarnation()) {
-                let key = queue.add_worker();
+                let hall = workers.hall(&target.record.hall);
+                let key = queue.add_worker(hall);
                 workers
                     .by_incarnation
                     .insert(target.incarnation().clone(), key);
@@ -153,45 +166,84 @@
             }
         }
         drop((workers, queue));
-        self.pump();
+        self.pump_soon();
     }
 
     /// Makes a piece. Dropping the future gives the piece up.
-    pub async fn make(self: &Rc<Self>, piece: Piece, order: PieceOrder) -> PieceEnd {
-        let (reply, result) = oneshot::channel();
-        let job = Job {
-            piece,
-            failures: 0,
-            reply,
-        };
-        let key = self.queue.borrow_mut().push(order, job);
+    pub async fn make(self: &Rc<Self>, wanted: Wanted) -> PieceEnd {
+        let (tx, result) = oneshot::channel();
+        let key = self.push(wanted, Reply::Here(tx));
         let _submitted = Submitted {
             batcher: self,
             piece: key,
         };
-        self.pump_soon();
         result.await.unwrap_or(Err(PieceFailure::Failed))
     }
 
-    /// About how long a piece handed in now would take, in milliseconds;
-    /// `None` when no target is usable.
-    pub fn estimate_ms(&self, pieces: usize) -> Option<f64> {
-        let now = self.cx.upgrade()?.clock.now();
-        let queue = self.queue.borrow();
-        let workers = queue.usable_workers(now);
-        if workers == 0 {
-            return None;
-        }
-        let rules = queue.rules();
-        let ahead = (queue.waiting() + pieces) as f64;
-        let rounds = (ahead / (rules.batch * workers) as f64).ceil();
-        let busy = queue.running() >= workers * rules.running;
-        let until_free = if busy {
-            rules.expected_ms(rules.batch) / 2.0
-        } else {
-            0.0
+    /// Makes a piece for a peer.
+    pub fn take_from_peer(self: &Rc<Self>, link: Rc<Link>, id: PieceId, wanted: Wanted) {
+        let peer = link.peer.id;
+        let key = self.push(wanted, Reply::Peer(Requester { link, id }));
+        self.of_peers.borrow_mut().insert((peer, id), key);
+    }
+
+    fn push(self: &Rc<Self>, wanted: Wanted, reply: Reply) -> PieceKey {
+        let now = self.cx.upgrade().map_or(0, |cx| cx.clock.now());
+        let hall = wanted
+            .hall
+            .map(|hall| self.workers.borrow_mut().hall(&hall));
+        let order = PieceOrder {
+            priority: wanted.priority,
+            due: wanted.due,
+            expires: wanted.expires,
+            result_bytes: wanted.result_bytes,
+            hall,
         };
-        Some(until_free + rounds * rules.expected_ms(rules.batch.min(ahead as usize)))
+        let job = Job {
+            piece: wanted.piece,
+            failures: 0,
+            reply,
+        };
+        let key = self.queue.borrow_mut().push(order, job, now);
+        self.pump_soon();
+        key
+    }
+
+    /// A peer waits for a piece no longer, or left its result.
+    pub fn give_up_piece(self: &Rc<Self>, from: PeerId, id: PieceId) {
+        if let Some(key) = self.of_peers.borrow_mut().remove(&(from, id)) {
+            self.queue.borrow_mut().finish(key);
+            return;
+        }
+        let left = self
+            .results
+            .borrow()
+            .iter()
+            .find(|(_, result)| result.at_peer == Some((from, id)))
+            .map(|(handle, _)| handle.clone());
+        if let Some(handle) = left {
+            self.give_up(&handle);
+        }
+    }
+
+    /// A peer is lost: its pieces and results are given up.
+    pub fn requester_lost(self: &Rc<Self>, peer: PeerId) {
+        self.of_peers.borrow_mut().retain(|(of, _), key| {
+            let stays = *of != peer;
+            if !stays {
+                self.queue.borrow_mut().finish(*key);
+            }
+            stays
+        });
+        let is_its = |result: &Kept| result.at_peer.is_some_and(|(at, _)| at == peer);
+        let left: Vec<String> = self
+            .results
+            .borrow()
+            .iter()
+            .filter(|(_, result)| is_its(result))
+            .map(|(handle, _)| handle.clone())
+            .collect();
+        left.iter().for_each(|handle| self.give_up(handle));
     }
 
     /// Makes calls once the tasks that run now have run: pieces that a request
@@ -241,21 +293,22 @@
 
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
-        queue.waiting() == 0 && queue.running() == 0
+        queue.waiting() == 0 && queue.running() == 0 && self.results.borrow().is_empty()
     }
 
     fn tick(self: &Rc<Self>, cx: &Rc<Traffic>) {
         let now = cx.clock.now();
         let expired = self.queue.borrow().expired(now);
         for piece in expired {
-            self.end_piece(piece, Err(PieceFailure::Late));
+            self.failed(piece, PieceFailure::Late);
         }
+        self.forget_dropped(now);
         let slow = self.queue.borrow_mut().take_overdue(now);
         for worker in slow {
             if let Some(target) = self.workers.borrow().targets.get(worker) {
                 let fields = format_args!(
-                    "service={} target={} why=call_overdue",
-                    self.service, target.record.incarnation.0
+                    "queue={} target={} why=call_overdue",
+                    self.name, target.record.incarnation.0
                 );
                 cx.log.line(events::TARGET_EJECTED, fields);
             }
@@ -263,37 +316,88 @@
         self.pump();
     }
 
-    /// Ends a piece. A result that nobody waits for is given up.
-    pub(super) fn end_piece(&self, piece: PieceKey, end: PieceEnd) {
+    /// Results that their makers dropped by themselves.
+    fn forget_dropped(&self, now: Millis) {
+        self.results.borrow_mut().retain(|_, result| {
+            let is_kept = result.until > now;
+            if !is_kept {
+                self.queue.borrow_mut().free(result.worker, result.bytes);
+            }
+            is_kept
+        });
+    }
+
+    /// A piece wasn't made.
+    pub(super) fn failed(&self, piece: PieceKey, failure: PieceFailure) {
         let job = self.queue.borrow_mut().finish(piece);
-        // Without a taker the result is dropped here, which gives it up.
-        if let Some(job) = job {
-            drop(job.reply.send(end));
+        match job.map(|job| job.reply) {
+            // A requester that left needs no answer.
+            Some(Reply::Here(tx)) => drop(tx.send(Err(failure))),
+            Some(Reply::Peer(requester)) => {
+                self.forget_piece(&requester);
+                let ended = Message::Ended(requester.id, Err(failure));
+                requester.link.send(ended);
+            }
+            None => {}
         }
     }
 
-    /// A result that a worker made.
-    pub(super) fn held(
+    /// A worker made a result. One that nobody waits for is given up at once.
+    pub(super) fn made(
         self: &Rc<Self>,
+        piece: PieceKey,
         worker: WorkerKey,
+        target: &Target,
         handle: String,
         bytes: u64,
-    ) -> HeldResult {
-        HeldResult {
-            batcher: self.clone(),
+    ) {
+        let made = Made {
+            handle: handle.clone(),
+            target: target.incarnation().clone(),
+            addr: target.record.addr,
+            hall: target.record.hall.clone(),
+        };
+        let job = self.queue.borrow_mut().finish(piece);
+        let reply = job.map(|job| job.reply);
+        let at_peer = match &reply {
+            Some(Reply::Peer(requester)) => Some((requester.link.peer.id, requester.id)),
+            _ => None,
+        };
+        let now = self.cx.upgrade().map_or(0, |cx| cx.clock.now());
+        let result = Kept {
             worker,
-            handle,
             bytes,
+            until: now + self.kept_ms.get(),
+            at_peer,
+        };
+        self.results.borrow_mut().insert(handle.clone(), result);
+        match reply {
+            // A request that left drops the result, which gives it up.
+            Some(Reply::Here(tx)) => drop(tx.send(Ok(HeldResult::here(self.clone(), made, bytes)))),
+            Some(Reply::Peer(requester)) => {
+                self.forget_piece(&requester);
+                requester.link.send(Message::Ended(requester.id, Ok(made)));
+            }
+            None => self.give_up(&handle),
         }
     }
 
-    fn give_up(self: &Rc<Self>, worker: WorkerKey, handle: String, bytes: u64) {
-        self.queue.borrow_mut().free(worker, bytes);
-        self.spent
-            .borrow_mut()
-            .entry(worker)
+    fn forget_piece(&self, requester: &Requester) {
+        let at = (requester.link.peer.id, requester.id);
+        self.of_peers.borrow_mut().remove(&at);
+    }
+
+    /// A result is needed no longer.
+    pub fn give_up(self: &Rc<Self>, handle: &str) {
+        let Some(result) = self.results.borrow_mut().remove(handle) else {
+            return;
+        };
+        self.queue.borrow_mut().free(result.worker, result.bytes);
+        let mut spent = self.spent.borrow_mut();
+        spent
+            .entry(result.worker)
             .or_default()
-            .push(handle);
+            .push(handle.to_string());
         if self.is_freeing.replace(true) {
             return;
         }
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -70,14 +70,14 @@
     cx.log.line(
         events::CALL_ENDED,
         format_args!(
-            "service={} target={} pieces={} ms={took} outcome=\"{outcome}\"",
-            batcher.service,
+            "queue={} target={} pieces={} ms={took} outcome=\"{outcome}\"",
+            batcher.name(),
             target.incarnation().0,
             asked.len(),
         ),
     );
     if let Ok(results) = result {
-        hand_out(&cx, &batcher, &started, &asked, results);
+        hand_out(&cx, &batcher, &started, &target, &asked, results);
     }
     let left = batcher
         .queue
@@ -148,30 +148,32 @@
     cx: &Rc<Traffic>,
     batcher: &Rc<Batcher>,
     started: &StartedCall,
+    target: &Target,
     asked: &[Asked],
     results: Vec<PieceResult>,
 ) {
     for (Asked { started: at, piece }, result) in asked.iter().zip(results) {
         let (key, bytes) = (at.key, at.result_bytes);
-        match result {
+        let failure = match result {
             PieceResult::Made(handle) => {
-                let held = batcher.held(started.worker, handle, bytes);
-                batcher.end_piece(key, Ok(held));
-            }
-            PieceResult::Failed(failure) => {
-                batcher.queue.borrow_mut().free(started.worker, bytes);
-                cx.log.line(
-                    events::PIECE_FAILED,
-                    format_args!(
-                        "request={} stage={} piece={} why={failure:?}",
-                        piece.request_id, piece.stage, piece.piece
-                    ),
-                );
-                let is_final = matches!(failure, PieceFailure::Late | PieceFailure::InputGone);
-                if is_final {
-                    batcher.end_piece(key, Err(failure));
-                }
+                batcher.made(key, started.worker, target, handle, bytes);
+                continue;
             }
+            PieceResult::Failed(failure) => failure,
+        };
+        batcher.queue.borrow_mut().free(started.worker, bytes);
+        cx.log.line(
+            events::PIECE_FAILED,
+            format_args!(
+                "request={} stage={} piece={} target={} why={failure:?}",
+                piece.request_id,
+                piece.stage,
+                piece.piece,
+                target.incarnation().0,
+            ),
+        );
+        if matches!(failure, PieceFailure::Late | PieceFailure::InputGone) {
+            batcher.failed(key, failure);
         }
     }
 }
@@ -191,7 +193,7 @@
         if failures < MOST_FAILURES {
             batcher.queue.borrow_mut().requeue(key);
         } else {
-            batcher.end_piece(key, Err(PieceFailure::Failed));
+            batcher.failed(key, PieceFailure::Failed);
         }
     }
 }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -1,61 +1,237 @@
-//! The stage services as this entry uses them: a [`Batcher`] for each.
+//! The stage services as this entry uses them.
+//!
+//! The targets of a stage service are split into queues of a few targets each,
+//! and each queue has one owner among the entries ([`crate::peers`]), so that
+//! pieces of all entries share calls. [`Pools::make`] hands a piece to its
+//! owner; the owner's [`Batcher`] makes it. A lost owner is made up for by the
+//! next one: a piece made twice costs time only.
 
 mod batcher;
 mod call;
+mod held;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use hollowsail_fleet::rendezvous;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
+use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_routing::Millis;
 
+use crate::peers::{Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId};
+use crate::targets::Target;
 use crate::traffic::Traffic;
 
-pub use batcher::{Batcher, HeldResult, PieceEnd};
+pub use batcher::Batcher;
+pub use held::HeldResult;
 
-/// Batchers by the service's name: positions of services change with versions
-/// of the configuration, names don't.
+/// Targets in a queue at most: enough that one is nearly always about to be
+/// free, few enough for one owner's processor at a service of hundreds.
+const QUEUE_TARGETS: usize = 8;
+/// Owners that a piece is handed to at most.
+const MOST_OWNERS: u32 = 4;
+
+/// What a request gets for a piece.
+pub type PieceEnd = Result<HeldResult, PieceFailure>;
+
+/// A piece to make.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    pub piece: Piece,
+    /// 0 is the most urgent.
+    pub priority: u8,
+    /// When it should be made.
+    pub due: Millis,
+    /// When it is of no use any more.
+    pub expires: Millis,
+    /// About the size of its result.
+    pub result_bytes: u64,
+    /// Data hall where the result is wanted.
+    pub hall: Option<String>,
+}
+
+/// Batchers of the queues that this entry owns or owned.
 #[derive(Default)]
 pub struct Pools {
-    by_name: RefCell<HashMap<String, Rc<Batcher>>>,
+    batchers: RefCell<HashMap<String, Rc<Batcher>>>,
+    pieces: Cell<u64>,
+}
+
+/// A queue of a service: some of its targets.
+struct Queue {
+    name: String,
+    at: usize,
+    of: usize,
+}
+
+impl Queue {
+    /// The queue that a request's pieces of a service go to.
+    fn for_request(service: &str, targets: usize, request_id: &str) -> Self {
+        let of = targets.div_ceil(QUEUE_TARGETS).max(1);
+        let at = (rendezvous::score(request_id, service) % of as u64) as usize;
+        Queue {
+            name: format!("{service}/{at}.{of}"),
+            at,
+            of,
+        }
+    }
+
+    /// Reads a name; `None` when it is none of ours.
+    fn parse(name: &str) -> Option<(&str, Self)> {
+        let (service, place) = name.rsplit_once('/')?;
+        let (at, of) = place.split_once('.')?;
+        let queue = Queue {
+            name: name.to_string(),
+            at: at.parse().ok()?,
+            of: of.parse().ok().filter(|of| *of > 0)?,
+        };
+        Some((service, queue))
+    }
+
+    /// Its share of a service's targets, the same at every entry.
+    fn targets(&self, all: &[Rc<Target>]) -> Vec<Rc<Target>> {
+        let mut sorted = all.to_vec();
+        sorted.sort_by(|a, b| a.incarnation().cmp(b.incarnation()));
+        let mine = sorted.into_iter().skip(self.at).step_by(self.of);
+        mine.collect()
+    }
 }
 
 impl Pools {
-    /// The batcher of a stage service; `None` when it serves no stages.
-    pub fn of(
+    /// Has a piece made. Dropping the future gives it up.
+    pub async fn make(
         &self,
         cx: &Rc<Traffic>,
         deployment: &Deployment,
         service: ServiceKey,
-    ) -> Option<Rc<Batcher>> {
-        let config = deployment.service(service);
-        let pool = config.stage_pool.as_ref()?;
-        let mut by_name = self.by_name.borrow_mut();
-        if let Some(known) = by_name.get(&config.name) {
+        wanted: Wanted,
+    ) -> PieceEnd {
+        let name = &deployment.service(service).name;
+        for _ in 0..MOST_OWNERS {
+            let targets = cx.targets_named(name).len();
+            let queue = Queue::for_request(name, targets, &wanted.piece.request_id);
+            match cx.peers.owner_of(cx, &queue.name) {
+                Owner::Me => {
+                    let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
+                    return batcher.make(wanted).await;
+                }
+                Owner::Peer(link) => {
+                    let asked = self.message(cx, &queue.name, &wanted);
+                    match link.make(asked).await {
+                        Ok(end) => {
+                            let bytes = wanted.result_bytes;
+                            return end
+                                .map(|made| HeldResult::at_peer(link, queue.name, made, bytes));
+                        }
+                        // The next owner in order gets it.
+                        Err(_lost) => {}
+                    }
+                }
+            }
+        }
+        Err(PieceFailure::Failed)
+    }
+
+    fn message(&self, cx: &Traffic, queue: &str, wanted: &Wanted) -> MakePiece {
+        let number = self.pieces.get() + 1;
+        self.pieces.set(number);
+        let now = cx.clock.now();
+        MakePiece {
+            id: PieceId(number),
+            queue: queue.to_string(),
+            piece: wanted.piece.clone(),
+            priority: wanted.priority,
+            due_in_ms: wanted.due as i64 - now as i64,
+            expires_in_ms: wanted.expires.saturating_sub(now),
+            result_bytes: wanted.result_bytes,
+            hall: wanted.hall.clone(),
+        }
+    }
+
+    /// The batcher of a queue; `None` when its service makes no pieces.
+    fn batcher(&self, cx: &Rc<Traffic>, name: &str) -> Option<Rc<Batcher>> {
+        if let Some(known) = self.batchers.borrow().get(name) {
             return Some(known.clone());
         }
-        let made = Batcher::new(cx, &config.name, pool);
-        made.take_targets(cx.targets().of(service));
-        by_name.insert(config.name.clone(), made.clone());
+        let (service, queue) = Queue::parse(name)?;
+        let deployment = cx.deployment()?;
+        let key = deployment.service_named(service)?;
+        let pool = deployment.service(key).stage_pool.as_ref()?;
+        let made = Batcher::new(cx, name, pool);
+        made.take_targets(&queue.targets(&cx.targets_named(service)));
+        let mut batchers = self.batchers.borrow_mut();
+        batchers.insert(name.to_string(), made.clone());
         Some(made)
     }
 
+    /// A peer hands a piece in.
+    pub fn take_piece(&self, cx: &Rc<Traffic>, from: &PeerRecord, asked: MakePiece) {
+        let link = cx.peers.link_to(cx, from);
+        let Some(batcher) = self.batcher(cx, &asked.queue) else {
+            // This entry doesn't know the service, or no longer.
+            link.send(Message::Ended(asked.id, Err(PieceFailure::Failed)));
+            return;
+        };
+        let now = cx.clock.now();
+        let wanted = Wanted {
+            piece: asked.piece,
+            priority: asked.priority,
+            due: now.saturating_add_signed(asked.due_in_ms),
+            expires: now + asked.expires_in_ms,
+            result_bytes: asked.result_bytes,
+            hall: asked.hall,
+        };
+        batcher.take_from_peer(link, asked.id, wanted);
+    }
+
+    /// A peer waits for a piece no longer, or left its result.
+    pub fn give_up_piece(&self, from: PeerId, id: PieceId) {
+        let all = self.all();
+        all.iter()
+            .for_each(|batcher| batcher.give_up_piece(from, id));
+    }
+
+    /// A peer needs some results no longer.
+    pub fn free(&self, queue: &str, handles: &[String]) {
+        let batcher = self.batchers.borrow().get(queue).cloned();
+        if let Some(batcher) = batcher {
+            handles.iter().for_each(|handle| batcher.give_up(handle));
+        }
+    }
+
+    /// A peer is lost: nobody waits for its pieces.
+    pub fn requester_lost(&self, peer: PeerId) {
+        let all = self.all();
+        all.iter().for_each(|batcher| batcher.requester_lost(peer));
+    }
+
+    fn all(&self) -> Vec<Rc<Batcher>> {
+        self.batchers.borrow().values().cloned().collect()
+    }
+
     /// Takes the rules and targets of a new view over.
     pub fn take_targets(&self, cx: &Rc<Traffic>) {
         let Some(deployment) = cx.deployment_in_use() else {
             return;
         };
-        for (name, batcher) in self.by_name.borrow().iter() {
-            let key = deployment.service_named(name);
-            let targets = cx.targets();
-            let Some(key) = key else {
-                batcher.take_targets(&[]);
+        for batcher in self.all() {
+            let Some((service, queue)) = Queue::parse(batcher.name()) else {
                 continue;
             };
-            if let Some(pool) = &deployment.service(key).stage_pool {
+            let pool = deployment
+                .service_named(service)
+                .and_then(|key| deployment.service(key).stage_pool);
+            if let Some(pool) = &pool {
                 batcher.set_rules(pool);
             }
-            batcher.take_targets(targets.of(key));
+            batcher.take_targets(&queue.targets(&cx.targets_named(service)));
         }
     }
 }
+
+/// The link back to a requester, and its number for the piece.
+pub(crate) struct Requester {
+    pub link: Rc<Link>,
+    pub id: PieceId,
+}
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -224,15 +224,14 @@
         .iter()
         .filter(|target| !sends.tried.contains(target.incarnation()))
         .collect();
-    let hall = prepared.hall();
-    let in_hall = |target: &Rc<Target>| hall.as_ref().is_some_and(|h| *h == target.record.hall);
+    let in_hall = |target: &Rc<Target>| prepared.bytes_outside(&target.record.hall) == 0;
     let shared_part = shared_part(admitted);
     let candidates: Vec<Candidate<usize>> = untried
         .iter()
         .enumerate()
         .map(|(at, target)| Candidate {
             target: at,
-            load: f64::from(target.in_flight.get()),
+            load: target.load(),
             reported: 0.0,
             slowness: target.health.borrow().slowness(),
             ejected: target.health.borrow().is_ejected(now),
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare.rs
@@ -7,11 +7,11 @@
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_stages::{PieceAt, PieceOrder, StageGraph, StageSize};
+use hollowsail_stages::{PieceAt, StageGraph, StageSize};
 
 use super::admit::Admitted;
 use crate::answer::Refusal;
-use crate::pools::{Batcher, HeldResult, PieceEnd};
+use crate::pools::{HeldResult, PieceEnd, Wanted};
 use crate::traffic::Traffic;
 
 /// Pieces of one request that are made again after their inputs were lost.
@@ -30,21 +30,10 @@
 }
 
 impl Prepared {
-    /// Data hall of the largest result, if there is any.
-    pub fn hall(&self) -> Option<String> {
-        self.results
-            .iter()
-            .max_by_key(|result| result.bytes())
-            .and_then(HeldResult::hall)
-    }
-
-    /// Size of the largest result.
-    pub fn largest_bytes(&self) -> u64 {
-        self.results
-            .iter()
-            .map(HeldResult::bytes)
-            .max()
-            .unwrap_or(0)
+    /// Bytes of results that lie outside a data hall.
+    pub fn bytes_outside(&self, hall: &str) -> u64 {
+        let outside = self.results.iter().filter(|result| result.hall != hall);
+        outside.map(|result| result.bytes).sum()
     }
 }
 
@@ -97,8 +86,7 @@
         let mut running = FuturesUnordered::new();
         loop {
             for at in self.graph.start_ready() {
-                let (batcher, piece, order) = self.job(at)?;
-                running.push(make(at, batcher, piece, order));
+                running.push(make(self.cx, self.admitted, at, self.wanted(at)));
             }
             if self.graph.is_done() {
                 return Ok(self.finish());
@@ -110,16 +98,7 @@
         }
     }
 
-    fn job(&self, at: PieceAt) -> Result<(Rc<Batcher>, Piece, PieceOrder), Refusal> {
-        let stage = &self.stages[at.stage];
-        let deployment = &self.admitted.deployment;
-        let batcher = self
-            .cx
-            .pools
-            .of(self.cx, deployment, stage.service)
-            .ok_or_else(|| {
-                Refusal::new(ErrorKind::NoTarget, "a stage's service makes no pieces")
-            })?;
+    fn wanted(&self, at: PieceAt) -> Wanted {
         let inputs = self.graph.inputs_of(at.stage);
         let piece_key = self.admitted.caller.piece_key.clone();
         let piece = Piece {
@@ -130,19 +109,16 @@
             piece_key: piece_key.filter(|_| inputs.is_empty()),
             inputs,
         };
-        Ok((batcher, piece, self.order(at.stage)))
-    }
-
-    /// Urgency of a stage's pieces: due early enough for what comes after.
-    fn order(&self, stage: usize) -> PieceOrder {
         let clock = &self.cx.clock;
-        let later = self.graph.depth_after(stage) as u64 - 1;
+        let later = self.graph.depth_after(at.stage) as u64 - 1;
         let reserve = ENGINE_MS + later * STAGE_MS;
-        PieceOrder {
+        Wanted {
+            piece,
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock.millis_at(self.admitted.until),
-            result_bytes: self.stages[stage].result_bytes,
+            result_bytes: self.stages[at.stage].result_bytes,
+            hall: None,
         }
     }
 
@@ -202,8 +178,12 @@
     end: PieceEnd,
 }
 
-async fn make(at: PieceAt, batcher: Rc<Batcher>, piece: Piece, order: PieceOrder) -> MadePiece {
-    let inputs = piece.inputs.clone();
-    let end = batcher.make(piece, order).await;
+async fn make(cx: &Rc<Traffic>, admitted: &Admitted, at: PieceAt, wanted: Wanted) -> MadePiece {
+    let inputs = wanted.piece.inputs.clone();
+    let service = admitted.route().stages[at.stage].service;
+    let end = cx
+        .pools
+        .make(cx, &admitted.deployment, service, wanted)
+        .await;
     MadePiece { at, inputs, end }
 }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -12,10 +12,11 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::log::Log;
+use crate::peers::{PeerId, PeerRecord};
 use crate::stop;
 use crate::traffic::Traffic;
 use crate::view::Published;
-use crate::{callers, readiness};
+use crate::{callers, peers, readiness};
 
 /// Why the daemon didn't start.
 #[derive(Debug, Snafu)]
@@ -31,6 +32,7 @@
 /// A daemon that serves.
 pub struct Running {
     stop: oneshot::Sender<oneshot::Sender<()>>,
+    control: Rc<Control>,
     log: Log,
 }
 
@@ -38,6 +40,7 @@
     /// Makes a planned stop; returns when the process may end.
     pub async fn stop(self) {
         let (done, ended) = oneshot::channel();
+        actix_rt::spawn(async move { self.control.leave().await });
         if self.stop.send(done).is_ok() && ended.await.is_err() {
             log::warn!("the traffic thread ended before its stop did");
         }
@@ -48,15 +51,16 @@
 /// Starts serving: traffic on a thread of its own, control on this one.
 pub async fn start(settings: Settings) -> Result<Running, StartError> {
     let settings = Arc::new(settings);
+    let me = own_record(&settings);
     let clock = Clock::start();
     let published = Arc::new(Published::default());
     let (started, is_started) = oneshot::channel();
     let (stop, stopping) = oneshot::channel();
     let arbiter = Arbiter::new();
-    let for_traffic = (settings.clone(), published.clone());
+    let for_traffic = (settings.clone(), me.clone(), published.clone());
     arbiter.spawn_fn(move || {
-        let (settings, published) = for_traffic;
-        let cx = Traffic::new(settings, clock, published);
+        let (settings, me, published) = for_traffic;
+        let cx = Traffic::new(settings, me, clock, published);
         let listening = listen(&cx, stopping);
         if started.send(listening).is_err() {
             log::warn!("nobody waits for the traffic thread any more");
@@ -74,8 +78,19 @@
             settings.listen.callers, settings.listen.readiness, settings.hall
         ),
     );
-    Control::new(&settings, clock, published).spawn();
-    Ok(Running { stop, log })
+    let control = Control::new(&settings, me, clock, published);
+    control.spawn();
+    Ok(Running { stop, control, log })
+}
+
+/// What this run tells the other entries of itself.
+fn own_record(settings: &Settings) -> PeerRecord {
+    PeerRecord {
+        id: PeerId(rand::random()),
+        host: settings.host.clone(),
+        addr: settings.listen.peers,
+        hall: settings.hall.clone(),
+    }
 }
 
 /// Starts the listeners of the traffic thread.
@@ -85,12 +100,14 @@
 ) -> std::io::Result<()> {
     readiness::start(cx, cx.settings.listen.readiness)?;
     let accepting = callers::start(cx, cx.settings.listen.callers)?;
+    peers::start(cx, cx.settings.listen.peers)?;
     actix_rt::spawn(cx.clone().follow_views());
     let cx = cx.clone();
     actix_rt::spawn(async move {
         if let Ok(done) = stopping.await {
             stop::run(&cx, accepting).await;
-            drop(done.send(()));
+            // The receiver may have stopped waiting.
+            let _waits = done.send(());
         }
     });
     Ok(())
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -62,6 +62,11 @@
         &self.record.incarnation
     }
 
+    /// Part of its slots that this entry's requests take.
+    pub fn load(&self) -> f64 {
+        f64::from(self.in_flight.get()) / f64::from(self.record.slots)
+    }
+
     /// Counts a request, with the prompt tokens that the target has to read.
     pub fn enter(self: &Rc<Self>, unread_tokens: u64) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -12,18 +12,22 @@
 
 use crate::clock::Clock;
 use crate::log::Log;
+use crate::peers::{PeerRecord, Peers};
 use crate::pools::Pools;
-use crate::targets::TargetTable;
+use crate::targets::{Target, TargetTable};
 use crate::view::{Published, View};
 
 /// Everything that requests share.
 pub struct Traffic {
     pub settings: Arc<Settings>,
+    /// This entry.
+    pub me: PeerRecord,
     pub clock: Clock,
     pub log: Log,
     published: Arc<Published>,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
+    pub peers: Peers,
     pub pools: Pools,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
@@ -41,9 +45,16 @@
 
 impl Traffic {
     /// State before the first view.
-    pub fn new(settings: Arc<Settings>, clock: Clock, published: Arc<Published>) -> Rc<Self> {
+    pub fn new(
+        settings: Arc<Settings>,
+        me: PeerRecord,
+        clock: Clock,
+        published: Arc<Published>,
+    ) -> Rc<Self> {
         Rc::new(Traffic {
             log: Log::new(&settings.host),
+            me,
+            peers: Peers::default(),
             pools: Pools::default(),
             view: RefCell::new(published.load()),
             published,
@@ -73,6 +84,7 @@
             return;
         }
         self.targets.borrow_mut().take(&newest);
+        self.peers.take(&newest.peers);
         *self.view.borrow_mut() = newest;
         self.pools.take_targets(self);
     }
@@ -99,6 +111,14 @@
         self.targets.borrow()
     }
 
+    /// Usable targets of the service of that name.
+    pub fn targets_named(&self, service: &str) -> Vec<Rc<Target>> {
+        let key = self
+            .deployment_in_use()
+            .and_then(|deployment| deployment.service_named(service));
+        key.map_or(Vec::new(), |key| self.targets.borrow().of(key).to_vec())
+    }
+
     /// Number of the view in use, for log lines.
     pub fn view_number(&self) -> u64 {
         self.view.borrow().number
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,9 @@
 use hollowsail_platform::targets::TargetRecord;
 use tokio::sync::Notify;
 
-/// The configuration in force and the targets that may get new work.
+use crate::peers::PeerRecord;
+
+/// The configuration in force, the targets that may get new work, the peers.
 #[derive(Debug, Default)]
 pub struct View {
     /// Rises with each publication.
@@ -15,6 +17,8 @@
     /// Absent until the first one is known.
     pub deployment: Option<Arc<Deployment>>,
     pub targets: Vec<Arc<TargetRecord>>,
+    /// Live entries, this one included once it is known to the store.
+    pub peers: Vec<PeerRecord>,
 }
 
 /// Where control puts views and traffic finds them.
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -59,8 +59,15 @@
     pub expires: Millis,
     /// About the size of the result.
     pub result_bytes: u64,
+    /// Where the result is wanted; another hall's workers make it only once it
+    /// has waited a while.
+    pub hall: Option<HallKey>,
 }
 
+/// A data hall, by a number of the caller's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct HallKey(pub u16);
+
 /// A call to make now.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StartedCall {
@@ -93,13 +100,16 @@
 struct Piece<T> {
     order: PieceOrder,
     rank: Rank,
+    /// When it may be made in any hall.
+    anywhere_from: Millis,
     /// Calls under way that make it.
     calls: u32,
     job: T,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Worker {
+    hall: HallKey,
     calls: usize,
     held_bytes: u64,
     /// Takes nothing new before this.
@@ -138,6 +148,10 @@
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
 
+/// How long a piece waits for a worker of the hall where its result is wanted,
+/// in milliseconds: less than the price of moving a large result is worth.
+const HALL_PATIENCE_MS: Millis = 60;
+
 /// The queue of one stage service.
 #[derive(Debug)]
 pub struct BatchQueue<T> {
@@ -173,10 +187,15 @@
     }
 
     /// A worker came.
-    pub fn add_worker(&mut self) -> WorkerKey {
+    pub fn add_worker(&mut self, hall: HallKey) -> WorkerKey {
         self.workers.insert(Worker {
+            hall,
+            calls: 0,
+            held_bytes: 0,
+            out_until: 0,
+            failures: 0,
+            leaving: false,
             slowness: 1.0,
-            ..Worker::default()
         })
     }
 
@@ -191,12 +210,13 @@
     }
 
     /// A piece waits from now on.
-    pub fn push(&mut self, order: PieceOrder, job: T) -> PieceKey {
+    pub fn push(&mut self, order: PieceOrder, job: T, now: Millis) -> PieceKey {
         self.arrivals += 1;
         let rank = (order.priority, order.due, self.arrivals);
         let key = self.pieces.insert(Piece {
             order,
             rank,
+            anywhere_from: now + HALL_PATIENCE_MS,
             calls: 0,
             job,
         });
@@ -281,17 +301,23 @@
             .collect()
     }
 
-    /// The most urgent pieces whose results have room: first those that can
-    /// still be in time, then the late ones.
+    /// The most urgent pieces whose results have room and are wanted here: first
+    /// those that can still be in time, then the late ones.
     fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
         let soonest = now + self.rules.expected_ms(1) as Millis;
         let in_time = |key: &PieceKey| self.pieces[*key].order.due >= soonest;
         let keys = || self.waiting.iter().map(|(_, key)| *key);
         let mut room = (self.rules.result_bytes as f64 * MEMORY_SHARE) as u64;
         room = room.saturating_sub(self.workers[worker].held_bytes);
+        let hall = self.workers[worker].hall;
+        let is_wanted_here = |key: &PieceKey| {
+            let piece = &self.pieces[*key];
+            piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now
+        };
         keys()
             .filter(in_time)
             .chain(keys().filter(|key| !in_time(key)))
+            .filter(is_wanted_here)
             .filter(|key| {
                 let needed = self.pieces[*key].order.result_bytes;
                 let fits = needed <= room;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -8,8 +8,8 @@
 pub mod graph;
 
 pub use batch::{
-    BatchQueue, CallEnd, CallKey, PieceKey, PieceOrder, PoolRules, StartedCall, StartedPiece,
-    WorkerKey,
+    BatchQueue, CallEnd, CallKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
+    StartedPiece, WorkerKey,
 };
 pub use graph::{PieceAt, StageGraph, StageSize};
 
