Choose engines by what they would read again, and make results next to them

Now engines are compared by tokens to read: shared parts that another engine keeps, results that lie elsewhere (3.1 kB weigh as much as a token), and what waits there. Large results are made in the engine's hall when the shared parts weigh more, and pieces that start from large results in the hall of those; a piece waits for a worker there as long as it can still be in time. A server error of a repeatable request is tried once more elsewhere, within the budget.

--- /dev/null
+++ b/crates/gateway/src/request/choose.rs
@@ -0,0 +1,102 @@
+//! Turns targets into candidates and asks for a choice.
+
+use std::rc::Rc;
+
+use hollowsail_fleet::rendezvous;
+use hollowsail_platform::heads::{Generation, PromptPart};
+use hollowsail_routing::{
+    choose, choose_engine, engine_goes_first, Candidate, EngineCandidate, Reason,
+};
+use rand::Rng;
+
+use super::admit::Admitted;
+use super::prepare::Prepared;
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+/// Chooses a target of a plain service.
+pub fn plain(cx: &Traffic, targets: &[Rc<Target>]) -> Option<(usize, Reason)> {
+    let now = cx.clock.now();
+    let candidates: Vec<Candidate<usize>> = targets
+        .iter()
+        .enumerate()
+        .map(|(at, target)| Candidate {
+            target: at,
+            load: target.load(),
+            reported: 0.0,
+            slowness: target.health.borrow().slowness(),
+            ejected: target.health.borrow().is_ejected(now),
+            affinity: None,
+        })
+        .collect();
+    let choice = choose(&candidates, rand::rng().random())?;
+    Some((choice.target, choice.reason))
+}
+
+/// Chooses an engine.
+pub fn engine(
+    cx: &Traffic,
+    generation: &Generation,
+    prepared: &Prepared,
+    targets: &[Rc<Target>],
+) -> Option<(usize, Reason)> {
+    let part = shared_part(generation)?;
+    let candidates: Vec<EngineCandidate> = targets
+        .iter()
+        .map(|target| {
+            candidate(
+                cx,
+                target,
+                part,
+                prepared.bytes_outside(&target.record.hall),
+            )
+        })
+        .collect();
+    let choice = choose_engine(&candidates, shared_tokens(generation))?;
+    let reason = match choice.is_home {
+        true => Reason::Affinity,
+        false => Reason::LessLoaded,
+    };
+    Some((choice.at, reason))
+}
+
+fn candidate(cx: &Traffic, target: &Target, part: &PromptPart, outside: u64) -> EngineCandidate {
+    let health = target.health.borrow();
+    EngineCandidate {
+        affinity: rendezvous::score(&part.id, &target.incarnation().0),
+        load: target.load(),
+        unread_tokens: target.unread_tokens.get(),
+        slowness: health.slowness(),
+        ejected: health.is_ejected(cx.clock.now()),
+        outside_bytes: outside,
+    }
+}
+
+/// Hall of the engine that should keep the shared parts of a request's prompt,
+/// if they weigh more than results of so many bytes.
+pub fn home_hall(cx: &Rc<Traffic>, admitted: &Admitted, result_bytes: u64) -> Option<String> {
+    let generation = admitted.caller.generation.as_ref()?;
+    if !engine_goes_first(shared_tokens(generation), result_bytes) {
+        return None;
+    }
+    let (service, _) = admitted.route().services.first()?;
+    let name = &admitted.deployment.service(*service).name;
+    let targets = cx.targets_named(name);
+    let (at, _) = engine(cx, generation, &Prepared::default(), &targets)?;
+    Some(targets[at].record.hall.clone())
+}
+
+/// The last part of a prompt that other requests share.
+fn shared_part(generation: &Generation) -> Option<&PromptPart> {
+    let (own, shared) = generation.parts.split_last()?;
+    Some(shared.last().unwrap_or(own))
+}
+
+/// Tokens of the parts that other requests share.
+fn shared_tokens(generation: &Generation) -> u64 {
+    let shared = generation
+        .parts
+        .split_last()
+        .map_or(&[][..], |(_, shared)| shared);
+    shared.iter().map(|part| part.tokens).sum()
+}
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -4,19 +4,16 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hollowsail_fleet::rendezvous;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{
-    choose, may_try_again, stage_status, Candidate, Observation, Progress, Reason, StageStatus,
-};
+use hollowsail_routing::{may_try_again, stage_status, Observation, Progress, Reason, StageStatus};
 use rand::Rng;
 
 use super::admit::Admitted;
 use super::attempt::{self, Answered, Failure, Send};
 use super::prepare::Prepared;
-use super::{relay, Trace};
+use super::{choose, relay, Trace};
 use crate::answer::{AnswerStream, Refusal};
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -183,6 +180,24 @@
     }
 }
 
+/// True when a target's own failure may be made up for by another target; else
+/// the failure itself is passed on.
+pub fn may_ask_another(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    sends: &Sends,
+    status: http::StatusCode,
+) -> bool {
+    let route = admitted.route();
+    status.is_server_error()
+        && may_try_again(Progress::Broken, route.repeat.is_repeatable())
+        && sends.arrivals + 1 < route.max_attempts
+        && !admitted.remaining().is_zero()
+        && cx.with_budget(&admitted.deployment, sends.service, |budget| {
+            budget.has_token()
+        })
+}
+
 fn out_of_time(sends: &Sends) -> Refusal {
     let mut refusal = sends.refusal(ErrorKind::CannotFinish);
     if refusal.kind == ErrorKind::TargetFailed {
@@ -216,44 +231,20 @@
     // A view newer than the request's may have dropped targets.
     cx.deployment()?;
     let name = &admitted.deployment.service(sends.service).name;
-    let service = cx.deployment_in_use()?.service_named(name)?;
-    let now = cx.clock.now();
-    let table = cx.targets();
-    let untried: Vec<&Rc<Target>> = table
-        .of(service)
-        .iter()
+    let untried: Vec<Rc<Target>> = cx
+        .targets_named(name)
+        .into_iter()
         .filter(|target| !sends.tried.contains(target.incarnation()))
         .collect();
-    let in_hall = |target: &Rc<Target>| prepared.bytes_outside(&target.record.hall) == 0;
-    let shared_part = shared_part(admitted);
-    let candidates: Vec<Candidate<usize>> = untried
-        .iter()
-        .enumerate()
-        .map(|(at, target)| Candidate {
-            target: at,
-            load: target.load(),
-            reported: 0.0,
-            slowness: target.health.borrow().slowness(),
-            ejected: target.health.borrow().is_ejected(now),
-            affinity: shared_part.map(|part| {
-                let score = rendezvous::score(part, &target.incarnation().0) >> 1;
-                score | (u64::from(in_hall(target)) << 63)
-            }),
-        })
-        .collect();
-    let choice = choose(&candidates, rand::rng().random())?;
-    let target = untried[choice.target].clone();
-    log_choice(cx, admitted, &target, choice.reason, candidates.len());
+    let (at, reason) = match &admitted.caller.generation {
+        Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
+        None => choose::plain(cx, &untried)?,
+    };
+    let target = untried[at].clone();
+    log_choice(cx, admitted, &target, reason, untried.len());
     Some(target)
 }
 
-/// The last part of a prompt that other requests share.
-fn shared_part(admitted: &Admitted) -> Option<&str> {
-    let parts = &admitted.caller.generation.as_ref()?.parts;
-    let shared = parts.len().checked_sub(2).or(parts.len().checked_sub(1))?;
-    Some(&parts[shared].id)
-}
-
 fn log_choice(
     cx: &Traffic,
     admitted: &Admitted,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -7,6 +7,7 @@
 
 mod admit;
 mod attempt;
+mod choose;
 mod dispatch;
 mod events;
 mod prepare;
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare.rs
@@ -10,12 +10,15 @@
 use hollowsail_stages::{PieceAt, StageGraph, StageSize};
 
 use super::admit::Admitted;
+use super::choose;
 use crate::answer::Refusal;
 use crate::pools::{HeldResult, PieceEnd, Wanted};
 use crate::traffic::Traffic;
 
 /// Pieces of one request that are made again after their inputs were lost.
 const MOST_REMADE: usize = 40;
+/// Bytes that are worth waiting for a worker in the right hall.
+const LEAST_MOVED_BYTES: u64 = 100_000;
 /// About what the engine needs before its first event, in milliseconds; keeps
 /// pieces that feed it ahead of those with more time. Measured on calm days.
 const ENGINE_MS: u64 = 250;
@@ -49,6 +52,7 @@
         stages,
         graph: StageGraph::new(sizes(stages, &admitted.caller.pieces)),
         held: HashMap::new(),
+        home_hall: choose::home_hall(cx, admitted, large_bytes(stages, &admitted.caller.pieces)),
         remade: 0,
     };
     match tokio::time::timeout_at(admitted.until.into(), walk.run()).await {
@@ -60,6 +64,16 @@
     }
 }
 
+/// Bytes of a request's large results.
+fn large_bytes(stages: &[Stage], pieces: &[u32]) -> u64 {
+    stages
+        .iter()
+        .zip(pieces)
+        .filter(|(stage, _)| stage.result_bytes >= LEAST_MOVED_BYTES)
+        .map(|(stage, pieces)| stage.result_bytes * u64::from(*pieces))
+        .sum()
+}
+
 /// Pieces of each stage as the request says; 0 where it says nothing.
 fn sizes(stages: &[Stage], pieces: &[u32]) -> Vec<StageSize> {
     stages
@@ -78,6 +92,8 @@
     stages: &'a [Stage],
     graph: StageGraph,
     held: HashMap<PieceAt, HeldResult>,
+    /// Hall of the engine, where that is settled before the stages.
+    home_hall: Option<String>,
     remade: usize,
 }
 
@@ -118,8 +134,30 @@
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock.millis_at(self.admitted.until),
             result_bytes: self.stages[at.stage].result_bytes,
-            hall: None,
+            hall: self.hall(at),
+        }
+    }
+
+    /// Where a piece's result is wanted: next to what it starts from, or next to
+    /// the engine; anywhere when little is moved.
+    fn hall(&self, at: PieceAt) -> Option<String> {
+        let needed = &self.stages[at.stage].after;
+        let inputs = || {
+            let held = self.held.iter();
+            held.filter(|(at, _)| needed.contains(&at.stage))
+        };
+        let input_bytes: u64 = inputs().map(|(_, result)| result.bytes).sum();
+        if input_bytes >= LEAST_MOVED_BYTES {
+            let in_hall = |hall: &str| -> u64 {
+                let here = inputs().filter(|(_, result)| result.hall == hall);
+                here.map(|(_, result)| result.bytes).sum()
+            };
+            let largest = inputs().max_by_key(|(_, result)| in_hall(&result.hall));
+            return largest.map(|(_, result)| result.hall.clone());
         }
+        self.home_hall
+            .clone()
+            .filter(|_| self.stages[at.stage].result_bytes >= LEAST_MOVED_BYTES)
     }
 
     fn take(&mut self, made: MadePiece) -> Result<(), Refusal> {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -59,6 +59,9 @@
         retry_after: None,
     };
     let failure = match read {
+        Ok(Ok(Some(_))) if dispatch::may_ask_another(cx, admitted, sends, parts.status) => failure(
+            format!("the target failed with status {}", parts.status.as_u16()),
+        ),
         Ok(Ok(Some(bytes))) => {
             let ms = admitted.arrived.elapsed().as_millis() as u64;
             let typical = cx
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -148,8 +148,8 @@
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
 
-/// How long a piece waits for a worker of the hall where its result is wanted,
-/// in milliseconds: less than the price of moving a large result is worth.
+/// How long a piece waits at least for a worker of the hall where its result is
+/// wanted, in milliseconds.
 const HALL_PATIENCE_MS: Millis = 60;
 
 /// The queue of one stage service.
@@ -216,7 +216,7 @@
         let key = self.pieces.insert(Piece {
             order,
             rank,
-            anywhere_from: now + HALL_PATIENCE_MS,
+            anywhere_from: self.anywhere_from(&order, now),
             calls: 0,
             job,
         });
@@ -224,6 +224,14 @@
         key
     }
 
+    /// When a piece may be made outside the hall where it is wanted: as late as
+    /// it can still be in time, and not at once even when it is late.
+    fn anywhere_from(&self, order: &PieceOrder, now: Millis) -> Millis {
+        let whole_call = self.rules.expected_ms(self.rules.batch) as Millis;
+        let latest_start = order.due.saturating_sub(whole_call);
+        latest_start.max(now + HALL_PATIENCE_MS)
+    }
+
     /// The job of a piece that isn't finished.
     pub fn job(&self, piece: PieceKey) -> Option<&T> {
         self.pieces.get(piece).map(|piece| &piece.job)
