Take a full worker for full, not for failing

Cause: a piece refused for lack of room was made again at once, up to four times within 10 ms, and its request then got a 503 (stage_failed).

--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -161,7 +161,14 @@
             }
             PieceResult::Failed(failure) => failure,
         };
-        batcher.queue.borrow_mut().free(started.worker, bytes);
+        let mut queue = batcher.queue.borrow_mut();
+        queue.free(started.worker, bytes);
+        match failure {
+            PieceFailure::NoRoom => queue.no_room(started.worker, cx.clock.now()),
+            // Failures of the work are counted, for each piece on its own.
+            _ => queue.job_mut(key).into_iter().for_each(|job| job.failures += 1),
+        }
+        drop(queue);
         cx.log.line(
             events::PIECE_FAILED,
             format_args!(
@@ -178,23 +185,20 @@
     }
 }
 
-/// Pieces that a call left unmade wait again, a few times.
+/// Pieces that a call left unmade wait again, unless they failed too often.
 fn give_back(batcher: &Rc<Batcher>, left: Vec<PieceKey>, end: CallEnd) {
     for key in left {
-        let failures = batcher
-            .queue
-            .borrow_mut()
-            .job_mut(key)
-            .map_or(MOST_FAILURES, |job| {
-                // A full target says nothing of the piece.
-                job.failures += u32::from(end != CallEnd::Refused);
-                job.failures
-            });
+        let mut queue = batcher.queue.borrow_mut();
+        let failures = queue.job_mut(key).map_or(MOST_FAILURES, |job| {
+            job.failures += u32::from(end == CallEnd::Failed);
+            job.failures
+        });
         if failures < MOST_FAILURES {
-            batcher.queue.borrow_mut().requeue(key);
-        } else {
-            batcher.failed(key, PieceFailure::Failed);
+            queue.requeue(key);
+            continue;
         }
+        drop(queue);
+        batcher.failed(key, PieceFailure::Failed);
     }
 }
 
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -114,6 +114,9 @@
     held_bytes: u64,
     /// Takes nothing new before this.
     out_until: Millis,
+    /// It said that its memory is full; only small results go there before
+    /// this.
+    full_until: Millis,
     /// Failures in a row.
     failures: u32,
     /// Takes nothing new ever; goes with its last call.
@@ -144,6 +147,11 @@
 const MOST_DOUBLINGS: u32 = 4;
 /// How long a worker that was full takes nothing, in milliseconds.
 const FULL_MS: Millis = 20;
+/// How long a worker whose memory is full gets only small results, in
+/// milliseconds.
+const MEMORY_FULL_MS: Millis = 40;
+/// Part of a worker's memory that small results may take meanwhile.
+const SMALL_SHARE: f64 = 0.02;
 /// Part of a worker's memory that is filled; the rest is for results whose
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
@@ -193,6 +201,7 @@
             calls: 0,
             held_bytes: 0,
             out_until: 0,
+            full_until: 0,
             failures: 0,
             leaving: false,
             slowness: 1.0,
@@ -315,8 +324,7 @@
         let soonest = now + self.rules.expected_ms(1) as Millis;
         let in_time = |key: &PieceKey| self.pieces[*key].order.due >= soonest;
         let keys = || self.waiting.iter().map(|(_, key)| *key);
-        let mut room = (self.rules.result_bytes as f64 * MEMORY_SHARE) as u64;
-        room = room.saturating_sub(self.workers[worker].held_bytes);
+        let mut room = self.room(worker, now);
         let hall = self.workers[worker].hall;
         let is_wanted_here = |key: &PieceKey| {
             let piece = &self.pieces[*key];
@@ -338,6 +346,25 @@
             .collect()
     }
 
+    /// Memory of a worker that results may still take, by what is known of it.
+    fn room(&self, worker: WorkerKey, now: Millis) -> u64 {
+        let state = &self.workers[worker];
+        let whole = self.rules.result_bytes as f64;
+        if now < state.full_until {
+            return (whole * SMALL_SHARE) as u64;
+        }
+        let usable = (whole * MEMORY_SHARE) as u64;
+        usable.saturating_sub(state.held_bytes)
+    }
+
+    /// A worker had no memory for a result, though there should have been some:
+    /// results differ in size, and freed ones are freed a little later there.
+    pub fn no_room(&mut self, worker: WorkerKey, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.full_until = now + MEMORY_FULL_MS;
+        }
+    }
+
     fn start(&mut self, worker: WorkerKey, chosen: Vec<PieceKey>, now: Millis) -> StartedCall {
         let mut pieces = Vec::with_capacity(chosen.len());
         for key in chosen {
