Put the pieces of a request's stage into one call, and end first what was begun

Ruled out: too little time at the workers (they were a third idle).

A group of pieces goes into one call unless it is begun or large; begun groups go first; memory that comes free is kept for the group at the head.

--- a/crates/gateway/src/pools/batcher.rs
+++ b/crates/gateway/src/pools/batcher.rs
@@ -10,12 +10,15 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use hollowsail_fleet::rendezvous;
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
-use hollowsail_stages::{BatchQueue, HallKey, PieceKey, PieceOrder, PoolRules, WorkerKey};
+use hollowsail_stages::{
+    BatchQueue, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, WorkerKey,
+};
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
@@ -104,6 +107,11 @@
     }
 }
 
+/// The pieces of one stage of one request.
+fn group_of(piece: &Piece) -> GroupKey {
+    GroupKey(rendezvous::score(&piece.request_id, piece.stage))
+}
+
 fn rules_of(pool: &StagePool) -> PoolRules {
     PoolRules {
         running: pool.running as usize,
@@ -197,6 +205,7 @@
             due: wanted.due,
             expires: wanted.expires,
             result_bytes: wanted.result_bytes,
+            group: group_of(&wanted.piece),
             hall,
         };
         let job = Job {
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -166,7 +166,10 @@
         match failure {
             PieceFailure::NoRoom => queue.no_room(started.worker, cx.clock.now()),
             // Failures of the work are counted, for each piece on its own.
-            _ => queue.job_mut(key).into_iter().for_each(|job| job.failures += 1),
+            _ => queue
+                .job_mut(key)
+                .into_iter()
+                .for_each(|job| job.failures += 1),
         }
         drop(queue);
         cx.log.line(
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -4,6 +4,10 @@
 //! share calls. They wait here, not at workers: whichever worker is free next
 //! takes the most urgent ones, up to a whole batch. Pieces of all requests mix.
 //!
+//! The pieces of a request's stage are of use together only, so they go into
+//! one call where they can, and what was begun is ended before anything else:
+//! half of a request's results would only fill a worker's memory.
+//!
 //! A worker's memory for results is counted here too: a piece goes only where
 //! its result has room, until [`BatchQueue::free`] tells that it was given up.
 //!
@@ -11,7 +15,7 @@
 //! pieces go back to the queue for others ([`BatchQueue::take_overdue`]), and
 //! the first result counts.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashMap};
 
 use slotmap::{new_key_type, SlotMap};
 
@@ -59,11 +63,17 @@
     pub expires: Millis,
     /// About the size of the result.
     pub result_bytes: u64,
+    /// Pieces of one group, the stage of a request, are of use together only.
+    pub group: GroupKey,
     /// Where the result is wanted; another hall's workers make it only once it
     /// has waited a while.
     pub hall: Option<HallKey>,
 }
 
+/// Pieces that are of use together only, by a number of the caller's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct GroupKey(pub u64);
+
 /// A data hall, by a number of the caller's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct HallKey(pub u16);
@@ -94,8 +104,17 @@
     Failed,
 }
 
+/// Priority, due time, order of arrival: pieces that arrive together stay
+/// together.
 type Rank = (u8, Millis, u64);
 
+/// Pieces of one group that aren't finished, and whether some were begun.
+#[derive(Debug, Default)]
+struct Group {
+    pieces: usize,
+    begun: bool,
+}
+
 #[derive(Debug)]
 struct Piece<T> {
     order: PieceOrder,
@@ -168,6 +187,7 @@
     pieces: SlotMap<PieceKey, Piece<T>>,
     calls: SlotMap<CallKey, Call>,
     waiting: BTreeSet<(Rank, PieceKey)>,
+    groups: HashMap<GroupKey, Group>,
     arrivals: u64,
 }
 
@@ -180,6 +200,7 @@
             pieces: SlotMap::with_key(),
             calls: SlotMap::with_key(),
             waiting: BTreeSet::new(),
+            groups: HashMap::new(),
             arrivals: 0,
         }
     }
@@ -230,6 +251,7 @@
             job,
         });
         self.waiting.insert((rank, key));
+        self.groups.entry(order.group).or_default().pieces += 1;
         key
     }
 
@@ -255,9 +277,20 @@
     pub fn finish(&mut self, piece: PieceKey) -> Option<T> {
         let piece_state = self.pieces.remove(piece)?;
         self.waiting.remove(&(piece_state.rank, piece));
+        self.leave_group(piece_state.order.group);
         Some(piece_state.job)
     }
 
+    fn leave_group(&mut self, key: GroupKey) {
+        let Some(group) = self.groups.get_mut(&key) else {
+            return;
+        };
+        group.pieces -= 1;
+        if group.pieces == 0 {
+            self.groups.remove(&key);
+        }
+    }
+
     /// A piece that is in no call any more waits again.
     pub fn requeue(&mut self, piece: PieceKey) {
         if let Some(state) = self.pieces.get(piece) {
@@ -318,32 +351,90 @@
             .collect()
     }
 
-    /// The most urgent pieces whose results have room and are wanted here: first
-    /// those that can still be in time, then the late ones.
+    /// The pieces for a call: group after group, as they go together.
     fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
-        let soonest = now + self.rules.expected_ms(1) as Millis;
-        let in_time = |key: &PieceKey| self.pieces[*key].order.due >= soonest;
-        let keys = || self.waiting.iter().map(|(_, key)| *key);
+        let mut chosen = Vec::new();
         let mut room = self.room(worker, now);
+        for group in self.groups_for(worker, now) {
+            let places = self.rules.batch - chosen.len();
+            let bytes: u64 = group.iter().map(|key| self.result_bytes(*key)).sum();
+            if group.len() <= places && bytes <= room {
+                room -= bytes;
+                chosen.extend(group);
+            } else if chosen.is_empty() && self.may_split(&group) {
+                chosen.extend(self.those_that_fit(&group, room));
+                break;
+            } else if bytes > room {
+                // The memory that comes free is for this group: those behind it
+                // get only what is small.
+                room = room.min(self.small_room());
+            }
+        }
+        chosen
+    }
+
+    /// Waiting pieces that are wanted at a worker, by group: first groups that
+    /// were begun, whose results lie idle; then those that can still be in
+    /// time; then the late ones. The most urgent go first in each.
+    fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
         let hall = self.workers[worker].hall;
-        let is_wanted_here = |key: &PieceKey| {
+        let soonest = now + self.rules.expected_ms(1) as Millis;
+        let mut ranked: Vec<(u8, Vec<PieceKey>)> = Vec::new();
+        let mut last = None;
+        for (_, key) in &self.waiting {
             let piece = &self.pieces[*key];
-            piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now
-        };
-        keys()
-            .filter(in_time)
-            .chain(keys().filter(|key| !in_time(key)))
-            .filter(is_wanted_here)
-            .filter(|key| {
-                let needed = self.pieces[*key].order.result_bytes;
-                let fits = needed <= room;
-                if fits {
-                    room -= needed;
-                }
-                fits
-            })
-            .take(self.rules.batch)
-            .collect()
+            let is_wanted_here =
+                piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now;
+            if !is_wanted_here {
+                continue;
+            }
+            if last == Some(piece.order.group) {
+                ranked
+                    .last_mut()
+                    .expect("a group was just pushed")
+                    .1
+                    .push(*key);
+                continue;
+            }
+            last = Some(piece.order.group);
+            let begun = self.groups.get(&piece.order.group).is_some_and(|g| g.begun);
+            let class = match (begun, piece.order.due >= soonest) {
+                (true, _) => 0,
+                (false, true) => 1,
+                (false, false) => 2,
+            };
+            ranked.push((class, vec![*key]));
+        }
+        ranked.sort_by_key(|(class, _)| *class);
+        ranked.into_iter().map(|(_, group)| group).collect()
+    }
+
+    /// A group is split when it is begun already, or too large for most calls.
+    fn may_split(&self, group: &[PieceKey]) -> bool {
+        let key = self.pieces[group[0]].order.group;
+        let begun = self.groups.get(&key).is_some_and(|group| group.begun);
+        begun || group.len() > self.rules.batch / 2
+    }
+
+    fn those_that_fit(&self, group: &[PieceKey], room: u64) -> Vec<PieceKey> {
+        let each = group
+            .iter()
+            .map(|key| self.result_bytes(*key))
+            .max()
+            .unwrap_or(0);
+        let fitting = room
+            .checked_div(each)
+            .map_or(usize::MAX, |fit| fit as usize);
+        let most = fitting.min(self.rules.batch);
+        group.iter().copied().take(most).collect()
+    }
+
+    fn result_bytes(&self, key: PieceKey) -> u64 {
+        self.pieces[key].order.result_bytes
+    }
+
+    fn small_room(&self) -> u64 {
+        (self.rules.result_bytes as f64 * SMALL_SHARE) as u64
     }
 
     /// Memory of a worker that results may still take, by what is known of it.
@@ -351,7 +442,7 @@
         let state = &self.workers[worker];
         let whole = self.rules.result_bytes as f64;
         if now < state.full_until {
-            return (whole * SMALL_SHARE) as u64;
+            return self.small_room();
         }
         let usable = (whole * MEMORY_SHARE) as u64;
         usable.saturating_sub(state.held_bytes)
@@ -373,6 +464,9 @@
             let result_bytes = piece.order.result_bytes;
             pieces.push(StartedPiece { key, result_bytes });
             self.waiting.remove(&(piece.rank, key));
+            if let Some(group) = self.groups.get_mut(&piece.order.group) {
+                group.begun = true;
+            }
             self.workers[worker].held_bytes += result_bytes;
         }
         self.workers[worker].calls += 1;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod graph;
 
 pub use batch::{
-    BatchQueue, CallEnd, CallKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
+    BatchQueue, CallEnd, CallKey, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
     StartedPiece, WorkerKey,
 };
 pub use graph::{PieceAt, StageGraph, StageSize};
