--- a/crates/entry/tests/suite/main.rs
+++ b/crates/entry/tests/suite/main.rs
@@ -1,5 +1,4 @@
-//! Tables of the entry that documents show, and parts that need no sockets.
+//! Parts of the entry that need no sockets.
 
-mod catalogues;
 mod configuration;
 mod tls;
--- a/crates/gateway/src/callers/listen.rs
+++ b/crates/gateway/src/callers/listen.rs
@@ -19,20 +19,16 @@
 const CALLERS_SHARE: f64 = 0.6;
 
 /// Listens at an address, also right after another process did.
-pub fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
+pub fn bind(addr: SocketAddr) -> std::io::Result<std::net::TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
     socket.bind(addr)?;
-    socket.listen(BACKLOG)
+    socket.listen(BACKLOG)?.into_std()
 }
 
-/// Listens for callers until the planned stop closes the listener.
-pub fn start(
-    cx: &Rc<Traffic>,
-    addr: SocketAddr,
-) -> std::io::Result<actix_rt::task::JoinHandle<()>> {
-    let listener = bind(addr)?;
-    Ok(actix_rt::spawn(accept(cx.clone(), listener)))
+/// Accepts callers until the planned stop ends the task.
+pub fn start(cx: &Rc<Traffic>, listener: TcpListener) -> actix_rt::task::JoinHandle<()> {
+    actix_rt::spawn(accept(cx.clone(), listener))
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -1,7 +1,6 @@
 //! Takes messages from peers.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -15,17 +14,15 @@
 
 use super::messages::{Envelope, Message, PATH};
 use super::record::PeerRecord;
-use crate::callers::listen::{bind, ACCEPT_PAUSE};
+use crate::callers::listen::ACCEPT_PAUSE;
 use crate::traffic::Traffic;
 
 /// Longest envelope, in bytes.
 const MOST_ENVELOPE_BYTES: usize = 4 << 20;
 
-/// Listens until the thread ends.
-pub fn start(cx: &Rc<Traffic>, addr: SocketAddr) -> std::io::Result<()> {
-    let listener = bind(addr)?;
+/// Takes messages until the thread ends.
+pub fn start(cx: &Rc<Traffic>, listener: TcpListener) {
     actix_rt::spawn(accept(cx.clone(), listener));
-    Ok(())
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -1,7 +1,6 @@
 //! Answers the balancer's question whether new connections may come.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -14,20 +13,18 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::callers::listen::bind;
+use crate::callers::listen::ACCEPT_PAUSE;
 use crate::traffic::Traffic;
 
-/// Listens and answers until the thread ends.
-pub fn start(cx: &Rc<Traffic>, addr: SocketAddr) -> std::io::Result<()> {
-    let listener = bind(addr)?;
+/// Answers until the thread ends.
+pub fn start(cx: &Rc<Traffic>, listener: TcpListener) {
     actix_rt::spawn(accept(cx.clone(), listener));
-    Ok(())
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(crate::callers::listen::ACCEPT_PAUSE).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
         };
         let cx = cx.clone();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -1,14 +1,16 @@
 //! Starts the daemon's threads and listeners.
 
+use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_rt::Arbiter;
 use hollowsail_observe::events;
-use hollowsail_platform::settings::Settings;
+use hollowsail_platform::settings::{Listen, Settings};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::oneshot;
 
+use crate::callers::listen::bind;
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::log::Log;
@@ -22,15 +24,55 @@
 #[derive(Debug, Snafu)]
 pub enum StartError {
     /// An address of the settings can't be listened at.
-    #[snafu(display("cannot listen: {source}; check the addresses in the settings"))]
-    Listen { source: std::io::Error },
+    #[snafu(display("cannot listen at {addr}: {source}; check the addresses in the settings"))]
+    Listen {
+        addr: SocketAddr,
+        source: std::io::Error,
+    },
+    /// The traffic thread can't take the listeners.
+    #[snafu(display("cannot start the traffic thread: {source}; check the descriptor limit"))]
+    Traffic { source: std::io::Error },
     /// The traffic thread ended before it listened.
     #[snafu(display("the traffic thread ended at its start; see the log above"))]
     ThreadEnded,
 }
 
+/// Sockets that listen, and where.
+struct Listeners {
+    callers: TcpListener,
+    readiness: TcpListener,
+    peers: TcpListener,
+    /// The addresses, with the ports that were given where the settings say 0.
+    at: Listen,
+}
+
+impl Listeners {
+    fn bind(wanted: &Listen) -> Result<Self, StartError> {
+        let listen = |addr: SocketAddr| {
+            let listener = bind(addr).context(ListenSnafu { addr })?;
+            let addr = listener.local_addr().context(ListenSnafu { addr })?;
+            Ok((listener, addr))
+        };
+        let (callers, callers_at) = listen(wanted.callers)?;
+        let (readiness, readiness_at) = listen(wanted.readiness)?;
+        let (peers, peers_at) = listen(wanted.peers)?;
+        Ok(Listeners {
+            callers,
+            readiness,
+            peers,
+            at: Listen {
+                callers: callers_at,
+                readiness: readiness_at,
+                peers: peers_at,
+            },
+        })
+    }
+}
+
 /// A daemon that serves.
 pub struct Running {
+    /// Where it listens.
+    pub at: Listen,
     stop: oneshot::Sender<oneshot::Sender<()>>,
     control: Rc<Control>,
     log: Log,
@@ -50,57 +92,69 @@
 
 /// Starts serving: traffic on a thread of its own, control on this one.
 pub async fn start(settings: Settings) -> Result<Running, StartError> {
-    let settings = Arc::new(settings);
-    let me = own_record(&settings);
     let clock = Clock::start();
+    let listeners = Listeners::bind(&settings.listen)?;
+    let at = listeners.at.clone();
+    let settings = Arc::new(settings);
+    let me = own_record(&settings, at.peers);
     let published = Arc::new(Published::default());
-    let (started, is_started) = oneshot::channel();
     let (stop, stopping) = oneshot::channel();
-    let arbiter = Arbiter::new();
-    let for_traffic = (settings.clone(), me.clone(), published.clone());
-    arbiter.spawn_fn(move || {
-        let (settings, me, published) = for_traffic;
-        let cx = Traffic::new(settings, me, clock, published);
-        let listening = listen(&cx, stopping);
-        if started.send(listening).is_err() {
-            log::warn!("nobody waits for the traffic thread any more");
-        }
-    });
-    is_started
-        .await
-        .map_err(|_| StartError::ThreadEnded)?
-        .context(ListenSnafu)?;
+    let traffic = Traffic::prepare(settings.clone(), me.clone(), clock, published.clone());
+    start_traffic(traffic, listeners, stopping).await?;
     let log = Log::new(&settings.host);
     log.line(
         events::STARTED,
         format_args!(
-            "callers={} readiness={} hall={}",
-            settings.listen.callers, settings.listen.readiness, settings.hall
+            "callers={} readiness={} peers={} hall={} run={:016x}",
+            at.callers, at.readiness, at.peers, settings.hall, me.id.0
         ),
     );
     let control = Control::new(&settings, me, clock, published);
     control.spawn();
-    Ok(Running { stop, control, log })
+    Ok(Running {
+        at,
+        stop,
+        control,
+        log,
+    })
 }
 
 /// What this run tells the other entries of itself.
-fn own_record(settings: &Settings) -> PeerRecord {
+fn own_record(settings: &Settings, peers: SocketAddr) -> PeerRecord {
     PeerRecord {
         id: PeerId(rand::random()),
         host: settings.host.clone(),
-        addr: settings.listen.peers,
+        addr: peers,
         hall: settings.hall.clone(),
     }
 }
 
-/// Starts the listeners of the traffic thread.
-fn listen(
-    cx: &Rc<Traffic>,
-    stopping: oneshot::Receiver<oneshot::Sender<()>>,
-) -> std::io::Result<()> {
-    readiness::start(cx, cx.settings.listen.readiness)?;
-    let accepting = callers::start(cx, cx.settings.listen.callers)?;
-    peers::start(cx, cx.settings.listen.peers)?;
+type Stopping = oneshot::Receiver<oneshot::Sender<()>>;
+
+async fn start_traffic(
+    traffic: impl FnOnce() -> Rc<Traffic> + Send + 'static,
+    listeners: Listeners,
+    stopping: Stopping,
+) -> Result<(), StartError> {
+    let (started, is_started) = oneshot::channel();
+    Arbiter::new().spawn_fn(move || {
+        let serving = serve(&traffic(), listeners, stopping);
+        if started.send(serving).is_err() {
+            log::warn!("nobody waits for the traffic thread any more");
+        }
+    });
+    is_started
+        .await
+        .map_err(|_| StartError::ThreadEnded)?
+        .context(TrafficSnafu)
+}
+
+/// Starts the tasks of the traffic thread.
+fn serve(cx: &Rc<Traffic>, listeners: Listeners, stopping: Stopping) -> std::io::Result<()> {
+    let take = tokio::net::TcpListener::from_std;
+    readiness::start(cx, take(listeners.readiness)?);
+    peers::start(cx, take(listeners.peers)?);
+    let accepting = callers::start(cx, take(listeners.callers)?);
     actix_rt::spawn(cx.clone().follow_views());
     let cx = cx.clone();
     actix_rt::spawn(async move {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -44,30 +44,33 @@
 }
 
 impl Traffic {
-    /// State before the first view.
-    pub fn new(
+    /// Makes the state, before the first view, on the thread that calls what
+    /// this returns.
+    pub fn prepare(
         settings: Arc<Settings>,
         me: PeerRecord,
         clock: Clock,
         published: Arc<Published>,
-    ) -> Rc<Self> {
-        Rc::new(Traffic {
-            log: Log::new(&settings.host),
-            me,
-            peers: Peers::default(),
-            pools: Pools::default(),
-            view: RefCell::new(published.load()),
-            published,
-            settings,
-            clock,
-            targets: RefCell::default(),
-            budgets: RefCell::default(),
-            latencies: RefCell::default(),
-            in_flight: Cell::new(0),
-            connections: Cell::new(0),
-            stopping: Cell::new(false),
-            close_idle: Notify::new(),
-        })
+    ) -> impl FnOnce() -> Rc<Traffic> + Send {
+        move || {
+            Rc::new(Traffic {
+                log: Log::new(&settings.host),
+                me,
+                peers: Peers::default(),
+                pools: Pools::default(),
+                view: RefCell::new(published.load()),
+                published,
+                settings,
+                clock,
+                targets: RefCell::default(),
+                budgets: RefCell::default(),
+                latencies: RefCell::default(),
+                in_flight: Cell::new(0),
+                connections: Cell::new(0),
+                stopping: Cell::new(false),
+                close_idle: Notify::new(),
+            })
+        }
     }
 
     /// Takes views over as they are published.
--- a/crates/entry/tests/suite/catalogues.rs
+++ b/crates/observe/tests/suite/catalogues.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use expect_test::expect_file;
-use hollowsail_entry::{events, ErrorKind};
+use hollowsail_observe::{events, ErrorKind};
 
 #[test]
 fn the_catalogue_of_log_events_is_the_codes() {
@@ -11,7 +11,7 @@
         "# Log events\n\n\
          A line reads `HS0201 route entry=... key=value ...`. Fields hold names,\n\
          ids and figures; never what a request carries. Made from\n\
-         `crates/entry/src/events.rs` by its test.\n\n\
+         `crates/observe/src/events.rs` by its test.\n\n\
          | code | name | level | meaning |\n|---|---|---|---|\n",
     );
     for event in events::ALL {
@@ -33,7 +33,7 @@
     let mut text = String::from(
         "# Error kinds\n\n\
          Every answer that is not whole names one kind of this closed list, with a\n\
-         message that says what and where. Made from `crates/entry/src/kinds.rs` by\n\
+         message that says what and where. Made from `crates/observe/src/kinds.rs` by\n\
          its test. What ran is in the answer's `outcome` and in each stage's\n\
          `status`, not in the kind.\n\n\
          | kind | HTTP status | come back after | what to do |\n|---|---|---|---|\n",
--- /dev/null
+++ b/crates/observe/tests/suite/main.rs
@@ -0,0 +1,3 @@
+//! Tables of the daemons that documents show.
+
+mod catalogues;
--- a/crates/routing/tests/suite/choose.rs
+++ b/crates/routing/tests/suite/choose.rs
@@ -30,7 +30,7 @@
 
 #[test]
 fn nobody_is_chosen_from_nobody() {
-    assert_eq!(choose(&[], 7), None);
+    assert_eq!(choose::<TargetKey>(&[], 7), None);
 }
 
 #[test]
