Share the retry budget among entries; read settings again on SIGHUP

An entry's retry budget held ten tokens however many entries there were; now the entries share the extra arrivals that a service takes in a window. SIGHUP ended the process, as is its default.

--- a/crates/gateway/src/callers/listen.rs
+++ b/crates/gateway/src/callers/listen.rs
@@ -32,7 +32,7 @@
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
-    let most = (cx.settings.limits.descriptors as f64 * CALLERS_SHARE) as usize;
+    let most = (cx.settings().limits.descriptors as f64 * CALLERS_SHARE) as usize;
     loop {
         if cx.connections.get() >= most {
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -23,7 +23,6 @@
 pub struct Answered {
     pub parts: Parts,
     pub body: AnswerBody,
-    pub head: TargetHead,
     pub target: Rc<Target>,
     pub in_flight: InFlight,
 }
@@ -86,7 +85,6 @@
     Ok(Answered {
         parts,
         body,
-        head,
         target: target.clone(),
         in_flight,
     })
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use actix_rt::Arbiter;
+use arc_swap::ArcSwap;
 use hollowsail_observe::events;
 use hollowsail_platform::settings::{Listen, Settings};
 use snafu::{ResultExt, Snafu};
@@ -73,12 +74,23 @@
 pub struct Running {
     /// Where it listens.
     pub at: Listen,
+    settings: Arc<ArcSwap<Settings>>,
     stop: oneshot::Sender<oneshot::Sender<()>>,
     control: Rc<Control>,
     log: Log,
 }
 
 impl Running {
+    /// Puts settings in force that were read again. Addresses, names and the
+    /// store stay as they were at the start.
+    pub fn reload(&self, settings: Settings) {
+        self.log.line(
+            events::RELOADED,
+            format_args!("bounds=\"{:?}\"", settings.bounds),
+        );
+        self.settings.store(Arc::new(settings));
+    }
+
     /// Makes a planned stop; returns when the process may end.
     pub async fn stop(self) {
         let (done, ended) = oneshot::channel();
@@ -95,24 +107,28 @@
     let clock = Clock::start();
     let listeners = Listeners::bind(&settings.listen)?;
     let at = listeners.at.clone();
-    let settings = Arc::new(settings);
+    let host = settings.host.clone();
     let me = own_record(&settings, at.peers);
     let published = Arc::new(Published::default());
     let (stop, stopping) = oneshot::channel();
+    let hall = settings.hall.clone();
+    let control_settings = settings.clone();
+    let settings = Arc::new(ArcSwap::from_pointee(settings));
     let traffic = Traffic::prepare(settings.clone(), me.clone(), clock, published.clone());
     start_traffic(traffic, listeners, stopping).await?;
-    let log = Log::new(&settings.host);
+    let log = Log::new(&host);
     log.line(
         events::STARTED,
         format_args!(
             "callers={} readiness={} peers={} hall={} run={:016x}",
-            at.callers, at.readiness, at.peers, settings.hall, me.id.0
+            at.callers, at.readiness, at.peers, hall, me.id.0
         ),
     );
-    let control = Control::new(&settings, me, clock, published);
+    let control = Control::new(&control_settings, me, clock, published);
     control.spawn();
     Ok(Running {
         at,
+        settings,
         stop,
         control,
         log,
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -27,7 +27,7 @@
 
 /// Runs a planned stop to its end; the process may end after.
 pub async fn run(cx: &Rc<Traffic>, accepting: JoinHandle<()>) {
-    let latest = Instant::now() + cx.settings.grace().saturating_sub(BEFORE_KILL);
+    let latest = Instant::now() + cx.settings().grace().saturating_sub(BEFORE_KILL);
     cx.stopping.set(true);
     cx.log.line(
         events::STOP_BEGUN,
@@ -37,7 +37,7 @@
             cx.connections.get()
         ),
     );
-    sleep(BALANCER_LAG.min(cx.settings.grace() / 2)).await;
+    sleep(BALANCER_LAG.min(cx.settings().grace() / 2)).await;
     cx.close_idle.notify_waiters();
     while cx.connections.get() > 0 && Instant::now() < latest {
         sleep(PAUSE).await;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use arc_swap::ArcSwap;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_routing::{LatencyWindow, Millis, RetryBudget};
@@ -19,7 +20,7 @@
 
 /// Everything that requests share.
 pub struct Traffic {
-    pub settings: Arc<Settings>,
+    settings: Arc<ArcSwap<Settings>>,
     /// This entry.
     pub me: PeerRecord,
     pub clock: Clock,
@@ -47,14 +48,14 @@
     /// Makes the state, before the first view, on the thread that calls what
     /// this returns.
     pub fn prepare(
-        settings: Arc<Settings>,
+        settings: Arc<ArcSwap<Settings>>,
         me: PeerRecord,
         clock: Clock,
         published: Arc<Published>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
             Rc::new(Traffic {
-                log: Log::new(&settings.host),
+                log: Log::new(&settings.load().host),
                 me,
                 peers: Peers::default(),
                 pools: Pools::default(),
@@ -73,6 +74,11 @@
         }
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<Settings> {
+        self.settings.load_full()
+    }
+
     /// Takes views over as they are published.
     pub async fn follow_views(self: Rc<Self>) {
         loop {
@@ -135,10 +141,14 @@
         change: impl FnOnce(&mut RetryBudget) -> T,
     ) -> T {
         let name = &deployment.service(service).name;
+        let bounds = &self.settings().bounds;
+        let share = bounds.retry_extra * EXTRA_SHARE / self.peers.count() as f64;
+        let ratio = bounds.retry_ratio * RATIO_SHARE;
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets
             .entry(name.clone())
-            .or_insert_with(|| RetryBudget::new(self.settings.bounds.retry_ratio * RETRY_SHARE));
+            .or_insert_with(|| RetryBudget::with_share(ratio, share));
+        budget.set_share(share);
         change(budget)
     }
 
@@ -157,6 +167,10 @@
     }
 }
 
-/// Part of the allowed ratio of retries that is used; the rest is left for what
-/// arrives twice without our doing.
-const RETRY_SHARE: f64 = 0.8;
+/// Part of the allowed ratio of extra arrivals that is used; the rest is left
+/// for what arrives twice without our doing.
+const RATIO_SHARE: f64 = 0.8;
+/// Part of the extra arrivals allowed besides the ratio that the entries share.
+/// A window slides, so that tokens saved before it are spent in it beside those
+/// earned; and entries that don't know of each other each take a whole share.
+const EXTRA_SHARE: f64 = 0.5;
--- a/src/ops/gateway.rs
+++ b/src/ops/gateway.rs
@@ -3,10 +3,11 @@
 use hollowsail_gateway::start;
 use hollowsail_platform::settings::Settings;
 
-use crate::ops::signals;
+use crate::ops::signals::{Signals, Told};
 use crate::{Context, Exit};
 
-/// Reads settings, serves, and on SIGTERM or SIGINT makes a planned stop.
+/// Reads settings, serves, and on SIGTERM or SIGINT makes a planned stop;
+/// on SIGHUP reads the settings again.
 pub async fn run(cx: &mut Context<'_>) -> Exit {
     let settings = match Settings::from_environment() {
         Ok(settings) => settings,
@@ -15,6 +16,13 @@
             return Exit::Unusable;
         }
     };
+    let mut signals = match Signals::take() {
+        Ok(signals) => signals,
+        Err(err) => {
+            cx.complain(format_args!("error: cannot take signals: {err}"));
+            return Exit::Unusable;
+        }
+    };
     let running = match start(settings).await {
         Ok(running) => running,
         Err(err) => {
@@ -22,7 +30,12 @@
             return Exit::Unusable;
         }
     };
-    signals::wait_for_stop().await;
+    while signals.next().await == Told::Reload {
+        match Settings::from_environment() {
+            Ok(settings) => running.reload(settings),
+            Err(err) => cx.complain(format_args!("error: {err}; the settings before stay")),
+        }
+    }
     running.stop().await;
     Exit::Success
 }
