Learn configuration and targets from peers while the store doesn't answer

The store may turn some hosts away and serve others. An entry that gets no answer to its renewals (a watch that hears nothing looks healthy) drops its watches, reads anew with backoff, and asks two random peers every 400 ms; a process that starts without the store asks its seeds. Each by a test on sockets.

--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -145,6 +145,23 @@
             .collect()
     }
 
+    /// All records there are by the word of a peer that hears from the store: what
+    /// isn't among them went, whatever the store's state here. Returns the
+    /// incarnations that left the book.
+    pub fn adopt(&mut self, present: &[&str], revision: u64) -> Vec<String> {
+        let missing: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.revision <= revision)
+            .filter(|(incarnation, _)| !present.contains(&incarnation.as_str()))
+            .map(|(incarnation, _)| incarnation.clone())
+            .collect();
+        for incarnation in &missing {
+            self.entries.remove(incarnation);
+        }
+        missing
+    }
+
     /// Drops what is still missing some time after the store's return.
     pub fn settle(&mut self, now: Millis) -> Vec<String> {
         if self.is_unsettled(now) {
@@ -181,6 +198,18 @@
             .map(|entry| &entry.record)
     }
 
+    /// Every target, leaving ones included, with the revision of its last change.
+    pub fn all(&self) -> impl Iterator<Item = (u64, &R)> {
+        self.entries
+            .values()
+            .map(|entry| (entry.revision, &entry.record))
+    }
+
+    /// True when the store doesn't answer.
+    pub fn is_store_away(&self) -> bool {
+        self.store == StoreState::Away
+    }
+
     /// Targets in the book, leaving ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -39,7 +39,8 @@
     }
     let mut revision: Revision = range.revision;
     loop {
-        let changes = cx.store.watch(KEY, revision, WATCH_WAIT).await?;
+        let watch = cx.store.watch(KEY, revision, WATCH_WAIT);
+        let changes = cx.until_store_lost(watch).await?;
         cx.store_answered();
         revision = changes.revision;
         for change in &changes.changes {
@@ -53,13 +54,17 @@
 impl Control {
     /// Puts a configuration in force unless one as new already is.
     fn take_configuration(&self, item: &Item) {
-        if item.key != KEY {
-            return;
+        if item.key == KEY {
+            self.take_source(&item.value, "store");
         }
-        let deployment = match Deployment::decode(&item.value) {
+    }
+
+    /// The same, whoever brought it.
+    pub(super) fn take_source(&self, source: &[u8], from: &str) {
+        let deployment = match Deployment::decode(source) {
             Ok(deployment) => deployment,
             Err(err) => {
-                let fields = format_args!("revision={} why=\"{err}\"", item.revision);
+                let fields = format_args!("from={from} why=\"{err}\"");
                 self.log.line(events::CONFIGURATION_UNREADABLE, fields);
                 return;
             }
@@ -75,13 +80,14 @@
         self.log.line(
             events::CONFIGURATION_IN_FORCE,
             format_args!(
-                "version={} before={known} routes={} services={} from=store",
+                "version={} before={known} routes={} services={} from={from}",
                 deployment.version,
                 deployment.routes.len(),
                 deployment.services.len(),
             ),
         );
         *self.deployment.borrow_mut() = Some(Arc::new(deployment));
+        *self.source.borrow_mut() = Some(source.into());
         self.publish();
     }
 }
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -13,7 +13,8 @@
 /// How long the record of an entry that fell silent stays. Peers notice a dead
 /// one sooner, when it owes them an answer.
 const LEASE: Duration = Duration::from_secs(6);
-/// Between two renewals; two may be lost.
+/// Between two renewals; two may be lost. They also show that the store answers:
+/// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
 /// How long a watch waits; see the configuration's.
 const WATCH_WAIT: Duration = Duration::from_secs(12);
@@ -68,7 +69,10 @@
             cx.store_failed(&err);
             Ok(())
         }
-        Ok(()) => Ok(()),
+        Ok(()) => {
+            cx.store_answered();
+            Ok(())
+        }
     }
 }
 
@@ -102,7 +106,8 @@
     cx.settle_peers_later();
     let mut revision = range.revision;
     loop {
-        let changes = cx.store.watch(PREFIX, revision, WATCH_WAIT).await?;
+        let watch = cx.store.watch(PREFIX, revision, WATCH_WAIT);
+        let changes = cx.until_store_lost(watch).await?;
         cx.store_answered();
         revision = changes.revision;
         let mut changed = false;
@@ -171,6 +176,19 @@
         });
     }
 
+    /// Takes entries by the word of a peer, as long as the store doesn't tell.
+    pub(super) fn adopt_peers(&self, peers: Vec<PeerRecord>) {
+        let mut book = self.peers.borrow_mut();
+        let mut changed = false;
+        for peer in peers {
+            changed |= book.put(&peer.key(), 0, peer, false);
+        }
+        drop(book);
+        if changed {
+            self.publish();
+        }
+    }
+
     /// Gives this entry's record up, so that peers pass it over at once.
     pub async fn leave(&self) {
         let Some(lease) = self.lease.take() else {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,15 +2,18 @@
 //!
 //! One loop watches the operators' configuration, another the targets' records,
 //! a third the entries' own. Each reads its keys once, then waits for changes, and starts over when the
-//! store loses its history or stops answering. Both publish through
-//! [`Control::publish`].
+//! store loses its history or stops answering. Meanwhile [`peer_state`] asks
+//! peers that may still hear from it. All publish through [`Control::publish`].
 
 mod backoff;
 mod configuration;
 mod membership;
+mod peer_state;
 mod records;
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -18,12 +21,13 @@
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::settings::Settings;
-use hollowsail_platform::store::{Lease, Store, StoreError};
+use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
 use hollowsail_platform::targets::TargetRecord;
+use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::log::Log;
-use crate::peers::PeerRecord;
+use crate::peers::{PeerRecord, RecordAt, RecordsAt};
 use crate::view::{Published, View};
 
 /// How long after the store's return a record may still come back, in
@@ -38,7 +42,14 @@
     log: Log,
     published: Arc<Published>,
     deployment: RefCell<Option<Arc<Deployment>>>,
+    /// The same as it lies in the store.
+    source: RefCell<Option<Arc<[u8]>>>,
     book: RefCell<TargetBook<Arc<TargetRecord>>>,
+    /// Revision of the store up to which the book is.
+    records_revision: Cell<Revision>,
+    /// Told when the store stops answering.
+    store_lost: Notify,
+    seeds: Vec<SocketAddr>,
     /// This entry.
     me: PeerRecord,
     peers: RefCell<TargetBook<PeerRecord>>,
@@ -64,7 +75,11 @@
             log: Log::new(&settings.host),
             published,
             deployment: RefCell::default(),
+            source: RefCell::default(),
             book: RefCell::new(TargetBook::new(timing)),
+            records_revision: Cell::new(0),
+            store_lost: Notify::new(),
+            seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
             lease: Cell::new(None),
@@ -78,6 +93,7 @@
         actix_rt::spawn(records::follow(self.clone()));
         actix_rt::spawn(membership::keep_own_record(self.clone()));
         actix_rt::spawn(membership::follow(self.clone()));
+        actix_rt::spawn(peer_state::follow(self.clone()));
     }
 
     /// Puts what is known in force for traffic.
@@ -87,17 +103,41 @@
         self.published.publish(View {
             number,
             deployment: self.deployment.borrow().clone(),
+            source: self.source.borrow().clone(),
             targets: self.book.borrow().usable().cloned().collect(),
+            records: self.records_for_peers(),
             peers: self.peers.borrow().usable().cloned().collect(),
         });
     }
 
-    /// A call to the store gave no answer.
+    /// What peers may take over; nothing while the store is away here.
+    fn records_for_peers(&self) -> Option<Arc<RecordsAt>> {
+        let book = self.book.borrow();
+        if book.is_store_away() {
+            return None;
+        }
+        let records = book.all().map(|(revision, record)| RecordAt {
+            revision,
+            record: TargetRecord::clone(record),
+        });
+        Some(Arc::new(RecordsAt {
+            revision: self.records_revision.get(),
+            records: records.collect(),
+        }))
+    }
+
+    /// A call to the store gave no useful answer. One that was over the rate
+    /// says nothing of the store itself.
     fn store_failed(&self, err: &StoreError) {
+        if err.is_over_rate() {
+            return;
+        }
         self.peers.borrow_mut().store_away();
         if self.book.borrow_mut().store_away() {
             self.log
                 .line(events::STORE_LOST, format_args!("why=\"{err}\""));
+            self.store_lost.notify_waiters();
+            self.publish();
         }
     }
 
@@ -106,6 +146,18 @@
         self.peers.borrow_mut().store_back(self.clock.now());
         if self.book.borrow_mut().store_back(self.clock.now()) {
             self.log.line(events::STORE_BACK, format_args!(""));
+            self.publish();
+        }
+    }
+
+    /// Waits for a watch, but no longer than the store answers other calls.
+    async fn until_store_lost<T>(
+        &self,
+        watch: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        tokio::select! {
+            result = watch => result,
+            () = self.store_lost.notified() => Err(StoreError::Lost),
         }
     }
 }
--- /dev/null
+++ b/crates/gateway/src/control/peer_state.rs
@@ -0,0 +1,132 @@
+//! Asks peers for what is new while the store doesn't answer this entry.
+//!
+//! The store may turn some hosts away and serve others, and a process may start
+//! while it is away. Two random peers are asked at a time; the highest version
+//! and the newest records win, whoever brings them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowsail_connect::{Pool, PoolRules, Reuse};
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use rand::seq::IndexedRandom;
+use snafu::Snafu;
+
+use super::Control;
+use crate::peers::{StateAnswer, StateAsk, STATE_PATH};
+
+/// Between two questions. A configuration has to be in force within seconds at
+/// a host that the store turns away.
+const ASK_EVERY: Duration = Duration::from_millis(400);
+/// Longest time for an answer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(350);
+/// Peers asked at a time: one of them may be as cut off as this entry.
+const PEERS_ASKED: usize = 2;
+/// Longest answer read, in bytes: a configuration and the records of a large
+/// fleet.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// Why a peer told nothing.
+#[derive(Debug, Snafu)]
+enum AskError {
+    #[snafu(display("{source}"))]
+    Send {
+        source: hollowsail_connect::SendError,
+    },
+    #[snafu(display("the answer broke off: {source}"))]
+    CutOff {
+        source: hollowsail_connect::BodyError,
+    },
+    #[snafu(display("no answer in time"))]
+    Silent,
+    #[snafu(display("status {status}"))]
+    Status { status: StatusCode },
+    #[snafu(display("unreadable: {source}; do all entries run one build?"))]
+    Malformed { source: rmp_serde::decode::Error },
+}
+
+/// Asks as long as the thread runs, whenever the store is away.
+pub async fn follow(cx: Rc<Control>) {
+    loop {
+        if !cx.book.borrow().is_store_away() {
+            cx.store_lost.notified().await;
+        }
+        for addr in choose_peers(&cx) {
+            match ask(&cx, addr).await {
+                Ok(answer) => cx.take_state(answer),
+                Err(err) => log::debug!("peer {addr} told nothing: {err}"),
+            }
+        }
+        tokio::time::sleep(ASK_EVERY).await;
+    }
+}
+
+/// Some peers; the seeds when none is known.
+fn choose_peers(cx: &Control) -> Vec<SocketAddr> {
+    let peers = cx.peers.borrow();
+    let known = peers.usable().filter(|peer| peer.id != cx.me.id);
+    let mut addrs: Vec<SocketAddr> = known.map(|peer| peer.addr).collect();
+    if addrs.is_empty() {
+        addrs.clone_from(&cx.seeds);
+    }
+    addrs.retain(|addr| *addr != cx.me.addr);
+    addrs
+        .choose_multiple(&mut rand::rng(), PEERS_ASKED)
+        .copied()
+        .collect()
+}
+
+async fn ask(cx: &Control, addr: SocketAddr) -> Result<StateAnswer, AskError> {
+    let rules = PoolRules {
+        dial_within: ANSWER_WITHIN,
+        max_idle: 0,
+        idle_for: Duration::ZERO,
+    };
+    let question = StateAsk {
+        configuration: cx
+            .deployment
+            .borrow()
+            .as_ref()
+            .map_or(0, |known| known.version),
+        records: cx.records_revision.get(),
+    };
+    let body = rmp_serde::to_vec(&question).expect("this type always encodes");
+    let req = Request::post(STATE_PATH)
+        .header(http::header::HOST, "peer")
+        .body(Full::new(Bytes::from(body)))
+        .expect("the path is valid");
+    let exchange = async {
+        let exchange = Pool::new(addr, rules)
+            .send(req, Reuse::Any)
+            .await
+            .map_err(|source| AskError::Send { source })?;
+        let (parts, body) = exchange.into_body(false);
+        let whole = body
+            .collect(MOST_ANSWER_BYTES)
+            .await
+            .map_err(|source| AskError::CutOff { source })?;
+        let status = parts.status;
+        let body = whole.filter(|_| status == StatusCode::OK);
+        let body = body.ok_or(AskError::Status { status })?;
+        rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
+    };
+    tokio::time::timeout(ANSWER_WITHIN, exchange)
+        .await
+        .unwrap_or(Err(AskError::Silent))
+}
+
+impl Control {
+    /// Takes what a peer told.
+    fn take_state(&self, answer: StateAnswer) {
+        if let Some(source) = &answer.configuration {
+            self.take_source(source, "peer");
+        }
+        self.adopt_peers(answer.peers);
+        if let Some(records) = answer.records {
+            self.adopt_records(records);
+        }
+    }
+}
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Item, Range, StoreError};
-use hollowsail_platform::targets::{self, PREFIX};
+use hollowsail_platform::store::{Change, Item, Range, Revision, StoreError};
+use hollowsail_platform::targets::{self, TargetRecord, PREFIX};
 
 use super::backoff::Backoff;
 use super::Control;
+use crate::peers::{RecordAt, RecordsAt};
 
 /// How long a watch waits; see the configuration's.
 const WATCH_WAIT: Duration = Duration::from_secs(12);
@@ -37,9 +38,11 @@
     cx.settle_later();
     let mut revision = range.revision;
     loop {
-        let changes = cx.store.watch(PREFIX, revision, WATCH_WAIT).await?;
+        let watch = cx.store.watch(PREFIX, revision, WATCH_WAIT);
+        let changes = cx.until_store_lost(watch).await?;
         cx.store_answered();
         revision = changes.revision;
+        cx.records_revision.set(revision);
         let mut changed = false;
         for change in &changes.changes {
             changed |= cx.take_change(change);
@@ -67,6 +70,7 @@
             .borrow_mut()
             .reconcile(&present, range.revision, now);
         self.log_gone(&gone, "not_listed");
+        self.records_revision.set(range.revision);
         self.publish();
     }
 
@@ -92,22 +96,46 @@
         let Some(incarnation) = targets::incarnation_of(&item.key) else {
             return false;
         };
-        let record = match targets::decode(incarnation, &item.value) {
-            Ok(record) => record,
+        match targets::decode(incarnation, &item.value) {
+            Ok(record) => self.put_record(record, item.revision),
             Err(err) => {
                 let fields = format_args!("key={} why=\"{err}\"", item.key);
                 self.log.line(events::RECORD_UNREADABLE, fields);
-                return false;
+                false
             }
-        };
+        }
+    }
+
+    /// Takes all records by the word of a peer that hears from the store.
+    pub(super) fn adopt_records(&self, at: RecordsAt) {
+        let present: Vec<String> = at
+            .records
+            .iter()
+            .map(|record| record.record.incarnation.0.clone())
+            .collect();
+        let mut changed = false;
+        for RecordAt { revision, record } in at.records {
+            changed |= self.put_record(record, revision);
+        }
+        let present: Vec<&str> = present.iter().map(String::as_str).collect();
+        let gone = self.book.borrow_mut().adopt(&present, at.revision);
+        self.log_gone(&gone, "told_by_peer");
+        self.records_revision
+            .set(at.revision.max(self.records_revision.get()));
+        if changed || !gone.is_empty() {
+            self.publish();
+        }
+    }
+
+    fn put_record(&self, record: TargetRecord, revision: Revision) -> bool {
         let id = record.incarnation.0.clone();
         let draining = record.draining;
         let fields = format!(
-            "target={id} service={} addr={} hall={} draining={draining} revision={}",
-            record.service, record.addr, record.hall, item.revision
+            "target={id} service={} addr={} hall={} draining={draining} revision={revision}",
+            record.service, record.addr, record.hall
         );
         let mut book = self.book.borrow_mut();
-        let changed = book.put(&id, item.revision, Arc::new(record), draining);
+        let changed = book.put(&id, revision, Arc::new(record), draining);
         if changed {
             self.log
                 .line(events::TARGET_RECORD, format_args!("{fields}"));
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -10,15 +10,17 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::messages::{Envelope, Message, PATH};
 use super::record::PeerRecord;
+use super::state::{StateAnswer, StateAsk, STATE_PATH};
 use crate::callers::listen::ACCEPT_PAUSE;
 use crate::traffic::Traffic;
 
-/// Longest envelope, in bytes.
-const MOST_ENVELOPE_BYTES: usize = 4 << 20;
+/// Longest message, in bytes.
+const MOST_MESSAGE_BYTES: usize = 4 << 20;
 
 /// Takes messages until the thread ends.
 pub fn start(cx: &Rc<Traffic>, listener: TcpListener) {
@@ -57,41 +59,75 @@
 }
 
 async fn answer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
-    *response.status_mut() = take(cx, req).await;
+    let path = req.uri().path().to_string();
+    let is_post = req.method() == Method::POST;
+    let result = match path.as_str() {
+        PATH if is_post => take_envelope(cx, req).await,
+        STATE_PATH if is_post => tell_state(cx, req).await,
+        _ => Err(StatusCode::NOT_FOUND),
+    };
+    let (status, body) = match result {
+        Ok(body) if body.is_empty() => (StatusCode::NO_CONTENT, body),
+        Ok(body) => (StatusCode::OK, body),
+        Err(status) => (status, Bytes::new()),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
     response
 }
 
-async fn take(cx: &Rc<Traffic>, req: Request<Incoming>) -> StatusCode {
-    if req.method() != Method::POST || req.uri().path() != PATH {
-        return StatusCode::NOT_FOUND;
-    }
-    let body = match Limited::new(req.into_body(), MOST_ENVELOPE_BYTES)
+/// Reads a message of a peer.
+async fn read<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, StatusCode> {
+    let body = Limited::new(req.into_body(), MOST_MESSAGE_BYTES)
         .collect()
-        .await
-    {
-        Ok(body) => body.to_bytes(),
-        Err(err) => {
-            log::warn!("an envelope broke off: {err}");
-            return StatusCode::BAD_REQUEST;
-        }
-    };
-    let envelope: Envelope = match rmp_serde::from_slice(&body) {
-        Ok(envelope) => envelope,
-        Err(err) => {
-            log::warn!("an envelope can't be read: {err}; do all entries run one build?");
-            return StatusCode::BAD_REQUEST;
-        }
-    };
+        .await;
+    let body = body.map_err(|err| {
+        log::warn!("a peer's message broke off: {err}");
+        StatusCode::BAD_REQUEST
+    })?;
+    rmp_serde::from_slice(&body.to_bytes()).map_err(|err| {
+        log::warn!("a peer's message can't be read: {err}; do all entries run one build?");
+        StatusCode::BAD_REQUEST
+    })
+}
+
+async fn take_envelope(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, StatusCode> {
+    let envelope: Envelope = read(req).await?;
     if envelope.to != cx.me.id {
-        return StatusCode::MISDIRECTED_REQUEST;
+        return Err(StatusCode::MISDIRECTED_REQUEST);
     }
     let link = cx.peers.link_to(cx, &envelope.from);
     link.heard();
     for message in envelope.messages {
         take_message(cx, &envelope.from, message);
     }
-    StatusCode::NO_CONTENT
+    Ok(Bytes::new())
+}
+
+/// Tells a peer what it doesn't know yet.
+async fn tell_state(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, StatusCode> {
+    let ask: StateAsk = read(req).await?;
+    let view = cx.view();
+    let version = view
+        .deployment
+        .as_ref()
+        .map_or(0, |deployment| deployment.version);
+    let source = view
+        .source
+        .as_deref()
+        .filter(|_| version > ask.configuration);
+    let records = view
+        .records
+        .as_deref()
+        .filter(|at| at.revision > ask.records);
+    let answer = StateAnswer {
+        configuration: source.map(<[u8]>::to_vec),
+        records: records.cloned(),
+        peers: view.peers.clone(),
+    };
+    Ok(rmp_serde::to_vec(&answer)
+        .expect("these types always encode")
+        .into())
 }
 
 fn take_message(cx: &Rc<Traffic>, from: &PeerRecord, message: Message) {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod messages;
 mod record;
+mod state;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -25,6 +26,7 @@
 pub use listen::start;
 pub use messages::{Made, MakePiece, Message, PieceId};
 pub use record::{PeerId, PeerRecord, PREFIX};
+pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
 /// How long a peer that didn't answer is passed over, in milliseconds. Long
 /// enough that a frozen process costs few requests, short against a restart.
--- /dev/null
+++ b/crates/gateway/src/peers/state.rs
@@ -0,0 +1,48 @@
+//! What an entry that the store doesn't answer asks its peers for.
+//!
+//! The question says what the asker has; the answer holds what is newer, and
+//! nothing when the answering entry doesn't hear from the store either: two
+//! entries that know nothing new must not confirm each other.
+
+use hollowsail_platform::targets::TargetRecord;
+use serde::{Deserialize, Serialize};
+
+use super::record::PeerRecord;
+
+/// Path that takes a [`StateAsk`] and answers with a [`StateAnswer`].
+pub const STATE_PATH: &str = "/hollowsail/state";
+
+/// What the asker has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateAsk {
+    /// Version of its configuration; 0 when it has none.
+    pub configuration: u64,
+    /// Revision of the store up to which it knows the targets' records.
+    pub records: u64,
+}
+
+/// What is newer.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct StateAnswer {
+    /// The configuration as it lies in the store.
+    #[serde(with = "serde_bytes")]
+    pub configuration: Option<Vec<u8>>,
+    /// All targets, if the answering entry hears from the store and knows more.
+    pub records: Option<RecordsAt>,
+    /// Live entries as the answering one knows them.
+    pub peers: Vec<PeerRecord>,
+}
+
+/// All targets' records as of a revision of the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordsAt {
+    pub revision: u64,
+    pub records: Vec<RecordAt>,
+}
+
+/// A target's record, and the revision of its last change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordAt {
+    pub revision: u64,
+    pub record: TargetRecord,
+}
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -105,6 +105,12 @@
         self.view.borrow().deployment.clone()
     }
 
+    /// The view in use, after a look for a newer one.
+    pub fn view(self: &Rc<Self>) -> Arc<View> {
+        self.take_view();
+        self.view.borrow().clone()
+    }
+
     /// The configuration of the view in use.
     pub fn deployment_in_use(&self) -> Option<Arc<Deployment>> {
         self.view.borrow().deployment.clone()
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,7 @@
 use hollowsail_platform::targets::TargetRecord;
 use tokio::sync::Notify;
 
-use crate::peers::PeerRecord;
+use crate::peers::{PeerRecord, RecordsAt};
 
 /// The configuration in force, the targets that may get new work, the peers.
 #[derive(Debug, Default)]
@@ -16,7 +16,11 @@
     pub number: u64,
     /// Absent until the first one is known.
     pub deployment: Option<Arc<Deployment>>,
+    /// The same as it lies in the store, for peers that can't read it there.
+    pub source: Option<Arc<[u8]>>,
     pub targets: Vec<Arc<TargetRecord>>,
+    /// All records, for the same peers; absent while the store is away here.
+    pub records: Option<Arc<RecordsAt>>,
     /// Live entries, this one included once it is known to the store.
     pub peers: Vec<PeerRecord>,
 }
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -1,12 +1,13 @@
 //! Configuration and targets through the store's troubles.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hollowsail_platform_standins::target::answer;
 use hollowsail_platform_standins::{DeploymentJson, Step, StoreMode, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{Call, Fixture};
+use crate::fixture::{eventually, gateway, ready_status, settings, Call, Fixture};
 
 fn version(version: u64, prefix: &str) -> DeploymentJson {
     DeploymentJson::new(version)
@@ -18,10 +19,14 @@
     TargetStandin::start(move |seen| vec![Step::Write(answer(seen, 200, body))]).await
 }
 
-/// Waits until a path is answered with a status.
 async fn until_status(fixture: &Fixture, path: &str, status: u16) {
+    until_status_at(fixture.gateway.at.callers, path, status).await;
+}
+
+/// Waits until a path is answered with a status.
+async fn until_status_at(at: SocketAddr, path: &str, status: u16) {
     for _ in 0..400 {
-        if fixture.call(&Call::new("GET", path)).await.status == status {
+        if Call::new("GET", path).send(at).await.status == status {
             return;
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
@@ -125,3 +130,57 @@
         assert_eq!(fixture.call(&Call::new("GET", "/a/")).await.status, 200);
     }
 }
+
+#[actix_rt::test]
+async fn a_gateway_that_the_store_turns_away_learns_from_its_peers() {
+    for mode in [StoreMode::Refusing, StoreMode::Silent] {
+        let fixture = Fixture::start(&version(1, "/a/")).await;
+        let door = fixture.store.door().await;
+        let away = hollowsail_gateway::start(settings("host-2", "hall-b", door.addr))
+            .await
+            .expect("it starts");
+        let (one, two) = (target("one").await, target("two").await);
+        fixture.add("i-1", "plain", &one);
+        until_status_at(away.at.callers, "/a/", 200).await;
+        let recorded = || fixture.store.keys("hollowsail/peers/").len() == 2;
+        eventually("both are recorded", recorded).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        door.set_mode(mode);
+        fixture.store.put("op/config", &version(2, "/b/").bytes());
+        fixture.add("i-2", "plain", &two);
+        fixture
+            .store
+            .put_target("i-1", "plain", one.addr, "hall-a", "draining");
+        until_status_at(away.at.callers, "/b/", 200).await;
+        tokio::time::sleep(Duration::from_millis(1_000)).await;
+        for _ in 0..8 {
+            let got = Call::new("GET", "/b/").send(away.at.callers).await;
+            assert_eq!(got.body, "two", "{mode:?}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_gateway_that_starts_without_the_store_learns_from_its_seeds() {
+    let fixture = Fixture::start(&version(1, "/a/")).await;
+    let one = target("one").await;
+    fixture.add("i-1", "plain", &one);
+    until_status(&fixture, "/a/", 200).await;
+    let door = fixture.store.door().await;
+    door.set_mode(StoreMode::Refusing);
+    let mut cold = settings("host-2", "hall-b", door.addr);
+    cold.seeds = vec![fixture.gateway.at.peers];
+    let cold = hollowsail_gateway::start(cold).await.expect("it starts");
+    until_status_at(cold.at.callers, "/a/", 200).await;
+    assert_eq!(ready_status(cold.at.readiness).await, 200);
+}
+
+#[actix_rt::test]
+async fn two_gateways_before_one_store_both_serve() {
+    let fixture = Fixture::start(&version(1, "/a/")).await;
+    let one = target("one").await;
+    fixture.add("i-1", "plain", &one);
+    let second = gateway(&fixture.store, "host-2", "hall-b").await;
+    until_status(&fixture, "/a/", 200).await;
+    until_status_at(second.at.callers, "/a/", 200).await;
+}
