Pass queues on with their waiting pieces; judge requests by the queues they would meet

The waiting pieces now go to the new owner, with what is known of the workers. Owners tell requesters what their queues have to do, with results; a request that would come too late by that is refused before its first stage. Priority goes before lateness in the queue.

What binds is looked for next. A line is logged when a caller leaves.

--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -22,11 +22,13 @@
 /// together are told in a few answers.
 const WATCH_PAUSE: Duration = Duration::from_millis(250);
 
-/// Keeps the record of this entry until the thread ends.
+/// Keeps the record of this entry until a planned stop.
 pub async fn keep_own_record(cx: Rc<Control>) {
     let mut backoff = Backoff::default();
-    loop {
+    while !cx.is_leaving.get() {
         if let Err(err) = keep_once(&cx, &mut backoff).await {
+            cx.lease.set(None);
+            cx.store_failed(&err);
             cx.log.line(
                 events::MEMBER,
                 format_args!("state=unrecorded why=\"{err}\""),
@@ -48,10 +50,11 @@
     }
     cx.lease.set(Some(lease));
     backoff.reset();
-    loop {
+    while !cx.is_leaving.get() {
         tokio::time::sleep(RENEW_EVERY).await;
         renew(cx, lease).await?;
     }
+    Ok(())
 }
 
 async fn replace_record(cx: &Control, value: &[u8], lease: Lease) -> Result<(), StoreError> {
@@ -191,6 +194,7 @@
 
     /// Gives this entry's record up, so that peers pass it over at once.
     pub async fn leave(&self) {
+        self.is_leaving.set(true);
         let Some(lease) = self.lease.take() else {
             return;
         };
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod records;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -55,6 +56,8 @@
     peers: RefCell<TargetBook<PeerRecord>>,
     /// Lease of this entry's record, while it has one.
     lease: Cell<Option<Lease>>,
+    /// A planned stop began: no record any more.
+    is_leaving: Cell<bool>,
     views: Cell<u64>,
 }
 
@@ -83,6 +86,7 @@
             me,
             peers: RefCell::new(TargetBook::new(timing)),
             lease: Cell::new(None),
+            is_leaving: Cell::new(false),
             views: Cell::new(0),
         })
     }
@@ -106,10 +110,24 @@
             source: self.source.borrow().clone(),
             targets: self.book.borrow().usable().cloned().collect(),
             records: self.records_for_peers(),
-            peers: self.peers.borrow().usable().cloned().collect(),
+            peers: self.newest_peers(),
         });
     }
 
+    /// One record for each host: that of its newest run. The record of a run that
+    /// was killed stays until its lease is over.
+    fn newest_peers(&self) -> Vec<PeerRecord> {
+        let book = self.peers.borrow();
+        let mut newest: BTreeMap<&str, (Revision, &PeerRecord)> = BTreeMap::new();
+        for (revision, peer) in book.all() {
+            let known = newest.entry(&peer.host).or_insert((revision, peer));
+            if revision > known.0 {
+                *known = (revision, peer);
+            }
+        }
+        newest.into_values().map(|(_, peer)| peer.clone()).collect()
+    }
+
     /// What peers may take over; nothing while the store is away here.
     fn records_for_peers(&self) -> Option<Arc<RecordsAt>> {
         let book = self.book.borrow();
@@ -126,10 +144,9 @@
         }))
     }
 
-    /// A call to the store gave no useful answer. One that was over the rate
-    /// says nothing of the store itself.
+    /// A call to the store gave no useful answer.
     fn store_failed(&self, err: &StoreError) {
-        if err.is_over_rate() {
+        if !err.shows_outage() {
             return;
         }
         self.peers.borrow_mut().store_away();
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -12,13 +12,12 @@
 
 use bytes::Bytes;
 use hollowsail_connect::{Pool, PoolRules, Reuse, SendError};
-use hollowsail_platform::pieces::PieceFailure;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use snafu::Snafu;
 use tokio::sync::oneshot;
 
-use super::messages::{Envelope, Made, MakePiece, Message, PieceId, PATH};
+use super::messages::{Envelope, MakePiece, Message, PieceEnd, PieceId, PATH};
 use super::record::PeerRecord;
 use crate::traffic::Traffic;
 
@@ -35,7 +34,7 @@
 pub struct LinkLost;
 
 /// How a piece at a peer ended.
-pub type RemoteEnd = Result<Result<Made, PieceFailure>, LinkLost>;
+pub type RemoteEnd = Result<PieceEnd, LinkLost>;
 
 #[derive(Debug, Snafu)]
 enum LinkError {
@@ -97,6 +96,7 @@
     /// Sends a message, with others that come at the same time.
     pub fn send(self: &Rc<Self>, message: Message) {
         if self.is_closed.get() {
+            self.undelivered(message);
             return;
         }
         self.outbox.borrow_mut().push(message);
@@ -120,7 +120,7 @@
     }
 
     /// The peer told how a piece ended. False when nobody waits for it.
-    pub fn ended(&self, id: PieceId, end: Result<Made, PieceFailure>) -> bool {
+    pub fn ended(&self, id: PieceId, end: PieceEnd) -> bool {
         let waiter = self.awaited.borrow_mut().remove(&id);
         waiter.is_some_and(|tx| tx.send(Ok(end)).is_ok())
     }
@@ -133,7 +133,10 @@
     /// Ends the link; everything that waits is told.
     pub fn close(&self) {
         self.is_closed.set(true);
-        self.outbox.borrow_mut().clear();
+        let unsent = std::mem::take(&mut *self.outbox.borrow_mut());
+        unsent
+            .into_iter()
+            .for_each(|message| self.undelivered(message));
         let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
         for tx in waiting.into_values() {
             // A waiter that left needs no answer.
@@ -141,6 +144,14 @@
         }
     }
 
+    /// A message that the peer didn't get. Results that it was to give up are
+    /// given up here; all else is of no use without the peer.
+    fn undelivered(&self, message: Message) {
+        if let (Message::Free(spent), Some(cx)) = (message, self.cx.upgrade()) {
+            cx.pools.free(&cx, &spent);
+        }
+    }
+
     async fn send_all(self: Rc<Self>) {
         tokio::time::sleep(GATHER).await;
         loop {
@@ -161,30 +172,28 @@
         let Some(cx) = self.cx.upgrade() else {
             return false;
         };
-        let result = match tokio::time::timeout(TAKEN_WITHIN, self.post(&cx, messages)).await {
-            Ok(result) => result,
-            Err(_) => Err(LinkError::Silent),
-        };
-        match result {
-            Ok(()) => {
-                self.heard();
-                true
-            }
-            Err(err) => {
-                cx.peers.suspect(&cx, &self.peer, &err.to_string());
-                self.close();
-                false
-            }
-        }
-    }
-
-    async fn post(&self, cx: &Traffic, messages: Vec<Message>) -> Result<(), LinkError> {
         let envelope = Envelope {
             from: cx.me.clone(),
             to: self.peer.id,
             messages,
         };
-        let body = rmp_serde::to_vec(&envelope).expect("these types always encode");
+        let result = match tokio::time::timeout(TAKEN_WITHIN, self.post(&envelope)).await {
+            Ok(result) => result,
+            Err(_) => Err(LinkError::Silent),
+        };
+        let Err(err) = result else {
+            self.heard();
+            return true;
+        };
+        cx.peers.suspect(&cx, &self.peer, &err.to_string());
+        self.close();
+        let unsent = envelope.messages.into_iter();
+        unsent.for_each(|message| self.undelivered(message));
+        false
+    }
+
+    async fn post(&self, envelope: &Envelope) -> Result<(), LinkError> {
+        let body = rmp_serde::to_vec(envelope).expect("these types always encode");
         let req = Request::post(PATH)
             .header(http::header::HOST, "peer")
             .body(Full::new(Bytes::from(body)))
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -134,7 +134,9 @@
     match message {
         Message::Make(piece) => cx.pools.take_piece(cx, from, *piece),
         Message::GiveUp(id) => cx.pools.give_up_piece(from.id, id),
-        Message::Free { queue, handles } => cx.pools.free(&queue, &handles),
+        Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
+        Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
+        Message::Free(spent) => cx.pools.free(cx, &spent),
         Message::Ended(id, end) => {
             let link = cx.peers.link_to(cx, from);
             if !link.ended(id, end) {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -4,6 +4,7 @@
 
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
+use hollowsail_stages::QueueLoad;
 use serde::{Deserialize, Serialize};
 
 use super::record::{PeerId, PeerRecord};
@@ -32,9 +33,45 @@
     /// To the owner: the requester waits no longer.
     GiveUp(PieceId),
     /// To the requester: how its piece ended.
-    Ended(PieceId, Result<Made, PieceFailure>),
-    /// To the owner: results that nobody needs any more.
-    Free { queue: String, handles: Vec<String> },
+    Ended(PieceId, PieceEnd),
+    /// To a queue's new owner: what its workers are known to have.
+    TakeOver {
+        queue: String,
+        workers: Vec<WorkerAtHandOver>,
+    },
+    /// To the requester: what a queue has to do.
+    Load { queue: String, load: QueueLoad },
+    /// To the owner: a result that nobody needs any more.
+    Free(SpentResult),
+}
+
+/// How a piece ended at its queue's owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PieceEnd {
+    Made(Made),
+    Failed(PieceFailure),
+    /// Not begun; the queue has another owner now.
+    Moved,
+}
+
+/// What a worker has as its queue passes to another owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerAtHandOver {
+    pub target: Incarnation,
+    /// Memory that results take.
+    pub held_bytes: u64,
+    /// Time until its call ends, about, in milliseconds; 0 without a call.
+    pub busy_ms: u64,
+}
+
+/// A result that nobody needs any more.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct SpentResult {
+    /// The queue that had it made.
+    pub queue: String,
+    /// Its maker.
+    pub target: Incarnation,
+    pub handle: String,
 }
 
 /// A piece to be made by a queue's owner.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,7 +24,7 @@
 
 pub use link::Link;
 pub use listen::start;
-pub use messages::{Made, MakePiece, Message, PieceId};
+pub use messages::{Made, MakePiece, Message, PieceEnd, PieceId, SpentResult, WorkerAtHandOver};
 pub use record::{PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
--- a/crates/gateway/src/pools/batcher.rs
+++ b/crates/gateway/src/pools/batcher.rs
@@ -17,20 +17,26 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{
-    BatchQueue, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, WorkerKey,
+    BatchQueue, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall, WorkerKey,
 };
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
 use super::held::HeldResult;
-use super::{call, PieceEnd, Requester, Wanted};
-use crate::peers::{Link, Made, Message, PeerId, PieceId};
+use super::{call, Requester, Wanted};
+use crate::peers::{self, Link, Made, Message, PeerId, PieceId, WorkerAtHandOver};
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Between two looks for pieces and calls whose time is over, while there are
 /// any.
 const TICK: Duration = Duration::from_millis(25);
+/// Between two words to a requester on what a queue has to do, in milliseconds;
+/// they go with results, so an idle queue tells nothing.
+const TELL_LOAD_MS: Millis = 60;
+/// How long results that the owner before had made are taken to stay, in
+/// milliseconds: about two calls of the stages after.
+const FOREIGN_RESULT_MS: Millis = 800;
 /// Results given up within this time share a call.
 const FREE_AFTER: Duration = Duration::from_millis(8);
 
@@ -44,10 +50,18 @@
 
 /// Who waits for a piece.
 enum Reply {
-    Here(oneshot::Sender<PieceEnd>),
+    Here(oneshot::Sender<LocalEnd>),
     Peer(Requester),
 }
 
+/// How a piece ended for a request of this entry.
+pub(super) enum LocalEnd {
+    Made(HeldResult),
+    Failed(PieceFailure),
+    /// Not begun; the queue has another owner now.
+    Moved,
+}
+
 /// A result that lies at its maker.
 struct Kept {
     worker: WorkerKey,
@@ -69,6 +83,8 @@
     of_peers: RefCell<HashMap<(PeerId, PieceId), PieceKey>>,
     /// Handles to give up, by the worker that made them.
     spent: RefCell<HashMap<WorkerKey, Vec<String>>>,
+    /// When each requester was last told what this queue has to do.
+    load_told: RefCell<HashMap<PeerId, Millis>>,
     /// How long a maker keeps a result, in milliseconds.
     kept_ms: Cell<Millis>,
     will_pump: Cell<bool>,
@@ -133,6 +149,7 @@
             results: RefCell::default(),
             of_peers: RefCell::default(),
             spent: RefCell::default(),
+            load_told: RefCell::default(),
             kept_ms: Cell::new(pool.kept_for.as_millis() as Millis),
             will_pump: Cell::new(false),
             is_ticking: Cell::new(false),
@@ -178,14 +195,16 @@
     }
 
     /// Makes a piece. Dropping the future gives the piece up.
-    pub async fn make(self: &Rc<Self>, wanted: Wanted) -> PieceEnd {
+    pub(super) async fn make(self: &Rc<Self>, wanted: Wanted) -> LocalEnd {
         let (tx, result) = oneshot::channel();
         let key = self.push(wanted, Reply::Here(tx));
         let _submitted = Submitted {
             batcher: self,
             piece: key,
         };
-        result.await.unwrap_or(Err(PieceFailure::Failed))
+        result
+            .await
+            .unwrap_or(LocalEnd::Failed(PieceFailure::Failed))
     }
 
     /// Makes a piece for a peer.
@@ -237,6 +256,7 @@
 
     /// A peer is lost: its pieces and results are given up.
     pub fn requester_lost(self: &Rc<Self>, peer: PeerId) {
+        self.load_told.borrow_mut().remove(&peer);
         self.of_peers.borrow_mut().retain(|(of, _), key| {
             let stays = *of != peer;
             if !stays {
@@ -341,11 +361,12 @@
         let job = self.queue.borrow_mut().finish(piece);
         match job.map(|job| job.reply) {
             // A requester that left needs no answer.
-            Some(Reply::Here(tx)) => drop(tx.send(Err(failure))),
+            Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Failed(failure))),
             Some(Reply::Peer(requester)) => {
                 self.forget_piece(&requester);
-                let ended = Message::Ended(requester.id, Err(failure));
-                requester.link.send(ended);
+                self.tell_load(&requester.link);
+                let end = peers::PieceEnd::Failed(failure);
+                requester.link.send(Message::Ended(requester.id, end));
             }
             None => {}
         }
@@ -382,15 +403,122 @@
         self.results.borrow_mut().insert(handle.clone(), result);
         match reply {
             // A request that left drops the result, which gives it up.
-            Some(Reply::Here(tx)) => drop(tx.send(Ok(HeldResult::here(self.clone(), made, bytes)))),
+            Some(Reply::Here(tx)) => {
+                drop(tx.send(LocalEnd::Made(HeldResult::here(self.clone(), made, bytes))))
+            }
             Some(Reply::Peer(requester)) => {
                 self.forget_piece(&requester);
-                requester.link.send(Message::Ended(requester.id, Ok(made)));
+                self.tell_load(&requester.link);
+                let end = peers::PieceEnd::Made(made);
+                requester.link.send(Message::Ended(requester.id, end));
             }
             None => self.give_up(&handle),
         }
     }
 
+    /// Tells a requester what this queue has to do, now and then.
+    fn tell_load(&self, link: &Rc<Link>) {
+        let Some(cx) = self.cx.upgrade() else {
+            return;
+        };
+        let now = cx.clock.now();
+        let mut told = self.load_told.borrow_mut();
+        let last = told.entry(link.peer.id).or_insert(0);
+        if now < *last + TELL_LOAD_MS {
+            return;
+        }
+        *last = now;
+        link.send(Message::Load {
+            queue: self.name.clone(),
+            load: self.queue.borrow().load(now),
+        });
+    }
+
+    /// A call got no answer: its results may lie at the worker until that drops
+    /// them by itself.
+    pub(super) fn keep_unknown(&self, started: &StartedCall) {
+        let now = self.cx.upgrade().map_or(0, |cx| cx.clock.now());
+        let bytes = started.pieces.iter().map(|piece| piece.result_bytes).sum();
+        let result = Kept {
+            worker: started.worker,
+            bytes,
+            until: now + self.kept_ms.get(),
+            at_peer: None,
+        };
+        // No handle is known; the call's own key never is one.
+        let name = format!("unanswered/{:?}", started.call);
+        self.results.borrow_mut().insert(name, result);
+    }
+
+    /// The queue has another owner now: what isn't begun goes there, and what is
+    /// known of the workers. Calls under way end here.
+    pub fn hand_over(&self, to: &Rc<Link>) {
+        let waiting = self.queue.borrow_mut().take_waiting();
+        if waiting.is_empty() && self.queue.borrow().running() == 0 {
+            return;
+        }
+        to.send(Message::TakeOver {
+            queue: self.name.clone(),
+            workers: self.workers_at_hand_over(),
+        });
+        for piece in waiting {
+            let job = self.queue.borrow_mut().finish(piece);
+            match job.map(|job| job.reply) {
+                // A requester that left needs no answer.
+                Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Moved)),
+                Some(Reply::Peer(requester)) => {
+                    self.forget_piece(&requester);
+                    let moved = Message::Ended(requester.id, peers::PieceEnd::Moved);
+                    requester.link.send(moved);
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn workers_at_hand_over(&self) -> Vec<WorkerAtHandOver> {
+        let now = self.cx.upgrade().map_or(0, |cx| cx.clock.now());
+        let queue = self.queue.borrow();
+        let workers = self.workers.borrow();
+        let states = workers.by_incarnation.iter().map(|(target, key)| {
+            let (held_bytes, busy_ms) = queue.worker_state(*key, now);
+            WorkerAtHandOver {
+                target: target.clone(),
+                held_bytes,
+                busy_ms,
+            }
+        });
+        states.collect()
+    }
+
+    /// The queue passed to this entry: its workers have calls and results that
+    /// this entry knows nothing else of.
+    pub fn take_over(self: &Rc<Self>, workers: &[WorkerAtHandOver]) {
+        let now = self.cx.upgrade().map_or(0, |cx| cx.clock.now());
+        for state in workers {
+            let key = self
+                .workers
+                .borrow()
+                .by_incarnation
+                .get(&state.target)
+                .copied();
+            let Some(worker) = key else { continue };
+            let busy_until = now + state.busy_ms;
+            self.queue
+                .borrow_mut()
+                .take_over(worker, state.held_bytes, busy_until);
+            let name = format!("taken over/{}/{now}", state.target.0);
+            let result = Kept {
+                worker,
+                bytes: state.held_bytes,
+                until: now + FOREIGN_RESULT_MS,
+                at_peer: None,
+            };
+            self.results.borrow_mut().insert(name, result);
+        }
+        self.pump_soon();
+    }
+
     fn forget_piece(&self, requester: &Requester) {
         let at = (requester.link.peer.id, requester.id);
         self.of_peers.borrow_mut().remove(&at);
@@ -402,11 +530,24 @@
             return;
         };
         self.queue.borrow_mut().free(result.worker, result.bytes);
+        self.free_soon(result.worker, handle);
+    }
+
+    /// The same for a result that another owner of this queue may have had
+    /// made.
+    pub fn free(self: &Rc<Self>, target: &Incarnation, handle: &str) {
+        if self.results.borrow().contains_key(handle) {
+            return self.give_up(handle);
+        }
+        let worker = self.workers.borrow().by_incarnation.get(target).copied();
+        if let Some(worker) = worker {
+            self.free_soon(worker, handle);
+        }
+    }
+
+    fn free_soon(self: &Rc<Self>, worker: WorkerKey, handle: &str) {
         let mut spent = self.spent.borrow_mut();
-        spent
-            .entry(result.worker)
-            .or_default()
-            .push(handle.to_string());
+        spent.entry(worker).or_default().push(handle.to_string());
         if self.is_freeing.replace(true) {
             return;
         }
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -76,6 +76,9 @@
             asked.len(),
         ),
     );
+    if end == CallEnd::Failed {
+        batcher.keep_unknown(&started);
+    }
     if let Ok(results) = result {
         hand_out(&cx, &batcher, &started, &target, &asked, results);
     }
--- a/crates/gateway/src/pools/held.rs
+++ b/crates/gateway/src/pools/held.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use super::batcher::Batcher;
-use crate::peers::{Link, Made, Message};
+use crate::peers::{Link, Made, Message, SpentResult};
 
 /// Who is told when a result is given up.
 enum Owner {
@@ -14,9 +14,7 @@
 /// A result; given up when dropped.
 pub struct HeldResult {
     owner: Owner,
-    pub handle: String,
-    /// Data hall of its maker.
-    pub hall: String,
+    made: Made,
     /// About its size.
     pub bytes: u64,
 }
@@ -26,8 +24,7 @@
     pub(super) fn here(batcher: Rc<Batcher>, made: Made, bytes: u64) -> Self {
         HeldResult {
             owner: Owner::Here(batcher),
-            handle: made.handle,
-            hall: made.hall,
+            made,
             bytes,
         }
     }
@@ -36,22 +33,31 @@
     pub(super) fn at_peer(link: Rc<Link>, queue: String, made: Made, bytes: u64) -> Self {
         HeldResult {
             owner: Owner::Peer { link, queue },
-            handle: made.handle,
-            hall: made.hall,
+            made,
             bytes,
         }
     }
+
+    /// The name under which its maker keeps it.
+    pub fn handle(&self) -> &str {
+        &self.made.handle
+    }
+
+    /// Data hall of its maker.
+    pub fn hall(&self) -> &str {
+        &self.made.hall
+    }
 }
 
 impl Drop for HeldResult {
     fn drop(&mut self) {
         match &self.owner {
-            Owner::Here(batcher) => batcher.give_up(&self.handle),
-            // With the peer gone, the maker drops the result by itself in time.
-            Owner::Peer { link, queue } => link.send(Message::Free {
+            Owner::Here(batcher) => batcher.give_up(&self.made.handle),
+            Owner::Peer { link, queue } => link.send(Message::Free(SpentResult {
                 queue: queue.clone(),
-                handles: vec![std::mem::take(&mut self.handle)],
-            }),
+                target: self.made.target.clone(),
+                handle: std::mem::take(&mut self.made.handle),
+            })),
         }
     }
 }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -18,19 +18,28 @@
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_routing::Millis;
+use hollowsail_stages::QueueLoad;
 
-use crate::peers::{Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId};
+use crate::peers::{
+    self, Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId, SpentResult,
+    WorkerAtHandOver,
+};
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
+use batcher::LocalEnd;
+
 pub use batcher::Batcher;
 pub use held::HeldResult;
 
 /// Targets in a queue at most: enough that one is nearly always about to be
 /// free, few enough for one owner's processor at a service of hundreds.
 const QUEUE_TARGETS: usize = 8;
+/// Age at which an owner's word on its queue is of no use, in milliseconds:
+/// about the time in which a whole queue turns over.
+const LOAD_AGE_MS: Millis = 600;
 /// Owners that a piece is handed to at most.
-const MOST_OWNERS: u32 = 4;
+const MOST_OWNERS: u32 = 8;
 
 /// What a request gets for a piece.
 pub type PieceEnd = Result<HeldResult, PieceFailure>;
@@ -55,6 +64,8 @@
 #[derive(Default)]
 pub struct Pools {
     batchers: RefCell<HashMap<String, Rc<Batcher>>>,
+    /// What owners told of their queues, and when.
+    loads: RefCell<HashMap<String, (Millis, QueueLoad)>>,
     pieces: Cell<u64>,
 }
 
@@ -114,18 +125,22 @@
             match cx.peers.owner_of(cx, &queue.name) {
                 Owner::Me => {
                     let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
-                    return batcher.make(wanted).await;
+                    match batcher.make(wanted.clone()).await {
+                        LocalEnd::Made(held) => return Ok(held),
+                        LocalEnd::Failed(failure) => return Err(failure),
+                        LocalEnd::Moved => {}
+                    }
                 }
                 Owner::Peer(link) => {
                     let asked = self.message(cx, &queue.name, &wanted);
                     match link.make(asked).await {
-                        Ok(end) => {
+                        Ok(peers::PieceEnd::Made(made)) => {
                             let bytes = wanted.result_bytes;
-                            return end
-                                .map(|made| HeldResult::at_peer(link, queue.name, made, bytes));
+                            return Ok(HeldResult::at_peer(link, queue.name, made, bytes));
                         }
+                        Ok(peers::PieceEnd::Failed(failure)) => return Err(failure),
                         // The next owner in order gets it.
-                        Err(_lost) => {}
+                        Ok(peers::PieceEnd::Moved) | Err(_) => {}
                     }
                 }
             }
@@ -149,6 +164,28 @@
         }
     }
 
+    /// An owner told what its queue has to do.
+    pub fn take_load(&self, cx: &Traffic, queue: String, load: QueueLoad) {
+        self.loads
+            .borrow_mut()
+            .insert(queue, (cx.clock.now(), load));
+    }
+
+    /// What the queue of a request's pieces has to do, if that is known and not
+    /// too old.
+    pub fn load(&self, cx: &Rc<Traffic>, service: &str, request_id: &str) -> Option<QueueLoad> {
+        let now = cx.clock.now();
+        let targets = cx.targets_named(service).len();
+        let queue = Queue::for_request(service, targets, request_id);
+        if let Owner::Me = cx.peers.owner_of(cx, &queue.name) {
+            let batcher = self.batchers.borrow().get(&queue.name).cloned();
+            return batcher.map(|batcher| batcher.queue.borrow().load(now));
+        }
+        let loads = self.loads.borrow();
+        let (told, load) = loads.get(&queue.name)?;
+        (now - told <= LOAD_AGE_MS).then(|| load.clone())
+    }
+
     /// The batcher of a queue; `None` when its service makes no pieces.
     fn batcher(&self, cx: &Rc<Traffic>, name: &str) -> Option<Rc<Batcher>> {
         if let Some(known) = self.batchers.borrow().get(name) {
@@ -170,7 +207,8 @@
         let link = cx.peers.link_to(cx, from);
         let Some(batcher) = self.batcher(cx, &asked.queue) else {
             // This entry doesn't know the service, or no longer.
-            link.send(Message::Ended(asked.id, Err(PieceFailure::Failed)));
+            let end = peers::PieceEnd::Failed(PieceFailure::Failed);
+            link.send(Message::Ended(asked.id, end));
             return;
         };
         let now = cx.clock.now();
@@ -192,11 +230,26 @@
             .for_each(|batcher| batcher.give_up_piece(from, id));
     }
 
-    /// A peer needs some results no longer.
-    pub fn free(&self, queue: &str, handles: &[String]) {
-        let batcher = self.batchers.borrow().get(queue).cloned();
-        if let Some(batcher) = batcher {
-            handles.iter().for_each(|handle| batcher.give_up(handle));
+    /// A result is needed no longer, whoever had it made.
+    pub fn free(&self, cx: &Rc<Traffic>, spent: &SpentResult) {
+        if let Some(batcher) = self.batcher(cx, &spent.queue) {
+            batcher.free(&spent.target, &spent.handle);
+        }
+    }
+
+    /// A queue passed to this entry.
+    pub fn take_over(&self, cx: &Rc<Traffic>, queue: &str, workers: &[WorkerAtHandOver]) {
+        if let Some(batcher) = self.batcher(cx, queue) {
+            batcher.take_over(workers);
+        }
+    }
+
+    /// Passes queues on whose owner is another entry now.
+    pub fn hand_over(&self, cx: &Rc<Traffic>) {
+        for batcher in self.all() {
+            if let Owner::Peer(link) = cx.peers.owner_of(cx, batcher.name()) {
+                batcher.hand_over(&link);
+            }
         }
     }
 
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -46,6 +46,14 @@
         self.arrived + self.route().target_latency
     }
 
+    /// When the caller leaves unless an answer has begun.
+    pub fn answer_by(&self) -> Instant {
+        let patience = self.route().patience;
+        patience.map_or(self.until, |patience| {
+            self.until.min(self.arrived + patience)
+        })
+    }
+
     /// Name of its organisation.
     pub fn organisation_name(&self) -> Option<&str> {
         let key = self.organisation?;
--- /dev/null
+++ b/crates/gateway/src/request/forecast.rs
@@ -0,0 +1,131 @@
+//! Judges before anything runs whether a request can be in time.
+//!
+//! Its stages, one after the other, each wait behind the pieces that go before
+//! them. A request that would come too late is refused at once, truly not run,
+//! with a time to come back that spreads those who do: begun, it would fill
+//! batches and memory that others could be in time with.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_observe::ErrorKind;
+use hollowsail_platform::deployment::Stage;
+use hollowsail_routing::{admit, ServiceLoad, StageDemand, StageExpectation, Verdict};
+use rand::Rng;
+
+use super::admit::Admitted;
+use super::prepare::ENGINE_MS;
+use crate::answer::Refusal;
+use crate::traffic::Traffic;
+
+/// How far beyond its target latency a request may be foreseen to end and still
+/// be begun: a forecast is no measurement, and a late answer has some worth.
+const TOLERANCE: Duration = Duration::from_millis(150);
+/// Shortest time to come back.
+const LEAST_AFTER: Duration = Duration::from_millis(250);
+/// Part of the time that is left after which a caller comes back at the latest;
+/// longer ones aren't heeded.
+const MOST_AFTER_SHARE: f64 = 0.3;
+
+/// Refuses a request that is foreseen to come too late.
+pub fn judge(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
+    let stages = &admitted.route().stages;
+    let demands = longest_way(stages, |at| demand(cx, admitted, at));
+    let waits = |demand: &StageDemand| demand.load.wait_ms(demand.expected.typical_ms) > 0.0;
+    if !demands.iter().any(waits) {
+        return Ok(());
+    }
+    let mut demands = demands;
+    demands.push(engine());
+    let left = admitted.due().saturating_duration_since(Instant::now()) + TOLERANCE;
+    match admit(left.as_millis() as u64, &demands, 0.0) {
+        Verdict::Admit => Ok(()),
+        Verdict::CannotFinish(needed_ms) => {
+            let late = Duration::from_millis(needed_ms).saturating_sub(left);
+            let detail = format!("it would need about {needed_ms} ms");
+            let refusal = Refusal::new(ErrorKind::CannotFinish, detail);
+            Err(refusal.come_back_after(come_back_after(admitted, late)))
+        }
+    }
+}
+
+/// When the backlog will be short enough, about; never beyond what the caller
+/// heeds.
+fn come_back_after(admitted: &Admitted, late: Duration) -> Duration {
+    let most = admitted.remaining().mul_f64(MOST_AFTER_SHARE);
+    let spread = rand::rng().random_range(1.0..1.5);
+    (late + LEAST_AFTER)
+        .mul_f64(spread)
+        .min(most.max(LEAST_AFTER))
+}
+
+/// The engine's own time; its queue isn't known here.
+fn engine() -> StageDemand {
+    let expected = StageExpectation {
+        fast_ms: ENGINE_MS / 2,
+        typical_ms: ENGINE_MS,
+        slow_ms: 2 * ENGINE_MS,
+    };
+    let load = ServiceLoad {
+        slots: 1.0,
+        ahead: 0.0,
+    };
+    StageDemand { expected, load }
+}
+
+/// What a stage of a request finds; `None` when it is left out or not known.
+fn demand(cx: &Rc<Traffic>, admitted: &Admitted, at: usize) -> Option<StageDemand> {
+    let pieces = admitted.caller.pieces.get(at).copied().unwrap_or(0);
+    if pieces == 0 {
+        return None;
+    }
+    let stage = &admitted.route().stages[at];
+    let service = admitted.deployment.service(stage.service);
+    let pool = service.stage_pool.as_ref()?;
+    let in_call = (pieces as usize).min(pool.batch) as u32;
+    let own_ms = (pool.call + pool.piece * in_call).as_millis() as u64;
+    let load = cx
+        .pools
+        .load(cx, &service.name, &admitted.caller.request_id)
+        .unwrap_or_default();
+    let ahead = load.ahead_of(admitted.priority) + pieces;
+    Some(StageDemand {
+        expected: StageExpectation {
+            fast_ms: own_ms,
+            typical_ms: own_ms,
+            slow_ms: own_ms,
+        },
+        load: ServiceLoad {
+            slots: f64::from(load.slots).max(1.0),
+            ahead: if load.slots > 0.0 {
+                f64::from(ahead)
+            } else {
+                0.0
+            },
+        },
+    })
+}
+
+/// The demands of the stages on the way that takes longest.
+fn longest_way(
+    stages: &[Stage],
+    demand: impl Fn(usize) -> Option<StageDemand>,
+) -> Vec<StageDemand> {
+    let ms = |demand: &StageDemand| {
+        let own = demand.expected.typical_ms;
+        own as f64 + demand.load.wait_ms(own)
+    };
+    let total = |way: &Vec<StageDemand>| way.iter().map(ms).sum::<f64>();
+    let mut ways: Vec<Vec<StageDemand>> = Vec::with_capacity(stages.len());
+    for (at, stage) in stages.iter().enumerate() {
+        let before = stage.after.iter().map(|&needed| ways[needed].clone());
+        let mut way = before
+            .max_by(|a, b| total(a).total_cmp(&total(b)))
+            .unwrap_or_default();
+        way.extend(demand(at));
+        ways.push(way);
+    }
+    ways.into_iter()
+        .max_by(|a, b| total(a).total_cmp(&total(b)))
+        .unwrap_or_default()
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,6 +1,7 @@
 //! The life of one request.
 //!
-//! [`admit`] reads its head and body; [`prepare`] runs the stages before it;
+//! [`admit`] reads its head and body; [`forecast`] judges whether it can be in
+//! time; [`prepare`] runs the stages before it;
 //! [`dispatch`] sends it to targets until one answers or nothing more may be
 //! tried; [`relay`] passes the answer on. Every way that ends without a
 //! target's answer ends in a [`Refusal`].
@@ -10,6 +11,7 @@
 mod choose;
 mod dispatch;
 mod events;
+mod forecast;
 mod prepare;
 mod relay;
 
@@ -52,19 +54,66 @@
             return rejected.refusal.into_response(id);
         }
     };
-    let answered = answer(&cx, &admitted, &mut trace).await;
+    let mut waiting = Waiting::new(&cx, &admitted);
+    let answered = answer(&cx, &admitted, &mut trace, &mut waiting).await;
+    waiting.ended();
     let id = &admitted.caller.request_id;
     let outcome = answered.as_ref().map(|response| response.status());
     log_end(&cx, id, &admitted.route().name, &trace, arrived, outcome);
     answered.unwrap_or_else(|refusal| refusal.into_response(Some(id)))
 }
 
+/// A request whose answer hasn't begun. Dropped before it ended, its caller has
+/// left.
+struct Waiting {
+    cx: Rc<Traffic>,
+    admitted: Rc<Admitted>,
+    phase: &'static str,
+    has_ended: bool,
+}
+
+impl Waiting {
+    fn new(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Self {
+        Waiting {
+            cx: cx.clone(),
+            admitted: admitted.clone(),
+            phase: "stages",
+            has_ended: false,
+        }
+    }
+
+    fn ended(&mut self) {
+        self.has_ended = true;
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.has_ended {
+            return;
+        }
+        self.cx.log.line(
+            catalogue::CALLER_LEFT,
+            format_args!(
+                "request={} route={} phase={} ms={}",
+                self.admitted.caller.request_id,
+                self.admitted.route().name,
+                self.phase,
+                self.admitted.arrived.elapsed().as_millis(),
+            ),
+        );
+    }
+}
+
 async fn answer(
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
     trace: &mut Trace,
+    waiting: &mut Waiting,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
+    forecast::judge(cx, admitted)?;
     let prepared = prepare::run(cx, admitted).await?;
+    waiting.phase = "target";
     trace.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
     dispatch::run(cx, admitted, prepared, trace).await
 }
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hollowsail_observe::ErrorKind;
@@ -17,11 +18,14 @@
 
 /// Pieces of one request that are made again after their inputs were lost.
 const MOST_REMADE: usize = 40;
+/// What a later stage needs at least, in milliseconds: pieces that leave less
+/// to those after them are of no use.
+const LEAST_STAGE_MS: u64 = 150;
 /// Bytes that are worth waiting for a worker in the right hall.
 const LEAST_MOVED_BYTES: u64 = 100_000;
 /// About what the engine needs before its first event, in milliseconds; keeps
 /// pieces that feed it ahead of those with more time. Measured on calm days.
-const ENGINE_MS: u64 = 250;
+pub const ENGINE_MS: u64 = 250;
 /// About what a stage takes, in milliseconds, for the same purpose.
 const STAGE_MS: u64 = 250;
 
@@ -35,7 +39,7 @@
 impl Prepared {
     /// Bytes of results that lie outside a data hall.
     pub fn bytes_outside(&self, hall: &str) -> u64 {
-        let outside = self.results.iter().filter(|result| result.hall != hall);
+        let outside = self.results.iter().filter(|result| result.hall() != hall);
         outside.map(|result| result.bytes).sum()
     }
 }
@@ -55,7 +59,7 @@
         home_hall: choose::home_hall(cx, admitted, large_bytes(stages, &admitted.caller.pieces)),
         remade: 0,
     };
-    match tokio::time::timeout_at(admitted.until.into(), walk.run()).await {
+    match tokio::time::timeout_at(admitted.answer_by().into(), walk.run()).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::new(
             ErrorKind::CannotFinish,
@@ -121,7 +125,11 @@
             request_id: self.admitted.caller.request_id.clone(),
             stage: at.stage as u16,
             piece: at.piece as u32,
-            remaining_ms: self.admitted.remaining().as_millis() as u64,
+            remaining_ms: self
+                .admitted
+                .answer_by()
+                .saturating_duration_since(Instant::now())
+                .as_millis() as u64,
             piece_key: piece_key.filter(|_| inputs.is_empty()),
             inputs,
         };
@@ -132,7 +140,9 @@
             piece,
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
-            expires: clock.millis_at(self.admitted.until),
+            expires: clock
+                .millis_at(self.admitted.answer_by())
+                .saturating_sub(later * LEAST_STAGE_MS),
             result_bytes: self.stages[at.stage].result_bytes,
             hall: self.hall(at),
         }
@@ -149,11 +159,11 @@
         let input_bytes: u64 = inputs().map(|(_, result)| result.bytes).sum();
         if input_bytes >= LEAST_MOVED_BYTES {
             let in_hall = |hall: &str| -> u64 {
-                let here = inputs().filter(|(_, result)| result.hall == hall);
+                let here = inputs().filter(|(_, result)| result.hall() == hall);
                 here.map(|(_, result)| result.bytes).sum()
             };
-            let largest = inputs().max_by_key(|(_, result)| in_hall(&result.hall));
-            return largest.map(|(_, result)| result.hall.clone());
+            let largest = inputs().max_by_key(|(_, result)| in_hall(result.hall()));
+            return largest.map(|(_, result)| result.hall().to_string());
         }
         self.home_hall
             .clone()
@@ -165,10 +175,10 @@
             Ok(result) => result,
             Err(failure) => return self.failed(made.at, &made.inputs, failure),
         };
-        self.graph.made(made.at, result.handle.clone());
+        self.graph.made(made.at, result.handle().to_string());
         self.held.insert(made.at, result);
         for spent in self.graph.take_spent() {
-            self.held.retain(|_, result| result.handle != spent);
+            self.held.retain(|_, result| result.handle() != spent);
         }
         Ok(())
     }
@@ -203,7 +213,7 @@
 
     fn finish(self) -> Prepared {
         let inputs = self.graph.final_inputs();
-        let is_input = |result: &HeldResult| inputs.contains(&result.handle);
+        let is_input = |result: &HeldResult| inputs.iter().any(|input| input == result.handle());
         let results = self.held.into_values().filter(is_input).collect();
         Prepared { inputs, results }
     }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -96,6 +96,7 @@
         self.peers.take(&newest.peers);
         *self.view.borrow_mut() = newest;
         self.pools.take_targets(self);
+        self.pools.hand_over(self);
     }
 
     /// The configuration in force, if one is known. Looks for a newer view
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -15,8 +15,9 @@
 //! pieces go back to the queue for others ([`BatchQueue::take_overdue`]), and
 //! the first result counts.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use serde::{Deserialize, Serialize};
 use slotmap::{new_key_type, SlotMap};
 
 use crate::Millis;
@@ -74,6 +75,27 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct GroupKey(pub u64);
 
+/// How much work a queue has, for those who judge requests by it.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct QueueLoad {
+    /// Pieces made at a time.
+    pub slots: f32,
+    /// Pieces in calls.
+    pub running: u32,
+    /// Waiting pieces that can be in time, by priority.
+    pub ahead: Vec<(u8, u32)>,
+    /// Time of a whole batch, in milliseconds.
+    pub call_ms: u32,
+}
+
+impl QueueLoad {
+    /// Pieces that go before one of a priority.
+    pub fn ahead_of(&self, priority: u8) -> u32 {
+        let before = self.ahead.iter().filter(|(other, _)| *other <= priority);
+        self.running + before.map(|(_, pieces)| pieces).sum::<u32>()
+    }
+}
+
 /// A data hall, by a number of the caller's own.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct HallKey(pub u16);
@@ -169,6 +191,9 @@
 /// How long a worker whose memory is full gets only small results, in
 /// milliseconds.
 const MEMORY_FULL_MS: Millis = 40;
+/// Calls for which a result stays at its worker, about: its own, the next
+/// stage's, and some waiting.
+const RESIDENCE_CALLS: f64 = 2.5;
 /// Part of a worker's memory that small results may take meanwhile.
 const SMALL_SHARE: f64 = 0.02;
 /// Part of a worker's memory that is filled; the rest is for results whose
@@ -298,6 +323,40 @@
         }
     }
 
+    /// What a piece that comes now finds.
+    pub fn load(&self, now: Millis) -> QueueLoad {
+        let mut ahead: BTreeMap<u8, u32> = BTreeMap::new();
+        let mut bytes = 0;
+        for (_, key) in &self.waiting {
+            let order = &self.pieces[*key].order;
+            bytes += order.result_bytes;
+            // A late piece goes behind those that can be in time.
+            if order.due >= now {
+                *ahead.entry(order.priority).or_default() += 1;
+            }
+        }
+        let average_bytes = bytes / self.waiting.len().max(1) as u64;
+        let running: usize = self.calls.values().map(|call| call.pieces.len()).sum();
+        QueueLoad {
+            slots: self.slots(average_bytes, now),
+            running: running as u32,
+            ahead: ahead.into_iter().collect(),
+            call_ms: self.rules.expected_ms(self.rules.batch) as u32,
+        }
+    }
+
+    /// Pieces that the workers make at a time: whole batches, fewer where they
+    /// are slow or where results of so many bytes fill their memory first.
+    fn slots(&self, result_bytes: u64, now: Millis) -> f32 {
+        let usable = |worker: &&Worker| !worker.leaving && worker.out_until <= now;
+        let workers = self.workers.values().filter(usable);
+        let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
+        let at_once = (fitting / RESIDENCE_CALLS).min(self.rules.batch as f64);
+        workers
+            .map(|worker| (at_once / worker.slowness.max(1.0)) as f32)
+            .sum()
+    }
+
     /// Pieces that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -374,12 +433,12 @@
     }
 
     /// Waiting pieces that are wanted at a worker, by group: first groups that
-    /// were begun, whose results lie idle; then those that can still be in
-    /// time; then the late ones. The most urgent go first in each.
+    /// were begun, whose results lie idle; then by priority; in each, those that
+    /// can still be in time before the late ones.
     fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
         let hall = self.workers[worker].hall;
         let soonest = now + self.rules.expected_ms(1) as Millis;
-        let mut ranked: Vec<(u8, Vec<PieceKey>)> = Vec::new();
+        let mut ranked: Vec<((u8, u8, bool), Vec<PieceKey>)> = Vec::new();
         let mut last = None;
         for (_, key) in &self.waiting {
             let piece = &self.pieces[*key];
@@ -398,10 +457,10 @@
             }
             last = Some(piece.order.group);
             let begun = self.groups.get(&piece.order.group).is_some_and(|g| g.begun);
-            let class = match (begun, piece.order.due >= soonest) {
-                (true, _) => 0,
-                (false, true) => 1,
-                (false, false) => 2,
+            let is_late = piece.order.due < soonest;
+            let class = match begun {
+                true => (0, 0, false),
+                false => (1, piece.order.priority, is_late),
             };
             ranked.push((class, vec![*key]));
         }
@@ -484,8 +543,9 @@
         }
     }
 
-    /// A call ended. Unless it was answered, the memory set aside for its
-    /// results is free again; else each result is freed by [`BatchQueue::free`].
+    /// A call ended. If it was refused, the memory set aside for its results is
+    /// free again; else [`BatchQueue::free`] frees it for each, also where no
+    /// answer came: the results may lie at the worker all the same.
     /// Its pieces that aren't finished and are in no other call
     /// are given back: the caller finishes or requeues each.
     pub fn end_call(&mut self, call: CallKey, end: CallEnd, now: Millis) -> Vec<PieceKey> {
@@ -495,7 +555,7 @@
         self.judge_worker(&call, end, now);
         let mut left = Vec::new();
         for StartedPiece { key, result_bytes } in call.pieces {
-            if end != CallEnd::Answered {
+            if end == CallEnd::Refused {
                 self.free(call.worker, result_bytes);
             }
             let Some(piece) = self.pieces.get_mut(key) else {
@@ -533,6 +593,35 @@
         }
     }
 
+    /// Pieces that wait and are in no call leave the queue, as it passes to
+    /// another owner.
+    pub fn take_waiting(&mut self) -> Vec<PieceKey> {
+        let idle = |key: &PieceKey| self.pieces[*key].calls == 0;
+        let waiting = self.waiting.iter().map(|(_, key)| *key);
+        waiting.filter(idle).collect()
+    }
+
+    /// What is known of a worker, for the queue's next owner: memory that is
+    /// taken, and the time until its calls end.
+    pub fn worker_state(&self, worker: WorkerKey, now: Millis) -> (u64, Millis) {
+        let held = self.workers.get(worker).map_or(0, |state| state.held_bytes);
+        let ends = self
+            .calls
+            .values()
+            .filter(|call| call.worker == worker)
+            .map(|call| call.started + call.expected_ms as Millis);
+        (held, ends.max().unwrap_or(0).saturating_sub(now))
+    }
+
+    /// Takes over what the owner before knew of a worker. The memory is freed
+    /// with [`BatchQueue::free`].
+    pub fn take_over(&mut self, worker: WorkerKey, held_bytes: u64, busy_until: Millis) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.held_bytes += held_bytes;
+            state.out_until = state.out_until.max(busy_until);
+        }
+    }
+
     /// Results of so many bytes were given up at a worker.
     pub fn free(&mut self, worker: WorkerKey, bytes: u64) {
         if let Some(worker) = self.workers.get_mut(worker) {
