--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -181,6 +181,11 @@
 const OVERDUE_FACTOR: f64 = 1.8;
 /// ... and this many milliseconds; a worker's host may lag a little.
 const OVERDUE_SLACK_MS: f64 = 80.0;
+/// Slowness from which on a worker gets a call only now and then.
+const SLOW_FACTOR: f64 = 2.0;
+/// Between two calls to a slow worker, in milliseconds, to see whether it
+/// recovered.
+const PROBE_MS: Millis = 800;
 /// How long a worker that failed takes nothing, in milliseconds; doubles with
 /// each failure in a row.
 const OUT_MS: Millis = 300;
@@ -216,6 +221,14 @@
     arrivals: u64,
 }
 
+impl Worker {
+    /// It takes so much longer than it should that waiting for another is
+    /// better.
+    fn is_slow(&self) -> bool {
+        self.slowness >= SLOW_FACTOR
+    }
+}
+
 impl<T> BatchQueue<T> {
     /// An empty queue.
     pub fn new(rules: PoolRules) -> Self {
@@ -414,7 +427,12 @@
     fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
         let mut chosen = Vec::new();
         let mut room = self.room(worker, now);
+        // A slow worker is only tried: one group, not a whole batch.
+        let is_slow = self.workers[worker].is_slow();
         for group in self.groups_for(worker, now) {
+            if is_slow && !chosen.is_empty() {
+                break;
+            }
             let places = self.rules.batch - chosen.len();
             let bytes: u64 = group.iter().map(|key| self.result_bytes(*key)).sum();
             if group.len() <= places && bytes <= room {
@@ -579,7 +597,7 @@
                 let ratio = (now - call.started) as f64 / call.expected_ms.max(1.0);
                 worker.slowness += NEW_WEIGHT * (ratio - worker.slowness);
                 worker.failures = 0;
-                worker.out_until = now;
+                worker.out_until = if worker.is_slow() { now + PROBE_MS } else { now };
             }
             CallEnd::Refused => worker.out_until = now + FULL_MS,
             CallEnd::Failed => {
@@ -648,7 +666,7 @@
         }
         for worker in &slow {
             if let Some(worker) = self.workers.get_mut(*worker) {
-                worker.slowness = worker.slowness.max(OVERDUE_FACTOR);
+                worker.slowness = worker.slowness.max(SLOW_FACTOR);
             }
         }
         slow
