--- a/crates/gateway/src/pools/held.rs
+++ b/crates/gateway/src/pools/held.rs
@@ -43,6 +43,11 @@
         &self.made.handle
     }
 
+    /// Its maker.
+    pub fn maker(&self) -> &str {
+        &self.made.target.0
+    }
+
     /// Data hall of its maker.
     pub fn hall(&self) -> &str {
         &self.made.hall
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use hollowsail_observe::ErrorKind;
+use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_stages::{PieceAt, StageGraph, StageSize};
@@ -176,13 +176,31 @@
             Err(failure) => return self.failed(made.at, &made.inputs, failure),
         };
         self.graph.made(made.at, result.handle().to_string());
+        let maker = result.maker().to_string();
         self.held.insert(made.at, result);
+        if self.graph.is_made(made.at.stage) {
+            self.log_made(made.at.stage, &maker);
+        }
         for spent in self.graph.take_spent() {
             self.held.retain(|_, result| result.handle() != spent);
         }
         Ok(())
     }
 
+    fn log_made(&self, stage: usize, last_maker: &str) {
+        let service = self.stages[stage].service;
+        self.cx.log.line(
+            events::STAGE_MADE,
+            format_args!(
+                "request={} stage={stage} service={} pieces={} last_maker={last_maker} ms={}",
+                self.admitted.caller.request_id,
+                self.admitted.deployment.service(service).name,
+                self.admitted.caller.pieces.get(stage).copied().unwrap_or(0),
+                self.admitted.arrived.elapsed().as_millis(),
+            ),
+        );
+    }
+
     /// Decides what follows from a piece that wasn't made.
     fn failed(
         &mut self,
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -201,6 +201,9 @@
 const RESIDENCE_CALLS: f64 = 2.5;
 /// Part of a worker's memory that small results may take meanwhile.
 const SMALL_SHARE: f64 = 0.02;
+/// Part of a worker's free memory that a part of a group may take to fill a
+/// call.
+const SPLIT_ROOM_SHARE: f64 = 0.25;
 /// Part of a worker's memory that is filled; the rest is for results whose
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
@@ -439,7 +442,12 @@
                 room -= bytes;
                 chosen.extend(group);
             } else if chosen.is_empty() && self.may_split(&group) {
-                chosen.extend(self.those_that_fit(&group, room));
+                chosen.extend(self.those_that_fit(&group, places, room));
+                break;
+            } else if self.is_small(&group[..places.min(group.len())], room) {
+                // The call costs the same without them, and the rest goes first
+                // in the next one.
+                chosen.extend(self.those_that_fit(&group, places, room));
                 break;
             } else if bytes > room {
                 // The memory that comes free is for this group: those behind it
@@ -493,7 +501,13 @@
         begun || group.len() > self.rules.batch / 2
     }
 
-    fn those_that_fit(&self, group: &[PieceKey], room: u64) -> Vec<PieceKey> {
+    /// True when results of some pieces take little of the room.
+    fn is_small(&self, pieces: &[PieceKey], room: u64) -> bool {
+        let bytes: u64 = pieces.iter().map(|key| self.result_bytes(*key)).sum();
+        bytes as f64 <= room as f64 * SPLIT_ROOM_SHARE
+    }
+
+    fn those_that_fit(&self, group: &[PieceKey], places: usize, room: u64) -> Vec<PieceKey> {
         let each = group
             .iter()
             .map(|key| self.result_bytes(*key))
@@ -502,7 +516,7 @@
         let fitting = room
             .checked_div(each)
             .map_or(usize::MAX, |fit| fit as usize);
-        let most = fitting.min(self.rules.batch);
+        let most = fitting.min(places);
         group.iter().copied().take(most).collect()
     }
 
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -71,7 +71,8 @@
             .all(|&needed| self.is_made(needed))
     }
 
-    fn is_made(&self, stage: usize) -> bool {
+    /// True when every piece of a stage is made.
+    pub fn is_made(&self, stage: usize) -> bool {
         self.states[stage]
             .iter()
             .all(|state| matches!(state, PieceState::Made(_)))
