--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -203,7 +203,7 @@
 const SMALL_SHARE: f64 = 0.02;
 /// Part of a worker's free memory that a part of a group may take to fill a
 /// call.
-const SPLIT_ROOM_SHARE: f64 = 0.25;
+const SPLIT_ROOM_SHARE: f64 = 0.6;
 /// Part of a worker's memory that is filled; the rest is for results whose
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
