--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,29 +1,12 @@
 //! Metrics, by the `metrics` crate, exposed for Prometheus on the operators'
 //! listener. Labels name entries, services, pipelines and kinds; never payload.
 
-use std::sync::OnceLock;
-
 use hollowsail_routing::{Outcome, StageStatus};
 use metrics::{counter, gauge, histogram};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 
 use crate::kinds::ErrorKind;
 
-static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
-
-/// Installs the recorder once per process; later calls do nothing.
-pub fn install() {
-    RECORDER.get_or_init(|| PrometheusBuilder::new().install_recorder().ok());
-}
-
-/// Text for a scrape; empty when another recorder was installed first.
-pub fn render() -> String {
-    RECORDER
-        .get()
-        .and_then(|recorder| recorder.as_ref())
-        .map(PrometheusHandle::render)
-        .unwrap_or_default()
-}
+pub use hollowsail_observe::recorder::{install, render};
 
 /// A request was answered.
 pub fn count_request(
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -28,6 +28,7 @@
 
 use crate::clock::Clock;
 use crate::log::Log;
+use crate::metrics;
 use crate::peers::{PeerRecord, RecordAt, RecordsAt};
 use crate::view::{Published, View};
 
@@ -153,6 +154,7 @@
         if self.book.borrow_mut().store_away() {
             self.log
                 .line(events::STORE_LOST, format_args!("why=\"{err}\""));
+            metrics::count_store_lost();
             self.store_lost.notify_waiters();
             self.publish();
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod clock;
 mod control;
 mod log;
+mod metrics;
 mod peers;
 mod pools;
 mod readiness;
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters and latency histograms, and the address where they are scraped.
+//! Labels name services, kinds and outcomes; never payload, callers or requests.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowsail_observe::recorder;
+use hollowsail_platform::settings::METRICS_PATH;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use metrics::{counter, histogram};
+use tokio::net::TcpListener;
+
+use crate::callers::listen::{bind, ACCEPT_PAUSE};
+
+/// Serves scrapes until the thread ends. Requests go on without metrics when the
+/// address is taken; the log says so.
+pub fn serve(addr: SocketAddr) -> Option<SocketAddr> {
+    recorder::install();
+    let listener = match bind(addr).and_then(TcpListener::from_std) {
+        Ok(listener) => listener,
+        Err(err) => {
+            log::warn!("no metrics: cannot listen at {addr}: {err}; free the port");
+            return None;
+        }
+    };
+    let at = listener.local_addr().ok();
+    actix_rt::spawn(accept(listener));
+    at
+}
+
+async fn accept(listener: TcpListener) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let service = service_fn(|req| async move { Ok::<_, Infallible>(answer(&req)) });
+        let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        actix_rt::spawn(async move {
+            if let Err(err) = serving.await {
+                log::debug!("a scrape's connection broke: {err}");
+            }
+        });
+    }
+}
+
+fn answer(req: &Request<Incoming>) -> Response<Full<Bytes>> {
+    if req.uri().path() != METRICS_PATH {
+        let mut response = Response::new(Full::default());
+        *response.status_mut() = StatusCode::NOT_FOUND;
+        return response;
+    }
+    Response::new(Full::from(recorder::render()))
+}
+
+/// A request was answered, or its caller left (`kind` "caller_left").
+pub fn count_request(service: &str, kind: &'static str, status: u16, took: Duration) {
+    let service = service.to_string();
+    counter!("hollowsail_requests_total", "service" => service.clone(), "kind" => kind,
+        "status" => status.to_string())
+    .increment(1);
+    histogram!("hollowsail_request_seconds", "service" => service).record(took);
+}
+
+/// An attempt at a target ended; `outcome` is what it proves.
+pub fn count_attempt(service: &str, outcome: &'static str) {
+    counter!("hollowsail_attempts_total", "service" => service.to_string(), "outcome" => outcome)
+        .increment(1);
+}
+
+/// A call with pieces of a stage ended.
+pub fn count_call(service: &str, outcome: &'static str, pieces: usize, took: Duration) {
+    let service = service.to_string();
+    counter!("hollowsail_stage_calls_total", "service" => service.clone(), "outcome" => outcome)
+        .increment(1);
+    counter!("hollowsail_stage_pieces_total", "service" => service.clone())
+        .increment(pieces as u64);
+    histogram!("hollowsail_stage_call_seconds", "service" => service).record(took);
+}
+
+/// The store stopped answering.
+pub fn count_store_lost() {
+    counter!("hollowsail_store_lost_total").increment(1);
+}
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -12,6 +12,7 @@
 use snafu::Snafu;
 
 use super::batcher::Batcher;
+use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -62,11 +63,13 @@
         Err(_) => Err(CallError::Silent),
     };
     let took = cx.clock.now() - begun;
-    let (outcome, end) = match &result {
-        Ok(_) => ("answered".to_string(), CallEnd::Answered),
-        Err(err @ CallError::Refused { .. }) => (err.to_string(), CallEnd::Refused),
-        Err(err) => (err.to_string(), CallEnd::Failed),
+    let (outcome, end, kind) = match &result {
+        Ok(_) => ("answered".to_string(), CallEnd::Answered, "answered"),
+        Err(err @ CallError::Refused { .. }) => (err.to_string(), CallEnd::Refused, "refused"),
+        Err(err) => (err.to_string(), CallEnd::Failed, "failed"),
     };
+    let took_time = Duration::from_millis(took);
+    metrics::count_call(&target.record.service, kind, asked.len(), took_time);
     cx.log.line(
         events::CALL_ENDED,
         format_args!(
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -36,6 +36,12 @@
         self.deployment.route(self.route)
     }
 
+    /// Name of its service; of the first one where the route has several.
+    pub fn service_name(&self) -> &str {
+        let first = self.route().services.first();
+        first.map_or("none", |(key, _)| &self.deployment.service(*key).name)
+    }
+
     /// Time that is left.
     pub fn remaining(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -35,14 +35,18 @@
     pub why: String,
     /// When the target wants to be asked again.
     pub retry_after: Option<Duration>,
+    /// A result that the request was to start from is gone.
+    pub inputs_gone: bool,
 }
 
 impl Failure {
-    fn new(progress: Progress, why: impl Into<String>) -> Self {
+    /// A failure of which nothing else is known.
+    pub fn new(progress: Progress, why: impl Into<String>) -> Self {
         Failure {
             progress,
             why: why.into(),
             retry_after: None,
+            inputs_gone: false,
         }
     }
 }
@@ -119,6 +123,7 @@
             progress: Progress::FinalRefusal,
             why: format!("the target refused with status {}", status.as_u16()),
             retry_after: head.retry_after,
+            inputs_gone: status == heads::INPUTS_GONE,
         });
     }
     if head.request_id.as_deref() != Some(admitted.caller.request_id.as_str()) {
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -15,6 +15,7 @@
 use super::prepare::Prepared;
 use super::{choose, relay, Trace};
 use crate::answer::{AnswerStream, Refusal};
+use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -128,7 +129,10 @@
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
         match attempt::run(admitted, &target, &send).await {
-            Ok(answered) => return Ok(answered),
+            Ok(answered) => {
+                metrics::count_attempt(&target.record.service, "answered");
+                return Ok(answered);
+            }
             Err(failure) => take_failure(cx, admitted, sends, &target, failure)?,
         }
     }
@@ -152,6 +156,15 @@
             failure.why,
         ),
     );
+    let outcome = match stage_status([progress]) {
+        StageStatus::NotRun => "not_run",
+        StageStatus::Unknown | StageStatus::Ran => "unknown",
+    };
+    metrics::count_attempt(&target.record.service, outcome);
+    if failure.inputs_gone {
+        sends.failed(target, failure);
+        return Err(sends.refusal(ErrorKind::InputsGone));
+    }
     if progress != Progress::FinalRefusal {
         target.observe(Observation::Failed, 1);
         for ejected in cx.targets().eject_worst(sends.service, cx.clock.now()) {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -18,14 +18,19 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use hollowsail_observe::events as catalogue;
+use hollowsail_observe::{events as catalogue, ErrorKind};
 use hyper::body::Incoming;
 
 use crate::answer::{AnswerStream, Refusal};
+use crate::metrics;
 use crate::traffic::Traffic;
 
 pub use admit::Admitted;
 
+/// Times that the stages of a request are run again because the engine found
+/// their results gone.
+const MOST_LOST_INPUTS: u32 = 1;
+
 /// Figures of a request for its log line.
 #[derive(Debug, Default)]
 struct Trace {
@@ -60,6 +65,12 @@
     let id = &admitted.caller.request_id;
     let outcome = answered.as_ref().map(|response| response.status());
     log_end(&cx, id, &admitted.route().name, &trace, arrived, outcome);
+    let (kind, status) = match outcome {
+        Ok(status) => ("none", status),
+        Err(refusal) => (refusal.kind.answer().name, refusal.status()),
+    };
+    let took = arrived.elapsed();
+    metrics::count_request(admitted.service_name(), kind, status.as_u16(), took);
     answered.unwrap_or_else(|refusal| refusal.into_response(Some(id)))
 }
 
@@ -102,6 +113,8 @@
                 self.admitted.arrived.elapsed().as_millis(),
             ),
         );
+        let took = self.admitted.arrived.elapsed();
+        metrics::count_request(self.admitted.service_name(), "caller_left", 0, took);
     }
 }
 
@@ -112,10 +125,22 @@
     waiting: &mut Waiting,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     forecast::judge(cx, admitted)?;
-    let prepared = prepare::run(cx, admitted).await?;
-    waiting.phase = "target";
-    trace.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
-    dispatch::run(cx, admitted, prepared, trace).await
+    let mut lost_inputs = 0;
+    loop {
+        waiting.phase = "stages";
+        let prepared = prepare::run(cx, admitted).await?;
+        waiting.phase = "target";
+        trace.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
+        match dispatch::run(cx, admitted, prepared, trace).await {
+            // The request didn't run: its stages may, once more.
+            Err(refusal)
+                if refusal.kind == ErrorKind::InputsGone && lost_inputs < MOST_LOST_INPUTS =>
+            {
+                lost_inputs += 1;
+            }
+            result => return result,
+        }
+    }
 }
 
 fn log_end(
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -53,11 +53,7 @@
     } = answered;
     let read = tokio::time::timeout_at(admitted.until.into(), body.collect(MOST_WHOLE_BYTES)).await;
     drop(in_flight);
-    let failure = |why: String| Failure {
-        progress: Progress::Broken,
-        why,
-        retry_after: None,
-    };
+    let failure = |why: String| Failure::new(Progress::Broken, why);
     let failure = match read {
         Ok(Ok(Some(_))) if dispatch::may_ask_another(cx, admitted, sends, parts.status) => failure(
             format!("the target failed with status {}", parts.status.as_u16()),
@@ -198,11 +194,7 @@
     /// Goes on at another target after the last whole event, if that is
     /// allowed. True when it does.
     async fn resume(&mut self, why: &str) -> bool {
-        let failure = Failure {
-            progress: Progress::Broken,
-            why: why.to_string(),
-            retry_after: None,
-        };
+        let failure = Failure::new(Progress::Broken, why);
         let target = self.answered.target.clone();
         let (cx, admitted) = (&self.cx, &self.admitted);
         if dispatch::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,7 +19,7 @@
 use crate::stop;
 use crate::traffic::Traffic;
 use crate::view::Published;
-use crate::{callers, peers, readiness};
+use crate::{callers, metrics, peers, readiness};
 
 /// Why the daemon didn't start.
 #[derive(Debug, Snafu)]
@@ -65,6 +65,7 @@
                 callers: callers_at,
                 readiness: readiness_at,
                 peers: peers_at,
+                metrics: None,
             },
         })
     }
@@ -116,12 +117,16 @@
     let settings = Arc::new(ArcSwap::from_pointee(settings));
     let traffic = Traffic::prepare(settings.clone(), me.clone(), clock, published.clone());
     start_traffic(traffic, listeners, stopping).await?;
+    let at = Listen {
+        metrics: metrics::serve(control_settings.metrics_addr()),
+        ..at
+    };
     let log = Log::new(&host);
     log.line(
         events::STARTED,
         format_args!(
-            "callers={} readiness={} peers={} hall={} run={:016x}",
-            at.callers, at.readiness, at.peers, hall, me.id.0
+            "callers={} readiness={} peers={} metrics={:?} hall={} run={:016x}",
+            at.callers, at.readiness, at.peers, at.metrics, hall, me.id.0
         ),
     );
     let control = Control::new(&control_settings, me, clock, published);
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -25,7 +25,8 @@
 pub fn settings(host: &str, hall: &str, store: SocketAddr) -> Settings {
     let text = format!(
         "node: {host}\nrole: gateway\nip: 127.0.0.1\nzone: {hall}\n\
-         listen:\n  front: 127.0.0.1:0\n  readiness: 127.0.0.1:0\n  control: 127.0.0.1:0\n\
+         listen:\n  front: 127.0.0.1:0\n  readiness: 127.0.0.1:0\n  control: 127.0.0.1:0\n  \
+         metrics: 127.0.0.1:0\n\
          seeds: []\nlimits:\n  memory_mb: 260\n  max_fds: 4100\n\
          bounds:\n  drain_ms: 2000\n  grace_s: 3\n  config_apply_ms: 2000\n  \
          retry_budget_ratio: 0.2\n  retry_window_s: 10\n  retry_extra: 50\n\
--- a/crates/observe/src/kinds.rs
+++ b/crates/observe/src/kinds.rs
@@ -94,6 +94,8 @@
     NoPermittedEntry, "no_permitted_entry", 503, Some(1_000), "send the same request again later";
     /// A target failed and the stage could not be run elsewhere.
     TargetFailed, "target_failed", 502, Some(500), "see the stages' status for what ran";
+    /// A result that the request starts from was lost; the request did not run.
+    InputsGone, "inputs_gone", 503, Some(500), "send the same request again later";
     /// A stage before the request could not be run; the request itself did not.
     StageFailed, "stage_failed", 503, Some(1_000), "send the same request again later";
     /// The entry that the request was passed on to did not answer.
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod events;
 pub mod kinds;
 pub mod output;
+pub mod recorder;
 
 pub use kinds::ErrorKind;
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -611,7 +611,11 @@
                 let ratio = (now - call.started) as f64 / call.expected_ms.max(1.0);
                 worker.slowness += NEW_WEIGHT * (ratio - worker.slowness);
                 worker.failures = 0;
-                worker.out_until = if worker.is_slow() { now + PROBE_MS } else { now };
+                worker.out_until = if worker.is_slow() {
+                    now + PROBE_MS
+                } else {
+                    now
+                };
             }
             CallEnd::Refused => worker.out_until = now + FULL_MS,
             CallEnd::Failed => {
--- /dev/null
+++ b/crates/stages/tests/suite/batch.rs
@@ -0,0 +1,289 @@
+//! Which pieces share a call, and to whom it goes.
+
+use hollowsail_stages::{
+    BatchQueue, CallEnd, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
+};
+
+const HERE: HallKey = HallKey(0);
+const THERE: HallKey = HallKey(1);
+
+fn rules() -> PoolRules {
+    PoolRules {
+        running: 1,
+        batch: 4,
+        call_ms: 100.0,
+        piece_ms: 10.0,
+        result_bytes: 1_000_000,
+    }
+}
+
+fn order(group: u64) -> PieceOrder {
+    PieceOrder {
+        priority: 1,
+        due: 10_000,
+        expires: 20_000,
+        result_bytes: 1_000,
+        group: GroupKey(group),
+        hall: None,
+    }
+}
+
+fn push(queue: &mut BatchQueue<u64>, order: PieceOrder, count: usize) -> Vec<PieceKey> {
+    (0..count)
+        .map(|_| queue.push(order, order.group.0, 0))
+        .collect()
+}
+
+/// Groups of the pieces of a call.
+fn groups(queue: &BatchQueue<u64>, call: &StartedCall) -> Vec<u64> {
+    let jobs = call.pieces.iter().filter_map(|piece| queue.job(piece.key));
+    jobs.copied().collect()
+}
+
+/// Makes every piece of a call.
+fn finish(queue: &mut BatchQueue<u64>, call: &StartedCall, now: u64) {
+    for piece in &call.pieces {
+        queue.finish(piece.key);
+        queue.free(call.worker, piece.result_bytes);
+    }
+    queue.end_call(call.call, CallEnd::Answered, now);
+}
+
+#[test]
+fn pieces_of_several_requests_share_a_call() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 2);
+    push(&mut queue, order(2), 2);
+    push(&mut queue, order(3), 1);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(groups(&queue, &call), [1, 1, 2, 2]);
+    assert!(queue.next_call(0).is_none(), "one call at a time");
+    finish(&mut queue, &call, 140);
+    let call = queue.next_call(140).expect("it is free again");
+    assert_eq!(groups(&queue, &call), [3]);
+}
+
+#[test]
+fn the_urgent_go_first_and_the_late_after_those_in_time() {
+    let mut queue = BatchQueue::new(PoolRules {
+        batch: 1,
+        ..rules()
+    });
+    queue.add_worker(HERE);
+    push(&mut queue, PieceOrder { due: 5, ..order(1) }, 1);
+    push(&mut queue, order(2), 1);
+    push(
+        &mut queue,
+        PieceOrder {
+            priority: 0,
+            ..order(3)
+        },
+        1,
+    );
+    let mut served = Vec::new();
+    for round in 0..3 {
+        let now = round * 110;
+        let call = queue.next_call(now).expect("a worker is free");
+        served.extend(groups(&queue, &call));
+        finish(&mut queue, &call, now + 110);
+    }
+    assert_eq!(served, [3, 2, 1]);
+}
+
+#[test]
+fn a_group_whose_results_are_large_is_not_torn() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    let large = |group| PieceOrder {
+        result_bytes: 300_000,
+        ..order(group)
+    };
+    push(&mut queue, large(1), 2);
+    push(&mut queue, large(2), 2);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(
+        groups(&queue, &call),
+        [1, 1],
+        "600 kB of 950; two more have no room"
+    );
+}
+
+#[test]
+fn memory_that_comes_free_is_kept_for_the_group_at_the_head() {
+    let mut queue = BatchQueue::new(PoolRules {
+        running: 2,
+        ..rules()
+    });
+    queue.add_worker(HERE);
+    let large = |group| PieceOrder {
+        result_bytes: 400_000,
+        ..order(group)
+    };
+    push(&mut queue, large(1), 2);
+    let first = queue.next_call(0).expect("it fits");
+    push(&mut queue, large(2), 2);
+    push(
+        &mut queue,
+        PieceOrder {
+            result_bytes: 100_000,
+            ..order(3)
+        },
+        1,
+    );
+    push(&mut queue, order(4), 1);
+    let second = queue.next_call(0).expect("small ones pass");
+    assert_eq!(
+        groups(&queue, &second),
+        [4],
+        "not 3, which would take the head's room"
+    );
+    finish(&mut queue, &second, 10);
+    finish(&mut queue, &first, 100);
+    let third = queue.next_call(100).expect("there is room");
+    assert_eq!(groups(&queue, &third)[..2], [2, 2]);
+}
+
+#[test]
+fn a_full_worker_gets_small_results_for_a_while() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    queue.no_room(worker, 0);
+    push(
+        &mut queue,
+        PieceOrder {
+            result_bytes: 300_000,
+            ..order(1)
+        },
+        1,
+    );
+    assert!(queue.next_call(0).is_none());
+    assert!(queue.next_call(100).is_some());
+}
+
+#[test]
+fn results_wait_for_a_worker_of_their_hall_while_they_can_be_in_time() {
+    let mut queue = BatchQueue::new(rules());
+    let far = queue.add_worker(THERE);
+    push(
+        &mut queue,
+        PieceOrder {
+            hall: Some(HERE),
+            due: 1_000,
+            ..order(1)
+        },
+        1,
+    );
+    assert!(queue.next_call(0).is_none());
+    let near = queue.add_worker(HERE);
+    let call = queue.next_call(10).expect("its hall's worker came");
+    assert_eq!(call.worker, near);
+    push(
+        &mut queue,
+        PieceOrder {
+            hall: Some(HERE),
+            due: 1_000,
+            ..order(2)
+        },
+        1,
+    );
+    assert!(
+        queue.next_call(500).is_none(),
+        "140 ms before it is due is soon enough"
+    );
+    assert_eq!(queue.next_call(870).map(|call| call.worker), Some(far));
+}
+
+#[test]
+fn an_overdue_call_frees_its_pieces_for_others_and_the_first_result_counts() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let slow = queue.next_call(0).expect("a worker is free");
+    let other = queue.add_worker(HERE);
+    assert!(queue.take_overdue(200).is_empty());
+    assert_eq!(queue.take_overdue(400), [slow.worker]);
+    let second = queue.next_call(400).expect("it waits again");
+    assert_eq!(second.worker, other);
+    assert_eq!(queue.finish(second.pieces[0].key), Some(1));
+    assert_eq!(queue.finish(slow.pieces[0].key), None, "it ended before");
+    assert!(queue
+        .end_call(second.call, CallEnd::Answered, 510)
+        .is_empty());
+    assert!(queue.end_call(slow.call, CallEnd::Answered, 900).is_empty());
+}
+
+#[test]
+fn a_slow_worker_is_only_tried_now_and_then() {
+    let mut queue = BatchQueue::new(rules());
+    let slow = queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let call = queue.next_call(0).expect("a worker is free");
+    finish(&mut queue, &call, 900);
+    push(&mut queue, order(2), 1);
+    push(&mut queue, order(3), 1);
+    assert!(queue.next_call(901).is_none());
+    let call = queue.next_call(1_800).expect("it is tried");
+    assert_eq!((call.worker, groups(&queue, &call)), (slow, vec![2]));
+}
+
+#[test]
+fn pieces_of_a_failed_call_are_given_back_and_a_leaving_worker_gets_nothing() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    let pieces = push(&mut queue, order(1), 2);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(queue.end_call(call.call, CallEnd::Failed, 50), pieces);
+    pieces.iter().for_each(|piece| queue.requeue(*piece));
+    assert!(queue.next_call(60).is_none(), "it is out for a while");
+    queue.remove_worker(worker);
+    assert!(queue.next_call(10_000).is_none());
+}
+
+#[test]
+fn a_queue_that_passes_on_takes_what_is_not_begun_along() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    push(&mut queue, order(1), 4);
+    let call = queue.next_call(0).expect("a worker is free");
+    let waiting = push(&mut queue, order(2), 2);
+    assert_eq!(queue.take_waiting(), waiting);
+    assert_eq!(queue.worker_state(worker, 40), (4_000, 100));
+    let mut next: BatchQueue<u64> = BatchQueue::new(rules());
+    let same = next.add_worker(HERE);
+    next.take_over(same, 4_000, 140);
+    push(&mut next, order(2), 2);
+    assert!(next.next_call(100).is_none(), "the call before still runs");
+    assert!(next.next_call(140).is_some());
+    finish(&mut queue, &call, 140);
+}
+
+#[test]
+fn the_load_tells_what_goes_before_a_priority() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 4);
+    queue.next_call(0).expect("a worker is free");
+    push(
+        &mut queue,
+        PieceOrder {
+            priority: 0,
+            ..order(2)
+        },
+        3,
+    );
+    push(
+        &mut queue,
+        PieceOrder {
+            priority: 2,
+            ..order(3)
+        },
+        5,
+    );
+    let load = queue.load(0);
+    assert_eq!(
+        (load.ahead_of(0), load.ahead_of(1), load.ahead_of(2)),
+        (7, 7, 12)
+    );
+    assert!((load.slots - 4.0).abs() < 0.01);
+}
--- /dev/null
+++ b/crates/stages/tests/suite/main.rs
@@ -0,0 +1,6 @@
+//! The pure machines of stages, by example and by fuzzing against simple rules.
+
+mod batch;
+mod graph;
+mod random_graph;
+mod random_queue;
