--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod membership;
 mod standing;
+mod target_book;
 
 /// Cases per property; the long mode sets more.
 pub fn cases() -> u32 {
--- /dev/null
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -0,0 +1,136 @@
+//! Which targets there are, through outages of the store.
+
+use hollowsail_fleet::{BookTiming, TargetBook};
+use proptest::prelude::*;
+
+const TIMING: BookTiming = BookTiming { return_ms: 2_000 };
+
+fn book() -> TargetBook<&'static str> {
+    let mut book = TargetBook::new(TIMING);
+    book.put("a", 1, "a", false);
+    book.put("b", 2, "b", false);
+    book
+}
+
+fn usable(book: &TargetBook<&'static str>) -> Vec<&'static str> {
+    book.usable().copied().collect()
+}
+
+#[test]
+fn a_record_that_goes_means_that_the_target_is_gone() {
+    let mut book = book();
+    assert!(book.deleted("a", 3, 10));
+    assert_eq!(usable(&book), ["b"]);
+    assert_eq!(book.reconcile(&[], 4, 10), ["b"]);
+}
+
+#[test]
+fn a_draining_target_never_comes_back() {
+    let mut book = book();
+    assert!(book.put("a", 5, "a", true));
+    assert_eq!(usable(&book), ["b"]);
+    assert!(!book.put("a", 3, "a", false), "an older word");
+    assert!(!book.put("a", 6, "a", false), "nor a newer one");
+    assert_eq!(usable(&book), ["b"]);
+}
+
+#[test]
+fn a_record_that_lapses_in_an_outage_counts_until_it_is_settled() {
+    let mut book = book();
+    assert!(book.store_away() && !book.store_away());
+    assert!(!book.deleted("a", 3, 100));
+    assert_eq!(usable(&book), ["a", "b"]);
+    assert!(book.store_back(1_000));
+    assert_eq!(book.settles_at(), Some(3_000));
+    assert!(
+        book.reconcile(&["a"], 9, 1_500).is_empty(),
+        "b may come back, too"
+    );
+    assert!(book.settle(2_900).is_empty());
+    book.put("b", 10, "b", false);
+    assert_eq!(book.settle(3_000), ["a"]);
+    assert_eq!(usable(&book), ["b"]);
+    assert_eq!(book.settles_at(), None);
+}
+
+#[test]
+fn a_peers_word_is_taken_while_the_store_is_away_but_not_over_newer_records() {
+    let mut book = book();
+    book.store_away();
+    book.put("c", 9, "c", false);
+    assert_eq!(book.adopt(&["b"], 5), ["a"]);
+    assert_eq!(usable(&book), ["b", "c"], "c is newer than the peer's word");
+}
+
+#[derive(Debug, Clone)]
+enum Event {
+    Put { id: usize, draining: bool },
+    Delete { id: usize },
+    Away,
+    Back,
+    Pass(u64),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        4 => (0usize..4, prop::bool::weighted(0.2)).prop_map(|(id, draining)| Event::Put { id, draining }),
+        3 => (0usize..4).prop_map(|id| Event::Delete { id }),
+        1 => Just(Event::Away),
+        1 => Just(Event::Back),
+        3 => (1u64..1_500).prop_map(Event::Pass),
+    ]
+}
+
+proptest! {
+    /// Against a plain account of the same events.
+    #[test]
+    fn the_book_agrees_with_a_plain_account(events in prop::collection::vec(event(), 1..120)) {
+        const IDS: [&str; 4] = ["a", "b", "c", "d"];
+        let mut book: TargetBook<&str> = TargetBook::new(TIMING);
+        let mut recorded = [false; 4];
+        let mut known = [false; 4];
+        let mut drained = [false; 4];
+        let (mut away, mut back, mut now) = (false, 0, 0);
+        for (at, event) in events.into_iter().enumerate() {
+            let revision = at as u64 + 1;
+            match event {
+                Event::Put { id, draining } => {
+                    book.put(IDS[id], revision, IDS[id], draining);
+                    recorded[id] = true;
+                    known[id] = true;
+                    drained[id] |= draining;
+                }
+                Event::Delete { id } => {
+                    book.deleted(IDS[id], revision, now);
+                    recorded[id] = false;
+                    let unsettled = away || (back > 0 && now < back + TIMING.return_ms);
+                    if !unsettled || drained[id] {
+                        known[id] = false;
+                        drained[id] = false;
+                    }
+                }
+                Event::Away => {
+                    book.store_away();
+                    away = true;
+                }
+                Event::Back => {
+                    if book.store_back(now) {
+                        back = now.max(1);
+                    }
+                    away = false;
+                }
+                Event::Pass(ms) => now += ms,
+            }
+            book.settle(now);
+            if !(away || back > 0 && now < back + TIMING.return_ms) {
+                (0..4).filter(|&id| !recorded[id]).for_each(|id| known[id] = false);
+            }
+            let expected: Vec<&str> = (0..4)
+                .filter(|&id| known[id] && !drained[id])
+                .map(|id| IDS[id])
+                .collect();
+            let usable: Vec<&str> = book.usable().copied().collect();
+            prop_assert_eq!(usable, expected);
+        }
+    }
+}
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -27,6 +27,12 @@
 /// longer ones aren't heeded.
 const MOST_AFTER_SHARE: f64 = 0.3;
 
+/// A service of which no backlog is known.
+const NOTHING_AHEAD: ServiceLoad = ServiceLoad {
+    slots: 1.0,
+    ahead: 0.0,
+};
+
 /// Refuses a request that is foreseen to come too late.
 pub fn judge(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
     let stages = &admitted.route().stages;
@@ -66,11 +72,10 @@
         typical_ms: ENGINE_MS,
         slow_ms: 2 * ENGINE_MS,
     };
-    let load = ServiceLoad {
-        slots: 1.0,
-        ahead: 0.0,
-    };
-    StageDemand { expected, load }
+    StageDemand {
+        expected,
+        load: NOTHING_AHEAD,
+    }
 }
 
 /// What a stage of a request finds; `None` when it is left out or not known.
@@ -87,22 +92,17 @@
     let load = cx
         .pools
         .load(cx, &service.name, &admitted.caller.request_id)
-        .unwrap_or_default();
-    let ahead = load.ahead_of(admitted.priority) + pieces;
+        .map(|load| ServiceLoad {
+            slots: f64::from(load.slots),
+            ahead: f64::from(load.ahead_of(admitted.priority) + pieces - 1),
+        });
     Some(StageDemand {
         expected: StageExpectation {
             fast_ms: own_ms,
             typical_ms: own_ms,
             slow_ms: own_ms,
         },
-        load: ServiceLoad {
-            slots: f64::from(load.slots).max(1.0),
-            ahead: if load.slots > 0.0 {
-                f64::from(ahead)
-            } else {
-                0.0
-            },
-        },
+        load: load.unwrap_or(NOTHING_AHEAD),
     })
 }
 
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -2,7 +2,9 @@
 
 mod fixture;
 mod forwarding;
+mod libraries;
 mod limits;
+mod metrics;
 mod sharing;
 mod stages;
 mod stopping;
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -23,7 +23,12 @@
         .engines("engines")
         .stage_service("encoders", 4, 20.0, 10.0)
         .stage_service("rankers", 4, 20.0, 10.0)
-        .route("/staged/", "stream", "engines", json!({ "stages": stages }))
+        .route(
+            "/staged/",
+            "stream",
+            "engines",
+            json!({ "stages": stages, "target_latency_ms": 1000 }),
+        )
 }
 
 fn request() -> Call {
@@ -257,3 +262,58 @@
         "the silent one was tried"
     );
 }
+
+#[actix_rt::test]
+async fn results_that_the_engine_finds_gone_are_made_again() {
+    let fixture = Fixture::start(&deployment()).await;
+    let encoder = TargetStandin::start(worker("maker-1")).await;
+    let ranker = TargetStandin::start(worker("maker-2")).await;
+    let engine = TargetStandin::start(|seen| match seen.before {
+        0 => vec![Step::Write(not_run(409))],
+        _ => engine(seen),
+    })
+    .await;
+    fixture.add("i-encoder", "encoders", &encoder);
+    fixture.add("i-ranker", "rankers", &ranker);
+    fixture.add("i-engine", "engines", &engine);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let got = fixture.call(&request()).await;
+    assert!(got.is_whole, "{got:?}");
+    assert_eq!(engine.seen().len(), 2);
+    assert_eq!(runs(&encoder).len(), 2, "from the first stage on");
+}
+
+#[actix_rt::test]
+async fn a_request_that_would_come_too_late_is_refused_at_once() {
+    let slow = |seen: &Seen| {
+        vec![
+            Step::Wait(Duration::from_millis(300)),
+            Step::Write(results(seen, "maker-1")),
+        ]
+    };
+    let staged = staged(slow, worker("maker-2")).await;
+    let at = staged.fixture.gateway.at.callers;
+    let calls = (0..30).map(|number| {
+        let call = request().with("X-Request-Id", &format!("{number:016x}"));
+        actix_rt::spawn(async move { call.send(at).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    tokio::time::sleep(Duration::from_millis(350)).await;
+    let begun = std::time::Instant::now();
+    let got = request().with("X-Request-Id", "ffff").send(at).await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(
+        begun.elapsed() < Duration::from_millis(250),
+        "a quarter of its target latency"
+    );
+    let after: f64 = got
+        .header("retry-after")
+        .expect("it says")
+        .parse()
+        .expect("seconds");
+    assert!(
+        after > 0.0 && after <= 0.7,
+        "within what the caller heeds: {after}"
+    );
+    drop(calls);
+}
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choose;
 mod deadline;
+mod engine;
 mod health;
 mod progress;
 
--- a/crates/stages/src/batch.rs
+++ b/crates/stages/src/batch.rs
@@ -199,6 +199,8 @@
 /// Calls for which a result stays at its worker, about: its own, the next
 /// stage's, and some waiting.
 const RESIDENCE_CALLS: f64 = 2.5;
+/// What a queue without a working worker is taken for: far too little.
+const LEAST_SLOTS: f64 = 0.25;
 /// Part of a worker's memory that small results may take meanwhile.
 const SMALL_SHARE: f64 = 0.02;
 /// Part of a worker's free memory that a part of a group may take to fill a
@@ -354,7 +356,7 @@
         let average_bytes = bytes / self.waiting.len().max(1) as u64;
         let running: usize = self.calls.values().map(|call| call.pieces.len()).sum();
         QueueLoad {
-            slots: self.slots(average_bytes, now),
+            slots: self.slots(average_bytes),
             running: running as u32,
             ahead: ahead.into_iter().collect(),
             call_ms: self.rules.expected_ms(self.rules.batch) as u32,
@@ -363,14 +365,15 @@
 
     /// Pieces that the workers make at a time: whole batches, fewer where they
     /// are slow or where results of so many bytes fill their memory first.
-    fn slots(&self, result_bytes: u64, now: Millis) -> f32 {
-        let usable = |worker: &&Worker| !worker.leaving && worker.out_until <= now;
-        let workers = self.workers.values().filter(usable);
+    fn slots(&self, result_bytes: u64) -> f32 {
+        let works = |worker: &&Worker| !worker.leaving && worker.failures == 0;
         let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
         let at_once = (fitting / RESIDENCE_CALLS).min(self.rules.batch as f64);
-        workers
-            .map(|worker| (at_once / worker.slowness.max(1.0)) as f32)
-            .sum()
+        let workers = self.workers.values().filter(works);
+        let slots: f64 = workers
+            .map(|worker| at_once / worker.slowness.max(1.0))
+            .sum();
+        slots.max(LEAST_SLOTS) as f32
     }
 
     /// Pieces that wait.
