--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -23,7 +23,7 @@
 use super::activity::{Activity, Phase, Watched};
 use crate::answer::{AnswerStream, BodyFault};
 use crate::request;
-use crate::traffic::Traffic;
+use crate::traffic::{Stopping, Traffic};
 
 /// Limits while no configuration is known.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -58,7 +58,7 @@
         let cx = cx.clone();
         async move {
             let mut response = request::serve(cx.clone(), req).await;
-            if cx.stopping.get() {
+            if cx.stopping.get() != Stopping::No {
                 // The caller's next request goes to another entry.
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
@@ -70,7 +70,7 @@
     let mut connection = pin!(http1::Builder::new()
         .auto_date_header(false)
         // A connection that comes during a planned stop carries one request.
-        .keep_alive(!cx.stopping.get())
+        .keep_alive(cx.stopping.get() == Stopping::No)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .serve_connection(io, service));
     loop {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::answer::Refusal;
-use crate::traffic::Traffic;
+use crate::traffic::{Stopping, Traffic};
 
 /// A request that may be served.
 pub struct Admitted {
@@ -60,6 +60,17 @@
         })
     }
 
+    /// When its stages are given up: before its caller leaves, and before half
+    /// of its time is over, so that the caller hears in time when to come back.
+    pub fn stages_by(&self) -> Instant {
+        let patience = self.answer_by() - self.arrived;
+        let whole = self.until - self.arrived;
+        let longest = patience
+            .mul_f64(PATIENCE_SHARE)
+            .min(whole.mul_f64(HOLD_SHARE));
+        self.arrived + longest
+    }
+
     /// Name of its organisation.
     pub fn organisation_name(&self) -> Option<&str> {
         let key = self.organisation?;
@@ -67,6 +78,15 @@
     }
 }
 
+/// Part of its caller's patience for which a request is held before its answer
+/// begins.
+const PATIENCE_SHARE: f64 = 0.9;
+/// Part of its whole time for which a request is held before a target gets it.
+const HOLD_SHARE: f64 = 0.45;
+
+/// When to come back to another entry: at once, but not in step.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+
 /// A request that is refused before anything else is known of it.
 pub struct Rejected {
     pub request_id: Option<String>,
@@ -95,6 +115,10 @@
         request_id: Some(caller.request_id.clone()),
         refusal,
     };
+    if cx.stopping.get() == Stopping::RefusingNew {
+        let refusal = Refusal::new(ErrorKind::Stopping, "this entry is about to end");
+        return Err(reject(refusal.come_back_after(ELSEWHERE_AFTER)));
+    }
     let deployment = cx.deployment().ok_or_else(|| {
         reject(Refusal::new(
             ErrorKind::NoConfiguration,
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -31,6 +31,8 @@
     /// Sends that may have reached a target.
     arrivals: u32,
     unreached: u32,
+    /// Target of the last send, for the log.
+    last_target: String,
     last_why: String,
     retry_after: Option<Duration>,
 }
@@ -44,6 +46,7 @@
             progress: Vec::new(),
             arrivals: 0,
             unreached: 0,
+            last_target: String::new(),
             last_why: "nothing was sent".to_string(),
             retry_after: None,
         }
@@ -86,11 +89,9 @@
     let mut sends = Sends::new(admitted);
     loop {
         let answered = next_answer(cx, admitted, &prepared, &mut sends, None).await;
-        trace.attempts = sends.arrivals + sends.unreached + 1;
+        trace.attempts = sends.arrivals + sends.unreached + u32::from(answered.is_ok());
+        trace.last_target.clone_from(&sends.last_target);
         let answered = answered?;
-        trace
-            .last_target
-            .clone_from(&answered.target.incarnation().0);
         if admitted.route().repeat.is_stream() && answered.parts.status.is_success() {
             return Ok(relay::stream(cx, admitted, answered, prepared, sends));
         }
@@ -128,6 +129,7 @@
         if sends.progress.is_empty() {
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
+        sends.last_target.clone_from(&target.incarnation().0);
         match attempt::run(admitted, &target, &send).await {
             Ok(answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare.rs
@@ -59,12 +59,17 @@
         home_hall: choose::home_hall(cx, admitted, large_bytes(stages, &admitted.caller.pieces)),
         remade: 0,
     };
-    match tokio::time::timeout_at(admitted.answer_by().into(), walk.run()).await {
-        Ok(result) => result,
-        Err(_) => Err(Refusal::new(
+    let limit = tokio::time::sleep_until(admitted.stages_by().into());
+    tokio::select! {
+        result = walk.run() => result,
+        () = limit => Err(Refusal::new(
             ErrorKind::CannotFinish,
             "its time ended in its stages",
         )),
+        () = cx.last_call.notified() => Err(Refusal::new(
+            ErrorKind::Stopping,
+            "this entry ends, and its stages have not",
+        )),
     }
 }
 
@@ -127,7 +132,7 @@
             piece: at.piece as u32,
             remaining_ms: self
                 .admitted
-                .answer_by()
+                .stages_by()
                 .saturating_duration_since(Instant::now())
                 .as_millis() as u64,
             piece_key: piece_key.filter(|_| inputs.is_empty()),
@@ -141,7 +146,7 @@
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock
-                .millis_at(self.admitted.answer_by())
+                .millis_at(self.admitted.stages_by())
                 .saturating_sub(later * LEAST_STAGE_MS),
             result_bytes: self.stages[at.stage].result_bytes,
             hall: self.hall(at),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -18,6 +18,16 @@
 use crate::targets::{Target, TargetTable};
 use crate::view::{Published, View};
 
+/// How far a planned stop is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stopping {
+    No,
+    /// Not ready; what comes is still served.
+    Serving,
+    /// What comes is refused; what is under way ends.
+    RefusingNew,
+}
+
 /// Everything that requests share.
 pub struct Traffic {
     settings: Arc<ArcSwap<Settings>>,
@@ -38,8 +48,9 @@
     pub in_flight: Cell<usize>,
     /// Connections of callers.
     pub connections: Cell<usize>,
-    /// A planned stop began.
-    pub stopping: Cell<bool>,
+    pub stopping: Cell<Stopping>,
+    /// Told shortly before the process ends: what no target has yet is refused.
+    pub last_call: Notify,
     /// Told when idle connections of callers are to close.
     pub close_idle: Notify,
 }
@@ -68,7 +79,8 @@
                 latencies: RefCell::default(),
                 in_flight: Cell::new(0),
                 connections: Cell::new(0),
-                stopping: Cell::new(false),
+                stopping: Cell::new(Stopping::No),
+                last_call: Notify::new(),
                 close_idle: Notify::new(),
             })
         }
@@ -119,7 +131,7 @@
 
     /// True when new connections may come.
     pub fn is_ready(self: &Rc<Self>) -> bool {
-        !self.stopping.get() && self.deployment().is_some()
+        self.stopping.get() == Stopping::No && self.deployment().is_some()
     }
 
     /// Targets by service.
--- a/crates/gateway/tests/suite/stopping.rs
+++ b/crates/gateway/tests/suite/stopping.rs
@@ -8,6 +8,37 @@
 
 use crate::fixture::{ready_status, Call, Fixture};
 
+#[actix_rt::test]
+async fn a_request_that_comes_when_the_balancer_has_long_been_told_is_refused_as_not_run() {
+    let deployment =
+        DeploymentJson::new(1)
+            .service("plain")
+            .route("/safe/", "safe", "plain", json!({}));
+    let Fixture { store, gateway } = Fixture::start(&deployment).await;
+    let target = TargetStandin::start(|seen| {
+        vec![
+            Step::Wait(Duration::from_millis(1_900)),
+            Step::Write(answer(seen, 200, "whole")),
+        ]
+    })
+    .await;
+    store.put_target("i-1", "plain", target.addr, "hall-a", "ready");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let at = gateway.at.clone();
+    let stopping = actix_rt::spawn(gateway.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let long = actix_rt::spawn(async move { Call::new("GET", "/safe/").send(at.callers).await });
+    // Half of the grace of three seconds is over.
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    let before = target.seen().len();
+    let late = Call::new("GET", "/safe/").send(at.callers).await;
+    assert_eq!(late.status, 503, "it could not end before the process does");
+    assert!(late.header("retry-after").is_some());
+    assert_eq!(target.seen().len(), before);
+    assert!(long.await.expect("it is answered").is_whole);
+    stopping.await.expect("it ends");
+}
+
 #[actix_rt::test]
 async fn a_stop_is_not_ready_at_once_takes_late_requests_and_cuts_none() {
     let deployment =
