--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -12,12 +12,14 @@
 
 use bytes::Bytes;
 use hollowsail_connect::{Pool, PoolRules, Reuse, SendError};
+use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::Demand;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use snafu::Snafu;
 use tokio::sync::oneshot;
 
-use super::messages::{Envelope, MakePiece, Message, PieceEnd, PieceId, PATH};
+use super::messages::{Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
 use super::record::PeerRecord;
 use crate::traffic::Traffic;
 
@@ -53,6 +55,7 @@
     pool: Rc<Pool>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteEnd>>>,
+    awaited_places: RefCell<HashMap<PlacementId, oneshot::Sender<Option<Incarnation>>>>,
     is_sending: Cell<bool>,
     is_asking: Cell<bool>,
     heard: Cell<Instant>,
@@ -86,6 +89,7 @@
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
+            awaited_places: RefCell::default(),
             is_sending: Cell::new(false),
             is_asking: Cell::new(false),
             heard: Cell::new(Instant::now()),
@@ -119,6 +123,31 @@
         rx.await.unwrap_or(Err(LinkLost))
     }
 
+    /// Asks a desk of the peer for a place. The asker bounds the time.
+    pub async fn place(
+        self: &Rc<Self>,
+        id: PlacementId,
+        desk: String,
+        demand: Demand<Incarnation>,
+    ) -> Result<Option<Incarnation>, LinkLost> {
+        if self.is_closed.get() {
+            return Err(LinkLost);
+        }
+        let (tx, rx) = oneshot::channel();
+        self.awaited_places.borrow_mut().insert(id, tx);
+        let demand = Box::new(demand);
+        self.send(Message::Place { id, desk, demand });
+        rx.await.map_err(|_| LinkLost)
+    }
+
+    /// The peer's desk answered.
+    pub fn placed(&self, id: PlacementId, engine: Option<Incarnation>) {
+        if let Some(tx) = self.awaited_places.borrow_mut().remove(&id) {
+            // An asker that chose by itself meanwhile told the desk so.
+            let _chose = tx.send(engine);
+        }
+    }
+
     /// The peer told how a piece ended. False when nobody waits for it.
     pub fn ended(&self, id: PieceId, end: PieceEnd) -> bool {
         let waiter = self.awaited.borrow_mut().remove(&id);
@@ -137,6 +166,7 @@
         unsent
             .into_iter()
             .for_each(|message| self.undelivered(message));
+        self.awaited_places.borrow_mut().clear();
         let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
         for tx in waiting.into_values() {
             // A waiter that left needs no answer.
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -134,6 +134,12 @@
     match message {
         Message::Make(piece) => cx.pools.take_piece(cx, from, *piece),
         Message::GiveUp(id) => cx.pools.give_up_piece(from.id, id),
+        Message::Place { id, desk, demand } => {
+            let link = cx.peers.link_to(cx, from);
+            cx.placements.take_ask(cx, &link, id, &desk, &demand);
+        }
+        Message::Placed(id, engine) => cx.peers.link_to(cx, from).placed(id, engine),
+        Message::PlacementStep(id, step) => cx.placements.take_step(cx, from.id, id, step),
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -4,6 +4,7 @@
 
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::Demand;
 use hollowsail_stages::QueueLoad;
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +26,23 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PieceId(pub u64);
 
+/// A placement that a requester asked for; the number is the requester's own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct PlacementId(pub u64);
+
+/// How a placement goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlacementStep {
+    /// Its first event came.
+    PromptRead,
+    /// It ended whole.
+    Whole,
+    /// It ended without a good answer, and the engine is to blame.
+    Failed,
+    /// It was given up.
+    Left,
+}
+
 /// One message.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
@@ -39,6 +57,16 @@
         queue: String,
         workers: Vec<WorkerAtHandOver>,
     },
+    /// To a desk's owner: where does this generation go?
+    Place {
+        id: PlacementId,
+        desk: String,
+        demand: Box<Demand<Incarnation>>,
+    },
+    /// To the requester: there; `None` when no engine is known.
+    Placed(PlacementId, Option<Incarnation>),
+    /// To the desk's owner: how a placement goes.
+    PlacementStep(PlacementId, PlacementStep),
     /// To the requester: what a queue has to do.
     Load { queue: String, load: QueueLoad },
     /// To the owner: a result that nobody needs any more.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -24,7 +24,10 @@
 
 pub use link::Link;
 pub use listen::start;
-pub use messages::{Made, MakePiece, Message, PieceEnd, PieceId, SpentResult, WorkerAtHandOver};
+pub use messages::{
+    Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
+    WorkerAtHandOver,
+};
 pub use record::{PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
@@ -102,5 +105,6 @@
             ),
         );
         cx.pools.requester_lost(peer.id);
+        cx.placements.requester_lost(cx, peer.id);
     }
 }
--- /dev/null
+++ b/crates/gateway/src/placement/mod.rs
@@ -0,0 +1,201 @@
+//! Which engine gets a generation: the desk of its group of engines says.
+//!
+//! Every group of engines has one owner among the entries, as queues of stages
+//! do, and its [`EngineDesk`] knows what all entries have there. An entry asks
+//! it over the peers' links; where no answer comes in time it chooses by itself,
+//! with what it knows. A [`Placed`] tells the desk how the generation went.
+
+mod placed;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_fleet::rendezvous;
+use hollowsail_observe::events;
+use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
+use tokio::time::timeout;
+
+use crate::peers::{Link, Message, Owner, PeerId, PlacementId, PlacementStep};
+use crate::queue::Queue;
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+use placed::Account;
+pub use placed::Placed;
+
+/// Engines in a group at most: enough for a bounded load, few enough for one
+/// owner's processor.
+const GROUP_ENGINES: usize = 32;
+/// Longest wait for a desk's answer; a hop takes about two milliseconds, and
+/// choosing alone costs less than waiting much longer.
+const ANSWER_WITHIN: Duration = Duration::from_millis(40);
+/// Between two sweeps of a desk, in milliseconds.
+const SWEEP_MS: Millis = 1_000;
+
+/// A desk and when it was last swept.
+pub struct Desk {
+    name: String,
+    desk: RefCell<EngineDesk<Incarnation>>,
+    swept: Cell<Millis>,
+}
+
+/// The desks that this entry owns or owned.
+#[derive(Default)]
+pub struct Placements {
+    desks: RefCell<HashMap<String, Rc<Desk>>>,
+    /// Placements that peers have at desks here.
+    of_peers: RefCell<HashMap<(PeerId, PlacementId), (Rc<Desk>, PlacementKey)>>,
+    asked: Cell<u64>,
+}
+
+impl Desk {
+    fn place(
+        &self,
+        cx: &Traffic,
+        demand: &Demand<Incarnation>,
+    ) -> Option<(PlacementKey, Incarnation)> {
+        let now = cx.clock.now();
+        if now >= self.swept.get() + SWEEP_MS {
+            self.swept.set(now);
+            self.desk.borrow_mut().sweep(now);
+        }
+        let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.0);
+        self.desk.borrow_mut().place(now, demand, affinity)
+    }
+
+    fn step(&self, cx: &Traffic, key: PlacementKey, step: PlacementStep) {
+        let now = cx.clock.now();
+        let ended = |end| self.desk.borrow_mut().ended(key, end, now);
+        let ejected = match step {
+            PlacementStep::PromptRead => {
+                self.desk.borrow_mut().prompt_read(key, now);
+                return;
+            }
+            PlacementStep::Whole => ended(PlacementEnd::Whole),
+            PlacementStep::Failed => ended(PlacementEnd::Failed),
+            PlacementStep::Left => ended(PlacementEnd::Left),
+        };
+        for engine in ejected {
+            let fields = format_args!("desk={} target={} why=answers", self.name, engine.0);
+            cx.log.line(events::TARGET_EJECTED, fields);
+        }
+    }
+}
+
+impl Placements {
+    /// Places a generation on an engine of a service. `None` when no desk
+    /// answers in time, or it knows no engine.
+    pub async fn place(
+        &self,
+        cx: &Rc<Traffic>,
+        service: &str,
+        demand: Demand<Incarnation>,
+    ) -> Option<(Incarnation, Placed)> {
+        let targets = cx.targets_named(service).len();
+        let group = Queue::for_key(service, targets, GROUP_ENGINES, &demand.part);
+        match cx.peers.owner_of(cx, &group.name) {
+            Owner::Me => {
+                let desk = self.desk(cx, &group.name)?;
+                let (key, engine) = desk.place(cx, &demand)?;
+                Some((engine, Placed::new(Account::Here(cx.clone(), desk, key))))
+            }
+            Owner::Peer(link) => {
+                let id = self.next_id();
+                // Told as given up if the answer comes too late.
+                let placed = Placed::new(Account::Peer(link.clone(), id));
+                let asked = link.place(id, group.name, demand);
+                let engine = timeout(ANSWER_WITHIN, asked).await.ok()?.ok()??;
+                Some((engine, placed))
+            }
+        }
+    }
+
+    fn next_id(&self) -> PlacementId {
+        self.asked.set(self.asked.get() + 1);
+        PlacementId(self.asked.get())
+    }
+
+    fn desk(&self, cx: &Rc<Traffic>, name: &str) -> Option<Rc<Desk>> {
+        if let Some(known) = self.desks.borrow().get(name) {
+            return Some(known.clone());
+        }
+        let (service, group) = Queue::parse(name)?;
+        let desk = Rc::new(Desk {
+            name: name.to_string(),
+            desk: RefCell::default(),
+            swept: Cell::new(0),
+        });
+        let engines = group.targets(&cx.targets_named(service));
+        desk.desk.borrow_mut().set_engines(&desk_engines(&engines));
+        self.desks
+            .borrow_mut()
+            .insert(name.to_string(), desk.clone());
+        Some(desk)
+    }
+
+    /// A peer asks for a place.
+    pub fn take_ask(
+        &self,
+        cx: &Rc<Traffic>,
+        link: &Rc<Link>,
+        id: PlacementId,
+        desk: &str,
+        demand: &Demand<Incarnation>,
+    ) {
+        let placed = self
+            .desk(cx, desk)
+            .and_then(|desk| Some((desk.place(cx, demand)?, desk)));
+        let engine = placed.map(|((key, engine), desk)| {
+            let mut of_peers = self.of_peers.borrow_mut();
+            of_peers.insert((link.peer.id, id), (desk, key));
+            engine
+        });
+        link.send(Message::Placed(id, engine));
+    }
+
+    /// A peer tells how a placement goes.
+    pub fn take_step(&self, cx: &Traffic, from: PeerId, id: PlacementId, step: PlacementStep) {
+        let mut of_peers = self.of_peers.borrow_mut();
+        let placement = match step {
+            PlacementStep::PromptRead => of_peers.get(&(from, id)).cloned(),
+            _ => of_peers.remove(&(from, id)),
+        };
+        if let Some((desk, key)) = placement {
+            desk.step(cx, key, step);
+        }
+    }
+
+    /// A peer is lost: its placements are taken to have ended.
+    pub fn requester_lost(&self, cx: &Traffic, peer: PeerId) {
+        let mut of_peers = self.of_peers.borrow_mut();
+        of_peers.retain(|(of, _), (desk, key)| {
+            let stays = *of != peer;
+            if !stays {
+                desk.step(cx, *key, PlacementStep::Whole);
+            }
+            stays
+        });
+    }
+
+    /// Takes the targets of a new view over.
+    pub fn take_targets(&self, cx: &Traffic) {
+        for desk in self.desks.borrow().values() {
+            if let Some((service, group)) = Queue::parse(&desk.name) {
+                let engines = group.targets(&cx.targets_named(service));
+                desk.desk.borrow_mut().set_engines(&desk_engines(&engines));
+            }
+        }
+    }
+}
+
+fn desk_engines(targets: &[Rc<Target>]) -> Vec<DeskEngine<Incarnation>> {
+    let engines = targets.iter().map(|target| DeskEngine {
+        key: target.incarnation().clone(),
+        slots: target.record.slots,
+        hall: target.record.hall.clone(),
+    });
+    engines.collect()
+}
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -14,7 +14,6 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use hollowsail_fleet::rendezvous;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_routing::Millis;
@@ -24,7 +23,7 @@
     self, Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId, SpentResult,
     WorkerAtHandOver,
 };
-use crate::targets::Target;
+use crate::queue::Queue;
 use crate::traffic::Traffic;
 
 use batcher::LocalEnd;
@@ -69,44 +68,10 @@
     pieces: Cell<u64>,
 }
 
-/// A queue of a service: some of its targets.
-struct Queue {
-    name: String,
-    at: usize,
-    of: usize,
-}
-
-impl Queue {
-    /// The queue that a request's pieces of a service go to.
-    fn for_request(service: &str, targets: usize, request_id: &str) -> Self {
-        let of = targets.div_ceil(QUEUE_TARGETS).max(1);
-        let at = (rendezvous::score(request_id, service) % of as u64) as usize;
-        Queue {
-            name: format!("{service}/{at}.{of}"),
-            at,
-            of,
-        }
-    }
-
-    /// Reads a name; `None` when it is none of ours.
-    fn parse(name: &str) -> Option<(&str, Self)> {
-        let (service, place) = name.rsplit_once('/')?;
-        let (at, of) = place.split_once('.')?;
-        let queue = Queue {
-            name: name.to_string(),
-            at: at.parse().ok()?,
-            of: of.parse().ok().filter(|of| *of > 0)?,
-        };
-        Some((service, queue))
-    }
-
-    /// Its share of a service's targets, the same at every entry.
-    fn targets(&self, all: &[Rc<Target>]) -> Vec<Rc<Target>> {
-        let mut sorted = all.to_vec();
-        sorted.sort_by(|a, b| a.incarnation().cmp(b.incarnation()));
-        let mine = sorted.into_iter().skip(self.at).step_by(self.of);
-        mine.collect()
-    }
+/// The queue that a request's pieces of a service go to.
+fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> Queue {
+    let targets = cx.targets_named(service).len();
+    Queue::for_key(service, targets, QUEUE_TARGETS, request_id)
 }
 
 impl Pools {
@@ -120,8 +85,7 @@
     ) -> PieceEnd {
         let name = &deployment.service(service).name;
         for _ in 0..MOST_OWNERS {
-            let targets = cx.targets_named(name).len();
-            let queue = Queue::for_request(name, targets, &wanted.piece.request_id);
+            let queue = queue_for(cx, name, &wanted.piece.request_id);
             match cx.peers.owner_of(cx, &queue.name) {
                 Owner::Me => {
                     let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
@@ -175,8 +139,7 @@
     /// too old.
     pub fn load(&self, cx: &Rc<Traffic>, service: &str, request_id: &str) -> Option<QueueLoad> {
         let now = cx.clock.now();
-        let targets = cx.targets_named(service).len();
-        let queue = Queue::for_request(service, targets, request_id);
+        let queue = queue_for(cx, service, request_id);
         if let Owner::Me = cx.peers.owner_of(cx, &queue.name) {
             let batcher = self.batchers.borrow().get(&queue.name).cloned();
             return batcher.map(|batcher| batcher.queue.borrow().load(now));
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 
 use super::admit::Admitted;
+use crate::placement::Placed;
 use crate::targets::{InFlight, Target};
 
 /// A request that must not be lost uses a connection that rested at most this
@@ -25,6 +26,8 @@
     pub body: AnswerBody,
     pub target: Rc<Target>,
     pub in_flight: InFlight,
+    /// Set when a desk placed it.
+    pub placed: Option<Placed>,
 }
 
 /// An attempt that gave no answer to pass on.
@@ -91,6 +94,7 @@
         body,
         target: target.clone(),
         in_flight,
+        placed: None,
     })
 }
 
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -4,8 +4,9 @@
 
 use hollowsail_fleet::rendezvous;
 use hollowsail_platform::heads::{Generation, PromptPart};
+use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
-    choose, choose_engine, engine_goes_first, Candidate, EngineCandidate, Reason,
+    choose, choose_engine, engine_goes_first, Candidate, Demand, EngineCandidate, Reason,
 };
 use rand::Rng;
 
@@ -33,7 +34,22 @@
     Some((choice.target, choice.reason))
 }
 
-/// Chooses an engine.
+/// What the desk of a generation's engines is asked.
+pub fn demand(
+    generation: &Generation,
+    prepared: &Prepared,
+    avoid: Vec<Incarnation>,
+) -> Option<Demand<Incarnation>> {
+    Some(Demand {
+        part: shared_part(generation)?.id.clone(),
+        shared_tokens: shared_tokens(generation),
+        prompt_tokens: generation.prompt_tokens,
+        avoid,
+        results: prepared.bytes_by_hall(),
+    })
+}
+
+/// Chooses an engine by what this entry alone knows.
 pub fn engine(
     cx: &Traffic,
     generation: &Generation,
@@ -64,6 +80,7 @@
     let health = target.health.borrow();
     EngineCandidate {
         affinity: rendezvous::score(&part.id, &target.incarnation().0),
+        keeps_part: false,
         load: target.load(),
         unread_tokens: target.unread_tokens.get(),
         slowness: health.slowness(),
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -16,6 +16,7 @@
 use super::{choose, relay, Trace};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
+use crate::placement::Placed;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -114,7 +115,8 @@
         if admitted.remaining().is_zero() {
             return Err(out_of_time(sends));
         }
-        let target = choose_target(cx, admitted, prepared, sends)
+        let (target, placed) = find_target(cx, admitted, prepared, sends)
+            .await
             .ok_or_else(|| sends.refusal(ErrorKind::NoTarget))?;
         let send = Send {
             inputs: &prepared.inputs,
@@ -131,13 +133,42 @@
         }
         sends.last_target.clone_from(&target.incarnation().0);
         match attempt::run(admitted, &target, &send).await {
-            Ok(answered) => {
+            Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
+                answered.placed = placed;
                 return Ok(answered);
             }
-            Err(failure) => take_failure(cx, admitted, sends, &target, failure)?,
+            Err(failure) => {
+                if failure.progress != Progress::FinalRefusal {
+                    placed.into_iter().for_each(|mut placed| placed.failed());
+                }
+                take_failure(cx, admitted, sends, &target, failure)?;
+            }
+        }
+    }
+}
+
+/// The target for the next send: for a generation the one that its desk names,
+/// else the one that this entry chooses.
+async fn find_target(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &Sends,
+) -> Option<(Rc<Target>, Option<Placed>)> {
+    let avoid = sends.tried.iter().cloned().collect();
+    let generation = admitted.caller.generation.as_ref();
+    let demand = generation.and_then(|g| choose::demand(g, prepared, avoid));
+    if let Some(demand) = demand {
+        let service = &admitted.deployment.service(sends.service).name;
+        let placed = cx.placements.place(cx, service, demand).await;
+        let target = placed.and_then(|(id, placed)| Some((cx.target(&id)?, placed)));
+        if let Some((target, placed)) = target {
+            log_choice(cx, admitted, &target, Reason::Placed, 0);
+            return Some((target, Some(placed)));
         }
     }
+    choose_target(cx, admitted, prepared, sends).map(|target| (target, None))
 }
 
 /// Counts a failed attempt. An error means that no other may follow.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -49,8 +49,14 @@
         body,
         target,
         in_flight,
-        ..
+        mut placed,
     } = answered;
+    if let Some(placed) = &mut placed {
+        match parts.status.is_server_error() {
+            true => placed.failed(),
+            false => placed.whole(),
+        }
+    }
     let read = tokio::time::timeout_at(admitted.until.into(), body.collect(MOST_WHOLE_BYTES)).await;
     drop(in_flight);
     let failure = |why: String| Failure::new(Progress::Broken, why);
@@ -99,6 +105,8 @@
     answered: Answered,
     prepared: Prepared,
     cutter: EventCutter,
+    /// An event of the target's answer came.
+    has_begun: bool,
     is_done: bool,
 }
 
@@ -127,6 +135,7 @@
         answered,
         prepared,
         cutter: EventCutter::default(),
+        has_begun: false,
         is_done: false,
     };
     let frames = stream::unfold(passing, |mut passing| async move {
@@ -165,7 +174,12 @@
     /// The prompt is read: what it started from is of no use any more, unless
     /// another target may have to start over.
     fn first_event_seen(&mut self) {
-        self.answered.in_flight.prompt_read();
+        if !std::mem::replace(&mut self.has_begun, true) {
+            self.answered.in_flight.prompt_read();
+            if let Some(placed) = &self.answered.placed {
+                placed.prompt_read();
+            }
+        }
         if !self.admitted.route().repeat.is_repeatable() {
             self.prepared = Prepared::default();
         }
@@ -174,6 +188,9 @@
     fn end(&mut self) -> Option<Result<Bytes, BodyFault>> {
         self.is_done = true;
         self.answered.target.observe(Observation::Answered(1), 1);
+        if let Some(placed) = &mut self.answered.placed {
+            placed.whole();
+        }
         let rest = self.cutter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -194,6 +211,9 @@
     /// Goes on at another target after the last whole event, if that is
     /// allowed. True when it does.
     async fn resume(&mut self, why: &str) -> bool {
+        if let Some(placed) = &mut self.answered.placed {
+            placed.failed();
+        }
         let failure = Failure::new(Progress::Broken, why);
         let target = self.answered.target.clone();
         let (cx, admitted) = (&self.cx, &self.admitted);
@@ -230,6 +250,7 @@
         );
         self.cutter.take_rest();
         self.answered = answered;
+        self.has_begun = false;
         true
     }
 }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -141,6 +141,11 @@
         }
     }
 
+    /// A usable target by its incarnation.
+    pub fn get(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
+        self.by_incarnation.get(incarnation).cloned()
+    }
+
     /// Usable targets of a service.
     pub fn of(&self, service: ServiceKey) -> &[Rc<Target>] {
         self.by_service
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -8,12 +8,14 @@
 use arc_swap::ArcSwap;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
+use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{LatencyWindow, Millis, RetryBudget};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
 use crate::log::Log;
 use crate::peers::{PeerRecord, Peers};
+use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::targets::{Target, TargetTable};
 use crate::view::{Published, View};
@@ -40,6 +42,7 @@
     targets: RefCell<TargetTable>,
     pub peers: Peers,
     pub pools: Pools,
+    pub placements: Placements,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent times of whole requests, by the service's name.
@@ -70,6 +73,7 @@
                 me,
                 peers: Peers::default(),
                 pools: Pools::default(),
+                placements: Placements::default(),
                 view: RefCell::new(published.load()),
                 published,
                 settings,
@@ -108,6 +112,7 @@
         self.peers.take(&newest.peers);
         *self.view.borrow_mut() = newest;
         self.pools.take_targets(self);
+        self.placements.take_targets(self);
         self.pools.hand_over(self);
     }
 
@@ -139,6 +144,11 @@
         self.targets.borrow()
     }
 
+    /// A usable target by its incarnation.
+    pub fn target(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
+        self.targets.borrow().get(incarnation)
+    }
+
     /// Usable targets of the service of that name.
     pub fn targets_named(&self, service: &str) -> Vec<Rc<Target>> {
         let key = self
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -36,6 +36,8 @@
     Only,
     /// All are ejected; one of them has to serve.
     AllEjected,
+    /// The desk of its group of engines placed it.
+    Placed,
     /// It holds the first part of a broken stream.
     Resumed,
     /// A simple policy of the bench chose.
@@ -50,6 +52,7 @@
             Reason::LessLoaded => "less_loaded",
             Reason::Only => "only",
             Reason::AllEjected => "all_ejected",
+            Reason::Placed => "placed",
             Reason::Resumed => "resumed",
             Reason::Baseline => "baseline",
         }
--- /dev/null
+++ b/crates/routing/src/desk.rs
@@ -0,0 +1,299 @@
+//! Places generations on engines with all that is known of them.
+//!
+//! One desk decides for a group of engines, whoever asks. So it knows what each
+//! engine has yet to read, which parts of prompts it keeps, and how its answers
+//! came, without reports that are old when they arrive. A placement stays on
+//! the desk's account until its asker tells how it went.
+
+use std::collections::HashMap;
+use std::hash::Hash;
+
+use serde::{Deserialize, Serialize};
+use slotmap::{new_key_type, SlotMap};
+
+use crate::engine::{choose_engine, EngineCandidate};
+use crate::health::{eject_worst, HealthRules, Observation, TargetHealth};
+use crate::Millis;
+
+new_key_type! {
+    /// One placement, until it has ended.
+    pub struct PlacementKey;
+}
+
+/// How long an engine is taken to keep a part that no request there uses any
+/// more, in milliseconds. Its memory is shared with running requests.
+const KEPT_MS: Millis = 20_000;
+/// Age at which a placement whose asker fell silent is forgotten, in
+/// milliseconds: longer than any generation may last.
+const FORGET_MS: Millis = 60_000;
+/// What an engine needs before a first event besides reading, in milliseconds.
+const BASE_MS: f64 = 30.0;
+/// First guess of the time to read a token, in milliseconds; measured after.
+const FIRST_MS_PER_TOKEN: f64 = 0.02;
+/// Weight of a new time in the measured time to read a token.
+const NEW_WEIGHT: f64 = 0.05;
+/// An event that waited for this few tokens tells nothing of their reading.
+const LEAST_TOKENS: u64 = 500;
+
+/// An engine as its records tell.
+#[derive(Debug, Clone)]
+pub struct DeskEngine<K> {
+    pub key: K,
+    pub slots: u32,
+    pub hall: String,
+}
+
+/// What is to be placed.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Demand<K> {
+    /// The last part of its prompt that others share.
+    pub part: String,
+    pub shared_tokens: u64,
+    pub prompt_tokens: u64,
+    /// Engines that it must not get: they were tried.
+    pub avoid: Vec<K>,
+    /// Bytes of the results that it starts from, by data hall.
+    pub results: Vec<(String, u64)>,
+}
+
+/// How a placement ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementEnd {
+    /// The answer was whole.
+    Whole,
+    /// No good answer, and the engine is to blame.
+    Failed,
+    /// Given up for other reasons.
+    Left,
+}
+
+#[derive(Debug)]
+struct Engine {
+    slots: u32,
+    hall: String,
+    running: u32,
+    unread_tokens: u64,
+    health: TargetHealth,
+}
+
+#[derive(Debug)]
+struct Placement<K> {
+    engine: K,
+    part: String,
+    placed: Millis,
+    /// Its own tokens that the engine has yet to read.
+    unread_tokens: u64,
+    /// Tokens that the engine had to read up to its first event.
+    tokens_ahead: u64,
+    has_begun: bool,
+}
+
+/// The account of a group of engines.
+#[derive(Debug)]
+pub struct EngineDesk<K> {
+    engines: HashMap<K, Engine>,
+    order: Vec<K>,
+    placements: SlotMap<PlacementKey, Placement<K>>,
+    /// Engines that keep a part, and when it was last used there.
+    kept: HashMap<String, HashMap<K, Millis>>,
+    ms_per_token: f64,
+    rules: HealthRules,
+}
+
+impl<K: Clone + Eq + Hash + Ord> Default for EngineDesk<K> {
+    fn default() -> Self {
+        EngineDesk {
+            engines: HashMap::new(),
+            order: Vec::new(),
+            placements: SlotMap::with_key(),
+            kept: HashMap::new(),
+            ms_per_token: FIRST_MS_PER_TOKEN,
+            rules: HealthRules::default(),
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash + Ord> EngineDesk<K> {
+    /// Takes the engines that may get new work.
+    pub fn set_engines(&mut self, engines: &[DeskEngine<K>]) {
+        self.engines
+            .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
+        for engine in engines {
+            self.engines
+                .entry(engine.key.clone())
+                .or_insert_with(|| Engine {
+                    slots: engine.slots,
+                    hall: engine.hall.clone(),
+                    running: 0,
+                    unread_tokens: 0,
+                    health: TargetHealth::default(),
+                });
+        }
+        self.order = self.engines.keys().cloned().collect();
+        self.order.sort();
+    }
+
+    /// Places a generation; `affinity` is the rendezvous score of an engine for
+    /// its part. `None` when every engine is to be avoided.
+    pub fn place(
+        &mut self,
+        now: Millis,
+        demand: &Demand<K>,
+        affinity: impl Fn(&K) -> u64,
+    ) -> Option<(PlacementKey, K)> {
+        let keys: Vec<&K> = self
+            .order
+            .iter()
+            .filter(|key| !demand.avoid.contains(key))
+            .collect();
+        let candidates: Vec<EngineCandidate> = keys
+            .iter()
+            .map(|key| self.candidate(now, key, demand, affinity(key)))
+            .collect();
+        let choice = choose_engine(&candidates, demand.shared_tokens)?;
+        let engine = keys[choice.at].clone();
+        let to_read = if candidates[choice.at].keeps_part {
+            demand.prompt_tokens.saturating_sub(demand.shared_tokens)
+        } else {
+            demand.prompt_tokens
+        };
+        Some((self.account(now, demand, engine.clone(), to_read), engine))
+    }
+
+    fn candidate(
+        &self,
+        now: Millis,
+        key: &K,
+        demand: &Demand<K>,
+        affinity: u64,
+    ) -> EngineCandidate {
+        let engine = &self.engines[key];
+        let outside = demand
+            .results
+            .iter()
+            .filter(|(hall, _)| *hall != engine.hall);
+        let kept = self.kept.get(&demand.part).and_then(|kept| kept.get(key));
+        EngineCandidate {
+            affinity,
+            keeps_part: kept.is_some_and(|used| now < used + KEPT_MS),
+            load: f64::from(engine.running) / f64::from(engine.slots.max(1)),
+            unread_tokens: engine.unread_tokens,
+            slowness: engine.health.slowness(),
+            ejected: engine.health.is_ejected(now),
+            outside_bytes: outside.map(|(_, bytes)| bytes).sum(),
+        }
+    }
+
+    fn account(
+        &mut self,
+        now: Millis,
+        demand: &Demand<K>,
+        engine: K,
+        to_read: u64,
+    ) -> PlacementKey {
+        let state = self.engines.get_mut(&engine).expect("it was a candidate");
+        state.running += 1;
+        state.unread_tokens += to_read;
+        let tokens_ahead = state.unread_tokens;
+        let kept = self.kept.entry(demand.part.clone()).or_default();
+        kept.insert(engine.clone(), now);
+        self.placements.insert(Placement {
+            engine,
+            part: demand.part.clone(),
+            placed: now,
+            unread_tokens: to_read,
+            tokens_ahead,
+            has_begun: false,
+        })
+    }
+
+    /// The first event came: the prompt is read.
+    pub fn prompt_read(&mut self, key: PlacementKey, now: Millis) {
+        let Some(placement) = self.placements.get_mut(key) else {
+            return;
+        };
+        if std::mem::replace(&mut placement.has_begun, true) {
+            return;
+        }
+        let unread = std::mem::take(&mut placement.unread_tokens);
+        let took = (now - placement.placed) as f64;
+        let tokens = placement.tokens_ahead;
+        let expected = BASE_MS + self.ms_per_token * tokens as f64;
+        if let Some(engine) = self.engines.get_mut(&placement.engine) {
+            engine.unread_tokens = engine.unread_tokens.saturating_sub(unread);
+            let observation = Observation::Answered(took as Millis);
+            engine.health.observe(observation, expected as Millis);
+        }
+        if tokens >= LEAST_TOKENS {
+            let measured = (took - BASE_MS).max(0.0) / tokens as f64;
+            self.ms_per_token += NEW_WEIGHT * (measured - self.ms_per_token);
+        }
+        let engine = placement.engine.clone();
+        if let Some(kept) = self.kept.get_mut(&placement.part) {
+            kept.insert(engine, now);
+        }
+    }
+
+    /// A placement ended. Returns engines that are put out for it.
+    pub fn ended(&mut self, key: PlacementKey, end: PlacementEnd, now: Millis) -> Vec<K> {
+        let Some(placement) = self.placements.remove(key) else {
+            return Vec::new();
+        };
+        let Some(engine) = self.engines.get_mut(&placement.engine) else {
+            return Vec::new();
+        };
+        engine.running = engine.running.saturating_sub(1);
+        engine.unread_tokens = engine.unread_tokens.saturating_sub(placement.unread_tokens);
+        let waited = now - placement.placed;
+        let expected = BASE_MS + self.ms_per_token * placement.tokens_ahead as f64;
+        match end {
+            PlacementEnd::Failed => engine.health.observe(Observation::Failed, 1),
+            // Its caller had to give up without a first event.
+            PlacementEnd::Left if !placement.has_begun => {
+                let observation = Observation::TimedOut(waited);
+                engine.health.observe(observation, expected as Millis);
+            }
+            PlacementEnd::Left | PlacementEnd::Whole => {}
+        }
+        if !placement.has_begun {
+            // It may never have read the part.
+            if let Some(kept) = self.kept.get_mut(&placement.part) {
+                kept.remove(&placement.engine);
+            }
+        }
+        self.eject(now)
+    }
+
+    fn eject(&mut self, now: Millis) -> Vec<K> {
+        let mut healths: Vec<TargetHealth> = self
+            .order
+            .iter()
+            .map(|key| self.engines[key].health.clone())
+            .collect();
+        let ejected = eject_worst(now, &self.rules, &mut healths);
+        for (key, health) in self.order.iter().zip(healths) {
+            self.engines.get_mut(key).expect("it is in order").health = health;
+        }
+        ejected
+            .into_iter()
+            .map(|at| self.order[at].clone())
+            .collect()
+    }
+
+    /// Forgets placements whose askers fell silent, and parts long unused.
+    pub fn sweep(&mut self, now: Millis) {
+        let silent: Vec<PlacementKey> = self
+            .placements
+            .iter()
+            .filter(|(_, placement)| placement.placed + FORGET_MS <= now)
+            .map(|(key, _)| key)
+            .collect();
+        for key in silent {
+            self.ended(key, PlacementEnd::Whole, now);
+        }
+        self.kept.retain(|_, kept| {
+            kept.retain(|_, used| now < *used + KEPT_MS);
+            !kept.is_empty()
+        });
+    }
+}
--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -24,6 +24,8 @@
 pub struct EngineCandidate {
     /// Rendezvous score for the last shared part.
     pub affinity: u64,
+    /// It is known to keep the shared parts.
+    pub keeps_part: bool,
     /// Part of its slots that is taken; 1 is full.
     pub load: f64,
     /// Prompt tokens that it has yet to read for this entry.
@@ -45,22 +47,28 @@
     pub is_home: bool,
 }
 
-/// Chooses an engine for a prompt with so many tokens in shared parts. Ejected
-/// ones are used only when all are.
+/// Chooses an engine for a prompt with so many tokens in shared parts. Where none
+/// is known to keep them, the first in rendezvous order is taken to. Ejected ones
+/// are used only when all are.
 pub fn choose_engine(candidates: &[EngineCandidate], shared_tokens: u64) -> Option<EngineChoice> {
     let all_out = candidates.iter().all(|engine| engine.ejected);
     let may_serve = |engine: &EngineCandidate| all_out || !engine.ejected;
     let usable = || (0..candidates.len()).filter(|&at| may_serve(&candidates[at]));
-    let home = usable().max_by_key(|&at| candidates[at].affinity)?;
+    let first = usable().max_by_key(|&at| candidates[at].affinity)?;
+    let some_keeps = usable().any(|at| candidates[at].keeps_part);
+    let is_home = |at: usize| match some_keeps {
+        true => candidates[at].keeps_part,
+        false => at == first,
+    };
     let best = usable().min_by(|&a, &b| {
-        let key = |at: usize| cost(&candidates[at], at == home, shared_tokens);
+        let key = |at: usize| cost(&candidates[at], is_home(at), shared_tokens);
         let order = |at: usize| Reverse(candidates[at].affinity);
         key(a).total_cmp(&key(b)).then(order(a).cmp(&order(b)))
     })?;
     Some(EngineChoice {
         at: best,
-        cost_tokens: cost(&candidates[best], best == home, shared_tokens),
-        is_home: best == home,
+        cost_tokens: cost(&candidates[best], is_home(best), shared_tokens),
+        is_home: is_home(best),
     })
 }
 
--- a/crates/routing/tests/suite/engine.rs
+++ b/crates/routing/tests/suite/engine.rs
@@ -5,6 +5,7 @@
 fn engine(affinity: u64) -> EngineCandidate {
     EngineCandidate {
         affinity,
+        keeps_part: false,
         load: 0.0,
         unread_tokens: 0,
         slowness: 1.0,
