--- a/crates/routing/src/engine.rs
+++ b/crates/routing/src/engine.rs
@@ -15,6 +15,8 @@
 /// Tokens that a full batch of others' requests weighs: they slow each new
 /// token down, but don't hold the first one up.
 const FULL_BATCH_TOKENS: f64 = 4_000.0;
+/// Weight of a token that is read again: it has a price besides its time.
+const READ_AGAIN_WEIGHT: f64 = 2.0;
 /// Weight of tokens that wait to be read before ours. Only this entry's own are
 /// known, and they stand for those of all.
 const UNREAD_WEIGHT: f64 = 1.0;
@@ -73,7 +75,11 @@
 }
 
 fn cost(engine: &EngineCandidate, is_home: bool, shared_tokens: u64) -> f64 {
-    let read_again = if is_home { 0.0 } else { shared_tokens as f64 };
+    let read_again = if is_home {
+        0.0
+    } else {
+        shared_tokens as f64 * READ_AGAIN_WEIGHT
+    };
     let moved = engine.outside_bytes as f64 / BYTES_PER_TOKEN;
     let waiting = engine.unread_tokens as f64 * UNREAD_WEIGHT;
     let others = engine.load * FULL_BATCH_TOKENS;
