--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -114,3 +114,52 @@
     }
     stopping.await.expect("it stops");
 }
+
+#[actix_rt::test]
+async fn engines_are_placed_with_what_all_gateways_have_there() {
+    let store = StoreStandin::start().await;
+    let deployment =
+        DeploymentJson::new(1)
+            .engines("engines")
+            .route("/plain/", "stream", "engines", json!({}));
+    store.put("op/config", &deployment.bytes());
+    let slow = |seen: &Seen| {
+        let mut steps = vec![Step::Wait(Duration::from_millis(600))];
+        steps.extend(engine(seen));
+        steps
+    };
+    let mut engines = Vec::new();
+    for id in ["i-1", "i-2", "i-3"] {
+        let target = TargetStandin::start(slow).await;
+        store.put_target(id, "engines", target.addr, "hall-a", "ready");
+        engines.push(target);
+    }
+    let gateways = [
+        gateway(&store, "host-1", "hall-a").await,
+        gateway(&store, "host-2", "hall-a").await,
+        gateway(&store, "host-3", "hall-a").await,
+    ];
+    eventually("all are recorded", || {
+        store.keys("hollowsail/peers/").len() == 3
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    // All share one part: each alone would choose the same engine.
+    let calls = (0..12).map(|number| {
+        let at = gateways[number % 3].at.callers;
+        let call = Call::new("POST", "/plain/")
+            .with("X-Request-Id", &format!("{number:016x}"))
+            .with("X-Token-Counts", "9000,10")
+            .with("X-Prompt-Prefix", "aa:300,bb:8700")
+            .body("prompt");
+        async move { call.send(at).await }
+    });
+    for got in join_all(calls).await {
+        assert!(got.is_whole, "{got:?}");
+    }
+    let spread: Vec<usize> = engines.iter().map(|target| target.seen().len()).collect();
+    assert!(
+        spread.iter().all(|seen| (2..=6).contains(seen)),
+        "{spread:?}"
+    );
+}
--- a/crates/routing/src/desk.rs
+++ b/crates/routing/src/desk.rs
@@ -280,6 +280,12 @@
             .collect()
     }
 
+    /// True when no engine has anything on the account.
+    pub fn is_idle(&self) -> bool {
+        let is_idle = |engine: &Engine| engine.running == 0 && engine.unread_tokens == 0;
+        self.placements.is_empty() && self.engines.values().all(is_idle)
+    }
+
     /// Forgets placements whose askers fell silent, and parts long unused.
     pub fn sweep(&mut self, now: Millis) {
         let silent: Vec<PlacementKey> = self
--- /dev/null
+++ b/crates/routing/tests/suite/desk.rs
@@ -0,0 +1,182 @@
+//! The desk that places generations on engines.
+
+use hollowsail_routing::{Demand, DeskEngine, EngineDesk, PlacementEnd, PlacementKey};
+use proptest::prelude::*;
+
+fn desk(engines: &[&'static str]) -> EngineDesk<&'static str> {
+    let mut desk = EngineDesk::default();
+    let engines: Vec<DeskEngine<&'static str>> = engines
+        .iter()
+        .map(|key| DeskEngine {
+            key: *key,
+            slots: 64,
+            hall: format!("hall-{key}"),
+        })
+        .collect();
+    desk.set_engines(&engines);
+    desk
+}
+
+fn demand(part: &str) -> Demand<&'static str> {
+    Demand {
+        part: part.to_string(),
+        shared_tokens: 10_000,
+        prompt_tokens: 12_000,
+        avoid: Vec::new(),
+        results: Vec::new(),
+    }
+}
+
+/// Engine `c` is first in order for every part.
+fn order(key: &&'static str) -> u64 {
+    u64::from(key.as_bytes()[0])
+}
+
+fn place(
+    desk: &mut EngineDesk<&'static str>,
+    now: u64,
+    part: &str,
+) -> (PlacementKey, &'static str) {
+    desk.place(now, &demand(part), order).expect("there is one")
+}
+
+#[test]
+fn a_part_stays_where_it_is_kept() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let (key, first) = place(&mut desk, 0, "p");
+    assert_eq!(first, "c");
+    desk.prompt_read(key, 200);
+    assert_eq!(place(&mut desk, 300, "p").1, "c");
+}
+
+#[test]
+fn what_all_have_there_counts_and_a_busy_engine_is_passed_over() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let busy: Vec<_> = (0..6)
+        .map(|n| place(&mut desk, 0, &format!("p{n}")).1)
+        .collect();
+    let at_c = busy.iter().filter(|engine| **engine == "c").count();
+    assert!(
+        (2..=4).contains(&at_c),
+        "not all go to the first in order: {busy:?}"
+    );
+}
+
+#[test]
+fn once_read_a_prompt_weighs_no_more() {
+    let mut desk = desk(&["a", "c"]);
+    let keys: Vec<_> = (0..8)
+        .map(|n| place(&mut desk, 0, &format!("p{n}")).0)
+        .collect();
+    keys.iter().for_each(|key| desk.prompt_read(*key, 400));
+    assert_eq!(
+        place(&mut desk, 500, "new").1,
+        "c",
+        "its queue is empty again"
+    );
+}
+
+#[test]
+fn tried_engines_are_avoided_and_results_draw_to_their_hall() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let avoiding = Demand {
+        avoid: vec!["c"],
+        ..demand("p")
+    };
+    assert_eq!(
+        desk.place(0, &avoiding, order).map(|(_, engine)| engine),
+        Some("b")
+    );
+    let nowhere = Demand {
+        avoid: vec!["a", "b", "c"],
+        ..demand("p")
+    };
+    assert!(desk.place(0, &nowhere, order).is_none());
+    let short = Demand {
+        shared_tokens: 100,
+        prompt_tokens: 200,
+        results: vec![("hall-a".into(), 9_000_000)],
+        ..demand("q")
+    };
+    assert_eq!(
+        desk.place(0, &short, order).map(|(_, engine)| engine),
+        Some("a")
+    );
+}
+
+#[test]
+fn an_engine_that_fails_all_askers_is_put_out_and_comes_back() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let mut out = Vec::new();
+    for n in 0..3 {
+        let (key, engine) = place(&mut desk, n, "p");
+        assert_eq!(engine, "c");
+        out.extend(desk.ended(key, PlacementEnd::Failed, n));
+    }
+    assert_eq!(out, ["c"]);
+    assert_ne!(place(&mut desk, 10, "p").1, "c");
+    assert_eq!(place(&mut desk, 3_000, "r").1, "c", "its time is over");
+}
+
+#[test]
+fn an_engine_that_stays_silent_is_put_out_by_those_who_gave_up() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let mut out = Vec::new();
+    for n in 0..3 {
+        let (key, _) = desk
+            .place(
+                n,
+                &Demand {
+                    avoid: vec!["a", "b"],
+                    ..demand("p")
+                },
+                order,
+            )
+            .expect("only c is left");
+        out.extend(desk.ended(key, PlacementEnd::Left, n + 4_000));
+    }
+    assert_eq!(out, ["c"]);
+}
+
+#[test]
+fn never_more_than_half_are_out() {
+    let mut desk = desk(&["a", "b", "c", "d"]);
+    let mut out = Vec::new();
+    for n in 0..40 {
+        let (key, _) = place(&mut desk, n, &format!("p{n}"));
+        out.extend(desk.ended(key, PlacementEnd::Failed, n));
+    }
+    assert_eq!(out.len(), 2);
+}
+
+proptest! {
+    /// Whatever happens in whatever order, the account is empty at the end.
+    #[test]
+    fn nothing_stays_on_the_account(steps in prop::collection::vec((0u8..6, any::<usize>()), 1..200)) {
+        let mut desk = desk(&["a", "b", "c"]);
+        let mut open: Vec<PlacementKey> = Vec::new();
+        let mut now = 0;
+        for (step, pick) in steps {
+            now += 7;
+            match step {
+                0..=2 => open.push(place(&mut desk, now, &format!("p{}", pick % 5)).0),
+                3 => {
+                    if !open.is_empty() {
+                        desk.prompt_read(open[pick % open.len()], now);
+                    }
+                }
+                _ => {
+                    if !open.is_empty() {
+                        let key = open.swap_remove(pick % open.len());
+                        let ends = [PlacementEnd::Whole, PlacementEnd::Left, PlacementEnd::Failed];
+                        desk.ended(key, ends[pick % 3], now);
+                    }
+                }
+            }
+        }
+        for key in open {
+            desk.ended(key, PlacementEnd::Whole, now);
+        }
+        prop_assert!(desk.is_idle());
+    }
+}
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choose;
 mod deadline;
+mod desk;
 mod engine;
 mod health;
 mod progress;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod check;
 mod daemon;
+mod gateway;
 mod output;
 mod process;
