--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -15,6 +15,11 @@
 /// How long a watch waits; see the configuration's.
 const WATCH_WAIT: Duration = Duration::from_secs(17);
 
+/// Pause between two watches: targets that come one after the other are told in
+/// a few answers. Short against the time in which a draining one has to be left
+/// alone.
+const WATCH_PAUSE: Duration = Duration::from_millis(150);
+
 /// Follows until the thread ends.
 pub async fn follow(cx: Rc<Control>) {
     let mut backoff = Backoff::default();
@@ -51,6 +56,7 @@
             cx.publish();
         }
         cx.settle_later();
+        tokio::time::sleep(WATCH_PAUSE).await;
     }
 }
 
