--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -42,12 +42,15 @@
     swept: Cell<Millis>,
 }
 
+/// A placement at a desk here.
+type DeskEntry = (Rc<Desk>, PlacementKey);
+
 /// The desks that this entry owns or owned.
 #[derive(Default)]
 pub struct Placements {
     desks: RefCell<HashMap<String, Rc<Desk>>>,
     /// Placements that peers have at desks here.
-    of_peers: RefCell<HashMap<(PeerId, PlacementId), (Rc<Desk>, PlacementKey)>>,
+    of_peers: RefCell<HashMap<(PeerId, PlacementId), DeskEntry>>,
     asked: Cell<u64>,
 }
 
