Split the batch queue into modules

Its public types, the choice of pieces, the life of a call, the judging of workers and the load report get a file each. Behaviour and public names are unchanged.

--- /dev/null
+++ b/crates/stages/src/batch/workers.rs
@@ -0,0 +1,193 @@
+//! The workers of a queue: who is free, how much memory each has left, and how
+//! well it did.
+//!
+//! A worker that fails or is full rests for a while; one that is slow gets a
+//! call now and then, to see whether it recovered.
+
+use super::calls::Call;
+use super::{BatchQueue, CallEnd, HallKey, WorkerKey};
+use crate::Millis;
+
+/// Weight of the newest call in a worker's slowness.
+const NEW_WEIGHT: f64 = 0.4;
+/// Slowness from which on a worker gets a call only now and then.
+const SLOW_FACTOR: f64 = 2.0;
+/// Between two calls to a slow worker, in milliseconds, to see whether it
+/// recovered.
+const PROBE_MS: Millis = 800;
+/// How long a worker that failed takes nothing, in milliseconds; doubles with
+/// each failure in a row.
+const OUT_MS: Millis = 300;
+/// Most doublings of [`OUT_MS`].
+const MOST_DOUBLINGS: u32 = 4;
+/// How long a worker that was full takes nothing, in milliseconds.
+const FULL_MS: Millis = 20;
+/// How long a worker whose memory is full gets only small results, in
+/// milliseconds.
+const MEMORY_FULL_MS: Millis = 40;
+/// Part of a worker's memory that small results may take meanwhile.
+const SMALL_SHARE: f64 = 0.02;
+/// Part of a worker's memory that is filled; the rest is for results whose
+/// size was told too small.
+const MEMORY_SHARE: f64 = 0.95;
+
+/// What is known of one worker.
+#[derive(Debug)]
+pub(super) struct Worker {
+    pub hall: HallKey,
+    pub calls: usize,
+    pub held_bytes: u64,
+    /// Takes nothing new before this.
+    pub out_until: Millis,
+    /// It said that its memory is full; only small results go there before
+    /// this.
+    pub full_until: Millis,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Takes nothing new ever; goes with its last call.
+    pub leaving: bool,
+    /// Recent times of its calls over the expected ones.
+    pub slowness: f64,
+}
+
+impl Worker {
+    /// It takes so much longer than it should that waiting for another is
+    /// better.
+    pub fn is_slow(&self) -> bool {
+        self.slowness >= SLOW_FACTOR
+    }
+
+    /// One of its calls is overdue.
+    pub fn found_slow(&mut self) {
+        self.slowness = self.slowness.max(SLOW_FACTOR);
+    }
+}
+
+impl<T> BatchQueue<T> {
+    /// A worker came.
+    pub fn add_worker(&mut self, hall: HallKey) -> WorkerKey {
+        self.workers.insert(Worker {
+            hall,
+            calls: 0,
+            held_bytes: 0,
+            out_until: 0,
+            full_until: 0,
+            failures: 0,
+            leaving: false,
+            slowness: 1.0,
+        })
+    }
+
+    /// A worker leaves: it gets nothing new.
+    pub fn remove_worker(&mut self, worker: WorkerKey) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.leaving = true;
+            if state.calls == 0 {
+                self.workers.remove(worker);
+            }
+        }
+    }
+
+    /// Workers that take new work.
+    pub fn usable_workers(&self, now: Millis) -> usize {
+        let usable = |worker: &&Worker| !worker.leaving && worker.out_until <= now;
+        self.workers.values().filter(usable).count()
+    }
+
+    /// Workers that can start a call now.
+    pub(super) fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
+        self.workers
+            .iter()
+            .filter(|(_, worker)| !worker.leaving && worker.out_until <= now)
+            .filter(|(_, worker)| worker.calls < self.rules.running)
+            .map(|(key, _)| key)
+            .collect()
+    }
+
+    /// Slowness and filled memory of a worker; the least burdened goes first.
+    pub(super) fn burden(&self, worker: WorkerKey) -> f64 {
+        let worker = &self.workers[worker];
+        worker.slowness + worker.held_bytes as f64 / self.rules.result_bytes.max(1) as f64
+    }
+
+    /// Memory of a worker that results may still take, by what is known of it.
+    pub(super) fn room(&self, worker: WorkerKey, now: Millis) -> u64 {
+        let state = &self.workers[worker];
+        let whole = self.rules.result_bytes as f64;
+        if now < state.full_until {
+            return self.small_room();
+        }
+        let usable = (whole * MEMORY_SHARE) as u64;
+        usable.saturating_sub(state.held_bytes)
+    }
+
+    /// What small results may take of a worker's memory that is full.
+    pub(super) fn small_room(&self) -> u64 {
+        (self.rules.result_bytes as f64 * SMALL_SHARE) as u64
+    }
+
+    /// A worker had no memory for a result, though there should have been some:
+    /// results differ in size, and freed ones are freed a little later there.
+    pub fn no_room(&mut self, worker: WorkerKey, now: Millis) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.full_until = now + MEMORY_FULL_MS;
+        }
+    }
+
+    /// Results of so many bytes were given up at a worker.
+    pub fn free(&mut self, worker: WorkerKey, bytes: u64) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.held_bytes = worker.held_bytes.saturating_sub(bytes);
+        }
+    }
+
+    /// A call ended: says when its worker gets the next one.
+    pub(super) fn judge_worker(&mut self, call: &Call, end: CallEnd, now: Millis) {
+        let Some(worker) = self.workers.get_mut(call.worker) else {
+            return;
+        };
+        worker.calls -= 1;
+        match end {
+            CallEnd::Answered => {
+                let ratio = (now - call.started) as f64 / call.expected_ms.max(1.0);
+                worker.slowness += NEW_WEIGHT * (ratio - worker.slowness);
+                worker.failures = 0;
+                worker.out_until = if worker.is_slow() {
+                    now + PROBE_MS
+                } else {
+                    now
+                };
+            }
+            CallEnd::Refused => worker.out_until = now + FULL_MS,
+            CallEnd::Failed => {
+                let doublings = worker.failures.min(MOST_DOUBLINGS);
+                worker.out_until = now + (OUT_MS << doublings);
+                worker.failures += 1;
+            }
+        }
+        if worker.leaving && worker.calls == 0 {
+            self.workers.remove(call.worker);
+        }
+    }
+
+    /// What is known of a worker, for the queue's next owner: memory that is
+    /// taken, and the time until its calls end.
+    pub fn worker_state(&self, worker: WorkerKey, now: Millis) -> (u64, Millis) {
+        let held = self.workers.get(worker).map_or(0, |state| state.held_bytes);
+        let ends = self
+            .calls
+            .values()
+            .filter(|call| call.worker == worker)
+            .map(|call| call.started + call.expected_ms as Millis);
+        (held, ends.max().unwrap_or(0).saturating_sub(now))
+    }
+
+    /// Takes over what the owner before knew of a worker. The memory is freed
+    /// with [`BatchQueue::free`].
+    pub fn take_over(&mut self, worker: WorkerKey, held_bytes: u64, busy_until: Millis) {
+        if let Some(state) = self.workers.get_mut(worker) {
+            state.held_bytes += held_bytes;
+            state.out_until = state.out_until.max(busy_until);
+        }
+    }
+}
