--- /dev/null
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -0,0 +1,83 @@
+//! How a queue passes from one owner to the next, as the entries change.
+//!
+//! Pieces that aren't begun go back to their requesters, who hand them to the
+//! next owner. That one is told what is known of the workers. Calls under way
+//! end where they began.
+
+use std::rc::Rc;
+
+use hollowsail_routing::Millis;
+
+use super::results::Kept;
+use super::{Batcher, LocalEnd, Reply};
+use crate::peers::{self, Link, Message, WorkerAtHandOver};
+
+/// How long results that the owner before had made are taken to stay, in
+/// milliseconds: about two calls of the stages after.
+const FOREIGN_RESULT_MS: Millis = 800;
+
+impl Batcher {
+    /// The queue has another owner now: what isn't begun goes there, and what is
+    /// known of the workers. Calls under way end here.
+    pub fn hand_over(&self, to: &Rc<Link>) {
+        let waiting = self.queue.borrow_mut().take_waiting();
+        if waiting.is_empty() && self.queue.borrow().running() == 0 {
+            return;
+        }
+        to.send(Message::TakeOver {
+            queue: self.name.clone(),
+            workers: self.workers_at_hand_over(),
+        });
+        for piece in waiting {
+            let job = self.queue.borrow_mut().finish(piece);
+            match job.map(|job| job.reply) {
+                // A requester that left needs no answer.
+                Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Moved)),
+                Some(Reply::Peer(requester)) => {
+                    self.forget_piece(&requester);
+                    let moved = Message::Ended(requester.id, peers::PieceEnd::Moved);
+                    requester.link.send(moved);
+                }
+                None => {}
+            }
+        }
+    }
+
+    fn workers_at_hand_over(&self) -> Vec<WorkerAtHandOver> {
+        let now = self.now();
+        let queue = self.queue.borrow();
+        let workers = self.workers.borrow();
+        let states = workers.by_incarnation.iter().map(|(target, key)| {
+            let (held_bytes, busy_ms) = queue.worker_state(*key, now);
+            WorkerAtHandOver {
+                target: target.clone(),
+                held_bytes,
+                busy_ms,
+            }
+        });
+        states.collect()
+    }
+
+    /// The queue passed to this entry: its workers have calls and results that
+    /// this entry knows nothing else of.
+    pub fn take_over(self: &Rc<Self>, workers: &[WorkerAtHandOver]) {
+        let now = self.now();
+        for state in workers {
+            let known = self.workers.borrow().worker(&state.target);
+            let Some(worker) = known else { continue };
+            let busy_until = now + state.busy_ms;
+            self.queue
+                .borrow_mut()
+                .take_over(worker, state.held_bytes, busy_until);
+            let name = format!("taken over/{}/{now}", state.target.0);
+            let result = Kept {
+                worker,
+                bytes: state.held_bytes,
+                until: now + FOREIGN_RESULT_MS,
+                at_peer: None,
+            };
+            self.results.borrow_mut().insert(name, result);
+        }
+        self.pump_soon();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -0,0 +1,103 @@
+//! The results of a queue, kept at their makers until they are given up.
+//!
+//! A maker's memory is counted by the queue; it is freed there when a result is
+//! given up ([`Batcher::give_up`]), or when the maker has dropped it by itself.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::Millis;
+use hollowsail_stages::{StartedCall, WorkerKey};
+
+use super::Batcher;
+use crate::peers::{PeerId, PieceId};
+use crate::pools::call;
+
+/// Results given up within this time share a call.
+const FREE_AFTER: Duration = Duration::from_millis(8);
+
+/// A result that lies at its maker.
+pub(super) struct Kept {
+    pub worker: WorkerKey,
+    pub bytes: u64,
+    /// When its maker drops it by itself.
+    pub until: Millis,
+    /// The peer that has it, if one does.
+    pub at_peer: Option<(PeerId, PieceId)>,
+}
+
+impl Batcher {
+    /// A call got no answer: its results may lie at the worker until that drops
+    /// them by itself.
+    pub(in crate::pools) fn keep_unknown(&self, started: &StartedCall) {
+        let now = self.now();
+        let bytes = started.pieces.iter().map(|piece| piece.result_bytes).sum();
+        let result = Kept {
+            worker: started.worker,
+            bytes,
+            until: now + self.kept_ms.get(),
+            at_peer: None,
+        };
+        // No handle is known; the call's own key never is one.
+        let name = format!("unanswered/{:?}", started.call);
+        self.results.borrow_mut().insert(name, result);
+    }
+
+    /// Results that their makers dropped by themselves.
+    pub(super) fn forget_dropped(&self, now: Millis) {
+        self.results.borrow_mut().retain(|_, result| {
+            let is_kept = result.until > now;
+            if !is_kept {
+                self.queue.borrow_mut().free(result.worker, result.bytes);
+            }
+            is_kept
+        });
+    }
+
+    /// A result is needed no longer.
+    pub fn give_up(self: &Rc<Self>, handle: &str) {
+        let Some(result) = self.results.borrow_mut().remove(handle) else {
+            return;
+        };
+        self.queue.borrow_mut().free(result.worker, result.bytes);
+        self.free_soon(result.worker, handle);
+    }
+
+    /// The same for a result that another owner of this queue may have had
+    /// made.
+    pub fn free(self: &Rc<Self>, target: &Incarnation, handle: &str) {
+        if self.results.borrow().contains_key(handle) {
+            return self.give_up(handle);
+        }
+        let worker = self.workers.borrow().worker(target);
+        if let Some(worker) = worker {
+            self.free_soon(worker, handle);
+        }
+    }
+
+    fn free_soon(self: &Rc<Self>, worker: WorkerKey, handle: &str) {
+        let mut spent = self.spent.borrow_mut();
+        spent.entry(worker).or_default().push(handle.to_string());
+        if self.is_freeing.replace(true) {
+            return;
+        }
+        let batcher = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(FREE_AFTER).await;
+            batcher.is_freeing.set(false);
+            batcher.free_spent();
+        });
+    }
+
+    fn free_spent(self: &Rc<Self>) {
+        let spent = std::mem::take(&mut *self.spent.borrow_mut());
+        for (worker, handles) in spent {
+            let target = self.workers.borrow().target(worker);
+            if let Some(target) = target {
+                actix_rt::spawn(call::free(target, handles));
+            }
+        }
+        self.pump();
+    }
+}
