Follow the store's keys by one piece of code

The configuration, the targets' records and the entries' records each had the same loop of reading, watching and backing off; each now says only what it takes and how long it pauses. Behaviour is unchanged.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -1,55 +1,33 @@
-//! Follows the operators' configuration in the store.
+//! The operators' configuration, as the store or a peer tells it.
 
-use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::{Deployment, KEY};
-use hollowsail_platform::store::{Change, Item, Revision, StoreError};
+use hollowsail_platform::store::{Change, Item};
 
-use super::backoff::Backoff;
+use super::follow::Followed;
 use super::Control;
 
-/// How long a watch waits. Each is a call with a price; shorter than the time
-/// for which the store keeps its history, so that a quiet watch can go on.
-const WATCH_WAIT: Duration = Duration::from_secs(17);
-
-/// Follows until the thread ends.
-pub async fn follow(cx: Rc<Control>) {
-    let mut backoff = Backoff::default();
-    loop {
-        match follow_once(&cx, &mut backoff).await {
-            Ok(()) | Err(StoreError::HistoryGone) => {}
-            Err(err) => {
-                cx.store_failed(&err);
-                backoff.pause().await;
-            }
-        }
-    }
-}
-
-/// Reads the configuration, then takes its changes until the store fails.
-async fn follow_once(cx: &Control, backoff: &mut Backoff) -> Result<(), StoreError> {
-    let range = cx.store.range(KEY, false).await?;
-    cx.store_answered();
-    backoff.reset();
-    for item in &range.items {
-        cx.take_configuration(item);
-    }
-    let mut revision: Revision = range.revision;
-    loop {
-        let watch = cx.store.watch(KEY, revision, WATCH_WAIT);
-        let changes = cx.until_store_lost(watch).await?;
-        cx.store_answered();
-        revision = changes.revision;
+/// The configuration's key, which is written seldom: no pause between watches.
+pub const FOLLOWED: Followed = Followed {
+    prefix: KEY,
+    take_all: |cx, range| {
+        range
+            .items
+            .iter()
+            .for_each(|item| cx.take_configuration(item))
+    },
+    take_changes: |cx, changes| {
         for change in &changes.changes {
             if let Change::Put(item) = change {
                 cx.take_configuration(item);
             }
         }
-    }
-}
+        Duration::ZERO
+    },
+};
 
 impl Control {
     /// Puts a configuration in force unless one as new already is.
--- /dev/null
+++ b/crates/gateway/src/control/follow.rs
@@ -0,0 +1,78 @@
+//! Follows keys in the store: reads them once, then waits for their changes.
+//!
+//! It reads again when the store loses its history or stops answering. While a
+//! watch waits, other calls show whether the store is there at all
+//! ([`Control::until_store_lost`]).
+
+use std::future::Future;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_platform::store::{Changes, Range, StoreError};
+
+use super::backoff::Backoff;
+use super::Control;
+
+/// How long a watch waits. Each is a call with a price; shorter than the time
+/// for which the store keeps its history, so that a quiet watch can go on.
+const WATCH_WAIT: Duration = Duration::from_secs(17);
+
+/// Keys that are followed, and who takes them.
+pub struct Followed {
+    pub prefix: &'static str,
+    /// Takes what is there.
+    pub take_all: fn(&Rc<Control>, &Range),
+    /// Takes what changed since; tells how long to pause before the next watch,
+    /// so that changes that come one after the other are told in a few answers.
+    pub take_changes: fn(&Rc<Control>, &Changes) -> Duration,
+}
+
+/// Follows until the thread ends.
+pub async fn follow(cx: Rc<Control>, keys: Followed) {
+    let mut backoff = Backoff::default();
+    loop {
+        match follow_once(&cx, &keys, &mut backoff).await {
+            Ok(()) | Err(StoreError::HistoryGone) => {}
+            Err(err) => {
+                cx.store_failed(&err);
+                backoff.pause().await;
+            }
+        }
+    }
+}
+
+/// Reads the keys, then takes their changes until the store fails.
+async fn follow_once(
+    cx: &Rc<Control>,
+    keys: &Followed,
+    backoff: &mut Backoff,
+) -> Result<(), StoreError> {
+    let range = cx.store.range(keys.prefix, false).await?;
+    cx.store_answered();
+    backoff.reset();
+    (keys.take_all)(cx, &range);
+    let mut revision = range.revision;
+    loop {
+        let watch = cx.store.watch(keys.prefix, revision, WATCH_WAIT);
+        let changes = cx.until_store_lost(watch).await?;
+        cx.store_answered();
+        revision = changes.revision;
+        let pause = (keys.take_changes)(cx, &changes);
+        if !pause.is_zero() {
+            tokio::time::sleep(pause).await;
+        }
+    }
+}
+
+impl Control {
+    /// Waits for a watch, but no longer than the store answers other calls.
+    async fn until_store_lost<T>(
+        &self,
+        watch: impl Future<Output = Result<T, StoreError>>,
+    ) -> Result<T, StoreError> {
+        tokio::select! {
+            result = watch => result,
+            () = self.store_lost.notified() => Err(StoreError::Lost),
+        }
+    }
+}
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -1,12 +1,13 @@
-//! Keeps this entry's record in the store, and follows the other entries'.
+//! Keeps this entry's record in the store, and takes the other entries'.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Item, Lease, StoreError};
+use hollowsail_platform::store::{Change, Changes, Item, Lease, Range, StoreError};
 
 use super::backoff::Backoff;
+use super::follow::Followed;
 use super::Control;
 use crate::peers::{PeerRecord, PREFIX};
 
@@ -16,8 +17,6 @@
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
-/// How long a watch waits; see the configuration's.
-const WATCH_WAIT: Duration = Duration::from_secs(17);
 /// Pause between two watches for each live entry, so that the entries of a fleet
 /// that starts together are told in a few answers, and calls grow no faster than
 /// the fleet. An entry that is lost is noticed sooner, when it owes an answer.
@@ -80,54 +79,45 @@
     }
 }
 
-/// Follows the entries' records until the thread ends.
-pub async fn follow(cx: Rc<Control>) {
-    let mut backoff = Backoff::default();
-    loop {
-        match follow_once(&cx, &mut backoff).await {
-            Ok(()) | Err(StoreError::HistoryGone) => {}
-            Err(err) => {
-                cx.store_failed(&err);
-                backoff.pause().await;
-            }
+/// The keys of the entries' records.
+pub const FOLLOWED: Followed = Followed {
+    prefix: PREFIX,
+    take_all: |cx, range| {
+        cx.take_peers(range);
+        cx.settle_peers_later();
+    },
+    take_changes: |cx, changes| {
+        cx.take_peer_changes(changes);
+        cx.settle_peers_later();
+        let entries = cx.peers.borrow().len() as u32;
+        WATCH_PAUSE_EACH * entries.max(1)
+    },
+};
+
+impl Control {
+    /// Takes all entries' records: those that the store doesn't list are gone.
+    fn take_peers(&self, range: &Range) {
+        for item in &range.items {
+            self.take_peer(item);
         }
+        let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
+        let now = self.clock.now();
+        self.peers
+            .borrow_mut()
+            .reconcile(&present, range.revision, now);
+        self.publish();
     }
-}
 
-async fn follow_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
-    let range = cx.store.range(PREFIX, false).await?;
-    cx.store_answered();
-    backoff.reset();
-    for item in &range.items {
-        cx.take_peer(item);
-    }
-    let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
-    let now = cx.clock.now();
-    cx.peers
-        .borrow_mut()
-        .reconcile(&present, range.revision, now);
-    cx.publish();
-    cx.settle_peers_later();
-    let mut revision = range.revision;
-    loop {
-        let watch = cx.store.watch(PREFIX, revision, WATCH_WAIT);
-        let changes = cx.until_store_lost(watch).await?;
-        cx.store_answered();
-        revision = changes.revision;
+    fn take_peer_changes(&self, changes: &Changes) {
         let mut changed = false;
         for change in &changes.changes {
-            changed |= cx.take_peer_change(change);
+            changed |= self.take_peer_change(change);
         }
         if changed {
-            cx.publish();
+            self.publish();
         }
-        cx.settle_peers_later();
-        let entries = cx.peers.borrow().len() as u32;
-        tokio::time::sleep(WATCH_PAUSE_EACH * entries.max(1)).await;
     }
-}
 
-impl Control {
     fn take_peer(&self, item: &Item) -> bool {
         let record: PeerRecord = match rmp_serde::from_slice(&item.value) {
             Ok(record) => record,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,19 +1,19 @@
 //! The control thread: what the store tells becomes views for traffic.
 //!
-//! One loop watches the operators' configuration, another the targets' records,
-//! a third the entries' own. Each reads its keys once, then waits for changes, and starts over when the
-//! store loses its history or stops answering. Meanwhile [`peer_state`] asks
+//! One loop follows the operators' configuration, another the targets' records,
+//! a third the entries' own ([`follow`]); a fourth keeps this entry's record
+//! there ([`membership`]). While the store doesn't answer, [`peer_state`] asks
 //! peers that may still hear from it. All publish through [`Control::publish`].
 
 mod backoff;
 mod configuration;
+mod follow;
 mod membership;
 mod peer_state;
 mod records;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -94,10 +94,10 @@
 
     /// Starts the loops on this thread.
     pub fn spawn(self: &Rc<Self>) {
-        actix_rt::spawn(configuration::follow(self.clone()));
-        actix_rt::spawn(records::follow(self.clone()));
+        actix_rt::spawn(follow::follow(self.clone(), configuration::FOLLOWED));
+        actix_rt::spawn(follow::follow(self.clone(), records::FOLLOWED));
         actix_rt::spawn(membership::keep_own_record(self.clone()));
-        actix_rt::spawn(membership::follow(self.clone()));
+        actix_rt::spawn(follow::follow(self.clone(), membership::FOLLOWED));
         actix_rt::spawn(peer_state::follow(self.clone()));
     }
 
@@ -168,15 +168,4 @@
             self.publish();
         }
     }
-
-    /// Waits for a watch, but no longer than the store answers other calls.
-    async fn until_store_lost<T>(
-        &self,
-        watch: impl Future<Output = Result<T, StoreError>>,
-    ) -> Result<T, StoreError> {
-        tokio::select! {
-            result = watch => result,
-            () = self.store_lost.notified() => Err(StoreError::Lost),
-        }
-    }
 }
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -1,66 +1,38 @@
-//! Follows the targets' records in the store.
+//! The targets' records, as the store or a peer tells them.
 
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Item, Range, Revision, StoreError};
+use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
 use hollowsail_platform::targets::{self, TargetRecord, PREFIX};
 
-use super::backoff::Backoff;
+use super::follow::Followed;
 use super::Control;
 use crate::peers::{RecordAt, RecordsAt};
 
-/// How long a watch waits; see the configuration's.
-const WATCH_WAIT: Duration = Duration::from_secs(17);
-
 /// Pause between two watches: targets that come one after the other are told in
 /// a few answers. Short against the time in which a draining one has to be left
 /// alone.
 const WATCH_PAUSE: Duration = Duration::from_millis(150);
 
-/// Follows until the thread ends.
-pub async fn follow(cx: Rc<Control>) {
-    let mut backoff = Backoff::default();
-    loop {
-        match follow_once(&cx, &mut backoff).await {
-            Ok(()) | Err(StoreError::HistoryGone) => {}
-            Err(err) => {
-                cx.store_failed(&err);
-                backoff.pause().await;
-            }
-        }
-    }
-}
-
-/// Reads all records, then takes their changes until the store fails.
-async fn follow_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
-    let range = cx.store.range(PREFIX, false).await?;
-    cx.store_answered();
-    backoff.reset();
-    cx.take_records(&range);
-    cx.settle_later();
-    let mut revision = range.revision;
-    loop {
-        let watch = cx.store.watch(PREFIX, revision, WATCH_WAIT);
-        let changes = cx.until_store_lost(watch).await?;
-        cx.store_answered();
-        revision = changes.revision;
-        cx.records_revision.set(revision);
-        let mut changed = false;
-        for change in &changes.changes {
-            changed |= cx.take_change(change);
-        }
-        if changed {
-            cx.publish();
-        }
+/// The records' keys.
+pub const FOLLOWED: Followed = Followed {
+    prefix: PREFIX,
+    take_all: |cx, range| {
+        cx.take_records(range);
         cx.settle_later();
-        tokio::time::sleep(WATCH_PAUSE).await;
-    }
-}
+    },
+    take_changes: |cx, changes| {
+        cx.take_record_changes(changes);
+        cx.settle_later();
+        WATCH_PAUSE
+    },
+};
 
 impl Control {
+    /// Takes all records from the store: those that it doesn't list are gone.
     fn take_records(&self, range: &Range) {
         for item in &range.items {
             self.take_record(item);
@@ -80,6 +52,18 @@
         self.publish();
     }
 
+    fn take_record_changes(&self, changes: &Changes) {
+        self.records_revision.set(changes.revision);
+        let mut changed = false;
+        for change in &changes.changes {
+            changed |= self.take_change(change);
+        }
+        if changed {
+            self.publish();
+        }
+    }
+
+    /// Takes one change into the book. True when the book changed.
     fn take_change(&self, change: &Change) -> bool {
         match change {
             Change::Put(item) => self.take_record(item),
@@ -133,6 +117,7 @@
         }
     }
 
+    /// Puts a record into the book. True when the book changed.
     fn put_record(&self, record: TargetRecord, revision: Revision) -> bool {
         let id = record.incarnation.0.clone();
         let draining = record.draining;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,8 +4,9 @@
 //! publishes a [`view::View`] whenever the configuration or the targets change.
 //! Traffic ([`traffic`]) takes connections from callers ([`callers`]) and walks
 //! each request through its life ([`request`]): admission, the stages before it
-//! ([`pools`], shared with the other entries through [`peers`]), and its sends to targets ([`targets`]). A request reads one view
-//! at each decision; nothing here waits for control.
+//! ([`pools`], shared with the other entries through [`peers`]), and its sends
+//! to targets ([`targets`]), of which [`placement`] names one for a generation.
+//! A request reads one view at each decision; nothing here waits for control.
 //!
 //! The platform's names live in `hollowsail-platform`; the decisions in
 //! `hollowsail-routing`, `hollowsail-stages` and `hollowsail-fleet`.
