Share the set-up of the gateway's tests

A plain deployment, an engine's answer, a gateway with one target, a request whose answer is read later, and the wait for the entries' records move to the fixture. No assertion changes; the time to the first event is now taken from before the connection, which is stricter.

--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -5,7 +5,9 @@
 
 use hollowsail_gateway::{start, Running};
 use hollowsail_platform::settings::Settings;
-use hollowsail_platform_standins::{DeploymentJson, StoreStandin, TargetStandin};
+use hollowsail_platform_standins::target::{chunk, event, last_chunk, stream_head};
+use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
+use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -35,6 +37,27 @@
     Settings::parse(&text).expect("the settings are whole")
 }
 
+/// A configuration with one route, of repeatable requests, to one plain service.
+pub fn plain_deployment(version: u64, prefix: &str) -> DeploymentJson {
+    DeploymentJson::new(version)
+        .service("plain")
+        .route(prefix, "safe", "plain", json!({}))
+}
+
+/// What an engine answers: a whole stream of one event.
+pub fn one_event(seen: &Seen) -> Vec<Step> {
+    vec![
+        Step::Write(stream_head(seen)),
+        Step::Write(chunk(&event(1))),
+        Step::Write(last_chunk()),
+    ]
+}
+
+/// Waits until so many entries have their record in the store.
+pub async fn until_entries(what: &str, store: &StoreStandin, entries: usize) {
+    eventually(what, || store.keys("hollowsail/peers/").len() == entries).await;
+}
+
 /// A gateway and the store before it.
 pub struct Fixture {
     pub store: StoreStandin,
@@ -50,6 +73,18 @@
         Fixture { store, gateway }
     }
 
+    /// Starts both and a target of a service, whose record is in the store.
+    pub async fn serving(
+        deployment: &DeploymentJson,
+        service: &str,
+        script: impl Fn(&Seen) -> Vec<Step> + 'static,
+    ) -> (Self, TargetStandin) {
+        let fixture = Self::start(deployment).await;
+        let target = TargetStandin::start(script).await;
+        fixture.add("i-1", service, &target);
+        (fixture, target)
+    }
+
     /// Puts a target of a service into the store.
     pub fn add(&self, id: &str, service: &str, target: &TargetStandin) {
         self.store
@@ -146,6 +181,13 @@
         format!("{text}Connection: close\r\n\r\n{}", self.body).into_bytes()
     }
 
+    /// Sends it on a new connection and leaves the answer to be read.
+    pub async fn begin(&self, addr: SocketAddr) -> TcpStream {
+        let mut caller = TcpStream::connect(addr).await.expect("it listens");
+        caller.write_all(&self.bytes()).await.expect("it reads");
+        caller
+    }
+
     /// Sends it on a new connection and reads until that ends.
     pub async fn send(&self, addr: SocketAddr) -> Answer {
         let bytes = exchange(addr, &self.bytes()).await;
--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -5,8 +5,6 @@
 use hollowsail_platform_standins::target::{answer, not_run};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
 use crate::fixture::{eventually, Call, Fixture};
 
@@ -24,10 +22,7 @@
 }
 
 async fn serving(script: impl Fn(&Seen) -> Vec<Step> + 'static) -> (Fixture, TargetStandin) {
-    let fixture = Fixture::start(&deployment()).await;
-    let target = TargetStandin::start(script).await;
-    fixture.add("i-1", "plain", &target);
-    (fixture, target)
+    Fixture::serving(&deployment(), "plain", script).await
 }
 
 fn good(seen: &Seen) -> Vec<Step> {
@@ -90,9 +85,7 @@
 #[actix_rt::test]
 async fn a_key_names_the_organisation_and_stays_here() {
     let with_keys = deployment().organisation("org-1", &["key-1"]);
-    let fixture = Fixture::start(&with_keys).await;
-    let target = TargetStandin::start(good).await;
-    fixture.add("i-1", "plain", &target);
+    let (fixture, target) = Fixture::serving(&with_keys, "plain", good).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 401);
     let wrong = Call::new("GET", "/safe/").with("Authorization", "Bearer other");
     assert_eq!(fixture.call(&wrong).await.status, 401);
@@ -285,14 +278,10 @@
     })
     .await;
     fixture.call(&Call::new("GET", "/safe/deep/known")).await;
-    let mut caller = TcpStream::connect(fixture.gateway.at.callers)
-        .await
-        .expect("it listens");
     let before = target.seen().len();
-    caller
-        .write_all(&Call::new("POST", "/once/").bytes())
-        .await
-        .expect("it reads");
+    let caller = Call::new("POST", "/once/")
+        .begin(fixture.gateway.at.callers)
+        .await;
     eventually("the request arrives", || target.seen().len() > before).await;
     let left = target.left();
     drop(caller);
--- a/crates/gateway/tests/suite/limits.rs
+++ b/crates/gateway/tests/suite/limits.rs
@@ -3,21 +3,15 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
-use serde_json::json;
+use hollowsail_platform_standins::{Seen, Step, StoreStandin, TargetStandin};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::fixture::{exchange, ready_status, settings, Call, Fixture};
+use crate::fixture::{exchange, plain_deployment, ready_status, settings, Call, Fixture};
 
 async fn serving() -> (Fixture, TargetStandin) {
-    let deployment =
-        DeploymentJson::new(1)
-            .service("plain")
-            .route("/safe/", "safe", "plain", json!({}));
-    let fixture = Fixture::start(&deployment).await;
-    let target = TargetStandin::start(|seen| vec![Step::Write(answer(seen, 200, "ok"))]).await;
-    fixture.add("i-1", "plain", &target);
+    let script = |seen: &Seen| vec![Step::Write(answer(seen, 200, "ok"))];
+    let (fixture, target) = Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
     (fixture, target)
 }
--- a/crates/gateway/tests/suite/metrics.rs
+++ b/crates/gateway/tests/suite/metrics.rs
@@ -1,20 +1,15 @@
 //! The metrics address.
 
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{DeploymentJson, Step, TargetStandin};
-use serde_json::json;
+use hollowsail_platform_standins::{Seen, Step};
 
-use crate::fixture::{exchange, Call, Fixture};
+use crate::fixture::{exchange, plain_deployment, Call, Fixture};
 
 #[actix_rt::test]
 async fn counters_and_histograms_are_scraped() {
-    let deployment =
-        DeploymentJson::new(1)
-            .service("plain")
-            .route("/safe/", "safe", "plain", json!({}));
-    let fixture = Fixture::start(&deployment).await;
-    let target = TargetStandin::start(|seen| vec![Step::Write(answer(seen, 200, "ok"))]).await;
-    fixture.add("i-1", "plain", &target);
+    let script = |seen: &Seen| vec![Step::Write(answer(seen, 200, "ok"))];
+    let (fixture, _target) =
+        Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
     let at = fixture.gateway.at.metrics.expect("it listens");
     let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use hollowsail_platform_standins::target::{chunk, event, last_chunk, results, stream_head};
+use hollowsail_platform_standins::target::results;
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, Call};
+use crate::fixture::{gateway, one_event, until_entries, Call};
 
 fn deployment() -> DeploymentJson {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -29,14 +29,6 @@
         .body("prompt")
 }
 
-fn engine(seen: &Seen) -> Vec<Step> {
-    vec![
-        Step::Write(stream_head(seen)),
-        Step::Write(chunk(&event(1))),
-        Step::Write(last_chunk()),
-    ]
-}
-
 #[actix_rt::test]
 async fn pieces_of_all_gateways_share_calls_and_none_overlaps() {
     let store = StoreStandin::start().await;
@@ -60,7 +52,7 @@
         vec![Step::Wait(Duration::from_millis(150)), Step::Write(answer)]
     })
     .await;
-    let engine = TargetStandin::start(engine).await;
+    let engine = TargetStandin::start(one_event).await;
     store.put_target("i-worker", "encoders", worker.addr, "hall-a", "ready");
     store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
     let gateways = [
@@ -68,10 +60,7 @@
         gateway(&store, "host-2", "hall-b").await,
         gateway(&store, "host-3", "hall-c").await,
     ];
-    eventually("all are recorded", || {
-        store.keys("hollowsail/peers/").len() == 3
-    })
-    .await;
+    until_entries("all are recorded", &store, 3).await;
     tokio::time::sleep(Duration::from_millis(600)).await;
     let calls = (0..12).map(|number| {
         let at = gateways[number % 3].at.callers;
@@ -94,20 +83,14 @@
     let store = StoreStandin::start().await;
     store.put("op/config", &deployment().bytes());
     let worker = TargetStandin::start(|seen| vec![Step::Write(results(seen, "maker"))]).await;
-    let engine = TargetStandin::start(engine).await;
+    let engine = TargetStandin::start(one_event).await;
     store.put_target("i-worker", "encoders", worker.addr, "hall-a", "ready");
     store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
     let stays = gateway(&store, "host-1", "hall-a").await;
     let leaves = gateway(&store, "host-2", "hall-a").await;
-    eventually("both are recorded", || {
-        store.keys("hollowsail/peers/").len() == 2
-    })
-    .await;
+    until_entries("both are recorded", &store, 2).await;
     let stopping = actix_rt::spawn(leaves.stop());
-    eventually("its record is gone", || {
-        store.keys("hollowsail/peers/").len() == 1
-    })
-    .await;
+    until_entries("its record is gone", &store, 1).await;
     for number in 0..6 {
         let got = request(number).send(stays.at.callers).await;
         assert!(got.is_whole, "{got:?}");
@@ -125,7 +108,7 @@
     store.put("op/config", &deployment.bytes());
     let slow = |seen: &Seen| {
         let mut steps = vec![Step::Wait(Duration::from_millis(600))];
-        steps.extend(engine(seen));
+        steps.extend(one_event(seen));
         steps
     };
     let mut engines = Vec::new();
@@ -139,10 +122,7 @@
         gateway(&store, "host-2", "hall-a").await,
         gateway(&store, "host-3", "hall-a").await,
     ];
-    eventually("all are recorded", || {
-        store.keys("hollowsail/peers/").len() == 3
-    })
-    .await;
+    until_entries("all are recorded", &store, 3).await;
     tokio::time::sleep(Duration::from_millis(600)).await;
     // All share one part: each alone would choose the same engine.
     let calls = (0..12).map(|number| {
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -4,15 +4,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_platform_standins::target::{
-    chunk, event, failures, last_chunk, not_run, results, stream_head,
-};
+use hollowsail_platform_standins::target::{failures, not_run, results};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
 use serde_json::json;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 
-use crate::fixture::{eventually, Call, Fixture};
+use crate::fixture::{eventually, one_event, Call, Fixture};
 
 fn deployment() -> DeploymentJson {
     let stages = json!([
@@ -40,14 +36,6 @@
         .body("prompt")
 }
 
-fn engine(seen: &Seen) -> Vec<Step> {
-    vec![
-        Step::Write(stream_head(seen)),
-        Step::Write(chunk(&event(1))),
-        Step::Write(last_chunk()),
-    ]
-}
-
 fn worker(maker: &'static str) -> impl Fn(&Seen) -> Vec<Step> {
     move |seen| {
         vec![
@@ -93,7 +81,7 @@
     let fixture = Fixture::start(&deployment()).await;
     let encoder = TargetStandin::start(encoder).await;
     let ranker = TargetStandin::start(ranker).await;
-    let engine = TargetStandin::start(engine).await;
+    let engine = TargetStandin::start(one_event).await;
     fixture.add("i-encoder", "encoders", &encoder);
     fixture.add("i-ranker", "rankers", &ranker);
     fixture.add("i-engine", "engines", &engine);
@@ -162,11 +150,7 @@
     };
     let staged = staged(worker("maker-1"), slow).await;
     let at = staged.fixture.gateway.at.callers;
-    let mut caller = TcpStream::connect(at).await.expect("it listens");
-    caller
-        .write_all(&request().bytes())
-        .await
-        .expect("it reads");
+    let caller = request().begin(at).await;
     eventually("the second stage begins", || {
         !runs(&staged.ranker).is_empty()
     })
@@ -285,7 +269,7 @@
     let ranker = TargetStandin::start(worker("maker-2")).await;
     let engine = TargetStandin::start(|seen| match seen.before {
         0 => vec![Step::Write(not_run(409))],
-        _ => engine(seen),
+        _ => one_event(seen),
     })
     .await;
     fixture.add("i-encoder", "encoders", &encoder);
--- a/crates/gateway/tests/suite/stopping.rs
+++ b/crates/gateway/tests/suite/stopping.rs
@@ -2,28 +2,24 @@
 
 use std::time::Duration;
 
+use hollowsail_gateway::Running;
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{DeploymentJson, Step, TargetStandin};
-use serde_json::json;
+use hollowsail_platform_standins::{Seen, Step, TargetStandin};
 
-use crate::fixture::{ready_status, Call, Fixture};
+use crate::fixture::{plain_deployment, ready_status, Call, Fixture};
+
+/// A gateway that knows one target, which answers after a time.
+async fn serving(after: Duration) -> (Running, TargetStandin) {
+    let script =
+        move |seen: &Seen| vec![Step::Wait(after), Step::Write(answer(seen, 200, "whole"))];
+    let (fixture, target) = Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    (fixture.gateway, target)
+}
 
 #[actix_rt::test]
 async fn a_request_that_comes_when_the_balancer_has_long_been_told_is_refused_as_not_run() {
-    let deployment =
-        DeploymentJson::new(1)
-            .service("plain")
-            .route("/safe/", "safe", "plain", json!({}));
-    let Fixture { store, gateway } = Fixture::start(&deployment).await;
-    let target = TargetStandin::start(|seen| {
-        vec![
-            Step::Wait(Duration::from_millis(1_900)),
-            Step::Write(answer(seen, 200, "whole")),
-        ]
-    })
-    .await;
-    store.put_target("i-1", "plain", target.addr, "hall-a", "ready");
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (gateway, target) = serving(Duration::from_millis(1_900)).await;
     let at = gateway.at.clone();
     let stopping = actix_rt::spawn(gateway.stop());
     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -41,20 +37,7 @@
 
 #[actix_rt::test]
 async fn a_stop_is_not_ready_at_once_takes_late_requests_and_cuts_none() {
-    let deployment =
-        DeploymentJson::new(1)
-            .service("plain")
-            .route("/safe/", "safe", "plain", json!({}));
-    let Fixture { store, gateway } = Fixture::start(&deployment).await;
-    let target = TargetStandin::start(|seen| {
-        vec![
-            Step::Wait(Duration::from_millis(900)),
-            Step::Write(answer(seen, 200, "whole")),
-        ]
-    })
-    .await;
-    store.put_target("i-1", "plain", target.addr, "hall-a", "ready");
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    let (gateway, _target) = serving(Duration::from_millis(900)).await;
     let at = gateway.at.clone();
     let early = actix_rt::spawn(async move { Call::new("GET", "/safe/").send(at.callers).await });
     tokio::time::sleep(Duration::from_millis(100)).await;
--- a/crates/gateway/tests/suite/streams.rs
+++ b/crates/gateway/tests/suite/streams.rs
@@ -5,10 +5,9 @@
 use hollowsail_platform_standins::target::{chunk, event, last_chunk, stream_head};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
 use serde_json::json;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::io::AsyncReadExt;
 
-use crate::fixture::{Call, Fixture};
+use crate::fixture::{eventually, Call, Fixture};
 
 fn deployment() -> DeploymentJson {
     DeploymentJson::new(1)
@@ -64,8 +63,7 @@
 
 #[actix_rt::test]
 async fn each_event_is_passed_on_as_it_comes() {
-    let fixture = Fixture::start(&deployment()).await;
-    let target = TargetStandin::start(|seen| {
+    let slow = |seen: &Seen| {
         vec![
             Step::Write(stream_head(seen)),
             Step::Write(chunk(&event(1))),
@@ -73,18 +71,11 @@
             Step::Write(chunk(&event(2))),
             Step::Write(last_chunk()),
         ]
-    })
-    .await;
-    fixture.add("i-1", "engines", &target);
+    };
+    let (fixture, _target) = Fixture::serving(&deployment(), "engines", slow).await;
     assert!(fixture.call(&request("/once/")).await.is_whole);
-    let mut caller = TcpStream::connect(fixture.gateway.at.callers)
-        .await
-        .expect("it listens");
     let begun = Instant::now();
-    caller
-        .write_all(&request("/once/").bytes())
-        .await
-        .expect("it reads");
+    let mut caller = request("/once/").begin(fixture.gateway.at.callers).await;
     let mut text = String::new();
     let mut buf = [0; 4096];
     while !text.contains("event 1") {
@@ -125,9 +116,7 @@
 
 #[actix_rt::test]
 async fn a_broken_stream_that_may_run_once_breaks_at_its_caller() {
-    let fixture = Fixture::start(&deployment()).await;
-    let bad = TargetStandin::start(broken).await;
-    fixture.add("i-1", "engines", &bad);
+    let (fixture, bad) = Fixture::serving(&deployment(), "engines", broken).await;
     let got = fixture.call(&request("/once/")).await;
     assert_eq!((got.status, got.is_whole), (200, false));
     assert_eq!(got.body, event(1) + &event(2), "whole events only");
@@ -136,27 +125,18 @@
 
 #[actix_rt::test]
 async fn an_engine_stops_when_its_caller_leaves() {
-    let fixture = Fixture::start(&deployment()).await;
-    let target = TargetStandin::start(|seen| {
-        let mut steps = vec![
+    let endless = |seen: &Seen| {
+        vec![
             Step::Write(stream_head(seen)),
             Step::Write(chunk(&event(1))),
-        ];
-        steps.push(Step::Wait(Duration::from_secs(5)));
-        steps
-    })
-    .await;
-    fixture.add("i-1", "engines", &target);
+            Step::Wait(Duration::from_secs(5)),
+        ]
+    };
+    let (fixture, target) = Fixture::serving(&deployment(), "engines", endless).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let mut caller = TcpStream::connect(fixture.gateway.at.callers)
-        .await
-        .expect("it listens");
-    caller
-        .write_all(&request("/once/").bytes())
-        .await
-        .expect("it reads");
+    let mut caller = request("/once/").begin(fixture.gateway.at.callers).await;
     let mut buf = [0; 64];
     caller.read_exact(&mut buf).await.expect("it answers");
     drop(caller);
-    crate::fixture::eventually("the engine is told", || target.left() == 1).await;
+    eventually("the engine is told", || target.left() == 1).await;
 }
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -4,21 +4,25 @@
 use std::time::Duration;
 
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{DeploymentJson, Step, StoreMode, TargetStandin};
-use serde_json::json;
+use hollowsail_platform_standins::{Seen, Step, StoreMode, TargetStandin};
 
-use crate::fixture::{eventually, gateway, ready_status, settings, Call, Fixture};
-
-fn version(version: u64, prefix: &str) -> DeploymentJson {
-    DeploymentJson::new(version)
-        .service("plain")
-        .route(prefix, "safe", "plain", json!({}))
-}
+use crate::fixture::{
+    gateway, plain_deployment, ready_status, settings, until_entries, Call, Fixture,
+};
 
 async fn target(body: &'static str) -> TargetStandin {
     TargetStandin::start(move |seen| vec![Step::Write(answer(seen, 200, body))]).await
 }
 
+/// A gateway that serves a path by one target.
+async fn serving(version: u64, prefix: &str) -> (Fixture, TargetStandin) {
+    let script = |seen: &Seen| vec![Step::Write(answer(seen, 200, "one"))];
+    let (fixture, one) =
+        Fixture::serving(&plain_deployment(version, prefix), "plain", script).await;
+    until_status(&fixture, prefix, 200).await;
+    (fixture, one)
+}
+
 async fn until_status(fixture: &Fixture, path: &str, status: u16) {
     until_status_at(fixture.gateway.at.callers, path, status).await;
 }
@@ -36,24 +40,22 @@
 
 #[actix_rt::test]
 async fn a_new_version_is_in_force_soon_and_an_older_one_never_again() {
-    let fixture = Fixture::start(&version(5, "/old/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/old/", 200).await;
-    fixture.store.put("op/config", &version(9, "/new/").bytes());
+    let (fixture, _one) = serving(5, "/old/").await;
+    fixture
+        .store
+        .put("op/config", &plain_deployment(9, "/new/").bytes());
     until_status(&fixture, "/new/", 200).await;
     assert_eq!(fixture.call(&Call::new("GET", "/old/")).await.status, 404);
-    fixture.store.put("op/config", &version(6, "/old/").bytes());
+    fixture
+        .store
+        .put("op/config", &plain_deployment(6, "/old/").bytes());
     tokio::time::sleep(Duration::from_millis(300)).await;
     assert_eq!(fixture.call(&Call::new("GET", "/new/")).await.status, 200);
 }
 
 #[actix_rt::test]
 async fn a_configuration_that_cannot_be_read_changes_nothing() {
-    let fixture = Fixture::start(&version(5, "/old/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/old/", 200).await;
+    let (fixture, _one) = serving(5, "/old/").await;
     fixture
         .store
         .put("op/config", b"{\"version\": 6, \"routes\": 3}");
@@ -63,7 +65,7 @@
 
 #[actix_rt::test]
 async fn a_draining_target_gets_nothing_new() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
+    let fixture = Fixture::start(&plain_deployment(1, "/a/")).await;
     let (one, two) = (target("one").await, target("two").await);
     fixture.add("i-1", "plain", &one);
     fixture.add("i-2", "plain", &two);
@@ -81,15 +83,14 @@
 
 #[actix_rt::test]
 async fn history_that_is_gone_is_read_anew() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/a/", 200).await;
+    let (fixture, _one) = serving(1, "/a/").await;
     fixture.store.delete("servers/i-1");
     fixture.store.forget_history();
     let two = target("two").await;
     fixture.add("i-2", "plain", &two);
-    fixture.store.put("op/config", &version(2, "/b/").bytes());
+    fixture
+        .store
+        .put("op/config", &plain_deployment(2, "/b/").bytes());
     fixture.store.forget_history();
     until_status(&fixture, "/b/", 200).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
@@ -100,10 +101,7 @@
 
 #[actix_rt::test]
 async fn targets_whose_records_lapse_in_an_outage_serve_on() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/a/", 200).await;
+    let (fixture, _one) = serving(1, "/a/").await;
     fixture.store.set_mode(StoreMode::Refusing);
     tokio::time::sleep(Duration::from_millis(300)).await;
     fixture.store.delete("servers/i-1");
@@ -120,10 +118,7 @@
 
 #[actix_rt::test]
 async fn it_serves_on_while_the_store_is_silent() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/a/", 200).await;
+    let (fixture, _one) = serving(1, "/a/").await;
     fixture.store.set_mode(StoreMode::Silent);
     for _ in 0..10 {
         tokio::time::sleep(Duration::from_millis(100)).await;
@@ -134,7 +129,7 @@
 #[actix_rt::test]
 async fn a_gateway_that_the_store_turns_away_learns_from_its_peers() {
     for mode in [StoreMode::Refusing, StoreMode::Silent] {
-        let fixture = Fixture::start(&version(1, "/a/")).await;
+        let fixture = Fixture::start(&plain_deployment(1, "/a/")).await;
         let door = fixture.store.door().await;
         let away = hollowsail_gateway::start(settings("host-2", "hall-b", door.addr))
             .await
@@ -142,11 +137,12 @@
         let (one, two) = (target("one").await, target("two").await);
         fixture.add("i-1", "plain", &one);
         until_status_at(away.at.callers, "/a/", 200).await;
-        let recorded = || fixture.store.keys("hollowsail/peers/").len() == 2;
-        eventually("both are recorded", recorded).await;
+        until_entries("both are recorded", &fixture.store, 2).await;
         tokio::time::sleep(Duration::from_millis(400)).await;
         door.set_mode(mode);
-        fixture.store.put("op/config", &version(2, "/b/").bytes());
+        fixture
+            .store
+            .put("op/config", &plain_deployment(2, "/b/").bytes());
         fixture.add("i-2", "plain", &two);
         fixture
             .store
@@ -162,10 +158,7 @@
 
 #[actix_rt::test]
 async fn a_gateway_that_starts_without_the_store_learns_from_its_seeds() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
-    let one = target("one").await;
-    fixture.add("i-1", "plain", &one);
-    until_status(&fixture, "/a/", 200).await;
+    let (fixture, _one) = serving(1, "/a/").await;
     let door = fixture.store.door().await;
     door.set_mode(StoreMode::Refusing);
     let mut cold = settings("host-2", "hall-b", door.addr);
@@ -177,7 +170,7 @@
 
 #[actix_rt::test]
 async fn two_gateways_before_one_store_both_serve() {
-    let fixture = Fixture::start(&version(1, "/a/")).await;
+    let fixture = Fixture::start(&plain_deployment(1, "/a/")).await;
     let one = target("one").await;
     fixture.add("i-1", "plain", &one);
     let second = gateway(&fixture.store, "host-2", "hall-b").await;
