Split the dispatch of a request by its jobs

What is known of the sends, the search for the next target, and the decision after a failed attempt get a file each; the decision is split into steps. Behaviour is unchanged.

--- /dev/null
+++ b/crates/gateway/src/request/find.rs
@@ -0,0 +1,89 @@
+//! Finds the target for the next send of a request.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use hollowsail_observe::events;
+use hollowsail_routing::Reason;
+
+use super::admit::Admitted;
+use super::choose;
+use super::prepare::Prepared;
+use super::sends::Sends;
+use crate::placement::Placed;
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+/// The target for the next send: for a generation the one that its desk names,
+/// else the one that this entry chooses.
+pub async fn next_target(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &Sends,
+) -> Option<(Rc<Target>, Option<Placed>)> {
+    let avoid = sends.tried.iter().cloned().collect();
+    let generation = admitted.caller.generation.as_ref();
+    let demand = generation.and_then(|g| choose::demand(g, prepared, avoid));
+    if let Some(demand) = demand {
+        let service = &admitted.deployment.service(sends.service).name;
+        let placed = cx.placements.place(cx, service, demand).await;
+        let target = placed.and_then(|(id, placed)| Some((cx.target(&id)?, placed)));
+        if let Some((target, placed)) = target {
+            log_choice(cx, admitted, &target, Reason::Placed, 0);
+            return Some((target, Some(placed)));
+        }
+    }
+    choose_here(cx, admitted, prepared, sends).map(|target| (target, None))
+}
+
+/// The target that this entry chooses by what it knows itself.
+fn choose_here(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &Sends,
+) -> Option<Rc<Target>> {
+    // A view newer than the request's may have dropped targets.
+    cx.deployment()?;
+    let name = &admitted.deployment.service(sends.service).name;
+    let untried: Vec<Rc<Target>> = cx
+        .targets_named(name)
+        .into_iter()
+        .filter(|target| !sends.tried.contains(target.incarnation()))
+        .collect();
+    let (at, reason) = match &admitted.caller.generation {
+        Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
+        None => choose::plain(cx, &untried)?,
+    };
+    let target = untried[at].clone();
+    log_choice(cx, admitted, &target, reason, untried.len());
+    Some(target)
+}
+
+fn log_choice(
+    cx: &Traffic,
+    admitted: &Admitted,
+    target: &Target,
+    reason: Reason,
+    candidates: usize,
+) {
+    cx.log.line(
+        events::ROUTE,
+        format_args!(
+            "request={} target={} addr={} hall={} reason={} candidates={candidates} \
+             in_flight={} left_ms={} view={}",
+            admitted.caller.request_id,
+            target.incarnation().0,
+            target.record.addr,
+            target.record.hall,
+            reason.name(),
+            target.in_flight.get(),
+            admitted
+                .until
+                .saturating_duration_since(Instant::now())
+                .as_millis(),
+            cx.view_number(),
+        ),
+    );
+}
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,19 +1,21 @@
 //! The life of one request.
 //!
 //! [`admit`] reads its head and body; [`forecast`] judges whether it can be in
-//! time; [`prepare`] runs the stages before it;
-//! [`dispatch`] sends it to targets until one answers or nothing more may be
-//! tried; [`relay`] passes the answer on. Every way that ends without a
-//! target's answer ends in a [`Refusal`].
+//! time; [`prepare`] runs the stages before it; [`dispatch`] sends it to targets
+//! until one answers or nothing more may be tried; [`relay`] passes the answer
+//! on. Every way that ends without a target's answer ends in a [`Refusal`].
 
 mod admit;
 mod attempt;
 mod choose;
 mod dispatch;
 mod events;
+mod find;
 mod forecast;
 mod prepare;
 mod relay;
+mod retry;
+mod sends;
 
 use std::rc::Rc;
 use std::time::Instant;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -19,9 +19,11 @@
 
 use super::admit::Admitted;
 use super::attempt::{Answered, Failure};
-use super::dispatch::{self, Sends};
+use super::dispatch;
 use super::events::EventCutter;
 use super::prepare::Prepared;
+use super::retry;
+use super::sends::Sends;
 use crate::answer::{whole as whole_body, AnswerStream, BodyFault};
 use crate::traffic::Traffic;
 
@@ -61,7 +63,7 @@
     drop(in_flight);
     let failure = |why: String| Failure::new(Progress::Broken, why);
     let failure = match read {
-        Ok(Ok(Some(_))) if dispatch::may_ask_another(cx, admitted, sends, parts.status) => failure(
+        Ok(Ok(Some(_))) if retry::may_ask_another(cx, admitted, sends, parts.status) => failure(
             format!("the target failed with status {}", parts.status.as_u16()),
         ),
         Ok(Ok(Some(bytes))) => {
@@ -80,7 +82,7 @@
         Ok(Err(err)) => failure(format!("the answer broke off: {err}")),
         Err(_) => failure("the answer was not whole in time".to_string()),
     };
-    match dispatch::take_failure(cx, admitted, sends, &target, failure) {
+    match retry::take_failure(cx, admitted, sends, &target, failure) {
         Ok(()) => Whole::TryAgain,
         Err(refusal) => {
             let id = Some(admitted.caller.request_id.as_str());
@@ -217,7 +219,7 @@
         let failure = Failure::new(Progress::Broken, why);
         let target = self.answered.target.clone();
         let (cx, admitted) = (&self.cx, &self.admitted);
-        if dispatch::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
+        if retry::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
             return false;
         }
         let after = self
--- /dev/null
+++ b/crates/gateway/src/request/retry.rs
@@ -0,0 +1,108 @@
+//! Decides what follows an attempt that failed: another send, or the end.
+
+use std::rc::Rc;
+
+use hollowsail_observe::{events, ErrorKind};
+use hollowsail_platform::deployment::ServiceKey;
+use hollowsail_routing::{may_try_again, stage_status, Observation, Progress, StageStatus};
+
+use super::admit::Admitted;
+use super::attempt::Failure;
+use super::sends::Sends;
+use crate::answer::Refusal;
+use crate::metrics;
+use crate::targets::Target;
+use crate::traffic::Traffic;
+
+/// Sends that reached no target and don't count as attempts; bounds a service
+/// whose targets are all unreachable.
+const MOST_UNREACHED: u32 = 4;
+
+/// Takes a failed attempt. An error means that no other may follow.
+pub fn take_failure(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    sends: &mut Sends,
+    target: &Rc<Target>,
+    failure: Failure,
+) -> Result<(), Refusal> {
+    let progress = failure.progress;
+    tell_failure(cx, admitted, target, &failure);
+    if failure.inputs_gone {
+        sends.failed(target, failure);
+        return Err(sends.refusal(ErrorKind::InputsGone));
+    }
+    if progress != Progress::FinalRefusal {
+        count_against(cx, sends.service, target);
+    }
+    sends.failed(target, failure);
+    if admitted.remaining().is_zero() {
+        return Err(sends.out_of_time());
+    }
+    if may_send_again(admitted, sends, progress) && spend_budget(cx, admitted, sends) {
+        Ok(())
+    } else {
+        Err(sends.refusal(ErrorKind::Overloaded))
+    }
+}
+
+/// Writes the log line and counts the metric of a failure.
+fn tell_failure(cx: &Traffic, admitted: &Admitted, target: &Target, failure: &Failure) {
+    let progress = failure.progress;
+    cx.log.line(
+        events::ATTEMPT_FAILED,
+        format_args!(
+            "request={} target={} progress={progress:?} why=\"{}\"",
+            admitted.caller.request_id,
+            target.incarnation().0,
+            failure.why,
+        ),
+    );
+    let outcome = match stage_status([progress]) {
+        StageStatus::NotRun => "not_run",
+        StageStatus::Unknown | StageStatus::Ran => "unknown",
+    };
+    metrics::count_attempt(&target.record.service, outcome);
+}
+
+/// Notes a failure in a target's health, which may put targets out.
+fn count_against(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
+    target.observe(Observation::Failed, 1);
+    for ejected in cx.targets().eject_worst(service, cx.clock.now()) {
+        let fields = format_args!("target={} why=failures", ejected.incarnation().0);
+        cx.log.line(events::TARGET_EJECTED, fields);
+    }
+}
+
+/// True when neither harm nor the route's limits forbid another send.
+fn may_send_again(admitted: &Admitted, sends: &Sends, progress: Progress) -> bool {
+    let route = admitted.route();
+    may_try_again(progress, route.repeat.is_repeatable())
+        && sends.arrivals < route.max_attempts
+        && sends.unreached < MOST_UNREACHED
+}
+
+/// Takes another send from the service's budget; false when that has none left.
+/// Only a send after an earlier arrival adds to what the service gets.
+fn spend_budget(cx: &Rc<Traffic>, admitted: &Admitted, sends: &Sends) -> bool {
+    sends.arrivals == 0
+        || cx.with_budget(&admitted.deployment, sends.service, |budget| budget.spend())
+}
+
+/// True when a target's own failure may be made up for by another target; else
+/// the failure itself is passed on.
+pub fn may_ask_another(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    sends: &Sends,
+    status: http::StatusCode,
+) -> bool {
+    let route = admitted.route();
+    status.is_server_error()
+        && may_try_again(Progress::Broken, route.repeat.is_repeatable())
+        && sends.arrivals + 1 < route.max_attempts
+        && !admitted.remaining().is_zero()
+        && cx.with_budget(&admitted.deployment, sends.service, |budget| {
+            budget.has_token()
+        })
+}
