Split the stages before a request by their jobs

The walk through the graph and the results that a request starts from get a file each; what a piece's maker is told is put together apart from what the pools are asked. Behaviour is unchanged.

--- /dev/null
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -0,0 +1,81 @@
+//! Runs the stages that come before a request.
+//!
+//! A `Walk` goes through the graph of stages within the request's time; the
+//! results of the last stages are what the request starts from ([`Prepared`]).
+
+mod prepared;
+mod walk;
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use hollowsail_observe::ErrorKind;
+use hollowsail_platform::deployment::Stage;
+use hollowsail_stages::{StageGraph, StageSize};
+
+use self::walk::Walk;
+use super::admit::Admitted;
+use super::choose;
+use crate::answer::Refusal;
+use crate::traffic::Traffic;
+
+pub use self::prepared::Prepared;
+
+/// Bytes that are worth waiting for a worker in the right hall.
+const LEAST_MOVED_BYTES: u64 = 100_000;
+/// About what the engine needs before its first event, in milliseconds; keeps
+/// pieces that feed it ahead of those with more time. Measured on calm days.
+pub const ENGINE_MS: u64 = 250;
+
+/// Runs all stages of a request; at once when it has none.
+pub async fn run(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<Prepared, Refusal> {
+    let stages = &admitted.route().stages;
+    if stages.is_empty() {
+        return Ok(Prepared::default());
+    }
+    let pieces = &admitted.caller.pieces;
+    let home_hall = choose::home_hall(cx, admitted, large_bytes(stages, pieces));
+    let walk = Walk {
+        cx,
+        admitted,
+        stages,
+        graph: StageGraph::new(sizes(stages, pieces)),
+        held: HashMap::new(),
+        home_hall,
+        remade: 0,
+    };
+    let limit = tokio::time::sleep_until(admitted.stages_by().into());
+    tokio::select! {
+        result = walk.run() => result,
+        () = limit => Err(Refusal::new(
+            ErrorKind::CannotFinish,
+            "its time ended in its stages",
+        )),
+        () = cx.last_call.notified() => Err(Refusal::new(
+            ErrorKind::Stopping,
+            "this entry ends, and its stages have not",
+        )),
+    }
+}
+
+/// Bytes of a request's large results.
+fn large_bytes(stages: &[Stage], pieces: &[u32]) -> u64 {
+    stages
+        .iter()
+        .zip(pieces)
+        .filter(|(stage, _)| stage.result_bytes >= LEAST_MOVED_BYTES)
+        .map(|(stage, pieces)| stage.result_bytes * u64::from(*pieces))
+        .sum()
+}
+
+/// Pieces of each stage as the request says; 0 where it says nothing.
+fn sizes(stages: &[Stage], pieces: &[u32]) -> Vec<StageSize> {
+    stages
+        .iter()
+        .enumerate()
+        .map(|(at, stage)| StageSize {
+            pieces: pieces.get(at).copied().unwrap_or(0) as usize,
+            after: stage.after.clone(),
+        })
+        .collect()
+}
--- a/crates/gateway/src/request/prepare.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -1,4 +1,5 @@
-//! Runs the stages that come before a request.
+//! Walks a request's graph of stages: has the pieces made that can be, takes
+//! their ends, and makes again what was lost.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -8,12 +9,12 @@
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_stages::{PieceAt, StageGraph, StageSize};
+use hollowsail_stages::{PieceAt, StageGraph};
 
-use super::admit::Admitted;
-use super::choose;
+use super::{Prepared, ENGINE_MS, LEAST_MOVED_BYTES};
 use crate::answer::Refusal;
 use crate::pools::{HeldResult, PieceEnd, Wanted};
+use crate::request::admit::Admitted;
 use crate::traffic::Traffic;
 
 /// Pieces of one request that are made again after their inputs were lost.
@@ -21,105 +22,26 @@
 /// What a later stage needs at least, in milliseconds: pieces that leave less
 /// to those after them are of no use.
 const LEAST_STAGE_MS: u64 = 150;
-/// Bytes that are worth waiting for a worker in the right hall.
-const LEAST_MOVED_BYTES: u64 = 100_000;
-/// About what the engine needs before its first event, in milliseconds; keeps
-/// pieces that feed it ahead of those with more time. Measured on calm days.
-pub const ENGINE_MS: u64 = 250;
-/// About what a stage takes, in milliseconds, for the same purpose.
+/// About what a stage takes, in milliseconds; for the same purpose as
+/// [`ENGINE_MS`].
 const STAGE_MS: u64 = 250;
 
-/// Results that a request starts from; given up when dropped.
-#[derive(Default)]
-pub struct Prepared {
-    pub inputs: Vec<String>,
-    results: Vec<HeldResult>,
-}
-
-impl Prepared {
-    /// Bytes of results by the data hall that they lie in.
-    pub fn bytes_by_hall(&self) -> Vec<(String, u64)> {
-        let mut halls: HashMap<&str, u64> = HashMap::new();
-        for result in &self.results {
-            *halls.entry(result.hall()).or_default() += result.bytes;
-        }
-        let halls = halls.into_iter();
-        halls
-            .map(|(hall, bytes)| (hall.to_string(), bytes))
-            .collect()
-    }
-
-    /// Bytes of results that lie outside a data hall.
-    pub fn bytes_outside(&self, hall: &str) -> u64 {
-        let outside = self.results.iter().filter(|result| result.hall() != hall);
-        outside.map(|result| result.bytes).sum()
-    }
-}
-
-/// Runs all stages of a request; at once when it has none.
-pub async fn run(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<Prepared, Refusal> {
-    let stages = &admitted.route().stages;
-    if stages.is_empty() {
-        return Ok(Prepared::default());
-    }
-    let walk = Walk {
-        cx,
-        admitted,
-        stages,
-        graph: StageGraph::new(sizes(stages, &admitted.caller.pieces)),
-        held: HashMap::new(),
-        home_hall: choose::home_hall(cx, admitted, large_bytes(stages, &admitted.caller.pieces)),
-        remade: 0,
-    };
-    let limit = tokio::time::sleep_until(admitted.stages_by().into());
-    tokio::select! {
-        result = walk.run() => result,
-        () = limit => Err(Refusal::new(
-            ErrorKind::CannotFinish,
-            "its time ended in its stages",
-        )),
-        () = cx.last_call.notified() => Err(Refusal::new(
-            ErrorKind::Stopping,
-            "this entry ends, and its stages have not",
-        )),
-    }
-}
-
-/// Bytes of a request's large results.
-fn large_bytes(stages: &[Stage], pieces: &[u32]) -> u64 {
-    stages
-        .iter()
-        .zip(pieces)
-        .filter(|(stage, _)| stage.result_bytes >= LEAST_MOVED_BYTES)
-        .map(|(stage, pieces)| stage.result_bytes * u64::from(*pieces))
-        .sum()
-}
-
-/// Pieces of each stage as the request says; 0 where it says nothing.
-fn sizes(stages: &[Stage], pieces: &[u32]) -> Vec<StageSize> {
-    stages
-        .iter()
-        .enumerate()
-        .map(|(at, stage)| StageSize {
-            pieces: pieces.get(at).copied().unwrap_or(0) as usize,
-            after: stage.after.clone(),
-        })
-        .collect()
-}
-
-struct Walk<'a> {
-    cx: &'a Rc<Traffic>,
-    admitted: &'a Rc<Admitted>,
-    stages: &'a [Stage],
-    graph: StageGraph,
-    held: HashMap<PieceAt, HeldResult>,
+/// One request on its way through its stages.
+pub(super) struct Walk<'a> {
+    pub cx: &'a Rc<Traffic>,
+    pub admitted: &'a Rc<Admitted>,
+    pub stages: &'a [Stage],
+    pub graph: StageGraph,
+    pub held: HashMap<PieceAt, HeldResult>,
     /// Hall of the engine, where that is settled before the stages.
-    home_hall: Option<String>,
-    remade: usize,
+    pub home_hall: Option<String>,
+    /// Pieces that failed so far.
+    pub remade: usize,
 }
 
 impl Walk<'_> {
-    async fn run(mut self) -> Result<Prepared, Refusal> {
+    /// Makes pieces until none is left.
+    pub async fn run(mut self) -> Result<Prepared, Refusal> {
         let mut running = FuturesUnordered::new();
         loop {
             for at in self.graph.start_ready() {
@@ -135,26 +57,13 @@
         }
     }
 
+    /// What is asked of the pools for a piece.
     fn wanted(&self, at: PieceAt) -> Wanted {
-        let inputs = self.graph.inputs_of(at.stage);
-        let piece_key = self.admitted.caller.piece_key.clone();
-        let piece = Piece {
-            request_id: self.admitted.caller.request_id.clone(),
-            stage: at.stage as u16,
-            piece: at.piece as u32,
-            remaining_ms: self
-                .admitted
-                .stages_by()
-                .saturating_duration_since(Instant::now())
-                .as_millis() as u64,
-            piece_key: piece_key.filter(|_| inputs.is_empty()),
-            inputs,
-        };
         let clock = &self.cx.clock;
         let later = self.graph.depth_after(at.stage) as u64 - 1;
         let reserve = ENGINE_MS + later * STAGE_MS;
         Wanted {
-            piece,
+            piece: self.piece(at),
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock
@@ -165,6 +74,24 @@
         }
     }
 
+    /// A piece as its maker is told; only one without inputs has a key.
+    fn piece(&self, at: PieceAt) -> Piece {
+        let inputs = self.graph.inputs_of(at.stage);
+        let piece_key = self.admitted.caller.piece_key.clone();
+        let left = self
+            .admitted
+            .stages_by()
+            .saturating_duration_since(Instant::now());
+        Piece {
+            request_id: self.admitted.caller.request_id.clone(),
+            stage: at.stage as u16,
+            piece: at.piece as u32,
+            remaining_ms: left.as_millis() as u64,
+            piece_key: piece_key.filter(|_| inputs.is_empty()),
+            inputs,
+        }
+    }
+
     /// Where a piece's result is wanted: next to what it starts from, or next to
     /// the engine; anywhere when little is moved.
     fn hall(&self, at: PieceAt) -> Option<String> {
@@ -187,6 +114,7 @@
             .filter(|_| self.stages[at.stage].result_bytes >= LEAST_MOVED_BYTES)
     }
 
+    /// Takes the end of a piece, and gives up what nothing needs any more.
     fn take(&mut self, made: MadePiece) -> Result<(), Refusal> {
         let result = match made.end {
             Ok(result) => result,
