Drop what nothing calls, and list constants at the top

Four public functions without callers go: the queue's next overdue call and count of usable workers, the graph's list of all handles, and the declared length of an answer. Constants that stood between functions move to the head of their files. Behaviour is unchanged.

--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 
 use crate::pool::Returning;
 use crate::BodyError;
@@ -22,11 +22,6 @@
         }
     }
 
-    /// Bytes that the answer declared, if it did.
-    pub fn declared_len(&self) -> Option<u64> {
-        self.incoming.size_hint().exact()
-    }
-
     /// The next bytes; `None` after the last. An error means that the answer
     /// is not whole.
     pub async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -16,6 +16,10 @@
 use crate::body::AnswerBody;
 use crate::dial::{dial, DialError};
 
+/// Part of the peer's idle time after which a connection isn't used, because
+/// the peer's clock started before ours.
+const IDLE_MARGIN: f64 = 0.5;
+
 /// How a pool treats its connections.
 #[derive(Debug, Clone, Copy)]
 pub struct PoolRules {
@@ -228,10 +232,6 @@
     }
 }
 
-/// Part of the peer's idle time after which a connection isn't used, because
-/// the peer's clock started before ours.
-const IDLE_MARGIN: f64 = 0.5;
-
 /// How long a connection may be kept by what an answer says of it; `None` when
 /// it is to be closed.
 fn keep_for(headers: &HeaderMap, most: Duration) -> Option<Duration> {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -15,6 +15,17 @@
 use crate::answer::Refusal;
 use crate::traffic::{Stopping, Traffic};
 
+/// Part of its caller's patience for which a request is held before its answer
+/// begins.
+const PATIENCE_SHARE: f64 = 0.9;
+/// Part of its whole time for which a request is held before a target gets it.
+const HOLD_SHARE: f64 = 0.45;
+/// When to come back to another entry: at once, but not in step.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+/// Longest time a caller is given for its body where its deadline and route
+/// allow more.
+const BODY_WITHIN: Duration = Duration::from_secs(10);
+
 /// A request that may be served.
 pub struct Admitted {
     pub deployment: Arc<Deployment>,
@@ -78,25 +89,12 @@
     }
 }
 
-/// Part of its caller's patience for which a request is held before its answer
-/// begins.
-const PATIENCE_SHARE: f64 = 0.9;
-/// Part of its whole time for which a request is held before a target gets it.
-const HOLD_SHARE: f64 = 0.45;
-
-/// When to come back to another entry: at once, but not in step.
-const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
-
 /// A request that is refused before anything else is known of it.
 pub struct Rejected {
     pub request_id: Option<String>,
     pub refusal: Refusal,
 }
 
-/// Longest time a caller is given for its body where its deadline and route
-/// allow more.
-const BODY_WITHIN: Duration = Duration::from_secs(10);
-
 /// Reads a request.
 pub async fn admit(
     cx: &Rc<Traffic>,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -20,6 +20,14 @@
 use crate::targets::{Target, TargetTable};
 use crate::view::{Published, View};
 
+/// Part of the allowed ratio of extra arrivals that is used; the rest is left
+/// for what arrives twice without our doing.
+const RATIO_SHARE: f64 = 0.8;
+/// Part of the extra arrivals allowed besides the ratio that the entries share.
+/// A window slides, so that tokens saved before it are spent in it beside those
+/// earned; and entries that don't know of each other each take a whole share.
+const EXTRA_SHARE: f64 = 0.5;
+
 /// How far a planned stop is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stopping {
@@ -195,11 +203,3 @@
         window.record(self.clock.now(), ms);
     }
 }
-
-/// Part of the allowed ratio of extra arrivals that is used; the rest is left
-/// for what arrives twice without our doing.
-const RATIO_SHARE: f64 = 0.8;
-/// Part of the extra arrivals allowed besides the ratio that the entries share.
-/// A window slides, so that tokens saved before it are spent in it beside those
-/// earned; and entries that don't know of each other each take a whole share.
-const EXTRA_SHARE: f64 = 0.5;
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -124,13 +124,4 @@
         }
         slow
     }
-
-    /// When a call becomes overdue next.
-    pub fn next_overdue(&self) -> Option<Millis> {
-        self.calls
-            .values()
-            .filter(|call| !call.overdue)
-            .map(|call| call.started + call.limit_ms() as Millis)
-            .min()
-    }
 }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -88,12 +88,6 @@
         }
     }
 
-    /// Workers that take new work.
-    pub fn usable_workers(&self, now: Millis) -> usize {
-        let usable = |worker: &&Worker| !worker.leaving && worker.out_until <= now;
-        self.workers.values().filter(usable).count()
-    }
-
     /// Workers that can start a call now.
     pub(super) fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
         self.workers
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -153,13 +153,6 @@
             .collect()
     }
 
-    /// Every handle there is.
-    pub fn all_handles(&self) -> Vec<String> {
-        (0..self.sizes.len())
-            .flat_map(|stage| self.handles(stage))
-            .collect()
-    }
-
     /// Handles of results that nothing needs any more: those of a stage whose
     /// dependents are all made. They are forgotten, so that each is told once.
     pub fn take_spent(&mut self) -> Vec<String> {
