Split long functions of the gateway into steps

Reading a request, serving a connection, making a call and passing an answer on each lose the steps that stand for themselves; the count of requests under way gets a file. Behaviour is unchanged.

--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -5,23 +5,21 @@
 //! handler on after its caller left, which is why it isn't used here.)
 
 use std::convert::Infallible;
-use std::pin::{pin, Pin};
+use std::pin::pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::Bytes;
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::CallerLimits;
-use http::{header, HeaderValue, Response};
-use http_body::{Body, Frame, SizeHint};
+use http::{header, HeaderValue, Request, Response};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
 use super::activity::{Activity, Phase, Watched};
-use crate::answer::{AnswerStream, BodyFault};
+use super::under_way::{CountedBody, UnderWay};
 use crate::request;
 use crate::traffic::{Stopping, Traffic};
 
@@ -55,16 +53,8 @@
     let service = service_fn(|req| {
         activity.request_began();
         let under_way = UnderWay::begin(cx, &activity);
-        let cx = cx.clone();
-        async move {
-            let mut response = request::serve(cx.clone(), req).await;
-            if cx.stopping.get() != Stopping::No {
-                // The caller's next request goes to another entry.
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(header::CONNECTION, close);
-            }
-            Ok::<_, Infallible>(under_way.until_answered(response))
-        }
+        let answering = answer(cx.clone(), req, under_way);
+        async move { Ok::<_, Infallible>(answering.await) }
     });
     let io = TokioIo::new(Watched::new(stream, activity.clone()));
     let mut connection = pin!(http1::Builder::new()
@@ -92,63 +82,23 @@
     }
 }
 
-fn limits(cx: &Rc<Traffic>) -> CallerLimits {
-    cx.deployment()
-        .map_or(FIRST_LIMITS, |deployment| deployment.limits)
-}
-
-/// Counts a request until its answer went out or was dropped.
-struct UnderWay {
+/// Answers one request.
+async fn answer(
     cx: Rc<Traffic>,
-    activity: Rc<Activity>,
-}
-
-impl UnderWay {
-    fn begin(cx: &Rc<Traffic>, activity: &Rc<Activity>) -> Self {
-        cx.in_flight.set(cx.in_flight.get() + 1);
-        UnderWay {
-            cx: cx.clone(),
-            activity: activity.clone(),
-        }
-    }
-
-    fn until_answered(self, response: Response<AnswerStream>) -> Response<CountedBody> {
-        response.map(|body| CountedBody {
-            body,
-            _under_way: self,
-        })
-    }
-}
-
-impl Drop for UnderWay {
-    fn drop(&mut self) {
-        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
-        self.activity.request_ended();
+    req: Request<Incoming>,
+    under_way: UnderWay,
+) -> Response<CountedBody> {
+    let mut response = request::serve(cx.clone(), req).await;
+    if cx.stopping.get() != Stopping::No {
+        // The caller's next request goes to another entry.
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
     }
+    under_way.until_answered(response)
 }
 
-/// A body that keeps its request counted.
-struct CountedBody {
-    body: AnswerStream,
-    _under_way: UnderWay,
-}
-
-impl Body for CountedBody {
-    type Data = Bytes;
-    type Error = BodyFault;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
-        self.body.as_mut().poll_frame(cx)
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
+/// The limits in force when a connection comes.
+fn limits(cx: &Rc<Traffic>) -> CallerLimits {
+    cx.deployment()
+        .map_or(FIRST_LIMITS, |deployment| deployment.limits)
 }
--- a/crates/gateway/src/callers/mod.rs
+++ b/crates/gateway/src/callers/mod.rs
@@ -3,5 +3,6 @@
 mod activity;
 mod connection;
 pub mod listen;
+mod under_way;
 
 pub use listen::start;
--- /dev/null
+++ b/crates/gateway/src/callers/under_way.rs
@@ -0,0 +1,71 @@
+//! Counts requests between their head and the end of their answer.
+
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use http::Response;
+use http_body::{Body, Frame, SizeHint};
+
+use super::activity::Activity;
+use crate::answer::{AnswerStream, BodyFault};
+use crate::traffic::Traffic;
+
+/// Counts a request until its answer went out or was dropped.
+pub struct UnderWay {
+    cx: Rc<Traffic>,
+    activity: Rc<Activity>,
+}
+
+impl UnderWay {
+    /// A request was read.
+    pub fn begin(cx: &Rc<Traffic>, activity: &Rc<Activity>) -> Self {
+        cx.in_flight.set(cx.in_flight.get() + 1);
+        UnderWay {
+            cx: cx.clone(),
+            activity: activity.clone(),
+        }
+    }
+
+    /// Keeps the request counted as long as its answer's body is there.
+    pub fn until_answered(self, response: Response<AnswerStream>) -> Response<CountedBody> {
+        response.map(|body| CountedBody {
+            body,
+            _under_way: self,
+        })
+    }
+}
+
+impl Drop for UnderWay {
+    fn drop(&mut self) {
+        self.cx.in_flight.set(self.cx.in_flight.get() - 1);
+        self.activity.request_ended();
+    }
+}
+
+/// A body that keeps its request counted.
+pub struct CountedBody {
+    body: AnswerStream,
+    _under_way: UnderWay,
+}
+
+impl Body for CountedBody {
+    type Data = Bytes;
+    type Error = BodyFault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
+        self.body.as_mut().poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -7,7 +7,7 @@
 use hollowsail_observe::events;
 use hollowsail_platform::heads::TargetHead;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
-use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece};
+use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use http::StatusCode;
 use snafu::Snafu;
 
@@ -62,23 +62,13 @@
         Ok(result) => result,
         Err(_) => Err(CallError::Silent),
     };
-    let took = cx.clock.now() - begun;
-    let (outcome, end, kind) = match &result {
-        Ok(_) => ("answered".to_string(), CallEnd::Answered, "answered"),
-        Err(err @ CallError::Refused { .. }) => (err.to_string(), CallEnd::Refused, "refused"),
-        Err(err) => (err.to_string(), CallEnd::Failed, "failed"),
+    let took = Duration::from_millis(cx.clock.now() - begun);
+    tell_end(&cx, &batcher, &target, asked.len(), took, &result);
+    let end = match &result {
+        Ok(_) => CallEnd::Answered,
+        Err(CallError::Refused { .. }) => CallEnd::Refused,
+        Err(_) => CallEnd::Failed,
     };
-    let took_time = Duration::from_millis(took);
-    metrics::count_call(&target.record.service, kind, asked.len(), took_time);
-    cx.log.line(
-        events::CALL_ENDED,
-        format_args!(
-            "queue={} target={} pieces={} ms={took} outcome=\"{outcome}\"",
-            batcher.name(),
-            target.incarnation().0,
-            asked.len(),
-        ),
-    );
     if end == CallEnd::Failed {
         batcher.keep_unknown(&started);
     }
@@ -93,6 +83,32 @@
     batcher.pump();
 }
 
+/// Writes the log line and counts the metric of a call.
+fn tell_end(
+    cx: &Traffic,
+    batcher: &Batcher,
+    target: &Target,
+    pieces: usize,
+    took: Duration,
+    result: &Result<Vec<PieceResult>, CallError>,
+) {
+    let (kind, outcome) = match result {
+        Ok(_) => ("answered", "answered".to_string()),
+        Err(err @ CallError::Refused { .. }) => ("refused", err.to_string()),
+        Err(err) => ("failed", err.to_string()),
+    };
+    metrics::count_call(&target.record.service, kind, pieces, took);
+    cx.log.line(
+        events::CALL_ENDED,
+        format_args!(
+            "queue={} target={} pieces={pieces} ms={} outcome=\"{outcome}\"",
+            batcher.name(),
+            target.incarnation().0,
+            took.as_millis(),
+        ),
+    );
+}
+
 /// A piece as it goes into a call.
 struct Asked {
     started: StartedPiece,
@@ -150,6 +166,7 @@
     Ok(results)
 }
 
+/// Hands each piece of an answered call its result.
 fn hand_out(
     cx: &Rc<Traffic>,
     batcher: &Rc<Batcher>,
@@ -158,42 +175,56 @@
     asked: &[Asked],
     results: Vec<PieceResult>,
 ) {
-    for (Asked { started: at, piece }, result) in asked.iter().zip(results) {
-        let (key, bytes) = (at.key, at.result_bytes);
-        let failure = match result {
+    for (asked, result) in asked.iter().zip(results) {
+        let (key, bytes) = (asked.started.key, asked.started.result_bytes);
+        match result {
             PieceResult::Made(handle) => {
                 batcher.made(key, started.worker, target, handle, bytes);
-                continue;
             }
-            PieceResult::Failed(failure) => failure,
-        };
-        let mut queue = batcher.queue.borrow_mut();
-        queue.free(started.worker, bytes);
-        match failure {
-            PieceFailure::NoRoom => queue.no_room(started.worker, cx.clock.now()),
-            // Failures of the work are counted, for each piece on its own.
-            _ => queue
-                .job_mut(key)
-                .into_iter()
-                .for_each(|job| job.failures += 1),
-        }
-        drop(queue);
-        cx.log.line(
-            events::PIECE_FAILED,
-            format_args!(
-                "request={} stage={} piece={} target={} why={failure:?}",
-                piece.request_id,
-                piece.stage,
-                piece.piece,
-                target.incarnation().0,
-            ),
-        );
-        if matches!(failure, PieceFailure::Late | PieceFailure::InputGone) {
-            batcher.failed(key, failure);
+            PieceResult::Failed(failure) => {
+                piece_failed(cx, batcher, started.worker, target, asked, failure);
+            }
         }
     }
 }
 
+/// Takes the failure of one piece of a call that was answered.
+fn piece_failed(
+    cx: &Rc<Traffic>,
+    batcher: &Batcher,
+    worker: WorkerKey,
+    target: &Target,
+    asked: &Asked,
+    failure: PieceFailure,
+) {
+    let StartedPiece { key, result_bytes } = asked.started;
+    let mut queue = batcher.queue.borrow_mut();
+    queue.free(worker, result_bytes);
+    match failure {
+        PieceFailure::NoRoom => queue.no_room(worker, cx.clock.now()),
+        // Failures of the work are counted, for each piece on its own.
+        _ => queue
+            .job_mut(key)
+            .into_iter()
+            .for_each(|job| job.failures += 1),
+    }
+    drop(queue);
+    let piece = &asked.piece;
+    cx.log.line(
+        events::PIECE_FAILED,
+        format_args!(
+            "request={} stage={} piece={} target={} why={failure:?}",
+            piece.request_id,
+            piece.stage,
+            piece.piece,
+            target.incarnation().0,
+        ),
+    );
+    if matches!(failure, PieceFailure::Late | PieceFailure::InputGone) {
+        batcher.failed(key, failure);
+    }
+}
+
 /// Pieces that a call left unmade wait again, unless they failed too often.
 fn give_back(batcher: &Rc<Batcher>, left: Vec<PieceKey>, end: CallEnd) {
     for key in left {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -113,23 +113,11 @@
         request_id: Some(caller.request_id.clone()),
         refusal,
     };
-    if cx.stopping.get() == Stopping::RefusingNew {
-        let refusal = Refusal::new(ErrorKind::Stopping, "this entry is about to end");
-        return Err(reject(refusal.come_back_after(ELSEWHERE_AFTER)));
-    }
-    let deployment = cx.deployment().ok_or_else(|| {
-        reject(Refusal::new(
-            ErrorKind::NoConfiguration,
-            "none is known yet",
-        ))
-    })?;
+    let deployment = deployment(cx).map_err(reject)?;
     let route = find_route(&deployment, &head).map_err(reject)?;
     let organisation = find_organisation(&deployment, route, &caller).map_err(reject)?;
     let longest = deployment.route(route).longest;
-    let until = arrived
-        + caller
-            .deadline
-            .map_or(longest, |deadline| deadline.min(longest));
+    let until = arrived + caller.deadline.map_or(longest, |own| own.min(longest));
     let most = deployment.limits.body_bytes;
     let body = read_body(body, most, until).await.map_err(reject)?;
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
@@ -147,6 +135,16 @@
     })
 }
 
+/// The configuration for a new request; none may come late in a planned stop.
+fn deployment(cx: &Rc<Traffic>) -> Result<Arc<Deployment>, Refusal> {
+    if cx.stopping.get() == Stopping::RefusingNew {
+        let refusal = Refusal::new(ErrorKind::Stopping, "this entry is about to end");
+        return Err(refusal.come_back_after(ELSEWHERE_AFTER));
+    }
+    cx.deployment()
+        .ok_or_else(|| Refusal::new(ErrorKind::NoConfiguration, "none is known yet"))
+}
+
 fn find_route(deployment: &Deployment, head: &Parts) -> Result<RouteKey, Refusal> {
     let host = head
         .headers
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -25,6 +25,7 @@
 use super::retry;
 use super::sends::Sends;
 use crate::answer::{whole as whole_body, AnswerStream, BodyFault};
+use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Longest answer that is read whole before it is passed on, in bytes.
@@ -67,16 +68,10 @@
             format!("the target failed with status {}", parts.status.as_u16()),
         ),
         Ok(Ok(Some(bytes))) => {
-            let ms = admitted.arrived.elapsed().as_millis() as u64;
-            let typical = cx
-                .typical_ms(&admitted.deployment, sends.service)
-                .unwrap_or(ms);
             if !parts.status.is_server_error() {
-                target.observe(Observation::Answered(ms), typical);
-                cx.record_latency(&admitted.deployment, sends.service, ms);
+                record_answer(cx, admitted, sends, &target);
             }
-            let response = Whole::Response(Box::new(passed_on(parts, whole_body(bytes))));
-            return response;
+            return Whole::Response(Box::new(passed_on(parts, whole_body(bytes))));
         }
         Ok(Ok(None)) => failure(format!("an answer of over {MOST_WHOLE_BYTES} bytes")),
         Ok(Err(err)) => failure(format!("the answer broke off: {err}")),
@@ -91,6 +86,16 @@
     }
 }
 
+/// Notes the time of an answer in its target's health and its service's window.
+fn record_answer(cx: &Traffic, admitted: &Admitted, sends: &Sends, target: &Target) {
+    let ms = admitted.arrived.elapsed().as_millis() as u64;
+    let typical = cx
+        .typical_ms(&admitted.deployment, sends.service)
+        .unwrap_or(ms);
+    target.observe(Observation::Answered(ms), typical);
+    cx.record_latency(&admitted.deployment, sends.service, ms);
+}
+
 /// The answer as the caller gets it.
 fn passed_on(parts: http::response::Parts, body: AnswerStream) -> Response<AnswerStream> {
     let mut response = Response::new(body);
@@ -240,19 +245,25 @@
         if !answered.parts.status.is_success() {
             return false;
         }
-        cx.log.line(
+        self.go_on_at(answered, after.as_deref());
+        true
+    }
+
+    /// Takes the stream up from another target's answer.
+    fn go_on_at(&mut self, answered: Answered, after: Option<&str>) {
+        self.cx.log.line(
             events::STREAM_RESUMED,
             format_args!(
                 "request={} from={} to={} after={}",
-                admitted.caller.request_id,
-                target.incarnation().0,
+                self.admitted.caller.request_id,
+                self.answered.target.incarnation().0,
                 answered.target.incarnation().0,
-                after.as_deref().unwrap_or("start"),
+                after.unwrap_or("start"),
             ),
         );
+        // The rest of an event that broke comes again, whole.
         self.cutter.take_rest();
         self.answered = answered;
         self.has_begun = false;
-        true
     }
 }
