--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -1,10 +1,11 @@
 //! Which engine gets a generation: the desk of its group of engines says.
 //!
 //! Every group of engines has one owner among the entries, as queues of stages
-//! do, and its [`EngineDesk`] knows what all entries have there. An entry asks
+//! do, and its [`Desk`] knows what all entries have there. An entry asks
 //! it over the peers' links; where no answer comes in time it chooses by itself,
 //! with what it knows. A [`Placed`] tells the desk how the generation went.
 
+mod desk;
 mod placed;
 
 use std::cell::{Cell, RefCell};
@@ -12,17 +13,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_fleet::rendezvous;
-use hollowsail_observe::events;
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
+use hollowsail_routing::{Demand, PlacementKey};
 use tokio::time::timeout;
 
 use crate::peers::{Link, Message, Owner, PeerId, PlacementId, PlacementStep};
 use crate::queue::Queue;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
+use desk::Desk;
 use placed::Account;
 pub use placed::Placed;
 
@@ -32,15 +31,6 @@
 /// Longest wait for a desk's answer; a hop takes about two milliseconds, and
 /// choosing alone costs less than waiting much longer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
-/// Between two sweeps of a desk, in milliseconds.
-const SWEEP_MS: Millis = 1_000;
-
-/// A desk and when it was last swept.
-pub struct Desk {
-    name: String,
-    desk: RefCell<EngineDesk<Incarnation>>,
-    swept: Cell<Millis>,
-}
 
 /// A placement at a desk here.
 type DeskEntry = (Rc<Desk>, PlacementKey);
@@ -51,43 +41,10 @@
     desks: RefCell<HashMap<String, Rc<Desk>>>,
     /// Placements that peers have at desks here.
     of_peers: RefCell<HashMap<(PeerId, PlacementId), DeskEntry>>,
+    /// Placements asked of peers so far, for their numbers.
     asked: Cell<u64>,
 }
 
-impl Desk {
-    fn place(
-        &self,
-        cx: &Traffic,
-        demand: &Demand<Incarnation>,
-    ) -> Option<(PlacementKey, Incarnation)> {
-        let now = cx.clock.now();
-        if now >= self.swept.get() + SWEEP_MS {
-            self.swept.set(now);
-            self.desk.borrow_mut().sweep(now);
-        }
-        let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.0);
-        self.desk.borrow_mut().place(now, demand, affinity)
-    }
-
-    fn step(&self, cx: &Traffic, key: PlacementKey, step: PlacementStep) {
-        let now = cx.clock.now();
-        let ended = |end| self.desk.borrow_mut().ended(key, end, now);
-        let ejected = match step {
-            PlacementStep::PromptRead => {
-                self.desk.borrow_mut().prompt_read(key, now);
-                return;
-            }
-            PlacementStep::Whole => ended(PlacementEnd::Whole),
-            PlacementStep::Failed => ended(PlacementEnd::Failed),
-            PlacementStep::Left => ended(PlacementEnd::Left),
-        };
-        for engine in ejected {
-            let fields = format_args!("desk={} target={} why=answers", self.name, engine.0);
-            cx.log.line(events::TARGET_EJECTED, fields);
-        }
-    }
-}
-
 impl Placements {
     /// Places a generation on an engine of a service. `None` when no desk
     /// answers in time, or it knows no engine.
@@ -121,18 +78,14 @@
         PlacementId(self.asked.get())
     }
 
+    /// The desk of that name; `None` when no desk can have it.
     fn desk(&self, cx: &Rc<Traffic>, name: &str) -> Option<Rc<Desk>> {
         if let Some(known) = self.desks.borrow().get(name) {
             return Some(known.clone());
         }
-        let (service, group) = Queue::parse(name)?;
-        let desk = Rc::new(Desk {
-            name: name.to_string(),
-            desk: RefCell::default(),
-            swept: Cell::new(0),
-        });
-        let engines = group.targets(&cx.targets_named(service));
-        desk.desk.borrow_mut().set_engines(&desk_engines(&engines));
+        Queue::parse(name)?;
+        let desk = Rc::new(Desk::new(name));
+        desk.take_targets(cx);
         self.desks
             .borrow_mut()
             .insert(name.to_string(), desk.clone());
@@ -186,19 +139,7 @@
     /// Takes the targets of a new view over.
     pub fn take_targets(&self, cx: &Traffic) {
         for desk in self.desks.borrow().values() {
-            if let Some((service, group)) = Queue::parse(&desk.name) {
-                let engines = group.targets(&cx.targets_named(service));
-                desk.desk.borrow_mut().set_engines(&desk_engines(&engines));
-            }
+            desk.take_targets(cx);
         }
     }
 }
-
-fn desk_engines(targets: &[Rc<Target>]) -> Vec<DeskEngine<Incarnation>> {
-    let engines = targets.iter().map(|target| DeskEngine {
-        key: target.incarnation().clone(),
-        slots: target.record.slots,
-        hall: target.record.hall.clone(),
-    });
-    engines.collect()
-}
--- a/crates/routing/src/desk.rs
+++ b/crates/routing/src/desk.rs
@@ -67,6 +67,7 @@
     Left,
 }
 
+/// An engine on the account.
 #[derive(Debug)]
 struct Engine {
     slots: u32,
@@ -76,6 +77,7 @@
     health: TargetHealth,
 }
 
+/// A generation at its engine.
 #[derive(Debug)]
 struct Placement<K> {
     engine: K,
@@ -92,6 +94,7 @@
 #[derive(Debug)]
 pub struct EngineDesk<K> {
     engines: HashMap<K, Engine>,
+    /// Their keys in an order that doesn't depend on the table's.
     order: Vec<K>,
     placements: SlotMap<PlacementKey, Placement<K>>,
     /// Engines that keep a part, and when it was last used there.
@@ -100,6 +103,11 @@
     rules: HealthRules,
 }
 
+/// Time to a first event, with so many tokens to read before it.
+fn expected_ms(ms_per_token: f64, tokens: u64) -> Millis {
+    (BASE_MS + ms_per_token * tokens as f64) as Millis
+}
+
 impl<K: Clone + Eq + Hash + Ord> Default for EngineDesk<K> {
     fn default() -> Self {
         EngineDesk {
@@ -184,6 +192,7 @@
         }
     }
 
+    /// Puts a generation on its engine's account.
     fn account(
         &mut self,
         now: Millis,
@@ -218,11 +227,11 @@
         let unread = std::mem::take(&mut placement.unread_tokens);
         let took = (now - placement.placed) as f64;
         let tokens = placement.tokens_ahead;
-        let expected = BASE_MS + self.ms_per_token * tokens as f64;
+        let expected = expected_ms(self.ms_per_token, tokens);
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             engine.unread_tokens = engine.unread_tokens.saturating_sub(unread);
             let observation = Observation::Answered(took as Millis);
-            engine.health.observe(observation, expected as Millis);
+            engine.health.observe(observation, expected);
         }
         if tokens >= LEAST_TOKENS {
             let measured = (took - BASE_MS).max(0.0) / tokens as f64;
@@ -245,13 +254,13 @@
         engine.running = engine.running.saturating_sub(1);
         engine.unread_tokens = engine.unread_tokens.saturating_sub(placement.unread_tokens);
         let waited = now - placement.placed;
-        let expected = BASE_MS + self.ms_per_token * placement.tokens_ahead as f64;
+        let expected = expected_ms(self.ms_per_token, placement.tokens_ahead);
         match end {
             PlacementEnd::Failed => engine.health.observe(Observation::Failed, 1),
             // Its caller had to give up without a first event.
             PlacementEnd::Left if !placement.has_begun => {
                 let observation = Observation::TimedOut(waited);
-                engine.health.observe(observation, expected as Millis);
+                engine.health.observe(observation, expected);
             }
             PlacementEnd::Left | PlacementEnd::Whole => {}
         }
@@ -264,6 +273,7 @@
         self.eject(now)
     }
 
+    /// Puts engines out for a while that deserve it. Returns those newly out.
     fn eject(&mut self, now: Millis) -> Vec<K> {
         let mut healths: Vec<TargetHealth> = self
             .order
