--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -32,9 +32,11 @@
     Draining,
 }
 
+/// A target in the book.
 #[derive(Debug, Clone)]
 struct Entry<R> {
     record: R,
+    /// Of its last change.
     revision: u64,
     state: State,
 }
@@ -133,13 +135,7 @@
     /// All records there are, as of a revision: what isn't among them went.
     /// Returns the incarnations that left the book.
     pub fn reconcile(&mut self, present: &[&str], revision: u64, now: Millis) -> Vec<String> {
-        let missing: Vec<String> = self
-            .entries
-            .iter()
-            .filter(|(incarnation, _)| !present.contains(&incarnation.as_str()))
-            .map(|(incarnation, _)| incarnation.clone())
-            .collect();
-        missing
+        self.keys_where(|incarnation, _| !present.contains(&incarnation))
             .into_iter()
             .filter(|incarnation| self.deleted(incarnation, revision, now))
             .collect()
@@ -149,16 +145,10 @@
     /// isn't among them went, whatever the store's state here. Returns the
     /// incarnations that left the book.
     pub fn adopt(&mut self, present: &[&str], revision: u64) -> Vec<String> {
-        let missing: Vec<String> = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.revision <= revision)
-            .filter(|(incarnation, _)| !present.contains(&incarnation.as_str()))
-            .map(|(incarnation, _)| incarnation.clone())
-            .collect();
-        for incarnation in &missing {
-            self.entries.remove(incarnation);
-        }
+        let missing = self.keys_where(|incarnation, entry| {
+            entry.revision <= revision && !present.contains(&incarnation)
+        });
+        self.remove_all(&missing);
         missing
     }
 
@@ -167,16 +157,24 @@
         if self.is_unsettled(now) {
             return Vec::new();
         }
-        let doubted: Vec<String> = self
-            .entries
+        let doubted = self.keys_where(|_, entry| entry.state == State::Doubted);
+        self.remove_all(&doubted);
+        doubted
+    }
+
+    /// Incarnations in the book that fit.
+    fn keys_where(&self, fits: impl Fn(&str, &Entry<R>) -> bool) -> Vec<String> {
+        self.entries
             .iter()
-            .filter(|(_, entry)| entry.state == State::Doubted)
+            .filter(|(incarnation, entry)| fits(incarnation, entry))
             .map(|(incarnation, _)| incarnation.clone())
-            .collect();
-        for incarnation in &doubted {
+            .collect()
+    }
+
+    fn remove_all(&mut self, incarnations: &[String]) {
+        for incarnation in incarnations {
             self.entries.remove(incarnation);
         }
-        doubted
     }
 
     /// When [`TargetBook::settle`] has something to do, if ever.
