Call a group of targets by its name

Queues and desks both have one, so the type is no queue. The two log lines of a planned stop are written by one function. Behaviour is unchanged.

--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -9,7 +9,7 @@
 use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
 
 use crate::peers::PlacementStep;
-use crate::queue::Queue;
+use crate::target_group::TargetGroup;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -35,7 +35,7 @@
 
     /// Takes the usable targets of its group.
     pub fn take_targets(&self, cx: &Traffic) {
-        if let Some((service, group)) = Queue::parse(&self.name) {
+        if let Some((service, group)) = TargetGroup::parse(&self.name) {
             let targets = group.targets(&cx.targets_named(service));
             self.desk.borrow_mut().set_engines(&desk_engines(&targets));
         }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -18,7 +18,7 @@
 use tokio::time::timeout;
 
 use crate::peers::{Link, Message, Owner, PeerId, PlacementId, PlacementStep};
-use crate::queue::Queue;
+use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
 use desk::Desk;
@@ -55,7 +55,7 @@
         demand: Demand<Incarnation>,
     ) -> Option<(Incarnation, Placed)> {
         let targets = cx.targets_named(service).len();
-        let group = Queue::for_key(service, targets, GROUP_ENGINES, &demand.part);
+        let group = TargetGroup::for_key(service, targets, GROUP_ENGINES, &demand.part);
         match cx.peers.owner_of(cx, &group.name) {
             Owner::Me => {
                 let desk = self.desk(cx, &group.name)?;
@@ -83,7 +83,7 @@
         if let Some(known) = self.desks.borrow().get(name) {
             return Some(known.clone());
         }
-        Queue::parse(name)?;
+        TargetGroup::parse(name)?;
         let desk = Rc::new(Desk::new(name));
         desk.take_targets(cx);
         self.desks
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -23,7 +23,7 @@
     self, Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId, SpentResult,
     WorkerAtHandOver,
 };
-use crate::queue::Queue;
+use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
 use batcher::LocalEnd;
@@ -68,10 +68,11 @@
     pieces: Cell<u64>,
 }
 
-/// The queue that a request's pieces of a service go to.
-fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> Queue {
+/// The group of workers whose queue a request's pieces of a service go to; the
+/// group's name is the queue's.
+fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> TargetGroup {
     let targets = cx.targets_named(service).len();
-    Queue::for_key(service, targets, QUEUE_TARGETS, request_id)
+    TargetGroup::for_key(service, targets, QUEUE_TARGETS, request_id)
 }
 
 impl Pools {
@@ -154,12 +155,12 @@
         if let Some(known) = self.batchers.borrow().get(name) {
             return Some(known.clone());
         }
-        let (service, queue) = Queue::parse(name)?;
+        let (service, group) = TargetGroup::parse(name)?;
         let deployment = cx.deployment()?;
         let key = deployment.service_named(service)?;
         let pool = deployment.service(key).stage_pool.as_ref()?;
         let made = Batcher::new(cx, name, pool);
-        made.take_targets(&queue.targets(&cx.targets_named(service)));
+        made.take_targets(&group.targets(&cx.targets_named(service)));
         let mut batchers = self.batchers.borrow_mut();
         batchers.insert(name.to_string(), made.clone());
         Some(made)
@@ -232,7 +233,7 @@
             return;
         };
         for batcher in self.all() {
-            let Some((service, queue)) = Queue::parse(batcher.name()) else {
+            let Some((service, group)) = TargetGroup::parse(batcher.name()) else {
                 continue;
             };
             let pool = deployment
@@ -241,7 +242,7 @@
             if let Some(pool) = &pool {
                 batcher.set_rules(pool);
             }
-            batcher.take_targets(&queue.targets(&cx.targets_named(service)));
+            batcher.take_targets(&group.targets(&cx.targets_named(service)));
         }
     }
 }
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,14 +2,14 @@
 //!
 //! Not ready at once, so that the balancer sends no new connections; go on
 //! serving while it may lag; then refuse what comes, which could not end in
-//! time, and close callers' connections between requests; leave when nothing is in flight, or just before the platform
-//! kills the process.
+//! time, and close callers' connections between requests; leave when nothing is
+//! in flight, or just before the platform kills the process.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use hollowsail_observe::events;
+use hollowsail_observe::events::{self, Event};
 use tokio::time::{sleep, Instant};
 
 use crate::traffic::{Stopping, Traffic};
@@ -31,14 +31,7 @@
 pub async fn run(cx: &Rc<Traffic>, accepting: JoinHandle<()>) {
     let latest = Instant::now() + cx.settings().grace().saturating_sub(BEFORE_KILL);
     cx.stopping.set(Stopping::Serving);
-    cx.log.line(
-        events::STOP_BEGUN,
-        format_args!(
-            "in_flight={} connections={}",
-            cx.in_flight.get(),
-            cx.connections.get()
-        ),
-    );
+    log_step(cx, events::STOP_BEGUN);
     sleep(BALANCER_LAG.min(cx.settings().grace() / 2)).await;
     cx.stopping.set(Stopping::RefusingNew);
     cx.close_idle.notify_waiters();
@@ -46,14 +39,7 @@
     cx.last_call.notify_waiters();
     drain_until(cx, latest).await;
     accepting.abort();
-    cx.log.line(
-        events::STOP_DRAINED,
-        format_args!(
-            "in_flight={} connections={}",
-            cx.in_flight.get(),
-            cx.connections.get()
-        ),
-    );
+    log_step(cx, events::STOP_DRAINED);
     sleep(FLUSH).await;
 }
 
@@ -63,3 +49,15 @@
         sleep(PAUSE).await;
     }
 }
+
+/// Writes a line with what is still there.
+fn log_step(cx: &Traffic, step: Event) {
+    cx.log.line(
+        step,
+        format_args!(
+            "in_flight={} connections={}",
+            cx.in_flight.get(),
+            cx.connections.get()
+        ),
+    );
+}
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/target_group.rs
@@ -1,4 +1,8 @@
-//! Names for groups of a service's targets, each of which one entry owns.
+//! Groups of a service's targets, each of which one entry owns.
+//!
+//! A group's name says which part of the service's targets it is, so that all
+//! entries come to the same targets by it: [`crate::pools`] has a queue for each
+//! group of workers, [`crate::placement`] a desk for each group of engines.
 
 use std::rc::Rc;
 
@@ -7,19 +11,21 @@
 use crate::targets::Target;
 
 /// Some of a service's targets.
-pub struct Queue {
+pub struct TargetGroup {
     pub name: String,
+    /// Its position among the groups of its service.
     at: usize,
+    /// Groups that its service has.
     of: usize,
 }
 
-impl Queue {
+impl TargetGroup {
     /// The group of a service with so many targets that a key belongs to, with
     /// about `size` targets in each.
     pub fn for_key(service: &str, targets: usize, size: usize, key: &str) -> Self {
         let of = targets.div_ceil(size).max(1);
         let at = (rendezvous::score(key, service) % of as u64) as usize;
-        Queue {
+        TargetGroup {
             name: format!("{service}/{at}.{of}"),
             at,
             of,
@@ -31,12 +37,12 @@
     pub fn parse(name: &str) -> Option<(&str, Self)> {
         let (service, place) = name.rsplit_once('/')?;
         let (at, of) = place.split_once('.')?;
-        let queue = Queue {
+        let group = TargetGroup {
             name: name.to_string(),
             at: at.parse().ok()?,
             of: of.parse().ok().filter(|of| *of > 0)?,
         };
-        Some((service, queue))
+        Some((service, group))
     }
 
     /// Its share of a service's targets, the same at every entry.
