--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -15,6 +15,7 @@
 }
 
 impl AnswerBody {
+    /// A body, and the connection that it came on, if that may be used again.
     pub(crate) fn new(incoming: Incoming, returning: Option<Returning>) -> Self {
         AnswerBody {
             incoming,
--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -91,6 +91,7 @@
 }
 
 impl Watched {
+    /// A socket whose bytes count as activity.
     pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
         Watched { stream, activity }
     }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -77,6 +77,7 @@
 }
 
 impl Link {
+    /// A link without a connection yet.
     pub fn new(cx: &Rc<Traffic>, peer: PeerRecord) -> Rc<Self> {
         let rules = PoolRules {
             dial_within: TAKEN_WITHIN,
--- a/crates/gateway/src/placement/placed.rs
+++ b/crates/gateway/src/placement/placed.rs
@@ -22,6 +22,7 @@
 }
 
 impl Placed {
+    /// One that was just placed.
     pub(super) fn new(account: Account) -> Self {
         Placed {
             account,
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -88,6 +88,7 @@
         requester.link.send(Message::Ended(requester.id, end));
     }
 
+    /// A peer waits for a piece no longer, as it is told how it ended.
     pub(super) fn forget_piece(&self, requester: &Requester) {
         let at = (requester.link.peer.id, requester.id);
         self.of_peers.borrow_mut().remove(&at);
