--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -57,7 +57,7 @@
     store: StoreState,
 }
 
-impl<R> TargetBook<R> {
+impl<R: PartialEq> TargetBook<R> {
     /// An empty book of a store that answers.
     pub fn new(timing: BookTiming) -> Self {
         TargetBook {
@@ -104,7 +104,7 @@
         } else {
             State::Recorded
         };
-        let changed = known.is_none_or(|known| known.state != state);
+        let changed = known.is_none_or(|known| known.state != state || known.record != record);
         let entry = Entry {
             record,
             revision,
--- a/crates/fleet/tests/suite/target_book.rs
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -24,6 +24,14 @@
     assert_eq!(book.reconcile(&[], 4, 10), ["b"]);
 }
 
+#[test]
+fn a_record_that_says_something_new_is_a_change() {
+    let mut book = book();
+    assert!(!book.put("a", 5, "a", false), "a renewal");
+    assert!(book.put("a", 6, "elsewhere", false));
+    assert_eq!(usable(&book), ["elsewhere", "b"]);
+}
+
 #[test]
 fn a_draining_target_never_comes_back() {
     let mut book = book();
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -37,12 +37,27 @@
 pub fn spawn(cx: &Rc<Traffic>, stream: TcpStream) {
     let cx = cx.clone();
     actix_rt::spawn(async move {
-        cx.connections.set(cx.connections.get() + 1);
+        let _counted = Counted::begin(&cx);
         serve(&cx, stream).await;
-        cx.connections.set(cx.connections.get() - 1);
     });
 }
 
+/// Counts a connection, however its task ends.
+struct Counted(Rc<Traffic>);
+
+impl Counted {
+    fn begin(cx: &Rc<Traffic>) -> Self {
+        cx.connections.set(cx.connections.get() + 1);
+        Counted(cx.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
 async fn serve(cx: &Rc<Traffic>, stream: TcpStream) {
     if let Err(err) = stream.set_nodelay(true) {
         log::debug!("a caller left at once: {err}");
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -160,6 +160,14 @@
         self.heard.set(Instant::now());
     }
 
+    /// True when nothing is awaited from the peer, and nothing is on its way.
+    pub fn is_idle(&self) -> bool {
+        self.awaited.borrow().is_empty()
+            && self.awaited_places.borrow().is_empty()
+            && self.outbox.borrow().is_empty()
+            && !self.is_sending.get()
+    }
+
     /// Ends the link; everything that waits is told.
     pub fn close(&self) {
         self.is_closed.set(true);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -52,15 +52,26 @@
 }
 
 impl Peers {
-    /// Takes the live entries of a new view.
-    pub fn take(&self, live: &[PeerRecord]) {
-        *self.live.borrow_mut() = live.to_vec();
+    /// Takes the live entries of a new view. An entry that left it may be about to
+    /// stop and still answer for what it was asked: its link goes once nothing is
+    /// awaited there, or when it doesn't answer. A new run at a host means that
+    /// the run before is dead.
+    pub fn take(&self, cx: &Rc<Traffic>, live: &[PeerRecord]) {
+        let before = std::mem::replace(&mut *self.live.borrow_mut(), live.to_vec());
+        let now = cx.clock.now();
+        self.suspects.borrow_mut().retain(|_, until| *until > now);
         let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
-        let mut links = self.links.borrow_mut();
-        let gone: Vec<PeerId> = links.keys().copied().filter(|id| !is_live(id)).collect();
-        let closed: Vec<Rc<Link>> = gone.iter().filter_map(|id| links.remove(id)).collect();
-        drop(links);
-        closed.iter().for_each(|link| link.close());
+        let is_over = |link: &Link| !is_live(&link.peer.id) && link.is_idle();
+        self.links.borrow_mut().retain(|_, link| !is_over(link));
+        for old in before {
+            let is_replaced = |new: &PeerRecord| new.host == old.host && new.id != old.id;
+            if live.iter().any(is_replaced) {
+                let link = self.links.borrow_mut().remove(&old.id);
+                link.into_iter().for_each(|link| link.close());
+                cx.pools.requester_lost(old.id);
+                cx.placements.requester_lost(cx, old.id);
+            }
+        }
     }
 
     /// Live entries, this one included; at least 1.
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -50,7 +50,8 @@
         let now = cx.clock.now();
         if now >= self.swept.get() + SWEEP_MS {
             self.swept.set(now);
-            self.desk.borrow_mut().sweep(now);
+            let ejected = self.desk.borrow_mut().sweep(now);
+            self.log_ejected(cx, &ejected);
         }
         let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.0);
         self.desk.borrow_mut().place(now, demand, affinity)
@@ -69,6 +70,10 @@
             PlacementStep::Failed => ended(PlacementEnd::Failed),
             PlacementStep::Left => ended(PlacementEnd::Left),
         };
+        self.log_ejected(cx, &ejected);
+    }
+
+    fn log_ejected(&self, cx: &Traffic, ejected: &[Incarnation]) {
         for engine in ejected {
             let fields = format_args!("desk={} target={} why=answers", self.name, engine.0);
             cx.log.line(events::TARGET_EJECTED, fields);
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -55,7 +55,10 @@
             stays
         });
         for target in targets {
-            if !workers.by_incarnation.contains_key(target.incarnation()) {
+            if let Some(key) = workers.worker(target.incarnation()) {
+                // Its record may say something new.
+                workers.targets.insert(key, target.clone());
+            } else {
                 let hall = workers.hall(&target.record.hall);
                 let key = queue.add_worker(hall);
                 workers
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -65,6 +65,8 @@
     let took = Duration::from_millis(cx.clock.now() - begun);
     tell_end(&cx, &batcher, &target, asked.len(), took, &result);
     let end = match &result {
+        // Nobody was asked: it says nothing of the worker.
+        Ok(_) if asked.is_empty() => CallEnd::Refused,
         Ok(_) => CallEnd::Answered,
         Err(CallError::Refused { .. }) => CallEnd::Refused,
         Err(_) => CallEnd::Failed,
@@ -72,7 +74,7 @@
     if end == CallEnd::Failed {
         batcher.keep_unknown(&started);
     }
-    if let Ok(results) = result {
+    if let (Ok(results), CallEnd::Answered) = (result, end) {
         hand_out(&cx, &batcher, &started, &target, &asked, results);
     }
     let left = batcher
@@ -118,18 +120,17 @@
 /// The pieces of a call that somebody still waits for; one may be given up
 /// between the choice and the call.
 fn pieces_of(batcher: &Batcher, started: &StartedCall) -> Vec<Asked> {
-    let mut queue = batcher.queue.borrow_mut();
-    let mut asked = Vec::with_capacity(started.pieces.len());
-    for piece in &started.pieces {
-        match queue.job(piece.key) {
-            Some(job) => asked.push(Asked {
-                started: *piece,
-                piece: job.piece.clone(),
-            }),
-            None => queue.free(started.worker, piece.result_bytes),
-        }
-    }
-    asked
+    let queue = batcher.queue.borrow();
+    let pieces = started.pieces.iter();
+    pieces
+        .filter_map(|started| {
+            let piece = queue.job(started.key)?.piece.clone();
+            Some(Asked {
+                started: *started,
+                piece,
+            })
+        })
+        .collect()
 }
 
 async fn exchange(target: &Rc<Target>, asked: &[Asked]) -> Result<Vec<PieceResult>, CallError> {
@@ -175,6 +176,12 @@
     asked: &[Asked],
     results: Vec<PieceResult>,
 ) {
+    for piece in &started.pieces {
+        if !asked.iter().any(|asked| asked.started.key == piece.key) {
+            let mut queue = batcher.queue.borrow_mut();
+            queue.free(started.worker, piece.result_bytes);
+        }
+    }
     for (asked, result) in asked.iter().zip(results) {
         let (key, bytes) = (asked.started.key, asked.started.result_bytes);
         match result {
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -67,9 +67,13 @@
                 return Ok(answered);
             }
             Err(failure) => {
-                if failure.progress != Progress::FinalRefusal {
-                    placed.into_iter().for_each(|mut placed| placed.failed());
-                }
+                placed
+                    .into_iter()
+                    .for_each(|mut placed| match failure.progress {
+                        // It did what it should: the engine isn't to blame.
+                        Progress::FinalRefusal => placed.whole(),
+                        _ => placed.failed(),
+                    });
                 retry::take_failure(cx, admitted, sends, &target, failure)?;
             }
         }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -58,6 +58,11 @@
                 arrived,
                 Err(&rejected.refusal),
             );
+            let (kind, status) = (
+                rejected.refusal.kind.answer().name,
+                rejected.refusal.status(),
+            );
+            metrics::count_request("none", kind, status.as_u16(), arrived.elapsed());
             return rejected.refusal.into_response(id);
         }
     };
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -52,16 +52,16 @@
         body,
         target,
         in_flight,
-        mut placed,
+        placed,
     } = answered;
-    if let Some(placed) = &mut placed {
-        match parts.status.is_server_error() {
-            true => placed.failed(),
-            false => placed.whole(),
-        }
-    }
     let read = tokio::time::timeout_at(admitted.until.into(), body.collect(MOST_WHOLE_BYTES)).await;
     drop(in_flight);
+    if let Some(mut placed) = placed {
+        match &read {
+            Ok(Ok(_)) if !parts.status.is_server_error() => placed.whole(),
+            _ => placed.failed(),
+        }
+    }
     let failure = |why: String| Failure::new(Progress::Broken, why);
     let failure = match read {
         Ok(Ok(Some(_))) if retry::may_ask_another(cx, admitted, sends, parts.status) => failure(
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -117,7 +117,7 @@
             return;
         }
         self.targets.borrow_mut().take(&newest);
-        self.peers.take(&newest.peers);
+        self.peers.take(self, &newest.peers);
         *self.view.borrow_mut() = newest;
         self.pools.take_targets(self);
         self.placements.take_targets(self);
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -9,7 +9,7 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{gateway, one_event, until_entries, Call};
+use crate::fixture::{eventually, gateway, one_event, until_entries, Call};
 
 fn deployment() -> DeploymentJson {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -143,3 +143,43 @@
         "{spread:?}"
     );
 }
+
+#[actix_rt::test]
+async fn a_call_under_way_at_a_gateway_that_leaves_counts() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &deployment().bytes());
+    let worker = TargetStandin::start(|seen| {
+        let work = Duration::from_millis(if seen.path == "/-/stage-run" { 300 } else { 0 });
+        vec![Step::Wait(work), Step::Write(results(seen, "maker"))]
+    })
+    .await;
+    let engine = TargetStandin::start(one_event).await;
+    store.put_target("i-worker", "encoders", worker.addr, "hall-a", "ready");
+    store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
+    let one = gateway(&store, "host-1", "hall-a").await;
+    let two = gateway(&store, "host-2", "hall-a").await;
+    until_entries("both are recorded", &store, 2).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let calls = [one.at.callers, two.at.callers]
+        .map(|at| actix_rt::spawn(async move { request(at.port().into()).send(at).await }));
+    let runs = || {
+        let seen = worker.seen();
+        seen.iter()
+            .filter(|seen| seen.path == "/-/stage-run")
+            .count()
+    };
+    eventually("a call is under way", || runs() > 0).await;
+    let before = runs();
+    // Whichever owns the queue leaves; the other asked it, or is asked anew.
+    let stopping = [actix_rt::spawn(one.stop()), actix_rt::spawn(two.stop())];
+    for call in calls {
+        assert!(call.await.expect("it is answered").is_whole);
+    }
+    assert!(
+        runs() <= before + 1,
+        "nothing that is under way is made again"
+    );
+    for stop in stopping {
+        stop.await.expect("it ends");
+    }
+}
--- a/crates/routing/src/desk.rs
+++ b/crates/routing/src/desk.rs
@@ -26,6 +26,8 @@
 /// Age at which a placement whose asker fell silent is forgotten, in
 /// milliseconds: longer than any generation may last.
 const FORGET_MS: Millis = 60_000;
+/// The same before its first event: no caller waits that long for one.
+const FORGET_UNREAD_MS: Millis = 12_000;
 /// What an engine needs before a first event besides reading, in milliseconds.
 const BASE_MS: f64 = 30.0;
 /// First guess of the time to read a token, in milliseconds; measured after.
@@ -68,7 +70,7 @@
 }
 
 /// An engine on the account.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct Engine {
     slots: u32,
     hall: String,
@@ -87,6 +89,8 @@
     unread_tokens: u64,
     /// Tokens that the engine had to read up to its first event.
     tokens_ahead: u64,
+    /// Others had read its part there before.
+    was_kept: bool,
     has_begun: bool,
 }
 
@@ -127,15 +131,9 @@
         self.engines
             .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         for engine in engines {
-            self.engines
-                .entry(engine.key.clone())
-                .or_insert_with(|| Engine {
-                    slots: engine.slots,
-                    hall: engine.hall.clone(),
-                    running: 0,
-                    unread_tokens: 0,
-                    health: TargetHealth::default(),
-                });
+            let state = self.engines.entry(engine.key.clone()).or_default();
+            state.slots = engine.slots;
+            state.hall.clone_from(&engine.hall);
         }
         self.order = self.engines.keys().cloned().collect();
         self.order.sort();
@@ -205,13 +203,14 @@
         state.unread_tokens += to_read;
         let tokens_ahead = state.unread_tokens;
         let kept = self.kept.entry(demand.part.clone()).or_default();
-        kept.insert(engine.clone(), now);
+        let was_kept = kept.insert(engine.clone(), now).is_some();
         self.placements.insert(Placement {
             engine,
             part: demand.part.clone(),
             placed: now,
             unread_tokens: to_read,
             tokens_ahead,
+            was_kept,
             has_begun: false,
         })
     }
@@ -264,7 +263,7 @@
             }
             PlacementEnd::Left | PlacementEnd::Whole => {}
         }
-        if !placement.has_begun {
+        if !placement.has_begun && !placement.was_kept {
             // It may never have read the part.
             if let Some(kept) = self.kept.get_mut(&placement.part) {
                 kept.remove(&placement.engine);
@@ -296,20 +295,31 @@
         self.placements.is_empty() && self.engines.values().all(is_idle)
     }
 
-    /// Forgets placements whose askers fell silent, and parts long unused.
-    pub fn sweep(&mut self, now: Millis) {
+    /// Forgets placements whose askers fell silent, and parts long unused. Returns
+    /// engines that are put out.
+    pub fn sweep(&mut self, now: Millis) -> Vec<K> {
+        let is_silent = |placement: &Placement<K>| {
+            let longest = if placement.has_begun {
+                FORGET_MS
+            } else {
+                FORGET_UNREAD_MS
+            };
+            placement.placed + longest <= now
+        };
         let silent: Vec<PlacementKey> = self
             .placements
             .iter()
-            .filter(|(_, placement)| placement.placed + FORGET_MS <= now)
+            .filter(|(_, placement)| is_silent(placement))
             .map(|(key, _)| key)
             .collect();
+        let mut ejected = Vec::new();
         for key in silent {
-            self.ended(key, PlacementEnd::Whole, now);
+            ejected.extend(self.ended(key, PlacementEnd::Whole, now));
         }
         self.kept.retain(|_, kept| {
             kept.retain(|_, used| now < *used + KEPT_MS);
             !kept.is_empty()
         });
+        ejected
     }
 }
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -138,6 +138,32 @@
     assert_eq!(out, ["c"]);
 }
 
+#[test]
+fn a_kept_part_is_not_forgotten_for_one_that_gave_up() {
+    let mut desk = desk(&["a", "b", "c"]);
+    let not_c = Demand {
+        avoid: vec!["c"],
+        ..demand("p")
+    };
+    let (key, engine) = desk.place(0, &not_c, order).expect("there is one");
+    assert_eq!(engine, "b");
+    desk.prompt_read(key, 200);
+    desk.ended(key, PlacementEnd::Whole, 900);
+    let (key, engine) = place(&mut desk, 1_000, "p");
+    assert_eq!(engine, "b", "it keeps the part");
+    desk.ended(key, PlacementEnd::Left, 1_001);
+    assert_eq!(place(&mut desk, 1_100, "p").1, "b", "it still does");
+}
+
+#[test]
+fn what_an_asker_that_died_had_unread_is_forgotten_soon() {
+    let mut desk = desk(&["c"]);
+    place(&mut desk, 0, "p");
+    assert!(!desk.is_idle());
+    desk.sweep(15_000);
+    assert!(desk.is_idle());
+}
+
 #[test]
 fn never_more_than_half_are_out() {
     let mut desk = desk(&["a", "b", "c", "d"]);
