Write once what stood twice in the gateway, and copy records only for who asks

Behaviour is unchanged but for two warnings: the readiness and metrics listeners now log a failed accept, which they swallowed. - One accept loop serves the readiness, metrics and peers' listeners. - One function writes the line and counts the metric of a request's end; its kind and status were worked out twice. - The group that a piece or a generation belongs to needs the number of a service's targets, not a copy of their list. - Every new view copied all targets' records for peers that might ask; they are copied when one does.

--- a/crates/gateway/src/callers/listen.rs
+++ b/crates/gateway/src/callers/listen.rs
@@ -4,13 +4,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use super::connection;
 use crate::traffic::Traffic;
 
 /// Pause after an accept failed, as it does when descriptors run out.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Connections that wait to be accepted; a dropped opening packet is sent again
 /// only after seconds.
 const BACKLOG: u32 = 1_024;
@@ -47,3 +47,17 @@
         }
     }
 }
+
+/// Hands each connection on until the thread ends. A failed accept, as when
+/// descriptors run out, is tried again after a pause.
+pub async fn accept_each(listener: TcpListener, what: &str, mut take: impl FnMut(TcpStream)) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => take(stream),
+            Err(err) => {
+                log::warn!("cannot accept {what}: {err}; trying again");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -29,8 +29,8 @@
 use crate::clock::Clock;
 use crate::log::Log;
 use crate::metrics;
-use crate::peers::{PeerRecord, RecordAt, RecordsAt};
-use crate::view::{Published, View};
+use crate::peers::PeerRecord;
+use crate::view::{KnownRecords, Published, View};
 
 /// How long after the store's return a record may still come back, in
 /// milliseconds: about two seconds by the operators' word, and some for a
@@ -130,19 +130,15 @@
     }
 
     /// What peers may take over; nothing while the store is away here.
-    fn records_for_peers(&self) -> Option<Arc<RecordsAt>> {
+    fn records_for_peers(&self) -> Option<KnownRecords> {
         let book = self.book.borrow();
-        if book.is_store_away() {
-            return None;
-        }
-        let records = book.all().map(|(revision, record)| RecordAt {
-            revision,
-            record: TargetRecord::clone(record),
-        });
-        Some(Arc::new(RecordsAt {
+        let records = book
+            .all()
+            .map(|(revision, record)| (revision, record.clone()));
+        (!book.is_store_away()).then(|| KnownRecords {
             revision: self.records_revision.get(),
             records: records.collect(),
-        }))
+        })
     }
 
     /// A call to the store gave no useful answer.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,7 @@
 use metrics::{counter, histogram};
 use tokio::net::TcpListener;
 
-use crate::callers::listen::{bind, ACCEPT_PAUSE};
+use crate::callers::listen::{accept_each, bind};
 
 /// Serves scrapes until the thread ends. Requests go on without metrics when the
 /// address is taken; the log says so.
@@ -36,11 +36,7 @@
 }
 
 async fn accept(listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept_each(listener, "a scrape", |stream| {
         let service = service_fn(|req| async move { Ok::<_, Infallible>(answer(&req)) });
         let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
         actix_rt::spawn(async move {
@@ -48,7 +44,8 @@
                 log::debug!("a scrape's connection broke: {err}");
             }
         });
-    }
+    })
+    .await;
 }
 
 fn answer(req: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -15,9 +15,10 @@
 
 use super::messages::{Envelope, Message, PATH};
 use super::record::PeerRecord;
-use super::state::{StateAnswer, StateAsk, STATE_PATH};
-use crate::callers::listen::ACCEPT_PAUSE;
+use super::state::{RecordsAt, StateAnswer, StateAsk, STATE_PATH};
+use crate::callers::listen::accept_each;
 use crate::traffic::Traffic;
+use crate::view::KnownRecords;
 
 /// Longest message, in bytes.
 const MOST_MESSAGE_BYTES: usize = 4 << 20;
@@ -28,17 +29,10 @@
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve(cx.clone(), stream));
-            }
-            Err(err) => {
-                log::warn!("cannot accept a peer: {err}; trying again");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, "a peer", |stream| {
+        actix_rt::spawn(serve(cx.clone(), stream));
+    })
+    .await;
 }
 
 async fn serve(cx: Rc<Traffic>, stream: TcpStream) {
@@ -116,13 +110,11 @@
         .source
         .as_deref()
         .filter(|_| version > ask.configuration);
-    let records = view
-        .records
-        .as_deref()
-        .filter(|at| at.revision > ask.records);
+    let newer = |known: &&KnownRecords| known.revision > ask.records;
+    let records = view.records.as_ref().filter(newer);
     let answer = StateAnswer {
         configuration: source.map(<[u8]>::to_vec),
-        records: records.cloned(),
+        records: records.map(RecordsAt::from),
         peers: view.peers.clone(),
     };
     Ok(rmp_serde::to_vec(&answer)
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::record::PeerRecord;
+use crate::view::KnownRecords;
 
 /// Path that takes a [`StateAsk`] and answers with a [`StateAnswer`].
 pub const STATE_PATH: &str = "/hollowsail/state";
@@ -46,3 +47,16 @@
     pub revision: u64,
     pub record: TargetRecord,
 }
+
+impl From<&KnownRecords> for RecordsAt {
+    fn from(known: &KnownRecords) -> Self {
+        let records = known.records.iter().map(|(revision, record)| RecordAt {
+            revision: *revision,
+            record: TargetRecord::clone(record),
+        });
+        RecordsAt {
+            revision: known.revision,
+            records: records.collect(),
+        }
+    }
+}
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -54,7 +54,7 @@
         service: &str,
         demand: Demand<Incarnation>,
     ) -> Option<(Incarnation, Placed)> {
-        let targets = cx.targets_named(service).len();
+        let targets = cx.target_count(service);
         let group = TargetGroup::for_key(service, targets, GROUP_ENGINES, &demand.part);
         match cx.peers.owner_of(cx, &group.name) {
             Owner::Me => {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -71,7 +71,7 @@
 /// The group of workers whose queue a request's pieces of a service go to; the
 /// group's name is the queue's.
 fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> TargetGroup {
-    let targets = cx.targets_named(service).len();
+    let targets = cx.target_count(service);
     TargetGroup::for_key(service, targets, QUEUE_TARGETS, request_id)
 }
 
--- a/crates/gateway/src/readiness.rs
+++ b/crates/gateway/src/readiness.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 
-use crate::callers::listen::ACCEPT_PAUSE;
+use crate::callers::listen::accept_each;
 use crate::traffic::Traffic;
 
 /// Answers until the thread ends.
@@ -22,11 +22,7 @@
 }
 
 async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
+    accept_each(listener, "the balancer", |stream| {
         let cx = cx.clone();
         let service = service_fn(move |req| {
             let response = answer(&cx, &req);
@@ -38,7 +34,8 @@
                 log::debug!("a readiness connection broke: {err}");
             }
         });
-    }
+    })
+    .await;
 }
 
 fn answer(cx: &Rc<Traffic>, req: &Request<Incoming>) -> Response<Full<Bytes>> {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -50,35 +50,33 @@
         Ok(admitted) => Rc::new(admitted),
         Err(rejected) => {
             let id = rejected.request_id.as_deref();
-            log_end(
-                &cx,
-                id.unwrap_or("none"),
-                "none",
-                &trace,
-                arrived,
-                Err(&rejected.refusal),
-            );
-            let (kind, status) = (
-                rejected.refusal.kind.answer().name,
-                rejected.refusal.status(),
-            );
-            metrics::count_request("none", kind, status.as_u16(), arrived.elapsed());
+            let whose = Whose {
+                request_id: id.unwrap_or("none"),
+                route: "none",
+                service: "none",
+            };
+            tell_end(&cx, &whose, &trace, arrived, Err(&rejected.refusal));
             return rejected.refusal.into_response(id);
         }
     };
     let mut waiting = Waiting::new(&cx, &admitted);
     let answered = answer(&cx, &admitted, &mut trace, &mut waiting).await;
     waiting.ended();
-    let id = &admitted.caller.request_id;
-    let outcome = answered.as_ref().map(|response| response.status());
-    log_end(&cx, id, &admitted.route().name, &trace, arrived, outcome);
-    let (kind, status) = match outcome {
-        Ok(status) => ("none", status),
-        Err(refusal) => (refusal.kind.answer().name, refusal.status()),
+    let whose = Whose {
+        request_id: &admitted.caller.request_id,
+        route: &admitted.route().name,
+        service: admitted.service_name(),
     };
-    let took = arrived.elapsed();
-    metrics::count_request(admitted.service_name(), kind, status.as_u16(), took);
-    answered.unwrap_or_else(|refusal| refusal.into_response(Some(id)))
+    let outcome = answered.as_ref().map(|response| response.status());
+    tell_end(&cx, &whose, &trace, arrived, outcome);
+    answered.unwrap_or_else(|refusal| refusal.into_response(Some(whose.request_id)))
+}
+
+/// Names of a request for its log line and metric; "none" where not known.
+struct Whose<'a> {
+    request_id: &'a str,
+    route: &'a str,
+    service: &'a str,
 }
 
 /// A request whose answer hasn't begun. Dropped before it ended, its caller has
@@ -150,10 +148,10 @@
     }
 }
 
-fn log_end(
+/// Writes the log line and counts the metric of a request that was answered.
+fn tell_end(
     cx: &Traffic,
-    request_id: &str,
-    route: &str,
+    whose: &Whose<'_>,
     trace: &Trace,
     arrived: Instant,
     outcome: Result<http::StatusCode, &Refusal>,
@@ -166,17 +164,21 @@
             refusal.detail.as_str(),
         ),
     };
+    let took = arrived.elapsed();
     cx.log.line(
         catalogue::REQUEST_ENDED,
         format_args!(
-            "request={request_id} route={route} status={} kind={kind} why=\"{why}\" \
+            "request={} route={} status={} kind={kind} why=\"{why}\" \
              attempts={} target={} stages_ms={} ms={} view={}",
+            whose.request_id,
+            whose.route,
             status.as_u16(),
             trace.attempts,
             trace.last_target,
             trace.stages_ms,
-            arrived.elapsed().as_millis(),
+            took.as_millis(),
             cx.view_number(),
         ),
     );
+    metrics::count_request(whose.service, kind, status.as_u16(), took);
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -159,10 +159,22 @@
 
     /// Usable targets of the service of that name.
     pub fn targets_named(&self, service: &str) -> Vec<Rc<Target>> {
-        let key = self
-            .deployment_in_use()
-            .and_then(|deployment| deployment.service_named(service));
-        key.map_or(Vec::new(), |key| self.targets.borrow().of(key).to_vec())
+        self.with_targets(service, <[Rc<Target>]>::to_vec)
+    }
+
+    /// How many usable targets the service of that name has.
+    pub fn target_count(&self, service: &str) -> usize {
+        self.with_targets(service, <[Rc<Target>]>::len)
+    }
+
+    fn with_targets<T>(&self, service: &str, look: impl FnOnce(&[Rc<Target>]) -> T) -> T {
+        let view = self.view.borrow();
+        let deployment = view.deployment.as_ref();
+        let key = deployment.and_then(|deployment| deployment.service_named(service));
+        match key {
+            Some(key) => look(self.targets.borrow().of(key)),
+            None => look(&[]),
+        }
     }
 
     /// Number of the view in use, for log lines.
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,10 +4,11 @@
 
 use arc_swap::ArcSwap;
 use hollowsail_platform::deployment::Deployment;
+use hollowsail_platform::store::Revision;
 use hollowsail_platform::targets::TargetRecord;
 use tokio::sync::Notify;
 
-use crate::peers::{PeerRecord, RecordsAt};
+use crate::peers::PeerRecord;
 
 /// The configuration in force, the targets that may get new work, the peers.
 #[derive(Debug, Default)]
@@ -20,11 +21,19 @@
     pub source: Option<Arc<[u8]>>,
     pub targets: Vec<Arc<TargetRecord>>,
     /// All records, for the same peers; absent while the store is away here.
-    pub records: Option<Arc<RecordsAt>>,
+    pub records: Option<KnownRecords>,
     /// Live entries, this one included once it is known to the store.
     pub peers: Vec<PeerRecord>,
 }
 
+/// All targets' records as of a revision of the store.
+#[derive(Debug)]
+pub struct KnownRecords {
+    pub revision: Revision,
+    /// Each with the revision of its last change.
+    pub records: Vec<(Revision, Arc<TargetRecord>)>,
+}
+
 /// Where control puts views and traffic finds them.
 #[derive(Debug, Default)]
 pub struct Published {
