Open the import circles of the entry's modules

Cause: request, stage task, caller's body, sender and fact types stood in the modules that work on them, so these imported each other; the shared context held the control thread's address, which made every module reach every other. Change: types have modules of their own (job, task, body, sender, fact, holdings, open_record); the control thread's address lies in Worker, and the context keeps only where facts go.

--- a/crates/bench/src/decision.rs
+++ b/crates/bench/src/decision.rs
@@ -8,9 +8,9 @@
 use hollowsail_config::key::hash_key;
 use hollowsail_config::{PipelineKey, SourceFile};
 use hollowsail_entry::admission;
-use hollowsail_entry::attempt::StageTask;
-use hollowsail_entry::pipeline::Job;
+use hollowsail_entry::job::Job;
 use hollowsail_entry::routes::{self, Found};
+use hollowsail_entry::task::StageTask;
 use hollowsail_entry::worker::Worker;
 use hollowsail_local::{LocalFleet, LocalOptions};
 use hollowsail_routing::StagePlan;
@@ -45,7 +45,8 @@
     let fleet = LocalFleet::start(&files, options)
         .await
         .context(StartSnafu)?;
-    let worker = Worker::new(fleet.entry(0).entry.clone());
+    let running = fleet.entry(0);
+    let worker = Worker::new(running.entry.clone(), running.control.clone());
     let configuration = worker.entry.configuration().expect("it is in force");
     let last_org = format!("o{}", organisations - 1);
     let job = Job {
--- a/crates/entry/src/admission.rs
+++ b/crates/entry/src/admission.rs
@@ -1,77 +1,14 @@
 //! Judging a request before its first stage, from the snapshot and from what
 //! this entry has in flight for each organisation.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
-
 use hollowsail_config::{Deployment, OrganisationKey, PipelineKey, Service};
-use hollowsail_routing::{admit, Holding, Rank, ServiceLoad, StageDemand, Verdict};
+use hollowsail_routing::{admit, Rank, ServiceLoad, StageDemand, Verdict};
 
+use crate::holdings::Admitted;
 use crate::kinds::ErrorKind;
 use crate::view::View;
 use crate::worker::Worker;
 
-/// Requests in flight at this entry, by organisation.
-#[derive(Debug, Default)]
-pub struct Holdings(Mutex<HashMap<String, Held>>);
-
-#[derive(Debug, Clone, Copy)]
-struct Held {
-    count: u32,
-    weight: u32,
-}
-
-/// One admitted request; its organisation holds it until this is dropped.
-#[derive(Debug)]
-pub struct Admitted {
-    holdings: Arc<Holdings>,
-    org: String,
-    /// Its organisation held more than its share: it waits behind the others.
-    pub over_share: bool,
-}
-
-impl Drop for Admitted {
-    fn drop(&mut self) {
-        let mut all = self.holdings.0.lock().expect("no panic while held");
-        if let Some(held) = all.get_mut(&self.org) {
-            held.count -= 1;
-            if held.count == 0 {
-                all.remove(&self.org);
-            }
-        }
-    }
-}
-
-impl Holdings {
-    fn of(&self, org: &str, weight: u32) -> Holding {
-        let all = self.0.lock().expect("no panic while held");
-        let others: u32 = all
-            .iter()
-            .filter(|(name, _)| *name != org)
-            .map(|(_, held)| held.weight)
-            .sum();
-        Holding {
-            own: all.get(org).map_or(0, |held| held.count),
-            all: all.values().map(|held| held.count).sum(),
-            share: f64::from(weight) / f64::from(weight + others),
-        }
-    }
-
-    fn take(self: &Arc<Self>, org: &str, weight: u32, over_share: bool) -> Admitted {
-        let mut all = self.0.lock().expect("no panic while held");
-        let held = all
-            .entry(org.to_string())
-            .or_insert(Held { count: 0, weight });
-        held.count += 1;
-        held.weight = weight;
-        Admitted {
-            holdings: self.clone(),
-            org: org.into(),
-            over_share,
-        }
-    }
-}
-
 /// Admits a request, or says why not.
 pub fn judge(
     worker: &Worker,
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -106,7 +106,7 @@
     let built = actix_web::web::block(move || Configuration::build(head, chunks)).await;
     if let Ok(Ok(configuration)) = built {
         let adopt = Adopt(Arc::new(configuration));
-        let _ = worker.entry.control().send(adopt).await;
+        let _ = worker.control.send(adopt).await;
     }
     let missing = wait_in_force(worker, revision, request.wait_ms.min(MAX_WAIT_MS)).await;
     ApplyResult::Accepted { revision, missing }
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -8,54 +8,28 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_clients::target::{CallError, Sent, TargetNotice};
-use hollowsail_config::Stage;
 use hollowsail_routing::{
-    attempt_status, may_try_again, Observation, Progress, RetryBudget, StagePlan, StageStatus,
+    attempt_status, may_try_again, Observation, Progress, RetryBudget, StageStatus,
 };
 use serde_json::Value;
 
-use crate::control::Fact;
 use crate::dispatch::{self, Dispatched, Partial};
 use crate::events;
+use crate::fact::Fact;
 use crate::kinds::ErrorKind;
 use crate::metrics;
-use crate::pipeline::{Job, Sink};
 use crate::routes::{self, Found, Route};
-use crate::worker::Worker;
+use crate::task::{Failure, StageTask};
 
 /// Most attempts at one stage.
 const MAX_ATTEMPTS: usize = 3;
 
-/// One stage of one request, ready to run.
-pub struct StageTask<'a> {
-    pub worker: &'a Worker,
-    pub job: &'a Job,
-    /// Position in the pipeline.
-    pub at: usize,
-    pub stage: &'a Stage,
-    pub plan: StagePlan,
-    /// The organisation held more than its share: it waits behind the others.
-    pub over_share: bool,
-    pub sink: Option<&'a Sink>,
-}
-
-impl StageTask<'_> {
-    /// Name of the stage's service, which keys of other revisions are found by.
-    pub fn service_name(&self) -> &str {
-        let deployment = &self.job.configuration.deployment;
-        &deployment.service(self.stage.service).name
-    }
-}
-
 /// What happened in one stage.
 #[derive(Debug, Default)]
 pub struct StageRun {
     pub attempts: Vec<Progress>,
 }
 
-/// Why a stage has no output.
-pub type Failure = (ErrorKind, String);
-
 /// Runs attempts at a stage until one answers or none may follow.
 pub async fn run_attempts(
     task: &StageTask<'_>,
--- a/crates/entry/src/callers.rs
+++ b/crates/entry/src/callers.rs
@@ -7,58 +7,25 @@
 //! read, checked, and run.
 
 use actix_web::{web, HttpRequest, HttpResponse};
-use futures_util::StreamExt;
-use hollowsail_fleet::{Member, Standing};
-use serde::Deserialize;
-use serde_json::Value;
-use tokio::time::timeout;
+use hollowsail_fleet::Standing;
 
-use crate::answer::{AnswerBody, Refusal};
+use crate::answer::AnswerBody;
+use crate::body::{read_job, SharedBody};
 use crate::headers;
+use crate::job::Job;
 use crate::judge::{
     judge, no_permitted_entry, permitted_entries, serves_here, true_refusal, Judged,
 };
 use crate::kinds::ErrorKind;
 use crate::permit;
-use crate::pipeline::{self, Job};
-use crate::relay::{self, Relay, RelayError, SharedBody};
+use crate::pipeline;
+use crate::relay::{pass_on, relay_broken, RelayError};
+use crate::sender::Sender;
 use crate::streaming;
 use crate::tickets;
 use crate::view::InFlight;
 use crate::worker::Worker;
 
-/// Body of a pipeline request.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct RequestBody {
-    input: Value,
-    session: Option<String>,
-}
-
-/// How a request came to this entry.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Sender {
-    /// Times it was passed on; 0 when it came from its caller.
-    pub hops: u8,
-}
-
-/// Twice: to a permitted hall, and there to the owner of a ticket or id.
-const MAX_HOPS: u8 = 2;
-
-impl Sender {
-    pub const CALLER: Sender = Sender { hops: 0 };
-
-    pub fn is_peer(self) -> bool {
-        self.hops > 0
-    }
-
-    /// True while it may be passed on; the bound keeps views that differ from
-    /// making a loop.
-    pub fn may_pass_on(self) -> bool {
-        self.hops < MAX_HOPS
-    }
-}
-
 /// Routes of the callers' listener.
 pub fn routes(cfg: &mut web::ServiceConfig) {
     cfg.route("/v1/pipelines/{name}", web::post().to(from_caller))
@@ -169,81 +136,3 @@
     }
     true_refusal(req.headers(), no_permitted_entry(judged)).into_response()
 }
-
-/// The other entry may be running the request: nothing is known of it.
-pub fn relay_broken(request: &str, reason: &str) -> HttpResponse {
-    let message = format!("the entry that has the request did not answer: {reason}");
-    AnswerBody::unknown(request, ErrorKind::RelayFailed, message).into_response()
-}
-
-/// Passes a request on under the peers' path.
-pub async fn pass_on(
-    worker: &Worker,
-    req: &HttpRequest,
-    judged: &Judged,
-    body: SharedBody,
-    member: &Member,
-    sender: Sender,
-    claim_owner: bool,
-) -> Result<HttpResponse, RelayError> {
-    let path = format!("/peer{}", req.path().trim_start_matches("/peer"));
-    let relay = Relay {
-        path: &path,
-        request: &judged.request,
-        headers: req.headers(),
-        body,
-        remaining: judged.remaining(),
-        hops: sender.hops + 1,
-        claim_owner,
-    };
-    relay::relay(worker, member, &relay).await
-}
-
-/// Reads and checks the body; returns the job and the raw bytes.
-pub async fn read_job(
-    worker: &Worker,
-    judged: &Judged,
-    body: SharedBody,
-) -> Result<(Job, Vec<u8>), Refusal> {
-    let refuse = |kind, message: String| AnswerBody::refusal(&judged.request, kind, message);
-    let limit = worker.entry.settings.limits.max_body_bytes;
-    let bytes = timeout(judged.remaining(), read_body(body, limit))
-        .await
-        .unwrap_or_else(|_| {
-            let message = "the body did not come in time".to_string();
-            Err((ErrorKind::DeadlineExceeded, message))
-        })
-        .map_err(|(kind, message)| refuse(kind, message))?;
-    let parsed: RequestBody = serde_json::from_slice(&bytes).map_err(|err| {
-        let message = format!("the body is not a valid request: {err}");
-        refuse(ErrorKind::BadRequest, message)
-    })?;
-    let job = Job {
-        request: judged.request.clone(),
-        run: worker.entry.new_run_id(),
-        org: judged.org_name().to_string(),
-        configuration: judged.configuration.clone(),
-        pipeline: judged.pipeline,
-        accepted: judged.accepted,
-        deadline: judged.deadline,
-        session: parsed.session,
-        input: parsed.input,
-    };
-    Ok((job, bytes))
-}
-
-async fn read_body(mut body: SharedBody, limit: usize) -> Result<Vec<u8>, (ErrorKind, String)> {
-    let mut bytes = Vec::new();
-    while let Some(piece) = body.next().await {
-        let piece = piece.map_err(|err| {
-            let message = format!("the body broke off: {err}");
-            (ErrorKind::BadRequest, message)
-        })?;
-        if bytes.len() + piece.len() > limit {
-            let message = format!("the body has more than {limit} bytes");
-            return Err((ErrorKind::BodyTooLarge, message));
-        }
-        bytes.extend_from_slice(&piece);
-    }
-    Ok(bytes)
-}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,19 +1,19 @@
 //! The one context that is passed down: what all threads of an entry share.
 
 use std::sync::atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::Instant;
 
-use actix::Addr;
+use actix::Recipient;
 use arc_swap::ArcSwap;
 use hollowsail_config::Settings;
 use hollowsail_fleet::{Incarnation, Millis};
 use hollowsail_routing::{Rank, Switches};
 
-use crate::admission::Holdings;
 use crate::configuration::Configuration;
-use crate::control::{Control, Fact};
 use crate::events::{self, Event};
+use crate::fact::Fact;
+use crate::holdings::Holdings;
 use crate::metrics;
 use crate::once::OnceBook;
 use crate::view::View;
@@ -33,7 +33,8 @@
     /// What each organisation has in flight here.
     pub holdings: Arc<Holdings>,
     next_run: AtomicU64,
-    control: Mutex<Option<Addr<Control>>>,
+    /// Where facts go; the control thread starts after this is made.
+    facts: OnceLock<Recipient<Fact>>,
 }
 
 impl Entry {
@@ -55,7 +56,7 @@
             in_flight: Arc::default(),
             holdings: Arc::default(),
             next_run: AtomicU64::new(1),
-            control: Mutex::new(None),
+            facts: OnceLock::new(),
         }
     }
 
@@ -106,23 +107,16 @@
         self.turn.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// Connects traffic to the control thread.
-    pub fn set_control(&self, control: Addr<Control>) {
-        *self.control.lock().expect("no panic while held") = Some(control);
-    }
-
-    /// Address of the control thread.
-    pub fn control(&self) -> Addr<Control> {
-        self.control
-            .lock()
-            .expect("no panic while held")
-            .clone()
-            .expect("set before any listener is open")
+    /// Connects traffic to the control thread; done once, before any listener
+    /// is open.
+    pub fn set_facts(&self, facts: Recipient<Fact>) {
+        assert!(self.facts.set(facts).is_ok(), "set twice");
     }
 
     /// Tells the control thread a fact; dropped and counted when it is behind.
     pub fn tell(&self, fact: Fact) {
-        if self.control().try_send(fact).is_err() {
+        let facts = self.facts.get().expect("set before any listener is open");
+        if facts.try_send(fact).is_err() {
             metrics::count_dropped_fact(&self.settings.name);
         }
     }
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -8,8 +8,6 @@
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex};
 
-use actix::Message;
-use hollowsail_clients::target::TargetNotice;
 use hollowsail_config::{Deployment, PipelineKey, TargetKey};
 use hollowsail_fleet::HostView;
 use hollowsail_routing::health::eject_worst;
@@ -20,6 +18,7 @@
 use crate::configuration::Configuration;
 use crate::control::Control;
 use crate::events;
+use crate::fact::Fact;
 use crate::gate::Gate;
 use crate::view::{ServiceView, TargetView};
 
@@ -32,19 +31,6 @@
 /// Until measured, "slow" is this multiple of the expected time.
 const UNMEASURED_SLOW: u64 = 4;
 
-/// One attempt's end, told by a traffic thread.
-#[derive(Debug, Clone, Message)]
-#[rtype(result = "()")]
-pub struct Fact {
-    /// Revision that the keys belong to.
-    pub revision: u64,
-    pub target: TargetKey,
-    pub pipeline: PipelineKey,
-    pub stage: usize,
-    pub observation: Observation,
-    pub notice: TargetNotice,
-}
-
 /// One target's state across revisions.
 #[derive(Debug, Clone, Default)]
 struct TargetState {
--- a/crates/entry/src/control/messages.rs
+++ b/crates/entry/src/control/messages.rs
@@ -7,8 +7,9 @@
 use serde::{Deserialize, Serialize};
 
 use crate::configuration::Configuration;
-use crate::control::{Control, Fact};
+use crate::control::Control;
 use crate::events;
+use crate::fact::Fact;
 
 /// A peer's half of an exchange; answered with ours.
 #[derive(Message)]
--- a/crates/entry/src/control/mod.rs
+++ b/crates/entry/src/control/mod.rs
@@ -30,7 +30,6 @@
 use crate::metrics;
 use crate::view::View;
 
-pub use health::Fact;
 pub use messages::{Adopt, BeginStop, Drain, Incoming, LeaveFor, Status, StatusReport};
 
 /// Messages that may wait for the control thread.
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -8,9 +8,9 @@
 use serde_json::{json, Value};
 use tokio::time::timeout;
 
-use crate::attempt::StageTask;
-use crate::pipeline::{Progress, Sink};
+use crate::job::{Progress, Sink};
 use crate::routes::Route;
+use crate::task::StageTask;
 
 /// Tokens that a broken stream delivered, and where it can go on.
 #[derive(Default)]
--- /dev/null
+++ b/crates/entry/src/fact.rs
@@ -0,0 +1,19 @@
+//! What traffic tells the control thread.
+
+use actix::Message;
+use hollowsail_clients::target::TargetNotice;
+use hollowsail_config::{PipelineKey, TargetKey};
+use hollowsail_routing::Observation;
+
+/// One attempt's end, told by a traffic thread.
+#[derive(Debug, Clone, Message)]
+#[rtype(result = "()")]
+pub struct Fact {
+    /// Revision that the keys belong to.
+    pub revision: u64,
+    pub target: TargetKey,
+    pub pipeline: PipelineKey,
+    pub stage: usize,
+    pub observation: Observation,
+    pub notice: TargetNotice,
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,9 +1,10 @@
 //! The entry: the process between callers and targets.
 //!
 //! Requests come in at [`callers`] (or from another entry at [`peers`]), are
-//! judged from their headers by [`judge`], and run stage by stage in [`pipeline`],
-//! [`attempt`], [`routes`] and [`dispatch`]; those that must not be repeated pass through [`permit`] and
-//! the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
+//! judged from their headers by [`judge`], and run stage by stage: [`pipeline`]
+//! takes a [`job`] apart into a [`task`] for each stage, [`attempt`] tries it,
+//! [`routes`] finds a target and [`dispatch`] calls it. Those that must not be
+//! repeated pass through [`permit`] and the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
 //! that traffic reads. [`server::start`] puts it all together.
 
 pub mod admission;
@@ -11,27 +12,34 @@
 pub mod apply;
 pub mod attempt;
 pub mod auth;
+pub mod body;
 pub mod callers;
 pub mod configuration;
 pub mod context;
 pub mod control;
 pub mod dispatch;
+pub mod fact;
 pub use hollowsail_observe::events;
 pub mod gate;
 pub mod headers;
+pub mod holdings;
+pub mod job;
 pub mod judge;
 pub use hollowsail_observe::kinds;
 pub mod metrics;
 pub mod once;
+pub mod open_record;
 pub mod operators;
 pub mod peers;
 pub mod permit;
 pub mod pipeline;
 pub mod relay;
 pub mod routes;
+pub mod sender;
 pub mod server;
 pub mod stop;
 pub mod streaming;
+pub mod task;
 pub mod tickets;
 pub mod tls;
 pub mod view;
--- a/crates/entry/src/once.rs
+++ b/crates/entry/src/once.rs
@@ -5,7 +5,6 @@
 //! is never held across an await.
 
 use std::collections::HashMap;
-use std::sync::Arc;
 
 use hollowsail_clients::{Expect, StoreClient, StoreError, StoreReply};
 use hollowsail_config::settings::Limits;
@@ -16,7 +15,6 @@
 use tokio::sync::oneshot;
 
 use crate::answer::{AnswerBody, Refusal};
-use crate::context::Entry;
 use crate::kinds::ErrorKind;
 
 /// A kept answer: the caller's JSON body.
@@ -150,47 +148,6 @@
     }
 }
 
-/// Closes its record as unknown when the run ends without an answer, as in a
-/// panic: an open record would make its ticket wait for ever.
-pub struct OpenRecord {
-    entry: Arc<Entry>,
-    id: RecordId,
-    request: String,
-    closed: bool,
-}
-
-impl OpenRecord {
-    pub fn new(entry: Arc<Entry>, id: RecordId, request: &str) -> Self {
-        OpenRecord {
-            entry,
-            id,
-            request: request.into(),
-            closed: false,
-        }
-    }
-
-    /// Closes the record with its answer.
-    pub fn close(mut self, answer: KeptAnswer) {
-        self.finish(answer);
-    }
-
-    fn finish(&mut self, answer: KeptAnswer) {
-        self.closed = true;
-        let mut once = self.entry.once.lock().expect("no panic while held");
-        once.close(self.id, answer);
-    }
-}
-
-impl Drop for OpenRecord {
-    fn drop(&mut self) {
-        if !self.closed {
-            let message = "the run ended without an answer";
-            let answer = AnswerBody::unknown(&self.request, ErrorKind::TargetFailed, message);
-            self.finish(answer.to_bytes());
-        }
-    }
-}
-
 /// The answer for a presentation that neither runs nor waits, except for kept
 /// answers, which are given again as they are.
 pub fn refusal(request: &str, presented: &Presented) -> Refusal {
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -53,7 +53,7 @@
     if !known(&worker, &req) {
         return stranger();
     }
-    match worker.entry.control().send(Status).await {
+    match worker.control.send(Status).await {
         Ok(reply) => HttpResponse::Ok().json(reply.0),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
@@ -76,7 +76,7 @@
         let message = format!("there is no target {name}; see `hollowsail status`\n");
         return HttpResponse::NotFound().body(message);
     }
-    match worker.entry.control().send(Drain(name)).await {
+    match worker.control.send(Drain(name)).await {
         Ok(()) => HttpResponse::Ok().json(serde_json::json!({})),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -10,11 +10,12 @@
 use serde_bytes::ByteBuf;
 
 use crate::auth::is_peer;
-use crate::callers::{self, Sender};
+use crate::callers;
 use crate::control::spread::{ChunkReply, ChunkRequest};
 use crate::control::Incoming;
 use crate::events;
 use crate::headers;
+use crate::sender::Sender;
 use crate::tickets::{self, TicketQuery};
 use crate::worker::Worker;
 
@@ -65,7 +66,7 @@
         Ok(message) => message,
         Err(answer) => return *answer,
     };
-    match worker.entry.control().send(Incoming(message)).await {
+    match worker.control.send(Incoming(message)).await {
         Ok(answer) => reply(&answer.0),
         Err(_) => HttpResponse::ServiceUnavailable().finish(),
     }
--- a/crates/entry/src/permit.rs
+++ b/crates/entry/src/permit.rs
@@ -16,13 +16,16 @@
 use tokio::time::timeout;
 
 use crate::answer::{AnswerBody, Refusal};
-use crate::callers::{self, Sender};
+use crate::body::{self, SharedBody};
 use crate::headers;
+use crate::job::Job;
 use crate::judge::Judged;
 use crate::kinds::ErrorKind;
-use crate::once::{self, Admission, KeptAnswer, OpenRecord};
-use crate::pipeline::{self, Job};
-use crate::relay::{RelayError, SharedBody};
+use crate::once::{self, Admission, KeptAnswer};
+use crate::open_record::OpenRecord;
+use crate::pipeline;
+use crate::relay::{self, RelayError};
+use crate::sender::Sender;
 use crate::streaming;
 use crate::worker::Worker;
 
@@ -97,7 +100,7 @@
     judged: &Judged,
     body: SharedBody,
 ) -> Result<(Job, Identity, Vec<u8>), Refusal> {
-    let (job, bytes) = callers::read_job(worker, judged, body).await?;
+    let (job, bytes) = body::read_job(worker, judged, body).await?;
     let mut hash = Sha256::new();
     hash.update(job.pipeline().name.as_bytes());
     hash.update([0]);
@@ -129,10 +132,10 @@
     let Some(member) = worker.entry.view().answering(owner).cloned() else {
         return gone("the entry that answers for it is gone");
     };
-    match callers::pass_on(worker, req, judged, body, &member, sender, claim_owner).await {
+    match relay::pass_on(worker, req, judged, body, &member, sender, claim_owner).await {
         Ok(response) => response,
         Err(RelayError::NotSent) => gone("the entry that answers for it cannot be reached"),
-        Err(RelayError::Broken(reason)) => callers::relay_broken(&judged.request, &reason),
+        Err(RelayError::Broken(reason)) => relay::relay_broken(&judged.request, &reason),
     }
 }
 
@@ -167,7 +170,7 @@
     });
     match rx.await {
         Ok(answer) => answer.into_response(),
-        Err(_) => callers::relay_broken(&job.request, "the run ended early"),
+        Err(_) => relay::relay_broken(&job.request, "the run ended early"),
     }
 }
 
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -4,68 +4,23 @@
 //! follow, feed the output to the next stage. What each attempt proved is
 //! folded into the stage's status by `hollowsail-routing`'s table.
 
-use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
-use hollowsail_config::{Pipeline, PipelineKey, Stage};
+use hollowsail_config::Stage;
 use hollowsail_routing::{deadline, stage_status, StagePlan, StageStatus};
 use serde_json::Value;
-use tokio::sync::mpsc;
 
-use crate::admission::{self, Admitted};
+use crate::admission;
 use crate::answer::{AnswerBody, StageReport};
-use crate::attempt::{self, StageRun, StageTask};
-use crate::configuration::Configuration;
+use crate::attempt::{self, StageRun};
 use crate::events;
+use crate::holdings::Admitted;
+use crate::job::{Job, Sink};
 use crate::kinds::ErrorKind;
 use crate::metrics;
+use crate::task::{Failure, StageTask};
 use crate::worker::Worker;
 
-/// One request, accepted and ready to run.
-#[derive(Debug, Clone)]
-pub struct Job {
-    /// The caller's id, for answers and logs.
-    pub request: String,
-    /// Unique in the fleet, for dispatch ids.
-    pub run: String,
-    pub org: String,
-    pub configuration: Arc<Configuration>,
-    pub pipeline: PipelineKey,
-    pub accepted: Instant,
-    pub deadline: Duration,
-    pub session: Option<String>,
-    pub input: Value,
-}
-
-impl Job {
-    pub fn pipeline(&self) -> &Pipeline {
-        self.configuration.deployment.pipeline(self.pipeline)
-    }
-
-    /// Time left until the deadline.
-    pub fn remaining(&self) -> Duration {
-        self.deadline.saturating_sub(self.accepted.elapsed())
-    }
-
-    pub fn remaining_ms(&self) -> u64 {
-        self.remaining().as_millis() as u64
-    }
-}
-
-/// What a streaming caller sees before the final answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Progress {
-    Token {
-        offset: u32,
-        text: String,
-    },
-    /// Tokens so far belong to an attempt that was given up; start anew.
-    Restart,
-}
-
-/// Where a streaming caller's events go.
-pub type Sink = mpsc::Sender<Progress>;
-
 /// Judges the request, then runs every stage; always ends in an answer.
 pub async fn run(worker: &Worker, job: &Job, sink: Option<&Sink>) -> AnswerBody {
     let deployment = &job.configuration.deployment;
@@ -140,7 +95,7 @@
     StageAt { at, stage }: StageAt<'_>,
     input: Value,
     sink: Option<&Sink>,
-) -> (StageRun, Result<Value, (ErrorKind, String)>) {
+) -> (StageRun, Result<Value, Failure>) {
     let view = worker.entry.view();
     let expected = view.expectations(job.pipeline, at);
     let plan = deadline::plan(job.remaining_ms(), expected).or_else(|late| {
@@ -182,7 +137,7 @@
     worker: &Worker,
     job: &Job,
     mut reports: Vec<StageReport>,
-    result: Result<Value, (ErrorKind, String)>,
+    result: Result<Value, Failure>,
 ) -> AnswerBody {
     let stages = &job.pipeline().stages;
     for stage in &stages[reports.len()..] {
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -5,25 +5,24 @@
 //! body and answer stream through without being looked at. A request is passed on
 //! a bounded number of times, so views that differ cannot make a loop.
 
-use std::cell::RefCell;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_web::error::PayloadError;
 use actix_web::http::header::{
     HeaderMap, HeaderName, ACCEPT, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
 };
-use actix_web::web::{Bytes, Payload};
-use actix_web::{HttpResponse, HttpResponseBuilder};
-use futures_util::{Stream, StreamExt};
+use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
+use futures_util::StreamExt;
 use hollowsail_clients::http::nothing_sent;
 use hollowsail_fleet::Member;
 
+use crate::answer::AnswerBody;
 use crate::auth::{peer_token, PEER_HEADER};
+use crate::body::SharedBody;
 use crate::events;
 use crate::headers;
+use crate::judge::Judged;
+use crate::kinds::ErrorKind;
+use crate::sender::Sender;
 use crate::view::InFlight;
 use crate::worker::Worker;
 
@@ -41,33 +40,6 @@
     Broken(String),
 }
 
-type BodyStream = Pin<Box<dyn Stream<Item = Result<Bytes, PayloadError>>>>;
-
-/// A request body that several relay attempts share: one that fails before it
-/// reads anything leaves the body whole for the next.
-#[derive(Clone)]
-pub struct SharedBody(Rc<RefCell<BodyStream>>);
-
-impl SharedBody {
-    pub fn new(body: Payload) -> Self {
-        SharedBody(Rc::new(RefCell::new(Box::pin(body))))
-    }
-
-    /// A body that was read already.
-    pub fn of_bytes(bytes: Vec<u8>) -> Self {
-        let stream = futures_util::stream::iter([Ok(Bytes::from(bytes))]);
-        SharedBody(Rc::new(RefCell::new(Box::pin(stream))))
-    }
-}
-
-impl Stream for SharedBody {
-    type Item = Result<Bytes, PayloadError>;
-
-    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
-        self.0.borrow_mut().as_mut().poll_next(cx)
-    }
-}
-
 /// What is passed on besides the caller's own headers.
 pub struct Relay<'a> {
     pub path: &'a str,
@@ -141,3 +113,32 @@
         Err(err) => Err(RelayError::Broken(err.to_string())),
     }
 }
+
+/// The other entry may be running the request: nothing is known of it.
+pub fn relay_broken(request: &str, reason: &str) -> HttpResponse {
+    let message = format!("the entry that has the request did not answer: {reason}");
+    AnswerBody::unknown(request, ErrorKind::RelayFailed, message).into_response()
+}
+
+/// Passes a request on under the peers' path.
+pub async fn pass_on(
+    worker: &Worker,
+    req: &HttpRequest,
+    judged: &Judged,
+    body: SharedBody,
+    member: &Member,
+    sender: Sender,
+    claim_owner: bool,
+) -> Result<HttpResponse, RelayError> {
+    let path = format!("/peer{}", req.path().trim_start_matches("/peer"));
+    let relay = Relay {
+        path: &path,
+        request: &judged.request,
+        headers: req.headers(),
+        body,
+        remaining: judged.remaining(),
+        hops: sender.hops + 1,
+        claim_owner,
+    };
+    self::relay(worker, member, &relay).await
+}
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -15,10 +15,10 @@
 use hollowsail_routing::{Candidate, Choice, Rank, Reason};
 use rand::Rng;
 
-use crate::attempt::{Failure, StageTask};
 use crate::events;
 use crate::gate::Gate;
 use crate::kinds::ErrorKind;
+use crate::task::{Failure, StageTask};
 use crate::view::{InFlight, View};
 
 /// A target that was chosen for an attempt; it holds a slot until dropped.
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix::{Actor, Arbiter};
+use actix::{Actor, Addr, Arbiter};
 use actix_web::dev::{Server, ServerHandle};
 use actix_web::{web, App, HttpServer};
 use hollowsail_config::settings::Settings;
@@ -52,7 +52,9 @@
     pub peers: SocketAddr,
     pub operators: SocketAddr,
     servers: Vec<ServerHandle>,
-    control: Arbiter,
+    /// The control thread.
+    pub control: Addr<Control>,
+    control_thread: Arbiter,
 }
 
 /// What a start may vary; tests and the bench use shorter times.
@@ -92,14 +94,20 @@
         incarnation,
         empty_view(own.clone()),
     ));
-    let control = start_control(&entry, own, &options);
+    let (control, control_thread) = start_control(&entry, own, &options);
     if let Some(configuration) = options.configuration {
-        let _ = entry.control().send(Adopt(configuration)).await;
+        let _ = control.send(Adopt(configuration)).await;
     }
     let servers = vec![
-        serve(&entry, callers_at, callers::routes, Secured::Yes)?,
-        serve(&entry, peers_at, peers::routes, Secured::No)?,
-        serve(&entry, operators_at, operators::routes, Secured::Yes)?,
+        serve(&entry, &control, callers_at, callers::routes, Secured::Yes)?,
+        serve(&entry, &control, peers_at, peers::routes, Secured::No)?,
+        serve(
+            &entry,
+            &control,
+            operators_at,
+            operators::routes,
+            Secured::Yes,
+        )?,
     ];
     let handles = servers.iter().map(Server::handle).collect();
     servers.into_iter().for_each(|server| {
@@ -120,6 +128,7 @@
         operators: operators_address,
         servers: handles,
         control,
+        control_thread,
     })
 }
 
@@ -150,7 +159,11 @@
     }
 }
 
-fn start_control(entry: &Arc<Entry>, own: Member, options: &StartOptions) -> Arbiter {
+fn start_control(
+    entry: &Arc<Entry>,
+    own: Member,
+    options: &StartOptions,
+) -> (Addr<Control>, Arbiter) {
     let arbiter = Arbiter::new();
     let tick = Duration::from_millis(options.timing.tick_ms);
     let fleet = Fleet::new(own, entry.settings.seeds.clone(), options.timing);
@@ -159,8 +172,8 @@
     let address = Control::start_in_arbiter(&arbiter.handle(), move |_| {
         Control::new(shared, fleet, tick, rng)
     });
-    entry.set_control(address);
-    arbiter
+    entry.set_facts(address.clone().recipient());
+    (address, arbiter)
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -171,14 +184,16 @@
 
 fn serve(
     entry: &Arc<Entry>,
+    control: &Addr<Control>,
     listener: TcpListener,
     routes: fn(&mut web::ServiceConfig),
     secured: Secured,
 ) -> Result<Server, StartError> {
     let shared = entry.clone();
+    let control = control.clone();
     let server = HttpServer::new(move || {
         App::new()
-            .app_data(web::Data::new(Worker::new(shared.clone())))
+            .app_data(web::Data::new(Worker::new(shared.clone(), control.clone())))
             .app_data(web::PayloadConfig::new(peers::MAX_PEER_BODY))
             .configure(routes)
     })
@@ -201,7 +216,7 @@
 impl RunningEntry {
     /// A planned stop: nothing is cut.
     pub async fn stop(self) {
-        stop::run(self.entry.clone()).await;
+        stop::run(self.entry.clone(), self.control.clone()).await;
         self.close(true).await;
     }
 
@@ -211,7 +226,7 @@
     }
 
     async fn close(self, graceful: bool) {
-        self.control.stop();
+        self.control_thread.stop();
         futures_util::future::join_all(self.servers.iter().map(|s| s.stop(graceful))).await;
     }
 }
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -8,13 +8,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use actix::Addr;
 use hollowsail_clients::http::{nothing_sent, pooled_client};
 use hollowsail_fleet::{Incarnation, Member};
 use hollowsail_ledger::HandOver;
 
 use crate::auth::{peer_token, PEER_HEADER};
 use crate::context::Entry;
-use crate::control::{BeginStop, LeaveFor};
+use crate::control::{BeginStop, Control, LeaveFor};
 use crate::events;
 
 /// Longest wait for requests in flight: the longest deadline and some.
@@ -27,14 +28,15 @@
 const HAND_OVER_PAUSE: Duration = Duration::from_millis(250);
 /// Longest wait for a successor's answer.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Runs a planned stop to its end; the listeners may be closed after.
-pub async fn run(entry: Arc<Entry>) {
-    let _ = entry.control().send(BeginStop).await;
+pub async fn run(entry: Arc<Entry>, control: Addr<Control>) {
+    let _ = control.send(BeginStop).await;
     tokio::time::sleep(Duration::from_millis(entry.settings.limits.stop_grace_ms)).await;
     entry.once.lock().expect("no panic while held").stop();
     drain(&entry).await;
     let successor = hand_over(&entry).await;
-    let told = entry.control().send(LeaveFor(successor)).await.unwrap_or(0);
+    let told = control.send(LeaveFor(successor)).await.unwrap_or(0);
     entry.log(events::LEFT, format_args!("peers_told={told}"));
 }
 
--- a/crates/entry/src/streaming.rs
+++ b/crates/entry/src/streaming.rs
@@ -14,8 +14,9 @@
 use tokio::task::JoinHandle;
 
 use crate::answer::AnswerBody;
-use crate::once::OpenRecord;
-use crate::pipeline::{self, Job, Progress};
+use crate::job::{Job, Progress};
+use crate::open_record::OpenRecord;
+use crate::pipeline;
 use crate::view::InFlight;
 use crate::worker::Worker;
 
--- a/crates/entry/src/tickets.rs
+++ b/crates/entry/src/tickets.rs
@@ -8,10 +8,11 @@
 
 use crate::answer::AnswerBody;
 use crate::auth;
-use crate::callers::Sender;
+use crate::body::SharedBody;
 use crate::judge::{no_permitted_entry, permitted_entries, serves_here, Judged};
 use crate::kinds::ErrorKind;
-use crate::relay::{self, Relay, SharedBody};
+use crate::relay::{self, Relay};
+use crate::sender::Sender;
 use crate::worker::Worker;
 
 /// Most tickets of one call.
--- a/crates/entry/src/worker.rs
+++ b/crates/entry/src/worker.rs
@@ -2,16 +2,20 @@
 
 use std::sync::Arc;
 
+use actix::Addr;
 use awc::Client;
 use hollowsail_clients::http;
 use hollowsail_clients::StoreClient;
 
 use crate::context::Entry;
+use crate::control::Control;
 
 /// Thread-local side of traffic; `awc` clients stay on their thread.
 #[derive(Clone)]
 pub struct Worker {
     pub entry: Arc<Entry>,
+    /// The control thread.
+    pub control: Addr<Control>,
     /// Reuses connections; for calls that may be repeated.
     pub pooled: Client,
     /// A connection per call; for calls that may not.
@@ -20,10 +24,11 @@
 }
 
 impl Worker {
-    pub fn new(entry: Arc<Entry>) -> Self {
+    pub fn new(entry: Arc<Entry>, control: Addr<Control>) -> Self {
         let store = entry.settings.store.map(StoreClient::new);
         Worker {
             entry,
+            control,
             pooled: http::pooled_client(),
             single_use: http::single_use_client(),
             store,
--- a/crates/local/src/fleet.rs
+++ b/crates/local/src/fleet.rs
@@ -220,7 +220,8 @@
     }
 
     async fn send_apply(&self, place: usize, request: ApplyRequest) -> ApplyResult {
-        let worker = Worker::new(self.entry(place).entry.clone());
+        let running = self.entry(place);
+        let worker = Worker::new(running.entry.clone(), running.control.clone());
         apply::apply(&worker, request).await
     }
 
--- a/crates/local/tests/suite/leaving.rs
+++ b/crates/local/tests/suite/leaving.rs
@@ -44,8 +44,7 @@
     let drain = Drain("llm-north".into());
     fleet
         .entry(1)
-        .entry
-        .control()
+        .control
         .send(drain)
         .await
         .expect("it answers");
@@ -79,8 +78,7 @@
     let drain = Drain("encoder-north".into());
     fleet
         .entry(0)
-        .entry
-        .control()
+        .control
         .send(drain)
         .await
         .expect("it answers");
