Fuzz admission and the spread of configurations as pure parts

The longest way through a request's stages is now a pure function of routing, and which version stays in force a type of fleet, Newest. Drawn cases try both: the longest way against a plain account of all ways; no host goes back and all end at the newest version, through restarts, old answers of the store, and hosts that the store turns away.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,13 +5,15 @@
 //! An exchange is at once a probe (a peer that does not answer is suspected),
 //! a carrier of member records and leaving hosts, and a comparison of
 //! configuration revisions. [`Accept`] drives an apply through the store, and
-//! [`TargetBook`] keeps which targets there are. All state machines are pure:
+//! [`TargetBook`] keeps which targets there are, [`Newest`] the newest version of
+//! what is replaced as a whole. All state machines are pure:
 //! time and seeded randomness come in as arguments, [`Output`]s go out.
 
 pub mod accept;
 pub mod fleet;
 pub mod leaving;
 pub mod member;
+pub mod newest;
 pub mod rendezvous;
 pub mod standing;
 pub mod target_book;
@@ -21,6 +23,7 @@
 pub use fleet::{Fleet, FleetTiming, Output};
 pub use leaving::{HostView, LeavingHost, ListedHost};
 pub use member::{Health, Member, Stopping};
+pub use newest::Newest;
 pub use standing::{Standing, StandingRule};
 pub use target_book::{BookTiming, TargetBook};
 pub use wire::Exchange;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod leaving;
 mod membership;
+mod newest;
 mod standing;
 mod target_book;
 
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -10,6 +10,13 @@
 use super::follow::Followed;
 use super::Control;
 
+/// A configuration, and the same as it lies in the store.
+#[derive(Debug, Clone)]
+pub struct Configuration {
+    pub deployment: Arc<Deployment>,
+    pub source: Arc<[u8]>,
+}
+
 /// The configuration's key, which is written seldom: no pause between watches.
 pub const FOLLOWED: Followed = Followed {
     prefix: KEY,
@@ -47,25 +54,33 @@
                 return;
             }
         };
-        let known = self
-            .deployment
-            .borrow()
-            .as_ref()
-            .map_or(0, |known| known.version);
-        if deployment.version <= known && known > 0 {
+        let deployment = Arc::new(deployment);
+        let offered = Configuration {
+            deployment: deployment.clone(),
+            source: source.into(),
+        };
+        let before = self.configuration_version();
+        let is_newer = self
+            .configuration
+            .borrow_mut()
+            .offer(deployment.version, offered);
+        if !is_newer {
             return;
         }
         self.log.line(
             events::CONFIGURATION_IN_FORCE,
             format_args!(
-                "version={} before={known} routes={} services={} from={from}",
+                "version={} before={before} routes={} services={} from={from}",
                 deployment.version,
                 deployment.routes.len(),
                 deployment.services.len(),
             ),
         );
-        *self.deployment.borrow_mut() = Some(Arc::new(deployment));
-        *self.source.borrow_mut() = Some(source.into());
         self.publish();
     }
+
+    /// Version in force here; 0 before there is one.
+    pub(super) fn configuration_version(&self) -> u64 {
+        self.configuration.borrow().version().unwrap_or(0)
+    }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -18,14 +18,14 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hollowsail_fleet::{BookTiming, TargetBook};
+use hollowsail_fleet::{BookTiming, Newest, TargetBook};
 use hollowsail_observe::events;
-use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
 use hollowsail_platform::targets::TargetRecord;
 use tokio::sync::Notify;
 
+use self::configuration::Configuration;
 use crate::clock::Clock;
 use crate::log::Log;
 use crate::metrics;
@@ -43,9 +43,8 @@
     clock: Clock,
     log: Log,
     published: Arc<Published>,
-    deployment: RefCell<Option<Arc<Deployment>>>,
-    /// The same as it lies in the store.
-    source: RefCell<Option<Arc<[u8]>>>,
+    /// The operators' configuration.
+    configuration: RefCell<Newest<Configuration>>,
     book: RefCell<TargetBook<Arc<TargetRecord>>>,
     /// Revision of the store up to which the book is.
     records_revision: Cell<Revision>,
@@ -78,8 +77,7 @@
             clock,
             log: Log::new(&settings.host),
             published,
-            deployment: RefCell::default(),
-            source: RefCell::default(),
+            configuration: RefCell::default(),
             book: RefCell::new(TargetBook::new(timing)),
             records_revision: Cell::new(0),
             store_lost: Notify::new(),
@@ -105,10 +103,12 @@
     fn publish(&self) {
         let number = self.views.get() + 1;
         self.views.set(number);
+        let configuration = self.configuration.borrow().get().cloned();
+        let (deployment, source) = configuration.map(|c| (c.deployment, c.source)).unzip();
         self.published.publish(View {
             number,
-            deployment: self.deployment.borrow().clone(),
-            source: self.source.borrow().clone(),
+            deployment,
+            source,
             targets: self.book.borrow().usable().cloned().collect(),
             records: self.records_for_peers(),
             peers: self.newest_peers(),
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -86,11 +86,7 @@
         idle_for: Duration::ZERO,
     };
     let question = StateAsk {
-        configuration: cx
-            .deployment
-            .borrow()
-            .as_ref()
-            .map_or(0, |known| known.version),
+        configuration: cx.configuration_version(),
         records: cx.records_revision.get(),
     };
     let body = rmp_serde::to_vec(&question).expect("this type always encodes");
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -9,8 +9,7 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_observe::ErrorKind;
-use hollowsail_platform::deployment::Stage;
-use hollowsail_routing::{admit, ServiceLoad, StageDemand, StageExpectation, Verdict};
+use hollowsail_routing::{admit, longest_way, ServiceLoad, StageDemand, StageExpectation, Verdict};
 use rand::Rng;
 
 use super::admit::Admitted;
@@ -36,12 +35,15 @@
 /// Refuses a request that is foreseen to come too late.
 pub fn judge(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
     let stages = &admitted.route().stages;
-    let demands = longest_way(stages, |at| demand(cx, admitted, at));
+    let demands = stages
+        .iter()
+        .enumerate()
+        .map(|(at, stage)| (stage.after.as_slice(), demand(cx, admitted, at)));
+    let mut demands = longest_way(demands);
     let waits = |demand: &StageDemand| demand.load.wait_ms(demand.expected.typical_ms) > 0.0;
     if !demands.iter().any(waits) {
         return Ok(());
     }
-    let mut demands = demands;
     demands.push(engine());
     let left = admitted.due().saturating_duration_since(Instant::now()) + TOLERANCE;
     match admit(left.as_millis() as u64, &demands, 0.0) {
@@ -105,27 +107,3 @@
         load: load.unwrap_or(NOTHING_AHEAD),
     })
 }
-
-/// The demands of the stages on the way that takes longest.
-fn longest_way(
-    stages: &[Stage],
-    demand: impl Fn(usize) -> Option<StageDemand>,
-) -> Vec<StageDemand> {
-    let ms = |demand: &StageDemand| {
-        let own = demand.expected.typical_ms;
-        own as f64 + demand.load.wait_ms(own)
-    };
-    let total = |way: &Vec<StageDemand>| way.iter().map(ms).sum::<f64>();
-    let mut ways: Vec<Vec<StageDemand>> = Vec::with_capacity(stages.len());
-    for (at, stage) in stages.iter().enumerate() {
-        let before = stage.after.iter().map(|&needed| ways[needed].clone());
-        let mut way = before
-            .max_by(|a, b| total(a).total_cmp(&total(b)))
-            .unwrap_or_default();
-        way.extend(demand(at));
-        ways.push(way);
-    }
-    ways.into_iter()
-        .max_by(|a, b| total(a).total_cmp(&total(b)))
-        .unwrap_or_default()
-}
--- a/crates/routing/src/admission.rs
+++ b/crates/routing/src/admission.rs
@@ -83,6 +83,28 @@
     }
 }
 
+/// The demands on the way through a graph of stages that takes longest.
+///
+/// Each stage comes with the positions of those that it starts after, all of
+/// them earlier ones, and with its demand: `None` when it takes no time.
+pub fn longest_way<'a>(
+    stages: impl Iterator<Item = (&'a [usize], Option<StageDemand>)>,
+) -> Vec<StageDemand> {
+    let mut ways: Vec<Vec<StageDemand>> = Vec::new();
+    for (after, demand) in stages {
+        let before = after.iter().map(|&needed| &ways[needed]);
+        let mut way = longest(before).cloned().unwrap_or_default();
+        way.extend(demand);
+        ways.push(way);
+    }
+    longest(ways.iter()).cloned().unwrap_or_default()
+}
+
+fn longest<'a>(ways: impl Iterator<Item = &'a Vec<StageDemand>>) -> Option<&'a Vec<StageDemand>> {
+    let total = |way: &Vec<StageDemand>| -> f64 { way.iter().map(|at| needed_ms(at, 0.0)).sum() };
+    ways.max_by(|a, b| total(a).total_cmp(&total(b)))
+}
+
 fn needed_ms(stage: &StageDemand, caution: f64) -> f64 {
     let typical = stage.expected.typical_ms as f64;
     let slow = (stage.expected.slow_ms as f64).max(typical);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod progress;
 pub mod queue;
 
-pub use admission::{admit, Holding, ServiceLoad, StageDemand, Verdict};
+pub use admission::{admit, longest_way, Holding, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod engine;
 mod health;
 mod progress;
+mod random_admission;
 
 /// The same cases in every run; the long mode has more.
 pub fn config(seed: u64) -> proptest::test_runner::Config {
