Judge an engine's health by the data hall that asks, too

Change: what each hall saw is kept beside what all saw. Failures in a row of one hall put the engine out for that hall; the engine is put out for all when several halls see them, or when only one asks there. Ruled out: accounts by hall alone; a crash would have to be found by each hall.

--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -36,11 +36,13 @@
 
 /// What the desk of a generation's engines is asked.
 pub fn demand(
+    cx: &Traffic,
     generation: &Generation,
     prepared: &Prepared,
     avoid: Vec<Incarnation>,
 ) -> Option<Demand<Incarnation>> {
     Some(Demand {
+        from_hall: cx.me.hall.clone(),
         part: shared_part(generation)?.id.clone(),
         shared_tokens: shared_tokens(generation),
         prompt_tokens: generation.prompt_tokens,
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -24,7 +24,7 @@
 ) -> Option<(Rc<Target>, Option<Placed>)> {
     let avoid = sends.tried.iter().cloned().collect();
     let generation = admitted.caller.generation.as_ref();
-    let demand = generation.and_then(|g| choose::demand(g, prepared, avoid));
+    let demand = generation.and_then(|g| choose::demand(cx, g, prepared, avoid));
     if let Some(demand) = demand {
         let service = &admitted.deployment.service(sends.service).name;
         let placed = cx.placements.place(cx, service, demand).await;
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -5,6 +5,8 @@
 //! came, without reports that are old when they arrive. A placement stays on
 //! the desk's account until its asker tells how it went.
 
+mod health;
+
 use std::collections::HashMap;
 use std::hash::Hash;
 
@@ -12,8 +14,9 @@
 use slotmap::{new_key_type, SlotMap};
 
 use crate::engine::{choose_engine, EngineCandidate};
-use crate::health::{eject_worst, HealthRules, Observation, TargetHealth};
+use crate::health::{HealthRules, Observation};
 use crate::Millis;
+use health::EngineHealth;
 
 new_key_type! {
     /// One placement, until it has ended.
@@ -48,6 +51,8 @@
 /// What is to be placed.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Demand<K> {
+    /// Data hall of the entry that asks.
+    pub from_hall: String,
     /// The last part of its prompt that others share.
     pub part: String,
     pub shared_tokens: u64,
@@ -76,13 +81,14 @@
     hall: String,
     running: u32,
     unread_tokens: u64,
-    health: TargetHealth,
+    health: EngineHealth,
 }
 
 /// A generation at its engine.
 #[derive(Debug)]
 struct Placement<K> {
     engine: K,
+    from_hall: String,
     part: String,
     placed: Millis,
     /// Its own tokens that the engine has yet to read.
@@ -184,8 +190,8 @@
             keeps_part: kept.is_some_and(|used| now < used + KEPT_MS),
             load: f64::from(engine.running) / f64::from(engine.slots.max(1)),
             unread_tokens: engine.unread_tokens,
-            slowness: engine.health.slowness(),
-            ejected: engine.health.is_ejected(now),
+            slowness: engine.health.slowness(&demand.from_hall),
+            ejected: engine.health.is_ejected(&demand.from_hall, now),
             outside_bytes: outside.map(|(_, bytes)| bytes).sum(),
         }
     }
@@ -206,6 +212,7 @@
         let was_kept = kept.insert(engine.clone(), now).is_some();
         self.placements.insert(Placement {
             engine,
+            from_hall: demand.from_hall.clone(),
             part: demand.part.clone(),
             placed: now,
             unread_tokens: to_read,
@@ -230,7 +237,9 @@
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             engine.unread_tokens = engine.unread_tokens.saturating_sub(unread);
             let observation = Observation::Answered(took as Millis);
-            engine.health.observe(observation, expected);
+            engine
+                .health
+                .observe(&placement.from_hall, observation, expected);
         }
         if tokens >= LEAST_TOKENS {
             let measured = (took - BASE_MS).max(0.0) / tokens as f64;
@@ -254,12 +263,16 @@
         engine.unread_tokens = engine.unread_tokens.saturating_sub(placement.unread_tokens);
         let waited = now - placement.placed;
         let expected = expected_ms(self.ms_per_token, placement.tokens_ahead);
+        let mut observe = |observation, typical_ms| {
+            engine
+                .health
+                .observe(&placement.from_hall, observation, typical_ms);
+        };
         match end {
-            PlacementEnd::Failed => engine.health.observe(Observation::Failed, 1),
+            PlacementEnd::Failed => observe(Observation::Failed, 1),
             // Its caller had to give up without a first event.
             PlacementEnd::Left if !placement.has_begun => {
-                let observation = Observation::TimedOut(waited);
-                engine.health.observe(observation, expected);
+                observe(Observation::TimedOut(waited), expected);
             }
             PlacementEnd::Left | PlacementEnd::Whole => {}
         }
@@ -269,24 +282,20 @@
                 kept.remove(&placement.engine);
             }
         }
-        self.eject(now)
+        self.eject(now, &placement.from_hall)
     }
 
     /// Puts engines out for a while that deserve it. Returns those newly out.
-    fn eject(&mut self, now: Millis) -> Vec<K> {
-        let mut healths: Vec<TargetHealth> = self
-            .order
-            .iter()
-            .map(|key| self.engines[key].health.clone())
+    fn eject(&mut self, now: Millis, hall: &str) -> Vec<K> {
+        let mut engines: Vec<(&K, &mut EngineHealth)> = self
+            .engines
+            .iter_mut()
+            .map(|(key, engine)| (key, &mut engine.health))
             .collect();
-        let ejected = eject_worst(now, &self.rules, &mut healths);
-        for (key, health) in self.order.iter().zip(healths) {
-            self.engines.get_mut(key).expect("it is in order").health = health;
-        }
-        ejected
-            .into_iter()
-            .map(|at| self.order[at].clone())
-            .collect()
+        engines.sort_by(|a, b| a.0.cmp(b.0));
+        let (keys, mut healths): (Vec<&K>, Vec<&mut EngineHealth>) = engines.into_iter().unzip();
+        let ejected = health::eject(now, &self.rules, hall, &mut healths);
+        ejected.into_iter().map(|at| keys[at].clone()).collect()
     }
 
     /// True when no engine has anything on the account.
--- a/crates/routing/src/health.rs
+++ b/crates/routing/src/health.rs
@@ -85,6 +85,16 @@
         }
     }
 
+    /// Answers taken since its record began.
+    pub fn samples(&self) -> u32 {
+        self.samples
+    }
+
+    /// Begins the count of failures in a row anew.
+    pub fn forget_failures(&mut self) {
+        self.failures_in_row = 0;
+    }
+
     fn take(&mut self, log_ratio: f64) {
         self.samples = self.samples.saturating_add(1);
         self.log_slowness += NEW_WEIGHT * (log_ratio - self.log_slowness);
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -19,6 +19,7 @@
 
 fn demand(part: &str) -> Demand<&'static str> {
     Demand {
+        from_hall: "hall-a".to_string(),
         part: part.to_string(),
         shared_tokens: 10_000,
         prompt_tokens: 12_000,
@@ -104,6 +105,49 @@
     );
 }
 
+/// Places for an asker in a hall and ends the placement at once.
+fn end_from(
+    desk: &mut EngineDesk<&'static str>,
+    now: u64,
+    hall: &str,
+    end: PlacementEnd,
+) -> (&'static str, Vec<&'static str>) {
+    let demand = Demand {
+        from_hall: hall.to_string(),
+        ..demand("p")
+    };
+    let (key, engine) = desk.place(now, &demand, order).expect("there is one");
+    if end == PlacementEnd::Whole {
+        desk.prompt_read(key, now + 100);
+    }
+    (engine, desk.ended(key, end, now + 100))
+}
+
+#[test]
+fn an_engine_that_fails_one_hall_serves_the_others() {
+    let mut desk = desk(&["a", "b", "c"]);
+    end_from(&mut desk, 0, "hall-b", PlacementEnd::Whole);
+    for n in 0..3 {
+        let (engine, out) = end_from(&mut desk, 10 + n, "hall-a", PlacementEnd::Failed);
+        assert_eq!((engine, out.len()), ("c", usize::from(n == 2)));
+    }
+    let (for_a, _) = end_from(&mut desk, 200, "hall-a", PlacementEnd::Whole);
+    assert_ne!(for_a, "c", "it fails this hall");
+    let (for_b, _) = end_from(&mut desk, 200, "hall-b", PlacementEnd::Whole);
+    assert_eq!(for_b, "c", "it is well for this one");
+}
+
+#[test]
+fn an_engine_that_fails_several_halls_is_put_out_for_all() {
+    let mut desk = desk(&["a", "b", "c"]);
+    for (n, hall) in ["hall-a", "hall-b", "hall-a"].into_iter().enumerate() {
+        let (engine, _) = end_from(&mut desk, n as u64, hall, PlacementEnd::Failed);
+        assert_eq!(engine, "c");
+    }
+    let (for_c, _) = end_from(&mut desk, 200, "hall-c", PlacementEnd::Whole);
+    assert_ne!(for_c, "c", "nobody in this hall had to find out");
+}
+
 #[test]
 fn an_engine_that_fails_all_askers_is_put_out_and_comes_back() {
     let mut desk = desk(&["a", "b", "c"]);
