--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -289,3 +289,25 @@
     eventually("the target is told", || target.left() > left).await;
     assert!(gone.elapsed() < Duration::from_millis(500));
 }
+
+#[actix_rt::test]
+async fn a_request_goes_to_no_more_targets_than_its_route_allows() {
+    let fixture = Fixture::start(&deployment()).await;
+    let mut targets = Vec::new();
+    for at in 0..4 {
+        let target = TargetStandin::start(|_| vec![Step::Write(not_run(503))]).await;
+        fixture.add(&format!("i-{at}"), "plain", &target);
+        targets.push(target);
+    }
+    fixture.call(&Call::new("GET", "/safe/")).await;
+    for request in 0..12 {
+        let id = format!("{request:016x}");
+        let call = Call::new("POST", "/once/").with("X-Request-Id", &id);
+        fixture.call(&call).await;
+        let sends = targets
+            .iter()
+            .flat_map(TargetStandin::seen)
+            .filter(|seen| seen.request_id() == id);
+        assert!(sends.count() <= 2, "the route allows two targets");
+    }
+}
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -1,13 +1,15 @@
 //! `hollowsail gateway` as a process: its settings, signals and log.
 
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
-use hollowsail_platform_standins::{DeploymentJson, StoreStandin};
+use hollowsail_platform_standins::{DeploymentJson, StoreStandin, TargetStandin};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Longest wait for a line.
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -45,14 +47,19 @@
     path
 }
 
+/// Starts the process with its log in a pipe.
+fn spawn(settings: &Path) -> Child {
+    Command::new(env!("CARGO_BIN_EXE_hollowsail"))
+        .arg("gateway")
+        .env("HOLLOWSAIL_BOOT", settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("it starts")
+}
+
 impl Gateway {
     fn start(settings: &Path) -> Self {
-        let mut child = Command::new(env!("CARGO_BIN_EXE_hollowsail"))
-            .arg("gateway")
-            .env("HOLLOWSAIL_BOOT", settings)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("it starts");
+        let mut child = spawn(settings);
         let stdout = BufReader::new(child.stdout.take().expect("piped"));
         let (tx, lines) = channel();
         std::thread::spawn(move || {
@@ -136,3 +143,70 @@
     "#]]
     .assert_eq(&String::from_utf8_lossy(&output.stderr));
 }
+
+/// Asks until the gateway answers with a status.
+async fn status_of(addr: SocketAddr, path: &str) -> Option<u16> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.ok()?;
+    answer.split(' ').nth(1)?.parse().ok()
+}
+
+#[actix_rt::test]
+async fn a_log_that_nobody_reads_holds_no_request_up() {
+    /// Each logs at least 100 bytes: far more than a pipe holds (64 KiB).
+    const REQUESTS: usize = 1_500;
+    let store = StoreStandin::start().await;
+    let target = TargetStandin::answering("ok", Duration::ZERO).await;
+    let deployment = DeploymentJson::new(1).service("plain").route(
+        "/safe/",
+        "safe",
+        "plain",
+        serde_json::json!({}),
+    );
+    store.put("op/config", &deployment.bytes());
+    store.put_target("i-1", "plain", target.addr, "hall-a", "ready");
+    let directory = tempfile::tempdir().expect("a directory");
+    let path = settings(directory.path(), store.addr, 2);
+    let callers = callers_of(&path);
+    let mut child = spawn(&path);
+    let until = std::time::Instant::now() + PATIENCE;
+    while status_of(callers, "/safe/").await != Some(200) {
+        assert!(std::time::Instant::now() < until, "it does not serve");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    for request in 0..REQUESTS {
+        let answered = tokio::time::timeout(PATIENCE, status_of(callers, "/safe/")).await;
+        assert_eq!(answered, Ok(Some(200)), "request {request}");
+    }
+    let mut stdout = child.stdout.take().expect("piped");
+    let reader = std::thread::spawn(move || {
+        let mut log = String::new();
+        let _read = stdout.read_to_string(&mut log);
+        log
+    });
+    // Lines get through again, the first of them telling how many were lost.
+    while status_of(callers, "/safe/").await != Some(200) {}
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    status_of(callers, "/safe/").await;
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    let log = reader.join().expect("it reads");
+    assert!(
+        log.contains("HS0100 log_lines_lost count="),
+        "none was lost"
+    );
+    assert!(log.lines().count() < 2 * REQUESTS);
+}
+
+/// Where settings say that callers come.
+fn callers_of(settings: &Path) -> SocketAddr {
+    let text = std::fs::read_to_string(settings).expect("it was written");
+    let (_, rest) = text.split_once("front: ").expect("it names the address");
+    let (addr, _) = rest.split_once('\n').expect("a line");
+    addr.parse().expect("an address")
+}
