Queue a stage service of up to 24 targets as one, owned by larger hosts

By the logs: services were split into queues of 6 workers by id, so a queue had one worker or none in a hall; pieces wait for one in the hall of their inputs until they would be late. Change: up to 24 targets form one queue, and where there are more, each queue gets about as many of every hall. An owner of such a queue moves megabytes a second, so owners are chosen among hosts with at least half of the largest capacity (link or processor); a record tells a host's capacity. Ruled out: larger queues alone. The small sites have one queue a service and hosts of one size: nothing changes there.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,7 +6,8 @@
 //! a carrier of member records and leaving hosts, and a comparison of
 //! configuration revisions. [`Accept`] drives an apply through the store, and
 //! [`TargetBook`] keeps which targets there are, [`Newest`] the newest version of
-//! what is replaced as a whole. All state machines are pure:
+//! what is replaced as a whole, and [`ownership`] gives what one entry should
+//! decide its owner. All state machines are pure:
 //! time and seeded randomness come in as arguments, [`Output`]s go out.
 
 pub mod accept;
@@ -14,6 +15,7 @@
 pub mod leaving;
 pub mod member;
 pub mod newest;
+pub mod ownership;
 pub mod rendezvous;
 pub mod standing;
 pub mod target_book;
--- /dev/null
+++ b/crates/fleet/src/ownership.rs
@@ -0,0 +1,30 @@
+//! Which entry owns something that one entry should decide.
+//!
+//! Rendezvous hashing gives each thing one owner among the live entries without
+//! any agreement. Hosts differ in size: an owner moves what all other entries
+//! hand it, so only entries with at least half of the largest capacity own
+//! anything. When they are all gone, the smaller ones do.
+
+use crate::rendezvous;
+
+/// An entry that may own something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// Name of its host, which outlives a restart.
+    pub host: &'a str,
+    /// What its host can move, by a measure that all entries share.
+    pub capacity: u32,
+}
+
+/// Position of the owner of `what`; `None` without candidates.
+pub fn owner<'a>(
+    what: &str,
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+) -> Option<usize> {
+    let largest = candidates.clone().map(|entry| entry.capacity).max()?;
+    candidates
+        .enumerate()
+        .filter(|(_, entry)| entry.capacity >= largest / 2)
+        .max_by_key(|(_, entry)| rendezvous::score(what, entry.host))
+        .map(|(at, _)| at)
+}
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod membership;
 mod newest;
+mod ownership;
 mod standing;
 mod target_book;
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! Every entry keeps a record of itself in the platform's store under a lease;
 //! control follows them and puts them into the view. Rendezvous hashing over
-//! the live ones gives each queue of a stage service one owner without any
-//! agreement; two views may name two owners for a while, which costs time and
+//! the live ones of the larger hosts gives each queue of a stage service one
+//! owner without any agreement; two views may name two owners for a while, which costs time and
 //! nothing else. An owner that doesn't answer is passed over.
 
 mod link;
@@ -16,7 +16,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use hollowsail_fleet::rendezvous;
+use hollowsail_fleet::ownership::{self, Candidate};
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
 
@@ -28,7 +28,7 @@
     Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
     WorkerAtHandOver,
 };
-pub use record::{PeerId, PeerRecord, PREFIX};
+pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
 /// How long a peer that didn't answer is passed over, in milliseconds. Long
@@ -84,10 +84,15 @@
         let now = cx.clock.now();
         let suspects = self.suspects.borrow();
         let live = self.live.borrow();
-        let owner = live
+        let usable: Vec<&PeerRecord> = live
             .iter()
             .filter(|peer| suspects.get(&peer.id).is_none_or(|until| *until <= now))
-            .max_by_key(|peer| rendezvous::score(what, &peer.host));
+            .collect();
+        let candidates = usable.iter().map(|peer| Candidate {
+            host: &peer.host,
+            capacity: peer.capacity,
+        });
+        let owner = ownership::owner(what, candidates).map(|at| usable[at]);
         match owner {
             Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, peer)),
             _ => Owner::Me,
--- a/crates/gateway/src/peers/record.rs
+++ b/crates/gateway/src/peers/record.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use hollowsail_platform::settings::HostLimits;
 use serde::{Deserialize, Serialize};
 
 /// Prefix of the records' keys in the store.
@@ -21,6 +22,20 @@
     pub addr: SocketAddr,
     /// Its data hall.
     pub hall: String,
+    /// What its host can move for others, in megabits a second: see
+    /// [`capacity_of`]. Absent in records of earlier builds.
+    #[serde(default)]
+    pub capacity: u32,
+}
+
+/// Megabits a second that a whole core is taken to move between peers: an
+/// estimate, since only hosts of very unlike sizes are told apart by it.
+const CORE_MBPS: f64 = 800.0;
+
+/// What a host can move for others: its link, or what its processor manages.
+pub fn capacity_of(host: &HostLimits) -> u32 {
+    let processor = host.core_share * f64::from(host.cores) * CORE_MBPS;
+    host.link_mbps.min(processor).max(1.0) as u32
 }
 
 impl PeerRecord {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -32,8 +32,9 @@
 pub use held::HeldResult;
 
 /// Targets in a queue at most: enough that one is nearly always about to be
-/// free, few enough for one owner's processor at a service of hundreds.
-const QUEUE_TARGETS: usize = 8;
+/// free in the hall where a result is wanted, few enough for one owner's
+/// processor and link at a service of hundreds (measured at 18 targets).
+const QUEUE_TARGETS: usize = 24;
 /// Age at which an owner's word on its queue is of no use, in milliseconds:
 /// about the time in which a whole queue turns over.
 const LOAD_AGE_MS: Millis = 600;
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,7 +15,7 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::log::Log;
-use crate::peers::{PeerId, PeerRecord};
+use crate::peers::{capacity_of, PeerId, PeerRecord};
 use crate::stop;
 use crate::traffic::Traffic;
 use crate::view::Published;
@@ -147,6 +147,7 @@
         host: settings.host.clone(),
         addr: peers,
         hall: settings.hall.clone(),
+        capacity: capacity_of(&settings.limits),
     }
 }
 
--- a/crates/gateway/src/target_group.rs
+++ b/crates/gateway/src/target_group.rs
@@ -45,10 +45,12 @@
         Some((service, group))
     }
 
-    /// Its share of a service's targets, the same at every entry.
+    /// Its share of a service's targets, the same at every entry, and about as
+    /// many of each data hall.
     pub fn targets(&self, all: &[Rc<Target>]) -> Vec<Rc<Target>> {
         let mut sorted = all.to_vec();
-        sorted.sort_by(|a, b| a.incarnation().cmp(b.incarnation()));
+        let place = |target: &Target| (target.record.hall.clone(), target.incarnation().clone());
+        sorted.sort_by_cached_key(|target| place(target));
         let mine = sorted.into_iter().skip(self.at).step_by(self.of);
         mine.collect()
     }
