Ask a store that is away by one loop, and let watches pause by the bounds

Cause: calls to the store were the largest price on the grown sites. Change: only the configuration's loop probes; the others wait for its word. Test: one_loop_asks_a_store_that_is_away_whether_it_is_back, red before.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -1,7 +1,6 @@
 //! The operators' configuration, as the store or a peer tells it.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::{Deployment, KEY};
@@ -17,9 +16,10 @@
     pub source: Arc<[u8]>,
 }
 
-/// The configuration's key, which is written seldom: no pause between watches.
+/// The configuration's key.
 pub const FOLLOWED: Followed = Followed {
     prefix: KEY,
+    probes: true,
     take_all: |cx, range| {
         range
             .items
@@ -32,7 +32,7 @@
                 cx.take_configuration(item);
             }
         }
-        Duration::ZERO
+        cx.pauses.configuration
     },
 };
 
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_platform::settings::Bounds;
 use hollowsail_platform::store::{Changes, Range, StoreError};
 
 use super::backoff::Backoff;
@@ -20,6 +21,9 @@
 /// Keys that are followed, and who takes them.
 pub struct Followed {
     pub prefix: &'static str,
+    /// This loop asks a store that is away whether it is back; the others wait
+    /// for that word.
+    pub probes: bool,
     /// Takes what is there.
     pub take_all: fn(&Rc<Control>, &Range),
     /// Takes what changed since; tells how long to pause before the next watch,
@@ -36,6 +40,9 @@
             Err(err) => {
                 cx.store_failed(&err);
                 backoff.pause().await;
+                if !keys.probes {
+                    cx.until_store_back().await;
+                }
             }
         }
     }
@@ -58,13 +65,40 @@
         cx.store_answered();
         revision = changes.revision;
         let pause = (keys.take_changes)(cx, &changes);
-        if !pause.is_zero() {
-            tokio::time::sleep(pause).await;
+        tokio::time::sleep(pause).await;
+    }
+}
+
+/// How long watches pause after a change, so that changes which come one after the
+/// other are told in a few answers: each is a call with a price.
+#[derive(Debug, Clone, Copy)]
+pub struct WatchPauses {
+    pub configuration: Duration,
+    pub records: Duration,
+}
+
+/// Part of the time in which a change has to be heeded that a watch may pause.
+const PAUSE_SHARE: u32 = 8;
+
+impl WatchPauses {
+    /// By the bounds of the settings.
+    pub fn new(bounds: &Bounds) -> Self {
+        let share = |ms: u64| Duration::from_millis(ms) / PAUSE_SHARE;
+        WatchPauses {
+            configuration: share(bounds.configuration_ms),
+            records: share(bounds.drain_ms),
         }
     }
 }
 
 impl Control {
+    /// Waits until the store answers again; at once when it does.
+    async fn until_store_back(&self) {
+        while self.book.borrow().is_store_away() {
+            self.store_back.notified().await;
+        }
+    }
+
     /// Waits for a watch, but no longer than the store answers other calls.
     async fn until_store_lost<T>(
         &self,
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -82,6 +82,7 @@
 /// The keys of the entries' records.
 pub const FOLLOWED: Followed = Followed {
     prefix: PREFIX,
+    probes: false,
     take_all: |cx, range| {
         cx.take_peers(range);
         cx.settle_peers_later();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -26,6 +26,7 @@
 use tokio::sync::Notify;
 
 use self::configuration::Configuration;
+use self::follow::WatchPauses;
 use crate::clock::Clock;
 use crate::log::Log;
 use crate::metrics;
@@ -50,6 +51,9 @@
     records_revision: Cell<Revision>,
     /// Told when the store stops answering.
     store_lost: Notify,
+    /// Told when it answers again.
+    store_back: Notify,
+    pauses: WatchPauses,
     seeds: Vec<SocketAddr>,
     /// This entry.
     me: PeerRecord,
@@ -81,6 +85,8 @@
             book: RefCell::new(TargetBook::new(timing)),
             records_revision: Cell::new(0),
             store_lost: Notify::new(),
+            store_back: Notify::new(),
+            pauses: WatchPauses::new(&settings.bounds),
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
@@ -161,6 +167,7 @@
         self.peers.borrow_mut().store_back(self.clock.now());
         if self.book.borrow_mut().store_back(self.clock.now()) {
             self.log.line(events::STORE_BACK, format_args!(""));
+            self.store_back.notify_waiters();
             self.publish();
         }
     }
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -2,7 +2,6 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
@@ -12,14 +11,10 @@
 use super::Control;
 use crate::peers::{RecordAt, RecordsAt};
 
-/// Pause between two watches: targets that come one after the other are told in
-/// a few answers. Short against the time in which a draining one has to be left
-/// alone.
-const WATCH_PAUSE: Duration = Duration::from_millis(150);
-
 /// The records' keys.
 pub const FOLLOWED: Followed = Followed {
     prefix: PREFIX,
+    probes: false,
     take_all: |cx, range| {
         cx.take_records(range);
         cx.settle_later();
@@ -27,7 +22,7 @@
     take_changes: |cx, changes| {
         cx.take_record_changes(changes);
         cx.settle_later();
-        WATCH_PAUSE
+        cx.pauses.records
     },
 };
 
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -22,9 +22,9 @@
 /// What a later stage needs at least, in milliseconds: pieces that leave less
 /// to those after them are of no use.
 const LEAST_STAGE_MS: u64 = 150;
-/// About what a stage takes, in milliseconds; for the same purpose as
-/// [`ENGINE_MS`].
-const STAGE_MS: u64 = 250;
+/// What a stage is taken to need, in whole calls: its own call, and the rest of
+/// the one before. With less, pieces end in time whose requests are late.
+const STAGE_CALLS: f64 = 1.5;
 
 /// One request on its way through its stages.
 pub(super) struct Walk<'a> {
@@ -60,20 +60,28 @@
     /// What is asked of the pools for a piece.
     fn wanted(&self, at: PieceAt) -> Wanted {
         let clock = &self.cx.clock;
-        let later = self.graph.depth_after(at.stage) as u64 - 1;
-        let reserve = ENGINE_MS + later * STAGE_MS;
+        let reserve = ENGINE_MS + self.graph.ms_after(at.stage, &|later| self.stage_ms(later));
         Wanted {
             piece: self.piece(at),
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock
                 .millis_at(self.admitted.stages_by())
-                .saturating_sub(later * LEAST_STAGE_MS),
+                .saturating_sub(self.graph.ms_after(at.stage, &|_| LEAST_STAGE_MS)),
             result_bytes: self.stages[at.stage].result_bytes,
             hall: self.hall(at),
         }
     }
 
+    /// About what a stage takes, in milliseconds.
+    fn stage_ms(&self, stage: usize) -> u64 {
+        let service = self.admitted.deployment.service(self.stages[stage].service);
+        service.stage_pool.as_ref().map_or(0, |pool| {
+            let whole_call = pool.call + pool.piece * pool.batch as u32;
+            whole_call.mul_f64(STAGE_CALLS).as_millis() as u64
+        })
+    }
+
     /// A piece as its maker is told; only one without inputs has a key.
     fn piece(&self, at: PieceAt) -> Piece {
         let inputs = self.graph.inputs_of(at.stage);
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -177,3 +177,37 @@
     until_status(&fixture, "/a/", 200).await;
     until_status_at(second.at.callers, "/a/", 200).await;
 }
+
+#[actix_rt::test]
+async fn one_loop_asks_a_store_that_is_away_whether_it_is_back() {
+    let (fixture, _one) = serving(5, "/a/").await;
+    fixture.store.set_mode(StoreMode::Refusing);
+    let before = fixture.store.calls().len();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    let calls = fixture.store.calls();
+    let asked = |what: &str| {
+        let since = calls[before..].iter();
+        since.filter(|call| call.contains(what)).count()
+    };
+    assert!(asked("op/config") >= 3, "{calls:?}");
+    assert!(asked("kv-range?path_prefix=servers/") <= 1, "{calls:?}");
+    assert!(
+        asked("kv-range?path_prefix=hollowsail/peers/") <= 1,
+        "{calls:?}"
+    );
+    fixture.store.set_mode(StoreMode::Up);
+    let two = target("two").await;
+    fixture.add("i-2", "plain", &two);
+    for _ in 0..300 {
+        if Call::new("GET", "/a/")
+            .send(fixture.gateway.at.callers)
+            .await
+            .body
+            == "two"
+        {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("the others go on once it is back");
+}
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -48,7 +48,7 @@
     /// can still be in time before the late ones.
     fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
         let hall = self.workers[worker].hall;
-        let soonest = now + self.rules.expected_ms(1) as Millis;
+        let soonest = now + self.rules.expected_ms(self.rules.batch) as Millis;
         let mut ranked: Vec<((u8, u8, bool), Vec<PieceKey>)> = Vec::new();
         let mut last = None;
         for (_, key) in &self.waiting {
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -203,9 +203,11 @@
         (0..self.sizes.len()).all(|stage| self.is_made(stage))
     }
 
-    /// Stages on the longest way from a stage to the request, itself included.
-    pub fn depth_after(&self, stage: usize) -> usize {
-        let deepest = self.dependents(stage).map(|next| self.depth_after(next));
-        1 + deepest.max().unwrap_or(0)
+    /// Time of the stages on the longest way from the end of a stage to the
+    /// request, when each takes `ms_of` its position, in milliseconds.
+    pub fn ms_after(&self, stage: usize, ms_of: &impl Fn(usize) -> u64) -> u64 {
+        let ways = self.dependents(stage);
+        let longest = ways.map(|next| ms_of(next) + self.ms_after(next, ms_of));
+        longest.max().unwrap_or(0)
     }
 }
--- a/crates/stages/tests/suite/graph.rs
+++ b/crates/stages/tests/suite/graph.rs
@@ -110,8 +110,9 @@
 }
 
 #[test]
-fn depth_counts_the_stages_to_the_request() {
+fn the_time_after_a_stage_is_that_of_the_stages_up_to_the_request() {
     let graph = chain();
-    let depths: Vec<usize> = (0..3).map(|stage| graph.depth_after(stage)).collect();
-    assert_eq!(depths, [3, 2, 1]);
+    let ms_of = |stage: usize| [1, 20, 300][stage];
+    let after: Vec<u64> = (0..3).map(|stage| graph.ms_after(stage, &ms_of)).collect();
+    assert_eq!(after, [320, 300, 0]);
 }
