--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -117,6 +117,8 @@
     pub expires_in_ms: u64,
     /// About the size of its result.
     pub result_bytes: u64,
+    /// The results that it starts from are large.
+    pub holds_inputs: bool,
     /// Data hall where the result is wanted.
     pub hall: Option<String>,
 }
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -159,6 +159,7 @@
             expires: wanted.expires,
             result_bytes: wanted.result_bytes,
             group: group_of(&wanted.piece),
+            holds_inputs: wanted.holds_inputs,
             hall,
         };
         let job = Job {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -56,6 +56,8 @@
     pub expires: Millis,
     /// About the size of its result.
     pub result_bytes: u64,
+    /// The results that it starts from are large.
+    pub holds_inputs: bool,
     /// Data hall where the result is wanted.
     pub hall: Option<String>,
 }
@@ -126,6 +128,7 @@
             due_in_ms: wanted.due as i64 - now as i64,
             expires_in_ms: wanted.expires.saturating_sub(now),
             result_bytes: wanted.result_bytes,
+            holds_inputs: wanted.holds_inputs,
             hall: wanted.hall.clone(),
         }
     }
@@ -183,6 +186,7 @@
             due: now.saturating_add_signed(asked.due_in_ms),
             expires: now + asked.expires_in_ms,
             result_bytes: asked.result_bytes,
+            holds_inputs: asked.holds_inputs,
             hall: asked.hall,
         };
         batcher.take_from_peer(link, asked.id, wanted);
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -69,6 +69,7 @@
                 .millis_at(self.admitted.stages_by())
                 .saturating_sub(self.graph.ms_after(at.stage, &|_| LEAST_STAGE_MS)),
             result_bytes: self.stages[at.stage].result_bytes,
+            holds_inputs: self.input_bytes(at) >= LEAST_MOVED_BYTES,
             hall: self.hall(at),
         }
     }
@@ -100,22 +101,29 @@
         }
     }
 
+    /// Bytes of the results that a piece starts from.
+    fn input_bytes(&self, at: PieceAt) -> u64 {
+        self.inputs(at).map(|result| result.bytes).sum()
+    }
+
+    /// The results that a piece starts from.
+    fn inputs(&self, at: PieceAt) -> impl Iterator<Item = &HeldResult> {
+        let needed = &self.stages[at.stage].after;
+        let held = self.held.iter();
+        held.filter(|(at, _)| needed.contains(&at.stage))
+            .map(|(_, result)| result)
+    }
+
     /// Where a piece's result is wanted: next to what it starts from, or next to
     /// the engine; anywhere when little is moved.
     fn hall(&self, at: PieceAt) -> Option<String> {
-        let needed = &self.stages[at.stage].after;
-        let inputs = || {
-            let held = self.held.iter();
-            held.filter(|(at, _)| needed.contains(&at.stage))
-        };
-        let input_bytes: u64 = inputs().map(|(_, result)| result.bytes).sum();
-        if input_bytes >= LEAST_MOVED_BYTES {
+        if self.input_bytes(at) >= LEAST_MOVED_BYTES {
             let in_hall = |hall: &str| -> u64 {
-                let here = inputs().filter(|(_, result)| result.hall() == hall);
-                here.map(|(_, result)| result.bytes).sum()
+                let here = self.inputs(at).filter(|result| result.hall() == hall);
+                here.map(|result| result.bytes).sum()
             };
-            let largest = inputs().max_by_key(|(_, result)| in_hall(result.hall()));
-            return largest.map(|(_, result)| result.hall().to_string());
+            let largest = self.inputs(at).max_by_key(|result| in_hall(result.hall()));
+            return largest.map(|result| result.hall().to_string());
         }
         self.home_hall
             .clone()
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -45,7 +45,7 @@
 
     /// Waiting pieces that are wanted at a worker, by group: first groups that
     /// were begun, whose results lie idle; then by priority; in each, those that
-    /// can still be in time before the late ones.
+    /// can still be in time before the late ones, unless these hold memory elsewhere.
     fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
         let hall = self.workers[worker].hall;
         let soonest = now + self.rules.expected_ms(self.rules.batch) as Millis;
@@ -68,7 +68,7 @@
             }
             last = Some(piece.order.group);
             let begun = self.groups.get(&piece.order.group).is_some_and(|g| g.begun);
-            let is_late = piece.order.due < soonest;
+            let is_late = piece.order.due < soonest && !piece.order.holds_inputs;
             let class = match begun {
                 true => (0, 0, false),
                 false => (1, piece.order.priority, is_late),
--- a/crates/stages/src/batch/types.rs
+++ b/crates/stages/src/batch/types.rs
@@ -48,6 +48,9 @@
     pub result_bytes: u64,
     /// Pieces of one group, the stage of a request, are of use together only.
     pub group: GroupKey,
+    /// Results that it starts from fill their makers' memory until it is made, so
+    /// it doesn't wait behind others even when it is late.
+    pub holds_inputs: bool,
     /// Where the result is wanted; another hall's workers make it only once it
     /// has waited a while.
     pub hall: Option<HallKey>,
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -24,6 +24,7 @@
         expires: 20_000,
         result_bytes: 1_000,
         group: GroupKey(group),
+        holds_inputs: false,
         hall: None,
     }
 }
@@ -91,6 +92,24 @@
     assert_eq!(served, [3, 2, 1]);
 }
 
+#[test]
+fn a_late_piece_that_holds_memory_elsewhere_does_not_wait_behind_others() {
+    let mut queue = BatchQueue::new(PoolRules {
+        batch: 1,
+        ..rules()
+    });
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let late = PieceOrder {
+        due: 5,
+        holds_inputs: true,
+        ..order(2)
+    };
+    push(&mut queue, late, 1);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(groups(&queue, &call), [2]);
+}
+
 #[test]
 fn a_group_whose_results_are_large_is_not_torn() {
     let mut queue = BatchQueue::new(rules());
--- a/crates/stages/tests/suite/random_queue.rs
+++ b/crates/stages/tests/suite/random_queue.rs
@@ -138,6 +138,7 @@
                 due: world.now + 500,
                 expires: world.now + 10_000,
                 result_bytes: bytes,
+                holds_inputs: group % 3 == 0,
                 group: GroupKey(group),
                 hall: hall.map(HallKey),
             };
