--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod compare;
 mod control;
+mod day;
 mod decision;
 mod overhead;
 mod run;
@@ -15,6 +16,7 @@
 pub enum Command {
     Compare(compare::Arguments),
     Control(control::Arguments),
+    Day(day::Arguments),
     Decision(decision::Arguments),
     Overhead(overhead::Arguments),
     Run(run::Arguments),
@@ -25,6 +27,7 @@
         match self {
             Command::Compare(arguments) => arguments.run().await,
             Command::Control(arguments) => arguments.run().await,
+            Command::Day(arguments) => arguments.run().await,
             Command::Decision(arguments) => arguments.run().await,
             Command::Overhead(arguments) => arguments.run().await,
             Command::Run(arguments) => arguments.run().await,
--- /dev/null
+++ b/crates/bench/src/day/model.rs
@@ -0,0 +1,286 @@
+//! What a day's scenario file says: pools, engines, kinds of request, troubles.
+
+use std::path::Path;
+
+use hollowsail_config::fault::{Fault, Faults};
+use hollowsail_config::reader::{FaultList, Section};
+use hollowsail_config::SourceFile;
+
+/// A deployment and its day.
+#[derive(Debug, Clone, Default)]
+pub struct DayModel {
+    pub seconds: f64,
+    pub entries: usize,
+    pub halls: usize,
+    /// Requests a second, all kinds together.
+    pub rate: f64,
+    pub engines: EngineModel,
+    pub pools: Vec<PoolModel>,
+    pub kinds: Vec<KindModel>,
+    pub troubles: Vec<Trouble>,
+}
+
+/// The engines; all are alike.
+#[derive(Debug, Clone, Default)]
+pub struct EngineModel {
+    pub count: usize,
+    pub slots: u32,
+    /// Prompt tokens read in a millisecond.
+    pub tokens_per_ms: f64,
+    /// Time of an event with nothing else running, in milliseconds.
+    pub event_ms: f64,
+    /// Tokens of prompts' shared parts that it keeps.
+    pub kept_tokens: u64,
+}
+
+/// Workers of one stage service; all are alike.
+#[derive(Debug, Clone)]
+pub struct PoolModel {
+    pub name: String,
+    pub workers: usize,
+    pub batch: usize,
+    pub call_ms: f64,
+    pub piece_ms: f64,
+    /// Memory for results at each worker, in bytes.
+    pub result_bytes: u64,
+}
+
+/// One kind of request.
+#[derive(Debug, Clone)]
+pub struct KindModel {
+    pub name: String,
+    /// Weight among all requests.
+    pub share: f64,
+    pub priority: u8,
+    pub target_ms: u64,
+    pub deadline_ms: u64,
+    /// Credit of an answer in time, and of a late one.
+    pub worth: f64,
+    pub late_worth: f64,
+    /// Tokens that requests share, and how many such parts there are.
+    pub shared_tokens: u64,
+    pub parts: u32,
+    pub own_tokens: u64,
+    pub events: u32,
+    pub stages: Vec<StageModel>,
+}
+
+/// One stage of a kind.
+#[derive(Debug, Clone)]
+pub struct StageModel {
+    /// Position of its pool.
+    pub pool: usize,
+    pub after: Vec<usize>,
+    /// Mean number of pieces, where the stage isn't left out.
+    pub pieces: f64,
+    /// Part of the requests that have the stage.
+    pub probability: f64,
+    pub result_bytes: u64,
+    /// A piece's time over the pool's.
+    pub work: f64,
+}
+
+/// Something that goes wrong for a while.
+#[derive(Debug, Clone)]
+pub struct Trouble {
+    pub kind: TroubleKind,
+    pub at_ms: u64,
+    pub for_ms: u64,
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, PartialEq)]
+pub enum TroubleKind {
+    /// Requests of a kind (all, when absent) are multiplied.
+    Burst { kind: Option<usize>, factor: f64 },
+    /// Some workers of a pool take a multiple of their time.
+    Slow {
+        pool: usize,
+        workers: usize,
+        factor: f64,
+    },
+    /// Some workers of a pool fail every call.
+    Down { pool: usize, workers: usize },
+}
+
+impl Trouble {
+    /// True while it lasts.
+    pub fn is_on(&self, at_ms: u64) -> bool {
+        (self.at_ms..self.at_ms + self.for_ms).contains(&at_ms)
+    }
+}
+
+impl PoolModel {
+    /// Time of a call with so many plain pieces, in milliseconds.
+    pub fn expected_ms(&self, pieces: usize) -> f64 {
+        self.call_ms + self.piece_ms * pieces as f64
+    }
+}
+
+impl DayModel {
+    /// Reads a scenario; every fault of the file is named.
+    pub fn read(path: &Path) -> Result<Self, Faults> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|err| {
+            Faults(vec![Fault {
+                file: name.clone(),
+                line: 0,
+                field: "file".into(),
+                message: format!("cannot be read: {err}"),
+            }])
+        })?;
+        Self::parse(&SourceFile { name, text })
+    }
+
+    /// Reads a scenario's text. Pools and kinds are named before they are used.
+    pub fn parse(source: &SourceFile) -> Result<Self, Faults> {
+        let ini = source.parse().map_err(|fault| Faults(vec![fault]))?;
+        let index = source.index();
+        let faults = FaultList::default();
+        let mut model = DayModel::default();
+        for (name, fields) in ini.iter() {
+            let Some(name) = name else { continue };
+            let section = Section::new(&source.name, name, fields, &index, &faults);
+            match name.split_once('.') {
+                None if name == "day" => model.read_day(&section),
+                None if name == "engines" => model.engines = read_engines(&section),
+                Some(("pool", _)) => model.pools.push(read_pool(&section)),
+                Some(("kind", _)) => model.kinds.push(read_kind(&section)),
+                Some(("stage", _)) => model.read_stage(&section),
+                Some(("trouble", _)) => model.read_trouble(&section),
+                _ => {
+                    section.fault(
+                        "",
+                        "is not known; use day, engines, pool.NAME, kind.NAME, \
+                         stage.KIND.NUMBER or trouble.NAME",
+                    );
+                    continue;
+                }
+            }
+            section.finish();
+        }
+        match faults.into_vec() {
+            found if found.is_empty() => Ok(model),
+            found => Err(Faults::in_order(found)),
+        }
+    }
+
+    fn read_day(&mut self, section: &Section<'_>) {
+        self.seconds = section.number("seconds", 30.0, 0.1..=3_600.0);
+        self.entries = section.number("entries", 3, 1..=1_000);
+        self.halls = section.number("halls", 3, 1..=100);
+        self.rate = section.number("requests_per_second", 10.0, 0.01..=1e5);
+    }
+
+    fn read_stage(&mut self, section: &Section<'_>) {
+        let kind_name = section.item_name().split('.').next().unwrap_or_default();
+        let pool = self.pool_at(section);
+        let after = section.list("after");
+        let after: Vec<usize> = after.iter().filter_map(|text| text.parse().ok()).collect();
+        let stage = StageModel {
+            pool,
+            after,
+            pieces: section.number("pieces", 1.0, 1.0..=10_000.0),
+            probability: section.number("probability", 1.0, 0.0..=1.0),
+            result_bytes: section.number("result_kb", 1, 1..=1_000_000) * 1_000,
+            work: section.number("work", 1.0, 0.0..=100.0),
+        };
+        let Some(kind) = self.kinds.iter_mut().find(|kind| kind.name == kind_name) else {
+            section.fault("", "belongs to no kind; name kind.NAME before its stages");
+            return;
+        };
+        if stage
+            .after
+            .iter()
+            .any(|&before| before >= kind.stages.len())
+        {
+            section.fault("after", "names a stage that doesn't come before this one");
+            return;
+        }
+        kind.stages.push(stage);
+    }
+
+    fn read_trouble(&mut self, section: &Section<'_>) {
+        let factor = || section.number("factor", 2.0, 0.0..=1_000.0);
+        let workers = || section.number("workers", 1, 1..=10_000);
+        let kind = match section.required("what") {
+            "burst" => TroubleKind::Burst {
+                kind: section.text("kind").map(|name| self.kind_at(section, name)),
+                factor: factor(),
+            },
+            "slow" => TroubleKind::Slow {
+                pool: self.pool_at(section),
+                workers: workers(),
+                factor: factor(),
+            },
+            "down" => TroubleKind::Down {
+                pool: self.pool_at(section),
+                workers: workers(),
+            },
+            _ => {
+                section.fault("what", "is not known; use burst, slow or down");
+                return;
+            }
+        };
+        self.troubles.push(Trouble {
+            kind,
+            at_ms: section.number("at_ms", 0, 0..=3_600_000),
+            for_ms: section.number("for_ms", 3_600_000, 1..=3_600_000),
+        });
+    }
+
+    fn pool_at(&self, section: &Section<'_>) -> usize {
+        let name = section.required("pool");
+        let found = self.pools.iter().position(|pool| pool.name == name);
+        found.unwrap_or_else(|| {
+            section.fault("pool", "names no pool; name pool.NAME before it is used");
+            0
+        })
+    }
+
+    fn kind_at(&self, section: &Section<'_>, name: &str) -> usize {
+        let found = self.kinds.iter().position(|kind| kind.name == name);
+        found.unwrap_or_else(|| {
+            section.fault("kind", "names no kind; name kind.NAME before it is used");
+            0
+        })
+    }
+}
+
+fn read_engines(section: &Section<'_>) -> EngineModel {
+    EngineModel {
+        count: section.number("count", 1, 1..=10_000),
+        slots: section.number("slots", 64, 1..=10_000),
+        tokens_per_ms: section.number("tokens_per_ms", 60.0, 0.01..=1e6),
+        event_ms: section.number("event_ms", 17.0, 0.0..=10_000.0),
+        kept_tokens: section.number("kept_tokens", 600_000, 0..=1_000_000_000),
+    }
+}
+
+fn read_pool(section: &Section<'_>) -> PoolModel {
+    PoolModel {
+        name: section.item_name().to_string(),
+        workers: section.number("workers", 1, 1..=10_000),
+        batch: section.number("batch", 8, 1..=10_000),
+        call_ms: section.number("call_ms", 150.0, 0.0..=60_000.0),
+        piece_ms: section.number("piece_ms", 10.0, 0.0..=60_000.0),
+        result_bytes: section.number("result_kb", 1_000, 1..=1_000_000_000) * 1_000,
+    }
+}
+
+fn read_kind(section: &Section<'_>) -> KindModel {
+    KindModel {
+        name: section.item_name().to_string(),
+        share: section.number("share", 1.0, 0.0..=1e6),
+        priority: section.number("priority", 1, 0..=9),
+        target_ms: section.number("target_ms", 1_000, 1..=600_000),
+        deadline_ms: section.number("deadline_ms", 10_000, 1..=600_000),
+        worth: section.number("worth", 1.0, 0.0..=1e6),
+        late_worth: section.number("late_worth", 0.1, 0.0..=1e6),
+        shared_tokens: section.number("shared_tokens", 0, 0..=10_000_000),
+        parts: section.number("parts", 1, 1..=1_000_000),
+        own_tokens: section.number("own_tokens", 0, 0..=10_000_000),
+        events: section.number("events", 1, 1..=1_000_000),
+        stages: Vec::new(),
+    }
+}
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod arrivals;
 mod chaos;
+mod day;
 mod history;
 mod scenario;
 
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -99,11 +99,7 @@
             ahead: f64::from(load.ahead_of(admitted.priority) + pieces - 1),
         });
     Some(StageDemand {
-        expected: StageExpectation {
-            fast_ms: own_ms,
-            typical_ms: own_ms,
-            slow_ms: own_ms,
-        },
+        expected: StageExpectation::fixed(own_ms),
         load: load.unwrap_or(NOTHING_AHEAD),
     })
 }
--- a/crates/routing/src/deadline.rs
+++ b/crates/routing/src/deadline.rs
@@ -17,6 +17,17 @@
     pub slow_ms: Millis,
 }
 
+impl StageExpectation {
+    /// A stage that always takes about the same.
+    pub fn fixed(ms: Millis) -> Self {
+        StageExpectation {
+            fast_ms: ms,
+            typical_ms: ms,
+            slow_ms: ms,
+        }
+    }
+}
+
 /// Bounds for the stage at hand.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StagePlan {
