--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -60,23 +60,14 @@
     }
 
     /// Pieces that the workers make at a time: whole batches, fewer where they
-    /// are slow or where results of so many bytes fill their memory first. A worker
-    /// with an overdue call may never answer it, and gets no other until then.
+    /// are slow or where results of so many bytes fill their memory first.
     fn slots(&self, result_bytes: u64) -> f32 {
-        let is_stuck = |key| {
-            let mut calls = self.calls.values();
-            calls.any(|call| call.worker == key && call.overdue)
-        };
-        let works =
-            |key, worker: &Worker| !worker.leaving && worker.failures == 0 && !is_stuck(key);
+        let works = |worker: &&Worker| !worker.leaving && worker.failures == 0;
         let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
         let at_once = (fitting / RESIDENCE_CALLS).min(self.rules.batch as f64);
-        let workers = self
-            .workers
-            .iter()
-            .filter(|(key, worker)| works(*key, worker));
+        let workers = self.workers.values().filter(works);
         let slots: f64 = workers
-            .map(|(_, worker)| at_once / worker.slowness.max(1.0))
+            .map(|worker| at_once / worker.slowness.max(1.0))
             .sum();
         slots.max(LEAST_SLOTS) as f32
     }
