--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -43,6 +43,9 @@
 /// How long a piece waits at least for a worker of the hall where its result is
 /// wanted, in milliseconds.
 const HALL_PATIENCE_MS: Millis = 60;
+/// The same at most, in milliseconds: less than a call, since the time that a piece
+/// waits is missed in the stages after. By paired plays of the users' days.
+const MOST_HALL_PATIENCE_MS: Millis = 200;
 
 /// Priority, due time, order of arrival: pieces that arrive together stay
 /// together.
@@ -120,12 +123,13 @@
         key
     }
 
-    /// When a piece may be made outside the hall where it is wanted: as late as
-    /// it can still be in time, and not at once even when it is late.
+    /// When a piece may be made outside the hall where it is wanted: while it can
+    /// still be in time, but after a while at the latest, and not at once even when
+    /// it is late.
     fn anywhere_from(&self, order: &PieceOrder, now: Millis) -> Millis {
         let whole_call = self.rules.expected_ms(self.rules.batch) as Millis;
         let latest_start = order.due.saturating_sub(whole_call);
-        latest_start.max(now + HALL_PATIENCE_MS)
+        latest_start.clamp(now + HALL_PATIENCE_MS, now + MOST_HALL_PATIENCE_MS)
     }
 
     /// The job of a piece that isn't finished.
