--- a/crates/bench/src/day/draw.rs
+++ b/crates/bench/src/day/draw.rs
@@ -4,7 +4,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::model::{DayModel, KindModel, TroubleKind};
+use super::model::{DayModel, TroubleKind};
 
 /// How unlike the sizes of requests are: pieces and tokens of one lie between
 /// 1 - SPREAD and 1 + SPREAD times the mean.
@@ -68,7 +68,7 @@
 }
 
 fn draw_one(model: &DayModel, kind_at: usize, at_ms: u64, rng: &mut SmallRng) -> DrawnRequest {
-    let kind: &KindModel = &model.kinds[kind_at];
+    let kind = &model.kinds[kind_at];
     let pieces = kind
         .stages
         .iter()
--- a/crates/bench/src/day/pool.rs
+++ b/crates/bench/src/day/pool.rs
@@ -11,7 +11,7 @@
     StartedPiece, WorkerKey,
 };
 
-use super::model::{DayModel, PoolModel, TroubleKind};
+use super::model::{DayModel, PoolModel, Trouble, TroubleKind};
 use super::policy::{DayPolicy, Queues};
 
 /// Calls that may wait at a worker.
@@ -54,7 +54,10 @@
 
 /// The pool.
 pub struct Pool<T> {
+    /// Position among the day's pools, by which troubles name it.
+    at: usize,
     model: PoolModel,
+    troubles: Vec<Trouble>,
     queues: Vec<BatchQueue<T>>,
     /// Keys of the workers in each queue.
     keys: Vec<Vec<WorkerKey>>,
@@ -64,13 +67,9 @@
 }
 
 impl<T> Pool<T> {
-    /// Idle workers, spread over the halls.
-    pub fn new(
-        model: &PoolModel,
-        day: &DayModel,
-        policy: &DayPolicy,
-        work_of: fn(&T) -> f64,
-    ) -> Self {
+    /// Idle workers of one of the day's pools, spread over the halls.
+    pub fn new(at: usize, day: &DayModel, policy: &DayPolicy, work_of: fn(&T) -> f64) -> Self {
+        let model = &day.pools[at];
         let rules = PoolRules {
             running: 1,
             batch: model.batch,
@@ -93,7 +92,9 @@
             })
             .collect();
         Pool {
+            at,
             model: model.clone(),
+            troubles: day.troubles.clone(),
             queues,
             keys,
             workers: (0..model.workers).map(|_| Worker::default()).collect(),
@@ -129,58 +130,49 @@
     }
 
     /// Makes every call that can be made now.
-    pub fn start_calls(&mut self, day: &DayModel, pool: usize, now: u64) -> Vec<CallBegun> {
+    pub fn start_calls(&mut self, now: u64) -> Vec<CallBegun> {
         let mut begun = Vec::new();
         for queue in 0..self.queues.len() {
             while let Some(call) = self.queues[queue].next_call(now) {
                 let worker = self.worker_of(queue, call.worker);
                 let state = &mut self.workers[worker];
                 if state.running.is_none() {
-                    begun.push(self.begin(day, pool, worker, queue, call, now));
+                    begun.push(self.begin(worker, queue, call, now));
                 } else if state.waiting.len() < MOST_WAITING {
                     state.waiting.push_back((queue, call));
                 } else {
-                    let left = self.queues[queue].end_call(call.call, CallEnd::Refused, now);
-                    left.into_iter()
-                        .for_each(|piece| self.queues[queue].requeue(piece));
+                    self.give_back(queue, &call, CallEnd::Refused, now);
                 }
             }
         }
         begun
     }
 
+    /// Position of a worker that a queue names by its own key.
     fn worker_of(&self, queue: usize, key: WorkerKey) -> usize {
         let found = self.keys[queue].iter().position(|known| *known == key);
         found.expect("the queue knows its own workers only")
     }
 
-    fn begin(
-        &mut self,
-        day: &DayModel,
-        pool: usize,
-        worker: usize,
-        queue: usize,
-        started: StartedCall,
-        now: u64,
-    ) -> CallBegun {
-        let (slow, fails) = troubles_of(day, pool, worker, now);
-        let state = &mut self.workers[worker];
-        let mut with_room = Vec::with_capacity(started.pieces.len());
-        let mut work_ms = 0.0;
-        for StartedPiece { key, result_bytes } in &started.pieces {
-            let has_room = state.held_bytes + result_bytes <= self.model.result_bytes && !fails;
-            if has_room {
-                state.held_bytes += result_bytes;
-            }
-            with_room.push(has_room);
-            let work = self.queues[queue].job(*key).map_or(1.0, self.work_of);
-            work_ms += self.model.piece_ms * work;
-        }
+    /// Ends a call at its queue; pieces that it left unmade wait again.
+    fn give_back(&mut self, queue: usize, started: &StartedCall, end: CallEnd, now: u64) {
+        let queue = &mut self.queues[queue];
+        let left = queue.end_call(started.call, end, now);
+        left.into_iter().for_each(|piece| queue.requeue(piece));
+    }
+
+    /// A worker begins a call.
+    fn begin(&mut self, worker: usize, queue: usize, started: StartedCall, now: u64) -> CallBegun {
+        let (slow, fails) = self.troubles_of(worker, now);
         let ms = match fails {
             true => FAILS_AFTER_MS,
-            false => ((self.model.call_ms + work_ms) * slow) as u64,
+            false => ((self.model.call_ms + self.work_ms(queue, &started)) * slow) as u64,
+        };
+        let with_room = match fails {
+            true => vec![false; started.pieces.len()],
+            false => self.take_room(worker, &started),
         };
-        state.running = Some(Call {
+        self.workers[worker].running = Some(Call {
             queue,
             started,
             with_room,
@@ -192,44 +184,80 @@
         }
     }
 
+    /// Time of a call's pieces, in milliseconds.
+    fn work_ms(&self, queue: usize, started: &StartedCall) -> f64 {
+        let queue = &self.queues[queue];
+        let works = started
+            .pieces
+            .iter()
+            .map(|piece| queue.job(piece.key).map_or(1.0, self.work_of));
+        works.map(|work| self.model.piece_ms * work).sum()
+    }
+
+    /// Takes memory for the results of a call's pieces; tells which have room.
+    fn take_room(&mut self, worker: usize, started: &StartedCall) -> Vec<bool> {
+        let held = &mut self.workers[worker].held_bytes;
+        let most = self.model.result_bytes;
+        let pieces = started.pieces.iter();
+        pieces
+            .map(|piece| {
+                let has_room = *held + piece.result_bytes <= most;
+                *held += if has_room { piece.result_bytes } else { 0 };
+                has_room
+            })
+            .collect()
+    }
+
+    /// By how much a worker's time is multiplied now, and whether it fails.
+    fn troubles_of(&self, worker: usize, now: u64) -> (f64, bool) {
+        let mut slow = 1.0;
+        let mut fails = false;
+        for trouble in self.troubles.iter().filter(|trouble| trouble.is_on(now)) {
+            match trouble.kind {
+                TroubleKind::Slow {
+                    pool,
+                    workers,
+                    factor,
+                } if pool == self.at && worker < workers => slow *= factor,
+                TroubleKind::Down { pool, workers } if pool == self.at && worker < workers => {
+                    fails = true;
+                }
+                _ => {}
+            }
+        }
+        (slow, fails)
+    }
+
     /// A worker's call ends: tells what it made. The caller makes further calls
     /// with [`Pool::start_calls`]; one that waited at the worker begins at once.
-    pub fn end_call(
-        &mut self,
-        day: &DayModel,
-        pool: usize,
-        worker: usize,
-        now: u64,
-    ) -> (Vec<MadePiece<T>>, Option<CallBegun>) {
+    pub fn end_call(&mut self, worker: usize, now: u64) -> (Vec<MadePiece<T>>, Option<CallBegun>) {
         let Some(call) = self.workers[worker].running.take() else {
             return (Vec::new(), None);
         };
-        let queue = call.queue;
         let mut made = Vec::new();
         for (piece, has_room) in call.started.pieces.iter().zip(&call.with_room) {
-            made.extend(self.end_piece(queue, worker, *piece, *has_room, &call, now));
+            made.extend(self.end_piece(worker, &call, *piece, *has_room, now));
         }
         let end = match call.fails {
             true => CallEnd::Failed,
             false => CallEnd::Answered,
         };
-        let left = self.queues[queue].end_call(call.started.call, end, now);
-        left.into_iter()
-            .for_each(|piece| self.queues[queue].requeue(piece));
+        self.give_back(call.queue, &call.started, end, now);
         let next = self.workers[worker].waiting.pop_front();
-        let begun = next.map(|(queue, call)| self.begin(day, pool, worker, queue, call, now));
+        let begun = next.map(|(queue, call)| self.begin(worker, queue, call, now));
         (made, begun)
     }
 
+    /// Ends one piece of a call; gives it when it was made and is still wanted.
     fn end_piece(
         &mut self,
-        queue: usize,
         worker: usize,
+        call: &Call,
         piece: StartedPiece,
         has_room: bool,
-        call: &Call,
         now: u64,
     ) -> Option<MadePiece<T>> {
+        let queue = call.queue;
         let key = self.keys[queue][worker];
         if !has_room {
             self.queues[queue].free(key, piece.result_bytes);
@@ -265,21 +293,3 @@
         expired
     }
 }
-
-/// By how much a worker's time is multiplied now, and whether it fails.
-fn troubles_of(day: &DayModel, at: usize, worker: usize, now: u64) -> (f64, bool) {
-    let mut slow = 1.0;
-    let mut fails = false;
-    for trouble in day.troubles.iter().filter(|trouble| trouble.is_on(now)) {
-        match &trouble.kind {
-            TroubleKind::Slow {
-                pool,
-                workers,
-                factor,
-            } if *pool == at && worker < *workers => slow *= factor,
-            TroubleKind::Down { pool, workers } if *pool == at && worker < *workers => fails = true,
-            _ => {}
-        }
-    }
-    (slow, fails)
-}
--- a/crates/bench/src/day/report.rs
+++ b/crates/bench/src/day/report.rs
@@ -3,8 +3,7 @@
 use serde::Serialize;
 
 /// How one request ended for its caller.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
     /// The first event came within the target.
     InTime,
