Send a call and read its whole answer in one place

Pool::call does it for all; what each makes of a status, a long answer or one that broke off stays with it, as do the errors' texts.

--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -9,15 +9,18 @@
 //!
 //! Flow: [`Pool::send`] takes an idle connection or dials, sends, and gives an
 //! [`Exchange`]; [`Exchange::into_body`] reads the answer and puts the
-//! connection back after its last byte.
+//! connection back after its last byte. [`Pool::call`] does all of it for an
+//! answer that is read whole.
 
 mod body;
 mod dial;
 mod pool;
+mod whole;
 
 pub use body::AnswerBody;
 pub use dial::{dial, DialError};
 pub use pool::{Exchange, Pool, PoolRules, Reuse, SendError};
+pub use whole::WholeAnswer;
 
 /// The error of a body whose connection failed before its end.
 pub type BodyError = hyper::Error;
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowsail_connect::{Pool, PoolRules, Reuse};
+use hollowsail_connect::{Pool, PoolRules, WholeAnswer};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use rand::seq::IndexedRandom;
@@ -94,24 +94,20 @@
         .header(http::header::HOST, "peer")
         .body(Full::new(Bytes::from(body)))
         .expect("the path is valid");
-    let exchange = async {
-        let exchange = Pool::new(addr, rules)
-            .send(req, Reuse::Any)
-            .await
-            .map_err(|source| AskError::Send { source })?;
-        let (parts, body) = exchange.into_body(false);
-        let whole = body
-            .collect(MOST_ANSWER_BYTES)
-            .await
-            .map_err(|source| AskError::CutOff { source })?;
-        let status = parts.status;
-        let body = whole.filter(|_| status == StatusCode::OK);
-        let body = body.ok_or(AskError::Status { status })?;
-        rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
-    };
-    tokio::time::timeout(ANSWER_WITHIN, exchange)
+    let pool = Pool::new(addr, rules);
+    tokio::time::timeout(ANSWER_WITHIN, pool.call(req, MOST_ANSWER_BYTES))
         .await
-        .unwrap_or(Err(AskError::Silent))
+        .map_err(|_| AskError::Silent)?
+        .map_err(|source| AskError::Send { source })
+        .and_then(read_answer)
+}
+
+fn read_answer(answer: WholeAnswer) -> Result<StateAnswer, AskError> {
+    let whole = answer.body.map_err(|source| AskError::CutOff { source })?;
+    let status = answer.head.status;
+    let body = whole.filter(|_| status == StatusCode::OK);
+    let body = body.ok_or(AskError::Status { status })?;
+    rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
 }
 
 impl Control {
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hollowsail_connect::{Pool, PoolRules, Reuse, SendError};
+use hollowsail_connect::{Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
 use http::{Request, StatusCode};
@@ -237,15 +237,13 @@
             .header(http::header::HOST, "peer")
             .body(Full::new(Bytes::from(body)))
             .expect("the path is valid");
-        let exchange = self
+        // The answer has no body; reading its end gives the connection back.
+        let answer = self
             .pool
-            .send(req, Reuse::Any)
+            .call(req, 0)
             .await
             .map_err(|source| LinkError::Send { source })?;
-        let (parts, body) = exchange.into_body(true);
-        // The answer has no body; reading its end gives the connection back.
-        drop(body.collect(0).await);
-        match parts.status {
+        match answer.head.status {
             StatusCode::NO_CONTENT => Ok(()),
             status => Err(LinkError::Refused { status }),
         }
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_connect::Reuse;
 use hollowsail_observe::events;
 use hollowsail_platform::heads::TargetHead;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
@@ -138,18 +137,14 @@
         return Ok(Vec::new());
     }
     let req = pieces::run_call(target.incarnation(), asked.iter().map(|asked| &asked.piece));
-    let exchange = target
+    let answer = target
         .pool
-        .send(req, Reuse::Any)
+        .call(req, MOST_ANSWER_BYTES)
         .await
         .map_err(|source| CallError::Send { source })?;
-    let status = exchange.response().status();
-    let head = TargetHead::read(status, exchange.response().headers());
-    let (_, body) = exchange.into_body(true);
-    let whole = body
-        .collect(MOST_ANSWER_BYTES)
-        .await
-        .map_err(|source| CallError::CutOff { source })?;
+    let status = answer.head.status;
+    let head = TargetHead::read(status, &answer.head.headers);
+    let whole = answer.body.map_err(|source| CallError::CutOff { source })?;
     if head.not_run {
         return Err(CallError::Refused { status });
     }
@@ -253,12 +248,8 @@
 /// drops them by itself after a while.
 pub(super) async fn free(target: Rc<Target>, handles: Vec<String>) {
     let req = pieces::free_call(target.incarnation(), &handles);
-    let send = async {
-        let exchange = target.pool.send(req, Reuse::Any).await.ok()?;
-        let (_, body) = exchange.into_body(true);
-        body.collect(MOST_ANSWER_BYTES).await.ok()
-    };
-    if tokio::time::timeout(FREE_WITHIN, send).await.is_err() {
+    let call = target.pool.call(req, MOST_ANSWER_BYTES);
+    if tokio::time::timeout(FREE_WITHIN, call).await.is_err() {
         log::debug!(
             "results at {} were not given up in time",
             target.record.addr
