Give the control thread's own record, pauses and settling a module each

membership takes the entries' records, own_record keeps this entry's. Both books settle by one function after the store's return; what is logged stays as it was.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_platform::settings::Bounds;
 use hollowsail_platform::store::{Changes, Range, StoreError};
 
 use super::backoff::Backoff;
@@ -69,28 +68,6 @@
     }
 }
 
-/// How long watches pause after a change, so that changes which come one after the
-/// other are told in a few answers: each is a call with a price.
-#[derive(Debug, Clone, Copy)]
-pub struct WatchPauses {
-    pub configuration: Duration,
-    pub records: Duration,
-}
-
-/// Part of the time in which a change has to be heeded that a watch may pause.
-const PAUSE_SHARE: u32 = 8;
-
-impl WatchPauses {
-    /// By the bounds of the settings.
-    pub fn new(bounds: &Bounds) -> Self {
-        let share = |ms: u64| Duration::from_millis(ms) / PAUSE_SHARE;
-        WatchPauses {
-            configuration: share(bounds.configuration_ms),
-            records: share(bounds.drain_ms),
-        }
-    }
-}
-
 impl Control {
     /// Waits until the store answers again; at once when it does.
     async fn until_store_back(&self) {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,15 +2,18 @@
 //!
 //! One loop follows the operators' configuration, another the targets' records,
 //! a third the entries' own ([`follow`]); a fourth keeps this entry's record
-//! there ([`membership`]). While the store doesn't answer, [`peer_state`] asks
+//! there ([`own_record`]). While the store doesn't answer, [`peer_state`] asks
 //! peers that may still hear from it. All publish through [`Control::publish`].
 
 mod backoff;
 mod configuration;
 mod follow;
 mod membership;
+mod own_record;
+mod pauses;
 mod peer_state;
 mod records;
+mod settle;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -26,7 +29,7 @@
 use tokio::sync::Notify;
 
 use self::configuration::Configuration;
-use self::follow::WatchPauses;
+use self::pauses::WatchPauses;
 use crate::clock::Clock;
 use crate::log::Log;
 use crate::metrics;
@@ -100,7 +103,7 @@
     pub fn spawn(self: &Rc<Self>) {
         actix_rt::spawn(follow::follow(self.clone(), configuration::FOLLOWED));
         actix_rt::spawn(follow::follow(self.clone(), records::FOLLOWED));
-        actix_rt::spawn(membership::keep_own_record(self.clone()));
+        actix_rt::spawn(own_record::keep(self.clone()));
         actix_rt::spawn(follow::follow(self.clone(), membership::FOLLOWED));
         actix_rt::spawn(peer_state::follow(self.clone()));
     }
--- /dev/null
+++ b/crates/gateway/src/control/own_record.rs
@@ -0,0 +1,89 @@
+//! Keeps this entry's record in the store, by which its peers know that it
+//! lives.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_observe::events;
+use hollowsail_platform::store::{Lease, StoreError};
+
+use super::backoff::Backoff;
+use super::Control;
+
+/// How long the record of an entry that fell silent stays. Peers notice a dead
+/// one sooner, when it owes them an answer.
+const LEASE: Duration = Duration::from_secs(6);
+/// Between two renewals; two may be lost. They also show that the store answers:
+/// a watch that hears nothing looks the same when nothing changes.
+const RENEW_EVERY: Duration = Duration::from_millis(1_900);
+
+/// Keeps the record of this entry until a planned stop.
+pub async fn keep(cx: Rc<Control>) {
+    let mut backoff = Backoff::default();
+    while !cx.is_leaving.get() {
+        if let Err(err) = keep_once(&cx, &mut backoff).await {
+            cx.lease.set(None);
+            cx.store_failed(&err);
+            cx.log.line(
+                events::MEMBER,
+                format_args!("state=unrecorded why=\"{err}\""),
+            );
+            backoff.pause().await;
+        }
+    }
+}
+
+/// Writes the record and renews its lease until that fails.
+async fn keep_once(cx: &Control, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let lease = cx.store.lease(LEASE).await?;
+    let value = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
+    match cx.store.put(&cx.me.key(), 0, &value, lease).await {
+        Ok(_) => {}
+        // The record of an earlier lease, whose answer was lost, is still there.
+        Err(StoreError::Conflict) => replace_record(cx, &value, lease).await?,
+        Err(err) => return Err(err),
+    }
+    cx.lease.set(Some(lease));
+    backoff.reset();
+    while !cx.is_leaving.get() {
+        tokio::time::sleep(RENEW_EVERY).await;
+        renew(cx, lease).await?;
+    }
+    Ok(())
+}
+
+async fn replace_record(cx: &Control, value: &[u8], lease: Lease) -> Result<(), StoreError> {
+    let key = cx.me.key();
+    let revision = cx.store.get(&key).await?.map_or(0, |item| item.revision);
+    cx.store.put(&key, revision, value, lease).await?;
+    Ok(())
+}
+
+/// Renews until the lease is over; a store that is away says nothing of it.
+async fn renew(cx: &Control, lease: Lease) -> Result<(), StoreError> {
+    match cx.store.renew(lease).await {
+        Err(StoreError::LeaseOver) => Err(StoreError::LeaseOver),
+        Err(err) => {
+            cx.store_failed(&err);
+            Ok(())
+        }
+        Ok(()) => {
+            cx.store_answered();
+            Ok(())
+        }
+    }
+}
+
+impl Control {
+    /// Gives this entry's record up, so that peers pass it over at once.
+    pub async fn leave(&self) {
+        self.is_leaving.set(true);
+        let Some(lease) = self.lease.take() else {
+            return;
+        };
+        if let Err(err) = self.store.end_lease(lease).await {
+            let fields = format_args!("state=leaving why=\"{err}\"");
+            self.log.line(events::MEMBER, fields);
+        }
+    }
+}
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -17,11 +17,11 @@
     probes: false,
     take_all: |cx, range| {
         cx.take_records(range);
-        cx.settle_later();
+        cx.settle_records_later();
     },
     take_changes: |cx, changes| {
         cx.take_record_changes(changes);
-        cx.settle_later();
+        cx.settle_records_later();
         cx.pauses.records
     },
 };
@@ -136,19 +136,11 @@
         }
     }
 
-    /// Drops records that are still missing once the store's return is settled.
-    fn settle_later(self: &Rc<Self>) {
-        let Some(at) = self.book.borrow().settles_at() else {
-            return;
-        };
-        let cx = self.clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep_until(cx.clock.moment(at).into()).await;
-            let gone = cx.book.borrow_mut().settle(cx.clock.now());
-            if !gone.is_empty() {
-                cx.log_gone(&gone, "not_back_after_outage");
-                cx.publish();
-            }
-        });
+    /// Drops targets that are still missing once the store's return is settled.
+    fn settle_records_later(self: &Rc<Self>) {
+        self.settle_later(
+            |cx| &cx.book,
+            |cx, gone| cx.log_gone(gone, "not_back_after_outage"),
+        );
     }
 }
