Name the steps of choosing a call's groups and of putting engines out

A group's turn, whether a piece is wanted in a hall and whether a group is begun are functions of their own; the accounts of one hall and of all go through the same judgement.

--- a/crates/routing/src/desk/health.rs
+++ b/crates/routing/src/desk/health.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use crate::health::{HealthRules, Observation, TargetHealth};
+use crate::health::{self, HealthRules, Observation, TargetHealth};
 use crate::Millis;
 
 /// Answers that a hall must have had of an engine before its own account tells
@@ -68,26 +68,36 @@
     hall: &str,
     engines: &mut [&mut EngineHealth],
 ) -> Vec<usize> {
-    let mut own: Vec<TargetHealth> = engines
-        .iter()
-        .map(|engine| engine.by_hall.get(hall).cloned().unwrap_or_default())
-        .collect();
-    let mut out = crate::health::eject_worst(now, rules, &mut own);
-    for (engine, own) in engines.iter_mut().zip(own) {
-        if let Some(known) = engine.by_hall.get_mut(hall) {
-            *known = own;
-        }
-    }
+    let own = engines.iter_mut();
+    let own = own.map(|engine| engine.by_hall.get_mut(hall)).collect();
+    let mut out = eject_worst(now, rules, own);
     for &at in &out {
         engines[at].judge_failures();
     }
-    let mut all: Vec<TargetHealth> = engines.iter().map(|engine| engine.all.clone()).collect();
-    let out_for_all = crate::health::eject_worst(now, rules, &mut all);
-    for (engine, all) in engines.iter_mut().zip(all) {
-        engine.all = all;
-    }
-    out.extend(out_for_all);
+    let all = engines.iter_mut();
+    let all = all.map(|engine| Some(&mut engine.all)).collect();
+    out.extend(eject_worst(now, rules, all));
     out.sort_unstable();
     out.dedup();
     out
 }
+
+/// [`health::eject_worst`] for accounts that may not be there yet: such an
+/// engine is judged as one without any answers.
+fn eject_worst(
+    now: Millis,
+    rules: &HealthRules,
+    accounts: Vec<Option<&mut TargetHealth>>,
+) -> Vec<usize> {
+    let known = accounts.iter();
+    let mut judged: Vec<TargetHealth> = known
+        .map(|account| account.as_deref().cloned().unwrap_or_default())
+        .collect();
+    let out = health::eject_worst(now, rules, &mut judged);
+    for (account, judged) in accounts.into_iter().zip(judged) {
+        if let Some(account) = account {
+            *account = judged;
+        }
+    }
+    out
+}
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -3,13 +3,16 @@
 //! Group after group, in the order of [`BatchQueue::groups_for`], as long as
 //! the call has places and the worker has room for the results.
 
-use super::{BatchQueue, PieceKey, WorkerKey};
+use super::{BatchQueue, GroupKey, HallKey, PieceKey, WorkerKey};
 use crate::Millis;
 
 /// Part of a worker's free memory that a part of a group may take to fill a
 /// call.
 const SPLIT_ROOM_SHARE: f64 = 0.6;
 
+/// Whether a group is begun (0) or not (1), its priority, whether it is late.
+type Turn = (u8, u8, bool);
+
 impl<T> BatchQueue<T> {
     /// The pieces for a call: group after group, as they go together.
     pub(super) fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
@@ -49,41 +52,46 @@
     fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
         let hall = self.workers[worker].hall;
         let soonest = now + self.rules.expected_ms(self.rules.batch) as Millis;
-        let mut ranked: Vec<((u8, u8, bool), Vec<PieceKey>)> = Vec::new();
-        let mut last = None;
-        for (_, key) in &self.waiting {
-            let piece = &self.pieces[*key];
-            let is_wanted_here =
-                piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now;
-            if !is_wanted_here {
-                continue;
-            }
-            if last == Some(piece.order.group) {
-                ranked
-                    .last_mut()
-                    .expect("a group was just pushed")
-                    .1
-                    .push(*key);
-                continue;
-            }
-            last = Some(piece.order.group);
-            let begun = self.groups.get(&piece.order.group).is_some_and(|g| g.begun);
-            let is_late = piece.order.due < soonest && !piece.order.holds_inputs;
-            let class = match begun {
-                true => (0, 0, false),
-                false => (1, piece.order.priority, is_late),
-            };
-            ranked.push((class, vec![*key]));
+        let waiting = self.waiting.iter().map(|(_, key)| *key);
+        let wanted: Vec<PieceKey> = waiting
+            .filter(|key| self.is_wanted_in(hall, *key, now))
+            .collect();
+        let mut groups: Vec<Vec<PieceKey>> = wanted
+            .chunk_by(|a, b| self.group_of(*a) == self.group_of(*b))
+            .map(<[PieceKey]>::to_vec)
+            .collect();
+        groups.sort_by_cached_key(|group| self.turn(group[0], soonest));
+        groups
+    }
+
+    fn group_of(&self, key: PieceKey) -> GroupKey {
+        self.pieces[key].order.group
+    }
+
+    /// True when a piece may be made in a hall by now.
+    fn is_wanted_in(&self, hall: HallKey, key: PieceKey, now: Millis) -> bool {
+        let piece = &self.pieces[key];
+        piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now
+    }
+
+    /// Where the group of a piece stands among the others, lowest first, when a
+    /// call that starts now ends at `soonest`.
+    fn turn(&self, first: PieceKey, soonest: Millis) -> Turn {
+        let order = &self.pieces[first].order;
+        let is_late = order.due < soonest && !order.holds_inputs;
+        match self.is_begun(order.group) {
+            true => (0, 0, false),
+            false => (1, order.priority, is_late),
         }
-        ranked.sort_by_key(|(class, _)| *class);
-        ranked.into_iter().map(|(_, group)| group).collect()
+    }
+
+    fn is_begun(&self, group: GroupKey) -> bool {
+        self.groups.get(&group).is_some_and(|group| group.begun)
     }
 
     /// A group is split when it is begun already, or too large for most calls.
     fn may_split(&self, group: &[PieceKey]) -> bool {
-        let key = self.pieces[group[0]].order.group;
-        let begun = self.groups.get(&key).is_some_and(|group| group.begun);
-        begun || group.len() > self.rules.batch / 2
+        self.is_begun(self.group_of(group[0])) || group.len() > self.rules.batch / 2
     }
 
     /// True when results of some pieces take little of the room.
@@ -92,6 +100,8 @@
         bytes as f64 <= room as f64 * SPLIT_ROOM_SHARE
     }
 
+    /// As many pieces of a group as have a place and room, each counted as the
+    /// largest of them.
     fn those_that_fit(&self, group: &[PieceKey], places: usize, room: u64) -> Vec<PieceKey> {
         let each = group
             .iter()
