--- a/crates/bench/src/commands/day.rs
+++ b/crates/bench/src/commands/day.rs
@@ -3,7 +3,8 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use hollowsail_bench::day::{bound, draw_requests, report, world, DayModel, DayPolicy, DayReport};
+use hollowsail_bench::day::draw::{draw_requests, DrawnRequest};
+use hollowsail_bench::day::{bound, report, world, DayModel, DayPolicy, DayReport};
 use hollowsail_bench::run::BenchError;
 
 /// emulate days of a deployment with several policies, on the same requests
@@ -37,24 +38,19 @@
             DayModel::read(&self.scenario).map_err(|source| BenchError::Scenario { source })?;
         day.rate *= self.load;
         let policies = self.policies()?;
-        let mut bounds = Vec::new();
-        let mut reports: Vec<Vec<DayReport>> = vec![Vec::new(); policies.len()];
-        for seed in 1..=self.seeds {
-            let drawn = draw_requests(&day, seed);
-            bounds.push(bound::credit(&day, &drawn));
-            for ((name, policy), reports) in policies.iter().zip(&mut reports) {
-                reports.push(world::play(&day, &drawn, name, *policy, seed));
-            }
-        }
+        let days: Vec<Vec<DrawnRequest>> = (1..=self.seeds)
+            .map(|seed| draw_requests(&day, seed))
+            .collect();
+        let reports = play_all(&day, &days, &policies);
         if self.json {
             super::print_json(&reports);
         } else {
-            let bound = bounds.iter().sum::<f64>() / bounds.len().max(1) as f64;
-            print!("{}", report::table(&reports, bound));
+            print!("{}", report::table(&reports, mean_bound(&day, &days)));
         }
         Ok(true)
     }
 
+    /// The policies to play, by name.
     fn policies(&self) -> Result<Vec<(String, DayPolicy)>, BenchError> {
         let names = match self.policy.is_empty() {
             true => DayPolicy::names(),
@@ -72,3 +68,24 @@
         named.collect()
     }
 }
+
+/// Plays every day with every policy; gives the reports of each policy.
+fn play_all(
+    day: &DayModel,
+    days: &[Vec<DrawnRequest>],
+    policies: &[(String, DayPolicy)],
+) -> Vec<Vec<DayReport>> {
+    let play_days = |(name, policy): &(String, DayPolicy)| {
+        let seeded = (1..).zip(days);
+        seeded
+            .map(|(seed, drawn)| world::play(day, drawn, name, *policy, seed))
+            .collect()
+    };
+    policies.iter().map(play_days).collect()
+}
+
+/// Mean of what no policy can exceed on the days.
+fn mean_bound(day: &DayModel, days: &[Vec<DrawnRequest>]) -> f64 {
+    let bounds = days.iter().map(|drawn| bound::credit(day, drawn));
+    bounds.sum::<f64>() / days.len().max(1) as f64
+}
--- a/crates/bench/src/day/report.rs
+++ b/crates/bench/src/day/report.rs
@@ -61,14 +61,14 @@
     }
 }
 
-/// A table of policies over the same days; `bound` is the mean credit that no
-/// policy can exceed.
-pub fn table(days: &[Vec<DayReport>], bound: f64) -> String {
+/// A table of policies, each with its reports of the same days; `bound` is the
+/// mean credit that no policy can exceed.
+pub fn table(policies: &[Vec<DayReport>], bound: f64) -> String {
     let mut text = format!(
         "{:<34} {:>7} {:>8} {:>7} {:>8} {:>7} {:>12} {:>11}\n",
         "policy", "credit", "in time", "late", "refused", "left", "pieces/call", "read again"
     );
-    for reports in days {
+    for reports in policies {
         let Some(first) = reports.first() else {
             continue;
         };
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -4,8 +4,9 @@
 //! judged from their headers by [`judge`], and run stage by stage: [`pipeline`]
 //! takes a [`job`] apart into a [`task`] for each stage, [`attempt`] tries it,
 //! [`routes`] finds a target and [`dispatch`] calls it. Those that must not be
-//! repeated pass through [`permit`] and the ledger in [`once`]. The [`control`] thread publishes a [`view::View`]
-//! that traffic reads. [`server::start`] puts it all together.
+//! repeated pass through [`permit`] and the ledger in [`once`]. The [`control`]
+//! thread publishes a [`view::View`] that traffic reads. [`server::start`] puts
+//! it all together.
 
 pub mod admission;
 pub mod answer;
@@ -19,13 +20,11 @@
 pub mod control;
 pub mod dispatch;
 pub mod fact;
-pub use hollowsail_observe::events;
 pub mod gate;
 pub mod headers;
 pub mod holdings;
 pub mod job;
 pub mod judge;
-pub use hollowsail_observe::kinds;
 pub mod metrics;
 pub mod once;
 pub mod open_record;
@@ -47,5 +46,6 @@
 
 pub use answer::{AnswerBody, StageReport};
 pub use configuration::Configuration;
+pub use hollowsail_observe::{events, kinds};
 pub use kinds::ErrorKind;
 pub use server::{start, RunningEntry, StartError, StartOptions};
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -3,8 +3,9 @@
 //! Every entry keeps a record of itself in the platform's store under a lease;
 //! control follows them and puts them into the view. Rendezvous hashing over
 //! the live ones of the larger hosts gives each queue of a stage service one
-//! owner without any agreement; two views may name two owners for a while, which costs time and
-//! nothing else. An owner that doesn't answer is passed over.
+//! owner without any agreement; two views may name two owners for a while,
+//! which costs time and nothing else. An owner that doesn't answer is passed
+//! over.
 
 mod link;
 mod listen;
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -118,6 +118,22 @@
     (BASE_MS + ms_per_token * tokens as f64) as Millis
 }
 
+/// What the end of a placement tells of its engine's health, if anything.
+fn observation_of<K>(
+    placement: &Placement<K>,
+    end: PlacementEnd,
+    now: Millis,
+) -> Option<Observation> {
+    match end {
+        PlacementEnd::Failed => Some(Observation::Failed),
+        // Its caller had to give up without a first event.
+        PlacementEnd::Left if !placement.has_begun => {
+            Some(Observation::TimedOut(now - placement.placed))
+        }
+        PlacementEnd::Left | PlacementEnd::Whole => None,
+    }
+}
+
 impl<K: Clone + Eq + Hash + Ord> Default for EngineDesk<K> {
     fn default() -> Self {
         EngineDesk {
@@ -261,20 +277,10 @@
         };
         engine.running = engine.running.saturating_sub(1);
         engine.unread_tokens = engine.unread_tokens.saturating_sub(placement.unread_tokens);
-        let waited = now - placement.placed;
         let expected = expected_ms(self.ms_per_token, placement.tokens_ahead);
-        let mut observe = |observation, typical_ms| {
-            engine
-                .health
-                .observe(&placement.from_hall, observation, typical_ms);
-        };
-        match end {
-            PlacementEnd::Failed => observe(Observation::Failed, 1),
-            // Its caller had to give up without a first event.
-            PlacementEnd::Left if !placement.has_begun => {
-                observe(Observation::TimedOut(waited), expected);
-            }
-            PlacementEnd::Left | PlacementEnd::Whole => {}
+        if let Some(observation) = observation_of(&placement, end, now) {
+            let health = &mut engine.health;
+            health.observe(&placement.from_hall, observation, expected);
         }
         if !placement.has_begun && !placement.was_kept {
             // It may never have read the part.
