--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -7,11 +7,14 @@
 
 use std::time::Duration;
 
+use actix_web::error::PayloadError;
 use actix_web::http::header::{
     HeaderMap, HeaderName, ACCEPT, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE, RETRY_AFTER,
 };
+use actix_web::web::Bytes;
 use actix_web::{HttpRequest, HttpResponse, HttpResponseBuilder};
-use futures_util::StreamExt;
+use awc::{ClientRequest, ClientResponse};
+use futures_util::{Stream, StreamExt};
 use hollowsail_clients::http::nothing_sent;
 use hollowsail_fleet::Member;
 
@@ -64,6 +67,27 @@
         events::RELAYED,
         format_args!("request={} to={}", relay.request, peer.name),
     );
+    match request_to(worker, peer, relay)
+        .send_stream(relay.body.clone())
+        .await
+    {
+        Ok(res) => Ok(pass_back(worker, res)),
+        Err(err) if nothing_sent(&err) => {
+            worker.entry.log(
+                events::RELAY_FAILED,
+                format_args!(
+                    "request={} to={} reason=\"{err}\"",
+                    relay.request, peer.name
+                ),
+            );
+            Err(RelayError::NotSent)
+        }
+        Err(err) => Err(RelayError::Broken(err.to_string())),
+    }
+}
+
+/// The head of the request to the peer.
+fn request_to(worker: &Worker, peer: &Member, relay: &Relay<'_>) -> ClientRequest {
     let mut req = worker
         .single_use
         .post(format!("http://{}{}", peer.peer, relay.path))
@@ -85,33 +109,26 @@
     if relay.claim_owner {
         req = req.insert_header((headers::CLAIM_OWNER, "1"));
     }
-    match req.send_stream(relay.body.clone()).await {
-        Ok(res) => {
-            let mut back = HttpResponseBuilder::new(res.status());
-            for name in PASSED_BACK {
-                if let Some(value) = res.headers().get(&name) {
-                    back.insert_header((name, value.clone()));
-                }
-            }
-            // A planned stop waits until the answer has passed through.
-            let in_flight = InFlight::new(&worker.entry.in_flight);
-            Ok(back.streaming(res.map(move |piece| {
-                let _held = &in_flight;
-                piece
-            })))
-        }
-        Err(err) if nothing_sent(&err) => {
-            worker.entry.log(
-                events::RELAY_FAILED,
-                format_args!(
-                    "request={} to={} reason=\"{err}\"",
-                    relay.request, peer.name
-                ),
-            );
-            Err(RelayError::NotSent)
+    req
+}
+
+/// Passes the peer's answer back as it comes.
+fn pass_back<S>(worker: &Worker, res: ClientResponse<S>) -> HttpResponse
+where
+    S: Stream<Item = Result<Bytes, PayloadError>> + Unpin + 'static,
+{
+    let mut back = HttpResponseBuilder::new(res.status());
+    for name in PASSED_BACK {
+        if let Some(value) = res.headers().get(&name) {
+            back.insert_header((name, value.clone()));
         }
-        Err(err) => Err(RelayError::Broken(err.to_string())),
     }
+    // A planned stop waits until the answer has passed through.
+    let in_flight = InFlight::new(&worker.entry.in_flight);
+    back.streaming(res.map(move |piece| {
+        let _held = &in_flight;
+        piece
+    }))
 }
 
 /// The other entry may be running the request: nothing is known of it.
