--- a/crates/bench/src/day/policy.rs
+++ b/crates/bench/src/day/policy.rs
@@ -1,6 +1,8 @@
 //! Policies of a day by name: what the daemon does, and the same with one
 //! mechanism taken out.
 
+use crate::policy::{OWN, WITHOUT};
+
 /// Who batches the pieces of a pool.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Queues {
@@ -41,16 +43,22 @@
     pub holders_first: bool,
 }
 
-/// What the daemon does.
-pub const OWN: &str = "hollowsail";
-/// Mechanisms that `hollowsail-without-NAME` takes out.
-pub const MECHANISMS: [&str; 6] = [
-    "shared-queues",
-    "desk",
-    "affinity",
-    "forecast",
-    "kept-calls",
-    "holders-first",
+/// Whole calls that are kept for each later stage: the daemon's figure.
+const KEPT_CALLS: f64 = 1.5;
+/// Milliseconds that are kept instead: the daemon's figure before it kept calls.
+const KEPT_MS: u64 = 250;
+
+/// Takes a mechanism out of a policy.
+type TakeOut = fn(&mut DayPolicy);
+
+/// Mechanisms by name, and how each is taken out.
+const MECHANISMS: [(&str, TakeOut); 6] = [
+    ("shared-queues", |policy| policy.queues = Queues::PerEntry),
+    ("desk", |policy| policy.engines = Engines::ByPart),
+    ("affinity", |policy| policy.engines = Engines::Random),
+    ("forecast", |policy| policy.forecast = false),
+    ("kept-calls", |policy| policy.kept = Kept::Ms(KEPT_MS)),
+    ("holders-first", |policy| policy.holders_first = false),
 ];
 
 impl Default for DayPolicy {
@@ -59,7 +67,7 @@
             queues: Queues::Shared,
             engines: Engines::Desk,
             forecast: true,
-            kept: Kept::Calls(1.5),
+            kept: Kept::Calls(KEPT_CALLS),
             holders_first: true,
         }
     }
@@ -68,42 +76,18 @@
 impl DayPolicy {
     /// The policy of that name.
     pub fn named(name: &str) -> Option<Self> {
-        let own = DayPolicy::default();
-        if name == OWN {
-            return Some(own);
+        let mut policy = DayPolicy::default();
+        if name != OWN {
+            let without = name.strip_prefix(WITHOUT)?;
+            let (_, take_out) = MECHANISMS.iter().find(|(known, _)| *known == without)?;
+            take_out(&mut policy);
         }
-        Some(match name.strip_prefix("hollowsail-without-")? {
-            "shared-queues" => DayPolicy {
-                queues: Queues::PerEntry,
-                ..own
-            },
-            "desk" => DayPolicy {
-                engines: Engines::ByPart,
-                ..own
-            },
-            "affinity" => DayPolicy {
-                engines: Engines::Random,
-                ..own
-            },
-            "forecast" => DayPolicy {
-                forecast: false,
-                ..own
-            },
-            "kept-calls" => DayPolicy {
-                kept: Kept::Ms(250),
-                ..own
-            },
-            "holders-first" => DayPolicy {
-                holders_first: false,
-                ..own
-            },
-            _ => return None,
-        })
+        Some(policy)
     }
 
     /// Names of all policies, this project's own first.
     pub fn names() -> Vec<String> {
-        let without = MECHANISMS.map(|name| format!("hollowsail-without-{name}"));
+        let without = MECHANISMS.map(|(name, _)| format!("{WITHOUT}{name}"));
         std::iter::once(OWN.to_string()).chain(without).collect()
     }
 }
--- a/crates/bench/src/policy.rs
+++ b/crates/bench/src/policy.rs
@@ -5,6 +5,8 @@
 
 /// Name of this project's policy.
 pub const OWN: &str = "hollowsail";
+/// Stands before the name of a mechanism that is switched off.
+pub const WITHOUT: &str = "hollowsail-without-";
 /// Simple policies, kept for good.
 pub const BASELINES: [&str; 3] = ["random", "round-robin", "least-reported-load"];
 /// Mechanisms that `hollowsail-without-NAME` switches off.
@@ -26,7 +28,7 @@
         "random" => Some(Switches::baseline(Choosing::Random)),
         "round-robin" => Some(Switches::baseline(Choosing::RoundRobin)),
         "least-reported-load" => Some(Switches::baseline(Choosing::LeastReportedLoad)),
-        _ => without(name.strip_prefix("hollowsail-without-")?),
+        _ => without(name.strip_prefix(WITHOUT)?),
     }
 }
 
