Log every peer that goes, also one that the store doesn't list or that isn't back

Cause: a reading found that peers dropped by a range read or after an outage left no line, though that changes who owns queues. The same line as for a deleted record now says why.

--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -39,12 +39,21 @@
         }
         let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let now = self.clock.now();
-        self.peers
+        let gone = self
+            .peers
             .borrow_mut()
             .reconcile(&present, range.revision, now);
+        self.log_peers_gone(&gone, "not_listed");
         self.publish();
     }
 
+    fn log_peers_gone(&self, gone: &[String], why: &str) {
+        for key in gone {
+            let fields = format_args!("key={key} state=gone why={why}");
+            self.log.line(events::MEMBER, fields);
+        }
+    }
+
     fn take_peer_changes(&self, changes: &Changes) {
         let mut changed = false;
         for change in &changes.changes {
@@ -86,8 +95,7 @@
                 let now = self.clock.now();
                 let gone = self.peers.borrow_mut().deleted(key, *revision, now);
                 if gone {
-                    let fields = format_args!("key={key} state=gone why=record_deleted");
-                    self.log.line(events::MEMBER, fields);
+                    self.log_peers_gone(std::slice::from_ref(key), "record_deleted");
                 }
                 gone
             }
@@ -96,7 +104,10 @@
 
     /// Drops peers that are still missing once the store's return is settled.
     fn settle_peers_later(self: &Rc<Self>) {
-        self.settle_later(|cx| &cx.peers, |_, _| {});
+        self.settle_later(
+            |cx| &cx.peers,
+            |cx, gone| cx.log_peers_gone(gone, "not_back_after_outage"),
+        );
     }
 
     /// Takes entries by the word of a peer, as long as the store doesn't tell.
