--- a/crates/bench/src/arrivals.rs
+++ b/crates/bench/src/arrivals.rs
@@ -56,7 +56,7 @@
         if at >= seconds {
             return arrivals;
         }
-        let pair = &callers[draw(&weights, total, &mut rng)];
+        let pair = &callers[draw_weighted(&weights, total, &mut rng)];
         let session = (rng.random::<f64>().powf(SESSION_SKEW) * f64::from(SESSIONS)) as u32;
         arrivals.push(Arrival {
             at: Duration::from_secs_f64(at),
@@ -119,7 +119,8 @@
         .product()
 }
 
-fn draw(weights: &[f64], total: f64, rng: &mut SmallRng) -> usize {
+/// Draws a position by weights that sum up to `total`.
+pub(crate) fn draw_weighted(weights: &[f64], total: f64, rng: &mut SmallRng) -> usize {
     let mut left = rng.random_range(0.0..total);
     for (at, weight) in weights.iter().enumerate() {
         left -= weight;
--- a/crates/bench/src/day/draw.rs
+++ b/crates/bench/src/day/draw.rs
@@ -4,6 +4,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use crate::arrivals::draw_weighted;
+
 use super::model::{DayModel, TroubleKind};
 
 /// How unlike the sizes of requests are: pieces and tokens of one lie between
@@ -91,14 +93,3 @@
 fn spread(mean: f64, rng: &mut SmallRng) -> f64 {
     mean * rng.random_range(1.0 - SPREAD..=1.0 + SPREAD)
 }
-
-fn draw_weighted(weights: &[f64], total: f64, rng: &mut SmallRng) -> usize {
-    let mut left = rng.random_range(0.0..total);
-    for (at, weight) in weights.iter().enumerate() {
-        left -= weight;
-        if left < 0.0 {
-            return at;
-        }
-    }
-    weights.len() - 1
-}
--- a/crates/bench/src/day/model.rs
+++ b/crates/bench/src/day/model.rs
@@ -2,10 +2,12 @@
 
 use std::path::Path;
 
-use hollowsail_config::fault::{Fault, Faults};
+use hollowsail_config::fault::Faults;
 use hollowsail_config::reader::{FaultList, Section};
 use hollowsail_config::SourceFile;
 
+use crate::scenario::read_source;
+
 /// A deployment and its day.
 #[derive(Debug, Clone, Default)]
 pub struct DayModel {
@@ -120,16 +122,7 @@
 impl DayModel {
     /// Reads a scenario; every fault of the file is named.
     pub fn read(path: &Path) -> Result<Self, Faults> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|err| {
-            Faults(vec![Fault {
-                file: name.clone(),
-                line: 0,
-                field: "file".into(),
-                message: format!("cannot be read: {err}"),
-            }])
-        })?;
-        Self::parse(&SourceFile { name, text })
+        Self::parse(&read_source(path)?)
     }
 
     /// Reads a scenario's text. Pools and kinds are named before they are used.
--- a/crates/bench/src/day/world/forecast.rs
+++ b/crates/bench/src/day/world/forecast.rs
@@ -12,11 +12,7 @@
 
 /// The engine's own time; its queue isn't known to the forecast.
 const ENGINE: StageDemand = StageDemand {
-    expected: StageExpectation {
-        fast_ms: ENGINE_MS,
-        typical_ms: ENGINE_MS,
-        slow_ms: ENGINE_MS,
-    },
+    expected: StageExpectation::fixed(ENGINE_MS),
     load: ServiceLoad {
         slots: 1.0,
         ahead: 0.0,
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -93,19 +93,24 @@
     },
 }
 
+/// Reads a file that the bench is given; one that can't be read is a fault.
+pub(crate) fn read_source(path: &Path) -> Result<SourceFile, Faults> {
+    let name = path.display().to_string();
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(SourceFile { name, text }),
+        Err(err) => Err(Faults(vec![Fault {
+            file: name,
+            line: 0,
+            field: "file".into(),
+            message: format!("cannot be read: {err}"),
+        }])),
+    }
+}
+
 impl Scenario {
     /// Reads a scenario; every fault of the file is named.
     pub fn read(path: &Path) -> Result<Scenario, Faults> {
-        let name = path.display().to_string();
-        let text = std::fs::read_to_string(path).map_err(|err| {
-            Faults(vec![Fault {
-                file: name.clone(),
-                line: 0,
-                field: "file".into(),
-                message: format!("cannot be read: {err}"),
-            }])
-        })?;
-        Scenario::parse(&SourceFile { name, text })
+        Scenario::parse(&read_source(path)?)
     }
 
     /// Reads a scenario's text.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -82,9 +82,7 @@
     /// An entry was heard. A run of a host that is known by the run before takes
     /// that one's place at once; what was asked of it goes to the new run.
     pub fn heard(&self, cx: &Rc<Traffic>, peer: &PeerRecord) {
-        let live = self.live.borrow().clone();
-        let known = live.iter().find(|known| known.host == peer.host);
-        let Some(old) = known.filter(|known| known.id != peer.id) else {
+        let Some(old) = self.run_before(peer) else {
             return;
         };
         cx.log.line(
@@ -94,10 +92,18 @@
                 peer.host, peer.addr, peer.hall
             ),
         );
-        self.newer_runs.insert(old.id, peer.clone());
+        self.newer_runs.insert(old, peer.clone());
+        let live = self.live.borrow().clone();
         self.take(cx, &live);
     }
 
+    /// The run that a peer's host is known by, if it is another one.
+    fn run_before(&self, peer: &PeerRecord) -> Option<PeerId> {
+        let live = self.live.borrow();
+        let known = live.iter().find(|known| known.host == peer.host)?;
+        (known.id != peer.id).then_some(known.id)
+    }
+
     /// Live entries, this one included; at least 1.
     pub fn count(&self) -> usize {
         self.live.borrow().len().max(1)
--- a/crates/routing/src/deadline.rs
+++ b/crates/routing/src/deadline.rs
@@ -19,7 +19,7 @@
 
 impl StageExpectation {
     /// A stage that always takes about the same.
-    pub fn fixed(ms: Millis) -> Self {
+    pub const fn fixed(ms: Millis) -> Self {
         StageExpectation {
             fast_ms: ms,
             typical_ms: ms,
