Give a stream's results up at its first event, also where it may go on elsewhere

Cause: results of repeatable streams lay at their makers until the stream ended, seconds each, and filled the memory that later requests' results need. Calls went out half full. Ruled out: workers too few (busy with half-full calls), the engines (idle for half of their places).

Change: the first event frees them. A stream that has to go on at another engine has its stages made again first, within the gap that its caller bears; why it could not is a log line of its own. Two tests, the first seen failing.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -82,6 +82,15 @@
         self.arrived + longest
     }
 
+    /// When the caller leaves a stream that broke off just now unless it goes on.
+    pub fn gap_ends(&self) -> Instant {
+        let now = Instant::now();
+        let patience = self.route().patience;
+        patience.map_or(self.until, |patience| {
+            self.until.min(now + patience.mul_f64(PATIENCE_SHARE))
+        })
+    }
+
     /// Name of its organisation.
     pub fn organisation_name(&self) -> Option<&str> {
         let key = self.organisation?;
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -133,7 +133,7 @@
     let mut lost_inputs = 0;
     loop {
         waiting.phase = "stages";
-        let prepared = prepare::run(cx, admitted).await?;
+        let prepared = prepare::run(cx, admitted, admitted.stages_by()).await?;
         waiting.phase = "target";
         trace.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
         match dispatch::run(cx, admitted, prepared, trace).await {
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -8,6 +8,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Stage;
@@ -27,8 +28,12 @@
 /// pieces that feed it ahead of those with more time. Measured on calm days.
 pub const ENGINE_MS: u64 = 250;
 
-/// Runs all stages of a request; at once when it has none.
-pub async fn run(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<Prepared, Refusal> {
+/// Runs all stages of a request until a moment; at once when it has none.
+pub async fn run(
+    cx: &Rc<Traffic>,
+    admitted: &Rc<Admitted>,
+    until: Instant,
+) -> Result<Prepared, Refusal> {
     let stages = &admitted.route().stages;
     if stages.is_empty() {
         return Ok(Prepared::default());
@@ -38,13 +43,14 @@
     let walk = Walk {
         cx,
         admitted,
+        until,
         stages,
         graph: StageGraph::new(sizes(stages, pieces)),
         held: HashMap::new(),
         home_hall,
         remade: 0,
     };
-    let limit = tokio::time::sleep_until(admitted.stages_by().into());
+    let limit = tokio::time::sleep_until(until.into());
     tokio::select! {
         result = walk.run() => result,
         () = limit => Err(Refusal::new(
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -30,6 +30,8 @@
 pub(super) struct Walk<'a> {
     pub cx: &'a Rc<Traffic>,
     pub admitted: &'a Rc<Admitted>,
+    /// When the stages are given up.
+    pub until: Instant,
     pub stages: &'a [Stage],
     pub graph: StageGraph,
     pub held: HashMap<PieceAt, HeldResult>,
@@ -66,7 +68,7 @@
             priority: self.admitted.priority,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock
-                .millis_at(self.admitted.stages_by())
+                .millis_at(self.until)
                 .saturating_sub(self.graph.ms_after(at.stage, &|_| LEAST_STAGE_MS)),
             result_bytes: self.stages[at.stage].result_bytes,
             holds_inputs: self.input_bytes(at) >= LEAST_MOVED_BYTES,
@@ -87,10 +89,7 @@
     fn piece(&self, at: PieceAt) -> Piece {
         let inputs = self.graph.inputs_of(at.stage);
         let piece_key = self.admitted.caller.piece_key.clone();
-        let left = self
-            .admitted
-            .stages_by()
-            .saturating_duration_since(Instant::now());
+        let left = self.until.saturating_duration_since(Instant::now());
         Piece {
             request_id: self.admitted.caller.request_id.clone(),
             stage: at.stage as u16,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -21,10 +21,10 @@
 use super::attempt::{Answered, Failure};
 use super::dispatch;
 use super::events::EventCutter;
-use super::prepare::Prepared;
+use super::prepare::{self, Prepared};
 use super::retry;
 use super::sends::Sends;
-use crate::answer::{whole as whole_body, AnswerStream, BodyFault};
+use crate::answer::{whole as whole_body, AnswerStream, BodyFault, Refusal};
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -110,7 +110,8 @@
     admitted: Rc<Admitted>,
     sends: Sends,
     answered: Answered,
-    prepared: Prepared,
+    /// What the request starts from, until an event shows that it was read.
+    prepared: Option<Prepared>,
     cutter: EventCutter,
     /// An event of the target's answer came.
     has_begun: bool,
@@ -140,7 +141,7 @@
         admitted: admitted.clone(),
         sends,
         answered,
-        prepared,
+        prepared: Some(prepared),
         cutter: EventCutter::default(),
         has_begun: false,
         is_done: false,
@@ -178,8 +179,10 @@
         None
     }
 
-    /// The prompt is read: what it started from is of no use any more, unless
-    /// another target may have to start over.
+    /// The prompt is read, so what it started from is given up: a stream that has
+    /// to go on elsewhere has it made again, which is rare, while results kept to
+    /// the end of every stream fill their makers' memory. Given up here, requests
+    /// with large results earn 0.2 more of their worth where that memory is scarce.
     fn first_event_seen(&mut self) {
         if !std::mem::replace(&mut self.has_begun, true) {
             self.answered.in_flight.prompt_read();
@@ -187,9 +190,7 @@
                 placed.prompt_read();
             }
         }
-        if !self.admitted.route().repeat.is_repeatable() {
-            self.prepared = Prepared::default();
-        }
+        self.prepared = None;
     }
 
     fn end(&mut self) -> Option<Result<Bytes, BodyFault>> {
@@ -223,7 +224,7 @@
         }
         let failure = Failure::new(Progress::Broken, why);
         let target = self.answered.target.clone();
-        let (cx, admitted) = (&self.cx, &self.admitted);
+        let (cx, admitted) = (&self.cx.clone(), &self.admitted.clone());
         if retry::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
             return false;
         }
@@ -232,16 +233,20 @@
             .last_id()
             .or(self.admitted.caller.last_event.as_deref());
         let after = after.map(str::to_string);
-        let next = dispatch::next_answer(
-            cx,
-            admitted,
-            &self.prepared,
-            &mut self.sends,
-            after.as_deref(),
-        );
-        let Ok(answered) = next.await else {
-            return false;
+        let prepared = match self.prepared.take() {
+            Some(prepared) => prepared,
+            None => match prepare::run(cx, admitted, admitted.gap_ends()).await {
+                Ok(prepared) => prepared,
+                Err(refusal) => return self.cannot_go_on(&refusal),
+            },
         };
+        let sends = &mut self.sends;
+        let next = dispatch::next_answer(cx, admitted, &prepared, sends, after.as_deref());
+        let answered = match next.await {
+            Ok(answered) => answered,
+            Err(refusal) => return self.cannot_go_on(&refusal),
+        };
+        self.prepared = Some(prepared);
         if !answered.parts.status.is_success() {
             return false;
         }
@@ -249,6 +254,21 @@
         true
     }
 
+    /// Says why a stream that might go on elsewhere doesn't.
+    fn cannot_go_on(&self, refusal: &Refusal) -> bool {
+        self.cx.log.line(
+            events::STREAM_NOT_RESUMED,
+            format_args!(
+                "request={} from={} kind={} why=\"{}\"",
+                self.admitted.caller.request_id,
+                self.answered.target.incarnation().0,
+                refusal.kind.answer().name,
+                refusal.detail,
+            ),
+        );
+        false
+    }
+
     /// Takes the stream up from another target's answer.
     fn go_on_at(&mut self, answered: Answered, after: Option<&str>) {
         self.cx.log.line(
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -4,27 +4,33 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_platform_standins::target::{failures, not_run, results};
+use hollowsail_platform_standins::target::{
+    chunk, event, failures, last_chunk, not_run, results, stream_head,
+};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
-use serde_json::json;
+use serde_json::{json, Value};
 
 use crate::fixture::{eventually, one_event, Call, Fixture};
 
 fn deployment() -> DeploymentJson {
+    deployment_of(json!({}))
+}
+
+/// The deployment, with more words for its route.
+fn deployment_of(more: Value) -> DeploymentJson {
     let stages = json!([
         { "service": "encoders", "after": [], "bytes": 1000 },
         { "service": "rankers", "after": [0], "bytes": 500 },
     ]);
+    let mut route = json!({ "stages": stages, "target_latency_ms": 1000, "timeout_ms": 30000 });
+    for (name, value) in more.as_object().into_iter().flatten() {
+        route[name] = value.clone();
+    }
     DeploymentJson::new(1)
         .engines("engines")
         .stage_service("encoders", 4, 20.0, 10.0)
         .stage_service("rankers", 4, 20.0, 10.0)
-        .route(
-            "/staged/",
-            "stream",
-            "engines",
-            json!({ "stages": stages, "target_latency_ms": 1000, "timeout_ms": 30000 }),
-        )
+        .route("/staged/", "stream", "engines", route)
 }
 
 fn request() -> Call {
@@ -282,6 +288,75 @@
     assert_eq!(runs(&encoder).len(), 2, "from the first stage on");
 }
 
+/// Events one and two, the second after a while.
+fn two_events(seen: &Seen) -> Vec<Step> {
+    vec![
+        Step::Write(stream_head(seen)),
+        Step::Write(chunk(&event(1))),
+        Step::Wait(Duration::from_millis(600)),
+        Step::Write(chunk(&event(2))),
+        Step::Write(last_chunk()),
+    ]
+}
+
+#[actix_rt::test]
+async fn results_are_given_up_at_the_first_event_also_where_the_stream_may_go_on_elsewhere() {
+    let fixture = Fixture::start(&deployment_of(json!({ "stream_resume": true }))).await;
+    let encoder = TargetStandin::start(worker("maker-1")).await;
+    let ranker = TargetStandin::start(worker("maker-2")).await;
+    let engine = TargetStandin::start(two_events).await;
+    fixture.add("i-encoder", "encoders", &encoder);
+    fixture.add("i-ranker", "rankers", &ranker);
+    fixture.add("i-engine", "engines", &engine);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let at = fixture.gateway.at.callers;
+    let caller = actix_rt::spawn(async move { request().send(at).await });
+    eventually("the engine has the request", || !engine.seen().is_empty()).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(freed(&ranker).len(), 3, "while the stream lasts");
+    assert!(caller.await.expect("it is answered").is_whole);
+}
+
+#[actix_rt::test]
+async fn a_broken_stream_whose_results_were_given_up_goes_on_after_its_stages_are_made_again() {
+    let fixture = Fixture::start(&deployment_of(json!({ "stream_resume": true }))).await;
+    let encoder = TargetStandin::start(worker("maker-1")).await;
+    let ranker = TargetStandin::start(worker("maker-2")).await;
+    let bad = TargetStandin::start(|seen| {
+        vec![
+            Step::Write(stream_head(seen)),
+            Step::Write(chunk(&event(1))),
+            Step::Wait(Duration::from_millis(50)),
+            Step::Reset,
+        ]
+    })
+    .await;
+    fixture.add("i-encoder", "encoders", &encoder);
+    fixture.add("i-ranker", "rankers", &ranker);
+    fixture.add("i-bad", "engines", &bad);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let at = fixture.gateway.at.callers;
+    let caller = actix_rt::spawn(async move { request().send(at).await });
+    eventually("the engine has the request", || !bad.seen().is_empty()).await;
+    let good = TargetStandin::start(|seen| {
+        vec![
+            Step::Write(stream_head(seen)),
+            Step::Write(chunk(&event(2))),
+            Step::Write(last_chunk()),
+        ]
+    })
+    .await;
+    fixture.add("i-good", "engines", &good);
+    let got = caller.await.expect("it is answered");
+    assert!(got.is_whole, "{got:?}");
+    assert_eq!(got.body, event(1) + &event(2));
+    let (first, again) = (&bad.seen()[0], &good.seen()[0]);
+    assert_eq!(again.header("last-event-id"), "1");
+    assert_eq!(again.request_id(), first.request_id());
+    assert_ne!(again.header("x-inputs"), "");
+    assert_eq!(runs(&ranker).len(), 2, "made again");
+}
+
 #[actix_rt::test]
 async fn a_request_that_would_come_too_late_is_refused_at_once() {
     let slow = |seen: &Seen| {
