Let a request wait a little for an entry's first configuration

Change: a request waits up to 300 ms for the first configuration, then it is refused as before. Ruled out: listening later (callers that dial would find no entry at all); waiting until the store is back (a wait without an end in sight is no help).

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -22,6 +22,11 @@
 const HOLD_SHARE: f64 = 0.45;
 /// When to come back to another entry: at once, but not in step.
 const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
+/// How long a request waits at an entry that has just started for its first
+/// configuration. That comes some 20 ms after the start when the store answers;
+/// refused instead, all callers of a fleet that starts together come back a second
+/// later, too late for their targets.
+const CONFIGURATION_WITHIN: Duration = Duration::from_millis(300);
 /// Longest time a caller is given for its body where its deadline and route
 /// allow more.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
@@ -122,7 +127,7 @@
         request_id: Some(caller.request_id.clone()),
         refusal,
     };
-    let deployment = deployment(cx).map_err(reject)?;
+    let deployment = deployment(cx).await.map_err(reject)?;
     let route = find_route(&deployment, &head).map_err(reject)?;
     let organisation = find_organisation(&deployment, route, &caller).map_err(reject)?;
     let longest = deployment.route(route).longest;
@@ -145,13 +150,18 @@
 }
 
 /// The configuration for a new request; none may come late in a planned stop.
-fn deployment(cx: &Rc<Traffic>) -> Result<Arc<Deployment>, Refusal> {
+async fn deployment(cx: &Rc<Traffic>) -> Result<Arc<Deployment>, Refusal> {
     if cx.stopping.get() == Stopping::RefusingNew {
         let refusal = Refusal::new(ErrorKind::Stopping, "this entry is about to end");
         return Err(refusal.come_back_after(ELSEWHERE_AFTER));
     }
-    cx.deployment()
-        .ok_or_else(|| Refusal::new(ErrorKind::NoConfiguration, "none is known yet"))
+    match tokio::time::timeout(CONFIGURATION_WITHIN, cx.first_deployment()).await {
+        Ok(deployment) => Ok(deployment),
+        Err(_) => {
+            let detail = format!("none came within {} ms", CONFIGURATION_WITHIN.as_millis());
+            Err(Refusal::new(ErrorKind::NoConfiguration, detail))
+        }
+    }
 }
 
 fn find_route(deployment: &Deployment, head: &Parts) -> Result<RouteKey, Refusal> {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -64,6 +64,8 @@
     pub last_call: Notify,
     /// Told when idle connections of callers are to close.
     pub close_idle: Notify,
+    /// Told with each view that has a configuration.
+    configured: Notify,
 }
 
 impl Traffic {
@@ -94,6 +96,7 @@
                 stopping: Cell::new(Stopping::No),
                 last_call: Notify::new(),
                 close_idle: Notify::new(),
+                configured: Notify::new(),
             })
         }
     }
@@ -122,6 +125,9 @@
         self.pools.take_targets(self);
         self.placements.take_targets(self);
         self.pools.hand_over(self);
+        if self.deployment_in_use().is_some() {
+            self.configured.notify_waiters();
+        }
     }
 
     /// The configuration in force, if one is known. Looks for a newer view
@@ -131,6 +137,17 @@
         self.view.borrow().deployment.clone()
     }
 
+    /// The configuration in force, waiting for the first one if none is known.
+    pub async fn first_deployment(self: &Rc<Self>) -> Arc<Deployment> {
+        loop {
+            let told = self.configured.notified();
+            if let Some(deployment) = self.deployment() {
+                return deployment;
+            }
+            told.await;
+        }
+    }
+
     /// The view in use, after a look for a newer one.
     pub fn view(self: &Rc<Self>) -> Arc<View> {
         self.take_view();
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -1,10 +1,11 @@
 //! Configuration and targets through the store's troubles.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use hollowsail_gateway::start;
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{Seen, Step, StoreMode, TargetStandin};
+use hollowsail_platform_standins::{Seen, Step, StoreMode, StoreStandin, TargetStandin};
 
 use crate::fixture::{
     gateway, plain_deployment, ready_status, settings, until_entries, Call, Fixture,
@@ -211,3 +212,31 @@
     }
     panic!("the others go on once it is back");
 }
+
+#[actix_rt::test]
+async fn a_request_waits_a_little_for_the_first_configuration() {
+    let store = StoreStandin::start().await;
+    let running = start(settings("host-1", "hall-a", store.addr))
+        .await
+        .expect("it starts");
+    let at = running.at.callers;
+    let early = actix_rt::spawn(async move { Call::new("GET", "/none/").send(at).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    let got = early.await.expect("it is answered");
+    assert_eq!(got.status, 404, "judged by the configuration: {got:?}");
+}
+
+#[actix_rt::test]
+async fn a_request_is_refused_soon_when_no_configuration_comes() {
+    let store = StoreStandin::start().await;
+    let running = start(settings("host-1", "hall-a", store.addr))
+        .await
+        .expect("it starts");
+    let begun = Instant::now();
+    let got = Call::new("GET", "/a/").send(running.at.callers).await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.body.starts_with("no_configuration"), "{got:?}");
+    assert!(got.header("retry-after").is_some());
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
