Give inputs up once they are fetched, and forecast by the observed stay of results

Cause: what a piece starts from lay at its makers through its whole call, as long as it took to be made.

Change: 40 ms and the time of moving the bytes after the start of a call, its owner tells the requesters that the worker has what it needs; they give it up. A piece of a call that then fails has its inputs made again; no other worker gets it. Not at workers that are only tried: their calls may last too long. The queue observes how long a byte of results stays (a metric, too), and loads are told by that instead of by 2.5 calls.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,11 @@
     histogram!("hollowsail_stage_call_seconds", "service" => service).record(took);
 }
 
+/// A result of a queue was given up so long after its call was made.
+pub fn record_stay(queue: &str, stayed: Duration) {
+    histogram!("hollowsail_result_stay_seconds", "queue" => queue.to_string()).record(stayed);
+}
+
 /// The store stopped answering.
 pub fn count_store_lost() {
     counter!("hollowsail_store_lost_total").increment(1);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -50,6 +50,8 @@
     Make(Box<MakePiece>),
     /// To the owner: the requester waits no longer.
     GiveUp(PieceId),
+    /// To the requester: the maker of its piece has what it starts from.
+    Fetched(PieceId),
     /// To the requester: how its piece ended.
     Ended(PieceId, PieceEnd),
     /// To a queue's new owner: what its workers are known to have.
@@ -117,8 +119,8 @@
     pub expires_in_ms: u64,
     /// About the size of its result.
     pub result_bytes: u64,
-    /// The results that it starts from are large.
-    pub holds_inputs: bool,
+    /// Bytes of the results that it starts from.
+    pub input_bytes: u64,
     /// Data hall where the result is wanted.
     pub hall: Option<String>,
 }
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -4,13 +4,13 @@
 
 use hollowsail_platform::pieces::PieceFailure;
 use hollowsail_routing::Millis;
-use hollowsail_stages::{PieceKey, WorkerKey};
+use hollowsail_stages::{PieceKey, StartedCall, StartedPiece};
 use tokio::sync::oneshot;
 
 use super::results::Kept;
 use super::Batcher;
 use crate::peers::{Link, Made, Message, PeerId, PieceEnd, PieceId};
-use crate::pools::{HeldResult, Requester};
+use crate::pools::{HeldResult, OnFetched, Requester};
 use crate::targets::Target;
 
 /// Between two words to a requester on what a queue has to do, in milliseconds;
@@ -19,7 +19,10 @@
 
 /// Who waits for a piece.
 pub(super) enum Reply {
-    Here(oneshot::Sender<LocalEnd>),
+    Here {
+        end: oneshot::Sender<LocalEnd>,
+        on_fetched: OnFetched,
+    },
     Peer(Requester),
 }
 
@@ -37,28 +40,49 @@
         let job = self.queue.borrow_mut().finish(piece);
         match job.map(|job| job.reply) {
             // A requester that left needs no answer.
-            Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Failed(failure))),
+            Some(Reply::Here { end, .. }) => drop(end.send(LocalEnd::Failed(failure))),
             Some(Reply::Peer(requester)) => self.answer_peer(&requester, PieceEnd::Failed(failure)),
             None => {}
         }
     }
 
+    /// The worker of a call has what its pieces start from: their requesters may
+    /// give that up.
+    pub(in crate::pools) fn fetched(&self, pieces: &[PieceKey]) {
+        let mut queue = self.queue.borrow_mut();
+        let mut told = Vec::new();
+        for piece in pieces {
+            if !queue.fetched(*piece) {
+                continue;
+            }
+            match queue.job(*piece).map(|job| &job.reply) {
+                Some(Reply::Here { on_fetched, .. }) => told.push(on_fetched.clone()),
+                Some(Reply::Peer(requester)) => {
+                    requester.link.send(Message::Fetched(requester.id));
+                }
+                None => {}
+            }
+        }
+        drop(queue);
+        told.iter().for_each(|on_fetched| on_fetched());
+    }
+
     /// A worker made a result. One that nobody waits for is given up at once.
     pub(in crate::pools) fn made(
         self: &Rc<Self>,
-        piece: PieceKey,
-        worker: WorkerKey,
+        piece: StartedPiece,
+        call: &StartedCall,
         target: &Target,
         handle: String,
-        bytes: u64,
     ) {
+        let bytes = piece.result_bytes;
         let made = Made {
             handle: handle.clone(),
             target: target.incarnation().clone(),
             addr: target.record.addr,
             hall: target.record.hall.clone(),
         };
-        let job = self.queue.borrow_mut().finish(piece);
+        let job = self.queue.borrow_mut().finish(piece.key);
         let reply = job.map(|job| job.reply);
         let at_peer = match &reply {
             Some(Reply::Peer(requester)) => Some((requester.link.peer.id, requester.id)),
@@ -66,16 +90,17 @@
         };
         let now = self.now();
         let result = Kept {
-            worker,
+            worker: call.worker,
             bytes,
+            since: Some(call.at),
             until: now + self.kept_ms.get(),
             at_peer,
         };
         self.results.borrow_mut().insert(handle.clone(), result);
         match reply {
             // A request that left drops the result, which gives it up.
-            Some(Reply::Here(tx)) => {
-                drop(tx.send(LocalEnd::Made(HeldResult::here(self.clone(), made, bytes))))
+            Some(Reply::Here { end, .. }) => {
+                drop(end.send(LocalEnd::Made(HeldResult::here(self.clone(), made, bytes))))
             }
             Some(Reply::Peer(requester)) => self.answer_peer(&requester, PieceEnd::Made(made)),
             None => self.give_up(&handle),
--- a/crates/gateway/src/pools/batcher/results.rs
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -11,6 +11,7 @@
 use hollowsail_stages::{StartedCall, WorkerKey};
 
 use super::Batcher;
+use crate::metrics;
 use crate::peers::{PeerId, PieceId};
 use crate::pools::call;
 
@@ -21,6 +22,8 @@
 pub(super) struct Kept {
     pub worker: WorkerKey,
     pub bytes: u64,
+    /// When the call that made it was made; `None` where that isn't known.
+    pub since: Option<Millis>,
     /// When its maker drops it by itself.
     pub until: Millis,
     /// The peer that has it, if one does.
@@ -36,6 +39,7 @@
         let result = Kept {
             worker: started.worker,
             bytes,
+            since: None,
             until: now + self.kept_ms.get(),
             at_peer: None,
         };
@@ -60,7 +64,14 @@
         let Some(result) = self.results.borrow_mut().remove(handle) else {
             return;
         };
-        self.queue.borrow_mut().free(result.worker, result.bytes);
+        let mut queue = self.queue.borrow_mut();
+        queue.free(result.worker, result.bytes);
+        if let Some(since) = result.since {
+            let stayed = self.now().saturating_sub(since);
+            queue.record_stay(result.bytes, stayed);
+            metrics::record_stay(&self.name, Duration::from_millis(stayed));
+        }
+        drop(queue);
         self.free_soon(result.worker, handle);
     }
 
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -18,12 +18,11 @@
 use super::admit::Admitted;
 use super::choose;
 use crate::answer::Refusal;
+use crate::pools::LEAST_MOVED_BYTES;
 use crate::traffic::Traffic;
 
 pub use self::prepared::Prepared;
 
-/// Bytes that are worth waiting for a worker in the right hall.
-const LEAST_MOVED_BYTES: u64 = 100_000;
 /// About what the engine needs before its first event, in milliseconds; keeps
 /// pieces that feed it ahead of those with more time. Measured on calm days.
 pub const ENGINE_MS: u64 = 250;
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -9,9 +9,9 @@
 use super::BatchQueue;
 use crate::Millis;
 
-/// Calls for which a result stays at its worker, about: its own, the next
-/// stage's, and some waiting.
-const RESIDENCE_CALLS: f64 = 2.5;
+/// Calls for which a result is taken to stay at its worker before any was seen to
+/// leave: its own, and half of the next stage's.
+const STAY_CALLS: f64 = 1.5;
 /// What a queue without a working worker is taken for: far too little.
 const LEAST_SLOTS: f64 = 0.25;
 
@@ -59,12 +59,19 @@
         }
     }
 
+    /// How long results stay at their makers, in whole calls; their own call at least.
+    fn stay_calls(&self) -> f64 {
+        let whole_call = self.rules.expected_ms(self.rules.batch);
+        let seen = self.stay_ms().map(|ms| ms / whole_call.max(1.0));
+        seen.unwrap_or(STAY_CALLS).max(1.0)
+    }
+
     /// Pieces that the workers make at a time: whole batches, fewer where they
     /// are slow or where results of so many bytes fill their memory first.
     fn slots(&self, result_bytes: u64) -> f32 {
         let works = |worker: &&Worker| !worker.leaving && worker.failures == 0;
         let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
-        let at_once = (fitting / RESIDENCE_CALLS).min(self.rules.batch as f64);
+        let at_once = (fitting / self.stay_calls()).min(self.rules.batch as f64);
         let workers = self.workers.values().filter(works);
         let slots: f64 = workers
             .map(|worker| at_once / worker.slowness.max(1.0))
--- a/crates/stages/src/batch/types.rs
+++ b/crates/stages/src/batch/types.rs
@@ -69,6 +69,10 @@
 pub struct StartedCall {
     pub call: CallKey,
     pub worker: WorkerKey,
+    /// When it was made.
+    pub at: Millis,
+    /// Its worker was slow, and is only tried: it may not end well.
+    pub is_trial: bool,
     pub pieces: Vec<StartedPiece>,
 }
 
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -1,7 +1,8 @@
 //! Which pieces share a call, and to whom it goes.
 
 use hollowsail_stages::{
-    BatchQueue, CallEnd, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall, WorkerKey,
+    BatchQueue, CallEnd, GroupKey, HallKey, Overdue, PieceKey, PieceOrder, PoolRules, StartedCall,
+    WorkerKey,
 };
 
 const HERE: HallKey = HallKey(0);
@@ -215,8 +216,8 @@
     push(&mut queue, order(1), 1);
     let slow = queue.next_call(0).expect("a worker is free");
     let other = queue.add_worker(HERE);
-    assert!(queue.take_overdue(200).is_empty());
-    assert_eq!(queue.take_overdue(400), [slow.worker]);
+    assert_eq!(queue.take_overdue(200), Overdue::default());
+    assert_eq!(queue.take_overdue(400).slow, [slow.worker]);
     let second = queue.next_call(400).expect("it waits again");
     assert_eq!(second.worker, other);
     assert_eq!(queue.finish(second.pieces[0].key), Some(1));
@@ -227,6 +228,32 @@
     assert!(queue.end_call(slow.call, CallEnd::Answered, 900).is_empty());
 }
 
+#[test]
+fn a_piece_whose_inputs_were_fetched_and_given_up_is_for_no_other_worker() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    let pieces = push(&mut queue, order(1), 2);
+    let slow = queue.next_call(0).expect("a worker is free");
+    queue.add_worker(HERE);
+    assert!(queue.fetched(pieces[0]));
+    let overdue = queue.take_overdue(400);
+    assert_eq!(overdue.stranded, [pieces[0]]);
+    assert!(
+        !queue.fetched(pieces[1]),
+        "another worker may still need its inputs"
+    );
+    let second = queue.next_call(400).expect("the other piece waits again");
+    assert_eq!(second.pieces.len(), 1);
+    assert_eq!(second.pieces[0].key, pieces[1]);
+    let left = queue.end_call(slow.call, CallEnd::Failed, 500);
+    assert_eq!(left, [pieces[0]]);
+    assert!(!queue.requeue(pieces[0]));
+    assert!(
+        queue.job(pieces[0]).is_some(),
+        "its owner says what follows"
+    );
+}
+
 #[test]
 fn a_slow_worker_is_only_tried_now_and_then() {
     let mut queue = BatchQueue::new(rules());
@@ -248,7 +275,7 @@
     let pieces = push(&mut queue, order(1), 2);
     let call = queue.next_call(0).expect("a worker is free");
     assert_eq!(queue.end_call(call.call, CallEnd::Failed, 50), pieces);
-    pieces.iter().for_each(|piece| queue.requeue(*piece));
+    assert!(pieces.iter().all(|piece| queue.requeue(*piece)));
     assert!(queue.next_call(60).is_none(), "it is out for a while");
     queue.remove_worker(worker);
     assert!(queue.next_call(10_000).is_none());
@@ -301,3 +328,30 @@
     );
     assert!((load.slots - 4.0).abs() < 0.01);
 }
+
+#[test]
+fn room_that_is_free_soon_again_makes_more_at_a_time() {
+    // A worker has room for four results of this size, and a whole call is 140 ms.
+    let large = PieceOrder {
+        result_bytes: 250_000,
+        ..order(1)
+    };
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, large, 1);
+    let slots = |queue: &BatchQueue<u64>| queue.load(0).slots;
+    assert!(
+        (slots(&queue) - 4.0 / 1.5).abs() < 0.01,
+        "before any is seen"
+    );
+    queue.record_stay(250_000, 280);
+    assert!(
+        (slots(&queue) - 2.0).abs() < 0.01,
+        "each stays for two calls"
+    );
+    for _ in 0..1_000 {
+        queue.record_stay(250_000, 140);
+        queue.record_stay(100, 100_000);
+    }
+    assert!(slots(&queue) > 3.0, "what is small matters little");
+}
