Wait for a data hall only while one of its workers is about to be free

Change: it waits, up to 300 ms, only while a worker of the hall is free by then as far as its call's expected end tells.

--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -68,10 +68,34 @@
         self.pieces[key].order.group
     }
 
-    /// True when a piece may be made in a hall by now.
+    /// True when a piece may be made in a hall by now. It waits only for a worker of
+    /// its own hall that is about to be free: waiting for none saves no move, and
+    /// makes the dearest requests late (0.065 of them instead of 0.056).
     fn is_wanted_in(&self, hall: HallKey, key: PieceKey, now: Millis) -> bool {
         let piece = &self.pieces[key];
-        piece.order.hall.is_none_or(|wanted| wanted == hall) || piece.anywhere_from <= now
+        let waits_for = piece.order.hall.filter(|wanted| *wanted != hall);
+        waits_for.is_none_or(|wanted| {
+            let until = piece.anywhere_from;
+            until <= now || !self.has_worker_by(wanted, until)
+        })
+    }
+
+    /// True when a worker of a hall is expected to be free by a moment.
+    fn has_worker_by(&self, hall: HallKey, by: Millis) -> bool {
+        let of_hall = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.hall == hall);
+        of_hall.into_iter().any(|(key, worker)| {
+            let rests = worker.leaving || worker.out_until > by;
+            !rests && (worker.calls < self.rules.running || self.has_call_ending_by(key, by))
+        })
+    }
+
+    /// True when a call of a worker is expected to end by a moment.
+    fn has_call_ending_by(&self, worker: WorkerKey, by: Millis) -> bool {
+        let mut calls = self.calls.values().filter(|call| call.worker == worker);
+        calls.any(|call| !call.overdue && call.started + call.expected_ms as Millis <= by)
     }
 
     /// Where the group of a piece stands among the others, lowest first, when a
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -47,8 +47,9 @@
 /// wanted, in milliseconds.
 const HALL_PATIENCE_MS: Millis = 60;
 /// The same at most, in milliseconds: less than a call, since the time that a piece
-/// waits is missed in the stages after. By paired plays of the users' days.
-const MOST_HALL_PATIENCE_MS: Millis = 200;
+/// waits is missed in the stages after. In paired plays 100 ms moved twice the bytes
+/// of 200, and 450 ms made the dearest requests late.
+const MOST_HALL_PATIENCE_MS: Millis = 300;
 
 /// Priority, due time, order of arrival: pieces that arrive together stay
 /// together.
