--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod control;
 mod fetching;
 mod log;
+mod mechanisms;
 mod metrics;
 mod peers;
 mod placement;
@@ -30,4 +31,5 @@
 mod traffic;
 mod view;
 
+pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
 pub use start::{start, Running, StartError};
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -22,13 +22,16 @@
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_routing::Millis;
-use hollowsail_stages::{BatchQueue, GroupKey, PieceKey, PieceOrder, PoolRules, WorkerKey};
+use hollowsail_stages::{
+    BatchQueue, GroupKey, Overdue, PieceKey, PieceOrder, PoolRules, WorkerKey,
+};
 use tokio::sync::oneshot;
 
 use self::replies::Reply;
 use self::results::Kept;
 use self::workers::Workers;
 use super::{call, OnFetched, Requester, Wanted, LEAST_MOVED_BYTES};
+use crate::mechanisms::Mechanism;
 use crate::peers::{Link, PeerId, PieceId};
 use crate::traffic::Traffic;
 
@@ -88,11 +91,6 @@
     }
 }
 
-/// The pieces of one stage of one request.
-fn group_of(piece: &Piece) -> GroupKey {
-    GroupKey(rendezvous::score(&piece.request_id, piece.stage))
-}
-
 fn rules_of(pool: &StagePool) -> PoolRules {
     PoolRules {
         running: pool.running as usize,
@@ -144,12 +142,27 @@
     /// that the pieces start from; `None` where nothing is fetched or it can't be
     /// told.
     pub(super) fn fetched_within(&self, bytes: u64) -> Option<Duration> {
+        if !self.has(Mechanism::EarlyInputs) {
+            return None;
+        }
         let moving_ms = bytes.checked_div(self.link_bytes_per_ms.get())?;
         // Over the maker's link and over its own.
         let moving = Duration::from_millis(2 * moving_ms);
         (bytes > 0).then_some(FETCH_SLACK + moving)
     }
 
+    fn has(&self, mechanism: Mechanism) -> bool {
+        self.cx.upgrade().is_none_or(|cx| cx.has(mechanism))
+    }
+
+    /// The pieces of one stage of one request.
+    fn group_of(&self, piece: &Piece) -> GroupKey {
+        GroupKey(match self.has(Mechanism::Groups) {
+            true => rendezvous::score(&piece.request_id, piece.stage),
+            false => rendezvous::score(&piece.request_id, (piece.stage, piece.piece)),
+        })
+    }
+
     /// Makes a piece. Dropping the future gives the piece up.
     pub(super) async fn make(self: &Rc<Self>, wanted: Wanted, on_fetched: OnFetched) -> LocalEnd {
         let (end, result) = oneshot::channel();
@@ -174,13 +187,14 @@
         let now = self.now();
         let hall = wanted
             .hall
+            .filter(|_| self.has(Mechanism::Halls))
             .map(|hall| self.workers.borrow_mut().hall(&hall));
         let order = PieceOrder {
             priority: wanted.priority,
             due: wanted.due,
             expires: wanted.expires,
             result_bytes: wanted.result_bytes,
-            group: group_of(&wanted.piece),
+            group: self.group_of(&wanted.piece),
             holds_inputs: wanted.input_bytes >= LEAST_MOVED_BYTES,
             hall,
         };
@@ -252,7 +266,10 @@
             self.failed(piece, PieceFailure::Late);
         }
         self.forget_dropped(now);
-        let overdue = self.queue.borrow_mut().take_overdue(now);
+        let overdue = match cx.has(Mechanism::Overdue) {
+            true => self.queue.borrow_mut().take_overdue(now),
+            false => Overdue::default(),
+        };
         for piece in overdue.stranded {
             self.failed(piece, PieceFailure::InputGone);
         }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -19,6 +19,7 @@
 use hollowsail_routing::Millis;
 use hollowsail_stages::QueueLoad;
 
+use crate::mechanisms::Mechanism;
 use crate::peers::{
     self, Link, MakePiece, Message, Owner, PeerId, PeerRecord, PieceId, SpentResult,
     WorkerAtHandOver,
@@ -85,6 +86,14 @@
     TargetGroup::for_key(service, targets, QUEUE_TARGETS, request_id)
 }
 
+/// The owner of a queue.
+fn owner_of(cx: &Rc<Traffic>, queue: &str) -> Owner {
+    match cx.has(Mechanism::SharedQueues) {
+        true => cx.peers.owner_of(cx, queue),
+        false => Owner::Me,
+    }
+}
+
 impl Pools {
     /// Has a piece made. Dropping the future gives it up.
     pub async fn make(
@@ -98,7 +107,7 @@
         let name = &deployment.service(service).name;
         for _ in 0..MOST_OWNERS {
             let queue = queue_for(cx, name, &wanted.piece.request_id);
-            match cx.peers.owner_of(cx, &queue.name) {
+            match owner_of(cx, &queue.name) {
                 Owner::Me => {
                     let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
                     match batcher.make(wanted.clone(), on_fetched.clone()).await {
@@ -153,7 +162,7 @@
     pub fn load(&self, cx: &Rc<Traffic>, service: &str, request_id: &str) -> Option<QueueLoad> {
         let now = cx.clock.now();
         let queue = queue_for(cx, service, request_id);
-        if let Owner::Me = cx.peers.owner_of(cx, &queue.name) {
+        if let Owner::Me = owner_of(cx, &queue.name) {
             let batcher = self.batchers.borrow().get(&queue.name).cloned();
             return batcher.map(|batcher| batcher.queue.borrow().load(now));
         }
@@ -224,7 +233,7 @@
     /// Passes queues on whose owner is another entry now.
     pub fn hand_over(&self, cx: &Rc<Traffic>) {
         for batcher in self.all() {
-            if let Owner::Peer(link) = cx.peers.owner_of(cx, batcher.name()) {
+            if let Owner::Peer(link) = owner_of(cx, batcher.name()) {
                 batcher.hand_over(&link);
             }
         }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -13,6 +13,7 @@
 use hyper::body::{Body, Incoming};
 
 use crate::answer::Refusal;
+use crate::mechanisms::Mechanism;
 use crate::traffic::{Stopping, Traffic};
 
 /// Part of its caller's patience for which a request is held before its answer
@@ -148,7 +149,10 @@
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
     let route_priority = deployment.route(route).priority;
     let priority = own_priority.unwrap_or(route_priority);
-    let urgency = urgency(priority, route_priority);
+    let urgency = match cx.has(Mechanism::RoutePriority) {
+        true => urgency(priority, route_priority),
+        false => urgency(priority, 0),
+    };
     Ok(Admitted {
         deployment,
         route,
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -12,6 +12,7 @@
 
 use super::admit::Admitted;
 use super::prepare::Prepared;
+use crate::mechanisms::Mechanism;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -44,7 +45,7 @@
     Some(Demand {
         from_hall: cx.me.hall.clone(),
         part: shared_part(generation)?.id.clone(),
-        shared_tokens: shared_tokens(generation),
+        shared_tokens: weighed_tokens(cx, generation),
         prompt_tokens: generation.prompt_tokens,
         avoid,
         results: prepared.bytes_by_hall(),
@@ -70,7 +71,7 @@
             )
         })
         .collect();
-    let choice = choose_engine(&candidates, shared_tokens(generation))?;
+    let choice = choose_engine(&candidates, weighed_tokens(cx, generation))?;
     let reason = match choice.is_home {
         true => Reason::Affinity,
         false => Reason::LessLoaded,
@@ -111,6 +112,14 @@
     Some(shared.last().unwrap_or(own))
 }
 
+/// Tokens of the shared parts as far as they weigh in the choice of an engine.
+fn weighed_tokens(cx: &Traffic, generation: &Generation) -> u64 {
+    match cx.has(Mechanism::Affinity) {
+        true => shared_tokens(generation),
+        false => 0,
+    }
+}
+
 /// Tokens of the parts that other requests share.
 fn shared_tokens(generation: &Generation) -> u64 {
     let shared = generation
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -15,6 +15,7 @@
 use super::sends::Sends;
 use super::{find, relay, retry, Trace};
 use crate::answer::{AnswerStream, Refusal};
+use crate::mechanisms::Mechanism;
 use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -107,7 +108,8 @@
     prepared: &Prepared,
 ) -> Result<Answered, Failure> {
     let mut attempt = pin!(attempt::run(admitted, target, send));
-    let Some(within) = prepared.fetched_within() else {
+    let within = prepared.fetched_within();
+    let Some(within) = within.filter(|_| cx.has(Mechanism::EarlyResults)) else {
         return attempt.await;
     };
     match tokio::time::timeout(within, &mut attempt).await {
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -10,6 +10,7 @@
 use super::choose;
 use super::prepare::Prepared;
 use super::sends::Sends;
+use crate::mechanisms::Mechanism;
 use crate::placement::Placed;
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -25,7 +26,7 @@
     let avoid = sends.tried.iter().cloned().collect();
     let generation = admitted.caller.generation.as_ref();
     let demand = generation.and_then(|g| choose::demand(cx, g, prepared, avoid));
-    if let Some(demand) = demand {
+    if let Some(demand) = demand.filter(|_| cx.has(Mechanism::Desk)) {
         let service = &admitted.deployment.service(sends.service).name;
         let placed = cx.placements.place(cx, service, demand).await;
         let target = placed.and_then(|(id, placed)| Some((cx.target(&id)?, placed)));
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -15,6 +15,7 @@
 use super::admit::Admitted;
 use super::prepare::ENGINE_MS;
 use crate::answer::Refusal;
+use crate::mechanisms::Mechanism;
 use crate::traffic::Traffic;
 
 /// Time before its target latency by which a request has to be foreseen to end:
@@ -35,6 +36,9 @@
 
 /// Refuses a request that is foreseen to come too late.
 pub fn judge(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
+    if !cx.has(Mechanism::Forecast) {
+        return Ok(());
+    }
     let stages = &admitted.route().stages;
     let demands = stages
         .iter()
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -18,6 +18,7 @@
 use super::admit::Admitted;
 use super::choose;
 use crate::answer::Refusal;
+use crate::mechanisms::Mechanism;
 use crate::pools::LEAST_MOVED_BYTES;
 use crate::traffic::Traffic;
 
@@ -44,7 +45,7 @@
         admitted,
         until,
         stages,
-        graph: StageGraph::new(sizes(stages, pieces)),
+        graph: graph(cx, sizes(stages, pieces)),
         held: HashMap::new(),
         home_hall,
         remade: 0,
@@ -63,6 +64,14 @@
     }
 }
 
+fn graph(cx: &Traffic, sizes: Vec<StageSize>) -> StageGraph {
+    let graph = StageGraph::new(sizes);
+    match cx.has(Mechanism::JointFinals) {
+        true => graph,
+        false => graph.with_separate_finals(),
+    }
+}
+
 /// Bytes of a request's large results.
 fn large_bytes(stages: &[Stage], pieces: &[u32]) -> u64 {
     stages
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -12,8 +12,9 @@
 use hollowsail_stages::{PieceAt, StageGraph};
 use tokio::sync::mpsc;
 
-use super::Prepared;
+use super::{Prepared, ENGINE_MS};
 use crate::answer::Refusal;
+use crate::mechanisms::Mechanism;
 use crate::pools::{HeldResult, OnFetched, PieceEnd, Wanted, LEAST_MOVED_BYTES};
 use crate::request::admit::Admitted;
 use crate::traffic::Traffic;
@@ -98,6 +99,9 @@
         let Some((service, _)) = admitted.route().services.first() else {
             return 0;
         };
+        if !self.cx.has(Mechanism::ReadingTimes) {
+            return ENGINE_MS;
+        }
         let own_tokens = admitted.own_tokens();
         let expected = self
             .cx
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -25,6 +25,7 @@
 use super::retry;
 use super::sends::Sends;
 use crate::answer::{whole as whole_body, AnswerStream, BodyFault, Refusal};
+use crate::mechanisms::Mechanism;
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
@@ -197,7 +198,10 @@
                 placed.prompt_read();
             }
         }
-        self.prepared = None;
+        let may_be_needed = self.admitted.route().repeat.is_repeatable();
+        if self.cx.has(Mechanism::FirstEvent) || !may_be_needed {
+            self.prepared = None;
+        }
     }
 
     fn end(&mut self) -> Option<Result<Bytes, BodyFault>> {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,6 +15,7 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::log::Log;
+use crate::mechanisms::Mechanisms;
 use crate::peers::{capacity_of, PeerId, PeerRecord};
 use crate::stop;
 use crate::traffic::Traffic;
@@ -104,7 +105,7 @@
 }
 
 /// Starts serving: traffic on a thread of its own, control on this one.
-pub async fn start(settings: Settings) -> Result<Running, StartError> {
+pub async fn start(settings: Settings, mechanisms: Mechanisms) -> Result<Running, StartError> {
     let clock = Clock::start();
     let listeners = Listeners::bind(&settings.listen)?;
     let at = listeners.at.clone();
@@ -115,7 +116,13 @@
     let hall = settings.hall.clone();
     let control_settings = settings.clone();
     let settings = Arc::new(ArcSwap::from_pointee(settings));
-    let traffic = Traffic::prepare(settings.clone(), me.clone(), clock, published.clone());
+    let traffic = Traffic::prepare(
+        settings.clone(),
+        me.clone(),
+        mechanisms,
+        clock,
+        published.clone(),
+    );
     start_traffic(traffic, listeners, stopping).await?;
     let at = Listen {
         metrics: metrics::serve(control_settings.metrics_addr()),
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::fetching::Fetching;
 use crate::log::Log;
+use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
@@ -45,6 +46,7 @@
     settings: Arc<ArcSwap<Settings>>,
     /// This entry.
     pub me: PeerRecord,
+    mechanisms: Mechanisms,
     pub clock: Clock,
     pub log: Log,
     published: Arc<Published>,
@@ -80,6 +82,7 @@
     pub fn prepare(
         settings: Arc<ArcSwap<Settings>>,
         me: PeerRecord,
+        mechanisms: Mechanisms,
         clock: Clock,
         published: Arc<Published>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
@@ -87,6 +90,7 @@
             Rc::new(Traffic {
                 log: Log::new(&settings.load().host),
                 me,
+                mechanisms,
                 peers: Peers::default(),
                 pools: Pools::default(),
                 placements: Placements::default(),
@@ -114,6 +118,11 @@
         self.settings.load_full()
     }
 
+    /// True when something that could be left out is on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        self.mechanisms.has(mechanism)
+    }
+
     /// Takes views over as they are published.
     pub async fn follow_views(self: Rc<Self>) {
         loop {
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hollowsail_gateway::{start, Running};
+use hollowsail_gateway::{start, Mechanisms, Running};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform_standins::target::{chunk, event, last_chunk, stream_head};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
@@ -100,7 +100,7 @@
 
 /// Starts a gateway before a store and waits until it is ready.
 pub async fn gateway(store: &StoreStandin, host: &str, hall: &str) -> Running {
-    let running = start(settings(host, hall, store.addr))
+    let running = start(settings(host, hall, store.addr), Mechanisms::default())
         .await
         .expect("it starts");
     let until = Instant::now() + PATIENCE;
--- a/crates/gateway/tests/suite/limits.rs
+++ b/crates/gateway/tests/suite/limits.rs
@@ -91,9 +91,12 @@
 #[actix_rt::test]
 async fn without_a_configuration_it_is_not_ready_and_promises_that_nothing_ran() {
     let store = StoreStandin::start().await;
-    let gateway = hollowsail_gateway::start(settings("host-1", "hall-a", store.addr))
-        .await
-        .expect("it starts");
+    let gateway = hollowsail_gateway::start(
+        settings("host-1", "hall-a", store.addr),
+        hollowsail_gateway::Mechanisms::default(),
+    )
+    .await
+    .expect("it starts");
     assert_eq!(ready_status(gateway.at.readiness).await, 503);
     let got = Call::new("GET", "/safe/").send(gateway.at.callers).await;
     assert_eq!(got.status, 503);
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod forwarding;
 mod libraries;
 mod limits;
+mod mechanisms;
 mod metrics;
 mod sharing;
 mod stages;
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -563,7 +563,8 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let at = fixture.gateway.at.callers;
     let busy = [("/cheap/", "key-two", "00")];
-    let sent = busy.iter().chain(calls).map(|&(path, key, id)| {
+    let mut sent = Vec::new();
+    for &(path, key, id) in busy.iter().chain(calls) {
         let call = Call::new("POST", path)
             .with("X-Token-Counts", "100,10")
             .with("X-Prompt-Prefix", "aa:60,bb:40")
@@ -572,20 +573,10 @@
             .with("X-Request-Id", id)
             .with("Authorization", &format!("Bearer {key}"))
             .body("prompt");
-        let encoder = &encoder;
-        async move {
-            let sent = actix_rt::spawn(async move { call.send(at).await });
-            if id == "00" {
-                eventually("the encoder is busy", || !runs(encoder).is_empty()).await;
-            }
-            sent
-        }
-    });
-    let mut answers = Vec::new();
-    for sending in sent {
-        answers.push(sending.await);
+        sent.push(actix_rt::spawn(async move { call.send(at).await }));
+        eventually("the encoder is busy", || !runs(&encoder).is_empty()).await;
     }
-    for answer in answers {
+    for answer in sent {
         assert_eq!(answer.await.expect("it is answered").status, 200);
     }
     let ids = runs(&encoder).into_iter().skip(1);
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hollowsail_gateway::start;
+use hollowsail_gateway::{start, Mechanisms};
 use hollowsail_platform_standins::target::answer;
 use hollowsail_platform_standins::{Seen, Step, StoreMode, StoreStandin, TargetStandin};
 
@@ -132,9 +132,12 @@
     for mode in [StoreMode::Refusing, StoreMode::Silent] {
         let fixture = Fixture::start(&plain_deployment(1, "/a/")).await;
         let door = fixture.store.door().await;
-        let away = hollowsail_gateway::start(settings("host-2", "hall-b", door.addr))
-            .await
-            .expect("it starts");
+        let away = hollowsail_gateway::start(
+            settings("host-2", "hall-b", door.addr),
+            Mechanisms::default(),
+        )
+        .await
+        .expect("it starts");
         let (one, two) = (target("one").await, target("two").await);
         fixture.add("i-1", "plain", &one);
         until_status_at(away.at.callers, "/a/", 200).await;
@@ -164,7 +167,9 @@
     door.set_mode(StoreMode::Refusing);
     let mut cold = settings("host-2", "hall-b", door.addr);
     cold.seeds = vec![fixture.gateway.at.peers];
-    let cold = hollowsail_gateway::start(cold).await.expect("it starts");
+    let cold = hollowsail_gateway::start(cold, Mechanisms::default())
+        .await
+        .expect("it starts");
     until_status_at(cold.at.callers, "/a/", 200).await;
     assert_eq!(ready_status(cold.at.readiness).await, 200);
 }
@@ -216,9 +221,12 @@
 #[actix_rt::test]
 async fn a_request_waits_a_little_for_the_first_configuration() {
     let store = StoreStandin::start().await;
-    let running = start(settings("host-1", "hall-a", store.addr))
-        .await
-        .expect("it starts");
+    let running = start(
+        settings("host-1", "hall-a", store.addr),
+        Mechanisms::default(),
+    )
+    .await
+    .expect("it starts");
     let at = running.at.callers;
     let early = actix_rt::spawn(async move { Call::new("GET", "/none/").send(at).await });
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -230,9 +238,12 @@
 #[actix_rt::test]
 async fn a_request_is_refused_soon_when_no_configuration_comes() {
     let store = StoreStandin::start().await;
-    let running = start(settings("host-1", "hall-a", store.addr))
-        .await
-        .expect("it starts");
+    let running = start(
+        settings("host-1", "hall-a", store.addr),
+        Mechanisms::default(),
+    )
+    .await
+    .expect("it starts");
     let begun = Instant::now();
     let got = Call::new("GET", "/a/").send(running.at.callers).await;
     assert_eq!(got.status, 503, "{got:?}");
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -42,6 +42,7 @@
 pub struct StageGraph {
     sizes: Vec<StageSize>,
     states: Vec<Vec<PieceState>>,
+    joint_finals: bool,
 }
 
 impl StageGraph {
@@ -51,7 +52,20 @@
             .iter()
             .map(|size| vec![PieceState::Open; size.pieces])
             .collect();
-        StageGraph { sizes, states }
+        StageGraph {
+            sizes,
+            states,
+            joint_finals: true,
+        }
+    }
+
+    /// The same where final stages don't wait for each other, to measure what their
+    /// waiting gains.
+    pub fn with_separate_finals(self) -> Self {
+        StageGraph {
+            joint_finals: false,
+            ..self
+        }
     }
 
     /// Pieces that may start now and weren't handed out yet; they are from now
@@ -71,7 +85,7 @@
     /// only fill their makers' memory while a longer way is gone. It gains 0.03 of
     /// the worth where large results stand beside a chain of three stages.
     fn may_start(&self, stage: usize) -> bool {
-        match self.is_needed(stage) {
+        match self.is_needed(stage) || !self.joint_finals {
             true => self.has_inputs(stage),
             false => self.final_stages().all(|stage| self.has_inputs(stage)),
         }
--- a/src/bin/hollowsail/commands/gateway.rs
+++ b/src/bin/hollowsail/commands/gateway.rs
@@ -7,10 +7,14 @@
 /// stop; the environment names the settings file
 #[derive(FromArgs)]
 #[argh(subcommand, name = "gateway")]
-pub struct Arguments {}
+pub struct Arguments {
+    /// for measurements: take a mechanism out; may be given several times
+    #[argh(option)]
+    without: Vec<String>,
+}
 
 impl Arguments {
     pub async fn run(self, cx: &mut Context<'_>) -> Exit {
-        ops::gateway::run(cx).await
+        ops::gateway::run(cx, &self.without).await
     }
 }
--- a/src/ops/gateway.rs
+++ b/src/ops/gateway.rs
@@ -1,6 +1,6 @@
 //! Runs the daemon for the users' platform until it is told to stop.
 
-use hollowsail_gateway::start;
+use hollowsail_gateway::{start, Mechanisms};
 use hollowsail_platform::settings::Settings;
 
 use crate::ops::signals::{Signals, Told};
@@ -8,7 +8,14 @@
 
 /// Reads settings, serves, and on SIGTERM or SIGINT makes a planned stop;
 /// on SIGHUP reads the settings again.
-pub async fn run(cx: &mut Context<'_>) -> Exit {
+pub async fn run(cx: &mut Context<'_>, without: &[String]) -> Exit {
+    let mechanisms = match Mechanisms::without(without) {
+        Ok(mechanisms) => mechanisms,
+        Err(err) => {
+            cx.complain(format_args!("error: {err}"));
+            return Exit::Unusable;
+        }
+    };
     let settings = match Settings::from_environment() {
         Ok(settings) => settings,
         Err(err) => {
@@ -23,7 +30,7 @@
             return Exit::Unusable;
         }
     };
-    let running = match start(settings).await {
+    let running = match start(settings, mechanisms).await {
         Ok(running) => running,
         Err(err) => {
             cx.complain(format_args!("error: {err}"));
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -156,6 +156,21 @@
     answer.split(' ').nth(1)?.parse().ok()
 }
 
+#[test]
+fn without_an_unknown_mechanism_it_ends_and_names_the_known_ones() {
+    let output = Command::new(env!("CARGO_BIN_EXE_hollowsail"))
+        .args(["gateway", "--without", "desks"])
+        .env_remove("HOLLOWSAIL_BOOT")
+        .output()
+        .expect("it runs");
+    assert_eq!(output.status.code(), Some(2));
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(
+        said.contains("--without desks: no such mechanism"),
+        "{said}"
+    );
+}
+
 #[actix_rt::test]
 async fn a_log_that_nobody_reads_holds_no_request_up() {
     /// Each logs at least 100 bytes: far more than a pipe holds (64 KiB).
