Keep what was heard of several hosts' new runs until the store has caught up

Cause: when a second host was heard, the runs before were sought in a list that already had the new ones in their places, so the first host's run was forgotten and the next view named its dead one again: a refused message each, no promise. Found by reading.

Change: what the store lists and what was heard stand in one pure type, `fleet::LiveRuns`; three cases and a property over random orders.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod accept;
 pub mod fleet;
 pub mod leaving;
+pub mod live_runs;
 pub mod member;
 pub mod newest;
 pub mod ownership;
@@ -24,6 +25,7 @@
 pub use accept::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
 pub use fleet::{Fleet, FleetTiming, Output};
 pub use leaving::{HostView, LeavingHost, ListedHost};
+pub use live_runs::LiveRuns;
 pub use member::{Health, Member, Stopping};
 pub use newest::Newest;
 pub use standing::{Standing, StandingRule};
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -3,6 +3,7 @@
 
 mod accept;
 mod leaving;
+mod live_runs;
 mod membership;
 mod newest;
 mod ownership;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,7 +10,6 @@
 mod link;
 mod listen;
 mod messages;
-mod newer_runs;
 mod record;
 mod state;
 
@@ -19,6 +18,7 @@
 use std::rc::Rc;
 
 use hollowsail_fleet::ownership::{self, Candidate};
+use hollowsail_fleet::LiveRuns;
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
 
@@ -30,7 +30,6 @@
     Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
     WorkerAtHandOver,
 };
-use newer_runs::NewerRuns;
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
@@ -46,22 +45,38 @@
 }
 
 /// Live peers and the links to them.
-#[derive(Default)]
 pub struct Peers {
     /// Every live entry, this one included.
     live: RefCell<Vec<PeerRecord>>,
+    runs: RefCell<LiveRuns<PeerId, PeerRecord>>,
     links: RefCell<HashMap<PeerId, Rc<Link>>>,
     suspects: RefCell<HashMap<PeerId, Millis>>,
-    newer_runs: NewerRuns,
+}
+
+impl Default for Peers {
+    fn default() -> Self {
+        Peers {
+            live: RefCell::default(),
+            runs: RefCell::new(LiveRuns::new(|peer: &PeerRecord| peer.id)),
+            links: RefCell::default(),
+            suspects: RefCell::default(),
+        }
+    }
 }
 
 impl Peers {
-    /// Takes the live entries of a new view. An entry that left it may be about to
-    /// stop and still answer for what it was asked: its link goes once nothing is
-    /// awaited there, or when it doesn't answer. A new run at a host means that
-    /// the run before is dead.
-    pub fn take(&self, cx: &Rc<Traffic>, live: &[PeerRecord]) {
-        let live = self.newer_runs.put_in_place(live);
+    /// Takes the live entries of a new view.
+    pub fn take(&self, cx: &Rc<Traffic>, listed: &[PeerRecord]) {
+        self.runs.borrow_mut().take_listed(listed.to_vec());
+        self.take_live(cx);
+    }
+
+    /// Takes the live runs as they are known now. An entry that isn't live any more may
+    /// be about to stop and still answer for what it was asked: its link goes once
+    /// nothing is awaited there, or when it doesn't answer. A new run at a host means
+    /// that the run before is dead.
+    fn take_live(&self, cx: &Rc<Traffic>) {
+        let live = self.runs.borrow().live();
         let before = std::mem::replace(&mut *self.live.borrow_mut(), live.clone());
         let now = cx.clock.now();
         self.suspects.borrow_mut().retain(|_, until| *until > now);
@@ -92,9 +107,8 @@
                 peer.host, peer.addr, peer.hall
             ),
         );
-        self.newer_runs.insert(old, peer.clone());
-        let live = self.live.borrow().clone();
-        self.take(cx, &live);
+        self.runs.borrow_mut().heard(old, peer.clone());
+        self.take_live(cx);
     }
 
     /// The run that a peer's host is known by, if it is another one.
