Give the record up also when a stop comes before the store's answer

Cause: a stop that fell between the writing of an entry's record and the store's answer knew of no lease and left the record until that was over, six seconds in which peers sent pieces there. Found by reading.

Change: an entry that is leaving when the answer comes gives its lease up. The stand-in of the store can answer writes late; one test, seen failing.

--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -45,6 +45,10 @@
     }
     cx.lease.set(Some(lease));
     backoff.reset();
+    if cx.is_leaving.get() {
+        // The stop came before the store had answered, and knew of no lease yet.
+        cx.leave().await;
+    }
     while !cx.is_leaving.get() {
         tokio::time::sleep(RENEW_EVERY).await;
         renew(cx, lease).await?;
--- a/crates/gateway/tests/suite/stopping.rs
+++ b/crates/gateway/tests/suite/stopping.rs
@@ -1,12 +1,12 @@
 //! A planned stop.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use hollowsail_gateway::Running;
+use hollowsail_gateway::{start, Mechanisms, Running};
 use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{Seen, Step, TargetStandin};
+use hollowsail_platform_standins::{Seen, Step, StoreMode, StoreStandin, TargetStandin};
 
-use crate::fixture::{plain_deployment, ready_status, Call, Fixture};
+use crate::fixture::{plain_deployment, ready_status, settings, until_entries, Call, Fixture};
 
 /// A gateway that knows one target, which answers after a time.
 async fn serving(after: Duration) -> (Running, TargetStandin) {
@@ -55,3 +55,25 @@
     assert_eq!((early.status, early.is_whole), (200, true));
     stopping.await.expect("it ends");
 }
+
+#[actix_rt::test]
+async fn a_stop_before_the_store_has_answered_for_the_record_leaves_none() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &plain_deployment(1, "/safe/").bytes());
+    store.set_mode(StoreMode::Slow);
+    let gateway = start(
+        settings("host-1", "hall-a", store.addr),
+        Mechanisms::default(),
+    )
+    .await
+    .expect("it starts");
+    until_entries("the record is written", &store, 1).await;
+    let stopping = actix_rt::spawn(gateway.stop());
+    let begun = Instant::now();
+    until_entries("the record is gone", &store, 0).await;
+    assert!(
+        begun.elapsed() < Duration::from_secs(3),
+        "long before its lease is over"
+    );
+    stopping.await.expect("it ends");
+}
