--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -59,7 +59,7 @@
             deployment: deployment.clone(),
             source: source.into(),
         };
-        let before = self.configuration_version();
+        let before = self.configuration_version().unwrap_or(0);
         let is_newer = self
             .configuration
             .borrow_mut()
@@ -79,8 +79,8 @@
         self.publish();
     }
 
-    /// Version in force here; 0 before there is one.
-    pub(super) fn configuration_version(&self) -> u64 {
-        self.configuration.borrow().version().unwrap_or(0)
+    /// Version in force here, once there is one.
+    pub(super) fn configuration_version(&self) -> Option<u64> {
+        self.configuration.borrow().version()
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hollowsail_fleet::{BookTiming, Newest, TargetBook};
 use hollowsail_observe::events;
@@ -61,6 +62,8 @@
     /// This entry.
     me: PeerRecord,
     peers: RefCell<TargetBook<PeerRecord>>,
+    /// Shortest lease that the store gives.
+    shortest_lease: Duration,
     /// Lease of this entry's record, while it has one.
     lease: Cell<Option<Lease>>,
     /// A planned stop began: no record any more.
@@ -93,6 +96,7 @@
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
+            shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
             views: Cell::new(0),
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -35,7 +35,7 @@
 
 /// Writes the record and renews its lease until that fails.
 async fn keep_once(cx: &Control, backoff: &mut Backoff) -> Result<(), StoreError> {
-    let lease = cx.store.lease(LEASE).await?;
+    let lease = cx.store.lease(LEASE.max(cx.shortest_lease)).await?;
     let value = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
     match cx.store.put(&cx.me.key(), 0, &value, lease).await {
         Ok(_) => {}
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -127,10 +127,8 @@
 async fn tell_state(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Refused> {
     let ask: StateAsk = read(req).await?;
     let view = cx.view();
-    let version = view
-        .deployment
-        .as_ref()
-        .map_or(0, |deployment| deployment.version);
+    let deployment = view.deployment.as_ref();
+    let version = deployment.map(|deployment| deployment.version);
     let source = view
         .source
         .as_deref()
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -16,8 +16,8 @@
 /// What the asker has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateAsk {
-    /// Version of its configuration; 0 when it has none.
-    pub configuration: u64,
+    /// Version of its configuration, if it has one.
+    pub configuration: Option<u64>,
     /// Revision of the store up to which it knows the targets' records.
     pub records: u64,
 }
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -162,7 +162,16 @@
 
 #[actix_rt::test]
 async fn a_gateway_that_starts_without_the_store_learns_from_its_seeds() {
-    let (fixture, _one) = serving(1, "/a/").await;
+    learns_from_its_seeds(1).await;
+}
+
+#[actix_rt::test]
+async fn it_learns_a_configuration_of_version_0_too() {
+    learns_from_its_seeds(0).await;
+}
+
+async fn learns_from_its_seeds(version: u64) {
+    let (fixture, _one) = serving(version, "/a/").await;
     let door = fixture.store.door().await;
     door.set_mode(StoreMode::Refusing);
     let mut cold = settings("host-2", "hall-b", door.addr);
