Tell the next owner of a queue how slow its workers are

Change: what is handed over of a worker is one type with its slowness; a slow one is only tried by the next owner too.

--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
-use hollowsail_stages::QueueLoad;
+use hollowsail_stages::{QueueLoad, WorkerState};
 use serde::{Deserialize, Serialize};
 
 use super::record::{PeerId, PeerRecord};
@@ -85,13 +85,10 @@
 }
 
 /// What a worker has as its queue passes to another owner.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct WorkerAtHandOver {
     pub target: Incarnation,
-    /// Memory that results take.
-    pub held_bytes: u64,
-    /// Time until its call ends, about, in milliseconds; 0 without a call.
-    pub busy_ms: u64,
+    pub state: WorkerState,
 }
 
 /// A result that nobody needs any more.
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -47,13 +47,11 @@
         let now = self.now();
         let queue = self.queue.borrow();
         let workers = self.workers.borrow();
-        let states = workers.by_incarnation.iter().map(|(target, key)| {
-            let (held_bytes, busy_ms) = queue.worker_state(*key, now);
-            WorkerAtHandOver {
+        let states = workers.by_incarnation.iter().filter_map(|(target, key)| {
+            Some(WorkerAtHandOver {
                 target: target.clone(),
-                held_bytes,
-                busy_ms,
-            }
+                state: queue.worker_state(*key, now)?,
+            })
         });
         states.collect()
     }
@@ -62,17 +60,14 @@
     /// this entry knows nothing else of.
     pub fn take_over(self: &Rc<Self>, workers: &[WorkerAtHandOver]) {
         let now = self.now();
-        for state in workers {
-            let known = self.workers.borrow().worker(&state.target);
+        for told in workers {
+            let known = self.workers.borrow().worker(&told.target);
             let Some(worker) = known else { continue };
-            let busy_until = now + state.busy_ms;
-            self.queue
-                .borrow_mut()
-                .take_over(worker, state.held_bytes, busy_until);
-            let name = format!("taken over/{}/{now}", state.target.0);
+            self.queue.borrow_mut().take_over(worker, &told.state, now);
+            let name = format!("taken over/{}/{now}", told.target.0);
             let result = Kept {
                 worker,
-                bytes: state.held_bytes,
+                bytes: told.state.held_bytes,
                 since: None,
                 until: now + FOREIGN_RESULT_MS,
                 at_peer: None,
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -42,6 +42,7 @@
     CallEnd, CallKey, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
     StartedPiece, WorkerKey,
 };
+pub use self::workers::WorkerState;
 
 /// How long a piece waits at least for a worker of the hall where its result is
 /// wanted, in milliseconds.
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -4,6 +4,8 @@
 //! A worker that fails or is full rests for a while; one that is slow gets a
 //! call now and then, to see whether it recovered.
 
+use serde::{Deserialize, Serialize};
+
 use super::calls::Call;
 use super::{BatchQueue, CallEnd, HallKey, WorkerKey};
 use crate::Millis;
@@ -31,6 +33,17 @@
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
 
+/// What the next owner of a queue is told of a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct WorkerState {
+    /// Memory that results take.
+    pub held_bytes: u64,
+    /// Time until its call ends, about, in milliseconds; 0 without a call.
+    pub busy_ms: Millis,
+    /// Recent times of its calls over the expected ones.
+    pub slowness: f64,
+}
+
 /// What is known of one worker.
 #[derive(Debug)]
 pub(super) struct Worker {
@@ -164,24 +177,29 @@
         }
     }
 
-    /// What is known of a worker, for the queue's next owner: memory that is
-    /// taken, and the time until its calls end.
-    pub fn worker_state(&self, worker: WorkerKey, now: Millis) -> (u64, Millis) {
-        let held = self.workers.get(worker).map_or(0, |state| state.held_bytes);
+    /// What is known of a worker, for the queue's next owner.
+    pub fn worker_state(&self, worker: WorkerKey, now: Millis) -> Option<WorkerState> {
+        let state = self.workers.get(worker)?;
         let ends = self
             .calls
             .values()
             .filter(|call| call.worker == worker)
             .map(|call| call.started + call.expected_ms as Millis);
-        (held, ends.max().unwrap_or(0).saturating_sub(now))
+        Some(WorkerState {
+            held_bytes: state.held_bytes,
+            busy_ms: ends.max().unwrap_or(0).saturating_sub(now),
+            slowness: state.slowness,
+        })
     }
 
     /// Takes over what the owner before knew of a worker. The memory is freed
-    /// with [`BatchQueue::free`].
-    pub fn take_over(&mut self, worker: WorkerKey, held_bytes: u64, busy_until: Millis) {
+    /// with [`BatchQueue::free`]. A slow worker stays one: found slow anew by each
+    /// owner, it would get a whole batch each time.
+    pub fn take_over(&mut self, worker: WorkerKey, known: &WorkerState, now: Millis) {
         if let Some(state) = self.workers.get_mut(worker) {
-            state.held_bytes += held_bytes;
-            state.out_until = state.out_until.max(busy_until);
+            state.held_bytes += known.held_bytes;
+            state.out_until = state.out_until.max(now + known.busy_ms);
+            state.slowness = state.slowness.max(known.slowness);
         }
     }
 }
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use batch::{
     BatchQueue, CallEnd, CallKey, GroupKey, HallKey, Overdue, PieceKey, PieceOrder, PoolRules,
-    QueueLoad, StartedCall, StartedPiece, WorkerKey,
+    QueueLoad, StartedCall, StartedPiece, WorkerKey, WorkerState,
 };
 pub use graph::{PieceAt, StageGraph, StageSize};
 
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -2,7 +2,7 @@
 
 use hollowsail_stages::{
     BatchQueue, CallEnd, GroupKey, HallKey, Overdue, PieceKey, PieceOrder, PoolRules, StartedCall,
-    WorkerKey,
+    WorkerKey, WorkerState,
 };
 
 const HERE: HallKey = HallKey(0);
@@ -316,10 +316,15 @@
     let call = queue.next_call(0).expect("a worker is free");
     let waiting = push(&mut queue, order(2), 2);
     assert_eq!(queue.take_waiting(), waiting);
-    assert_eq!(queue.worker_state(worker, 40), (4_000, 100));
+    let known = WorkerState {
+        held_bytes: 4_000,
+        busy_ms: 100,
+        slowness: 1.0,
+    };
+    assert_eq!(queue.worker_state(worker, 40), Some(known));
     let mut next: BatchQueue<u64> = BatchQueue::new(rules());
     let same = next.add_worker(HERE);
-    next.take_over(same, 4_000, 140);
+    next.take_over(same, &known, 40);
     push(&mut next, order(2), 2);
     assert!(next.next_call(100).is_none(), "the call before still runs");
     assert!(next.next_call(140).is_some());
@@ -382,3 +387,21 @@
     }
     assert!(slots(&queue) > 3.0, "what is small matters little");
 }
+
+#[test]
+fn a_slow_worker_is_only_tried_by_the_next_owner_too() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let call = queue.next_call(0).expect("it is free");
+    finish(&mut queue, &call, 900);
+    let known = queue.worker_state(worker, 2_000).expect("it is there");
+    let mut next = BatchQueue::new(rules());
+    let same = next.add_worker(HERE);
+    next.take_over(same, &known, 2_000);
+    push(&mut next, order(2), 1);
+    push(&mut next, order(3), 2);
+    let trial = next.next_call(2_000).expect("its turn");
+    assert!(trial.is_trial);
+    assert_eq!(groups(&next, &trial), [2], "one group, not a batch");
+}
