Ask another target when one is silent, long before a repeatable request ends

Cause: open connections may fall silent without a reset. A repeatable request sent on one waited for all of its own time and then failed.

Change: after twice what the slowest of a hundred answers of the service takes, 60 ms at least and half of what is left at most, another target is asked, if the route's attempts and the service's budget allow; the target is still told the request's own end. What may run once waits as before.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -58,8 +58,10 @@
 /// What an attempt is given beside the request.
 pub struct Send<'a> {
     pub inputs: &'a [String],
-    /// When this attempt is given up.
+    /// When the request is given up, as the target is told.
     pub until: Instant,
+    /// When another target may be asked because this one is silent.
+    pub silent_from: Instant,
     /// Take a stream up after this event.
     pub resume_after: Option<&'a str>,
     /// Prompt tokens that the target has to read.
@@ -80,7 +82,7 @@
         Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
     };
     let sending = target.pool.send(req, reuse);
-    let exchange = match tokio::time::timeout_at(send.until.into(), sending).await {
+    let exchange = match tokio::time::timeout_at(send.silent_from.into(), sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) if err.nothing_sent() => {
             return Err(Failure::new(Progress::NothingSent, err.to_string()))
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -5,8 +5,10 @@
 
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 use hollowsail_observe::ErrorKind;
+use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::Progress;
 
 use super::admit::Admitted;
@@ -20,6 +22,12 @@
 use crate::targets::Target;
 use crate::traffic::Traffic;
 
+/// A target is taken to be silent after this multiple of the slowest of a hundred
+/// answers of its service ...
+const SILENT_FACTOR: u64 = 2;
+/// ... and after this time at the earliest: a host that lags is not silent.
+const LEAST_SILENT: Duration = Duration::from_millis(60);
+
 /// Sends a request and passes the answer on.
 pub async fn run(
     cx: &Rc<Traffic>,
@@ -64,7 +72,8 @@
         let (target, placed) = find::next_target(cx, admitted, prepared, sends)
             .await
             .ok_or_else(|| sends.refusal(ErrorKind::NoTarget))?;
-        let send = send_for(admitted, prepared, resume_after);
+        let silent_from = silent_from(cx, admitted, sends);
+        let send = send_for(admitted, prepared, silent_from, resume_after);
         if sends.is_first() {
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
@@ -123,16 +132,36 @@
     }
 }
 
+/// When a target that has said nothing is taken to be silent: long before the
+/// request's end where another may still be asked. A connection that fell silent
+/// without a reset shows in no other way, and would cost each request that is sent on
+/// it all of its time.
+fn silent_from(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Instant {
+    let route = admitted.route();
+    let another_may_follow = sends.arrivals + 1 < route.max_attempts;
+    if route.repeat != Repeat::Safe || !another_may_follow {
+        return admitted.until;
+    }
+    let slowest = cx.slowest_ms(&admitted.deployment, sends.service);
+    let Some(slowest) = slowest else {
+        return admitted.until;
+    };
+    let longest = Duration::from_millis(slowest * SILENT_FACTOR).max(LEAST_SILENT);
+    Instant::now() + longest.min(admitted.remaining() / 2)
+}
+
 /// What each attempt is given.
 fn send_for<'a>(
     admitted: &Admitted,
     prepared: &'a Prepared,
+    silent_from: Instant,
     resume_after: Option<&'a str>,
 ) -> Send<'a> {
     let generation = admitted.caller.generation.as_ref();
     Send {
         inputs: &prepared.inputs,
         until: admitted.until,
+        silent_from,
         resume_after,
         unread_tokens: generation.map_or(0, |g| g.prompt_tokens),
     }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -241,6 +241,13 @@
         self.latencies.borrow().get(name)?.quantile(0.5)
     }
 
+    /// What the slowest of a hundred requests at a service takes; `None` before it is
+    /// known.
+    pub fn slowest_ms(&self, deployment: &Deployment, service: ServiceKey) -> Option<Millis> {
+        let name = &deployment.service(service).name;
+        self.latencies.borrow().get(name)?.quantile(0.99)
+    }
+
     /// Takes the time of one request at a service.
     pub fn record_latency(&self, deployment: &Deployment, service: ServiceKey, ms: Millis) {
         let name = &deployment.service(service).name;
--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -1,6 +1,6 @@
 //! A request at its target, and what comes back.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hollowsail_platform_standins::target::{answer, not_run};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
@@ -311,3 +311,42 @@
         assert!(sends.count() <= 2, "the route allows two targets");
     }
 }
+
+#[actix_rt::test]
+async fn a_target_that_falls_silent_is_made_up_for_long_before_the_requests_end() {
+    let fixture = Fixture::start(&deployment()).await;
+    let quiet_from = 30;
+    let target = TargetStandin::start(move |seen| match seen.before {
+        before if before == quiet_from => vec![Step::Wait(Duration::from_secs(9))],
+        _ => vec![Step::Write(answer(seen, 200, "whole"))],
+    })
+    .await;
+    let other = TargetStandin::start(|seen| vec![Step::Write(answer(seen, 200, "other"))]).await;
+    fixture.add("i-1", "plain", &target);
+    fixture.add("i-2", "plain", &other);
+    fixture.call(&Call::new("GET", "/safe/")).await;
+    let mut slowest = Duration::ZERO;
+    while target.seen().len() <= quiet_from {
+        let begun = Instant::now();
+        let got = fixture.call(&Call::new("GET", "/safe/")).await;
+        assert_eq!(got.status, 200, "{got:?}");
+        slowest = slowest.max(begun.elapsed());
+    }
+    assert!(slowest < Duration::from_millis(600), "{slowest:?} of 2 s");
+}
+
+#[actix_rt::test]
+async fn a_request_that_may_run_once_waits_for_a_silent_target() {
+    let (fixture, target) = serving(|seen| match seen.before {
+        30 => vec![Step::Wait(Duration::from_secs(9))],
+        _ => vec![Step::Write(answer(seen, 200, "whole"))],
+    })
+    .await;
+    for _ in 0..30 {
+        fixture.call(&Call::new("POST", "/once/").body("x")).await;
+    }
+    let hurried = Call::new("POST", "/once/").with("X-Deadline-Ms", "300");
+    let got = fixture.call(&hurried.body("x")).await;
+    assert_eq!(got.status, 504, "it may have run: {got:?}");
+    assert_eq!(target.seen().len(), 31);
+}
