Give inputs up when the piece that used them is made, again

Now that results leave early for other reasons memory doesn't bind, and each failed call cost the stage before it once more.

Change: the message, the marks in graph and queue, and the switch are gone, and so are the tests of just that; the tests that they had changed are as they were. The observed stay of results stays.

--- a/crates/bench/src/day/pool.rs
+++ b/crates/bench/src/day/pool.rs
@@ -158,10 +158,7 @@
     fn give_back(&mut self, queue: usize, started: &StartedCall, end: CallEnd, now: u64) {
         let queue = &mut self.queues[queue];
         let left = queue.end_call(started.call, end, now);
-        for piece in left {
-            // Nothing is fetched here before its call ends, so all may wait again.
-            let _waits = queue.requeue(piece);
-        }
+        left.into_iter().for_each(|piece| queue.requeue(piece));
     }
 
     /// A worker begins a call.
--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -22,8 +22,6 @@
     Halls,
     /// Stages that only the request needs start together.
     JointFinals,
-    /// Inputs of a piece are given up once its worker has fetched them.
-    EarlyInputs,
     /// Results of a request are given up once its engine has fetched them.
     EarlyResults,
     /// They are given up at the first event, not at the stream's end.
@@ -37,7 +35,7 @@
 }
 
 /// Each with its name on the command line.
-const NAMES: [(Mechanism, &str); 13] = [
+const NAMES: [(Mechanism, &str); 12] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Desk, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -45,7 +43,6 @@
     (Mechanism::Groups, "groups"),
     (Mechanism::Halls, "halls"),
     (Mechanism::JointFinals, "joint-finals"),
-    (Mechanism::EarlyInputs, "early-inputs"),
     (Mechanism::EarlyResults, "early-results"),
     (Mechanism::FirstEvent, "first-event"),
     (Mechanism::ReadingTimes, "reading-times"),
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -21,7 +21,6 @@
 
 use super::messages::{Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
 use super::record::PeerRecord;
-use crate::pools::OnFetched;
 use crate::traffic::Traffic;
 
 /// Longest time for a peer to take an envelope. A healthy one needs a few
@@ -60,7 +59,7 @@
     pub peer: PeerRecord,
     pool: Rc<Pool>,
     outbox: RefCell<Vec<Message>>,
-    awaited: RefCell<HashMap<PieceId, AwaitedPiece>>,
+    awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteEnd>>>,
     awaited_places: RefCell<HashMap<PlacementId, oneshot::Sender<Option<Incarnation>>>>,
     is_sending: Cell<bool>,
     is_asking: Cell<bool>,
@@ -68,12 +67,6 @@
     is_closed: Cell<bool>,
 }
 
-/// Who waits for a piece.
-struct AwaitedPiece {
-    end: oneshot::Sender<RemoteEnd>,
-    on_fetched: OnFetched,
-}
-
 /// Tells the peer when a piece is no longer waited for.
 struct Awaited<'a> {
     link: &'a Rc<Link>,
@@ -123,17 +116,13 @@
     }
 
     /// Has a piece made by the peer. Dropping the future gives it up.
-    pub async fn make(self: &Rc<Self>, piece: MakePiece, on_fetched: OnFetched) -> RemoteEnd {
+    pub async fn make(self: &Rc<Self>, piece: MakePiece) -> RemoteEnd {
         if self.is_closed.get() {
             return Err(LinkLost);
         }
         let id = piece.id;
         let (tx, rx) = oneshot::channel();
-        let waiter = AwaitedPiece {
-            end: tx,
-            on_fetched,
-        };
-        self.awaited.borrow_mut().insert(id, waiter);
+        self.awaited.borrow_mut().insert(id, tx);
         let _awaited = Awaited { link: self, id };
         self.send(Message::Make(Box::new(piece)));
         self.ask_while_awaiting();
@@ -168,17 +157,7 @@
     /// The peer told how a piece ended. False when nobody waits for it.
     pub fn ended(&self, id: PieceId, end: PieceEnd) -> bool {
         let waiter = self.awaited.borrow_mut().remove(&id);
-        waiter.is_some_and(|waiter| waiter.end.send(Ok(end)).is_ok())
-    }
-
-    /// The peer told that the maker of a piece has what it starts from.
-    pub fn fetched(&self, id: PieceId) {
-        let waiter = self.awaited.borrow();
-        let on_fetched = waiter.get(&id).map(|waiter| waiter.on_fetched.clone());
-        drop(waiter);
-        if let Some(on_fetched) = on_fetched {
-            on_fetched();
-        }
+        waiter.is_some_and(|tx| tx.send(Ok(end)).is_ok())
     }
 
     /// The peer was heard.
@@ -203,9 +182,9 @@
             .for_each(|message| self.undelivered(message));
         self.awaited_places.borrow_mut().clear();
         let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
-        for waiter in waiting.into_values() {
+        for tx in waiting.into_values() {
             // A waiter that left needs no answer.
-            let _left = waiter.end.send(Err(LinkLost));
+            let _left = tx.send(Err(LinkLost));
         }
     }
 
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -158,7 +158,6 @@
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
-        Message::Fetched(id) => cx.peers.link_to(cx, from).fetched(id),
         Message::Ended(id, end) => {
             let link = cx.peers.link_to(cx, from);
             if !link.ended(id, end) {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -50,8 +50,6 @@
     Make(Box<MakePiece>),
     /// To the owner: the requester waits no longer.
     GiveUp(PieceId),
-    /// To the requester: the maker of its piece has what it starts from.
-    Fetched(PieceId),
     /// To the requester: how its piece ended.
     Ended(PieceId, PieceEnd),
     /// To a queue's new owner: what its workers are known to have.
@@ -116,8 +114,8 @@
     pub expires_in_ms: u64,
     /// About the size of its result.
     pub result_bytes: u64,
-    /// Bytes of the results that it starts from.
-    pub input_bytes: u64,
+    /// The results that it starts from are large.
+    pub holds_inputs: bool,
     /// Data hall where the result is wanted.
     pub hall: Option<String>,
 }
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -32,7 +32,7 @@
             let job = self.queue.borrow_mut().finish(piece);
             match job.map(|job| job.reply) {
                 // A requester that left needs no answer.
-                Some(Reply::Here { end, .. }) => drop(end.send(LocalEnd::Moved)),
+                Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Moved)),
                 Some(Reply::Peer(requester)) => {
                     self.forget_piece(&requester);
                     let moved = Message::Ended(requester.id, peers::PieceEnd::Moved);
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -22,15 +22,13 @@
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_routing::Millis;
-use hollowsail_stages::{
-    BatchQueue, GroupKey, Overdue, PieceKey, PieceOrder, PoolRules, WorkerKey,
-};
+use hollowsail_stages::{BatchQueue, GroupKey, PieceKey, PieceOrder, PoolRules, WorkerKey};
 use tokio::sync::oneshot;
 
 use self::replies::Reply;
 use self::results::Kept;
 use self::workers::Workers;
-use super::{call, OnFetched, Requester, Wanted, LEAST_MOVED_BYTES};
+use super::{call, Requester, Wanted};
 use crate::mechanisms::Mechanism;
 use crate::peers::{Link, PeerId, PieceId};
 use crate::traffic::Traffic;
@@ -41,16 +39,9 @@
 /// any.
 const TICK: Duration = Duration::from_millis(25);
 
-/// How long a call takes to reach its worker, and that to ask other workers for
-/// what the pieces start from; moving it comes on top. Measured on calm days: 4 to 8
-/// ms between halls.
-const FETCH_SLACK: Duration = Duration::from_millis(40);
-
 /// A piece that waits or is being made.
 pub(super) struct Job {
     pub piece: Piece,
-    /// Bytes of the results that it starts from.
-    pub input_bytes: u64,
     /// Times that it was given back.
     pub failures: u32,
     reply: Reply,
@@ -71,9 +62,6 @@
     load_told: RefCell<HashMap<PeerId, Millis>>,
     /// How long a maker keeps a result, in milliseconds.
     kept_ms: Cell<Millis>,
-    /// What a worker's link carries, in bytes a millisecond; 0 where that isn't
-    /// told.
-    link_bytes_per_ms: Cell<u64>,
     will_pump: Cell<bool>,
     is_ticking: Cell<bool>,
     is_freeing: Cell<bool>,
@@ -114,7 +102,6 @@
             spent: RefCell::default(),
             load_told: RefCell::default(),
             kept_ms: Cell::new(pool.kept_for.as_millis() as Millis),
-            link_bytes_per_ms: Cell::new(pool.link_bytes_per_ms),
             will_pump: Cell::new(false),
             is_ticking: Cell::new(false),
             is_freeing: Cell::new(false),
@@ -135,20 +122,6 @@
     pub fn set_rules(&self, pool: &StagePool) {
         self.queue.borrow_mut().set_rules(rules_of(pool));
         self.kept_ms.set(pool.kept_for.as_millis() as Millis);
-        self.link_bytes_per_ms.set(pool.link_bytes_per_ms);
-    }
-
-    /// How long after the start of a call its worker has fetched so many bytes
-    /// that the pieces start from; `None` where nothing is fetched or it can't be
-    /// told.
-    pub(super) fn fetched_within(&self, bytes: u64) -> Option<Duration> {
-        if !self.has(Mechanism::EarlyInputs) {
-            return None;
-        }
-        let moving_ms = bytes.checked_div(self.link_bytes_per_ms.get())?;
-        // Over the maker's link and over its own.
-        let moving = Duration::from_millis(2 * moving_ms);
-        (bytes > 0).then_some(FETCH_SLACK + moving)
     }
 
     fn has(&self, mechanism: Mechanism) -> bool {
@@ -164,9 +137,9 @@
     }
 
     /// Makes a piece. Dropping the future gives the piece up.
-    pub(super) async fn make(self: &Rc<Self>, wanted: Wanted, on_fetched: OnFetched) -> LocalEnd {
-        let (end, result) = oneshot::channel();
-        let key = self.push(wanted, Reply::Here { end, on_fetched });
+    pub(super) async fn make(self: &Rc<Self>, wanted: Wanted) -> LocalEnd {
+        let (tx, result) = oneshot::channel();
+        let key = self.push(wanted, Reply::Here(tx));
         let _submitted = Submitted {
             batcher: self,
             piece: key,
@@ -195,12 +168,11 @@
             expires: wanted.expires,
             result_bytes: wanted.result_bytes,
             group: self.group_of(&wanted.piece),
-            holds_inputs: wanted.input_bytes >= LEAST_MOVED_BYTES,
+            holds_inputs: wanted.holds_inputs,
             hall,
         };
         let job = Job {
             piece: wanted.piece,
-            input_bytes: wanted.input_bytes,
             failures: 0,
             reply,
         };
@@ -266,14 +238,11 @@
             self.failed(piece, PieceFailure::Late);
         }
         self.forget_dropped(now);
-        let overdue = match cx.has(Mechanism::Overdue) {
+        let slow = match cx.has(Mechanism::Overdue) {
             true => self.queue.borrow_mut().take_overdue(now),
-            false => Overdue::default(),
+            false => Vec::new(),
         };
-        for piece in overdue.stranded {
-            self.failed(piece, PieceFailure::InputGone);
-        }
-        for worker in overdue.slow {
+        for worker in slow {
             if let Some(target) = self.workers.borrow().target(worker) {
                 let fields = format_args!(
                     "queue={} target={} why=call_overdue",
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -10,7 +10,7 @@
 use super::results::Kept;
 use super::Batcher;
 use crate::peers::{Link, Made, Message, PeerId, PieceEnd, PieceId};
-use crate::pools::{HeldResult, OnFetched, Requester};
+use crate::pools::{HeldResult, Requester};
 use crate::targets::Target;
 
 /// Between two words to a requester on what a queue has to do, in milliseconds;
@@ -19,10 +19,7 @@
 
 /// Who waits for a piece.
 pub(super) enum Reply {
-    Here {
-        end: oneshot::Sender<LocalEnd>,
-        on_fetched: OnFetched,
-    },
+    Here(oneshot::Sender<LocalEnd>),
     Peer(Requester),
 }
 
@@ -40,33 +37,12 @@
         let job = self.queue.borrow_mut().finish(piece);
         match job.map(|job| job.reply) {
             // A requester that left needs no answer.
-            Some(Reply::Here { end, .. }) => drop(end.send(LocalEnd::Failed(failure))),
+            Some(Reply::Here(tx)) => drop(tx.send(LocalEnd::Failed(failure))),
             Some(Reply::Peer(requester)) => self.answer_peer(&requester, PieceEnd::Failed(failure)),
             None => {}
         }
     }
 
-    /// The worker of a call has what its pieces start from: their requesters may
-    /// give that up.
-    pub(in crate::pools) fn fetched(&self, pieces: &[PieceKey]) {
-        let mut queue = self.queue.borrow_mut();
-        let mut told = Vec::new();
-        for piece in pieces {
-            if !queue.fetched(*piece) {
-                continue;
-            }
-            match queue.job(*piece).map(|job| &job.reply) {
-                Some(Reply::Here { on_fetched, .. }) => told.push(on_fetched.clone()),
-                Some(Reply::Peer(requester)) => {
-                    requester.link.send(Message::Fetched(requester.id));
-                }
-                None => {}
-            }
-        }
-        drop(queue);
-        told.iter().for_each(|on_fetched| on_fetched());
-    }
-
     /// A worker made a result. One that nobody waits for is given up at once.
     pub(in crate::pools) fn made(
         self: &Rc<Self>,
@@ -99,8 +75,8 @@
         self.results.borrow_mut().insert(handle.clone(), result);
         match reply {
             // A request that left drops the result, which gives it up.
-            Some(Reply::Here { end, .. }) => {
-                drop(end.send(LocalEnd::Made(HeldResult::here(self.clone(), made, bytes))))
+            Some(Reply::Here(tx)) => {
+                drop(tx.send(LocalEnd::Made(HeldResult::here(self.clone(), made, bytes))))
             }
             Some(Reply::Peer(requester)) => self.answer_peer(&requester, PieceEnd::Made(made)),
             None => self.give_up(&handle),
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -1,8 +1,7 @@
 //! One call to a target of a stage service.
 
-use std::pin::pin;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hollowsail_observe::events;
 use hollowsail_platform::heads::TargetHead;
@@ -58,7 +57,10 @@
 ) {
     let begun = cx.clock.now();
     let asked = pieces_of(&batcher, &started);
-    let result = exchange_in_time(&batcher, &target, &started, &asked).await;
+    let result = match tokio::time::timeout(CALL_WITHIN, exchange(&target, &asked)).await {
+        Ok(result) => result,
+        Err(_) => Err(CallError::Silent),
+    };
     let took = Duration::from_millis(cx.clock.now() - begun);
     tell_end(&cx, &batcher, &target, asked.len(), took, &result);
     let end = match &result {
@@ -112,7 +114,6 @@
 struct Asked {
     started: StartedPiece,
     piece: Piece,
-    input_bytes: u64,
 }
 
 /// The pieces of a call that somebody still waits for; one may be given up
@@ -122,45 +123,15 @@
     let pieces = started.pieces.iter();
     pieces
         .filter_map(|started| {
-            let job = queue.job(started.key)?;
+            let piece = queue.job(started.key)?.piece.clone();
             Some(Asked {
                 started: *started,
-                piece: job.piece.clone(),
-                input_bytes: job.input_bytes,
+                piece,
             })
         })
         .collect()
 }
 
-/// Makes the call, and tells on the way when the worker has fetched what the
-/// pieces start from.
-async fn exchange_in_time(
-    batcher: &Batcher,
-    target: &Rc<Target>,
-    started: &StartedCall,
-    asked: &[Asked],
-) -> Result<Vec<PieceResult>, CallError> {
-    let silent_from = Instant::now() + CALL_WITHIN;
-    let mut exchange = pin!(exchange(target, asked));
-    let feeding: Vec<&Asked> = asked.iter().filter(|asked| asked.input_bytes > 0).collect();
-    let bytes = feeding.iter().map(|asked| asked.input_bytes).sum();
-    let fetched_within = batcher.fetched_within(bytes);
-    // Pieces of a call that is likely to last too long are needed elsewhere then.
-    if let Some(within) = fetched_within.filter(|_| !started.is_trial) {
-        match tokio::time::timeout(within, &mut exchange).await {
-            Ok(result) => return result,
-            Err(_) => {
-                let keys: Vec<PieceKey> = feeding.iter().map(|asked| asked.started.key).collect();
-                batcher.fetched(&keys);
-            }
-        }
-    }
-    match tokio::time::timeout_at(silent_from.into(), exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(CallError::Silent),
-    }
-}
-
 async fn exchange(target: &Rc<Target>, asked: &[Asked]) -> Result<Vec<PieceResult>, CallError> {
     if asked.is_empty() {
         return Ok(Vec::new());
@@ -261,13 +232,12 @@
             job.failures += u32::from(end == CallEnd::Failed);
             job.failures
         });
-        let failure = match failures < MOST_FAILURES {
-            true if queue.requeue(key) => continue,
-            true => PieceFailure::InputGone,
-            false => PieceFailure::Failed,
-        };
+        if failures < MOST_FAILURES {
+            queue.requeue(key);
+            continue;
+        }
         drop(queue);
-        batcher.failed(key, failure);
+        batcher.failed(key, PieceFailure::Failed);
     }
 }
 
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -45,10 +45,6 @@
 /// Owners that a piece is handed to at most.
 const MOST_OWNERS: u32 = 8;
 
-/// Called when the maker of a piece has fetched what it starts from, if that is
-/// known before the piece ends.
-pub type OnFetched = Rc<dyn Fn()>;
-
 /// What a request gets for a piece.
 pub type PieceEnd = Result<HeldResult, PieceFailure>;
 
@@ -64,8 +60,8 @@
     pub expires: Millis,
     /// About the size of its result.
     pub result_bytes: u64,
-    /// Bytes of the results that it starts from.
-    pub input_bytes: u64,
+    /// The results that it starts from are large.
+    pub holds_inputs: bool,
     /// Data hall where the result is wanted.
     pub hall: Option<String>,
 }
@@ -102,7 +98,6 @@
         deployment: &Deployment,
         service: ServiceKey,
         wanted: Wanted,
-        on_fetched: OnFetched,
     ) -> PieceEnd {
         let name = &deployment.service(service).name;
         for _ in 0..MOST_OWNERS {
@@ -110,7 +105,7 @@
             match owner_of(cx, &queue.name) {
                 Owner::Me => {
                     let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
-                    match batcher.make(wanted.clone(), on_fetched.clone()).await {
+                    match batcher.make(wanted.clone()).await {
                         LocalEnd::Made(held) => return Ok(held),
                         LocalEnd::Failed(failure) => return Err(failure),
                         LocalEnd::Moved => {}
@@ -118,7 +113,7 @@
                 }
                 Owner::Peer(link) => {
                     let asked = self.message(cx, &queue.name, &wanted);
-                    match link.make(asked, on_fetched.clone()).await {
+                    match link.make(asked).await {
                         Ok(peers::PieceEnd::Made(made)) => {
                             let bytes = wanted.result_bytes;
                             return Ok(HeldResult::at_peer(link, queue.name, made, bytes));
@@ -145,7 +140,7 @@
             due_in_ms: wanted.due as i64 - now as i64,
             expires_in_ms: wanted.expires.saturating_sub(now),
             result_bytes: wanted.result_bytes,
-            input_bytes: wanted.input_bytes,
+            holds_inputs: wanted.holds_inputs,
             hall: wanted.hall.clone(),
         }
     }
@@ -203,7 +198,7 @@
             due: now.saturating_add_signed(asked.due_in_ms),
             expires: now + asked.expires_in_ms,
             result_bytes: asked.result_bytes,
-            input_bytes: asked.input_bytes,
+            holds_inputs: asked.holds_inputs,
             hall: asked.hall,
         };
         batcher.take_from_peer(link, asked.id, wanted);
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -10,12 +10,11 @@
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_stages::{PieceAt, StageGraph};
-use tokio::sync::mpsc;
 
 use super::{Prepared, ENGINE_MS};
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
-use crate::pools::{HeldResult, OnFetched, PieceEnd, Wanted, LEAST_MOVED_BYTES};
+use crate::pools::{HeldResult, PieceEnd, Wanted, LEAST_MOVED_BYTES};
 use crate::request::admit::Admitted;
 use crate::traffic::Traffic;
 
@@ -47,27 +46,16 @@
     /// Makes pieces until none is left.
     pub async fn run(mut self) -> Result<Prepared, Refusal> {
         let mut running = FuturesUnordered::new();
-        let (tx, mut fetched) = mpsc::unbounded_channel();
         loop {
             for at in self.graph.start_ready() {
-                let tx = tx.clone();
-                // The walk that listens has ended when this can't be sent.
-                let on_fetched = Rc::new(move || tx.send(at).unwrap_or_default());
-                let wanted = self.wanted(at);
-                running.push(make(self.cx, self.admitted, at, wanted, on_fetched));
+                running.push(make(self.cx, self.admitted, at, self.wanted(at)));
             }
             if self.graph.is_done() {
                 return Ok(self.finish());
             }
-            tokio::select! {
-                Some(at) = fetched.recv() => {
-                    self.graph.fetched(at);
-                    self.give_up_spent();
-                }
-                made = running.next() => match made {
-                    Some(made) => self.take(made)?,
-                    None => return Err(Refusal::new(ErrorKind::StageFailed, "no stage can go on")),
-                },
+            match running.next().await {
+                Some(made) => self.take(made)?,
+                None => return Err(Refusal::new(ErrorKind::StageFailed, "no stage can go on")),
             }
         }
     }
@@ -85,7 +73,7 @@
                 .millis_at(self.until)
                 .saturating_sub(self.graph.ms_after(at.stage, &|_| LEAST_STAGE_MS)),
             result_bytes: self.stages[at.stage].result_bytes,
-            input_bytes: self.input_bytes(at),
+            holds_inputs: self.input_bytes(at) >= LEAST_MOVED_BYTES,
             hall: self.hall(at),
         }
     }
@@ -174,15 +162,10 @@
         if self.graph.is_made(made.at.stage) {
             self.log_made(made.at.stage, &maker);
         }
-        self.give_up_spent();
-        Ok(())
-    }
-
-    /// Gives results up that nothing needs any more.
-    fn give_up_spent(&mut self) {
         for spent in self.graph.take_spent() {
             self.held.retain(|_, result| result.handle() != spent);
         }
+        Ok(())
     }
 
     fn log_made(&self, stage: usize, last_maker: &str) {
@@ -261,18 +244,12 @@
     end: PieceEnd,
 }
 
-async fn make(
-    cx: &Rc<Traffic>,
-    admitted: &Admitted,
-    at: PieceAt,
-    wanted: Wanted,
-    on_fetched: OnFetched,
-) -> MadePiece {
+async fn make(cx: &Rc<Traffic>, admitted: &Admitted, at: PieceAt, wanted: Wanted) -> MadePiece {
     let inputs = wanted.piece.inputs.clone();
     let service = admitted.route().stages[at.stage].service;
     let end = cx
         .pools
-        .make(cx, &admitted.deployment, service, wanted, on_fetched)
+        .make(cx, &admitted.deployment, service, wanted)
         .await;
     MadePiece { at, inputs, end }
 }
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -12,15 +12,12 @@
 
 use crate::fixture::{eventually, one_event, Answer, Call, Fixture};
 
-/// About what a call to a ranker takes, in milliseconds.
-const RANKING_MS: f64 = 20.0;
-
 fn deployment() -> DeploymentJson {
-    deployment_of(json!({}), RANKING_MS)
+    deployment_of(json!({}))
 }
 
-/// The deployment, with more words for its route and another time of a ranker's call.
-fn deployment_of(more: Value, ranking_ms: f64) -> DeploymentJson {
+/// The deployment, with more words for its route.
+fn deployment_of(more: Value) -> DeploymentJson {
     let stages = json!([
         { "service": "encoders", "after": [], "bytes": 1000 },
         { "service": "rankers", "after": [0], "bytes": 500 },
@@ -32,7 +29,7 @@
     DeploymentJson::new(1)
         .engines("engines")
         .stage_service("encoders", 4, 20.0, 10.0)
-        .stage_service("rankers", 4, ranking_ms, 10.0)
+        .stage_service("rankers", 4, 20.0, 10.0)
         .route("/staged/", "stream", "engines", route)
 }
 
@@ -312,8 +309,7 @@
 
 #[actix_rt::test]
 async fn results_are_given_up_at_the_first_event_also_where_the_stream_may_go_on_elsewhere() {
-    let fixture =
-        Fixture::start(&deployment_of(json!({ "stream_resume": true }), RANKING_MS)).await;
+    let fixture = Fixture::start(&deployment_of(json!({ "stream_resume": true }))).await;
     let encoder = TargetStandin::start(worker("maker-1")).await;
     let ranker = TargetStandin::start(worker("maker-2")).await;
     let engine = TargetStandin::start(two_events).await;
@@ -331,8 +327,7 @@
 
 #[actix_rt::test]
 async fn a_broken_stream_whose_results_were_given_up_goes_on_after_its_stages_are_made_again() {
-    let fixture =
-        Fixture::start(&deployment_of(json!({ "stream_resume": true }), RANKING_MS)).await;
+    let fixture = Fixture::start(&deployment_of(json!({ "stream_resume": true }))).await;
     let encoder = TargetStandin::start(worker("maker-1")).await;
     let ranker = TargetStandin::start(worker("maker-2")).await;
     let bad = TargetStandin::start(|seen| {
@@ -370,56 +365,6 @@
     assert_eq!(runs(&ranker).len(), 2, "made again");
 }
 
-/// A ranker whose calls take as long as [`long_ranking`] says; each ends as the script
-/// says of its number.
-fn slow_ranker(end: impl Fn(usize, &Seen) -> Vec<u8> + 'static) -> impl Fn(&Seen) -> Vec<Step> {
-    let calls = Cell::new(0);
-    move |seen| {
-        if seen.path != "/-/stage-run" {
-            return vec![Step::Write(results(seen, "freed"))];
-        }
-        calls.set(calls.get() + 1);
-        let wait = Step::Wait(Duration::from_millis(250));
-        vec![wait, Step::Write(end(calls.get(), seen))]
-    }
-}
-
-fn long_ranking() -> DeploymentJson {
-    deployment_of(json!({}), 250.0)
-}
-
-#[actix_rt::test]
-async fn inputs_are_given_up_once_they_are_fetched_not_when_the_piece_is_made() {
-    let ranker = slow_ranker(|_, seen| results(seen, "maker-2"));
-    let staged = staged_on(&long_ranking(), worker("maker-1"), ranker).await;
-    let at = staged.fixture.gateway.at.callers;
-    let caller = actix_rt::spawn(async move { request().send(at).await });
-    eventually("the second stage begins", || {
-        !runs(&staged.ranker).is_empty()
-    })
-    .await;
-    tokio::time::sleep(Duration::from_millis(150)).await;
-    assert_eq!(freed(&staged.encoder).len(), 2, "while the call lasts");
-    assert!(caller.await.expect("it is answered").is_whole);
-}
-
-#[actix_rt::test]
-async fn a_call_that_fails_after_its_inputs_were_given_up_has_them_made_again() {
-    let ranker = slow_ranker(|call, seen| match call {
-        1 => failures(seen, "error"),
-        _ => results(seen, "maker-2"),
-    });
-    let staged = staged_on(&long_ranking(), worker("maker-1"), ranker).await;
-    let patient = request().with("X-Deadline-Ms", "10000");
-    let got = staged.fixture.call(&patient).await;
-    assert_eq!(got.status, 200, "{got:?}");
-    assert_eq!(runs(&staged.ranker).len(), 2);
-    assert_eq!(runs(&staged.encoder).len(), 2);
-    let piece = &runs(&staged.ranker)[1].pieces()[0];
-    let inputs = piece["inputs"].as_array().map(Vec::len);
-    assert_eq!(inputs, Some(2), "never some of them");
-}
-
 /// Two engines beside an encoder and a ranker, on a route whose streams may go on
 /// elsewhere. The first one waits, then does as it is told; the second comes later.
 struct SlowEngine {
@@ -428,7 +373,7 @@
 }
 
 async fn slow_engine(end: fn(&Seen) -> Vec<Step>) -> SlowEngine {
-    let deployment = deployment_of(json!({ "stream_resume": true }), RANKING_MS);
+    let deployment = deployment_of(json!({ "stream_resume": true }));
     let mut staged = staged_on(&deployment, worker("maker-1"), worker("maker-2")).await;
     staged.engine = TargetStandin::start(move |seen| {
         let mut steps = vec![Step::Wait(Duration::from_millis(400))];
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -10,16 +10,6 @@
 /// ... and this many milliseconds; a worker's host may lag a little.
 const OVERDUE_SLACK_MS: f64 = 80.0;
 
-/// What [`BatchQueue::take_overdue`] found.
-#[derive(Debug, Default, PartialEq, Eq)]
-pub struct Overdue {
-    /// Workers that turned out slow.
-    pub slow: Vec<WorkerKey>,
-    /// Pieces that no other worker can make, since what they start from was given
-    /// up; the caller finishes each.
-    pub stranded: Vec<PieceKey>,
-}
-
 /// A call under way.
 #[derive(Debug)]
 pub(super) struct Call {
@@ -82,7 +72,6 @@
             call,
             worker,
             at: now,
-            is_trial: self.workers[worker].is_slow(),
             pieces,
         }
     }
@@ -114,9 +103,9 @@
     }
 
     /// Pieces of calls that last far too long wait again, for other workers.
-    pub fn take_overdue(&mut self, now: Millis) -> Overdue {
+    /// Returns the workers that turned out slow.
+    pub fn take_overdue(&mut self, now: Millis) -> Vec<WorkerKey> {
         let mut slow = Vec::new();
-        let mut stranded = Vec::new();
         for call in self.calls.values_mut() {
             if call.overdue || ((now - call.started) as f64) < call.limit_ms() {
                 continue;
@@ -124,10 +113,8 @@
             call.overdue = true;
             slow.push(call.worker);
             for StartedPiece { key, .. } in &call.pieces {
-                match self.pieces.get(*key) {
-                    Some(piece) if piece.has_fetched => stranded.push(*key),
-                    Some(piece) => drop(self.waiting.insert((piece.rank, *key))),
-                    None => {}
+                if let Some(piece) = self.pieces.get(*key) {
+                    self.waiting.insert((piece.rank, *key));
                 }
             }
         }
@@ -136,6 +123,6 @@
                 worker.found_slow();
             }
         }
-        Overdue { slow, stranded }
+        slow
     }
 }
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -36,7 +36,6 @@
 use self::workers::Worker;
 use crate::Millis;
 
-pub use self::calls::Overdue;
 pub use self::load::QueueLoad;
 pub use self::types::{
     CallEnd, CallKey, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
@@ -72,8 +71,6 @@
     anywhere_from: Millis,
     /// Calls under way that make it.
     calls: u32,
-    /// What it starts from was fetched by its worker and may be gone elsewhere.
-    has_fetched: bool,
     job: T,
 }
 
@@ -125,7 +122,6 @@
             rank,
             anywhere_from: self.anywhere_from(&order, now),
             calls: 0,
-            has_fetched: false,
             job,
         });
         self.waiting.insert((rank, key));
@@ -170,26 +166,11 @@
         }
     }
 
-    /// A piece that is in no call any more waits again. False when no other call
-    /// could make it, since what it starts from was given up.
-    pub fn requeue(&mut self, piece: PieceKey) -> bool {
-        let Some(state) = self.pieces.get(piece) else {
-            return true;
-        };
-        if !state.has_fetched {
+    /// A piece that is in no call any more waits again.
+    pub fn requeue(&mut self, piece: PieceKey) {
+        if let Some(state) = self.pieces.get(piece) {
             self.waiting.insert((state.rank, piece));
         }
-        !state.has_fetched
-    }
-
-    /// The worker of a piece has what it starts from. True when the requester may
-    /// give that up: not while the piece waits for another worker, too.
-    pub fn fetched(&mut self, piece: PieceKey) -> bool {
-        let Some(state) = self.pieces.get_mut(piece) else {
-            return false;
-        };
-        state.has_fetched |= !self.waiting.contains(&(state.rank, piece));
-        state.has_fetched
     }
 
     /// Pieces that wait.
--- a/crates/stages/src/batch/types.rs
+++ b/crates/stages/src/batch/types.rs
@@ -71,8 +71,6 @@
     pub worker: WorkerKey,
     /// When it was made.
     pub at: Millis,
-    /// Its worker was slow, and is only tried: it may not end well.
-    pub is_trial: bool,
     pub pieces: Vec<StartedPiece>,
 }
 
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -5,7 +5,7 @@
 //! every stage that it needs is made; the final ones, which only the request
 //! needs, start together. Results are known by their handles. A
 //! result may be lost with its maker; [`StageGraph::lose_inputs`] makes its piece
-//! startable again. A result is spent once all that needs it has fetched it.
+//! startable again. A result is spent once all that needs it is made.
 
 /// One piece of one stage.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -31,8 +31,6 @@
     Open,
     /// Handed out by [`StageGraph::start_ready`].
     Started,
-    /// Its maker has all that it starts from.
-    Fetched,
     /// Its result lies under this handle, which is empty once it was spent.
     Made(String),
 }
@@ -118,14 +116,6 @@
             .map(move |(piece, _)| PieceAt { stage, piece })
     }
 
-    /// The maker of a piece that was handed out has fetched what it starts from.
-    pub fn fetched(&mut self, at: PieceAt) {
-        let state = &mut self.states[at.stage][at.piece];
-        if *state == PieceState::Started {
-            *state = PieceState::Fetched;
-        }
-    }
-
     /// A piece was made.
     pub fn made(&mut self, at: PieceAt, handle: String) {
         self.states[at.stage][at.piece] = PieceState::Made(handle);
@@ -137,14 +127,13 @@
         self.states[at.stage][at.piece] = PieceState::Open;
     }
 
-    /// Results that a piece of `stage` was to start from are lost, or were spent
-    /// when it was taken to have fetched them: their pieces have to be made again,
-    /// and whatever those need that was spent since.
+    /// Results that a piece of `stage` was to start from are lost: their pieces
+    /// have to be made again, and whatever those need that was spent since.
     /// Returns the pieces, whose results are of no use any more.
     pub fn lose_inputs(&mut self, stage: usize, handles: &[String]) -> Vec<PieceAt> {
         let mut lost = Vec::new();
         for needed in self.sizes[stage].after.clone() {
-            let is_lost = |handle: &String| handle.is_empty() || handles.contains(handle);
+            let is_lost = |handle: &String| handles.contains(handle);
             let pieces = self.reopen(needed, is_lost);
             if !pieces.is_empty() {
                 lost.extend(self.reopen_spent_before(needed));
@@ -195,11 +184,10 @@
     }
 
     /// Handles of results that nothing needs any more: those of a stage whose
-    /// dependents are all made, or have fetched them. They are forgotten, so that
-    /// each is told once.
+    /// dependents are all made. They are forgotten, so that each is told once.
     pub fn take_spent(&mut self) -> Vec<String> {
         let spent: Vec<usize> = (0..self.sizes.len())
-            .filter(|&stage| self.is_needed(stage) && self.is_fetched(stage))
+            .filter(|&stage| self.is_needed(stage) && self.dependents_made(stage))
             .collect();
         let mut handles = Vec::new();
         for stage in spent {
@@ -218,12 +206,9 @@
         self.dependents(stage).next().is_some()
     }
 
-    /// True when every piece that needs a stage has what it needs of it.
-    fn is_fetched(&self, stage: usize) -> bool {
-        let has_inputs =
-            |state: &PieceState| matches!(state, PieceState::Fetched | PieceState::Made(_));
+    fn dependents_made(&self, stage: usize) -> bool {
         self.dependents(stage)
-            .all(|dependent| self.states[dependent].iter().all(has_inputs))
+            .all(|dependent| self.is_made(dependent))
     }
 
     /// Stages with pieces that need this one.
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -1,7 +1,7 @@
 //! Which pieces share a call, and to whom it goes.
 
 use hollowsail_stages::{
-    BatchQueue, CallEnd, GroupKey, HallKey, Overdue, PieceKey, PieceOrder, PoolRules, StartedCall,
+    BatchQueue, CallEnd, GroupKey, HallKey, PieceKey, PieceOrder, PoolRules, StartedCall,
     WorkerKey, WorkerState,
 };
 
@@ -231,7 +231,7 @@
     assert_eq!(call.worker, far);
 
     let (mut queue, _busy, far) = wanted_here(1_000);
-    assert_eq!(queue.take_overdue(290).slow.len(), 1);
+    assert_eq!(queue.take_overdue(290).len(), 1);
     let call = queue.next_call(290).expect("the hall's worker is overdue");
     assert_eq!(call.worker, far);
 }
@@ -243,8 +243,8 @@
     push(&mut queue, order(1), 1);
     let slow = queue.next_call(0).expect("a worker is free");
     let other = queue.add_worker(HERE);
-    assert_eq!(queue.take_overdue(200), Overdue::default());
-    assert_eq!(queue.take_overdue(400).slow, [slow.worker]);
+    assert!(queue.take_overdue(200).is_empty());
+    assert_eq!(queue.take_overdue(400), [slow.worker]);
     let second = queue.next_call(400).expect("it waits again");
     assert_eq!(second.worker, other);
     assert_eq!(queue.finish(second.pieces[0].key), Some(1));
@@ -255,32 +255,6 @@
     assert!(queue.end_call(slow.call, CallEnd::Answered, 900).is_empty());
 }
 
-#[test]
-fn a_piece_whose_inputs_were_fetched_and_given_up_is_for_no_other_worker() {
-    let mut queue = BatchQueue::new(rules());
-    queue.add_worker(HERE);
-    let pieces = push(&mut queue, order(1), 2);
-    let slow = queue.next_call(0).expect("a worker is free");
-    queue.add_worker(HERE);
-    assert!(queue.fetched(pieces[0]));
-    let overdue = queue.take_overdue(400);
-    assert_eq!(overdue.stranded, [pieces[0]]);
-    assert!(
-        !queue.fetched(pieces[1]),
-        "another worker may still need its inputs"
-    );
-    let second = queue.next_call(400).expect("the other piece waits again");
-    assert_eq!(second.pieces.len(), 1);
-    assert_eq!(second.pieces[0].key, pieces[1]);
-    let left = queue.end_call(slow.call, CallEnd::Failed, 500);
-    assert_eq!(left, [pieces[0]]);
-    assert!(!queue.requeue(pieces[0]));
-    assert!(
-        queue.job(pieces[0]).is_some(),
-        "its owner says what follows"
-    );
-}
-
 #[test]
 fn a_slow_worker_is_only_tried_now_and_then() {
     let mut queue = BatchQueue::new(rules());
@@ -302,7 +276,7 @@
     let pieces = push(&mut queue, order(1), 2);
     let call = queue.next_call(0).expect("a worker is free");
     assert_eq!(queue.end_call(call.call, CallEnd::Failed, 50), pieces);
-    assert!(pieces.iter().all(|piece| queue.requeue(*piece)));
+    pieces.iter().for_each(|piece| queue.requeue(*piece));
     assert!(queue.next_call(60).is_none(), "it is out for a while");
     queue.remove_worker(worker);
     assert!(queue.next_call(10_000).is_none());
@@ -402,7 +376,6 @@
     push(&mut next, order(2), 1);
     push(&mut next, order(3), 2);
     let trial = next.next_call(2_000).expect("its turn");
-    assert!(trial.is_trial);
     assert_eq!(groups(&next, &trial), [2], "one group, not a batch");
 }
 
--- a/crates/stages/tests/suite/graph.rs
+++ b/crates/stages/tests/suite/graph.rs
@@ -133,30 +133,3 @@
     let mut graph = StageGraph::new(vec![size(1, &[]), size(2, &[]), size(0, &[1])]);
     assert_eq!(graph.start_ready(), [at(0, 0), at(1, 0), at(1, 1)]);
 }
-
-#[test]
-fn results_are_spent_once_all_that_needs_them_has_fetched_them() {
-    let mut graph = chain();
-    make_all(&mut graph);
-    let second = graph.start_ready();
-    graph.fetched(second[0]);
-    graph.made(second[1], "w/1-1".into());
-    assert!(graph.take_spent().is_empty(), "one piece hasn't");
-    graph.fetched(second[2]);
-    assert_eq!(graph.take_spent(), ["w/0-0", "w/0-1"]);
-}
-
-#[test]
-fn a_piece_that_fails_after_its_inputs_were_spent_has_them_made_again() {
-    let mut graph = chain();
-    make_all(&mut graph);
-    let used = graph.inputs_of(1);
-    let second = graph.start_ready();
-    second.iter().for_each(|at| graph.fetched(*at));
-    graph.take_spent();
-    graph.lose(second[0]);
-    assert_eq!(graph.lose_inputs(1, &used), [at(0, 0), at(0, 1)]);
-    graph.made(second[1], "w/1-1".into());
-    make_all(&mut graph);
-    assert_eq!(graph.start_ready(), [second[0]], "what was made stays");
-}
--- a/crates/stages/tests/suite/random_graph.rs
+++ b/crates/stages/tests/suite/random_graph.rs
@@ -35,8 +35,6 @@
         let mut graph = StageGraph::new(sizes.clone());
         let mut makers = Makers::default();
         let mut running: Vec<(PieceAt, Vec<String>)> = Vec::new();
-        // Those of them whose makers have fetched what they start from.
-        let mut fetched: HashSet<PieceAt> = HashSet::new();
         let mut choices = choices.into_iter();
         while !graph.is_done() {
             for at in graph.start_ready() {
@@ -50,24 +48,13 @@
             prop_assert!(!running.is_empty(), "something can always go on");
             // With the choices used up nothing fails any more, so it ends.
             let (pick, fate) = choices.next().unwrap_or((0, 9));
-            let picked = usize::from(pick) % running.len();
-            if fate < 4 && fetched.insert(running[picked].0) {
-                graph.fetched(running[picked].0);
-                for spent in graph.take_spent() {
-                    makers.kept.remove(&spent);
-                }
-                continue;
-            }
-            let (at, inputs) = running.swap_remove(picked);
-            let has_fetched = fetched.remove(&at);
+            let (at, inputs) = running.swap_remove(usize::from(pick) % running.len());
             if fate == 0 {
                 if let Some(handle) = inputs.first() {
                     makers.kept.remove(handle);
                 }
             }
-            let has_inputs = inputs.iter().all(|input| makers.kept.contains_key(input));
-            // A maker that fetched its inputs needs them no more, but may still fail.
-            if has_inputs || (has_fetched && fate > 5) {
+            if inputs.iter().all(|input| makers.kept.contains_key(input)) {
                 makers.made += 1;
                 let handle = format!("h{}", makers.made);
                 makers.kept.insert(handle.clone(), at);
--- a/crates/stages/tests/suite/random_queue.rs
+++ b/crates/stages/tests/suite/random_queue.rs
@@ -44,10 +44,6 @@
     Pass {
         ms: u64,
     },
-    /// The worker of a call has what its pieces start from.
-    Fetched {
-        at: usize,
-    },
 }
 
 fn event() -> impl Strategy<Value = Event> {
@@ -74,7 +70,6 @@
         1 => (0u16..2).prop_map(|hall| Event::AddWorker { hall }),
         1 => any::<usize>().prop_map(|at| Event::RemoveWorker { at }),
         3 => (1u64..400).prop_map(|ms| Event::Pass { ms }),
-        2 => any::<usize>().prop_map(|at| Event::Fetched { at }),
     ]
 }
 
@@ -87,8 +82,6 @@
     /// Results at workers that weren't given up.
     held: Vec<(WorkerKey, u64)>,
     open: HashMap<PieceKey, u64>,
-    /// Pieces that no other call can make.
-    fetched: HashSet<PieceKey>,
 }
 
 proptest! {
@@ -115,9 +108,7 @@
         queue.add_worker(HallKey(0));
         for _ in 0..3_000 {
             world.now += 200;
-            for stranded in queue.take_overdue(world.now).stranded {
-                give_up(&mut queue, &mut world, stranded);
-            }
+            queue.take_overdue(world.now);
             while let Some(call) = queue.next_call(world.now) {
                 end(&mut queue, &mut world, call, CallEnd::Answered);
                 for (worker, bytes) in world.held.drain(..) {
@@ -193,20 +184,7 @@
         }
         Event::Pass { ms } => {
             world.now += ms;
-            for stranded in queue.take_overdue(world.now).stranded {
-                prop_assert!(world.fetched.contains(&stranded));
-                give_up(queue, world, stranded);
-            }
-        }
-        Event::Fetched { at } => {
-            if !world.running.is_empty() {
-                let call = &world.running[at % world.running.len()];
-                for piece in &call.pieces {
-                    if queue.fetched(piece.key) {
-                        world.fetched.insert(piece.key);
-                    }
-                }
-            }
+            queue.take_overdue(world.now);
         }
     }
     Ok(())
@@ -226,11 +204,6 @@
         .pieces
         .iter()
         .all(|piece| world.open.contains_key(&piece.key)));
-    let none_fetched = call
-        .pieces
-        .iter()
-        .all(|piece| !world.fetched.contains(&piece.key));
-    prop_assert!(none_fetched, "what it starts from may be gone");
     let at_worker = world
         .held
         .iter()
@@ -251,13 +224,6 @@
         }
     }
     for left in queue.end_call(call.call, how, world.now) {
-        if !queue.requeue(left) {
-            give_up(queue, world, left);
-        }
+        queue.requeue(left);
     }
 }
-
-fn give_up(queue: &mut BatchQueue<u64>, world: &mut World, piece: PieceKey) {
-    queue.finish(piece);
-    world.open.remove(&piece);
-}
