--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,7 +15,6 @@
 mod callers;
 mod clock;
 mod control;
-mod fetching;
 mod log;
 mod mechanisms;
 mod metrics;
--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -22,9 +22,7 @@
     Halls,
     /// Stages that only the request needs start together.
     JointFinals,
-    /// Results of a request are given up once its engine has fetched them.
-    EarlyResults,
-    /// They are given up at the first event, not at the stream's end.
+    /// Results of a request are given up at the first event, not at the stream's end.
     FirstEvent,
     /// The time kept for the engine goes by the prompt's length.
     ReadingTimes,
@@ -35,7 +33,7 @@
 }
 
 /// Each with its name on the command line.
-const NAMES: [(Mechanism, &str); 12] = [
+const NAMES: [(Mechanism, &str); 11] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Desk, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -43,7 +41,6 @@
     (Mechanism::Groups, "groups"),
     (Mechanism::Halls, "halls"),
     (Mechanism::JointFinals, "joint-finals"),
-    (Mechanism::EarlyResults, "early-results"),
     (Mechanism::FirstEvent, "first-event"),
     (Mechanism::ReadingTimes, "reading-times"),
     (Mechanism::RoutePriority, "route-priority"),
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -3,7 +3,6 @@
 //! [`find`] finds the target of each send, [`attempt`] makes it, and [`retry`]
 //! decides what follows one that failed.
 
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,14 +11,12 @@
 use hollowsail_routing::Progress;
 
 use super::admit::Admitted;
-use super::attempt::{self, Answered, Failure, Send};
+use super::attempt::{self, Answered, Send};
 use super::prepare::Prepared;
 use super::sends::Sends;
 use super::{find, relay, retry, Trace};
 use crate::answer::{AnswerStream, Refusal};
-use crate::mechanisms::Mechanism;
 use crate::metrics;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// A target is taken to be silent after this multiple of the slowest of a hundred
@@ -33,24 +30,18 @@
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
     prepared: Prepared,
-    sends: &mut Sends,
     trace: &mut Trace,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
+    let mut sends = Sends::new(admitted);
     loop {
-        let answered = next_answer(cx, admitted, &prepared, sends, None).await;
+        let answered = next_answer(cx, admitted, &prepared, &mut sends, None).await;
         trace.attempts = sends.count() + u32::from(answered.is_ok());
         trace.last_target.clone_from(&sends.last_target);
         let answered = answered?;
         if admitted.route().repeat.is_stream() && answered.parts.status.is_success() {
-            return Ok(relay::stream(
-                cx,
-                admitted,
-                answered,
-                prepared,
-                sends.clone(),
-            ));
+            return Ok(relay::stream(cx, admitted, answered, prepared, sends));
         }
-        match relay::whole(cx, admitted, answered, sends).await {
+        match relay::whole(cx, admitted, answered, &mut sends).await {
             relay::Whole::Response(response) => return Ok(*response),
             relay::Whole::TryAgain => {}
         }
@@ -78,7 +69,7 @@
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
         sends.last_target.clone_from(&target.incarnation().0);
-        match attempt_giving_up(cx, admitted, &target, &send, prepared).await {
+        match attempt::run(admitted, &target, &send).await {
             Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
                 answered.placed = placed;
@@ -92,42 +83,8 @@
                         Progress::FinalRefusal => placed.whole(),
                         _ => placed.failed(),
                     });
-                let missed_inputs = failure.inputs_gone && prepared.is_given_up();
-                if missed_inputs {
-                    cx.fetching.missed(cx.clock.now());
-                }
                 retry::take_failure(cx, admitted, sends, &target, failure)?;
-                if prepared.is_given_up() {
-                    let detail = "what it starts from was given up to an engine that failed";
-                    return Err(Refusal::new(ErrorKind::InputsGone, detail));
-                }
-            }
-        }
-    }
-}
-
-/// Makes an attempt, and gives up what the request starts from as soon as the engine
-/// must have fetched it, which is long before its first event when prompts wait to be
-/// read.
-async fn attempt_giving_up(
-    cx: &Traffic,
-    admitted: &Admitted,
-    target: &Rc<Target>,
-    send: &Send<'_>,
-    prepared: &Prepared,
-) -> Result<Answered, Failure> {
-    let mut attempt = pin!(attempt::run(admitted, target, send));
-    let within = prepared.fetched_within();
-    let Some(within) = within.filter(|_| cx.has(Mechanism::EarlyResults)) else {
-        return attempt.await;
-    };
-    match tokio::time::timeout(within, &mut attempt).await {
-        Ok(result) => result,
-        Err(_) => {
-            if cx.fetching.is_prompt(cx.clock.now()) {
-                prepared.give_up();
             }
-            attempt.await
         }
     }
 }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -23,7 +23,6 @@
 use hollowsail_observe::{events as catalogue, ErrorKind};
 use hyper::body::Incoming;
 
-use self::sends::Sends;
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
 use crate::traffic::Traffic;
@@ -132,23 +131,16 @@
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     forecast::judge(cx, admitted)?;
     let mut lost_inputs = 0;
-    let mut sends = Sends::new(admitted);
     loop {
         waiting.phase = "stages";
-        let until = match sends.is_first() {
-            true => admitted.stages_by(),
-            false => admitted.answer_by(),
-        };
-        let prepared = prepare::run(cx, admitted, until).await;
-        let prepared = prepared.map_err(|refusal| sends.as_far_as_true(refusal))?;
+        let prepared = prepare::run(cx, admitted, admitted.stages_by()).await?;
         waiting.phase = "target";
         trace.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
-        match dispatch::run(cx, admitted, prepared, &mut sends, trace).await {
-            // Another send may follow, once its stages are made again.
-            Err(refusal) if refusal.kind == ErrorKind::InputsGone => {
-                if lost_inputs == MOST_LOST_INPUTS {
-                    return Err(sends.refusal(ErrorKind::InputsGone));
-                }
+        match dispatch::run(cx, admitted, prepared, trace).await {
+            // The request didn't run: its stages may, once more.
+            Err(refusal)
+                if refusal.kind == ErrorKind::InputsGone && lost_inputs < MOST_LOST_INPUTS =>
+            {
                 lost_inputs += 1;
             }
             result => return result,
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hollowsail_observe::{events, ErrorKind};
@@ -213,27 +213,8 @@
     fn finish(self) -> Prepared {
         let inputs = self.graph.final_inputs();
         let is_input = |result: &HeldResult| inputs.iter().any(|input| input == result.handle());
-        let moving = self.moving_time();
         let results = self.held.into_values().filter(is_input).collect();
-        Prepared::new(inputs, results, moving)
-    }
-
-    /// Time in which an engine fetches all final results: over their makers' links,
-    /// and over its own, which is taken to be no slower.
-    fn moving_time(&self) -> Option<Duration> {
-        let final_results = self.held.iter();
-        let each_ms = final_results.map(|(at, result)| {
-            let service = self.stages[at.stage].service;
-            let pool = self
-                .admitted
-                .deployment
-                .service(service)
-                .stage_pool
-                .as_ref()?;
-            result.bytes.checked_div(pool.link_bytes_per_ms)
-        });
-        let moving_ms: u64 = each_ms.sum::<Option<u64>>()?;
-        Some(2 * Duration::from_millis(moving_ms))
+        Prepared { inputs, results }
     }
 }
 
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -30,11 +30,7 @@
     tell_failure(cx, admitted, target, &failure);
     if failure.inputs_gone {
         sends.failed(target, failure);
-        let kind = match spend_budget(cx, admitted, sends) {
-            true => ErrorKind::InputsGone,
-            false => ErrorKind::Overloaded,
-        };
-        return Err(sends.refusal(kind));
+        return Err(sends.refusal(ErrorKind::InputsGone));
     }
     if progress != Progress::FinalRefusal {
         count_against(cx, sends.service, target);
--- a/crates/gateway/src/request/sends.rs
+++ b/crates/gateway/src/request/sends.rs
@@ -15,7 +15,6 @@
 use crate::targets::Target;
 
 /// The sends of one request, so far.
-#[derive(Clone)]
 pub struct Sends {
     pub service: ServiceKey,
     /// Targets that failed it.
@@ -49,10 +48,7 @@
 
     /// Takes a failed attempt.
     pub fn failed(&mut self, target: &Target, failure: Failure) {
-        // One that only missed what the request starts from may serve it yet.
-        if !failure.inputs_gone {
-            self.tried.insert(target.incarnation().clone());
-        }
+        self.tried.insert(target.incarnation().clone());
         match failure.progress {
             Progress::NothingSent => self.unreached += 1,
             _ => self.arrivals += 1,
@@ -76,15 +72,7 @@
         }
     }
 
-    /// A refusal, unless one of the sends may have run.
-    pub fn as_far_as_true(&self, refusal: Refusal) -> Refusal {
-        match stage_status(self.progress.iter().copied()) {
-            StageStatus::NotRun => refusal,
-            StageStatus::Unknown | StageStatus::Ran => self.refusal(refusal.kind),
-        }
-    }
-
-    /// What may be said when the request's time is over.
+    /// The same when the request's time is over.
     pub fn out_of_time(&self) -> Refusal {
         let mut refusal = self.refusal(ErrorKind::CannotFinish);
         if refusal.kind == ErrorKind::TargetFailed {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -14,7 +14,6 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
-use crate::fetching::Fetching;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerRecord, Peers};
@@ -63,8 +62,6 @@
     readings: RefCell<HashMap<String, ReadingTimes>>,
     /// Requests between their head and the end of their answer.
     pub in_flight: Cell<usize>,
-    /// Whether engines fetch what requests start from as soon as they get them.
-    pub fetching: Fetching,
     /// Connections of callers.
     pub connections: Cell<usize>,
     pub stopping: Cell<Stopping>,
@@ -103,7 +100,6 @@
                 latencies: RefCell::default(),
                 readings: RefCell::default(),
                 in_flight: Cell::new(0),
-                fetching: Fetching::default(),
                 connections: Cell::new(0),
                 stopping: Cell::new(Stopping::No),
                 last_call: Notify::new(),
