--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -15,10 +15,10 @@
 enum Turn {
     /// Its results so far lie idle.
     Begun,
-    /// Its priority, of those that are in time only if they go now.
-    LastChance(u8),
-    /// Its priority, and whether it is late, of all others.
-    Other(u8, bool),
+    /// In time only if it goes now.
+    LastChance { priority: u8 },
+    /// In time with a later call, too, or late already.
+    Other { priority: u8, is_late: bool },
 }
 
 impl<T> BatchQueue<T> {
@@ -91,13 +91,10 @@
 
     /// True when a worker of a hall is expected to be free by a moment.
     fn has_worker_by(&self, hall: HallKey, by: Millis) -> bool {
-        let of_hall = self
-            .workers
-            .iter()
-            .filter(|(_, worker)| worker.hall == hall);
-        of_hall.into_iter().any(|(key, worker)| {
+        self.workers.iter().any(|(key, worker)| {
             let rests = worker.leaving || worker.out_until > by;
-            !rests && (worker.calls < self.rules.running || self.has_call_ending_by(key, by))
+            let has_place = worker.calls < self.rules.running;
+            worker.hall == hall && !rests && (has_place || self.has_call_ending_by(key, by))
         })
     }
 
@@ -119,9 +116,14 @@
         // priority these earn 0.03 less of their worth, and the urgent no more.
         let next_call = self.rules.expected_ms(self.rules.batch) as Millis;
         if !is_late && order.due < soonest + next_call {
-            return Turn::LastChance(order.priority);
+            return Turn::LastChance {
+                priority: order.priority,
+            };
+        }
+        Turn::Other {
+            priority: order.priority,
+            is_late,
         }
-        Turn::Other(order.priority, is_late)
     }
 
     fn is_begun(&self, group: GroupKey) -> bool {
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -17,8 +17,8 @@
 //!
 //! The owner pushes pieces, asks for the next call until there is none, makes
 //! these calls, and tells how each ended: see `calls`. `choose` picks the pieces
-//! of a call, `workers` judges the workers, and `load` sums up what is left to
-//! do.
+//! of a call, `workers` judges the workers, `stay` observes how long results lie
+//! there, and `load` sums up what is left to do.
 
 mod calls;
 mod choose;
