--- a/crates/fleet/tests/suite/newest.rs
+++ b/crates/fleet/tests/suite/newest.rs
@@ -84,7 +84,7 @@
             }
         }
         // Quiet from here: whoever reaches the store reads it, the others ask
-        // two peers each, round by round, as long as one knows.
+        // two peers each, again and again, as long as one knows.
         turned_away[order[0]] = false;
         let newest = *accepted.last().expect("there is one");
         (0..HOSTS).filter(|&host| !turned_away[host]).for_each(|host| {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -39,9 +39,6 @@
 /// Age at which an owner's word on its queue is of no use, in milliseconds:
 /// about the time in which a whole queue turns over.
 const LOAD_AGE_MS: Millis = 600;
-/// Bytes that are worth waiting for a worker in the right hall, and that keep a
-/// late piece that starts from them from waiting behind others.
-pub const LEAST_MOVED_BYTES: u64 = 100_000;
 /// Owners that a piece is handed to at most.
 const MOST_OWNERS: u32 = 8;
 
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -19,11 +19,13 @@
 use super::choose;
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
-use crate::pools::LEAST_MOVED_BYTES;
 use crate::traffic::Traffic;
 
 pub use self::prepared::Prepared;
 
+/// Bytes that are worth waiting for a worker in the right hall, and that keep a
+/// late piece that starts from them from waiting behind others.
+const LEAST_MOVED_BYTES: u64 = 100_000;
 /// About what an engine needs before the first event of a typical prompt, in
 /// milliseconds. Measured on calm days.
 pub const ENGINE_MS: u64 = 250;
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -11,10 +11,10 @@
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_stages::{PieceAt, StageGraph};
 
-use super::{Prepared, ENGINE_MS};
+use super::{Prepared, ENGINE_MS, LEAST_MOVED_BYTES};
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
-use crate::pools::{HeldResult, PieceEnd, Wanted, LEAST_MOVED_BYTES};
+use crate::pools::{HeldResult, PieceEnd, Wanted};
 use crate::request::admit::Admitted;
 use crate::traffic::Traffic;
 
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use hollowsail_gateway::{start, Mechanisms};
+use hollowsail_gateway::{start, Mechanisms, Running};
 use hollowsail_platform_standins::target::answer;
 use hollowsail_platform_standins::{Seen, Step, StoreMode, StoreStandin, TargetStandin};
 
@@ -227,8 +227,8 @@
     panic!("the others go on once it is back");
 }
 
-#[actix_rt::test]
-async fn a_request_waits_a_little_for_the_first_configuration() {
+/// A store that holds nothing, and a gateway before it.
+async fn without_configuration() -> (StoreStandin, Running) {
     let store = StoreStandin::start().await;
     let running = start(
         settings("host-1", "hall-a", store.addr),
@@ -236,6 +236,12 @@
     )
     .await
     .expect("it starts");
+    (store, running)
+}
+
+#[actix_rt::test]
+async fn a_request_waits_a_little_for_the_first_configuration() {
+    let (store, running) = without_configuration().await;
     let at = running.at.callers;
     let early = actix_rt::spawn(async move { Call::new("GET", "/none/").send(at).await });
     tokio::time::sleep(Duration::from_millis(50)).await;
@@ -246,13 +252,7 @@
 
 #[actix_rt::test]
 async fn a_request_is_refused_soon_when_no_configuration_comes() {
-    let store = StoreStandin::start().await;
-    let running = start(
-        settings("host-1", "hall-a", store.addr),
-        Mechanisms::default(),
-    )
-    .await
-    .expect("it starts");
+    let (_store, running) = without_configuration().await;
     let begun = Instant::now();
     let got = Call::new("GET", "/a/").send(running.at.callers).await;
     assert_eq!(got.status, 503, "{got:?}");
