Look for new entries soon after the list of entries was read

Each reads the list of entries once, sees those that recorded themselves before it, and paused 28 ms for each of them before the next look: 1 to 8 s. By the logs of all hosts a queue of the first stage service had 61 owners in the first second and 7 or 8 until the eighth; 9,400 calls found their worker full of other owners' calls, and a call took 0.45 to 0.53 s instead of 0.2.

Ruled out: configuration (in force 10 to 35 ms after each start) and targets' records (back by 39.4 s).

A pause is now half of the age of what was read, at most as long as before, 8 s at the most.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod rendezvous;
 pub mod standing;
 pub mod target_book;
+pub mod watch_pause;
 pub mod wire;
 
 pub use accept::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
@@ -30,6 +31,7 @@
 pub use newest::Newest;
 pub use standing::{Standing, StandingRule};
 pub use target_book::{BookTiming, TargetBook};
+pub use watch_pause::watch_pause;
 pub use wire::Exchange;
 
 /// Milliseconds since the owning process started.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod ownership;
 mod standing;
 mod target_book;
+mod watch_pause;
 
 /// Cases per property; the long mode sets more.
 pub fn cases() -> u32 {
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_fleet::watch_pause;
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Change, Changes, Item, Range};
 
@@ -10,10 +11,13 @@
 use super::Control;
 use crate::peers::{PeerRecord, PREFIX};
 
-/// Pause between two watches for each live entry, so that the entries of a fleet
-/// that starts together are told in a few answers, and calls grow no faster than
-/// the fleet. An entry that is lost is noticed sooner, when it owes an answer.
+/// Longest pause between two watches for each live entry, so that calls grow no
+/// faster than the fleet. An entry that is lost is noticed sooner, when it owes an
+/// answer.
 const WATCH_PAUSE_EACH: Duration = Duration::from_millis(28);
+/// The same in a large fleet: within half of the time for which the store keeps its
+/// history (20 s at the least), so that a watch can go on after a pause.
+const MOST_WATCH_PAUSE: Duration = Duration::from_secs(8);
 
 /// The keys of the entries' records.
 pub const FOLLOWED: Followed = Followed {
@@ -26,12 +30,20 @@
     take_changes: |cx, changes| {
         cx.take_peer_changes(changes);
         cx.settle_peers_later();
-        let entries = cx.peers.borrow().len() as u32;
-        WATCH_PAUSE_EACH * entries.max(1)
+        cx.membership_pause()
     },
 };
 
 impl Control {
+    /// Pause until the next look for entries that came or went: short after the list
+    /// was read, so that a fleet that starts together soon knows all of itself.
+    fn membership_pause(&self) -> Duration {
+        let entries = self.peers.borrow().len() as u32;
+        let longest = (WATCH_PAUSE_EACH * entries.max(1)).min(MOST_WATCH_PAUSE);
+        let age = self.clock.now().saturating_sub(self.peers_read.get());
+        Duration::from_millis(watch_pause(age, longest.as_millis() as u64))
+    }
+
     /// Takes all entries' records: those that the store doesn't list are gone.
     fn take_peers(&self, range: &Range) {
         for item in &range.items {
@@ -39,6 +51,7 @@
         }
         let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let now = self.clock.now();
+        self.peers_read.set(now);
         let gone = self
             .peers
             .borrow_mut()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{BookTiming, Newest, TargetBook};
+use hollowsail_fleet::{BookTiming, Millis, Newest, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
@@ -62,6 +62,8 @@
     /// This entry.
     me: PeerRecord,
     peers: RefCell<TargetBook<PeerRecord>>,
+    /// When the entries' records were last read whole.
+    peers_read: Cell<Millis>,
     /// Shortest lease that the store gives.
     shortest_lease: Duration,
     /// Lease of this entry's record, while it has one.
@@ -96,6 +98,7 @@
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
+            peers_read: Cell::new(0),
             shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use hollowsail_fleet::rendezvous;
 use hollowsail_platform_standins::target::results;
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
@@ -32,7 +33,13 @@
 
 /// Lets three gateways share a worker; `before` changes what they know first.
 async fn share_a_worker(before: impl Fn(&StoreStandin)) {
+    share_a_worker_in_a_fleet(0, before).await;
+}
+
+/// The same beside so many entries of small hosts.
+async fn share_a_worker_in_a_fleet(others: usize, before: impl Fn(&StoreStandin)) {
     let store = StoreStandin::start().await;
+    (0..others).for_each(|number| put_small_entry(&store, number));
     store.put("op/config", &deployment().bytes());
     let at_work = Rc::new(Cell::new(0));
     let overlaps = Rc::new(Cell::new(0));
@@ -56,12 +63,14 @@
     let engine = TargetStandin::start(one_event).await;
     store.put_target("i-worker", "encoders", worker.addr, "hall-a", "ready");
     store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
-    let gateways = [
-        gateway(&store, "host-1", "hall-a").await,
-        gateway(&store, "host-2", "hall-b").await,
-        gateway(&store, "host-3", "hall-c").await,
-    ];
-    until_entries("all are recorded", &store, 3).await;
+    let [first, second, owner] = hosts_with_the_owner_last("encoders/0.1");
+    let mut gateways = Vec::new();
+    for (host, hall) in [(first, "hall-a"), (second, "hall-b"), (owner, "hall-c")] {
+        gateways.push(gateway(&store, host, hall).await);
+        until_entries("it is recorded", &store, others + gateways.len()).await;
+        // Its own record is the first change that it hears of.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
     before(&store);
     tokio::time::sleep(Duration::from_millis(600)).await;
     let calls = (0..12).map(|number| {
@@ -85,6 +94,27 @@
     share_a_worker(|_| {}).await;
 }
 
+/// Three hosts, the one that owns a queue last: the others start without it.
+fn hosts_with_the_owner_last(queue: &str) -> [&'static str; 3] {
+    let mut hosts = ["host-1", "host-2", "host-3"];
+    hosts.sort_by_key(|host| rendezvous::score(queue, *host));
+    hosts
+}
+
+/// Records an entry of a host too small to own anything; nobody listens there.
+fn put_small_entry(store: &StoreStandin, number: usize) {
+    let at = SocketAddr::from(([127, 0, 0, 1], 9));
+    let host = format!("small-{number}");
+    let record: Record = (number as u64 + 1, host.clone(), at, "hall-a".into(), 1);
+    let value = rmp_serde::to_vec(&record).expect("it encodes");
+    store.put(&format!("hollowsail/peers/{host}"), &value);
+}
+
+#[actix_rt::test]
+async fn gateways_of_a_large_fleet_that_start_together_share_calls() {
+    share_a_worker_in_a_fleet(100, |_| {}).await;
+}
+
 /// A gateway's record on the wire: run, host, address, hall, capacity.
 type Record = (u64, String, SocketAddr, String, u32);
 
