Read lists as they were some seconds ago, and let the watch make up for it

Cause: each host reads the targets' and the entries' records whole at its start and whenever the store returns: 12 pages at 285 targets and 295 entries, 65 at 3,000, by all hosts at once, each at full price and against the rate that all hosts share.

Ruled out: that such a read tells a newer revision than its items have.

Lists are now read with the store's leave to be old; the configuration, which must never go back, is read anew. A list older than the history left is read anew, too. An old answer doesn't count as a sign that the store is there.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -19,6 +19,7 @@
 /// The configuration's key.
 pub const FOLLOWED: Followed = Followed {
     prefix: KEY,
+    may_be_old: false,
     probes: true,
     take_all: |cx, range| {
         range
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -1,8 +1,10 @@
 //! Follows keys in the store: reads them once, then waits for their changes.
 //!
-//! It reads again when the store loses its history or stops answering. While a
-//! watch waits, other calls show whether the store is there at all
-//! ([`Control::until_store_lost`]).
+//! Lists are read as they were some seconds ago, which costs a tenth; the watch goes
+//! on from there and tells at once what changed since. It reads again when the store
+//! loses its history (then the newest, since the old list may be older than what is
+//! left of the history) or stops answering. While a watch waits, other calls show
+//! whether the store is there at all ([`Control::until_store_lost`]).
 
 use std::future::Future;
 use std::rc::Rc;
@@ -20,6 +22,9 @@
 /// Keys that are followed, and who takes them.
 pub struct Followed {
     pub prefix: &'static str,
+    /// The first read may be seconds old: of use where a watch that makes up for it
+    /// harms nobody, not for what must never go back.
+    pub may_be_old: bool,
     /// This loop asks a store that is away whether it is back; the others wait
     /// for that word.
     pub probes: bool,
@@ -33,8 +38,11 @@
 /// Follows until the thread ends.
 pub async fn follow(cx: Rc<Control>, keys: Followed) {
     let mut backoff = Backoff::default();
+    let mut may_be_old = keys.may_be_old;
     loop {
-        match follow_once(&cx, &keys, &mut backoff).await {
+        let end = follow_once(&cx, &keys, may_be_old, &mut backoff).await;
+        may_be_old = keys.may_be_old && !matches!(end, Err(StoreError::HistoryGone));
+        match end {
             Ok(()) | Err(StoreError::HistoryGone) => {}
             Err(err) => {
                 cx.store_failed(&err);
@@ -51,10 +59,14 @@
 async fn follow_once(
     cx: &Rc<Control>,
     keys: &Followed,
+    may_be_old: bool,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let range = cx.store.range(keys.prefix, false).await?;
-    cx.store_answered();
+    let range = cx.store.range(keys.prefix, may_be_old).await?;
+    if !may_be_old {
+        // An old answer doesn't show that the store is there.
+        cx.store_answered();
+    }
     backoff.reset();
     (keys.take_all)(cx, &range);
     let mut revision = range.revision;
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -100,6 +100,52 @@
     }
 }
 
+/// A store whose old reads list the target `i-1`, while by now there is only `i-2`.
+async fn store_with_old_reads() -> (StoreStandin, TargetStandin, TargetStandin) {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    let (one, two) = (target("one").await, target("two").await);
+    store.put_target("i-1", "plain", one.addr, "hall-a", "ready");
+    store.keep_old_reads();
+    store.delete("servers/i-1");
+    store.put_target("i-2", "plain", two.addr, "hall-a", "ready");
+    (store, one, two)
+}
+
+/// Expects only the target `i-2` to be used, soon after a start.
+async fn expect_the_newest_target(store: &StoreStandin, gone: &TargetStandin) {
+    let gateway = gateway(store, "host-1", "hall-a").await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let before = gone.seen().len();
+    for _ in 0..8 {
+        let got = Call::new("GET", "/a/").send(gateway.at.callers).await;
+        assert_eq!(got.body, "two");
+    }
+    assert_eq!(gone.seen().len(), before);
+}
+
+#[actix_rt::test]
+async fn lists_are_read_as_they_were_and_brought_up_to_date_at_once() {
+    let (store, one, _two) = store_with_old_reads().await;
+    expect_the_newest_target(&store, &one).await;
+    let calls = store.calls();
+    let lists = calls.iter().filter(|call| call.contains("kv-range"));
+    let (old, fresh): (Vec<_>, Vec<_>) = lists.partition(|call| call.contains("stale_ok=1"));
+    assert!(old.iter().any(|call| call.contains("servers/")));
+    assert!(old.iter().any(|call| call.contains("hollowsail/peers/")));
+    assert!(
+        fresh.iter().all(|call| call.contains("op/config")),
+        "only the configuration, which must never go back: {fresh:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn an_old_list_without_the_history_since_is_read_anew() {
+    let (store, one, _two) = store_with_old_reads().await;
+    store.forget_history();
+    expect_the_newest_target(&store, &one).await;
+}
+
 #[actix_rt::test]
 async fn targets_whose_records_lapse_in_an_outage_serve_on() {
     let (fixture, _one) = serving(1, "/a/").await;
