--- a/crates/bench/src/day/model.rs
+++ b/crates/bench/src/day/model.rs
@@ -103,6 +103,9 @@
     },
     /// Some workers of a pool fail every call.
     Down { pool: usize, workers: usize },
+    /// All entries are gone: what is under way is lost, and requests that come
+    /// meanwhile are taken when it is over.
+    Restart,
 }
 
 impl Trouble {
@@ -210,8 +213,9 @@
                 pool: self.pool_at(section),
                 workers: workers(),
             },
+            "restart" => TroubleKind::Restart,
             _ => {
-                section.fault("what", "is not known; use burst, slow or down");
+                section.fault("what", "is not known; use burst, slow, down or restart");
                 return;
             }
         };
--- a/crates/bench/src/day/world/forecast.rs
+++ b/crates/bench/src/day/world/forecast.rs
@@ -21,7 +21,7 @@
 
 impl World<'_> {
     /// True when a request that arrives now is foreseen to be in time.
-    pub(super) fn can_be_in_time(&self, attempt: Attempt) -> bool {
+    pub(super) fn can_be_in_time(&self, attempt: Attempt, asked_at: u64) -> bool {
         let kind = self.kind(attempt);
         let request = self.drawn(attempt);
         let stages = kind.stages.iter().zip(&request.pieces);
@@ -31,7 +31,8 @@
         });
         let mut way = longest_way(demands);
         way.push(ENGINE);
-        admit(kind.target_ms.saturating_sub(MARGIN_MS), &way, 0.0) == Verdict::Admit
+        let used = MARGIN_MS + self.now - asked_at;
+        admit(kind.target_ms.saturating_sub(used), &way, 0.0) == Verdict::Admit
     }
 
     /// What some pieces of a stage find.
--- a/crates/bench/src/day/world/mod.rs
+++ b/crates/bench/src/day/world/mod.rs
@@ -16,7 +16,7 @@
 
 use super::draw::DrawnRequest;
 use super::engines::{EnginePool, Run};
-use super::model::{DayModel, KindModel};
+use super::model::{DayModel, KindModel, TroubleKind};
 use super::policy::DayPolicy;
 use super::pool::Pool;
 use super::report::{DayReport, End, KindReport};
@@ -84,6 +84,13 @@
     run: Option<Run>,
 }
 
+impl Request {
+    /// Its answer has begun.
+    fn has_begun(&self, now: u64) -> bool {
+        self.run.is_some_and(|run| run.first_event_at <= now)
+    }
+}
+
 /// What happens at a moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -92,6 +99,7 @@
     AnswerBegins(RequestKey),
     RunEnds(RequestKey),
     CallerLeaves(RequestKey),
+    EntriesGo,
     Tick,
 }
 
@@ -126,7 +134,14 @@
             drawn: at,
             is_second: false,
         };
-        world.schedule(request.at_ms, Event::Arrives(attempt));
+        world.schedule(world.taken_at(request.at_ms), Event::Arrives(attempt));
+    }
+    let restarts = day
+        .troubles
+        .iter()
+        .filter(|t| t.kind == TroubleKind::Restart);
+    for restart in restarts {
+        world.schedule(restart.at_ms, Event::EntriesGo);
     }
     world.schedule(0, Event::Tick);
     world.run();
@@ -198,11 +213,32 @@
                 Event::AnswerBegins(key) => self.first_event(key),
                 Event::RunEnds(key) => self.end_run(key),
                 Event::CallerLeaves(key) => self.caller_leaves(key),
+                Event::EntriesGo => self.lose_all(),
                 Event::Tick => self.tick(),
             }
         }
     }
 
+    /// When an entry takes a request that comes at a moment: once entries are back.
+    fn taken_at(&self, comes_at: u64) -> u64 {
+        let mut restarts = self.day.troubles.iter();
+        let away = restarts.find(|t| t.kind == TroubleKind::Restart && t.is_on(comes_at));
+        away.map_or(comes_at, |trouble| trouble.at_ms + trouble.for_ms)
+    }
+
+    /// All entries go, and with them what is under way. Its results are taken to be
+    /// given up.
+    fn lose_all(&mut self) {
+        let under_way: Vec<RequestKey> = self.requests.keys().collect();
+        for key in under_way {
+            let has_counted = self.requests[key].has_begun(self.now);
+            let attempt = self.drop_request(key);
+            if let Some(attempt) = attempt.filter(|_| !has_counted) {
+                self.count(attempt, End::Left);
+            }
+        }
+    }
+
     fn drawn(&self, attempt: Attempt) -> &'a DrawnRequest {
         &self.drawn[attempt.drawn]
     }
@@ -212,16 +248,17 @@
     }
 
     fn arrive(&mut self, attempt: Attempt) {
-        if self.policy.forecast && !self.can_be_in_time(attempt) {
+        let begun = self.asked_at(attempt);
+        if self.policy.forecast && !self.can_be_in_time(attempt, begun) {
             self.refuse(attempt);
             return;
         }
         let kind = self.kind(attempt);
         let patience = (PATIENCE_TARGETS * kind.target_ms).max(LEAST_PATIENCE_MS);
-        let leaves = self.now + patience.min(kind.deadline_ms);
+        let leaves = begun + patience.min(kind.deadline_ms);
         let key = self.requests.insert(Request {
             attempt,
-            begun: self.now,
+            begun,
             graph: graph_of(kind, &self.drawn(attempt).pieces),
             held: HashMap::new(),
             waiting: HashMap::new(),
@@ -231,6 +268,14 @@
         self.go_on(key);
     }
 
+    /// When the caller asked: a first attempt may have waited for an entry.
+    fn asked_at(&self, attempt: Attempt) -> u64 {
+        match attempt.is_second {
+            true => self.now,
+            false => self.drawn(attempt).at_ms,
+        }
+    }
+
     /// A refused caller comes back once.
     fn refuse(&mut self, attempt: Attempt) {
         if attempt.is_second {
@@ -246,12 +291,12 @@
 
     /// A caller without a first event leaves.
     fn caller_leaves(&mut self, key: RequestKey) {
-        let has_begun = |request: &Request| {
-            request
-                .run
-                .is_some_and(|run| run.first_event_at <= self.now)
-        };
-        if self.requests.get(key).is_none_or(has_begun) {
+        let now = self.now;
+        if self
+            .requests
+            .get(key)
+            .is_none_or(|request| request.has_begun(now))
+        {
             return;
         }
         if let Some(attempt) = self.drop_request(key) {
--- a/crates/bench/tests/suite/day.rs
+++ b/crates/bench/tests/suite/day.rs
@@ -41,6 +41,23 @@
     }
 }
 
+/// All entries are gone for 1.7 s. What was under way then is lost, and those who ask
+/// meanwhile are late; a second after it nearly all are in time again.
+#[test]
+fn a_whole_fleet_that_starts_again_loses_what_was_under_way_and_little_else() {
+    let mut day = shipped("quebec-large.ini");
+    day.seconds = 16.0;
+    let asked = draw_requests(&day, 1).len();
+    let report = play(&day, "hollowsail-without-forecast", 1);
+    let counted: u32 = report.kinds.iter().map(|kind| kind.asked).sum();
+    assert_eq!(counted as usize, asked);
+    let lost: u32 = report.kinds.iter().map(|kind| kind.left).sum();
+    let late: u32 = report.kinds.iter().map(|kind| kind.late).sum();
+    let a_second = day.rate as u32;
+    assert!((a_second / 4..a_second).contains(&lost), "{lost}");
+    assert!(late < 2 * a_second, "{late}");
+}
+
 #[test]
 fn one_queue_for_all_entries_beats_a_queue_each_and_nothing_beats_the_bound() {
     for name in ["accra.ini", "quebec.ini"] {
@@ -68,6 +85,6 @@
         day.ini:4: pool.a.workers: is not a number from 1 to 10000
         day.ini:5: stage.none.0: belongs to no kind; name kind.NAME before its stages
         day.ini:6: stage.none.0.pool: names no pool; name pool.NAME before it is used
-        day.ini:8: trouble.x.what: is not known; use burst, slow or down
+        day.ini:8: trouble.x.what: is not known; use burst, slow, down or restart
         5 fault(s); nothing was changed. Correct them and try again."#]].assert_eq(&faults.to_string());
 }
