Read a list that may be old again after the history was lost

Cause: a store that forgets its history made each of 295 hosts read both lists anew at full price, 12 pages each. The old list is as good unless it is older than the history that is left, which its first watch tells; then the newest is read.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -2,9 +2,9 @@
 //!
 //! Lists are read as they were some seconds ago, which costs a tenth; the watch goes
 //! on from there and tells at once what changed since. It reads again when the store
-//! loses its history (then the newest, since the old list may be older than what is
-//! left of the history) or stops answering. While a watch waits, other calls show
-//! whether the store is there at all ([`Control::until_store_lost`]).
+//! loses its history or stops answering; where the old list is older than what is left
+//! of the history, it reads the newest. While a watch waits, other calls show whether
+//! the store is there at all ([`Control::until_store_lost`]).
 
 use std::future::Future;
 use std::rc::Rc;
@@ -16,7 +16,8 @@
 use super::Control;
 
 /// How long a watch waits. Each is a call with a price; shorter than the time
-/// for which the store keeps its history, so that a quiet watch can go on.
+/// for which the store keeps its history, so that a quiet watch can go on, and than
+/// what a watch on a connection that fell silent may cost.
 const WATCH_WAIT: Duration = Duration::from_secs(17);
 
 /// Keys that are followed, and who takes them.
@@ -35,18 +36,24 @@
     pub take_changes: fn(&Rc<Control>, &Changes) -> Duration,
 }
 
+/// How the reads of some keys have gone.
+#[derive(Default)]
+struct Tries {
+    backoff: Backoff,
+    /// The last list was older than the history that was left.
+    was_too_old: bool,
+}
+
 /// Follows until the thread ends.
 pub async fn follow(cx: Rc<Control>, keys: Followed) {
-    let mut backoff = Backoff::default();
-    let mut may_be_old = keys.may_be_old;
+    let mut tries = Tries::default();
     loop {
-        let end = follow_once(&cx, &keys, may_be_old, &mut backoff).await;
-        may_be_old = keys.may_be_old && !matches!(end, Err(StoreError::HistoryGone));
-        match end {
+        match follow_once(&cx, &keys, &mut tries).await {
             Ok(()) | Err(StoreError::HistoryGone) => {}
             Err(err) => {
+                tries.was_too_old = false;
                 cx.store_failed(&err);
-                backoff.pause().await;
+                tries.backoff.pause().await;
                 if !keys.probes {
                     cx.until_store_back().await;
                 }
@@ -59,21 +66,23 @@
 async fn follow_once(
     cx: &Rc<Control>,
     keys: &Followed,
-    may_be_old: bool,
-    backoff: &mut Backoff,
+    tries: &mut Tries,
 ) -> Result<(), StoreError> {
+    let may_be_old = keys.may_be_old && !tries.was_too_old;
     let range = cx.store.range(keys.prefix, may_be_old).await?;
     if !may_be_old {
         // An old answer doesn't show that the store is there.
         cx.store_answered();
     }
-    backoff.reset();
+    tries.backoff.reset();
+    tries.was_too_old = may_be_old;
     (keys.take_all)(cx, &range);
     let mut revision = range.revision;
     loop {
         let watch = cx.store.watch(keys.prefix, revision, WATCH_WAIT);
         let changes = cx.until_store_lost(watch).await?;
         cx.store_answered();
+        tries.was_too_old = false;
         revision = changes.revision;
         let pause = (keys.take_changes)(cx, &changes);
         tokio::time::sleep(pause).await;
