Keep memory for a group that fits nowhere at one worker a hall only

A group of pieces whose results fit at no worker held the memory that came free back at every worker, 40 of them, where it needs one.

Ruled out: workers' time (pieces with small results go within 0.02 s there), and the hall (reviews may be made anywhere after 0.3 s).

--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -26,6 +26,7 @@
     pub(super) fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
         let mut chosen = Vec::new();
         let mut room = self.room(worker, now);
+        let keeps_room = self.is_roomiest(worker, now);
         // A slow worker is only tried: one group, not a whole batch.
         let is_slow = self.workers[worker].is_slow();
         for group in self.groups_for(worker, now) {
@@ -45,7 +46,7 @@
                 // in the next one.
                 chosen.extend(self.those_that_fit(&group, places, room));
                 break;
-            } else if bytes > room {
+            } else if bytes > room && keeps_room {
                 // The memory that comes free is for this group: those behind it
                 // get only what is small.
                 room = room.min(self.small_room());
@@ -54,6 +55,17 @@
         chosen
     }
 
+    /// True when no other worker of its hall has more memory left: the one where a
+    /// group that fits nowhere yet will fit first. Only there others wait for it. If
+    /// they did at all workers, one large group would keep the memory of all unused.
+    fn is_roomiest(&self, worker: WorkerKey, now: Millis) -> bool {
+        let hall = self.workers[worker].hall;
+        let own = (self.room(worker, now), worker);
+        let others = self.workers.iter();
+        let mut beside = others.filter(|(_, other)| other.hall == hall && !other.leaving);
+        beside.all(|(key, _)| (self.room(key, now), key) <= own)
+    }
+
     /// Waiting pieces that are wanted at a worker, by group: first groups that
     /// were begun, whose results lie idle; then those that a later call would make
     /// late; each by priority, and those that can still be in time before the late
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -164,6 +164,36 @@
     assert_eq!(groups(&queue, &third)[..2], [2, 2]);
 }
 
+/// Two workers whose memory is half full, one a little less: a group that fits at
+/// neither, and one behind it that would fit at both.
+#[test]
+fn memory_is_kept_for_the_head_at_the_worker_that_has_most_of_it() {
+    let mut queue = BatchQueue::new(PoolRules {
+        running: 2,
+        ..rules()
+    });
+    let of = |group, result_bytes| PieceOrder {
+        result_bytes,
+        ..order(group)
+    };
+    let roomier = queue.add_worker(HERE);
+    push(&mut queue, of(1, 400_000), 1);
+    queue.next_call(0).expect("it fits");
+    let other = queue.add_worker(HERE);
+    push(&mut queue, of(2, 500_000), 1);
+    let second = queue.next_call(0).expect("the idle one is less burdened");
+    assert_eq!(second.worker, other);
+    push(&mut queue, of(3, 350_000), 2);
+    push(&mut queue, of(4, 300_000), 1);
+    let third = queue.next_call(0).expect("4 passes where 3 will fit last");
+    assert_eq!(third.worker, other);
+    assert_eq!(groups(&queue, &third), [4]);
+    assert!(queue.next_call(0).is_none(), "3 has the other's memory");
+    queue.free(roomier, 400_000);
+    let fourth = queue.next_call(1).expect("there is room");
+    assert_eq!(groups(&queue, &fourth), [3, 3]);
+}
+
 #[test]
 fn a_full_worker_gets_small_results_for_a_while() {
     let mut queue = BatchQueue::new(rules());
