Read old lists only at the start, so that nothing that has gone comes back

A target that had gone in between was in use again until the watch told of it; the new test sees it get a request. Old lists are read only by an entry that knows nothing yet; after an outage or lost history the newest is read, as before.

--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -19,7 +19,7 @@
 /// The configuration's key.
 pub const FOLLOWED: Followed = Followed {
     prefix: KEY,
-    may_be_old: false,
+    may_begin_old: false,
     probes: true,
     take_all: |cx, range| {
         range
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -1,10 +1,10 @@
 //! Follows keys in the store: reads them once, then waits for their changes.
 //!
-//! Lists are read as they were some seconds ago, which costs a tenth; the watch goes
-//! on from there and tells at once what changed since. It reads again when the store
-//! loses its history or stops answering; where the old list is older than what is left
-//! of the history, it reads the newest. While a watch waits, other calls show whether
-//! the store is there at all ([`Control::until_store_lost`]).
+//! At the start lists are read as they were some seconds ago, which costs a tenth; the
+//! watch goes on from there and tells at once what changed since. It reads again, and
+//! the newest, when the store loses its history or stops answering: by an old list, what
+//! had gone would be back until the watch told of it. While a watch waits, other calls
+//! show whether the store is there at all ([`Control::until_store_lost`]).
 
 use std::future::Future;
 use std::rc::Rc;
@@ -23,9 +23,8 @@
 /// Keys that are followed, and who takes them.
 pub struct Followed {
     pub prefix: &'static str,
-    /// The first read may be seconds old: of use where a watch that makes up for it
-    /// harms nobody, not for what must never go back.
-    pub may_be_old: bool,
+    /// The first read may be seconds old: nothing is known yet that could go back.
+    pub may_begin_old: bool,
     /// This loop asks a store that is away whether it is back; the others wait
     /// for that word.
     pub probes: bool,
@@ -36,24 +35,18 @@
     pub take_changes: fn(&Rc<Control>, &Changes) -> Duration,
 }
 
-/// How the reads of some keys have gone.
-#[derive(Default)]
-struct Tries {
-    backoff: Backoff,
-    /// The last list was older than the history that was left.
-    was_too_old: bool,
-}
-
 /// Follows until the thread ends.
 pub async fn follow(cx: Rc<Control>, keys: Followed) {
-    let mut tries = Tries::default();
+    let mut backoff = Backoff::default();
+    let mut may_be_old = keys.may_begin_old;
     loop {
-        match follow_once(&cx, &keys, &mut tries).await {
+        let end = follow_once(&cx, &keys, may_be_old, &mut backoff).await;
+        may_be_old = false;
+        match end {
             Ok(()) | Err(StoreError::HistoryGone) => {}
             Err(err) => {
-                tries.was_too_old = false;
                 cx.store_failed(&err);
-                tries.backoff.pause().await;
+                backoff.pause().await;
                 if !keys.probes {
                     cx.until_store_back().await;
                 }
@@ -66,23 +59,21 @@
 async fn follow_once(
     cx: &Rc<Control>,
     keys: &Followed,
-    tries: &mut Tries,
+    may_be_old: bool,
+    backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let may_be_old = keys.may_be_old && !tries.was_too_old;
     let range = cx.store.range(keys.prefix, may_be_old).await?;
     if !may_be_old {
         // An old answer doesn't show that the store is there.
         cx.store_answered();
     }
-    tries.backoff.reset();
-    tries.was_too_old = may_be_old;
+    backoff.reset();
     (keys.take_all)(cx, &range);
     let mut revision = range.revision;
     loop {
         let watch = cx.store.watch(keys.prefix, revision, WATCH_WAIT);
         let changes = cx.until_store_lost(watch).await?;
         cx.store_answered();
-        tries.was_too_old = false;
         revision = changes.revision;
         let pause = (keys.take_changes)(cx, &changes);
         tokio::time::sleep(pause).await;
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -21,7 +21,7 @@
 /// The keys of the entries' records.
 pub const FOLLOWED: Followed = Followed {
     prefix: PREFIX,
-    may_be_old: true,
+    may_begin_old: true,
     probes: false,
     take_all: |cx, range| {
         cx.take_peers(range);
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -14,7 +14,7 @@
 /// The records' keys.
 pub const FOLLOWED: Followed = Followed {
     prefix: PREFIX,
-    may_be_old: true,
+    may_begin_old: true,
     probes: false,
     take_all: |cx, range| {
         cx.take_records(range);
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -146,6 +146,35 @@
     expect_the_newest_target(&store, &one).await;
 }
 
+#[actix_rt::test]
+async fn what_has_gone_does_not_come_back_by_an_old_list() {
+    let (fixture, one) = serving(1, "/a/").await;
+    fixture.store.keep_old_reads();
+    let two = target("two").await;
+    fixture.add("i-2", "plain", &two);
+    fixture.store.delete("servers/i-1");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let old_reads = || {
+        let calls = fixture.store.calls();
+        calls
+            .iter()
+            .filter(|call| call.contains("stale_ok=1"))
+            .count()
+    };
+    let (seen, read) = (one.seen().len(), old_reads());
+    fixture.store.forget_history();
+    fixture
+        .store
+        .put("op/config", &plain_deployment(2, "/b/").bytes());
+    fixture.store.forget_history();
+    until_status(&fixture, "/b/", 200).await;
+    for _ in 0..8 {
+        assert_eq!(fixture.call(&Call::new("GET", "/b/")).await.body, "two");
+    }
+    assert_eq!(one.seen().len(), seen);
+    assert_eq!(old_reads(), read, "the newest is read");
+}
+
 #[actix_rt::test]
 async fn targets_whose_records_lapse_in_an_outage_serve_on() {
     let (fixture, _one) = serving(1, "/a/").await;
