Leave memory to no worker that fails or is slow

A worker that fails or is slow has most of it, and would have been that one as long as it lasts, so that others took what the group waits for. Only workers that do well count.

--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -55,14 +55,15 @@
         chosen
     }
 
-    /// True when no other worker of its hall has more memory left: the one where a
-    /// group that fits nowhere yet will fit first. Only there others wait for it. If
-    /// they did at all workers, one large group would keep the memory of all unused.
+    /// True when no other worker of its hall that does well has more memory left: the
+    /// one where a group that fits nowhere yet will fit first. Only there others wait for
+    /// it. If they did at all workers, one large group would keep the memory of all
+    /// unused.
     fn is_roomiest(&self, worker: WorkerKey, now: Millis) -> bool {
         let hall = self.workers[worker].hall;
         let own = (self.room(worker, now), worker);
         let others = self.workers.iter();
-        let mut beside = others.filter(|(_, other)| other.hall == hall && !other.leaving);
+        let mut beside = others.filter(|(_, other)| other.hall == hall && other.does_well());
         beside.all(|(key, _)| (self.room(key, now), key) <= own)
     }
 
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -70,6 +70,11 @@
         self.slowness >= SLOW_FACTOR
     }
 
+    /// It takes work, and its last call was answered in time.
+    pub fn does_well(&self) -> bool {
+        !self.leaving && self.failures == 0 && !self.is_slow()
+    }
+
     /// One of its calls is overdue.
     pub fn found_slow(&mut self) {
         self.slowness = self.slowness.max(SLOW_FACTOR);
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -51,6 +51,14 @@
     queue.end_call(call.call, CallEnd::Answered, now);
 }
 
+/// The same where the results stay at the worker.
+fn finish_kept(queue: &mut BatchQueue<u64>, call: &StartedCall, now: u64) {
+    for piece in &call.pieces {
+        queue.finish(piece.key);
+    }
+    queue.end_call(call.call, CallEnd::Answered, now);
+}
+
 #[test]
 fn pieces_of_several_requests_share_a_call() {
     let mut queue = BatchQueue::new(rules());
@@ -194,6 +202,29 @@
     assert_eq!(groups(&queue, &fourth), [3, 3]);
 }
 
+#[test]
+fn memory_is_not_left_to_a_worker_that_fails() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let failed = queue.next_call(0).expect("a worker is free");
+    queue.end_call(failed.call, CallEnd::Failed, 5);
+    let works = queue.add_worker(HERE);
+    let large = |group, result_bytes| PieceOrder {
+        result_bytes,
+        ..order(group)
+    };
+    push(&mut queue, large(2, 600_000), 1);
+    let first = queue.next_call(10).expect("the other one is free");
+    finish_kept(&mut queue, &first, 20);
+    push(&mut queue, large(3, 300_000), 2);
+    push(&mut queue, large(4, 300_000), 1);
+    assert!(queue.next_call(30).is_none(), "its memory is for 3");
+    queue.free(works, 600_000);
+    let next = queue.next_call(40).expect("there is room");
+    assert_eq!(groups(&queue, &next), [3, 3, 4]);
+}
+
 #[test]
 fn a_full_worker_gets_small_results_for_a_while() {
     let mut queue = BatchQueue::new(rules());
