Let a book of records say how long its watch pauses

The pause goes by when the records were last read, which the book is told anyway; the control thread kept the two moments beside its two books. Behaviour unchanged.

--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -11,6 +11,7 @@
 
 use std::collections::BTreeMap;
 
+use crate::watch_pause::watch_pause;
 use crate::Millis;
 
 /// How long a record may be missing after the store's return.
@@ -55,6 +56,8 @@
     timing: BookTiming,
     entries: BTreeMap<String, Entry<R>>,
     store: StoreState,
+    /// When all records were last read.
+    read: Millis,
 }
 
 impl<R: PartialEq> TargetBook<R> {
@@ -64,6 +67,7 @@
             timing,
             entries: BTreeMap::new(),
             store: StoreState::Back(0),
+            read: 0,
         }
     }
 
@@ -135,6 +139,7 @@
     /// All records there are, as of a revision: what isn't among them went.
     /// Returns the incarnations that left the book.
     pub fn reconcile(&mut self, present: &[&str], revision: u64, now: Millis) -> Vec<String> {
+        self.read = now;
         self.keys_where(|incarnation, _| !present.contains(&incarnation))
             .into_iter()
             .filter(|incarnation| self.deleted(incarnation, revision, now))
@@ -152,6 +157,12 @@
         missing
     }
 
+    /// How long the watch on these records pauses between two answers, `longest` at the
+    /// most: see [`watch_pause`].
+    pub fn watch_pause(&self, now: Millis, longest: Millis) -> Millis {
+        watch_pause(now.saturating_sub(self.read), longest)
+    }
+
     /// Drops what is still missing some time after the store's return.
     pub fn settle(&mut self, now: Millis) -> Vec<String> {
         if self.is_unsettled(now) {
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -16,8 +16,8 @@
 use super::Control;
 
 /// How long a watch waits. Each is a call with a price; shorter than the time
-/// for which the store keeps its history, so that a quiet watch can go on, and than
-/// what a watch on a connection that fell silent may cost.
+/// for which the store keeps its history, so that a quiet watch can go on. A watch on a
+/// connection that fell silent while others work goes unnoticed for as long.
 const WATCH_WAIT: Duration = Duration::from_secs(17);
 
 /// Keys that are followed, and who takes them.
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -30,7 +30,7 @@
     take_changes: |cx, changes| {
         cx.take_peer_changes(changes);
         cx.settle_peers_later();
-        cx.pause_since(cx.peers_read.get(), cx.longest_peers_pause())
+        cx.watch_pause(&cx.peers, cx.longest_peers_pause())
     },
 };
 
@@ -48,7 +48,6 @@
         }
         let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let now = self.clock.now();
-        self.peers_read.set(now);
         let gone = self
             .peers
             .borrow_mut()
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -22,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{watch_pause, BookTiming, Millis, Newest, TargetBook};
+use hollowsail_fleet::{BookTiming, Newest, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
@@ -62,10 +62,6 @@
     /// This entry.
     me: PeerRecord,
     peers: RefCell<TargetBook<PeerRecord>>,
-    /// When the targets' records were last read whole.
-    records_read: Cell<Millis>,
-    /// The same of the entries' records.
-    peers_read: Cell<Millis>,
     /// Shortest lease that the store gives.
     shortest_lease: Duration,
     /// Lease of this entry's record, while it has one.
@@ -100,8 +96,6 @@
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
-            records_read: Cell::new(0),
-            peers_read: Cell::new(0),
             shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
@@ -118,13 +112,6 @@
         actix_rt::spawn(peer_state::follow(self.clone()));
     }
 
-    /// Pause of a watch on a list that was read at a moment: short at first, so that
-    /// what comes together with this entry, or with the store's return, is soon known.
-    fn pause_since(&self, read: Millis, longest: Duration) -> Duration {
-        let age = self.clock.now().saturating_sub(read);
-        Duration::from_millis(watch_pause(age, longest.as_millis() as Millis))
-    }
-
     /// Puts what is known in force for traffic.
     fn publish(&self) {
         let number = self.views.get() + 1;
--- a/crates/gateway/src/control/pauses.rs
+++ b/crates/gateway/src/control/pauses.rs
@@ -1,13 +1,17 @@
 //! How long watches pause, by what the settings ask.
 
+use std::cell::RefCell;
 use std::time::Duration;
 
+use hollowsail_fleet::TargetBook;
 use hollowsail_platform::settings::Bounds;
 
+use super::Control;
+
 /// Part of the time in which a change has to be heeded that a watch may pause.
 const PAUSE_SHARE: u32 = 8;
 
-/// How long watches pause after a change, so that changes which come one after the
+/// The longest that watches pause after a change, so that changes which come one after the
 /// other are told in a few answers: each is a call with a price.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchPauses {
@@ -25,3 +29,17 @@
         }
     }
 }
+
+impl Control {
+    /// Pause of the watch on a book's records: short after they were read, so that what
+    /// comes together with this entry, or with the store's return, is soon known.
+    pub(super) fn watch_pause<R: PartialEq>(
+        &self,
+        book: &RefCell<TargetBook<R>>,
+        longest: Duration,
+    ) -> Duration {
+        let longest_ms = longest.as_millis() as u64;
+        let pause = book.borrow().watch_pause(self.clock.now(), longest_ms);
+        Duration::from_millis(pause)
+    }
+}
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -23,7 +23,7 @@
     take_changes: |cx, changes| {
         cx.take_record_changes(changes);
         cx.settle_records_later();
-        cx.pause_since(cx.records_read.get(), cx.pauses.records)
+        cx.watch_pause(&cx.book, cx.pauses.records)
     },
 };
 
@@ -39,7 +39,6 @@
             .filter_map(|item| item.key.strip_prefix(PREFIX))
             .collect();
         let now = self.clock.now();
-        self.records_read.set(now);
         let gone = self
             .book
             .borrow_mut()
