Count a store's reads before what makes its watchers read

The test counted after it had overwritten the head. The store answers on threads of its own: where its watchers had read before the count, the four reads that are waited for came two watches later, at 20.2 s instead of 10.2, which is the patience of the suite. The count is taken first now; what is asserted stays.

--- a/crates/local/tests/suite/configuration.rs
+++ b/crates/local/tests/suite/configuration.rs
@@ -159,8 +159,8 @@
         let files = changed(&fleet, mark);
         fixture::apply(&mut fleet, files).await;
     }
-    fleet.store.overwrite(HEAD_KEY, old_head);
     let (reads, _) = fleet.store.calls();
+    fleet.store.overwrite(HEAD_KEY, old_head);
     fixture::wait_until("the watchers have read it", || {
         fleet.store.calls().0 >= reads + 4
     })
