--- a/crates/bench/src/day/model.rs
+++ b/crates/bench/src/day/model.rs
@@ -123,6 +123,12 @@
 }
 
 impl DayModel {
+    /// Times in which all entries are gone.
+    pub fn restarts(&self) -> impl Iterator<Item = &Trouble> {
+        let troubles = self.troubles.iter();
+        troubles.filter(|trouble| trouble.kind == TroubleKind::Restart)
+    }
+
     /// Reads a scenario; every fault of the file is named.
     pub fn read(path: &Path) -> Result<Self, Faults> {
         Self::parse(&read_source(path)?)
--- a/crates/bench/src/day/world/mod.rs
+++ b/crates/bench/src/day/world/mod.rs
@@ -16,7 +16,7 @@
 
 use super::draw::DrawnRequest;
 use super::engines::{EnginePool, Run};
-use super::model::{DayModel, KindModel, TroubleKind};
+use super::model::{DayModel, KindModel};
 use super::policy::DayPolicy;
 use super::pool::Pool;
 use super::report::{DayReport, End, KindReport};
@@ -136,11 +136,7 @@
         };
         world.schedule(world.taken_at(request.at_ms), Event::Arrives(attempt));
     }
-    let restarts = day
-        .troubles
-        .iter()
-        .filter(|t| t.kind == TroubleKind::Restart);
-    for restart in restarts {
+    for restart in day.restarts() {
         world.schedule(restart.at_ms, Event::EntriesGo);
     }
     world.schedule(0, Event::Tick);
@@ -221,9 +217,8 @@
 
     /// When an entry takes a request that comes at a moment: once entries are back.
     fn taken_at(&self, comes_at: u64) -> u64 {
-        let mut restarts = self.day.troubles.iter();
-        let away = restarts.find(|t| t.kind == TroubleKind::Restart && t.is_on(comes_at));
-        away.map_or(comes_at, |trouble| trouble.at_ms + trouble.for_ms)
+        let away = self.day.restarts().find(|restart| restart.is_on(comes_at));
+        away.map_or(comes_at, |restart| restart.at_ms + restart.for_ms)
     }
 
     /// All entries go, and with them what is under way. Its results are taken to be
@@ -291,12 +286,8 @@
 
     /// A caller without a first event leaves.
     fn caller_leaves(&mut self, key: RequestKey) {
-        let now = self.now;
-        if self
-            .requests
-            .get(key)
-            .is_none_or(|request| request.has_begun(now))
-        {
+        let request = self.requests.get(key);
+        if request.is_none_or(|request| request.has_begun(self.now)) {
             return;
         }
         if let Some(attempt) = self.drop_request(key) {
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -53,6 +53,12 @@
     ]
 }
 
+/// Calls for pieces, without those that give results up.
+pub fn runs(target: &TargetStandin) -> Vec<Seen> {
+    let runs = |seen: &Seen| seen.path == "/-/stage-run";
+    target.seen().into_iter().filter(runs).collect()
+}
+
 /// Waits until so many entries have their record in the store.
 pub async fn until_entries(what: &str, store: &StoreStandin, entries: usize) {
     eventually(what, || store.keys("hollowsail/peers/").len() == entries).await;
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -11,7 +11,7 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, one_event, until_entries, Call};
+use crate::fixture::{eventually, gateway, one_event, runs, until_entries, Call};
 
 fn deployment() -> DeploymentJson {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -68,10 +68,7 @@
 
     /// Calls with pieces so far.
     fn calls(&self) -> usize {
-        let seen = self.target.seen();
-        seen.iter()
-            .filter(|seen| seen.path == "/-/stage-run")
-            .count()
+        runs(&self.target).len()
     }
 }
 
@@ -279,21 +276,16 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     let calls = [one.at.callers, two.at.callers]
         .map(|at| actix_rt::spawn(async move { request(at.port().into()).send(at).await }));
-    let runs = || {
-        let seen = worker.seen();
-        seen.iter()
-            .filter(|seen| seen.path == "/-/stage-run")
-            .count()
-    };
-    eventually("a call is under way", || runs() > 0).await;
-    let before = runs();
+    let calls_made = || runs(&worker).len();
+    eventually("a call is under way", || calls_made() > 0).await;
+    let before = calls_made();
     // Whichever owns the queue leaves; the other asked it, or is asked anew.
     let stopping = [actix_rt::spawn(one.stop()), actix_rt::spawn(two.stop())];
     for call in calls {
         assert!(call.await.expect("it is answered").is_whole);
     }
     assert!(
-        runs() <= before + 1,
+        calls_made() <= before + 1,
         "nothing that is under way is made again"
     );
     for stop in stopping {
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -10,7 +10,7 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, TargetStandin};
 use serde_json::{json, Value};
 
-use crate::fixture::{eventually, one_event, Call, Fixture};
+use crate::fixture::{eventually, one_event, runs, Call, Fixture};
 
 fn deployment() -> DeploymentJson {
     deployment_of(json!({}))
@@ -51,12 +51,6 @@
     }
 }
 
-/// Calls for pieces, without those that give results up.
-fn runs(target: &TargetStandin) -> Vec<Seen> {
-    let runs = |seen: &Seen| seen.path == "/-/stage-run";
-    target.seen().into_iter().filter(runs).collect()
-}
-
 /// Handles that were given up.
 fn freed(target: &TargetStandin) -> Vec<String> {
     target
