Send nothing new into halls that operators empty

The keys are followed by the watch that already follows the configuration (no more calls to the store), into an account that holds up to a revision and never goes back; peers tell it to hosts that the store turns away, and a host that starts reads it with its first configuration. Targets of emptied halls leave the view, so requests, retries, resumed streams, queues and desks plan without them at once. A request that needs a service whose halls are all empty is refused at once. Ruled out: a check at each send (queues and desks would find out one by one), and a watch of its own (a tenth more calls).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,11 +6,13 @@
 //! a carrier of member records and leaving hosts, and a comparison of
 //! configuration revisions. [`Accept`] drives an apply through the store, and
 //! [`TargetBook`] keeps which targets there are, [`Newest`] the newest version of
-//! what is replaced as a whole, and [`ownership`] gives what one entry should
+//! what is replaced as a whole, [`EmptiedHalls`] what operators empty, and [`ownership`] gives what one entry should
 //! decide its owner. All state machines are pure:
 //! time and seeded randomness come in as arguments, [`Output`]s go out.
 
 pub mod accept;
+pub mod cold_spells;
+pub mod emptied_halls;
 pub mod fleet;
 pub mod leaving;
 pub mod live_runs;
@@ -24,6 +26,8 @@
 pub mod wire;
 
 pub use accept::{Accept, AcceptStep, Accepted, Apply, HeadAnswer};
+pub use cold_spells::{ColdRecord, ColdSpells};
+pub use emptied_halls::EmptiedHalls;
 pub use fleet::{Fleet, FleetTiming, Output};
 pub use leaving::{HostView, LeavingHost, ListedHost};
 pub use live_runs::LiveRuns;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -2,6 +2,8 @@
 //! oracles.
 
 mod accept;
+mod cold_spells;
+mod emptied_halls;
 mod leaving;
 mod live_runs;
 mod membership;
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -3,10 +3,8 @@
 use std::sync::Arc;
 
 use hollowsail_observe::events;
-use hollowsail_platform::deployment::{Deployment, KEY};
-use hollowsail_platform::store::{Change, Item};
+use hollowsail_platform::deployment::Deployment;
 
-use super::follow::Followed;
 use super::Control;
 
 /// A configuration, and the same as it lies in the store.
@@ -16,37 +14,8 @@
     pub source: Arc<[u8]>,
 }
 
-/// The configuration's key.
-pub const FOLLOWED: Followed = Followed {
-    prefix: KEY,
-    may_begin_old: false,
-    probes: true,
-    take_page: |_, _| {},
-    take_all: |cx, range| {
-        range
-            .items
-            .iter()
-            .for_each(|item| cx.take_configuration(item))
-    },
-    take_changes: |cx, changes| {
-        for change in &changes.changes {
-            if let Change::Put(item) = change {
-                cx.take_configuration(item);
-            }
-        }
-        cx.pauses.configuration
-    },
-};
-
 impl Control {
-    /// Puts a configuration in force unless one as new already is.
-    fn take_configuration(&self, item: &Item) {
-        if item.key == KEY {
-            self.take_source(&item.value, "store");
-        }
-    }
-
-    /// The same, whoever brought it.
+    /// Puts a configuration in force unless one as new already is, whoever brought it.
     pub(super) fn take_source(&self, source: &[u8], from: &str) {
         let deployment = match Deployment::decode(source) {
             Ok(deployment) => deployment,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,14 +1,16 @@
 //! The control thread: what the store tells becomes views for traffic.
 //!
-//! One loop follows the operators' configuration, another the targets' records,
+//! One loop follows the operators' keys, another the targets' records,
 //! a third the entries' own ([`follow`]); a fourth keeps this entry's record
 //! there ([`own_record`]). While the store doesn't answer, [`peer_state`] asks
 //! peers that may still hear from it. All publish through [`Control::publish`].
 
 mod backoff;
 mod configuration;
+mod emptied;
 mod follow;
 mod membership;
+mod operators;
 mod own_record;
 mod pauses;
 mod peer_state;
@@ -16,13 +18,13 @@
 mod settle;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{BookTiming, Newest, TargetBook};
+use hollowsail_fleet::{BookTiming, EmptiedHalls, Newest, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
@@ -50,6 +52,8 @@
     published: Arc<Published>,
     /// The operators' configuration.
     configuration: RefCell<Newest<Configuration>>,
+    /// The halls whose targets get nothing new.
+    emptied: RefCell<EmptiedHalls>,
     book: RefCell<TargetBook<Arc<TargetRecord>>>,
     /// Revision of the store up to which the book is.
     records_revision: Cell<Revision>,
@@ -88,6 +92,7 @@
             log: Log::new(&settings.host),
             published,
             configuration: RefCell::default(),
+            emptied: RefCell::default(),
             book: RefCell::new(TargetBook::new(timing)),
             records_revision: Cell::new(0),
             store_lost: Notify::new(),
@@ -105,7 +110,7 @@
 
     /// Starts the loops on this thread.
     pub fn spawn(self: &Rc<Self>) {
-        actix_rt::spawn(follow::follow(self.clone(), configuration::FOLLOWED));
+        actix_rt::spawn(follow::follow(self.clone(), operators::FOLLOWED));
         actix_rt::spawn(follow::follow(self.clone(), records::FOLLOWED));
         actix_rt::spawn(own_record::keep(self.clone()));
         actix_rt::spawn(follow::follow(self.clone(), membership::FOLLOWED));
@@ -117,17 +122,39 @@
         let number = self.views.get() + 1;
         self.views.set(number);
         let configuration = self.configuration.borrow().get().cloned();
+        let emptied = self.emptied.borrow().clone();
         let (deployment, source) = configuration.map(|c| (c.deployment, c.source)).unzip();
         self.published.publish(View {
             number,
             deployment,
             source,
-            targets: self.book.borrow().usable().cloned().collect(),
+            targets: self.targets_outside(&emptied),
+            emptied_services: self.emptied_services(&emptied),
+            emptied,
             records: self.records_for_peers(),
             peers: self.newest_peers(),
         });
     }
 
+    /// Targets that may get new work: usable, and in no emptied hall.
+    fn targets_outside(&self, emptied: &EmptiedHalls) -> Vec<Arc<TargetRecord>> {
+        let book = self.book.borrow();
+        let targets = book.usable();
+        let outside = targets.filter(|target| !emptied.contains(&target.hall));
+        outside.cloned().collect()
+    }
+
+    /// Names of services that have usable targets, all of them in emptied halls.
+    fn emptied_services(&self, emptied: &EmptiedHalls) -> BTreeSet<String> {
+        let book = self.book.borrow();
+        let (inside, outside): (Vec<_>, Vec<_>) = book
+            .usable()
+            .partition(|target| emptied.contains(&target.hall));
+        let inside = inside.into_iter().map(|target| &target.service);
+        let is_outside = |name: &&String| outside.iter().any(|target| target.service == **name);
+        inside.filter(|name| !is_outside(name)).cloned().collect()
+    }
+
     /// One record for each host: that of its newest run. The record of a run that
     /// was killed stays until its lease is over.
     fn newest_peers(&self) -> Vec<PeerRecord> {
--- a/crates/gateway/src/control/pauses.rs
+++ b/crates/gateway/src/control/pauses.rs
@@ -15,7 +15,8 @@
 /// other are told in a few answers: each is a call with a price.
 #[derive(Debug, Clone, Copy)]
 pub struct WatchPauses {
-    pub configuration: Duration,
+    /// After a change of the operators' keys.
+    pub operators: Duration,
     pub records: Duration,
 }
 
@@ -24,7 +25,7 @@
     pub fn new(bounds: &Bounds) -> Self {
         let share = |ms: u64| Duration::from_millis(ms) / PAUSE_SHARE;
         WatchPauses {
-            configuration: share(bounds.configuration_ms),
+            operators: share(bounds.configuration_ms.min(bounds.emptying_ms)),
             records: share(bounds.drain_ms),
         }
     }
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -88,6 +88,7 @@
     let question = StateAsk {
         configuration: cx.configuration_version(),
         records: cx.records_revision.get(),
+        emptied: cx.emptied.borrow().as_of(),
     };
     let body = rmp_serde::to_vec(&question).expect("this type always encodes");
     let req = Request::post(STATE_PATH)
@@ -113,6 +114,9 @@
 impl Control {
     /// Takes what a peer told.
     fn take_state(&self, answer: StateAnswer) {
+        if let Some(emptied) = answer.emptied {
+            self.adopt_emptied(emptied);
+        }
         if let Some(source) = &answer.configuration {
             self.take_source(source, "peer");
         }
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -135,8 +135,10 @@
         .filter(|_| version > ask.configuration);
     let newer = |known: &&KnownRecords| known.revision > ask.records;
     let records = view.records.as_ref().filter(newer);
+    let emptied = Some(&view.emptied).filter(|known| known.as_of() > ask.emptied);
     let answer = StateAnswer {
         configuration: source.map(<[u8]>::to_vec),
+        emptied: emptied.cloned(),
         records: records.map(RecordsAt::from),
         peers: view.peers.clone(),
     };
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -4,6 +4,7 @@
 //! nothing when the answering entry doesn't hear from the store either: two
 //! entries that know nothing new must not confirm each other.
 
+use hollowsail_fleet::EmptiedHalls;
 use hollowsail_platform::targets::TargetRecord;
 use serde::{Deserialize, Serialize};
 
@@ -20,6 +21,8 @@
     pub configuration: Option<u64>,
     /// Revision of the store up to which it knows the targets' records.
     pub records: u64,
+    /// Revision of the store up to which it knows the emptied halls.
+    pub emptied: u64,
 }
 
 /// What is newer.
@@ -28,6 +31,8 @@
     /// The configuration as it lies in the store.
     #[serde(with = "serde_bytes")]
     pub configuration: Option<Vec<u8>>,
+    /// The emptied halls, if the answering entry knows more.
+    pub emptied: Option<EmptiedHalls>,
     /// All targets, if the answering entry hears from the store and knows more.
     pub records: Option<RecordsAt>,
     /// Live entries as the answering one knows them.
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! The life of one request.
 //!
-//! [`admit`] reads its head and body; [`forecast`] judges whether it can be in
-//! time; [`prepare`] runs the stages before it; [`dispatch`] sends it to targets
+//! [`admit`] reads its head and body; [`unservable`] and [`forecast`] judge whether it can be served,
+//! and in time; [`prepare`] runs the stages before it; [`dispatch`] sends it to targets
 //! until one answers or nothing more may be tried; [`relay`] passes the answer
 //! on. Every way that ends without a target's answer ends in a [`Refusal`].
 
@@ -16,6 +16,7 @@
 mod relay;
 mod retry;
 mod sends;
+mod unservable;
 
 use std::rc::Rc;
 use std::time::Instant;
@@ -129,6 +130,7 @@
     trace: &mut Trace,
     waiting: &mut Waiting,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
+    unservable::judge(cx, admitted)?;
     forecast::judge(cx, admitted)?;
     let mut lost_inputs = 0;
     loop {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -1,8 +1,10 @@
 //! What traffic knows of the world: one immutable snapshot.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use hollowsail_fleet::EmptiedHalls;
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::store::Revision;
 use hollowsail_platform::targets::TargetRecord;
@@ -19,7 +21,12 @@
     pub deployment: Option<Arc<Deployment>>,
     /// The same as it lies in the store, for peers that can't read it there.
     pub source: Option<Arc<[u8]>>,
+    /// Targets that may get new work.
     pub targets: Vec<Arc<TargetRecord>>,
+    /// The halls whose targets get nothing new.
+    pub emptied: EmptiedHalls,
+    /// Names of services whose usable targets all lie in emptied halls.
+    pub emptied_services: BTreeSet<String>,
     /// All records, for the same peers; absent while the store is away here.
     pub records: Option<KnownRecords>,
     /// Live entries, this one included once it is known to the store.
--- /dev/null
+++ b/crates/gateway/tests/suite/emptied.rs
@@ -0,0 +1,177 @@
+//! Halls that the operators empty: their targets get nothing new.
+
+use std::time::{Duration, Instant};
+
+use hollowsail_gateway::Running;
+use hollowsail_platform_standins::target::answer;
+use hollowsail_platform_standins::{DeploymentJson, Step, StoreMode, StoreStandin, TargetStandin};
+use serde_json::json;
+
+use crate::fixture::{
+    eventually, gateway, gateway_at, plain_deployment, settings, until_entries, Call,
+};
+
+/// Requests by which a hall shows that it gets none.
+const TRIES: usize = 12;
+
+/// A plain target in each of two halls.
+struct Halls {
+    store: StoreStandin,
+    a: TargetStandin,
+    b: TargetStandin,
+}
+
+impl Halls {
+    async fn start() -> Self {
+        let store = StoreStandin::start().await;
+        store.put("op/config", &plain_deployment(1, "/a/").bytes());
+        let target =
+            |body| TargetStandin::start(move |seen| vec![Step::Write(answer(seen, 200, body))]);
+        let (a, b) = (target("a").await, target("b").await);
+        store.put_target("i-a", "plain", a.addr, "hall-a", "ready");
+        store.put_target("i-b", "plain", b.addr, "hall-b", "ready");
+        Halls { store, a, b }
+    }
+
+    fn empty(&self, hall: &str) {
+        self.store.put(&format!("op/evacuate/{hall}"), b"{}");
+    }
+
+    fn take_back(&self, hall: &str) {
+        self.store.delete(&format!("op/evacuate/{hall}"));
+    }
+}
+
+/// Sends requests until one is answered by a target.
+async fn until_served_by(gateway: &Running, name: &str) {
+    for _ in 0..400 {
+        if Call::new("GET", "/a/").send(gateway.at.callers).await.body == name {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("target {name} never served");
+}
+
+/// Expects all of some requests to be served by one target.
+async fn expect_only(gateway: &Running, name: &str) {
+    for _ in 0..TRIES {
+        let got = Call::new("GET", "/a/").send(gateway.at.callers).await;
+        assert_eq!(got.body, name);
+    }
+}
+
+#[actix_rt::test]
+async fn an_emptied_hall_gets_nothing_until_it_is_taken_back() {
+    let halls = Halls::start().await;
+    let gateway = gateway(&halls.store, "host-1", "hall-a").await;
+    until_served_by(&gateway, "a").await;
+    halls.empty("hall-a");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    expect_only(&gateway, "b").await;
+    halls.take_back("hall-a");
+    until_served_by(&gateway, "a").await;
+}
+
+#[actix_rt::test]
+async fn another_hall_may_be_emptied_as_the_first_is_taken_back() {
+    let halls = Halls::start().await;
+    let gateway = gateway(&halls.store, "host-1", "hall-a").await;
+    until_served_by(&gateway, "a").await;
+    halls.empty("hall-a");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    halls.empty("hall-b");
+    halls.take_back("hall-a");
+    until_served_by(&gateway, "a").await;
+    expect_only(&gateway, "a").await;
+}
+
+#[actix_rt::test]
+async fn a_host_that_starts_serves_nothing_in_an_emptied_hall() {
+    let halls = Halls::start().await;
+    halls.empty("hall-a");
+    let gateway = gateway(&halls.store, "host-1", "hall-a").await;
+    until_served_by(&gateway, "b").await;
+    expect_only(&gateway, "b").await;
+    assert!(halls.a.seen().is_empty());
+}
+
+#[actix_rt::test]
+async fn a_host_that_the_store_turns_away_hears_of_it_from_peers() {
+    let halls = Halls::start().await;
+    let door = halls.store.door().await;
+    let _other = gateway(&halls.store, "host-1", "hall-a").await;
+    let turned_away = gateway_at(settings("host-2", "hall-a", door.addr)).await;
+    until_entries("both entries", &halls.store, 2).await;
+    until_served_by(&turned_away, "a").await;
+    door.set_mode(StoreMode::Refusing);
+    halls.empty("hall-a");
+    // Two renewals of its lease, and a question to its peer.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    expect_only(&turned_away, "b").await;
+    halls.take_back("hall-a");
+    until_served_by(&turned_away, "a").await;
+}
+
+#[actix_rt::test]
+async fn history_that_is_gone_hides_no_emptied_hall() {
+    let halls = Halls::start().await;
+    let gateway = gateway(&halls.store, "host-1", "hall-a").await;
+    until_served_by(&gateway, "a").await;
+    halls.empty("hall-b");
+    halls.take_back("hall-b");
+    halls.empty("hall-a");
+    halls.store.forget_history();
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    expect_only(&gateway, "b").await;
+    let before = halls.a.seen().len();
+    expect_only(&gateway, "b").await;
+    assert_eq!(halls.a.seen().len(), before);
+}
+
+#[actix_rt::test]
+async fn with_all_halls_emptied_a_request_is_refused_at_once() {
+    let halls = Halls::start().await;
+    let gateway = gateway(&halls.store, "host-1", "hall-a").await;
+    until_served_by(&gateway, "a").await;
+    halls.empty("hall-a");
+    halls.empty("hall-b");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = (halls.a.seen().len(), halls.b.seen().len());
+    let asked = Instant::now();
+    let got = Call::new("GET", "/a/").send(gateway.at.callers).await;
+    assert!(asked.elapsed() < Duration::from_millis(100));
+    assert_eq!(got.status, 503);
+    assert!(got.body.starts_with("no_target"), "{}", got.body);
+    assert!(got.header("Retry-After").is_some());
+    assert_eq!((halls.a.seen().len(), halls.b.seen().len()), before);
+}
+
+#[actix_rt::test]
+async fn pieces_are_made_outside_an_emptied_hall_or_refused_at_once() {
+    let store = StoreStandin::start().await;
+    let stages = json!({ "stages": [{ "service": "encoders", "after": [], "bytes": 8000 }] });
+    let deployment = DeploymentJson::new(1)
+        .stage_service("encoders", 8, 20.0, 39.0)
+        .service("plain")
+        .route("/a/", "unsafe", "plain", stages);
+    store.put("op/config", &deployment.bytes());
+    let plain = TargetStandin::start(|seen| vec![Step::Write(answer(seen, 200, "done"))]).await;
+    store.put_target("i-1", "plain", plain.addr, "hall-b", "ready");
+    let encoder = TargetStandin::start(|_| vec![Step::Wait(Duration::from_secs(9))]).await;
+    store.put_target("e-a", "encoders", encoder.addr, "hall-a", "ready");
+    let gateway = gateway(&store, "host-1", "hall-a").await;
+    let call = Call::new("GET", "/a/")
+        .with("X-Pieces", "1")
+        .with("X-Piece-Key", "k");
+    let _left = call.begin(gateway.at.callers).await;
+    eventually("a call for a piece", || !encoder.seen().is_empty()).await;
+    store.put("op/evacuate/hall-a", b"{}");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let before = encoder.seen().len();
+    let asked = Instant::now();
+    let got = call.send(gateway.at.callers).await;
+    assert!(asked.elapsed() < Duration::from_millis(100));
+    assert_eq!(got.status, 503);
+    assert_eq!(encoder.seen().len(), before);
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -68,6 +68,7 @@
     RECORD_UNREADABLE, 309, "record_unreadable", Error, "A target's record cannot be read here; what was known of it stays.";
     TARGET_RECORD, 310, "target_record", Info, "A target came, or began to drain.";
     TARGET_GONE, 311, "target_gone", Info, "A target gets no work any more.";
+    HALLS_EMPTIED, 312, "halls_emptied", Info, "The halls whose targets get nothing new changed.";
     MEMBER, 401, "member", Info, "A member's health or stop changed.";
 }
 
