Give cold targets no more than they bear

Cause: nothing read for how long a target is cold; with a rate of 1.6 a second at cold engines one fell over. A record's cold spell is counted from when its revision was first seen. Each sender keeps to a share of the rate, evenly spaced: the desk's owner 0.6 of it (two owners stay at 1.2 times the rate), all entries past a silent desk 0.2, all entries at targets without a desk 0.8. A fuzz presses from up to 99 entries and two desks, with spells at any moment: no second is above 1.5 times the rate and five more. Ruled out: a count for each second (two whole counts fall into one second of the target's), and no phase for small shares (all entries began at once, which the fuzz noticed). Workers of stages are not limited: they work on one call at a time, 150 ms and more.

--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -69,9 +69,10 @@
                 key: at,
                 slots: day.engines.slots,
                 hall: hall_name(at % day.halls),
+                cold: None,
             })
             .collect();
-        desk.set_engines(&engines);
+        desk.set_engines(0, &engines);
         EnginePool {
             model: day.engines.clone(),
             engines: (0..day.engines.count).map(|_| Engine::default()).collect(),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -24,7 +24,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{BookTiming, EmptiedHalls, Newest, TargetBook};
+use hollowsail_fleet::{BookTiming, ColdRecord, ColdSpells, EmptiedHalls, Newest, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
@@ -37,7 +37,7 @@
 use crate::log::Log;
 use crate::metrics;
 use crate::peers::PeerRecord;
-use crate::view::{KnownRecords, Published, View};
+use crate::view::{KnownRecords, Published, UsableTarget, View};
 
 /// How long after the store's return a record may still come back, in
 /// milliseconds: about two seconds by the operators' word, and some for a
@@ -55,6 +55,7 @@
     /// The halls whose targets get nothing new.
     emptied: RefCell<EmptiedHalls>,
     book: RefCell<TargetBook<Arc<TargetRecord>>>,
+    cold: RefCell<ColdSpells>,
     /// Revision of the store up to which the book is.
     records_revision: Cell<Revision>,
     /// Told when the store stops answering.
@@ -94,6 +95,7 @@
             configuration: RefCell::default(),
             emptied: RefCell::default(),
             book: RefCell::new(TargetBook::new(timing)),
+            cold: RefCell::default(),
             records_revision: Cell::new(0),
             store_lost: Notify::new(),
             store_back: Notify::new(),
@@ -123,12 +125,13 @@
         self.views.set(number);
         let configuration = self.configuration.borrow().get().cloned();
         let emptied = self.emptied.borrow().clone();
+        self.take_cold_spells();
         let (deployment, source) = configuration.map(|c| (c.deployment, c.source)).unzip();
         self.published.publish(View {
             number,
             deployment,
             source,
-            targets: self.targets_outside(&emptied),
+            targets: self.usable_targets(&emptied),
             emptied_services: self.emptied_services(&emptied),
             emptied,
             records: self.records_for_peers(),
@@ -137,11 +140,29 @@
     }
 
     /// Targets that may get new work: usable, and in no emptied hall.
-    fn targets_outside(&self, emptied: &EmptiedHalls) -> Vec<Arc<TargetRecord>> {
+    fn usable_targets(&self, emptied: &EmptiedHalls) -> Vec<UsableTarget> {
         let book = self.book.borrow();
-        let targets = book.usable();
-        let outside = targets.filter(|target| !emptied.contains(&target.hall));
-        outside.cloned().collect()
+        let cold = self.cold.borrow();
+        let outside = book
+            .usable()
+            .filter(|target| !emptied.contains(&target.hall));
+        let targets = outside.map(|record| UsableTarget {
+            cold_until: cold.until(&record.incarnation.0),
+            record: record.clone(),
+        });
+        targets.collect()
+    }
+
+    /// Takes what the records at hand tell of cold spells.
+    fn take_cold_spells(&self) {
+        let book = self.book.borrow();
+        let cold = book.all().filter(|(_, record)| record.cold_ms > 0);
+        let cold = cold.map(|(revision, record)| ColdRecord {
+            incarnation: &record.incarnation.0,
+            revision,
+            cold_ms: record.cold_ms,
+        });
+        self.cold.borrow_mut().take(self.clock.now(), cold);
     }
 
     /// Names of services that have usable targets, all of them in emptied halls.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -139,6 +139,15 @@
         self.live.borrow().len().max(1)
     }
 
+    /// Where this entry stands among all, from 0 to 1, in an order that all share;
+    /// `None` before it knows the others.
+    pub fn place(&self, cx: &Traffic) -> Option<f64> {
+        self.first_listed.get()?;
+        let live = self.live.borrow();
+        let before = live.iter().filter(|peer| peer.id < cx.me.id).count();
+        Some(before as f64 / live.len().max(1) as f64)
+    }
+
     /// Waits until enough entries are known to decide on owners; only an entry that
     /// has just started waits.
     pub async fn settled(&self, cx: &Traffic) {
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -37,7 +37,9 @@
     pub fn take_targets(&self, cx: &Traffic) {
         if let Some((service, group)) = TargetGroup::parse(&self.name) {
             let targets = group.targets(&cx.targets_named(service));
-            self.desk.borrow_mut().set_engines(&desk_engines(&targets));
+            self.desk
+                .borrow_mut()
+                .set_engines(cx.clock.now(), &desk_engines(&targets));
         }
     }
 
@@ -86,6 +88,7 @@
         key: target.incarnation().clone(),
         slots: target.record.slots,
         hall: target.record.hall.clone(),
+        cold: target.cold.get(),
     });
     engines.collect()
 }
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -4,6 +4,7 @@
 use std::time::Instant;
 
 use hollowsail_observe::events;
+use hollowsail_routing::cold::{PAST_DESK_SHARE, WITHOUT_DESK_SHARE};
 use hollowsail_routing::Reason;
 
 use super::admit::Admitted;
@@ -48,20 +49,43 @@
     // A view newer than the request's may have dropped targets.
     cx.deployment()?;
     let name = &admitted.deployment.service(sends.service).name;
+    let share = cold_share(cx, admitted);
     let untried: Vec<Rc<Target>> = cx
         .targets_named(name)
         .into_iter()
         .filter(|target| !sends.tried.contains(target.incarnation()))
+        .filter(|target| may_get_one(cx, target, share))
         .collect();
     let (at, reason) = match &admitted.caller.generation {
         Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
         None => choose::plain(cx, &untried)?,
     };
     let target = untried[at].clone();
+    target.sent_while_cold(cx.clock.now(), share);
     log_choice(cx, admitted, &target, reason, untried.len());
     Some(target)
 }
 
+/// False while a target is cold and has had this entry's share, or that share isn't
+/// known yet.
+fn may_get_one(cx: &Traffic, target: &Target, share: f64) -> bool {
+    if target.cold.get().is_none() {
+        return true;
+    }
+    let place = cx.peers.place(cx);
+    place.is_some_and(|place| target.may_get_one(cx.clock.now(), share, place))
+}
+
+/// This entry's part of what a cold target bears from all entries together.
+fn cold_share(cx: &Traffic, admitted: &Admitted) -> f64 {
+    let has_desk = admitted.caller.generation.is_some() && cx.has(Mechanism::Desk);
+    let of_all = match has_desk {
+        true => PAST_DESK_SHARE,
+        false => WITHOUT_DESK_SHARE,
+    };
+    of_all / cx.peers.count() as f64
+}
+
 fn log_choice(
     cx: &Traffic,
     admitted: &Admitted,
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -9,9 +9,9 @@
 use hollowsail_connect::{Pool, PoolRules};
 use hollowsail_platform::deployment::{Deployment, Service, ServiceKey};
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
-use hollowsail_routing::{HealthRules, Millis, Observation, TargetHealth};
+use hollowsail_routing::{Cold, ColdGate, HealthRules, Millis, Observation, TargetHealth};
 
-use crate::view::View;
+use crate::view::{UsableTarget, View};
 
 /// Longest time for a connection to a target: a lost opening packet is sent
 /// again after seconds, and another target is quicker than that.
@@ -33,6 +33,10 @@
     /// Prompt tokens of this entry's requests that it has yet to read.
     pub unread_tokens: Cell<u64>,
     pub health: RefCell<TargetHealth>,
+    /// Set while it is cold.
+    pub cold: Cell<Option<Cold>>,
+    /// When this entry may send to it while it is cold.
+    gate: Cell<ColdGate>,
 }
 
 /// Counts a request at a target until it is dropped.
@@ -54,6 +58,8 @@
             in_flight: Cell::new(0),
             unread_tokens: Cell::new(0),
             health: RefCell::default(),
+            cold: Cell::default(),
+            gate: Cell::default(),
         })
     }
 
@@ -62,6 +68,22 @@
         &self.record.incarnation
     }
 
+    /// True when this entry may send to it now: always while it is warm, else no more
+    /// often than a share of what it bears. See [`ColdGate::meet`] for `phase`.
+    pub fn may_get_one(&self, now: Millis, share: f64, phase: f64) -> bool {
+        let mut gate = self.gate.get();
+        gate.meet(now, self.cold.get(), share, phase);
+        self.gate.set(gate);
+        gate.is_open(now)
+    }
+
+    /// Counts a send of this entry, with its share of what the target bears while cold.
+    pub fn sent_while_cold(&self, now: Millis, share: f64) {
+        let mut gate = self.gate.get();
+        gate.sent(now, share);
+        self.gate.set(gate);
+    }
+
     /// Part of its slots that this entry's requests take.
     pub fn load(&self) -> f64 {
         f64::from(self.in_flight.get()) / f64::from(self.record.slots)
@@ -101,6 +123,15 @@
     }
 }
 
+/// True when a record still tells of the same place: connections, and what is known
+/// of the target, stay. How long it is cold may change.
+fn is_same_place(known: &TargetRecord, told: &TargetRecord) -> bool {
+    known.addr == told.addr
+        && known.slots == told.slots
+        && known.service == told.service
+        && known.hall == told.hall
+}
+
 /// Usable targets by service, and all that still have requests.
 #[derive(Default)]
 pub struct TargetTable {
@@ -117,11 +148,17 @@
         };
         let mut kept = HashMap::with_capacity(view.targets.len());
         let mut by_service = vec![Vec::new(); deployment.services.len()];
-        for record in &view.targets {
+        for UsableTarget { record, cold_until } in &view.targets {
             let Some(key) = deployment.service_named(&record.service) else {
                 continue;
             };
             let target = self.take_or_make(record, deployment, key);
+            let per_s = deployment.service(key).cold_per_s;
+            target.cold.set(
+                cold_until
+                    .zip(per_s)
+                    .map(|(until, per_s)| Cold { until, per_s }),
+            );
             by_service[usize::from(key.0)].push(target.clone());
             kept.insert(record.incarnation.clone(), target);
         }
@@ -136,7 +173,7 @@
         key: ServiceKey,
     ) -> Rc<Target> {
         match self.by_incarnation.get(&record.incarnation) {
-            Some(known) if known.record == *record => known.clone(),
+            Some(known) if is_same_place(&known.record, record) => known.clone(),
             _ => Target::new(record.clone(), deployment.service(key)),
         }
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,6 +8,7 @@
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::store::Revision;
 use hollowsail_platform::targets::TargetRecord;
+use hollowsail_routing::Millis;
 use tokio::sync::Notify;
 
 use crate::peers::PeerRecord;
@@ -22,7 +23,7 @@
     /// The same as it lies in the store, for peers that can't read it there.
     pub source: Option<Arc<[u8]>>,
     /// Targets that may get new work.
-    pub targets: Vec<Arc<TargetRecord>>,
+    pub targets: Vec<UsableTarget>,
     /// The halls whose targets get nothing new.
     pub emptied: EmptiedHalls,
     /// Names of services whose usable targets all lie in emptied halls.
@@ -33,6 +34,14 @@
     pub peers: Vec<PeerRecord>,
 }
 
+/// A target that may get new work.
+#[derive(Debug, Clone)]
+pub struct UsableTarget {
+    pub record: Arc<TargetRecord>,
+    /// Until when it is cold, if its record tells of a cold spell.
+    pub cold_until: Option<Millis>,
+}
+
 /// All targets' records as of a revision of the store.
 #[derive(Debug)]
 pub struct KnownRecords {
--- /dev/null
+++ b/crates/gateway/tests/suite/cold.rs
@@ -0,0 +1,73 @@
+//! Targets that are cold: they get no more than they bear.
+
+use std::time::{Duration, Instant};
+
+use hollowsail_platform_standins::target::answer;
+use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
+use serde_json::json;
+
+use crate::fixture::{gateway, until_entries, Call};
+
+/// Requests a second that a cold target bears here.
+const PER_S: f64 = 10.0;
+
+fn deployment() -> DeploymentJson {
+    DeploymentJson::new(1)
+        .service_with_cold_targets("plain", PER_S)
+        .route("/a/", "safe", "plain", json!({}))
+}
+
+async fn target(body: &'static str) -> TargetStandin {
+    TargetStandin::start(move |seen| vec![Step::Write(answer(seen, 200, body))]).await
+}
+
+#[actix_rt::test]
+async fn a_cold_target_gets_a_share_and_a_warm_one_the_rest() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &deployment().bytes());
+    let (warm, cold) = (target("warm").await, target("cold").await);
+    store.put_target("i-1", "plain", warm.addr, "hall-a", "ready");
+    let gateway = gateway(&store, "host-1", "hall-a").await;
+    until_entries("the entry", &store, 1).await;
+    store.put_cold_target("i-2", "plain", cold.addr, Duration::from_secs(9));
+    for _ in 0..400 {
+        Call::new("GET", "/a/").send(gateway.at.callers).await;
+        if !cold.seen().is_empty() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    let (before, begun) = (cold.seen().len(), Instant::now());
+    while begun.elapsed() < Duration::from_secs(1) {
+        let got = Call::new("GET", "/a/").send(gateway.at.callers).await;
+        assert_eq!(got.status, 200);
+    }
+    let given = cold.seen().len() - before;
+    assert!((3..=9).contains(&given), "{given} in a second");
+    store.put_target("i-2", "plain", cold.addr, "hall-a", "ready");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let before = cold.seen().len();
+    for _ in 0..60 {
+        Call::new("GET", "/a/").send(gateway.at.callers).await;
+    }
+    assert!(cold.seen().len() - before > 10, "it is used like any other");
+}
+
+#[actix_rt::test]
+async fn where_all_are_cold_and_have_had_their_share_a_request_is_refused_at_once() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &deployment().bytes());
+    let cold = target("cold").await;
+    store.put_cold_target("i-1", "plain", cold.addr, Duration::from_secs(9));
+    let gateway = gateway(&store, "host-1", "hall-a").await;
+    until_entries("the entry", &store, 1).await;
+    let mut refused = 0;
+    for _ in 0..100 {
+        let asked = Instant::now();
+        let got = Call::new("GET", "/a/").send(gateway.at.callers).await;
+        assert!(asked.elapsed() < Duration::from_millis(150));
+        refused += u32::from(got.status == 503 && got.header("Retry-After").is_some());
+    }
+    assert!(refused > 50, "{refused}");
+    assert_eq!(cold.seen().len() as u32, 100 - refused);
+}
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! The daemon against small fakes of the platform, on loopback sockets.
 
+mod cold;
 mod emptied;
 mod fixture;
 mod forwarding;
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -13,6 +13,7 @@
 use serde::{Deserialize, Serialize};
 use slotmap::{new_key_type, SlotMap};
 
+use crate::cold::{Cold, ColdGate, DESK_SHARE};
 use crate::engine::{choose_engine, EngineCandidate};
 use crate::health::{HealthRules, Observation};
 use crate::Millis;
@@ -46,6 +47,8 @@
     pub key: K,
     pub slots: u32,
     pub hall: String,
+    /// Set while it is cold.
+    pub cold: Option<Cold>,
 }
 
 /// What is to be placed.
@@ -82,6 +85,7 @@
     running: u32,
     unread_tokens: u64,
     health: EngineHealth,
+    gate: ColdGate,
 }
 
 /// A generation at its engine.
@@ -149,20 +153,21 @@
 
 impl<K: Clone + Eq + Hash + Ord> EngineDesk<K> {
     /// Takes the engines that may get new work.
-    pub fn set_engines(&mut self, engines: &[DeskEngine<K>]) {
+    pub fn set_engines(&mut self, now: Millis, engines: &[DeskEngine<K>]) {
         self.engines
             .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
         for engine in engines {
             let state = self.engines.entry(engine.key.clone()).or_default();
             state.slots = engine.slots;
             state.hall.clone_from(&engine.hall);
+            state.gate.meet(now, engine.cold, DESK_SHARE, 0.0);
         }
         self.order = self.engines.keys().cloned().collect();
         self.order.sort();
     }
 
     /// Places a generation; `affinity` is the rendezvous score of an engine for
-    /// its part. `None` when every engine is to be avoided.
+    /// its part. `None` when every engine is to be avoided, or cold and has had its share.
     pub fn place(
         &mut self,
         now: Millis,
@@ -173,6 +178,7 @@
             .order
             .iter()
             .filter(|key| !demand.avoid.contains(key))
+            .filter(|key| self.engines[*key].gate.is_open(now))
             .collect();
         let candidates: Vec<EngineCandidate> = keys
             .iter()
@@ -223,6 +229,7 @@
         let state = self.engines.get_mut(&engine).expect("it was a candidate");
         state.running += 1;
         state.unread_tokens += to_read;
+        state.gate.sent(now, DESK_SHARE);
         let tokens_ahead = state.unread_tokens;
         let kept = self.kept.entry(demand.part.clone()).or_default();
         let was_kept = kept.insert(engine.clone(), now).is_some();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choose;
+pub mod cold;
 pub mod deadline;
 pub mod desk;
 pub mod engine;
@@ -21,6 +22,7 @@
 pub use admission::{admit, longest_way, Holding, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
+pub use cold::{Cold, ColdGate};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use desk::{Demand, DeskEngine, EngineDesk, PlacementEnd, PlacementKey};
 pub use engine::{choose_engine, engine_goes_first, EngineCandidate, EngineChoice};
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -11,9 +11,10 @@
             key: *key,
             slots: 64,
             hall: format!("hall-{key}"),
+            cold: None,
         })
         .collect();
-    desk.set_engines(&engines);
+    desk.set_engines(0, &engines);
     desk
 }
 
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod choose;
+mod cold;
 mod deadline;
 mod desk;
 mod engine;
