Let engines keep their group for life, and one desk have up to 512 of them

Cause: a service's targets were split by their position in a sorted list, modulo the count of groups. Each engine that came or went moved nearly all others to another desk, which knew nothing of what they keep, have to read or failed at. Groups go by rendezvous hashing now, for queues as for desks: a target that comes or goes moves no other one.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod cold_spells;
 pub mod emptied_halls;
 pub mod fleet;
+pub mod groups;
 pub mod leaving;
 pub mod live_runs;
 pub mod member;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod accept;
 mod cold_spells;
 mod emptied_halls;
+mod groups;
 mod leaving;
 mod live_runs;
 mod membership;
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -8,6 +8,7 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
 
+use super::GROUP_ENGINES;
 use crate::peers::PlacementStep;
 use crate::target_group::TargetGroup;
 use crate::targets::Target;
@@ -36,7 +37,7 @@
     /// Takes the usable targets of its group.
     pub fn take_targets(&self, cx: &Traffic) {
         if let Some((service, group)) = TargetGroup::parse(&self.name) {
-            let targets = group.targets(&cx.targets_named(service));
+            let targets = group.targets(&cx.targets_named(service), GROUP_ENGINES);
             self.desk
                 .borrow_mut()
                 .set_engines(cx.clock.now(), &desk_engines(&targets));
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -27,7 +27,7 @@
 
 /// Engines in a group at most: enough for a bounded load, few enough for one
 /// owner's processor.
-const GROUP_ENGINES: usize = 32;
+const GROUP_ENGINES: usize = 512;
 /// Longest wait for a desk's answer; a hop takes about two milliseconds, and
 /// choosing alone costs less than waiting much longer.
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
@@ -55,10 +55,10 @@
         demand: Demand<Incarnation>,
     ) -> Option<(Incarnation, Placed)> {
         let targets = cx.target_count(service);
-        let group = TargetGroup::for_key(service, targets, GROUP_ENGINES, &demand.part);
-        match cx.peers.owner_of(cx, &group.name) {
+        let name = TargetGroup::for_key(targets, GROUP_ENGINES, &demand.part).name(service);
+        match cx.peers.owner_of(cx, &name) {
             Owner::Me => {
-                let desk = self.desk(cx, &group.name)?;
+                let desk = self.desk(cx, &name)?;
                 let (key, engine) = desk.place(cx, &demand)?;
                 Some((engine, Placed::new(Account::Here(cx.clone(), desk, key))))
             }
@@ -66,7 +66,7 @@
                 let id = self.next_id();
                 // Told as given up if the answer comes too late.
                 let placed = Placed::new(Account::Peer(link.clone(), id));
-                let asked = link.place(id, group.name, demand);
+                let asked = link.place(id, name, demand);
                 let engine = timeout(ANSWER_WITHIN, asked).await.ok()?.ok()??;
                 Some((engine, placed))
             }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -75,11 +75,11 @@
     pieces: Cell<u64>,
 }
 
-/// The group of workers whose queue a request's pieces of a service go to; the
-/// group's name is the queue's.
-fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> TargetGroup {
+/// The queue that a request's pieces of a service go to, by the name of its group of
+/// workers.
+fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> String {
     let targets = cx.target_count(service);
-    TargetGroup::for_key(service, targets, QUEUE_TARGETS, request_id)
+    TargetGroup::for_key(targets, QUEUE_TARGETS, request_id).name(service)
 }
 
 /// The owner of a queue.
@@ -103,9 +103,9 @@
         cx.peers.settled(cx).await;
         for _ in 0..MOST_OWNERS {
             let queue = queue_for(cx, name, &wanted.piece.request_id);
-            match owner_of(cx, &queue.name) {
+            match owner_of(cx, &queue) {
                 Owner::Me => {
-                    let batcher = self.batcher(cx, &queue.name).ok_or(PieceFailure::Failed)?;
+                    let batcher = self.batcher(cx, &queue).ok_or(PieceFailure::Failed)?;
                     match batcher.make(wanted.clone()).await {
                         LocalEnd::Made(held) => return Ok(held),
                         LocalEnd::Failed(failure) => return Err(failure),
@@ -113,11 +113,11 @@
                     }
                 }
                 Owner::Peer(link) => {
-                    let asked = self.message(cx, &queue.name, &wanted);
+                    let asked = self.message(cx, &queue, &wanted);
                     match link.make(asked).await {
                         Ok(peers::PieceEnd::Made(made)) => {
                             let bytes = wanted.result_bytes;
-                            return Ok(HeldResult::at_peer(link, queue.name, made, bytes));
+                            return Ok(HeldResult::at_peer(link, queue, made, bytes));
                         }
                         Ok(peers::PieceEnd::Failed(failure)) => return Err(failure),
                         // The next owner in order gets it.
@@ -158,12 +158,12 @@
     pub fn load(&self, cx: &Rc<Traffic>, service: &str, request_id: &str) -> Option<QueueLoad> {
         let now = cx.clock.now();
         let queue = queue_for(cx, service, request_id);
-        if let Owner::Me = owner_of(cx, &queue.name) {
-            let batcher = self.batchers.borrow().get(&queue.name).cloned();
+        if let Owner::Me = owner_of(cx, &queue) {
+            let batcher = self.batchers.borrow().get(&queue).cloned();
             return batcher.map(|batcher| batcher.queue.borrow().load(now));
         }
         let loads = self.loads.borrow();
-        let (told, load) = loads.get(&queue.name)?;
+        let (told, load) = loads.get(&queue)?;
         (now - told <= LOAD_AGE_MS).then(|| load.clone())
     }
 
@@ -177,7 +177,7 @@
         let key = deployment.service_named(service)?;
         let pool = deployment.service(key).stage_pool.as_ref()?;
         let made = Batcher::new(cx, name, pool);
-        made.take_targets(&group.targets(&cx.targets_named(service)));
+        made.take_targets(&group.targets(&cx.targets_named(service), QUEUE_TARGETS));
         let mut batchers = self.batchers.borrow_mut();
         batchers.insert(name.to_string(), made.clone());
         Some(made)
@@ -260,7 +260,7 @@
             if let Some(pool) = &pool {
                 batcher.set_rules(pool);
             }
-            batcher.take_targets(&group.targets(&cx.targets_named(service)));
+            batcher.take_targets(&group.targets(&cx.targets_named(service), QUEUE_TARGETS));
         }
     }
 }
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -93,7 +93,7 @@
 /// The same beside so many entries of small hosts.
 async fn share_a_worker_in_a_fleet(others: usize, before: impl Fn(&StoreStandin)) {
     let (store, worker, _engine) = store_with_a_worker(others).await;
-    let [first, second, owner] = hosts_with_the_owner_last("encoders/0.1");
+    let [first, second, owner] = hosts_with_the_owner_last("encoders/0");
     let mut gateways = Vec::new();
     for (host, hall) in [(first, "hall-a"), (second, "hall-b"), (owner, "hall-c")] {
         gateways.push(gateway(&store, host, hall).await);
@@ -121,7 +121,7 @@
 #[actix_rt::test]
 async fn a_gateway_that_has_just_started_waits_to_hear_of_those_that_start_with_it() {
     let (store, worker, _engine) = store_with_a_worker(0).await;
-    let [first, _, owner] = hosts_with_the_owner_last("encoders/0.1");
+    let [first, _, owner] = hosts_with_the_owner_last("encoders/0");
     let one = gateway(&store, first, "hall-a").await;
     let early = request(1);
     let at = one.at.callers;
