Keep an entry's record through a cut from the store

Its record lapsed after 6 s; those that saw it lapse took another owner, the others didn't, and both sent calls to the same workers. The record lasts 30 s now. One of an entry that is gone for good is passed over by those that get no answer, for 1.5 s at first and up to 6 s then, so that its longer record costs few of them. Ruled out: telling entries that are cut off who has lapsed (they still serve their callers and can be reached).

--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -10,9 +10,13 @@
 use super::backoff::Backoff;
 use super::Control;
 
-/// How long the record of an entry that fell silent stays. Peers notice a dead
-/// one sooner, when it owes them an answer.
-const LEASE: Duration = Duration::from_secs(6);
+/// How long the record of an entry that fell silent stays. Peers notice a dead one
+/// sooner, when it owes them an answer, and a planned stop ends the lease. An entry that
+/// the store alone can't reach serves on, so its record must outlast that: when 31 of 89
+/// entries were cut off from the store for 12 s, among them the owner of a queue, those
+/// that saw its record lapse (6 s) took another entry for the owner and the others did
+/// not, and both sent calls to the same workers.
+const LEASE: Duration = Duration::from_secs(30);
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -227,6 +227,7 @@
         };
         let Err(err) = result else {
             self.heard();
+            cx.peers.answered(self.peer.id);
             return true;
         };
         match err {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -33,9 +33,12 @@
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 
-/// How long a peer that didn't answer is passed over, in milliseconds. Long
+/// How long a peer that didn't answer is passed over at first, in milliseconds. Long
 /// enough that a frozen process costs few requests, short against a restart.
 const SUSPECT_MS: Millis = 1_500;
+/// The same at most, in milliseconds: the time doubles as long as the peer doesn't
+/// answer, since the record of one that is gone for good stays for a while.
+const MOST_SUSPECT_MS: Millis = 6_000;
 
 /// How long after its first list of entries this entry decides on owners, in
 /// milliseconds. In a fleet that starts together, those on the list are the few that
@@ -54,13 +57,45 @@
     Peer(Rc<Link>),
 }
 
+/// A peer that didn't answer.
+#[derive(Debug, Clone, Copy)]
+struct Suspicion {
+    /// It owns nothing before this.
+    until: Millis,
+    /// How long that is, from when it was last found silent.
+    lasts: Millis,
+}
+
+impl Suspicion {
+    /// What follows a silence at `now`, after what is remembered of the ones before.
+    fn after(before: Option<Suspicion>, now: Millis) -> Self {
+        let lasts = match before {
+            // Several messages may find the same silence.
+            Some(before) if now < before.until => before.lasts,
+            Some(before) if now < before.until + MOST_SUSPECT_MS => {
+                (before.lasts * 2).min(MOST_SUSPECT_MS)
+            }
+            _ => SUSPECT_MS,
+        };
+        Suspicion {
+            until: now + lasts,
+            lasts,
+        }
+    }
+
+    /// True once the next silence counts as the first.
+    fn is_forgotten(&self, now: Millis) -> bool {
+        now >= self.until + MOST_SUSPECT_MS
+    }
+}
+
 /// Live peers and the links to them.
 pub struct Peers {
     /// Every live entry, this one included.
     live: RefCell<Vec<PeerRecord>>,
     runs: RefCell<LiveRuns<PeerId, PeerRecord>>,
     links: RefCell<HashMap<PeerId, Rc<Link>>>,
-    suspects: RefCell<HashMap<PeerId, Millis>>,
+    suspects: RefCell<HashMap<PeerId, Suspicion>>,
     /// When the first list of entries came.
     first_listed: Cell<Option<Millis>>,
 }
@@ -95,7 +130,9 @@
         let live = self.runs.borrow().live();
         let before = std::mem::replace(&mut *self.live.borrow_mut(), live.clone());
         let now = cx.clock.now();
-        self.suspects.borrow_mut().retain(|_, until| *until > now);
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.retain(|_, suspicion| !suspicion.is_forgotten(now));
+        drop(suspects);
         let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
         let is_over = |link: &Link| !is_live(&link.peer.id) && link.is_idle();
         self.links.borrow_mut().retain(|_, link| !is_over(link));
@@ -165,7 +202,7 @@
         let live = self.live.borrow();
         let usable: Vec<&PeerRecord> = live
             .iter()
-            .filter(|peer| suspects.get(&peer.id).is_none_or(|until| *until <= now))
+            .filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now))
             .collect();
         let candidates = usable.iter().map(|peer| Candidate {
             host: &peer.host,
@@ -187,16 +224,22 @@
         link.clone()
     }
 
+    /// A peer took a message: what was suspected of it is over.
+    pub fn answered(&self, peer: PeerId) {
+        self.suspects.borrow_mut().remove(&peer);
+    }
+
     /// A peer didn't answer: it owns nothing for a while.
     pub fn suspect(&self, cx: &Rc<Traffic>, peer: &PeerRecord, why: &str) {
-        let until = cx.clock.now() + SUSPECT_MS;
-        self.suspects.borrow_mut().insert(peer.id, until);
+        let before = self.suspects.borrow().get(&peer.id).copied();
+        let suspicion = Suspicion::after(before, cx.clock.now());
+        self.suspects.borrow_mut().insert(peer.id, suspicion);
         self.links.borrow_mut().remove(&peer.id);
         cx.log.line(
             events::MEMBER,
             format_args!(
-                "peer={} state=suspect for_ms={SUSPECT_MS} why=\"{why}\"",
-                peer.host
+                "peer={} state=suspect for_ms={} why=\"{why}\"",
+                peer.host, suspicion.lasts
             ),
         );
         cx.pools.requester_lost(peer.id);
