Pass an entry over as an owner while it finds itself slow

A process judges its pace by how late its own timers are. A slow one says so in what it sends, gives its queues away, and owns nothing until it has been in time for 4 s. Ruled out: judging owners by the time of their answers (askers would differ, and two owners disturb each other more than one slow one).

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -3,7 +3,8 @@
 //! Rendezvous hashing gives each thing one owner among the live entries without
 //! any agreement. Hosts differ in size: an owner moves what all other entries
 //! hand it, so only entries with at least half of the largest capacity own
-//! anything. When they are all gone, the smaller ones do.
+//! anything. When they are all gone, the smaller ones do. One that doesn't keep up with
+//! its work owns nothing unless that is so of all: whatever it owned would wait for it.
 
 use crate::rendezvous;
 
@@ -14,6 +15,8 @@
     pub host: &'a str,
     /// What its host can move, by a measure that all entries share.
     pub capacity: u32,
+    /// It says that it doesn't keep up with its work.
+    pub is_slow: bool,
 }
 
 /// Position of the owner of `what`; `None` without candidates.
@@ -21,10 +24,13 @@
     what: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
 ) -> Option<usize> {
-    let largest = candidates.clone().map(|entry| entry.capacity).max()?;
+    let all_slow = candidates.clone().all(|entry| entry.is_slow);
+    let keeps_up = |entry: &Candidate<'a>| all_slow || !entry.is_slow;
+    let well = candidates.clone().filter(keeps_up);
+    let largest = well.map(|entry| entry.capacity).max()?;
     candidates
         .enumerate()
-        .filter(|(_, entry)| entry.capacity >= largest / 2)
+        .filter(|(_, entry)| keeps_up(entry) && entry.capacity >= largest / 2)
         .max_by_key(|(_, entry)| rendezvous::score(what, entry.host))
         .map(|(at, _)| at)
 }
--- a/crates/fleet/tests/suite/ownership.rs
+++ b/crates/fleet/tests/suite/ownership.rs
@@ -4,7 +4,11 @@
 use proptest::prelude::*;
 
 fn entry(host: &str, capacity: u32) -> Candidate<'_> {
-    Candidate { host, capacity }
+    Candidate {
+        host,
+        capacity,
+        is_slow: false,
+    }
 }
 
 #[test]
@@ -24,6 +28,19 @@
     assert_eq!(owner("queue-1", [].into_iter()), None);
 }
 
+#[test]
+fn a_slow_host_owns_nothing_unless_all_are_slow() {
+    let mut entries = [entry("one", 200), entry("two", 200), entry("small", 10)];
+    entries[0].is_slow = true;
+    for queue in 0..50 {
+        let queue = format!("queue-{queue}");
+        assert_eq!(owner(&queue, entries.into_iter()), Some(1));
+    }
+    entries.iter_mut().for_each(|entry| entry.is_slow = true);
+    let owned = (0..50).filter_map(|queue| owner(&format!("queue-{queue}"), entries.into_iter()));
+    assert!(owned.into_iter().any(|at| at == 0));
+}
+
 proptest! {
     /// Whoever leaves takes only what it owned along, as long as the largest stays.
     #[test]
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod log;
 mod mechanisms;
 mod metrics;
+mod pace;
 mod peers;
 mod placement;
 mod pools;
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -219,6 +219,7 @@
         let envelope = Envelope {
             from: cx.me.clone(),
             to: self.peer.id,
+            is_slow: cx.pace.get().is_slow(),
             messages,
         };
         let result = match tokio::time::timeout(TAKEN_WITHIN, self.post(&envelope)).await {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -112,6 +112,7 @@
 async fn take_envelope(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Refused> {
     let envelope: Envelope = read(req).await?;
     cx.peers.heard(cx, &envelope.from);
+    cx.peers.told_pace(cx, envelope.from.id, envelope.is_slow);
     if envelope.to != cx.me.id {
         return Err(another_run(cx));
     }
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -19,6 +19,8 @@
     pub from: PeerRecord,
     /// The run that is meant; another at the same address refuses.
     pub to: PeerId,
+    /// The sender doesn't keep up with its work: it should own nothing for now.
+    pub is_slow: bool,
     pub messages: Vec<Message>,
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -57,6 +57,10 @@
     Peer(Rc<Link>),
 }
 
+/// How long a peer that says it is slow owns nothing, from when it last said so, in
+/// milliseconds.
+const SLOW_MS: Millis = 3_000;
+
 /// A peer that didn't answer.
 #[derive(Debug, Clone, Copy)]
 struct Suspicion {
@@ -96,6 +100,8 @@
     runs: RefCell<LiveRuns<PeerId, PeerRecord>>,
     links: RefCell<HashMap<PeerId, Rc<Link>>>,
     suspects: RefCell<HashMap<PeerId, Suspicion>>,
+    /// Until when peers that said so count as slow.
+    slow: RefCell<HashMap<PeerId, Millis>>,
     /// When the first list of entries came.
     first_listed: Cell<Option<Millis>>,
 }
@@ -107,6 +113,7 @@
             runs: RefCell::new(LiveRuns::new(|peer: &PeerRecord| peer.id)),
             links: RefCell::default(),
             suspects: RefCell::default(),
+            slow: RefCell::default(),
             first_listed: Cell::new(None),
         }
     }
@@ -204,9 +211,15 @@
             .iter()
             .filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now))
             .collect();
+        let slow = self.slow.borrow();
+        let is_slow = |peer: &PeerRecord| match peer.id == cx.me.id {
+            true => cx.pace.get().is_slow(),
+            false => slow.get(&peer.id).is_some_and(|until| *until > now),
+        };
         let candidates = usable.iter().map(|peer| Candidate {
             host: &peer.host,
             capacity: peer.capacity,
+            is_slow: is_slow(peer),
         });
         let owner = ownership::owner(what, candidates).map(|at| usable[at]);
         match owner {
@@ -224,6 +237,19 @@
         link.clone()
     }
 
+    /// A peer says whether it keeps up with its work.
+    pub fn told_pace(&self, cx: &Rc<Traffic>, peer: PeerId, is_slow: bool) {
+        let mut slow = self.slow.borrow_mut();
+        let was_slow = match is_slow {
+            true => slow.insert(peer, cx.clock.now() + SLOW_MS).is_some(),
+            false => slow.remove(&peer).is_some(),
+        };
+        drop(slow);
+        if was_slow != is_slow {
+            cx.pools.hand_over(cx);
+        }
+    }
+
     /// A peer took a message: what was suspected of it is over.
     pub fn answered(&self, peer: PeerId) {
         self.suspects.borrow_mut().remove(&peer);
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -186,6 +186,10 @@
     /// A peer hands a piece in.
     pub fn take_piece(&self, cx: &Rc<Traffic>, from: &PeerRecord, asked: MakePiece) {
         let link = cx.peers.link_to(cx, from);
+        if cx.pace.get().is_slow() && matches!(owner_of(cx, &asked.queue), Owner::Peer(_)) {
+            link.send(Message::Ended(asked.id, peers::PieceEnd::Moved));
+            return;
+        }
         let Some(batcher) = self.batcher(cx, &asked.queue) else {
             // This entry doesn't know the service, or no longer.
             let end = peers::PieceEnd::Failed(PieceFailure::Failed);
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -20,7 +20,7 @@
 use crate::stop;
 use crate::traffic::Traffic;
 use crate::view::Published;
-use crate::{callers, metrics, peers, readiness};
+use crate::{callers, metrics, pace, peers, readiness};
 
 /// Why the daemon didn't start.
 #[derive(Debug, Snafu)]
@@ -185,6 +185,7 @@
     peers::start(cx, take(listeners.peers)?);
     let accepting = callers::start(cx, take(listeners.callers)?);
     actix_rt::spawn(cx.clone().follow_views());
+    actix_rt::spawn(pace::watch(cx.clone()));
     let cx = cx.clone();
     actix_rt::spawn(async move {
         if let Ok(done) = stopping.await {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -10,7 +10,7 @@
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{LatencyWindow, Millis, ReadingTimes, RetryBudget};
+use hollowsail_routing::{LatencyWindow, Millis, Pace, ReadingTimes, RetryBudget};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -65,6 +65,8 @@
     /// Connections of callers.
     pub connections: Cell<usize>,
     pub stopping: Cell<Stopping>,
+    /// Whether this entry keeps up with its work.
+    pub pace: Cell<Pace>,
     /// Told shortly before the process ends: what no target has yet is refused.
     pub last_call: Notify,
     /// Told when idle connections of callers are to close.
@@ -102,6 +104,7 @@
                 in_flight: Cell::new(0),
                 connections: Cell::new(0),
                 stopping: Cell::new(Stopping::No),
+                pace: Cell::default(),
                 last_call: Notify::new(),
                 close_idle: Notify::new(),
                 configured: Notify::new(),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -70,6 +70,7 @@
     TARGET_GONE, 311, "target_gone", Info, "A target gets no work any more.";
     HALLS_EMPTIED, 312, "halls_emptied", Info, "The halls whose targets get nothing new changed.";
     MEMBER, 401, "member", Info, "A member's health or stop changed.";
+    PACE, 402, "pace", Warn, "Whether this entry keeps up with its work changed.";
 }
 
 /// Writes one line.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod engine;
 pub mod health;
 pub mod latency;
+pub mod pace;
 pub mod policy;
 pub mod progress;
 pub mod queue;
@@ -28,6 +29,7 @@
 pub use engine::{choose_engine, engine_goes_first, EngineCandidate, EngineChoice};
 pub use health::{HealthRules, Observation, TargetHealth};
 pub use latency::LatencyWindow;
+pub use pace::Pace;
 pub use policy::{Choosing, Switches};
 pub use progress::{
     attempt_status, may_try_again, outcome_of, stage_status, Outcome, Progress, StageStatus,
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod desk;
 mod engine;
 mod health;
+mod pace;
 mod progress;
 mod random_admission;
 mod reading;
