Let two entries a hall read the store for the others

In a hall of 8 entries and more, two read, by rendezvous hashing over its larger hosts; the others ask them in turn for all that changed after the revision they know, as the store's own watch answers. A reader renews its lease every 0.5 s and says that it doesn't hear when an answer takes 0.6 s; one that doesn't answer is passed over; with none left an entry goes to the store itself. Revisions decide, so that a source may change at any time: a fuzz over two logs that lie behind, forget and begin anew shows that each change is heard once and in order. Ruled out: longer pauses (a quarter of the calls at most, and everything later), and a push (the reader would have to know who hears). Found on the way: one count for the turns of all keys let some of them ask the same reader each time; a configuration took 2.5 s with one reader silent. Each has its own.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod member;
 pub mod newest;
 pub mod ownership;
+pub mod readers;
 pub mod rendezvous;
 pub mod standing;
 pub mod target_book;
+pub mod watch_log;
 pub mod watch_pause;
 pub mod wire;
 
@@ -36,6 +38,7 @@
 pub use newest::Newest;
 pub use standing::{Standing, StandingRule};
 pub use target_book::{BookTiming, TargetBook};
+pub use watch_log::{Since, WatchLog};
 pub use watch_pause::watch_pause;
 pub use wire::Exchange;
 
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -6,6 +6,8 @@
 //! anything. When they are all gone, the smaller ones do. One that doesn't keep up with
 //! its work owns nothing unless that is so of all: whatever it owned would wait for it.
 
+use std::cmp::Reverse;
+
 use crate::rendezvous;
 
 /// An entry that may own something.
@@ -24,13 +26,24 @@
     what: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
 ) -> Option<usize> {
+    owners(what, candidates, 1).first().copied()
+}
+
+/// Positions of so many owners of `what` at the most, the first one first.
+pub fn owners<'a>(
+    what: &str,
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+    most: usize,
+) -> Vec<usize> {
     let all_slow = candidates.clone().all(|entry| entry.is_slow);
     let keeps_up = |entry: &Candidate<'a>| all_slow || !entry.is_slow;
     let well = candidates.clone().filter(keeps_up);
-    let largest = well.map(|entry| entry.capacity).max()?;
-    candidates
+    let largest = well.map(|entry| entry.capacity).max().unwrap_or(0);
+    let mut scored: Vec<(u64, usize)> = candidates
         .enumerate()
         .filter(|(_, entry)| keeps_up(entry) && entry.capacity >= largest / 2)
-        .max_by_key(|(_, entry)| rendezvous::score(what, entry.host))
-        .map(|(at, _)| at)
+        .map(|(at, entry)| (rendezvous::score(what, entry.host), at))
+        .collect();
+    scored.sort_unstable_by_key(|scored| Reverse(*scored));
+    scored.into_iter().take(most).map(|(_, at)| at).collect()
 }
--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -88,7 +88,7 @@
     }
 
     /// True while a missing record proves nothing.
-    fn is_unsettled(&self, now: Millis) -> bool {
+    pub fn is_unsettled(&self, now: Millis) -> bool {
         match self.store {
             StoreState::Away => true,
             StoreState::Back(0) => false,
@@ -118,9 +118,9 @@
         changed
     }
 
-    /// A record went. True when the book changed.
-    pub fn deleted(&mut self, incarnation: &str, revision: u64, now: Millis) -> bool {
-        let unsettled = self.is_unsettled(now);
+    /// A record went; `is_unsettled` says whether that proves nothing, by the word of
+    /// whoever tells of it. True when the book changed.
+    pub fn deleted(&mut self, incarnation: &str, revision: u64, is_unsettled: bool) -> bool {
         let Some(entry) = self.entries.get_mut(incarnation) else {
             return false;
         };
@@ -128,7 +128,7 @@
             return false;
         }
         entry.revision = revision;
-        if unsettled && entry.state != State::Draining {
+        if is_unsettled && entry.state != State::Draining {
             entry.state = State::Doubted;
             return false;
         }
@@ -140,9 +140,10 @@
     /// Returns the incarnations that left the book.
     pub fn reconcile(&mut self, present: &[&str], revision: u64, now: Millis) -> Vec<String> {
         self.read = now;
+        let is_unsettled = self.is_unsettled(now);
         self.keys_where(|incarnation, _| !present.contains(&incarnation))
             .into_iter()
-            .filter(|incarnation| self.deleted(incarnation, revision, now))
+            .filter(|incarnation| self.deleted(incarnation, revision, is_unsettled))
             .collect()
     }
 
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -10,8 +10,10 @@
 mod membership;
 mod newest;
 mod ownership;
+mod readers;
 mod standing;
 mod target_book;
+mod watch_log;
 mod watch_pause;
 
 /// Cases per property; the long mode sets more.
--- a/crates/fleet/tests/suite/target_book.rs
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -16,14 +16,28 @@
     book.usable().copied().collect()
 }
 
+/// A record went, by the word of the store that the book is of.
+fn deleted(book: &mut TargetBook<&'static str>, id: &str, revision: u64, now: u64) -> bool {
+    let is_unsettled = book.is_unsettled(now);
+    book.deleted(id, revision, is_unsettled)
+}
+
 #[test]
 fn a_record_that_goes_means_that_the_target_is_gone() {
     let mut book = book();
-    assert!(book.deleted("a", 3, 10));
+    assert!(deleted(&mut book, "a", 3, 10));
     assert_eq!(usable(&book), ["b"]);
     assert_eq!(book.reconcile(&[], 4, 10), ["b"]);
 }
 
+#[test]
+fn whoever_hears_from_the_store_says_for_sure_that_a_target_is_gone() {
+    let mut book = book();
+    book.store_away();
+    assert!(book.deleted("a", 3, false));
+    assert_eq!(usable(&book), ["b"]);
+}
+
 #[test]
 fn a_record_that_says_something_new_is_a_change() {
     let mut book = book();
@@ -46,7 +60,7 @@
 fn a_record_that_lapses_in_an_outage_counts_until_it_is_settled() {
     let mut book = book();
     assert!(book.store_away() && !book.store_away());
-    assert!(!book.deleted("a", 3, 100));
+    assert!(!deleted(&mut book, "a", 3, 100));
     assert_eq!(usable(&book), ["a", "b"]);
     assert!(book.store_back(1_000));
     assert_eq!(book.settles_at(), Some(3_000));
@@ -109,7 +123,7 @@
                     drained[id] |= draining;
                 }
                 Event::Delete { id } => {
-                    book.deleted(IDS[id], revision, now);
+                    deleted(&mut book, IDS[id], revision, now);
                     recorded[id] = false;
                     let unsettled = away || (back > 0 && now < back + TIMING.return_ms);
                     if !unsettled || drained[id] {
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -1,4 +1,5 @@
-//! Follows keys in the store: reads them once, then waits for their changes.
+//! Follows keys in the store: reads them once, then waits for their changes, there or at
+//! a reader of this entry's hall ([`super::source`]).
 //!
 //! At the start lists are read as they were some seconds ago, which costs a tenth; the
 //! watch goes on from there and tells at once what changed since. It reads again, and
@@ -13,15 +14,17 @@
 use hollowsail_platform::store::{Changes, Item, Range, StoreError};
 
 use super::backoff::Backoff;
+use super::source::Teller;
 use super::Control;
+use crate::feed::Keys;
 
-/// How long a watch waits. Each is a call with a price; shorter than the time
-/// for which the store keeps its history, so that a quiet watch can go on. A watch on a
-/// connection that fell silent while others work goes unnoticed for as long.
-const WATCH_WAIT: Duration = Duration::from_secs(17);
+/// Longest pause after changes that a reader told of: asking it has no price, and it
+/// paused itself.
+const PAUSE_AFTER_READER: Duration = Duration::from_millis(50);
 
 /// Keys that are followed, and who takes them.
 pub struct Followed {
+    pub keys: Keys,
     pub prefix: &'static str,
     /// The first read may be seconds old: nothing is known yet that could go back.
     pub may_begin_old: bool,
@@ -34,7 +37,7 @@
     pub take_all: fn(&Rc<Control>, &Range),
     /// Takes what changed since; tells how long to pause before the next watch,
     /// so that changes that come one after the other are told in a few answers.
-    pub take_changes: fn(&Rc<Control>, &Changes) -> Duration,
+    pub take_changes: fn(&Rc<Control>, &Changes, Teller) -> Duration,
 }
 
 /// Follows until the thread ends.
@@ -72,13 +75,17 @@
     }
     backoff.reset();
     (keys.take_all)(cx, &range);
+    cx.feeds.begin(keys.keys, range.revision);
     let mut revision = range.revision;
     loop {
-        let watch = cx.store.watch(keys.prefix, revision, WATCH_WAIT);
-        let changes = cx.until_store_lost(watch).await?;
-        cx.store_answered();
+        let (changes, teller) = cx.next_changes(keys.keys, keys.prefix, revision).await?;
         revision = changes.revision;
-        let pause = (keys.take_changes)(cx, &changes);
+        cx.feeds.extend(keys.keys, &changes);
+        let pause = (keys.take_changes)(cx, &changes, teller);
+        let pause = match teller {
+            Teller::Store => pause,
+            Teller::Reader { .. } => pause.min(PAUSE_AFTER_READER),
+        };
         tokio::time::sleep(pause).await;
     }
 }
@@ -92,7 +99,7 @@
     }
 
     /// Waits for a watch, but no longer than the store answers other calls.
-    async fn until_store_lost<T>(
+    pub(super) async fn until_store_lost<T>(
         &self,
         watch: impl Future<Output = Result<T, StoreError>>,
     ) -> Result<T, StoreError> {
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -7,7 +7,9 @@
 use hollowsail_platform::store::{Change, Changes, Item, Range};
 
 use super::follow::Followed;
+use super::source::Teller;
 use super::Control;
+use crate::feed::Keys;
 use crate::peers::{PeerRecord, PREFIX};
 
 /// Longest pause between two watches for each live entry, so that calls grow no
@@ -20,6 +22,7 @@
 
 /// The keys of the entries' records.
 pub const FOLLOWED: Followed = Followed {
+    keys: Keys::Entries,
     prefix: PREFIX,
     may_begin_old: true,
     probes: false,
@@ -29,8 +32,9 @@
         cx.take_peers(range);
         cx.settle_peers_later();
     },
-    take_changes: |cx, changes| {
-        cx.take_peer_changes(changes);
+    take_changes: |cx, changes, teller| {
+        cx.hear_of_outage(teller);
+        cx.take_peer_changes(changes, teller);
         cx.settle_peers_later();
         cx.watch_pause(&cx.peers, cx.longest_peers_pause())
     },
@@ -65,10 +69,10 @@
         }
     }
 
-    fn take_peer_changes(&self, changes: &Changes) {
+    fn take_peer_changes(&self, changes: &Changes, teller: Teller) {
         let mut changed = false;
         for change in &changes.changes {
-            changed |= self.take_peer_change(change);
+            changed |= self.take_peer_change(change, teller);
         }
         if changed {
             self.publish();
@@ -99,12 +103,15 @@
         changed
     }
 
-    fn take_peer_change(&self, change: &Change) -> bool {
+    fn take_peer_change(&self, change: &Change, teller: Teller) -> bool {
         match change {
             Change::Put(item) => self.take_peer(item),
             Change::Deleted { key, revision } => {
-                let now = self.clock.now();
-                let gone = self.peers.borrow_mut().deleted(key, *revision, now);
+                let is_unsettled = self.is_unsettled(&self.peers, teller);
+                let gone = self
+                    .peers
+                    .borrow_mut()
+                    .deleted(key, *revision, is_unsettled);
                 if gone {
                     self.log_peers_gone(std::slice::from_ref(key), "record_deleted");
                 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod peer_state;
 mod records;
 mod settle;
+mod source;
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
@@ -33,7 +34,9 @@
 
 use self::configuration::Configuration;
 use self::pauses::WatchPauses;
+use self::source::Readers;
 use crate::clock::Clock;
+use crate::feed::Feeds;
 use crate::log::Log;
 use crate::metrics;
 use crate::peers::PeerRecord;
@@ -63,6 +66,9 @@
     /// Told when it answers again.
     store_back: Notify,
     pauses: WatchPauses,
+    /// What this entry hears, for others of its hall.
+    feeds: Arc<Feeds>,
+    readers: Readers,
     seeds: Vec<SocketAddr>,
     /// This entry.
     me: PeerRecord,
@@ -83,6 +89,7 @@
         me: PeerRecord,
         clock: Clock,
         published: Arc<Published>,
+        feeds: Arc<Feeds>,
     ) -> Rc<Self> {
         let timing = BookTiming {
             return_ms: RECORD_RETURN_MS,
@@ -100,6 +107,8 @@
             store_lost: Notify::new(),
             store_back: Notify::new(),
             pauses: WatchPauses::new(&settings.bounds),
+            feeds,
+            readers: Readers::default(),
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
@@ -208,6 +217,7 @@
             return;
         }
         self.peers.borrow_mut().store_away();
+        self.feeds.store_away();
         if self.book.borrow_mut().store_away() {
             self.log
                 .line(events::STORE_LOST, format_args!("why=\"{err}\""));
@@ -222,6 +232,8 @@
         self.peers.borrow_mut().store_back(self.clock.now());
         if self.book.borrow_mut().store_back(self.clock.now()) {
             self.log.line(events::STORE_BACK, format_args!(""));
+            self.feeds
+                .store_back(Duration::from_millis(RECORD_RETURN_MS));
             self.store_back.notify_waiters();
             self.publish();
         }
--- a/crates/gateway/src/control/operators.rs
+++ b/crates/gateway/src/control/operators.rs
@@ -11,15 +11,17 @@
 
 use super::follow::Followed;
 use super::Control;
+use crate::feed::Keys;
 
 /// The operators' keys.
 pub const FOLLOWED: Followed = Followed {
+    keys: Keys::Operators,
     prefix: PREFIX,
     may_begin_old: false,
     probes: true,
     take_page: |_, _| {},
     take_all: |cx, range| cx.take_operators_keys(range),
-    take_changes: |cx, changes| {
+    take_changes: |cx, changes, _| {
         cx.take_operators_changes(changes);
         cx.pauses.operators
     },
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -21,12 +21,20 @@
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
 
+/// The same while others hear from the store through this entry: they have to know soon
+/// when it doesn't hear itself. A renewal costs a tenth of other calls.
+const RENEW_FOR_OTHERS_EVERY: Duration = Duration::from_millis(500);
+/// How long the store may owe the answer to a renewal before others are told. Its slow
+/// days take some 370 ms for an answer.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(600);
+
 /// Keeps the record of this entry until a planned stop.
 pub async fn keep(cx: Rc<Control>) {
     let mut backoff = Backoff::default();
     while !cx.is_leaving.get() {
         if let Err(err) = keep_once(&cx, &mut backoff).await {
             cx.lease.set(None);
+            cx.feeds.set_silent(true);
             cx.store_failed(&err);
             cx.log.line(
                 events::MEMBER,
@@ -48,13 +56,14 @@
         Err(err) => return Err(err),
     }
     cx.lease.set(Some(lease));
+    cx.feeds.set_silent(false);
     backoff.reset();
     if cx.is_leaving.get() {
         // The stop came before the store had answered, and knew of no lease yet.
         cx.leave().await;
     }
     while !cx.is_leaving.get() {
-        tokio::time::sleep(RENEW_EVERY).await;
+        wait_for_renewal(cx).await;
         renew(cx, lease).await?;
     }
     Ok(())
@@ -67,9 +76,35 @@
     Ok(())
 }
 
+/// Waits until the next renewal is due, sooner when others begin to rely on this entry.
+async fn wait_for_renewal(cx: &Control) {
+    let mut waited = Duration::ZERO;
+    while waited < RENEW_EVERY {
+        tokio::time::sleep(RENEW_FOR_OTHERS_EVERY).await;
+        waited += RENEW_FOR_OTHERS_EVERY;
+        if cx.feeds.is_read() {
+            return;
+        }
+    }
+}
+
+/// Renews; others are told meanwhile when the store owes the answer.
+async fn renew_in_time(cx: &Control, lease: Lease) -> Result<(), StoreError> {
+    let mut renewing = std::pin::pin!(cx.store.renew(lease));
+    let renewed = match tokio::time::timeout(ANSWERED_WITHIN, renewing.as_mut()).await {
+        Ok(renewed) => renewed,
+        Err(_) => {
+            cx.feeds.set_silent(true);
+            renewing.await
+        }
+    };
+    cx.feeds.set_silent(renewed.is_err());
+    renewed
+}
+
 /// Renews until the lease is over; a store that is away says nothing of it.
 async fn renew(cx: &Control, lease: Lease) -> Result<(), StoreError> {
-    match cx.store.renew(lease).await {
+    match renew_in_time(cx, lease).await {
         Err(StoreError::LeaseOver) => Err(StoreError::LeaseOver),
         Err(err) => {
             cx.store_failed(&err);
@@ -86,6 +121,8 @@
     /// Gives this entry's record up, so that peers pass it over at once.
     pub async fn leave(&self) {
         self.is_leaving.set(true);
+        // Those that ask here go elsewhere at once.
+        self.feeds.store_away();
         let Some(lease) = self.lease.take() else {
             return;
         };
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -8,11 +8,14 @@
 use hollowsail_platform::targets::{self, TargetRecord, PREFIX};
 
 use super::follow::Followed;
+use super::source::Teller;
 use super::Control;
+use crate::feed::Keys;
 use crate::peers::{RecordAt, RecordsAt};
 
 /// The records' keys.
 pub const FOLLOWED: Followed = Followed {
+    keys: Keys::Targets,
     prefix: PREFIX,
     may_begin_old: true,
     probes: false,
@@ -21,8 +24,9 @@
         cx.take_records(range);
         cx.settle_records_later();
     },
-    take_changes: |cx, changes| {
-        cx.take_record_changes(changes);
+    take_changes: |cx, changes, teller| {
+        cx.hear_of_outage(teller);
+        cx.take_record_changes(changes, teller);
         cx.settle_records_later();
         cx.watch_pause(&cx.book, cx.pauses.records)
     },
@@ -60,11 +64,11 @@
         self.publish();
     }
 
-    fn take_record_changes(&self, changes: &Changes) {
+    fn take_record_changes(&self, changes: &Changes, teller: Teller) {
         self.records_revision.set(changes.revision);
         let mut changed = false;
         for change in &changes.changes {
-            changed |= self.take_change(change);
+            changed |= self.take_change(change, teller);
         }
         if changed {
             self.publish();
@@ -72,15 +76,17 @@
     }
 
     /// Takes one change into the book. True when the book changed.
-    fn take_change(&self, change: &Change) -> bool {
+    fn take_change(&self, change: &Change, teller: Teller) -> bool {
         match change {
             Change::Put(item) => self.take_record(item),
             Change::Deleted { key, revision } => {
                 let Some(incarnation) = key.strip_prefix(PREFIX) else {
                     return false;
                 };
-                let now = self.clock.now();
-                let gone = self.book.borrow_mut().deleted(incarnation, *revision, now);
+                let is_unsettled = self.is_unsettled(&self.book, teller);
+                let mut book = self.book.borrow_mut();
+                let gone = book.deleted(incarnation, *revision, is_unsettled);
+                drop(book);
                 if gone {
                     self.log_gone(&[incarnation.to_string()], "record_deleted");
                 }
--- a/crates/gateway/src/control/settle.rs
+++ b/crates/gateway/src/control/settle.rs
@@ -5,12 +5,42 @@
 
 use hollowsail_fleet::TargetBook;
 
+use super::source::Teller;
 use super::Control;
 
 /// A book of the control thread.
 type BookOf<R> = fn(&Control) -> &RefCell<TargetBook<R>>;
 
 impl Control {
+    /// True when a record that went may come back, by the word of who tells of it.
+    pub(super) fn is_unsettled<R: PartialEq>(
+        &self,
+        book: &RefCell<TargetBook<R>>,
+        teller: Teller,
+    ) -> bool {
+        match teller {
+            Teller::Store => book.borrow().is_unsettled(self.clock.now()),
+            Teller::Reader { is_unsettled } => is_unsettled,
+        }
+    }
+
+    /// A reader says that the store was away until lately, which this entry may not have
+    /// noticed: it asks the store itself only now and then.
+    pub(super) fn hear_of_outage(&self, teller: Teller) {
+        let now = self.clock.now();
+        if teller != (Teller::Reader { is_unsettled: true }) {
+            return;
+        }
+        if !self.book.borrow().is_unsettled(now) {
+            self.book.borrow_mut().store_away();
+            self.book.borrow_mut().store_back(now);
+        }
+        if !self.peers.borrow().is_unsettled(now) {
+            self.peers.borrow_mut().store_away();
+            self.peers.borrow_mut().store_back(now);
+        }
+    }
+
     /// Drops records that a book still misses once the store's return is
     /// settled; `tell_gone` gets their keys.
     pub(super) fn settle_later<R>(
--- /dev/null
+++ b/crates/gateway/src/control/source.rs
@@ -0,0 +1,256 @@
+//! Where this entry hears what changed: at the store, or from a reader of its hall.
+//!
+//! In a hall of many entries two read the store, and the others ask them in turn, each
+//! time for all that changed after the revision that they know. A reader that lies behind
+//! tells nothing for a second, and the other one is asked next; one that doesn't answer,
+//! or doesn't hear from the store, is passed over for a while. Without any reader left an
+//! entry goes to the store itself, as all do in a small hall. Revisions are the same
+//! everywhere, so it may change its source at any time and misses nothing.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowsail_connect::{Pool, PoolRules, WholeAnswer};
+use hollowsail_fleet::ownership::Candidate;
+use hollowsail_fleet::readers;
+use hollowsail_observe::events;
+use hollowsail_platform::store::{Changes, Revision, StoreError};
+use hollowsail_routing::Millis;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use snafu::Snafu;
+
+use super::Control;
+use crate::feed::{FeedAnswer, FeedAsk, Keys, FEED_PATH};
+use crate::peers::PeerRecord;
+
+/// How long a watch at the store waits where all entries of a hall read. Each is a call
+/// with a price; shorter than the time for which the store keeps its history, so that a
+/// quiet watch can go on. A watch on a connection that fell silent while others work goes
+/// unnoticed for as long.
+const ALONE_WAIT: Duration = Duration::from_secs(17);
+/// The same for a reader, on which others rely: a connection that fell silent has to be
+/// noticed within the time for which a configuration may be unknown.
+const READER_WAIT: Duration = Duration::from_secs(2);
+/// The same shortly after the start, when most entries of the hall aren't known yet.
+const FIRST_WAIT: Duration = Duration::from_millis(1_500);
+/// How long after the start that is, in milliseconds.
+const YOUNG_MS: Millis = 3_000;
+/// How long a reader may take to tell of changes: one that lies behind costs as long.
+const TOLD_WITHIN: Duration = Duration::from_millis(1_000);
+/// The same for the entries' records, which matter less: a lost one is found silent.
+const ENTRIES_TOLD_WITHIN: Duration = Duration::from_millis(4_000);
+/// Time beyond it after which a reader is taken to be gone.
+const ANSWER_SLACK: Duration = Duration::from_millis(400);
+/// How long a reader that didn't answer is passed over, in milliseconds.
+const SILENT_FOR_MS: Millis = 5_000;
+/// The same for one that doesn't read, or not yet, which it says at once.
+const NOT_READING_FOR_MS: Millis = 1_500;
+/// Longest time for a connection to a reader: a hop inside a hall takes a millisecond.
+const DIAL_WITHIN: Duration = Duration::from_millis(300);
+/// Longest answer read, in bytes: the changes that a reader keeps.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// Who told of changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Teller {
+    Store,
+    Reader {
+        /// The store was away there until lately: a record that has gone may come back.
+        is_unsettled: bool,
+    },
+}
+
+/// Where to ask next.
+enum Source {
+    Store { wait: Duration, for_others: bool },
+    Reader(PeerRecord),
+}
+
+/// Why a reader told nothing.
+#[derive(Debug, Snafu)]
+enum AskError {
+    #[snafu(display("{source}"))]
+    Send {
+        source: hollowsail_connect::SendError,
+    },
+    #[snafu(display("the answer broke off: {source}"))]
+    CutOff {
+        source: hollowsail_connect::BodyError,
+    },
+    #[snafu(display("no answer in time"))]
+    Silent,
+    #[snafu(display("status {status}"))]
+    Status { status: StatusCode },
+    #[snafu(display("unreadable: {source}; do all entries run one build?"))]
+    Malformed { source: rmp_serde::decode::Error },
+}
+
+/// What is remembered of the readers of this entry's hall.
+#[derive(Default)]
+pub struct Readers {
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    /// Until when each host is passed over.
+    passed_over: RefCell<HashMap<String, Millis>>,
+    /// Rise with each question about some keys, so that readers are asked in turn. One
+    /// count for all keys would let some of them ask the same reader each time.
+    turns: [Cell<usize>; Keys::COUNT],
+}
+
+impl Control {
+    /// Waits for changes of keys after a revision, and tells where they came from.
+    pub(super) async fn next_changes(
+        &self,
+        keys: Keys,
+        prefix: &str,
+        after: Revision,
+    ) -> Result<(Changes, Teller), StoreError> {
+        loop {
+            let reader = match self.source(keys) {
+                Source::Reader(reader) => reader,
+                Source::Store { wait, for_others } => {
+                    self.feeds.set_read(keys, for_others);
+                    return self.watch_store(prefix, after, wait).await;
+                }
+            };
+            self.feeds.set_read(keys, false);
+            match self.ask_reader(&reader, keys, after).await {
+                Ok(FeedAnswer::Changed {
+                    changes,
+                    is_unsettled,
+                }) => return Ok((changes, Teller::Reader { is_unsettled })),
+                Ok(FeedAnswer::NothingNew) => {}
+                Ok(FeedAnswer::Unknown) => {
+                    return self.watch_store(prefix, after, FIRST_WAIT).await;
+                }
+                Ok(FeedAnswer::NotReading) => {
+                    self.pass_over(&reader, NOT_READING_FOR_MS, "it doesn't read");
+                }
+                Err(err) => self.pass_over(&reader, SILENT_FOR_MS, &err.to_string()),
+            }
+        }
+    }
+
+    async fn watch_store(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<(Changes, Teller), StoreError> {
+        let watch = self.store.watch(prefix, after, wait);
+        let changes = self.until_store_lost(watch).await?;
+        self.store_answered();
+        Ok((changes, Teller::Store))
+    }
+
+    /// Where to ask now.
+    fn source(&self, keys: Keys) -> Source {
+        if self.clock.now() < YOUNG_MS {
+            return Source::Store {
+                wait: FIRST_WAIT,
+                for_others: false,
+            };
+        }
+        let mut hall = self.newest_peers();
+        hall.retain(|peer| peer.hall == self.me.hall);
+        let entries = hall.iter().map(|peer| Candidate {
+            host: &peer.host,
+            capacity: peer.capacity,
+            is_slow: false,
+        });
+        let Some(chosen) = readers::choose(&self.me.hall, entries) else {
+            return Source::Store {
+                wait: ALONE_WAIT,
+                for_others: false,
+            };
+        };
+        let chosen: Vec<&PeerRecord> = chosen.into_iter().map(|at| &hall[at]).collect();
+        let is_reader = chosen.iter().any(|peer| peer.host == self.me.host);
+        match self.next_reader(keys, &chosen).filter(|_| !is_reader) {
+            Some(reader) => Source::Reader(reader.clone()),
+            None => Source::Store {
+                wait: match keys {
+                    Keys::Operators | Keys::Targets => READER_WAIT,
+                    Keys::Entries => ALONE_WAIT,
+                },
+                for_others: is_reader,
+            },
+        }
+    }
+
+    /// The reader whose turn it is, of those that aren't passed over.
+    fn next_reader<'a>(&self, keys: Keys, readers: &[&'a PeerRecord]) -> Option<&'a PeerRecord> {
+        let now = self.clock.now();
+        let passed_over = self.readers.passed_over.borrow();
+        let is_usable = |peer: &&&PeerRecord| passed_over.get(&peer.host).is_none_or(|t| *t <= now);
+        let usable: Vec<&PeerRecord> = readers.iter().filter(is_usable).copied().collect();
+        let turns = &self.readers.turns[keys.position()];
+        let turn = turns.get();
+        turns.set(turn.wrapping_add(1));
+        (!usable.is_empty()).then(|| usable[turn % usable.len()])
+    }
+
+    fn pass_over(&self, reader: &PeerRecord, for_ms: Millis, why: &str) {
+        let until = self.clock.now() + for_ms;
+        let mut passed_over = self.readers.passed_over.borrow_mut();
+        passed_over.insert(reader.host.clone(), until);
+        let fields = format_args!(
+            "peer={} state=no_reader for_ms={for_ms} why=\"{why}\"",
+            reader.host
+        );
+        self.log.line(events::MEMBER, fields);
+    }
+
+    async fn ask_reader(
+        &self,
+        reader: &PeerRecord,
+        keys: Keys,
+        after: Revision,
+    ) -> Result<FeedAnswer, AskError> {
+        let wait = match keys {
+            Keys::Operators | Keys::Targets => TOLD_WITHIN,
+            Keys::Entries => ENTRIES_TOLD_WITHIN,
+        };
+        let ask = FeedAsk {
+            keys,
+            after,
+            wait_ms: wait.as_millis() as u64,
+        };
+        let body = rmp_serde::to_vec(&ask).expect("this type always encodes");
+        let req = Request::post(FEED_PATH)
+            .header(http::header::HOST, "peer")
+            .body(Full::new(Bytes::from(body)))
+            .expect("the path is valid");
+        let pool = self.pool_of(reader.addr);
+        tokio::time::timeout(wait + ANSWER_SLACK, pool.call(req, MOST_ANSWER_BYTES))
+            .await
+            .map_err(|_| AskError::Silent)?
+            .map_err(|source| AskError::Send { source })
+            .and_then(read_answer)
+    }
+
+    fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
+        let rules = PoolRules {
+            dial_within: DIAL_WITHIN,
+            max_idle: 3,
+            idle_for: Duration::from_secs(20),
+        };
+        let mut pools = self.readers.pools.borrow_mut();
+        pools
+            .entry(addr)
+            .or_insert_with(|| Pool::new(addr, rules))
+            .clone()
+    }
+}
+
+fn read_answer(answer: WholeAnswer) -> Result<FeedAnswer, AskError> {
+    let whole = answer.body.map_err(|source| AskError::CutOff { source })?;
+    let status = answer.head.status;
+    let body = whole.filter(|_| status == StatusCode::OK);
+    let body = body.ok_or(AskError::Status { status })?;
+    rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
+}
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -17,6 +17,7 @@
 use super::record::PeerRecord;
 use super::state::{RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 use crate::callers::listen::accept_each;
+use crate::feed::{FeedAsk, FEED_PATH};
 use crate::traffic::Traffic;
 use crate::view::KnownRecords;
 
@@ -58,6 +59,7 @@
     let result = match path.as_str() {
         PATH if is_post => take_envelope(cx, req).await,
         STATE_PATH if is_post => tell_state(cx, req).await,
+        FEED_PATH if is_post => tell_changes(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
     let (status, body) = match result {
@@ -148,6 +150,15 @@
         .into())
 }
 
+/// Tells a peer what changed at the store, as soon as something does.
+async fn tell_changes(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Refused> {
+    let ask: FeedAsk = read(req).await?;
+    let answer = cx.feeds.answer(&ask).await;
+    Ok(rmp_serde::to_vec(&answer)
+        .expect("these types always encode")
+        .into())
+}
+
 fn take_message(cx: &Rc<Traffic>, from: &PeerRecord, message: Message) {
     match message {
         Message::Make(piece) => cx.pools.take_piece(cx, from, *piece),
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,6 +14,7 @@
 use crate::callers::listen::bind;
 use crate::clock::Clock;
 use crate::control::Control;
+use crate::feed::Feeds;
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
 use crate::peers::{capacity_of, PeerId, PeerRecord};
@@ -112,6 +113,7 @@
     let host = settings.host.clone();
     let me = own_record(&settings, at.peers);
     let published = Arc::new(Published::default());
+    let feeds = Arc::new(Feeds::default());
     let (stop, stopping) = oneshot::channel();
     let hall = settings.hall.clone();
     let control_settings = settings.clone();
@@ -122,6 +124,7 @@
         mechanisms,
         clock,
         published.clone(),
+        feeds.clone(),
     );
     start_traffic(traffic, listeners, stopping).await?;
     let at = Listen {
@@ -136,7 +139,7 @@
             at.callers, at.readiness, at.peers, at.metrics, hall, me.id.0
         ),
     );
-    let control = Control::new(&control_settings, me, clock, published);
+    let control = Control::new(&control_settings, me, clock, published, feeds);
     control.spawn();
     Ok(Running {
         at,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::feed::Feeds;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerRecord, Peers};
@@ -49,6 +50,8 @@
     pub clock: Clock,
     pub log: Log,
     published: Arc<Published>,
+    /// What control hears from the store, for peers that follow it.
+    pub feeds: Arc<Feeds>,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
     pub peers: Peers,
@@ -84,6 +87,7 @@
         mechanisms: Mechanisms,
         clock: Clock,
         published: Arc<Published>,
+        feeds: Arc<Feeds>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
             Rc::new(Traffic {
@@ -95,6 +99,7 @@
                 placements: Placements::default(),
                 view: RefCell::new(published.load()),
                 published,
+                feeds,
                 settings,
                 clock,
                 targets: RefCell::default(),
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod mechanisms;
 mod metrics;
+mod reading;
 mod sharing;
 mod stages;
 mod stopping;
