Ask peers in one place, and keep what makes a target usable beside it

Control had two copies of a question to a peer, with its errors; what decides which targets traffic may use stood among control's state. Behaviour is unchanged.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -5,6 +5,7 @@
 //! there ([`own_record`]). While the store doesn't answer, [`peer_state`] asks
 //! peers that may still hear from it. All publish through [`Control::publish`].
 
+mod ask;
 mod backoff;
 mod configuration;
 mod emptied;
@@ -17,15 +18,16 @@
 mod records;
 mod settle;
 mod source;
+mod usable;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{BookTiming, ColdRecord, ColdSpells, EmptiedHalls, Newest, TargetBook};
+use hollowsail_fleet::{BookTiming, ColdSpells, EmptiedHalls, Newest, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
@@ -40,7 +42,7 @@
 use crate::log::Log;
 use crate::metrics;
 use crate::peers::PeerRecord;
-use crate::view::{KnownRecords, Published, UsableTarget, View};
+use crate::view::{KnownRecords, Published, View};
 
 /// How long after the store's return a record may still come back, in
 /// milliseconds: about two seconds by the operators' word, and some for a
@@ -148,43 +150,6 @@
         });
     }
 
-    /// Targets that may get new work: usable, and in no emptied hall.
-    fn usable_targets(&self, emptied: &EmptiedHalls) -> Vec<UsableTarget> {
-        let book = self.book.borrow();
-        let cold = self.cold.borrow();
-        let outside = book
-            .usable()
-            .filter(|target| !emptied.contains(&target.hall));
-        let targets = outside.map(|record| UsableTarget {
-            cold_until: cold.until(&record.incarnation.0),
-            record: record.clone(),
-        });
-        targets.collect()
-    }
-
-    /// Takes what the records at hand tell of cold spells.
-    fn take_cold_spells(&self) {
-        let book = self.book.borrow();
-        let cold = book.all().filter(|(_, record)| record.cold_ms > 0);
-        let cold = cold.map(|(revision, record)| ColdRecord {
-            incarnation: &record.incarnation.0,
-            revision,
-            cold_ms: record.cold_ms,
-        });
-        self.cold.borrow_mut().take(self.clock.now(), cold);
-    }
-
-    /// Names of services that have usable targets, all of them in emptied halls.
-    fn emptied_services(&self, emptied: &EmptiedHalls) -> BTreeSet<String> {
-        let book = self.book.borrow();
-        let (inside, outside): (Vec<_>, Vec<_>) = book
-            .usable()
-            .partition(|target| emptied.contains(&target.hall));
-        let inside = inside.into_iter().map(|target| &target.service);
-        let is_outside = |name: &&String| outside.iter().any(|target| target.service == **name);
-        inside.filter(|name| !is_outside(name)).cloned().collect()
-    }
-
     /// One record for each host: that of its newest run. The record of a run that
     /// was killed stays until its lease is over.
     fn newest_peers(&self) -> Vec<PeerRecord> {
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -8,13 +8,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hollowsail_connect::{Pool, PoolRules, WholeAnswer};
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use hollowsail_connect::{Pool, PoolRules};
 use rand::seq::IndexedRandom;
-use snafu::Snafu;
 
+use super::ask::{self, AskError};
 use super::Control;
 use crate::peers::{StateAnswer, StateAsk, STATE_PATH};
 
@@ -25,29 +22,6 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(350);
 /// Peers asked at a time: one of them may be as cut off as this entry.
 const PEERS_ASKED: usize = 2;
-/// Longest answer read, in bytes: a configuration and the records of a large
-/// fleet.
-const MOST_ANSWER_BYTES: usize = 8 << 20;
-
-/// Why a peer told nothing.
-#[derive(Debug, Snafu)]
-enum AskError {
-    #[snafu(display("{source}"))]
-    Send {
-        source: hollowsail_connect::SendError,
-    },
-    #[snafu(display("the answer broke off: {source}"))]
-    CutOff {
-        source: hollowsail_connect::BodyError,
-    },
-    #[snafu(display("no answer in time"))]
-    Silent,
-    #[snafu(display("status {status}"))]
-    Status { status: StatusCode },
-    #[snafu(display("unreadable: {source}; do all entries run one build?"))]
-    Malformed { source: rmp_serde::decode::Error },
-}
-
 /// Asks as long as the thread runs, whenever the store is away.
 pub async fn follow(cx: Rc<Control>) {
     loop {
@@ -55,7 +29,7 @@
             cx.store_lost.notified().await;
         }
         for addr in choose_peers(&cx) {
-            match ask(&cx, addr).await {
+            match ask_peer(&cx, addr).await {
                 Ok(answer) => cx.take_state(answer),
                 Err(err) => log::debug!("peer {addr} told nothing: {err}"),
             }
@@ -79,7 +53,7 @@
         .collect()
 }
 
-async fn ask(cx: &Control, addr: SocketAddr) -> Result<StateAnswer, AskError> {
+async fn ask_peer(cx: &Control, addr: SocketAddr) -> Result<StateAnswer, AskError> {
     let rules = PoolRules {
         dial_within: ANSWER_WITHIN,
         max_idle: 0,
@@ -90,25 +64,13 @@
         records: cx.records_revision.get(),
         emptied: cx.emptied.borrow().as_of(),
     };
-    let body = rmp_serde::to_vec(&question).expect("this type always encodes");
-    let req = Request::post(STATE_PATH)
-        .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::from(body)))
-        .expect("the path is valid");
-    let pool = Pool::new(addr, rules);
-    tokio::time::timeout(ANSWER_WITHIN, pool.call(req, MOST_ANSWER_BYTES))
-        .await
-        .map_err(|_| AskError::Silent)?
-        .map_err(|source| AskError::Send { source })
-        .and_then(read_answer)
-}
-
-fn read_answer(answer: WholeAnswer) -> Result<StateAnswer, AskError> {
-    let whole = answer.body.map_err(|source| AskError::CutOff { source })?;
-    let status = answer.head.status;
-    let body = whole.filter(|_| status == StatusCode::OK);
-    let body = body.ok_or(AskError::Status { status })?;
-    rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
+    ask::ask(
+        &Pool::new(addr, rules),
+        STATE_PATH,
+        &question,
+        ANSWER_WITHIN,
+    )
+    .await
 }
 
 impl Control {
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -13,17 +13,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use hollowsail_connect::{Pool, PoolRules, WholeAnswer};
+use hollowsail_connect::{Pool, PoolRules};
 use hollowsail_fleet::ownership::Candidate;
 use hollowsail_fleet::readers;
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Changes, Revision, StoreError};
 use hollowsail_routing::Millis;
-use http::{Request, StatusCode};
-use http_body_util::Full;
-use snafu::Snafu;
 
+use super::ask::{self, AskError};
 use super::Control;
 use crate::feed::{FeedAnswer, FeedAsk, Keys, FEED_PATH};
 use crate::peers::PeerRecord;
@@ -52,9 +49,6 @@
 const NOT_READING_FOR_MS: Millis = 1_500;
 /// Longest time for a connection to a reader: a hop inside a hall takes a millisecond.
 const DIAL_WITHIN: Duration = Duration::from_millis(300);
-/// Longest answer read, in bytes: the changes that a reader keeps.
-const MOST_ANSWER_BYTES: usize = 8 << 20;
-
 /// Who told of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Teller {
@@ -71,25 +65,6 @@
     Reader(PeerRecord),
 }
 
-/// Why a reader told nothing.
-#[derive(Debug, Snafu)]
-enum AskError {
-    #[snafu(display("{source}"))]
-    Send {
-        source: hollowsail_connect::SendError,
-    },
-    #[snafu(display("the answer broke off: {source}"))]
-    CutOff {
-        source: hollowsail_connect::BodyError,
-    },
-    #[snafu(display("no answer in time"))]
-    Silent,
-    #[snafu(display("status {status}"))]
-    Status { status: StatusCode },
-    #[snafu(display("unreadable: {source}; do all entries run one build?"))]
-    Malformed { source: rmp_serde::decode::Error },
-}
-
 /// What is remembered of the readers of this entry's hall.
 #[derive(Default)]
 pub struct Readers {
@@ -215,22 +190,13 @@
             Keys::Operators | Keys::Targets => TOLD_WITHIN,
             Keys::Entries => ENTRIES_TOLD_WITHIN,
         };
-        let ask = FeedAsk {
+        let question = FeedAsk {
             keys,
             after,
             wait_ms: wait.as_millis() as u64,
         };
-        let body = rmp_serde::to_vec(&ask).expect("this type always encodes");
-        let req = Request::post(FEED_PATH)
-            .header(http::header::HOST, "peer")
-            .body(Full::new(Bytes::from(body)))
-            .expect("the path is valid");
         let pool = self.pool_of(reader.addr);
-        tokio::time::timeout(wait + ANSWER_SLACK, pool.call(req, MOST_ANSWER_BYTES))
-            .await
-            .map_err(|_| AskError::Silent)?
-            .map_err(|source| AskError::Send { source })
-            .and_then(read_answer)
+        ask::ask(&pool, FEED_PATH, &question, wait + ANSWER_SLACK).await
     }
 
     fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
@@ -246,11 +212,3 @@
             .clone()
     }
 }
-
-fn read_answer(answer: WholeAnswer) -> Result<FeedAnswer, AskError> {
-    let whole = answer.body.map_err(|source| AskError::CutOff { source })?;
-    let status = answer.head.status;
-    let body = whole.filter(|_| status == StatusCode::OK);
-    let body = body.ok_or(AskError::Status { status })?;
-    rmp_serde::from_slice(&body).map_err(|source| AskError::Malformed { source })
-}
--- /dev/null
+++ b/crates/gateway/src/control/usable.rs
@@ -0,0 +1,47 @@
+//! Which targets traffic may use, by all that control knows.
+
+use std::collections::BTreeSet;
+
+use hollowsail_fleet::{ColdRecord, EmptiedHalls};
+
+use super::Control;
+use crate::view::UsableTarget;
+
+impl Control {
+    /// Targets that may get new work: usable, and in no emptied hall.
+    pub(super) fn usable_targets(&self, emptied: &EmptiedHalls) -> Vec<UsableTarget> {
+        let book = self.book.borrow();
+        let cold = self.cold.borrow();
+        let outside = book
+            .usable()
+            .filter(|target| !emptied.contains(&target.hall));
+        let targets = outside.map(|record| UsableTarget {
+            cold_until: cold.until(&record.incarnation.0),
+            record: record.clone(),
+        });
+        targets.collect()
+    }
+
+    /// Takes what the records at hand tell of cold spells.
+    pub(super) fn take_cold_spells(&self) {
+        let book = self.book.borrow();
+        let cold = book.all().filter(|(_, record)| record.cold_ms > 0);
+        let cold = cold.map(|(revision, record)| ColdRecord {
+            incarnation: &record.incarnation.0,
+            revision,
+            cold_ms: record.cold_ms,
+        });
+        self.cold.borrow_mut().take(self.clock.now(), cold);
+    }
+
+    /// Names of services that have usable targets, all of them in emptied halls.
+    pub(super) fn emptied_services(&self, emptied: &EmptiedHalls) -> BTreeSet<String> {
+        let book = self.book.borrow();
+        let (inside, outside): (Vec<_>, Vec<_>) = book
+            .usable()
+            .partition(|target| emptied.contains(&target.hall));
+        let inside = inside.into_iter().map(|target| &target.service);
+        let is_outside = |name: &&String| outside.iter().any(|target| target.service == **name);
+        inside.filter(|name| !is_outside(name)).cloned().collect()
+    }
+}
