--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod arrivals;
 mod chaos;
 mod day;
+mod groups;
 mod history;
 mod scenario;
 
