--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! One loop follows the operators' keys, another the targets' records,
 //! a third the entries' own ([`follow`]); a fourth keeps this entry's record
-//! there ([`own_record`]). While the store doesn't answer, [`peer_state`] asks
-//! peers that may still hear from it. All publish through [`Control::publish`].
+//! there ([`own_record`]). Changes come from the store itself or from a reader of this
+//! entry's hall ([`source`]). While the store doesn't answer, [`peer_state`] asks peers that
+//! may still hear from it. All publish through [`Control::publish`], which tells traffic
+//! what it may use ([`usable`]).
 
 mod ask;
 mod backoff;
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -67,7 +67,7 @@
 }
 
 /// False while a target is cold and has had this entry's share, or that share isn't
-/// known yet.
+/// known yet since no list of entries came.
 fn may_get_one(cx: &Traffic, target: &Target, share: f64) -> bool {
     if target.cold.get().is_none() {
         return true;
