Say once what a peer is asked with, who may own, and what an outage heard of means

Read again as a whole, the change had written some things twice or in the wrong place: - a request to a peer was built in the link and in control's questions: one function; - finding one owner collected and sorted all entries, on the path of each piece; it takes the largest score again, by the same rule as finding several; - a heard outage was put into each book by hand: the book does it; - services without a hall left were found by a walk within a walk: a difference of sets; - the readers' hall was picked out of copies of all entries' records, at each question: only the hall's are copied. Behaviour is unchanged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,9 +6,9 @@
 //! a carrier of member records and leaving hosts, and a comparison of
 //! configuration revisions. [`Accept`] drives an apply through the store, and
 //! [`TargetBook`] keeps which targets there are, [`Newest`] the newest version of
-//! what is replaced as a whole, [`EmptiedHalls`] what operators empty, and [`ownership`] gives what one entry should
-//! decide its owner. All state machines are pure:
-//! time and seeded randomness come in as arguments, [`Output`]s go out.
+//! what is replaced as a whole, [`EmptiedHalls`] what operators empty, and
+//! [`ownership`] gives what one entry should decide its owner. All state machines are
+//! pure: time and seeded randomness come in as arguments, [`Output`]s go out.
 
 pub mod accept;
 pub mod cold_spells;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -26,7 +26,7 @@
     what: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
 ) -> Option<usize> {
-    owners(what, candidates, 1).first().copied()
+    scored(what, candidates).max().map(|(_, at)| at)
 }
 
 /// Positions of so many owners of `what` at the most, the first one first.
@@ -35,15 +35,25 @@
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
     most: usize,
 ) -> Vec<usize> {
+    let mut scored: Vec<(u64, usize)> = scored(what, candidates).collect();
+    scored.sort_unstable_by_key(|scored| Reverse(*scored));
+    scored.into_iter().take(most).map(|(_, at)| at).collect()
+}
+
+/// The entries that may own something: the score of each for `what`, and its position.
+fn scored<'a, 'w, I>(
+    what: &'w str,
+    candidates: I,
+) -> impl Iterator<Item = (u64, usize)> + use<'a, 'w, I>
+where
+    I: Iterator<Item = Candidate<'a>> + Clone,
+{
     let all_slow = candidates.clone().all(|entry| entry.is_slow);
-    let keeps_up = |entry: &Candidate<'a>| all_slow || !entry.is_slow;
+    let keeps_up = move |entry: &Candidate<'a>| all_slow || !entry.is_slow;
     let well = candidates.clone().filter(keeps_up);
     let largest = well.map(|entry| entry.capacity).max().unwrap_or(0);
-    let mut scored: Vec<(u64, usize)> = candidates
+    candidates
         .enumerate()
-        .filter(|(_, entry)| keeps_up(entry) && entry.capacity >= largest / 2)
-        .map(|(at, entry)| (rendezvous::score(what, entry.host), at))
-        .collect();
-    scored.sort_unstable_by_key(|scored| Reverse(*scored));
-    scored.into_iter().take(most).map(|(_, at)| at).collect()
+        .filter(move |(_, entry)| keeps_up(entry) && entry.capacity >= largest / 2)
+        .map(move |(at, entry)| (rendezvous::score(what, entry.host), at))
 }
--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -87,6 +87,14 @@
         was_away
     }
 
+    /// The store was away until about now, by the word of somebody who noticed.
+    pub fn told_of_outage(&mut self, now: Millis) {
+        if !self.is_unsettled(now) {
+            self.store_away();
+            self.store_back(now);
+        }
+    }
+
     /// True while a missing record proves nothing.
     pub fn is_unsettled(&self, now: Millis) -> bool {
         match self.store {
--- a/crates/gateway/src/control/ask.rs
+++ b/crates/gateway/src/control/ask.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hollowsail_connect::{Pool, WholeAnswer};
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use snafu::Snafu;
 
+use crate::peers;
+
 /// Longest answer read, in bytes: a configuration and the records of a large fleet.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
@@ -40,11 +40,7 @@
     question: &impl Serialize,
     within: Duration,
 ) -> Result<A, AskError> {
-    let body = rmp_serde::to_vec(question).expect("questions always encode");
-    let req = Request::post(path)
-        .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::from(body)))
-        .expect("the path is valid");
+    let req = peers::request(path, question);
     tokio::time::timeout(within, pool.call(req, MOST_ANSWER_BYTES))
         .await
         .map_err(|_| AskError::Silent)?
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -148,16 +148,16 @@
             emptied_services: self.emptied_services(&emptied),
             emptied,
             records: self.records_for_peers(),
-            peers: self.newest_peers(),
+            peers: self.newest_peers(|_| true),
         });
     }
 
-    /// One record for each host: that of its newest run. The record of a run that
-    /// was killed stays until its lease is over.
-    fn newest_peers(&self) -> Vec<PeerRecord> {
+    /// One record for each host whose records fit: that of its newest run. The record of
+    /// a run that was killed stays until its lease is over.
+    fn newest_peers(&self, fits: impl Fn(&PeerRecord) -> bool) -> Vec<PeerRecord> {
         let book = self.peers.borrow();
         let mut newest: BTreeMap<&str, (Revision, &PeerRecord)> = BTreeMap::new();
-        for (revision, peer) in book.all() {
+        for (revision, peer) in book.all().filter(|(_, peer)| fits(peer)) {
             let known = newest.entry(&peer.host).or_insert((revision, peer));
             if revision > known.0 {
                 *known = (revision, peer);
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -22,6 +22,7 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(350);
 /// Peers asked at a time: one of them may be as cut off as this entry.
 const PEERS_ASKED: usize = 2;
+
 /// Asks as long as the thread runs, whenever the store is away.
 pub async fn follow(cx: Rc<Control>) {
     loop {
--- a/crates/gateway/src/control/settle.rs
+++ b/crates/gateway/src/control/settle.rs
@@ -27,17 +27,10 @@
     /// A reader says that the store was away until lately, which this entry may not have
     /// noticed: it asks the store itself only now and then.
     pub(super) fn hear_of_outage(&self, teller: Teller) {
-        let now = self.clock.now();
-        if teller != (Teller::Reader { is_unsettled: true }) {
-            return;
-        }
-        if !self.book.borrow().is_unsettled(now) {
-            self.book.borrow_mut().store_away();
-            self.book.borrow_mut().store_back(now);
-        }
-        if !self.peers.borrow().is_unsettled(now) {
-            self.peers.borrow_mut().store_away();
-            self.peers.borrow_mut().store_back(now);
+        if teller == (Teller::Reader { is_unsettled: true }) {
+            let now = self.clock.now();
+            self.book.borrow_mut().told_of_outage(now);
+            self.peers.borrow_mut().told_of_outage(now);
         }
     }
 
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -49,6 +49,7 @@
 const NOT_READING_FOR_MS: Millis = 1_500;
 /// Longest time for a connection to a reader: a hop inside a hall takes a millisecond.
 const DIAL_WITHIN: Duration = Duration::from_millis(300);
+
 /// Who told of changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Teller {
@@ -130,8 +131,7 @@
                 for_others: false,
             };
         }
-        let mut hall = self.newest_peers();
-        hall.retain(|peer| peer.hall == self.me.hall);
+        let hall = self.newest_peers(|peer| peer.hall == self.me.hall);
         let entries = hall.iter().map(|peer| Candidate {
             host: &peer.host,
             capacity: peer.capacity,
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -37,11 +37,12 @@
     /// Names of services that have usable targets, all of them in emptied halls.
     pub(super) fn emptied_services(&self, emptied: &EmptiedHalls) -> BTreeSet<String> {
         let book = self.book.borrow();
-        let (inside, outside): (Vec<_>, Vec<_>) = book
-            .usable()
-            .partition(|target| emptied.contains(&target.hall));
-        let inside = inside.into_iter().map(|target| &target.service);
-        let is_outside = |name: &&String| outside.iter().any(|target| target.service == **name);
-        inside.filter(|name| !is_outside(name)).cloned().collect()
+        let services = |is_inside: bool| -> BTreeSet<&str> {
+            let targets = book.usable();
+            let there = targets.filter(|target| emptied.contains(&target.hall) == is_inside);
+            there.map(|target| target.service.as_str()).collect()
+        };
+        let missing = &services(true) - &services(false);
+        missing.into_iter().map(str::to_string).collect()
     }
 }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -14,12 +14,11 @@
 use hollowsail_connect::{Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
-use http::{Request, StatusCode};
-use http_body_util::Full;
+use http::StatusCode;
 use snafu::Snafu;
 use tokio::sync::oneshot;
 
-use super::messages::{Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
+use super::messages::{self, Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
 use super::record::PeerRecord;
 use crate::traffic::Traffic;
 
@@ -242,11 +241,7 @@
     }
 
     async fn post(&self, envelope: &Envelope) -> Result<(), LinkError> {
-        let body = rmp_serde::to_vec(envelope).expect("these types always encode");
-        let req = Request::post(PATH)
-            .header(http::header::HOST, "peer")
-            .body(Full::new(Bytes::from(body)))
-            .expect("the path is valid");
+        let req = messages::request(PATH, envelope);
         // A run that is another one tells who it is; else there is no body.
         let answer = self
             .pool
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -2,10 +2,13 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
 use hollowsail_stages::{QueueLoad, WorkerState};
+use http::Request;
+use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use super::record::{PeerId, PeerRecord};
@@ -13,6 +16,15 @@
 /// Path that takes an [`Envelope`].
 pub const PATH: &str = "/hollowsail/messages";
 
+/// A request to a peer, which reads its body in MessagePack.
+pub fn request(path: &str, body: &impl Serialize) -> Request<Full<Bytes>> {
+    let body = rmp_serde::to_vec(body).expect("what peers are told always encodes");
+    Request::post(path)
+        .header(http::header::HOST, "peer")
+        .body(Full::new(Bytes::from(body)))
+        .expect("the path is valid")
+}
+
 /// Some messages from one entry to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Envelope {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -27,7 +27,7 @@
 pub use link::Link;
 pub use listen::start;
 pub use messages::{
-    Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
+    request, Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
     WorkerAtHandOver,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
