Tell in the logs when two requests are the same, and when a target has ended

A failed attempt now names the request's content (a hash of organisation, method, host, path and body), and a target whose answer broke off is asked for a connection: refused, it has ended, which target_ended says. The hash is worked out for failed attempts alone.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod request;
 mod start;
 mod stop;
+mod target_end;
 mod target_group;
 mod targets;
 mod traffic;
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -1,5 +1,6 @@
 //! Reads a request whole and finds what governs it.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -8,10 +9,12 @@
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::{Deployment, OrganisationKey, Route, RouteKey};
 use hollowsail_platform::heads::CallerHead;
+use hollowsail_routing::RequestDigest;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 
+use super::digest;
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
 use crate::traffic::{Stopping, Traffic};
@@ -49,6 +52,8 @@
     pub arrived: Instant,
     /// When the caller or the route gives the request up.
     pub until: Instant,
+    /// Worked out when it is first needed, which few requests do.
+    digest: OnceCell<RequestDigest>,
 }
 
 impl Admitted {
@@ -63,6 +68,11 @@
         first.map_or("none", |(key, _)| &self.deployment.service(*key).name)
     }
 
+    /// What makes it the same request as another one.
+    pub fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| digest::of(self))
+    }
+
     /// Time that is left.
     pub fn remaining(&self) -> Duration {
         self.until.saturating_duration_since(Instant::now())
@@ -164,6 +174,7 @@
         body,
         arrived,
         until,
+        digest: OnceCell::new(),
     })
 }
 
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -41,6 +41,8 @@
     pub retry_after: Option<Duration>,
     /// A result that the request was to start from is gone.
     pub inputs_gone: bool,
+    /// The connection ended before the answer did: the target itself may have.
+    pub is_cut_off: bool,
 }
 
 impl Failure {
@@ -51,6 +53,15 @@
             why: why.into(),
             retry_after: None,
             inputs_gone: false,
+            is_cut_off: false,
+        }
+    }
+
+    /// The connection ended before the answer did; the request may have run.
+    pub fn cut_off(why: impl Into<String>) -> Self {
+        Failure {
+            is_cut_off: true,
+            ..Failure::new(Progress::Broken, why)
         }
     }
 }
@@ -87,7 +98,7 @@
         Ok(Err(err)) if err.nothing_sent() => {
             return Err(Failure::new(Progress::NothingSent, err.to_string()))
         }
-        Ok(Err(err)) => return Err(Failure::new(Progress::Broken, err.to_string())),
+        Ok(Err(err)) => return Err(Failure::cut_off(err.to_string())),
         Err(_) => return Err(Failure::new(Progress::Broken, "no answer in time")),
     };
     let head = TargetHead::read(exchange.response().status(), exchange.response().headers());
@@ -133,6 +144,7 @@
             why: format!("the target refused with status {}", status.as_u16()),
             retry_after: head.retry_after,
             inputs_gone: status == heads::INPUTS_GONE,
+            is_cut_off: false,
         });
     }
     if head.request_id.as_deref() != Some(admitted.caller.request_id.as_str()) {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod admit;
 mod attempt;
 mod choose;
+mod digest;
 mod dispatch;
 mod events;
 mod find;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -76,7 +76,7 @@
             return Whole::Response(Box::new(passed_on(parts, whole_body(bytes))));
         }
         Ok(Ok(None)) => failure(format!("an answer of over {MOST_WHOLE_BYTES} bytes")),
-        Ok(Err(err)) => failure(format!("the answer broke off: {err}")),
+        Ok(Err(err)) => Failure::cut_off(format!("the answer broke off: {err}")),
         Err(_) => failure("the answer was not whole in time".to_string()),
     };
     match retry::take_failure(cx, admitted, sends, &target, failure) {
@@ -233,7 +233,7 @@
         if let Some(placed) = &mut self.answered.placed {
             placed.failed();
         }
-        let failure = Failure::new(Progress::Broken, why);
+        let failure = Failure::cut_off(why);
         let target = self.answered.target.clone();
         let (cx, admitted) = (&self.cx.clone(), &self.admitted.clone());
         if retry::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -35,6 +35,9 @@
     if progress != Progress::FinalRefusal {
         count_against(cx, sends.service, target);
     }
+    if failure.is_cut_off {
+        look_for_end(cx, admitted, target);
+    }
     sends.failed(target, failure);
     if admitted.remaining().is_zero() {
         return Err(sends.out_of_time());
@@ -52,8 +55,9 @@
     cx.log.line(
         events::ATTEMPT_FAILED,
         format_args!(
-            "request={} target={} progress={progress:?} why=\"{}\"",
+            "request={} content={} target={} progress={progress:?} why=\"{}\"",
             admitted.caller.request_id,
+            admitted.digest(),
             target.incarnation().0,
             failure.why,
         ),
@@ -65,6 +69,21 @@
     metrics::count_attempt(&target.record.service, outcome);
 }
 
+/// Finds out whether a target that broke an answer off has ended.
+fn look_for_end(cx: &Rc<Traffic>, admitted: &Admitted, target: &Rc<Target>) {
+    let (cx, target) = (cx.clone(), target.clone());
+    let (request_id, digest) = (admitted.caller.request_id.clone(), admitted.digest());
+    actix_rt::spawn(async move {
+        if target.has_ended().await {
+            let fields = format_args!(
+                "request={request_id} content={digest} target={}",
+                target.incarnation().0
+            );
+            cx.log.line(events::TARGET_ENDED, fields);
+        }
+    });
+}
+
 /// Notes a failure in a target's health, which may put targets out.
 fn count_against(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
     target.observe(Observation::Failed, 1);
--- /dev/null
+++ b/crates/gateway/src/target_end.rs
@@ -0,0 +1,67 @@
+//! Tells a target that ended from one whose connection broke.
+//!
+//! A process that has ended refuses connections until it starts again, some seconds
+//! later; one that dropped a connection, or is out of reach, doesn't. So when an answer
+//! breaks off the target is asked for a connection. All answers that break off together
+//! share one question.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
+use hollowsail_connect::{dial, DialError};
+
+/// Longest time for a connection: a hop takes a few milliseconds.
+const DIAL_WITHIN: Duration = Duration::from_millis(400);
+/// Questions at most: one may be lost on the way.
+const MOST_DIALS: u32 = 2;
+/// How long an answer holds for others whose answers broke off at about the same time:
+/// no target is back sooner.
+const HOLDS_FOR: Duration = Duration::from_millis(800);
+
+/// The question whether a target has ended.
+#[derive(Default)]
+pub struct EndCheck {
+    asked: RefCell<Option<Asked>>,
+}
+
+struct Asked {
+    at: Instant,
+    answer: Shared<LocalBoxFuture<'static, bool>>,
+}
+
+impl EndCheck {
+    /// True when no process listens at the target's address.
+    pub async fn has_ended(&self, addr: SocketAddr) -> bool {
+        let answer = {
+            let mut asked = self.asked.borrow_mut();
+            match &*asked {
+                Some(known) if known.at.elapsed() < HOLDS_FOR => known.answer.clone(),
+                _ => {
+                    let answer = refuses(addr).boxed_local().shared();
+                    *asked = Some(Asked {
+                        at: Instant::now(),
+                        answer: answer.clone(),
+                    });
+                    answer
+                }
+            }
+        };
+        answer.await
+    }
+}
+
+/// True when an address refuses a connection; silence proves nothing.
+async fn refuses(addr: SocketAddr) -> bool {
+    for _ in 0..MOST_DIALS {
+        match dial(addr, DIAL_WITHIN).await {
+            Ok(_) => return false,
+            Err(DialError::Refused { source, .. }) => {
+                return source.kind() == std::io::ErrorKind::ConnectionRefused;
+            }
+            Err(DialError::Silent { .. }) => {}
+        }
+    }
+    false
+}
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -11,6 +11,7 @@
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Cold, ColdGate, HealthRules, Millis, Observation, TargetHealth};
 
+use crate::target_end::EndCheck;
 use crate::view::{UsableTarget, View};
 
 /// Longest time for a connection to a target: a lost opening packet is sent
@@ -37,6 +38,7 @@
     pub cold: Cell<Option<Cold>>,
     /// When this entry may send to it while it is cold.
     gate: Cell<ColdGate>,
+    end: EndCheck,
 }
 
 /// Counts a request at a target until it is dropped.
@@ -60,9 +62,15 @@
             health: RefCell::default(),
             cold: Cell::default(),
             gate: Cell::default(),
+            end: EndCheck::default(),
         })
     }
 
+    /// True when its process isn't there any more, after an answer of its broke off.
+    pub async fn has_ended(&self) -> bool {
+        self.end.has_ended(self.record.addr).await
+    }
+
     /// Which start of the target this is.
     pub fn incarnation(&self) -> &Incarnation {
         &self.record.incarnation
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod progress;
 pub mod queue;
 pub mod reading;
+pub mod request_digest;
 
 pub use admission::{admit, longest_way, Holding, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
@@ -36,6 +37,7 @@
 };
 pub use queue::{Rank, WaitQueue};
 pub use reading::ReadingTimes;
+pub use request_digest::RequestDigest;
 
 /// Milliseconds since the owning process started.
 pub type Millis = u64;
