--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! The daemon against small fakes of the platform, on loopback sockets.
 
 mod cold;
+mod crashing;
 mod emptied;
 mod fixture;
 mod forwarding;
