Refuse a request everywhere after three targets have ended under it

Cause: an entry took a stream that its target's end broke off for a failure of the target, and nothing anywhere counted what ended under a request. Sent again by its caller under a new id, one request took down every engine.

Ruled out: sends of our own (attempts=1); a limit on a caller's repeats, which can't tell a fatal request from a good one that ran beside it; a count at each entry alone, which lets a fleet of 300 lose 900 targets; a broadcast of each crash, 18,000 messages when one of 160 engines ends under a fleet of 295.

Change: whoever's target ended reports it to the one entry that counts for that request. From the second target on all are told and run it apart, at the third all refuse it, and the platform's store keeps that for entries that start later, under a lease. A whole answer acquits. A crash counts only for a run that was sent after the one counted before, so that targets which end together count once. Refused for a minute at first, then twice as long each time.

One watch follows all that entries write (hollowsail/): two tests name that prefix now instead of hollowsail/peers/.

--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -120,6 +120,7 @@
                     results: results
                         .map(|(hall, bytes)| (hall_name(*hall), *bytes))
                         .collect(),
+                    is_suspect: false,
                 };
                 let (key, engine) = self.desk.place(now, &demand, affinity)?;
                 Some((engine, Some(key)))
--- a/crates/bench/tests/suite/groups.rs
+++ b/crates/bench/tests/suite/groups.rs
@@ -101,6 +101,7 @@
             prompt_tokens: PART_TOKENS + 3_700,
             avoid: Vec::new(),
             results: Vec::new(),
+            is_suspect: false,
         };
         let placed = desk.place(now, &demand, |engine| rendezvous::score(&name, engine));
         let (key, engine) = placed.expect("there are engines");
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -20,10 +20,13 @@
 /// history (20 s at the least), so that a watch can go on after a pause.
 const MOST_WATCH_PAUSE: Duration = Duration::from_secs(8);
 
-/// The keys of the entries' records.
+/// What entries write: their own records, and the requests that they refuse.
+const WRITTEN: &str = "hollowsail/";
+
+/// The keys that entries write.
 pub const FOLLOWED: Followed = Followed {
     keys: Keys::Entries,
-    prefix: PREFIX,
+    prefix: WRITTEN,
     may_begin_old: true,
     probes: false,
     // Owners are decided on the whole list.
@@ -52,6 +55,7 @@
         for item in &range.items {
             self.take_peer(item);
         }
+        self.take_refused_list(&range.items);
         let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let now = self.clock.now();
         let gone = self
@@ -73,6 +77,7 @@
         let mut changed = false;
         for change in &changes.changes {
             changed |= self.take_peer_change(change, teller);
+            changed |= self.take_refused_change(change, teller);
         }
         if changed {
             self.publish();
@@ -80,6 +85,9 @@
     }
 
     fn take_peer(&self, item: &Item) -> bool {
+        if !item.key.starts_with(PREFIX) {
+            return false;
+        }
         let record: PeerRecord = match rmp_serde::from_slice(&item.value) {
             Ok(record) => record,
             Err(err) => {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -18,6 +18,7 @@
 mod pauses;
 mod peer_state;
 mod records;
+mod refusals;
 mod settle;
 mod source;
 mod usable;
@@ -40,6 +41,7 @@
 use self::pauses::WatchPauses;
 use self::source::Readers;
 use crate::clock::Clock;
+use crate::crashes::{Refused, ToStore};
 use crate::feed::Feeds;
 use crate::log::Log;
 use crate::metrics;
@@ -77,6 +79,8 @@
     /// This entry.
     me: PeerRecord,
     peers: RefCell<TargetBook<PeerRecord>>,
+    /// Requests that the store or a peer lists as refused.
+    refused: RefCell<Refused>,
     /// Shortest lease that the store gives.
     shortest_lease: Duration,
     /// Lease of this entry's record, while it has one.
@@ -116,6 +120,7 @@
             seeds: settings.seeds.clone(),
             me,
             peers: RefCell::new(TargetBook::new(timing)),
+            refused: RefCell::default(),
             shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
@@ -124,11 +129,12 @@
     }
 
     /// Starts the loops on this thread.
-    pub fn spawn(self: &Rc<Self>) {
+    pub fn spawn(self: &Rc<Self>, refused: ToStore) {
         actix_rt::spawn(follow::follow(self.clone(), operators::FOLLOWED));
         actix_rt::spawn(follow::follow(self.clone(), records::FOLLOWED));
         actix_rt::spawn(own_record::keep(self.clone()));
         actix_rt::spawn(follow::follow(self.clone(), membership::FOLLOWED));
+        actix_rt::spawn(refusals::keep(self.clone(), refused));
         actix_rt::spawn(peer_state::follow(self.clone()));
     }
 
@@ -149,6 +155,7 @@
             emptied,
             records: self.records_for_peers(),
             peers: self.newest_peers(|_| true),
+            refused: self.refused.borrow().clone(),
         });
     }
 
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -84,6 +84,7 @@
             self.take_source(source, "peer");
         }
         self.adopt_peers(answer.peers);
+        self.adopt_refused(answer.refused);
         if let Some(records) = answer.records {
             self.adopt_records(records);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 mod callers;
 mod clock;
 mod control;
+mod crashes;
 mod feed;
 mod log;
 mod mechanisms;
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -188,10 +188,20 @@
     }
 
     /// A message that the peer didn't get. Results that it was to give up are
-    /// given up here; all else is of no use without the peer.
+    /// given up here, and what it was to count is counted here; all else is of no use
+    /// without the peer.
     fn undelivered(&self, message: Message) {
-        if let (Message::Free(spent), Some(cx)) = (message, self.cx.upgrade()) {
-            cx.pools.free(&cx, &spent);
+        let Some(cx) = self.cx.upgrade() else { return };
+        match message {
+            Message::Free(spent) => cx.pools.free(&cx, &spent),
+            Message::TargetEnded {
+                request,
+                sent_ago_ms,
+            } => {
+                let sent_ago = Duration::from_millis(sent_ago_ms);
+                cx.crashes.count(&cx, request, sent_ago);
+            }
+            _ => {}
         }
     }
 
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -2,6 +2,7 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -144,6 +145,7 @@
         emptied: emptied.cloned(),
         records: records.map(RecordsAt::from),
         peers: view.peers.clone(),
+        refused: cx.crashes.refused(cx),
     };
     Ok(rmp_serde::to_vec(&answer)
         .expect("these types always encode")
@@ -172,6 +174,14 @@
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
+        Message::TargetEnded {
+            request,
+            sent_ago_ms,
+        } => {
+            let sent_ago = Duration::from_millis(sent_ago_ms);
+            cx.crashes.count(cx, request, sent_ago);
+        }
+        Message::Standing { request, standing } => cx.crashes.told(cx, request, standing),
         Message::Ended(id, end) => {
             let link = cx.peers.link_to(cx, from);
             if !link.ended(id, end) {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::Demand;
+use hollowsail_routing::{Demand, RequestDigest};
 use hollowsail_stages::{QueueLoad, WorkerState};
 use http::Request;
 use http_body_util::Full;
@@ -85,6 +85,29 @@
     Load { queue: String, load: QueueLoad },
     /// To the owner: a result that nobody needs any more.
     Free(SpentResult),
+    /// To the entry that counts for a request: a target ended while it ran it.
+    TargetEnded {
+        request: RequestDigest,
+        /// How long ago the request was sent to that target, in milliseconds.
+        sent_ago_ms: u64,
+    },
+    /// To every entry: what is known of a request that ended targets.
+    Standing {
+        request: RequestDigest,
+        standing: ToldStanding,
+    },
+}
+
+/// What is known of a request that ended targets; a moment of one entry is none of
+/// another's, so times are told as what is left of them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ToldStanding {
+    /// It was answered whole.
+    Unsuspected,
+    /// It runs apart from others.
+    Suspect,
+    /// It is refused for so many milliseconds.
+    Refused { for_ms: u64 },
 }
 
 /// How a piece ended at its queue's owner.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -28,7 +28,7 @@
 pub use listen::start;
 pub use messages::{
     request, Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
-    WorkerAtHandOver,
+    ToldStanding, WorkerAtHandOver,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
@@ -237,6 +237,13 @@
         link.clone()
     }
 
+    /// A link to each other live entry.
+    pub fn links_to_all(&self, cx: &Rc<Traffic>) -> Vec<Rc<Link>> {
+        let live = self.live.borrow();
+        let others = live.iter().filter(|peer| peer.id != cx.me.id);
+        others.map(|peer| self.link_to(cx, peer)).collect()
+    }
+
     /// A peer says whether it keeps up with its work.
     pub fn told_pace(&self, cx: &Rc<Traffic>, peer: PeerId, is_slow: bool) {
         let mut slow = self.slow.borrow_mut();
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -6,6 +6,7 @@
 
 use hollowsail_fleet::EmptiedHalls;
 use hollowsail_platform::targets::TargetRecord;
+use hollowsail_routing::RequestDigest;
 use serde::{Deserialize, Serialize};
 
 use super::record::PeerRecord;
@@ -37,6 +38,9 @@
     pub records: Option<RecordsAt>,
     /// Live entries as the answering one knows them.
     pub peers: Vec<PeerRecord>,
+    /// Requests that are refused since they end targets, and for how much longer, in
+    /// milliseconds.
+    pub refused: Vec<(RequestDigest, u64)>,
 }
 
 /// All targets' records as of a revision of the store.
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -41,6 +41,7 @@
     generation: &Generation,
     prepared: &Prepared,
     avoid: Vec<Incarnation>,
+    is_suspect: bool,
 ) -> Option<Demand<Incarnation>> {
     Some(Demand {
         from_hall: cx.me.hall.clone(),
@@ -49,6 +50,7 @@
         prompt_tokens: generation.prompt_tokens,
         avoid,
         results: prepared.bytes_by_hall(),
+        is_suspect,
     })
 }
 
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -14,7 +14,7 @@
 use super::attempt::{self, Answered, Send};
 use super::prepare::Prepared;
 use super::sends::Sends;
-use super::{find, relay, retry, Trace};
+use super::{find, relay, retry, unservable, Trace};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
 use crate::traffic::Traffic;
@@ -60,6 +60,7 @@
         if admitted.remaining().is_zero() {
             return Err(sends.out_of_time());
         }
+        unservable::may_run(cx, admitted).map_err(|refusal| sends.refused(refusal))?;
         let (target, placed) = find::next_target(cx, admitted, prepared, sends)
             .await
             .ok_or_else(|| sends.refusal(ErrorKind::NoTarget))?;
@@ -69,6 +70,7 @@
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
         sends.last_target.clone_from(&target.incarnation().0);
+        sends.last_sent = Instant::now();
         match attempt::run(admitted, &target, &send).await {
             Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -72,6 +72,7 @@
         Ok(Ok(Some(bytes))) => {
             if !parts.status.is_server_error() {
                 record_answer(cx, admitted, sends, &target);
+                acquit(cx, admitted);
             }
             return Whole::Response(Box::new(passed_on(parts, whole_body(bytes))));
         }
@@ -88,6 +89,13 @@
     }
 }
 
+/// A whole answer shows that a request ends no target.
+fn acquit(cx: &Rc<Traffic>, admitted: &Admitted) {
+    if !cx.crashes.is_empty() {
+        cx.crashes.served(cx, admitted.digest());
+    }
+}
+
 /// Notes the time of an answer in its target's health and its service's window.
 fn record_answer(cx: &Traffic, admitted: &Admitted, sends: &Sends, target: &Target) {
     let ms = admitted.arrived.elapsed().as_millis() as u64;
@@ -210,6 +218,7 @@
         if let Some(placed) = &mut self.answered.placed {
             placed.whole();
         }
+        acquit(&self.cx, &self.admitted);
         let rest = self.cutter.take_rest();
         (!rest.is_empty()).then_some(Ok(rest))
     }
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -1,6 +1,7 @@
 //! Decides what follows an attempt that failed: another send, or the end.
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
@@ -36,7 +37,7 @@
         count_against(cx, sends.service, target);
     }
     if failure.is_cut_off {
-        look_for_end(cx, admitted, target);
+        look_for_end(cx, admitted, target, sends.last_sent);
     }
     sends.failed(target, failure);
     if admitted.remaining().is_zero() {
@@ -69,8 +70,8 @@
     metrics::count_attempt(&target.record.service, outcome);
 }
 
-/// Finds out whether a target that broke an answer off has ended.
-fn look_for_end(cx: &Rc<Traffic>, admitted: &Admitted, target: &Rc<Target>) {
+/// Finds out whether a target that broke an answer off has ended, and has that counted.
+fn look_for_end(cx: &Rc<Traffic>, admitted: &Admitted, target: &Rc<Target>, sent: Instant) {
     let (cx, target) = (cx.clone(), target.clone());
     let (request_id, digest) = (admitted.caller.request_id.clone(), admitted.digest());
     actix_rt::spawn(async move {
@@ -80,6 +81,7 @@
                 target.incarnation().0
             );
             cx.log.line(events::TARGET_ENDED, fields);
+            cx.crashes.target_ended(&cx, digest, sent);
         }
     });
 }
--- a/crates/gateway/src/request/sends.rs
+++ b/crates/gateway/src/request/sends.rs
@@ -1,7 +1,7 @@
 //! What is known of a request's sends, and what may be said of it by that.
 
 use std::collections::HashSet;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::ServiceKey;
@@ -27,6 +27,8 @@
     pub unreached: u32,
     /// Target of the last send, for the log.
     pub last_target: String,
+    /// When the last send was made; when nothing was sent, its request came.
+    pub last_sent: Instant,
     last_why: String,
     retry_after: Option<Duration>,
 }
@@ -41,6 +43,7 @@
             arrivals: 0,
             unreached: 0,
             last_target: String::new(),
+            last_sent: admitted.arrived,
             last_why: "nothing was sent".to_string(),
             retry_after: None,
         }
@@ -72,6 +75,14 @@
         }
     }
 
+    /// The same when a refusal of our own ends it.
+    pub fn refused(&self, refusal: Refusal) -> Refusal {
+        match stage_status(self.progress.iter().copied()) {
+            StageStatus::NotRun => refusal,
+            StageStatus::Unknown | StageStatus::Ran => self.refusal(refusal.kind),
+        }
+    }
+
     /// The same when the request's time is over.
     pub fn out_of_time(&self) -> Refusal {
         let mut refusal = self.refusal(ErrorKind::CannotFinish);
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -1,5 +1,6 @@
-//! Refuses at once a request for which a service is missing whole.
+//! Refuses at once a request that can't be served.
 //!
+//! A request under which several targets ended would end the next one ([`crate::crashes`]).
 //! When every target of a service lies in halls that the operators emptied, a request
 //! that needs it can't be served until a hall is taken back. Its pieces would wait in a
 //! queue without workers until its stages are given up.
@@ -13,8 +14,17 @@
 use crate::answer::Refusal;
 use crate::traffic::Traffic;
 
-/// Refuses a request that needs a service whose halls are all empty.
+/// Refuses a request that ends targets.
+pub fn may_run(cx: &Traffic, admitted: &Admitted) -> Result<(), Refusal> {
+    match cx.crashes.is_empty() {
+        true => Ok(()),
+        false => cx.crashes.judge(cx, admitted.digest()),
+    }
+}
+
+/// Refuses a request that ends targets, or that needs a service whose halls are all empty.
 pub fn judge(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
+    may_run(cx, admitted)?;
     let view = cx.view();
     let name = |key: ServiceKey| &admitted.deployment.service(key).name;
     let is_missing = |key: ServiceKey| view.emptied_services.contains(name(key));
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -14,6 +14,7 @@
 use crate::callers::listen::bind;
 use crate::clock::Clock;
 use crate::control::Control;
+use crate::crashes::Crashes;
 use crate::feed::Feeds;
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
@@ -115,6 +116,7 @@
     let published = Arc::new(Published::default());
     let feeds = Arc::new(Feeds::default());
     let (stop, stopping) = oneshot::channel();
+    let (crashes, refused) = Crashes::new();
     let hall = settings.hall.clone();
     let control_settings = settings.clone();
     let settings = Arc::new(ArcSwap::from_pointee(settings));
@@ -125,6 +127,7 @@
         clock,
         published.clone(),
         feeds.clone(),
+        crashes,
     );
     start_traffic(traffic, listeners, stopping).await?;
     let at = Listen {
@@ -140,7 +143,7 @@
         ),
     );
     let control = Control::new(&control_settings, me, clock, published, feeds);
-    control.spawn();
+    control.spawn(refused);
     Ok(Running {
         at,
         settings,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
+use crate::crashes::Crashes;
 use crate::feed::Feeds;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
@@ -57,6 +58,7 @@
     pub peers: Peers,
     pub pools: Pools,
     pub placements: Placements,
+    pub crashes: Crashes,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent times of whole requests, by the service's name.
@@ -88,6 +90,7 @@
         clock: Clock,
         published: Arc<Published>,
         feeds: Arc<Feeds>,
+        crashes: Crashes,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
             Rc::new(Traffic {
@@ -97,6 +100,7 @@
                 peers: Peers::default(),
                 pools: Pools::default(),
                 placements: Placements::default(),
+                crashes,
                 view: RefCell::new(published.load()),
                 published,
                 feeds,
@@ -140,6 +144,9 @@
         if newest.number == self.view.borrow().number {
             return;
         }
+        let before = self.view.borrow().clone();
+        self.crashes
+            .take_listed(self, &before.refused, &newest.refused);
         self.targets.borrow_mut().take(&newest);
         self.peers.take(self, &newest.peers);
         *self.view.borrow_mut() = newest;
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -11,6 +11,7 @@
 use hollowsail_routing::Millis;
 use tokio::sync::Notify;
 
+use crate::crashes::Refused;
 use crate::peers::PeerRecord;
 
 /// The configuration in force, the targets that may get new work, the peers.
@@ -32,6 +33,8 @@
     pub records: Option<KnownRecords>,
     /// Live entries, this one included once it is known to the store.
     pub peers: Vec<PeerRecord>,
+    /// Requests that are refused since they end targets.
+    pub refused: Refused,
 }
 
 /// A target that may get new work.
--- a/crates/gateway/tests/suite/truth.rs
+++ b/crates/gateway/tests/suite/truth.rs
@@ -132,7 +132,9 @@
     let lists = calls.iter().filter(|call| call.contains("kv-range"));
     let (old, fresh): (Vec<_>, Vec<_>) = lists.partition(|call| call.contains("stale_ok=1"));
     assert!(old.iter().any(|call| call.contains("servers/")));
-    assert!(old.iter().any(|call| call.contains("hollowsail/peers/")));
+    assert!(old
+        .iter()
+        .any(|call| call.contains("path_prefix=hollowsail/")));
     assert!(
         fresh.iter().all(|call| call.contains("path_prefix=op/")),
         "only the operators' keys, which must never go back: {fresh:?}"
@@ -299,10 +301,7 @@
     };
     assert!(asked("kv-range?path_prefix=op/") >= 3, "{calls:?}");
     assert!(asked("kv-range?path_prefix=servers/") <= 1, "{calls:?}");
-    assert!(
-        asked("kv-range?path_prefix=hollowsail/peers/") <= 1,
-        "{calls:?}"
-    );
+    assert!(asked("kv-range?path_prefix=hollowsail/") <= 1, "{calls:?}");
     fixture.store.set_mode(StoreMode::Up);
     let two = target("two").await;
     fixture.add("i-2", "plain", &two);
--- a/crates/observe/src/kinds.rs
+++ b/crates/observe/src/kinds.rs
@@ -96,6 +96,8 @@
     TargetFailed, "target_failed", 502, Some(500), "see the stages' status for what ran";
     /// A result that the request starts from was lost; the request did not run.
     InputsGone, "inputs_gone", 503, Some(500), "send the same request again later";
+    /// Targets ended while they ran this request; it is refused for a while.
+    EndsTargets, "ends_targets", 503, Some(600_000), "don't send it again as it is; ask the operators why it ends targets";
     /// A stage before the request could not be run; the request itself did not.
     StageFailed, "stage_failed", 503, Some(1_000), "send the same request again later";
     /// The entry that the request was passed on to did not answer.
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -34,6 +34,8 @@
 const FORGET_UNREAD_MS: Millis = 12_000;
 /// What an engine needs before a first event besides reading, in milliseconds.
 const BASE_MS: f64 = 30.0;
+/// Part of the engines, at most, that others avoid because suspects run there.
+const MOST_APART: f64 = 0.25;
 /// First guess of the time to read a token, in milliseconds; measured after.
 const FIRST_MS_PER_TOKEN: f64 = 0.02;
 /// Weight of a new time in the measured time to read a token.
@@ -64,6 +66,8 @@
     pub avoid: Vec<K>,
     /// Bytes of the results that it starts from, by data hall.
     pub results: Vec<(String, u64)>,
+    /// Targets ended under it before: it runs apart from others.
+    pub is_suspect: bool,
 }
 
 /// How a placement ended.
@@ -83,6 +87,8 @@
     slots: u32,
     hall: String,
     running: u32,
+    /// Of these, the suspects.
+    suspects: u32,
     unread_tokens: u64,
     health: EngineHealth,
     gate: ColdGate,
@@ -101,6 +107,7 @@
     tokens_ahead: u64,
     /// Others had read its part there before.
     was_kept: bool,
+    is_suspect: bool,
     has_begun: bool,
 }
 
@@ -174,12 +181,16 @@
         demand: &Demand<K>,
         affinity: impl Fn(&K) -> u64,
     ) -> Option<(PlacementKey, K)> {
-        let keys: Vec<&K> = self
+        let open = self
             .order
             .iter()
             .filter(|key| !demand.avoid.contains(key))
             .filter(|key| self.engines[*key].gate.is_open(now))
             .collect();
+        let keys = match demand.is_suspect {
+            true => self.emptiest(now, &demand.from_hall, open),
+            false => self.without_suspects(open),
+        };
         let candidates: Vec<EngineCandidate> = keys
             .iter()
             .map(|key| self.candidate(now, key, demand, affinity(key)))
@@ -194,6 +205,31 @@
         Some((self.account(now, demand, engine.clone(), to_read), engine))
     }
 
+    /// The engines that are well and run as few suspects as any, and of these, as few
+    /// others: what ends with a suspect there is least, and no other suspect is blamed.
+    fn emptiest<'a>(&self, now: Millis, hall: &str, keys: Vec<&'a K>) -> Vec<&'a K> {
+        let runs = |key: &K| {
+            let engine = &self.engines[key];
+            let is_out = engine.health.is_ejected(hall, now);
+            (is_out, engine.suspects, engine.running)
+        };
+        let least = keys.iter().map(|key| runs(key)).min();
+        let is_least = |key: &&K| Some(runs(key)) == least;
+        keys.into_iter().filter(is_least).collect()
+    }
+
+    /// The engines that run no suspect, as long as those that do are few: when many
+    /// targets ended at once, suspects are everywhere, and most of them are innocent.
+    fn without_suspects<'a>(&self, keys: Vec<&'a K>) -> Vec<&'a K> {
+        let is_free = |key: &&&K| self.engines[**key].suspects == 0;
+        let free = keys.iter().filter(is_free).count();
+        let taken = keys.len() - free;
+        if taken == 0 || taken as f64 > keys.len() as f64 * MOST_APART {
+            return keys;
+        }
+        keys.into_iter().filter(|key| is_free(&key)).collect()
+    }
+
     fn candidate(
         &self,
         now: Millis,
@@ -228,6 +264,7 @@
     ) -> PlacementKey {
         let state = self.engines.get_mut(&engine).expect("it was a candidate");
         state.running += 1;
+        state.suspects += u32::from(demand.is_suspect);
         state.unread_tokens += to_read;
         state.gate.sent(now, DESK_SHARE);
         let tokens_ahead = state.unread_tokens;
@@ -241,6 +278,7 @@
             unread_tokens: to_read,
             tokens_ahead,
             was_kept,
+            is_suspect: demand.is_suspect,
             has_begun: false,
         })
     }
@@ -283,6 +321,8 @@
             return Vec::new();
         };
         engine.running = engine.running.saturating_sub(1);
+        let suspects = u32::from(placement.is_suspect);
+        engine.suspects = engine.suspects.saturating_sub(suspects);
         engine.unread_tokens = engine.unread_tokens.saturating_sub(placement.unread_tokens);
         let expected = expected_ms(self.ms_per_token, placement.tokens_ahead);
         if let Some(observation) = observation_of(&placement, end, now) {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod budget;
 pub mod choose;
 pub mod cold;
+pub mod crash_ledger;
 pub mod deadline;
 pub mod desk;
 pub mod engine;
@@ -25,6 +26,7 @@
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
 pub use cold::{Cold, ColdGate};
+pub use crash_ledger::{CrashLedger, Standing};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use desk::{Demand, DeskEngine, EngineDesk, PlacementEnd, PlacementKey};
 pub use engine::{choose_engine, engine_goes_first, EngineCandidate, EngineChoice};
--- a/crates/routing/tests/suite/cold.rs
+++ b/crates/routing/tests/suite/cold.rs
@@ -126,6 +126,7 @@
             prompt_tokens: 4_000,
             avoid: Vec::new(),
             results: Vec::new(),
+            is_suspect: false,
         };
         let placed = desk.place(n * 10, &demand, |_| 0);
         given.push(placed.expect("one is warm").1);
@@ -153,6 +154,7 @@
         prompt_tokens: 4_000,
         avoid: Vec::new(),
         results: Vec::new(),
+        is_suspect: false,
     };
     assert!(desk.place(0, &demand, |_| 0).is_some());
     assert!(desk.place(50, &demand, |_| 0).is_none());
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -26,6 +26,7 @@
         prompt_tokens: 12_000,
         avoid: Vec::new(),
         results: Vec::new(),
+        is_suspect: false,
     }
 }
 
@@ -98,6 +99,7 @@
         shared_tokens: 100,
         prompt_tokens: 200,
         results: vec![("hall-a".into(), 9_000_000)],
+        is_suspect: false,
         ..demand("q")
     };
     assert_eq!(
@@ -251,3 +253,46 @@
         prop_assert!(desk.is_idle());
     }
 }
+
+fn suspect() -> Demand<&'static str> {
+    Demand {
+        is_suspect: true,
+        ..demand("p")
+    }
+}
+
+#[test]
+fn a_suspect_runs_where_least_else_does_and_beside_no_other_one() {
+    let mut desk = desk(&["a", "b", "c", "d", "e"]);
+    let place = |desk: &mut EngineDesk<&'static str>, demand: &Demand<&'static str>| {
+        let placed = desk.place(0, demand, order);
+        placed.expect("there are engines")
+    };
+    for _ in 0..12 {
+        place(&mut desk, &demand("p"));
+    }
+    let idle = place(&mut desk, &suspect());
+    let other = place(&mut desk, &suspect());
+    assert_ne!(idle.1, other.1, "two suspects never share an engine");
+    desk.ended(other.0, PlacementEnd::Left, 0);
+    for number in 0..20 {
+        let (_, engine) = place(&mut desk, &demand(&format!("p{number}")));
+        assert_ne!(engine, idle.1, "others keep away from it");
+    }
+    desk.ended(idle.0, PlacementEnd::Whole, 0);
+    let engines = (0..20).map(|number| place(&mut desk, &demand(&format!("q{number}"))).1);
+    let engines: Vec<&str> = engines.collect();
+    assert!(engines.contains(&idle.1), "until it has ended");
+}
+
+#[test]
+fn where_most_engines_run_suspects_others_run_beside_them() {
+    let mut desk = desk(&["a", "b"]);
+    let (_, taken) = desk.place(0, &suspect(), order).expect("one");
+    let engines = (0..10).map(|number| {
+        let placed = desk.place(0, &demand(&format!("p{number}")), order);
+        placed.expect("one").1
+    });
+    let engines: Vec<&str> = engines.collect();
+    assert!(engines.contains(&taken), "half of the engines is too much");
+}
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod choose;
 mod cold;
+mod crash_ledger;
 mod deadline;
 mod desk;
 mod engine;
