Make pieces alone after their worker ended, and refuse the request that ends workers

The same cause one stage earlier: a piece that ends its worker went into the next call with the same others, four times for each send of its request. Now pieces of a worker that ended share no call with other requests' pieces, one call at a time; a worker that ends under pieces of one request alone counts against that request, and a second one ends its stages.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -16,11 +16,11 @@
 
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_routing::crash_ledger::{CRASHES_TO_REFUSE, CRASHES_TO_SET_APART};
-use hollowsail_routing::{CrashLedger, Millis, RequestDigest, Standing};
+use hollowsail_routing::{CrashLedger, CrashedRun, Millis, RequestDigest, Standing};
 use tokio::sync::mpsc;
 
 use crate::answer::Refusal;
-use crate::peers::{Message, Owner, ToldStanding};
+use crate::peers::{Message, Owner, RunAgo, ToldStanding};
 use crate::traffic::Traffic;
 
 /// Prefix of the store's keys under which refused requests lie; the rest of a key is the
@@ -39,6 +39,25 @@
     to_store: mpsc::Sender<NewRefusal>,
 }
 
+/// A run that broke off since its target ended.
+#[derive(Debug, Clone, Copy)]
+pub struct BrokenRun {
+    /// When the request was sent to the target.
+    pub sent: Instant,
+    /// When the answer broke off.
+    pub ended: Instant,
+}
+
+impl BrokenRun {
+    /// The same as peers are told it.
+    fn ago(&self) -> RunAgo {
+        RunAgo {
+            sent_ms: self.sent.elapsed().as_millis() as Millis,
+            ended_ms: self.ended.elapsed().as_millis() as Millis,
+        }
+    }
+}
+
 /// A refusal that this entry decided on.
 #[derive(Debug, Clone, Copy)]
 pub struct NewRefusal {
@@ -84,22 +103,25 @@
         ledger.standing(cx.clock.now(), request) != Standing::Unsuspected
     }
 
-    /// A target ended while it ran a request of this entry, sent to it at `sent`.
-    pub fn target_ended(&self, cx: &Rc<Traffic>, request: RequestDigest, sent: Instant) {
+    /// A target ended while it ran a request of this entry.
+    pub fn target_ended(&self, cx: &Rc<Traffic>, request: RequestDigest, run: BrokenRun) {
         match cx.peers.owner_of(cx, &format!("{PREFIX}{request}")) {
-            Owner::Me => self.count(cx, request, sent.elapsed()),
+            Owner::Me => self.count(cx, request, run.ago()),
             Owner::Peer(link) => link.send(Message::TargetEnded {
                 request,
-                sent_ago_ms: sent.elapsed().as_millis() as u64,
+                run: run.ago(),
             }),
         }
     }
 
     /// Counts a target that ended under a request, here where that is counted.
-    pub fn count(&self, cx: &Rc<Traffic>, request: RequestDigest, sent_ago: Duration) {
+    pub fn count(&self, cx: &Rc<Traffic>, request: RequestDigest, run: RunAgo) {
         let now = cx.clock.now();
-        let sent = now.saturating_sub(sent_ago.as_millis() as Millis);
-        let counted = self.ledger.borrow_mut().crashed(now, request, sent);
+        let run = CrashedRun {
+            sent: now.saturating_sub(run.sent_ms),
+            ended: now.saturating_sub(run.ended_ms),
+        };
+        let counted = self.ledger.borrow_mut().crashed(now, request, run);
         let Some(crashes) = counted else { return };
         let standing = self.ledger.borrow().standing(now, request);
         log_standing(cx, request, standing, format_args!("crashes={crashes}"));
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -194,13 +194,7 @@
         let Some(cx) = self.cx.upgrade() else { return };
         match message {
             Message::Free(spent) => cx.pools.free(&cx, &spent),
-            Message::TargetEnded {
-                request,
-                sent_ago_ms,
-            } => {
-                let sent_ago = Duration::from_millis(sent_ago_ms);
-                cx.crashes.count(&cx, request, sent_ago);
-            }
+            Message::TargetEnded { request, run } => cx.crashes.count(&cx, request, run),
             _ => {}
         }
     }
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -2,7 +2,6 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode};
@@ -174,13 +173,7 @@
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
-        Message::TargetEnded {
-            request,
-            sent_ago_ms,
-        } => {
-            let sent_ago = Duration::from_millis(sent_ago_ms);
-            cx.crashes.count(cx, request, sent_ago);
-        }
+        Message::TargetEnded { request, run } => cx.crashes.count(cx, request, run),
         Message::Standing { request, standing } => cx.crashes.told(cx, request, standing),
         Message::Ended(id, end) => {
             let link = cx.peers.link_to(cx, from);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -86,11 +86,7 @@
     /// To the owner: a result that nobody needs any more.
     Free(SpentResult),
     /// To the entry that counts for a request: a target ended while it ran it.
-    TargetEnded {
-        request: RequestDigest,
-        /// How long ago the request was sent to that target, in milliseconds.
-        sent_ago_ms: u64,
-    },
+    TargetEnded { request: RequestDigest, run: RunAgo },
     /// To every entry: what is known of a request that ended targets.
     Standing {
         request: RequestDigest,
@@ -98,6 +94,15 @@
     },
 }
 
+/// A run that broke off since its target ended, by how long ago, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunAgo {
+    /// The request was sent to the target.
+    pub sent_ms: u64,
+    /// Its answer broke off.
+    pub ended_ms: u64,
+}
+
 /// What is known of a request that ended targets; a moment of one entry is none of
 /// another's, so times are told as what is left of them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -143,6 +148,8 @@
     /// Name of the queue.
     pub queue: String,
     pub piece: Piece,
+    /// What makes its request the same as another one.
+    pub request: RequestDigest,
     /// 0 is the most urgent.
     pub priority: u8,
     /// Time until it should be made, in milliseconds; negative when late.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -27,8 +27,8 @@
 pub use link::Link;
 pub use listen::start;
 pub use messages::{
-    request, Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, SpentResult,
-    ToldStanding, WorkerAtHandOver,
+    request, Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, RunAgo,
+    SpentResult, ToldStanding, WorkerAtHandOver,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -21,7 +21,7 @@
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::Millis;
+use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::{BatchQueue, GroupKey, PieceKey, PieceOrder, PoolRules, WorkerKey};
 use tokio::sync::oneshot;
 
@@ -42,8 +42,12 @@
 /// A piece that waits or is being made.
 pub(super) struct Job {
     pub piece: Piece,
+    /// What makes its request the same as another one.
+    pub request: RequestDigest,
     /// Times that it was given back.
     pub failures: u32,
+    /// Workers that ended while they made pieces of its request and of no other.
+    pub ended_alone: u32,
     reply: Reply,
 }
 
@@ -173,14 +177,25 @@
         };
         let job = Job {
             piece: wanted.piece,
+            request: wanted.request,
             failures: 0,
+            ended_alone: 0,
             reply,
         };
         let key = self.queue.borrow_mut().push(order, job, now);
+        if self.is_suspect(wanted.request) {
+            self.queue.borrow_mut().set_alone(key);
+        }
         self.pump_soon();
         key
     }
 
+    /// True when targets ended under a request before.
+    fn is_suspect(&self, request: RequestDigest) -> bool {
+        let cx = self.cx.upgrade();
+        cx.is_some_and(|cx| cx.crashes.is_suspect(&cx, request))
+    }
+
     /// Makes calls once the tasks that run now have run: pieces that a request
     /// hands in together go into one call.
     fn pump_soon(self: &Rc<Self>) {
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -1,16 +1,18 @@
 //! One call to a target of a stage service.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hollowsail_observe::events;
 use hollowsail_platform::heads::TargetHead;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
+use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use http::StatusCode;
 use snafu::Snafu;
 
 use super::batcher::Batcher;
+use crate::crashes::BrokenRun;
 use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -25,6 +27,13 @@
 /// Times that a piece is made again after a failure.
 const MOST_FAILURES: u32 = 4;
 
+/// Workers that may end under pieces of one request alone until its stages are given up:
+/// one may end for its own reasons.
+const MOST_ENDED_ALONE: u32 = 2;
+/// How long pieces of a call that broke off wait for word whether its worker has ended.
+/// One that has refuses a connection within a hop, some milliseconds.
+const END_SEEN_WITHIN: Duration = Duration::from_millis(60);
+
 /// Why a call gave no results.
 #[derive(Debug, Snafu)]
 enum CallError {
@@ -48,6 +57,17 @@
     Count { got: usize, asked: usize },
 }
 
+impl CallError {
+    /// True when the connection ended before the answer did.
+    fn is_cut_off(&self) -> bool {
+        match self {
+            CallError::Send { source } => !source.nothing_sent(),
+            CallError::CutOff { .. } => true,
+            _ => false,
+        }
+    }
+}
+
 /// Makes the call and hands each piece its end.
 pub(super) async fn run(
     cx: Rc<Traffic>,
@@ -56,6 +76,7 @@
     target: Rc<Target>,
 ) {
     let begun = cx.clock.now();
+    let sent = Instant::now();
     let asked = pieces_of(&batcher, &started);
     let result = match tokio::time::timeout(CALL_WITHIN, exchange(&target, &asked)).await {
         Ok(result) => result,
@@ -73,6 +94,9 @@
     if end == CallEnd::Failed {
         batcher.keep_unknown(&started);
     }
+    if result.as_ref().is_err_and(CallError::is_cut_off) {
+        look_for_end(&cx, &batcher, &target, &asked, sent).await;
+    }
     if let (Ok(results), CallEnd::Answered) = (result, end) {
         hand_out(&cx, &batcher, &started, &target, &asked, results);
     }
@@ -80,7 +104,7 @@
         .queue
         .borrow_mut()
         .end_call(started.call, end, cx.clock.now());
-    give_back(&batcher, left, end);
+    give_back(&cx, &batcher, left, end);
     batcher.pump();
 }
 
@@ -110,10 +134,51 @@
     );
 }
 
+/// Finds out whether the worker of a call that broke off has ended. Its pieces share no
+/// call with other requests' from then on; where they were of one request, that one is to
+/// blame.
+async fn look_for_end(
+    cx: &Rc<Traffic>,
+    batcher: &Batcher,
+    target: &Rc<Target>,
+    asked: &[Asked],
+    sent: Instant,
+) {
+    let run = BrokenRun {
+        sent,
+        ended: Instant::now(),
+    };
+    let has_ended = tokio::time::timeout(END_SEEN_WITHIN, target.has_ended()).await;
+    let (Ok(true), Some(first)) = (has_ended, asked.first()) else {
+        return;
+    };
+    let is_one_request = asked.iter().all(|asked| asked.request == first.request);
+    let fields = format_args!(
+        "queue={} target={} pieces={} content={} is_one_request={is_one_request}",
+        batcher.name(),
+        target.incarnation().0,
+        asked.len(),
+        first.request,
+    );
+    cx.log.line(events::TARGET_ENDED, fields);
+    let mut queue = batcher.queue.borrow_mut();
+    for asked in asked {
+        queue.set_alone(asked.started.key);
+        if let Some(job) = queue.job_mut(asked.started.key) {
+            job.ended_alone += u32::from(is_one_request);
+        }
+    }
+    drop(queue);
+    if is_one_request {
+        cx.crashes.target_ended(cx, first.request, run);
+    }
+}
+
 /// A piece as it goes into a call.
 struct Asked {
     started: StartedPiece,
     piece: Piece,
+    request: RequestDigest,
 }
 
 /// The pieces of a call that somebody still waits for; one may be given up
@@ -123,10 +188,11 @@
     let pieces = started.pieces.iter();
     pieces
         .filter_map(|started| {
-            let piece = queue.job(started.key)?.piece.clone();
+            let job = queue.job(started.key)?;
             Some(Asked {
                 started: *started,
-                piece,
+                piece: job.piece.clone(),
+                request: job.request,
             })
         })
         .collect()
@@ -225,14 +291,16 @@
 }
 
 /// Pieces that a call left unmade wait again, unless they failed too often.
-fn give_back(batcher: &Rc<Batcher>, left: Vec<PieceKey>, end: CallEnd) {
+fn give_back(cx: &Traffic, batcher: &Rc<Batcher>, left: Vec<PieceKey>, end: CallEnd) {
     for key in left {
         let mut queue = batcher.queue.borrow_mut();
-        let failures = queue.job_mut(key).map_or(MOST_FAILURES, |job| {
+        let may_go_on = queue.job_mut(key).is_some_and(|job| {
             job.failures += u32::from(end == CallEnd::Failed);
-            job.failures
+            job.failures < MOST_FAILURES
+                && job.ended_alone < MOST_ENDED_ALONE
+                && cx.crashes.judge(cx, job.request).is_ok()
         });
-        if failures < MOST_FAILURES {
+        if may_go_on {
             queue.requeue(key);
             continue;
         }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -16,7 +16,7 @@
 
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::Millis;
+use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::QueueLoad;
 
 use crate::mechanisms::Mechanism;
@@ -52,6 +52,8 @@
 #[derive(Debug, Clone)]
 pub struct Wanted {
     pub piece: Piece,
+    /// What makes its request the same as another one.
+    pub request: RequestDigest,
     /// 0 is the most urgent.
     pub priority: u8,
     /// When it should be made.
@@ -137,6 +139,7 @@
             id: PieceId(number),
             queue: queue.to_string(),
             piece: wanted.piece.clone(),
+            request: wanted.request,
             priority: wanted.priority,
             due_in_ms: wanted.due as i64 - now as i64,
             expires_in_ms: wanted.expires.saturating_sub(now),
@@ -199,6 +202,7 @@
         let now = cx.clock.now();
         let wanted = Wanted {
             piece: asked.piece,
+            request: asked.request,
             priority: asked.priority,
             due: now.saturating_add_signed(asked.due_in_ms),
             expires: now + asked.expires_in_ms,
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -16,6 +16,7 @@
 use crate::mechanisms::Mechanism;
 use crate::pools::{HeldResult, PieceEnd, Wanted};
 use crate::request::admit::Admitted;
+use crate::request::unservable;
 use crate::traffic::Traffic;
 
 /// Pieces of one request that are made again after their inputs were lost.
@@ -67,6 +68,7 @@
             self.engine_ms() + self.graph.ms_after(at.stage, &|later| self.stage_ms(later));
         Wanted {
             piece: self.piece(at),
+            request: self.admitted.digest(),
             priority: self.admitted.urgency,
             due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
             expires: clock
@@ -190,6 +192,7 @@
         failure: PieceFailure,
     ) -> Result<(), Refusal> {
         self.remade += 1;
+        unservable::may_run(self.cx, self.admitted)?;
         match failure {
             PieceFailure::InputGone if self.remade <= MOST_REMADE => {
                 // Which of them is gone isn't told: all are made again.
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -11,6 +11,7 @@
 use super::attempt::Failure;
 use super::sends::Sends;
 use crate::answer::Refusal;
+use crate::crashes::BrokenRun;
 use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -73,6 +74,10 @@
 /// Finds out whether a target that broke an answer off has ended, and has that counted.
 fn look_for_end(cx: &Rc<Traffic>, admitted: &Admitted, target: &Rc<Target>, sent: Instant) {
     let (cx, target) = (cx.clone(), target.clone());
+    let run = BrokenRun {
+        sent,
+        ended: Instant::now(),
+    };
     let (request_id, digest) = (admitted.caller.request_id.clone(), admitted.digest());
     actix_rt::spawn(async move {
         if target.has_ended().await {
@@ -81,7 +86,7 @@
                 target.incarnation().0
             );
             cx.log.line(events::TARGET_ENDED, fields);
-            cx.crashes.target_ended(&cx, digest, sent);
+            cx.crashes.target_ended(&cx, digest, run);
         }
     });
 }
--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -14,8 +14,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use hollowsail_gateway::Running;
-use hollowsail_platform_standins::target::{chunk, event, last_chunk, stream_head};
+use hollowsail_platform_standins::target::{chunk, event, last_chunk, results, stream_head};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -28,9 +29,12 @@
 const SENDS: usize = 9;
 
 fn deployment() -> DeploymentJson {
+    let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
     DeploymentJson::new(1)
         .engines("engines")
+        .stage_service("encoders", 8, 20.0, 10.0)
         .route("/once/", "stream", "engines", json!({}))
+        .route("/staged/", "stream", "engines", json!({ "stages": stages }))
 }
 
 /// A request with an id of its own.
@@ -65,29 +69,41 @@
     steps
 }
 
-/// A fleet of engines each of which starts again under a new id after it ended.
-struct Engines {
+/// What a target does with each request.
+type Script = fn(&Seen) -> Vec<Step>;
+
+/// Targets of a service each of which starts again under a new id after it ended.
+struct Targets {
     store: StoreStandin,
+    service: &'static str,
+    script: Script,
     started: RefCell<Vec<(String, TargetStandin)>>,
 }
 
-impl Engines {
-    async fn start(store: &StoreStandin, count: usize) -> Rc<Self> {
-        let engines = Rc::new(Engines {
+impl Targets {
+    async fn start(
+        store: &StoreStandin,
+        service: &'static str,
+        script: Script,
+        count: usize,
+    ) -> Rc<Self> {
+        let targets = Rc::new(Targets {
             store: store.clone(),
+            service,
+            script,
             started: RefCell::default(),
         });
         for _ in 0..count {
-            engines.start_one().await;
+            targets.start_one().await;
         }
-        engines
+        targets
     }
 
     async fn start_one(&self) {
-        let target = TargetStandin::start(fragile).await;
-        let id = format!("i-{}", self.started.borrow().len());
+        let target = TargetStandin::start(self.script).await;
+        let id = format!("i-{}-{}", self.service, self.started.borrow().len());
         self.store
-            .put_target(&id, "engines", target.addr, "hall-a", "ready");
+            .put_target(&id, self.service, target.addr, "hall-a", "ready");
         self.started.borrow_mut().push((id, target));
     }
 
@@ -116,10 +132,10 @@
 }
 
 /// A store, engines, and so many entries that know each other.
-async fn fleet(entries: usize, engines: usize) -> (StoreStandin, Rc<Engines>, Vec<Running>) {
+async fn fleet(entries: usize, engines: usize) -> (StoreStandin, Rc<Targets>, Vec<Running>) {
     let store = StoreStandin::start().await;
     store.put("op/config", &deployment().bytes());
-    let engines = Engines::start(&store, engines).await;
+    let engines = Targets::start(&store, "engines", fragile, engines).await;
     let mut gateways = Vec::new();
     for number in 0..entries {
         gateways.push(gateway(&store, &format!("host-{number}"), "hall-a").await);
@@ -130,7 +146,7 @@
 }
 
 /// Sends the same fatal request again and again, to one entry after the other.
-async fn send_fatal(engines: &Engines, gateways: &[Running]) -> Vec<Answer> {
+async fn send_fatal(engines: &Targets, gateways: &[Running]) -> Vec<Answer> {
     let mut answers = Vec::new();
     for number in 0..SENDS {
         let at = gateways[number % gateways.len()].at.callers;
@@ -194,3 +210,65 @@
     let got = request(300, "fatal").send(late.at.callers).await;
     assert_eq!((got.status, engines.ended()), (503, ended), "{got:?}");
 }
+
+/// A piece of a request whose id begins so ends its worker.
+const FATAL_ID: &str = "fa7a1";
+
+fn fragile_worker(seen: &Seen) -> Vec<Step> {
+    let is_fatal = |piece: &serde_json::Value| {
+        let id = piece["id"].as_str().unwrap_or_default();
+        id.starts_with(FATAL_ID)
+    };
+    let work = Step::Wait(Duration::from_millis(20));
+    match seen.pieces().iter().any(is_fatal) {
+        true => vec![work, Step::End],
+        false => vec![work, Step::Write(results(seen, "maker"))],
+    }
+}
+
+/// A request with two pieces before it.
+fn staged(id: &str, body: &str) -> Call {
+    Call::new("POST", "/staged/x")
+        .with("X-Request-Id", id)
+        .with("X-Token-Counts", "100,10")
+        .with("X-Prompt-Prefix", "aa:60,bb:40")
+        .with("X-Pieces", "2")
+        .with("X-Piece-Key", "the-key")
+        .with("X-Deadline-Ms", "8000")
+        .body(body)
+}
+
+/// The same fault one stage earlier: a piece that ends its worker was made again four
+/// times for each send of its request, and others in its calls went down with it.
+#[actix_rt::test]
+async fn pieces_that_end_their_workers_are_made_alone_and_then_refused() {
+    let (store, _engines, gateways) = fleet(2, 2).await;
+    let workers = Targets::start(&store, "encoders", fragile_worker, 3).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let mut last = None;
+    for send in 0..4 {
+        let at = |number: usize| gateways[number % 2].at.callers;
+        let fatal = staged(&format!("{FATAL_ID}{send:011x}"), "fatal");
+        let good = (0..6).map(|number| {
+            let id = format!("{send:08x}{number:08x}");
+            async move { staged(&id, &format!("good {id}")).send(at(number)).await }
+        });
+        let replacing = async {
+            for _ in 0..12 {
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                workers.replace_ended().await;
+            }
+        };
+        let (got, served, ()) =
+            futures_util::future::join3(fatal.send(at(send)), join_all(good), replacing).await;
+        for answer in served {
+            assert!(answer.is_whole, "send {send}: {answer:?}");
+        }
+        last = Some(got);
+    }
+    let last = last.expect("it was sent");
+    assert_eq!(last.status, 503, "{last:?}");
+    assert!(last.body.starts_with("ends_targets"), "{last:?}");
+    // Two calls may hold pieces of it before any worker has ended, then one after the other.
+    assert!(workers.ended() <= 5, "{} workers ended", workers.ended());
+}
--- a/crates/routing/src/crash_ledger.rs
+++ b/crates/routing/src/crash_ledger.rs
@@ -8,7 +8,7 @@
 //! Others that ran beside it broke off, too, and must not pay for it. Three things tell
 //! them apart:
 //!
-//! - A crash counts only for a run that was sent after the crash counted before. When
+//! - A crash counts only for a run that was sent after the one counted before had ended. When
 //!   many targets end at once (a rack loses power), a request that many callers send
 //!   counts once, not with each of them.
 //! - A whole answer acquits: whoever is told of a suspect says so when one of them ends
@@ -53,12 +53,21 @@
     Refused { until: Millis },
 }
 
+/// A run that its target's end broke off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CrashedRun {
+    /// When the request was sent to the target.
+    pub sent: Millis,
+    /// When the target ended.
+    pub ended: Millis,
+}
+
 /// What the ledger holds of a request.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
     /// Targets that ended under it, one after the other.
     crashes: u32,
-    /// When the last one was counted or told of.
+    /// When the last one ended, or was told of.
     last: Millis,
     /// Until when it is refused; 0 when it never was.
     refused_until: Millis,
@@ -87,20 +96,20 @@
         self.entries.len()
     }
 
-    /// A target ended while it ran a request that was sent to it at `sent`. Returns how
-    /// many have ended under it if this one counts.
-    pub fn crashed(&mut self, now: Millis, request: RequestDigest, sent: Millis) -> Option<u32> {
+    /// A target ended while it ran a request. Returns how many have ended under it if this
+    /// one counts.
+    pub fn crashed(&mut self, now: Millis, request: RequestDigest, run: CrashedRun) -> Option<u32> {
         self.forget(now);
         let entry = self.entries.entry(request).or_insert(Entry {
             crashes: 0,
             last: 0,
             refused_until: 0,
         });
-        if entry.crashes > 0 && sent <= entry.last {
+        if entry.crashes > 0 && run.sent < entry.last {
             return None;
         }
         entry.crashes += 1;
-        entry.last = now;
+        entry.last = run.ended;
         if entry.crashes >= CRASHES_TO_REFUSE {
             entry.refused_until = now + refused_ms(entry.crashes);
         }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,7 +26,7 @@
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
 pub use cold::{Cold, ColdGate};
-pub use crash_ledger::{CrashLedger, Standing};
+pub use crash_ledger::{CrashLedger, CrashedRun, Standing};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use desk::{Demand, DeskEngine, EngineDesk, PlacementEnd, PlacementKey};
 pub use engine::{choose_engine, engine_goes_first, EngineCandidate, EngineChoice};
--- a/crates/routing/tests/suite/crash_ledger.rs
+++ b/crates/routing/tests/suite/crash_ledger.rs
@@ -2,8 +2,8 @@
 
 use hollowsail_routing::crash_ledger::{FIRST_REFUSED_MS, MOST_REFUSED_MS};
 use hollowsail_routing::{
-    CrashLedger, Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey, RequestDigest,
-    Standing,
+    CrashLedger, CrashedRun, Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey,
+    RequestDigest, Standing,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,14 +14,24 @@
     RequestDigest(bytes)
 }
 
+/// A target ended just now under a request that was sent to it at `sent`.
+fn crashed(
+    ledger: &mut CrashLedger,
+    now: Millis,
+    request: RequestDigest,
+    sent: Millis,
+) -> Option<u32> {
+    ledger.crashed(now, request, CrashedRun { sent, ended: now })
+}
+
 #[test]
 fn the_second_target_makes_a_suspect_and_the_third_a_refusal() {
     let mut ledger = CrashLedger::default();
-    assert_eq!(ledger.crashed(1_000, digest(1), 500), Some(1));
+    assert_eq!(crashed(&mut ledger, 1_000, digest(1), 500), Some(1));
     assert_eq!(ledger.standing(1_000, digest(1)), Standing::Unsuspected);
-    assert_eq!(ledger.crashed(2_000, digest(1), 1_500), Some(2));
+    assert_eq!(crashed(&mut ledger, 2_000, digest(1), 1_500), Some(2));
     assert_eq!(ledger.standing(2_000, digest(1)), Standing::Suspect);
-    assert_eq!(ledger.crashed(3_000, digest(1), 2_500), Some(3));
+    assert_eq!(crashed(&mut ledger, 3_000, digest(1), 2_500), Some(3));
     let until = 3_000 + FIRST_REFUSED_MS;
     assert_eq!(
         ledger.standing(3_000, digest(1)),
@@ -33,36 +43,51 @@
 #[test]
 fn targets_that_end_together_count_once() {
     let mut ledger = CrashLedger::default();
-    assert_eq!(ledger.crashed(1_000, digest(1), 900), Some(1));
+    assert_eq!(crashed(&mut ledger, 1_000, digest(1), 900), Some(1));
     for later in 1_001..1_010 {
-        assert_eq!(ledger.crashed(later, digest(1), 950), None);
+        assert_eq!(crashed(&mut ledger, later, digest(1), 950), None);
     }
     assert_eq!(
-        ledger.crashed(1_020, digest(1), 1_001),
+        crashed(&mut ledger, 1_020, digest(1), 1_001),
         Some(2),
         "sent after"
     );
 }
 
+#[test]
+fn a_run_that_followed_at_once_counts_though_word_of_the_first_came_late() {
+    let mut ledger = CrashLedger::default();
+    let first = CrashedRun {
+        sent: 900,
+        ended: 1_000,
+    };
+    let second = CrashedRun {
+        sent: 1_001,
+        ended: 1_100,
+    };
+    assert_eq!(ledger.crashed(1_050, digest(1), first), Some(1));
+    assert_eq!(ledger.crashed(1_150, digest(1), second), Some(2));
+}
+
 #[test]
 fn a_whole_answer_acquits() {
     let mut ledger = CrashLedger::default();
-    ledger.crashed(1_000, digest(1), 0);
+    crashed(&mut ledger, 1_000, digest(1), 0);
     assert!(!ledger.served(digest(1)), "nobody else was told of it");
-    ledger.crashed(2_000, digest(1), 1_500);
-    ledger.crashed(3_000, digest(1), 2_500);
+    crashed(&mut ledger, 2_000, digest(1), 1_500);
+    crashed(&mut ledger, 3_000, digest(1), 2_500);
     assert!(ledger.served(digest(1)), "all were told of it");
-    assert_eq!(ledger.crashed(4_000, digest(1), 3_500), Some(1));
+    assert_eq!(crashed(&mut ledger, 4_000, digest(1), 3_500), Some(1));
 }
 
 #[test]
 fn after_its_time_one_more_target_refuses_it_again_for_twice_as_long() {
     let mut ledger = CrashLedger::default();
-    ledger.crashed(1_000, digest(1), 0);
-    ledger.crashed(2_000, digest(1), 1_500);
+    crashed(&mut ledger, 1_000, digest(1), 0);
+    crashed(&mut ledger, 2_000, digest(1), 1_500);
     let mut now = 3_000;
     for minutes in [1, 2, 4, 8, 10, 10] {
-        ledger.crashed(now, digest(1), now - 1);
+        crashed(&mut ledger, now, digest(1), now - 1);
         let until = now + minutes * FIRST_REFUSED_MS;
         let standing = ledger.standing(now, digest(1));
         assert_eq!(standing, Standing::Refused { until });
@@ -95,18 +120,24 @@
 fn the_oldest_are_forgotten_where_there_is_no_room() {
     let mut ledger = CrashLedger::default();
     for number in 0..20_000u32 {
-        ledger.crashed(u64::from(number) + 1, digest(number), 0);
+        crashed(&mut ledger, u64::from(number) + 1, digest(number), 0);
     }
     assert!(ledger.len() <= 5_000);
-    assert_eq!(ledger.crashed(30_000, digest(19_999), 29_999), Some(2));
-    assert_eq!(ledger.crashed(30_001, digest(1), 30_000), Some(1));
+    assert_eq!(
+        crashed(&mut ledger, 30_000, digest(19_999), 29_999),
+        Some(2)
+    );
+    assert_eq!(crashed(&mut ledger, 30_001, digest(1), 30_000), Some(1));
 }
 
 #[test]
 fn a_crash_without_another_one_for_an_hour_is_forgotten() {
     let mut ledger = CrashLedger::default();
-    ledger.crashed(1_000, digest(1), 0);
-    assert_eq!(ledger.crashed(3_700_000, digest(1), 3_600_000), Some(1));
+    crashed(&mut ledger, 1_000, digest(1), 0);
+    assert_eq!(
+        crashed(&mut ledger, 3_700_000, digest(1), 3_600_000),
+        Some(1)
+    );
 }
 
 #[test]
@@ -290,7 +321,14 @@
         self.running = running;
         for run in broken {
             self.desk.ended(run.key, PlacementEnd::Failed, now);
-            self.ledger.crashed(now, digest(run.request), run.sent);
+            self.ledger.crashed(
+                now,
+                digest(run.request),
+                CrashedRun {
+                    sent: run.sent,
+                    ended: now,
+                },
+            );
             if self.is_fatal(run.request) {
                 continue;
             }
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -34,6 +34,14 @@
                 break;
             }
             let places = self.rules.batch - chosen.len();
+            let key = self.group_of(group[0]);
+            if self.groups.get(&key).is_some_and(|group| group.is_alone) {
+                let alone = self.those_that_fit(&group, places, room);
+                if chosen.is_empty() && !alone.is_empty() && !self.is_in_call(key) {
+                    return alone;
+                }
+                continue;
+            }
             let bytes: u64 = group.iter().map(|key| self.result_bytes(*key)).sum();
             if group.len() <= places && bytes <= room {
                 room -= bytes;
@@ -55,6 +63,20 @@
         chosen
     }
 
+    /// True while a call that isn't overdue makes pieces of a group.
+    fn is_in_call(&self, group: GroupKey) -> bool {
+        let mut calls = self.calls.values().filter(|call| !call.overdue);
+        calls.any(|call| {
+            let mut pieces = call.pieces.iter();
+            let made = |key| {
+                self.pieces
+                    .get(key)
+                    .is_some_and(|piece| piece.order.group == group)
+            };
+            pieces.any(|piece| made(piece.key))
+        })
+    }
+
     /// True when no other worker of its hall that does well has more memory left: the
     /// one where a group that fits nowhere yet will fit first. Only there others wait for
     /// it. If they did at all workers, one large group would keep the memory of all
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -60,6 +60,8 @@
 struct Group {
     pieces: usize,
     begun: bool,
+    /// It shares no call with other groups, and has one call at a time.
+    is_alone: bool,
 }
 
 /// A piece until its result is in or it is given up.
@@ -148,6 +150,16 @@
         self.pieces.get_mut(piece).map(|piece| &mut piece.job)
     }
 
+    /// Lets the group of a piece share no call with others from now on, and have one call
+    /// at a time: it may end its worker, and what else is in the call would go down with
+    /// it.
+    pub fn set_alone(&mut self, piece: PieceKey) {
+        let group = self.pieces.get(piece).map(|piece| piece.order.group);
+        if let Some(group) = group.and_then(|group| self.groups.get_mut(&group)) {
+            group.is_alone = true;
+        }
+    }
+
     /// Ends a piece, made or given up. `None` when it ended before.
     pub fn finish(&mut self, piece: PieceKey) -> Option<T> {
         let piece_state = self.pieces.remove(piece)?;
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -471,3 +471,51 @@
     assert_eq!(first_two(300, 300), [1, 2], "both can");
     assert_eq!(first_two(300, 100), [1, 2], "the other one is late already");
 }
+
+#[test]
+fn pieces_that_go_alone_share_a_call_with_their_own_group_only() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let alone = push(&mut queue, order(2), 2);
+    push(&mut queue, order(3), 1);
+    queue.set_alone(alone[0]);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(groups(&queue, &call), [1, 3], "the others go on together");
+    finish(&mut queue, &call, 120);
+    let call = queue.next_call(120).expect("it is free again");
+    assert_eq!(groups(&queue, &call), [2, 2]);
+}
+
+#[test]
+fn pieces_that_go_alone_have_one_call_at_a_time() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    queue.add_worker(HERE);
+    let alone = push(&mut queue, order(1), 6);
+    queue.set_alone(alone[0]);
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(call.pieces.len(), 4, "a whole call");
+    assert!(queue.next_call(0).is_none(), "the rest waits for it");
+    finish(&mut queue, &call, 140);
+    let call = queue.next_call(140).expect("it has ended");
+    assert_eq!(call.pieces.len(), 2);
+}
+
+#[test]
+fn pieces_of_a_worker_that_ended_are_made_alone_from_then_on() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    queue.add_worker(HERE);
+    for group in 1..=3 {
+        push(&mut queue, order(group), 1);
+    }
+    let call = queue.next_call(0).expect("a worker is free");
+    assert_eq!(groups(&queue, &call), [1, 2, 3]);
+    for piece in queue.end_call(call.call, CallEnd::Failed, 50) {
+        queue.set_alone(piece);
+        queue.requeue(piece);
+    }
+    let call = queue.next_call(50).expect("the other one is free");
+    assert_eq!(groups(&queue, &call), [1]);
+}
