Send a repeatable request again only after a look at why its target broke off

A request that may run again went to the next target at once when one broke its answer off: up to six by its route, before anybody knew that the first had ended. Now the target is asked for a connection first, a hop, and a second one that ended is the last; of a suspect the first. Six targets of one send before, two now.

--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -97,8 +97,13 @@
         Err(refusal.come_back_after(Duration::from_millis(until - now)))
     }
 
-    /// True when a request runs apart from others.
-    pub fn is_suspect(&self, cx: &Traffic, request: RequestDigest) -> bool {
+    /// True when a request runs apart from others; its digest is worked out only where
+    /// anything is known of any request.
+    pub fn is_suspect(&self, cx: &Traffic, request: impl FnOnce() -> RequestDigest) -> bool {
+        if self.is_empty() {
+            return false;
+        }
+        let request = request();
         let ledger = self.ledger.borrow();
         ledger.standing(cx.clock.now(), request) != Standing::Unsuspected
     }
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -193,7 +193,7 @@
     /// True when targets ended under a request before.
     fn is_suspect(&self, request: RequestDigest) -> bool {
         let cx = self.cx.upgrade();
-        cx.is_some_and(|cx| cx.crashes.is_suspect(&cx, request))
+        cx.is_some_and(|cx| cx.crashes.is_suspect(&cx, || request))
     }
 
     /// Makes calls once the tasks that run now have run: pieces that a request
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -30,9 +30,6 @@
 /// Workers that may end under pieces of one request alone until its stages are given up:
 /// one may end for its own reasons.
 const MOST_ENDED_ALONE: u32 = 2;
-/// How long pieces of a call that broke off wait for word whether its worker has ended.
-/// One that has refuses a connection within a hop, some milliseconds.
-const END_SEEN_WITHIN: Duration = Duration::from_millis(60);
 
 /// Why a call gave no results.
 #[derive(Debug, Snafu)]
@@ -148,8 +145,7 @@
         sent,
         ended: Instant::now(),
     };
-    let has_ended = tokio::time::timeout(END_SEEN_WITHIN, target.has_ended()).await;
-    let (Ok(true), Some(first)) = (has_ended, asked.first()) else {
+    let (true, Some(first)) = (target.has_ended().await, asked.first()) else {
         return;
     };
     let is_one_request = asked.iter().all(|asked| asked.request == first.request);
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -85,7 +85,7 @@
                         Progress::FinalRefusal => placed.whole(),
                         _ => placed.failed(),
                     });
-                retry::take_failure(cx, admitted, sends, &target, failure)?;
+                retry::take_failure(cx, admitted, sends, &target, failure).await?;
             }
         }
     }
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -26,7 +26,7 @@
 ) -> Option<(Rc<Target>, Option<Placed>)> {
     let avoid = sends.tried.iter().cloned().collect();
     let generation = admitted.caller.generation.as_ref();
-    let is_suspect = !cx.crashes.is_empty() && cx.crashes.is_suspect(cx, admitted.digest());
+    let is_suspect = cx.crashes.is_suspect(cx, || admitted.digest());
     let demand = generation.and_then(|g| choose::demand(cx, g, prepared, avoid, is_suspect));
     if let Some(demand) = demand.filter(|_| cx.has(Mechanism::Desk)) {
         let service = &admitted.deployment.service(sends.service).name;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -80,7 +80,7 @@
         Ok(Err(err)) => Failure::cut_off(format!("the answer broke off: {err}")),
         Err(_) => failure("the answer was not whole in time".to_string()),
     };
-    match retry::take_failure(cx, admitted, sends, &target, failure) {
+    match retry::take_failure(cx, admitted, sends, &target, failure).await {
         Ok(()) => Whole::TryAgain,
         Err(refusal) => {
             let id = Some(admitted.caller.request_id.as_str());
@@ -245,7 +245,10 @@
         let failure = Failure::cut_off(why);
         let target = self.answered.target.clone();
         let (cx, admitted) = (&self.cx.clone(), &self.admitted.clone());
-        if retry::take_failure(cx, admitted, &mut self.sends, &target, failure).is_err() {
+        if retry::take_failure(cx, admitted, &mut self.sends, &target, failure)
+            .await
+            .is_err()
+        {
             return false;
         }
         let after = self
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -19,9 +19,12 @@
 /// Sends that reached no target and don't count as attempts; bounds a service
 /// whose targets are all unreachable.
 const MOST_UNREACHED: u32 = 4;
+/// Targets that may end under one request until it isn't sent again: one may have ended
+/// for its own reasons.
+const MOST_ENDED: u32 = 2;
 
 /// Takes a failed attempt. An error means that no other may follow.
-pub fn take_failure(
+pub async fn take_failure(
     cx: &Rc<Traffic>,
     admitted: &Admitted,
     sends: &mut Sends,
@@ -37,14 +40,14 @@
     if progress != Progress::FinalRefusal {
         count_against(cx, sends.service, target);
     }
-    if failure.is_cut_off {
-        look_for_end(cx, admitted, target, sends.last_sent);
+    if failure.is_cut_off && has_ended(cx, admitted, target, sends.last_sent).await {
+        sends.ended += 1;
     }
     sends.failed(target, failure);
     if admitted.remaining().is_zero() {
         return Err(sends.out_of_time());
     }
-    if may_send_again(admitted, sends, progress) && spend_budget(cx, admitted, sends) {
+    if may_send_again(cx, admitted, sends, progress) && spend_budget(cx, admitted, sends) {
         Ok(())
     } else {
         Err(sends.refusal(ErrorKind::Overloaded))
@@ -72,23 +75,25 @@
 }
 
 /// Finds out whether a target that broke an answer off has ended, and has that counted.
-fn look_for_end(cx: &Rc<Traffic>, admitted: &Admitted, target: &Rc<Target>, sent: Instant) {
-    let (cx, target) = (cx.clone(), target.clone());
+async fn has_ended(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    target: &Rc<Target>,
+    sent: Instant,
+) -> bool {
     let run = BrokenRun {
         sent,
         ended: Instant::now(),
     };
-    let (request_id, digest) = (admitted.caller.request_id.clone(), admitted.digest());
-    actix_rt::spawn(async move {
-        if target.has_ended().await {
-            let fields = format_args!(
-                "request={request_id} content={digest} target={}",
-                target.incarnation().0
-            );
-            cx.log.line(events::TARGET_ENDED, fields);
-            cx.crashes.target_ended(&cx, digest, run);
-        }
-    });
+    if !target.has_ended().await {
+        return false;
+    }
+    let (request_id, digest) = (&admitted.caller.request_id, admitted.digest());
+    let target = &target.incarnation().0;
+    let fields = format_args!("request={request_id} content={digest} target={target}");
+    cx.log.line(events::TARGET_ENDED, fields);
+    cx.crashes.target_ended(cx, digest, run);
+    true
 }
 
 /// Notes a failure in a target's health, which may put targets out.
@@ -100,11 +105,21 @@
     }
 }
 
+/// Targets that may end under a request until it isn't sent again. Of a suspect this was
+/// one too many already.
+fn most_ended(cx: &Traffic, admitted: &Admitted) -> u32 {
+    match cx.crashes.is_suspect(cx, || admitted.digest()) {
+        true => 1,
+        false => MOST_ENDED,
+    }
+}
+
 /// True when neither harm nor the route's limits forbid another send.
-fn may_send_again(admitted: &Admitted, sends: &Sends, progress: Progress) -> bool {
+fn may_send_again(cx: &Traffic, admitted: &Admitted, sends: &Sends, progress: Progress) -> bool {
     let route = admitted.route();
     may_try_again(progress, route.repeat.is_repeatable())
         && sends.arrivals < route.max_attempts
+        && sends.ended < most_ended(cx, admitted)
         && sends.unreached < MOST_UNREACHED
 }
 
--- a/crates/gateway/src/request/sends.rs
+++ b/crates/gateway/src/request/sends.rs
@@ -25,6 +25,8 @@
     pub arrivals: u32,
     /// Sends that reached no target.
     pub unreached: u32,
+    /// Targets that ended while they ran it.
+    pub ended: u32,
     /// Target of the last send, for the log.
     pub last_target: String,
     /// When the last send was made; when nothing was sent, its request came.
@@ -42,6 +44,7 @@
             progress: Vec::new(),
             arrivals: 0,
             unreached: 0,
+            ended: 0,
             last_target: String::new(),
             last_sent: admitted.arrived,
             last_why: "nothing was sent".to_string(),
--- a/crates/gateway/src/target_end.rs
+++ b/crates/gateway/src/target_end.rs
@@ -12,10 +12,9 @@
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
 use hollowsail_connect::{dial, DialError};
 
-/// Longest time for a connection: a hop takes a few milliseconds.
-const DIAL_WITHIN: Duration = Duration::from_millis(400);
-/// Questions at most: one may be lost on the way.
-const MOST_DIALS: u32 = 2;
+/// How long those whose answers broke off wait for word whether the target has ended, at
+/// the most. One that has refuses a connection within a hop, some milliseconds.
+pub const SEEN_WITHIN: Duration = Duration::from_millis(60);
 /// How long an answer holds for others whose answers broke off at about the same time:
 /// no target is back sooner.
 const HOLDS_FOR: Duration = Duration::from_millis(800);
@@ -54,14 +53,10 @@
 
 /// True when an address refuses a connection; silence proves nothing.
 async fn refuses(addr: SocketAddr) -> bool {
-    for _ in 0..MOST_DIALS {
-        match dial(addr, DIAL_WITHIN).await {
-            Ok(_) => return false,
-            Err(DialError::Refused { source, .. }) => {
-                return source.kind() == std::io::ErrorKind::ConnectionRefused;
-            }
-            Err(DialError::Silent { .. }) => {}
+    match dial(addr, SEEN_WITHIN).await {
+        Err(DialError::Refused { source, .. }) => {
+            source.kind() == std::io::ErrorKind::ConnectionRefused
         }
+        Ok(_) | Err(DialError::Silent { .. }) => false,
     }
-    false
 }
--- a/crates/gateway/src/targets.rs
+++ b/crates/gateway/src/targets.rs
@@ -66,7 +66,8 @@
         })
     }
 
-    /// True when its process isn't there any more, after an answer of its broke off.
+    /// True when its process isn't there any more, after an answer of its broke off. Takes
+    /// a hop or two, and [`crate::target_end::SEEN_WITHIN`] at the most.
     pub async fn has_ended(&self) -> bool {
         self.end.has_ended(self.record.addr).await
     }
--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -16,7 +16,9 @@
 
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
-use hollowsail_platform_standins::target::{chunk, event, last_chunk, results, stream_head};
+use hollowsail_platform_standins::target::{
+    answer, chunk, event, last_chunk, results, stream_head,
+};
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 use tokio::io::AsyncReadExt;
@@ -35,6 +37,8 @@
         .stage_service("encoders", 8, 20.0, 10.0)
         .route("/once/", "stream", "engines", json!({}))
         .route("/staged/", "stream", "engines", json!({ "stages": stages }))
+        .service("plain")
+        .route("/safe/", "safe", "plain", json!({ "max_attempts": 6 }))
 }
 
 /// A request with an id of its own.
@@ -272,3 +276,37 @@
     // Two calls may hold pieces of it before any worker has ended, then one after the other.
     assert!(workers.ended() <= 5, "{} workers ended", workers.ended());
 }
+
+fn fragile_plain(seen: &Seen) -> Vec<Step> {
+    match seen.body.starts_with(b"fatal") {
+        true => vec![Step::Wait(Duration::from_millis(10)), Step::End],
+        false => vec![Step::Write(answer(seen, 200, "good"))],
+    }
+}
+
+/// A request that may run again is sent to another target when one breaks off, at most
+/// six by its route here; without a look at why it broke, all of them ended at once.
+#[actix_rt::test]
+async fn a_repeatable_request_ends_two_targets_at_most_before_its_caller_hears() {
+    let (store, _engines, gateways) = fleet(2, 1).await;
+    let targets = Targets::start(&store, "plain", fragile_plain, 8).await;
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let send = |number: usize, body: &'static str| {
+        let id = format!("{number:016x}");
+        let call = Call::new("POST", "/safe/x")
+            .with("X-Request-Id", &id)
+            .body(body);
+        let at = gateways[number % 2].at.callers;
+        async move { call.send(at).await }
+    };
+    let first = send(0, "fatal").await;
+    assert_eq!((first.status, targets.ended()), (502, 2), "{first:?}");
+    for number in 1..4 {
+        // Word of what ended reaches the other entry.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        send(number, "fatal").await;
+    }
+    assert_eq!(targets.ended(), MOST_ENDED);
+    assert_eq!(send(5, "fatal").await.status, 503);
+    assert!(send(6, "good").await.is_whole);
+}
