Tell a target's starts apart, and use no record that can't be one

A target may start again under its id. Connections, health, requests in flight, what an engine keeps of prompts and a worker of results were kept by the id, so all of it outlived the process; a start that had said it leaves kept the next one out of use. Everything is kept by id and start now (Incarnation), a later start ends the one before in whatever order word of them comes, and an older one never replaces it.

A record with fields missing or of another type, or with a state that isn't named, was read as far as it went (any state but one counted as ready, missing slots as one), and bytes that can't be read left the record before in use. Now it names no target, and the target that it names is out of use until the next good record; the log says key, revision, length and place.

Tests: starts of targets without sockets and through a gateway, records of other writers field by field, arbitrary bytes, one changed byte.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,7 +37,7 @@
 pub use member::{Health, Member, Stopping};
 pub use newest::Newest;
 pub use standing::{Standing, StandingRule};
-pub use target_book::{BookTiming, TargetBook};
+pub use target_book::{BookTiming, TargetBook, Told};
 pub use watch_log::{Since, WatchLog};
 pub use watch_pause::watch_pause;
 pub use wire::Exchange;
--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -6,8 +6,9 @@
 //! during an outage, or shortly after it, stays in the book as [`State::Doubted`]
 //! until [`BookTiming::return_ms`] after the return, and only then goes.
 //!
-//! An incarnation that was seen draining never becomes usable again, whatever
-//! older record arrives later.
+//! A target may start again under its id. Its starts are told apart by a number that
+//! rises, and a later one ends the one before, in whatever order word of them comes. A
+//! start that was seen draining never becomes usable again.
 
 use std::collections::BTreeMap;
 
@@ -22,6 +23,17 @@
     pub return_ms: Millis,
 }
 
+/// What a record says besides what it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Told {
+    /// Of its last change in the store.
+    pub revision: u64,
+    /// Which start of the target wrote it; later ones have larger numbers.
+    pub start: u64,
+    /// The target takes no new work.
+    pub draining: bool,
+}
+
 /// What the book says of one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -37,6 +49,8 @@
 #[derive(Debug, Clone)]
 struct Entry<R> {
     record: R,
+    /// Which start of the target this is; later ones have larger numbers.
+    start: u64,
     /// Of its last change.
     revision: u64,
     state: State,
@@ -50,7 +64,7 @@
     Back(Millis),
 }
 
-/// Targets by their incarnations.
+/// Targets by their ids.
 #[derive(Debug, Clone)]
 pub struct TargetBook<R> {
     timing: BookTiming,
@@ -104,28 +118,41 @@
         }
     }
 
-    /// A record was written at a revision. True when the book changed.
-    pub fn put(&mut self, incarnation: &str, revision: u64, record: R, draining: bool) -> bool {
-        let known = self.entries.get(incarnation);
-        if known.is_some_and(|known| known.revision > revision) {
+    /// A record of some start was written at a revision. True when the book changed.
+    pub fn put(&mut self, id: &str, told: Told, record: R) -> bool {
+        let known = self.entries.get(id);
+        let is_older =
+            |known: &Entry<R>| (told.start, told.revision) < (known.start, known.revision);
+        if known.is_some_and(is_older) {
             return false;
         }
-        let was_draining = known.is_some_and(|known| known.state == State::Draining);
-        let state = if draining || was_draining {
+        let same_start = known.filter(|known| known.start == told.start);
+        let was_draining = same_start.is_some_and(|known| known.state == State::Draining);
+        let state = if told.draining || was_draining {
             State::Draining
         } else {
             State::Recorded
         };
         let changed = known.is_none_or(|known| known.state != state || known.record != record);
+        let revision = known.map_or(0, |known| known.revision).max(told.revision);
         let entry = Entry {
             record,
+            start: told.start,
             revision,
             state,
         };
-        self.entries.insert(incarnation.to_string(), entry);
+        self.entries.insert(id.to_string(), entry);
         changed
     }
 
+    /// What lies under a target's key from a revision on can't be used. True when the
+    /// book changed.
+    pub fn spoiled(&mut self, id: &str, revision: u64) -> bool {
+        let known = self.entries.get(id);
+        let is_newer = known.is_some_and(|known| known.revision <= revision);
+        is_newer && self.entries.remove(id).is_some()
+    }
+
     /// A record went; `is_unsettled` says whether that proves nothing, by the word of
     /// whoever tells of it. True when the book changed.
     pub fn deleted(&mut self, incarnation: &str, revision: u64, is_unsettled: bool) -> bool {
--- a/crates/fleet/tests/suite/target_book.rs
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -1,14 +1,31 @@
 //! Which targets there are, through outages of the store.
 
-use hollowsail_fleet::{BookTiming, TargetBook};
+use hollowsail_fleet::{BookTiming, TargetBook, Told};
 use proptest::prelude::*;
 
 const TIMING: BookTiming = BookTiming { return_ms: 2_000 };
 
+/// A record of the only start, written at a revision.
+fn told(revision: u64, draining: bool) -> Told {
+    Told {
+        revision,
+        start: 0,
+        draining,
+    }
+}
+
+/// A record of some start.
+fn started(start: u64, revision: u64, draining: bool) -> Told {
+    Told {
+        start,
+        ..told(revision, draining)
+    }
+}
+
 fn book() -> TargetBook<&'static str> {
     let mut book = TargetBook::new(TIMING);
-    book.put("a", 1, "a", false);
-    book.put("b", 2, "b", false);
+    book.put("a", told(1, false), "a");
+    book.put("b", told(2, false), "b");
     book
 }
 
@@ -41,19 +58,43 @@
 #[test]
 fn a_record_that_says_something_new_is_a_change() {
     let mut book = book();
-    assert!(!book.put("a", 5, "a", false), "a renewal");
-    assert!(book.put("a", 6, "elsewhere", false));
+    assert!(!book.put("a", told(5, false), "a"), "a renewal");
+    assert!(book.put("a", told(6, false), "elsewhere"));
     assert_eq!(usable(&book), ["elsewhere", "b"]);
 }
 
 #[test]
 fn a_draining_target_never_comes_back() {
     let mut book = book();
-    assert!(book.put("a", 5, "a", true));
+    assert!(book.put("a", told(5, true), "a"));
     assert_eq!(usable(&book), ["b"]);
-    assert!(!book.put("a", 3, "a", false), "an older word");
-    assert!(!book.put("a", 6, "a", false), "nor a newer one");
+    assert!(!book.put("a", told(3, false), "a"), "an older word");
+    assert!(!book.put("a", told(6, false), "a"), "nor a newer one");
+    assert_eq!(usable(&book), ["b"]);
+}
+
+#[test]
+fn a_later_start_ends_the_one_before_in_whatever_order_they_come() {
+    let mut book = book();
+    book.put("a", started(10, 5, true), "a");
+    assert_eq!(usable(&book), ["b"], "that start leaves");
+    assert!(book.put("a", started(20, 6, false), "again"));
+    assert_eq!(usable(&book), ["again", "b"]);
+    assert!(!book.put("a", started(10, 7, false), "a"), "a late word");
+    assert_eq!(usable(&book), ["again", "b"]);
+    assert!(book.put("a", started(30, 4, false), "third"), "an old page");
+    assert_eq!(usable(&book), ["third", "b"]);
+}
+
+#[test]
+fn what_cannot_be_used_takes_its_target_out_until_the_next_good_record() {
+    let mut book = book();
+    assert!(!book.spoiled("a", 0), "older than what is known");
+    assert!(book.spoiled("a", 5));
     assert_eq!(usable(&book), ["b"]);
+    assert!(!book.spoiled("a", 6), "no news");
+    assert!(book.put("a", told(7, false), "a"));
+    assert_eq!(usable(&book), ["a", "b"]);
 }
 
 #[test]
@@ -69,7 +110,7 @@
         "b may come back, too"
     );
     assert!(book.settle(2_900).is_empty());
-    book.put("b", 10, "b", false);
+    book.put("b", told(10, false), "b");
     assert_eq!(book.settle(3_000), ["a"]);
     assert_eq!(usable(&book), ["b"]);
     assert_eq!(book.settles_at(), None);
@@ -79,7 +120,7 @@
 fn a_peers_word_is_taken_while_the_store_is_away_but_not_over_newer_records() {
     let mut book = book();
     book.store_away();
-    book.put("c", 9, "c", false);
+    book.put("c", told(9, false), "c");
     assert_eq!(book.adopt(&["b"], 5), ["a"]);
     assert_eq!(usable(&book), ["b", "c"], "c is newer than the peer's word");
 }
@@ -117,7 +158,7 @@
             let revision = at as u64 + 1;
             match event {
                 Event::Put { id, draining } => {
-                    book.put(IDS[id], revision, IDS[id], draining);
+                    book.put(IDS[id], told(revision, draining), IDS[id]);
                     recorded[id] = true;
                     known[id] = true;
                     drained[id] |= draining;
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -3,8 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_fleet::Told;
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Changes, Item, Range};
+use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
 
 use super::follow::Followed;
 use super::source::Teller;
@@ -43,6 +44,15 @@
     },
 };
 
+/// What a live entry's record says of itself; a key stands for one run.
+fn live_at(revision: Revision) -> Told {
+    Told {
+        revision,
+        start: 0,
+        draining: false,
+    }
+}
+
 impl Control {
     /// Longest pause between two looks for entries that came or went.
     fn longest_peers_pause(&self) -> Duration {
@@ -103,7 +113,7 @@
         let changed = self
             .peers
             .borrow_mut()
-            .put(&item.key, item.revision, record, false);
+            .put(&item.key, live_at(item.revision), record);
         if changed {
             self.log
                 .line(events::MEMBER, format_args!("{line} state=live"));
@@ -141,7 +151,7 @@
         let mut book = self.peers.borrow_mut();
         let mut changed = false;
         for peer in peers {
-            changed |= book.put(&peer.key(), 0, peer, false);
+            changed |= book.put(&peer.key(), live_at(0), peer);
         }
         drop(book);
         if changed {
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -3,9 +3,10 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use hollowsail_fleet::Told;
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
-use hollowsail_platform::targets::{self, TargetRecord, PREFIX};
+use hollowsail_platform::targets::{self, Incarnation, TargetRecord, PREFIX};
 
 use super::follow::Followed;
 use super::source::Teller;
@@ -95,17 +96,27 @@
         }
     }
 
-    /// Takes one record into the book. True when the book changed.
+    /// Takes one record into the book. True when the book changed. One that can't be used
+    /// takes its target out of use: others may write there, too, and who did isn't known.
     fn take_record(&self, item: &Item) -> bool {
-        let Some(incarnation) = targets::incarnation_of(&item.key) else {
+        let Some(id) = targets::id_of(&item.key) else {
             return false;
         };
-        match targets::decode(incarnation, &item.value) {
+        match targets::decode(id, &item.value) {
             Ok(record) => self.put_record(record, item.revision),
             Err(err) => {
-                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                let fields = format_args!(
+                    "key={} revision={} bytes={} why=\"{err}\"",
+                    item.key,
+                    item.revision,
+                    item.value.len()
+                );
                 self.log.line(events::RECORD_UNREADABLE, fields);
-                false
+                let gone = self.book.borrow_mut().spoiled(id, item.revision);
+                if gone {
+                    self.log_gone(&[id.to_string()], "record_unreadable");
+                }
+                gone
             }
         }
     }
@@ -115,7 +126,7 @@
         let present: Vec<String> = at
             .records
             .iter()
-            .map(|record| record.record.incarnation.0.clone())
+            .map(|record| record.record.incarnation.id.clone())
             .collect();
         let mut changed = false;
         for RecordAt { revision, record } in at.records {
@@ -133,14 +144,19 @@
 
     /// Puts a record into the book. True when the book changed.
     fn put_record(&self, record: TargetRecord, revision: Revision) -> bool {
-        let id = record.incarnation.0.clone();
+        let Incarnation { id, born } = record.incarnation.clone();
         let draining = record.draining;
         let fields = format!(
-            "target={id} service={} addr={} hall={} draining={draining} revision={revision}",
+            "target={id} born={born} service={} addr={} hall={} draining={draining} revision={revision}",
             record.service, record.addr, record.hall
         );
+        let told = Told {
+            revision,
+            start: born,
+            draining,
+        };
         let mut book = self.book.borrow_mut();
-        let changed = book.put(&id, revision, Arc::new(record), draining);
+        let changed = book.put(&id, told, Arc::new(record));
         if changed {
             self.log
                 .line(events::TARGET_RECORD, format_args!("{fields}"));
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -16,7 +16,7 @@
             .usable()
             .filter(|target| !emptied.contains(&target.hall));
         let targets = outside.map(|record| UsableTarget {
-            cold_until: cold.until(&record.incarnation.0),
+            cold_until: cold.until(&record.incarnation.id),
             record: record.clone(),
         });
         targets.collect()
@@ -27,7 +27,7 @@
         let book = self.book.borrow();
         let cold = book.all().filter(|(_, record)| record.cold_ms > 0);
         let cold = cold.map(|(revision, record)| ColdRecord {
-            incarnation: &record.incarnation.0,
+            incarnation: &record.incarnation.id,
             revision,
             cold_ms: record.cold_ms,
         });
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -56,7 +56,7 @@
             let ejected = self.desk.borrow_mut().sweep(now);
             self.log_ejected(cx, &ejected);
         }
-        let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.0);
+        let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.id);
         self.desk.borrow_mut().place(now, demand, affinity)
     }
 
@@ -78,7 +78,7 @@
 
     fn log_ejected(&self, cx: &Traffic, ejected: &[Incarnation]) {
         for engine in ejected {
-            let fields = format_args!("desk={} target={} why=answers", self.name, engine.0);
+            let fields = format_args!("desk={} target={} why=answers", self.name, engine.id);
             cx.log.line(events::TARGET_EJECTED, fields);
         }
     }
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -64,7 +64,7 @@
             let known = self.workers.borrow().worker(&told.target);
             let Some(worker) = known else { continue };
             self.queue.borrow_mut().take_over(worker, &told.state, now);
-            let name = format!("taken over/{}/{now}", told.target.0);
+            let name = format!("taken over/{}/{now}", told.target.id);
             let result = Kept {
                 worker,
                 bytes: told.state.held_bytes,
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -261,7 +261,7 @@
             if let Some(target) = self.workers.borrow().target(worker) {
                 let fields = format_args!(
                     "queue={} target={} why=call_overdue",
-                    self.name, target.record.incarnation.0
+                    self.name, target.record.incarnation.id
                 );
                 cx.log.line(events::TARGET_EJECTED, fields);
             }
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -125,7 +125,7 @@
         format_args!(
             "queue={} target={} pieces={pieces} ms={} outcome=\"{outcome}\"",
             batcher.name(),
-            target.incarnation().0,
+            target.incarnation().id,
             took.as_millis(),
         ),
     );
@@ -152,7 +152,7 @@
     let fields = format_args!(
         "queue={} target={} pieces={} content={} is_one_request={is_one_request}",
         batcher.name(),
-        target.incarnation().0,
+        target.incarnation().id,
         asked.len(),
         first.request,
     );
@@ -278,7 +278,7 @@
             piece.request_id,
             piece.stage,
             piece.piece,
-            target.incarnation().0,
+            target.incarnation().id,
         ),
     );
     if matches!(failure, PieceFailure::Late | PieceFailure::InputGone) {
--- a/crates/gateway/src/pools/held.rs
+++ b/crates/gateway/src/pools/held.rs
@@ -45,7 +45,7 @@
 
     /// Its maker.
     pub fn maker(&self) -> &str {
-        &self.made.target.0
+        &self.made.target.id
     }
 
     /// Data hall of its maker.
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -84,7 +84,7 @@
 fn candidate(cx: &Traffic, target: &Target, part: &PromptPart, outside: u64) -> EngineCandidate {
     let health = target.health.borrow();
     EngineCandidate {
-        affinity: rendezvous::score(&part.id, &target.incarnation().0),
+        affinity: rendezvous::score(&part.id, &target.incarnation().id),
         keeps_part: false,
         load: target.load(),
         unread_tokens: target.unread_tokens.get(),
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -69,7 +69,7 @@
         if sends.is_first() {
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
-        sends.last_target.clone_from(&target.incarnation().0);
+        sends.last_target.clone_from(&target.incarnation().id);
         sends.last_sent = Instant::now();
         match attempt::run(admitted, &target, &send).await {
             Ok(mut answered) => {
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -100,7 +100,7 @@
             "request={} target={} addr={} hall={} reason={} candidates={candidates} \
              in_flight={} left_ms={} view={}",
             admitted.caller.request_id,
-            target.incarnation().0,
+            target.incarnation().id,
             target.record.addr,
             target.record.hall,
             reason.name(),
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -230,7 +230,7 @@
             format_args!(
                 "request={} target={} progress=Broken why=\"{fault}\"",
                 self.admitted.caller.request_id,
-                self.answered.target.incarnation().0,
+                self.answered.target.incarnation().id,
             ),
         );
         Some(Err(fault))
@@ -284,7 +284,7 @@
             format_args!(
                 "request={} from={} kind={} why=\"{}\"",
                 self.admitted.caller.request_id,
-                self.answered.target.incarnation().0,
+                self.answered.target.incarnation().id,
                 refusal.kind.answer().name,
                 refusal.detail,
             ),
@@ -299,8 +299,8 @@
             format_args!(
                 "request={} from={} to={} after={}",
                 self.admitted.caller.request_id,
-                self.answered.target.incarnation().0,
-                answered.target.incarnation().0,
+                self.answered.target.incarnation().id,
+                answered.target.incarnation().id,
                 after.unwrap_or("start"),
             ),
         );
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -63,7 +63,7 @@
             "request={} content={} target={} progress={progress:?} why=\"{}\"",
             admitted.caller.request_id,
             admitted.digest(),
-            target.incarnation().0,
+            target.incarnation().id,
             failure.why,
         ),
     );
@@ -89,7 +89,7 @@
         return false;
     }
     let (request_id, digest) = (&admitted.caller.request_id, admitted.digest());
-    let target = &target.incarnation().0;
+    let target = &target.incarnation().id;
     let fields = format_args!("request={request_id} content={digest} target={target}");
     cx.log.line(events::TARGET_ENDED, fields);
     cx.crashes.target_ended(cx, digest, run);
@@ -100,7 +100,7 @@
 fn count_against(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
     target.observe(Observation::Failed, 1);
     for ejected in cx.targets().eject_worst(service, cx.clock.now()) {
-        let fields = format_args!("target={} why=failures", ejected.incarnation().0);
+        let fields = format_args!("target={} why=failures", ejected.incarnation().id);
         cx.log.line(events::TARGET_EJECTED, fields);
     }
 }
--- a/crates/gateway/src/target_group.rs
+++ b/crates/gateway/src/target_group.rs
@@ -47,7 +47,7 @@
         let of = groups::count(all.len(), size);
         let mine = all
             .iter()
-            .filter(|target| groups::place_of(&target.incarnation().0, of) == self.at);
+            .filter(|target| groups::place_of(&target.incarnation().id, of) == self.at);
         mine.cloned().collect()
     }
 }
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod reading;
 mod sharing;
 mod stages;
+mod starting_again;
 mod stopping;
 mod streams;
 mod truth;
