Let deadlines and ages go on while the host is suspended

The steady clock and timers stand still while a host is suspended. A request that was under way kept all the time it had left, and a connection that had rested for 10 s more counted as fresh for one that must not be lost.

--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -3,9 +3,10 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
+use hollowsail_clock::Moment;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -68,8 +69,8 @@
 
 struct Idle {
     sender: SendRequest<Full<Bytes>>,
-    since: Instant,
-    until: Instant,
+    since: Moment,
+    until: Moment,
 }
 
 /// Connections to one peer.
@@ -161,12 +162,12 @@
     }
 
     fn take_idle(&self, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
-        let now = Instant::now();
+        let now = Moment::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|conn| conn.until > now && conn.sender.is_ready());
         let fits = |conn: &Idle| match reuse {
             Reuse::Any => true,
-            Reuse::Within(limit) => now.duration_since(conn.since) <= limit,
+            Reuse::Within(limit) => now.saturating_since(conn.since) <= limit,
         };
         let at = idle.iter().rposition(fits)?;
         Some(idle.swap_remove(at).sender)
@@ -191,7 +192,7 @@
         if idle.len() >= self.rules.max_idle {
             return;
         }
-        let since = Instant::now();
+        let since = Moment::now();
         idle.push(Idle {
             sender,
             since,
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,31 +1,32 @@
-//! Time since the process started, on the steady clock.
+//! Time since the process started, with the time for which its host was suspended.
 
 use std::time::{Duration, Instant};
 
+use hollowsail_clock::Moment;
 use hollowsail_routing::Millis;
 
 /// Start of the process; copies agree.
 #[derive(Debug, Clone, Copy)]
-pub struct Clock(Instant);
+pub struct Clock(Moment);
 
 impl Clock {
     /// Starts now.
     pub fn start() -> Self {
-        Clock(Instant::now())
+        Clock(Moment::now())
     }
 
     /// Milliseconds since the start.
     pub fn now(&self) -> Millis {
-        self.0.elapsed().as_millis() as Millis
+        self.millis_at(Moment::now())
     }
 
     /// Milliseconds from the start to a moment.
-    pub fn millis_at(&self, moment: Instant) -> Millis {
-        moment.saturating_duration_since(self.0).as_millis() as Millis
+    pub fn millis_at(&self, moment: Moment) -> Millis {
+        moment.saturating_since(self.0).as_millis() as Millis
     }
 
-    /// The moment so many milliseconds after the start.
-    pub fn moment(&self, millis: Millis) -> Instant {
-        self.0 + Duration::from_millis(millis)
+    /// When a timer has to fire that is set now for so many milliseconds after the start.
+    pub fn timer(&self, millis: Millis) -> Instant {
+        (self.0 + Duration::from_millis(millis)).timer()
     }
 }
--- a/crates/gateway/src/control/settle.rs
+++ b/crates/gateway/src/control/settle.rs
@@ -48,7 +48,7 @@
         };
         let cx = self.clone();
         actix_rt::spawn(async move {
-            tokio::time::sleep_until(cx.clock.moment(at).into()).await;
+            tokio::time::sleep_until(cx.clock.timer(at).into()).await;
             let gone = book(&cx).borrow_mut().settle(cx.clock.now());
             if !gone.is_empty() {
                 tell_gone(&cx, &gone);
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -12,8 +12,9 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_routing::crash_ledger::{CRASHES_TO_REFUSE, CRASHES_TO_SET_APART};
 use hollowsail_routing::{CrashLedger, CrashedRun, Millis, RequestDigest, Standing};
@@ -43,9 +44,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct BrokenRun {
     /// When the request was sent to the target.
-    pub sent: Instant,
+    pub sent: Moment,
     /// When the answer broke off.
-    pub ended: Instant,
+    pub ended: Moment,
 }
 
 impl BrokenRun {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -198,7 +198,7 @@
         let listed = self.first_listed.get();
         let at = listed.map_or(SETTLE_UNLISTED_MS, |listed| listed + SETTLE_MS);
         if cx.clock.now() < at {
-            tokio::time::sleep_until(cx.clock.moment(at).into()).await;
+            tokio::time::sleep_until(cx.clock.timer(at).into()).await;
         }
     }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -1,8 +1,9 @@
 //! One call to a target of a stage service.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::events;
 use hollowsail_platform::heads::TargetHead;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
@@ -73,7 +74,7 @@
     target: Rc<Target>,
 ) {
     let begun = cx.clock.now();
-    let sent = Instant::now();
+    let sent = Moment::now();
     let asked = pieces_of(&batcher, &started);
     let result = match tokio::time::timeout(CALL_WITHIN, exchange(&target, &asked)).await {
         Ok(result) => result,
@@ -139,11 +140,11 @@
     batcher: &Batcher,
     target: &Rc<Target>,
     asked: &[Asked],
-    sent: Instant,
+    sent: Moment,
 ) {
     let run = BrokenRun {
         sent,
-        ended: Instant::now(),
+        ended: Moment::now(),
     };
     let (true, Some(first)) = (target.has_ended().await, asked.first()) else {
         return;
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -3,9 +3,10 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use hollowsail_clock::Moment;
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::{Deployment, OrganisationKey, Route, RouteKey};
 use hollowsail_platform::heads::CallerHead;
@@ -49,9 +50,9 @@
     pub head: Parts,
     pub caller: CallerHead,
     pub body: Bytes,
-    pub arrived: Instant,
+    pub arrived: Moment,
     /// When the caller or the route gives the request up.
-    pub until: Instant,
+    pub until: Moment,
     /// Worked out when it is first needed, which few requests do.
     digest: OnceCell<RequestDigest>,
 }
@@ -75,16 +76,16 @@
 
     /// Time that is left.
     pub fn remaining(&self) -> Duration {
-        self.until.saturating_duration_since(Instant::now())
+        self.until.saturating_since(Moment::now())
     }
 
     /// Moment by which an answer earns its full worth.
-    pub fn due(&self) -> Instant {
+    pub fn due(&self) -> Moment {
         self.arrived + self.route().target_latency
     }
 
     /// When the caller leaves unless an answer has begun.
-    pub fn answer_by(&self) -> Instant {
+    pub fn answer_by(&self) -> Moment {
         let patience = self.route().patience;
         patience.map_or(self.until, |patience| {
             self.until.min(self.arrived + patience)
@@ -93,7 +94,7 @@
 
     /// When its stages are given up: before its caller leaves, and before half
     /// of its time is over, so that the caller hears in time when to come back.
-    pub fn stages_by(&self) -> Instant {
+    pub fn stages_by(&self) -> Moment {
         let patience = self.answer_by() - self.arrived;
         let whole = self.until - self.arrived;
         let longest = patience
@@ -103,8 +104,8 @@
     }
 
     /// When the caller leaves a stream that broke off just now unless it goes on.
-    pub fn gap_ends(&self) -> Instant {
-        let now = Instant::now();
+    pub fn gap_ends(&self) -> Moment {
+        let now = Moment::now();
         let patience = self.route().patience;
         patience.map_or(self.until, |patience| {
             self.until.min(now + patience.mul_f64(PATIENCE_SHARE))
@@ -136,7 +137,7 @@
     cx: &Rc<Traffic>,
     head: Parts,
     body: Incoming,
-    arrived: Instant,
+    arrived: Moment,
 ) -> Result<Admitted, Rejected> {
     let caller = CallerHead::read(&head.headers).map_err(|fault| Rejected {
         request_id: None,
@@ -230,12 +231,12 @@
     Ok(known)
 }
 
-async fn read_body(mut body: Incoming, most: usize, until: Instant) -> Result<Bytes, Refusal> {
+async fn read_body(mut body: Incoming, most: usize, until: Moment) -> Result<Bytes, Refusal> {
     let too_large = || Refusal::new(ErrorKind::BodyTooLarge, format!("over {most} bytes"));
     if body.size_hint().lower() > most as u64 {
         return Err(too_large());
     }
-    let latest = until.min(Instant::now() + BODY_WITHIN);
+    let latest = until.min(Moment::now() + BODY_WITHIN);
     let read = async {
         let mut whole = BytesMut::new();
         while let Some(frame) = body.frame().await {
@@ -251,7 +252,7 @@
         }
         Ok(whole.freeze())
     };
-    match tokio::time::timeout_at(latest.into(), read).await {
+    match tokio::time::timeout_at(latest.timer().into(), read).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::new(
             ErrorKind::BodyLate,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -1,8 +1,9 @@
 //! One send of a request to one target.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_connect::{AnswerBody, Reuse};
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::heads::{self, ForTarget, TargetHead};
@@ -26,7 +27,7 @@
     pub body: AnswerBody,
     pub target: Rc<Target>,
     pub in_flight: InFlight,
-    pub sent: Instant,
+    pub sent: Moment,
     /// Set when a desk placed it.
     pub placed: Option<Placed>,
 }
@@ -70,9 +71,9 @@
 pub struct Send<'a> {
     pub inputs: &'a [String],
     /// When the request is given up, as the target is told.
-    pub until: Instant,
+    pub until: Moment,
     /// When another target may be asked because this one is silent.
-    pub silent_from: Instant,
+    pub silent_from: Moment,
     /// Take a stream up after this event.
     pub resume_after: Option<&'a str>,
     /// Prompt tokens that the target has to read.
@@ -86,14 +87,14 @@
     send: &Send<'_>,
 ) -> Result<Answered, Failure> {
     let in_flight = target.enter(send.unread_tokens);
-    let sent = Instant::now();
+    let sent = Moment::now();
     let req = request_for(admitted, target, send);
     let reuse = match admitted.route().repeat {
         Repeat::Once | Repeat::StreamOnce => Reuse::Within(FRESH_FOR),
         Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
     };
     let sending = target.pool.send(req, reuse);
-    let exchange = match tokio::time::timeout_at(send.silent_from.into(), sending).await {
+    let exchange = match tokio::time::timeout_at(send.silent_from.timer().into(), sending).await {
         Ok(Ok(exchange)) => exchange,
         Ok(Err(err)) if err.nothing_sent() => {
             return Err(Failure::new(Progress::NothingSent, err.to_string()))
@@ -122,7 +123,7 @@
     let is_engine = admitted.caller.generation.is_some();
     let to = ForTarget {
         incarnation: target.incarnation(),
-        remaining: send.until.saturating_duration_since(Instant::now()),
+        remaining: send.until.saturating_since(Moment::now()),
         organisation: admitted.organisation_name(),
         inputs: send.inputs,
         priority: is_engine.then_some(admitted.priority.min(9)),
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -4,8 +4,9 @@
 //! decides what follows one that failed.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::Progress;
@@ -70,7 +71,7 @@
             cx.with_budget(&admitted.deployment, sends.service, |budget| budget.earn());
         }
         sends.last_target.clone_from(&target.incarnation().id);
-        sends.last_sent = Instant::now();
+        sends.last_sent = Moment::now();
         match attempt::run(admitted, &target, &send).await {
             Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
@@ -95,7 +96,7 @@
 /// request's end where another may still be asked. A connection that fell silent
 /// without a reset shows in no other way, and would cost each request that is sent on
 /// it all of its time.
-fn silent_from(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Instant {
+fn silent_from(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Moment {
     let route = admitted.route();
     let another_may_follow = sends.arrivals + 1 < route.max_attempts;
     if route.repeat != Repeat::Safe || !another_may_follow {
@@ -106,14 +107,14 @@
         return admitted.until;
     };
     let longest = Duration::from_millis(slowest * SILENT_FACTOR).max(LEAST_SILENT);
-    Instant::now() + longest.min(admitted.remaining() / 2)
+    Moment::now() + longest.min(admitted.remaining() / 2)
 }
 
 /// What each attempt is given.
 fn send_for<'a>(
     admitted: &Admitted,
     prepared: &'a Prepared,
-    silent_from: Instant,
+    silent_from: Moment,
     resume_after: Option<&'a str>,
 ) -> Send<'a> {
     let generation = admitted.caller.generation.as_ref();
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -1,8 +1,8 @@
 //! Finds the target for the next send of a request.
 
 use std::rc::Rc;
-use std::time::Instant;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::events;
 use hollowsail_routing::cold::{PAST_DESK_SHARE, WITHOUT_DESK_SHARE};
 use hollowsail_routing::Reason;
@@ -105,10 +105,7 @@
             target.record.hall,
             reason.name(),
             target.in_flight.get(),
-            admitted
-                .until
-                .saturating_duration_since(Instant::now())
-                .as_millis(),
+            admitted.until.saturating_since(Moment::now()).as_millis(),
             cx.view_number(),
         ),
     );
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -6,8 +6,9 @@
 //! batches and memory that others could be in time with.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::ErrorKind;
 use hollowsail_routing::{admit, longest_way, ServiceLoad, StageDemand, StageExpectation, Verdict};
 use rand::Rng;
@@ -50,7 +51,7 @@
         return Ok(());
     }
     demands.push(engine());
-    let left = admitted.due().saturating_duration_since(Instant::now());
+    let left = admitted.due().saturating_since(Moment::now());
     let left = left.saturating_sub(MARGIN);
     match admit(left.as_millis() as u64, &demands, 0.0) {
         Verdict::Admit => Ok(()),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -20,8 +20,8 @@
 mod unservable;
 
 use std::rc::Rc;
-use std::time::Instant;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::{events as catalogue, ErrorKind};
 use hyper::body::Incoming;
 
@@ -45,7 +45,7 @@
 
 /// Serves one request.
 pub async fn serve(cx: Rc<Traffic>, req: http::Request<Incoming>) -> http::Response<AnswerStream> {
-    let arrived = Instant::now();
+    let arrived = Moment::now();
     let (head, body) = req.into_parts();
     let mut trace = Trace::default();
     let admitted = match admit::admit(&cx, head, body, arrived).await {
@@ -156,7 +156,7 @@
     cx: &Traffic,
     whose: &Whose<'_>,
     trace: &Trace,
-    arrived: Instant,
+    arrived: Moment,
     outcome: Result<http::StatusCode, &Refusal>,
 ) {
     let (status, kind, why) = match outcome {
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -8,8 +8,8 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Stage;
 use hollowsail_stages::{StageGraph, StageSize};
@@ -34,7 +34,7 @@
 pub async fn run(
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
-    until: Instant,
+    until: Moment,
 ) -> Result<Prepared, Refusal> {
     let stages = &admitted.route().stages;
     if stages.is_empty() {
@@ -52,7 +52,7 @@
         home_hall,
         remade: 0,
     };
-    let limit = tokio::time::sleep_until(until.into());
+    let limit = tokio::time::sleep_until(until.timer().into());
     tokio::select! {
         result = walk.run() => result,
         () = limit => Err(Refusal::new(
--- a/crates/gateway/src/request/prepare/walk.rs
+++ b/crates/gateway/src/request/prepare/walk.rs
@@ -3,9 +3,9 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use hollowsail_clock::Moment;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
@@ -33,7 +33,7 @@
     pub cx: &'a Rc<Traffic>,
     pub admitted: &'a Rc<Admitted>,
     /// When the stages are given up.
-    pub until: Instant,
+    pub until: Moment,
     pub stages: &'a [Stage],
     pub graph: StageGraph,
     pub held: HashMap<PieceAt, HeldResult>,
@@ -112,7 +112,7 @@
     fn piece(&self, at: PieceAt) -> Piece {
         let inputs = self.graph.inputs_of(at.stage);
         let piece_key = self.admitted.caller.piece_key.clone();
-        let left = self.until.saturating_duration_since(Instant::now());
+        let left = self.until.saturating_since(Moment::now());
         Piece {
             request_id: self.admitted.caller.request_id.clone(),
             stage: at.stage as u16,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -56,7 +56,11 @@
         sent: _,
         placed,
     } = answered;
-    let read = tokio::time::timeout_at(admitted.until.into(), body.collect(MOST_WHOLE_BYTES)).await;
+    let read = tokio::time::timeout_at(
+        admitted.until.timer().into(),
+        body.collect(MOST_WHOLE_BYTES),
+    )
+    .await;
     drop(in_flight);
     if let Some(mut placed) = placed {
         match &read {
@@ -168,7 +172,8 @@
     async fn next(&mut self) -> Option<Result<Bytes, BodyFault>> {
         while !self.is_done {
             let limit = self.admitted.until + STREAM_SLACK;
-            let chunk = tokio::time::timeout_at(limit.into(), self.answered.body.chunk()).await;
+            let chunk =
+                tokio::time::timeout_at(limit.timer().into(), self.answered.body.chunk()).await;
             match chunk {
                 Ok(Some(Ok(bytes))) => {
                     if let Some(events) = self.cutter.push(&bytes) {
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -1,8 +1,8 @@
 //! Decides what follows an attempt that failed: another send, or the end.
 
 use std::rc::Rc;
-use std::time::Instant;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_routing::{may_try_again, stage_status, Observation, Progress, StageStatus};
@@ -79,11 +79,11 @@
     cx: &Rc<Traffic>,
     admitted: &Admitted,
     target: &Rc<Target>,
-    sent: Instant,
+    sent: Moment,
 ) -> bool {
     let run = BrokenRun {
         sent,
-        ended: Instant::now(),
+        ended: Moment::now(),
     };
     if !target.has_ended().await {
         return false;
--- a/crates/gateway/src/request/sends.rs
+++ b/crates/gateway/src/request/sends.rs
@@ -1,8 +1,9 @@
 //! What is known of a request's sends, and what may be said of it by that.
 
 use std::collections::HashSet;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_platform::targets::Incarnation;
@@ -30,7 +31,7 @@
     /// Target of the last send, for the log.
     pub last_target: String,
     /// When the last send was made; when nothing was sent, its request came.
-    pub last_sent: Instant,
+    pub last_sent: Moment,
     last_why: String,
     retry_after: Option<Duration>,
 }
--- a/crates/gateway/src/target_end.rs
+++ b/crates/gateway/src/target_end.rs
@@ -7,9 +7,10 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
+use hollowsail_clock::Moment;
 use hollowsail_connect::{dial, DialError};
 
 /// How long those whose answers broke off wait for word whether the target has ended, at
@@ -26,7 +27,7 @@
 }
 
 struct Asked {
-    at: Instant,
+    at: Moment,
     answer: Shared<LocalBoxFuture<'static, bool>>,
 }
 
@@ -40,7 +41,7 @@
                 _ => {
                     let answer = refuses(addr).boxed_local().shared();
                     *asked = Some(Asked {
-                        at: Instant::now(),
+                        at: Moment::now(),
                         answer: answer.clone(),
                     });
                     answer
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -42,6 +42,7 @@
     LEFT, 107, "left", Info, "The stop is complete; peers know who answers for this entry's tickets.";
     BAD_INPUT, 108, "bad_input", Warn, "A connection was closed because its caller went over a limit.";
     RELOADED, 109, "reloaded", Info, "The settings file was read again.";
+    HOST_WOKE, 110, "host_woke", Warn, "The host was suspended; deadlines, leases and whatever else runs out went on meanwhile.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt gave no valid answer.";
