Let pieces of an ended worker go alone from the second end on, and count each end

So pieces share a call once more after the first end. Each end counts for every request of the call, as it does for all that an engine ran; a whole answer acquits. In the test 4 workers end instead of 5, 16 without; its bound is 4 now.

--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -46,7 +46,9 @@
     pub request: RequestDigest,
     /// Times that it was given back.
     pub failures: u32,
-    /// Workers that ended while they made pieces of its request and of no other.
+    /// Workers that ended while they made it.
+    pub ended: u32,
+    /// Those of them that made pieces of its request and of no other.
     pub ended_alone: u32,
     reply: Reply,
 }
@@ -179,6 +181,7 @@
             piece: wanted.piece,
             request: wanted.request,
             failures: 0,
+            ended: 0,
             ended_alone: 0,
             reply,
         };
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -1,5 +1,6 @@
 //! One call to a target of a stage service.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -32,6 +33,13 @@
 /// one may end for its own reasons.
 const MOST_ENDED_ALONE: u32 = 2;
 
+/// Workers that end under a piece until it shares no call with other requests'. With the
+/// first one a whole call ends, of which one piece at most is to blame: made one by one at
+/// once, the pieces of workers that ended for their own reasons earn 0.08 less of their
+/// worth (0.675 instead of 0.757, two plays each of a day on which four times a third of
+/// a stage service's workers end).
+const ENDED_TO_GO_ALONE: u32 = 2;
+
 /// Why a call gave no results.
 #[derive(Debug, Snafu)]
 enum CallError {
@@ -132,9 +140,8 @@
     );
 }
 
-/// Finds out whether the worker of a call that broke off has ended. Its pieces share no
-/// call with other requests' from then on; where they were of one request, that one is to
-/// blame.
+/// Finds out whether the worker of a call that broke off has ended. Then that counts for
+/// each request of the call, as for all that an engine ran; a whole answer acquits.
 async fn look_for_end(
     cx: &Rc<Traffic>,
     batcher: &Batcher,
@@ -146,28 +153,35 @@
         sent,
         ended: Moment::now(),
     };
-    let (true, Some(first)) = (target.has_ended().await, asked.first()) else {
+    if asked.is_empty() || !target.has_ended().await {
         return;
-    };
-    let is_one_request = asked.iter().all(|asked| asked.request == first.request);
-    let fields = format_args!(
-        "queue={} target={} pieces={} content={} is_one_request={is_one_request}",
-        batcher.name(),
-        target.incarnation().id,
-        asked.len(),
-        first.request,
-    );
-    cx.log.line(events::TARGET_ENDED, fields);
-    let mut queue = batcher.queue.borrow_mut();
+    }
+    let requests: BTreeSet<RequestDigest> = asked.iter().map(|asked| asked.request).collect();
+    for request in &requests {
+        let fields = format_args!(
+            "queue={} content={request} target={} requests={}",
+            batcher.name(),
+            target.incarnation().id,
+            requests.len(),
+        );
+        cx.log.line(events::TARGET_ENDED, fields);
+        cx.crashes.target_ended(cx, *request, run);
+    }
     for asked in asked {
-        queue.set_alone(asked.started.key);
-        if let Some(job) = queue.job_mut(asked.started.key) {
-            job.ended_alone += u32::from(is_one_request);
-        }
+        count_end(batcher, asked.started.key, requests.len() == 1);
     }
-    drop(queue);
-    if is_one_request {
-        cx.crashes.target_ended(cx, first.request, run);
+}
+
+/// Counts a worker's end for one of its pieces, which goes on alone after some.
+fn count_end(batcher: &Batcher, piece: PieceKey, was_alone: bool) {
+    let mut queue = batcher.queue.borrow_mut();
+    let Some(job) = queue.job_mut(piece) else {
+        return;
+    };
+    job.ended += 1;
+    job.ended_alone += u32::from(was_alone);
+    if job.ended >= ENDED_TO_GO_ALONE {
+        queue.set_alone(piece);
     }
 }
 
--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -273,8 +273,8 @@
     let last = last.expect("it was sent");
     assert_eq!(last.status, 503, "{last:?}");
     assert!(last.body.starts_with("ends_targets"), "{last:?}");
-    // Two calls may hold pieces of it before any worker has ended, then one after the other.
-    assert!(workers.ended() <= 5, "{} workers ended", workers.ended());
+    // 16 without. Two calls may hold pieces of it when the first worker ends.
+    assert!(workers.ended() <= 4, "{} workers ended", workers.ended());
 }
 
 fn fragile_plain(seen: &Seen) -> Vec<Step> {
