--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -1,6 +1,5 @@
 //! One call to a target of a stage service.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +13,7 @@
 use snafu::Snafu;
 
 use super::batcher::Batcher;
-use crate::crashes::BrokenRun;
+use super::worker_end;
 use crate::metrics;
 use crate::targets::Target;
 use crate::traffic::Traffic;
@@ -33,13 +32,6 @@
 /// one may end for its own reasons.
 const MOST_ENDED_ALONE: u32 = 2;
 
-/// Workers that end under a piece until it shares no call with other requests'. With the
-/// first one a whole call ends, of which one piece at most is to blame: made one by one at
-/// once, the pieces of workers that ended for their own reasons earn 0.08 less of their
-/// worth (0.675 instead of 0.757, two plays each of a day on which four times a third of
-/// a stage service's workers end).
-const ENDED_TO_GO_ALONE: u32 = 2;
-
 /// Why a call gave no results.
 #[derive(Debug, Snafu)]
 enum CallError {
@@ -101,7 +93,7 @@
         batcher.keep_unknown(&started);
     }
     if result.as_ref().is_err_and(CallError::is_cut_off) {
-        look_for_end(&cx, &batcher, &target, &asked, sent).await;
+        worker_end::look(&cx, &batcher, &target, &asked, sent).await;
     }
     if let (Ok(results), CallEnd::Answered) = (result, end) {
         hand_out(&cx, &batcher, &started, &target, &asked, results);
@@ -140,56 +132,11 @@
     );
 }
 
-/// Finds out whether the worker of a call that broke off has ended. Then that counts for
-/// each request of the call, as for all that an engine ran; a whole answer acquits.
-async fn look_for_end(
-    cx: &Rc<Traffic>,
-    batcher: &Batcher,
-    target: &Rc<Target>,
-    asked: &[Asked],
-    sent: Moment,
-) {
-    let run = BrokenRun {
-        sent,
-        ended: Moment::now(),
-    };
-    if asked.is_empty() || !target.has_ended().await {
-        return;
-    }
-    let requests: BTreeSet<RequestDigest> = asked.iter().map(|asked| asked.request).collect();
-    for request in &requests {
-        let fields = format_args!(
-            "queue={} content={request} target={} requests={}",
-            batcher.name(),
-            target.incarnation().id,
-            requests.len(),
-        );
-        cx.log.line(events::TARGET_ENDED, fields);
-        cx.crashes.target_ended(cx, *request, run);
-    }
-    for asked in asked {
-        count_end(batcher, asked.started.key, requests.len() == 1);
-    }
-}
-
-/// Counts a worker's end for one of its pieces, which goes on alone after some.
-fn count_end(batcher: &Batcher, piece: PieceKey, was_alone: bool) {
-    let mut queue = batcher.queue.borrow_mut();
-    let Some(job) = queue.job_mut(piece) else {
-        return;
-    };
-    job.ended += 1;
-    job.ended_alone += u32::from(was_alone);
-    if job.ended >= ENDED_TO_GO_ALONE {
-        queue.set_alone(piece);
-    }
-}
-
 /// A piece as it goes into a call.
-struct Asked {
-    started: StartedPiece,
+pub(super) struct Asked {
+    pub started: StartedPiece,
     piece: Piece,
-    request: RequestDigest,
+    pub request: RequestDigest,
 }
 
 /// The pieces of a call that somebody still waits for; one may be given up
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -9,6 +9,7 @@
 mod batcher;
 mod call;
 mod held;
+mod worker_end;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -15,7 +15,7 @@
 use super::attempt::{self, Answered, Send};
 use super::prepare::Prepared;
 use super::sends::Sends;
-use super::{find, relay, retry, unservable, Trace};
+use super::{find, passing, relay, retry, unservable, Trace};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
 use crate::traffic::Traffic;
@@ -40,7 +40,7 @@
         trace.last_target.clone_from(&sends.last_target);
         let answered = answered?;
         if admitted.route().repeat.is_stream() && answered.parts.status.is_success() {
-            return Ok(relay::stream(cx, admitted, answered, prepared, sends));
+            return Ok(passing::stream(cx, admitted, answered, prepared, sends));
         }
         match relay::whole(cx, admitted, answered, &mut sends).await {
             relay::Whole::Response(response) => return Ok(*response),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`admit`] reads its head and body; [`unservable`] and [`forecast`] judge whether it can be served,
 //! and in time; [`prepare`] runs the stages before it; [`dispatch`] sends it to targets
-//! until one answers or nothing more may be tried; [`relay`] passes the answer
-//! on. Every way that ends without a target's answer ends in a [`Refusal`].
+//! until one answers or nothing more may be tried; [`relay`] passes the answer on, [`passing`]
+//! a stream. Every way that ends without a target's answer ends in a [`Refusal`].
 
 mod admit;
 mod attempt;
@@ -13,6 +13,7 @@
 mod events;
 mod find;
 mod forecast;
+mod passing;
 mod prepare;
 mod relay;
 mod retry;
