--- a/crates/fleet/tests/suite/target_book.rs
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -197,3 +197,19 @@
         }
     }
 }
+
+/// A minute in which every target of a large deployment starts again thirteen times.
+#[test]
+fn ten_thousand_restarts_leave_one_entry_a_target() {
+    let mut book: TargetBook<u64> = TargetBook::new(TIMING);
+    let mut revision = 0;
+    for start in 1..=13 {
+        for target in 0..770 {
+            revision += 1;
+            let id = format!("i-{target}");
+            assert!(book.put(&id, started(start, revision, false), start));
+        }
+    }
+    assert_eq!(book.len(), 770);
+    assert!(book.usable().all(|start| *start == 13));
+}
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -296,3 +296,39 @@
     let engines: Vec<&str> = engines.collect();
     assert!(engines.contains(&taken), "half of the engines is too much");
 }
+
+/// An engine that started again is another one to its desk: it keeps no part.
+#[test]
+fn an_engine_that_started_again_keeps_nothing() {
+    let start = |id: &'static str, born: u64| DeskEngine {
+        key: (id, born),
+        slots: 64,
+        hall: "hall-a".to_string(),
+        cold: None,
+    };
+    let demand: Demand<(&str, u64)> = Demand {
+        from_hall: "hall-a".to_string(),
+        part: "p".to_string(),
+        shared_tokens: 10_000,
+        prompt_tokens: 12_000,
+        avoid: Vec::new(),
+        results: Vec::new(),
+        is_suspect: false,
+    };
+    let prefers = |id: &'static str| move |key: &(&str, u64)| u64::from(key.0 == id);
+    let next_after = |restarted: &[DeskEngine<(&'static str, u64)>]| {
+        let mut desk = EngineDesk::default();
+        desk.set_engines(0, &[start("a", 1), start("b", 1)]);
+        let (first, _) = desk.place(0, &demand, prefers("a")).expect("one");
+        desk.prompt_read(first, 100);
+        desk.ended(first, PlacementEnd::Whole, 150);
+        desk.set_engines(200, restarted);
+        desk.place(200, &demand, prefers("b")).expect("one").1
+    };
+    assert_eq!(
+        next_after(&[start("a", 1), start("b", 1)]),
+        ("a", 1),
+        "where it was read"
+    );
+    assert_eq!(next_after(&[start("a", 2), start("b", 1)]), ("b", 1));
+}
