--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeSet;
 
 use hollowsail_fleet::{ColdRecord, EmptiedHalls};
+use hollowsail_targets::UsableTarget;
 
 use super::Control;
-use crate::view::UsableTarget;
 
 impl Control {
     /// Targets that may get new work: usable, and in no emptied hall.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,7 @@
 //! Traffic ([`traffic`]) takes connections from callers ([`callers`]) and walks
 //! each request through its life ([`request`]): admission, the stages before it
 //! ([`pools`], shared with the other entries through [`peers`]), and its sends
-//! to targets ([`targets`]), of which [`placement`] names one for a generation.
+//! to targets ([`hollowsail_targets`]), of which [`placement`] names one for a generation.
 //! A request reads one view at each decision; nothing here waits for control.
 //!
 //! The platform's names live in `hollowsail-platform`; the decisions in
@@ -28,9 +28,7 @@
 mod request;
 mod start;
 mod stop;
-mod target_end;
 mod target_group;
-mod targets;
 mod traffic;
 mod view;
 
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -7,11 +7,11 @@
 use hollowsail_observe::events;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
+use hollowsail_targets::Target;
 
 use super::GROUP_ENGINES;
 use crate::peers::PlacementStep;
 use crate::target_group::TargetGroup;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Between two sweeps of a desk, in milliseconds.
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -5,13 +5,13 @@
 use hollowsail_platform::pieces::PieceFailure;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceKey, StartedCall, StartedPiece};
+use hollowsail_targets::Target;
 use tokio::sync::oneshot;
 
 use super::results::Kept;
 use super::Batcher;
 use crate::peers::{Link, Made, Message, PeerId, PieceEnd, PieceId};
 use crate::pools::{HeldResult, Requester};
-use crate::targets::Target;
 
 /// Between two words to a requester on what a queue has to do, in milliseconds;
 /// they go with results, so an idle queue tells nothing.
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -5,10 +5,10 @@
 
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_stages::{HallKey, WorkerKey};
+use hollowsail_targets::Target;
 use slotmap::SecondaryMap;
 
 use super::Batcher;
-use crate::targets::Target;
 
 /// Targets by the keys that the queue knows them by.
 #[derive(Default)]
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -9,13 +9,13 @@
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
+use hollowsail_targets::Target;
 use http::StatusCode;
 use snafu::Snafu;
 
 use super::batcher::Batcher;
 use super::worker_end;
 use crate::metrics;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Longest time for a call. Its pieces go to other targets long before, when
--- a/crates/gateway/src/pools/worker_end.rs
+++ b/crates/gateway/src/pools/worker_end.rs
@@ -11,11 +11,11 @@
 use hollowsail_observe::events;
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::PieceKey;
+use hollowsail_targets::Target;
 
 use super::batcher::Batcher;
 use super::call::Asked;
 use crate::crashes::BrokenRun;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Workers that end under a piece until it shares no call with other requests'. With the
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -8,13 +8,13 @@
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::heads::{self, ForTarget, TargetHead};
 use hollowsail_routing::Progress;
+use hollowsail_targets::{InFlight, Target};
 use http::response::Parts;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
 use super::admit::Admitted;
 use crate::placement::Placed;
-use crate::targets::{InFlight, Target};
 
 /// A request that must not be lost uses a connection that rested at most this
 /// long: long enough for a late extra answer to show, short enough that the
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -8,12 +8,12 @@
 use hollowsail_routing::{
     choose, choose_engine, engine_goes_first, Candidate, Demand, EngineCandidate, Reason,
 };
+use hollowsail_targets::Target;
 use rand::Rng;
 
 use super::admit::Admitted;
 use super::prepare::Prepared;
 use crate::mechanisms::Mechanism;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Chooses a target of a plain service.
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -6,6 +6,7 @@
 use hollowsail_observe::events;
 use hollowsail_routing::cold::{PAST_DESK_SHARE, WITHOUT_DESK_SHARE};
 use hollowsail_routing::Reason;
+use hollowsail_targets::Target;
 
 use super::admit::Admitted;
 use super::choose;
@@ -13,7 +14,6 @@
 use super::sends::Sends;
 use crate::mechanisms::Mechanism;
 use crate::placement::Placed;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// The target for the next send: for a generation the one that its desk names,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -8,6 +8,7 @@
 
 use hollowsail_platform::heads::without_connection_headers;
 use hollowsail_routing::{Observation, Progress};
+use hollowsail_targets::Target;
 use http::Response;
 
 use super::admit::Admitted;
@@ -15,7 +16,6 @@
 use super::retry;
 use super::sends::Sends;
 use crate::answer::{whole as whole_body, AnswerStream};
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Longest answer that is read whole before it is passed on, in bytes.
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -6,6 +6,7 @@
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_routing::{may_try_again, stage_status, Observation, Progress, StageStatus};
+use hollowsail_targets::Target;
 
 use super::admit::Admitted;
 use super::attempt::Failure;
@@ -13,7 +14,6 @@
 use crate::answer::Refusal;
 use crate::crashes::BrokenRun;
 use crate::metrics;
-use crate::targets::Target;
 use crate::traffic::Traffic;
 
 /// Sends that reached no target and don't count as attempts; bounds a service
--- a/crates/gateway/src/request/sends.rs
+++ b/crates/gateway/src/request/sends.rs
@@ -8,12 +8,12 @@
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{stage_status, Progress, StageStatus};
+use hollowsail_targets::Target;
 use rand::Rng;
 
 use super::admit::Admitted;
 use super::attempt::Failure;
 use crate::answer::Refusal;
-use crate::targets::Target;
 
 /// The sends of one request, so far.
 pub struct Sends {
--- a/crates/gateway/src/target_group.rs
+++ b/crates/gateway/src/target_group.rs
@@ -9,8 +9,7 @@
 use std::rc::Rc;
 
 use hollowsail_fleet::groups;
-
-use crate::targets::Target;
+use hollowsail_targets::Target;
 
 /// Some of a service's targets.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -11,6 +11,7 @@
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{LatencyWindow, Millis, Pace, ReadingTimes, RetryBudget};
+use hollowsail_targets::{Target, TargetTable};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -21,7 +22,6 @@
 use crate::peers::{PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
-use crate::targets::{Target, TargetTable};
 use crate::view::{Published, View};
 
 /// Part of the allowed ratio of extra arrivals that is used; the rest is left
@@ -147,7 +147,9 @@
         let before = self.view.borrow().clone();
         self.crashes
             .take_listed(self, &before.refused, &newest.refused);
-        self.targets.borrow_mut().take(&newest);
+        if let Some(deployment) = &newest.deployment {
+            self.targets.borrow_mut().take(deployment, &newest.targets);
+        }
         self.peers.take(self, &newest.peers);
         *self.view.borrow_mut() = newest;
         self.pools.take_targets(self);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -8,7 +8,7 @@
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::store::Revision;
 use hollowsail_platform::targets::TargetRecord;
-use hollowsail_routing::Millis;
+use hollowsail_targets::UsableTarget;
 use tokio::sync::Notify;
 
 use crate::crashes::Refused;
@@ -37,14 +37,6 @@
     pub refused: Refused,
 }
 
-/// A target that may get new work.
-#[derive(Debug, Clone)]
-pub struct UsableTarget {
-    pub record: Arc<TargetRecord>,
-    /// Until when it is cold, if its record tells of a cold spell.
-    pub cold_until: Option<Millis>,
-}
-
 /// All targets' records as of a revision of the store.
 #[derive(Debug)]
 pub struct KnownRecords {
--- a/crates/gateway/src/target_end.rs
+++ b/crates/targets/src/end.rs
@@ -12,10 +12,14 @@
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
 use hollowsail_clock::Moment;
 use hollowsail_connect::{dial, DialError};
+use tokio::net::TcpStream;
 
 /// How long those whose answers broke off wait for word whether the target has ended, at
 /// the most. One that has refuses a connection within a hop, some milliseconds.
 pub const SEEN_WITHIN: Duration = Duration::from_millis(150);
+/// How long a new connection has to stay for its target to live: a process closes its
+/// descriptors within a millisecond.
+const STAYS_FOR: Duration = Duration::from_millis(5);
 /// How long an answer holds for others whose answers broke off at about the same time:
 /// no target is back sooner.
 const HOLDS_FOR: Duration = Duration::from_millis(800);
@@ -52,12 +56,23 @@
     }
 }
 
-/// True when an address refuses a connection; silence proves nothing.
+/// True when an address refuses a connection; silence proves nothing. A process that is
+/// about to end may close a connection before its listener: one that comes up and closes
+/// at once is asked for another.
 async fn refuses(addr: SocketAddr) -> bool {
     match dial(addr, SEEN_WITHIN).await {
-        Err(DialError::Refused { source, .. }) => {
-            source.kind() == std::io::ErrorKind::ConnectionRefused
-        }
-        Ok(_) | Err(DialError::Silent { .. }) => false,
+        Ok(stream) => closes_at_once(stream).await && is_refused(dial(addr, SEEN_WITHIN).await),
+        refused => is_refused(refused),
     }
 }
+
+fn is_refused(dialled: Result<TcpStream, DialError>) -> bool {
+    matches!(dialled, Err(DialError::Refused { source, .. })
+        if source.kind() == std::io::ErrorKind::ConnectionRefused)
+}
+
+async fn closes_at_once(stream: TcpStream) -> bool {
+    tokio::time::timeout(STAYS_FOR, stream.readable())
+        .await
+        .is_ok()
+}
--- /dev/null
+++ b/crates/targets/src/lib.rs
@@ -0,0 +1,14 @@
+//! What an entry knows of the targets: connections, what is in flight, health, cold spells.
+//!
+//! [`TargetTable`] takes the targets that may get new work and gives each start of one its
+//! [`Target`]. Everything known of a target hangs on that, so a target that starts again,
+//! under its id or not, begins with nothing. [`EndCheck`] tells a target that ended from
+//! one whose connection broke.
+
+mod end;
+mod table;
+mod target;
+
+pub use end::{EndCheck, SEEN_WITHIN};
+pub use table::{TargetTable, UsableTarget};
+pub use target::{InFlight, Target};
--- /dev/null
+++ b/crates/targets/src/table.rs
@@ -0,0 +1,100 @@
+//! The targets that may get new work.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use hollowsail_platform::deployment::{Deployment, ServiceKey};
+use hollowsail_platform::targets::{Incarnation, TargetRecord};
+use hollowsail_routing::{Cold, HealthRules, Millis, TargetHealth};
+
+use crate::target::Target;
+
+/// A target that may get new work.
+#[derive(Debug, Clone)]
+pub struct UsableTarget {
+    pub record: Arc<TargetRecord>,
+    /// Until when it is cold, if its record tells of a cold spell.
+    pub cold_until: Option<Millis>,
+}
+
+/// True when a record still tells of the same place: connections, and what is known
+/// of the target, stay. How long it is cold may change.
+fn is_same_place(known: &TargetRecord, told: &TargetRecord) -> bool {
+    known.addr == told.addr
+        && known.slots == told.slots
+        && known.service == told.service
+        && known.hall == told.hall
+}
+
+/// Usable targets by service, and all that still have requests.
+#[derive(Default)]
+pub struct TargetTable {
+    by_service: Vec<Vec<Rc<Target>>>,
+    by_incarnation: HashMap<Incarnation, Rc<Target>>,
+}
+
+impl TargetTable {
+    /// Takes the targets that are usable now; starts that stay keep their connections
+    /// and health, and what was known of others goes.
+    pub fn take(&mut self, deployment: &Deployment, usable: &[UsableTarget]) {
+        let mut kept = HashMap::with_capacity(usable.len());
+        let mut by_service = vec![Vec::new(); deployment.services.len()];
+        for UsableTarget { record, cold_until } in usable {
+            let Some(key) = deployment.service_named(&record.service) else {
+                continue;
+            };
+            let target = self.take_or_make(record, deployment, key);
+            let per_s = deployment.service(key).cold_per_s;
+            target.cold.set(
+                cold_until
+                    .zip(per_s)
+                    .map(|(until, per_s)| Cold { until, per_s }),
+            );
+            by_service[usize::from(key.0)].push(target.clone());
+            kept.insert(record.incarnation.clone(), target);
+        }
+        self.by_service = by_service;
+        self.by_incarnation = kept;
+    }
+
+    fn take_or_make(
+        &self,
+        record: &Arc<TargetRecord>,
+        deployment: &Deployment,
+        key: ServiceKey,
+    ) -> Rc<Target> {
+        match self.by_incarnation.get(&record.incarnation) {
+            Some(known) if is_same_place(&known.record, record) => known.clone(),
+            _ => Target::new(record.clone(), deployment.service(key)),
+        }
+    }
+
+    /// A usable target by its incarnation.
+    pub fn get(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
+        self.by_incarnation.get(incarnation).cloned()
+    }
+
+    /// Usable targets of a service.
+    pub fn of(&self, service: ServiceKey) -> &[Rc<Target>] {
+        self.by_service
+            .get(usize::from(service.0))
+            .map_or(&[], Vec::as_slice)
+    }
+
+    /// Puts targets of a service out that deserve it, at most half of them.
+    /// Returns those newly put out.
+    pub fn eject_worst(&self, service: ServiceKey, now: Millis) -> Vec<Rc<Target>> {
+        let targets = self.of(service);
+        let mut healths: Vec<TargetHealth> = targets
+            .iter()
+            .map(|target| target.health.borrow().clone())
+            .collect();
+        let rules = HealthRules::default();
+        let ejected = hollowsail_routing::health::eject_worst(now, &rules, &mut healths);
+        for (target, health) in targets.iter().zip(healths) {
+            *target.health.borrow_mut() = health;
+        }
+        ejected.into_iter().map(|at| targets[at].clone()).collect()
+    }
+}
--- a/crates/gateway/src/targets.rs
+++ b/crates/targets/src/target.rs
@@ -1,18 +1,16 @@
-//! Targets as traffic sees them: connections, what is in flight, health.
+//! One start of a target.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hollowsail_connect::{Pool, PoolRules};
-use hollowsail_platform::deployment::{Deployment, Service, ServiceKey};
+use hollowsail_platform::deployment::Service;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
-use hollowsail_routing::{Cold, ColdGate, HealthRules, Millis, Observation, TargetHealth};
+use hollowsail_routing::{Cold, ColdGate, Millis, Observation, TargetHealth};
 
-use crate::target_end::EndCheck;
-use crate::view::{UsableTarget, View};
+use crate::end::EndCheck;
 
 /// Longest time for a connection to a target: a lost opening packet is sent
 /// again after seconds, and another target is quicker than that.
@@ -48,7 +46,8 @@
 }
 
 impl Target {
-    fn new(record: Arc<TargetRecord>, service: &Service) -> Rc<Self> {
+    /// One that nothing is known of yet.
+    pub fn new(record: Arc<TargetRecord>, service: &Service) -> Rc<Self> {
         let rules = PoolRules {
             dial_within: DIAL_WITHIN,
             max_idle: (service.max_connections / SHARING_ENTRIES).clamp(1, MOST_IDLE) as usize,
@@ -67,7 +66,7 @@
     }
 
     /// True when its process isn't there any more, after an answer of its broke off. Takes
-    /// a hop or two, and [`crate::target_end::SEEN_WITHIN`] at the most.
+    /// a hop or two, and [`crate::SEEN_WITHIN`] twice at the most.
     pub async fn has_ended(&self) -> bool {
         self.end.has_ended(self.record.addr).await
     }
@@ -131,87 +130,3 @@
         self.target.in_flight.set(left);
     }
 }
-
-/// True when a record still tells of the same place: connections, and what is known
-/// of the target, stay. How long it is cold may change.
-fn is_same_place(known: &TargetRecord, told: &TargetRecord) -> bool {
-    known.addr == told.addr
-        && known.slots == told.slots
-        && known.service == told.service
-        && known.hall == told.hall
-}
-
-/// Usable targets by service, and all that still have requests.
-#[derive(Default)]
-pub struct TargetTable {
-    by_service: Vec<Vec<Rc<Target>>>,
-    by_incarnation: HashMap<Incarnation, Rc<Target>>,
-}
-
-impl TargetTable {
-    /// Takes a new view over; targets that stay keep their connections and
-    /// health.
-    pub fn take(&mut self, view: &View) {
-        let Some(deployment) = &view.deployment else {
-            return;
-        };
-        let mut kept = HashMap::with_capacity(view.targets.len());
-        let mut by_service = vec![Vec::new(); deployment.services.len()];
-        for UsableTarget { record, cold_until } in &view.targets {
-            let Some(key) = deployment.service_named(&record.service) else {
-                continue;
-            };
-            let target = self.take_or_make(record, deployment, key);
-            let per_s = deployment.service(key).cold_per_s;
-            target.cold.set(
-                cold_until
-                    .zip(per_s)
-                    .map(|(until, per_s)| Cold { until, per_s }),
-            );
-            by_service[usize::from(key.0)].push(target.clone());
-            kept.insert(record.incarnation.clone(), target);
-        }
-        self.by_service = by_service;
-        self.by_incarnation = kept;
-    }
-
-    fn take_or_make(
-        &self,
-        record: &Arc<TargetRecord>,
-        deployment: &Deployment,
-        key: ServiceKey,
-    ) -> Rc<Target> {
-        match self.by_incarnation.get(&record.incarnation) {
-            Some(known) if is_same_place(&known.record, record) => known.clone(),
-            _ => Target::new(record.clone(), deployment.service(key)),
-        }
-    }
-
-    /// A usable target by its incarnation.
-    pub fn get(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
-        self.by_incarnation.get(incarnation).cloned()
-    }
-
-    /// Usable targets of a service.
-    pub fn of(&self, service: ServiceKey) -> &[Rc<Target>] {
-        self.by_service
-            .get(usize::from(service.0))
-            .map_or(&[], Vec::as_slice)
-    }
-
-    /// Puts targets of a service out that deserve it, at most half of them.
-    /// Returns those newly put out.
-    pub fn eject_worst(&self, service: ServiceKey, now: Millis) -> Vec<Rc<Target>> {
-        let targets = self.of(service);
-        let mut healths: Vec<TargetHealth> = targets
-            .iter()
-            .map(|target| target.health.borrow().clone())
-            .collect();
-        let rules = HealthRules::default();
-        let ejected = hollowsail_routing::health::eject_worst(now, &rules, &mut healths);
-        for (target, health) in targets.iter().zip(healths) {
-            *target.health.borrow_mut() = health;
-        }
-        ejected.into_iter().map(|at| targets[at].clone()).collect()
-    }
-}
