--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -21,7 +21,28 @@
 pub fn suspended() -> Duration {
     let steady = read(ClockId::Monotonic);
     let boot = read(ClockId::Boottime);
-    suspension(steady, boot)
+    let suspended = suspension(steady, boot);
+    #[cfg(feature = "pretend")]
+    let suspended = suspended + pretended::time();
+    suspended
+}
+
+/// Suspensions that a test pretends, for the whole process.
+#[cfg(feature = "pretend")]
+pub mod pretended {
+    use std::sync::atomic::{AtomicU64, Ordering};
+    use std::time::Duration;
+
+    static MILLIS: AtomicU64 = AtomicU64::new(0);
+
+    /// The host was suspended for so long just now.
+    pub fn suspend(time: Duration) {
+        MILLIS.fetch_add(time.as_millis() as u64, Ordering::SeqCst);
+    }
+
+    pub(super) fn time() -> Duration {
+        Duration::from_millis(MILLIS.load(Ordering::SeqCst))
+    }
 }
 
 /// The time for which a host was suspended by what its two clocks say.
