--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -28,7 +28,9 @@
 mod request;
 mod start;
 mod stop;
+mod target_calls;
 mod target_group;
+mod target_words;
 mod traffic;
 mod view;
 
--- a/crates/gateway/src/pools/batcher/results.rs
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -102,11 +102,14 @@
     }
 
     fn free_spent(self: &Rc<Self>) {
+        let Some(cx) = self.cx.upgrade() else {
+            return;
+        };
         let spent = std::mem::take(&mut *self.spent.borrow_mut());
         for (worker, handles) in spent {
             let target = self.workers.borrow().target(worker);
             if let Some(target) = target {
-                actix_rt::spawn(call::free(target, handles));
+                actix_rt::spawn(call::free(cx.clone(), target, handles));
             }
         }
         self.pump();
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -5,7 +5,6 @@
 
 use hollowsail_clock::Moment;
 use hollowsail_observe::events;
-use hollowsail_platform::heads::TargetHead;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
@@ -16,6 +15,7 @@
 use super::batcher::Batcher;
 use super::worker_end;
 use crate::metrics;
+use crate::target_calls;
 use crate::traffic::Traffic;
 
 /// Longest time for a call. Its pieces go to other targets long before, when
@@ -76,7 +76,7 @@
     let begun = cx.clock.now();
     let sent = Moment::now();
     let asked = pieces_of(&batcher, &started);
-    let result = match tokio::time::timeout(CALL_WITHIN, exchange(&target, &asked)).await {
+    let result = match tokio::time::timeout(CALL_WITHIN, exchange(&cx, &target, &asked)).await {
         Ok(result) => result,
         Err(_) => Err(CallError::Silent),
     };
@@ -156,20 +156,21 @@
         .collect()
 }
 
-async fn exchange(target: &Rc<Target>, asked: &[Asked]) -> Result<Vec<PieceResult>, CallError> {
+async fn exchange(
+    cx: &Rc<Traffic>,
+    target: &Target,
+    asked: &[Asked],
+) -> Result<Vec<PieceResult>, CallError> {
     if asked.is_empty() {
         return Ok(Vec::new());
     }
     let req = pieces::run_call(target.incarnation(), asked.iter().map(|asked| &asked.piece));
-    let answer = target
-        .pool
-        .call(req, MOST_ANSWER_BYTES)
+    let answer = target_calls::call(cx, target, req, MOST_ANSWER_BYTES)
         .await
         .map_err(|source| CallError::Send { source })?;
-    let status = answer.head.status;
-    let head = TargetHead::read(status, &answer.head.headers);
+    let status = answer.status;
     let whole = answer.body.map_err(|source| CallError::CutOff { source })?;
-    if head.not_run {
+    if answer.head.not_run {
         return Err(CallError::Refused { status });
     }
     if status != StatusCode::OK {
@@ -269,9 +270,9 @@
 
 /// Gives results up at the target that made them. Best effort: the target
 /// drops them by itself after a while.
-pub(super) async fn free(target: Rc<Target>, handles: Vec<String>) {
+pub(super) async fn free(cx: Rc<Traffic>, target: Rc<Target>, handles: Vec<String>) {
     let req = pieces::free_call(target.incarnation(), &handles);
-    let call = target.pool.call(req, MOST_ANSWER_BYTES);
+    let call = target_calls::call(&cx, &target, req, MOST_ANSWER_BYTES);
     if tokio::time::timeout(FREE_WITHIN, call).await.is_err() {
         log::debug!(
             "results at {} were not given up in time",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -15,6 +15,8 @@
 
 use super::admit::Admitted;
 use crate::placement::Placed;
+use crate::target_calls;
+use crate::traffic::Traffic;
 
 /// A request that must not be lost uses a connection that rested at most this
 /// long: long enough for a late extra answer to show, short enough that the
@@ -82,6 +84,7 @@
 
 /// Sends a request and waits for the head of the answer.
 pub async fn run(
+    cx: &Rc<Traffic>,
     admitted: &Admitted,
     target: &Rc<Target>,
     send: &Send<'_>,
@@ -93,18 +96,17 @@
         Repeat::Once | Repeat::StreamOnce => Reuse::Within(FRESH_FOR),
         Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
     };
-    let sending = target.pool.send(req, reuse);
-    let exchange = match tokio::time::timeout_at(send.silent_from.timer().into(), sending).await {
-        Ok(Ok(exchange)) => exchange,
+    let sending = target_calls::send(cx, target, req, reuse);
+    let answer = match tokio::time::timeout_at(send.silent_from.timer().into(), sending).await {
+        Ok(Ok(answer)) => answer,
         Ok(Err(err)) if err.nothing_sent() => {
             return Err(Failure::new(Progress::NothingSent, err.to_string()))
         }
         Ok(Err(err)) => return Err(Failure::cut_off(err.to_string())),
         Err(_) => return Err(Failure::new(Progress::Broken, "no answer in time")),
     };
-    let head = TargetHead::read(exchange.response().status(), exchange.response().headers());
-    check(admitted, exchange.response().status(), &head)?;
-    let (parts, body) = exchange.into_body(true);
+    let (parts, body) = answer.exchange.into_body(true);
+    check(admitted, parts.status, &answer.head)?;
     Ok(Answered {
         parts,
         body,
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -72,7 +72,7 @@
         }
         sends.last_target.clone_from(&target.incarnation().id);
         sends.last_sent = Moment::now();
-        match attempt::run(admitted, &target, &send).await {
+        match attempt::run(cx, admitted, &target, &send).await {
             Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
                 answered.placed = placed;
