--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -151,6 +151,7 @@
             deployment,
             source,
             targets: self.usable_targets(&emptied),
+            leaving: self.leaving_targets(),
             emptied_services: self.emptied_services(&emptied),
             emptied,
             records: self.records_for_peers(),
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 
 use hollowsail_fleet::{ColdRecord, EmptiedHalls};
+use hollowsail_platform::targets::Incarnation;
 use hollowsail_targets::UsableTarget;
 
 use super::Control;
@@ -22,6 +23,15 @@
         targets.collect()
     }
 
+    /// Targets whose records say that they leave.
+    pub(super) fn leaving_targets(&self) -> Vec<Incarnation> {
+        let book = self.book.borrow();
+        let leaving = book.all().filter(|(_, record)| record.draining);
+        leaving
+            .map(|(_, record)| record.incarnation.clone())
+            .collect()
+    }
+
     /// Takes what the records at hand tell of cold spells.
     pub(super) fn take_cold_spells(&self) {
         let book = self.book.borrow();
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -18,6 +18,7 @@
 use super::state::{RecordsAt, StateAnswer, StateAsk, STATE_PATH};
 use crate::callers::listen::accept_each;
 use crate::feed::{FeedAsk, FEED_PATH};
+use crate::target_words;
 use crate::traffic::Traffic;
 use crate::view::KnownRecords;
 
@@ -173,6 +174,10 @@
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
+        Message::TargetLeaves {
+            target,
+            tell_others,
+        } => target_words::told_leaving(cx, &target, tell_others),
         Message::TargetEnded { request, run } => cx.crashes.count(cx, request, run),
         Message::Standing { request, standing } => cx.crashes.told(cx, request, standing),
         Message::Ended(id, end) => {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -85,6 +85,11 @@
     Load { queue: String, load: QueueLoad },
     /// To the owner: a result that nobody needs any more.
     Free(SpentResult),
+    /// A target says that it leaves. To the one entry that tells all others, or from it.
+    TargetLeaves {
+        target: Incarnation,
+        tell_others: bool,
+    },
     /// To the entry that counts for a request: a target ended while it ran it.
     TargetEnded { request: RequestDigest, run: RunAgo },
     /// To every entry: what is known of a request that ended targets.
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -9,6 +9,7 @@
 use slotmap::SecondaryMap;
 
 use super::Batcher;
+use crate::traffic::Traffic;
 
 /// Targets by the keys that the queue knows them by.
 #[derive(Default)]
@@ -42,8 +43,15 @@
 }
 
 impl Batcher {
+    /// A worker gets no call while its target wants nothing from this entry.
+    pub(in crate::pools) fn heed_rest(&self, cx: &Traffic, worker: WorkerKey, target: &Target) {
+        if let Some(until) = cx.rests_until(target) {
+            self.queue.borrow_mut().rest(worker, until);
+        }
+    }
+
     /// Takes the targets that may get new work.
-    pub fn take_targets(self: &Rc<Self>, targets: &[Rc<Target>]) {
+    pub fn take_targets(self: &Rc<Self>, cx: &Traffic, targets: &[Rc<Target>]) {
         let mut workers = self.workers.borrow_mut();
         let mut queue = self.queue.borrow_mut();
         let is_there = |id: &Incarnation| targets.iter().any(|t| t.incarnation() == id);
@@ -68,6 +76,12 @@
             }
         }
         drop((workers, queue));
+        for target in targets {
+            let worker = self.workers.borrow().worker(target.incarnation());
+            if let Some(worker) = worker {
+                self.heed_rest(cx, worker, target);
+            }
+        }
         self.pump_soon();
     }
 }
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -102,6 +102,7 @@
         .queue
         .borrow_mut()
         .end_call(started.call, end, cx.clock.now());
+    batcher.heed_rest(&cx, started.worker, &target);
     give_back(&cx, &batcher, left, end);
     batcher.pump();
 }
@@ -269,8 +270,11 @@
 }
 
 /// Gives results up at the target that made them. Best effort: the target
-/// drops them by itself after a while.
+/// drops them by itself after a while. One that wants nothing now is told later.
 pub(super) async fn free(cx: Rc<Traffic>, target: Rc<Target>, handles: Vec<String>) {
+    if let Some(until) = cx.rests_until(&target) {
+        tokio::time::sleep_until(cx.clock.timer(until).into()).await;
+    }
     let req = pieces::free_call(target.incarnation(), &handles);
     let call = target_calls::call(&cx, &target, req, MOST_ANSWER_BYTES);
     if tokio::time::timeout(FREE_WITHIN, call).await.is_err() {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -181,7 +181,10 @@
         let key = deployment.service_named(service)?;
         let pool = deployment.service(key).stage_pool.as_ref()?;
         let made = Batcher::new(cx, name, pool);
-        made.take_targets(&group.targets(&cx.targets_named(service), QUEUE_TARGETS));
+        made.take_targets(
+            cx,
+            &group.targets(&cx.targets_named(service), QUEUE_TARGETS),
+        );
         let mut batchers = self.batchers.borrow_mut();
         batchers.insert(name.to_string(), made.clone());
         Some(made)
@@ -269,7 +272,10 @@
             if let Some(pool) = &pool {
                 batcher.set_rules(pool);
             }
-            batcher.take_targets(&group.targets(&cx.targets_named(service), QUEUE_TARGETS));
+            batcher.take_targets(
+                cx,
+                &group.targets(&cx.targets_named(service), QUEUE_TARGETS),
+            );
         }
     }
 }
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use hollowsail_clock::Moment;
-use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::Progress;
 
@@ -64,7 +63,7 @@
         unservable::may_run(cx, admitted).map_err(|refusal| sends.refused(refusal))?;
         let (target, placed) = find::next_target(cx, admitted, prepared, sends)
             .await
-            .ok_or_else(|| sends.refusal(ErrorKind::NoTarget))?;
+            .ok_or_else(|| find::no_target(cx, admitted, sends))?;
         let silent_from = silent_from(cx, admitted, sends);
         let send = send_for(admitted, prepared, silent_from, resume_after);
         if sends.is_first() {
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -1,17 +1,20 @@
 //! Finds the target for the next send of a request.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hollowsail_clock::Moment;
-use hollowsail_observe::events;
+use hollowsail_observe::{events, ErrorKind};
+use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::cold::{PAST_DESK_SHARE, WITHOUT_DESK_SHARE};
-use hollowsail_routing::Reason;
+use hollowsail_routing::{Millis, Reason};
 use hollowsail_targets::Target;
 
 use super::admit::Admitted;
 use super::choose;
 use super::prepare::Prepared;
 use super::sends::Sends;
+use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
 use crate::placement::Placed;
 use crate::traffic::Traffic;
@@ -24,14 +27,18 @@
     prepared: &Prepared,
     sends: &Sends,
 ) -> Option<(Rc<Target>, Option<Placed>)> {
-    let avoid = sends.tried.iter().cloned().collect();
     let generation = admitted.caller.generation.as_ref();
     let is_suspect = cx.crashes.is_suspect(cx, || admitted.digest());
-    let demand = generation.and_then(|g| choose::demand(cx, g, prepared, avoid, is_suspect));
+    let demand = generation.and_then(|g| {
+        let avoid = to_avoid(cx, admitted, sends);
+        choose::demand(cx, g, prepared, avoid, is_suspect)
+    });
     if let Some(demand) = demand.filter(|_| cx.has(Mechanism::Desk)) {
         let service = &admitted.deployment.service(sends.service).name;
         let placed = cx.placements.place(cx, service, demand).await;
         let target = placed.and_then(|(id, placed)| Some((cx.target(&id)?, placed)));
+        // It may have asked for a rest while the desk was asked.
+        let target = target.filter(|(target, _)| cx.rests_until(target).is_none());
         if let Some((target, placed)) = target {
             log_choice(cx, admitted, &target, Reason::Placed, 0);
             return Some((target, Some(placed)));
@@ -40,6 +47,45 @@
     choose_here(cx, admitted, prepared, sends).map(|target| (target, None))
 }
 
+/// Engines that a desk isn't to name: those that failed the request, and those that want
+/// nothing from this entry.
+fn to_avoid(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Vec<Incarnation> {
+    let resting = resting(cx, admitted, sends);
+    let resting = resting.iter().map(|(target, _)| target.incarnation());
+    sends.tried.iter().chain(resting).cloned().collect()
+}
+
+/// Targets of a request's service that want nothing from this entry now, and until when.
+fn resting(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Vec<(Rc<Target>, Millis)> {
+    if !cx.targets().anyone_rests(cx.clock.now()) {
+        return Vec::new();
+    }
+    let name = &admitted.deployment.service(sends.service).name;
+    let targets = cx.targets_named(name).into_iter();
+    let resting = targets.filter_map(|target| {
+        let until = cx.rests_until(&target)?;
+        Some((target, until))
+    });
+    resting.collect()
+}
+
+/// What a request is told for which there is no target. Where targets asked for a rest it
+/// comes back once the first of them takes work again, whatever else keeps others away.
+pub fn no_target(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Refusal {
+    let refusal = sends.refusal(ErrorKind::NoTarget);
+    let first = resting(cx, admitted, sends)
+        .into_iter()
+        .map(|(_, until)| until)
+        .min();
+    match first {
+        Some(until) => {
+            let rest_ms = until.saturating_sub(cx.clock.now());
+            refusal.come_back_after(Duration::from_millis(rest_ms))
+        }
+        None => refusal,
+    }
+}
+
 /// The target that this entry chooses by what it knows itself.
 fn choose_here(
     cx: &Rc<Traffic>,
@@ -55,6 +101,7 @@
         .targets_named(name)
         .into_iter()
         .filter(|target| !sends.tried.contains(target.incarnation()))
+        .filter(|target| cx.rests_until(target).is_none())
         .filter(|target| may_get_one(cx, target, share))
         .collect();
     let (at, reason) = match &admitted.caller.generation {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -148,16 +148,53 @@
         self.crashes
             .take_listed(self, &before.refused, &newest.refused);
         if let Some(deployment) = &newest.deployment {
-            self.targets.borrow_mut().take(deployment, &newest.targets);
+            let now = self.clock.now();
+            let mut targets = self.targets.borrow_mut();
+            targets.take(now, deployment, &newest.targets, &newest.leaving);
         }
         self.peers.take(self, &newest.peers);
         *self.view.borrow_mut() = newest;
+        self.pass_targets_on();
+        if self.deployment_in_use().is_some() {
+            self.configured.notify_waiters();
+        }
+    }
+
+    /// Has queues and desks take the usable targets as they are now.
+    fn pass_targets_on(self: &Rc<Self>) {
         self.pools.take_targets(self);
         self.placements.take_targets(self);
         self.pools.hand_over(self);
-        if self.deployment_in_use().is_some() {
-            self.configured.notify_waiters();
+    }
+
+    /// A start of a target says that it leaves: it gets nothing new from now on. True when
+    /// that is news.
+    pub fn target_leaves(self: &Rc<Self>, start: &Incarnation) -> bool {
+        let now = self.clock.now();
+        let is_news = self.targets.borrow_mut().says_leaving(now, start);
+        if is_news {
+            self.pass_targets_on();
         }
+        is_news
+    }
+
+    /// A start of a target wants nothing from this entry for a time. True when that is
+    /// longer than it said before.
+    pub fn target_rests(&self, start: &Incarnation, rest: Duration) -> bool {
+        let rest_ms = Millis::try_from(rest.as_millis()).unwrap_or(Millis::MAX);
+        let now = self.clock.now();
+        self.targets.borrow_mut().asks_rest(now, start, rest_ms)
+    }
+
+    /// Until when a target wants nothing from this entry, if it does now.
+    pub fn rests_until(&self, target: &Target) -> Option<Millis> {
+        let targets = self.targets.borrow();
+        targets.rests_until(self.clock.now(), target.incarnation())
+    }
+
+    /// True the first time that this entry is to tell all others that a target leaves.
+    pub fn pass_leaving_on(&self, start: &Incarnation) -> bool {
+        self.targets.borrow_mut().pass_on(start)
     }
 
     /// The configuration in force, if one is known. Looks for a newer view
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,7 @@
 use hollowsail_fleet::EmptiedHalls;
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::store::Revision;
-use hollowsail_platform::targets::TargetRecord;
+use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_targets::UsableTarget;
 use tokio::sync::Notify;
 
@@ -25,6 +25,8 @@
     pub source: Option<Arc<[u8]>>,
     /// Targets that may get new work.
     pub targets: Vec<UsableTarget>,
+    /// Targets whose records say that they leave.
+    pub leaving: Vec<Incarnation>,
     /// The halls whose targets get nothing new.
     pub emptied: EmptiedHalls,
     /// Names of services whose usable targets all lie in emptied halls.
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// A worker wants no call before a moment.
+    pub fn rest(&mut self, worker: WorkerKey, until: Millis) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.out_until = worker.out_until.max(until);
+        }
+    }
+
     /// Results of so many bytes were given up at a worker.
     pub fn free(&mut self, worker: WorkerKey, bytes: u64) {
         if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -9,6 +9,7 @@
 use hollowsail_routing::{Cold, HealthRules, Millis, TargetHealth};
 
 use crate::target::Target;
+use crate::words::Words;
 
 /// A target that may get new work.
 #[derive(Debug, Clone)]
@@ -32,15 +33,31 @@
 pub struct TargetTable {
     by_service: Vec<Vec<Rc<Target>>>,
     by_incarnation: HashMap<Incarnation, Rc<Target>>,
+    words: Words,
 }
 
 impl TargetTable {
-    /// Takes the targets that are usable now; starts that stay keep their connections
-    /// and health, and what was known of others goes.
-    pub fn take(&mut self, deployment: &Deployment, usable: &[UsableTarget]) {
+    /// Takes the targets that are usable now by their records, and the starts whose
+    /// records say that they leave. Starts that stay keep their connections and health;
+    /// what was known of others goes, but for what they said of themselves.
+    pub fn take(
+        &mut self,
+        now: Millis,
+        deployment: &Deployment,
+        usable: &[UsableTarget],
+        leaving: &[Incarnation],
+    ) {
+        for start in leaving {
+            self.words.says_leaving(now, start);
+        }
+        let is_usable = |id: &str| usable.iter().any(|t| t.record.incarnation.id == id);
+        self.words.forget(now, is_usable);
         let mut kept = HashMap::with_capacity(usable.len());
         let mut by_service = vec![Vec::new(); deployment.services.len()];
         for UsableTarget { record, cold_until } in usable {
+            if self.words.leaves(&record.incarnation) {
+                continue;
+            }
             let Some(key) = deployment.service_named(&record.service) else {
                 continue;
             };
@@ -70,6 +87,40 @@
         }
     }
 
+    /// A start says that it leaves, whatever its record says. True when that is news.
+    pub fn says_leaving(&mut self, now: Millis, start: &Incarnation) -> bool {
+        let is_news = self.words.says_leaving(now, start);
+        if is_news {
+            let words = &self.words;
+            for targets in &mut self.by_service {
+                targets.retain(|target| !words.leaves(target.incarnation()));
+            }
+            self.by_incarnation.retain(|start, _| !words.leaves(start));
+        }
+        is_news
+    }
+
+    /// A start wants nothing from this entry for a time. True when that is longer than it
+    /// said before.
+    pub fn asks_rest(&mut self, now: Millis, start: &Incarnation, rest_ms: Millis) -> bool {
+        self.words.asks_rest(now, start, rest_ms)
+    }
+
+    /// True the first time that this entry is to tell all others that a start leaves.
+    pub fn pass_on(&mut self, start: &Incarnation) -> bool {
+        self.words.pass_on(start)
+    }
+
+    /// Until when a start wants nothing from this entry, if it does now.
+    pub fn rests_until(&self, now: Millis, start: &Incarnation) -> Option<Millis> {
+        self.words.rests_until(now, start)
+    }
+
+    /// True when some target may want nothing from this entry now.
+    pub fn anyone_rests(&self, now: Millis) -> bool {
+        self.words.anyone_rests(now)
+    }
+
     /// A usable target by its incarnation.
     pub fn get(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
         self.by_incarnation.get(incarnation).cloned()
