--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -20,6 +20,7 @@
 
 use super::messages::{self, Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
 use super::record::PeerRecord;
+use crate::target_words;
 use crate::traffic::Traffic;
 
 /// Longest time for a peer to take an envelope. A healthy one needs a few
@@ -195,6 +196,11 @@
         match message {
             Message::Free(spent) => cx.pools.free(&cx, &spent),
             Message::TargetEnded { request, run } => cx.crashes.count(&cx, request, run),
+            // Whoever was to tell the others can't: this entry does.
+            Message::TargetLeaves {
+                target,
+                tell_others: true,
+            } => target_words::told_leaving(&cx, &target, true),
             _ => {}
         }
     }
