--- a/crates/fleet/src/cold_spells.rs
+++ b/crates/fleet/src/cold_spells.rs
@@ -1,20 +1,20 @@
 //! Until when targets are cold, by what their records say.
 //!
 //! A record tells for how much longer its target is cold, counted from when it was
-//! written. That moment isn't known here, so the time is counted from when that revision
+//! written. That moment isn't known here, so the time is counted from when that state
 //! of the record was first seen, which makes a spell a little too long and never too
 //! short. The same record read again doesn't begin a new spell.
 
 use std::collections::BTreeMap;
 
-use crate::Millis;
+use crate::{Millis, Position};
 
 /// A target's record that tells of a cold spell.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ColdRecord<'a> {
     pub incarnation: &'a str,
     /// Of the record's last change.
-    pub revision: u64,
+    pub at: Position,
     /// How much longer the target is cold, in milliseconds.
     pub cold_ms: Millis,
 }
@@ -22,7 +22,7 @@
 /// A spell that a record told of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Spell {
-    revision: u64,
+    at: Position,
     until: Millis,
 }
 
@@ -39,9 +39,9 @@
         for record in records {
             let known = before.get(record.incarnation);
             let spell = match known {
-                Some(known) if known.revision >= record.revision => *known,
+                Some(known) if known.at >= record.at => *known,
                 _ => Spell {
-                    revision: record.revision,
+                    at: record.at,
                     until: now + record.cold_ms,
                 },
             };
--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -9,25 +9,40 @@
 //! A target may start again under its id. Its starts are told apart by a number that
 //! rises, and a later one ends the one before, in whatever order word of them comes. A
 //! start that was seen draining never becomes usable again.
+//!
+//! The store may come back from an older copy ([`TargetBook::era_began`]). A record that the
+//! copy misses was lost with it: its target counts as one whose record lapsed, until it has
+//! had the time to write again. A record that had gone before, and that the copy still has,
+//! is no new word: its target stays out as [`State::Returned`] until somebody writes the
+//! record, or it has outlived the time in which the record of a target that is gone lapses.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::watch_pause::watch_pause;
-use crate::Millis;
+use crate::{Millis, Position};
+
+/// Starts that went which a book remembers, the last ones: far more than go in the seconds
+/// that a store may lose.
+const MOST_GONE: usize = 4_096;
 
-/// How long a record may be missing after the store's return.
+/// How long a record may be missing, or prove nothing, after the store's return.
 #[derive(Debug, Clone, Copy)]
 pub struct BookTiming {
     /// Time from the store's return after which a missing record means that
     /// its target is gone, in milliseconds.
     pub return_ms: Millis,
+    /// The same for a record that the store lost when it came back from an older copy,
+    /// in milliseconds.
+    pub lost_ms: Millis,
+    /// Time after which the record of a target that is gone has lapsed, in milliseconds.
+    pub lapse_ms: Millis,
 }
 
 /// What a record says besides what it holds.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Told {
     /// Of its last change in the store.
-    pub revision: u64,
+    pub at: Position,
     /// Which start of the target wrote it; later ones have larger numbers.
     pub start: u64,
     /// The target takes no new work.
@@ -43,6 +58,24 @@
     Doubted,
     /// It takes no new work.
     Draining,
+    /// It had gone, and the store came back from a copy that still has its record; not
+    /// usable for now.
+    Returned,
+}
+
+impl State {
+    /// The target may get new work.
+    fn is_usable(self) -> bool {
+        matches!(self, State::Recorded | State::Doubted)
+    }
+}
+
+/// A start whose record went for good.
+#[derive(Debug, Clone)]
+struct Gone {
+    id: String,
+    start: u64,
+    at: Position,
 }
 
 /// A target in the book.
@@ -52,10 +85,20 @@
     /// Which start of the target this is; later ones have larger numbers.
     start: u64,
     /// Of its last change.
-    revision: u64,
+    at: Position,
     state: State,
 }
 
+/// True when a record of a new era is the word that was known before, which the store has
+/// from its copy. It keeps its place among the words of its own era: what was newer than it
+/// then still is.
+fn is_of_the_copy<R: PartialEq>(known: &Entry<R>, told: &Told, record: &R) -> bool {
+    known.start == told.start
+        && known.at.era < told.at.era
+        && known.at.revision == told.at.revision
+        && known.record == *record
+}
+
 /// Whether the store answers this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreState {
@@ -72,6 +115,11 @@
     store: StoreState,
     /// When all records were last read.
     read: Millis,
+    /// When the store last came back from an older copy.
+    era_began: Option<Millis>,
+    /// Up to where the first list of the newest era told.
+    listed: Position,
+    gone: VecDeque<Gone>,
 }
 
 impl<R: PartialEq> TargetBook<R> {
@@ -82,6 +130,9 @@
             entries: BTreeMap::new(),
             store: StoreState::Back(0),
             read: 0,
+            era_began: None,
+            listed: Position::default(),
+            gone: VecDeque::new(),
         }
     }
 
@@ -101,6 +152,14 @@
         was_away
     }
 
+    /// The store came back from an older copy about now: what it misses proves nothing for
+    /// a while, and neither does what it still has of targets that had gone.
+    pub fn era_began(&mut self, now: Millis) {
+        self.store_away();
+        self.store_back(now);
+        self.era_began = Some(now);
+    }
+
     /// The store was away until about now, by the word of somebody who noticed.
     pub fn told_of_outage(&mut self, now: Millis) {
         if !self.is_unsettled(now) {
@@ -118,77 +177,128 @@
         }
     }
 
-    /// A record of some start was written at a revision. True when the book changed.
+    /// A record of some start was written at a position. True when the book changed.
     pub fn put(&mut self, id: &str, told: Told, record: R) -> bool {
         let known = self.entries.get(id);
-        let is_older =
-            |known: &Entry<R>| (told.start, told.revision) < (known.start, known.revision);
+        let is_older = |known: &Entry<R>| (told.start, told.at) < (known.start, known.at);
         if known.is_some_and(is_older) {
             return false;
         }
-        let same_start = known.filter(|known| known.start == told.start);
-        let was_draining = same_start.is_some_and(|known| known.state == State::Draining);
-        let state = if told.draining || was_draining {
-            State::Draining
-        } else {
-            State::Recorded
-        };
+        let state = self.state_after(id, &told);
         let changed = known.is_none_or(|known| known.state != state || known.record != record);
-        let revision = known.map_or(0, |known| known.revision).max(told.revision);
+        let at = match known {
+            Some(known) if is_of_the_copy(known, &told, &record) => known.at,
+            Some(known) => known.at.max(told.at),
+            None => told.at,
+        };
         let entry = Entry {
             record,
             start: told.start,
-            revision,
+            at,
             state,
         };
         self.entries.insert(id.to_string(), entry);
         changed
     }
 
-    /// What lies under a target's key from a revision on can't be used. True when the
+    /// What a target's record makes of it.
+    fn state_after(&self, id: &str, told: &Told) -> State {
+        let known = self.entries.get(id);
+        let same_start = known.filter(|known| known.start == told.start);
+        let is_known_as = |state| same_start.is_some_and(|known| known.state == state);
+        if told.draining || is_known_as(State::Draining) {
+            return State::Draining;
+        }
+        let is_same_word = same_start.is_some_and(|known| known.at == told.at);
+        let stays_returned = is_same_word && is_known_as(State::Returned);
+        if stays_returned || (known.is_none() && self.had_gone(id, told)) {
+            return State::Returned;
+        }
+        State::Recorded
+    }
+
+    /// True when a record that may be of the copy names a start that had gone before.
+    fn had_gone(&self, id: &str, told: &Told) -> bool {
+        let is_written_since = self.listed.era == told.at.era && self.listed < told.at;
+        if is_written_since {
+            return false;
+        }
+        let of_id = self.gone.iter().rev().find(|gone| gone.id == id);
+        of_id.is_some_and(|gone| gone.start >= told.start && gone.at.era < told.at.era)
+    }
+
+    /// Remembers that a start went for good.
+    fn remember_gone(&mut self, id: &str, start: u64, at: Position) {
+        if self.gone.len() == MOST_GONE {
+            self.gone.pop_front();
+        }
+        self.gone.push_back(Gone {
+            id: id.to_string(),
+            start,
+            at,
+        });
+    }
+
+    /// What lies under a target's key from a position on can't be used. True when the
     /// book changed.
-    pub fn spoiled(&mut self, id: &str, revision: u64) -> bool {
+    pub fn spoiled(&mut self, id: &str, at: Position) -> bool {
         let known = self.entries.get(id);
-        let is_newer = known.is_some_and(|known| known.revision <= revision);
+        let is_newer = known.is_some_and(|known| known.at <= at);
         is_newer && self.entries.remove(id).is_some()
     }
 
     /// A record went; `is_unsettled` says whether that proves nothing, by the word of
     /// whoever tells of it. True when the book changed.
-    pub fn deleted(&mut self, incarnation: &str, revision: u64, is_unsettled: bool) -> bool {
+    pub fn deleted(&mut self, incarnation: &str, at: Position, is_unsettled: bool) -> bool {
         let Some(entry) = self.entries.get_mut(incarnation) else {
             return false;
         };
-        if entry.revision > revision {
+        if entry.at > at {
             return false;
         }
-        entry.revision = revision;
-        if is_unsettled && entry.state != State::Draining {
+        entry.at = at;
+        if is_unsettled && entry.state.is_usable() {
             entry.state = State::Doubted;
             return false;
         }
-        self.entries.remove(incarnation);
+        self.remove(incarnation);
         true
     }
 
-    /// All records there are, as of a revision: what isn't among them went.
+    /// All records there are, as of a position: what isn't among them went.
     /// Returns the incarnations that left the book.
-    pub fn reconcile(&mut self, present: &[&str], revision: u64, now: Millis) -> Vec<String> {
+    pub fn reconcile(&mut self, present: &[&str], at: Position, now: Millis) -> Vec<String> {
         self.read = now;
+        if self.listed.era < at.era {
+            self.listed = at;
+        }
         let is_unsettled = self.is_unsettled(now);
         self.keys_where(|incarnation, _| !present.contains(&incarnation))
             .into_iter()
-            .filter(|incarnation| self.deleted(incarnation, revision, is_unsettled))
+            .filter(|incarnation| {
+                !self.is_lost(incarnation, at) && self.deleted(incarnation, at, is_unsettled)
+            })
             .collect()
     }
 
+    /// True when a record that a list misses may be lost: it was last written before the
+    /// list's era. Its target counts as one whose record lapsed.
+    fn is_lost(&mut self, incarnation: &str, at: Position) -> bool {
+        let entry = self.entries.get_mut(incarnation);
+        let usable = entry.filter(|entry| entry.at.era < at.era && entry.state.is_usable());
+        if let Some(entry) = usable {
+            entry.state = State::Doubted;
+            return true;
+        }
+        false
+    }
+
     /// All records there are by the word of a peer that hears from the store: what
     /// isn't among them went, whatever the store's state here. Returns the
     /// incarnations that left the book.
-    pub fn adopt(&mut self, present: &[&str], revision: u64) -> Vec<String> {
-        let missing = self.keys_where(|incarnation, entry| {
-            entry.revision <= revision && !present.contains(&incarnation)
-        });
+    pub fn adopt(&mut self, present: &[&str], at: Position) -> Vec<String> {
+        let missing =
+            self.keys_where(|incarnation, entry| entry.at <= at && !present.contains(&incarnation));
         self.remove_all(&missing);
         missing
     }
@@ -199,14 +309,43 @@
         watch_pause(now.saturating_sub(self.read), longest)
     }
 
+    /// Takes records that outlived the lapse of a target that is gone for good ones. True
+    /// when the book changed.
+    pub fn take_outlived(&mut self, now: Millis) -> bool {
+        if self.outlived_at().is_none_or(|at| now < at) {
+            return false;
+        }
+        let returned = self.entries.values_mut();
+        let returned = returned.filter(|entry| entry.state == State::Returned);
+        returned.for_each(|entry| entry.state = State::Recorded);
+        true
+    }
+
+    /// When [`TargetBook::take_outlived`] has something to do, if ever.
+    pub fn outlived_at(&self) -> Option<Millis> {
+        let mut entries = self.entries.values();
+        let has_returned = entries.any(|entry| entry.state == State::Returned);
+        let began = self.era_began.filter(|_| has_returned)?;
+        Some(began + self.timing.lapse_ms)
+    }
+
     /// Drops what is still missing some time after the store's return.
     pub fn settle(&mut self, now: Millis) -> Vec<String> {
         if self.is_unsettled(now) {
             return Vec::new();
         }
-        let doubted = self.keys_where(|_, entry| entry.state == State::Doubted);
-        self.remove_all(&doubted);
-        doubted
+        let settled = self.keys_where(|_, entry| {
+            entry.state == State::Doubted && self.lost_until(entry).is_none_or(|at| at <= now)
+        });
+        self.remove_all(&settled);
+        settled
+    }
+
+    /// Until when a record that the store lost may be written again.
+    fn lost_until(&self, entry: &Entry<R>) -> Option<Millis> {
+        let is_lost = entry.at.era < self.listed.era;
+        let began = self.era_began.filter(|_| is_lost)?;
+        Some(began + self.timing.lost_ms)
     }
 
     /// Incarnations in the book that fit.
@@ -220,34 +359,48 @@
 
     fn remove_all(&mut self, incarnations: &[String]) {
         for incarnation in incarnations {
-            self.entries.remove(incarnation);
+            self.remove(incarnation);
+        }
+    }
+
+    /// A target is gone.
+    fn remove(&mut self, incarnation: &str) {
+        if let Some(entry) = self.entries.remove(incarnation) {
+            self.remember_gone(incarnation, entry.start, entry.at);
         }
     }
 
     /// When [`TargetBook::settle`] has something to do, if ever.
     pub fn settles_at(&self) -> Option<Millis> {
-        let is_doubted = |entry: &Entry<R>| entry.state == State::Doubted;
-        match self.store {
-            StoreState::Back(since) if self.entries.values().any(is_doubted) => {
-                Some(since + self.timing.return_ms)
-            }
-            _ => None,
-        }
+        let StoreState::Back(since) = self.store else {
+            return None;
+        };
+        let settled = since + self.timing.return_ms;
+        let doubted = self.entries.values();
+        let doubted = doubted.filter(|entry| entry.state == State::Doubted);
+        doubted
+            .map(|entry| self.lost_until(entry).unwrap_or(0).max(settled))
+            .min()
     }
 
     /// Targets that may get new work.
     pub fn usable(&self) -> impl Iterator<Item = &R> {
-        self.entries
-            .values()
-            .filter(|entry| entry.state != State::Draining)
-            .map(|entry| &entry.record)
+        self.usable_at().map(|(_, record)| record)
     }
 
-    /// Every target, leaving ones included, with the revision of its last change.
-    pub fn all(&self) -> impl Iterator<Item = (u64, &R)> {
-        self.entries
-            .values()
-            .map(|entry| (entry.revision, &entry.record))
+    /// The same, each with the position of its last change.
+    pub fn usable_at(&self) -> impl Iterator<Item = (Position, &R)> {
+        let usable = self.entries.values();
+        let usable = usable.filter(|entry| entry.state.is_usable());
+        usable.map(|entry| (entry.at, &entry.record))
+    }
+
+    /// Every target, leaving ones included, with the position of its last change; but for
+    /// those that had gone, of which the store has old records.
+    pub fn all(&self) -> impl Iterator<Item = (Position, &R)> {
+        let known = self.entries.values();
+        let known = known.filter(|entry| entry.state != State::Returned);
+        known.map(|entry| (entry.at, &entry.record))
     }
 
     /// True when the store doesn't answer.
--- a/crates/fleet/tests/suite/cold_spells.rs
+++ b/crates/fleet/tests/suite/cold_spells.rs
@@ -1,11 +1,11 @@
 //! Cold spells of targets, by their records.
 
-use hollowsail_fleet::{ColdRecord, ColdSpells};
+use hollowsail_fleet::{ColdRecord, ColdSpells, Position};
 
 fn record(revision: u64, cold_ms: u64) -> ColdRecord<'static> {
     ColdRecord {
         incarnation: "i-1",
-        revision,
+        at: Position::new(0, revision),
         cold_ms,
     }
 }
--- a/crates/fleet/tests/suite/emptied_halls.rs
+++ b/crates/fleet/tests/suite/emptied_halls.rs
@@ -1,12 +1,17 @@
 //! Emptied halls, against what the operators last said.
 
-use hollowsail_fleet::EmptiedHalls;
+use hollowsail_fleet::{EmptiedHalls, Position};
 use proptest::prelude::*;
 
 use crate::config;
 
 const HALLS: [&str; 3] = ["a", "b", "c"];
 
+/// A revision of a store that names no era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// What happens next.
 #[derive(Debug, Clone)]
 enum Event {
@@ -49,14 +54,14 @@
 
 /// Tells an entry of the changes since a revision, as a watch does.
 fn tell_changes(halls: &mut EmptiedHalls, history: &History, from: u64, to: u64) {
-    for at in from..to {
-        let (hall, empties) = history[at as usize];
+    for known in from..to {
+        let (hall, empties) = history[known as usize];
         let _news = match empties {
-            true => halls.emptied(HALLS[hall], at + 1),
-            false => halls.taken_back(HALLS[hall], at + 1),
+            true => halls.emptied(HALLS[hall], at(known + 1)),
+            false => halls.taken_back(HALLS[hall], at(known + 1)),
         };
     }
-    halls.told_until(to);
+    halls.told_until(at(to));
 }
 
 fn names(halls: &EmptiedHalls) -> Vec<String> {
@@ -85,7 +90,9 @@
                 }
                 Event::List { entry, behind } => {
                     let as_of = newest.saturating_sub(behind);
-                    entries[entry].take_list(as_of, emptied_at(&history, as_of));
+                    let listed = emptied_at(&history, as_of);
+                    let listed = listed.into_iter().map(|(hall, since)| (hall, at(since)));
+                    entries[entry].take_list(at(as_of), listed.collect());
                     watched[entry] = as_of;
                 }
                 Event::Peer { to, from } => {
@@ -94,7 +101,7 @@
                 }
             }
             for halls in &entries {
-                let expected = emptied_at(&history, halls.as_of());
+                let expected = emptied_at(&history, halls.as_of().revision);
                 let expected: Vec<String> = expected.into_iter().map(|(hall, _)| hall).collect();
                 prop_assert_eq!(names(halls), expected);
             }
@@ -105,10 +112,10 @@
 #[test]
 fn an_account_never_goes_back() {
     let mut halls = EmptiedHalls::default();
-    assert!(halls.take_list(5, vec![("a".to_string(), 4)]));
-    assert!(!halls.take_list(3, Vec::new()), "an older list");
-    assert!(!halls.taken_back("a", 5), "told before");
+    assert!(halls.take_list(at(5), vec![("a".to_string(), at(4))]));
+    assert!(!halls.take_list(at(3), Vec::new()), "an older list");
+    assert!(!halls.taken_back("a", at(5)), "told before");
     assert!(halls.contains("a"));
-    assert!(halls.taken_back("a", 6));
+    assert!(halls.taken_back("a", at(6)));
     assert!(!halls.contains("a"));
 }
--- a/crates/fleet/tests/suite/target_book.rs
+++ b/crates/fleet/tests/suite/target_book.rs
@@ -1,14 +1,23 @@
 //! Which targets there are, through outages of the store.
 
-use hollowsail_fleet::{BookTiming, TargetBook, Told};
+use hollowsail_fleet::{BookTiming, Position, TargetBook, Told};
 use proptest::prelude::*;
 
-const TIMING: BookTiming = BookTiming { return_ms: 2_000 };
+const TIMING: BookTiming = BookTiming {
+    return_ms: 2_000,
+    lost_ms: 3_000,
+    lapse_ms: 5_000,
+};
+
+/// A revision of a store that names no era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
 
 /// A record of the only start, written at a revision.
 fn told(revision: u64, draining: bool) -> Told {
     Told {
-        revision,
+        at: at(revision),
         start: 0,
         draining,
     }
@@ -36,7 +45,7 @@
 /// A record went, by the word of the store that the book is of.
 fn deleted(book: &mut TargetBook<&'static str>, id: &str, revision: u64, now: u64) -> bool {
     let is_unsettled = book.is_unsettled(now);
-    book.deleted(id, revision, is_unsettled)
+    book.deleted(id, at(revision), is_unsettled)
 }
 
 #[test]
@@ -44,14 +53,14 @@
     let mut book = book();
     assert!(deleted(&mut book, "a", 3, 10));
     assert_eq!(usable(&book), ["b"]);
-    assert_eq!(book.reconcile(&[], 4, 10), ["b"]);
+    assert_eq!(book.reconcile(&[], at(4), 10), ["b"]);
 }
 
 #[test]
 fn whoever_hears_from_the_store_says_for_sure_that_a_target_is_gone() {
     let mut book = book();
     book.store_away();
-    assert!(book.deleted("a", 3, false));
+    assert!(book.deleted("a", at(3), false));
     assert_eq!(usable(&book), ["b"]);
 }
 
@@ -89,10 +98,10 @@
 #[test]
 fn what_cannot_be_used_takes_its_target_out_until_the_next_good_record() {
     let mut book = book();
-    assert!(!book.spoiled("a", 0), "older than what is known");
-    assert!(book.spoiled("a", 5));
+    assert!(!book.spoiled("a", at(0)), "older than what is known");
+    assert!(book.spoiled("a", at(5)));
     assert_eq!(usable(&book), ["b"]);
-    assert!(!book.spoiled("a", 6), "no news");
+    assert!(!book.spoiled("a", at(6)), "no news");
     assert!(book.put("a", told(7, false), "a"));
     assert_eq!(usable(&book), ["a", "b"]);
 }
@@ -106,7 +115,7 @@
     assert!(book.store_back(1_000));
     assert_eq!(book.settles_at(), Some(3_000));
     assert!(
-        book.reconcile(&["a"], 9, 1_500).is_empty(),
+        book.reconcile(&["a"], at(9), 1_500).is_empty(),
         "b may come back, too"
     );
     assert!(book.settle(2_900).is_empty());
@@ -121,7 +130,7 @@
     let mut book = book();
     book.store_away();
     book.put("c", told(9, false), "c");
-    assert_eq!(book.adopt(&["b"], 5), ["a"]);
+    assert_eq!(book.adopt(&["b"], at(5)), ["a"]);
     assert_eq!(usable(&book), ["b", "c"], "c is newer than the peer's word");
 }
 
--- a/crates/fleet/tests/suite/watch_log.rs
+++ b/crates/fleet/tests/suite/watch_log.rs
@@ -1,6 +1,6 @@
 //! Entries that follow other entries' logs, against all that changed at the store.
 
-use hollowsail_fleet::{Since, WatchLog};
+use hollowsail_fleet::{Position, Since, WatchLog};
 use proptest::prelude::*;
 
 use crate::config;
@@ -8,6 +8,11 @@
 /// Changes that a log holds here.
 const MOST: usize = 5;
 
+/// A revision of a store that names no era.
+fn at(revision: u64) -> Position {
+    Position::new(0, revision)
+}
+
 /// What happens next.
 #[derive(Debug, Clone)]
 enum Event {
@@ -54,21 +59,22 @@
                 }
                 Event::Watch { reader, behind } => {
                     let to = newest.saturating_sub(behind).max(told[reader]);
-                    let news = changed.iter().filter(|at| **at > told[reader] && **at <= to);
-                    let news: Vec<(u64, u64)> = news.map(|at| (*at, *at)).collect();
-                    logs[reader].extend(news, to);
+                    let is_news = |known: &&u64| **known > told[reader] && **known <= to;
+                    let news = changed.iter().filter(is_news);
+                    let news: Vec<(Position, u64)> = news.map(|n| (at(*n), *n)).collect();
+                    logs[reader].extend(news, at(to));
                     told[reader] = to;
                 }
                 Event::Read { reader } => {
-                    logs[reader].begin(newest);
+                    logs[reader].begin(at(newest));
                     told[reader] = newest;
                 }
-                Event::Ask { reader, is_lost } => match logs[reader].since(revision) {
+                Event::Ask { reader, is_lost } => match logs[reader].since(at(revision)) {
                     _ if is_lost => {}
-                    Since::Changes { changes, revision: to } => {
-                        prop_assert!(to > revision);
+                    Since::Changes { changes, to } => {
+                        prop_assert!(to > at(revision));
                         heard.extend(changes);
-                        revision = to;
+                        revision = to.revision;
                     }
                     Since::NothingNew => prop_assert!(told[reader] <= revision),
                     Since::Unknown => {
@@ -87,9 +93,19 @@
 #[test]
 fn a_full_log_forgets_the_oldest_and_says_so() {
     let mut log = WatchLog::new(2);
-    log.extend([(1, "a"), (2, "b"), (3, "c")], 4);
-    assert_eq!(log.since(0), Since::Unknown);
-    let (changes, revision) = (vec!["b", "c"], 4);
-    assert_eq!(log.since(1), Since::Changes { changes, revision });
-    assert_eq!(log.since(4), Since::NothingNew);
+    log.extend([(at(1), "a"), (at(2), "b"), (at(3), "c")], at(4));
+    assert_eq!(log.since(at(0)), Since::Unknown);
+    let (changes, to) = (vec!["b", "c"], at(4));
+    assert_eq!(log.since(at(1)), Since::Changes { changes, to });
+    assert_eq!(log.since(at(4)), Since::NothingNew);
+}
+
+#[test]
+fn a_listener_of_another_era_is_told_nothing_of_this_one() {
+    let mut log = WatchLog::new(8);
+    log.begin(Position::new(2, 5));
+    log.extend([(Position::new(2, 6), "a")], Position::new(2, 7));
+    assert_eq!(log.since(Position::new(1, 6)), Since::Unknown);
+    assert_eq!(log.since(Position::new(1, 900)), Since::Unknown);
+    assert_eq!(log.since(Position::new(3, 1)), Since::NothingNew);
 }
--- a/crates/gateway/src/control/emptied.rs
+++ b/crates/gateway/src/control/emptied.rs
@@ -13,10 +13,10 @@
         let items = range.items.iter();
         let listed = items.filter_map(|item| {
             let hall = emptied_hall(&item.key)?;
-            Some((hall.to_string(), item.revision))
+            Some((hall.to_string(), item.at))
         });
         let listed = listed.collect();
-        self.change_emptied("store", |halls| halls.take_list(range.revision, listed));
+        self.change_emptied("store", |halls| halls.take_list(range.at, listed));
     }
 
     /// Takes halls that were emptied or taken back since.
@@ -26,7 +26,7 @@
             for change in &changes.changes {
                 changed |= take_change(halls, change);
             }
-            halls.told_until(changes.revision);
+            halls.told_until(changes.at);
             changed
         });
     }
@@ -37,7 +37,11 @@
     }
 
     /// Makes a change, and puts it in force when it is news.
-    fn change_emptied(&self, from: &str, change: impl FnOnce(&mut EmptiedHalls) -> bool) {
+    pub(super) fn change_emptied(
+        &self,
+        from: &str,
+        change: impl FnOnce(&mut EmptiedHalls) -> bool,
+    ) {
         let changed = change(&mut self.emptied.borrow_mut());
         if !changed {
             return;
@@ -59,10 +63,10 @@
 fn take_change(halls: &mut EmptiedHalls, change: &Change) -> bool {
     match change {
         Change::Put(item) => {
-            emptied_hall(&item.key).is_some_and(|hall| halls.emptied(hall, item.revision))
+            emptied_hall(&item.key).is_some_and(|hall| halls.emptied(hall, item.at))
         }
-        Change::Deleted { key, revision } => {
-            emptied_hall(key).is_some_and(|hall| halls.taken_back(hall, *revision))
+        Change::Deleted { key, at } => {
+            emptied_hall(key).is_some_and(|hall| halls.taken_back(hall, *at))
         }
     }
 }
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -48,7 +48,8 @@
         let end = follow_once(&cx, &keys, may_be_old, &mut backoff).await;
         may_be_old = false;
         match end {
-            Ok(()) | Err(StoreError::HistoryGone) => {}
+            Ok(()) => {}
+            Err(StoreError::HistoryGone) => cx.spread_new_era(keys.keys).await,
             Err(err) => {
                 cx.store_failed(&err);
                 backoff.pause().await;
@@ -67,19 +68,23 @@
     may_be_old: bool,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let take_page = |items: &[Item]| (keys.take_page)(cx, items);
+    let take_page = |items: &[Item]| {
+        cx.note_era();
+        (keys.take_page)(cx, items);
+    };
     let range = cx.store.range(keys.prefix, may_be_old, take_page).await?;
+    cx.note_era();
     if !may_be_old {
         // An old answer doesn't show that the store is there.
         cx.store_answered();
     }
     backoff.reset();
     (keys.take_all)(cx, &range);
-    cx.feeds.begin(keys.keys, range.revision);
-    let mut revision = range.revision;
+    cx.feeds.begin(keys.keys, range.at);
+    let mut at = range.at;
     loop {
-        let (changes, teller) = cx.next_changes(keys.keys, keys.prefix, revision).await?;
-        revision = changes.revision;
+        let (changes, teller) = cx.next_changes(keys.keys, keys.prefix, at).await?;
+        at = changes.at;
         cx.feeds.extend(keys.keys, &changes);
         let pause = (keys.take_changes)(cx, &changes, teller);
         let pause = match teller {
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_fleet::Told;
+use hollowsail_fleet::{Position, Told};
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
+use hollowsail_platform::store::{Change, Changes, Item, Range};
 
 use super::follow::Followed;
 use super::source::Teller;
@@ -45,9 +45,9 @@
 };
 
 /// What a live entry's record says of itself; a key stands for one run.
-fn live_at(revision: Revision) -> Told {
+fn live_at(at: Position) -> Told {
     Told {
-        revision,
+        at,
         start: 0,
         draining: false,
     }
@@ -68,10 +68,7 @@
         self.take_refused_list(&range.items);
         let present: Vec<&str> = range.items.iter().map(|item| item.key.as_str()).collect();
         let now = self.clock.now();
-        let gone = self
-            .peers
-            .borrow_mut()
-            .reconcile(&present, range.revision, now);
+        let gone = self.peers.borrow_mut().reconcile(&present, range.at, now);
         self.log_peers_gone(&gone, "not_listed");
         self.publish();
     }
@@ -113,7 +110,7 @@
         let changed = self
             .peers
             .borrow_mut()
-            .put(&item.key, live_at(item.revision), record);
+            .put(&item.key, live_at(item.at), record);
         if changed {
             self.log
                 .line(events::MEMBER, format_args!("{line} state=live"));
@@ -124,12 +121,9 @@
     fn take_peer_change(&self, change: &Change, teller: Teller) -> bool {
         match change {
             Change::Put(item) => self.take_peer(item),
-            Change::Deleted { key, revision } => {
+            Change::Deleted { key, at } => {
                 let is_unsettled = self.is_unsettled(&self.peers, teller);
-                let gone = self
-                    .peers
-                    .borrow_mut()
-                    .deleted(key, *revision, is_unsettled);
+                let gone = self.peers.borrow_mut().deleted(key, *at, is_unsettled);
                 if gone {
                     self.log_peers_gone(std::slice::from_ref(key), "record_deleted");
                 }
@@ -151,7 +145,7 @@
         let mut book = self.peers.borrow_mut();
         let mut changed = false;
         for peer in peers {
-            changed |= book.put(&peer.key(), live_at(0), peer);
+            changed |= book.put(&peer.key(), live_at(Position::default()), peer);
         }
         drop(book);
         if changed {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,13 +4,15 @@
 //! a third the entries' own ([`follow`]); a fourth keeps this entry's record
 //! there ([`own_record`]). Changes come from the store itself or from a reader of this
 //! entry's hall ([`source`]). While the store doesn't answer, [`peer_state`] asks peers that
-//! may still hear from it. All publish through [`Control::publish`], which tells traffic
+//! may still hear from it. When the store comes back from an older copy, [`era`] says what
+//! stays known. All publish through [`Control::publish`], which tells traffic
 //! what it may use ([`usable`]).
 
 mod ask;
 mod backoff;
 mod configuration;
 mod emptied;
+mod era;
 mod follow;
 mod membership;
 mod operators;
@@ -30,10 +32,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_fleet::{BookTiming, ColdSpells, EmptiedHalls, Newest, TargetBook};
+use hollowsail_fleet::{ColdSpells, EmptiedHalls, Newest, Position, TargetBook};
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
-use hollowsail_platform::store::{Lease, Revision, Store, StoreError};
+use hollowsail_platform::store::{Lease, Store, StoreError};
 use hollowsail_platform::targets::TargetRecord;
 use tokio::sync::Notify;
 
@@ -65,8 +67,10 @@
     emptied: RefCell<EmptiedHalls>,
     book: RefCell<TargetBook<Arc<TargetRecord>>>,
     cold: RefCell<ColdSpells>,
-    /// Revision of the store up to which the book is.
-    records_revision: Cell<Revision>,
+    /// Position of the store up to which the book is.
+    records_at: Cell<Position>,
+    /// The store's era that everything known is of; `None` before its first answer.
+    era: Cell<Option<u64>>,
     /// Told when the store stops answering.
     store_lost: Notify,
     /// Told when it answers again.
@@ -99,9 +103,6 @@
         published: Arc<Published>,
         feeds: Arc<Feeds>,
     ) -> Rc<Self> {
-        let timing = BookTiming {
-            return_ms: RECORD_RETURN_MS,
-        };
         Rc::new(Control {
             store: Store::new(&settings.store),
             clock,
@@ -109,9 +110,10 @@
             published,
             configuration: RefCell::default(),
             emptied: RefCell::default(),
-            book: RefCell::new(TargetBook::new(timing)),
+            book: RefCell::new(TargetBook::new(era::of_targets(settings))),
             cold: RefCell::default(),
-            records_revision: Cell::new(0),
+            records_at: Cell::default(),
+            era: Cell::new(None),
             store_lost: Notify::new(),
             store_back: Notify::new(),
             pauses: WatchPauses::new(&settings.bounds),
@@ -119,7 +121,7 @@
             readers: Readers::default(),
             seeds: settings.seeds.clone(),
             me,
-            peers: RefCell::new(TargetBook::new(timing)),
+            peers: RefCell::new(TargetBook::new(era::of_entries())),
             refused: RefCell::default(),
             shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
@@ -164,11 +166,11 @@
     /// a run that was killed stays until its lease is over.
     fn newest_peers(&self, fits: impl Fn(&PeerRecord) -> bool) -> Vec<PeerRecord> {
         let book = self.peers.borrow();
-        let mut newest: BTreeMap<&str, (Revision, &PeerRecord)> = BTreeMap::new();
-        for (revision, peer) in book.all().filter(|(_, peer)| fits(peer)) {
-            let known = newest.entry(&peer.host).or_insert((revision, peer));
-            if revision > known.0 {
-                *known = (revision, peer);
+        let mut newest: BTreeMap<&str, (Position, &PeerRecord)> = BTreeMap::new();
+        for (at, peer) in book.usable_at().filter(|(_, peer)| fits(peer)) {
+            let known = newest.entry(&peer.host).or_insert((at, peer));
+            if at > known.0 {
+                *known = (at, peer);
             }
         }
         newest.into_values().map(|(_, peer)| peer.clone()).collect()
@@ -177,11 +179,9 @@
     /// What peers may take over; nothing while the store is away here.
     fn records_for_peers(&self) -> Option<KnownRecords> {
         let book = self.book.borrow();
-        let records = book
-            .all()
-            .map(|(revision, record)| (revision, record.clone()));
+        let records = book.all().map(|(at, record)| (at, record.clone()));
         (!book.is_store_away()).then(|| KnownRecords {
-            revision: self.records_revision.get(),
+            at: self.records_at.get(),
             records: records.collect(),
         })
     }
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -8,6 +8,7 @@
 use hollowsail_platform::store::{Lease, StoreError};
 
 use super::backoff::Backoff;
+use super::era;
 use super::Control;
 
 /// How long the record of an entry that fell silent stays. Peers notice a dead one
@@ -16,7 +17,7 @@
 /// entries were cut off from the store for 12 s, among them the owner of a queue, those
 /// that saw its record lapse (6 s) took another entry for the owner and the others did
 /// not, and both sent calls to the same workers.
-const LEASE: Duration = Duration::from_secs(30);
+pub(super) const LEASE: Duration = Duration::from_secs(30);
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
@@ -33,28 +34,32 @@
     let mut backoff = Backoff::default();
     while !cx.is_leaving.get() {
         if let Err(err) = keep_once(&cx, &mut backoff).await {
-            cx.lease.set(None);
+            let lease = cx.lease.take();
             cx.feeds.set_silent(true);
             cx.store_failed(&err);
             cx.log.line(
                 events::MEMBER,
                 format_args!("state=unrecorded why=\"{err}\""),
             );
-            backoff.pause().await;
+            let is_era_over = lease.is_some_and(|lease| lease.era() < cx.store.era());
+            if !is_era_over {
+                backoff.pause().await;
+            }
         }
     }
 }
 
 /// Writes the record and renews its lease until that fails.
-async fn keep_once(cx: &Control, backoff: &mut Backoff) -> Result<(), StoreError> {
+async fn keep_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
     let lease = cx.store.lease(LEASE.max(cx.shortest_lease)).await?;
     let value = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
-    match cx.store.put(&cx.me.key(), 0, &value, lease).await {
+    match cx.store.put(&cx.me.key(), None, &value, lease).await {
         Ok(_) => {}
         // The record of an earlier lease, whose answer was lost, is still there.
         Err(StoreError::Conflict) => replace_record(cx, &value, lease).await?,
         Err(err) => return Err(err),
     }
+    cx.note_era();
     cx.lease.set(Some(lease));
     cx.feeds.set_silent(false);
     backoff.reset();
@@ -63,16 +68,22 @@
         cx.leave().await;
     }
     while !cx.is_leaving.get() {
-        wait_for_renewal(cx).await;
-        renew(cx, lease).await?;
+        tokio::select! {
+            () = wait_for_renewal(cx) => renew(cx, lease).await?,
+            () = cx.store.later_era(lease.era()) => {
+                // Others heard of it by the same answer; renewals are spread as they are.
+                era::spread().await;
+                return Err(StoreError::LeaseOver);
+            }
+        }
     }
     Ok(())
 }
 
 async fn replace_record(cx: &Control, value: &[u8], lease: Lease) -> Result<(), StoreError> {
     let key = cx.me.key();
-    let revision = cx.store.get(&key).await?.map_or(0, |item| item.revision);
-    cx.store.put(&key, revision, value, lease).await?;
+    let expected = cx.store.get(&key).await?.map(|item| item.at);
+    cx.store.put(&key, expected, value, lease).await?;
     Ok(())
 }
 
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -62,7 +62,7 @@
     };
     let question = StateAsk {
         configuration: cx.configuration_version(),
-        records: cx.records_revision.get(),
+        records: cx.records_at.get(),
         emptied: cx.emptied.borrow().as_of(),
     };
     ask::ask(
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -3,9 +3,9 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hollowsail_fleet::Told;
+use hollowsail_fleet::{Position, Told};
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Change, Changes, Item, Range, Revision};
+use hollowsail_platform::store::{Change, Changes, Item, Range};
 use hollowsail_platform::targets::{self, Incarnation, TargetRecord, PREFIX};
 
 use super::follow::Followed;
@@ -56,17 +56,14 @@
             .filter_map(|item| item.key.strip_prefix(PREFIX))
             .collect();
         let now = self.clock.now();
-        let gone = self
-            .book
-            .borrow_mut()
-            .reconcile(&present, range.revision, now);
+        let gone = self.book.borrow_mut().reconcile(&present, range.at, now);
         self.log_gone(&gone, "not_listed");
-        self.records_revision.set(range.revision);
+        self.records_at.set(range.at);
         self.publish();
     }
 
     fn take_record_changes(&self, changes: &Changes, teller: Teller) {
-        self.records_revision.set(changes.revision);
+        self.records_at.set(changes.at);
         let mut changed = false;
         for change in &changes.changes {
             changed |= self.take_change(change, teller);
@@ -80,13 +77,13 @@
     fn take_change(&self, change: &Change, teller: Teller) -> bool {
         match change {
             Change::Put(item) => self.take_record(item),
-            Change::Deleted { key, revision } => {
+            Change::Deleted { key, at } => {
                 let Some(incarnation) = key.strip_prefix(PREFIX) else {
                     return false;
                 };
                 let is_unsettled = self.is_unsettled(&self.book, teller);
                 let mut book = self.book.borrow_mut();
-                let gone = book.deleted(incarnation, *revision, is_unsettled);
+                let gone = book.deleted(incarnation, *at, is_unsettled);
                 drop(book);
                 if gone {
                     self.log_gone(&[incarnation.to_string()], "record_deleted");
@@ -103,16 +100,16 @@
             return false;
         };
         match targets::decode(id, &item.value) {
-            Ok(record) => self.put_record(record, item.revision),
+            Ok(record) => self.put_record(record, item.at),
             Err(err) => {
                 let fields = format_args!(
-                    "key={} revision={} bytes={} why=\"{err}\"",
+                    "key={} at={} bytes={} why=\"{err}\"",
                     item.key,
-                    item.revision,
+                    item.at,
                     item.value.len()
                 );
                 self.log.line(events::RECORD_UNREADABLE, fields);
-                let gone = self.book.borrow_mut().spoiled(id, item.revision);
+                let gone = self.book.borrow_mut().spoiled(id, item.at);
                 if gone {
                     self.log_gone(&[id.to_string()], "record_unreadable");
                 }
@@ -122,36 +119,35 @@
     }
 
     /// Takes all records by the word of a peer that hears from the store.
-    pub(super) fn adopt_records(&self, at: RecordsAt) {
-        let present: Vec<String> = at
+    pub(super) fn adopt_records(&self, told: RecordsAt) {
+        let present: Vec<String> = told
             .records
             .iter()
             .map(|record| record.record.incarnation.id.clone())
             .collect();
         let mut changed = false;
-        for RecordAt { revision, record } in at.records {
-            changed |= self.put_record(record, revision);
+        for RecordAt { at, record } in told.records {
+            changed |= self.put_record(record, at);
         }
         let present: Vec<&str> = present.iter().map(String::as_str).collect();
-        let gone = self.book.borrow_mut().adopt(&present, at.revision);
+        let gone = self.book.borrow_mut().adopt(&present, told.at);
         self.log_gone(&gone, "told_by_peer");
-        self.records_revision
-            .set(at.revision.max(self.records_revision.get()));
+        self.records_at.set(told.at.max(self.records_at.get()));
         if changed || !gone.is_empty() {
             self.publish();
         }
     }
 
     /// Puts a record into the book. True when the book changed.
-    fn put_record(&self, record: TargetRecord, revision: Revision) -> bool {
+    fn put_record(&self, record: TargetRecord, at: Position) -> bool {
         let Incarnation { id, born } = record.incarnation.clone();
         let draining = record.draining;
         let fields = format!(
-            "target={id} born={born} service={} addr={} hall={} draining={draining} revision={revision}",
+            "target={id} born={born} service={} addr={} hall={} draining={draining} at={at}",
             record.service, record.addr, record.hall
         );
         let told = Told {
-            revision,
+            at,
             start: born,
             draining,
         };
--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -6,6 +6,7 @@
 
 use std::rc::Rc;
 
+use hollowsail_clock::Moment;
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Change, Item, StoreError};
 use hollowsail_routing::crash_ledger::MOST_REFUSED_MS;
@@ -13,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::backoff::Backoff;
+use super::era;
 use super::source::Teller;
 use super::Control;
 use crate::crashes::{NewRefusal, ToStore, PREFIX};
@@ -27,26 +29,54 @@
     for_ms: Millis,
 }
 
-/// Writes refusals to the store as traffic decides on them.
+/// A refusal that this entry wrote, and until when it holds.
+struct Written {
+    request: RequestDigest,
+    until: Moment,
+}
+
+/// Writes refusals to the store as traffic decides on them, and again when the store has
+/// come back from a copy without them.
 pub async fn keep(cx: Rc<Control>, mut decided: ToStore) {
-    while let Some(refusal) = decided.recv().await {
-        let mut backoff = Backoff::default();
-        for _ in 0..MOST_TRIES {
-            match write(&cx, refusal).await {
-                Ok(()) => break,
-                Err(err) => {
-                    cx.store_failed(&err);
-                    let content = refusal.request;
-                    let fields =
-                        format_args!("content={content} standing=unrecorded why=\"{err}\"");
-                    cx.log.line(events::REQUEST_STANDING, fields);
-                    backoff.pause().await;
+    let mut written: Vec<Written> = Vec::new();
+    let mut era = cx.store.era();
+    loop {
+        tokio::select! {
+            refusal = decided.recv() => {
+                let Some(refusal) = refusal else { return };
+                write_in_tries(&cx, refusal).await;
+                written.retain(|known| known.request != refusal.request);
+                let until = Moment::now() + refusal.lasts;
+                written.push(Written { request: refusal.request, until });
+            }
+            () = cx.store.later_era(era) => {
+                era = cx.store.era();
+                era::spread().await;
+                written.retain(|known| Moment::now() < known.until);
+                for known in &written {
+                    let lasts = known.until.saturating_since(Moment::now());
+                    write_in_tries(&cx, NewRefusal { request: known.request, lasts }).await;
                 }
             }
         }
     }
 }
 
+/// Writes a refusal, some times if it has to be.
+async fn write_in_tries(cx: &Control, refusal: NewRefusal) {
+    let mut backoff = Backoff::default();
+    for _ in 0..MOST_TRIES {
+        let Err(err) = write(cx, refusal).await else {
+            return;
+        };
+        cx.store_failed(&err);
+        let content = refusal.request;
+        let fields = format_args!("content={content} standing=unrecorded why=\"{err}\"");
+        cx.log.line(events::REQUEST_STANDING, fields);
+        backoff.pause().await;
+    }
+}
+
 async fn write(cx: &Control, refusal: NewRefusal) -> Result<(), StoreError> {
     let lease = cx.store.lease(refusal.lasts.max(cx.shortest_lease)).await?;
     let key = format!("{PREFIX}{}", refusal.request);
@@ -56,8 +86,8 @@
     let value = rmp_serde::to_vec(&record).expect("this type always encodes");
     // The record of another entry, or of a refusal that is just over, may be there.
     let there = cx.store.get(&key).await?;
-    let revision = there.map_or(0, |item| item.revision);
-    cx.store.put(&key, revision, &value, lease).await?;
+    let expected = there.map(|item| item.at);
+    cx.store.put(&key, expected, &value, lease).await?;
     Ok(())
 }
 
@@ -67,17 +97,18 @@
 }
 
 impl Control {
-    /// Takes all refused requests that the store lists. True when that is news.
-    pub(super) fn take_refused_list(&self, items: &[Item]) -> bool {
+    /// Takes all refused requests that the store lists. One that it doesn't list was taken
+    /// back, unless its lease may have run out in an outage, or its record is lost.
+    pub(super) fn take_refused_list(&self, items: &[Item]) {
         let listed = items.iter().filter_map(|item| request_of(&item.key));
         let listed: Vec<RequestDigest> = listed.collect();
-        let mut refused = self.refused.borrow_mut();
-        let known = refused.len();
-        refused.retain(|request, _| listed.contains(request));
-        let gone = known - refused.len();
-        drop(refused);
-        let news = items.iter().filter(|item| self.take_refused(item)).count();
-        gone + news > 0
+        if !self.peers.borrow().is_unsettled(self.clock.now()) {
+            let mut refused = self.refused.borrow_mut();
+            refused.retain(|request, _| listed.contains(request));
+        }
+        for item in items {
+            self.take_refused(item);
+        }
     }
 
     /// Takes one change. True when it is news.
--- a/crates/gateway/src/control/settle.rs
+++ b/crates/gateway/src/control/settle.rs
@@ -43,17 +43,30 @@
     ) where
         R: PartialEq + 'static,
     {
-        let Some(at) = book(self).borrow().settles_at() else {
+        let known = book(self).borrow();
+        let Some(at) = known
+            .settles_at()
+            .into_iter()
+            .chain(known.outlived_at())
+            .min()
+        else {
             return;
         };
+        drop(known);
         let cx = self.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep_until(cx.clock.timer(at).into()).await;
-            let gone = book(&cx).borrow_mut().settle(cx.clock.now());
+            let now = cx.clock.now();
+            let gone = book(&cx).borrow_mut().settle(now);
+            let is_changed = book(&cx).borrow_mut().take_outlived(now);
             if !gone.is_empty() {
                 tell_gone(&cx, &gone);
+            }
+            if is_changed || !gone.is_empty() {
                 cx.publish();
             }
+            // Some records have more time than others.
+            cx.settle_later(book, tell_gone);
         });
     }
 }
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -1,11 +1,12 @@
 //! Where this entry hears what changed: at the store, or from a reader of its hall.
 //!
 //! In a hall of many entries two read the store, and the others ask them in turn, each
-//! time for all that changed after the revision that they know. A reader that lies behind
+//! time for all that changed after the position that they know. A reader that lies behind
 //! tells nothing for a second, and the other one is asked next; one that doesn't answer,
 //! or doesn't hear from the store, is passed over for a while. Without any reader left an
-//! entry goes to the store itself, as all do in a small hall. Revisions are the same
-//! everywhere, so it may change its source at any time and misses nothing.
+//! entry goes to the store itself, as all do in a small hall. Positions are the same
+//! everywhere, so it may change its source at any time and misses nothing; across the end of
+//! an era nobody goes on.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -15,9 +16,9 @@
 
 use hollowsail_connect::{Pool, PoolRules};
 use hollowsail_fleet::ownership::Candidate;
-use hollowsail_fleet::readers;
+use hollowsail_fleet::{readers, Position};
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Changes, Revision, StoreError};
+use hollowsail_platform::store::{Changes, StoreError};
 use hollowsail_routing::Millis;
 
 use super::ask::{self, AskError};
@@ -78,12 +79,25 @@
 }
 
 impl Control {
-    /// Waits for changes of keys after a revision, and tells where they came from.
+    /// Waits for changes of keys after a position, and tells where they came from. An
+    /// error when the position's era is over, by whatever answer that shows.
     pub(super) async fn next_changes(
         &self,
         keys: Keys,
         prefix: &str,
-        after: Revision,
+        after: Position,
+    ) -> Result<(Changes, Teller), StoreError> {
+        tokio::select! {
+            changes = self.changes_from_anywhere(keys, prefix, after) => changes,
+            () = self.store.later_era(after.era) => Err(StoreError::HistoryGone),
+        }
+    }
+
+    async fn changes_from_anywhere(
+        &self,
+        keys: Keys,
+        prefix: &str,
+        after: Position,
     ) -> Result<(Changes, Teller), StoreError> {
         loop {
             let reader = match self.source(keys) {
@@ -114,7 +128,7 @@
     async fn watch_store(
         &self,
         prefix: &str,
-        after: Revision,
+        after: Position,
         wait: Duration,
     ) -> Result<(Changes, Teller), StoreError> {
         let watch = self.store.watch(prefix, after, wait);
@@ -184,7 +198,7 @@
         &self,
         reader: &PeerRecord,
         keys: Keys,
-        after: Revision,
+        after: Position,
     ) -> Result<FeedAnswer, AskError> {
         let wait = match keys {
             Keys::Operators | Keys::Targets => TOLD_WITHIN,
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -36,9 +36,9 @@
     pub(super) fn take_cold_spells(&self) {
         let book = self.book.borrow();
         let cold = book.all().filter(|(_, record)| record.cold_ms > 0);
-        let cold = cold.map(|(revision, record)| ColdRecord {
+        let cold = cold.map(|(at, record)| ColdRecord {
             incarnation: &record.incarnation.id,
-            revision,
+            at,
             cold_ms: record.cold_ms,
         });
         self.cold.borrow_mut().take(self.clock.now(), cold);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -8,8 +8,8 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use hollowsail_fleet::{Since, WatchLog};
-use hollowsail_platform::store::{Change, Changes, Revision};
+use hollowsail_fleet::{Position, Since, WatchLog};
+use hollowsail_platform::store::{Change, Changes};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -45,8 +45,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FeedAsk {
     pub keys: Keys,
-    /// It knows all changes up to this revision.
-    pub after: Revision,
+    /// It knows all changes up to this position.
+    pub after: Position,
     /// Longest time for an answer, in milliseconds.
     pub wait_ms: u64,
 }
@@ -61,7 +61,7 @@
     },
     /// Nothing changed in the time.
     NothingNew,
-    /// The changes after that revision aren't known here any more.
+    /// The changes after that position aren't known here any more.
     Unknown,
     /// This entry doesn't hear from the store itself.
     NotReading,
@@ -122,16 +122,16 @@
         self.store.lock().expect("no holder panics")
     }
 
-    /// All keys were read as of a revision.
-    pub fn begin(&self, keys: Keys, revision: Revision) {
-        self.feed(keys).log.begin(revision);
+    /// All keys were read as of a position.
+    pub fn begin(&self, keys: Keys, at: Position) {
+        self.feed(keys).log.begin(at);
     }
 
     /// Changes came, from wherever.
     pub fn extend(&self, keys: Keys, changes: &Changes) {
         let each = changes.changes.iter();
-        let each = each.map(|change| (change.revision(), change.clone()));
-        self.feed(keys).log.extend(each, changes.revision);
+        let each = each.map(|change| (change.at(), change.clone()));
+        self.feed(keys).log.extend(each, changes.at);
         self.changed.notify_waiters();
     }
 
@@ -199,8 +199,8 @@
         match feed.log.since(ask.after) {
             Since::NothingNew => None,
             Since::Unknown => Some(FeedAnswer::Unknown),
-            Since::Changes { changes, revision } => Some(FeedAnswer::Changed {
-                changes: Changes { changes, revision },
+            Since::Changes { changes, to } => Some(FeedAnswer::Changed {
+                changes: Changes { changes, at: to },
                 is_unsettled: store
                     .unsettled_until
                     .is_some_and(|until| Instant::now() < until),
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -137,7 +137,7 @@
         .source
         .as_deref()
         .filter(|_| version > ask.configuration);
-    let newer = |known: &&KnownRecords| known.revision > ask.records;
+    let newer = |known: &&KnownRecords| known.at > ask.records;
     let records = view.records.as_ref().filter(newer);
     let emptied = Some(&view.emptied).filter(|known| known.as_of() > ask.emptied);
     let answer = StateAnswer {
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -4,7 +4,7 @@
 //! nothing when the answering entry doesn't hear from the store either: two
 //! entries that know nothing new must not confirm each other.
 
-use hollowsail_fleet::EmptiedHalls;
+use hollowsail_fleet::{EmptiedHalls, Position};
 use hollowsail_platform::targets::TargetRecord;
 use hollowsail_routing::RequestDigest;
 use serde::{Deserialize, Serialize};
@@ -20,10 +20,10 @@
 pub struct StateAsk {
     /// Version of its configuration, if it has one.
     pub configuration: Option<u64>,
-    /// Revision of the store up to which it knows the targets' records.
-    pub records: u64,
-    /// Revision of the store up to which it knows the emptied halls.
-    pub emptied: u64,
+    /// Position of the store up to which it knows the targets' records.
+    pub records: Position,
+    /// Position of the store up to which it knows the emptied halls.
+    pub emptied: Position,
 }
 
 /// What is newer.
@@ -43,28 +43,28 @@
     pub refused: Vec<(RequestDigest, u64)>,
 }
 
-/// All targets' records as of a revision of the store.
+/// All targets' records as of a position of the store.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsAt {
-    pub revision: u64,
+    pub at: Position,
     pub records: Vec<RecordAt>,
 }
 
-/// A target's record, and the revision of its last change.
+/// A target's record, and the position of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordAt {
-    pub revision: u64,
+    pub at: Position,
     pub record: TargetRecord,
 }
 
 impl From<&KnownRecords> for RecordsAt {
     fn from(known: &KnownRecords) -> Self {
-        let records = known.records.iter().map(|(revision, record)| RecordAt {
-            revision: *revision,
+        let records = known.records.iter().map(|(at, record)| RecordAt {
+            at: *at,
             record: TargetRecord::clone(record),
         });
         RecordsAt {
-            revision: known.revision,
+            at: known.at,
             records: records.collect(),
         }
     }
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use hollowsail_fleet::EmptiedHalls;
+use hollowsail_fleet::{EmptiedHalls, Position};
 use hollowsail_platform::deployment::Deployment;
-use hollowsail_platform::store::Revision;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_targets::UsableTarget;
 use tokio::sync::Notify;
@@ -39,12 +38,12 @@
     pub refused: Refused,
 }
 
-/// All targets' records as of a revision of the store.
+/// All targets' records as of a position of the store.
 #[derive(Debug)]
 pub struct KnownRecords {
-    pub revision: Revision,
-    /// Each with the revision of its last change.
-    pub records: Vec<(Revision, Arc<TargetRecord>)>,
+    pub at: Position,
+    /// Each with the position of its last change.
+    pub records: Vec<(Position, Arc<TargetRecord>)>,
 }
 
 /// Where control puts views and traffic finds them.
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod reading;
 mod resting;
+mod returning;
 mod sharing;
 mod stages;
 mod starting_again;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -74,6 +74,7 @@
     TARGET_RECORD, 310, "target_record", Info, "A target came, or began to drain.";
     TARGET_GONE, 311, "target_gone", Info, "A target gets no work any more.";
     HALLS_EMPTIED, 312, "halls_emptied", Info, "The halls whose targets get nothing new changed.";
+    STORE_CAME_BACK_OLDER, 313, "store_came_back_older", Warn, "The store came back from an older copy; what it lost stays known here until it is written again.";
     MEMBER, 401, "member", Info, "A member's health or stop changed.";
     PACE, 402, "pace", Warn, "Whether this entry keeps up with its work changed.";
 }
