--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -21,6 +21,9 @@
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
+/// The same at a store that names its era: that it came back from an older copy may show in
+/// no watch, and this is how it is found within the 2 s for a target that leaves.
+const RENEW_WITH_ERAS_EVERY: Duration = Duration::from_millis(1_500);
 
 /// The same while others hear from the store through this entry: they have to know soon
 /// when it doesn't hear itself. A renewal costs a tenth of other calls.
@@ -89,8 +92,12 @@
 
 /// Waits until the next renewal is due, sooner when others begin to rely on this entry.
 async fn wait_for_renewal(cx: &Control) {
+    let every = match cx.store.era() {
+        0 => RENEW_EVERY,
+        _ => RENEW_WITH_ERAS_EVERY,
+    };
     let mut waited = Duration::ZERO;
-    while waited < RENEW_EVERY {
+    while waited < every {
         tokio::time::sleep(RENEW_FOR_OTHERS_EVERY).await;
         waited += RENEW_FOR_OTHERS_EVERY;
         if cx.feeds.is_read() {
