--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book.rs
@@ -75,7 +75,10 @@
 struct Gone {
     id: String,
     start: u64,
+    /// Where it was known to be gone.
     at: Position,
+    /// It said before that it leaves.
+    left: bool,
 }
 
 /// A target in the book.
@@ -84,11 +87,40 @@
     record: R,
     /// Which start of the target this is; later ones have larger numbers.
     start: u64,
-    /// Of its last change.
+    /// Of the record's last change.
     at: Position,
+    /// Where the record was last found missing. It isn't a place of the record: whoever is
+    /// told of a doubted target must not take the record for as new as its absence.
+    missing_at: Position,
     state: State,
 }
 
+impl Told {
+    /// What a record makes of a target of which nothing else is known.
+    fn state(&self) -> State {
+        match self.draining {
+            true => State::Draining,
+            false => State::Recorded,
+        }
+    }
+}
+
+impl<R> Entry<R> {
+    /// What another record of the same start makes of it; `is_copy` when that is the
+    /// record known before, from a store that came back.
+    fn state_after(&self, told: &Told, is_copy: bool) -> State {
+        let is_same_word = is_copy || told.at == self.at;
+        match self.state {
+            State::Draining => State::Draining,
+            _ if told.draining => State::Draining,
+            // A word from before it was found missing.
+            State::Doubted if told.at <= self.missing_at => State::Doubted,
+            State::Returned if is_same_word => State::Returned,
+            _ => State::Recorded,
+        }
+    }
+}
+
 /// True when a record of a new era is the word that was known before, which the store has
 /// from its copy. It keeps its place among the words of its own era: what was newer than it
 /// then still is.
@@ -181,61 +213,81 @@
     pub fn put(&mut self, id: &str, told: Told, record: R) -> bool {
         let known = self.entries.get(id);
         let is_older = |known: &Entry<R>| (told.start, told.at) < (known.start, known.at);
-        if known.is_some_and(is_older) {
-            return false;
+        if known.is_some_and(is_older) || (known.is_none() && self.went_later(id, &told)) {
+            // Late or not, a start that leaves never takes that back.
+            return told.draining && self.left(id, told.start);
         }
-        let state = self.state_after(id, &told);
-        let changed = known.is_none_or(|known| known.state != state || known.record != record);
-        let at = match known {
-            Some(known) if is_of_the_copy(known, &told, &record) => known.at,
-            Some(known) => known.at.max(told.at),
-            None => told.at,
+        let same_start = known.filter(|known| known.start == told.start);
+        let is_copy = same_start.is_some_and(|known| is_of_the_copy(known, &told, &record));
+        let state = match known {
+            Some(_) => same_start.map_or(told.state(), |known| known.state_after(&told, is_copy)),
+            None => self.state_of_unknown(id, &told),
         };
+        let changed = known.is_none_or(|known| known.state != state || known.record != record);
         let entry = Entry {
             record,
             start: told.start,
-            at,
+            at: same_start
+                .filter(|_| is_copy)
+                .map_or(told.at, |known| known.at),
+            missing_at: same_start.map_or(Position::default(), |known| known.missing_at),
             state,
         };
         self.entries.insert(id.to_string(), entry);
         changed
     }
 
-    /// What a target's record makes of it.
-    fn state_after(&self, id: &str, told: &Told) -> State {
-        let known = self.entries.get(id);
-        let same_start = known.filter(|known| known.start == told.start);
-        let is_known_as = |state| same_start.is_some_and(|known| known.state == state);
-        if told.draining || is_known_as(State::Draining) {
-            return State::Draining;
+    /// A start said that it leaves, before what is known of it now. True when the book
+    /// changed.
+    fn left(&mut self, id: &str, start: u64) -> bool {
+        if let Some(known) = self.entries.get_mut(id) {
+            let is_news = known.start == start && known.state != State::Draining;
+            if is_news {
+                known.state = State::Draining;
+            }
+            return is_news;
         }
-        let is_same_word = same_start.is_some_and(|known| known.at == told.at);
-        let stays_returned = is_same_word && is_known_as(State::Returned);
-        if stays_returned || (known.is_none() && self.had_gone(id, told)) {
-            return State::Returned;
+        let mut gone = self.gone.iter_mut().rev();
+        if let Some(gone) = gone.find(|gone| gone.id == id && gone.start == start) {
+            gone.left = true;
         }
-        State::Recorded
+        false
     }
 
-    /// True when a record that may be of the copy names a start that had gone before.
-    fn had_gone(&self, id: &str, told: &Told) -> bool {
-        let is_written_since = self.listed.era == told.at.era && self.listed < told.at;
-        if is_written_since {
-            return false;
+    /// What a record makes of a target that isn't in the book.
+    fn state_of_unknown(&self, id: &str, told: &Told) -> State {
+        let may_be_copy = self.listed.era < told.at.era || told.at <= self.listed;
+        let gone = self.last_gone(id);
+        let gone = gone.filter(|gone| gone.start == told.start && gone.at.era < told.at.era);
+        match gone.filter(|_| may_be_copy) {
+            Some(gone) if gone.left => State::Draining,
+            Some(_) if !told.draining => State::Returned,
+            _ => told.state(),
         }
-        let of_id = self.gone.iter().rev().find(|gone| gone.id == id);
-        of_id.is_some_and(|gone| gone.start >= told.start && gone.at.era < told.at.era)
+    }
+
+    /// True when a start went after a word of it: one that was late, or of an entry that
+    /// still doubts what is known here.
+    fn went_later(&self, id: &str, told: &Told) -> bool {
+        let gone = self.last_gone(id);
+        gone.is_some_and(|gone| (gone.start, gone.at) >= (told.start, told.at))
+    }
+
+    /// What last went under an id.
+    fn last_gone(&self, id: &str) -> Option<&Gone> {
+        self.gone.iter().rev().find(|gone| gone.id == id)
     }
 
     /// Remembers that a start went for good.
-    fn remember_gone(&mut self, id: &str, start: u64, at: Position) {
+    fn remember_gone(&mut self, id: &str, entry: &Entry<R>) {
         if self.gone.len() == MOST_GONE {
             self.gone.pop_front();
         }
         self.gone.push_back(Gone {
             id: id.to_string(),
-            start,
-            at,
+            start: entry.start,
+            at: entry.at.max(entry.missing_at),
+            left: entry.state == State::Draining,
         });
     }
 
@@ -256,7 +308,7 @@
         if entry.at > at {
             return false;
         }
-        entry.at = at;
+        entry.missing_at = entry.missing_at.max(at);
         if is_unsettled && entry.state.is_usable() {
             entry.state = State::Doubted;
             return false;
@@ -288,6 +340,7 @@
         let usable = entry.filter(|entry| entry.at.era < at.era && entry.state.is_usable());
         if let Some(entry) = usable {
             entry.state = State::Doubted;
+            entry.missing_at = entry.missing_at.max(at);
             return true;
         }
         false
@@ -299,6 +352,11 @@
     pub fn adopt(&mut self, present: &[&str], at: Position) -> Vec<String> {
         let missing =
             self.keys_where(|incarnation, entry| entry.at <= at && !present.contains(&incarnation));
+        for id in &missing {
+            if let Some(entry) = self.entries.get_mut(id) {
+                entry.missing_at = entry.missing_at.max(at);
+            }
+        }
         self.remove_all(&missing);
         missing
     }
@@ -325,8 +383,9 @@
     pub fn outlived_at(&self) -> Option<Millis> {
         let mut entries = self.entries.values();
         let has_returned = entries.any(|entry| entry.state == State::Returned);
-        let began = self.era_began.filter(|_| has_returned)?;
-        Some(began + self.timing.lapse_ms)
+        // An entry that hasn't seen the era begin counts from when it read the records.
+        let began = self.era_began.unwrap_or(self.read);
+        has_returned.then_some(began + self.timing.lapse_ms)
     }
 
     /// Drops what is still missing some time after the store's return.
@@ -366,7 +425,7 @@
     /// A target is gone.
     fn remove(&mut self, incarnation: &str) {
         if let Some(entry) = self.entries.remove(incarnation) {
-            self.remember_gone(incarnation, entry.start, entry.at);
+            self.remember_gone(incarnation, &entry);
         }
     }
 
@@ -395,12 +454,11 @@
         usable.map(|entry| (entry.at, &entry.record))
     }
 
-    /// Every target, leaving ones included, with the position of its last change; but for
-    /// those that had gone, of which the store has old records.
+    /// Every target that the store has or that is doubted, leaving ones included, with the
+    /// position of its last change. One that had gone and whose record is back is among
+    /// them: whoever is told decides on it by what it knows itself.
     pub fn all(&self) -> impl Iterator<Item = (Position, &R)> {
-        let known = self.entries.values();
-        let known = known.filter(|entry| entry.state != State::Returned);
-        known.map(|entry| (entry.at, &entry.record))
+        self.entries.values().map(|entry| (entry.at, &entry.record))
     }
 
     /// True when the store doesn't answer.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod newest;
 mod ownership;
 mod readers;
+mod returning_store;
 mod standing;
 mod target_book;
 mod watch_log;
