--- a/crates/gateway/tests/suite/returning.rs
+++ b/crates/gateway/tests/suite/returning.rs
@@ -12,7 +12,9 @@
 use hollowsail_platform_standins::{DeploymentJson, Step, StoreMode, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, plain_deployment, until_entries, Call};
+use crate::fixture::{
+    eventually, gateway, gateway_at, plain_deployment, settings, until_entries, Call,
+};
 
 /// How much the store loses here: less than passes before anything that a test does.
 const LOST: Duration = Duration::from_millis(900);
@@ -311,6 +313,150 @@
     }
 }
 
+/// One entry is cut off from the store while that comes back: it knows the old era alone.
+#[actix_rt::test]
+async fn an_entry_that_missed_the_return_catches_up_from_others_and_spreads_nothing_back() {
+    let fleet = Fleet::start().await;
+    let door = fleet.store.door().await;
+    let other = gateway_at(settings("host-2", "hall-a", door.addr)).await;
+    until_entries("both are recorded", &fleet.store, 2).await;
+    tokio::time::sleep(LOST + Duration::from_millis(300)).await;
+    fleet.write_some();
+    soon().await;
+    door.set_mode(StoreMode::Silent);
+    fleet.store.restore(LOST);
+    fleet.put(0, "draining");
+    fleet.store.put("op/evacuate/hall-b", b"");
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let before = fleet.got();
+    for _ in 0..12 {
+        let refused = call().send(other.at.callers).await;
+        assert_eq!(refused.status, 503, "it knows what the other knows");
+        let refused = call().send(fleet.at()).await;
+        assert_eq!(refused.status, 503, "nothing old came back to it");
+    }
+    assert_eq!(fleet.got(), before);
+    door.set_mode(StoreMode::Up);
+    fleet.store.delete("op/evacuate/hall-b");
+    tokio::time::sleep(LEAVING_HEEDED_WITHIN).await;
+    assert_eq!(call().send(other.at.callers).await.status, 200);
+}
+
+/// A refusal that the store has lost is written again by whoever wrote it, with what is
+/// left of its time.
+#[actix_rt::test]
+async fn a_refused_request_stays_refused() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    let mut targets = Vec::new();
+    for number in 0..5 {
+        let target = TargetStandin::start(|_| vec![Step::End]).await;
+        let id = format!("i-{number}");
+        store.put_target(&id, "plain", target.addr, "hall-a", "ready");
+        targets.push(target);
+    }
+    let entry = gateway(&store, "host-1", "hall-a").await;
+    until_entries("it is recorded", &store, 1).await;
+    soon().await;
+    let fatal = call().body("fatal");
+    let refused = || store.keys("hollowsail/refused/").len();
+    for _ in 0..8 {
+        fatal.send(entry.at.callers).await;
+    }
+    eventually("it is refused", || refused() == 1).await;
+    let ended = targets.iter().filter(|target| target.has_ended()).count();
+    store.restore(Duration::from_secs(30));
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    for (number, target) in targets.iter().enumerate() {
+        let id = format!("i-{number}");
+        store.put_target(&id, "plain", target.addr, "hall-a", "ready");
+    }
+    eventually("it is written again", || refused() == 1).await;
+    for _ in 0..8 {
+        assert_eq!(fatal.send(entry.at.callers).await.status, 503);
+    }
+    let after = targets.iter().filter(|target| target.has_ended()).count();
+    assert_eq!(after, ended, "no other target ends");
+}
+
+/// What may run at most once rests on what its entry knows of its own sends, and on nothing
+/// in the store.
+#[actix_rt::test]
+async fn a_request_that_may_run_once_is_sent_once_over_a_return() {
+    let store = StoreStandin::start().await;
+    let deployment = DeploymentJson::new(1).service("plain").route(
+        "/once/",
+        "unsafe",
+        "plain",
+        json!({ "max_attempts": 3 }),
+    );
+    store.put("op/config", &deployment.bytes());
+    let silent = TargetStandin::start(|_| vec![Step::Wait(Duration::from_secs(1)), Step::Reset]);
+    let (first, second) = (silent.await, target("second").await);
+    store.put_target("i-0", "plain", first.addr, "hall-a", "ready");
+    let entry = gateway(&store, "host-1", "hall-a").await;
+    until_entries("it is recorded", &store, 1).await;
+    soon().await;
+    let at = entry.at.callers;
+    let sent = actix_rt::spawn(async move {
+        let once = Call::new("POST", "/once/x").with("X-Deadline-Ms", "4000");
+        once.body("pay").send(at).await
+    });
+    eventually("it is at its target", || first.seen().len() == 1).await;
+    store.put_target("i-1", "plain", second.addr, "hall-a", "ready");
+    store.restore(Duration::from_secs(30));
+    store.put("op/config", &deployment.bytes());
+    store.put_target("i-1", "plain", second.addr, "hall-a", "ready");
+    let got = sent.await.expect("it is answered");
+    assert!(
+        got.status >= 500 && got.status != 503,
+        "it may have run: {got:?}"
+    );
+    assert_eq!((first.seen().len(), second.seen().len()), (1, 0));
+}
+
+/// A fleet whose records are all lost at once.
+#[actix_rt::test]
+async fn the_records_of_a_fleet_are_back_within_two_seconds() {
+    /// Entries here; by hand some hundreds.
+    const ENTRIES: usize = 24;
+    /// Calls of each entry within the two seconds: a lease, a record, and the reads of three
+    /// lists with a page for each three records, before watches and renewals.
+    const MOST_CALLS_EACH: usize = 24;
+    let store = StoreStandin::start().await;
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    let mut entries = Vec::new();
+    for number in 0..ENTRIES {
+        let hall = HALLS[number % 2];
+        entries.push(gateway(&store, &format!("host-{number}"), hall).await);
+    }
+    until_entries("all are recorded", &store, ENTRIES).await;
+    soon().await;
+    store.restore(Duration::from_secs(60));
+    store.put("op/config", &plain_deployment(1, "/a/").bytes());
+    let (begun, calls) = (Instant::now(), store.calls().len());
+    until_entries("all are back", &store, ENTRIES).await;
+    let took = begun.elapsed();
+    tokio::time::sleep(WRITTEN_AGAIN_WITHIN.saturating_sub(took)).await;
+    let all = store.calls();
+    let since = &all[calls..];
+    let writes = since
+        .iter()
+        .filter(|call| call.contains("kv-txn") || call.contains("kv-lease"));
+    let writes = writes.count();
+    println!(
+        "{ENTRIES} entries: back after {took:?}, {} calls, {writes} writes",
+        since.len()
+    );
+    assert!(took < WRITTEN_AGAIN_WITHIN, "{took:?}");
+    assert!(writes <= 3 * ENTRIES, "{writes} writes");
+    assert!(
+        since.len() <= MOST_CALLS_EACH * ENTRIES,
+        "{} calls",
+        since.len()
+    );
+}
+
 /// A store that names no era, as all did before: everything goes by revisions alone.
 #[actix_rt::test]
 async fn a_store_without_eras_is_followed_as_before() {
