--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes.rs
@@ -82,16 +82,28 @@
         (crashes, rx)
     }
 
-    /// True while nothing is known of any request, so that none needs its digest.
-    pub fn is_empty(&self) -> bool {
-        self.ledger.borrow().is_empty()
+    /// The digest of a request, worked out only where anything is known of any request.
+    fn if_any(&self, request: impl FnOnce() -> RequestDigest) -> Option<RequestDigest> {
+        let is_empty = self.ledger.borrow().is_empty();
+        (!is_empty).then(request)
+    }
+
+    /// What is known of a request.
+    fn standing(&self, now: Millis, request: impl FnOnce() -> RequestDigest) -> Standing {
+        let request = self.if_any(request);
+        request.map_or(Standing::Unsuspected, |request| {
+            self.ledger.borrow().standing(now, request)
+        })
     }
 
     /// Refuses a request that ends targets.
-    pub fn judge(&self, cx: &Traffic, request: RequestDigest) -> Result<(), Refusal> {
+    pub fn judge(
+        &self,
+        cx: &Traffic,
+        request: impl FnOnce() -> RequestDigest,
+    ) -> Result<(), Refusal> {
         let now = cx.clock.now();
-        let standing = self.ledger.borrow().standing(now, request);
-        let Standing::Refused { until } = standing else {
+        let Standing::Refused { until } = self.standing(now, request) else {
             return Ok(());
         };
         let detail = format!("{CRASHES_TO_REFUSE} targets ended while they ran it");
@@ -99,15 +111,9 @@
         Err(refusal.come_back_after(Duration::from_millis(until - now)))
     }
 
-    /// True when a request runs apart from others; its digest is worked out only where
-    /// anything is known of any request.
+    /// True when a request runs apart from others.
     pub fn is_suspect(&self, cx: &Traffic, request: impl FnOnce() -> RequestDigest) -> bool {
-        if self.is_empty() {
-            return false;
-        }
-        let request = request();
-        let ledger = self.ledger.borrow();
-        ledger.standing(cx.clock.now(), request) != Standing::Unsuspected
+        self.standing(cx.clock.now(), request) != Standing::Unsuspected
     }
 
     /// A target ended while it ran a request of this entry.
@@ -182,7 +188,10 @@
     }
 
     /// A request was answered whole: it ends no target.
-    pub fn served(&self, cx: &Rc<Traffic>, request: RequestDigest) {
+    pub fn served(&self, cx: &Rc<Traffic>, request: impl FnOnce() -> RequestDigest) {
+        let Some(request) = self.if_any(request) else {
+            return;
+        };
         if self.ledger.borrow_mut().served(request) {
             log_standing(
                 cx,
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -258,7 +258,7 @@
             job.failures += u32::from(end == CallEnd::Failed);
             job.failures < MOST_FAILURES
                 && job.ended_alone < MOST_ENDED_ALONE
-                && cx.crashes.judge(cx, job.request).is_ok()
+                && cx.crashes.judge(cx, || job.request).is_ok()
         });
         if may_go_on {
             queue.requeue(key);
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -82,9 +82,7 @@
 
 /// A whole answer shows that a request ends no target.
 pub(super) fn acquit(cx: &Rc<Traffic>, admitted: &Admitted) {
-    if !cx.crashes.is_empty() {
-        cx.crashes.served(cx, admitted.digest());
-    }
+    cx.crashes.served(cx, || admitted.digest());
 }
 
 /// Notes the time of an answer in its target's health and its service's window.
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -16,10 +16,7 @@
 
 /// Refuses a request that ends targets.
 pub fn may_run(cx: &Traffic, admitted: &Admitted) -> Result<(), Refusal> {
-    match cx.crashes.is_empty() {
-        true => Ok(()),
-        false => cx.crashes.judge(cx, admitted.digest()),
-    }
+    cx.crashes.judge(cx, || admitted.digest())
 }
 
 /// Refuses a request that ends targets, or that needs a service whose halls are all empty.
--- a/crates/gateway/tests/suite/starting_again.rs
+++ b/crates/gateway/tests/suite/starting_again.rs
@@ -88,3 +88,24 @@
     }
     eventually("it is used again", || target.seen().len() > before).await;
 }
+
+/// Others may write there, too: the last good configuration, and what is known of the
+/// entries, stay.
+#[actix_rt::test]
+async fn a_configuration_or_an_entrys_record_that_cannot_be_read_changes_nothing() {
+    let (fixture, target) = serving().await;
+    let peers = fixture.store.keys("hollowsail/peers/");
+    for bytes in [&b"\xff\x00"[..], b"{}", b"null", &[b'['; 4_096]] {
+        fixture.store.put("op/config", bytes);
+        fixture.store.put("op/evacuate/", bytes);
+        fixture.store.put("hollowsail/peers/other", bytes);
+        fixture.store.put("hollowsail/refused/other", bytes);
+        for key in &peers {
+            fixture.store.put(key, bytes);
+        }
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let before = target.seen().len();
+        assert!(fixture.call(&call()).await.is_whole);
+        assert_eq!(target.seen().len(), before + 1);
+    }
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -70,7 +70,7 @@
     STORE_LOST, 306, "store_lost", Warn, "The store does not answer.";
     STORE_BACK, 307, "store_back", Info, "The store answers again.";
     STANDING, 308, "standing", Warn, "Whether this entry takes new work changed.";
-    RECORD_UNREADABLE, 309, "record_unreadable", Error, "A target's record cannot be read here; what was known of it stays.";
+    RECORD_UNREADABLE, 309, "record_unreadable", Error, "A record cannot be read here; a target's takes its target out of use, of others what was known stays.";
     TARGET_RECORD, 310, "target_record", Info, "A target came, or began to drain.";
     TARGET_GONE, 311, "target_gone", Info, "A target gets no work any more.";
     HALLS_EMPTIED, 312, "halls_emptied", Info, "The halls whose targets get nothing new changed.";
