--- a/crates/targets/src/end.rs
+++ b/crates/connect/src/end.rs
@@ -11,9 +11,10 @@
 
 use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
 use hollowsail_clock::Moment;
-use hollowsail_connect::{dial, DialError};
 use tokio::net::TcpStream;
 
+use crate::dial::{dial, DialError};
+
 /// How long those whose answers broke off wait for word whether the target has ended, at
 /// the most. One that has refuses a connection within a hop, some milliseconds.
 pub const SEEN_WITHIN: Duration = Duration::from_millis(150);
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -10,15 +10,18 @@
 //! Flow: [`Pool::send`] takes an idle connection or dials, sends, and gives an
 //! [`Exchange`]; [`Exchange::into_body`] reads the answer and puts the
 //! connection back after its last byte. [`Pool::call`] does all of it for an
-//! answer that is read whole.
+//! answer that is read whole. [`EndCheck`] tells a peer that ended from one whose
+//! connection broke.
 
 mod body;
 mod dial;
+mod end;
 mod pool;
 mod whole;
 
 pub use body::AnswerBody;
 pub use dial::{dial, DialError};
+pub use end::{EndCheck, SEEN_WITHIN};
 pub use pool::{Exchange, Pool, PoolRules, Reuse, SendError};
 pub use whole::WholeAnswer;
 
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -9,10 +9,11 @@
 
 use hollowsail_clients::target::{CallError, Sent, TargetNotice};
 use hollowsail_routing::{
-    attempt_status, may_try_again, Observation, Progress, RetryBudget, StageStatus,
+    attempt_status, may_try_again, Millis, Observation, Progress, RetryBudget, StageStatus,
 };
 use serde_json::Value;
 
+use crate::crashes::{self, MOST_ENDED};
 use crate::dispatch::{self, Dispatched, Partial};
 use crate::events;
 use crate::fact::Fact;
@@ -28,6 +29,8 @@
 #[derive(Debug, Default)]
 pub struct StageRun {
     pub attempts: Vec<Progress>,
+    /// Targets that ended while they ran it.
+    ended: u32,
 }
 
 /// Runs attempts at a stage until one answers or none may follow.
@@ -62,6 +65,7 @@
             run.attempts.push(Progress::NotDialled);
             return (run, Err(last_failure.unwrap_or(routes::no_time(task))));
         }
+        let sent = task.worker.entry.now();
         call.dispatch = dispatch_id(task, attempt);
         let limit = attempt_limit(task, left, &route, attempt);
         let done = dispatch::dispatch(task, &mut call, &route, limit, &mut partial).await;
@@ -74,17 +78,35 @@
             Err(err) => err,
         };
         log_failure(task, &call.dispatch, &route, progress, &err);
+        if err.sent == Sent::Something && !done.timed_out && has_ended(task, &route, sent).await {
+            run.ended += 1;
+        }
         if !done.may_resume {
             tried.push(route.key);
         }
         let failure = failure_of(task, &err, progress);
-        if !may_follow(task, progress, run.attempts.len()) {
+        if run.ended >= MOST_ENDED || !may_follow(task, progress, run.attempts.len()) {
             return (run, Err(failure));
         }
         last_failure = Some(failure);
     }
 }
 
+/// Finds out whether a target that broke its answer off has ended, and counts that.
+async fn has_ended(task: &StageTask<'_>, route: &Route, sent: Millis) -> bool {
+    if !crashes::has_ended(route.address).await {
+        return false;
+    }
+    let entry = &task.worker.entry;
+    let counted = entry.crashes.ended(entry.now(), task.job, sent);
+    let fields = format_args!(
+        "request={} target={} counted={counted:?}",
+        task.job.request, route.name
+    );
+    entry.log(events::TARGET_ENDED, fields);
+    true
+}
+
 /// Whether another attempt may follow one that ended like this.
 fn may_follow(task: &StageTask<'_>, progress: Progress, made: usize) -> bool {
     may_try_again(progress, task.stage.repeatable)
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -11,6 +11,7 @@
 use hollowsail_routing::{Rank, Switches};
 
 use crate::configuration::Configuration;
+use crate::crashes::Crashes;
 use crate::events::{self, Event};
 use crate::fact::Fact;
 use crate::holdings::Holdings;
@@ -32,6 +33,8 @@
     pub in_flight: Arc<AtomicU32>,
     /// What each organisation has in flight here.
     pub holdings: Arc<Holdings>,
+    /// Requests that end targets.
+    pub crashes: Crashes,
     next_run: AtomicU64,
     /// Where facts go; the control thread starts after this is made.
     facts: OnceLock<Recipient<Fact>>,
@@ -55,6 +58,7 @@
             once: Mutex::new(once),
             in_flight: Arc::default(),
             holdings: Arc::default(),
+            crashes: Crashes::default(),
             next_run: AtomicU64::new(1),
             facts: OnceLock::new(),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod configuration;
 pub mod context;
 pub mod control;
+mod crashes;
 pub mod dispatch;
 pub mod fact;
 pub mod gate;
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -33,6 +33,7 @@
             )
         })
         .and_then(|org| {
+            worker.entry.crashes.judge(worker.entry.now(), job)?;
             admission::judge(worker, deployment, org, job.pipeline, job.remaining_ms())
         });
     match admitted {
@@ -66,6 +67,9 @@
             }
         }
     }
+    if failure.is_none() {
+        worker.entry.crashes.served(job);
+    }
     let result = match failure {
         None => Ok(input),
         Some(err) => Err(err),
--- a/crates/local/tests/suite/main.rs
+++ b/crates/local/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod answers;
 mod bad_input;
 mod configuration;
+mod crashing;
 mod fixture;
 mod leaving;
 mod once;
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -3,15 +3,13 @@
 //! [`TargetTable`] takes the targets that may get new work and gives each start of one its
 //! [`Target`]. Everything known of a target hangs on that, so a target that starts again,
 //! under its id or not, begins with nothing; [`Words`] keeps what starts said of themselves,
-//! which outlasts their records. [`EndCheck`] tells a target that ended from
-//! one whose connection broke.
+//! which outlasts their records. [`Target::has_ended`] tells a target that
+//! ended from one whose connection broke.
 
-mod end;
 mod table;
 mod target;
 mod words;
 
-pub use end::{EndCheck, SEEN_WITHIN};
 pub use table::{TargetTable, UsableTarget};
 pub use target::{InFlight, Target};
 pub use words::Words;
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -5,13 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_connect::{Pool, PoolRules};
+use hollowsail_connect::{EndCheck, Pool, PoolRules};
 use hollowsail_platform::deployment::Service;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Cold, ColdGate, Millis, Observation, TargetHealth};
 
-use crate::end::EndCheck;
-
 /// Longest time for a connection to a target: a lost opening packet is sent
 /// again after seconds, and another target is quicker than that.
 const DIAL_WITHIN: Duration = Duration::from_millis(400);
@@ -66,7 +64,7 @@
     }
 
     /// True when its process isn't there any more, after an answer of its broke off. Takes
-    /// a hop or two, and [`crate::SEEN_WITHIN`] twice at the most.
+    /// a hop or two, and [`hollowsail_connect::SEEN_WITHIN`] twice at the most.
     pub async fn has_ended(&self) -> bool {
         self.end.has_ended(self.record.addr).await
     }
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -7,12 +7,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hollowsail_connect::EndCheck;
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_platform_standins::target::stream_head;
 use hollowsail_platform_standins::{DeploymentJson, Step, TargetStandin};
 use hollowsail_routing::Observation;
-use hollowsail_targets::{EndCheck, Target, TargetTable, UsableTarget};
+use hollowsail_targets::{Target, TargetTable, UsableTarget};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
