--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -10,7 +10,6 @@
 use hollowsail_connect::EndCheck;
 use hollowsail_routing::crash_ledger::CRASHES_TO_REFUSE;
 use hollowsail_routing::{CrashLedger, CrashedRun, Millis, RequestDigest, Standing};
-use sha2::{Digest, Sha256};
 
 use crate::job::Job;
 use crate::kinds::ErrorKind;
@@ -80,14 +79,6 @@
 /// What is the same of a request whatever its id: who asks, for what, with what.
 fn digest(job: &Job) -> RequestDigest {
     let input = job.input.to_string();
-    let mut hash = Sha256::new();
-    for field in [&job.org, &job.pipeline().name, &input] {
-        // With its length, no field can reach into the next one.
-        hash.update((field.len() as u64).to_be_bytes());
-        hash.update(field);
-    }
-    let whole = hash.finalize();
-    let mut digest = [0; RequestDigest::BYTES];
-    digest.copy_from_slice(&whole[..RequestDigest::BYTES]);
-    RequestDigest(digest)
+    let fields = [&job.org, &job.pipeline().name, &input];
+    RequestDigest::of(fields.map(|field| field.as_bytes()))
 }
--- a/crates/fleet/src/target_book.rs
+++ b/crates/fleet/src/target_book/mod.rs
@@ -16,15 +16,17 @@
 //! is no new word: its target stays out as [`State::Returned`] until somebody writes the
 //! record, or it has outlived the time in which the record of a target that is gone lapses.
 
-use std::collections::{BTreeMap, VecDeque};
+mod entry;
+mod gone;
+
+use std::collections::BTreeMap;
+
+use self::entry::{is_of_the_copy, Entry, State};
+use self::gone::GoneStarts;
 
 use crate::watch_pause::watch_pause;
 use crate::{Millis, Position};
 
-/// Starts that went which a book remembers, the last ones: far more than go in the seconds
-/// that a store may lose.
-const MOST_GONE: usize = 4_096;
-
 /// How long a record may be missing, or prove nothing, after the store's return.
 #[derive(Debug, Clone, Copy)]
 pub struct BookTiming {
@@ -49,88 +51,6 @@
     pub draining: bool,
 }
 
-/// What the book says of one target.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum State {
-    /// Its record is there.
-    Recorded,
-    /// Its record went while the store was away; usable for now.
-    Doubted,
-    /// It takes no new work.
-    Draining,
-    /// It had gone, and the store came back from a copy that still has its record; not
-    /// usable for now.
-    Returned,
-}
-
-impl State {
-    /// The target may get new work.
-    fn is_usable(self) -> bool {
-        matches!(self, State::Recorded | State::Doubted)
-    }
-}
-
-/// A start whose record went for good.
-#[derive(Debug, Clone)]
-struct Gone {
-    id: String,
-    start: u64,
-    /// Where it was known to be gone.
-    at: Position,
-    /// It said before that it leaves.
-    left: bool,
-}
-
-/// A target in the book.
-#[derive(Debug, Clone)]
-struct Entry<R> {
-    record: R,
-    /// Which start of the target this is; later ones have larger numbers.
-    start: u64,
-    /// Of the record's last change.
-    at: Position,
-    /// Where the record was last found missing. It isn't a place of the record: whoever is
-    /// told of a doubted target must not take the record for as new as its absence.
-    missing_at: Position,
-    state: State,
-}
-
-impl Told {
-    /// What a record makes of a target of which nothing else is known.
-    fn state(&self) -> State {
-        match self.draining {
-            true => State::Draining,
-            false => State::Recorded,
-        }
-    }
-}
-
-impl<R> Entry<R> {
-    /// What another record of the same start makes of it; `is_copy` when that is the
-    /// record known before, from a store that came back.
-    fn state_after(&self, told: &Told, is_copy: bool) -> State {
-        let is_same_word = is_copy || told.at == self.at;
-        match self.state {
-            State::Draining => State::Draining,
-            _ if told.draining => State::Draining,
-            // A word from before it was found missing.
-            State::Doubted if told.at <= self.missing_at => State::Doubted,
-            State::Returned if is_same_word => State::Returned,
-            _ => State::Recorded,
-        }
-    }
-}
-
-/// True when a record of a new era is the word that was known before, which the store has
-/// from its copy. It keeps its place among the words of its own era: what was newer than it
-/// then still is.
-fn is_of_the_copy<R: PartialEq>(known: &Entry<R>, told: &Told, record: &R) -> bool {
-    known.start == told.start
-        && known.at.era < told.at.era
-        && known.at.revision == told.at.revision
-        && known.record == *record
-}
-
 /// Whether the store answers this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum StoreState {
@@ -151,7 +71,7 @@
     era_began: Option<Millis>,
     /// Up to where the first list of the newest era told.
     listed: Position,
-    gone: VecDeque<Gone>,
+    gone: GoneStarts,
 }
 
 impl<R: PartialEq> TargetBook<R> {
@@ -164,7 +84,7 @@
             read: 0,
             era_began: None,
             listed: Position::default(),
-            gone: VecDeque::new(),
+            gone: GoneStarts::default(),
         }
     }
 
@@ -213,7 +133,7 @@
     pub fn put(&mut self, id: &str, told: Told, record: R) -> bool {
         let known = self.entries.get(id);
         let is_older = |known: &Entry<R>| (told.start, told.at) < (known.start, known.at);
-        if known.is_some_and(is_older) || (known.is_none() && self.went_later(id, &told)) {
+        if known.is_some_and(is_older) || (known.is_none() && self.gone.went_later(id, &told)) {
             // Late or not, a start that leaves never takes that back.
             return told.draining && self.left(id, told.start);
         }
@@ -247,17 +167,14 @@
             }
             return is_news;
         }
-        let mut gone = self.gone.iter_mut().rev();
-        if let Some(gone) = gone.find(|gone| gone.id == id && gone.start == start) {
-            gone.left = true;
-        }
+        self.gone.left(id, start);
         false
     }
 
     /// What a record makes of a target that isn't in the book.
     fn state_of_unknown(&self, id: &str, told: &Told) -> State {
         let may_be_copy = self.listed.era < told.at.era || told.at <= self.listed;
-        let gone = self.last_gone(id);
+        let gone = self.gone.last(id);
         let gone = gone.filter(|gone| gone.start == told.start && gone.at.era < told.at.era);
         match gone.filter(|_| may_be_copy) {
             Some(gone) if gone.left => State::Draining,
@@ -266,31 +183,6 @@
         }
     }
 
-    /// True when a start went after a word of it: one that was late, or of an entry that
-    /// still doubts what is known here.
-    fn went_later(&self, id: &str, told: &Told) -> bool {
-        let gone = self.last_gone(id);
-        gone.is_some_and(|gone| (gone.start, gone.at) >= (told.start, told.at))
-    }
-
-    /// What last went under an id.
-    fn last_gone(&self, id: &str) -> Option<&Gone> {
-        self.gone.iter().rev().find(|gone| gone.id == id)
-    }
-
-    /// Remembers that a start went for good.
-    fn remember_gone(&mut self, id: &str, entry: &Entry<R>) {
-        if self.gone.len() == MOST_GONE {
-            self.gone.pop_front();
-        }
-        self.gone.push_back(Gone {
-            id: id.to_string(),
-            start: entry.start,
-            at: entry.at.max(entry.missing_at),
-            left: entry.state == State::Draining,
-        });
-    }
-
     /// What lies under a target's key from a position on can't be used. True when the
     /// book changed.
     pub fn spoiled(&mut self, id: &str, at: Position) -> bool {
@@ -425,7 +317,7 @@
     /// A target is gone.
     fn remove(&mut self, incarnation: &str) {
         if let Some(entry) = self.entries.remove(incarnation) {
-            self.remember_gone(incarnation, &entry);
+            self.gone.add(incarnation, &entry);
         }
     }
 
--- a/crates/gateway/src/request/digest.rs
+++ b/crates/gateway/src/request/digest.rs
@@ -2,11 +2,9 @@
 //!
 //! A caller that sends a request again gives it a new id, and any entry may get it. Its
 //! digest is the same everywhere: it covers who asks, what is asked for and the whole
-//! body. It is a cryptographic hash, so that nobody can make up a request that passes for
-//! another one, and it tells nothing of the body.
+//! body.
 
 use hollowsail_routing::RequestDigest;
-use sha2::{Digest, Sha256};
 
 use super::admit::Admitted;
 
@@ -23,14 +21,5 @@
             .map_or(&[], |path| path.as_str().as_bytes()),
         &admitted.body,
     ];
-    let mut hash = Sha256::new();
-    for field in fields {
-        // With its length, no field can reach into the next one.
-        hash.update((field.len() as u64).to_be_bytes());
-        hash.update(field);
-    }
-    let whole = hash.finalize();
-    let mut digest = [0; RequestDigest::BYTES];
-    digest.copy_from_slice(&whole[..RequestDigest::BYTES]);
-    RequestDigest(digest)
+    RequestDigest::of(fields)
 }
--- a/crates/gateway/tests/suite/leaving.rs
+++ b/crates/gateway/tests/suite/leaving.rs
@@ -135,6 +135,34 @@
         }
     }
 
+    /// The store falls silent, a target says in its answers that it leaves, and the first
+    /// entry has passed one on. How many requests it has got by when all can know.
+    async fn leaves_in_silence(&self, leaver: &Leaver, request: impl Fn(usize) -> Call) -> usize {
+        self.store.set_mode(StoreMode::Silent);
+        leaver.leaves.set(true);
+        let before = leaver.got();
+        for number in 0..200 {
+            let at = self.entries[0].at.callers;
+            request(1_000 + number).send(at).await;
+            if leaver.got() > before {
+                break;
+            }
+        }
+        assert!(leaver.got() > before, "it said so in an answer");
+        // The others hear of it from the first.
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        leaver.got()
+    }
+
+    /// Sends requests to all entries, each of which is served.
+    async fn all_are_served(&self, request: impl Fn(usize) -> Call) {
+        for number in 0..SENDS {
+            let at = self.entries[number % self.entries.len()].at.callers;
+            let got = request(2_000 + number).send(at).await;
+            assert!(got.status == 200 && got.is_whole, "others serve: {got:?}");
+        }
+    }
+
     /// Sends requests until a target has had one, and returns that target.
     async fn until_used(&self, request: impl Fn(usize) -> Call) -> &Leaver {
         for number in 0..200 {
@@ -152,26 +180,8 @@
 async fn leaves_while_the_store_is_silent(service: &str, request: fn(usize) -> Call) {
     let fleet = Fleet::start(service, 3).await;
     let leaver = fleet.until_used(request).await;
-    fleet.store.set_mode(StoreMode::Silent);
-    leaver.leaves.set(true);
-    let before = leaver.got();
-    for number in 0..200 {
-        request(1_000 + number)
-            .send(fleet.entries[0].at.callers)
-            .await;
-        if leaver.got() > before {
-            break;
-        }
-    }
-    assert!(leaver.got() > before, "it said so in an answer");
-    // The others hear of it from the first.
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    let told = leaver.got();
-    for number in 0..SENDS {
-        let at = fleet.entries[number % 3].at.callers;
-        let got = request(2_000 + number).send(at).await;
-        assert!(got.status == 200 && got.is_whole, "others serve: {got:?}");
-    }
+    let told = fleet.leaves_in_silence(leaver, request).await;
+    fleet.all_are_served(request).await;
     assert_eq!(leaver.got(), told, "a target that leaves gets no new work");
 }
 
@@ -197,25 +207,8 @@
     put("ready");
     tokio::time::sleep(Duration::from_millis(400)).await;
     let leaver = fleet.until_used(staged).await;
-    fleet.store.set_mode(StoreMode::Silent);
-    leaver.leaves.set(true);
-    let before = leaver.got();
-    for number in 0..200 {
-        staged(1_000 + number)
-            .send(fleet.entries[0].at.callers)
-            .await;
-        if leaver.got() > before {
-            break;
-        }
-    }
-    assert!(leaver.got() > before, "it said so in an answer");
-    tokio::time::sleep(Duration::from_millis(900)).await;
-    let told = leaver.got();
-    for number in 0..SENDS {
-        let at = fleet.entries[number % 2].at.callers;
-        let got = staged(2_000 + number).send(at).await;
-        assert!(got.status == 200 && got.is_whole, "others make it: {got:?}");
-    }
+    let told = fleet.leaves_in_silence(leaver, staged).await;
+    fleet.all_are_served(staged).await;
     assert_eq!(leaver.got(), told, "a worker that leaves gets no call");
     assert!(!runs(&leaver.target).is_empty());
 }
