--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -40,7 +40,7 @@
     /// What it proves.
     pub progress: Progress,
     pub why: String,
-    /// When the target wants to be asked again.
+    /// When the request may be sent again.
     pub retry_after: Option<Duration>,
     /// A result that the request was to start from is gone.
     pub inputs_gone: bool,
@@ -145,7 +145,10 @@
         return Err(Failure {
             progress: Progress::FinalRefusal,
             why: format!("the target refused with status {}", status.as_u16()),
-            retry_after: head.retry_after,
+            // The time of a 503 is that target's own; others may be asked before.
+            retry_after: head
+                .retry_after
+                .filter(|_| status != StatusCode::SERVICE_UNAVAILABLE),
             inputs_gone: status == heads::INPUTS_GONE,
             is_cut_off: false,
         });
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -69,15 +69,19 @@
     resting.collect()
 }
 
-/// What a request is told for which there is no target. Where targets asked for a rest it
-/// comes back once the first of them takes work again, whatever else keeps others away.
+/// What a request is told for which there is no target.
 pub fn no_target(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Refusal {
-    let refusal = sends.refusal(ErrorKind::NoTarget);
-    let first = resting(cx, admitted, sends)
-        .into_iter()
-        .map(|(_, until)| until)
-        .min();
-    match first {
+    after_rests(cx, admitted, sends, sends.refusal(ErrorKind::NoTarget))
+}
+
+/// Has a caller come back once a target takes work again, where all of a service asked for
+/// a rest; one that rests for long sends nobody away for as long.
+pub fn after_rests(cx: &Traffic, admitted: &Admitted, sends: &Sends, refusal: Refusal) -> Refusal {
+    let name = &admitted.deployment.service(sends.service).name;
+    let resting = resting(cx, admitted, sends);
+    let all_rest = resting.len() == cx.target_count(name);
+    let first = resting.into_iter().map(|(_, until)| until).min();
+    match first.filter(|_| all_rest) {
         Some(until) => {
             let rest_ms = until.saturating_sub(cx.clock.now());
             refusal.come_back_after(Duration::from_millis(rest_ms))
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -10,6 +10,7 @@
 
 use super::admit::Admitted;
 use super::attempt::Failure;
+use super::find;
 use super::sends::Sends;
 use crate::answer::Refusal;
 use crate::crashes::BrokenRun;
@@ -50,7 +51,8 @@
     if may_send_again(cx, admitted, sends, progress) && spend_budget(cx, admitted, sends) {
         Ok(())
     } else {
-        Err(sends.refusal(ErrorKind::Overloaded))
+        let refusal = sends.refusal(ErrorKind::Overloaded);
+        Err(find::after_rests(cx, admitted, sends, refusal))
     }
 }
 
--- a/crates/gateway/tests/suite/resting.rs
+++ b/crates/gateway/tests/suite/resting.rs
@@ -126,6 +126,37 @@
     assert_eq!(tired.target.seen().len(), turned_away);
 }
 
+/// One target rests for long, and the other is cold and has had its share: that one takes
+/// the next request within a second, whatever the first asked for.
+#[actix_rt::test]
+async fn one_that_rests_for_long_sends_no_caller_away_for_as_long() {
+    let store = StoreStandin::start().await;
+    let deployment = DeploymentJson::new(1)
+        .service_with_cold_targets("plain", 4.0)
+        .route("/a/", "safe", "plain", json!({}));
+    store.put("op/config", &deployment.bytes());
+    let tired = TargetStandin::start(|_| vec![Step::Write(rests(30.0))]).await;
+    let cold = TargetStandin::start(served).await;
+    store.put_target("i-1", "plain", tired.addr, "hall-a", "ready");
+    store.put_cold_target("i-2", "plain", cold.addr, Duration::from_secs(9));
+    let gateway = gateway(&store, "host-1", "hall-a").await;
+    until_entries("the entry", &store, 1).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    for _ in 0..40 {
+        let got = plain().send(gateway.at.callers).await;
+        if got.status != 503 || tired.seen().is_empty() {
+            continue;
+        }
+        let after: f64 = got
+            .header("Retry-After")
+            .and_then(|value| value.parse().ok())
+            .expect("when to come back");
+        let is_turned_away = got.body.starts_with("overloaded");
+        assert!(is_turned_away || after <= 1.0, "{after} s: {got:?}");
+    }
+    assert_eq!(tired.seen().len(), 1, "it rests");
+}
+
 /// Whoever names engines for all entries isn't the one that an engine turned away.
 #[actix_rt::test]
 async fn an_engine_that_another_entrys_desk_would_name_gets_nothing() {
