--- a/crates/gateway/src/control/pauses.rs
+++ b/crates/gateway/src/control/pauses.rs
@@ -6,6 +6,7 @@
 use hollowsail_fleet::TargetBook;
 use hollowsail_platform::settings::Bounds;
 
+use super::source::READER_WAIT_SHARE;
 use super::Control;
 
 /// Part of the time in which a change has to be heeded that a watch may pause.
@@ -18,15 +19,19 @@
     /// After a change of the operators' keys.
     pub operators: Duration,
     pub records: Duration,
+    /// How long a watch of a reader waits for changes.
+    pub reader_wait: Duration,
 }
 
 impl WatchPauses {
     /// By the bounds of the settings.
     pub fn new(bounds: &Bounds) -> Self {
         let share = |ms: u64| Duration::from_millis(ms) / PAUSE_SHARE;
+        let operators_ms = bounds.configuration_ms.min(bounds.emptying_ms);
         WatchPauses {
-            operators: share(bounds.configuration_ms.min(bounds.emptying_ms)),
+            operators: share(operators_ms),
             records: share(bounds.drain_ms),
+            reader_wait: Duration::from_millis(operators_ms).mul_f64(READER_WAIT_SHARE),
         }
     }
 }
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -31,9 +31,11 @@
 /// quiet watch can go on. A watch on a connection that fell silent while others work goes
 /// unnoticed for as long.
 const ALONE_WAIT: Duration = Duration::from_secs(17);
-/// The same for a reader, on which others rely: a connection that fell silent has to be
-/// noticed within the time for which a configuration may be unknown.
-const READER_WAIT: Duration = Duration::from_secs(2);
+/// The same for a reader, on which others rely, as a part of the time for which what
+/// operators write may be unknown: a watch on a connection that fell silent while others
+/// work has to be given up within it, 0.9 s after its wait, and the list read again. With
+/// waits of 2 s a configuration that has to be in force within 2 s took 2.75 s at a reader.
+pub const READER_WAIT_SHARE: f64 = 0.4;
 /// The same shortly after the start, when most entries of the hall aren't known yet.
 const FIRST_WAIT: Duration = Duration::from_millis(1_500);
 /// How long after the start that is, in milliseconds.
@@ -163,7 +165,7 @@
             Some(reader) => Source::Reader(reader.clone()),
             None => Source::Store {
                 wait: match keys {
-                    Keys::Operators | Keys::Targets => READER_WAIT,
+                    Keys::Operators | Keys::Targets => self.pauses.reader_wait,
                     Keys::Entries => ALONE_WAIT,
                 },
                 for_others: is_reader,
--- a/crates/gateway/tests/suite/reading.rs
+++ b/crates/gateway/tests/suite/reading.rs
@@ -134,3 +134,15 @@
     let took = hall.configure(3, &[]).await;
     assert!(took < Duration::from_millis(2_000), "{took:?}");
 }
+
+/// A reader's watch hangs on a connection that fell silent, while new ones work at once.
+#[actix_rt::test]
+async fn a_readers_watch_that_fell_silent_is_given_up_in_time() {
+    let hall = Hall::start().await;
+    let reader = hall.readers()[0];
+    hall.doors[reader].set_mode(StoreMode::Silent);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    hall.doors[reader].set_mode(StoreMode::Up);
+    let took = hall.configure(2, &[]).await;
+    assert!(took < Duration::from_millis(2_000), "{took:?}");
+}
