--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -91,8 +91,6 @@
     lease: Cell<Option<Lease>>,
     /// A planned stop began: no record any more.
     is_leaving: Cell<bool>,
-    /// The store didn't take that, so that nobody hears of it there.
-    leaves_untold: Cell<bool>,
     views: Cell<u64>,
 }
 
@@ -128,7 +126,6 @@
             shortest_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
-            leaves_untold: Cell::new(false),
             views: Cell::new(0),
         })
     }
@@ -162,7 +159,6 @@
             records: self.records_for_peers(),
             peers: self.newest_peers(|_| true),
             refused: self.refused.borrow().clone(),
-            leaves_untold: self.leaves_untold.get(),
         });
     }
 
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -136,30 +136,17 @@
 }
 
 impl Control {
-    /// Gives this entry's record up, so that peers pass it over at once. Where the store
-    /// doesn't take that they are told: the record stays until its lease is over, and with
-    /// it all that this entry owns.
+    /// Gives this entry's record up, so that peers pass it over at once.
     pub async fn leave(&self) {
         self.is_leaving.set(true);
         // Those that ask here go elsewhere at once.
         self.feeds.store_away();
-        if self.book.borrow().is_store_away() {
-            self.leave_untold();
-        }
         let Some(lease) = self.lease.take() else {
             return;
         };
         if let Err(err) = self.store.end_lease(lease).await {
             let fields = format_args!("state=leaving why=\"{err}\"");
             self.log.line(events::MEMBER, fields);
-            self.leave_untold();
-        }
-    }
-
-    /// Has traffic tell the other entries that this one leaves.
-    fn leave_untold(&self) {
-        if !self.leaves_untold.replace(true) {
-            self.publish();
         }
     }
 }
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -174,7 +174,6 @@
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
         Message::Free(spent) => cx.pools.free(cx, &spent),
-        Message::EntryLeaves => cx.peers.told_leaving(cx, from.id),
         Message::TargetLeaves {
             target,
             tell_others,
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -85,9 +85,6 @@
     Load { queue: String, load: QueueLoad },
     /// To the owner: a result that nobody needs any more.
     Free(SpentResult),
-    /// To every entry: the sender leaves, which the store didn't take. It owns nothing from
-    /// now on.
-    EntryLeaves,
     /// A target says that it leaves. To the one entry that tells all others, or from it.
     TargetLeaves {
         target: Incarnation,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,7 +14,7 @@
 mod state;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use hollowsail_fleet::ownership::{self, Candidate};
@@ -102,8 +102,6 @@
     suspects: RefCell<HashMap<PeerId, Suspicion>>,
     /// Until when peers that said so count as slow.
     slow: RefCell<HashMap<PeerId, Millis>>,
-    /// Listed runs that said that they leave, this one included.
-    leaving: RefCell<HashSet<PeerId>>,
     /// When the first list of entries came.
     first_listed: Cell<Option<Millis>>,
 }
@@ -116,7 +114,6 @@
             links: RefCell::default(),
             suspects: RefCell::default(),
             slow: RefCell::default(),
-            leaving: RefCell::default(),
             first_listed: Cell::new(None),
         }
     }
@@ -128,8 +125,6 @@
         if self.first_listed.get().is_none() && !listed.is_empty() {
             self.first_listed.set(Some(cx.clock.now()));
         }
-        let is_listed = |id: &PeerId| listed.iter().any(|peer| peer.id == *id);
-        self.leaving.borrow_mut().retain(is_listed);
         self.runs.borrow_mut().take_listed(listed.to_vec());
         self.take_live(cx);
     }
@@ -139,10 +134,7 @@
     /// nothing is awaited there, or when it doesn't answer. A new run at a host means
     /// that the run before is dead.
     fn take_live(&self, cx: &Rc<Traffic>) {
-        let mut live = self.runs.borrow().live();
-        let leaving = self.leaving.borrow();
-        live.retain(|peer| !leaving.contains(&peer.id));
-        drop(leaving);
+        let live = self.runs.borrow().live();
         let before = std::mem::replace(&mut *self.live.borrow_mut(), live.clone());
         let now = cx.clock.now();
         let mut suspects = self.suspects.borrow_mut();
@@ -252,24 +244,6 @@
         others.map(|peer| self.link_to(cx, peer)).collect()
     }
 
-    /// Tells every other entry that this one leaves: from now on it owns nothing.
-    pub fn tell_leaving(&self, cx: &Rc<Traffic>) {
-        for link in self.links_to_all(cx) {
-            link.send(Message::EntryLeaves);
-        }
-        self.told_leaving(cx, cx.me.id);
-    }
-
-    /// An entry leaves, though its record stays: it owns nothing from now on.
-    pub fn told_leaving(&self, cx: &Rc<Traffic>, peer: PeerId) {
-        if self.leaving.borrow_mut().insert(peer) {
-            let fields = format_args!("peer={:016x} state=leaving why=told", peer.0);
-            cx.log.line(events::MEMBER, fields);
-            self.take_live(cx);
-            cx.pools.hand_over(cx);
-        }
-    }
-
     /// A peer says whether it keeps up with its work.
     pub fn told_pace(&self, cx: &Rc<Traffic>, peer: PeerId, is_slow: bool) {
         let mut slow = self.slow.borrow_mut();
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -153,11 +153,7 @@
             targets.take(now, deployment, &newest.targets, &newest.leaving);
         }
         self.peers.take(self, &newest.peers);
-        let leaves_untold = newest.leaves_untold && !before.leaves_untold;
         *self.view.borrow_mut() = newest;
-        if leaves_untold {
-            self.peers.tell_leaving(self);
-        }
         self.pass_targets_on();
         if self.deployment_in_use().is_some() {
             self.configured.notify_waiters();
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -36,8 +36,6 @@
     pub peers: Vec<PeerRecord>,
     /// Requests that are refused since they end targets.
     pub refused: Refused,
-    /// This entry leaves, and the store didn't take that: the others have to hear of it.
-    pub leaves_untold: bool,
 }
 
 /// All targets' records as of a position of the store.
