--- a/crates/gateway/tests/suite/returning.rs
+++ b/crates/gateway/tests/suite/returning.rs
@@ -313,6 +313,43 @@
     }
 }
 
+/// The store is silent for a moment that nobody takes for an outage, and is back older. In
+/// that moment a rack starts: targets of which the copy knows nothing.
+#[actix_rt::test]
+async fn a_return_within_a_moment_of_silence_beside_a_rack_that_starts() {
+    let fleet = Fleet::start().await;
+    fleet.write_some();
+    soon().await;
+    let rack = [target("third").await, target("fourth").await];
+    let put = || {
+        for (number, target) in rack.iter().enumerate() {
+            let id = format!("i-rack-{number}");
+            fleet
+                .store
+                .put_target(&id, "plain", target.addr, "hall-a", "ready");
+        }
+    };
+    put();
+    fleet.put(0, "draining");
+    soon().await;
+    fleet.store.set_mode(StoreMode::Silent);
+    fleet.store.restore(LOST);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fleet.store.set_mode(StoreMode::Up);
+    put();
+    let begun = Instant::now();
+    while begun.elapsed() < LEAVING_HEEDED_WITHIN {
+        let [leaving, _] = fleet.share_of(4).await;
+        assert_eq!(leaving, 0, "it said that it leaves before the return");
+    }
+    let before: Vec<usize> = rack.iter().map(|target| target.seen().len()).collect();
+    fleet.share_of(60).await;
+    for (target, before) in rack.iter().zip(before) {
+        assert!(target.seen().len() > before, "the rack serves");
+    }
+    until_entries("it is recorded again", &fleet.store, 1).await;
+}
+
 /// One entry is cut off from the store while that comes back: it knows the old era alone.
 #[actix_rt::test]
 async fn an_entry_that_missed_the_return_catches_up_from_others_and_spreads_nothing_back() {
