--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -38,7 +38,7 @@
 /// seconds, and a hall that nobody wants emptied costs its targets for as long.
 const HALL_KEPT: Duration = Duration::from_secs(60);
 /// Time over which entries spread what they write and read again: 300 of them take a lease
-/// and write a record, 600 calls, where the sheet of 295 hosts allows 3,200 a second.
+/// and write a record, 600 calls, where a store for as many takes 3,200 writes a second.
 pub const SPREAD: Duration = Duration::from_millis(300);
 
 /// How long records of targets prove nothing.
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -44,6 +44,15 @@
         .route(prefix, "safe", "plain", json!({}))
 }
 
+/// A generation whose prompt shares a part with all others, so that one engine keeps it.
+pub fn generation(number: usize) -> Call {
+    Call::new("POST", "/once/x")
+        .with("X-Request-Id", &format!("{number:016x}"))
+        .with("X-Token-Counts", "1000,10")
+        .with("X-Prompt-Prefix", "aa:900,bb:100")
+        .body("prompt")
+}
+
 /// What an engine answers: a whole stream of one event.
 pub fn one_event(seen: &Seen) -> Vec<Step> {
     vec![
--- a/crates/gateway/tests/suite/leaving.rs
+++ b/crates/gateway/tests/suite/leaving.rs
@@ -22,7 +22,7 @@
 };
 use serde_json::json;
 
-use crate::fixture::{gateway, runs, until_entries, Call, Fixture};
+use crate::fixture::{gateway, generation, runs, until_entries, Call, Fixture};
 
 /// Sends after the word, enough that a target that is still chosen gets some.
 const SENDS: usize = 24;
@@ -42,15 +42,6 @@
     Call::new("GET", "/a/x")
 }
 
-/// A generation whose prompt shares a part with all others, so that one engine keeps it.
-fn generation(number: usize) -> Call {
-    Call::new("POST", "/once/x")
-        .with("X-Request-Id", &format!("{number:016x}"))
-        .with("X-Token-Counts", "1000,10")
-        .with("X-Prompt-Prefix", "aa:900,bb:100")
-        .body("prompt")
-}
-
 fn staged(number: usize) -> Call {
     let mut call = generation(number)
         .with("X-Pieces", "1")
--- a/crates/gateway/tests/suite/resting.rs
+++ b/crates/gateway/tests/suite/resting.rs
@@ -8,7 +8,9 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, one_event, runs, until_entries, Call, Fixture};
+use crate::fixture::{
+    eventually, gateway, generation, one_event, runs, until_entries, Call, Fixture,
+};
 
 /// How long the targets here want nothing, in seconds.
 const REST_S: f64 = 1.5;
@@ -33,14 +35,6 @@
     Call::new("GET", "/a/x")
 }
 
-fn generation(number: usize) -> Call {
-    Call::new("POST", "/once/x")
-        .with("X-Request-Id", &format!("{number:016x}"))
-        .with("X-Token-Counts", "1000,10")
-        .with("X-Prompt-Prefix", "aa:900,bb:100")
-        .body("prompt")
-}
-
 /// A target that turns everything away while it rests.
 #[derive(Clone)]
 struct Resting {
