Tell in the logs which limits targets name, and which of their words can't be read

Cause of the change: in the incident no line tells whether an answer named a limit, so the logs can't decide between a word that nobody takes and one that doesn't reach whoever chooses.

The limit is decoded with the other words of a target's head. A word that is there and can't be read was taken for one that isn't there, without a line; each gets one now. No decision changes.

--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -21,7 +21,7 @@
 use std::time::Duration;
 
 use hollowsail_observe::events;
-use hollowsail_platform::heads::{TargetHead, OTHER_INCARNATION};
+use hollowsail_platform::heads::{NamedLimit, TargetHead, UnreadableWord, OTHER_INCARNATION};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_targets::Target;
 use http::StatusCode;
@@ -43,9 +43,14 @@
         take_out(cx, start, "another_start_answers");
         return;
     }
+    log_unreadable(cx, start, head);
     if head.is_leaving {
         take_out(cx, start, "answer");
     }
+    if let NamedLimit::PerSecond(per_s) = head.limit {
+        let fields = format_args!("target={} per_s={per_s} by=answer", start.id);
+        cx.log.line(events::TARGET_LIMIT, fields);
+    }
     let rest = head
         .retry_after
         .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
@@ -55,6 +60,14 @@
     }
 }
 
+/// Says which words of an answer can't be read: what was known before stays.
+fn log_unreadable(cx: &Traffic, start: &Incarnation, head: &TargetHead) {
+    for UnreadableWord { word, text } in &head.unreadable {
+        let fields = format_args!("target={} word={word} text=\"{text}\"", start.id);
+        cx.log.line(events::TARGET_WORD_UNREADABLE, fields);
+    }
+}
+
 /// A start says that it leaves, or has ended: it gets nothing new, here at once and
 /// elsewhere soon.
 fn take_out(cx: &Rc<Traffic>, start: &Incarnation, by: &str) {
