--- /dev/null
+++ b/crates/gateway/tests/suite/limited.rs
@@ -0,0 +1,403 @@
+//! Targets that name in their answers how many requests a second they take.
+//!
+//! What users saw: an engine that had named one request a second got twelve in 4 s from
+//! entries that had passed such an answer on. Order of events: the engine names its limit in
+//! all answers from 8.0 s on; three entries have passed one on by 9.5 s; six entries go on to
+//! send it 2 to 4 requests a second, each named by the desk.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hollowsail_gateway::Running;
+use hollowsail_platform_standins::target::{
+    answer, chunk, event, last_chunk, limited, results, stream_head,
+};
+use hollowsail_platform_standins::{
+    DeploymentJson, Seen, Step, StoreMode, StoreStandin, TargetStandin,
+};
+use serde_json::json;
+
+use crate::fixture::{eventually, gateway, generation, until_entries, Answer, Call};
+
+/// The span over which operators count what a target gets.
+const SPAN: Duration = Duration::from_secs(4);
+/// Time after a limit is first named until all heed it.
+const HEEDED_WITHIN: Duration = Duration::from_millis(500);
+
+fn deployment() -> DeploymentJson {
+    let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
+    DeploymentJson::new(1)
+        .engines("engines")
+        .stage_service("encoders", 8, 20.0, 10.0)
+        .service("plain")
+        .route("/a/", "safe", "plain", json!({ "max_attempts": 3 }))
+        .route("/once/", "stream", "engines", json!({}))
+        .route("/staged/", "stream", "engines", json!({ "stages": stages }))
+}
+
+fn plain(number: usize) -> Call {
+    Call::new("GET", "/a/x").with("X-Request-Id", &format!("{number:016x}"))
+}
+
+fn staged(number: usize) -> Call {
+    let mut call = generation(number)
+        .with("X-Pieces", "1")
+        .with("X-Piece-Key", "the-key");
+    call.path = "/staged/".to_string();
+    call
+}
+
+/// A target that names a limit in all its answers, while it has one.
+#[derive(Clone)]
+struct Limited {
+    target: TargetStandin,
+    named: Rc<RefCell<Option<String>>>,
+}
+
+impl Limited {
+    async fn start() -> Self {
+        let named: Rc<RefCell<Option<String>>> = Rc::default();
+        let names = named.clone();
+        let target = TargetStandin::start(move |seen| steps(seen, names.borrow().as_deref())).await;
+        Limited { target, named }
+    }
+
+    fn names(&self, limit: &str) -> Instant {
+        *self.named.borrow_mut() = Some(limit.to_string());
+        Instant::now()
+    }
+
+    fn names_none(&self) -> Instant {
+        *self.named.borrow_mut() = None;
+        Instant::now()
+    }
+
+    /// Requests that came from a moment on.
+    fn since(&self, from: Instant) -> usize {
+        let seen = self.target.seen();
+        seen.iter().filter(|seen| seen.at >= from).count()
+    }
+
+    /// Most requests within any span, from a moment on.
+    fn most_in_span(&self, from: Instant) -> usize {
+        let seen = self.target.seen();
+        let times: Vec<Instant> = seen.iter().map(|seen| seen.at).collect();
+        let times: Vec<Instant> = times.into_iter().filter(|at| *at >= from).collect();
+        let within = |last: &Instant| {
+            let in_span = |at: &&Instant| **at <= *last && **at + SPAN > *last;
+            times.iter().filter(in_span).count()
+        };
+        times.iter().map(within).max().unwrap_or(0)
+    }
+}
+
+fn steps(seen: &Seen, limit: Option<&str>) -> Vec<Step> {
+    let is_stream = !seen.header("x-token-counts").is_empty();
+    let head = match seen.path.as_str() {
+        "/-/stage-run" | "/-/stage-free" => results(seen, "maker"),
+        _ if is_stream => stream_head(seen),
+        _ => answer(seen, 200, "served"),
+    };
+    let head = match limit {
+        Some(limit) => limited(head, limit),
+        None => head,
+    };
+    let mut steps = vec![Step::Write(head)];
+    if is_stream {
+        steps.push(Step::Write(chunk(&event(1))));
+        steps.push(Step::Write(last_chunk()));
+    }
+    steps
+}
+
+/// Requests that a target may get within a span, as operators count.
+fn allowed(per_s: f64) -> usize {
+    (per_s * 1.5 * SPAN.as_secs_f64() + 5.0) as usize
+}
+
+/// Entries and targets before one store.
+struct Fleet {
+    store: StoreStandin,
+    entries: Vec<Running>,
+    targets: Vec<Limited>,
+}
+
+impl Fleet {
+    /// Three entries and some targets of a service, all known.
+    async fn start(service: &str, targets: usize) -> Self {
+        let store = StoreStandin::start().await;
+        store.put("op/config", &deployment().bytes());
+        let mut fleet = Fleet {
+            store,
+            entries: Vec::new(),
+            targets: Vec::new(),
+        };
+        for number in 0..targets {
+            let target = Limited::start().await;
+            fleet.put(&format!("i-{number}"), service, &target);
+            fleet.targets.push(target);
+        }
+        for number in 0..3 {
+            fleet.add_entry(&format!("host-{number}")).await;
+        }
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        fleet
+    }
+
+    fn put(&self, id: &str, service: &str, target: &Limited) {
+        let addr = target.target.addr;
+        self.store.put_target(id, service, addr, "hall-a", "ready");
+    }
+
+    async fn add_entry(&mut self, host: &str) {
+        self.entries
+            .push(gateway(&self.store, host, "hall-a").await);
+        until_entries("all are recorded", &self.store, self.entries.len()).await;
+    }
+
+    /// The target that got most so far: where parts are shared, one engine keeps them.
+    fn busiest(&self) -> &Limited {
+        let by_seen = |target: &&Limited| target.target.seen().len();
+        self.targets.iter().max_by_key(by_seen).expect("it has some")
+    }
+
+    fn callers(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|entry| entry.at.callers).collect()
+    }
+
+    /// Requests at a steady rate, spread over the entries; what their callers got.
+    async fn demand(&self, call: fn(usize) -> Call, per_s: u32, lasts: Duration) -> Vec<Got> {
+        demand(self.callers(), call, per_s, lasts).await
+    }
+}
+
+/// What a caller got, and after which time.
+struct Got {
+    answer: Answer,
+    took: Duration,
+}
+
+impl Got {
+    fn is_served(&self) -> bool {
+        self.answer.status == 200 && self.answer.is_whole
+    }
+}
+
+async fn demand(
+    at: Vec<SocketAddr>,
+    call: fn(usize) -> Call,
+    per_s: u32,
+    lasts: Duration,
+) -> Vec<Got> {
+    let count = (lasts.as_secs_f64() * f64::from(per_s)) as usize;
+    let begun = tokio::time::Instant::now();
+    let calls = (0..count).map(|number| {
+        let at = at[number % at.len()];
+        async move {
+            tokio::time::sleep_until(begun + Duration::from_secs(1) * number as u32 / per_s).await;
+            let sent = Instant::now();
+            let answer = call(number).send(at).await;
+            let took = sent.elapsed();
+            Got { answer, took }
+        }
+    });
+    join_all(calls).await
+}
+
+fn served(got: &[Got]) -> usize {
+    got.iter().filter(|got| got.is_served()).count()
+}
+
+/// One of two targets names a limit; it keeps to that, is used, and the other serves.
+async fn one_of_two_names(service: &str, call: fn(usize) -> Call, limit: f64) {
+    let fleet = Fleet::start(service, 2).await;
+    fleet.demand(call, 30, Duration::from_secs(1)).await;
+    let busiest = fleet.busiest();
+    let named = busiest.names(&limit.to_string());
+    let got = fleet.demand(call, 30, Duration::from_secs(7)).await;
+    assert_eq!(served(&got), got.len(), "the other one serves");
+    let from = named + HEEDED_WITHIN;
+    let most = busiest.most_in_span(from);
+    assert!(most <= allowed(limit), "{most} in a span");
+    let used = busiest.since(from);
+    let least = (limit * 6.5 * 0.5) as usize;
+    assert!(used >= least, "{used} in all: it is used");
+}
+
+#[actix_rt::test]
+async fn an_engine_gets_no_more_than_it_names() {
+    one_of_two_names("engines", generation, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn a_plain_target_gets_no_more_than_it_names() {
+    one_of_two_names("plain", plain, 1.0).await;
+}
+
+#[actix_rt::test]
+async fn one_request_in_five_seconds_is_kept_to() {
+    one_of_two_names("plain", plain, 0.2).await;
+}
+
+#[actix_rt::test]
+async fn a_limit_of_nothing_gets_next_to_nothing() {
+    one_of_two_names("engines", generation, 0.0).await;
+}
+
+/// Calls that make pieces and calls that give results up are requests to the worker.
+#[actix_rt::test]
+async fn a_worker_of_stages_gets_no_more_than_it_names() {
+    let mut fleet = Fleet::start("encoders", 2).await;
+    let engine = Limited::start().await;
+    fleet.put("i-engine", "engines", &engine);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.demand(staged, 30, Duration::from_secs(1)).await;
+    let named = fleet.targets[0].names("2");
+    let got = fleet.demand(staged, 30, Duration::from_secs(7)).await;
+    assert_eq!(served(&got), got.len(), "the other one makes them");
+    let limited = fleet.targets.remove(0);
+    let most = limited.most_in_span(named + HEEDED_WITHIN);
+    assert!(most <= allowed(2.0), "{most} in a span");
+    let used = limited.since(named + HEEDED_WITHIN);
+    assert!(used >= 6, "{used} in all: it is used");
+}
+
+#[actix_rt::test]
+async fn while_the_store_is_silent_a_limit_is_kept_to() {
+    let fleet = Fleet::start("engines", 2).await;
+    fleet.demand(generation, 30, Duration::from_secs(1)).await;
+    fleet.store.set_mode(StoreMode::Silent);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let busiest = fleet.busiest();
+    let named = busiest.names("1");
+    let got = fleet.demand(generation, 30, Duration::from_secs(6)).await;
+    assert_eq!(served(&got), got.len(), "the other one serves");
+    let most = busiest.most_in_span(named + HEEDED_WITHIN);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
+/// All targets name a limit, and callers want four times as much.
+async fn all_name(service: &str, call: fn(usize) -> Call) {
+    let fleet = Fleet::start(service, 2).await;
+    fleet.demand(call, 24, Duration::from_secs(1)).await;
+    let named = fleet.targets[0].names("3");
+    fleet.targets[1].names("3");
+    let lasts = Duration::from_secs(8);
+    let got = fleet.demand(call, 24, lasts).await;
+    for target in &fleet.targets {
+        let most = target.most_in_span(named + HEEDED_WITHIN);
+        assert!(most <= allowed(3.0), "{most} in a span");
+        let used = target.since(named + HEEDED_WITHIN);
+        assert!(used >= 14, "{used} of 22 in all: they are used");
+    }
+    let refused = got.iter().filter(|got| !got.is_served());
+    for got in refused {
+        assert_eq!(got.answer.status, 503, "{:?}", got.answer);
+        let after = got.answer.header("Retry-After");
+        let after: f64 = after
+            .and_then(|s| s.parse().ok())
+            .expect("when to come back");
+        assert!(after > 0.0 && after < 5.0, "{after}");
+        assert!(got.took < Duration::from_millis(450), "{:?}", got.took);
+    }
+}
+
+#[actix_rt::test]
+async fn where_all_engines_name_a_limit_they_are_used_and_the_rest_is_refused_in_time() {
+    all_name("engines", generation).await;
+}
+
+#[actix_rt::test]
+async fn where_all_plain_targets_name_a_limit_they_are_used_and_the_rest_is_refused_in_time() {
+    all_name("plain", plain).await;
+}
+
+/// Requests that come together wait for a moment instead of being turned away.
+#[actix_rt::test]
+async fn a_limit_above_what_callers_want_turns_nobody_away() {
+    let fleet = Fleet::start("plain", 1).await;
+    fleet.demand(plain, 30, Duration::from_secs(1)).await;
+    fleet.targets[0].names("300");
+    let got = fleet.demand(plain, 60, Duration::from_secs(6)).await;
+    assert_eq!(served(&got), got.len());
+}
+
+#[actix_rt::test]
+async fn a_limit_that_is_lowered_is_kept_to() {
+    let fleet = Fleet::start("engines", 1).await;
+    fleet.targets[0].names("100");
+    fleet.demand(generation, 30, Duration::from_secs(2)).await;
+    let lowered = fleet.targets[0].names("1");
+    fleet.demand(generation, 30, Duration::from_secs(6)).await;
+    let most = fleet.targets[0].most_in_span(lowered + HEEDED_WITHIN);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
+#[actix_rt::test]
+async fn the_end_of_a_limit_is_soon_known() {
+    let fleet = Fleet::start("plain", 1).await;
+    fleet.targets[0].names("1");
+    let limited = fleet.demand(plain, 20, Duration::from_secs(4)).await;
+    assert!(served(&limited) < 20, "it was kept to");
+    fleet.targets[0].names_none();
+    fleet.demand(plain, 20, Duration::from_secs(3)).await;
+    let after = fleet.demand(plain, 20, Duration::from_secs(1)).await;
+    assert_eq!(served(&after), after.len(), "it is over");
+}
+
+#[actix_rt::test]
+async fn a_limit_that_cant_be_read_changes_nothing() {
+    let fleet = Fleet::start("engines", 1).await;
+    fleet.targets[0].names("1");
+    fleet.demand(generation, 20, Duration::from_secs(2)).await;
+    let odd = fleet.targets[0].names("plenty");
+    fleet.demand(generation, 20, Duration::from_secs(5)).await;
+    let most = fleet.targets[0].most_in_span(odd);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
+/// An entry starts, which knows nothing yet, and one is stopped as planned.
+#[actix_rt::test]
+async fn entries_that_come_and_go_add_nothing() {
+    let mut fleet = Fleet::start("plain", 2).await;
+    let named = fleet.targets[0].names("2");
+    fleet.demand(plain, 30, Duration::from_secs(2)).await;
+    fleet.add_entry("host-3").await;
+    let callers = fleet.callers();
+    let stopping = actix_rt::spawn(fleet.entries.remove(0).stop());
+    let got = demand(callers[1..].to_vec(), plain, 30, Duration::from_secs(6)).await;
+    assert_eq!(served(&got), got.len(), "the other one serves");
+    let most = fleet.targets[0].most_in_span(named + HEEDED_WITHIN);
+    assert!(most <= allowed(2.0), "{most} in a span");
+    stopping.await.expect("it ends");
+}
+
+#[actix_rt::test]
+async fn a_target_that_starts_again_has_no_limit() {
+    let fleet = Fleet::start("plain", 1).await;
+    fleet.targets[0].names("1");
+    fleet.demand(plain, 20, Duration::from_secs(2)).await;
+    let next = Limited::start().await;
+    let addr = next.target.addr;
+    fleet.store.put_start("i-0", 7, "plain", addr);
+    eventually_got(&next, &fleet).await;
+    let got = fleet.demand(plain, 20, Duration::from_secs(2)).await;
+    assert_eq!(served(&got), got.len(), "it named none");
+}
+
+async fn eventually_got(target: &Limited, fleet: &Fleet) {
+    for number in 0..200 {
+        plain(number).send(fleet.callers()[number % 3]).await;
+        if !target.target.seen().is_empty() {
+            break;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    eventually("the next start is used", || {
+        !target.target.seen().is_empty()
+    })
+    .await;
+}
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod forwarding;
 mod leaving;
 mod libraries;
+mod limited;
 mod limits;
 mod mechanisms;
 mod metrics;
