--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -70,6 +70,7 @@
                 slots: day.engines.slots,
                 hall: hall_name(at % day.halls),
                 cold: None,
+                limit: None,
             })
             .collect();
         desk.set_engines(0, &engines);
@@ -121,6 +122,8 @@
                         .map(|(hall, bytes)| (hall_name(*hall), *bytes))
                         .collect(),
                     is_suspect: false,
+                    urgency: 0,
+                    waits_ms: 0,
                 };
                 let (key, engine) = self.desk.place(now, &demand, affinity)?;
                 Some((engine, Some(key)))
--- a/crates/bench/tests/suite/groups.rs
+++ b/crates/bench/tests/suite/groups.rs
@@ -51,6 +51,7 @@
         slots: 64,
         hall: "hall-a".to_string(),
         cold: None,
+        limit: None,
     });
     own.collect()
 }
@@ -102,6 +103,8 @@
             avoid: Vec::new(),
             results: Vec::new(),
             is_suspect: false,
+            urgency: 0,
+            waits_ms: 0,
         };
         let placed = desk.place(now, &demand, |engine| rendezvous::score(&name, engine));
         let (key, engine) = placed.expect("there are engines");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod target_calls;
 mod target_group;
 mod target_words;
+mod tenure;
 mod traffic;
 mod view;
 
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -16,9 +16,11 @@
 use hollowsail_routing::Demand;
 use http::StatusCode;
 use snafu::Snafu;
-use tokio::sync::oneshot;
+use tokio::sync::{mpsc, oneshot};
 
-use super::messages::{self, Envelope, MakePiece, Message, PieceEnd, PieceId, PlacementId, PATH};
+use super::messages::{
+    self, Envelope, MakePiece, Message, PieceEnd, PieceId, PlaceAnswer, PlacementId, PATH,
+};
 use super::record::PeerRecord;
 use crate::target_words;
 use crate::traffic::Traffic;
@@ -60,7 +62,7 @@
     pool: Rc<Pool>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteEnd>>>,
-    awaited_places: RefCell<HashMap<PlacementId, oneshot::Sender<Option<Incarnation>>>>,
+    awaited_places: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlaceAnswer>>>,
     is_sending: Cell<bool>,
     is_asking: Cell<bool>,
     heard: Cell<Instant>,
@@ -81,6 +83,26 @@
     }
 }
 
+/// A demand at a peer's desk, until it is dropped.
+pub struct PlaceAsk {
+    link: Rc<Link>,
+    id: PlacementId,
+    answers: mpsc::UnboundedReceiver<PlaceAnswer>,
+}
+
+impl PlaceAsk {
+    /// The desk's next answer; `None` when its entry is lost.
+    pub async fn next(&mut self) -> Option<PlaceAnswer> {
+        self.answers.recv().await
+    }
+}
+
+impl Drop for PlaceAsk {
+    fn drop(&mut self) {
+        self.link.awaited_places.borrow_mut().remove(&self.id);
+    }
+}
+
 impl Link {
     /// A link without a connection yet.
     pub fn new(cx: &Rc<Traffic>, peer: PeerRecord) -> Rc<Self> {
@@ -130,27 +152,38 @@
     }
 
     /// Asks a desk of the peer for a place. The asker bounds the time.
-    pub async fn place(
+    pub fn place(
         self: &Rc<Self>,
         id: PlacementId,
         desk: String,
         demand: Demand<Incarnation>,
-    ) -> Result<Option<Incarnation>, LinkLost> {
-        if self.is_closed.get() {
-            return Err(LinkLost);
+    ) -> PlaceAsk {
+        let (tx, answers) = mpsc::unbounded_channel();
+        if !self.is_closed.get() {
+            self.awaited_places.borrow_mut().insert(id, tx);
+            let demand = Box::new(demand);
+            self.send(Message::Place { id, desk, demand });
+        }
+        PlaceAsk {
+            link: self.clone(),
+            id,
+            answers,
         }
-        let (tx, rx) = oneshot::channel();
-        self.awaited_places.borrow_mut().insert(id, tx);
-        let demand = Box::new(demand);
-        self.send(Message::Place { id, desk, demand });
-        rx.await.map_err(|_| LinkLost)
     }
 
     /// The peer's desk answered.
-    pub fn placed(&self, id: PlacementId, engine: Option<Incarnation>) {
-        if let Some(tx) = self.awaited_places.borrow_mut().remove(&id) {
+    pub fn placed(self: &Rc<Self>, id: PlacementId, answer: PlaceAnswer) {
+        if answer == PlaceAnswer::Waits {
+            let awaited = self.awaited_places.borrow();
             // An asker that chose by itself meanwhile told the desk so.
-            let _chose = tx.send(engine);
+            awaited
+                .get(&id)
+                .into_iter()
+                .for_each(|tx| drop(tx.send(answer.clone())));
+            drop(awaited);
+            self.ask_while_awaiting();
+        } else if let Some(tx) = self.awaited_places.borrow_mut().remove(&id) {
+            let _chose = tx.send(answer);
         }
     }
 
@@ -165,12 +198,14 @@
         self.heard.set(Instant::now());
     }
 
+    /// True while the peer owes an answer.
+    fn is_awaiting(&self) -> bool {
+        !self.awaited.borrow().is_empty() || !self.awaited_places.borrow().is_empty()
+    }
+
     /// True when nothing is awaited from the peer, and nothing is on its way.
     pub fn is_idle(&self) -> bool {
-        self.awaited.borrow().is_empty()
-            && self.awaited_places.borrow().is_empty()
-            && self.outbox.borrow().is_empty()
-            && !self.is_sending.get()
+        !self.is_awaiting() && self.outbox.borrow().is_empty() && !self.is_sending.get()
     }
 
     /// Ends the link; everything that waits is told.
@@ -201,6 +236,11 @@
                 target,
                 tell_others: true,
             } => target_words::told_leaving(&cx, &target, true),
+            Message::TargetLimit {
+                target,
+                tell_others: true,
+                ..
+            } => target_words::tell_limit_to_all(&cx, &target),
             _ => {}
         }
     }
@@ -284,7 +324,7 @@
         }
         let link = self.clone();
         actix_rt::spawn(async move {
-            while !link.awaited.borrow().is_empty() && !link.is_closed.get() {
+            while link.is_awaiting() && !link.is_closed.get() {
                 tokio::time::sleep(ASK_AFTER).await;
                 let is_silent = link.heard.get().elapsed() >= ASK_AFTER;
                 if is_silent && !link.is_sending.get() && !link.deliver(Vec::new()).await {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -167,9 +167,9 @@
         Message::GiveUp(id) => cx.pools.give_up_piece(from.id, id),
         Message::Place { id, desk, demand } => {
             let link = cx.peers.link_to(cx, from);
-            cx.placements.take_ask(cx, &link, id, &desk, &demand);
+            cx.placements.take_ask(cx, &link, id, &desk, *demand);
         }
-        Message::Placed(id, engine) => cx.peers.link_to(cx, from).placed(id, engine),
+        Message::Placed(id, answer) => cx.peers.link_to(cx, from).placed(id, answer),
         Message::PlacementStep(id, step) => cx.placements.take_step(cx, from.id, id, step),
         Message::Load { queue, load } => cx.pools.take_load(cx, queue, load),
         Message::TakeOver { queue, workers } => cx.pools.take_over(cx, &queue, &workers),
@@ -178,6 +178,11 @@
             target,
             tell_others,
         } => target_words::told_leaving(cx, &target, tell_others),
+        Message::TargetLimit {
+            target,
+            limit,
+            tell_others,
+        } => target_words::told_limit(cx, &target, limit, tell_others),
         Message::TargetEnded { request, run } => cx.crashes.count(cx, request, run),
         Message::Standing { request, standing } => cx.crashes.told(cx, request, standing),
         Message::Ended(id, end) => {
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -57,6 +57,30 @@
     Left,
 }
 
+/// What a desk says to a demand.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PlaceAnswer {
+    /// It goes there.
+    There(Incarnation),
+    /// No engine is open; another answer follows within its time to wait.
+    Waits,
+    /// No engine opens in its time; its caller may come back after so many milliseconds.
+    Full { return_ms: u64 },
+    /// No engine is known that may serve it.
+    Nowhere,
+}
+
+/// What an answer said of its target's limit, by how long ago, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct ToldLimit {
+    /// Requests a second; `None` when it named no limit.
+    pub per_s: Option<f64>,
+    /// The request was sent that it answers.
+    pub asked_ms: u64,
+    /// It came.
+    pub heard_ms: u64,
+}
+
 /// One message.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
@@ -77,8 +101,8 @@
         desk: String,
         demand: Box<Demand<Incarnation>>,
     },
-    /// To the requester: there; `None` when no engine is known.
-    Placed(PlacementId, Option<Incarnation>),
+    /// To the requester: where it goes.
+    Placed(PlacementId, PlaceAnswer),
     /// To the desk's owner: how a placement goes.
     PlacementStep(PlacementId, PlacementStep),
     /// To the requester: what a queue has to do.
@@ -90,6 +114,13 @@
         target: Incarnation,
         tell_others: bool,
     },
+    /// What a target says of how much it takes. To the one entry that tells all others,
+    /// from it, or to the owner of a desk.
+    TargetLimit {
+        target: Incarnation,
+        limit: ToldLimit,
+        tell_others: bool,
+    },
     /// To the entry that counts for a request: a target ended while it ran it.
     TargetEnded { request: RequestDigest, run: RunAgo },
     /// To every entry: what is known of a request that ended targets.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -14,7 +14,7 @@
 mod state;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use hollowsail_fleet::ownership::{self, Candidate};
@@ -22,13 +22,14 @@
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
 
+use crate::target_words;
 use crate::traffic::Traffic;
 
 pub use link::Link;
 pub use listen::start;
 pub use messages::{
-    request, Made, MakePiece, Message, PieceEnd, PieceId, PlacementId, PlacementStep, RunAgo,
-    SpentResult, ToldStanding, WorkerAtHandOver,
+    request, Made, MakePiece, Message, PieceEnd, PieceId, PlaceAnswer, PlacementId, PlacementStep,
+    RunAgo, SpentResult, ToldLimit, ToldStanding, WorkerAtHandOver,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
@@ -93,6 +94,13 @@
     }
 }
 
+/// Entries that are live now and weren't before.
+fn newcomers<'a>(before: &[PeerRecord], live: &'a [PeerRecord]) -> Vec<&'a PeerRecord> {
+    let known: HashSet<PeerId> = before.iter().map(|peer| peer.id).collect();
+    let new = live.iter().filter(|peer| !known.contains(&peer.id));
+    new.collect()
+}
+
 /// Live peers and the links to them.
 pub struct Peers {
     /// Every live entry, this one included.
@@ -104,6 +112,8 @@
     slow: RefCell<HashMap<PeerId, Millis>>,
     /// When the first list of entries came.
     first_listed: Cell<Option<Millis>>,
+    /// Since when what decides on owners is as it is, by what is known now.
+    unchanged_since: Cell<Millis>,
 }
 
 impl Default for Peers {
@@ -115,6 +125,7 @@
             suspects: RefCell::default(),
             slow: RefCell::default(),
             first_listed: Cell::new(None),
+            unchanged_since: Cell::new(0),
         }
     }
 }
@@ -140,6 +151,10 @@
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|_, suspicion| !suspicion.is_forgotten(now));
         drop(suspects);
+        let newcomers = newcomers(&before, &live);
+        if before.len() != live.len() || !newcomers.is_empty() {
+            self.changes_at(now);
+        }
         let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
         let is_over = |link: &Link| !is_live(&link.peer.id) && link.is_idle();
         self.links.borrow_mut().retain(|_, link| !is_over(link));
@@ -152,6 +167,19 @@
                 cx.placements.requester_lost(cx, old.id);
             }
         }
+        target_words::greet(cx, &newcomers);
+    }
+
+    /// What decides on owners changes now, or at a moment to come.
+    fn changes_at(&self, at: Millis) {
+        let known = self.unchanged_since.get();
+        self.unchanged_since.set(known.max(at));
+    }
+
+    /// Since when what decides on owners is as it is now; a moment to come where a change
+    /// of it is known already.
+    pub fn unchanged_since(&self) -> Millis {
+        self.unchanged_since.get()
     }
 
     /// An entry was heard. A run of a host that is known by the run before takes
@@ -253,6 +281,7 @@
         };
         drop(slow);
         if was_slow != is_slow {
+            self.changes_at(cx.clock.now());
             cx.pools.hand_over(cx);
         }
     }
@@ -266,6 +295,7 @@
     pub fn suspect(&self, cx: &Rc<Traffic>, peer: &PeerRecord, why: &str) {
         let before = self.suspects.borrow().get(&peer.id).copied();
         let suspicion = Suspicion::after(before, cx.clock.now());
+        self.changes_at(suspicion.until);
         self.suspects.borrow_mut().insert(peer.id, suspicion);
         self.links.borrow_mut().remove(&peer.id);
         cx.log.line(
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -1,4 +1,5 @@
-//! One desk as this entry keeps it: its engines, and what the log is told.
+//! One desk as this entry keeps it: its engines, who waits for one, and what the log is
+//! told.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -6,60 +7,244 @@
 use hollowsail_fleet::rendezvous;
 use hollowsail_observe::events;
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{Demand, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey};
+use hollowsail_routing::{
+    Demand, DeskEngine, EngineDesk, Line, LineKey, Millis, PlacementEnd, PlacementKey,
+};
 use hollowsail_targets::Target;
+use tokio::sync::oneshot;
 
 use super::GROUP_ENGINES;
-use crate::peers::PlacementStep;
+use crate::peers::{Link, PlaceAnswer, PlacementId, PlacementStep};
 use crate::target_group::TargetGroup;
+use crate::tenure::Tenure;
 use crate::traffic::Traffic;
 
 /// Between two sweeps of a desk, in milliseconds.
 const SWEEP_MS: Millis = 1_000;
+/// Between two looks for demands whose time to wait is over, in milliseconds, at most.
+const LOOK_EVERY_MS: Millis = 20;
 
 /// A desk and when it was last swept.
 pub struct Desk {
     name: String,
     desk: RefCell<EngineDesk<Incarnation>>,
+    line: RefCell<Line<Asker>>,
+    tenure: Tenure,
+    /// Some engine names a limit.
+    has_limits: Cell<bool>,
+    is_serving_line: Cell<bool>,
     swept: Cell<Millis>,
 }
 
+/// Who waits for an engine.
+struct Asker {
+    demand: Demand<Incarnation>,
+    reply: Reply,
+}
+
+/// Where an asker that waits is told.
+pub(super) enum Reply {
+    Here(oneshot::Sender<Answer>),
+    Peer(Rc<Link>, PlacementId),
+}
+
+/// What a desk says to a demand.
+#[derive(Debug, Clone)]
+pub(super) enum Answer {
+    There(PlacementKey, Incarnation),
+    /// It may wait until then.
+    MayWait(Millis),
+    /// It can't have its turn in its time.
+    Full {
+        return_ms: Millis,
+    },
+    Nowhere,
+}
+
+impl Answer {
+    /// The same as a peer is told it.
+    pub fn for_peer(&self) -> PlaceAnswer {
+        match self {
+            Answer::There(_, engine) => PlaceAnswer::There(engine.clone()),
+            Answer::MayWait(_) => PlaceAnswer::Waits,
+            Answer::Full { return_ms } => PlaceAnswer::Full {
+                return_ms: *return_ms,
+            },
+            Answer::Nowhere => PlaceAnswer::Nowhere,
+        }
+    }
+}
+
 impl Desk {
     /// A desk without engines.
     pub fn new(name: &str) -> Self {
         Desk {
             name: name.to_string(),
             desk: RefCell::default(),
+            line: RefCell::default(),
+            tenure: Tenure::default(),
+            has_limits: Cell::new(false),
+            is_serving_line: Cell::new(false),
             swept: Cell::new(0),
         }
     }
 
     /// Takes the usable targets of its group.
-    pub fn take_targets(&self, cx: &Traffic) {
+    pub fn take_targets(&self, cx: &Rc<Traffic>) {
+        self.look_at_tenure(cx);
         if let Some((service, group)) = TargetGroup::parse(&self.name) {
             let targets = group.targets(&cx.targets_named(service), GROUP_ENGINES);
+            let mut limits = targets.iter().map(|target| target.limit.get());
+            self.has_limits.set(limits.any(|limit| limit.is_some()));
             self.desk
                 .borrow_mut()
                 .set_engines(cx.clock.now(), &desk_engines(&targets));
         }
     }
 
-    /// Places a generation; `None` when there is no engine for it.
-    pub fn place(
-        &self,
-        cx: &Traffic,
-        demand: &Demand<Incarnation>,
-    ) -> Option<(PlacementKey, Incarnation)> {
+    fn look_at_tenure(&self, cx: &Rc<Traffic>) {
+        let part = self.tenure.look(cx, &self.name);
+        self.desk.borrow_mut().set_limit_part(part);
+    }
+
+    /// Judges a new demand, and places it if it can.
+    pub(super) fn ask(&self, cx: &Rc<Traffic>, demand: &Demand<Incarnation>) -> Answer {
         let now = cx.clock.now();
+        self.sweep_if_due(cx, now);
+        if self.has_limits.get() {
+            self.look_at_tenure(cx);
+        }
+        let ahead = self.line.borrow().ahead_of(demand.urgency);
+        if ahead == 0 {
+            if let Some((key, engine)) = self.place(now, demand) {
+                return Answer::There(key, engine);
+            }
+        }
+        let Some(turn) = self.desk.borrow().turn(now, demand, ahead) else {
+            return Answer::Nowhere;
+        };
+        if turn.in_ms <= demand.waits_ms {
+            return Answer::MayWait(now + demand.waits_ms);
+        }
+        let return_ms = self
+            .line
+            .borrow_mut()
+            .return_in(now, turn.in_ms, turn.per_s);
+        Answer::Full { return_ms }
+    }
+
+    fn sweep_if_due(&self, cx: &Traffic, now: Millis) {
         if now >= self.swept.get() + SWEEP_MS {
             self.swept.set(now);
             let ejected = self.desk.borrow_mut().sweep(now);
             self.log_ejected(cx, &ejected);
         }
+    }
+
+    fn place(
+        &self,
+        now: Millis,
+        demand: &Demand<Incarnation>,
+    ) -> Option<(PlacementKey, Incarnation)> {
         let affinity = |engine: &Incarnation| rendezvous::score(&demand.part, &engine.id);
         self.desk.borrow_mut().place(now, demand, affinity)
     }
 
+    /// Has a demand wait until a moment; the reply is told what came of it.
+    pub(super) fn wait(
+        self: &Rc<Self>,
+        cx: &Rc<Traffic>,
+        demand: Demand<Incarnation>,
+        until: Millis,
+        reply: Reply,
+    ) -> LineKey {
+        let urgency = demand.urgency;
+        let asker = Asker { demand, reply };
+        let key = self.line.borrow_mut().push(urgency, until, asker);
+        self.serve_line_while_any(cx);
+        key
+    }
+
+    /// A demand waits no longer.
+    pub(super) fn leave_line(&self, key: LineKey) {
+        self.line.borrow_mut().remove(key);
+    }
+
+    /// Looks for engines that opened, as long as anybody waits.
+    fn serve_line_while_any(self: &Rc<Self>, cx: &Rc<Traffic>) {
+        if self.is_serving_line.replace(true) {
+            return;
+        }
+        let (desk, cx) = (self.clone(), cx.clone());
+        actix_rt::spawn(async move {
+            while !desk.line.borrow().is_empty() {
+                let next = desk.next_look(cx.clock.now());
+                tokio::time::sleep_until(cx.clock.timer(next).into()).await;
+                desk.serve_line(&cx);
+            }
+            desk.is_serving_line.set(false);
+        });
+    }
+
+    fn next_look(&self, now: Millis) -> Millis {
+        let latest = now + LOOK_EVERY_MS;
+        let opens = self.desk.borrow().next_opening(now);
+        opens.map_or(latest, |opens| opens.min(latest))
+    }
+
+    fn serve_line(self: &Rc<Self>, cx: &Rc<Traffic>) {
+        let now = cx.clock.now();
+        self.look_at_tenure(cx);
+        let expired = self.line.borrow_mut().take_expired(now);
+        for asker in expired {
+            let answer = self.turned_away(now, &asker.demand);
+            self.answer(cx, asker, answer);
+        }
+        while let Some((key, placed, engine)) = self.place_next(now) {
+            let asker = self.line.borrow_mut().remove(key);
+            if let Some(asker) = asker {
+                self.answer(cx, asker, Answer::There(placed, engine));
+            }
+        }
+    }
+
+    /// What a demand is told that waited in vain.
+    fn turned_away(&self, now: Millis, demand: &Demand<Incarnation>) -> Answer {
+        let ahead = self.line.borrow().ahead_of(demand.urgency);
+        let turn = self.desk.borrow().turn(now, demand, ahead);
+        turn.map_or(Answer::Nowhere, |turn| Answer::Full {
+            return_ms: self
+                .line
+                .borrow_mut()
+                .return_in(now, turn.in_ms, turn.per_s),
+        })
+    }
+
+    /// Places the first demand of the line for which an engine is open.
+    fn place_next(&self, now: Millis) -> Option<(LineKey, PlacementKey, Incarnation)> {
+        if !self.desk.borrow().is_any_open(now) {
+            return None;
+        }
+        let line = self.line.borrow();
+        let mut askers = line.iter();
+        askers.find_map(|(key, asker)| {
+            let (placed, engine) = self.place(now, &asker.demand)?;
+            Some((key, placed, engine))
+        })
+    }
+
+    fn answer(self: &Rc<Self>, cx: &Rc<Traffic>, asker: Asker, answer: Answer) {
+        match asker.reply {
+            Reply::Here(tx) => {
+                if let Err(Answer::There(key, _)) = tx.send(answer) {
+                    // Its caller has just left.
+                    self.step(cx, key, PlacementStep::Left);
+                }
+            }
+            Reply::Peer(link, id) => cx.placements.answer_peer(self, &link, id, &answer),
+        }
+    }
+
     /// Takes what came of a placement.
     pub fn step(&self, cx: &Traffic, key: PlacementKey, step: PlacementStep) {
         let now = cx.clock.now();
@@ -90,6 +275,7 @@
         slots: target.record.slots,
         hall: target.record.hall.clone(),
         cold: target.cold.get(),
+        limit: target.limit.get(),
     });
     engines.collect()
 }
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -4,6 +4,9 @@
 //! do, and its [`Desk`] knows what all entries have there. An entry asks
 //! it over the peers' links; where no answer comes in time it chooses by itself,
 //! with what it knows. A [`Placed`] tells the desk how the generation went.
+//!
+//! Where a target of a plain service names a limit, the service has a desk, too: what all
+//! entries together send there is known to one alone.
 
 mod desk;
 mod placed;
@@ -14,14 +17,15 @@
 use std::time::Duration;
 
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{Demand, PlacementKey};
+use hollowsail_routing::{Demand, LineKey, PlacementKey};
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::peers::{Link, Message, Owner, PeerId, PlacementId, PlacementStep};
+use crate::peers::{Link, Message, Owner, PeerId, PlaceAnswer, PlacementId, PlacementStep};
 use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
-use desk::Desk;
+use desk::{Answer, Desk, Reply};
 use placed::Account;
 pub use placed::Placed;
 
@@ -37,41 +41,82 @@
 /// A placement at a desk here.
 type DeskEntry = (Rc<Desk>, PlacementKey);
 
+/// What came of asking for a place.
+pub enum PlaceEnd {
+    There(Incarnation, Placed),
+    /// All that may serve have had what they take, for longer than the request may wait.
+    Full {
+        return_in: Duration,
+    },
+    /// The desk knows none.
+    Nowhere,
+    /// No desk answers.
+    Silent,
+}
+
+/// A demand in the line of a desk here, until it is dropped.
+struct InLine {
+    desk: Rc<Desk>,
+    key: LineKey,
+}
+
+impl Drop for InLine {
+    fn drop(&mut self) {
+        self.desk.leave_line(self.key);
+    }
+}
+
 /// The desks that this entry owns or owned.
 #[derive(Default)]
 pub struct Placements {
     desks: RefCell<HashMap<String, Rc<Desk>>>,
     /// Placements that peers have at desks here.
     of_peers: RefCell<HashMap<(PeerId, PlacementId), DeskEntry>>,
+    /// Demands of peers that wait at desks here.
+    of_peers_in_line: RefCell<HashMap<(PeerId, PlacementId), InLine>>,
     /// Placements asked of peers so far, for their numbers.
     asked: Cell<u64>,
 }
 
 impl Placements {
-    /// Places a generation on an engine of a service. `None` when no desk
-    /// answers in time, or it knows no engine.
+    /// Places a request on a target of a service.
     pub async fn place(
         &self,
         cx: &Rc<Traffic>,
         service: &str,
         demand: Demand<Incarnation>,
-    ) -> Option<(Incarnation, Placed)> {
+    ) -> PlaceEnd {
         let targets = cx.target_count(service);
         let name = TargetGroup::for_key(targets, GROUP_ENGINES, &demand.part).name(service);
         match cx.peers.owner_of(cx, &name) {
-            Owner::Me => {
-                let desk = self.desk(cx, &name)?;
-                let (key, engine) = desk.place(cx, &demand)?;
-                Some((engine, Placed::new(Account::Here(cx.clone(), desk, key))))
-            }
-            Owner::Peer(link) => {
-                let id = self.next_id();
-                // Told as given up if the answer comes too late.
-                let placed = Placed::new(Account::Peer(link.clone(), id));
-                let asked = link.place(id, name, demand);
-                let engine = timeout(ANSWER_WITHIN, asked).await.ok()?.ok()??;
-                Some((engine, placed))
-            }
+            Owner::Me => match self.desk(cx, &name) {
+                Some(desk) => place_here(cx, desk, demand).await,
+                None => PlaceEnd::Nowhere,
+            },
+            Owner::Peer(link) => self.place_at_peer(link, name, demand).await,
+        }
+    }
+
+    async fn place_at_peer(
+        &self,
+        link: Rc<Link>,
+        desk: String,
+        demand: Demand<Incarnation>,
+    ) -> PlaceEnd {
+        let id = self.next_id();
+        let waits = Duration::from_millis(demand.waits_ms);
+        // Told as given up if the answer comes too late.
+        let placed = Placed::new(Account::Peer(link.clone(), id));
+        let mut ask = link.place(id, desk, demand);
+        let mut answer = timeout(ANSWER_WITHIN, ask.next()).await;
+        if let Ok(Some(PlaceAnswer::Waits)) = answer {
+            answer = timeout(waits + ANSWER_WITHIN, ask.next()).await;
+        }
+        match answer {
+            Ok(Some(PlaceAnswer::There(engine))) => PlaceEnd::There(engine, placed),
+            Ok(Some(PlaceAnswer::Full { return_ms })) => full(return_ms),
+            Ok(Some(PlaceAnswer::Nowhere)) => PlaceEnd::Nowhere,
+            Ok(Some(PlaceAnswer::Waits) | None) | Err(_) => PlaceEnd::Silent,
         }
     }
 
@@ -101,21 +146,42 @@
         link: &Rc<Link>,
         id: PlacementId,
         desk: &str,
-        demand: &Demand<Incarnation>,
+        demand: Demand<Incarnation>,
     ) {
-        let placed = self
-            .desk(cx, desk)
-            .and_then(|desk| Some((desk.place(cx, demand)?, desk)));
-        let engine = placed.map(|((key, engine), desk)| {
+        let Some(desk) = self.desk(cx, desk) else {
+            link.send(Message::Placed(id, PlaceAnswer::Nowhere));
+            return;
+        };
+        let answer = desk.ask(cx, &demand);
+        if let Answer::MayWait(until) = answer {
+            let reply = Reply::Peer(link.clone(), id);
+            let key = desk.wait(cx, demand, until, reply);
+            let in_line = InLine {
+                desk: desk.clone(),
+                key,
+            };
+            let mut waiting = self.of_peers_in_line.borrow_mut();
+            waiting.insert((link.peer.id, id), in_line);
+        }
+        self.answer_peer(&desk, link, id, &answer);
+    }
+
+    /// Tells a peer what its demand got at a desk here.
+    fn answer_peer(&self, desk: &Rc<Desk>, link: &Rc<Link>, id: PlacementId, answer: &Answer) {
+        let of = (link.peer.id, id);
+        if let Answer::There(key, _) = answer {
             let mut of_peers = self.of_peers.borrow_mut();
-            of_peers.insert((link.peer.id, id), (desk, key));
-            engine
-        });
-        link.send(Message::Placed(id, engine));
+            of_peers.insert(of, (desk.clone(), *key));
+        }
+        if !matches!(answer, Answer::MayWait(_)) {
+            self.of_peers_in_line.borrow_mut().remove(&of);
+        }
+        link.send(Message::Placed(id, answer.for_peer()));
     }
 
     /// A peer tells how a placement goes.
     pub fn take_step(&self, cx: &Traffic, from: PeerId, id: PlacementId, step: PlacementStep) {
+        self.of_peers_in_line.borrow_mut().remove(&(from, id));
         let mut of_peers = self.of_peers.borrow_mut();
         let placement = match step {
             PlacementStep::PromptRead => of_peers.get(&(from, id)).cloned(),
@@ -128,6 +194,9 @@
 
     /// A peer is lost: its placements are taken to have ended.
     pub fn requester_lost(&self, cx: &Traffic, peer: PeerId) {
+        let mut in_line = self.of_peers_in_line.borrow_mut();
+        in_line.retain(|(of, _), _| *of != peer);
+        drop(in_line);
         let mut of_peers = self.of_peers.borrow_mut();
         of_peers.retain(|(of, _), (desk, key)| {
             let stays = *of != peer;
@@ -139,9 +208,37 @@
     }
 
     /// Takes the targets of a new view over.
-    pub fn take_targets(&self, cx: &Traffic) {
+    pub fn take_targets(&self, cx: &Rc<Traffic>) {
         for desk in self.desks.borrow().values() {
             desk.take_targets(cx);
         }
     }
 }
+
+/// Places a request at a desk here.
+async fn place_here(cx: &Rc<Traffic>, desk: Rc<Desk>, demand: Demand<Incarnation>) -> PlaceEnd {
+    let mut answer = desk.ask(cx, &demand);
+    if let Answer::MayWait(until) = answer {
+        let (tx, rx) = oneshot::channel();
+        let key = desk.wait(cx, demand, until, Reply::Here(tx));
+        let _in_line = InLine {
+            desk: desk.clone(),
+            key,
+        };
+        answer = rx.await.unwrap_or(Answer::Nowhere);
+    }
+    match answer {
+        Answer::There(key, engine) => {
+            let account = Account::Here(cx.clone(), desk, key);
+            PlaceEnd::There(engine, Placed::new(account))
+        }
+        Answer::Full { return_ms } => full(return_ms),
+        Answer::MayWait(_) | Answer::Nowhere => PlaceEnd::Nowhere,
+    }
+}
+
+fn full(return_ms: u64) -> PlaceEnd {
+    PlaceEnd::Full {
+        return_in: Duration::from_millis(return_ms),
+    }
+}
--- a/crates/gateway/src/placement/placed.rs
+++ b/crates/gateway/src/placement/placed.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 
 use hollowsail_routing::PlacementKey;
+use hollowsail_targets::Target;
 
 use super::Desk;
 use crate::peers::{Link, Message, PlacementId, PlacementStep};
+use crate::target_words;
 use crate::traffic::Traffic;
 
 /// Where the account is.
@@ -30,6 +32,14 @@
         }
     }
 
+    /// Its target answered: a desk elsewhere, which may have a new owner, hears again what
+    /// the target says of how much it takes.
+    pub fn answered(&self, cx: &Traffic, target: &Target) {
+        if let Account::Peer(link, _) = &self.account {
+            target_words::repeat_limit(cx, target, link);
+        }
+    }
+
     /// Its first event came.
     pub fn prompt_read(&self) {
         self.tell(PlacementStep::PromptRead);
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -31,6 +31,7 @@
 use super::{call, Requester, Wanted};
 use crate::mechanisms::Mechanism;
 use crate::peers::{Link, PeerId, PieceId};
+use crate::tenure::Tenure;
 use crate::traffic::Traffic;
 
 pub(super) use self::replies::LocalEnd;
@@ -68,6 +69,9 @@
     load_told: RefCell<HashMap<PeerId, Millis>>,
     /// How long a maker keeps a result, in milliseconds.
     kept_ms: Cell<Millis>,
+    /// Some worker names a limit.
+    has_limits: Cell<bool>,
+    tenure: Tenure,
     will_pump: Cell<bool>,
     is_ticking: Cell<bool>,
     is_freeing: Cell<bool>,
@@ -108,6 +112,8 @@
             spent: RefCell::default(),
             load_told: RefCell::default(),
             kept_ms: Cell::new(pool.kept_for.as_millis() as Millis),
+            has_limits: Cell::new(false),
+            tenure: Tenure::default(),
             will_pump: Cell::new(false),
             is_ticking: Cell::new(false),
             is_freeing: Cell::new(false),
@@ -212,11 +218,19 @@
         });
     }
 
+    fn look_at_tenure(&self, cx: &Rc<Traffic>) {
+        let part = self.tenure.look(cx, &self.name);
+        self.queue.borrow_mut().set_limit_part(part);
+    }
+
     /// Makes every call that can be made now.
     pub(super) fn pump(self: &Rc<Self>) {
         let Some(cx) = self.cx.upgrade() else {
             return;
         };
+        if self.has_limits.get() {
+            self.look_at_tenure(&cx);
+        }
         loop {
             let next = self.queue.borrow_mut().next_call(cx.clock.now());
             let Some(started) = next else { break };
--- a/crates/gateway/src/pools/batcher/results.rs
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -18,6 +18,9 @@
 /// Results given up within this time share a call.
 const FREE_AFTER: Duration = Duration::from_millis(8);
 
+/// Between two looks for makers that may be told now, where a limit of theirs forbade it.
+const FREE_AGAIN_AFTER: Duration = Duration::from_millis(50);
+
 /// A result that lies at its maker.
 pub(super) struct Kept {
     pub worker: WorkerKey,
@@ -95,23 +98,39 @@
         }
         let batcher = self.clone();
         actix_rt::spawn(async move {
-            tokio::time::sleep(FREE_AFTER).await;
+            let mut pause = FREE_AFTER;
+            while !batcher.spent.borrow().is_empty() {
+                tokio::time::sleep(pause).await;
+                batcher.free_spent();
+                pause = FREE_AGAIN_AFTER;
+            }
             batcher.is_freeing.set(false);
-            batcher.free_spent();
         });
     }
 
+    /// Gives up what is spent, where the makers may get a call for that now.
     fn free_spent(self: &Rc<Self>) {
         let Some(cx) = self.cx.upgrade() else {
+            self.spent.borrow_mut().clear();
             return;
         };
-        let spent = std::mem::take(&mut *self.spent.borrow_mut());
-        for (worker, handles) in spent {
+        let now = cx.clock.now();
+        let mut spent = self.spent.borrow_mut();
+        let mut queue = self.queue.borrow_mut();
+        let makers: Vec<WorkerKey> = spent.keys().copied().collect();
+        let open: Vec<WorkerKey> = makers
+            .into_iter()
+            .filter(|maker| queue.begin_free(*maker, now))
+            .collect();
+        drop(queue);
+        for worker in open {
+            let handles = spent.remove(&worker).unwrap_or_default();
             let target = self.workers.borrow().target(worker);
             if let Some(target) = target {
                 actix_rt::spawn(call::free(cx.clone(), target, handles));
             }
         }
+        drop(spent);
         self.pump();
     }
 }
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -51,7 +51,7 @@
     }
 
     /// Takes the targets that may get new work.
-    pub fn take_targets(self: &Rc<Self>, cx: &Traffic, targets: &[Rc<Target>]) {
+    pub fn take_targets(self: &Rc<Self>, cx: &Rc<Traffic>, targets: &[Rc<Target>]) {
         let mut workers = self.workers.borrow_mut();
         let mut queue = self.queue.borrow_mut();
         let is_there = |id: &Incarnation| targets.iter().any(|t| t.incarnation() == id);
@@ -75,7 +75,17 @@
                 workers.targets.insert(key, target.clone());
             }
         }
+        let mut has_limits = false;
+        for target in targets {
+            let limit = target.limit.get();
+            has_limits |= limit.is_some();
+            if let Some(worker) = workers.worker(target.incarnation()) {
+                queue.set_limit(worker, limit);
+            }
+        }
         drop((workers, queue));
+        self.has_limits.set(has_limits);
+        self.look_at_tenure(cx);
         for target in targets {
             let worker = self.workers.borrow().worker(target.incarnation());
             if let Some(worker) = worker {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -25,6 +25,10 @@
 const PATIENCE_SHARE: f64 = 0.9;
 /// Part of its whole time for which a request is held before a target gets it.
 const HOLD_SHARE: f64 = 0.45;
+/// Part of the time until its answer is late for which a request waits for a target to
+/// open, and of the time until it is given up once it is late.
+const WAIT_SHARE: f64 = 0.5;
+const LATE_WAIT_SHARE: f64 = 0.1;
 /// Priorities above this are taken for this one.
 const MOST_PRIORITY: u8 = 15;
 /// When to come back to another entry: at once, but not in step.
@@ -84,6 +88,16 @@
         self.arrived + self.route().target_latency
     }
 
+    /// How long it may wait for a target that has had what it takes for now, so that its
+    /// answer may still be in time; once it is late anyway, a part of what is left.
+    pub fn may_wait(&self) -> Duration {
+        let until_due = self.due().saturating_since(Moment::now());
+        match until_due.is_zero() {
+            true => self.remaining().mul_f64(LATE_WAIT_SHARE),
+            false => until_due.mul_f64(WAIT_SHARE).min(self.remaining()),
+        }
+    }
+
     /// When the caller leaves unless an answer has begun.
     pub fn answer_by(&self) -> Moment {
         let patience = self.route().patience;
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -6,7 +6,7 @@
 use hollowsail_platform::heads::{Generation, PromptPart};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
-    choose, choose_engine, engine_goes_first, Candidate, Demand, EngineCandidate, Reason,
+    choose, choose_engine, engine_goes_first, Candidate, Demand, EngineCandidate, Millis, Reason,
 };
 use hollowsail_targets::Target;
 use rand::Rng;
@@ -35,22 +35,31 @@
     Some((choice.target, choice.reason))
 }
 
-/// What the desk of a generation's engines is asked.
+/// What the desk of a service is asked: for a generation, by its prompt; where a plain
+/// target names a limit, for any request. `None` where a desk isn't asked.
 pub fn demand(
     cx: &Traffic,
-    generation: &Generation,
+    admitted: &Admitted,
+    service: &str,
     prepared: &Prepared,
     avoid: Vec<Incarnation>,
-    is_suspect: bool,
 ) -> Option<Demand<Incarnation>> {
+    let generation = admitted.caller.generation.as_ref();
+    let part = match generation {
+        Some(generation) => &shared_part(generation)?.id,
+        None if cx.is_limited(service) => &admitted.caller.request_id,
+        None => return None,
+    };
     Some(Demand {
         from_hall: cx.me.hall.clone(),
-        part: shared_part(generation)?.id.clone(),
-        shared_tokens: weighed_tokens(cx, generation),
-        prompt_tokens: generation.prompt_tokens,
+        part: part.clone(),
+        shared_tokens: generation.map_or(0, |generation| weighed_tokens(cx, generation)),
+        prompt_tokens: generation.map_or(0, |generation| generation.prompt_tokens),
         avoid,
         results: prepared.bytes_by_hall(),
-        is_suspect,
+        is_suspect: cx.crashes.is_suspect(cx, || admitted.digest()),
+        urgency: admitted.urgency,
+        waits_ms: admitted.may_wait().as_millis() as Millis,
     })
 }
 
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -61,9 +61,7 @@
             return Err(sends.out_of_time());
         }
         unservable::may_run(cx, admitted).map_err(|refusal| sends.refused(refusal))?;
-        let (target, placed) = find::next_target(cx, admitted, prepared, sends)
-            .await
-            .ok_or_else(|| find::no_target(cx, admitted, sends))?;
+        let (target, placed) = find::next_target(cx, admitted, prepared, sends).await?;
         let silent_from = silent_from(cx, admitted, sends);
         let send = send_for(admitted, prepared, silent_from, resume_after);
         if sends.is_first() {
@@ -74,6 +72,9 @@
         match attempt::run(cx, admitted, &target, &send).await {
             Ok(mut answered) => {
                 metrics::count_attempt(&target.record.service, "answered");
+                if let Some(placed) = &placed {
+                    placed.answered(cx, &target);
+                }
                 answered.placed = placed;
                 return Ok(answered);
             }
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -16,35 +16,74 @@
 use super::sends::Sends;
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
-use crate::placement::Placed;
+use crate::placement::{PlaceEnd, Placed};
 use crate::traffic::Traffic;
 
-/// The target for the next send: for a generation the one that its desk names,
-/// else the one that this entry chooses.
+/// How long an entry waits before it asks a desk again that didn't answer.
+const ASK_AGAIN: Duration = Duration::from_millis(100);
+/// When a caller is to come back where no desk answered: another entry owns it by then.
+const OWNER_FOUND_WITHIN: Duration = Duration::from_millis(400);
+
+/// The target for the next send: the one that the desk of its service names, where it has
+/// one, else the one that this entry chooses.
 pub async fn next_target(
     cx: &Rc<Traffic>,
     admitted: &Admitted,
     prepared: &Prepared,
     sends: &Sends,
-) -> Option<(Rc<Target>, Option<Placed>)> {
-    let generation = admitted.caller.generation.as_ref();
-    let is_suspect = cx.crashes.is_suspect(cx, || admitted.digest());
-    let demand = generation.and_then(|g| {
+) -> Result<(Rc<Target>, Option<Placed>), Refusal> {
+    let wait_ends = Moment::now() + admitted.may_wait();
+    let service = &admitted.deployment.service(sends.service).name;
+    while cx.has(Mechanism::Desk) {
         let avoid = to_avoid(cx, admitted, sends);
-        choose::demand(cx, g, prepared, avoid, is_suspect)
-    });
-    if let Some(demand) = demand.filter(|_| cx.has(Mechanism::Desk)) {
-        let service = &admitted.deployment.service(sends.service).name;
-        let placed = cx.placements.place(cx, service, demand).await;
-        let target = placed.and_then(|(id, placed)| Some((cx.target(&id)?, placed)));
-        // It may have asked for a rest while the desk was asked.
-        let target = target.filter(|(target, _)| cx.rests_until(target).is_none());
-        if let Some((target, placed)) = target {
-            log_choice(cx, admitted, &target, Reason::Placed, 0);
-            return Some((target, Some(placed)));
+        let demand = choose::demand(cx, admitted, service, prepared, avoid);
+        let Some(demand) = demand else { break };
+        match cx.placements.place(cx, service, demand).await {
+            PlaceEnd::There(id, placed) => match usable(cx, &id) {
+                Some(target) => {
+                    log_choice(cx, admitted, &target, Reason::Placed, 0);
+                    return Ok((target, Some(placed)));
+                }
+                None => break,
+            },
+            PlaceEnd::Full { return_in } => return Err(full(sends, return_in)),
+            // Another entry owns the desk soon.
+            PlaceEnd::Silent if all_limited(cx, service) && Moment::now() < wait_ends => {
+                tokio::time::sleep(ASK_AGAIN).await;
+            }
+            PlaceEnd::Silent | PlaceEnd::Nowhere => break,
+        }
+    }
+    match choose_here(cx, admitted, prepared, sends) {
+        Some(target) => Ok((target, None)),
+        None if all_limited(cx, service) => {
+            let refusal = full(sends, OWNER_FOUND_WITHIN);
+            Err(after_rests(cx, admitted, sends, refusal))
         }
+        None => Err(no_target(cx, admitted, sends)),
+    }
+}
+
+/// A target that a desk named, unless it has asked for a rest meanwhile.
+fn usable(cx: &Traffic, id: &Incarnation) -> Option<Rc<Target>> {
+    let target = cx.target(id)?;
+    cx.rests_until(&target).is_none().then_some(target)
+}
+
+/// True where every target of a service names a limit: only their desk says who may send.
+fn all_limited(cx: &Traffic, service: &str) -> bool {
+    let targets = cx.targets_named(service);
+    let mut limits = targets.iter().map(|target| target.limit.get());
+    !targets.is_empty() && limits.all(|limit| limit.is_some())
+}
+
+/// What a request is told whose targets have had what they take for now.
+fn full(sends: &Sends, return_in: Duration) -> Refusal {
+    let mut refusal = sends.refusal(ErrorKind::Overloaded);
+    if sends.is_first() {
+        refusal.detail = "its targets name limits that are reached".to_string();
     }
-    choose_here(cx, admitted, prepared, sends).map(|target| (target, None))
+    refusal.come_back_after(return_in)
 }
 
 /// Engines that a desk isn't to name: those that failed the request, and those that want
@@ -70,7 +109,7 @@
 }
 
 /// What a request is told for which there is no target.
-pub fn no_target(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Refusal {
+fn no_target(cx: &Traffic, admitted: &Admitted, sends: &Sends) -> Refusal {
     after_rests(cx, admitted, sends, sends.refusal(ErrorKind::NoTarget))
 }
 
@@ -100,13 +139,15 @@
     // A view newer than the request's may have dropped targets.
     cx.deployment()?;
     let name = &admitted.deployment.service(sends.service).name;
-    let share = cold_share(cx, admitted);
+    let share = cold_share(cx, admitted, name);
     let untried: Vec<Rc<Target>> = cx
         .targets_named(name)
         .into_iter()
         .filter(|target| !sends.tried.contains(target.incarnation()))
         .filter(|target| cx.rests_until(target).is_none())
         .filter(|target| may_get_one(cx, target, share))
+        // What they take from all entries together only their desk knows.
+        .filter(|target| target.limit.get().is_none())
         .collect();
     let (at, reason) = match &admitted.caller.generation {
         Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
@@ -129,8 +170,9 @@
 }
 
 /// This entry's part of what a cold target bears from all entries together.
-fn cold_share(cx: &Traffic, admitted: &Admitted) -> f64 {
-    let has_desk = admitted.caller.generation.is_some() && cx.has(Mechanism::Desk);
+fn cold_share(cx: &Traffic, admitted: &Admitted, service: &str) -> f64 {
+    let asks_desk = admitted.caller.generation.is_some() || cx.is_limited(service);
+    let has_desk = asks_desk && cx.has(Mechanism::Desk);
     let of_all = match has_desk {
         true => PAST_DESK_SHARE,
         false => WITHOUT_DESK_SHARE,
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -51,7 +51,10 @@
     drop(in_flight);
     if let Some(mut placed) = placed {
         match &read {
-            Ok(Ok(_)) if !parts.status.is_server_error() => placed.whole(),
+            Ok(Ok(_)) if !parts.status.is_server_error() => {
+                placed.prompt_read();
+                placed.whole();
+            }
             _ => placed.failed(),
         }
     }
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use hollowsail_connect::{BodyError, Exchange, Reuse, SendError};
-use hollowsail_platform::heads::TargetHead;
+use hollowsail_platform::heads::{self, TargetHead};
 use hollowsail_targets::Target;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -38,10 +38,15 @@
     req: Request<Full<Bytes>>,
     reuse: Reuse,
 ) -> Result<Answer, SendError> {
+    let request_id = heads::request_id(req.headers()).map(str::to_string);
+    let asked = cx.clock.now();
     let exchange = target.pool.send(req, reuse).await?;
     let response = exchange.response();
     let head = TargetHead::read(response.status(), response.headers());
-    target_words::take(cx, target, response.status(), &head);
+    // An answer to a request of before may come in this one's place: it is older.
+    let is_ours = head.not_run || head.request_id == request_id;
+    let asked = if is_ours { asked } else { 0 };
+    target_words::take(cx, target, response.status(), &head, asked);
     Ok(Answer { head, exchange })
 }
 
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -12,6 +12,11 @@
 //! away, one after the other, at addresses whose engines had ended while the store was
 //! silent.
 //!
+//! A target in need names how many requests a second it takes from all entries together.
+//! No record says that, so whoever hears it has all others told in the same way, at once:
+//! the owner of a desk sends for all. An entry that comes later is greeted with what is in
+//! force, and a desk's owner hears it again from those it places requests for.
+//!
 //! A target that turns work away may say for how long it wants none. That is meant for the
 //! entry that asked, and stays there.
 //!
@@ -23,10 +28,11 @@
 use hollowsail_observe::events;
 use hollowsail_platform::heads::{NamedLimit, TargetHead, UnreadableWord, OTHER_INCARNATION};
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_targets::Target;
+use hollowsail_routing::Millis;
+use hollowsail_targets::{LimitWord, Target};
 use http::StatusCode;
 
-use crate::peers::{Message, Owner};
+use crate::peers::{Link, Message, Owner, PeerRecord, ToldLimit};
 use crate::traffic::Traffic;
 
 /// How long an entry waits for a target's record to say what its answer said, before it
@@ -35,8 +41,15 @@
 /// store answers nothing is told.
 const RECORD_WITHIN: Duration = Duration::from_millis(700);
 
-/// Takes what the head of an answer says of its target.
-pub fn take(cx: &Rc<Traffic>, target: &Target, status: StatusCode, head: &TargetHead) {
+/// Takes what the head of an answer says of its target; it answers a request that was sent
+/// at `asked`, or later.
+pub fn take(
+    cx: &Rc<Traffic>,
+    target: &Target,
+    status: StatusCode,
+    head: &TargetHead,
+    asked: Millis,
+) {
     let start = target.incarnation();
     // Another start wrote it: this one has ended, and what else it says is of that one.
     if status == OTHER_INCARNATION {
@@ -47,9 +60,19 @@
     if head.is_leaving {
         take_out(cx, start, "answer");
     }
-    if let NamedLimit::PerSecond(per_s) = head.limit {
-        let fields = format_args!("target={} per_s={per_s} by=answer", start.id);
-        cx.log.line(events::TARGET_LIMIT, fields);
+    let per_s = match head.limit {
+        NamedLimit::Absent => Some(None),
+        NamedLimit::PerSecond(per_s) => Some(Some(per_s)),
+        NamedLimit::Unreadable => None,
+    };
+    if let Some(per_s) = per_s {
+        let heard = cx.clock.now();
+        let word = LimitWord {
+            per_s,
+            asked,
+            heard,
+        };
+        take_limit(cx, start, word, "answer");
     }
     let rest = head
         .retry_after
@@ -77,6 +100,94 @@
     }
 }
 
+/// A start names a limit, or none, by an answer of its own or by a peer's word. True when
+/// its limit is another one now.
+fn take_limit(cx: &Rc<Traffic>, start: &Incarnation, word: LimitWord, by: &str) -> bool {
+    let is_news = cx.target_names_limit(start, word);
+    if is_news {
+        log_limit(cx, start, word, by);
+        if by == "answer" {
+            have_limit_told(cx, start, word);
+        }
+    }
+    is_news
+}
+
+/// Has all entries told what a start says of its limit.
+fn have_limit_told(cx: &Rc<Traffic>, start: &Incarnation, word: LimitWord) {
+    match teller_of(cx, start) {
+        Owner::Me => tell_limit_to_all(cx, start),
+        Owner::Peer(link) => link.send(limit_message(cx, start, word, true)),
+    }
+}
+
+/// Tells every other entry what a start says of its limit.
+pub fn tell_limit_to_all(cx: &Rc<Traffic>, start: &Incarnation) {
+    let Some(word) = cx.targets().limit_word(start) else {
+        return;
+    };
+    for link in cx.peers.links_to_all(cx) {
+        link.send(limit_message(cx, start, word, false));
+    }
+}
+
+/// A peer says what a target says of its limit, and that this entry is to tell all others
+/// or not.
+pub fn told_limit(cx: &Rc<Traffic>, start: &Incarnation, told: ToldLimit, tell_others: bool) {
+    let now = cx.clock.now();
+    let word = LimitWord {
+        per_s: told.per_s,
+        asked: now.saturating_sub(told.asked_ms),
+        heard: now.saturating_sub(told.heard_ms),
+    };
+    if take_limit(cx, start, word, "peer") && tell_others {
+        tell_limit_to_all(cx, start);
+    }
+}
+
+/// Tells an entry that sends to a target for this one, now and then, what the target says
+/// of its limit.
+pub fn repeat_limit(cx: &Traffic, target: &Target, to: &Rc<Link>) {
+    let word = cx.targets().limit_to_repeat(cx.clock.now(), target);
+    if let Some(word) = word {
+        to.send(limit_message(cx, target.incarnation(), word, false));
+    }
+}
+
+/// Tells entries that have just come which limits are in force, as far as this one tells
+/// for their targets.
+pub fn greet(cx: &Rc<Traffic>, newcomers: &[&PeerRecord]) {
+    let limited = cx.targets().limited();
+    for (start, word) in limited {
+        if !matches!(teller_of(cx, &start), Owner::Me) {
+            continue;
+        }
+        let others = newcomers.iter().filter(|peer| peer.id != cx.me.id);
+        for peer in others {
+            let link = cx.peers.link_to(cx, peer);
+            link.send(limit_message(cx, &start, word, false));
+        }
+    }
+}
+
+fn limit_message(cx: &Traffic, start: &Incarnation, word: LimitWord, tell_others: bool) -> Message {
+    let now = cx.clock.now();
+    Message::TargetLimit {
+        target: start.clone(),
+        limit: ToldLimit {
+            per_s: word.per_s,
+            asked_ms: now.saturating_sub(word.asked),
+            heard_ms: now.saturating_sub(word.heard),
+        },
+        tell_others,
+    }
+}
+
+/// The one entry that tells all others what a start says of itself.
+fn teller_of(cx: &Rc<Traffic>, start: &Incarnation) -> Owner {
+    cx.peers.owner_of(cx, &format!("words/{}", start.id))
+}
+
 /// A peer says that a target leaves, and that this entry is to tell all others or not.
 pub fn told_leaving(cx: &Rc<Traffic>, start: &Incarnation, tell_others: bool) {
     if cx.target_leaves(start) {
@@ -93,7 +204,7 @@
     if cx.view().leaving.contains(&start) {
         return;
     }
-    match cx.peers.owner_of(&cx, &format!("leaving/{}", start.id)) {
+    match teller_of(&cx, &start) {
         Owner::Me => tell_all(&cx, &start),
         Owner::Peer(link) => link.send(Message::TargetLeaves {
             target: start,
@@ -115,6 +226,22 @@
     }
 }
 
+fn log_limit(cx: &Traffic, start: &Incarnation, word: LimitWord, by: &str) {
+    let now = cx.clock.now();
+    let per_s = word
+        .per_s
+        .map_or("none".to_string(), |per_s| per_s.to_string());
+    let (asked, heard) = (
+        now.saturating_sub(word.asked),
+        now.saturating_sub(word.heard),
+    );
+    let fields = format_args!(
+        "target={} born={} per_s={per_s} asked_ms={asked} heard_ms={heard} by={by}",
+        start.id, start.born,
+    );
+    cx.log.line(events::TARGET_LIMIT, fields);
+}
+
 fn log_leaving(cx: &Traffic, start: &Incarnation, by: &str) {
     let fields = format_args!("target={} born={} by={by}", start.id, start.born);
     cx.log.line(events::TARGET_LEAVES, fields);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -11,7 +11,7 @@
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{LatencyWindow, Millis, Pace, ReadingTimes, RetryBudget};
-use hollowsail_targets::{Target, TargetTable};
+use hollowsail_targets::{LimitWord, Target, TargetTable};
 use tokio::sync::Notify;
 
 use crate::clock::Clock;
@@ -178,6 +178,23 @@
         is_news
     }
 
+    /// A start of a target names a limit, or none. True when its limit is another one now.
+    pub fn target_names_limit(self: &Rc<Self>, start: &Incarnation, word: LimitWord) -> bool {
+        let now = self.clock.now();
+        let is_news = self.targets.borrow_mut().names_limit(now, start, word);
+        if is_news {
+            self.pass_targets_on();
+        }
+        is_news
+    }
+
+    /// True while some target of the service of that name names a limit.
+    pub fn is_limited(&self, service: &str) -> bool {
+        self.with_targets(service, |targets| {
+            targets.iter().any(|target| target.limit.get().is_some())
+        })
+    }
+
     /// A start of a target wants nothing from this entry for a time. True when that is
     /// longer than it said before.
     pub fn target_rests(&self, start: &Incarnation, rest: Duration) -> bool {
--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -3,7 +3,10 @@
 //! What users saw: an engine that had named one request a second got twelve in 4 s from
 //! entries that had passed such an answer on. Order of events: the engine names its limit in
 //! all answers from 8.0 s on; three entries have passed one on by 9.5 s; six entries go on to
-//! send it 2 to 4 requests a second, each named by the desk.
+//! send it 2 to 4 requests a second, each named by the desk. Cause: what a target says in its
+//! answers of how much it takes was read by nobody, and whoever would have read it isn't the
+//! one that sends for all. Evidence: the engine's rate is the same before and after its
+//! word, and once entries log the word, they do so at each answer and go on as before.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -161,7 +164,10 @@
     /// The target that got most so far: where parts are shared, one engine keeps them.
     fn busiest(&self) -> &Limited {
         let by_seen = |target: &&Limited| target.target.seen().len();
-        self.targets.iter().max_by_key(by_seen).expect("it has some")
+        self.targets
+            .iter()
+            .max_by_key(by_seen)
+            .expect("it has some")
     }
 
     fn callers(&self) -> Vec<SocketAddr> {
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -4,8 +4,13 @@
 //! engine has yet to read, which parts of prompts it keeps, and how its answers
 //! came, without reports that are old when they arrive. A placement stays on
 //! the desk's account until its asker tells how it went.
+//!
+//! An engine that is cold, or that names a limit, gets what it bears; where all that may
+//! serve have had that, [`EngineDesk::turn`] says when a demand would have its turn, and
+//! it waits in a [`Line`] or is told to come back.
 
 mod health;
+mod line;
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -16,9 +21,12 @@
 use crate::cold::{Cold, ColdGate, DESK_SHARE};
 use crate::engine::{choose_engine, EngineCandidate};
 use crate::health::{HealthRules, Observation};
+use crate::limit::{LimitGate, LimitPart};
 use crate::Millis;
 use health::EngineHealth;
 
+pub use line::{Line, LineKey};
+
 new_key_type! {
     /// One placement, until it has ended.
     pub struct PlacementKey;
@@ -51,6 +59,16 @@
     pub hall: String,
     /// Set while it is cold.
     pub cold: Option<Cold>,
+    /// Requests a second that it takes from all entries together, while it names a limit.
+    pub limit: Option<f64>,
+}
+
+/// When a demand would get an engine that is closed only by its limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Turn {
+    pub in_ms: Millis,
+    /// Requests a second that all such engines together may get.
+    pub per_s: f64,
 }
 
 /// What is to be placed.
@@ -68,6 +86,10 @@
     pub results: Vec<(String, u64)>,
     /// Targets ended under it before: it runs apart from others.
     pub is_suspect: bool,
+    /// 0 is the most urgent.
+    pub urgency: u8,
+    /// How long it waits at most where all engines are closed by their limits.
+    pub waits_ms: Millis,
 }
 
 /// How a placement ended.
@@ -92,6 +114,16 @@
     unread_tokens: u64,
     health: EngineHealth,
     gate: ColdGate,
+    limit: Option<f64>,
+    limit_gate: LimitGate,
+}
+
+impl Engine {
+    /// When it may get a request at the earliest.
+    fn opens(&self, now: Millis, part: LimitPart) -> Millis {
+        let by_limit = self.limit_gate.opens(now, self.limit, part);
+        self.gate.opens(now).max(by_limit)
+    }
 }
 
 /// A generation at its engine.
@@ -122,6 +154,8 @@
     kept: HashMap<String, HashMap<K, Millis>>,
     ms_per_token: f64,
     rules: HealthRules,
+    /// Which part of the engines' limits this desk gives.
+    limit_part: LimitPart,
 }
 
 /// Time to a first event, with so many tokens to read before it.
@@ -154,6 +188,7 @@
             kept: HashMap::new(),
             ms_per_token: FIRST_MS_PER_TOKEN,
             rules: HealthRules::default(),
+            limit_part: LimitPart::default(),
         }
     }
 }
@@ -168,13 +203,52 @@
             state.slots = engine.slots;
             state.hall.clone_from(&engine.hall);
             state.gate.meet(now, engine.cold, DESK_SHARE, 0.0);
+            state.limit = engine.limit;
         }
         self.order = self.engines.keys().cloned().collect();
         self.order.sort();
     }
 
+    /// Gives another part of the engines' limits from now on.
+    pub fn set_limit_part(&mut self, part: LimitPart) {
+        self.limit_part = part;
+    }
+
+    /// When a demand would get one of the engines that are closed by their limits alone,
+    /// behind so many others; `None` where there is no such engine.
+    pub fn turn(&self, now: Millis, demand: &Demand<K>, ahead: usize) -> Option<Turn> {
+        let part = self.limit_part;
+        let of_demand = self.order.iter().filter(|key| !demand.avoid.contains(key));
+        let engines = of_demand.map(|key| &self.engines[key]);
+        let limited = engines.filter(|engine| engine.limit.is_some() && engine.gate.is_open(now));
+        let first = limited
+            .clone()
+            .map(|engine| engine.opens(now, part))
+            .min()?;
+        let rates = limited.filter_map(|engine| engine.limit);
+        let per_s: f64 = rates.map(|per_s| part.rate(per_s)).sum();
+        let behind_ms = (ahead as f64 * 1_000.0 / per_s) as Millis;
+        Some(Turn {
+            in_ms: first - now + behind_ms,
+            per_s,
+        })
+    }
+
+    /// True when some engine may get a request now.
+    pub fn is_any_open(&self, now: Millis) -> bool {
+        let mut engines = self.engines.values();
+        engines.any(|engine| engine.opens(now, self.limit_part) == now)
+    }
+
+    /// When the first engine opens that is closed now; `None` when none is.
+    pub fn next_opening(&self, now: Millis) -> Option<Millis> {
+        let engines = self.engines.values();
+        let opens = engines.map(|engine| engine.opens(now, self.limit_part));
+        opens.filter(|opens| *opens > now).min()
+    }
+
     /// Places a generation; `affinity` is the rendezvous score of an engine for
-    /// its part. `None` when every engine is to be avoided, or cold and has had its share.
+    /// its part. `None` when every engine is to be avoided, or has had what it takes.
     pub fn place(
         &mut self,
         now: Millis,
@@ -185,7 +259,7 @@
             .order
             .iter()
             .filter(|key| !demand.avoid.contains(key))
-            .filter(|key| self.engines[*key].gate.is_open(now))
+            .filter(|key| self.engines[*key].opens(now, self.limit_part) == now)
             .collect();
         let keys = match demand.is_suspect {
             true => self.emptiest(now, &demand.from_hall, open),
@@ -267,9 +341,13 @@
         state.suspects += u32::from(demand.is_suspect);
         state.unread_tokens += to_read;
         state.gate.sent(now, DESK_SHARE);
+        state.limit_gate.sent(now, state.limit, self.limit_part);
         let tokens_ahead = state.unread_tokens;
-        let kept = self.kept.entry(demand.part.clone()).or_default();
-        let was_kept = kept.insert(engine.clone(), now).is_some();
+        // A request without a prompt leaves nothing that an engine could keep.
+        let was_kept = demand.prompt_tokens > 0 && {
+            let kept = self.kept.entry(demand.part.clone()).or_default();
+            kept.insert(engine.clone(), now).is_some()
+        };
         self.placements.insert(Placement {
             engine,
             from_hall: demand.from_hall.clone(),
--- a/crates/routing/tests/suite/cold.rs
+++ b/crates/routing/tests/suite/cold.rs
@@ -110,6 +110,7 @@
         slots: 64,
         hall: "hall-a".to_string(),
         cold,
+        limit: None,
     };
     let engines = [
         engine("warm", None),
@@ -127,6 +128,8 @@
             avoid: Vec::new(),
             results: Vec::new(),
             is_suspect: false,
+            urgency: 0,
+            waits_ms: 0,
         };
         let placed = desk.place(n * 10, &demand, |_| 0);
         given.push(placed.expect("one is warm").1);
@@ -145,6 +148,7 @@
         slots: 64,
         hall: "hall-a".to_string(),
         cold: cold(3_000),
+        limit: None,
     };
     desk.set_engines(0, &[engine]);
     let demand = Demand {
@@ -155,6 +159,8 @@
         avoid: Vec::new(),
         results: Vec::new(),
         is_suspect: false,
+        urgency: 0,
+        waits_ms: 0,
     };
     assert!(desk.place(0, &demand, |_| 0).is_some());
     assert!(desk.place(50, &demand, |_| 0).is_none());
--- a/crates/routing/tests/suite/crash_ledger.rs
+++ b/crates/routing/tests/suite/crash_ledger.rs
@@ -260,6 +260,7 @@
                 slots: 64,
                 hall: "hall-a".to_string(),
                 cold: None,
+                limit: None,
             })
             .collect();
         self.desk.set_engines(now, &engines);
@@ -286,6 +287,8 @@
             avoid: Vec::new(),
             results: Vec::new(),
             is_suspect: standing == Standing::Suspect,
+            urgency: 0,
+            waits_ms: 0,
         };
         let salt: u64 = self.rng.random();
         let affinity = |engine: &usize| (*engine as u64 + 1).wrapping_mul(salt);
--- a/crates/routing/tests/suite/desk.rs
+++ b/crates/routing/tests/suite/desk.rs
@@ -12,6 +12,7 @@
             slots: 64,
             hall: format!("hall-{key}"),
             cold: None,
+            limit: None,
         })
         .collect();
     desk.set_engines(0, &engines);
@@ -27,6 +28,8 @@
         avoid: Vec::new(),
         results: Vec::new(),
         is_suspect: false,
+        urgency: 0,
+        waits_ms: 0,
     }
 }
 
@@ -100,6 +103,8 @@
         prompt_tokens: 200,
         results: vec![("hall-a".into(), 9_000_000)],
         is_suspect: false,
+        urgency: 0,
+        waits_ms: 0,
         ..demand("q")
     };
     assert_eq!(
@@ -257,6 +262,8 @@
 fn suspect() -> Demand<&'static str> {
     Demand {
         is_suspect: true,
+        urgency: 0,
+        waits_ms: 0,
         ..demand("p")
     }
 }
@@ -305,6 +312,7 @@
         slots: 64,
         hall: "hall-a".to_string(),
         cold: None,
+        limit: None,
     };
     let demand: Demand<(&str, u64)> = Demand {
         from_hall: "hall-a".to_string(),
@@ -314,6 +322,8 @@
         avoid: Vec::new(),
         results: Vec::new(),
         is_suspect: false,
+        urgency: 0,
+        waits_ms: 0,
     };
     let prefers = |id: &'static str| move |key: &(&str, u64)| u64::from(key.0 == id);
     let next_after = |restarted: &[DeskEngine<(&'static str, u64)>]| {
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod desk;
 mod engine;
 mod health;
+mod limit;
 mod pace;
 mod progress;
 mod random_admission;
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::workers::Worker;
+use super::workers::{Worker, WORK_SHARE};
 use super::BatchQueue;
 use crate::Millis;
 
@@ -66,15 +66,23 @@
         seen.unwrap_or(STAY_CALLS).max(1.0)
     }
 
+    /// The part of its time in which a worker has a call: all of it, less where its limit
+    /// allows fewer calls than it could make.
+    fn used_part(&self, worker: &Worker) -> f64 {
+        let call_s = self.rules.expected_ms(self.rules.batch) / 1_000.0;
+        let rate = worker.limit.map(|per_s| self.limit_part.rate(per_s));
+        rate.map_or(1.0, |per_s| (per_s * WORK_SHARE * call_s).min(1.0))
+    }
+
     /// Pieces that the workers make at a time: whole batches, fewer where they
-    /// are slow or where results of so many bytes fill their memory first.
+    /// are slow or limited, or where results of so many bytes fill their memory first.
     fn slots(&self, result_bytes: u64) -> f32 {
         let works = |worker: &&Worker| !worker.leaving && worker.failures == 0;
         let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
         let at_once = (fitting / self.stay_calls()).min(self.rules.batch as f64);
         let workers = self.workers.values().filter(works);
         let slots: f64 = workers
-            .map(|worker| at_once / worker.slowness.max(1.0))
+            .map(|worker| at_once / worker.slowness.max(1.0) * self.used_part(worker))
             .sum();
         slots.max(LEAST_SLOTS) as f32
     }
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -29,6 +29,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
+use hollowsail_routing::LimitPart;
 use slotmap::SlotMap;
 
 use self::calls::Call;
@@ -88,6 +89,8 @@
     /// Pieces that came so far, for their order.
     arrivals: u64,
     stay: Stay,
+    /// Which part of the workers' limits this queue uses.
+    limit_part: LimitPart,
 }
 
 impl<T> BatchQueue<T> {
@@ -102,6 +105,7 @@
             groups: HashMap::new(),
             arrivals: 0,
             stay: Stay::default(),
+            limit_part: LimitPart::default(),
         }
     }
 
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -2,8 +2,10 @@
 //! well it did.
 //!
 //! A worker that fails or is full rests for a while; one that is slow gets a
-//! call now and then, to see whether it recovered.
+//! call now and then, to see whether it recovered. One that names a limit gets calls
+//! at that rate, those that give results up included.
 
+use hollowsail_routing::{LimitGate, LimitPart};
 use serde::{Deserialize, Serialize};
 
 use super::calls::Call;
@@ -32,6 +34,15 @@
 /// Part of a worker's memory that is filled; the rest is for results whose
 /// size was told too small.
 const MEMORY_SHARE: f64 = 0.95;
+/// Of the calls that a limited worker takes, one in so many gives results up: more would
+/// leave it no time for work, none would fill its memory.
+const CALLS_A_FREE: f64 = 5.0;
+/// For how long a call that gives results up, once it is due, keeps work away from a limited
+/// worker, in milliseconds: longer than between two tries of its owner's. Work that goes
+/// whenever the worker is open would leave it none.
+const FREE_GOES_FIRST_MS: Millis = 200;
+/// Part of a limited worker's calls that is left for work.
+pub(super) const WORK_SHARE: f64 = 1.0 - 1.0 / CALLS_A_FREE;
 
 /// What the next owner of a queue is told of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
@@ -61,9 +72,26 @@
     pub leaving: bool,
     /// Recent times of its calls over the expected ones.
     pub slowness: f64,
+    /// Calls a second that it takes from all entries together, while it names that.
+    pub limit: Option<f64>,
+    gate: LimitGate,
+    /// While limited, it gets no call that gives results up before this.
+    frees_from: Millis,
+    /// Such a call is due, and goes before any other until this.
+    free_goes_first_until: Millis,
 }
 
 impl Worker {
+    /// When it may get a call at the earliest, busy or not.
+    pub fn opens(&self, now: Millis, part: LimitPart) -> Millis {
+        self.gate.opens(now, self.limit, part).max(self.out_until)
+    }
+
+    /// It gets a call.
+    pub fn called(&mut self, now: Millis, part: LimitPart) {
+        self.gate.sent(now, self.limit, part);
+    }
+
     /// It takes so much longer than it should that waiting for another is
     /// better.
     pub fn is_slow(&self) -> bool {
@@ -93,9 +121,49 @@
             failures: 0,
             leaving: false,
             slowness: 1.0,
+            limit: None,
+            gate: LimitGate::default(),
+            frees_from: 0,
+            free_goes_first_until: 0,
         })
     }
 
+    /// A worker names so many calls a second as its limit, or none.
+    pub fn set_limit(&mut self, worker: WorkerKey, limit: Option<f64>) {
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.limit = limit;
+        }
+    }
+
+    /// Uses another part of the workers' limits from now on.
+    pub fn set_limit_part(&mut self, part: LimitPart) {
+        self.limit_part = part;
+    }
+
+    /// True when a worker may get a call now that gives results up, and counts that call.
+    /// Where it may not, the owner tries again soon.
+    pub fn begin_free(&mut self, worker: WorkerKey, now: Millis) -> bool {
+        let part = self.limit_part;
+        let Some(state) = self.workers.get_mut(worker) else {
+            return true;
+        };
+        let Some(per_s) = state.limit else {
+            return true;
+        };
+        if now < state.frees_from {
+            return false;
+        }
+        if state.opens(now, part) > now {
+            state.free_goes_first_until = now + FREE_GOES_FIRST_MS;
+            return false;
+        }
+        state.free_goes_first_until = 0;
+        state.called(now, part);
+        let pause_ms = CALLS_A_FREE * 1_000.0 / part.rate(per_s);
+        state.frees_from = now + pause_ms as Millis;
+        true
+    }
+
     /// A worker leaves: it gets nothing new.
     pub fn remove_worker(&mut self, worker: WorkerKey) {
         if let Some(state) = self.workers.get_mut(worker) {
@@ -110,7 +178,8 @@
     pub(super) fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
         self.workers
             .iter()
-            .filter(|(_, worker)| !worker.leaving && worker.out_until <= now)
+            .filter(|(_, worker)| !worker.leaving && worker.opens(now, self.limit_part) <= now)
+            .filter(|(_, worker)| worker.free_goes_first_until <= now)
             .filter(|(_, worker)| worker.calls < self.rules.running)
             .map(|(key, _)| key)
             .collect()
--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod batch;
 mod graph;
+mod limited;
 mod random_graph;
 mod random_queue;
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,10 +6,12 @@
 //! which outlasts their records. [`Target::has_ended`] tells a target that
 //! ended from one whose connection broke.
 
+mod limit_word;
 mod table;
 mod target;
 mod words;
 
+pub use limit_word::LimitWord;
 pub use table::{TargetTable, UsableTarget};
 pub use target::{InFlight, Target};
 pub use words::Words;
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -8,6 +8,7 @@
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Cold, HealthRules, Millis, TargetHealth};
 
+use crate::limit_word::LimitWord;
 use crate::target::Target;
 use crate::words::Words;
 
@@ -68,6 +69,7 @@
                     .zip(per_s)
                     .map(|(until, per_s)| Cold { until, per_s }),
             );
+            target.limit.set(self.words.limit(&record.incarnation));
             by_service[usize::from(key.0)].push(target.clone());
             kept.insert(record.incarnation.clone(), target);
         }
@@ -106,6 +108,36 @@
         self.words.asks_rest(now, start, rest_ms)
     }
 
+    /// A start names a limit, or none. True when its limit is another one now.
+    pub fn names_limit(&mut self, now: Millis, start: &Incarnation, word: LimitWord) -> bool {
+        let is_news = self.words.names_limit(now, start, word);
+        if is_news {
+            let target = self.by_incarnation.get(start);
+            let limit = self.words.limit(start);
+            target
+                .into_iter()
+                .for_each(|target| target.limit.set(limit));
+        }
+        is_news
+    }
+
+    /// What a target said last of its limit, when whoever sends to it for all entries is to
+    /// hear that again now.
+    pub fn limit_to_repeat(&self, now: Millis, target: &Target) -> Option<LimitWord> {
+        let word = self.words.limit_word(target.incarnation())?;
+        (word.is_repeated(now) && target.tells_limit_now(now)).then_some(word)
+    }
+
+    /// What a start said last of its limit, if it named one lately.
+    pub fn limit_word(&self, start: &Incarnation) -> Option<LimitWord> {
+        self.words.limit_word(start)
+    }
+
+    /// The starts that name a limit, with what they said.
+    pub fn limited(&self) -> Vec<(Incarnation, LimitWord)> {
+        self.words.limited().collect()
+    }
+
     /// True the first time that this entry is to tell all others that a start leaves.
     pub fn pass_on(&mut self, start: &Incarnation) -> bool {
         self.words.pass_on(start)
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -17,6 +17,9 @@
 const IDLE_FOR: Duration = Duration::from_secs(8);
 /// Most idle connections kept to one target.
 const MOST_IDLE: u32 = 16;
+/// How often an entry repeats a target's limit to whoever sends for all, in milliseconds:
+/// one that has just become the owner of a desk may know nothing of it.
+const TELL_EVERY_MS: Millis = 1_000;
 /// Entries among which a target's connections are shared at least; the number
 /// of live ones isn't known here.
 const SHARING_ENTRIES: u32 = 16;
@@ -32,6 +35,10 @@
     pub health: RefCell<TargetHealth>,
     /// Set while it is cold.
     pub cold: Cell<Option<Cold>>,
+    /// Requests a second that it takes from all entries together, while it names that.
+    pub limit: Cell<Option<f64>>,
+    /// When this entry last told whoever sends for all what it knows of that.
+    limit_told: Cell<Option<Millis>>,
     /// When this entry may send to it while it is cold.
     gate: Cell<ColdGate>,
     end: EndCheck,
@@ -58,6 +65,8 @@
             unread_tokens: Cell::new(0),
             health: RefCell::default(),
             cold: Cell::default(),
+            limit: Cell::default(),
+            limit_told: Cell::default(),
             gate: Cell::default(),
             end: EndCheck::default(),
         })
@@ -90,6 +99,16 @@
         self.gate.set(gate);
     }
 
+    /// True when this entry is to tell its limit again; so often at most.
+    pub(crate) fn tells_limit_now(&self, now: Millis) -> bool {
+        let told = self.limit_told.get();
+        let is_due = told.is_none_or(|told| now >= told + TELL_EVERY_MS);
+        if is_due {
+            self.limit_told.set(Some(now));
+        }
+        is_due
+    }
+
     /// Part of its slots that this entry's requests take.
     pub fn load(&self) -> f64 {
         f64::from(self.in_flight.get()) / f64::from(self.record.slots)
--- a/crates/targets/src/words.rs
+++ b/crates/targets/src/words.rs
@@ -5,6 +5,7 @@
 //! | it leaves | its record, an answer of its own, a peer that has it from one of these | every record of the same or an earlier start, also a later one that says ready | with the start |
 //! | it has ended | another start that answers at its address, a peer that has it from one | the same | the same |
 //! | it wants nothing for a while | an answer with which it turned work away; for this entry alone | a shorter time | when the time is over |
+//! | it takes so many requests a second from all entries together | an answer of its own, a peer that has it from one | see [`LimitWord`] | with the start, or with an answer that names none |
 //!
 //! A word is kept by the target's id and start, not by its record: a record may lapse while
 //! the store is away and come back as it was before.
@@ -14,6 +15,8 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
 
+use crate::limit_word::LimitWord;
+
 /// How long words are kept of a target that isn't listed any more, in milliseconds. Longer
 /// than a target serves on after it said that it leaves (many seconds, as operators tell),
 /// and than a store is away.
@@ -31,6 +34,8 @@
     said: Millis,
     /// This entry has told all others that it leaves.
     is_passed_on: bool,
+    /// `None` before it names a limit for the first time.
+    limit: Option<LimitWord>,
 }
 
 /// Words by the targets' ids.
@@ -61,6 +66,46 @@
         })
     }
 
+    /// A start names a limit, or none. True when its limit is another one now.
+    pub fn names_limit(&mut self, now: Millis, start: &Incarnation, word: LimitWord) -> bool {
+        // Nearly all answers name no limit, of targets that never did.
+        let is_of_no_use = word.per_s.is_none() && self.limit_word(start).is_none();
+        !is_of_no_use
+            && self.change(now, start, |known| match &mut known.limit {
+                Some(limit) => limit.take(word),
+                None => {
+                    known.limit = Some(word);
+                    word.per_s.is_some()
+                }
+            })
+    }
+
+    /// What a start said last of its limit, if it named one lately.
+    pub fn limit_word(&self, start: &Incarnation) -> Option<LimitWord> {
+        let word = self.words.get(&start.id)?;
+        word.limit.filter(|_| word.born == start.born)
+    }
+
+    /// Requests a second that a start takes from all entries together, while it names that.
+    pub fn limit(&self, start: &Incarnation) -> Option<f64> {
+        self.limit_word(start)?.per_s
+    }
+
+    /// The starts that name a limit, with what they said.
+    pub fn limited(&self) -> impl Iterator<Item = (Incarnation, LimitWord)> + '_ {
+        self.words.iter().filter_map(|(id, word)| {
+            let limit = word.limit.filter(|limit| limit.per_s.is_some())?;
+            let id = id.clone();
+            Some((
+                Incarnation {
+                    id,
+                    born: word.born,
+                },
+                limit,
+            ))
+        })
+    }
+
     /// Changes the word of a start; one of a start before the last that spoke is dropped.
     fn change(
         &mut self,
@@ -74,6 +119,7 @@
             rests_until: 0,
             said: now,
             is_passed_on: false,
+            limit: None,
         };
         let word = self.words.entry(start.id.clone()).or_insert(nothing);
         if start.born < word.born {
@@ -119,6 +165,9 @@
 
     /// Drops what was said long ago by targets that aren't listed any more.
     pub fn forget(&mut self, now: Millis, is_listed: impl Fn(&str) -> bool) {
+        for word in self.words.values_mut() {
+            word.limit = word.limit.filter(|limit| !limit.is_over(now));
+        }
         self.words
             .retain(|id, word| now < word.said.saturating_add(KEPT_MS) || is_listed(id));
     }
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! What an entry knows of targets, by their starts.
 
+mod limit_words;
 mod words;
 
 use std::net::SocketAddr;
