Go by every word on a limit that may be the newest

Three answers: one names 1; one written at 1083 names 5 and comes at 1083; one written before it, asked later than the first came, names none and comes at 1219: it was taken, though 5 is in force.

Now all words that may be the newest are kept, one for each limit, and the strictest holds.

--- a/crates/targets/src/limit_word.rs
+++ b/crates/targets/src/limit_word.rs
@@ -1,9 +1,9 @@
 //! What a target said last of how much it takes, by the answers of all entries.
 //!
 //! Answers overtake each other, and what a peer heard comes later than what this entry
-//! heard itself. So a word is known with the time within which it was written, and one
-//! that lets more through is taken only if it is surely the newer one; of two that may be
-//! either, the stricter holds until the next answer.
+//! heard itself. So each word is known with the time within which it was written. Of all
+//! words that may be the newest, the strictest holds: one that lets more through does so
+//! once an answer has come to a request that was sent after all stricter ones had come.
 
 use hollowsail_routing::Millis;
 
@@ -12,6 +12,9 @@
 const KEPT_MS: Millis = 60_000;
 /// How long the end of a limit is told again to whoever sends for others, in milliseconds.
 const REPEATED_MS: Millis = 5_000;
+/// Different limits kept of those that may be the newest: a target that names another one
+/// in each answer has as many as answers are under way.
+const MOST_WORDS: usize = 16;
 
 /// What one answer said.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -30,30 +33,59 @@
         self.per_s.unwrap_or(f64::INFINITY)
     }
 
-    /// Takes another word of the same start. True when the limit is another one now.
-    pub(crate) fn take(&mut self, other: LimitWord) -> bool {
-        if other.rate() == self.rate() {
-            self.asked = self.asked.max(other.asked);
-            self.heard = self.heard.max(other.heard);
+    /// True when it was written after another one for sure.
+    fn is_newer_than(&self, other: &LimitWord) -> bool {
+        self.asked >= other.heard
+    }
+
+    /// True when those who may not have heard it are to hear it again.
+    pub(crate) fn is_repeated(&self, now: Millis) -> bool {
+        self.per_s.is_some() || now < self.heard + REPEATED_MS
+    }
+}
+
+/// The words of one start that may be the newest, one for each limit, the strictest first.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LimitWords {
+    words: Vec<LimitWord>,
+}
+
+impl LimitWords {
+    /// Takes a word. True when another limit holds now.
+    pub fn take(&mut self, word: LimitWord) -> bool {
+        let before = self.limit();
+        if self.words.iter().any(|known| known.is_newer_than(&word)) {
             return false;
         }
-        let is_surely_newer = other.asked >= self.heard;
-        let is_surely_older = other.heard < self.asked;
-        let lets_more_through = other.rate() > self.rate();
-        if is_surely_older || (lets_more_through && !is_surely_newer) {
-            return false;
+        self.words.retain(|known| !word.is_newer_than(known));
+        let mut same = self.words.iter_mut();
+        match same.find(|known| known.per_s == word.per_s) {
+            Some(known) => {
+                known.asked = known.asked.max(word.asked);
+                known.heard = known.heard.max(word.heard);
+            }
+            None => self.words.push(word),
         }
-        *self = other;
-        true
+        self.words.sort_by(|a, b| a.rate().total_cmp(&b.rate()));
+        self.words.truncate(MOST_WORDS);
+        self.limit() != before
     }
 
-    /// True when it says nothing any more: the limit ended long ago.
-    pub(crate) fn is_over(&self, now: Millis) -> bool {
-        self.per_s.is_none() && now >= self.heard + KEPT_MS
+    /// The word that holds; `None` before the first.
+    pub fn holding(&self) -> Option<LimitWord> {
+        self.words.first().copied()
     }
 
-    /// True when those who may not have heard it are to hear it again.
-    pub(crate) fn is_repeated(&self, now: Millis) -> bool {
-        self.per_s.is_some() || now < self.heard + REPEATED_MS
+    /// Requests a second that the start takes, while it names that.
+    pub fn limit(&self) -> Option<f64> {
+        self.holding()?.per_s
+    }
+
+    /// Forgets the end of a limit after a while.
+    pub fn forget(&mut self, now: Millis) {
+        let is_over = |word: &LimitWord| word.per_s.is_none() && now >= word.heard + KEPT_MS;
+        if self.holding().as_ref().is_some_and(is_over) {
+            self.words.clear();
+        }
     }
 }
--- a/crates/targets/src/words.rs
+++ b/crates/targets/src/words.rs
@@ -15,7 +15,7 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
 
-use crate::limit_word::LimitWord;
+use crate::limit_word::{LimitWord, LimitWords};
 
 /// How long words are kept of a target that isn't listed any more, in milliseconds. Longer
 /// than a target serves on after it said that it leaves (many seconds, as operators tell),
@@ -23,7 +23,7 @@
 const KEPT_MS: Millis = 3_600_000;
 
 /// What is known of a target's last start that said anything.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Word {
     /// Which start it was; later ones have larger numbers.
     born: u64,
@@ -34,8 +34,8 @@
     said: Millis,
     /// This entry has told all others that it leaves.
     is_passed_on: bool,
-    /// `None` before it names a limit for the first time.
-    limit: Option<LimitWord>,
+    /// Empty before it names a limit for the first time.
+    limit: LimitWords,
 }
 
 /// Words by the targets' ids.
@@ -70,20 +70,14 @@
     pub fn names_limit(&mut self, now: Millis, start: &Incarnation, word: LimitWord) -> bool {
         // Nearly all answers name no limit, of targets that never did.
         let is_of_no_use = word.per_s.is_none() && self.limit_word(start).is_none();
-        !is_of_no_use
-            && self.change(now, start, |known| match &mut known.limit {
-                Some(limit) => limit.take(word),
-                None => {
-                    known.limit = Some(word);
-                    word.per_s.is_some()
-                }
-            })
+        !is_of_no_use && self.change(now, start, |known| known.limit.take(word))
     }
 
     /// What a start said last of its limit, if it named one lately.
     pub fn limit_word(&self, start: &Incarnation) -> Option<LimitWord> {
         let word = self.words.get(&start.id)?;
-        word.limit.filter(|_| word.born == start.born)
+        let word = (word.born == start.born).then_some(word)?;
+        word.limit.holding()
     }
 
     /// Requests a second that a start takes from all entries together, while it names that.
@@ -94,7 +88,8 @@
     /// The starts that name a limit, with what they said.
     pub fn limited(&self) -> impl Iterator<Item = (Incarnation, LimitWord)> + '_ {
         self.words.iter().filter_map(|(id, word)| {
-            let limit = word.limit.filter(|limit| limit.per_s.is_some())?;
+            let limit = word.limit.holding()?;
+            limit.per_s?;
             let id = id.clone();
             Some((
                 Incarnation {
@@ -119,9 +114,10 @@
             rests_until: 0,
             said: now,
             is_passed_on: false,
-            limit: None,
+            limit: LimitWords::default(),
         };
-        let word = self.words.entry(start.id.clone()).or_insert(nothing);
+        let word = self.words.entry(start.id.clone());
+        let word = word.or_insert_with(|| nothing.clone());
         if start.born < word.born {
             return false;
         }
@@ -166,7 +162,7 @@
     /// Drops what was said long ago by targets that aren't listed any more.
     pub fn forget(&mut self, now: Millis, is_listed: impl Fn(&str) -> bool) {
         for word in self.words.values_mut() {
-            word.limit = word.limit.filter(|limit| !limit.is_over(now));
+            word.limit.forget(now);
         }
         self.words
             .retain(|id, word| now < word.said.saturating_add(KEPT_MS) || is_listed(id));
