--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -1,10 +1,11 @@
 //! Engines that read prompts one after the other, keep their shared parts, and
-//! make events more slowly the more runs they have.
+//! make events more slowly the more runs they have. Some name a limit for a while.
 
 use std::collections::HashMap;
 
 use hollowsail_fleet::rendezvous;
-use hollowsail_routing::{Demand, DeskEngine, EngineDesk, PlacementEnd, PlacementKey};
+use hollowsail_routing::limit::SETTLED_AFTER_MS;
+use hollowsail_routing::{Demand, DeskEngine, EngineDesk, LimitPart, PlacementEnd, PlacementKey};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -45,9 +46,20 @@
     pub ends_at: u64,
 }
 
+/// Where a prompt goes.
+#[derive(Debug, Clone, Copy)]
+pub enum Sent {
+    Runs(Run),
+    /// All engines have had what they take; one opens then, if no other prompt gets it.
+    OpensAt(u64),
+}
+
 /// All engines, and who chooses among them.
 pub struct EnginePool {
+    day: DayModel,
     model: EngineModel,
+    /// The engines as the desk knows them.
+    known: Vec<DeskEngine<usize>>,
     engines: Vec<Engine>,
     desk: EngineDesk<usize>,
     choice: Engines,
@@ -74,7 +86,10 @@
             })
             .collect();
         desk.set_engines(0, &engines);
+        desk.set_limit_part(LimitPart::owned_for(SETTLED_AFTER_MS));
         EnginePool {
+            day: day.clone(),
+            known: engines,
             model: day.engines.clone(),
             engines: (0..day.engines.count).map(|_| Engine::default()).collect(),
             desk,
@@ -84,9 +99,26 @@
         }
     }
 
-    /// Sends a prompt to an engine.
-    pub fn send(&mut self, prompt: &Prompt, now: u64) -> Option<Run> {
-        let (engine, placement) = self.choose(prompt, now)?;
+    /// Has the desk know what the engines name as their limits now.
+    fn take_limits(&mut self, now: u64) {
+        let mut is_news = false;
+        for engine in &mut self.known {
+            let limit = self.day.engine_limit(engine.key, now);
+            is_news |= limit != engine.limit;
+            engine.limit = limit;
+        }
+        if is_news {
+            self.desk.set_engines(now, &self.known);
+        }
+    }
+
+    /// Sends a prompt to an engine, if one is open.
+    pub fn send(&mut self, prompt: &Prompt, now: u64) -> Sent {
+        self.take_limits(now);
+        let Some((engine, placement)) = self.choose(prompt, now) else {
+            let opens = self.desk.next_opening(now);
+            return Sent::OpensAt(opens.unwrap_or(now + 1));
+        };
         let to_read = self.tokens_to_read(engine, prompt, now);
         let state = &mut self.engines[engine];
         state.running += 1;
@@ -95,7 +127,7 @@
         let crowd = 1.0 + f64::from(state.running) / f64::from(self.model.slots);
         let event_ms = self.model.event_ms * crowd;
         let first = state.reads_until + event_ms;
-        Some(Run {
+        Sent::Runs(Run {
             engine,
             placement,
             first_event_at: first as u64,
--- a/crates/bench/src/day/model.rs
+++ b/crates/bench/src/day/model.rs
@@ -103,6 +103,8 @@
     },
     /// Some workers of a pool fail every call.
     Down { pool: usize, workers: usize },
+    /// Some engines name so many requests a second as their limit.
+    Limited { engines: usize, per_s: f64 },
     /// All entries are gone: what is under way is lost, and requests that come
     /// meanwhile are taken when it is over.
     Restart,
@@ -129,6 +131,17 @@
         troubles.filter(|trouble| trouble.kind == TroubleKind::Restart)
     }
 
+    /// Requests a second that an engine names as its limit at a moment; the lowest, where
+    /// troubles overlap.
+    pub fn engine_limit(&self, engine: usize, at_ms: u64) -> Option<f64> {
+        let on = self.troubles.iter().filter(|trouble| trouble.is_on(at_ms));
+        let limits = on.filter_map(|trouble| match trouble.kind {
+            TroubleKind::Limited { engines, per_s } if engine < engines => Some(per_s),
+            _ => None,
+        });
+        limits.min_by(f64::total_cmp)
+    }
+
     /// Reads a scenario; every fault of the file is named.
     pub fn read(path: &Path) -> Result<Self, Faults> {
         Self::parse(&read_source(path)?)
@@ -219,9 +232,16 @@
                 pool: self.pool_at(section),
                 workers: workers(),
             },
+            "limited" => TroubleKind::Limited {
+                engines: section.number("engines", 1, 1..=10_000),
+                per_s: section.number("per_s", 1.0, 0.0..=1e6),
+            },
             "restart" => TroubleKind::Restart,
             _ => {
-                section.fault("what", "is not known; use burst, slow, down or restart");
+                section.fault(
+                    "what",
+                    "is not known; use burst, slow, down, limited or restart",
+                );
                 return;
             }
         };
--- a/crates/bench/src/day/world/answers.rs
+++ b/crates/bench/src/day/world/answers.rs
@@ -1,19 +1,35 @@
 //! A request at its engine, from its prompt to its last event.
 
-use super::super::engines::Prompt;
+use super::super::engines::{Prompt, Sent};
 use super::super::report::End;
 use super::{Event, Request, RequestKey, World};
 
 impl World<'_> {
     /// Sends a request whose stages are done to an engine.
     pub(super) fn send_to_engine(&mut self, key: RequestKey) {
-        let prompt = self.prompt(&self.requests[key]);
-        let Some(run) = self.engines.send(&prompt, self.now) else {
+        let Some(request) = self.requests.get(key) else {
             return;
         };
-        self.requests[key].run = Some(run);
-        self.schedule(run.first_event_at, Event::AnswerBegins(key));
-        self.schedule(run.ends_at, Event::RunEnds(key));
+        match self.engines.send(&self.prompt(request), self.now) {
+            Sent::Runs(run) => {
+                self.requests[key].run = Some(run);
+                self.schedule(run.first_event_at, Event::AnswerBegins(key));
+                self.schedule(run.ends_at, Event::RunEnds(key));
+            }
+            Sent::OpensAt(at) => self.wait_for_engine(key, at),
+        }
+    }
+
+    /// Waits until an engine opens, for half of the time in which the answer is in time;
+    /// a request that can't have its turn by then is refused.
+    fn wait_for_engine(&mut self, key: RequestKey, opens_at: u64) {
+        let request = &self.requests[key];
+        let latest = request.begun + self.kind(request.attempt).target_ms / 2;
+        if opens_at <= latest {
+            self.schedule(opens_at.max(self.now + 1), Event::AsksForEngine(key));
+        } else if let Some(attempt) = self.drop_request(key) {
+            self.refuse(attempt);
+        }
     }
 
     fn prompt(&self, request: &Request) -> Prompt {
--- a/crates/bench/src/day/world/mod.rs
+++ b/crates/bench/src/day/world/mod.rs
@@ -96,6 +96,7 @@
 enum Event {
     Arrives(Attempt),
     CallEnds { pool: usize, worker: usize },
+    AsksForEngine(RequestKey),
     AnswerBegins(RequestKey),
     RunEnds(RequestKey),
     CallerLeaves(RequestKey),
@@ -206,6 +207,7 @@
             match event {
                 Event::Arrives(attempt) => self.arrive(attempt),
                 Event::CallEnds { pool, worker } => self.end_call(pool, worker),
+                Event::AsksForEngine(key) => self.send_to_engine(key),
                 Event::AnswerBegins(key) => self.first_event(key),
                 Event::RunEnds(key) => self.end_run(key),
                 Event::CallerLeaves(key) => self.caller_leaves(key),
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod day;
 mod groups;
 mod history;
+mod limited;
 mod scenario;
 
 use std::path::Path;
