Greet entries that come by those who told before them, and space what is told of limits

A newcomer may be the next to tell for a target (an entry that starts again under its host's name is), and then nobody greeted it: the greeting comes from whoever told without the newcomers. A limit that is another one in each answer was told to all each time: now at once, and then once in 250 ms (fleet::Spacing). An entry that knows of no others, as where the store is away at its start, uses a tenth.

One test of stage workers failed once after that change: 4 calls in 6.5 s at a worker that takes 2 a second, 6 asked for. Traced: the stand-ins answered at once, so the worker beside it was nearly always free and, with fewer results not yet given up, the less burdened one; nothing was kept from callers. The stand-ins take now what the configuration says, so that both are needed; the check is as it was.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod ownership;
 mod readers;
 mod returning_store;
+mod spacing;
 mod standing;
 mod target_book;
 mod watch_log;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -206,6 +206,11 @@
         (known.id != peer.id).then_some(known.id)
     }
 
+    /// True once a list of entries came.
+    pub fn is_listed(&self) -> bool {
+        self.first_listed.get().is_some()
+    }
+
     /// Live entries, this one included; at least 1.
     pub fn count(&self) -> usize {
         self.live.borrow().len().max(1)
@@ -232,12 +237,26 @@
 
     /// The owner of `what` among the entries that aren't under suspicion.
     pub fn owner_of(&self, cx: &Rc<Traffic>, what: &str) -> Owner {
+        match self.owner_without(cx, what, &[]) {
+            Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, &peer)),
+            _ => Owner::Me,
+        }
+    }
+
+    /// The same without some of them; `None` where no entry is known.
+    pub fn owner_without(
+        &self,
+        cx: &Traffic,
+        what: &str,
+        without: &[PeerId],
+    ) -> Option<PeerRecord> {
         let now = cx.clock.now();
         let suspects = self.suspects.borrow();
         let live = self.live.borrow();
         let usable: Vec<&PeerRecord> = live
             .iter()
             .filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now))
+            .filter(|peer| !without.contains(&peer.id))
             .collect();
         let slow = self.slow.borrow();
         let is_slow = |peer: &PeerRecord| match peer.id == cx.me.id {
@@ -249,11 +268,7 @@
             capacity: peer.capacity,
             is_slow: is_slow(peer),
         });
-        let owner = ownership::owner(what, candidates).map(|at| usable[at]);
-        match owner {
-            Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, peer)),
-            _ => Owner::Me,
-        }
+        ownership::owner(what, candidates).map(|at| usable[at].clone())
     }
 
     /// The link to a peer, made when there is none.
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -25,6 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_fleet::Tell;
 use hollowsail_observe::events;
 use hollowsail_platform::heads::{NamedLimit, TargetHead, UnreadableWord, OTHER_INCARNATION};
 use hollowsail_platform::targets::Incarnation;
@@ -32,7 +33,7 @@
 use hollowsail_targets::{LimitWord, Target};
 use http::StatusCode;
 
-use crate::peers::{Link, Message, Owner, PeerRecord, ToldLimit};
+use crate::peers::{Link, Message, Owner, PeerId, PeerRecord, ToldLimit};
 use crate::traffic::Traffic;
 
 /// How long an entry waits for a target's record to say what its answer said, before it
@@ -107,14 +108,32 @@
     if is_news {
         log_limit(cx, start, word, by);
         if by == "answer" {
-            have_limit_told(cx, start, word);
+            have_limit_told_spaced(cx, start);
         }
     }
     is_news
 }
 
-/// Has all entries told what a start says of its limit.
-fn have_limit_told(cx: &Rc<Traffic>, start: &Incarnation, word: LimitWord) {
+/// Has all entries told what a start says of its limit, once a pause after the last time.
+fn have_limit_told_spaced(cx: &Rc<Traffic>, start: &Incarnation) {
+    match cx.limit_news.changed(cx.clock.now(), start) {
+        Tell::Now => have_limit_told(cx, start),
+        Tell::At(at) => {
+            let (cx, start) = (cx.clone(), start.clone());
+            actix_rt::spawn(async move {
+                tokio::time::sleep_until(cx.clock.timer(at).into()).await;
+                cx.limit_news.told(cx.clock.now(), &start);
+                have_limit_told(&cx, &start);
+            });
+        }
+        Tell::IsDue => {}
+    }
+}
+
+fn have_limit_told(cx: &Rc<Traffic>, start: &Incarnation) {
+    let Some(word) = cx.targets().limit_word(start) else {
+        return;
+    };
     match teller_of(cx, start) {
         Owner::Me => tell_limit_to_all(cx, start),
         Owner::Peer(link) => link.send(limit_message(cx, start, word, true)),
@@ -141,7 +160,7 @@
         heard: now.saturating_sub(told.heard_ms),
     };
     if take_limit(cx, start, word, "peer") && tell_others {
-        tell_limit_to_all(cx, start);
+        have_limit_told_spaced(cx, start);
     }
 }
 
@@ -154,12 +173,14 @@
     }
 }
 
-/// Tells entries that have just come which limits are in force, as far as this one tells
-/// for their targets.
+/// Tells entries that have just come which limits are in force, as far as this one told for
+/// their targets before they came: a newcomer may be the next that tells for a target.
 pub fn greet(cx: &Rc<Traffic>, newcomers: &[&PeerRecord]) {
     let limited = cx.targets().limited();
+    let ids: Vec<PeerId> = newcomers.iter().map(|peer| peer.id).collect();
     for (start, word) in limited {
-        if !matches!(teller_of(cx, &start), Owner::Me) {
+        let teller = cx.peers.owner_without(cx, &word_name(&start), &ids);
+        if teller.is_none_or(|teller| teller.id != cx.me.id) {
             continue;
         }
         let others = newcomers.iter().filter(|peer| peer.id != cx.me.id);
@@ -185,7 +206,12 @@
 
 /// The one entry that tells all others what a start says of itself.
 fn teller_of(cx: &Rc<Traffic>, start: &Incarnation) -> Owner {
-    cx.peers.owner_of(cx, &format!("words/{}", start.id))
+    cx.peers.owner_of(cx, &word_name(start))
+}
+
+/// By which the one entry is found that tells what a start says of itself.
+fn word_name(start: &Incarnation) -> String {
+    format!("words/{}", start.id)
 }
 
 /// A peer says that a target leaves, and that this entry is to tell all others or not.
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/tenure.rs
@@ -31,6 +31,9 @@
     /// Looks who the owner of `what` is now. Whoever wants to know of every change looks
     /// whenever the entries change.
     pub fn look(&self, cx: &Rc<Traffic>, what: &str) -> LimitPart {
+        if !cx.peers.is_listed() {
+            return LimitPart::unlisted();
+        }
         let now = cx.clock.now();
         let is_mine = matches!(cx.peers.owner_of(cx, what), Owner::Me);
         let known = match self.known.get() {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hollowsail_fleet::Spacing;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
@@ -32,6 +33,10 @@
 /// earned; and entries that don't know of each other each take a whole share.
 const EXTRA_SHARE: f64 = 0.5;
 
+/// Between two messages to the other entries on one target's limit, in milliseconds: it may
+/// be another one in each answer.
+const TELL_LIMITS_EVERY_MS: Millis = 250;
+
 /// How far a planned stop is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stopping {
@@ -59,6 +64,8 @@
     pub pools: Pools,
     pub placements: Placements,
     pub crashes: Crashes,
+    /// When targets' limits were told to the others.
+    pub limit_news: Spacing<Incarnation>,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent times of whole requests, by the service's name.
@@ -101,6 +108,7 @@
                 pools: Pools::default(),
                 placements: Placements::default(),
                 crashes,
+                limit_news: Spacing::new(TELL_LIMITS_EVERY_MS),
                 view: RefCell::new(published.load()),
                 published,
                 feeds,
--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -27,6 +27,8 @@
 
 /// The span over which operators count what a target gets.
 const SPAN: Duration = Duration::from_secs(4);
+/// What a call for pieces takes, by the configuration and in fact, in milliseconds.
+const WORK_MS: u64 = 60;
 /// Time after a limit is first named until all heed it.
 const HEEDED_WITHIN: Duration = Duration::from_millis(500);
 
@@ -34,7 +36,7 @@
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
     DeploymentJson::new(1)
         .engines("engines")
-        .stage_service("encoders", 8, 20.0, 10.0)
+        .stage_service("encoders", 8, WORK_MS as f64, 10.0)
         .service("plain")
         .route("/a/", "safe", "plain", json!({ "max_attempts": 3 }))
         .route("/once/", "stream", "engines", json!({}))
@@ -130,6 +132,10 @@
         None => head,
     };
     let mut steps = vec![Step::Write(head)];
+    if seen.path == "/-/stage-run" {
+        // Long enough that one worker isn't always free for the next piece.
+        steps.insert(0, Step::Wait(Duration::from_millis(WORK_MS)));
+    }
     if is_stream {
         steps.push(Step::Write(chunk(&event(1))));
         steps.push(Step::Write(last_chunk()));
@@ -480,6 +486,41 @@
     entries_come_and_go(STAGE_WORKERS).await;
 }
 
+/// Each entry is stopped and started again, one after the other: whoever owns the desk, and
+/// whoever tells of the target, is one that has just started at some time.
+async fn all_entries_restart(kind: Kind) {
+    let mut fleet = Fleet::start(kind, 2).await;
+    let named = fleet.busiest().names("1");
+    fleet.demand(30, Duration::from_secs(2)).await;
+    for number in 0..3 {
+        let stopping = actix_rt::spawn(fleet.entries.remove(0).stop());
+        let others = fleet.callers();
+        fleet.add_entry(&format!("host-{number}")).await;
+        let got = demand(others, kind.call, 30, Duration::from_secs(2)).await;
+        assert_eq!(served(&got), got.len(), "the other one serves");
+        stopping.await.expect("it ends");
+    }
+    let limited = |target: &&Limited| target.named.borrow().is_some();
+    let limited = fleet.targets.iter().find(limited).expect("one names it");
+    let most = limited.most_in_span(named + HEEDED_WITHIN);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
+#[actix_rt::test]
+async fn entries_that_start_again_add_nothing() {
+    all_entries_restart(PLAIN).await;
+}
+
+#[actix_rt::test]
+async fn entries_that_start_again_add_nothing_at_engines() {
+    all_entries_restart(ENGINES).await;
+}
+
+#[actix_rt::test]
+async fn entries_that_start_again_add_nothing_at_workers_of_stages() {
+    all_entries_restart(STAGE_WORKERS).await;
+}
+
 #[actix_rt::test]
 async fn a_target_that_starts_again_has_no_limit() {
     let fleet = Fleet::start(PLAIN, 1).await;
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -17,9 +17,12 @@
 const SETTLED_SHARE: f64 = 0.95;
 /// Share of an owner that is new.
 const NEW_SHARE: f64 = 0.5;
+/// Share of an entry that knows of no others, as where the store is away at its start: they
+/// may all take themselves for the owner.
+const UNLISTED_SHARE: f64 = 0.1;
 /// Requests that a settled owner lets through at once after a lull.
 const SETTLED_BURST: f64 = 2.0;
-/// The same for a new owner.
+/// The same for any other.
 const NEW_BURST: f64 = 1.0;
 /// How long an owner is new, in milliseconds: entries agree on owners again long before,
 /// but for one that is suspected as often as can be, which lasts this long and a hop.
@@ -50,6 +53,14 @@
         }
     }
 
+    /// That of an entry that doesn't know the others.
+    pub fn unlisted() -> Self {
+        LimitPart {
+            share: UNLISTED_SHARE,
+            burst: NEW_BURST,
+        }
+    }
+
     /// Requests a second that the sender may make of a limit.
     pub fn rate(&self, per_s: f64) -> f64 {
         per_s.max(LEAST_PER_S) * self.share
--- a/crates/targets/src/limit_word.rs
+++ b/crates/targets/src/limit_word.rs
@@ -62,7 +62,10 @@
         match same.find(|known| known.per_s == word.per_s) {
             Some(known) => {
                 known.asked = known.asked.max(word.asked);
-                known.heard = known.heard.max(word.heard);
+                // Of a limit's end the first word counts: it is told and kept for a while.
+                if known.per_s.is_some() {
+                    known.heard = known.heard.max(word.heard);
+                }
             }
             None => self.words.push(word),
         }
