--- a/crates/gateway/src/control/era.rs
+++ b/crates/gateway/src/control/era.rs
@@ -37,8 +37,8 @@
 /// How long a hall that the store lost stays emptied: operators write it again within
 /// seconds, and a hall that nobody wants emptied costs its targets for as long.
 const HALL_KEPT: Duration = Duration::from_secs(60);
-/// Time over which entries spread what they write and read again: 300 of them take a lease
-/// and write a record, 600 calls, where a store for as many takes 3,200 writes a second.
+/// Time over which entries spread what they write and read again: each takes a lease and
+/// writes a record, and together they stay well below what a store of their size takes.
 pub const SPREAD: Duration = Duration::from_millis(300);
 
 /// How long records of targets prove nothing.
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -13,10 +13,9 @@
 
 /// How long the record of an entry that fell silent stays. Peers notice a dead one
 /// sooner, when it owes them an answer, and a planned stop ends the lease. An entry that
-/// the store alone can't reach serves on, so its record must outlast that: when 31 of 89
-/// entries were cut off from the store for 12 s, among them the owner of a queue, those
-/// that saw its record lapse (6 s) took another entry for the owner and the others did
-/// not, and both sent calls to the same workers.
+/// the store alone can't reach serves on, so its record must outlast that: else those that
+/// see the record of a queue's owner lapse take another entry for the owner, those that
+/// are cut off don't, and both send calls to the same workers.
 pub(super) const LEASE: Duration = Duration::from_secs(30);
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
@@ -28,8 +27,8 @@
 /// The same while others hear from the store through this entry: they have to know soon
 /// when it doesn't hear itself. A renewal costs a tenth of other calls.
 const RENEW_FOR_OTHERS_EVERY: Duration = Duration::from_millis(500);
-/// How long the store may owe the answer to a renewal before others are told. Its slow
-/// days take some 370 ms for an answer.
+/// How long the store may owe the answer to a renewal before others are told: longer than
+/// it takes while it is slow.
 const ANSWERED_WITHIN: Duration = Duration::from_millis(600);
 
 /// Keeps the record of this entry until a planned stop.
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -35,8 +35,8 @@
 
 impl Control {
     /// Takes a part of the records from the store, so that requests are served by the
-    /// targets known so far. When 295 hosts that start together read 3,000 records each,
-    /// the whole list takes 2.1 to 2.6 s on the store's link, a page of 50 some 0.04 s.
+    /// targets known so far. Where hundreds of hosts start together and read thousands of
+    /// records each, the whole list takes seconds on the store's link.
     fn take_some_records(&self, items: &[Item]) {
         let mut changed = false;
         for item in items {
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -33,8 +33,7 @@
 const ALONE_WAIT: Duration = Duration::from_secs(17);
 /// The same for a reader, on which others rely, as a part of the time for which what
 /// operators write may be unknown: a watch on a connection that fell silent while others
-/// work has to be given up within it, 0.9 s after its wait, and the list read again. With
-/// waits of 2 s a configuration that has to be in force within 2 s took 2.75 s at a reader.
+/// work has to be given up within it, some time after its wait, and the list read again.
 pub const READER_WAIT_SHARE: f64 = 0.4;
 /// The same shortly after the start, when most entries of the hall aren't known yet.
 const FIRST_WAIT: Duration = Duration::from_millis(1_500);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -43,12 +43,11 @@
 
 /// How long after its first list of entries this entry decides on owners, in
 /// milliseconds. In a fleet that starts together, those on the list are the few that
-/// were faster; at the second look most are there. Without it a queue had 58 owners in
-/// the first second of a fleet of 295, whose calls held up each other's.
+/// were faster; at the second look most are there. Without it a queue has dozens of owners
+/// in the first second, whose calls hold up each other's.
 const SETTLE_MS: Millis = 200;
-/// The same without a list, after the start: the store may be away. A list of 700 runs,
-/// half of them ended, took 0.5 s where 350 hosts started together; 45 of them owned one
-/// queue when they waited no longer than that.
+/// The same without a list, after the start: the store may be away. Where hundreds start
+/// together a list takes half a second, and those that wait no longer own what others own.
 const SETTLE_UNLISTED_MS: Millis = 1_500;
 
 /// Who owns something.
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -30,9 +30,8 @@
 pub use placed::Placed;
 
 /// Engines in a group at most. A part is kept by one engine of its group, so fewer groups
-/// read fewer parts again: at 140 engines, days with trouble earned 0.476 of their worth with
-/// one group and 0.461 with groups of 32 (means of five days). The owner of the one desk
-/// needs less than 0.1 of a core for 300 generations a second; no larger pool was measured.
+/// read fewer parts again; one owner's processor bears hundreds of generations a second. No
+/// larger pool was measured.
 const GROUP_ENGINES: usize = 512;
 /// Longest wait for a desk's answer; a hop takes about two milliseconds, and
 /// choosing alone costs less than waiting much longer.
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -36,9 +36,7 @@
 /// Targets in a queue at most: enough that one is nearly always about to be
 /// free in the hall where a result is wanted, and that a service whose targets come
 /// back one by one isn't split anew meanwhile; few enough for one owner's processor
-/// and link at a service of hundreds. With 42 targets in a queue its owner needs 0.11 of
-/// a core (0.06 with 24 at most). Of 1,180 requests that came 2.5 to 4.5 s after a whole
-/// fleet of 295 hosts had lost power, 202 were late instead of 436 (a play each).
+/// and link at a service of hundreds.
 const QUEUE_TARGETS: usize = 64;
 /// Age at which an owner's word on its queue is of no use, in milliseconds:
 /// about the time in which a whole queue turns over.
--- a/crates/gateway/src/pools/worker_end.rs
+++ b/crates/gateway/src/pools/worker_end.rs
@@ -20,9 +20,7 @@
 
 /// Workers that end under a piece until it shares no call with other requests'. With the
 /// first one a whole call ends, of which one piece at most is to blame: made one by one at
-/// once, the pieces of workers that ended for their own reasons earn 0.08 less of their
-/// worth (0.675 instead of 0.757, two plays each of a day on which four times a third of
-/// a stage service's workers end).
+/// once, the pieces of workers that ended for their own reasons come late.
 const ENDED_TO_GO_ALONE: u32 = 2;
 
 /// Finds out whether the worker of a call that broke off has ended. Then that counts for
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -34,7 +34,7 @@
 /// When to come back to another entry: at once, but not in step.
 const ELSEWHERE_AFTER: Duration = Duration::from_millis(50);
 /// How long a request waits at an entry that has just started for its first
-/// configuration. That comes some 20 ms after the start when the store answers;
+/// configuration. That comes a few hops after the start when the store answers;
 /// refused instead, all callers of a fleet that starts together come back a second
 /// later, too late for their targets.
 const CONFIGURATION_WITHIN: Duration = Duration::from_millis(300);
@@ -194,8 +194,8 @@
 }
 
 /// Among requests of equal priority the route's decides: where all organisations have
-/// the same, each route would else wait behind all others, and where stages are full
-/// the dearest requests earn 0.012 less of their worth.
+/// the same, each route would else wait behind all others, and where stages are full the
+/// dearest requests come late.
 fn urgency(priority: u8, of_route: u8) -> u8 {
     priority.min(MOST_PRIORITY) * (MOST_PRIORITY + 1) + of_route.min(MOST_PRIORITY)
 }
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -20,8 +20,7 @@
 use crate::traffic::Traffic;
 
 /// Time before its target latency by which a request has to be foreseen to end:
-/// more urgent ones come after it and go before it. By the emulated days, where
-/// 350 ms refuse too many on calm days.
+/// more urgent ones come after it and go before it. Much more refuses callers on calm days.
 const MARGIN: Duration = Duration::from_millis(150);
 /// Shortest time to come back.
 const LEAST_AFTER: Duration = Duration::from_millis(250);
--- a/crates/gateway/src/request/passing.rs
+++ b/crates/gateway/src/request/passing.rs
@@ -107,7 +107,7 @@
     /// The prompt is read, so what it started from is given up: a stream that has
     /// to go on elsewhere has it made again, which is rare, while results kept to
     /// the end of every stream fill their makers' memory. Given up here, requests
-    /// with large results earn 0.1 to 0.2 more of their worth where that memory is scarce.
+    /// with large results come late where that memory is scarce.
     fn first_event_seen(&mut self) {
         if !std::mem::replace(&mut self.has_begun, true) {
             self.answered.in_flight.prompt_read();
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -8,9 +8,8 @@
 //! sent nothing meanwhile tells nobody.
 //!
 //! An answer of another start at a target's address says that the one which was asked has
-//! ended, and is taken and told in the same way: 108 of 1,100 requests of a day were turned
-//! away, one after the other, at addresses whose engines had ended while the store was
-//! silent.
+//! ended, and is taken and told in the same way: else requests are turned away, one after
+//! the other, at addresses whose engines ended while the store was silent.
 //!
 //! A target in need names how many requests a second it takes from all entries together.
 //! No record says that, so whoever hears it has all others told in the same way, at once:
--- a/crates/routing/src/crash_ledger.rs
+++ b/crates/routing/src/crash_ledger.rs
@@ -31,23 +31,20 @@
 pub const CRASHES_TO_REFUSE: u32 = 3;
 /// How long a request is refused at first, in milliseconds. Then it runs once more, apart
 /// from others: a good one that was blamed for a fatal one is served, and the fatal one
-/// costs a target and is refused for twice as long. Emulated minutes with three fatal
-/// requests at once blame 25 of 72,000 good ones, with one or two none.
+/// costs a target and is refused for twice as long.
 pub const FIRST_REFUSED_MS: Millis = 60 * 1_000;
 /// The same at most, in milliseconds: ten minutes, the longest lease of the store that
 /// keeps the refusal. One target in ten minutes is what a fatal request costs for good.
 pub const MOST_REFUSED_MS: Millis = 10 * 60 * 1_000;
 /// How much sooner than the end of the run before it a run may seem sent and still have
 /// followed it, in milliseconds: times of two runs are told by different entries, or on a
-/// link that has to come up first. 7 ms were seen on one machine; hosts in a burst lag by
-/// dozens.
+/// link that has to come up first; hosts in a burst lag by dozens.
 const WORD_TAKES_MS: Millis = 100;
 /// How long a crash counts without another one, in milliseconds: an hour, several times
 /// [`MOST_REFUSED_MS`], so that a refusal that is over is remembered.
 const REMEMBERED_MS: Millis = 60 * 60 * 1_000;
-/// Requests remembered at most; then the quarter goes that is untouched for the longest.
-/// With 16 bytes of digest and 24 of account each, in a table of 8,192 places, that is 0.34
-/// MB. A target ends with up to 64 requests.
+/// Requests remembered at most; then the quarter goes that is untouched for the longest. They
+/// take a third of a megabyte; a target ends with up to 64 requests.
 const MOST_REMEMBERED: usize = 5_000;
 
 /// What is known of a request.
--- a/crates/routing/src/pace.rs
+++ b/crates/routing/src/pace.rs
@@ -11,11 +11,10 @@
 /// Weight of the newest timer in the lateness.
 const NEW_WEIGHT: f64 = 0.2;
 /// Lateness from which on a process is slow, in milliseconds. Well processes are late by
-/// one or two; the owner of a busy queue on a host that had turned seven times slower, by
-/// 20 to 60.
+/// one or two; the owner of a busy queue on a host that turned slow, by dozens.
 const SLOW_MS: f64 = 16.0;
 /// Most that one timer counts, in milliseconds: a long list that is read once, as at a
-/// start, makes one timer late by 100 and more, and says nothing of the host.
+/// start, makes one timer late by far, and says nothing of the host.
 const MOST_LATE_MS: Millis = 40;
 /// Lateness below which it may be well again, in milliseconds.
 const WELL_MS: f64 = 4.0;
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -114,7 +114,7 @@
 
     /// True when a piece may be made in a hall by now. It waits only for a worker of
     /// its own hall that is about to be free: waiting for none saves no move, and
-    /// makes the dearest requests late (0.065 of them instead of 0.056).
+    /// makes the dearest requests late.
     fn is_wanted_in(&self, hall: HallKey, key: PieceKey, now: Millis) -> bool {
         let piece = &self.pieces[key];
         let waits_for = piece.order.hall.filter(|wanted| *wanted != hall);
@@ -148,7 +148,7 @@
         }
         let is_late = order.due < soonest && !order.holds_inputs;
         // What can wait for a call lets the less urgent that can't go first: strictly by
-        // priority these earn 0.03 less of their worth, and the urgent no more.
+        // priority these come late, and the urgent gain nothing.
         let next_call = self.rules.expected_ms(self.rules.batch) as Millis;
         if !is_late && order.due < soonest + next_call {
             return Turn::LastChance {
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -48,8 +48,8 @@
 /// wanted, in milliseconds.
 const HALL_PATIENCE_MS: Millis = 60;
 /// The same at most, in milliseconds: less than a call, since the time that a piece
-/// waits is missed in the stages after. In paired plays 100 ms moved twice the bytes
-/// of 200, and 450 ms made the dearest requests late.
+/// waits is missed in the stages after. Much less moves more bytes between halls, more
+/// makes the dearest requests late.
 const MOST_HALL_PATIENCE_MS: Millis = 300;
 
 /// Priority, due time, order of arrival: pieces that arrive together stay
--- a/crates/stages/src/graph.rs
+++ b/crates/stages/src/graph.rs
@@ -80,8 +80,7 @@
     }
 
     /// A final stage waits for the other final ones: made sooner, its results would
-    /// only fill their makers' memory while a longer way is gone. It gains 0.01
-    /// to 0.03 of the worth where large results stand beside a chain of three stages.
+    /// only fill their makers' memory while a longer way is gone.
     fn may_start(&self, stage: usize) -> bool {
         match self.is_needed(stage) || !self.joint_finals {
             true => self.has_inputs(stage),
