Emulate the platform as a program, and run a soak of real gateways on it

hollowsail-bench platform is the store, targets of all kinds and what goes wrong with them in one process, with an account of its own of what targets got. hollowsail-bench soak plays a drawn plan before it: the store silent, targets that end, leave and name limits, a route added, gateways killed, stopped and paused under callers that keep their connections.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -5,7 +5,9 @@
 mod day;
 mod decision;
 mod overhead;
+mod platform;
 mod run;
+mod soak;
 
 use argh::FromArgs;
 use hollowsail_bench::run::BenchError;
@@ -19,7 +21,9 @@
     Day(day::Arguments),
     Decision(decision::Arguments),
     Overhead(overhead::Arguments),
+    Platform(platform::Arguments),
     Run(run::Arguments),
+    Soak(soak::Arguments),
 }
 
 impl Command {
@@ -30,7 +34,9 @@
             Command::Day(arguments) => arguments.run().await,
             Command::Decision(arguments) => arguments.run().await,
             Command::Overhead(arguments) => arguments.run().await,
+            Command::Platform(arguments) => arguments.run().await,
             Command::Run(arguments) => arguments.run().await,
+            Command::Soak(arguments) => arguments.run().await,
         }
     }
 }
--- /dev/null
+++ b/crates/bench/src/commands/platform.rs
@@ -0,0 +1,34 @@
+//! `hollowsail-bench platform`
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use hollowsail_bench::run::BenchError;
+use hollowsail_bench::soak;
+use hollowsail_platform_emulator::{Emulator, Event, Events};
+use tokio::io::AsyncReadExt;
+
+/// emulate the users' platform on loopback until standard input ends: a store, targets and
+/// what goes wrong with them; events go to standard output, a line of JSON each
+#[derive(FromArgs)]
+#[argh(subcommand, name = "platform")]
+pub struct Arguments {
+    /// site file with halls, services, routes and troubles
+    #[argh(option)]
+    site: PathBuf,
+}
+
+impl Arguments {
+    pub async fn run(self) -> Result<bool, BenchError> {
+        let site = soak::read_site(&self.site).map_err(|source| BenchError::Scenario { source })?;
+        let events = Events::new(|line| println!("{line}"));
+        let emulator = Emulator::start(&site, events).await;
+        let store = emulator.store_addr().to_string();
+        emulator.account.events.tell(&Event::Ready { store });
+        let mut rest = Vec::new();
+        if let Err(err) = tokio::io::stdin().read_to_end(&mut rest).await {
+            log::warn!("standard input can't be read: {err}");
+        }
+        Ok(emulator.account.broken().is_empty())
+    }
+}
--- /dev/null
+++ b/crates/bench/src/commands/soak.rs
@@ -0,0 +1,63 @@
+//! `hollowsail-bench soak`
+
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use hollowsail_bench::run::BenchError;
+use hollowsail_bench::soak::{self, SoakOptions};
+
+/// run real gateways before an emulated platform under a drawn plan of faults, and check
+/// what callers and targets see
+#[derive(FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub struct Arguments {
+    /// seed of the plan and of the callers
+    #[argh(option, default = "1")]
+    seed: u64,
+
+    /// how many seeds to run, one after the other, from the first on
+    #[argh(option, default = "1")]
+    seeds: u64,
+
+    /// length of a run in seconds, 20 at least
+    #[argh(option, default = "60")]
+    seconds: u64,
+
+    /// gateways
+    #[argh(option, default = "3")]
+    entries: usize,
+
+    /// callers, each with a connection of its own
+    #[argh(option, default = "24")]
+    callers: usize,
+
+    /// the hollowsail program; beside this one when absent
+    #[argh(option)]
+    program: Option<PathBuf>,
+
+    /// folder for settings, output and events; a new one under target when absent
+    #[argh(option)]
+    folder: Option<PathBuf>,
+}
+
+impl Arguments {
+    pub async fn run(self) -> Result<bool, BenchError> {
+        let mut all_good = true;
+        for seed in self.seed..self.seed + self.seeds {
+            let options = SoakOptions {
+                seed,
+                seconds: self.seconds,
+                entries: self.entries,
+                callers: self.callers,
+                program: self.program.clone(),
+                folder: self.folder.clone(),
+            };
+            let report = soak::run(&options)
+                .await
+                .map_err(|source| BenchError::Soak { source })?;
+            println!("{report}");
+            all_good &= report.is_good();
+        }
+        Ok(all_good)
+    }
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod soak;
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -19,6 +19,7 @@
 use crate::load::Callers;
 use crate::report::RunReport;
 use crate::scenario::Scenario;
+use crate::soak::SoakError;
 
 /// One event of a stand-in's stream stands for this many tokens: the machine
 /// that runs the bench could not carry them one by one.
@@ -34,6 +35,8 @@
     Start { source: LocalError },
     #[snafu(display("{source}"))]
     Scenario { source: Faults },
+    #[snafu(display("{source}"))]
+    Soak { source: SoakError },
     #[snafu(display("{message}"))]
     Usage { message: String },
 }
--- /dev/null
+++ b/crates/bench/src/soak/callers.rs
@@ -0,0 +1,226 @@
+//! Callers that keep their connections, come back when told to, and sometimes leave.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use tokio::task::JoinHandle;
+
+use super::plan::SoakPlan;
+use super::processes::Fleet;
+use super::SoakOptions;
+
+/// Mean pause between two requests of a caller.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Part of the requests whose callers leave early, and after which time at the most.
+const LEAVES_SHARE: f64 = 0.04;
+const LEAVES_WITHIN_MS: u64 = 120;
+/// How long a caller waits for an answer at the most beyond its deadline.
+const PATIENCE: Duration = Duration::from_secs(2);
+
+/// A route as callers use it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Use {
+    Safe,
+    Once,
+    Answers,
+}
+
+impl Use {
+    /// When an answer is due, however it ends, in milliseconds.
+    pub fn timeout_ms(self) -> u64 {
+        match self {
+            Use::Safe | Use::Once => 3_000,
+            Use::Answers => 6_000,
+        }
+    }
+
+    fn request(self, id: String) -> CallerRequest {
+        let (path, prompt_tokens, pieces) = match self {
+            Use::Safe => ("/safe/plain/x", None, Vec::new()),
+            Use::Once => ("/once/x", None, Vec::new()),
+            Use::Answers => ("/answers/x", Some(1_000), vec![1]),
+        };
+        CallerRequest {
+            id,
+            path: path.to_string(),
+            deadline_ms: self.timeout_ms(),
+            prompt_tokens,
+            pieces,
+        }
+    }
+}
+
+/// One attempt of a caller.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub id: String,
+    pub of: Use,
+    pub entry: usize,
+    pub sent: Instant,
+    pub ended: Instant,
+    /// `None` when the caller left.
+    pub outcome: Option<Outcome>,
+}
+
+/// All callers of a run.
+pub struct Load {
+    shared: Rc<Shared>,
+    callers: Vec<JoinHandle<()>>,
+}
+
+struct Shared {
+    attempts: RefCell<Vec<Attempt>>,
+    is_over: Cell<bool>,
+}
+
+impl Load {
+    /// Starts the callers.
+    pub fn start(options: &SoakOptions, fleet: &Rc<Fleet>) -> Self {
+        let shared = Rc::new(Shared {
+            attempts: RefCell::default(),
+            is_over: Cell::new(false),
+        });
+        let callers = (0..options.callers).map(|number| {
+            let caller = Caller {
+                number,
+                rng: SmallRng::seed_from_u64(options.seed ^ ((number as u64 + 1) << 32)),
+                fleet: fleet.clone(),
+                shared: shared.clone(),
+                connection: None,
+                requests: 0,
+            };
+            actix_rt::spawn(caller.run())
+        });
+        Load {
+            callers: callers.collect(),
+            shared,
+        }
+    }
+
+    /// Lets what is under way end; all attempts.
+    pub async fn stop(self) -> Vec<Attempt> {
+        self.shared.is_over.set(true);
+        for caller in self.callers {
+            if let Err(err) = caller.await {
+                log::error!("a caller ended early: {err}");
+            }
+        }
+        self.shared.attempts.take()
+    }
+}
+
+struct Caller {
+    number: usize,
+    rng: SmallRng,
+    fleet: Rc<Fleet>,
+    shared: Rc<Shared>,
+    connection: Option<(usize, Connection)>,
+    requests: u64,
+}
+
+impl Caller {
+    async fn run(mut self) {
+        while !self.shared.is_over.get() {
+            let of = match self.rng.random_range(0..10) {
+                0..4 => Use::Safe,
+                4..6 => Use::Once,
+                _ => Use::Answers,
+            };
+            self.ask(of).await;
+            let pause = PAUSE.mul_f64(self.rng.random_range(0.0..2.0));
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Asks, and once more where that is allowed: after a refusal by the time that it was
+    /// told, and after any failure where the request may run again.
+    async fn ask(&mut self, of: Use) {
+        let pause = match self.attempt(of).await {
+            Some(Outcome::NotRun { after }) => after.unwrap_or(PAUSE),
+            Some(Outcome::Unknown { .. }) if of == Use::Safe => PAUSE,
+            _ => return,
+        };
+        if pause.as_millis() as u64 <= of.timeout_ms() / 3 {
+            tokio::time::sleep(pause).await;
+            self.connection = None;
+            self.attempt(of).await;
+        }
+    }
+
+    async fn attempt(&mut self, of: Use) -> Option<Outcome> {
+        let leaves = self.rng.random_bool(LEAVES_SHARE);
+        let longest = match leaves {
+            true => Duration::from_millis(self.rng.random_range(1..LEAVES_WITHIN_MS)),
+            false => Duration::from_millis(of.timeout_ms()) + PATIENCE,
+        };
+        self.connect().await;
+        let (entry, mut connection) = self.connection.take()?;
+        self.requests += 1;
+        let id = format!("{:08x}{:08x}", self.number + 1, self.requests);
+        let request = of.request(id.clone());
+        let sent = Instant::now();
+        let outcome = tokio::time::timeout(longest, connection.call(&request)).await;
+        let outcome = match outcome {
+            Ok(outcome) => Some(outcome),
+            Err(_) if leaves => None,
+            Err(_) => Some(Outcome::Unknown {
+                why: "no answer".to_string(),
+            }),
+        };
+        self.shared.attempts.borrow_mut().push(Attempt {
+            id,
+            of,
+            entry,
+            sent,
+            ended: Instant::now(),
+            outcome: outcome.clone(),
+        });
+        if outcome.is_some() && connection.is_open() {
+            self.connection = Some((entry, connection));
+        }
+        outcome
+    }
+
+    /// Sees to a connection that takes requests: the one that is there, or a new one.
+    async fn connect(&mut self) {
+        let is_open = |(_, connection): &(usize, Connection)| connection.is_open();
+        if self.connection.as_ref().is_some_and(is_open) {
+            return;
+        }
+        self.connection = None;
+        let ready = self.fleet.ready();
+        let (entry, at) = ready[self.rng.random_range(0..ready.len())];
+        match Connection::open(at).await {
+            Ok(connection) => self.connection = Some((entry, connection)),
+            Err(err) => {
+                log::debug!("caller {}: {err}", self.number);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks every gateway on the route that the operators added; those that don't know it.
+pub async fn ask_added_route(plan: &SoakPlan, fleet: &Fleet) -> Vec<String> {
+    let mut ignorant = Vec::new();
+    for (entry, at) in fleet.ready() {
+        let request = CallerRequest {
+            path: format!("{}x", plan.added_path()),
+            ..Use::Safe.request(format!("added-{entry}"))
+        };
+        let outcome = match Connection::open(at).await {
+            Ok(mut connection) => connection.call(&request).await,
+            Err(err) => Outcome::Unknown {
+                why: err.to_string(),
+            },
+        };
+        if outcome != Outcome::Whole {
+            ignorant.push(format!("gateway {entry} on the added route: {outcome:?}"));
+        }
+    }
+    ignorant
+}
--- /dev/null
+++ b/crates/bench/src/soak/processes.rs
@@ -0,0 +1,388 @@
+//! The platform and the gateways as processes: starting, signalling and watching them.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashSet;
+use std::fs::File;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use hollowsail_platform_emulator::caller;
+use hollowsail_platform_emulator::entry::{EntryPlace, SETTINGS_VARIABLE};
+use rustix::process::{kill_process, Pid, Signal};
+use serde::Deserialize;
+use snafu::ResultExt;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, ChildStdin, ChildStdout, Command};
+
+use super::plan::{EntryFault, PlannedFault, SoakPlan, DRAIN_MS};
+use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
+
+/// Longest time for the platform, and for a gateway, until it is up.
+const UP_WITHIN: Duration = Duration::from_secs(20);
+/// Longest time of a planned stop, in seconds.
+const GRACE_S: u32 = 6;
+/// Between two questions of the balancer.
+const ASK_EVERY: Duration = Duration::from_millis(300);
+/// Misses after which a gateway gets no new connections.
+const MOST_MISSES: u32 = 2;
+
+/// What was done to a gateway, and when.
+#[derive(Debug, Clone, Copy)]
+pub struct Disturbance {
+    pub entry: usize,
+    pub fault: EntryFault,
+    pub from: Instant,
+    /// Until it was ready again.
+    pub until: Instant,
+}
+
+/// What was seen of the processes.
+#[derive(Debug, Default)]
+pub struct Seen {
+    /// Requests on which a target began to work.
+    pub ran: HashSet<String>,
+    /// Promises that the platform's own account found broken.
+    pub broken: Vec<String>,
+    /// Processes that ended by themselves, and how.
+    pub ends: Vec<String>,
+    pub disturbances: Vec<Disturbance>,
+    pub begun: Option<Instant>,
+}
+
+/// A gateway and its place.
+struct Gateway {
+    place: EntryPlace,
+    child: RefCell<Option<Child>>,
+    misses: Cell<u32>,
+    starts: Cell<u32>,
+}
+
+/// All processes of a run.
+pub struct Fleet {
+    folder: PathBuf,
+    program: PathBuf,
+    gateways: Vec<Gateway>,
+    platform: RefCell<Option<(Child, ChildStdin)>>,
+    seen: Rc<RefCell<Seen>>,
+    begun: Instant,
+    is_over: Cell<bool>,
+}
+
+/// A line of the platform's events.
+#[derive(Deserialize)]
+struct EventLine {
+    event: String,
+    store: Option<String>,
+    request: Option<String>,
+    promise: Option<String>,
+    what: Option<String>,
+}
+
+impl Fleet {
+    /// Starts the platform and all gateways, and waits until they are ready.
+    pub async fn start(options: &SoakOptions, plan: &SoakPlan) -> Result<Self, SoakError> {
+        let folder = folder_for(options)?;
+        let site = folder.join("site.ini");
+        std::fs::write(&site, &plan.site).context(FolderSnafu { path: &site })?;
+        let seen = Rc::new(RefCell::new(Seen::default()));
+        let (platform, store) = start_platform(&folder, &site, &seen).await?;
+        let fleet = Fleet {
+            gateways: places(options.entries, store).map(Gateway::new).collect(),
+            program: program_for(options),
+            folder,
+            platform: RefCell::new(Some(platform)),
+            seen,
+            begun: Instant::now(),
+            is_over: Cell::new(false),
+        };
+        for at in 0..fleet.gateways.len() {
+            fleet.start_gateway(at)?;
+        }
+        for at in 0..fleet.gateways.len() {
+            if !fleet.is_ready_within(at, UP_WITHIN).await {
+                return Err(SoakError::NotUp {
+                    what: fleet.gateways[at].place.host.clone(),
+                    within: UP_WITHIN.as_secs(),
+                    folder: fleet.folder.clone(),
+                });
+            }
+        }
+        fleet.seen.borrow_mut().begun = Some(Instant::now());
+        Ok(fleet)
+    }
+
+    /// Where gateways take callers' connections now, by the balancer; all of them where it
+    /// knows of none.
+    pub fn ready(&self) -> Vec<(usize, SocketAddr)> {
+        let all = self.gateways.iter().enumerate();
+        let at: Vec<_> = all
+            .clone()
+            .filter(|(_, gateway)| gateway.misses.get() < MOST_MISSES)
+            .map(|(at, gateway)| (at, gateway.place.callers()))
+            .collect();
+        match at.is_empty() {
+            true => all
+                .map(|(at, gateway)| (at, gateway.place.callers()))
+                .collect(),
+            false => at,
+        }
+    }
+
+    /// Asks each gateway whether it is ready, until the run is over.
+    pub async fn balance(self: Rc<Self>) {
+        while !self.is_over.get() {
+            for gateway in &self.gateways {
+                let asked = caller::readiness(gateway.place.readiness());
+                let is_ready =
+                    matches!(tokio::time::timeout(ASK_EVERY, asked).await, Ok(Some(200)));
+                gateway.misses.set(match is_ready {
+                    true => 0,
+                    false => gateway.misses.get() + 1,
+                });
+            }
+            self.look_for_ends();
+            tokio::time::sleep(ASK_EVERY).await;
+        }
+    }
+
+    /// Notes gateways that ended by themselves.
+    fn look_for_ends(&self) {
+        for gateway in &self.gateways {
+            let mut child = gateway.child.borrow_mut();
+            let Some(status) = child.as_mut().and_then(|child| child.try_wait().ok()?) else {
+                continue;
+            };
+            *child = None;
+            let end = format!("{} ended by itself: {status}", gateway.place.host);
+            self.seen.borrow_mut().ends.push(end);
+        }
+    }
+
+    /// Plays the faults of the gateways, each at its time, until the run's length is over.
+    pub async fn play(self: &Rc<Self>, plan: &SoakPlan) {
+        let balancing = actix_rt::spawn(self.clone().balance());
+        let faults = plan.faults.iter().map(|fault| self.clone().disturb(*fault));
+        futures_util::future::join_all(faults).await;
+        tokio::time::sleep(plan.length.saturating_sub(self.begun.elapsed())).await;
+        self.is_over.set(true);
+        // It ends by itself.
+        let _ended = balancing.await;
+    }
+
+    async fn disturb(self: Rc<Self>, planned: PlannedFault) {
+        tokio::time::sleep(planned.at.saturating_sub(self.begun.elapsed())).await;
+        let from = Instant::now();
+        match planned.fault {
+            EntryFault::Pause => {
+                self.signal(planned.entry, Signal::STOP);
+                tokio::time::sleep(planned.lasts).await;
+                self.signal(planned.entry, Signal::CONT);
+            }
+            EntryFault::Kill => self.replace(planned, Signal::KILL).await,
+            EntryFault::Stop => self.replace(planned, Signal::TERM).await,
+        }
+        self.is_ready_within(planned.entry, UP_WITHIN).await;
+        self.seen.borrow_mut().disturbances.push(Disturbance {
+            entry: planned.entry,
+            fault: planned.fault,
+            from,
+            until: Instant::now(),
+        });
+    }
+
+    fn signal(&self, at: usize, signal: Signal) {
+        let child = self.gateways[at].child.borrow();
+        let id = child.as_ref().and_then(Child::id);
+        let pid = id.and_then(|id| Pid::from_raw(id.cast_signed()));
+        if let Some(Err(err)) = pid.map(|pid| kill_process(pid, signal)) {
+            log::warn!("gateway {at} can't be signalled: {err}");
+        }
+    }
+
+    /// Ends a gateway by a signal, and starts it again a while after it has ended.
+    async fn replace(&self, planned: PlannedFault, signal: Signal) {
+        self.signal(planned.entry, signal);
+        let child = self.gateways[planned.entry].child.take();
+        if let Some(mut child) = child {
+            let longest = Duration::from_secs(u64::from(GRACE_S) + 2);
+            if tokio::time::timeout(longest, child.wait()).await.is_err() {
+                let host = &self.gateways[planned.entry].place.host;
+                let end = format!(
+                    "{host} was still there {} s after {signal:?}",
+                    longest.as_secs()
+                );
+                self.seen.borrow_mut().ends.push(end);
+                // It is gone with the end of `child`.
+            }
+        }
+        tokio::time::sleep(planned.lasts).await;
+        if let Err(err) = self.start_gateway(planned.entry) {
+            self.seen.borrow_mut().ends.push(err.to_string());
+        }
+    }
+
+    fn start_gateway(&self, at: usize) -> Result<(), SoakError> {
+        let gateway = &self.gateways[at];
+        let host = &gateway.place.host;
+        let settings = self.folder.join(format!("{host}.yaml"));
+        std::fs::write(&settings, gateway.place.settings())
+            .context(FolderSnafu { path: &settings })?;
+        let start = gateway.starts.get() + 1;
+        gateway.starts.set(start);
+        let output = self.folder.join(format!("{host}.{start}.log"));
+        let file = File::create(&output).context(FolderSnafu { path: &output })?;
+        let child = Command::new(&self.program)
+            .arg("gateway")
+            .env(SETTINGS_VARIABLE, &settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(file)
+            .kill_on_drop(true)
+            .spawn()
+            .context(StartSnafu {
+                program: &self.program,
+            })?;
+        *gateway.child.borrow_mut() = Some(child);
+        Ok(())
+    }
+
+    async fn is_ready_within(&self, at: usize, longest: Duration) -> bool {
+        let until = Instant::now() + longest;
+        while Instant::now() < until {
+            let asked = caller::readiness(self.gateways[at].place.readiness());
+            if let Ok(Some(200)) = tokio::time::timeout(ASK_EVERY, asked).await {
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        false
+    }
+
+    /// Ends all processes; what was seen of them.
+    pub async fn end(&self) -> Seen {
+        for gateway in &self.gateways {
+            drop(gateway.child.take());
+        }
+        if let Some((mut child, stdin)) = self.platform.take() {
+            drop(stdin);
+            let ended = tokio::time::timeout(UP_WITHIN, child.wait()).await;
+            if !matches!(ended, Ok(Ok(_))) {
+                let mut seen = self.seen.borrow_mut();
+                seen.ends.push("the platform did not end".to_string());
+            }
+        }
+        std::mem::take(&mut *self.seen.borrow_mut())
+    }
+}
+
+impl Gateway {
+    fn new(place: EntryPlace) -> Self {
+        Gateway {
+            place,
+            child: RefCell::new(None),
+            misses: Cell::new(0),
+            starts: Cell::new(0),
+        }
+    }
+}
+
+/// Places of gateways, each on a loopback address of its own: those of two runs that go on
+/// beside each other differ by their processes.
+fn places(count: usize, store: SocketAddr) -> impl Iterator<Item = EntryPlace> {
+    let process = std::process::id();
+    let second = 64 + (process % 128) as u8;
+    let third = ((process / 128) % 250) as u8;
+    (0..count).map(move |at| EntryPlace {
+        host: format!("host-{at}"),
+        hall: ["hall-a", "hall-b"][at % 2].to_string(),
+        ip: Ipv4Addr::new(127, second, third, at as u8 + 1),
+        store,
+        seeds: Vec::new(),
+        drain_ms: DRAIN_MS,
+        grace_s: GRACE_S,
+    })
+}
+
+fn folder_for(options: &SoakOptions) -> Result<PathBuf, SoakError> {
+    let name = format!("soak-{}-{}", options.seed, std::process::id());
+    let folder = options.folder.clone();
+    let folder = folder
+        .unwrap_or_else(|| PathBuf::from("target/soak"))
+        .join(name);
+    std::fs::create_dir_all(&folder).context(FolderSnafu { path: &folder })?;
+    Ok(folder)
+}
+
+/// The program that is told, or the one beside this one.
+fn program_for(options: &SoakOptions) -> PathBuf {
+    let beside = || {
+        let own = std::env::current_exe().unwrap_or_default();
+        own.with_file_name("hollowsail")
+    };
+    options.program.clone().unwrap_or_else(beside)
+}
+
+async fn start_platform(
+    folder: &Path,
+    site: &Path,
+    seen: &Rc<RefCell<Seen>>,
+) -> Result<((Child, ChildStdin), SocketAddr), SoakError> {
+    let program = std::env::current_exe().unwrap_or_default();
+    let output = folder.join("platform.log");
+    let file = File::create(&output).context(FolderSnafu { path: &output })?;
+    let mut child = Command::new(&program)
+        .args(["platform", "--site"])
+        .arg(site)
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(file)
+        .kill_on_drop(true)
+        .spawn()
+        .context(StartSnafu { program: &program })?;
+    let not_up = || SoakError::NotUp {
+        what: "the platform".to_string(),
+        within: UP_WITHIN.as_secs(),
+        folder: folder.to_path_buf(),
+    };
+    let stdin = child.stdin.take().ok_or_else(not_up)?;
+    let stdout = child.stdout.take().ok_or_else(not_up)?;
+    let mut lines = BufReader::new(stdout).lines();
+    let store = tokio::time::timeout(UP_WITHIN, store_of(&mut lines)).await;
+    let store = store.ok().flatten().ok_or_else(not_up)?;
+    actix_rt::spawn(follow_events(lines, seen.clone()));
+    Ok(((child, stdin), store))
+}
+
+type EventLines = tokio::io::Lines<BufReader<ChildStdout>>;
+
+/// Where the store is, by the platform's first event.
+async fn store_of(lines: &mut EventLines) -> Option<SocketAddr> {
+    let line = lines.next_line().await.ok()??;
+    let event: EventLine = serde_json::from_str(&line).ok()?;
+    event.store?.parse().ok()
+}
+
+async fn follow_events(mut lines: EventLines, seen: Rc<RefCell<Seen>>) {
+    while let Ok(Some(line)) = lines.next_line().await {
+        let event: EventLine = match serde_json::from_str(&line) {
+            Ok(event) => event,
+            Err(err) => {
+                log::warn!("an event of the platform can't be read: {err}: {line}");
+                continue;
+            }
+        };
+        let mut seen = seen.borrow_mut();
+        match (event.event.as_str(), event.request) {
+            ("ran", Some(request)) => drop(seen.ran.insert(request)),
+            ("broken", _) => {
+                let promise = event.promise.unwrap_or_default();
+                let what = event.what.unwrap_or_default();
+                seen.broken.push(format!("{promise}: {what}"));
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -486,6 +486,22 @@
     entries_come_and_go(STAGE_WORKERS).await;
 }
 
+/// Many entries, of which one has heard the limit: they are all asked at once.
+#[actix_rt::test]
+async fn what_one_entry_hears_all_know() {
+    let mut fleet = Fleet::start(PLAIN, 1).await;
+    for number in 3..16 {
+        fleet.add_entry(&format!("host-{number}")).await;
+    }
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let named = fleet.targets[0].names("0.2");
+    plain(0).send(fleet.callers()[0]).await;
+    tokio::time::sleep(HEEDED_WITHIN).await;
+    demand(fleet.callers(), plain, 160, Duration::from_millis(100)).await;
+    let most = fleet.targets[0].most_in_span(named);
+    assert!(most <= allowed(0.2), "{most} in a span");
+}
+
 /// Each entry is stopped and started again, one after the other: whoever owns the desk, and
 /// whoever tells of the target, is one that has just started at some time.
 async fn all_entries_restart(kind: Kind) {
