--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -68,6 +68,18 @@
     target.seen().into_iter().filter(runs).collect()
 }
 
+/// An entry's record on the wire: run, host, address, hall, capacity.
+pub type EntryRecord = (u64, String, SocketAddr, String, u32);
+
+/// Puts the record of an entry into the store.
+pub fn put_entry_record(store: &StoreStandin, record: &EntryRecord) {
+    let value = rmp_serde::to_vec(record).expect("it encodes");
+    store.put(
+        &format!("hollowsail/peers/{}-{}", record.1, record.0),
+        &value,
+    );
+}
+
 /// Waits until so many entries have their record in the store.
 pub async fn until_entries(what: &str, store: &StoreStandin, entries: usize) {
     eventually(what, || store.keys("hollowsail/peers/").len() == entries).await;
--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -23,7 +23,9 @@
 };
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, generation, until_entries, Answer, Call};
+use crate::fixture::{
+    eventually, gateway, generation, put_entry_record, until_entries, Answer, Call,
+};
 
 /// The span over which operators count what a target gets.
 const SPAN: Duration = Duration::from_secs(4);
@@ -486,6 +488,46 @@
     entries_come_and_go(STAGE_WORKERS).await;
 }
 
+/// Whoever owns the desk takes connections and says nothing, as a host that hangs: nobody
+/// sends past it to a target that names a limit.
+async fn owners_hang(kind: Kind) {
+    let fleet = Fleet::start(kind, 2).await;
+    fleet.demand(60, Duration::from_secs(1)).await;
+    let named = fleet.busiest().names("0.2");
+    fleet.demand(60, Duration::from_secs(1)).await;
+    let mut hanging = Vec::new();
+    for number in 0..3 {
+        let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("loopback");
+        let at = listener.local_addr().expect("it is bound");
+        // Larger than all others by far, so that these own everything.
+        let record = (
+            number + 1,
+            format!("hangs-{number}"),
+            at,
+            "hall-a".into(),
+            9_000,
+        );
+        put_entry_record(&fleet.store, &record);
+        hanging.push(listener);
+    }
+    let got = fleet.demand(60, Duration::from_secs(5)).await;
+    assert_eq!(served(&got), got.len(), "the other one serves");
+    let limited = |target: &&Limited| target.named.borrow().is_some();
+    let limited = fleet.targets.iter().find(limited).expect("one names it");
+    let most = limited.most_in_span(named + HEEDED_WITHIN);
+    assert!(most <= allowed(0.2), "{most} in a span");
+}
+
+#[actix_rt::test]
+async fn past_a_desk_that_hangs_nothing_goes_to_a_limited_target() {
+    owners_hang(PLAIN).await;
+}
+
+#[actix_rt::test]
+async fn past_a_desk_that_hangs_nothing_goes_to_a_limited_engine() {
+    owners_hang(ENGINES).await;
+}
+
 /// Many entries, of which one has heard the limit: they are all asked at once.
 #[actix_rt::test]
 async fn what_one_entry_hears_all_know() {
--- a/crates/gateway/tests/suite/sharing.rs
+++ b/crates/gateway/tests/suite/sharing.rs
@@ -11,7 +11,9 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{eventually, gateway, one_event, runs, until_entries, Call};
+use crate::fixture::{
+    eventually, gateway, one_event, put_entry_record, runs, until_entries, Call, EntryRecord,
+};
 
 fn deployment() -> DeploymentJson {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -165,9 +167,10 @@
 /// Records a run of a host that has ended, and whose capacity is small.
 fn put_entry(store: &StoreStandin, host: &str, run: usize) {
     let at = SocketAddr::from(([127, 0, 0, 1], 9));
-    let record: Record = (run as u64 + 1, host.to_string(), at, "hall-a".into(), 1);
-    let value = rmp_serde::to_vec(&record).expect("it encodes");
-    store.put(&format!("hollowsail/peers/{host}-{run}"), &value);
+    put_entry_record(
+        store,
+        &(run as u64 + 1, host.to_string(), at, "hall-a".into(), 1),
+    );
 }
 
 #[actix_rt::test]
@@ -175,15 +178,12 @@
     share_a_worker_in_a_fleet(100, |_| {}).await;
 }
 
-/// A gateway's record on the wire: run, host, address, hall, capacity.
-type Record = (u64, String, SocketAddr, String, u32);
-
 #[actix_rt::test]
 async fn gateways_known_by_their_run_before_share_calls_all_the_same() {
     share_a_worker(|store| {
         for key in store.keys("hollowsail/peers/") {
             let value = store.value(&key).expect("it is there");
-            let mut record: Record = rmp_serde::from_slice(&value).expect("a record");
+            let mut record: EntryRecord = rmp_serde::from_slice(&value).expect("a record");
             record.0 ^= 1;
             let stale = rmp_serde::to_vec(&record).expect("it encodes");
             store.put(&format!("{key}-before"), &stale);
