Log and count words of targets that can't be read or aren't known, seldom

A word that this build doesn't know left no trace; one that can't be read was logged with each answer.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Counters and latency histograms, and the address where they are scraped.
 //! Labels name services, kinds and outcomes; never payload, callers or requests.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -91,3 +93,20 @@
 pub fn count_store_lost() {
     counter!("hollowsail_store_lost_total").increment(1);
 }
+
+/// Names of odd words that are counted apart; others share one counter.
+const MOST_ODD_WORDS: usize = 32;
+
+thread_local! {
+    /// The names of odd words seen so far.
+    static ODD_WORDS: RefCell<BTreeSet<String>> = const { RefCell::new(BTreeSet::new()) };
+}
+
+/// A word of a target that can't be read or isn't known.
+pub fn count_odd_word(word: &str) {
+    let is_named = ODD_WORDS.with_borrow_mut(|known| {
+        known.contains(word) || known.len() < MOST_ODD_WORDS && known.insert(word.to_string())
+    });
+    let word = if is_named { word } else { "other" };
+    counter!("hollowsail_odd_words_total", "word" => word.to_string()).increment(1);
+}
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -32,6 +32,7 @@
 use hollowsail_targets::{LimitWord, Target};
 use http::StatusCode;
 
+use crate::metrics;
 use crate::peers::{Link, Message, Owner, PeerId, PeerRecord, ToldLimit};
 use crate::traffic::Traffic;
 
@@ -56,7 +57,7 @@
         take_out(cx, start, "another_start_answers");
         return;
     }
-    log_unreadable(cx, start, head);
+    log_odd_words(cx, start, head);
     if head.is_leaving {
         take_out(cx, start, "answer");
     }
@@ -83,11 +84,22 @@
     }
 }
 
-/// Says which words of an answer can't be read: what was known before stays.
-fn log_unreadable(cx: &Traffic, start: &Incarnation, head: &TargetHead) {
+/// Says which words of an answer can't be read, or aren't known: what was known before
+/// stays. Each of a target is told once in a while.
+fn log_odd_words(cx: &Traffic, start: &Incarnation, head: &TargetHead) {
     for UnreadableWord { word, text } in &head.unreadable {
-        let fields = format_args!("target={} word={word} text=\"{text}\"", start.id);
-        cx.log.line(events::TARGET_WORD_UNREADABLE, fields);
+        metrics::count_odd_word(word);
+        if cx.is_odd_word_due(start, word) {
+            let fields = format_args!("target={} word={word} text=\"{text}\"", start.id);
+            cx.log.line(events::TARGET_WORD_UNREADABLE, fields);
+        }
+    }
+    for word in &head.unknown {
+        metrics::count_odd_word(word);
+        if cx.is_odd_word_due(start, word) {
+            let fields = format_args!("target={} word={word}", start.id);
+            cx.log.line(events::TARGET_WORD_UNKNOWN, fields);
+        }
     }
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -8,6 +8,7 @@
 
 use arc_swap::ArcSwap;
 use hollowsail_fleet::Spacing;
+use hollowsail_observe::Seldom;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
@@ -37,6 +38,10 @@
 /// be another one in each answer.
 const TELL_LIMITS_EVERY_MS: Millis = 250;
 
+/// Between two log lines on one odd word of one target, in milliseconds: it may stand in
+/// every answer.
+const TELL_ODD_WORDS_EVERY_MS: Millis = 60_000;
+
 /// How far a planned stop is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stopping {
@@ -66,6 +71,8 @@
     pub crashes: Crashes,
     /// When targets' limits were told to the others.
     pub limit_news: Spacing<Incarnation>,
+    /// Words of targets that can't be read or aren't known, by the target's id.
+    odd_words: RefCell<Seldom<(String, String)>>,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent times of whole requests, by the service's name.
@@ -108,6 +115,7 @@
                 pools: Pools::default(),
                 placements: Placements::default(),
                 crashes,
+                odd_words: RefCell::new(Seldom::new(TELL_ODD_WORDS_EVERY_MS)),
                 limit_news: Spacing::new(TELL_LIMITS_EVERY_MS),
                 view: RefCell::new(published.load()),
                 published,
@@ -196,6 +204,13 @@
         is_news
     }
 
+    /// True when a word of a start that can't be read, or isn't known, is to be told again.
+    pub fn is_odd_word_due(&self, start: &Incarnation, word: &str) -> bool {
+        let subject = (start.id.clone(), word.to_string());
+        let now = self.clock.now();
+        self.odd_words.borrow_mut().is_due(now, subject)
+    }
+
     /// True while some target of the service of that name names a limit.
     pub fn is_limited(&self, service: &str) -> bool {
         self.with_targets(service, |targets| {
--- a/crates/gateway/tests/suite/metrics.rs
+++ b/crates/gateway/tests/suite/metrics.rs
@@ -1,19 +1,41 @@
 //! The metrics address.
 
-use hollowsail_platform_standins::target::answer;
+use hollowsail_platform_standins::target::{answer, limited};
 use hollowsail_platform_standins::{Seen, Step};
 
 use crate::fixture::{exchange, plain_deployment, Call, Fixture};
 
+/// A target may say what this build doesn't know, or can't read: it is served all the same,
+/// and operators can see that.
 #[actix_rt::test]
-async fn counters_and_histograms_are_scraped() {
-    let script = |seen: &Seen| vec![Step::Write(answer(seen, 200, "ok"))];
+async fn words_of_targets_that_nobody_reads_are_counted() {
+    let script = |seen: &Seen| {
+        let odd = limited(answer(seen, 200, "ok"), "plenty\r\nServer-Mood: low");
+        vec![Step::Write(odd)]
+    };
     let (fixture, _target) =
         Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
+    let text = scrape(&fixture).await;
+    for word in ["limit", "server-mood"] {
+        let counter = format!("hollowsail_odd_words_total{{word=\"{word}\"}}");
+        assert!(text.contains(&counter), "{counter} is missing from\n{text}");
+    }
+}
+
+async fn scrape(fixture: &Fixture) -> String {
     let at = fixture.gateway.at.metrics.expect("it listens");
     let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    let text = String::from_utf8(exchange(at, scrape).await).expect("text");
+    String::from_utf8(exchange(at, scrape).await).expect("text")
+}
+
+#[actix_rt::test]
+async fn counters_and_histograms_are_scraped() {
+    let script = |seen: &Seen| vec![Step::Write(answer(seen, 200, "ok"))];
+    let (fixture, _target) =
+        Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
+    assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
+    let text = scrape(&fixture).await;
     for name in [
         "hollowsail_requests_total",
         "hollowsail_request_seconds_bucket",
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -64,6 +64,7 @@
     TARGET_RESTS, 219, "target_rests", Info, "A target turned work away and said for how long it wants none from this entry.";
     TARGET_LIMIT, 220, "target_limit", Info, "A target named, changed or ended the number of requests a second that it takes from all entries together.";
     TARGET_WORD_UNREADABLE, 221, "target_word_unreadable", Warn, "A target's answer holds a word about itself that can't be read; what was known before stays.";
+    TARGET_WORD_UNKNOWN, 222, "target_word_unknown", Warn, "A target's answer holds a word that this build doesn't know; it is passed on and nothing follows from it.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force here.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -5,5 +5,7 @@
 pub mod kinds;
 pub mod output;
 pub mod recorder;
+pub mod seldom;
 
 pub use kinds::ErrorKind;
+pub use seldom::Seldom;
