--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -8,7 +8,7 @@
 //! one that sends for all. Evidence: the engine's rate is the same before and after its
 //! word, and once entries log the word, they do so at each answer and go on as before.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -488,6 +488,39 @@
     entries_come_and_go(STAGE_WORKERS).await;
 }
 
+/// An answer to another request may come in a request's place: it is older, and its silence
+/// on a limit ends none.
+#[actix_rt::test]
+async fn an_answer_to_another_request_ends_no_limit() {
+    let is_odd = Rc::new(Cell::new(false));
+    let odd = is_odd.clone();
+    let target = TargetStandin::start(move |seen| {
+        let whole = answer(seen, 200, "served");
+        let text = String::from_utf8(whole).expect("it is text");
+        let bytes = match odd.get() {
+            true => text
+                .replace(seen.request_id(), "0000000000000bad")
+                .into_bytes(),
+            false => limited(text.into_bytes(), "1"),
+        };
+        vec![Step::Write(bytes)]
+    })
+    .await;
+    let fleet = Fleet::start(PLAIN, 0).await;
+    let limited = Limited {
+        target,
+        named: Rc::default(),
+    };
+    fleet.put("i-0", "plain", &limited);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    fleet.demand(20, Duration::from_secs(2)).await;
+    let from = Instant::now();
+    is_odd.set(true);
+    fleet.demand(20, Duration::from_secs(4)).await;
+    let most = limited.most_in_span(from);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
 /// Whoever owns the desk takes connections and says nothing, as a host that hangs: nobody
 /// sends past it to a target that names a limit.
 async fn owners_hang(kind: Kind) {
