--- a/crates/gateway/tests/suite/cold.rs
+++ b/crates/gateway/tests/suite/cold.rs
@@ -71,3 +71,36 @@
     assert!(refused > 50, "{refused}");
     assert_eq!(cold.seen().len() as u32, 100 - refused);
 }
+
+/// Sixteen entries that had nothing to send are asked at the same moment. Each kept to a
+/// share of its own, and shares that lie idle add up: the target got a request of each.
+#[actix_rt::test]
+async fn entries_that_were_all_idle_send_no_burst_to_a_cold_target() {
+    const PER_S: f64 = 2.0;
+    let store = StoreStandin::start().await;
+    let deployment = DeploymentJson::new(1)
+        .service_with_cold_targets("plain", PER_S)
+        .route("/a/", "safe", "plain", json!({}));
+    store.put("op/config", &deployment.bytes());
+    let mut entries = Vec::new();
+    for number in 0..16 {
+        entries.push(gateway(&store, &format!("host-{number}"), "hall-a").await);
+    }
+    until_entries("all are recorded", &store, 16).await;
+    let cold = target("cold").await;
+    store.put_cold_target("i-1", "plain", cold.addr, Duration::from_secs(60));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let ask_all = || {
+        futures_util::future::join_all(entries.iter().map(|entry| {
+            let at = entry.at.callers;
+            async move { Call::new("GET", "/a/").send(at).await }
+        }))
+    };
+    ask_all().await;
+    // Longer than any entry has to wait for its share.
+    tokio::time::sleep(Duration::from_secs(13)).await;
+    let before = cold.seen().len();
+    ask_all().await;
+    let got = cold.seen().len() - before;
+    assert!((1..=(PER_S * 1.5 + 5.0) as usize).contains(&got), "{got}");
+}
--- a/src/ops/mod.rs
+++ b/src/ops/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod gateway;
 pub mod local;
+pub mod local_platform;
 pub mod operator;
 pub mod signals;
 pub mod status;
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,5 +3,6 @@
 mod check;
 mod daemon;
 mod gateway;
+mod local_platform;
 mod output;
 mod process;
