--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -30,8 +30,8 @@
     desk: RefCell<EngineDesk<Incarnation>>,
     line: RefCell<Line<Asker>>,
     tenure: Tenure,
-    /// Some engine names a limit.
-    has_limits: Cell<bool>,
+    /// Some engine is cold or names a limit.
+    has_rations: Cell<bool>,
     is_serving_line: Cell<bool>,
     swept: Cell<Millis>,
 }
@@ -83,7 +83,7 @@
             desk: RefCell::default(),
             line: RefCell::default(),
             tenure: Tenure::default(),
-            has_limits: Cell::new(false),
+            has_rations: Cell::new(false),
             is_serving_line: Cell::new(false),
             swept: Cell::new(0),
         }
@@ -94,8 +94,8 @@
         self.look_at_tenure(cx);
         if let Some((service, group)) = TargetGroup::parse(&self.name) {
             let targets = group.targets(&cx.targets_named(service), GROUP_ENGINES);
-            let mut limits = targets.iter().map(|target| target.limit.get());
-            self.has_limits.set(limits.any(|limit| limit.is_some()));
+            self.has_rations
+                .set(targets.iter().any(|target| target.is_rationed()));
             self.desk
                 .borrow_mut()
                 .set_engines(cx.clock.now(), &desk_engines(&targets));
@@ -111,7 +111,7 @@
     pub(super) fn ask(&self, cx: &Rc<Traffic>, demand: &Demand<Incarnation>) -> Answer {
         let now = cx.clock.now();
         self.sweep_if_due(cx, now);
-        if self.has_limits.get() {
+        if self.has_rations.get() {
             self.look_at_tenure(cx);
         }
         let ahead = self.line.borrow().ahead_of(demand.urgency);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -214,9 +214,9 @@
     /// True while some target of the service of that name is cold or names a limit: what all
     /// entries together send there has to be known in one place.
     pub fn is_rationed(&self, service: &str) -> bool {
-        let is_rationed =
-            |target: &Rc<Target>| target.limit.get().is_some() || target.cold.get().is_some();
-        self.with_targets(service, |targets| targets.iter().any(is_rationed))
+        self.with_targets(service, |targets| {
+            targets.iter().any(|target| target.is_rationed())
+        })
     }
 
     /// A start of a target wants nothing from this entry for a time. True when that is
--- a/crates/routing/src/cold.rs
+++ b/crates/routing/src/cold.rs
@@ -10,12 +10,14 @@
 
 use crate::Millis;
 
-/// Part of the rate that the owner of a target's desk gives. Two entries may take
-/// themselves for the owner for a while: together they stay below the one and a half times
-/// that operators allow.
+/// Part of the rate that the owner of a target's desk gives while it is new, and once it has
+/// been the owner for a while. Two entries may take themselves for the owner for some
+/// seconds: with what is sent past them they stay below the one and a half times that
+/// operators allow.
 pub const DESK_SHARE: f64 = 0.6;
+pub const SETTLED_DESK_SHARE: f64 = 0.75;
 /// Part of the rate that all entries together send past a desk that doesn't answer them.
-pub const PAST_DESK_SHARE: f64 = 0.2;
+pub const PAST_DESK_SHARE: f64 = 0.1;
 /// Part of the rate that all entries together send to targets without a desk.
 pub const WITHOUT_DESK_SHARE: f64 = 0.8;
 
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -340,7 +340,7 @@
         state.running += 1;
         state.suspects += u32::from(demand.is_suspect);
         state.unread_tokens += to_read;
-        state.gate.sent(now, DESK_SHARE);
+        state.gate.sent(now, self.limit_part.cold_share());
         state.limit_gate.sent(now, state.limit, self.limit_part);
         let tokens_ahead = state.unread_tokens;
         // A request without a prompt leaves nothing that an engine could keep.
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -10,6 +10,7 @@
 //! The load that this answers: callers want more than a target takes, in bursts, while its
 //! limit is new, lowered or over, and while owners change.
 
+use crate::cold;
 use crate::Millis;
 
 /// Share of an owner that has been one for [`SETTLED_AFTER_MS`]: the rest makes up for
@@ -36,6 +37,7 @@
 pub struct LimitPart {
     share: f64,
     burst: f64,
+    cold_share: f64,
 }
 
 impl LimitPart {
@@ -45,10 +47,12 @@
             true => LimitPart {
                 share: SETTLED_SHARE,
                 burst: SETTLED_BURST,
+                cold_share: cold::SETTLED_DESK_SHARE,
             },
             false => LimitPart {
                 share: NEW_SHARE,
                 burst: NEW_BURST,
+                cold_share: cold::DESK_SHARE,
             },
         }
     }
@@ -58,9 +62,15 @@
         LimitPart {
             share: UNLISTED_SHARE,
             burst: NEW_BURST,
+            cold_share: UNLISTED_SHARE,
         }
     }
 
+    /// The part that it uses of what a cold target bears.
+    pub fn cold_share(&self) -> f64 {
+        self.cold_share
+    }
+
     /// Requests a second that the sender may make of a limit.
     pub fn rate(&self, per_s: f64) -> f64 {
         per_s.max(LEAST_PER_S) * self.share
--- a/crates/routing/tests/suite/limit.rs
+++ b/crates/routing/tests/suite/limit.rs
@@ -69,6 +69,20 @@
     }
 }
 
+/// Eight entries that know of no others each take themselves for the owner.
+#[test]
+fn entries_that_know_of_no_others_stay_below_a_limit_together() {
+    for per_s in [0.2, 1.0, 3.0, 17.0, 300.0] {
+        let mut sent: Vec<Millis> = (0..8)
+            .flat_map(|_| all_sends(per_s, LimitPart::unlisted(), 12_000))
+            .collect();
+        sent.sort_unstable();
+        let most = most_in_span(&sent);
+        // Each may begin with one.
+        assert!(most <= allowed(per_s) + 8, "{most} at {per_s}");
+    }
+}
+
 #[test]
 fn a_limit_of_nothing_lets_a_request_through_now_and_then() {
     let sent = all_sends(0.0, settled(), 60_000);
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -99,6 +99,11 @@
         self.gate.set(gate);
     }
 
+    /// True while it is cold or names a limit: it takes so much from all entries together.
+    pub fn is_rationed(&self) -> bool {
+        self.limit.get().is_some() || self.cold.get().is_some()
+    }
+
     /// True when this entry is to tell its limit again; so often at most.
     pub(crate) fn tells_limit_now(&self, now: Millis) -> bool {
         let told = self.limit_told.get();
