--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -5,7 +5,7 @@
 
 use hollowsail_fleet::rendezvous;
 use hollowsail_routing::limit::SETTLED_AFTER_MS;
-use hollowsail_routing::{Demand, DeskEngine, EngineDesk, LimitPart, PlacementEnd, PlacementKey};
+use hollowsail_routing::{Demand, DeskEngine, EngineDesk, LimitShare, PlacementEnd, PlacementKey};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -86,7 +86,7 @@
             })
             .collect();
         desk.set_engines(0, &engines);
-        desk.set_limit_part(LimitPart::owned_for(SETTLED_AFTER_MS));
+        desk.set_limit_share(LimitShare::owned_for(SETTLED_AFTER_MS));
         EnginePool {
             day: day.clone(),
             known: engines,
--- a/crates/fleet/src/spacing.rs
+++ b/crates/fleet/src/throttle.rs
@@ -21,7 +21,7 @@
 
 /// When each subject was told last, and whether it is to be told again.
 #[derive(Debug)]
-pub struct Spacing<K> {
+pub struct Throttle<K> {
     pause_ms: Millis,
     /// Until when the pause of a subject lasts; its next message may be due then.
     pauses: RefCell<HashMap<K, Pause>>,
@@ -33,10 +33,10 @@
     is_due: bool,
 }
 
-impl<K: Eq + Hash + Clone> Spacing<K> {
+impl<K: Eq + Hash + Clone> Throttle<K> {
     /// Spaces messages on a subject by a pause.
     pub fn new(pause_ms: Millis) -> Self {
-        Spacing {
+        Throttle {
             pause_ms,
             pauses: RefCell::default(),
         }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -12,9 +12,9 @@
 mod ownership;
 mod readers;
 mod returning_store;
-mod spacing;
 mod standing;
 mod target_book;
+mod throttle;
 mod watch_log;
 mod watch_pause;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod log;
 mod mechanisms;
 mod metrics;
+mod owned_since;
 mod pace;
 mod peers;
 mod placement;
@@ -31,7 +32,6 @@
 mod target_calls;
 mod target_group;
 mod target_words;
-mod tenure;
 mod traffic;
 mod view;
 
--- a/crates/gateway/src/tenure.rs
+++ b/crates/gateway/src/owned_since.rs
@@ -2,19 +2,19 @@
 //!
 //! Entries may see owners differently for some seconds after one comes, goes or falls
 //! silent. Whoever keeps to a limit for all entries uses a part of it meanwhile
-//! ([`LimitPart`]).
+//! ([`LimitShare`]).
 
 use std::cell::Cell;
 use std::rc::Rc;
 
-use hollowsail_routing::{LimitPart, Millis};
+use hollowsail_routing::{LimitShare, Millis};
 
 use crate::peers::Owner;
 use crate::traffic::Traffic;
 
 /// Since when this entry has been the owner of one thing.
 #[derive(Debug, Default)]
-pub struct Tenure {
+pub struct OwnedSince {
     known: Cell<Known>,
 }
 
@@ -27,12 +27,13 @@
     NotMine,
 }
 
-impl Tenure {
-    /// Looks who the owner of `what` is now. Whoever wants to know of every change looks
-    /// whenever the entries change.
-    pub fn look(&self, cx: &Rc<Traffic>, what: &str) -> LimitPart {
+impl OwnedSince {
+    /// Which share of limits this entry uses as far as it owns `what`, by who owns that now.
+    /// Called whenever the entries change, so that no change of the owner is missed. An
+    /// entry that still serves what it doesn't own any more uses the share of a new owner.
+    pub fn limit_share(&self, cx: &Rc<Traffic>, what: &str) -> LimitShare {
         if !cx.peers.is_listed() {
-            return LimitPart::unlisted();
+            return LimitShare::unlisted();
         }
         let now = cx.clock.now();
         let is_mine = matches!(cx.peers.owner_of(cx, what), Owner::Me);
@@ -48,6 +49,6 @@
             Known::Since(since) => now.saturating_sub(since),
             Known::Nothing | Known::NotMine => 0,
         };
-        LimitPart::owned_for(owned_ms)
+        LimitShare::owned_for(owned_ms)
     }
 }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -94,7 +94,7 @@
 }
 
 /// Entries that are live now and weren't before.
-fn newcomers<'a>(before: &[PeerRecord], live: &'a [PeerRecord]) -> Vec<&'a PeerRecord> {
+fn new_peers<'a>(before: &[PeerRecord], live: &'a [PeerRecord]) -> Vec<&'a PeerRecord> {
     let known: HashSet<PeerId> = before.iter().map(|peer| peer.id).collect();
     let new = live.iter().filter(|peer| !known.contains(&peer.id));
     new.collect()
@@ -150,8 +150,8 @@
         let mut suspects = self.suspects.borrow_mut();
         suspects.retain(|_, suspicion| !suspicion.is_forgotten(now));
         drop(suspects);
-        let newcomers = newcomers(&before, &live);
-        if before.len() != live.len() || !newcomers.is_empty() {
+        let new_peers = new_peers(&before, &live);
+        if before.len() != live.len() || !new_peers.is_empty() {
             self.changes_at(now);
         }
         let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
@@ -166,7 +166,7 @@
                 cx.placements.requester_lost(cx, old.id);
             }
         }
-        target_words::greet(cx, &newcomers);
+        target_words::tell_new_peers(cx, &new_peers);
     }
 
     /// What decides on owners changes now, or at a moment to come.
--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -8,15 +8,15 @@
 use hollowsail_observe::events;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
-    Demand, DeskEngine, EngineDesk, Line, LineKey, Millis, PlacementEnd, PlacementKey,
+    Demand, DemandKey, DemandQueue, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey,
 };
 use hollowsail_targets::Target;
 use tokio::sync::oneshot;
 
 use super::GROUP_ENGINES;
+use crate::owned_since::OwnedSince;
 use crate::peers::{Link, PlaceAnswer, PlacementId, PlacementStep};
 use crate::target_group::TargetGroup;
-use crate::tenure::Tenure;
 use crate::traffic::Traffic;
 
 /// Between two sweeps of a desk, in milliseconds.
@@ -28,11 +28,11 @@
 pub struct Desk {
     name: String,
     desk: RefCell<EngineDesk<Incarnation>>,
-    line: RefCell<Line<Asker>>,
-    tenure: Tenure,
+    queue: RefCell<DemandQueue<Asker>>,
+    owned: OwnedSince,
     /// Some engine is cold or names a limit.
     has_rations: Cell<bool>,
-    is_serving_line: Cell<bool>,
+    is_serving_queue: Cell<bool>,
     swept: Cell<Millis>,
 }
 
@@ -81,17 +81,17 @@
         Desk {
             name: name.to_string(),
             desk: RefCell::default(),
-            line: RefCell::default(),
-            tenure: Tenure::default(),
+            queue: RefCell::default(),
+            owned: OwnedSince::default(),
             has_rations: Cell::new(false),
-            is_serving_line: Cell::new(false),
+            is_serving_queue: Cell::new(false),
             swept: Cell::new(0),
         }
     }
 
     /// Takes the usable targets of its group.
     pub fn take_targets(&self, cx: &Rc<Traffic>) {
-        self.look_at_tenure(cx);
+        self.update_limit_share(cx);
         if let Some((service, group)) = TargetGroup::parse(&self.name) {
             let targets = group.targets(&cx.targets_named(service), GROUP_ENGINES);
             self.has_rations
@@ -102,9 +102,9 @@
         }
     }
 
-    fn look_at_tenure(&self, cx: &Rc<Traffic>) {
-        let part = self.tenure.look(cx, &self.name);
-        self.desk.borrow_mut().set_limit_part(part);
+    fn update_limit_share(&self, cx: &Rc<Traffic>) {
+        let share = self.owned.limit_share(cx, &self.name);
+        self.desk.borrow_mut().set_limit_share(share);
     }
 
     /// Judges a new demand, and places it if it can.
@@ -112,9 +112,9 @@
         let now = cx.clock.now();
         self.sweep_if_due(cx, now);
         if self.has_rations.get() {
-            self.look_at_tenure(cx);
+            self.update_limit_share(cx);
         }
-        let ahead = self.line.borrow().ahead_of(demand.urgency);
+        let ahead = self.queue.borrow().ahead_of(demand.urgency);
         if ahead == 0 {
             if let Some((key, engine)) = self.place(now, demand) {
                 return Answer::There(key, engine);
@@ -127,7 +127,7 @@
             return Answer::MayWait(now + demand.waits_ms);
         }
         let return_ms = self
-            .line
+            .queue
             .borrow_mut()
             .return_in(now, turn.in_ms, turn.per_s);
         Answer::Full { return_ms }
@@ -157,32 +157,32 @@
         demand: Demand<Incarnation>,
         until: Millis,
         reply: Reply,
-    ) -> LineKey {
+    ) -> DemandKey {
         let urgency = demand.urgency;
         let asker = Asker { demand, reply };
-        let key = self.line.borrow_mut().push(urgency, until, asker);
-        self.serve_line_while_any(cx);
+        let key = self.queue.borrow_mut().push(urgency, until, asker);
+        self.serve_queue_while_any(cx);
         key
     }
 
     /// A demand waits no longer.
-    pub(super) fn leave_line(&self, key: LineKey) {
-        self.line.borrow_mut().remove(key);
+    pub(super) fn leave_queue(&self, key: DemandKey) {
+        self.queue.borrow_mut().remove(key);
     }
 
     /// Looks for engines that opened, as long as anybody waits.
-    fn serve_line_while_any(self: &Rc<Self>, cx: &Rc<Traffic>) {
-        if self.is_serving_line.replace(true) {
+    fn serve_queue_while_any(self: &Rc<Self>, cx: &Rc<Traffic>) {
+        if self.is_serving_queue.replace(true) {
             return;
         }
         let (desk, cx) = (self.clone(), cx.clone());
         actix_rt::spawn(async move {
-            while !desk.line.borrow().is_empty() {
+            while !desk.queue.borrow().is_empty() {
                 let next = desk.next_look(cx.clock.now());
                 tokio::time::sleep_until(cx.clock.timer(next).into()).await;
-                desk.serve_line(&cx);
+                desk.serve_queue(&cx);
             }
-            desk.is_serving_line.set(false);
+            desk.is_serving_queue.set(false);
         });
     }
 
@@ -192,16 +192,16 @@
         opens.map_or(latest, |opens| opens.min(latest))
     }
 
-    fn serve_line(self: &Rc<Self>, cx: &Rc<Traffic>) {
+    fn serve_queue(self: &Rc<Self>, cx: &Rc<Traffic>) {
         let now = cx.clock.now();
-        self.look_at_tenure(cx);
-        let expired = self.line.borrow_mut().take_expired(now);
+        self.update_limit_share(cx);
+        let expired = self.queue.borrow_mut().take_expired(now);
         for asker in expired {
             let answer = self.turned_away(now, &asker.demand);
             self.answer(cx, asker, answer);
         }
         while let Some((key, placed, engine)) = self.place_next(now) {
-            let asker = self.line.borrow_mut().remove(key);
+            let asker = self.queue.borrow_mut().remove(key);
             if let Some(asker) = asker {
                 self.answer(cx, asker, Answer::There(placed, engine));
             }
@@ -210,23 +210,23 @@
 
     /// What a demand is told that waited in vain.
     fn turned_away(&self, now: Millis, demand: &Demand<Incarnation>) -> Answer {
-        let ahead = self.line.borrow().ahead_of(demand.urgency);
+        let ahead = self.queue.borrow().ahead_of(demand.urgency);
         let turn = self.desk.borrow().turn(now, demand, ahead);
         turn.map_or(Answer::Nowhere, |turn| Answer::Full {
             return_ms: self
-                .line
+                .queue
                 .borrow_mut()
                 .return_in(now, turn.in_ms, turn.per_s),
         })
     }
 
-    /// Places the first demand of the line for which an engine is open.
-    fn place_next(&self, now: Millis) -> Option<(LineKey, PlacementKey, Incarnation)> {
+    /// Places the first demand of the queue for which an engine is open.
+    fn place_next(&self, now: Millis) -> Option<(DemandKey, PlacementKey, Incarnation)> {
         if !self.desk.borrow().is_any_open(now) {
             return None;
         }
-        let line = self.line.borrow();
-        let mut askers = line.iter();
+        let queue = self.queue.borrow();
+        let mut askers = queue.iter();
         askers.find_map(|(key, asker)| {
             let (placed, engine) = self.place(now, &asker.demand)?;
             Some((key, placed, engine))
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -17,7 +17,7 @@
 use std::time::Duration;
 
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{Demand, LineKey, PlacementKey};
+use hollowsail_routing::{Demand, DemandKey, PlacementKey};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -53,15 +53,15 @@
     Silent,
 }
 
-/// A demand in the line of a desk here, until it is dropped.
-struct InLine {
+/// A demand in the queue of a desk here, until it is dropped.
+struct Queued {
     desk: Rc<Desk>,
-    key: LineKey,
+    key: DemandKey,
 }
 
-impl Drop for InLine {
+impl Drop for Queued {
     fn drop(&mut self) {
-        self.desk.leave_line(self.key);
+        self.desk.leave_queue(self.key);
     }
 }
 
@@ -72,7 +72,7 @@
     /// Placements that peers have at desks here.
     of_peers: RefCell<HashMap<(PeerId, PlacementId), DeskEntry>>,
     /// Demands of peers that wait at desks here.
-    of_peers_in_line: RefCell<HashMap<(PeerId, PlacementId), InLine>>,
+    of_peers_queued: RefCell<HashMap<(PeerId, PlacementId), Queued>>,
     /// Placements asked of peers so far, for their numbers.
     asked: Cell<u64>,
 }
@@ -155,12 +155,12 @@
         if let Answer::MayWait(until) = answer {
             let reply = Reply::Peer(link.clone(), id);
             let key = desk.wait(cx, demand, until, reply);
-            let in_line = InLine {
+            let queued = Queued {
                 desk: desk.clone(),
                 key,
             };
-            let mut waiting = self.of_peers_in_line.borrow_mut();
-            waiting.insert((link.peer.id, id), in_line);
+            let mut waiting = self.of_peers_queued.borrow_mut();
+            waiting.insert((link.peer.id, id), queued);
         }
         self.answer_peer(&desk, link, id, &answer);
     }
@@ -173,14 +173,14 @@
             of_peers.insert(of, (desk.clone(), *key));
         }
         if !matches!(answer, Answer::MayWait(_)) {
-            self.of_peers_in_line.borrow_mut().remove(&of);
+            self.of_peers_queued.borrow_mut().remove(&of);
         }
         link.send(Message::Placed(id, answer.for_peer()));
     }
 
     /// A peer tells how a placement goes.
     pub fn take_step(&self, cx: &Traffic, from: PeerId, id: PlacementId, step: PlacementStep) {
-        self.of_peers_in_line.borrow_mut().remove(&(from, id));
+        self.of_peers_queued.borrow_mut().remove(&(from, id));
         let mut of_peers = self.of_peers.borrow_mut();
         let placement = match step {
             PlacementStep::PromptRead => of_peers.get(&(from, id)).cloned(),
@@ -193,9 +193,9 @@
 
     /// A peer is lost: its placements are taken to have ended.
     pub fn requester_lost(&self, cx: &Traffic, peer: PeerId) {
-        let mut in_line = self.of_peers_in_line.borrow_mut();
-        in_line.retain(|(of, _), _| *of != peer);
-        drop(in_line);
+        let mut queued = self.of_peers_queued.borrow_mut();
+        queued.retain(|(of, _), _| *of != peer);
+        drop(queued);
         let mut of_peers = self.of_peers.borrow_mut();
         of_peers.retain(|(of, _), (desk, key)| {
             let stays = *of != peer;
@@ -220,7 +220,7 @@
     if let Answer::MayWait(until) = answer {
         let (tx, rx) = oneshot::channel();
         let key = desk.wait(cx, demand, until, Reply::Here(tx));
-        let _in_line = InLine {
+        let _queued = Queued {
             desk: desk.clone(),
             key,
         };
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -30,8 +30,8 @@
 use self::workers::Workers;
 use super::{call, Requester, Wanted};
 use crate::mechanisms::Mechanism;
+use crate::owned_since::OwnedSince;
 use crate::peers::{Link, PeerId, PieceId};
-use crate::tenure::Tenure;
 use crate::traffic::Traffic;
 
 pub(super) use self::replies::LocalEnd;
@@ -71,7 +71,7 @@
     kept_ms: Cell<Millis>,
     /// Some worker names a limit.
     has_limits: Cell<bool>,
-    tenure: Tenure,
+    owned: OwnedSince,
     will_pump: Cell<bool>,
     is_ticking: Cell<bool>,
     is_freeing: Cell<bool>,
@@ -113,7 +113,7 @@
             load_told: RefCell::default(),
             kept_ms: Cell::new(pool.kept_for.as_millis() as Millis),
             has_limits: Cell::new(false),
-            tenure: Tenure::default(),
+            owned: OwnedSince::default(),
             will_pump: Cell::new(false),
             is_ticking: Cell::new(false),
             is_freeing: Cell::new(false),
@@ -218,9 +218,9 @@
         });
     }
 
-    fn look_at_tenure(&self, cx: &Rc<Traffic>) {
-        let part = self.tenure.look(cx, &self.name);
-        self.queue.borrow_mut().set_limit_part(part);
+    fn update_limit_share(&self, cx: &Rc<Traffic>) {
+        let share = self.owned.limit_share(cx, &self.name);
+        self.queue.borrow_mut().set_limit_share(share);
     }
 
     /// Makes every call that can be made now.
@@ -229,7 +229,7 @@
             return;
         };
         if self.has_limits.get() {
-            self.look_at_tenure(&cx);
+            self.update_limit_share(&cx);
         }
         loop {
             let next = self.queue.borrow_mut().next_call(cx.clock.now());
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -85,7 +85,7 @@
         }
         drop((workers, queue));
         self.has_limits.set(has_limits);
-        self.look_at_tenure(cx);
+        self.update_limit_share(cx);
         for target in targets {
             let worker = self.workers.borrow().worker(target.incarnation());
             if let Some(worker) = worker {
--- a/crates/gateway/src/request/find.rs
+++ b/crates/gateway/src/request/find.rs
@@ -32,44 +32,60 @@
     prepared: &Prepared,
     sends: &Sends,
 ) -> Result<(Rc<Target>, Option<Placed>), Refusal> {
+    let senders = match ask_desk(cx, admitted, prepared, sends).await? {
+        Asked::Named(target, placed) => return Ok((target, Some(placed))),
+        Asked::Nobody(senders) => senders,
+    };
+    if let Some(target) = choose_here(cx, admitted, prepared, sends, senders) {
+        return Ok((target, None));
+    }
+    let service = &admitted.deployment.service(sends.service).name;
+    if all_limited(cx, service) {
+        let refusal = full(sends, OWNER_FOUND_WITHIN);
+        return Err(after_rests(cx, admitted, sends, refusal));
+    }
+    Err(no_target(cx, admitted, sends))
+}
+
+/// What came of asking the desk of a service.
+enum Asked {
+    Named(Rc<Target>, Placed),
+    /// This entry chooses by itself.
+    Nobody(Senders),
+}
+
+/// Asks the desk of a request's service, if it has one; again while none answers and this
+/// entry may send to none of the targets by itself.
+async fn ask_desk(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    prepared: &Prepared,
+    sends: &Sends,
+) -> Result<Asked, Refusal> {
     let wait_ends = Moment::now() + admitted.may_wait();
     let service = &admitted.deployment.service(sends.service).name;
-    let mut senders = Senders::Everyone;
     while cx.has(Mechanism::Desk) {
         let avoid = to_avoid(cx, admitted, sends);
         let demand = choose::demand(cx, admitted, service, prepared, avoid);
         let Some(demand) = demand else { break };
         match cx.placements.place(cx, service, demand).await {
-            PlaceEnd::There(id, placed) => match usable(cx, &id) {
-                Some(target) => {
-                    log_choice(cx, admitted, &target, Reason::Placed, 0);
-                    return Ok((target, Some(placed)));
-                }
-                None => break,
-            },
+            PlaceEnd::There(id, placed) => {
+                let Some(target) = usable(cx, &id) else {
+                    return Ok(Asked::Nobody(Senders::PastDesk));
+                };
+                log_choice(cx, admitted, &target, Reason::Placed, 0);
+                return Ok(Asked::Named(target, placed));
+            }
             PlaceEnd::Full { return_in } => return Err(full(sends, return_in)),
+            PlaceEnd::Nowhere => return Ok(Asked::Nobody(Senders::Desk)),
             // Another entry owns the desk soon.
             PlaceEnd::Silent if all_limited(cx, service) && Moment::now() < wait_ends => {
                 tokio::time::sleep(ASK_AGAIN).await;
             }
-            PlaceEnd::Silent => {
-                senders = Senders::PastDesk;
-                break;
-            }
-            PlaceEnd::Nowhere => {
-                senders = Senders::Desk;
-                break;
-            }
-        }
-    }
-    match choose_here(cx, admitted, prepared, sends, senders) {
-        Some(target) => Ok((target, None)),
-        None if all_limited(cx, service) => {
-            let refusal = full(sends, OWNER_FOUND_WITHIN);
-            Err(after_rests(cx, admitted, sends, refusal))
+            PlaceEnd::Silent => return Ok(Asked::Nobody(Senders::PastDesk)),
         }
-        None => Err(no_target(cx, admitted, sends)),
     }
+    Ok(Asked::Nobody(Senders::Everyone))
 }
 
 /// Who sends to a cold target of a service.
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -13,7 +13,7 @@
 //!
 //! A target in need names how many requests a second it takes from all entries together.
 //! No record says that, so whoever hears it has all others told in the same way, at once:
-//! the owner of a desk sends for all. An entry that comes later is greeted with what is in
+//! the owner of a desk sends for all. An entry that comes later is told what is in
 //! force, and a desk's owner hears it again from those it places requests for.
 //!
 //! A target that turns work away may say for how long it wants none. That is meant for the
@@ -145,7 +145,7 @@
     let Some(word) = cx.targets().limit_word(start) else {
         return;
     };
-    match teller_of(cx, start) {
+    match coordinator_of(cx, start) {
         Owner::Me => tell_limit_to_all(cx, start),
         Owner::Peer(link) => link.send(limit_message(cx, start, word, true)),
     }
@@ -185,16 +185,16 @@
 }
 
 /// Tells entries that have just come which limits are in force, as far as this one told for
-/// their targets before they came: a newcomer may be the next that tells for a target.
-pub fn greet(cx: &Rc<Traffic>, newcomers: &[&PeerRecord]) {
+/// their targets before they came: a new entry may be the next that tells for a target.
+pub fn tell_new_peers(cx: &Rc<Traffic>, new_peers: &[&PeerRecord]) {
     let limited = cx.targets().limited();
-    let ids: Vec<PeerId> = newcomers.iter().map(|peer| peer.id).collect();
+    let ids: Vec<PeerId> = new_peers.iter().map(|peer| peer.id).collect();
     for (start, word) in limited {
-        let teller = cx.peers.owner_without(cx, &word_name(&start), &ids);
+        let teller = cx.peers.owner_without(cx, &coordination_name(&start), &ids);
         if teller.is_none_or(|teller| teller.id != cx.me.id) {
             continue;
         }
-        let others = newcomers.iter().filter(|peer| peer.id != cx.me.id);
+        let others = new_peers.iter().filter(|peer| peer.id != cx.me.id);
         for peer in others {
             let link = cx.peers.link_to(cx, peer);
             link.send(limit_message(cx, &start, word, false));
@@ -216,12 +216,12 @@
 }
 
 /// The one entry that tells all others what a start says of itself.
-fn teller_of(cx: &Rc<Traffic>, start: &Incarnation) -> Owner {
-    cx.peers.owner_of(cx, &word_name(start))
+fn coordinator_of(cx: &Rc<Traffic>, start: &Incarnation) -> Owner {
+    cx.peers.owner_of(cx, &coordination_name(start))
 }
 
 /// By which the one entry is found that tells what a start says of itself.
-fn word_name(start: &Incarnation) -> String {
+fn coordination_name(start: &Incarnation) -> String {
     format!("words/{}", start.id)
 }
 
@@ -241,7 +241,7 @@
     if cx.view().leaving.contains(&start) {
         return;
     }
-    match teller_of(&cx, &start) {
+    match coordinator_of(&cx, &start) {
         Owner::Me => tell_all(&cx, &start),
         Owner::Peer(link) => link.send(Message::TargetLeaves {
             target: start,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use hollowsail_fleet::Spacing;
-use hollowsail_observe::Seldom;
+use hollowsail_fleet::Throttle;
+use hollowsail_observe::LogThrottle;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
@@ -70,9 +70,9 @@
     pub placements: Placements,
     pub crashes: Crashes,
     /// When targets' limits were told to the others.
-    pub limit_news: Spacing<Incarnation>,
+    pub limit_news: Throttle<Incarnation>,
     /// Words of targets that can't be read or aren't known, by the target's id.
-    odd_words: RefCell<Seldom<(String, String)>>,
+    odd_words: RefCell<LogThrottle<(String, String)>>,
     /// By the service's name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent times of whole requests, by the service's name.
@@ -115,8 +115,8 @@
                 pools: Pools::default(),
                 placements: Placements::default(),
                 crashes,
-                odd_words: RefCell::new(Seldom::new(TELL_ODD_WORDS_EVERY_MS)),
-                limit_news: Spacing::new(TELL_LIMITS_EVERY_MS),
+                odd_words: RefCell::new(LogThrottle::new(TELL_ODD_WORDS_EVERY_MS)),
+                limit_news: Throttle::new(TELL_LIMITS_EVERY_MS),
                 view: RefCell::new(published.load()),
                 published,
                 feeds,
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -3,9 +3,9 @@
 
 pub mod events;
 pub mod kinds;
+pub mod log_throttle;
 pub mod output;
 pub mod recorder;
-pub mod seldom;
 
 pub use kinds::ErrorKind;
-pub use seldom::Seldom;
+pub use log_throttle::LogThrottle;
--- a/crates/observe/src/seldom.rs
+++ b/crates/observe/src/log_throttle.rs
@@ -8,15 +8,15 @@
 
 /// When subjects were last told, in milliseconds since the process started.
 #[derive(Debug)]
-pub struct Seldom<K> {
+pub struct LogThrottle<K> {
     pause_ms: u64,
     told: HashMap<K, u64>,
 }
 
-impl<K: Eq + Hash> Seldom<K> {
+impl<K: Eq + Hash> LogThrottle<K> {
     /// Tells each subject once in a pause at the most.
     pub fn new(pause_ms: u64) -> Self {
-        Seldom {
+        LogThrottle {
             pause_ms,
             told: HashMap::new(),
         }
--- a/crates/observe/tests/suite/main.rs
+++ b/crates/observe/tests/suite/main.rs
@@ -1,4 +1,4 @@
 //! Tables of the daemons that documents show.
 
 mod catalogues;
-mod seldom;
+mod log_throttle;
--- a/crates/routing/src/desk/line.rs
+++ b/crates/routing/src/desk/demand_queue.rs
@@ -14,14 +14,14 @@
 /// the limits that close the engines may be over long before.
 const MOST_RETURN_MS: Millis = 3_000;
 
-/// A demand's place in the line: its urgency, 0 first, and its number.
+/// A demand's place in the queue: its urgency, 0 first, and its number.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct LineKey(u8, u64);
+pub struct DemandKey(u8, u64);
 
 /// Demands in their order.
 #[derive(Debug)]
-pub struct Line<T> {
-    waiting: BTreeMap<LineKey, Waiting<T>>,
+pub struct DemandQueue<T> {
+    waiting: BTreeMap<DemandKey, Waiting<T>>,
     /// Demands that came so far.
     came: u64,
     /// When the last one that was turned away is to come back.
@@ -34,9 +34,9 @@
     demand: T,
 }
 
-impl<T> Default for Line<T> {
+impl<T> Default for DemandQueue<T> {
     fn default() -> Self {
-        Line {
+        DemandQueue {
             waiting: BTreeMap::new(),
             came: 0,
             last_return: 0,
@@ -44,27 +44,27 @@
     }
 }
 
-impl<T> Line<T> {
+impl<T> DemandQueue<T> {
     /// Puts a demand in, which waits until a moment.
-    pub fn push(&mut self, urgency: u8, until: Millis, demand: T) -> LineKey {
+    pub fn push(&mut self, urgency: u8, until: Millis, demand: T) -> DemandKey {
         self.came += 1;
-        let key = LineKey(urgency, self.came);
+        let key = DemandKey(urgency, self.came);
         self.waiting.insert(key, Waiting { until, demand });
         key
     }
 
     /// A demand waits no longer.
-    pub fn remove(&mut self, key: LineKey) -> Option<T> {
+    pub fn remove(&mut self, key: DemandKey) -> Option<T> {
         self.waiting.remove(&key).map(|waiting| waiting.demand)
     }
 
     /// Demands that have their turn before a new one of an urgency.
     pub fn ahead_of(&self, urgency: u8) -> usize {
-        self.waiting.range(..=LineKey(urgency, u64::MAX)).count()
+        self.waiting.range(..=DemandKey(urgency, u64::MAX)).count()
     }
 
     /// Demands in their order.
-    pub fn iter(&self) -> impl Iterator<Item = (LineKey, &T)> {
+    pub fn iter(&self) -> impl Iterator<Item = (DemandKey, &T)> {
         let waiting = self.waiting.iter();
         waiting.map(|(key, waiting)| (*key, &waiting.demand))
     }
@@ -73,7 +73,7 @@
     pub fn take_expired(&mut self, now: Millis) -> Vec<T> {
         let waiting = self.waiting.iter();
         let expired = waiting.filter(|(_, waiting)| waiting.until <= now);
-        let keys: Vec<LineKey> = expired.map(|(key, _)| *key).collect();
+        let keys: Vec<DemandKey> = expired.map(|(key, _)| *key).collect();
         keys.into_iter()
             .filter_map(|key| self.remove(key))
             .collect()
@@ -91,6 +91,6 @@
         let behind = self.last_return + (1_000.0 / per_s).ceil() as Millis;
         let latest = now + MOST_RETURN_MS;
         self.last_return = behind.max(now + turn_in).min(latest);
-        self.last_return - now
+        (self.last_return - now).max(1)
     }
 }
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -7,10 +7,10 @@
 //!
 //! An engine that is cold, or that names a limit, gets what it bears; where all that may
 //! serve have had that, [`EngineDesk::turn`] says when a demand would have its turn, and
-//! it waits in a [`Line`] or is told to come back.
+//! it waits in a [`DemandQueue`] or is told to come back.
 
+mod demand_queue;
 mod health;
-mod line;
 
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -21,11 +21,11 @@
 use crate::cold::{Cold, ColdGate, DESK_SHARE};
 use crate::engine::{choose_engine, EngineCandidate};
 use crate::health::{HealthRules, Observation};
-use crate::limit::{LimitGate, LimitPart};
+use crate::limit::{LimitGate, LimitShare};
 use crate::Millis;
 use health::EngineHealth;
 
-pub use line::{Line, LineKey};
+pub use demand_queue::{DemandKey, DemandQueue};
 
 new_key_type! {
     /// One placement, until it has ended.
@@ -120,7 +120,7 @@
 
 impl Engine {
     /// When it may get a request at the earliest.
-    fn opens(&self, now: Millis, part: LimitPart) -> Millis {
+    fn opens(&self, now: Millis, part: LimitShare) -> Millis {
         let by_limit = self.limit_gate.opens(now, self.limit, part);
         self.gate.opens(now).max(by_limit)
     }
@@ -155,7 +155,7 @@
     ms_per_token: f64,
     rules: HealthRules,
     /// Which part of the engines' limits this desk gives.
-    limit_part: LimitPart,
+    limit_share: LimitShare,
 }
 
 /// Time to a first event, with so many tokens to read before it.
@@ -188,7 +188,7 @@
             kept: HashMap::new(),
             ms_per_token: FIRST_MS_PER_TOKEN,
             rules: HealthRules::default(),
-            limit_part: LimitPart::default(),
+            limit_share: LimitShare::default(),
         }
     }
 }
@@ -210,14 +210,14 @@
     }
 
     /// Gives another part of the engines' limits from now on.
-    pub fn set_limit_part(&mut self, part: LimitPart) {
-        self.limit_part = part;
+    pub fn set_limit_share(&mut self, part: LimitShare) {
+        self.limit_share = part;
     }
 
     /// When a demand would get one of the engines that are closed by their limits alone,
     /// behind so many others; `None` where there is no such engine.
     pub fn turn(&self, now: Millis, demand: &Demand<K>, ahead: usize) -> Option<Turn> {
-        let part = self.limit_part;
+        let part = self.limit_share;
         let of_demand = self.order.iter().filter(|key| !demand.avoid.contains(key));
         let engines = of_demand.map(|key| &self.engines[key]);
         let limited = engines.filter(|engine| engine.limit.is_some() && engine.gate.is_open(now));
@@ -237,13 +237,13 @@
     /// True when some engine may get a request now.
     pub fn is_any_open(&self, now: Millis) -> bool {
         let mut engines = self.engines.values();
-        engines.any(|engine| engine.opens(now, self.limit_part) == now)
+        engines.any(|engine| engine.opens(now, self.limit_share) == now)
     }
 
     /// When the first engine opens that is closed now; `None` when none is.
     pub fn next_opening(&self, now: Millis) -> Option<Millis> {
         let engines = self.engines.values();
-        let opens = engines.map(|engine| engine.opens(now, self.limit_part));
+        let opens = engines.map(|engine| engine.opens(now, self.limit_share));
         opens.filter(|opens| *opens > now).min()
     }
 
@@ -259,7 +259,7 @@
             .order
             .iter()
             .filter(|key| !demand.avoid.contains(key))
-            .filter(|key| self.engines[*key].opens(now, self.limit_part) == now)
+            .filter(|key| self.engines[*key].opens(now, self.limit_share) == now)
             .collect();
         let keys = match demand.is_suspect {
             true => self.emptiest(now, &demand.from_hall, open),
@@ -340,8 +340,8 @@
         state.running += 1;
         state.suspects += u32::from(demand.is_suspect);
         state.unread_tokens += to_read;
-        state.gate.sent(now, self.limit_part.cold_share());
-        state.limit_gate.sent(now, state.limit, self.limit_part);
+        state.gate.sent(now, self.limit_share.cold_share());
+        state.limit_gate.sent(now, state.limit, self.limit_share);
         let tokens_ahead = state.unread_tokens;
         // A request without a prompt leaves nothing that an engine could keep.
         let was_kept = demand.prompt_tokens > 0 && {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -29,11 +29,13 @@
 pub use cold::{Cold, ColdGate};
 pub use crash_ledger::{CrashLedger, CrashedRun, Standing};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
-pub use desk::{Demand, DeskEngine, EngineDesk, Line, LineKey, PlacementEnd, PlacementKey, Turn};
+pub use desk::{
+    Demand, DemandKey, DemandQueue, DeskEngine, EngineDesk, PlacementEnd, PlacementKey, Turn,
+};
 pub use engine::{choose_engine, engine_goes_first, EngineCandidate, EngineChoice};
 pub use health::{HealthRules, Observation, TargetHealth};
 pub use latency::LatencyWindow;
-pub use limit::{LimitGate, LimitPart};
+pub use limit::{LimitGate, LimitShare};
 pub use pace::Pace;
 pub use policy::{Choosing, Switches};
 pub use progress::{
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -32,25 +32,28 @@
 /// end of a limit would show to nobody.
 const LEAST_PER_S: f64 = 0.2;
 
-/// Which part of a target's limit its sender uses.
+/// How much of what a target takes from all entries together one sender uses.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct LimitPart {
-    share: f64,
+pub struct LimitShare {
+    /// Part of the rate that the target names.
+    of_rate: f64,
+    /// Requests let through at once after a lull.
     burst: f64,
+    /// Part of the rate that the target bears while it is cold.
     cold_share: f64,
 }
 
-impl LimitPart {
+impl LimitShare {
     /// That of a sender that has owned the target's desk or queue for a time.
     pub fn owned_for(owned_ms: Millis) -> Self {
         match owned_ms >= SETTLED_AFTER_MS {
-            true => LimitPart {
-                share: SETTLED_SHARE,
+            true => LimitShare {
+                of_rate: SETTLED_SHARE,
                 burst: SETTLED_BURST,
                 cold_share: cold::SETTLED_DESK_SHARE,
             },
-            false => LimitPart {
-                share: NEW_SHARE,
+            false => LimitShare {
+                of_rate: NEW_SHARE,
                 burst: NEW_BURST,
                 cold_share: cold::DESK_SHARE,
             },
@@ -59,8 +62,8 @@
 
     /// That of an entry that doesn't know the others.
     pub fn unlisted() -> Self {
-        LimitPart {
-            share: UNLISTED_SHARE,
+        LimitShare {
+            of_rate: UNLISTED_SHARE,
             burst: NEW_BURST,
             cold_share: UNLISTED_SHARE,
         }
@@ -73,14 +76,14 @@
 
     /// Requests a second that the sender may make of a limit.
     pub fn rate(&self, per_s: f64) -> f64 {
-        per_s.max(LEAST_PER_S) * self.share
+        per_s.max(LEAST_PER_S) * self.of_rate
     }
 }
 
-impl Default for LimitPart {
+impl Default for LimitShare {
     /// That of a new owner.
     fn default() -> Self {
-        LimitPart::owned_for(0)
+        LimitShare::owned_for(0)
     }
 }
 
@@ -95,29 +98,29 @@
 impl LimitGate {
     /// When the target may get a request at the earliest; `now` when it may at once, as
     /// one without a limit always may.
-    pub fn opens(&self, now: Millis, limit: Option<f64>, part: LimitPart) -> Millis {
+    pub fn opens(&self, now: Millis, limit: Option<f64>, share: LimitShare) -> Millis {
         let Some(per_s) = limit else { return now };
-        let spacing = spacing_ms(per_s, part);
-        let waits = self.missing_ms(now, spacing, part) - (part.burst - 1.0) * spacing;
+        let spacing = spacing_ms(per_s, share);
+        let waits = self.missing_ms(now, spacing, share) - (share.burst - 1.0) * spacing;
         now + waits.max(0.0).ceil() as Millis
     }
 
     /// The target gets a request.
-    pub fn sent(&mut self, now: Millis, limit: Option<f64>, part: LimitPart) {
+    pub fn sent(&mut self, now: Millis, limit: Option<f64>, share: LimitShare) {
         let Some(per_s) = limit else { return };
-        let spacing = spacing_ms(per_s, part);
-        self.full_at = now as f64 + self.missing_ms(now, spacing, part) + spacing;
+        let spacing = spacing_ms(per_s, share);
+        self.full_at = now as f64 + self.missing_ms(now, spacing, share) + spacing;
     }
 
     /// Time until the bucket is full. What was taken at a lower rate counts as one burst at
     /// the rate of now at most: a limit that rises is used at once.
-    fn missing_ms(&self, now: Millis, spacing: f64, part: LimitPart) -> f64 {
+    fn missing_ms(&self, now: Millis, spacing: f64, share: LimitShare) -> f64 {
         let missing = (self.full_at - now as f64).max(0.0);
-        missing.min(part.burst * spacing)
+        missing.min(share.burst * spacing)
     }
 }
 
 /// Time between two requests of a sender.
-fn spacing_ms(per_s: f64, part: LimitPart) -> f64 {
-    1_000.0 / part.rate(per_s)
+fn spacing_ms(per_s: f64, share: LimitShare) -> f64 {
+    1_000.0 / share.rate(per_s)
 }
--- a/crates/routing/tests/suite/limit.rs
+++ b/crates/routing/tests/suite/limit.rs
@@ -2,19 +2,19 @@
 
 use hollowsail_routing::limit::SETTLED_AFTER_MS;
 use hollowsail_routing::{
-    Demand, DeskEngine, EngineDesk, LimitGate, LimitPart, Line, Millis, Turn,
+    Demand, DemandQueue, DeskEngine, EngineDesk, LimitGate, LimitShare, Millis, Turn,
 };
 use proptest::prelude::*;
 
 /// The span over which operators count, in milliseconds.
 const SPAN_MS: Millis = 4_000;
 
-fn settled() -> LimitPart {
-    LimitPart::owned_for(SETTLED_AFTER_MS)
+fn settled() -> LimitShare {
+    LimitShare::owned_for(SETTLED_AFTER_MS)
 }
 
-fn new() -> LimitPart {
-    LimitPart::owned_for(0)
+fn new() -> LimitShare {
+    LimitShare::owned_for(0)
 }
 
 /// What a target that names `per_s` may get in a span.
@@ -31,7 +31,7 @@
 }
 
 /// Sends of one sender that sends whenever it may, over so many milliseconds.
-fn all_sends(per_s: f64, part: LimitPart, lasts: Millis) -> Vec<Millis> {
+fn all_sends(per_s: f64, part: LimitShare, lasts: Millis) -> Vec<Millis> {
     let mut gate = LimitGate::default();
     let mut sent = Vec::new();
     for now in 0..lasts {
@@ -74,7 +74,7 @@
 fn entries_that_know_of_no_others_stay_below_a_limit_together() {
     for per_s in [0.2, 1.0, 3.0, 17.0, 300.0] {
         let mut sent: Vec<Millis> = (0..8)
-            .flat_map(|_| all_sends(per_s, LimitPart::unlisted(), 12_000))
+            .flat_map(|_| all_sends(per_s, LimitShare::unlisted(), 12_000))
             .collect();
         sent.sort_unstable();
         let most = most_in_span(&sent);
@@ -164,7 +164,7 @@
 
 fn desk(engines: &[DeskEngine<&'static str>]) -> EngineDesk<&'static str> {
     let mut desk = EngineDesk::default();
-    desk.set_limit_part(settled());
+    desk.set_limit_share(settled());
     desk.set_engines(0, engines);
     desk
 }
@@ -213,7 +213,7 @@
 
 #[test]
 fn a_line_goes_by_urgency_and_then_by_arrival() {
-    let mut line = Line::default();
+    let mut line = DemandQueue::default();
     let late = line.push(2, 900, "late");
     line.push(1, 500, "first");
     line.push(1, 800, "second");
@@ -233,7 +233,7 @@
 /// and none is sent away for long.
 #[test]
 fn callers_that_are_turned_away_come_back_at_the_rate_of_the_engines() {
-    let mut line: Line<()> = Line::default();
+    let mut line: DemandQueue<()> = DemandQueue::default();
     let returns: Vec<Millis> = (0..10).map(|_| line.return_in(1_000, 400, 10.0)).collect();
     assert_eq!(returns[0], 400);
     assert!(returns.windows(2).all(|pair| pair[1] == pair[0] + 100));
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -61,7 +61,7 @@
             self.workers[worker].held_bytes += result_bytes;
         }
         self.workers[worker].calls += 1;
-        self.workers[worker].called(now, self.limit_part);
+        self.workers[worker].called(now, self.limit_share);
         let call = self.calls.insert(Call {
             worker,
             pieces: pieces.clone(),
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -127,7 +127,7 @@
     /// True when a worker of a hall is expected to be free by a moment.
     fn has_worker_by(&self, hall: HallKey, by: Millis) -> bool {
         self.workers.iter().any(|(key, worker)| {
-            let rests = worker.leaving || worker.opens(by, self.limit_part) > by;
+            let rests = worker.leaving || worker.opens(by, self.limit_share) > by;
             let has_place = worker.calls < self.rules.running;
             worker.hall == hall && !rests && (has_place || self.has_call_ending_by(key, by))
         })
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -70,7 +70,7 @@
     /// allows fewer calls than it could make.
     fn used_part(&self, worker: &Worker) -> f64 {
         let call_s = self.rules.expected_ms(self.rules.batch) / 1_000.0;
-        let rate = worker.limit.map(|per_s| self.limit_part.rate(per_s));
+        let rate = worker.limit.map(|per_s| self.limit_share.rate(per_s));
         rate.map_or(1.0, |per_s| (per_s * WORK_SHARE * call_s).min(1.0))
     }
 
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -29,7 +29,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use hollowsail_routing::LimitPart;
+use hollowsail_routing::LimitShare;
 use slotmap::SlotMap;
 
 use self::calls::Call;
@@ -90,7 +90,7 @@
     arrivals: u64,
     stay: Stay,
     /// Which part of the workers' limits this queue uses.
-    limit_part: LimitPart,
+    limit_share: LimitShare,
 }
 
 impl<T> BatchQueue<T> {
@@ -105,7 +105,7 @@
             groups: HashMap::new(),
             arrivals: 0,
             stay: Stay::default(),
-            limit_part: LimitPart::default(),
+            limit_share: LimitShare::default(),
         }
     }
 
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -5,7 +5,7 @@
 //! call now and then, to see whether it recovered. One that names a limit gets calls
 //! at that rate, those that give results up included.
 
-use hollowsail_routing::{LimitGate, LimitPart};
+use hollowsail_routing::{LimitGate, LimitShare};
 use serde::{Deserialize, Serialize};
 
 use super::calls::Call;
@@ -83,12 +83,12 @@
 
 impl Worker {
     /// When it may get a call at the earliest, busy or not.
-    pub fn opens(&self, now: Millis, part: LimitPart) -> Millis {
+    pub fn opens(&self, now: Millis, part: LimitShare) -> Millis {
         self.gate.opens(now, self.limit, part).max(self.out_until)
     }
 
     /// It gets a call.
-    pub fn called(&mut self, now: Millis, part: LimitPart) {
+    pub fn called(&mut self, now: Millis, part: LimitShare) {
         self.gate.sent(now, self.limit, part);
     }
 
@@ -136,14 +136,14 @@
     }
 
     /// Uses another part of the workers' limits from now on.
-    pub fn set_limit_part(&mut self, part: LimitPart) {
-        self.limit_part = part;
+    pub fn set_limit_share(&mut self, part: LimitShare) {
+        self.limit_share = part;
     }
 
     /// True when a worker may get a call now that gives results up, and counts that call.
     /// Where it may not, the owner tries again soon.
     pub fn begin_free(&mut self, worker: WorkerKey, now: Millis) -> bool {
-        let part = self.limit_part;
+        let part = self.limit_share;
         let Some(state) = self.workers.get_mut(worker) else {
             return true;
         };
@@ -178,7 +178,7 @@
     pub(super) fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
         self.workers
             .iter()
-            .filter(|(_, worker)| !worker.leaving && worker.opens(now, self.limit_part) <= now)
+            .filter(|(_, worker)| !worker.leaving && worker.opens(now, self.limit_share) <= now)
             .filter(|(_, worker)| worker.free_goes_first_until <= now)
             .filter(|(_, worker)| worker.calls < self.rules.running)
             .map(|(key, _)| key)
--- a/crates/stages/tests/suite/limited.rs
+++ b/crates/stages/tests/suite/limited.rs
@@ -1,7 +1,7 @@
 //! Workers that name how many calls a second they take.
 
 use hollowsail_routing::limit::SETTLED_AFTER_MS;
-use hollowsail_routing::LimitPart;
+use hollowsail_routing::LimitShare;
 use hollowsail_stages::{BatchQueue, CallEnd, GroupKey, HallKey, PieceOrder, PoolRules, WorkerKey};
 
 const HERE: HallKey = HallKey(0);
@@ -14,7 +14,7 @@
         piece_ms: 0.0,
         result_bytes: 1_000_000,
     });
-    queue.set_limit_part(LimitPart::owned_for(SETTLED_AFTER_MS));
+    queue.set_limit_share(LimitShare::owned_for(SETTLED_AFTER_MS));
     queue
 }
 
