--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -12,6 +12,8 @@
 const LAST_FAULT_BEFORE_END_S: u64 = 8;
 /// How long a target that leaves still takes requests, in milliseconds.
 pub const DRAIN_MS: u64 = 2_000;
+/// How long targets name a limit, in milliseconds: longer than until it has to be kept to.
+const LIMITED_MS: u64 = 9_000;
 /// Name of the trouble that adds a route.
 const ADDED: &str = "added";
 /// Path of the route that it adds a second time.
@@ -109,17 +111,41 @@
                 "[trouble.silent]\nwhat = store-silent\nat_ms = {}\nfor_ms = 3000\n",
                 at_ms()
             ),
-            trouble("gone", "targets-gone", "plain", at_ms(), 1_000),
-            trouble("ended", "targets-gone", "encoders", at_ms(), 1_000),
+            // Each has targets of its own: one that has ended can't do anything else.
+            trouble("gone", "targets-gone", "plain", 0, at_ms(), 1_000),
+            trouble("ended", "targets-gone", "encoders", 0, at_ms(), 1_000),
             trouble(
                 "leaving",
                 "targets-leave",
                 "engines",
+                0,
                 at_ms(),
                 DRAIN_MS + 500,
             ),
-            trouble("limited", "targets-limited", "plain", limited_ms, 8_000),
-            trouble("scarce", "targets-limited", "engines", limited_ms, 8_000),
+            trouble(
+                "limited",
+                "targets-limited",
+                "plain",
+                2,
+                limited_ms,
+                LIMITED_MS,
+            ),
+            trouble(
+                "scarce",
+                "targets-limited",
+                "engines",
+                2,
+                limited_ms,
+                LIMITED_MS,
+            ),
+            trouble(
+                "short",
+                "targets-limited",
+                "encoders",
+                2,
+                limited_ms,
+                LIMITED_MS,
+            ),
             format!("[trouble.{ADDED}]\nwhat = route-added\nroute = 0\nat_ms = {added_ms}\n"),
         ];
         let mut kinds = vec![EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
@@ -145,13 +171,14 @@
     }
 }
 
-fn trouble(name: &str, what: &str, service: &str, at_ms: u64, for_ms: u64) -> String {
+/// A trouble of two targets, from one on.
+fn trouble(name: &str, what: &str, service: &str, first: usize, at_ms: u64, for_ms: u64) -> String {
     let per_s = match what {
         "targets-limited" => "per_s = 2\n",
         _ => "",
     };
     format!(
-        "[trouble.{name}]\nwhat = {what}\nservice = {service}\ntargets = 2\n{per_s}\
+        "[trouble.{name}]\nwhat = {what}\nservice = {service}\nfirst = {first}\ntargets = 2\n{per_s}\
          at_ms = {at_ms}\nfor_ms = {for_ms}\n"
     )
 }
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -237,6 +237,7 @@
         let child = Command::new(&self.program)
             .arg("gateway")
             .env(SETTINGS_VARIABLE, &settings)
+            .env("RUST_LOG", "info")
             .stdin(Stdio::null())
             .stdout(Stdio::null())
             .stderr(file)
