--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -48,6 +48,8 @@
     pub length: Duration,
 }
 
+/// Halls of the site, as it names them.
+const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 const SERVICES: &str = "\
 [platform]
 halls = hall-a, hall-b
@@ -165,6 +167,11 @@
         }
     }
 
+    /// The halls of the site.
+    pub fn halls(&self) -> Vec<String> {
+        HALLS.map(str::to_string).to_vec()
+    }
+
     /// Path of the route that the operators add.
     pub fn added_path(&self) -> String {
         added_path(PLAIN_PATH, ADDED)
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -3,14 +3,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::fs::File;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_emulator::caller;
-use hollowsail_platform_emulator::entry::{EntryPlace, SETTINGS_VARIABLE};
+use hollowsail_platform_emulator::entry::{self, EntryPlace, GRACE_S, SETTINGS_VARIABLE};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Deserialize;
 use snafu::ResultExt;
@@ -22,8 +22,6 @@
 
 /// Longest time for the platform, and for a gateway, until it is up.
 const UP_WITHIN: Duration = Duration::from_secs(20);
-/// Longest time of a planned stop, in seconds.
-const GRACE_S: u32 = 6;
 /// Between two questions of the balancer.
 const ASK_EVERY: Duration = Duration::from_millis(300);
 /// Misses after which a gateway gets no new connections.
@@ -89,8 +87,10 @@
         std::fs::write(&site, &plan.site).context(FolderSnafu { path: &site })?;
         let seen = Rc::new(RefCell::new(Seen::default()));
         let (platform, store) = start_platform(&folder, &site, &seen).await?;
+        let halls = plan.halls();
+        let places = entry::places(options.entries, &halls, store, DRAIN_MS);
         let fleet = Fleet {
-            gateways: places(options.entries, store).map(Gateway::new).collect(),
+            gateways: places.into_iter().map(Gateway::new).collect(),
             program: program_for(options),
             folder,
             platform: RefCell::new(Some(platform)),
@@ -290,23 +290,6 @@
     }
 }
 
-/// Places of gateways, each on a loopback address of its own: those of two runs that go on
-/// beside each other differ by their processes.
-fn places(count: usize, store: SocketAddr) -> impl Iterator<Item = EntryPlace> {
-    let process = std::process::id();
-    let second = 64 + (process % 128) as u8;
-    let third = ((process / 128) % 250) as u8;
-    (0..count).map(move |at| EntryPlace {
-        host: format!("host-{at}"),
-        hall: ["hall-a", "hall-b"][at % 2].to_string(),
-        ip: Ipv4Addr::new(127, second, third, at as u8 + 1),
-        store,
-        seeds: Vec::new(),
-        drain_ms: DRAIN_MS,
-        grace_s: GRACE_S,
-    })
-}
-
 fn folder_for(options: &SoakOptions) -> Result<PathBuf, SoakError> {
     let name = format!("soak-{}-{}", options.seed, std::process::id());
     let folder = options.folder.clone();
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -1,6 +1,5 @@
 //! The users' platform on loopback with gateways before it, in one process.
 
-use std::net::Ipv4Addr;
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -8,7 +7,7 @@
 use hollowsail_gateway::{start, Mechanisms, Running};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform_emulator::caller::{self, CallerRequest, Connection, Outcome};
-use hollowsail_platform_emulator::entry::EntryPlace;
+use hollowsail_platform_emulator::entry::{self, EntryPlace};
 use hollowsail_platform_emulator::{Emulator, Events, RouteModel, Site};
 use snafu::Snafu;
 
@@ -21,9 +20,6 @@
 const MOST_TRIES: u32 = 20;
 /// Between two tries.
 const TRY_AGAIN: Duration = Duration::from_millis(100);
-/// Longest time of a planned stop, in seconds.
-const GRACE_S: u32 = 6;
-
 /// What to run.
 pub struct LocalPlatform {
     pub site: PathBuf,
@@ -65,7 +61,8 @@
 async fn try_run(cx: &mut Context<'_>, local: &LocalPlatform) -> Result<bool, LocalError> {
     let site = read(&local.site)?;
     let emulator = Emulator::start(&site, Events::new(|line| log::debug!("{line}"))).await;
-    let places = places(local.entries, &site, &emulator);
+    let store = emulator.store_addr();
+    let places = entry::places(local.entries, &site.halls, store, site.drain_ms);
     let mut gateways = Vec::new();
     for place in &places {
         gateways.push(start_gateway(place).await?);
@@ -102,26 +99,6 @@
     Site::parse(&source).map_err(|source| LocalError::Site { source })
 }
 
-/// A loopback address for each gateway; the halls take turns.
-fn places(count: usize, site: &Site, emulator: &Emulator) -> Vec<EntryPlace> {
-    let process = std::process::id();
-    let place = |at: usize| EntryPlace {
-        host: format!("host-{at}"),
-        hall: site.halls[at % site.halls.len()].clone(),
-        ip: Ipv4Addr::new(
-            127,
-            32 + (process % 32) as u8,
-            (process / 32 % 250) as u8,
-            at as u8 + 1,
-        ),
-        store: emulator.store_addr(),
-        seeds: Vec::new(),
-        drain_ms: site.drain_ms,
-        grace_s: GRACE_S,
-    };
-    (0..count).map(place).collect()
-}
-
 async fn start_gateway(place: &EntryPlace) -> Result<Running, LocalError> {
     let failed = |reason: String| LocalError::Start { reason };
     let settings = Settings::parse(&place.settings()).map_err(|err| failed(err.to_string()))?;
