--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -167,6 +167,21 @@
         }
     }
 
+    /// What is done to the gateways, a line each.
+    pub fn faults_in_words(&self) -> String {
+        let lines = self.faults.iter().map(|planned| {
+            let PlannedFault {
+                fault,
+                entry,
+                at,
+                lasts,
+            } = planned;
+            let (at, lasts) = (at.as_millis(), lasts.as_millis());
+            format!("{at} ms: {fault:?} gateway {entry} for {lasts} ms\n")
+        });
+        lines.collect()
+    }
+
     /// The halls of the site.
     pub fn halls(&self) -> Vec<String> {
         HALLS.map(str::to_string).to_vec()
