Count more requests in the test of a target that is warm again

Traced by 32 runs beside each other that print the count: 15 to 49 of 60, in two groups, as the choice of the better of two drawn at random gives: the target that seems slower by a hair gets a quarter, 15 of 60, and 10 or fewer in one of eleven such runs. The check is the same sixth, of 300 requests, where that comes to one in thousands.

--- a/crates/gateway/tests/suite/cold.rs
+++ b/crates/gateway/tests/suite/cold.rs
@@ -47,10 +47,13 @@
     store.put_target("i-2", "plain", cold.addr, "hall-a", "ready");
     tokio::time::sleep(Duration::from_millis(400)).await;
     let before = cold.seen().len();
-    for _ in 0..60 {
+    // So many that the better of two drawn at random shows: a target that seems a little
+    // slower than the other gets a quarter of them.
+    for _ in 0..300 {
         Call::new("GET", "/a/").send(gateway.at.callers).await;
     }
-    assert!(cold.seen().len() - before > 10, "it is used like any other");
+    let used = cold.seen().len() - before;
+    assert!(used > 50, "it is used like any other: {used} of 300");
 }
 
 #[actix_rt::test]
