Count more requests in the tests of targets that are back

A hall that was taken back got 3 of 24 requests in one run beside another, more than 4 were asked for. The cause is that of the test of a warm target: the better of two drawn at random gives a quarter to the target that seems slower by a hair, 6 of 24 on the mean, 4 or fewer in one of four such runs. The same share is asked of 300 now, here and where a target has rested.

--- a/crates/gateway/tests/suite/resting.rs
+++ b/crates/gateway/tests/suite/resting.rs
@@ -88,10 +88,10 @@
     assert_eq!(tired.target.seen().len(), turned_away, "it rests");
     tired.is_full.set(false);
     tokio::time::sleep(Duration::from_secs_f64(REST_S * 0.4)).await;
-    for _ in 0..60 {
+    for _ in 0..300 {
         plain().send(fixture.gateway.at.callers).await;
     }
-    assert!(tired.target.seen().len() > turned_away + 10, "it is back");
+    assert!(tired.target.seen().len() > turned_away + 50, "it is back");
 }
 
 #[actix_rt::test]
--- a/crates/gateway/tests/suite/returning.rs
+++ b/crates/gateway/tests/suite/returning.rs
@@ -166,8 +166,8 @@
     assert_eq!((gone, other), (0, 24), "the copy still has it");
     fleet.put(0, "ready");
     soon().await;
-    let [again, _] = fleet.share_of(24).await;
-    assert!(again > 4, "it wrote again: {again}");
+    let [again, _] = fleet.share_of(300).await;
+    assert!(again > 50, "it wrote again: {again} of 300");
 }
 
 /// Its record is written again by itself, two seconds after the return at the latest.
@@ -208,8 +208,8 @@
     soon().await;
     fleet.store.delete("op/evacuate/hall-a");
     soon().await;
-    let [again, _] = fleet.share_of(24).await;
-    assert!(again > 4, "taken back in the new era: {again}");
+    let [again, _] = fleet.share_of(300).await;
+    assert!(again > 50, "taken back in the new era: {again} of 300");
 }
 
 #[actix_rt::test]
