--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -63,28 +63,21 @@
             stays
         });
         for target in targets {
-            if let Some(key) = workers.worker(target.incarnation()) {
-                // Its record may say something new.
-                workers.targets.insert(key, target.clone());
-            } else {
+            let known = workers.worker(target.incarnation());
+            let key = known.unwrap_or_else(|| {
                 let hall = workers.hall(&target.record.hall);
                 let key = queue.add_worker(hall);
-                workers
-                    .by_incarnation
-                    .insert(target.incarnation().clone(), key);
-                workers.targets.insert(key, target.clone());
-            }
-        }
-        let mut has_limits = false;
-        for target in targets {
-            let limit = target.limit.get();
-            has_limits |= limit.is_some();
-            if let Some(worker) = workers.worker(target.incarnation()) {
-                queue.set_limit(worker, limit);
-            }
+                let start = target.incarnation().clone();
+                workers.by_incarnation.insert(start, key);
+                key
+            });
+            // Its record may say something new.
+            workers.targets.insert(key, target.clone());
+            queue.set_limit(key, target.limit.get());
         }
         drop((workers, queue));
-        self.has_limits.set(has_limits);
+        let mut limits = targets.iter().map(|target| target.limit.get());
+        self.has_limits.set(limits.any(|limit| limit.is_some()));
         self.update_limit_share(cx);
         for target in targets {
             let worker = self.workers.borrow().worker(target.incarnation());
