--- a/crates/gateway/src/placement/desk.rs
+++ b/crates/gateway/src/placement/desk.rs
@@ -9,6 +9,7 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
     Demand, DemandKey, DemandQueue, DeskEngine, EngineDesk, Millis, PlacementEnd, PlacementKey,
+    Turn,
 };
 use hollowsail_targets::Target;
 use tokio::sync::oneshot;
@@ -120,17 +121,11 @@
                 return Answer::There(key, engine);
             }
         }
-        let Some(turn) = self.desk.borrow().turn(now, demand, ahead) else {
-            return Answer::Nowhere;
-        };
-        if turn.in_ms <= demand.waits_ms {
-            return Answer::MayWait(now + demand.waits_ms);
+        let turn = self.desk.borrow().turn(now, demand, ahead);
+        match turn {
+            Some(turn) if turn.in_ms <= demand.waits_ms => Answer::MayWait(now + demand.waits_ms),
+            turn => self.turned_away(now, turn),
         }
-        let return_ms = self
-            .queue
-            .borrow_mut()
-            .return_in(now, turn.in_ms, turn.per_s);
-        Answer::Full { return_ms }
     }
 
     fn sweep_if_due(&self, cx: &Traffic, now: Millis) {
@@ -197,7 +192,9 @@
         self.update_limit_share(cx);
         let expired = self.queue.borrow_mut().take_expired(now);
         for asker in expired {
-            let answer = self.turned_away(now, &asker.demand);
+            let ahead = self.queue.borrow().ahead_of(asker.demand.urgency);
+            let turn = self.desk.borrow().turn(now, &asker.demand, ahead);
+            let answer = self.turned_away(now, turn);
             self.answer(cx, asker, answer);
         }
         while let Some((key, placed, engine)) = self.place_next(now) {
@@ -208,16 +205,15 @@
         }
     }
 
-    /// What a demand is told that waited in vain.
-    fn turned_away(&self, now: Millis, demand: &Demand<Incarnation>) -> Answer {
-        let ahead = self.queue.borrow().ahead_of(demand.urgency);
-        let turn = self.desk.borrow().turn(now, demand, ahead);
-        turn.map_or(Answer::Nowhere, |turn| Answer::Full {
-            return_ms: self
-                .queue
-                .borrow_mut()
-                .return_in(now, turn.in_ms, turn.per_s),
-        })
+    /// What a demand is told that can't have its turn in its time.
+    fn turned_away(&self, now: Millis, turn: Option<Turn>) -> Answer {
+        let Some(turn) = turn else {
+            return Answer::Nowhere;
+        };
+        let mut queue = self.queue.borrow_mut();
+        Answer::Full {
+            return_ms: queue.return_in(now, turn.in_ms, turn.per_s),
+        }
     }
 
     /// Places the first demand of the queue for which an engine is open.
