Look at an owner without copying its record, and pass news of limits on where it is heard

Looking for an owner, which every placed request and piece does, copied the owner's record since limits came; it lends it now. Whether a word is passed on hung on the text that is logged of its source; whoever takes the word decides now. Behaviour unchanged.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -236,19 +236,28 @@
 
     /// The owner of `what` among the entries that aren't under suspicion.
     pub fn owner_of(&self, cx: &Rc<Traffic>, what: &str) -> Owner {
-        match self.owner_without(cx, what, &[]) {
-            Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, &peer)),
+        self.with_owner(cx, what, &[], |owner| match owner {
+            Some(peer) if peer.id != cx.me.id => Owner::Peer(self.link_to(cx, peer)),
             _ => Owner::Me,
-        }
+        })
+    }
+
+    /// True when this entry would be the owner of `what` without some others.
+    pub fn is_mine_without(&self, cx: &Traffic, what: &str, others: &[PeerId]) -> bool {
+        self.with_owner(cx, what, others, |owner| {
+            owner.is_some_and(|peer| peer.id == cx.me.id)
+        })
     }
 
-    /// The same without some of them; `None` where no entry is known.
-    pub fn owner_without(
+    /// Looks at the owner of `what` among the entries that aren't under suspicion, and not
+    /// among some others; `None` where no entry is left.
+    fn with_owner<T>(
         &self,
         cx: &Traffic,
         what: &str,
         without: &[PeerId],
-    ) -> Option<PeerRecord> {
+        look: impl FnOnce(Option<&PeerRecord>) -> T,
+    ) -> T {
         let now = cx.clock.now();
         let suspects = self.suspects.borrow();
         let live = self.live.borrow();
@@ -267,7 +276,7 @@
             capacity: peer.capacity,
             is_slow: is_slow(peer),
         });
-        ownership::owner(what, candidates).map(|at| usable[at].clone())
+        look(ownership::owner(what, candidates).map(|at| usable[at]))
     }
 
     /// The link to a peer, made when there is none.
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -73,7 +73,9 @@
             asked,
             heard,
         };
-        take_limit(cx, start, word, "answer");
+        if take_limit(cx, start, word, "answer") {
+            have_limit_told_spaced(cx, start);
+        }
     }
     let rest = head
         .retry_after
@@ -118,9 +120,6 @@
     let is_news = cx.target_names_limit(start, word);
     if is_news {
         log_limit(cx, start, word, by);
-        if by == "answer" {
-            have_limit_told_spaced(cx, start);
-        }
     }
     is_news
 }
@@ -190,8 +189,8 @@
     let limited = cx.targets().limited();
     let ids: Vec<PeerId> = new_peers.iter().map(|peer| peer.id).collect();
     for (start, word) in limited {
-        let teller = cx.peers.owner_without(cx, &coordination_name(&start), &ids);
-        if teller.is_none_or(|teller| teller.id != cx.me.id) {
+        let name = coordination_name(&start);
+        if !cx.peers.is_mine_without(cx, &name, &ids) {
             continue;
         }
         let others = new_peers.iter().filter(|peer| peer.id != cx.me.id);
