--- a/crates/bench/src/day/model.rs
+++ b/crates/bench/src/day/model.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 
 use hollowsail_config::fault::Faults;
-use hollowsail_config::reader::{FaultList, Section};
+use hollowsail_config::reader::{read_sections, Section};
 use hollowsail_config::SourceFile;
 
 use crate::scenario::read_source;
@@ -149,35 +149,26 @@
 
     /// Reads a scenario's text. Pools and kinds are named before they are used.
     pub fn parse(source: &SourceFile) -> Result<Self, Faults> {
-        let ini = source.parse().map_err(|fault| Faults(vec![fault]))?;
-        let index = source.index();
-        let faults = FaultList::default();
         let mut model = DayModel::default();
-        for (name, fields) in ini.iter() {
-            let Some(name) = name else { continue };
-            let section = Section::new(&source.name, name, fields, &index, &faults);
-            match name.split_once('.') {
-                None if name == "day" => model.read_day(&section),
-                None if name == "engines" => model.engines = read_engines(&section),
-                Some(("pool", _)) => model.pools.push(read_pool(&section)),
-                Some(("kind", _)) => model.kinds.push(read_kind(&section)),
-                Some(("stage", _)) => model.read_stage(&section),
-                Some(("trouble", _)) => model.read_trouble(&section),
-                _ => {
-                    section.fault(
-                        "",
-                        "is not known; use day, engines, pool.NAME, kind.NAME, \
-                         stage.KIND.NUMBER or trouble.NAME",
-                    );
-                    continue;
-                }
+        let faults = read_sections(source, |section| model.read_section(section))?;
+        faults.into_result(model)
+    }
+
+    /// Reads a section, or says which sections there are.
+    fn read_section(&mut self, section: &Section<'_>) -> Result<(), &'static str> {
+        let name = section.name();
+        match name.split_once('.') {
+            None if name == "day" => self.read_day(section),
+            None if name == "engines" => self.engines = read_engines(section),
+            Some(("pool", _)) => self.pools.push(read_pool(section)),
+            Some(("kind", _)) => self.kinds.push(read_kind(section)),
+            Some(("stage", _)) => self.read_stage(section),
+            Some(("trouble", _)) => self.read_trouble(section),
+            _ => {
+                return Err("day, engines, pool.NAME, kind.NAME, stage.KIND.NUMBER or trouble.NAME")
             }
-            section.finish();
-        }
-        match faults.into_vec() {
-            found if found.is_empty() => Ok(model),
-            found => Err(Faults::in_order(found)),
         }
+        Ok(())
     }
 
     fn read_day(&mut self, section: &Section<'_>) {
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -150,10 +150,7 @@
             }
             section.finish();
         }
-        match faults.into_vec() {
-            found if found.is_empty() => Ok(scenario),
-            found => Err(Faults::in_order(found)),
-        }
+        faults.into_result(scenario)
     }
 }
 
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -41,10 +41,7 @@
     }
     let deployment = Builder::new(&sections).build();
     sections.into_iter().for_each(Section::finish);
-    match (faults.into_vec(), deployment) {
-        (found, deployment) if found.is_empty() => Ok(deployment),
-        (found, _) => Err(Faults::in_order(found)),
-    }
+    faults.into_result(deployment)
 }
 
 struct ParsedFile<'a> {
--- a/crates/config/src/reader.rs
+++ b/crates/config/src/reader.rs
@@ -11,8 +11,8 @@
 
 use ini::Properties;
 
-use crate::fault::Fault;
-use crate::source::LineIndex;
+use crate::fault::{Fault, Faults};
+use crate::source::{LineIndex, SourceFile};
 
 /// Collects faults from many sections of many files.
 #[derive(Debug, Default)]
@@ -26,6 +26,35 @@
     pub fn into_vec(self) -> Vec<Fault> {
         self.0.into_inner()
     }
+
+    /// What was read, or the faults in their order.
+    pub fn into_result<T>(self, read: T) -> Result<T, Faults> {
+        match self.into_vec() {
+            found if found.is_empty() => Ok(read),
+            found => Err(Faults::in_order(found)),
+        }
+    }
+}
+
+/// Reads every section of a file, and reports the fields that nobody asked for. Where `read`
+/// doesn't know a section's name it says which it knows. An error is one of syntax: nothing
+/// was read.
+pub fn read_sections(
+    source: &SourceFile,
+    mut read: impl FnMut(&Section<'_>) -> Result<(), &'static str>,
+) -> Result<FaultList, Faults> {
+    let ini = source.parse().map_err(|fault| Faults(vec![fault]))?;
+    let index = source.index();
+    let faults = FaultList::default();
+    for (name, fields) in ini.iter() {
+        let Some(name) = name else { continue };
+        let section = Section::new(&source.name, name, fields, &index, &faults);
+        match read(&section) {
+            Ok(()) => section.finish(),
+            Err(known) => section.fault("", format!("is not known; use {known}")),
+        }
+    }
+    Ok(faults)
 }
 
 /// One section being read.
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -107,10 +107,7 @@
         let sections = SECTIONS.map(section);
         let settings = read_sections(&sections);
         sections.into_iter().for_each(Section::finish);
-        match faults.into_vec() {
-            found if found.is_empty() => Ok(settings),
-            found => Err(Faults::in_order(found)),
-        }
+        faults.into_result(settings)
     }
 }
 
