Go by the site in the emulator and the soak, instead of by what repeats it

Whether a request may run again was told by a prefix of its path, and how long a leaving target takes requests by a constant beside the site's own: both come from the site now. The soak kept the site's routes, halls and times a second time; it reads them from its site, and makes requests as the local platform does.

--- a/crates/bench/src/commands/platform.rs
+++ b/crates/bench/src/commands/platform.rs
@@ -22,7 +22,7 @@
     pub async fn run(self) -> Result<bool, BenchError> {
         let site = soak::read_site(&self.site).map_err(|source| BenchError::Scenario { source })?;
         let events = Events::new(|line| println!("{line}"));
-        let emulator = Emulator::start(&site, events).await;
+        let emulator = Emulator::start(site, events).await;
         let store = emulator.store_addr().to_string();
         emulator.account.events.tell(&Event::Ready { store });
         let mut rest = Vec::new();
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
+use hollowsail_platform_emulator::{RouteKind, RouteModel};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinHandle;
@@ -21,44 +22,14 @@
 /// How long a caller waits for an answer at the most beyond its deadline.
 const PATIENCE: Duration = Duration::from_secs(2);
 
-/// A route as callers use it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Use {
-    Safe,
-    Once,
-    Answers,
-}
-
-impl Use {
-    /// When an answer is due, however it ends, in milliseconds.
-    pub fn timeout_ms(self) -> u64 {
-        match self {
-            Use::Safe | Use::Once => 3_000,
-            Use::Answers => 6_000,
-        }
-    }
-
-    fn request(self, id: String) -> CallerRequest {
-        let (path, prompt_tokens, pieces) = match self {
-            Use::Safe => ("/safe/plain/x", None, Vec::new()),
-            Use::Once => ("/once/x", None, Vec::new()),
-            Use::Answers => ("/answers/x", Some(1_000), vec![1]),
-        };
-        CallerRequest {
-            id,
-            path: path.to_string(),
-            deadline_ms: self.timeout_ms(),
-            prompt_tokens,
-            pieces,
-        }
-    }
-}
+/// How often callers use each route of the site, of ten times.
+const ROUTE_USES: [usize; 3] = [4, 2, 4];
 
 /// One attempt of a caller.
 #[derive(Debug, Clone)]
 pub struct Attempt {
     pub id: String,
-    pub of: Use,
+    pub route: Rc<RouteModel>,
     pub entry: usize,
     pub sent: Instant,
     pub ended: Instant,
@@ -79,7 +50,9 @@
 
 impl Load {
     /// Starts the callers.
-    pub fn start(options: &SoakOptions, fleet: &Rc<Fleet>) -> Self {
+    pub fn start(options: &SoakOptions, plan: &SoakPlan, fleet: &Rc<Fleet>) -> Self {
+        let routes = plan.site.routes.iter().cloned().map(Rc::new);
+        let routes: Rc<[Rc<RouteModel>]> = routes.collect();
         let shared = Rc::new(Shared {
             attempts: RefCell::default(),
             is_over: Cell::new(false),
@@ -89,6 +62,7 @@
                 number,
                 rng: SmallRng::seed_from_u64(options.seed ^ ((number as u64 + 1) << 32)),
                 fleet: fleet.clone(),
+                routes: routes.clone(),
                 shared: shared.clone(),
                 connection: None,
                 requests: 0,
@@ -117,6 +91,7 @@
     number: usize,
     rng: SmallRng,
     fleet: Rc<Fleet>,
+    routes: Rc<[Rc<RouteModel>]>,
     shared: Rc<Shared>,
     connection: Option<(usize, Connection)>,
     requests: u64,
@@ -125,43 +100,46 @@
 impl Caller {
     async fn run(mut self) {
         while !self.shared.is_over.get() {
-            let of = match self.rng.random_range(0..10) {
-                0..4 => Use::Safe,
-                4..6 => Use::Once,
-                _ => Use::Answers,
-            };
-            self.ask(of).await;
+            let route = self.draw_route();
+            self.ask(&route).await;
             let pause = PAUSE.mul_f64(self.rng.random_range(0.0..2.0));
             tokio::time::sleep(pause).await;
         }
     }
 
+    fn draw_route(&mut self) -> Rc<RouteModel> {
+        let routes = self.routes.iter().zip(ROUTE_USES);
+        let uses = routes.flat_map(|(route, uses)| std::iter::repeat_n(route, uses));
+        let uses: Vec<&Rc<RouteModel>> = uses.collect();
+        uses[self.rng.random_range(0..uses.len())].clone()
+    }
+
     /// Asks, and once more where that is allowed: after a refusal by the time that it was
     /// told, and after any failure where the request may run again.
-    async fn ask(&mut self, of: Use) {
-        let pause = match self.attempt(of).await {
+    async fn ask(&mut self, route: &Rc<RouteModel>) {
+        let pause = match self.attempt(route).await {
             Some(Outcome::NotRun { after }) => after.unwrap_or(PAUSE),
-            Some(Outcome::Unknown { .. }) if of == Use::Safe => PAUSE,
+            Some(Outcome::Unknown { .. }) if route.kind == RouteKind::Safe => PAUSE,
             _ => return,
         };
-        if pause.as_millis() as u64 <= of.timeout_ms() / 3 {
+        if pause.as_millis() as u64 <= route.timeout_ms / 3 {
             tokio::time::sleep(pause).await;
             self.connection = None;
-            self.attempt(of).await;
+            self.attempt(route).await;
         }
     }
 
-    async fn attempt(&mut self, of: Use) -> Option<Outcome> {
+    async fn attempt(&mut self, route: &Rc<RouteModel>) -> Option<Outcome> {
         let leaves = self.rng.random_bool(LEAVES_SHARE);
         let longest = match leaves {
             true => Duration::from_millis(self.rng.random_range(1..LEAVES_WITHIN_MS)),
-            false => Duration::from_millis(of.timeout_ms()) + PATIENCE,
+            false => Duration::from_millis(route.timeout_ms) + PATIENCE,
         };
         self.connect().await;
         let (entry, mut connection) = self.connection.take()?;
         self.requests += 1;
         let id = format!("{:08x}{:08x}", self.number + 1, self.requests);
-        let request = of.request(id.clone());
+        let request = CallerRequest::on(route, id.clone());
         let sent = Instant::now();
         let outcome = tokio::time::timeout(longest, connection.call(&request)).await;
         let outcome = match outcome {
@@ -173,7 +151,7 @@
         };
         self.shared.attempts.borrow_mut().push(Attempt {
             id,
-            of,
+            route: route.clone(),
             entry,
             sent,
             ended: Instant::now(),
@@ -208,10 +186,7 @@
 pub async fn ask_added_route(plan: &SoakPlan, fleet: &Fleet) -> Vec<String> {
     let mut ignorant = Vec::new();
     for (entry, at) in fleet.ready() {
-        let request = CallerRequest {
-            path: format!("{}x", plan.added_path()),
-            ..Use::Safe.request(format!("added-{entry}"))
-        };
+        let request = CallerRequest::on(&plan.added_route(), format!("added-{entry}"));
         let outcome = match Connection::open(at).await {
             Ok(mut connection) => connection.call(&request).await,
             Err(err) => Outcome::Unknown {
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -80,7 +80,7 @@
 }
 
 fn is_late(attempt: &Attempt) -> bool {
-    let end = Duration::from_millis(attempt.of.timeout_ms()) + END_SLACK;
+    let end = Duration::from_millis(attempt.route.timeout_ms) + END_SLACK;
     attempt.ended - attempt.sent > end
 }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -72,7 +72,7 @@
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan).await?);
-    let load = Load::start(options, &fleet);
+    let load = Load::start(options, &plan, &fleet);
     fleet.play(&plan).await;
     tokio::time::sleep(SETTLE).await;
     let attempts = load.stop().await;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use hollowsail_platform_emulator::added_path;
+use hollowsail_config::SourceFile;
+use hollowsail_platform_emulator::{added_path, RouteModel, Site};
 use rand::rngs::SmallRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -11,13 +12,13 @@
 const FIRST_FAULT_S: u64 = 4;
 const LAST_FAULT_BEFORE_END_S: u64 = 8;
 /// How long a target that leaves still takes requests, in milliseconds.
-pub const DRAIN_MS: u64 = 2_000;
+const DRAIN_MS: u64 = 2_000;
 /// How long targets name a limit, in milliseconds: longer than until it has to be kept to.
 const LIMITED_MS: u64 = 9_000;
 /// Name of the trouble that adds a route.
 const ADDED: &str = "added";
-/// Path of the route that it adds a second time.
-const PLAIN_PATH: &str = "/safe/plain/";
+/// Position of the route that it adds a second time.
+const ADDED_ROUTE: usize = 0;
 
 /// What is done to a gateway.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,19 +43,14 @@
 /// What a run does.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
-    /// Text of the site file.
-    pub site: String,
+    /// Text of the site file, and what it says.
+    pub site_text: String,
+    pub site: Site,
     pub faults: Vec<PlannedFault>,
     pub length: Duration,
 }
 
-/// Halls of the site, as it names them.
-const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 const SERVICES: &str = "\
-[platform]
-halls = hall-a, hall-b
-drain_ms = 2000
-
 [service.plain]
 kind = plain
 targets = 6
@@ -148,7 +144,7 @@
                 limited_ms,
                 LIMITED_MS,
             ),
-            format!("[trouble.{ADDED}]\nwhat = route-added\nroute = 0\nat_ms = {added_ms}\n"),
+            format!("[trouble.{ADDED}]\nwhat = route-added\nroute = {ADDED_ROUTE}\nat_ms = {added_ms}\n"),
         ];
         let mut kinds = vec![EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
         kinds.shuffle(&mut rng);
@@ -160,8 +156,11 @@
         });
         let mut faults: Vec<PlannedFault> = faults.collect();
         faults.sort_by_key(|fault| fault.at);
+        let platform = format!("[platform]\nhalls = hall-a, hall-b\ndrain_ms = {DRAIN_MS}\n");
+        let site_text = format!("{platform}\n{SERVICES}\n{}", troubles.join("\n"));
         SoakPlan {
-            site: format!("{SERVICES}\n{}", troubles.join("\n")),
+            site: parse(&site_text),
+            site_text,
             faults,
             length: Duration::from_secs(seconds),
         }
@@ -182,15 +181,22 @@
         lines.collect()
     }
 
-    /// The halls of the site.
-    pub fn halls(&self) -> Vec<String> {
-        HALLS.map(str::to_string).to_vec()
+    /// The route that the operators add.
+    pub fn added_route(&self) -> RouteModel {
+        let route = self.site.routes[ADDED_ROUTE].clone();
+        RouteModel {
+            path: added_path(&route.path, ADDED),
+            ..route
+        }
     }
+}
 
-    /// Path of the route that the operators add.
-    pub fn added_path(&self) -> String {
-        added_path(PLAIN_PATH, ADDED)
-    }
+fn parse(site_text: &str) -> Site {
+    let source = SourceFile {
+        name: "site.ini".into(),
+        text: site_text.into(),
+    };
+    Site::parse(&source).expect("the site of every plan is right")
 }
 
 /// A trouble of two targets, from one on.
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -9,15 +9,15 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hollowsail_platform_emulator::caller;
 use hollowsail_platform_emulator::entry::{self, EntryPlace, GRACE_S, SETTINGS_VARIABLE};
+use hollowsail_platform_emulator::{caller, Site};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Deserialize;
 use snafu::ResultExt;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 
-use super::plan::{EntryFault, PlannedFault, SoakPlan, DRAIN_MS};
+use super::plan::{EntryFault, PlannedFault, SoakPlan};
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
 
 /// Longest time for the platform, and for a gateway, until it is up.
@@ -90,13 +90,15 @@
     pub async fn start(options: &SoakOptions, plan: &SoakPlan) -> Result<Self, SoakError> {
         let folder = folder_for(options)?;
         let site = folder.join("site.ini");
-        std::fs::write(&site, &plan.site).context(FolderSnafu { path: &site })?;
+        std::fs::write(&site, &plan.site_text).context(FolderSnafu { path: &site })?;
         let faults = folder.join("faults.txt");
         std::fs::write(&faults, plan.faults_in_words()).context(FolderSnafu { path: &faults })?;
         let seen = Rc::new(RefCell::new(Seen::default()));
         let (platform, store) = start_platform(&folder, &site, &seen).await?;
-        let halls = plan.halls();
-        let places = entry::places(options.entries, &halls, store, DRAIN_MS);
+        let Site {
+            halls, drain_ms, ..
+        } = &plan.site;
+        let places = entry::places(options.entries, halls, store, *drain_ms);
         let fleet = Fleet {
             gateways: places.into_iter().map(Gateway::new).collect(),
             program: program_for(options),
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -60,7 +60,7 @@
 
 async fn try_run(cx: &mut Context<'_>, local: &LocalPlatform) -> Result<bool, LocalError> {
     let site = read(&local.site)?;
-    let emulator = Emulator::start(&site, Events::new(|line| log::debug!("{line}"))).await;
+    let emulator = Emulator::start(site.clone(), Events::new(|line| log::debug!("{line}"))).await;
     let store = emulator.store_addr();
     let places = entry::places(local.entries, &site.halls, store, site.drain_ms);
     let mut gateways = Vec::new();
