Share a deployment of all kinds of targets, and their answers, between tests

Requests with a stage, the deployment with three kinds of targets and what these answer stood in the tests of leaving, limited and resting targets. Assertions are unchanged. New: a limit in a refusal is kept to.

--- a/crates/gateway/tests/suite/leaving.rs
+++ b/crates/gateway/tests/suite/leaving.rs
@@ -14,51 +14,21 @@
 use std::time::Duration;
 
 use hollowsail_gateway::Running;
-use hollowsail_platform_standins::target::{
-    answer, chunk, event, last_chunk, leaving, not_run, results, stream_head,
-};
-use hollowsail_platform_standins::{
-    DeploymentJson, Seen, Step, StoreMode, StoreStandin, TargetStandin,
-};
-use serde_json::json;
+use hollowsail_platform_standins::target::{answer, leaving, not_run};
+use hollowsail_platform_standins::{Step, StoreMode, StoreStandin, TargetStandin};
 
+use crate::all_kinds::{deployment, staged, whole_answer};
 use crate::fixture::{gateway, generation, runs, until_entries, Call, Fixture};
 
+/// Time of a call for pieces, by the configuration, in milliseconds.
+const WORK_MS: f64 = 20.0;
 /// Sends after the word, enough that a target that is still chosen gets some.
 const SENDS: usize = 24;
 
-fn deployment() -> DeploymentJson {
-    let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
-    DeploymentJson::new(1)
-        .engines("engines")
-        .stage_service("encoders", 8, 20.0, 10.0)
-        .service("plain")
-        .route("/a/", "safe", "plain", json!({ "max_attempts": 3 }))
-        .route("/once/", "stream", "engines", json!({}))
-        .route("/staged/", "stream", "engines", json!({ "stages": stages }))
-}
-
 fn plain() -> Call {
     Call::new("GET", "/a/x")
 }
 
-fn staged(number: usize) -> Call {
-    let mut call = generation(number)
-        .with("X-Pieces", "1")
-        .with("X-Piece-Key", "the-key");
-    call.path = "/staged/".to_string();
-    call
-}
-
-/// An answer of any kind of target, by what it is asked for.
-fn answer_for(seen: &Seen) -> Vec<u8> {
-    match seen.path.as_str() {
-        "/-/stage-run" | "/-/stage-free" => results(seen, "maker"),
-        _ if seen.header("x-token-counts").is_empty() => answer(seen, 200, "served"),
-        _ => stream_head(seen),
-    }
-}
-
 /// A target that says in all its answers that it leaves, as soon as it does.
 struct Leaver {
     target: TargetStandin,
@@ -70,18 +40,10 @@
         let leaves = Rc::new(Cell::new(false));
         let says = leaves.clone();
         let target = TargetStandin::start(move |seen| {
-            let bytes = answer_for(seen);
-            let is_stream = bytes.starts_with(&stream_head(seen));
-            let head = match says.get() {
-                true => leaving(bytes),
-                false => bytes,
-            };
-            let mut steps = vec![Step::Write(head)];
-            if is_stream {
-                steps.push(Step::Write(chunk(&event(1))));
-                steps.push(Step::Write(last_chunk()));
-            }
-            steps
+            whole_answer(seen, |head| match says.get() {
+                true => leaving(head),
+                false => head,
+            })
         })
         .await;
         Leaver { target, leaves }
@@ -107,7 +69,7 @@
 impl Fleet {
     async fn start(service: &str, entries: usize) -> Self {
         let store = StoreStandin::start().await;
-        store.put("op/config", &deployment().bytes());
+        store.put("op/config", &deployment(WORK_MS).bytes());
         let targets = [Leaver::start().await, Leaver::start().await];
         for (number, leaver) in targets.iter().enumerate() {
             let id = format!("i-{number}");
@@ -207,7 +169,7 @@
 /// An answer that ends a request badly says it as well as a good one.
 #[actix_rt::test]
 async fn a_refusal_that_says_so_counts() {
-    let (fixture, target) = Fixture::serving(&deployment(), "plain", |seen| {
+    let (fixture, target) = Fixture::serving(&deployment(WORK_MS), "plain", |seen| {
         let refusal = leaving(not_run(503));
         vec![Step::Write(match seen.before {
             0 => answer(seen, 200, "served"),
@@ -280,7 +242,7 @@
 /// The word is one of a start: the next one under the same id takes work.
 #[actix_rt::test]
 async fn its_next_start_gets_work_again() {
-    let fixture = Fixture::start(&deployment()).await;
+    let fixture = Fixture::start(&deployment(WORK_MS)).await;
     let first = Leaver::start().await;
     first.leaves.set(true);
     fixture
@@ -308,9 +270,9 @@
 #[actix_rt::test]
 async fn a_start_whose_address_answers_for_another_gets_nothing_more() {
     let store = StoreStandin::start().await;
-    store.put("op/config", &deployment().bytes());
+    store.put("op/config", &deployment(WORK_MS).bytes());
     let replaced = TargetStandin::start(|_| vec![Step::Write(not_run(421))]).await;
-    let other = TargetStandin::start(|seen| vec![Step::Write(answer_for(seen))]).await;
+    let other = TargetStandin::start(|seen| whole_answer(seen, |head| head)).await;
     store.put_target("i-0", "plain", replaced.addr, "hall-a", "ready");
     store.put_target("i-1", "plain", other.addr, "hall-a", "ready");
     let entries = [
@@ -341,7 +303,7 @@
 /// whatever its refusals of requests for the start before said.
 #[actix_rt::test]
 async fn another_start_at_the_address_says_nothing_of_its_own_next_words() {
-    let (fixture, target) = Fixture::serving(&deployment(), "plain", |seen| {
+    let (fixture, target) = Fixture::serving(&deployment(WORK_MS), "plain", |seen| {
         vec![Step::Write(match seen.header("x-expect-instance") {
             "i-1" if seen.before > 0 => leaving(not_run(421)),
             _ => answer(seen, 200, "served"),
--- a/crates/gateway/tests/suite/limited.rs
+++ b/crates/gateway/tests/suite/limited.rs
@@ -15,14 +15,10 @@
 
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
-use hollowsail_platform_standins::target::{
-    answer, chunk, event, last_chunk, limited, results, stream_head,
-};
-use hollowsail_platform_standins::{
-    DeploymentJson, Seen, Step, StoreMode, StoreStandin, TargetStandin,
-};
-use serde_json::json;
+use hollowsail_platform_standins::target::{answer, limited, not_run};
+use hollowsail_platform_standins::{Seen, Step, StoreMode, StoreStandin, TargetStandin};
 
+use crate::all_kinds::{deployment, staged, whole_answer};
 use crate::fixture::{
     eventually, gateway, generation, put_entry_record, until_entries, Answer, Call,
 };
@@ -34,29 +30,10 @@
 /// Time after a limit is first named until all heed it.
 const HEEDED_WITHIN: Duration = Duration::from_millis(500);
 
-fn deployment() -> DeploymentJson {
-    let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
-    DeploymentJson::new(1)
-        .engines("engines")
-        .stage_service("encoders", 8, WORK_MS as f64, 10.0)
-        .service("plain")
-        .route("/a/", "safe", "plain", json!({ "max_attempts": 3 }))
-        .route("/once/", "stream", "engines", json!({}))
-        .route("/staged/", "stream", "engines", json!({ "stages": stages }))
-}
-
 fn plain(number: usize) -> Call {
     Call::new("GET", "/a/x").with("X-Request-Id", &format!("{number:016x}"))
 }
 
-fn staged(number: usize) -> Call {
-    let mut call = generation(number)
-        .with("X-Pieces", "1")
-        .with("X-Piece-Key", "the-key");
-    call.path = "/staged/".to_string();
-    call
-}
-
 /// A kind of targets, and requests that reach them.
 #[derive(Clone, Copy)]
 struct Kind {
@@ -123,25 +100,14 @@
 }
 
 fn steps(seen: &Seen, limit: Option<&str>) -> Vec<Step> {
-    let is_stream = !seen.header("x-token-counts").is_empty();
-    let head = match seen.path.as_str() {
-        "/-/stage-run" | "/-/stage-free" => results(seen, "maker"),
-        _ if is_stream => stream_head(seen),
-        _ => answer(seen, 200, "served"),
-    };
-    let head = match limit {
+    let mut steps = whole_answer(seen, |head| match limit {
         Some(limit) => limited(head, limit),
         None => head,
-    };
-    let mut steps = vec![Step::Write(head)];
+    });
     if seen.path == "/-/stage-run" {
         // Long enough that one worker isn't always free for the next piece.
         steps.insert(0, Step::Wait(Duration::from_millis(WORK_MS)));
     }
-    if is_stream {
-        steps.push(Step::Write(chunk(&event(1))));
-        steps.push(Step::Write(last_chunk()));
-    }
     steps
 }
 
@@ -162,7 +128,7 @@
     /// Three entries and some targets of a kind, all known.
     async fn start(kind: Kind, targets: usize) -> Self {
         let store = StoreStandin::start().await;
-        store.put("op/config", &deployment().bytes());
+        store.put("op/config", &deployment(WORK_MS as f64).bytes());
         let mut fleet = Fleet {
             kind,
             store,
@@ -521,6 +487,23 @@
     assert!(most <= allowed(1.0), "{most} in a span");
 }
 
+/// A target that turns work away names its limit in that refusal, too.
+#[actix_rt::test]
+async fn a_limit_in_a_refusal_is_kept_to() {
+    let target = TargetStandin::start(|_| vec![Step::Write(limited(not_run(503), "1"))]).await;
+    let fleet = Fleet::start(PLAIN, 0).await;
+    let limited = Limited {
+        target,
+        named: Rc::default(),
+    };
+    fleet.put("i-0", "plain", &limited);
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let from = Instant::now();
+    fleet.demand(20, Duration::from_secs(5)).await;
+    let most = limited.most_in_span(from + HEEDED_WITHIN);
+    assert!(most <= allowed(1.0), "{most} in a span");
+}
+
 /// Whoever owns the desk takes connections and says nothing, as a host that hangs: nobody
 /// sends past it to a target that names a limit.
 async fn owners_hang(kind: Kind) {
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! The daemon against small fakes of the platform, on loopback sockets.
 
+mod all_kinds;
 mod cold;
 mod crashing;
 mod emptied;
--- a/crates/gateway/tests/suite/resting.rs
+++ b/crates/gateway/tests/suite/resting.rs
@@ -8,6 +8,7 @@
 use hollowsail_platform_standins::{DeploymentJson, Seen, Step, StoreStandin, TargetStandin};
 use serde_json::json;
 
+use crate::all_kinds::staged;
 use crate::fixture::{
     eventually, gateway, generation, one_event, runs, until_entries, Call, Fixture,
 };
@@ -204,14 +205,7 @@
     })
     .await;
     fixture.add("i-2", "encoders", &worker.target);
-    let staged = |number: usize| {
-        let mut call = generation(number)
-            .with("X-Pieces", "1")
-            .with("X-Piece-Key", "the-key")
-            .with("X-Deadline-Ms", "4000");
-        call.path = "/staged/".to_string();
-        call
-    };
+    let staged = |number| staged(number).with("X-Deadline-Ms", "4000");
     eventually_staged(&fixture, &staged(1)).await;
     worker.is_full.set(true);
     let before = runs(&worker.target).len();
