--- a/crates/fleet/src/target_book/mod.rs
+++ b/crates/fleet/src/target_book/mod.rs
@@ -19,7 +19,7 @@
 mod entry;
 mod gone;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 use self::entry::{is_of_the_copy, Entry, State};
 use self::gone::GoneStarts;
@@ -64,6 +64,8 @@
 pub struct TargetBook<R> {
     timing: BookTiming,
     entries: BTreeMap<String, Entry<R>>,
+    /// Rises with each change of an entry.
+    changes: u64,
     store: StoreState,
     /// When all records were last read.
     read: Millis,
@@ -80,6 +82,7 @@
         TargetBook {
             timing,
             entries: BTreeMap::new(),
+            changes: 0,
             store: StoreState::Back(0),
             read: 0,
             era_began: None,
@@ -154,6 +157,7 @@
             state,
         };
         self.entries.insert(id.to_string(), entry);
+        self.changes += 1;
         changed
     }
 
@@ -164,6 +168,7 @@
             let is_news = known.start == start && known.state != State::Draining;
             if is_news {
                 known.state = State::Draining;
+                self.changes += 1;
             }
             return is_news;
         }
@@ -188,6 +193,7 @@
     pub fn spoiled(&mut self, id: &str, at: Position) -> bool {
         let known = self.entries.get(id);
         let is_newer = known.is_some_and(|known| known.at <= at);
+        self.changes += u64::from(is_newer);
         is_newer && self.entries.remove(id).is_some()
     }
 
@@ -203,6 +209,7 @@
         entry.missing_at = entry.missing_at.max(at);
         if is_unsettled && entry.state.is_usable() {
             entry.state = State::Doubted;
+            self.changes += 1;
             return false;
         }
         self.remove(incarnation);
@@ -217,7 +224,8 @@
             self.listed = at;
         }
         let is_unsettled = self.is_unsettled(now);
-        self.keys_where(|incarnation, _| !present.contains(&incarnation))
+        let present: HashSet<&str> = present.iter().copied().collect();
+        self.keys_where(|incarnation, _| !present.contains(incarnation))
             .into_iter()
             .filter(|incarnation| {
                 !self.is_lost(incarnation, at) && self.deleted(incarnation, at, is_unsettled)
@@ -233,6 +241,7 @@
         if let Some(entry) = usable {
             entry.state = State::Doubted;
             entry.missing_at = entry.missing_at.max(at);
+            self.changes += 1;
             return true;
         }
         false
@@ -242,8 +251,9 @@
     /// isn't among them went, whatever the store's state here. Returns the
     /// incarnations that left the book.
     pub fn adopt(&mut self, present: &[&str], at: Position) -> Vec<String> {
+        let present: HashSet<&str> = present.iter().copied().collect();
         let missing =
-            self.keys_where(|incarnation, entry| entry.at <= at && !present.contains(&incarnation));
+            self.keys_where(|incarnation, entry| entry.at <= at && !present.contains(incarnation));
         for id in &missing {
             if let Some(entry) = self.entries.get_mut(id) {
                 entry.missing_at = entry.missing_at.max(at);
@@ -268,6 +278,7 @@
         let returned = self.entries.values_mut();
         let returned = returned.filter(|entry| entry.state == State::Returned);
         returned.for_each(|entry| entry.state = State::Recorded);
+        self.changes += 1;
         true
     }
 
@@ -318,6 +329,7 @@
     fn remove(&mut self, incarnation: &str) {
         if let Some(entry) = self.entries.remove(incarnation) {
             self.gone.add(incarnation, &entry);
+            self.changes += 1;
         }
     }
 
@@ -353,6 +365,12 @@
         self.entries.values().map(|entry| (entry.at, &entry.record))
     }
 
+    /// A number that is another one whenever an entry has changed: what was worked out from
+    /// the book holds as long as it stays.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// True when the store doesn't answer.
     pub fn is_store_away(&self) -> bool {
         self.store == StoreState::Away
--- a/crates/fleet/src/watch_log.rs
+++ b/crates/fleet/src/watch_log.rs
@@ -62,6 +62,11 @@
         }
     }
 
+    /// All changes up to this position are in the log.
+    pub fn known_to(&self) -> Position {
+        self.to
+    }
+
     /// What changed after a position.
     pub fn since(&self, after: Position) -> Since<C> {
         if after < self.from {
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod cold_spells;
 mod emptied_halls;
 mod groups;
+mod large_book;
 mod leaving;
 mod live_runs;
 mod membership;
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -11,10 +11,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_fleet::Position;
 use hollowsail_platform::store::{Changes, Item, Range, StoreError};
 
 use super::backoff::Backoff;
-use super::source::Teller;
+use super::source::{Heard, Teller};
 use super::Control;
 use crate::feed::Keys;
 
@@ -68,34 +69,81 @@
     may_be_old: bool,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let take_page = |items: &[Item]| {
-        cx.note_era();
-        (keys.take_page)(cx, items);
+    let mut at = match read_all(cx, keys, may_be_old).await? {
+        Read::FromStore(range) => {
+            if !may_be_old {
+                // An old answer doesn't show that the store is there.
+                cx.store_answered();
+            }
+            cx.take_whole(keys, &range)
+        }
+        Read::FromReader(at) => {
+            cx.feeds.begin(keys.keys, at);
+            at
+        }
     };
-    let range = cx.store.range(keys.prefix, may_be_old, take_page).await?;
-    cx.note_era();
-    if !may_be_old {
-        // An old answer doesn't show that the store is there.
-        cx.store_answered();
-    }
     backoff.reset();
-    (keys.take_all)(cx, &range);
-    cx.feeds.begin(keys.keys, range.at);
-    let mut at = range.at;
     loop {
-        let (changes, teller) = cx.next_changes(keys.keys, keys.prefix, at).await?;
-        at = changes.at;
-        cx.feeds.extend(keys.keys, &changes);
-        let pause = (keys.take_changes)(cx, &changes, teller);
-        let pause = match teller {
-            Teller::Store => pause,
-            Teller::Reader { .. } => pause.min(PAUSE_AFTER_READER),
-        };
-        tokio::time::sleep(pause).await;
+        match cx.next_changes(keys.keys, keys.prefix, at).await? {
+            (Heard::Changes(changes), teller) => {
+                at = changes.at;
+                cx.feeds.extend(keys.keys, &changes);
+                let pause = (keys.take_changes)(cx, &changes, teller);
+                let pause = match teller {
+                    Teller::Store => pause,
+                    Teller::Reader { .. } => pause.min(PAUSE_AFTER_READER),
+                };
+                tokio::time::sleep(pause).await;
+            }
+            (Heard::Whole(range), teller) => {
+                cx.hear_of_outage(teller);
+                at = cx.take_whole(keys, &range);
+            }
+        }
+    }
+}
+
+/// Where all that is there came from.
+enum Read {
+    FromStore(Range),
+    /// It was taken as of this position.
+    FromReader(Position),
+}
+
+/// Reads all that is there: the rest of a long list from an entry of this hall that has it.
+/// Read at the store by every entry, it would take entries times targets on one link.
+async fn read_all(cx: &Rc<Control>, keys: &Followed, may_be_old: bool) -> Result<Read, StoreError> {
+    let may_ask = keys.keys == Keys::Targets;
+    let mut has_asked = false;
+    let mut reading = cx.store.read(keys.prefix, may_be_old);
+    loop {
+        if may_ask && !has_asked && cx.is_list_long.get() && cx.are_readers_known() {
+            has_asked = true;
+            if let Some(at) = cx.records_from_hall().await {
+                return Ok(Read::FromReader(at));
+            }
+        }
+        let items = reading.next_page().await?;
+        cx.note_era();
+        (keys.take_page)(cx, items);
+        if reading.is_whole() {
+            return Ok(Read::FromStore(reading.into_range()));
+        }
+        cx.is_list_long.set(true);
     }
 }
 
 impl Control {
+    /// Takes all that is there, as the store or a reader lists it. Gives its position.
+    fn take_whole(self: &Rc<Self>, keys: &Followed, range: &Range) -> Position {
+        (keys.take_all)(self, range);
+        match keys.keys {
+            Keys::Targets => self.feeds.begin(keys.keys, range.at),
+            Keys::Operators | Keys::Entries => self.feeds.begin_with(keys.keys, range),
+        }
+        range.at
+    }
+
     /// Waits until the store answers again; at once when it does.
     async fn until_store_back(&self) {
         while self.book.borrow().is_store_away() {
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -72,6 +72,9 @@
         let now = self.clock.now();
         let gone = self.peers.borrow_mut().reconcile(&present, range.at, now);
         self.log_peers_gone(&gone, "not_listed");
+        if self.entries_listed.get().is_none() {
+            self.entries_listed.set(Some(now));
+        }
         self.publish();
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -14,6 +14,7 @@
 mod emptied;
 mod era;
 mod follow;
+mod hall_records;
 mod membership;
 mod new_versions;
 mod operators;
@@ -26,9 +27,9 @@
 mod settle;
 mod source;
 mod usable;
+mod worked_out;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -39,12 +40,14 @@
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Store, StoreError};
 use hollowsail_platform::targets::TargetRecord;
+use hollowsail_routing::Millis;
 use tokio::sync::Notify;
 
 use self::configuration::Configuration;
 use self::new_versions::NewVersions;
 use self::pauses::WatchPauses;
 use self::source::Readers;
+use self::worked_out::WorkedOut;
 use crate::clock::Clock;
 use crate::crashes::{Refused, ToStore};
 use crate::feed::Feeds;
@@ -52,7 +55,7 @@
 use crate::metrics;
 use crate::peers::PeerRecord;
 use crate::rollouts::{Orders, Records, ToRecord};
-use crate::view::{KnownRecords, Published, View};
+use crate::view::{Published, View};
 
 /// How long after the store's return a record may still come back, in
 /// milliseconds: about two seconds by the operators' word, and some for a
@@ -79,6 +82,10 @@
     rollout_records: RefCell<Records>,
     /// Position of the store up to which the book is.
     records_at: Cell<Position>,
+    /// The list of targets is longer than one page of the store.
+    is_list_long: Cell<bool>,
+    /// When the first list of entries came.
+    entries_listed: Cell<Option<Millis>>,
     /// The store's era that everything known is of; `None` before its first answer.
     era: Cell<Option<u64>>,
     /// Told when the store stops answering.
@@ -102,6 +109,8 @@
     /// A planned stop began: no record any more.
     is_leaving: Cell<bool>,
     views: Cell<u64>,
+    /// Parts of the last view that hold until the books change.
+    worked_out: WorkedOut,
 }
 
 impl Control {
@@ -126,6 +135,8 @@
             orders: RefCell::default(),
             rollout_records: RefCell::default(),
             records_at: Cell::default(),
+            is_list_long: Cell::new(false),
+            entries_listed: Cell::new(None),
             era: Cell::new(None),
             store_lost: Notify::new(),
             store_back: Notify::new(),
@@ -140,6 +151,7 @@
             lease: Cell::new(None),
             is_leaving: Cell::new(false),
             views: Cell::new(0),
+            worked_out: WorkedOut::default(),
         })
     }
 
@@ -166,42 +178,16 @@
             number,
             deployment,
             source,
-            targets: self.usable_targets(&emptied),
-            leaving: self.leaving_targets(),
-            emptied_services: self.emptied_services(&emptied),
+            targets: self.targets_now(&emptied),
             emptied,
             records: self.records_for_peers(),
-            peers: self.newest_peers(|_| true),
+            peers: self.peers_now(),
             refused: self.refused.borrow().clone(),
             orders: self.orders.borrow().all(),
             rollout_records: self.rollout_records.borrow().clone(),
         });
     }
 
-    /// One record for each host whose records fit: that of its newest run. The record of
-    /// a run that was killed stays until its lease is over.
-    fn newest_peers(&self, fits: impl Fn(&PeerRecord) -> bool) -> Vec<PeerRecord> {
-        let book = self.peers.borrow();
-        let mut newest: BTreeMap<&str, (Position, &PeerRecord)> = BTreeMap::new();
-        for (at, peer) in book.usable_at().filter(|(_, peer)| fits(peer)) {
-            let known = newest.entry(&peer.host).or_insert((at, peer));
-            if at > known.0 {
-                *known = (at, peer);
-            }
-        }
-        newest.into_values().map(|(_, peer)| peer.clone()).collect()
-    }
-
-    /// What peers may take over; nothing while the store is away here.
-    fn records_for_peers(&self) -> Option<KnownRecords> {
-        let book = self.book.borrow();
-        let records = book.all().map(|(at, record)| (at, record.clone()));
-        (!book.is_store_away()).then(|| KnownRecords {
-            at: self.records_at.get(),
-            records: records.collect(),
-        })
-    }
-
     /// A call to the store gave no useful answer.
     fn store_failed(&self, err: &StoreError) {
         if !err.shows_outage() {
--- a/crates/gateway/src/control/new_versions.rs
+++ b/crates/gateway/src/control/new_versions.rs
@@ -64,6 +64,12 @@
         is_beside
     }
 
+    /// True when targets of some version get nothing, or did a moment ago.
+    pub fn holds_any(&self, now: Millis) -> bool {
+        let just_held = now.saturating_sub(self.held_ms());
+        !self.held(now).0.is_empty() || !self.held(just_held).0.is_empty()
+    }
+
     /// The versions that are held at a moment.
     pub fn held(&self, now: Millis) -> Held<'_> {
         let held_ms = self.held_ms();
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -20,6 +20,11 @@
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
+/// The same for each live entry, so that renewals of all together grow no faster than the
+/// fleet up to a point: who hears from a reader hears of an outage there.
+const RENEW_EACH: Duration = Duration::from_millis(4);
+/// The same at most: three renewals may be lost.
+const MOST_RENEW: Duration = Duration::from_millis(7_500);
 /// The same at a store that names its era: that it came back from an older copy may show in
 /// no watch, and this is how it is found within the 2 s for a target that leaves.
 const RENEW_WITH_ERAS_EVERY: Duration = Duration::from_millis(1_500);
@@ -92,7 +97,7 @@
 /// Waits until the next renewal is due, sooner when others begin to rely on this entry.
 async fn wait_for_renewal(cx: &Control) {
     let every = match cx.store.era() {
-        0 => RENEW_EVERY,
+        0 => (RENEW_EACH * cx.peers_now().len() as u32).clamp(RENEW_EVERY, MOST_RENEW),
         _ => RENEW_WITH_ERAS_EVERY,
     };
     let mut waited = Duration::ZERO;
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -14,6 +14,10 @@
 use crate::feed::Keys;
 use crate::peers::{RecordAt, RecordsAt};
 
+/// Records that come together from which on they are counted in one line instead of told one
+/// by one: a whole fleet's, at each entry, are more than anybody reads.
+const MANY_RECORDS: usize = 200;
+
 /// The records' keys.
 pub const FOLLOWED: Followed = Followed {
     keys: Keys::Targets,
@@ -38,15 +42,24 @@
     /// targets known so far. Where hundreds of hosts start together and read thousands of
     /// records each, the whole list takes seconds on the store's link.
     fn take_some_records(self: &Rc<Self>, items: &[Item]) {
-        let mut changed = false;
+        let mut changed = 0;
         for item in items {
-            changed |= self.take_record(item);
+            changed += usize::from(self.take_record(item, items.len()));
         }
-        if changed {
+        if changed > 0 {
+            self.log_listed(changed, "store");
             self.publish();
         }
     }
 
+    /// Tells of records that came together and are too many to be told one by one.
+    fn log_listed(&self, changed: usize, from: &str) {
+        if changed >= MANY_RECORDS {
+            let fields = format_args!("from={from} changed={changed}");
+            self.log.line(events::TARGETS_LISTED, fields);
+        }
+    }
+
     /// Takes the rest of a list whose parts were taken: records that it doesn't have are
     /// gone.
     fn take_records(&self, range: &Range) {
@@ -66,7 +79,7 @@
         self.records_at.set(changes.at);
         let mut changed = false;
         for change in &changes.changes {
-            changed |= self.take_change(change, teller);
+            changed |= self.take_change(change, teller, changes.changes.len());
         }
         if changed {
             self.publish();
@@ -74,9 +87,9 @@
     }
 
     /// Takes one change into the book. True when the book changed.
-    fn take_change(self: &Rc<Self>, change: &Change, teller: Teller) -> bool {
+    fn take_change(self: &Rc<Self>, change: &Change, teller: Teller, together: usize) -> bool {
         match change {
-            Change::Put(item) => self.take_record(item),
+            Change::Put(item) => self.take_record(item, together),
             Change::Deleted { key, at } => {
                 let Some(incarnation) = key.strip_prefix(PREFIX) else {
                     return false;
@@ -95,12 +108,12 @@
 
     /// Takes one record into the book. True when the book changed. One that can't be used
     /// takes its target out of use: others may write there, too, and who did isn't known.
-    fn take_record(self: &Rc<Self>, item: &Item) -> bool {
+    fn take_record(self: &Rc<Self>, item: &Item, together: usize) -> bool {
         let Some(id) = targets::id_of(&item.key) else {
             return false;
         };
         match targets::decode(id, &item.value) {
-            Ok(record) => self.put_record(record, item.at),
+            Ok(record) => self.put_record(record, item.at, together),
             Err(err) => {
                 let fields = format_args!(
                     "key={} at={} bytes={} why=\"{err}\"",
@@ -125,9 +138,10 @@
             .iter()
             .map(|record| record.record.incarnation.id.clone())
             .collect();
+        let together = told.records.len();
         let mut changed = false;
         for RecordAt { at, record } in told.records {
-            changed |= self.put_record(record, at);
+            changed |= self.put_record(record, at, together);
         }
         let present: Vec<&str> = present.iter().map(String::as_str).collect();
         let gone = self.book.borrow_mut().adopt(&present, told.at);
@@ -138,25 +152,26 @@
         }
     }
 
-    /// Puts a record into the book. True when the book changed.
-    fn put_record(self: &Rc<Self>, record: TargetRecord, at: Position) -> bool {
+    /// Puts a record into the book, one of so many that came together. True when the book
+    /// changed.
+    fn put_record(self: &Rc<Self>, record: TargetRecord, at: Position, together: usize) -> bool {
         self.note_version(&record);
-        let Incarnation { id, born } = record.incarnation.clone();
+        let record = Arc::new(record);
+        let Incarnation { id, born } = &record.incarnation;
         let draining = record.draining;
-        let fields = format!(
-            "target={id} born={born} service={} addr={} hall={} draining={draining} at={at}",
-            record.service, record.addr, record.hall
-        );
         let told = Told {
             at,
-            start: born,
+            start: *born,
             draining,
         };
         let mut book = self.book.borrow_mut();
-        let changed = book.put(&id, told, Arc::new(record));
-        if changed {
-            self.log
-                .line(events::TARGET_RECORD, format_args!("{fields}"));
+        let changed = book.put(id, told, record.clone());
+        if changed && together < MANY_RECORDS {
+            let fields = format_args!(
+                "target={id} born={born} service={} addr={} hall={} draining={draining} at={at}",
+                record.service, record.addr, record.hall
+            );
+            self.log.line(events::TARGET_RECORD, fields);
         }
         changed
     }
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -18,7 +18,7 @@
 use hollowsail_fleet::ownership::Candidate;
 use hollowsail_fleet::{readers, Position};
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Changes, StoreError};
+use hollowsail_platform::store::{Changes, Range, StoreError};
 use hollowsail_routing::Millis;
 
 use super::ask::{self, AskError};
@@ -39,6 +39,8 @@
 const FIRST_WAIT: Duration = Duration::from_millis(1_500);
 /// How long after the start that is, in milliseconds.
 const YOUNG_MS: Millis = 3_000;
+/// Entries of a hall from which on the readers among them are known well enough.
+const MANY_ENTRIES: usize = 32;
 /// How long a reader may take to tell of changes: one that lies behind costs as long.
 const TOLD_WITHIN: Duration = Duration::from_millis(1_000);
 /// The same for the entries' records, which matter less: a lost one is found silent.
@@ -62,6 +64,14 @@
     },
 }
 
+/// What was heard.
+pub enum Heard {
+    /// All that changed since.
+    Changes(Changes),
+    /// All that is there: what changed since isn't known any more.
+    Whole(Range),
+}
+
 /// Where to ask next.
 enum Source {
     Store { wait: Duration, for_others: bool },
@@ -87,7 +97,7 @@
         keys: Keys,
         prefix: &str,
         after: Position,
-    ) -> Result<(Changes, Teller), StoreError> {
+    ) -> Result<(Heard, Teller), StoreError> {
         tokio::select! {
             changes = self.changes_from_anywhere(keys, prefix, after) => changes,
             () = self.store.later_era(after.era) => Err(StoreError::HistoryGone),
@@ -99,7 +109,7 @@
         keys: Keys,
         prefix: &str,
         after: Position,
-    ) -> Result<(Changes, Teller), StoreError> {
+    ) -> Result<(Heard, Teller), StoreError> {
         loop {
             let reader = match self.source(keys) {
                 Source::Reader(reader) => reader,
@@ -113,8 +123,16 @@
                 Ok(FeedAnswer::Changed {
                     changes,
                     is_unsettled,
-                }) => return Ok((changes, Teller::Reader { is_unsettled })),
+                }) => return Ok((Heard::Changes(changes), Teller::Reader { is_unsettled })),
+                Ok(FeedAnswer::Whole {
+                    range,
+                    is_unsettled,
+                }) => return Ok((Heard::Whole(range), Teller::Reader { is_unsettled })),
                 Ok(FeedAnswer::NothingNew) => {}
+                // Another entry of the hall has the whole list.
+                Ok(FeedAnswer::Unknown) if keys == Keys::Targets && self.is_list_long.get() => {
+                    return Err(StoreError::HistoryGone);
+                }
                 Ok(FeedAnswer::Unknown) => {
                     return self.watch_store(prefix, after, FIRST_WAIT).await;
                 }
@@ -131,34 +149,29 @@
         prefix: &str,
         after: Position,
         wait: Duration,
-    ) -> Result<(Changes, Teller), StoreError> {
+    ) -> Result<(Heard, Teller), StoreError> {
         let watch = self.store.watch(prefix, after, wait);
         let changes = self.until_store_lost(watch).await?;
         self.store_answered();
-        Ok((changes, Teller::Store))
+        Ok((Heard::Changes(changes), Teller::Store))
     }
 
     /// Where to ask now.
     fn source(&self, keys: Keys) -> Source {
-        if self.clock.now() < YOUNG_MS {
+        let peers = self.peers_now();
+        let hall = self.hall_of(&peers);
+        if self.clock.now() < YOUNG_MS && hall.len() < MANY_ENTRIES {
             return Source::Store {
                 wait: FIRST_WAIT,
-                for_others: false,
+                for_others: true,
             };
         }
-        let hall = self.newest_peers(|peer| peer.hall == self.me.hall);
-        let entries = hall.iter().map(|peer| Candidate {
-            host: &peer.host,
-            capacity: peer.capacity,
-            is_slow: false,
-        });
-        let Some(chosen) = readers::choose(&self.me.hall, entries) else {
+        let Some(chosen) = self.readers_of(&hall) else {
             return Source::Store {
                 wait: ALONE_WAIT,
                 for_others: false,
             };
         };
-        let chosen: Vec<&PeerRecord> = chosen.into_iter().map(|at| &hall[at]).collect();
         let is_reader = chosen.iter().any(|peer| peer.host == self.me.host);
         match self.next_reader(keys, &chosen).filter(|_| !is_reader) {
             Some(reader) => Source::Reader(reader.clone()),
@@ -172,6 +185,18 @@
         }
     }
 
+    /// The entries of this one's hall.
+    pub(super) fn hall_of<'a>(&self, peers: &'a [PeerRecord]) -> Vec<&'a PeerRecord> {
+        let hall = peers.iter().filter(|peer| peer.hall == self.me.hall);
+        hall.collect()
+    }
+
+    /// Those of the hall's entries that read for the others; `None` where all read.
+    pub(super) fn readers_of<'a>(&self, hall: &[&'a PeerRecord]) -> Option<Vec<&'a PeerRecord>> {
+        let chosen = readers::choose(&self.me.hall, candidates(hall))?;
+        Some(chosen.into_iter().map(|at| hall[at]).collect())
+    }
+
     /// The reader whose turn it is, of those that aren't passed over.
     fn next_reader<'a>(&self, keys: Keys, readers: &[&'a PeerRecord]) -> Option<&'a PeerRecord> {
         let now = self.clock.now();
@@ -214,7 +239,7 @@
         ask::ask(&pool, FEED_PATH, &question, wait + ANSWER_SLACK).await
     }
 
-    fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
+    pub(super) fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
         let rules = PoolRules {
             dial_within: DIAL_WITHIN,
             max_idle: 3,
@@ -227,3 +252,14 @@
             .clone()
     }
 }
+
+/// The entries of a hall, as those that may own something.
+pub(super) fn candidates<'a>(
+    hall: &'a [&'a PeerRecord],
+) -> impl Iterator<Item = Candidate<'a>> + Clone {
+    hall.iter().map(|peer| Candidate {
+        host: &peer.host,
+        capacity: peer.capacity,
+        is_slow: false,
+    })
+}
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -26,6 +26,11 @@
         targets.collect()
     }
 
+    /// True while which targets may get new work depends on the time, too.
+    pub(super) fn changes_with_time(&self) -> bool {
+        self.new_versions.borrow().holds_any(self.clock.now())
+    }
+
     /// Targets whose records say that they leave.
     pub(super) fn leaving_targets(&self) -> Vec<Incarnation> {
         let book = self.book.borrow();
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,11 +5,12 @@
 //! waits like the store's own watch. An entry that doesn't read, or doesn't hear from the
 //! store, says so at once, and the asker goes elsewhere.
 
+use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use hollowsail_fleet::{Position, Since, WatchLog};
-use hollowsail_platform::store::{Change, Changes};
+use hollowsail_platform::store::{Change, Changes, Item, Range};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -59,9 +60,15 @@
         /// The store was away until lately: a record that has gone may come back.
         is_unsettled: bool,
     },
+    /// All that is there; the changes after that position aren't known here any more.
+    Whole {
+        range: Range,
+        /// As above.
+        is_unsettled: bool,
+    },
     /// Nothing changed in the time.
     NothingNew,
-    /// The changes after that position aren't known here any more.
+    /// The changes after that position aren't known here any more, and neither is the whole.
     Unknown,
     /// This entry doesn't hear from the store itself.
     NotReading,
@@ -70,6 +77,8 @@
 /// The feed of some keys.
 struct Feed {
     log: WatchLog<Change>,
+    /// All that is there by the log, for keys whose lists are short.
+    items: Option<BTreeMap<String, Item>>,
     /// This entry follows them at the store, for others too.
     is_read: bool,
 }
@@ -96,6 +105,7 @@
         let feed = || {
             Mutex::new(Feed {
                 log: WatchLog::new(MOST_CHANGES),
+                items: None,
                 is_read: false,
             })
         };
@@ -124,14 +134,35 @@
 
     /// All keys were read as of a position.
     pub fn begin(&self, keys: Keys, at: Position) {
-        self.feed(keys).log.begin(at);
+        let mut feed = self.feed(keys);
+        feed.log.begin(at);
+        feed.items = None;
+    }
+
+    /// The same, with what was read.
+    pub fn begin_with(&self, keys: Keys, range: &Range) {
+        let items = range.items.iter();
+        let items = items.map(|item| (item.key.clone(), item.clone()));
+        let mut feed = self.feed(keys);
+        feed.log.begin(range.at);
+        feed.items = Some(items.collect());
+        drop(feed);
+        self.changed.notify_waiters();
     }
 
     /// Changes came, from wherever.
     pub fn extend(&self, keys: Keys, changes: &Changes) {
         let each = changes.changes.iter();
         let each = each.map(|change| (change.at(), change.clone()));
-        self.feed(keys).log.extend(each, changes.at);
+        let mut feed = self.feed(keys);
+        feed.log.extend(each, changes.at);
+        if let Some(items) = &mut feed.items {
+            changes
+                .changes
+                .iter()
+                .for_each(|change| apply(items, change));
+        }
+        drop(feed);
         self.changed.notify_waiters();
     }
 
@@ -196,15 +227,31 @@
         if !feed.is_read || store.is_away || store.is_silent {
             return Some(FeedAnswer::NotReading);
         }
+        let unsettled_until = store.unsettled_until;
+        let is_unsettled = unsettled_until.is_some_and(|until| Instant::now() < until);
         match feed.log.since(ask.after) {
             Since::NothingNew => None,
-            Since::Unknown => Some(FeedAnswer::Unknown),
+            Since::Unknown => Some(match &feed.items {
+                Some(items) => FeedAnswer::Whole {
+                    range: Range {
+                        items: items.values().cloned().collect(),
+                        at: feed.log.known_to(),
+                    },
+                    is_unsettled,
+                },
+                None => FeedAnswer::Unknown,
+            }),
             Since::Changes { changes, to } => Some(FeedAnswer::Changed {
                 changes: Changes { changes, at: to },
-                is_unsettled: store
-                    .unsettled_until
-                    .is_some_and(|until| Instant::now() < until),
+                is_unsettled,
             }),
         }
     }
 }
+
+fn apply(items: &mut BTreeMap<String, Item>, change: &Change) {
+    match change {
+        Change::Put(item) => items.insert(item.key.clone(), item.clone()),
+        Change::Deleted { key, .. } => items.remove(key),
+    };
+}
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -15,7 +15,7 @@
 
 use super::messages::{Envelope, Message, PATH};
 use super::record::PeerRecord;
-use super::state::{RecordsAt, StateAnswer, StateAsk, STATE_PATH};
+use super::state::{RecordsAsk, RecordsAt, StateAnswer, StateAsk, RECORDS_PATH, STATE_PATH};
 use crate::callers::listen::accept_each;
 use crate::feed::{FeedAsk, FEED_PATH};
 use crate::target_words;
@@ -60,6 +60,7 @@
     let result = match path.as_str() {
         PATH if is_post => take_envelope(cx, req).await,
         STATE_PATH if is_post => tell_state(cx, req).await,
+        RECORDS_PATH if is_post => tell_records(cx, req).await,
         FEED_PATH if is_post => tell_changes(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
@@ -144,7 +145,7 @@
         configuration: source.map(<[u8]>::to_vec),
         emptied: emptied.cloned(),
         records: records.map(RecordsAt::from),
-        peers: view.peers.clone(),
+        peers: view.peers.to_vec(),
         refused: cx.crashes.refused(cx),
         orders: view.orders.clone(),
     };
@@ -153,6 +154,18 @@
         .into())
 }
 
+/// Tells a peer all targets' records.
+async fn tell_records(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Refused> {
+    let ask: RecordsAsk = read(req).await?;
+    let view = cx.view();
+    let records = view.records.as_ref();
+    let newer = records.filter(|known| known.at > ask.after);
+    let answer = newer.map(RecordsAt::from);
+    Ok(rmp_serde::to_vec(&answer)
+        .expect("these types always encode")
+        .into())
+}
+
 /// Tells a peer what changed at the store, as soon as something does.
 async fn tell_changes(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Refused> {
     let ask: FeedAsk = read(req).await?;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -32,7 +32,7 @@
     RunAgo, SpentResult, ToldLimit, ToldStanding, WorkerAtHandOver,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
-pub use state::{RecordAt, RecordsAt, StateAnswer, StateAsk, STATE_PATH};
+pub use state::{RecordAt, RecordsAsk, RecordsAt, StateAnswer, StateAsk, RECORDS_PATH, STATE_PATH};
 
 /// How long a peer that didn't answer is passed over at first, in milliseconds. Long
 /// enough that a frozen process costs few requests, short against a restart.
@@ -154,12 +154,14 @@
         if before.len() != live.len() || !new_peers.is_empty() {
             self.changes_at(now);
         }
-        let is_live = |id: &PeerId| live.iter().any(|peer| peer.id == *id);
+        let ids: HashSet<PeerId> = live.iter().map(|peer| peer.id).collect();
+        let is_live = |id: &PeerId| ids.contains(id);
         let is_over = |link: &Link| !is_live(&link.peer.id) && link.is_idle();
         self.links.borrow_mut().retain(|_, link| !is_over(link));
+        let hosts: HashSet<&str> = new_peers.iter().map(|peer| peer.host.as_str()).collect();
         for old in before {
-            let is_replaced = |new: &PeerRecord| new.host == old.host && new.id != old.id;
-            if live.iter().any(is_replaced) {
+            // Each host has one live run.
+            if !is_live(&old.id) && hosts.contains(old.host.as_str()) {
                 let link = self.links.borrow_mut().remove(&old.id);
                 link.into_iter().for_each(|link| link.close());
                 cx.pools.requester_lost(old.id);
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -53,6 +53,17 @@
     pub records: Vec<RecordAt>,
 }
 
+/// Path that takes a [`RecordsAsk`] and answers with an `Option` of [`RecordsAt`]: `None`
+/// from an entry that doesn't hear from the store, or has nothing newer.
+pub const RECORDS_PATH: &str = "/hollowsail/records";
+
+/// An entry asks for all targets' records.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordsAsk {
+    /// Position of the store up to which it knows them.
+    pub after: Position,
+}
+
 /// A target's record, and the position of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordAt {
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -212,6 +212,15 @@
             desk.take_targets(cx);
         }
     }
+
+    /// The same for one service.
+    pub fn take_targets_of(&self, cx: &Rc<Traffic>, service: &str) {
+        let desks = self.desks.borrow();
+        let desks = desks.iter().filter(|(name, _)| {
+            TargetGroup::parse(name).is_some_and(|(known, _)| known == service)
+        });
+        desks.for_each(|(_, desk)| desk.take_targets(cx));
+    }
 }
 
 /// Places a request at a desk here.
--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -1,6 +1,6 @@
 //! The targets that make the pieces of a queue, as its workers.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
 use hollowsail_platform::targets::Incarnation;
@@ -54,9 +54,9 @@
     pub fn take_targets(self: &Rc<Self>, cx: &Rc<Traffic>, targets: &[Rc<Target>]) {
         let mut workers = self.workers.borrow_mut();
         let mut queue = self.queue.borrow_mut();
-        let is_there = |id: &Incarnation| targets.iter().any(|t| t.incarnation() == id);
+        let present: HashSet<&Incarnation> = targets.iter().map(|t| t.incarnation()).collect();
         workers.by_incarnation.retain(|id, key| {
-            let stays = is_there(id);
+            let stays = present.contains(id);
             if !stays {
                 queue.remove_worker(*key);
             }
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -276,11 +276,21 @@
 
     /// Takes the rules and targets of a new view over.
     pub fn take_targets(&self, cx: &Rc<Traffic>) {
+        self.take_targets_where(cx, |_| true);
+    }
+
+    /// The same for one service.
+    pub fn take_targets_of(&self, cx: &Rc<Traffic>, service: &str) {
+        self.take_targets_where(cx, |known| known == service);
+    }
+
+    fn take_targets_where(&self, cx: &Rc<Traffic>, is_concerned: impl Fn(&str) -> bool) {
         let Some(deployment) = cx.deployment_in_use() else {
             return;
         };
         for batcher in self.all() {
-            let Some((service, group)) = TargetGroup::parse(batcher.name()) else {
+            let parsed = TargetGroup::parse(batcher.name());
+            let Some((service, group)) = parsed.filter(|(service, _)| is_concerned(service)) else {
                 continue;
             };
             let pool = deployment
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -52,7 +52,7 @@
     may_run(cx, admitted)?;
     let view = cx.view();
     let name = |key: ServiceKey| &admitted.deployment.service(key).name;
-    let is_missing = |key: ServiceKey| view.emptied_services.contains(name(key));
+    let is_missing = |key: ServiceKey| view.targets.emptied_services.contains(name(key));
     let route = admitted.route();
     let pieces = admitted.caller.pieces.iter();
     let needed = route.stages.iter().zip(pieces);
--- a/crates/gateway/src/target_words.rs
+++ b/crates/gateway/src/target_words.rs
@@ -237,7 +237,7 @@
 /// Has all entries told that a target leaves, unless its record does so.
 async fn have_told(cx: Rc<Traffic>, start: Incarnation) {
     tokio::time::sleep(RECORD_WITHIN).await;
-    if cx.view().leaving.contains(&start) {
+    if cx.view().targets.leaving.contains(&start) {
         return;
     }
     match coordinator_of(&cx, &start) {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -1,7 +1,7 @@
 //! State of the traffic thread.
 
 use std::cell::{Cell, Ref, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,7 +25,7 @@
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::rollouts::{RecordPhase, Rollouts};
-use crate::view::{Published, View};
+use crate::view::{Published, Targets, View};
 
 /// Part of the allowed ratio of extra arrivals that is used; the rest is left
 /// for what arrives twice without our doing.
@@ -43,6 +43,18 @@
 /// every answer.
 const TELL_ODD_WORDS_EVERY_MS: Millis = 60_000;
 
+/// True when a view has other targets than the one before, or other services for them.
+fn has_other_targets(before: &View, newest: &View) -> bool {
+    has_other_deployment(before, newest) || !Arc::ptr_eq(&before.targets, &newest.targets)
+}
+
+fn has_other_deployment(before: &View, newest: &View) -> bool {
+    match (&before.deployment, &newest.deployment) {
+        (Some(before), Some(newest)) => !Arc::ptr_eq(before, newest),
+        (before, newest) => before.is_some() || newest.is_some(),
+    }
+}
+
 /// How far a planned stop is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stopping {
@@ -172,15 +184,27 @@
         let before = self.view.borrow().clone();
         self.crashes
             .take_listed(self, &before.refused, &newest.refused);
-        if let Some(deployment) = &newest.deployment {
+        let has_other_targets = has_other_targets(&before, &newest);
+        let mut changed = BTreeSet::new();
+        if let Some(deployment) = newest.deployment.as_ref().filter(|_| has_other_targets) {
             let now = self.clock.now();
+            let Targets {
+                usable, leaving, ..
+            } = &*newest.targets;
             let mut targets = self.targets.borrow_mut();
-            targets.take(now, deployment, &newest.targets, &newest.leaving);
+            changed = targets.take(now, deployment, usable, leaving);
+        }
+        let has_other_peers = !Arc::ptr_eq(&before.peers, &newest.peers);
+        if has_other_peers {
+            self.peers.take(self, &newest.peers);
         }
-        self.peers.take(self, &newest.peers);
         *self.view.borrow_mut() = newest.clone();
         self.rollouts.take(self, &newest);
-        self.pass_targets_on();
+        if has_other_peers || has_other_deployment(&before, &newest) {
+            self.pass_targets_on();
+        } else if !changed.is_empty() {
+            self.pass_targets_on_of(&changed);
+        }
         if self.deployment_in_use().is_some() {
             self.configured.notify_waiters();
         }
@@ -193,6 +217,18 @@
         self.pools.hand_over(self);
     }
 
+    /// The same for those of some services.
+    fn pass_targets_on_of(self: &Rc<Self>, services: &BTreeSet<ServiceKey>) {
+        let Some(deployment) = self.deployment_in_use() else {
+            return;
+        };
+        for key in services {
+            let name = &deployment.service(*key).name;
+            self.pools.take_targets_of(self, name);
+            self.placements.take_targets_of(self, name);
+        }
+    }
+
     /// A start of a target says that it leaves: it gets nothing new from now on. True when
     /// that is news.
     pub fn target_leaves(self: &Rc<Self>, start: &Incarnation) -> bool {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -23,18 +23,15 @@
     pub deployment: Option<Arc<Deployment>>,
     /// The same as it lies in the store, for peers that can't read it there.
     pub source: Option<Arc<[u8]>>,
-    /// Targets that may get new work.
-    pub targets: Vec<UsableTarget>,
-    /// Targets whose records say that they leave.
-    pub leaving: Vec<Incarnation>,
+    /// The targets; the same one in the next view unless they changed.
+    pub targets: Arc<Targets>,
     /// The halls whose targets get nothing new.
     pub emptied: EmptiedHalls,
-    /// Names of services whose usable targets all lie in emptied halls.
-    pub emptied_services: BTreeSet<String>,
     /// All records, for the same peers; absent while the store is away here.
     pub records: Option<KnownRecords>,
-    /// Live entries, this one included once it is known to the store.
-    pub peers: Vec<PeerRecord>,
+    /// Live entries, this one included once it is known to the store; the same ones in the
+    /// next view unless they changed.
+    pub peers: Arc<[PeerRecord]>,
     /// Requests that are refused since they end targets.
     pub refused: Refused,
     /// The operators' orders to roll versions out.
@@ -43,12 +40,23 @@
     pub rollout_records: Records,
 }
 
+/// The targets, as their records and the operators' words on halls tell.
+#[derive(Debug, Default)]
+pub struct Targets {
+    /// Those that may get new work.
+    pub usable: Vec<UsableTarget>,
+    /// Those whose records say that they leave.
+    pub leaving: Vec<Incarnation>,
+    /// Names of services whose usable targets all lie in emptied halls.
+    pub emptied_services: BTreeSet<String>,
+}
+
 /// All targets' records as of a position of the store.
 #[derive(Debug)]
 pub struct KnownRecords {
     pub at: Position,
     /// Each with the position of its last change.
-    pub records: Vec<(Position, Arc<TargetRecord>)>,
+    pub records: Arc<[(Position, Arc<TargetRecord>)]>,
 }
 
 /// Where control puts views and traffic finds them.
--- a/crates/gateway/tests/suite/reading.rs
+++ b/crates/gateway/tests/suite/reading.rs
@@ -78,11 +78,13 @@
     }
 
     fn watches(&self) -> usize {
+        self.calls("kv-watch")
+    }
+
+    /// Calls so far that contain a text.
+    fn calls(&self, text: &str) -> usize {
         let calls = self.store.calls();
-        calls
-            .iter()
-            .filter(|call| call.contains("kv-watch"))
-            .count()
+        calls.iter().filter(|call| call.contains(text)).count()
     }
 }
 
@@ -146,3 +148,39 @@
     let took = hall.configure(2, &[]).await;
     assert!(took < Duration::from_millis(2_000), "{took:?}");
 }
+
+/// A list of several pages costs pages times entries at the store unless a few read it.
+#[actix_rt::test]
+async fn after_lost_history_few_entries_read_lists_and_all_have_them() {
+    let hall = Hall::start().await;
+    for at in 0..8 {
+        let idle = format!("i-idle-{at}");
+        hall.store
+            .put_target(&idle, "other", hall._target.addr, "hall-a", "ready");
+    }
+    hall.store.forget_history();
+    hall.store
+        .put_target("i-last", "other", hall._target.addr, "hall-a", "ready");
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let lists = hall.calls("kv-range");
+    let next = TargetStandin::start(|seen| vec![Step::Write(answer(seen, 200, "two"))]).await;
+    hall.store.delete("servers/i-1");
+    hall.store
+        .put_target("i-2", "plain", next.addr, "hall-a", "ready");
+    hall.store.forget_history();
+    let lost = Instant::now();
+    for gateway in &hall.gateways {
+        while Call::new("GET", "/v1/").send(gateway.at.callers).await.body != "two" {
+            assert!(lost.elapsed() < Duration::from_secs(3), "one doesn't know");
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let lists = hall.calls("kv-range") - lists;
+    // Two readers, with a page of operators' keys, three of entries and four of targets.
+    let of_readers = 2 * (1 + 3 + 4);
+    assert!(
+        lists <= of_readers + 4,
+        "{lists} pages for {ENTRIES} entries"
+    );
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -84,6 +84,7 @@
     ROLLOUT_TAKEN_BACK, 317, "rollout_taken_back", Warn, "The leader of a roll-out takes the version back, by this evidence.";
     ROLLOUT_RECORDED, 318, "rollout_recorded", Info, "The phase of a roll-out lies in the store, or couldn't be written there.";
     VERSION_HELD, 319, "version_held", Info, "A service has targets of a version that is new here; they wait for the operators' order, if there is one.";
+    TARGETS_LISTED, 320, "targets_listed", Info, "Many targets' records came together, or have to be read elsewhere.";
     MEMBER, 401, "member", Info, "A member's health or stop changed.";
     PACE, 402, "pace", Warn, "Whether this entry keeps up with its work changed.";
 }
--- a/crates/routing/src/desk/mod.rs
+++ b/crates/routing/src/desk/mod.rs
@@ -12,7 +12,7 @@
 mod demand_queue;
 mod health;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
 
 use serde::{Deserialize, Serialize};
@@ -223,8 +223,8 @@
 impl<K: Clone + Eq + Hash + Ord> EngineDesk<K> {
     /// Takes the engines that may get new work.
     pub fn set_engines(&mut self, now: Millis, engines: &[DeskEngine<K>]) {
-        self.engines
-            .retain(|key, _| engines.iter().any(|engine| engine.key == *key));
+        let present: HashSet<&K> = engines.iter().map(|engine| &engine.key).collect();
+        self.engines.retain(|key, _| present.contains(key));
         for engine in engines {
             let state = self.engines.entry(engine.key.clone()).or_default();
             state.slots = engine.slots;
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -1,10 +1,11 @@
 //! The targets that may get new work.
 
-use std::collections::HashMap;
+use std::cmp::Ordering;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 
-use hollowsail_platform::deployment::{Deployment, ServiceKey};
+use hollowsail_platform::deployment::{Deployment, Service, ServiceKey};
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Cold, HealthRules, Millis, TargetHealth};
 
@@ -29,75 +30,171 @@
         && known.hall == told.hall
 }
 
-/// Usable targets by service, and all that still have requests.
+/// What the targets of a service depend on, by the configuration.
+#[derive(Debug, Clone, PartialEq)]
+struct ServiceRules {
+    name: String,
+    max_connections: u32,
+    cold_per_s: Option<f64>,
+}
+
+impl ServiceRules {
+    fn of(service: &Service) -> Self {
+        ServiceRules {
+            name: service.name.clone(),
+            max_connections: service.max_connections,
+            cold_per_s: service.cold_per_s,
+        }
+    }
+}
+
+/// Usable targets by service.
 #[derive(Default)]
 pub struct TargetTable {
+    /// Those of each service, in the order of their ids.
     by_service: Vec<Vec<Rc<Target>>>,
-    by_incarnation: HashMap<Incarnation, Rc<Target>>,
+    by_id: HashMap<String, Rc<Target>>,
     words: Words,
+    /// What was taken last, in the order of ids.
+    taken: Vec<UsableTarget>,
+    rules: Vec<ServiceRules>,
+}
+
+/// A difference between what was taken last and what is told now.
+enum Change<'a> {
+    Gone(&'a UsableTarget),
+    Told(&'a UsableTarget),
+}
+
+/// How `told` differs from `known`, both in the order of ids. Records that are the same one
+/// in both are passed over without a look at them.
+fn differences<'a>(known: &'a [UsableTarget], told: &'a [UsableTarget]) -> Vec<Change<'a>> {
+    let mut changes = Vec::new();
+    let (mut known, mut told) = (known.iter().peekable(), told.iter().peekable());
+    loop {
+        let order = match (known.peek(), told.peek()) {
+            (None, None) => return changes,
+            (Some(_), None) => Ordering::Less,
+            (None, Some(_)) => Ordering::Greater,
+            (Some(known), Some(told)) if Arc::ptr_eq(&known.record, &told.record) => {
+                Ordering::Equal
+            }
+            (Some(known), Some(told)) => known.id().cmp(told.id()),
+        };
+        match order {
+            Ordering::Less => changes.extend(known.next().map(Change::Gone)),
+            Ordering::Greater => changes.extend(told.next().map(Change::Told)),
+            Ordering::Equal => {
+                let (known, told) = (known.next(), told.next());
+                let is_same = known.zip(told).is_some_and(|(known, told)| {
+                    Arc::ptr_eq(&known.record, &told.record) && known.cold_until == told.cold_until
+                });
+                changes.extend(told.filter(|_| !is_same).map(Change::Told));
+            }
+        }
+    }
+}
+
+impl UsableTarget {
+    fn id(&self) -> &str {
+        &self.record.incarnation.id
+    }
 }
 
 impl TargetTable {
-    /// Takes the targets that are usable now by their records, and the starts whose
-    /// records say that they leave. Starts that stay keep their connections and health;
-    /// what was known of others goes, but for what they said of themselves.
+    /// Takes the targets that are usable now by their records, in the order of their ids,
+    /// and the starts whose records say that they leave. Starts that stay keep their
+    /// connections and health; what was known of others goes, but for what they said of
+    /// themselves. Returns the services whose targets changed.
     pub fn take(
         &mut self,
         now: Millis,
         deployment: &Deployment,
         usable: &[UsableTarget],
         leaving: &[Incarnation],
-    ) {
+    ) -> BTreeSet<ServiceKey> {
+        let mut changed = BTreeSet::new();
         for start in leaving {
-            self.words.says_leaving(now, start);
-        }
-        let is_usable = |id: &str| usable.iter().any(|t| t.record.incarnation.id == id);
-        self.words.forget(now, is_usable);
-        let mut kept = HashMap::with_capacity(usable.len());
-        let mut by_service = vec![Vec::new(); deployment.services.len()];
-        for UsableTarget { record, cold_until } in usable {
-            if self.words.leaves(&record.incarnation) {
-                continue;
+            let known = self.get(start);
+            if self.says_leaving(now, start) {
+                changed.extend(
+                    known.and_then(|known| deployment.service_named(&known.record.service)),
+                );
             }
-            let Some(key) = deployment.service_named(&record.service) else {
-                continue;
+        }
+        let rules: Vec<ServiceRules> = deployment.services.iter().map(ServiceRules::of).collect();
+        if self.rules != rules {
+            self.rules = rules;
+            changed.extend(self.begin_again());
+        }
+        let taken = std::mem::take(&mut self.taken);
+        for change in differences(&taken, usable) {
+            let services = match change {
+                Change::Gone(gone) => [self.remove(gone.id()), None],
+                Change::Told(told) => self.put(told, deployment),
             };
-            let target = self.take_or_make(record, deployment, key);
-            let per_s = deployment.service(key).cold_per_s;
-            target.cold.set(
-                cold_until
-                    .zip(per_s)
-                    .map(|(until, per_s)| Cold { until, per_s }),
-            );
-            target.limit.set(self.words.limit(&record.incarnation));
-            by_service[usize::from(key.0)].push(target.clone());
-            kept.insert(record.incarnation.clone(), target);
+            changed.extend(services.into_iter().flatten());
         }
-        self.by_service = by_service;
-        self.by_incarnation = kept;
+        self.taken = usable.to_vec();
+        let by_id = &self.by_id;
+        self.words.forget(now, |id| by_id.contains_key(id));
+        changed
     }
 
-    fn take_or_make(
-        &self,
-        record: &Arc<TargetRecord>,
-        deployment: &Deployment,
-        key: ServiceKey,
-    ) -> Rc<Target> {
-        match self.by_incarnation.get(&record.incarnation) {
-            Some(known) if is_same_place(&known.record, record) => known.clone(),
-            _ => Target::new(record.clone(), deployment.service(key)),
+    /// The services are others: every target is put in its place anew. Gives the services.
+    fn begin_again(&mut self) -> Vec<ServiceKey> {
+        self.taken.clear();
+        self.by_service = vec![Vec::new(); self.rules.len()];
+        (0..self.rules.len() as u16).map(ServiceKey).collect()
+    }
+
+    /// Puts a target in its place. Gives the service that it was of, and that it is of now,
+    /// unless it gets no new work.
+    fn put(&mut self, told: &UsableTarget, deployment: &Deployment) -> [Option<ServiceKey>; 2] {
+        let UsableTarget { record, cold_until } = told;
+        let known = self.by_id.get(told.id()).cloned();
+        let out = self.remove(told.id());
+        let key = deployment.service_named(&record.service);
+        let Some(key) = key.filter(|_| !self.words.leaves(&record.incarnation)) else {
+            return [out, None];
+        };
+        let service = deployment.service(key);
+        let stays = known.filter(|known| {
+            known.incarnation() == &record.incarnation && is_same_place(&known.record, record)
+        });
+        let target = stays.unwrap_or_else(|| Target::new(record.clone(), service));
+        let cold = cold_until.zip(service.cold_per_s);
+        target
+            .cold
+            .set(cold.map(|(until, per_s)| Cold { until, per_s }));
+        target.limit.set(self.words.limit(&record.incarnation));
+        let targets = &mut self.by_service[usize::from(key.0)];
+        let at = targets.partition_point(|known| known.incarnation().id.as_str() < told.id());
+        targets.insert(at, target.clone());
+        self.by_id.insert(told.id().to_string(), target);
+        [out, Some(key)]
+    }
+
+    /// Takes a target out. Gives its service, if it was there.
+    fn remove(&mut self, id: &str) -> Option<ServiceKey> {
+        let target = self.by_id.remove(id)?;
+        let of_service = |rules: &ServiceRules| rules.name == target.record.service;
+        let key = self.rules.iter().position(of_service)?;
+        let targets = &mut self.by_service[key];
+        let at = targets.partition_point(|known| known.incarnation().id.as_str() < id);
+        let is_there = targets.get(at).is_some_and(|t| Rc::ptr_eq(t, &target));
+        if is_there {
+            targets.remove(at);
         }
+        Some(ServiceKey(key as u16))
     }
 
     /// A start says that it leaves, whatever its record says. True when that is news.
     pub fn says_leaving(&mut self, now: Millis, start: &Incarnation) -> bool {
         let is_news = self.words.says_leaving(now, start);
-        if is_news {
-            let words = &self.words;
-            for targets in &mut self.by_service {
-                targets.retain(|target| !words.leaves(target.incarnation()));
-            }
-            self.by_incarnation.retain(|start, _| !words.leaves(start));
+        let known = self.by_id.get(&start.id);
+        if known.is_some_and(|known| self.words.leaves(known.incarnation())) {
+            self.remove(&start.id);
         }
         is_news
     }
@@ -112,9 +209,8 @@
     pub fn names_limit(&mut self, now: Millis, start: &Incarnation, word: LimitWord) -> bool {
         let is_news = self.words.names_limit(now, start, word);
         if is_news {
-            let target = self.by_incarnation.get(start);
             let limit = self.words.limit(start);
-            target
+            self.get(start)
                 .into_iter()
                 .for_each(|target| target.limit.set(limit));
         }
@@ -155,7 +251,10 @@
 
     /// A usable target by its incarnation.
     pub fn get(&self, incarnation: &Incarnation) -> Option<Rc<Target>> {
-        self.by_incarnation.get(incarnation).cloned()
+        let known = self.by_id.get(&incarnation.id);
+        known
+            .filter(|known| known.incarnation() == incarnation)
+            .cloned()
     }
 
     /// Usable targets of a service.
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of targets, by their starts.
 
 mod limit_words;
+mod table;
 mod words;
 
 use std::net::SocketAddr;
