Have no reader tell all targets one by one

Cause: targets write their records in the seconds in which a fleet starts, so its hosts know 10 of 10,003 by their first list and hear of the rest as changes. A reader's answer then holds 2,000 changes of 400 bytes, for each of 98 hosts that ask: 3 s of its link, while they wait 1.4 s and pass it over for 5 s.

Change: beyond 400 changes a reader says that it doesn't tell them, and the host takes all records from its hall. So does one that a reader can't tell what changed.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -117,7 +117,7 @@
     let mut has_asked = false;
     let mut reading = cx.store.read(keys.prefix, may_be_old);
     loop {
-        if may_ask && !has_asked && cx.is_list_long.get() && cx.are_readers_known() {
+        if may_ask && !has_asked && cx.may_ask_hall() {
             has_asked = true;
             if let Some(at) = cx.records_from_hall().await {
                 return Ok(Read::FromReader(at));
--- a/crates/gateway/src/control/hall_records.rs
+++ b/crates/gateway/src/control/hall_records.rs
@@ -70,10 +70,12 @@
         at
     }
 
-    /// True once the readers of this hall are known as well as they will be.
-    pub(super) fn are_readers_known(&self) -> bool {
+    /// True where the list is long, once the readers of this hall are known as well as they
+    /// will be.
+    pub(super) fn may_ask_hall(&self) -> bool {
         let listed = self.entries_listed.get();
-        listed.is_some_and(|listed| self.clock.now() >= listed + READERS_KNOWN_MS)
+        let are_known = listed.is_some_and(|at| self.clock.now() >= at + READERS_KNOWN_MS);
+        are_known && self.is_list_long.get()
     }
 
     /// An entry that may have the list; `None` where this one reads it at the store.
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -76,6 +76,9 @@
     }
 
     fn take_record_changes(self: &Rc<Self>, changes: &Changes, teller: Teller) {
+        if changes.changes.len() >= MANY_RECORDS {
+            self.is_list_long.set(true);
+        }
         self.records_at.set(changes.at);
         let mut changed = false;
         for change in &changes.changes {
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -129,11 +129,12 @@
                     is_unsettled,
                 }) => return Ok((Heard::Whole(range), Teller::Reader { is_unsettled })),
                 Ok(FeedAnswer::NothingNew) => {}
-                // Another entry of the hall has the whole list.
-                Ok(FeedAnswer::Unknown) if keys == Keys::Targets && self.is_list_long.get() => {
-                    return Err(StoreError::HistoryGone);
-                }
                 Ok(FeedAnswer::Unknown) => {
+                    self.is_list_long
+                        .set(keys == Keys::Targets || self.is_list_long.get());
+                    if keys == Keys::Targets && self.may_ask_hall() {
+                        return Err(StoreError::HistoryGone);
+                    }
                     return self.watch_store(prefix, after, FIRST_WAIT).await;
                 }
                 Ok(FeedAnswer::NotReading) => {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -21,6 +21,11 @@
 /// of a large deployment come back.
 const MOST_CHANGES: usize = 2_000;
 
+/// Changes of targets beyond which none is told: one by one, what all targets write in the
+/// seconds in which they start would fill the link of a reader many times over. Whoever asked
+/// takes all records from some entry of its hall instead, in a fraction of the bytes.
+const MOST_TOLD: usize = 400;
+
 /// Keys of the store that are followed together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Keys {
@@ -68,7 +73,8 @@
     },
     /// Nothing changed in the time.
     NothingNew,
-    /// The changes after that position aren't known here any more, and neither is the whole.
+    /// The changes after that position aren't known here any more, or are too many to be told,
+    /// and the whole isn't told here.
     Unknown,
     /// This entry doesn't hear from the store itself.
     NotReading,
@@ -241,6 +247,11 @@
                 },
                 None => FeedAnswer::Unknown,
             }),
+            Since::Changes { changes, .. }
+                if ask.keys == Keys::Targets && changes.len() > MOST_TOLD =>
+            {
+                Some(FeedAnswer::Unknown)
+            }
             Since::Changes { changes, to } => Some(FeedAnswer::Changed {
                 changes: Changes { changes, at: to },
                 is_unsettled,
