Ask the store for the rest of many changes at once

Cause: the store tells 500 changes at a time, and a reader pauses 150 ms and more after each: 5 s after the start of the whole fleet its readers knew 3,500 of 10,003 targets, and every host had taken the list from its hall four times.

Change: no pause after an answer of 100 changes and more; 300 ms after a list that came from an entry of the hall.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -23,6 +23,11 @@
 /// paused itself.
 const PAUSE_AFTER_READER: Duration = Duration::from_millis(50);
 
+/// Changes in one answer of the store from which on the next ones are asked for at once.
+const MANY_CHANGES: usize = 100;
+/// Pause after all was taken from an entry of this hall, which may be hearing of more itself.
+const PAUSE_AFTER_HALL: Duration = Duration::from_millis(300);
+
 /// Keys that are followed, and who takes them.
 pub struct Followed {
     pub keys: Keys,
@@ -79,6 +84,7 @@
         }
         Read::FromReader(at) => {
             cx.feeds.begin(keys.keys, at);
+            tokio::time::sleep(PAUSE_AFTER_HALL).await;
             at
         }
     };
@@ -90,6 +96,8 @@
                 cx.feeds.extend(keys.keys, &changes);
                 let pause = (keys.take_changes)(cx, &changes, teller);
                 let pause = match teller {
+                    // It may be a part of what there is: the store tells some hundreds at a time.
+                    Teller::Store if changes.changes.len() >= MANY_CHANGES => Duration::ZERO,
                     Teller::Store => pause,
                     Teller::Reader { .. } => pause.min(PAUSE_AFTER_READER),
                 };
