--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -20,10 +20,10 @@
 /// Between two renewals; two may be lost. They also show that the store answers:
 /// a watch that hears nothing looks the same when nothing changes.
 const RENEW_EVERY: Duration = Duration::from_millis(1_900);
-/// The same for each live entry, so that renewals of all together grow no faster than the
-/// fleet up to a point: who hears from a reader hears of an outage there.
+/// The same for each live entry, where that is longer: all entries together renew no more
+/// often than so.
 const RENEW_EACH: Duration = Duration::from_millis(4);
-/// The same at most: three renewals may be lost.
+/// The same at most, in a very large fleet: three renewals may be lost.
 const MOST_RENEW: Duration = Duration::from_millis(7_500);
 /// The same at a store that names its era: that it came back from an older copy may show in
 /// no watch, and this is how it is found within the 2 s for a target that leaves.
