Limit, pace and observe the connections of a pool

Cause: targets of a plain service accept 100 connections from all entries together and reset what comes beyond right after they accepted it. Pools opened a connection whenever none was idle, and sent the request on it at once; a request on a connection that was then reset may have run, as far as the entry knows.

Change: routing::connections decides the share of an entry, whether a service is scarce, the pacing of dials with a backoff with jitter, and the length of an observation. A pool with a limit (Pool::set_limit) keeps at most that many connections open. Requests wait in the order of their arrival for an idle connection or for permission to open one; a dropped request leaves the line and returns an unused grant. A new connection is observed for 5 ms (or two round trips); a close in that time is Rejected, with nothing sent. NoConnection is returned at once when no connection is expected in time. Pools without a limit work as before; no pool has one yet.

Tested: cargo test -p hollowsail-routing (connections, 10 tests) and -p hollowsail-connect (12 tests, 7 runs), clippy for both.

--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -6,20 +6,24 @@
 //!
 //! [`Pool::send`] reuses an idle connection or dials, and returns an [`Exchange`];
 //! [`Exchange::into_body`] reads the answer and returns the connection to the pool.
+//! [`Pool::connect`] and [`Connection::send`] do the same in two steps, for pools whose peer
+//! accepts few connections ([`Pool::set_limit`]): a request waits for one before it is sent.
 //! [`Pool::call`] does both for answers that are buffered. [`CrashCheck`] distinguishes a
 //! crashed peer from a broken connection.
 
 mod body;
 mod call;
+mod capacity;
 mod crash_check;
 mod dial;
 mod pool;
 
 pub use body::AnswerBody;
 pub use call::CompleteAnswer;
+pub use capacity::{Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
-pub use pool::{Exchange, Pool, PoolRules, Reuse, SendError};
+pub use pool::{Connection, Exchange, Pool, PoolRules, Reuse, SendError};
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -1,7 +1,10 @@
 //! The connection pool of one peer.
 //!
 //! Requests are sent on idle or new connections; a connection returns to the pool after its
-//! answer was read to the end.
+//! answer was read to the end. A pool with a limit ([`Pool::set_limit`]) opens no more
+//! connections than that: requests wait for one in [`crate::capacity`]'s line, and a new
+//! connection is observed before a request is sent on it, because a peer over its own limit
+//! accepts a connection and resets it at once.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -10,14 +13,17 @@
 
 use bytes::Bytes;
 use hollowsail_clock::BootInstant;
+use hollowsail_routing::connections::observation_ms;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
+use tokio::net::TcpStream;
 
 use crate::body::AnswerBody;
+use crate::capacity::{Capacity, Dialling, Grant};
 use crate::dial::{dial, DialError};
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
@@ -54,6 +60,21 @@
     /// The connection closed before the request was handed to it.
     #[snafu(display("nothing was sent: the connection to {addr} had closed"))]
     NotSent { addr: SocketAddr },
+    /// The peer closed a new connection before the request was handed to it, as it does when it
+    /// has too many.
+    #[snafu(display("nothing was sent: {addr} closed a new connection at once"))]
+    Rejected {
+        addr: SocketAddr,
+        /// When the request may be sent again.
+        retry_after: Duration,
+    },
+    /// No connection of those that may be open became free in time.
+    #[snafu(display("nothing was sent: no connection to {addr} became free in time"))]
+    NoConnection {
+        addr: SocketAddr,
+        /// When the request may be sent again.
+        retry_after: Duration,
+    },
     /// The connection failed after the request was handed to it.
     #[snafu(display("the connection to {addr} broke after a request was sent: {source}"))]
     Broken {
@@ -69,7 +90,8 @@
     }
 }
 
-struct Idle {
+/// A connection that no request uses.
+pub(crate) struct Idle {
     sender: SendRequest<Full<Bytes>>,
     since: BootInstant,
     until: BootInstant,
@@ -81,6 +103,18 @@
     rules: PoolRules,
     idle: RefCell<Vec<Idle>>,
     dialled: Cell<u64>,
+    created: BootInstant,
+    pub(crate) capacity: Capacity,
+}
+
+/// A connection that a request got before it is sent.
+pub struct Connection {
+    pool: Rc<Pool>,
+    sender: SendRequest<Full<Bytes>>,
+    is_new: bool,
+    since: BootInstant,
+    /// Until when the request may wait for another connection.
+    wait_ends: Option<BootInstant>,
 }
 
 /// A request whose answer head was received, with its connection.
@@ -94,6 +128,8 @@
     pool: Rc<Pool>,
     sender: SendRequest<Full<Bytes>>,
     keep_for: Option<Duration>,
+    /// When the request got the connection.
+    since: BootInstant,
 }
 
 impl Pool {
@@ -104,6 +140,8 @@
             rules,
             idle: RefCell::default(),
             dialled: Cell::new(0),
+            created: BootInstant::now(),
+            capacity: Capacity::default(),
         })
     }
 
@@ -121,6 +159,10 @@
         self.idle.borrow_mut().clear();
     }
 
+    pub(crate) fn created(&self) -> BootInstant {
+        self.created
+    }
+
     /// Sends a request and waits for the head of its answer. Has no timeout; dropping the
     /// future closes the connection.
     pub async fn send(
@@ -128,77 +170,198 @@
         req: Request<Full<Bytes>>,
         reuse: Reuse,
     ) -> Result<Exchange, SendError> {
-        let mut req = req;
-        loop {
-            let (mut sender, was_idle) = match self.take_idle(reuse) {
-                Some(sender) => (sender, true),
-                None => (self.open().await?, false),
-            };
-            match sender.try_send_request(req).await {
-                Ok(response) => {
-                    let keep_for = reuse_time(response.headers(), self.rules.idle_timeout);
-                    return Ok(Exchange {
-                        response,
-                        returning: Returning {
-                            pool: self.clone(),
-                            sender,
-                            keep_for,
-                        },
-                    });
-                }
-                Err(mut failed) => match failed.take_message() {
-                    // The peer closed the idle connection before the request was written:
-                    // it is sent on another one.
-                    Some(unsent) if was_idle => req = unsent,
-                    Some(_) => return Err(SendError::NotSent { addr: self.addr }),
-                    None => {
-                        return Err(SendError::Broken {
-                            addr: self.addr,
-                            source: failed.into_error(),
-                        })
-                    }
-                },
-            }
-        }
+        let connection = self.connect(reuse, None).await?;
+        connection.send(req, reuse).await
+    }
+
+    /// Gets a connection: an idle or a new one. In a pool with a limit, waits for one for at
+    /// most `max_wait`, and fails at once when none is expected in that time.
+    pub async fn connect(
+        self: &Rc<Self>,
+        reuse: Reuse,
+        max_wait: Option<Duration>,
+    ) -> Result<Connection, SendError> {
+        let wait_ends = max_wait.map(|max_wait| BootInstant::now() + max_wait);
+        let (sender, is_new) = match self.grant(reuse, max_wait).await? {
+            Grant::Idle(idle) => (idle.sender, false),
+            Grant::Dial(dialling) => (self.open(dialling).await?, true),
+        };
+        Ok(Connection {
+            pool: self.clone(),
+            sender,
+            is_new,
+            since: BootInstant::now(),
+            wait_ends,
+        })
+    }
+
+    /// Number of idle connections that are still open.
+    pub(crate) fn idle_count(&self) -> usize {
+        let idle = self.idle.borrow();
+        idle.iter().filter(|conn| conn.sender.is_ready()).count()
+    }
+
+    /// Closes up to `count` connections that have been idle for the longest time.
+    pub(crate) fn close_idle(&self, count: usize) {
+        let mut idle = self.idle.borrow_mut();
+        idle.sort_by_key(|conn| conn.since);
+        let count = count.min(idle.len());
+        drop(idle.drain(..count));
+    }
+
+    /// Returns an idle connection that was granted but not used.
+    pub(crate) fn return_idle(&self, idle: Idle) {
+        self.idle.borrow_mut().push(idle);
     }
 
-    fn take_idle(&self, reuse: Reuse) -> Option<SendRequest<Full<Bytes>>> {
+    /// True when a request may use an idle connection.
+    pub(crate) fn has_idle(&self, reuse: Reuse) -> bool {
+        let now = BootInstant::now();
+        let idle = self.idle.borrow();
+        idle.iter().any(|conn| conn.is_usable(now, reuse))
+    }
+
+    /// Takes the last idle connection that a request may use.
+    pub(crate) fn take_idle(&self, reuse: Reuse) -> Option<Idle> {
         let now = BootInstant::now();
         let mut idle = self.idle.borrow_mut();
-        idle.retain(|conn| conn.until > now && conn.sender.is_ready());
-        let fits = |conn: &Idle| match reuse {
-            Reuse::Any => true,
-            Reuse::Within(limit) => now.saturating_since(conn.since) <= limit,
-        };
-        let index = idle.iter().rposition(fits)?;
-        Some(idle.swap_remove(index).sender)
+        idle.retain(|conn| conn.is_open(now));
+        let index = idle.iter().rposition(|conn| conn.is_usable(now, reuse))?;
+        Some(idle.swap_remove(index))
     }
 
-    async fn open(&self) -> Result<SendRequest<Full<Bytes>>, SendError> {
-        let stream = dial(self.addr, self.rules.dial_timeout)
-            .await
-            .map_err(|source| SendError::Unreachable { source })?;
+    async fn open(
+        self: &Rc<Self>,
+        dialling: Dialling,
+    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+        let started = BootInstant::now();
+        let dialled = dial(self.addr, self.rules.dial_timeout).await;
+        let stream = dialled.map_err(|source| {
+            self.record_failed_dial();
+            SendError::Unreachable { source }
+        })?;
         self.dialled.set(self.dialled.get() + 1);
+        if self.capacity.limit().is_some() && closes_at_once(&stream, started.elapsed()).await {
+            return Err(self.rejected());
+        }
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent { addr: self.addr })?;
+        let open = dialling.opened();
         // Errors are returned by the send in progress; on an idle connection they only close
         // it, which `is_ready` shows.
-        actix_rt::spawn(async move { drop(conn.await) });
+        actix_rt::spawn(async move {
+            drop(conn.await);
+            drop(open);
+        });
         Ok(sender)
     }
 
-    fn put_back(&self, sender: SendRequest<Full<Bytes>>, keep_for: Duration) {
-        let mut idle = self.idle.borrow_mut();
-        if idle.len() >= self.rules.max_idle {
+    /// Records that the peer closed a new connection before a request was sent on it.
+    fn rejected(self: &Rc<Self>) -> SendError {
+        self.record_failed_dial();
+        SendError::Rejected {
+            addr: self.addr,
+            retry_after: self.retry_after(),
+        }
+    }
+
+    fn put_back(self: &Rc<Self>, sender: SendRequest<Full<Bytes>>, keep_for: Duration) {
+        // With a limit, the number of open connections bounds the idle ones.
+        let max_idle = match self.capacity.limit() {
+            Some(limit) => limit as usize,
+            None => self.rules.max_idle,
+        };
+        if self.capacity.is_exceeded() || self.idle.borrow().len() >= max_idle {
             return;
         }
         let since = BootInstant::now();
-        idle.push(Idle {
+        self.idle.borrow_mut().push(Idle {
             sender,
             since,
             until: since + keep_for,
         });
+        self.serve_line();
+    }
+}
+
+impl Idle {
+    fn is_open(&self, now: BootInstant) -> bool {
+        self.until > now && self.sender.is_ready()
+    }
+
+    fn is_usable(&self, now: BootInstant, reuse: Reuse) -> bool {
+        let is_fresh = match reuse {
+            Reuse::Any => true,
+            Reuse::Within(limit) => now.saturating_since(self.since) <= limit,
+        };
+        is_fresh && self.is_open(now)
+    }
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of its answer. Has no timeout; dropping the
+    /// future closes the connection. When the peer closed an idle connection before the request
+    /// was written, the request is sent on another one.
+    pub async fn send(
+        self,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+    ) -> Result<Exchange, SendError> {
+        let (mut connection, mut req) = (self, req);
+        loop {
+            match connection.sender.try_send_request(req).await {
+                Ok(response) => return Ok(connection.answered(response)),
+                Err(mut failed) => match failed.take_message() {
+                    Some(unsent) if !connection.is_new => req = unsent,
+                    Some(_) => return Err(connection.closed_unused()),
+                    None => return Err(connection.broken(failed.into_error())),
+                },
+            }
+            let pool = connection.pool.clone();
+            let max_wait = connection
+                .wait_ends
+                .map(|ends| ends.saturating_since(BootInstant::now()));
+            drop(connection);
+            connection = pool.connect(reuse, max_wait).await?;
+        }
+    }
+
+    fn answered(self, response: Response<Incoming>) -> Exchange {
+        if self.is_new {
+            self.pool.capacity.record_answer();
+        }
+        let keep_for = reuse_time(response.headers(), self.pool.rules.idle_timeout);
+        Exchange {
+            response,
+            returning: Returning {
+                pool: self.pool,
+                sender: self.sender,
+                keep_for,
+                since: self.since,
+            },
+        }
+    }
+
+    /// The error when a new connection closed before the request was written.
+    fn closed_unused(self) -> SendError {
+        match self.pool.capacity.limit() {
+            Some(_) => self.pool.rejected(),
+            None => SendError::NotSent {
+                addr: self.pool.addr,
+            },
+        }
+    }
+
+    /// The error when a connection failed after the request was written.
+    fn broken(self, source: hyper::Error) -> SendError {
+        if self.is_new {
+            self.pool.record_failed_dial();
+        }
+        SendError::Broken {
+            addr: self.pool.addr,
+            source,
+        }
     }
 }
 
@@ -224,6 +387,7 @@
         let Some(keep_for) = self.keep_for else {
             return;
         };
+        self.pool.capacity.record_hold(self.since.elapsed());
         if self.sender.is_ready() {
             self.pool.clone().put_back(self.sender, keep_for);
             return;
@@ -236,6 +400,16 @@
     }
 }
 
+/// True when the peer closes a new connection shortly after it was opened. `round_trip` is the
+/// time that the connect took.
+async fn closes_at_once(stream: &TcpStream, round_trip: Duration) -> bool {
+    let observed = Duration::from_secs_f64(observation_ms(round_trip.as_secs_f64() * 1e3) / 1e3);
+    // A peer sends nothing before a request, so anything readable is its close.
+    tokio::time::timeout(observed, stream.readable())
+        .await
+        .is_ok()
+}
+
 /// How long a connection may be reused by the headers of an answer, at most `max`; `None` when
 /// the peer closes it.
 fn reuse_time(headers: &HeaderMap, max: Duration) -> Option<Duration> {
--- /dev/null
+++ b/crates/connect/tests/suite/limited.rs
@@ -0,0 +1,277 @@
+//! Pools with a limit, whose peers accept few connections.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use hollowsail_connect::{Availability, Pool, PoolRules, Reuse, SendError};
+use http::Request;
+use http_body_util::Full;
+use tokio::task::JoinHandle;
+
+use crate::server::{eventually, Server};
+
+/// Longer than any test may take.
+const LONG: Duration = Duration::from_secs(20);
+
+fn pool(server: &Server, limit: u32) -> Rc<Pool> {
+    let rules = PoolRules {
+        dial_timeout: Duration::from_secs(5),
+        max_idle: 16,
+        idle_timeout: Duration::from_secs(60),
+    };
+    let pool = Pool::new(server.addr, rules);
+    pool.set_limit(Some(limit));
+    pool
+}
+
+async fn call(
+    pool: &Rc<Pool>,
+    path: &str,
+    reuse: Reuse,
+    max_wait: Duration,
+) -> Result<(), SendError> {
+    let mut req = Request::new(Full::<Bytes>::default());
+    *req.uri_mut() = path.parse().expect("the path is valid");
+    let connection = pool.connect(reuse, Some(max_wait)).await?;
+    let (_, body) = connection.send(req, reuse).await?.into_body(true);
+    body.collect(1_024).await.expect("the answer is complete");
+    Ok(())
+}
+
+/// Starts a request and waits until it was sent or stands in the line.
+async fn start(
+    pool: &Rc<Pool>,
+    server: &Server,
+    path: &'static str,
+) -> JoinHandle<Result<(), SendError>> {
+    let before = server.paths.borrow().len() + pool.stats().waiting;
+    let caller = pool.clone();
+    let task = actix_rt::spawn(async move { call(&caller, path, Reuse::Any, LONG).await });
+    eventually("the request is sent or waits", || {
+        server.paths.borrow().len() + pool.stats().waiting > before
+    })
+    .await;
+    task
+}
+
+/// Guards against an entry that takes the connections of others.
+#[actix_rt::test]
+async fn pool_opens_no_more_than_its_limit() {
+    let server = Server::start(100, 1_000).await;
+    let pool = pool(&server, 3);
+    let calls = (0..60).map(|_| call(&pool, "/", Reuse::Any, LONG));
+    for result in futures_util::future::join_all(calls).await {
+        result.expect("every request is answered");
+    }
+    assert_eq!(server.paths.borrow().len(), 60);
+    assert!(server.max_open.get() <= 3, "{} open", server.max_open.get());
+}
+
+/// Guards against connections that are replaced before they were closed: the peer would count
+/// both.
+#[actix_rt::test]
+async fn unusable_idle_connection_is_closed_before_another_is_opened() {
+    let server = Server::start(1, 1_000).await;
+    let pool = pool(&server, 1);
+    for _ in 0..20 {
+        let fresh_only = Reuse::Within(Duration::ZERO);
+        let result = call(&pool, "/", fresh_only, LONG).await;
+        // The peer may see the new connection before the close of the old one. The request
+        // isn't lost then.
+        assert!(!matches!(result, Err(SendError::Broken { .. })));
+    }
+    assert!(server.max_open.get() <= 1);
+    assert!(pool.stats().open <= 1);
+}
+
+#[actix_rt::test]
+async fn waiting_requests_are_served_in_the_order_of_their_arrival() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let mut tasks = Vec::new();
+    for path in ["/0", "/1", "/2", "/3", "/4"] {
+        tasks.push(start(&pool, &server, path).await);
+    }
+    assert_eq!(pool.stats().waiting, 4);
+    server.answers.add_permits(5);
+    for task in tasks {
+        task.await
+            .expect("no panic")
+            .expect("the request is answered");
+    }
+    assert_eq!(*server.paths.borrow(), ["/0", "/1", "/2", "/3", "/4"]);
+}
+
+/// Guards against a connection that is granted to a request that no longer exists.
+#[actix_rt::test]
+async fn dropped_request_leaves_the_line() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let first = start(&pool, &server, "/first").await;
+    let dropped = start(&pool, &server, "/dropped").await;
+    let last = start(&pool, &server, "/last").await;
+    dropped.abort();
+    eventually("the dropped request left the line", || {
+        pool.stats().waiting == 1
+    })
+    .await;
+    server.answers.add_permits(2);
+    for task in [first, last] {
+        task.await
+            .expect("no panic")
+            .expect("the request is answered");
+    }
+    assert_eq!(*server.paths.borrow(), ["/first", "/last"]);
+}
+
+/// Guards against a lost connection when a request is dropped between its grant and its send.
+#[actix_rt::test]
+async fn grant_of_a_dropped_request_goes_to_the_next() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let first = start(&pool, &server, "/first").await;
+    let mut granted = Box::pin(call(&pool, "/dropped", Reuse::Any, LONG));
+    assert!(futures_util::poll!(&mut granted).is_pending());
+    let last = start(&pool, &server, "/last").await;
+    server.answers.add_permits(2);
+    first
+        .await
+        .expect("no panic")
+        .expect("the request is answered");
+    // The connection is granted to the second request, which isn't polled any more.
+    eventually("only the last request waits", || pool.stats().waiting == 1).await;
+    drop(granted);
+    last.await
+        .expect("no panic")
+        .expect("the request is answered");
+    assert_eq!(*server.paths.borrow(), ["/first", "/last"]);
+}
+
+/// Guards against a connection that stays counted after its request was dropped.
+#[actix_rt::test]
+async fn dropped_request_in_progress_frees_its_connection() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let dropped = start(&pool, &server, "/dropped").await;
+    let last = start(&pool, &server, "/last").await;
+    dropped.abort();
+    eventually("the last request is sent", || {
+        server.paths.borrow().len() == 2
+    })
+    .await;
+    server.answers.add_permits(1);
+    last.await
+        .expect("no panic")
+        .expect("the request is answered");
+}
+
+/// Guards against requests that are lost on connections beyond the peer's limit.
+#[actix_rt::test]
+async fn reset_of_a_new_connection_means_that_nothing_was_sent() {
+    let server = Server::start(0, 1_000).await;
+    let pool = pool(&server, 4);
+    let result = call(&pool, "/", Reuse::Within(LONG), LONG).await;
+    let err = result.expect_err("the peer resets the connection");
+    assert!(matches!(err, SendError::Rejected { .. }), "{err}");
+    assert!(err.nothing_sent());
+    assert!(server.paths.borrow().is_empty());
+    assert_eq!(pool.stats().resets, 1);
+    assert_eq!(pool.availability(Reuse::Any), Availability::Busy);
+}
+
+/// Guards against an entry that dials a full peer in a loop: between five dials there are backoffs
+/// of at least 25, 50, 100 and 200 ms, whatever the number of requests.
+#[actix_rt::test]
+async fn full_peer_is_not_dialled_in_a_loop() {
+    let server = Server::start(0, 1_000).await;
+    let pool = pool(&server, 4);
+    let started = Instant::now();
+    while server.resets.get() < 5 {
+        let calls = (0..4).map(|_| call(&pool, "/", Reuse::Any, LONG));
+        for result in futures_util::future::join_all(calls).await {
+            let err = result.expect_err("the peer resets every connection");
+            assert!(err.nothing_sent(), "{err}");
+        }
+    }
+    let resets = server.resets.get();
+    let took = started.elapsed();
+    assert!(
+        took >= Duration::from_millis(375),
+        "{resets} dials in {took:?}"
+    );
+    assert_eq!(server.accepted.get(), resets);
+}
+
+/// Guards against requests that wait although no connection can be had in time.
+#[actix_rt::test]
+async fn request_fails_at_once_when_the_backoff_is_longer_than_its_wait() {
+    let server = Server::start(0, 1_000).await;
+    let pool = pool(&server, 1);
+    for _ in 0..4 {
+        call(&pool, "/", Reuse::Any, LONG)
+            .await
+            .expect_err("the peer resets it");
+    }
+    // The fourth backoff is at least 200 ms.
+    let started = Instant::now();
+    let err = call(&pool, "/", Reuse::Any, Duration::from_millis(150)).await;
+    let SendError::NoConnection { retry_after, .. } = err.expect_err("no connection") else {
+        panic!("the request was not refused for lack of a connection");
+    };
+    assert!(started.elapsed() < Duration::from_millis(150));
+    assert!(
+        (Duration::from_millis(50)..=Duration::from_millis(1_000)).contains(&retry_after),
+        "{retry_after:?}"
+    );
+}
+
+#[actix_rt::test]
+async fn request_fails_after_its_wait_when_no_connection_becomes_free() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let first = start(&pool, &server, "/first").await;
+    let result = call(&pool, "/late", Reuse::Any, Duration::from_millis(30)).await;
+    let err = result.expect_err("the only connection is in use");
+    assert!(matches!(err, SendError::NoConnection { .. }), "{err}");
+    assert_eq!(pool.stats().waiting, 0);
+    first.abort();
+}
+
+/// Guards against a line that isn't served when the number of entries changes.
+#[actix_rt::test]
+async fn higher_limit_serves_waiting_requests() {
+    let server = Server::start(100, 0).await;
+    let pool = pool(&server, 1);
+    let mut tasks = vec![start(&pool, &server, "/0").await];
+    tasks.push(start(&pool, &server, "/1").await);
+    assert_eq!(server.paths.borrow().len(), 1);
+    pool.set_limit(None);
+    eventually("the second request is sent", || {
+        server.paths.borrow().len() == 2
+    })
+    .await;
+    server.answers.add_permits(2);
+    for task in tasks {
+        task.await
+            .expect("no panic")
+            .expect("the request is answered");
+    }
+}
+
+#[actix_rt::test]
+async fn lower_limit_closes_idle_connections() {
+    let server = Server::start(100, 1_000).await;
+    let pool = pool(&server, 8);
+    pool.set_limit(None);
+    let calls = (0..8).map(|_| call(&pool, "/", Reuse::Any, LONG));
+    for result in futures_util::future::join_all(calls).await {
+        result.expect("every request is answered");
+    }
+    assert!(server.open.get() > 2, "{} open", server.open.get());
+    pool.set_limit(Some(2));
+    eventually("the excess is closed", || {
+        server.open.get() <= 2 && pool.stats().open <= 2
+    })
+    .await;
+}
--- /dev/null
+++ b/crates/connect/tests/suite/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the connection pool on loopback sockets.
+
+mod limited;
+mod server;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choose;
+pub mod connections;
 pub mod crash_ledger;
 pub mod deadline;
 pub mod engine;
@@ -25,6 +26,7 @@
 pub use admission::{admit, critical_path, OrgUsage, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
 pub use choose::{choose, Candidate, Choice, Reason};
+pub use connections::DialPacing;
 pub use crash_ledger::{CrashLedger, CrashVerdict, CrashedRun};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use engine::{choose_engine, prefix_outweighs_results, EngineCandidate, EngineChoice};
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod budget;
 mod choose;
+mod connections;
 mod crash_ledger;
 mod deadline;
 mod engine;
