Share the few connections of a plain service among the entries

Cause: after all entries were killed, their connections still count at the targets of a plain service, which reset what comes beyond 100. Entries opened connections as requests came and sent on them at once; 950 requests that may not be repeated ended with 502 in those seconds, although no target had received them.

Change: plain services with fewer than four connections for each live entry, and all plain services until the list of entries is settled, get a limit on their pools (gateway::connections). A request waits for a connection for at most Admitted::max_wait before it is sent; the time of an attempt starts after that. choose::plain prefers targets with an idle connection, then those to which one may be opened, then the one with the shortest expected wait. An attempt without a connection is no fault of the target: it isn't counted in its health, and the target may be tried again after its backoff. The answer is 503 with Retry-After if no attempt is left or no connection comes in time. A reset during connect() counts like one during the observation, and the observation doubles with each reset in a row up to 50 ms, since a busy host resets late. Mechanism connection-shares, HS0223 connections, gauges of connections in use and waiting and a counter of resets. A max_connections of 0 states no maximum.

Failed tries: limits were set before the newest view was loaded, so the first request to a new target was sent without one and ended with 502; and requests were refused while they waited for a target in backoff although another was about to have a free connection. Both showed in the new tests. With the listener of a full target on the thread of the test, one of 12 runs still ended with 502, presumably because the reset came after the 5 ms; those tests use a thread of their own.

--- a/crates/connect/src/capacity.rs
+++ b/crates/connect/src/capacity.rs
@@ -40,8 +40,8 @@
     Idle,
     /// A new connection may be opened.
     New,
-    /// The request has to wait.
-    Busy,
+    /// The request has to wait, for this time as far as can be expected.
+    Busy(Duration),
 }
 
 /// Limit, pacing and line of a pool.
@@ -107,6 +107,13 @@
             .is_some_and(|limit| self.open.get() > limit as usize)
     }
 
+    /// How long a new connection is observed; `round_trip` is the time that the connect took.
+    pub(crate) fn observation(&self, round_trip: Duration) -> Duration {
+        let round_trip_ms = round_trip.as_secs_f64() * 1_000.0;
+        let observation_ms = self.pacing.get().observation_ms(round_trip_ms);
+        Duration::from_secs_f64(observation_ms / 1_000.0)
+    }
+
     /// Records how long a request held a connection.
     pub(crate) fn record_hold(&self, held: Duration) {
         let ms = held.as_secs_f64() * 1_000.0;
@@ -136,6 +143,11 @@
         self.serve_line();
     }
 
+    /// How many connections may be open at a time, if there is a limit.
+    pub fn limit(&self) -> Option<u32> {
+        self.capacity.limit.get()
+    }
+
     pub fn stats(&self) -> PoolStats {
         PoolStats {
             open: self.capacity.open.get(),
@@ -147,23 +159,23 @@
 
     /// How soon a request gets a connection now.
     pub fn availability(&self, reuse: Reuse) -> Availability {
-        let is_first = self.capacity.line.borrow().is_empty();
+        let ahead = self.capacity.line.borrow().len();
         match () {
-            () if !is_first => Availability::Busy,
+            () if ahead > 0 => Availability::Busy(self.expected_wait(ahead)),
             () if self.has_idle(reuse) => Availability::Idle,
             () if self.may_dial() || self.has_room_after_close() => Availability::New,
-            () => Availability::Busy,
+            () => Availability::Busy(self.expected_wait(ahead)),
         }
     }
 
-    /// Estimated time until a request that arrives now gets a connection. Zero without a limit.
-    fn expected_wait(&self) -> Duration {
+    /// Estimated time until a request behind `ahead` others gets a connection. Zero without a
+    /// limit.
+    fn expected_wait(&self, ahead: usize) -> Duration {
         let Some(limit) = self.capacity.limit.get() else {
             return Duration::ZERO;
         };
         let pacing = self.capacity.pacing.get();
         let backoff = Duration::from_millis(pacing.backoff_left(self.now()));
-        let ahead = self.capacity.line.borrow().len().saturating_sub(1);
         let hold_ms = self.capacity.hold_ms.get().unwrap_or(0.0);
         let by_line = connections::expected_wait(ahead, limit, hold_ms) / 1_000.0;
         let by_line = Duration::try_from_secs_f64(by_line).unwrap_or(Duration::MAX);
@@ -215,7 +227,8 @@
             let granted = (&mut waiting.granted).await;
             return granted.map_err(|_| self.no_connection());
         };
-        if self.expected_wait() > max_wait {
+        let ahead = self.capacity.line.borrow().len().saturating_sub(1);
+        if self.expected_wait(ahead) > max_wait {
             return Err(self.no_connection());
         }
         match tokio::time::timeout(max_wait, &mut waiting.granted).await {
@@ -234,7 +247,8 @@
 
     /// When a request that got no connection may be sent again.
     pub(crate) fn retry_after(&self) -> Duration {
-        self.expected_wait().max(MIN_RETRY_AFTER)
+        let ahead = self.capacity.line.borrow().len().saturating_sub(1);
+        self.expected_wait(ahead).max(MIN_RETRY_AFTER)
     }
 
     fn join_line(self: &Rc<Self>, reuse: Reuse) -> Waiting {
--- a/crates/connect/src/dial.rs
+++ b/crates/connect/src/dial.rs
@@ -25,6 +25,14 @@
     TimedOut { addr: SocketAddr, timeout: Duration },
 }
 
+impl DialError {
+    /// True when the peer accepted the connection and reset it before it could be used.
+    pub(crate) fn is_reset(&self) -> bool {
+        matches!(self, DialError::Refused { source, .. }
+            if source.kind() == std::io::ErrorKind::ConnectionReset)
+    }
+}
+
 /// Connects to `addr`; fails after `timeout`.
 pub async fn dial(addr: SocketAddr, timeout: Duration) -> Result<TcpStream, DialError> {
     let stream = match tokio::time::timeout(timeout, TcpStream::connect(addr)).await {
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -13,7 +13,6 @@
 
 use bytes::Bytes;
 use hollowsail_clock::BootInstant;
-use hollowsail_routing::connections::observation_ms;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -236,13 +235,13 @@
     ) -> Result<SendRequest<Full<Bytes>>, SendError> {
         let started = BootInstant::now();
         let dialled = dial(self.addr, self.rules.dial_timeout).await;
-        let stream = dialled.map_err(|source| {
-            self.record_failed_dial();
-            SendError::Unreachable { source }
-        })?;
+        let stream = dialled.map_err(|source| self.dial_failed(source))?;
         self.dialled.set(self.dialled.get() + 1);
-        if self.capacity.limit().is_some() && closes_at_once(&stream, started.elapsed()).await {
-            return Err(self.rejected());
+        if self.capacity.limit().is_some() {
+            let observed = self.capacity.observation(started.elapsed());
+            if closes_within(&stream, observed).await {
+                return Err(self.rejected());
+            }
         }
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
@@ -257,6 +256,16 @@
         Ok(sender)
     }
 
+    /// The error of a failed dial. A reset of a connection that was just opened counts as
+    /// rejected if there is a limit.
+    fn dial_failed(self: &Rc<Self>, source: DialError) -> SendError {
+        if source.is_reset() && self.capacity.limit().is_some() {
+            return self.rejected();
+        }
+        self.record_failed_dial();
+        SendError::Unreachable { source }
+    }
+
     /// Records that the peer closed a new connection before a request was sent on it.
     fn rejected(self: &Rc<Self>) -> SendError {
         self.record_failed_dial();
@@ -400,10 +409,8 @@
     }
 }
 
-/// True when the peer closes a new connection shortly after it was opened. `round_trip` is the
-/// time that the connect took.
-async fn closes_at_once(stream: &TcpStream, round_trip: Duration) -> bool {
-    let observed = Duration::from_secs_f64(observation_ms(round_trip.as_secs_f64() * 1e3) / 1e3);
+/// True when the peer closes a new connection within `observed`.
+async fn closes_within(stream: &TcpStream, observed: Duration) -> bool {
     // A peer sends nothing before a request, so anything readable is its close.
     tokio::time::timeout(observed, stream.readable())
         .await
--- a/crates/connect/tests/suite/limited.rs
+++ b/crates/connect/tests/suite/limited.rs
@@ -177,7 +177,11 @@
     assert!(err.nothing_sent());
     assert!(server.paths.borrow().is_empty());
     assert_eq!(pool.stats().resets, 1);
-    assert_eq!(pool.availability(Reuse::Any), Availability::Busy);
+    let availability = pool.availability(Reuse::Any);
+    let Availability::Busy(wait) = availability else {
+        panic!("{availability:?} during the backoff");
+    };
+    assert!(wait <= Duration::from_millis(50), "{wait:?}");
 }
 
 /// Guards against an entry that dials a full peer in a loop: between five dials there are backoffs
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod answer;
 mod callers;
 mod clock;
+mod connections;
 mod control;
 mod crashes;
 mod event_loop_lag;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use tokio::net::TcpListener;
 
 use crate::callers::listen::{accept_each, bind};
@@ -110,6 +110,21 @@
     .increment(1);
 }
 
+/// Changes the number of requests that use one of the few connections of a service.
+pub fn change_connections_in_use(service: &str, by: f64) {
+    gauge!("hollowsail_connections_in_use", "service" => service.to_string()).increment(by);
+}
+
+/// Changes the number of requests that wait for one of the few connections of a service.
+pub fn change_connections_waiting(service: &str, by: f64) {
+    gauge!("hollowsail_connections_waiting", "service" => service.to_string()).increment(by);
+}
+
+/// Counts a new connection that a target closed before a request was sent on it.
+pub fn count_connection_reset(service: &str) {
+    counter!("hollowsail_connection_resets_total", "service" => service.to_string()).increment(1);
+}
+
 /// Counts an outage of the store.
 pub fn count_store_outage() {
     counter!("hollowsail_store_lost_total").increment(1);
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -230,11 +230,21 @@
         Some(before as f64 / live.len().max(1) as f64)
     }
 
+    /// When enough entries are known to decide on owners and shares.
+    fn settled_at(&self) -> Millis {
+        let listed = self.first_listed.get();
+        listed.map_or(SETTLE_UNLISTED_MS, |listed| listed + SETTLE_MS)
+    }
+
+    /// False shortly after the start, when not all entries may be known.
+    pub fn is_settled(&self, cx: &Traffic) -> bool {
+        cx.clock.now() >= self.settled_at()
+    }
+
     /// Waits until enough entries are known to decide on owners. Returns at once except
     /// shortly after the start.
     pub async fn wait_until_settled(&self, cx: &Traffic) {
-        let listed = self.first_listed.get();
-        let settled_at = listed.map_or(SETTLE_UNLISTED_MS, |listed| listed + SETTLE_MS);
+        let settled_at = self.settled_at();
         if cx.clock.now() < settled_at {
             tokio::time::sleep_until(cx.clock.timer(settled_at).into()).await;
         }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
-use hollowsail_connect::{AnswerBody, Reuse};
+use hollowsail_connect::{AnswerBody, Reuse, SendError};
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
@@ -17,6 +17,7 @@
 use http_body_util::Full;
 
 use super::admit::Admitted;
+use crate::connections::{self, InUse};
 use crate::placement::Placement;
 use crate::target_calls;
 use crate::traffic::Traffic;
@@ -31,11 +32,22 @@
     pub body: AnswerBody,
     pub target: Rc<Target>,
     pub in_flight: InFlight,
+    /// Counts the connection, if the service has few.
+    pub in_use: Option<InUse>,
     pub sent: BootInstant,
     /// Set when a scheduler named the target.
     pub placed: Option<Placement>,
 }
 
+/// Why an attempt at a service with few connections got none; nothing was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unconnected {
+    /// The target closed a new connection at once, as it does when it has too many.
+    Rejected,
+    /// No connection became free in time.
+    NotInTime,
+}
+
 /// An attempt without an answer that can be passed on.
 #[derive(Debug)]
 pub struct Failure {
@@ -50,6 +62,8 @@
     pub is_connection_lost: bool,
     /// The target answered with an error status.
     pub is_error_answer: bool,
+    /// Set when it got none of the few connections to the service.
+    pub unconnected: Option<Unconnected>,
 }
 
 impl Failure {
@@ -62,6 +76,7 @@
             inputs_gone: false,
             is_connection_lost: false,
             is_error_answer: false,
+            unconnected: None,
         }
     }
 
@@ -85,6 +100,24 @@
         }
     }
 
+    /// No connection was had; nothing was sent.
+    pub fn not_connected(err: &SendError) -> Self {
+        let (unconnected, retry_after) = match err {
+            SendError::Rejected { retry_after, .. } => {
+                (Some(Unconnected::Rejected), Some(*retry_after))
+            }
+            SendError::NoConnection { retry_after, .. } => {
+                (Some(Unconnected::NotInTime), Some(*retry_after))
+            }
+            _ => (None, None),
+        };
+        Failure {
+            retry_after,
+            unconnected,
+            ..Failure::new(Progress::NothingSent, err.to_string())
+        }
+    }
+
     /// The connection closed before the end of the answer; the request may have run.
     pub fn connection_lost(reason: impl Into<String>) -> Self {
         Failure {
@@ -99,14 +132,23 @@
     pub inputs: &'a [String],
     /// The request's deadline; the target gets the remaining time.
     pub deadline: BootInstant,
-    /// Time at which the attempt fails if the target has not answered.
-    pub timeout_at: BootInstant,
+    /// Time after the send at which the attempt fails if the target has not answered; the
+    /// deadline if `None`.
+    pub timeout: Option<Duration>,
     /// Id of the event after which the stream is resumed.
     pub resume_after: Option<&'a str>,
     /// Prompt tokens to prefill.
     pub prefill_tokens: u64,
 }
 
+/// Which connections a request may reuse.
+pub fn reuse(admitted: &Admitted) -> Reuse {
+    match admitted.route().repeat {
+        Repeat::Once | Repeat::StreamOnce => Reuse::Within(MAX_REUSED_IDLE),
+        Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
+    }
+}
+
 /// Sends a request and waits for the headers of the answer.
 pub async fn run(
     cx: &Rc<Traffic>,
@@ -115,27 +157,26 @@
     options: &AttemptOptions<'_>,
 ) -> Result<TargetAnswer, Failure> {
     let in_flight = target.track_request(options.prefill_tokens);
+    let reuse = reuse(admitted);
+    let connected = connections::connect(cx, admitted, target, reuse).await?;
+    let (connection, in_use) = connected.unzip();
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
-    let reuse = match admitted.route().repeat {
-        Repeat::Once | Repeat::StreamOnce => Reuse::Within(MAX_REUSED_IDLE),
-        Repeat::Safe | Repeat::StreamResumable => Reuse::Any,
+    let sending = target_calls::send(cx, target, connection, req, reuse);
+    let timeout_at = options
+        .timeout
+        .map_or(options.deadline, |timeout| sent + timeout);
+    let answer = match tokio::time::timeout_at(timeout_at.to_instant().into(), sending).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(err)) if err.nothing_sent() => return Err(Failure::not_connected(&err)),
+        Ok(Err(err)) => return Err(Failure::connection_lost(err.to_string())),
+        Err(_) => {
+            return Err(Failure::new(
+                Progress::Broken,
+                "the target did not answer before the timeout",
+            ))
+        }
     };
-    let sending = target_calls::send(cx, target, req, reuse);
-    let answer =
-        match tokio::time::timeout_at(options.timeout_at.to_instant().into(), sending).await {
-            Ok(Ok(answer)) => answer,
-            Ok(Err(err)) if err.nothing_sent() => {
-                return Err(Failure::new(Progress::NothingSent, err.to_string()))
-            }
-            Ok(Err(err)) => return Err(Failure::connection_lost(err.to_string())),
-            Err(_) => {
-                return Err(Failure::new(
-                    Progress::Broken,
-                    "the target did not answer before the timeout",
-                ))
-            }
-        };
     let (parts, body) = answer.exchange.into_body(true);
     check(admitted, parts.status, &answer.head)?;
     Ok(TargetAnswer {
@@ -143,6 +184,7 @@
         body,
         target: target.clone(),
         in_flight,
+        in_use,
         sent,
         placed: None,
     })
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -56,7 +56,10 @@
     }
 
     pub fn record_failure(&mut self, target: &Target, failure: Failure) {
-        self.tried.insert(target.incarnation().clone());
+        // A target without a free connection may have one after its backoff.
+        if failure.unconnected.is_none() {
+            self.tried.insert(target.incarnation().clone());
+        }
         match failure.progress {
             Progress::NothingSent => self.unreached += 1,
             _ => self.reached += 1,
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use hollowsail_connect::{Availability, Reuse};
 use hollowsail_fleet::rendezvous;
 use hollowsail_platform::headers::{Generation, PromptPart};
 use hollowsail_platform::targets::Incarnation;
@@ -20,12 +21,17 @@
 use crate::mechanisms::Mechanism;
 use crate::traffic::Traffic;
 
-/// Chooses a target of a plain service; returns its index and the reason.
-pub fn plain(cx: &Traffic, targets: &[Rc<Target>]) -> Option<(usize, Reason)> {
+/// Chooses a target of a plain service; returns its index and the reason. If connections are
+/// limited, those with an idle one are preferred, then those to which one may be opened.
+pub fn plain(cx: &Traffic, targets: &[Rc<Target>], reuse: Reuse) -> Option<(usize, Reason)> {
     let now = cx.clock.now();
+    let soonest = soonest_availability(targets, now, reuse);
+    let has_soonest =
+        |target: &Target| soonest.is_none_or(|soonest| target.pool.availability(reuse) == soonest);
     let candidates: Vec<Candidate<usize>> = targets
         .iter()
         .enumerate()
+        .filter(|(_, target)| has_soonest(target))
         .map(|(index, target)| Candidate {
             target: index,
             load: target.load(),
@@ -39,6 +45,15 @@
     Some((choice.target, choice.reason))
 }
 
+/// How soon one of the targets that aren't ejected has a connection for a request; `None` if none
+/// is limited.
+fn soonest_availability(targets: &[Rc<Target>], now: Millis, reuse: Reuse) -> Option<Availability> {
+    let is_healthy = |target: &&Rc<Target>| !target.health.borrow().is_ejected(now);
+    let is_limited = targets.iter().any(|target| target.pool.limit().is_some());
+    let healthy = targets.iter().filter(is_healthy).filter(|_| is_limited);
+    healthy.map(|target| target.pool.availability(reuse)).min()
+}
+
 /// Builds the demand for the scheduler of a service: for every generation, and for a plain request
 /// while a target is warming up or reports a limit. `None` when no scheduler is needed.
 pub fn demand(
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -62,8 +62,8 @@
         }
         unservable::check_crashes(cx, admitted).map_err(|refusal| attempts.refusal_for(refusal))?;
         let (target, placed) = select::next_target(cx, admitted, prepared, attempts).await?;
-        let timeout_at = timeout_at(cx, admitted, attempts);
-        let options = attempt_options(admitted, prepared, timeout_at, resume_after);
+        let timeout = timeout(cx, admitted, attempts);
+        let options = attempt_options(admitted, prepared, timeout, resume_after);
         if attempts.is_first() {
             cx.with_budget(&admitted.deployment, attempts.service, |budget| {
                 budget.earn()
@@ -86,6 +86,7 @@
                     .for_each(|mut placed| match failure.progress {
                         // A refusal is no fault of the engine.
                         Progress::FinalRefusal => placed.completed(),
+                        _ if failure.unconnected.is_some() => placed.completed(),
                         _ => placed.failed(),
                     });
                 retry::handle_failure(cx, admitted, attempts, &target, failure).await?;
@@ -94,33 +95,31 @@
     }
 }
 
-/// Time at which an attempt without an answer fails: well before the deadline if another target
-/// may be tried. A connection that died without a reset can't be detected in another way.
-fn timeout_at(cx: &Traffic, admitted: &Admitted, attempts: &Attempts) -> BootInstant {
+/// Time after which an attempt without an answer fails: well before the deadline if another target
+/// may be tried, otherwise `None`. A connection that died without a reset can't be detected in
+/// another way.
+fn timeout(cx: &Traffic, admitted: &Admitted, attempts: &Attempts) -> Option<Duration> {
     let route = admitted.route();
     let may_retry = attempts.reached + 1 < route.max_attempts;
     if route.repeat != Repeat::Safe || !may_retry {
-        return admitted.deadline;
+        return None;
     }
-    let p99_ms = cx.p99_ms(&admitted.deployment, attempts.service);
-    let Some(p99_ms) = p99_ms else {
-        return admitted.deadline;
-    };
+    let p99_ms = cx.p99_ms(&admitted.deployment, attempts.service)?;
     let timeout = Duration::from_millis(p99_ms * TIMEOUT_FACTOR).max(MIN_TIMEOUT);
-    BootInstant::now() + timeout.min(admitted.remaining() / 2)
+    Some(timeout.min(admitted.remaining() / 2))
 }
 
 fn attempt_options<'a>(
     admitted: &Admitted,
     prepared: &'a Prepared,
-    timeout_at: BootInstant,
+    timeout: Option<Duration>,
     resume_after: Option<&'a str>,
 ) -> AttemptOptions<'a> {
     let generation = admitted.caller.generation.as_ref();
     AttemptOptions {
         inputs: &prepared.inputs,
         deadline: admitted.deadline,
-        timeout_at,
+        timeout,
         resume_after,
         prefill_tokens: generation.map_or(0, |generation| generation.prompt_tokens),
     }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -30,6 +30,7 @@
 use crate::traffic::Traffic;
 
 pub use admit::Admitted;
+pub use attempt::{Failure, Unconnected};
 
 /// Maximum number of times that the stages are run again because the engine no longer has their
 /// results.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -36,6 +36,7 @@
     attempts: &mut Attempts,
 ) -> Buffered {
     let TargetAnswer {
+        in_use: _in_use,
         parts,
         body,
         target,
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -12,7 +12,7 @@
 use hollowsail_targets::Target;
 
 use super::admit::Admitted;
-use super::attempt::Failure;
+use super::attempt::{Failure, Unconnected};
 use super::attempts::Attempts;
 use super::select;
 use crate::answer::Refusal;
@@ -45,7 +45,12 @@
         attempts.record_failure(target, failure);
         return Err(attempts.refusal(ErrorKind::InputsGone));
     }
-    if progress != Progress::FinalRefusal {
+    if failure.unconnected == Some(Unconnected::NotInTime) {
+        attempts.record_failure(target, failure);
+        return Err(attempts.refusal(ErrorKind::Overloaded));
+    }
+    // A target that has no connection for this entry isn't at fault.
+    if progress != Progress::FinalRefusal && failure.unconnected.is_none() {
         record_target_failure(cx, attempts.service, target);
     }
     if failure.is_connection_lost && report_crash(cx, admitted, target, attempts.last_sent).await {
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -14,10 +14,12 @@
 use hollowsail_targets::Target;
 
 use super::admit::Admitted;
+use super::attempt;
 use super::attempts::Attempts;
 use super::choose;
 use super::prepare::Prepared;
 use crate::answer::Refusal;
+use crate::connections;
 use crate::mechanisms::Mechanism;
 use crate::placement::{Placement, PlacementOutcome};
 use crate::rollouts::VersionDraw;
@@ -229,6 +231,7 @@
 ) -> Option<Rc<Target>> {
     // Loads a newer view if there is one: it may have fewer targets.
     cx.deployment()?;
+    connections::update_limits(cx, admitted.deployment.service(attempts.service));
     let name = &admitted.deployment.service(attempts.service).name;
     let share = warm_up_share(cx, senders);
     let untried: Vec<Rc<Target>> = cx
@@ -245,7 +248,7 @@
         .collect();
     let (index, reason) = match &admitted.caller.generation {
         Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
-        None => choose::plain(cx, &untried)?,
+        None => choose::plain(cx, &untried, attempt::reuse(admitted))?,
     };
     let target = untried[index].clone();
     target.count_warm_up_send(cx.clock.now(), share);
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hollowsail_connect::{BodyError, Exchange, Reuse, SendError};
+use hollowsail_connect::{BodyError, Connection, Exchange, Reuse, SendError};
 use hollowsail_platform::headers::{self, TargetHeaders};
 use hollowsail_targets::Target;
 use http::{Request, StatusCode};
@@ -29,17 +29,22 @@
     pub body: Result<Option<Bytes>, BodyError>,
 }
 
-/// Sends a request and waits for the headers of its answer. The caller bounds the time;
-/// dropping the future closes the connection.
+/// Sends a request and waits for the headers of its answer, on `connection` if the request waited
+/// for one ([`crate::connections`]). The caller bounds the time; dropping the future closes the
+/// connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
+    connection: Option<Connection>,
     req: Request<Full<Bytes>>,
     reuse: Reuse,
 ) -> Result<Answer, SendError> {
     let request_id = headers::request_id(req.headers()).map(str::to_string);
     let sent_at = cx.clock.now();
-    let exchange = target.pool.send(req, reuse).await?;
+    let exchange = match connection {
+        Some(connection) => connection.send(req, reuse).await?,
+        None => target.pool.send(req, reuse).await?,
+    };
     let response = exchange.response();
     let head = TargetHeaders::read(response.status(), response.headers());
     // An answer to an earlier request may arrive on the connection; its report is older.
@@ -57,7 +62,7 @@
     req: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<CompleteAnswer, SendError> {
-    let Answer { head, exchange } = send(cx, target, req, Reuse::Any).await?;
+    let Answer { head, exchange } = send(cx, target, None, req, Reuse::Any).await?;
     let (parts, body) = exchange.into_body(true);
     Ok(CompleteAnswer {
         status: parts.status,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -43,6 +43,10 @@
 /// may occur in every answer.
 const HEADER_LOG_INTERVAL_MS: Millis = 60_000;
 
+/// Interval between log lines on the connections of one service, in milliseconds, since every
+/// request may wait for one.
+const CONNECTION_LOG_INTERVAL_MS: Millis = 5_000;
+
 /// True when the targets or the services they belong to changed between two views.
 fn targets_changed(before: &View, newest: &View) -> bool {
     deployment_changed(before, newest) || !Arc::ptr_eq(&before.targets, &newest.targets)
@@ -93,6 +97,8 @@
     pub limit_broadcasts: Throttle<Incarnation>,
     /// Throttles log lines on unusable headers, by target id and header.
     header_log: RefCell<LogThrottle<(String, String)>>,
+    /// Throttles log lines on scarce connections, by service name.
+    connection_log: RefCell<LogThrottle<String>>,
     /// Retry budgets by service name.
     budgets: RefCell<HashMap<String, RetryBudget>>,
     /// Recent latencies of requests, by service name.
@@ -137,6 +143,7 @@
                 crashes,
                 rollouts: Rollouts::new(phases),
                 header_log: RefCell::new(LogThrottle::new(HEADER_LOG_INTERVAL_MS)),
+                connection_log: RefCell::new(LogThrottle::new(CONNECTION_LOG_INTERVAL_MS)),
                 limit_broadcasts: Throttle::new(LIMIT_BROADCAST_INTERVAL_MS),
                 view: RefCell::new(published.load()),
                 published,
@@ -263,6 +270,13 @@
         self.header_log.borrow_mut().is_due(now, subject)
     }
 
+    /// True when a line on the connections of a service may be logged again.
+    pub fn is_connection_log_due(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        let mut log = self.connection_log.borrow_mut();
+        log.is_due(now, service.to_string())
+    }
+
     /// True while a target of the service is warming up or reports a limit: requests of all
     /// entries have to go through the scheduler.
     pub fn is_rate_limited(&self, service: &str) -> bool {
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod all_kinds;
 mod backoff;
+mod connections;
 mod crashing;
 mod draining;
 mod evacuated_halls;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -66,6 +66,7 @@
     TARGET_LIMIT, 220, "target_limit", Info, "A target set, changed or removed its limit on requests per second from all entries together.";
     TARGET_WORD_UNREADABLE, 221, "target_word_unreadable", Warn, "A target's answer contains a malformed report header; the previous report stays in use.";
     TARGET_WORD_UNKNOWN, 222, "target_word_unknown", Warn, "A target's answer contains a report header that this build does not recognise; it is passed on and otherwise ignored.";
+    CONNECTIONS, 223, "connections", Warn, "A request got none of this entry's few connections to a service in time, or a target reset a new one.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/routing/src/connections.rs
+++ b/crates/routing/src/connections.rs
@@ -28,9 +28,10 @@
 /// handshake and may be delayed as much as that.
 const OBSERVED_ROUND_TRIPS: f64 = 2.0;
 
-/// True when the connections of a service have to be shared among the live entries.
+/// True when the connections of a service have to be shared among the live entries. A maximum of
+/// 0 states none: a target that accepts nothing could not be listed.
 pub fn is_scarce(max_connections: u32, live_entries: usize) -> bool {
-    u64::from(max_connections) < PLENTY_PER_ENTRY * live_entries as u64
+    max_connections > 0 && u64::from(max_connections) < PLENTY_PER_ENTRY * live_entries as u64
 }
 
 /// Number of connections that one entry may open to a target; at least one.
@@ -39,12 +40,6 @@
     ((usable / live_entries.max(1) as f64) as u32).max(1)
 }
 
-/// How long a new connection is observed before a request is sent on it, in milliseconds.
-/// `round_trip_ms` is the time that the connect took.
-pub fn observation_ms(round_trip_ms: f64) -> f64 {
-    (round_trip_ms * OBSERVED_ROUND_TRIPS).clamp(MIN_OBSERVATION_MS, MAX_OBSERVATION_MS)
-}
-
 /// Expected wait in milliseconds for one of `share` connections that each request holds for
 /// `hold_ms`, behind `ahead` waiting requests.
 pub fn expected_wait(ahead: usize, share: u32, hold_ms: f64) -> f64 {
@@ -79,6 +74,14 @@
         self.dialling
     }
 
+    /// How long a new connection is observed before a request is sent on it, in milliseconds.
+    /// `round_trip_ms` is the time that the connect took. Doubles with each reset in a row, since
+    /// a busy host resets late.
+    pub fn observation_ms(&self, round_trip_ms: f64) -> f64 {
+        let shortest = (round_trip_ms * OBSERVED_ROUND_TRIPS).max(MIN_OBSERVATION_MS);
+        (shortest * f64::from(self.resets).exp2()).min(MAX_OBSERVATION_MS)
+    }
+
     /// Records that a connection is being opened.
     pub fn started(&mut self) {
         self.dialling += 1;
--- a/crates/routing/tests/suite/connections.rs
+++ b/crates/routing/tests/suite/connections.rs
@@ -1,6 +1,6 @@
 //! Sharing and pacing of scarce connections.
 
-use hollowsail_routing::connections::{expected_wait, is_scarce, observation_ms, share};
+use hollowsail_routing::connections::{expected_wait, is_scarce, share};
 use hollowsail_routing::DialPacing;
 use proptest::prelude::*;
 
@@ -10,8 +10,8 @@
     assert!(!is_scarce(100, 25));
     assert!(is_scarce(100, 26));
     assert!(is_scarce(100, 61));
-    assert!(!is_scarce(0, 0));
-    assert!(is_scarce(0, 1));
+    assert!(is_scarce(1, 1));
+    assert!(!is_scarce(0, 61), "0 states no maximum");
 }
 
 #[test]
@@ -70,8 +70,17 @@
 
 #[test]
 fn observation_covers_two_round_trips_within_bounds() {
-    let observations = [0.1, 10.0, 400.0].map(observation_ms);
+    let mut pacing = DialPacing::default();
+    let observations = [0.1, 10.0, 400.0].map(|ms| pacing.observation_ms(ms));
     assert_eq!(observations, [5.0, 20.0, 50.0]);
+    // A host that is too busy to reset in time is given longer.
+    let after_resets = [1, 2, 3, 4].map(|_| {
+        pacing.failed(0, 0.5);
+        pacing.observation_ms(0.1)
+    });
+    assert_eq!(after_resets, [10.0, 20.0, 40.0, 50.0]);
+    pacing.answered();
+    assert_eq!(pacing.observation_ms(0.1), 5.0);
 }
 
 proptest! {
