Choose engines by the expected time to the first event

Cause: the scheduler weighed pending prefill in tokens, with one time per token for all engines, so a short prompt could wait behind a long one at the engine that caches its prefix although another engine was in time.

Among the engines that are expected to deliver the first event within twice `Demand.max_wait_ms` the cheapest is chosen as before; if there is none, those with the earliest first event. Health is relative to the engine's own time per token, so a slow engine isn't ejected for being slow. The mechanism is `engines-by-time`; `EngineScheduler` itself has it off, and plain requests without a prompt are placed as before.

--- a/crates/gateway/src/placement/scheduler.rs
+++ b/crates/gateway/src/placement/scheduler.rs
@@ -17,6 +17,7 @@
 use tokio::sync::oneshot;
 
 use super::MAX_GROUP_ENGINES;
+use crate::mechanisms::Mechanism;
 use crate::ownership_age::OwnershipAge;
 use crate::peers::{Link, PlacementId, PlacementReply, PlacementStep};
 use crate::target_group::TargetGroup;
@@ -102,9 +103,9 @@
             let targets = group.targets(&targets, MAX_GROUP_ENGINES);
             self.has_rate_limits
                 .set(targets.iter().any(|target| target.is_rate_limited()));
-            self.engines
-                .borrow_mut()
-                .set_engines(cx.clock.now(), &schedulable_engines(&targets));
+            let mut engines = self.engines.borrow_mut();
+            engines.set_by_time(cx.has(Mechanism::EnginesByTime));
+            engines.set_engines(cx.clock.now(), &schedulable_engines(&targets));
         }
     }
 
--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -5,9 +5,13 @@
 //! accounted for until its caller reports how it ended. Engines that are warming up or
 //! rate-limited are paced; when all of them are closed, a demand waits in a
 //! [`DemandQueue`] or is rejected with a retry time.
+//!
+//! With [`EngineScheduler::set_by_time`] the choice is by cost among the engines that are
+//! expected to deliver the first event in time, and otherwise by the earliest first event.
 
 mod demand_queue;
 mod health;
+mod prefill;
 
 use std::collections::{HashMap, HashSet};
 use std::hash::Hash;
@@ -21,6 +25,7 @@
 use crate::warm_up::{WarmUp, WarmUpGate, SCHEDULER_SHARE};
 use crate::Millis;
 use health::EngineHealth;
+use prefill::{EnginePrefill, PrefillRate, BASE_LATENCY_MS};
 
 pub use demand_queue::{DemandKey, DemandQueue};
 
@@ -36,8 +41,6 @@
 const STALE_PLACEMENT_MS: Millis = 60_000;
 /// The same for a placement still in prefill; no caller waits this long for a first event.
 const STALE_PREFILL_MS: Millis = 12_000;
-/// Time to a first event besides prefill, in milliseconds.
-const BASE_LATENCY_MS: f64 = 30.0;
 /// Largest share of the engines that is reserved for suspects.
 const MAX_ISOLATED_SHARE: f64 = 0.25;
 /// Initial estimate of the prefill time per token, in milliseconds.
@@ -46,6 +49,8 @@
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Minimum length of a prefill, in tokens, to update the time per token.
 const MIN_SAMPLE_TOKENS: u64 = 500;
+/// Time left to the first event as a multiple of [`Demand::max_wait_ms`].
+const TIME_LEFT_FACTOR: Millis = 2;
 
 /// An engine that may be scheduled, as its record describes it.
 #[derive(Debug, Clone)]
@@ -108,7 +113,9 @@
     pub is_suspect: bool,
     /// 0 is the most urgent.
     pub urgency: u8,
-    /// Maximum wait while all engines are closed by their limits, in milliseconds.
+    /// Maximum wait while all engines are closed by their limits, in milliseconds: half of the
+    /// time until the target latency. Twice this is the time left to the first event; it isn't
+    /// a field of its own because peers of the previous build reject longer records.
     #[serde(rename = "waits_ms")]
     pub max_wait_ms: Millis,
 }
@@ -138,6 +145,7 @@
     warm_up_gate: WarmUpGate,
     limit: Option<f64>,
     limit_gate: LimitGate,
+    prefill: EnginePrefill,
 }
 
 impl Engine {
@@ -159,6 +167,8 @@
     pending_prefill_tokens: u64,
     /// Tokens to be prefilled before its first event, others' included.
     tokens_ahead: u64,
+    /// Expected time from the placement to the first event, by the engine's own prefill.
+    first_event_ms: Millis,
     /// Its prefix was cached there before the placement.
     was_cached: bool,
     is_suspect: bool,
@@ -175,6 +185,10 @@
     /// Engines that cache a prefix, by part, with its last use there.
     cached: HashMap<String, HashMap<K, Millis>>,
     ms_per_token: f64,
+    /// Prefill time per token of all engines together, without waits.
+    group_prefill: PrefillRate,
+    /// Engines are chosen by the expected time to the first event.
+    is_by_time: bool,
     rules: HealthRules,
     /// Share of the engines' limits that this scheduler may use.
     limit_share: LimitShare,
@@ -182,7 +196,7 @@
 
 /// Expected time to a first event behind `tokens` of prefill, in milliseconds.
 fn expected_ms(ms_per_token: f64, tokens: u64) -> Millis {
-    (BASE_LATENCY_MS + ms_per_token * tokens as f64) as Millis
+    (BASE_LATENCY_MS as f64 + ms_per_token * tokens as f64) as Millis
 }
 
 /// Health observation for the engine of a placement that ended, if any.
@@ -209,6 +223,8 @@
             placements: SlotMap::with_key(),
             cached: HashMap::new(),
             ms_per_token: INITIAL_MS_PER_TOKEN,
+            group_prefill: PrefillRate::default(),
+            is_by_time: false,
             rules: HealthRules::default(),
             limit_share: LimitShare::default(),
         }
@@ -234,6 +250,11 @@
         self.order.sort();
     }
 
+    /// Sets whether engines are chosen by the expected time to the first event.
+    pub fn set_by_time(&mut self, is_by_time: bool) {
+        self.is_by_time = is_by_time;
+    }
+
     pub fn set_limit_share(&mut self, share: LimitShare) {
         self.limit_share = share;
     }
@@ -292,17 +313,17 @@
             true => self.least_affected(now, &demand.from_hall, open),
             false => self.without_suspects(open),
         };
+        let keys = match self.is_by_time && demand.prompt_tokens > 0 {
+            true => self.in_time(now, demand, keys),
+            false => keys,
+        };
         let candidates: Vec<EngineCandidate> = keys
             .iter()
             .map(|key| self.candidate(now, key, demand, affinity(key)))
             .collect();
         let choice = choose_engine(&candidates, demand.shared_tokens)?;
         let engine = keys[choice.index].clone();
-        let prefill_tokens = if candidates[choice.index].has_cached_prefix {
-            demand.prompt_tokens.saturating_sub(demand.shared_tokens)
-        } else {
-            demand.prompt_tokens
-        };
+        let prefill_tokens = self.prefill_tokens(now, &engine, demand);
         Some((
             self.add_placement(now, demand, engine.clone(), prefill_tokens),
             engine,
@@ -350,6 +371,60 @@
         keys.into_iter().filter(|key| is_free(&key)).collect()
     }
 
+    /// Engines that are expected to deliver the first event in the time left; if there are
+    /// none, those with the earliest first event. Ejected engines are left out unless all are.
+    fn in_time<'a>(&self, now: Millis, demand: &Demand<K>, keys: Vec<&'a K>) -> Vec<&'a K> {
+        let is_ejected = |key: &K| {
+            let health = &self.engines[key].health;
+            health.is_ejected(&demand.from_hall, now)
+        };
+        let all_ejected = keys.iter().all(|key| is_ejected(key));
+        let usable = keys
+            .into_iter()
+            .filter(|key| all_ejected || !is_ejected(key));
+        let group = self.group_ms_per_token();
+        let expected_ms = |key: &K| {
+            let tokens = self.prefill_tokens(now, key, demand);
+            let prefill = &self.engines[key].prefill;
+            prefill.first_event_ms(now, group, tokens)
+        };
+        let expected: Vec<(&K, Millis)> = usable.map(|key| (key, expected_ms(key))).collect();
+        let earliest = expected.iter().map(|(_, ms)| *ms).min().unwrap_or(0);
+        let latest = earliest.max(demand.max_wait_ms.saturating_mul(TIME_LEFT_FACTOR));
+        let in_time = expected.into_iter().filter(|(_, ms)| *ms <= latest);
+        in_time.map(|(key, _)| key).collect()
+    }
+
+    fn group_ms_per_token(&self) -> f64 {
+        self.group_prefill.ms_per_token(INITIAL_MS_PER_TOKEN)
+    }
+
+    /// Tokens of a demand that an engine has to prefill.
+    fn prefill_tokens(&self, now: Millis, key: &K, demand: &Demand<K>) -> u64 {
+        match self.has_cached(now, key, &demand.part) {
+            true => demand.prompt_tokens.saturating_sub(demand.shared_tokens),
+            false => demand.prompt_tokens,
+        }
+    }
+
+    /// True when an engine is assumed to cache a prefix.
+    fn has_cached(&self, now: Millis, key: &K, part: &str) -> bool {
+        let cached = self.cached.get(part);
+        let last_used = cached.and_then(|cached| cached.get(key));
+        last_used.is_some_and(|used| now < used + PREFIX_TTL_MS)
+    }
+
+    /// Ratio of recent to typical latency. With the choice by time, health is relative to the
+    /// engine's own time per token, so the ratio of that to the group's counts as well.
+    fn slowness(&self, engine: &Engine, hall: &str) -> f64 {
+        let by_answers = engine.health.slowness(hall);
+        let group = self.group_ms_per_token();
+        match self.is_by_time {
+            true => by_answers * engine.prefill.ms_per_token(group) / group,
+            false => by_answers,
+        }
+    }
+
     fn candidate(
         &self,
         now: Millis,
@@ -362,16 +437,12 @@
             .results
             .iter()
             .filter(|(hall, _)| *hall != engine.hall);
-        let last_used = self
-            .cached
-            .get(&demand.part)
-            .and_then(|cached| cached.get(key));
         EngineCandidate {
             affinity,
-            has_cached_prefix: last_used.is_some_and(|used| now < used + PREFIX_TTL_MS),
+            has_cached_prefix: self.has_cached(now, key, &demand.part),
             load: f64::from(engine.running) / f64::from(engine.slots.max(1)),
             pending_prefill_tokens: engine.pending_prefill_tokens,
-            slowness: engine.health.slowness(&demand.from_hall),
+            slowness: self.slowness(engine, &demand.from_hall),
             ejected: engine.health.is_ejected(&demand.from_hall, now),
             remote_bytes: remote.map(|(_, bytes)| bytes).sum(),
         }
@@ -384,6 +455,7 @@
         engine: K,
         prefill_tokens: u64,
     ) -> PlacementKey {
+        let group = self.group_ms_per_token();
         let state = self
             .engines
             .get_mut(&engine)
@@ -398,26 +470,46 @@
             .limit_gate
             .record_sent(now, state.limit, self.limit_share);
         let tokens_ahead = state.pending_prefill_tokens;
+        let first_event_ms = state.prefill.first_event_ms(now, group, prefill_tokens);
         // A request without a prompt leaves no prefix in the cache.
         let was_cached = demand.prompt_tokens > 0 && {
             let cached = self.cached.entry(demand.part.clone()).or_default();
             cached.insert(engine.clone(), now).is_some()
         };
-        self.placements.insert(Placement {
-            engine,
+        let key = self.placements.insert(Placement {
+            engine: engine.clone(),
             from_hall: demand.from_hall.clone(),
             part: demand.part.clone(),
             placed_at: now,
             pending_prefill_tokens: prefill_tokens,
             tokens_ahead,
+            first_event_ms,
             was_cached,
             is_suspect: demand.is_suspect,
             has_first_event: false,
-        })
+        });
+        if let Some(state) = self.engines.get_mut(&engine) {
+            state.prefill.push(now, group, key, prefill_tokens);
+        }
+        key
+    }
+
+    /// Expected time from a placement to its first event, for the health of its engine.
+    fn expected_of(&self, placement: &Placement<K>) -> Millis {
+        match self.is_by_time {
+            true => placement.first_event_ms,
+            false => expected_ms(self.ms_per_token, placement.tokens_ahead),
+        }
     }
 
     /// Records the first event of a placement: its prefill is complete.
     pub fn prefill_done(&mut self, key: PlacementKey, now: Millis) {
+        let group = self.group_ms_per_token();
+        let expected = self
+            .placements
+            .get(key)
+            .map(|placed| self.expected_of(placed));
+        let expected = expected.unwrap_or(0);
         let Some(placement) = self.placements.get_mut(key) else {
             return;
         };
@@ -427,16 +519,22 @@
         let prefilled = std::mem::take(&mut placement.pending_prefill_tokens);
         let elapsed_ms = (now - placement.placed_at) as f64;
         let tokens = placement.tokens_ahead;
-        let expected = expected_ms(self.ms_per_token, tokens);
         if let Some(engine) = self.engines.get_mut(&placement.engine) {
             engine.pending_prefill_tokens = engine.pending_prefill_tokens.saturating_sub(prefilled);
             let observation = Observation::Answered(elapsed_ms as Millis);
             engine
                 .health
                 .observe(&placement.from_hall, observation, expected);
+            let left = engine.pending_prefill_tokens;
+            let placed_at = placement.placed_at;
+            let prefill = &mut engine.prefill;
+            let sample = prefill.finish(now, group, key, placed_at, prefilled, left);
+            sample
+                .into_iter()
+                .for_each(|sample| self.group_prefill.add_group_sample(sample));
         }
         if tokens >= MIN_SAMPLE_TOKENS {
-            let sample = (elapsed_ms - BASE_LATENCY_MS).max(0.0) / tokens as f64;
+            let sample = (elapsed_ms - BASE_LATENCY_MS as f64).max(0.0) / tokens as f64;
             self.ms_per_token += SAMPLE_WEIGHT * (sample - self.ms_per_token);
         }
         let engine = placement.engine.clone();
@@ -450,6 +548,8 @@
         let Some(placement) = self.placements.remove(key) else {
             return Vec::new();
         };
+        let group = self.group_ms_per_token();
+        let expected = self.expected_of(&placement);
         let Some(engine) = self.engines.get_mut(&placement.engine) else {
             return Vec::new();
         };
@@ -459,7 +559,10 @@
         engine.pending_prefill_tokens = engine
             .pending_prefill_tokens
             .saturating_sub(placement.pending_prefill_tokens);
-        let expected = expected_ms(self.ms_per_token, placement.tokens_ahead);
+        if !placement.has_first_event {
+            let left = engine.pending_prefill_tokens;
+            engine.prefill.abandon(now, group, key, left);
+        }
         if let Some(observation) = observation_of(&placement, end, now) {
             let health = &mut engine.health;
             health.observe(&placement.from_hall, observation, expected);
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod crash_ledger;
 mod deadline;
 mod engine;
+mod engines_by_time;
 mod event_loop_lag;
 mod health;
 mod limit;
