Decode the reported duration of work and keep it as a target's speed

Cause: some services report a fourth figure in their load header, how long work takes there now, which was ignored; a fifth figure or text in its place was accepted.

Change: `TargetLoad.work_percent` holds the figure. A value of 0, over 10,000 or not a number, and a fifth figure, make the report malformed, so that it is logged and ignored as a whole. A target keeps its last load report with the time of receipt, and `routing::speed::TargetSpeed`: a lasting estimate from answers that changes only after three deviating answers over more than half a second, and a report that counts fully when new and not at all after 500 ms. The lasting estimate returns towards usual after 2 s without answers, so that a slow target is tried again. The mechanism is `target-speeds`; nothing reads the speeds yet. The list of names in the mechanisms test has the new name.

--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -32,10 +32,12 @@
     Overdue,
     /// Generations go to engines that deliver the first event in time.
     EnginesByTime,
+    /// The speed and load that targets report decide where work goes.
+    TargetSpeeds,
 }
 
 /// Command-line names of the mechanisms.
-const NAMES: [(Mechanism, &str); 12] = [
+const NAMES: [(Mechanism, &str); 13] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Scheduler, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -48,6 +50,7 @@
     (Mechanism::RoutePriority, "route-priority"),
     (Mechanism::Overdue, "overdue"),
     (Mechanism::EnginesByTime, "engines-by-time"),
+    (Mechanism::TargetSpeeds, "target-speeds"),
 ];
 
 /// No mechanism has the given name.
--- a/crates/gateway/src/target_reports.rs
+++ b/crates/gateway/src/target_reports.rs
@@ -18,6 +18,9 @@
 //! A target that rejects a request may ask for a backoff. It applies to this entry only and is
 //! not broadcast.
 //!
+//! The load and speed that a target reports are kept with their time of receipt
+//! ([`Target::record_load`]) and aren't broadcast either, as they change many times a second.
+//!
 //! [`Peers::owner_of`]: crate::peers::Peers::owner_of
 
 use std::rc::Rc;
@@ -33,6 +36,7 @@
 use hollowsail_targets::{LimitReport, Target};
 use http::StatusCode;
 
+use crate::mechanisms::Mechanism;
 use crate::metrics;
 use crate::peers::{LimitNotice, Link, Message, Owner, PeerId, PeerRecord};
 use crate::traffic::Traffic;
@@ -61,6 +65,9 @@
     if head.is_draining {
         take_out_of_use(cx, incarnation, "answer");
     }
+    if let Some(load) = head.load.filter(|_| cx.has(Mechanism::TargetSpeeds)) {
+        target.record_load(cx.clock.now(), load);
+    }
     let per_s = match head.limit {
         AdvertisedLimit::Absent => Some(None),
         AdvertisedLimit::PerSecond(per_s) => Some(Some(per_s)),
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod queue;
 pub mod request_digest;
 pub mod scheduler;
+pub mod speed;
 pub mod warm_up;
 
 pub use admission::{admit, critical_path, OrgUsage, ServiceLoad, StageDemand, Verdict};
@@ -43,6 +44,7 @@
     Demand, DemandKey, DemandQueue, EngineScheduler, PlacementEnd, PlacementKey, QueueEstimate,
     SchedulableEngine, Versions,
 };
+pub use speed::TargetSpeed;
 pub use warm_up::{WarmUp, WarmUpGate};
 
 /// Milliseconds since the owning process started.
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod progress;
 mod random_admission;
 mod scheduler;
+mod speed;
 mod warm_up;
 
 /// Fixed seed for reproducible cases; `HOLLOWSAIL_CASES` sets their number.
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -1,7 +1,7 @@
 //! One incarnation of a target.
 //!
 //! A [`Target`] holds its connection pool, the requests in flight that this entry sent, its
-//! health, and the gate that paces sends during its warm-up.
+//! health, the load and speed that it reports, and the gate that paces sends during its warm-up.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -10,8 +10,10 @@
 
 use hollowsail_connect::{CrashCheck, Pool, PoolRules};
 use hollowsail_platform::deployment::Service;
+use hollowsail_platform::headers::TargetLoad;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
-use hollowsail_routing::{Millis, Observation, TargetHealth, WarmUp, WarmUpGate};
+use hollowsail_routing::speed::report_weight;
+use hollowsail_routing::{Millis, Observation, TargetHealth, TargetSpeed, WarmUp, WarmUpGate};
 
 /// Connect timeout. Below the retransmission of a lost SYN, which takes seconds: another
 /// target answers sooner.
@@ -36,6 +38,10 @@
     /// Prompt tokens of this entry's requests whose prefill is pending.
     pub pending_prefill_tokens: Cell<u64>,
     pub health: RefCell<TargetHealth>,
+    /// Duration of its work in relation to the usual one.
+    pub speed: Cell<TargetSpeed>,
+    /// Its last load report, and when it was received.
+    load_report: Cell<Option<(TargetLoad, Millis)>>,
     /// Set while it is warming up.
     pub warm_up: Cell<Option<WarmUp>>,
     /// Its limit in requests per second from all entries together, if it reported one.
@@ -67,6 +73,8 @@
             in_flight: Cell::new(0),
             pending_prefill_tokens: Cell::new(0),
             health: RefCell::default(),
+            speed: Cell::default(),
+            load_report: Cell::default(),
             warm_up: Cell::default(),
             limit: Cell::default(),
             limit_repeated: Cell::default(),
@@ -121,6 +129,38 @@
         f64::from(self.in_flight.get()) / f64::from(self.record.slots)
     }
 
+    /// Records a load report received now.
+    pub fn record_load(&self, now: Millis, load: TargetLoad) {
+        self.load_report.set(Some((load, now)));
+        if let Some(percent) = load.work_percent {
+            let mut speed = self.speed.get();
+            speed.record_report(percent, now);
+            self.speed.set(speed);
+        }
+    }
+
+    /// The last reported duration of work in percent of the usual one, and when it was received.
+    pub fn reported_work_percent(&self) -> Option<(u32, Millis)> {
+        let (load, received_at) = self.load_report.get()?;
+        Some((load.work_percent?, received_at))
+    }
+
+    /// Requests of all entries as a fraction of the target's slots, by its last report, which
+    /// counts less with its age; 0 without reports.
+    pub fn reported_load(&self, now: Millis) -> f64 {
+        self.load_report.get().map_or(0.0, |(load, received_at)| {
+            let requests = f64::from(load.running) + f64::from(load.waiting);
+            requests / f64::from(load.slots.max(1)) * report_weight(now, received_at)
+        })
+    }
+
+    /// Records an answer that took `actual_ms` where `expected_ms` is usual in its speed.
+    pub fn record_speed(&self, now: Millis, actual_ms: f64, expected_ms: f64) {
+        let mut speed = self.speed.get();
+        speed.record_answer(actual_ms, expected_ms, now);
+        self.speed.set(speed);
+    }
+
     /// Counts a request and its prompt tokens to prefill until the guard is dropped.
     pub fn track_request(self: &Rc<Self>, pending_prefill_tokens: u64) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -11,6 +11,7 @@
 
 use hollowsail_connect::CrashCheck;
 use hollowsail_platform::deployment::Deployment;
+use hollowsail_platform::headers::TargetLoad;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_platform_standins::target::stream_head;
 use hollowsail_platform_standins::{DeploymentJson, Step, TargetStandin};
@@ -56,6 +57,30 @@
     targets[0].clone()
 }
 
+/// Guards against choices by reports that are no longer true.
+#[test]
+fn load_report_is_kept_with_its_time() {
+    let deployment = deployment();
+    let mut table = TargetTable::default();
+    table.update(0, &deployment, &[usable("t", 1, "plain")], &[]);
+    let target = only(&table, &deployment);
+    assert_eq!(target.reported_load(1_000), 0.0);
+    let load = |work_percent| TargetLoad {
+        running: 6,
+        waiting: 2,
+        slots: 4,
+        work_percent,
+    };
+    target.record_load(1_000, load(Some(300)));
+    assert_eq!(target.reported_work_percent(), Some((300, 1_000)));
+    assert_eq!(target.reported_load(1_000), 2.0);
+    assert_eq!(target.reported_load(1_250), 1.0, "it counts less with age");
+    assert_eq!(target.reported_load(1_500), 0.0);
+    assert!(target.speed.get().slowness(1_000) > 2.9);
+    target.record_load(1_100, load(None));
+    assert_eq!(target.reported_work_percent(), None);
+}
+
 #[test]
 fn restarted_target_has_fresh_state() {
     let deployment = deployment();
