Choose targets of plain services by reported load and speed

Cause: an entry chose among plain targets by its own requests alone (`reported_load` was 0.0), although 61 to 75 entries share three targets, and it ejected a target that was slow but still in time.

Change: where a target has reported its speed, `choose_by_end` draws the better of two among the targets whose expected end, load and speed together, is within a quarter of the earliest. The load is the larger of the entry's own count and the report, which counts less with its age. Answers move the speed; an answer that is in time doesn't count as slow in the target's health, so that only targets that can't serve in time are ejected for being slow.

--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -1,7 +1,7 @@
 //! Builds candidates from targets, and scheduler demands from requests.
 //!
-//! The choice itself is made in `hollowsail-routing`: among plain targets by load, among engines
-//! also by cached prefix and by the location of results.
+//! The choice itself is made in `hollowsail-routing`: among plain targets by load and, where they
+//! report it, by speed; among engines also by cached prefix and by the location of results.
 
 use std::rc::Rc;
 
@@ -9,8 +9,8 @@
 use hollowsail_platform::headers::{Generation, PromptPart};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
-    choose, choose_engine, prefix_outweighs_results, Candidate, Demand, EngineCandidate, Millis,
-    Reason, Versions,
+    choose, choose_by_end, choose_engine, prefix_outweighs_results, Candidate, Demand,
+    EngineCandidate, Millis, Reason, Versions,
 };
 use hollowsail_targets::Target;
 use rand::Rng;
@@ -23,22 +23,37 @@
 /// Chooses a target of a plain service; returns its index and the reason.
 pub fn plain(cx: &Traffic, targets: &[Rc<Target>]) -> Option<(usize, Reason)> {
     let now = cx.clock.now();
+    let by_speed = targets.iter().any(|target| has_speed(cx, target));
+    let slowness = |target: &Target| match by_speed {
+        true => target.speed.get().slowness(now),
+        false => target.health.borrow().slowness(),
+    };
     let candidates: Vec<Candidate<usize>> = targets
         .iter()
         .enumerate()
         .map(|(index, target)| Candidate {
             target: index,
             load: target.load(),
-            reported_load: 0.0,
-            slowness: target.health.borrow().slowness(),
+            reported_load: target.reported_load(now),
+            slowness: slowness(target),
             ejected: target.health.borrow().is_ejected(now),
             affinity: None,
         })
         .collect();
-    let choice = choose(&candidates, rand::rng().random())?;
+    let draw = rand::rng().random();
+    let choice = match by_speed {
+        true => choose_by_end(&candidates, draw)?,
+        false => choose(&candidates, draw)?,
+    };
     Some((choice.target, choice.reason))
 }
 
+/// True when the speed of a target counts: it has reported one. Services whose targets don't are
+/// served by load and health alone.
+pub fn has_speed(cx: &Traffic, target: &Target) -> bool {
+    cx.has(Mechanism::TargetSpeeds) && target.speed.get().has_report()
+}
+
 /// Builds the demand for the scheduler of a service: for every generation, and for a plain request
 /// while a target is warming up or reports a limit. `None` when no scheduler is needed.
 pub fn demand(
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use hollowsail_clock::BootInstant;
 use hollowsail_platform::headers::without_connection_headers;
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::{Observation, Progress};
@@ -14,6 +15,7 @@
 use super::admit::Admitted;
 use super::attempt::{Failure, TargetAnswer};
 use super::attempts::Attempts;
+use super::choose;
 use super::retry;
 use crate::answer::{full_body, AnswerStream};
 use crate::traffic::Traffic;
@@ -71,7 +73,7 @@
             cx.rollouts
                 .observe(&admitted.route().name, &target, outcome);
             if !parts.status.is_server_error() {
-                record_answer(cx, admitted, attempts, &target);
+                record_answer(cx, admitted, attempts, &target, sent);
                 clear_suspicion(cx, admitted);
             }
             return Buffered::Response(Box::new(caller_response(parts, full_body(bytes))));
@@ -94,13 +96,31 @@
     cx.crashes.record_served(cx, || admitted.digest());
 }
 
-/// Records the time of an answer in the target's health and the service's latency window.
-fn record_answer(cx: &Traffic, admitted: &Admitted, attempts: &Attempts, target: &Target) {
+/// Records the time of an answer in the target's speed and health and the service's latency
+/// window.
+fn record_answer(
+    cx: &Traffic,
+    admitted: &Admitted,
+    attempts: &Attempts,
+    target: &Target,
+    sent: BootInstant,
+) {
     let ms = admitted.arrived.elapsed().as_millis() as u64;
     let typical = cx
         .typical_ms(&admitted.deployment, attempts.service)
         .unwrap_or(ms);
-    target.observe(Observation::Answered(ms), typical);
+    let has_speed = choose::has_speed(cx, target);
+    if has_speed {
+        let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
+        target.record_speed(cx.clock.now(), took_ms, typical as f64);
+    }
+    // A slow target that serves in time gets less work by its speed, and isn't ejected.
+    let is_in_time = BootInstant::now() <= admitted.due();
+    let expected = match has_speed && is_in_time {
+        true => typical.max(ms),
+        false => typical,
+    };
+    target.observe(Observation::Answered(ms), expected);
     cx.record_latency(&admitted.deployment, attempts.service, ms);
 }
 
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -3,7 +3,8 @@
 //! Ejected targets are used only when all candidates are ejected; the caller leaves out
 //! draining and already tried ones. The engine that caches the request's prefix is
 //! preferred while its load is within a bound of the average. Otherwise the better of two random candidates wins, so that entries with the
-//! same view don't converge on one target.
+//! same view don't converge on one target. Where targets report their speed,
+//! [`choose_by_end`] draws the two among those whose answer is expected first.
 
 use hollowsail_config::TargetKey;
 
@@ -66,6 +67,9 @@
 
 /// Largest ratio of a preferred engine's load to the average.
 const AFFINITY_BOUND: f64 = 1.25;
+/// Largest ratio of a target's expected end to the earliest one at which they are similar:
+/// covers the age of the reports.
+const SIMILAR_END_RATIO: f64 = 1.25;
 
 /// Chooses among candidates with the random number `draw`; `None` without candidates.
 pub fn choose<K: Copy + Ord>(candidates: &[Candidate<K>], draw: u64) -> Option<Choice<K>> {
@@ -96,6 +100,33 @@
         })
 }
 
+/// Chooses the better of two random candidates among those whose expected end is similar to
+/// the earliest; `None` without candidates. The load is the larger of [`Candidate::load`] and
+/// [`Candidate::reported_load`].
+pub fn choose_by_end<K: Copy + Ord>(candidates: &[Candidate<K>], draw: u64) -> Option<Choice<K>> {
+    let all_ejected = candidates.iter().all(|c| c.ejected);
+    let usable = candidates.iter().filter(|c| all_ejected || !c.ejected);
+    let by_both = usable.map(|c| Candidate {
+        load: c.load.max(c.reported_load),
+        ..*c
+    });
+    let usable: Vec<Candidate<K>> = by_both.collect();
+    let earliest = usable.iter().map(expected_end).min_by(f64::total_cmp)?;
+    let is_similar = |c: &&Candidate<K>| expected_end(c) <= earliest * SIMILAR_END_RATIO;
+    let similar: Vec<&Candidate<K>> = usable.iter().filter(is_similar).collect();
+    let reason = match usable.len() {
+        _ if all_ejected => Reason::AllEjected,
+        1 => Reason::Only,
+        _ => Reason::LessLoaded,
+    };
+    better_of_two(&similar, draw).map(|target| Choice { target, reason })
+}
+
+/// Expected end of a new request, relative to the usual duration of a request.
+fn expected_end<K>(candidate: &Candidate<K>) -> f64 {
+    (candidate.load + 1.0) * candidate.slowness
+}
+
 /// First candidate in rendezvous order whose load is within the bound.
 fn preferred<K: Copy + Ord>(candidates: &[&Candidate<K>]) -> Option<K> {
     let total: f64 = candidates.iter().map(|c| c.load).sum();
@@ -115,8 +146,7 @@
     }
     let first = candidates[(draw % count) as usize];
     let second = candidates[((draw >> 32) % count) as usize];
-    let expected_wait = |c: &Candidate<K>| (c.load + 1.0) * c.slowness;
-    let better = if expected_wait(second) < expected_wait(first) {
+    let better = if expected_end(second) < expected_end(first) {
         second
     } else {
         first
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -25,7 +25,7 @@
 
 pub use admission::{admit, critical_path, OrgUsage, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
-pub use choose::{choose, Candidate, Choice, Reason};
+pub use choose::{choose, choose_by_end, Candidate, Choice, Reason};
 pub use crash_ledger::{CrashLedger, CrashVerdict, CrashedRun};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use engine::{choose_engine, prefix_outweighs_results, EngineCandidate, EngineChoice};
