Give slow stage workers the groups that they can do in time

Cause: a worker from slowness 2.0 on got one group every 800 ms whatever the due times, a worker below that got whole batches that it ended late, and its calls were overdue by the usual duration.

Change: `BatchQueue::set_reported_speed` takes a worker's report. Once any worker has reported its speed, the expected duration of calls (overdue limit, order of workers, `WorkerState`, reported slots) follows the speed from answers and reports, and probing ends. A worker 1.25 times slower than usual or more gets the groups whose due time allows its longer call; other groups only if the faster workers aren't expected to complete all waiting pieces sooner. A call that is late counts as busy for as long again as it is late. The gateway feeds reports after each call and when the targets of a queue change, with `target-speeds`. Queues without such reports work as before. The tests of the choice of engines by time for short and long prompts are stricter: the cheapest engine isn't the one to be chosen.

--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -49,6 +49,14 @@
         }
     }
 
+    /// Applies the speed that a worker's target reported last, if it did.
+    pub(in crate::pools) fn apply_speed(&self, worker: WorkerKey, target: &Target) {
+        if let Some((percent, received_at)) = target.reported_work_percent() {
+            let mut queue = self.queue.borrow_mut();
+            queue.set_reported_speed(worker, percent, received_at);
+        }
+    }
+
     /// Updates the set of targets that may get new calls.
     pub fn update_targets(self: &Rc<Self>, cx: &Rc<Traffic>, targets: &[Rc<Target>]) {
         let mut workers = self.workers.borrow_mut();
@@ -83,6 +91,7 @@
             let worker = self.workers.borrow().worker(target.incarnation());
             if let Some(worker) = worker {
                 self.apply_backoff(cx, worker, target);
+                self.apply_speed(worker, target);
             }
         }
         self.pump_soon();
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -109,6 +109,7 @@
         .borrow_mut()
         .end_call(started.call, end, cx.clock.now());
     batcher.apply_backoff(&cx, started.worker, &target);
+    batcher.apply_speed(started.worker, &target);
     requeue_unfinished(&cx, &batcher, unfinished, end);
     batcher.pump();
 }
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -22,4 +22,5 @@
 mod streams;
 mod target_limits;
 mod target_restarts;
+mod target_speeds;
 mod warm_up;
--- a/crates/routing/src/speed.rs
+++ b/crates/routing/src/speed.rs
@@ -47,13 +47,10 @@
 }
 
 impl TargetSpeed {
-    /// Starts with a known slowness, as from the previous owner of a queue.
-    pub fn with_slowness(slowness: f64, now: Millis) -> Self {
-        TargetSpeed {
-            lasting: log_of(slowness),
-            answered_at: now,
-            ..TargetSpeed::default()
-        }
+    /// Sets the lasting slowness to one known elsewhere, as at the previous owner of a queue.
+    pub fn carry_over(&mut self, slowness: f64, now: Millis) {
+        self.lasting = log_of(slowness);
+        self.answered_at = now;
     }
 
     /// Records an answer that took `actual_ms` where `expected_ms` is usual.
@@ -119,7 +116,11 @@
     1.0 - age_ms.min(REPORT_TTL_MS) as f64 / REPORT_TTL_MS as f64
 }
 
+/// Logarithm of a slowness; one that isn't a number, from a peer, counts as usual.
 fn log_of(slowness: f64) -> f64 {
+    if slowness.is_nan() {
+        return 0.0;
+    }
     let bounded = slowness.clamp(1.0 / MAX_SLOWNESS, MAX_SLOWNESS);
     bounded.ln()
 }
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -99,30 +99,38 @@
     (scheduler, now)
 }
 
+/// A demand for the cached prefix `part` of `shared_tokens`.
+fn with_prefix(part: &str, shared_tokens: u64, own_tokens: u64) -> Demand<usize> {
+    Demand {
+        shared_tokens,
+        prompt_tokens: shared_tokens + own_tokens,
+        ..demand(part, 0)
+    }
+}
+
 /// Guards against short prompts that wait behind a long one because of their prefix.
 #[test]
 fn short_prompt_is_not_placed_behind_a_long_one() {
     let (mut scheduler, now) = trained(3);
-    let (first, home) = place(&mut scheduler, now, &demand("p", 1_000));
+    let (first, home) = place(&mut scheduler, now, &with_prefix("p", 30_000, 1_000));
     assert_eq!(home, 0);
-    scheduler.prefill_done(first, now + 100);
-    let now = now + 200;
+    scheduler.prefill_done(first, now + 340);
+    let now = now + 400;
     let long = Demand {
         avoid: vec![1, 2],
-        ..demand("p", 50_000)
+        ..with_prefix("p", 30_000, 50_000)
     };
     place(&mut scheduler, now, &long);
     let patient = Demand {
         max_wait_ms: 1_500,
-        shared_tokens: 45_000,
-        prompt_tokens: 46_000,
-        ..demand("p", 0)
+        ..with_prefix("p", 30_000, 600)
     };
-    let (_, engine) = place(&mut scheduler, now + 10, &patient);
+    let (key, engine) = place(&mut scheduler, now + 10, &patient);
     assert_eq!(engine, 0, "affinity wins while all are in time");
+    scheduler.record_end(key, PlacementEnd::Completed, now + 10);
     let urgent = Demand {
         max_wait_ms: 200,
-        ..demand("p", 600)
+        ..with_prefix("p", 30_000, 600)
     };
     let (_, other) = place(&mut scheduler, now + 20, &urgent);
     assert_ne!(other, 0, "the long prompt takes 500 ms, of 400 ms left");
@@ -154,7 +162,9 @@
         };
         place(&mut scheduler, now, &only);
     }
-    let (_, engine) = place(&mut scheduler, now, &demand("r", 50_000));
+    // Prefilled tokens before its first event: 95,000 at engine 0, which caches the prefix and
+    // costs least, and 90,000 at engine 2.
+    let (_, engine) = place(&mut scheduler, now, &with_prefix("q0", 15_000, 50_000));
     assert_eq!(engine, 2, "none is in time, and its prefill is done first");
 }
 
--- a/crates/routing/tests/suite/speed.rs
+++ b/crates/routing/tests/suite/speed.rs
@@ -71,7 +71,10 @@
     assert!(speed.slowness(0) <= 20.1);
     speed.record_report(1, 1);
     assert!(speed.slowness(1) >= 0.049);
-    let mut speed = TargetSpeed::with_slowness(f64::INFINITY, 0);
+    let mut speed = TargetSpeed::default();
+    speed.carry_over(f64::NAN, 0);
+    assert!(speed.slowness(0).is_finite());
+    speed.carry_over(f64::INFINITY, 0);
     speed.record_answer(0.0, 0.0, 1);
     assert!(speed.slowness(1).is_finite());
 }
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -15,15 +15,19 @@
     pub worker: WorkerKey,
     pub pieces: Vec<StartedPiece>,
     pub started: Millis,
+    /// Expected duration at this worker.
     pub expected_ms: f64,
+    /// Expected duration at a worker of the usual speed.
+    pub usual_ms: f64,
     /// Its pieces were queued again for other workers.
     pub overdue: bool,
 }
 
 impl Call {
-    /// Duration after which the call is overdue, in milliseconds.
+    /// Duration after which the call is overdue, in milliseconds. A worker that was faster than
+    /// usual may become usual during the call.
     fn limit_ms(&self) -> f64 {
-        self.expected_ms * OVERDUE_FACTOR + OVERDUE_SLACK_MS
+        self.expected_ms.max(self.usual_ms) * OVERDUE_FACTOR + OVERDUE_SLACK_MS
     }
 }
 
@@ -44,7 +48,10 @@
             return None;
         }
         let mut free = self.free_workers(now);
-        free.sort_by(|a, b| self.load_score(*a).total_cmp(&self.load_score(*b)));
+        free.sort_by(|a, b| {
+            self.load_score(*a, now)
+                .total_cmp(&self.load_score(*b, now))
+        });
         free.into_iter().find_map(|worker| {
             let pieces = self.choose_pieces(worker, now);
             (!pieces.is_empty()).then(|| self.start(worker, pieces, now))
@@ -66,11 +73,13 @@
         }
         self.workers[worker].calls += 1;
         self.workers[worker].record_call(now, self.limit_share);
+        let usual_ms = self.rules.expected_ms(pieces.len());
         let call = self.calls.insert(Call {
             worker,
             pieces: pieces.clone(),
             started: now,
-            expected_ms: self.rules.expected_ms(pieces.len()),
+            expected_ms: usual_ms * self.known_slowness(worker, now),
+            usual_ms,
             overdue: false,
         });
         StartedCall {
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -27,11 +27,16 @@
         let mut free_memory = self.free_memory(worker, now);
         let reserves_memory = self.has_most_free_memory(worker, now);
         // A slow worker is probed with one group instead of a whole batch.
-        let is_slow = self.workers[worker].is_slow();
+        let is_slow = self.is_probed(worker);
+        let limits = self.slow_worker_limits(worker, now);
         for group in self.groups_for(worker, now) {
             if is_slow && !chosen.is_empty() {
                 break;
             }
+            let is_excluded = |limits| !self.is_within(limits, &group, &chosen);
+            if limits.as_ref().is_some_and(is_excluded) {
+                continue;
+            }
             let slots = self.rules.batch - chosen.len();
             let key = self.group_of(group[0]);
             if self.groups.get(&key).is_some_and(|group| group.is_isolated) {
@@ -82,7 +87,8 @@
         let hall = self.workers[worker].hall;
         let own = (self.free_memory(worker, now), worker);
         let others = self.workers.iter();
-        let mut healthy = others.filter(|(_, other)| other.hall == hall && other.is_healthy());
+        let mut healthy =
+            others.filter(|(key, other)| other.hall == hall && self.is_healthy(*key, now));
         healthy.all(|(key, _)| (self.free_memory(key, now), key) <= own)
     }
 
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::workers::{Worker, WORK_SHARE};
-use super::BatchQueue;
+use super::{BatchQueue, WorkerKey};
 use crate::Millis;
 
 /// Assumed retention of a result before any was observed, in whole calls: its own call and
@@ -51,7 +51,7 @@
         let average_bytes = bytes / self.waiting.len().max(1) as u64;
         let running: usize = self.calls.values().map(|call| call.pieces.len()).sum();
         QueueLoad {
-            slots: self.slots(average_bytes),
+            slots: self.slots(average_bytes, now),
             running: running as u32,
             ahead: ahead.into_iter().collect(),
             call_ms: self.rules.expected_ms(self.rules.batch) as u32,
@@ -75,13 +75,16 @@
 
     /// Pieces that the workers process concurrently: whole batches, reduced for slow or
     /// rate-limited workers, and where results of this size fill the memory first.
-    fn slots(&self, result_bytes: u64) -> f32 {
-        let is_available = |worker: &&Worker| !worker.draining && worker.failures == 0;
+    fn slots(&self, result_bytes: u64, now: Millis) -> f32 {
+        let is_available =
+            |(_, worker): &(WorkerKey, &Worker)| !worker.draining && worker.failures == 0;
         let fitting = self.rules.result_bytes as f64 / result_bytes.max(1) as f64;
         let concurrent = (fitting / self.retention_calls()).min(self.rules.batch as f64);
-        let workers = self.workers.values().filter(is_available);
+        let workers = self.workers.iter().filter(is_available);
         let slots: f64 = workers
-            .map(|worker| concurrent / worker.slowness.max(1.0) * self.utilisation(worker))
+            .map(|(key, worker)| {
+                concurrent / self.slowness(key, now).max(1.0) * self.utilisation(worker)
+            })
             .sum();
         slots.max(MIN_SLOTS) as f32
     }
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -7,6 +7,7 @@
 mod choose;
 mod load;
 mod retention;
+mod speeds;
 mod types;
 mod workers;
 
@@ -70,6 +71,8 @@
     retention: Retention,
     /// Share of the workers' rate limits that this queue uses.
     limit_share: LimitShare,
+    /// Some worker has reported its speed.
+    has_speeds: bool,
 }
 
 impl<T> BatchQueue<T> {
@@ -84,6 +87,7 @@
             arrivals: 0,
             retention: Retention::default(),
             limit_share: LimitShare::default(),
+            has_speeds: false,
         }
     }
 
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -1,10 +1,11 @@
 //! Workers of a queue: availability, free memory for results, and recent performance.
 //!
 //! A worker that fails or refuses a call backs off for a while, and a slow one gets only
-//! occasional calls until it recovers. A worker with a rate limit gets calls at that rate;
+//! occasional calls until it recovers, or, where workers report their speed, the work that it
+//! can do in time ([`super::speeds`]). A worker with a rate limit gets calls at that rate;
 //! calls that release results count towards it.
 
-use hollowsail_routing::{LimitGate, LimitShare};
+use hollowsail_routing::{LimitGate, LimitShare, TargetSpeed};
 use serde::{Deserialize, Serialize};
 
 use super::calls::Call;
@@ -67,6 +68,8 @@
     pub draining: bool,
     /// Moving average of the ratio of actual to expected call time.
     pub slowness: f64,
+    /// The same where workers report their speed, by answers and reports.
+    pub speed: TargetSpeed,
     /// Rate limit over all entries together, in calls per second.
     pub limit: Option<f64>,
     gate: LimitGate,
@@ -89,15 +92,10 @@
         self.gate.record_sent(now, self.limit, share);
     }
 
-    pub fn is_slow(&self) -> bool {
+    fn is_slow(&self) -> bool {
         self.slowness >= SLOW_FACTOR
     }
 
-    /// True when it accepts work and its last call was answered in time.
-    pub fn is_healthy(&self) -> bool {
-        !self.draining && self.failures == 0 && !self.is_slow()
-    }
-
     /// Counts it as slow because one of its calls is overdue.
     pub fn mark_slow(&mut self) {
         self.slowness = self.slowness.max(SLOW_FACTOR);
@@ -115,6 +113,7 @@
             failures: 0,
             draining: false,
             slowness: 1.0,
+            speed: TargetSpeed::default(),
             limit: None,
             gate: LimitGate::default(),
             next_release_at: 0,
@@ -180,10 +179,21 @@
             .collect()
     }
 
+    /// True when a worker accepts work and its last call was answered in time.
+    pub(super) fn is_healthy(&self, worker: WorkerKey, now: Millis) -> bool {
+        let state = &self.workers[worker];
+        !state.draining && state.failures == 0 && self.slowness(worker, now) < SLOW_FACTOR
+    }
+
+    /// True when a slow worker gets one group at a time because its speed isn't known.
+    pub(super) fn is_probed(&self, worker: WorkerKey) -> bool {
+        !self.has_speeds && self.workers[worker].is_slow()
+    }
+
     /// Slowness plus used share of memory; the worker with the lowest score goes first.
-    pub(super) fn load_score(&self, worker: WorkerKey) -> f64 {
-        let worker = &self.workers[worker];
-        worker.slowness + worker.retained_bytes as f64 / self.rules.result_bytes.max(1) as f64
+    pub(super) fn load_score(&self, worker: WorkerKey, now: Millis) -> f64 {
+        let retained_bytes = self.workers[worker].retained_bytes as f64;
+        self.slowness(worker, now) + retained_bytes / self.rules.result_bytes.max(1) as f64
     }
 
     /// Memory of a worker that is still available to results, in bytes.
@@ -227,16 +237,19 @@
 
     /// Updates a worker's slowness and backoff after a call.
     pub(super) fn record_call_end(&mut self, call: &Call, end: CallEnd, now: Millis) {
+        let has_speeds = self.has_speeds;
         let Some(worker) = self.workers.get_mut(call.worker) else {
             return;
         };
         worker.calls -= 1;
         match end {
             CallEnd::Answered => {
-                let ratio = (now - call.started) as f64 / call.expected_ms.max(1.0);
+                let took_ms = (now - call.started) as f64;
+                let ratio = took_ms / call.usual_ms.max(1.0);
+                worker.speed.record_answer(took_ms, call.usual_ms, now);
                 worker.slowness += NEWEST_CALL_WEIGHT * (ratio - worker.slowness);
                 worker.failures = 0;
-                worker.backoff_until = if worker.is_slow() {
+                worker.backoff_until = if worker.is_slow() && !has_speeds {
                     now + PROBE_MS
                 } else {
                     now
@@ -265,7 +278,7 @@
         Some(WorkerState {
             retained_bytes: state.retained_bytes,
             busy_ms: ends.max().unwrap_or(0).saturating_sub(now),
-            slowness: state.slowness,
+            slowness: self.slowness(worker, now),
         })
     }
 
@@ -277,6 +290,7 @@
             state.retained_bytes += previous.retained_bytes;
             state.backoff_until = state.backoff_until.max(now + previous.busy_ms);
             state.slowness = state.slowness.max(previous.slowness);
+            state.speed.carry_over(previous.slowness, now);
         }
     }
 }
--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -5,3 +5,4 @@
 mod limited;
 mod random_graph;
 mod random_queue;
+mod speeds;
