--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,11 +21,12 @@
 pub mod queue;
 pub mod request_digest;
 pub mod scheduler;
+pub mod speed;
 pub mod warm_up;
 
 pub use admission::{admit, critical_path, OrgUsage, ServiceLoad, StageDemand, Verdict};
 pub use budget::RetryBudget;
-pub use choose::{choose, Candidate, Choice, Reason};
+pub use choose::{choose, choose_by_end, Candidate, Choice, Reason};
 pub use connections::DialPacing;
 pub use crash_ledger::{CrashLedger, CrashVerdict, CrashedRun};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
@@ -45,6 +46,7 @@
     Demand, DemandKey, DemandQueue, EngineScheduler, PlacementEnd, PlacementKey, QueueEstimate,
     SchedulableEngine, Versions,
 };
+pub use speed::TargetSpeed;
 pub use warm_up::{WarmUp, WarmUpGate};
 
 /// Milliseconds since the owning process started.
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod crash_ledger;
 mod deadline;
 mod engine;
+mod engines_by_time;
 mod event_loop_lag;
 mod health;
 mod limit;
@@ -14,6 +15,7 @@
 mod progress;
 mod random_admission;
 mod scheduler;
+mod speed;
 mod warm_up;
 
 /// Fixed seed for reproducible cases; `HOLLOWSAIL_CASES` sets their number.
