--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod choose;
 mod load;
+mod reserve;
 mod retention;
 mod types;
 mod workers;
@@ -18,6 +19,7 @@
 use self::calls::Call;
 use self::retention::Retention;
 use self::workers::Worker;
+use crate::reservations::{QueueOrder, ReservationKey, RoomRequest};
 use crate::Millis;
 
 pub use self::load::QueueLoad;
@@ -70,6 +72,8 @@
     retention: Retention,
     /// Share of the workers' rate limits that this queue uses.
     limit_share: LimitShare,
+    reservations: SlotMap<ReservationKey, RoomRequest>,
+    order: QueueOrder,
 }
 
 impl<T> BatchQueue<T> {
@@ -84,6 +88,8 @@
             arrivals: 0,
             retention: Retention::default(),
             limit_share: LimitShare::default(),
+            reservations: SlotMap::with_key(),
+            order: QueueOrder::default(),
         }
     }
 
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -6,12 +6,17 @@
 
 pub mod batch;
 pub mod graph;
+pub mod reservations;
 
 pub use batch::{
     BatchQueue, CallEnd, CallKey, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules,
     QueueLoad, StartedCall, StartedPiece, WorkerKey, WorkerState,
 };
 pub use graph::{PieceIndex, StageGraph, StageSpec};
+pub use reservations::{
+    Flow, FlowRoom, QueueOrder, RefusalCause, ReservationKey, RoomDecision, RoomRefusal,
+    RoomRequest, StageRoom,
+};
 
 /// Milliseconds since the owning process started.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/stages/src/reservations/types.rs
@@ -0,0 +1,90 @@
+//! Types of the reservation interface: requests for capacity and the decisions on them.
+
+use hollowsail_routing::RequestDigest;
+use serde::{Deserialize, Serialize};
+use slotmap::new_key_type;
+
+use crate::Millis;
+
+new_key_type! {
+    /// Capacity reserved for the stages of one request.
+    pub struct ReservationKey;
+}
+
+/// Requests that share an entitlement: those of one organisation at one urgency.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Flow {
+    /// 0 is the most urgent.
+    pub urgency: u8,
+    pub organisation: u64,
+}
+
+/// Capacity needed by one stage of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StageRoom {
+    pub pieces: u32,
+    /// Approximate size of the result of each piece, in bytes.
+    pub result_bytes: u64,
+    /// Time at which the pieces are expected in the queue.
+    pub ready: Millis,
+    /// Time by which the results should be available.
+    pub due: Millis,
+}
+
+/// A request for capacity in one queue.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoomRequest {
+    pub flow: Flow,
+    /// Weight of the organisation within its urgency level.
+    pub weight: f64,
+    pub digest: RequestDigest,
+    /// Longest Retry-After that the caller honours, in milliseconds.
+    pub max_return_ms: Millis,
+    /// Stages of the request that run in this queue, in the order of their start.
+    pub stages: Vec<StageRoom>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RoomDecision {
+    Reserved(ReservationKey),
+    Refused(RoomRefusal),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RoomRefusal {
+    pub retry_after_ms: Millis,
+    pub cause: RefusalCause,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum RefusalCause {
+    /// The request, or another that is admitted already, would be late.
+    Full,
+    /// The capacity is expected to go to flows that are more entitled to it.
+    OverShare,
+    /// A refused caller returned before its Retry-After had passed.
+    TooEarly,
+}
+
+/// Use of a queue by one flow, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct FlowRoom {
+    pub flow: Flow,
+    /// Waiting pieces of all flows of this urgency; pieces don't carry their organisation.
+    pub level_waiting: u32,
+    /// Pieces that are reserved and haven't arrived.
+    pub reserved: u32,
+    /// Pieces asked for, refused ones included, per second.
+    pub offered_per_s: f64,
+    /// Pieces per second that the flow is entitled to.
+    pub entitled_per_s: f64,
+}
+
+/// Order in which waiting pieces are taken.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum QueueOrder {
+    #[default]
+    Priority,
+    /// By due time while everything that waits fits, otherwise by priority.
+    Deadline,
+}
