Admit requests to a stage queue by capacity and share

Cause: the queue took every piece and ran it by priority, so under overload it worked on requests that were cancelled later (docs/design/reserved-room.md, measurements).

Change: `reserve` tests the demand bound against the capacity of the available workers (batch/capacity.rs), leaves the other flows what they are entitled to (shares.rs, reservations/flows.rs), and gives refused callers a time to return with capacity held (reservations/table.rs). QueueOrder::Deadline takes pieces by due time while what waits fits (batch/order.rs). Without `set_order` and `reserve` the queue decides as before.

--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -41,14 +41,20 @@
     /// Starts the next call, if a worker is free and a piece is waiting.
     pub fn next_call(&mut self, now: Millis) -> Option<StartedCall> {
         if self.waiting.is_empty() {
+            self.calibrate(false, now);
             return None;
         }
+        self.order_in_force = self.order_at(now);
         let mut free = self.free_workers(now);
         free.sort_by(|a, b| self.load_score(*a).total_cmp(&self.load_score(*b)));
-        free.into_iter().find_map(|worker| {
+        let started = free.into_iter().find_map(|worker| {
             let pieces = self.choose_pieces(worker, now);
             (!pieces.is_empty()).then(|| self.start(worker, pieces, now))
-        })
+        });
+        if started.is_none() {
+            self.calibrate(!self.has_idle_worker(now), now);
+        }
+        started
     }
 
     fn start(&mut self, worker: WorkerKey, chosen: Vec<PieceKey>, now: Millis) -> StartedCall {
@@ -64,6 +70,8 @@
             }
             self.workers[worker].retained_bytes += result_bytes;
         }
+        let bytes = pieces.iter().map(|piece| piece.result_bytes).sum();
+        self.calibration.record_started(pieces.len(), bytes);
         self.workers[worker].calls += 1;
         self.workers[worker].record_call(now, self.limit_share);
         let call = self.calls.insert(Call {
@@ -92,6 +100,10 @@
             return Vec::new();
         };
         self.record_call_end(&call, end, now);
+        if end == CallEnd::Answered {
+            let bytes = call.pieces.iter().map(|piece| piece.result_bytes).sum();
+            self.calibration.record_answered(call.pieces.len(), bytes);
+        }
         let mut unfinished = Vec::new();
         for StartedPiece { key, result_bytes } in call.pieces {
             if end == CallEnd::Refused {
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -1,19 +1,26 @@
 //! Selection of the pieces for a call to a worker.
 //!
 //! Groups are taken in the order of [`BatchQueue::groups_for`], as long as the batch has
-//! slots left and the worker has memory for the results.
+//! slots left and the worker has memory for the results. In the order by due time, a call
+//! is no longer than the due time of its most urgent group allows.
 
 use super::{BatchQueue, GroupKey, HallKey, PieceKey, WorkerKey};
+use crate::reservations::QueueOrder;
 use crate::Millis;
 
 /// Maximum share of a worker's free memory that part of a group may take to fill a call.
 const PARTIAL_GROUP_MEMORY_SHARE: f64 = 0.6;
+/// Smallest part of a batch to which a due time shortens a call. Much smaller calls would
+/// lower the rate of the queue so far that the groups behind are late.
+const MIN_CALL_SHARE: f64 = 0.5;
 
 /// Order in which groups are taken, lowest first.
 #[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum GroupOrder {
     /// Some of its pieces were started; partial results only occupy worker memory.
     Started,
+    /// In the order by due time.
+    Due(Millis),
     /// Meets its due time only if it starts with this call.
     LastChance { priority: u8 },
     /// Can also start with a later call, or is already late.
@@ -28,11 +35,13 @@
         let reserves_memory = self.has_most_free_memory(worker, now);
         // A slow worker is probed with one group instead of a whole batch.
         let is_slow = self.workers[worker].is_slow();
-        for group in self.groups_for(worker, now) {
+        let groups = self.groups_for(worker, now);
+        let call_limit = self.call_limit(worker, groups.first(), now);
+        for group in groups {
             if is_slow && !chosen.is_empty() {
                 break;
             }
-            let slots = self.rules.batch - chosen.len();
+            let slots = call_limit - chosen.len();
             let key = self.group_of(group[0]);
             if self.groups.get(&key).is_some_and(|group| group.is_isolated) {
                 let isolated = self.take_fitting(&group, slots, free_memory);
@@ -62,6 +71,24 @@
         chosen
     }
 
+    /// Maximum number of pieces of a call whose most urgent group is `first`.
+    fn call_limit(&self, worker: WorkerKey, first: Option<&Vec<PieceKey>>, now: Millis) -> usize {
+        let full = self.rules.batch;
+        let Some(first) = first.filter(|_| self.order_in_force == QueueOrder::Deadline) else {
+            return full;
+        };
+        let due = self.pieces[first[0]].order.due;
+        let slowness = self.workers[worker].slowness.max(1.0);
+        let left_ms = due.saturating_sub(now) as f64 / slowness;
+        let allowed = (left_ms - self.rules.call_ms) / self.rules.piece_ms.max(f64::MIN_POSITIVE);
+        // The group is late in any call, so a shorter one gains nothing.
+        if allowed < first.len() as f64 {
+            return full;
+        }
+        let smallest = (full as f64 * MIN_CALL_SHARE).ceil();
+        allowed.max(smallest).min(full as f64) as usize
+    }
+
     /// True when a call in progress that isn't overdue contains a piece of the group.
     fn is_in_call(&self, group: GroupKey) -> bool {
         let mut calls = self.calls.values().filter(|call| !call.overdue);
@@ -105,7 +132,7 @@
         groups
     }
 
-    fn group_of(&self, key: PieceKey) -> GroupKey {
+    pub(super) fn group_of(&self, key: PieceKey) -> GroupKey {
         self.pieces[key].order.group
     }
 
@@ -146,6 +173,9 @@
         if self.is_started(order.group) {
             return GroupOrder::Started;
         }
+        if self.order_in_force == QueueOrder::Deadline {
+            return GroupOrder::Due(order.due);
+        }
         let is_late = order.due < earliest_end && !order.has_large_inputs;
         // A group that can wait for the next call yields to a less urgent one that can't;
         // strict priority order would make the latter late without a gain for the former.
@@ -161,7 +191,7 @@
         }
     }
 
-    fn is_started(&self, group: GroupKey) -> bool {
+    pub(super) fn is_started(&self, group: GroupKey) -> bool {
         self.groups.get(&group).is_some_and(|group| group.started)
     }
 
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -65,9 +65,14 @@
         observed.unwrap_or(DEFAULT_RETENTION_CALLS).max(1.0)
     }
 
+    /// Mean retention of results since the start of their call, in milliseconds.
+    pub(super) fn retention_ms(&self) -> f64 {
+        self.retention_calls() * self.rules.expected_ms(self.rules.batch)
+    }
+
     /// Share of time in which a worker can have a call: 1, or less if its rate limit is
     /// lower than its call rate.
-    fn utilisation(&self, worker: &Worker) -> f64 {
+    pub(super) fn utilisation(&self, worker: &Worker) -> f64 {
         let call_s = self.rules.expected_ms(self.rules.batch) / 1_000.0;
         let rate = worker.limit.map(|per_s| self.limit_share.rate(per_s));
         rate.map_or(1.0, |per_s| (per_s * WORK_SHARE * call_s).min(1.0))
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -4,8 +4,10 @@
 //! ended. Worker memory is reserved for each result until [`BatchQueue::release_memory`] is called.
 
 mod calls;
+mod capacity;
 mod choose;
 mod load;
+mod order;
 mod reserve;
 mod retention;
 mod types;
@@ -17,9 +19,12 @@
 use slotmap::SlotMap;
 
 use self::calls::Call;
+use self::capacity::Calibration;
 use self::retention::Retention;
 use self::workers::Worker;
-use crate::reservations::{QueueOrder, ReservationKey, RoomRequest};
+use crate::reservations::flows::Flows;
+use crate::reservations::table::Reservations;
+use crate::reservations::QueueOrder;
 use crate::Millis;
 
 pub use self::load::QueueLoad;
@@ -72,8 +77,13 @@
     retention: Retention,
     /// Share of the workers' rate limits that this queue uses.
     limit_share: LimitShare,
-    reservations: SlotMap<ReservationKey, RoomRequest>,
+    reservations: Reservations,
+    flows: Flows,
+    calibration: Calibration,
+    /// Order set by the owner.
     order: QueueOrder,
+    /// Order of the call that is being chosen.
+    order_in_force: QueueOrder,
 }
 
 impl<T> BatchQueue<T> {
@@ -88,8 +98,11 @@
             arrivals: 0,
             retention: Retention::default(),
             limit_share: LimitShare::default(),
-            reservations: SlotMap::with_key(),
+            reservations: Reservations::default(),
+            flows: Flows::default(),
+            calibration: Calibration::default(),
             order: QueueOrder::default(),
+            order_in_force: QueueOrder::default(),
         }
     }
 
@@ -174,13 +187,17 @@
         self.waiting.len()
     }
 
-    /// Waiting pieces that have expired; the caller finishes them.
+    /// Waiting pieces that have expired, or whose turn is expected too late; the caller
+    /// finishes them.
     pub fn expired(&self, now: Millis) -> Vec<PieceKey> {
-        self.waiting
+        let mut expired: Vec<PieceKey> = self
+            .waiting
             .iter()
             .map(|(_, key)| *key)
             .filter(|key| self.pieces[*key].order.expires <= now)
-            .collect()
+            .collect();
+        expired.extend(self.expiring_before_turn(now));
+        expired
     }
 
     /// Waiting pieces that are in no call, for a change of the queue's owner. They stay in
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -1,62 +1,314 @@
-//! Reservations of a queue: the interface that the owner calls.
+//! Reservations of a queue: admits requests that can be in time, and refuses the others.
+//!
+//! The demand is what waits and what is reserved. A request within the share of its flow
+//! has to leave the balances of the other flows, any other also room for their expected
+//! arrivals. A refused one gets a time to return, with capacity held for it if there is
+//! any.
 
+use super::capacity::Capacity;
 use super::BatchQueue;
-use crate::reservations::{FlowRoom, QueueOrder, ReservationKey, RoomDecision, RoomRequest};
+use crate::reservations::demand::{fits, Claim, Need};
+use crate::reservations::table::Reservation;
+use crate::reservations::{
+    FlowRoom, RefusalCause, ReservationKey, RoomDecision, RoomRefusal, RoomRequest, StageRoom,
+};
 use crate::Millis;
 
+/// Times of return that are tested, in 16ths of the longest Retry-After.
+const RETURN_STEPS: [Millis; 7] = [1, 2, 4, 6, 8, 12, 16];
+/// Shortest Retry-After, in milliseconds. A shorter one costs more round trips than it gains.
+const MIN_RETURN_MS: Millis = 50;
+/// Part of the usual call by which a returned caller may exceed the capacity: the estimates
+/// change while it is away, and it was promised room.
+const RETURN_SLACK_CALLS: f64 = 0.25;
+
+/// What a request is tested against.
+struct Test {
+    now: Millis,
+    capacity: Capacity,
+    /// Sorted by due time.
+    needs: Vec<Need>,
+}
+
+impl Test {
+    fn fits(&self, stages: &[StageRoom], claims: &[Claim]) -> bool {
+        let supply = &self.capacity.supply;
+        let new = stages
+            .iter()
+            .map(|stage| supply.testable(stage_need(stage, &self.capacity)));
+        fits(
+            &self.needs,
+            &new.collect::<Vec<_>>(),
+            claims,
+            supply,
+            self.now,
+        )
+    }
+
+    /// The request as it would be after a wait.
+    fn delayed(request: &RoomRequest, wait: Millis) -> Vec<StageRoom> {
+        let stages = request.stages.iter();
+        let delayed = stages.map(|stage| StageRoom {
+            ready: stage.ready + wait,
+            due: stage.due + wait,
+            ..*stage
+        });
+        delayed.collect()
+    }
+
+    /// The earliest tested wait of at least `shortest` after which the request fits, with
+    /// its stages then.
+    fn earliest_return(
+        &self,
+        request: &RoomRequest,
+        shortest: Millis,
+        claims: &[Claim],
+    ) -> Option<(Millis, Vec<StageRoom>)> {
+        let waits = RETURN_STEPS
+            .iter()
+            .map(|step| request.max_return_ms * step / 16);
+        waits
+            .map(|wait| wait.max(shortest))
+            .filter(|wait| (MIN_RETURN_MS..=request.max_return_ms).contains(wait))
+            .map(|wait| (wait, Self::delayed(request, wait)))
+            .find(|(_, stages)| self.fits(stages, claims))
+    }
+}
+
+fn stage_need(stage: &StageRoom, capacity: &Capacity) -> Need {
+    let pieces = f64::from(stage.pieces);
+    Need {
+        ready: stage.ready,
+        due: stage.due,
+        cost: capacity.cost.of(pieces, pieces * stage.result_bytes as f64),
+    }
+}
+
+fn request_cost(request: &RoomRequest, capacity: &Capacity) -> f64 {
+    let stages = request.stages.iter();
+    stages.map(|stage| stage_need(stage, capacity).cost).sum()
+}
+
+/// Mean size of the results of a request, in bytes.
+fn mean_bytes(request: &RoomRequest) -> u64 {
+    let pieces: u64 = request
+        .stages
+        .iter()
+        .map(|stage| u64::from(stage.pieces))
+        .sum();
+    let bytes = request.stages.iter();
+    let bytes = bytes.map(|stage| u64::from(stage.pieces) * stage.result_bytes);
+    bytes.sum::<u64>() / pieces.max(1)
+}
+
+fn pieces_of(reservation: &Reservation) -> u32 {
+    reservation.stages.iter().map(|stage| stage.pieces).sum()
+}
+
 impl<T> BatchQueue<T> {
     /// Reserves capacity for a request, or refuses it.
-    pub fn reserve(&mut self, _now: Millis, request: &RoomRequest) -> RoomDecision {
-        RoomDecision::Reserved(self.reservations.insert(request.clone()))
+    pub fn reserve(&mut self, now: Millis, request: &RoomRequest) -> RoomDecision {
+        self.reservations.sweep(now);
+        if let Some(expected) = self.reservations.expected_return(&request.digest) {
+            if now < expected.at {
+                return RoomDecision::Refused(RoomRefusal {
+                    retry_after_ms: expected.at - now,
+                    cause: RefusalCause::TooEarly,
+                });
+            }
+        }
+        let is_held = self.reservations.take_return(&request.digest);
+        let test = self.test(mean_bytes(request), now);
+        let cost = request_cost(request, &test.capacity);
+        self.flows.refresh(now, test.capacity.supply.rate);
+        if !is_held {
+            self.record_offer(request, cost, now);
+        }
+        match self.refusal_cause(request, cost, is_held, &test) {
+            None => {
+                if !is_held {
+                    self.flows.record_reserved(request.flow, cost);
+                }
+                RoomDecision::Reserved(self.reservations.insert(request))
+            }
+            Some(cause) => RoomDecision::Refused(self.refuse(request, cost, cause, &test)),
+        }
     }
 
-    /// Removes pieces from a reservation that arrived in the queue.
-    pub fn begin_reserved(&mut self, key: ReservationKey, pieces: u32) {
-        let Some(request) = self.reservations.get_mut(key) else {
-            return;
-        };
-        let mut arrived = pieces;
-        for stage in &mut request.stages {
-            let begun = arrived.min(stage.pieces);
-            stage.pieces -= begun;
-            arrived -= begun;
+    fn record_offer(&mut self, request: &RoomRequest, cost: f64, now: Millis) {
+        let due = request.stages.iter().map(|stage| stage.due).max();
+        let lead_ms = due.unwrap_or(now).saturating_sub(now) as f64;
+        self.flows
+            .record_offer(request.flow, request.weight, cost, lead_ms, now);
+    }
+
+    /// Why a request can't be admitted; `None` if it can.
+    fn refusal_cause(
+        &self,
+        request: &RoomRequest,
+        cost: f64,
+        is_held: bool,
+        test: &Test,
+    ) -> Option<RefusalCause> {
+        // Before its workers are known, nothing can be said about a queue's capacity.
+        if self.workers.is_empty() || !Self::is_backlog(test, cost) {
+            return None;
+        }
+        if test.capacity.supply.rate <= 0.0 {
+            return Some(RefusalCause::Full);
         }
-        if request.stages.iter().all(|stage| stage.pieces == 0) {
-            self.reservations.remove(key);
+        if is_held {
+            let slack = (test.capacity.supply.call_ms * RETURN_SLACK_CALLS) as Millis;
+            let stages = request.stages.iter().map(|stage| StageRoom {
+                due: stage.due + slack,
+                ..*stage
+            });
+            let fits = test.fits(&stages.collect::<Vec<_>>(), &[]);
+            return (!fits).then_some(RefusalCause::Full);
         }
+        if !test.fits(&request.stages, &[]) {
+            return Some(RefusalCause::Full);
+        }
+        // Within its share a flow leaves the others what they have saved; beyond it, also
+        // what they are going to ask for.
+        let mut claims = self.flows.claims_of_others(request.flow, test.now);
+        if self.flows.is_within_share(request.flow, cost) {
+            claims.iter_mut().for_each(|claim| claim.rate = 0.0);
+        }
+        let is_allowed = test.fits(&request.stages, &claims);
+        (!is_allowed).then_some(RefusalCause::OverShare)
     }
 
-    pub fn cancel_reservation(&mut self, key: ReservationKey) {
-        self.reservations.remove(key);
+    /// Refuses a request, and holds capacity for its return if there is any.
+    fn refuse(
+        &mut self,
+        request: &RoomRequest,
+        cost: f64,
+        cause: RefusalCause,
+        test: &Test,
+    ) -> RoomRefusal {
+        let claims = self.flows.claims_of_others(request.flow, test.now);
+        let shortest = self
+            .flows
+            .last_return(request.flow)
+            .saturating_sub(test.now);
+        let held = (test.capacity.supply.rate > 0.0)
+            .then(|| test.earliest_return(request, shortest, &claims))
+            .flatten();
+        let (retry_after_ms, stages) = match held {
+            Some((wait, stages)) => {
+                self.flows.record_reserved(request.flow, cost);
+                (wait, Some(stages))
+            }
+            None => {
+                let wait = self.backlog_ms(request, test).max(shortest);
+                (wait.min(request.max_return_ms), None)
+            }
+        };
+        self.flows
+            .record_return(request.flow, test.now + retry_after_ms);
+        self.reservations
+            .expect_return(request, test.now + retry_after_ms, stages);
+        RoomRefusal {
+            retry_after_ms,
+            cause,
+        }
     }
 
-    /// Drops reservations whose due time is long past.
-    pub fn sweep_reservations(&mut self, now: Millis) {
-        self.reservations
-            .retain(|_, request| request.stages.iter().any(|stage| stage.due > now));
+    /// Time after which the backlog of the request's urgency level is expected to be gone,
+    /// callers included that are to return without a reservation.
+    fn backlog_ms(&self, request: &RoomRequest, test: &Test) -> Millis {
+        let urgency = request.flow.urgency;
+        let waiting = self
+            .waiting
+            .range(..((urgency.saturating_add(1), 0, 0), Default::default()));
+        let reserved = self.reservations.values();
+        let reserved = reserved.filter(|reservation| reservation.flow.urgency <= urgency);
+        let reserved: u32 = reserved.map(pieces_of).sum();
+        let returning = self.reservations.pieces_to_return(urgency);
+        let pieces = waiting.count() as f64 + f64::from(reserved + returning);
+        let backlog_ms = pieces / test.capacity.supply.rate.max(f64::MIN_POSITIVE);
+        let shortest = MIN_RETURN_MS.min(request.max_return_ms);
+        (backlog_ms as Millis).clamp(shortest, request.max_return_ms)
     }
 
-    pub fn set_order(&mut self, order: QueueOrder) {
-        self.order = order;
+    fn test(&self, bytes: u64, now: Millis) -> Test {
+        let capacity = self.capacity(bytes, now);
+        let mut needs = self.waiting_needs(&capacity, now);
+        let stages = self.reservations.values().flat_map(|held| &held.stages);
+        needs.extend(stages.map(|stage| stage_need(stage, &capacity)));
+        needs.sort_unstable_by_key(|need| need.due);
+        Test {
+            now,
+            capacity,
+            needs,
+        }
     }
 
-    pub fn order(&self) -> QueueOrder {
-        self.order
+    /// Needs of the waiting pieces. Pieces that arrived together are one need.
+    pub(super) fn waiting_needs(&self, capacity: &Capacity, now: Millis) -> Vec<Need> {
+        let mut needs: Vec<Need> = Vec::new();
+        for ((_, due, _), key) in &self.waiting {
+            let bytes = self.pieces[*key].order.result_bytes as f64;
+            let cost = capacity.cost.of(1.0, bytes);
+            match needs.last_mut().filter(|need| need.due == *due) {
+                Some(need) => need.cost += cost,
+                None => needs.push(Need {
+                    ready: now,
+                    due: *due,
+                    cost,
+                }),
+            }
+        }
+        needs
     }
 
-    /// Use of the queue by flow, for logs and metrics.
-    pub fn room_by_flow(&self, _now: Millis) -> Vec<FlowRoom> {
-        Vec::new()
+    /// True unless the idle workers can take all that is known, and `cost` beside it.
+    fn is_backlog(test: &Test, cost: f64) -> bool {
+        let known: f64 = test.needs.iter().map(|need| need.cost).sum();
+        known + cost > test.capacity.supply.idle
+    }
+
+    /// Removes pieces from a reservation that arrived in the queue.
+    pub fn begin_reserved(&mut self, key: ReservationKey, pieces: u32) {
+        self.reservations.begin(key, pieces);
     }
 
-    /// True while pieces wait or reservations are held that the idle workers can't take at
-    /// once.
-    pub fn has_backlog(&self, _now: Millis) -> bool {
-        !self.waiting.is_empty()
+    pub fn cancel_reservation(&mut self, key: ReservationKey) {
+        self.reservations.cancel(key);
+    }
+
+    /// Drops reservations whose due time is long past.
+    pub fn sweep_reservations(&mut self, now: Millis) {
+        self.reservations.sweep(now);
     }
 
-    /// Number of reservations held.
+    /// Number of reservations, held ones of refused callers included.
     pub fn reservations(&self) -> usize {
         self.reservations.len()
     }
+
+    /// True while idle workers can't take at once all that waits or is reserved.
+    pub fn has_backlog(&self, now: Millis) -> bool {
+        Self::is_backlog(&self.test(1, now), 0.0)
+    }
+
+    /// Use of the queue by flow, for logs and metrics.
+    pub fn room_by_flow(&self, _now: Millis) -> Vec<FlowRoom> {
+        let flows = self.flows.iter();
+        let rooms = flows.map(|(flow, state)| {
+            let level = self.waiting.iter();
+            let level = level.filter(|((priority, ..), _)| *priority == flow.urgency);
+            let reserved = self.reservations.values();
+            let reserved = reserved.filter(|reservation| reservation.flow == flow);
+            FlowRoom {
+                flow,
+                level_waiting: level.count() as u32,
+                reserved: reserved.map(pieces_of).sum(),
+                offered_per_s: state.offered * 1_000.0,
+                entitled_per_s: state.entitled * 1_000.0,
+            }
+        });
+        rooms.collect()
+    }
 }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -189,12 +189,15 @@
     /// Memory of a worker that is still available to results, in bytes.
     pub(super) fn free_memory(&self, worker: WorkerKey, now: Millis) -> u64 {
         let state = &self.workers[worker];
-        let total = self.rules.result_bytes as f64;
         if now < state.memory_full_until {
             return self.small_results_memory();
         }
-        let usable = (total * USABLE_MEMORY_SHARE) as u64;
-        usable.saturating_sub(state.retained_bytes)
+        self.usable_memory().saturating_sub(state.retained_bytes)
+    }
+
+    /// Memory of a worker that is filled with results, in bytes.
+    pub(super) fn usable_memory(&self) -> u64 {
+        (self.rules.result_bytes as f64 * USABLE_MEMORY_SHARE) as u64
     }
 
     /// Memory available to small results at a worker whose memory is full, in bytes.
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod batch;
 pub mod graph;
 pub mod reservations;
+pub mod shares;
 
 pub use batch::{
     BatchQueue, CallEnd, CallKey, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules,
--- /dev/null
+++ b/crates/stages/src/reservations/flows.rs
@@ -0,0 +1,163 @@
+//! What each flow offers, is entitled to, and has used.
+//!
+//! Offered rates are moving averages over the pieces asked for. A flow's balance grows at
+//! the rate it is entitled to and falls with what is reserved for it. All other flows leave
+//! it room for its balance; those beyond their own also leave room for what it is expected
+//! to ask for.
+
+use std::collections::BTreeMap;
+
+use super::demand::Claim;
+use super::Flow;
+use crate::shares::{entitlements, usable_weight, Offer};
+use crate::Millis;
+
+/// Time constant of the offered rates, in milliseconds.
+const RATE_MS: f64 = 1_000.0;
+/// Weight of the newest request in the averages of a flow's requests.
+const NEWEST_REQUEST_WEIGHT: f64 = 0.1;
+/// Largest balance, as time at the entitled rate in milliseconds. Covers the unevenness of
+/// arrivals; more would leave capacity unused while a flow pauses.
+const BALANCE_MS: f64 = 400.0;
+/// Entitlements are computed for offers greater by this factor, so that the balance of a
+/// flow that offers less than its share stays full and covers its bunched arrivals.
+const OFFER_MARGIN: f64 = 1.25;
+/// Interval between computations of the entitlements, in milliseconds.
+const REFRESH_MS: Millis = 10;
+/// A flow without requests for this long is forgotten, in milliseconds.
+const FORGET_MS: Millis = 10_000;
+
+/// Rates are in pieces of the average size per ms.
+#[derive(Debug, Clone, Copy)]
+pub struct FlowState {
+    pub weight: f64,
+    pub offered: f64,
+    pub entitled: f64,
+    balance: f64,
+    /// Mean time from request to due time, in milliseconds.
+    lead_ms: f64,
+    /// Mean cost of a request.
+    request_cost: f64,
+    last_request: Millis,
+    /// Latest time at which a refused caller is to return.
+    last_return: Millis,
+}
+
+impl FlowState {
+    /// At least one request, so that a flow with rare requests gets in.
+    fn max_balance(&self) -> f64 {
+        (self.entitled * BALANCE_MS).max(self.request_cost)
+    }
+
+    fn advance(&mut self, ms: f64, is_scarce: bool) {
+        let decay = (-ms / RATE_MS).exp();
+        // The integral of the decaying rate, so that a flow with rare requests earns what
+        // its last request cost.
+        let earned = self.entitled * RATE_MS * (1.0 - decay);
+        let limit = self.max_balance();
+        // While there is enough for all, nobody pays for what it used, and balances fill up
+        // for the time when there isn't.
+        let refilled = if is_scarce {
+            0.0
+        } else {
+            limit * ms / BALANCE_MS
+        };
+        self.offered *= decay;
+        self.balance = (self.balance + earned + refilled).clamp(-limit, limit);
+    }
+}
+
+#[derive(Debug, Default)]
+pub struct Flows {
+    states: BTreeMap<Flow, FlowState>,
+    refreshed: Millis,
+}
+
+impl Flows {
+    /// Brings rates, balances and entitlements up to date.
+    pub fn refresh(&mut self, now: Millis, capacity: f64) {
+        let elapsed = now.saturating_sub(self.refreshed);
+        if elapsed < REFRESH_MS {
+            return;
+        }
+        self.refreshed = now;
+        self.states
+            .retain(|_, state| now.saturating_sub(state.last_request) < FORGET_MS);
+        let offered: f64 = self.states.values().map(|state| state.offered).sum();
+        for state in self.states.values_mut() {
+            state.advance(elapsed as f64, offered > capacity);
+        }
+        let offers = self.states.iter().map(|(flow, state)| Offer {
+            flow: *flow,
+            weight: state.weight,
+            rate: state.offered * OFFER_MARGIN,
+        });
+        let entitled = entitlements(&offers.collect::<Vec<_>>(), capacity);
+        for (state, entitled) in self.states.values_mut().zip(entitled) {
+            state.entitled = entitled;
+        }
+    }
+
+    /// Counts a request towards what its flow offers.
+    pub fn record_offer(&mut self, flow: Flow, weight: f64, cost: f64, lead_ms: f64, now: Millis) {
+        let state = self.states.entry(flow).or_insert(FlowState {
+            weight: 1.0,
+            offered: 0.0,
+            entitled: 0.0,
+            balance: 0.0,
+            lead_ms,
+            request_cost: cost,
+            last_request: now,
+            last_return: 0,
+        });
+        state.weight = usable_weight(weight);
+        state.offered += cost / RATE_MS;
+        state.lead_ms += NEWEST_REQUEST_WEIGHT * (lead_ms - state.lead_ms);
+        state.request_cost += NEWEST_REQUEST_WEIGHT * (cost - state.request_cost);
+        state.last_request = now;
+    }
+
+    /// Counts capacity that was reserved for a flow.
+    pub fn record_reserved(&mut self, flow: Flow, cost: f64) {
+        if let Some(state) = self.states.get_mut(&flow) {
+            let limit = state.max_balance();
+            state.balance = (state.balance - cost).max(-limit);
+        }
+    }
+
+    /// Counts a refused caller that is to return at a time.
+    pub fn record_return(&mut self, flow: Flow, at: Millis) {
+        if let Some(state) = self.states.get_mut(&flow) {
+            state.last_return = state.last_return.max(at);
+        }
+    }
+
+    /// Latest time at which a refused caller of a flow is to return. Those refused later
+    /// return no earlier.
+    pub fn last_return(&self, flow: Flow) -> Millis {
+        self.states.get(&flow).map_or(0, |state| state.last_return)
+    }
+
+    /// True when a flow may use this much without leaving its share.
+    pub fn is_within_share(&self, flow: Flow, cost: f64) -> bool {
+        self.states
+            .get(&flow)
+            .is_some_and(|state| state.balance >= cost)
+    }
+
+    /// Expected arrivals of the other flows.
+    pub fn claims_of_others(&self, flow: Flow, now: Millis) -> Vec<Claim> {
+        let others = self.states.iter().filter(|(other, _)| **other != flow);
+        others
+            .map(|(_, state)| Claim {
+                due: now + state.lead_ms as Millis,
+                balance: state.balance.max(0.0),
+                rate: state.offered.min(state.entitled),
+            })
+            .collect()
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (Flow, &FlowState)> {
+        self.states.iter().map(|(flow, state)| (*flow, state))
+    }
+}
--- /dev/null
+++ b/crates/stages/src/reservations/table.rs
@@ -0,0 +1,147 @@
+//! Table of reservations, and of the times at which refused callers are to return.
+
+use std::collections::HashMap;
+
+use hollowsail_routing::RequestDigest;
+use slotmap::SlotMap;
+
+use super::{Flow, ReservationKey, RoomRequest, StageRoom};
+use crate::Millis;
+
+/// A reservation is dropped this long after its last due time, in milliseconds. Its pieces
+/// may still arrive a little late; after that its requester is gone.
+const GRACE_MS: Millis = 500;
+/// How long the reservation of a refused caller is held from its time of return on, in
+/// milliseconds.
+const HOLD_MS: Millis = 300;
+/// Limit on the remembered times of return, which bounds memory.
+const MAX_RETURNS: usize = 4_096;
+
+#[derive(Debug)]
+pub struct Reservation {
+    pub flow: Flow,
+    pub stages: Vec<StageRoom>,
+    /// End of a hold for a refused caller; `None` once the request is admitted.
+    held_until: Option<Millis>,
+}
+
+impl Reservation {
+    fn is_over(&self, now: Millis) -> bool {
+        let last_due = self.stages.iter().map(|stage| stage.due).max().unwrap_or(0);
+        now > self.held_until.unwrap_or(last_due + GRACE_MS)
+    }
+}
+
+/// When a refused caller is to return.
+#[derive(Debug, Clone, Copy)]
+pub struct Return {
+    pub at: Millis,
+    pub urgency: u8,
+    pub pieces: u32,
+    /// Capacity held for it, if any.
+    pub held: Option<ReservationKey>,
+}
+
+#[derive(Debug, Default)]
+pub struct Reservations {
+    table: SlotMap<ReservationKey, Reservation>,
+    returns: HashMap<RequestDigest, Return>,
+}
+
+impl Reservations {
+    pub fn len(&self) -> usize {
+        self.table.len()
+    }
+
+    pub fn values(&self) -> impl Iterator<Item = &Reservation> {
+        self.table.values()
+    }
+
+    /// Adds a reservation for an admitted request.
+    pub fn insert(&mut self, request: &RoomRequest) -> ReservationKey {
+        self.table.insert(Reservation {
+            flow: request.flow,
+            stages: request.stages.clone(),
+            held_until: None,
+        })
+    }
+
+    /// Remembers when a refused caller is to return, and holds `stages` for it then.
+    pub fn expect_return(
+        &mut self,
+        request: &RoomRequest,
+        at: Millis,
+        stages: Option<Vec<StageRoom>>,
+    ) {
+        if self.returns.len() >= MAX_RETURNS {
+            return;
+        }
+        let held = stages.map(|stages| {
+            self.table.insert(Reservation {
+                flow: request.flow,
+                stages,
+                held_until: Some(at + HOLD_MS),
+            })
+        });
+        let expected = Return {
+            at,
+            urgency: request.flow.urgency,
+            pieces: request.stages.iter().map(|stage| stage.pieces).sum(),
+            held,
+        };
+        self.returns.insert(request.digest, expected);
+    }
+
+    /// The expected return of a caller, while it is remembered.
+    pub fn expected_return(&self, digest: &RequestDigest) -> Option<Return> {
+        self.returns.get(digest).copied()
+    }
+
+    /// Ends an expected return. True when capacity was still held for it.
+    pub fn take_return(&mut self, digest: &RequestDigest) -> bool {
+        let held = self
+            .returns
+            .remove(digest)
+            .and_then(|expected| expected.held);
+        held.and_then(|key| self.table.remove(key)).is_some()
+    }
+
+    /// Pieces of callers of this urgency, or a more urgent one, that were told to return and
+    /// have no capacity held.
+    pub fn pieces_to_return(&self, urgency: u8) -> u32 {
+        let returns = self.returns.values();
+        returns
+            .filter(|expected| expected.held.is_none() && expected.urgency <= urgency)
+            .map(|expected| expected.pieces)
+            .sum()
+    }
+
+    /// Removes pieces that arrived in the queue, from the first stage on.
+    pub fn begin(&mut self, key: ReservationKey, pieces: u32) {
+        let Some(reservation) = self.table.get_mut(key) else {
+            return;
+        };
+        let mut arrived = pieces;
+        for stage in &mut reservation.stages {
+            let begun = arrived.min(stage.pieces);
+            stage.pieces -= begun;
+            arrived -= begun;
+        }
+        reservation.stages.retain(|stage| stage.pieces > 0);
+        if reservation.stages.is_empty() {
+            self.table.remove(key);
+        }
+    }
+
+    pub fn cancel(&mut self, key: ReservationKey) {
+        self.table.remove(key);
+    }
+
+    /// Drops reservations and returns whose time is over.
+    pub fn sweep(&mut self, now: Millis) {
+        self.table
+            .retain(|_, reservation| !reservation.is_over(now));
+        self.returns
+            .retain(|_, expected| now <= expected.at + HOLD_MS);
+    }
+}
--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -5,3 +5,7 @@
 mod limited;
 mod random_graph;
 mod random_queue;
+mod random_reservations;
+mod reservations;
+mod shares;
+mod simulation;
