Bisect the times of return of refused callers

Cause: a refusal tested up to seven waits.

Change: the longest wait is tested first, then the others by bisection.

--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -56,22 +56,35 @@
         delayed.collect()
     }
 
-    /// The earliest tested wait of at least `shortest` after which the request fits, with
-    /// its stages then.
-    fn earliest_return(
+    /// An early wait of at least `shortest` after which the request fits, with its stages
+    /// then. Bisects the steps, as a longer wait nearly always fits better; under a long
+    /// overload that is one test.
+    fn early_return(
         &self,
         request: &RoomRequest,
         shortest: Millis,
         claims: &[Claim],
     ) -> Option<(Millis, Vec<StageRoom>)> {
-        let waits = RETURN_STEPS
-            .iter()
-            .map(|step| request.max_return_ms * step / 16);
-        waits
-            .map(|wait| wait.max(shortest))
-            .filter(|wait| (MIN_RETURN_MS..=request.max_return_ms).contains(wait))
-            .map(|wait| (wait, Self::delayed(request, wait)))
-            .find(|(_, stages)| self.fits(stages, claims))
+        let longest = request.max_return_ms;
+        let shortest = shortest.max(MIN_RETURN_MS);
+        let waits = RETURN_STEPS.map(|step| (longest * step / 16).max(shortest));
+        let fitting = |wait: Millis| {
+            let stages = Self::delayed(request, wait);
+            self.fits(&stages, claims).then_some((wait, stages))
+        };
+        if shortest > longest {
+            return None;
+        }
+        let mut found = fitting(longest)?;
+        let (mut low, mut high) = (0, waits.len() - 1);
+        while low < high {
+            let middle = (low + high) / 2;
+            match fitting(waits[middle]) {
+                Some(earlier) => (found, high) = (earlier, middle),
+                None => low = middle + 1,
+            }
+        }
+        Some(found)
     }
 }
 
@@ -193,7 +206,7 @@
             .last_return(request.flow)
             .saturating_sub(test.now);
         let held = (test.capacity.supply.rate > 0.0)
-            .then(|| test.earliest_return(request, shortest, &claims))
+            .then(|| test.early_return(request, shortest, &claims))
             .flatten();
         let (retry_after_ms, stages) = match held {
             Some((wait, stages)) => {
