--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -5,4 +5,8 @@
 mod limited;
 mod random_graph;
 mod random_queue;
+mod random_reservations;
+mod reservations;
+mod shares;
+mod simulation;
 mod speeds;
