Reserve capacity of contended stage services before a request starts

The forecast counts what waits in a queue, but not the requests that are still in earlier stages.

Change: an entry asks the owners of all contended queues of a request, in parallel, before anything of it runs (crates/gateway/src/reservations). All have to agree. Owners find a reservation by requesting entry, request id and stage when a piece arrives. What isn't used is cancelled when the request ends early. A peer that answers 404, or not in 60 ms, leaves its queue to the forecast. Pieces have the due times that were reserved for, and a request with reservations may use its stages until its target latency. `--without reservations` turns it off; such an entry answers 404 to its peers.

The queue's decision (crates/stages) is a stub that accepts everything so far.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,7 @@
 mod own_record;
 mod pauses;
 mod peer_state;
-mod query;
+pub(crate) mod query;
 mod records;
 mod refusals;
 mod rollouts;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,7 +4,7 @@
 //! [`view::View`] whenever the configuration or the targets change. The traffic thread
 //! ([`traffic`]) accepts connections from callers ([`callers`]) and runs each request
 //! ([`request`]): admission, the stages before it ([`pools`], shared with the other entries
-//! through [`peers`]), and its sends to targets ([`hollowsail_targets`]), which [`placement`]
+//! through [`peers`]; [`reservations`] has their capacity reserved before), and its sends to targets ([`hollowsail_targets`]), which [`placement`]
 //! selects for generations. The traffic thread never waits for control.
 //!
 //! Names of the platform are defined in `hollowsail-platform`; decisions are made in
@@ -26,6 +26,7 @@
 mod pools;
 mod readiness;
 mod request;
+mod reservations;
 mod rollouts;
 mod start;
 mod stop;
@@ -36,4 +37,5 @@
 mod view;
 
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
+pub use reservations::contended_services;
 pub use start::{start, Running, StartError};
--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -30,10 +30,12 @@
     RoutePriority,
     /// Calls that take too long are repeated at another target.
     Overdue,
+    /// Capacity of contended stage services is reserved before a request starts.
+    Reservations,
 }
 
 /// Command-line names of the mechanisms.
-const NAMES: [(Mechanism, &str); 11] = [
+const NAMES: [(Mechanism, &str); 12] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Scheduler, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -45,6 +47,7 @@
     (Mechanism::PrefillTimes, "reading-times"),
     (Mechanism::RoutePriority, "route-priority"),
     (Mechanism::Overdue, "overdue"),
+    (Mechanism::Reservations, "reservations"),
 ];
 
 /// No mechanism has the given name.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -17,7 +17,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use metrics::{counter, histogram};
+use metrics::{counter, gauge, histogram};
 use tokio::net::TcpListener;
 
 use crate::callers::listen::{accept_each, bind};
@@ -93,6 +93,25 @@
     histogram!("hollowsail_result_stay_seconds", "queue" => queue.to_string()).record(retained_for);
 }
 
+/// Counts a decision of the owner of a queue on a request for capacity: "reserved" or the cause
+/// of the refusal.
+pub fn count_room_decision(queue: &str, result: &'static str, urgency: u8) {
+    counter!("hollowsail_room_requests_total", "queue" => queue.to_string(), "result" => result,
+        "urgency" => urgency.to_string())
+    .increment(1);
+}
+
+/// Sets the number of reservations that the owner of a queue holds.
+pub fn set_room_reservations(queue: &str, held: usize) {
+    gauge!("hollowsail_room_reservations", "queue" => queue.to_string()).set(held as f64);
+}
+
+/// Counts a request that goes on without a reservation in a contended queue.
+pub fn count_room_fallback(queue: &str, cause: &'static str) {
+    counter!("hollowsail_room_fallbacks_total", "queue" => queue.to_string(), "cause" => cause)
+        .increment(1);
+}
+
 /// Counts the outcome of a request at one of the two versions of a roll-out.
 pub fn count_rollout_answer(service: &str, arm: Arm, outcome: Outcome) {
     let version = match arm {
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -22,6 +22,7 @@
     ProducePieceRequest, PATH,
 };
 use super::record::PeerRecord;
+use crate::reservations::ReservationClient;
 use crate::target_reports;
 use crate::traffic::Traffic;
 
@@ -60,6 +61,8 @@
     cx: Weak<Traffic>,
     pub peer: PeerRecord,
     pool: Rc<Pool>,
+    /// Reservations in the queues that the peer owns.
+    pub reservations: Rc<ReservationClient>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteOutcome>>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
@@ -114,6 +117,7 @@
         Rc::new(Link {
             cx: Rc::downgrade(cx),
             pool: Pool::new(peer.addr, rules),
+            reservations: ReservationClient::new(cx.me.id, peer.addr),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -20,6 +20,8 @@
 };
 use crate::callers::listen::accept_each;
 use crate::feed::{FeedRequest, FEED_PATH};
+use crate::mechanisms::Mechanism;
+use crate::reservations::{self, ReservationCall, RESERVATIONS_PATH};
 use crate::target_reports;
 use crate::traffic::Traffic;
 use crate::view::KnownRecords;
@@ -64,6 +66,8 @@
         STATE_PATH if is_post => state(cx, req).await,
         RECORDS_PATH if is_post => records_if_newer(cx, req).await,
         FEED_PATH if is_post => changes(cx, req).await,
+        // Without the mechanism this entry answers like a build without reservations.
+        RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
     let (status, body) = match result {
@@ -180,6 +184,15 @@
         .into())
 }
 
+/// Decides on requests for capacity in the queues that this entry owns.
+async fn reserve(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let call: ReservationCall = read(req).await?;
+    let replies = reservations::handle_call(cx, &call);
+    Ok(rmp_serde::to_vec(&replies)
+        .expect("these types always encode")
+        .into())
+}
+
 fn handle_message(cx: &Rc<Traffic>, from: &PeerRecord, message: Message) {
     match message {
         Message::ProducePiece(piece) => cx.pools.accept_piece(cx, from, *piece),
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -3,10 +3,11 @@
 //! Requests and peers submit pieces, `hollowsail-stages` batches them into calls, and
 //! [`super::call`] makes the calls. Outcomes go to the requesters ([`replies`]); results are
 //! tracked until they are released or expire ([`results`]). When the queue gets another owner,
-//! waiting pieces go there ([`hand_over`]).
+//! waiting pieces go there ([`hand_over`]). Reservations are in [`reserved`].
 
 mod hand_over;
 mod replies;
+mod reserved;
 mod results;
 mod workers;
 
@@ -24,6 +25,7 @@
 use tokio::sync::oneshot;
 
 use self::replies::Reply;
+use self::reserved::ReservationTable;
 use self::results::ResultRecord;
 use self::workers::Workers;
 use super::{call, PieceRequest, Requester};
@@ -60,6 +62,7 @@
     results: RefCell<HashMap<String, ResultRecord>>,
     /// Unfinished pieces of peers.
     peer_pieces: RefCell<HashMap<(PeerId, PieceId), PieceKey>>,
+    reservations: RefCell<ReservationTable>,
     /// Handles to release, by the worker that retains them.
     pending_releases: RefCell<HashMap<WorkerKey, Vec<String>>>,
     /// Time of the last load report to each peer.
@@ -106,6 +109,7 @@
             workers: RefCell::default(),
             results: RefCell::default(),
             peer_pieces: RefCell::default(),
+            reservations: RefCell::default(),
             pending_releases: RefCell::default(),
             load_sent: RefCell::default(),
             retention_ms: Cell::new(pool.retention.as_millis() as Millis),
@@ -172,6 +176,7 @@
 
     fn push(self: &Rc<Self>, piece_request: PieceRequest, reply: Reply) -> PieceKey {
         let now = self.now();
+        self.begin_reserved(&reply, &piece_request.piece);
         let hall = piece_request
             .hall
             .filter(|_| self.has(Mechanism::Halls))
@@ -267,7 +272,10 @@
 
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
-        queue.waiting() == 0 && queue.running() == 0 && self.results.borrow().is_empty()
+        queue.waiting() == 0
+            && queue.running() == 0
+            && self.results.borrow().is_empty()
+            && self.reservations.borrow().is_idle()
     }
 
     fn tick(self: &Rc<Self>, cx: &Rc<Traffic>) {
@@ -277,6 +285,7 @@
             self.failed(piece, PieceFailure::Late);
         }
         self.remove_expired_results(now);
+        self.sweep_reservations(cx, now);
         let overdue = match cx.has(Mechanism::Overdue) {
             true => self.queue.borrow_mut().take_overdue(now),
             false => Vec::new(),
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -25,6 +25,7 @@
     self, Link, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest, UnneededResult,
     WorkerHandover,
 };
+use crate::reservations::{ReservationReply, Reserve};
 use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
@@ -76,7 +77,7 @@
 }
 
 /// Name of the queue that a request's pieces go to.
-fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> String {
+pub fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> String {
     let targets = cx.target_count(service);
     TargetGroup::for_key(targets, MAX_QUEUE_TARGETS, request_id).name(service)
 }
@@ -87,7 +88,8 @@
     group.targets(&in_use, MAX_QUEUE_TARGETS)
 }
 
-fn owner_of(cx: &Rc<Traffic>, queue: &str) -> Owner {
+/// The entry that owns a queue.
+pub fn owner_of(cx: &Rc<Traffic>, queue: &str) -> Owner {
     match cx.has(Mechanism::SharedQueues) {
         true => cx.peers.owner_of(cx, queue),
         false => Owner::Me,
@@ -188,6 +190,7 @@
         let key = deployment.service_named(service)?;
         let pool = deployment.service(key).stage_pool.as_ref()?;
         let batcher = Batcher::new(cx, name, pool);
+        batcher.set_order(cx.reservations.queue_order(cx, &deployment, key));
         batcher.update_targets(cx, &queue_targets(cx, service, group));
         let mut batchers = self.batchers.borrow_mut();
         batchers.insert(name.to_string(), batcher.clone());
@@ -223,6 +226,32 @@
         batcher.accept_from_peer(link, request.id, piece_request);
     }
 
+    /// Decides on an entry's request for capacity in a queue.
+    pub fn reserve(
+        &self,
+        cx: &Rc<Traffic>,
+        from: PeerId,
+        request: &Reserve,
+        weight: f64,
+    ) -> ReservationReply {
+        if matches!(owner_of(cx, &request.queue), Owner::Peer(_)) {
+            return ReservationReply::NotOwner;
+        }
+        match self.batcher(cx, &request.queue) {
+            Some(batcher) => batcher.reserve(cx, from, request, weight),
+            // The service isn't, or is no longer, in this entry's configuration.
+            None => ReservationReply::NotOwner,
+        }
+    }
+
+    /// Cancels what is left of a reservation.
+    pub fn cancel_reservation(&self, queue: &str, from: PeerId, request_id: &str) {
+        let batcher = self.batchers.borrow().get(queue).cloned();
+        if let Some(batcher) = batcher {
+            batcher.cancel_reservation(from, request_id);
+        }
+    }
+
     /// Cancels a peer's piece, or releases its result if the piece is complete.
     pub fn cancel_piece(&self, from: PeerId, id: PieceId) {
         let all = self.all();
@@ -292,11 +321,12 @@
             let Some((service, group)) = parsed.filter(|(service, _)| is_affected(service)) else {
                 continue;
             };
-            let pool = deployment
-                .service_named(service)
-                .and_then(|key| deployment.service(key).stage_pool);
-            if let Some(pool) = &pool {
+            let key = deployment.service_named(service);
+            let pool =
+                key.and_then(|key| Some((key, deployment.service(key).stage_pool.as_ref()?)));
+            if let Some((key, pool)) = pool {
                 batcher.set_rules(pool);
+                batcher.set_order(cx.reservations.queue_order(cx, &deployment, key));
             }
             batcher.update_targets(cx, &queue_targets(cx, service, group));
         }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -107,16 +107,25 @@
     }
 
     /// Time at which its stages are cancelled. Early enough for the caller to receive the
-    /// refusal and to retry.
-    pub fn stage_deadline(&self) -> BootInstant {
+    /// refusal and to retry. A request with reserved capacity isn't cancelled before its target
+    /// latency, because it is expected to be in time.
+    pub fn stage_deadline(&self, is_reserved: bool) -> BootInstant {
         let until_answer = self.answer_deadline() - self.arrived;
         let total = self.deadline - self.arrived;
-        let max_time = until_answer
-            .mul_f64(EVENT_TIMEOUT_SHARE)
-            .min(total.mul_f64(STAGE_TIME_SHARE));
+        let share = total.mul_f64(STAGE_TIME_SHARE);
+        let stage_time = match is_reserved {
+            true => share.max(self.route().target_latency),
+            false => share,
+        };
+        let max_time = until_answer.mul_f64(EVENT_TIMEOUT_SHARE).min(stage_time);
         self.arrived + max_time
     }
 
+    /// Number of pieces of a stage; 0 where the request gives none.
+    pub fn pieces_of(&self, stage: usize) -> u32 {
+        self.caller.pieces.get(stage).copied().unwrap_or(0)
+    }
+
     /// Time by which a stream that was interrupted just now has to be resumed.
     pub fn resume_deadline(&self) -> BootInstant {
         let now = BootInstant::now();
--- a/crates/gateway/src/request/forecast.rs
+++ b/crates/gateway/src/request/forecast.rs
@@ -18,6 +18,7 @@
 use super::prepare::FIRST_EVENT_MS;
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
+use crate::reservations::ReservedRoom;
 use crate::traffic::Traffic;
 
 /// How long before the target latency a request has to be forecast to end, because more urgent
@@ -33,16 +34,19 @@
     ahead: 0.0,
 };
 
-/// Refuses a request that is forecast to miss its target latency.
-pub fn check(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
+/// Refuses a request that is forecast to miss its target latency. Stages with reserved capacity
+/// don't wait.
+pub fn check(cx: &Rc<Traffic>, admitted: &Admitted, room: &ReservedRoom) -> Result<(), Refusal> {
     if !cx.has(Mechanism::Forecast) {
         return Ok(());
     }
     let stages = &admitted.route().stages;
-    let demands = stages
-        .iter()
-        .enumerate()
-        .map(|(index, stage)| (stage.after.as_slice(), stage_demand(cx, admitted, index)));
+    let demands = stages.iter().enumerate().map(|(index, stage)| {
+        (
+            stage.after.as_slice(),
+            stage_demand(cx, admitted, room, index),
+        )
+    });
     let mut demands = critical_path(demands);
     let has_backlog = |demand: &StageDemand| demand.load.wait_ms(demand.expected.typical_ms) > 0.0;
     if !demands.iter().any(has_backlog) {
@@ -62,9 +66,14 @@
     }
 }
 
+/// Longest Retry-After that the caller honours.
+pub fn max_return(admitted: &Admitted) -> Duration {
+    admitted.remaining().mul_f64(MAX_RETRY_AFTER_SHARE)
+}
+
 /// Estimated delay until the backlog is short enough, within the caller's maximum.
 fn retry_after(admitted: &Admitted, overdue: Duration) -> Duration {
-    let max_delay = admitted.remaining().mul_f64(MAX_RETRY_AFTER_SHARE);
+    let max_delay = max_return(admitted);
     let spread = rand::rng().random_range(1.0..1.5);
     (overdue + MIN_RETRY_AFTER)
         .mul_f64(spread)
@@ -85,8 +94,13 @@
 }
 
 /// Demand and backlog of a stage; `None` when the request skips it or it has no pool.
-fn stage_demand(cx: &Rc<Traffic>, admitted: &Admitted, index: usize) -> Option<StageDemand> {
-    let pieces = admitted.caller.pieces.get(index).copied().unwrap_or(0);
+fn stage_demand(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    room: &ReservedRoom,
+    index: usize,
+) -> Option<StageDemand> {
+    let pieces = admitted.pieces_of(index);
     if pieces == 0 {
         return None;
     }
@@ -98,6 +112,7 @@
     let load = cx
         .pools
         .load(cx, &service.name, &admitted.caller.request_id)
+        .filter(|_| !room.has(index))
         .map(|load| ServiceLoad {
             slots: f64::from(load.slots),
             ahead: f64::from(load.ahead_of(admitted.urgency) + pieces - 1),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! Serves one request from its headers to the end of its answer.
 //!
-//! [`admit`] reads it; [`unservable`] and [`forecast`] refuse it if it can't be served, or not in
-//! time; [`prepare`] runs its stages; [`dispatch`] sends it to targets. [`relay`] passes on short
+//! [`admit`] reads it; [`unservable`], [`crate::reservations`] and [`forecast`] refuse it if it
+//! can't be served, or not in time; [`prepare`] runs its stages; [`dispatch`] sends it to targets. [`relay`] passes on short
 //! answers and [`stream`] event streams. A request without a target's answer ends in a [`Refusal`].
 
 mod admit;
@@ -27,9 +27,12 @@
 
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
+use crate::reservations;
 use crate::traffic::Traffic;
 
 pub use admit::Admitted;
+pub use forecast::max_return;
+pub use prepare::{stage_due, stage_graph};
 
 /// Maximum number of times that the stages are run again because the engine no longer has their
 /// results.
@@ -132,11 +135,13 @@
     pending: &mut PendingAnswer,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     unservable::check(cx, admitted)?;
-    forecast::check(cx, admitted)?;
+    let room = reservations::reserve(cx, admitted).await?;
+    forecast::check(cx, admitted, &room)?;
+    let stage_deadline = admitted.stage_deadline(room.is_complete(&admitted.caller.pieces));
     let mut stage_reruns = 0;
     loop {
         pending.phase = "stages";
-        let prepared = prepare::run(cx, admitted, admitted.stage_deadline()).await?;
+        let prepared = prepare::run(cx, admitted, &room, stage_deadline).await?;
         pending.phase = "target";
         stats.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
         match dispatch::run(cx, admitted, prepared, stats).await {
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -12,6 +12,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::Stage;
+use hollowsail_routing::Millis;
 use hollowsail_stages::{StageGraph, StageSpec};
 
 use self::stage_run::StageRun;
@@ -19,6 +20,7 @@
 use super::choose;
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
+use crate::reservations::{times, ReservedRoom};
 use crate::traffic::Traffic;
 
 pub use self::prepared::Prepared;
@@ -33,6 +35,7 @@
 pub async fn run(
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
+    room: &ReservedRoom,
     deadline: BootInstant,
 ) -> Result<Prepared, Refusal> {
     let stages = &admitted.route().stages;
@@ -44,9 +47,10 @@
     let run = StageRun {
         cx,
         admitted,
+        room,
         deadline,
         stages,
-        graph: graph(cx, sizes(stages, pieces)),
+        graph: stage_graph(cx, admitted),
         retained: HashMap::new(),
         home_hall,
         failed_pieces: 0,
@@ -65,14 +69,39 @@
     }
 }
 
-fn graph(cx: &Traffic, sizes: Vec<StageSpec>) -> StageGraph {
-    let graph = StageGraph::new(sizes);
+/// The stages of a request, none of them started.
+pub fn stage_graph(cx: &Traffic, admitted: &Admitted) -> StageGraph {
+    let graph = StageGraph::new(sizes(&admitted.route().stages, &admitted.caller.pieces));
     match cx.has(Mechanism::JointFinals) {
         true => graph,
         false => graph.with_independent_final_stages(),
     }
 }
 
+/// Time by which the results of a stage are due if its capacity is reserved: in time for the
+/// later stages and the prefill.
+pub fn stage_due(cx: &Traffic, admitted: &Admitted, graph: &StageGraph, stage: usize) -> Millis {
+    let stages = &admitted.route().stages;
+    let later_ms = times::later_stages_ms(&admitted.deployment, stages, graph, stage);
+    let reserve = prefill_ms(cx, admitted) + later_ms;
+    cx.clock.millis_at(admitted.due()).saturating_sub(reserve)
+}
+
+/// Time reserved for prefill, in milliseconds. Capped at half of the target latency, so that
+/// pieces of long prompts are not overdue from the start.
+fn prefill_ms(cx: &Traffic, admitted: &Admitted) -> Millis {
+    let max_time = admitted.route().target_latency / 2;
+    let Some((service, _)) = admitted.route().services.first() else {
+        return 0;
+    };
+    if !cx.has(Mechanism::PrefillTimes) {
+        return FIRST_EVENT_MS;
+    }
+    let unshared_tokens = admitted.unshared_tokens();
+    let expected = cx.prefill_time(&admitted.deployment, *service, unshared_tokens);
+    expected.min(max_time).as_millis() as Millis
+}
+
 /// Total bytes of a request's large results.
 fn large_bytes(stages: &[Stage], pieces: &[u32]) -> u64 {
     stages
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -11,14 +11,15 @@
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceIndex, StageGraph};
 
-use super::{Prepared, FIRST_EVENT_MS, LARGE_RESULT_BYTES};
+use super::{prefill_ms, stage_due, Prepared, LARGE_RESULT_BYTES};
 use crate::answer::Refusal;
-use crate::mechanisms::Mechanism;
 use crate::pools::{PieceOutcome, PieceRequest, RetainedResult};
 use crate::request::admit::Admitted;
 use crate::request::unservable;
+use crate::reservations::ReservedRoom;
 use crate::traffic::Traffic;
 
 /// Maximum number of failed pieces of a request after which lost inputs are still reproduced.
@@ -32,6 +33,8 @@
 pub(super) struct StageRun<'a> {
     pub cx: &'a Rc<Traffic>,
     pub admitted: &'a Rc<Admitted>,
+    /// Capacity reserved for the stages.
+    pub room: &'a ReservedRoom,
     /// Time at which the stages are cancelled.
     pub deadline: BootInstant,
     pub stages: &'a [Stage],
@@ -49,6 +52,7 @@
         let mut running = FuturesUnordered::new();
         loop {
             for index in self.graph.start_ready() {
+                self.room.begin(index.stage);
                 running.push(produce(
                     self.cx,
                     self.admitted,
@@ -74,15 +78,11 @@
     /// The request to the pools for a piece.
     fn piece_request(&self, index: PieceIndex) -> PieceRequest {
         let clock = &self.cx.clock;
-        let reserve = self.prefill_ms()
-            + self
-                .graph
-                .critical_path_ms_after(index.stage, &|later| self.stage_ms(later));
         PieceRequest {
             piece: self.piece(index),
             request: self.admitted.digest(),
             priority: self.admitted.urgency,
-            due: clock.millis_at(self.admitted.due()).saturating_sub(reserve),
+            due: self.due(index.stage),
             expires: clock.millis_at(self.deadline).saturating_sub(
                 self.graph
                     .critical_path_ms_after(index.stage, &|_| MIN_STAGE_MS),
@@ -94,25 +94,19 @@
         }
     }
 
-    /// Time reserved for prefill, in milliseconds. Capped at half of the target latency, so that
-    /// pieces of long prompts are not overdue from the start.
-    fn prefill_ms(&self) -> u64 {
-        let admitted = self.admitted;
-        let max_time = admitted.route().target_latency / 2;
-        let Some((service, _)) = admitted.route().services.first() else {
-            return 0;
-        };
-        if !self.cx.has(Mechanism::PrefillTimes) {
-            return FIRST_EVENT_MS;
+    /// Time by which the results of a stage are due; the owner reserved for the same time.
+    fn due(&self, stage: usize) -> Millis {
+        if self.room.has(stage) {
+            return stage_due(self.cx, self.admitted, &self.graph, stage);
         }
-        let unshared_tokens = admitted.unshared_tokens();
-        let expected = self
-            .cx
-            .prefill_time(&admitted.deployment, *service, unshared_tokens);
-        expected.min(max_time).as_millis() as u64
+        let later_ms = |later| self.stage_ms(later);
+        let reserve = prefill_ms(self.cx, self.admitted)
+            + self.graph.critical_path_ms_after(stage, &later_ms);
+        let due = self.cx.clock.millis_at(self.admitted.due());
+        due.saturating_sub(reserve)
     }
 
-    /// Expected time of a stage, in milliseconds.
+    /// Expected time of a stage without a reservation, in milliseconds.
     fn stage_ms(&self, stage: usize) -> u64 {
         let service = self.admitted.deployment.service(self.stages[stage].service);
         service.stage_pool.as_ref().map_or(0, |pool| {
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -24,6 +24,7 @@
 use super::{dispatch, retry};
 use crate::answer::{AnswerStream, BodyFault, Refusal};
 use crate::mechanisms::Mechanism;
+use crate::reservations::ReservedRoom;
 use crate::traffic::Traffic;
 
 /// Extra time after the deadline in which the rest of a stream is still relayed.
@@ -176,7 +177,14 @@
         let after = after.map(str::to_string);
         let prepared = match self.prepared.take() {
             Some(prepared) => prepared,
-            None => match prepare::run(cx, admitted, admitted.resume_deadline()).await {
+            None => match prepare::run(
+                cx,
+                admitted,
+                &ReservedRoom::none(cx, admitted),
+                admitted.resume_deadline(),
+            )
+            .await
+            {
                 Ok(prepared) => prepared,
                 Err(refusal) => return self.log_not_resumed(&refusal),
             },
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -24,6 +24,7 @@
 use crate::peers::{PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
+use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::view::{Published, Targets, View};
 
@@ -89,6 +90,7 @@
     pub placements: Placements,
     pub crashes: Crashes,
     pub rollouts: Rollouts,
+    pub reservations: Reservations,
     /// Throttles broadcasts of targets' limits.
     pub limit_broadcasts: Throttle<Incarnation>,
     /// Throttles log lines on unusable headers, by target id and header.
@@ -135,6 +137,7 @@
                 pools: Pools::default(),
                 placements: Placements::default(),
                 crashes,
+                reservations: Reservations::default(),
                 rollouts: Rollouts::new(phases),
                 header_log: RefCell::new(LogThrottle::new(HEADER_LOG_INTERVAL_MS)),
                 limit_broadcasts: Throttle::new(LIMIT_BROADCAST_INTERVAL_MS),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -66,6 +66,9 @@
     TARGET_LIMIT, 220, "target_limit", Info, "A target set, changed or removed its limit on requests per second from all entries together.";
     TARGET_WORD_UNREADABLE, 221, "target_word_unreadable", Warn, "A target's answer contains a malformed report header; the previous report stays in use.";
     TARGET_WORD_UNKNOWN, 222, "target_word_unknown", Warn, "A target's answer contains a report header that this build does not recognise; it is passed on and otherwise ignored.";
+    ROOM_REFUSED, 230, "room_refused", Info, "The owner of a contended queue refused a request for capacity; nothing of the request runs.";
+    ROOM_BY_FLOW, 231, "room_by_flow", Info, "Offered rate, entitlement and reservations of each flow of a queue that refused requests.";
+    ROOM_WEIGHT, 232, "room_weight", Warn, "A weight of an organisation is zero or not finite; the smallest weight is used.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
