Test reservations between entries and round Retry-After up

Cause: Retry-After has two decimals of a second. Rounded down, a caller that returns on time is up to 9 ms early, and is refused again as too early.

Change: the entry rounds the time up to 10 ms. The tests have a scripted owner that refuses, is silent, or answers 404 like the previous build; they also cover cancellation, malformed messages, `--without reservations` and which services are contended.

Not tested yet: the decision of a real owner over capacity, since the queue still accepts every request.

--- a/crates/gateway/src/pools/batcher/reserved.rs
+++ b/crates/gateway/src/pools/batcher/reserved.rs
@@ -91,7 +91,7 @@
         let held = HeldReservation {
             key,
             stages: stages.map(|stage| (stage.stage, stage.pieces)).collect(),
-            until: now + longest_due(request),
+            until: now.saturating_add(longest_due(request)),
         };
         let mut reservations = self.reservations.borrow_mut();
         let id = (from, request.request_id.clone());
@@ -223,8 +223,8 @@
     let stages = request.stages.iter().map(|stage| StageRoom {
         pieces: stage.pieces,
         result_bytes: stage.result_bytes,
-        ready: now + stage.ready_in_ms,
-        due: now + stage.due_in_ms,
+        ready: now.saturating_add(stage.ready_in_ms),
+        due: now.saturating_add(stage.due_in_ms),
     });
     RoomRequest {
         flow: Flow {
--- a/crates/gateway/src/reservations/entry.rs
+++ b/crates/gateway/src/reservations/entry.rs
@@ -30,6 +30,9 @@
 
 /// Number of times that an owner is asked: views of the fleet may differ for a moment.
 const MAX_ASKS: u32 = 2;
+/// Step of Retry-After in milliseconds: the header has two decimals of a second. It is rounded
+/// up, because a caller that returns too early is refused again.
+const RETRY_AFTER_STEP_MS: Millis = 10;
 /// Weight of every organisation; the platform's configuration has none yet.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
@@ -259,6 +262,7 @@
         RefusalCause::TooEarly => "sent again before its Retry-After".to_string(),
     };
     let detail = format!("no room in service {service}: {cause} (queue {queue})");
-    Refusal::new(ErrorKind::CannotFinish, detail)
-        .with_retry_after(Duration::from_millis(refused.retry_after_ms))
+    let steps = refused.retry_after_ms.div_ceil(RETRY_AFTER_STEP_MS);
+    let retry_after = Duration::from_millis(steps.saturating_mul(RETRY_AFTER_STEP_MS));
+    Refusal::new(ErrorKind::CannotFinish, detail).with_retry_after(retry_after)
 }
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -139,7 +139,12 @@
 
 /// Starts a gateway with some settings and waits until it is ready.
 pub async fn gateway_at(settings: Settings) -> Running {
-    let running = start(settings, Mechanisms::default())
+    gateway_with(settings, Mechanisms::default()).await
+}
+
+/// Starts a gateway with some mechanisms and waits until it is ready.
+pub async fn gateway_with(settings: Settings, mechanisms: Mechanisms) -> Running {
+    let running = start(settings, mechanisms)
         .await
         .expect("the gateway starts");
     let until = Instant::now() + WAIT_TIMEOUT;
@@ -150,6 +155,13 @@
     running
 }
 
+/// Text of a gateway's metrics. All gateways of a test process share them.
+pub async fn scrape(gateway: &Running) -> String {
+    let addr = gateway.addrs.metrics.expect("metrics are enabled");
+    let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    String::from_utf8(exchange(addr, scrape).await).expect("metrics are UTF-8")
+}
+
 /// Status of the readiness check.
 pub async fn ready_status(addr: SocketAddr) -> u16 {
     let bytes = exchange(
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod mechanisms;
 mod metrics;
 mod regions;
+mod reservations;
 mod rollouts;
 mod sharing;
 mod stages;
--- a/crates/gateway/tests/suite/metrics.rs
+++ b/crates/gateway/tests/suite/metrics.rs
@@ -3,7 +3,7 @@
 use hollowsail_platform_standins::target::{answer, limited};
 use hollowsail_platform_standins::{ReceivedRequest, Step};
 
-use crate::fixture::{exchange, plain_deployment, Call, Fixture};
+use crate::fixture::{plain_deployment, scrape, Call, Fixture};
 
 /// Guards against failing a request when a target sends malformed or unrecognised headers;
 /// operators see them in a counter.
@@ -16,26 +16,20 @@
     let (fixture, _target) =
         Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
-    let text = scrape(&fixture).await;
+    let text = scrape(&fixture.gateway).await;
     for header in ["limit", "server-mood"] {
         let counter = format!("hollowsail_odd_words_total{{word=\"{header}\"}}");
         assert!(text.contains(&counter), "{counter} is missing from\n{text}");
     }
 }
 
-async fn scrape(fixture: &Fixture) -> String {
-    let addr = fixture.gateway.addrs.metrics.expect("metrics are enabled");
-    let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
-    String::from_utf8(exchange(addr, scrape).await).expect("metrics are UTF-8")
-}
-
 #[actix_rt::test]
 async fn counters_and_histograms_are_scraped() {
     let script = |request: &ReceivedRequest| vec![Step::Write(answer(request, 200, "ok"))];
     let (fixture, _target) =
         Fixture::serving(&plain_deployment(1, "/safe/"), "plain", script).await;
     assert_eq!(fixture.call(&Call::new("GET", "/safe/")).await.status, 200);
-    let text = scrape(&fixture).await;
+    let text = scrape(&fixture.gateway).await;
     for name in [
         "hollowsail_requests_total",
         "hollowsail_request_seconds_bucket",
--- /dev/null
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -0,0 +1,441 @@
+//! Reservations of capacity in stage services that routes of different priority share.
+//!
+//! The scripted owner is a stand-in with the record of a large host, so that it owns every
+//! queue until a gateway suspects it.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::{Mutex, Once};
+use std::time::{Duration, Instant};
+
+use hollowsail_gateway::{contended_services, Mechanisms, Running};
+use hollowsail_platform::deployment::Deployment;
+use hollowsail_platform_standins::target::{answer, results};
+use hollowsail_platform_standins::{
+    DeploymentJson, ReceivedRequest, Step, StoreStandin, TargetStandin,
+};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::fixture::{
+    eventually, exchange, gateway_with, put_entry_record, scrape, settings, single_event_stream,
+    stage_runs, Call,
+};
+
+const RESERVATIONS_PATH: &str = "/hollowsail/reservations";
+/// Far above the capacity of the gateways, which own nothing beside it.
+const LARGE_CAPACITY: u32 = 10_000_000;
+const RUN_OF_SCRIPTED_OWNER: u64 = 77;
+
+/// The messages as they are encoded.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct ReservationCall(u64, Vec<Message>);
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Message {
+    Reserve(Reserve),
+    Cancel(String, String),
+}
+
+/// Queue, request id, digest, urgency, organisation, weight, longest Retry-After, stages.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Reserve(String, String, [u8; 16], u8, u64, f64, u64, Vec<Stage>);
+
+/// Stage, pieces, bytes of a result, and times until it is ready and due.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Stage(u16, u32, u64, u64, u64);
+
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+enum Reply {
+    Reserved,
+    Refused(u64, &'static str),
+}
+
+/// A deployment whose two routes share stage services named after the test, as metrics are
+/// shared between tests.
+fn deployment(name: &str) -> DeploymentJson {
+    let stages = json!([
+        { "service": format!("{name}-first"), "after": [], "bytes": 1000 },
+        { "service": format!("{name}-second"), "after": [0], "bytes": 500 },
+    ]);
+    let route = |priority: u8| {
+        json!({ "stages": stages, "priority": priority, "target_latency_ms": 2000,
+            "timeout_ms": 6000 })
+    };
+    DeploymentJson::new(1)
+        .engines("engines")
+        .stage_service(&format!("{name}-first"), 2, 300.0, 10.0)
+        .stage_service(&format!("{name}-second"), 2, 20.0, 10.0)
+        .organisation("acme", &["acme-key"])
+        .route("/urgent/", "stream", "engines", route(0))
+        .route("/later/", "stream", "engines", route(3))
+}
+
+fn request(path: &str, number: usize) -> Call {
+    Call::new("POST", path)
+        .with("X-Request-Id", &format!("{number:016x}"))
+        .with("X-Deadline-Ms", "6000")
+        .with("Authorization", "Bearer acme-key")
+        .with("X-Token-Counts", "100,10")
+        .with("X-Prompt-Prefix", "aa:60,bb:40")
+        .with("X-Pieces", "1,1")
+        .with("X-Piece-Key", "the-key")
+        .body(&format!("prompt {number}"))
+}
+
+/// A store with a deployment, one worker for each stage service, and an engine.
+struct Platform {
+    name: &'static str,
+    store: StoreStandin,
+    first: TargetStandin,
+    _second: TargetStandin,
+    _engine: TargetStandin,
+}
+
+impl Platform {
+    async fn start(name: &'static str, first_takes: Duration) -> Self {
+        let store = StoreStandin::start().await;
+        store.put("op/config", &deployment(name).bytes());
+        let worker = |takes: Duration| {
+            move |request: &ReceivedRequest| {
+                let takes = match request.path.as_str() {
+                    "/-/stage-run" => takes,
+                    _ => Duration::ZERO,
+                };
+                vec![Step::Wait(takes), Step::Write(results(request, "worker"))]
+            }
+        };
+        let first = TargetStandin::start(worker(first_takes)).await;
+        let second = TargetStandin::start(worker(Duration::from_millis(20))).await;
+        let engine = TargetStandin::start(single_event_stream).await;
+        let targets = [
+            ("i-first", format!("{name}-first"), &first),
+            ("i-second", format!("{name}-second"), &second),
+            ("i-engine", "engines".to_string(), &engine),
+        ];
+        for (id, service, target) in targets {
+            store.put_target(id, &service, target.addr, "hall-a", "ready");
+        }
+        Platform {
+            name,
+            store,
+            first,
+            _second: second,
+            _engine: engine,
+        }
+    }
+
+    /// Has an owner that gives `reply` to reservations and accepts no messages.
+    async fn with_owner(
+        &self,
+        reply: impl Fn(&ReceivedRequest) -> Vec<Step> + 'static,
+    ) -> TargetStandin {
+        self.with_owner_of(move |request| match request.path.as_str() {
+            RESERVATIONS_PATH => reply(request),
+            _ => vec![Step::Close],
+        })
+        .await
+    }
+
+    /// Has an owner with a script for all that it receives.
+    async fn with_owner_of(
+        &self,
+        script: impl Fn(&ReceivedRequest) -> Vec<Step> + 'static,
+    ) -> TargetStandin {
+        let owner = TargetStandin::start(script).await;
+        let record = (
+            RUN_OF_SCRIPTED_OWNER,
+            "owner".to_string(),
+            owner.addr,
+            "hall-a".to_string(),
+            LARGE_CAPACITY,
+        );
+        put_entry_record(&self.store, &record);
+        owner
+    }
+
+    /// Starts a gateway and waits until it uses owners and targets.
+    async fn gateway(&self, mechanisms: Mechanisms) -> Running {
+        let settings = settings("host-1", "hall-a", self.store.addr);
+        let gateway = gateway_with(settings, mechanisms).await;
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        gateway
+    }
+}
+
+/// A reply to each Reserve of a call.
+fn replies(replies: &[Reply]) -> Vec<Step> {
+    let body = rmp_serde::to_vec(replies).expect("replies always encode");
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    vec![Step::Write([head.into_bytes(), body].concat())]
+}
+
+/// Messages that the scripted owner received on reservations.
+fn messages(owner: &TargetStandin) -> Vec<Message> {
+    let calls = owner.received().into_iter();
+    let calls = calls.filter(|request| request.path == RESERVATIONS_PATH);
+    calls
+        .flat_map(|request| {
+            let call: ReservationCall = rmp_serde::from_slice(&request.body).expect("a call");
+            call.1
+        })
+        .collect()
+}
+
+async fn post(addr: SocketAddr, body: &[u8]) -> String {
+    let head = format!(
+        "POST {RESERVATIONS_PATH} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    let answer = exchange(addr, &[head.as_bytes(), body].concat()).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Waits until a metric has a value.
+async fn wait_for_metric(gateway: &Running, line: &str) {
+    let until = Instant::now() + Duration::from_secs(5);
+    while !scrape(gateway).await.lines().any(|known| known == line) {
+        assert!(Instant::now() < until, "timed out: {line}");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Log lines of the test process, from the first call on.
+fn logged() -> &'static Mutex<Vec<String>> {
+    struct Capture;
+    impl log::Log for Capture {
+        fn enabled(&self, _: &log::Metadata<'_>) -> bool {
+            true
+        }
+        fn log(&self, record: &log::Record<'_>) {
+            let line = record.args().to_string();
+            LINES.lock().expect("no test panics here").push(line);
+        }
+        fn flush(&self) {}
+    }
+    static LINES: Mutex<Vec<String>> = Mutex::new(Vec::new());
+    static INSTALL: Once = Once::new();
+    INSTALL.call_once(|| {
+        log::set_logger(&Capture).expect("no other logger is installed");
+        log::set_max_level(log::LevelFilter::Info);
+    });
+    &LINES
+}
+
+/// Guards against reservations for services without competition, and against missing one.
+#[test]
+fn services_with_different_priorities_are_contended() {
+    let contended = |deployment: DeploymentJson| {
+        let deployment = Deployment::decode(&deployment.bytes()).expect("it is valid");
+        let services = contended_services(&deployment);
+        let names = services
+            .iter()
+            .map(|key| deployment.service(*key).name.clone());
+        names.collect::<HashSet<String>>()
+    };
+    let uses = |service: &str, priority: u8, public: bool| {
+        let stages = json!([{ "service": service, "after": [], "bytes": 1000 }]);
+        json!({ "stages": stages, "priority": priority, "public": public })
+    };
+    let services = || {
+        DeploymentJson::new(1)
+            .engines("engines")
+            .stage_service("a", 2, 20.0, 10.0)
+            .stage_service("b", 2, 20.0, 10.0)
+    };
+    let same = services()
+        .route("/1/", "stream", "engines", uses("a", 1, false))
+        .route("/2/", "stream", "engines", uses("a", 1, false))
+        .route("/3/", "stream", "engines", uses("b", 2, false));
+    assert_eq!(contended(same.clone()), HashSet::new());
+    let routes_differ = same
+        .clone()
+        .route("/4/", "stream", "engines", uses("a", 0, false));
+    assert_eq!(contended(routes_differ), HashSet::from(["a".to_string()]));
+    let equal = same
+        .clone()
+        .organisation("x", &["x"])
+        .organisation("y", &["y"]);
+    assert_eq!(contended(equal), HashSet::new());
+    let organisations_differ = |public: bool| {
+        services()
+            .organisation("x", &["x"])
+            .organisation_with_priority("y", "y", 2)
+            .route("/1/", "stream", "engines", uses("a", 1, public))
+    };
+    assert_eq!(
+        contended(organisations_differ(false)),
+        HashSet::from(["a".to_string()])
+    );
+    assert_eq!(contended(organisations_differ(true)), HashSet::new());
+}
+
+/// Guards against work for a request that an owner refused, and against reservations that are
+/// left behind at the other owners.
+#[actix_rt::test]
+async fn refusal_by_one_owner_cancels_the_others() {
+    let platform = Platform::start("refusing", Duration::ZERO).await;
+    let owner = platform
+        .with_owner(|_| replies(&[Reply::Reserved, Reply::Refused(731, "OverShare")]))
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let got = request("/later/", 1).send(gateway.addrs.callers).await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert_eq!(got.header("retry-after"), Some("0.74"), "rounded up");
+    let detail = "no room in service refusing-second: over the share of organisation acme";
+    assert!(got.body.contains(detail), "{got:?}");
+    eventually("the other reservation is cancelled", || {
+        let received = messages(&owner);
+        received.iter().any(
+            |message| matches!(message, Message::Cancel(queue, _) if queue == "refusing-first/0"),
+        )
+    })
+    .await;
+    assert!(stage_runs(&platform.first).is_empty());
+    let reserves = messages(&owner)
+        .into_iter()
+        .filter_map(|message| match message {
+            Message::Reserve(reserve) => Some(reserve),
+            Message::Cancel(..) => None,
+        });
+    let reserves: Vec<Reserve> = reserves.collect();
+    assert_eq!(reserves.len(), 2, "one for each queue");
+    let [first, second] = [&reserves[0].7[0], &reserves[1].7[0]];
+    assert!(first.3 == 0 && second.3 > 0, "ready: {reserves:?}");
+    assert!(first.4 < second.4, "due: {reserves:?}");
+}
+
+/// Checks that a request goes on without a reservation when its owner gives `reply`.
+async fn check_fallback(
+    name: &'static str,
+    cause: &str,
+    reply: impl Fn(&ReceivedRequest) -> Vec<Step> + 'static,
+) {
+    let platform = Platform::start(name, Duration::ZERO).await;
+    let owner = platform.with_owner(reply).await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let got = request("/later/", 1).send(gateway.addrs.callers).await;
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    assert!(!messages(&owner).is_empty(), "the owner was asked");
+    let counter = "hollowsail_room_fallbacks_total";
+    let line = format!("{counter}{{queue=\"{name}-first/0\",cause=\"{cause}\"}} 1");
+    wait_for_metric(&gateway, &line).await;
+}
+
+/// Guards against requests that wait for, or fail with, an owner that doesn't answer.
+#[actix_rt::test]
+async fn silent_owner_leaves_the_queue_to_the_forecast() {
+    let silent = |_: &ReceivedRequest| vec![Step::Wait(Duration::from_secs(5))];
+    check_fallback("silent", "silent", silent).await;
+}
+
+/// Guards against requests that fail while entries of the previous build own queues.
+#[actix_rt::test]
+async fn owner_without_reservations_leaves_the_queue_to_the_forecast() {
+    let previous_build = |request: &ReceivedRequest| vec![Step::Write(answer(request, 404, ""))];
+    check_fallback("previous", "unsupported", previous_build).await;
+}
+
+/// Guards against a round trip for each request while entries of the previous build own queues.
+#[actix_rt::test]
+async fn owner_without_reservations_is_asked_once() {
+    let platform = Platform::start("once", Duration::ZERO).await;
+    let owner = platform
+        .with_owner_of(|request| {
+            // It accepts pieces and doesn't produce them.
+            let status = match request.path.as_str() {
+                RESERVATIONS_PATH => 404,
+                _ => 204,
+            };
+            vec![Step::Write(answer(request, status, ""))]
+        })
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    for number in 0..2 {
+        let call = request("/later/", number).with("X-Deadline-Ms", "400");
+        let got = call.send(gateway.addrs.callers).await;
+        assert_eq!(got.status, 503, "{got:?}");
+    }
+    let received = owner.received();
+    let is_call = |request: &&ReceivedRequest| request.path == RESERVATIONS_PATH;
+    assert_eq!(received.iter().filter(is_call).count(), 1);
+}
+
+/// Guards against a change of behaviour where operators turned reservations off.
+#[actix_rt::test]
+async fn without_reservations_no_owner_is_asked() {
+    let platform = Platform::start("without", Duration::ZERO).await;
+    let owner = platform
+        .with_owner(|_| replies(&[Reply::Refused(500, "Full"); 2]))
+        .await;
+    let mechanisms = Mechanisms::without(&["reservations".into()]).expect("the name is known");
+    let gateway = platform.gateway(mechanisms).await;
+    let got = request("/later/", 1).send(gateway.addrs.callers).await;
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    assert!(messages(&owner).is_empty());
+    let answer = post(gateway.addrs.peers, &[]).await;
+    assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
+}
+
+/// Guards against capacity that stays reserved for requests whose callers disconnected.
+#[actix_rt::test]
+async fn cancelled_request_gives_its_room_back() {
+    let platform = Platform::start("cancelled", Duration::from_millis(1500)).await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let caller = request("/later/", 1).begin(gateway.addrs.callers).await;
+    eventually("the first stage runs", || {
+        !stage_runs(&platform.first).is_empty()
+    })
+    .await;
+    let held = format!(
+        "hollowsail_room_reservations{{queue=\"{}-second/0\"}}",
+        platform.name
+    );
+    wait_for_metric(&gateway, &format!("{held} 1")).await;
+    drop(caller);
+    wait_for_metric(&gateway, &format!("{held} 0")).await;
+}
+
+/// Guards against an owner that keeps what a peer cancelled, and one that a malformed message
+/// stops.
+#[actix_rt::test]
+async fn owner_serves_peers_and_rejects_malformed_messages() {
+    let lines = logged();
+    let platform = Platform::start("serving", Duration::ZERO).await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let answer = post(gateway.addrs.peers, b"\xc1 is no message").await;
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    let is_logged = |text: &str| {
+        let lines = lines.lock().expect("no test panics here");
+        lines.iter().any(|line| line.contains(text))
+    };
+    assert!(is_logged("cannot decode a peer's message"));
+
+    let (queue, id) = ("serving-first/0".to_string(), "the-id".to_string());
+    let stages = vec![Stage(0, 1, 1000, 0, 60_000)];
+    let weight = 0.0;
+    let reserve = Reserve(
+        queue.clone(),
+        id.clone(),
+        [1; 16],
+        3,
+        0,
+        weight,
+        500,
+        stages,
+    );
+    let send = |message: Message| {
+        let call = ReservationCall(5, vec![message]);
+        let body = rmp_serde::to_vec(&call).expect("calls always encode");
+        async move { post(gateway.addrs.peers, &body).await }
+    };
+    let answer = send(Message::Reserve(reserve)).await;
+    assert!(answer.contains("Reserved"), "{answer}");
+    assert!(is_logged("room_weight"), "a weight of zero is logged");
+    let held = "hollowsail_room_reservations{queue=\"serving-first/0\"}";
+    wait_for_metric(&gateway, &format!("{held} 1")).await;
+    let answer = send(Message::Cancel(queue, id)).await;
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    wait_for_metric(&gateway, &format!("{held} 0")).await;
+}
