--- a/crates/gateway/tests/suite/reservations.rs
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -439,3 +439,19 @@
     assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
     wait_for_metric(&gateway, &format!("{held} 0")).await;
 }
+
+/// Guards against stages that are cancelled at 0.45 of the total time although the request would
+/// be in time for its target latency.
+#[actix_rt::test]
+async fn reserved_request_may_use_its_stages_until_its_target_latency() {
+    let slow = Duration::from_millis(1200);
+    for (name, without, status) in [("patient", None, 200), ("hasty", Some("reservations"), 503)] {
+        let platform = Platform::start(name, slow).await;
+        let without: Vec<String> = without.into_iter().map(String::from).collect();
+        let mechanisms = Mechanisms::without(&without).expect("the name is known");
+        let gateway = platform.gateway(mechanisms).await;
+        let call = request("/later/", 1).with("X-Deadline-Ms", "2000");
+        let got = call.send(gateway.addrs.callers).await;
+        assert_eq!(got.status, status, "{name}: {got:?}");
+    }
+}
