--- a/crates/gateway/src/pools/batcher/reserved.rs
+++ b/crates/gateway/src/pools/batcher/reserved.rs
@@ -26,6 +26,9 @@
 
 /// Interval between log lines on the use of a queue by flow, in milliseconds.
 const FLOW_LOG_INTERVAL_MS: Millis = 5_000;
+/// Longest time until a stage is due, in milliseconds. Bounds how long a faulty peer's message
+/// can hold capacity.
+const MAX_LEAD_MS: Millis = 600_000;
 /// Flows in a log line, those that offer most first.
 const MAX_LOGGED_FLOWS: usize = 12;
 
@@ -91,7 +94,7 @@
         let held = HeldReservation {
             key,
             stages: stages.map(|stage| (stage.stage, stage.pieces)).collect(),
-            until: now.saturating_add(longest_due(request)),
+            until: now + longest_due(request),
         };
         let mut reservations = self.reservations.borrow_mut();
         let id = (from, request.request_id.clone());
@@ -216,15 +219,15 @@
 
 fn longest_due(request: &Reserve) -> Millis {
     let due = request.stages.iter().map(|stage| stage.due_in_ms);
-    due.max().unwrap_or(0)
+    due.max().unwrap_or(0).min(MAX_LEAD_MS)
 }
 
 fn room_request(request: &Reserve, weight: f64, now: Millis) -> RoomRequest {
     let stages = request.stages.iter().map(|stage| StageRoom {
         pieces: stage.pieces,
         result_bytes: stage.result_bytes,
-        ready: now.saturating_add(stage.ready_in_ms),
-        due: now.saturating_add(stage.due_in_ms),
+        ready: now + stage.ready_in_ms.min(MAX_LEAD_MS),
+        due: now + stage.due_in_ms.min(MAX_LEAD_MS),
     });
     RoomRequest {
         flow: Flow {
