--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -36,10 +36,12 @@
     EnginesByTime,
     /// The speed and load that targets report decide where work goes.
     TargetSpeeds,
+    /// Capacity of contended stage services is reserved before a request starts.
+    Reservations,
 }
 
 /// Command-line names of the mechanisms.
-const NAMES: [(Mechanism, &str); 14] = [
+const NAMES: [(Mechanism, &str); 15] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Scheduler, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -54,6 +56,7 @@
     (Mechanism::ConnectionShares, "connection-shares"),
     (Mechanism::EnginesByTime, "engines-by-time"),
     (Mechanism::TargetSpeeds, "target-speeds"),
+    (Mechanism::Reservations, "reservations"),
 ];
 
 /// No mechanism has the given name.
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -102,9 +102,15 @@
 impl Fixture {
     /// Starts both and waits until the gateway is ready.
     pub async fn start(deployment: &DeploymentJson) -> Self {
+        Self::start_with(deployment, Mechanisms::default()).await
+    }
+
+    /// Starts both, the gateway with some mechanisms, and waits until it is ready.
+    pub async fn start_with(deployment: &DeploymentJson, mechanisms: Mechanisms) -> Self {
         let store = StoreStandin::start().await;
         store.put("op/config", &deployment.bytes());
-        let gateway = gateway(&store, "host-1", "hall-a").await;
+        let settings = settings("host-1", "hall-a", store.addr);
+        let gateway = gateway_with(settings, mechanisms).await;
         Fixture { store, gateway }
     }
 
@@ -139,7 +145,12 @@
 
 /// Starts a gateway with some settings and waits until it is ready.
 pub async fn gateway_at(settings: Settings) -> Running {
-    let running = start(settings, Mechanisms::default())
+    gateway_with(settings, Mechanisms::default()).await
+}
+
+/// Starts a gateway with some mechanisms and waits until it is ready.
+pub async fn gateway_with(settings: Settings, mechanisms: Mechanisms) -> Running {
+    let running = start(settings, mechanisms)
         .await
         .expect("the gateway starts");
     let until = Instant::now() + WAIT_TIMEOUT;
@@ -150,6 +161,13 @@
     running
 }
 
+/// Text of a gateway's metrics. All gateways of a test process share them.
+pub async fn scrape(gateway: &Running) -> String {
+    let addr = gateway.addrs.metrics.expect("metrics are enabled");
+    let scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    String::from_utf8(exchange(addr, scrape).await).expect("metrics are UTF-8")
+}
+
 /// Status of the readiness check.
 pub async fn ready_status(addr: SocketAddr) -> u16 {
     let bytes = exchange(
