Bound the figures of a request for capacity

Cause: sums of pieces, bytes and times in the reservations overflowed for extreme figures of a malformed request, and a very long Retry-After kept all later callers of the flow away, as return times don't go backwards. A very large weight lost the others to rounding.

Change: sums saturate or are floating point, Retry-After is at most 60 s, weights are at most 1e6. FlowRoom has the balance of the flow.

Tested: reservations::extreme_requests_do_not_overflow panicked before (overflow in mean_bytes); suite of hollowsail-stages, 75 passed.

--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -8,7 +8,7 @@
 use super::capacity::Capacity;
 use super::BatchQueue;
 use crate::reservations::demand::{fits, Claim, Need};
-use crate::reservations::table::Reservation;
+use crate::reservations::table::{total_pieces, Reservation};
 use crate::reservations::{
     FlowRoom, RefusalCause, ReservationKey, RoomDecision, RoomRefusal, RoomRequest, StageRoom,
 };
@@ -18,6 +18,9 @@
 const RETURN_STEPS: [Millis; 7] = [1, 2, 4, 6, 8, 12, 16];
 /// Shortest Retry-After, in milliseconds. A shorter one costs more round trips than it gains.
 const MIN_RETURN_MS: Millis = 50;
+/// Longest Retry-After, in milliseconds. Callers of a flow return in the order of their
+/// refusal, so a longer one would keep the callers after it away as well.
+const MAX_RETURN_MS: Millis = 60_000;
 /// Part of the usual call by which a returned caller may exceed the capacity: the estimates
 /// change while it is away, and it was promised room.
 const RETURN_SLACK_CALLS: f64 = 0.25;
@@ -49,8 +52,8 @@
     fn delayed(request: &RoomRequest, wait: Millis) -> Vec<StageRoom> {
         let stages = request.stages.iter();
         let delayed = stages.map(|stage| StageRoom {
-            ready: stage.ready + wait,
-            due: stage.due + wait,
+            ready: stage.ready.saturating_add(wait),
+            due: stage.due.saturating_add(wait),
             ..*stage
         });
         delayed.collect()
@@ -65,7 +68,7 @@
         shortest: Millis,
         claims: &[Claim],
     ) -> Option<(Millis, Vec<StageRoom>)> {
-        let longest = request.max_return_ms;
+        let longest = max_return(request);
         let shortest = shortest.max(MIN_RETURN_MS);
         let waits = RETURN_STEPS.map(|step| (longest * step / 16).max(shortest));
         let fitting = |wait: Millis| {
@@ -104,18 +107,18 @@
 
 /// Mean size of the results of a request, in bytes.
 fn mean_bytes(request: &RoomRequest) -> u64 {
-    let pieces: u64 = request
-        .stages
-        .iter()
-        .map(|stage| u64::from(stage.pieces))
-        .sum();
+    let pieces = f64::from(total_pieces(&request.stages)).max(1.0);
     let bytes = request.stages.iter();
-    let bytes = bytes.map(|stage| u64::from(stage.pieces) * stage.result_bytes);
-    bytes.sum::<u64>() / pieces.max(1)
+    let bytes = bytes.map(|stage| f64::from(stage.pieces) * stage.result_bytes as f64);
+    (bytes.sum::<f64>() / pieces) as u64
+}
+
+fn max_return(request: &RoomRequest) -> Millis {
+    request.max_return_ms.min(MAX_RETURN_MS)
 }
 
 fn pieces_of(reservation: &Reservation) -> u32 {
-    reservation.stages.iter().map(|stage| stage.pieces).sum()
+    total_pieces(&reservation.stages)
 }
 
 impl<T> BatchQueue<T> {
@@ -173,7 +176,7 @@
         if is_held {
             let slack = (test.capacity.supply.call_ms * RETURN_SLACK_CALLS) as Millis;
             let stages = request.stages.iter().map(|stage| StageRoom {
-                due: stage.due + slack,
+                due: stage.due.saturating_add(slack),
                 ..*stage
             });
             let fits = test.fits(&stages.collect::<Vec<_>>(), &[]);
@@ -215,7 +218,7 @@
             }
             None => {
                 let wait = self.backlog_ms(request, test).max(shortest);
-                (wait.min(request.max_return_ms), None)
+                (wait.min(max_return(request)), None)
             }
         };
         self.flows
@@ -237,12 +240,12 @@
             .range(..((urgency.saturating_add(1), 0, 0), Default::default()));
         let reserved = self.reservations.values();
         let reserved = reserved.filter(|reservation| reservation.flow.urgency <= urgency);
-        let reserved: u32 = reserved.map(pieces_of).sum();
+        let reserved: f64 = reserved.map(pieces_of).map(f64::from).sum();
         let returning = self.reservations.pieces_to_return(urgency);
-        let pieces = waiting.count() as f64 + f64::from(reserved + returning);
+        let pieces = waiting.count() as f64 + reserved + returning;
         let backlog_ms = pieces / test.capacity.supply.rate.max(f64::MIN_POSITIVE);
-        let shortest = MIN_RETURN_MS.min(request.max_return_ms);
-        (backlog_ms as Millis).clamp(shortest, request.max_return_ms)
+        let longest = max_return(request);
+        (backlog_ms as Millis).clamp(MIN_RETURN_MS.min(longest), longest)
     }
 
     fn test(&self, bytes: u64, now: Millis) -> Test {
@@ -317,9 +320,10 @@
             FlowRoom {
                 flow,
                 level_waiting: level.count() as u32,
-                reserved: reserved.map(pieces_of).sum(),
+                reserved: reserved.map(pieces_of).fold(0, u32::saturating_add),
                 offered_per_s: state.offered * 1_000.0,
                 entitled_per_s: state.entitled * 1_000.0,
+                balance: state.balance,
             }
         });
         rooms.collect()
--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -33,7 +33,7 @@
     pub weight: f64,
     pub offered: f64,
     pub entitled: f64,
-    balance: f64,
+    pub balance: f64,
     /// Mean time from request to due time, in milliseconds.
     lead_ms: f64,
     /// Mean cost of a request.
@@ -150,7 +150,7 @@
         let others = self.states.iter().filter(|(other, _)| **other != flow);
         others
             .map(|(_, state)| Claim {
-                due: now + state.lead_ms as Millis,
+                due: now.saturating_add(state.lead_ms as Millis),
                 balance: state.balance.max(0.0),
                 rate: state.offered.min(state.entitled),
             })
--- a/crates/stages/src/reservations/table.rs
+++ b/crates/stages/src/reservations/table.rs
@@ -28,10 +28,16 @@
 impl Reservation {
     fn is_over(&self, now: Millis) -> bool {
         let last_due = self.stages.iter().map(|stage| stage.due).max().unwrap_or(0);
-        now > self.held_until.unwrap_or(last_due + GRACE_MS)
+        now > self.held_until.unwrap_or(last_due.saturating_add(GRACE_MS))
     }
 }
 
+/// Pieces of all stages.
+pub fn total_pieces(stages: &[StageRoom]) -> u32 {
+    let pieces = stages.iter().map(|stage| stage.pieces);
+    pieces.fold(0, u32::saturating_add)
+}
+
 /// When a refused caller is to return.
 #[derive(Debug, Clone, Copy)]
 pub struct Return {
@@ -86,7 +92,7 @@
         let expected = Return {
             at,
             urgency: request.flow.urgency,
-            pieces: request.stages.iter().map(|stage| stage.pieces).sum(),
+            pieces: total_pieces(&request.stages),
             held,
         };
         self.returns.insert(request.digest, expected);
@@ -108,11 +114,11 @@
 
     /// Pieces of callers of this urgency, or a more urgent one, that were told to return and
     /// have no capacity held.
-    pub fn pieces_to_return(&self, urgency: u8) -> u32 {
+    pub fn pieces_to_return(&self, urgency: u8) -> f64 {
         let returns = self.returns.values();
         returns
             .filter(|expected| expected.held.is_none() && expected.urgency <= urgency)
-            .map(|expected| expected.pieces)
+            .map(|expected| f64::from(expected.pieces))
             .sum()
     }
 
--- a/crates/stages/src/reservations/types.rs
+++ b/crates/stages/src/reservations/types.rs
@@ -78,6 +78,9 @@
     pub offered_per_s: f64,
     /// Pieces per second that the flow is entitled to.
     pub entitled_per_s: f64,
+    /// Pieces of the average size that the flow may still use of its share; negative when it
+    /// has used more.
+    pub balance: f64,
 }
 
 /// Order in which waiting pieces are taken.
--- a/crates/stages/src/shares.rs
+++ b/crates/stages/src/shares.rs
@@ -11,6 +11,8 @@
 const FLOOR_SHARE: f64 = 0.5;
 /// Smallest weight; replaces weights that are zero, negative or not finite.
 pub const MIN_WEIGHT: f64 = 0.01;
+/// Largest weight. Sums of greater ones lose the small ones to rounding.
+const MAX_WEIGHT: f64 = 1e6;
 
 /// What a flow asks for.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -21,10 +23,10 @@
     pub rate: f64,
 }
 
-/// A usable weight: positive and finite.
+/// A usable weight: positive and neither too small nor too large.
 pub fn usable_weight(weight: f64) -> f64 {
     match weight.is_finite() {
-        true => weight.max(MIN_WEIGHT),
+        true => weight.clamp(MIN_WEIGHT, MAX_WEIGHT),
         false => MIN_WEIGHT,
     }
 }
--- a/crates/stages/tests/suite/reservations.rs
+++ b/crates/stages/tests/suite/reservations.rs
@@ -348,6 +348,55 @@
     assert!(rooms[0].offered_per_s > 7.0 && rooms[0].offered_per_s <= 8.0);
 }
 
+/// Guards against a message with extreme figures that stops the owner of a queue, or makes the
+/// later requests of its flow wait for ever.
+#[test]
+fn extreme_requests_do_not_overflow() {
+    let mut queue: BatchQueue<u64> = BatchQueue::new(RULES);
+    queue.add_worker(HallKey(0));
+    let extreme = StageRoom {
+        pieces: u32::MAX,
+        result_bytes: u64::MAX,
+        ready: Millis::MAX,
+        due: Millis::MAX,
+    };
+    let huge = |digest: u128, max_return_ms: Millis, weight: f64| RoomRequest {
+        max_return_ms,
+        weight,
+        stages: vec![extreme; 3],
+        ..request(digest, 0)
+    };
+    queue.reserve(0, &huge(1, Millis::MAX, f64::NAN));
+    queue.reserve(0, &huge(2, 0, f64::INFINITY));
+    queue.reserve(0, &huge(3, 2_000, f64::MAX));
+    let now_due = StageRoom {
+        ready: 0,
+        due: 0,
+        ..extreme
+    };
+    let nothing = RoomRequest {
+        stages: Vec::new(),
+        ..request(4, 0)
+    };
+    let late = RoomRequest {
+        stages: vec![now_due; 3],
+        ..request(5, 0)
+    };
+    queue.reserve(20, &nothing);
+    queue.reserve(20, &late);
+    queue.room_by_flow(20);
+    queue.sweep_reservations(40);
+    for room in queue.room_by_flow(40) {
+        assert!(
+            room.balance.is_finite() && room.entitled_per_s >= 0.0,
+            "{room:?}"
+        );
+    }
+    if let RoomDecision::Refused(refusal) = queue.reserve(40, &request(6, 40)) {
+        assert!(refusal.retry_after_ms <= 2_000, "{refusal:?}");
+    }
+}
+
 /// Admits requests until one is refused.
 fn fill(queue: &mut BatchQueue<u64>) -> Vec<ReservationKey> {
     let admitted = (100..400).map_while(|digest| match queue.reserve(0, &request(digest, 0)) {
