Charge flows only for capacity that they use or that is held

Cause: a flow paid for a reservation that was cancelled because the owner of another queue refused the request, and paid again when its caller returned. It paid twice for a hold that was refused again at its return, and for holds that weren't made because 4,096 callers were remembered already.

Change: a reservation knows what was paid for its remaining pieces. That is returned when it is cancelled or when a held caller returns, before the decision. Without space to remember a caller nothing is held or charged.

Tested: unused_reservations_are_not_charged and callers_that_are_not_remembered_hold_and_pay_nothing failed before (balance -4); suite of hollowsail-stages, 77 passed.

--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -133,7 +133,10 @@
                 });
             }
         }
-        let is_held = self.reservations.take_return(&request.digest);
+        let held = self.reservations.take_return(&request.digest);
+        let is_held = held.is_some();
+        // It is charged again with the decision.
+        self.return_charge(held);
         let test = self.test(mean_bytes(request), now);
         let cost = request_cost(request, &test.capacity);
         self.flows.refresh(now, test.capacity.supply.rate);
@@ -142,10 +145,8 @@
         }
         match self.refusal_cause(request, cost, is_held, &test) {
             None => {
-                if !is_held {
-                    self.flows.record_reserved(request.flow, cost);
-                }
-                RoomDecision::Reserved(self.reservations.insert(request))
+                let charge = self.flows.record_reserved(request.flow, cost);
+                RoomDecision::Reserved(self.reservations.insert(request, charge))
             }
             Some(cause) => RoomDecision::Refused(self.refuse(request, cost, cause, &test)),
         }
@@ -208,13 +209,14 @@
             .flows
             .last_return(request.flow)
             .saturating_sub(test.now);
-        let held = (test.capacity.supply.rate > 0.0)
+        let can_hold = test.capacity.supply.rate > 0.0 && !self.reservations.is_full_of_returns();
+        let held = can_hold
             .then(|| test.early_return(request, shortest, &claims))
             .flatten();
-        let (retry_after_ms, stages) = match held {
+        let (retry_after_ms, held) = match held {
             Some((wait, stages)) => {
-                self.flows.record_reserved(request.flow, cost);
-                (wait, Some(stages))
+                let charge = self.flows.record_reserved(request.flow, cost);
+                (wait, Some((stages, charge)))
             }
             None => {
                 let wait = self.backlog_ms(request, test).max(shortest);
@@ -224,7 +226,7 @@
         self.flows
             .record_return(request.flow, test.now + retry_after_ms);
         self.reservations
-            .expect_return(request, test.now + retry_after_ms, stages);
+            .expect_return(request, test.now + retry_after_ms, held);
         RoomRefusal {
             retry_after_ms,
             cause,
@@ -290,8 +292,16 @@
         self.reservations.begin(key, pieces);
     }
 
+    /// Cancels what is left of a reservation, which its flow then needn't pay for.
     pub fn cancel_reservation(&mut self, key: ReservationKey) {
-        self.reservations.cancel(key);
+        let cancelled = self.reservations.cancel(key);
+        self.return_charge(cancelled);
+    }
+
+    fn return_charge(&mut self, unused: Option<Reservation>) {
+        if let Some(unused) = unused {
+            self.flows.record_unused(unused.flow, unused.charge);
+        }
     }
 
     /// Drops reservations whose due time is long past.
--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -117,11 +117,22 @@
         state.last_request = now;
     }
 
-    /// Counts capacity that was reserved for a flow.
-    pub fn record_reserved(&mut self, flow: Flow, cost: f64) {
+    /// Charges a flow for capacity that was reserved for it. Returns the charge, which the
+    /// limit of the balance may make less than the cost.
+    pub fn record_reserved(&mut self, flow: Flow, cost: f64) -> f64 {
+        let Some(state) = self.states.get_mut(&flow) else {
+            return 0.0;
+        };
+        let before = state.balance;
+        state.balance = (before - cost).max(-state.max_balance()).min(before);
+        before - state.balance
+    }
+
+    /// Returns a charge for capacity that was reserved and not used.
+    pub fn record_unused(&mut self, flow: Flow, charge: f64) {
         if let Some(state) = self.states.get_mut(&flow) {
             let limit = state.max_balance();
-            state.balance = (state.balance - cost).max(-limit);
+            state.balance = (state.balance + charge).min(limit);
         }
     }
 
--- a/crates/stages/src/reservations/table.rs
+++ b/crates/stages/src/reservations/table.rs
@@ -21,6 +21,8 @@
 pub struct Reservation {
     pub flow: Flow,
     pub stages: Vec<StageRoom>,
+    /// What the flow paid from its balance for the pieces that haven't arrived.
+    pub charge: f64,
     /// End of a hold for a refused caller; `None` once the request is admitted.
     held_until: Option<Millis>,
 }
@@ -64,28 +66,36 @@
     }
 
     /// Adds a reservation for an admitted request.
-    pub fn insert(&mut self, request: &RoomRequest) -> ReservationKey {
+    pub fn insert(&mut self, request: &RoomRequest, charge: f64) -> ReservationKey {
         self.table.insert(Reservation {
             flow: request.flow,
             stages: request.stages.clone(),
+            charge,
             held_until: None,
         })
     }
 
-    /// Remembers when a refused caller is to return, and holds `stages` for it then.
+    /// True when no more refused callers can be remembered.
+    pub fn is_full_of_returns(&self) -> bool {
+        self.returns.len() >= MAX_RETURNS
+    }
+
+    /// Remembers when a refused caller is to return, and holds `stages` for it then, with
+    /// what its flow paid for them.
     pub fn expect_return(
         &mut self,
         request: &RoomRequest,
         at: Millis,
-        stages: Option<Vec<StageRoom>>,
+        held: Option<(Vec<StageRoom>, f64)>,
     ) {
-        if self.returns.len() >= MAX_RETURNS {
+        if self.is_full_of_returns() {
             return;
         }
-        let held = stages.map(|stages| {
+        let held = held.map(|(stages, charge)| {
             self.table.insert(Reservation {
                 flow: request.flow,
                 stages,
+                charge,
                 held_until: Some(at + HOLD_MS),
             })
         });
@@ -103,13 +113,13 @@
         self.returns.get(digest).copied()
     }
 
-    /// Ends an expected return. True when capacity was still held for it.
-    pub fn take_return(&mut self, digest: &RequestDigest) -> bool {
+    /// Ends an expected return; the reservation that was still held for it, if any.
+    pub fn take_return(&mut self, digest: &RequestDigest) -> Option<Reservation> {
         let held = self
             .returns
             .remove(digest)
             .and_then(|expected| expected.held);
-        held.and_then(|key| self.table.remove(key)).is_some()
+        held.and_then(|key| self.table.remove(key))
     }
 
     /// Pieces of callers of this urgency, or a more urgent one, that were told to return and
@@ -127,20 +137,24 @@
         let Some(reservation) = self.table.get_mut(key) else {
             return;
         };
+        let before = total_pieces(&reservation.stages);
         let mut arrived = pieces;
         for stage in &mut reservation.stages {
             let begun = arrived.min(stage.pieces);
             stage.pieces -= begun;
             arrived -= begun;
         }
+        let left = total_pieces(&reservation.stages);
+        reservation.charge *= f64::from(left) / f64::from(before.max(1));
         reservation.stages.retain(|stage| stage.pieces > 0);
         if reservation.stages.is_empty() {
             self.table.remove(key);
         }
     }
 
-    pub fn cancel(&mut self, key: ReservationKey) {
-        self.table.remove(key);
+    /// Removes a reservation; `None` when it was removed before.
+    pub fn cancel(&mut self, key: ReservationKey) -> Option<Reservation> {
+        self.table.remove(key)
     }
 
     /// Drops reservations and returns whose time is over.
--- a/crates/stages/tests/suite/reservations.rs
+++ b/crates/stages/tests/suite/reservations.rs
@@ -397,6 +397,74 @@
     }
 }
 
+/// Guards against flows that pay twice: for a reservation that is cancelled because another
+/// queue refused the request, and for capacity held for a return that is refused again.
+#[test]
+fn unused_reservations_are_not_charged() {
+    let mut queue: BatchQueue<u64> = BatchQueue::new(RULES);
+    let worker = queue.add_worker(HallKey(0));
+    let balance = |queue: &BatchQueue<u64>| queue.room_by_flow(0)[0].balance;
+    let RoomDecision::Reserved(key) = queue.reserve(0, &request(1, 0)) else {
+        panic!("the queue is idle");
+    };
+    let charged = balance(&queue);
+    assert!(charged < 0.0, "{charged}");
+    queue.begin_reserved(key, 1);
+    queue.cancel_reservation(key);
+    let used = balance(&queue);
+    assert!((used - charged / 4.0).abs() < 1e-6, "{used} of {charged}");
+
+    let mut other = request(2, 0);
+    other.flow.organisation = 2;
+    fill(&mut queue);
+    let RoomDecision::Refused(refusal) = queue.reserve(0, &other) else {
+        panic!("the queue is full");
+    };
+    let held = queue.room_by_flow(0)[1];
+    assert!(held.reserved == 4 && held.balance < 0.0, "{held:?}");
+    queue.set_limit(worker, Some(0.0));
+    let back_at = refusal.retry_after_ms;
+    let again = queue.reserve(
+        back_at,
+        &RoomRequest {
+            flow: other.flow,
+            ..request(2, back_at)
+        },
+    );
+    assert!(matches!(again, RoomDecision::Refused(_)), "{again:?}");
+    let refused = queue.room_by_flow(0)[1];
+    assert!(
+        refused.reserved == 0 && refused.balance >= 0.0,
+        "{refused:?}"
+    );
+}
+
+/// Guards against a charge for capacity that isn't held: beyond the limit on remembered callers
+/// a refused one gets only a time to return.
+#[test]
+fn callers_that_are_not_remembered_hold_and_pay_nothing() {
+    let mut queue: BatchQueue<u64> = BatchQueue::new(RULES);
+    queue.add_worker(HallKey(0));
+    fill(&mut queue);
+    for digest in 1_000..1_000 + 4_096 {
+        // Too short a wait for capacity to be held.
+        let hasty = RoomRequest {
+            max_return_ms: 60,
+            ..request(digest, 0)
+        };
+        let decision = queue.reserve(0, &hasty);
+        assert!(matches!(decision, RoomDecision::Refused(_)), "{decision:?}");
+    }
+    let mut other = request(1, 0);
+    other.flow.organisation = 2;
+    let reservations = queue.reservations();
+    let decision = queue.reserve(0, &other);
+    assert!(matches!(decision, RoomDecision::Refused(_)), "{decision:?}");
+    assert_eq!(queue.reservations(), reservations);
+    let rooms = queue.room_by_flow(0);
+    assert!(rooms[1].balance >= 0.0, "{rooms:?}");
+}
+
 /// Admits requests until one is refused.
 fn fill(queue: &mut BatchQueue<u64>) -> Vec<ReservationKey> {
     let admitted = (100..400).map_while(|digest| match queue.reserve(0, &request(digest, 0)) {
