Test reservations across changes of a queue's owner

Cause: nothing tested what happens to admitted and to new requests when the owner of their queues is killed or stopped, or answers NotOwner.

Change: tests only. An owner that is killed while it holds reservations and a piece, and one that is stopped, lose no admitted request, and the next owner decides on new ones. After NotOwner the owner is asked once more, and then decides, or the queue is left to the forecast.

--- a/crates/gateway/tests/suite/reservations.rs
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -3,8 +3,10 @@
 //! The scripted owner is a stand-in with the record of a large host, so that it owns every
 //! queue until a gateway suspects it.
 
+use std::cell::Cell;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::{Mutex, Once};
 use std::time::{Duration, Instant};
 
@@ -27,6 +29,8 @@
 /// Far above the capacity of the gateways, which own nothing beside it.
 const LARGE_CAPACITY: u32 = 10_000_000;
 const RUN_OF_SCRIPTED_OWNER: u64 = 77;
+/// Urgency of the route "later": the priorities of the route and of its caller.
+const LATER: u8 = 51;
 
 /// The messages as they are encoded.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -50,6 +54,7 @@
 enum Reply {
     Reserved,
     Refused(u64, &'static str),
+    NotOwner,
 }
 
 /// A deployment whose two routes share stage services named after the test, as metrics are
@@ -171,16 +176,40 @@
     vec![Step::Write([head.into_bytes(), body].concat())]
 }
 
+/// The same reply to each Reserve of a call.
+fn reply_to_all(request: &ReceivedRequest, reply: Reply) -> Vec<Step> {
+    let is_reserve = |message: &&Message| matches!(message, Message::Reserve(_));
+    let reserves = messages_in(request).iter().filter(is_reserve).count();
+    replies(&vec![reply; reserves])
+}
+
+fn messages_in(request: &ReceivedRequest) -> Vec<Message> {
+    let call: ReservationCall = rmp_serde::from_slice(&request.body).expect("a call");
+    call.1
+}
+
 /// Messages that the scripted owner received on reservations.
 fn messages(owner: &TargetStandin) -> Vec<Message> {
     let calls = owner.received().into_iter();
     let calls = calls.filter(|request| request.path == RESERVATIONS_PATH);
-    calls
-        .flat_map(|request| {
-            let call: ReservationCall = rmp_serde::from_slice(&request.body).expect("a call");
-            call.1
-        })
-        .collect()
+    calls.flat_map(|request| messages_in(&request)).collect()
+}
+
+/// Number of times that the scripted owner was asked for capacity in a queue.
+fn times_asked(owner: &TargetStandin, queue: &str) -> usize {
+    let messages = messages(owner);
+    let asks = messages
+        .iter()
+        .filter(|message| matches!(message, Message::Reserve(reserve) if reserve.0 == queue));
+    asks.count()
+}
+
+/// Waits until the owners of a queue have decided on this many requests of the route "later",
+/// all of them admitted.
+async fn wait_for_admissions(gateway: &Running, queue: &str, admissions: usize) {
+    let counter = "hollowsail_room_requests_total";
+    let labels = format!("{{queue=\"{queue}\",result=\"reserved\",urgency=\"{LATER}\"}}");
+    wait_for_metric(gateway, &format!("{counter}{labels} {admissions}")).await;
 }
 
 async fn post(addr: SocketAddr, body: &[u8]) -> String {
@@ -528,3 +557,118 @@
         assert!(!ran.contains(&id), "{id} was refused and ran");
     }
 }
+
+/// Guards against admitted requests that are lost when the owner of their queues is killed, and
+/// against new ones that nobody decides on afterwards.
+#[actix_rt::test]
+async fn next_owner_takes_over_from_a_killed_one() {
+    let platform = Platform::start("killed", Duration::ZERO).await;
+    let is_killed = Rc::new(Cell::new(false));
+    let owner = platform
+        .with_owner_of({
+            let is_killed = is_killed.clone();
+            move |request| match request.path.as_str() {
+                _ if is_killed.get() => vec![Step::Close],
+                RESERVATIONS_PATH => reply_to_all(request, Reply::Reserved),
+                // It accepts pieces and doesn't produce them.
+                _ => vec![Step::Write(answer(request, 204, ""))],
+            }
+        })
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let addr = gateway.addrs.callers;
+    let admitted = actix_rt::spawn(async move { request("/later/", 1).send(addr).await });
+    eventually("the owner has reservations and a piece", || {
+        let received = owner.received();
+        let reserved = received.iter().position(|it| it.path == RESERVATIONS_PATH);
+        reserved.is_some_and(|first| {
+            let later = &received[first..];
+            later.iter().any(|it| it.path != RESERVATIONS_PATH)
+        })
+    })
+    .await;
+    is_killed.set(true);
+    let got = admitted.await.expect("the request is answered");
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    assert_eq!(times_asked(&owner, "killed-first/0"), 1);
+    let got = request("/later/", 2).send(addr).await;
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    assert_eq!(times_asked(&owner, "killed-first/0"), 1);
+    wait_for_admissions(&gateway, "killed-first/0", 1).await;
+    wait_for_admissions(&gateway, "killed-second/0", 1).await;
+}
+
+/// Guards against admitted requests that are lost when the owner of their queues is stopped, and
+/// against new ones that nobody decides on afterwards.
+#[actix_rt::test]
+async fn next_owner_takes_over_from_a_stopped_one() {
+    let platform = Platform::start("stopped", Duration::from_millis(500)).await;
+    let mut large = settings("host-1", "hall-a", platform.store.addr);
+    large.limits.core_share = f64::from(LARGE_CAPACITY);
+    large.limits.link_mbps = f64::from(LARGE_CAPACITY);
+    let owner = gateway_with(large, Mechanisms::default()).await;
+    let remaining = gateway(&platform.store, "host-2", "hall-b").await;
+    wait_for_entries("both entries are recorded", &platform.store, 2).await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let addr = remaining.addrs.callers;
+    let admitted = actix_rt::spawn(async move { request("/later/", 1).send(addr).await });
+    eventually("the first stage runs", || {
+        !stage_runs(&platform.first).is_empty()
+    })
+    .await;
+    let held = "hollowsail_room_reservations{queue=\"stopped-second/0\"}";
+    wait_for_metric(&remaining, &format!("{held} 1")).await;
+    wait_for_admissions(&remaining, "stopped-first/0", 1).await;
+    let stopping = actix_rt::spawn(owner.stop());
+    let got = admitted.await.expect("the request is answered");
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    wait_for_entries("its record is removed", &platform.store, 1).await;
+    stopping.await.expect("the gateway stops");
+    let got = request("/later/", 2).send(addr).await;
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    wait_for_admissions(&remaining, "stopped-first/0", 2).await;
+    wait_for_admissions(&remaining, "stopped-second/0", 2).await;
+}
+
+/// Guards against requests that are refused, or ask without end, while entries disagree on the
+/// owner of a queue.
+#[actix_rt::test]
+async fn queue_without_an_owner_is_left_to_the_forecast_after_two_replies() {
+    let platform = Platform::start("ownerless", Duration::ZERO).await;
+    let owner = platform
+        .with_owner(|request| reply_to_all(request, Reply::NotOwner))
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let got = request("/later/", 1).send(gateway.addrs.callers).await;
+    assert!(got.is_whole && got.status == 200, "{got:?}");
+    for queue in ["ownerless-first/0", "ownerless-second/0"] {
+        assert_eq!(times_asked(&owner, queue), 2, "{queue}");
+        let counter = "hollowsail_room_fallbacks_total";
+        let line = format!("{counter}{{queue=\"{queue}\",cause=\"not_owner\"}} 1");
+        wait_for_metric(&gateway, &line).await;
+    }
+    let is_cancel = |message: &Message| matches!(message, Message::Cancel(..));
+    assert!(!messages(&owner).iter().any(is_cancel), "nothing is held");
+}
+
+/// Guards against requests that run although the owner refused them when it was asked again.
+#[actix_rt::test]
+async fn owner_that_is_asked_again_decides() {
+    let platform = Platform::start("again", Duration::ZERO).await;
+    let asked = Cell::new(0);
+    let owner = platform
+        .with_owner(move |request| {
+            asked.set(asked.get() + 1);
+            match asked.get() {
+                1 => reply_to_all(request, Reply::NotOwner),
+                _ => reply_to_all(request, Reply::Refused(500, "Full")),
+            }
+        })
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let got = request("/later/", 1).send(gateway.addrs.callers).await;
+    assert_eq!(got.status, 503, "{got:?}");
+    assert!(got.body.contains("no room in service again-"), "{got:?}");
+    assert_eq!(times_asked(&owner, "again-first/0"), 2);
+    assert!(stage_runs(&platform.first).is_empty());
+}
