Limit the concurrent reservation calls to one peer

Cause: each batch of messages opened a connection when the earlier calls hadn't ended, so a suspended owner got a connection every few milliseconds until it was suspected.

Change: up to 6 calls to a peer are in progress. Messages that come up during these wait for the end of one; reservations that nobody waits for any more aren't sent.

Tested: suspended_owner_gets_few_connections failed before (19 connections of 12); module reservations of the suite, 16 passed. A run of the whole suite on a machine with a load average above 20 was ended after 130 s: 184 passed, target_limits::changing_entries_keep_plain_limit and changing_entries_keep_stage_worker_limit failed, the rest didn't run. Both passed when run with their module's other such test alone.

--- a/crates/gateway/src/reservations/client.rs
+++ b/crates/gateway/src/reservations/client.rs
@@ -1,7 +1,8 @@
 //! Calls to one peer that owns queues.
 //!
-//! Messages that come up within [`BATCH_DELAY`] share a call. Calls run concurrently on a pool
-//! of their own, so that a reservation doesn't wait behind the messages of the link.
+//! Messages that come up within [`BATCH_DELAY`] share a call. Up to [`MAX_CALLS`] calls run
+//! concurrently on a pool of their own, so that a reservation doesn't wait behind the messages
+//! of the link. Messages that come up during these wait for the end of one.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -25,6 +26,8 @@
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
 /// Timeout of a call. Longer than [`REPLY_TIMEOUT`], so that cancellations reach a slow peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
+/// Calls to a peer at the same time. Bounds the connections to a suspended peer.
+const MAX_CALLS: u32 = 6;
 /// Idle connections to a peer; calls overlap when requests come faster than round trips.
 const MAX_IDLE: usize = 3;
 /// Idle time after which a connection isn't reused.
@@ -51,6 +54,8 @@
     pool: Rc<Pool>,
     outbox: RefCell<Vec<Outgoing>>,
     is_scheduled: Cell<bool>,
+    /// Calls in progress.
+    calls: Cell<u32>,
     /// The peer answered 404, which holds for its run.
     is_unsupported: Cell<bool>,
 }
@@ -68,6 +73,7 @@
             pool: Pool::new(addr, rules),
             outbox: RefCell::default(),
             is_scheduled: Cell::new(false),
+            calls: Cell::new(0),
             is_unsupported: Cell::new(false),
         })
     }
@@ -100,18 +106,37 @@
 
     fn push(self: &Rc<Self>, outgoing: Outgoing) {
         self.outbox.borrow_mut().push(outgoing);
-        if self.is_scheduled.replace(true) {
+        if self.calls.get() >= MAX_CALLS || self.is_scheduled.replace(true) {
             return;
         }
         let client = self.clone();
+        self.calls.set(self.calls.get() + 1);
         actix_rt::spawn(async move {
             tokio::time::sleep(BATCH_DELAY).await;
             client.is_scheduled.set(false);
-            let batch = std::mem::take(&mut *client.outbox.borrow_mut());
-            client.call(batch).await;
+            client.call_until_empty().await;
+            client.calls.set(client.calls.get() - 1);
         });
     }
 
+    /// Sends what has come up, and then what came up during the call.
+    async fn call_until_empty(&self) {
+        loop {
+            let batch = self.take_batch();
+            if batch.is_empty() {
+                return;
+            }
+            self.call(batch).await;
+        }
+    }
+
+    /// The messages to send, without reservations that nobody waits for any more.
+    fn take_batch(&self) -> Vec<Outgoing> {
+        let mut batch = std::mem::take(&mut *self.outbox.borrow_mut());
+        batch.retain(|outgoing| !outgoing.reply.as_ref().is_some_and(|to| to.is_closed()));
+        batch
+    }
+
     async fn call(&self, batch: Vec<Outgoing>) {
         let (requests, waiting): (Vec<_>, Vec<_>) = batch
             .into_iter()
--- a/crates/gateway/tests/suite/reservations.rs
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -672,3 +672,27 @@
     assert_eq!(times_asked(&owner, "again-first/0"), 2);
     assert!(stage_runs(&platform.first).is_empty());
 }
+
+/// Guards against a connection for each request while an owner is suspended.
+#[actix_rt::test]
+async fn suspended_owner_gets_few_connections() {
+    let platform = Platform::start("suspended", Duration::ZERO).await;
+    let owner = platform
+        .with_owner(|_| vec![Step::Wait(Duration::from_secs(5))])
+        .await;
+    let gateway = platform.gateway(Mechanisms::default()).await;
+    let addr = gateway.addrs.callers;
+    let calls = (0..40).map(|number| async move {
+        // Apart by more than the time in which messages are collected into one call.
+        tokio::time::sleep(Duration::from_millis(4 * number as u64)).await;
+        request("/later/", number).send(addr).await
+    });
+    for got in join_all(calls).await {
+        assert!(got.status == 200 || got.status == 503, "{got:?}");
+    }
+    // Some are for messages of the link.
+    let connections = owner.most_open_connections();
+    assert!(connections <= 12, "{connections} connections");
+    let asked = times_asked(&owner, "suspended-first/0");
+    assert!((1..=40).contains(&asked), "asked {asked} times");
+}
