--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -33,7 +33,7 @@
     pub weight: f64,
     pub offered: f64,
     pub entitled: f64,
-    balance: f64,
+    pub balance: f64,
     /// Mean time from request to due time, in milliseconds.
     lead_ms: f64,
     /// Mean cost of a request.
@@ -117,11 +117,22 @@
         state.last_request = now;
     }
 
-    /// Counts capacity that was reserved for a flow.
-    pub fn record_reserved(&mut self, flow: Flow, cost: f64) {
+    /// Charges a flow for capacity that was reserved for it. Returns the charge, which the
+    /// limit of the balance may make less than the cost.
+    pub fn record_reserved(&mut self, flow: Flow, cost: f64) -> f64 {
+        let Some(state) = self.states.get_mut(&flow) else {
+            return 0.0;
+        };
+        let before = state.balance;
+        state.balance = (before - cost).max(-state.max_balance()).min(before);
+        before - state.balance
+    }
+
+    /// Returns a charge for capacity that was reserved and not used.
+    pub fn record_unused(&mut self, flow: Flow, charge: f64) {
         if let Some(state) = self.states.get_mut(&flow) {
             let limit = state.max_balance();
-            state.balance = (state.balance - cost).max(-limit);
+            state.balance = (state.balance + charge).min(limit);
         }
     }
 
@@ -150,7 +161,7 @@
         let others = self.states.iter().filter(|(other, _)| **other != flow);
         others
             .map(|(_, state)| Claim {
-                due: now + state.lead_ms as Millis,
+                due: now.saturating_add(state.lead_ms as Millis),
                 balance: state.balance.max(0.0),
                 rate: state.offered.min(state.entitled),
             })
