Let pending prefill count for less at engines with a margin

With the choice by time, pending tokens weighed as much as in the choice by cost. Prompts left the engine that caches their prefix although they would have been in time there, and the prefix was prefilled again elsewhere, which takes engine time from all requests.

Pending tokens now count a quarter at an engine whose first event is expected within three quarters of the time left, and in full beyond.

Tested: new tests for an affinity that wins behind pending prefill with a margin (failed before), yields without one, and yields to a large backlog; all tests of hollowsail-routing pass, the existing ones unchanged.

--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -8,6 +8,7 @@
 //!
 //! With [`EngineScheduler::set_by_time`] the choice is by cost among the engines that are
 //! expected to deliver the first event in time, and otherwise by the earliest first event.
+//! Pending prefill counts for less at an engine that is expected to be in time with a margin.
 
 mod demand_queue;
 mod health;
@@ -51,6 +52,12 @@
 const MIN_SAMPLE_TOKENS: u64 = 500;
 /// Time left to the first event as a multiple of [`Demand::max_wait_ms`].
 const TIME_LEFT_FACTOR: Millis = 2;
+/// Part of the time left within which an expected first event has a margin. The rest covers
+/// the error of the estimate.
+const MARGIN_PART: f64 = 0.75;
+/// Divisor of the pending tokens of an engine with a margin: waiting costs nothing there,
+/// while a prefix that is prefilled again takes engine time from all requests.
+const MARGIN_PENDING_DIVISOR: u64 = 4;
 
 /// An engine that may be scheduled, as its record describes it.
 #[derive(Debug, Clone)]
@@ -120,6 +127,13 @@
     pub max_wait_ms: Millis,
 }
 
+impl<K> Demand<K> {
+    /// Time left to the first event, in milliseconds.
+    fn time_left_ms(&self) -> Millis {
+        self.max_wait_ms.saturating_mul(TIME_LEFT_FACTOR)
+    }
+}
+
 /// How a placement ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PlacementEnd {
@@ -382,19 +396,32 @@
         let usable = keys
             .into_iter()
             .filter(|key| all_ejected || !is_ejected(key));
-        let group = self.group_ms_per_token();
-        let expected_ms = |key: &K| {
-            let tokens = self.prefill_tokens(now, key, demand);
-            let prefill = &self.engines[key].prefill;
-            prefill.first_event_ms(now, group, tokens)
-        };
-        let expected: Vec<(&K, Millis)> = usable.map(|key| (key, expected_ms(key))).collect();
+        let first_event_ms = |key: &K| self.first_event_ms(now, key, demand);
+        let expected: Vec<(&K, Millis)> = usable.map(|key| (key, first_event_ms(key))).collect();
         let earliest = expected.iter().map(|(_, ms)| *ms).min().unwrap_or(0);
-        let latest = earliest.max(demand.max_wait_ms.saturating_mul(TIME_LEFT_FACTOR));
+        let latest = earliest.max(demand.time_left_ms());
         let in_time = expected.into_iter().filter(|(_, ms)| *ms <= latest);
         in_time.map(|(key, _)| key).collect()
     }
 
+    /// Expected time to the first event of a demand at an engine.
+    fn first_event_ms(&self, now: Millis, key: &K, demand: &Demand<K>) -> Millis {
+        let tokens = self.prefill_tokens(now, key, demand);
+        let prefill = &self.engines[key].prefill;
+        prefill.first_event_ms(now, self.group_ms_per_token(), tokens)
+    }
+
+    /// Pending tokens of an engine as they count in its cost for a demand.
+    fn weighted_pending_tokens(&self, now: Millis, key: &K, demand: &Demand<K>) -> u64 {
+        let pending = self.engines[key].pending_prefill_tokens;
+        let latest = demand.time_left_ms() as f64 * MARGIN_PART;
+        let has_margin = || self.first_event_ms(now, key, demand) as f64 <= latest;
+        match self.is_by_time && demand.prompt_tokens > 0 && has_margin() {
+            true => pending / MARGIN_PENDING_DIVISOR,
+            false => pending,
+        }
+    }
+
     fn group_ms_per_token(&self) -> f64 {
         self.group_prefill.ms_per_token(INITIAL_MS_PER_TOKEN)
     }
@@ -441,7 +468,7 @@
             affinity,
             has_cached_prefix: self.has_cached(now, key, &demand.part),
             load: f64::from(engine.running) / f64::from(engine.slots.max(1)),
-            pending_prefill_tokens: engine.pending_prefill_tokens,
+            pending_prefill_tokens: self.weighted_pending_tokens(now, key, demand),
             slowness: self.slowness(engine, &demand.from_hall),
             ejected: engine.health.is_ejected(&demand.from_hall, now),
             remote_bytes: remote.map(|(_, bytes)| bytes).sum(),
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -238,3 +238,46 @@
     }
     assert_eq!(choice(&mut scheduler, now), 1, "four slow answers in a row");
 }
+
+/// Places a demand with the prefix that engine 0 caches behind `pending_tokens` of prefill there.
+fn placed_behind(pending_tokens: u64, max_wait_ms: u64) -> usize {
+    let (mut scheduler, now) = trained(3);
+    let (first, home) = place(&mut scheduler, now, &demand("p", 1_000));
+    assert_eq!(home, 0);
+    scheduler.prefill_done(first, now + prefill_ms(6_000, 1.0));
+    scheduler.record_end(first, PlacementEnd::Completed, now + 100);
+    let now = now + 200;
+    let ahead = Demand {
+        avoid: vec![1, 2],
+        shared_tokens: 0,
+        prompt_tokens: pending_tokens,
+        ..demand("ahead", 0)
+    };
+    place(&mut scheduler, now, &ahead);
+    let demand = Demand {
+        max_wait_ms,
+        ..demand("p", 1_000)
+    };
+    place(&mut scheduler, now, &demand).1
+}
+
+/// Guards against a prefix that is prefilled again although the engine that caches it would be
+/// in time: 20,000 tokens take 200 ms of the 600 ms left, and cost twice as much as the prefix.
+#[test]
+fn affinity_wins_behind_pending_prefill_while_there_is_a_margin() {
+    assert_eq!(placed_behind(20_000, MAX_WAIT_MS), 0);
+}
+
+/// Guards against requests that are kept behind pending prefill when a small error of the
+/// estimate makes them late: 240 ms of 280 ms left are expected.
+#[test]
+fn affinity_yields_to_pending_prefill_without_a_margin() {
+    assert_ne!(placed_behind(20_000, 140), 0);
+}
+
+/// Guards against an unbounded preference: moving is worth it when the pending prefill is large,
+/// also with a margin.
+#[test]
+fn large_pending_prefill_outweighs_a_prefix_with_a_margin() {
+    assert_ne!(placed_behind(60_000, 1_500), 0);
+}
