Ask each pool once how soon it has a connection

The soonest availability was computed first and then compared with that of each target. The remaining backoff changes every millisecond, so while all targets were in a backoff the comparison could find none of them, and the request was refused for lack of a target.

The availabilities are now taken once for each choice.

Tested: the new test failed with the two-step comparison; tests of hollowsail-connect, and connections and target_speeds of hollowsail-gateway pass.

--- a/crates/connect/src/capacity.rs
+++ b/crates/connect/src/capacity.rs
@@ -88,6 +88,16 @@
     granted: oneshot::Receiver<Grant>,
 }
 
+/// Positions of the pools that have a connection for a request soonest; empty without pools. Each
+/// pool is asked once, as its answer changes with the time.
+pub fn soonest<'a>(pools: impl Iterator<Item = &'a Rc<Pool>>, reuse: Reuse) -> Vec<usize> {
+    let availabilities: Vec<Availability> = pools.map(|pool| pool.availability(reuse)).collect();
+    let first = availabilities.iter().min();
+    let all = availabilities.iter().enumerate();
+    let soonest = all.filter(|(_, availability)| Some(*availability) == first);
+    soonest.map(|(index, _)| index).collect()
+}
+
 impl Capacity {
     pub(crate) fn limit(&self) -> Option<u32> {
         self.limit.get()
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -20,7 +20,7 @@
 
 pub use body::AnswerBody;
 pub use call::CompleteAnswer;
-pub use capacity::{Availability, PoolStats};
+pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
 pub use pool::{Connection, Exchange, Pool, PoolRules, Reuse, SendError};
--- a/crates/connect/tests/suite/limited.rs
+++ b/crates/connect/tests/suite/limited.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hollowsail_connect::{Availability, Pool, PoolRules, Reuse, SendError};
+use hollowsail_connect::{soonest, Availability, Pool, PoolRules, Reuse, SendError};
 use http::Request;
 use http_body_util::Full;
 use tokio::task::JoinHandle;
@@ -279,3 +279,21 @@
     })
     .await;
 }
+
+/// Guards against a request that finds no target because the remaining backoff changes while it is
+/// compared: each millisecond, one of the comparisons sees two values.
+#[actix_rt::test]
+async fn one_pool_is_always_the_soonest() {
+    let server = Server::start(0, 1_000).await;
+    let pools = [pool(&server, 1), pool(&server, 1)];
+    for pool in pools.iter().cycle().take(8) {
+        call(pool, "/", Reuse::Any, LONG)
+            .await
+            .expect_err("the peer resets it");
+    }
+    // The fourth backoff is at least 200 ms.
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_millis(150) {
+        assert!(!soonest(pools.iter(), Reuse::Any).is_empty());
+    }
+}
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use hollowsail_connect::{Availability, Reuse};
+use hollowsail_connect::{soonest, Reuse};
 use hollowsail_fleet::rendezvous;
 use hollowsail_platform::headers::{Generation, PromptPart};
 use hollowsail_platform::targets::Incarnation;
@@ -25,27 +25,21 @@
 /// limited, those with an idle one are preferred, then those to which one may be opened.
 pub fn plain(cx: &Traffic, targets: &[Rc<Target>], reuse: Reuse) -> Option<(usize, Reason)> {
     let now = cx.clock.now();
-    let soonest = soonest_availability(targets, now, reuse);
-    let has_soonest =
-        |target: &Target| soonest.is_none_or(|soonest| target.pool.availability(reuse) == soonest);
     let by_speed = targets.iter().any(|target| has_speed(cx, target));
     let slowness = |target: &Target| match by_speed {
         true => target.speed.get().slowness(now),
         false => target.health.borrow().slowness(),
     };
-    let candidates: Vec<Candidate<usize>> = targets
-        .iter()
-        .enumerate()
-        .filter(|(_, target)| has_soonest(target))
-        .map(|(index, target)| Candidate {
-            target: index,
-            load: target.load(),
-            reported_load: target.reported_load(now),
-            slowness: slowness(target),
-            ejected: target.health.borrow().is_ejected(now),
-            affinity: None,
-        })
-        .collect();
+    let candidate = |index: usize| Candidate {
+        target: index,
+        load: targets[index].load(),
+        reported_load: targets[index].reported_load(now),
+        slowness: slowness(&targets[index]),
+        ejected: targets[index].health.borrow().is_ejected(now),
+        affinity: None,
+    };
+    let indexes = soonest_connected(targets, now, reuse);
+    let candidates: Vec<Candidate<usize>> = indexes.into_iter().map(candidate).collect();
     let draw = rand::rng().random();
     let choice = match by_speed {
         true => choose_by_end(&candidates, draw)?,
@@ -54,13 +48,18 @@
     Some((choice.target, choice.reason))
 }
 
-/// How soon one of the targets that aren't ejected has a connection for a request; `None` if none
-/// is limited.
-fn soonest_availability(targets: &[Rc<Target>], now: Millis, reuse: Reuse) -> Option<Availability> {
-    let is_healthy = |target: &&Rc<Target>| !target.health.borrow().is_ejected(now);
+/// Positions of the targets that have a connection for a request soonest, without the ejected ones;
+/// of all targets if none has a limit or all are ejected.
+fn soonest_connected(targets: &[Rc<Target>], now: Millis, reuse: Reuse) -> Vec<usize> {
     let is_limited = targets.iter().any(|target| target.pool.limit().is_some());
-    let healthy = targets.iter().filter(is_healthy).filter(|_| is_limited);
-    healthy.map(|target| target.pool.availability(reuse)).min()
+    let is_healthy = |index: &usize| !targets[*index].health.borrow().is_ejected(now);
+    let healthy: Vec<usize> = (0..targets.len()).filter(is_healthy).collect();
+    if !is_limited || healthy.is_empty() {
+        return (0..targets.len()).collect();
+    }
+    let pools = healthy.iter().map(|index| &targets[*index].pool);
+    let soonest = soonest(pools, reuse).into_iter();
+    soonest.map(|position| healthy[position]).collect()
 }
 
 /// True when the speed of a target counts: it has reported one. Services whose targets don't are
