Wait for the first free connection of any target of a service

A request without a free connection waited in the line of one target. With one connection for each entry and target, a request in progress for longer than expected, or a target full of the connections of killed entries, held up all requests in its line although another target served. They took up to their maximum wait, and were refused then.

A request now joins the lines of all targets that may serve it and goes to the first that grants a connection; the others go to the next in line. Its expected wait is that for the first of these lines. Targets that are ejected or warming up aren't joined, and a request placed by a scheduler stays with its target. The log line of the choice is repeated with the reason free_connection when the target changes.

Tested: new tests of hollowsail-connect for the first grant, the second grant of the same request and one peer in a backoff; a new test of hollowsail-gateway with one long request, which failed with the line of one target (503 for a short request).

--- a/crates/connect/src/capacity.rs
+++ b/crates/connect/src/capacity.rs
@@ -3,13 +3,15 @@
 //! A request joins the line with [`Pool::grant`] and gets the first idle connection that it may
 //! use, or permission to open one ([`Dialling`]) while fewer than the limit are open and the
 //! pacing allows it. The line is served when a connection becomes idle or closes, when a dial or
-//! backoff ends, and when the limit changes. Without a limit everything is granted at once.
+//! backoff ends, and when the limit changes. Without a limit everything is granted at once. A
+//! request that any of several peers may serve joins all their lines ([`grant_first`]).
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use futures_util::future::select_all;
 use hollowsail_routing::{connections, DialPacing, Millis};
 use tokio::sync::oneshot;
 
@@ -98,6 +100,52 @@
     soonest.map(|(index, _)| index).collect()
 }
 
+/// Waits in the lines of several pools for at most `max_wait`, and returns the first grant with the
+/// position of its pool. Fails at once if no grant is expected in time. The error is the time after
+/// which the request may be sent again.
+pub(crate) async fn grant_first(
+    pools: &[Rc<Pool>],
+    reuse: Reuse,
+    max_wait: Option<Duration>,
+) -> Result<(usize, Grant), Duration> {
+    let mut lines = Vec::with_capacity(pools.len());
+    for (index, pool) in pools.iter().enumerate() {
+        let mut waiting = pool.join_line(reuse);
+        pool.serve_line();
+        if let Ok(grant) = waiting.granted.try_recv() {
+            return Ok((index, grant));
+        }
+        lines.push(waiting);
+    }
+    let retry_after = || first_expected_wait(pools).max(MIN_RETRY_AFTER);
+    if max_wait.is_some_and(|max_wait| first_expected_wait(pools) > max_wait) {
+        return Err(retry_after());
+    }
+    let granted = select_all(lines.iter_mut().map(|waiting| &mut waiting.granted));
+    let granted = match max_wait {
+        Some(max_wait) => tokio::time::timeout(max_wait, granted).await,
+        None => Ok(granted.await),
+    };
+    match granted {
+        Ok((Ok(grant), index, _)) => Ok((index, grant)),
+        Ok((Err(_), ..)) | Err(_) => Err(retry_after()),
+    }
+}
+
+/// Estimated time until a request at the end of the lines of all pools gets a connection.
+fn first_expected_wait(pools: &[Rc<Pool>]) -> Duration {
+    let ahead = |pool: &Rc<Pool>| pool.capacity.line.borrow().len().saturating_sub(1);
+    let by_line = pools.iter().map(|pool| pool.wait_in_line_ms(ahead(pool)));
+    let by_line = duration_of_ms(connections::first_of_waits(by_line));
+    let backoffs = pools.iter().map(|pool| pool.backoff_without_requests());
+    by_line.max(backoffs.min().unwrap_or_default())
+}
+
+/// A duration of any number of milliseconds.
+fn duration_of_ms(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1_000.0).unwrap_or(Duration::MAX)
+}
+
 impl Capacity {
     pub(crate) fn limit(&self) -> Option<u32> {
         self.limit.get()
@@ -181,19 +229,27 @@
     /// Estimated time until a request behind `ahead` others gets a connection. Zero without a
     /// limit.
     fn expected_wait(&self, ahead: usize) -> Duration {
-        let Some(limit) = self.capacity.limit.get() else {
-            return Duration::ZERO;
-        };
-        let pacing = self.capacity.pacing.get();
-        let backoff = Duration::from_millis(pacing.backoff_left(self.now()));
+        duration_of_ms(self.wait_in_line_ms(ahead)).max(self.backoff_without_requests())
+    }
+
+    /// Estimated time until `ahead` others and a request got connections that are in use now.
+    fn wait_in_line_ms(&self, ahead: usize) -> f64 {
         let hold_ms = self.capacity.hold_ms.get().unwrap_or(0.0);
-        let by_line = connections::expected_wait(ahead, limit, hold_ms) / 1_000.0;
-        let by_line = Duration::try_from_secs_f64(by_line).unwrap_or(Duration::MAX);
-        // Without a connection in use, nothing becomes free before the backoff ends.
+        let limit = self.capacity.limit.get();
+        limit.map_or(0.0, |limit| {
+            connections::expected_wait(ahead, limit, hold_ms)
+        })
+    }
+
+    /// Remaining backoff while no connection is in use: nothing becomes free before it ends. Zero
+    /// otherwise, and without a limit.
+    fn backoff_without_requests(&self) -> Duration {
+        let pacing = self.capacity.pacing.get();
         let without_request = self.idle_count() + pacing.dialling() as usize;
-        match self.capacity.open.get() > without_request {
-            true => by_line,
-            false => by_line.max(backoff),
+        let has_request = self.capacity.open.get() > without_request;
+        match has_request || self.capacity.limit.get().is_none() {
+            true => Duration::ZERO,
+            false => Duration::from_millis(pacing.backoff_left(self.now())),
         }
     }
 
@@ -228,30 +284,17 @@
             let idle = self.take_idle(reuse).map(Grant::Idle);
             return Ok(idle.unwrap_or_else(|| Grant::Dial(self.start_dial())));
         }
-        let mut waiting = self.join_line(reuse);
-        self.serve_line();
-        if let Ok(grant) = waiting.granted.try_recv() {
-            return Ok(grant);
-        }
-        let Some(max_wait) = max_wait else {
-            let granted = (&mut waiting.granted).await;
-            return granted.map_err(|_| self.no_connection());
-        };
-        let ahead = self.capacity.line.borrow().len().saturating_sub(1);
-        if self.expected_wait(ahead) > max_wait {
-            return Err(self.no_connection());
-        }
-        match tokio::time::timeout(max_wait, &mut waiting.granted).await {
-            Ok(Ok(grant)) => Ok(grant),
-            Ok(Err(_)) | Err(_) => Err(self.no_connection()),
-        }
+        let pools = std::slice::from_ref(self);
+        let granted = grant_first(pools, reuse, max_wait).await;
+        let (_, grant) = granted.map_err(|retry_after| self.no_connection(retry_after))?;
+        Ok(grant)
     }
 
     /// The error of a request that got no connection in time.
-    fn no_connection(&self) -> SendError {
+    pub(crate) fn no_connection(&self, retry_after: Duration) -> SendError {
         SendError::NoConnection {
             addr: self.addr(),
-            retry_after: self.retry_after(),
+            retry_after,
         }
     }
 
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -23,7 +23,7 @@
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
-pub use pool::{Connection, Exchange, Pool, PoolRules, Reuse, SendError};
+pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -22,7 +22,7 @@
 use tokio::net::TcpStream;
 
 use crate::body::AnswerBody;
-use crate::capacity::{Capacity, Dialling, Grant};
+use crate::capacity::{grant_first, Capacity, Dialling, Grant};
 use crate::dial::{dial, DialError};
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
@@ -185,7 +185,17 @@
         max_wait: Option<Duration>,
     ) -> Result<Connection, SendError> {
         let wait_ends = max_wait.map(|max_wait| BootInstant::now() + max_wait);
-        let (sender, is_new) = match self.grant(reuse, max_wait).await? {
+        let grant = self.grant(reuse, max_wait).await?;
+        self.use_grant(grant, wait_ends).await
+    }
+
+    /// Takes the granted connection, or opens one.
+    async fn use_grant(
+        self: &Rc<Self>,
+        grant: Grant,
+        wait_ends: Option<BootInstant>,
+    ) -> Result<Connection, SendError> {
+        let (sender, is_new) = match grant {
             Grant::Idle(idle) => (idle.sender, false),
             Grant::Dial(dialling) => (self.open(dialling).await?, true),
         };
@@ -298,6 +308,24 @@
     }
 }
 
+/// Gets a connection to the first of several peers that has one, waiting for at most `max_wait`.
+/// The pools have limits; the first is preferred where several have a connection now. Returns the
+/// position of the pool with the connection, or with the error.
+pub async fn connect_first(
+    pools: &[Rc<Pool>],
+    reuse: Reuse,
+    max_wait: Duration,
+) -> (usize, Result<Connection, SendError>) {
+    let wait_ends = BootInstant::now() + max_wait;
+    match grant_first(pools, reuse, Some(max_wait)).await {
+        Ok((index, grant)) => {
+            let connected = pools[index].use_grant(grant, Some(wait_ends)).await;
+            (index, connected)
+        }
+        Err(retry_after) => (0, Err(pools[0].no_connection(retry_after))),
+    }
+}
+
 impl Idle {
     fn is_open(&self, now: BootInstant) -> bool {
         self.until > now && self.sender.is_ready()
--- a/crates/connect/tests/suite/limited.rs
+++ b/crates/connect/tests/suite/limited.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hollowsail_connect::{soonest, Availability, Pool, PoolRules, Reuse, SendError};
+use hollowsail_connect::{connect_first, soonest, Availability, Pool, PoolRules, Reuse, SendError};
 use http::Request;
 use http_body_util::Full;
 use tokio::task::JoinHandle;
@@ -297,3 +297,82 @@
         assert!(!soonest(pools.iter(), Reuse::Any).is_empty());
     }
 }
+
+/// Guards against a request that waits for one peer while another that can serve it has a free
+/// connection, and against places in line that outlive the wait.
+#[actix_rt::test]
+async fn request_takes_the_first_connection_of_several_peers() {
+    let busy = Server::start(100, 0).await;
+    let other = Server::start(100, 0).await;
+    let pools = [pool(&busy, 1), pool(&other, 1)];
+    let first = start(&pools[0], &busy, "/first").await;
+    let second = start(&pools[1], &other, "/second").await;
+    let waiting = pools.clone();
+    let waiter = actix_rt::spawn(async move { connect_first(&waiting, Reuse::Any, LONG).await });
+    eventually("it waits in both lines", || {
+        pools.iter().all(|pool| pool.stats().waiting == 1)
+    })
+    .await;
+    other.answers.add_permits(1);
+    let (index, connected) = waiter.await.expect("no panic");
+    assert_eq!(index, 1);
+    connected.expect("a connection is free");
+    second
+        .await
+        .expect("no panic")
+        .expect("the request is answered");
+    assert!(pools.iter().all(|pool| pool.stats().waiting == 0));
+    first.abort();
+}
+
+/// Guards against a connection that is lost when two peers grant one to the same request.
+#[actix_rt::test]
+async fn second_grant_goes_to_the_next_request() {
+    let servers = [Server::start(100, 0).await, Server::start(100, 0).await];
+    let pools = [pool(&servers[0], 1), pool(&servers[1], 1)];
+    let first = start(&pools[0], &servers[0], "/first").await;
+    let second = start(&pools[1], &servers[1], "/second").await;
+    let mut both = Box::pin(connect_first(&pools, Reuse::Any, LONG));
+    assert!(futures_util::poll!(&mut both).is_pending());
+    servers
+        .iter()
+        .for_each(|server| server.answers.add_permits(1));
+    for task in [first, second] {
+        task.await
+            .expect("no panic")
+            .expect("the request is answered");
+    }
+    eventually("both connections are granted", || {
+        pools.iter().all(|pool| pool.stats().waiting == 0)
+    })
+    .await;
+    let (index, connected) = both.await;
+    connected.expect("a connection is free");
+    servers[1 - index].answers.add_permits(1);
+    call(&pools[1 - index], "/next", Reuse::Any, LONG)
+        .await
+        .expect("the other connection is free");
+    assert_eq!(servers[1 - index].accepted.get(), 1);
+}
+
+/// Guards against a refusal by the expected wait of one peer when another is free sooner.
+#[actix_rt::test]
+async fn backoff_of_one_peer_does_not_end_the_wait_for_another() {
+    let full = Server::start(0, 1_000).await;
+    let busy = Server::start(100, 0).await;
+    let pools = [pool(&full, 1), pool(&busy, 1)];
+    for _ in 0..6 {
+        call(&pools[0], "/", Reuse::Any, LONG)
+            .await
+            .expect_err("the peer resets it");
+    }
+    let first = start(&pools[1], &busy, "/first").await;
+    busy.answers.add_permits(1);
+    let (index, connected) = connect_first(&pools, Reuse::Any, Duration::from_millis(400)).await;
+    assert_eq!(index, 1);
+    connected.expect("a connection is free");
+    first
+        .await
+        .expect("no panic")
+        .expect("the request is answered");
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -2,12 +2,12 @@
 //!
 //! This entry's share is set at the pools of a service before a target is chosen, and at the
 //! target's before a connection is requested, so that a change of the live entries or of the configuration applies to the next request.
-//! [`connect`] waits for a connection before a request is sent, and tells operators how scarce
-//! they are. Services with plenty of connections, stage services and engines have no limit.
+//! [`connect`] waits for a connection to any target that may serve the request before it is sent,
+//! and tells operators how scarce they are. Services with plenty of connections, stage services and engines have no limit.
 
 use std::rc::Rc;
 
-use hollowsail_connect::{Connection, PoolStats, Reuse, SendError};
+use hollowsail_connect::{connect_first, Connection, Pool, PoolStats, Reuse, SendError};
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::Service;
 use hollowsail_routing::connections::{is_scarce, share};
@@ -49,12 +49,14 @@
     is_limited.then(|| share(max, entries))
 }
 
-/// Waits for a connection to a target with a limit, for as long as the request may wait. Returns
-/// `None` without a limit: the request is sent on any connection then.
+/// Waits for a connection to a target with a limit, for as long as the request may wait. Replaces
+/// `target` by one of `others` if that has a connection first. Returns `None` without a limit: the
+/// request is sent on any connection then.
 pub async fn connect(
     cx: &Rc<Traffic>,
     admitted: &Admitted,
-    target: &Target,
+    target: &mut Rc<Target>,
+    others: &[Rc<Target>],
     reuse: Reuse,
 ) -> Result<Option<(Connection, InUse)>, Failure> {
     // The target may have been added since the last choice, or was chosen by a scheduler.
@@ -63,12 +65,20 @@
     if limit.is_none() {
         return Ok(None);
     }
-    let service = &target.record.service;
+    let service = &target.record.service.clone();
+    let limited = others.iter().filter(|other| other.pool.limit().is_some());
+    let chosen = std::iter::once(&*target);
+    let targets: Vec<Rc<Target>> = chosen.chain(limited).cloned().collect();
+    let pools: Vec<Rc<Pool>> = targets.iter().map(|target| target.pool.clone()).collect();
     let waiting = Waiting::new(service);
-    let connecting = target.pool.connect(reuse, Some(admitted.max_wait()));
+    let connecting = connect_first(&pools, reuse, admitted.max_wait());
     let deadline = admitted.deadline.to_instant();
     let connected = tokio::time::timeout_at(deadline.into(), connecting).await;
     drop(waiting);
+    let connected = connected.map(|(index, connected)| {
+        target.clone_from(&targets[index]);
+        connected
+    });
     match connected {
         Ok(Ok(connection)) => Ok(Some((connection, InUse::new(service)))),
         Ok(Err(err)) => {
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -149,16 +149,21 @@
     }
 }
 
-/// Sends a request and waits for the headers of the answer.
+/// Sends a request and waits for the headers of the answer. Where connections are few, `target` is
+/// replaced by the one of `others` that has a connection first.
 pub async fn run(
     cx: &Rc<Traffic>,
     admitted: &Admitted,
-    target: &Rc<Target>,
+    target: &mut Rc<Target>,
+    others: &[Rc<Target>],
     options: &AttemptOptions<'_>,
 ) -> Result<TargetAnswer, Failure> {
-    let in_flight = target.track_request(options.prefill_tokens);
+    // Counts at the chosen target while the request waits for a connection.
+    let waiting = target.track_request(options.prefill_tokens);
     let reuse = reuse(admitted);
-    let connected = connections::connect(cx, admitted, target, reuse).await?;
+    let connected = connections::connect(cx, admitted, target, others, reuse).await?;
+    drop(waiting);
+    let in_flight = target.track_request(options.prefill_tokens);
     let (connection, in_use) = connected.unzip();
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -8,7 +8,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_platform::deployment::Repeat;
-use hollowsail_routing::Progress;
+use hollowsail_routing::{Progress, Reason};
 
 use super::admit::Admitted;
 use super::attempt::{self, AttemptOptions, TargetAnswer};
@@ -61,7 +61,8 @@
             return Err(attempts.deadline_refusal());
         }
         unservable::check_crashes(cx, admitted).map_err(|refusal| attempts.refusal_for(refusal))?;
-        let (target, placed) = select::next_target(cx, admitted, prepared, attempts).await?;
+        let selected = select::next_target(cx, admitted, prepared, attempts).await?;
+        let (mut target, others, placed) = (selected.target, selected.others, selected.placed);
         let timeout = timeout(cx, admitted, attempts);
         let options = attempt_options(admitted, prepared, timeout, resume_after);
         if attempts.is_first() {
@@ -69,9 +70,15 @@
                 budget.earn()
             });
         }
-        attempts.last_target.clone_from(&target.incarnation().id);
         attempts.last_sent = BootInstant::now();
-        match attempt::run(cx, admitted, &target, &options).await {
+        let chosen = target.clone();
+        let result = attempt::run(cx, admitted, &mut target, &others, &options).await;
+        if !Rc::ptr_eq(&chosen, &target) {
+            let candidates = 1 + others.len();
+            select::log_choice(cx, admitted, &target, Reason::FreeConnection, candidates);
+        }
+        attempts.last_target.clone_from(&target.incarnation().id);
+        match result {
             Ok(mut answer) => {
                 metrics::count_attempt(&target.record.service, "answered");
                 if let Some(placed) = &placed {
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -30,6 +30,15 @@
 /// Retry-After where no scheduler replied; another entry owns the scheduler by then.
 const NEW_OWNER_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// The target for an attempt.
+pub struct Selected {
+    pub target: Rc<Target>,
+    /// Others that may serve the request if they have a connection first; none where a scheduler
+    /// named the target.
+    pub others: Vec<Rc<Target>>,
+    pub placed: Option<Placement>,
+}
+
 /// Returns the target for the next attempt, with its placement where a scheduler named it.
 /// Refuses the request when no target may get it.
 pub async fn next_target(
@@ -37,18 +46,24 @@
     admitted: &Admitted,
     prepared: &Prepared,
     attempts: &Attempts,
-) -> Result<(Rc<Target>, Option<Placement>), Refusal> {
+) -> Result<Selected, Refusal> {
     let service = &admitted.deployment.service(attempts.service).name;
     let mut draw = cx.rollouts.draw(cx, service, attempts.is_first());
     loop {
         let senders = match query_scheduler(cx, admitted, prepared, attempts, draw.as_ref()).await?
         {
-            SchedulerReply::Named(target, placed) => return Ok((target, Some(placed))),
+            SchedulerReply::Named(target, placed) => {
+                return Ok(Selected {
+                    target,
+                    others: Vec::new(),
+                    placed: Some(placed),
+                })
+            }
             SchedulerReply::ChooseLocally(senders) => senders,
         };
         let chosen = choose_locally(cx, admitted, prepared, attempts, senders, draw.as_ref());
-        if let Some(target) = chosen {
-            return Ok((target, None));
+        if let Some(selected) = chosen {
+            return Ok(selected);
         }
         match draw.filter(|draw| draw.has_fallback) {
             Some(drawn) => draw = Some(drawn.fallback()),
@@ -228,13 +243,13 @@
     attempts: &Attempts,
     senders: WarmUpSenders,
     draw: Option<&VersionDraw>,
-) -> Option<Rc<Target>> {
+) -> Option<Selected> {
     // Loads a newer view if there is one: it may have fewer targets.
     cx.deployment()?;
     connections::update_limits(cx, admitted.deployment.service(attempts.service));
     let name = &admitted.deployment.service(attempts.service).name;
     let share = warm_up_share(cx, senders);
-    let untried: Vec<Rc<Target>> = cx
+    let mut untried: Vec<Rc<Target>> = cx
         .rollouts
         .eligible_targets(cx, name, &cx.targets_named(name))
         .into_iter()
@@ -250,10 +265,24 @@
         Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
         None => choose::plain(cx, &untried, attempt::reuse(admitted))?,
     };
-    let target = untried[index].clone();
+    let candidates = untried.len();
+    let target = untried.swap_remove(index);
     target.count_warm_up_send(cx.clock.now(), share);
-    log_choice(cx, admitted, &target, reason, untried.len());
-    Some(target)
+    log_choice(cx, admitted, &target, reason, candidates);
+    untried.retain(|other| may_replace(cx, other));
+    Some(Selected {
+        target,
+        others: untried,
+        placed: None,
+    })
+}
+
+/// True when a target may serve a request for which another one was chosen, because it has a
+/// connection first: where connections are few. One that is warming up gets only counted requests.
+fn may_replace(cx: &Traffic, target: &Target) -> bool {
+    target.pool.limit().is_some()
+        && target.warm_up.get().is_none()
+        && !target.health.borrow().is_ejected(cx.clock.now())
 }
 
 /// False while a target is warming up and this entry's share of it is used up, or unknown
@@ -279,7 +308,8 @@
     total_share / cx.peers.count() as f64
 }
 
-fn log_choice(
+/// Writes the log line of a choice among `candidates` targets.
+pub fn log_choice(
     cx: &Traffic,
     admitted: &Admitted,
     target: &Target,
--- a/crates/gateway/tests/suite/connections.rs
+++ b/crates/gateway/tests/suite/connections.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
+use hollowsail_platform_standins::target::{answer as target_answer, ReceivedRequest, Step};
 use hollowsail_platform_standins::{DeploymentJson, TargetStandin};
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
@@ -247,6 +248,42 @@
     assert_eq!(target.received().len(), 2);
 }
 
+/// Guards against requests that wait for the only connection to one target, which is in use for
+/// longer than expected, while another target serves all others.
+#[actix_rt::test]
+async fn waiting_requests_go_to_the_first_target_with_a_free_connection() {
+    let fixture = Fixture::start(&once_deployment(2)).await;
+    let script = |request: &ReceivedRequest| {
+        let is_long = request.body.as_slice() == b"long";
+        let ms = if is_long { 900 } else { 20 };
+        let served = target_answer(request, 200, "served");
+        vec![Step::Wait(Duration::from_millis(ms)), Step::Write(served)]
+    };
+    let targets = [
+        TargetStandin::start(script).await,
+        TargetStandin::start(script).await,
+    ];
+    fixture.add("i-1", "plain", &targets[0]);
+    fixture.add("i-2", "plain", &targets[1]);
+    assert_eq!(fixture.call(&once(99)).await.status, 200);
+    while targets.iter().any(|target| target.received().is_empty()) {
+        assert_served(&burst(&fixture, 2).await);
+    }
+    let received = || targets.iter().map(|target| target.received().len()).sum();
+    let before: usize = received();
+    let long = once(98).body("long");
+    let long = fixture.call(&long);
+    let short = async {
+        eventually("the long request is sent", || received() > before).await;
+        let started = Instant::now();
+        assert_served(&burst(&fixture, 8).await);
+        started.elapsed()
+    };
+    let (long, took) = futures_util::join!(long, short);
+    assert_eq!(long.status, 200);
+    assert!(took < Duration::from_millis(600), "{took:?}");
+}
+
 /// Guards against callers that wait for their deadline when the connections are in use for longer
 /// than they can wait.
 #[actix_rt::test]
--- a/crates/routing/src/choose.rs
+++ b/crates/routing/src/choose.rs
@@ -35,6 +35,8 @@
     Only,
     /// All candidates are ejected.
     AllEjected,
+    /// Had a connection before the chosen one, where they are few.
+    FreeConnection,
     /// Placed by the scheduler of its engine group.
     Placed,
     /// Holds the first part of an interrupted stream.
@@ -51,6 +53,7 @@
             Reason::LessLoaded => "less_loaded",
             Reason::Only => "only",
             Reason::AllEjected => "all_ejected",
+            Reason::FreeConnection => "free_connection",
             Reason::Placed => "placed",
             Reason::Resumed => "resumed",
             Reason::Baseline => "baseline",
--- a/crates/routing/src/connections.rs
+++ b/crates/routing/src/connections.rs
@@ -46,6 +46,18 @@
     (ahead + 1) as f64 * hold_ms / f64::from(share.max(1))
 }
 
+/// Expected wait in milliseconds of a request that takes the first connection from several lines
+/// with these expected waits. The requests ahead are in all the lines as well, so the rates at
+/// which connections become free add up. 0 without lines.
+pub fn first_of_waits(waits: impl Iterator<Item = f64>) -> f64 {
+    let rate: f64 = waits.map(f64::recip).sum();
+    if rate > 0.0 {
+        rate.recip()
+    } else {
+        0.0
+    }
+}
+
 /// Paces the connections that an entry opens to one target: one at a time, with a backoff after a
 /// connection that was reset before its first answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/routing/tests/suite/connections.rs
+++ b/crates/routing/tests/suite/connections.rs
@@ -1,6 +1,6 @@
 //! Sharing and pacing of scarce connections.
 
-use hollowsail_routing::connections::{expected_wait, is_scarce, share};
+use hollowsail_routing::connections::{expected_wait, first_of_waits, is_scarce, share};
 use hollowsail_routing::DialPacing;
 use proptest::prelude::*;
 
@@ -68,6 +68,15 @@
     assert_eq!(expected_wait(3, 2, 30.0), 60.0);
 }
 
+/// Guards against refusals by the sum of several lines in which the same requests wait.
+#[test]
+fn lines_that_a_request_waits_in_together_are_shorter() {
+    assert_eq!(first_of_waits([].into_iter()), 0.0);
+    assert_eq!(first_of_waits([30.0].into_iter()), 30.0);
+    assert_eq!(first_of_waits([60.0, 60.0].into_iter()), 30.0);
+    assert_eq!(first_of_waits([60.0, 0.0].into_iter()), 0.0);
+}
+
 #[test]
 fn observation_covers_two_round_trips_within_bounds() {
     let mut pacing = DialPacing::default();
