Bound prompt lengths from callers in the expected times

The number of prompt tokens is from a header of the caller and wasn't bounded. Two prompts of 2^64 - 1 tokens overflowed the sum of pending prefill: a panic in a debug build, a sum that wraps in a release build. A single finished one dominated the time per token of the engine group.

The scheduler counts at most 1,000,000 tokens of a prompt. The sums at a target and of a prompt's shared parts saturate.

Tested: the new test of the scheduler failed with 'attempt to add with overflow'; tests of hollowsail-routing and hollowsail-targets pass.

--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -181,5 +181,7 @@
         .parts
         .split_last()
         .map_or(&[][..], |(_, shared)| shared);
-    shared.iter().map(|part| part.tokens).sum()
+    let tokens = shared.iter().map(|part| part.tokens);
+    // The numbers are from a header of the caller.
+    tokens.fold(0, u64::saturating_add)
 }
--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -50,6 +50,9 @@
 const SAMPLE_WEIGHT: f64 = 0.05;
 /// Minimum length of a prefill, in tokens, to update the time per token.
 const MIN_SAMPLE_TOKENS: u64 = 500;
+/// Longest prompt that counts, in tokens: longer than any engine accepts. The length is from a
+/// header of the caller.
+const MAX_PROMPT_TOKENS: u64 = 1_000_000;
 /// Time left to the first event as a multiple of [`Demand::max_wait_ms`].
 const TIME_LEFT_FACTOR: Millis = 2;
 /// Part of the time left within which an expected first event has a margin. The rest covers
@@ -428,10 +431,11 @@
 
     /// Tokens of a demand that an engine has to prefill.
     fn prefill_tokens(&self, now: Millis, key: &K, demand: &Demand<K>) -> u64 {
-        match self.has_cached(now, key, &demand.part) {
+        let tokens = match self.has_cached(now, key, &demand.part) {
             true => demand.prompt_tokens.saturating_sub(demand.shared_tokens),
             false => demand.prompt_tokens,
-        }
+        };
+        tokens.min(MAX_PROMPT_TOKENS)
     }
 
     /// True when an engine is assumed to cache a prefix.
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -281,3 +281,21 @@
 fn large_pending_prefill_outweighs_a_prefix_with_a_margin() {
     assert_ne!(placed_behind(60_000, 1_500), 0);
 }
+
+/// Guards against a prompt length from a caller's header that overflows the expected times, and
+/// against one that keeps an engine's estimates wrong after its end.
+#[test]
+fn absurd_prompt_length_is_bounded() {
+    let (mut scheduler, now) = trained(1);
+    let absurd = Demand {
+        shared_tokens: 0,
+        prompt_tokens: u64::MAX,
+        ..demand("absurd", 0)
+    };
+    let keys = [0, 1, 2].map(|_| place(&mut scheduler, now, &absurd).0);
+    scheduler.prefill_done(keys[0], now + 50);
+    for key in keys {
+        scheduler.record_end(key, PlacementEnd::Completed, now + 60);
+    }
+    assert!(scheduler.is_idle());
+}
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -164,8 +164,10 @@
     /// Counts a request and its prompt tokens to prefill until the guard is dropped.
     pub fn track_request(self: &Rc<Self>, pending_prefill_tokens: u64) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
+        let pending = self.pending_prefill_tokens.get();
+        // The number is from a header of the caller.
         self.pending_prefill_tokens
-            .set(self.pending_prefill_tokens.get() + pending_prefill_tokens);
+            .set(pending.saturating_add(pending_prefill_tokens));
         InFlight {
             target: self.clone(),
             pending_prefill_tokens,
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -81,6 +81,19 @@
     assert_eq!(target.reported_work_percent(), None);
 }
 
+/// Guards against an overflow by prompt lengths from callers' headers.
+#[test]
+fn absurd_prompt_lengths_are_added_without_overflow() {
+    let deployment = deployment();
+    let mut table = TargetTable::default();
+    table.update(0, &deployment, &[usable("t", 1, "plain")], &[]);
+    let target = only(&table, &deployment);
+    let requests = [target.track_request(u64::MAX), target.track_request(1)];
+    assert_eq!(target.pending_prefill_tokens.get(), u64::MAX);
+    drop(requests);
+    assert_eq!(target.pending_prefill_tokens.get(), 0);
+}
+
 #[test]
 fn restarted_target_has_fresh_state() {
     let deployment = deployment();
