Forget placements on engines that are no longer listed

An engine that left the list and came back starts without load, but the placements from before were still subtracted from it when they ended. Its pending prefill and running requests were then too low, and further prompts were placed behind prefill that the scheduler no longer counted.

Placements on engines that aren't listed are now dropped with the engine.

Tested: the new test failed before (a prompt was placed behind 60,000 pending tokens); all tests of hollowsail-routing pass.

--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -249,10 +249,13 @@
 }
 
 impl<K: Clone + Eq + Hash + Ord> EngineScheduler<K> {
-    /// Replaces the set of engines that may get new work.
+    /// Replaces the set of engines that may get new work. Placements on the others are forgotten:
+    /// an engine that is listed again starts without load, from which they mustn't be subtracted.
     pub fn set_engines(&mut self, now: Millis, engines: &[SchedulableEngine<K>]) {
         let present: HashSet<&K> = engines.iter().map(|engine| &engine.key).collect();
         self.engines.retain(|key, _| present.contains(key));
+        self.placements
+            .retain(|_, placement| present.contains(&placement.engine));
         for engine in engines {
             let state = self.engines.entry(engine.key.clone()).or_default();
             state.slots = engine.slots;
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -299,3 +299,37 @@
     }
     assert!(scheduler.is_idle());
 }
+
+/// Guards against load that is subtracted from an engine which was listed anew after it was
+/// counted.
+#[test]
+fn placement_from_before_a_new_listing_does_not_change_the_load() {
+    let (mut scheduler, now) = trained(2);
+    let engine = |key| SchedulableEngine {
+        key,
+        slots: 64,
+        hall: "hall-a".to_string(),
+        version: String::new(),
+        warm_up: None,
+        limit: None,
+    };
+    let long = Demand {
+        avoid: vec![1],
+        shared_tokens: 0,
+        prompt_tokens: 60_000,
+        max_wait_ms: 1_500,
+        ..demand("long", 0)
+    };
+    let (before, _) = place(&mut scheduler, now, &long);
+    scheduler.set_engines(now, &[engine(1)]);
+    scheduler.set_engines(now, &[engine(0), engine(1)]);
+    place(&mut scheduler, now, &long);
+    scheduler.record_end(before, PlacementEnd::Completed, now);
+    let next = Demand {
+        avoid: Vec::new(),
+        prompt_tokens: 1_000,
+        ..long
+    };
+    let (_, at) = place(&mut scheduler, now, &next);
+    assert_eq!(at, 1, "60,000 tokens are pending at engine 0");
+}
