--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -20,10 +20,10 @@
 
 pub use body::AnswerBody;
 pub use call::CompleteAnswer;
-pub use capacity::{Availability, PoolStats};
+pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
-pub use pool::{Connection, Exchange, Pool, PoolRules, Reuse, SendError};
+pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -238,3 +238,98 @@
     }
     assert_eq!(choice(&mut scheduler, now), 1, "four slow answers in a row");
 }
+
+/// Places a demand with the prefix that engine 0 caches behind `pending_tokens` of prefill there.
+fn placed_behind(pending_tokens: u64, max_wait_ms: u64) -> usize {
+    let (mut scheduler, now) = trained(3);
+    let (first, home) = place(&mut scheduler, now, &demand("p", 1_000));
+    assert_eq!(home, 0);
+    scheduler.prefill_done(first, now + prefill_ms(6_000, 1.0));
+    scheduler.record_end(first, PlacementEnd::Completed, now + 100);
+    let now = now + 200;
+    let ahead = Demand {
+        avoid: vec![1, 2],
+        shared_tokens: 0,
+        prompt_tokens: pending_tokens,
+        ..demand("ahead", 0)
+    };
+    place(&mut scheduler, now, &ahead);
+    let demand = Demand {
+        max_wait_ms,
+        ..demand("p", 1_000)
+    };
+    place(&mut scheduler, now, &demand).1
+}
+
+/// Guards against a prefix that is prefilled again although the engine that caches it would be
+/// in time: 20,000 tokens take 200 ms of the 600 ms left, and cost twice as much as the prefix.
+#[test]
+fn affinity_wins_behind_pending_prefill_while_there_is_a_margin() {
+    assert_eq!(placed_behind(20_000, MAX_WAIT_MS), 0);
+}
+
+/// Guards against requests that are kept behind pending prefill when a small error of the
+/// estimate makes them late: 240 ms of 280 ms left are expected.
+#[test]
+fn affinity_yields_to_pending_prefill_without_a_margin() {
+    assert_ne!(placed_behind(20_000, 140), 0);
+}
+
+/// Guards against an unbounded preference: moving is worth it when the pending prefill is large,
+/// also with a margin.
+#[test]
+fn large_pending_prefill_outweighs_a_prefix_with_a_margin() {
+    assert_ne!(placed_behind(60_000, 1_500), 0);
+}
+
+/// Guards against a prompt length from a caller's header that overflows the expected times, and
+/// against one that keeps an engine's estimates wrong after its end.
+#[test]
+fn absurd_prompt_length_is_bounded() {
+    let (mut scheduler, now) = trained(1);
+    let absurd = Demand {
+        shared_tokens: 0,
+        prompt_tokens: u64::MAX,
+        ..demand("absurd", 0)
+    };
+    let keys = [0, 1, 2].map(|_| place(&mut scheduler, now, &absurd).0);
+    scheduler.prefill_done(keys[0], now + 50);
+    for key in keys {
+        scheduler.record_end(key, PlacementEnd::Completed, now + 60);
+    }
+    assert!(scheduler.is_idle());
+}
+
+/// Guards against load that is subtracted from an engine which was listed anew after it was
+/// counted.
+#[test]
+fn placement_from_before_a_new_listing_does_not_change_the_load() {
+    let (mut scheduler, now) = trained(2);
+    let engine = |key| SchedulableEngine {
+        key,
+        slots: 64,
+        hall: "hall-a".to_string(),
+        version: String::new(),
+        warm_up: None,
+        limit: None,
+    };
+    let long = Demand {
+        avoid: vec![1],
+        shared_tokens: 0,
+        prompt_tokens: 60_000,
+        max_wait_ms: 1_500,
+        ..demand("long", 0)
+    };
+    let (before, _) = place(&mut scheduler, now, &long);
+    scheduler.set_engines(now, &[engine(1)]);
+    scheduler.set_engines(now, &[engine(0), engine(1)]);
+    place(&mut scheduler, now, &long);
+    scheduler.record_end(before, PlacementEnd::Completed, now);
+    let next = Demand {
+        avoid: Vec::new(),
+        prompt_tokens: 1_000,
+        ..long
+    };
+    let (_, at) = place(&mut scheduler, now, &next);
+    assert_eq!(at, 1, "60,000 tokens are pending at engine 0");
+}
