Contend for workers and connections in the soak

Cause: the soak had no service that requests compete for, so it said nothing about capacity reservations, the speed of workers or scarce connections.

Four checks are new: a request without room reached no worker; its refusal came within 250 ms while no gateway was disturbed; the more urgent route is served at most 5 in 100 less often; no organisation is served less than a quarter as often as all. The check of the share of whole answers counts the callers it counted before, without those that contend.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -35,6 +35,10 @@
     #[argh(option)]
     program: Option<PathBuf>,
 
+    /// program of the first gateway, such as an older build; the same as the others when absent
+    #[argh(option)]
+    old_program: Option<PathBuf>,
+
     /// folder for settings, output and events; a new one under target when absent
     #[argh(option)]
     folder: Option<PathBuf>,
@@ -50,6 +54,7 @@
                 entries: self.entries,
                 callers: self.callers,
                 program: self.program.clone(),
+                old_program: self.old_program.clone(),
                 folder: self.folder.clone(),
             };
             let report = soak::run(&options)
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -6,11 +6,12 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
-use hollowsail_platform_emulator::{RouteKind, RouteModel};
+use hollowsail_platform_emulator::{api_key, RouteKind, RouteModel};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use tokio::task::JoinHandle;
 
+use super::contention::{self, Contender};
 use super::plan::SoakPlan;
 use super::processes::Fleet;
 use super::SoakOptions;
@@ -31,6 +32,8 @@
 pub struct Attempt {
     pub id: String,
     pub route: Rc<RouteModel>,
+    /// Set if the caller contends for the workers of a stage service.
+    pub contender: Option<Rc<Contender>>,
     pub entry: usize,
     pub sent: Instant,
     pub ended: Instant,
@@ -57,7 +60,10 @@
             attempts: RefCell::default(),
             is_over: Cell::new(false),
         });
-        let callers = (0..options.callers).map(|number| {
+        let contenders = contention::contenders(&plan.burst).into_iter().map(Rc::new);
+        let ordinary = std::iter::repeat_n(None, options.callers);
+        let contenders = ordinary.chain(contenders.map(Some)).enumerate();
+        let callers = contenders.map(|(number, contender)| {
             let caller = Caller {
                 number,
                 rng: SmallRng::seed_from_u64(options.seed ^ ((number as u64 + 1) << 32)),
@@ -66,6 +72,7 @@
                 shared: shared.clone(),
                 connection: None,
                 requests: 0,
+                contender,
             };
             actix_rt::spawn(caller.run())
         });
@@ -95,11 +102,19 @@
     shared: Rc<Shared>,
     connection: Option<(usize, Connection)>,
     requests: u64,
+    contender: Option<Rc<Contender>>,
 }
 
 impl Caller {
     async fn run(mut self) {
-        while !self.shared.is_over.get() {
+        let contender = self.contender.clone();
+        let active = contender.as_ref().and_then(|contender| contender.active);
+        let end = active.map(|(start, end)| (Instant::now() + start, Instant::now() + end));
+        if let Some((start, _)) = end {
+            tokio::time::sleep_until(start.into()).await;
+        }
+        let is_past = || end.is_some_and(|(_, end)| Instant::now() >= end);
+        while !self.shared.is_over.get() && !is_past() {
             let route = self.draw_route();
             self.send_with_retry(&route).await;
             let pause = PAUSE.mul_f64(self.rng.random_range(0.0..2.0));
@@ -108,6 +123,11 @@
     }
 
     fn draw_route(&mut self) -> Rc<RouteModel> {
+        if let Some(contender) = &self.contender {
+            let mut routes = self.routes.iter();
+            let route = routes.find(|route| route.path == contender.path);
+            return route.expect("the site has the contended routes").clone();
+        }
         let routes = self.routes.iter().zip(ROUTE_WEIGHTS);
         let uses = routes.flat_map(|(route, uses)| std::iter::repeat_n(route, uses));
         let uses: Vec<&Rc<RouteModel>> = uses.collect();
@@ -117,19 +137,21 @@
     /// Sends a request and retries it once if allowed: after a refusal with the requested
     /// delay, and after an unknown outcome on a route that is safe to repeat.
     async fn send_with_retry(&mut self, route: &Rc<RouteModel>) {
-        let pause = match self.attempt(route).await {
-            Some(Outcome::NotRun { after }) => after.unwrap_or(PAUSE),
+        let content = self.requests;
+        let pause = match self.attempt(route, content).await {
+            Some(Outcome::NotRun { after, .. }) => after.unwrap_or(PAUSE),
             Some(Outcome::Unknown { .. }) if route.kind == RouteKind::Safe => PAUSE,
             _ => return,
         };
         if pause.as_millis() as u64 <= route.timeout_ms / 3 {
             tokio::time::sleep(pause).await;
             self.connection = None;
-            self.attempt(route).await;
+            self.attempt(route, content).await;
         }
     }
 
-    async fn attempt(&mut self, route: &Rc<RouteModel>) -> Option<Outcome> {
+    /// Sends a request once. Retries have the same `content`, by which gateways know them.
+    async fn attempt(&mut self, route: &Rc<RouteModel>, content: u64) -> Option<Outcome> {
         let is_cancelled = self.rng.random_bool(CANCEL_SHARE);
         let timeout = match is_cancelled {
             true => Duration::from_millis(self.rng.random_range(1..MAX_CANCEL_DELAY_MS)),
@@ -139,7 +161,11 @@
         let (entry, mut connection) = self.connection.take()?;
         self.requests += 1;
         let id = format!("{:08x}{:08x}", self.number + 1, self.requests);
-        let request = CallerRequest::for_route(route, id.clone());
+        let mut request = CallerRequest::for_route(route, id.clone());
+        if let Some(contender) = &self.contender {
+            request.path = format!("{}{:x}-{content:x}", route.path, self.number);
+            request.api_key = contender.organisation.map(api_key);
+        }
         let sent = Instant::now();
         let outcome = tokio::time::timeout(timeout, connection.call(&request)).await;
         let outcome = match outcome {
@@ -152,6 +178,7 @@
         self.shared.attempts.borrow_mut().push(Attempt {
             id,
             route: route.clone(),
+            contender: self.contender.clone(),
             entry,
             sent,
             ended: Instant::now(),
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -11,12 +11,13 @@
 use super::plan::EntryFault;
 use super::processes::{Disturbance, Observations};
 use super::report::SoakReport;
+use super::room;
 use super::SoakOptions;
 
 /// How far a response may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 /// How long after its end a fault still excuses its gateway.
-const RECOVERY_GRACE: Duration = Duration::from_secs(1);
+pub const RECOVERY_GRACE: Duration = Duration::from_secs(1);
 /// Minimum share of whole answers; below it too few attempts exercise the checks.
 const MIN_WHOLE_SHARE: f64 = 0.5;
 
@@ -34,15 +35,23 @@
             .iter()
             .filter_map(|attempt| find_violation(attempt, observations)),
     );
-    let whole = count(attempts, |outcome| *outcome == Outcome::Whole);
-    if (whole as f64) < attempts.len() as f64 * MIN_WHOLE_SHARE {
-        failures.push(format!("{whole} of {} attempts are whole", attempts.len()));
+    // Attempts that contend for workers are refused in the burst: `room` checks them.
+    let uncontended = attempts
+        .iter()
+        .filter(|attempt| attempt.contender.is_none());
+    let uncontended: Vec<Attempt> = uncontended.cloned().collect();
+    let whole = count(&uncontended, |outcome| *outcome == Outcome::Whole);
+    let total = uncontended.len();
+    if (whole as f64) < total as f64 * MIN_WHOLE_SHARE {
+        failures.push(format!("{whole} of {total} attempts are whole"));
     }
+    let room = room::evaluate(observations, attempts);
+    failures.extend(room.failures);
     SoakReport {
         seed: options.seed,
         seconds: options.seconds,
         attempts: attempts.len(),
-        whole,
+        whole: count(attempts, |outcome| *outcome == Outcome::Whole),
         not_run: count(attempts, |outcome| {
             matches!(outcome, Outcome::NotRun { .. })
         }),
@@ -50,6 +59,7 @@
             matches!(outcome, Outcome::Unknown { .. })
         }),
         ran: observations.ran.len(),
+        room: room.summary,
         failures,
     }
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -1,14 +1,17 @@
 //! Soak test: real gateway processes in front of the emulated platform, under seeded faults.
 //!
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
-//! and monitors the processes; [`callers`] generates load; [`checks`] compares callers' results
-//! with the targets' executions. Settings and logs stay in the run's folder.
+//! and monitors the processes; [`callers`] generates load, partly for a contended
+//! service ([`contention`]); [`checks`] and [`room`] compare callers'
+//! results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod callers;
 mod checks;
+mod contention;
 mod plan;
 mod processes;
 mod report;
+mod room;
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
@@ -37,6 +40,8 @@
     pub entries: usize,
     pub callers: usize,
     pub program: Option<PathBuf>,
+    /// Program of the first gateway, which may be an older build.
+    pub old_program: Option<PathBuf>,
     pub folder: Option<PathBuf>,
 }
 
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -9,6 +9,8 @@
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
+use super::contention::{self, Burst};
+
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
 const FIRST_FAULT_S: u64 = 4;
 const LAST_FAULT_BEFORE_END_S: u64 = 8;
@@ -49,6 +51,7 @@
     pub site_text: String,
     pub site: Site,
     pub faults: Vec<PlannedFault>,
+    pub burst: Burst,
     pub duration: Duration,
 }
 
@@ -159,12 +162,18 @@
         });
         let mut faults: Vec<PlannedFault> = faults.collect();
         faults.sort_by_key(|fault| fault.at);
-        let platform = format!("[platform]\nhalls = hall-a, hall-b\ndrain_ms = {DRAIN_MS}\n");
-        let site_text = format!("{platform}\n{SERVICES}\n{}", troubles.join("\n"));
+        let (contention, burst) = contention::draw(seed, latest);
+        let platform =
+            format!("[platform]\nhalls = hall-a, hall-b\ndrain_ms = {DRAIN_MS}\nseed = {seed}\n");
+        let site_text = format!(
+            "{platform}\n{SERVICES}\n{}\n{contention}",
+            troubles.join("\n")
+        );
         SoakPlan {
             site: parse(&site_text),
             site_text,
             faults,
+            burst,
             duration: Duration::from_secs(seconds),
         }
     }
@@ -181,7 +190,7 @@
             let (at, duration) = (at.as_millis(), duration.as_millis());
             format!("{at} ms: {fault:?} gateway {entry} for {duration} ms\n")
         });
-        lines.collect()
+        lines.chain([self.burst.to_string()]).collect()
     }
 
     /// The route that is added during the run.
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -48,6 +48,8 @@
 pub struct Observations {
     /// IDs of requests that a target began to execute.
     pub ran: HashSet<String>,
+    /// IDs of requests of which a stage worker got a piece.
+    pub pieces: HashSet<String>,
     /// Broken promises that the platform reported.
     pub broken: Vec<String>,
     /// Unexpected exits, and processes that did not exit or start.
@@ -70,6 +72,7 @@
 pub struct Fleet {
     folder: PathBuf,
     program: PathBuf,
+    old_program: Option<PathBuf>,
     gateways: Vec<Gateway>,
     platform: RefCell<Option<(Child, ChildStdin)>>,
     observations: Rc<RefCell<Observations>>,
@@ -105,6 +108,7 @@
         let fleet = Fleet {
             gateways: configs.into_iter().map(Gateway::new).collect(),
             program: program_for(options),
+            old_program: options.old_program.clone(),
             folder,
             platform: RefCell::new(Some(platform)),
             observations,
@@ -260,7 +264,9 @@
         let output = self.folder.join(format!("{host}.{start}.log"));
         let file = File::create(&output).context(FolderSnafu { path: &output })?;
         let stdout = file.try_clone().context(FolderSnafu { path: &output })?;
-        let child = Command::new(&self.program)
+        let old_program = self.old_program.as_ref().filter(|_| index == 0);
+        let program = old_program.unwrap_or(&self.program);
+        let child = Command::new(program)
             .arg("gateway")
             .env(SETTINGS_VARIABLE, &settings)
             .env("RUST_LOG", "info")
@@ -269,9 +275,7 @@
             .stderr(file)
             .kill_on_drop(true)
             .spawn()
-            .context(StartSnafu {
-                program: &self.program,
-            })?;
+            .context(StartSnafu { program })?;
         *gateway.child.borrow_mut() = Some(child);
         Ok(())
     }
@@ -412,6 +416,7 @@
         let mut observations = observations.borrow_mut();
         match (event.event.as_str(), event.request) {
             ("ran", Some(request)) => drop(observations.ran.insert(request)),
+            ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
             ("broken", _) => {
                 let promise = event.promise.unwrap_or_default();
                 let description = event.description.unwrap_or_default();
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -17,6 +17,8 @@
     pub unknown: usize,
     /// Requests that a target began to execute.
     pub ran: usize,
+    /// Refusals for want of room, by route.
+    pub room: String,
     /// One line per broken promise or failed process.
     pub failures: Vec<String>,
 }
@@ -42,12 +44,13 @@
             self.ran
         )?;
         if self.is_success() {
-            return write!(f, "all promises kept");
+            return write!(f, "all promises kept\n{}", self.room);
         }
         writeln!(f, "{} failures", self.failures.len())?;
         for failure in self.failures.iter().take(MAX_SHOWN_FAILURES) {
             writeln!(f, "  {failure}")?;
         }
+        writeln!(f, "{}", self.room)?;
         write!(
             f,
             "again: hollowsail-bench soak --seed {} --seconds {}",
--- /dev/null
+++ b/crates/bench/src/soak/room.rs
@@ -0,0 +1,150 @@
+//! Checks of the contended service: what callers without room were told, and who was served.
+//!
+//! A refusal for want of room names its reason in the body. Times and the order of the routes
+//! are checked only while no gateway is disturbed; a disturbance of any of them counts, because
+//! it may own the queue.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use hollowsail_platform_emulator::caller::Outcome;
+
+use super::callers::Attempt;
+use super::checks::RECOVERY_GRACE;
+use super::contention::{LESS_URGENT_PATH, URGENT_PATH};
+use super::processes::Observations;
+
+/// Start of the reason of a refusal for want of room.
+const NO_ROOM: &str = "no room in service";
+/// Maximum duration of such a refusal.
+const MAX_REFUSAL: Duration = Duration::from_millis(250);
+/// How much less often the more urgent route may be served than the less urgent one.
+const MAX_ORDER_DIFFERENCE: f64 = 0.05;
+/// Smallest permitted ratio of an organisation's served share to that of all.
+const MIN_SERVED_RATIO: f64 = 0.25;
+/// Number of attempts below which a share says little.
+const MIN_ATTEMPTS: usize = 50;
+
+/// Result of the checks.
+pub struct RoomReport {
+    pub failures: Vec<String>,
+    pub summary: String,
+}
+
+pub fn evaluate(observations: &Observations, attempts: &[Attempt]) -> RoomReport {
+    let mut failures: Vec<String> = attempts
+        .iter()
+        .filter(|attempt| is_no_room(attempt))
+        .filter_map(|attempt| find_violation(attempt, observations))
+        .collect();
+    failures.extend(check_order(observations, attempts));
+    failures.extend(check_organisations(attempts));
+    let routes = [URGENT_PATH, LESS_URGENT_PATH].map(|path| summarise(path, attempts));
+    RoomReport {
+        failures,
+        summary: format!("no room: {}", routes.join("; ")),
+    }
+}
+
+fn is_no_room(attempt: &Attempt) -> bool {
+    matches!(&attempt.outcome, Some(Outcome::NotRun { why, .. }) if why.contains(NO_ROOM))
+}
+
+fn find_violation(attempt: &Attempt, observations: &Observations) -> Option<String> {
+    let (id, took) = (&attempt.id, attempt.ended - attempt.sent);
+    if observations.ran.contains(id) || observations.pieces.contains(id) {
+        return Some(format!(
+            "request {id} had no room, but a target got it or its pieces"
+        ));
+    }
+    let is_late = took > MAX_REFUSAL && is_undisturbed(attempt, observations);
+    is_late.then(|| {
+        format!(
+            "request {id} was refused without room after {} ms",
+            took.as_millis()
+        )
+    })
+}
+
+/// True if no gateway was disturbed during the attempt.
+fn is_undisturbed(attempt: &Attempt, observations: &Observations) -> bool {
+    let mut disturbances = observations.disturbances.iter();
+    disturbances.all(|disturbance| {
+        attempt.ended < disturbance.from || disturbance.until + RECOVERY_GRACE < attempt.sent
+    })
+}
+
+/// Number of attempts that weren't cancelled, and how many of them are whole.
+#[derive(Debug, Clone, Copy)]
+struct Served {
+    attempts: usize,
+    whole: usize,
+}
+
+impl Served {
+    fn of<'a>(attempts: impl Iterator<Item = &'a Attempt>) -> Self {
+        let outcomes: Vec<_> = attempts
+            .filter_map(|attempt| attempt.outcome.as_ref())
+            .collect();
+        let whole = outcomes
+            .iter()
+            .filter(|outcome| ***outcome == Outcome::Whole);
+        Served {
+            attempts: outcomes.len(),
+            whole: whole.count(),
+        }
+    }
+
+    /// `None` if there are too few attempts.
+    fn share(self) -> Option<f64> {
+        (self.attempts >= MIN_ATTEMPTS).then(|| self.whole as f64 / self.attempts as f64)
+    }
+}
+
+/// Compares the routes in the seconds without a fault.
+fn check_order(observations: &Observations, attempts: &[Attempt]) -> Option<String> {
+    let served = |path: &str| {
+        let attempts = attempts.iter().filter(|attempt| attempt.route.path == path);
+        Served::of(attempts.filter(|attempt| is_undisturbed(attempt, observations)))
+    };
+    let (urgent, other) = (served(URGENT_PATH), served(LESS_URGENT_PATH));
+    let is_kept = urgent.share()? + MAX_ORDER_DIFFERENCE >= other.share()?;
+    (!is_kept).then(|| {
+        format!("the more urgent route was served less often without faults: {urgent:?}, {other:?}")
+    })
+}
+
+fn check_organisations(attempts: &[Attempt]) -> Vec<String> {
+    let organisation = |attempt: &Attempt| attempt.contender.as_ref()?.organisation;
+    let all = || {
+        attempts
+            .iter()
+            .filter(|attempt| organisation(attempt).is_some())
+    };
+    let Some(share) = Served::of(all()).share() else {
+        return Vec::new();
+    };
+    let names: BTreeSet<&str> = all().filter_map(organisation).collect();
+    let check = |name: &str| {
+        let own = Served::of(all().filter(|attempt| organisation(attempt) == Some(name)));
+        let is_starved = own.share()? < share * MIN_SERVED_RATIO;
+        is_starved.then(|| format!("organisation {name}: {own:?}, but of all {share:.2} are whole"))
+    };
+    names.into_iter().filter_map(check).collect()
+}
+
+/// Counts of a route, with the median and 90th percentile of the times of its refusals.
+fn summarise(path: &str, attempts: &[Attempt]) -> String {
+    let own = || attempts.iter().filter(|attempt| attempt.route.path == path);
+    let mut times = Histogram::<u64>::new(3).expect("the precision is valid");
+    for attempt in own().filter(|attempt| is_no_room(attempt)) {
+        times.saturating_record((attempt.ended - attempt.sent).as_millis() as u64);
+    }
+    let Served { attempts, whole } = Served::of(own());
+    let (median, p90) = (times.value_at_quantile(0.5), times.value_at_quantile(0.9));
+    format!(
+        "{path} {whole} of {attempts} whole, {} refused after {median} ms (p90 {p90} ms)",
+        times.len()
+    )
+}
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -137,7 +137,10 @@
 }
 
 async fn call_with_retries(config: &EntryConfig, route: &RouteModel, number: usize) -> Outcome {
-    let mut outcome = Outcome::NotRun { after: None };
+    let mut outcome = Outcome::NotRun {
+        after: None,
+        why: String::new(),
+    };
     for attempt in 0..MAX_ATTEMPTS {
         let request = CallerRequest::for_route(route, format!("{:08x}{attempt:08x}", number + 1));
         outcome = match Connection::open(config.callers()).await {
