Compare the contended routes for steady callers too

Cause: the reservations' urgency was inverted on purpose and the check of the order of routes didn't notice, because the burst lowers what is served on the less urgent route anyway.

--- a/crates/bench/src/soak/room.rs
+++ b/crates/bench/src/soak/room.rs
@@ -102,16 +102,35 @@
     }
 }
 
-/// Compares the routes in the seconds without a fault.
-fn check_order(observations: &Observations, attempts: &[Attempt]) -> Option<String> {
+/// Compares the routes in the seconds without a fault: all callers, and those outside the burst,
+/// who are as many on each route and would hide an inverted order among the others.
+fn check_order(observations: &Observations, attempts: &[Attempt]) -> Vec<String> {
+    let is_steady = |attempt: &Attempt| {
+        let contender = attempt.contender.as_ref();
+        contender.is_some_and(|contender| contender.active.is_none())
+    };
+    let undisturbed = || {
+        let attempts = attempts.iter();
+        attempts.filter(|attempt| is_undisturbed(attempt, observations))
+    };
+    let all = compare_routes("all callers", undisturbed());
+    let steady = undisturbed().filter(|attempt| is_steady(attempt));
+    let steady = compare_routes("steady callers", steady);
+    all.into_iter().chain(steady).collect()
+}
+
+fn compare_routes<'a>(
+    callers: &str,
+    attempts: impl Iterator<Item = &'a Attempt> + Clone,
+) -> Option<String> {
     let served = |path: &str| {
-        let attempts = attempts.iter().filter(|attempt| attempt.route.path == path);
-        Served::of(attempts.filter(|attempt| is_undisturbed(attempt, observations)))
+        let attempts = attempts.clone();
+        Served::of(attempts.filter(|attempt| attempt.route.path == path))
     };
     let (urgent, other) = (served(URGENT_PATH), served(LESS_URGENT_PATH));
     let is_kept = urgent.share()? + MAX_ORDER_DIFFERENCE >= other.share()?;
     (!is_kept).then(|| {
-        format!("the more urgent route was served less often without faults: {urgent:?}, {other:?}")
+        format!("the more urgent route was served less often ({callers}): {urgent:?}, {other:?}")
     })
 }
 
