Leave new callers their share before returning ones, and lower the floor to 0.3

In a lasting overload the room held for refused callers was used up by returns, so each new caller was refused first and served late; and the floor of half of an equal part took more from the urgent than the bound of a quarter asks for. A hold, and a caller that returns without one, now leave room for new callers of the same flow, and the floor is 0.3.

--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -25,6 +25,16 @@
 /// change while it is away, and it was promised room.
 const RETURN_SLACK_CALLS: f64 = 0.25;
 
+/// How a request comes to be asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Arrival {
+    New,
+    /// Refused before, without capacity held for its return.
+    Return,
+    /// Refused before, with capacity held for it.
+    HeldReturn,
+}
+
 /// What a request is tested against.
 struct Test {
     now: Millis,
@@ -133,17 +143,22 @@
                 });
             }
         }
+        let is_return = self.reservations.expected_return(&request.digest).is_some();
         let held = self.reservations.take_return(&request.digest);
-        let is_held = held.is_some();
+        let arrival = match (is_return, held.is_some()) {
+            (_, true) => Arrival::HeldReturn,
+            (true, false) => Arrival::Return,
+            (false, false) => Arrival::New,
+        };
         // It is charged again with the decision.
         self.return_charge(held);
         let test = self.test(mean_bytes(request), now);
         let cost = request_cost(request, &test.capacity);
         self.flows.refresh(now, test.capacity.supply.rate);
-        if !is_held {
+        if arrival == Arrival::New {
             self.record_offer(request, cost, now);
         }
-        match self.refusal_cause(request, cost, is_held, &test) {
+        match self.refusal_cause(request, cost, arrival, &test) {
             None => {
                 let charge = self.flows.record_reserved(request.flow, cost);
                 RoomDecision::Reserved(self.reservations.insert(request, charge))
@@ -164,7 +179,7 @@
         &self,
         request: &RoomRequest,
         cost: f64,
-        is_held: bool,
+        arrival: Arrival,
         test: &Test,
     ) -> Option<RefusalCause> {
         // Before its workers are known, nothing can be said about a queue's capacity.
@@ -174,7 +189,7 @@
         if test.capacity.supply.rate <= 0.0 {
             return Some(RefusalCause::Full);
         }
-        if is_held {
+        if arrival == Arrival::HeldReturn {
             let slack = (test.capacity.supply.call_ms * RETURN_SLACK_CALLS) as Millis;
             let stages = request.stages.iter().map(|stage| StageRoom {
                 due: stage.due.saturating_add(slack),
@@ -187,9 +202,14 @@
             return Some(RefusalCause::Full);
         }
         // Within its share a flow leaves the others what they have saved; beyond it, also
-        // what they are going to ask for.
-        let mut claims = self.flows.claims_of_others(request.flow, test.now);
-        if self.flows.is_within_share(request.flow, cost) {
+        // what they are going to ask for. A caller that returns is late already, so it leaves
+        // the new ones of its own flow their share, too.
+        let is_new = arrival == Arrival::New;
+        let mut claims = match is_new {
+            true => self.flows.claims_of_others(request.flow, test.now),
+            false => self.flows.claims_of_new_callers(request.flow, test.now),
+        };
+        if is_new && self.flows.is_within_share(request.flow, cost) {
             claims.iter_mut().for_each(|claim| claim.rate = 0.0);
         }
         let is_allowed = test.fits(&request.stages, &claims);
@@ -204,7 +224,9 @@
         cause: RefusalCause,
         test: &Test,
     ) -> RoomRefusal {
-        let claims = self.flows.claims_of_others(request.flow, test.now);
+        // Also the arrivals of its own flow: capacity held for returning callers would make
+        // each new one wait for a return as well, for as long as the overload lasts.
+        let claims = self.flows.claims_of_new_callers(request.flow, test.now);
         let shortest = self
             .flows
             .last_return(request.flow)
--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -161,13 +161,29 @@
         let others = self.states.iter().filter(|(other, _)| **other != flow);
         others
             .map(|(_, state)| Claim {
-                due: now.saturating_add(state.lead_ms as Millis),
+                due: now + state.lead_ms as Millis,
                 balance: state.balance.max(0.0),
                 rate: state.offered.min(state.entitled),
             })
             .collect()
     }
 
+    /// Expected arrivals of the other flows and of new callers of this one. The latter have
+    /// the same lead as a returning caller, so those of the next [`BALANCE_MS`] count at once.
+    pub fn claims_of_new_callers(&self, flow: Flow, now: Millis) -> Vec<Claim> {
+        let mut claims = self.claims_of_others(flow, now);
+        let own = self.states.get(&flow).map(|state| {
+            let rate = state.offered.min(state.entitled);
+            Claim {
+                due: now + state.lead_ms as Millis,
+                balance: state.balance.max(rate * BALANCE_MS),
+                rate,
+            }
+        });
+        claims.extend(own);
+        claims
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (Flow, &FlowState)> {
         self.states.iter().map(|(flow, state)| (*flow, state))
     }
--- a/crates/stages/src/shares.rs
+++ b/crates/stages/src/shares.rs
@@ -7,8 +7,9 @@
 use crate::reservations::Flow;
 
 /// Share of a level's equal part of the capacity that it gets before more urgent levels
-/// take the rest.
-const FLOOR_SHARE: f64 = 0.5;
+/// take the rest. No level may be served less than a quarter as often as all; the excess
+/// covers errors of the estimates.
+const FLOOR_SHARE: f64 = 0.3;
 /// Smallest weight; replaces weights that are zero, negative or not finite.
 pub const MIN_WEIGHT: f64 = 0.01;
 /// Largest weight. Sums of greater ones lose the small ones to rounding.
