Reserve capacity only where a service has eight workers or more

Services with fewer usable targets than reservation_workers (a setting, 8 unless set) keep the forecast and the order by priority.

--- a/crates/gateway/src/reservations/entry.rs
+++ b/crates/gateway/src/reservations/entry.rs
@@ -188,8 +188,10 @@
     if !cx.has(Mechanism::Reservations) {
         return Vec::new();
     }
-    let is_contended =
-        |service: ServiceKey| cx.reservations.is_contended(&admitted.deployment, service);
+    let is_contended = |service: ServiceKey| {
+        cx.reservations
+            .is_contended(cx, &admitted.deployment, service)
+    };
     let stages = admitted.route().stages.iter().enumerate();
     let contended = stages.filter(|(index, stage)| {
         admitted.pieces_of(*index) > 0
--- a/crates/gateway/src/reservations/mod.rs
+++ b/crates/gateway/src/reservations/mod.rs
@@ -76,9 +76,17 @@
 }
 
 impl Reservations {
-    /// True when requests compete for the service by the configuration.
-    pub fn is_contended(&self, deployment: &Arc<Deployment>, service: ServiceKey) -> bool {
+    /// True when requests compete for the service by the configuration, and it has enough
+    /// workers for an estimate of its capacity.
+    pub fn is_contended(
+        &self,
+        cx: &Traffic,
+        deployment: &Arc<Deployment>,
+        service: ServiceKey,
+    ) -> bool {
+        let workers = || cx.target_count(&deployment.service(service).name);
         self.derived(deployment).contended.contains(&service)
+            && workers() >= cx.settings().reservation_workers
     }
 
     /// Order of the pieces in a queue of the service.
@@ -88,7 +96,7 @@
         deployment: &Arc<Deployment>,
         service: ServiceKey,
     ) -> QueueOrder {
-        match cx.has(Mechanism::Reservations) && self.is_contended(deployment, service) {
+        match cx.has(Mechanism::Reservations) && self.is_contended(cx, deployment, service) {
             true => QueueOrder::Deadline,
             false => QueueOrder::Priority,
         }
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -37,7 +37,7 @@
          seeds: []\nlimits:\n  memory_mb: 260\n  max_fds: 4100\n\
          bounds:\n  drain_ms: 2000\n  grace_s: 3\n  config_apply_ms: 2000\n  \
          retry_budget_ratio: 0.2\n  retry_window_s: 10\n  retry_extra: 50\n\
-         platform:\n  address: {store}\nheartbeat_ms: 1200\n"
+         platform:\n  address: {store}\nheartbeat_ms: 1200\nreservation_workers: 1\n"
     );
     Settings::parse(&text).expect("the settings are valid")
 }
