--- a/crates/gateway/src/reservations/owner.rs
+++ b/crates/gateway/src/reservations/owner.rs
@@ -3,14 +3,12 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_stages::shares::MIN_WEIGHT;
 
 use super::messages::{ReservationCall, ReservationMessage, ReservationReply, Reserve};
 use crate::peers::PeerId;
 use crate::traffic::Traffic;
 
-/// Weight of an organisation whose configured weight can't be used.
-const MIN_WEIGHT: f64 = 0.01;
-
 /// Handles the messages of a call in their order; returns one reply for each [`Reserve`].
 pub fn handle_call(cx: &Rc<Traffic>, call: &ReservationCall) -> Vec<ReservationReply> {
     let handle = |message: &ReservationMessage| match message {
