Compute a queue's capacity once for each decision on its order

The order in force and the check for pieces whose turn comes too late each computed the capacity twice, and the latter did so on every tick also in queues by priority, which need none. The return of a refused caller was looked up twice, and the minimum length of a prefill sample stood in two modules. Behaviour is unchanged.

--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -26,7 +26,7 @@
 use crate::warm_up::{WarmUp, WarmUpGate, SCHEDULER_SHARE};
 use crate::Millis;
 use health::EngineHealth;
-use prefill::{EnginePrefill, PrefillRate, BASE_LATENCY_MS};
+use prefill::{EnginePrefill, PrefillRate, BASE_LATENCY_MS, MIN_SAMPLE_TOKENS};
 
 pub use demand_queue::{DemandKey, DemandQueue};
 
@@ -49,8 +49,6 @@
 const INITIAL_MS_PER_TOKEN: f64 = 0.02;
 /// Weight of a new sample in the moving average of the prefill time per token.
 const SAMPLE_WEIGHT: f64 = 0.05;
-/// Minimum length of a prefill, in tokens, to update the time per token.
-const MIN_SAMPLE_TOKENS: u64 = 500;
 /// Longest prompt that counts, in tokens: longer than any engine accepts. The length is from a
 /// header of the caller.
 const MAX_PROMPT_TOKENS: u64 = 1_000_000;
--- a/crates/routing/src/scheduler/prefill.rs
+++ b/crates/routing/src/scheduler/prefill.rs
@@ -20,7 +20,7 @@
 /// short prompts from being extrapolated to long ones.
 const PRIOR_TOKENS: f64 = 5_000.0;
 /// Minimum length of a prefill, in tokens, to count as a sample.
-const MIN_SAMPLE_TOKENS: u64 = 500;
+pub(super) const MIN_SAMPLE_TOKENS: u64 = 500;
 
 /// Moving estimate of the prefill time per token, weighted by tokens.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/stages/src/batch/order.rs
+++ b/crates/stages/src/batch/order.rs
@@ -31,30 +31,33 @@
 
     /// Sets the order in which pieces are taken now.
     pub(super) fn update_order(&mut self, now: Millis) {
-        self.keeps_due_times = self.order == QueueOrder::Deadline && self.waiting_fits(now);
-        self.order_in_force = match self.keeps_due_times && !self.waiting_has_spare_time(now) {
-            true => QueueOrder::Deadline,
-            false => QueueOrder::Priority,
-        };
+        self.keeps_due_times = false;
+        self.order_in_force = QueueOrder::Priority;
+        if self.order == QueueOrder::Priority {
+            return;
+        }
+        let capacity = self.capacity(1, now);
+        self.keeps_due_times = self.waiting_fits(&capacity, now);
+        if self.keeps_due_times && !self.waiting_has_spare_time(&capacity, now) {
+            self.order_in_force = QueueOrder::Deadline;
+        }
     }
 
     /// True when the waiting pieces can be in time. One that is late by its own length is only
     /// counted as work.
-    fn waiting_fits(&self, now: Millis) -> bool {
-        let capacity = self.capacity(1, now);
+    fn waiting_fits(&self, capacity: &Capacity, now: Millis) -> bool {
         let supply = &capacity.supply;
         let tolerance = (supply.call_ms * TOLERANCE_CALLS) as Millis;
         let earliest = supply.earliest_due(now);
         let due = |need: &Need| (need.due + tolerance).max(earliest);
-        all_fit(&self.sorted_needs(&capacity, now, due), supply)
+        all_fit(&self.sorted_needs(capacity, now, due), supply)
     }
 
     /// True when the waiting pieces can be in time with time to spare for each.
-    fn waiting_has_spare_time(&self, now: Millis) -> bool {
-        let capacity = self.capacity(1, now);
+    fn waiting_has_spare_time(&self, capacity: &Capacity, now: Millis) -> bool {
         let spare = (capacity.supply.call_ms * SPARE_CALLS) as Millis;
         let due = |need: &Need| need.due.saturating_sub(spare);
-        all_fit(&self.sorted_needs(&capacity, now, due), &capacity.supply)
+        all_fit(&self.sorted_needs(capacity, now, due), &capacity.supply)
     }
 
     /// Needs of the waiting pieces with other due times, sorted by these.
@@ -75,10 +78,12 @@
     /// Waiting pieces whose turn is expected after they expire, while the queue is in the
     /// order by priority because it doesn't fit. Their callers needn't wait for that.
     pub(super) fn expiring_before_turn(&self, now: Millis) -> Vec<PieceKey> {
-        let does_not_fit = self.order == QueueOrder::Deadline && !self.waiting_fits(now);
+        if self.order == QueueOrder::Priority || self.waiting.is_empty() {
+            return Vec::new();
+        }
         let capacity = self.capacity(1, now);
         // Without an available worker nothing is known about when one returns.
-        if !does_not_fit || capacity.supply.rate <= 0.0 {
+        if capacity.supply.rate <= 0.0 || self.waiting_fits(&capacity, now) {
             return Vec::new();
         }
         let waiting: Vec<PieceKey> = self.waiting.iter().map(|(_, key)| *key).collect();
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -135,17 +135,15 @@
     /// Reserves capacity for a request, or refuses it.
     pub fn reserve(&mut self, now: Millis, request: &RoomRequest) -> RoomDecision {
         self.reservations.sweep(now);
-        if let Some(expected) = self.reservations.expected_return(&request.digest) {
-            if now < expected.at {
-                return RoomDecision::Refused(RoomRefusal {
-                    retry_after_ms: expected.at - now,
-                    cause: RefusalCause::TooEarly,
-                });
-            }
+        let expected = self.reservations.expected_return(&request.digest);
+        if let Some(early) = expected.filter(|expected| now < expected.at) {
+            return RoomDecision::Refused(RoomRefusal {
+                retry_after_ms: early.at - now,
+                cause: RefusalCause::TooEarly,
+            });
         }
-        let is_return = self.reservations.expected_return(&request.digest).is_some();
         let held = self.reservations.take_return(&request.digest);
-        let arrival = match (is_return, held.is_some()) {
+        let arrival = match (expected.is_some(), held.is_some()) {
             (_, true) => Arrival::HeldReturn,
             (true, false) => Arrival::Return,
             (false, false) => Arrival::New,
