Log what marked the end of an event stream, and where it ended

The log couldn't tell a stream whose connection was closed inside an event from one whose connection error was lost on the way. `stream_ended` says by what the end was seen (end of the body or error), what marks the end of the body (length, last chunk, connection) and how many bytes of an unfinished event were there. No decision changes.

--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -4,6 +4,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::framing::Framing;
 use crate::pool::Returning;
 use crate::BodyError;
 
@@ -11,18 +12,29 @@
 /// the work at the peer.
 pub struct AnswerBody {
     incoming: Incoming,
+    framing: Framing,
     returning: Option<Returning>,
 }
 
 impl AnswerBody {
     /// Creates a body; `returning` holds its connection if that may be reused.
-    pub(crate) fn new(incoming: Incoming, returning: Option<Returning>) -> Self {
+    pub(crate) fn new(
+        incoming: Incoming,
+        framing: Framing,
+        returning: Option<Returning>,
+    ) -> Self {
         AnswerBody {
             incoming,
+            framing,
             returning,
         }
     }
 
+    /// What marks the end of the body.
+    pub fn framing(&self) -> Framing {
+        self.framing
+    }
+
     /// Returns the next bytes; `None` after the last. On an error the answer is incomplete.
     pub async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
--- /dev/null
+++ b/crates/connect/src/framing.rs
@@ -0,0 +1,42 @@
+//! How the end of an answer's body is marked.
+
+use http::{header, Response};
+use hyper::body::Body;
+
+/// What marks the end of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length is known from the head.
+    Length,
+    /// Its last chunk.
+    Chunked,
+    /// The end of its connection, which a peer that stops halfway causes, too.
+    Connection,
+}
+
+impl Framing {
+    /// Framing of an answer whose body wasn't read yet.
+    pub(crate) fn of(response: &Response<impl Body>) -> Self {
+        if response.body().size_hint().exact().is_some() {
+            return Framing::Length;
+        }
+        let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
+        let is_chunked = encodings
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .any(|value| value.to_ascii_lowercase().contains("chunked"));
+        match is_chunked {
+            true => Framing::Chunked,
+            false => Framing::Connection,
+        }
+    }
+
+    /// Label for log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Length => "length",
+            Framing::Chunked => "chunked",
+            Framing::Connection => "connection",
+        }
+    }
+}
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -16,6 +16,7 @@
 mod capacity;
 mod crash_check;
 mod dial;
+mod framing;
 mod pool;
 
 pub use body::AnswerBody;
@@ -23,6 +24,7 @@
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
+pub use framing::Framing;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
 
 /// A connection failure before the end of a body.
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -24,6 +24,7 @@
 use crate::body::AnswerBody;
 use crate::capacity::{grant_first, Capacity, Dialling, Grant};
 use crate::dial::{dial, DialError};
+use crate::framing::Framing;
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
 /// to count earlier.
@@ -415,10 +416,11 @@
     /// Splits into the head and the body, which returns the connection to the pool after the
     /// last byte if `reusable`.
     pub fn into_body(self, reusable: bool) -> (http::response::Parts, AnswerBody) {
+        let framing = Framing::of(&self.response);
         let (parts, incoming) = self.response.into_parts();
         let returning =
             Some(self.returning).filter(|returning| reusable && returning.keep_for.is_some());
-        (parts, AnswerBody::new(incoming, returning))
+        (parts, AnswerBody::new(incoming, framing, returning))
     }
 }
 
--- a/crates/gateway/src/request/event_splitter.rs
+++ b/crates/gateway/src/request/event_splitter.rs
@@ -29,6 +29,11 @@
         self.last_id.as_deref()
     }
 
+    /// Number of bytes after the last complete event.
+    pub fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         std::mem::take(&mut self.partial).freeze()
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -93,8 +93,12 @@
                         return Some(Ok(events));
                     }
                 }
-                Ok(None) => return self.finish(),
+                Ok(None) => {
+                    self.log_end("end");
+                    return self.finish();
+                }
                 Ok(Some(Err(source))) => {
+                    self.log_end("error");
                     let reason = source.to_string();
                     if !self.resume(&reason).await {
                         return self.fail(BodyFault::Target { source });
@@ -131,6 +135,21 @@
         }
     }
 
+    /// Logs how the current target's stream ended.
+    fn log_end(&self, end: &str) {
+        self.cx.log.line(
+            events::STREAM_ENDED,
+            format_args!(
+                "request={} target={} by={end} framing={} after={} partial_bytes={}",
+                self.admitted.caller.request_id,
+                self.answer.target.incarnation().id,
+                self.answer.body.framing().name(),
+                self.splitter.last_id().unwrap_or("none"),
+                self.splitter.partial_len(),
+            ),
+        );
+    }
+
     fn finish(&mut self) -> Option<Result<Bytes, BodyFault>> {
         self.is_done = true;
         self.answer.target.observe(Observation::Answered(1), 1);
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -67,6 +67,7 @@
     TARGET_WORD_UNREADABLE, 221, "target_word_unreadable", Warn, "A target's answer contains a malformed report header; the previous report stays in use.";
     TARGET_WORD_UNKNOWN, 222, "target_word_unknown", Warn, "A target's answer contains a report header that this build does not recognise; it is passed on and otherwise ignored.";
     CONNECTIONS, 223, "connections", Warn, "A request got none of this entry's few connections to a service in time, or a target reset a new one.";
+    STREAM_ENDED, 224, "stream_ended", Info, "A target's event stream ended; the line says what marked its end and whether it ended inside an event.";
     ROOM_REFUSED, 230, "room_refused", Info, "The owner of a contended queue refused a request for capacity; nothing of the request runs.";
     ROOM_BY_FLOW, 231, "room_by_flow", Info, "Offered rate, entitlement and reservations of each flow of a queue that refused requests.";
     ROOM_WEIGHT, 232, "room_weight", Warn, "A weight of an organisation is zero or not finite; the smallest weight is used.";
