--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -18,11 +18,7 @@
 
 impl AnswerBody {
     /// Creates a body; `returning` holds its connection if that may be reused.
-    pub(crate) fn new(
-        incoming: Incoming,
-        framing: Framing,
-        returning: Option<Returning>,
-    ) -> Self {
+    pub(crate) fn new(incoming: Incoming, framing: Framing, returning: Option<Returning>) -> Self {
         AnswerBody {
             incoming,
             framing,
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway against stand-ins of the platform, on loopback sockets.
 
 mod all_kinds;
+mod answer_ends;
 mod backoff;
 mod connections;
 mod crashing;
