Take a stream that ends inside an event as broken off

Cause: the relay left it to the connection to say that a stream is complete. A body without a length or chunks ends with its connection, so an engine that stops halfway and closes marks the end of its answer, too; `finish` then passed on the unfinished event.

Change: the events decide. A stream whose body ends inside an event, or, where only the connection marks its end, before any event, is interrupted like one whose connection fails: it is resumed after its last complete event where its route allows that, and its caller's connection is closed otherwise. Complete comments and blank lines at the end are no event. Answers that declare another content type than an event stream keep their own framing. Events that end with two carriage returns are recognised, since they would now count as unfinished.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -19,6 +19,12 @@
     Target {
         source: hollowsail_connect::BodyError,
     },
+    /// The target's connection ended before the stream did.
+    #[snafu(display("the target's stream ended inside an event"))]
+    InsideEvent,
+    /// The target's connection ended, which marks the end of its stream, before any event.
+    #[snafu(display("the target's connection ended before the first event"))]
+    NoEvent,
     /// The deadline of the request passed.
     #[snafu(display("the request's deadline passed before the response was complete"))]
     DeadlineExceeded,
--- a/crates/gateway/src/request/event_splitter.rs
+++ b/crates/gateway/src/request/event_splitter.rs
@@ -10,6 +10,7 @@
 pub struct EventSplitter {
     partial: BytesMut,
     last_id: Option<String>,
+    has_events: bool,
 }
 
 impl EventSplitter {
@@ -18,6 +19,7 @@
         self.partial.extend_from_slice(bytes);
         let end = end_of_last_event(&self.partial)?;
         let events = self.partial.split_to(end).freeze();
+        self.has_events = true;
         if let Some(id) = last_id(&events) {
             self.last_id = Some(id);
         }
@@ -29,6 +31,20 @@
         self.last_id.as_deref()
     }
 
+    /// True once an event was complete.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+
+    /// True when a stream that ends here lacks the rest of an event. Complete comment lines and
+    /// blank lines aren't part of one.
+    pub fn is_inside_event(&self) -> bool {
+        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        let ends_line = self.partial.last().is_none_or(is_line_end);
+        let mut lines = self.partial[..].split(is_line_end);
+        !ends_line || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
+    }
+
     /// Number of bytes after the last complete event.
     pub fn partial_len(&self) -> usize {
         self.partial.len()
@@ -44,7 +60,8 @@
 fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
     let after_lf = last_position(bytes, b"\n\n").map(|start| start + 2);
     let after_crlf = last_position(bytes, b"\r\n\r\n").map(|start| start + 4);
-    after_lf.max(after_crlf)
+    let after_cr = last_position(bytes, b"\r\r").map(|start| start + 2);
+    after_lf.max(after_crlf).max(after_cr)
 }
 
 fn last_position(bytes: &[u8], needle: &[u8]) -> Option<usize> {
@@ -56,7 +73,7 @@
 /// The value of the last `id` field.
 fn last_id(events: &[u8]) -> Option<String> {
     events
-        .rsplit(|byte| *byte == b'\n')
+        .rsplit(|byte| matches!(byte, b'\n' | b'\r'))
         .find_map(|line| line.strip_prefix(b"id:"))
         .map(|value| String::from_utf8_lossy(value).trim().to_string())
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -1,17 +1,19 @@
 //! Relays an event stream from a target to the caller.
 //!
-//! Only complete events are passed on. An interrupted stream is resumed at another target if its
-//! route allows that; otherwise the caller's connection is closed.
+//! Only complete events are passed on. A stream is interrupted when its body ends with an error or
+//! inside an event. It is resumed at another target if its route allows that; otherwise the caller's
+//! connection is closed.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
+use hollowsail_connect::Framing;
 use hollowsail_observe::events;
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::Observation;
-use http::{header, Response};
+use http::{header, HeaderMap, Response};
 use http_body::Frame;
 use http_body_util::StreamBody;
 
@@ -79,6 +81,17 @@
     caller_response(parts, Box::pin(StreamBody::new(frames)))
 }
 
+/// False when the headers of an answer declare a body of another type.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let content_type = headers.get(header::CONTENT_TYPE);
+    let declared = content_type.and_then(|value| value.to_str().ok());
+    declared.is_none_or(|declared| {
+        declared
+            .to_ascii_lowercase()
+            .starts_with("text/event-stream")
+    })
+}
+
 impl RelayedStream {
     /// Returns the next complete events; `None` after the last.
     async fn next(&mut self) -> Option<Result<Bytes, BodyFault>> {
@@ -95,13 +108,17 @@
                 }
                 Ok(None) => {
                     self.log_end("end");
-                    return self.finish();
+                    match self.early_end() {
+                        Some(fault) if !self.resume(&fault).await => return self.fail(fault),
+                        Some(_) => {}
+                        None => return self.finish(),
+                    }
                 }
                 Ok(Some(Err(source))) => {
                     self.log_end("error");
-                    let reason = source.to_string();
-                    if !self.resume(&reason).await {
-                        return self.fail(BodyFault::Target { source });
+                    let fault = BodyFault::Target { source };
+                    if !self.resume(&fault).await {
+                        return self.fail(fault);
                     }
                 }
                 Err(_) => return self.fail(BodyFault::DeadlineExceeded),
@@ -135,6 +152,18 @@
         }
     }
 
+    /// Why the end of the body isn't the end of the stream; `None` when it is.
+    fn early_end(&self) -> Option<BodyFault> {
+        let ends_with_connection = self.answer.body.framing() == Framing::Connection;
+        if is_event_stream(&self.answer.parts.headers) && self.splitter.is_inside_event() {
+            Some(BodyFault::InsideEvent)
+        } else if ends_with_connection && !self.splitter.has_events() {
+            Some(BodyFault::NoEvent)
+        } else {
+            None
+        }
+    }
+
     /// Logs how the current target's stream ended.
     fn log_end(&self, end: &str) {
         self.cx.log.line(
@@ -176,11 +205,11 @@
 
     /// Resumes the stream at another target after the last complete event. Returns false when
     /// that is not allowed or fails.
-    async fn resume(&mut self, reason: &str) -> bool {
+    async fn resume(&mut self, fault: &BodyFault) -> bool {
         if let Some(placed) = &mut self.answer.placed {
             placed.failed();
         }
-        let failure = Failure::connection_lost(reason);
+        let failure = Failure::connection_lost(fault.to_string());
         let target = self.answer.target.clone();
         let (cx, admitted) = (&self.cx.clone(), &self.admitted.clone());
         if retry::handle_failure(cx, admitted, &mut self.attempts, &target, failure)
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use hollowsail_platform_standins::target::{event, stream_head, unframed};
+use hollowsail_platform_standins::target::{answer, event, stream_head, unframed};
 use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
 use serde_json::json;
 
@@ -102,3 +102,15 @@
     assert_eq!((got.status, got.is_whole), (200, true));
     assert_eq!(got.body, events(1..=4));
 }
+
+#[actix_rt::test]
+async fn answer_of_another_type_on_a_stream_route_is_whole() {
+    let script = |request: &ReceivedRequest| {
+        let json = String::from_utf8(answer(request, 200, "{\"a\": 1}")).expect("text");
+        let json = json.replacen("\r\n", "\r\nContent-Type: application/json\r\n", 1);
+        vec![Step::Write(json.into())]
+    };
+    let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
+    let got = fixture.call(&generation("/once/")).await;
+    assert_eq!((got.is_whole, got.body.as_str()), (true, "{\"a\": 1}"));
+}
