Take an answer without a length as broken off when its target crashed

Callers would see: a 200 that looks whole though the process that made it died halfway. The same class as the streams that end inside an event: the close of a connection was taken for the end of an answer. A process that dies has its connections closed in good order by its system, so neither a plain answer nor a stream that stops after an event shows it.

Change: after an answer that ended with its connection, the address of its target is probed, as is done after broken ones; if nothing listens there, the answer is broken off.

The two tests for it failed before: 200 and whole instead of 502, and of a stream that is cut off.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -25,6 +25,9 @@
     /// The target's connection ended, which marks the end of its stream, before any event.
     #[snafu(display("the target's connection ended before the first event"))]
     NoEvent,
+    /// The target crashed, which ended its connection and thereby its stream.
+    #[snafu(display("the target crashed, which ended a stream without a length"))]
+    TargetCrashed,
     /// The deadline of the request passed.
     #[snafu(display("the request's deadline passed before the response was complete"))]
     DeadlineExceeded,
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod attempts;
 mod choose;
+mod completeness;
 mod digest;
 mod dispatch;
 mod event_splitter;
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -15,8 +15,8 @@
 use super::admit::Admitted;
 use super::attempt::{Failure, TargetAnswer};
 use super::attempts::Attempts;
-use super::choose;
 use super::retry;
+use super::{choose, completeness};
 use crate::answer::{full_body, AnswerStream};
 use crate::traffic::Traffic;
 
@@ -46,15 +46,18 @@
         sent,
         placed,
     } = answer;
+    let framing = body.framing();
     let read = tokio::time::timeout_at(
         admitted.deadline.to_instant().into(),
         body.collect(MAX_BUFFERED_BYTES),
     )
     .await;
+    let has_crashed =
+        matches!(read, Ok(Ok(_))) && completeness::was_ended_by_crash(cx, &target, framing).await;
     drop(in_flight);
     if let Some(mut placed) = placed {
         match &read {
-            Ok(Ok(_)) if !parts.status.is_server_error() => {
+            Ok(Ok(_)) if !has_crashed && !parts.status.is_server_error() => {
                 placed.prefill_done();
                 placed.completed();
             }
@@ -63,6 +66,9 @@
     }
     let failure = |reason: String| Failure::new(Progress::Broken, reason);
     let failure = match read {
+        Ok(Ok(_)) if has_crashed => {
+            Failure::connection_lost("the target crashed, which ended an answer without a length")
+        }
         Ok(Ok(Some(_))) if retry::may_try_another(cx, admitted, attempts, parts.status) => {
             Failure::answered(parts.status)
         }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -23,7 +23,7 @@
 use super::event_splitter::EventSplitter;
 use super::prepare::{self, Prepared};
 use super::relay::{caller_response, clear_suspicion};
-use super::{dispatch, retry};
+use super::{completeness, dispatch, retry};
 use crate::answer::{AnswerStream, BodyFault, Refusal};
 use crate::mechanisms::Mechanism;
 use crate::reservations::ReservedRoom;
@@ -108,7 +108,7 @@
                 }
                 Ok(None) => {
                     self.log_end("end");
-                    match self.early_end() {
+                    match self.early_end().await {
                         Some(fault) if !self.resume(&fault).await => return self.fail(fault),
                         Some(_) => {}
                         None => return self.finish(),
@@ -153,12 +153,14 @@
     }
 
     /// Why the end of the body isn't the end of the stream; `None` when it is.
-    fn early_end(&self) -> Option<BodyFault> {
-        let ends_with_connection = self.answer.body.framing() == Framing::Connection;
+    async fn early_end(&self) -> Option<BodyFault> {
+        let framing = self.answer.body.framing();
         if is_event_stream(&self.answer.parts.headers) && self.splitter.is_inside_event() {
             Some(BodyFault::InsideEvent)
-        } else if ends_with_connection && !self.splitter.has_events() {
+        } else if framing == Framing::Connection && !self.splitter.has_events() {
             Some(BodyFault::NoEvent)
+        } else if completeness::was_ended_by_crash(&self.cx, &self.answer.target, framing).await {
+            Some(BodyFault::TargetCrashed)
         } else {
             None
         }
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -20,6 +20,8 @@
         .engines("engines")
         .route("/once/", "stream", "engines", json!({}))
         .route("/resumable/", "stream", "engines", resumable)
+        .service("plain")
+        .route("/plain/", "unsafe", "plain", json!({}))
 }
 
 fn generation(path: &str) -> Call {
@@ -114,3 +116,53 @@
     let got = fixture.call(&generation("/once/")).await;
     assert_eq!((got.is_whole, got.body.as_str()), (true, "{\"a\": 1}"));
 }
+
+/// A plain answer without a length, followed by `end`.
+fn unframed_answer(request: &ReceivedRequest, end: Step) -> Vec<Step> {
+    vec![
+        Step::Write(unframed(answer(request, 200, "the body"))),
+        Step::Wait(BEFORE_CLOSE),
+        end,
+    ]
+}
+
+async fn plain_answer_ending_with(end: Step) -> crate::fixture::Answer {
+    let script = move |request: &ReceivedRequest| unframed_answer(request, end.clone());
+    let (fixture, _target) = Fixture::serving(&deployment(), "plain", script).await;
+    fixture.call(&Call::new("POST", "/plain/x")).await
+}
+
+#[actix_rt::test]
+async fn unframed_answer_is_complete_at_its_close() {
+    let got = plain_answer_ending_with(Step::Close).await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body, "the body");
+}
+
+#[actix_rt::test]
+async fn unframed_answer_is_not_complete_at_a_reset() {
+    let got = plain_answer_ending_with(Step::Reset).await;
+    assert_eq!(got.status, 502, "it may have run");
+}
+
+#[actix_rt::test]
+async fn unframed_answer_of_a_crashed_target_is_not_complete() {
+    let got = plain_answer_ending_with(Step::Crash).await;
+    assert_eq!(got.status, 502, "it may have run");
+}
+
+#[actix_rt::test]
+async fn unframed_stream_of_a_crashed_engine_is_not_complete() {
+    let script = |request: &ReceivedRequest| {
+        vec![
+            Step::Write(unframed(stream_head(request))),
+            Step::Write(events(1..=2).into()),
+            Step::Wait(BEFORE_CLOSE),
+            Step::Crash,
+        ]
+    };
+    let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
+    let got = fixture.call(&generation("/once/")).await;
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(got.body, events(1..=2));
+}
