Count a stage call's answer that ends early as cut off

A call's answer without a length ends with its connection, so half of its JSON was taken for a malformed answer of a worker that lives: no check whether the worker had crashed followed, and pieces that crash their workers were tried four times with company instead of being isolated and refused. Callers of the innocent requests in the same calls waited with them.

JSON that ends early now counts like a connection that broke, for the crash check and for the evidence about the worker's version. The test failed before: the request ended with stage_failed, not with the verdict on a request that crashes workers.

--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -63,6 +63,8 @@
         match self {
             CallError::Send { source } => !source.nothing_sent(),
             CallError::CutOff { .. } => true,
+            // Without a length, the end of the connection marks the end of the response.
+            CallError::Malformed { source } => source.is_eof(),
             _ => false,
         }
     }
@@ -121,8 +123,8 @@
         Ok(_) => Some(Outcome::Answered(ms)),
         Err(CallError::TimedOut) => Some(Outcome::TimedOut(ms)),
         Err(CallError::Refused { .. }) => None,
-        Err(err @ CallError::Send { .. }) => err.is_cut_off().then_some(Outcome::Broken),
-        Err(CallError::CutOff { .. }) => Some(Outcome::Broken),
+        Err(err) if err.is_cut_off() => Some(Outcome::Broken),
+        Err(CallError::Send { .. }) => None,
         Err(_) => Some(Outcome::Failed),
     }
 }
--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -10,7 +10,7 @@
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
 use hollowsail_platform_standins::target::{
-    answer, chunk, event, last_chunk, results, stream_head,
+    answer, chunk, event, last_chunk, results, stream_head, unframed,
 };
 use hollowsail_platform_standins::{
     DeploymentJson, ReceivedRequest, Step, StoreStandin, TargetStandin,
@@ -220,18 +220,36 @@
 /// Prefix of the ids of requests whose pieces crash their worker.
 const FATAL_ID: &str = "fa7a1";
 
-fn fragile_worker(request: &ReceivedRequest) -> Vec<Step> {
+fn has_fatal_piece(request: &ReceivedRequest) -> bool {
     let is_fatal = |piece: &serde_json::Value| {
         let id = piece["id"].as_str().unwrap_or_default();
         id.starts_with(FATAL_ID)
     };
+    request.pieces().iter().any(is_fatal)
+}
+
+fn fragile_worker(request: &ReceivedRequest) -> Vec<Step> {
     let work = Step::Wait(Duration::from_millis(20));
-    match request.pieces().iter().any(is_fatal) {
+    match has_fatal_piece(request) {
         true => vec![work, Step::Crash],
         false => vec![work, Step::Write(results(request, "producer"))],
     }
 }
 
+/// Crashes halfway through its answer, which has no length.
+fn fragile_worker_without_length(request: &ReceivedRequest) -> Vec<Step> {
+    let mut results = unframed(results(request, "producer"));
+    if has_fatal_piece(request) {
+        results.truncate(results.len() - 10);
+    }
+    let end = match has_fatal_piece(request) {
+        true => Step::Crash,
+        false => Step::Close,
+    };
+    let work = Step::Wait(Duration::from_millis(20));
+    vec![work.clone(), Step::Write(results), work, end]
+}
+
 /// A request with two pieces.
 fn staged(id: &str, body: &str) -> Call {
     Call::new("POST", "/staged/x")
@@ -248,8 +266,18 @@
 /// in the same calls.
 #[actix_rt::test]
 async fn fatal_pieces_run_isolated_then_refused() {
+    assert_fatal_pieces_are_refused(fragile_worker).await;
+}
+
+/// Guards against taking a call's answer that a crash cut off for a malformed one.
+#[actix_rt::test]
+async fn fatal_pieces_whose_answers_are_cut_off_run_isolated_then_refused() {
+    assert_fatal_pieces_are_refused(fragile_worker_without_length).await;
+}
+
+async fn assert_fatal_pieces_are_refused(worker: Script) {
     let (store, _engines, gateways) = fleet(2, 2).await;
-    let workers = Targets::start(&store, "encoders", fragile_worker, 3).await;
+    let workers = Targets::start(&store, "encoders", worker, 3).await;
     tokio::time::sleep(Duration::from_millis(300)).await;
     let mut last = None;
     for send in 0..4 {
