Reset the connection of an HTTP/1.0 caller whose answer is interrupted

Callers of the platform speak HTTP/1.1; a tool or a proxy may not.

The body reports its error to the state of the connection, whose socket then closes with a reset. With chunks or a length the framing shows the interruption, and a close keeps what was sent.

The test failed before: it read 124 bytes and an orderly end.

--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -31,6 +31,8 @@
     phase: Cell<Phase>,
     /// Notified when a head begins, since its time limit is shorter.
     head_began: Notify,
+    /// The connection has to end with a reset.
+    must_reset: Cell<bool>,
 }
 
 impl Activity {
@@ -39,6 +41,7 @@
         Rc::new(Activity {
             phase: Cell::new(Phase::Idle(Instant::now())),
             head_began: Notify::new(),
+            must_reset: Cell::new(false),
         })
     }
 
@@ -56,6 +59,12 @@
         self.phase.set(Phase::Idle(Instant::now()));
     }
 
+    /// A response was interrupted, and only the end of the connection marks the end of its body.
+    /// A close would make it look complete.
+    pub fn reset_at_end(&self) {
+        self.must_reset.set(true);
+    }
+
     fn on_bytes(&self) {
         if let Phase::Idle(_) = self.phase.get() {
             self.phase.set(Phase::Head(Instant::now()));
@@ -94,6 +103,16 @@
     }
 }
 
+impl Drop for ObservedStream {
+    fn drop(&mut self) {
+        if self.activity.must_reset.get() {
+            if let Err(err) = self.stream.set_zero_linger() {
+                log::warn!("cannot reset the connection of an interrupted response: {err}");
+            }
+        }
+    }
+}
+
 impl AsyncRead for ObservedStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -65,9 +65,9 @@
     }
     let limits = limits(cx);
     let activity = Activity::new();
-    let service = service_fn(|req| {
+    let service = service_fn(|req: Request<Incoming>| {
         activity.request_began();
-        let in_flight = InFlight::begin(cx, &activity);
+        let in_flight = InFlight::begin(cx, &activity, req.version());
         let answering = answer(cx.clone(), req, in_flight);
         async move { Ok::<_, Infallible>(answering.await) }
     });
--- a/crates/gateway/src/callers/in_flight.rs
+++ b/crates/gateway/src/callers/in_flight.rs
@@ -5,7 +5,7 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use http::Response;
+use http::{Response, Version};
 use http_body::{Body, Frame, SizeHint};
 
 use super::activity::Activity;
@@ -16,15 +16,18 @@
 pub struct InFlight {
     cx: Rc<Traffic>,
     activity: Rc<Activity>,
+    /// The caller's version of HTTP has no chunks.
+    ends_with_connection: bool,
 }
 
 impl InFlight {
     /// Starts to count a request whose head was received.
-    pub fn begin(cx: &Rc<Traffic>, activity: &Rc<Activity>) -> Self {
+    pub fn begin(cx: &Rc<Traffic>, activity: &Rc<Activity>, version: Version) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
         InFlight {
             cx: cx.clone(),
             activity: activity.clone(),
+            ends_with_connection: version < Version::HTTP_11,
         }
     }
 
@@ -32,7 +35,7 @@
     pub fn until_answered(self, response: Response<AnswerStream>) -> Response<CountedBody> {
         response.map(|body| CountedBody {
             body,
-            _in_flight: self,
+            in_flight: self,
         })
     }
 }
@@ -47,7 +50,7 @@
 /// A response body that keeps its request counted.
 pub struct CountedBody {
     body: AnswerStream,
-    _in_flight: InFlight,
+    in_flight: InFlight,
 }
 
 impl Body for CountedBody {
@@ -58,7 +61,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
-        self.body.as_mut().poll_frame(cx)
+        let polled = self.body.as_mut().poll_frame(cx);
+        if matches!(polled, Poll::Ready(Some(Err(_)))) && self.in_flight.ends_with_connection {
+            self.in_flight.activity.reset_at_end();
+        }
+        polled
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -8,8 +8,10 @@
 use hollowsail_platform_standins::target::{answer, event, stream_head, unframed};
 use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
-use crate::fixture::{Call, Fixture};
+use crate::fixture::{Answer, Call, Fixture};
 
 /// Pause before a connection closes, so that its last bytes are read first.
 const BEFORE_CLOSE: Duration = Duration::from_millis(20);
@@ -46,7 +48,7 @@
 }
 
 /// Requests a stream whose target closes the connection after this text.
-async fn relayed(path: &str, text: String) -> crate::fixture::Answer {
+async fn relayed(path: &str, text: String) -> Answer {
     let script = move |request: &ReceivedRequest| unframed_stream(request, &text);
     let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
     fixture.call(&generation(path)).await
@@ -126,7 +128,7 @@
     ]
 }
 
-async fn plain_answer_ending_with(end: Step) -> crate::fixture::Answer {
+async fn plain_answer_ending_with(end: Step) -> Answer {
     let script = move |request: &ReceivedRequest| unframed_answer(request, end.clone());
     let (fixture, _target) = Fixture::serving(&deployment(), "plain", script).await;
     fixture.call(&Call::new("POST", "/plain/x")).await
@@ -166,3 +168,28 @@
     assert_eq!((got.status, got.is_whole), (200, false));
     assert_eq!(got.body, events(1..=2));
 }
+
+/// Requests an interrupted stream over HTTP/1.0 and reads to the end of the connection.
+async fn read_interrupted_stream_as_http_1_0() -> std::io::Result<usize> {
+    let script = |request: &ReceivedRequest| unframed_stream(request, &event(1)[..8]);
+    let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
+    fixture.call(&generation("/once/")).await;
+    let request = String::from_utf8(generation("/once/").bytes()).expect("text");
+    let request = request.replace("HTTP/1.1", "HTTP/1.0");
+    let mut caller = TcpStream::connect(fixture.gateway.addrs.callers)
+        .await
+        .expect("the gateway listens");
+    caller
+        .write_all(request.as_bytes())
+        .await
+        .expect("the gateway reads");
+    caller.read_to_end(&mut Vec::new()).await
+}
+
+/// To an HTTP/1.0 caller, only the connection marks the end of a stream.
+#[actix_rt::test]
+async fn http_1_0_caller_of_an_interrupted_stream_is_reset() {
+    let ended = read_interrupted_stream_as_http_1_0().await;
+    let err = ended.expect_err("the answer isn't complete");
+    assert_eq!(err.kind(), std::io::ErrorKind::ConnectionReset);
+}
