Play answers without framing in the emulator and the soak

Targets of all kinds send answers without a length or chunks for eight seconds of a run, and engines break off a fifth of their streams inside an event meanwhile, with an orderly close. A caller whose stream a target broke off during a planned stop isn't counted as cut by the stop.

--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -97,7 +97,7 @@
 }
 
 /// True if a target executed the request and its connection broke during a planned stop of
-/// its gateway, with no other fault to explain it.
+/// its gateway, with no other fault and no target to explain it.
 fn is_cut_by_stop(attempt: &Attempt, observations: &Observations) -> bool {
     let is_stop = |disturbance: &Disturbance| disturbance.fault == EntryFault::Stop;
     let is_other = |disturbance: &Disturbance| disturbance.fault != EntryFault::Stop;
@@ -106,6 +106,7 @@
         Some(Outcome::Unknown { why }) if why.starts_with("status")
     );
     is_connection
+        && !observations.cut.contains(&attempt.id)
         && observations.ran.contains(&attempt.id)
         && is_excused(attempt, observations, is_stop)
         && !is_excused(attempt, observations, is_other)
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -18,6 +18,12 @@
 const DRAIN_MS: u64 = 2_000;
 /// How long targets report a limit, in milliseconds; longer than gateways may take to comply.
 const LIMITED_MS: u64 = 9_000;
+/// How long responses have no framing, in milliseconds.
+const UNFRAMED_MS: u64 = 8_000;
+/// Percentage of streams that are broken off meanwhile.
+const UNFRAMED_CUT_PERCENT: u32 = 20;
+/// Separates the random stream of that time from the one of the other troubles.
+const UNFRAMED_STREAM: u64 = 0x756e_6672;
 /// Trouble that adds a route.
 const ADDED_TROUBLE: &str = "added";
 /// Index of the route that is added under a second path.
@@ -150,6 +156,9 @@
                 limited_ms,
                 LIMITED_MS,
             ),
+            unframed_section(seed, latest, "engines", UNFRAMED_CUT_PERCENT),
+            unframed_section(seed, latest, "plain", 0),
+            unframed_section(seed, latest, "encoders", 0),
             format!("[trouble.{ADDED_TROUBLE}]\nwhat = route-added\nroute = {ADDED_ROUTE_INDEX}\nat_ms = {added_ms}\n"),
         ];
         let mut kinds = vec![EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
@@ -211,6 +220,17 @@
     Site::parse(&source).expect("the site of every plan is valid")
 }
 
+/// Section of a time in which half of a service's targets send responses without framing. Drawn
+/// from a random stream of its own, so that the other troubles of a seed don't depend on it.
+fn unframed_section(seed: u64, latest: u64, service: &str, cut_percent: u32) -> String {
+    let mut rng = SmallRng::seed_from_u64(seed ^ UNFRAMED_STREAM);
+    let at_ms = rng.random_range(FIRST_FAULT_S * 1_000..latest * 1_000);
+    format!(
+        "[trouble.unframed-{service}]\nwhat = targets-unframed\nservice = {service}\nfirst = 1\n\
+         targets = 3\ncut_percent = {cut_percent}\nat_ms = {at_ms}\nfor_ms = {UNFRAMED_MS}\n"
+    )
+}
+
 /// Section of a trouble that affects two targets, beginning at index `first`.
 fn trouble_section(
     name: &str,
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -50,6 +50,8 @@
     pub ran: HashSet<String>,
     /// IDs of requests of which a stage worker got a piece.
     pub pieces: HashSet<String>,
+    /// IDs of requests whose response a target broke off.
+    pub cut: HashSet<String>,
     /// Broken promises that the platform reported.
     pub broken: Vec<String>,
     /// Unexpected exits, and processes that did not exit or start.
@@ -416,6 +418,7 @@
         let mut observations = observations.borrow_mut();
         match (event.event.as_str(), event.request) {
             ("ran", Some(request)) => drop(observations.ran.insert(request)),
+            ("cut", Some(request)) => drop(observations.cut.insert(request)),
             ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
             ("broken", _) => {
                 let promise = event.promise.unwrap_or_default();
