Notice when a host is cut off from all targets

The log couldn't tell a host that reaches no target from one whose targets fail. All connections to targets are now opened in one place, which counts the results by target. After failed connects to two targets without a success in between, or 300 ms of silence from all targets, three others are asked; if none is reached the host is cut off until a connect succeeds. `targets_unreachable`, `targets_reachable` and a gauge say so. No decision on a request changes.

--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -16,16 +16,22 @@
 mod capacity;
 mod crash_check;
 mod dial;
+mod dialer;
 mod framing;
+mod liveness;
 mod pool;
+mod transport;
 
 pub use body::AnswerBody;
 pub use call::CompleteAnswer;
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, DialError};
+pub use dialer::{Dialer, Dialled};
 pub use framing::Framing;
+pub use liveness::Liveness;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
+pub use transport::Transport;
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -19,12 +19,13 @@
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
-use tokio::net::TcpStream;
 
 use crate::body::AnswerBody;
 use crate::capacity::{grant_first, Capacity, Dialling, Grant};
-use crate::dial::{dial, DialError};
+use crate::dial::DialError;
+use crate::dialer::Dialer;
 use crate::framing::Framing;
+use crate::transport::Transport;
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
 /// to count earlier.
@@ -105,6 +106,7 @@
 pub struct Pool {
     addr: SocketAddr,
     rules: PoolRules,
+    dialer: Dialer,
     idle: RefCell<Vec<Idle>>,
     dialled: Cell<u64>,
     created: BootInstant,
@@ -139,9 +141,15 @@
 impl Pool {
     /// Creates a pool without connections.
     pub fn new(addr: SocketAddr, rules: PoolRules) -> Rc<Self> {
+        Self::with_dialer(addr, rules, Dialer::direct(addr))
+    }
+
+    /// Creates a pool without connections, which `dialer` opens.
+    pub fn with_dialer(addr: SocketAddr, rules: PoolRules, dialer: Dialer) -> Rc<Self> {
         Rc::new(Pool {
             addr,
             rules,
+            dialer,
             idle: RefCell::default(),
             dialled: Cell::new(0),
             created: BootInstant::now(),
@@ -249,7 +257,7 @@
         dialling: Dialling,
     ) -> Result<SendRequest<Full<Bytes>>, SendError> {
         let started = BootInstant::now();
-        let dialled = dial(self.addr, self.rules.dial_timeout).await;
+        let dialled = (self.dialer.dial)(self.rules.dial_timeout).await;
         let stream = dialled.map_err(|source| self.dial_failed(source))?;
         self.dialled.set(self.dialled.get() + 1);
         if self.capacity.limit().is_some() {
@@ -444,7 +452,7 @@
 }
 
 /// True when the peer closes a new connection within `observed`.
-async fn closes_within(stream: &TcpStream, observed: Duration) -> bool {
+async fn closes_within(stream: &Transport, observed: Duration) -> bool {
     // A peer sends nothing before a request, so anything readable is its close.
     for _ in 0..OBSERVATION_STEPS {
         let readable = tokio::time::timeout(observed / OBSERVATION_STEPS, stream.readable());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod peers;
 mod placement;
 mod pools;
+mod reach;
 mod readiness;
 mod request;
 mod reservations;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,11 @@
     histogram!("hollowsail_request_seconds", "service" => service).record(took);
 }
 
+/// Records whether this host is cut off from all targets.
+pub fn set_cut_off(is_cut_off: bool) {
+    gauge!("hollowsail_targets_unreachable").set(f64::from(u8::from(is_cut_off)));
+}
+
 /// Counts an attempt at a target with its outcome.
 pub fn count_attempt(service: &str, outcome: &'static str) {
     counter!("hollowsail_attempts_total", "service" => service.to_string(), "outcome" => outcome)
--- /dev/null
+++ b/crates/gateway/src/reach/probe.rs
@@ -0,0 +1,76 @@
+//! Connects to a few targets to find out whether this host is cut off from all of them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::select_ok;
+use futures_util::FutureExt;
+use hollowsail_observe::events;
+use rand::seq::IteratorRandom;
+
+use super::dial_direct;
+use crate::metrics;
+use crate::traffic::Traffic;
+
+/// Interval between checks whether a probe is due.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Number of targets that a probe connects to.
+const PROBED_TARGETS: usize = 3;
+/// Connect timeout of a probe, above the round trip between the farthest regions.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Probes when that is due, until the thread ends.
+pub async fn watch(cx: Rc<Traffic>) {
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let now = cx.clock.now();
+        let silent_for = cx.reach.liveness.silent_for();
+        if cx.reach.state.borrow().is_probe_due(now, silent_for) {
+            cx.reach.state.borrow_mut().record_probe(now);
+            probe(&cx, silent_for).await;
+        }
+    }
+}
+
+/// Connects to some targets at once; the host is cut off if none is reached.
+async fn probe(cx: &Rc<Traffic>, silent_for: Duration) {
+    let targets = choose_targets(cx);
+    if targets.is_empty() {
+        return;
+    }
+    let dials = targets
+        .iter()
+        .map(|addr| dial_direct(cx, *addr, PROBE_TIMEOUT).boxed_local());
+    match select_ok(dials).await {
+        // A connect proves as much as an answer on an open connection.
+        Ok(_) => cx.reach.liveness.record_received(),
+        Err(err) => {
+            if cx
+                .reach
+                .state
+                .borrow_mut()
+                .record_failed_probe(cx.clock.now())
+            {
+                metrics::set_cut_off(true);
+                let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
+                let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
+                cx.log.line(events::TARGETS_UNREACHABLE, fields);
+            }
+        }
+    }
+}
+
+/// Random targets, those to which connects are failing only if there are no others.
+fn choose_targets(cx: &Traffic) -> Vec<SocketAddr> {
+    let now = cx.clock.now();
+    let state = cx.reach.state.borrow();
+    let targets = cx.targets();
+    let addrs = || targets.all().map(|target| target.record.addr);
+    let others = addrs().filter(|addr| !state.is_failing(now, *addr));
+    let chosen = others.choose_multiple(&mut rand::rng(), PROBED_TARGETS);
+    match chosen.is_empty() {
+        true => addrs().choose_multiple(&mut rand::rng(), PROBED_TARGETS),
+        false => chosen,
+    }
+}
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -24,6 +24,7 @@
 use crate::peers::{PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
+use crate::reach::{self, Reach};
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::view::{Published, Targets, View};
@@ -89,6 +90,7 @@
     pub feeds: Arc<Feeds>,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
+    pub reach: Reach,
     pub peers: Peers,
     pub pools: Pools,
     pub placements: Placements,
@@ -135,7 +137,7 @@
         phases: mpsc::Sender<RecordPhase>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
-            Rc::new(Traffic {
+            Rc::new_cyclic(|cx| Traffic {
                 log: Log::new(&settings.load().host),
                 me,
                 mechanisms,
@@ -153,7 +155,8 @@
                 feeds,
                 settings,
                 clock,
-                targets: RefCell::default(),
+                targets: RefCell::new(reach::target_table(cx)),
+                reach: Reach::default(),
                 budgets: RefCell::default(),
                 latencies: RefCell::default(),
                 prefill_times: RefCell::default(),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -68,6 +68,8 @@
     TARGET_WORD_UNKNOWN, 222, "target_word_unknown", Warn, "A target's answer contains a report header that this build does not recognise; it is passed on and otherwise ignored.";
     CONNECTIONS, 223, "connections", Warn, "A request got none of this entry's few connections to a service in time, or a target reset a new one.";
     STREAM_ENDED, 224, "stream_ended", Info, "A target's event stream ended; the line says what marked its end and whether it ended inside an event.";
+    TARGETS_UNREACHABLE, 225, "targets_unreachable", Warn, "This host reaches none of the targets that it asked; it is cut off from them.";
+    TARGETS_REACHABLE, 226, "targets_reachable", Info, "This host reaches a target again after it was cut off from all.";
     ROOM_REFUSED, 230, "room_refused", Info, "The owner of a contended queue refused a request for capacity; nothing of the request runs.";
     ROOM_BY_FLOW, 231, "room_by_flow", Info, "Offered rate, entitlement and reservations of each flow of a queue that refused requests.";
     ROOM_WEIGHT, 232, "room_weight", Warn, "A weight of an organisation is zero or not finite; the smallest weight is used.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod prefill_times;
 pub mod progress;
 pub mod queue;
+pub mod reachability;
 pub mod request_digest;
 pub mod scheduler;
 pub mod speed;
@@ -41,6 +42,7 @@
     attempt_status, may_retry, outcome_of, stage_status, Outcome, Progress, StageStatus,
 };
 pub use queue::{Rank, WaitQueue};
+pub use reachability::Reachability;
 pub use request_digest::RequestDigest;
 pub use scheduler::{
     Demand, DemandKey, DemandQueue, EngineScheduler, PlacementEnd, PlacementKey, QueueEstimate,
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod prefill_times;
 mod progress;
 mod random_admission;
+mod reachability;
 mod scheduler;
 mod speed;
 mod warm_up;
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use hollowsail_connect::Dialer;
 use hollowsail_platform::deployment::{Deployment, Service, ServiceKey};
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{HealthRules, Millis, TargetHealth, WarmUp};
@@ -51,9 +52,12 @@
     }
 }
 
+/// Returns what opens the connections to a target.
+pub type DialerFor = Box<dyn Fn(&TargetRecord) -> Dialer>;
+
 /// Usable targets by service.
-#[derive(Default)]
 pub struct TargetTable {
+    dialer_for: DialerFor,
     /// Targets of each service, in the order of their ids.
     by_service: Vec<Vec<Rc<Target>>>,
     by_id: HashMap<String, Rc<Target>>,
@@ -105,7 +109,31 @@
     }
 }
 
+impl Default for TargetTable {
+    /// An empty table, whose targets are connected to directly.
+    fn default() -> Self {
+        TargetTable::new(Box::new(|record| Dialer::direct(record.addr)))
+    }
+}
+
 impl TargetTable {
+    /// An empty table.
+    pub fn new(dialer_for: DialerFor) -> Self {
+        TargetTable {
+            dialer_for,
+            by_service: Vec::new(),
+            by_id: HashMap::new(),
+            reports: TargetReports::default(),
+            listed: Vec::new(),
+            rules: Vec::new(),
+        }
+    }
+
+    /// All usable targets.
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Target>> {
+        self.by_service.iter().flatten()
+    }
+
     /// Takes the targets whose records make them usable now, in the order of their ids, and
     /// the incarnations whose records say draining. Incarnations that remain keep their
     /// connections and health; of the others only their reports are kept. Returns the
@@ -174,7 +202,8 @@
         let unchanged = known.filter(|known| {
             known.incarnation() == &record.incarnation && is_same_endpoint(&known.record, record)
         });
-        let target = unchanged.unwrap_or_else(|| Target::new(record.clone(), service));
+        let target = unchanged
+            .unwrap_or_else(|| Target::new(record.clone(), service, (self.dialer_for)(record)));
         let warm_up = warm_up_until.zip(service.warm_up_per_s);
         target
             .warm_up
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_connect::{CrashCheck, Pool, PoolRules};
+use hollowsail_connect::{CrashCheck, Dialer, Pool, PoolRules};
 use hollowsail_platform::deployment::Service;
 use hollowsail_platform::headers::TargetLoad;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
@@ -60,15 +60,16 @@
 }
 
 impl Target {
-    /// Creates an incarnation without connections, requests or observations.
-    pub fn new(record: Arc<TargetRecord>, service: &Service) -> Rc<Self> {
+    /// Creates an incarnation without connections, requests or observations. `dialer` opens its
+    /// connections.
+    pub fn new(record: Arc<TargetRecord>, service: &Service, dialer: Dialer) -> Rc<Self> {
         let rules = PoolRules {
             dial_timeout: DIAL_TIMEOUT,
             max_idle: (service.max_connections / SHARING_ENTRIES).clamp(1, MAX_IDLE) as usize,
             idle_timeout: IDLE_TIMEOUT,
         };
         Rc::new(Target {
-            pool: Pool::new(record.addr, rules),
+            pool: Pool::with_dialer(record.addr, rules, dialer),
             record,
             in_flight: Cell::new(0),
             pending_prefill_tokens: Cell::new(0),
