--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod backoff;
 mod connections;
 mod crashing;
+mod cut_off;
 mod draining;
 mod evacuated_halls;
 mod fixture;
