Leave the few connections of a target to requests when probing

A probe for targets that are silent connected to a target that accepts few connections while this host used its share of them: `request_without_a_connection_in_time_is_refused_before_the_target_latency` found two open connections where one is allowed. Such a target isn't probed then.

--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -7,6 +7,7 @@
 use futures_util::future::select_ok;
 use futures_util::FutureExt;
 use hollowsail_observe::events;
+use hollowsail_targets::Target;
 use rand::seq::IteratorRandom;
 
 use super::dial_direct;
@@ -61,12 +62,20 @@
     }
 }
 
-/// Random targets, those to which connects are failing only if there are no others.
+/// Random targets, those to which connects are failing only if there are no others. One that accepts
+/// few connections is left out while this host has its share of them.
 fn choose_targets(cx: &Traffic) -> Vec<SocketAddr> {
     let now = cx.clock.now();
     let state = cx.reach.state.borrow();
     let targets = cx.targets();
-    let addrs = || targets.all().map(|target| target.record.addr);
+    let may_open = |target: &&Rc<Target>| {
+        let limit = target.pool.limit();
+        limit.is_none_or(|limit| target.pool.stats().open < limit as usize)
+    };
+    let addrs = || {
+        let targets = targets.all().filter(may_open);
+        targets.map(|target| target.record.addr)
+    };
     let others = addrs().filter(|addr| !state.is_failing(now, *addr));
     let chosen = others.choose_multiple(&mut rand::rng(), PROBED_TARGETS);
     match chosen.is_empty() {
