Have peers relay connections to targets that a host doesn't reach

Cause: a host knew one way to a target, its own connection. Its peers reached the targets and reached the host, and weren't asked.

Evidence: `targets_unreachable` at the cut hosts, with `attempt_failed progress=NothingSent` for each target that was tried, and none at the others.

Change: a connect to a target that fails, or isn't answered in 50 ms, is repeated through a peer, and the first connection is used; where direct connects are known to fail the peer comes first. The peer connects and passes bytes on. All decisions on a request stay with its host, so that at most one run, "not run", deadlines, limits, priorities and the regions of a request hold as before. Bytes from the target are framed, so that the end of a relay never looks like the end of an answer. A relay lies in the region of one of the ends, never asks another, and takes on a bounded number of connections; a host that is cut off itself or stopping doesn't relay, and a stop waits for what is relayed. Idle connections that may hang aren't used again, and relayed ones only while they are needed. A refused connection counts as a crash of the target only if a peer that reaches others is refused, too.

A host that reaches no target, and whose peers can't relay, isn't ready, and its requests fail without a connect.

--- a/crates/connect/src/crash_check.rs
+++ b/crates/connect/src/crash_check.rs
@@ -5,10 +5,11 @@
 //! connection after an answer broke off. Answers that break off together share one probe.
 
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
+use futures_util::future::{ready, FutureExt, LocalBoxFuture, Shared};
 use hollowsail_clock::BootInstant;
 use tokio::net::TcpStream;
 
@@ -36,12 +37,22 @@
 impl CrashCheck {
     /// True when no process listens at the target's address.
     pub async fn has_crashed(&self, addr: SocketAddr) -> bool {
+        self.has_crashed_by(addr, ready(true)).await
+    }
+
+    /// Like [`Self::has_crashed`]; `confirm` decides whether a refused connection shows that.
+    pub async fn has_crashed_by(
+        &self,
+        addr: SocketAddr,
+        confirm: impl Future<Output = bool> + 'static,
+    ) -> bool {
         let result = {
             let mut last = self.last.borrow_mut();
             match &*last {
                 Some(probe) if probe.started.elapsed() < RESULT_LIFETIME => probe.result.clone(),
                 _ => {
-                    let result = refuses(addr).boxed_local().shared();
+                    let check = async move { refuses(addr).await && confirm.await };
+                    let result = check.boxed_local().shared();
                     *last = Some(Probe {
                         started: BootInstant::now(),
                         result: result.clone(),
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -9,7 +9,8 @@
 //! [`Pool::connect`] and [`Connection::send`] do the same in two steps, for pools whose peer
 //! accepts few connections ([`Pool::set_limit`]): a request waits for one before it is sent.
 //! [`Pool::call`] does both for answers that are buffered. [`CrashCheck`] distinguishes a
-//! crashed peer from a broken connection.
+//! crashed peer from a broken connection. A [`Dialer`] may reach the peer through a relay
+//! ([`RelayedStream`]).
 
 mod body;
 mod call;
@@ -20,6 +21,7 @@
 mod framing;
 mod liveness;
 mod pool;
+mod relayed;
 mod transport;
 
 pub use body::AnswerBody;
@@ -31,7 +33,8 @@
 pub use framing::Framing;
 pub use liveness::Liveness;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
-pub use transport::Transport;
+pub use relayed::{relay, RelayedStream};
+pub use transport::{Transport, Way};
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
 use hollowsail_clock::BootInstant;
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
@@ -25,7 +26,7 @@
 use crate::dial::DialError;
 use crate::dialer::Dialer;
 use crate::framing::Framing;
-use crate::transport::Transport;
+use crate::transport::{Transport, Way};
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
 /// to count earlier.
@@ -98,6 +99,7 @@
 /// A connection that no request uses.
 pub(crate) struct Idle {
     sender: SendRequest<Full<Bytes>>,
+    way: Way,
     since: BootInstant,
     until: BootInstant,
 }
@@ -117,6 +119,7 @@
 pub struct Connection {
     pool: Rc<Pool>,
     sender: SendRequest<Full<Bytes>>,
+    way: Way,
     is_new: bool,
     since: BootInstant,
     /// Until when the request may wait for another connection.
@@ -133,6 +136,7 @@
 pub(crate) struct Returning {
     pool: Rc<Pool>,
     sender: SendRequest<Full<Bytes>>,
+    way: Way,
     keep_for: Option<Duration>,
     /// When the request got the connection.
     since: BootInstant,
@@ -204,19 +208,35 @@
         grant: Grant,
         wait_ends: Option<BootInstant>,
     ) -> Result<Connection, SendError> {
-        let (sender, is_new) = match grant {
-            Grant::Idle(idle) => (idle.sender, false),
-            Grant::Dial(dialling) => (self.open(dialling).await?, true),
+        let (sender, way, is_new) = match grant {
+            Grant::Idle(idle) => (idle.sender, idle.way, false),
+            Grant::Dial(dialling) => {
+                let (sender, way) = self.open(dialling).await?;
+                (sender, way, true)
+            }
         };
         Ok(Connection {
             pool: self.clone(),
             sender,
+            way,
             is_new,
             since: BootInstant::now(),
             wait_ends,
         })
     }
 
+    /// Closes the idle connections that should carry no further request.
+    pub fn prune(&self) {
+        let may_reuse = &self.dialer.may_reuse;
+        self.idle.borrow_mut().retain(|conn| may_reuse(conn.way));
+    }
+
+    /// True when nothing listens at the address of the peer, after it has refused a direct
+    /// connection.
+    pub fn confirm_refusal(&self) -> LocalBoxFuture<'static, bool> {
+        (self.dialer.confirm_refusal)()
+    }
+
     /// Number of idle connections that are still open.
     pub(crate) fn idle_count(&self) -> usize {
         let idle = self.idle.borrow();
@@ -238,6 +258,7 @@
 
     /// True when a request may use an idle connection.
     pub(crate) fn has_idle(&self, reuse: Reuse) -> bool {
+        self.prune();
         let now = BootInstant::now();
         let idle = self.idle.borrow();
         idle.iter().any(|conn| conn.is_usable(now, reuse))
@@ -245,6 +266,7 @@
 
     /// Takes the last idle connection that a request may use.
     pub(crate) fn take_idle(&self, reuse: Reuse) -> Option<Idle> {
+        self.prune();
         let now = BootInstant::now();
         let mut idle = self.idle.borrow_mut();
         idle.retain(|conn| conn.is_open(now));
@@ -255,7 +277,7 @@
     async fn open(
         self: &Rc<Self>,
         dialling: Dialling,
-    ) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    ) -> Result<(SendRequest<Full<Bytes>>, Way), SendError> {
         let started = BootInstant::now();
         let dialled = (self.dialer.dial)(self.rules.dial_timeout).await;
         let stream = dialled.map_err(|source| self.dial_failed(source))?;
@@ -266,6 +288,7 @@
                 return Err(self.rejected());
             }
         }
+        let way = stream.way();
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent { addr: self.addr })?;
@@ -276,7 +299,7 @@
             drop(conn.await);
             drop(open);
         });
-        Ok(sender)
+        Ok((sender, way))
     }
 
     /// The error of a failed dial. A reset of a connection that was just opened counts as
@@ -298,18 +321,20 @@
         }
     }
 
-    fn put_back(self: &Rc<Self>, sender: SendRequest<Full<Bytes>>, keep_for: Duration) {
+    fn put_back(self: &Rc<Self>, sender: SendRequest<Full<Bytes>>, way: Way, keep_for: Duration) {
         // With a limit, the number of open connections bounds the idle ones.
         let max_idle = match self.capacity.limit() {
             Some(limit) => limit as usize,
             None => self.rules.max_idle,
         };
-        if self.capacity.is_exceeded() || self.idle.borrow().len() >= max_idle {
+        let has_room = !self.capacity.is_exceeded() && self.idle.borrow().len() < max_idle;
+        if !has_room || !(self.dialer.may_reuse)(way) {
             return;
         }
         let since = BootInstant::now();
         self.idle.borrow_mut().push(Idle {
             sender,
+            way,
             since,
             until: since + keep_for,
         });
@@ -387,6 +412,7 @@
             returning: Returning {
                 pool: self.pool,
                 sender: self.sender,
+                way: self.way,
                 keep_for,
                 since: self.since,
             },
@@ -440,12 +466,12 @@
         };
         self.pool.capacity.record_hold(self.since.elapsed());
         if self.sender.is_ready() {
-            self.pool.clone().put_back(self.sender, keep_for);
+            self.pool.clone().put_back(self.sender, self.way, keep_for);
             return;
         }
         actix_rt::spawn(async move {
             if self.sender.ready().await.is_ok() {
-                self.pool.clone().put_back(self.sender, keep_for);
+                self.pool.clone().put_back(self.sender, self.way, keep_for);
             }
         });
     }
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -1,4 +1,4 @@
-//! The byte stream of a connection.
+//! The byte stream of a connection: to the peer itself, or through a relay.
 
 use std::io;
 use std::pin::Pin;
@@ -9,33 +9,66 @@
 use tokio::net::TcpStream;
 
 use crate::liveness::Liveness;
+use crate::relayed::RelayedStream;
 
-/// A connection to a peer, whose traffic may be observed.
+/// How a connection reaches its peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Way {
+    Direct,
+    /// Through the relay with this key.
+    Relay(u64),
+}
+
+/// A connection to a peer.
 pub struct Transport {
-    stream: TcpStream,
+    way: Way,
+    stream: Stream,
+    /// Observes the traffic.
     observer: Option<Rc<Liveness>>,
 }
 
+enum Stream {
+    Direct(TcpStream),
+    Relayed(RelayedStream),
+}
+
 impl Transport {
-    /// A connection that nobody observes.
-    pub fn new(stream: TcpStream) -> Self {
+    /// A direct connection that nobody observes.
+    pub fn direct(stream: TcpStream) -> Self {
         Transport {
-            stream,
+            way: Way::Direct,
+            stream: Stream::Direct(stream),
             observer: None,
         }
     }
 
-    /// A connection whose traffic `observer` sees.
+    /// A direct connection whose traffic `observer` sees.
     pub fn observed(stream: TcpStream, observer: Rc<Liveness>) -> Self {
         Transport {
-            stream,
             observer: Some(observer),
+            ..Self::direct(stream)
+        }
+    }
+
+    /// A connection through a relay.
+    pub fn relayed(stream: RelayedStream, relay: u64) -> Self {
+        Transport {
+            way: Way::Relay(relay),
+            stream: Stream::Relayed(stream),
+            observer: None,
         }
     }
 
+    pub(crate) fn way(&self) -> Way {
+        self.way
+    }
+
     /// Waits until there is something to read, or the connection has ended.
     pub(crate) async fn readable(&self) -> io::Result<()> {
-        self.stream.readable().await
+        match &self.stream {
+            Stream::Direct(stream) => stream.readable().await,
+            Stream::Relayed(stream) => stream.readable().await,
+        }
     }
 }
 
@@ -46,7 +79,10 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let polled = match &mut self.stream {
+            Stream::Direct(stream) => Pin::new(stream).poll_read(cx, buf),
+            Stream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
+        };
         if buf.filled().len() > before {
             self.observer
                 .iter()
@@ -63,7 +99,10 @@
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.observer.iter().for_each(|peers| peers.record_sent());
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        match &mut self.stream {
+            Stream::Direct(stream) => Pin::new(stream).poll_write(cx, buf),
+            Stream::Relayed(stream) => Pin::new(stream).poll_write(cx, buf),
+        }
     }
 
     fn poll_write_vectored(
@@ -72,18 +111,30 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.observer.iter().for_each(|peers| peers.record_sent());
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        match &mut self.stream {
+            Stream::Direct(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+            Stream::Relayed(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
+        match &self.stream {
+            Stream::Direct(stream) => stream.is_write_vectored(),
+            Stream::Relayed(stream) => stream.is_write_vectored(),
+        }
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        match &mut self.stream {
+            Stream::Direct(stream) => Pin::new(stream).poll_flush(cx),
+            Stream::Relayed(stream) => Pin::new(stream).poll_flush(cx),
+        }
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        match &mut self.stream {
+            Stream::Direct(stream) => Pin::new(stream).poll_shutdown(cx),
+            Stream::Relayed(stream) => Pin::new(stream).poll_shutdown(cx),
+        }
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod newest;
 pub mod ownership;
 pub mod position;
+pub mod relays;
 pub mod rendezvous;
 pub mod store_followers;
 pub mod target_registry;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod membership;
 mod newest;
 mod ownership;
+mod relays;
 mod restored_store;
 mod store_followers;
 mod target_registry;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -77,6 +77,11 @@
     gauge!("hollowsail_targets_unreachable").set(f64::from(u8::from(is_cut_off)));
 }
 
+/// Counts a connection that a peer was asked to relay, with its outcome.
+pub fn count_relayed(outcome: &'static str) {
+    counter!("hollowsail_relayed_connections_total", "outcome" => outcome).increment(1);
+}
+
 /// Counts an attempt at a target with its outcome.
 pub fn count_attempt(service: &str, outcome: &'static str) {
     counter!("hollowsail_attempts_total", "service" => service.to_string(), "outcome" => outcome)
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -21,6 +21,7 @@
 use crate::callers::listen::accept_each;
 use crate::feed::{FeedRequest, FEED_PATH};
 use crate::mechanisms::Mechanism;
+use crate::reach::{self, RELAY_PATH};
 use crate::reservations::{self, ReservationCall, RESERVATIONS_PATH};
 use crate::target_reports;
 use crate::traffic::Traffic;
@@ -52,7 +53,8 @@
     });
     let serving = http1::Builder::new()
         .auto_date_header(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(stream), service)
+        .with_upgrades();
     if let Err(err) = serving.await {
         log::debug!("a peer's connection failed: {err}");
     }
@@ -61,6 +63,9 @@
 async fn answer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let path = req.uri().path().to_string();
     let is_post = req.method() == Method::POST;
+    if is_post && path == RELAY_PATH {
+        return reach::accept(cx, req).await.unwrap_or_else(empty_response);
+    }
     let result = match path.as_str() {
         PATH if is_post => handle_envelope(cx, req).await,
         STATE_PATH if is_post => state(cx, req).await,
@@ -80,6 +85,12 @@
     response
 }
 
+fn empty_response(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
 /// Response to a request that is rejected.
 struct Rejection {
     status: StatusCode,
@@ -105,7 +116,7 @@
 }
 
 /// Reads and decodes the body of a peer's request.
-async fn read<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, StatusCode> {
+pub async fn read<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, StatusCode> {
     let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES)
         .collect()
         .await;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -25,7 +25,7 @@
 use crate::traffic::Traffic;
 
 pub use link::Link;
-pub use listen::start;
+pub use listen::{read, start};
 pub use messages::{
     request, CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome,
     PlacementId, PlacementReply, PlacementStep, ProducePieceRequest, UnneededResult, VerdictNotice,
@@ -169,6 +169,7 @@
             }
         }
         target_reports::send_limits_to_new_peers(cx, &new_peers);
+        cx.prune_connections();
     }
 
     /// Records that the inputs of the ownership decision change at `at`.
@@ -223,6 +224,22 @@
         others.filter(|id| *id != cx.me.id).collect()
     }
 
+    /// True when a run is live.
+    pub fn is_live(&self, peer: PeerId) -> bool {
+        self.live.borrow().iter().any(|live| live.id == peer)
+    }
+
+    /// The other live entries that aren't suspected.
+    pub fn responsive(&self, cx: &Traffic) -> Vec<PeerRecord> {
+        let now = cx.clock.now();
+        let suspects = self.suspects.borrow();
+        let live = self.live.borrow();
+        let others = live.iter().filter(|peer| peer.id != cx.me.id);
+        let responsive =
+            others.filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now));
+        responsive.cloned().collect()
+    }
+
     /// Position of this entry among all entries, from 0 to 1, in an order that all share;
     /// `None` before the first list of entries.
     pub fn position(&self, cx: &Traffic) -> Option<f64> {
--- /dev/null
+++ b/crates/gateway/src/reach/accept.rs
@@ -0,0 +1,103 @@
+//! Relays connections to targets for peers.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hollowsail_connect::{relay, DialError};
+use http::{header, HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::upgrade::OnUpgrade;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+use super::messages::{RelayRequest, PROTOCOL, TARGET_REFUSED, TARGET_SILENT, UNABLE};
+use super::open::dial_direct;
+use crate::peers;
+use crate::traffic::{Stopping, Traffic};
+
+pub use super::messages::RELAY_PATH;
+
+/// Share of the descriptors that relayed connections may use; each takes two.
+const DESCRIPTORS_SHARE: f64 = 0.1;
+/// Longest connect to a target.
+const MAX_CONNECT_TIME: Duration = Duration::from_millis(400);
+/// How recently this entry has to have reached a target for a refused connect to be the target's
+/// doing, in milliseconds.
+const TRUSTED_MS: u64 = 1_000;
+
+/// Counts a relayed connection until it is dropped.
+struct Relayed(Rc<Cell<usize>>);
+
+impl Relayed {
+    fn begin(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Relayed(count.clone())
+    }
+}
+
+impl Drop for Relayed {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// Connects to the target that a peer asks for, and relays the connection if that succeeds.
+pub async fn accept(
+    cx: &Rc<Traffic>,
+    mut req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, StatusCode> {
+    let upgrade = hyper::upgrade::on(&mut req);
+    let request: RelayRequest = peers::read(req).await?;
+    if request.to != cx.me.id {
+        return Err(StatusCode::MISDIRECTED_REQUEST);
+    }
+    if !may_relay(cx) {
+        return Err(UNABLE);
+    }
+    let relayed = Relayed::begin(&cx.reach.relayed);
+    let target = connect(cx, &request).await?;
+    actix_rt::spawn(pass_on(upgrade, target, relayed));
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
+    let headers = response.headers_mut();
+    headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
+    Ok(response)
+}
+
+fn may_relay(cx: &Traffic) -> bool {
+    let limit = cx.settings().limits.descriptors as f64 * DESCRIPTORS_SHARE / 2.0;
+    let is_stopping = cx.stopping.get() != Stopping::No;
+    !is_stopping && !cx.reach.is_cut_off() && (cx.reach.relayed() as f64) < limit
+}
+
+/// Connects to a target directly: a relay never asks another.
+async fn connect(cx: &Rc<Traffic>, request: &RelayRequest) -> Result<TcpStream, StatusCode> {
+    let target = cx.target(&request.target).ok_or(UNABLE)?;
+    let limit = Duration::from_millis(request.timeout_ms).min(MAX_CONNECT_TIME);
+    let dialled = dial_direct(cx, target.record.addr, limit).await;
+    dialled.map_err(|err| match err {
+        DialError::TimedOut { .. } => TARGET_SILENT,
+        DialError::Refused { .. } if has_reached_others(cx) => TARGET_REFUSED,
+        DialError::Refused { .. } => UNABLE,
+    })
+}
+
+fn has_reached_others(cx: &Traffic) -> bool {
+    let state = cx.reach.state.borrow();
+    state.has_reached_within(cx.clock.now(), TRUSTED_MS)
+}
+
+async fn pass_on(upgrade: OnUpgrade, target: TcpStream, _relayed: Relayed) {
+    let upgraded = match upgrade.await {
+        Ok(upgraded) => upgraded,
+        Err(err) => return log::debug!("a peer's request for a relay ended: {err}"),
+    };
+    match upgraded.downcast::<TokioIo<TcpStream>>() {
+        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target).await,
+        Err(_) => log::error!("a relayed connection has an unexpected type"),
+    }
+}
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -1,35 +1,65 @@
 //! The ways from this host to the targets.
 //!
-//! All connections to targets are opened here ([`dialer_for`]), so that every result counts in
-//! [`Reachability`]. [`probe`] asks other targets when connects fail or targets fall silent, and
-//! finds out when a cut begins and ends.
+//! All connections to targets are opened here. One is opened directly where that works; where it
+//! doesn't, a peer relays it ([`open`], [`relays`]), so that a host that is cut off from targets
+//! serves its callers as before. All decisions on a request stay here: a relay passes bytes on
+//! ([`accept`]). [`probe`] asks other targets when connects fail or targets fall silent, and finds
+//! out when a cut from all targets begins and ends.
 
+mod accept;
+mod messages;
+mod open;
 mod probe;
+mod relays;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use futures_util::future::FutureExt;
-use hollowsail_connect::{dial, DialError, Dialer, Dialled, Liveness, Transport};
+use hollowsail_connect::{DialError, Dialer, Dialled, Liveness, Way};
 use hollowsail_observe::events;
-use hollowsail_platform::targets::TargetRecord;
-use hollowsail_routing::Reachability;
+use hollowsail_platform::targets::{Incarnation, TargetRecord};
+use hollowsail_routing::{Millis, Reachability};
 use hollowsail_targets::TargetTable;
-use tokio::net::TcpStream;
 
 use crate::metrics;
+use crate::peers::PeerId;
 use crate::traffic::Traffic;
 
+pub use accept::{accept, RELAY_PATH};
 pub use probe::watch;
 
+/// How long a target that no relay reached is connected to directly only, in milliseconds.
+const RELAYS_FAILED_MS: Millis = 1_000;
+/// How long a host that is cut off waits, after no peer could relay, before it asks them again, in
+/// milliseconds. Meanwhile its requests are refused at once.
+const ISOLATED_MS: Millis = 250;
+
 /// What this host knows of its ways to the targets.
 #[derive(Default)]
 pub struct Reach {
     state: RefCell<Reachability<SocketAddr>>,
     /// Observes the direct connections to all targets.
     liveness: Rc<Liveness>,
+    /// When relays last failed to reach a target.
+    relays_failed: RefCell<HashMap<SocketAddr, Millis>>,
+    /// When no peer could relay, unless one has since.
+    no_relay_at: Cell<Option<Millis>>,
+    /// Until when peers that couldn't relay aren't asked.
+    skipped_until: RefCell<HashMap<PeerId, Millis>>,
+    /// Connections that this entry relays for peers.
+    relayed: Rc<Cell<usize>>,
+}
+
+/// A target as far as its connections are concerned.
+#[derive(Debug, Clone)]
+struct Endpoint {
+    incarnation: Incarnation,
+    addr: SocketAddr,
+    hall: String,
 }
 
 /// A table whose targets are connected to as this module says.
@@ -39,40 +69,74 @@
 }
 
 fn dialer_for(cx: &Weak<Traffic>, record: &TargetRecord) -> Dialer {
-    let (cx, addr) = (cx.clone(), record.addr);
+    let endpoint = Rc::new(Endpoint {
+        incarnation: record.incarnation.clone(),
+        addr: record.addr,
+        hall: record.hall.clone(),
+    });
+    let with_cx = move || (cx.clone(), endpoint.clone());
+    let (dial_cx, dial_to) = with_cx();
+    let (reuse_cx, reuse_to) = with_cx();
+    let (confirm_cx, confirm_at) = with_cx();
     Dialer {
         dial: Box::new(move |timeout| {
-            let cx = cx.clone();
-            async move { open(&cx, addr, timeout).await }.boxed_local()
+            let (cx, endpoint) = (dial_cx.upgrade(), dial_to.clone());
+            async move { dial(cx, &endpoint, timeout).await }.boxed_local()
+        }),
+        may_reuse: Box::new(move |way| {
+            let cx = reuse_cx.upgrade();
+            cx.is_some_and(|cx| cx.reach.may_reuse(&cx, reuse_to.addr, way))
+        }),
+        confirm_refusal: Box::new(move || {
+            let (cx, endpoint) = (confirm_cx.upgrade(), confirm_at.clone());
+            async move {
+                match cx {
+                    Some(cx) => relays::confirm_refusal(&cx, &endpoint).await,
+                    None => false,
+                }
+            }
+            .boxed_local()
         }),
     }
 }
 
-/// Opens a connection to a target.
-async fn open(cx: &Weak<Traffic>, addr: SocketAddr, timeout: Duration) -> Dialled {
-    let Some(cx) = cx.upgrade() else {
-        return Err(DialError::TimedOut { addr, timeout });
-    };
-    let stream = dial_direct(&cx, addr, timeout).await?;
-    let observer = cx.reach.liveness.clone();
-    Ok(Transport::observed(stream, observer))
-}
-
-/// Connects to a target from this host, and counts the result.
-async fn dial_direct(
-    cx: &Rc<Traffic>,
-    addr: SocketAddr,
-    timeout: Duration,
-) -> Result<TcpStream, DialError> {
-    let dialled = dial(addr, timeout).await;
-    match &dialled {
-        Ok(_) => cx.reach.record_reached(cx, addr),
-        Err(_) => cx.reach.record_failed(cx, addr),
+async fn dial(cx: Option<Rc<Traffic>>, endpoint: &Endpoint, timeout: Duration) -> Dialled {
+    match cx {
+        Some(cx) => open::open(&cx, endpoint, timeout).await,
+        // The traffic thread is ending.
+        None => Err(DialError::TimedOut {
+            addr: endpoint.addr,
+            timeout,
+        }),
     }
-    dialled
 }
 
 impl Reach {
+    /// True while this host reaches no target.
+    pub fn is_cut_off(&self) -> bool {
+        self.state.borrow().is_cut_off()
+    }
+
+    /// True while this host reaches no target, and no peer can relay.
+    pub fn is_isolated(&self) -> bool {
+        self.is_cut_off() && self.no_relay_at.get().is_some()
+    }
+
+    /// Number of connections that this entry relays for peers.
+    pub fn relayed(&self) -> usize {
+        self.relayed.get()
+    }
+
+    /// False for connections that may hang, and for relayed ones that are no longer needed.
+    fn may_reuse(&self, cx: &Traffic, target: SocketAddr, way: Way) -> bool {
+        let state = self.state.borrow();
+        let are_direct_failing = state.is_cut_off() || state.is_failing(cx.clock.now(), target);
+        match way {
+            Way::Direct => !are_direct_failing,
+            Way::Relay(peer) => are_direct_failing && cx.peers.is_live(PeerId(peer)),
+        }
+    }
+
     fn record_reached(&self, cx: &Traffic, addr: SocketAddr) {
         let cut_off_ms = self.state.borrow_mut().record_reached(cx.clock.now(), addr);
         let Some(cut_off_ms) = cut_off_ms else {
@@ -81,9 +145,25 @@
         metrics::set_cut_off(false);
         let fields = format_args!("target_addr={addr} cut_off_ms={cut_off_ms}");
         cx.log.line(events::TARGETS_REACHABLE, fields);
+        self.no_relay_at.set(None);
+        self.relays_failed.borrow_mut().clear();
+        cx.prune_connections();
     }
 
     fn record_failed(&self, cx: &Traffic, addr: SocketAddr) {
         self.state.borrow_mut().record_failed(cx.clock.now(), addr);
     }
+
+    /// True when relays failed to reach a target not long ago.
+    fn have_relays_failed(&self, now: Millis, target: SocketAddr) -> bool {
+        let failed = self.relays_failed.borrow();
+        let failed_at = failed.get(&target);
+        failed_at.is_some_and(|at| *at + RELAYS_FAILED_MS > now)
+    }
+
+    fn record_relays_failed(&self, now: Millis, target: SocketAddr) {
+        let mut failed = self.relays_failed.borrow_mut();
+        failed.retain(|_, at| *at + RELAYS_FAILED_MS > now);
+        failed.insert(target, now);
+    }
 }
--- /dev/null
+++ b/crates/gateway/src/reach/open.rs
@@ -0,0 +1,124 @@
+//! Opens a connection to a target, directly or through a relay.
+//!
+//! A direct connect that fails, or takes longer than usual, is repeated through a relay, and the
+//! first connection is used. Where direct connects are known to fail, the relay comes first.
+
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_connect::{dial, DialError, Dialled, Transport};
+use tokio::net::TcpStream;
+use tokio::time::{timeout, Instant};
+
+use super::{relays, Endpoint, ISOLATED_MS};
+use crate::traffic::Traffic;
+
+/// Time after which a direct connect that isn't answered is repeated through a relay, above the
+/// round trip between the farthest regions.
+const HEDGE_DELAY: Duration = Duration::from_millis(50);
+
+/// How a connection is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Plan {
+    DirectOnly,
+    DirectFirst,
+    RelayFirst,
+    RelayOnly,
+    /// Neither way works now.
+    Neither,
+}
+
+/// Opens a connection to a target within a time.
+pub(super) async fn open(cx: &Rc<Traffic>, endpoint: &Endpoint, limit: Duration) -> Dialled {
+    let until = Instant::now() + limit;
+    let unreachable = || DialError::TimedOut {
+        addr: endpoint.addr,
+        timeout: limit,
+    };
+    let through_relay = async {
+        let relayed = relays::connect(cx, endpoint, until).await;
+        relayed.map_err(|err| err.into_dial_error(endpoint.addr, limit))
+    };
+    match plan(cx, endpoint.addr) {
+        Plan::DirectOnly => direct(cx, endpoint.addr, limit).await,
+        Plan::DirectFirst => direct_first(cx, endpoint, limit, through_relay).await,
+        Plan::RelayOnly => through_relay.await,
+        Plan::RelayFirst => match through_relay.await {
+            Ok(transport) => Ok(transport),
+            Err(_) => {
+                let left = until.saturating_duration_since(Instant::now());
+                direct(cx, endpoint.addr, left).await
+            }
+        },
+        Plan::Neither => Err(unreachable()),
+    }
+}
+
+fn plan(cx: &Traffic, addr: SocketAddr) -> Plan {
+    let now = cx.clock.now();
+    let reach = &cx.reach;
+    let is_cut_off = reach.is_cut_off();
+    let no_relay_at = reach.no_relay_at.get();
+    let asked_lately = no_relay_at.is_some_and(|at| at + ISOLATED_MS > now);
+    match (is_cut_off, reach.have_relays_failed(now, addr)) {
+        (true, _) if asked_lately => Plan::Neither,
+        (true, true) => Plan::Neither,
+        (true, false) => Plan::RelayOnly,
+        (false, true) => Plan::DirectOnly,
+        (false, false) if asked_lately => Plan::DirectOnly,
+        (false, false) if reach.state.borrow().is_failing(now, addr) => Plan::RelayFirst,
+        (false, false) => Plan::DirectFirst,
+    }
+}
+
+async fn direct_first(
+    cx: &Rc<Traffic>,
+    endpoint: &Endpoint,
+    limit: Duration,
+    through_relay: impl std::future::Future<Output = Dialled>,
+) -> Dialled {
+    let addr = endpoint.addr;
+    let mut direct = pin!(direct(cx, addr, limit));
+    match timeout(HEDGE_DELAY, direct.as_mut()).await {
+        Ok(Ok(transport)) => return Ok(transport),
+        Ok(Err(err)) => return through_relay.await.map_err(|_| err),
+        Err(_) => {}
+    }
+    let mut through_relay = pin!(through_relay);
+    tokio::select! {
+        biased;
+        dialled = direct.as_mut() => match dialled {
+            Ok(transport) => Ok(transport),
+            Err(err) => through_relay.await.map_err(|_| err),
+        },
+        relayed = through_relay.as_mut() => match relayed {
+            Ok(transport) => {
+                cx.reach.record_failed(cx, addr);
+                Ok(transport)
+            }
+            Err(_) => direct.await,
+        },
+    }
+}
+
+async fn direct(cx: &Rc<Traffic>, addr: SocketAddr, limit: Duration) -> Dialled {
+    let stream = dial_direct(cx, addr, limit).await?;
+    let observer = cx.reach.liveness.clone();
+    Ok(Transport::observed(stream, observer))
+}
+
+/// Connects to a target from this host, and counts the result.
+pub(super) async fn dial_direct(
+    cx: &Rc<Traffic>,
+    addr: SocketAddr,
+    limit: Duration,
+) -> Result<TcpStream, DialError> {
+    let dialled = dial(addr, limit).await;
+    match &dialled {
+        Ok(_) => cx.reach.record_reached(cx, addr),
+        Err(_) => cx.reach.record_failed(cx, addr),
+    }
+    dialled
+}
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -10,7 +10,7 @@
 use hollowsail_targets::Target;
 use rand::seq::IteratorRandom;
 
-use super::dial_direct;
+use super::open::dial_direct;
 use crate::metrics;
 use crate::traffic::Traffic;
 
@@ -54,6 +54,7 @@
                 .record_failed_probe(cx.clock.now())
             {
                 metrics::set_cut_off(true);
+                cx.prune_connections();
                 let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
                 let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
                 cx.log.line(events::TARGETS_UNREACHABLE, fields);
--- /dev/null
+++ b/crates/gateway/src/reach/relays.rs
@@ -0,0 +1,223 @@
+//! Has peers relay connections to targets.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use futures_util::FutureExt;
+use hollowsail_connect::{dial, DialError, RelayedStream, Transport};
+use hollowsail_fleet::relays::{order, Place, RelayCandidate};
+use http::{header, HeaderValue, StatusCode};
+use hyper::client::conn::http1::handshake;
+use hyper_util::rt::TokioIo;
+use snafu::Snafu;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::messages::{RelayRequest, PROTOCOL, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT};
+use super::Endpoint;
+use crate::metrics;
+use crate::peers::{self, PeerRecord};
+use crate::traffic::Traffic;
+
+/// Maximum number of peers that are asked to relay one connection.
+const MAX_PEERS: usize = 3;
+/// Time after which the next peer is asked as well.
+const NEXT_PEER_DELAY: Duration = Duration::from_millis(60);
+/// How long a peer that couldn't relay isn't asked, in milliseconds.
+const SKIP_MS: u64 = 1_000;
+/// The same for a peer whose build can't.
+const SKIP_OLDER_BUILD_MS: u64 = 10_000;
+/// Time limit for a check whether a target refuses connections of others.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Why no peer relays a connection.
+#[derive(Debug, Snafu)]
+pub(super) enum RelayError {
+    /// The target refuses connections of a peer that reaches others.
+    #[snafu(display("the target refuses connections"))]
+    TargetRefused,
+    /// A peer that relays connections got no answer from the target.
+    #[snafu(display("the target doesn't answer peers"))]
+    TargetSilent,
+    /// No peer could relay.
+    #[snafu(display("no peer relays connections now"))]
+    NoRelay,
+}
+
+impl RelayError {
+    pub(super) fn into_dial_error(self, addr: SocketAddr, timeout: Duration) -> DialError {
+        match self {
+            RelayError::TargetRefused => DialError::Refused {
+                addr,
+                source: std::io::ErrorKind::ConnectionRefused.into(),
+            },
+            RelayError::TargetSilent | RelayError::NoRelay => DialError::TimedOut { addr, timeout },
+        }
+    }
+}
+
+/// Why one peer doesn't relay a connection.
+enum PeerError {
+    Target(RelayError),
+    /// The peer is lost or can't relay; it isn't asked for this long, in milliseconds.
+    Unable {
+        skip_ms: u64,
+    },
+}
+
+/// Connects to a target through a peer, until a moment. The next peer is asked when one fails or
+/// takes long.
+pub(super) async fn connect(
+    cx: &Rc<Traffic>,
+    endpoint: &Endpoint,
+    until: Instant,
+) -> Result<Transport, RelayError> {
+    let result = ask_peers(cx, endpoint, until).await;
+    let now = cx.clock.now();
+    let outcome = match &result {
+        Ok(_) => "connected",
+        Err(RelayError::TargetRefused) => "refused",
+        Err(RelayError::TargetSilent) => "silent",
+        Err(RelayError::NoRelay) => "no_relay",
+    };
+    metrics::count_relayed(outcome);
+    match &result {
+        Ok(_) => cx.reach.no_relay_at.set(None),
+        Err(RelayError::NoRelay) => cx.reach.no_relay_at.set(Some(now)),
+        Err(_) => {
+            cx.reach.no_relay_at.set(None);
+            cx.reach.record_relays_failed(now, endpoint.addr);
+        }
+    }
+    result
+}
+
+async fn ask_peers(
+    cx: &Rc<Traffic>,
+    endpoint: &Endpoint,
+    until: Instant,
+) -> Result<Transport, RelayError> {
+    let mut peers = choose_peers(cx, endpoint).into_iter();
+    let mut asked = FuturesUnordered::new();
+    let mut failure = RelayError::NoRelay;
+    loop {
+        match peers.next() {
+            Some(peer) => asked.push(ask(cx, peer, endpoint, until)),
+            None if asked.is_empty() => return Err(failure),
+            None => {}
+        }
+        let patience = match peers.len() {
+            0 => until.saturating_duration_since(Instant::now()),
+            _ => NEXT_PEER_DELAY,
+        };
+        match tokio::time::timeout(patience, asked.next()).await {
+            Ok(Some(Ok(transport))) => return Ok(transport),
+            Ok(Some(Err(RelayError::TargetRefused))) => return Err(RelayError::TargetRefused),
+            Ok(Some(Err(RelayError::TargetSilent))) => failure = RelayError::TargetSilent,
+            Ok(Some(Err(RelayError::NoRelay)) | None) => {}
+            Err(_) if Instant::now() >= until => return Err(failure),
+            Err(_) => {}
+        }
+    }
+}
+
+/// The peers to ask for a connection to a target, in order.
+fn choose_peers(cx: &Rc<Traffic>, endpoint: &Endpoint) -> Vec<PeerRecord> {
+    let now = cx.clock.now();
+    let settings = cx.settings();
+    let place = |hall| Place {
+        hall,
+        region: settings.regions.get(hall).map(String::as_str),
+    };
+    let mut skipped = cx.reach.skipped_until.borrow_mut();
+    skipped.retain(|_, until| *until > now);
+    let mut peers = cx.peers.responsive(cx);
+    peers.retain(|peer| !skipped.contains_key(&peer.id));
+    let candidates: Vec<RelayCandidate<'_>> = peers
+        .iter()
+        .map(|peer| RelayCandidate {
+            host: &peer.host,
+            place: place(&peer.hall),
+        })
+        .collect();
+    let key = format!("{}/{}", cx.me.host, endpoint.incarnation.id);
+    let order = order(&candidates, place(&cx.me.hall), place(&endpoint.hall), &key);
+    let order = order.into_iter().take(MAX_PEERS);
+    order.map(|index| peers[index].clone()).collect()
+}
+
+/// Asks one peer; a peer that can't relay isn't asked again for a while.
+async fn ask(
+    cx: &Rc<Traffic>,
+    peer: PeerRecord,
+    endpoint: &Endpoint,
+    until: Instant,
+) -> Result<Transport, RelayError> {
+    let left = until.saturating_duration_since(Instant::now());
+    let asked = tokio::time::timeout(left, connect_through(&peer, endpoint, left)).await;
+    let skip_ms = match asked {
+        Ok(Ok(stream)) => return Ok(Transport::relayed(stream, peer.id.0)),
+        Ok(Err(PeerError::Target(err))) => return Err(err),
+        Ok(Err(PeerError::Unable { skip_ms })) => skip_ms,
+        Err(_) => SKIP_MS,
+    };
+    let until = cx.clock.now() + skip_ms;
+    cx.reach.skipped_until.borrow_mut().insert(peer.id, until);
+    Err(RelayError::NoRelay)
+}
+
+async fn connect_through(
+    peer: &PeerRecord,
+    endpoint: &Endpoint,
+    timeout: Duration,
+) -> Result<RelayedStream, PeerError> {
+    let unable = PeerError::Unable { skip_ms: SKIP_MS };
+    let request = RelayRequest {
+        to: peer.id,
+        target: endpoint.incarnation.clone(),
+        timeout_ms: timeout.as_millis() as u64,
+    };
+    let mut req = peers::request(RELAY_PATH, &request);
+    let headers = req.headers_mut();
+    headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
+    headers.insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
+    let Ok(stream) = dial(peer.addr, timeout).await else {
+        return Err(unable);
+    };
+    let Ok((mut sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        return Err(unable);
+    };
+    actix_rt::spawn(connection.with_upgrades().map(drop));
+    let Ok(response) = sender.send_request(req).await else {
+        return Err(unable);
+    };
+    match response.status() {
+        StatusCode::SWITCHING_PROTOCOLS => {}
+        TARGET_REFUSED => return Err(PeerError::Target(RelayError::TargetRefused)),
+        TARGET_SILENT => return Err(PeerError::Target(RelayError::TargetSilent)),
+        StatusCode::NOT_FOUND => {
+            return Err(PeerError::Unable {
+                skip_ms: SKIP_OLDER_BUILD_MS,
+            })
+        }
+        _ => return Err(unable),
+    }
+    let upgraded = hyper::upgrade::on(response).await;
+    let parts = upgraded.map(|upgraded| upgraded.downcast::<TokioIo<TcpStream>>());
+    match parts {
+        Ok(Ok(parts)) => Ok(RelayedStream::new(parts.io.into_inner(), &parts.read_buf)),
+        _ => Err(unable),
+    }
+}
+
+/// True when a target that refused a direct connection refuses those of others, too. Where no peer
+/// can tell, a host that reaches other targets goes by its own connection.
+pub(super) async fn confirm_refusal(cx: &Rc<Traffic>, endpoint: &Endpoint) -> bool {
+    match ask_peers(cx, endpoint, Instant::now() + CONFIRM_TIMEOUT).await {
+        Ok(_) | Err(RelayError::TargetSilent) => false,
+        Err(RelayError::TargetRefused) => true,
+        Err(RelayError::NoRelay) => !cx.reach.is_cut_off(),
+    }
+}
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -42,9 +42,10 @@
     sleep(FLUSH_TIME).await;
 }
 
-/// Waits until no caller is connected, at most until `latest`.
+/// Waits until no caller is connected and nothing is relayed for peers, at most until `latest`.
 async fn drain_until(cx: &Traffic, latest: Instant) {
-    while cx.connections.get() > 0 && Instant::now() < latest {
+    let is_idle = || cx.connections.get() == 0 && cx.reach.relayed() == 0;
+    while !is_idle() && Instant::now() < latest {
         sleep(POLL_INTERVAL).await;
     }
 }
@@ -54,9 +55,10 @@
     cx.log.line(
         step,
         format_args!(
-            "in_flight={} connections={}",
+            "in_flight={} connections={} relayed={}",
             cx.in_flight.get(),
-            cx.connections.get()
+            cx.connections.get(),
+            cx.reach.relayed()
         ),
     );
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -341,7 +341,8 @@
 
     /// True when new connections are accepted.
     pub fn is_ready(self: &Rc<Self>) -> bool {
-        self.stopping.get() == Stopping::No && self.deployment().is_some()
+        let serves = self.stopping.get() == Stopping::No && !self.reach.is_isolated();
+        serves && self.deployment().is_some()
     }
 
     /// All usable targets by service.
@@ -359,6 +360,12 @@
         self.with_targets(service, <[Rc<Target>]>::to_vec)
     }
 
+    /// Closes idle connections to targets that should carry no further request.
+    pub fn prune_connections(&self) {
+        let targets = self.targets.borrow();
+        targets.all().for_each(|target| target.pool.prune());
+    }
+
     /// Number of usable targets of a service, by its name.
     pub fn target_count(&self, service: &str) -> usize {
         self.with_targets(service, <[Rc<Target>]>::len)
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -87,7 +87,10 @@
     /// Checks whether its process is gone after one of its answers broke off. Takes one or two
     /// round trips, and at most twice [`hollowsail_connect::CHECK_TIMEOUT`].
     pub async fn has_crashed(&self) -> bool {
-        self.crash_check.has_crashed(self.record.addr).await
+        let confirm = self.pool.confirm_refusal();
+        self.crash_check
+            .has_crashed_by(self.record.addr, confirm)
+            .await
     }
 
     pub fn incarnation(&self) -> &Incarnation {
