Ask more peers and targets before a way counts as lost

Up to eight peers are asked, at most three at once, a relay gives a connect 150 ms, and a probe asks seven further targets before the host counts as cut off.

--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -22,8 +22,9 @@
 
 /// Share of the descriptors that relayed connections may use; each takes two.
 const DESCRIPTORS_SHARE: f64 = 0.1;
-/// Longest connect to a target.
-const MAX_CONNECT_TIME: Duration = Duration::from_millis(400);
+/// Longest connect to a target, above the round trip between the farthest regions. The peer may ask
+/// other entries.
+const MAX_CONNECT_TIME: Duration = Duration::from_millis(150);
 /// How recently this entry has to have reached a target for a refused connect to be the target's
 /// doing, in milliseconds.
 const TRUSTED_MS: u64 = 1_000;
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -6,6 +6,7 @@
 
 use futures_util::future::select_ok;
 use futures_util::FutureExt;
+use hollowsail_connect::DialError;
 use hollowsail_observe::events;
 use hollowsail_targets::Target;
 use rand::seq::IteratorRandom;
@@ -16,8 +17,10 @@
 
 /// Interval between checks whether a probe is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// Number of targets that a probe connects to.
-const PROBED_TARGETS: usize = 3;
+/// Maximum number of targets that a probe connects to, and of those in its first round. Most probes
+/// reach one of these.
+const PROBED_TARGETS: usize = 10;
+const FIRST_ROUND: usize = 3;
 /// Connect timeout of a probe, above the round trip between the farthest regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -34,18 +37,20 @@
     }
 }
 
-/// Connects to some targets at once; the host is cut off if none is reached.
+/// Connects to some targets, in two rounds; the host is cut off if none is reached.
 async fn probe(cx: &Rc<Traffic>, silent_for: Duration) {
     let targets = choose_targets(cx);
     if targets.is_empty() {
         return;
     }
-    let dials = targets
-        .iter()
-        .map(|addr| dial_direct(cx, *addr, PROBE_TIMEOUT).boxed_local());
-    match select_ok(dials).await {
+    let (first, others) = targets.split_at(targets.len().min(FIRST_ROUND));
+    let mut reached = connect_to_any(cx, first).await;
+    if reached.is_err() && !others.is_empty() && !cx.reach.is_cut_off() {
+        reached = connect_to_any(cx, others).await;
+    }
+    match reached {
         // A connect proves as much as an answer on an open connection.
-        Ok(_) => cx.reach.liveness.record_received(),
+        Ok(()) => cx.reach.liveness.record_received(),
         Err(err) => {
             if cx
                 .reach
@@ -63,6 +68,14 @@
     }
 }
 
+/// Connects to targets at once until one is reached; the error of the last one if none is.
+async fn connect_to_any(cx: &Rc<Traffic>, targets: &[SocketAddr]) -> Result<(), DialError> {
+    let dials = targets
+        .iter()
+        .map(|addr| dial_direct(cx, *addr, PROBE_TIMEOUT).boxed_local());
+    select_ok(dials).await.map(drop)
+}
+
 /// Random targets, those to which connects are failing only if there are no others. One that accepts
 /// few connections is left out while this host has its share of them.
 fn choose_targets(cx: &Traffic) -> Vec<SocketAddr> {
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -21,8 +21,9 @@
 use crate::peers::{self, PeerRecord};
 use crate::traffic::Traffic;
 
-/// Maximum number of peers that are asked to relay one connection.
-const MAX_PEERS: usize = 3;
+/// Maximum number of peers that are asked to relay one connection, and of those asked at once.
+const MAX_PEERS: usize = 8;
+const MAX_ASKED_AT_ONCE: usize = 3;
 /// Time after which the next peer is asked as well.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(60);
 /// How long a peer that couldn't relay isn't asked, in milliseconds.
@@ -103,14 +104,15 @@
     let mut asked = FuturesUnordered::new();
     let mut failure = RelayError::NoRelay;
     loop {
-        match peers.next() {
-            Some(peer) => asked.push(ask(cx, peer, endpoint, until)),
-            None if asked.is_empty() => return Err(failure),
-            None => {}
+        if asked.len() < MAX_ASKED_AT_ONCE {
+            asked.extend(peers.next().map(|peer| ask(cx, peer, endpoint, until)));
         }
-        let patience = match peers.len() {
-            0 => until.saturating_duration_since(Instant::now()),
-            _ => NEXT_PEER_DELAY,
+        if asked.is_empty() {
+            return Err(failure);
+        }
+        let patience = match peers.len() > 0 && asked.len() < MAX_ASKED_AT_ONCE {
+            true => NEXT_PEER_DELAY,
+            false => until.saturating_duration_since(Instant::now()),
         };
         match tokio::time::timeout(patience, asked.next()).await {
             Ok(Some(Ok(transport))) => return Ok(transport),
