Refuse requests at once while no target can be reached in any way

A host that reaches no target and whose peers can't relay refuses requests before anything of them runs, with a Retry-After of the 250 ms after which it asks its peers again; its probes ask them, since no request does. A refused connection isn't taken for a crash while direct connections to the target fail anyway.

Seven tests of a cut host come with it: half of the hosts cut off, all of them, the return of the links, a relay that is cut off or stopped halfway, answers without a length through a relay, and no suspicion of crashes after resets.

--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -34,8 +34,7 @@
 
 /// How long a target that no relay reached is connected to directly only, in milliseconds.
 const RELAYS_FAILED_MS: Millis = 1_000;
-/// How long a host that is cut off waits, after no peer could relay, before it asks them again, in
-/// milliseconds. Meanwhile its requests are refused at once.
+/// How long a host waits, after no peer could relay, before it asks them again, in milliseconds.
 const ISOLATED_MS: Millis = 250;
 
 /// What this host knows of its ways to the targets.
@@ -62,6 +61,16 @@
     hall: String,
 }
 
+impl Endpoint {
+    fn of(record: &TargetRecord) -> Self {
+        Endpoint {
+            incarnation: record.incarnation.clone(),
+            addr: record.addr,
+            hall: record.hall.clone(),
+        }
+    }
+}
+
 /// A table whose targets are connected to as this module says.
 pub fn target_table(cx: &Weak<Traffic>) -> TargetTable {
     let cx = cx.clone();
@@ -69,11 +78,7 @@
 }
 
 fn dialer_for(cx: &Weak<Traffic>, record: &TargetRecord) -> Dialer {
-    let endpoint = Rc::new(Endpoint {
-        incarnation: record.incarnation.clone(),
-        addr: record.addr,
-        hall: record.hall.clone(),
-    });
+    let endpoint = Rc::new(Endpoint::of(record));
     let with_cx = move || (cx.clone(), endpoint.clone());
     let (dial_cx, dial_to) = with_cx();
     let (reuse_cx, reuse_to) = with_cx();
@@ -117,6 +122,11 @@
         self.state.borrow().is_cut_off()
     }
 
+    /// When a request that is refused since this host is isolated may be sent again.
+    pub fn isolation_retry_after(&self) -> Duration {
+        Duration::from_millis(ISOLATED_MS)
+    }
+
     /// True while this host reaches no target, and no peer can relay.
     pub fn is_isolated(&self) -> bool {
         self.is_cut_off() && self.no_relay_at.get().is_some()
@@ -129,14 +139,18 @@
 
     /// False for connections that may hang, and for relayed ones that are no longer needed.
     fn may_reuse(&self, cx: &Traffic, target: SocketAddr, way: Way) -> bool {
-        let state = self.state.borrow();
-        let are_direct_failing = state.is_cut_off() || state.is_failing(cx.clock.now(), target);
         match way {
-            Way::Direct => !are_direct_failing,
-            Way::Relay(peer) => are_direct_failing && cx.peers.is_live(PeerId(peer)),
+            Way::Direct => !self.is_failing(cx, target),
+            Way::Relay(peer) => self.is_failing(cx, target) && cx.peers.is_live(PeerId(peer)),
         }
     }
 
+    /// True while direct connects to a target fail.
+    fn is_failing(&self, cx: &Traffic, target: SocketAddr) -> bool {
+        let state = self.state.borrow();
+        state.is_cut_off() || state.is_failing(cx.clock.now(), target)
+    }
+
     fn record_reached(&self, cx: &Traffic, addr: SocketAddr) {
         let cut_off_ms = self.state.borrow_mut().record_reached(cx.clock.now(), addr);
         let Some(cut_off_ms) = cut_off_ms else {
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -10,8 +10,10 @@
 use hollowsail_observe::events;
 use hollowsail_targets::Target;
 use rand::seq::IteratorRandom;
+use tokio::time::Instant;
 
 use super::open::dial_direct;
+use super::{relays, Endpoint};
 use crate::metrics;
 use crate::traffic::Traffic;
 
@@ -48,23 +50,33 @@
     if reached.is_err() && !others.is_empty() && !cx.reach.is_cut_off() {
         reached = connect_to_any(cx, others).await;
     }
-    match reached {
+    let err = match reached {
         // A connect proves as much as an answer on an open connection.
-        Ok(()) => cx.reach.liveness.record_received(),
-        Err(err) => {
-            if cx
-                .reach
-                .state
-                .borrow_mut()
-                .record_failed_probe(cx.clock.now())
-            {
-                metrics::set_cut_off(true);
-                cx.prune_connections();
-                let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
-                let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
-                cx.log.line(events::TARGETS_UNREACHABLE, fields);
-            }
-        }
+        Ok(()) => return cx.reach.liveness.record_received(),
+        Err(err) => err,
+    };
+    let now = cx.clock.now();
+    let is_new = cx.reach.state.borrow_mut().record_failed_probe(now);
+    if is_new {
+        metrics::set_cut_off(true);
+        cx.prune_connections();
+        let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
+        let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
+        cx.log.line(events::TARGETS_UNREACHABLE, fields);
+    }
+    if is_new || cx.reach.is_isolated() {
+        probe_relays(cx).await;
+    }
+}
+
+/// Finds out whether a peer can relay: an isolated host gets no requests that would show it.
+async fn probe_relays(cx: &Rc<Traffic>) {
+    let target = cx.targets().all().choose(&mut rand::rng()).cloned();
+    if let Some(target) = target {
+        let endpoint = Endpoint::of(&target.record);
+        let until = Instant::now() + PROBE_TIMEOUT;
+        // The result counts, and the connection closes.
+        drop(relays::connect(cx, &endpoint, until).await);
     }
 }
 
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -215,11 +215,11 @@
 }
 
 /// True when a target that refused a direct connection refuses those of others, too. Where no peer
-/// can tell, a host that reaches other targets goes by its own connection.
+/// can tell, a host that reached the target until now goes by its own connection.
 pub(super) async fn confirm_refusal(cx: &Rc<Traffic>, endpoint: &Endpoint) -> bool {
     match ask_peers(cx, endpoint, Instant::now() + CONFIRM_TIMEOUT).await {
         Ok(_) | Err(RelayError::TargetSilent) => false,
         Err(RelayError::TargetRefused) => true,
-        Err(RelayError::NoRelay) => !cx.reach.is_cut_off(),
+        Err(RelayError::NoRelay) => !cx.reach.is_failing(cx, endpoint.addr),
     }
 }
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -1,8 +1,9 @@
 //! Refuses requests that can't be served, before any of their work starts.
 //!
 //! These are requests that crash targets ([`crate::crashes`]), and requests that need a service
-//! with targets only in evacuated halls or only outside the allowed regions. Their pieces would
-//! wait in a queue without workers until the stages are cancelled.
+//! with targets only in evacuated halls or only outside the allowed regions, and all requests while
+//! this host is isolated. Their pieces would wait in a queue without workers until the stages are
+//! cancelled.
 
 use std::rc::Rc;
 
@@ -49,10 +50,15 @@
     })
 }
 
-/// Refuses a request that crashes targets, or that needs a service whose halls are all evacuated
+/// Refuses a request that crashes targets, that no target can be reached for, or that needs a service whose halls are all evacuated
 /// or that has no target in the allowed regions.
 pub fn check(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
     check_crashes(cx, admitted)?;
+    if cx.reach.is_isolated() {
+        let detail = "this host reaches no target, and no peer that does";
+        let refusal = Refusal::new(ErrorKind::NoTarget, detail);
+        return Err(refusal.with_retry_after(cx.reach.isolation_retry_after()));
+    }
     let view = cx.view();
     let name = |key: ServiceKey| &admitted.deployment.service(key).name;
     let is_evacuated = |key: ServiceKey| view.targets.evacuated_services.contains(name(key));
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -7,20 +7,24 @@
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
 use hollowsail_platform_standins::target::{
-    answer, chunk, event, last_chunk, results, stream_head,
+    answer, chunk, event, last_chunk, results, stream_head, unframed,
 };
 use hollowsail_platform_standins::{
     DeploymentJson, HostLinks, LinkMode, ReceivedRequest, Step, StoreStandin, TargetStandin,
 };
 use serde_json::json;
 
-use crate::fixture::{gateway_at, settings, wait_for_entries, Answer, Call};
+use crate::fixture::{
+    eventually, gateway_at, ready_status, settings, wait_for_entries, Answer, Call,
+};
 
 /// Time from a cut until first tries have to be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Requests of each kind that are sent at once before and after a cut. More than there are
 /// connections from before.
 const REQUESTS: usize = 12;
+/// Time from the return of the links until all is as before.
+const RETURN_TIME: Duration = Duration::from_secs(2);
 /// How long a target works on a request.
 const WORK_TIME: Duration = Duration::from_millis(30);
 
@@ -48,6 +52,7 @@
 
 /// Entries that know each other, before targets of all kinds.
 struct Fleet {
+    store: StoreStandin,
     hosts: Vec<Host>,
     targets: Vec<TargetStandin>,
 }
@@ -72,10 +77,15 @@
 
 impl Fleet {
     async fn start(entries: usize) -> Self {
+        Self::with_targets(entries, &["engines", "encoders", "plain"]).await
+    }
+
+    /// Starts entries, and targets of some services.
+    async fn with_targets(entries: usize, services: &[&str]) -> Self {
         let store = StoreStandin::start().await;
         store.put("op/config", &deployment().bytes());
         let mut targets = Vec::new();
-        for service in ["engines", "encoders", "plain"] {
+        for service in services {
             for number in 0..3 {
                 let target = TargetStandin::start(serve).await;
                 let id = format!("i-{service}-{number}");
@@ -92,7 +102,11 @@
         }
         wait_for_entries("all entries are registered", &store, entries).await;
         tokio::time::sleep(Duration::from_millis(500)).await;
-        Fleet { hosts, targets }
+        Fleet {
+            store,
+            hosts,
+            targets,
+        }
     }
 
     /// Sends requests of one kind to an entry at once; returns the answers to first tries that
@@ -106,6 +120,17 @@
         answers.filter(|answer| !is_served(answer)).collect()
     }
 
+    /// Sends one request of each kind to an entry at once, over and over for a time.
+    async fn send_for(&self, entry: usize, time: Duration) {
+        let addr = self.hosts[entry].gateway.addrs.callers;
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let requests = Kind::ALL.map(Kind::request);
+            join_all(requests.iter().map(|request| request.send(addr))).await;
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+
     /// Requests received for any `X-Request-Id` more than once, on routes that allow one run.
     fn repeated(&self) -> Vec<String> {
         let received = self.targets.iter().flat_map(TargetStandin::received);
@@ -154,13 +179,7 @@
         assert!(failed.is_empty(), "before the cut: {failed:?}");
     }
     fleet.hosts[0].links.set_mode(mode);
-    let cut = Instant::now();
-    while cut.elapsed() < CONTACT_TIME {
-        let requests = Kind::ALL.map(Kind::request);
-        let addr = fleet.hosts[0].gateway.addrs.callers;
-        join_all(requests.iter().map(|request| request.send(addr))).await;
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
+    fleet.send_for(0, CONTACT_TIME).await;
     let mut failed = Vec::new();
     for kind in Kind::ALL {
         failed.extend(fleet.failed_first_tries(0, kind).await);
@@ -193,3 +212,172 @@
     let failed = failed_behind_a_cut(LinkMode::AnswersLost).await;
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+#[actix_rt::test]
+async fn half_of_the_hosts_serve_first_tries_while_cut_off() {
+    let fleet = Fleet::start(4).await;
+    let cut = &fleet.hosts[..2];
+    cut.iter()
+        .for_each(|host| host.links.set_mode(LinkMode::Silent));
+    join_all((0..2).map(|entry| fleet.send_for(entry, CONTACT_TIME))).await;
+    for entry in 0..2 {
+        for kind in Kind::ALL {
+            let failed = fleet.failed_first_tries(entry, kind).await;
+            assert!(failed.is_empty(), "entry {entry}: {failed:?}");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn fleet_that_is_cut_off_refuses_at_once() {
+    let fleet = Fleet::start(2).await;
+    let hosts = &fleet.hosts;
+    hosts
+        .iter()
+        .for_each(|host| host.links.set_mode(LinkMode::Silent));
+    join_all((0..2).map(|entry| fleet.send_for(entry, CONTACT_TIME))).await;
+    let addr = hosts[0].gateway.addrs.callers;
+    for kind in Kind::ALL {
+        let started = Instant::now();
+        let answer = kind.request().send(addr).await;
+        assert_eq!(answer.status, 503, "{kind:?}: {}", answer.body);
+        assert!(answer.header("retry-after").is_some(), "{answer:?}");
+        assert!(
+            started.elapsed() < Duration::from_millis(250),
+            "{kind:?} after {:?}",
+            started.elapsed()
+        );
+    }
+    assert_eq!(ready_status(hosts[0].gateway.addrs.readiness).await, 503);
+    hosts
+        .iter()
+        .for_each(|host| host.links.set_mode(LinkMode::Up));
+    tokio::time::sleep(RETURN_TIME).await;
+    assert_eq!(ready_status(hosts[0].gateway.addrs.readiness).await, 200);
+}
+
+#[actix_rt::test]
+async fn returning_links_carry_everything_again() {
+    let fleet = Fleet::start(2).await;
+    let [cut, relay] = &fleet.hosts[..] else {
+        unreachable!("two hosts were started")
+    };
+    cut.links.set_mode(LinkMode::Silent);
+    fleet.send_for(0, CONTACT_TIME).await;
+    assert!(relay.links.opened() > 0, "the peer relays");
+    cut.links.set_mode(LinkMode::Up);
+    tokio::time::sleep(RETURN_TIME).await;
+    let (direct, relayed) = (cut.links.opened(), relay.links.opened());
+    for kind in Kind::ALL {
+        let failed = fleet.failed_first_tries(0, kind).await;
+        assert!(failed.is_empty(), "{failed:?}");
+    }
+    assert!(cut.links.opened() > direct, "opened directly");
+    assert_eq!(relay.links.opened(), relayed, "relayed no more");
+}
+
+/// Starts two entries of which the first is cut off, before one plain target, and waits until its
+/// requests are relayed.
+async fn relaying(script: fn(&ReceivedRequest) -> Vec<Step>) -> (Fleet, TargetStandin) {
+    let mut fleet = Fleet::with_targets(2, &[]).await;
+    let target = TargetStandin::start(script).await;
+    let addr = target.addr;
+    fleet
+        .store
+        .put_target("i-plain", "plain", addr, "hall-a", "ready");
+    fleet.targets.push(target.clone());
+    fleet.hosts[0].links.set_mode(LinkMode::Refusing);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answer = Kind::Safe
+        .request()
+        .send(fleet.hosts[0].gateway.addrs.callers)
+        .await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+    (fleet, target)
+}
+
+/// Answers requests that may run once slowly, and without a length.
+fn slow_and_unframed(request: &ReceivedRequest) -> Vec<Step> {
+    let whole = answer(request, 200, "the body");
+    if request.path.starts_with("/safe/") {
+        return vec![Step::Write(whole)];
+    }
+    let (head, body) = whole.split_at(whole.len() - 4);
+    vec![
+        Step::Write(unframed(head.to_vec())),
+        Step::Wait(Duration::from_millis(600)),
+        Step::Write(body.to_vec()),
+        Step::Close,
+    ]
+}
+
+/// Sends a request that may run once through a relay, and runs `halfway` while it is answered.
+async fn relayed_once(halfway: impl AsyncFnOnce(&mut Fleet)) -> (Answer, usize) {
+    let (mut fleet, target) = relaying(slow_and_unframed).await;
+    let addr = fleet.hosts[0].gateway.addrs.callers;
+    let request = Kind::Once.request();
+    let sending = request.send(addr);
+    let disturbing = async {
+        eventually("the target runs it", || {
+            let received = target.received();
+            received
+                .iter()
+                .any(|request| request.path.starts_with("/once/"))
+        })
+        .await;
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        halfway(&mut fleet).await;
+    };
+    let (answer, ()) = futures_util::future::join(sending, disturbing).await;
+    let received = target.received();
+    let runs = received
+        .iter()
+        .filter(|request| request.path.starts_with("/once/"));
+    (answer, runs.count())
+}
+
+#[actix_rt::test]
+async fn answer_without_a_length_passes_a_relay_whole() {
+    let (answer, runs) = relayed_once(async |_| {}).await;
+    assert_eq!((answer.status, runs), (200, 1));
+    assert_eq!((answer.is_whole, answer.body.as_str()), (true, "the body"));
+}
+
+/// Guards against taking the end of a relay for the end of an answer.
+#[actix_rt::test]
+async fn answer_is_not_complete_when_its_relay_is_cut_off() {
+    let cut = async |fleet: &mut Fleet| fleet.hosts[1].links.set_mode(LinkMode::Resetting);
+    let (answer, runs) = relayed_once(cut).await;
+    assert_eq!((answer.status, runs), (502, 1), "{answer:?}");
+}
+
+#[actix_rt::test]
+async fn planned_stop_of_a_relay_cuts_nothing() {
+    let stop = async |fleet: &mut Fleet| {
+        let relay = fleet.hosts.pop().expect("the relay");
+        relay.gateway.stop().await;
+    };
+    let (answer, runs) = relayed_once(stop).await;
+    assert_eq!((answer.status, runs), (200, 1), "{answer:?}");
+    assert!(answer.is_whole);
+}
+
+/// Guards against counting the cut of a host as crashes of all targets that its requests run on.
+#[actix_rt::test]
+async fn requests_behind_a_reset_are_not_suspected_of_crashes() {
+    let (fleet, _target) = relaying(slow_and_unframed).await;
+    let addr = fleet.hosts[0].gateway.addrs.callers;
+    for _ in 0..4 {
+        fleet.hosts[0].links.set_mode(LinkMode::Up);
+        tokio::time::sleep(RETURN_TIME).await;
+        let request = Kind::Once.request();
+        let reset = async {
+            tokio::time::sleep(Duration::from_millis(200)).await;
+            fleet.hosts[0].links.set_mode(LinkMode::Resetting);
+        };
+        let (answer, ()) = futures_util::future::join(request.send(addr), reset).await;
+        assert_eq!(answer.status, 502, "it may have run: {}", answer.body);
+    }
+    let answer = Kind::Once.request().send(addr).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
