Let connections that fall silent for good fail after 2.5 s

A connection on which nothing is sent had no end but the deadline of its request: a user timeout counts only while something is unacknowledged. Streams on a host that lost its links in silence hung until their callers gave up, and idle connections were used again. Keep-alive probes begin after 1 s of silence; the user timeout of 2.5 s, which also decides when probes give up, stays, so that a target that is silent for a second goes on. It holds for connections to targets, peers and the store, and for those that peers open.

--- a/crates/connect/src/dial.rs
+++ b/crates/connect/src/dial.rs
@@ -4,12 +4,18 @@
 use std::time::Duration;
 
 use snafu::Snafu;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
 /// Time without acknowledgement after which a connection fails: a peer that lost power or
-/// its network never resets it. Allows for two retransmissions on a lossy link.
+/// its network never resets it. Allows for two retransmissions on a lossy link. On Linux it also
+/// decides when keep-alive probes give up, whatever their number.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Time without a byte received after which keep-alive probes begin: nothing else shows that a
+/// connection on which nothing is sent has fallen silent for good.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(1);
+/// Time between keep-alive probes; the first one may be lost.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Why a connection could not be opened; nothing was sent.
 #[derive(Debug, Snafu)]
@@ -40,10 +46,17 @@
         Ok(Err(source)) => return Err(DialError::Refused { addr, source }),
         Err(_) => return Err(DialError::TimedOut { addr, timeout }),
     };
-    let options = SockRef::from(&stream);
-    options
-        .set_tcp_nodelay(true)
-        .and_then(|()| options.set_tcp_user_timeout(Some(USER_TIMEOUT)))
-        .map_err(|source| DialError::Refused { addr, source })?;
+    set_options(&stream).map_err(|source| DialError::Refused { addr, source })?;
     Ok(stream)
 }
+
+/// Has a connection send at once, and fail when its other end is silent for too long.
+pub fn set_options(stream: &TcpStream) -> std::io::Result<()> {
+    let options = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_TIME)
+        .with_interval(KEEPALIVE_INTERVAL);
+    options.set_tcp_nodelay(true)?;
+    options.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
+    options.set_tcp_keepalive(&keepalive)
+}
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -28,7 +28,7 @@
 pub use call::CompleteAnswer;
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
-pub use dial::{dial, DialError};
+pub use dial::{dial, set_options, DialError};
 pub use dialer::{Dialer, Dialled};
 pub use framing::Framing;
 pub use liveness::Liveness;
--- a/crates/connect/tests/suite/main.rs
+++ b/crates/connect/tests/suite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the connection pool on loopback sockets.
 
+mod dial;
 mod limited;
 mod server;
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use hollowsail_connect::set_options;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -43,8 +44,8 @@
 }
 
 async fn serve(cx: Rc<Traffic>, stream: TcpStream) {
-    if let Err(err) = stream.set_nodelay(true) {
-        log::debug!("cannot set TCP_NODELAY on a peer's connection: {err}");
+    if let Err(err) = set_options(&stream) {
+        log::debug!("cannot set the options of a peer's connection: {err}");
         return;
     }
     let service = service_fn(|req| {
