Don't give a peer up as a relay for what one target does

The peer didn't know one crashed target, and was refused by another without having connected to any target in the last second; both answers counted as "can't relay", after which the peer wasn't asked for a second, and there was no other.

The two answers now say what they are about, the target. A peer that can't relay is asked last for a while instead of not at all.

--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -13,7 +13,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-use super::messages::{RelayRequest, PROTOCOL, TARGET_REFUSED, TARGET_SILENT, UNABLE};
+use super::messages::{
+    RelayRequest, CONNECT_REFUSED, PROTOCOL, TARGET_REFUSED, TARGET_SILENT, UNABLE,
+};
 use super::open::dial_direct;
 use crate::peers;
 use crate::traffic::{Stopping, Traffic};
@@ -77,13 +79,13 @@
 
 /// Connects to a target directly: a relay never asks another.
 async fn connect(cx: &Rc<Traffic>, request: &RelayRequest) -> Result<TcpStream, StatusCode> {
-    let target = cx.target(&request.target).ok_or(UNABLE)?;
+    let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
     let limit = Duration::from_millis(request.timeout_ms).min(MAX_CONNECT_TIME);
     let dialled = dial_direct(cx, target.record.addr, limit).await;
     dialled.map_err(|err| match err {
         DialError::TimedOut { .. } => TARGET_SILENT,
         DialError::Refused { .. } if has_reached_others(cx) => TARGET_REFUSED,
-        DialError::Refused { .. } => UNABLE,
+        DialError::Refused { .. } => CONNECT_REFUSED,
     })
 }
 
--- a/crates/gateway/src/reach/messages.rs
+++ b/crates/gateway/src/reach/messages.rs
@@ -17,7 +17,9 @@
 
 /// The target refused the connection, and the relay reaches others.
 pub const TARGET_REFUSED: StatusCode = StatusCode::BAD_GATEWAY;
-/// The target didn't answer in time.
+/// The target refused the connection; the relay has reached no other lately.
+pub const CONNECT_REFUSED: StatusCode = StatusCode::CONFLICT;
+/// The target didn't answer in time, or isn't known to the relay.
 pub const TARGET_SILENT: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// The peer relays nothing now: it is cut off itself, is stopping, or relays too much.
 pub const UNABLE: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -47,8 +47,8 @@
     relays_failed: RefCell<HashMap<SocketAddr, Millis>>,
     /// When no peer could relay, unless one has since.
     no_relay_at: Cell<Option<Millis>>,
-    /// Until when peers that couldn't relay aren't asked.
-    skipped_until: RefCell<HashMap<PeerId, Millis>>,
+    /// Until when peers that couldn't relay are asked last.
+    unable_until: RefCell<HashMap<PeerId, Millis>>,
     /// Connections that this entry relays for peers.
     relayed: Rc<Cell<usize>>,
 }
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -15,7 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::messages::{RelayRequest, PROTOCOL, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT};
+use super::messages::{
+    RelayRequest, CONNECT_REFUSED, PROTOCOL, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT,
+};
 use super::Endpoint;
 use crate::metrics;
 use crate::peers::{self, PeerRecord};
@@ -26,10 +28,10 @@
 const MAX_ASKED_AT_ONCE: usize = 3;
 /// Time after which the next peer is asked as well.
 const NEXT_PEER_DELAY: Duration = Duration::from_millis(60);
-/// How long a peer that couldn't relay isn't asked, in milliseconds.
-const SKIP_MS: u64 = 1_000;
+/// How long a peer that couldn't relay is asked last, in milliseconds.
+const UNABLE_MS: u64 = 1_000;
 /// The same for a peer whose build can't.
-const SKIP_OLDER_BUILD_MS: u64 = 10_000;
+const OLDER_BUILD_MS: u64 = 10_000;
 /// Time limit for a check whether a target refuses connections of others.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
@@ -39,6 +41,9 @@
     /// The target refuses connections of a peer that reaches others.
     #[snafu(display("the target refuses connections"))]
     TargetRefused,
+    /// Connects of peers were refused, which may be due to a cut.
+    #[snafu(display("the target refuses connections of peers"))]
+    ConnectRefused,
     /// A peer that relays connections got no answer from the target.
     #[snafu(display("the target doesn't answer peers"))]
     TargetSilent,
@@ -50,7 +55,7 @@
 impl RelayError {
     pub(super) fn into_dial_error(self, addr: SocketAddr, timeout: Duration) -> DialError {
         match self {
-            RelayError::TargetRefused => DialError::Refused {
+            RelayError::TargetRefused | RelayError::ConnectRefused => DialError::Refused {
                 addr,
                 source: std::io::ErrorKind::ConnectionRefused.into(),
             },
@@ -62,9 +67,9 @@
 /// Why one peer doesn't relay a connection.
 enum PeerError {
     Target(RelayError),
-    /// The peer is lost or can't relay; it isn't asked for this long, in milliseconds.
+    /// The peer is lost or can't relay; it is asked last for this long, in milliseconds.
     Unable {
-        skip_ms: u64,
+        for_ms: u64,
     },
 }
 
@@ -79,7 +84,7 @@
     let now = cx.clock.now();
     let outcome = match &result {
         Ok(_) => "connected",
-        Err(RelayError::TargetRefused) => "refused",
+        Err(RelayError::TargetRefused | RelayError::ConnectRefused) => "refused",
         Err(RelayError::TargetSilent) => "silent",
         Err(RelayError::NoRelay) => "no_relay",
     };
@@ -117,15 +122,16 @@
         match tokio::time::timeout(patience, asked.next()).await {
             Ok(Some(Ok(transport))) => return Ok(transport),
             Ok(Some(Err(RelayError::TargetRefused))) => return Err(RelayError::TargetRefused),
-            Ok(Some(Err(RelayError::TargetSilent))) => failure = RelayError::TargetSilent,
             Ok(Some(Err(RelayError::NoRelay)) | None) => {}
+            Ok(Some(Err(err))) => failure = err,
             Err(_) if Instant::now() >= until => return Err(failure),
             Err(_) => {}
         }
     }
 }
 
-/// The peers to ask for a connection to a target, in order.
+/// The peers to ask for a connection to a target, in order; those that couldn't relay lately come
+/// last.
 fn choose_peers(cx: &Rc<Traffic>, endpoint: &Endpoint) -> Vec<PeerRecord> {
     let now = cx.clock.now();
     let settings = cx.settings();
@@ -133,10 +139,9 @@
         hall,
         region: settings.regions.get(hall).map(String::as_str),
     };
-    let mut skipped = cx.reach.skipped_until.borrow_mut();
-    skipped.retain(|_, until| *until > now);
-    let mut peers = cx.peers.responsive(cx);
-    peers.retain(|peer| !skipped.contains_key(&peer.id));
+    let mut unable = cx.reach.unable_until.borrow_mut();
+    unable.retain(|_, until| *until > now);
+    let peers = cx.peers.responsive(cx);
     let candidates: Vec<RelayCandidate<'_>> = peers
         .iter()
         .map(|peer| RelayCandidate {
@@ -145,12 +150,13 @@
         })
         .collect();
     let key = format!("{}/{}", cx.me.host, endpoint.incarnation.id);
-    let order = order(&candidates, place(&cx.me.hall), place(&endpoint.hall), &key);
+    let mut order = order(&candidates, place(&cx.me.hall), place(&endpoint.hall), &key);
+    order.sort_by_key(|index| unable.contains_key(&peers[*index].id));
     let order = order.into_iter().take(MAX_PEERS);
     order.map(|index| peers[index].clone()).collect()
 }
 
-/// Asks one peer; a peer that can't relay isn't asked again for a while.
+/// Asks one peer; one that can't relay is asked last for a while.
 async fn ask(
     cx: &Rc<Traffic>,
     peer: PeerRecord,
@@ -159,14 +165,14 @@
 ) -> Result<Transport, RelayError> {
     let left = until.saturating_duration_since(Instant::now());
     let asked = tokio::time::timeout(left, connect_through(&peer, endpoint, left)).await;
-    let skip_ms = match asked {
+    let for_ms = match asked {
         Ok(Ok(stream)) => return Ok(Transport::relayed(stream, peer.id.0)),
         Ok(Err(PeerError::Target(err))) => return Err(err),
-        Ok(Err(PeerError::Unable { skip_ms })) => skip_ms,
-        Err(_) => SKIP_MS,
+        Ok(Err(PeerError::Unable { for_ms })) => for_ms,
+        Err(_) => UNABLE_MS,
     };
-    let until = cx.clock.now() + skip_ms;
-    cx.reach.skipped_until.borrow_mut().insert(peer.id, until);
+    let until = cx.clock.now() + for_ms;
+    cx.reach.unable_until.borrow_mut().insert(peer.id, until);
     Err(RelayError::NoRelay)
 }
 
@@ -175,7 +181,7 @@
     endpoint: &Endpoint,
     timeout: Duration,
 ) -> Result<RelayedStream, PeerError> {
-    let unable = PeerError::Unable { skip_ms: SKIP_MS };
+    let unable = PeerError::Unable { for_ms: UNABLE_MS };
     let request = RelayRequest {
         to: peer.id,
         target: endpoint.incarnation.clone(),
@@ -198,10 +204,11 @@
     match response.status() {
         StatusCode::SWITCHING_PROTOCOLS => {}
         TARGET_REFUSED => return Err(PeerError::Target(RelayError::TargetRefused)),
+        CONNECT_REFUSED => return Err(PeerError::Target(RelayError::ConnectRefused)),
         TARGET_SILENT => return Err(PeerError::Target(RelayError::TargetSilent)),
         StatusCode::NOT_FOUND => {
             return Err(PeerError::Unable {
-                skip_ms: SKIP_OLDER_BUILD_MS,
+                for_ms: OLDER_BUILD_MS,
             })
         }
         _ => return Err(unable),
@@ -220,6 +227,8 @@
     match ask_peers(cx, endpoint, Instant::now() + CONFIRM_TIMEOUT).await {
         Ok(_) | Err(RelayError::TargetSilent) => false,
         Err(RelayError::TargetRefused) => true,
-        Err(RelayError::NoRelay) => !cx.reach.is_failing(cx, endpoint.addr),
+        Err(RelayError::ConnectRefused | RelayError::NoRelay) => {
+            !cx.reach.is_failing(cx, endpoint.addr)
+        }
     }
 }
