Cut gateways off from all targets in the emulator and the soak

Each gateway of a soak reaches the targets over links of its own, and for eight seconds up to half of the gateways are cut off from all targets: new connections refused, open ones living on or reset, all silent, or answers lost. From three seconds after the cut the check wants at least two thirds of the others' service behind it.

--- a/crates/bench/src/commands/platform.rs
+++ b/crates/bench/src/commands/platform.rs
@@ -24,7 +24,9 @@
         let events = Events::new(|line| println!("{line}"));
         let emulator = Emulator::start(site, events).await;
         let store = emulator.store_addr().to_string();
-        emulator.account.events.emit(&Event::Ready { store });
+        let hosts = emulator.host_store_addrs();
+        let hosts = hosts.iter().map(ToString::to_string).collect();
+        emulator.account.events.emit(&Event::Ready { store, hosts });
         let mut ignored = Vec::new();
         if let Err(err) = tokio::io::stdin().read_to_end(&mut ignored).await {
             log::warn!("cannot read standard input: {err}");
--- /dev/null
+++ b/crates/bench/src/soak/cut.rs
@@ -0,0 +1,75 @@
+//! Check of gateways that are cut off from all targets: their peers have to relay.
+
+use std::time::{Duration, Instant};
+
+use hollowsail_platform_emulator::caller::Outcome;
+
+use super::callers::Attempt;
+use super::plan::SoakPlan;
+use super::processes::Observations;
+
+/// Time from the start of a cut until first tries have to be served again.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Least share of the others' service that gateways have while they are cut off.
+const MIN_SHARE: f64 = 2.0 / 3.0;
+/// Least number of attempts at the cut gateways that are judged.
+const MIN_ATTEMPTS: usize = 20;
+/// Failures that are allowed in any case, and their share of all attempts.
+const ALLOWED_FAILURES: f64 = 10.0;
+const ALLOWED_SHARE: f64 = 0.02;
+
+/// Describes a cut whose gateways served far less than the others.
+pub fn find_violation(
+    plan: &SoakPlan,
+    observations: &Observations,
+    uncontended: &[Attempt],
+) -> Option<String> {
+    let cut = &plan.cut;
+    let from = observations.cut_from? + CONTACT_TIME;
+    let until = observations.cut_until.unwrap_or_else(Instant::now);
+    let judged = uncontended.iter().filter(|attempt| {
+        let is_disturbed = observations.disturbances.iter().any(|disturbance| {
+            disturbance.entry == attempt.entry
+                && disturbance.from <= attempt.ended
+                && attempt.sent <= disturbance.until
+        });
+        attempt.sent >= from && attempt.ended <= until && !is_disturbed
+    });
+    let judged = judged.filter(|attempt| attempt.outcome.is_some());
+    let (behind, others): (Vec<&Attempt>, Vec<&Attempt>) =
+        judged.partition(|attempt| cut.contains(&attempt.entry));
+    if behind.len() < MIN_ATTEMPTS || others.len() < MIN_ATTEMPTS {
+        return None;
+    }
+    let failed = behind.len() - count_whole(&behind);
+    let (share, others_share) = (whole_share(&behind), whole_share(&others));
+    let is_allowed = failed as f64 <= ALLOWED_FAILURES + ALLOWED_SHARE * behind.len() as f64
+        || share >= MIN_SHARE * others_share;
+    (!is_allowed).then(|| {
+        format!(
+            "gateways {cut:?} served {share:.2} of {} attempts while cut off from all targets, \
+             the others {others_share:.2}",
+            behind.len()
+        )
+    })
+}
+
+/// True for an attempt that was in progress when its gateway was cut off from all targets, which
+/// breaks the connections to them.
+pub fn breaks_connections_of(
+    attempt: &Attempt,
+    plan: &SoakPlan,
+    observations: &Observations,
+) -> bool {
+    let is_in_progress = |at: Instant| attempt.sent <= at && at <= attempt.ended;
+    plan.cut.contains(&attempt.entry) && observations.cut_from.is_some_and(is_in_progress)
+}
+
+fn count_whole(attempts: &[&Attempt]) -> usize {
+    let is_whole = |attempt: &&&Attempt| attempt.outcome == Some(Outcome::Whole);
+    attempts.iter().filter(is_whole).count()
+}
+
+fn whole_share(attempts: &[&Attempt]) -> f64 {
+    count_whole(attempts) as f64 / attempts.len() as f64
+}
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
 //! and monitors the processes; [`callers`] generates load, partly for a contended
-//! service ([`contention`]); [`checks`] and [`room`] compare callers'
+//! service ([`contention`]); [`checks`], [`room`] and [`cut`] compare callers'
 //! results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod callers;
 mod checks;
 mod contention;
+mod cut;
 mod plan;
 mod processes;
 mod report;
@@ -85,6 +86,7 @@
     let observations = fleet.shut_down().await;
     Ok(checks::evaluate(
         options,
+        &plan,
         &observations,
         &attempts,
         added_route_failures,
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -61,7 +61,7 @@
     let site = read(&local.site)?;
     let emulator = Emulator::start(site.clone(), Events::new(|line| log::debug!("{line}"))).await;
     let store = emulator.store_addr();
-    let configs = entry::configs(local.entries, &site.halls, store, site.drain_ms);
+    let configs = entry::configs(local.entries, &site.halls, &[store], site.drain_ms);
     let mut gateways = Vec::new();
     for config in &configs {
         gateways.push(start_gateway(config).await?);
