--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -38,10 +38,12 @@
     TargetSpeeds,
     /// Capacity of contended stage services is reserved before a request starts.
     Reservations,
+    /// Peers relay connections to targets that a host doesn't reach.
+    Relays,
 }
 
 /// Command-line names of the mechanisms.
-const NAMES: [(Mechanism, &str); 15] = [
+const NAMES: [(Mechanism, &str); 16] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Scheduler, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -57,6 +59,7 @@
     (Mechanism::EnginesByTime, "engines-by-time"),
     (Mechanism::TargetSpeeds, "target-speeds"),
     (Mechanism::Reservations, "reservations"),
+    (Mechanism::Relays, "relays"),
 ];
 
 /// No mechanism has the given name.
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -17,6 +17,7 @@
     RelayRequest, CONNECT_REFUSED, PROTOCOL, TARGET_REFUSED, TARGET_SILENT, UNABLE,
 };
 use super::open::dial_direct;
+use crate::mechanisms::Mechanism;
 use crate::peers;
 use crate::traffic::{Stopping, Traffic};
 
@@ -74,7 +75,8 @@
 fn may_relay(cx: &Traffic) -> bool {
     let limit = cx.settings().limits.descriptors as f64 * DESCRIPTORS_SHARE / 2.0;
     let is_stopping = cx.stopping.get() != Stopping::No;
-    !is_stopping && !cx.reach.is_cut_off() && (cx.reach.relayed() as f64) < limit
+    let is_on = cx.has(Mechanism::Relays);
+    is_on && !is_stopping && !cx.reach.is_cut_off() && (cx.reach.relayed() as f64) < limit
 }
 
 /// Connects to a target directly: a relay never asks another.
--- a/crates/gateway/src/reach/open.rs
+++ b/crates/gateway/src/reach/open.rs
@@ -13,6 +13,7 @@
 use tokio::time::{timeout, Instant};
 
 use super::{relays, Endpoint, ISOLATED_MS};
+use crate::mechanisms::Mechanism;
 use crate::traffic::Traffic;
 
 /// Time after which a direct connect that isn't answered is repeated through a relay, above the
@@ -57,6 +58,9 @@
 }
 
 fn plan(cx: &Traffic, addr: SocketAddr) -> Plan {
+    if !cx.has(Mechanism::Relays) {
+        return Plan::DirectOnly;
+    }
     let now = cx.clock.now();
     let reach = &cx.reach;
     let is_cut_off = reach.is_cut_off();
