Decide how a connection is opened in one pure function, and say why none is

`KnownWays::plan` holds the decision that was spread over the code that carries it out. A connect for which no way works says so instead of naming a timeout that didn't pass.

--- a/crates/connect/src/dial.rs
+++ b/crates/connect/src/dial.rs
@@ -29,6 +29,11 @@
     /// The peer did not answer within the timeout.
     #[snafu(display("no connection to {addr} within {} ms; check its network", timeout.as_millis()))]
     TimedOut { addr: SocketAddr, timeout: Duration },
+    /// No way to the peer works now.
+    #[snafu(display(
+        "no way to {addr} works, also none through other hosts; check the network of this host"
+    ))]
+    Unreachable { addr: SocketAddr },
 }
 
 impl DialError {
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -85,7 +85,7 @@
     let limit = Duration::from_millis(request.timeout_ms).min(MAX_CONNECT_TIME);
     let dialled = dial_direct(cx, target.record.addr, limit).await;
     dialled.map_err(|err| match err {
-        DialError::TimedOut { .. } => TARGET_SILENT,
+        DialError::TimedOut { .. } | DialError::Unreachable { .. } => TARGET_SILENT,
         DialError::Refused { .. } if has_reached_others(cx) => TARGET_REFUSED,
         DialError::Refused { .. } => CONNECT_REFUSED,
     })
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -109,9 +109,8 @@
     match cx {
         Some(cx) => open::open(&cx, endpoint, timeout).await,
         // The traffic thread is ending.
-        None => Err(DialError::TimedOut {
+        None => Err(DialError::Unreachable {
             addr: endpoint.addr,
-            timeout,
         }),
     }
 }
--- a/crates/gateway/src/reach/open.rs
+++ b/crates/gateway/src/reach/open.rs
@@ -3,12 +3,14 @@
 //! A direct connect that fails, or takes longer than usual, is repeated through a relay, and the
 //! first connection is used. Where direct connects are known to fail, the relay comes first.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hollowsail_connect::{dial, DialError, Dialled, Transport};
+use hollowsail_routing::{ConnectPlan, KnownWays};
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
@@ -20,68 +22,52 @@
 /// round trip between the farthest regions.
 const HEDGE_DELAY: Duration = Duration::from_millis(50);
 
-/// How a connection is opened.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Plan {
-    DirectOnly,
-    DirectFirst,
-    RelayFirst,
-    RelayOnly,
-    /// Neither way works now.
-    Neither,
-}
-
 /// Opens a connection to a target within a time.
 pub(super) async fn open(cx: &Rc<Traffic>, endpoint: &Endpoint, limit: Duration) -> Dialled {
     let until = Instant::now() + limit;
-    let unreachable = || DialError::TimedOut {
-        addr: endpoint.addr,
-        timeout: limit,
-    };
     let through_relay = async {
         let relayed = relays::connect(cx, endpoint, until).await;
-        relayed.map_err(|err| err.into_dial_error(endpoint.addr, limit))
+        relayed.map_err(|err| err.into_dial_error(endpoint.addr))
     };
     match plan(cx, endpoint.addr) {
-        Plan::DirectOnly => direct(cx, endpoint.addr, limit).await,
-        Plan::DirectFirst => direct_first(cx, endpoint, limit, through_relay).await,
-        Plan::RelayOnly => through_relay.await,
-        Plan::RelayFirst => match through_relay.await {
+        ConnectPlan::DirectOnly => direct(cx, endpoint.addr, limit).await,
+        ConnectPlan::DirectFirst => direct_first(cx, endpoint, limit, through_relay).await,
+        ConnectPlan::RelayOnly => through_relay.await,
+        ConnectPlan::RelayFirst => match through_relay.await {
             Ok(transport) => Ok(transport),
             Err(_) => {
                 let left = until.saturating_duration_since(Instant::now());
                 direct(cx, endpoint.addr, left).await
             }
         },
-        Plan::Neither => Err(unreachable()),
+        ConnectPlan::Neither => Err(DialError::Unreachable {
+            addr: endpoint.addr,
+        }),
     }
 }
 
-fn plan(cx: &Traffic, addr: SocketAddr) -> Plan {
+fn plan(cx: &Traffic, addr: SocketAddr) -> ConnectPlan {
     if !cx.has(Mechanism::Relays) {
-        return Plan::DirectOnly;
+        return ConnectPlan::DirectOnly;
     }
     let now = cx.clock.now();
     let reach = &cx.reach;
-    let is_cut_off = reach.is_cut_off();
     let no_relay_at = reach.no_relay_at.get();
-    let asked_lately = no_relay_at.is_some_and(|at| at + ISOLATED_MS > now);
-    match (is_cut_off, reach.have_relays_failed(now, addr)) {
-        (true, _) if asked_lately => Plan::Neither,
-        (true, true) => Plan::Neither,
-        (true, false) => Plan::RelayOnly,
-        (false, true) => Plan::DirectOnly,
-        (false, false) if asked_lately => Plan::DirectOnly,
-        (false, false) if reach.state.borrow().is_failing(now, addr) => Plan::RelayFirst,
-        (false, false) => Plan::DirectFirst,
-    }
+    let known = KnownWays {
+        is_cut_off: reach.is_cut_off(),
+        is_direct_failing: reach.state.borrow().is_failing(now, addr),
+        have_relays_failed: reach.have_relays_failed(now, addr),
+        has_no_relay: no_relay_at.is_some_and(|at| at + ISOLATED_MS > now),
+    };
+    known.plan()
 }
 
+/// Connects directly, and through a relay if that fails or takes long.
 async fn direct_first(
     cx: &Rc<Traffic>,
     endpoint: &Endpoint,
     limit: Duration,
-    through_relay: impl std::future::Future<Output = Dialled>,
+    through_relay: impl Future<Output = Dialled>,
 ) -> Dialled {
     let addr = endpoint.addr;
     let mut direct = pin!(direct(cx, addr, limit));
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -53,13 +53,13 @@
 }
 
 impl RelayError {
-    pub(super) fn into_dial_error(self, addr: SocketAddr, timeout: Duration) -> DialError {
+    pub(super) fn into_dial_error(self, addr: SocketAddr) -> DialError {
         match self {
             RelayError::TargetRefused | RelayError::ConnectRefused => DialError::Refused {
                 addr,
                 source: std::io::ErrorKind::ConnectionRefused.into(),
             },
-            RelayError::TargetSilent | RelayError::NoRelay => DialError::TimedOut { addr, timeout },
+            RelayError::TargetSilent | RelayError::NoRelay => DialError::Unreachable { addr },
         }
     }
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -42,7 +42,7 @@
     attempt_status, may_retry, outcome_of, stage_status, Outcome, Progress, StageStatus,
 };
 pub use queue::{Rank, WaitQueue};
-pub use reachability::Reachability;
+pub use reachability::{ConnectPlan, KnownWays, Reachability};
 pub use request_digest::RequestDigest;
 pub use scheduler::{
     Demand, DemandKey, DemandQueue, EngineScheduler, PlacementEnd, PlacementKey, QueueEstimate,
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -23,6 +23,46 @@
 /// The same while the host is cut off: it bounds how late the end of a cut is noticed.
 const CUT_OFF_PROBE_INTERVAL_MS: Millis = 250;
 
+/// What is known of the ways to one target.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownWays {
+    /// The host reaches no target directly.
+    pub is_cut_off: bool,
+    /// Direct connects to the target fail.
+    pub is_direct_failing: bool,
+    /// Relays didn't reach the target lately.
+    pub have_relays_failed: bool,
+    /// No peer could relay lately.
+    pub has_no_relay: bool,
+}
+
+/// How a connection to a target is opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectPlan {
+    DirectOnly,
+    /// Directly, and through a relay if that fails or takes long.
+    DirectFirst,
+    /// Through a relay, and directly if that fails.
+    RelayFirst,
+    RelayOnly,
+    /// Neither way works now.
+    Neither,
+}
+
+impl KnownWays {
+    /// How to open a connection to the target.
+    pub fn plan(self) -> ConnectPlan {
+        let may_relay = !self.have_relays_failed && !self.has_no_relay;
+        match (self.is_cut_off, may_relay) {
+            (true, true) => ConnectPlan::RelayOnly,
+            (true, false) => ConnectPlan::Neither,
+            (false, true) if self.is_direct_failing => ConnectPlan::RelayFirst,
+            (false, true) => ConnectPlan::DirectFirst,
+            (false, false) => ConnectPlan::DirectOnly,
+        }
+    }
+}
+
 /// What is known of the ways from this host to its targets, which have keys `K`.
 #[derive(Debug, Clone)]
 pub struct Reachability<K> {
--- a/crates/routing/tests/suite/reachability.rs
+++ b/crates/routing/tests/suite/reachability.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hollowsail_routing::Reachability;
+use hollowsail_routing::{ConnectPlan, KnownWays, Reachability};
 
 const QUIET: Duration = Duration::ZERO;
 const SILENT: Duration = Duration::from_millis(400);
@@ -51,3 +51,29 @@
     assert_eq!(reach.record_reached(3_200, 'b'), None);
     assert!(!reach.is_probe_due(3_200, QUIET));
 }
+
+#[test]
+fn way_that_is_known_to_fail_is_not_tried_first() {
+    let known = KnownWays::default();
+    assert_eq!(known.plan(), ConnectPlan::DirectFirst);
+    let failing = KnownWays {
+        is_direct_failing: true,
+        ..known
+    };
+    assert_eq!(failing.plan(), ConnectPlan::RelayFirst);
+    let without_relay = KnownWays {
+        has_no_relay: true,
+        ..failing
+    };
+    assert_eq!(without_relay.plan(), ConnectPlan::DirectOnly);
+    let cut_off = KnownWays {
+        is_cut_off: true,
+        ..known
+    };
+    assert_eq!(cut_off.plan(), ConnectPlan::RelayOnly);
+    let isolated = KnownWays {
+        have_relays_failed: true,
+        ..cut_off
+    };
+    assert_eq!(isolated.plan(), ConnectPlan::Neither);
+}
