--- a/crates/bench/src/soak/cut.rs
+++ b/crates/bench/src/soak/cut.rs
@@ -12,8 +12,10 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Least share of the others' service that gateways have while they are cut off.
 const MIN_SHARE: f64 = 2.0 / 3.0;
-/// Least number of attempts at the cut gateways that are judged.
+/// Least number of attempts at the others that are judged.
 const MIN_ATTEMPTS: usize = 20;
+/// How far an answer may exceed its route's target latency to count as served.
+const TARGET_SLACK: Duration = Duration::from_millis(500);
 /// Failures that are allowed in any case, and their share of all attempts.
 const ALLOWED_FAILURES: f64 = 10.0;
 const ALLOWED_SHARE: f64 = 0.02;
@@ -33,16 +35,17 @@
                 && disturbance.from <= attempt.ended
                 && attempt.sent <= disturbance.until
         });
-        attempt.sent >= from && attempt.ended <= until && !is_disturbed
+        // One that hangs until the links return counts, too.
+        attempt.sent >= from && attempt.sent <= until && !is_disturbed
     });
     let judged = judged.filter(|attempt| attempt.outcome.is_some());
     let (behind, others): (Vec<&Attempt>, Vec<&Attempt>) =
         judged.partition(|attempt| cut.contains(&attempt.entry));
-    if behind.len() < MIN_ATTEMPTS || others.len() < MIN_ATTEMPTS {
+    if others.len() < MIN_ATTEMPTS {
         return None;
     }
-    let failed = behind.len() - count_whole(&behind);
-    let (share, others_share) = (whole_share(&behind), whole_share(&others));
+    let failed = behind.len() - count_served(&behind);
+    let (share, others_share) = (served_share(&behind), served_share(&others));
     let is_allowed = failed as f64 <= ALLOWED_FAILURES + ALLOWED_SHARE * behind.len() as f64
         || share >= MIN_SHARE * others_share;
     (!is_allowed).then(|| {
@@ -65,11 +68,15 @@
     plan.cut.contains(&attempt.entry) && observations.cut_from.is_some_and(is_in_progress)
 }
 
-fn count_whole(attempts: &[&Attempt]) -> usize {
-    let is_whole = |attempt: &&&Attempt| attempt.outcome == Some(Outcome::Whole);
-    attempts.iter().filter(is_whole).count()
+/// Number of attempts with a whole answer in time.
+fn count_served(attempts: &[&Attempt]) -> usize {
+    let is_served = |attempt: &&&Attempt| {
+        let latest = Duration::from_millis(attempt.route.target_ms) + TARGET_SLACK;
+        attempt.outcome == Some(Outcome::Whole) && attempt.ended - attempt.sent <= latest
+    };
+    attempts.iter().filter(is_served).count()
 }
 
-fn whole_share(attempts: &[&Attempt]) -> f64 {
-    count_whole(attempts) as f64 / attempts.len() as f64
+fn served_share(attempts: &[&Attempt]) -> f64 {
+    count_served(attempts) as f64 / attempts.len().max(1) as f64
 }
