Keep an answer of another type without a length whole on a stream route

The rule that a stream without a length has an event at least was applied to answers that declare another content type, too: JSON without a length, found by reading the change, was broken off. The test failed before for it.

--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -155,9 +155,10 @@
     /// Why the end of the body isn't the end of the stream; `None` when it is.
     async fn early_end(&self) -> Option<BodyFault> {
         let framing = self.answer.body.framing();
-        if is_event_stream(&self.answer.parts.headers) && self.splitter.is_inside_event() {
+        let has_events = is_event_stream(&self.answer.parts.headers);
+        if has_events && self.splitter.is_inside_event() {
             Some(BodyFault::InsideEvent)
-        } else if framing == Framing::Connection && !self.splitter.has_events() {
+        } else if has_events && framing == Framing::Connection && !self.splitter.has_events() {
             Some(BodyFault::NoEvent)
         } else if completeness::was_ended_by_crash(&self.cx, &self.answer.target, framing).await {
             Some(BodyFault::TargetCrashed)
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -50,8 +50,8 @@
     })
 }
 
-/// Refuses a request that crashes targets, that no target can be reached for, or that needs a service whose halls are all evacuated
-/// or that has no target in the allowed regions.
+/// Refuses a request that crashes targets, for which no target can be reached, or that needs a service
+/// whose halls are all evacuated or that has no target in the allowed regions.
 pub fn check(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
     check_crashes(cx, admitted)?;
     if cx.reach.is_isolated() {
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -109,14 +109,19 @@
 
 #[actix_rt::test]
 async fn answer_of_another_type_on_a_stream_route_is_whole() {
-    let script = |request: &ReceivedRequest| {
-        let json = String::from_utf8(answer(request, 200, "{\"a\": 1}")).expect("text");
-        let json = json.replacen("\r\n", "\r\nContent-Type: application/json\r\n", 1);
-        vec![Step::Write(json.into())]
-    };
-    let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
-    let got = fixture.call(&generation("/once/")).await;
-    assert_eq!((got.is_whole, got.body.as_str()), (true, "{\"a\": 1}"));
+    for without_length in [false, true] {
+        let script = move |request: &ReceivedRequest| {
+            let json = String::from_utf8(answer(request, 200, "{\"a\": 1}")).expect("text");
+            let json = json.replacen("\r\n", "\r\nContent-Type: application/json\r\n", 1);
+            match without_length {
+                true => vec![Step::Write(unframed(json.into())), Step::Close],
+                false => vec![Step::Write(json.into())],
+            }
+        };
+        let (fixture, _target) = Fixture::serving(&deployment(), "engines", script).await;
+        let got = fixture.call(&generation("/once/")).await;
+        assert_eq!((got.is_whole, got.body.as_str()), (true, "{\"a\": 1}"));
+    }
 }
 
 /// A plain answer without a length, followed by `end`.
