Don't count a cut as crashes where no peer can tell

Their direct connections were refused, the peers were dead or too old to relay, and in that case the host went by its own connection: all targets seemed to have crashed under the requests that ran on them, and everybody refused the like of these for ten minutes.

Where no peer can tell, a refused connection now counts as a crash only if this host reaches another target at that moment. The new test plays resets of all hosts; it passed before, too, as the crashes that it causes come at once.

--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -80,6 +80,14 @@
     }
 }
 
+/// True when this host reaches a target other than this one now, or knows no other.
+pub(super) async fn reaches_another(cx: &Rc<Traffic>, target: SocketAddr) -> bool {
+    let mut others = choose_targets(cx);
+    others.retain(|addr| *addr != target);
+    others.truncate(FIRST_ROUND);
+    others.is_empty() || connect_to_any(cx, &others).await.is_ok()
+}
+
 /// Connects to targets at once until one is reached; the error of the last one if none is.
 async fn connect_to_any(cx: &Rc<Traffic>, targets: &[SocketAddr]) -> Result<(), DialError> {
     let dials = targets
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -18,7 +18,7 @@
 use super::messages::{
     RelayRequest, CONNECT_REFUSED, PROTOCOL, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT,
 };
-use super::Endpoint;
+use super::{probe, Endpoint};
 use crate::metrics;
 use crate::peers::{self, PeerRecord};
 use crate::traffic::Traffic;
@@ -222,13 +222,14 @@
 }
 
 /// True when a target that refused a direct connection refuses those of others, too. Where no peer
-/// can tell, a host that reached the target until now goes by its own connection.
+/// can tell, the target is at fault if this host reached it until now, and reaches another.
 pub(super) async fn confirm_refusal(cx: &Rc<Traffic>, endpoint: &Endpoint) -> bool {
     match ask_peers(cx, endpoint, Instant::now() + CONFIRM_TIMEOUT).await {
         Ok(_) | Err(RelayError::TargetSilent) => false,
         Err(RelayError::TargetRefused) => true,
         Err(RelayError::ConnectRefused | RelayError::NoRelay) => {
             !cx.reach.is_failing(cx, endpoint.addr)
+                && probe::reaches_another(cx, endpoint.addr).await
         }
     }
 }
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -381,3 +381,33 @@
     let answer = Kind::Once.request().send(addr).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
+
+/// The same, where no peer can say whether the targets run.
+#[actix_rt::test]
+async fn requests_behind_resets_of_all_hosts_are_not_suspected_of_crashes() {
+    let mut fleet = Fleet::with_targets(2, &[]).await;
+    for number in 0..4 {
+        let target = TargetStandin::start(slow_and_unframed).await;
+        let id = format!("i-{number}");
+        fleet
+            .store
+            .put_target(&id, "plain", target.addr, "hall-a", "ready");
+        fleet.targets.push(target);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let addr = fleet.hosts[0].gateway.addrs.callers;
+    let requests: Vec<Call> = (0..8).map(|_| Kind::Once.request()).collect();
+    let sending = join_all(requests.iter().map(|request| request.send(addr)));
+    let reset = async {
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        let hosts = fleet.hosts.iter();
+        hosts.for_each(|host| host.links.set_mode(LinkMode::Resetting));
+    };
+    let (answers, ()) = futures_util::future::join(sending, reset).await;
+    assert!(answers.iter().all(|answer| answer.status == 502));
+    let hosts = fleet.hosts.iter();
+    hosts.for_each(|host| host.links.set_mode(LinkMode::Up));
+    tokio::time::sleep(RETURN_TIME).await;
+    let answer = Kind::Once.request().send(addr).await;
+    assert_eq!(answer.status, 200, "{}", answer.body);
+}
