Log the versions between which a stream resumes, and what a caller takes up

The logs couldn't tell the hypotheses on streams of two versions apart. `route` now says the software version of the target, `stream_resumed` those of both targets, and `stream_taken_up` (HS0227) which earlier attempt a caller resumes and after which event. No decision changed.

--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -136,6 +136,7 @@
     stats: &mut RequestStats,
     pending: &mut PendingAnswer,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
+    log_taken_up(cx, admitted);
     unservable::check(cx, admitted)?;
     let room = reservations::reserve(cx, admitted).await?;
     forecast::check(cx, admitted, &room)?;
@@ -158,6 +159,23 @@
     }
 }
 
+/// Logs that a caller resumes a stream.
+fn log_taken_up(cx: &Traffic, admitted: &Admitted) {
+    let caller = &admitted.caller;
+    if caller.resumes.is_none() && caller.last_event_id.is_none() {
+        return;
+    }
+    cx.log.line(
+        catalogue::STREAM_TAKEN_UP,
+        format_args!(
+            "request={} resumes={} after={}",
+            caller.request_id,
+            caller.resumes.as_deref().unwrap_or("none"),
+            caller.last_event_id.as_deref().unwrap_or("none"),
+        ),
+    );
+}
+
 /// Writes the log line and updates the metrics of an answered request.
 fn log_end(
     cx: &Traffic,
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -319,12 +319,13 @@
     cx.log.line(
         events::ROUTE,
         format_args!(
-            "request={} target={} addr={} hall={} reason={} candidates={candidates} \
+            "request={} target={} addr={} hall={} version={} reason={} candidates={candidates} \
              in_flight={} left_ms={} view={}",
             admitted.caller.request_id,
             target.incarnation().id,
             target.record.addr,
             target.record.hall,
+            target.record.version,
             reason.name(),
             target.in_flight.get(),
             admitted
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -274,10 +274,12 @@
         self.cx.log.line(
             events::STREAM_RESUMED,
             format_args!(
-                "request={} from={} to={} after={}",
+                "request={} from={} from_version={} to={} to_version={} after={}",
                 self.admitted.caller.request_id,
                 self.answer.target.incarnation().id,
+                self.answer.target.record.version,
                 answer.target.incarnation().id,
+                answer.target.record.version,
                 after.unwrap_or("start"),
             ),
         );
