Test that streams don't go on at another software version

- Within an answer: 4 engines of two versions break new streams off after 2 events.
Stream 1 of 12 got two events of v1 and three of v2, framed as complete.
- Over a caller's tries: a stream is broken off at one entry and taken up at another.
Of the first two, one went on at the other version.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -23,6 +23,7 @@
 mod store_faults;
 mod store_followers;
 mod store_restore;
+mod stream_versions;
 mod streams;
 mod target_limits;
 mod target_restarts;
