Resume a broken stream only at the version that began it

Cause: a further attempt of an answer was placed like a new request. Neither the demand for a scheduler, nor the check of the target that it names, nor this entry's own choice, nor the draw of a roll-out with its fallback knew the version of the events that were passed on.

`Attempts` now keeps the version from the head of the first answer on, and `select` derives the versions that may serve an attempt in one place, for the scheduler, for what it names and for the own choice. Streams that a version began may resume there after a completed roll-out replaced it; those of a version on trial or rolled back only at the targets that it still has. If no target of the version is left, the caller's stream is cut off at once, before stages run again.

The test's engines now write a stream's events together: a reset discarded those that were delayed behind the head.

--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -20,6 +20,8 @@
 /// The attempts of one request so far.
 pub struct Attempts {
     pub service: ServiceKey,
+    /// Software version that began the stream; only its targets may serve the request.
+    pub version: Option<String>,
     /// Targets whose attempts failed.
     pub tried: HashSet<Incarnation>,
     /// How far each failed attempt got.
@@ -43,6 +45,7 @@
     pub fn new(admitted: &Admitted) -> Self {
         Attempts {
             service: choose_service(admitted),
+            version: None,
             tried: HashSet::new(),
             progress: Vec::new(),
             reached: 0,
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -22,7 +22,6 @@
 use crate::connections;
 use crate::mechanisms::Mechanism;
 use crate::placement::{Placement, PlacementOutcome};
-use crate::rollouts::VersionDraw;
 use crate::traffic::Traffic;
 
 /// Delay before a scheduler that did not reply is queried again.
@@ -48,10 +47,12 @@
     attempts: &Attempts,
 ) -> Result<Selected, Refusal> {
     let service = &admitted.deployment.service(attempts.service).name;
-    let mut draw = cx.rollouts.draw(cx, service, attempts.is_first());
+    let AllowedVersions {
+        mut versions,
+        mut fallback,
+    } = allowed_versions(cx, service, attempts);
     loop {
-        let senders = match query_scheduler(cx, admitted, prepared, attempts, draw.as_ref()).await?
-        {
+        let senders = match query_scheduler(cx, admitted, prepared, attempts, &versions).await? {
             SchedulerReply::Named(target, placed) => {
                 return Ok(Selected {
                     target,
@@ -61,22 +62,66 @@
             }
             SchedulerReply::ChooseLocally(senders) => senders,
         };
-        let chosen = choose_locally(cx, admitted, prepared, attempts, senders, draw.as_ref());
+        let chosen = choose_locally(cx, admitted, prepared, attempts, senders, &versions);
         if let Some(selected) = chosen {
             return Ok(selected);
         }
-        match draw.filter(|draw| draw.has_fallback) {
-            Some(drawn) => draw = Some(drawn.fallback()),
+        match fallback.take() {
+            Some(other) => versions = other,
             None => break,
         }
     }
-    if all_limited(cx, service) {
+    if all_limited(cx, service, &versions) {
         let refusal = limit_refusal(attempts, NEW_OWNER_RETRY_AFTER);
         return Err(with_backoff_retry(cx, admitted, attempts, refusal));
     }
     Err(no_target_refusal(cx, admitted, attempts))
 }
 
+/// Versions that may serve an attempt.
+struct AllowedVersions {
+    versions: Versions,
+    /// Versions that may serve it when no target of the others can.
+    fallback: Option<Versions>,
+}
+
+fn allowed_versions(cx: &Traffic, service: &str, attempts: &Attempts) -> AllowedVersions {
+    if let Some(version) = &attempts.version {
+        return AllowedVersions {
+            versions: Versions::Only(version.clone()),
+            fallback: None,
+        };
+    }
+    let draw = cx.rollouts.draw(cx, service, attempts.is_first());
+    let fallback = draw.as_ref().filter(|draw| draw.has_fallback);
+    AllowedVersions {
+        fallback: fallback.map(|draw| draw.fallback().versions()),
+        versions: draw.map_or(Versions::All, |draw| draw.versions()),
+    }
+}
+
+/// True if a target may serve another attempt: one of the version that began the stream, if it
+/// began.
+pub fn has_candidate(cx: &Traffic, admitted: &Admitted, attempts: &Attempts) -> bool {
+    let service = &admitted.deployment.service(attempts.service).name;
+    let versions = allowed_versions(cx, service, attempts).versions;
+    let targets = candidates(cx, service, attempts).into_iter();
+    let mut targets = targets.filter(|target| versions.allow(&target.record.version));
+    targets.any(|target| {
+        admitted.is_allowed_in(&target.record.hall)
+            && !attempts.tried.contains(target.incarnation())
+    })
+}
+
+/// Targets that may serve an attempt by the roll-out of their service, whatever their version.
+fn candidates(cx: &Traffic, service: &str, attempts: &Attempts) -> Vec<Rc<Target>> {
+    let targets = cx.targets_named(service);
+    match &attempts.version {
+        Some(_) => cx.rollouts.targets_to_resume_at(cx, service, &targets),
+        None => cx.rollouts.eligible_targets(cx, service, &targets),
+    }
+}
+
 /// Result of querying the scheduler of a service.
 enum SchedulerReply {
     Named(Rc<Target>, Placement),
@@ -91,18 +136,17 @@
     admitted: &Admitted,
     prepared: &Prepared,
     attempts: &Attempts,
-    draw: Option<&VersionDraw>,
+    versions: &Versions,
 ) -> Result<SchedulerReply, Refusal> {
     let wait_ends = BootInstant::now() + admitted.max_wait();
     let service = &admitted.deployment.service(attempts.service).name;
     while cx.has(Mechanism::Scheduler) {
         let avoid = excluded(cx, admitted, attempts);
-        let versions = draw.map_or(Versions::All, VersionDraw::versions);
-        let demand = choose::demand(cx, admitted, service, prepared, avoid, versions);
+        let demand = choose::demand(cx, admitted, service, prepared, avoid, versions.clone());
         let Some(demand) = demand else { break };
         match cx.placements.place(cx, service, demand).await {
             PlacementOutcome::Placed(id, placed) => {
-                let Some(target) = usable(cx, admitted, &id, draw) else {
+                let Some(target) = usable(cx, admitted, &id, versions) else {
                     return Ok(SchedulerReply::ChooseLocally(
                         WarmUpSenders::SchedulerAndBypass,
                     ));
@@ -118,7 +162,7 @@
             }
             // Another entry takes over the scheduler soon.
             PlacementOutcome::NoReply
-                if all_limited(cx, service) && BootInstant::now() < wait_ends =>
+                if all_limited(cx, service, versions) && BootInstant::now() < wait_ends =>
             {
                 tokio::time::sleep(SCHEDULER_RETRY_INTERVAL).await;
             }
@@ -143,30 +187,30 @@
     SchedulerAndBypass,
 }
 
-/// The target that a scheduler named, unless it is backing off by now, runs another version
-/// than the drawn one, or is in a hall where the request may not run.
+/// The target that a scheduler named, unless it is backing off by now, runs another version, or is
+/// in a hall where the request may not run.
 fn usable(
     cx: &Traffic,
     admitted: &Admitted,
     id: &Incarnation,
-    draw: Option<&VersionDraw>,
+    versions: &Versions,
 ) -> Option<Rc<Target>> {
     let target = cx.target(id)?;
-    let may_run_there = matches_draw(&target, draw) && admitted.is_allowed_in(&target.record.hall);
+    let may_run_there =
+        versions.allow(&target.record.version) && admitted.is_allowed_in(&target.record.hall);
     let is_usable = cx.backoff_until(&target).is_none() && may_run_there;
     is_usable.then_some(target)
 }
 
-/// True when a target runs the version drawn for the request, or none was drawn.
-fn matches_draw(target: &Target, draw: Option<&VersionDraw>) -> bool {
-    draw.is_none_or(|draw| draw.matches(target))
-}
-
-/// True when every target of a service reports a limit; only the scheduler may then assign them.
-fn all_limited(cx: &Traffic, service: &str) -> bool {
-    let targets = cx.targets_named(service);
-    let mut limits = targets.iter().map(|target| target.limit.get());
-    !targets.is_empty() && limits.all(|limit| limit.is_some())
+/// True when every target of the versions that may serve reports a limit; only the scheduler may
+/// then assign them.
+fn all_limited(cx: &Traffic, service: &str, versions: &Versions) -> bool {
+    cx.with_targets(service, |targets| {
+        let targets = targets.iter();
+        let allowed = targets.filter(|target| versions.allow(&target.record.version));
+        let mut limits = allowed.map(|target| target.limit.get()).peekable();
+        limits.peek().is_some() && limits.all(|limit| limit.is_some())
+    })
 }
 
 /// Refusal of a request whose targets are all at their limits.
@@ -214,8 +258,8 @@
     )
 }
 
-/// Sets Retry-After to the earliest end of a backoff, where all targets of the service are backing
-/// off. A single target with a long backoff has no effect.
+/// Sets Retry-After to the earliest end of a backoff, where all targets that may serve the request
+/// are backing off. A single target with a long backoff has no effect.
 pub fn with_backoff_retry(
     cx: &Traffic,
     admitted: &Admitted,
@@ -223,8 +267,14 @@
     refusal: Refusal,
 ) -> Refusal {
     let name = &admitted.deployment.service(attempts.service).name;
-    let backing_off = backing_off(cx, admitted, attempts);
-    let all_backing_off = backing_off.len() == cx.target_count(name);
+    let is_allowed = |target: &Rc<Target>| match &attempts.version {
+        Some(version) => target.record.version == *version,
+        None => true,
+    };
+    let mut backing_off = backing_off(cx, admitted, attempts);
+    backing_off.retain(|(target, _)| is_allowed(target));
+    let allowed = |targets: &[Rc<Target>]| targets.iter().filter(|t| is_allowed(t)).count();
+    let all_backing_off = backing_off.len() == cx.with_targets(name, allowed);
     let first = backing_off.into_iter().map(|(_, until)| until).min();
     match first.filter(|_| all_backing_off) {
         Some(until) => {
@@ -242,18 +292,16 @@
     prepared: &Prepared,
     attempts: &Attempts,
     senders: WarmUpSenders,
-    draw: Option<&VersionDraw>,
+    versions: &Versions,
 ) -> Option<Selected> {
     // Loads a newer view if there is one: it may have fewer targets.
     cx.deployment()?;
     connections::update_limits(cx, admitted.deployment.service(attempts.service));
     let name = &admitted.deployment.service(attempts.service).name;
     let share = warm_up_share(cx, senders);
-    let mut untried: Vec<Rc<Target>> = cx
-        .rollouts
-        .eligible_targets(cx, name, &cx.targets_named(name))
+    let mut untried: Vec<Rc<Target>> = candidates(cx, name, attempts)
         .into_iter()
-        .filter(|target| matches_draw(target, draw))
+        .filter(|target| versions.allow(&target.record.version))
         .filter(|target| admitted.is_allowed_in(&target.record.hall))
         .filter(|target| !attempts.tried.contains(target.incarnation()))
         .filter(|target| cx.backoff_until(target).is_none())
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -1,8 +1,8 @@
 //! Relays an event stream from a target to the caller.
 //!
 //! Only complete events are passed on. A stream is interrupted when its body ends with an error or
-//! inside an event. It is resumed at another target if its route allows that; otherwise the caller's
-//! connection is closed.
+//! inside an event. It is resumed at another target of the same software version if its route allows
+//! that; otherwise the caller's connection is closed.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hollowsail_connect::Framing;
-use hollowsail_observe::events;
+use hollowsail_observe::{events, ErrorKind};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::Observation;
 use http::{header, HeaderMap, Response};
@@ -23,7 +23,7 @@
 use super::event_splitter::EventSplitter;
 use super::prepare::{self, Prepared};
 use super::relay::{caller_response, clear_suspicion};
-use super::{completeness, dispatch, retry};
+use super::{completeness, dispatch, retry, select};
 use crate::answer::{AnswerStream, BodyFault, Refusal};
 use crate::mechanisms::Mechanism;
 use crate::reservations::ReservedRoom;
@@ -52,8 +52,9 @@
     admitted: &Rc<Admitted>,
     answer: TargetAnswer,
     prepared: Prepared,
-    attempts: Attempts,
+    mut attempts: Attempts,
 ) -> Response<AnswerStream> {
+    attempts.version = Some(answer.target.record.version.clone());
     let parts = {
         let mut parts = Response::new(()).into_parts().0;
         parts.status = answer.parts.status;
@@ -221,6 +222,11 @@
         {
             return false;
         }
+        if !select::has_candidate(cx, admitted, &self.attempts) {
+            let version = &target.record.version;
+            let detail = format!("no other target runs version {version}");
+            return self.log_not_resumed(&Refusal::new(ErrorKind::NoTarget, detail));
+        }
         let after = self
             .splitter
             .last_id()
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -84,11 +84,6 @@
         }
     }
 
-    /// True if a target runs the version drawn.
-    pub fn matches(&self, target: &Target) -> bool {
-        self.versions().allow(&target.record.version)
-    }
-
     /// The draw of the other version.
     pub fn fallback(&self) -> Self {
         VersionDraw {
@@ -234,7 +229,25 @@
         }
     }
 
-    /// The same for a pull queue, where any free target takes the next call and shares
+    /// Targets of a service at which the streams that they began may resume: also those of a version
+    /// that a completed roll-out replaced.
+    pub fn targets_to_resume_at(
+        &self,
+        cx: &Traffic,
+        service: &str,
+        targets: &[Rc<Target>],
+    ) -> Vec<Rc<Target>> {
+        let Some(active) = self.of(service) else {
+            return targets.to_vec();
+        };
+        let (new, old) = split(&active, targets);
+        let phase = phase_for(cx, &active, !old.is_empty());
+        let share = canary_share(cx);
+        let chosen = choose_some(new, |count| phase.targets_in_use(share, count));
+        [old, chosen].concat()
+    }
+
+    /// The same as [`Self::eligible_targets`] for a pull queue, where any free target takes the next call and shares
     /// follow the number of targets.
     pub fn eligible_targets_by_count(
         &self,
--- a/crates/gateway/tests/suite/stream_versions.rs
+++ b/crates/gateway/tests/suite/stream_versions.rs
@@ -18,6 +18,8 @@
 /// Number of events in a stream, and those sent before it is broken off.
 const EVENTS: u32 = 5;
 const BROKEN_AFTER: u32 = 2;
+/// Pause before a reset, so that the events are read first.
+const BEFORE_RESET: Duration = Duration::from_millis(20);
 /// Enough streams that some would change versions by chance.
 const STREAMS: usize = 12;
 
@@ -48,13 +50,13 @@
     let after = request.header("last-event-id").parse().unwrap_or(0);
     let is_resumed = after > 0;
     let last = if is_resumed { EVENTS } else { BROKEN_AFTER };
-    let events = (after + 1..=last).map(|id| Step::Write(chunk(&event_of(version, id))));
-    let end = match is_resumed {
-        true => vec![Step::Write(last_chunk())],
-        false => vec![Step::Wait(Duration::from_millis(20)), Step::Reset],
-    };
-    let head = std::iter::once(Step::Write(stream_head(request)));
-    head.chain(events).chain(end).collect()
+    let events: String = (after + 1..=last).map(|id| event_of(version, id)).collect();
+    // In one write: a reset discards what was delayed behind the head.
+    let begin = Step::Write([stream_head(request), chunk(&events)].concat());
+    match is_resumed {
+        true => vec![begin, Step::Write(last_chunk())],
+        false => vec![begin, Step::Wait(BEFORE_RESET), Step::Reset],
+    }
 }
 
 async fn add_engine(store: &StoreStandin, id: &str, version: &'static str) -> TargetStandin {
