Share the batched calls to peers, and let them import nothing of peers

The client that batches reservations into calls is now generic over its messages (batched_calls), and the request and query to a peer are a leaf module (peer_call): both are about to serve another protocol. The encoding is unchanged: a run's id was and is written as its number. control, reservations, peers and reach import the leaf instead of each other. No behaviour changed; the tests of reservations pass.

--- a/crates/gateway/src/reservations/client.rs
+++ b/crates/gateway/src/batched_calls.rs
@@ -1,8 +1,8 @@
-//! Calls to one peer that owns queues.
+//! Calls to one peer that carry several messages each.
 //!
 //! Messages that come up within [`BATCH_DELAY`] share a call. Up to [`MAX_CALLS`] calls run
-//! concurrently on a pool of their own, so that a reservation doesn't wait behind the messages
-//! of the link. Messages that come up during these wait for the end of one.
+//! concurrently on a pool of their own, so that a message doesn't wait behind those of the link.
+//! Messages that come up during these wait for the end of one.
 
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
@@ -11,48 +11,56 @@
 
 use hollowsail_connect::{Pool, PoolRules};
 use http::StatusCode;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
-use super::messages::{
-    ReservationCall, ReservationMessage, ReservationReply, Reserve, RESERVATIONS_PATH,
-};
-use crate::control::query::{query, QueryError};
-use crate::peers::PeerId;
+use crate::peer_call::{query, QueryError};
 
 /// Time in which messages are collected into one call.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
-/// How long a request waits for a reply: a refusal has to take less than an eighth of the
+/// How long a message waits for its reply: a refusal has to take less than an eighth of the
 /// shortest target latency (1 s), also after a second try.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(60);
-/// Timeout of a call. Longer than [`REPLY_TIMEOUT`], so that cancellations reach a slow peer.
+/// Timeout of a call. Longer than [`REPLY_TIMEOUT`], so that messages without a reply reach a slow
+/// peer.
 const CALL_TIMEOUT: Duration = Duration::from_millis(350);
 /// Calls to a peer at the same time. Bounds the connections to a suspended peer.
 const MAX_CALLS: u32 = 6;
-/// Idle connections to a peer; calls overlap when requests come faster than round trips.
+/// Idle connections to a peer; calls overlap when messages come faster than round trips.
 const MAX_IDLE: usize = 3;
 /// Idle time after which a connection isn't reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Why a request goes on without a reservation in a queue.
+/// The messages of a call; the response has a reply for each that expects one, in their order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Call<M> {
+    /// Run of the sending entry.
+    pub from: u64,
+    pub requests: Vec<M>,
+}
+
+/// Why a message got no reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoReply {
-    /// The peer's build has no reservations.
+    /// The peer's build doesn't know these messages.
     Unsupported,
     /// No reply was received in time.
     Silent,
 }
 
-struct Outgoing {
-    message: ReservationMessage,
-    /// Set for [`ReservationMessage::Reserve`].
-    reply: Option<oneshot::Sender<Result<ReservationReply, NoReply>>>,
+struct Outgoing<M, R> {
+    message: M,
+    /// Set for messages that expect a reply.
+    reply: Option<oneshot::Sender<Result<R, NoReply>>>,
 }
 
-/// Sends reservations to one run of one peer.
-pub struct ReservationClient {
-    me: PeerId,
+/// Sends messages to one address of a peer.
+pub struct BatchedCalls<M, R> {
+    from: u64,
+    path: &'static str,
     pool: Rc<Pool>,
-    outbox: RefCell<Vec<Outgoing>>,
+    outbox: RefCell<Vec<Outgoing<M, R>>>,
     is_scheduled: Cell<bool>,
     /// Calls in progress.
     calls: Cell<u32>,
@@ -60,16 +68,17 @@
     is_unsupported: Cell<bool>,
 }
 
-impl ReservationClient {
-    /// Creates a client; it connects with the first call.
-    pub fn new(me: PeerId, addr: SocketAddr) -> Rc<Self> {
+impl<M: Serialize + 'static, R: DeserializeOwned + 'static> BatchedCalls<M, R> {
+    /// Creates the sender; it connects with the first call.
+    pub fn new(from: u64, addr: SocketAddr, path: &'static str) -> Rc<Self> {
         let rules = PoolRules {
             dial_timeout: REPLY_TIMEOUT,
             max_idle: MAX_IDLE,
             idle_timeout: IDLE_TIMEOUT,
         };
-        Rc::new(ReservationClient {
-            me,
+        Rc::new(BatchedCalls {
+            from,
+            path,
             pool: Pool::new(addr, rules),
             outbox: RefCell::default(),
             is_scheduled: Cell::new(false),
@@ -78,14 +87,15 @@
         })
     }
 
-    /// Asks the peer for capacity. After [`NoReply::Silent`] the peer may have reserved it.
-    pub async fn reserve(self: &Rc<Self>, reserve: Reserve) -> Result<ReservationReply, NoReply> {
+    /// Sends a message and waits for its reply. After [`NoReply::Silent`] the peer may have
+    /// handled it.
+    pub async fn request(self: &Rc<Self>, message: M) -> Result<R, NoReply> {
         if self.is_unsupported.get() {
             return Err(NoReply::Unsupported);
         }
         let (sender, reply) = oneshot::channel();
         self.push(Outgoing {
-            message: ReservationMessage::Reserve(reserve),
+            message,
             reply: Some(sender),
         });
         match tokio::time::timeout(REPLY_TIMEOUT, reply).await {
@@ -94,17 +104,17 @@
         }
     }
 
-    /// Cancels what is left of a request's reservation.
-    pub fn cancel(self: &Rc<Self>, queue: String, request_id: String) {
+    /// Sends a message that expects no reply.
+    pub fn send(self: &Rc<Self>, message: M) {
         if !self.is_unsupported.get() {
             self.push(Outgoing {
-                message: ReservationMessage::Cancel { queue, request_id },
+                message,
                 reply: None,
             });
         }
     }
 
-    fn push(self: &Rc<Self>, outgoing: Outgoing) {
+    fn push(self: &Rc<Self>, outgoing: Outgoing<M, R>) {
         self.outbox.borrow_mut().push(outgoing);
         if self.calls.get() >= MAX_CALLS || self.is_scheduled.replace(true) {
             return;
@@ -130,27 +140,28 @@
         }
     }
 
-    /// The messages to send, without reservations that nobody waits for any more.
-    fn take_batch(&self) -> Vec<Outgoing> {
+    /// The messages to send, without those whose reply nobody waits for any more.
+    fn take_batch(&self) -> Vec<Outgoing<M, R>> {
         let mut batch = std::mem::take(&mut *self.outbox.borrow_mut());
         batch.retain(|outgoing| !outgoing.reply.as_ref().is_some_and(|to| to.is_closed()));
         batch
     }
 
-    async fn call(&self, batch: Vec<Outgoing>) {
+    async fn call(&self, batch: Vec<Outgoing<M, R>>) {
         let (requests, waiting): (Vec<_>, Vec<_>) = batch
             .into_iter()
             .map(|outgoing| (outgoing.message, outgoing.reply))
             .unzip();
-        let call = ReservationCall {
-            from: self.me,
+        let call = Call {
+            from: self.from,
             requests,
         };
-        let answer = query(&self.pool, RESERVATIONS_PATH, &call, CALL_TIMEOUT).await;
-        let replies = self.replies(answer);
-        for (index, waiting) in waiting.into_iter().flatten().enumerate() {
-            let reply = match &replies {
-                Ok(replies) => replies.get(index).copied().ok_or(NoReply::Silent),
+        let answer = query::<Vec<R>>(&self.pool, self.path, &call, CALL_TIMEOUT).await;
+        let replies = answer.map_err(|err| self.no_reply(err));
+        let mut replies = replies.map(Vec::into_iter);
+        for waiting in waiting.into_iter().flatten() {
+            let reply = match &mut replies {
+                Ok(replies) => replies.next().ok_or(NoReply::Silent),
                 Err(no_reply) => Err(*no_reply),
             };
             // The request may have stopped waiting.
@@ -158,11 +169,8 @@
         }
     }
 
-    fn replies(
-        &self,
-        answer: Result<Vec<ReservationReply>, QueryError>,
-    ) -> Result<Vec<ReservationReply>, NoReply> {
-        answer.map_err(|err| match err {
+    fn no_reply(&self, err: QueryError) -> NoReply {
+        match err {
             QueryError::Status {
                 status: StatusCode::NOT_FOUND,
             } => {
@@ -170,9 +178,9 @@
                 NoReply::Unsupported
             }
             err => {
-                log::debug!("no reservations by the peer at {}: {err}", self.pool.addr());
+                log::debug!("no reply to {} from {}: {err}", self.path, self.pool.addr());
                 NoReply::Silent
             }
-        })
+        }
     }
 }
--- a/crates/gateway/src/control/hall_records.rs
+++ b/crates/gateway/src/control/hall_records.rs
@@ -13,9 +13,9 @@
 use hollowsail_routing::Millis;
 use rand::seq::IndexedRandom;
 
-use super::query;
 use super::source::candidates;
 use super::Control;
+use crate::peer_call;
 use crate::peers::{PeerRecord, RecordsRequest, RecordsSnapshot, RECORDS_PATH};
 
 /// Time after the first list of entries from which the store followers count as known, in
@@ -40,7 +40,7 @@
                     after: self.records_at.get(),
                 };
                 let pool = self.pool_of(peer.addr);
-                let answer = query::query(&pool, RECORDS_PATH, &request, ANSWER_TIMEOUT).await;
+                let answer = peer_call::query(&pool, RECORDS_PATH, &request, ANSWER_TIMEOUT).await;
                 match answer {
                     Ok(Some(records)) => return Some(self.apply_hall_records(&peer, records)),
                     Ok(None) => {}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,6 @@
 mod own_record;
 mod pauses;
 mod peer_state;
-pub(crate) mod query;
 mod records;
 mod refusals;
 mod rollouts;
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -11,8 +11,8 @@
 use hollowsail_connect::{Pool, PoolRules};
 use rand::seq::IndexedRandom;
 
-use super::query::{self, QueryError};
 use super::Control;
+use crate::peer_call::{self, QueryError};
 use crate::peers::{StateRequest, StateResponse, STATE_PATH};
 
 /// Interval between rounds: a configuration must be in force within seconds at a host that
@@ -65,7 +65,7 @@
         records: cx.records_at.get(),
         evacuated: cx.evacuated.borrow().as_of(),
     };
-    query::query(
+    peer_call::query(
         &Pool::new(addr, rules),
         STATE_PATH,
         &request,
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -19,9 +19,9 @@
 use hollowsail_platform::store::{Changes, Range, StoreError};
 use hollowsail_routing::Millis;
 
-use super::query::{self, QueryError};
 use super::Control;
 use crate::feed::{FeedRequest, FeedResponse, KeyGroup, FEED_PATH};
+use crate::peer_call::{self, QueryError};
 use crate::peers::PeerRecord;
 
 /// Wait of a watch in a hall where all entries follow the store: long, as each watch has a cost,
@@ -250,7 +250,7 @@
             wait_ms: wait.as_millis() as u64,
         };
         let pool = self.pool_of(follower.addr);
-        query::query(&pool, FEED_PATH, &request, wait + ANSWER_SLACK).await
+        peer_call::query(&pool, FEED_PATH, &request, wait + ANSWER_SLACK).await
     }
 
     pub(super) fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //! `hollowsail-routing`, `hollowsail-stages` and `hollowsail-fleet`.
 
 mod answer;
+mod batched_calls;
 mod callers;
 mod clock;
 mod connections;
@@ -22,6 +23,7 @@
 mod mechanisms;
 mod metrics;
 mod ownership_age;
+mod peer_call;
 mod peers;
 mod placement;
 mod pools;
--- a/crates/gateway/src/control/query.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -1,16 +1,16 @@
-//! Request to a peer's control endpoint, and its response.
+//! One request to a peer with a body in MessagePack, and its response.
 
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hollowsail_connect::{CompleteAnswer, Pool};
-use http::StatusCode;
+use http::{Request, StatusCode};
+use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use snafu::Snafu;
 
-use crate::peers;
-
 /// Limit on a response body, in bytes. A response may carry a configuration and the records
 /// of a large fleet.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -34,6 +34,15 @@
     Malformed { source: rmp_serde::decode::Error },
 }
 
+/// A request to a peer with a body in MessagePack.
+pub fn request(path: &str, body: &impl Serialize) -> Request<Full<Bytes>> {
+    let body = rmp_serde::to_vec(body).expect("messages to peers always encode");
+    Request::post(path)
+        .header(http::header::HOST, "peer")
+        .body(Full::new(Bytes::from(body)))
+        .expect("the path is valid")
+}
+
 /// Sends a request to the peer behind a pool and decodes its response. `timeout` covers the
 /// whole exchange.
 pub async fn query<A: DeserializeOwned>(
@@ -42,7 +51,7 @@
     payload: &impl Serialize,
     timeout: Duration,
 ) -> Result<A, QueryError> {
-    let req = peers::request(path, payload);
+    let req = request(path, payload);
     tokio::time::timeout(timeout, pool.call(req, MAX_RESPONSE_BYTES))
         .await
         .map_err(|_| QueryError::TimedOut)?
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -18,11 +18,13 @@
 use tokio::sync::{mpsc, oneshot};
 
 use super::messages::{
-    self, Envelope, Message, PieceId, PieceOutcome, PlacementId, PlacementReply,
-    ProducePieceRequest, PATH,
+    Envelope, Message, PieceId, PieceOutcome, PlacementId, PlacementReply, ProducePieceRequest,
+    PATH,
 };
 use super::record::PeerRecord;
-use crate::reservations::ReservationClient;
+use crate::batched_calls::BatchedCalls;
+use crate::peer_call::request;
+use crate::reservations::{ReservationCalls, RESERVATIONS_PATH};
 use crate::target_reports;
 use crate::traffic::Traffic;
 
@@ -63,7 +65,7 @@
     pub peer: PeerRecord,
     pool: Rc<Pool>,
     /// Reservations in the queues that the peer owns.
-    pub reservations: Rc<ReservationClient>,
+    pub reservations: Rc<ReservationCalls>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteOutcome>>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
@@ -118,7 +120,7 @@
         Rc::new(Link {
             cx: Rc::downgrade(cx),
             pool: Pool::new(peer.addr, rules),
-            reservations: ReservationClient::new(cx.me.id, peer.addr),
+            reservations: BatchedCalls::new(cx.me.id.0, peer.addr, RESERVATIONS_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
@@ -299,7 +301,7 @@
     }
 
     async fn post(&self, envelope: &Envelope) -> Result<(), LinkError> {
-        let req = messages::request(PATH, envelope);
+        let req = request(PATH, envelope);
         // Another run responds with its record; any other response has no body.
         let answer = self
             .pool
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -5,13 +5,10 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{Demand, RequestDigest};
 use hollowsail_stages::{QueueLoad, WorkerState};
-use http::Request;
-use http_body_util::Full;
 use serde::{Deserialize, Serialize};
 
 use super::record::{PeerId, PeerRecord};
@@ -20,15 +17,6 @@
 /// Path that accepts an [`Envelope`].
 pub const PATH: &str = "/hollowsail/messages";
 
-/// A request to a peer with a body in MessagePack.
-pub fn request(path: &str, body: &impl Serialize) -> Request<Full<Bytes>> {
-    let body = rmp_serde::to_vec(body).expect("messages to peers always encode");
-    Request::post(path)
-        .header(http::header::HOST, "peer")
-        .body(Full::new(Bytes::from(body)))
-        .expect("the path is valid")
-}
-
 /// A batch of messages from one entry to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Envelope {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -27,8 +27,8 @@
 pub use link::Link;
 pub use listen::{read, start};
 pub use messages::{
-    request, CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome,
-    PlacementId, PlacementReply, PlacementStep, ProducePieceRequest, UnneededResult, VerdictNotice,
+    CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome, PlacementId,
+    PlacementReply, PlacementStep, ProducePieceRequest, UnneededResult, VerdictNotice,
     WorkerHandover,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -20,7 +20,8 @@
 };
 use super::{probe, Endpoint};
 use crate::metrics;
-use crate::peers::{self, PeerRecord};
+use crate::peer_call;
+use crate::peers::PeerRecord;
 use crate::traffic::Traffic;
 
 /// Maximum number of peers that are asked to relay one connection, and of those asked at once.
@@ -187,7 +188,7 @@
         target: endpoint.incarnation.clone(),
         timeout_ms: timeout.as_millis() as u64,
     };
-    let mut req = peers::request(RELAY_PATH, &request);
+    let mut req = peer_call::request(RELAY_PATH, &request);
     let headers = req.headers_mut();
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
     headers.insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
--- a/crates/gateway/src/reservations/entry.rs
+++ b/crates/gateway/src/reservations/entry.rs
@@ -16,10 +16,12 @@
 use hollowsail_routing::Millis;
 use hollowsail_stages::RefusalCause;
 
-use super::client::NoReply;
-use super::messages::{ReservationReply, Reserve, RoomRefused, StageReservation};
+use super::messages::{
+    ReservationMessage, ReservationReply, Reserve, RoomRefused, StageReservation,
+};
 use super::times;
 use crate::answer::Refusal;
+use crate::batched_calls::NoReply;
 use crate::mechanisms::Mechanism;
 use crate::metrics;
 use crate::peers::Owner;
@@ -144,7 +146,9 @@
             Owner::Peer(link) => {
                 let client = link.reservations.clone();
                 self.hold(&reserve.queue, Owner::Peer(link), &reserve.stages);
-                client.reserve(reserve.clone()).await
+                client
+                    .request(ReservationMessage::Reserve(reserve.clone()))
+                    .await
             }
         }
     }
@@ -159,7 +163,10 @@
                     let from = self.cx.me.id;
                     super::owner::cancel(&self.cx, from, &held.queue, &request_id);
                 }
-                Owner::Peer(link) => link.reservations.cancel(held.queue, request_id),
+                Owner::Peer(link) => link.reservations.send(ReservationMessage::Cancel {
+                    queue: held.queue,
+                    request_id,
+                }),
             }
         }
     }
--- a/crates/gateway/src/reservations/messages.rs
+++ b/crates/gateway/src/reservations/messages.rs
@@ -7,19 +7,17 @@
 use hollowsail_stages::RefusalCause;
 use serde::{Deserialize, Serialize};
 
-use crate::peers::PeerId;
+use crate::batched_calls::{BatchedCalls, Call};
 
 /// Path that accepts a [`ReservationCall`] and returns one [`ReservationReply`] for each
 /// [`Reserve`], in the same order.
 pub const RESERVATIONS_PATH: &str = "/hollowsail/reservations";
 
 /// Requests of one entry to the owner of their queues.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct ReservationCall {
-    /// The requesting entry.
-    pub from: PeerId,
-    pub requests: Vec<ReservationMessage>,
-}
+pub type ReservationCall = Call<ReservationMessage>;
+
+/// Sends reservations to one run of one peer.
+pub type ReservationCalls = BatchedCalls<ReservationMessage, ReservationReply>;
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ReservationMessage {
--- a/crates/gateway/src/reservations/mod.rs
+++ b/crates/gateway/src/reservations/mod.rs
@@ -1,12 +1,11 @@
 //! Reservations of capacity in contended stage services.
 //!
 //! Before anything of a request runs, the entry asks the owners of the queues that its stages
-//! use ([`entry`], over [`client`] with [`messages`]). An owner decides with the state of its
+//! use ([`entry`], over [`crate::batched_calls`] with [`messages`]). An owner decides with the state of its
 //! queue ([`owner`]) and finds the reservation of a piece by request id and stage when the
 //! piece arrives. Queues without a reply are left to the forecast. [`contention`] has the
 //! services that need this, and [`times`] the times that both sides use.
 
-mod client;
 mod contention;
 mod entry;
 mod messages;
@@ -26,11 +25,11 @@
 use crate::mechanisms::Mechanism;
 use crate::traffic::Traffic;
 
-pub use client::ReservationClient;
 pub use contention::contended_services;
 pub use entry::{organisation_hash, reserve, ReservedRoom, NO_ORGANISATION};
 pub use messages::{
-    cause_label, ReservationCall, ReservationReply, Reserve, RoomRefused, RESERVATIONS_PATH,
+    cause_label, ReservationCall, ReservationCalls, ReservationReply, Reserve, RoomRefused,
+    RESERVATIONS_PATH,
 };
 pub use owner::handle_call;
 
--- a/crates/gateway/src/reservations/owner.rs
+++ b/crates/gateway/src/reservations/owner.rs
@@ -11,10 +11,11 @@
 
 /// Handles the messages of a call in their order; returns one reply for each [`Reserve`].
 pub fn handle_call(cx: &Rc<Traffic>, call: &ReservationCall) -> Vec<ReservationReply> {
+    let from = PeerId(call.from);
     let handle = |message: &ReservationMessage| match message {
-        ReservationMessage::Reserve(request) => Some(reserve(cx, call.from, request)),
+        ReservationMessage::Reserve(request) => Some(reserve(cx, from, request)),
         ReservationMessage::Cancel { queue, request_id } => {
-            cancel(cx, call.from, queue, request_id);
+            cancel(cx, from, queue, request_id);
             None
         }
     };
