Let callers resume streams only at the version that began them

Cause: nobody kept which version began a stream, and nobody read which attempt a caller resumes.

- crates/streams decides: a bounded table of records by request id and content, the history of the versions that can have served, the order of the entries that hold copies, and what follows from all.
- The entry that relays a resumable stream records its version and copies the record to two other entries, in other halls first, before the first event leaves (at most 50 ms).
While only one version can have served, nothing is copied; what was kept is copied once another version appears.
- An entry at which a caller resumes a stream asks its own records, then four holders.
Without a record it goes on only if all that reply agree that one version can have served, and one of them has known all targets for long enough.
Otherwise it is refused before anything runs, with stream_version_away (come back) or stream_version_gone (begin anew).
- It goes on at its version's targets only, isn't held back by reservations or the forecast, and comes before new requests of its organisation.
- Malformed ids are rejected.
An older build answers 404 to the new path and holds no records.

Broken on purpose: without copies stream_goes_on_after_the_entry_that_began_it_is_gone fails, without the copies at the appearance of a version stream_that_began_before_another_version_appeared_goes_on does.

--- a/crates/gateway/src/batched_calls.rs
+++ b/crates/gateway/src/batched_calls.rs
@@ -87,6 +87,11 @@
         })
     }
 
+    /// True if the peer's build doesn't know these messages.
+    pub fn is_unsupported(&self) -> bool {
+        self.is_unsupported.get()
+    }
+
     /// Sends a message and waits for its reply. After [`NoReply::Silent`] the peer may have
     /// handled it.
     pub async fn request(self: &Rc<Self>, message: M) -> Result<R, NoReply> {
--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -86,6 +86,7 @@
             usable: self.usable_targets(evacuated),
             draining: self.draining_targets(),
             evacuated_services: self.evacuated_services(evacuated),
+            versions: self.listed_versions(),
         });
         *known = (!depends_on_time).then(|| (changes, (evacuated.clone(), targets.clone())));
         targets
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -1,9 +1,10 @@
 //! Derives the targets that traffic may use from the control thread's state.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hollowsail_fleet::{EvacuatedHalls, WarmUpRecord};
 use hollowsail_platform::targets::Incarnation;
+use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
 
 use super::Control;
@@ -40,6 +41,26 @@
             .collect()
     }
 
+    /// Software versions of all targets, in order.
+    pub(super) fn listed_versions(&self) -> Vec<ListedVersion> {
+        let registry = self.registry.borrow();
+        let new_versions = self.new_versions.borrow();
+        let held = new_versions.held(self.clock.now());
+        let mut is_ready: BTreeMap<(&str, &str), bool> = BTreeMap::new();
+        for (_, record) in registry.all() {
+            let version = (record.service.as_str(), record.version.as_str());
+            *is_ready.entry(version).or_default() |= !record.draining;
+        }
+        let versions = is_ready.into_iter();
+        let versions = versions.map(|((service, version), is_ready)| ListedVersion {
+            service: service.to_string(),
+            version: version.to_string(),
+            is_held: held.contains(service, version),
+            is_ready,
+        });
+        versions.collect()
+    }
+
     /// Updates warm-ups from the present records.
     pub(super) fn update_warm_ups(&self) {
         let registry = self.registry.borrow();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod rollouts;
 mod start;
 mod stop;
+mod stream_origins;
 mod target_calls;
 mod target_group;
 mod target_reports;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -72,6 +72,13 @@
     histogram!("hollowsail_request_seconds", "service" => service).record(took);
 }
 
+/// Counts a stream that a caller resumes: how its version is known, or the kind of the refusal.
+pub fn count_stream_taken_up(service: &str, result: &'static str) {
+    counter!("hollowsail_streams_taken_up_total", "service" => service.to_string(),
+        "result" => result)
+    .increment(1);
+}
+
 /// Records whether this host is cut off from all targets.
 pub fn set_cut_off(is_cut_off: bool) {
     gauge!("hollowsail_targets_unreachable").set(f64::from(u8::from(is_cut_off)));
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -24,6 +24,7 @@
 use crate::mechanisms::Mechanism;
 use crate::reach::{self, RELAY_PATH};
 use crate::reservations::{self, ReservationCall, RESERVATIONS_PATH};
+use crate::stream_origins::{OriginCall, STREAMS_PATH};
 use crate::target_reports;
 use crate::traffic::Traffic;
 use crate::view::KnownRecords;
@@ -74,6 +75,7 @@
         FEED_PATH if is_post => changes(cx, req).await,
         // Without the mechanism this entry answers like a build without reservations.
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
+        STREAMS_PATH if is_post => stream_origins(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
     let (status, body) = match result {
@@ -205,6 +207,15 @@
         .into())
 }
 
+/// Holds copies of records of streams, and returns them.
+async fn stream_origins(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let call: OriginCall = read(req).await?;
+    let replies = cx.stream_origins.handle_call(cx.clock.now(), call);
+    Ok(rmp_serde::to_vec(&replies)
+        .expect("these types always encode")
+        .into())
+}
+
 fn handle_message(cx: &Rc<Traffic>, from: &PeerRecord, message: Message) {
     match message {
         Message::ProducePiece(piece) => cx.pools.accept_piece(cx, from, *piece),
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,7 +20,10 @@
 use hollowsail_fleet::LiveRuns;
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
+use hollowsail_streams::holders::{self, HolderCandidate};
+use hollowsail_streams::StreamKey;
 
+use crate::stream_origins::Holder;
 use crate::target_reports;
 use crate::traffic::Traffic;
 
@@ -52,6 +55,10 @@
 /// unreachable. Where hundreds of entries start together, a list takes half a second.
 const SETTLE_UNLISTED_MS: Millis = 1_500;
 
+/// Maximum number of entries considered as holders of a stream's record: some may run a build that
+/// doesn't hold any.
+const MAX_RECORD_HOLDERS: usize = 8;
+
 /// Owner of a key.
 pub enum Owner {
     /// This entry.
@@ -240,6 +247,29 @@
         responsive.cloned().collect()
     }
 
+    /// The entries that hold copies of the record of a stream, in their order; without this one and
+    /// those that are suspected.
+    pub fn record_holders(&self, cx: &Traffic, key: StreamKey) -> Vec<Holder> {
+        let now = cx.clock.now();
+        let suspects = self.suspects.borrow();
+        let live = self.live.borrow();
+        let others = live.iter().filter(|peer| peer.id != cx.me.id);
+        let responsive: Vec<&PeerRecord> = others
+            .filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now))
+            .collect();
+        let candidates = responsive.iter().map(|peer| HolderCandidate {
+            host: &peer.host,
+            hall: &peer.hall,
+        });
+        let candidates: Vec<HolderCandidate<'_>> = candidates.collect();
+        let order = holders::order(key, &candidates).into_iter();
+        let order = order.map(|index| responsive[index]).map(|peer| Holder {
+            run: peer.id.0,
+            addr: peer.addr,
+        });
+        order.take(MAX_RECORD_HOLDERS).collect()
+    }
+
     /// Position of this entry among all entries, from 0 to 1, in an order that all share;
     /// `None` before the first list of entries.
     pub fn position(&self, cx: &Traffic) -> Option<f64> {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -149,6 +149,11 @@
         own_part.map_or(0, |part| part.tokens)
     }
 
+    /// True when the caller resumes a stream that an earlier attempt began.
+    pub fn resumes_stream(&self) -> bool {
+        resumes_stream(self.route(), &self.caller)
+    }
+
     pub fn organisation_name(&self) -> Option<&str> {
         let key = self.organisation?;
         Some(&self.deployment.organisation(key).name)
@@ -190,8 +195,10 @@
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
     let route_priority = deployment.route(route).priority;
     let priority = own_priority.unwrap_or(route_priority);
-    let urgency = match cx.has(Mechanism::RoutePriority) {
+    let is_resumed = resumes_stream(deployment.route(route), &caller);
+    let urgency = match cx.has(Mechanism::RoutePriority) && !is_resumed {
         true => urgency(priority, route_priority),
+        // A stream that is resumed isn't put behind new ones: work for it was done already.
         false => urgency(priority, 0),
     };
     Ok(Admitted {
@@ -232,6 +239,10 @@
     Some(allowed.map(|(hall, _)| hall.clone()).collect())
 }
 
+fn resumes_stream(route: &Route, caller: &CallerHeaders) -> bool {
+    route.repeat.is_stream() && (caller.resumes.is_some() || caller.last_event_id.is_some())
+}
+
 /// Combines the priorities; the route's is the tie-breaker, so that urgent routes still go
 /// first where all organisations have the same priority.
 fn urgency(priority: u8, route_priority: u8) -> u8 {
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -15,6 +15,7 @@
 
 use super::admit::Admitted;
 use super::attempt::Failure;
+use super::stream_version::ResumedAt;
 use crate::answer::Refusal;
 
 /// The attempts of one request so far.
@@ -41,11 +42,12 @@
 }
 
 impl Attempts {
-    /// Chooses the service for all attempts of the request.
-    pub fn new(admitted: &Admitted) -> Self {
+    /// Chooses the service for all attempts of the request, unless it resumes a stream.
+    pub fn new(admitted: &Admitted, resumed_at: Option<&ResumedAt>) -> Self {
+        let service = resumed_at.map(|resumed_at| resumed_at.service);
         Attempts {
-            service: choose_service(admitted),
-            version: None,
+            service: service.unwrap_or_else(|| choose_service(admitted)),
+            version: resumed_at.map(|resumed_at| resumed_at.version.clone()),
             tried: HashSet::new(),
             progress: Vec::new(),
             reached: 0,
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -14,6 +14,7 @@
 use super::attempt::{self, AttemptOptions, TargetAnswer};
 use super::attempts::Attempts;
 use super::prepare::Prepared;
+use super::stream_version::ResumedAt;
 use super::{relay, retry, select, stream, unservable, RequestStats};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
@@ -29,9 +30,10 @@
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
     prepared: Prepared,
+    resumed_at: Option<&ResumedAt>,
     stats: &mut RequestStats,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
-    let mut attempts = Attempts::new(admitted);
+    let mut attempts = Attempts::new(admitted, resumed_at);
     loop {
         let answer = next_answer(cx, admitted, &prepared, &mut attempts, None).await;
         stats.attempts = attempts.count() + u32::from(answer.is_ok());
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -1,7 +1,7 @@
 //! Serves one request from its headers to the end of its answer.
 //!
 //! [`admit`] reads it; [`unservable`], [`crate::reservations`] and [`forecast`] refuse it if it
-//! can't be served, or not in time; [`prepare`] runs its stages; [`dispatch`] sends it to targets. [`relay`] passes on short
+//! can't be served, or not in time, and [`stream_version`] if it can't resume its stream; [`prepare`] runs its stages; [`dispatch`] sends it to targets. [`relay`] passes on short
 //! answers and [`stream`] event streams. A request without a target's answer ends in a [`Refusal`].
 
 mod admit;
@@ -18,6 +18,7 @@
 mod retry;
 mod select;
 mod stream;
+mod stream_version;
 mod unservable;
 
 use std::rc::Rc;
@@ -28,13 +29,14 @@
 
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
-use crate::reservations;
+use crate::reservations::{self, ReservedRoom};
 use crate::traffic::Traffic;
 
 pub use admit::Admitted;
 pub use attempt::{Failure, Unconnected};
 pub use forecast::max_return;
 pub use prepare::{stage_due, stage_graph};
+pub use stream_version::copy_when_contested as copy_records_when_contested;
 
 /// Maximum number of times that the stages are run again because the engine no longer has their
 /// results.
@@ -136,10 +138,13 @@
     stats: &mut RequestStats,
     pending: &mut PendingAnswer,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
-    log_taken_up(cx, admitted);
     unservable::check(cx, admitted)?;
-    let room = reservations::reserve(cx, admitted).await?;
-    forecast::check(cx, admitted, &room)?;
+    let resumed_at = stream_version::find(cx, admitted).await?;
+    let room = match &resumed_at {
+        // Work for the stream was done already: it doesn't compete with new ones.
+        Some(_) => ReservedRoom::none(cx, admitted),
+        None => reserve_room(cx, admitted).await?,
+    };
     let stage_deadline = admitted.stage_deadline(room.is_complete(&admitted.caller.pieces));
     let mut stage_reruns = 0;
     loop {
@@ -147,7 +152,7 @@
         let prepared = prepare::run(cx, admitted, &room, stage_deadline).await?;
         pending.phase = "target";
         stats.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
-        match dispatch::run(cx, admitted, prepared, stats).await {
+        match dispatch::run(cx, admitted, prepared, resumed_at.as_ref(), stats).await {
             // The engine did not run the request, so the stages can be repeated.
             Err(refusal)
                 if refusal.kind == ErrorKind::InputsGone && stage_reruns < MAX_STAGE_RERUNS =>
@@ -159,21 +164,11 @@
     }
 }
 
-/// Logs that a caller resumes a stream.
-fn log_taken_up(cx: &Traffic, admitted: &Admitted) {
-    let caller = &admitted.caller;
-    if caller.resumes.is_none() && caller.last_event_id.is_none() {
-        return;
-    }
-    cx.log.line(
-        catalogue::STREAM_TAKEN_UP,
-        format_args!(
-            "request={} resumes={} after={}",
-            caller.request_id,
-            caller.resumes.as_deref().unwrap_or("none"),
-            caller.last_event_id.as_deref().unwrap_or("none"),
-        ),
-    );
+/// Reserves room for the stages of a new request. Refuses it if there is none, or not in time.
+async fn reserve_room(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<ReservedRoom, Refusal> {
+    let room = reservations::reserve(cx, admitted).await?;
+    forecast::check(cx, admitted, &room)?;
+    Ok(room)
 }
 
 /// Writes the log line and updates the metrics of an answered request.
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -23,6 +23,7 @@
 use super::event_splitter::EventSplitter;
 use super::prepare::{self, Prepared};
 use super::relay::{caller_response, clear_suspicion};
+use super::stream_version::{self, PendingCopies};
 use super::{completeness, dispatch, retry, select};
 use crate::answer::{AnswerStream, BodyFault, Refusal};
 use crate::mechanisms::Mechanism;
@@ -41,6 +42,8 @@
     /// Inputs of the request, until the first event shows that the target has read them.
     prepared: Option<Prepared>,
     splitter: EventSplitter,
+    /// Copies of the stream's record, which the first event waits for.
+    copies: Option<PendingCopies>,
     /// The current target has sent an event.
     has_started: bool,
     is_done: bool,
@@ -65,6 +68,7 @@
         }
         parts
     };
+    let copies = stream_version::record(cx, admitted, &answer.target);
     let stream = RelayedStream {
         cx: cx.clone(),
         admitted: admitted.clone(),
@@ -72,6 +76,7 @@
         answer,
         prepared: Some(prepared),
         splitter: EventSplitter::default(),
+        copies,
         has_started: false,
         is_done: false,
     };
@@ -104,6 +109,9 @@
                 Ok(Some(Ok(bytes))) => {
                     if let Some(events) = self.splitter.push(&bytes) {
                         self.on_first_event();
+                        if let Some(copies) = self.copies.take() {
+                            copies.wait().await;
+                        }
                         return Some(Ok(events));
                     }
                 }
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -229,6 +229,13 @@
         }
     }
 
+    /// True if a roll-out of this version was rolled back.
+    pub fn is_rolled_back(&self, service: &str, version: &str) -> bool {
+        self.of(service).is_some_and(|active| {
+            active.placed.order.version == version && active.phase() == Phase::RolledBack
+        })
+    }
+
     /// Targets of a service at which the streams that they began may resume: also those of a version
     /// that a completed roll-out replaced.
     pub fn targets_to_resume_at(
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -19,6 +19,7 @@
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
 use crate::peers::{capacity_of, PeerId, PeerRecord};
+use crate::request;
 use crate::rollouts::{self, Rollouts};
 use crate::stop;
 use crate::traffic::{FromControl, Traffic};
@@ -198,6 +199,7 @@
     actix_rt::spawn(event_loop_lag::watch(cx.clone()));
     actix_rt::spawn(reach::watch(cx.clone()));
     actix_rt::spawn(Rollouts::follow(cx.clone()));
+    actix_rt::spawn(request::copy_records_when_contested(cx.clone()));
     let cx = cx.clone();
     actix_rt::spawn(async move {
         if let Ok(done) = stopping.await {
--- /dev/null
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -0,0 +1,210 @@
+//! This entry's part in keeping the builds that began streams.
+//!
+//! [`StreamOrigins`] holds the records of this entry and the copies of others, and exchanges them
+//! with peers. [`hollowsail_streams`] makes the decisions.
+
+mod messages;
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use futures_util::future::join_all;
+use futures_util::stream::{FuturesUnordered, StreamExt};
+use hollowsail_streams::{
+    holders, Build, Findings, ListedVersion, Millis, OriginTable, StreamKey, VersionHistory,
+};
+use tokio::sync::Notify;
+
+use crate::batched_calls::BatchedCalls;
+
+use messages::OriginCalls;
+pub use messages::{OriginCall, OriginMessage, OriginReply, STREAMS_PATH};
+
+/// A run of a peer that holds copies.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Holder {
+    pub run: u64,
+    pub addr: SocketAddr,
+}
+
+/// A record that an entry writes for a stream that it relays.
+#[derive(Debug, Clone)]
+pub struct NewRecord {
+    pub key: StreamKey,
+    pub build: Build,
+    /// How long it is kept, in milliseconds.
+    pub keep_ms: Millis,
+}
+
+/// A stream whose origin is asked for.
+#[derive(Debug, Clone)]
+pub struct Query {
+    pub key: StreamKey,
+    pub service: String,
+    /// How long all targets have to be known for a complete account, in milliseconds.
+    pub complete_ms: Millis,
+}
+
+/// Records of streams, and what is known of the versions of services.
+pub struct StreamOrigins {
+    /// This run.
+    me: u64,
+    table: RefCell<OriginTable>,
+    history: RefCell<VersionHistory>,
+    /// The versions listed last.
+    listed: RefCell<(Vec<ListedVersion>, bool)>,
+    calls: RefCell<HashMap<u64, Rc<OriginCalls>>>,
+    /// Notified when the listed versions change.
+    pub versions_changed: Notify,
+}
+
+impl StreamOrigins {
+    pub fn new(me: u64) -> Self {
+        StreamOrigins {
+            me,
+            table: RefCell::default(),
+            history: RefCell::default(),
+            listed: RefCell::default(),
+            calls: RefCell::default(),
+            versions_changed: Notify::new(),
+        }
+    }
+
+    /// Takes the versions that are listed now; see [`VersionHistory::update`].
+    pub fn update_versions(&self, now: Millis, listed: &[ListedVersion], is_complete: bool) {
+        let mut known = self.listed.borrow_mut();
+        if known.0 == listed && known.1 == is_complete {
+            return;
+        }
+        *known = (listed.to_vec(), is_complete);
+        self.history.borrow_mut().update(now, listed, is_complete);
+        self.versions_changed.notify_one();
+    }
+
+    /// Closes the connections to runs that aren't live any more.
+    pub fn retain_peers(&self, is_live: impl Fn(u64) -> bool) {
+        self.calls.borrow_mut().retain(|run, _| is_live(*run));
+    }
+
+    /// Read access to what is known of the versions of services.
+    pub fn with_history<T>(&self, read: impl FnOnce(&VersionHistory) -> T) -> T {
+        read(&self.history.borrow())
+    }
+
+    /// Records the build of a stream that this entry relays. The record needs copies later if
+    /// `needs_copies`.
+    pub fn record(&self, now: Millis, record: &NewRecord, needs_copies: bool) {
+        let mut table = self.table.borrow_mut();
+        let expires = now + record.keep_ms;
+        table.record(now, record.key, &record.build, expires);
+        if needs_copies {
+            table.set_needs_copies(record.key);
+        }
+    }
+
+    /// Copies a record to the first of `holders` that support it. Returns once one of them has it,
+    /// or none replied in time; the others get it all the same.
+    pub async fn copy(&self, record: NewRecord, holders: &[Holder]) -> bool {
+        let calls = holders.iter().map(|holder| self.calls_to(holder));
+        let supporting = calls.filter(|calls| !calls.is_unsupported());
+        let chosen: Vec<Rc<OriginCalls>> = supporting.take(holders::COPIES).collect();
+        let (first, copied) = tokio::sync::oneshot::channel();
+        actix_rt::spawn(async move {
+            let message = || OriginMessage::Record {
+                key: record.key,
+                build: record.build.clone(),
+                keep_ms: record.keep_ms,
+            };
+            let requests = chosen.iter().map(|calls| calls.request(message()));
+            let mut replies: FuturesUnordered<_> = requests.collect();
+            let mut first = Some(first);
+            while let Some(reply) = replies.next().await {
+                if let Some(first) = first.take_if(|_| reply.is_ok()) {
+                    // The stream may have ended.
+                    let _sent = first.send(());
+                }
+            }
+        });
+        copied.await.is_ok()
+    }
+
+    /// Takes the records that are due to be copied, because another version of their service has
+    /// appeared, or may have.
+    pub fn take_uncopied(&self, now: Millis, complete_ms: Millis) -> Vec<NewRecord> {
+        let history = self.history.borrow();
+        let is_due = |service: &str| !history.is_only_version(now, service, complete_ms);
+        let uncopied = self.table.borrow_mut().take_uncopied(now, is_due);
+        let records = uncopied.into_iter().map(|(key, build, keep_ms)| NewRecord {
+            key,
+            build,
+            keep_ms,
+        });
+        records.collect()
+    }
+
+    /// Collects what this entry and `holders` know of a stream. Doesn't ask them if this entry has
+    /// its record.
+    pub async fn find(&self, now: Millis, query: &Query, holders: &[Holder]) -> Findings {
+        let own = self.table.borrow().get(now, query.key);
+        let account =
+            |history: &VersionHistory| history.account(now, &query.service, query.complete_ms);
+        let mut findings = Findings {
+            accounts: vec![self.with_history(account)],
+            own,
+            ..Findings::default()
+        };
+        if findings.own.is_some() {
+            return findings;
+        }
+        let calls: Vec<Rc<OriginCalls>> = holders.iter().map(|h| self.calls_to(h)).collect();
+        let requests = calls.iter().map(|calls| {
+            calls.request(OriginMessage::Find {
+                key: query.key,
+                service: query.service.clone(),
+                complete_ms: query.complete_ms,
+            })
+        });
+        for reply in join_all(requests).await {
+            match reply {
+                Ok(OriginReply::Found { record, account }) => {
+                    findings.peers.extend(record);
+                    findings.accounts.push(account);
+                }
+                Ok(OriginReply::Recorded) | Err(_) => findings.silent += 1,
+            }
+        }
+        findings
+    }
+
+    /// Handles the messages of a peer.
+    pub fn handle_call(&self, now: Millis, call: OriginCall) -> Vec<OriginReply> {
+        let handle = |message| match message {
+            OriginMessage::Record {
+                key,
+                build,
+                keep_ms,
+            } => {
+                let expires = now.saturating_add(keep_ms);
+                self.table.borrow_mut().record(now, key, &build, expires);
+                OriginReply::Recorded
+            }
+            OriginMessage::Find {
+                key,
+                service,
+                complete_ms,
+            } => OriginReply::Found {
+                record: self.table.borrow().get(now, key),
+                account: self.with_history(|history| history.account(now, &service, complete_ms)),
+            },
+        };
+        call.requests.into_iter().map(handle).collect()
+    }
+
+    fn calls_to(&self, holder: &Holder) -> Rc<OriginCalls> {
+        let mut calls = self.calls.borrow_mut();
+        let new = || BatchedCalls::new(self.me, holder.addr, STREAMS_PATH);
+        calls.entry(holder.run).or_insert_with(new).clone()
+    }
+}
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -21,12 +21,13 @@
 use crate::feed::Feeds;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
-use crate::peers::{PeerRecord, Peers};
+use crate::peers::{PeerId, PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
+use crate::stream_origins::StreamOrigins;
 use crate::view::{Published, Targets, View};
 
 /// Share of the allowed ratio of extra arrivals that is used; the rest covers duplicates that
@@ -97,6 +98,7 @@
     pub crashes: Crashes,
     pub rollouts: Rollouts,
     pub reservations: Reservations,
+    pub stream_origins: StreamOrigins,
     /// Throttles broadcasts of targets' limits.
     pub limit_broadcasts: Throttle<Incarnation>,
     /// Throttles log lines on unusable headers, by target id and header.
@@ -137,6 +139,7 @@
         phases: mpsc::Sender<RecordPhase>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
+            let stream_origins = StreamOrigins::new(me.id.0);
             Rc::new_cyclic(|cx| Traffic {
                 log: Log::new(&settings.load().host),
                 me,
@@ -146,6 +149,7 @@
                 placements: Placements::default(),
                 crashes,
                 reservations: Reservations::default(),
+                stream_origins,
                 rollouts: Rollouts::new(phases),
                 header_log: RefCell::new(LogThrottle::new(HEADER_LOG_INTERVAL_MS)),
                 connection_log: RefCell::new(LogThrottle::new(CONNECTION_LOG_INTERVAL_MS)),
@@ -210,7 +214,15 @@
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
         if peers_changed {
             self.peers.update(self, &newest.peers);
+            self.stream_origins
+                .retain_peers(|run| self.peers.is_live(PeerId(run)));
         }
+        let now = self.clock.now();
+        self.stream_origins.update_versions(
+            now,
+            &newest.targets.versions,
+            newest.knows_all_targets(),
+        );
         *self.view.borrow_mut() = newest.clone();
         self.rollouts.apply_view(self, &newest);
         if peers_changed || deployment_changed(&before, &newest) {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,6 +7,7 @@
 use hollowsail_fleet::{EvacuatedHalls, Position};
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
+use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
 use tokio::sync::Notify;
 
@@ -41,6 +42,14 @@
     pub rollout_records: PhaseRecords,
 }
 
+impl View {
+    /// True if the whole list of targets was received and this entry follows its changes.
+    pub fn knows_all_targets(&self) -> bool {
+        let records = self.records.as_ref();
+        records.is_some_and(|known| known.at > Position::default())
+    }
+}
+
 /// The targets according to their records and the evacuated halls.
 #[derive(Debug, Default)]
 pub struct Targets {
@@ -50,6 +59,8 @@
     pub draining: Vec<Incarnation>,
     /// Services whose usable targets are all in evacuated halls.
     pub evacuated_services: BTreeSet<String>,
+    /// Software versions of all targets, in order.
+    pub versions: Vec<ListedVersion>,
 }
 
 /// All target records at a store position.
--- a/crates/observe/src/kinds.rs
+++ b/crates/observe/src/kinds.rs
@@ -96,6 +96,10 @@
     TargetFailed, "target_failed", 502, Some(500), "see the stages' status for what ran";
     /// A result that the request depends on was lost; the request did not run.
     InputsGone, "inputs_gone", 503, Some(500), "send the same request again later";
+    /// No target of the version that began the stream is usable now.
+    StreamVersionAway, "stream_version_away", 503, Some(1_000), "send the same request again later, to resume after the same event";
+    /// The version that began the stream is unknown or no longer in use, so it can't be resumed.
+    StreamVersionGone, "stream_version_gone", 503, None, "begin the stream anew, without an event or an attempt to resume";
     /// Targets crashed while running this request; it is refused temporarily.
     EndsTargets, "ends_targets", 503, Some(600_000), "do not send the request again unchanged; ask the operators why it crashes targets";
     /// A stage before the request could not be run; the request itself did not run.
