Take a target whose record names another version as another endpoint

A record that keeps its id and address but changes its software version updated nothing: the table kept the target with the version of its first record, so a stream would have been resumed by a version that the target no longer runs.

--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -32,6 +32,7 @@
         && known.slots == listed.slots
         && known.service == listed.service
         && known.hall == listed.hall
+        && known.version == listed.version
 }
 
 /// The settings of a service that affect its targets.
--- a/crates/targets/tests/suite/table.rs
+++ b/crates/targets/tests/suite/table.rs
@@ -107,3 +107,20 @@
         .collect();
     assert_eq!(counts_before[..50], counts_after[..50]);
 }
+
+#[test]
+fn target_whose_record_names_another_version_is_replaced() {
+    let deployment = deployment(1);
+    let mut table = TargetTable::default();
+    let old = usable("i-1", 0, "one");
+    table.update(0, &deployment, std::slice::from_ref(&old), &[]);
+    let mut record = (*old.record).clone();
+    record.version = "another".to_string();
+    let new = UsableTarget {
+        record: Arc::new(record),
+        ..old
+    };
+    table.update(1, &deployment, std::slice::from_ref(&new), &[]);
+    let target = table.get(&new.record.incarnation).expect("it is listed");
+    assert_eq!(target.record.version, "another");
+}
