--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -5,7 +5,10 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
+use hollowsail_platform_emulator::body::StreamEvent;
+use hollowsail_platform_emulator::caller::{
+    CallerRequest, CallerResponse, Connection, Outcome, ResumedStream,
+};
 use hollowsail_platform_emulator::{api_key, RouteKind, RouteModel};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -14,7 +17,7 @@
 use super::contention::{self, Contender};
 use super::plan::SoakPlan;
 use super::processes::Fleet;
-use super::SoakOptions;
+use super::{versions, SoakOptions};
 
 /// Mean pause between requests of a caller, and the default retry delay.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -24,6 +27,11 @@
 /// How long a caller waits beyond the route's timeout.
 const TIMEOUT_GRACE: Duration = Duration::from_secs(2);
 
+/// Maximum number of tries for a stream that may be resumed.
+const MAX_STREAM_TRIES: u32 = 4;
+/// Pause before a caller takes up a stream that was broken off.
+const TAKE_UP_PAUSE: Duration = Duration::from_millis(50);
+
 /// Relative frequency of each route of the site.
 const ROUTE_WEIGHTS: [usize; 3] = [4, 2, 4];
 
@@ -39,6 +47,10 @@
     pub ended: Instant,
     /// `None` if the caller cancelled it.
     pub outcome: Option<Outcome>,
+    /// Events received of a stream.
+    pub events: Vec<StreamEvent>,
+    /// The stream that it resumed.
+    pub resumed: Option<ResumedStream>,
 }
 
 /// The callers of a run.
@@ -60,7 +72,11 @@
             attempts: RefCell::default(),
             is_over: Cell::new(false),
         });
-        let contenders = contention::contenders(&plan.burst).into_iter().map(Rc::new);
+        let contenders = contention::contenders(&plan.burst);
+        let contenders = contenders
+            .into_iter()
+            .chain(versions::callers())
+            .map(Rc::new);
         let ordinary = std::iter::repeat_n(None, options.callers);
         let contenders = ordinary.chain(contenders.map(Some)).enumerate();
         let callers = contenders.map(|(number, contender)| {
@@ -116,7 +132,10 @@
         let is_past = || end.is_some_and(|(_, end)| Instant::now() >= end);
         while !self.shared.is_over.get() && !is_past() {
             let route = self.draw_route();
-            self.send_with_retry(&route).await;
+            match route.resumable {
+                true => self.receive_stream(&route).await,
+                false => self.send_with_retry(&route).await,
+            }
             let pause = PAUSE.mul_f64(self.rng.random_range(0.0..2.0));
             tokio::time::sleep(pause).await;
         }
@@ -138,7 +157,11 @@
     /// delay, and after an unknown outcome on a route that is safe to repeat.
     async fn send_with_retry(&mut self, route: &Rc<RouteModel>) {
         let content = self.requests;
-        let pause = match self.attempt(route, content).await {
+        let outcome = self
+            .attempt(route, content, None)
+            .await
+            .map(|attempt| attempt.outcome);
+        let pause = match outcome.flatten() {
             Some(Outcome::NotRun { after, .. }) => after.unwrap_or(PAUSE),
             Some(Outcome::Unknown { .. }) if route.kind == RouteKind::Safe => PAUSE,
             _ => return,
@@ -146,12 +169,42 @@
         if pause.as_millis() as u64 <= route.timeout_ms / 3 {
             tokio::time::sleep(pause).await;
             self.connection = None;
-            self.attempt(route, content).await;
+            self.attempt(route, content, None).await;
+        }
+    }
+
+    /// Requests a stream, and takes it up at another gateway where it is broken off.
+    async fn receive_stream(&mut self, route: &Rc<RouteModel>) {
+        let content = self.requests;
+        let mut resumed: Option<ResumedStream> = None;
+        for _ in 0..MAX_STREAM_TRIES {
+            let Some(attempt) = self.attempt(route, content, resumed.clone()).await else {
+                return;
+            };
+            if let Some(last) = attempt.events.last() {
+                let first = resumed.map_or(attempt.id, |stream| stream.attempt);
+                resumed = Some(ResumedStream {
+                    attempt: first,
+                    after: last.number,
+                });
+            }
+            let pause = match attempt.outcome {
+                Some(Outcome::NotRun { after, .. }) => after.unwrap_or(PAUSE),
+                Some(Outcome::Unknown { .. }) => TAKE_UP_PAUSE,
+                _ => return,
+            };
+            tokio::time::sleep(pause.min(Duration::from_millis(route.timeout_ms / 3))).await;
+            self.connection = None;
         }
     }
 
     /// Sends a request once. Retries have the same `content`, by which gateways know them.
-    async fn attempt(&mut self, route: &Rc<RouteModel>, content: u64) -> Option<Outcome> {
+    async fn attempt(
+        &mut self,
+        route: &Rc<RouteModel>,
+        content: u64,
+        resumed: Option<ResumedStream>,
+    ) -> Option<Attempt> {
         let is_cancelled = self.rng.random_bool(CANCEL_SHARE);
         let timeout = match is_cancelled {
             true => Duration::from_millis(self.rng.random_range(1..MAX_CANCEL_DELAY_MS)),
@@ -162,32 +215,37 @@
         self.requests += 1;
         let id = format!("{:08x}{:08x}", self.number + 1, self.requests);
         let mut request = CallerRequest::for_route(route, id.clone());
+        request.resumed.clone_from(&resumed);
         if let Some(contender) = &self.contender {
             request.path = format!("{}{:x}-{content:x}", route.path, self.number);
             request.api_key = contender.organisation.map(api_key);
         }
         let sent = Instant::now();
-        let outcome = tokio::time::timeout(timeout, connection.call(&request)).await;
-        let outcome = match outcome {
-            Ok(outcome) => Some(outcome),
+        let response = tokio::time::timeout(timeout, connection.call(&request)).await;
+        let response = match response {
+            Ok(response) => Some(response),
             Err(_) if is_cancelled => None,
-            Err(_) => Some(Outcome::Unknown {
+            Err(_) => Some(CallerResponse::from(Outcome::Unknown {
                 why: "no answer".to_string(),
-            }),
+            })),
         };
-        self.shared.attempts.borrow_mut().push(Attempt {
+        if response.is_some() && connection.is_open() {
+            self.connection = Some((entry, connection));
+        }
+        let (outcome, events) = response.map(|r| (r.outcome, r.events)).unzip();
+        let attempt = Attempt {
             id,
             route: route.clone(),
             contender: self.contender.clone(),
             entry,
             sent,
             ended: Instant::now(),
-            outcome: outcome.clone(),
-        });
-        if outcome.is_some() && connection.is_open() {
-            self.connection = Some((entry, connection));
-        }
-        outcome
+            outcome,
+            events: events.unwrap_or_default(),
+            resumed,
+        };
+        self.shared.attempts.borrow_mut().push(attempt.clone());
+        Some(attempt)
     }
 
     /// Keeps the open connection, or opens one to a random ready gateway.
@@ -215,7 +273,7 @@
     for (entry, address) in fleet.ready() {
         let request = CallerRequest::for_route(&plan.added_route(), format!("added-{entry}"));
         let outcome = match Connection::open(address).await {
-            Ok(mut connection) => connection.call(&request).await,
+            Ok(mut connection) => connection.call(&request).await.outcome,
             Err(err) => Outcome::Unknown {
                 why: err.to_string(),
             },
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -12,8 +12,7 @@
 use super::plan::{EntryFault, SoakPlan};
 use super::processes::{Disturbance, Observations};
 use super::report::SoakReport;
-use super::room;
-use super::SoakOptions;
+use super::{room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
@@ -50,6 +49,8 @@
     }
     let room = room::evaluate(observations, attempts);
     failures.extend(room.failures);
+    let streams = versions::evaluate(observations, attempts);
+    failures.extend(streams.failures);
     SoakReport {
         seed: options.seed,
         seconds: options.seconds,
@@ -63,6 +64,7 @@
         }),
         ran: observations.ran.len(),
         room: room.summary,
+        streams: streams.summary,
         failures,
     }
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
 //! and monitors the processes; [`callers`] generates load, partly for a contended
-//! service ([`contention`]); [`checks`], [`room`] and [`cut`] compare callers'
-//! results with the targets' executions. Settings and logs stay in the run's folder.
+//! service ([`contention`]) and partly for one with several software versions ([`versions`]);
+//! [`checks`], [`room`], [`cut`] and [`versions`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod callers;
 mod checks;
@@ -13,6 +13,7 @@
 mod processes;
 mod report;
 mod room;
+mod versions;
 
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::{self, Burst};
+use super::versions;
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
 const FIRST_FAULT_S: u64 = 4;
@@ -181,13 +182,14 @@
         let mut faults: Vec<PlannedFault> = faults.collect();
         faults.sort_by_key(|fault| fault.at);
         let (contention, burst) = contention::draw(seed, latest);
+        let versions = versions::draw(seed, latest);
         let (cut_section, cut) = draw_cut(seed, latest, entries);
         let platform = format!(
             "[platform]\nhalls = hall-a, hall-b\nhosts = {entries}\ndrain_ms = {DRAIN_MS}\n\
              seed = {seed}\n"
         );
         let site_text = format!(
-            "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}",
+            "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}",
             troubles.join("\n")
         );
         SoakPlan {
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -19,6 +19,8 @@
     pub ran: usize,
     /// Refusals for want of room, by route.
     pub room: String,
+    /// Streams that callers took up.
+    pub streams: String,
     /// One line per broken promise or failed process.
     pub failures: Vec<String>,
 }
@@ -44,13 +46,13 @@
             self.ran
         )?;
         if self.is_success() {
-            return write!(f, "all promises kept\n{}", self.room);
+            return write!(f, "all promises kept\n{}\n{}", self.room, self.streams);
         }
         writeln!(f, "{} failures", self.failures.len())?;
         for failure in self.failures.iter().take(MAX_SHOWN_FAILURES) {
             writeln!(f, "  {failure}")?;
         }
-        writeln!(f, "{}", self.room)?;
+        writeln!(f, "{}\n{}", self.room, self.streams)?;
         write!(
             f,
             "again: hollowsail-bench soak --seed {} --seconds {}",
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -144,7 +144,7 @@
     for attempt in 0..MAX_ATTEMPTS {
         let request = CallerRequest::for_route(route, format!("{:08x}{attempt:08x}", number + 1));
         outcome = match Connection::open(config.callers()).await {
-            Ok(mut connection) => connection.call(&request).await,
+            Ok(mut connection) => connection.call(&request).await.outcome,
             Err(err) => Outcome::Unknown {
                 why: err.to_string(),
             },
