--- a/crates/gateway/tests/suite/reservations.rs
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -68,6 +68,8 @@
         json!({ "stages": stages, "priority": priority, "target_latency_ms": 2000,
             "timeout_ms": 6000 })
     };
+    let mut resumable = route(0);
+    resumable["stream_resume"] = json!(true);
     DeploymentJson::new(1)
         .engines("engines")
         .stage_service(&format!("{name}-first"), 2, 300.0, 10.0)
@@ -75,6 +77,7 @@
         .organisation("acme", &["acme-key"])
         .route("/urgent/", "stream", "engines", route(0))
         .route("/later/", "stream", "engines", route(3))
+        .route("/resumable/", "stream", "engines", resumable)
 }
 
 fn request(path: &str, number: usize) -> Call {
@@ -696,3 +699,30 @@
     let asked = times_asked(&owner, "suspended-first/0");
     assert!((1..=40).contains(&asked), "asked {asked} times");
 }
+
+/// Work for the stream was done already, so it isn't put behind new ones.
+#[actix_rt::test]
+async fn resumed_stream_is_not_refused_for_want_of_room() {
+    let platform = Platform::start("resumed", Duration::from_millis(20)).await;
+    let is_full = |request: &ReceivedRequest| reply_to_all(request, Reply::Refused(800, "Full"));
+    let _owner = platform.with_owner(is_full).await;
+    // Nothing else is asked of the owner, which would be suspected.
+    let without_scheduler = Mechanisms::without(&["desk".to_string()]).expect("a mechanism");
+    let gateway = platform.gateway(without_scheduler).await;
+    let without_stages = request("/resumable/", 1).with("X-Pieces", "0,0");
+    let begun = without_stages.send(gateway.addrs.callers).await;
+    assert_eq!(begun.status, 200, "{begun:?}");
+    let new = request("/resumable/", 2).send(gateway.addrs.callers).await;
+    assert_eq!(new.status, 503, "{new:?}");
+    let resumed = request("/resumable/", 1)
+        .with("X-Request-Id", "0000000000000003")
+        .with("Resumes", "0000000000000001")
+        .with("Last-Event-Id", "1")
+        .send(gateway.addrs.callers)
+        .await;
+    assert_eq!(
+        (resumed.status, resumed.is_whole),
+        (200, true),
+        "{resumed:?}"
+    );
+}
