Heed targets that fail when they have to refuse too many requests

The users' targets at times report how many requests they can refuse in a second for want of room (Server-Brittle); one that has to refuse more falls over. Nothing read that: entries sent as before, and each learned of a full target by its refusal.

- The report is decoded once, in the platform's headers, and kept like the limit on requests: by incarnation, the strictest of those that may be the newest, and spread to all entries over a path of its own that older builds answer with 404.
- Such a target is assigned requests by its scheduler only, and no more than it runs at once (its slots; half of them by a recent owner, as a former one's requests may still run).
A queued request takes the place of one that ends at once, not at the next poll.
- One that refuses a request all the same rests for a second, at the entry and, by a message, at its scheduler; then its room grows again from what it had, by one in 250 ms.
- Waits and times to come back follow from the duration of runs.
Stage workers get one call at a time already; a refusal keeps their queue away for a second.

--- a/crates/bench/src/day/engines.rs
+++ b/crates/bench/src/day/engines.rs
@@ -88,6 +88,7 @@
                 version: String::new(),
                 warm_up: None,
                 limit: None,
+                max_running: None,
             })
             .collect();
         scheduler.set_engines(0, &engines);
--- a/crates/bench/tests/suite/groups.rs
+++ b/crates/bench/tests/suite/groups.rs
@@ -53,6 +53,7 @@
         version: String::new(),
         warm_up: None,
         limit: None,
+        max_running: None,
     });
     own.collect()
 }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -13,13 +13,14 @@
 use hollowsail_connect::{Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
+use hollowsail_targets::LimitKind;
 use http::StatusCode;
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
 use super::messages::{
     Envelope, Message, PieceId, PieceOutcome, PlacementId, PlacementReply, ProducePieceRequest,
-    PATH,
+    TargetReportMessage, PATH, TARGET_REPORTS_PATH,
 };
 use super::record::PeerRecord;
 use crate::batched_calls::BatchedCalls;
@@ -66,6 +67,8 @@
     pool: Rc<Pool>,
     /// Reservations in the queues that the peer owns.
     pub reservations: Rc<ReservationCalls>,
+    /// Reports of targets that older builds don't know.
+    pub reports: Rc<BatchedCalls<TargetReportMessage, ()>>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteOutcome>>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
@@ -121,6 +124,7 @@
             cx: Rc::downgrade(cx),
             pool: Pool::new(peer.addr, rules),
             reservations: BatchedCalls::new(cx.me.id.0, peer.addr, RESERVATIONS_PATH),
+            reports: BatchedCalls::new(cx.me.id.0, peer.addr, TARGET_REPORTS_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
@@ -251,7 +255,7 @@
                 target,
                 broadcast: true,
                 ..
-            } => target_reports::broadcast_limit(&cx, &target),
+            } => target_reports::broadcast_limit(&cx, &target, LimitKind::Requests),
             _ => {}
         }
     }
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hollowsail_connect::set_options;
+use hollowsail_targets::LimitKind;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -14,7 +15,9 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
-use super::messages::{Envelope, Message, PATH};
+use super::messages::{
+    Envelope, Message, TargetReportCall, TargetReportMessage, PATH, TARGET_REPORTS_PATH,
+};
 use super::record::PeerRecord;
 use super::state::{
     RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, RECORDS_PATH, STATE_PATH,
@@ -75,6 +78,7 @@
         FEED_PATH if is_post => changes(cx, req).await,
         // Without the mechanism this entry answers like a build without reservations.
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
+        TARGET_REPORTS_PATH if is_post => target_report_messages(cx, req).await,
         STREAMS_PATH if is_post => stream_origins(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
@@ -207,6 +211,31 @@
         .into())
 }
 
+/// Handles reports of targets; none has a reply.
+async fn target_report_messages(
+    cx: &Rc<Traffic>,
+    req: Request<Incoming>,
+) -> Result<Bytes, Rejection> {
+    let call: TargetReportCall = read(req).await?;
+    for message in call.requests {
+        match message {
+            TargetReportMessage::RefusalLimit {
+                target,
+                limit,
+                broadcast,
+            } => {
+                let kind = LimitKind::Refusals;
+                target_reports::on_limit_notice(cx, &target, kind, limit, broadcast);
+            }
+            TargetReportMessage::Refused { target } => cx.placements.record_refusal(cx, &target),
+        }
+    }
+    let no_replies: [(); 0] = [];
+    Ok(rmp_serde::to_vec(&no_replies)
+        .expect("these types always encode")
+        .into())
+}
+
 /// Holds copies of records of streams, and returns them.
 async fn stream_origins(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: OriginCall = read(req).await?;
@@ -243,7 +272,7 @@
             target,
             limit,
             broadcast,
-        } => target_reports::on_limit_notice(cx, &target, limit, broadcast),
+        } => target_reports::on_limit_notice(cx, &target, LimitKind::Requests, limit, broadcast),
         Message::TargetCrashed { request, run } => cx.crashes.count(cx, request, run),
         Message::CrashVerdict { request, verdict } => cx.crashes.on_verdict(cx, request, verdict),
         Message::RolloutReport(report) => cx.rollouts.on_report(cx, from, *report),
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -12,11 +12,31 @@
 use serde::{Deserialize, Serialize};
 
 use super::record::{PeerId, PeerRecord};
+use crate::batched_calls::Call;
 use crate::rollouts::{PhaseNotice, RolloutReport};
 
 /// Path that accepts an [`Envelope`].
 pub const PATH: &str = "/hollowsail/messages";
 
+/// Path that accepts [`TargetReportCall`]s. Separate from [`PATH`], so that an entry of an older
+/// build answers 404 and its envelopes stay unchanged.
+pub const TARGET_REPORTS_PATH: &str = "/hollowsail/target-reports";
+
+pub type TargetReportCall = Call<TargetReportMessage>;
+
+/// A report of a target that older builds don't know.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum TargetReportMessage {
+    /// How many requests the target can refuse in a second; sent like [`Message::TargetLimit`].
+    RefusalLimit {
+        target: Incarnation,
+        limit: LimitNotice,
+        broadcast: bool,
+    },
+    /// To the owner of a scheduler: the target refused a request that it placed.
+    Refused { target: Incarnation },
+}
+
 /// A batch of messages from one entry to another.
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Envelope {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -31,8 +31,8 @@
 pub use listen::{read, start};
 pub use messages::{
     CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome, PlacementId,
-    PlacementReply, PlacementStep, ProducePieceRequest, UnneededResult, VerdictNotice,
-    WorkerHandover,
+    PlacementReply, PlacementStep, ProducePieceRequest, TargetReportMessage, UnneededResult,
+    VerdictNotice, WorkerHandover,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{
--- a/crates/gateway/src/placement/handle.rs
+++ b/crates/gateway/src/placement/handle.rs
@@ -6,7 +6,7 @@
 use hollowsail_targets::Target;
 
 use super::GroupScheduler;
-use crate::peers::{Link, Message, PlacementId, PlacementStep};
+use crate::peers::{Link, Message, PlacementId, PlacementStep, TargetReportMessage};
 use crate::target_reports;
 use crate::traffic::Traffic;
 
@@ -31,11 +31,29 @@
         }
     }
 
-    /// Repeats the target's limit report to a remote scheduler once the target has answered,
-    /// as a new owner of the scheduler may not have received it.
-    pub fn repeat_limit_report(&self, cx: &Traffic, target: &Target) {
+    /// Repeats the target's limit reports to a remote scheduler once the target has answered, as a
+    /// new owner of the scheduler may not have received them.
+    pub fn repeat_limit_reports(&self, cx: &Traffic, target: &Target) {
         if let SchedulerHandle::Peer(link, _) = &self.scheduler {
-            target_reports::resend_limit(cx, target, link);
+            target_reports::resend_limits(cx, target, link);
+        }
+    }
+
+    /// The target refused the request, which is no fault of its own. The scheduler learns of it if
+    /// the target must not refuse many.
+    pub fn refused(mut self, target: &Target) {
+        self.completed();
+        if target.refusal_limit.get().is_none() {
+            return;
+        }
+        match &self.scheduler {
+            SchedulerHandle::Local(cx, scheduler, _) => {
+                scheduler.record_refusal(cx.clock.now(), target.incarnation());
+            }
+            SchedulerHandle::Peer(link, _) => {
+                let target = target.incarnation().clone();
+                link.reports.send(TargetReportMessage::Refused { target });
+            }
         }
     }
 
--- a/crates/gateway/src/placement/mod.rs
+++ b/crates/gateway/src/placement/mod.rs
@@ -209,6 +209,14 @@
         });
     }
 
+    /// Records that a target refused a request for want of room, at the schedulers here.
+    pub fn record_refusal(&self, cx: &Traffic, target: &Incarnation) {
+        let now = cx.clock.now();
+        let schedulers = self.schedulers.borrow();
+        let schedulers = schedulers.values();
+        schedulers.for_each(|scheduler| scheduler.record_refusal(now, target));
+    }
+
     /// Applies the targets of a new view.
     pub fn update_targets(&self, cx: &Rc<Traffic>) {
         for scheduler in self.schedulers.borrow().values() {
--- a/crates/gateway/src/placement/scheduler.rs
+++ b/crates/gateway/src/placement/scheduler.rs
@@ -14,7 +14,7 @@
     QueueEstimate, SchedulableEngine,
 };
 use hollowsail_targets::Target;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 
 use super::MAX_GROUP_ENGINES;
 use crate::mechanisms::Mechanism;
@@ -37,6 +37,8 @@
     /// Some target is warming up or reports a limit.
     has_rate_limits: Cell<bool>,
     is_serving_queue: Cell<bool>,
+    /// Notified when a placement ends, as a queued demand may take its place.
+    placement_ended: Notify,
     last_sweep_ms: Cell<Millis>,
 }
 
@@ -89,6 +91,7 @@
             ownership_age: OwnershipAge::default(),
             has_rate_limits: Cell::new(false),
             is_serving_queue: Cell::new(false),
+            placement_ended: Notify::new(),
             last_sweep_ms: Cell::new(0),
         }
     }
@@ -182,7 +185,10 @@
         actix_rt::spawn(async move {
             while !scheduler.queue.borrow().is_empty() {
                 let next = scheduler.next_poll(cx.clock.now());
-                tokio::time::sleep_until(cx.clock.timer(next).into()).await;
+                tokio::select! {
+                    _ = tokio::time::sleep_until(cx.clock.timer(next).into()) => {}
+                    _ = scheduler.placement_ended.notified() => {}
+                }
                 scheduler.serve_queue(&cx);
             }
             scheduler.is_serving_queue.set(false);
@@ -265,9 +271,17 @@
             PlacementStep::Failed => ended(PlacementEnd::Failed),
             PlacementStep::Abandoned => ended(PlacementEnd::Abandoned),
         };
+        if self.is_serving_queue.get() {
+            self.placement_ended.notify_one();
+        }
         self.log_ejected(cx, &ejected);
     }
 
+    /// Records that a target refused a request for want of room.
+    pub fn record_refusal(&self, now: Millis, target: &Incarnation) {
+        self.engines.borrow_mut().record_refusal(target, now);
+    }
+
     fn log_ejected(&self, cx: &Traffic, ejected: &[Incarnation]) {
         for engine in ejected {
             let fields = format_args!("desk={} target={} why=answers", self.name, engine.id);
@@ -284,6 +298,7 @@
         version: target.record.version.clone(),
         warm_up: target.warm_up.get(),
         limit: target.limit.get(),
+        max_running: target.max_running(),
     });
     engines.collect()
 }
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -84,7 +84,7 @@
             Ok(mut answer) => {
                 metrics::count_attempt(&target.record.service, "answered");
                 if let Some(placed) = &placed {
-                    placed.repeat_limit_report(cx, &target);
+                    placed.repeat_limit_reports(cx, &target);
                 }
                 answer.placed = placed;
                 return Ok(answer);
@@ -93,8 +93,7 @@
                 placed
                     .into_iter()
                     .for_each(|mut placed| match failure.progress {
-                        // A refusal is no fault of the engine.
-                        Progress::FinalRefusal => placed.completed(),
+                        Progress::FinalRefusal => placed.refused(&target),
                         _ if failure.unconnected.is_some() => placed.completed(),
                         _ => placed.failed(),
                     });
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -208,8 +208,8 @@
     cx.with_targets(service, |targets| {
         let targets = targets.iter();
         let allowed = targets.filter(|target| versions.allow(&target.record.version));
-        let mut limits = allowed.map(|target| target.limit.get()).peekable();
-        limits.peek().is_some() && limits.all(|limit| limit.is_some())
+        let mut allowed = allowed.peekable();
+        allowed.peek().is_some() && allowed.all(|target| target.is_limited())
     })
 }
 
@@ -307,7 +307,7 @@
         .filter(|target| cx.backoff_until(target).is_none())
         .filter(|target| is_within_warm_up_share(cx, target, share))
         // A limit covers all entries together, so only the scheduler can apply it.
-        .filter(|target| target.limit.get().is_none())
+        .filter(|target| !target.is_limited())
         .collect();
     let (index, reason) = match &admitted.caller.generation {
         Some(generation) => choose::engine(cx, generation, prepared, &untried)?,
--- a/crates/gateway/src/target_reports.rs
+++ b/crates/gateway/src/target_reports.rs
@@ -15,6 +15,10 @@
 //! limits in force, and the owner of a scheduler receives them again from the entries it
 //! places requests for.
 //!
+//! A target that fails when it has to refuse too many requests in a second reports how many it can
+//! refuse. That is spread in the same way; only schedulers and queues assign requests to it, and no
+//! more than it runs at once.
+//!
 //! A target that rejects a request may ask for a backoff. It applies to this entry only and is
 //! not broadcast.
 //!
@@ -33,18 +37,22 @@
 };
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
-use hollowsail_targets::{LimitReport, Target};
+use hollowsail_targets::{LimitKind, LimitReport, Target};
 use http::StatusCode;
 
 use crate::mechanisms::Mechanism;
 use crate::metrics;
-use crate::peers::{LimitNotice, Link, Message, Owner, PeerId, PeerRecord};
+use crate::peers::{LimitNotice, Link, Message, Owner, PeerId, PeerRecord, TargetReportMessage};
 use crate::traffic::Traffic;
 
 /// How long an entry waits for a target's record to confirm a report before it requests a
 /// broadcast: longer than the pause of a watch and two hops.
 const CONFIRMATION_TIMEOUT: Duration = Duration::from_millis(700);
 
+/// How long an entry sends nothing to a target that must not refuse many requests, after it refused
+/// one.
+const REFUSAL_BACKOFF: Duration = Duration::from_secs(1);
+
 /// Applies the reports in the headers of an answer to a request that was sent at `sent_at` or
 /// later.
 pub fn record_reports(
@@ -68,29 +76,46 @@
     if let Some(load) = head.load.filter(|_| cx.has(Mechanism::TargetSpeeds)) {
         target.record_load(cx.clock.now(), load);
     }
-    let per_s = match head.limit {
-        AdvertisedLimit::Absent => Some(None),
-        AdvertisedLimit::PerSecond(per_s) => Some(Some(per_s)),
-        AdvertisedLimit::Malformed => None,
-    };
-    if let Some(per_s) = per_s {
-        let received_at = cx.clock.now();
+    record_limits(cx, incarnation, head, sent_at);
+    let is_unavailable = status == StatusCode::SERVICE_UNAVAILABLE;
+    let is_refused = is_unavailable && head.not_run;
+    // Further requests would be refused, too, and the target fails when it refuses too many.
+    let rest = target.refusal_limit.get().filter(|_| is_refused);
+    let rest = rest.map(|_| REFUSAL_BACKOFF);
+    let backoff = head.retry_after.filter(|_| is_unavailable).max(rest);
+    if let Some(backoff) = backoff.filter(|backoff| cx.record_backoff(incarnation, *backoff)) {
+        let fields = format_args!("target={} for_ms={}", incarnation.id, backoff.as_millis());
+        cx.log.line(events::TARGET_RESTS, fields);
+    }
+}
+
+/// Records the limits that an answer reports, or that it reports none.
+fn record_limits(
+    cx: &Rc<Traffic>,
+    incarnation: &Incarnation,
+    head: &TargetHeaders,
+    sent_at: Millis,
+) {
+    let advertised = [
+        (LimitKind::Requests, &head.limit),
+        (LimitKind::Refusals, &head.refusal_limit),
+    ];
+    for (kind, advertised) in advertised {
+        let per_s = match advertised {
+            AdvertisedLimit::Absent => None,
+            AdvertisedLimit::PerSecond(per_s) => Some(*per_s),
+            AdvertisedLimit::Malformed => continue,
+        };
         let report = LimitReport {
+            kind,
             per_s,
             sent_at,
-            received_at,
+            received_at: cx.clock.now(),
         };
         if record_limit(cx, incarnation, report, "answer") {
-            request_limit_broadcast_throttled(cx, incarnation);
+            request_limit_broadcast_throttled(cx, incarnation, kind);
         }
     }
-    let backoff = head
-        .retry_after
-        .filter(|_| status == StatusCode::SERVICE_UNAVAILABLE);
-    if let Some(backoff) = backoff.filter(|backoff| cx.record_backoff(incarnation, *backoff)) {
-        let fields = format_args!("target={} for_ms={}", incarnation.id, backoff.as_millis());
-        cx.log.line(events::TARGET_RESTS, fields);
-    }
 }
 
 /// Logs and counts malformed and unrecognised headers, which are otherwise ignored. Log lines
@@ -135,39 +160,39 @@
 }
 
 /// Requests a broadcast of the reported limit, throttled for each incarnation.
-fn request_limit_broadcast_throttled(cx: &Rc<Traffic>, incarnation: &Incarnation) {
-    match cx.limit_broadcasts.changed(cx.clock.now(), incarnation) {
-        SendTime::Now => request_limit_broadcast(cx, incarnation),
+fn request_limit_broadcast_throttled(cx: &Rc<Traffic>, incarnation: &Incarnation, kind: LimitKind) {
+    let subject = (incarnation.clone(), kind);
+    match cx.limit_broadcasts.changed(cx.clock.now(), &subject) {
+        SendTime::Now => request_limit_broadcast(cx, incarnation, kind),
         SendTime::At(at) => {
-            let (cx, incarnation) = (cx.clone(), incarnation.clone());
+            let cx = cx.clone();
             actix_rt::spawn(async move {
                 tokio::time::sleep_until(cx.clock.timer(at).into()).await;
-                cx.limit_broadcasts
-                    .record_sent(cx.clock.now(), &incarnation);
-                request_limit_broadcast(&cx, &incarnation);
+                cx.limit_broadcasts.record_sent(cx.clock.now(), &subject);
+                request_limit_broadcast(&cx, &subject.0, kind);
             });
         }
         SendTime::Scheduled => {}
     }
 }
 
-fn request_limit_broadcast(cx: &Rc<Traffic>, incarnation: &Incarnation) {
-    let Some(report) = cx.targets().limit_report(incarnation) else {
+fn request_limit_broadcast(cx: &Rc<Traffic>, incarnation: &Incarnation, kind: LimitKind) {
+    let Some(report) = cx.targets().limit_report(incarnation, kind) else {
         return;
     };
     match coordinator_of(cx, incarnation) {
-        Owner::Me => broadcast_limit(cx, incarnation),
-        Owner::Peer(link) => link.send(limit_message(cx, incarnation, report, true)),
+        Owner::Me => broadcast_limit(cx, incarnation, kind),
+        Owner::Peer(link) => send_limit(cx, &link, incarnation, report, true),
     }
 }
 
 /// Sends the reported limit to every other entry.
-pub fn broadcast_limit(cx: &Rc<Traffic>, incarnation: &Incarnation) {
-    let Some(report) = cx.targets().limit_report(incarnation) else {
+pub fn broadcast_limit(cx: &Rc<Traffic>, incarnation: &Incarnation, kind: LimitKind) {
+    let Some(report) = cx.targets().limit_report(incarnation, kind) else {
         return;
     };
     for link in cx.peers.links_to_all(cx) {
-        link.send(limit_message(cx, incarnation, report, false));
+        send_limit(cx, &link, incarnation, report, false);
     }
 }
 
@@ -175,26 +200,28 @@
 pub fn on_limit_notice(
     cx: &Rc<Traffic>,
     incarnation: &Incarnation,
+    kind: LimitKind,
     notice: LimitNotice,
     broadcast: bool,
 ) {
     let now = cx.clock.now();
     let report = LimitReport {
+        kind,
         per_s: notice.per_s,
         sent_at: now.saturating_sub(notice.sent_ms),
         received_at: now.saturating_sub(notice.received_ms),
     };
     if record_limit(cx, incarnation, report, "peer") && broadcast {
-        request_limit_broadcast_throttled(cx, incarnation);
+        request_limit_broadcast_throttled(cx, incarnation, kind);
     }
 }
 
-/// Sends the reported limit from time to time to an entry that sends to the target on behalf
+/// Sends the reported limits from time to time to an entry that sends to the target on behalf
 /// of this one.
-pub fn resend_limit(cx: &Traffic, target: &Target, to: &Rc<Link>) {
-    let report = cx.targets().limit_to_repeat(cx.clock.now(), target);
-    if let Some(report) = report {
-        to.send(limit_message(cx, target.incarnation(), report, false));
+pub fn resend_limits(cx: &Traffic, target: &Target, to: &Rc<Link>) {
+    let reports = cx.targets().limits_to_repeat(cx.clock.now(), target);
+    for report in reports {
+        send_limit(cx, to, target.incarnation(), report, false);
     }
 }
 
@@ -211,26 +238,36 @@
         let others = new_peers.iter().filter(|peer| peer.id != cx.me.id);
         for peer in others {
             let link = cx.peers.link_to(cx, peer);
-            link.send(limit_message(cx, &incarnation, report, false));
+            send_limit(cx, &link, &incarnation, report, false);
         }
     }
 }
 
-fn limit_message(
+fn send_limit(
     cx: &Traffic,
+    to: &Rc<Link>,
     incarnation: &Incarnation,
     report: LimitReport,
     broadcast: bool,
-) -> Message {
+) {
     let now = cx.clock.now();
-    Message::TargetLimit {
-        target: incarnation.clone(),
-        limit: LimitNotice {
-            per_s: report.per_s,
-            sent_ms: now.saturating_sub(report.sent_at),
-            received_ms: now.saturating_sub(report.received_at),
-        },
-        broadcast,
+    let target = incarnation.clone();
+    let limit = LimitNotice {
+        per_s: report.per_s,
+        sent_ms: now.saturating_sub(report.sent_at),
+        received_ms: now.saturating_sub(report.received_at),
+    };
+    match report.kind {
+        LimitKind::Requests => to.send(Message::TargetLimit {
+            target,
+            limit,
+            broadcast,
+        }),
+        LimitKind::Refusals => to.reports.send(TargetReportMessage::RefusalLimit {
+            target,
+            limit,
+            broadcast,
+        }),
     }
 }
 
@@ -295,7 +332,11 @@
         "target={} born={} per_s={per_s} asked_ms={sent_age} heard_ms={received_age} by={by}",
         incarnation.id, incarnation.started,
     );
-    cx.log.line(events::TARGET_LIMIT, fields);
+    let event = match report.kind {
+        LimitKind::Requests => events::TARGET_LIMIT,
+        LimitKind::Refusals => events::TARGET_REFUSAL_LIMIT,
+    };
+    cx.log.line(event, fields);
 }
 
 fn log_draining(cx: &Traffic, incarnation: &Incarnation, by: &str) {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -13,7 +13,7 @@
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{EventLoopLag, LatencyWindow, Millis, PrefillTimes, RetryBudget};
-use hollowsail_targets::{LimitReport, Target, TargetTable};
+use hollowsail_targets::{LimitKind, LimitReport, Target, TargetTable};
 use tokio::sync::{mpsc, Notify};
 
 use crate::clock::Clock;
@@ -100,7 +100,7 @@
     pub reservations: Reservations,
     pub stream_origins: StreamOrigins,
     /// Throttles broadcasts of targets' limits.
-    pub limit_broadcasts: Throttle<Incarnation>,
+    pub limit_broadcasts: Throttle<(Incarnation, LimitKind)>,
     /// Throttles log lines on unusable headers, by target id and header.
     header_log: RefCell<LogThrottle<(String, String)>>,
     /// Throttles log lines on scarce connections, by service name.
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod all_kinds;
 mod answer_ends;
 mod backoff;
+mod brittle_targets;
 mod connections;
 mod crashing;
 mod cut_off;
--- a/crates/routing/src/limit.rs
+++ b/crates/routing/src/limit.rs
@@ -37,6 +37,8 @@
     burst: f64,
     /// Share of the target's rate during warm-up.
     warm_up_share: f64,
+    /// Share of the requests that may run at the target at once.
+    running_share: f64,
 }
 
 impl LimitShare {
@@ -47,11 +49,13 @@
                 rate_share: SETTLED_SHARE,
                 burst: SETTLED_BURST,
                 warm_up_share: warm_up::SETTLED_SCHEDULER_SHARE,
+                running_share: 1.0,
             },
             false => LimitShare {
                 rate_share: RECENT_SHARE,
                 burst: RECENT_BURST,
                 warm_up_share: warm_up::SCHEDULER_SHARE,
+                running_share: RECENT_SHARE,
             },
         }
     }
@@ -62,6 +66,7 @@
             rate_share: UNLISTED_SHARE,
             burst: RECENT_BURST,
             warm_up_share: UNLISTED_SHARE,
+            running_share: UNLISTED_SHARE,
         }
     }
 
@@ -70,6 +75,12 @@
         self.warm_up_share
     }
 
+    /// The sender's part of `max_running` requests at a target, at least one. Requests that a
+    /// previous owner sent may still run there.
+    pub fn running(&self, max_running: u32) -> u32 {
+        ((f64::from(max_running) * self.running_share) as u32).max(1)
+    }
+
     /// The sender's rate under a limit of `per_s`, in requests per second.
     pub fn rate(&self, per_s: f64) -> f64 {
         per_s.max(MIN_PER_S) * self.rate_share
--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -3,7 +3,8 @@
 //! One scheduler decides for all entries, so it tracks each engine's pending prefill,
 //! cached prefixes and health without depending on load reports. A placement is
 //! accounted for until its caller reports how it ended. Engines that are warming up or
-//! rate-limited are paced; when all of them are closed, a demand waits in a
+//! rate-limited are paced, and those that must not refuse requests get no more than they run at
+//! once ([`occupancy`]); when all of them are closed, a demand waits in a
 //! [`DemandQueue`] or is rejected with a retry time.
 //!
 //! With [`EngineScheduler::set_by_time`] the choice is by cost among the engines that are
@@ -12,6 +13,7 @@
 
 mod demand_queue;
 mod health;
+mod occupancy;
 mod prefill;
 
 use std::collections::{HashMap, HashSet};
@@ -26,6 +28,7 @@
 use crate::warm_up::{WarmUp, WarmUpGate, SCHEDULER_SHARE};
 use crate::Millis;
 use health::EngineHealth;
+use occupancy::Occupancy;
 use prefill::{EnginePrefill, PrefillRate, BASE_LATENCY_MS, MIN_SAMPLE_TOKENS};
 
 pub use demand_queue::{DemandKey, DemandQueue};
@@ -73,9 +76,11 @@
     pub warm_up: Option<WarmUp>,
     /// Limit that it reports for all entries together, in requests per second.
     pub limit: Option<f64>,
+    /// Maximum number of requests of all entries at it; set while it must not refuse any.
+    pub max_running: Option<u32>,
 }
 
-/// Estimated wait of a demand for an engine that is closed only by its limit.
+/// Estimated wait of a demand for an engine that is closed only by its limits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QueueEstimate {
     pub wait_ms: Millis,
@@ -161,6 +166,7 @@
     warm_up_gate: WarmUpGate,
     limit: Option<f64>,
     limit_gate: LimitGate,
+    occupancy: Occupancy,
     prefill: EnginePrefill,
 }
 
@@ -168,7 +174,21 @@
     /// Earliest time of the next request.
     fn opens_at(&self, now: Millis, share: LimitShare) -> Millis {
         let by_limit = self.limit_gate.opens_at(now, self.limit, share);
-        self.warm_up_gate.opens_at(now).max(by_limit)
+        let by_occupancy = self.occupancy.opens_at(now, self.running, share);
+        self.warm_up_gate
+            .opens_at(now)
+            .max(by_limit)
+            .max(by_occupancy)
+    }
+
+    /// Requests per second that its limits let through; `None` without limits.
+    fn rate(&self, share: LimitShare) -> Option<f64> {
+        let by_limit = self.limit.map(|per_s| share.rate(per_s));
+        let by_occupancy = self.occupancy.rate(share);
+        match (by_limit, by_occupancy) {
+            (Some(by_limit), Some(by_occupancy)) => Some(by_limit.min(by_occupancy)),
+            (by_limit, by_occupancy) => by_limit.or(by_occupancy),
+        }
     }
 }
 
@@ -264,6 +284,7 @@
                 .warm_up_gate
                 .update(now, engine.warm_up, SCHEDULER_SHARE, 0.0);
             state.limit = engine.limit;
+            state.occupancy.set_max_running(engine.max_running);
         }
         self.order = self.engines.keys().cloned().collect();
         self.order.sort();
@@ -279,7 +300,7 @@
     }
 
     /// Estimates when a demand behind `ahead` others gets an engine that is closed only by
-    /// its limit; `None` without such an engine.
+    /// its limits; `None` without such an engine.
     pub fn queue_estimate(
         &self,
         now: Millis,
@@ -288,14 +309,13 @@
     ) -> Option<QueueEstimate> {
         let share = self.limit_share;
         let engines = self.allowed(demand).map(|key| &self.engines[key]);
-        let limited =
-            engines.filter(|engine| engine.limit.is_some() && engine.warm_up_gate.is_open(now));
+        let limited = engines
+            .filter(|engine| engine.rate(share).is_some() && engine.warm_up_gate.is_open(now));
         let first = limited
             .clone()
             .map(|engine| engine.opens_at(now, share))
             .min()?;
-        let rates = limited.filter_map(|engine| engine.limit);
-        let per_s: f64 = rates.map(|per_s| share.rate(per_s)).sum();
+        let per_s: f64 = limited.filter_map(|engine| engine.rate(share)).sum();
         let behind_ms = (ahead as f64 * 1_000.0 / per_s) as Millis;
         Some(QueueEstimate {
             wait_ms: first - now + behind_ms,
@@ -576,6 +596,13 @@
         }
     }
 
+    /// Records that an engine refused a request for want of room.
+    pub fn record_refusal(&mut self, engine: &K, now: Millis) {
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.occupancy.record_refusal(now, engine.running);
+        }
+    }
+
     /// Ends a placement. Returns newly ejected engines.
     pub fn record_end(&mut self, key: PlacementKey, end: PlacementEnd, now: Millis) -> Vec<K> {
         let Some(placement) = self.placements.remove(key) else {
@@ -587,6 +614,11 @@
             return Vec::new();
         };
         engine.running = engine.running.saturating_sub(1);
+        if end == PlacementEnd::Completed {
+            engine
+                .occupancy
+                .record_run(now.saturating_sub(placement.placed_at));
+        }
         let suspects = u32::from(placement.is_suspect);
         engine.suspects = engine.suspects.saturating_sub(suspects);
         engine.pending_prefill_tokens = engine
--- a/crates/routing/tests/suite/crash_ledger.rs
+++ b/crates/routing/tests/suite/crash_ledger.rs
@@ -271,6 +271,7 @@
                 version: String::new(),
                 warm_up: None,
                 limit: None,
+                max_running: None,
             })
             .collect();
         self.scheduler.set_engines(now, &engines);
--- a/crates/routing/tests/suite/engines_by_time.rs
+++ b/crates/routing/tests/suite/engines_by_time.rs
@@ -24,6 +24,7 @@
             version: String::new(),
             warm_up: None,
             limit: None,
+            max_running: None,
         })
         .collect();
     scheduler.set_engines(0, &engines);
@@ -312,6 +313,7 @@
         version: String::new(),
         warm_up: None,
         limit: None,
+        max_running: None,
     };
     let long = Demand {
         avoid: vec![1],
--- a/crates/routing/tests/suite/limit.rs
+++ b/crates/routing/tests/suite/limit.rs
@@ -152,6 +152,7 @@
         version: String::new(),
         warm_up: None,
         limit,
+        max_running: None,
     }
 }
 
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod event_loop_lag;
 mod health;
 mod limit;
+mod occupancy;
 mod prefill_times;
 mod progress;
 mod random_admission;
--- a/crates/routing/tests/suite/scheduler.rs
+++ b/crates/routing/tests/suite/scheduler.rs
@@ -16,6 +16,7 @@
             version: String::new(),
             warm_up: None,
             limit: None,
+            max_running: None,
         })
         .collect();
     scheduler.set_engines(0, &engines);
@@ -344,6 +345,7 @@
         version: String::new(),
         warm_up: None,
         limit: None,
+        max_running: None,
     };
     let demand: Demand<(&str, u64)> = Demand {
         from_hall: "hall-a".to_string(),
--- a/crates/routing/tests/suite/warm_up.rs
+++ b/crates/routing/tests/suite/warm_up.rs
@@ -123,6 +123,7 @@
         version: String::new(),
         warm_up,
         limit: None,
+        max_running: None,
     };
     let engines = [
         engine("warm", None),
@@ -164,6 +165,7 @@
         version: String::new(),
         warm_up: warm_up(3_000),
         limit: None,
+        max_running: None,
     };
     scheduler.set_engines(0, &[engine]);
     let demand = Demand {
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -11,7 +11,7 @@
 mod table;
 mod target;
 
-pub use limit_report::LimitReport;
+pub use limit_report::{LimitKind, LimitReport};
 pub use reports::TargetReports;
 pub use table::{TargetTable, UsableTarget};
 pub use target::{InFlight, Target};
--- a/crates/targets/src/limit_report.rs
+++ b/crates/targets/src/limit_report.rs
@@ -17,9 +17,23 @@
 /// reports another limit in each answer has as many as there are answers under way.
 const MAX_REPORTS: usize = 16;
 
+/// What a target's limit bounds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum LimitKind {
+    /// Requests that it accepts.
+    Requests,
+    /// Requests that it refuses for want of room; it fails when it has to refuse more.
+    Refusals,
+}
+
+impl LimitKind {
+    pub const ALL: [LimitKind; 2] = [LimitKind::Requests, LimitKind::Refusals];
+}
+
 /// The limit that one answer reported.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LimitReport {
+    pub kind: LimitKind,
     /// Requests per second from all entries together; `None` for no limit.
     pub per_s: Option<f64>,
     /// When the answered request was sent: the report was written no earlier.
--- a/crates/targets/src/reports.rs
+++ b/crates/targets/src/reports.rs
@@ -5,7 +5,7 @@
 //! | draining | the target's record, its own answer, a peer that received either | every record of the same or an earlier incarnation, also a later record that says ready | the incarnation ends |
 //! | crashed | an answer of another incarnation at its address, a peer that received one | the same | the same |
 //! | backing off | an answer that rejects work; for this entry alone | a shorter backoff | the backoff is over |
-//! | rate limit for all entries together | the target's own answer, a peer that received one | see [`LimitReport`] | the incarnation ends, or an answer reports no limit |
+//! | limits for all entries together, on requests and on refusals | the target's own answer, a peer that received one | see [`LimitReport`] | the incarnation ends, or an answer reports no limit |
 //!
 //! Reports are kept by target id and incarnation, not by record: a record may expire while the
 //! store is unavailable and reappear unchanged.
@@ -15,7 +15,7 @@
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Millis;
 
-use crate::limit_report::{LimitReport, LimitReports};
+use crate::limit_report::{LimitKind, LimitReport, LimitReports};
 
 /// How long reports of an unlisted target are kept, in milliseconds. Exceeds both the time
 /// that a draining target still serves and a store outage.
@@ -33,8 +33,8 @@
     updated: Millis,
     /// This entry has broadcast that it is draining.
     is_broadcast: bool,
-    /// Empty until the first limit is reported.
-    limit: LimitReports,
+    /// By kind; empty until the first limit is reported.
+    limits: [LimitReports; LimitKind::ALL.len()],
 }
 
 /// Reports by target id.
@@ -79,35 +79,36 @@
         limit: LimitReport,
     ) -> bool {
         // Most answers come from targets that never reported a limit: nothing is stored.
-        let is_redundant = limit.per_s.is_none() && self.limit_report(incarnation).is_none();
-        !is_redundant && self.update(now, incarnation, |known| known.limit.add(limit))
+        let known = self.limit_report(incarnation, limit.kind);
+        let is_redundant = limit.per_s.is_none() && known.is_none();
+        let add = |known: &mut TargetReport| known.limits[limit.kind as usize].add(limit);
+        !is_redundant && self.update(now, incarnation, add)
     }
 
     /// The limit report in force for an incarnation, if it reported a limit recently.
-    pub fn limit_report(&self, incarnation: &Incarnation) -> Option<LimitReport> {
+    pub fn limit_report(&self, incarnation: &Incarnation, kind: LimitKind) -> Option<LimitReport> {
         let report = self.reports.get(&incarnation.id)?;
         let report = (report.started == incarnation.started).then_some(report)?;
-        report.limit.current()
+        report.limits[kind as usize].current()
     }
 
-    /// The limit in force for an incarnation, in requests per second from all entries together.
-    pub fn limit(&self, incarnation: &Incarnation) -> Option<f64> {
-        self.limit_report(incarnation)?.per_s
+    /// The limit in force for an incarnation, in requests per second of all entries together.
+    pub fn limit(&self, incarnation: &Incarnation, kind: LimitKind) -> Option<f64> {
+        self.limit_report(incarnation, kind)?.per_s
     }
 
     /// The incarnations with a limit in force, with its report.
     pub fn limited(&self) -> impl Iterator<Item = (Incarnation, LimitReport)> + '_ {
-        self.reports.iter().filter_map(|(id, report)| {
-            let limit = report.limit.current()?;
-            limit.per_s?;
-            let id = id.clone();
-            Some((
-                Incarnation {
-                    id,
+        self.reports.iter().flat_map(|(id, report)| {
+            let current = report.limits.iter().filter_map(LimitReports::current);
+            let in_force = current.filter(|limit| limit.per_s.is_some());
+            in_force.map(|limit| {
+                let incarnation = Incarnation {
+                    id: id.clone(),
                     started: report.started,
-                },
-                limit,
-            ))
+                };
+                (incarnation, limit)
+            })
         })
     }
 
@@ -124,7 +125,7 @@
             backoff_until: 0,
             updated: now,
             is_broadcast: false,
-            limit: LimitReports::default(),
+            limits: Default::default(),
         };
         let report = self.reports.entry(incarnation.id.clone());
         let report = report.or_insert_with(|| empty.clone());
@@ -175,7 +176,7 @@
     /// Drops old reports of targets that aren't listed any more, and expired limit reports.
     pub fn expire(&mut self, now: Millis, is_listed: impl Fn(&str) -> bool) {
         for report in self.reports.values_mut() {
-            report.limit.expire(now);
+            report.limits.iter_mut().for_each(|limit| limit.expire(now));
         }
         self.reports.retain(|id, report| {
             now < report.updated.saturating_add(RETENTION_MS) || is_listed(id)
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -13,7 +13,7 @@
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{HealthRules, Millis, TargetHealth, WarmUp};
 
-use crate::limit_report::LimitReport;
+use crate::limit_report::{LimitKind, LimitReport};
 use crate::reports::TargetReports;
 use crate::target::Target;
 
@@ -209,7 +209,9 @@
         target
             .warm_up
             .set(warm_up.map(|(until, per_s)| WarmUp { until, per_s }));
-        target.limit.set(self.reports.limit(&record.incarnation));
+        for kind in LimitKind::ALL {
+            target.set_limit(kind, self.reports.limit(&record.incarnation, kind));
+        }
         let targets = &mut self.by_service[usize::from(key.0)];
         let index = targets.partition_point(|known| known.incarnation().id.as_str() < listed.id());
         targets.insert(index, target.clone());
@@ -263,24 +265,31 @@
     ) -> bool {
         let is_changed = self.reports.record_limit(now, incarnation, report);
         if is_changed {
-            let limit = self.reports.limit(incarnation);
+            let limit = self.reports.limit(incarnation, report.kind);
             self.get(incarnation)
                 .into_iter()
-                .for_each(|target| target.limit.set(limit));
+                .for_each(|target| target.set_limit(report.kind, limit));
         }
         is_changed
     }
 
-    /// The limit report in force for a target, when it is due to be sent again to the entry
+    /// The limit reports in force for a target, when they are due to be sent again to the entry
     /// that dispatches to it for all entries.
-    pub fn limit_to_repeat(&self, now: Millis, target: &Target) -> Option<LimitReport> {
-        let report = self.reports.limit_report(target.incarnation())?;
-        (report.is_repeated(now) && target.take_limit_repeat(now)).then_some(report)
+    pub fn limits_to_repeat(&self, now: Millis, target: &Target) -> Vec<LimitReport> {
+        let reports = LimitKind::ALL
+            .into_iter()
+            .filter_map(|kind| self.reports.limit_report(target.incarnation(), kind))
+            .filter(|report| report.is_repeated(now));
+        let reports: Vec<LimitReport> = reports.collect();
+        match !reports.is_empty() && target.take_limit_repeat(now) {
+            true => reports,
+            false => Vec::new(),
+        }
     }
 
     /// The limit report in force for an incarnation, if it reported a limit recently.
-    pub fn limit_report(&self, incarnation: &Incarnation) -> Option<LimitReport> {
-        self.reports.limit_report(incarnation)
+    pub fn limit_report(&self, incarnation: &Incarnation, kind: LimitKind) -> Option<LimitReport> {
+        self.reports.limit_report(incarnation, kind)
     }
 
     /// The incarnations with a limit in force, with its report.
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -15,6 +15,8 @@
 use hollowsail_routing::speed::report_weight;
 use hollowsail_routing::{Millis, Observation, TargetHealth, TargetSpeed, WarmUp, WarmUpGate};
 
+use crate::limit_report::LimitKind;
+
 /// Connect timeout. Below the retransmission of a lost SYN, which takes seconds: another
 /// target answers sooner.
 const DIAL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -46,7 +48,9 @@
     pub warm_up: Cell<Option<WarmUp>>,
     /// Its limit in requests per second from all entries together, if it reported one.
     pub limit: Cell<Option<f64>>,
-    /// When this entry last repeated the limit to the entry that dispatches for all.
+    /// Requests per second that it can refuse for want of room before it fails, if it reported that.
+    pub refusal_limit: Cell<Option<f64>>,
+    /// When this entry last repeated the limits to the entry that dispatches for all.
     limit_repeated: Cell<Option<Millis>>,
     /// Paces the sends of this entry during the warm-up.
     gate: Cell<WarmUpGate>,
@@ -78,6 +82,7 @@
             load_report: Cell::default(),
             warm_up: Cell::default(),
             limit: Cell::default(),
+            refusal_limit: Cell::default(),
             limit_repeated: Cell::default(),
             gate: Cell::default(),
             crash_check: CrashCheck::default(),
@@ -113,12 +118,30 @@
         self.gate.set(gate);
     }
 
-    /// True while a warm-up or a reported limit bounds its rate from all entries together.
+    /// True while a warm-up or a reported limit bounds what all entries together may send it.
     pub fn is_rate_limited(&self) -> bool {
-        self.limit.get().is_some() || self.warm_up.get().is_some()
+        self.is_limited() || self.warm_up.get().is_some()
+    }
+
+    /// True while it reports a limit, which only a sender for all entries can apply.
+    pub fn is_limited(&self) -> bool {
+        self.limit.get().is_some() || self.refusal_limit.get().is_some()
+    }
+
+    /// Maximum number of requests of all entries at it: no more than it runs at once, while it
+    /// must not refuse any.
+    pub fn max_running(&self) -> Option<u32> {
+        self.refusal_limit.get().map(|_| self.record.slots)
+    }
+
+    pub(crate) fn set_limit(&self, kind: LimitKind, limit: Option<f64>) {
+        match kind {
+            LimitKind::Requests => self.limit.set(limit),
+            LimitKind::Refusals => self.refusal_limit.set(limit),
+        }
     }
 
-    /// True when its limit is due to be repeated; starts the next interval then.
+    /// True when its limits are due to be repeated; starts the next interval then.
     pub(crate) fn take_limit_repeat(&self, now: Millis) -> bool {
         let repeated = self.limit_repeated.get();
         let is_due = repeated.is_none_or(|repeated| now >= repeated + LIMIT_REPEAT_INTERVAL_MS);
--- a/crates/targets/tests/suite/limit_reports.rs
+++ b/crates/targets/tests/suite/limit_reports.rs
@@ -1,7 +1,7 @@
 //! Limits that targets report, received by any path and in any order.
 
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_targets::{LimitReport, TargetReports};
+use hollowsail_targets::{LimitKind, LimitReport, TargetReports};
 use proptest::prelude::*;
 
 fn incarnation(started: u64) -> Incarnation {
@@ -13,6 +13,7 @@
 
 fn report(per_s: Option<f64>, sent: u64, received: u64) -> LimitReport {
     LimitReport {
+        kind: LimitKind::Requests,
         per_s,
         sent_at: sent,
         received_at: received,
@@ -32,16 +33,22 @@
         !reports.record_limit(20, &incarnation(1), report(Some(4.0), 15, 20)),
         "same limit"
     );
-    assert_eq!(reports.limit(&incarnation(1)), Some(4.0));
     assert_eq!(
-        reports.limit(&incarnation(2)),
+        reports.limit(&incarnation(1), LimitKind::Requests),
+        Some(4.0)
+    );
+    assert_eq!(
+        reports.limit(&incarnation(2), LimitKind::Requests),
         None,
         "the next incarnation reported none"
     );
     assert_eq!(reports.limited().count(), 1);
     assert!(reports.record_limit(30, &incarnation(1), report(None, 25, 30)));
     assert_eq!(
-        (reports.limit(&incarnation(1)), reports.limited().count()),
+        (
+            reports.limit(&incarnation(1), LimitKind::Requests),
+            reports.limited().count()
+        ),
         (None, 0)
     );
 }
@@ -79,9 +86,13 @@
     reports.record_limit(0, &incarnation(0), report(Some(1.0), 0, 0));
     reports.record_limit(10, &incarnation(0), report(None, 10, 10));
     reports.expire(60_009, |_| true);
-    assert!(reports.limit_report(&incarnation(0)).is_some());
+    assert!(reports
+        .limit_report(&incarnation(0), LimitKind::Requests)
+        .is_some());
     reports.expire(60_010, |_| true);
-    assert!(reports.limit_report(&incarnation(0)).is_none());
+    assert!(reports
+        .limit_report(&incarnation(0), LimitKind::Requests)
+        .is_none());
 }
 
 #[derive(Debug, Clone)]
@@ -121,7 +132,23 @@
             newest = newest.max(Some(answer.written));
             let rate = |limit: Option<f64>| limit.unwrap_or(f64::INFINITY);
             let allowed = rate(newest.and_then(limit_at));
-            prop_assert!(rate(reports.limit(&incarnation(0))) <= allowed);
+            prop_assert!(rate(reports.limit(&incarnation(0), LimitKind::Requests)) <= allowed);
         }
     }
 }
+
+/// A target may report both kinds, and neither replaces the other.
+#[test]
+fn limits_of_different_kinds_are_kept_apart() {
+    let mut reports = TargetReports::default();
+    let refusals = LimitReport {
+        kind: LimitKind::Refusals,
+        ..report(Some(3.0), 0, 10)
+    };
+    reports.record_limit(10, &incarnation(1), refusals);
+    reports.record_limit(20, &incarnation(1), report(Some(8.0), 15, 20));
+    reports.record_limit(30, &incarnation(1), report(None, 25, 30));
+    let limit = |kind| reports.limit(&incarnation(1), kind);
+    assert_eq!(limit(LimitKind::Requests), None);
+    assert_eq!(limit(LimitKind::Refusals), Some(3.0));
+}
