--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -17,7 +17,7 @@
 use super::contention::{self, Contender};
 use super::plan::SoakPlan;
 use super::processes::Fleet;
-use super::{versions, SoakOptions};
+use super::{brittle, versions, SoakOptions};
 
 /// Mean pause between requests of a caller, and the default retry delay.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -72,11 +72,9 @@
             attempts: RefCell::default(),
             is_over: Cell::new(false),
         });
-        let contenders = contention::contenders(&plan.burst);
-        let contenders = contenders
-            .into_iter()
-            .chain(versions::callers())
-            .map(Rc::new);
+        let contenders = contention::contenders(&plan.burst).into_iter();
+        let contenders = contenders.chain(versions::callers());
+        let contenders = contenders.chain(brittle::callers()).map(Rc::new);
         let ordinary = std::iter::repeat_n(None, options.callers);
         let contenders = ordinary.chain(contenders.map(Some)).enumerate();
         let callers = contenders.map(|(number, contender)| {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -2,9 +2,11 @@
 //!
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
 //! and monitors the processes; [`callers`] generates load, partly for a contended
-//! service ([`contention`]) and partly for one with several software versions ([`versions`]);
+//! service ([`contention`]) and partly for one with several software versions ([`versions`]) and for one that must not refuse
+//! many requests ([`brittle`]);
 //! [`checks`], [`room`], [`cut`] and [`versions`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
+mod brittle;
 mod callers;
 mod checks;
 mod contention;
