--- a/crates/gateway/tests/suite/stream_versions.rs
+++ b/crates/gateway/tests/suite/stream_versions.rs
@@ -331,10 +331,7 @@
 #[actix_rt::test]
 async fn stream_is_refused_at_once_when_its_version_drains() {
     let (fixture, [other, _third], engines) = fleet().await;
-    let mut number = 1;
-    while begin(&fixture.gateway, number).await != "v1" {
-        number += 1;
-    }
+    let number = begin_at(&fixture.gateway, "v1", 1).await;
     for (id, engine) in [("i-1", &engines[0]), ("i-3", &engines[2])] {
         let addr = engine.addr;
         fixture
@@ -353,10 +350,7 @@
 #[actix_rt::test]
 async fn caller_comes_back_when_the_last_targets_of_its_version_vanished() {
     let (fixture, [other, _third], engines) = fleet().await;
-    let mut number = 1;
-    while begin(&fixture.gateway, number).await != "v1" {
-        number += 1;
-    }
+    let number = begin_at(&fixture.gateway, "v1", 1).await;
     fixture.store.delete("servers/i-1");
     fixture.store.delete("servers/i-3");
     let until = Instant::now() + Duration::from_secs(5);
@@ -389,10 +383,7 @@
     store.put_target_version("i-1", "engines", resting.addr, "v1");
     let free = add_engine(store, "i-2", "v2").await;
     fixture.call(&stream("/broken/", 0)).await;
-    let mut number = 1;
-    while begin(&fixture.gateway, number).await != "v1" {
-        number += 1;
-    }
+    let number = begin_at(&fixture.gateway, "v1", 1).await;
     let refused = take_up(&fixture.gateway, number).await;
     assert_eq!(refused.status, 503, "{refused:?}");
     let retry_after = refused.header("Retry-After").expect("a time to come back");
@@ -420,3 +411,36 @@
     let unknown = resuming("/broken/", 1, "ffffffffffffffff");
     assert_away(&unknown.send(fixture.gateway.addrs.callers).await);
 }
+
+/// The first stream that a version begins, by its number.
+async fn begin_at(at: &Running, version: &str, mut number: usize) -> usize {
+    while begin(at, number).await != version {
+        number += 1;
+    }
+    number
+}
+
+#[actix_rt::test]
+async fn stream_of_a_version_that_was_rolled_back_begins_anew() {
+    let (fixture, [other, _third], _engines) = fleet().await;
+    let old = begin_at(&fixture.gateway, "v1", 1).await;
+    let new = begin_at(&fixture.gateway, "v2", 0x100).await;
+    let order = json!({ "service": "engines", "target_version": "v2", "duration_s": 10.0 });
+    let key = "op/rollout/engines";
+    fixture.store.put(key, order.to_string().as_bytes());
+    let until = Instant::now() + Duration::from_secs(5);
+    while take_up(&other, new).await.status == 200 {
+        assert!(Instant::now() < until, "the order isn't known");
+    }
+    assert_away(&take_up(&other, new).await);
+    fixture.store.delete(key);
+    while !take_up(&other, new)
+        .await
+        .body
+        .starts_with("stream_version_gone")
+    {
+        assert!(Instant::now() < until, "the version isn't rolled back");
+    }
+    assert_gone(&take_up(&other, new).await);
+    assert_goes_on(&take_up(&other, old).await, "v1");
+}
--- a/crates/routing/tests/suite/occupancy.rs
+++ b/crates/routing/tests/suite/occupancy.rs
@@ -115,3 +115,22 @@
     scheduler.set_engines(20, &[engine("one", None)]);
     assert_eq!(place_all(&mut scheduler, 20).len(), 100);
 }
+
+#[test]
+fn demand_of_one_version_waits_while_another_has_room() {
+    let version = |key, version: &str| SchedulableEngine {
+        version: version.to_string(),
+        ..engine(key, Some(1))
+    };
+    let mut scheduler = scheduler(&[version("old", "v1"), version("new", "v2")]);
+    let only_old = Demand {
+        versions: Versions::Only("v1".to_string()),
+        ..demand()
+    };
+    let (first, _) = scheduler.place(0, &only_old, |_| 0).expect("it is open");
+    assert_eq!(scheduler.place(10, &only_old, |_| 0), None);
+    assert!(scheduler.queue_estimate(10, &only_old, 0).is_some());
+    scheduler.record_end(first, PlacementEnd::Completed, 20);
+    let placed = scheduler.place(20, &only_old, |_| 0);
+    assert_eq!(placed.map(|(_, engine)| engine), Some("old"));
+}
