Don't take an earlier probe as proof that a target outlived an answer

An answer without a length ends with its connection, so its target's address is probed whether it crashed. Checks shared a result for 800 ms; with a target that had answered another stream shortly before, 'it is running' was believed of a target that had crashed since.

A probe now begins 2 ms after the first answer that needs it, and only answers that ended before it share it; a crash stays known for 800 ms. It costs a connection for each group of answers that end together without a length.

crash_after_a_check_is_not_missed failed before (a check, a crash, a second check).

--- a/crates/connect/src/crash_check.rs
+++ b/crates/connect/src/crash_check.rs
@@ -2,7 +2,8 @@
 //!
 //! The address of a crashed process refuses connections until its restart, seconds later; a
 //! target that dropped a connection or is unreachable doesn't refuse. So the check opens a
-//! connection after an answer broke off. Answers that break off together share one probe.
+//! connection after an answer broke off. Answers that break off together share one probe, which
+//! begins after the last of them: an earlier one doesn't show that the target outlived an answer.
 
 use std::cell::RefCell;
 use std::future::Future;
@@ -20,8 +21,10 @@
 /// How long a new connection must stay open to count as accepted: an exiting process closes
 /// its descriptors within a millisecond.
 const ACCEPTED_AFTER: Duration = Duration::from_millis(5);
-/// How long a result is shared with later checks; no target restarts sooner.
-const RESULT_LIFETIME: Duration = Duration::from_millis(800);
+/// Delay of a probe, which answers that break off meanwhile share.
+const PROBE_DELAY: Duration = Duration::from_millis(2);
+/// How long a crash is known without another probe; no target restarts sooner.
+const CRASH_LIFETIME: Duration = Duration::from_millis(800);
 
 /// Checks whether a target has crashed; concurrent checks share one probe.
 #[derive(Default)]
@@ -30,10 +33,20 @@
 }
 
 struct Probe {
-    started: BootInstant,
+    starts: BootInstant,
     result: Shared<LocalBoxFuture<'static, bool>>,
 }
 
+impl Probe {
+    /// True if its result holds for an answer that has just broken off.
+    fn is_current(&self, now: BootInstant) -> bool {
+        match self.result.peek() {
+            Some(true) => now < self.starts + CRASH_LIFETIME,
+            _ => now < self.starts,
+        }
+    }
+}
+
 impl CrashCheck {
     /// True when no process listens at the target's address.
     pub async fn has_crashed(&self, addr: SocketAddr) -> bool {
@@ -48,13 +61,17 @@
     ) -> bool {
         let result = {
             let mut last = self.last.borrow_mut();
+            let now = BootInstant::now();
             match &*last {
-                Some(probe) if probe.started.elapsed() < RESULT_LIFETIME => probe.result.clone(),
+                Some(probe) if probe.is_current(now) => probe.result.clone(),
                 _ => {
-                    let check = async move { refuses(addr).await && confirm.await };
+                    let check = async move {
+                        tokio::time::sleep(PROBE_DELAY).await;
+                        refuses(addr).await && confirm.await
+                    };
                     let result = check.boxed_local().shared();
                     *last = Some(Probe {
-                        started: BootInstant::now(),
+                        starts: now + PROBE_DELAY,
                         result: result.clone(),
                     });
                     result
--- a/crates/targets/tests/suite/main.rs
+++ b/crates/targets/tests/suite/main.rs
@@ -202,6 +202,24 @@
     assert!(!CrashCheck::default().has_crashed(addr).await);
 }
 
+/// An answer that ended after a check says nothing of its target before.
+#[actix_rt::test]
+async fn crash_after_a_check_is_not_missed() {
+    let target = TargetStandin::start(|_| vec![Step::Crash]).await;
+    let check = CrashCheck::default();
+    assert!(!check.has_crashed(target.addr).await);
+    let mut caller = TcpStream::connect(target.addr).await.expect("it listens");
+    caller
+        .write_all(b"GET / HTTP/1.1\r\n\r\n")
+        .await
+        .expect("it reads");
+    caller
+        .read_to_end(&mut Vec::new())
+        .await
+        .expect("it closes");
+    assert!(check.has_crashed(target.addr).await);
+}
+
 #[actix_rt::test]
 async fn concurrent_crash_checks_share_one_probe() {
     let target = TargetStandin::answering("alive", Duration::ZERO).await;
