Correct the offered rates of flows that an owner has just met

The rate that a flow offers is a moving average over a second that starts at nothing, so the owner took each flow for a small one; the entitlement of the urgent fell short of what they asked for, and their balance went down until it had caught up.

--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -1,6 +1,7 @@
 //! What each flow offers, is entitled to, and has used.
 //!
-//! Offered rates are moving averages over the pieces asked for. A flow's balance grows at
+//! Offered rates are moving averages over the pieces asked for, corrected for the time before a
+//! flow's first request: else a new owner of a queue would take every flow for a small one. A flow's balance grows at
 //! the rate it is entitled to and falls with what is reserved for it. All other flows leave
 //! it room for its balance; those beyond their own also leave room for what it is expected
 //! to ask for.
@@ -14,6 +15,8 @@
 
 /// Time constant of the offered rates, in milliseconds.
 const RATE_MS: f64 = 1_000.0;
+/// Least time over which a new flow's rate is taken, in milliseconds: a single request says little.
+const MIN_RATE_MS: f64 = 250.0;
 /// Weight of the newest request in the averages of a flow's requests.
 const NEWEST_REQUEST_WEIGHT: f64 = 0.1;
 /// Largest balance, as time at the entitled rate in milliseconds. Covers the unevenness of
@@ -31,7 +34,11 @@
 #[derive(Debug, Clone, Copy)]
 pub struct FlowState {
     pub weight: f64,
+    /// Rate of the pieces asked for.
     pub offered: f64,
+    /// The same as if the flow had asked for nothing before its first request.
+    recent: f64,
+    first_request: Millis,
     pub entitled: f64,
     pub balance: f64,
     /// Mean time from request to due time, in milliseconds.
@@ -49,7 +56,13 @@
         (self.entitled * BALANCE_MS).max(self.request_cost)
     }
 
-    fn advance(&mut self, ms: f64, is_scarce: bool) {
+    /// Share of [`Self::recent`] in a steady rate since the first request.
+    fn observed_share(&self, now: Millis) -> f64 {
+        let observed_ms = now.saturating_sub(self.first_request) as f64;
+        1.0 - (-observed_ms.max(MIN_RATE_MS) / RATE_MS).exp()
+    }
+
+    fn advance(&mut self, now: Millis, ms: f64, is_scarce: bool) {
         let decay = (-ms / RATE_MS).exp();
         // The integral of the decaying rate, so that a flow with rare requests earns what
         // its last request cost.
@@ -62,7 +75,8 @@
         } else {
             limit * ms / BALANCE_MS
         };
-        self.offered *= decay;
+        self.recent *= decay;
+        self.offered = self.recent / self.observed_share(now);
         self.balance = (self.balance + earned + refilled).clamp(-limit, limit);
     }
 }
@@ -85,7 +99,7 @@
             .retain(|_, state| now.saturating_sub(state.last_request) < FORGET_MS);
         let offered: f64 = self.states.values().map(|state| state.offered).sum();
         for state in self.states.values_mut() {
-            state.advance(elapsed as f64, offered > capacity);
+            state.advance(now, elapsed as f64, offered > capacity);
         }
         let offers = self.states.iter().map(|(flow, state)| Offer {
             flow: *flow,
@@ -103,6 +117,8 @@
         let state = self.states.entry(flow).or_insert(FlowState {
             weight: 1.0,
             offered: 0.0,
+            recent: 0.0,
+            first_request: now,
             entitled: 0.0,
             balance: 0.0,
             lead_ms,
@@ -111,7 +127,8 @@
             last_return: 0,
         });
         state.weight = usable_weight(weight);
-        state.offered += cost / RATE_MS;
+        state.recent += cost / RATE_MS;
+        state.offered = state.recent / state.observed_share(now);
         state.lead_ms += NEWEST_REQUEST_WEIGHT * (lead_ms - state.lead_ms);
         state.request_cost += NEWEST_REQUEST_WEIGHT * (cost - state.request_cost);
         state.last_request = now;
