Relay for peers during a planned stop while new requests are taken

A stopping host relayed nothing from the first moment of its stop, while it still took and served new requests of its own callers for up to 2.9 s.

It relays for as long now: a relayed request has as much time to end as one of its own. stopping_host_relays_while_it_takes_requests failed before (503, no way to the target).

--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -74,7 +74,8 @@
 
 fn may_relay(cx: &Traffic) -> bool {
     let limit = cx.settings().limits.descriptors as f64 * DESCRIPTORS_SHARE / 2.0;
-    let is_stopping = cx.stopping.get() != Stopping::No;
+    // Until then, a relayed request has as much time to end as a new one of this host.
+    let is_stopping = cx.stopping.get() == Stopping::RefusingNew;
     let is_on = cx.has(Mechanism::Relays);
     is_on && !is_stopping && !cx.reach.is_cut_off() && (cx.reach.relayed() as f64) < limit
 }
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -10,7 +10,8 @@
     answer, chunk, event, last_chunk, results, stream_head, unframed,
 };
 use hollowsail_platform_standins::{
-    DeploymentJson, HostLinks, LinkMode, ReceivedRequest, Step, StoreStandin, TargetStandin,
+    DeploymentJson, HostLinks, LinkMode, ReceivedRequest, Step, StoreEndpoint, StoreMode,
+    StoreStandin, TargetStandin,
 };
 use serde_json::json;
 
@@ -44,10 +45,11 @@
         .route("/safe/", "safe", "plain", json!({ "max_attempts": 2 }))
 }
 
-/// An entry and its links.
+/// An entry, its links, and the store as it sees it.
 struct Host {
     gateway: Running,
     links: HostLinks,
+    store: StoreEndpoint,
 }
 
 /// Entries that know each other, before targets of all kinds.
@@ -98,7 +100,11 @@
             let (endpoint, links) = store.add_host().await;
             let settings = settings(&format!("host-{number}"), "hall-a", endpoint.addr);
             let gateway = gateway_at(settings).await;
-            hosts.push(Host { gateway, links });
+            hosts.push(Host {
+                gateway,
+                links,
+                store: endpoint,
+            });
         }
         wait_for_entries("all entries are registered", &store, entries).await;
         tokio::time::sleep(Duration::from_millis(500)).await;
@@ -363,6 +369,23 @@
 }
 
 /// Guards against counting the cut of a host as crashes of all targets that its requests run on.
+/// Without the store, no other host learns of the stop, so the stopping one is the only relay.
+#[actix_rt::test]
+async fn stopping_host_relays_while_it_takes_requests() {
+    let mut fleet = Fleet::with_targets(2, &["plain"]).await;
+    for host in &fleet.hosts {
+        host.store.set_mode(StoreMode::Silent);
+    }
+    fleet.hosts[0].links.set_mode(LinkMode::Refusing);
+    fleet.send_for(0, Duration::from_millis(600)).await;
+    let stopping = fleet.hosts.pop().expect("two hosts");
+    let stopping = actix_rt::spawn(stopping.gateway.stop());
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let failed = fleet.failed_first_tries(0, Kind::Once).await;
+    assert!(failed.is_empty(), "{failed:?}");
+    stopping.await.expect("it stops");
+}
+
 #[actix_rt::test]
 async fn requests_behind_a_reset_are_not_suspected_of_crashes() {
     let (fleet, _target) = relaying(slow_and_unframed).await;
