--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -36,7 +36,7 @@
 pub use attempt::{Failure, Unconnected};
 pub use forecast::max_return;
 pub use prepare::{stage_due, stage_graph};
-pub use stream_version::copy_when_contested as copy_records_when_contested;
+pub use stream_version::copy_records_when_contested;
 
 /// Maximum number of times that the stages are run again because the engine no longer has their
 /// results.
--- a/crates/gateway/src/request/stream_version.rs
+++ b/crates/gateway/src/request/stream_version.rs
@@ -101,7 +101,7 @@
 }
 
 /// Copies the records that this entry kept to itself, once another version appears beside theirs.
-pub async fn copy_when_contested(cx: Rc<Traffic>) {
+pub async fn copy_records_when_contested(cx: Rc<Traffic>) {
     loop {
         cx.stream_origins.versions_changed.notified().await;
         let uncopied = cx
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -219,13 +219,10 @@
         let Some(active) = self.of(service) else {
             return targets.to_vec();
         };
-        let share = canary_share(cx);
-        let (new, old) = split(&active, targets);
-        let phase = phase_for(cx, &active, !old.is_empty());
-        let chosen = choose_some(new, |count| phase.targets_in_use(share, count));
-        match phase == Phase::Completed && !chosen.is_empty() {
-            true => chosen,
-            false => [old, chosen].concat(),
+        let Arms { phase, old, new } = arms_in_use(cx, &active, targets);
+        match phase == Phase::Completed && !new.is_empty() {
+            true => new,
+            false => [old, new].concat(),
         }
     }
 
@@ -247,11 +244,8 @@
         let Some(active) = self.of(service) else {
             return targets.to_vec();
         };
-        let (new, old) = split(&active, targets);
-        let phase = phase_for(cx, &active, !old.is_empty());
-        let share = canary_share(cx);
-        let chosen = choose_some(new, |count| phase.targets_in_use(share, count));
-        [old, chosen].concat()
+        let Arms { old, new, .. } = arms_in_use(cx, &active, targets);
+        [old, new].concat()
     }
 
     /// The same as [`Self::eligible_targets`] for a pull queue, where any free target takes the next call and shares
@@ -398,6 +392,23 @@
     cx.settings().bounds.exposure_share * CANARY_SHARE_OF_BOUND
 }
 
+/// The targets of a service with a roll-out.
+struct Arms {
+    phase: Phase,
+    /// All targets of other versions.
+    old: Vec<Rc<Target>>,
+    /// The targets of the new version that the phase uses.
+    new: Vec<Rc<Target>>,
+}
+
+fn arms_in_use(cx: &Traffic, active: &ActiveRollout, targets: &[Rc<Target>]) -> Arms {
+    let share = canary_share(cx);
+    let (new, old) = split(active, targets);
+    let phase = phase_for(cx, active, !old.is_empty());
+    let new = choose_some(new, |count| phase.targets_in_use(share, count));
+    Arms { phase, old, new }
+}
+
 /// Splits targets into those of the new version and all others.
 fn split(active: &ActiveRollout, targets: &[Rc<Target>]) -> (Vec<Rc<Target>>, Vec<Rc<Target>>) {
     let targets = targets.iter().cloned();
--- a/crates/routing/tests/suite/limit.rs
+++ b/crates/routing/tests/suite/limit.rs
@@ -156,7 +156,8 @@
     }
 }
 
-fn demand(avoid: Vec<&'static str>) -> Demand<&'static str> {
+/// A demand that may wait half a second.
+pub fn demand(avoid: Vec<&'static str>) -> Demand<&'static str> {
     Demand {
         from_hall: "hall-a".to_string(),
         part: "part".to_string(),
@@ -172,7 +173,8 @@
     }
 }
 
-fn scheduler(engines: &[SchedulableEngine<&'static str>]) -> EngineScheduler<&'static str> {
+/// The scheduler of a settled owner.
+pub fn scheduler(engines: &[SchedulableEngine<&'static str>]) -> EngineScheduler<&'static str> {
     let mut scheduler = EngineScheduler::default();
     scheduler.set_limit_share(settled());
     scheduler.set_engines(0, engines);
--- a/crates/routing/tests/suite/occupancy.rs
+++ b/crates/routing/tests/suite/occupancy.rs
@@ -1,11 +1,12 @@
 //! Requests at engines that must not refuse any.
 
-use hollowsail_routing::limit::SETTLED_AFTER_MS;
 use hollowsail_routing::{
     Demand, EngineScheduler, LimitShare, Millis, PlacementEnd, PlacementKey, SchedulableEngine,
     Versions,
 };
 
+use crate::limit::{demand, scheduler};
+
 const SLOTS: u32 = 8;
 
 fn engine(key: &'static str, max_running: Option<u32>) -> SchedulableEngine<&'static str> {
@@ -20,32 +21,9 @@
     }
 }
 
-fn demand() -> Demand<&'static str> {
-    Demand {
-        from_hall: "hall-a".to_string(),
-        part: "part".to_string(),
-        shared_tokens: 0,
-        prompt_tokens: 0,
-        avoid: Vec::new(),
-        versions: Versions::All,
-        halls: None,
-        results: Vec::new(),
-        is_suspect: false,
-        urgency: 0,
-        max_wait_ms: 500,
-    }
-}
-
-fn scheduler(engines: &[SchedulableEngine<&'static str>]) -> EngineScheduler<&'static str> {
-    let mut scheduler = EngineScheduler::default();
-    scheduler.set_limit_share(LimitShare::owned_for(SETTLED_AFTER_MS));
-    scheduler.set_engines(0, engines);
-    scheduler
-}
-
 /// Places demands until no engine is open, 100 at most.
 fn place_all(scheduler: &mut EngineScheduler<&'static str>, now: Millis) -> Vec<PlacementKey> {
-    let place = || Some(scheduler.place(now, &demand(), |_| 0)?.0);
+    let place = || Some(scheduler.place(now, &demand(Vec::new()), |_| 0)?.0);
     std::iter::from_fn(place).take(100).collect()
 }
 
@@ -95,13 +73,15 @@
 #[test]
 fn wait_for_a_full_engine_follows_its_rate() {
     let mut scheduler = scheduler(&[engine("one", Some(SLOTS))]);
-    assert!(scheduler.queue_estimate(0, &demand(), 0).is_some());
+    assert!(scheduler
+        .queue_estimate(0, &demand(Vec::new()), 0)
+        .is_some());
     for now in (0..4_000).step_by(200) {
         let placed = place_all(&mut scheduler, now);
         end_all(&mut scheduler, now + 200, placed);
     }
     place_all(&mut scheduler, 4_000);
-    let estimate = scheduler.queue_estimate(4_000, &demand(), 80);
+    let estimate = scheduler.queue_estimate(4_000, &demand(Vec::new()), 80);
     let estimate = estimate.expect("it is closed only by its room");
     assert!((38.0..=42.0).contains(&estimate.per_s), "{estimate:?}");
     assert!((1_900..=2_200).contains(&estimate.wait_ms), "{estimate:?}");
@@ -125,7 +105,7 @@
     let mut scheduler = scheduler(&[version("old", "v1"), version("new", "v2")]);
     let only_old = Demand {
         versions: Versions::Only("v1".to_string()),
-        ..demand()
+        ..demand(Vec::new())
     };
     let (first, _) = scheduler.place(0, &only_old, |_| 0).expect("it is open");
     assert_eq!(scheduler.place(10, &only_old, |_| 0), None);
