Report each kind of failure of a soak run with its number

The report printed twelve failures at most, in the order of the checks, so that dozens of one kind hid all others: a program that breaks the versions of streams seemed to keep the service behind a cut and the order of the routes. Each failure now has a kind; the report counts every kind and shows up to four of each. No check changed.

--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -17,6 +17,7 @@
 use super::contention::{self, Contender};
 use super::plan::SoakPlan;
 use super::processes::Fleet;
+use super::report::{Failure, FailureKind};
 use super::{brittle, versions, SoakOptions};
 
 /// Mean pause between requests of a caller, and the default retry delay.
@@ -266,7 +267,7 @@
 }
 
 /// Sends a request on the added route to every ready gateway; returns a line per failure.
-pub async fn check_added_route(plan: &SoakPlan, fleet: &Fleet) -> Vec<String> {
+pub async fn check_added_route(plan: &SoakPlan, fleet: &Fleet) -> Vec<Failure> {
     let mut failures = Vec::new();
     for (entry, address) in fleet.ready() {
         let request = CallerRequest::for_route(&plan.added_route(), format!("added-{entry}"));
@@ -277,7 +278,8 @@
             },
         };
         if outcome != Outcome::Whole {
-            failures.push(format!("gateway {entry} on the added route: {outcome:?}"));
+            let description = format!("gateway {entry} on the added route: {outcome:?}");
+            failures.push(Failure::new(FailureKind::AddedRoute, description));
         }
     }
     failures
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -11,7 +11,7 @@
 use super::cut;
 use super::plan::{EntryFault, SoakPlan};
 use super::processes::{Disturbance, Observations};
-use super::report::SoakReport;
+use super::report::{Failure, FailureKind, SoakReport};
 use super::{room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
@@ -26,10 +26,11 @@
     plan: &SoakPlan,
     observations: &Observations,
     attempts: &[Attempt],
-    added_route_failures: Vec<String>,
+    added_route_failures: Vec<Failure>,
 ) -> SoakReport {
-    let mut failures: Vec<String> = observations.broken.clone();
-    failures.extend(observations.exit_failures.iter().cloned());
+    let mut failures: Vec<Failure> = observations.broken.clone();
+    let processes = observations.exit_failures.iter();
+    failures.extend(processes.map(|failure| Failure::new(FailureKind::Process, failure)));
     failures.extend(added_route_failures);
     failures.extend(
         attempts
@@ -45,7 +46,8 @@
     let whole = count(&uncontended, |outcome| *outcome == Outcome::Whole);
     let total = uncontended.len();
     if (whole as f64) < total as f64 * MIN_WHOLE_SHARE {
-        failures.push(format!("{whole} of {total} attempts are whole"));
+        let description = format!("{whole} of {total} attempts are whole");
+        failures.push(Failure::new(FailureKind::FewWhole, description));
     }
     let room = room::evaluate(observations, attempts);
     failures.extend(room.failures);
@@ -54,6 +56,7 @@
     SoakReport {
         seed: options.seed,
         seconds: options.seconds,
+        entries: options.entries,
         attempts: attempts.len(),
         whole: count(attempts, |outcome| *outcome == Outcome::Whole),
         not_run: count(attempts, |outcome| {
@@ -81,23 +84,30 @@
     attempt: &Attempt,
     plan: &SoakPlan,
     observations: &Observations,
-) -> Option<String> {
+) -> Option<Failure> {
     let id = &attempt.id;
     let entry = attempt.entry;
     let took_ms = (attempt.ended - attempt.sent).as_millis();
-    match attempt.outcome.as_ref()? {
-        Outcome::Wrong { why } => Some(format!("request {id} at gateway {entry}: {why}")),
-        Outcome::NotRun { .. } if observations.ran.contains(id) => Some(format!(
-            "request {id} was reported as not run, but a target ran it"
-        )),
-        Outcome::Unknown { why } if is_cut_by_stop(attempt, plan, observations) => Some(format!(
-            "request {id} was cut by a planned stop of gateway {entry}: {why}"
-        )),
-        _ if is_late(attempt) && !is_excused(attempt, observations, |_| true) => Some(format!(
-            "request {id} at gateway {entry} ended after {took_ms} ms"
-        )),
-        _ => None,
-    }
+    let (kind, description) = match attempt.outcome.as_ref()? {
+        Outcome::Wrong { why } => (
+            FailureKind::WrongResponse,
+            format!("request {id} at gateway {entry}: {why}"),
+        ),
+        Outcome::NotRun { .. } if observations.ran.contains(id) => (
+            FailureKind::FalseNotRun,
+            format!("request {id} was reported as not run, but a target ran it"),
+        ),
+        Outcome::Unknown { why } if is_cut_by_stop(attempt, plan, observations) => (
+            FailureKind::CutByStop,
+            format!("request {id} was cut by a planned stop of gateway {entry}: {why}"),
+        ),
+        _ if is_late(attempt) && !is_excused(attempt, observations, |_| true) => (
+            FailureKind::Late,
+            format!("request {id} at gateway {entry} ended after {took_ms} ms"),
+        ),
+        _ => return None,
+    };
+    Some(Failure::new(kind, description))
 }
 
 fn is_late(attempt: &Attempt) -> bool {
--- a/crates/bench/src/soak/cut.rs
+++ b/crates/bench/src/soak/cut.rs
@@ -7,6 +7,7 @@
 use super::callers::Attempt;
 use super::plan::SoakPlan;
 use super::processes::Observations;
+use super::report::{Failure, FailureKind};
 
 /// Time from the start of a cut until first tries have to be served again.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -25,7 +26,7 @@
     plan: &SoakPlan,
     observations: &Observations,
     uncontended: &[Attempt],
-) -> Option<String> {
+) -> Option<Failure> {
     let cut = &plan.cut;
     let from = observations.cut_from? + CONTACT_TIME;
     let until = observations.cut_until.unwrap_or_else(Instant::now);
@@ -49,11 +50,12 @@
     let is_allowed = failed as f64 <= ALLOWED_FAILURES + ALLOWED_SHARE * behind.len() as f64
         || share >= MIN_SHARE * others_share;
     (!is_allowed).then(|| {
-        format!(
+        let description = format!(
             "gateways {cut:?} served {share:.2} of {} attempts while cut off from all targets, \
              the others {others_share:.2}",
             behind.len()
-        )
+        );
+        Failure::new(FailureKind::CutOff, description)
     })
 }
 
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -27,7 +27,7 @@
 
 use crate::scenario::read_source;
 
-pub use report::SoakReport;
+pub use report::{Failure, FailureKind, SoakReport};
 
 use callers::Load;
 use plan::SoakPlan;
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -21,6 +21,7 @@
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
+use super::report::{Failure, FailureKind};
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
 
 /// Time limit for the platform or a gateway to become ready.
@@ -53,7 +54,7 @@
     /// IDs of requests whose response a target broke off.
     pub cut: HashSet<String>,
     /// Broken promises that the platform reported.
-    pub broken: Vec<String>,
+    pub broken: Vec<Failure>,
     /// Unexpected exits, and processes that did not exit or start.
     pub exit_failures: Vec<String>,
     pub disturbances: Vec<Disturbance>,
@@ -435,9 +436,8 @@
             ("broken", _) => {
                 let promise = event.promise.unwrap_or_default();
                 let description = event.description.unwrap_or_default();
-                observations
-                    .broken
-                    .push(format!("{promise}: {description}"));
+                let kind = FailureKind::Platform(promise);
+                observations.broken.push(Failure::new(kind, description));
             }
             _ => {}
         }
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -1,15 +1,91 @@
 //! The printed report of a soak run: counts of outcomes, failures, and the command to repeat it.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
-/// Maximum number of failures printed.
-const MAX_SHOWN_FAILURES: usize = 12;
+/// Maximum number of failures of one kind that are printed; their number always is.
+const MAX_SHOWN_OF_KIND: usize = 4;
+
+/// The promise that a failure broke.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FailureKind {
+    /// A promise that the emulated platform checks, by its name.
+    Platform(String),
+    /// A process that exited, or did not exit or start, against the plan.
+    Process,
+    /// A request on the added route that wasn't served.
+    AddedRoute,
+    /// A response with wrong or missing contents.
+    WrongResponse,
+    /// A request that was reported as not run, but ran.
+    FalseNotRun,
+    /// A request that a planned stop cut.
+    CutByStop,
+    /// A response after the route's timeout.
+    Late,
+    /// Gateways behind a cut that served too little.
+    CutOff,
+    /// Too few whole responses for the other checks.
+    FewWhole,
+    /// A request without room that a target got.
+    RanWithoutRoom,
+    /// A late refusal for want of room.
+    LateRefusal,
+    /// A more urgent route that was served less often.
+    Order,
+    /// An organisation that was hardly served.
+    Starved,
+    /// A stream with events of two versions, or with events missing or doubled.
+    StreamEvents,
+    /// Too few streams that went on.
+    StreamsNotResumed,
+}
+
+impl fmt::Display for FailureKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = match self {
+            FailureKind::Platform(promise) => promise,
+            FailureKind::Process => "process",
+            FailureKind::AddedRoute => "added route",
+            FailureKind::WrongResponse => "wrong response",
+            FailureKind::FalseNotRun => "false not-run",
+            FailureKind::CutByStop => "cut by a planned stop",
+            FailureKind::Late => "late response",
+            FailureKind::CutOff => "served too little behind a cut",
+            FailureKind::FewWhole => "few whole responses",
+            FailureKind::RanWithoutRoom => "ran without room",
+            FailureKind::LateRefusal => "late refusal",
+            FailureKind::Order => "order of routes",
+            FailureKind::Starved => "starved organisation",
+            FailureKind::StreamEvents => "events of a stream",
+            FailureKind::StreamsNotResumed => "streams not resumed",
+        };
+        f.write_str(name)
+    }
+}
+
+/// A broken promise or a failed process.
+#[derive(Debug, Clone)]
+pub struct Failure {
+    pub kind: FailureKind,
+    pub description: String,
+}
+
+impl Failure {
+    pub fn new(kind: FailureKind, description: impl Into<String>) -> Self {
+        Failure {
+            kind,
+            description: description.into(),
+        }
+    }
+}
 
 /// Result of a soak run.
 #[derive(Debug, Clone)]
 pub struct SoakReport {
     pub seed: u64,
     pub seconds: u64,
+    pub entries: usize,
     /// Callers' attempts, in total and by outcome.
     pub attempts: usize,
     pub whole: usize,
@@ -21,8 +97,7 @@
     pub room: String,
     /// Streams that callers took up.
     pub streams: String,
-    /// One line per broken promise or failed process.
-    pub failures: Vec<String>,
+    pub failures: Vec<Failure>,
 }
 
 impl SoakReport {
@@ -49,14 +124,21 @@
             return write!(f, "all promises kept\n{}\n{}", self.room, self.streams);
         }
         writeln!(f, "{} failures", self.failures.len())?;
-        for failure in self.failures.iter().take(MAX_SHOWN_FAILURES) {
-            writeln!(f, "  {failure}")?;
+        let mut by_kind: BTreeMap<&FailureKind, Vec<&str>> = BTreeMap::new();
+        for Failure { kind, description } in &self.failures {
+            by_kind.entry(kind).or_default().push(description);
+        }
+        for (kind, descriptions) in by_kind {
+            writeln!(f, "  {} x {kind}", descriptions.len())?;
+            for description in descriptions.iter().take(MAX_SHOWN_OF_KIND) {
+                writeln!(f, "    {description}")?;
+            }
         }
         writeln!(f, "{}\n{}", self.room, self.streams)?;
         write!(
             f,
-            "again: hollowsail-bench soak --seed {} --seconds {}",
-            self.seed, self.seconds
+            "again: hollowsail-bench soak --seed {} --seconds {} --entries {}",
+            self.seed, self.seconds, self.entries
         )
     }
 }
--- a/crates/bench/src/soak/room.rs
+++ b/crates/bench/src/soak/room.rs
@@ -14,6 +14,7 @@
 use super::checks::RECOVERY_GRACE;
 use super::contention::{LESS_URGENT_PATH, URGENT_PATH};
 use super::processes::Observations;
+use super::report::{Failure, FailureKind};
 
 /// Start of the reason of a refusal for want of room.
 const NO_ROOM: &str = "no room in service";
@@ -28,12 +29,12 @@
 
 /// Result of the checks.
 pub struct RoomReport {
-    pub failures: Vec<String>,
+    pub failures: Vec<Failure>,
     pub summary: String,
 }
 
 pub fn evaluate(observations: &Observations, attempts: &[Attempt]) -> RoomReport {
-    let mut failures: Vec<String> = attempts
+    let mut failures: Vec<Failure> = attempts
         .iter()
         .filter(|attempt| is_no_room(attempt))
         .filter_map(|attempt| find_violation(attempt, observations))
@@ -51,19 +52,19 @@
     matches!(&attempt.outcome, Some(Outcome::NotRun { why, .. }) if why.contains(NO_ROOM))
 }
 
-fn find_violation(attempt: &Attempt, observations: &Observations) -> Option<String> {
+fn find_violation(attempt: &Attempt, observations: &Observations) -> Option<Failure> {
     let (id, took) = (&attempt.id, attempt.ended - attempt.sent);
     if observations.ran.contains(id) || observations.pieces.contains(id) {
-        return Some(format!(
-            "request {id} had no room, but a target got it or its pieces"
-        ));
+        let description = format!("request {id} had no room, but a target got it or its pieces");
+        return Some(Failure::new(FailureKind::RanWithoutRoom, description));
     }
     let is_late = took > MAX_REFUSAL && is_undisturbed(attempt, observations);
     is_late.then(|| {
-        format!(
+        let description = format!(
             "request {id} was refused without room after {} ms",
             took.as_millis()
-        )
+        );
+        Failure::new(FailureKind::LateRefusal, description)
     })
 }
 
@@ -104,7 +105,7 @@
 
 /// Compares the routes in the seconds without a fault: all callers, and those outside the burst,
 /// who are as many on each route and would hide an inverted order among the others.
-fn check_order(observations: &Observations, attempts: &[Attempt]) -> Vec<String> {
+fn check_order(observations: &Observations, attempts: &[Attempt]) -> Vec<Failure> {
     let is_steady = |attempt: &Attempt| {
         let contender = attempt.contender.as_ref();
         contender.is_some_and(|contender| contender.active.is_none())
@@ -122,7 +123,7 @@
 fn compare_routes<'a>(
     callers: &str,
     attempts: impl Iterator<Item = &'a Attempt> + Clone,
-) -> Option<String> {
+) -> Option<Failure> {
     let served = |path: &str| {
         let attempts = attempts.clone();
         Served::of(attempts.filter(|attempt| attempt.route.path == path))
@@ -130,11 +131,14 @@
     let (urgent, other) = (served(URGENT_PATH), served(LESS_URGENT_PATH));
     let is_kept = urgent.share()? + MAX_ORDER_DIFFERENCE >= other.share()?;
     (!is_kept).then(|| {
-        format!("the more urgent route was served less often ({callers}): {urgent:?}, {other:?}")
+        let description = format!(
+            "the more urgent route was served less often ({callers}): {urgent:?}, {other:?}"
+        );
+        Failure::new(FailureKind::Order, description)
     })
 }
 
-fn check_organisations(attempts: &[Attempt]) -> Vec<String> {
+fn check_organisations(attempts: &[Attempt]) -> Vec<Failure> {
     let organisation = |attempt: &Attempt| attempt.contender.as_ref()?.organisation;
     let all = || {
         attempts
@@ -148,7 +152,8 @@
     let check = |name: &str| {
         let own = Served::of(all().filter(|attempt| organisation(attempt) == Some(name)));
         let is_starved = own.share()? < share * MIN_SERVED_RATIO;
-        is_starved.then(|| format!("organisation {name}: {own:?}, but of all {share:.2} are whole"))
+        let description = format!("organisation {name}: {own:?}, but of all {share:.2} are whole");
+        is_starved.then(|| Failure::new(FailureKind::Starved, description))
     };
     names.into_iter().filter_map(check).collect()
 }
--- a/crates/bench/src/soak/versions.rs
+++ b/crates/bench/src/soak/versions.rs
@@ -16,6 +16,7 @@
 use super::callers::Attempt;
 use super::contention::Contender;
 use super::processes::Observations;
+use super::report::{Failure, FailureKind};
 
 /// Separates this random stream from the one of the faults.
 const STREAM: u64 = 0x7665_7273;
@@ -94,7 +95,7 @@
 
 /// Result of the checks.
 pub struct StreamsReport {
-    pub failures: Vec<String>,
+    pub failures: Vec<Failure>,
     pub summary: String,
 }
 
@@ -111,18 +112,19 @@
     let violations = tries
         .iter()
         .filter_map(|(id, tries)| find_violation(id, tries));
-    let mut failures: Vec<String> = violations.collect();
+    let mut failures: Vec<Failure> = violations.collect();
     let judged =
         streams.filter(|attempt| attempt.outcome.is_some() && is_in_touch(attempt, observations));
     let (taken_up, new): (Vec<&Attempt>, Vec<&Attempt>) =
         judged.partition(|attempt| attempt.resumed.is_some());
     let (goes_on, begins) = (share_with_events(&taken_up), share_with_events(&new));
     if taken_up.len() >= MIN_TAKEN_UP && goes_on < MIN_SHARE * begins {
-        failures.push(format!(
+        let description = format!(
             "{goes_on:.2} of {} streams that were taken up went on, {begins:.2} of the new ones \
              began",
             taken_up.len()
-        ));
+        );
+        failures.push(Failure::new(FailureKind::StreamsNotResumed, description));
     }
     let all_taken_up = tries.values().flatten();
     let all_taken_up = all_taken_up.filter(|attempt| attempt.resumed.is_some());
@@ -140,15 +142,16 @@
 }
 
 /// Describes a stream that holds events of two versions, or an event twice or not at all.
-fn find_violation(id: &str, tries: &[&Attempt]) -> Option<String> {
+fn find_violation(id: &str, tries: &[&Attempt]) -> Option<Failure> {
+    let failure = |description: String| Failure::new(FailureKind::StreamEvents, description);
     let events = || tries.iter().flat_map(|attempt| &attempt.events);
     let versions: BTreeSet<&str> = events().map(|event| event.version.as_str()).collect();
     if versions.len() > 1 {
-        return Some(format!("stream {id} holds events of {versions:?}"));
+        return Some(failure(format!("stream {id} holds events of {versions:?}")));
     }
     let numbers = events().map(|event| event.number);
     let is_in_order = numbers.eq(1..=events().count() as u32);
-    (!is_in_order).then(|| format!("stream {id} lacks an event or holds one twice"))
+    (!is_in_order).then(|| failure(format!("stream {id} lacks an event or holds one twice")))
 }
 
 /// True if no fault of its gateway is recent.
