Don't take the end of a connection that nobody can confirm for the end of an answer

Cause: such a body ends with its connection, which a crash ends, too, so the target's address is checked. The check had two results, crashed or not, and what it couldn't tell counted as not crashed: a host behind a silent cut doesn't reach the target itself, and peers that don't reach others, or don't answer in time, don't confirm a refusal.

The check now says running, ended or unknown, and only a target that is known to run makes such an answer complete; where the direct connection isn't answered, peers are asked as well. Unknown is a broken answer: a stream is resumed where its route allows that, a repeatable request sent again, anything else broken off or reported as failed. A relay now passes on the end of a target's connection only if the target runs after it (protocol hollowsail-relay-2): it knows best, and can still tell when it stops, when its peers no longer ask it. An older relay answers with the old protocol name, and its ends are confirmed by peers.

A crash is still reported only when it is known, so unknown ends count against no request.

Elsewhere: buffered answers and streams share the check; the results of stage calls show themselves whether they are whole.

Failed before, with the sources of: unframed_stream_whose_end_is_unconfirmed_is_not_complete, unframed_answer_whose_end_is_unconfirmed_is_not_complete (3 of 3 each), and answer_is_not_complete_when_its_target_crashes_behind_a_relay (1 of 1).

--- a/crates/connect/src/crash_check.rs
+++ b/crates/connect/src/crash_check.rs
@@ -1,20 +1,22 @@
 //! Distinguishes a crashed target from one whose connection broke.
 //!
 //! The address of a crashed process refuses connections until its restart, seconds later; a
-//! target that dropped a connection or is unreachable doesn't refuse. So the check opens a
-//! connection after an answer broke off. Answers that break off together share one probe, which
-//! begins after the last of them: an earlier one doesn't show that the target outlived an answer.
+//! target that dropped a connection accepts new ones. So the check opens a connection after an
+//! answer broke off; where that is refused or unanswered, others are asked, and the state may
+//! remain unknown. Answers that break off together share one probe, which begins after the last of
+//! them: an earlier one doesn't show that the target outlived an answer.
 
 use std::cell::RefCell;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use futures_util::future::{ready, FutureExt, LocalBoxFuture, Shared};
+use futures_util::future::{FutureExt, LocalBoxFuture, Shared};
 use hollowsail_clock::BootInstant;
 use tokio::net::TcpStream;
 
 use crate::dial::{dial, DialError};
+use crate::dialer::{Dialer, ProcessState, Unreached};
 
 /// Connect timeout of a probe. The address of a crashed target refuses within a round trip.
 pub const CHECK_TIMEOUT: Duration = Duration::from_millis(150);
@@ -34,14 +36,14 @@
 
 struct Probe {
     starts: BootInstant,
-    result: Shared<LocalBoxFuture<'static, bool>>,
+    result: Shared<LocalBoxFuture<'static, ProcessState>>,
 }
 
 impl Probe {
     /// True if its result holds for an answer that has just broken off.
     fn is_current(&self, now: BootInstant) -> bool {
         match self.result.peek() {
-            Some(true) => now < self.starts + CRASH_LIFETIME,
+            Some(ProcessState::Ended) => now < self.starts + CRASH_LIFETIME,
             _ => now < self.starts,
         }
     }
@@ -50,15 +52,21 @@
 impl CrashCheck {
     /// True when no process listens at the target's address.
     pub async fn has_crashed(&self, addr: SocketAddr) -> bool {
-        self.has_crashed_by(addr, ready(true)).await
+        let confirm = Dialer::direct(addr).confirm_state;
+        self.state(addr, false, confirm).await == ProcessState::Ended
     }
 
-    /// Like [`Self::has_crashed`]; `confirm` decides whether a refused connection shows that.
-    pub async fn has_crashed_by(
+    /// Whether a process listens at the target's address. `confirm` decides where a direct
+    /// connection isn't accepted, or isn't tried because they are known to fail.
+    pub async fn state<F>(
         &self,
         addr: SocketAddr,
-        confirm: impl Future<Output = bool> + 'static,
-    ) -> bool {
+        is_direct_failing: bool,
+        confirm: impl FnOnce(Unreached) -> F + 'static,
+    ) -> ProcessState
+    where
+        F: Future<Output = ProcessState> + 'static,
+    {
         let result = {
             let mut last = self.last.borrow_mut();
             let now = BootInstant::now();
@@ -67,7 +75,14 @@
                 _ => {
                     let check = async move {
                         tokio::time::sleep(PROBE_DELAY).await;
-                        refuses(addr).await && confirm.await
+                        let direct = match is_direct_failing {
+                            true => Err(Unreached::Silent),
+                            false => connect_twice(addr).await,
+                        };
+                        match direct {
+                            Ok(()) => ProcessState::Running,
+                            Err(unreached) => confirm(unreached).await,
+                        }
                     };
                     let result = check.boxed_local().shared();
                     *last = Some(Probe {
@@ -82,18 +97,25 @@
     }
 }
 
-/// True when an address refuses a connection; a timeout proves nothing. An exiting process may
-/// close an accepted connection before its listener, so one that closes at once is retried.
-async fn refuses(addr: SocketAddr) -> bool {
-    match dial(addr, CHECK_TIMEOUT).await {
-        Ok(stream) => closes_at_once(stream).await && is_refused(dial(addr, CHECK_TIMEOUT).await),
-        refused => is_refused(refused),
+/// Succeeds when an address accepts connections. An exiting process may close an accepted
+/// connection before its listener, so one that closes at once is retried.
+async fn connect_twice(addr: SocketAddr) -> Result<(), Unreached> {
+    let stream = dial(addr, CHECK_TIMEOUT).await.map_err(unreached)?;
+    if closes_at_once(stream).await {
+        dial(addr, CHECK_TIMEOUT).await.map_err(unreached)?;
     }
+    Ok(())
 }
 
-fn is_refused(result: Result<TcpStream, DialError>) -> bool {
-    matches!(result, Err(DialError::Refused { source, .. })
-        if source.kind() == std::io::ErrorKind::ConnectionRefused)
+fn unreached(err: DialError) -> Unreached {
+    match err {
+        DialError::Refused { source, .. }
+            if source.kind() == std::io::ErrorKind::ConnectionRefused =>
+        {
+            Unreached::Refused
+        }
+        _ => Unreached::Silent,
+    }
 }
 
 async fn closes_at_once(stream: TcpStream) -> bool {
--- a/crates/connect/src/dialer.rs
+++ b/crates/connect/src/dialer.rs
@@ -11,14 +11,31 @@
 /// Result of a dial.
 pub type Dialled = Result<Transport, DialError>;
 
+/// Whether a process listens at an address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProcessState {
+    Running,
+    Ended,
+    /// Neither is shown, for example behind a network cut.
+    Unknown,
+}
+
+/// Why a direct connection doesn't show that a process listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unreached {
+    Refused,
+    /// It wasn't answered, or direct connections are known to fail.
+    Silent,
+}
+
 /// Opens the connections of a pool, and judges them.
 pub struct Dialer {
     /// Opens a connection within a time.
     pub dial: Box<dyn Fn(Duration) -> LocalBoxFuture<'static, Dialled>>,
     /// False for a connection that should carry no further request.
     pub may_reuse: Box<dyn Fn(Way) -> bool>,
-    /// Whether the peer refuses connections of others, too, after it has refused a direct one.
-    pub confirm_refusal: Box<dyn Fn() -> LocalBoxFuture<'static, bool>>,
+    /// Whether the peer runs, by what others reach, after a direct connection didn't show it.
+    pub confirm_state: Box<dyn Fn(Unreached) -> LocalBoxFuture<'static, ProcessState>>,
 }
 
 impl Dialer {
@@ -29,7 +46,13 @@
                 async move { dial(addr, timeout).await.map(Transport::direct) }.boxed_local()
             }),
             may_reuse: Box::new(|_| true),
-            confirm_refusal: Box::new(|| ready(true).boxed_local()),
+            confirm_state: Box::new(|unreached| {
+                let state = match unreached {
+                    Unreached::Refused => ProcessState::Ended,
+                    Unreached::Silent => ProcessState::Unknown,
+                };
+                ready(state).boxed_local()
+            }),
         }
     }
 }
--- a/crates/connect/src/framing.rs
+++ b/crates/connect/src/framing.rs
@@ -3,6 +3,8 @@
 use http::{header, Response};
 use hyper::body::Body;
 
+use crate::transport::Way;
+
 /// What marks the end of a body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -12,11 +14,13 @@
     Chunked,
     /// The end of its connection, which a peer that stops halfway causes, too.
     Connection,
+    /// The same behind a relay that confirms that the peer runs after it.
+    ConfirmedConnection,
 }
 
 impl Framing {
     /// Framing of an answer whose body wasn't read yet.
-    pub(crate) fn of(response: &Response<impl Body>) -> Self {
+    pub(crate) fn of(response: &Response<impl Body>, way: Way) -> Self {
         if response.body().size_hint().exact().is_some() {
             return Framing::Length;
         }
@@ -25,18 +29,25 @@
             .iter()
             .filter_map(|value| value.to_str().ok())
             .any(|value| value.to_ascii_lowercase().contains("chunked"));
-        match is_chunked {
-            true => Framing::Chunked,
-            false => Framing::Connection,
+        match way {
+            _ if is_chunked => Framing::Chunked,
+            Way::Relay(relay) if relay.confirms_end => Framing::ConfirmedConnection,
+            Way::Relay(_) | Way::Direct => Framing::Connection,
         }
     }
 
+    /// True when the body ends with its connection.
+    pub fn ends_with_connection(self) -> bool {
+        matches!(self, Framing::Connection | Framing::ConfirmedConnection)
+    }
+
     /// Label for log lines.
     pub fn name(self) -> &'static str {
         match self {
             Framing::Length => "length",
             Framing::Chunked => "chunked",
             Framing::Connection => "connection",
+            Framing::ConfirmedConnection => "confirmed_connection",
         }
     }
 }
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -29,12 +29,12 @@
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
 pub use dial::{dial, set_options, DialError};
-pub use dialer::{Dialer, Dialled};
+pub use dialer::{Dialer, Dialled, ProcessState, Unreached};
 pub use framing::Framing;
 pub use liveness::Liveness;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
 pub use relayed::{relay, RelayedStream};
-pub use transport::{Transport, Way};
+pub use transport::{RelayWay, Transport, Way};
 
 /// A connection failure before the end of a body.
 pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -24,7 +24,7 @@
 use crate::body::AnswerBody;
 use crate::capacity::{grant_first, Capacity, Dialling, Grant};
 use crate::dial::DialError;
-use crate::dialer::Dialer;
+use crate::dialer::{Dialer, ProcessState, Unreached};
 use crate::framing::Framing;
 use crate::transport::{Transport, Way};
 
@@ -231,10 +231,17 @@
         self.idle.borrow_mut().retain(|conn| may_reuse(conn.way));
     }
 
-    /// True when nothing listens at the address of the peer, after it has refused a direct
-    /// connection.
-    pub fn confirm_refusal(&self) -> LocalBoxFuture<'static, bool> {
-        (self.dialer.confirm_refusal)()
+    /// True while direct connections are known to fail.
+    pub fn is_direct_failing(&self) -> bool {
+        !(self.dialer.may_reuse)(Way::Direct)
+    }
+
+    /// Whether the peer runs, after a direct connection didn't show it.
+    pub fn confirm_state(
+        self: &Rc<Self>,
+        unreached: Unreached,
+    ) -> LocalBoxFuture<'static, ProcessState> {
+        (self.dialer.confirm_state)(unreached)
     }
 
     /// Number of idle connections that are still open.
@@ -450,7 +457,7 @@
     /// Splits into the head and the body, which returns the connection to the pool after the
     /// last byte if `reusable`.
     pub fn into_body(self, reusable: bool) -> (http::response::Parts, AnswerBody) {
-        let framing = Framing::of(&self.response);
+        let framing = Framing::of(&self.response, self.returning.way);
         let (parts, incoming) = self.response.into_parts();
         let returning =
             Some(self.returning).filter(|returning| reusable && returning.keep_for.is_some());
--- a/crates/connect/src/relayed.rs
+++ b/crates/connect/src/relayed.rs
@@ -2,10 +2,11 @@
 //!
 //! Towards the peer the bytes are passed on as they are, and the end of the stream closes the
 //! connection to the peer. Towards this process they come in frames with a length of two bytes, and
-//! an empty frame says that the peer closed its connection in good order. A stream that ends
-//! without it was broken off, by the peer or by the relay: its system closes the connections of a
-//! relay that is killed, which must not look like the end of an answer.
+//! an empty frame says that the peer closed its connection in good order, and runs. A stream that
+//! ends without it was broken off, by the peer or by the relay: the system closes the connections of
+//! a process that is killed, which must not look like the end of an answer.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
@@ -114,14 +115,19 @@
 }
 
 /// Passes bytes between an entry, from which `early` was received, and a peer, until one of them
-/// ends its connection.
-pub async fn relay(entry: TcpStream, early: Bytes, peer: TcpStream) {
+/// ends its connection. The end of the peer's is passed on if `is_running` says that it runs then.
+pub async fn relay(
+    entry: TcpStream,
+    early: Bytes,
+    peer: TcpStream,
+    is_running: impl Future<Output = bool>,
+) {
     let (from_entry, to_entry) = entry.into_split();
     let (from_peer, to_peer) = peer.into_split();
     // The connections close when either direction has ended.
     tokio::select! {
         _ended = pass_to_peer(early, from_entry, to_peer) => {}
-        _ended = pass_to_entry(from_peer, to_entry) => {}
+        _ended = pass_to_entry(from_peer, to_entry, is_running) => {}
     }
 }
 
@@ -137,16 +143,20 @@
 async fn pass_to_entry(
     mut from_peer: OwnedReadHalf,
     mut to_entry: OwnedWriteHalf,
+    is_running: impl Future<Output = bool>,
 ) -> io::Result<()> {
     let mut frame = vec![0; LENGTH_BYTES + MAX_FRAME];
     loop {
         let len = from_peer.read(&mut frame[LENGTH_BYTES..]).await?;
-        frame[..LENGTH_BYTES].copy_from_slice(&(len as u16).to_be_bytes());
-        // At the end of the peer's stream this is the empty frame.
-        to_entry.write_all(&frame[..LENGTH_BYTES + len]).await?;
         if len == 0 {
-            tokio::time::sleep(CLOSE_TIMEOUT).await;
-            return Ok(());
+            break;
         }
+        frame[..LENGTH_BYTES].copy_from_slice(&(len as u16).to_be_bytes());
+        to_entry.write_all(&frame[..LENGTH_BYTES + len]).await?;
+    }
+    if is_running.await {
+        to_entry.write_all(&[0; LENGTH_BYTES]).await?;
+        tokio::time::sleep(CLOSE_TIMEOUT).await;
     }
+    Ok(())
 }
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -15,8 +15,16 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
     Direct,
-    /// Through the relay with this key.
-    Relay(u64),
+    Relay(RelayWay),
+}
+
+/// The relay of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayWay {
+    /// The caller's key of the relay.
+    pub relay: u64,
+    /// The relay passes on the end of the connection only if the peer is known to run after it.
+    pub confirms_end: bool,
 }
 
 /// A connection to a peer.
@@ -51,9 +59,9 @@
     }
 
     /// A connection through a relay.
-    pub fn relayed(stream: RelayedStream, relay: u64) -> Self {
+    pub fn relayed(stream: RelayedStream, way: RelayWay) -> Self {
         Transport {
-            way: Way::Relay(relay),
+            way: Way::Relay(way),
             stream: Stream::Relayed(stream),
             observer: None,
         }
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -25,9 +25,14 @@
     /// The target's connection ended, which marks the end of its stream, before any event.
     #[snafu(display("the target's connection ended before the first event"))]
     NoEvent,
-    /// The target crashed, which ended its connection and thereby its stream.
-    #[snafu(display("the target crashed, which ended a stream without a length"))]
+    /// The target crashed, which ended its connection and thereby its response.
+    #[snafu(display("the target crashed, which ended a response without a length"))]
     TargetCrashed,
+    /// The target may have crashed: neither this host nor a peer reaches it.
+    #[snafu(display(
+        "a response without a length ended, and no host can tell whether its target crashed"
+    ))]
+    UnconfirmedEnd,
     /// The deadline of the request passed.
     #[snafu(display("the request's deadline passed before the response was complete"))]
     DeadlineExceeded,
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -1,11 +1,13 @@
 //! Relays connections to targets for peers.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowsail_connect::{relay, DialError};
+use hollowsail_connect::{relay, DialError, ProcessState};
+use hollowsail_targets::Target;
 use http::{header, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -14,7 +16,8 @@
 use tokio::net::TcpStream;
 
 use super::messages::{
-    RelayRequest, CONNECT_REFUSED, PROTOCOL, TARGET_REFUSED, TARGET_SILENT, UNABLE,
+    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, PROTOCOL, TARGET_REFUSED, TARGET_SILENT,
+    UNABLE,
 };
 use super::open::dial_direct;
 use crate::mechanisms::Mechanism;
@@ -54,6 +57,10 @@
     mut req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let upgrade = hyper::upgrade::on(&mut req);
+    let protocol = match req.headers().get(header::UPGRADE) {
+        Some(offered) if offered == CONFIRMING_PROTOCOL => CONFIRMING_PROTOCOL,
+        _ => PROTOCOL,
+    };
     let request: RelayRequest = peers::read(req).await?;
     if request.to != cx.me.id {
         return Err(StatusCode::MISDIRECTED_REQUEST);
@@ -62,13 +69,18 @@
         return Err(UNABLE);
     }
     let relayed = Relayed::begin(&cx.reach.relayed);
-    let target = connect(cx, &request).await?;
-    actix_rt::spawn(pass_on(upgrade, target, relayed));
+    let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
+    let stream = connect(cx, &target, &request).await?;
+    let is_running = is_running(cx.clone(), target);
+    actix_rt::spawn(async move {
+        pass_on(upgrade, stream, is_running).await;
+        drop(relayed);
+    });
     let mut response = Response::new(Full::default());
     *response.status_mut() = StatusCode::SWITCHING_PROTOCOLS;
     let headers = response.headers_mut();
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
+    headers.insert(header::UPGRADE, HeaderValue::from_static(protocol));
     Ok(response)
 }
 
@@ -81,8 +93,11 @@
 }
 
 /// Connects to a target directly: a relay never asks another.
-async fn connect(cx: &Rc<Traffic>, request: &RelayRequest) -> Result<TcpStream, StatusCode> {
-    let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
+async fn connect(
+    cx: &Rc<Traffic>,
+    target: &Target,
+    request: &RelayRequest,
+) -> Result<TcpStream, StatusCode> {
     let limit = Duration::from_millis(request.timeout_ms).min(MAX_CONNECT_TIME);
     let dialled = dial_direct(cx, target.record.addr, limit).await;
     dialled.map_err(|err| match err {
@@ -97,13 +112,20 @@
     state.has_reached_within(cx.clock.now(), TRUSTED_MS)
 }
 
-async fn pass_on(upgrade: OnUpgrade, target: TcpStream, _relayed: Relayed) {
+/// True if the end of a target's connection wasn't due to a crash. A target that has left may have
+/// ended after it.
+async fn is_running(cx: Rc<Traffic>, target: Rc<Target>) -> bool {
+    let is_in_use = cx.target(target.incarnation()).is_some();
+    !is_in_use || target.process_state().await == ProcessState::Running
+}
+
+async fn pass_on(upgrade: OnUpgrade, target: TcpStream, is_running: impl Future<Output = bool>) {
     let upgraded = match upgrade.await {
         Ok(upgraded) => upgraded,
         Err(err) => return log::debug!("a peer's request for a relay ended: {err}"),
     };
     match upgraded.downcast::<TokioIo<TcpStream>>() {
-        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target).await,
+        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target, is_running).await,
         Err(_) => log::error!("a relayed connection has an unexpected type"),
     }
 }
--- a/crates/gateway/src/reach/messages.rs
+++ b/crates/gateway/src/reach/messages.rs
@@ -12,7 +12,10 @@
 
 /// Path that accepts a [`RelayRequest`].
 pub const RELAY_PATH: &str = "/hollowsail/relay";
-/// Protocol that the connection is upgraded to.
+/// Protocol that the connection is upgraded to. The end of the target's connection is passed on
+/// only if the target is known to run after it.
+pub const CONFIRMING_PROTOCOL: &str = "hollowsail-relay-2";
+/// The same of an older build, which passes on every end.
 pub const PROTOCOL: &str = "hollowsail-relay";
 
 /// The target refused the connection, and the relay reaches others.
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use futures_util::future::FutureExt;
-use hollowsail_connect::{DialError, Dialer, Dialled, Liveness, Way};
+use hollowsail_connect::{DialError, Dialer, Dialled, Liveness, ProcessState, Way};
 use hollowsail_observe::events;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Millis, Reachability};
@@ -92,12 +92,12 @@
             let cx = reuse_cx.upgrade();
             cx.is_some_and(|cx| cx.reach.may_reuse(&cx, reuse_to.addr, way))
         }),
-        confirm_refusal: Box::new(move || {
+        confirm_state: Box::new(move |unreached| {
             let (cx, endpoint) = (confirm_cx.upgrade(), confirm_at.clone());
             async move {
                 match cx {
-                    Some(cx) => relays::confirm_refusal(&cx, &endpoint).await,
-                    None => false,
+                    Some(cx) => relays::confirm_state(&cx, &endpoint, unreached).await,
+                    None => ProcessState::Unknown,
                 }
             }
             .boxed_local()
@@ -140,7 +140,7 @@
     fn may_reuse(&self, cx: &Traffic, target: SocketAddr, way: Way) -> bool {
         match way {
             Way::Direct => !self.is_failing(cx, target),
-            Way::Relay(peer) => self.is_failing(cx, target) && cx.peers.is_live(PeerId(peer)),
+            Way::Relay(way) => self.is_failing(cx, target) && cx.peers.is_live(PeerId(way.relay)),
         }
     }
 
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -6,7 +6,9 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use futures_util::FutureExt;
-use hollowsail_connect::{dial, DialError, RelayedStream, Transport};
+use hollowsail_connect::{
+    dial, DialError, ProcessState, RelayWay, RelayedStream, Transport, Unreached,
+};
 use hollowsail_fleet::relays::{order, Place, RelayCandidate};
 use http::{header, HeaderValue, StatusCode};
 use hyper::client::conn::http1::handshake;
@@ -16,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::messages::{
-    RelayRequest, CONNECT_REFUSED, PROTOCOL, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT,
+    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT,
 };
 use super::{probe, Endpoint};
 use crate::metrics;
@@ -33,7 +35,7 @@
 const UNABLE_MS: u64 = 1_000;
 /// The same for a peer whose build can't.
 const OLDER_BUILD_MS: u64 = 10_000;
-/// Time limit for a check whether a target refuses connections of others.
+/// Time limit for a check whether peers reach a target.
 const CONFIRM_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Why no peer relays a connection.
@@ -167,7 +169,7 @@
     let left = until.saturating_duration_since(Instant::now());
     let asked = tokio::time::timeout(left, connect_through(&peer, endpoint, left)).await;
     let for_ms = match asked {
-        Ok(Ok(stream)) => return Ok(Transport::relayed(stream, peer.id.0)),
+        Ok(Ok(transport)) => return Ok(transport),
         Ok(Err(PeerError::Target(err))) => return Err(err),
         Ok(Err(PeerError::Unable { for_ms })) => for_ms,
         Err(_) => UNABLE_MS,
@@ -181,7 +183,7 @@
     peer: &PeerRecord,
     endpoint: &Endpoint,
     timeout: Duration,
-) -> Result<RelayedStream, PeerError> {
+) -> Result<Transport, PeerError> {
     let unable = PeerError::Unable { for_ms: UNABLE_MS };
     let request = RelayRequest {
         to: peer.id,
@@ -191,7 +193,10 @@
     let mut req = peer_call::request(RELAY_PATH, &request);
     let headers = req.headers_mut();
     headers.insert(header::CONNECTION, HeaderValue::from_static("upgrade"));
-    headers.insert(header::UPGRADE, HeaderValue::from_static(PROTOCOL));
+    headers.insert(
+        header::UPGRADE,
+        HeaderValue::from_static(CONFIRMING_PROTOCOL),
+    );
     let Ok(stream) = dial(peer.addr, timeout).await else {
         return Err(unable);
     };
@@ -214,23 +219,39 @@
         }
         _ => return Err(unable),
     }
+    let protocol = response.headers().get(header::UPGRADE);
+    let way = RelayWay {
+        relay: peer.id.0,
+        confirms_end: protocol.is_some_and(|protocol| protocol == CONFIRMING_PROTOCOL),
+    };
     let upgraded = hyper::upgrade::on(response).await;
     let parts = upgraded.map(|upgraded| upgraded.downcast::<TokioIo<TcpStream>>());
     match parts {
-        Ok(Ok(parts)) => Ok(RelayedStream::new(parts.io.into_inner(), &parts.read_buf)),
+        Ok(Ok(parts)) => {
+            let stream = RelayedStream::new(parts.io.into_inner(), &parts.read_buf);
+            Ok(Transport::relayed(stream, way))
+        }
         _ => Err(unable),
     }
 }
 
-/// True when a target that refused a direct connection refuses those of others, too. Where no peer
-/// can tell, the target is at fault if this host reached it until now, and reaches another.
-pub(super) async fn confirm_refusal(cx: &Rc<Traffic>, endpoint: &Endpoint) -> bool {
+/// Whether a target runs that this host didn't reach directly, by what peers reach. Where none can
+/// tell, one that refuses has ended if this host reached it until now, and reaches another.
+pub(super) async fn confirm_state(
+    cx: &Rc<Traffic>,
+    endpoint: &Endpoint,
+    unreached: Unreached,
+) -> ProcessState {
     match ask_peers(cx, endpoint, Instant::now() + CONFIRM_TIMEOUT).await {
-        Ok(_) | Err(RelayError::TargetSilent) => false,
-        Err(RelayError::TargetRefused) => true,
-        Err(RelayError::ConnectRefused | RelayError::NoRelay) => {
-            !cx.reach.is_failing(cx, endpoint.addr)
-                && probe::reaches_another(cx, endpoint.addr).await
+        Ok(_) => ProcessState::Running,
+        Err(RelayError::TargetRefused) => ProcessState::Ended,
+        Err(RelayError::ConnectRefused | RelayError::NoRelay)
+            if unreached == Unreached::Refused
+                && !cx.reach.is_failing(cx, endpoint.addr)
+                && probe::reaches_another(cx, endpoint.addr).await =>
+        {
+            ProcessState::Ended
         }
+        Err(_) => ProcessState::Unknown,
     }
 }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -52,12 +52,14 @@
         body.collect(MAX_BUFFERED_BYTES),
     )
     .await;
-    let has_crashed =
-        matches!(read, Ok(Ok(_))) && completeness::was_ended_by_crash(cx, &target, framing).await;
+    let end = match &read {
+        Ok(Ok(_)) => completeness::check_end(cx, &target, framing).await,
+        _ => Ok(()),
+    };
     drop(in_flight);
     if let Some(mut placed) = placed {
         match &read {
-            Ok(Ok(_)) if !has_crashed && !parts.status.is_server_error() => {
+            Ok(Ok(_)) if end.is_ok() && !parts.status.is_server_error() => {
                 placed.prefill_done();
                 placed.completed();
             }
@@ -66,9 +68,7 @@
     }
     let failure = |reason: String| Failure::new(Progress::Broken, reason);
     let failure = match read {
-        Ok(Ok(_)) if has_crashed => {
-            Failure::connection_lost("the target crashed, which ended an answer without a length")
-        }
+        Ok(Ok(_)) if let Err(fault) = end => Failure::connection_lost(fault.to_string()),
         Ok(Ok(Some(_))) if retry::may_try_another(cx, admitted, attempts, parts.status) => {
             Failure::answered(parts.status)
         }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -9,7 +9,6 @@
 
 use bytes::Bytes;
 use futures_util::stream;
-use hollowsail_connect::Framing;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::Observation;
@@ -167,12 +166,11 @@
         let has_events = is_event_stream(&self.answer.parts.headers);
         if has_events && self.splitter.is_inside_event() {
             Some(BodyFault::InsideEvent)
-        } else if has_events && framing == Framing::Connection && !self.splitter.has_events() {
+        } else if has_events && framing.ends_with_connection() && !self.splitter.has_events() {
             Some(BodyFault::NoEvent)
-        } else if completeness::was_ended_by_crash(&self.cx, &self.answer.target, framing).await {
-            Some(BodyFault::TargetCrashed)
         } else {
-            None
+            let end = completeness::check_end(&self.cx, &self.answer.target, framing).await;
+            end.err()
         }
     }
 
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -9,7 +9,7 @@
 use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 use crate::fixture::{Answer, Call, Fixture};
 
@@ -24,6 +24,8 @@
         .route("/resumable/", "stream", "engines", resumable)
         .service("plain")
         .route("/plain/", "unsafe", "plain", json!({}))
+        .service("other")
+        .route("/other/", "unsafe", "other", json!({}))
 }
 
 fn generation(path: &str) -> Call {
@@ -174,6 +176,49 @@
     assert_eq!(got.body, events(1..=2));
 }
 
+/// Sends a request to the last target that runs. When it crashes, too, nobody can tell its crash
+/// from a cut of the host.
+async fn answered_by_the_last_target(
+    service: &str,
+    request: &Call,
+    script: impl Fn(&ReceivedRequest) -> Vec<Step> + 'static,
+) -> Answer {
+    let (fixture, _target) = Fixture::serving(&deployment(), service, script).await;
+    let gone = {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("it binds");
+        listener.local_addr().expect("it is bound")
+    };
+    // No request goes there.
+    fixture
+        .store
+        .put_target("i-2", "other", gone, "hall-a", "ready");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    fixture.call(request).await
+}
+
+#[actix_rt::test]
+async fn unframed_stream_whose_end_is_unconfirmed_is_not_complete() {
+    let script = |request: &ReceivedRequest| {
+        vec![
+            Step::Write(unframed(stream_head(request))),
+            Step::Write(events(1..=2).into()),
+            Step::Wait(BEFORE_CLOSE),
+            Step::Crash,
+        ]
+    };
+    let got = answered_by_the_last_target("engines", &generation("/once/"), script).await;
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(got.body, events(1..=2));
+}
+
+#[actix_rt::test]
+async fn unframed_answer_whose_end_is_unconfirmed_is_not_complete() {
+    let script = |request: &ReceivedRequest| unframed_answer(request, Step::Crash);
+    let request = Call::new("POST", "/plain/x");
+    let got = answered_by_the_last_target("plain", &request, script).await;
+    assert_eq!(got.status, 502, "it may have run");
+}
+
 /// Requests an interrupted stream over HTTP/1.0 and reads to the end of the connection.
 async fn read_interrupted_stream_as_http_1_0() -> std::io::Result<usize> {
     let script = |request: &ReceivedRequest| unframed_stream(request, &event(1)[..8]);
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -317,9 +317,26 @@
     ]
 }
 
-/// Sends a request that may run once through a relay, and runs `halfway` while it is answered.
+/// The same from a target that crashes after it.
+fn slow_and_crashing(request: &ReceivedRequest) -> Vec<Step> {
+    let steps = slow_and_unframed(request).into_iter();
+    let steps = steps.map(|step| match step {
+        Step::Close => Step::Crash,
+        step => step,
+    });
+    steps.collect()
+}
+
 async fn relayed_once(halfway: impl AsyncFnOnce(&mut Fleet)) -> (Answer, usize) {
-    let (mut fleet, target) = relaying(slow_and_unframed).await;
+    relayed_once_by(slow_and_unframed, halfway).await
+}
+
+/// Sends a request that may run once through a relay, and runs `halfway` while it is answered.
+async fn relayed_once_by(
+    script: fn(&ReceivedRequest) -> Vec<Step>,
+    halfway: impl AsyncFnOnce(&mut Fleet),
+) -> (Answer, usize) {
+    let (mut fleet, target) = relaying(script).await;
     let addr = fleet.hosts[0].gateway.addrs.callers;
     let request = Kind::Once.request();
     let sending = request.send(addr);
@@ -357,6 +374,20 @@
     assert_eq!((answer.status, runs), (502, 1), "{answer:?}");
 }
 
+/// Guards against taking the crash of a target behind a relay for the end of its answer.
+#[actix_rt::test]
+async fn answer_is_not_complete_when_its_target_crashes_behind_a_relay() {
+    let lose_target = async |fleet: &mut Fleet| {
+        fleet.hosts[0].links.set_mode(LinkMode::Silent);
+        // The other links would still accept connections when their target is gone.
+        let target = fleet.targets.last().expect("the target").addr;
+        let hosts = fleet.hosts.iter();
+        hosts.for_each(|host| host.links.close_target(target));
+    };
+    let (answer, runs) = relayed_once_by(slow_and_crashing, lose_target).await;
+    assert_eq!((answer.status, runs), (502, 1), "{answer:?}");
+}
+
 #[actix_rt::test]
 async fn planned_stop_of_a_relay_cuts_nothing() {
     let stop = async |fleet: &mut Fleet| {
--- a/crates/targets/src/target.rs
+++ b/crates/targets/src/target.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use hollowsail_connect::{CrashCheck, Dialer, Pool, PoolRules};
+use hollowsail_connect::{CrashCheck, Dialer, Pool, PoolRules, ProcessState};
 use hollowsail_platform::deployment::Service;
 use hollowsail_platform::headers::TargetLoad;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
@@ -89,12 +89,19 @@
         })
     }
 
-    /// Checks whether its process is gone after one of its answers broke off. Takes one or two
-    /// round trips, and at most twice [`hollowsail_connect::CHECK_TIMEOUT`].
+    /// True if its process is known to be gone after one of its answers broke off.
     pub async fn has_crashed(&self) -> bool {
-        let confirm = self.pool.confirm_refusal();
+        self.process_state().await == ProcessState::Ended
+    }
+
+    /// Whether its process runs after one of its answers ended. Takes one or two round trips, and
+    /// at most twice [`hollowsail_connect::CHECK_TIMEOUT`] and the time in which others are asked.
+    pub async fn process_state(&self) -> ProcessState {
+        let pool = self.pool.clone();
+        let is_direct_failing = pool.is_direct_failing();
+        let confirm = move |unreached| pool.confirm_state(unreached);
         self.crash_check
-            .has_crashed_by(self.record.addr, confirm)
+            .state(self.record.addr, is_direct_failing, confirm)
             .await
     }
 
