Have peers in any hall relay where there are no regions, and judge relays by hall

Cause: a relay has to be in the region of either end, and a hall without a region counted as a region of its own.

Without regions all halls are one, since requests restricted to regions aren't accepted there. Whether peers can relay is now kept for each hall; targets in a hall without a way are chosen by no request, and the host is isolated only when no hall has a way. Probes ask for each hall. Peers that are suspected are asked last instead of never: a host that was paused suspects all of them, though they run.

--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -236,15 +236,18 @@
         self.live.borrow().iter().any(|live| live.id == peer)
     }
 
-    /// The other live entries that aren't suspected.
-    pub fn responsive(&self, cx: &Traffic) -> Vec<PeerRecord> {
-        let now = cx.clock.now();
-        let suspects = self.suspects.borrow();
+    /// The records of the other live entries.
+    pub fn other_records(&self, cx: &Traffic) -> Vec<PeerRecord> {
         let live = self.live.borrow();
         let others = live.iter().filter(|peer| peer.id != cx.me.id);
-        let responsive =
-            others.filter(|peer| suspects.get(&peer.id).is_none_or(|s| s.until <= now));
-        responsive.cloned().collect()
+        others.cloned().collect()
+    }
+
+    /// True while a peer is suspected.
+    pub fn is_suspected(&self, cx: &Traffic, peer: PeerId) -> bool {
+        let suspects = self.suspects.borrow();
+        let suspicion = suspects.get(&peer);
+        suspicion.is_some_and(|suspicion| suspicion.until > cx.clock.now())
     }
 
     /// The entries that hold copies of the record of a stream, in their order; without this one and
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -20,7 +20,7 @@
 
 use futures_util::future::FutureExt;
 use hollowsail_connect::{DialError, Dialer, Dialled, Liveness, ProcessState, Way};
-use hollowsail_observe::events;
+use hollowsail_observe::{events, LogThrottle};
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Millis, Reachability};
 use hollowsail_targets::TargetTable;
@@ -34,9 +34,13 @@
 
 /// How long a target that no relay reached is connected to directly only, in milliseconds.
 const RELAYS_FAILED_MS: Millis = 1_000;
-/// How long a host waits, after no peer could relay, before it asks them again, in milliseconds.
+/// How long a host waits, after no peer could relay to the targets of a hall, before it asks them
+/// again, in milliseconds.
 const ISOLATED_MS: Millis = 250;
 
+/// Least time between log lines on the same hall, in milliseconds.
+const NO_RELAY_LOG_INTERVAL_MS: Millis = 1_000;
+
 /// What this host knows of its ways to the targets.
 #[derive(Default)]
 pub struct Reach {
@@ -45,14 +49,26 @@
     liveness: Rc<Liveness>,
     /// When relays last failed to reach a target.
     relays_failed: RefCell<HashMap<SocketAddr, Millis>>,
-    /// When no peer could relay, unless one has since.
-    no_relay_at: Cell<Option<Millis>>,
+    /// When no peer could relay to the targets of a hall, unless one has since. Data may not pass
+    /// every peer, so a relay to one hall says nothing of another.
+    no_relay_at: RefCell<HashMap<String, Millis>>,
+    /// Limits the lines on halls to whose targets no peer relays.
+    no_relay_log: RefCell<NoRelayLog>,
     /// Until when peers that couldn't relay are asked last.
     unable_until: RefCell<HashMap<PeerId, Millis>>,
     /// Connections that this entry relays for peers.
     relayed: Rc<Cell<usize>>,
 }
 
+/// Limits the lines on each hall to whose targets no peer relays.
+struct NoRelayLog(LogThrottle<String>);
+
+impl Default for NoRelayLog {
+    fn default() -> Self {
+        NoRelayLog(LogThrottle::new(NO_RELAY_LOG_INTERVAL_MS))
+    }
+}
+
 /// A target as far as its connections are concerned.
 #[derive(Debug, Clone)]
 struct Endpoint {
@@ -126,9 +142,30 @@
         Duration::from_millis(ISOLATED_MS)
     }
 
-    /// True while this host reaches no target, and no peer can relay.
-    pub fn is_isolated(&self) -> bool {
-        self.is_cut_off() && self.no_relay_at.get().is_some()
+    /// False while this host reaches no target, and no peer can relay to those in a hall.
+    pub fn has_way_to(&self, hall: &str) -> bool {
+        !self.is_cut_off() || !self.no_relay_at.borrow().contains_key(hall)
+    }
+
+    /// True while this host reaches no target, and no peer can relay to any.
+    pub fn is_isolated(&self, cx: &Traffic) -> bool {
+        let targets = cx.targets();
+        let mut halls = targets.all().map(|target| &target.record.hall).peekable();
+        self.is_cut_off() && halls.peek().is_some() && !halls.any(|hall| self.has_way_to(hall))
+    }
+
+    /// True while peers can't relay to the targets of some hall.
+    fn lacks_relays(&self) -> bool {
+        !self.no_relay_at.borrow().is_empty()
+    }
+
+    /// Records whether peers could relay to the targets of a hall.
+    fn record_relay(&self, now: Millis, hall: &str, is_possible: bool) {
+        let mut no_relay_at = self.no_relay_at.borrow_mut();
+        match is_possible {
+            true => drop(no_relay_at.remove(hall)),
+            false => drop(no_relay_at.insert(hall.to_string(), now)),
+        }
     }
 
     /// Number of connections that this entry relays for peers.
@@ -158,7 +195,7 @@
         metrics::set_cut_off(false);
         let fields = format_args!("target_addr={addr} cut_off_ms={cut_off_ms}");
         cx.log.line(events::TARGETS_REACHABLE, fields);
-        self.no_relay_at.set(None);
+        self.no_relay_at.borrow_mut().clear();
         self.relays_failed.borrow_mut().clear();
         cx.prune_connections();
     }
--- a/crates/gateway/src/reach/open.rs
+++ b/crates/gateway/src/reach/open.rs
@@ -29,7 +29,7 @@
         let relayed = relays::connect(cx, endpoint, until).await;
         relayed.map_err(|err| err.into_dial_error(endpoint.addr))
     };
-    match plan(cx, endpoint.addr) {
+    match plan(cx, endpoint) {
         ConnectPlan::DirectOnly => direct(cx, endpoint.addr, limit).await,
         ConnectPlan::DirectFirst => direct_first(cx, endpoint, limit, through_relay).await,
         ConnectPlan::RelayOnly => through_relay.await,
@@ -46,13 +46,13 @@
     }
 }
 
-fn plan(cx: &Traffic, addr: SocketAddr) -> ConnectPlan {
+fn plan(cx: &Traffic, endpoint: &Endpoint) -> ConnectPlan {
     if !cx.has(Mechanism::Relays) {
         return ConnectPlan::DirectOnly;
     }
     let now = cx.clock.now();
-    let reach = &cx.reach;
-    let no_relay_at = reach.no_relay_at.get();
+    let (reach, addr) = (&cx.reach, endpoint.addr);
+    let no_relay_at = reach.no_relay_at.borrow().get(&endpoint.hall).copied();
     let known = KnownWays {
         is_cut_off: reach.is_cut_off(),
         is_direct_failing: reach.state.borrow().is_failing(now, addr),
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -1,10 +1,11 @@
 //! Connects to a few targets to find out whether this host is cut off from all of them.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::select_ok;
+use futures_util::future::{join_all, select_ok};
 use futures_util::FutureExt;
 use hollowsail_connect::DialError;
 use hollowsail_observe::events;
@@ -64,20 +65,35 @@
         let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
         cx.log.line(events::TARGETS_UNREACHABLE, fields);
     }
-    if is_new || cx.reach.is_isolated() {
+    if is_new || cx.reach.lacks_relays() {
         probe_relays(cx).await;
     }
 }
 
-/// Finds out whether a peer can relay: an isolated host gets no requests that would show it.
+/// Finds out whether peers can relay to the halls to which none could: no request goes to their
+/// targets that would show it.
 async fn probe_relays(cx: &Rc<Traffic>) {
-    let target = cx.targets().all().choose(&mut rand::rng()).cloned();
-    if let Some(target) = target {
+    let until = Instant::now() + PROBE_TIMEOUT;
+    let targets = choose_target_of_each_hall(cx).into_iter();
+    let probes = targets.map(|target| async move {
         let endpoint = Endpoint::of(&target.record);
-        let until = Instant::now() + PROBE_TIMEOUT;
         // The result counts, and the connection closes.
         drop(relays::connect(cx, &endpoint, until).await);
+    });
+    join_all(probes).await;
+}
+
+/// A random target of each hall.
+fn choose_target_of_each_hall(cx: &Traffic) -> Vec<Rc<Target>> {
+    let targets = cx.targets();
+    let mut by_hall: BTreeMap<&str, Vec<&Rc<Target>>> = BTreeMap::new();
+    for target in targets.all() {
+        by_hall.entry(&target.record.hall).or_default().push(target);
     }
+    let chosen = by_hall
+        .into_values()
+        .filter_map(|targets| targets.into_iter().choose(&mut rand::rng()));
+    chosen.cloned().collect()
 }
 
 /// True when this host reaches a target other than this one now, or knows no other.
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -10,6 +10,7 @@
     dial, DialError, ProcessState, RelayWay, RelayedStream, Transport, Unreached,
 };
 use hollowsail_fleet::relays::{order, Place, RelayCandidate};
+use hollowsail_observe::events;
 use http::{header, HeaderValue, StatusCode};
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
@@ -23,7 +24,7 @@
 use super::{probe, Endpoint};
 use crate::metrics;
 use crate::peer_call;
-use crate::peers::PeerRecord;
+use crate::peers::{PeerId, PeerRecord};
 use crate::traffic::Traffic;
 
 /// Maximum number of peers that are asked to relay one connection, and of those asked at once.
@@ -92,13 +93,12 @@
         Err(RelayError::NoRelay) => "no_relay",
     };
     metrics::count_relayed(outcome);
+    let is_possible = !matches!(result, Err(RelayError::NoRelay));
+    cx.reach.record_relay(now, &endpoint.hall, is_possible);
     match &result {
-        Ok(_) => cx.reach.no_relay_at.set(None),
-        Err(RelayError::NoRelay) => cx.reach.no_relay_at.set(Some(now)),
-        Err(_) => {
-            cx.reach.no_relay_at.set(None);
-            cx.reach.record_relays_failed(now, endpoint.addr);
-        }
+        Ok(_) => {}
+        Err(RelayError::NoRelay) => log_no_relay(cx, endpoint),
+        Err(_) => cx.reach.record_relays_failed(now, endpoint.addr),
     }
     result
 }
@@ -133,18 +133,57 @@
     }
 }
 
-/// The peers to ask for a connection to a target, in order; those that couldn't relay lately come
-/// last.
+/// Logs which peers can't relay to the targets of a hall, and why.
+fn log_no_relay(cx: &Traffic, endpoint: &Endpoint) {
+    let now = cx.clock.now();
+    let hall = &endpoint.hall;
+    let mut log = cx.reach.no_relay_log.borrow_mut();
+    if !log.0.is_due(now, hall.clone()) {
+        return;
+    }
+    let peers = cx.peers.other_records(cx);
+    let eligible = order_peers(cx, endpoint, &peers);
+    let unable = cx.reach.unable_until.borrow();
+    let count = |is_counted: &dyn Fn(PeerId) -> bool| {
+        let ids = eligible.iter().map(|index| peers[*index].id);
+        ids.filter(|id| is_counted(*id)).count()
+    };
+    let fields = format_args!(
+        "target={} target_hall={hall} live={} eligible={} suspected={} unable={}",
+        endpoint.incarnation.id,
+        peers.len(),
+        eligible.len(),
+        count(&|id| cx.peers.is_suspected(cx, id)),
+        count(&|id| unable.contains_key(&id)),
+    );
+    cx.log.line(events::NO_RELAY, fields);
+}
+
+/// The peers to ask for a connection to a target, in order. Those that couldn't relay lately, or are
+/// suspected, come last: a host that was paused suspects peers that run.
 fn choose_peers(cx: &Rc<Traffic>, endpoint: &Endpoint) -> Vec<PeerRecord> {
     let now = cx.clock.now();
+    let peers = cx.peers.other_records(cx);
+    let mut order = order_peers(cx, endpoint, &peers);
+    let mut unable = cx.reach.unable_until.borrow_mut();
+    unable.retain(|_, until| *until > now);
+    order.sort_by_key(|index| {
+        let id = peers[*index].id;
+        cx.peers.is_suspected(cx, id) || unable.contains_key(&id)
+    });
+    let order = order.into_iter().take(MAX_PEERS);
+    order.map(|index| peers[index].clone()).collect()
+}
+
+/// Indices of the peers in whose region the data of a target may be, best first.
+fn order_peers(cx: &Traffic, endpoint: &Endpoint, peers: &[PeerRecord]) -> Vec<usize> {
     let settings = cx.settings();
+    // Without regions in the settings, requests that are restricted to some aren't accepted.
+    let only_region = settings.regions.is_empty().then_some("");
     let place = |hall| Place {
         hall,
-        region: settings.regions.get(hall).map(String::as_str),
+        region: only_region.or_else(|| settings.regions.get(hall).map(String::as_str)),
     };
-    let mut unable = cx.reach.unable_until.borrow_mut();
-    unable.retain(|_, until| *until > now);
-    let peers = cx.peers.responsive(cx);
     let candidates: Vec<RelayCandidate<'_>> = peers
         .iter()
         .map(|peer| RelayCandidate {
@@ -153,10 +192,7 @@
         })
         .collect();
     let key = format!("{}/{}", cx.me.host, endpoint.incarnation.id);
-    let mut order = order(&candidates, place(&cx.me.hall), place(&endpoint.hall), &key);
-    order.sort_by_key(|index| unable.contains_key(&peers[*index].id));
-    let order = order.into_iter().take(MAX_PEERS);
-    order.map(|index| peers[index].clone()).collect()
+    order(&candidates, place(&cx.me.hall), place(&endpoint.hall), &key)
 }
 
 /// Asks one peer; one that can't relay is asked last for a while.
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -196,8 +196,10 @@
     versions: &Versions,
 ) -> Option<Rc<Target>> {
     let target = cx.target(id)?;
-    let may_run_there =
-        versions.allow(&target.record.version) && admitted.is_allowed_in(&target.record.hall);
+    let hall = &target.record.hall;
+    let may_run_there = versions.allow(&target.record.version)
+        && admitted.is_allowed_in(hall)
+        && cx.reach.has_way_to(hall);
     let is_usable = cx.backoff_until(&target).is_none() && may_run_there;
     is_usable.then_some(target)
 }
@@ -303,6 +305,7 @@
         .into_iter()
         .filter(|target| versions.allow(&target.record.version))
         .filter(|target| admitted.is_allowed_in(&target.record.hall))
+        .filter(|target| cx.reach.has_way_to(&target.record.hall))
         .filter(|target| !attempts.tried.contains(target.incarnation()))
         .filter(|target| cx.backoff_until(target).is_none())
         .filter(|target| is_within_warm_up_share(cx, target, share))
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -54,7 +54,7 @@
 /// whose halls are all evacuated or that has no target in the allowed regions.
 pub fn check(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
     check_crashes(cx, admitted)?;
-    if cx.reach.is_isolated() {
+    if cx.reach.is_isolated(cx) {
         let detail = "this host reaches no target, and no peer that does";
         let refusal = Refusal::new(ErrorKind::NoTarget, detail);
         return Err(refusal.with_retry_after(cx.reach.isolation_retry_after()));
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -353,7 +353,7 @@
 
     /// True when new connections are accepted.
     pub fn is_ready(self: &Rc<Self>) -> bool {
-        let serves = self.stopping.get() == Stopping::No && !self.reach.is_isolated();
+        let serves = self.stopping.get() == Stopping::No && !self.reach.is_isolated(self);
         serves && self.deployment().is_some()
     }
 
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -59,6 +59,16 @@
     targets: Vec<TargetStandin>,
 }
 
+/// The halls of a fleet.
+struct Halls<'a> {
+    entries: &'a [&'a str],
+    /// Of the targets of each service.
+    targets: &'a [&'a str],
+    /// Regions of halls.
+    regions: &'a [(&'a str, &'a str)],
+    services: &'a [&'a str],
+}
+
 fn stream(request: &ReceivedRequest) -> Vec<Step> {
     vec![
         Step::Write(stream_head(request)),
@@ -84,21 +94,36 @@
 
     /// Starts entries, and targets of some services.
     async fn with_targets(entries: usize, services: &[&str]) -> Self {
+        Self::in_halls(&Halls {
+            entries: &vec!["hall-a"; entries],
+            targets: &["hall-a"; 3],
+            regions: &[],
+            services,
+        })
+        .await
+    }
+
+    async fn in_halls(halls: &Halls<'_>) -> Self {
+        let entries = halls.entries.len();
         let store = StoreStandin::start().await;
         store.put("op/config", &deployment().bytes());
         let mut targets = Vec::new();
-        for service in services {
-            for number in 0..3 {
+        for service in halls.services {
+            for (number, hall) in halls.targets.iter().enumerate() {
                 let target = TargetStandin::start(serve).await;
                 let id = format!("i-{service}-{number}");
-                store.put_target(&id, service, target.addr, "hall-a", "ready");
+                store.put_target(&id, service, target.addr, hall, "ready");
                 targets.push(target);
             }
         }
         let mut hosts = Vec::new();
-        for number in 0..entries {
+        for (number, hall) in halls.entries.iter().enumerate() {
             let (endpoint, links) = store.add_host().await;
-            let settings = settings(&format!("host-{number}"), "hall-a", endpoint.addr);
+            let mut settings = settings(&format!("host-{number}"), hall, endpoint.addr);
+            let regions = halls.regions.iter();
+            settings.regions = regions
+                .map(|(hall, region)| (hall.to_string(), region.to_string()))
+                .collect();
             let gateway = gateway_at(settings).await;
             hosts.push(Host {
                 gateway,
@@ -234,6 +259,51 @@
     }
 }
 
+/// Cuts the only entry of a hall off, and returns the first tries that failed there.
+async fn failed_at_the_only_host_of_a_hall(regions: &[(&str, &str)]) -> Vec<Answer> {
+    let fleet = Fleet::in_halls(&Halls {
+        entries: &["hall-b", "hall-a", "hall-a"],
+        targets: &["hall-a", "hall-b", "hall-a", "hall-b"],
+        regions,
+        services: &["engines", "encoders", "plain"],
+    })
+    .await;
+    fleet.hosts[0].links.set_mode(LinkMode::Silent);
+    fleet.send_for(0, CONTACT_TIME).await;
+    let mut failed = Vec::new();
+    for _ in 0..3 {
+        for kind in [Kind::Once, Kind::Safe] {
+            failed.extend(fleet.failed_first_tries(0, kind).await);
+        }
+    }
+    failed
+}
+
+/// Guards against treating halls as regions where the settings have none.
+#[actix_rt::test]
+async fn peers_in_other_halls_relay_where_there_are_no_regions() {
+    let failed = failed_at_the_only_host_of_a_hall(&[]).await;
+    assert!(
+        failed.is_empty(),
+        "{} failed: {:?}",
+        failed.len(),
+        failed[0]
+    );
+}
+
+/// Guards against taking targets to which no peer may relay for all targets.
+#[actix_rt::test]
+async fn host_whose_region_has_no_other_is_served_by_other_regions() {
+    let regions = [("hall-a", "north"), ("hall-b", "south")];
+    let failed = failed_at_the_only_host_of_a_hall(&regions).await;
+    assert!(
+        failed.is_empty(),
+        "{} failed: {:?}",
+        failed.len(),
+        failed[0]
+    );
+}
+
 #[actix_rt::test]
 async fn fleet_that_is_cut_off_refuses_at_once() {
     let fleet = Fleet::start(2).await;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -72,6 +72,7 @@
     TARGETS_REACHABLE, 226, "targets_reachable", Info, "This host reaches a target again after it was cut off from all.";
     STREAM_TAKEN_UP, 227, "stream_taken_up", Info, "A caller resumes a stream that an earlier attempt of it began; the line says at which version, and how that is known or why it isn't.";
     TARGET_REFUSAL_LIMIT, 228, "target_refusal_limit", Info, "A target set, changed or removed the number of requests per second that it can refuse for want of room before it fails; it gets no more requests than it runs at once.";
+    NO_RELAY, 229, "no_relay", Warn, "This host is cut off from targets in a hall and no peer relays connections to them; the line counts the live peers, those that are suspected, those in whose region the data may be, and those that couldn't relay lately.";
     ROOM_REFUSED, 230, "room_refused", Info, "The owner of a contended queue refused a request for capacity; nothing of the request runs.";
     ROOM_BY_FLOW, 231, "room_by_flow", Info, "Offered rate, entitlement and reservations of each flow of a queue that refused requests.";
     ROOM_WEIGHT, 232, "room_weight", Warn, "A weight of an organisation is zero or not finite; the smallest weight is used.";
