Say what a request beside an unread log got when it isn't served

A failure of unread_log_does_not_block_requests said neither status nor reason, and left the gateway behind. Each request now has an id of its own; a failure shows the answer, how often the target received the request and what is left of its log lines, and the gateway is killed. The check is as it was.

--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -166,13 +166,23 @@
 
 /// Sends a GET request; returns the status, or `None` when the response is incomplete.
 pub(crate) async fn get_status(addr: SocketAddr, path: &str) -> Option<u16> {
-    let mut stream = TcpStream::connect(addr).await.ok()?;
+    let answer = get(addr, path, "1").await.ok()?;
+    status_of(&answer)
+}
+
+/// Sends a GET request with an id; returns the response.
+async fn get(addr: SocketAddr, path: &str, id: &str) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(addr).await?;
     let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: 1\r\nConnection: close\r\n\r\n"
+        "GET {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\nConnection: close\r\n\r\n"
     );
-    stream.write_all(request.as_bytes()).await.ok()?;
+    stream.write_all(request.as_bytes()).await?;
     let mut answer = String::new();
-    stream.read_to_string(&mut answer).await.ok()?;
+    stream.read_to_string(&mut answer).await?;
+    Ok(answer)
+}
+
+fn status_of(answer: &str) -> Option<u16> {
     answer.split(' ').nth(1)?.parse().ok()
 }
 
@@ -191,6 +201,38 @@
     );
 }
 
+struct KilledOnDrop(Child);
+
+impl Drop for KilledOnDrop {
+    fn drop(&mut self) {
+        // The process may have exited already.
+        let _ended = self.0.kill();
+        let _status = self.0.wait();
+    }
+}
+
+/// Requests with this id that a target received.
+fn requests_with(target: &TargetStandin, id: &str) -> usize {
+    let received = target.received().into_iter();
+    received
+        .filter(|request| request.request_id() == id)
+        .count()
+}
+
+/// Kills a gateway and returns the lines of its log on a request, as far as they weren't lost, and
+/// its last ones.
+fn lines_with(child: &mut Child, id: &str) -> String {
+    let _ended = child.kill();
+    let mut log = String::new();
+    let stdout = child.stdout.as_mut().expect("piped");
+    let _read = stdout.read_to_string(&mut log);
+    let field = format!("request={id} ");
+    let of_request = log.lines().filter(|line| line.contains(&field));
+    let last = log.lines().rev().take(3);
+    let lines: Vec<&str> = of_request.chain(last).collect();
+    lines.join("\n")
+}
+
 #[actix_rt::test]
 async fn unread_log_does_not_block_requests() {
     /// Enough to overflow a pipe of 64 KiB at 100 bytes of log or more for each request.
@@ -208,7 +250,7 @@
     let directory = tempfile::tempdir().expect("a temporary directory");
     let path = settings(directory.path(), "host-1", store.addr, 2);
     let callers = callers_addr(&path);
-    let mut child = spawn(&own_program(), &path);
+    let mut gateway = KilledOnDrop(spawn(&own_program(), &path));
     let deadline = std::time::Instant::now() + TIMEOUT;
     while get_status(callers, "/safe/").await != Some(200) {
         assert!(
@@ -218,9 +260,21 @@
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
     for request in 0..REQUESTS {
-        let status = tokio::time::timeout(TIMEOUT, get_status(callers, "/safe/")).await;
-        assert_eq!(status, Ok(Some(200)), "request {request}");
+        let id = request.to_string();
+        let answer = tokio::time::timeout(TIMEOUT, get(callers, "/safe/", &id)).await;
+        let status = answer.as_ref().map(|answer| {
+            let answer = answer.as_ref().ok()?;
+            status_of(answer)
+        });
+        assert_eq!(
+            status,
+            Ok(Some(200)),
+            "request {request}: {answer:?}; received {} times; log: {}",
+            requests_with(&target, &id),
+            lines_with(&mut gateway.0, &id)
+        );
     }
+    let child = &mut gateway.0;
     let mut stdout = child.stdout.take().expect("piped");
     let reader = std::thread::spawn(move || {
         let mut log = String::new();
