Log panics and the signals of faulty instructions before a process ends

A panic in a task was on standard error only.

The two hypotheses, an instruction of the program and one of a library that is rewritten while another thread stands there, can't be told apart without the instruction. fatal_signal (HS0112) now says where it is, how far from the program's own code, and its bytes; it goes to standard error and output, then the process ends by the signal as before. panicked (HS0111) says where a task ended.

--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -44,6 +44,8 @@
     BAD_INPUT, 108, "bad_input", Warn, "A connection was closed because its caller exceeded a limit.";
     RELOADED, 109, "reloaded", Info, "The settings file was reloaded.";
     HOST_WOKE, 110, "host_woke", Warn, "The host was suspended; deadlines, leases and other timeouts kept running meanwhile.";
+    PANICKED, 111, "panicked", Error, "A task ended by a panic at this place; the message is on standard error.";
+    FATAL_SIGNAL, 112, "fatal_signal", Error, "The process ends by the signal of a faulty instruction; the line says where it is, how far from the program's own code, and its bytes.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt returned no valid answer.";
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -2,6 +2,7 @@
 //! kinds, and the recorder behind the metrics address.
 
 pub mod events;
+pub mod faults;
 pub mod kinds;
 pub mod log_throttle;
 pub mod output;
--- a/src/bin/hollowsail/main.rs
+++ b/src/bin/hollowsail/main.rs
@@ -6,6 +6,7 @@
 
 use argh::FromArgs;
 use hollowsail::Context;
+use hollowsail_observe::faults;
 use hollowsail_observe::output::LineOutput;
 
 /// Serves multi-stage model pipelines.
@@ -19,6 +20,9 @@
     let arguments: Hollowsail = argh::from_env();
     let default_level = arguments.command.default_log_level();
     init_log(default_level, arguments.command.logs_to_output());
+    if let Err(err) = faults::log_faults() {
+        log::warn!("cannot log the signals of faulty instructions: {err}");
+    }
     let mut cx = Context {
         out: &mut std::io::stdout(),
         err: &mut std::io::stderr(),
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read};
 use std::net::{SocketAddr, TcpListener};
+use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
@@ -304,3 +305,19 @@
     let (addr, _) = rest.split_once('\n').expect("a line");
     addr.parse().expect("an address")
 }
+
+/// Guards against a process that ends without a word on why.
+#[actix_rt::test]
+async fn signal_of_a_faulty_instruction_is_logged_before_the_end() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &DeploymentJson::new(1).bytes());
+    let directory = tempfile::tempdir().expect("a temporary directory");
+    let path = settings(directory.path(), "host-1", store.addr, 2);
+    let mut gateway = Gateway::start(&path);
+    gateway.wait_for_line("HS0101 started").await;
+    gateway.signal("-ILL");
+    let line = gateway.wait_for_line("HS0112 fatal_signal").await;
+    assert!(line.contains("signal=4 code=0 thread="), "{line}");
+    let status = gateway.child.wait().expect("the gateway exits");
+    assert_eq!(status.signal(), Some(4), "{status}");
+}
