--- a/crates/bench/src/soak/room.rs
+++ b/crates/bench/src/soak/room.rs
@@ -4,7 +4,7 @@
 //! are checked only while no gateway is disturbed; a disturbance of any of them counts, because
 //! it may own the queue.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -24,6 +24,8 @@
 const MAX_ORDER_DIFFERENCE: f64 = 0.05;
 /// Smallest permitted ratio of an organisation's served share to that of all.
 const MIN_SERVED_RATIO: f64 = 0.25;
+/// Number of words of a reason that distinguish it.
+const REASON_WORDS: usize = 12;
 /// Number of attempts below which a share says little.
 const MIN_ATTEMPTS: usize = 50;
 
@@ -77,10 +79,12 @@
 }
 
 /// Number of attempts that weren't cancelled, and how many of them are whole.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Served {
     attempts: usize,
     whole: usize,
+    /// Number of the others by their reason, without its figures.
+    reasons: BTreeMap<String, usize>,
 }
 
 impl Served {
@@ -91,18 +95,38 @@
         let whole = outcomes
             .iter()
             .filter(|outcome| ***outcome == Outcome::Whole);
+        let mut reasons = BTreeMap::new();
+        for reason in outcomes.iter().filter_map(|outcome| reason(outcome)) {
+            *reasons.entry(reason).or_default() += 1;
+        }
         Served {
             attempts: outcomes.len(),
             whole: whole.count(),
+            reasons,
         }
     }
 
     /// `None` if there are too few attempts.
-    fn share(self) -> Option<f64> {
+    fn share(&self) -> Option<f64> {
         (self.attempts >= MIN_ATTEMPTS).then(|| self.whole as f64 / self.attempts as f64)
     }
 }
 
+/// Why an attempt isn't whole, with figures and names replaced by `#`, so that like ones count
+/// together.
+fn reason(outcome: &Outcome) -> Option<String> {
+    let why = match outcome {
+        Outcome::Whole => return None,
+        Outcome::Wrong { why } | Outcome::Unknown { why } | Outcome::NotRun { why, .. } => why,
+    };
+    let words = why.split_whitespace().take(REASON_WORDS);
+    let words = words.map(|word| match word.contains(|c: char| c.is_ascii_digit()) {
+        true => "#",
+        false => word,
+    });
+    Some(words.collect::<Vec<_>>().join(" "))
+}
+
 /// Compares the routes in the seconds without a fault: all callers, and those outside the burst,
 /// who are as many on each route and would hide an inverted order among the others.
 fn check_order(observations: &Observations, attempts: &[Attempt]) -> Vec<Failure> {
@@ -165,7 +189,9 @@
     for attempt in own().filter(|attempt| is_no_room(attempt)) {
         times.saturating_record((attempt.ended - attempt.sent).as_millis() as u64);
     }
-    let Served { attempts, whole } = Served::of(own());
+    let Served {
+        attempts, whole, ..
+    } = Served::of(own());
     let (median, p90) = (times.value_at_quantile(0.5), times.value_at_quantile(0.9));
     format!(
         "{path} {whole} of {attempts} whole, {} refused after {median} ms (p90 {p90} ms)",
