Show the answers that weren't served in the tests of targets' limits

changing_entries_keep_plain_limit and others said '179 of 180'. The failure now has status, head, body and latency of each. The checks are as they were.

--- a/crates/gateway/tests/suite/target_limits.rs
+++ b/crates/gateway/tests/suite/target_limits.rs
@@ -217,6 +217,15 @@
     join_all(calls).await
 }
 
+/// Fails with the answers that weren't served.
+fn assert_all_served(got: &[CallOutcome], message: &str) {
+    let failed = got.iter().filter(|outcome| !outcome.is_served());
+    let failed: Vec<(&Answer, Duration)> = failed
+        .map(|outcome| (&outcome.answer, outcome.latency))
+        .collect();
+    assert_eq!(served(got), got.len(), "{message}: {failed:?}");
+}
+
 fn served(got: &[CallOutcome]) -> usize {
     got.iter().filter(|got| got.is_served()).count()
 }
@@ -228,7 +237,7 @@
     let busiest = fleet.busiest();
     let reported_at = busiest.report_limit(&limit.to_string());
     let got = fleet.demand(30, Duration::from_secs(7)).await;
-    assert_eq!(served(&got), got.len(), "the other target serves");
+    assert_all_served(&got, "the other target serves");
     let from = reported_at + APPLY_TIMEOUT;
     let max_count = busiest.max_in_window(from);
     assert!(
@@ -276,7 +285,7 @@
     let busiest = fleet.busiest();
     let reported_at = busiest.report_limit("1");
     let got = fleet.demand(30, Duration::from_secs(6)).await;
-    assert_eq!(served(&got), got.len(), "the other target serves");
+    assert_all_served(&got, "the other target serves");
     let max_count = busiest.max_in_window(reported_at + APPLY_TIMEOUT);
     assert!(
         max_count <= allowed(1.0),
@@ -351,7 +360,7 @@
     fleet.demand(30, Duration::from_secs(1)).await;
     fleet.targets[0].report_limit("300");
     let got = fleet.demand(60, Duration::from_secs(6)).await;
-    assert_eq!(served(&got), got.len());
+    assert_all_served(&got, "all are served");
 }
 
 async fn check_lowered_limit(kind: Kind) {
@@ -390,7 +399,7 @@
     fleet.targets[0].clear_limit();
     fleet.demand(20, Duration::from_secs(3)).await;
     let after = fleet.demand(20, Duration::from_secs(1)).await;
-    assert_eq!(served(&after), after.len(), "the limit is still applied");
+    assert_all_served(&after, "the limit is still applied");
 }
 
 #[actix_rt::test]
@@ -413,7 +422,7 @@
     let ended = fleet.targets[0].clear_limit();
     fleet.demand(20, Duration::from_secs(3)).await;
     let after = fleet.demand(20, Duration::from_secs(1)).await;
-    assert_eq!(served(&after), after.len(), "the limit is still applied");
+    assert_all_served(&after, "the limit is still applied");
     assert!(
         fleet.targets[0].count_since(ended) > 40,
         "the worker gets too few calls after the end of its limit"
@@ -452,7 +461,7 @@
     let callers = fleet.callers();
     let stopping = actix_rt::spawn(fleet.entries.remove(0).stop());
     let got = demand(callers[1..].to_vec(), kind.call, 30, Duration::from_secs(6)).await;
-    assert_eq!(served(&got), got.len(), "the other target serves");
+    assert_all_served(&got, "the other target serves");
     let limited = |target: &&LimitedTarget| target.limit.borrow().is_some();
     let limited = fleet
         .targets
@@ -561,7 +570,7 @@
         hanging.push(listener);
     }
     let got = fleet.demand(60, Duration::from_secs(5)).await;
-    assert_eq!(served(&got), got.len(), "the other target serves");
+    assert_all_served(&got, "the other target serves");
     let limited = |target: &&LimitedTarget| target.limit.borrow().is_some();
     let limited = fleet
         .targets
@@ -615,7 +624,7 @@
         let others = fleet.callers();
         fleet.add_entry(&format!("host-{number}")).await;
         let got = demand(others, kind.call, 30, Duration::from_secs(2)).await;
-        assert_eq!(served(&got), got.len(), "the other target serves");
+        assert_all_served(&got, "the other target serves");
         stopping.await.expect("the gateway stops");
     }
     let limited = |target: &&LimitedTarget| target.limit.borrow().is_some();
@@ -656,7 +665,7 @@
     fleet.store.put_incarnation("i-0", 7, "plain", addr);
     until_used(&next, &fleet).await;
     let got = fleet.demand(20, Duration::from_secs(2)).await;
-    assert_eq!(served(&got), got.len(), "the new incarnation has no limit");
+    assert_all_served(&got, "the new incarnation has no limit");
 }
 
 async fn until_used(target: &LimitedTarget, fleet: &Fleet) {
