Say in a soak's report whether the caller of a late refusal was late itself

The report now has the lag of the callers' process meanwhile, which tells a slow answer from a slow reader. The check is as it was.

--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -31,6 +31,9 @@
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval and timeout of the readiness checks.
 const READINESS_POLL_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between measurements of this process's lag, and the least lag that is recorded.
+const LAG_INTERVAL: Duration = Duration::from_millis(10);
+const LEAST_LAG: Duration = Duration::from_millis(10);
 /// Failed readiness checks in a row after which a gateway gets no new connections.
 const MAX_FAILED_CHECKS: u32 = 2;
 
@@ -62,6 +65,17 @@
     pub cut_from: Option<Instant>,
     pub cut_until: Option<Instant>,
     pub started: Option<Instant>,
+    /// When this process, which the callers run in, was late, and by how much.
+    pub lags: Vec<(Instant, Duration)>,
+}
+
+impl Observations {
+    /// Longest lag of this process between two moments.
+    pub fn max_lag(&self, from: Instant, until: Instant) -> Duration {
+        let lags = self.lags.iter();
+        let lags = lags.filter(|(noticed, lag)| *noticed >= from && *noticed - *lag <= until);
+        lags.map(|(_, lag)| *lag).max().unwrap_or_default()
+    }
 }
 
 /// A gateway process and its addresses and settings.
@@ -191,12 +205,26 @@
     /// Injects the gateway faults on schedule and returns at the end of the run.
     pub async fn run_faults(self: &Rc<Self>, plan: &SoakPlan) {
         let polling = actix_rt::spawn(self.clone().poll_readiness());
+        let measuring = actix_rt::spawn(self.clone().measure_lag());
         let faults = plan.faults.iter().map(|fault| self.clone().inject(*fault));
         futures_util::future::join_all(faults).await;
         tokio::time::sleep(plan.duration.saturating_sub(self.started.elapsed())).await;
         self.is_over.set(true);
         // Returns because `is_over` is set.
-        let _joined = polling.await;
+        let _joined = futures_util::future::join(polling, measuring).await;
+    }
+
+    /// Records when this process is late, until the run is over.
+    async fn measure_lag(self: Rc<Self>) {
+        while !self.is_over.get() {
+            let due = Instant::now() + LAG_INTERVAL;
+            tokio::time::sleep_until(due.into()).await;
+            let lag = due.elapsed();
+            if lag >= LEAST_LAG {
+                let noticed = Instant::now();
+                self.observations.borrow_mut().lags.push((noticed, lag));
+            }
+        }
     }
 
     async fn inject(self: Rc<Self>, planned: PlannedFault) {
--- a/crates/bench/src/soak/room.rs
+++ b/crates/bench/src/soak/room.rs
@@ -63,8 +63,11 @@
     let is_late = took > MAX_REFUSAL && is_undisturbed(attempt, observations);
     is_late.then(|| {
         let description = format!(
-            "request {id} was refused without room after {} ms",
-            took.as_millis()
+            "request {id} was refused without room after {} ms; its caller was late by {} ms",
+            took.as_millis(),
+            observations
+                .max_lag(attempt.sent, attempt.ended)
+                .as_millis()
         );
         Failure::new(FailureKind::LateRefusal, description)
     })
