Let a stream that broke off after its last event have an empty rest

The trace shows that the answer is right: no event is left. The emulated caller now knows how many events the stream has, and an empty rest is right after exactly the last one.

--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -184,7 +184,7 @@
                 let first = resumed.map_or(attempt.id, |stream| stream.attempt);
                 resumed = Some(ResumedStream {
                     attempt: first,
-                    after: last.number,
+                    last: last.clone(),
                 });
             }
             let pause = match attempt.outcome {
--- a/crates/bench/src/soak/room.rs
+++ b/crates/bench/src/soak/room.rs
@@ -5,6 +5,7 @@
 //! it may own the queue.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
 use std::time::Duration;
 
 use hdrhistogram::Histogram;
@@ -82,7 +83,7 @@
 }
 
 /// Number of attempts that weren't cancelled, and how many of them are whole.
-#[derive(Debug, Clone)]
+#[derive(Clone)]
 struct Served {
     attempts: usize,
     whole: usize,
@@ -90,6 +91,14 @@
     reasons: BTreeMap<String, usize>,
 }
 
+impl fmt::Display for Served {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} of {} whole", self.whole, self.attempts)?;
+        let mut reasons = self.reasons.iter();
+        reasons.try_for_each(|(reason, count)| write!(f, "; {count} x {reason}"))
+    }
+}
+
 impl Served {
     fn of<'a>(attempts: impl Iterator<Item = &'a Attempt>) -> Self {
         let outcomes: Vec<_> = attempts
@@ -159,7 +168,7 @@
     let is_kept = urgent.share()? + MAX_ORDER_DIFFERENCE >= other.share()?;
     (!is_kept).then(|| {
         let description = format!(
-            "the more urgent route was served less often ({callers}): {urgent:?}, {other:?}"
+            "the more urgent route was served less often ({callers}): {urgent}, but of the other {other}"
         );
         Failure::new(FailureKind::Order, description)
     })
@@ -179,7 +188,7 @@
     let check = |name: &str| {
         let own = Served::of(all().filter(|attempt| organisation(attempt) == Some(name)));
         let is_starved = own.share()? < share * MIN_SERVED_RATIO;
-        let description = format!("organisation {name}: {own:?}, but of all {share:.2} are whole");
+        let description = format!("organisation {name}: {own}, but of all {share:.2} are whole");
         is_starved.then(|| Failure::new(FailureKind::Starved, description))
     };
     names.into_iter().filter_map(check).collect()
