Log sends and relays to targets that left after they were chosen

No line told when a request is sent to a target that this entry knows to have left, nor that a relay carries such a request for a peer, so that a wait before the send couldn't be told from a relay. choice_outdated (HS0233) says the first, with the time since the choice, relay_outdated (HS0234) the second, once for each connection. No decision changes with them.

--- a/crates/connect/src/relayed.rs
+++ b/crates/connect/src/relayed.rs
@@ -116,17 +116,19 @@
 
 /// Passes bytes between an entry, from which `early` was received, and a peer, until one of them
 /// ends its connection. The end of the peer's is passed on if `is_running` says that it runs then.
+/// `on_sent` is called before bytes are passed to the peer.
 pub async fn relay(
     entry: TcpStream,
     early: Bytes,
     peer: TcpStream,
     is_running: impl Future<Output = bool>,
+    on_sent: impl FnMut(),
 ) {
     let (from_entry, to_entry) = entry.into_split();
     let (from_peer, to_peer) = peer.into_split();
     // The connections close when either direction has ended.
     tokio::select! {
-        _ended = pass_to_peer(early, from_entry, to_peer) => {}
+        _ended = pass_to_peer(early, from_entry, to_peer, on_sent) => {}
         _ended = pass_to_entry(from_peer, to_entry, is_running) => {}
     }
 }
@@ -135,9 +137,18 @@
     early: Bytes,
     mut from_entry: OwnedReadHalf,
     mut to_peer: OwnedWriteHalf,
-) -> io::Result<u64> {
+    mut on_sent: impl FnMut(),
+) -> io::Result<()> {
     to_peer.write_all(&early).await?;
-    tokio::io::copy(&mut from_entry, &mut to_peer).await
+    let mut buf = vec![0; MAX_FRAME];
+    loop {
+        let len = from_entry.read(&mut buf).await?;
+        if len == 0 {
+            return Ok(());
+        }
+        on_sent();
+        to_peer.write_all(&buf[..len]).await?;
+    }
 }
 
 async fn pass_to_entry(
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use hollowsail_connect::{relay, DialError, ProcessState};
+use hollowsail_observe::events;
 use hollowsail_targets::Target;
 use http::{header, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -71,9 +72,10 @@
     let relayed = Relayed::begin(&cx.reach.relayed);
     let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
     let stream = connect(cx, &target, &request).await?;
+    let log_if_outdated = log_if_outdated(cx.clone(), target.clone());
     let is_running = is_running(cx.clone(), target);
     actix_rt::spawn(async move {
-        pass_on(upgrade, stream, is_running).await;
+        pass_on(upgrade, stream, is_running, log_if_outdated).await;
         drop(relayed);
     });
     let mut response = Response::new(Full::default());
@@ -119,13 +121,33 @@
     !is_in_use || target.process_state().await == ProcessState::Running
 }
 
-async fn pass_on(upgrade: OnUpgrade, target: TcpStream, is_running: impl Future<Output = bool>) {
+/// Logs once that a peer sends to a target that isn't in use any more.
+fn log_if_outdated(cx: Rc<Traffic>, target: Rc<Target>) -> impl FnMut() {
+    let mut is_logged = false;
+    move || {
+        if !is_logged && !cx.is_in_use(&target) {
+            is_logged = true;
+            let fields = format_args!("target={}", target.incarnation().id);
+            cx.log.line(events::RELAY_OUTDATED, fields);
+        }
+    }
+}
+
+async fn pass_on(
+    upgrade: OnUpgrade,
+    target: TcpStream,
+    is_running: impl Future<Output = bool>,
+    on_sent: impl FnMut(),
+) {
     let upgraded = match upgrade.await {
         Ok(upgraded) => upgraded,
         Err(err) => return log::debug!("a peer's request for a relay ended: {err}"),
     };
     match upgraded.downcast::<TokioIo<TcpStream>>() {
-        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target, is_running).await,
+        Ok(parts) => {
+            let (peer, early) = (parts.io.into_inner(), parts.read_buf);
+            relay(peer, early, target, is_running, on_sent).await;
+        }
         Err(_) => log::error!("a relayed connection has an unexpected type"),
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,6 +7,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_connect::{AnswerBody, Reuse, SendError};
+use hollowsail_observe::events;
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
@@ -158,6 +159,7 @@
     others: &[Rc<Target>],
     options: &AttemptOptions<'_>,
 ) -> Result<TargetAnswer, Failure> {
+    let chosen_at = BootInstant::now();
     // Counts at the chosen target while the request waits for a connection.
     let waiting = target.track_request(options.prefill_tokens);
     let reuse = reuse(admitted);
@@ -165,6 +167,7 @@
     drop(waiting);
     let in_flight = target.track_request(options.prefill_tokens);
     let (connection, in_use) = connected.unzip();
+    log_if_outdated(cx, admitted, target, chosen_at);
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
     let sending = target_calls::send(cx, target, connection, req, reuse);
@@ -195,6 +198,17 @@
     })
 }
 
+/// Logs that the target left after it was chosen.
+fn log_if_outdated(cx: &Rc<Traffic>, admitted: &Admitted, target: &Target, chosen_at: BootInstant) {
+    if cx.is_in_use(target) {
+        return;
+    }
+    let (request, target) = (&admitted.caller.request_id, &target.incarnation().id);
+    let waited_ms = chosen_at.elapsed().as_millis();
+    let fields = format_args!("request={request} target={target} waited_ms={waited_ms}");
+    cx.log.line(events::CHOICE_OUTDATED, fields);
+}
+
 fn request_for(
     admitted: &Admitted,
     target: &Target,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -367,6 +367,12 @@
         self.targets.borrow().get(incarnation)
     }
 
+    /// False once a target gets no new work. Applies a newer view first.
+    pub fn is_in_use(self: &Rc<Self>, target: &Target) -> bool {
+        self.update_view();
+        self.target(target.incarnation()).is_some()
+    }
+
     /// Usable targets of a service, by its name.
     pub fn targets_named(&self, service: &str) -> Vec<Rc<Target>> {
         self.with_targets(service, <[Rc<Target>]>::to_vec)
