--- a/crates/gateway/tests/suite/connections.rs
+++ b/crates/gateway/tests/suite/connections.rs
@@ -311,3 +311,41 @@
     assert_eq!(slow.received().len(), 1);
     assert_eq!(slow.most_open_connections(), 1);
 }
+
+/// Deadline and target latency of requests that may wait for long, in milliseconds.
+const LONG_MS: u64 = 8_000;
+
+/// Guards against sending a request to the target for whose connection it waits, after that left.
+#[actix_rt::test]
+async fn request_waiting_for_a_connection_goes_to_no_target_that_left() {
+    let fields = json!({ "target_latency_ms": LONG_MS, "timeout_ms": LONG_MS });
+    let deployment = DeploymentJson::new(1)
+        .service_with_connections("plain", 2)
+        .route("/once/", "unsafe", "plain", fields);
+    let fixture = Fixture::start(&deployment).await;
+    let slow = TargetStandin::answering("served", Duration::from_millis(1_700)).await;
+    fixture.add("i-1", "plain", &slow);
+    let calls: Vec<Call> = (0..8)
+        .map(|number| once(number).with("X-Deadline-Ms", &LONG_MS.to_string()))
+        .collect();
+    assert_eq!(fixture.call(&calls[0]).await.status, 200);
+    let callers = fixture.gateway.addrs.callers;
+    let sending = join_all(calls.iter().map(|call| call.send(callers)));
+    let other = target().await;
+    let leaving = async {
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let addr = slow.addr;
+        let store = &fixture.store;
+        store.put_target("i-1", "plain", addr, "hall-a", "draining");
+        fixture.add("i-2", "plain", &other);
+        Instant::now()
+    };
+    let (answers, left_at) = futures_util::join!(sending, leaving);
+    // Until its record has arrived at the entry.
+    let arrived = left_at + Duration::from_millis(500);
+    let late = slow.received().into_iter();
+    let late = late.filter(|request| request.received_at > arrived);
+    let late: Vec<Duration> = late.map(|request| request.received_at - left_at).collect();
+    assert!(late.is_empty(), "sent after the target left: {late:?}");
+    assert_served(&answers);
+}
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -528,3 +528,34 @@
     let answer = Kind::Once.request().send(addr).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
+
+/// Guards against relaying the requests of a host that doesn't know that a target left.
+#[actix_rt::test]
+async fn relay_passes_no_request_to_a_target_that_left() {
+    let (fleet, leaving) = relaying(serve).await;
+    let other = TargetStandin::start(serve).await;
+    let put = |id, target: &TargetStandin, state| {
+        let store = &fleet.store;
+        store.put_target(id, "plain", target.addr, "hall-a", state);
+    };
+    put("i-other", &other, "ready");
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // Leaves open connections to both behind.
+    for _ in 0..3 {
+        let failed = fleet.failed_first_tries(0, Kind::Safe).await;
+        assert!(failed.is_empty(), "{failed:?}");
+    }
+    fleet.hosts[0].store.set_mode(StoreMode::Silent);
+    put("i-plain", &leaving, "draining");
+    // The record reaches the relay. Silence is noticed later, so the other host asks no peer yet.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let received = leaving.received().len();
+    let mut failed = Vec::new();
+    for _ in 0..3 {
+        failed.extend(fleet.failed_first_tries(0, Kind::Safe).await);
+        failed.extend(fleet.failed_first_tries(0, Kind::Once).await);
+    }
+    let late = leaving.received().len() - received;
+    assert_eq!(late, 0, "requests relayed to a target that left");
+    assert!(failed.is_empty(), "{failed:?}");
+}
--- a/crates/gateway/tests/suite/draining.rs
+++ b/crates/gateway/tests/suite/draining.rs
@@ -12,7 +12,9 @@
 use hollowsail_platform_standins::{Step, StoreMode, StoreStandin, TargetStandin};
 
 use crate::all_kinds::{deployment, staged, whole_answer};
-use crate::fixture::{gateway, generation, stage_runs, wait_for_entries, Call, Fixture};
+use crate::fixture::{
+    gateway, gateway_at, generation, settings, stage_runs, wait_for_entries, Call, Fixture,
+};
 
 /// Configured time of a call for pieces, in milliseconds.
 const WORK_MS: f64 = 20.0;
@@ -365,3 +367,38 @@
     }
     panic!("the target got no request");
 }
+
+/// Guards against keeping what a record said of a draining target from hosts that have lost the
+/// store, once all have.
+#[actix_rt::test]
+async fn host_without_the_store_hears_from_peers_that_a_target_left() {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &deployment(WORK_MS).bytes());
+    let endpoints = [store.add_endpoint().await, store.add_endpoint().await];
+    let entries = [
+        gateway_at(settings("host-0", "hall-a", endpoints[0].addr)).await,
+        gateway_at(settings("host-1", "hall-a", endpoints[1].addr)).await,
+    ];
+    let targets = [DrainingTarget::start().await, DrainingTarget::start().await];
+    let put = |number: usize, state| {
+        let addr = targets[number].target.addr;
+        store.put_target(&format!("i-{number}"), "plain", addr, "hall-a", state);
+    };
+    put(0, "ready");
+    put(1, "ready");
+    wait_for_entries("all entries are registered", &store, 2).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    endpoints[0].set_mode(StoreMode::Silent);
+    put(0, "draining");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    // Noticed at once, so that it has no records to give when the other one asks.
+    endpoints[1].set_mode(StoreMode::Refusing);
+    // Time for which a draining target may get requests.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let received = targets[0].request_count();
+    for number in 0..SENDS {
+        let got = plain().send(entries[number % 2].addrs.callers).await;
+        assert_eq!(got.status, 200, "the other target serves: {got:?}");
+    }
+    assert_eq!(targets[0].request_count(), received);
+}
