Choose again when targets change before a request is sent

Callers of a service with few connections: a request that waited for a connection was sent to the target that had been chosen before the wait, also after that had left, and waited for it while an idle target served nobody. A target that ends sooner breaks such a request off.

Cause: connections::connect took its list of targets once, and nothing looked again before the send. The class is a choice that outlives the fact it rests on.

Change: a request that waits gives its choice up when the targets of its service change, and is placed again with the lines joined anew in the same order. In the one place through which all new work goes to targets (target_calls) a request is withdrawn if its target isn't in use when it is to be sent, after any wait for a dial, on the connection that replaces a closed one, and for calls with pieces, which go back to their queue without counting as failed. Calls that release results still reach a target that leaves. The retry budget is earned once for a request, however often it is placed. choice_outdated (HS0233) is logged for each.

--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -81,6 +81,9 @@
         /// When the request may be sent again.
         retry_after: Duration,
     },
+    /// The request was withdrawn while it had no connection.
+    #[snafu(display("nothing was sent: {addr} is no longer wanted"))]
+    Withdrawn { addr: SocketAddr },
     /// The connection failed after the request was handed to it.
     #[snafu(display("the connection to {addr} broke after a request was sent: {source}"))]
     Broken {
@@ -389,9 +392,23 @@
         self,
         req: Request<Full<Bytes>>,
         reuse: Reuse,
+    ) -> Result<Exchange, SendError> {
+        self.send_if(req, reuse, || true).await
+    }
+
+    /// The same, but sends nothing once `is_wanted` is false.
+    pub async fn send_if(
+        self,
+        req: Request<Full<Bytes>>,
+        reuse: Reuse,
+        is_wanted: impl Fn() -> bool,
     ) -> Result<Exchange, SendError> {
         let (mut connection, mut req) = (self, req);
         loop {
+            if !is_wanted() {
+                let addr = connection.pool.addr;
+                return Err(SendError::Withdrawn { addr });
+            }
             match connection.sender.try_send_request(req).await {
                 Ok(response) => return Ok(connection.answered(response)),
                 Err(mut failed) => match failed.take_message() {
--- a/crates/connect/tests/suite/limited.rs
+++ b/crates/connect/tests/suite/limited.rs
@@ -376,3 +376,19 @@
         .expect("no panic")
         .expect("the request is answered");
 }
+
+/// Guards against sending a request on an idle connection after it was withdrawn.
+#[actix_rt::test]
+async fn withdrawn_request_is_not_sent() {
+    let server = Server::start(1, 1_000).await;
+    let pool = pool(&server, 1);
+    call(&pool, "/", Reuse::Any, LONG).await.expect("served");
+    let connection = pool.connect(Reuse::Any, Some(LONG)).await.expect("idle");
+    let req = Request::new(Full::<Bytes>::default());
+    let sent = connection.send_if(req, Reuse::Any, || false).await;
+    let err = sent.map(drop).expect_err("it was withdrawn");
+    assert!(matches!(err, SendError::Withdrawn { .. }), "{err}");
+    assert!(err.nothing_sent());
+    assert_eq!(server.paths.borrow().len(), 1);
+    call(&pool, "/", Reuse::Any, LONG).await.expect("served");
+}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -3,7 +3,8 @@
 //! This entry's share is set at the pools of a service before a target is chosen, and at the
 //! target's before a connection is requested, so that a change of the live entries or of the configuration applies to the next request.
 //! [`connect`] waits for a connection to any target that may serve the request before it is sent,
-//! and tells operators how scarce they are. Services with plenty of connections, stage services and engines have no limit.
+//! and tells operators how scarce they are. When the targets of the service change meanwhile, the
+//! request gives its choice up. Services with plenty of connections, stage services and engines have no limit.
 
 use std::rc::Rc;
 
@@ -73,7 +74,17 @@
     let waiting = Waiting::new(service);
     let connecting = connect_first(&pools, reuse, admitted.max_wait());
     let deadline = admitted.deadline.to_instant();
-    let connected = tokio::time::timeout_at(deadline.into(), connecting).await;
+    let connected = tokio::select! {
+        biased;
+        connected = tokio::time::timeout_at(deadline.into(), connecting) => connected,
+        () = targets_changed(cx, service) => return Err(Failure {
+            unconnected: Some(Unconnected::TargetsChanged),
+            ..Failure::new(
+                Progress::NothingSent,
+                "the targets changed while the request waited for a connection",
+            )
+        }),
+    };
     drop(waiting);
     let connected = connected.map(|(index, connected)| {
         target.clone_from(&targets[index]);
@@ -95,6 +106,18 @@
     }
 }
 
+/// Waits until other targets of a service are in use.
+async fn targets_changed(cx: &Traffic, service: &str) {
+    let known = cx.targets_named(service);
+    let is_known = |targets: &[Rc<Target>]| {
+        targets.len() == known.len()
+            && std::iter::zip(targets, &known).all(|(target, known)| Rc::ptr_eq(target, known))
+    };
+    while cx.with_targets(service, is_known) {
+        cx.targets_changed.notified().await;
+    }
+}
+
 /// The service of a target.
 fn service_of<'a>(admitted: &'a Admitted, target: &Target) -> Option<&'a Service> {
     let key = admitted.deployment.service_named(&target.record.service)?;
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_connect::SendError;
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
@@ -38,15 +39,15 @@
 #[derive(Debug, Snafu)]
 enum CallError {
     #[snafu(display("{source}"))]
-    Send {
-        source: hollowsail_connect::SendError,
-    },
+    Send { source: SendError },
     #[snafu(display("connection lost before the end of the response: {source}"))]
     CutOff {
         source: hollowsail_connect::BodyError,
     },
     #[snafu(display("no response within {} ms", CALL_TIMEOUT.as_millis()))]
     TimedOut,
+    #[snafu(display("the target left before the call was sent"))]
+    TargetLeft,
     #[snafu(display("refused by the target with status {status}"))]
     Refused { status: StatusCode },
     #[snafu(display("unexpected status {status}"))]
@@ -94,7 +95,7 @@
         // Nothing was sent, so this is no evidence about the worker.
         Ok(_) if sent_pieces.is_empty() => CallEnd::Refused,
         Ok(_) => CallEnd::Answered,
-        Err(CallError::Refused { .. }) => CallEnd::Refused,
+        Err(CallError::Refused { .. } | CallError::TargetLeft) => CallEnd::Refused,
         Err(_) => CallEnd::Failed,
     };
     if end == CallEnd::Failed {
@@ -122,7 +123,7 @@
     match result {
         Ok(_) => Some(Outcome::Answered(ms)),
         Err(CallError::TimedOut) => Some(Outcome::TimedOut(ms)),
-        Err(CallError::Refused { .. }) => None,
+        Err(CallError::Refused { .. } | CallError::TargetLeft) => None,
         Err(err) if err.is_cut_off() => Some(Outcome::Broken),
         Err(CallError::Send { .. }) => None,
         Err(_) => Some(Outcome::Failed),
@@ -140,7 +141,9 @@
 ) {
     let (kind, outcome) = match result {
         Ok(_) => ("answered", "answered".to_string()),
-        Err(err @ CallError::Refused { .. }) => ("refused", err.to_string()),
+        Err(err @ (CallError::Refused { .. } | CallError::TargetLeft)) => {
+            ("refused", err.to_string())
+        }
         Err(err) => ("failed", err.to_string()),
     };
     metrics::count_call(&target.record.service, kind, pieces, took);
@@ -193,7 +196,10 @@
     );
     let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES)
         .await
-        .map_err(|source| CallError::Send { source })?;
+        .map_err(|source| match source {
+            SendError::Withdrawn { .. } => CallError::TargetLeft,
+            source => CallError::Send { source },
+        })?;
     let status = answer.status;
     let body = answer.body.map_err(|source| CallError::CutOff { source })?;
     if answer.head.not_run {
@@ -309,7 +315,7 @@
         tokio::time::sleep_until(cx.clock.timer(until).into()).await;
     }
     let req = pieces::release_request(target.incarnation(), &handles);
-    let call = target_calls::call(&cx, &target, req, MAX_RESPONSE_BYTES);
+    let call = target_calls::call_to_clean_up(&cx, &target, req, MAX_RESPONSE_BYTES);
     if tokio::time::timeout(RELEASE_TIMEOUT, call).await.is_err() {
         log::debug!(
             "results at {} not released within {} ms; the target drops them after its retention time",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -7,7 +7,6 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_connect::{AnswerBody, Reuse, SendError};
-use hollowsail_observe::events;
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
@@ -40,13 +39,15 @@
     pub placed: Option<Placement>,
 }
 
-/// Why an attempt at a service with few connections got none; nothing was sent.
+/// Why an attempt got none of few connections, or wasn't sent on it; nothing was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unconnected {
     /// The target closed a new connection at once, as it does when it has too many.
     Rejected,
     /// No connection became free in time.
     NotInTime,
+    /// The targets changed before the request was sent, so that another one may be better.
+    TargetsChanged,
 }
 
 /// An attempt without an answer that can be passed on.
@@ -110,6 +111,7 @@
             SendError::NoConnection { retry_after, .. } => {
                 (Some(Unconnected::NotInTime), Some(*retry_after))
             }
+            SendError::Withdrawn { .. } => (Some(Unconnected::TargetsChanged), None),
             _ => (None, None),
         };
         Failure {
@@ -159,7 +161,6 @@
     others: &[Rc<Target>],
     options: &AttemptOptions<'_>,
 ) -> Result<TargetAnswer, Failure> {
-    let chosen_at = BootInstant::now();
     // Counts at the chosen target while the request waits for a connection.
     let waiting = target.track_request(options.prefill_tokens);
     let reuse = reuse(admitted);
@@ -167,7 +168,6 @@
     drop(waiting);
     let in_flight = target.track_request(options.prefill_tokens);
     let (connection, in_use) = connected.unzip();
-    log_if_outdated(cx, admitted, target, chosen_at);
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
     let sending = target_calls::send(cx, target, connection, req, reuse);
@@ -198,17 +198,6 @@
     })
 }
 
-/// Logs that the target left after it was chosen.
-fn log_if_outdated(cx: &Rc<Traffic>, admitted: &Admitted, target: &Target, chosen_at: BootInstant) {
-    if cx.is_in_use(target) {
-        return;
-    }
-    let (request, target) = (&admitted.caller.request_id, &target.incarnation().id);
-    let waited_ms = chosen_at.elapsed().as_millis();
-    let fields = format_args!("request={request} target={target} waited_ms={waited_ms}");
-    cx.log.line(events::CHOICE_OUTDATED, fields);
-}
-
 fn request_for(
     admitted: &Admitted,
     target: &Target,
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -25,6 +25,8 @@
     pub version: Option<String>,
     /// Targets whose attempts failed.
     pub tried: HashSet<Incarnation>,
+    /// An attempt has begun.
+    has_begun: bool,
     /// How far each failed attempt got.
     progress: Vec<Progress>,
     /// Number of failed attempts that may have reached a target.
@@ -49,6 +51,7 @@
             service: service.unwrap_or_else(|| choose_service(admitted)),
             version: resumed_at.map(|resumed_at| resumed_at.version.clone()),
             tried: HashSet::new(),
+            has_begun: false,
             progress: Vec::new(),
             reached: 0,
             unreached: 0,
@@ -105,6 +108,12 @@
         refusal
     }
 
+    /// Marks the first attempt as begun. Returns false for all later ones, also if the first one
+    /// wasn't sent.
+    pub fn begin_first(&mut self) -> bool {
+        !std::mem::replace(&mut self.has_begun, true)
+    }
+
     /// True until an attempt has failed.
     pub fn is_first(&self) -> bool {
         self.progress.is_empty()
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::events;
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::{Progress, Reason};
+use hollowsail_targets::Target;
 
 use super::admit::Admitted;
-use super::attempt::{self, AttemptOptions, TargetAnswer};
+use super::attempt::{self, AttemptOptions, TargetAnswer, Unconnected};
 use super::attempts::Attempts;
 use super::prepare::Prepared;
 use super::stream_version::ResumedAt;
@@ -67,7 +69,7 @@
         let (mut target, others, placed) = (selected.target, selected.others, selected.placed);
         let timeout = timeout(cx, admitted, attempts);
         let options = attempt_options(admitted, prepared, timeout, resume_after);
-        if attempts.is_first() {
+        if attempts.begin_first() {
             cx.with_budget(&admitted.deployment, attempts.service, |budget| {
                 budget.earn()
             });
@@ -89,6 +91,11 @@
                 answer.placed = placed;
                 return Ok(answer);
             }
+            // Nothing was sent, and no target is at fault.
+            Err(failure) if failure.unconnected == Some(Unconnected::TargetsChanged) => {
+                placed.into_iter().for_each(|mut placed| placed.completed());
+                log_outdated_choice(cx, admitted, &target, attempts.last_sent);
+            }
             Err(failure) => {
                 placed
                     .into_iter()
@@ -103,6 +110,14 @@
     }
 }
 
+/// Logs that a choice of a target was given up before the request was sent.
+fn log_outdated_choice(cx: &Traffic, admitted: &Admitted, target: &Target, chosen_at: BootInstant) {
+    let (request, target) = (&admitted.caller.request_id, &target.incarnation().id);
+    let waited_ms = chosen_at.elapsed().as_millis();
+    let fields = format_args!("request={request} target={target} waited_ms={waited_ms}");
+    cx.log.line(events::CHOICE_OUTDATED, fields);
+}
+
 /// Time after which an attempt without an answer fails: well before the deadline if another target
 /// may be tried, otherwise `None`. A connection that died without a reset can't be detected in
 /// another way.
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -29,22 +29,34 @@
     pub body: Result<Option<Bytes>, BodyError>,
 }
 
-/// Sends a request and waits for the headers of its answer, on `connection` if the request waited
-/// for one ([`crate::connections`]). The caller bounds the time; dropping the future closes the
-/// connection.
+/// Sends new work and waits for the headers of its answer, on `connection` if the request waited
+/// for one ([`crate::connections`]). Withdraws it if the target leaves before it is sent. The
+/// caller bounds the time; dropping the future closes the connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
     connection: Option<Connection>,
     req: Request<Full<Bytes>>,
     reuse: Reuse,
+) -> Result<Answer, SendError> {
+    send_if(cx, target, connection, req, reuse, || cx.is_in_use(target)).await
+}
+
+async fn send_if(
+    cx: &Rc<Traffic>,
+    target: &Target,
+    connection: Option<Connection>,
+    req: Request<Full<Bytes>>,
+    reuse: Reuse,
+    is_wanted: impl Fn() -> bool,
 ) -> Result<Answer, SendError> {
     let request_id = headers::request_id(req.headers()).map(str::to_string);
     let sent_at = cx.clock.now();
-    let exchange = match connection {
-        Some(connection) => connection.send(req, reuse).await?,
-        None => target.pool.send(req, reuse).await?,
+    let connection = match connection {
+        Some(connection) => connection,
+        None => target.pool.connect(reuse, None).await?,
     };
+    let exchange = connection.send_if(req, reuse, is_wanted).await?;
     let response = exchange.response();
     let head = TargetHeaders::read(response.status(), response.headers());
     // An answer to an earlier request may arrive on the connection; its report is older.
@@ -54,19 +66,34 @@
     Ok(Answer { head, exchange })
 }
 
-/// Sends a request on any connection and reads up to `max_bytes` of its answer. The caller
-/// bounds the time; dropping the future closes the connection.
+/// Sends new work on any connection and reads up to `max_bytes` of its answer. The caller bounds
+/// the time; dropping the future closes the connection.
 pub async fn call(
     cx: &Rc<Traffic>,
     target: &Target,
     req: Request<Full<Bytes>>,
     max_bytes: usize,
 ) -> Result<CompleteAnswer, SendError> {
-    let Answer { head, exchange } = send(cx, target, None, req, Reuse::Any).await?;
-    let (parts, body) = exchange.into_body(true);
-    Ok(CompleteAnswer {
+    let answer = send(cx, target, None, req, Reuse::Any).await?;
+    Ok(read(answer, max_bytes).await)
+}
+
+/// The same for a request that ends earlier work, which a target that leaves gets, too.
+pub async fn call_to_clean_up(
+    cx: &Rc<Traffic>,
+    target: &Target,
+    req: Request<Full<Bytes>>,
+    max_bytes: usize,
+) -> Result<CompleteAnswer, SendError> {
+    let answer = send_if(cx, target, None, req, Reuse::Any, || true).await?;
+    Ok(read(answer, max_bytes).await)
+}
+
+async fn read(answer: Answer, max_bytes: usize) -> CompleteAnswer {
+    let (parts, body) = answer.exchange.into_body(true);
+    CompleteAnswer {
         status: parts.status,
-        head,
+        head: answer.head,
         body: body.collect(max_bytes).await,
-    })
+    }
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -125,6 +125,8 @@
     pub close_idle: Notify,
     /// Notified with each view that has a configuration.
     configured: Notify,
+    /// Notified when targets come into use, leave, or change.
+    pub targets_changed: Notify,
 }
 
 impl Traffic {
@@ -171,6 +173,7 @@
                 final_shutdown: Notify::new(),
                 close_idle: Notify::new(),
                 configured: Notify::new(),
+                targets_changed: Notify::new(),
             })
         }
     }
@@ -225,6 +228,9 @@
         );
         *self.view.borrow_mut() = newest.clone();
         self.rollouts.apply_view(self, &newest);
+        if !changed.is_empty() {
+            self.targets_changed.notify_waiters();
+        }
         if peers_changed || deployment_changed(&before, &newest) {
             self.propagate_targets();
         } else if !changed.is_empty() {
@@ -259,6 +265,7 @@
         let now = self.clock.now();
         let has_changed = self.targets.borrow_mut().record_draining(now, incarnation);
         if has_changed {
+            self.targets_changed.notify_waiters();
             self.propagate_targets();
         }
         has_changed
