Retire relayed connections whose target left

Callers of a host that is cut off from targets: its requests went over relayed connections to a target that the relay, the host that the target sees, knew to have left. A target that ends sooner breaks them off.

Cause: a relay asked whether the target is in use when a connection was opened, and then passed bytes for as long as it lived. The same class as the wait for a connection: a choice, here another host's, that outlives the fact it rests on.

Change: a relay watches the targets. When one isn't in use any more it retires the connections to it: the other end, which may know nothing of the leaving, uses them for no further request (an empty frame, agreed on when the connection is opened; hosts of older builds get none). Answers under way go on. Bytes that still come half a second later aren't passed; the connection closes. relay_retired (HS0234) takes the place of relay_outdated.

--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -33,7 +33,7 @@
 pub use framing::Framing;
 pub use liveness::Liveness;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
-pub use relayed::{relay, RelayedStream};
+pub use relayed::{relay, RelayedPeer, RelayedStream};
 pub use transport::{RelayWay, Transport, Way};
 
 /// A connection failure before the end of a body.
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -26,6 +26,7 @@
 use crate::dial::DialError;
 use crate::dialer::{Dialer, ProcessState, Unreached};
 use crate::framing::Framing;
+use crate::relayed::Retired;
 use crate::transport::{Transport, Way};
 
 /// Fraction of the peer's idle timeout after which a connection isn't reused: the peer began
@@ -99,10 +100,23 @@
     }
 }
 
-/// A connection that no request uses.
-pub(crate) struct Idle {
+/// An open connection.
+struct Channel {
     sender: SendRequest<Full<Bytes>>,
     way: Way,
+    retired: Retired,
+}
+
+impl Channel {
+    /// True if it may carry another request now.
+    fn is_ready(&self) -> bool {
+        self.sender.is_ready() && !self.retired.is_set()
+    }
+}
+
+/// A connection that no request uses.
+pub(crate) struct Idle {
+    channel: Channel,
     since: BootInstant,
     until: BootInstant,
 }
@@ -121,8 +135,7 @@
 /// A connection that a request got before it is sent.
 pub struct Connection {
     pool: Rc<Pool>,
-    sender: SendRequest<Full<Bytes>>,
-    way: Way,
+    channel: Channel,
     is_new: bool,
     since: BootInstant,
     /// Until when the request may wait for another connection.
@@ -138,8 +151,7 @@
 /// Returns a connection to its pool after a complete answer.
 pub(crate) struct Returning {
     pool: Rc<Pool>,
-    sender: SendRequest<Full<Bytes>>,
-    way: Way,
+    channel: Channel,
     keep_for: Option<Duration>,
     /// When the request got the connection.
     since: BootInstant,
@@ -211,17 +223,13 @@
         grant: Grant,
         wait_ends: Option<BootInstant>,
     ) -> Result<Connection, SendError> {
-        let (sender, way, is_new) = match grant {
-            Grant::Idle(idle) => (idle.sender, idle.way, false),
-            Grant::Dial(dialling) => {
-                let (sender, way) = self.open(dialling).await?;
-                (sender, way, true)
-            }
+        let (channel, is_new) = match grant {
+            Grant::Idle(idle) => (idle.channel, false),
+            Grant::Dial(dialling) => (self.open(dialling).await?, true),
         };
         Ok(Connection {
             pool: self.clone(),
-            sender,
-            way,
+            channel,
             is_new,
             since: BootInstant::now(),
             wait_ends,
@@ -231,7 +239,9 @@
     /// Closes the idle connections that should carry no further request.
     pub fn prune(&self) {
         let may_reuse = &self.dialer.may_reuse;
-        self.idle.borrow_mut().retain(|conn| may_reuse(conn.way));
+        self.idle
+            .borrow_mut()
+            .retain(|conn| may_reuse(conn.channel.way));
     }
 
     /// True while direct connections are known to fail.
@@ -250,7 +260,7 @@
     /// Number of idle connections that are still open.
     pub(crate) fn idle_count(&self) -> usize {
         let idle = self.idle.borrow();
-        idle.iter().filter(|conn| conn.sender.is_ready()).count()
+        idle.iter().filter(|conn| conn.channel.is_ready()).count()
     }
 
     /// Closes up to `count` connections that have been idle for the longest time.
@@ -284,10 +294,7 @@
         Some(idle.swap_remove(index))
     }
 
-    async fn open(
-        self: &Rc<Self>,
-        dialling: Dialling,
-    ) -> Result<(SendRequest<Full<Bytes>>, Way), SendError> {
+    async fn open(self: &Rc<Self>, dialling: Dialling) -> Result<Channel, SendError> {
         let started = BootInstant::now();
         let dialled = (self.dialer.dial)(self.rules.dial_timeout).await;
         let stream = dialled.map_err(|source| self.dial_failed(source))?;
@@ -298,7 +305,7 @@
                 return Err(self.rejected());
             }
         }
-        let way = stream.way();
+        let (way, retired) = (stream.way(), stream.retired());
         let (sender, conn) = handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent { addr: self.addr })?;
@@ -309,7 +316,11 @@
             drop(conn.await);
             drop(open);
         });
-        Ok((sender, way))
+        Ok(Channel {
+            sender,
+            way,
+            retired,
+        })
     }
 
     /// The error of a failed dial. A reset of a connection that was just opened counts as
@@ -331,20 +342,19 @@
         }
     }
 
-    fn put_back(self: &Rc<Self>, sender: SendRequest<Full<Bytes>>, way: Way, keep_for: Duration) {
+    fn put_back(self: &Rc<Self>, channel: Channel, keep_for: Duration) {
         // With a limit, the number of open connections bounds the idle ones.
         let max_idle = match self.capacity.limit() {
             Some(limit) => limit as usize,
             None => self.rules.max_idle,
         };
         let has_room = !self.capacity.is_exceeded() && self.idle.borrow().len() < max_idle;
-        if !has_room || !(self.dialer.may_reuse)(way) {
+        if !has_room || !(self.dialer.may_reuse)(channel.way) {
             return;
         }
         let since = BootInstant::now();
         self.idle.borrow_mut().push(Idle {
-            sender,
-            way,
+            channel,
             since,
             until: since + keep_for,
         });
@@ -372,7 +382,7 @@
 
 impl Idle {
     fn is_open(&self, now: BootInstant) -> bool {
-        self.until > now && self.sender.is_ready()
+        self.until > now && self.channel.is_ready()
     }
 
     fn is_usable(&self, now: BootInstant, reuse: Reuse) -> bool {
@@ -409,7 +419,7 @@
                 let addr = connection.pool.addr;
                 return Err(SendError::Withdrawn { addr });
             }
-            match connection.sender.try_send_request(req).await {
+            match connection.channel.sender.try_send_request(req).await {
                 Ok(response) => return Ok(connection.answered(response)),
                 Err(mut failed) => match failed.take_message() {
                     Some(unsent) if !connection.is_new => req = unsent,
@@ -435,8 +445,7 @@
             response,
             returning: Returning {
                 pool: self.pool,
-                sender: self.sender,
-                way: self.way,
+                channel: self.channel,
                 keep_for,
                 since: self.since,
             },
@@ -474,7 +483,7 @@
     /// Splits into the head and the body, which returns the connection to the pool after the
     /// last byte if `reusable`.
     pub fn into_body(self, reusable: bool) -> (http::response::Parts, AnswerBody) {
-        let framing = Framing::of(&self.response, self.returning.way);
+        let framing = Framing::of(&self.response, self.returning.channel.way);
         let (parts, incoming) = self.response.into_parts();
         let returning =
             Some(self.returning).filter(|returning| reusable && returning.keep_for.is_some());
@@ -489,13 +498,13 @@
             return;
         };
         self.pool.capacity.record_hold(self.since.elapsed());
-        if self.sender.is_ready() {
-            self.pool.clone().put_back(self.sender, self.way, keep_for);
+        if self.channel.is_ready() {
+            self.pool.clone().put_back(self.channel, keep_for);
             return;
         }
         actix_rt::spawn(async move {
-            if self.sender.ready().await.is_ok() {
-                self.pool.clone().put_back(self.sender, self.way, keep_for);
+            if self.channel.sender.ready().await.is_ok() {
+                self.pool.clone().put_back(self.channel, keep_for);
             }
         });
     }
--- a/crates/connect/src/relayed.rs
+++ b/crates/connect/src/relayed.rs
@@ -5,10 +5,15 @@
 //! an empty frame says that the peer closed its connection in good order, and runs. A stream that
 //! ends without it was broken off, by the peer or by the relay: the system closes the connections of
 //! a process that is killed, which must not look like the end of an answer.
+//!
+//! A relay that retires connections sends a first empty frame when the peer is to get no further
+//! request ([`Retired`]), and a second one at the end.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
-use std::pin::Pin;
+use std::pin::{pin, Pin};
+use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
@@ -17,14 +22,19 @@
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::codec::{FramedRead, LengthDelimitedCodec};
 
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 2;
+const EMPTY_FRAME: [u8; LENGTH_BYTES] = [0; LENGTH_BYTES];
 /// Largest frame without its length, in bytes.
 const MAX_FRAME: usize = 16 << 10;
 /// How long a relay keeps a connection after its peer has closed it.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a relay still passes bytes to a peer that is to get no further request, for requests
+/// that were sent before the other end knew.
+const RETIREMENT_GRACE: Duration = Duration::from_millis(500);
 
 fn codec() -> LengthDelimitedCodec {
     LengthDelimitedCodec::builder()
@@ -40,13 +50,30 @@
     unread: Bytes,
     /// The peer closed its connection.
     has_ended: bool,
+    /// The relay says when the peer is to get no further request, and has not said so yet.
+    may_retire: bool,
+    retired: Retired,
     to_relay: OwnedWriteHalf,
 }
 
+/// Set once a connection is to carry no further request.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Retired(Rc<Cell<bool>>);
+
+impl Retired {
+    pub fn is_set(&self) -> bool {
+        self.0.get()
+    }
+
+    fn set(&self) {
+        self.0.set(true);
+    }
+}
+
 impl RelayedStream {
     /// Takes over a connection to a relay that has connected to the peer. `early` was received
-    /// on it before.
-    pub fn new(stream: TcpStream, early: &[u8]) -> Self {
+    /// on it before. `may_retire` is true if the relay retires connections.
+    pub fn new(stream: TcpStream, early: &[u8], may_retire: bool) -> Self {
         let (from_relay, to_relay) = stream.into_split();
         let mut frames = FramedRead::new(from_relay, codec());
         frames.read_buffer_mut().extend_from_slice(early);
@@ -54,10 +81,16 @@
             frames,
             unread: Bytes::new(),
             has_ended: false,
+            may_retire,
+            retired: Retired::default(),
             to_relay,
         }
     }
 
+    pub(crate) fn retired(&self) -> &Retired {
+        &self.retired
+    }
+
     /// Waits until there is something to read, or the connection has ended.
     pub(crate) async fn readable(&self) -> io::Result<()> {
         self.frames.get_ref().readable().await
@@ -72,7 +105,13 @@
     ) -> Poll<io::Result<()>> {
         while self.unread.is_empty() && !self.has_ended {
             match ready!(Pin::new(&mut self.frames).poll_next(cx)) {
-                Some(Ok(frame)) if frame.is_empty() => self.has_ended = true,
+                Some(Ok(frame)) if frame.is_empty() => match self.may_retire {
+                    true => {
+                        self.may_retire = false;
+                        self.retired.set();
+                    }
+                    false => self.has_ended = true,
+                },
                 Some(Ok(frame)) => self.unread = frame.freeze(),
                 Some(Err(err)) => return Poll::Ready(Err(err)),
                 None => return Poll::Ready(Err(io::ErrorKind::ConnectionReset.into())),
@@ -114,39 +153,50 @@
     }
 }
 
+/// What a relay knows of the peer that it connected to.
+pub struct RelayedPeer<R, U> {
+    /// Whether the peer runs, when it has closed its connection.
+    pub is_running: R,
+    /// Completes when the peer is to get no further request.
+    pub is_unwanted: U,
+    /// The entry understands when a connection is retired.
+    pub may_retire: bool,
+}
+
 /// Passes bytes between an entry, from which `early` was received, and a peer, until one of them
-/// ends its connection. The end of the peer's is passed on if `is_running` says that it runs then.
-/// `on_sent` is called before bytes are passed to the peer.
+/// ends its connection. The end of the peer's is passed on if the peer runs then. Once the peer is
+/// unwanted the connection is retired, and shortly after it closes instead of carrying a request.
 pub async fn relay(
     entry: TcpStream,
     early: Bytes,
     peer: TcpStream,
-    is_running: impl Future<Output = bool>,
-    on_sent: impl FnMut(),
+    state: RelayedPeer<impl Future<Output = bool>, impl Future<Output = ()>>,
 ) {
     let (from_entry, to_entry) = entry.into_split();
     let (from_peer, to_peer) = peer.into_split();
+    let closes_at = Cell::new(None);
     // The connections close when either direction has ended.
     tokio::select! {
-        _ended = pass_to_peer(early, from_entry, to_peer, on_sent) => {}
-        _ended = pass_to_entry(from_peer, to_entry, is_running) => {}
+        _ended = pass_to_peer(early, from_entry, to_peer, &closes_at) => {}
+        _ended = pass_to_entry(from_peer, to_entry, state, &closes_at) => {}
     }
 }
 
+/// Ends with the first bytes after `closes_at`, which aren't passed on.
 async fn pass_to_peer(
     early: Bytes,
     mut from_entry: OwnedReadHalf,
     mut to_peer: OwnedWriteHalf,
-    mut on_sent: impl FnMut(),
+    closes_at: &Cell<Option<Instant>>,
 ) -> io::Result<()> {
     to_peer.write_all(&early).await?;
     let mut buf = vec![0; MAX_FRAME];
     loop {
         let len = from_entry.read(&mut buf).await?;
-        if len == 0 {
+        let is_closed = closes_at.get().is_some_and(|at| at <= Instant::now());
+        if len == 0 || is_closed {
             return Ok(());
         }
-        on_sent();
         to_peer.write_all(&buf[..len]).await?;
     }
 }
@@ -154,19 +204,34 @@
 async fn pass_to_entry(
     mut from_peer: OwnedReadHalf,
     mut to_entry: OwnedWriteHalf,
-    is_running: impl Future<Output = bool>,
+    state: RelayedPeer<impl Future<Output = bool>, impl Future<Output = ()>>,
+    closes_at: &Cell<Option<Instant>>,
 ) -> io::Result<()> {
+    let mut is_unwanted = pin!(state.is_unwanted);
     let mut frame = vec![0; LENGTH_BYTES + MAX_FRAME];
     loop {
-        let len = from_peer.read(&mut frame[LENGTH_BYTES..]).await?;
+        let is_retired = closes_at.get().is_some();
+        let len = tokio::select! {
+            read = from_peer.read(&mut frame[LENGTH_BYTES..]) => read?,
+            () = is_unwanted.as_mut(), if !is_retired => {
+                closes_at.set(Some(Instant::now() + RETIREMENT_GRACE));
+                if state.may_retire {
+                    to_entry.write_all(&EMPTY_FRAME).await?;
+                }
+                continue;
+            }
+        };
         if len == 0 {
             break;
         }
         frame[..LENGTH_BYTES].copy_from_slice(&(len as u16).to_be_bytes());
         to_entry.write_all(&frame[..LENGTH_BYTES + len]).await?;
     }
-    if is_running.await {
-        to_entry.write_all(&[0; LENGTH_BYTES]).await?;
+    if state.is_running.await {
+        if state.may_retire && closes_at.get().is_none() {
+            to_entry.write_all(&EMPTY_FRAME).await?;
+        }
+        to_entry.write_all(&EMPTY_FRAME).await?;
         tokio::time::sleep(CLOSE_TIMEOUT).await;
     }
     Ok(())
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -9,7 +9,7 @@
 use tokio::net::TcpStream;
 
 use crate::liveness::Liveness;
-use crate::relayed::RelayedStream;
+use crate::relayed::{RelayedStream, Retired};
 
 /// How a connection reaches its peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -71,6 +71,14 @@
         self.way
     }
 
+    /// Whether the connection is to carry no further request.
+    pub(crate) fn retired(&self) -> Retired {
+        match &self.stream {
+            Stream::Direct(_) => Retired::default(),
+            Stream::Relayed(stream) => stream.retired().clone(),
+        }
+    }
+
     /// Waits until there is something to read, or the connection has ended.
     pub(crate) async fn readable(&self) -> io::Result<()> {
         match &self.stream {
--- a/crates/connect/tests/suite/main.rs
+++ b/crates/connect/tests/suite/main.rs
@@ -2,4 +2,5 @@
 
 mod dial;
 mod limited;
+mod relayed;
 mod server;
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -6,10 +6,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowsail_connect::{relay, DialError, ProcessState};
+use hollowsail_connect::{relay, DialError, ProcessState, RelayedPeer};
 use hollowsail_observe::events;
 use hollowsail_targets::Target;
-use http::{header, HeaderValue, Request, Response, StatusCode};
+use http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::upgrade::OnUpgrade;
@@ -17,8 +17,8 @@
 use tokio::net::TcpStream;
 
 use super::messages::{
-    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, PROTOCOL, TARGET_REFUSED, TARGET_SILENT,
-    UNABLE,
+    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, PROTOCOL, RETIRES, RETIRING_PROTOCOL,
+    TARGET_REFUSED, TARGET_SILENT, UNABLE,
 };
 use super::open::dial_direct;
 use crate::mechanisms::Mechanism;
@@ -58,10 +58,7 @@
     mut req: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let upgrade = hyper::upgrade::on(&mut req);
-    let protocol = match req.headers().get(header::UPGRADE) {
-        Some(offered) if offered == CONFIRMING_PROTOCOL => CONFIRMING_PROTOCOL,
-        _ => PROTOCOL,
-    };
+    let protocol = protocol_for(req.headers());
     let request: RelayRequest = peers::read(req).await?;
     if request.to != cx.me.id {
         return Err(StatusCode::MISDIRECTED_REQUEST);
@@ -72,10 +69,13 @@
     let relayed = Relayed::begin(&cx.reach.relayed);
     let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
     let stream = connect(cx, &target, &request).await?;
-    let log_if_outdated = log_if_outdated(cx.clone(), target.clone());
-    let is_running = is_running(cx.clone(), target);
+    let state = RelayedPeer {
+        is_running: is_running(cx.clone(), target.clone()),
+        is_unwanted: until_unwanted(cx.clone(), target),
+        may_retire: protocol == RETIRING_PROTOCOL,
+    };
     actix_rt::spawn(async move {
-        pass_on(upgrade, stream, is_running, log_if_outdated).await;
+        pass_on(upgrade, stream, state).await;
         drop(relayed);
     });
     let mut response = Response::new(Full::default());
@@ -86,6 +86,15 @@
     Ok(response)
 }
 
+/// The newest protocol that the requester understands.
+fn protocol_for(headers: &HeaderMap) -> &'static str {
+    match headers.get(header::UPGRADE) {
+        Some(_) if headers.contains_key(RETIRES) => RETIRING_PROTOCOL,
+        Some(offered) if offered == CONFIRMING_PROTOCOL => CONFIRMING_PROTOCOL,
+        _ => PROTOCOL,
+    }
+}
+
 fn may_relay(cx: &Traffic) -> bool {
     let limit = cx.settings().limits.descriptors as f64 * DESCRIPTORS_SHARE / 2.0;
     // Until then, a relayed request has as much time to end as a new one of this host.
@@ -121,33 +130,26 @@
     !is_in_use || target.process_state().await == ProcessState::Running
 }
 
-/// Logs once that a peer sends to a target that isn't in use any more.
-fn log_if_outdated(cx: Rc<Traffic>, target: Rc<Target>) -> impl FnMut() {
-    let mut is_logged = false;
-    move || {
-        if !is_logged && !cx.is_in_use(&target) {
-            is_logged = true;
-            let fields = format_args!("target={}", target.incarnation().id);
-            cx.log.line(events::RELAY_OUTDATED, fields);
-        }
+/// Waits until a target isn't in use any more.
+async fn until_unwanted(cx: Rc<Traffic>, target: Rc<Target>) {
+    while cx.is_in_use(&target) {
+        cx.targets_changed.notified().await;
     }
+    let fields = format_args!("target={}", target.incarnation().id);
+    cx.log.line(events::RELAY_RETIRED, fields);
 }
 
 async fn pass_on(
     upgrade: OnUpgrade,
     target: TcpStream,
-    is_running: impl Future<Output = bool>,
-    on_sent: impl FnMut(),
+    state: RelayedPeer<impl Future<Output = bool>, impl Future<Output = ()>>,
 ) {
     let upgraded = match upgrade.await {
         Ok(upgraded) => upgraded,
         Err(err) => return log::debug!("a peer's request for a relay ended: {err}"),
     };
     match upgraded.downcast::<TokioIo<TcpStream>>() {
-        Ok(parts) => {
-            let (peer, early) = (parts.io.into_inner(), parts.read_buf);
-            relay(peer, early, target, is_running, on_sent).await;
-        }
+        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target, state).await,
         Err(_) => log::error!("a relayed connection has an unexpected type"),
     }
 }
--- a/crates/gateway/src/reach/messages.rs
+++ b/crates/gateway/src/reach/messages.rs
@@ -5,17 +5,22 @@
 //! An older build answers 404.
 
 use hollowsail_platform::targets::Incarnation;
-use http::StatusCode;
+use http::{HeaderName, StatusCode};
 use serde::{Deserialize, Serialize};
 
 use crate::peers::PeerId;
 
 /// Path that accepts a [`RelayRequest`].
 pub const RELAY_PATH: &str = "/hollowsail/relay";
-/// Protocol that the connection is upgraded to. The end of the target's connection is passed on
-/// only if the target is known to run after it.
+/// Protocol that the connection is upgraded to. The relay says when the target is to get no further
+/// request, and passes on the end of its connection only if the target is known to run after it.
+pub const RETIRING_PROTOCOL: &str = "hollowsail-relay-3";
+/// Header with which the requester says that it understands [`RETIRING_PROTOCOL`]. It offers
+/// [`CONFIRMING_PROTOCOL`], which is all that older relays look for.
+pub const RETIRES: HeaderName = HeaderName::from_static("hollowsail-relay-retires");
+/// The same of an older build, which doesn't say when the target is to get no further request.
 pub const CONFIRMING_PROTOCOL: &str = "hollowsail-relay-2";
-/// The same of an older build, which passes on every end.
+/// That of a still older build, which passes on every end.
 pub const PROTOCOL: &str = "hollowsail-relay";
 
 /// The target refused the connection, and the relay reaches others.
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -19,7 +19,8 @@
 use tokio::time::Instant;
 
 use super::messages::{
-    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, RELAY_PATH, TARGET_REFUSED, TARGET_SILENT,
+    RelayRequest, CONFIRMING_PROTOCOL, CONNECT_REFUSED, RELAY_PATH, RETIRES, RETIRING_PROTOCOL,
+    TARGET_REFUSED, TARGET_SILENT,
 };
 use super::{probe, Endpoint};
 use crate::metrics;
@@ -233,6 +234,7 @@
         header::UPGRADE,
         HeaderValue::from_static(CONFIRMING_PROTOCOL),
     );
+    headers.insert(RETIRES, HeaderValue::from_static("1"));
     let Ok(stream) = dial(peer.addr, timeout).await else {
         return Err(unable);
     };
@@ -256,15 +258,17 @@
         _ => return Err(unable),
     }
     let protocol = response.headers().get(header::UPGRADE);
+    let may_retire = protocol.is_some_and(|protocol| protocol == RETIRING_PROTOCOL);
     let way = RelayWay {
         relay: peer.id.0,
-        confirms_end: protocol.is_some_and(|protocol| protocol == CONFIRMING_PROTOCOL),
+        confirms_end: may_retire
+            || protocol.is_some_and(|protocol| protocol == CONFIRMING_PROTOCOL),
     };
     let upgraded = hyper::upgrade::on(response).await;
     let parts = upgraded.map(|upgraded| upgraded.downcast::<TokioIo<TcpStream>>());
     match parts {
         Ok(Ok(parts)) => {
-            let stream = RelayedStream::new(parts.io.into_inner(), &parts.read_buf);
+            let stream = RelayedStream::new(parts.io.into_inner(), &parts.read_buf, may_retire);
             Ok(Transport::relayed(stream, way))
         }
         _ => Err(unable),
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -559,3 +559,16 @@
     assert_eq!(late, 0, "requests relayed to a target that left");
     assert!(failed.is_empty(), "{failed:?}");
 }
+
+/// Guards against cutting answers under way when a relay hears that their target leaves.
+#[actix_rt::test]
+async fn relayed_answer_ends_well_while_its_target_leaves() {
+    let leave = async |fleet: &mut Fleet| {
+        let target = fleet.targets.last().expect("the target").addr;
+        let store = &fleet.store;
+        store.put_target("i-plain", "plain", target, "hall-a", "draining");
+    };
+    let (answer, runs) = relayed_once(leave).await;
+    assert_eq!((answer.status, runs), (200, 1), "{answer:?}");
+    assert_eq!((answer.is_whole, answer.body.as_str()), (true, "the body"));
+}
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -79,7 +79,7 @@
     ROOM_BY_FLOW, 231, "room_by_flow", Info, "Offered rate, entitlement and reservations of each flow of a queue that refused requests.";
     ROOM_WEIGHT, 232, "room_weight", Warn, "A weight of an organisation is zero or not finite; the smallest weight is used.";
     CHOICE_OUTDATED, 233, "choice_outdated", Info, "A target that was chosen for a request isn't in use any more when the request is to be sent; the line says how long the request has waited since then.";
-    RELAY_OUTDATED, 234, "relay_outdated", Warn, "A peer sends over a connection that this entry relays to a target that isn't in use any more.";
+    RELAY_RETIRED, 234, "relay_retired", Info, "A target isn't in use any more to which this entry relays a connection of a peer; the connection carries no further request.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
