Have hosts without the store hear of leaving targets from their peers

Callers of a host that has lost the store: their requests went to a target whose record had said that it is draining, or whose answers had, until that host got such an answer itself.

Cause: an entry that has lost the store asks peers for their records, and a peer that has lost it since gave none, though it had read them later. What answers report is in no record; it was broadcast once, and an entry that wasn't there then never heard of it. The class is a fact that lives only as long as what it came in.

Change: records are given to whoever has older ones, also by an entry without the store; equal positions confirm nothing. Whoever asks for state also asks for the targets that are known to be draining, by record or by answer, at a path of its own, since older builds decode messages of a fixed length only.

--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -148,9 +148,8 @@
         changed
     }
 
-    /// Marks an incarnation as draining because of an outdated record. True when the registry
-    /// changed.
-    fn mark_draining(&mut self, id: &str, incarnation: u64) -> bool {
+    /// Marks an incarnation as draining, whatever its record says. True when the registry changed.
+    pub fn mark_draining(&mut self, id: &str, incarnation: u64) -> bool {
         if let Some(known) = self.entries.get_mut(id) {
             let is_new = known.incarnation == incarnation && known.state != State::Draining;
             if is_new {
@@ -345,6 +344,13 @@
         usable.map(|entry| (entry.at, &entry.record))
     }
 
+    /// Draining targets.
+    pub fn draining(&self) -> impl Iterator<Item = &R> {
+        let entries = self.entries.values();
+        let draining = entries.filter(|entry| entry.state == State::Draining);
+        draining.map(|entry| &entry.record)
+    }
+
     /// Every registered target with the position of its record's last change. Includes draining
     /// and restored ones; the receiving entry decides on them from its own state.
     pub fn all(&self) -> impl Iterator<Item = (Position, &R)> {
--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -58,18 +58,15 @@
         })
     }
 
-    /// Records that peers may adopt; `None` while the store is unreachable.
-    pub(super) fn records_for_peers(&self) -> Option<KnownRecords> {
+    /// Records that peers may adopt.
+    pub(super) fn records_for_peers(&self) -> KnownRecords {
         let registry = self.registry.borrow();
-        if registry.is_store_unreachable() {
-            return None;
-        }
         let records = as_of(&self.derived.records, registry.change_count(), || {
             let records = registry.all().map(|(at, record)| (at, record.clone()));
             records.collect()
         });
         let at = self.records_at.get();
-        Some(KnownRecords { at, records })
+        KnownRecords { at, records }
     }
 
     /// The targets for a view. While some of them depend on the time, they aren't cached.
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -172,6 +172,7 @@
             targets: self.targets_now(&evacuated),
             evacuated,
             records: self.records_for_peers(),
+            is_store_reachable: !self.registry.borrow().is_store_unreachable(),
             peers: self.peers_now(),
             refused: self.refused.borrow().clone(),
             orders: self.orders.borrow().all(),
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use hollowsail_connect::{Pool, PoolRules};
+use hollowsail_platform::targets::Incarnation;
 use rand::seq::IndexedRandom;
 
 use super::Control;
 use crate::peer_call::{self, QueryError};
-use crate::peers::{StateRequest, StateResponse, STATE_PATH};
+use crate::peers::{DrainingRequest, StateRequest, StateResponse, DRAINING_PATH, STATE_PATH};
 
 /// Interval between rounds: a configuration must be in force within seconds at a host that
 /// the store refuses.
@@ -34,6 +35,10 @@
                 Ok(answer) => cx.apply_state(answer),
                 Err(err) => log::debug!("peer {addr} returned no state: {err}"),
             }
+            match query_draining(addr).await {
+                Ok(draining) => cx.merge_draining(&draining),
+                Err(err) => log::debug!("peer {addr} returned no draining targets: {err}"),
+            }
         }
         tokio::time::sleep(QUERY_INTERVAL).await;
     }
@@ -54,24 +59,27 @@
         .collect()
 }
 
-async fn query_peer(cx: &Control, addr: SocketAddr) -> Result<StateResponse, QueryError> {
+fn pool_of(addr: SocketAddr) -> Rc<Pool> {
     let rules = PoolRules {
         dial_timeout: ANSWER_TIMEOUT,
         max_idle: 0,
         idle_timeout: Duration::ZERO,
     };
+    Pool::new(addr, rules)
+}
+
+async fn query_draining(addr: SocketAddr) -> Result<Vec<Incarnation>, QueryError> {
+    let request = DrainingRequest {};
+    peer_call::query(&pool_of(addr), DRAINING_PATH, &request, ANSWER_TIMEOUT).await
+}
+
+async fn query_peer(cx: &Control, addr: SocketAddr) -> Result<StateResponse, QueryError> {
     let request = StateRequest {
         configuration: cx.configuration_version(),
         records: cx.records_at.get(),
         evacuated: cx.evacuated.borrow().as_of(),
     };
-    peer_call::query(
-        &Pool::new(addr, rules),
-        STATE_PATH,
-        &request,
-        ANSWER_TIMEOUT,
-    )
-    .await
+    peer_call::query(&pool_of(addr), STATE_PATH, &request, ANSWER_TIMEOUT).await
 }
 
 impl Control {
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hollowsail_fleet::{EvacuatedHalls, WarmUpRecord};
+use hollowsail_observe::events;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
@@ -32,13 +33,26 @@
         self.new_versions.borrow().holds_any(self.clock.now())
     }
 
-    /// Targets whose records report draining.
+    /// Targets that are draining by their records or by what peers have heard.
     pub(super) fn draining_targets(&self) -> Vec<Incarnation> {
         let registry = self.registry.borrow();
-        let draining = registry.all().filter(|(_, record)| record.draining);
-        draining
-            .map(|(_, record)| record.incarnation.clone())
-            .collect()
+        let draining = registry.draining();
+        draining.map(|record| record.incarnation.clone()).collect()
+    }
+
+    /// Takes over what a peer has heard of draining targets.
+    pub(super) fn merge_draining(&self, received: &[Incarnation]) {
+        let mut registry = self.registry.borrow_mut();
+        let mut mark = |target: &&Incarnation| registry.mark_draining(&target.id, target.started);
+        let marked: Vec<&Incarnation> = received.iter().filter(&mut mark).collect();
+        drop(registry);
+        for target in &marked {
+            let fields = format_args!("target={} born={} by=peer", target.id, target.started);
+            self.log.line(events::TARGET_LEAVES, fields);
+        }
+        if !marked.is_empty() {
+            self.publish();
+        }
     }
 
     /// Software versions of all targets, in order.
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use hollowsail_connect::set_options;
+use hollowsail_platform::targets::Incarnation;
 use hollowsail_targets::LimitKind;
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
@@ -20,7 +21,8 @@
 };
 use super::record::PeerRecord;
 use super::state::{
-    RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, RECORDS_PATH, STATE_PATH,
+    DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, DRAINING_PATH,
+    MAX_DRAINING, RECORDS_PATH, STATE_PATH,
 };
 use crate::callers::listen::accept_each;
 use crate::feed::{FeedRequest, FEED_PATH};
@@ -74,6 +76,7 @@
     let result = match path.as_str() {
         PATH if is_post => handle_envelope(cx, req).await,
         STATE_PATH if is_post => state(cx, req).await,
+        DRAINING_PATH if is_post => draining(cx, req).await,
         RECORDS_PATH if is_post => records_if_newer(cx, req).await,
         FEED_PATH if is_post => changes(cx, req).await,
         // Without the mechanism this entry answers like a build without reservations.
@@ -166,7 +169,7 @@
         .as_deref()
         .filter(|_| version > request.configuration);
     let newer = |known: &&KnownRecords| known.at > request.records;
-    let records = view.records.as_ref().filter(newer);
+    let records = Some(&view.records).filter(newer);
     let evacuated = Some(&view.evacuated).filter(|known| known.as_of() > request.evacuated);
     let answer = StateResponse {
         configuration: source.map(<[u8]>::to_vec),
@@ -181,11 +184,26 @@
         .into())
 }
 
-/// Returns all target records if they are newer than the requester's.
+/// Returns the targets that are draining by their records or by their own reports.
+async fn draining(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let DrainingRequest {} = read(req).await?;
+    let view = cx.view();
+    let mut draining = cx.targets().draining();
+    draining.truncate(MAX_DRAINING);
+    let recorded = view.targets.draining.iter().cloned();
+    let recorded = recorded.filter(|target| !draining.contains(target));
+    let recorded: Vec<Incarnation> = recorded.take(MAX_DRAINING - draining.len()).collect();
+    draining.extend(recorded);
+    Ok(rmp_serde::to_vec(&draining)
+        .expect("these types always encode")
+        .into())
+}
+
+/// Returns all target records if they are newer than the requester's and this entry follows them.
 async fn records_if_newer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let request: RecordsRequest = read(req).await?;
     let view = cx.view();
-    let records = view.records.as_ref();
+    let records = Some(&view.records).filter(|_| view.is_store_reachable);
     let newer = records.filter(|known| known.at > request.after);
     let answer = newer.map(RecordsSnapshot::from);
     Ok(rmp_serde::to_vec(&answer)
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -36,8 +36,8 @@
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{
-    PositionedRecord, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, RECORDS_PATH,
-    STATE_PATH,
+    DrainingRequest, PositionedRecord, RecordsRequest, RecordsSnapshot, StateRequest,
+    StateResponse, DRAINING_PATH, RECORDS_PATH, STATE_PATH,
 };
 
 /// How long a peer that did not respond owns nothing after its first failure, in milliseconds. Long
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -1,8 +1,9 @@
 //! Requests to peers for state, used by an entry that cannot reach the store.
 //!
 //! The request contains the versions that the entry has; the response contains only newer
-//! state. An entry that cannot reach the store itself returns no records, so that two such
-//! entries do not confirm each other's stale state.
+//! state, also if the responding entry has lost the store itself: two such entries don't confirm
+//! what both have, but one may have read the records later. What targets report of themselves in
+//! answers is in no record; a second request asks for those that drain.
 
 use hollowsail_fleet::{EvacuatedHalls, Position};
 use hollowsail_platform::targets::TargetRecord;
@@ -37,7 +38,7 @@
     /// Evacuated halls, if newer.
     #[serde(rename = "emptied")]
     pub evacuated: Option<EvacuatedHalls>,
-    /// All target records, if newer and the responding entry receives updates from the store.
+    /// All target records, if newer.
     pub records: Option<RecordsSnapshot>,
     /// Live entries known to the responding entry.
     pub peers: Vec<PeerRecord>,
@@ -47,6 +48,18 @@
     pub orders: Vec<PlacedOrder>,
 }
 
+/// Path that accepts a [`DrainingRequest`] and returns the incarnations that the entry knows to be
+/// draining, at most [`MAX_DRAINING`]. Separate from [`STATE_PATH`], as older builds decode
+/// messages of a fixed length only.
+pub const DRAINING_PATH: &str = "/hollowsail/draining";
+
+/// Maximum number of draining targets in a response; the latest ones are kept.
+pub const MAX_DRAINING: usize = 500;
+
+/// Request for the targets that are known to be draining.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DrainingRequest {}
+
 /// All target records at a store position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsSnapshot {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -28,9 +28,10 @@
     pub targets: Arc<Targets>,
     /// Evacuated halls, whose targets get nothing new.
     pub evacuated: EvacuatedHalls,
-    /// All target records, for peers that cannot reach the store; absent while this entry
-    /// cannot reach it either.
-    pub records: Option<KnownRecords>,
+    /// All target records, for peers that cannot reach the store.
+    pub records: KnownRecords,
+    /// The store answers this entry, so that the records are followed.
+    pub is_store_reachable: bool,
     /// Live entries, including this one once its record is in the store. Shared with the
     /// previous view unless they changed.
     pub peers: Arc<[PeerRecord]>,
@@ -45,8 +46,7 @@
 impl View {
     /// True if the whole list of targets was received and this entry follows its changes.
     pub fn knows_all_targets(&self) -> bool {
-        let records = self.records.as_ref();
-        records.is_some_and(|known| known.at > Position::default())
+        self.is_store_reachable && self.records.at > Position::default()
     }
 }
 
@@ -64,7 +64,7 @@
 }
 
 /// All target records at a store position.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct KnownRecords {
     pub at: Position,
     /// Each with the store position of its last change.
--- a/crates/gateway/tests/suite/draining.rs
+++ b/crates/gateway/tests/suite/draining.rs
@@ -402,3 +402,52 @@
     }
     assert_eq!(targets[0].request_count(), received);
 }
+
+/// Guards against losing what answers reported of a draining target for hosts that missed the
+/// broadcast.
+#[actix_rt::test]
+async fn later_host_without_the_store_hears_what_answers_reported() {
+    let fleet = Fleet::start("plain", 1).await;
+    let [draining_target, _] = &fleet.targets;
+    draining_target.is_draining.set(true);
+    until_draining_reported(draining_target, fleet.entries[0].addrs.callers).await;
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    let endpoint = fleet.store.add_endpoint().await;
+    let later = gateway_at(settings("host-1", "hall-a", endpoint.addr)).await;
+    wait_for_entries("all entries are registered", &fleet.store, 2).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    endpoint.set_mode(StoreMode::Refusing);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let received = draining_target.request_count();
+    for _ in 0..SENDS {
+        assert_eq!(plain().send(later.addrs.callers).await.status, 200);
+    }
+    assert_eq!(draining_target.request_count(), received);
+}
+
+/// Guards against taking a target out of use at a host without the store that its peers still use.
+#[actix_rt::test]
+async fn host_without_the_store_keeps_targets_that_stay() {
+    let fleet = Fleet::start("plain", 1).await;
+    let endpoint = fleet.store.add_endpoint().await;
+    let host = gateway_at(settings("host-1", "hall-a", endpoint.addr)).await;
+    wait_for_entries("all entries are registered", &fleet.store, 2).await;
+    endpoint.set_mode(StoreMode::Refusing);
+    // A target that comes and leaves meanwhile changes nothing for the others.
+    let passing = DrainingTarget::start().await;
+    for state in ["ready", "draining"] {
+        let addr = passing.target.addr;
+        fleet
+            .store
+            .put_target("i-9", "plain", addr, "hall-a", state);
+        tokio::time::sleep(Duration::from_millis(900)).await;
+    }
+    let before = fleet.targets.each_ref().map(DrainingTarget::request_count);
+    for _ in 0..SENDS {
+        assert_eq!(plain().send(host.addrs.callers).await.status, 200);
+    }
+    for (target, before) in fleet.targets.iter().zip(before) {
+        assert!(target.request_count() > before, "both targets are used");
+    }
+    assert_eq!(passing.request_count(), 0);
+}
--- a/crates/targets/src/reports.rs
+++ b/crates/targets/src/reports.rs
@@ -149,6 +149,19 @@
         })
     }
 
+    /// The draining incarnations, those with the latest reports first.
+    pub fn draining(&self) -> Vec<Incarnation> {
+        let reports = self.reports.iter();
+        let mut draining: Vec<(&String, &TargetReport)> =
+            reports.filter(|(_, report)| report.is_draining).collect();
+        draining.sort_by_key(|(_, report)| std::cmp::Reverse(report.updated));
+        let incarnation = |(id, report): (&String, &TargetReport)| Incarnation {
+            id: id.clone(),
+            started: report.started,
+        };
+        draining.into_iter().map(incarnation).collect()
+    }
+
     /// Marks a draining incarnation as broadcast to the other entries. Returns true the first
     /// time, and false for one that isn't draining.
     pub fn mark_broadcast(&mut self, incarnation: &Incarnation) -> bool {
--- a/crates/targets/src/table.rs
+++ b/crates/targets/src/table.rs
@@ -297,6 +297,11 @@
         self.reports.limited().collect()
     }
 
+    /// The incarnations that are known to be draining, those with the latest reports first.
+    pub fn draining(&self) -> Vec<Incarnation> {
+        self.reports.draining()
+    }
+
     /// Marks a draining incarnation as broadcast to the other entries. Returns true the first
     /// time, and false for one that isn't draining.
     pub fn mark_broadcast(&mut self, incarnation: &Incarnation) -> bool {
