Let the emulator and the soak play targets that leave without a record

Targets left in one way in a soak: two engines, by record and responses, for 2.5 s. Now services of all three kinds have targets that say it in responses only, and some that say nothing and whose records go, for 7 s, beside a store that is silent for some hosts for 6 s, few connections, and all that a soak played before. A request to a target that left is judged by the host that the target saw as its sender, so that a relay answers for what it passes on: from a response that this host got itself, whatever the store does, or from the removal of the record while the store serves the host. A kill, stop or suspension of that host excuses it.

The drain time of records is counted as before; the account says why by the rule, not by who could know.

--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -18,7 +18,7 @@
 use super::plan::SoakPlan;
 use super::processes::Fleet;
 use super::report::{Failure, FailureKind};
-use super::{brittle, versions, SoakOptions};
+use super::{brittle, departures, versions, SoakOptions};
 
 /// Mean pause between requests of a caller, and the default retry delay.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -75,7 +75,8 @@
         });
         let contenders = contention::contenders(&plan.burst).into_iter();
         let contenders = contenders.chain(versions::callers());
-        let contenders = contenders.chain(brittle::callers()).map(Rc::new);
+        let contenders = contenders.chain(brittle::callers());
+        let contenders = contenders.chain(departures::callers()).map(Rc::new);
         let ordinary = std::iter::repeat_n(None, options.callers);
         let contenders = ordinary.chain(contenders.map(Some)).enumerate();
         let callers = contenders.map(|(number, contender)| {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -2,15 +2,17 @@
 //!
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
 //! and monitors the processes; [`callers`] generates load, partly for a contended
-//! service ([`contention`]) and partly for one with several software versions ([`versions`]) and for one that must not refuse
-//! many requests ([`brittle`]);
-//! [`checks`], [`room`], [`cut`] and [`versions`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
+//! service ([`contention`]), for one with several software versions ([`versions`]), for one that must
+//! not refuse many requests ([`brittle`]), and for some whose targets leave without a record
+//! ([`departures`]);
+//! [`checks`], [`room`], [`cut`], [`versions`] and [`departures`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod brittle;
 mod callers;
 mod checks;
 mod contention;
 mod cut;
+mod departures;
 mod plan;
 mod processes;
 mod report;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::{self, Burst};
-use super::{brittle, versions};
+use super::{brittle, departures, versions};
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
 const FIRST_FAULT_S: u64 = 4;
@@ -184,13 +184,15 @@
         let (contention, burst) = contention::draw(seed, latest);
         let versions = versions::draw(seed, latest);
         let brittle = brittle::draw(seed, latest);
+        let departures = departures::draw(seed, latest, entries);
         let (cut_section, cut) = draw_cut(seed, latest, entries);
         let platform = format!(
             "[platform]\nhalls = hall-a, hall-b\nhosts = {entries}\ndrain_ms = {DRAIN_MS}\n\
              seed = {seed}\n"
         );
         let site_text = format!(
-            "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}\n{brittle}",
+            "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}\n{brittle}\n\
+             {departures}",
             troubles.join("\n")
         );
         SoakPlan {
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -20,6 +20,7 @@
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 
+use super::departures::LateSend;
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
 use super::report::{Failure, FailureKind};
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
@@ -58,6 +59,8 @@
     pub cut: HashSet<String>,
     /// Broken promises that the platform reported.
     pub broken: Vec<Failure>,
+    /// Requests to targets that had left, by the gateway that sent them.
+    pub late_sends: Vec<LateSend>,
     /// Unexpected exits, and processes that did not exit or start.
     pub exit_failures: Vec<String>,
     pub disturbances: Vec<Disturbance>,
@@ -108,11 +111,32 @@
     name: Option<String>,
     state: Option<String>,
     request: Option<String>,
+    target: Option<String>,
+    host: Option<usize>,
+    bound_ms: Option<u64>,
+    reason: Option<String>,
     promise: Option<String>,
     #[serde(rename = "what")]
     description: Option<String>,
 }
 
+impl EventLine {
+    /// The request to a target that had left, as of now.
+    fn late_send(&self) -> Option<LateSend> {
+        let (entry, bound_ms) = (self.host?, self.bound_ms?);
+        let (target, reason) = (self.target.as_deref()?, self.reason.as_deref()?);
+        let at = Instant::now();
+        Some(LateSend {
+            entry,
+            since: at - Duration::from_millis(bound_ms),
+            at,
+            description: format!(
+                "{target} got a request of gateway {entry} {bound_ms} ms after {reason}"
+            ),
+        })
+    }
+}
+
 impl Fleet {
     /// Starts the platform and all gateways, and waits until they are ready.
     pub async fn start(options: &SoakOptions, plan: &SoakPlan) -> Result<Self, SoakError> {
@@ -451,6 +475,7 @@
             }
         };
         let mut observations = observations.borrow_mut();
+        let late_send = event.late_send();
         match (event.event.as_str(), event.request) {
             ("ran", Some(request)) => drop(observations.ran.insert(request)),
             ("trouble", _) if event.name.as_deref() == Some(CUT_TROUBLE) => {
@@ -461,6 +486,7 @@
             }
             ("cut", Some(request)) => drop(observations.cut.insert(request)),
             ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
+            ("late_send", _) => observations.late_sends.extend(late_send),
             ("broken", _) => {
                 let promise = event.promise.unwrap_or_default();
                 let description = event.description.unwrap_or_default();
