Say in target_ended which prompt parts a broken answer shares and for how long it had begun

Nothing in the log told that requests that differ as a whole share a part of their prompts, nor which of the answers that broke off with a target had just begun. Ids of parts are chosen by callers: those that aren't short and hexadecimal are written as a question mark. No decision changes.

--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -35,6 +35,8 @@
     /// Counts the connection, if the service has few.
     pub in_use: Option<InUse>,
     pub sent: BootInstant,
+    /// When the headers of the answer were received.
+    pub begun: BootInstant,
     /// Set when a scheduler named the target.
     pub placed: Option<Placement>,
 }
@@ -62,6 +64,8 @@
     pub inputs_gone: bool,
     /// The connection closed before the end of the answer; the target may have crashed.
     pub is_connection_lost: bool,
+    /// When the headers of the answer were received, if they were.
+    pub begun: Option<BootInstant>,
     /// The target answered with an error status.
     pub is_error_answer: bool,
     /// Set when it got none of the few connections to the service.
@@ -77,6 +81,7 @@
             retry_after: None,
             inputs_gone: false,
             is_connection_lost: false,
+            begun: None,
             is_error_answer: false,
             unconnected: None,
         }
@@ -128,6 +133,14 @@
             ..Failure::new(Progress::Broken, reason)
         }
     }
+
+    /// The connection closed in the middle of an answer that had begun.
+    pub fn cut_off(begun: BootInstant, reason: impl Into<String>) -> Self {
+        Failure {
+            begun: Some(begun),
+            ..Failure::connection_lost(reason)
+        }
+    }
 }
 
 /// Parameters of an attempt.
@@ -194,6 +207,7 @@
         in_flight,
         in_use,
         sent,
+        begun: BootInstant::now(),
         placed: None,
     })
 }
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -177,11 +177,7 @@
 
 /// Prompt tokens that are shared with other requests.
 fn shared_tokens(generation: &Generation) -> u64 {
-    let shared = generation
-        .parts
-        .split_last()
-        .map_or(&[][..], |(_, shared)| shared);
-    let tokens = shared.iter().map(|part| part.tokens);
+    let tokens = generation.shared_parts().iter().map(|part| part.tokens);
     // The numbers are from a header of the caller.
     tokens.fold(0, u64::saturating_add)
 }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -44,6 +44,7 @@
         target,
         in_flight,
         sent,
+        begun,
         placed,
     } = answer;
     let framing = body.framing();
@@ -68,7 +69,7 @@
     }
     let failure = |reason: String| Failure::new(Progress::Broken, reason);
     let failure = match read {
-        Ok(Ok(_)) if let Err(fault) = end => Failure::connection_lost(fault.to_string()),
+        Ok(Ok(_)) if let Err(fault) = end => Failure::cut_off(begun, fault.to_string()),
         Ok(Ok(Some(_))) if retry::may_try_another(cx, admitted, attempts, parts.status) => {
             Failure::answered(parts.status)
         }
@@ -86,7 +87,7 @@
             return Buffered::Response(Box::new(caller_response(parts, full_body(bytes))));
         }
         Ok(Ok(None)) => failure(format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes")),
-        Ok(Err(err)) => Failure::connection_lost(format!("the answer ended early: {err}")),
+        Ok(Err(err)) => Failure::cut_off(begun, format!("the answer ended early: {err}")),
         Err(_) => failure("the answer was incomplete at the deadline".to_string()),
     };
     match retry::handle_failure(cx, admitted, attempts, &target, failure).await {
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -8,6 +8,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
+use hollowsail_platform::headers::Generation;
 use hollowsail_routing::{may_retry, stage_status, Observation, Progress, StageStatus};
 use hollowsail_targets::Target;
 
@@ -26,6 +27,9 @@
 /// Number of target crashes after which a request isn't sent again. More than one, because a
 /// target may crash for unrelated reasons.
 const MAX_CRASHES: u32 = 2;
+/// Maximum number of parts of a prompt in a log line, and the length of their ids.
+const MAX_LOGGED_PARTS: usize = 8;
+const MAX_LOGGED_ID: usize = 32;
 
 /// Records a failed attempt. Returns the refusal when no further attempt is allowed.
 pub async fn handle_failure(
@@ -53,8 +57,9 @@
     if progress != Progress::FinalRefusal && failure.unconnected.is_none() {
         record_target_failure(cx, attempts.service, target);
     }
-    if failure.is_connection_lost && report_crash(cx, admitted, target, attempts.last_sent).await {
-        attempts.crashed += 1;
+    if failure.is_connection_lost {
+        let (sent, begun) = (attempts.last_sent, failure.begun);
+        attempts.crashed += u32::from(report_crash(cx, admitted, target, sent, begun).await);
     }
     attempts.record_failure(target, failure);
     if admitted.remaining().is_zero() {
@@ -94,6 +99,7 @@
     admitted: &Admitted,
     target: &Rc<Target>,
     sent: BootInstant,
+    begun: Option<BootInstant>,
 ) -> bool {
     let run = InterruptedRun {
         sent,
@@ -104,12 +110,32 @@
     }
     let (request_id, digest) = (&admitted.caller.request_id, admitted.digest());
     let target = &target.incarnation().id;
-    let fields = format_args!("request={request_id} content={digest} target={target}");
+    let answering_ms = begun.map_or("none".to_string(), |begun| {
+        let answering = run.interrupted.saturating_since(begun);
+        answering.as_millis().to_string()
+    });
+    let parts = admitted.caller.generation.as_ref();
+    let parts = parts.map_or("none".to_string(), loggable_parts);
+    let fields = format_args!(
+        "request={request_id} content={digest} target={target} answering_ms={answering_ms} \
+         parts={parts}"
+    );
     cx.log.line(events::TARGET_ENDED, fields);
     cx.crashes.target_crashed(cx, digest, run);
     true
 }
 
+/// Ids of the shared parts of a prompt, which callers choose.
+fn loggable_parts(generation: &Generation) -> String {
+    let is_plain =
+        |id: &str| id.len() <= MAX_LOGGED_ID && id.bytes().all(|b| b.is_ascii_hexdigit());
+    let shared = generation.shared_parts().iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<&str> = shared
+        .map(|part| if is_plain(&part.id) { &part.id } else { "?" })
+        .collect();
+    ids.join(",")
+}
+
 /// Records a failure in the target's health, which may eject targets.
 fn record_target_failure(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
     target.observe(Observation::Failed, 1);
