--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -69,10 +69,10 @@
 }
 
 /// The steps of a target for each request.
-type Script = fn(&ReceivedRequest) -> Vec<Step>;
+pub type Script = fn(&ReceivedRequest) -> Vec<Step>;
 
 /// Targets of a service, each of which is replaced under a new id after a crash.
-struct Targets {
+pub struct Targets {
     store: StoreStandin,
     service: &'static str,
     script: Script,
@@ -80,7 +80,7 @@
 }
 
 impl Targets {
-    async fn start(
+    pub async fn start(
         store: &StoreStandin,
         service: &'static str,
         script: Script,
@@ -98,7 +98,7 @@
         targets
     }
 
-    async fn start_one(&self) {
+    pub async fn start_one(&self) {
         let target = TargetStandin::start(self.script).await;
         let id = format!("i-{}-{}", self.service, self.started.borrow().len());
         self.store
@@ -107,7 +107,7 @@
     }
 
     /// Replaces each crashed target, whose record is deleted.
-    async fn replace_crashed(&self) {
+    pub async fn replace_crashed(&self) {
         let crashed: Vec<String> = {
             let started = self.started.borrow();
             let crashed = started.iter().filter(|(_, target)| target.has_crashed());
@@ -121,7 +121,14 @@
         }
     }
 
-    fn crashed(&self) -> usize {
+    /// Requests that all targets have received.
+    pub fn received(&self) -> Vec<ReceivedRequest> {
+        let started = self.started.borrow();
+        let received = started.iter().flat_map(|(_, target)| target.received());
+        received.collect()
+    }
+
+    pub fn crashed(&self) -> usize {
         let started = self.started.borrow();
         started
             .iter()
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod brittle_targets;
 mod connections;
 mod crashing;
+mod crashing_parts;
 mod cut_off;
 mod draining;
 mod evacuated_halls;
