Attribute crashes of targets to parts of prompts, and refuse the parts that cause them

Cause: crashes were counted by the digest of a whole request. Requests that differ never add up, so a part that they share was never found. The class is evidence that is gathered under too narrow a key.

Change: an entry whose answer broke off with its target, within a second of its beginning, reports the shared parts of its prompt to one entry for the service, with when it last saw each part pass and how much else passed there. That one counts the crashes of a part since its last pass (crashes/parts.rs has the thresholds and what each promises): two isolate it, four in two waves refuse it for a minute, a burst for a second until one request has tried it. It asks all others whether they saw the part pass. After a refusal one request at a time, in the whole fleet, tries the part; each time the refusal is four times as long, up to ten minutes. Verdicts are spread, stored and taken back as those on whole requests are. Whole requests are counted as before; crashes/mod.rs says which evidence is counted where.

Sound requests: a whole answer, or one that goes on for three seconds, clears a part everywhere. Nothing is refused where nothing else passes at targets of the same version, and a part that passes is refused only after six crashes in three waves without a pass between them. Engines that end by themselves, answer nothing or crash under some bodies have nothing refused.

--- a/crates/entry/src/crashes.rs
+++ b/crates/entry/src/crashes.rs
@@ -9,7 +9,7 @@
 use std::sync::{Mutex, MutexGuard};
 
 use hollowsail_connect::CrashCheck;
-use hollowsail_routing::crash_ledger::CRASHES_TO_REFUSE;
+use hollowsail_routing::crashes::requests::CRASHES_TO_REFUSE;
 use hollowsail_routing::{CrashLedger, CrashVerdict, CrashedRun, Millis, RequestDigest};
 
 use crate::job::Job;
--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -5,11 +5,12 @@
 //! digest is no longer refused: its lease has expired, or operators deleted it.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::events;
 use hollowsail_platform::store::{Change, Item, StoreError};
-use hollowsail_routing::crash_ledger::MAX_REFUSAL_MS;
+use hollowsail_routing::crashes::requests::MAX_REFUSAL_MS;
 use hollowsail_routing::{Millis, RequestDigest};
 use serde::{Deserialize, Serialize};
 
@@ -17,7 +18,7 @@
 use super::epoch;
 use super::source::Origin;
 use super::Control;
-use crate::crashes::{NewRefusal, RefusalReceiver, PREFIX};
+use crate::crashes::{NewRefusal, RefusalChange, RefusalReceiver, PREFIX};
 
 /// Attempts at writing a refusal, after which only the running entries know it.
 const MAX_TRIES: u32 = 5;
@@ -25,14 +26,34 @@
 /// Value stored under a refused request's key.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct RefusalRecord {
-    /// Duration of the refusal from the time of the write, in milliseconds.
+    /// Duration of the refusal from the time of the write, in milliseconds; 0 if it is over.
     for_ms: Millis,
 }
 
-/// A refusal written by this entry, and when it ends.
+/// A refusal written by this entry.
 struct Written {
-    request: RequestDigest,
-    until: BootInstant,
+    refusal: NewRefusal,
+    at: BootInstant,
+}
+
+impl Written {
+    /// What is left of it.
+    fn rest(&self) -> NewRefusal {
+        NewRefusal {
+            duration: self.refusal.duration.saturating_sub(self.at.elapsed()),
+            lease: self.refusal.lease.saturating_sub(self.at.elapsed()),
+            ..self.refusal
+        }
+    }
+}
+
+/// The record of what isn't refused any more; takes the place of the refusal until that expires.
+fn lifted(request: RequestDigest) -> NewRefusal {
+    NewRefusal {
+        request,
+        duration: Duration::ZERO,
+        lease: Duration::from_millis(MAX_REFUSAL_MS),
+    }
 }
 
 /// Writes refusals to the store as traffic decides them, and again when the store was
@@ -42,20 +63,22 @@
     let mut epoch = cx.store.epoch();
     loop {
         tokio::select! {
-            refusal = decided.recv() => {
-                let Some(refusal) = refusal else { return };
+            change = decided.recv() => {
+                let Some(change) = change else { return };
+                let refusal = match change {
+                    RefusalChange::Refuse(refusal) => refusal,
+                    RefusalChange::Lift(request) => lifted(request),
+                };
                 write_with_retries(&cx, refusal).await;
-                written.retain(|known| known.request != refusal.request);
-                let until = BootInstant::now() + refusal.duration;
-                written.push(Written { request: refusal.request, until });
+                written.retain(|known| known.refusal.request != refusal.request);
+                written.push(Written { refusal, at: BootInstant::now() });
             }
             () = cx.store.wait_for_later_epoch(epoch) => {
                 epoch = cx.store.epoch();
                 epoch::random_delay().await;
-                written.retain(|known| BootInstant::now() < known.until);
+                written.retain(|known| known.at.elapsed() < known.refusal.lease);
                 for known in &written {
-                    let duration = known.until.saturating_since(BootInstant::now());
-                    write_with_retries(&cx, NewRefusal { request: known.request, duration }).await;
+                    write_with_retries(&cx, known.rest()).await;
                 }
             }
         }
@@ -78,7 +101,7 @@
 }
 
 async fn write(cx: &Control, refusal: NewRefusal) -> Result<(), StoreError> {
-    let lease = cx.store.lease(refusal.duration.max(cx.min_lease)).await?;
+    let lease = cx.store.lease(refusal.lease.max(cx.min_lease)).await?;
     let key = format!("{PREFIX}{}", refusal.request);
     let record = RefusalRecord {
         for_ms: refusal.duration.as_millis() as Millis,
@@ -146,12 +169,19 @@
         }
     }
 
-    /// Records a refused request. Returns true if it is new.
+    /// Records a refused request, or that it isn't refused any more. Returns true if that is new.
     fn insert_refusal(&self, request: RequestDigest, for_ms: Millis) -> bool {
-        let until = self.clock.now() + for_ms.min(MAX_REFUSAL_MS);
         let mut refused = self.refused.borrow_mut();
-        let is_new = !refused.contains_key(&request);
-        refused.entry(request).or_insert(until);
+        if for_ms == 0 {
+            return refused.remove(&request).is_some();
+        }
+        let now = self.clock.now();
+        let until = now + for_ms.min(MAX_REFUSAL_MS);
+        // One that is in force isn't extended by each entry that it is read from.
+        let is_new = refused.get(&request).is_none_or(|known| *known <= now);
+        if is_new {
+            refused.insert(request, until);
+        }
         is_new
     }
 }
--- a/crates/gateway/src/crashes.rs
+++ b/crates/gateway/src/crashes/mod.rs
@@ -1,4 +1,7 @@
-//! Requests that crash targets: counting, verdicts and refusals.
+//! Requests, and parts of prompts, that crash targets: counting, verdicts and refusals.
+//!
+//! Parts of prompts are in [`parts`]. What follows is on whole requests; verdicts on both are spread,
+//! stored and looked up in the same way.
 //!
 //! An entry whose target crashed under a request reports this to the entry that counts crashes
 //! for the request ([`Peers::owner_of`]). From the second crash on, that entry broadcasts that
@@ -8,14 +11,18 @@
 //!
 //! [`Peers::owner_of`]: crate::peers::Peers::owner_of
 
+mod messages;
+mod parts;
+
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
-use hollowsail_routing::crash_ledger::{CRASHES_TO_ISOLATE, CRASHES_TO_REFUSE};
+use hollowsail_routing::crashes::requests::{CRASHES_TO_ISOLATE, CRASHES_TO_REFUSE};
+use hollowsail_routing::crashes::{PartLedger, RecentPasses};
 use hollowsail_routing::{CrashLedger, CrashVerdict, CrashedRun, Millis, RequestDigest};
 use tokio::sync::mpsc;
 
@@ -23,6 +30,9 @@
 use crate::peers::{CrashedRunReport, Message, Owner, VerdictNotice};
 use crate::traffic::Traffic;
 
+pub use messages::{PartCall, PartMessage, TrialReply, PARTS_PATH};
+pub use parts::{PromptParts, Trial};
+
 /// Prefix of the store keys of refused requests, followed by the request's digest.
 pub const PREFIX: &str = "hollowsail/refused/";
 /// Maximum number of refusals that wait for the control thread; further ones are only
@@ -34,9 +44,13 @@
 
 /// Verdicts on requests that crash targets.
 pub struct Crashes {
+    /// Verdicts on requests and on parts of prompts, and the evidence on requests.
     ledger: RefCell<CrashLedger>,
+    /// Evidence on parts of prompts, by service.
+    parts: RefCell<HashMap<String, PartLedger>>,
+    passes: RefCell<RecentPasses>,
     /// To the control thread, which writes refusals to the store.
-    to_store: mpsc::Sender<NewRefusal>,
+    to_store: mpsc::Sender<RefusalChange>,
 }
 
 /// A run that was interrupted by a crash of its target.
@@ -65,10 +79,20 @@
     pub request: RequestDigest,
     /// Duration of the refusal.
     pub duration: Duration,
+    /// How long the store keeps it.
+    pub lease: Duration,
+}
+
+/// What the control thread writes to the store.
+#[derive(Debug, Clone, Copy)]
+pub enum RefusalChange {
+    Refuse(NewRefusal),
+    /// What was refused has proved harmless.
+    Lift(RequestDigest),
 }
 
 /// Receives the refusals that the control thread writes to the store.
-pub type RefusalReceiver = mpsc::Receiver<NewRefusal>;
+pub type RefusalReceiver = mpsc::Receiver<RefusalChange>;
 
 impl Crashes {
     /// Creates the state, with the receiver for the control thread.
@@ -76,11 +100,18 @@
         let (to_store, rx) = mpsc::channel(MAX_PENDING_REFUSALS);
         let crashes = Crashes {
             ledger: RefCell::default(),
+            parts: RefCell::default(),
+            passes: RefCell::default(),
             to_store,
         };
         (crashes, rx)
     }
 
+    /// True when there is no verdict on anything.
+    pub fn knows_nothing(&self) -> bool {
+        self.ledger.borrow().is_empty()
+    }
+
     /// The digest of a request, derived only when there is a verdict on any request.
     fn digest_if_known(&self, request: impl FnOnce() -> RequestDigest) -> Option<RequestDigest> {
         let is_empty = self.ledger.borrow().is_empty();
@@ -142,13 +173,18 @@
         broadcast(cx, request, verdict);
         if let CrashVerdict::Refused { until } = verdict {
             let duration = Duration::from_millis(until - now);
-            let refusal = NewRefusal { request, duration };
-            if let Err(err) = self.to_store.try_send(refusal) {
-                log::warn!(
-                    "cannot store the refusal of {request}: {err}; \
-                     entries that start later will accept it"
-                );
-            }
+            self.store(RefusalChange::Refuse(NewRefusal {
+                request,
+                duration,
+                lease: duration,
+            }));
+        }
+    }
+
+    /// Has the control thread write a change to the store.
+    fn store(&self, change: RefusalChange) {
+        if let Err(err) = self.to_store.try_send(change) {
+            log::warn!("cannot store {change:?}: {err}; entries that start later won't know of it");
         }
     }
 
@@ -182,6 +218,7 @@
             .keys()
             .filter(|request| !listed.contains_key(*request));
         for request in removed {
+            self.lift_part(now, *request);
             if self.ledger.borrow_mut().lift_refusal(now, *request) {
                 log_verdict(
                     cx,
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -24,6 +24,7 @@
 };
 use super::record::PeerRecord;
 use crate::batched_calls::BatchedCalls;
+use crate::crashes::{PartMessage, TrialReply, PARTS_PATH};
 use crate::peer_call::request;
 use crate::reservations::{ReservationCalls, RESERVATIONS_PATH};
 use crate::target_reports;
@@ -69,6 +70,8 @@
     pub reservations: Rc<ReservationCalls>,
     /// Reports of targets that older builds don't know.
     pub reports: Rc<BatchedCalls<TargetReportMessage, ()>>,
+    /// Parts of prompts that crash targets.
+    pub parts: Rc<BatchedCalls<PartMessage, TrialReply>>,
     outbox: RefCell<Vec<Message>>,
     awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteOutcome>>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
@@ -125,6 +128,7 @@
             pool: Pool::new(peer.addr, rules),
             reservations: BatchedCalls::new(cx.me.id.0, peer.addr, RESERVATIONS_PATH),
             reports: BatchedCalls::new(cx.me.id.0, peer.addr, TARGET_REPORTS_PATH),
+            parts: BatchedCalls::new(cx.me.id.0, peer.addr, PARTS_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -25,6 +25,7 @@
     MAX_DRAINING, RECORDS_PATH, STATE_PATH,
 };
 use crate::callers::listen::accept_each;
+use crate::crashes::{PartCall, PARTS_PATH};
 use crate::feed::{FeedRequest, FEED_PATH};
 use crate::mechanisms::Mechanism;
 use crate::reach::{self, RELAY_PATH};
@@ -81,6 +82,7 @@
         FEED_PATH if is_post => changes(cx, req).await,
         // Without the mechanism this entry answers like a build without reservations.
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
+        PARTS_PATH if is_post => part_messages(cx, req).await,
         TARGET_REPORTS_PATH if is_post => target_report_messages(cx, req).await,
         STREAMS_PATH if is_post => stream_origins(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
@@ -229,6 +231,15 @@
         .into())
 }
 
+/// Handles messages on parts of prompts that crash targets.
+async fn part_messages(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let call: PartCall = read(req).await?;
+    let replies = cx.crashes.handle_part_call(cx, call);
+    Ok(rmp_serde::to_vec(&replies)
+        .expect("these types always encode")
+        .into())
+}
+
 /// Handles reports of targets; none has a reply.
 async fn target_report_messages(
     cx: &Rc<Traffic>,
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -3,7 +3,7 @@
 //! Requests with malformed headers, an unknown route or key, or an oversized or slow body are
 //! rejected here.
 
-use std::cell::OnceCell;
+use std::cell::{OnceCell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -20,6 +20,7 @@
 
 use super::digest;
 use crate::answer::Refusal;
+use crate::crashes::{PromptParts, Trial};
 use crate::mechanisms::Mechanism;
 use crate::traffic::{Stopping, Traffic};
 
@@ -60,6 +61,9 @@
     pub halls: Option<Vec<String>>,
     /// Derived on first use, because few requests need it.
     digest: OnceCell<RequestDigest>,
+    prompt: OnceCell<PromptParts>,
+    /// Parts of the prompt that it tries, until it has ended.
+    trials: RefCell<Vec<Trial>>,
 }
 
 impl Admitted {
@@ -78,6 +82,17 @@
         *self.digest.get_or_init(|| digest::of(self))
     }
 
+    /// The shared parts of its prompt.
+    pub fn prompt(&self) -> &PromptParts {
+        self.prompt
+            .get_or_init(|| PromptParts::new(self.service_name(), self.caller.generation.as_ref()))
+    }
+
+    /// Keeps the permission to try parts of its prompt until it has ended.
+    pub fn keep_trials(&self, trials: Vec<Trial>) {
+        *self.trials.borrow_mut() = trials;
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_since(BootInstant::now())
@@ -214,6 +229,8 @@
         deadline,
         halls,
         digest: OnceCell::new(),
+        prompt: OnceCell::new(),
+        trials: RefCell::default(),
     })
 }
 
--- a/crates/gateway/src/request/choose.rs
+++ b/crates/gateway/src/request/choose.rs
@@ -18,6 +18,7 @@
 
 use super::admit::Admitted;
 use super::prepare::Prepared;
+use super::unservable;
 use crate::mechanisms::Mechanism;
 use crate::traffic::Traffic;
 
@@ -93,7 +94,7 @@
         versions,
         halls: admitted.halls.clone(),
         results: prepared.bytes_by_hall(),
-        is_suspect: cx.crashes.is_suspect(cx, || admitted.digest()),
+        is_suspect: unservable::is_suspect(cx, admitted),
         urgency: admitted.urgency,
         max_wait_ms: admitted.max_wait().as_millis() as Millis,
     })
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -139,6 +139,7 @@
     pending: &mut PendingAnswer,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     unservable::check(cx, admitted)?;
+    unservable::begin_trials(cx, admitted).await?;
     let resumed_at = stream_version::find(cx, admitted).await?;
     let room = match &resumed_at {
         // Work for the stream was done already: it doesn't compete with new ones.
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -82,7 +82,7 @@
                 .observe(&admitted.route().name, &target, outcome);
             if !parts.status.is_server_error() {
                 record_answer(cx, admitted, attempts, &target, sent);
-                clear_suspicion(cx, admitted);
+                record_passed(cx, admitted, &target);
             }
             return Buffered::Response(Box::new(caller_response(parts, full_body(bytes))));
         }
@@ -99,9 +99,12 @@
     }
 }
 
-/// Clears the suspicion that the request crashes targets, after a complete answer.
-pub(super) fn clear_suspicion(cx: &Rc<Traffic>, admitted: &Admitted) {
+/// Clears the suspicion that the request, or a part of its prompt, crashes targets, after a complete
+/// answer.
+pub(super) fn record_passed(cx: &Rc<Traffic>, admitted: &Admitted, target: &Target) {
     cx.crashes.record_served(cx, || admitted.digest());
+    cx.crashes
+        .record_passed(cx, admitted.prompt(), target, true);
 }
 
 /// Records the time of an answer in the target's speed and health and the service's latency
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -8,14 +8,13 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
-use hollowsail_platform::headers::Generation;
 use hollowsail_routing::{may_retry, stage_status, Observation, Progress, StageStatus};
 use hollowsail_targets::Target;
 
 use super::admit::Admitted;
 use super::attempt::{Failure, Unconnected};
 use super::attempts::Attempts;
-use super::select;
+use super::{select, unservable};
 use crate::answer::Refusal;
 use crate::crashes::InterruptedRun;
 use crate::metrics;
@@ -27,9 +26,6 @@
 /// Number of target crashes after which a request isn't sent again. More than one, because a
 /// target may crash for unrelated reasons.
 const MAX_CRASHES: u32 = 2;
-/// Maximum number of parts of a prompt in a log line, and the length of their ids.
-const MAX_LOGGED_PARTS: usize = 8;
-const MAX_LOGGED_ID: usize = 32;
 
 /// Records a failed attempt. Returns the refusal when no further attempt is allowed.
 pub async fn handle_failure(
@@ -109,33 +105,25 @@
         return false;
     }
     let (request_id, digest) = (&admitted.caller.request_id, admitted.digest());
-    let target = &target.incarnation().id;
+    let id = &target.incarnation().id;
     let answering_ms = begun.map_or("none".to_string(), |begun| {
         let answering = run.interrupted.saturating_since(begun);
         answering.as_millis().to_string()
     });
-    let parts = admitted.caller.generation.as_ref();
-    let parts = parts.map_or("none".to_string(), loggable_parts);
+    let parts = admitted.prompt().labels();
     let fields = format_args!(
-        "request={request_id} content={digest} target={target} answering_ms={answering_ms} \
+        "request={request_id} content={digest} target={id} answering_ms={answering_ms} \
          parts={parts}"
     );
     cx.log.line(events::TARGET_ENDED, fields);
     cx.crashes.target_crashed(cx, digest, run);
+    if let Some(begun) = begun {
+        let prompt = admitted.prompt();
+        cx.crashes.answer_crashed(cx, prompt, target, run, begun);
+    }
     true
 }
 
-/// Ids of the shared parts of a prompt, which callers choose.
-fn loggable_parts(generation: &Generation) -> String {
-    let is_plain =
-        |id: &str| id.len() <= MAX_LOGGED_ID && id.bytes().all(|b| b.is_ascii_hexdigit());
-    let shared = generation.shared_parts().iter().take(MAX_LOGGED_PARTS);
-    let ids: Vec<&str> = shared
-        .map(|part| if is_plain(&part.id) { &part.id } else { "?" })
-        .collect();
-    ids.join(",")
-}
-
 /// Records a failure in the target's health, which may eject targets.
 fn record_target_failure(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
     target.observe(Observation::Failed, 1);
@@ -147,7 +135,7 @@
 
 /// Number of target crashes after which the request isn't sent again; lower for a suspect.
 fn max_crashes(cx: &Traffic, admitted: &Admitted) -> u32 {
-    match cx.crashes.is_suspect(cx, || admitted.digest()) {
+    match unservable::is_suspect(cx, admitted) {
         true => 1,
         false => MAX_CRASHES,
     }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -11,6 +11,7 @@
 use futures_util::stream;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_rollout::Outcome;
+use hollowsail_routing::crashes::parts::SURVIVAL_MS;
 use hollowsail_routing::Observation;
 use http::{header, HeaderMap, Response};
 use http_body::Frame;
@@ -21,7 +22,7 @@
 use super::attempts::Attempts;
 use super::event_splitter::EventSplitter;
 use super::prepare::{self, Prepared};
-use super::relay::{caller_response, clear_suspicion};
+use super::relay::{caller_response, record_passed};
 use super::stream_version::{self, PendingCopies};
 use super::{completeness, dispatch, retry, select};
 use crate::answer::{AnswerStream, BodyFault, Refusal};
@@ -45,6 +46,8 @@
     copies: Option<PendingCopies>,
     /// The current target has sent an event.
     has_started: bool,
+    /// The current target has answered for [`SURVIVAL_MS`].
+    has_survived: bool,
     is_done: bool,
 }
 
@@ -77,6 +80,7 @@
         splitter: EventSplitter::default(),
         copies,
         has_started: false,
+        has_survived: false,
         is_done: false,
     };
     let frames = stream::unfold(stream, |mut stream| async move {
@@ -108,6 +112,7 @@
                 Ok(Some(Ok(bytes))) => {
                     if let Some(events) = self.splitter.push(&bytes) {
                         self.on_first_event();
+                        self.record_survival();
                         if let Some(copies) = self.copies.take() {
                             copies.wait().await;
                         }
@@ -160,6 +165,17 @@
         }
     }
 
+    /// Records once that the answer has gone on for too long to have crashed its target by beginning.
+    fn record_survival(&mut self) {
+        let survives = self.answer.begun.elapsed().as_millis() as u64 >= SURVIVAL_MS;
+        if survives && !std::mem::replace(&mut self.has_survived, true) {
+            let (prompt, target) = (self.admitted.prompt(), &self.answer.target);
+            self.cx
+                .crashes
+                .record_passed(&self.cx, prompt, target, false);
+        }
+    }
+
     /// Why the end of the body isn't the end of the stream; `None` when it is.
     async fn early_end(&self) -> Option<BodyFault> {
         let framing = self.answer.body.framing();
@@ -195,7 +211,7 @@
         if let Some(placed) = &mut self.answer.placed {
             placed.completed();
         }
-        clear_suspicion(&self.cx, &self.admitted);
+        record_passed(&self.cx, &self.admitted, &self.answer.target);
         let rest = self.splitter.take_partial();
         (!rest.is_empty()).then_some(Ok(rest))
     }
@@ -299,5 +315,6 @@
         self.splitter.take_partial();
         self.answer = answer;
         self.has_started = false;
+        self.has_survived = false;
     }
 }
--- a/crates/gateway/src/request/unservable.rs
+++ b/crates/gateway/src/request/unservable.rs
@@ -15,9 +15,31 @@
 use crate::answer::Refusal;
 use crate::traffic::Traffic;
 
-/// Refuses a request that is known to crash targets.
+/// Refuses a request that is known to crash targets, or that has a part of its prompt that does.
 pub fn check_crashes(cx: &Traffic, admitted: &Admitted) -> Result<(), Refusal> {
-    cx.crashes.check(cx, || admitted.digest())
+    if cx.crashes.knows_nothing() {
+        return Ok(());
+    }
+    cx.crashes.check(cx, || admitted.digest())?;
+    cx.crashes.check_parts(cx, admitted.prompt())
+}
+
+/// True when a request has to run isolated.
+pub fn is_suspect(cx: &Traffic, admitted: &Admitted) -> bool {
+    !cx.crashes.knows_nothing()
+        && (cx.crashes.is_suspect(cx, || admitted.digest())
+            || cx.crashes.has_suspect_part(cx, admitted.prompt()))
+}
+
+/// Gets permission to run a request that has a part of its prompt that was refused. Refuses it if
+/// another one tries the part.
+pub async fn begin_trials(cx: &Rc<Traffic>, admitted: &Admitted) -> Result<(), Refusal> {
+    if cx.crashes.knows_nothing() {
+        return Ok(());
+    }
+    let trials = cx.crashes.begin_trials(cx, admitted.prompt()).await?;
+    admitted.keep_trials(trials);
+    Ok(())
 }
 
 /// The first missing service of the request's stages, or the route's first service if all of the
--- a/crates/gateway/tests/suite/crashing.rs
+++ b/crates/gateway/tests/suite/crashing.rs
@@ -121,6 +121,14 @@
         }
     }
 
+    /// Ids of all targets so far, with whether each has crashed.
+    pub fn ids(&self) -> Vec<(String, bool)> {
+        let started = self.started.borrow();
+        let ids = started.iter();
+        ids.map(|(id, target)| (id.clone(), target.has_crashed()))
+            .collect()
+    }
+
     /// Requests that all targets have received.
     pub fn received(&self) -> Vec<ReceivedRequest> {
         let started = self.started.borrow();
--- a/crates/routing/src/crash_ledger.rs
+++ b/crates/routing/src/crashes/requests.rs
@@ -1,4 +1,4 @@
-//! Detects requests that crash the targets that run them.
+//! Evidence by whole requests: detects those that crash the targets that run them.
 //!
 //! A fatal request crashes each target that begins to run it, and its caller retries it.
 //! The ledger counts crashes by request digest and refuses a request that caused too many.
@@ -155,6 +155,12 @@
         was_refused
     }
 
+    /// True for what was refused until lately, and has neither passed nor crashed a target since.
+    pub fn was_refused(&self, now: Millis, request: RequestDigest) -> bool {
+        let entry = self.entries.get(&request);
+        entry.is_some_and(|entry| entry.refused_until > 0 && entry.refused_until <= now)
+    }
+
     /// Clears a request that was answered completely. Returns true when it was a suspect.
     pub fn record_success(&mut self, request: RequestDigest) -> bool {
         let entry = self.entries.remove(&request);
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod budget;
 pub mod choose;
 pub mod connections;
-pub mod crash_ledger;
+pub mod crashes;
 pub mod deadline;
 pub mod engine;
 pub mod event_loop_lag;
@@ -29,7 +29,7 @@
 pub use budget::RetryBudget;
 pub use choose::{choose, choose_by_end, Candidate, Choice, Reason};
 pub use connections::DialPacing;
-pub use crash_ledger::{CrashLedger, CrashVerdict, CrashedRun};
+pub use crashes::{CrashLedger, CrashVerdict, CrashedRun};
 pub use deadline::{plan, StageExpectation, StagePlan, TooLate};
 pub use engine::{choose_engine, prefix_outweighs_results, EngineCandidate, EngineChoice};
 pub use event_loop_lag::EventLoopLag;
--- a/crates/routing/src/request_digest.rs
+++ b/crates/routing/src/request_digest.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-/// Equal for two requests of one caller with the same parameters and body.
+/// Equal for two requests of one caller with the same parameters and body. Parts of prompts have
+/// digests, too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RequestDigest(pub [u8; RequestDigest::BYTES]);
 
@@ -28,6 +29,11 @@
         RequestDigest(digest)
     }
 
+    /// Digest of a part of the prompts of a service.
+    pub fn of_part(service: &str, part: &str) -> Self {
+        Self::of([b"prompt part", service.as_bytes(), part.as_bytes()])
+    }
+
     /// Parses the output of [`fmt::Display`].
     pub fn parse(text: &str) -> Option<Self> {
         let mut bytes = [0; RequestDigest::BYTES];
--- a/crates/routing/tests/suite/crash_ledger.rs
+++ b/crates/routing/tests/suite/crash_ledger.rs
@@ -1,6 +1,6 @@
 //! Detection of requests that crash targets, among those that ran beside them.
 
-use hollowsail_routing::crash_ledger::{FIRST_REFUSAL_MS, MAX_REFUSAL_MS};
+use hollowsail_routing::crashes::requests::{FIRST_REFUSAL_MS, MAX_REFUSAL_MS};
 use hollowsail_routing::{
     CrashLedger, CrashVerdict, CrashedRun, Demand, EngineScheduler, Millis, PlacementEnd,
     PlacementKey, RequestDigest, SchedulableEngine, Versions,
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod health;
 mod limit;
 mod occupancy;
+mod part_ledger;
 mod prefill_times;
 mod progress;
 mod random_admission;
