--- a/crates/bench/src/soak/brittle.rs
+++ b/crates/bench/src/soak/brittle.rs
@@ -49,6 +49,7 @@
         path: PATH,
         organisation: None,
         active: None,
+        part: None,
     };
     std::iter::repeat_n(caller, CALLERS)
 }
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -18,7 +18,7 @@
 use super::plan::SoakPlan;
 use super::processes::Fleet;
 use super::report::{Failure, FailureKind};
-use super::{brittle, departures, versions, SoakOptions};
+use super::{brittle, departures, fragile, versions, SoakOptions};
 
 /// Mean pause between requests of a caller, and the default retry delay.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -76,7 +76,10 @@
         let contenders = contention::contenders(&plan.burst).into_iter();
         let contenders = contenders.chain(versions::callers());
         let contenders = contenders.chain(brittle::callers());
-        let contenders = contenders.chain(departures::callers()).map(Rc::new);
+        let contenders = contenders.chain(departures::callers());
+        let contenders = contenders
+            .chain(fragile::callers(plan.fragile))
+            .map(Rc::new);
         let ordinary = std::iter::repeat_n(None, options.callers);
         let contenders = ordinary.chain(contenders.map(Some)).enumerate();
         let callers = contenders.map(|(number, contender)| {
@@ -219,6 +222,7 @@
         if let Some(contender) = &self.contender {
             request.path = format!("{}{:x}-{content:x}", route.path, self.number);
             request.api_key = contender.organisation.map(api_key);
+            request.middle_part = contender.part.map(str::to_string);
         }
         let sent = Instant::now();
         let response = tokio::time::timeout(timeout, connection.call(&request)).await;
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -12,7 +12,7 @@
 use super::plan::{EntryFault, SoakPlan};
 use super::processes::{Disturbance, Observations};
 use super::report::{Failure, FailureKind, SoakReport};
-use super::{departures, room, versions, SoakOptions};
+use super::{departures, fragile, room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
@@ -52,6 +52,7 @@
     let room = room::evaluate(observations, attempts);
     failures.extend(room.failures);
     failures.extend(departures::evaluate(observations));
+    failures.extend(fragile::evaluate(plan, observations, attempts));
     let streams = versions::evaluate(observations, attempts);
     failures.extend(streams.failures);
     SoakReport {
--- a/crates/bench/src/soak/contention.rs
+++ b/crates/bench/src/soak/contention.rs
@@ -82,6 +82,8 @@
     pub organisation: Option<&'static str>,
     /// Start and end of its activity; the whole run if `None`.
     pub active: Option<(Duration, Duration)>,
+    /// A part of its prompts that crashes targets.
+    pub part: Option<&'static str>,
 }
 
 impl fmt::Display for Burst {
@@ -130,6 +132,7 @@
                 path,
                 organisation: Some(organisation),
                 active: None,
+                part: None,
             })
         });
     let steady = steady.flat_map(|contender| std::iter::repeat_n(contender, STEADY_CALLERS));
@@ -137,11 +140,13 @@
         path: LESS_URGENT_PATH,
         organisation: Some(BURST_ORGANISATION),
         active: Some((burst.at, burst.at + burst.duration)),
+        part: None,
     };
     let few = Contender {
         path: FEW_PATH,
         organisation: None,
         active: None,
+        part: None,
     };
     let in_burst = std::iter::repeat_n(in_burst, BURST_CALLERS);
     steady
--- a/crates/bench/src/soak/departures.rs
+++ b/crates/bench/src/soak/departures.rs
@@ -115,6 +115,7 @@
         path,
         organisation: None,
         active: None,
+        part: None,
     });
     let callers = callers.into_iter();
     callers.flat_map(|caller| std::iter::repeat_n(caller, CALLERS))
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -3,9 +3,9 @@
 //! [`plan`] draws the site, its troubles and the gateway faults; [`processes`] starts, signals
 //! and monitors the processes; [`callers`] generates load, partly for a contended
 //! service ([`contention`]), for one with several software versions ([`versions`]), for one that must
-//! not refuse many requests ([`brittle`]), and for some whose targets leave without a record
-//! ([`departures`]);
-//! [`checks`], [`room`], [`cut`], [`versions`] and [`departures`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
+//! not refuse many requests ([`brittle`]), for some whose targets leave without a record
+//! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]);
+//! [`checks`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod brittle;
 mod callers;
@@ -13,6 +13,7 @@
 mod contention;
 mod cut;
 mod departures;
+mod fragile;
 mod plan;
 mod processes;
 mod report;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::{self, Burst};
-use super::{brittle, departures, versions};
+use super::{brittle, departures, fragile, versions};
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
 const FIRST_FAULT_S: u64 = 4;
@@ -68,6 +68,8 @@
     /// Gateways that are cut off from all targets for a time.
     pub cut: Range<usize>,
     pub burst: Burst,
+    /// When a part of prompts crashes engines, from and until.
+    pub fragile: (Duration, Duration),
     pub duration: Duration,
 }
 
@@ -185,6 +187,7 @@
         let versions = versions::draw(seed, latest);
         let brittle = brittle::draw(seed, latest);
         let departures = departures::draw(seed, latest, entries);
+        let (fragile_sections, fragile) = fragile::draw(seed, latest);
         let (cut_section, cut) = draw_cut(seed, latest, entries);
         let platform = format!(
             "[platform]\nhalls = hall-a, hall-b\nhosts = {entries}\ndrain_ms = {DRAIN_MS}\n\
@@ -192,7 +195,7 @@
         );
         let site_text = format!(
             "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}\n{brittle}\n\
-             {departures}",
+             {departures}\n{fragile_sections}",
             troubles.join("\n")
         );
         SoakPlan {
@@ -201,6 +204,7 @@
             faults,
             cut,
             burst,
+            fragile,
             duration: Duration::from_secs(seconds),
         }
     }
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -61,6 +61,10 @@
     pub broken: Vec<Failure>,
     /// Requests to targets that had left, by the gateway that sent them.
     pub late_sends: Vec<LateSend>,
+    /// Crashes of targets under a part of prompts.
+    pub fatal_crashes: Vec<Instant>,
+    /// Requests with that part that reached targets too late: the gateway, and when.
+    pub late_fatal: Vec<(usize, Instant)>,
     /// Unexpected exits, and processes that did not exit or start.
     pub exit_failures: Vec<String>,
     pub disturbances: Vec<Disturbance>,
@@ -487,6 +491,11 @@
             ("cut", Some(request)) => drop(observations.cut.insert(request)),
             ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
             ("late_send", _) => observations.late_sends.extend(late_send),
+            ("fatal_crash", _) => observations.fatal_crashes.push(Instant::now()),
+            ("late_fatal_request", _) => {
+                let late = event.host.map(|entry| (entry, Instant::now()));
+                observations.late_fatal.extend(late);
+            }
             ("broken", _) => {
                 let promise = event.promise.unwrap_or_default();
                 let description = event.description.unwrap_or_default();
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -39,6 +39,10 @@
     StreamEvents,
     /// Too few streams that went on.
     StreamsNotResumed,
+    /// Requests with a part that crashes targets that reached many.
+    FatalPart,
+    /// Requests beside them that were served too little.
+    BesideFatalPart,
 }
 
 impl fmt::Display for FailureKind {
@@ -57,6 +61,8 @@
             FailureKind::LateRefusal => "late refusal",
             FailureKind::Order => "order of routes",
             FailureKind::Starved => "starved organisation",
+            FailureKind::FatalPart => "a part that crashes targets reaches few more",
+            FailureKind::BesideFatalPart => "served too little beside a part that crashes targets",
             FailureKind::StreamEvents => "events of a stream",
             FailureKind::StreamsNotResumed => "streams not resumed",
         };
--- a/crates/bench/src/soak/versions.rs
+++ b/crates/bench/src/soak/versions.rs
@@ -87,6 +87,7 @@
         path,
         organisation: None,
         active: None,
+        part: None,
     });
     callers
         .into_iter()
