--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -15,6 +15,7 @@
 use tokio::task::JoinHandle;
 
 use super::contention::{self, Contender};
+use super::crowding::Crowding;
 use super::plan::SoakPlan;
 use super::processes::Fleet;
 use super::report::{Failure, FailureKind};
@@ -61,6 +62,8 @@
 }
 
 struct Shared {
+    started: Instant,
+    crowding: Crowding,
     attempts: RefCell<Vec<Attempt>>,
     is_over: Cell<bool>,
 }
@@ -70,6 +73,8 @@
         let routes = plan.site.routes.iter().cloned().map(Rc::new);
         let routes: Rc<[Rc<RouteModel>]> = routes.collect();
         let shared = Rc::new(Shared {
+            started: Instant::now(),
+            crowding: plan.crowding.clone(),
             attempts: RefCell::default(),
             is_over: Cell::new(false),
         });
@@ -233,7 +238,9 @@
                 why: "no answer".to_string(),
             })),
         };
-        if response.is_some() && connection.is_open() {
+        let (crowding, elapsed) = (&self.shared.crowding, self.shared.started.elapsed());
+        let closes = crowding.closes(elapsed, &mut self.rng);
+        if response.is_some() && connection.is_open() && !closes {
             self.connection = Some((entry, connection));
         }
         let (outcome, events) = response.map(|r| (r.outcome, r.events)).unzip();
@@ -252,7 +259,7 @@
         Some(attempt)
     }
 
-    /// Keeps the open connection, or opens one to a random ready gateway.
+    /// Keeps the open connection, or opens one to a ready gateway.
     async fn ensure_connected(&mut self) {
         let is_open = |(_, connection): &(usize, Connection)| connection.is_open();
         if self.connection.as_ref().is_some_and(is_open) {
@@ -260,7 +267,9 @@
         }
         self.connection = None;
         let ready = self.fleet.ready();
-        let (entry, address) = ready[self.rng.random_range(0..ready.len())];
+        let entries: Vec<usize> = ready.iter().map(|(entry, _)| *entry).collect();
+        let (crowding, elapsed) = (&self.shared.crowding, self.shared.started.elapsed());
+        let (entry, address) = ready[crowding.choose(elapsed, &entries, &mut self.rng)];
         match Connection::open(address).await {
             Ok(connection) => self.connection = Some((entry, connection)),
             Err(err) => {
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -8,10 +8,10 @@
 use hollowsail_platform_emulator::caller::Outcome;
 
 use super::callers::Attempt;
-use super::cut;
 use super::plan::{EntryFault, SoakPlan};
 use super::processes::{Disturbance, Observations};
 use super::report::{Failure, FailureKind, SoakReport};
+use super::{crowding, cut};
 use super::{departures, fragile, room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
@@ -43,6 +43,7 @@
         .filter(|attempt| attempt.contender.is_none());
     let uncontended: Vec<Attempt> = uncontended.cloned().collect();
     failures.extend(cut::find_violation(plan, observations, &uncontended));
+    failures.extend(crowding::find_violation(plan, observations, &uncontended));
     let whole = count(&uncontended, |outcome| *outcome == Outcome::Whole);
     let total = uncontended.len();
     if (whole as f64) < total as f64 * MIN_WHOLE_SHARE {
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -4,13 +4,15 @@
 //! and monitors the processes; [`callers`] generates load, partly for a contended
 //! service ([`contention`]), for one with several software versions ([`versions`]), for one that must
 //! not refuse many requests ([`brittle`]), for some whose targets leave without a record
-//! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]);
+//! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]); for a time most of their
+//! connections go to one gateway ([`crowding`]);
 //! [`checks`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod brittle;
 mod callers;
 mod checks;
 mod contention;
+mod crowding;
 mod cut;
 mod departures;
 mod fragile;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::{self, Burst};
+use super::crowding::Crowding;
 use super::{brittle, departures, fragile, versions};
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
@@ -70,6 +71,8 @@
     pub burst: Burst,
     /// When a part of prompts crashes engines, from and until.
     pub fragile: (Duration, Duration),
+    /// When most new connections go to one gateway.
+    pub crowding: Crowding,
     pub duration: Duration,
 }
 
@@ -205,6 +208,7 @@
             cut,
             burst,
             fragile,
+            crowding: Crowding::draw(seed, latest, entries),
             duration: Duration::from_secs(seconds),
         }
     }
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -25,6 +25,8 @@
     Late,
     /// Gateways behind a cut that served too little.
     CutOff,
+    /// Too little service while most connections go to one gateway.
+    Crowded,
     /// Too few whole responses for the other checks.
     FewWhole,
     /// A request without room that a target got.
@@ -56,6 +58,7 @@
             FailureKind::CutByStop => "cut by a planned stop",
             FailureKind::Late => "late response",
             FailureKind::CutOff => "served too little behind a cut",
+            FailureKind::Crowded => "served too little when most connections go to one gateway",
             FailureKind::FewWhole => "few whole responses",
             FailureKind::RanWithoutRoom => "ran without room",
             FailureKind::LateRefusal => "late refusal",
