Name the parts of a prompt by what they are, and share checks of the soak

A part in a message was called of; it is part, with its digest. Trials drop old evidence too, before they add any. Whether a gateway was undisturbed, and which share was served, were written three and two times in the soak.

--- a/crates/bench/src/soak/crowding.rs
+++ b/crates/bench/src/soak/crowding.rs
@@ -5,11 +5,11 @@
 use std::ops::Range;
 use std::time::Duration;
 
-use hollowsail_platform_emulator::caller::Outcome;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
 use super::callers::Attempt;
+use super::cut::served_share;
 use super::plan::SoakPlan;
 use super::processes::Observations;
 use super::report::{Failure, FailureKind};
@@ -30,8 +30,6 @@
 /// Least share of the service before, and least number of attempts on each side.
 const MIN_SHARE: f64 = 0.75;
 const MIN_ATTEMPTS: usize = 20;
-/// How far an answer may exceed its route's target latency to count as served.
-const TARGET_SLACK: Duration = Duration::from_millis(500);
 
 /// When most new connections go to a gateway, from the start of the load.
 #[derive(Debug, Clone)]
@@ -79,13 +77,12 @@
     let started = observations.started?;
     let time = started + plan.crowding.time.start..started + plan.crowding.time.end;
     let judged = uncontended.iter().filter(|attempt| {
-        let mut disturbances = observations.disturbances.iter();
-        let is_disturbed = disturbances.any(|disturbance| {
-            disturbance.entry == attempt.entry
-                && disturbance.from <= attempt.ended
-                && attempt.sent <= disturbance.until + CONTACT_TIME
-        });
-        attempt.outcome.is_some() && !is_disturbed && !plan.cut.contains(&attempt.entry)
+        let Attempt {
+            entry, sent, ended, ..
+        } = attempt;
+        attempt.outcome.is_some()
+            && !plan.cut.contains(entry)
+            && observations.is_undisturbed(*entry, *sent, *ended, CONTACT_TIME)
     });
     let (from, until) = (time.start, time.end);
     let inside = judged
@@ -108,11 +105,3 @@
         Failure::new(FailureKind::Crowded, description)
     })
 }
-
-fn served_share(attempts: &[&Attempt]) -> f64 {
-    let is_served = |attempt: &&&Attempt| {
-        let latest = Duration::from_millis(attempt.route.target_ms) + TARGET_SLACK;
-        attempt.outcome == Some(Outcome::Whole) && attempt.ended - attempt.sent <= latest
-    };
-    attempts.iter().filter(is_served).count() as f64 / attempts.len() as f64
-}
--- a/crates/bench/src/soak/cut.rs
+++ b/crates/bench/src/soak/cut.rs
@@ -79,6 +79,7 @@
     attempts.iter().filter(is_served).count()
 }
 
-fn served_share(attempts: &[&Attempt]) -> f64 {
+/// Share of the attempts with a whole answer in time.
+pub fn served_share(attempts: &[&Attempt]) -> f64 {
     count_served(attempts) as f64 / attempts.len().max(1) as f64
 }
--- a/crates/bench/src/soak/fragile.rs
+++ b/crates/bench/src/soak/fragile.rs
@@ -5,7 +5,7 @@
 //! have to know it, and compares how many of the others begin. Drawn from a random stream of its own,
 //! so that the faults of a seed don't depend on it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hollowsail_platform_emulator::caller::Outcome;
 use rand::rngs::SmallRng;
@@ -95,7 +95,8 @@
     attempts: &[Attempt],
 ) -> Vec<Failure> {
     let late = observations.late_fatal.iter();
-    let late = late.filter(|(entry, at)| is_undisturbed(observations, *entry, *at, *at));
+    let late =
+        late.filter(|(entry, at)| observations.is_undisturbed(*entry, *at, *at, CONTACT_TIME));
     let late = late.count();
     let late = (late > MAX_LATE).then(|| {
         let crashes = observations.fatal_crashes.len();
@@ -122,7 +123,7 @@
         is_sound
             && attempt.outcome.is_some()
             && !plan.cut.contains(&attempt.entry)
-            && is_undisturbed(observations, attempt.entry, attempt.sent, attempt.ended)
+            && observations.is_undisturbed(attempt.entry, attempt.sent, attempt.ended, CONTACT_TIME)
     });
     let is_inside =
         |attempt: &&Attempt| attempt.sent >= known_from && attempt.ended <= started + end;
@@ -143,21 +144,6 @@
     })
 }
 
-/// True if no fault of a gateway is recent, or comes, in a time.
-fn is_undisturbed(
-    observations: &Observations,
-    entry: usize,
-    from: Instant,
-    until: Instant,
-) -> bool {
-    let mut disturbances = observations.disturbances.iter();
-    disturbances.all(|disturbance| {
-        disturbance.entry != entry
-            || until < disturbance.from
-            || disturbance.until + CONTACT_TIME < from
-    })
-}
-
 fn begun_share(attempts: &[&Attempt]) -> f64 {
     let has_begun =
         |attempt: &&&Attempt| !attempt.events.is_empty() || attempt.outcome == Some(Outcome::Whole);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -77,6 +77,23 @@
 }
 
 impl Observations {
+    /// True if no fault of a gateway is recent, or comes, in a time. `contact` is how long a fault
+    /// counts after the gateway is ready again.
+    pub fn is_undisturbed(
+        &self,
+        entry: usize,
+        from: Instant,
+        until: Instant,
+        contact: Duration,
+    ) -> bool {
+        let mut disturbances = self.disturbances.iter();
+        disturbances.all(|disturbance| {
+            disturbance.entry != entry
+                || until < disturbance.from
+                || disturbance.until + contact < from
+        })
+    }
+
     /// Longest lag of this process between two moments.
     pub fn max_lag(&self, from: Instant, until: Instant) -> Duration {
         let lags = self.lags.iter();
--- a/crates/bench/src/soak/versions.rs
+++ b/crates/bench/src/soak/versions.rs
@@ -114,8 +114,13 @@
         .iter()
         .filter_map(|(id, tries)| find_violation(id, tries));
     let mut failures: Vec<Failure> = violations.collect();
-    let judged =
-        streams.filter(|attempt| attempt.outcome.is_some() && is_in_touch(attempt, observations));
+    let judged = streams.filter(|attempt| {
+        let Attempt {
+            entry, sent, ended, ..
+        } = attempt;
+        attempt.outcome.is_some()
+            && observations.is_undisturbed(*entry, *sent, *ended, CONTACT_TIME)
+    });
     let (taken_up, new): (Vec<&Attempt>, Vec<&Attempt>) =
         judged.partition(|attempt| attempt.resumed.is_some());
     let (goes_on, begins) = (share_with_events(&taken_up), share_with_events(&new));
@@ -155,16 +160,6 @@
     (!is_in_order).then(|| failure(format!("stream {id} lacks an event or holds one twice")))
 }
 
-/// True if no fault of its gateway is recent.
-fn is_in_touch(attempt: &Attempt, observations: &Observations) -> bool {
-    let mut disturbances = observations.disturbances.iter();
-    disturbances.all(|disturbance| {
-        disturbance.entry != attempt.entry
-            || attempt.ended < disturbance.from
-            || disturbance.until + CONTACT_TIME < attempt.sent
-    })
-}
-
 /// Share of the attempts that brought an event.
 fn share_with_events(attempts: &[&Attempt]) -> f64 {
     let has_events =
--- a/crates/gateway/src/crashes/messages.rs
+++ b/crates/gateway/src/crashes/messages.rs
@@ -30,7 +30,7 @@
 /// A shared part of the prompt of such an answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CrashedPartReport {
-    pub part: RequestDigest,
+    pub digest: RequestDigest,
     /// Its id as it is logged.
     pub label: String,
     /// Age of its last pass at the reporting entry.
@@ -42,7 +42,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ServicePart {
     pub service: String,
-    pub part: RequestDigest,
+    pub digest: RequestDigest,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -50,7 +50,10 @@
     /// To the entry that gathers the evidence.
     Crashed(CrashedAnswerReport),
     /// To the same: the part passed this long ago.
-    Passed { of: ServicePart, passed_ms: Millis },
+    Passed {
+        part: ServicePart,
+        passed_ms: Millis,
+    },
     /// To all others: reply with [`PartMessage::Passed`] if the part passed lately.
     Suspected(ServicePart),
     /// To the entry that gathers the evidence; expects a reply.
--- a/crates/gateway/src/crashes/parts.rs
+++ b/crates/gateway/src/crashes/parts.rs
@@ -88,15 +88,15 @@
 /// Permission to try a part that was refused; ends when dropped.
 pub struct Trial {
     cx: Rc<Traffic>,
-    of: ServicePart,
+    part: ServicePart,
 }
 
 impl Drop for Trial {
     fn drop(&mut self) {
-        let of = self.of.clone();
-        match owner_of(&self.cx, &of.service) {
-            Owner::Me => self.cx.crashes.end_trial(&of),
-            Owner::Peer(link) => link.parts.send(PartMessage::EndTrial(of)),
+        let part = self.part.clone();
+        match owner_of(&self.cx, &part.service) {
+            Owner::Me => self.cx.crashes.end_trial(&part),
+            Owner::Peer(link) => link.parts.send(PartMessage::EndTrial(part)),
         }
     }
 }
@@ -172,7 +172,7 @@
         let crashed_at = cx.clock.millis_at(run.interrupted);
         let record = &target.record;
         let part_report = |part: &SharedPart| CrashedPartReport {
-            part: part.digest,
+            digest: part.digest,
             label: part.label.clone(),
             passed_ms: passes
                 .last_pass(now, part.digest)
@@ -207,17 +207,17 @@
                 self.count_answer(cx, report);
                 None
             }
-            PartMessage::Passed { of, passed_ms } => {
-                self.on_pass(cx, &of, passed_ms);
+            PartMessage::Passed { part, passed_ms } => {
+                self.on_pass(cx, &part, passed_ms);
                 None
             }
-            PartMessage::Suspected(of) => {
-                self.report_recent_pass(cx, of);
+            PartMessage::Suspected(part) => {
+                self.report_recent_pass(cx, part);
                 None
             }
-            PartMessage::BeginTrial(of) => Some(self.begin_trial(cx, &of)),
-            PartMessage::EndTrial(of) => {
-                self.end_trial(&of);
+            PartMessage::BeginTrial(part) => Some(self.begin_trial(cx, &part)),
+            PartMessage::EndTrial(part) => {
+                self.end_trial(&part);
                 None
             }
         });
@@ -225,18 +225,18 @@
     }
 
     /// Reports the last pass of a part that another entry suspects.
-    fn report_recent_pass(&self, cx: &Rc<Traffic>, of: ServicePart) {
+    fn report_recent_pass(&self, cx: &Rc<Traffic>, part: ServicePart) {
         let now = cx.clock.now();
-        let passed_at = self.passes.borrow().last_pass(now, of.part);
+        let passed_at = self.passes.borrow().last_pass(now, part.digest);
         if let Some(passed_at) = passed_at {
-            self.report_pass(cx, of, now.saturating_sub(passed_at));
+            self.report_pass(cx, part, now.saturating_sub(passed_at));
         }
     }
 
-    fn report_pass(&self, cx: &Rc<Traffic>, of: ServicePart, passed_ms: Millis) {
-        match owner_of(cx, &of.service) {
-            Owner::Me => self.on_pass(cx, &of, passed_ms),
-            Owner::Peer(link) => link.parts.send(PartMessage::Passed { of, passed_ms }),
+    fn report_pass(&self, cx: &Rc<Traffic>, part: ServicePart, passed_ms: Millis) {
+        match owner_of(cx, &part.service) {
+            Owner::Me => self.on_pass(cx, &part, passed_ms),
+            Owner::Peer(link) => link.parts.send(PartMessage::Passed { part, passed_ms }),
         }
     }
 
@@ -249,28 +249,29 @@
             crashed_at: now.saturating_sub(report.ended_ms),
             controls: report.controls,
         };
-        for part in report.parts {
-            let of = ServicePart {
+        for crashed in report.parts {
+            let part = ServicePart {
                 service: report.service.clone(),
-                part: part.part,
+                digest: crashed.digest,
             };
+            let label = crashed.label;
             let crashed = CrashedPart {
-                part: part.part,
-                last_pass: part.passed_ms.map(|age| now.saturating_sub(age)),
-                was_suspect: part.was_suspect,
+                part: crashed.digest,
+                last_pass: crashed.passed_ms.map(|age| now.saturating_sub(age)),
+                was_suspect: crashed.was_suspect,
             };
-            let evidence = self.with_ledger_of(&of.service, |ledger| {
+            let evidence = self.with_ledger_of(&part.service, |ledger| {
                 ledger.record_crash(now, answer, crashed)
             });
             match evidence {
                 PartEvidence::None => {}
                 PartEvidence::Suspect { crashes } => {
-                    let inputs = format_args!("crashes={crashes} part={}", part.label);
-                    self.suspect(cx, of, inputs);
+                    let inputs = format_args!("crashes={crashes} part={label}");
+                    self.suspect(cx, part, inputs);
                 }
                 PartEvidence::Refused { crashes, for_ms } => {
-                    let inputs = format_args!("crashes={crashes} part={}", part.label);
-                    self.refuse(cx, &of, for_ms, inputs);
+                    let inputs = format_args!("crashes={crashes} part={label}");
+                    self.refuse(cx, &part, for_ms, inputs);
                 }
             }
         }
@@ -281,29 +282,29 @@
         change(ledgers.entry(service.to_string()).or_default())
     }
 
-    fn suspect(&self, cx: &Rc<Traffic>, of: ServicePart, inputs: Arguments<'_>) {
+    fn suspect(&self, cx: &Rc<Traffic>, part: ServicePart, inputs: Arguments<'_>) {
         let verdict = CrashVerdict::Suspect;
         let now = cx.clock.now();
-        if self.ledger.borrow_mut().learn(now, of.part, verdict) {
-            log_verdict(cx, of.part, verdict, inputs);
+        if self.ledger.borrow_mut().learn(now, part.digest, verdict) {
+            log_verdict(cx, part.digest, verdict, inputs);
         }
-        broadcast(cx, of.part, verdict);
+        broadcast(cx, part.digest, verdict);
         for link in cx.peers.links_to_all(cx) {
-            link.parts.send(PartMessage::Suspected(of.clone()));
+            link.parts.send(PartMessage::Suspected(part.clone()));
         }
-        self.report_recent_pass(cx, of);
+        self.report_recent_pass(cx, part);
     }
 
-    fn refuse(&self, cx: &Rc<Traffic>, of: &ServicePart, for_ms: Millis, inputs: Arguments<'_>) {
+    fn refuse(&self, cx: &Rc<Traffic>, part: &ServicePart, for_ms: Millis, inputs: Arguments<'_>) {
         let now = cx.clock.now();
         let verdict = CrashVerdict::Refused {
             until: now + for_ms,
         };
-        self.ledger.borrow_mut().learn(now, of.part, verdict);
-        log_verdict(cx, of.part, verdict, inputs);
-        broadcast(cx, of.part, verdict);
+        self.ledger.borrow_mut().learn(now, part.digest, verdict);
+        log_verdict(cx, part.digest, verdict, inputs);
+        broadcast(cx, part.digest, verdict);
         self.store(RefusalChange::Refuse(NewRefusal {
-            request: of.part,
+            request: part.digest,
             duration: Duration::from_millis(for_ms),
             // For entries that start after it: the part is tried by one request at a time then.
             lease: Duration::from_millis(MAX_REFUSAL_MS),
@@ -311,26 +312,29 @@
     }
 
     /// A part passed: clears it everywhere if that was after its crashes, or speaks for it.
-    fn on_pass(&self, cx: &Rc<Traffic>, of: &ServicePart, passed_ms: Millis) {
+    fn on_pass(&self, cx: &Rc<Traffic>, part: &ServicePart, passed_ms: Millis) {
         let now = cx.clock.now();
         let passed_at = now.saturating_sub(passed_ms);
-        let is_cleared =
-            self.with_ledger_of(&of.service, |ledger| ledger.record_pass(of.part, passed_at));
-        let verdict = self.ledger.borrow().verdict(now, of.part);
+        let is_cleared = self.with_ledger_of(&part.service, |ledger| {
+            ledger.record_pass(part.digest, passed_at)
+        });
+        let verdict = self.ledger.borrow().verdict(now, part.digest);
         let is_lately = passed_ms < PASS_MEMORY_MS;
         // What was refused is cleared only by a pass after its crashes.
-        let was_refused = self.ledger.borrow().was_refused(now, of.part);
+        let was_refused = self.ledger.borrow().was_refused(now, part.digest);
         let is_suspect = verdict == CrashVerdict::Suspect && !was_refused && is_lately;
         let is_tried = was_refused && passed_ms == 0;
         if verdict == CrashVerdict::Unsuspected || !(is_cleared || is_suspect || is_tried) {
             return;
         }
         let unsuspected = CrashVerdict::Unsuspected;
-        self.ledger.borrow_mut().learn(now, of.part, unsuspected);
-        log_verdict(cx, of.part, unsuspected, format_args!("why=passed"));
-        broadcast(cx, of.part, unsuspected);
+        self.ledger
+            .borrow_mut()
+            .learn(now, part.digest, unsuspected);
+        log_verdict(cx, part.digest, unsuspected, format_args!("why=passed"));
+        broadcast(cx, part.digest, unsuspected);
         if verdict != CrashVerdict::Suspect || was_refused {
-            self.store(RefusalChange::Lift(of.part));
+            self.store(RefusalChange::Lift(part.digest));
         }
     }
 
@@ -345,19 +349,20 @@
         let parts: Vec<RequestDigest> = prompt.digests().filter(was_refused).collect();
         let mut trials = Vec::new();
         for part in parts {
-            let of = service_part(prompt, part);
-            let reply = match owner_of(cx, &of.service) {
-                Owner::Me => Ok(self.begin_trial(cx, &of)),
+            let part = service_part(prompt, part);
+            let reply = match owner_of(cx, &part.service) {
+                Owner::Me => Ok(self.begin_trial(cx, &part)),
                 Owner::Peer(link) => {
-                    let message = PartMessage::BeginTrial(of.clone());
+                    let message = PartMessage::BeginTrial(part.clone());
                     link.parts.request(message).await
                 }
             };
             match reply {
                 // An older build doesn't grant any.
-                Ok(TrialReply::Granted) | Err(NoReply::Unsupported) => {
-                    trials.push(Trial { cx: cx.clone(), of })
-                }
+                Ok(TrialReply::Granted) | Err(NoReply::Unsupported) => trials.push(Trial {
+                    cx: cx.clone(),
+                    part,
+                }),
                 Ok(TrialReply::Refused { for_ms }) => return Err(refusal(for_ms)),
                 Err(NoReply::Silent) => return Err(refusal(NO_OWNER_RETRY_MS)),
             }
@@ -365,17 +370,18 @@
         Ok(trials)
     }
 
-    fn begin_trial(&self, cx: &Traffic, of: &ServicePart) -> TrialReply {
+    fn begin_trial(&self, cx: &Traffic, part: &ServicePart) -> TrialReply {
         let now = cx.clock.now();
-        let decision = self.with_ledger_of(&of.service, |ledger| ledger.begin_trial(now, of.part));
+        let decision =
+            self.with_ledger_of(&part.service, |ledger| ledger.begin_trial(now, part.digest));
         match decision {
             TrialDecision::Granted => TrialReply::Granted,
             TrialDecision::Refused { for_ms } => TrialReply::Refused { for_ms },
         }
     }
 
-    fn end_trial(&self, of: &ServicePart) {
-        self.with_ledger_of(&of.service, |ledger| ledger.end_trial(of.part));
+    fn end_trial(&self, part: &ServicePart) {
+        self.with_ledger_of(&part.service, |ledger| ledger.end_trial(part.digest));
     }
 
     /// Ends the refusal of a part that operators lifted.
@@ -386,10 +392,10 @@
     }
 }
 
-fn service_part(prompt: &PromptParts, part: RequestDigest) -> ServicePart {
+fn service_part(prompt: &PromptParts, digest: RequestDigest) -> ServicePart {
     ServicePart {
         service: prompt.service.clone(),
-        part,
+        digest,
     }
 }
 
--- a/crates/routing/src/crashes/parts.rs
+++ b/crates/routing/src/crashes/parts.rs
@@ -269,6 +269,7 @@
 
     /// Decides whether a request may try a part that was refused.
     pub fn begin_trial(&mut self, now: Millis, part: RequestDigest) -> TrialDecision {
+        self.evict(now);
         // The entry that counted may be lost, and so unknown here.
         let record = self.parts.entry(part).or_insert_with(|| PartRecord {
             inherited: CRASHES_TO_REFUSE,
