--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -43,7 +43,7 @@
         .filter(|attempt| attempt.contender.is_none());
     let uncontended: Vec<Attempt> = uncontended.cloned().collect();
     failures.extend(cut::find_violation(plan, observations, &uncontended));
-    failures.extend(crowding::find_violation(plan, observations, &uncontended));
+    failures.extend(crowding::find_violation(plan, observations, attempts));
     let whole = count(&uncontended, |outcome| *outcome == Outcome::Whole);
     let total = uncontended.len();
     if (whole as f64) < total as f64 * MIN_WHOLE_SHARE {
--- a/crates/bench/src/soak/crowding.rs
+++ b/crates/bench/src/soak/crowding.rs
@@ -1,5 +1,6 @@
 //! A time in a soak run in which most new connections go to one gateway, and callers open more.
 //!
+//! It is judged by a service of its own that no other trouble affects.
 //! Drawn from a random stream of its own, so that the faults of a seed don't depend on it.
 
 use std::ops::Range;
@@ -9,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::callers::Attempt;
+use super::contention::Contender;
 use super::cut::served_share;
 use super::plan::SoakPlan;
 use super::processes::Observations;
@@ -31,6 +33,41 @@
 const MIN_SHARE: f64 = 0.75;
 const MIN_ATTEMPTS: usize = 20;
 
+const PATH: &str = "/calm/";
+/// Callers of the service.
+const CALLERS: usize = 8;
+
+const SECTIONS: &str = "\
+[service.calm]
+kind = plain
+targets = 4
+slots = 8
+queue = 8
+work_ms = 10
+
+[route.calm]
+kind = safe
+path = /calm/
+service = calm
+target_ms = 500
+";
+
+/// The sections of the site.
+pub fn sections() -> &'static str {
+    SECTIONS
+}
+
+/// The callers of the service.
+pub fn callers() -> impl Iterator<Item = Contender> {
+    let caller = Contender {
+        path: PATH,
+        organisation: None,
+        active: None,
+        part: None,
+    };
+    std::iter::repeat_n(caller, CALLERS)
+}
+
 /// When most new connections go to a gateway, from the start of the load.
 #[derive(Debug, Clone)]
 pub struct Crowding {
@@ -72,15 +109,16 @@
 pub fn find_violation(
     plan: &SoakPlan,
     observations: &Observations,
-    uncontended: &[Attempt],
+    attempts: &[Attempt],
 ) -> Option<Failure> {
     let started = observations.started?;
     let time = started + plan.crowding.time.start..started + plan.crowding.time.end;
-    let judged = uncontended.iter().filter(|attempt| {
+    let judged = attempts.iter().filter(|attempt| {
         let Attempt {
             entry, sent, ended, ..
         } = attempt;
-        attempt.outcome.is_some()
+        attempt.route.path == PATH
+            && attempt.outcome.is_some()
             && !plan.cut.contains(entry)
             && observations.is_undisturbed(*entry, *sent, *ended, CONTACT_TIME)
     });
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::{self, Burst};
-use super::crowding::Crowding;
+use super::crowding::{self, Crowding};
 use super::{brittle, departures, fragile, versions};
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
@@ -198,8 +198,9 @@
         );
         let site_text = format!(
             "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}\n{brittle}\n\
-             {departures}\n{fragile_sections}",
-            troubles.join("\n")
+             {departures}\n{fragile_sections}\n{}",
+            troubles.join("\n"),
+            crowding::sections()
         );
         SoakPlan {
             site: parse(&site_text),
