Excuse what a killed relay carried from the soak's check of planned stops

The rule on planned work excuses what overlaps any unplanned disruption; the check excuses only attempts behind a cut that were in progress when another gateway was killed.

--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -130,6 +130,7 @@
     is_connection
         && !observations.cut.contains(&attempt.id)
         && !cut::breaks_connections_of(attempt, plan, observations)
+        && !cut::loses_relay_of(attempt, plan, observations)
         && observations.ran.contains(&attempt.id)
         && is_excused(attempt, observations, is_stop)
         && !is_excused(attempt, observations, is_other)
--- a/crates/bench/src/soak/cut.rs
+++ b/crates/bench/src/soak/cut.rs
@@ -5,7 +5,7 @@
 use hollowsail_platform_emulator::caller::Outcome;
 
 use super::callers::Attempt;
-use super::plan::SoakPlan;
+use super::plan::{EntryFault, SoakPlan};
 use super::processes::Observations;
 use super::report::{Failure, FailureKind};
 
@@ -70,6 +70,23 @@
     plan.cut.contains(&attempt.entry) && observations.cut_from.is_some_and(is_in_progress)
 }
 
+/// True for an attempt that was in progress at a gateway behind the cut while another gateway, which
+/// may have relayed its connection, was killed.
+pub fn loses_relay_of(attempt: &Attempt, plan: &SoakPlan, observations: &Observations) -> bool {
+    let is_behind_cut = plan.cut.contains(&attempt.entry)
+        && observations
+            .cut_from
+            .is_some_and(|from| from <= attempt.ended);
+    let mut disturbances = observations.disturbances.iter();
+    is_behind_cut
+        && disturbances.any(|disturbance| {
+            disturbance.entry != attempt.entry
+                && disturbance.fault == EntryFault::Kill
+                && attempt.sent <= disturbance.from
+                && disturbance.from <= attempt.ended
+        })
+}
+
 /// Number of attempts with a whole answer in time.
 fn count_served(attempts: &[&Attempt]) -> usize {
     let is_served = |attempt: &&&Attempt| {
