Skip records that an entry already has at their position

An entry that asks its peers for records got the ones that it has as well, and put each into its registry again: the count of changes rose, and all that is derived from the registry was made anew for each list, several times a second while the store is away, more often since entries without the store give records, too. A record at the position of the known one is that record.

--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -135,6 +135,10 @@
             Some(_) => same.map_or(meta.state(), |known| known.state_after(&meta, is_copy)),
             None => self.state_of_unknown(id, &meta),
         };
+        // A peer may list what is known already.
+        if same.is_some_and(|known| known.at == meta.at && known.state == state) {
+            return false;
+        }
         let changed = known.is_none_or(|known| known.state != state || known.record != record);
         let entry = Entry {
             record,
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -235,3 +235,16 @@
     assert_eq!(registry.len(), 770);
     assert!(registry.usable().all(|incarnation| *incarnation == 13));
 }
+
+/// Guards against deriving everything anew from each list of a peer that has nothing new.
+#[test]
+fn records_at_known_positions_change_nothing() {
+    let mut registry = registry();
+    registry.store_unreachable();
+    let changes = registry.change_count();
+    assert!(!registry.put("a", meta(1, false), "a"));
+    assert!(registry.adopt(&["a", "b"], at(5)).is_empty());
+    assert_eq!(registry.change_count(), changes);
+    assert!(registry.put("a", meta(3, true), "a"));
+    assert_eq!(usable(&registry), ["b"]);
+}
