--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p target
-rustc --edition 2021 -O standins/main.rs -o target/review
+rustc --edition 2021 -O tests/standins/main.rs -o target/review
