Give the start times of workers in the review's stand-ins

Cause: the records of the stand-in workers lacked the time of their start, which the platform's pages have in all of them.

--- a/review/tests/standins/extra.rs
+++ b/review/tests/standins/extra.rs
@@ -8,8 +8,8 @@
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use crate::fleet::{Fleet, Record};
 use crate::net::{call, listen, read_request, serve, write_answer, Json, Message};
@@ -140,11 +140,21 @@
     state: &str,
 ) {
     let record = format!(
-        r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","cold_left_ms":0,"sequence":1}}"#
+        r#"{{"service":"{service}","address":"{addr}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","cold_left_ms":0,"born":{},"sequence":1}}"#,
+        born()
     );
     store.put(&format!("servers/{id}"), &record);
 }
 
+/// The start of the workers, in Unix milliseconds.
+fn born() -> u64 {
+    static BORN: OnceLock<u64> = OnceLock::new();
+    *BORN.get_or_init(|| {
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        now.map_or(1, |now| now.as_millis() as u64)
+    })
+}
+
 pub const LIMITS: &str = r#""limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"tenant-1","api_keys":["key-1"],"priority":1},{"name":"tenant-2","api_keys":["key-2"],"priority":1}]"#;
 
 /// A connection to a worker, with the extra answer that is held back for its next request.
