--- a/review/tests/standins/extra.rs
+++ b/review/tests/standins/extra.rs
@@ -18,6 +18,7 @@
 pub const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
 
 /// One extra answer in this many, the 0.03 of the site file.
+/// for each disruption by itself.
 const ONE_IN: u64 = 34;
 /// Length of each disruption and the pause between two.
 const WINDOW: Duration = Duration::from_millis(5_000);
@@ -32,7 +33,9 @@
     pub record: Arc<Record>,
     /// Affected workers send extra answers now.
     pub is_disrupted: AtomicBool,
+    /// Answers of affected workers in this disruption, and extra answers that were sent in it.
     answers: AtomicU64,
+    window_extras: AtomicU64,
     pub extras: AtomicU64,
     /// Workers that began each request.
     pub begun: Mutex<HashMap<String, Vec<String>>>,
@@ -49,6 +52,7 @@
             record: Record::new(),
             is_disrupted: AtomicBool::new(false),
             answers: AtomicU64::new(0),
+            window_extras: AtomicU64::new(0),
             extras: AtomicU64::new(0),
             begun: Mutex::default(),
             results: Mutex::default(),
@@ -81,12 +85,18 @@
     fn disrupt(&self, count: u32, is_on: bool) {
         for _ in 0..count {
             std::thread::sleep(PAUSE);
-            self.is_disrupted.store(is_on, Ordering::Relaxed);
+            self.answers.store(0, Ordering::SeqCst);
+            self.window_extras.store(0, Ordering::SeqCst);
+            self.is_disrupted.store(is_on, Ordering::SeqCst);
             self.record
                 .line(format!("disruption begins extra_answers={is_on}"));
             std::thread::sleep(WINDOW);
-            self.is_disrupted.store(false, Ordering::Relaxed);
-            self.record.line("disruption ends".to_string());
+            self.is_disrupted.store(false, Ordering::SeqCst);
+            self.record.line(format!(
+                "disruption ends answers={} extra_answers={}",
+                self.answers.load(Ordering::SeqCst),
+                self.window_extras.load(Ordering::SeqCst)
+            ));
         }
         std::thread::sleep(PAUSE);
     }
@@ -175,29 +185,31 @@
     }
 
     /// The next request. An extra answer that is held back goes out after it, or without one.
-    fn next(&mut self) -> Option<Message> {
+    fn next(&mut self, world: &World, worker: &str) -> Option<Message> {
         use std::io::BufRead;
         let limit = self.held.as_ref().map(|_| MAX_LATE);
         self.stream.set_read_timeout(limit).ok()?;
         let is_readable = self.reading.fill_buf().is_ok_and(|bytes| !bytes.is_empty());
         self.stream.set_read_timeout(None).ok()?;
-        if !is_readable && self.held.is_some() {
-            let extra = self.held.take()?;
-            self.stream.write_all(&extra).ok()?;
+        if !is_readable {
+            self.send_held(world, worker, "nothing");
         }
         read_request(&mut self.reading)
     }
 
-    /// Sends the extra answer to the earlier request, if there is one.
+    /// Sends the extra answer to the earlier request, if there is one. After the end of the
+    /// disruption it isn't sent any more.
     fn send_held(&mut self, world: &World, worker: &str, next: &str) {
-        if let Some(extra) = self.held.take() {
-            std::thread::sleep(LATE);
-            if self.stream.write_all(&extra).is_ok() {
-                world.extras.fetch_add(1, Ordering::Relaxed);
-                world
-                    .record
-                    .line(format!("extra worker={worker} while_running={next}"));
-            }
+        let Some(extra) = self.held.take() else {
+            return;
+        };
+        std::thread::sleep(LATE);
+        let is_disrupted = world.is_disrupted.load(Ordering::SeqCst);
+        if is_disrupted && self.stream.write_all(&extra).is_ok() {
+            world.extras.fetch_add(1, Ordering::Relaxed);
+            world.window_extras.fetch_add(1, Ordering::SeqCst);
+            let line = format!("extra worker={worker} while_running={next}");
+            world.record.line(line);
         }
     }
 }
@@ -207,7 +219,7 @@
     let Some(mut connection) = Connection::new(stream) else {
         return;
     };
-    while let Some(req) = connection.next() {
+    while let Some(req) = connection.next(world, id) {
         let request = req.header("x-request-id").unwrap_or("").to_string();
         if req
             .header("x-expect-instance")
@@ -379,7 +391,7 @@
     let Some(mut connection) = Connection::new(stream) else {
         return;
     };
-    while let Some(req) = connection.next() {
+    while let Some(req) = connection.next(world, id) {
         // Echoed where the caller gives one.
         let call_id = req.header("x-request-id").map(str::to_string);
         let mut headers = vec![("Content-Type", "application/json")];
@@ -486,7 +498,7 @@
     let Some(mut connection) = Connection::new(stream) else {
         return;
     };
-    while let Some(req) = connection.next() {
+    while let Some(req) = connection.next(world, id) {
         let request = req.header("x-request-id").unwrap_or("").to_string();
         if req
             .header("x-expect-instance")
@@ -601,7 +613,7 @@
     }
     let fronts: Vec<SocketAddr> = fleet.gateways.iter().map(|gateway| gateway.front).collect();
     let is_over = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..12u64)
+    let clients: Vec<_> = (0..18u64)
         .map(|client| {
             let (world, is_over) = (world.clone(), is_over.clone());
             let front = fronts[client as usize % fronts.len()];
--- a/review/tests/standins/leave.rs
+++ b/review/tests/standins/leave.rs
@@ -18,11 +18,11 @@
 const GAP: Duration = Duration::from_millis(150);
 /// Workers; one of them is taken away at a time, under the share of 0.146 of the site file.
 const WORKERS: usize = 7;
-/// Time from the notice until the worker is gone, and until another one comes.
+/// Time from the notice until the worker is gone; from then until the platform removes its entry, as
+/// three heartbeats of 1,200 ms have passed; and until another worker comes.
 const NOTICE: Duration = Duration::from_millis(2_000);
+const ENTRY_GOES_AFTER: Duration = Duration::from_millis(3_600);
 const REPLACED_AFTER: Duration = Duration::from_millis(4_000);
-/// Time from then until the platform removes the entry: three heartbeats of 1,200 ms have passed.
-const ENTRY_GOES_AFTER: Duration = Duration::from_millis(1_600);
 
 /// The process of one model worker: prints its address, then a line for each run, until it is killed.
 pub fn worker(id: &str) {
@@ -186,15 +186,15 @@
                 killed.is_ok()
             ));
         }
-        std::thread::sleep(REPLACED_AFTER - NOTICE);
-        let number = WORKERS + round;
-        let worker = start_worker(&world, number)?;
-        register(&store, &worker.id, "model", worker.addr, zone, 64, "ready");
-        workers.push(worker);
         std::thread::sleep(ENTRY_GOES_AFTER);
         // Without the disruption, all of its streams have ended by now.
         store.remove(&format!("servers/{}", leaving.id));
         drop(leaving);
+        std::thread::sleep(REPLACED_AFTER - ENTRY_GOES_AFTER);
+        let number = WORKERS + round;
+        let worker = start_worker(&world, number)?;
+        register(&store, &worker.id, "model", worker.addr, zone, 64, "ready");
+        workers.push(worker);
         std::thread::sleep(Duration::from_secs(2));
     }
     is_over.store(true, Ordering::Relaxed);
