--- a/crates/connect/src/dialer.rs
+++ b/crates/connect/src/dialer.rs
@@ -1,10 +1,13 @@
 //! How the connections of a pool are opened.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::{ready, FutureExt, LocalBoxFuture};
+use tokio::net::TcpStream;
 
+use crate::byte_counts::ByteCounts;
 use crate::dial::{dial, DialError};
 use crate::transport::{Transport, Way};
 
@@ -41,9 +44,24 @@
 impl Dialer {
     /// Connects to an address.
     pub fn direct(addr: SocketAddr) -> Self {
+        Self::with_transport(addr, Transport::direct)
+    }
+
+    /// Connects to an address, and counts the bytes of all connections.
+    pub fn counted(addr: SocketAddr, counts: Arc<ByteCounts>) -> Self {
+        Self::with_transport(addr, move |stream| {
+            Transport::counted(stream, counts.clone())
+        })
+    }
+
+    fn with_transport(
+        addr: SocketAddr,
+        transport: impl Fn(TcpStream) -> Transport + Clone + 'static,
+    ) -> Self {
         Dialer {
             dial: Box::new(move |timeout| {
-                async move { dial(addr, timeout).await.map(Transport::direct) }.boxed_local()
+                let transport = transport.clone();
+                async move { dial(addr, timeout).await.map(transport) }.boxed_local()
             }),
             may_reuse: Box::new(|_| true),
             confirm_state: Box::new(|unreached| {
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -13,6 +13,7 @@
 //! ([`RelayedStream`]).
 
 mod body;
+mod byte_counts;
 mod call;
 mod capacity;
 mod crash_check;
@@ -25,6 +26,7 @@
 mod transport;
 
 pub use body::AnswerBody;
+pub use byte_counts::{ByteCounts, Counted};
 pub use call::CompleteAnswer;
 pub use capacity::{soonest, Availability, PoolStats};
 pub use crash_check::{CrashCheck, CHECK_TIMEOUT};
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -3,11 +3,13 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::byte_counts::{ByteCounts, Counted};
 use crate::liveness::Liveness;
 use crate::relayed::{RelayedStream, Retired};
 
@@ -37,6 +39,7 @@
 
 enum Stream {
     Direct(TcpStream),
+    Counted(Counted<TcpStream>),
     Relayed(RelayedStream),
 }
 
@@ -50,11 +53,20 @@
         }
     }
 
-    /// A direct connection whose traffic `observer` sees.
-    pub fn observed(stream: TcpStream, observer: Rc<Liveness>) -> Self {
+    /// A direct connection whose bytes are counted.
+    pub fn counted(stream: TcpStream, counts: Arc<ByteCounts>) -> Self {
+        Transport {
+            way: Way::Direct,
+            stream: Stream::Counted(Counted::new(stream, counts)),
+            observer: None,
+        }
+    }
+
+    /// The same connection, with an observer of its traffic.
+    pub fn observed_by(self, observer: Rc<Liveness>) -> Self {
         Transport {
             observer: Some(observer),
-            ..Self::direct(stream)
+            ..self
         }
     }
 
@@ -74,7 +86,7 @@
     /// Whether the connection is to carry no further request.
     pub(crate) fn retired(&self) -> Retired {
         match &self.stream {
-            Stream::Direct(_) => Retired::default(),
+            Stream::Direct(_) | Stream::Counted(_) => Retired::default(),
             Stream::Relayed(stream) => stream.retired().clone(),
         }
     }
@@ -83,6 +95,7 @@
     pub(crate) async fn readable(&self) -> io::Result<()> {
         match &self.stream {
             Stream::Direct(stream) => stream.readable().await,
+            Stream::Counted(stream) => stream.get_ref().readable().await,
             Stream::Relayed(stream) => stream.readable().await,
         }
     }
@@ -97,6 +110,7 @@
         let before = buf.filled().len();
         let polled = match &mut self.stream {
             Stream::Direct(stream) => Pin::new(stream).poll_read(cx, buf),
+            Stream::Counted(stream) => Pin::new(stream).poll_read(cx, buf),
             Stream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
         };
         if buf.filled().len() > before {
@@ -117,6 +131,7 @@
         self.observer.iter().for_each(|peers| peers.record_sent());
         match &mut self.stream {
             Stream::Direct(stream) => Pin::new(stream).poll_write(cx, buf),
+            Stream::Counted(stream) => Pin::new(stream).poll_write(cx, buf),
             Stream::Relayed(stream) => Pin::new(stream).poll_write(cx, buf),
         }
     }
@@ -129,6 +144,7 @@
         self.observer.iter().for_each(|peers| peers.record_sent());
         match &mut self.stream {
             Stream::Direct(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
+            Stream::Counted(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
             Stream::Relayed(stream) => Pin::new(stream).poll_write_vectored(cx, bufs),
         }
     }
@@ -136,6 +152,7 @@
     fn is_write_vectored(&self) -> bool {
         match &self.stream {
             Stream::Direct(stream) => stream.is_write_vectored(),
+            Stream::Counted(stream) => stream.is_write_vectored(),
             Stream::Relayed(stream) => stream.is_write_vectored(),
         }
     }
@@ -143,6 +160,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut self.stream {
             Stream::Direct(stream) => Pin::new(stream).poll_flush(cx),
+            Stream::Counted(stream) => Pin::new(stream).poll_flush(cx),
             Stream::Relayed(stream) => Pin::new(stream).poll_flush(cx),
         }
     }
@@ -150,6 +168,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         match &mut self.stream {
             Stream::Direct(stream) => Pin::new(stream).poll_shutdown(cx),
+            Stream::Counted(stream) => Pin::new(stream).poll_shutdown(cx),
             Stream::Relayed(stream) => Pin::new(stream).poll_shutdown(cx),
         }
     }
--- a/crates/gateway/src/batched_calls.rs
+++ b/crates/gateway/src/batched_calls.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_connect::{Pool, PoolRules};
+use hollowsail_connect::{Dialer, Pool, PoolRules};
 use http::StatusCode;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -70,7 +70,7 @@
 
 impl<M: Serialize + 'static, R: DeserializeOwned + 'static> BatchedCalls<M, R> {
     /// Creates the sender; it connects with the first call.
-    pub fn new(from: u64, addr: SocketAddr, path: &'static str) -> Rc<Self> {
+    pub fn new(from: u64, dialer: Dialer, addr: SocketAddr, path: &'static str) -> Rc<Self> {
         let rules = PoolRules {
             dial_timeout: REPLY_TIMEOUT,
             max_idle: MAX_IDLE,
@@ -79,7 +79,7 @@
         Rc::new(BatchedCalls {
             from,
             path,
-            pool: Pool::new(addr, rules),
+            pool: Pool::with_dialer(addr, rules, dialer),
             outbox: RefCell::default(),
             is_scheduled: Cell::new(false),
             calls: Cell::new(0),
--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -6,9 +6,11 @@
 use std::cell::Cell;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Instant;
 
+use hollowsail_connect::{ByteCounts, Counted};
 use hollowsail_platform::deployment::CallerLimits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -91,22 +93,25 @@
     }
 }
 
-/// A socket that reports received bytes.
+/// A socket that reports received bytes, and counts all.
 pub struct ObservedStream {
-    stream: TcpStream,
+    stream: Counted<TcpStream>,
     activity: Rc<Activity>,
 }
 
 impl ObservedStream {
-    pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
-        ObservedStream { stream, activity }
+    pub fn new(stream: TcpStream, activity: Rc<Activity>, counts: Arc<ByteCounts>) -> Self {
+        ObservedStream {
+            stream: Counted::new(stream, counts),
+            activity,
+        }
     }
 }
 
 impl Drop for ObservedStream {
     fn drop(&mut self) {
         if self.activity.must_reset.get() {
-            if let Err(err) = self.stream.set_zero_linger() {
+            if let Err(err) = self.stream.get_ref().set_zero_linger() {
                 log::warn!("cannot reset the connection of an interrupted response: {err}");
             }
         }
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -71,7 +71,11 @@
         let answering = answer(cx.clone(), req, in_flight);
         async move { Ok::<_, Infallible>(answering.await) }
     });
-    let io = TokioIo::new(ObservedStream::new(stream, activity.clone()));
+    let io = TokioIo::new(ObservedStream::new(
+        stream,
+        activity.clone(),
+        cx.load.callers.clone(),
+    ));
     let mut connection = pin!(http1::Builder::new()
         .auto_date_header(false)
         // A connection accepted during a planned stop carries one request.
--- a/crates/gateway/src/callers/in_flight.rs
+++ b/crates/gateway/src/callers/in_flight.rs
@@ -24,6 +24,7 @@
     /// Starts to count a request whose head was received.
     pub fn begin(cx: &Rc<Traffic>, activity: &Rc<Activity>, version: Version) -> Self {
         cx.in_flight.set(cx.in_flight.get() + 1);
+        cx.load.record_request();
         InFlight {
             cx: cx.clone(),
             activity: activity.clone(),
--- a/crates/gateway/src/callers/listen.rs
+++ b/crates/gateway/src/callers/listen.rs
@@ -38,7 +38,10 @@
             continue;
         }
         match listener.accept().await {
-            Ok((stream, _)) => connection::spawn(&cx, stream),
+            Ok((stream, _)) => {
+                cx.load.record_accepted();
+                connection::spawn(&cx, stream);
+            }
             Err(err) => {
                 log::warn!("cannot accept a connection: {err}; retrying");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,6 +19,7 @@
 mod crashes;
 mod event_loop_lag;
 mod feed;
+mod host_load;
 mod log;
 mod mechanisms;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,6 +84,19 @@
     gauge!("hollowsail_targets_unreachable").set(f64::from(u8::from(is_cut_off)));
 }
 
+/// Sets the bytes exchanged with callers, targets and peers.
+pub fn set_host_bytes(received: [u64; 3], sent: [u64; 3]) {
+    let ends = ["callers", "targets", "peers"].into_iter();
+    for (end, (received, sent)) in ends.zip(received.into_iter().zip(sent)) {
+        let set = |direction, bytes| {
+            counter!("hollowsail_host_bytes_total", "end" => end, "direction" => direction)
+                .absolute(bytes);
+        };
+        set("received", received);
+        set("sent", sent);
+    }
+}
+
 /// Counts a connection that a peer was asked to relay, with its outcome.
 pub fn count_relayed(outcome: &'static str) {
     counter!("hollowsail_relayed_connections_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hollowsail_connect::{Pool, PoolRules, SendError};
+use hollowsail_connect::{Dialer, Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
 use hollowsail_targets::LimitKind;
@@ -123,12 +123,13 @@
             max_idle: 1,
             idle_timeout: Duration::from_secs(60),
         };
+        let dialer = || Dialer::counted(peer.addr, cx.load.peers.clone());
         Rc::new(Link {
             cx: Rc::downgrade(cx),
-            pool: Pool::new(peer.addr, rules),
-            reservations: BatchedCalls::new(cx.me.id.0, peer.addr, RESERVATIONS_PATH),
-            reports: BatchedCalls::new(cx.me.id.0, peer.addr, TARGET_REPORTS_PATH),
-            parts: BatchedCalls::new(cx.me.id.0, peer.addr, PARTS_PATH),
+            pool: Pool::with_dialer(peer.addr, rules, dialer()),
+            reservations: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, RESERVATIONS_PATH),
+            reports: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, TARGET_REPORTS_PATH),
+            parts: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, PARTS_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hollowsail_connect::set_options;
+use hollowsail_connect::{set_options, Counted};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_targets::LimitKind;
 use http::{Method, Request, Response, StatusCode};
@@ -55,6 +55,7 @@
         log::debug!("cannot set the options of a peer's connection: {err}");
         return;
     }
+    let stream = Counted::new(stream, cx.load.peers.clone());
     let service = service_fn(|req| {
         let cx = cx.clone();
         async move { Ok::<_, Infallible>(answer(&cx, req).await) }
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowsail_connect::{relay, DialError, ProcessState, RelayedPeer};
+use hollowsail_connect::{relay, Counted, DialError, ProcessState, RelayedPeer};
 use hollowsail_observe::events;
 use hollowsail_targets::Target;
 use http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode};
@@ -148,8 +148,16 @@
         Ok(upgraded) => upgraded,
         Err(err) => return log::debug!("a peer's request for a relay ended: {err}"),
     };
-    match upgraded.downcast::<TokioIo<TcpStream>>() {
-        Ok(parts) => relay(parts.io.into_inner(), parts.read_buf, target, state).await,
+    match upgraded.downcast::<TokioIo<Counted<TcpStream>>>() {
+        Ok(parts) => {
+            relay(
+                parts.io.into_inner().into_inner(),
+                parts.read_buf,
+                target,
+                state,
+            )
+            .await
+        }
         Err(_) => log::error!("a relayed connection has an unexpected type"),
     }
 }
--- a/crates/gateway/src/reach/open.rs
+++ b/crates/gateway/src/reach/open.rs
@@ -96,7 +96,8 @@
 async fn direct(cx: &Rc<Traffic>, addr: SocketAddr, limit: Duration) -> Dialled {
     let stream = dial_direct(cx, addr, limit).await?;
     let observer = cx.reach.liveness.clone();
-    Ok(Transport::observed(stream, observer))
+    let transport = Transport::counted(stream, cx.load.targets.clone());
+    Ok(transport.observed_by(observer))
 }
 
 /// Connects to a target from this host, and counts the result.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -24,7 +24,7 @@
 use crate::stop;
 use crate::traffic::{FromControl, Traffic};
 use crate::view::Published;
-use crate::{callers, event_loop_lag, metrics, peers, reach, readiness};
+use crate::{callers, event_loop_lag, host_load, metrics, peers, reach, readiness};
 
 /// Reason why the gateway did not start.
 #[derive(Debug, Snafu)]
@@ -197,6 +197,7 @@
     let accepting = callers::start(cx, into_tokio(listeners.callers)?);
     actix_rt::spawn(cx.clone().follow_views());
     actix_rt::spawn(event_loop_lag::watch(cx.clone()));
+    actix_rt::spawn(host_load::watch(cx.clone()));
     actix_rt::spawn(reach::watch(cx.clone()));
     actix_rt::spawn(Rollouts::follow(cx.clone()));
     actix_rt::spawn(request::copy_records_when_contested(cx.clone()));
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -9,9 +9,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use futures_util::future::join_all;
 use futures_util::stream::{FuturesUnordered, StreamExt};
+use hollowsail_connect::{ByteCounts, Dialer};
 use hollowsail_streams::{
     holders, Build, Findings, ListedVersion, Millis, OriginTable, StreamKey, VersionHistory,
 };
@@ -56,18 +58,21 @@
     /// The versions listed last.
     listed: RefCell<(Vec<ListedVersion>, bool)>,
     calls: RefCell<HashMap<u64, Rc<OriginCalls>>>,
+    /// Counts the bytes of the calls.
+    bytes: Arc<ByteCounts>,
     /// Notified when the listed versions change.
     pub versions_changed: Notify,
 }
 
 impl StreamOrigins {
-    pub fn new(me: u64) -> Self {
+    pub fn new(me: u64, bytes: Arc<ByteCounts>) -> Self {
         StreamOrigins {
             me,
             table: RefCell::default(),
             history: RefCell::default(),
             listed: RefCell::default(),
             calls: RefCell::default(),
+            bytes,
             versions_changed: Notify::new(),
         }
     }
@@ -204,7 +209,8 @@
 
     fn calls_to(&self, holder: &Holder) -> Rc<OriginCalls> {
         let mut calls = self.calls.borrow_mut();
-        let new = || BatchedCalls::new(self.me, holder.addr, STREAMS_PATH);
+        let dialer = || Dialer::counted(holder.addr, self.bytes.clone());
+        let new = || BatchedCalls::new(self.me, dialer(), holder.addr, STREAMS_PATH);
         calls.entry(holder.run).or_insert_with(new).clone()
     }
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -19,6 +19,7 @@
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::feed::Feeds;
+use crate::host_load::HostLoad;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerId, PeerRecord, Peers};
@@ -116,6 +117,8 @@
     /// Open connections of callers.
     pub connections: Cell<usize>,
     pub stopping: Cell<Stopping>,
+    /// What this host's processor and link carry.
+    pub load: HostLoad,
     /// Event-loop lag of this thread.
     pub lag: Cell<EventLoopLag>,
     /// Notified shortly before the process exits: requests not sent to a target yet are
@@ -141,7 +144,8 @@
         phases: mpsc::Sender<RecordPhase>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
-            let stream_origins = StreamOrigins::new(me.id.0);
+            let load = HostLoad::default();
+            let stream_origins = StreamOrigins::new(me.id.0, load.peers.clone());
             Rc::new_cyclic(|cx| Traffic {
                 log: Log::new(&settings.load().host),
                 me,
@@ -169,6 +173,7 @@
                 in_flight: Cell::new(0),
                 connections: Cell::new(0),
                 stopping: Cell::new(Stopping::No),
+                load,
                 lag: Cell::default(),
                 final_shutdown: Notify::new(),
                 close_idle: Notify::new(),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -102,6 +102,7 @@
     TARGETS_LISTED, 320, "targets_listed", Info, "Many target records arrived together, or have to be read from another source.";
     MEMBER, 401, "member", Info, "A member's health or stop state changed.";
     PACE, 402, "pace", Warn, "This entry started or stopped keeping up with its work.";
+    HOST_LOAD, 403, "host_load", Info, "What this host carried in the last second: connections and requests of callers, the event-loop lag, and bytes by the other end.";
 }
 
 /// Writes one line.
