--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -39,6 +39,11 @@
     #[argh(option)]
     old_program: Option<PathBuf>,
 
+    /// play only the crowding of one host, on hosts with an eighth of a core and 10 Mbit/s;
+    /// --seconds has no effect
+    #[argh(switch)]
+    small_hosts: bool,
+
     /// folder for settings, output and events; a new one under target when absent
     #[argh(option)]
     folder: Option<PathBuf>,
@@ -56,6 +61,7 @@
                 program: self.program.clone(),
                 old_program: self.old_program.clone(),
                 folder: self.folder.clone(),
+                small_hosts: self.small_hosts,
             };
             let report = soak::run(&options)
                 .await
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -20,6 +20,7 @@
 mod processes;
 mod report;
 mod room;
+mod small_hosts;
 mod versions;
 
 use std::path::{Path, PathBuf};
@@ -27,6 +28,7 @@
 use std::time::Duration;
 
 use hollowsail_config::fault::Faults;
+use hollowsail_platform_emulator::entry::HostLimits;
 use hollowsail_platform_emulator::Site;
 use snafu::Snafu;
 
@@ -52,6 +54,8 @@
     /// Program of the first gateway, which may be an older build.
     pub old_program: Option<PathBuf>,
     pub folder: Option<PathBuf>,
+    /// Hosts with a fraction of a core and a narrow link, one of which is crowded.
+    pub small_hosts: bool,
 }
 
 /// Why a soak run could not start.
@@ -84,8 +88,11 @@
 
 /// Runs the soak once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    if options.small_hosts {
+        return small_hosts::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
-    let fleet = Rc::new(Fleet::start(options, &plan).await?);
+    let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
     fleet.run_faults(&plan).await;
     tokio::time::sleep(SETTLE).await;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -12,7 +12,7 @@
 
 use super::contention::{self, Burst};
 use super::crowding::{self, Crowding};
-use super::{brittle, departures, fragile, versions};
+use super::{brittle, departures, fragile, versions, SoakOptions};
 
 /// Earliest start of a fault, and the latest one counted from the end of the run, in seconds.
 const FIRST_FAULT_S: u64 = 4;
@@ -192,10 +192,7 @@
         let departures = departures::draw(seed, latest, entries);
         let (fragile_sections, fragile) = fragile::draw(seed, latest);
         let (cut_section, cut) = draw_cut(seed, latest, entries);
-        let platform = format!(
-            "[platform]\nhalls = hall-a, hall-b\nhosts = {entries}\ndrain_ms = {DRAIN_MS}\n\
-             seed = {seed}\n"
-        );
+        let platform = platform_section(seed, entries);
         let site_text = format!(
             "{platform}\n{SERVICES}\n{}\n{cut_section}\n{contention}\n{versions}\n{brittle}\n\
              {departures}\n{fragile_sections}\n{}",
@@ -214,6 +211,26 @@
         }
     }
 
+    /// The plan of a run on a site with these sections, the first of which continues the one of the
+    /// platform, and with only these faults.
+    pub fn of_site(
+        options: &SoakOptions,
+        sections: &str,
+        faults: Vec<PlannedFault>,
+        duration: Duration,
+    ) -> Self {
+        let SoakOptions { seed, entries, .. } = options;
+        let site_text = format!("{}{sections}", platform_section(*seed, *entries));
+        SoakPlan {
+            site: parse(&site_text),
+            site_text,
+            faults,
+            cut: 0..0,
+            duration,
+            ..Self::draw(*seed, duration.as_secs(), *entries)
+        }
+    }
+
     /// Lists the gateway faults, one per line.
     pub fn describe_faults(&self) -> String {
         let lines = self.faults.iter().map(|planned| {
@@ -240,6 +257,13 @@
     }
 }
 
+fn platform_section(seed: u64, entries: usize) -> String {
+    format!(
+        "[platform]\nhalls = hall-a, hall-b\nhosts = {entries}\ndrain_ms = {DRAIN_MS}\n\
+         seed = {seed}\n"
+    )
+}
+
 fn parse(site_text: &str) -> Site {
     let source = SourceFile {
         name: "site.ini".into(),
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -12,7 +12,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use hollowsail_platform_emulator::entry::{self, EntryConfig, GRACE_S, SETTINGS_VARIABLE};
+use hollowsail_platform_emulator::entry::{
+    self, EntryConfig, HostLimits, GRACE_S, SETTINGS_VARIABLE,
+};
 use hollowsail_platform_emulator::{caller, Site};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Deserialize;
@@ -160,7 +162,11 @@
 
 impl Fleet {
     /// Starts the platform and all gateways, and waits until they are ready.
-    pub async fn start(options: &SoakOptions, plan: &SoakPlan) -> Result<Self, SoakError> {
+    pub async fn start(
+        options: &SoakOptions,
+        plan: &SoakPlan,
+        limits: HostLimits,
+    ) -> Result<Self, SoakError> {
         let folder = folder_for(options)?;
         let site = folder.join("site.ini");
         std::fs::write(&site, &plan.site_text).context(FolderSnafu { path: &site })?;
@@ -173,7 +179,10 @@
         } = &plan.site;
         let configs = entry::configs(options.entries, halls, &stores, *drain_ms);
         let fleet = Fleet {
-            gateways: configs.into_iter().map(Gateway::new).collect(),
+            gateways: configs
+                .into_iter()
+                .map(|config| Gateway::new(EntryConfig { limits, ..config }))
+                .collect(),
             program: program_for(options),
             old_program: options.old_program.clone(),
             folder,
@@ -215,6 +224,17 @@
         }
     }
 
+    /// Process ids of the gateways that run.
+    pub fn pids(&self) -> Vec<Pid> {
+        let ids = self.gateways.iter().map(|gateway| {
+            let child = gateway.child.borrow();
+            child.as_ref().and_then(Child::id)
+        });
+        ids.flatten()
+            .filter_map(|id| Pid::from_raw(id.cast_signed()))
+            .collect()
+    }
+
     /// Polls the readiness of each gateway until the run is over.
     pub async fn poll_readiness(self: Rc<Self>) {
         while !self.is_over.get() {
--- /dev/null
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -0,0 +1,499 @@
+//! A soak run on hosts with a fraction of a core and a narrow link, of which one gets most new
+//! connections for a time.
+//!
+//! Each gateway runs in turn with a few others, so that it has a share of a core, and what its callers
+//! and targets send it and get from it passes a link of limited bandwidth. Callers ask for streams with
+//! stages and for plain answers, with bodies of very different sizes. They come back once, to another
+//! gateway, as the protocol says: at once if their request wasn't read, after the time that a refusal
+//! names. Served is what was answered in time at the first try that was read.
+
+use std::cell::{Cell, RefCell};
+use std::ops::Range;
+use std::rc::Rc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
+use hollowsail_platform_emulator::entry::HostLimits;
+use hollowsail_platform_emulator::{LinkRate, RouteModel};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rustix::process::{kill_process, Pid, Signal};
+
+use super::plan::{EntryFault, PlannedFault, SoakPlan};
+use super::processes::{Fleet, Observations};
+use super::report::{Failure, FailureKind, SoakReport};
+use super::{SoakError, SoakOptions, SETTLE};
+
+/// Number of groups of gateways that run in turn, and how long a group runs: each gateway has an eighth
+/// of a core.
+const GROUPS: usize = 8;
+const TURN: Duration = Duration::from_millis(2);
+/// Share of the link that callers may use, and that targets may use: both processes that play them
+/// know only their own part of what the link carries.
+const LINK_PART: f64 = 0.85;
+/// Limits of each host.
+const LIMITS: HostLimits = HostLimits {
+    core_share: 0.12,
+    link_mbps: 10.0,
+};
+/// When most new connections go to one gateway, and when that ends, from the start of the load.
+const CROWDED_FROM: Duration = Duration::from_secs(9);
+const CROWDED_UNTIL: Duration = Duration::from_secs(19);
+/// End of the load.
+const LENGTH: Duration = Duration::from_secs(27);
+/// Time at the start of the load that isn't judged.
+const WARM_UP: Duration = Duration::from_secs(3);
+/// Time from the beginning of the crowded time, and from its end, until requests have to be served as
+/// before.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// When the crowded gateway is killed in some runs, and for how long.
+const KILLED_AT: Duration = Duration::from_secs(14);
+const KILLED_FOR: Duration = Duration::from_millis(1_000);
+/// Share of the new connections that go to the crowded gateway.
+const CROWDED_SHARE: f64 = 0.85;
+/// Share of the answers after which a caller closes its connection, in the crowded time and otherwise.
+const CLOSE_SHARE: f64 = 0.7;
+const USUAL_CLOSE_SHARE: f64 = 0.4;
+/// Least share of the service before, and least number of requests on each side.
+const MIN_SHARE: f64 = 0.75;
+const MIN_REQUESTS: usize = 50;
+/// Mean pause between the requests of a caller.
+const PAUSE: Duration = Duration::from_secs(1);
+/// How long a caller waits after a refusal that names no time.
+const RETRY_PAUSE: Duration = Duration::from_millis(200);
+/// How long a caller waits beyond the route's timeout.
+const TIMEOUT_GRACE: Duration = Duration::from_millis(500);
+/// The limit of the configuration.
+const MAX_BODY_BYTES: f64 = 64_000.0;
+
+const SECTIONS: &str = "\
+[service.makers]
+kind = stage
+targets = 24
+slots = 1
+queue = 2
+batch = 40
+work_ms = 150
+piece_ms = 3
+
+[service.pool]
+kind = engines
+targets = 24
+slots = 64
+queue = 64
+connections = 800
+work_ms = 30
+events = 20
+
+[service.plain]
+kind = plain
+targets = 4
+slots = 16
+queue = 24
+connections = 500
+work_ms = 20
+
+[route.large]
+kind = stream
+path = /large/
+service = pool
+stages = makers
+target_ms = 1650
+timeout_ms = 8000
+
+[route.small]
+kind = stream
+path = /small/
+service = pool
+stages = makers
+target_ms = 700
+timeout_ms = 8000
+
+[route.plain]
+kind = safe
+path = /plain/
+service = plain
+target_ms = 200
+timeout_ms = 1500
+";
+
+/// What callers ask on a route.
+struct Demand {
+    /// Relative frequency.
+    weight: u32,
+    mean_body_bytes: f64,
+    /// Pieces of each stage.
+    pieces: u32,
+}
+
+const DEMANDS: [Demand; 3] = [
+    Demand {
+        weight: 3,
+        mean_body_bytes: 17_000.0,
+        pieces: 10,
+    },
+    Demand {
+        weight: 4,
+        mean_body_bytes: 4_000.0,
+        pieces: 4,
+    },
+    Demand {
+        weight: 3,
+        mean_body_bytes: 800.0,
+        pieces: 1,
+    },
+];
+
+/// Which callers' new connections go to the crowded gateway.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Crowd {
+    /// Those of its hall.
+    Hall,
+    All,
+}
+
+/// What a run does, by its seed.
+struct Plan {
+    entry: usize,
+    crowd: Crowd,
+    kills: bool,
+}
+
+impl Plan {
+    fn draw(seed: u64, entries: usize) -> Self {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        Plan {
+            entry: rng.random_range(0..entries),
+            crowd: match seed % 3 {
+                0 => Crowd::Hall,
+                _ => Crowd::All,
+            },
+            kills: seed % 4 == 1,
+        }
+    }
+
+    /// The times that are compared, from the start of the load.
+    fn judged(&self) -> [(&'static str, Range<Duration>); 3] {
+        [
+            ("before", WARM_UP..CROWDED_FROM),
+            ("crowded", CROWDED_FROM + CONTACT_TIME..CROWDED_UNTIL),
+            ("after", CROWDED_UNTIL + CONTACT_TIME..LENGTH),
+        ]
+    }
+}
+
+/// A request with its tries.
+#[derive(Debug)]
+struct Asked {
+    sent: Duration,
+    /// The gateway of its last try.
+    entry: usize,
+    /// Answered in time at the first try that was read.
+    is_served: bool,
+    /// Tries whose connection closed before they were read.
+    unread: u32,
+    /// How the first try that was read ended.
+    end: &'static str,
+}
+
+struct Shared {
+    plan: Plan,
+    fleet: Rc<Fleet>,
+    started: Instant,
+    routes: Vec<Rc<RouteModel>>,
+    links: Vec<Rc<LinkRate>>,
+    asked: RefCell<Vec<Asked>>,
+    requests: Cell<u64>,
+}
+
+/// Runs once, and judges what callers got.
+pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    let plan = Plan::draw(options.seed, options.entries);
+    let kill = plan.kills.then_some(PlannedFault {
+        fault: EntryFault::Kill,
+        entry: plan.entry,
+        at: KILLED_AT,
+        duration: KILLED_FOR,
+    });
+    let sections = format!("link_mbps = {}\n\n{SECTIONS}", LIMITS.link_mbps * LINK_PART);
+    let soak_plan = SoakPlan::of_site(options, &sections, kill.into_iter().collect(), LENGTH);
+    let fleet = Rc::new(Fleet::start(options, &soak_plan, LIMITS).await?);
+    let turns = Turns::start(fleet.clone());
+    let shared = Rc::new(Shared {
+        plan,
+        fleet: fleet.clone(),
+        started: Instant::now(),
+        routes: soak_plan.site.routes.iter().cloned().map(Rc::new).collect(),
+        links: (0..options.entries)
+            .map(|_| Rc::new(LinkRate::new(LIMITS.link_mbps * LINK_PART)))
+            .collect(),
+        asked: RefCell::default(),
+        requests: Cell::new(0),
+    });
+    let callers = (0..options.callers).map(|number| {
+        let rng = SmallRng::seed_from_u64(options.seed ^ ((number as u64 + 1) << 32));
+        actix_rt::spawn(call_until_end(shared.clone(), number, rng))
+    });
+    let callers: Vec<_> = callers.collect();
+    fleet.run_faults(&soak_plan).await;
+    tokio::time::sleep(SETTLE).await;
+    for caller in callers {
+        if let Err(err) = caller.await {
+            log::error!("caller task failed: {err}");
+        }
+    }
+    turns.stop().await;
+    let observations = fleet.shut_down().await;
+    Ok(evaluate(options, &shared, &observations))
+}
+
+/// Lets the gateways run in turn.
+struct Turns {
+    is_over: Arc<AtomicBool>,
+    task: actix_rt::task::JoinHandle<()>,
+}
+
+impl Turns {
+    fn start(fleet: Rc<Fleet>) -> Self {
+        let is_over = Arc::new(AtomicBool::new(false));
+        let over = is_over.clone();
+        let task = actix_rt::spawn(async move {
+            while !over.load(Ordering::Relaxed) {
+                // A gateway may have been started again.
+                let pids = fleet.pids();
+                let over = over.clone();
+                let round = actix_rt::task::spawn_blocking(move || take_turns(&pids, &over));
+                if round.await.is_err() {
+                    return;
+                }
+            }
+        });
+        Turns { is_over, task }
+    }
+
+    async fn stop(self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        // It ends with its round.
+        let _ended = self.task.await;
+    }
+}
+
+/// Lets each group run some times, then all, so that none stays stopped.
+fn take_turns(pids: &[Pid], is_over: &AtomicBool) {
+    const ROUNDS: usize = 16;
+    let signal = |group: usize, signal| {
+        for pid in pids.iter().skip(group).step_by(GROUPS) {
+            // Fails once the process has ended.
+            let _sent = kill_process(*pid, signal);
+        }
+    };
+    (0..GROUPS).for_each(|group| signal(group, Signal::STOP));
+    for turn in 0..ROUNDS * GROUPS {
+        if is_over.load(Ordering::Relaxed) {
+            break;
+        }
+        signal(turn % GROUPS, Signal::CONT);
+        std::thread::sleep(TURN);
+        signal(turn % GROUPS, Signal::STOP);
+    }
+    (0..GROUPS).for_each(|group| signal(group, Signal::CONT));
+}
+
+async fn call_until_end(shared: Rc<Shared>, number: usize, mut rng: SmallRng) {
+    let mut connection = None;
+    while shared.started.elapsed() < LENGTH {
+        let pause = PAUSE.mul_f64(rng.random_range(0.0..2.0));
+        tokio::time::sleep(pause).await;
+        let asked = ask(&shared, number, &mut connection, &mut rng).await;
+        shared.asked.borrow_mut().push(asked);
+    }
+}
+
+type OpenConnection = Option<(usize, Connection)>;
+
+/// Sends a request, and a second time where the protocol allows it.
+async fn ask(
+    shared: &Shared,
+    number: usize,
+    connection: &mut OpenConnection,
+    rng: &mut SmallRng,
+) -> Asked {
+    let weights = DEMANDS.iter().map(|demand| demand.weight);
+    let drawn = rng.random_range(0..weights.clone().sum());
+    let sums = weights.scan(0, |sum, weight| {
+        *sum += weight;
+        Some(*sum)
+    });
+    let index = sums.take_while(|sum| *sum <= drawn).count();
+    let (route, demand) = (&shared.routes[index], &DEMANDS[index]);
+    let body = -demand.mean_body_bytes * (1.0 - rng.random::<f64>()).ln();
+    let request = |id| CallerRequest {
+        body_bytes: body.min(MAX_BODY_BYTES) as usize,
+        pieces: vec![demand.pieces; route.stages.len()],
+        ..CallerRequest::for_route(route, id)
+    };
+    let sent = shared.started.elapsed();
+    let mut asked = Asked {
+        sent,
+        entry: 0,
+        is_served: false,
+        unread: 0,
+        end: "never read",
+    };
+    for try_number in 0..2 {
+        if connection.is_none() {
+            let avoided = (try_number > 0).then_some(asked.entry);
+            *connection = open(shared, number, avoided, rng).await;
+        }
+        let Some((entry, mut open)) = connection.take() else {
+            asked.unread += 1;
+            continue;
+        };
+        asked.entry = entry;
+        shared.requests.set(shared.requests.get() + 1);
+        let id = format!("{:08x}{:08x}", number + 1, shared.requests.get());
+        let timeout = Duration::from_millis(route.timeout_ms) + TIMEOUT_GRACE;
+        let response = tokio::time::timeout(timeout, open.call(&request(id))).await;
+        let began = response.as_ref().ok().and_then(|response| response.began);
+        let outcome = response.ok().map(|response| response.outcome);
+        let now = shared.started.elapsed();
+        let is_crowded = (CROWDED_FROM..CROWDED_UNTIL).contains(&now);
+        let close_share = if is_crowded {
+            CLOSE_SHARE
+        } else {
+            USUAL_CLOSE_SHARE
+        };
+        if open.is_open() && !rng.random_bool(close_share) {
+            *connection = Some((entry, open));
+        }
+        let (end, pause) = match &outcome {
+            Some(Outcome::Whole) => ("whole", None),
+            Some(Outcome::NotRun { after, .. }) => ("refused", Some(after.unwrap_or(RETRY_PAUSE))),
+            Some(Outcome::Unknown { why }) if is_unread(why) => {
+                asked.unread += 1;
+                continue;
+            }
+            Some(Outcome::Unknown { .. }) => ("failed", Some(Duration::ZERO)),
+            Some(Outcome::Wrong { .. }) => ("wrong", None),
+            None => ("no answer", None),
+        };
+        if asked.end == "never read" {
+            let target = Duration::from_millis(route.target_ms);
+            let is_in_time = began.is_some_and(|began| began <= shared.started + sent + target);
+            asked.is_served = end == "whole" && is_in_time;
+            asked.end = match (end, is_in_time) {
+                ("whole", false) => "late",
+                _ => end,
+            };
+        }
+        match pause {
+            Some(pause) if pause.as_millis() as u64 <= route.timeout_ms / 3 => {
+                tokio::time::sleep(pause).await;
+                *connection = None;
+            }
+            _ => break,
+        }
+    }
+    asked
+}
+
+/// True for a connection that ended without any answer.
+fn is_unread(why: &str) -> bool {
+    !why.starts_with("status") && why.contains("connection")
+}
+
+/// Opens a connection as the balancer leads it. Second tries meet other gateways than first ones.
+async fn open(
+    shared: &Shared,
+    number: usize,
+    avoided: Option<usize>,
+    rng: &mut SmallRng,
+) -> OpenConnection {
+    let now = shared.started.elapsed();
+    let ready = shared.fleet.ready();
+    let is_same_hall = |entry: usize, other: usize| entry % 2 == other % 2;
+    let Plan { entry, crowd, .. } = shared.plan;
+    let is_led = avoided.is_none()
+        && (CROWDED_FROM..CROWDED_UNTIL).contains(&now)
+        && (crowd == Crowd::All || is_same_hall(number, entry))
+        && ready.iter().any(|(ready, _)| *ready == entry)
+        && rng.random_bool(CROWDED_SHARE);
+    let eligible = ready.iter().filter(|(ready, _)| match is_led {
+        true => *ready == entry,
+        false => is_same_hall(number, *ready) && Some(*ready) != avoided,
+    });
+    let eligible: Vec<_> = eligible.collect();
+    if eligible.is_empty() {
+        return None;
+    }
+    let (entry, addr) = *eligible[rng.random_range(0..eligible.len())];
+    let link = shared.links[entry].clone();
+    let connection = Connection::open_over(addr, link).await.ok()?;
+    Some((entry, connection))
+}
+
+fn evaluate(options: &SoakOptions, shared: &Shared, observations: &Observations) -> SoakReport {
+    let asked = shared.asked.borrow();
+    let mut failures: Vec<Failure> = observations.broken.clone();
+    let processes = observations.exit_failures.iter();
+    failures.extend(processes.map(|failure| Failure::new(FailureKind::Process, failure)));
+    let mut lines = vec![format!(
+        "gateway {} crowded by {:?}, killed: {}",
+        shared.plan.entry, shared.plan.crowd, shared.plan.kills
+    )];
+    let mut usual = None;
+    for (name, time) in shared.plan.judged() {
+        let inside = asked.iter().filter(|asked| {
+            let sent = shared.started + asked.sent;
+            let is_killed = !observations.is_undisturbed(asked.entry, sent, sent, CONTACT_TIME);
+            time.contains(&asked.sent) && !is_killed
+        });
+        let inside: Vec<&Asked> = inside.collect();
+        let served = inside.iter().filter(|asked| asked.is_served).count();
+        let share = served as f64 / inside.len().max(1) as f64;
+        lines.push(describe(name, share, &inside));
+        let usual = *usual.get_or_insert(share);
+        if share < MIN_SHARE * usual && inside.len() >= MIN_REQUESTS {
+            let description = format!(
+                "{name}: {served} of {} requests were served at the first try that was read, \
+                 {usual:.2} before",
+                inside.len()
+            );
+            failures.push(Failure::new(FailureKind::Crowded, description));
+        }
+    }
+    let count = |end: &[&str]| {
+        let ended = asked.iter().filter(|asked| end.contains(&asked.end));
+        ended.count()
+    };
+    SoakReport {
+        seed: options.seed,
+        seconds: options.seconds,
+        entries: options.entries,
+        attempts: asked.len(),
+        whole: count(&["whole", "late"]),
+        not_run: count(&["refused"]),
+        unknown: count(&["failed", "no answer", "never read"]),
+        ran: observations.ran.len(),
+        room: lines.join("\n"),
+        streams: String::new(),
+        failures,
+    }
+}
+
+fn describe(name: &str, share: f64, asked: &[&Asked]) -> String {
+    let count = |end| asked.iter().filter(|asked| asked.end == end).count();
+    let unread: u32 = asked.iter().map(|asked| asked.unread).sum();
+    format!(
+        "{name}: {} requests, {share:.2} served at the first try that was read; {} late, {} refused, \
+         {} failed, {} without an answer, {} never read; {unread} tries not read",
+        asked.len(),
+        count("late"),
+        count("refused"),
+        count("failed") + count("wrong"),
+        count("no answer"),
+        count("never read"),
+    )
+}
