Refuse callers that a full host can't serve in time while its peers can

What callers saw: while the balancer sent most new connections to one host, their requests were read there and answered late, at hosts of 0.12 of a core and 10 Mbit/s.

Cause: a host accepted whatever came, up to a number of descriptors. Its settings name its link and it measures its event loop, and neither had a say. What it read waited 0.5 to 1 s on its link.

Change: routing::host_capacity keeps a budget of bytes for each direction of the link, from which an accepted connection reserves the usual cost of a request, and decides with the event-loop lag whether callers are accepted; callers::admission carries it out. A full host asks peers of its hall for room and, while at least half of those that answer have some, stops listening for moments and lets answers say that the connection closes. A refused connect costs the link nothing and is safe to repeat for any request.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -39,11 +39,19 @@
     #[argh(option)]
     old_program: Option<PathBuf>,
 
-    /// play only the crowding of one host, on hosts with an eighth of a core and 10 Mbit/s;
+    /// play only the crowding of one host, on hosts with an eighth of a core;
     /// --seconds has no effect
     #[argh(switch)]
     small_hosts: bool,
 
+    /// bandwidth of the link of each small host, in megabits per second
+    #[argh(option, default = "10.0")]
+    link_mbps: f64,
+
+    /// give each small host a whole core, as for a build without optimizations
+    #[argh(switch)]
+    whole_cores: bool,
+
     /// folder for settings, output and events; a new one under target when absent
     #[argh(option)]
     folder: Option<PathBuf>,
@@ -62,6 +70,8 @@
                 old_program: self.old_program.clone(),
                 folder: self.folder.clone(),
                 small_hosts: self.small_hosts,
+                link_mbps: self.link_mbps,
+                whole_cores: self.whole_cores,
             };
             let report = soak::run(&options)
                 .await
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -56,6 +56,10 @@
     pub folder: Option<PathBuf>,
     /// Hosts with a fraction of a core and a narrow link, one of which is crowded.
     pub small_hosts: bool,
+    /// Bandwidth of these links, in megabits per second.
+    pub link_mbps: f64,
+    /// Small hosts have a whole core, so that only their links are narrow.
+    pub whole_cores: bool,
 }
 
 /// Why a soak run could not start.
--- a/crates/bench/src/soak/small_hosts.rs
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -8,6 +8,7 @@
 //! names. Served is what was answered in time at the first try that was read.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -18,6 +19,7 @@
 use hollowsail_platform_emulator::entry::HostLimits;
 use hollowsail_platform_emulator::{LinkRate, RouteModel};
 use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rustix::process::{kill_process, Pid, Signal};
 
@@ -33,11 +35,8 @@
 /// Share of the link that callers may use, and that targets may use: both processes that play them
 /// know only their own part of what the link carries.
 const LINK_PART: f64 = 0.85;
-/// Limits of each host.
-const LIMITS: HostLimits = HostLimits {
-    core_share: 0.12,
-    link_mbps: 10.0,
-};
+/// Share of a core of each host.
+const CORE_SHARE: f64 = 0.12;
 /// When most new connections go to one gateway, and when that ends, from the start of the load.
 const CROWDED_FROM: Duration = Duration::from_secs(9);
 const CROWDED_UNTIL: Duration = Duration::from_secs(19);
@@ -217,17 +216,22 @@
         at: KILLED_AT,
         duration: KILLED_FOR,
     });
-    let sections = format!("link_mbps = {}\n\n{SECTIONS}", LIMITS.link_mbps * LINK_PART);
+    let limits = HostLimits {
+        core_share: CORE_SHARE,
+        link_mbps: options.link_mbps,
+    };
+    let link_mbps = limits.link_mbps * LINK_PART;
+    let sections = format!("link_mbps = {link_mbps}\n\n{SECTIONS}");
     let soak_plan = SoakPlan::of_site(options, &sections, kill.into_iter().collect(), LENGTH);
-    let fleet = Rc::new(Fleet::start(options, &soak_plan, LIMITS).await?);
-    let turns = Turns::start(fleet.clone());
+    let fleet = Rc::new(Fleet::start(options, &soak_plan, limits).await?);
+    let turns = (!options.whole_cores).then(|| Turns::start(fleet.clone()));
     let shared = Rc::new(Shared {
         plan,
         fleet: fleet.clone(),
         started: Instant::now(),
         routes: soak_plan.site.routes.iter().cloned().map(Rc::new).collect(),
         links: (0..options.entries)
-            .map(|_| Rc::new(LinkRate::new(LIMITS.link_mbps * LINK_PART)))
+            .map(|_| Rc::new(LinkRate::new(link_mbps)))
             .collect(),
         asked: RefCell::default(),
         requests: Cell::new(0),
@@ -244,7 +248,9 @@
             log::error!("caller task failed: {err}");
         }
     }
-    turns.stop().await;
+    if let Some(turns) = turns {
+        turns.stop().await;
+    }
     let observations = fleet.shut_down().await;
     Ok(evaluate(options, &shared, &observations))
 }
@@ -345,7 +351,12 @@
     for try_number in 0..2 {
         if connection.is_none() {
             let avoided = (try_number > 0).then_some(asked.entry);
-            *connection = open(shared, number, avoided, rng).await;
+            if let Some((entry, addr)) = choose(shared, number, avoided, rng) {
+                asked.entry = entry;
+                let link = shared.links[entry].clone();
+                let opened = Connection::open_over(addr, link).await;
+                *connection = opened.ok().map(|connection| (entry, connection));
+            }
         }
         let Some((entry, mut open)) = connection.take() else {
             asked.unread += 1;
@@ -404,13 +415,14 @@
     !why.starts_with("status") && why.contains("connection")
 }
 
-/// Opens a connection as the balancer leads it. Second tries meet other gateways than first ones.
-async fn open(
+/// The gateway to which the balancer leads a new connection. Second tries meet other gateways than
+/// first ones.
+fn choose(
     shared: &Shared,
     number: usize,
     avoided: Option<usize>,
     rng: &mut SmallRng,
-) -> OpenConnection {
+) -> Option<(usize, SocketAddr)> {
     let now = shared.started.elapsed();
     let ready = shared.fleet.ready();
     let is_same_hall = |entry: usize, other: usize| entry % 2 == other % 2;
@@ -420,18 +432,21 @@
         && (crowd == Crowd::All || is_same_hall(number, entry))
         && ready.iter().any(|(ready, _)| *ready == entry)
         && rng.random_bool(CROWDED_SHARE);
-    let eligible = ready.iter().filter(|(ready, _)| match is_led {
-        true => *ready == entry,
-        false => is_same_hall(number, *ready) && Some(*ready) != avoided,
-    });
-    let eligible: Vec<_> = eligible.collect();
-    if eligible.is_empty() {
-        return None;
-    }
-    let (entry, addr) = *eligible[rng.random_range(0..eligible.len())];
-    let link = shared.links[entry].clone();
-    let connection = Connection::open_over(addr, link).await.ok()?;
-    Some((entry, connection))
+    let others = ready.iter().filter(|(ready, _)| Some(*ready) != avoided);
+    let others: Vec<_> = others.collect();
+    let is_eligible = |ready: usize| match is_led {
+        true => ready == entry,
+        false => is_same_hall(number, ready),
+    };
+    let eligible = others.iter().copied();
+    let eligible: Vec<_> = eligible.filter(|(ready, _)| is_eligible(*ready)).collect();
+    // A hall without another gateway leads to the next one.
+    let eligible = if eligible.is_empty() {
+        others
+    } else {
+        eligible
+    };
+    eligible.choose(rng).map(|chosen| **chosen)
 }
 
 fn evaluate(options: &SoakOptions, shared: &Shared, observations: &Observations) -> SoakReport {
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -108,7 +108,7 @@
     in_flight: InFlight,
 ) -> Response<CountedBody> {
     let mut response = request::serve(cx.clone(), req).await;
-    if cx.stopping.get() != Stopping::No {
+    if cx.stopping.get() != Stopping::No || cx.admission.sheds_connections(&cx) {
         // Makes the caller send its next request to another entry.
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
--- a/crates/gateway/src/callers/listen.rs
+++ b/crates/gateway/src/callers/listen.rs
@@ -11,6 +11,8 @@
 
 /// Pause after a failed accept, for example when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Interval between checks whether a full host has room again.
+const ADMISSION_INTERVAL: Duration = Duration::from_millis(10);
 /// Length of the accept queue. A dropped SYN is sent again only after a second or more.
 const BACKLOG: u32 = 1_024;
 /// Share of the descriptors that callers may use; the rest is left for targets, peers and the
@@ -30,9 +32,12 @@
     actix_rt::spawn(accept(cx.clone(), listener))
 }
 
-async fn accept(cx: Rc<Traffic>, listener: TcpListener) {
+async fn accept(cx: Rc<Traffic>, mut listener: TcpListener) {
     let max_connections = (cx.settings().limits.descriptors as f64 * CALLERS_SHARE) as usize;
     loop {
+        if !cx.admission.is_open(&cx) {
+            listener = pause_listening(&cx, listener).await;
+        }
         if cx.connections.get() >= max_connections {
             tokio::time::sleep(ACCEPT_PAUSE).await;
             continue;
@@ -40,6 +45,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 cx.load.record_accepted();
+                cx.admission.record_accepted(&cx);
                 connection::spawn(&cx, stream);
             }
             Err(err) => {
@@ -50,6 +56,26 @@
     }
 }
 
+/// Refuses connections until the host has room again. What waits in the accept queue is reset.
+async fn pause_listening(cx: &Rc<Traffic>, listener: TcpListener) -> TcpListener {
+    let addr = listener
+        .local_addr()
+        .unwrap_or(cx.settings().listen.callers);
+    drop(listener);
+    while !cx.admission.is_open(cx) {
+        tokio::time::sleep(ADMISSION_INTERVAL).await;
+    }
+    loop {
+        match bind(addr).and_then(TcpListener::from_std) {
+            Ok(listener) => return listener,
+            Err(err) => {
+                log::warn!("cannot listen at {addr} again: {err}; retrying");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Passes each accepted connection to `handle` until the thread ends, and retries failed accepts
 /// after a pause. `label` names the remote side in log messages.
 pub async fn accept_each(listener: TcpListener, label: &str, mut handle: impl FnMut(TcpStream)) {
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_connect::{Pool, PoolRules};
+use hollowsail_connect::{Dialer, Pool};
 use hollowsail_platform::targets::Incarnation;
 use rand::seq::IndexedRandom;
 
@@ -60,12 +60,7 @@
 }
 
 fn pool_of(addr: SocketAddr) -> Rc<Pool> {
-    let rules = PoolRules {
-        dial_timeout: ANSWER_TIMEOUT,
-        max_idle: 0,
-        idle_timeout: Duration::ZERO,
-    };
-    Pool::new(addr, rules)
+    peer_call::single_use_pool(addr, Dialer::direct(addr), ANSWER_TIMEOUT)
 }
 
 async fn query_draining(addr: SocketAddr) -> Result<Vec<Incarnation>, QueryError> {
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -10,6 +10,7 @@
 
 use hollowsail_connect::ByteCounts;
 use hollowsail_observe::events;
+use hollowsail_routing::Carried;
 
 use crate::metrics;
 use crate::traffic::Traffic;
@@ -38,6 +39,17 @@
         self.requests.set(self.requests.get() + 1);
     }
 
+    /// All bytes, and the requests of callers.
+    pub fn carried(&self) -> Carried {
+        let ends = [&self.callers, &self.targets, &self.peers].into_iter();
+        let received = ends.clone().map(|end| end.received()).sum();
+        let sent = ends.map(|end| end.sent()).sum();
+        Carried {
+            bytes: [received, sent],
+            requests: self.requests.get(),
+        }
+    }
+
     fn totals(&self) -> Totals {
         let ends = [&self.callers, &self.targets, &self.peers];
         Totals {
--- a/crates/gateway/src/mechanisms.rs
+++ b/crates/gateway/src/mechanisms.rs
@@ -40,10 +40,12 @@
     Reservations,
     /// Peers relay connections to targets that a host doesn't reach.
     Relays,
+    /// A full host refuses connections of callers while its peers have room.
+    CallerAdmission,
 }
 
 /// Command-line names of the mechanisms.
-const NAMES: [(Mechanism, &str); 16] = [
+const NAMES: [(Mechanism, &str); 17] = [
     (Mechanism::SharedQueues, "shared-queues"),
     (Mechanism::Scheduler, "desk"),
     (Mechanism::Affinity, "affinity"),
@@ -60,6 +62,7 @@
     (Mechanism::TargetSpeeds, "target-speeds"),
     (Mechanism::Reservations, "reservations"),
     (Mechanism::Relays, "relays"),
+    (Mechanism::CallerAdmission, "caller-admission"),
 ];
 
 /// No mechanism has the given name.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -97,6 +97,11 @@
     }
 }
 
+/// Counts a time in which this host refuses connections of callers.
+pub fn count_refusing_callers() {
+    counter!("hollowsail_callers_refused_total").increment(1);
+}
+
 /// Counts a connection that a peer was asked to relay, with its outcome.
 pub fn count_relayed(outcome: &'static str) {
     counter!("hollowsail_relayed_connections_total", "outcome" => outcome).increment(1);
--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -1,10 +1,11 @@
 //! One request to a peer with a body in MessagePack, and its response.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use hollowsail_connect::{CompleteAnswer, Pool};
+use hollowsail_connect::{CompleteAnswer, Dialer, Pool, PoolRules};
 use http::{Request, StatusCode};
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
@@ -43,6 +44,16 @@
         .expect("the path is valid")
 }
 
+/// A pool for one query.
+pub fn single_use_pool(addr: SocketAddr, dialer: Dialer, dial_timeout: Duration) -> Rc<Pool> {
+    let rules = PoolRules {
+        dial_timeout,
+        max_idle: 0,
+        idle_timeout: Duration::ZERO,
+    };
+    Pool::with_dialer(addr, rules, dialer)
+}
+
 /// Sends a request to the peer behind a pool and decodes its response. `timeout` covers the
 /// whole exchange.
 pub async fn query<A: DeserializeOwned>(
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -24,6 +24,7 @@
     DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, DRAINING_PATH,
     MAX_DRAINING, RECORDS_PATH, STATE_PATH,
 };
+use crate::callers::admission::{self, RoomRequest, ROOM_PATH};
 use crate::callers::listen::accept_each;
 use crate::crashes::{PartCall, PARTS_PATH};
 use crate::feed::{FeedRequest, FEED_PATH};
@@ -85,6 +86,7 @@
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
         PARTS_PATH if is_post => part_messages(cx, req).await,
         TARGET_REPORTS_PATH if is_post => target_report_messages(cx, req).await,
+        ROOM_PATH if is_post && cx.has(Mechanism::CallerAdmission) => room(cx, req).await,
         STREAMS_PATH if is_post => stream_origins(cx, req).await,
         _ => Err(StatusCode::NOT_FOUND.into()),
     };
@@ -187,6 +189,15 @@
         .into())
 }
 
+/// Returns whether this host can serve callers of others.
+async fn room(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let RoomRequest {} = read(req).await?;
+    let reply = admission::reply(cx);
+    Ok(rmp_serde::to_vec(&reply)
+        .expect("these types always encode")
+        .into())
+}
+
 /// Returns the targets that are draining by their records or by their own reports.
 async fn draining(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let DrainingRequest {} = read(req).await?;
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -16,6 +16,7 @@
 use hollowsail_targets::{LimitKind, LimitReport, Target, TargetTable};
 use tokio::sync::{mpsc, Notify};
 
+use crate::callers::admission::Admission;
 use crate::clock::Clock;
 use crate::crashes::Crashes;
 use crate::feed::Feeds;
@@ -119,6 +120,8 @@
     pub stopping: Cell<Stopping>,
     /// What this host's processor and link carry.
     pub load: HostLoad,
+    /// Decides on new connections of callers.
+    pub admission: Admission,
     /// Event-loop lag of this thread.
     pub lag: Cell<EventLoopLag>,
     /// Notified shortly before the process exits: requests not sent to a target yet are
@@ -174,6 +177,7 @@
                 connections: Cell::new(0),
                 stopping: Cell::new(Stopping::No),
                 load,
+                admission: Admission::default(),
                 lag: Cell::default(),
                 final_shutdown: Notify::new(),
                 close_idle: Notify::new(),
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod connections;
 mod crashing;
 mod crashing_parts;
+mod crowded;
 mod cut_off;
 mod draining;
 mod evacuated_halls;
--- a/crates/gateway/tests/suite/mechanisms.rs
+++ b/crates/gateway/tests/suite/mechanisms.rs
@@ -15,6 +15,6 @@
 #[test]
 fn unknown_name_error_lists_known_names() {
     let err = Mechanisms::without(&["desks".into()]).expect_err("the name is unknown");
-    expect!["--without desks: no such mechanism; give one of shared-queues, desk, affinity, forecast, groups, halls, joint-finals, first-event, reading-times, route-priority, overdue, connection-shares, engines-by-time, target-speeds, reservations, relays"]
+    expect!["--without desks: no such mechanism; give one of shared-queues, desk, affinity, forecast, groups, halls, joint-finals, first-event, reading-times, route-priority, overdue, connection-shares, engines-by-time, target-speeds, reservations, relays, caller-admission"]
         .assert_eq(&err.to_string());
 }
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod engines_by_time;
 mod event_loop_lag;
 mod health;
+mod host_capacity;
 mod limit;
 mod occupancy;
 mod part_ledger;
