--- a/crates/gateway/tests/suite/store_followers.rs
+++ b/crates/gateway/tests/suite/store_followers.rs
@@ -190,3 +190,39 @@
     let expected = 2 * (1 + 3 + 4);
     assert!(lists <= expected + 4, "{lists} pages for {ENTRIES} entries");
 }
+
+/// Guards against taking a target for present whose record a follower has found missing already.
+#[actix_rt::test]
+async fn target_that_went_in_an_outage_is_not_kept_by_hosts_that_read_a_followers_list() {
+    let hall = Hall::start().await;
+    let next = TargetStandin::start(|request| vec![Step::Write(answer(request, 200, "two"))]).await;
+    hall.store
+        .put_target("i-2", "plain", next.addr, "hall-a", "ready");
+    for index in 0..8 {
+        let idle = format!("i-idle-{index}");
+        hall.store
+            .put_target(&idle, "other", hall._target.addr, "hall-a", "ready");
+    }
+    hall.store.compact_history();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let followers = hall.followers();
+    let set_mode = |mode, is_set: &dyn Fn(usize) -> bool| {
+        let endpoints = hall.endpoints.iter().enumerate();
+        let endpoints = endpoints.filter(|(index, _)| is_set(*index));
+        endpoints.for_each(|(_, endpoint)| endpoint.set_mode(mode));
+    };
+    set_mode(StoreMode::Refusing, &|_| true);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    hall.store.delete("servers/i-1");
+    set_mode(StoreMode::Up, &|index| followers.contains(&index));
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    set_mode(StoreMode::Up, &|_| true);
+    // Records that are missing after an outage are final two seconds after its end.
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    for (gateway, name) in hall.gateways.iter().zip(&hall.names) {
+        for _ in 0..4 {
+            let got = Call::new("GET", "/v1/").send(gateway.addrs.callers).await;
+            assert_eq!(got.body, "two", "{name} uses the target that is gone");
+        }
+    }
+}
