Say in a list for peers which targets' records are missing

Cause: after an outage of the store an entry keeps targets whose records are missing for two seconds, as they may be written again. Its list for peers had them like all others, at a position of the store past the removal. An entry that read that list took them for present and continued after the removal: it never heard of it. A doubt was passed on as a fact.

Evidence: targets_listed from a follower, then no target_gone at 34 of 40 hosts.

Change: a list at a path of its own (TARGETS_PATH; an older build answers 404 and is asked at the earlier paths) names the missing records with the position at which they were found missing, and the time until that is final. The receiver keeps these targets as long, and no longer. The same list is used while the store is away. A follower that has the same records answers, too, so that nobody waits for a change.

Served beside it: lists that peers have confirmed stay whole (record_written_after_a_peer_found_it_missing_stays).

--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -105,9 +105,19 @@
 
     /// Records an outage of the store, ended about now, that another entry reported.
     pub fn outage_reported(&mut self, now: Millis) {
+        self.outage_ended(now, now);
+    }
+
+    /// Records an outage of the store that another entry reported, and after which its missing records
+    /// are final at `final_at`.
+    pub fn outage_reported_until(&mut self, now: Millis, final_at: Millis) {
+        self.outage_ended(now, final_at.saturating_sub(self.timing.return_ms));
+    }
+
+    fn outage_ended(&mut self, now: Millis, ended_at: Millis) {
         if !self.is_unsettled(now) {
             self.store_unreachable();
-            self.store_reachable(now);
+            self.store_reachable(ended_at);
         }
     }
 
@@ -252,6 +262,35 @@
         missing
     }
 
+    /// Takes over what a peer's list says of records that are missing without being final, each with
+    /// the position at which it was found missing. The list is to be adopted before. True when the
+    /// registry changed.
+    pub fn adopt_missing<'a>(
+        &mut self,
+        missing: impl IntoIterator<Item = (&'a str, Position)>,
+    ) -> bool {
+        let before = self.changes;
+        for (id, at) in missing {
+            let entry = self.entries.get_mut(id);
+            if let Some(entry) = entry.filter(|entry| entry.at <= at) {
+                entry.missing_at = entry.missing_at.max(at);
+                if entry.state == State::Recorded {
+                    entry.state = State::Unconfirmed;
+                    self.changes += 1;
+                }
+            }
+        }
+        self.changes > before
+    }
+
+    /// Targets whose record is missing, which isn't final yet, each with the position at which it was
+    /// found missing.
+    pub fn missing(&self) -> impl Iterator<Item = (&str, Position)> {
+        let entries = self.entries.iter();
+        let missing = entries.filter(|(_, entry)| entry.state == State::Unconfirmed);
+        missing.map(|(id, entry)| (id.as_str(), entry.missing_at))
+    }
+
     /// Pause of the watch on these records, at most `longest`, in milliseconds; see
     /// [`watch_pause`].
     pub fn watch_pause(&self, now: Millis, longest: Millis) -> Millis {
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -248,3 +248,30 @@
     assert!(registry.put("a", meta(3, true), "a"));
     assert_eq!(usable(&registry), ["b"]);
 }
+
+#[test]
+fn record_that_a_peer_found_missing_is_kept_until_that_is_final() {
+    let mut registry = registry();
+    assert!(registry.adopt(&["a", "b"], at(5)).is_empty());
+    assert!(registry.adopt_missing([("a", at(4))]));
+    registry.outage_reported_until(10_000, 10_500);
+    assert_eq!(usable(&registry), ["a", "b"]);
+    assert_eq!(registry.missing().collect::<Vec<_>>(), [("a", at(4))]);
+    assert_eq!(registry.settles_at(), Some(10_500));
+    assert!(registry.settle(10_499).is_empty());
+    assert_eq!(registry.settle(10_500), ["a"]);
+}
+
+#[test]
+fn record_written_after_a_peer_found_it_missing_stays() {
+    let mut registry = registry();
+    registry.put("a", meta(6, false), "a");
+    assert!(!registry.adopt_missing([("a", at(4)), ("unknown", at(4))]));
+    registry.put("b", meta(2, false), "b");
+    assert!(registry.adopt_missing([("b", at(4))]));
+    registry.put("b", meta(7, false), "b");
+    assert_eq!(registry.missing().count(), 0);
+    registry.outage_reported_until(0, 100);
+    assert!(registry.settle(200).is_empty());
+    assert_eq!(usable(&registry), ["a", "b"]);
+}
--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -17,8 +17,11 @@
 /// A value, and the registry's change count that it is valid for.
 type AsOf<T> = RefCell<Option<(u64, T)>>;
 
-/// All records with their positions.
-type Records = Arc<[(Position, Arc<TargetRecord>)]>;
+/// All records with their positions, and the missing ones.
+type Records = (
+    Arc<[(Position, Arc<TargetRecord>)]>,
+    Arc<[(String, Position)]>,
+);
 
 /// The last derived values.
 #[derive(Default)]
@@ -61,12 +64,17 @@
     /// Records that peers may adopt.
     pub(super) fn records_for_peers(&self) -> KnownRecords {
         let registry = self.registry.borrow();
-        let records = as_of(&self.derived.records, registry.change_count(), || {
+        let (records, missing) = as_of(&self.derived.records, registry.change_count(), || {
             let records = registry.all().map(|(at, record)| (at, record.clone()));
-            records.collect()
+            let missing = registry.missing().map(|(id, at)| (id.to_string(), at));
+            (records.collect(), missing.collect())
         });
-        let at = self.records_at.get();
-        KnownRecords { at, records }
+        KnownRecords {
+            at: self.records_at.get(),
+            records,
+            missing,
+            missing_final_at: registry.settles_at(),
+        }
     }
 
     /// The targets for a view. While some of them depend on the time, they aren't cached.
--- a/crates/gateway/src/control/hall_records.rs
+++ b/crates/gateway/src/control/hall_records.rs
@@ -15,8 +15,11 @@
 
 use super::source::candidates;
 use super::Control;
-use crate::peer_call;
-use crate::peers::{PeerRecord, RecordsRequest, RecordsSnapshot, RECORDS_PATH};
+use crate::peer_call::{self, QueryError};
+use crate::peers::{
+    PeerRecord, RecordsRequest, RecordsSnapshot, TargetList, TargetListRequest, RECORDS_PATH,
+    TARGETS_PATH,
+};
 
 /// Time after the first list of entries from which the store followers count as known, in
 /// milliseconds. In a fleet that starts together, the first list holds only the entries
@@ -36,13 +39,8 @@
         let search = async {
             loop {
                 let peer = self.choose_list_peer()?;
-                let request = RecordsRequest {
-                    after: self.records_at.get(),
-                };
-                let pool = self.pool_of(peer.addr);
-                let answer = peer_call::query(&pool, RECORDS_PATH, &request, ANSWER_TIMEOUT).await;
-                match answer {
-                    Ok(Some(records)) => return Some(self.apply_hall_records(&peer, records)),
+                match self.query_hall_peer(&peer).await {
+                    Ok(Some(list)) => return Some(self.apply_hall_records(&peer, list)),
                     Ok(None) => {}
                     Err(err) => log::debug!("{} returned no list of targets: {err}", peer.host),
                 }
@@ -57,20 +55,35 @@
         })
     }
 
-    fn apply_hall_records(
-        self: &Rc<Self>,
-        from: &PeerRecord,
-        records: RecordsSnapshot,
-    ) -> Position {
-        let at = records.at;
+    async fn query_hall_peer(&self, peer: &PeerRecord) -> Result<Option<TargetList>, QueryError> {
+        let pool = self.pool_of(peer.addr);
+        let after = self.records_at.get();
+        let request = TargetListRequest {
+            after,
+            must_follow: true,
+        };
+        let answer = peer_call::query(&pool, TARGETS_PATH, &request, ANSWER_TIMEOUT).await;
+        match answer {
+            Err(err) if err.is_unsupported() => {}
+            answer => return answer,
+        }
+        let request = RecordsRequest { after };
+        let answer: Option<RecordsSnapshot> =
+            peer_call::query(&pool, RECORDS_PATH, &request, ANSWER_TIMEOUT).await?;
+        Ok(answer.map(TargetList::without_missing))
+    }
+
+    fn apply_hall_records(self: &Rc<Self>, from: &PeerRecord, list: TargetList) -> Position {
+        let at = list.snapshot.at;
         let fields = format_args!(
-            "from={} targets={} at={at} before={}",
+            "from={} targets={} missing={} at={at} before={}",
             from.host,
-            records.records.len(),
+            list.snapshot.records.len(),
+            list.missing.len(),
             self.records_at.get()
         );
         self.log.line(events::TARGETS_LISTED, fields);
-        self.adopt_records(records);
+        self.adopt_list(list);
         at
     }
 
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -9,12 +9,16 @@
 use std::time::Duration;
 
 use hollowsail_connect::{Dialer, Pool};
+use hollowsail_fleet::Position;
 use hollowsail_platform::targets::Incarnation;
 use rand::seq::IndexedRandom;
 
 use super::Control;
 use crate::peer_call::{self, QueryError};
-use crate::peers::{DrainingRequest, StateRequest, StateResponse, DRAINING_PATH, STATE_PATH};
+use crate::peers::{
+    DrainingRequest, StateRequest, StateResponse, TargetList, TargetListRequest, DRAINING_PATH,
+    STATE_PATH, TARGETS_PATH,
+};
 
 /// Interval between rounds: a configuration must be in force within seconds at a host that
 /// the store refuses.
@@ -31,7 +35,18 @@
             cx.store_lost.notified().await;
         }
         for addr in choose_peers(&cx) {
-            match query_peer(&cx, addr).await {
+            let records = match query_targets(&cx, addr).await {
+                Ok(list) => {
+                    list.into_iter().for_each(|list| cx.adopt_list(list));
+                    None
+                }
+                Err(err) if err.is_unsupported() => Some(cx.records_at.get()),
+                Err(err) => {
+                    log::debug!("peer {addr} returned no list of targets: {err}");
+                    None
+                }
+            };
+            match query_peer(&cx, addr, records).await {
                 Ok(answer) => cx.apply_state(answer),
                 Err(err) => log::debug!("peer {addr} returned no state: {err}"),
             }
@@ -68,10 +83,24 @@
     peer_call::query(&pool_of(addr), DRAINING_PATH, &request, ANSWER_TIMEOUT).await
 }
 
-async fn query_peer(cx: &Control, addr: SocketAddr) -> Result<StateResponse, QueryError> {
+async fn query_targets(cx: &Control, addr: SocketAddr) -> Result<Option<TargetList>, QueryError> {
+    let request = TargetListRequest {
+        after: cx.records_at.get(),
+        must_follow: false,
+    };
+    peer_call::query(&pool_of(addr), TARGETS_PATH, &request, ANSWER_TIMEOUT).await
+}
+
+/// Queries the rest of a peer's state; target records after `records` only from an older build, which
+/// sends them with it.
+async fn query_peer(
+    cx: &Control,
+    addr: SocketAddr,
+    records: Option<Position>,
+) -> Result<StateResponse, QueryError> {
     let request = StateRequest {
         configuration: cx.configuration_version(),
-        records: cx.records_at.get(),
+        records: records.unwrap_or(Position::new(u64::MAX, u64::MAX)),
         evacuated: cx.evacuated.borrow().as_of(),
     };
     peer_call::query(&pool_of(addr), STATE_PATH, &request, ANSWER_TIMEOUT).await
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -12,7 +12,7 @@
 use super::source::Origin;
 use super::Control;
 use crate::feed::KeyGroup;
-use crate::peers::{PositionedRecord, RecordsSnapshot};
+use crate::peers::{PositionedRecord, RecordsSnapshot, TargetList};
 
 /// Batch size from which changed records are logged as one summary line.
 const SUMMARY_THRESHOLD: usize = 200;
@@ -139,6 +139,27 @@
         }
     }
 
+    /// Adopts all records from a peer, and what it says of missing ones: these stay until they have had
+    /// time to be written again.
+    pub(super) fn adopt_list(self: &Rc<Self>, list: TargetList) {
+        self.adopt_records(list.snapshot);
+        let missing = list.missing.iter().map(|(id, at)| (id.as_str(), *at));
+        let mut registry = self.registry.borrow_mut();
+        let has_changed = registry.adopt_missing(missing);
+        if has_changed {
+            let now = self.clock.now();
+            match list.final_in_ms {
+                Some(final_in_ms) => registry.outage_reported_until(now, now + final_in_ms),
+                None => registry.outage_reported(now),
+            }
+        }
+        drop(registry);
+        if has_changed {
+            self.publish();
+        }
+        self.settle_records_later();
+    }
+
     /// Adopts all records from a peer that follows the store.
     pub(super) fn adopt_records(self: &Rc<Self>, listed: RecordsSnapshot) {
         let present: Vec<String> = listed
--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -35,6 +35,13 @@
     Malformed { source: rmp_serde::decode::Error },
 }
 
+impl QueryError {
+    /// True if the peer's build doesn't know the request.
+    pub fn is_unsupported(&self) -> bool {
+        matches!(self, QueryError::Status { status } if *status == StatusCode::NOT_FOUND)
+    }
+}
+
 /// A request to a peer with a body in MessagePack.
 pub fn request(path: &str, body: &impl Serialize) -> Request<Full<Bytes>> {
     let body = rmp_serde::to_vec(body).expect("messages to peers always encode");
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -21,8 +21,8 @@
 };
 use super::record::PeerRecord;
 use super::state::{
-    DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, DRAINING_PATH,
-    MAX_DRAINING, RECORDS_PATH, STATE_PATH,
+    DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, TargetList,
+    TargetListRequest, DRAINING_PATH, MAX_DRAINING, RECORDS_PATH, STATE_PATH, TARGETS_PATH,
 };
 use crate::callers::admission::{self, RoomRequest, ROOM_PATH};
 use crate::callers::listen::accept_each;
@@ -81,6 +81,7 @@
         STATE_PATH if is_post => state(cx, req).await,
         DRAINING_PATH if is_post => draining(cx, req).await,
         RECORDS_PATH if is_post => records_if_newer(cx, req).await,
+        TARGETS_PATH if is_post => targets_if_newer(cx, req).await,
         FEED_PATH if is_post => changes(cx, req).await,
         // Without the mechanism this entry answers like a build without reservations.
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
@@ -225,6 +226,23 @@
         .into())
 }
 
+/// Returns all target records unless the requester has them, with those that are missing.
+async fn targets_if_newer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let request: TargetListRequest = read(req).await?;
+    let view = cx.view();
+    let may_answer = view.is_store_reachable || !request.must_follow;
+    let records = Some(&view.records).filter(|_| may_answer);
+    let is_wanted = |known: &&KnownRecords| match request.must_follow {
+        true => known.at >= request.after,
+        false => known.at > request.after,
+    };
+    let wanted = records.filter(is_wanted);
+    let answer = wanted.map(|known| TargetList::of(known, cx.clock.now()));
+    Ok(rmp_serde::to_vec(&answer)
+        .expect("these types always encode")
+        .into())
+}
+
 /// Returns changes of the store as soon as there are any.
 async fn changes(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let request: FeedRequest = read(req).await?;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -37,7 +37,8 @@
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{
     DrainingRequest, PositionedRecord, RecordsRequest, RecordsSnapshot, StateRequest,
-    StateResponse, DRAINING_PATH, RECORDS_PATH, STATE_PATH,
+    StateResponse, TargetList, TargetListRequest, DRAINING_PATH, RECORDS_PATH, STATE_PATH,
+    TARGETS_PATH,
 };
 
 /// How long a peer that did not respond owns nothing after its first failure, in milliseconds. Long
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -7,7 +7,7 @@
 
 use hollowsail_fleet::{EvacuatedHalls, Position};
 use hollowsail_platform::targets::TargetRecord;
-use hollowsail_routing::RequestDigest;
+use hollowsail_routing::{Millis, RequestDigest};
 use serde::{Deserialize, Serialize};
 
 use super::record::PeerRecord;
@@ -78,6 +78,31 @@
     pub after: Position,
 }
 
+/// Path that accepts a [`TargetListRequest`] and returns an `Option` of [`TargetList`]: `None` when
+/// the entry has older records, or isn't to answer. An older build answers 404.
+pub const TARGETS_PATH: &str = "/hollowsail/targets";
+
+/// Request for all target records, and for what is uncertain about them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetListRequest {
+    /// Store position of the records that the requesting entry has.
+    pub after: Position,
+    /// Only an entry that receives updates from the store is to answer, also if it has the same
+    /// records.
+    pub must_follow: bool,
+}
+
+/// All target records. One that is missing is listed until that is final, so that a receiver which
+/// took it for present would never hear of its removal, at an earlier position.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetList {
+    pub snapshot: RecordsSnapshot,
+    /// Ids of targets whose record is missing, with the position at which it was found missing.
+    pub missing: Vec<(String, Position)>,
+    /// Time until that is final, in milliseconds, if it is known.
+    pub final_in_ms: Option<u64>,
+}
+
 /// A target record and the store position of its last change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PositionedRecord {
@@ -85,6 +110,27 @@
     pub record: TargetRecord,
 }
 
+impl TargetList {
+    /// The list of an older build, which doesn't say which records are missing.
+    pub fn without_missing(snapshot: RecordsSnapshot) -> Self {
+        TargetList {
+            snapshot,
+            missing: Vec::new(),
+            final_in_ms: None,
+        }
+    }
+
+    /// The list that this entry knows at `now`.
+    pub fn of(known: &KnownRecords, now: Millis) -> Self {
+        let final_at = known.missing_final_at;
+        TargetList {
+            snapshot: known.into(),
+            missing: known.missing.to_vec(),
+            final_in_ms: final_at.map(|at| at.saturating_sub(now)),
+        }
+    }
+}
+
 impl From<&KnownRecords> for RecordsSnapshot {
     fn from(known: &KnownRecords) -> Self {
         let records = known.records.iter().map(|(at, record)| PositionedRecord {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,6 +7,7 @@
 use hollowsail_fleet::{EvacuatedHalls, Position};
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
+use hollowsail_routing::Millis;
 use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
 use tokio::sync::Notify;
@@ -69,6 +70,11 @@
     pub at: Position,
     /// Each with the store position of its last change.
     pub records: Arc<[(Position, Arc<TargetRecord>)]>,
+    /// Targets of these whose record is missing, which isn't final yet, each with the position at
+    /// which it was found missing.
+    pub missing: Arc<[(String, Position)]>,
+    /// When that is final; `None` while it isn't known, or if none is missing.
+    pub missing_final_at: Option<Millis>,
 }
 
 /// Holds the current view; control publishes it, traffic loads it.
