Take an answer that names another request for nobody's

Cause: an answer wasn't tied to its call. A refusal was taken before its id was looked at, and calls of stages carried no id.

Change: target_calls, which all requests to targets pass, compares the id of each answer with the one sent. A foreign answer is an unknown outcome, and its connection isn't used again, since the true answer is still to come. Calls of stages have an id of their own, which workers repeat as they do for requests; an answer without an id is taken as before.

--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -48,6 +48,8 @@
     TimedOut,
     #[snafu(display("the target left before the call was sent"))]
     TargetLeft,
+    #[snafu(display("the response carries the id of another call"))]
+    Foreign,
     #[snafu(display("refused by the target with status {status}"))]
     Refused { status: StatusCode },
     #[snafu(display("unexpected status {status}"))]
@@ -182,6 +184,11 @@
         .collect()
 }
 
+/// Id of a call, by which its answer is known.
+fn call_id() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 async fn exchange(
     cx: &Rc<Traffic>,
     target: &Target,
@@ -190,8 +197,10 @@
     if sent_pieces.is_empty() {
         return Ok(Vec::new());
     }
+    let call_id = call_id();
     let req = pieces::run_request(
         target.incarnation(),
+        &call_id,
         sent_pieces.iter().map(|sent| &sent.piece),
     );
     let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES)
@@ -200,6 +209,9 @@
             SendError::Withdrawn { .. } => CallError::TargetLeft,
             source => CallError::Send { source },
         })?;
+    if answer.is_foreign {
+        return Err(CallError::Foreign);
+    }
     let status = answer.status;
     let body = answer.body.map_err(|source| CallError::CutOff { source })?;
     if answer.head.not_run {
@@ -314,7 +326,7 @@
     if let Some(until) = cx.backoff_until(&target) {
         tokio::time::sleep_until(cx.clock.timer(until).into()).await;
     }
-    let req = pieces::release_request(target.incarnation(), &handles);
+    let req = pieces::release_request(target.incarnation(), &call_id(), &handles);
     let call = target_calls::call_to_clean_up(&cx, &target, req, MAX_RESPONSE_BYTES);
     if tokio::time::timeout(RELEASE_TIMEOUT, call).await.is_err() {
         log::debug!(
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -198,8 +198,15 @@
             ))
         }
     };
-    let (parts, body) = answer.exchange.into_body(true);
-    check(admitted, parts.status, &answer.head)?;
+    if answer.is_foreign {
+        return Err(Failure::new(
+            Progress::Broken,
+            "the answer carries the id of another request",
+        ));
+    }
+    let head = answer.head.clone();
+    let (parts, body) = answer.into_body();
+    check(admitted, parts.status, &head)?;
     Ok(TargetAnswer {
         parts,
         body,
@@ -253,7 +260,7 @@
     if head.request_id.as_deref() != Some(admitted.caller.request_id.as_str()) {
         return Err(Failure::new(
             Progress::Broken,
-            "the answer carries the id of another request",
+            "the answer carries no request id",
         ));
     }
     if status.is_success() && !head.sealed {
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -6,9 +6,10 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hollowsail_connect::{BodyError, Connection, Exchange, Reuse, SendError};
+use hollowsail_connect::{AnswerBody, BodyError, Connection, Exchange, Reuse, SendError};
 use hollowsail_platform::headers::{self, TargetHeaders};
 use hollowsail_targets::Target;
+use http::response::Parts;
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
@@ -18,13 +19,25 @@
 /// The headers of a target's answer, and the exchange that carries its body.
 pub struct Answer {
     pub head: TargetHeaders,
-    pub exchange: Exchange,
+    /// It names another request: a faulty target has answered that one twice.
+    pub is_foreign: bool,
+    exchange: Exchange,
+}
+
+impl Answer {
+    /// Splits the answer into its headers and its body. The connection of a foreign answer isn't
+    /// used again, since the answer to this request is still to come.
+    pub fn into_body(self) -> (Parts, AnswerBody) {
+        self.exchange.into_body(!self.is_foreign)
+    }
 }
 
 /// A complete answer of a target.
 pub struct CompleteAnswer {
     pub status: StatusCode,
     pub head: TargetHeaders,
+    /// See [`Answer::is_foreign`].
+    pub is_foreign: bool,
     /// `None` when it is longer than the caller accepts; an error when it was interrupted.
     pub body: Result<Option<Bytes>, BodyError>,
 }
@@ -59,11 +72,17 @@
     let exchange = connection.send_if(req, reuse, is_wanted).await?;
     let response = exchange.response();
     let head = TargetHeaders::read(response.status(), response.headers());
+    let named = head.request_id.as_ref().zip(request_id.as_ref());
+    let is_foreign = named.is_some_and(|(answered, sent)| answered != sent);
     // An answer to an earlier request may arrive on the connection; its report is older.
-    let is_ours = head.not_run || head.request_id == request_id;
+    let is_ours = !is_foreign && (head.not_run || head.request_id == request_id);
     let sent_at = if is_ours { sent_at } else { 0 };
     target_reports::record_reports(cx, target, response.status(), &head, sent_at);
-    Ok(Answer { head, exchange })
+    Ok(Answer {
+        head,
+        is_foreign,
+        exchange,
+    })
 }
 
 /// Sends new work on any connection and reads up to `max_bytes` of its answer. The caller bounds
@@ -90,10 +109,12 @@
 }
 
 async fn read(answer: Answer, max_bytes: usize) -> CompleteAnswer {
-    let (parts, body) = answer.exchange.into_body(true);
+    let (head, is_foreign) = (answer.head.clone(), answer.is_foreign);
+    let (parts, body) = answer.into_body();
     CompleteAnswer {
         status: parts.status,
-        head: answer.head,
+        head,
+        is_foreign,
         body: body.collect(max_bytes).await,
     }
 }
--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -210,6 +210,27 @@
     assert!(!got.body.contains("not yours"));
 }
 
+#[actix_rt::test]
+async fn refusal_of_another_request_does_not_send_this_one_again() {
+    let (fixture, target) = serving(|_| {
+        let refusal = String::from_utf8(not_run(503)).expect("text");
+        let named = refusal.replacen("\r\n", "\r\nX-Request-Id: another\r\n", 1);
+        vec![Step::Write(named.into_bytes())]
+    })
+    .await;
+    let second = TargetStandin::start(|request| vec![Step::Write(answer(request, 200, "b"))]).await;
+    fixture.add("i-2", "plain", &second);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    for number in 0..6 {
+        let call = Call::new("POST", "/once/").with("X-Request-Id", &format!("{number:016x}"));
+        let got = fixture.call(&call).await;
+        assert!([200, 502].contains(&got.status), "{got:?}");
+    }
+    let received = target.received().len() + second.received().len();
+    assert!(!target.received().is_empty());
+    assert_eq!(received, 6, "each request is sent once");
+}
+
 #[actix_rt::test]
 async fn success_without_seal_is_502() {
     let (fixture, _target) = serving(|request| {
--- a/crates/gateway/tests/suite/stages.rs
+++ b/crates/gateway/tests/suite/stages.rs
@@ -137,6 +137,30 @@
     );
 }
 
+#[actix_rt::test]
+async fn results_of_another_call_are_not_taken() {
+    let calls = Cell::new(0);
+    let encoder = move |request: &ReceivedRequest| {
+        calls.set(calls.get() + 1);
+        let text = String::from_utf8(results(request, "foreign")).expect("text");
+        match calls.get() {
+            1 => {
+                let own = format!("X-Request-Id: {}", request.request_id());
+                let named = text.replace(&own, "X-Request-Id: another");
+                vec![Step::Write(named.into_bytes())]
+            }
+            _ => vec![Step::Write(results(request, "producer-1"))],
+        }
+    };
+    let staged = staged(encoder, worker("producer-2")).await;
+    let got = staged.fixture.call(&request()).await;
+    assert!(got.is_whole, "{got:?}");
+    let used = stage_runs(&staged.ranker)[0].pieces();
+    let inputs = used[0]["inputs"].to_string();
+    assert!(!inputs.contains("foreign"), "{inputs}");
+    assert!(inputs.contains("producer-1"), "{inputs}");
+}
+
 #[actix_rt::test]
 async fn unneeded_results_are_released() {
     let staged = staged(worker("producer-1"), worker("producer-2")).await;
