Break off streams whose event has no end

What callers saw: while a target sent bytes without end, other requests of the gateway took 0.4 to 1.7 s instead of 0.03 s, and the stream wasn't ended at its deadline (20 s instead of 8).

Cause: the bytes of an unfinished event were kept without a bound and searched anew with every chunk, and a timeout doesn't end a stream that always has bytes.

Change: an event may have 1 MiB; a longer one counts as a broken answer. Only new bytes are searched. After the deadline and its grace a stream ends with the first chunk that completes no event; complete events that are ready are still passed on. Plain answers were bounded before.

Measured: stream_with_an_event_without_an_end_is_broken_off failed before (the stream went on to the caller's timeout of 10 s) and passes.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -33,6 +33,9 @@
         "a response without a length ended, and no host can tell whether its target crashed"
     ))]
     UnconfirmedEnd,
+    /// The target sends more bytes than an event may have, without its end.
+    #[snafu(display("the target's stream has an event without an end"))]
+    EventTooLong,
     /// The deadline of the request passed.
     #[snafu(display("the request's deadline passed before the response was complete"))]
     DeadlineExceeded,
--- a/crates/gateway/src/request/event_splitter.rs
+++ b/crates/gateway/src/request/event_splitter.rs
@@ -5,6 +5,11 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Length of the longest separator of events.
+const MAX_SEPARATOR_BYTES: usize = 4;
+/// Longest event, in bytes. A target may send bytes without end.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Buffers the incomplete event at the end of a stream.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
@@ -16,8 +21,10 @@
 impl EventSplitter {
     /// Appends bytes and returns all events that are complete now, if any.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        // A separator may have begun at the end of the bytes before.
+        let searched = self.partial.len().saturating_sub(MAX_SEPARATOR_BYTES - 1);
         self.partial.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.partial)?;
+        let end = searched + end_of_last_event(&self.partial[searched..])?;
         let events = self.partial.split_to(end).freeze();
         self.has_events = true;
         if let Some(id) = last_id(&events) {
@@ -45,6 +52,11 @@
         !ends_line || lines.any(|line| !line.is_empty() && !line.starts_with(b":"))
     }
 
+    /// True when the bytes after the last complete event are too many for one.
+    pub fn is_event_too_long(&self) -> bool {
+        self.partial.len() > MAX_EVENT_BYTES
+    }
+
     /// Number of bytes after the last complete event.
     pub fn partial_len(&self) -> usize {
         self.partial.len()
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use futures_util::stream;
+use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::crashes::parts::SURVIVAL_MS;
@@ -118,6 +119,17 @@
                         }
                         return Some(Ok(events));
                     }
+                    // The timeout alone doesn't end a stream that always has bytes.
+                    if BootInstant::now() >= latest {
+                        return self.fail(BodyFault::DeadlineExceeded);
+                    }
+                    if self.splitter.is_event_too_long() {
+                        self.log_end("too_long");
+                        let fault = BodyFault::EventTooLong;
+                        if !self.resume(&fault).await {
+                            return self.fail(fault);
+                        }
+                    }
                 }
                 Ok(None) => {
                     self.log_end("end");
--- a/crates/gateway/tests/suite/streams.rs
+++ b/crates/gateway/tests/suite/streams.rs
@@ -149,3 +149,26 @@
     })
     .await;
 }
+
+/// Guards against buffering an event without an end for as long as its target sends.
+#[actix_rt::test]
+async fn stream_with_an_event_without_an_end_is_broken_off() {
+    let endless = |request: &ReceivedRequest| {
+        let mut steps = vec![
+            Step::Write(stream_head(request)),
+            Step::Write(chunk(&event(1))),
+            Step::Write(chunk("data: ")),
+        ];
+        let part = chunk(&"x".repeat(64 << 10));
+        steps.extend((0..64).map(|_| Step::Write(part.clone())));
+        steps.push(Step::Wait(Duration::from_secs(10)));
+        steps
+    };
+    let (fixture, _target) = Fixture::serving(&deployment(), "engines", endless).await;
+    let began = Instant::now();
+    let got = fixture.call(&request("/once/")).await;
+    assert!(!got.is_whole, "{} bytes", got.body.len());
+    assert!(got.body.starts_with("id: 1"));
+    let took = began.elapsed();
+    assert!(took < Duration::from_millis(1_500), "{took:?}");
+}
