--- a/crates/bench/src/soak/small_hosts.rs
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -17,7 +17,7 @@
 
 use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
 use hollowsail_platform_emulator::entry::HostLimits;
-use hollowsail_platform_emulator::{LinkRate, RouteModel};
+use hollowsail_platform_emulator::{LinkRate, RouteKind, RouteModel};
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -58,6 +58,8 @@
 /// Least share of the service before, and least number of requests on each side.
 const MIN_SHARE: f64 = 0.75;
 const MIN_REQUESTS: usize = 50;
+/// Maximum number of tries of a request.
+const MAX_TRIES: usize = 2;
 /// Mean pause between the requests of a caller.
 const PAUSE: Duration = Duration::from_secs(1);
 /// How long a caller waits after a refusal that names no time.
@@ -121,7 +123,7 @@
 /// What callers ask on a route.
 struct Demand {
     /// Relative frequency.
-    weight: u32,
+    weight: usize,
     mean_body_bytes: f64,
     /// Pieces of each stage.
     pieces: u32,
@@ -194,7 +196,22 @@
     /// Tries whose connection closed before they were read.
     unread: u32,
     /// How the first try that was read ended.
-    end: &'static str,
+    end: End,
+    /// Why an answer was one that no caller may get.
+    wrong: Option<String>,
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    Whole,
+    /// Whole, after the target latency of its route.
+    Late,
+    Refused,
+    Failed,
+    Unanswered,
+    /// The connections of all tries closed before they were read.
+    NeverRead,
 }
 
 struct Shared {
@@ -207,6 +224,22 @@
     requests: Cell<u64>,
 }
 
+impl Shared {
+    /// Id of the next try of a caller.
+    fn next_id(&self, number: usize) -> String {
+        self.requests.set(self.requests.get() + 1);
+        format!("{:08x}{:08x}", number + 1, self.requests.get())
+    }
+
+    /// Share of the answers after which a caller closes its connection now.
+    fn close_share(&self) -> f64 {
+        match (CROWDED_FROM..CROWDED_UNTIL).contains(&self.started.elapsed()) {
+            true => CLOSE_SHARE,
+            false => USUAL_CLOSE_SHARE,
+        }
+    }
+}
+
 /// Runs once, and judges what callers got.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
     let plan = Plan::draw(options.seed, options.entries);
@@ -319,6 +352,20 @@
 
 type OpenConnection = Option<(usize, Connection)>;
 
+/// A kind of request, drawn by its frequency, as an index of the routes.
+fn draw_kind(rng: &mut SmallRng) -> usize {
+    let kinds = DEMANDS.iter().enumerate();
+    let kinds = kinds.flat_map(|(kind, demand)| std::iter::repeat_n(kind, demand.weight));
+    let kinds: Vec<usize> = kinds.collect();
+    kinds[rng.random_range(0..kinds.len())]
+}
+
+/// Length of a body, with an exponential distribution.
+fn draw_body_bytes(demand: &Demand, rng: &mut SmallRng) -> usize {
+    let bytes = -demand.mean_body_bytes * (1.0 - rng.random::<f64>()).ln();
+    bytes.min(MAX_BODY_BYTES) as usize
+}
+
 /// Sends a request, and a second time where the protocol allows it.
 async fn ask(
     shared: &Shared,
@@ -326,17 +373,11 @@
     connection: &mut OpenConnection,
     rng: &mut SmallRng,
 ) -> Asked {
-    let weights = DEMANDS.iter().map(|demand| demand.weight);
-    let drawn = rng.random_range(0..weights.clone().sum());
-    let sums = weights.scan(0, |sum, weight| {
-        *sum += weight;
-        Some(*sum)
-    });
-    let index = sums.take_while(|sum| *sum <= drawn).count();
-    let (route, demand) = (&shared.routes[index], &DEMANDS[index]);
-    let body = -demand.mean_body_bytes * (1.0 - rng.random::<f64>()).ln();
+    let kind = draw_kind(rng);
+    let (route, demand) = (&shared.routes[kind], &DEMANDS[kind]);
+    let body_bytes = draw_body_bytes(demand, rng);
     let request = |id| CallerRequest {
-        body_bytes: body.min(MAX_BODY_BYTES) as usize,
+        body_bytes,
         pieces: vec![demand.pieces; route.stages.len()],
         ..CallerRequest::for_route(route, id)
     };
@@ -346,57 +387,42 @@
         entry: 0,
         is_served: false,
         unread: 0,
-        end: "never read",
+        end: End::NeverRead,
+        wrong: None,
     };
-    for try_number in 0..2 {
+    for try_number in 0..MAX_TRIES {
         if connection.is_none() {
             let avoided = (try_number > 0).then_some(asked.entry);
-            if let Some((entry, addr)) = choose(shared, number, avoided, rng) {
-                asked.entry = entry;
-                let link = shared.links[entry].clone();
-                let opened = Connection::open_over(addr, link).await;
-                *connection = opened.ok().map(|connection| (entry, connection));
-            }
+            *connection = connect(shared, number, avoided, &mut asked, rng).await;
         }
         let Some((entry, mut open)) = connection.take() else {
             asked.unread += 1;
             continue;
         };
         asked.entry = entry;
-        shared.requests.set(shared.requests.get() + 1);
-        let id = format!("{:08x}{:08x}", number + 1, shared.requests.get());
         let timeout = Duration::from_millis(route.timeout_ms) + TIMEOUT_GRACE;
-        let response = tokio::time::timeout(timeout, open.call(&request(id))).await;
-        let began = response.as_ref().ok().and_then(|response| response.began);
-        let outcome = response.ok().map(|response| response.outcome);
-        let now = shared.started.elapsed();
-        let is_crowded = (CROWDED_FROM..CROWDED_UNTIL).contains(&now);
-        let close_share = if is_crowded {
-            CLOSE_SHARE
-        } else {
-            USUAL_CLOSE_SHARE
-        };
-        if open.is_open() && !rng.random_bool(close_share) {
+        let request = request(shared.next_id(number));
+        let response = tokio::time::timeout(timeout, open.call(&request)).await;
+        let response = response.ok();
+        let began = response.as_ref().and_then(|response| response.began);
+        if open.is_open() && !rng.random_bool(shared.close_share()) {
             *connection = Some((entry, open));
         }
-        let (end, pause) = match &outcome {
-            Some(Outcome::Whole) => ("whole", None),
-            Some(Outcome::NotRun { after, .. }) => ("refused", Some(after.unwrap_or(RETRY_PAUSE))),
-            Some(Outcome::Unknown { why }) if is_unread(why) => {
-                asked.unread += 1;
-                continue;
-            }
-            Some(Outcome::Unknown { .. }) => ("failed", Some(Duration::ZERO)),
-            Some(Outcome::Wrong { .. }) => ("wrong", None),
-            None => ("no answer", None),
+        let outcome = response.map(|response| response.outcome);
+        let Some((end, pause)) = read_outcome(outcome.as_ref(), route) else {
+            asked.unread += 1;
+            continue;
         };
-        if asked.end == "never read" {
+        if let Some(Outcome::Wrong { why }) = outcome {
+            asked.wrong = Some(why);
+        }
+        if asked.end == End::NeverRead {
             let target = Duration::from_millis(route.target_ms);
             let is_in_time = began.is_some_and(|began| began <= shared.started + sent + target);
-            asked.is_served = end == "whole" && is_in_time;
-            asked.end = match (end, is_in_time) {
-                ("whole", false) => "late",
-                _ => end,
+            asked.is_served = end == End::Whole && is_in_time;
+            asked.end = match end {
+                End::Whole if !is_in_time => End::Late,
+                end => end,
             };
         }
         match pause {
@@ -410,6 +436,36 @@
     asked
 }
 
+/// How a try ended, and when the caller comes back, if it does; `None` for one that wasn't read.
+fn read_outcome(outcome: Option<&Outcome>, route: &RouteModel) -> Option<(End, Option<Duration>)> {
+    Some(match outcome {
+        Some(Outcome::Whole) => (End::Whole, None),
+        Some(Outcome::NotRun { after, .. }) => (End::Refused, Some(after.unwrap_or(RETRY_PAUSE))),
+        Some(Outcome::Unknown { why }) if is_unread(why) => return None,
+        Some(Outcome::Unknown { .. }) => {
+            let may_repeat = route.kind == RouteKind::Safe;
+            (End::Failed, may_repeat.then_some(Duration::ZERO))
+        }
+        Some(Outcome::Wrong { .. }) => (End::Failed, None),
+        None => (End::Unanswered, None),
+    })
+}
+
+/// Opens a connection, and notes to which gateway, also if it refuses.
+async fn connect(
+    shared: &Shared,
+    number: usize,
+    avoided: Option<usize>,
+    asked: &mut Asked,
+    rng: &mut SmallRng,
+) -> OpenConnection {
+    let (entry, addr) = choose(shared, number, avoided, rng)?;
+    asked.entry = entry;
+    let link = shared.links[entry].clone();
+    let opened = Connection::open_over(addr, link).await;
+    opened.ok().map(|connection| (entry, connection))
+}
+
 /// True for a connection that ended without any answer.
 fn is_unread(why: &str) -> bool {
     !why.starts_with("status") && why.contains("connection")
@@ -455,8 +511,8 @@
     let processes = observations.exit_failures.iter();
     failures.extend(processes.map(|failure| Failure::new(FailureKind::Process, failure)));
     let mut lines = vec![format!(
-        "gateway {} crowded by {:?}, killed: {}",
-        shared.plan.entry, shared.plan.crowd, shared.plan.kills
+        "with --small-hosts --callers {} --link-mbps {}: gateway {} crowded by {:?}, killed: {}",
+        options.callers, options.link_mbps, shared.plan.entry, shared.plan.crowd, shared.plan.kills
     )];
     let mut usual = None;
     for (name, time) in shared.plan.judged() {
@@ -479,8 +535,10 @@
             failures.push(Failure::new(FailureKind::Crowded, description));
         }
     }
-    let count = |end: &[&str]| {
-        let ended = asked.iter().filter(|asked| end.contains(&asked.end));
+    let wrong = asked.iter().filter_map(|asked| asked.wrong.as_ref());
+    failures.extend(wrong.map(|why| Failure::new(FailureKind::WrongResponse, why)));
+    let count = |ends: &[End]| {
+        let ended = asked.iter().filter(|asked| ends.contains(&asked.end));
         ended.count()
     };
     SoakReport {
@@ -488,9 +546,9 @@
         seconds: options.seconds,
         entries: options.entries,
         attempts: asked.len(),
-        whole: count(&["whole", "late"]),
-        not_run: count(&["refused"]),
-        unknown: count(&["failed", "no answer", "never read"]),
+        whole: count(&[End::Whole, End::Late]),
+        not_run: count(&[End::Refused]),
+        unknown: count(&[End::Failed, End::Unanswered, End::NeverRead]),
         ran: observations.ran.len(),
         room: lines.join("\n"),
         streams: String::new(),
@@ -505,10 +563,10 @@
         "{name}: {} requests, {share:.2} served at the first try that was read; {} late, {} refused, \
          {} failed, {} without an answer, {} never read; {unread} tries not read",
         asked.len(),
-        count("late"),
-        count("refused"),
-        count("failed") + count("wrong"),
-        count("no answer"),
-        count("never read"),
+        count(End::Late),
+        count(End::Refused),
+        count(End::Failed),
+        count(End::Unanswered),
+        count(End::NeverRead),
     )
 }
