Log and count each repeat of work, with its reason and what it is charged to

No line told a repeat that the budget had granted from one that it was never asked about. repeated (HS0236) and repeat_refused (HS0237) name the service, the request, the stage and piece, why, what is charged, the tokens left and the hosts that share; hollowsail_repeats_total has the same. piece_failed names the service. No decision changes; BatchQueue::take_overdue also returns the pieces, for the line, and its tests compare the workers as before.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 mod pools;
 mod reach;
 mod readiness;
+mod repeats;
 mod request;
 mod reservations;
 mod rollouts;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -113,6 +113,19 @@
         .increment(1);
 }
 
+/// Counts work ("request" or "piece") that is sent to a service again, or would be, by why and by
+/// what it is charged to.
+pub fn count_repeat(
+    service: &str,
+    work: &'static str,
+    reason: &'static str,
+    charged: &'static str,
+) {
+    counter!("hollowsail_repeats_total", "service" => service.to_string(), "work" => work,
+        "reason" => reason, "charged" => charged)
+    .increment(1);
+}
+
 /// Counts a call with pieces of a stage.
 pub fn count_call(service: &str, outcome: &'static str, pieces: usize, took: Duration) {
     let service = service.to_string();
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -20,8 +20,11 @@
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_routing::repeats::RepeatReason;
 use hollowsail_routing::{Millis, RequestDigest};
-use hollowsail_stages::{BatchQueue, GroupKey, Halls, PieceKey, PieceOrder, PoolRules, WorkerKey};
+use hollowsail_stages::{
+    BatchQueue, GroupKey, Halls, OverdueCall, PieceKey, PieceOrder, PoolRules, WorkerKey,
+};
 use tokio::sync::oneshot;
 
 use self::replies::Reply;
@@ -32,6 +35,8 @@
 use crate::mechanisms::Mechanism;
 use crate::ownership_age::OwnershipAge;
 use crate::peers::{Link, PeerId, PieceId};
+use crate::repeats::{Charge, Repeat};
+use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
 pub(super) use self::replies::LocalOutcome;
@@ -46,6 +51,8 @@
     pub request: RequestDigest,
     /// Failed attempts.
     pub failures: u32,
+    /// Why its worker didn't complete it in the last call.
+    pub last_failure: Option<RepeatReason>,
     /// Worker crashes in calls with this piece.
     pub crashes: u32,
     /// Of these, crashes in calls with pieces of its request only.
@@ -53,6 +60,18 @@
     reply: Reply,
 }
 
+impl Job {
+    /// The piece, to be sent to a worker of the service again.
+    pub fn repeat<'a>(&'a self, service: &'a str, reason: RepeatReason) -> Repeat<'a> {
+        Repeat {
+            service,
+            request: &self.piece.request_id,
+            piece: Some((self.piece.stage, self.piece.piece)),
+            reason,
+        }
+    }
+}
+
 /// Produces the pieces of one queue with the targets of its group.
 pub struct Batcher {
     cx: Weak<Traffic>,
@@ -126,6 +145,11 @@
         &self.name
     }
 
+    /// Name of the service whose targets are its workers.
+    pub fn service(&self) -> &str {
+        TargetGroup::parse(&self.name).map_or(&self.name, |(service, _)| service)
+    }
+
     /// Current time; 0 once the entry's traffic is dropped.
     fn now(&self) -> Millis {
         self.cx.upgrade().map_or(0, |cx| cx.clock.now())
@@ -199,6 +223,7 @@
             piece: piece_request.piece,
             request: piece_request.request,
             failures: 0,
+            last_failure: None,
             crashes: 0,
             crashes_alone: 0,
             reply,
@@ -270,6 +295,16 @@
         });
     }
 
+    /// Records that the pieces of an overdue call go to another worker, too.
+    fn record_overdue(&self, cx: &Traffic, pieces: &[PieceKey]) {
+        let queue = self.queue.borrow();
+        let jobs = pieces.iter().filter_map(|key| queue.job(*key));
+        for job in jobs {
+            job.repeat(self.service(), RepeatReason::CallOverdue)
+                .record(cx, Charge::Nothing, &"");
+        }
+    }
+
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
         queue.waiting() == 0
@@ -290,7 +325,8 @@
             true => self.queue.borrow_mut().take_overdue(now),
             false => Vec::new(),
         };
-        for worker in overdue {
+        for OverdueCall { worker, pieces } in overdue {
+            self.record_overdue(cx, &pieces);
             if let Some(target) = self.workers.borrow().target(worker) {
                 let fields = format_args!(
                     "queue={} target={} why=call_overdue",
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -11,6 +11,7 @@
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
+use hollowsail_routing::repeats::RepeatReason;
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use hollowsail_targets::Target;
@@ -20,6 +21,7 @@
 use super::batcher::Batcher;
 use super::worker_crash;
 use crate::metrics;
+use crate::repeats::Charge;
 use crate::target_calls;
 use crate::traffic::Traffic;
 
@@ -279,12 +281,20 @@
             .into_iter()
             .for_each(|job| job.failures += 1),
     }
+    let reason = match failure {
+        PieceFailure::NoRoom => RepeatReason::NoRoom,
+        _ => RepeatReason::PieceFailed,
+    };
+    if let Some(job) = queue.job_mut(key) {
+        job.last_failure = Some(reason);
+    }
     drop(queue);
     let piece = &sent.piece;
     cx.log.line(
         events::PIECE_FAILED,
         format_args!(
-            "request={} stage={} piece={} target={} why={failure:?}",
+            "service={} request={} stage={} piece={} target={} why={failure:?}",
+            target.record.service,
             piece.request_id,
             piece.stage,
             piece.piece,
@@ -313,6 +323,8 @@
         });
         if may_retry {
             queue.requeue(key);
+            drop(queue);
+            record_repeat(cx, batcher, key, end);
             continue;
         }
         drop(queue);
@@ -320,6 +332,21 @@
     }
 }
 
+/// Records that a piece is sent again after a call ended in this way.
+fn record_repeat(cx: &Traffic, batcher: &Batcher, key: PieceKey, end: CallEnd) {
+    let mut queue = batcher.queue.borrow_mut();
+    let Some(job) = queue.job_mut(key) else {
+        return;
+    };
+    let reason = match (end, job.last_failure.take()) {
+        (CallEnd::Answered, Some(reason)) => reason,
+        (CallEnd::Refused, _) => RepeatReason::CallRefused,
+        _ => RepeatReason::CallFailed,
+    };
+    job.repeat(batcher.service(), reason)
+        .record(cx, Charge::Nothing, &"");
+}
+
 /// Releases results at their producer, after its backoff if it is backing off. Best effort:
 /// the producer also drops them after its retention time.
 pub(super) async fn release(cx: Rc<Traffic>, target: Rc<Target>, handles: Vec<String>) {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -16,6 +16,7 @@
 
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_routing::repeats::RepeatReason;
 use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::QueueLoad;
 use hollowsail_targets::Target;
@@ -25,6 +26,7 @@
     self, Link, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest, UnneededResult,
     WorkerHandover,
 };
+use crate::repeats::{Charge, Repeat};
 use crate::reservations::{ReservationReply, Reserve};
 use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
@@ -128,7 +130,17 @@
                         }
                         Ok(peers::PieceOutcome::Failed(failure)) => return Err(failure),
                         // Try the next owner.
-                        Ok(peers::PieceOutcome::Moved) | Err(_) => {}
+                        Ok(peers::PieceOutcome::Moved) => {}
+                        Err(_) => {
+                            let piece = &piece_request.piece;
+                            let repeat = Repeat {
+                                service: name,
+                                request: &piece.request_id,
+                                piece: Some((piece.stage, piece.piece)),
+                                reason: RepeatReason::OwnerLost,
+                            };
+                            repeat.record(cx, Charge::Nothing, &"");
+                        }
                     }
                 }
             }
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -25,10 +25,12 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events as catalogue, ErrorKind};
+use hollowsail_routing::repeats::RepeatReason;
 use hyper::body::Incoming;
 
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
+use crate::repeats::{Charge, Repeat};
 use crate::reservations::{self, ReservedRoom};
 use crate::traffic::Traffic;
 
@@ -159,12 +161,24 @@
                 if refusal.kind == ErrorKind::InputsGone && stage_reruns < MAX_STAGE_RERUNS =>
             {
                 stage_reruns += 1;
+                record_rerun(cx, admitted);
             }
             result => return result,
         }
     }
 }
 
+/// Records that a request is sent again since its target no longer had its inputs.
+fn record_rerun(cx: &Traffic, admitted: &Admitted) {
+    let repeat = Repeat {
+        service: admitted.service_name(),
+        request: &admitted.caller.request_id,
+        piece: None,
+        reason: RepeatReason::RequestInputGone,
+    };
+    repeat.record(cx, Charge::Nothing, &"");
+}
+
 /// Reserves room for the stages of a new request. Refuses it if there is none, or not in time.
 async fn reserve_room(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<ReservedRoom, Refusal> {
     let room = reservations::reserve(cx, admitted).await?;
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -11,12 +11,14 @@
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
+use hollowsail_routing::repeats::RepeatReason;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceIndex, StageGraph};
 
 use super::{prefill_ms, stage_due, Prepared, LARGE_RESULT_BYTES};
 use crate::answer::Refusal;
 use crate::pools::{PieceOutcome, PieceRequest, RetainedResult};
+use crate::repeats::{Charge, Repeat};
 use crate::request::admit::Admitted;
 use crate::request::unservable;
 use crate::reservations::ReservedRoom;
@@ -210,8 +212,10 @@
             PieceFailure::InputGone if self.failed_pieces <= MAX_FAILED_PIECES => {
                 // The failure doesn't say which input is gone, so all are reproduced.
                 self.graph.reset(index);
+                self.record_repeat(index);
                 for input in self.graph.reset_inputs(index.stage, inputs) {
                     self.retained.remove(&input);
+                    self.record_repeat(input);
                 }
                 Ok(())
             }
@@ -226,6 +230,18 @@
         }
     }
 
+    /// Records that a piece is produced again since an input was lost.
+    fn record_repeat(&self, index: PieceIndex) {
+        let service = self.stages[index.stage].service;
+        let repeat = Repeat {
+            service: &self.admitted.deployment.service(service).name,
+            request: &self.admitted.caller.request_id,
+            piece: Some((index.stage as u16, index.piece as u32)),
+            reason: RepeatReason::InputGone,
+        };
+        repeat.record(self.cx, Charge::Nothing, &"");
+    }
+
     fn finish(self) -> Prepared {
         let inputs = self.graph.final_inputs();
         let is_input =
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -8,6 +8,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
+use hollowsail_routing::repeats::RepeatReason;
 use hollowsail_routing::{may_retry, stage_status, Observation, Progress, StageStatus};
 use hollowsail_targets::Target;
 
@@ -18,6 +19,7 @@
 use crate::answer::Refusal;
 use crate::crashes::InterruptedRun;
 use crate::metrics;
+use crate::repeats::{Charge, Repeat};
 use crate::traffic::Traffic;
 
 /// Maximum number of attempts that reached no target. They don't count against the route's limit,
@@ -61,7 +63,8 @@
     if admitted.remaining().is_zero() {
         return Err(attempts.deadline_refusal());
     }
-    if may_retry_request(cx, admitted, attempts, progress) && spend_budget(cx, admitted, attempts) {
+    let may_retry = may_retry_request(cx, admitted, attempts, progress);
+    if may_retry && spend_budget(cx, admitted, attempts, progress) {
         Ok(())
     } else {
         let refusal = attempts.refusal(ErrorKind::Overloaded);
@@ -157,11 +160,35 @@
 
 /// Takes a token for a retry from the service's budget; false when there is none. A retry is free
 /// if no earlier attempt reached a target.
-fn spend_budget(cx: &Rc<Traffic>, admitted: &Admitted, attempts: &Attempts) -> bool {
-    attempts.reached == 0
-        || cx.with_budget(&admitted.deployment, attempts.service, |budget| {
+fn spend_budget(
+    cx: &Rc<Traffic>,
+    admitted: &Admitted,
+    attempts: &Attempts,
+    progress: Progress,
+) -> bool {
+    let spend = || {
+        cx.with_budget(&admitted.deployment, attempts.service, |budget| {
             budget.spend()
         })
+    };
+    let charge = match attempts.reached {
+        0 => Charge::Nothing,
+        _ if spend() => Charge::Budget,
+        _ => Charge::Refused,
+    };
+    let reason = match progress {
+        Progress::FinalRefusal => RepeatReason::AttemptRefused,
+        _ => RepeatReason::AttemptFailed,
+    };
+    let repeat = Repeat {
+        service: &admitted.deployment.service(attempts.service).name,
+        request: &admitted.caller.request_id,
+        piece: None,
+        reason,
+    };
+    let left = cx.budget_state(&admitted.deployment, attempts.service);
+    repeat.record(cx, charge, &left);
+    charge != Charge::Refused
 }
 
 /// True when another target may be tried after an error status; otherwise the error answer is
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -440,6 +440,13 @@
         change(budget)
     }
 
+    /// State of the retry budget of a service, for log lines.
+    pub fn budget_state(&self, deployment: &Deployment, service: ServiceKey) -> String {
+        let tokens = self.with_budget(deployment, service, |budget| budget.tokens());
+        let hosts = self.peers.count();
+        format!("tokens={tokens:.2} hosts={hosts}")
+    }
+
     /// Median latency of a service in milliseconds; `None` before it is known.
     pub fn typical_ms(&self, deployment: &Deployment, service: ServiceKey) -> Option<Millis> {
         let name = &deployment.service(service).name;
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -45,6 +45,11 @@
         self.tokens = (self.tokens + self.ratio).min(self.capacity.max(1.0));
     }
 
+    /// Tokens that are left.
+    pub fn tokens(&self) -> f64 {
+        self.tokens
+    }
+
     /// True when an extra attempt is allowed now.
     pub fn has_token(&self) -> bool {
         self.tokens >= 1.0
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod progress;
 pub mod queue;
 pub mod reachability;
+pub mod repeats;
 pub mod request_digest;
 pub mod scheduler;
 pub mod speed;
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -1,7 +1,9 @@
 //! Starts and ends calls to workers. A call that exceeds its time limit returns its pieces
 //! to the queue, so that another worker can take them in the meantime.
 
-use super::{BatchQueue, CallEnd, CallKey, PieceKey, StartedCall, StartedPiece, WorkerKey};
+use super::{
+    BatchQueue, CallEnd, CallKey, OverdueCall, PieceKey, StartedCall, StartedPiece, WorkerKey,
+};
 use crate::Millis;
 
 /// A call is overdue after `expected * OVERDUE_FACTOR + OVERDUE_SLACK_MS`.
@@ -129,27 +131,31 @@
         unfinished
     }
 
-    /// Queues the pieces of overdue calls again for other workers. Returns the workers of
-    /// these calls.
-    pub fn take_overdue(&mut self, now: Millis) -> Vec<WorkerKey> {
-        let mut workers = Vec::new();
+    /// Queues the pieces of overdue calls again for other workers, and returns these calls.
+    pub fn take_overdue(&mut self, now: Millis) -> Vec<OverdueCall> {
+        let mut overdue = Vec::new();
         for call in self.calls.values_mut() {
             if call.overdue || ((now - call.started) as f64) < call.limit_ms() {
                 continue;
             }
             call.overdue = true;
-            workers.push(call.worker);
+            let mut pieces = Vec::new();
             for StartedPiece { key, .. } in &call.pieces {
                 if let Some(piece) = self.pieces.get(*key) {
                     self.waiting.insert((piece.rank, *key));
+                    pieces.push(*key);
                 }
             }
+            overdue.push(OverdueCall {
+                worker: call.worker,
+                pieces,
+            });
         }
-        for worker in &workers {
-            if let Some(worker) = self.workers.get_mut(*worker) {
+        for call in &overdue {
+            if let Some(worker) = self.workers.get_mut(call.worker) {
                 worker.mark_slow();
             }
         }
-        workers
+        overdue
     }
 }
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -320,7 +320,9 @@
     let slow = queue.next_call(0).expect("a worker is free");
     let other = queue.add_worker(HERE);
     assert!(queue.take_overdue(200).is_empty());
-    assert_eq!(queue.take_overdue(400), [slow.worker]);
+    let overdue = queue.take_overdue(400);
+    assert_eq!(overdue.len(), 1);
+    assert_eq!(overdue[0].worker, slow.worker);
     let second = queue.next_call(400).expect("the piece was queued again");
     assert_eq!(second.worker, other);
     assert_eq!(queue.finish(second.pieces[0].key), Some(1));
