--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -44,6 +44,11 @@
     #[argh(switch)]
     small_hosts: bool,
 
+    /// play only targets that fail most of what they get, beside gateways that are killed, stopped
+    /// and paused in series; --seconds has no effect
+    #[argh(switch)]
+    failing_targets: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -70,6 +75,7 @@
                 old_program: self.old_program.clone(),
                 folder: self.folder.clone(),
                 small_hosts: self.small_hosts,
+                failing_targets: self.failing_targets,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -69,7 +69,36 @@
 }
 
 impl Load {
+    /// Starts the callers of all routes.
     pub fn start(options: &SoakOptions, plan: &SoakPlan, fleet: &Rc<Fleet>) -> Self {
+        let contenders = contention::contenders(&plan.burst).into_iter();
+        let contenders = contenders.chain(versions::callers());
+        let contenders = contenders.chain(brittle::callers());
+        let contenders = contenders.chain(departures::callers());
+        let contenders = contenders.chain(fragile::callers(plan.fragile));
+        let contenders = contenders.chain(crowding::callers());
+        let ordinary = std::iter::repeat_n(None, options.callers);
+        let contenders = ordinary.chain(contenders.map(Some));
+        Self::of_callers(options, plan, fleet, contenders)
+    }
+
+    /// Starts callers that have a route each.
+    pub fn of_contenders(
+        options: &SoakOptions,
+        plan: &SoakPlan,
+        fleet: &Rc<Fleet>,
+        contenders: impl Iterator<Item = Contender>,
+    ) -> Self {
+        Self::of_callers(options, plan, fleet, contenders.map(Some))
+    }
+
+    /// Starts callers; those without a route of their own draw one for each request.
+    fn of_callers(
+        options: &SoakOptions,
+        plan: &SoakPlan,
+        fleet: &Rc<Fleet>,
+        callers: impl Iterator<Item = Option<Contender>>,
+    ) -> Self {
         let routes = plan.site.routes.iter().cloned().map(Rc::new);
         let routes: Rc<[Rc<RouteModel>]> = routes.collect();
         let shared = Rc::new(Shared {
@@ -78,15 +107,7 @@
             attempts: RefCell::default(),
             is_over: Cell::new(false),
         });
-        let contenders = contention::contenders(&plan.burst).into_iter();
-        let contenders = contenders.chain(versions::callers());
-        let contenders = contenders.chain(brittle::callers());
-        let contenders = contenders.chain(departures::callers());
-        let contenders = contenders.chain(fragile::callers(plan.fragile));
-        let contenders = contenders.chain(crowding::callers()).map(Rc::new);
-        let ordinary = std::iter::repeat_n(None, options.callers);
-        let contenders = ordinary.chain(contenders.map(Some)).enumerate();
-        let callers = contenders.map(|(number, contender)| {
+        let callers = callers.enumerate().map(|(number, contender)| {
             let caller = Caller {
                 number,
                 rng: SmallRng::seed_from_u64(options.seed ^ ((number as u64 + 1) << 32)),
@@ -95,7 +116,7 @@
                 shared: shared.clone(),
                 connection: None,
                 requests: 0,
-                contender,
+                contender: contender.map(Rc::new),
             };
             actix_rt::spawn(caller.run())
         });
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -12,7 +12,7 @@
 use super::processes::{Disturbance, Observations};
 use super::report::{Failure, FailureKind, SoakReport};
 use super::{crowding, cut};
-use super::{departures, fragile, room, versions, SoakOptions};
+use super::{departures, fragile, repeats, room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
@@ -28,15 +28,8 @@
     attempts: &[Attempt],
     added_route_failures: Vec<Failure>,
 ) -> SoakReport {
-    let mut failures: Vec<Failure> = observations.broken.clone();
-    let processes = observations.exit_failures.iter();
-    failures.extend(processes.map(|failure| Failure::new(FailureKind::Process, failure)));
+    let mut failures = find_violations(plan, observations, attempts);
     failures.extend(added_route_failures);
-    failures.extend(
-        attempts
-            .iter()
-            .filter_map(|attempt| find_violation(attempt, plan, observations)),
-    );
     // Attempts that contend for workers are refused in the burst: `room` checks them.
     let uncontended = attempts
         .iter()
@@ -56,22 +49,54 @@
     failures.extend(fragile::evaluate(plan, observations, attempts));
     let streams = versions::evaluate(observations, attempts);
     failures.extend(streams.failures);
+    let repeats = repeats::evaluate(plan, observations, attempts);
+    failures.extend(repeats.failures);
     SoakReport {
-        seed: options.seed,
-        seconds: options.seconds,
-        entries: options.entries,
-        attempts: attempts.len(),
-        whole: count(attempts, |outcome| *outcome == Outcome::Whole),
-        not_run: count(attempts, |outcome| {
-            matches!(outcome, Outcome::NotRun { .. })
-        }),
-        unknown: count(attempts, |outcome| {
-            matches!(outcome, Outcome::Unknown { .. })
-        }),
-        ran: observations.ran.len(),
         room: room.summary,
         streams: streams.summary,
+        repeats: repeats.summary,
         failures,
+        ..SoakReport::of_attempts(options, observations, attempts)
+    }
+}
+
+/// Promises that targets, processes and answers broke.
+pub fn find_violations(
+    plan: &SoakPlan,
+    observations: &Observations,
+    attempts: &[Attempt],
+) -> Vec<Failure> {
+    let broken = observations.broken.iter().cloned();
+    let exits = observations.exit_failures.iter();
+    let exits = exits.map(|failure| Failure::new(FailureKind::Process, failure));
+    let attempts = attempts.iter();
+    let wrong = attempts.filter_map(|attempt| find_violation(attempt, plan, observations));
+    broken.chain(exits).chain(wrong).collect()
+}
+
+impl SoakReport {
+    /// Counts the attempts of callers; without failures.
+    pub fn of_attempts(
+        options: &SoakOptions,
+        observations: &Observations,
+        attempts: &[Attempt],
+    ) -> Self {
+        SoakReport {
+            seed: options.seed,
+            seconds: options.seconds,
+            entries: options.entries,
+            mode: options.failing_targets.then_some("--failing-targets"),
+            attempts: attempts.len(),
+            whole: count(attempts, |outcome| *outcome == Outcome::Whole),
+            not_run: count(attempts, |outcome| {
+                matches!(outcome, Outcome::NotRun { .. })
+            }),
+            unknown: count(attempts, |outcome| {
+                matches!(outcome, Outcome::Unknown { .. })
+            }),
+            ran: observations.ran.len(),
+            ..Self::default()
+        }
     }
 }
 
--- /dev/null
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -0,0 +1,218 @@
+//! Soak of targets that fail most of what they get, while gateways are killed, stopped and paused in
+//! series, and some are cut off from targets and from the store.
+//!
+//! What may be sent again then is bounded ([`super::repeats`]); the share of whole answers says what
+//! that costs callers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_platform_emulator::entry::HostLimits;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::callers::Load;
+use super::checks;
+use super::contention::Contender;
+use super::plan::{EntryFault, PlannedFault, SoakPlan};
+use super::processes::Fleet;
+use super::report::SoakReport;
+use super::{repeats, SoakError, SoakOptions, SETTLE};
+
+/// Separates this random stream from others of the same seed.
+const STREAM: u64 = 0x6661_696c;
+/// Time in which targets fail and gateways are disturbed, in milliseconds.
+const FROM_MS: u64 = 4_000;
+const UNTIL_MS: u64 = 22_000;
+/// Length of a run.
+const LENGTH: Duration = Duration::from_secs(28);
+/// Faults of gateways for each of them.
+const FAULTS_PER_GATEWAY: usize = 3;
+/// Duration of a fault of a gateway, in milliseconds.
+const FAULT_MS: std::ops::Range<u64> = 200..1_000;
+/// Duration of a time in which targets fail, in milliseconds.
+const FAILING_MS: std::ops::Range<u64> = 3_000..9_000;
+/// How long gateways are cut off from all targets, or the store is silent for them, in milliseconds.
+const CUT_MS: u64 = 6_000;
+const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
+const CUT_MODES: [&str; 4] = ["refusing", "resetting", "silent", "answers-lost"];
+
+const SECTIONS: &str = "\
+[service.plain]
+kind = plain
+targets = 6
+slots = 8
+queue = 8
+work_ms = 20
+
+[service.workers]
+kind = stage
+targets = 5
+slots = 1
+queue = 2
+batch = 10
+work_ms = 60
+piece_ms = 5
+room_kb = 1900
+
+[service.finishers]
+kind = stage
+targets = 5
+slots = 1
+queue = 2
+batch = 30
+work_ms = 60
+piece_ms = 2
+room_kb = 1900
+
+[service.engines]
+kind = engines
+targets = 6
+slots = 32
+queue = 32
+work_ms = 20
+events = 6
+
+[route.safe]
+kind = safe
+path = /failing/safe/
+service = plain
+target_ms = 500
+attempts = 3
+
+[route.once]
+kind = once
+path = /failing/once/
+service = plain
+target_ms = 500
+attempts = 2
+
+[route.stream]
+kind = stream
+path = /failing/stream/
+service = engines
+stages = workers, finishers
+pieces = 6
+result_kb = 60
+target_ms = 1500
+timeout_ms = 6000
+attempts = 2
+
+[route.resumable]
+kind = stream
+path = /failing/resumable/
+service = engines
+stages = workers
+pieces = 4
+result_kb = 60
+target_ms = 1500
+timeout_ms = 6000
+attempts = 3
+resumable = 1
+";
+
+const PATHS: [&str; 4] = [
+    "/failing/safe/",
+    "/failing/once/",
+    "/failing/stream/",
+    "/failing/resumable/",
+];
+/// Services that fail, with the number of their targets.
+const SERVICES: [(&str, usize); 4] = [
+    ("plain", 6),
+    ("workers", 5),
+    ("finishers", 5),
+    ("engines", 6),
+];
+
+/// Runs once.
+pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    let plan = draw(options);
+    let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
+    let callers = PATHS.into_iter().cycle().take(options.callers);
+    let callers = callers.map(|path| Contender {
+        path,
+        organisation: None,
+        active: None,
+        part: None,
+    });
+    let load = Load::of_contenders(options, &plan, &fleet, callers);
+    fleet.run_faults(&plan).await;
+    tokio::time::sleep(SETTLE).await;
+    let attempts = load.stop().await;
+    let observations = fleet.shut_down().await;
+    let mut failures = checks::find_violations(&plan, &observations, &attempts);
+    let repeats = repeats::evaluate(&plan, &observations, &attempts);
+    failures.extend(repeats.failures);
+    let options = SoakOptions {
+        seconds: LENGTH.as_secs(),
+        ..options.clone()
+    };
+    Ok(SoakReport {
+        repeats: repeats.summary,
+        failures,
+        ..SoakReport::of_attempts(&options, &observations, &attempts)
+    })
+}
+
+fn draw(options: &SoakOptions) -> SoakPlan {
+    let SoakOptions { seed, entries, .. } = *options;
+    let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
+    let mut sections = vec![SECTIONS.to_string()];
+    for (service, targets) in SERVICES {
+        for number in 0..2 {
+            sections.push(failing_section(&mut rng, service, targets, number));
+        }
+    }
+    for what in ["hosts-cut", "store-silent"] {
+        sections.push(host_section(&mut rng, what, entries));
+    }
+    // Workers that end take results with them.
+    let at_ms = rng.random_range(FROM_MS..UNTIL_MS);
+    sections.push(format!(
+        "[trouble.ended]\nwhat = targets-gone\nservice = workers\nfirst = 4\ntargets = 1\n\
+         at_ms = {at_ms}\n"
+    ));
+    let kinds = [EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
+    let faults = (0..entries * FAULTS_PER_GATEWAY).map(|_| PlannedFault {
+        fault: *kinds.choose(&mut rng).expect("there are kinds"),
+        entry: rng.random_range(0..entries),
+        at: Duration::from_millis(rng.random_range(FROM_MS..UNTIL_MS)),
+        duration: Duration::from_millis(rng.random_range(FAULT_MS)),
+    });
+    let faults = faults.collect();
+    SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+}
+
+/// Section of a time in which some targets of a service fail.
+fn failing_section(rng: &mut SmallRng, service: &str, targets: usize, number: usize) -> String {
+    let at_ms = rng.random_range(FROM_MS..UNTIL_MS - FAILING_MS.end / 2);
+    let for_ms = rng.random_range(FAILING_MS);
+    let count = rng.random_range(targets / 2..=targets);
+    let percent = rng.random_range(30..=95);
+    let how = FAILURE_MODES.choose(rng).expect("there are modes");
+    format!(
+        "[trouble.{service}-{number}]\nwhat = targets-failing\nservice = {service}\n\
+         targets = {count}\npercent = {percent}\nhow = {how}\nat_ms = {at_ms}\nfor_ms = {for_ms}\n"
+    )
+}
+
+/// Section of a time in which up to half of the hosts are cut off from all targets, or the store is
+/// silent for them.
+fn host_section(rng: &mut SmallRng, what: &str, entries: usize) -> String {
+    let at_ms = rng.random_range(FROM_MS..UNTIL_MS - CUT_MS);
+    let hosts = rng.random_range(1..=(entries / 2).max(1));
+    let first = rng.random_range(0..=entries - hosts);
+    let how = match what {
+        "hosts-cut" => {
+            let mode = CUT_MODES.choose(rng).expect("there are modes");
+            format!("how = {mode}\n")
+        }
+        _ => String::new(),
+    };
+    format!(
+        "[trouble.{what}]\nwhat = {what}\nfirst = {first}\nhosts = {hosts}\n{how}at_ms = {at_ms}\n\
+         for_ms = {CUT_MS}\n"
+    )
+}
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -6,7 +6,7 @@
 //! not refuse many requests ([`brittle`]), for some whose targets leave without a record
 //! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]); for a time most of their
 //! connections go to one gateway ([`crowding`]);
-//! [`checks`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
+//! [`checks`], [`repeats`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod brittle;
 mod callers;
@@ -15,9 +15,11 @@
 mod crowding;
 mod cut;
 mod departures;
+mod failing_targets;
 mod fragile;
 mod plan;
 mod processes;
+mod repeats;
 mod report;
 mod room;
 mod small_hosts;
@@ -58,6 +60,8 @@
     pub small_hosts: bool,
     /// Bandwidth of these links, in megabits per second.
     pub link_mbps: f64,
+    /// Targets that fail most of what they get, beside gateways that are disturbed in series.
+    pub failing_targets: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -95,6 +99,9 @@
     if options.small_hosts {
         return small_hosts::run(options).await;
     }
+    if options.failing_targets {
+        return failing_targets::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -24,6 +24,7 @@
 
 use super::departures::LateSend;
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
+use super::repeats::Repeat;
 use super::report::{Failure, FailureKind};
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
 
@@ -63,6 +64,10 @@
     pub broken: Vec<Failure>,
     /// Requests to targets that had left, by the gateway that sent them.
     pub late_sends: Vec<LateSend>,
+    /// When the platform started.
+    pub platform_started: Option<Instant>,
+    /// Work that a service got once more.
+    pub repeats: Vec<Repeat>,
     /// Crashes of targets under a part of prompts.
     pub fatal_crashes: Vec<Instant>,
     /// Requests with that part that reached targets too late: the gateway, and when.
@@ -130,6 +135,9 @@
 #[derive(Deserialize)]
 struct EventLine {
     event: String,
+    /// Since the start of the platform.
+    at_ms: u64,
+    service: Option<String>,
     hosts: Option<Vec<String>>,
     name: Option<String>,
     state: Option<String>,
@@ -490,20 +498,23 @@
     let stdin = child.stdin.take().ok_or_else(not_ready)?;
     let stdout = child.stdout.take().ok_or_else(not_ready)?;
     let mut lines = BufReader::new(stdout).lines();
-    let stores = tokio::time::timeout(READY_TIMEOUT, read_store_addrs(&mut lines)).await;
-    let stores = stores.ok().flatten().ok_or_else(not_ready)?;
+    let ready = tokio::time::timeout(READY_TIMEOUT, read_ready(&mut lines)).await;
+    let (stores, started) = ready.ok().flatten().ok_or_else(not_ready)?;
+    observations.borrow_mut().platform_started = Some(started);
     actix_rt::spawn(follow_events(lines, observations.clone()));
     Ok(((child, stdin), stores))
 }
 
 type EventLines = tokio::io::Lines<BufReader<ChildStdout>>;
 
-/// Addresses of the store for each gateway, from the platform's first event.
-async fn read_store_addrs(lines: &mut EventLines) -> Option<Vec<SocketAddr>> {
+/// Addresses of the store for each gateway and the start of the platform, from its first event.
+async fn read_ready(lines: &mut EventLines) -> Option<(Vec<SocketAddr>, Instant)> {
     let line = lines.next_line().await.ok()??;
     let event: EventLine = serde_json::from_str(&line).ok()?;
+    let started = Instant::now() - Duration::from_millis(event.at_ms);
     let hosts = event.hosts?.into_iter();
-    hosts.map(|addr| addr.parse().ok()).collect()
+    let stores = hosts.map(|addr| addr.parse().ok()).collect::<Option<_>>()?;
+    Some((stores, started))
 }
 
 async fn follow_events(mut lines: EventLines, observations: Rc<RefCell<Observations>>) {
@@ -527,6 +538,12 @@
             }
             ("cut", Some(request)) => drop(observations.cut.insert(request)),
             ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
+            ("repeat", _) => observations
+                .repeats
+                .extend(event.service.map(|service| Repeat {
+                    service,
+                    at: Duration::from_millis(event.at_ms),
+                })),
             ("late_send", _) => observations.late_sends.extend(late_send),
             ("fatal_crash", _) => observations.fatal_crashes.push(Instant::now()),
             ("late_fatal_request", _) => {
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -45,6 +45,8 @@
     FatalPart,
     /// Requests beside them that were served too little.
     BesideFatalPart,
+    /// More work that a service got more than once than the settings allow.
+    Repeats,
 }
 
 impl fmt::Display for FailureKind {
@@ -66,6 +68,7 @@
             FailureKind::Starved => "starved organisation",
             FailureKind::FatalPart => "a part that crashes targets reaches few more",
             FailureKind::BesideFatalPart => "served too little beside a part that crashes targets",
+            FailureKind::Repeats => "repeats within their budget",
             FailureKind::StreamEvents => "events of a stream",
             FailureKind::StreamsNotResumed => "streams not resumed",
         };
@@ -90,11 +93,13 @@
 }
 
 /// Result of a soak run.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct SoakReport {
     pub seed: u64,
     pub seconds: u64,
     pub entries: usize,
+    /// Option of the command that selects what is played; the usual soak if `None`.
+    pub mode: Option<&'static str>,
     /// Callers' attempts, in total and by outcome.
     pub attempts: usize,
     pub whole: usize,
@@ -106,10 +111,18 @@
     pub room: String,
     /// Streams that callers took up.
     pub streams: String,
+    /// Repeats of work by service.
+    pub repeats: String,
     pub failures: Vec<Failure>,
 }
 
 impl SoakReport {
+    fn write_summaries(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let summaries = [&self.room, &self.streams, &self.repeats];
+        let mut summaries = summaries.into_iter().filter(|text| !text.is_empty());
+        summaries.try_for_each(|text| write!(f, "\n{text}"))
+    }
+
     /// True if no check failed.
     pub fn is_success(&self) -> bool {
         self.failures.is_empty()
@@ -130,7 +143,8 @@
             self.ran
         )?;
         if self.is_success() {
-            return write!(f, "all promises kept\n{}\n{}", self.room, self.streams);
+            f.write_str("all promises kept")?;
+            return self.write_summaries(f);
         }
         writeln!(f, "{} failures", self.failures.len())?;
         let mut by_kind: BTreeMap<&FailureKind, Vec<&str>> = BTreeMap::new();
@@ -143,11 +157,15 @@
                 writeln!(f, "    {description}")?;
             }
         }
-        writeln!(f, "{}\n{}", self.room, self.streams)?;
+        f.write_str("again: hollowsail-bench soak")?;
+        if let Some(mode) = self.mode {
+            write!(f, " {mode}")?;
+        }
         write!(
             f,
-            "again: hollowsail-bench soak --seed {} --seconds {} --entries {}",
+            " --seed {} --seconds {} --entries {}",
             self.seed, self.seconds, self.entries
-        )
+        )?;
+        self.write_summaries(f)
     }
 }
--- a/crates/bench/src/soak/small_hosts.rs
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -553,6 +553,8 @@
         room: lines.join("\n"),
         streams: String::new(),
         failures,
+        mode: Some("--small-hosts"),
+        ..SoakReport::default()
     }
 }
 
--- a/crates/bench/tests/suite/soak_report.rs
+++ b/crates/bench/tests/suite/soak_report.rs
@@ -19,6 +19,8 @@
         ran: 70,
         room: "no room".to_string(),
         streams: "streams".to_string(),
+        repeats: "repeats".to_string(),
+        mode: None,
         failures: versions.chain([cut]).collect(),
     };
     let text = report.to_string();
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod mechanisms;
 mod metrics;
 mod regions;
+mod repeats;
 mod reservations;
 mod rollouts;
 mod sharing;
