Grant repeats from shares that hold over restarts, cuts and any number of hosts

Callers' services could get several times the allowed repeats: each process began with a full bucket, hosts that see few peers took the share of many, and from 100 hosts on a floor of one token was more than the share. A request whose inputs were lost began anew with an attempt that earned instead of spending.

Every send to a target now takes a permit that only a budget gives out, so that a path that forgets to ask doesn't compile; a permit comes back if the target got nothing. What requests earn expires within a window and is half of the ratio, so that what two windows earned fits into one; the fixed allowance is divided by the hosts that may exist, including those whose record is gone but that may run behind a cut, and a process that has just started uses a sixth of its host's share for one window. The sums are proven by a property test over hosts, restarts, late arrivals and windows.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod evacuated_halls;
 mod groups;
 mod host_view;
+mod known_hosts;
 mod large_registry;
 mod live_runs;
 mod membership;
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -35,7 +35,7 @@
 use crate::mechanisms::Mechanism;
 use crate::ownership_age::OwnershipAge;
 use crate::peers::{Link, PeerId, PieceId};
-use crate::repeats::{Charge, Repeat};
+use crate::repeats::Repeat;
 use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
 
@@ -300,8 +300,7 @@
         let queue = self.queue.borrow();
         let jobs = pieces.iter().filter_map(|key| queue.job(*key));
         for job in jobs {
-            job.repeat(self.service(), RepeatReason::CallOverdue)
-                .record(cx, Charge::Nothing, &"");
+            cx.record_uncharged(&job.repeat(self.service(), RepeatReason::CallOverdue));
         }
     }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -11,7 +11,7 @@
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_routing::repeats::{RepeatBudget, RepeatReason, SendPermits};
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use hollowsail_targets::Target;
@@ -21,7 +21,6 @@
 use super::batcher::Batcher;
 use super::worker_crash;
 use crate::metrics;
-use crate::repeats::Charge;
 use crate::target_calls;
 use crate::traffic::Traffic;
 
@@ -205,9 +204,13 @@
         &call_id,
         sent_pieces.iter().map(|sent| &sent.piece),
     );
-    let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES)
+    let permits = sent_pieces.iter().map(|_| RepeatBudget::first_of_piece());
+    let Some(permits) = SendPermits::new(permits.collect()) else {
+        return Ok(Vec::new());
+    };
+    let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES, permits)
         .await
-        .map_err(|source| match source {
+        .map_err(|unanswered| match unanswered.error {
             SendError::Withdrawn { .. } => CallError::TargetLeft,
             source => CallError::Send { source },
         })?;
@@ -343,8 +346,7 @@
         (CallEnd::Refused, _) => RepeatReason::CallRefused,
         _ => RepeatReason::CallFailed,
     };
-    job.repeat(batcher.service(), reason)
-        .record(cx, Charge::Nothing, &"");
+    cx.record_uncharged(&job.repeat(batcher.service(), reason));
 }
 
 /// Releases results at their producer, after its backoff if it is backing off. Best effort:
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -26,7 +26,7 @@
     self, Link, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest, UnneededResult,
     WorkerHandover,
 };
-use crate::repeats::{Charge, Repeat};
+use crate::repeats::Repeat;
 use crate::reservations::{ReservationReply, Reserve};
 use crate::target_group::TargetGroup;
 use crate::traffic::Traffic;
@@ -139,7 +139,7 @@
                                 piece: Some((piece.stage, piece.piece)),
                                 reason: RepeatReason::OwnerLost,
                             };
-                            repeat.record(cx, Charge::Nothing, &"");
+                            cx.record_uncharged(&repeat);
                         }
                     }
                 }
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -1,14 +1,28 @@
-//! Lines and counters on work that is sent to a service more than once.
+//! The budgets of repeated work, by service: the one place that grants a second send.
+//!
+//! Every send to a target takes a permit ([`hollowsail_routing::repeats`]). [`Repeats`] permits the
+//! first send of each request or piece, and each repeat that is within this host's share; it logs and
+//! counts every repeat that it grants or refuses.
 
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::fmt;
 
+use hollowsail_fleet::known_hosts::COUNTED_FOR_MS;
+use hollowsail_fleet::KnownHosts;
 use hollowsail_observe::events;
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_platform::settings::Bounds;
+use hollowsail_routing::repeats::{BudgetRules, Holding, RepeatBudget, RepeatReason, SendPermit};
+use hollowsail_routing::Millis;
 
+use crate::log::Log;
 use crate::metrics;
-use crate::traffic::Traffic;
+
+/// How much later than it is sent work may reach its target, in milliseconds.
+const ARRIVAL_MS: Millis = 1_000;
 
 /// Work that is to be sent again.
+#[derive(Debug, Clone, Copy)]
 pub struct Repeat<'a> {
     pub service: &'a str,
     pub request: &'a str,
@@ -17,27 +31,6 @@
     pub reason: RepeatReason,
 }
 
-/// What a repeat is charged to.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Charge {
-    /// The budget of the service.
-    Budget,
-    /// Nothing: it is sent whatever the budget says.
-    Nothing,
-    /// It isn't sent, since the budget is used up.
-    Refused,
-}
-
-impl Charge {
-    fn name(self) -> &'static str {
-        match self {
-            Charge::Budget => "budget",
-            Charge::Nothing => "nothing",
-            Charge::Refused => "refused",
-        }
-    }
-}
-
 impl fmt::Display for Repeat<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Repeat {
@@ -51,19 +44,93 @@
     }
 }
 
-impl Repeat<'_> {
-    /// Writes the line and counts the repeat. `left` describes the budget.
-    pub fn record(&self, cx: &Traffic, charge: Charge, left: &dyn fmt::Display) {
-        let work = match self.piece {
+/// Budgets of all services, and the hosts that share them.
+#[derive(Default)]
+pub struct Repeats {
+    /// By service name.
+    budgets: RefCell<HashMap<String, RepeatBudget>>,
+    hosts: RefCell<KnownHosts>,
+    /// Since when the store doesn't answer this host.
+    unreachable_since: Cell<Option<Millis>>,
+}
+
+impl Repeats {
+    /// Applies a list of the hosts that have a record.
+    pub fn update_hosts<'a>(&self, now: Millis, listed: impl Iterator<Item = &'a str>) {
+        self.hosts.borrow_mut().update(now, listed);
+    }
+
+    /// Applies whether the store answers this host.
+    pub fn update_store(&self, now: Millis, is_reachable: bool) {
+        let since = self.unreachable_since.get().unwrap_or(now);
+        self.unreachable_since.set((!is_reachable).then_some(since));
+    }
+
+    /// Permits the first send of a caller's request, and counts the request.
+    pub fn permit_request(&self, now: Millis, bounds: &Bounds, service: &str) -> SendPermit {
+        self.with_budget(service, |budget| {
+            budget.first_of_request(now, rules(bounds))
+        })
+    }
+
+    /// Permits a repeat; `None` if this host's share is used up.
+    pub fn grant(
+        &self,
+        now: Millis,
+        bounds: &Bounds,
+        log: &Log,
+        repeat: &Repeat<'_>,
+    ) -> Option<SendPermit> {
+        let share = self.share(now, bounds);
+        let (permit, left) = self.with_budget(repeat.service, |budget| {
+            let permit = budget.repeat(now, rules(bounds), share);
+            (permit, budget.left(now, rules(bounds), share))
+        });
+        let (event, outcome) = match &permit {
+            Some(_) => (events::REPEATED, "granted"),
+            None => (events::REPEAT_REFUSED, "refused"),
+        };
+        let work = match repeat.piece {
             Some(_) => "piece",
             None => "request",
         };
-        metrics::count_repeat(self.service, work, self.reason.name(), charge.name());
-        let event = match charge {
-            Charge::Refused => events::REPEAT_REFUSED,
-            Charge::Budget | Charge::Nothing => events::REPEATED,
+        metrics::count_repeat(repeat.service, work, repeat.reason.name(), outcome);
+        let hosts = self.hosts.borrow().count(now).unwrap_or(0);
+        let fields = format_args!("{repeat} left={left:.2} share={share:.2} hosts={hosts}");
+        log.line(event, fields);
+        permit
+    }
+
+    /// Records a repeat that no budget was asked for.
+    pub fn record_uncharged(&self, log: &Log, repeat: &Repeat<'_>) {
+        metrics::count_repeat(repeat.service, "piece", repeat.reason.name(), "uncharged");
+        log.line(events::REPEATED, format_args!("{repeat} uncharged=1"));
+    }
+
+    /// Repeats that this process may charge to the fixed allowance in a window.
+    fn share(&self, now: Millis, bounds: &Bounds) -> f64 {
+        let unreachable_since = self.unreachable_since.get();
+        let holding = Holding {
+            running_ms: now,
+            hosts: self.hosts.borrow().count(now),
+            is_counted: unreachable_since.is_none_or(|since| since + COUNTED_FOR_MS > now),
         };
-        let fields = format_args!("{self} charged={} {left}", charge.name());
-        cx.log.line(event, fields);
+        holding.share(bounds.retry_extra, rules(bounds))
+    }
+
+    fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RepeatBudget) -> T) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        match budgets.get_mut(service) {
+            Some(budget) => change(budget),
+            None => change(budgets.entry(service.to_string()).or_default()),
+        }
+    }
+}
+
+fn rules(bounds: &Bounds) -> BudgetRules {
+    BudgetRules {
+        ratio: bounds.retry_ratio,
+        window_ms: (bounds.retry_window_s * 1_000.0) as Millis,
+        arrival_ms: ARRIVAL_MS,
     }
 }
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -10,6 +10,7 @@
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
+use hollowsail_routing::repeats::SendPermit;
 use hollowsail_routing::Progress;
 use hollowsail_targets::{InFlight, Target};
 use http::response::Parts;
@@ -19,7 +20,7 @@
 use super::admit::Admitted;
 use crate::connections::{self, InUse};
 use crate::placement::Placement;
-use crate::target_calls;
+use crate::target_calls::{self, Unanswered};
 use crate::traffic::Traffic;
 
 /// Maximum idle time of a connection that a request without retries may reuse; after a longer one
@@ -70,6 +71,8 @@
     pub is_error_answer: bool,
     /// Set when it got none of the few connections to the service.
     pub unconnected: Option<Unconnected>,
+    /// Permits another send: given back if nothing was sent, or already granted.
+    pub permit: Option<SendPermit>,
 }
 
 impl Failure {
@@ -84,14 +87,16 @@
             begun: None,
             is_error_answer: false,
             unconnected: None,
+            permit: None,
         }
     }
 
-    /// The target answered with an error status.
-    pub fn answered(status: StatusCode) -> Self {
+    /// The target answered with an error status, and another one may be tried.
+    pub fn answered(status: StatusCode, permit: SendPermit) -> Self {
         let reason = format!("the target answered with status {}", status.as_u16());
         Failure {
             is_error_answer: true,
+            permit: Some(permit),
             ..Failure::new(Progress::Broken, reason)
         }
     }
@@ -173,24 +178,41 @@
     target: &mut Rc<Target>,
     others: &[Rc<Target>],
     options: &AttemptOptions<'_>,
+    permit: SendPermit,
 ) -> Result<TargetAnswer, Failure> {
     // Counts at the chosen target while the request waits for a connection.
     let waiting = target.track_request(options.prefill_tokens);
     let reuse = reuse(admitted);
-    let connected = connections::connect(cx, admitted, target, others, reuse).await?;
+    let connected = match connections::connect(cx, admitted, target, others, reuse).await {
+        Ok(connected) => connected,
+        Err(failure) => {
+            return Err(Failure {
+                permit: Some(permit),
+                ..failure
+            })
+        }
+    };
     drop(waiting);
     let in_flight = target.track_request(options.prefill_tokens);
     let (connection, in_use) = connected.unzip();
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
-    let sending = target_calls::send(cx, target, connection, req, reuse);
+    let sending = target_calls::send(cx, target, connection, req, reuse, permit.into());
     let timeout_at = options
         .timeout
         .map_or(options.deadline, |timeout| sent + timeout);
     let answer = match tokio::time::timeout_at(timeout_at.to_instant().into(), sending).await {
         Ok(Ok(answer)) => answer,
-        Ok(Err(err)) if err.nothing_sent() => return Err(Failure::not_connected(&err)),
-        Ok(Err(err)) => return Err(Failure::connection_lost(err.to_string())),
+        Ok(Err(Unanswered { error, permits })) => {
+            let permit = permits.and_then(|permits| permits.into_vec().pop());
+            return Err(match permit {
+                Some(permit) => Failure {
+                    permit: Some(permit),
+                    ..Failure::not_connected(&error)
+                },
+                None => Failure::connection_lost(error.to_string()),
+            });
+        }
         Err(_) => {
             return Err(Failure::new(
                 Progress::Broken,
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -9,6 +9,7 @@
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_platform::targets::Incarnation;
+use hollowsail_routing::repeats::SendPermit;
 use hollowsail_routing::{stage_status, Progress, StageStatus};
 use hollowsail_targets::Target;
 use rand::Rng;
@@ -18,6 +19,25 @@
 use super::stream_version::ResumedAt;
 use crate::answer::Refusal;
 
+/// Where a request goes.
+#[derive(Debug, Clone)]
+pub struct Destination {
+    pub service: ServiceKey,
+    /// Software version that began the stream; only its targets may serve the request.
+    pub version: Option<String>,
+}
+
+impl Destination {
+    /// Chooses the service for all attempts of the request, unless it resumes a stream.
+    pub fn choose(admitted: &Admitted, resumed_at: Option<&ResumedAt>) -> Self {
+        let service = resumed_at.map(|resumed_at| resumed_at.service);
+        Destination {
+            service: service.unwrap_or_else(|| choose_service(admitted)),
+            version: resumed_at.map(|resumed_at| resumed_at.version.clone()),
+        }
+    }
+}
+
 /// The attempts of one request so far.
 pub struct Attempts {
     pub service: ServiceKey,
@@ -25,8 +45,8 @@
     pub version: Option<String>,
     /// Targets whose attempts failed.
     pub tried: HashSet<Incarnation>,
-    /// An attempt has begun.
-    has_begun: bool,
+    /// Permits the next send: the first, or a repeat that was granted.
+    permit: Option<SendPermit>,
     /// How far each failed attempt got.
     progress: Vec<Progress>,
     /// Number of failed attempts that may have reached a target.
@@ -44,14 +64,14 @@
 }
 
 impl Attempts {
-    /// Chooses the service for all attempts of the request, unless it resumes a stream.
-    pub fn new(admitted: &Admitted, resumed_at: Option<&ResumedAt>) -> Self {
-        let service = resumed_at.map(|resumed_at| resumed_at.service);
+    /// No attempts yet; `permit` is for the first send.
+    pub fn new(admitted: &Admitted, destination: Destination, permit: SendPermit) -> Self {
+        let Destination { service, version } = destination;
         Attempts {
-            service: service.unwrap_or_else(|| choose_service(admitted)),
-            version: resumed_at.map(|resumed_at| resumed_at.version.clone()),
+            service,
+            version,
             tried: HashSet::new(),
-            has_begun: false,
+            permit: Some(permit),
             progress: Vec::new(),
             reached: 0,
             unreached: 0,
@@ -73,6 +93,7 @@
             _ => self.reached += 1,
         }
         self.progress.push(failure.progress);
+        self.permit = failure.permit;
         self.last_error = failure.reason;
         self.retry_after = failure.retry_after.or(self.retry_after);
     }
@@ -108,10 +129,19 @@
         refusal
     }
 
-    /// Marks the first attempt as begun. Returns false for all later ones, also if the first one
-    /// wasn't sent.
-    pub fn begin_first(&mut self) -> bool {
-        !std::mem::replace(&mut self.has_begun, true)
+    /// Takes the permit for the next send, if there is one.
+    pub fn take_permit(&mut self) -> Option<SendPermit> {
+        self.permit.take()
+    }
+
+    /// Keeps a permit for the next send.
+    pub fn keep_permit(&mut self, permit: Option<SendPermit>) {
+        self.permit = permit;
+    }
+
+    /// True if the request may be sent now.
+    pub fn has_permit(&self) -> bool {
+        self.permit.is_some()
     }
 
     /// True until an attempt has failed.
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
-use hollowsail_observe::events;
+use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::{Progress, Reason};
 use hollowsail_targets::Target;
@@ -16,7 +16,6 @@
 use super::attempt::{self, AttemptOptions, TargetAnswer, Unconnected};
 use super::attempts::Attempts;
 use super::prepare::Prepared;
-use super::stream_version::ResumedAt;
 use super::{relay, retry, select, stream, unservable, RequestStats};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
@@ -32,10 +31,9 @@
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
     prepared: Prepared,
-    resumed_at: Option<&ResumedAt>,
+    mut attempts: Attempts,
     stats: &mut RequestStats,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
-    let mut attempts = Attempts::new(admitted, resumed_at);
     loop {
         let answer = next_answer(cx, admitted, &prepared, &mut attempts, None).await;
         stats.attempts = attempts.count() + u32::from(answer.is_ok());
@@ -69,14 +67,12 @@
         let (mut target, others, placed) = (selected.target, selected.others, selected.placed);
         let timeout = timeout(cx, admitted, attempts);
         let options = attempt_options(admitted, prepared, timeout, resume_after);
-        if attempts.begin_first() {
-            cx.with_budget(&admitted.deployment, attempts.service, |budget| {
-                budget.earn()
-            });
-        }
+        let Some(permit) = attempts.take_permit() else {
+            return Err(attempts.refusal(ErrorKind::Overloaded));
+        };
         attempts.last_sent = BootInstant::now();
         let chosen = target.clone();
-        let result = attempt::run(cx, admitted, &mut target, &others, &options).await;
+        let result = attempt::run(cx, admitted, &mut target, &others, &options, permit).await;
         if !Rc::ptr_eq(&chosen, &target) {
             let candidates = 1 + others.len();
             select::log_choice(cx, admitted, &target, Reason::FreeConnection, candidates);
@@ -94,6 +90,7 @@
             // Nothing was sent, and no target is at fault.
             Err(failure) if failure.unconnected == Some(Unconnected::TargetsChanged) => {
                 placed.into_iter().for_each(|mut placed| placed.completed());
+                attempts.keep_permit(failure.permit);
                 log_outdated_choice(cx, admitted, &target, attempts.last_sent);
             }
             Err(failure) => {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -30,10 +30,11 @@
 
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
-use crate::repeats::{Charge, Repeat};
 use crate::reservations::{self, ReservedRoom};
 use crate::traffic::Traffic;
 
+use attempts::{Attempts, Destination};
+
 pub use admit::Admitted;
 pub use attempt::{Failure, Unconnected};
 pub use forecast::max_return;
@@ -148,6 +149,8 @@
         Some(_) => ReservedRoom::none(cx, admitted),
         None => reserve_room(cx, admitted).await?,
     };
+    let destination = Destination::choose(admitted, resumed_at.as_ref());
+    let mut permit = cx.permit_request(&admitted.deployment.service(destination.service).name);
     let stage_deadline = admitted.stage_deadline(room.is_complete(&admitted.caller.pieces));
     let mut stage_reruns = 0;
     loop {
@@ -155,30 +158,22 @@
         let prepared = prepare::run(cx, admitted, &room, stage_deadline).await?;
         pending.phase = "target";
         stats.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
-        match dispatch::run(cx, admitted, prepared, resumed_at.as_ref(), stats).await {
+        let attempts = Attempts::new(admitted, destination.clone(), permit);
+        match dispatch::run(cx, admitted, prepared, attempts, stats).await {
             // The engine did not run the request, so the stages can be repeated.
             Err(refusal)
                 if refusal.kind == ErrorKind::InputsGone && stage_reruns < MAX_STAGE_RERUNS =>
             {
                 stage_reruns += 1;
-                record_rerun(cx, admitted);
+                let reason = RepeatReason::RequestInputGone;
+                let repeat = retry::permit_repeat(cx, admitted, destination.service, reason);
+                permit = repeat.ok_or(refusal)?;
             }
             result => return result,
         }
     }
 }
 
-/// Records that a request is sent again since its target no longer had its inputs.
-fn record_rerun(cx: &Traffic, admitted: &Admitted) {
-    let repeat = Repeat {
-        service: admitted.service_name(),
-        request: &admitted.caller.request_id,
-        piece: None,
-        reason: RepeatReason::RequestInputGone,
-    };
-    repeat.record(cx, Charge::Nothing, &"");
-}
-
 /// Reserves room for the stages of a new request. Refuses it if there is none, or not in time.
 async fn reserve_room(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Result<ReservedRoom, Refusal> {
     let room = reservations::reserve(cx, admitted).await?;
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -18,7 +18,7 @@
 use super::{prefill_ms, stage_due, Prepared, LARGE_RESULT_BYTES};
 use crate::answer::Refusal;
 use crate::pools::{PieceOutcome, PieceRequest, RetainedResult};
-use crate::repeats::{Charge, Repeat};
+use crate::repeats::Repeat;
 use crate::request::admit::Admitted;
 use crate::request::unservable;
 use crate::reservations::ReservedRoom;
@@ -239,7 +239,7 @@
             piece: Some((index.stage as u16, index.piece as u32)),
             reason: RepeatReason::InputGone,
         };
-        repeat.record(self.cx, Charge::Nothing, &"");
+        self.cx.record_uncharged(&repeat);
     }
 
     fn finish(self) -> Prepared {
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -70,8 +70,10 @@
     let failure = |reason: String| Failure::new(Progress::Broken, reason);
     let failure = match read {
         Ok(Ok(_)) if let Err(fault) = end => Failure::cut_off(begun, fault.to_string()),
-        Ok(Ok(Some(_))) if retry::may_try_another(cx, admitted, attempts, parts.status) => {
-            Failure::answered(parts.status)
+        Ok(Ok(Some(_)))
+            if let Some(permit) = retry::try_another(cx, admitted, attempts, parts.status) =>
+        {
+            Failure::answered(parts.status, permit)
         }
         Ok(Ok(Some(bytes))) => {
             let outcome = match parts.status.is_server_error() {
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -8,7 +8,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_routing::repeats::{RepeatReason, SendPermit};
 use hollowsail_routing::{may_retry, stage_status, Observation, Progress, StageStatus};
 use hollowsail_targets::Target;
 
@@ -19,7 +19,7 @@
 use crate::answer::Refusal;
 use crate::crashes::InterruptedRun;
 use crate::metrics;
-use crate::repeats::{Charge, Repeat};
+use crate::repeats::Repeat;
 use crate::traffic::Traffic;
 
 /// Maximum number of attempts that reached no target. They don't count against the route's limit,
@@ -64,7 +64,7 @@
         return Err(attempts.deadline_refusal());
     }
     let may_retry = may_retry_request(cx, admitted, attempts, progress);
-    if may_retry && spend_budget(cx, admitted, attempts, progress) {
+    if may_retry && has_permit(cx, admitted, attempts, progress) {
         Ok(())
     } else {
         let refusal = attempts.refusal(ErrorKind::Overloaded);
@@ -158,53 +158,50 @@
         && attempts.unreached < MAX_UNREACHED
 }
 
-/// Takes a token for a retry from the service's budget; false when there is none. A retry is free
-/// if no earlier attempt reached a target.
-fn spend_budget(
+/// True if the request may be sent again: nothing was sent, or the service's budget permits a repeat.
+fn has_permit(
     cx: &Rc<Traffic>,
     admitted: &Admitted,
-    attempts: &Attempts,
+    attempts: &mut Attempts,
     progress: Progress,
 ) -> bool {
-    let spend = || {
-        cx.with_budget(&admitted.deployment, attempts.service, |budget| {
-            budget.spend()
-        })
-    };
-    let charge = match attempts.reached {
-        0 => Charge::Nothing,
-        _ if spend() => Charge::Budget,
-        _ => Charge::Refused,
-    };
-    let reason = match progress {
-        Progress::FinalRefusal => RepeatReason::AttemptRefused,
-        _ => RepeatReason::AttemptFailed,
-    };
-    let repeat = Repeat {
-        service: &admitted.deployment.service(attempts.service).name,
+    if !attempts.has_permit() {
+        let reason = match progress {
+            Progress::FinalRefusal => RepeatReason::AttemptRefused,
+            _ => RepeatReason::AttemptFailed,
+        };
+        attempts.keep_permit(permit_repeat(cx, admitted, attempts.service, reason));
+    }
+    attempts.has_permit()
+}
+
+/// Permits the request to be sent to its service again; `None` if the budget is used up.
+pub fn permit_repeat(
+    cx: &Traffic,
+    admitted: &Admitted,
+    service: ServiceKey,
+    reason: RepeatReason,
+) -> Option<SendPermit> {
+    cx.permit_repeat(&Repeat {
+        service: &admitted.deployment.service(service).name,
         request: &admitted.caller.request_id,
         piece: None,
         reason,
-    };
-    let left = cx.budget_state(&admitted.deployment, attempts.service);
-    repeat.record(cx, charge, &left);
-    charge != Charge::Refused
+    })
 }
 
-/// True when another target may be tried after an error status; otherwise the error answer is
-/// passed on.
-pub fn may_try_another(
-    cx: &Rc<Traffic>,
+/// Permits another target to be tried after an error status; otherwise the error answer is passed on.
+pub fn try_another(
+    cx: &Traffic,
     admitted: &Admitted,
     attempts: &Attempts,
     status: http::StatusCode,
-) -> bool {
+) -> Option<SendPermit> {
     let route = admitted.route();
-    status.is_server_error()
+    let may_try = status.is_server_error()
         && may_retry(Progress::Broken, route.repeat.is_repeatable())
         && attempts.reached + 1 < route.max_attempts
-        && !admitted.remaining().is_zero()
-        && cx.with_budget(&admitted.deployment, attempts.service, |budget| {
-            budget.has_token()
-        })
+        && !admitted.remaining().is_zero();
+    let reason = RepeatReason::AttemptFailed;
+    may_try.then(|| permit_repeat(cx, admitted, attempts.service, reason))?
 }
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -1,13 +1,15 @@
 //! Requests to targets.
 //!
 //! All requests to targets pass through here, so that a target's reports in an answer
-//! ([`crate::target_reports`]) take effect before the answer is used.
+//! ([`crate::target_reports`]) take effect before the answer is used. New work takes a permit for
+//! each request or piece, so that none is sent again without one ([`crate::repeats`]).
 
 use std::rc::Rc;
 
 use bytes::Bytes;
 use hollowsail_connect::{AnswerBody, BodyError, Connection, Exchange, Reuse, SendError};
 use hollowsail_platform::headers::{self, TargetHeaders};
+use hollowsail_routing::repeats::SendPermits;
 use hollowsail_targets::Target;
 use http::response::Parts;
 use http::{Request, StatusCode};
@@ -42,6 +44,13 @@
     pub body: Result<Option<Bytes>, BodyError>,
 }
 
+/// Why new work got no answer.
+pub struct Unanswered {
+    pub error: SendError,
+    /// Given back if the target got nothing.
+    pub permits: Option<SendPermits>,
+}
+
 /// Sends new work and waits for the headers of its answer, on `connection` if the request waited
 /// for one ([`crate::connections`]). Withdraws it if the target leaves before it is sent. The
 /// caller bounds the time; dropping the future closes the connection.
@@ -51,8 +60,14 @@
     connection: Option<Connection>,
     req: Request<Full<Bytes>>,
     reuse: Reuse,
-) -> Result<Answer, SendError> {
-    send_if(cx, target, connection, req, reuse, || cx.is_in_use(target)).await
+    permits: SendPermits,
+) -> Result<Answer, Unanswered> {
+    let is_wanted = || cx.is_in_use(target);
+    let sent = send_if(cx, target, connection, req, reuse, is_wanted).await;
+    sent.map_err(|error| Unanswered {
+        permits: Some(permits).filter(|_| error.nothing_sent()),
+        error,
+    })
 }
 
 async fn send_if(
@@ -92,8 +107,9 @@
     target: &Target,
     req: Request<Full<Bytes>>,
     max_bytes: usize,
-) -> Result<CompleteAnswer, SendError> {
-    let answer = send(cx, target, None, req, Reuse::Any).await?;
+    permits: SendPermits,
+) -> Result<CompleteAnswer, Unanswered> {
+    let answer = send(cx, target, None, req, Reuse::Any, permits).await?;
     Ok(read(answer, max_bytes).await)
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -12,7 +12,8 @@
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::{EventLoopLag, LatencyWindow, Millis, PrefillTimes, RetryBudget};
+use hollowsail_routing::repeats::SendPermit;
+use hollowsail_routing::{EventLoopLag, LatencyWindow, Millis, PrefillTimes};
 use hollowsail_targets::{LimitKind, LimitReport, Target, TargetTable};
 use tokio::sync::{mpsc, Notify};
 
@@ -27,19 +28,12 @@
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
+use crate::repeats::{Repeat, Repeats};
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::stream_origins::StreamOrigins;
 use crate::view::{Published, Targets, View};
 
-/// Share of the allowed ratio of extra arrivals that is used; the rest covers duplicates that
-/// the gateway does not cause.
-const RATIO_SHARE: f64 = 0.8;
-/// Share of the fixed allowance of extra arrivals that all entries use together. Below 1 since
-/// saved and earned tokens can be spent in one window, and since entries that do not know each
-/// other use a full share each.
-const EXTRA_SHARE: f64 = 0.5;
-
 /// Interval between broadcasts of one target's limit, in milliseconds, since the limit may
 /// change with each answer.
 const LIMIT_BROADCAST_INTERVAL_MS: Millis = 250;
@@ -107,8 +101,7 @@
     header_log: RefCell<LogThrottle<(String, String)>>,
     /// Throttles log lines on scarce connections, by service name.
     connection_log: RefCell<LogThrottle<String>>,
-    /// Retry budgets by service name.
-    budgets: RefCell<HashMap<String, RetryBudget>>,
+    repeats: Repeats,
     /// Recent latencies of requests, by service name.
     latencies: RefCell<HashMap<String, LatencyWindow>>,
     /// Recent times to the first event, by service name.
@@ -170,7 +163,7 @@
                 clock,
                 targets: RefCell::new(reach::target_table(cx)),
                 reach: Reach::default(),
-                budgets: RefCell::default(),
+                repeats: Repeats::default(),
                 latencies: RefCell::default(),
                 prefill_times: RefCell::default(),
                 in_flight: Cell::new(0),
@@ -224,12 +217,14 @@
             changed = targets.update(now, deployment, usable, draining);
         }
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
+        let now = self.clock.now();
+        self.repeats.update_store(now, newest.is_store_reachable);
         if peers_changed {
+            self.update_sharing_hosts(now, &newest);
             self.peers.update(self, &newest.peers);
             self.stream_origins
                 .retain_peers(|run| self.peers.is_live(PeerId(run)));
         }
-        let now = self.clock.now();
         self.stream_origins.update_versions(
             now,
             &newest.targets.versions,
@@ -250,6 +245,16 @@
         }
     }
 
+    /// Updates the hosts that share the budgets of repeats.
+    fn update_sharing_hosts(&self, now: Millis, newest: &View) {
+        // The list lacks this host until its own record is in the store.
+        let own = std::iter::once(self.me.host.as_str());
+        let listed = newest.peers.iter().map(|peer| peer.host.as_str());
+        if !newest.peers.is_empty() {
+            self.repeats.update_hosts(now, listed.chain(own));
+        }
+    }
+
     /// Updates queues and schedulers with the usable targets.
     pub fn propagate_targets(self: &Rc<Self>) {
         self.pools.update_targets(self);
@@ -421,30 +426,21 @@
         self.view.borrow().number
     }
 
-    /// Passes the retry budget of a service to `change`.
-    pub fn with_budget<T>(
-        &self,
-        deployment: &Deployment,
-        service: ServiceKey,
-        change: impl FnOnce(&mut RetryBudget) -> T,
-    ) -> T {
-        let name = &deployment.service(service).name;
-        let bounds = &self.settings().bounds;
-        let share = bounds.retry_extra * EXTRA_SHARE / self.peers.count() as f64;
-        let ratio = bounds.retry_ratio * RATIO_SHARE;
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(name.clone())
-            .or_insert_with(|| RetryBudget::with_share(ratio, share));
-        budget.set_share(share);
-        change(budget)
-    }
-
-    /// State of the retry budget of a service, for log lines.
-    pub fn budget_state(&self, deployment: &Deployment, service: ServiceKey) -> String {
-        let tokens = self.with_budget(deployment, service, |budget| budget.tokens());
-        let hosts = self.peers.count();
-        format!("tokens={tokens:.2} hosts={hosts}")
+    /// Permits the first send of a caller's request to a service.
+    pub fn permit_request(&self, service: &str) -> SendPermit {
+        let (now, settings) = (self.clock.now(), self.settings());
+        self.repeats.permit_request(now, &settings.bounds, service)
+    }
+
+    /// Records a repeat that no budget was asked for.
+    pub fn record_uncharged(&self, repeat: &Repeat<'_>) {
+        self.repeats.record_uncharged(&self.log, repeat);
+    }
+
+    /// Permits to send work again; `None` if this host's share of the repeats is used up.
+    pub fn permit_repeat(&self, repeat: &Repeat<'_>) -> Option<SendPermit> {
+        let (now, settings) = (self.clock.now(), self.settings());
+        self.repeats.grant(now, &settings.bounds, &self.log, repeat)
     }
 
     /// Median latency of a service in milliseconds; `None` before it is known.
--- a/crates/routing/src/budget.rs
+++ b/crates/routing/src/budget.rs
@@ -24,30 +24,9 @@
         }
     }
 
-    /// A full bucket of `capacity` tokens: the entry's share of the extra attempts that a service
-    /// accepts in a window besides the ratio.
-    pub fn with_share(ratio: f64, capacity: f64) -> Self {
-        RetryBudget {
-            ratio,
-            capacity,
-            tokens: capacity,
-        }
-    }
-
-    /// Changes the capacity after entries joined or left.
-    pub fn set_share(&mut self, capacity: f64) {
-        self.capacity = capacity;
-        self.tokens = self.tokens.min(capacity);
-    }
-
     /// Records a first attempt.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + self.ratio).min(self.capacity.max(1.0));
-    }
-
-    /// Tokens that are left.
-    pub fn tokens(&self) -> f64 {
-        self.tokens
+        self.tokens = (self.tokens + self.ratio).min(self.capacity);
     }
 
     /// True when an extra attempt is allowed now.
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod progress;
 mod random_admission;
 mod reachability;
+mod repeats;
 mod scheduler;
 mod speed;
 mod warm_up;
--- /dev/null
+++ b/crates/routing/tests/suite/repeats.rs
@@ -0,0 +1,218 @@
+//! Any window of any service stays within its allowance of repeats, over all hosts.
+
+use hollowsail_routing::repeats::{BudgetRules, Holding, RepeatBudget};
+use hollowsail_routing::Millis;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const RULES: BudgetRules = BudgetRules {
+    ratio: 0.2,
+    window_ms: 10_000,
+    arrival_ms: 1_000,
+};
+
+/// What callers and targets of one service see.
+#[derive(Debug, Default)]
+struct Seen {
+    requests: Vec<Millis>,
+    repeats: Vec<Millis>,
+}
+
+impl Seen {
+    /// Greatest excess of repeats over what is allowed, in all windows. All times are in order.
+    fn worst_excess(&self, extra: f64) -> f64 {
+        let window = RULES.window_ms;
+        let count = |times: &[Millis], from: Millis, shift: Millis| {
+            let until = times.partition_point(|at| *at + shift <= from + window);
+            until - times.partition_point(|at| *at + shift < from)
+        };
+        let mut starts: Vec<Millis> = self.repeats.iter().chain(&self.requests).copied().collect();
+        starts.dedup();
+        let starts = starts.iter();
+        let starts = starts.flat_map(|at| [*at, *at + 1, at.saturating_sub(window)]);
+        let excess = starts.map(|from| {
+            let requests = [0, window / 2, window].map(|by| count(&self.requests, from, by));
+            let most = requests.into_iter().max().unwrap_or(0);
+            count(&self.repeats, from, 0) as f64 - RULES.ratio * most as f64 - extra
+        });
+        excess.fold(f64::MIN, f64::max)
+    }
+}
+
+/// A process of a host.
+struct Process {
+    started: Millis,
+    budget: RepeatBudget,
+}
+
+impl Process {
+    fn start(now: Millis) -> Self {
+        Process {
+            started: now,
+            budget: RepeatBudget::default(),
+        }
+    }
+
+    fn share(&self, now: Millis, extra: f64, hosts: usize) -> f64 {
+        let holding = Holding {
+            running_ms: now - self.started,
+            hosts: Some(hosts),
+            is_counted: true,
+        };
+        holding.share(extra, RULES)
+    }
+
+    /// Number of repeats that are granted, at most `wanted`.
+    fn repeat(&mut self, now: Millis, wanted: usize, share: f64) -> usize {
+        let granted = (0..wanted).take_while(|_| self.budget.repeat(now, RULES, share).is_some());
+        granted.count()
+    }
+
+    fn request(&mut self, now: Millis) {
+        let _permit = self.budget.first_of_request(now, RULES);
+    }
+}
+
+/// A step of a run, at a host.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Wait(Millis),
+    Requests(usize),
+    /// At most this many, which arrive this much later, in milliseconds.
+    Repeats(usize, Millis),
+    Restart,
+}
+
+fn steps() -> impl Strategy<Value = Vec<(usize, Step)>> {
+    let step = prop_oneof![
+        3 => (1..4_000u64).prop_map(Step::Wait),
+        3 => (1..40usize).prop_map(Step::Requests),
+        4 => (1..60usize, 0..=RULES.arrival_ms).prop_map(|(count, late_ms)| Step::Repeats(count, late_ms)),
+        1 => Just(Step::Restart),
+    ];
+    vec((0..9usize, step), 1..120)
+}
+
+proptest! {
+    /// Guards against a second share for processes that start, whatever hosts do meanwhile.
+    #[test]
+    fn any_window_stays_within_the_allowance(
+        steps in steps(),
+        hosts in 1..10usize,
+        extra in prop_oneof![Just(0.0), Just(5.0), Just(56.0), Just(162.0)],
+    ) {
+        const MAX_RESTARTS: usize = 4;
+        let mut now = 20_000;
+        let mut seen = Seen::default();
+        let mut processes: Vec<Process> = (0..hosts).map(|_| Process::start(0)).collect();
+        let mut restarts: Vec<Vec<Millis>> = vec![Vec::new(); hosts];
+        for (host, step) in steps {
+            let host = host % hosts;
+            let process = &mut processes[host];
+            match step {
+                Step::Wait(ms) => now += ms,
+                Step::Requests(count) => {
+                    (0..count).for_each(|_| process.request(now));
+                    seen.requests.extend(std::iter::repeat_n(now, count));
+                }
+                Step::Repeats(wanted, late_ms) => {
+                    let share = process.share(now, extra, hosts);
+                    let granted = process.repeat(now, wanted, share);
+                    seen.repeats.extend(std::iter::repeat_n(now + late_ms, granted));
+                }
+                Step::Restart => {
+                    let recent = &mut restarts[host];
+                    recent.retain(|at| *at + RULES.window_ms >= now);
+                    if recent.len() < MAX_RESTARTS {
+                        recent.push(now);
+                        *process = Process::start(now);
+                    }
+                }
+            }
+        }
+        seen.repeats.sort();
+        prop_assert!(seen.worst_excess(extra) <= 0.001, "{seen:?}");
+    }
+}
+
+#[test]
+fn a_fleet_of_any_size_that_fails_everything_stays_within_the_allowance() {
+    for (hosts, extra) in [(1, 50.0), (8, 56.0), (9, 58.0), (78, 162.0), (986, 1_040.0)] {
+        let mut processes: Vec<Process> = (0..hosts).map(|_| Process::start(0)).collect();
+        let mut seen = Seen::default();
+        // Everything is well, then nothing is.
+        for second in 0..40 {
+            let now = 20_000 + second * 1_000;
+            for process in &mut processes {
+                process.request(now);
+                let share = process.share(now, extra, hosts);
+                let wanted = if second < 15 { 0 } else { 9 };
+                let granted = process.repeat(now, wanted, share);
+                seen.requests.push(now);
+                seen.repeats.extend(std::iter::repeat_n(now, granted));
+            }
+        }
+        let excess = seen.worst_excess(extra);
+        assert!(excess <= 0.0, "{excess} too many at {hosts} hosts");
+        let used = seen.repeats.len() as f64 / (0.1 * seen.requests.len() as f64);
+        assert!(
+            used > 0.5,
+            "{used} of what requests earned at {hosts} hosts"
+        );
+    }
+}
+
+#[test]
+fn a_host_alone_keeps_to_its_share() {
+    let mut process = Process::start(0);
+    let share = process.share(20_000, 56.0, 8);
+    assert_eq!(
+        process.repeat(20_000, 100, share),
+        4,
+        "0.6 of 56, by 8 hosts"
+    );
+    assert_eq!(process.repeat(31_000, 100, share), 0);
+    assert_eq!(process.repeat(31_001, 100, share), 4, "a window later");
+}
+
+#[test]
+fn requests_earn_for_one_window() {
+    let mut process = Process::start(0);
+    (0..100).for_each(|_| process.request(20_000));
+    assert_eq!(process.repeat(25_000, 4, 0.0), 4);
+    assert_eq!(process.repeat(29_001, 100, 0.0), 0, "the rest has expired");
+}
+
+#[test]
+fn fractions_of_the_share_and_of_earnings_add_up() {
+    let mut process = Process::start(0);
+    (0..4).for_each(|_| process.request(20_000));
+    assert_eq!(process.repeat(20_000, 9, 0.5), 0);
+    assert_eq!(process.repeat(20_000, 9, 0.6), 1);
+}
+
+#[test]
+fn share_is_small_at_first_and_when_peers_may_have_forgotten_the_host() {
+    let holding = Holding {
+        running_ms: 11_001,
+        hosts: Some(8),
+        is_counted: true,
+    };
+    let share = |holding: Holding| holding.share(80.0, RULES);
+    assert_eq!(share(holding), 6.0);
+    let starting = Holding {
+        running_ms: 11_000,
+        ..holding
+    };
+    assert_eq!(share(starting), 1.0);
+    let forgotten = Holding {
+        is_counted: false,
+        ..holding
+    };
+    assert_eq!(share(forgotten), 1.0);
+    let unlisted = Holding {
+        hosts: None,
+        ..holding
+    };
+    assert_eq!(share(unlisted), 0.0);
+}
