Charge repeats of stage pieces to their service's budget

Workers got pieces again without any bound: after a refusal for want of room, failed and refused calls, overdue calls, the loss of a queue's owner or of inputs, and when stages ran anew. No path asked a budget.

A call to a worker takes a permit for each of its pieces. The first comes with the piece from its request, goes with it to the owner of the queue and back, and returns if nothing was sent. Whoever decides on a repeat takes a permit from its own host's share: the owner after a call, the request when its owner may not or was lost. An owner says when it sends a peer's piece, so that pieces that were only queued at a process that has ended aren't charged; a peer that may run on behind a cut counts as having sent them. Without a permit the request is refused at once, as not run.

--- a/crates/bench/src/day/pool.rs
+++ b/crates/bench/src/day/pool.rs
@@ -299,7 +299,7 @@
     pub fn tick(&mut self, now: u64) -> Vec<T> {
         let mut expired = Vec::new();
         for queue in &mut self.queues {
-            queue.take_overdue(now);
+            queue.take_overdue(now, |_| true);
             for piece in queue.expired(now) {
                 expired.extend(queue.finish(piece));
             }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -5,12 +5,12 @@
 //! envelope in time is considered lost, and everything that waits for it fails.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use hollowsail_connect::{Dialer, Pool, PoolRules, SendError};
+use hollowsail_connect::{dial, DialError, Dialer, Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::Demand;
 use hollowsail_targets::LimitKind;
@@ -23,6 +23,7 @@
     TargetReportMessage, PATH, TARGET_REPORTS_PATH,
 };
 use super::record::PeerRecord;
+use super::started_pieces::STARTED_PIECES_PATH;
 use crate::batched_calls::BatchedCalls;
 use crate::crashes::{PartMessage, TrialReply, PARTS_PATH};
 use crate::peer_call::request;
@@ -33,6 +34,8 @@
 /// Timeout for a peer to accept an envelope. A healthy peer needs a few milliseconds, one on a slow
 /// host some dozens.
 const DELIVERY_TIMEOUT: Duration = Duration::from_millis(350);
+/// Timeout of the check whether a peer that is lost has ended.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 /// Silence after which a peer with pending replies is probed.
 const PROBE_AFTER: Duration = Duration::from_millis(200);
 /// Largest accepted record of another run, in bytes.
@@ -43,7 +46,26 @@
 /// The peer did not accept an envelope in time; messages sent to it may have been handled or
 /// not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LinkLost;
+pub struct LinkLost {
+    /// A worker may have got the piece, or may get it yet.
+    pub may_be_sent: bool,
+}
+
+/// What is known of a peer whose link is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PeerEnd {
+    /// Its process has ended: it sends nothing more.
+    Ended,
+    /// It may run on behind a cut, or wake again.
+    Unknown,
+}
+
+/// A piece that the peer is to produce.
+struct AwaitedPiece {
+    outcome: oneshot::Sender<RemoteOutcome>,
+    /// The peer said that it sends it to a worker.
+    is_started: bool,
+}
 
 /// Outcome of a piece at a peer.
 pub type RemoteOutcome = Result<PieceOutcome, LinkLost>;
@@ -73,7 +95,9 @@
     /// Parts of prompts that crash targets.
     pub parts: Rc<BatchedCalls<PartMessage, TrialReply>>,
     outbox: RefCell<Vec<Message>>,
-    awaited: RefCell<HashMap<PieceId, oneshot::Sender<RemoteOutcome>>>,
+    /// To the requester of a piece: it is sent to a worker.
+    pub started_pieces: Rc<BatchedCalls<PieceId, ()>>,
+    awaited: RefCell<HashMap<PieceId, AwaitedPiece>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
     is_sending: Cell<bool>,
     is_probing: Cell<bool>,
@@ -130,6 +154,7 @@
             reservations: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, RESERVATIONS_PATH),
             reports: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, TARGET_REPORTS_PATH),
             parts: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, PARTS_PATH),
+            started_pieces: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, STARTED_PIECES_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
@@ -157,15 +182,26 @@
     /// the future cancels the piece.
     pub async fn request_piece(self: &Rc<Self>, piece: ProducePieceRequest) -> RemoteOutcome {
         if self.is_closed.get() {
-            return Err(LinkLost);
+            return Err(LinkLost { may_be_sent: false });
         }
         let id = piece.id;
-        let (tx, rx) = oneshot::channel();
-        self.awaited.borrow_mut().insert(id, tx);
+        let (outcome, rx) = oneshot::channel();
+        let awaited = AwaitedPiece {
+            outcome,
+            is_started: false,
+        };
+        self.awaited.borrow_mut().insert(id, awaited);
         let _pending = PendingPiece { link: self, id };
         self.send(Message::ProducePiece(Box::new(piece)));
         self.probe_while_awaiting();
-        rx.await.unwrap_or(Err(LinkLost))
+        rx.await.unwrap_or(Err(LinkLost { may_be_sent: true }))
+    }
+
+    /// Records that the peer sends a piece to a worker.
+    pub fn record_started(&self, id: PieceId) {
+        if let Some(awaited) = self.awaited.borrow_mut().get_mut(&id) {
+            awaited.is_started = true;
+        }
     }
 
     /// Requests a placement from a scheduler of the peer. The caller bounds the time.
@@ -211,7 +247,7 @@
     /// The outcome of a piece was received. False when no requester waits for it.
     pub fn complete_piece(&self, id: PieceId, end: PieceOutcome) -> bool {
         let requester = self.awaited.borrow_mut().remove(&id);
-        requester.is_some_and(|tx| tx.send(Ok(end)).is_ok())
+        requester.is_some_and(|awaited| awaited.outcome.send(Ok(end)).is_ok())
     }
 
     /// Records that the peer sent something.
@@ -230,17 +266,25 @@
     }
 
     /// Closes the link; everything that waits for the peer fails.
-    pub fn close(&self) {
+    pub fn close(&self, end: PeerEnd) {
         self.is_closed.set(true);
         let unsent = std::mem::take(&mut *self.outbox.borrow_mut());
-        unsent
-            .into_iter()
-            .for_each(|message| self.handle_undelivered(message));
+        let mut undelivered = HashSet::new();
+        for message in unsent {
+            if let Message::ProducePiece(piece) = &message {
+                undelivered.insert(piece.id);
+            }
+            self.handle_undelivered(message);
+        }
         self.awaited_placements.borrow_mut().clear();
         let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
-        for tx in waiting.into_values() {
+        for (id, awaited) in waiting {
+            let may_be_sent = match end {
+                PeerEnd::Ended => awaited.is_started,
+                PeerEnd::Unknown => !undelivered.contains(&id),
+            };
             // The receiver may be gone.
-            let _sent = tx.send(Err(LinkLost));
+            let _sent = awaited.outcome.send(Err(LinkLost { may_be_sent }));
         }
     }
 
@@ -299,16 +343,30 @@
             cx.peers.clear_suspicion(self.peer.id);
             return true;
         };
-        match err {
-            LinkError::Replaced { by } => cx.peers.observed(&cx, &by),
-            err => cx.peers.suspect(&cx, &self.peer, &err.to_string()),
-        }
-        self.close();
+        let end = match err {
+            LinkError::Replaced { by } => {
+                cx.peers.observed(&cx, &by);
+                PeerEnd::Ended
+            }
+            err => {
+                cx.peers.suspect(&cx, &self.peer, &err.to_string());
+                self.find_end().await
+            }
+        };
+        self.close(end);
         let unsent = envelope.messages.into_iter();
         unsent.for_each(|message| self.handle_undelivered(message));
         false
     }
 
+    /// Whether the peer's process has ended: nothing listens at its address.
+    async fn find_end(&self) -> PeerEnd {
+        match dial(self.peer.addr, END_CHECK_TIMEOUT).await {
+            Err(DialError::Refused { .. }) => PeerEnd::Ended,
+            Ok(_) | Err(_) => PeerEnd::Unknown,
+        }
+    }
+
     async fn post(&self, envelope: &Envelope) -> Result<(), LinkError> {
         let req = request(PATH, envelope);
         // Another run responds with its record; any other response has no body.
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -20,6 +20,7 @@
     Envelope, Message, TargetReportCall, TargetReportMessage, PATH, TARGET_REPORTS_PATH,
 };
 use super::record::PeerRecord;
+use super::started_pieces::{self, StartedPiecesCall, STARTED_PIECES_PATH};
 use super::state::{
     DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, TargetList,
     TargetListRequest, DRAINING_PATH, MAX_DRAINING, RECORDS_PATH, STATE_PATH, TARGETS_PATH,
@@ -86,6 +87,7 @@
         // Without the mechanism this entry answers like a build without reservations.
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
         PARTS_PATH if is_post => part_messages(cx, req).await,
+        STARTED_PIECES_PATH if is_post => started_pieces(cx, req).await,
         TARGET_REPORTS_PATH if is_post => target_report_messages(cx, req).await,
         ROOM_PATH if is_post && cx.has(Mechanism::CallerAdmission) => room(cx, req).await,
         STREAMS_PATH if is_post => stream_origins(cx, req).await,
@@ -270,6 +272,21 @@
         .into())
 }
 
+/// Handles notices that pieces are sent to workers; none has a reply.
+async fn started_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let call: StartedPiecesCall = read(req).await?;
+    started_pieces::handle_call(cx, &call);
+    Ok(no_replies())
+}
+
+/// The response to a call none of whose messages expects a reply.
+fn no_replies() -> Bytes {
+    let no_replies: [(); 0] = [];
+    rmp_serde::to_vec(&no_replies)
+        .expect("these types always encode")
+        .into()
+}
+
 /// Handles reports of targets; none has a reply.
 async fn target_report_messages(
     cx: &Rc<Traffic>,
@@ -289,10 +306,7 @@
             TargetReportMessage::Refused { target } => cx.placements.record_refusal(cx, &target),
         }
     }
-    let no_replies: [(); 0] = [];
-    Ok(rmp_serde::to_vec(&no_replies)
-        .expect("these types always encode")
-        .into())
+    Ok(no_replies())
 }
 
 /// Holds copies of records of streams, and returns them.
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -206,8 +206,10 @@
 pub enum PieceOutcome {
     #[serde(rename = "Made")]
     Completed(CompletedPiece),
+    /// After [`PieceFailure::NoRoom`] the requester may have it sent again if its own budget of
+    /// repeats allows that; the owner's doesn't.
     Failed(PieceFailure),
-    /// Not started; the queue has another owner now.
+    /// Not started; the queue has another owner now. Gives the permit back.
     Moved,
 }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod messages;
 mod record;
+mod started_pieces;
 mod state;
 
 use std::cell::{Cell, RefCell};
@@ -23,11 +24,12 @@
 use hollowsail_streams::holders::{self, HolderCandidate};
 use hollowsail_streams::StreamKey;
 
+use self::link::PeerEnd;
 use crate::stream_origins::Holder;
 use crate::target_reports;
 use crate::traffic::Traffic;
 
-pub use link::Link;
+pub use link::{Link, LinkLost};
 pub use listen::{read, start};
 pub use messages::{
     CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome, PlacementId,
@@ -171,7 +173,7 @@
             // Each host has one live run.
             if !is_live(&old.id) && hosts.contains(old.host.as_str()) {
                 let link = self.links.borrow_mut().remove(&old.id);
-                link.into_iter().for_each(|link| link.close());
+                link.into_iter().for_each(|link| link.close(PeerEnd::Ended));
                 cx.pools.requester_lost(old.id);
                 cx.placements.requester_lost(cx, old.id);
             }
@@ -357,6 +359,11 @@
         link.clone()
     }
 
+    /// The link to a peer, if there is one.
+    fn known_link(&self, peer: PeerId) -> Option<Rc<Link>> {
+        self.links.borrow().get(&peer).cloned()
+    }
+
     /// Links to all other live entries.
     pub fn links_to_all(&self, cx: &Rc<Traffic>) -> Vec<Rc<Link>> {
         let live = self.live.borrow();
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -28,10 +28,12 @@
         });
         for piece in waiting {
             let job = self.queue.borrow_mut().finish(piece);
-            match job.map(|job| job.reply) {
+            match job.map(|job| (job.reply, job.permit)) {
                 // The requester may have stopped waiting.
-                Some(Reply::Local(sender)) => drop(sender.send(LocalOutcome::Moved)),
-                Some(Reply::Peer(requester)) => {
+                Some((Reply::Local(sender), permit)) => {
+                    drop(sender.send(LocalOutcome::Moved(permit)))
+                }
+                Some((Reply::Peer(requester), _)) => {
                     self.remove_peer_piece(&requester);
                     let moved = Message::PieceEnded(requester.id, peers::PieceOutcome::Moved);
                     requester.link.send(moved);
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -20,11 +20,9 @@
 use hollowsail_observe::events;
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_routing::repeats::{RepeatReason, SendPermit};
 use hollowsail_routing::{Millis, RequestDigest};
-use hollowsail_stages::{
-    BatchQueue, GroupKey, Halls, OverdueCall, PieceKey, PieceOrder, PoolRules, WorkerKey,
-};
+use hollowsail_stages::{BatchQueue, GroupKey, Halls, PieceKey, PieceOrder, PoolRules, WorkerKey};
 use tokio::sync::oneshot;
 
 use self::replies::Reply;
@@ -53,6 +51,8 @@
     pub failures: u32,
     /// Why its worker didn't complete it in the last call.
     pub last_failure: Option<RepeatReason>,
+    /// Permits the next send. A waiting piece has one; the call that sends it takes it.
+    pub permit: Option<SendPermit>,
     /// Worker crashes in calls with this piece.
     pub crashes: u32,
     /// Of these, crashes in calls with pieces of its request only.
@@ -174,9 +174,13 @@
     }
 
     /// Produces a piece. Dropping the future cancels it.
-    pub(super) async fn produce(self: &Rc<Self>, piece_request: PieceRequest) -> LocalOutcome {
+    pub(super) async fn produce(
+        self: &Rc<Self>,
+        piece_request: PieceRequest,
+        permit: SendPermit,
+    ) -> LocalOutcome {
         let (sender, result) = oneshot::channel();
-        let key = self.push(piece_request, Reply::Local(sender));
+        let key = self.push(piece_request, permit, Reply::Local(sender));
         let _submitted = SubmittedPiece {
             batcher: self,
             piece: key,
@@ -194,11 +198,17 @@
         piece_request: PieceRequest,
     ) {
         let peer = link.peer.id;
-        let key = self.push(piece_request, Reply::Peer(Requester { link, id }));
+        let permit = SendPermit::from_peer();
+        let key = self.push(piece_request, permit, Reply::Peer(Requester { link, id }));
         self.peer_pieces.borrow_mut().insert((peer, id), key);
     }
 
-    fn push(self: &Rc<Self>, piece_request: PieceRequest, reply: Reply) -> PieceKey {
+    fn push(
+        self: &Rc<Self>,
+        piece_request: PieceRequest,
+        permit: SendPermit,
+        reply: Reply,
+    ) -> PieceKey {
         let now = self.now();
         self.begin_reserved(&reply, &piece_request.piece);
         let hall = piece_request
@@ -224,6 +234,7 @@
             request: piece_request.request,
             failures: 0,
             last_failure: None,
+            permit: Some(permit),
             crashes: 0,
             crashes_alone: 0,
             reply,
@@ -295,15 +306,6 @@
         });
     }
 
-    /// Records that the pieces of an overdue call go to another worker, too.
-    fn record_overdue(&self, cx: &Traffic, pieces: &[PieceKey]) {
-        let queue = self.queue.borrow();
-        let jobs = pieces.iter().filter_map(|key| queue.job(*key));
-        for job in jobs {
-            cx.record_uncharged(&job.repeat(self.service(), RepeatReason::CallOverdue));
-        }
-    }
-
     fn is_idle(&self) -> bool {
         let queue = self.queue.borrow();
         queue.waiting() == 0
@@ -320,12 +322,16 @@
         }
         self.remove_expired_results(now);
         self.sweep_reservations(cx, now);
+        let may_repeat = |job: &mut Job| {
+            let repeat = job.repeat(self.service(), RepeatReason::CallOverdue);
+            job.permit = cx.permit_repeat(&repeat);
+            job.permit.is_some()
+        };
         let overdue = match cx.has(Mechanism::Overdue) {
-            true => self.queue.borrow_mut().take_overdue(now),
+            true => self.queue.borrow_mut().take_overdue(now, may_repeat),
             false => Vec::new(),
         };
-        for OverdueCall { worker, pieces } in overdue {
-            self.record_overdue(cx, &pieces);
+        for worker in overdue {
             if let Some(target) = self.workers.borrow().target(worker) {
                 let fields = format_args!(
                     "queue={} target={} why=call_overdue",
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use hollowsail_platform::pieces::PieceFailure;
+use hollowsail_routing::repeats::SendPermit;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceKey, StartedCall, StartedPiece};
 use hollowsail_targets::Target;
@@ -29,8 +30,8 @@
 pub(in crate::pools) enum LocalOutcome {
     Completed(RetainedResult),
     Failed(PieceFailure),
-    /// Not started; the queue has another owner now.
-    Moved,
+    /// Not started; the queue has another owner now. Gives the permit back.
+    Moved(Option<SendPermit>),
 }
 
 impl Batcher {
@@ -90,6 +91,16 @@
         }
     }
 
+    /// Tells the requesters of pieces that these are sent to a worker.
+    pub(in crate::pools) fn notify_started(&self, pieces: impl Iterator<Item = PieceKey>) {
+        let queue = self.queue.borrow();
+        for key in pieces {
+            if let Some(Reply::Peer(requester)) = queue.job(key).map(|job| &job.reply) {
+                requester.link.started_pieces.send(requester.id);
+            }
+        }
+    }
+
     fn answer_peer(&self, requester: &Requester, end: PieceOutcome) {
         self.remove_peer_piece(requester);
         self.send_load(&requester.link);
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -11,17 +11,17 @@
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
-use hollowsail_routing::repeats::{RepeatBudget, RepeatReason, SendPermits};
+use hollowsail_routing::repeats::{RepeatReason, SendPermit, SendPermits};
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use hollowsail_targets::Target;
 use http::StatusCode;
 use snafu::Snafu;
 
-use super::batcher::Batcher;
+use super::batcher::{Batcher, Job};
 use super::worker_crash;
 use crate::metrics;
-use crate::target_calls;
+use crate::target_calls::{self, Unanswered};
 use crate::traffic::Traffic;
 
 /// Bounds how long a hung target occupies a slot; overdue pieces go to other targets earlier.
@@ -39,6 +39,11 @@
 /// Why a call returned no results.
 #[derive(Debug, Snafu)]
 enum CallError {
+    #[snafu(display("{source}"))]
+    Unsent {
+        source: SendError,
+        permits: SendPermits,
+    },
     #[snafu(display("{source}"))]
     Send { source: SendError },
     #[snafu(display("connection lost before the end of the response: {source}"))]
@@ -48,7 +53,7 @@
     #[snafu(display("no response within {} ms", CALL_TIMEOUT.as_millis()))]
     TimedOut,
     #[snafu(display("the target left before the call was sent"))]
-    TargetLeft,
+    TargetLeft { permits: SendPermits },
     #[snafu(display("the response carries the id of another call"))]
     Foreign,
     #[snafu(display("refused by the target with status {status}"))]
@@ -65,8 +70,7 @@
     /// Returns true if the connection was lost after the call was sent.
     fn is_cut_off(&self) -> bool {
         match self {
-            CallError::Send { source } => !source.nothing_sent(),
-            CallError::CutOff { .. } => true,
+            CallError::Send { .. } | CallError::CutOff { .. } => true,
             // Without a length, the end of the connection marks the end of the response.
             CallError::Malformed { source } => source.is_eof(),
             _ => false,
@@ -83,12 +87,13 @@
 ) {
     let begun_ms = cx.clock.now();
     let sent_at = BootInstant::now();
-    let sent_pieces = awaited_pieces(&batcher, &started);
-    let result =
-        match tokio::time::timeout(CALL_TIMEOUT, exchange(&cx, &target, &sent_pieces)).await {
-            Ok(result) => result,
-            Err(_) => Err(CallError::TimedOut),
-        };
+    let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
+    batcher.notify_started(sent_pieces.iter().map(|sent| sent.started.key));
+    let exchange = exchange(&cx, &target, &sent_pieces, permits);
+    let result = match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
+        Ok(result) => result,
+        Err(_) => Err(CallError::TimedOut),
+    };
     let took = Duration::from_millis(cx.clock.now() - begun_ms);
     record_end(&cx, &batcher, &target, sent_pieces.len(), took, &result);
     if let Some(outcome) = outcome_of(took, &result).filter(|_| !sent_pieces.is_empty()) {
@@ -98,7 +103,7 @@
         // Nothing was sent, so this is no evidence about the worker.
         Ok(_) if sent_pieces.is_empty() => CallEnd::Refused,
         Ok(_) => CallEnd::Answered,
-        Err(CallError::Refused { .. } | CallError::TargetLeft) => CallEnd::Refused,
+        Err(CallError::Refused { .. } | CallError::TargetLeft { .. }) => CallEnd::Refused,
         Err(_) => CallEnd::Failed,
     };
     if end == CallEnd::Failed {
@@ -107,8 +112,14 @@
     if result.as_ref().is_err_and(CallError::is_cut_off) {
         worker_crash::check_crash(&cx, &batcher, &target, &sent_pieces, sent_at).await;
     }
-    if let (Ok(results), CallEnd::Answered) = (result, end) {
-        deliver_results(&cx, &batcher, &started, &target, &sent_pieces, results);
+    match result {
+        Ok(results) if end == CallEnd::Answered => {
+            deliver_results(&cx, &batcher, &started, &target, &sent_pieces, results)
+        }
+        Err(CallError::Unsent { permits, .. } | CallError::TargetLeft { permits }) => {
+            return_permits(&batcher, &sent_pieces, permits)
+        }
+        Ok(_) | Err(_) => {}
     }
     let unfinished = batcher
         .queue
@@ -126,9 +137,9 @@
     match result {
         Ok(_) => Some(Outcome::Answered(ms)),
         Err(CallError::TimedOut) => Some(Outcome::TimedOut(ms)),
-        Err(CallError::Refused { .. } | CallError::TargetLeft) => None,
+        Err(CallError::Refused { .. } | CallError::TargetLeft { .. }) => None,
         Err(err) if err.is_cut_off() => Some(Outcome::Broken),
-        Err(CallError::Send { .. }) => None,
+        Err(CallError::Unsent { .. }) => None,
         Err(_) => Some(Outcome::Failed),
     }
 }
@@ -144,7 +155,7 @@
 ) {
     let (kind, outcome) = match result {
         Ok(_) => ("answered", "answered".to_string()),
-        Err(err @ (CallError::Refused { .. } | CallError::TargetLeft)) => {
+        Err(err @ (CallError::Refused { .. } | CallError::TargetLeft { .. })) => {
             ("refused", err.to_string())
         }
         Err(err) => ("failed", err.to_string()),
@@ -168,21 +179,32 @@
     pub request: RequestDigest,
 }
 
-/// Returns the pieces that are still awaited; a piece may be cancelled between scheduling
-/// and the call.
-fn awaited_pieces(batcher: &Batcher, started: &StartedCall) -> Vec<CallPiece> {
-    let queue = batcher.queue.borrow();
+/// Returns the pieces that are still awaited, and takes their permits; a piece may be cancelled
+/// between scheduling and the call.
+fn awaited_pieces(batcher: &Batcher, started: &StartedCall) -> (Vec<CallPiece>, Vec<SendPermit>) {
+    let mut queue = batcher.queue.borrow_mut();
     let pieces = started.pieces.iter();
-    pieces
-        .filter_map(|started| {
-            let job = queue.job(started.key)?;
-            Some(CallPiece {
-                started: *started,
-                piece: job.piece.clone(),
-                request: job.request,
-            })
-        })
-        .collect()
+    let awaited = pieces.filter_map(|started| {
+        let job = queue.job_mut(started.key)?;
+        let permit = job.permit.take()?;
+        let piece = CallPiece {
+            started: *started,
+            piece: job.piece.clone(),
+            request: job.request,
+        };
+        Some((piece, permit))
+    });
+    awaited.unzip()
+}
+
+/// Gives pieces that weren't sent their permits back.
+fn return_permits(batcher: &Batcher, sent_pieces: &[CallPiece], permits: SendPermits) {
+    let mut queue = batcher.queue.borrow_mut();
+    for (sent, permit) in sent_pieces.iter().zip(permits.into_vec()) {
+        if let Some(job) = queue.job_mut(sent.started.key) {
+            job.permit.get_or_insert(permit);
+        }
+    }
 }
 
 /// Id of a call, by which its answer is known.
@@ -194,26 +216,20 @@
     cx: &Rc<Traffic>,
     target: &Target,
     sent_pieces: &[CallPiece],
+    permits: Vec<SendPermit>,
 ) -> Result<Vec<PieceResult>, CallError> {
-    if sent_pieces.is_empty() {
+    let Some(permits) = SendPermits::new(permits) else {
         return Ok(Vec::new());
-    }
+    };
     let call_id = call_id();
     let req = pieces::run_request(
         target.incarnation(),
         &call_id,
         sent_pieces.iter().map(|sent| &sent.piece),
     );
-    let permits = sent_pieces.iter().map(|_| RepeatBudget::first_of_piece());
-    let Some(permits) = SendPermits::new(permits.collect()) else {
-        return Ok(Vec::new());
-    };
     let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES, permits)
         .await
-        .map_err(|unanswered| match unanswered.error {
-            SendError::Withdrawn { .. } => CallError::TargetLeft,
-            source => CallError::Send { source },
-        })?;
+        .map_err(call_error)?;
     if answer.is_foreign {
         return Err(CallError::Foreign);
     }
@@ -237,6 +253,14 @@
     Ok(results)
 }
 
+fn call_error(unanswered: Unanswered) -> CallError {
+    match (unanswered.error, unanswered.permits) {
+        (SendError::Withdrawn { .. }, Some(permits)) => CallError::TargetLeft { permits },
+        (source, Some(permits)) => CallError::Unsent { source, permits },
+        (source, None) => CallError::Send { source },
+    }
+}
+
 /// Delivers the results of an answered call.
 fn deliver_results(
     cx: &Rc<Traffic>,
@@ -309,7 +333,8 @@
     }
 }
 
-/// Requeues the pieces that a call left unfinished, unless they failed too often.
+/// Requeues the pieces that a call left unfinished, unless they failed too often or may not be sent
+/// again.
 fn requeue_unfinished(
     cx: &Traffic,
     batcher: &Rc<Batcher>,
@@ -318,35 +343,39 @@
 ) {
     for key in unfinished {
         let mut queue = batcher.queue.borrow_mut();
-        let may_retry = queue.job_mut(key).is_some_and(|job| {
-            job.failures += u32::from(end == CallEnd::Failed);
-            job.failures < MAX_FAILURES
-                && job.crashes_alone < MAX_CRASHES_ALONE
-                && cx.crashes.check(cx, || job.request).is_ok()
-        });
-        if may_retry {
-            queue.requeue(key);
-            drop(queue);
-            record_repeat(cx, batcher, key, end);
+        let Some(job) = queue.job_mut(key) else {
             continue;
-        }
+        };
+        job.failures += u32::from(end == CallEnd::Failed);
+        let may_retry = job.failures < MAX_FAILURES
+            && job.crashes_alone < MAX_CRASHES_ALONE
+            && cx.crashes.check(cx, || job.request).is_ok();
+        let failure = match may_retry {
+            true if has_permit(cx, batcher, job, end) => {
+                queue.requeue(key);
+                continue;
+            }
+            true => PieceFailure::NoRoom,
+            false => PieceFailure::Failed,
+        };
         drop(queue);
-        batcher.failed(key, PieceFailure::Failed);
+        batcher.failed(key, failure);
     }
 }
 
-/// Records that a piece is sent again after a call ended in this way.
-fn record_repeat(cx: &Traffic, batcher: &Batcher, key: PieceKey, end: CallEnd) {
-    let mut queue = batcher.queue.borrow_mut();
-    let Some(job) = queue.job_mut(key) else {
-        return;
-    };
-    let reason = match (end, job.last_failure.take()) {
-        (CallEnd::Answered, Some(reason)) => reason,
-        (CallEnd::Refused, _) => RepeatReason::CallRefused,
-        _ => RepeatReason::CallFailed,
-    };
-    cx.record_uncharged(&job.repeat(batcher.service(), reason));
+/// True if a piece may be sent again after a call ended in this way: it wasn't sent, or the service's
+/// budget permits a repeat.
+fn has_permit(cx: &Traffic, batcher: &Batcher, job: &mut Job, end: CallEnd) -> bool {
+    if job.permit.is_none() {
+        let reason = match (end, job.last_failure.take()) {
+            (CallEnd::Answered, Some(reason)) => reason,
+            (CallEnd::Refused, _) => RepeatReason::CallRefused,
+            _ => RepeatReason::CallFailed,
+        };
+        let permit = cx.permit_repeat(&job.repeat(batcher.service(), reason));
+        job.permit = permit;
+    }
+    job.permit.is_some()
 }
 
 /// Releases results at their producer, after its backoff if it is backing off. Best effort:
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -3,7 +3,8 @@
 //! The targets of a service are split into queues. Each queue is owned by one entry
 //! ([`crate::peers`]), so that pieces of all entries share calls. [`Pools::produce`] sends a piece
 //! to its owner, whose [`Batcher`] has it produced. If the owner is lost, the piece goes to the
-//! next owner; producing a piece twice only costs time.
+//! next owner. Every send of a piece takes a permit ([`crate::repeats`]), which goes with the piece to
+//! the owner and back.
 
 mod batcher;
 mod call;
@@ -16,15 +17,15 @@
 
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_routing::repeats::{RepeatReason, SendPermit};
 use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::QueueLoad;
 use hollowsail_targets::Target;
 
 use crate::mechanisms::Mechanism;
 use crate::peers::{
-    self, Link, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest, UnneededResult,
-    WorkerHandover,
+    self, Link, LinkLost, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest,
+    UnneededResult, WorkerHandover,
 };
 use crate::repeats::Repeat;
 use crate::reservations::{ReservationReply, Reserve};
@@ -79,6 +80,19 @@
     last_piece_id: Cell<u64>,
 }
 
+/// The permit to have a piece produced by the next owner.
+fn permit_after(cx: &Traffic, service: &str, piece: &Piece, lost: LinkLost) -> Option<SendPermit> {
+    if !lost.may_be_sent {
+        return Some(SendPermit::from_peer());
+    }
+    cx.permit_repeat(&Repeat {
+        service,
+        request: &piece.request_id,
+        piece: Some((piece.stage, piece.piece)),
+        reason: RepeatReason::OwnerLost,
+    })
+}
+
 /// Name of the queue that a request's pieces go to.
 pub fn queue_for(cx: &Traffic, service: &str, request_id: &str) -> String {
     let targets = cx.target_count(service);
@@ -100,59 +114,57 @@
 }
 
 impl Pools {
-    /// Has a piece produced by the owner of its queue. Dropping the future cancels it.
+    /// Has a piece produced by the owner of its queue, with a permit for its next send. Dropping the
+    /// future cancels it.
     pub async fn produce(
         &self,
         cx: &Rc<Traffic>,
         deployment: &Deployment,
         service: ServiceKey,
         piece_request: PieceRequest,
+        permit: SendPermit,
     ) -> PieceOutcome {
         let name = &deployment.service(service).name;
         cx.peers.wait_until_settled(cx).await;
+        let mut permit = Some(permit);
         for _ in 0..MAX_OWNERS {
+            let Some(permitted) = permit.take() else {
+                return Err(PieceFailure::Failed);
+            };
             let queue = queue_for(cx, name, &piece_request.piece.request_id);
-            match owner_of(cx, &queue) {
+            permit = match owner_of(cx, &queue) {
                 Owner::Me => {
                     let batcher = self.batcher(cx, &queue).ok_or(PieceFailure::Failed)?;
-                    match batcher.produce(piece_request.clone()).await {
+                    match batcher.produce(piece_request.clone(), permitted).await {
                         LocalOutcome::Completed(result) => return Ok(result),
                         LocalOutcome::Failed(failure) => return Err(failure),
-                        LocalOutcome::Moved => {}
+                        LocalOutcome::Moved(unused) => unused,
                     }
                 }
                 Owner::Peer(link) => {
-                    let message = self.message(cx, &queue, &piece_request);
+                    let message = self.message(cx, &queue, &piece_request, permitted);
                     match link.request_piece(message).await {
                         Ok(peers::PieceOutcome::Completed(completed)) => {
                             let bytes = piece_request.result_bytes;
                             return Ok(RetainedResult::remote(link, queue, completed, bytes));
                         }
                         Ok(peers::PieceOutcome::Failed(failure)) => return Err(failure),
-                        // Try the next owner.
-                        Ok(peers::PieceOutcome::Moved) => {}
-                        Err(_) => {
-                            let piece = &piece_request.piece;
-                            let repeat = Repeat {
-                                service: name,
-                                request: &piece.request_id,
-                                piece: Some((piece.stage, piece.piece)),
-                                reason: RepeatReason::OwnerLost,
-                            };
-                            cx.record_uncharged(&repeat);
-                        }
+                        Ok(peers::PieceOutcome::Moved) => Some(SendPermit::from_peer()),
+                        Err(lost) => permit_after(cx, name, &piece_request.piece, lost),
                     }
                 }
-            }
+            };
         }
         Err(PieceFailure::Failed)
     }
 
+    /// The message that passes a piece, and the permit for its next send, to an owner.
     fn message(
         &self,
         cx: &Traffic,
         queue: &str,
         piece_request: &PieceRequest,
+        _permit: SendPermit,
     ) -> ProducePieceRequest {
         let number = self.last_piece_id.get() + 1;
         self.last_piece_id.set(number);
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -101,12 +101,6 @@
         permit
     }
 
-    /// Records a repeat that no budget was asked for.
-    pub fn record_uncharged(&self, log: &Log, repeat: &Repeat<'_>) {
-        metrics::count_repeat(repeat.service, "piece", repeat.reason.name(), "uncharged");
-        log.line(events::REPEATED, format_args!("{repeat} uncharged=1"));
-    }
-
     /// Repeats that this process may charge to the fixed allowance in a window.
     fn share(&self, now: Millis, bounds: &Bounds) -> f64 {
         let unreachable_since = self.unreachable_since.get();
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -4,6 +4,7 @@
 //! rejected here.
 
 use std::cell::{OnceCell, RefCell};
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,7 +14,9 @@
 use hollowsail_observe::ErrorKind;
 use hollowsail_platform::deployment::{Deployment, OrganisationKey, Regions, Route, RouteKey};
 use hollowsail_platform::headers::CallerHeaders;
+use hollowsail_routing::repeats::{RepeatBudget, SendPermit};
 use hollowsail_routing::RequestDigest;
+use hollowsail_stages::PieceIndex;
 use http::request::Parts;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -64,6 +67,8 @@
     prompt: OnceCell<PromptParts>,
     /// Parts of the prompt that it tries, until it has ended.
     trials: RefCell<Vec<Trial>>,
+    /// Pieces of its stages that were sent, or are about to be.
+    begun_pieces: RefCell<HashSet<PieceIndex>>,
 }
 
 impl Admitted {
@@ -93,6 +98,12 @@
         *self.trials.borrow_mut() = trials;
     }
 
+    /// The permit for the first send of a piece; `None` if it was taken before.
+    pub fn first_permit_of_piece(&self, index: PieceIndex) -> Option<SendPermit> {
+        let is_first = self.begun_pieces.borrow_mut().insert(index);
+        is_first.then(RepeatBudget::first_of_piece)
+    }
+
     /// Time until the deadline.
     pub fn remaining(&self) -> Duration {
         self.deadline.saturating_since(BootInstant::now())
@@ -231,6 +242,7 @@
         digest: OnceCell::new(),
         prompt: OnceCell::new(),
         trials: RefCell::default(),
+        begun_pieces: RefCell::default(),
     })
 }
 
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -55,6 +55,7 @@
         retained: HashMap::new(),
         home_hall,
         failed_pieces: 0,
+        permits: HashMap::new(),
     };
     let timeout = tokio::time::sleep_until(deadline.to_instant().into());
     tokio::select! {
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -11,7 +11,7 @@
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::repeats::RepeatReason;
+use hollowsail_routing::repeats::{RepeatReason, SendPermit};
 use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceIndex, StageGraph};
 
@@ -47,6 +47,8 @@
     pub home_hall: Option<String>,
     /// Number of failed pieces so far.
     pub failed_pieces: usize,
+    /// Permits to send pieces again.
+    pub permits: HashMap<PieceIndex, SendPermit>,
 }
 
 impl StageRun<'_> {
@@ -56,11 +58,13 @@
         loop {
             for index in self.graph.start_ready() {
                 self.room.begin(index.stage);
+                let permit = self.take_permit(index)?;
                 running.push(produce(
                     self.cx,
                     self.admitted,
                     index,
                     self.piece_request(index),
+                    permit,
                 ));
             }
             if self.graph.is_done() {
@@ -212,12 +216,16 @@
             PieceFailure::InputGone if self.failed_pieces <= MAX_FAILED_PIECES => {
                 // The failure doesn't say which input is gone, so all are reproduced.
                 self.graph.reset(index);
-                self.record_repeat(index);
                 for input in self.graph.reset_inputs(index.stage, inputs) {
                     self.retained.remove(&input);
-                    self.record_repeat(input);
+                    self.permit_repeat(input, RepeatReason::InputGone)?;
                 }
-                Ok(())
+                self.permit_repeat(index, RepeatReason::InputGone)
+            }
+            // Its owner may not have it sent again.
+            PieceFailure::NoRoom if self.failed_pieces <= MAX_FAILED_PIECES => {
+                self.graph.reset(index);
+                self.permit_repeat(index, RepeatReason::PieceFailed)
             }
             PieceFailure::Late => Err(Refusal::new(
                 ErrorKind::CannotFinish,
@@ -230,16 +238,41 @@
         }
     }
 
-    /// Records that a piece is produced again since an input was lost.
-    fn record_repeat(&self, index: PieceIndex) {
+    /// The permit for the next send of a piece: its first one, or one for a repeat.
+    fn take_permit(&mut self, index: PieceIndex) -> Result<SendPermit, Refusal> {
+        if let Some(permit) = self.admitted.first_permit_of_piece(index) {
+            return Ok(permit);
+        }
+        if !self.permits.contains_key(&index) {
+            // An earlier run of the stages had it produced.
+            self.permit_repeat(index, RepeatReason::InputGone)?;
+        }
+        let permit = self.permits.remove(&index);
+        permit.ok_or_else(|| self.no_repeat(index))
+    }
+
+    /// Permits a piece to be sent again, or refuses the request.
+    fn permit_repeat(&mut self, index: PieceIndex, reason: RepeatReason) -> Result<(), Refusal> {
         let service = self.stages[index.stage].service;
-        let repeat = Repeat {
+        let permit = self.cx.permit_repeat(&Repeat {
             service: &self.admitted.deployment.service(service).name,
             request: &self.admitted.caller.request_id,
             piece: Some((index.stage as u16, index.piece as u32)),
-            reason: RepeatReason::InputGone,
-        };
-        self.cx.record_uncharged(&repeat);
+            reason,
+        });
+        let permit = permit.ok_or_else(|| self.no_repeat(index))?;
+        self.permits.insert(index, permit);
+        Ok(())
+    }
+
+    fn no_repeat(&self, index: PieceIndex) -> Refusal {
+        Refusal::new(
+            ErrorKind::StageFailed,
+            format!(
+                "stage {} failed, and its service gets no more repeats now",
+                index.stage
+            ),
+        )
     }
 
     fn finish(self) -> Prepared {
@@ -263,12 +296,13 @@
     admitted: &Admitted,
     index: PieceIndex,
     piece_request: PieceRequest,
+    permit: SendPermit,
 ) -> FinishedPiece {
     let inputs = piece_request.piece.inputs.clone();
     let service = admitted.route().stages[index.stage].service;
     let end = cx
         .pools
-        .produce(cx, &admitted.deployment, service, piece_request)
+        .produce(cx, &admitted.deployment, service, piece_request, permit)
         .await;
     FinishedPiece { index, inputs, end }
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -432,11 +432,6 @@
         self.repeats.permit_request(now, &settings.bounds, service)
     }
 
-    /// Records a repeat that no budget was asked for.
-    pub fn record_uncharged(&self, repeat: &Repeat<'_>) {
-        self.repeats.record_uncharged(&self.log, repeat);
-    }
-
     /// Permits to send work again; `None` if this host's share of the repeats is used up.
     pub fn permit_repeat(&self, repeat: &Repeat<'_>) -> Option<SendPermit> {
         let (now, settings) = (self.clock.now(), self.settings());
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -1,9 +1,7 @@
 //! Starts and ends calls to workers. A call that exceeds its time limit returns its pieces
 //! to the queue, so that another worker can take them in the meantime.
 
-use super::{
-    BatchQueue, CallEnd, CallKey, OverdueCall, PieceKey, StartedCall, StartedPiece, WorkerKey,
-};
+use super::{BatchQueue, CallEnd, CallKey, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use crate::Millis;
 
 /// A call is overdue after `expected * OVERDUE_FACTOR + OVERDUE_SLACK_MS`.
@@ -131,31 +129,35 @@
         unfinished
     }
 
-    /// Queues the pieces of overdue calls again for other workers, and returns these calls.
-    pub fn take_overdue(&mut self, now: Millis) -> Vec<OverdueCall> {
-        let mut overdue = Vec::new();
+    /// Queues those pieces of overdue calls again, for other workers, for which `may_repeat` is true.
+    /// Returns the workers of these calls.
+    pub fn take_overdue(
+        &mut self,
+        now: Millis,
+        mut may_repeat: impl FnMut(&mut T) -> bool,
+    ) -> Vec<WorkerKey> {
+        let mut workers = Vec::new();
         for call in self.calls.values_mut() {
             if call.overdue || ((now - call.started) as f64) < call.limit_ms() {
                 continue;
             }
             call.overdue = true;
-            let mut pieces = Vec::new();
+            workers.push(call.worker);
             for StartedPiece { key, .. } in &call.pieces {
-                if let Some(piece) = self.pieces.get(*key) {
+                let Some(piece) = self.pieces.get_mut(*key) else {
+                    continue;
+                };
+                let is_waiting = self.waiting.contains(&(piece.rank, *key));
+                if !is_waiting && may_repeat(&mut piece.job) {
                     self.waiting.insert((piece.rank, *key));
-                    pieces.push(*key);
                 }
             }
-            overdue.push(OverdueCall {
-                worker: call.worker,
-                pieces,
-            });
         }
-        for call in &overdue {
-            if let Some(worker) = self.workers.get_mut(call.worker) {
+        for worker in &workers {
+            if let Some(worker) = self.workers.get_mut(*worker) {
                 worker.mark_slow();
             }
         }
-        overdue
+        workers
     }
 }
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -30,8 +30,8 @@
 
 pub use self::load::QueueLoad;
 pub use self::types::{
-    CallEnd, CallKey, GroupKey, HallKey, Halls, OverdueCall, PieceKey, PieceOrder, PoolRules,
-    StartedCall, StartedPiece, WorkerKey,
+    CallEnd, CallKey, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules, StartedCall,
+    StartedPiece, WorkerKey,
 };
 pub use self::workers::WorkerState;
 
--- a/crates/stages/src/batch/types.rs
+++ b/crates/stages/src/batch/types.rs
@@ -108,13 +108,6 @@
     pub result_bytes: u64,
 }
 
-/// A call that takes much longer than usual, and its pieces that are still unfinished.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct OverdueCall {
-    pub worker: WorkerKey,
-    pub pieces: Vec<PieceKey>,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CallEnd {
     /// The worker answered, whatever the results of the pieces.
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -10,8 +10,8 @@
 pub mod shares;
 
 pub use batch::{
-    BatchQueue, CallEnd, CallKey, GroupKey, HallKey, Halls, OverdueCall, PieceKey, PieceOrder,
-    PoolRules, QueueLoad, StartedCall, StartedPiece, WorkerKey, WorkerState,
+    BatchQueue, CallEnd, CallKey, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules,
+    QueueLoad, StartedCall, StartedPiece, WorkerKey, WorkerState,
 };
 pub use graph::{PieceIndex, StageGraph, StageSpec};
 pub use reservations::{
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -307,7 +307,7 @@
     assert_eq!(call.worker, remote);
 
     let (mut queue, _busy, remote) = queue_with_preferred_hall(1_000);
-    assert_eq!(queue.take_overdue(290).len(), 1);
+    assert_eq!(queue.take_overdue(290, |_| true).len(), 1);
     let call = queue.next_call(290).expect("the hall's worker is overdue");
     assert_eq!(call.worker, remote);
 }
@@ -319,10 +319,8 @@
     push(&mut queue, order(1), 1);
     let slow = queue.next_call(0).expect("a worker is free");
     let other = queue.add_worker(HERE);
-    assert!(queue.take_overdue(200).is_empty());
-    let overdue = queue.take_overdue(400);
-    assert_eq!(overdue.len(), 1);
-    assert_eq!(overdue[0].worker, slow.worker);
+    assert!(queue.take_overdue(200, |_| true).is_empty());
+    assert_eq!(queue.take_overdue(400, |_| true), [slow.worker]);
     let second = queue.next_call(400).expect("the piece was queued again");
     assert_eq!(second.worker, other);
     assert_eq!(queue.finish(second.pieces[0].key), Some(1));
--- a/crates/stages/tests/suite/random_queue.rs
+++ b/crates/stages/tests/suite/random_queue.rs
@@ -109,7 +109,7 @@
         queue.add_worker(HallKey(0));
         for _ in 0..3_000 {
             world.now += 200;
-            queue.take_overdue(world.now);
+            queue.take_overdue(world.now, |_| true);
             while let Some(call) = queue.next_call(world.now) {
                 end_call(&mut queue, &mut world, call, CallEnd::Answered);
                 for (worker, bytes) in world.unreleased.drain(..) {
@@ -191,7 +191,7 @@
         }
         Event::Advance { ms } => {
             world.now += ms;
-            queue.take_overdue(world.now);
+            queue.take_overdue(world.now, |_| true);
         }
     }
     Ok(())
--- a/crates/stages/tests/suite/speeds.rs
+++ b/crates/stages/tests/suite/speeds.rs
@@ -132,12 +132,9 @@
     let state = queue.worker_state(slow, 0).expect("the worker exists");
     assert_eq!(state.busy_ms, 420);
     assert!((state.slowness - 3.0).abs() < 0.01, "{state:?}");
-    let mut overdue_at = |now| {
-        let overdue = queue.take_overdue(now);
-        overdue.iter().map(|call| call.worker).collect::<Vec<_>>()
-    };
-    assert_eq!(overdue_at(700), [usual], "only the usual worker's");
-    assert_eq!(overdue_at(840), [slow]);
+    let overdue = queue.take_overdue(700, |_| true);
+    assert_eq!(overdue, [usual], "only the usual worker's");
+    assert_eq!(queue.take_overdue(840, |_| true), [slow]);
 }
 
 /// Guards against a worker whose speed is forgotten with its reports: answers count as well.
