Let a process that follows no other on its host use the whole share at once

Every process began with a sixth of its host's share for a window, also where there was no earlier one. Each of them may use half of what those before it left of four tenths, so that any number of starts in a window stays within the allowance; without any, the whole share is used from the moment at which the own record is in the store.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -24,6 +24,7 @@
 mod rollouts;
 mod settle;
 mod source;
+mod stopped_runs;
 mod usable;
 
 use std::cell::{Cell, RefCell};
@@ -78,6 +79,8 @@
     is_list_long: Cell<bool>,
     /// When the first list of entries was applied.
     entries_listed_at: Cell<Option<Millis>>,
+    /// By the first list of entries.
+    earlier_runs: Cell<Option<u32>>,
     /// The store's epoch that the state belongs to; `None` before the first response.
     epoch: Cell<Option<u64>>,
     /// When the store last answered a call.
@@ -130,6 +133,7 @@
             records_at: Cell::default(),
             is_list_long: Cell::new(false),
             entries_listed_at: Cell::new(None),
+            earlier_runs: Cell::new(None),
             epoch: Cell::new(None),
             store_answered_at: Cell::new(None),
             store_lost: Notify::new(),
@@ -177,6 +181,7 @@
             records: self.records_for_peers(),
             is_store_reachable: !self.registry.borrow().is_store_unreachable(),
             peers: self.peers_now(),
+            earlier_runs: self.earlier_runs.get(),
             refused: self.refused.borrow().clone(),
             orders: self.orders.borrow().all(),
             rollout_records: self.rollout_records.borrow().clone(),
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -148,6 +148,7 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
+        self.mark_stopped().await;
         if let Err(err) = self.store.end_lease(lease).await {
             let fields = format_args!("state=leaving why=\"{err}\"");
             self.log.line(events::MEMBER, fields);
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -12,7 +12,7 @@
 use hollowsail_fleet::KnownHosts;
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Bounds;
-use hollowsail_routing::repeats::{BudgetRules, Holding, RepeatBudget, RepeatReason, SendPermit};
+use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget, RepeatReason, SendPermit};
 use hollowsail_routing::Millis;
 
 use crate::log::Log;
@@ -50,8 +50,20 @@
     /// By service name.
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     hosts: RefCell<KnownHosts>,
-    /// Since when the store doesn't answer this host.
-    unreachable_since: Cell<Option<Millis>>,
+    standing: Cell<Standing>,
+    /// A planned stop has begun: the next run counts from now on.
+    is_given_up: Cell<bool>,
+}
+
+/// What entitles this process to its host's share.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Standing {
+    /// Earlier runs on this host that may have used its share lately; `None` before any list of them.
+    pub earlier_runs: Option<u32>,
+    /// Its own record is in the store, by which later runs know of it.
+    pub is_recorded: bool,
+    /// Since when the store doesn't answer this host; peers may forget it some time later.
+    pub unreachable_since: Option<Millis>,
 }
 
 impl Repeats {
@@ -60,10 +72,18 @@
         self.hosts.borrow_mut().update(now, listed);
     }
 
-    /// Applies whether the store answers this host.
-    pub fn update_store(&self, now: Millis, is_reachable: bool) {
-        let since = self.unreachable_since.get().unwrap_or(now);
-        self.unreachable_since.set((!is_reachable).then_some(since));
+    /// Applies what entitles this process to its host's share.
+    pub fn update_standing(&self, now: Millis, standing: Standing, is_store_reachable: bool) {
+        let since = self.standing.get().unreachable_since.unwrap_or(now);
+        self.standing.set(Standing {
+            unreachable_since: (!is_store_reachable).then_some(since),
+            ..standing
+        });
+    }
+
+    /// Gives this host's share up for the next run.
+    pub fn give_up_share(&self) {
+        self.is_given_up.set(true);
     }
 
     /// Permits the first send of a caller's request, and counts the request.
@@ -103,13 +123,22 @@
 
     /// Repeats that this process may charge to the fixed allowance in a window.
     fn share(&self, now: Millis, bounds: &Bounds) -> f64 {
-        let unreachable_since = self.unreachable_since.get();
-        let holding = Holding {
-            running_ms: now,
-            hosts: self.hosts.borrow().count(now),
-            is_counted: unreachable_since.is_none_or(|since| since + COUNTED_FOR_MS > now),
+        let standing = self.standing.get();
+        let is_counted = match standing.unreachable_since {
+            Some(since) => now < since + COUNTED_FOR_MS,
+            None => true,
         };
-        holding.share(bounds.retry_extra, rules(bounds))
+        let is_entitled = is_counted && standing.is_recorded && !self.is_given_up.get();
+        let hosts = self.hosts.borrow().count(now).filter(|_| is_entitled);
+        let claim = standing.earlier_runs.zip(hosts);
+        claim.map_or(0.0, |(earlier_runs, hosts)| {
+            let claim = Claim {
+                running_ms: now,
+                earlier_runs,
+                hosts,
+            };
+            claim.share(bounds.retry_extra, rules(bounds))
+        })
     }
 
     fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RepeatBudget) -> T) -> T {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -28,7 +28,7 @@
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
-use crate::repeats::{Repeat, Repeats};
+use crate::repeats::{Repeat, Repeats, Standing};
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::stream_origins::StreamOrigins;
@@ -101,7 +101,7 @@
     header_log: RefCell<LogThrottle<(String, String)>>,
     /// Throttles log lines on scarce connections, by service name.
     connection_log: RefCell<LogThrottle<String>>,
-    repeats: Repeats,
+    pub repeats: Repeats,
     /// Recent latencies of requests, by service name.
     latencies: RefCell<HashMap<String, LatencyWindow>>,
     /// Recent times to the first event, by service name.
@@ -218,7 +218,13 @@
         }
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
         let now = self.clock.now();
-        self.repeats.update_store(now, newest.is_store_reachable);
+        let standing = Standing {
+            earlier_runs: newest.earlier_runs,
+            is_recorded: newest.peers.iter().any(|peer| peer.id == self.me.id),
+            ..Standing::default()
+        };
+        self.repeats
+            .update_standing(now, standing, newest.is_store_reachable);
         if peers_changed {
             self.update_sharing_hosts(now, &newest);
             self.peers.update(self, &newest.peers);
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -36,6 +36,9 @@
     /// Live entries, including this one once its record is in the store. Shared with the
     /// previous view unless they changed.
     pub peers: Arc<[PeerRecord]>,
+    /// Earlier runs on this host that may have ended shortly before this one began; `None` before the
+    /// first list of entries.
+    pub earlier_runs: Option<u32>,
     /// Refused requests that crash targets.
     pub refused: RefusedRequests,
     /// Rollout orders of the operators.
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -1,39 +1,36 @@
 //! How much of the fixed allowance of repeats one process may use in a window.
 //!
-//! The allowance is divided by the hosts that may exist. A process that has just started doesn't know
-//! what an earlier one of its host used in this window, so it begins with a small share.
+//! The allowance is divided by the hosts that may exist. Earlier processes of a host may have used its
+//! share in this window, so one that follows them begins with a part of what is kept back for that.
 
 use super::BudgetRules;
 use crate::Millis;
 
-/// Share of the allowance that all hosts use together.
-pub const HELD_SHARE: f64 = 0.6;
-/// The same for processes that may not use the whole share of their host. With
-/// [`HELD_SHARE`], four starts of every host in a window stay within the allowance.
-pub const STARTING_SHARE: f64 = 0.1;
+/// Part of the allowance that all hosts use together.
+pub const HELD_PART: f64 = 0.6;
+/// Part that is kept back for processes that follow others within a window. Each of them may use half
+/// of what those before it left.
+pub const KEPT_BACK_PART: f64 = 1.0 - HELD_PART;
 
 /// What a process knows about its claim to its host's share.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Holding {
+pub struct Claim {
     /// Time since the start of the process, in milliseconds.
     pub running_ms: Millis,
-    /// Hosts that may send work to the service, including this one; `None` before any list of them.
-    pub hosts: Option<usize>,
-    /// Peers count this host as long as they have its record; false once they may have forgotten it.
-    pub is_counted: bool,
+    /// Earlier processes of its host that may have ended within a window of its start.
+    pub earlier_runs: u32,
+    /// Hosts that may send work to the service, including this one.
+    pub hosts: usize,
 }
 
-impl Holding {
+impl Claim {
     /// Repeats that the process may charge to the allowance in a window.
     pub fn share(&self, extra: f64, rules: BudgetRules) -> f64 {
-        let Some(hosts) = self.hosts else {
-            return 0.0;
-        };
         let is_past_window = self.running_ms > rules.window_ms + rules.arrival_ms;
-        let share = match self.is_counted && is_past_window {
-            true => HELD_SHARE,
-            false => STARTING_SHARE,
+        let part = match self.earlier_runs {
+            1.. if !is_past_window => KEPT_BACK_PART * 0.5f64.powf(f64::from(self.earlier_runs)),
+            _ => HELD_PART,
         };
-        extra * share / hosts.max(1) as f64
+        extra * part / self.hosts.max(1) as f64
     }
 }
