Account for a worker's memory until it has released results, and try full ones less often

The owner of a queue took memory for free when it decided to release a result, 8 ms and a round trip before the worker did, and also when that call failed and the worker kept the result for its retention time. Results of an owner that was lost were unknown to the next one, which sent a whole batch to a full worker every 40 ms. Results up to a fiftieth of the memory were sent even then.

Memory is free once the worker has answered the release; what a lost release leaves counts until it expires. What a full worker keeps beyond the own results counts as occupied and shrinks over the retention time; the pause doubles up to 640 ms, and ends when results are released there. Only results smaller than the one that was refused are sent meanwhile.

--- a/crates/bench/src/day/pool.rs
+++ b/crates/bench/src/day/pool.rs
@@ -18,6 +18,8 @@
 const MAX_WAITING_CALLS: usize = 2;
 /// Time until a call to a failing worker returns, in milliseconds.
 const CALL_FAILURE_MS: u64 = 3;
+/// How long a worker retains a result that isn't released, in milliseconds.
+const RETENTION_MS: u64 = 4_000;
 
 /// A call running at a worker.
 #[derive(Debug)]
@@ -124,7 +126,7 @@
 
     /// Releases the memory of a result.
     pub fn release_result(&mut self, queue: usize, worker: usize, bytes: u64) {
-        self.queues[queue].release_memory(self.keys[queue][worker], bytes);
+        self.queues[queue].record_released(self.keys[queue][worker], bytes);
         let reserved = &mut self.workers[worker].reserved_bytes;
         *reserved = reserved.saturating_sub(bytes);
     }
@@ -277,7 +279,7 @@
         if !has_memory {
             self.queues[queue].release_memory(key, piece.result_bytes);
             if !call.fails {
-                self.queues[queue].mark_memory_full(key, now);
+                self.queues[queue].mark_memory_full(key, piece.result_bytes, RETENTION_MS, now);
             }
             return None;
         }
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -38,6 +38,7 @@
 use crate::traffic::Traffic;
 
 pub(super) use self::replies::LocalOutcome;
+pub(super) use self::results::PendingRelease;
 
 /// Interval between checks for expired pieces and overdue calls while the queue is busy.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -82,8 +83,8 @@
     /// Unfinished pieces of peers.
     peer_pieces: RefCell<HashMap<(PeerId, PieceId), PieceKey>>,
     reservations: RefCell<ReservationTable>,
-    /// Handles to release, by the worker that retains them.
-    pending_releases: RefCell<HashMap<WorkerKey, Vec<String>>>,
+    /// Results to release, by the worker that retains them.
+    pending_releases: RefCell<HashMap<WorkerKey, Vec<PendingRelease>>>,
     /// Time of the last load report to each peer.
     load_sent: RefCell<HashMap<PeerId, Millis>>,
     /// How long a worker retains an unreleased result, in milliseconds.
@@ -150,6 +151,11 @@
         TargetGroup::parse(&self.name).map_or(&self.name, |(service, _)| service)
     }
 
+    /// How long a worker retains an unreleased result, in milliseconds.
+    pub(super) fn retention_ms(&self) -> Millis {
+        self.retention_ms.get()
+    }
+
     /// Current time; 0 once the entry's traffic is dropped.
     fn now(&self) -> Millis {
         self.cx.upgrade().map_or(0, |cx| cx.clock.now())
--- a/crates/gateway/src/pools/batcher/results.rs
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -1,7 +1,7 @@
 //! Results that the workers of a queue retain until they are released.
 //!
-//! The queue accounts for the memory of each worker. It is freed when a result is released
-//! ([`Batcher::release`]) or expires at the worker.
+//! The queue accounts for the memory of each worker. It is freed when the worker has released a result
+//! ([`Batcher::release`]), or when the result expires there.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,23 +34,51 @@
     pub peer: Option<(PeerId, PieceId)>,
 }
 
+/// A result that its worker is to release.
+pub(in crate::pools) struct PendingRelease {
+    pub handle: String,
+    /// What the queue accounts for; 0 for a result of an earlier owner.
+    pub bytes: u64,
+}
+
 impl Batcher {
     /// Accounts for results that the worker of an unanswered call may retain until they expire.
     pub(in crate::pools) fn retain_unanswered(&self, started: &StartedCall) {
-        let now = self.now();
         let bytes = started.pieces.iter().map(|piece| piece.result_bytes).sum();
+        // The handle is unknown; this name never equals one.
+        let name = format!("unanswered/{:?}", started.call);
+        self.retain_unknown(name, started.worker, bytes);
+    }
+
+    /// Accounts for results that may stay at a worker until they expire there.
+    fn retain_unknown(&self, name: String, worker: WorkerKey, bytes: u64) {
         let result = ResultRecord {
-            worker: started.worker,
+            worker,
             bytes,
             called_at: None,
-            expires: now + self.retention_ms.get(),
+            expires: self.now() + self.retention_ms.get(),
             peer: None,
         };
-        // The handle is unknown; this name never equals one.
-        let name = format!("unanswered/{:?}", started.call);
         self.results.borrow_mut().insert(name, result);
     }
 
+    /// Applies the outcome of a call that releases results. Results that may not be released stay
+    /// accounted for until they expire.
+    pub(in crate::pools) fn release_ended(
+        self: &Rc<Self>,
+        worker: WorkerKey,
+        releases: &[PendingRelease],
+        is_answered: bool,
+    ) {
+        let bytes = releases.iter().map(|release| release.bytes).sum();
+        if is_answered {
+            self.queue.borrow_mut().record_released(worker, bytes);
+        } else if let Some(first) = releases.first() {
+            self.retain_unknown(format!("unreleased/{}", first.handle), worker, bytes);
+        }
+        self.pump();
+    }
+
     /// Returns true if a matching worker runs pieces or retains results.
     pub fn has_work_at(&self, matches: impl Fn(&Target) -> bool) -> bool {
         let workers = self.workers.borrow();
@@ -82,15 +110,13 @@
         let Some(result) = self.results.borrow_mut().remove(handle) else {
             return;
         };
-        let mut queue = self.queue.borrow_mut();
-        queue.release_memory(result.worker, result.bytes);
         if let Some(called_at) = result.called_at {
             let retained_ms = self.now().saturating_sub(called_at);
+            let mut queue = self.queue.borrow_mut();
             queue.record_retention(result.bytes, retained_ms);
             metrics::record_retention(&self.name, Duration::from_millis(retained_ms));
         }
-        drop(queue);
-        self.schedule_release(result.worker, handle);
+        self.schedule_release(result.worker, handle, result.bytes);
     }
 
     /// Releases a result that may have been produced under an earlier owner of this queue.
@@ -100,16 +126,19 @@
         }
         let worker = self.workers.borrow().worker(target);
         if let Some(worker) = worker {
-            self.schedule_release(worker, handle);
+            self.schedule_release(worker, handle, 0);
         }
     }
 
-    fn schedule_release(self: &Rc<Self>, worker: WorkerKey, handle: &str) {
+    fn schedule_release(self: &Rc<Self>, worker: WorkerKey, handle: &str, bytes: u64) {
         let mut pending_releases = self.pending_releases.borrow_mut();
         pending_releases
             .entry(worker)
             .or_default()
-            .push(handle.to_string());
+            .push(PendingRelease {
+                handle: handle.to_string(),
+                bytes,
+            });
         if self.is_releasing.replace(true) {
             return;
         }
@@ -141,10 +170,11 @@
             .collect();
         drop(queue);
         for worker in open {
-            let handles = pending_releases.remove(&worker).unwrap_or_default();
+            let releases = pending_releases.remove(&worker).unwrap_or_default();
             let target = self.workers.borrow().target(worker);
             if let Some(target) = target {
-                actix_rt::spawn(call::release(cx.clone(), target, handles));
+                let batcher = self.clone();
+                actix_rt::spawn(call::release(cx.clone(), batcher, worker, target, releases));
             }
         }
         drop(pending_releases);
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -18,7 +18,7 @@
 use http::StatusCode;
 use snafu::Snafu;
 
-use super::batcher::{Batcher, Job};
+use super::batcher::{Batcher, Job, PendingRelease};
 use super::worker_crash;
 use crate::metrics;
 use crate::target_calls::{self, Unanswered};
@@ -276,6 +276,11 @@
             queue.release_memory(started.worker, piece.result_bytes);
         }
     }
+    let is_full = |result: &PieceResult| *result == PieceResult::Failed(PieceFailure::NoRoom);
+    if !results.iter().any(is_full) {
+        let mut queue = batcher.queue.borrow_mut();
+        queue.mark_memory_granted(started.worker);
+    }
     for (sent, result) in sent_pieces.iter().zip(results) {
         match result {
             PieceResult::Completed(handle) => {
@@ -301,7 +306,10 @@
     let mut queue = batcher.queue.borrow_mut();
     queue.release_memory(worker, result_bytes);
     match failure {
-        PieceFailure::NoRoom => queue.mark_memory_full(worker, cx.clock.now()),
+        PieceFailure::NoRoom => {
+            let retention_ms = batcher.retention_ms();
+            queue.mark_memory_full(worker, result_bytes, retention_ms, cx.clock.now());
+        }
         // Every other failure counts towards the limit of the piece.
         _ => queue
             .job_mut(key)
@@ -380,17 +388,27 @@
 
 /// Releases results at their producer, after its backoff if it is backing off. Best effort:
 /// the producer also drops them after its retention time.
-pub(super) async fn release(cx: Rc<Traffic>, target: Rc<Target>, handles: Vec<String>) {
+pub(super) async fn release(
+    cx: Rc<Traffic>,
+    batcher: Rc<Batcher>,
+    worker: WorkerKey,
+    target: Rc<Target>,
+    releases: Vec<PendingRelease>,
+) {
     if let Some(until) = cx.backoff_until(&target) {
         tokio::time::sleep_until(cx.clock.timer(until).into()).await;
     }
+    let handles = releases.iter().map(|release| release.handle.clone());
+    let handles: Vec<String> = handles.collect();
     let req = pieces::release_request(target.incarnation(), &call_id(), &handles);
     let call = target_calls::call_to_clean_up(&cx, &target, req, MAX_RESPONSE_BYTES);
-    if tokio::time::timeout(RELEASE_TIMEOUT, call).await.is_err() {
+    let answer = tokio::time::timeout(RELEASE_TIMEOUT, call).await;
+    let is_answered = matches!(answer, Ok(Ok(answer)) if answer.status == StatusCode::OK);
+    if !is_answered {
         log::debug!(
-            "results at {} not released within {} ms; the target drops them after its retention time",
+            "results at {} may not be released; the target drops them after its retention time",
             target.record.addr,
-            RELEASE_TIMEOUT.as_millis()
         );
     }
+    batcher.release_ended(worker, &releases, is_answered);
 }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -24,8 +24,11 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 /// Backoff after a refused call, in milliseconds.
 const REFUSED_BACKOFF_MS: Millis = 20;
-/// How long a worker whose memory is full gets only small results, in milliseconds.
+/// How long a worker whose memory is full gets only small results, in milliseconds; doubles with each
+/// further call that finds it full, unless results were released there meanwhile.
 const MEMORY_FULL_MS: Millis = 40;
+/// Maximum number of doublings of [`MEMORY_FULL_MS`].
+const MAX_FULL_DOUBLINGS: u32 = 4;
 /// Share of a worker's memory available to small results while the memory is full.
 const SMALL_RESULTS_SHARE: f64 = 0.02;
 /// Share of a worker's memory that is filled; the rest absorbs results larger than
@@ -53,6 +56,24 @@
     pub slowness: f64,
 }
 
+/// Results that an earlier owner of the queue, or nobody any more, knows of. They are released or
+/// expire one by one, so they shrink evenly over the time that a worker retains results.
+#[derive(Debug, Clone, Copy, Default)]
+struct Unaccounted {
+    bytes: u64,
+    since: Millis,
+    /// How long a worker retains a result, in milliseconds.
+    retention_ms: Millis,
+}
+
+impl Unaccounted {
+    fn bytes_at(&self, now: Millis) -> u64 {
+        let left_ms = (self.since + self.retention_ms).saturating_sub(now);
+        let left = left_ms as f64 / self.retention_ms.max(1) as f64;
+        (self.bytes as f64 * left) as u64
+    }
+}
+
 #[derive(Debug)]
 pub(super) struct Worker {
     pub hall: HallKey,
@@ -62,6 +83,12 @@
     pub backoff_until: Millis,
     /// Only small results before this time, because its memory is full.
     pub memory_full_until: Millis,
+    /// Size of the smallest result that found its memory full.
+    full_for_bytes: u64,
+    /// Consecutive calls that found its memory full.
+    full_calls: u32,
+    /// Memory that it occupies beyond what is accounted for here.
+    unaccounted: Unaccounted,
     /// Consecutive failures.
     pub failures: u32,
     /// Gets no new calls; removed when its last call ends.
@@ -110,6 +137,9 @@
             retained_bytes: 0,
             backoff_until: 0,
             memory_full_until: 0,
+            full_for_bytes: 0,
+            full_calls: 0,
+            unaccounted: Unaccounted::default(),
             failures: 0,
             draining: false,
             slowness: 1.0,
@@ -200,9 +230,11 @@
     pub(super) fn free_memory(&self, worker: WorkerKey, now: Millis) -> u64 {
         let state = &self.workers[worker];
         if now < state.memory_full_until {
-            return self.small_results_memory();
+            let smaller = state.full_for_bytes.saturating_sub(1);
+            return self.small_results_memory().min(smaller);
         }
-        self.usable_memory().saturating_sub(state.retained_bytes)
+        let occupied = state.retained_bytes + state.unaccounted.bytes_at(now);
+        self.usable_memory().saturating_sub(occupied)
     }
 
     /// Memory of a worker that is filled with results, in bytes.
@@ -215,12 +247,39 @@
         (self.rules.result_bytes as f64 * SMALL_RESULTS_SHARE) as u64
     }
 
-    /// Marks the memory of a worker as full, although the accounting here shows free
-    /// memory: results differ from their declared size, and the worker releases them with a
-    /// delay.
-    pub fn mark_memory_full(&mut self, worker: WorkerKey, now: Millis) {
+    /// Marks the memory of a worker as full for a result, although the accounting here shows free
+    /// memory: it retains results of an earlier owner for up to `retention_ms`, or results are larger than
+    /// declared.
+    pub fn mark_memory_full(
+        &mut self,
+        worker: WorkerKey,
+        result_bytes: u64,
+        retention_ms: Millis,
+        now: Millis,
+    ) {
+        let usable = self.usable_memory();
+        let Some(worker) = self.workers.get_mut(worker) else {
+            return;
+        };
+        worker.unaccounted = Unaccounted {
+            bytes: usable.saturating_sub(worker.retained_bytes),
+            since: now,
+            retention_ms,
+        };
+        worker.full_for_bytes = worker.full_for_bytes.min(result_bytes);
+        // The other pieces of the call say the same.
+        if worker.memory_full_until <= now {
+            worker.full_for_bytes = result_bytes;
+            let doublings = worker.full_calls.min(MAX_FULL_DOUBLINGS);
+            worker.memory_full_until = now + (MEMORY_FULL_MS << doublings);
+            worker.full_calls += 1;
+        }
+    }
+
+    /// Records that all pieces of a call got memory at a worker.
+    pub fn mark_memory_granted(&mut self, worker: WorkerKey) {
         if let Some(worker) = self.workers.get_mut(worker) {
-            worker.memory_full_until = now + MEMORY_FULL_MS;
+            worker.full_calls = 0;
         }
     }
 
@@ -231,6 +290,14 @@
         }
     }
 
+    /// Records that a worker released results, `bytes` of them in the accounting here.
+    pub fn record_released(&mut self, worker: WorkerKey, bytes: u64) {
+        self.release_memory(worker, bytes);
+        if let Some(worker) = self.workers.get_mut(worker) {
+            worker.memory_full_until = 0;
+        }
+    }
+
     /// Releases the memory of results at a worker.
     pub fn release_memory(&mut self, worker: WorkerKey, bytes: u64) {
         if let Some(worker) = self.workers.get_mut(worker) {
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -240,7 +240,7 @@
 fn full_worker_gets_only_small_results() {
     let mut queue = BatchQueue::new(rules());
     let worker = queue.add_worker(HERE);
-    queue.mark_memory_full(worker, 0);
+    queue.mark_memory_full(worker, 300_000, 100, 0);
     push(
         &mut queue,
         PieceOrder {
@@ -253,6 +253,47 @@
     assert!(queue.next_call(100).is_some());
 }
 
+// Guards against calls in short intervals to a worker that is full of results of an earlier owner.
+#[test]
+fn worker_that_stays_full_is_tried_less_and_less_often() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    let order = PieceOrder {
+        result_bytes: 20_000,
+        ..order(1)
+    };
+    push(&mut queue, order, 1);
+    let mut calls = Vec::new();
+    for now in (0..4_000).step_by(10) {
+        let Some(call) = queue.next_call(now) else {
+            continue;
+        };
+        calls.push(now);
+        queue.release_memory(worker, 20_000);
+        queue.mark_memory_full(worker, 20_000, 4_000, now);
+        let unfinished = queue.end_call(call.call, CallEnd::Answered, now);
+        unfinished
+            .into_iter()
+            .for_each(|piece| queue.requeue(piece));
+    }
+    assert!(calls.len() <= 10, "{calls:?}");
+}
+
+#[test]
+fn full_worker_is_tried_again_when_it_has_released_results() {
+    let mut queue = BatchQueue::new(rules());
+    let worker = queue.add_worker(HERE);
+    queue.mark_memory_full(worker, 300_000, 100, 0);
+    let order = PieceOrder {
+        result_bytes: 300_000,
+        ..order(1)
+    };
+    push(&mut queue, order, 1);
+    assert!(queue.next_call(35).is_none());
+    queue.record_released(worker, 0);
+    assert!(queue.next_call(35).is_some());
+}
+
 /// A queue with a piece that prefers `HERE`, where the worker is busy until 110 ms, and an
 /// idle worker `THERE`.
 fn queue_with_preferred_hall(due: u64) -> (BatchQueue<u64>, StartedCall, WorkerKey) {
