Keep half of the share from hedges, and leave a stop's mark beside the end of its record

Hedges now leave half of the share. A run that stops goes on using its share, since the next one begins after its end and its mark stays for 30 s.

--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -140,7 +140,8 @@
 }
 
 impl Control {
-    /// Removes this entry's record, so that peers stop using it at once.
+    /// Removes this entry's record, so that peers stop using it at once, and leaves the mark of this run
+    /// meanwhile.
     pub async fn deregister(&self) {
         self.is_stopping.set(true);
         // Entries that follow the store through this one switch at once.
@@ -148,8 +149,8 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
-        self.mark_stopped().await;
-        if let Err(err) = self.store.end_lease(lease).await {
+        let (ended, ()) = tokio::join!(self.store.end_lease(lease), self.mark_stopped());
+        if let Err(err) = ended {
             let fields = format_args!("state=leaving why=\"{err}\"");
             self.log.line(events::MEMBER, fields);
         }
--- a/crates/gateway/src/control/stopped_runs.rs
+++ b/crates/gateway/src/control/stopped_runs.rs
@@ -13,8 +13,9 @@
 use crate::peers::PeerRecord;
 
 const PREFIX: &str = "hollowsail/stopped/";
-/// How long a mark stays; longer than the window in which shares are used.
-const LEASE: Duration = Duration::from_secs(15);
+/// How long a mark stays: longer than a planned stop, in which the run goes on, and the window in
+/// which shares are used.
+const LEASE: Duration = Duration::from_secs(30);
 /// Digits of a run in a key.
 const RUN_DIGITS: usize = 16;
 
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -51,8 +51,6 @@
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     hosts: RefCell<KnownHosts>,
     standing: Cell<Standing>,
-    /// A planned stop has begun: the next run counts from now on.
-    is_given_up: Cell<bool>,
 }
 
 /// What entitles this process to its host's share.
@@ -81,11 +79,6 @@
         });
     }
 
-    /// Gives this host's share up for the next run.
-    pub fn give_up_share(&self) {
-        self.is_given_up.set(true);
-    }
-
     /// Permits the first send of a caller's request, and counts the request.
     pub fn permit_request(&self, now: Millis, bounds: &Bounds, service: &str) -> SendPermit {
         self.with_budget(service, |budget| {
@@ -103,7 +96,7 @@
     ) -> Option<SendPermit> {
         let share = self.share(now, bounds);
         let (permit, left) = self.with_budget(repeat.service, |budget| {
-            let permit = budget.repeat(now, rules(bounds), share);
+            let permit = budget.repeat(now, rules(bounds), share, repeat.reason);
             (permit, budget.left(now, rules(bounds), share))
         });
         let (event, outcome) = match &permit {
@@ -128,7 +121,7 @@
             Some(since) => now < since + COUNTED_FOR_MS,
             None => true,
         };
-        let is_entitled = is_counted && standing.is_recorded && !self.is_given_up.get();
+        let is_entitled = is_counted && standing.is_recorded;
         let hosts = self.hosts.borrow().count(now).filter(|_| is_entitled);
         let claim = standing.earlier_runs.zip(hosts);
         claim.map_or(0.0, |(earlier_runs, hosts)| {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -30,7 +30,6 @@
 pub async fn run(cx: &Rc<Traffic>, accepting: JoinHandle<()>) {
     let latest = Instant::now() + cx.settings().grace().saturating_sub(KILL_MARGIN);
     cx.stopping.set(Stopping::Serving);
-    cx.repeats.give_up_share();
     log_step(cx, events::STOP_BEGUN);
     sleep(BALANCER_LAG.min(cx.settings().grace() / 2)).await;
     cx.stopping.set(Stopping::RefusingNew);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -101,7 +101,7 @@
     header_log: RefCell<LogThrottle<(String, String)>>,
     /// Throttles log lines on scarce connections, by service name.
     connection_log: RefCell<LogThrottle<String>>,
-    pub repeats: Repeats,
+    repeats: Repeats,
     /// Recent latencies of requests, by service name.
     latencies: RefCell<HashMap<String, LatencyWindow>>,
     /// Recent times to the first event, by service name.
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -2,12 +2,14 @@
 
 use std::collections::VecDeque;
 
-use super::SendPermit;
+use super::{RepeatReason, SendPermit};
 use crate::Millis;
 
 /// Part of the allowed ratio that a request earns. What is earned in one window may be spent in the
 /// next, so that any window has spends from two.
 const EARNED_PART: f64 = 0.5;
+/// Part of the share that hedges may not use.
+const KEPT_FROM_HEDGES: f64 = 0.5;
 /// Number of steps of a window in which amounts are added up.
 const STEPS_PER_WINDOW: Millis = 50;
 /// Allows for rounding in sums of fractions.
@@ -71,9 +73,20 @@
         SendPermit::new()
     }
 
-    /// Permits a repeat; `None` if neither earnings nor `share` cover it.
-    pub fn repeat(&mut self, now: Millis, rules: BudgetRules, share: f64) -> Option<SendPermit> {
-        if self.left(now, rules, share) < 1.0 {
+    /// Permits a repeat; `None` if neither earnings nor `share` cover it. Hedges leave half of the
+    /// share to repeats of what has failed.
+    pub fn repeat(
+        &mut self,
+        now: Millis,
+        rules: BudgetRules,
+        share: f64,
+        reason: RepeatReason,
+    ) -> Option<SendPermit> {
+        let kept = match reason.is_hedge() {
+            true => share * KEPT_FROM_HEDGES,
+            false => 0.0,
+        };
+        if self.left(now, rules, share) < 1.0 + kept {
             return None;
         }
         let from_share = self.spend_earned(1.0);
--- a/crates/routing/src/repeats/reason.rs
+++ b/crates/routing/src/repeats/reason.rs
@@ -26,6 +26,11 @@
 }
 
 impl RepeatReason {
+    /// True for a repeat without which the work may still be done.
+    pub fn is_hedge(self) -> bool {
+        self == RepeatReason::CallOverdue
+    }
+
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -1,6 +1,6 @@
 //! Any window of any service stays within its allowance of repeats, over all hosts.
 
-use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget};
+use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget, RepeatReason};
 use hollowsail_routing::Millis;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -66,7 +66,11 @@
 
     /// Number of repeats that are granted, at most `wanted`.
     fn repeat(&mut self, now: Millis, wanted: usize, share: f64) -> usize {
-        let granted = (0..wanted).take_while(|_| self.budget.repeat(now, RULES, share).is_some());
+        let mut repeat = || {
+            self.budget
+                .repeat(now, RULES, share, RepeatReason::AttemptFailed)
+        };
+        let granted = (0..wanted).take_while(|_| repeat().is_some());
         granted.count()
     }
 
@@ -206,3 +210,14 @@
     let all: f64 = share(0, 0) + (1..30).map(|runs| share(0, runs)).sum::<f64>();
     assert!(all <= 10.0, "{all}");
 }
+
+#[test]
+fn hedges_leave_half_of_the_share() {
+    let mut budget = RepeatBudget::default();
+    let mut granted = |reason| {
+        let repeat = || budget.repeat(20_000, RULES, 8.0, reason);
+        std::iter::from_fn(repeat).take(20).count()
+    };
+    assert_eq!(granted(RepeatReason::CallOverdue), 4);
+    assert_eq!(granted(RepeatReason::CallFailed), 4);
+}
