--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -113,16 +113,11 @@
         .increment(1);
 }
 
-/// Counts work ("request" or "piece") that is sent to a service again, or would be, by why and by
-/// what it is charged to.
-pub fn count_repeat(
-    service: &str,
-    work: &'static str,
-    reason: &'static str,
-    charged: &'static str,
-) {
+/// Counts work ("request" or "piece") that was to be sent to a service again: why, and whether its
+/// budget permitted that ("granted" or "refused").
+pub fn count_repeat(service: &str, work: &'static str, reason: &'static str, result: &'static str) {
     counter!("hollowsail_repeats_total", "service" => service.to_string(), "work" => work,
-        "reason" => reason, "charged" => charged)
+        "reason" => reason, "result" => result)
     .increment(1);
 }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -39,11 +39,13 @@
 /// Why a call returned no results.
 #[derive(Debug, Snafu)]
 enum CallError {
+    /// The target got nothing.
     #[snafu(display("{source}"))]
     Unsent {
         source: SendError,
         permits: SendPermits,
     },
+    /// The connection broke after the call was sent.
     #[snafu(display("{source}"))]
     Send { source: SendError },
     #[snafu(display("connection lost before the end of the response: {source}"))]
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -99,7 +99,7 @@
             let permit = budget.repeat(now, rules(bounds), share, repeat.reason);
             (permit, budget.left(now, rules(bounds), share))
         });
-        let (event, outcome) = match &permit {
+        let (event, result) = match &permit {
             Some(_) => (events::REPEATED, "granted"),
             None => (events::REPEAT_REFUSED, "refused"),
         };
@@ -107,7 +107,7 @@
             Some(_) => "piece",
             None => "request",
         };
-        metrics::count_repeat(repeat.service, work, repeat.reason.name(), outcome);
+        metrics::count_repeat(repeat.service, work, repeat.reason.name(), result);
         let hosts = self.hosts.borrow().count(now).unwrap_or(0);
         let fields = format_args!("{repeat} left={left:.2} share={share:.2} hosts={hosts}");
         log.line(event, fields);
@@ -123,15 +123,15 @@
         };
         let is_entitled = is_counted && standing.is_recorded;
         let hosts = self.hosts.borrow().count(now).filter(|_| is_entitled);
-        let claim = standing.earlier_runs.zip(hosts);
-        claim.map_or(0.0, |(earlier_runs, hosts)| {
-            let claim = Claim {
-                running_ms: now,
-                earlier_runs,
-                hosts,
-            };
-            claim.share(bounds.retry_extra, rules(bounds))
-        })
+        let (Some(earlier_runs), Some(hosts)) = (standing.earlier_runs, hosts) else {
+            return 0.0;
+        };
+        let claim = Claim {
+            running_ms: now,
+            earlier_runs,
+            hosts,
+        };
+        claim.share(bounds.retry_extra, rules(bounds))
     }
 
     fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RepeatBudget) -> T) -> T {
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -81,7 +81,7 @@
     CHOICE_OUTDATED, 233, "choice_outdated", Info, "A target that was chosen for a request isn't in use any more when the request is to be sent; the line says how long the request has waited since then.";
     RELAY_RETIRED, 234, "relay_retired", Info, "A target isn't in use any more to which this entry relays a connection of a peer; the connection carries no further request.";
     CALLERS_REFUSED, 235, "callers_refused", Info, "This host's link or processor is full and peers have room: it stops listening for callers for a moment, and asks those that it serves to connect anew.";
-    REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what it is charged to, and what is left of this entry's share.";
+    REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what this entry may still repeat now, its share of the fixed allowance, and the hosts that share.";
     REPEAT_REFUSED, 237, "repeat_refused", Warn, "Work is not sent to a service again, since this entry's share of the repeats is used up; its request ends.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -6,7 +6,7 @@
 use crate::Millis;
 
 /// Part of the allowed ratio that a request earns. What is earned in one window may be spent in the
-/// next, so that any window has spends from two.
+/// next, so that a window may have repeats that the requests of two windows earned.
 const EARNED_PART: f64 = 0.5;
 /// Part of the share that hedges may not use.
 const KEPT_FROM_HEDGES: f64 = 0.5;
@@ -26,23 +26,23 @@
     pub arrival_ms: Millis,
 }
 
-/// What was added in a step.
+/// What was added in a part of a window, and when the first and the last of it was.
 #[derive(Debug, Clone, Copy, PartialEq)]
-struct Entry {
+struct Step {
     first: Millis,
     last: Millis,
     amount: f64,
 }
 
 /// Adds an amount to the step that has begun, or begins one.
-fn add(entries: &mut VecDeque<Entry>, now: Millis, rules: BudgetRules, amount: f64) {
+fn add(steps: &mut VecDeque<Step>, now: Millis, rules: BudgetRules, amount: f64) {
     let step_ms = rules.window_ms / STEPS_PER_WINDOW;
-    match entries.back_mut() {
+    match steps.back_mut() {
         Some(step) if step.first + step_ms > now => {
             step.last = now;
             step.amount += amount;
         }
-        _ => entries.push_back(Entry {
+        _ => steps.push_back(Step {
             first: now,
             last: now,
             amount,
@@ -55,9 +55,9 @@
 #[derive(Debug, Clone, Default)]
 pub struct RepeatBudget {
     /// What requests earned and no repeat has spent, oldest first.
-    earned: VecDeque<Entry>,
+    earned: VecDeque<Step>,
     /// What repeats of the last window charged to the share, oldest first.
-    charged: VecDeque<Entry>,
+    charged: VecDeque<Step>,
 }
 
 impl RepeatBudget {
@@ -99,7 +99,7 @@
     /// Repeats that are covered now, with fractions.
     pub fn left(&mut self, now: Millis, rules: BudgetRules, share: f64) -> f64 {
         self.expire(now, rules);
-        let sum = |entries: &VecDeque<Entry>| entries.iter().map(|entry| entry.amount).sum::<f64>();
+        let sum = |steps: &VecDeque<Step>| steps.iter().map(|step| step.amount).sum::<f64>();
         let of_share = (share - sum(&self.charged)).max(0.0);
         sum(&self.earned) + of_share + ROUNDING
     }
@@ -108,8 +108,8 @@
         let earned_ms = rules.window_ms.saturating_sub(rules.arrival_ms);
         let charged_ms = rules.window_ms + rules.arrival_ms;
         // A whole step expires with its first earning, and with its last charge.
-        let is_earned = |step: &Entry| step.first + earned_ms >= now;
-        let is_charged = |step: &Entry| step.last + charged_ms >= now;
+        let is_earned = |step: &Step| step.first + earned_ms >= now;
+        let is_charged = |step: &Step| step.last + charged_ms >= now;
         while self.earned.front().is_some_and(|step| !is_earned(step)) {
             self.earned.pop_front();
         }
