--- a/crates/bench/src/soak/brittle.rs
+++ b/crates/bench/src/soak/brittle.rs
@@ -45,11 +45,6 @@
 
 /// The callers of the service.
 pub fn callers() -> impl Iterator<Item = Contender> {
-    let caller = Contender {
-        path: PATH,
-        organisation: None,
-        active: None,
-        part: None,
-    };
+    let caller = Contender::of_path(PATH);
     std::iter::repeat_n(caller, CALLERS)
 }
--- a/crates/bench/src/soak/contention.rs
+++ b/crates/bench/src/soak/contention.rs
@@ -86,6 +86,18 @@
     pub part: Option<&'static str>,
 }
 
+impl Contender {
+    /// A caller of a route that needs no key, active for the whole run.
+    pub fn of_path(path: &'static str) -> Self {
+        Contender {
+            path,
+            organisation: None,
+            active: None,
+            part: None,
+        }
+    }
+}
+
 impl fmt::Display for Burst {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (at, duration) = (self.at.as_millis(), self.duration.as_millis());
@@ -142,12 +154,7 @@
         active: Some((burst.at, burst.at + burst.duration)),
         part: None,
     };
-    let few = Contender {
-        path: FEW_PATH,
-        organisation: None,
-        active: None,
-        part: None,
-    };
+    let few = Contender::of_path(FEW_PATH);
     let in_burst = std::iter::repeat_n(in_burst, BURST_CALLERS);
     steady
         .chain(in_burst)
--- a/crates/bench/src/soak/crowding.rs
+++ b/crates/bench/src/soak/crowding.rs
@@ -59,12 +59,7 @@
 
 /// The callers of the service.
 pub fn callers() -> impl Iterator<Item = Contender> {
-    let caller = Contender {
-        path: PATH,
-        organisation: None,
-        active: None,
-        part: None,
-    };
+    let caller = Contender::of_path(PATH);
     std::iter::repeat_n(caller, CALLERS)
 }
 
--- a/crates/bench/src/soak/departures.rs
+++ b/crates/bench/src/soak/departures.rs
@@ -111,12 +111,7 @@
 
 /// The callers of these routes.
 pub fn callers() -> impl Iterator<Item = Contender> {
-    let callers = [PLAIN_PATH, STREAM_PATH].map(|path| Contender {
-        path,
-        organisation: None,
-        active: None,
-        part: None,
-    });
+    let callers = [PLAIN_PATH, STREAM_PATH].map(Contender::of_path);
     let callers = callers.into_iter();
     callers.flat_map(|caller| std::iter::repeat_n(caller, CALLERS))
 }
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -15,7 +15,7 @@
 use super::callers::Load;
 use super::checks;
 use super::contention::Contender;
-use super::plan::{EntryFault, PlannedFault, SoakPlan};
+use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_MODES};
 use super::processes::Fleet;
 use super::report::SoakReport;
 use super::{repeats, SoakError, SoakOptions, SETTLE};
@@ -36,7 +36,6 @@
 /// How long gateways are cut off from all targets, or the store is silent for them, in milliseconds.
 const CUT_MS: u64 = 6_000;
 const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
-const CUT_MODES: [&str; 4] = ["refusing", "resetting", "silent", "answers-lost"];
 
 const SECTIONS: &str = "\
 [service.plain]
@@ -131,12 +130,7 @@
     let plan = draw(options);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let callers = PATHS.into_iter().cycle().take(options.callers);
-    let callers = callers.map(|path| Contender {
-        path,
-        organisation: None,
-        active: None,
-        part: None,
-    });
+    let callers = callers.map(Contender::of_path);
     let load = Load::of_contenders(options, &plan, &fleet, callers);
     fleet.run_faults(&plan).await;
     tokio::time::sleep(SETTLE).await;
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -30,7 +30,7 @@
 /// Trouble that cuts gateways off from all targets, and how long, in milliseconds.
 pub const CUT_TROUBLE: &str = "cut";
 const CUT_MS: u64 = 8_000;
-const CUT_MODES: [&str; 4] = ["refusing", "resetting", "silent", "answers-lost"];
+pub const CUT_MODES: [&str; 4] = ["refusing", "resetting", "silent", "answers-lost"];
 /// Separates the random stream of the cut from the one of the other troubles.
 const CUT_STREAM: u64 = 0x6375_745f;
 /// Trouble that adds a route.
--- a/crates/gateway/src/control/stopped_runs.rs
+++ b/crates/gateway/src/control/stopped_runs.rs
@@ -45,7 +45,7 @@
     }
 
     async fn write_mark(&self) -> Result<(), StoreError> {
-        let key = format!("{PREFIX}{}-{:016x}", self.me.host, self.me.id.0);
+        let key = self.me.key_under(PREFIX);
         let lease = self.store.lease(LEASE.max(self.min_lease)).await?;
         self.store.put(&key, None, &[], lease).await?;
         Ok(())
--- a/crates/gateway/src/peers/record.rs
+++ b/crates/gateway/src/peers/record.rs
@@ -43,6 +43,11 @@
     /// Key of the record. It contains the run, so that the record of a previous run expires
     /// with its own lease and is never overwritten.
     pub fn key(&self) -> String {
-        format!("{PREFIX}{}-{:016x}", self.host, self.id.0)
+        self.key_under(PREFIX)
+    }
+
+    /// Key of this run under a prefix.
+    pub fn key_under(&self, prefix: &str) -> String {
+        format!("{prefix}{}-{:016x}", self.host, self.id.0)
     }
 }
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -64,12 +64,7 @@
 impl Job {
     /// The piece, to be sent to a worker of the service again.
     pub fn repeat<'a>(&'a self, service: &'a str, reason: RepeatReason) -> Repeat<'a> {
-        Repeat {
-            service,
-            request: &self.piece.request_id,
-            piece: Some((self.piece.stage, self.piece.piece)),
-            reason,
-        }
+        Repeat::of_piece(service, &self.piece, reason)
     }
 }
 
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -85,12 +85,7 @@
     if !lost.may_be_sent {
         return Some(SendPermit::from_peer());
     }
-    cx.permit_repeat(&Repeat {
-        service,
-        request: &piece.request_id,
-        piece: Some((piece.stage, piece.piece)),
-        reason: RepeatReason::OwnerLost,
-    })
+    cx.permit_repeat(&Repeat::of_piece(service, piece, RepeatReason::OwnerLost))
 }
 
 /// Name of the queue that a request's pieces go to.
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -11,6 +11,7 @@
 use hollowsail_fleet::known_hosts::COUNTED_FOR_MS;
 use hollowsail_fleet::KnownHosts;
 use hollowsail_observe::events;
+use hollowsail_platform::pieces::Piece;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget, RepeatReason, SendPermit};
 use hollowsail_routing::Millis;
@@ -31,6 +32,18 @@
     pub reason: RepeatReason,
 }
 
+impl<'a> Repeat<'a> {
+    /// A piece that is to be sent to a worker of the service again.
+    pub fn of_piece(service: &'a str, piece: &'a Piece, reason: RepeatReason) -> Self {
+        Repeat {
+            service,
+            request: &piece.request_id,
+            piece: Some((piece.stage, piece.piece)),
+            reason,
+        }
+    }
+}
+
 impl fmt::Display for Repeat<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Repeat {
@@ -51,6 +64,8 @@
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     hosts: RefCell<KnownHosts>,
     standing: Cell<Standing>,
+    /// Since when the store doesn't answer this host; peers may forget it some time later.
+    unreachable_since: Cell<Option<Millis>>,
 }
 
 /// What entitles this process to its host's share.
@@ -60,8 +75,6 @@
     pub earlier_runs: Option<u32>,
     /// Its own record is in the store, by which later runs know of it.
     pub is_recorded: bool,
-    /// Since when the store doesn't answer this host; peers may forget it some time later.
-    pub unreachable_since: Option<Millis>,
 }
 
 impl Repeats {
@@ -71,12 +84,14 @@
     }
 
     /// Applies what entitles this process to its host's share.
-    pub fn update_standing(&self, now: Millis, standing: Standing, is_store_reachable: bool) {
-        let since = self.standing.get().unreachable_since.unwrap_or(now);
-        self.standing.set(Standing {
-            unreachable_since: (!is_store_reachable).then_some(since),
-            ..standing
-        });
+    pub fn update_standing(&self, standing: Standing) {
+        self.standing.set(standing);
+    }
+
+    /// Applies whether the store answers this host.
+    pub fn update_store(&self, now: Millis, is_reachable: bool) {
+        let since = self.unreachable_since.get().unwrap_or(now);
+        self.unreachable_since.set((!is_reachable).then_some(since));
     }
 
     /// Permits the first send of a caller's request, and counts the request.
@@ -117,7 +132,7 @@
     /// Repeats that this process may charge to the fixed allowance in a window.
     fn share(&self, now: Millis, bounds: &Bounds) -> f64 {
         let standing = self.standing.get();
-        let is_counted = match standing.unreachable_since {
+        let is_counted = match self.unreachable_since.get() {
             Some(since) => now < since + COUNTED_FOR_MS,
             None => true,
         };
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -218,14 +218,14 @@
                 self.graph.reset(index);
                 for input in self.graph.reset_inputs(index.stage, inputs) {
                     self.retained.remove(&input);
-                    self.permit_repeat(input, RepeatReason::InputGone)?;
+                    self.permit_later(input, RepeatReason::InputGone)?;
                 }
-                self.permit_repeat(index, RepeatReason::InputGone)
+                self.permit_later(index, RepeatReason::InputGone)
             }
             // Its owner may not have it sent again.
             PieceFailure::NoRoom if self.failed_pieces <= MAX_FAILED_PIECES => {
                 self.graph.reset(index);
-                self.permit_repeat(index, RepeatReason::PieceFailed)
+                self.permit_later(index, RepeatReason::PieceFailed)
             }
             PieceFailure::Late => Err(Refusal::new(
                 ErrorKind::CannotFinish,
@@ -238,21 +238,29 @@
         }
     }
 
-    /// The permit for the next send of a piece: its first one, or one for a repeat.
+    /// The permit for the next send of a piece: its first one, one that was granted after it failed,
+    /// or one for a repeat of what an earlier run of the stages had produced.
     fn take_permit(&mut self, index: PieceIndex) -> Result<SendPermit, Refusal> {
-        if let Some(permit) = self.admitted.first_permit_of_piece(index) {
-            return Ok(permit);
+        let first = self.admitted.first_permit_of_piece(index);
+        match first.or_else(|| self.permits.remove(&index)) {
+            Some(permit) => Ok(permit),
+            None => self.permit_repeat(index, RepeatReason::InputGone),
         }
-        if !self.permits.contains_key(&index) {
-            // An earlier run of the stages had it produced.
-            self.permit_repeat(index, RepeatReason::InputGone)?;
-        }
-        let permit = self.permits.remove(&index);
-        permit.ok_or_else(|| self.no_repeat(index))
+    }
+
+    /// Permits a piece to be sent again when it is ready, or refuses the request.
+    fn permit_later(&mut self, index: PieceIndex, reason: RepeatReason) -> Result<(), Refusal> {
+        let permit = self.permit_repeat(index, reason)?;
+        self.permits.insert(index, permit);
+        Ok(())
     }
 
     /// Permits a piece to be sent again, or refuses the request.
-    fn permit_repeat(&mut self, index: PieceIndex, reason: RepeatReason) -> Result<(), Refusal> {
+    fn permit_repeat(
+        &self,
+        index: PieceIndex,
+        reason: RepeatReason,
+    ) -> Result<SendPermit, Refusal> {
         let service = self.stages[index.stage].service;
         let permit = self.cx.permit_repeat(&Repeat {
             service: &self.admitted.deployment.service(service).name,
@@ -260,9 +268,7 @@
             piece: Some((index.stage as u16, index.piece as u32)),
             reason,
         });
-        let permit = permit.ok_or_else(|| self.no_repeat(index))?;
-        self.permits.insert(index, permit);
-        Ok(())
+        permit.ok_or_else(|| self.no_repeat(index))
     }
 
     fn no_repeat(&self, index: PieceIndex) -> Refusal {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -218,13 +218,7 @@
         }
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
         let now = self.clock.now();
-        let standing = Standing {
-            earlier_runs: newest.earlier_runs,
-            is_recorded: newest.peers.iter().any(|peer| peer.id == self.me.id),
-            ..Standing::default()
-        };
-        self.repeats
-            .update_standing(now, standing, newest.is_store_reachable);
+        self.repeats.update_store(now, newest.is_store_reachable);
         if peers_changed {
             self.update_sharing_hosts(now, &newest);
             self.peers.update(self, &newest.peers);
@@ -251,8 +245,12 @@
         }
     }
 
-    /// Updates the hosts that share the budgets of repeats.
+    /// Updates the hosts that share the budgets of repeats, and this one's standing among them.
     fn update_sharing_hosts(&self, now: Millis, newest: &View) {
+        self.repeats.update_standing(Standing {
+            earlier_runs: newest.earlier_runs,
+            is_recorded: newest.peers.iter().any(|peer| peer.id == self.me.id),
+        });
         // The list lacks this host until its own record is in the store.
         let own = std::iter::once(self.me.host.as_str());
         let listed = newest.peers.iter().map(|peer| peer.host.as_str());
--- a/crates/routing/src/repeats/mod.rs
+++ b/crates/routing/src/repeats/mod.rs
@@ -15,4 +15,4 @@
 pub use budget::{BudgetRules, RepeatBudget};
 pub use permit::{SendPermit, SendPermits};
 pub use reason::RepeatReason;
-pub use share::{Claim, HELD_PART, KEPT_BACK_PART};
+pub use share::Claim;
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -7,10 +7,10 @@
 use crate::Millis;
 
 /// Part of the allowance that all hosts use together.
-pub const HELD_PART: f64 = 0.6;
+const HELD_PART: f64 = 0.6;
 /// Part that is kept back for processes that follow others within a window. Each of them may use half
 /// of what those before it left.
-pub const KEPT_BACK_PART: f64 = 1.0 - HELD_PART;
+const KEPT_BACK_PART: f64 = 1.0 - HELD_PART;
 
 /// What a process knows about its claim to its host's share.
 #[derive(Debug, Clone, Copy, PartialEq)]
