Show the epoch and age of each followed list, and the share of repeats once a window

Change: each loop that follows a list records what it does and up to where its list is complete. Gauges hollowsail_list_era, hollowsail_list_age_seconds, hollowsail_store_era; list_behind (HS0321) for a list that stays behind a new epoch for more than a second, with what its loop does. repeat_budget (HS0238) once a window and service with repeats: requests, repeats granted and refused, share, hosts, and the position and age of the list of hosts; gauges hollowsail_repeat_share and hollowsail_repeat_hosts. No decision changes.

Result: the tests of hollowsail-fleet and hollowsail-observe pass.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod host_view;
 mod known_hosts;
 mod large_registry;
+mod list_freshness;
 mod live_runs;
 mod membership;
 mod newest;
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -17,6 +17,7 @@
 use super::source::{Origin, Received};
 use super::Control;
 use crate::feed::KeyGroup;
+use crate::list_states::Activity;
 
 /// Longest pause after changes from a store follower, which costs the store nothing and
 /// pauses on its own.
@@ -58,8 +59,12 @@
             Err(StoreError::HistoryLost) => cx.delay_in_new_epoch(subscription.keys).await,
             Err(err) => {
                 cx.store_failed(&err);
+                cx.lists
+                    .set_activity(subscription.keys, Activity::BackingOff);
                 backoff.pause().await;
                 if !subscription.probes {
+                    cx.lists
+                        .set_activity(subscription.keys, Activity::AwaitingStore);
                     cx.until_store_reachable().await;
                 }
             }
@@ -74,6 +79,7 @@
     allow_stale: bool,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
+    cx.lists.set_activity(subscription.keys, Activity::Reading);
     let mut position = match read_all(cx, subscription, allow_stale).await? {
         ListSource::Store(range) => {
             if !allow_stale {
@@ -89,6 +95,8 @@
         }
     };
     backoff.reset();
+    cx.confirm_list(subscription.keys, position);
+    cx.lists.set_activity(subscription.keys, Activity::Watching);
     loop {
         match cx
             .next_changes(subscription.keys, subscription.prefix, position)
@@ -96,6 +104,7 @@
         {
             (Received::Changes(changes), origin) => {
                 position = changes.at;
+                cx.confirm_list(subscription.keys, position);
                 cx.feeds.extend(subscription.keys, &changes);
                 let pause = (subscription.on_changes)(cx, &changes, origin);
                 let pause = match origin {
@@ -110,6 +119,7 @@
             (Received::List(range), origin) => {
                 cx.note_follower_outage(origin);
                 position = cx.apply_list(subscription, &range);
+                cx.confirm_list(subscription.keys, position);
             }
         }
     }
@@ -163,6 +173,11 @@
         range.at
     }
 
+    /// Records that a list is complete up to a position.
+    pub(super) fn confirm_list(&self, keys: KeyGroup, at: Position) {
+        self.lists.confirm(keys, self.clock.now(), at);
+    }
+
     /// Waits until the store is reachable.
     async fn until_store_reachable(&self) {
         while self.registry.borrow().is_store_unreachable() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -13,6 +13,7 @@
 mod evacuated_halls;
 mod follow;
 mod hall_records;
+mod list_reports;
 mod membership;
 mod new_versions;
 mod operators;
@@ -49,6 +50,7 @@
 use crate::clock::Clock;
 use crate::crashes::{RefusalReceiver, RefusedRequests};
 use crate::feed::Feeds;
+use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::metrics;
 use crate::peers::PeerRecord;
@@ -92,6 +94,8 @@
     pauses: WatchPauses,
     /// Changes received by this entry, served to others of its hall.
     feeds: Arc<Feeds>,
+    /// What the loops that follow lists do, and how far they are.
+    lists: Arc<ListStates>,
     followers: Followers,
     seeds: Vec<SocketAddr>,
     /// This entry's record.
@@ -117,6 +121,7 @@
         clock: Clock,
         published: Arc<Published>,
         feeds: Arc<Feeds>,
+        lists: Arc<ListStates>,
     ) -> Rc<Self> {
         Rc::new(Control {
             store: Store::new(&settings.store),
@@ -140,6 +145,7 @@
             store_regained: Notify::new(),
             pauses: WatchPauses::new(&settings.bounds),
             feeds,
+            lists,
             followers: Followers::default(),
             seeds: settings.seeds.clone(),
             me,
@@ -162,6 +168,7 @@
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
         actix_rt::spawn(peer_state::follow(self.clone()));
+        actix_rt::spawn(list_reports::report(self.clone()));
     }
 
     /// Publishes the present state as a new view.
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -132,7 +132,7 @@
                     range,
                     is_unsettled,
                 }) => return Ok((Received::List(range), Origin::Follower { is_unsettled })),
-                Ok(FeedResponse::NothingNew) => {}
+                Ok(FeedResponse::NothingNew) => self.confirm_list(keys, after),
                 Ok(FeedResponse::Unknown) => {
                     self.is_list_long
                         .set(keys == KeyGroup::Targets || self.is_list_long.get());
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -37,13 +37,24 @@
 }
 
 impl KeyGroup {
+    /// All groups, by position.
+    pub const ALL: [KeyGroup; 3] = [KeyGroup::Operators, KeyGroup::Targets, KeyGroup::Entries];
     /// Number of groups.
-    pub const COUNT: usize = 3;
+    pub const COUNT: usize = Self::ALL.len();
 
     /// Index of the group.
     pub fn position(self) -> usize {
         self as usize
     }
+
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            KeyGroup::Operators => "operators",
+            KeyGroup::Targets => "targets",
+            KeyGroup::Entries => "entries",
+        }
+    }
 }
 
 /// Request for changes.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use hollowsail_observe::recorder;
 use hollowsail_platform::settings::METRICS_PATH;
 use hollowsail_rollout::{Arm, Outcome};
+use hollowsail_routing::Millis;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -187,6 +188,24 @@
     counter!("hollowsail_connection_resets_total", "service" => service.to_string()).increment(1);
 }
 
+/// Sets the newest epoch of the store that this entry knows.
+pub fn set_store_epoch(epoch: u64) {
+    gauge!("hollowsail_store_era").set(epoch as f64);
+}
+
+/// Sets the epoch of a list, and the time since it was last known to be complete.
+pub fn set_list(list: &'static str, epoch: u64, age_ms: Millis) {
+    gauge!("hollowsail_list_era", "list" => list).set(epoch as f64);
+    gauge!("hollowsail_list_age_seconds", "list" => list)
+        .set(Duration::from_millis(age_ms).as_secs_f64());
+}
+
+/// Sets this entry's share of the fixed allowance of repeats, and the hosts that it is divided by.
+pub fn set_repeat_share(share: f64, hosts: usize) {
+    gauge!("hollowsail_repeat_share").set(share);
+    gauge!("hollowsail_repeat_hosts").set(hosts as f64);
+}
+
 /// Counts an outage of the store.
 pub fn count_store_outage() {
     counter!("hollowsail_store_lost_total").increment(1);
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -5,11 +5,11 @@
 //! counts every repeat that it grants or refuses.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::fmt;
 
 use hollowsail_fleet::known_hosts::COUNTED_FOR_MS;
-use hollowsail_fleet::KnownHosts;
+use hollowsail_fleet::{KnownHosts, Position};
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_platform::settings::Bounds;
@@ -62,12 +62,23 @@
 pub struct Repeats {
     /// By service name.
     budgets: RefCell<HashMap<String, RepeatBudget>>,
+    /// What each service got since the last report.
+    tallies: RefCell<BTreeMap<String, Tally>>,
     hosts: RefCell<KnownHosts>,
     standing: Cell<Standing>,
     /// Since when the store doesn't answer this host; peers may forget it some time later.
     unreachable_since: Cell<Option<Millis>>,
 }
 
+/// Sends to a service in a window.
+#[derive(Debug, Default)]
+struct Tally {
+    /// Requests of callers, which earn repeats.
+    requests: u64,
+    granted: u64,
+    refused: u64,
+}
+
 /// What entitles this process to its host's share.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Standing {
@@ -96,6 +107,7 @@
 
     /// Permits the first send of a caller's request, and counts the request.
     pub fn permit_request(&self, now: Millis, bounds: &Bounds, service: &str) -> SendPermit {
+        self.tally(service, |tally| tally.requests += 1);
         self.with_budget(service, |budget| {
             budget.first_of_request(now, rules(bounds))
         })
@@ -118,6 +130,10 @@
             Some(_) => (events::REPEATED, "granted"),
             None => (events::REPEAT_REFUSED, "refused"),
         };
+        self.tally(repeat.service, |tally| match &permit {
+            Some(_) => tally.granted += 1,
+            None => tally.refused += 1,
+        });
         let work = match repeat.piece {
             Some(_) => "piece",
             None => "request",
@@ -149,6 +165,52 @@
         claim.share(bounds.retry_extra, rules(bounds))
     }
 
+    /// Logs what the services with repeats got since the last report, and begins anew. `listed` is the
+    /// position of the list of hosts, and its age.
+    pub fn report(
+        &self,
+        now: Millis,
+        bounds: &Bounds,
+        log: &Log,
+        listed: Option<(Position, Millis)>,
+    ) {
+        let Standing {
+            earlier_runs,
+            is_recorded,
+        } = self.standing.get();
+        let share = self.share(now, bounds);
+        let hosts = self.hosts.borrow().count(now).unwrap_or(0);
+        let (hosts_at, hosts_age_ms) = listed.unwrap_or_default();
+        metrics::set_repeat_share(share, hosts);
+        let tallies = self.tallies.take();
+        let with_repeats = tallies
+            .into_iter()
+            .filter(|(_, tally)| tally.granted + tally.refused > 0);
+        for (service, tally) in with_repeats {
+            let left = self.with_budget(&service, |budget| budget.left(now, rules(bounds), share));
+            let Tally {
+                requests,
+                granted,
+                refused,
+            } = tally;
+            let fields = format_args!(
+                "service={service} requests={requests} granted={granted} refused={refused} \
+                 left={left:.2} share={share:.2} hosts={hosts} hosts_at={hosts_at} \
+                 hosts_age_ms={hosts_age_ms} earlier_runs={} recorded={is_recorded}",
+                earlier_runs.map_or(-1, i64::from)
+            );
+            log.line(events::REPEAT_BUDGET, fields);
+        }
+    }
+
+    fn tally(&self, service: &str, change: impl FnOnce(&mut Tally)) {
+        let mut tallies = self.tallies.borrow_mut();
+        match tallies.get_mut(service) {
+            Some(tally) => change(tally),
+            None => change(tallies.entry(service.to_string()).or_default()),
+        }
+    }
+
     fn with_budget<T>(&self, service: &str, change: impl FnOnce(&mut RepeatBudget) -> T) -> T {
         let mut budgets = self.budgets.borrow_mut();
         match budgets.get_mut(service) {
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -16,6 +16,7 @@
 use crate::control::Control;
 use crate::crashes::Crashes;
 use crate::feed::Feeds;
+use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
 use crate::peers::{capacity_of, PeerId, PeerRecord};
@@ -116,6 +117,7 @@
     let me = own_record(&settings, addrs.peers);
     let published = Arc::new(Published::default());
     let feeds = Arc::new(Feeds::default());
+    let lists = Arc::new(ListStates::default());
     let (stop, stopping) = oneshot::channel();
     let (crashes, refusals) = Crashes::new();
     let (phases, phase_receiver) = rollouts::phase_channel();
@@ -130,6 +132,7 @@
         FromControl {
             published: published.clone(),
             feeds: feeds.clone(),
+            lists: lists.clone(),
         },
         crashes,
         phases,
@@ -147,7 +150,7 @@
             addrs.callers, addrs.readiness, addrs.peers, addrs.metrics, hall, me.id.0
         ),
     );
-    let control = Control::new(&control_settings, me, clock, published, feeds);
+    let control = Control::new(&control_settings, me, clock, published, feeds, lists);
     control.spawn(refusals, phase_receiver);
     Ok(Running {
         addrs,
@@ -196,6 +199,7 @@
     peers::start(cx, into_tokio(listeners.peers)?);
     let accepting = callers::start(cx, into_tokio(listeners.callers)?);
     actix_rt::spawn(cx.clone().follow_views());
+    actix_rt::spawn(cx.clone().report_repeats());
     actix_rt::spawn(event_loop_lag::watch(cx.clone()));
     actix_rt::spawn(host_load::watch(cx.clone()));
     actix_rt::spawn(reach::watch(cx.clone()));
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -20,8 +20,9 @@
 use crate::callers::admission::Admission;
 use crate::clock::Clock;
 use crate::crashes::Crashes;
-use crate::feed::Feeds;
+use crate::feed::{Feeds, KeyGroup};
 use crate::host_load::HostLoad;
+use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerId, PeerRecord, Peers};
@@ -72,6 +73,7 @@
 pub struct FromControl {
     pub published: Arc<Published>,
     pub feeds: Arc<Feeds>,
+    pub lists: Arc<ListStates>,
 }
 
 /// State shared by all requests.
@@ -85,6 +87,8 @@
     published: Arc<Published>,
     /// Changes received from the store, for peers that request them.
     pub feeds: Arc<Feeds>,
+    /// State of the lists that control follows.
+    lists: Arc<ListStates>,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
     pub reach: Reach,
@@ -135,7 +139,11 @@
         me: PeerRecord,
         mechanisms: Mechanisms,
         clock: Clock,
-        FromControl { published, feeds }: FromControl,
+        FromControl {
+            published,
+            feeds,
+            lists,
+        }: FromControl,
         crashes: Crashes,
         phases: mpsc::Sender<RecordPhase>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
@@ -159,6 +167,7 @@
                 view: RefCell::new(published.load()),
                 published,
                 feeds,
+                lists,
                 settings,
                 clock,
                 targets: RefCell::new(reach::target_table(cx)),
@@ -442,6 +451,18 @@
         self.repeats.grant(now, &settings.bounds, &self.log, repeat)
     }
 
+    /// Logs the repeats of the last window, at the end of each window, until the thread ends.
+    pub async fn report_repeats(self: Rc<Self>) {
+        loop {
+            let window = self.settings().bounds.retry_window_s;
+            tokio::time::sleep(Duration::from_secs_f64(window)).await;
+            let (now, settings) = (self.clock.now(), self.settings());
+            let listed = self.lists.freshness(KeyGroup::Entries, now);
+            self.repeats
+                .report(now, &settings.bounds, &self.log, listed);
+        }
+    }
+
     /// Median latency of a service in milliseconds; `None` before it is known.
     pub fn typical_ms(&self, deployment: &Deployment, service: ServiceKey) -> Option<Millis> {
         let name = &deployment.service(service).name;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -83,6 +83,7 @@
     CALLERS_REFUSED, 235, "callers_refused", Info, "This host's link or processor is full and peers have room: it stops listening for callers for a moment, and asks those that it serves to connect anew.";
     REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what this entry may still repeat now, its share of the fixed allowance, and the hosts that share.";
     REPEAT_REFUSED, 237, "repeat_refused", Warn, "Work is not sent to a service again, since this entry's share of the repeats is used up; its request ends.";
+    REPEAT_BUDGET, 238, "repeat_budget", Info, "The repeats of a service in the last window at this entry: the requests that earned some, those granted and refused, and the share of the fixed allowance with the hosts that it is divided by.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
@@ -103,6 +104,7 @@
     ROLLOUT_RECORDED, 318, "rollout_recorded", Info, "The phase of a roll-out was written to the store, or could not be written.";
     VERSION_HELD, 319, "version_held", Info, "A service has targets of a version that is new to this entry; they wait for the operators' order, if there is one.";
     TARGETS_LISTED, 320, "targets_listed", Info, "Many target records arrived together, or have to be read from another source.";
+    LIST_BEHIND, 321, "list_behind", Warn, "A list that this entry follows in the store stays behind the store's newest epoch; the line says what the loop that follows it does.";
     MEMBER, 401, "member", Info, "A member's health or stop state changed.";
     PACE, 402, "pace", Warn, "This entry started or stopped keeping up with its work.";
     HOST_LOAD, 403, "host_load", Info, "What this host carried in the last second: connections and requests of callers, the event-loop lag, and bytes by the other end.";
