Add failing tests of a store that is restored in an outage

Silent or refusing for long enough to be noticed, once or twice, and restored meanwhile: requests reach a draining target 5 s after its record said so (9 to 16 of 24), and none a new one.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -20,6 +20,7 @@
 mod regions;
 mod repeats;
 mod reservations;
+mod restore_in_outage;
 mod rollouts;
 mod sharing;
 mod stages;
--- a/crates/gateway/tests/suite/repeats.rs
+++ b/crates/gateway/tests/suite/repeats.rs
@@ -22,7 +22,7 @@
     counts.values().map(|count| count - 1).sum()
 }
 
-fn repeated_requests(targets: &[TargetStandin]) -> usize {
+pub fn repeated_requests(targets: &[TargetStandin]) -> usize {
     let received = targets.iter().flat_map(TargetStandin::received);
     count_repeats(received.map(|request| request.request_id().to_string()))
 }
@@ -35,7 +35,7 @@
     )
 }
 
-fn allowed(requests: usize) -> f64 {
+pub fn allowed(requests: usize) -> f64 {
     RATIO * requests as f64 + EXTRA
 }
 
--- a/crates/gateway/tests/suite/store_restore.rs
+++ b/crates/gateway/tests/suite/store_restore.rs
@@ -16,25 +16,25 @@
 };
 
 /// Length of the lost history: shorter than the time before a test's first change.
-const LOST_HISTORY: Duration = Duration::from_millis(900);
+pub const LOST_HISTORY: Duration = Duration::from_millis(900);
 /// Time within which entries must have rewritten their keys.
 const REWRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Time within which draining must take effect, as in the settings.
-const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
+pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(2);
 
-async fn target(body: &'static str) -> TargetStandin {
+pub async fn target(body: &'static str) -> TargetStandin {
     TargetStandin::start(move |request| vec![Step::Write(answer(request, 200, body))]).await
 }
 
-fn call() -> Call {
+pub fn call() -> Call {
     Call::new("GET", "/a/x")
 }
 
 /// A store with a configuration and a target in each of two halls, all older than the lost
 /// history, and an entry that uses them.
-struct Fleet {
-    store: StoreStandin,
+pub struct Fleet {
+    pub store: StoreStandin,
     targets: [TargetStandin; 2],
     entry: Running,
 }
@@ -42,7 +42,7 @@
 const HALLS: [&str; 2] = ["hall-a", "hall-b"];
 
 impl Fleet {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         let store = StoreStandin::start().await;
         store.put("op/config", &plain_deployment(1, "/a/").bytes());
         let targets = [target("first").await, target("second").await];
@@ -58,7 +58,7 @@
         fleet
     }
 
-    fn put(&self, number: usize, state: &str) {
+    pub fn put(&self, number: usize, state: &str) {
         let id = format!("i-{number}");
         let addr = self.targets[number].addr;
         self.store
@@ -66,16 +66,16 @@
     }
 
     /// Writes unrelated keys, so that the lost history has many revisions.
-    fn write_unrelated_keys(&self) {
+    pub fn write_unrelated_keys(&self) {
         (0..40).for_each(|number| self.store.put(&format!("other/{number}"), b"x"));
     }
 
-    fn callers_addr(&self) -> SocketAddr {
+    pub fn callers_addr(&self) -> SocketAddr {
         self.entry.addrs.callers
     }
 
     /// Sends requests and returns how many each target received.
-    async fn requests_per_target(&self, requests: usize) -> [usize; 2] {
+    pub async fn requests_per_target(&self, requests: usize) -> [usize; 2] {
         let before = self.received();
         for _ in 0..requests {
             call().send(self.callers_addr()).await;
@@ -84,7 +84,7 @@
         [after[0] - before[0], after[1] - before[1]]
     }
 
-    fn received(&self) -> [usize; 2] {
+    pub fn received(&self) -> [usize; 2] {
         [
             self.targets[0].received().len(),
             self.targets[1].received().len(),
@@ -92,7 +92,7 @@
     }
 }
 
-async fn wait_for_propagation() {
+pub async fn wait_for_propagation() {
     tokio::time::sleep(Duration::from_millis(600)).await;
 }
 
