--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -49,6 +49,11 @@
     #[argh(switch)]
     failing_targets: bool,
 
+    /// play only a store that is restored from older copies, beside targets that leave and fail and
+    /// gateways that are killed, stopped and paused in series; --seconds has no effect
+    #[argh(switch)]
+    restores: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -76,6 +81,7 @@
                 folder: self.folder.clone(),
                 small_hosts: self.small_hosts,
                 failing_targets: self.failing_targets,
+                restores: self.restores,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -85,7 +85,7 @@
             seed: options.seed,
             seconds: options.seconds,
             entries: options.entries,
-            mode: options.failing_targets.then_some("--failing-targets"),
+            mode: mode_option(options),
             attempts: attempts.len(),
             whole: count(attempts, |outcome| *outcome == Outcome::Whole),
             not_run: count(attempts, |outcome| {
@@ -100,6 +100,18 @@
     }
 }
 
+/// Option of the command that selects what is played.
+fn mode_option(options: &SoakOptions) -> Option<&'static str> {
+    match options {
+        SoakOptions {
+            failing_targets: true,
+            ..
+        } => Some("--failing-targets"),
+        SoakOptions { restores: true, .. } => Some("--restores"),
+        _ => None,
+    }
+}
+
 fn count(attempts: &[Attempt], is_counted: impl Fn(&Outcome) -> bool) -> usize {
     let outcomes = attempts
         .iter()
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -37,7 +37,7 @@
 const CUT_MS: u64 = 6_000;
 const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
 
-const SECTIONS: &str = "\
+pub const SECTIONS: &str = "\
 [service.plain]
 kind = plain
 targets = 6
@@ -111,14 +111,14 @@
 resumable = 1
 ";
 
-const PATHS: [&str; 4] = [
+pub const PATHS: [&str; 4] = [
     "/failing/safe/",
     "/failing/once/",
     "/failing/stream/",
     "/failing/resumable/",
 ];
 /// Services that fail, with the number of their targets.
-const SERVICES: [(&str, usize); 4] = [
+pub const SERVICES: [(&str, usize); 4] = [
     ("plain", 6),
     ("workers", 5),
     ("finishers", 5),
@@ -180,7 +180,7 @@
 }
 
 /// Section of a time in which some targets of a service fail.
-fn failing_section(rng: &mut SmallRng, service: &str, targets: usize, number: usize) -> String {
+pub fn failing_section(rng: &mut SmallRng, service: &str, targets: usize, number: usize) -> String {
     let at_ms = rng.random_range(FROM_MS..UNTIL_MS - FAILING_MS.end / 2);
     let for_ms = rng.random_range(FAILING_MS);
     let count = rng.random_range(targets / 2..=targets);
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -21,6 +21,7 @@
 mod processes;
 mod repeats;
 mod report;
+mod restores;
 mod room;
 mod small_hosts;
 mod versions;
@@ -62,6 +63,8 @@
     pub link_mbps: f64,
     /// Targets that fail most of what they get, beside gateways that are disturbed in series.
     pub failing_targets: bool,
+    /// A store that is restored from older copies, beside targets that leave and fail.
+    pub restores: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -102,6 +105,9 @@
     if options.failing_targets {
         return failing_targets::run(options).await;
     }
+    if options.restores {
+        return restores::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
