Keep the store's reachability in one place, on which all loops wait

What callers saw: requests and stage calls went to targets that had left, for as long as the process lived, and none to targets that had come.

Cause: the loops that follow targets and entries wait for an announcement (Notify) while a flag in the registry says that the store is unreachable. note_epoch ended an outage by itself, without the announcement, and store_answered then found nothing to announce. The loops slept until a later outage ended without a restore. The list of entries stood still in the same way: hosts divided the allowance of repeats by too few. Class: a state that is written in one place and announced in another.

Change: fleet::StoreContact decides, from each answer and each failure of any loop, whether the store is reachable and whether an epoch began. StoreLink holds it in a watch channel whose sender is private: what changes the state wakes those who wait on it, and a wait that begins later sees it at once. An answer in a new epoch ends the outage and begins the epoch in one step; it is logged (store_back, store_came_back_older) and published. A loop whose watch begins while the store is unreachable ends it at once, where it used to wait for the next outage or for the watch's end. The registry keeps its own times only.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod position;
 pub mod relays;
 pub mod rendezvous;
+pub mod store_contact;
 pub mod store_followers;
 pub mod target_registry;
 pub mod throttle;
--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -98,8 +98,9 @@
     /// Records that the store was restored from an older copy: for a while neither missing
     /// records nor records of removed targets are conclusive.
     pub fn epoch_began(&mut self, now: Millis) {
-        self.store_unreachable();
-        self.store_reachable(now);
+        if let StoreState::Reachable(since) = &mut self.store {
+            *since = now.max(1);
+        }
         self.epoch_began_at = Some(now);
     }
 
@@ -406,11 +407,6 @@
         self.changes
     }
 
-    /// True when the store doesn't answer.
-    pub fn is_store_unreachable(&self) -> bool {
-        self.store == StoreState::Unreachable
-    }
-
     /// Number of registered targets, draining ones included.
     pub fn len(&self) -> usize {
         self.entries.len()
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod ownership;
 mod relays;
 mod restored_store;
+mod store_contact;
 mod store_followers;
 mod target_registry;
 mod throttle;
--- a/crates/gateway/src/control/epoch.rs
+++ b/crates/gateway/src/control/epoch.rs
@@ -69,35 +69,25 @@
 }
 
 impl Control {
-    /// Compares the store's epoch with the known one. When a new epoch began, marks all
-    /// state as unconfirmed.
-    pub(super) fn note_epoch(self: &Rc<Self>) {
-        let newest = self.store.epoch();
-        let known = self.epoch.replace(Some(newest));
-        let Some(known) = known.filter(|known| *known != newest) else {
-            return;
-        };
+    /// Marks all state as unconfirmed when an epoch began.
+    pub(super) fn begin_epoch(self: &Rc<Self>, before: u64, epoch: u64) {
         let now = self.clock.now();
         self.registry.borrow_mut().epoch_began(now);
         self.peers.borrow_mut().epoch_began(now);
-        self.feeds
-            .store_reachable(Duration::from_millis(RECORD_RETURN_MS));
         let fields = format_args!(
-            "era={newest} before={known} records_at={} halls_at={}",
+            "era={epoch} before={before} records_at={} halls_at={}",
             self.records_at.get(),
             self.evacuated.borrow().as_of()
         );
         self.log.line(events::STORE_CAME_BACK_OLDER, fields);
-        self.reinstate_halls_later(newest);
+        self.reinstate_halls_later(epoch);
     }
 
-    /// Waits for a random part of [`SPREAD`] if an epoch began that isn't applied yet. The
-    /// operators' keys are read at once: the list is short and takes effect soon.
+    /// Waits for a random part of [`SPREAD`] if a list belongs to an earlier epoch. The operators' keys
+    /// are read at once: the list is short and takes effect soon.
     pub(super) async fn delay_in_new_epoch(&self, keys: KeyGroup) {
-        let is_new = self
-            .epoch
-            .get()
-            .is_some_and(|epoch| epoch < self.store.epoch());
+        let listed = self.lists.freshness(keys, self.clock.now());
+        let is_new = listed.is_some_and(|(at, _)| at.epoch < self.store.epoch());
         if is_new && keys != KeyGroup::Operators {
             random_delay().await;
         }
@@ -109,7 +99,7 @@
         let cx = self.clone();
         actix_rt::spawn(async move {
             tokio::time::sleep(HALL_RETENTION).await;
-            if cx.epoch.get() == Some(epoch) {
+            if cx.store_link.epoch() == Some(epoch) {
                 cx.update_evacuated("not_written_again", |halls| {
                     !halls.drop_unconfirmed().is_empty()
                 });
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -4,7 +4,7 @@
 //! The first read at startup may be stale, which costs less; the watch continues from its
 //! position and delivers what changed since. Every later read is fresh, since a stale list
 //! would bring deleted records back until the watch catches up. While a watch waits, other
-//! calls show whether the store is reachable ([`Control::until_store_lost`]).
+//! calls show whether the store is reachable ([`super::store_link`]).
 
 use std::future::Future;
 use std::rc::Rc;
@@ -65,7 +65,7 @@
                 if !subscription.probes {
                     cx.lists
                         .set_activity(subscription.keys, Activity::AwaitingStore);
-                    cx.until_store_reachable().await;
+                    cx.store_link.until_reachable().await;
                 }
             }
         }
@@ -81,13 +81,7 @@
 ) -> Result<(), StoreError> {
     cx.lists.set_activity(subscription.keys, Activity::Reading);
     let mut position = match read_all(cx, subscription, allow_stale).await? {
-        ListSource::Store(range) => {
-            if !allow_stale {
-                // A stale response doesn't show that the store is reachable.
-                cx.store_answered();
-            }
-            cx.apply_list(subscription, &range)
-        }
+        ListSource::Store(range) => cx.apply_list(subscription, &range),
         ListSource::HallPeer(at) => {
             cx.feeds.restart_at(subscription.keys, at);
             tokio::time::sleep(PAUSE_AFTER_HALL_LIST).await;
@@ -151,7 +145,10 @@
             }
         }
         let items = reading.next_page().await?;
-        cx.note_epoch();
+        match allow_stale {
+            true => cx.store_answered_stale(),
+            false => cx.store_answered(),
+        }
         (subscription.on_page)(cx, items);
         if reading.is_complete() {
             return Ok(ListSource::Store(reading.into_range()));
@@ -178,13 +175,6 @@
         self.lists.confirm(keys, self.clock.now(), at);
     }
 
-    /// Waits until the store is reachable.
-    async fn until_store_reachable(&self) {
-        while self.registry.borrow().is_store_unreachable() {
-            self.store_regained.notified().await;
-        }
-    }
-
     /// Waits for a watch, but only as long as the store answers other calls.
     pub(super) async fn until_store_lost<T>(
         &self,
@@ -192,7 +182,7 @@
     ) -> Result<T, StoreError> {
         tokio::select! {
             result = watch => result,
-            () = self.store_lost.notified() => Err(StoreError::Lost),
+            () = self.store_link.until_unreachable() => Err(StoreError::Lost),
         }
     }
 }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! Three loops ([`follow`]) follow the operators' keys, the targets' records and the
 //! entries' records; a fourth maintains this entry's own record ([`own_record`]). Changes
-//! come from the store or from a store follower of this hall ([`source`]). While the store
-//! is unreachable, [`peer_state`] queries peers; [`epoch`] handles a store restored from an
-//! older copy. All of them publish through [`Control::publish`].
+//! come from the store or from a store follower of this hall ([`source`]). [`store_link`] has the
+//! store's reachability, on which the loops wait. While the store is unreachable, [`peer_state`]
+//! queries peers; [`epoch`] handles a store restored from an older copy. All of them publish through [`Control::publish`].
 
 mod backoff;
 mod configuration;
@@ -26,6 +26,7 @@
 mod settle;
 mod source;
 mod stopped_runs;
+mod store_link;
 mod usable;
 
 use std::cell::{Cell, RefCell};
@@ -35,24 +36,22 @@
 use std::time::Duration;
 
 use hollowsail_fleet::{EvacuatedHalls, Newest, Position, TargetRegistry, WarmUps};
-use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
-use hollowsail_platform::store::{Lease, Store, StoreError};
+use hollowsail_platform::store::{Lease, Store};
 use hollowsail_platform::targets::TargetRecord;
 use hollowsail_routing::Millis;
-use tokio::sync::Notify;
 
 use self::configuration::Configuration;
 use self::derived::Derived;
 use self::new_versions::NewVersions;
 use self::pauses::WatchPauses;
 use self::source::Followers;
+use self::store_link::StoreLink;
 use crate::clock::Clock;
 use crate::crashes::{RefusalReceiver, RefusedRequests};
 use crate::feed::Feeds;
 use crate::list_states::ListStates;
 use crate::log::Log;
-use crate::metrics;
 use crate::peers::PeerRecord;
 use crate::rollouts::{Orders, PhaseReceiver, PhaseRecords};
 use crate::view::{Published, View};
@@ -83,14 +82,8 @@
     entries_listed_at: Cell<Option<Millis>>,
     /// By the first list of entries.
     earlier_runs: Cell<Option<u32>>,
-    /// The store's epoch that the state belongs to; `None` before the first response.
-    epoch: Cell<Option<u64>>,
-    /// When the store last answered a call.
-    store_answered_at: Cell<Option<Millis>>,
-    /// Notified when the store becomes unreachable.
-    store_lost: Notify,
-    /// Notified when the store is reachable again.
-    store_regained: Notify,
+    /// Whether the store answers, and the epoch that the state belongs to.
+    store_link: StoreLink,
     pauses: WatchPauses,
     /// Changes received by this entry, served to others of its hall.
     feeds: Arc<Feeds>,
@@ -139,10 +132,7 @@
             is_list_long: Cell::new(false),
             entries_listed_at: Cell::new(None),
             earlier_runs: Cell::new(None),
-            epoch: Cell::new(None),
-            store_answered_at: Cell::new(None),
-            store_lost: Notify::new(),
-            store_regained: Notify::new(),
+            store_link: StoreLink::default(),
             pauses: WatchPauses::new(&settings.bounds),
             feeds,
             lists,
@@ -186,7 +176,7 @@
             targets: self.targets_now(&evacuated),
             evacuated,
             records: self.records_for_peers(),
-            is_store_reachable: !self.registry.borrow().is_store_unreachable(),
+            is_store_reachable: self.store_link.is_reachable(),
             peers: self.peers_now(),
             earlier_runs: self.earlier_runs.get(),
             refused: self.refused.borrow().clone(),
@@ -194,47 +184,4 @@
             rollout_records: self.rollout_records.borrow().clone(),
         });
     }
-
-    /// Handles a failed call to the store; an outage is logged and published.
-    fn store_failed(&self, err: &StoreError) {
-        if !err.shows_outage() || self.has_answered_since(err) {
-            return;
-        }
-        self.peers.borrow_mut().store_unreachable();
-        self.feeds.store_unreachable();
-        if self.registry.borrow_mut().store_unreachable() {
-            self.log
-                .line(events::STORE_LOST, format_args!("why=\"{err}\""));
-            metrics::count_store_outage();
-            self.store_lost.notify_waiters();
-            self.publish();
-        }
-    }
-
-    /// True if the store has answered another call since the failed one began: a call of an outage
-    /// fails only some time after its end.
-    fn has_answered_since(&self, err: &StoreError) -> bool {
-        let StoreError::TimedOut { timeout } = err else {
-            return false;
-        };
-        let began = self
-            .clock
-            .now()
-            .saturating_sub(timeout.as_millis() as Millis);
-        self.store_answered_at.get().is_some_and(|at| at > began)
-    }
-
-    /// Handles a successful call to the store; the end of an outage is logged and
-    /// published.
-    fn store_answered(&self) {
-        self.store_answered_at.set(Some(self.clock.now()));
-        self.peers.borrow_mut().store_reachable(self.clock.now());
-        if self.registry.borrow_mut().store_reachable(self.clock.now()) {
-            self.log.line(events::STORE_BACK, format_args!(""));
-            self.feeds
-                .store_reachable(Duration::from_millis(RECORD_RETURN_MS));
-            self.store_regained.notify_waiters();
-            self.publish();
-        }
-    }
 }
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -63,7 +63,7 @@
         Err(StoreError::Conflict) => replace_record(cx, &value, lease).await?,
         Err(err) => return Err(err),
     }
-    cx.note_epoch();
+    cx.store_answered();
     cx.lease.set(Some(lease));
     cx.feeds.set_store_silent(false);
     backoff.reset();
@@ -125,7 +125,7 @@
 
 /// Renews the lease. Fails only when the lease has ended; an unreachable store doesn't show
 /// that.
-async fn renew(cx: &Control, lease: Lease) -> Result<(), StoreError> {
+async fn renew(cx: &Rc<Control>, lease: Lease) -> Result<(), StoreError> {
     match renew_in_time(cx, lease).await {
         Err(StoreError::LeaseExpired) => Err(StoreError::LeaseExpired),
         Err(err) => {
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -31,9 +31,7 @@
 /// Queries peers whenever the store is unreachable, until the thread ends.
 pub async fn follow(cx: Rc<Control>) {
     loop {
-        if !cx.registry.borrow().is_store_unreachable() {
-            cx.store_lost.notified().await;
-        }
+        cx.store_link.until_unreachable().await;
         for addr in choose_peers(&cx) {
             let records = match query_targets(&cx, addr).await {
                 Ok(list) => {
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -92,7 +92,7 @@
     /// Waits for changes of keys after a position, and returns their origin. Fails when the
     /// position's epoch has ended.
     pub(super) async fn next_changes(
-        &self,
+        self: &Rc<Self>,
         keys: KeyGroup,
         prefix: &str,
         after: Position,
@@ -104,7 +104,7 @@
     }
 
     async fn changes_from_any_source(
-        &self,
+        self: &Rc<Self>,
         keys: KeyGroup,
         prefix: &str,
         after: Position,
@@ -154,7 +154,7 @@
     }
 
     async fn watch_store(
-        &self,
+        self: &Rc<Self>,
         prefix: &str,
         after: Position,
         wait: Duration,
