Ask peers which targets left before the store was restored

What callers saw: a process that had just started sent requests to targets that the others had long kept off.

Cause: that a target drains, or had gone, is remembered over a restore only by processes that ran before. One that starts after it reads the copy with the store reachable, and peers are asked only while the store is away; nor does a process know what went while it didn't run, when a later restore brings the record back. Class: state that lasts only as long as the processes that saw it.

Change: after its start and after each epoch that begins, an entry asks two peers at a time, six times in 3 s, for the targets that drain and for those whose restored record they saw go (/hollowsail/retired; older builds are asked for the draining ones). A restored record is put out of use only if the peer means the same record, by its position; a target that writes it again is used at once.

--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -177,6 +177,20 @@
         false
     }
 
+    /// Marks a target whose record of a restored store had been removed before, according to a peer.
+    /// `at` is the record's position; a later record is the target's own. True when the registry
+    /// changed.
+    pub fn mark_restored(&mut self, id: &str, incarnation: u64, at: Position) -> bool {
+        let known = self.entries.get_mut(id);
+        let known = known.filter(|known| known.incarnation == incarnation && known.at == at);
+        let Some(known) = known.filter(|known| known.state == State::Recorded) else {
+            return false;
+        };
+        known.state = State::Restored;
+        self.changes += 1;
+        true
+    }
+
     /// State that a record gives to a target that isn't registered.
     fn state_of_unknown(&self, id: &str, meta: &RecordMeta) -> State {
         let may_be_copy = self.listed.epoch < meta.at.epoch || meta.at <= self.listed;
@@ -395,6 +409,14 @@
         draining.map(|entry| &entry.record)
     }
 
+    /// Targets whose record had been removed before the store was restored, each with the record's
+    /// position.
+    pub fn restored(&self) -> impl Iterator<Item = (Position, &R)> {
+        let entries = self.entries.values();
+        let restored = entries.filter(|entry| entry.state == State::Restored);
+        restored.map(|entry| (entry.at, &entry.record))
+    }
+
     /// Every registered target with the position of its record's last change. Includes draining
     /// and restored ones; the receiving entry decides on them from its own state.
     pub fn all(&self) -> impl Iterator<Item = (Position, &R)> {
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -249,6 +249,21 @@
     assert_eq!(usable(&registry), ["b"]);
 }
 
+/// Guards against taking a restored record for a new one because this process never saw it go.
+#[test]
+fn record_that_a_peer_saw_go_is_unused_until_it_is_written_again() {
+    let mut registry = registry();
+    let known = meta(1, false);
+    assert!(!registry.mark_restored("a", known.incarnation, at(9)));
+    assert!(registry.mark_restored("a", known.incarnation, known.at));
+    assert_eq!(usable(&registry), ["b"]);
+    assert_eq!(registry.restored().count(), 1);
+    assert!(!registry.mark_restored("a", known.incarnation, known.at));
+    assert!(registry.put("a", meta(7, false), "a"));
+    assert_eq!(usable(&registry), ["a", "b"]);
+    assert!(!registry.mark_restored("a", known.incarnation, known.at));
+}
+
 #[test]
 fn record_that_a_peer_found_missing_is_kept_until_that_is_final() {
     let mut registry = registry();
--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -90,6 +90,7 @@
         let targets = Arc::new(Targets {
             usable: self.usable_targets(evacuated),
             draining: self.draining_targets(),
+            restored: self.restored_targets(),
             evacuated_services: self.evacuated_services(evacuated),
             versions: self.listed_versions(),
         });
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,9 +4,10 @@
 //! entries' records; a fourth maintains this entry's own record ([`own_record`]). Changes
 //! come from the store or from a store follower of this hall ([`source`]). [`store_link`] has the
 //! store's reachability, on which the loops wait. While the store is unreachable, [`peer_state`]
-//! queries peers; [`epoch`] handles a store restored from an older copy. All of them publish through [`Control::publish`].
+//! queries peers; [`epoch`] and [`catch_up`] handle a store restored from an older copy. All of them publish through [`Control::publish`].
 
 mod backoff;
+mod catch_up;
 mod configuration;
 mod derived;
 mod epoch;
@@ -158,6 +159,7 @@
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
         actix_rt::spawn(peer_state::follow(self.clone()));
+        actix_rt::spawn(catch_up::follow(self.clone()));
         actix_rt::spawn(list_reports::report(self.clone()));
     }
 
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -24,7 +24,7 @@
 /// the store refuses.
 const QUERY_INTERVAL: Duration = Duration::from_millis(400);
 /// Timeout of one query.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(350);
 /// Peers queried in a round: one of them may be cut off from the store as well.
 const PEERS_PER_ROUND: usize = 2;
 
@@ -58,7 +58,7 @@
 }
 
 /// Chooses random peers, or seeds if no peer is known.
-fn choose_peers(cx: &Control) -> Vec<SocketAddr> {
+pub(super) fn choose_peers(cx: &Control) -> Vec<SocketAddr> {
     let peers = cx.peers.borrow();
     let known = peers.usable().filter(|peer| peer.id != cx.me.id);
     let mut addrs: Vec<SocketAddr> = known.map(|peer| peer.addr).collect();
@@ -72,11 +72,11 @@
         .collect()
 }
 
-fn pool_of(addr: SocketAddr) -> Rc<Pool> {
+pub(super) fn pool_of(addr: SocketAddr) -> Rc<Pool> {
     peer_call::single_use_pool(addr, Dialer::direct(addr), ANSWER_TIMEOUT)
 }
 
-async fn query_draining(addr: SocketAddr) -> Result<Vec<Incarnation>, QueryError> {
+pub(super) async fn query_draining(addr: SocketAddr) -> Result<Vec<Incarnation>, QueryError> {
     let request = DrainingRequest {};
     peer_call::query(&pool_of(addr), DRAINING_PATH, &request, ANSWER_TIMEOUT).await
 }
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -214,7 +214,7 @@
 
     /// Removes targets that are still missing once the records have settled after an
     /// outage.
-    fn settle_records_later(self: &Rc<Self>) {
+    pub(super) fn settle_records_later(self: &Rc<Self>) {
         self.settle_later(
             |cx| &cx.registry,
             |cx, gone| cx.log_gone(gone, "not_back_after_outage"),
--- a/crates/gateway/src/control/store_link.rs
+++ b/crates/gateway/src/control/store_link.rs
@@ -50,10 +50,17 @@
         self.until(|contact| !contact.is_reachable()).await;
     }
 
-    async fn until(&self, is_met: impl Fn(&StoreContact) -> bool) {
+    /// Waits for an epoch other than the known one, and returns it.
+    pub async fn next_epoch(&self, known: Option<u64>) -> u64 {
+        let contact = self.until(|contact| contact.epoch() != known).await;
+        contact.epoch().expect("an epoch that is known stays known")
+    }
+
+    async fn until(&self, is_met: impl Fn(&StoreContact) -> bool) -> StoreContact {
         let mut changes = self.0.subscribe();
         let met = changes.wait_for(|contact| is_met(contact)).await;
-        met.expect("the sender lives as long as this reference");
+        let contact = *met.expect("the sender lives as long as this reference");
+        contact
     }
 }
 
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -1,6 +1,7 @@
 //! Derives the targets that traffic may use from the control thread's state.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
 
 use hollowsail_fleet::{EvacuatedHalls, WarmUpRecord};
 use hollowsail_observe::events;
@@ -9,6 +10,7 @@
 use hollowsail_targets::UsableTarget;
 
 use super::Control;
+use crate::view::RestoredTarget;
 
 impl Control {
     /// Targets that may get new work: usable, in no evacuated hall, and of no held version.
@@ -55,6 +57,38 @@
         }
     }
 
+    /// Targets that had left before the store was restored from a copy that still has their record.
+    pub(super) fn restored_targets(&self) -> Vec<RestoredTarget> {
+        let registry = self.registry.borrow();
+        let restored = registry.restored().map(|(at, record)| RestoredTarget {
+            incarnation: record.incarnation.clone(),
+            at,
+        });
+        restored.collect()
+    }
+
+    /// Takes over which targets of a restored store had left, according to a peer.
+    pub(super) fn merge_restored(self: &Rc<Self>, received: &[RestoredTarget]) {
+        let mut registry = self.registry.borrow_mut();
+        let mut mark = |target: &&RestoredTarget| {
+            let Incarnation { id, started } = &target.incarnation;
+            registry.mark_restored(id, *started, target.at)
+        };
+        let marked: Vec<&RestoredTarget> = received.iter().filter(&mut mark).collect();
+        drop(registry);
+        for target in &marked {
+            let fields = format_args!(
+                "target={} at={} why=told_by_peer",
+                target.incarnation.id, target.at
+            );
+            self.log.line(events::TARGET_GONE, fields);
+        }
+        if !marked.is_empty() {
+            self.publish();
+            self.settle_records_later();
+        }
+    }
+
     /// Software versions of all targets, in order.
     pub(super) fn listed_versions(&self) -> Vec<ListedVersion> {
         let registry = self.registry.borrow();
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -22,8 +22,9 @@
 use super::record::PeerRecord;
 use super::started_pieces::{self, StartedPiecesCall, STARTED_PIECES_PATH};
 use super::state::{
-    DrainingRequest, RecordsRequest, RecordsSnapshot, StateRequest, StateResponse, TargetList,
-    TargetListRequest, DRAINING_PATH, MAX_DRAINING, RECORDS_PATH, STATE_PATH, TARGETS_PATH,
+    DrainingRequest, RecordsRequest, RecordsSnapshot, RetiredRequest, RetiredTargets, StateRequest,
+    StateResponse, TargetList, TargetListRequest, DRAINING_PATH, MAX_DRAINING, RECORDS_PATH,
+    RETIRED_PATH, STATE_PATH, TARGETS_PATH,
 };
 use crate::callers::admission::{self, RoomRequest, ROOM_PATH};
 use crate::callers::listen::accept_each;
@@ -81,6 +82,7 @@
         PATH if is_post => handle_envelope(cx, req).await,
         STATE_PATH if is_post => state(cx, req).await,
         DRAINING_PATH if is_post => draining(cx, req).await,
+        RETIRED_PATH if is_post => retired(cx, req).await,
         RECORDS_PATH if is_post => records_if_newer(cx, req).await,
         TARGETS_PATH if is_post => targets_if_newer(cx, req).await,
         FEED_PATH if is_post => changes(cx, req).await,
@@ -204,6 +206,24 @@
 /// Returns the targets that are draining by their records or by their own reports.
 async fn draining(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let DrainingRequest {} = read(req).await?;
+    Ok(rmp_serde::to_vec(&draining_targets(cx))
+        .expect("these types always encode")
+        .into())
+}
+
+/// Returns the targets that get no new work whatever their record says.
+async fn retired(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let RetiredRequest {} = read(req).await?;
+    let retired = RetiredTargets {
+        draining: draining_targets(cx),
+        restored: cx.view().targets.restored.clone(),
+    };
+    Ok(rmp_serde::to_vec(&retired)
+        .expect("these types always encode")
+        .into())
+}
+
+fn draining_targets(cx: &Rc<Traffic>) -> Vec<Incarnation> {
     let view = cx.view();
     let mut draining = cx.targets().draining();
     draining.truncate(MAX_DRAINING);
@@ -211,9 +231,7 @@
     let recorded = recorded.filter(|target| !draining.contains(target));
     let recorded: Vec<Incarnation> = recorded.take(MAX_DRAINING - draining.len()).collect();
     draining.extend(recorded);
-    Ok(rmp_serde::to_vec(&draining)
-        .expect("these types always encode")
-        .into())
+    draining
 }
 
 /// Returns all target records if they are newer than the requester's and this entry follows them.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -38,9 +38,9 @@
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{
-    DrainingRequest, PositionedRecord, RecordsRequest, RecordsSnapshot, StateRequest,
-    StateResponse, TargetList, TargetListRequest, DRAINING_PATH, RECORDS_PATH, STATE_PATH,
-    TARGETS_PATH,
+    DrainingRequest, PositionedRecord, RecordsRequest, RecordsSnapshot, RetiredRequest,
+    RetiredTargets, StateRequest, StateResponse, TargetList, TargetListRequest, DRAINING_PATH,
+    RECORDS_PATH, RETIRED_PATH, STATE_PATH, TARGETS_PATH,
 };
 
 /// How long a peer that did not respond owns nothing after its first failure, in milliseconds. Long
--- a/crates/gateway/src/peers/state.rs
+++ b/crates/gateway/src/peers/state.rs
@@ -6,13 +6,13 @@
 //! answers is in no record; a second request asks for those that drain.
 
 use hollowsail_fleet::{EvacuatedHalls, Position};
-use hollowsail_platform::targets::TargetRecord;
+use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Millis, RequestDigest};
 use serde::{Deserialize, Serialize};
 
 use super::record::PeerRecord;
 use crate::rollouts::PlacedOrder;
-use crate::view::KnownRecords;
+use crate::view::{KnownRecords, RestoredTarget};
 
 /// Path that accepts a [`StateRequest`] and returns a [`StateResponse`].
 pub const STATE_PATH: &str = "/hollowsail/state";
@@ -60,6 +60,21 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DrainingRequest {}
 
+/// Path that accepts a [`RetiredRequest`] and returns [`RetiredTargets`]. An older build answers 404.
+pub const RETIRED_PATH: &str = "/hollowsail/retired";
+
+/// Request for the targets that get no new work whatever their record says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetiredRequest {}
+
+/// Targets that get no new work whatever their record says.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RetiredTargets {
+    /// At most [`MAX_DRAINING`].
+    pub draining: Vec<Incarnation>,
+    pub restored: Vec<RestoredTarget>,
+}
+
 /// All target records at a store position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RecordsSnapshot {
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -10,6 +10,7 @@
 use hollowsail_routing::Millis;
 use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use crate::crashes::RefusedRequests;
@@ -61,12 +62,22 @@
     pub usable: Vec<UsableTarget>,
     /// Targets whose records say that they are draining.
     pub draining: Vec<Incarnation>,
+    /// Targets that had left before the store was restored, and whose record is back.
+    pub restored: Vec<RestoredTarget>,
     /// Services whose usable targets are all in evacuated halls.
     pub evacuated_services: BTreeSet<String>,
     /// Software versions of all targets, in order.
     pub versions: Vec<ListedVersion>,
 }
 
+/// A target that had left before the store was restored from a copy that still has its record.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestoredTarget {
+    pub incarnation: Incarnation,
+    /// Position of that record.
+    pub at: Position,
+}
+
 /// All target records at a store position.
 #[derive(Debug, Default)]
 pub struct KnownRecords {
--- a/crates/gateway/tests/suite/restore_in_outage.rs
+++ b/crates/gateway/tests/suite/restore_in_outage.rs
@@ -164,8 +164,27 @@
 async fn process_that_starts_after_a_restore_keeps_off_a_draining_target() {
     let fleet = Fleet::start().await;
     fleet.put(0, "draining");
+    check_that_a_new_process_keeps_off_the_first_target(&fleet).await;
+}
+
+// The same for a target whose record had gone.
+#[actix_rt::test]
+async fn process_that_starts_after_a_restore_keeps_off_a_target_that_was_gone() {
+    let fleet = Fleet::start().await;
+    fleet.store.delete("servers/i-0");
+    check_that_a_new_process_keeps_off_the_first_target(&fleet).await;
+    // The target writes its record after all.
+    fleet.put(0, "ready");
+    wait_for_propagation().await;
+    let [again, _] = fleet.requests_per_target(300).await;
+    assert!(again > 50, "after the rewrite: {again} of 300");
+}
+
+/// Restores the store from a copy that has the first target as ready, and starts another entry.
+async fn check_that_a_new_process_keeps_off_the_first_target(fleet: &Fleet) {
     wait_for_propagation().await;
     fleet.store.restore(LOST_HISTORY);
+    fleet.put(1, "ready");
     wait_for_entries("the entry is registered again", &fleet.store, 1).await;
     let started = gateway_at(settings("host-2", "hall-a", fleet.store.addr)).await;
     wait_for_propagation().await;
