Let a process at a restored store expect an earlier run that the store doesn't tell of

What callers and targets saw: with restarts beside restores, services got more repeats than allowed.

Cause: the mark of a stopped run and the record of a killed one are keys in the store, under leases that end with their epoch. After a restore from an older copy neither is there, and the next run of the host used the whole share again in the same window. Its first list of entries may lack others as well, whose records are written again within two seconds, so that the share was divided by too few. Class: a promise over processes that rests on keys which a restore takes away.

Change: EarlierRuns says how many runs the store tells of, and whether it may miss one: it may if the store was ever restored. Such a process counts one run more for its first window, and uses no share of the fixed allowance until entries had time to write their records again (2.3 s). At a store that was never restored nothing changes.

--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -63,7 +63,7 @@
     }
 
     /// Applies the complete list; entries missing from it are gone.
-    fn apply_peer_list(&self, range: &Range) {
+    fn apply_peer_list(self: &Rc<Self>, range: &Range) {
         for item in &range.items {
             self.apply_peer(item);
         }
@@ -76,8 +76,8 @@
         if self.entries_listed_at.get().is_none() {
             self.entries_listed_at.set(Some(now));
             let keys = range.items.iter().map(|item| item.key.as_str());
-            let earlier = stopped_runs::count_earlier(&self.me, keys);
-            self.earlier_runs.set(Some(earlier));
+            let known = stopped_runs::count_earlier(&self.me, keys);
+            self.set_earlier_runs(known);
         }
         self.publish();
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -40,6 +40,7 @@
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Store};
 use hollowsail_platform::targets::TargetRecord;
+use hollowsail_routing::repeats::EarlierRuns;
 use hollowsail_routing::Millis;
 
 use self::configuration::Configuration;
@@ -81,8 +82,8 @@
     is_list_long: Cell<bool>,
     /// When the first list of entries was applied.
     entries_listed_at: Cell<Option<Millis>>,
-    /// By the first list of entries.
-    earlier_runs: Cell<Option<u32>>,
+    /// By the first list of entries that can be relied on.
+    earlier_runs: Cell<Option<EarlierRuns>>,
     /// Whether the store answers, and the epoch that the state belongs to.
     store_link: StoreLink,
     pauses: WatchPauses,
--- a/crates/gateway/src/control/stopped_runs.rs
+++ b/crates/gateway/src/control/stopped_runs.rs
@@ -4,12 +4,14 @@
 //! that peers stop using it at once, and leaves a mark instead: the next run on the host has to know
 //! that its share of what all hosts use together may be used up.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use hollowsail_observe::events;
 use hollowsail_platform::store::StoreError;
+use hollowsail_routing::repeats::EarlierRuns;
 
-use super::Control;
+use super::{Control, RECORD_RETURN_MS};
 use crate::peers::PeerRecord;
 
 const PREFIX: &str = "hollowsail/stopped/";
@@ -36,6 +38,26 @@
 }
 
 impl Control {
+    /// Sets the number of earlier runs on this host that the store tells of. After a restore the list of
+    /// entries, by which their shares are divided, isn't complete until they had time to write their
+    /// records again.
+    pub(super) fn set_earlier_runs(self: &Rc<Self>, known: u32) {
+        let may_miss_one = self.store.was_restored();
+        let earlier_runs = EarlierRuns {
+            known,
+            may_miss_one,
+        };
+        if !may_miss_one {
+            return self.earlier_runs.set(Some(earlier_runs));
+        }
+        let cx = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(RECORD_RETURN_MS)).await;
+            cx.earlier_runs.set(Some(earlier_runs));
+            cx.publish();
+        });
+    }
+
     /// Leaves the mark of this run.
     pub(super) async fn mark_stopped(&self) {
         if let Err(err) = self.write_mark().await {
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -13,7 +13,9 @@
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_platform::settings::Bounds;
-use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget, RepeatReason, SendPermit};
+use hollowsail_routing::repeats::{
+    BudgetRules, Claim, EarlierRuns, RepeatBudget, RepeatReason, SendPermit,
+};
 use hollowsail_routing::Millis;
 
 use crate::log::Log;
@@ -57,6 +59,21 @@
     }
 }
 
+/// Earlier runs in a log line, with a question mark if one may be missing.
+struct DisplayRuns(Option<EarlierRuns>);
+
+impl fmt::Display for DisplayRuns {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            None => f.write_str("unknown"),
+            Some(EarlierRuns {
+                known,
+                may_miss_one,
+            }) => write!(f, "{known}{}", if may_miss_one { "?" } else { "" }),
+        }
+    }
+}
+
 /// Budgets of all services, and the hosts that share them.
 #[derive(Default)]
 pub struct Repeats {
@@ -82,8 +99,9 @@
 /// What entitles this process to its host's share.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Standing {
-    /// Earlier runs on this host that may have used its share lately; `None` before any list of them.
-    pub earlier_runs: Option<u32>,
+    /// Earlier runs on this host that may have used its share lately; `None` before any list of them
+    /// that can be relied on.
+    pub earlier_runs: Option<EarlierRuns>,
     /// Its own record is in the store, by which later runs know of it.
     pub is_recorded: bool,
 }
@@ -197,7 +215,7 @@
                 "service={service} requests={requests} granted={granted} refused={refused} \
                  left={left:.2} share={share:.2} hosts={hosts} hosts_at={hosts_at} \
                  hosts_age_ms={hosts_age_ms} earlier_runs={} recorded={is_recorded}",
-                earlier_runs.map_or(-1, i64::from)
+                DisplayRuns(earlier_runs)
             );
             log.line(events::REPEAT_BUDGET, fields);
         }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -228,8 +228,10 @@
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
         let now = self.clock.now();
         self.repeats.update_store(now, newest.is_store_reachable);
-        if peers_changed {
+        if peers_changed || before.earlier_runs != newest.earlier_runs {
             self.update_sharing_hosts(now, &newest);
+        }
+        if peers_changed {
             self.peers.update(self, &newest.peers);
             self.stream_origins
                 .retain_peers(|run| self.peers.is_live(PeerId(run)));
--- a/crates/routing/src/repeats/mod.rs
+++ b/crates/routing/src/repeats/mod.rs
@@ -15,4 +15,4 @@
 pub use budget::{BudgetRules, RepeatBudget};
 pub use permit::{SendPermit, SendPermits};
 pub use reason::RepeatReason;
-pub use share::Claim;
+pub use share::{Claim, EarlierRuns};
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -1,6 +1,6 @@
 //! Any window of any service stays within its allowance of repeats, over all hosts.
 
-use hollowsail_routing::repeats::{BudgetRules, Claim, RepeatBudget, RepeatReason};
+use hollowsail_routing::repeats::{BudgetRules, Claim, EarlierRuns, RepeatBudget, RepeatReason};
 use hollowsail_routing::Millis;
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -39,6 +39,14 @@
     }
 }
 
+/// Runs that the store tells of; it was never restored.
+fn known_runs(known: u32) -> EarlierRuns {
+    EarlierRuns {
+        known,
+        may_miss_one: false,
+    }
+}
+
 /// A process of a host.
 struct Process {
     started: Millis,
@@ -58,7 +66,7 @@
     fn share(&self, now: Millis, extra: f64, hosts: usize) -> f64 {
         let claim = Claim {
             running_ms: now - self.started,
-            earlier_runs: self.earlier_runs,
+            earlier_runs: known_runs(self.earlier_runs),
             hosts,
         };
         claim.share(extra, RULES)
@@ -199,7 +207,7 @@
     let share = |running_ms: Millis, earlier_runs: u32| {
         let claim = Claim {
             running_ms,
-            earlier_runs,
+            earlier_runs: known_runs(earlier_runs),
             hosts: 8,
         };
         claim.share(80.0, RULES)
@@ -211,6 +219,28 @@
     assert!(all <= 10.0, "{all}");
 }
 
+/// Guards against the share of a first process for one whose store may lack an earlier one.
+#[test]
+fn process_at_a_restored_store_counts_one_run_more() {
+    let share = |running_ms: Millis, known: u32| {
+        let claim = Claim {
+            running_ms,
+            earlier_runs: EarlierRuns {
+                known,
+                may_miss_one: true,
+            },
+            hosts: 8,
+        };
+        claim.share(80.0, RULES)
+    };
+    assert_eq!((share(0, 0), share(0, 1)), (2.0, 1.0));
+    assert_eq!(
+        share(11_001, 0),
+        6.0,
+        "a missing one ended before this window"
+    );
+}
+
 #[test]
 fn hedges_leave_half_of_the_share() {
     let mut budget = RepeatBudget::default();
