Remember what peers know to drain before its record is read

Cause: a peer's word on an incarnation that isn't registered yet was dropped; the restored record that was read afterwards made its target usable until the next round of questions. Change: the registry keeps such a word with the removed incarnations, and a record of a restored store is taken for draining.

--- a/crates/fleet/src/target_registry/removed.rs
+++ b/crates/fleet/src/target_registry/removed.rs
@@ -1,4 +1,5 @@
-//! Remembers target incarnations whose records were removed.
+//! Remembers target incarnations whose records were removed, and those that peers know to drain before
+//! this process has read their records.
 //!
 //! Records of such an incarnation written before its removal are ignored, including those
 //! that a store restored from an older copy contains again.
@@ -37,12 +38,18 @@
 impl RemovedIncarnations {
     /// Adds a removed target.
     pub fn add<R>(&mut self, id: &str, entry: &Entry<R>) {
+        let removed_at = entry.at.max(entry.missing_at);
+        let was_draining = entry.state == State::Draining;
+        self.insert(id, entry.incarnation, removed_at, was_draining);
+    }
+
+    fn insert(&mut self, id: &str, incarnation: u64, at: Position, was_draining: bool) {
         let number = self.next_number;
         self.next_number += 1;
         let removed = Removed {
-            incarnation: entry.incarnation,
-            at: entry.at.max(entry.missing_at),
-            was_draining: entry.state == State::Draining,
+            incarnation,
+            at,
+            was_draining,
             number,
         };
         self.by_id.insert(id.to_string(), removed);
@@ -78,11 +85,12 @@
             .is_some_and(|removed| (removed.incarnation, removed.at) >= (meta.incarnation, meta.at))
     }
 
-    /// Records that a removed incarnation was draining.
+    /// Records that an incarnation that isn't registered is draining. It may not have been listed yet.
     pub fn mark_draining(&mut self, id: &str, incarnation: u64) {
-        let removed = self.by_id.get_mut(id);
-        if let Some(removed) = removed.filter(|removed| removed.incarnation == incarnation) {
-            removed.was_draining = true;
+        match self.by_id.get_mut(id) {
+            Some(removed) if removed.incarnation > incarnation => {}
+            Some(removed) if removed.incarnation == incarnation => removed.was_draining = true,
+            _ => self.insert(id, incarnation, Position::default(), true),
         }
     }
 }
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -264,6 +264,22 @@
     assert!(!registry.mark_restored("a", known.incarnation, known.at));
 }
 
+/// Guards against a restored record that is read only after peers have said that its target drains.
+#[test]
+fn target_that_a_peer_knows_to_drain_is_unused_once_it_is_listed() {
+    let mut registry: TargetRegistry<&str> = TargetRegistry::new(TIMING);
+    assert!(!registry.mark_draining("a", 1));
+    let of_epoch = |incarnation: u64, revision: u64| RecordMeta {
+        at: Position::new(3, revision),
+        incarnation,
+        draining: false,
+    };
+    registry.put("a", of_epoch(1, 7), "a");
+    assert_eq!(usable(&registry), [""; 0]);
+    registry.put("a", of_epoch(2, 8), "a again");
+    assert_eq!(usable(&registry), ["a again"]);
+}
+
 #[test]
 fn record_that_a_peer_found_missing_is_kept_until_that_is_final() {
     let mut registry = registry();
