Change feeds through one function that wakes those who wait

The class of the frozen lists, found elsewhere: Feeds::restart_at and store_reachable changed what an answer depends on and announced it to nobody, so that an entry that reads a follower's feed heard of a new epoch of the targets' list up to a second later, when its wait was over. Each change goes through change_feed or change_store, which notify.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -152,66 +152,75 @@
             .expect("no thread panics while holding the lock")
     }
 
+    /// Changes a feed, and wakes all that wait for an answer.
+    fn change_feed(&self, keys: KeyGroup, change: impl FnOnce(&mut Feed)) {
+        change(&mut self.feed(keys));
+        self.changed.notify_waiters();
+    }
+
+    /// Changes the state of the store, and wakes all that wait for an answer.
+    fn change_store(&self, change: impl FnOnce(&mut StoreState)) {
+        change(&mut self.store());
+        self.changed.notify_waiters();
+    }
+
     /// Restarts the log after all keys were read at a position.
     pub fn restart_at(&self, keys: KeyGroup, at: Position) {
-        let mut feed = self.feed(keys);
-        feed.log.restart_at(at);
-        feed.items = None;
+        self.change_feed(keys, |feed| {
+            feed.log.restart_at(at);
+            feed.items = None;
+        });
     }
 
     /// Restarts the log with the items that were read.
     pub fn restart_with(&self, keys: KeyGroup, range: &Range) {
         let items = range.items.iter();
         let items = items.map(|item| (item.key.clone(), item.clone()));
-        let mut feed = self.feed(keys);
-        feed.log.restart_at(range.at);
-        feed.items = Some(items.collect());
-        drop(feed);
-        self.changed.notify_waiters();
+        self.change_feed(keys, |feed| {
+            feed.log.restart_at(range.at);
+            feed.items = Some(items.collect());
+        });
     }
 
     /// Appends changes from the store or from a peer.
     pub fn extend(&self, keys: KeyGroup, changes: &Changes) {
         let each = changes.changes.iter();
         let each = each.map(|change| (change.at(), change.clone()));
-        let mut feed = self.feed(keys);
-        feed.log.extend(each, changes.at);
-        if let Some(items) = &mut feed.items {
-            changes
-                .changes
-                .iter()
-                .for_each(|change| apply(items, change));
-        }
-        drop(feed);
-        self.changed.notify_waiters();
+        self.change_feed(keys, |feed| {
+            feed.log.extend(each, changes.at);
+            if let Some(items) = &mut feed.items {
+                changes
+                    .changes
+                    .iter()
+                    .for_each(|change| apply(items, change));
+            }
+        });
     }
 
     /// Sets whether this entry follows the keys on behalf of its hall.
     pub fn set_followed(&self, keys: KeyGroup, is_followed: bool) {
-        let was_followed = std::mem::replace(&mut self.feed(keys).is_followed, is_followed);
-        if was_followed != is_followed {
-            self.changed.notify_waiters();
+        if self.feed(keys).is_followed != is_followed {
+            self.change_feed(keys, |feed| feed.is_followed = is_followed);
         }
     }
 
     /// The store became unreachable.
     pub fn store_unreachable(&self) {
-        self.store().is_unreachable = true;
-        self.changed.notify_waiters();
+        self.change_store(|store| store.is_unreachable = true);
     }
 
     /// The store is reachable again; deleted records may be written again for a time.
     pub fn store_reachable(&self, unsettled_for: Duration) {
-        let mut store = self.store();
-        store.is_unreachable = false;
-        store.unsettled_until = Some(Instant::now() + unsettled_for);
+        self.change_store(|store| {
+            store.is_unreachable = false;
+            store.unsettled_until = Some(Instant::now() + unsettled_for);
+        });
     }
 
     /// Sets whether a reply of the store is overdue.
     pub fn set_store_silent(&self, is_silent: bool) {
-        let was_silent = std::mem::replace(&mut self.store().is_silent, is_silent);
-        if was_silent != is_silent {
-            self.changed.notify_waiters();
+        if self.store().is_silent != is_silent {
+            self.change_store(|store| store.is_silent = is_silent);
         }
     }
 
