--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod event_loop_lag;
 mod feed;
 mod host_load;
+mod latch;
 mod list_states;
 mod log;
 mod mechanisms;
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -64,7 +64,7 @@
             ErrorKind::CannotFinish,
             "the stages were not completed before their deadline",
         )),
-        () = cx.final_shutdown.notified() => Err(Refusal::new(
+        () = cx.final_shutdown.wait() => Err(Refusal::new(
             ErrorKind::Stopping,
             "this entry stopped before the stages completed",
         )),
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -35,7 +35,7 @@
     cx.stopping.set(Stopping::RefusingNew);
     cx.close_idle.notify_waiters();
     drain_until(cx, latest - FINAL_SHUTDOWN_MARGIN).await;
-    cx.final_shutdown.notify_waiters();
+    cx.final_shutdown.set();
     drain_until(cx, latest).await;
     accepting.abort();
     log_step(cx, events::STOP_DRAINED);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -22,6 +22,7 @@
 use crate::crashes::Crashes;
 use crate::feed::{Feeds, KeyGroup};
 use crate::host_load::HostLoad;
+use crate::latch::Latch;
 use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
@@ -121,9 +122,8 @@
     pub admission: Admission,
     /// Event-loop lag of this thread.
     pub lag: Cell<EventLoopLag>,
-    /// Notified shortly before the process exits: requests not sent to a target yet are
-    /// refused.
-    pub final_shutdown: Notify,
+    /// Set shortly before the process exits: requests not sent to a target yet are refused.
+    pub final_shutdown: Latch,
     /// Notified when idle connections of callers have to close.
     pub close_idle: Notify,
     /// Notified with each view that has a configuration.
@@ -181,7 +181,7 @@
                 load,
                 admission: Admission::default(),
                 lag: Cell::default(),
-                final_shutdown: Notify::new(),
+                final_shutdown: Latch::default(),
                 close_idle: Notify::new(),
                 configured: Notify::new(),
                 targets_changed: Notify::new(),
