Settle records after each end of an outage, whoever brings their changes

A timer that ends while the store is unreachable sets no other, and an entry whose changes come from a follower reads no list when its own contact returns, so that a target whose record went could stay in use until some other record changed. The end of an outage and the beginning of an epoch set the timers themselves, in the one place that knows of both.

--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -146,7 +146,7 @@
     }
 
     /// Removes peers that are still missing once the records have settled after an outage.
-    fn settle_peers_later(self: &Rc<Self>) {
+    pub(super) fn settle_peers_later(self: &Rc<Self>) {
         self.settle_later(
             |cx| &cx.peers,
             |cx, gone| cx.log_peers_gone(gone, "not_back_after_outage"),
--- a/crates/gateway/src/control/store_link.rs
+++ b/crates/gateway/src/control/store_link.rs
@@ -100,6 +100,8 @@
             self.feeds
                 .store_reachable(Duration::from_millis(RECORD_RETURN_MS));
             self.publish();
+            self.settle_records_later();
+            self.settle_peers_later();
         }
     }
 
