Count the expiry time of a restored record from the epoch that it belongs to

It missed two epochs, adopted the list of a peer that had read the restored record, and put it out of use; the time after which such a record counts as the target's own, four heartbeats, was counted from the last epoch that the gateway had heard of itself, 10 s earlier, so that the target was in use at once. Class: a time that is kept for one epoch and used for another.

Change: a list of a later epoch, also a peer's, begins that epoch for the registry.

Evidence: restored_record_of_an_epoch_that_a_peer_heard_of_waits_for_its_own_expiry failed before and passes; the properties of restored stores hold over 20,000 cases.

--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -57,8 +57,10 @@
     store: StoreState,
     /// When all records were last read.
     read_at: Millis,
-    /// When the store was last restored from an older copy.
+    /// When the store was last restored from an older copy, as far as this entry has heard.
     epoch_began_at: Option<Millis>,
+    /// The newest epoch of any list, also of a peer's.
+    newest_epoch: u64,
     /// Position of the first full list of the newest epoch.
     listed: Position,
     removed: RemovedIncarnations,
@@ -74,6 +76,7 @@
             store: StoreState::Reachable(0),
             read_at: 0,
             epoch_began_at: None,
+            newest_epoch: 0,
             listed: Position::default(),
             removed: RemovedIncarnations::default(),
         }
@@ -238,6 +241,7 @@
     /// the targets removed.
     pub fn reconcile(&mut self, present: &[&str], at: Position, now: Millis) -> Vec<String> {
         self.read_at = now;
+        self.newest_epoch = self.newest_epoch.max(at.epoch);
         if self.listed.epoch < at.epoch {
             self.listed = at;
         }
@@ -264,8 +268,13 @@
     }
 
     /// Applies the full list of a peer that reaches the store, whatever the store's state
-    /// here. Returns the ids of the targets removed.
-    pub fn adopt(&mut self, present: &[&str], at: Position) -> Vec<String> {
+    /// here. An epoch that only the peer has heard of begins now. Returns the ids of the targets
+    /// removed.
+    pub fn adopt(&mut self, present: &[&str], at: Position, now: Millis) -> Vec<String> {
+        if self.newest_epoch < at.epoch {
+            self.newest_epoch = at.epoch;
+            self.epoch_began_at = Some(now);
+        }
         let present: HashSet<&str> = present.iter().copied().collect();
         let missing = self.ids_where(|id, entry| entry.at <= at && !present.contains(id));
         for id in &missing {
--- a/crates/fleet/tests/suite/large_registry.rs
+++ b/crates/fleet/tests/suite/large_registry.rs
@@ -65,7 +65,7 @@
 #[test]
 fn adopt_takes_linear_time() {
     assert_linear(|registry, present| {
-        assert!(registry.adopt(present, Position::new(0, 2)).is_empty());
+        assert!(registry.adopt(present, Position::new(0, 2), 0).is_empty());
     });
 }
 
--- a/crates/fleet/tests/suite/restored_store.rs
+++ b/crates/fleet/tests/suite/restored_store.rs
@@ -154,7 +154,7 @@
     }
 
     /// Adopts the state of a peer that is further ahead, as an entry without the store does.
-    fn adopt(&mut self, snapshot: Snapshot) {
+    fn adopt(&mut self, snapshot: Snapshot, now: u64) {
         let Some(at) = snapshot.at.filter(|at| self.at < Some(*at)) else {
             return;
         };
@@ -166,7 +166,7 @@
             .iter()
             .map(|(_, id, _)| id.as_str())
             .collect();
-        self.registry.adopt(&present, at);
+        self.registry.adopt(&present, at, now);
         self.halls.adopt(snapshot.halls);
     }
 
@@ -295,7 +295,7 @@
         Event::Watch(entry) => entries[*entry].watch(store, *now),
         Event::Peer(to, from) if to != from => {
             let snapshot = entries[*from].snapshot();
-            entries[*to].adopt(snapshot);
+            entries[*to].adopt(snapshot, *now);
         }
         Event::Peer(..) => {}
         Event::Wait(ms) => *now += ms,
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -139,7 +139,7 @@
     let mut registry = registry();
     registry.store_unreachable();
     registry.put("c", meta(9, false), "c");
-    assert_eq!(registry.adopt(&["b"], at(5)), ["a"]);
+    assert_eq!(registry.adopt(&["b"], at(5), 0), ["a"]);
     assert_eq!(
         usable(&registry),
         ["b", "c"],
@@ -243,7 +243,7 @@
     registry.store_unreachable();
     let changes = registry.change_count();
     assert!(!registry.put("a", meta(1, false), "a"));
-    assert!(registry.adopt(&["a", "b"], at(5)).is_empty());
+    assert!(registry.adopt(&["a", "b"], at(5), 0).is_empty());
     assert_eq!(registry.change_count(), changes);
     assert!(registry.put("a", meta(3, true), "a"));
     assert_eq!(usable(&registry), ["b"]);
@@ -264,6 +264,31 @@
     assert!(!registry.mark_restored("a", known.incarnation, known.at));
 }
 
+/// Guards against promoting a record of an epoch that only a peer has heard of as if it had outlived the
+/// expiry time in an earlier one.
+#[test]
+fn restored_record_of_an_epoch_that_a_peer_heard_of_waits_for_its_own_expiry() {
+    let mut registry: TargetRegistry<&str> = TargetRegistry::new(TIMING);
+    let of_epoch = |epoch: u64, revision: u64| RecordMeta {
+        at: Position::new(epoch, revision),
+        incarnation: 1,
+        draining: false,
+    };
+    registry.put("a", of_epoch(1, 4), "a");
+    registry.epoch_began(1_000);
+    registry.reconcile(&["a"], Position::new(2, 3), 1_000);
+    registry.put("a", of_epoch(2, 5), "a");
+    assert!(registry.apply_deletion("a", Position::new(2, 9), false));
+    registry.store_unreachable();
+    let heard_at = 1_000 + TIMING.expiry_ms;
+    registry.put("a", of_epoch(4, 4), "a");
+    registry.adopt(&["a"], Position::new(4, 7), heard_at);
+    assert!(!registry.promote_restored(heard_at + 1));
+    assert_eq!(usable(&registry), [""; 0]);
+    assert!(registry.promote_restored(heard_at + TIMING.expiry_ms));
+    assert_eq!(usable(&registry), ["a"]);
+}
+
 /// Guards against a restored record that is read only after peers have said that its target drains.
 #[test]
 fn target_that_a_peer_knows_to_drain_is_unused_once_it_is_listed() {
@@ -283,7 +308,7 @@
 #[test]
 fn record_that_a_peer_found_missing_is_kept_until_that_is_final() {
     let mut registry = registry();
-    assert!(registry.adopt(&["a", "b"], at(5)).is_empty());
+    assert!(registry.adopt(&["a", "b"], at(5), 0).is_empty());
     assert!(registry.adopt_missing([("a", at(4))]));
     registry.outage_reported_until(10_000, 10_500);
     assert_eq!(usable(&registry), ["a", "b"]);
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -173,7 +173,8 @@
             changed |= self.put_record(record, at, batch_size);
         }
         let present: Vec<&str> = present.iter().map(String::as_str).collect();
-        let gone = self.registry.borrow_mut().adopt(&present, listed.at);
+        let now = self.clock.now();
+        let gone = self.registry.borrow_mut().adopt(&present, listed.at, now);
         self.log_gone(&gone, "told_by_peer");
         self.records_at.set(listed.at.max(self.records_at.get()));
         if changed || !gone.is_empty() {
