Offer the store to a hall only while it is reachable, and say what the link shares

A stale answer in a new epoch made this entry answer for others although the store was unreachable, as note_epoch did before. By reading; found in a review of the change.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,7 +4,8 @@
 //! entries' records; a fourth maintains this entry's own record ([`own_record`]). Changes
 //! come from the store or from a store follower of this hall ([`source`]). [`store_link`] has the
 //! store's reachability, on which the loops wait. While the store is unreachable, [`peer_state`]
-//! queries peers; [`epoch`] and [`catch_up`] handle a store restored from an older copy. All of them publish through [`Control::publish`].
+//! queries peers; [`epoch`] and [`catch_up`] handle a store restored from an older copy. All of
+//! them publish through [`Control::publish`].
 
 mod backoff;
 mod catch_up;
--- a/crates/gateway/src/control/store_link.rs
+++ b/crates/gateway/src/control/store_link.rs
@@ -1,7 +1,8 @@
-//! The one state of the store's reachability, which all loops of the control thread wait on.
+//! Whether the store answers, and in which epoch: one state that all loops of the control thread share.
 //!
-//! Loops report each answer and each failure of the store here; a change is applied to all state that
-//! depends on it before any waiting loop goes on.
+//! Loops report each answer and each failed call ([`Control::store_answered`],
+//! [`Control::store_failed`]), and wait on the state itself ([`StoreLink`]). A change is applied to the
+//! registries, feeds and views before any waiting loop goes on.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use super::{Control, RECORD_RETURN_MS};
 use crate::metrics;
 
-/// The store's reachability. Its field is private: what changes it, wakes all that wait.
+/// The shared state. What changes it wakes all that wait on it.
 pub struct StoreLink(watch::Sender<StoreContact>);
 
 impl Default for StoreLink {
@@ -25,6 +26,7 @@
 }
 
 impl StoreLink {
+    /// True unless the last calls failed.
     pub fn is_reachable(&self) -> bool {
         self.0.borrow().is_reachable()
     }
@@ -40,12 +42,12 @@
         result.expect("send_modify calls the function once")
     }
 
-    /// Waits while the store is unreachable.
+    /// Returns once the store is reachable.
     pub async fn until_reachable(&self) {
         self.until(StoreContact::is_reachable).await;
     }
 
-    /// Waits while the store is reachable.
+    /// Returns once the store is unreachable.
     pub async fn until_unreachable(&self) {
         self.until(|contact| !contact.is_reachable()).await;
     }
@@ -58,9 +60,9 @@
 
     async fn until(&self, is_met: impl Fn(&StoreContact) -> bool) -> StoreContact {
         let mut changes = self.0.subscribe();
-        let met = changes.wait_for(|contact| is_met(contact)).await;
-        let contact = *met.expect("the sender lives as long as this reference");
-        contact
+        let met = changes.wait_for(is_met).await;
+        met.map(|contact| *contact)
+            .expect("the sender lives as long as this reference")
     }
 }
 
@@ -97,8 +99,10 @@
             self.begin_epoch(before, epoch);
         }
         if change != ContactChange::default() {
-            self.feeds
-                .store_reachable(Duration::from_millis(RECORD_RETURN_MS));
+            if self.store_link.is_reachable() {
+                self.feeds
+                    .store_reachable(Duration::from_millis(RECORD_RETURN_MS));
+            }
             self.publish();
             self.settle_records_later();
             self.settle_peers_later();
