--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -4,6 +4,7 @@
 //! What may be sent again then is bounded ([`super::repeats`]); the share of whole answers says what
 //! that costs callers.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,12 +13,12 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::callers::Load;
+use super::callers::{Attempt, Load};
 use super::checks;
 use super::contention::Contender;
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_MODES};
-use super::processes::Fleet;
-use super::report::SoakReport;
+use super::processes::{Fleet, Observations};
+use super::report::{Failure, SoakReport};
 use super::{repeats, SoakError, SoakOptions, SETTLE};
 
 /// Separates this random stream from others of the same seed.
@@ -30,9 +31,9 @@
 /// Faults of gateways for each of them.
 const FAULTS_PER_GATEWAY: usize = 3;
 /// Duration of a fault of a gateway, in milliseconds.
-const FAULT_MS: std::ops::Range<u64> = 200..1_000;
+const FAULT_MS: Range<u64> = 200..1_000;
 /// Duration of a time in which targets fail, in milliseconds.
-const FAILING_MS: std::ops::Range<u64> = 3_000..9_000;
+const FAILING_MS: Range<u64> = 3_000..9_000;
 /// How long gateways are cut off from all targets, or the store is silent for them, in milliseconds.
 const CUT_MS: u64 = 6_000;
 const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
@@ -111,7 +112,7 @@
 resumable = 1
 ";
 
-pub const PATHS: [&str; 4] = [
+const PATHS: [&str; 4] = [
     "/failing/safe/",
     "/failing/once/",
     "/failing/stream/",
@@ -128,28 +129,67 @@
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
     let plan = draw(options);
-    let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
-    let callers = PATHS.into_iter().cycle().take(options.callers);
-    let callers = callers.map(Contender::of_path);
-    let load = Load::of_contenders(options, &plan, &fleet, callers);
-    fleet.run_faults(&plan).await;
+    let played = play(options, &plan, callers(options)).await?;
+    Ok(played.report(options, &plan, Vec::new()))
+}
+
+/// The callers of these routes.
+pub fn callers(options: &SoakOptions) -> impl Iterator<Item = Contender> {
+    let paths = PATHS.into_iter().cycle().take(options.callers);
+    paths.map(Contender::of_path)
+}
+
+/// What a run recorded.
+pub struct Played {
+    pub observations: Observations,
+    attempts: Vec<Attempt>,
+}
+
+/// Plays a plan with only these callers.
+pub async fn play(
+    options: &SoakOptions,
+    plan: &SoakPlan,
+    callers: impl Iterator<Item = Contender>,
+) -> Result<Played, SoakError> {
+    let fleet = Rc::new(Fleet::start(options, plan, HostLimits::default()).await?);
+    let load = Load::of_contenders(options, plan, &fleet, callers);
+    fleet.run_faults(plan).await;
     tokio::time::sleep(SETTLE).await;
     let attempts = load.stop().await;
     let observations = fleet.shut_down().await;
-    let mut failures = checks::find_violations(&plan, &observations, &attempts);
-    let repeats = repeats::evaluate(&plan, &observations, &attempts);
-    failures.extend(repeats.failures);
-    let options = SoakOptions {
-        seconds: LENGTH.as_secs(),
-        ..options.clone()
-    };
-    Ok(SoakReport {
-        repeats: repeats.summary,
-        failures,
-        ..SoakReport::of_attempts(&options, &observations, &attempts)
+    Ok(Played {
+        observations,
+        attempts,
     })
 }
 
+impl Played {
+    /// Checks promises and repeats, beside these failures.
+    pub fn report(
+        &self,
+        options: &SoakOptions,
+        plan: &SoakPlan,
+        mut failures: Vec<Failure>,
+    ) -> SoakReport {
+        let Played {
+            observations,
+            attempts,
+        } = self;
+        failures.extend(checks::find_violations(plan, observations, attempts));
+        let repeats = repeats::evaluate(plan, observations, attempts);
+        failures.extend(repeats.failures);
+        let options = SoakOptions {
+            seconds: plan.duration.as_secs(),
+            ..options.clone()
+        };
+        SoakReport {
+            repeats: repeats.summary,
+            failures,
+            ..SoakReport::of_attempts(&options, observations, attempts)
+        }
+    }
+}
+
 fn draw(options: &SoakOptions) -> SoakPlan {
     let SoakOptions { seed, entries, .. } = *options;
     let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
@@ -168,15 +208,27 @@
         "[trouble.ended]\nwhat = targets-gone\nservice = workers\nfirst = 4\ntargets = 1\n\
          at_ms = {at_ms}\n"
     ));
+    let count = entries * FAULTS_PER_GATEWAY;
+    let faults = draw_faults(&mut rng, entries, count, FROM_MS..UNTIL_MS, FAULT_MS);
+    SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+}
+
+/// Draws faults of gateways that begin within a time and last some time, both in milliseconds.
+pub fn draw_faults(
+    rng: &mut SmallRng,
+    entries: usize,
+    count: usize,
+    at_ms: Range<u64>,
+    for_ms: Range<u64>,
+) -> Vec<PlannedFault> {
     let kinds = [EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
-    let faults = (0..entries * FAULTS_PER_GATEWAY).map(|_| PlannedFault {
-        fault: *kinds.choose(&mut rng).expect("there are kinds"),
+    let faults = (0..count).map(|_| PlannedFault {
+        fault: *kinds.choose(rng).expect("there are kinds"),
         entry: rng.random_range(0..entries),
-        at: Duration::from_millis(rng.random_range(FROM_MS..UNTIL_MS)),
-        duration: Duration::from_millis(rng.random_range(FAULT_MS)),
+        at: Duration::from_millis(rng.random_range(at_ms.clone())),
+        duration: Duration::from_millis(rng.random_range(for_ms.clone())),
     });
-    let faults = faults.collect();
-    SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+    faults.collect()
 }
 
 /// Section of a time in which some targets of a service fail.
--- a/crates/bench/src/soak/restores.rs
+++ b/crates/bench/src/soak/restores.rs
@@ -5,20 +5,16 @@
 //! Checked are above all the promises on targets that leave ([`super::departures`]) and on what is sent
 //! again ([`super::repeats`]).
 
-use std::rc::Rc;
+use std::ops::Range;
 use std::time::Duration;
 
-use hollowsail_platform_emulator::entry::HostLimits;
 use rand::rngs::SmallRng;
-use rand::seq::{IndexedRandom, SliceRandom};
+use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 
-use super::callers::Load;
-use super::contention::Contender;
-use super::plan::{EntryFault, PlannedFault, SoakPlan};
-use super::processes::Fleet;
+use super::plan::SoakPlan;
 use super::report::SoakReport;
-use super::{checks, departures, failing_targets, repeats, SoakError, SoakOptions, SETTLE};
+use super::{departures, failing_targets, SoakError, SoakOptions};
 
 /// Separates this random stream from others of the same seed.
 const STREAM: u64 = 0x7265_7374;
@@ -29,17 +25,17 @@
 const LENGTH: Duration = Duration::from_secs(44);
 /// Faults of gateways for each of them.
 const FAULTS_PER_GATEWAY: usize = 2;
-const FAULT_MS: std::ops::Range<u64> = 200..1_500;
+const FAULT_MS: Range<u64> = 200..1_500;
 /// Time between two outages, in milliseconds: they come in a row, or the store is stable meanwhile.
-const SHORT_GAP_MS: std::ops::Range<u64> = 300..1_500;
-const LONG_GAP_MS: std::ops::Range<u64> = 4_000..6_000;
+const SHORT_GAP_MS: Range<u64> = 300..1_500;
+const LONG_GAP_MS: Range<u64> = 4_000..6_000;
 /// How much older than the outage the copy is, in milliseconds.
-const LOST_MS: std::ops::Range<u64> = 500..6_000;
+const LOST_MS: Range<u64> = 500..6_000;
 /// How long a replaced target goes on after its record says that it drains, in milliseconds.
 const DRAIN_MS: u64 = 5_000;
 
 /// The outages of a run: how the store is away, and for how long, in milliseconds.
-const OUTAGES: [(&str, std::ops::Range<u64>); 4] = [
+const OUTAGES: [(&str, Range<u64>); 4] = [
     ("silent", 3_500..5_000),
     ("silent", 200..500),
     ("refusing", 800..3_000),
@@ -55,28 +51,10 @@
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
     let plan = draw(options);
-    let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
-    let failing = failing_targets::PATHS.into_iter().cycle();
-    let failing = failing.take(options.callers).map(Contender::of_path);
-    let callers = failing.chain(departures::callers());
-    let load = Load::of_contenders(options, &plan, &fleet, callers);
-    fleet.run_faults(&plan).await;
-    tokio::time::sleep(SETTLE).await;
-    let attempts = load.stop().await;
-    let observations = fleet.shut_down().await;
-    let mut failures = checks::find_violations(&plan, &observations, &attempts);
-    failures.extend(departures::evaluate(&observations));
-    let repeats = repeats::evaluate(&plan, &observations, &attempts);
-    failures.extend(repeats.failures);
-    let options = SoakOptions {
-        seconds: LENGTH.as_secs(),
-        ..options.clone()
-    };
-    Ok(SoakReport {
-        repeats: repeats.summary,
-        failures,
-        ..SoakReport::of_attempts(&options, &observations, &attempts)
-    })
+    let callers = failing_targets::callers(options).chain(departures::callers());
+    let played = failing_targets::play(options, &plan, callers).await?;
+    let late_sends = departures::evaluate(&played.observations);
+    Ok(played.report(options, &plan, late_sends))
 }
 
 fn draw(options: &SoakOptions) -> SoakPlan {
@@ -93,14 +71,9 @@
     for (service, first, count) in REPLACED {
         sections.push(release_sections(&mut rng, service, first, count));
     }
-    let kinds = [EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
-    let faults = (0..entries * FAULTS_PER_GATEWAY).map(|_| PlannedFault {
-        fault: *kinds.choose(&mut rng).expect("there are kinds"),
-        entry: rng.random_range(0..entries),
-        at: Duration::from_millis(rng.random_range(FROM_MS..UNTIL_MS)),
-        duration: Duration::from_millis(rng.random_range(FAULT_MS)),
-    });
-    let faults = faults.collect();
+    let count = entries * FAULTS_PER_GATEWAY;
+    let faults =
+        failing_targets::draw_faults(&mut rng, entries, count, FROM_MS..UNTIL_MS, FAULT_MS);
     SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
 }
 
