--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -48,6 +48,9 @@
 /// request may wait for one.
 const CONNECTION_LOG_INTERVAL_MS: Millis = 5_000;
 
+/// Shortest interval between reports of repeats, whatever window the settings have.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+
 /// True when the targets or the services they belong to changed between two views.
 fn targets_changed(before: &View, newest: &View) -> bool {
     deployment_changed(before, newest) || !Arc::ptr_eq(&before.targets, &newest.targets)
@@ -456,8 +459,9 @@
     /// Logs the repeats of the last window, at the end of each window, until the thread ends.
     pub async fn report_repeats(self: Rc<Self>) {
         loop {
-            let window = self.settings().bounds.retry_window_s;
-            tokio::time::sleep(Duration::from_secs_f64(window)).await;
+            let window = Duration::try_from_secs_f64(self.settings().bounds.retry_window_s);
+            let window = window.unwrap_or(MIN_REPORT_INTERVAL);
+            tokio::time::sleep(window.max(MIN_REPORT_INTERVAL)).await;
             let (now, settings) = (self.clock.now(), self.settings());
             let listed = self.lists.freshness(KeyGroup::Entries, now);
             self.repeats
