Log each second what a contended queue refuses beside what it keeps

The line on flows shows the twelve largest, every 5 s, so it can't tell whether a queue refuses because it is full, because flows claim more than they ask for, or because capacity is held for callers who don't return.

HS0239 room_totals has, for each second with a refusal, the decisions by cause, the capacity and its calibration, what is offered and entitled, and the pieces that wait, are reserved, are held for returns, and are claimed by flows; also how many callers took what was held for them. Gauges show capacity, offered rate and claims. No decision changes.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,6 +12,7 @@
 use hollowsail_platform::settings::METRICS_PATH;
 use hollowsail_rollout::{Arm, Outcome};
 use hollowsail_routing::Millis;
+use hollowsail_stages::RoomTotals;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -150,6 +151,15 @@
     gauge!("hollowsail_room_reservations", "queue" => queue.to_string()).set(held as f64);
 }
 
+/// Sets the capacity of a queue and what is kept of it for expected arrivals, in pieces.
+pub fn set_room_totals(queue: &str, totals: &RoomTotals) {
+    gauge!("hollowsail_room_capacity_per_second", "queue" => queue.to_string())
+        .set(totals.capacity_per_s);
+    gauge!("hollowsail_room_offered_per_second", "queue" => queue.to_string())
+        .set(totals.offered_per_s);
+    gauge!("hollowsail_room_claimed", "queue" => queue.to_string()).set(totals.claimed);
+}
+
 /// Counts a request that goes on without a reservation in a contended queue.
 pub fn count_room_fallback(queue: &str, cause: &'static str) {
     counter!("hollowsail_room_fallbacks_total", "queue" => queue.to_string(), "cause" => cause)
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -84,6 +84,7 @@
     REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what this entry may still repeat now, its share of the fixed allowance, and the hosts that share.";
     REPEAT_REFUSED, 237, "repeat_refused", Warn, "Work is not sent to a service again, since this entry's share of the repeats is used up; its request ends.";
     REPEAT_BUDGET, 238, "repeat_budget", Info, "The repeats of a service in the last window at this entry: the requests that earned some, those granted and refused, and the share of the fixed allowance with the hosts that it is divided by.";
+    ROOM_TOTALS, 239, "room_totals", Info, "Requests that the owner of a contended queue admitted and refused by cause, beside the queue's capacity, demand and claims of flows; every second while it refuses some.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/stages/src/batch/capacity.rs
+++ b/crates/stages/src/batch/capacity.rs
@@ -57,7 +57,7 @@
 /// Ratio of the measured to the modelled rate.
 #[derive(Debug)]
 pub(super) struct Calibration {
-    factor: f64,
+    pub(super) factor: f64,
     mix: Mix,
     period_start: Millis,
     /// Pieces waited, and no worker was idle, since the start of the period.
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -10,7 +10,8 @@
 use crate::reservations::demand::{fits, Claim, Need};
 use crate::reservations::table::{total_pieces, Reservation};
 use crate::reservations::{
-    FlowRoom, RefusalCause, ReservationKey, RoomDecision, RoomRefusal, RoomRequest, StageRoom,
+    FlowRoom, RefusalCause, ReservationKey, RoomDecision, RoomRefusal, RoomRequest, RoomTotals,
+    StageRoom,
 };
 use crate::Millis;
 
@@ -344,6 +345,37 @@
         Self::is_backlog(&self.test(1, now), 0.0)
     }
 
+    /// Demand, claims and capacity of the queue, for logs and metrics.
+    pub fn room_totals(&self, now: Millis) -> RoomTotals {
+        let capacity = self.capacity(1, now);
+        let waiting = self.waiting_needs(&capacity, now);
+        let mut totals = RoomTotals {
+            capacity_per_s: capacity.supply.rate * 1_000.0,
+            calibration: self.calibration.factor,
+            waiting: waiting.iter().map(|need| need.cost).sum(),
+            returned: self.reservations.returned,
+            lapsed: self.reservations.lapsed,
+            ..RoomTotals::default()
+        };
+        for reservation in self.reservations.values() {
+            let stages = reservation.stages.iter();
+            let cost: f64 = stages.map(|stage| stage_need(stage, &capacity).cost).sum();
+            match reservation.is_hold() {
+                true => totals.held += cost,
+                false => totals.reserved += cost,
+            }
+        }
+        for (_, state) in self.flows.iter() {
+            let claim = state.claim(now);
+            totals.flows += 1;
+            totals.offered_per_s += state.offered * 1_000.0;
+            totals.entitled_per_s += state.entitled * 1_000.0;
+            totals.claimed += claim.balance;
+            totals.claimed_per_s += claim.rate * 1_000.0;
+        }
+        totals
+    }
+
     /// Use of the queue by flow, for logs and metrics.
     pub fn room_by_flow(&self, _now: Millis) -> Vec<FlowRoom> {
         let flows = self.flows.iter();
--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -62,6 +62,15 @@
         1.0 - (-observed_ms.max(MIN_RATE_MS) / RATE_MS).exp()
     }
 
+    /// Expected arrivals of the flow.
+    pub fn claim(&self, now: Millis) -> Claim {
+        Claim {
+            due: now + self.lead_ms as Millis,
+            balance: self.balance.max(0.0),
+            rate: self.offered.min(self.entitled),
+        }
+    }
+
     fn advance(&mut self, now: Millis, ms: f64, is_scarce: bool) {
         let decay = (-ms / RATE_MS).exp();
         // The integral of the decaying rate, so that a flow with rare requests earns what
@@ -176,13 +185,7 @@
     /// Expected arrivals of the other flows.
     pub fn claims_of_others(&self, flow: Flow, now: Millis) -> Vec<Claim> {
         let others = self.states.iter().filter(|(other, _)| **other != flow);
-        others
-            .map(|(_, state)| Claim {
-                due: now + state.lead_ms as Millis,
-                balance: state.balance.max(0.0),
-                rate: state.offered.min(state.entitled),
-            })
-            .collect()
+        others.map(|(_, state)| state.claim(now)).collect()
     }
 
     /// Expected arrivals of the other flows and of new callers of this one. The latter have
@@ -190,11 +193,10 @@
     pub fn claims_of_new_callers(&self, flow: Flow, now: Millis) -> Vec<Claim> {
         let mut claims = self.claims_of_others(flow, now);
         let own = self.states.get(&flow).map(|state| {
-            let rate = state.offered.min(state.entitled);
+            let claim = state.claim(now);
             Claim {
-                due: now + state.lead_ms as Millis,
-                balance: state.balance.max(rate * BALANCE_MS),
-                rate,
+                balance: state.balance.max(claim.rate * BALANCE_MS),
+                ..claim
             }
         });
         claims.extend(own);
--- a/crates/stages/src/reservations/table.rs
+++ b/crates/stages/src/reservations/table.rs
@@ -28,6 +28,11 @@
 }
 
 impl Reservation {
+    /// True for capacity that is held for the return of a refused caller.
+    pub fn is_hold(&self) -> bool {
+        self.held_until.is_some()
+    }
+
     fn is_over(&self, now: Millis) -> bool {
         let last_due = self.stages.iter().map(|stage| stage.due).max().unwrap_or(0);
         now > self.held_until.unwrap_or(last_due.saturating_add(GRACE_MS))
@@ -54,6 +59,10 @@
 pub struct Reservations {
     table: SlotMap<ReservationKey, Reservation>,
     returns: HashMap<RequestDigest, Return>,
+    /// Refused callers who took what was held for them.
+    pub returned: u64,
+    /// Those who didn't return in time.
+    pub lapsed: u64,
 }
 
 impl Reservations {
@@ -123,7 +132,9 @@
             .returns
             .remove(digest)
             .and_then(|expected| expected.held);
-        held.and_then(|key| self.table.remove(key))
+        let held = held.and_then(|key| self.table.remove(key));
+        self.returned += u64::from(held.is_some());
+        held
     }
 
     /// Pieces of callers of this urgency, or a more urgent one, that were told to return and
@@ -163,8 +174,12 @@
 
     /// Drops reservations and returns whose time is over.
     pub fn sweep(&mut self, now: Millis) {
-        self.table
-            .retain(|_, reservation| !reservation.is_over(now));
+        let lapsed = &mut self.lapsed;
+        self.table.retain(|_, reservation| {
+            let is_over = reservation.is_over(now);
+            *lapsed += u64::from(is_over && reservation.is_hold());
+            !is_over
+        });
         self.returns
             .retain(|_, expected| now <= expected.at + HOLD_MS);
     }
--- a/crates/stages/src/reservations/types.rs
+++ b/crates/stages/src/reservations/types.rs
@@ -83,6 +83,33 @@
     pub balance: f64,
 }
 
+/// Demand, claims and capacity of a queue at one time, for logs and metrics. Pieces are of the
+/// average size.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct RoomTotals {
+    pub flows: usize,
+    pub capacity_per_s: f64,
+    /// Measured part of the modelled capacity.
+    pub calibration: f64,
+    /// Pieces of all flows asked for, refused ones included, per second.
+    pub offered_per_s: f64,
+    pub entitled_per_s: f64,
+    /// Pieces that wait.
+    pub waiting: f64,
+    /// Pieces of admitted requests that haven't arrived.
+    pub reserved: f64,
+    /// Pieces held for refused callers that are to return.
+    pub held: f64,
+    /// Refused callers for whom capacity was held and who returned in time, so far.
+    pub returned: u64,
+    /// Those who didn't, so far.
+    pub lapsed: u64,
+    /// Pieces that a request within its share leaves to all flows together.
+    pub claimed: f64,
+    /// Pieces per second that any other request leaves them beside that.
+    pub claimed_per_s: f64,
+}
+
 /// Order in which waiting pieces are taken.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum QueueOrder {
