Add failing tests of queues that many flows use

The same load from 3 to 390 flows, one for each organisation at each of three urgency levels. With 40 or more organisations, as on the large deployment, a queue refuses much of what fits.

--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod batch;
 mod graph;
 mod limited;
+mod many_flows;
 mod random_graph;
 mod random_queue;
 mod random_reservations;
