--- a/crates/gateway/tests/suite/stream_versions.rs
+++ b/crates/gateway/tests/suite/stream_versions.rs
@@ -444,3 +444,86 @@
     assert_gone(&take_up(&other, new).await);
     assert_goes_on(&take_up(&other, old).await, "v1");
 }
+
+/// How long callers take streams up after all gateways have started anew.
+const TAKING_UP: Duration = Duration::from_secs(6);
+
+/// Streams on one route that only their callers resume.
+fn broken_deployment(version: u64, timeout_ms: u64) -> DeploymentJson {
+    let fields = json!({ "stream_resume": true, "max_attempts": 1, "timeout_ms": timeout_ms });
+    DeploymentJson::new(version)
+        .engines("engines")
+        .route("/broken/", "stream", "engines", fields)
+}
+
+/// Three gateways in three halls.
+async fn three_gateways(store: &StoreStandin) -> [Running; 3] {
+    let halls = [
+        ("host-1", "hall-a"),
+        ("host-2", "hall-b"),
+        ("host-3", "hall-c"),
+    ];
+    let starts = halls.map(|(host, hall)| gateway(store, host, hall));
+    let [first, second, third] = starts;
+    let (first, second, third) = tokio::join!(first, second, third);
+    [first, second, third]
+}
+
+/// Take-ups that joined two versions: streams that v1 began before it went, and before all gateways
+/// were replaced. The configuration may change between.
+async fn joined_after_all_restarted(
+    before: DeploymentJson,
+    after: Option<DeploymentJson>,
+) -> usize {
+    let store = StoreStandin::start().await;
+    store.put("op/config", &before.bytes());
+    let old = add_engine(&store, "i-1", "v1").await;
+    let gateways = three_gateways(&store).await;
+    for at in &gateways {
+        serving(at).await;
+    }
+    for number in 1..=STREAMS {
+        assert_eq!(begin(&gateways[number % 3], number).await, "v1");
+    }
+    let _new = add_engine(&store, "i-2", "v2").await;
+    store.delete("servers/i-1");
+    drop(old);
+    if let Some(after) = after {
+        store.put("op/config", &after.bytes());
+    }
+    for at in gateways {
+        at.stop().await;
+    }
+    let gateways = three_gateways(&store).await;
+    for at in &gateways {
+        serving(at).await;
+    }
+    let until = Instant::now() + TAKING_UP;
+    let mut joined = 0;
+    while Instant::now() < until {
+        for number in 1..=STREAMS {
+            let call = resuming("/broken/", number, &format!("{number:016x}"));
+            let call = call.with("X-Deadline-Ms", "20000");
+            let taken_up = call.send(gateways[number % 3].addrs.callers).await;
+            joined += usize::from(versions(&taken_up.body).contains("v2"));
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+    }
+    joined
+}
+
+/// Guards against streams that are joined from two versions where callers wait longer than a route's
+/// time limit.
+#[actix_rt::test]
+async fn stream_of_a_version_that_is_gone_is_not_joined_after_all_entries_restarted() {
+    let joined = joined_after_all_restarted(broken_deployment(1, 400), None).await;
+    assert_eq!(joined, 0, "take-ups that joined two versions");
+}
+
+/// Guards against the same where the time limit was longer while the streams ran.
+#[actix_rt::test]
+async fn stream_is_not_joined_after_its_time_limit_was_lowered_and_all_entries_restarted() {
+    let (before, after) = (broken_deployment(1, 8_000), broken_deployment(2, 400));
+    let joined = joined_after_all_restarted(before, Some(after)).await;
+    assert_eq!(joined, 0, "take-ups that joined two versions");
+}
