Conclude that only one version served only after callers can't come back

What callers saw: streams that were taken up after all entries had restarted were answered 200 and ran to the end, the first part from a version that was gone and the rest from the new one.

Cause: a new process took an unknown stream for one of the only version that it had seen once its list had been complete for twice the route's present time limit and 2 s. The limit may have been higher when the stream began, and callers come back for as long as their own deadline lasts. Class: a conclusion from not having seen, over a time that doesn't bound what it has to.

Change: the list has to be complete for 120 s, the longest time for which records of streams are kept. The time is no parameter any more; peers of an older build that ask for less get the same account. Streams copy their records until then.

Cost: for 120 s after a start, a stream of a service with one version has its record copied to two peers (18 s before, with a time limit of 8 s), and one whose record is lost begins anew.

--- a/crates/gateway/src/request/stream_version.rs
+++ b/crates/gateway/src/request/stream_version.rs
@@ -25,9 +25,6 @@
 const KEEP_AFTER_DEADLINE: Duration = Duration::from_secs(10);
 /// Upper limit of the time for which a record is kept; the deadline is from a header of the caller.
 const MAX_KEEP: Duration = Duration::from_millis(RETENTION_MS);
-/// A stream that is resumed began at most this multiple of its route's time limit ago, and a slack.
-const MAX_AGE_FACTOR: u32 = 2;
-const MAX_AGE_SLACK: Duration = Duration::from_secs(2);
 /// How long the first event of a stream waits for a copy of its record.
 const COPY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a version without targets may still return, as after a crash of its last one.
@@ -53,12 +50,6 @@
     }
 }
 
-/// How long ago a stream that a request resumes can have begun, in milliseconds.
-fn max_age_ms(admitted: &Admitted) -> Millis {
-    let max_age = admitted.route().timeout * MAX_AGE_FACTOR + MAX_AGE_SLACK;
-    max_age.as_millis() as Millis
-}
-
 /// Records the version of a target whose stream begins; copies the record unless every entry can
 /// tell the version without.
 pub fn record(cx: &Rc<Traffic>, admitted: &Admitted, target: &Target) -> Option<PendingCopies> {
@@ -72,7 +63,7 @@
     };
     let is_only = cx
         .stream_origins
-        .with_history(|history| history.is_only_version(now, &build.service, max_age_ms(admitted)));
+        .with_history(|history| history.is_only_version(now, &build.service));
     let own_id = Some(&admitted.caller.request_id);
     let records = own_id
         .into_iter()
@@ -104,9 +95,7 @@
 pub async fn copy_records_when_contested(cx: Rc<Traffic>) {
     loop {
         cx.stream_origins.versions_changed.notified().await;
-        let uncopied = cx
-            .stream_origins
-            .take_uncopied(cx.clock.now(), RETENTION_MS);
+        let uncopied = cx.stream_origins.take_uncopied(cx.clock.now());
         copy(cx.clone(), uncopied).await;
     }
 }
@@ -147,7 +136,6 @@
     let query = Query {
         key: StreamKey::of(admitted.digest(), attempt),
         service: only_service.clone().unwrap_or_default(),
-        complete_ms: max_age_ms(admitted),
     };
     let mut holders = cx.peers.record_holders(cx, query.key);
     holders.truncate(holders::ASKED);
--- a/crates/gateway/src/stream_origins/messages.rs
+++ b/crates/gateway/src/stream_origins/messages.rs
@@ -23,8 +23,9 @@
         build: Build,
         keep_ms: u64,
     },
-    /// Return the record of a stream, and the versions of a service that may have begun it. Their
-    /// account is complete if all targets have been known for `complete_ms` milliseconds.
+    /// Return the record of a stream, and the versions of a service that may have begun it. Entries
+    /// of the build before take their account for complete if all targets have been known for
+    /// `complete_ms` milliseconds.
     Find {
         key: StreamKey,
         service: String,
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -16,6 +16,7 @@
 use hollowsail_connect::{ByteCounts, Dialer};
 use hollowsail_streams::{
     holders, Build, Findings, ListedVersion, Millis, OriginTable, StreamKey, VersionHistory,
+    RETENTION_MS,
 };
 use tokio::sync::Notify;
 
@@ -45,8 +46,6 @@
 pub struct Query {
     pub key: StreamKey,
     pub service: String,
-    /// How long all targets have to be known for a complete account, in milliseconds.
-    pub complete_ms: Millis,
 }
 
 /// Records of streams, and what is known of the versions of services.
@@ -137,9 +136,9 @@
 
     /// Takes the records that are due to be copied, because another version of their service has
     /// appeared, or may have.
-    pub fn take_uncopied(&self, now: Millis, complete_ms: Millis) -> Vec<NewRecord> {
+    pub fn take_uncopied(&self, now: Millis) -> Vec<NewRecord> {
         let history = self.history.borrow();
-        let is_due = |service: &str| !history.is_only_version(now, service, complete_ms);
+        let is_due = |service: &str| !history.is_only_version(now, service);
         let uncopied = self.table.borrow_mut().take_uncopied(now, is_due);
         let records = uncopied.into_iter().map(|(key, build, keep_ms)| NewRecord {
             key,
@@ -153,8 +152,7 @@
     /// its record.
     pub async fn find(&self, now: Millis, query: &Query, holders: &[Holder]) -> Findings {
         let own = self.table.borrow().get(now, query.key);
-        let account =
-            |history: &VersionHistory| history.account(now, &query.service, query.complete_ms);
+        let account = |history: &VersionHistory| history.account(now, &query.service);
         let mut findings = Findings {
             accounts: vec![self.with_history(account)],
             own,
@@ -168,7 +166,7 @@
             calls.request(OriginMessage::Find {
                 key: query.key,
                 service: query.service.clone(),
-                complete_ms: query.complete_ms,
+                complete_ms: RETENTION_MS,
             })
         });
         for reply in join_all(requests).await {
@@ -198,10 +196,11 @@
             OriginMessage::Find {
                 key,
                 service,
-                complete_ms,
+                // An older build may ask for less.
+                complete_ms: _,
             } => OriginReply::Found {
                 record: self.table.borrow().get(now, key),
-                account: self.with_history(|history| history.account(now, &service, complete_ms)),
+                account: self.with_history(|history| history.account(now, &service)),
             },
         };
         call.requests.into_iter().map(handle).collect()
--- a/crates/streams/src/version_history.rs
+++ b/crates/streams/src/version_history.rs
@@ -1,8 +1,8 @@
 //! Which versions of each service may have served requests in the last seconds.
 //!
-//! An entry that has known the complete list of targets for long enough can tell that a stream
-//! was begun by the only version there was. One that has just started, or that doesn't follow the
-//! store, can't.
+//! An entry that has known the complete list of targets for as long as callers may come back
+//! ([`RETENTION_MS`]) can tell that a stream was begun by the only version there was. One that has
+//! just started, or that doesn't follow the store, can't.
 
 use std::collections::{BTreeMap, HashMap};
 
@@ -11,7 +11,8 @@
 use crate::Millis;
 
 /// How long a version that is no longer listed may have begun a stream that is still resumed, in
-/// milliseconds: as long as records are kept at most.
+/// milliseconds: as long as records are kept at most. Doesn't depend on the configuration, which may
+/// have been another one when the stream began.
 pub const RETENTION_MS: Millis = 120_000;
 
 /// A version of a service that has targets.
@@ -30,7 +31,7 @@
 pub struct VersionAccount {
     /// Versions that may have served requests.
     pub served: Vec<String>,
-    /// No other version can have served: the entry knew all targets during that time.
+    /// No other version can have served: the entry has known all targets for [`RETENTION_MS`].
     pub is_complete: bool,
 }
 
@@ -84,22 +85,21 @@
         });
     }
 
-    /// The versions that may have begun a stream of a service that is resumed now. The account is
-    /// complete if all targets have been known for `complete_ms`.
-    pub fn account(&self, now: Millis, service: &str, complete_ms: Millis) -> VersionAccount {
+    /// The versions that may have begun a stream of a service that is resumed now.
+    pub fn account(&self, now: Millis, service: &str) -> VersionAccount {
         let listed = self.recently_listed(now, service);
         let served = listed.filter(|(_, sighting)| sighting.was_usable);
         VersionAccount {
             served: served.map(|(version, _)| version.clone()).collect(),
-            is_complete: self.is_complete(now, complete_ms),
+            is_complete: self.is_complete(now),
         }
     }
 
     /// True if only one version of a service was listed, held ones included, by a complete account:
     /// whichever entry resumes one of its streams can tell its version without a record.
-    pub fn is_only_version(&self, now: Millis, service: &str, complete_ms: Millis) -> bool {
+    pub fn is_only_version(&self, now: Millis, service: &str) -> bool {
         let mut listed = self.recently_listed(now, service);
-        self.is_complete(now, complete_ms) && listed.next().is_some() && listed.next().is_none()
+        self.is_complete(now) && listed.next().is_some() && listed.next().is_none()
     }
 
     fn recently_listed<'a>(
@@ -122,9 +122,9 @@
         })
     }
 
-    fn is_complete(&self, now: Millis, complete_ms: Millis) -> bool {
+    fn is_complete(&self, now: Millis) -> bool {
         let since = self.complete_since;
-        since.is_some_and(|since| now.saturating_sub(since) >= complete_ms)
+        since.is_some_and(|since| now.saturating_sub(since) >= RETENTION_MS)
     }
 }
 
