Give the log of a queue's decisions a module of its own

The table of reservations finds reservations; what is logged of decisions, and when, stands beside it.

--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -5,6 +5,7 @@
 //! tracked until they are released or expire ([`results`]). When the queue gets another owner,
 //! waiting pieces go there ([`hand_over`]). Reservations are in [`reserved`].
 
+mod decision_log;
 mod hand_over;
 mod replies;
 mod reserved;
--- a/crates/gateway/src/pools/batcher/reserved.rs
+++ b/crates/gateway/src/pools/batcher/reserved.rs
@@ -1,23 +1,21 @@
 //! Reservations of this queue by requesting entry and request id.
 //!
 //! The queue decides and counts ([`BatchQueue::reserve`]); this table finds the reservation of a
-//! piece when it arrives, and of a cancellation. While requests are refused, the use of the
-//! queue by flow is logged.
+//! piece when it arrives, and of a cancellation. [`DecisionLog`] logs what is decided.
 //!
 //! [`BatchQueue::reserve`]: hollowsail_stages::BatchQueue::reserve
 
 use std::collections::HashMap;
-use std::fmt::Write;
 use std::rc::Rc;
 
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{
-    Flow, QueueOrder, RefusalCause, ReservationKey, RoomDecision, RoomRefusal, RoomRequest,
-    StageRoom,
+    Flow, QueueOrder, ReservationKey, RoomDecision, RoomRefusal, RoomRequest, StageRoom,
 };
 
+use super::decision_log::DecisionLog;
 use super::replies::Reply;
 use super::Batcher;
 use crate::metrics;
@@ -25,53 +23,15 @@
 use crate::reservations::{cause_label, ReservationReply, Reserve, RoomRefused};
 use crate::traffic::Traffic;
 
-/// Interval between log lines on the use of a queue by flow, in milliseconds.
-const FLOW_LOG_INTERVAL_MS: Millis = 5_000;
-/// Interval between log lines on the totals of a queue, in milliseconds.
-const TOTALS_LOG_INTERVAL_MS: Millis = 1_000;
 /// Longest time until a stage is due, in milliseconds. Bounds how long a faulty peer's message
 /// can hold capacity.
 const MAX_LEAD_MS: Millis = 600_000;
-/// Flows in a log line, those that offer most first.
-const MAX_LOGGED_FLOWS: usize = 12;
 
 /// Reservations that are held for requests of all entries.
 #[derive(Default)]
 pub(super) struct ReservationTable {
     by_request: HashMap<(PeerId, String), HeldReservation>,
-    /// Refusals since the last log line on flows.
-    refusals: u32,
-    flows_logged_at: Millis,
-    /// Decisions since the last log line on totals.
-    decisions: Decisions,
-    totals_logged_at: Millis,
-}
-
-/// Requests by decision.
-#[derive(Debug, Clone, Copy, Default)]
-struct Decisions {
-    admitted: u32,
-    full: u32,
-    over_share: u32,
-    too_early: u32,
-}
-
-impl Decisions {
-    fn count(&mut self, decision: &RoomDecision) {
-        let count = match decision {
-            RoomDecision::Reserved(_) => &mut self.admitted,
-            RoomDecision::Refused(refusal) => match refusal.cause {
-                RefusalCause::Full => &mut self.full,
-                RefusalCause::OverShare => &mut self.over_share,
-                RefusalCause::TooEarly => &mut self.too_early,
-            },
-        };
-        *count += 1;
-    }
-
-    fn has_refusals(&self) -> bool {
-        self.full + self.over_share + self.too_early > 0
-    }
+    log: DecisionLog,
 }
 
 /// The reservation of one request.
@@ -84,7 +44,7 @@
 impl ReservationTable {
     /// True when nothing has to be swept or logged.
     pub fn is_idle(&self) -> bool {
-        self.by_request.is_empty() && self.refusals == 0 && !self.decisions.has_refusals()
+        self.by_request.is_empty() && !self.log.has_refusals()
     }
 }
 
@@ -109,7 +69,7 @@
             .queue
             .borrow_mut()
             .reserve(now, &room_request(request, weight, now));
-        self.reservations.borrow_mut().decisions.count(&decision);
+        self.reservations.borrow_mut().log.count(&decision);
         let reply = match decision {
             RoomDecision::Reserved(key) => {
                 self.hold(from, request, key);
@@ -135,7 +95,6 @@
     }
 
     fn refuse(&self, cx: &Traffic, request: &Reserve, refusal: RoomRefusal) -> ReservationReply {
-        self.reservations.borrow_mut().refusals += 1;
         let cause = cause_label(refusal.cause);
         let organisation = cx.reservations.organisation_name(cx, request.organisation);
         metrics::count_room_decision(&self.name, cause, request.urgency);
@@ -204,89 +163,10 @@
         by_request.retain(|_, held| queue.has_reservation(held.key));
         drop(queue);
         metrics::set_room_reservations(&self.name, reservations.by_request.len());
-        let is_log_due = now >= reservations.flows_logged_at + FLOW_LOG_INTERVAL_MS;
-        let refusals = match reservations.refusals > 0 && is_log_due {
-            true => {
-                reservations.flows_logged_at = now;
-                std::mem::take(&mut reservations.refusals)
-            }
-            false => 0,
-        };
-        drop(reservations);
-        if refusals > 0 {
-            self.log_flows(cx, refusals, now);
-        }
-        self.log_totals(cx, now);
-    }
-
-    fn log_totals(&self, cx: &Traffic, now: Millis) {
-        let mut reservations = self.reservations.borrow_mut();
-        if now < reservations.totals_logged_at + TOTALS_LOG_INTERVAL_MS {
-            return;
-        }
-        reservations.totals_logged_at = now;
-        let decisions = std::mem::take(&mut reservations.decisions);
+        let mut log = std::mem::take(&mut reservations.log);
         drop(reservations);
-        let totals = self.queue.borrow().room_totals(now);
-        metrics::set_room_totals(&self.name, &totals);
-        if !decisions.has_refusals() {
-            return;
-        }
-        cx.log.line(
-            events::ROOM_TOTALS,
-            format_args!(
-                "queue={} admitted={} full={} over_share={} too_early={} flows={} capacity={:.0} \
-                 calibration={:.2} offered={:.0} entitled={:.0} waiting={:.0} reserved={:.0} \
-                 held={:.0} returned={} lapsed={} claimed={:.0} claimed_per_s={:.0} (requests; \
-                 pieces; pieces per second)",
-                self.name,
-                decisions.admitted,
-                decisions.full,
-                decisions.over_share,
-                decisions.too_early,
-                totals.flows,
-                totals.capacity_per_s,
-                totals.calibration,
-                totals.offered_per_s,
-                totals.entitled_per_s,
-                totals.waiting,
-                totals.reserved,
-                totals.held,
-                totals.returned,
-                totals.lapsed,
-                totals.claimed,
-                totals.claimed_per_s
-            ),
-        );
-    }
-
-    fn log_flows(&self, cx: &Traffic, refusals: u32, now: Millis) {
-        let mut flows = self.queue.borrow().room_by_flow(now);
-        flows.sort_by(|a, b| b.offered_per_s.total_cmp(&a.offered_per_s));
-        let mut text = String::new();
-        for room in flows.iter().take(MAX_LOGGED_FLOWS) {
-            let organisation = cx
-                .reservations
-                .organisation_name(cx, room.flow.organisation);
-            // Writing to a string can't fail.
-            let _written = write!(
-                text,
-                "{}{}/{organisation}:{:.0}/{:.0}/{}",
-                if text.is_empty() { "" } else { "," },
-                room.flow.urgency,
-                room.offered_per_s,
-                room.entitled_per_s,
-                room.reserved
-            );
-        }
-        cx.log.line(
-            events::ROOM_BY_FLOW,
-            format_args!(
-                "queue={} refused={refusals} flows=\"{text}\" \
-                 (urgency/organisation:offered/entitled/reserved, pieces per second)",
-                self.name
-            ),
-        );
+        log.write_due(cx, &self.name, &self.queue.borrow(), now);
+        self.reservations.borrow_mut().log = log;
     }
 }
 
