Decide on requests for capacity without copying what a queue knows

Reservations are swept at most every 10 ms, needs are merged with those of the request as they are read, claims are sorted once, and the largest batch is found by bisection, as what its results occupy grows with it. Decisions are the same, but that what has lapsed may count for 10 ms longer.

--- a/crates/stages/src/batch/capacity.rs
+++ b/crates/stages/src/batch/capacity.rs
@@ -133,12 +133,20 @@
     /// most the number of results that fit, with r the time that results stay after their
     /// call and T(n) the duration of the call.
     fn batch(&self, slowness: f64) -> f64 {
-        let fits = |pieces: &usize| {
-            let call_ms = (self.rules.expected_ms(*pieces) * slowness).max(1.0);
-            *pieces as f64 * (1.0 + self.after_call_ms / call_ms) <= self.fitting
+        let fits = |pieces: usize| {
+            let call_ms = (self.rules.expected_ms(pieces) * slowness).max(1.0);
+            pieces as f64 * (1.0 + self.after_call_ms / call_ms) <= self.fitting
         };
-        let fitting = (1..=self.rules.batch).rev().find(fits);
-        fitting.unwrap_or(1) as f64
+        // The left side grows with the number of pieces.
+        let (mut fitting, mut most) = (1, self.rules.batch.max(1));
+        while fitting < most {
+            let middle = (fitting + most).div_ceil(2);
+            match fits(middle) {
+                true => fitting = middle,
+                false => most = middle - 1,
+            }
+        }
+        fitting as f64
     }
 
     fn call_ms(&self, batch: f64) -> f64 {
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -50,13 +50,9 @@
         let new = stages
             .iter()
             .map(|stage| supply.testable(stage_need(stage, &self.capacity)));
-        fits(
-            &self.needs,
-            &new.collect::<Vec<_>>(),
-            claims,
-            supply,
-            self.now,
-        )
+        let mut new: Vec<Need> = new.collect();
+        new.sort_by_key(|need| need.due);
+        fits(&self.needs, &new, claims, supply, self.now)
     }
 
     /// The request as it would be after a wait.
@@ -135,7 +131,7 @@
 impl<T> BatchQueue<T> {
     /// Reserves capacity for a request, or refuses it.
     pub fn reserve(&mut self, now: Millis, request: &RoomRequest) -> RoomDecision {
-        self.reservations.sweep(now);
+        self.reservations.sweep_if_due(now);
         let expected = self.reservations.expected_return(&request.digest);
         if let Some(early) = expected.filter(|expected| now < expected.at) {
             return RoomDecision::Refused(RoomRefusal {
--- a/crates/stages/src/reservations/demand.rs
+++ b/crates/stages/src/reservations/demand.rs
@@ -82,32 +82,46 @@
     }
 }
 
-/// True when `needs` (sorted by due time), `new` and the claims fit.
+/// True when `needs`, `new` and `claims` fit. All three are sorted by due time.
 pub fn fits(needs: &[Need], new: &[Need], claims: &[Claim], supply: &Supply, now: Millis) -> bool {
-    let mut all = needs.to_vec();
-    all.extend_from_slice(new);
-    // A stable sort takes linear time on a sorted run with a few entries appended.
-    all.sort_by_key(|need| need.due);
-    let first_due = new.iter().map(|need| need.due).min().unwrap_or(0);
-    fits_from_now(&all, claims, supply, first_due)
+    let first_due = new.first().map_or(0, |need| need.due);
+    fits_from_now(by_due(needs, new), claims, supply, first_due)
         && new
             .iter()
             .filter(|need| need.ready > now)
-            .all(|need| fits_from(&all, supply, need))
+            .all(|need| fits_from(by_due(needs, new), supply, need))
 }
 
 /// True when `needs` (sorted by due time) fit.
 pub fn all_fit(needs: &[Need], supply: &Supply) -> bool {
-    fits_from_now(needs, &[], supply, 0)
+    fits_from_now(needs.iter(), &[], supply, 0)
+}
+
+/// Merges two lists that are sorted by due time.
+fn by_due<'a>(needs: &'a [Need], new: &'a [Need]) -> impl Iterator<Item = &'a Need> {
+    let (mut needs, mut new) = (needs.iter().peekable(), new.iter().peekable());
+    std::iter::from_fn(move || {
+        let is_new_first = match (needs.peek(), new.peek()) {
+            (Some(need), Some(new)) => new.due < need.due,
+            (known, _) => known.is_none(),
+        };
+        match is_new_first {
+            true => new.next(),
+            false => needs.next(),
+        }
+    })
 }
 
 /// Tests the window from now to every due time at or after `first_due`.
-fn fits_from_now(needs: &[Need], claims: &[Claim], supply: &Supply, first_due: Millis) -> bool {
-    let mut claims: Vec<&Claim> = claims.iter().collect();
-    claims.sort_by_key(|claim| claim.due);
-    let mut claims = claims.into_iter().peekable();
+fn fits_from_now<'a>(
+    needs: impl Iterator<Item = &'a Need>,
+    claims: &[Claim],
+    supply: &Supply,
+    first_due: Millis,
+) -> bool {
+    let mut claims = claims.iter().peekable();
     let mut changes = supply.changes.iter().peekable();
-    let mut needs = needs.iter().peekable();
+    let mut needs = needs.peekable();
     let (mut needed, mut claimed, mut supplied) = (0.0, 0.0, 0.0);
     let (mut claim_rate, mut supply_rate) = (0.0, 0.0);
     let mut at = 0;
@@ -139,10 +153,10 @@
 }
 
 /// Tests the windows from the ready time of `new` to every due time at or after its own.
-fn fits_from(needs: &[Need], supply: &Supply, new: &Need) -> bool {
+fn fits_from<'a>(mut needs: impl Iterator<Item = &'a Need>, supply: &Supply, new: &Need) -> bool {
     let mut needed = 0.0;
     needs
-        .iter()
+        .by_ref()
         .filter(|need| need.ready >= new.ready)
         .all(|need| {
             needed += need.cost;
--- a/crates/stages/src/reservations/flows.rs
+++ b/crates/stages/src/reservations/flows.rs
@@ -218,7 +218,7 @@
         self.claims_of(|other| *other != flow, now)
     }
 
-    /// Expected arrivals of the flows that match.
+    /// Expected arrivals of the flows that match, sorted by due time.
     pub fn claims_of(&self, matches: impl Fn(&Flow) -> bool, now: Millis) -> Vec<Claim> {
         let flows = self.states.iter().filter(|(flow, _)| matches(flow));
         let (mut claims, mut claimed, mut variance) = (Vec::new(), 0.0, 0.0_f64);
@@ -233,6 +233,7 @@
             let part = bunching / claimed;
             claims.iter_mut().for_each(|claim| claim.balance *= part);
         }
+        claims.sort_by_key(|claim| claim.due);
         claims
     }
 
@@ -248,6 +249,7 @@
             }
         });
         claims.extend(own);
+        claims.sort_by_key(|claim| claim.due);
         claims
     }
 
--- a/crates/stages/src/reservations/table.rs
+++ b/crates/stages/src/reservations/table.rs
@@ -14,6 +14,9 @@
 /// How long the reservation of a refused caller is held from its time of return on, in
 /// milliseconds.
 const HOLD_MS: Millis = 300;
+/// Interval between sweeps while capacity is asked for, in milliseconds. A sweep passes over all
+/// reservations and returns.
+const SWEEP_INTERVAL_MS: Millis = 10;
 /// Limit on the remembered times of return, which bounds memory.
 const MAX_RETURNS: usize = 4_096;
 
@@ -59,6 +62,7 @@
 pub struct Reservations {
     table: SlotMap<ReservationKey, Reservation>,
     returns: HashMap<RequestDigest, Return>,
+    swept: Millis,
     /// Refused callers who took what was held for them.
     pub returned: u64,
     /// Those who didn't return in time.
@@ -172,8 +176,16 @@
         self.table.remove(key)
     }
 
+    /// Sweeps unless that was done a moment ago.
+    pub fn sweep_if_due(&mut self, now: Millis) {
+        if now >= self.swept + SWEEP_INTERVAL_MS {
+            self.sweep(now);
+        }
+    }
+
     /// Drops reservations and returns whose time is over.
     pub fn sweep(&mut self, now: Millis) {
+        self.swept = now;
         let lapsed = &mut self.lapsed;
         self.table.retain(|_, reservation| {
             let is_over = reservation.is_over(now);
