Stop moving a queue on when the hosts that it moved to lag as well

Queues were overloaded for twenty seconds although their workers weren't.

Cause: the owner of a queue that lags for a fraction of a second, as when 11 workers crash at once, gives its queue to the next host, which lags from the backlog that it gets, and gives it to the next. Nine hosts owned one queue within 12 s; each began without reservations, and pieces of lost owners used up the repeats. Once all large hosts lagged, small ones owned the queues. Class: failover that passes a load on which nobody bears.

Change: a key moves past two lagging hosts at most, in the order of their scores; if these lag as well, its first host keeps it. Small hosts own keys only where there are fewer large ones than that.

The test failed before: 12 of 12 hosts owned a key that makes each of them lag, 3 now.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -2,7 +2,8 @@
 //!
 //! Rendezvous hashing gives every entry the same result without coordination. An owner handles
 //! what all other entries send for its keys, so only entries with at least half of the largest
-//! capacity own any. An entry with event-loop lag owns nothing unless all entries lag.
+//! capacity own any. An entry with event-loop lag is passed over, but a key moves to a few others at
+//! most: where these lag as well, it is the load of the key, and not a slow host, that makes them.
 
 use std::cmp::Reverse;
 
@@ -19,12 +20,29 @@
     pub is_lagging: bool,
 }
 
+/// Number of lagging entries that are passed over for a key. Each move costs the new owner a
+/// backlog, so that a load which no entry bears would make one after the other lag.
+const MAX_PASSED_OVER: usize = 2;
+
 /// Index of the owner of `key`; `None` without candidates.
 pub fn owner<'a>(
     key: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
 ) -> Option<usize> {
-    scored(key, candidates).max().map(|(_, index)| index)
+    let largest = candidates.clone().map(|entry| entry.capacity).max()?;
+    let mut ranked: Vec<(bool, u64, usize, bool)> = candidates
+        .enumerate()
+        .map(|(index, entry)| {
+            let is_large = entry.capacity >= largest / 2;
+            let score = rendezvous::score(key, entry.host);
+            (is_large, score, index, entry.is_lagging)
+        })
+        .collect();
+    ranked.sort_unstable_by_key(|ranked| Reverse(*ranked));
+    ranked.truncate(MAX_PASSED_OVER + 1);
+    let responsive = ranked.iter().find(|(.., is_lagging)| !is_lagging);
+    let (_, _, index, _) = responsive.or(ranked.first())?;
+    Some(*index)
 }
 
 /// Indices of at most `limit` owners of `key`, highest score first.
--- a/crates/fleet/tests/suite/ownership.rs
+++ b/crates/fleet/tests/suite/ownership.rs
@@ -42,6 +42,22 @@
     assert!(owned.into_iter().any(|index| index == 0));
 }
 
+/// Guards against a load that no host bears and that is moved from host to host until all lag.
+#[test]
+fn key_that_makes_its_owners_lag_stops_moving() {
+    let hosts: Vec<String> = (0..12).map(|index| format!("host-{index}")).collect();
+    let mut entries: Vec<Candidate> = hosts.iter().map(|host| entry(host, 200)).collect();
+    let mut owners = Vec::new();
+    for _ in 0..entries.len() {
+        let index = owner("queue-1", entries.iter().copied()).expect("there are candidates");
+        entries[index].is_lagging = true;
+        owners.push(index);
+    }
+    owners.sort_unstable();
+    owners.dedup();
+    assert!(owners.len() <= 3, "{} hosts owned the key", owners.len());
+}
+
 proptest! {
     /// The removal of an entry must not change the owner of keys that it didn't own.
     #[test]
