Rank owners and store followers by one function

owner() chose among large hosts by a rule of its own beside the one of owners(), whose part on lag nothing used any more: both of its callers pass candidates that don't lag. Both now split candidates by size and sort them by score in one place. Decisions are the same for these callers; cargo test -p hollowsail-fleet: 72 passed.

--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -29,53 +29,47 @@
     key: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
 ) -> Option<usize> {
-    let largest = candidates.clone().map(|entry| entry.capacity).max()?;
-    let is_large = |entry: &Candidate<'_>| entry.capacity >= largest / 2;
-    let large = candidates.clone().filter(is_large).count();
+    let [large, small] = by_size(candidates);
+    let mut ranked = by_score(key, large);
     // Small entries are passed to only where there are too few large ones.
-    let mut ranked: Vec<(usize, Candidate<'a>)> = candidates
-        .enumerate()
-        .filter(|(_, entry)| is_large(entry) || large <= MAX_PASSED_OVER)
-        .collect();
-    ranked.sort_by_cached_key(|(index, entry)| {
-        let score = rendezvous::score(key, entry.host);
-        Reverse((is_large(entry), score, *index))
-    });
+    if ranked.len() <= MAX_PASSED_OVER {
+        ranked.extend(by_score(key, small));
+    }
     ranked.truncate(MAX_PASSED_OVER + 1);
     let responsive = ranked.iter().find(|(_, entry)| !entry.is_lagging);
     let owner = responsive.or(ranked.first());
     owner.map(|(index, _)| *index)
 }
 
-/// Indices of at most `limit` owners of `key`, highest score first.
+/// Indices of at most `limit` large entries, highest score for `key` first, whether they lag or not.
 pub fn owners<'a>(
     key: &str,
     candidates: impl Iterator<Item = Candidate<'a>> + Clone,
     limit: usize,
 ) -> Vec<usize> {
-    let mut scored: Vec<(u64, usize)> = scored(key, candidates).collect();
-    scored.sort_unstable_by_key(|scored| Reverse(*scored));
-    scored
-        .into_iter()
-        .take(limit)
-        .map(|(_, index)| index)
-        .collect()
+    let [large, _] = by_size(candidates);
+    let ranked = by_score(key, large).into_iter();
+    ranked.map(|(index, _)| index).take(limit).collect()
 }
 
-/// Score for `key` and index of each eligible candidate.
-fn scored<'a, 'k, I>(
-    key: &'k str,
-    candidates: I,
-) -> impl Iterator<Item = (u64, usize)> + use<'a, 'k, I>
-where
-    I: Iterator<Item = Candidate<'a>> + Clone,
-{
-    let all_lag = candidates.clone().all(|entry| entry.is_lagging);
-    let is_responsive = move |entry: &Candidate<'a>| all_lag || !entry.is_lagging;
-    let responsive = candidates.clone().filter(is_responsive);
-    let largest = responsive.map(|entry| entry.capacity).max().unwrap_or(0);
-    candidates
+/// The candidates with at least half of the largest capacity, and the others, with their indices.
+fn by_size<'a>(
+    candidates: impl Iterator<Item = Candidate<'a>> + Clone,
+) -> [Vec<(usize, Candidate<'a>)>; 2] {
+    let largest = candidates.clone().map(|entry| entry.capacity).max();
+    let least = largest.unwrap_or(0) / 2;
+    let (large, small) = candidates
         .enumerate()
-        .filter(move |(_, entry)| is_responsive(entry) && entry.capacity >= largest / 2)
-        .map(move |(index, entry)| (rendezvous::score(key, entry.host), index))
+        .partition(|(_, entry)| entry.capacity >= least);
+    [large, small]
+}
+
+/// Sorts candidates by their score for `key`, highest first.
+fn by_score<'a>(
+    key: &str,
+    mut candidates: Vec<(usize, Candidate<'a>)>,
+) -> Vec<(usize, Candidate<'a>)> {
+    candidates
+        .sort_by_cached_key(|(index, entry)| Reverse((rendezvous::score(key, entry.host), *index)));
+    candidates
 }
