Sum the cost of stages in one place, and log decisions without moving the log out of its table

The totals of a queue summed costs as request_cost does; one function does both. The log of decisions was taken out of the table and put back around each write, which needed nothing of the table. Behaviour is the same: cargo test -p hollowsail-stages 85 passed, -p hollowsail-gateway reservations 17 passed.

--- a/crates/gateway/src/pools/batcher/reserved.rs
+++ b/crates/gateway/src/pools/batcher/reserved.rs
@@ -161,12 +161,8 @@
         queue.sweep_reservations(now);
         let by_request = &mut reservations.by_request;
         by_request.retain(|_, held| queue.has_reservation(held.key));
-        drop(queue);
-        metrics::set_room_reservations(&self.name, reservations.by_request.len());
-        let mut log = std::mem::take(&mut reservations.log);
-        drop(reservations);
-        log.write_due(cx, &self.name, &self.queue.borrow(), now);
-        self.reservations.borrow_mut().log = log;
+        metrics::set_room_reservations(&self.name, by_request.len());
+        reservations.log.write_due(cx, &self.name, &queue, now);
     }
 }
 
--- a/crates/gateway/tests/suite/stream_versions.rs
+++ b/crates/gateway/tests/suite/stream_versions.rs
@@ -459,14 +459,11 @@
 
 /// Three gateways in three halls.
 async fn three_gateways(store: &StoreStandin) -> [Running; 3] {
-    let halls = [
-        ("host-1", "hall-a"),
-        ("host-2", "hall-b"),
-        ("host-3", "hall-c"),
-    ];
-    let starts = halls.map(|(host, hall)| gateway(store, host, hall));
-    let [first, second, third] = starts;
-    let (first, second, third) = tokio::join!(first, second, third);
+    let (first, second, third) = tokio::join!(
+        gateway(store, "host-1", "hall-a"),
+        gateway(store, "host-2", "hall-b"),
+        gateway(store, "host-3", "hall-c"),
+    );
     [first, second, third]
 }
 
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -107,8 +107,8 @@
     }
 }
 
-fn request_cost(request: &RoomRequest, capacity: &Capacity) -> f64 {
-    let stages = request.stages.iter();
+fn total_cost(stages: &[StageRoom], capacity: &Capacity) -> f64 {
+    let stages = stages.iter();
     stages.map(|stage| stage_need(stage, capacity).cost).sum()
 }
 
@@ -148,7 +148,7 @@
         // It is charged again with the decision.
         self.return_charge(held);
         let test = self.test(mean_bytes(request), now);
-        let cost = request_cost(request, &test.capacity);
+        let cost = total_cost(&request.stages, &test.capacity);
         self.flows.refresh(now, test.capacity.supply.rate);
         if arrival == Arrival::New {
             self.record_offer(request, cost, now);
@@ -353,8 +353,7 @@
             ..RoomTotals::default()
         };
         for reservation in self.reservations.values() {
-            let stages = reservation.stages.iter();
-            let cost: f64 = stages.map(|stage| stage_need(stage, &capacity).cost).sum();
+            let cost = total_cost(&reservation.stages, &capacity);
             match reservation.is_hold() {
                 true => totals.held += cost,
                 false => totals.reserved += cost,
