--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -30,6 +30,7 @@
 mod store_restore;
 mod stream_versions;
 mod streams;
+mod suspended_targets;
 mod target_limits;
 mod target_restarts;
 mod target_speeds;
