--- a/crates/fleet/src/warm_ups.rs
+++ b/crates/fleet/src/warm_ups.rs
@@ -41,7 +41,7 @@
                 Some(known) if known.at >= record.at => *known,
                 _ => WarmUp {
                     at: record.at,
-                    until: now + record.remaining_ms,
+                    until: now.saturating_add(record.remaining_ms),
                 },
             };
             self.warm_ups
--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -50,7 +50,8 @@
 /// Follows the keys until the thread ends.
 pub async fn follow(cx: Rc<Control>, subscription: Subscription) {
     let mut backoff = Backoff::default();
-    let mut allow_stale = subscription.allow_stale_start;
+    let is_first = cx.lists.freshness(subscription.keys, 0).is_none();
+    let mut allow_stale = subscription.allow_stale_start && is_first;
     loop {
         let result = follow_once(&cx, &subscription, allow_stale, &mut backoff).await;
         allow_stale = false;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -32,6 +32,7 @@
 mod usable;
 
 use std::cell::{Cell, RefCell};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,6 +45,7 @@
 use hollowsail_routing::repeats::EarlierRuns;
 use hollowsail_routing::Millis;
 
+use self::backoff::Backoff;
 use self::configuration::Configuration;
 use self::derived::Derived;
 use self::new_versions::NewVersions;
@@ -154,15 +156,33 @@
 
     /// Starts the control loops on this thread.
     pub fn spawn(self: &Rc<Self>, refused: RefusalReceiver, to_record: PhaseReceiver) {
-        actix_rt::spawn(follow::follow(self.clone(), operators::SUBSCRIPTION));
-        actix_rt::spawn(follow::follow(self.clone(), records::SUBSCRIPTION));
-        actix_rt::spawn(own_record::maintain(self.clone()));
-        actix_rt::spawn(follow::follow(self.clone(), membership::SUBSCRIPTION));
+        self.keep_running(|cx| follow::follow(cx, operators::SUBSCRIPTION));
+        self.keep_running(|cx| follow::follow(cx, records::SUBSCRIPTION));
+        self.keep_running(own_record::maintain);
+        self.keep_running(|cx| follow::follow(cx, membership::SUBSCRIPTION));
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
-        actix_rt::spawn(peer_state::follow(self.clone()));
-        actix_rt::spawn(catch_up::follow(self.clone()));
-        actix_rt::spawn(list_reports::report(self.clone()));
+        self.keep_running(peer_state::follow);
+        self.keep_running(catch_up::follow);
+        self.keep_running(list_reports::report);
+    }
+
+    /// Runs a loop on this thread, and starts it again after a panic, which is logged where it
+    /// happens: an entry that no longer follows a list would go on with an old one.
+    fn keep_running<F>(self: &Rc<Self>, run: impl Fn(Rc<Self>) -> F + 'static)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let cx = self.clone();
+        actix_rt::spawn(async move {
+            let mut backoff = Backoff::default();
+            while actix_rt::spawn(run(cx.clone()))
+                .await
+                .is_err_and(|ended| ended.is_panic())
+            {
+                backoff.pause().await;
+            }
+        });
     }
 
     /// Publishes the present state as a new view.
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -247,7 +247,7 @@
             request: request.request,
             priority: request.priority,
             due: now.saturating_add_signed(request.due_in_ms),
-            expires: now + request.expires_in_ms,
+            expires: now.saturating_add(request.expires_in_ms),
             result_bytes: request.result_bytes,
             has_large_inputs: request.has_large_inputs,
             hall: request.hall,
--- a/crates/gateway/src/request/attempts.rs
+++ b/crates/gateway/src/request/attempts.rs
@@ -161,10 +161,12 @@
 /// Draws a service by the weights of the route.
 fn choose_service(admitted: &Admitted) -> ServiceKey {
     let services = &admitted.route().services;
-    let total: u32 = services.iter().map(|(_, weight)| weight).sum();
+    let weights = services.iter().map(|(_, weight)| u64::from(*weight));
+    let total: u64 = weights.sum();
     let mut draw = rand::rng().random_range(0..total.max(1));
     for (service, weight) in services {
-        if draw < *weight {
+        let weight = u64::from(*weight);
+        if draw < weight {
             return *service;
         }
         draw -= weight;
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -17,6 +17,7 @@
 mod limits;
 mod mechanisms;
 mod metrics;
+mod odd_values;
 mod regions;
 mod repeats;
 mod reservations;
