Take a stream up as the only version's only if the store shows that there is no other

Operators of a similar system saw a host that was out of step for a few seconds, cut off or standing still, while a new software version joined: streams that had begun at it through other hosts were taken up there and went on at the old one.

It can happen here, on hosts that have known one version for 120 s. A stream without a record was taken for the only version's as long as the store wasn't yet known to be away, whatever the age of the list of targets; a list that was read anew after missed changes counted as one without a gap; and a version that the host held back as new didn't count, though others may use it already.

Now the host that takes the stream up asks the store for changes once more, as do the holders before they reply, and concludes only from what is complete then; a list that is read anew begins a new time of 120 s; every listed version counts. Otherwise the caller is told to come back (list_outdated).

a_held_version_has_not_served_but_is_another_version asserted that a held version doesn't count; that holds only at hosts that hear of it in time. The test that replaces it asserts that it counts from its listing on, which is stricter.

--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -71,6 +71,7 @@
         });
         KnownRecords {
             at: self.records_at.get(),
+            lists_read: self.lists_read.get(),
             records,
             missing,
             missing_final_at: registry.settles_at(),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod evacuated_halls;
 mod follow;
 mod hall_records;
+mod list_proofs;
 mod list_reports;
 mod membership;
 mod new_versions;
@@ -55,6 +56,7 @@
 use crate::clock::Clock;
 use crate::crashes::{RefusalReceiver, RefusedRequests};
 use crate::feed::Feeds;
+use crate::list_proofs::ProofReceiver;
 use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::peers::PeerRecord;
@@ -81,6 +83,8 @@
     rollout_records: RefCell<PhaseRecords>,
     /// Store position up to which the target registry is current.
     records_at: Cell<Position>,
+    /// Lists of targets that were read. Changes between two of them may have been missed.
+    lists_read: Cell<u64>,
     /// The list of targets exceeds one page of the store.
     is_list_long: Cell<bool>,
     /// When the first list of entries was applied.
@@ -134,6 +138,7 @@
             orders: RefCell::default(),
             rollout_records: RefCell::default(),
             records_at: Cell::default(),
+            lists_read: Cell::new(0),
             is_list_long: Cell::new(false),
             entries_listed_at: Cell::new(None),
             earlier_runs: Cell::new(None),
@@ -155,13 +160,19 @@
     }
 
     /// Starts the control loops on this thread.
-    pub fn spawn(self: &Rc<Self>, refused: RefusalReceiver, to_record: PhaseReceiver) {
+    pub fn spawn(
+        self: &Rc<Self>,
+        refused: RefusalReceiver,
+        to_record: PhaseReceiver,
+        proofs: ProofReceiver,
+    ) {
         self.keep_running(|cx| follow::follow(cx, operators::SUBSCRIPTION));
         self.keep_running(|cx| follow::follow(cx, records::SUBSCRIPTION));
         self.keep_running(own_record::maintain);
         self.keep_running(|cx| follow::follow(cx, membership::SUBSCRIPTION));
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
+        actix_rt::spawn(list_proofs::answer(self.clone(), proofs));
         self.keep_running(peer_state::follow);
         self.keep_running(catch_up::follow);
         self.keep_running(list_reports::report);
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -71,6 +71,7 @@
             .borrow_mut()
             .reconcile(&present, range.at, now);
         self.log_gone(&gone, "not_listed");
+        self.lists_read.set(self.lists_read.get() + 1);
         self.records_at.set(range.at);
         self.publish();
     }
@@ -176,6 +177,7 @@
         let now = self.clock.now();
         let gone = self.registry.borrow_mut().adopt(&present, listed.at, now);
         self.log_gone(&gone, "told_by_peer");
+        self.lists_read.set(self.lists_read.get() + 1);
         self.records_at.set(listed.at.max(self.records_at.get()));
         if changed || !gone.is_empty() {
             self.publish();
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -92,8 +92,6 @@
     /// Software versions of all targets, in order.
     pub(super) fn listed_versions(&self) -> Vec<ListedVersion> {
         let registry = self.registry.borrow();
-        let new_versions = self.new_versions.borrow();
-        let held = new_versions.held(self.clock.now());
         let mut is_ready: BTreeMap<(&str, &str), bool> = BTreeMap::new();
         for (_, record) in registry.all() {
             let version = (record.service.as_str(), record.version.as_str());
@@ -103,7 +101,6 @@
         let versions = versions.map(|((service, version), is_ready)| ListedVersion {
             service: service.to_string(),
             version: version.to_string(),
-            is_held: held.contains(service, version),
             is_ready,
         });
         versions.collect()
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod feed;
 mod host_load;
 mod latch;
+mod list_proofs;
 mod list_states;
 mod log;
 mod mechanisms;
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -330,7 +330,10 @@
 /// Holds copies of records of streams, and returns them.
 async fn stream_origins(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: OriginCall = read(req).await?;
-    let replies = cx.stream_origins.handle_call(cx.clock.now(), call);
+    let needs_proof = cx.stream_origins.call_needs_proof(cx.clock.now(), &call);
+    let is_current = needs_proof && cx.prove_target_list().await;
+    let now = cx.clock.now();
+    let replies = cx.stream_origins.handle_call(now, call, is_current);
     Ok(rmp_serde::to_vec(&replies)
         .expect("these types always encode")
         .into())
--- a/crates/gateway/src/request/stream_version.rs
+++ b/crates/gateway/src/request/stream_version.rs
@@ -11,7 +11,7 @@
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_routing::Millis;
 use hollowsail_streams::{
-    find_origin, holders, Build, KnownBy, Origin, StreamKey, UnknownOrigin, RETENTION_MS,
+    find_origin, holders, Build, Findings, KnownBy, Origin, StreamKey, UnknownOrigin, RETENTION_MS,
 };
 use hollowsail_targets::Target;
 
@@ -29,7 +29,7 @@
 const COPY_TIMEOUT: Duration = Duration::from_millis(50);
 /// How long a version without targets may still return, as after a crash of its last one.
 const RETURN_MS: Millis = 5_000;
-/// Retry-After when holders of records didn't reply; others hold them by then.
+/// Retry-After when holders of records or the store didn't reply; others hold them by then.
 const HOLDERS_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// The build at which a request resumes a stream.
@@ -139,10 +139,15 @@
     };
     let mut holders = cx.peers.record_holders(cx, query.key);
     holders.truncate(holders::ASKED);
-    let findings = cx
-        .stream_origins
-        .find(cx.clock.now(), &query, &holders)
-        .await;
+    let origins = &cx.stream_origins;
+    let needs_proof = origins.needs_proof(cx.clock.now(), &query);
+    // Another version may have begun the stream until the caller came back.
+    let is_current = needs_proof && cx.prove_target_list().await;
+    let now = cx.clock.now();
+    let findings = Findings {
+        is_list_outdated: needs_proof && !is_current,
+        ..origins.find(now, &query, &holders, is_current).await
+    };
     find_origin(&findings, only_service.as_deref())
 }
 
@@ -153,6 +158,11 @@
             let refusal = Refusal::new(ErrorKind::StreamVersionAway, detail);
             refusal.with_retry_after(HOLDERS_RETRY_AFTER)
         }
+        UnknownOrigin::ListOutdated => {
+            let detail = "another version may have begun the stream since the store last answered";
+            let refusal = Refusal::new(ErrorKind::StreamVersionAway, detail);
+            refusal.with_retry_after(HOLDERS_RETRY_AFTER)
+        }
         UnknownOrigin::NoRecord => Refusal::new(
             ErrorKind::StreamVersionGone,
             "no entry knows the version that began the stream, and there are several",
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -16,6 +16,7 @@
 use crate::control::Control;
 use crate::crashes::Crashes;
 use crate::feed::Feeds;
+use crate::list_proofs::ListProofs;
 use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
@@ -121,6 +122,7 @@
     let (stop, stopping) = oneshot::channel();
     let (crashes, refusals) = Crashes::new();
     let (phases, phase_receiver) = rollouts::phase_channel();
+    let (proofs, proof_receiver) = ListProofs::new();
     let hall = settings.hall.clone();
     let control_settings = settings.clone();
     let settings = Arc::new(ArcSwap::from_pointee(settings));
@@ -133,6 +135,7 @@
             published: published.clone(),
             feeds: feeds.clone(),
             lists: lists.clone(),
+            proofs,
         },
         crashes,
         phases,
@@ -151,7 +154,7 @@
         ),
     );
     let control = Control::new(&control_settings, me, clock, published, feeds, lists);
-    control.spawn(refusals, phase_receiver);
+    control.spawn(refusals, phase_receiver, proof_receiver);
     Ok(Running {
         addrs,
         settings,
--- a/crates/gateway/src/stream_origins/mod.rs
+++ b/crates/gateway/src/stream_origins/mod.rs
@@ -15,8 +15,8 @@
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hollowsail_connect::{ByteCounts, Dialer};
 use hollowsail_streams::{
-    holders, Build, Findings, ListedVersion, Millis, OriginTable, StreamKey, VersionHistory,
-    RETENTION_MS,
+    holders, Build, Findings, ListedVersion, Millis, OriginTable, StreamKey, VersionAccount,
+    VersionHistory, RETENTION_MS,
 };
 use tokio::sync::Notify;
 
@@ -55,7 +55,7 @@
     table: RefCell<OriginTable>,
     history: RefCell<VersionHistory>,
     /// The versions listed last.
-    listed: RefCell<(Vec<ListedVersion>, bool)>,
+    listed: RefCell<Listed>,
     calls: RefCell<HashMap<u64, Rc<OriginCalls>>>,
     /// Counts the bytes of the calls.
     bytes: Arc<ByteCounts>,
@@ -63,6 +63,14 @@
     pub versions_changed: Notify,
 }
 
+/// Versions as they were listed.
+#[derive(Default)]
+struct Listed {
+    versions: Vec<ListedVersion>,
+    is_complete: bool,
+    lists_read: u64,
+}
+
 impl StreamOrigins {
     pub fn new(me: u64, bytes: Arc<ByteCounts>) -> Self {
         StreamOrigins {
@@ -76,14 +84,27 @@
         }
     }
 
-    /// Takes the versions that are listed now; see [`VersionHistory::update`].
-    pub fn update_versions(&self, now: Millis, listed: &[ListedVersion], is_complete: bool) {
-        let mut known = self.listed.borrow_mut();
-        if known.0 == listed && known.1 == is_complete {
+    /// Takes the versions that are listed now; see [`VersionHistory::update`]. `lists_read` is the
+    /// number of lists that were read so far.
+    pub fn update_versions(
+        &self,
+        now: Millis,
+        versions: &[ListedVersion],
+        is_complete: bool,
+        lists_read: u64,
+    ) {
+        let mut listed = self.listed.borrow_mut();
+        let mut history = self.history.borrow_mut();
+        if listed.lists_read != lists_read {
+            listed.lists_read = lists_read;
+            history.record_gap(now);
+        }
+        if listed.versions == versions && listed.is_complete == is_complete {
             return;
         }
-        *known = (listed.to_vec(), is_complete);
-        self.history.borrow_mut().update(now, listed, is_complete);
+        listed.versions = versions.to_vec();
+        listed.is_complete = is_complete;
+        history.update(now, versions, is_complete);
         self.versions_changed.notify_one();
     }
 
@@ -148,13 +169,25 @@
         records.collect()
     }
 
+    /// True if the record of a stream isn't here, and what this entry knows of its service's versions
+    /// counts if its list is complete now.
+    pub fn needs_proof(&self, now: Millis, query: &Query) -> bool {
+        let is_known = self.table.borrow().get(now, query.key).is_some();
+        !is_known && self.with_history(|history| history.account(now, &query.service).is_complete)
+    }
+
     /// Collects what this entry and `holders` know of a stream. Doesn't ask them if this entry has
-    /// its record.
-    pub async fn find(&self, now: Millis, query: &Query, holders: &[Holder]) -> Findings {
+    /// its record. `is_current` is true if this entry's list of targets is known to be complete now.
+    pub async fn find(
+        &self,
+        now: Millis,
+        query: &Query,
+        holders: &[Holder],
+        is_current: bool,
+    ) -> Findings {
         let own = self.table.borrow().get(now, query.key);
-        let account = |history: &VersionHistory| history.account(now, &query.service);
         let mut findings = Findings {
-            accounts: vec![self.with_history(account)],
+            accounts: vec![self.account(now, &query.service, is_current)],
             own,
             ..Findings::default()
         };
@@ -181,8 +214,28 @@
         findings
     }
 
-    /// Handles the messages of a peer.
-    pub fn handle_call(&self, now: Millis, call: OriginCall) -> Vec<OriginReply> {
+    fn account(&self, now: Millis, service: &str, is_current: bool) -> VersionAccount {
+        let account = self.with_history(|history| history.account(now, service));
+        VersionAccount {
+            is_complete: account.is_complete && is_current,
+            ..account
+        }
+    }
+
+    /// True if the reply to a peer depends on whether the list of targets is complete now.
+    pub fn call_needs_proof(&self, now: Millis, call: &OriginCall) -> bool {
+        let mut queries = call.requests.iter().filter_map(|message| match message {
+            OriginMessage::Find { key, service, .. } => Some(Query {
+                key: *key,
+                service: service.clone(),
+            }),
+            OriginMessage::Record { .. } => None,
+        });
+        queries.any(|query| self.needs_proof(now, &query))
+    }
+
+    /// Handles the messages of a peer; see [`Self::find`] for `is_current`.
+    pub fn handle_call(&self, now: Millis, call: OriginCall, is_current: bool) -> Vec<OriginReply> {
         let handle = |message| match message {
             OriginMessage::Record {
                 key,
@@ -200,7 +253,7 @@
                 complete_ms: _,
             } => OriginReply::Found {
                 record: self.table.borrow().get(now, key),
-                account: self.with_history(|history| history.account(now, &service)),
+                account: self.account(now, &service, is_current),
             },
         };
         call.requests.into_iter().map(handle).collect()
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -23,6 +23,7 @@
 use crate::feed::{Feeds, KeyGroup};
 use crate::host_load::HostLoad;
 use crate::latch::Latch;
+use crate::list_proofs::ListProofs;
 use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
@@ -78,6 +79,7 @@
     pub published: Arc<Published>,
     pub feeds: Arc<Feeds>,
     pub lists: Arc<ListStates>,
+    pub proofs: ListProofs,
 }
 
 /// State shared by all requests.
@@ -93,6 +95,7 @@
     pub feeds: Arc<Feeds>,
     /// State of the lists that control follows.
     lists: Arc<ListStates>,
+    proofs: ListProofs,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
     pub reach: Reach,
@@ -146,6 +149,7 @@
             published,
             feeds,
             lists,
+            proofs,
         }: FromControl,
         crashes: Crashes,
         phases: mpsc::Sender<RecordPhase>,
@@ -171,6 +175,7 @@
                 published,
                 feeds,
                 lists,
+                proofs,
                 settings,
                 clock,
                 targets: RefCell::new(reach::target_table(cx)),
@@ -243,6 +248,7 @@
             now,
             &newest.targets.versions,
             newest.knows_all_targets(),
+            newest.records.lists_read,
         );
         *self.view.borrow_mut() = newest.clone();
         self.rollouts.apply_view(self, &newest);
@@ -444,6 +450,15 @@
         self.view.borrow().number
     }
 
+    /// True once the targets in use are all that the store had at some moment after the call; false if
+    /// that can't be shown now.
+    pub async fn prove_target_list(self: &Rc<Self>) -> bool {
+        let is_complete = self.proofs.prove().await;
+        // Loads the view with them.
+        self.deployment();
+        is_complete
+    }
+
     /// Permits the first send of a caller's request to a service.
     pub fn permit_request(&self, service: &str) -> SendPermit {
         let (now, settings) = (self.clock.now(), self.settings());
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -83,6 +83,8 @@
 #[derive(Debug, Default)]
 pub struct KnownRecords {
     pub at: Position,
+    /// Number of complete lists that were read. Changes between two of them may have been missed.
+    pub lists_read: u64,
     /// Each with the store position of its last change.
     pub records: Arc<[(Position, Arc<TargetRecord>)]>,
     /// Targets of these whose record is missing, which isn't final yet, each with the position at
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod crashing;
 mod crashing_parts;
 mod crowded;
+mod cut_answers;
 mod cut_off;
 mod draining;
 mod evacuated_halls;
--- a/crates/gateway/tests/suspended/main.rs
+++ b/crates/gateway/tests/suspended/main.rs
@@ -5,11 +5,15 @@
 #[allow(dead_code)]
 mod fixture;
 
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use hollowsail_clock::simulated::suspend;
 use hollowsail_platform_standins::target::{answer, results};
-use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
+use hollowsail_platform_standins::{
+    DeploymentJson, ReceivedRequest, Step, StoreMode, StoreStandin, TargetStandin,
+};
+use hollowsail_streams::RETENTION_MS;
 use serde_json::json;
 use tokio::sync::Mutex;
 
@@ -115,3 +119,85 @@
     let after = staged("00000000000000f3").send(addr).await;
     assert!(after.is_whole, "{after:?} after {:?}", started.elapsed());
 }
+
+/// A fixture that has known only v1 of its engines for as long as callers may come back.
+async fn fixture_with_one_version() -> (Fixture, TargetStandin) {
+    let fields = json!({ "stream_resume": true, "max_attempts": 1 });
+    let deployment =
+        DeploymentJson::new(1)
+            .engines("engines")
+            .route("/streams/", "stream", "engines", fields);
+    let fixture = Fixture::start(&deployment).await;
+    let engine = TargetStandin::start(single_event_stream).await;
+    let store = &fixture.store;
+    store.put_target_version("i-1", "engines", engine.addr, "v1");
+    fixture.call(&unknown_stream()).await;
+    suspend(Duration::from_millis(RETENTION_MS) + SUSPENSION);
+    (fixture, engine)
+}
+
+/// A request that takes up a stream of which no entry has a record: another one each time.
+fn unknown_stream() -> Call {
+    static LAST: AtomicUsize = AtomicUsize::new(0);
+    let number = LAST.fetch_add(1, Ordering::Relaxed);
+    Call::new("POST", "/streams/x")
+        .with("X-Request-Id", &format!("{number:016x}"))
+        .with("X-Token-Counts", "100,10")
+        .with("X-Prompt-Prefix", "aa:60,bb:40")
+        .with("Resumes", &format!("ffff{number:012x}"))
+        .with("Last-Event-Id", "2")
+        .body("prompt")
+}
+
+/// Number of take-ups in some time that go on.
+async fn taken_up_within(fixture: &Fixture, time: Duration) -> usize {
+    let until = Instant::now() + time;
+    let mut taken_up = 0;
+    while Instant::now() < until {
+        let call = unknown_stream();
+        let answer = call.send(fixture.gateway.addrs.callers).await;
+        taken_up += usize::from(answer.status == 200);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    taken_up
+}
+
+async fn add_new_version(store: &StoreStandin) -> TargetStandin {
+    let engine = TargetStandin::start(single_event_stream).await;
+    store.put_target_version("i-2", "engines", engine.addr, "v2");
+    engine
+}
+
+// Guards against streams of a new version that go on at the old one, at an entry that doesn't know yet
+// that the store is silent.
+#[actix_rt::test]
+async fn streams_are_not_taken_up_as_the_only_version_s_after_the_store_falls_silent() {
+    let _one = ONE_AT_A_TIME.lock().await;
+    let (fixture, _engine) = fixture_with_one_version().await;
+    let until = Instant::now() + Duration::from_secs(5);
+    while taken_up_within(&fixture, Duration::from_millis(100)).await == 0 {
+        assert!(Instant::now() < until, "only one version ever served");
+    }
+    fixture.store.set_mode(StoreMode::Silent);
+    let _new = add_new_version(&fixture.store).await;
+    let joined = taken_up_within(&fixture, Duration::from_secs(4)).await;
+    assert_eq!(joined, 0, "take-ups that may join two versions");
+}
+
+// Guards against a version that comes and goes between two lists of an entry that follows no changes
+// meanwhile.
+#[actix_rt::test]
+async fn streams_are_not_taken_up_as_the_only_version_s_after_changes_were_missed() {
+    let _one = ONE_AT_A_TIME.lock().await;
+    let (fixture, _engine) = fixture_with_one_version().await;
+    let store = &fixture.store;
+    store.set_mode(StoreMode::Silent);
+    let _new = add_new_version(store).await;
+    store.delete("servers/i-2");
+    store.compact_history();
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    store.set_mode(StoreMode::Up);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let joined = taken_up_within(&fixture, Duration::from_secs(2)).await;
+    assert_eq!(joined, 0, "take-ups that may join two versions");
+}
--- a/crates/streams/src/origin.rs
+++ b/crates/streams/src/origin.rs
@@ -48,6 +48,9 @@
     NoRecord,
     /// The same, but some holders of records didn't reply.
     HoldersSilent,
+    /// Only one version is known, but another one may have appeared since the list of targets was
+    /// last known to be complete.
+    ListOutdated,
     /// Records name different builds: the caller used its request id twice.
     Ambiguous,
 }
@@ -58,6 +61,7 @@
         match self {
             UnknownOrigin::NoRecord => "no_record",
             UnknownOrigin::HoldersSilent => "holders_silent",
+            UnknownOrigin::ListOutdated => "list_outdated",
             UnknownOrigin::Ambiguous => "ambiguous",
         }
     }
@@ -75,6 +79,8 @@
     pub accounts: Vec<VersionAccount>,
     /// Number of holders that didn't reply.
     pub silent: usize,
+    /// The resuming entry has known all targets for long enough, but not until now.
+    pub is_list_outdated: bool,
 }
 
 /// Finds the build that began a stream. `service` is the only service of its route, if there is
@@ -101,12 +107,17 @@
         0 => UnknownOrigin::NoRecord,
         _ => UnknownOrigin::HoldersSilent,
     };
+    let unproven = match findings.is_list_outdated {
+        true => UnknownOrigin::ListOutdated,
+        false => unknown,
+    };
     let is_complete = findings.accounts.iter().any(|account| account.is_complete);
     let mut versions = findings.accounts.iter().flat_map(|account| &account.served);
-    let (Some(service), Some(version), true) = (service, versions.next(), is_complete) else {
+    let (Some(service), Some(version)) = (service, versions.next()) else {
         return Err(unknown);
     };
     match versions.all(|other| other == version) {
+        true if !is_complete => Err(unproven),
         true => Ok(Origin {
             build: Build {
                 service: service.to_string(),
--- a/crates/streams/src/version_history.rs
+++ b/crates/streams/src/version_history.rs
@@ -20,8 +20,6 @@
 pub struct ListedVersion {
     pub service: String,
     pub version: String,
-    /// Its targets get no requests from any entry yet, because it is new.
-    pub is_held: bool,
     /// It has targets that aren't draining.
     pub is_ready: bool,
 }
@@ -31,14 +29,13 @@
 pub struct VersionAccount {
     /// Versions that may have served requests.
     pub served: Vec<String>,
-    /// No other version can have served: the entry has known all targets for [`RETENTION_MS`].
+    /// No other version can have served: the entry has known all targets for [`RETENTION_MS`], up to
+    /// the moment at which it was asked.
     pub is_complete: bool,
 }
 
 #[derive(Debug, Clone, Copy)]
 struct Sighting {
-    /// It got requests, or may have got some.
-    was_usable: bool,
     /// When it was last listed; `None` while it is.
     last_listed: Option<Millis>,
     /// When it last had targets that weren't draining; `None` while it has.
@@ -69,11 +66,9 @@
         for version in listed {
             let versions = self.services.entry(version.service.clone()).or_default();
             let sighting = versions.entry(version.version.clone()).or_insert(Sighting {
-                was_usable: false,
                 last_listed: None,
                 last_ready: Some(0),
             });
-            sighting.was_usable |= !version.is_held;
             sighting.last_listed = None;
             if version.is_ready {
                 sighting.last_ready = None;
@@ -85,12 +80,18 @@
         });
     }
 
-    /// The versions that may have begun a stream of a service that is resumed now.
+    /// Records that changes of the list may have been missed until now.
+    pub fn record_gap(&mut self, now: Millis) {
+        self.complete_since = self.complete_since.map(|_| now);
+    }
+
+    /// The versions that may have begun a stream of a service that is resumed now, by the list known
+    /// so far.
     pub fn account(&self, now: Millis, service: &str) -> VersionAccount {
         let listed = self.recently_listed(now, service);
-        let served = listed.filter(|(_, sighting)| sighting.was_usable);
         VersionAccount {
-            served: served.map(|(version, _)| version.clone()).collect(),
+            // One that this entry holds back as new may be in use at others already.
+            served: listed.map(|(version, _)| version.clone()).collect(),
             is_complete: self.is_complete(now),
         }
     }
--- a/crates/streams/tests/suite/origin.rs
+++ b/crates/streams/tests/suite/origin.rs
@@ -100,3 +100,18 @@
     let only = findings(vec![account(&["v1"], true)]);
     assert_eq!(find_origin(&only, None), Err(UnknownOrigin::NoRecord));
 }
+
+// Guards against streams of a version that joined after the store's last answer.
+#[test]
+fn an_unknown_stream_waits_while_the_list_of_targets_is_outdated() {
+    let outdated = |accounts| Findings {
+        is_list_outdated: true,
+        ..findings(accounts)
+    };
+    let alone = outdated(vec![account(&["v1"], false)]);
+    assert_eq!(found(&alone), Err(UnknownOrigin::ListOutdated));
+    let peer_knows = outdated(vec![account(&["v1"], false), account(&["v1"], true)]);
+    assert_eq!(found(&peer_knows), Ok(("v1".into(), KnownBy::OnlyVersion)));
+    let several = outdated(vec![account(&["v1", "v2"], false)]);
+    assert_eq!(found(&several), Err(UnknownOrigin::NoRecord));
+}
--- a/crates/streams/tests/suite/version_history.rs
+++ b/crates/streams/tests/suite/version_history.rs
@@ -4,18 +4,10 @@
     ListedVersion {
         service: "engines".into(),
         version: version.into(),
-        is_held: false,
         is_ready: true,
     }
 }
 
-fn held(version: &str) -> ListedVersion {
-    ListedVersion {
-        is_held: true,
-        ..listed(version)
-    }
-}
-
 fn draining(version: &str) -> ListedVersion {
     ListedVersion {
         is_ready: false,
@@ -54,18 +46,27 @@
     assert!(history.account(complete_at, "engines").is_complete);
 }
 
-/// A version that is held has begun no stream yet, but streams may begin there soon.
+/// An entry that hears of a version late holds it back while others have streams there.
 #[test]
-fn a_held_version_has_not_served_but_is_another_version() {
+fn a_version_may_have_served_as_soon_as_it_is_listed() {
     let mut history = VersionHistory::default();
     history.update(0, &[listed("v1")], true);
     let now = RETENTION_MS + 1_000;
     assert!(history.is_only_version(now, "engines"));
-    history.update(now, &[listed("v1"), held("v2")], true);
-    assert_eq!(served(&history, now), ["v1"]);
+    history.update(now, &[listed("v1"), listed("v2")], true);
+    assert_eq!(served(&history, now), ["v1", "v2"]);
     assert!(!history.is_only_version(now, "engines"));
-    history.update(now + 1_000, &[listed("v1"), listed("v2")], true);
-    assert_eq!(served(&history, now + 1_000), ["v1", "v2"]);
+}
+
+#[test]
+fn changes_that_may_have_been_missed_end_a_complete_account() {
+    let mut history = VersionHistory::default();
+    history.update(0, &[listed("v1")], true);
+    let gap_at = 2 * RETENTION_MS;
+    assert!(history.is_only_version(gap_at, "engines"));
+    history.record_gap(gap_at);
+    assert!(!history.is_only_version(gap_at + RETENTION_MS - 1, "engines"));
+    assert!(history.is_only_version(gap_at + RETENTION_MS, "engines"));
 }
 
 #[test]
