Hold charges of pieces that a lost owner may still send, and of permits that are used late

A queue's owner that stands still keeps the pieces that it was sent, and sends them when it goes on; their requester has had them sent again by then. And a process that stands still between a grant and its send sends long after the charge began. Found by reading, while the same cause was sought on other paths: a charge expired a window after its grant in both.

A piece at an owner whose link was lost, and whose process may run on, now counts as a send that may still arrive, until that owner accepts a message or 60 s have passed; and a charge expires a window after the last send of its work.

charge_of_a_repeat_that_is_sent_late_lasts_a_window_from_the_send fails without the change; the other path has no test of its own but the soak, whose gateways are paused.

The soak plays targets that stand still (--suspended-targets): tasks that aren't polled, whose connections the kernel accepts and whose bytes it keeps, in series and several at once, up to 20 s, beside failing targets, cut links that hold bytes, and gateways that are killed, stopped and paused. It keeps the platform's events in the run's folder.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -49,6 +49,11 @@
     #[argh(switch)]
     failing_targets: bool,
 
+    /// play only targets that stand still, beside gateways that are killed, stopped and paused in
+    /// series; --seconds has no effect
+    #[argh(switch)]
+    suspended_targets: bool,
+
     /// play only a store that is restored from older copies, beside targets that leave and fail and
     /// gateways that are killed, stopped and paused in series; --seconds has no effect
     #[argh(switch)]
@@ -81,6 +86,7 @@
                 folder: self.folder.clone(),
                 small_hosts: self.small_hosts,
                 failing_targets: self.failing_targets,
+                suspended_targets: self.suspended_targets,
                 restores: self.restores,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -108,6 +108,10 @@
             ..
         } => Some("--failing-targets"),
         SoakOptions { restores: true, .. } => Some("--restores"),
+        SoakOptions {
+            suspended_targets: true,
+            ..
+        } => Some("--suspended-targets"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -246,7 +246,7 @@
 
 /// Section of a time in which up to half of the hosts are cut off from all targets, or the store is
 /// silent for them.
-fn host_section(rng: &mut SmallRng, what: &str, entries: usize) -> String {
+pub fn host_section(rng: &mut SmallRng, what: &str, entries: usize) -> String {
     let at_ms = rng.random_range(FROM_MS..UNTIL_MS - CUT_MS);
     let hosts = rng.random_range(1..=(entries / 2).max(1));
     let first = rng.random_range(0..=entries - hosts);
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -24,6 +24,7 @@
 mod restores;
 mod room;
 mod small_hosts;
+mod suspended_targets;
 mod versions;
 
 use std::path::{Path, PathBuf};
@@ -63,6 +64,8 @@
     pub link_mbps: f64,
     /// Targets that fail most of what they get, beside gateways that are disturbed in series.
     pub failing_targets: bool,
+    /// Targets that stand still, beside gateways that are disturbed in series.
+    pub suspended_targets: bool,
     /// A store that is restored from older copies, beside targets that leave and fail.
     pub restores: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
@@ -105,6 +108,9 @@
     if options.failing_targets {
         return failing_targets::run(options).await;
     }
+    if options.suspended_targets {
+        return suspended_targets::run(options).await;
+    }
     if options.restores {
         return restores::run(options).await;
     }
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashSet;
 use std::fs::File;
+use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{ExitStatus, Stdio};
@@ -501,7 +502,9 @@
     let ready = tokio::time::timeout(READY_TIMEOUT, read_ready(&mut lines)).await;
     let (stores, started) = ready.ok().flatten().ok_or_else(not_ready)?;
     observations.borrow_mut().platform_started = Some(started);
-    actix_rt::spawn(follow_events(lines, observations.clone()));
+    let path = folder.join("events.jsonl");
+    let copy = File::create(&path).context(FolderSnafu { path: &path })?;
+    actix_rt::spawn(follow_events(lines, copy, observations.clone()));
     Ok(((child, stdin), stores))
 }
 
@@ -517,8 +520,13 @@
     Some((stores, started))
 }
 
-async fn follow_events(mut lines: EventLines, observations: Rc<RefCell<Observations>>) {
+/// Records the platform's events, and keeps a copy of them in the run's folder.
+async fn follow_events(mut lines: EventLines, copy: File, observations: Rc<RefCell<Observations>>) {
+    let mut copy = BufWriter::new(copy);
     while let Ok(Some(line)) = lines.next_line().await {
+        if let Err(err) = writeln!(copy, "{line}") {
+            log::warn!("cannot keep a platform event: {err}");
+        }
         let event: EventLine = match serde_json::from_str(&line) {
             Ok(event) => event,
             Err(err) => {
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -49,6 +49,21 @@
 pub struct LinkLost {
     /// A worker may have got the piece, or may get it yet.
     pub may_be_sent: bool,
+    /// The peer may still send it: its process may stand still, or run behind a cut.
+    pub may_run_on: bool,
+}
+
+impl LinkLost {
+    /// The message wasn't sent.
+    const UNSENT: LinkLost = LinkLost {
+        may_be_sent: false,
+        may_run_on: false,
+    };
+    /// The link was dropped with what waited for it.
+    const UNKNOWN: LinkLost = LinkLost {
+        may_be_sent: true,
+        may_run_on: true,
+    };
 }
 
 /// What is known of a peer whose link is lost.
@@ -182,7 +197,7 @@
     /// the future cancels the piece.
     pub async fn request_piece(self: &Rc<Self>, piece: ProducePieceRequest) -> RemoteOutcome {
         if self.is_closed.get() {
-            return Err(LinkLost { may_be_sent: false });
+            return Err(LinkLost::UNSENT);
         }
         let id = piece.id;
         let (outcome, rx) = oneshot::channel();
@@ -194,7 +209,7 @@
         let _pending = PendingPiece { link: self, id };
         self.send(Message::ProducePiece(Box::new(piece)));
         self.probe_while_awaiting();
-        rx.await.unwrap_or(Err(LinkLost { may_be_sent: true }))
+        rx.await.unwrap_or(Err(LinkLost::UNKNOWN))
     }
 
     /// Records that the peer sends a piece to a worker.
@@ -279,12 +294,19 @@
         self.awaited_placements.borrow_mut().clear();
         let waiting = std::mem::take(&mut *self.awaited.borrow_mut());
         for (id, awaited) in waiting {
-            let may_be_sent = match end {
-                PeerEnd::Ended => awaited.is_started,
-                PeerEnd::Unknown => !undelivered.contains(&id),
+            let is_delivered = !undelivered.contains(&id);
+            let lost = match end {
+                PeerEnd::Ended => LinkLost {
+                    may_be_sent: awaited.is_started,
+                    may_run_on: false,
+                },
+                PeerEnd::Unknown => LinkLost {
+                    may_be_sent: is_delivered,
+                    may_run_on: is_delivered,
+                },
             };
             // The receiver may be gone.
-            let _sent = awaited.outcome.send(Err(LinkLost { may_be_sent }));
+            let _sent = awaited.outcome.send(Err(lost));
         }
     }
 
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -20,6 +20,7 @@
 use hollowsail_fleet::ownership::{self, Candidate};
 use hollowsail_fleet::LiveRuns;
 use hollowsail_observe::events;
+use hollowsail_routing::repeats::TrackedSend;
 use hollowsail_routing::Millis;
 use hollowsail_streams::holders::{self, HolderCandidate};
 use hollowsail_streams::StreamKey;
@@ -118,6 +119,8 @@
     runs: RefCell<LiveRuns<PeerId, PeerRecord>>,
     links: RefCell<HashMap<PeerId, Rc<Link>>>,
     suspects: RefCell<HashMap<PeerId, Suspicion>>,
+    /// Sends of pieces that peers may still make whose links were lost.
+    lost_sends: RefCell<HashMap<PeerId, Vec<TrackedSend>>>,
     /// Peers that reported themselves as lagging, and until when that applies.
     lagging: RefCell<HashMap<PeerId, Millis>>,
     /// When the first list of entries was received.
@@ -133,6 +136,7 @@
             runs: RefCell::new(LiveRuns::new(|peer: &PeerRecord| peer.id)),
             links: RefCell::default(),
             suspects: RefCell::default(),
+            lost_sends: RefCell::default(),
             lagging: RefCell::default(),
             first_listed: Cell::new(None),
             ownership_stable_since: Cell::new(0),
@@ -385,9 +389,24 @@
         }
     }
 
-    /// A peer accepted a message: clears its suspicion.
+    /// A peer accepted a message: clears its suspicion. What it got before the link to it was lost
+    /// it has read by now.
     pub fn clear_suspicion(&self, peer: PeerId) {
         self.suspects.borrow_mut().remove(&peer);
+        let sends = self.lost_sends.borrow_mut().remove(&peer);
+        let sends = sends.into_iter().flatten();
+        sends.for_each(|send| send.settle());
+    }
+
+    /// Records that a peer whose link was lost may still send a piece.
+    pub fn record_lost_send(&self, now: Millis, peer: PeerId, send: TrackedSend) {
+        send.lose(now);
+        let mut lost = self.lost_sends.borrow_mut();
+        lost.retain(|_, sends| {
+            sends.retain(|send| !send.is_settled(now));
+            !sends.is_empty()
+        });
+        lost.entry(peer).or_default().push(send);
     }
 
     /// A peer did not respond: it owns nothing until the suspicion ends.
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -17,7 +17,7 @@
 
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::repeats::{RepeatReason, SendPermit, Work};
+use hollowsail_routing::repeats::{RepeatReason, SendPermit, TrackedSend, Work};
 use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::QueueLoad;
 use hollowsail_targets::Target;
@@ -80,6 +80,32 @@
     last_piece_id: Cell<u64>,
 }
 
+/// A piece that the owner of its queue sends. Settled when dropped: from then on the owner, which
+/// knows of the end, answers for it.
+struct PassedOn(Option<TrackedSend>);
+
+impl PassedOn {
+    fn begin(cx: &Traffic, permit: &SendPermit) -> Self {
+        permit.send().begin(cx.clock.now(), true);
+        PassedOn(Some(permit.send().clone()))
+    }
+
+    /// The owner is lost, and may still send it.
+    fn lose(mut self, cx: &Traffic, owner: PeerId) {
+        if let Some(send) = self.0.take() {
+            cx.peers.record_lost_send(cx.clock.now(), owner, send);
+        }
+    }
+}
+
+impl Drop for PassedOn {
+    fn drop(&mut self) {
+        if let Some(send) = &self.0 {
+            send.settle();
+        }
+    }
+}
+
 /// The permit to have a piece produced by the next owner.
 fn permit_after(
     cx: &Traffic,
@@ -145,8 +171,13 @@
                     }
                 }
                 Owner::Peer(link) => {
+                    let passed_on = PassedOn::begin(cx, &permitted);
                     let message = self.message(cx, &queue, &piece_request, permitted);
-                    match link.request_piece(message).await {
+                    let outcome = link.request_piece(message).await;
+                    if outcome.as_ref().is_err_and(|lost| lost.may_run_on) {
+                        passed_on.lose(cx, link.peer.id);
+                    }
+                    match outcome {
                         Ok(peers::PieceOutcome::Completed(completed)) => {
                             let bytes = piece_request.result_bytes;
                             return Ok(RetainedResult::remote(link, queue, completed, bytes));
--- a/crates/routing/src/repeats/charges.rs
+++ b/crates/routing/src/repeats/charges.rs
@@ -67,9 +67,11 @@
             let late = repeated.work.late(now, rules.arrival_ms);
             repeated.hold(late);
             repeated.release(now, late, &mut cover);
+            // A permit may be used long after it was granted.
+            let sent_at = repeated.work.sent_at();
             repeated.charges.retain(|charge| match charge {
                 Charge::Held => true,
-                Charge::Aging { since, .. } => since + charged_ms >= now,
+                Charge::Aging { since, .. } => sent_at.max(*since) + charged_ms >= now,
             });
         }
         self.0
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -32,6 +32,8 @@
 #[derive(Debug)]
 struct Tracked {
     state: Cell<State>,
+    /// When it was sent last; 0 if it wasn't.
+    sent_at: Cell<Millis>,
     /// It passes through another host, which may keep it longer than its target does.
     is_relayed: Cell<bool>,
 }
@@ -40,6 +42,7 @@
     pub(super) fn permitted(now: Millis) -> Self {
         TrackedSend(Rc::new(Tracked {
             state: Cell::new(State::Permitted(now)),
+            sent_at: Cell::new(0),
             is_relayed: Cell::new(false),
         }))
     }
@@ -47,6 +50,7 @@
     /// Records that it is sent, directly or through another host.
     pub fn begin(&self, now: Millis, is_relayed: bool) {
         self.0.is_relayed.set(is_relayed);
+        self.0.sent_at.set(now);
         self.0.state.set(State::Sent(now));
     }
 
@@ -147,6 +151,13 @@
         sends.iter().filter(|send| !send.is_settled(now)).count()
     }
 
+    /// When one of the sends was made last; 0 if none was.
+    pub(super) fn sent_at(&self) -> Millis {
+        let sends = self.0.borrow();
+        let sent_at = sends.iter().map(|send| send.0.sent_at.get());
+        sent_at.max().unwrap_or(0)
+    }
+
     /// True if a send was given up that its target may not have read.
     pub fn is_unread(&self, now: Millis) -> bool {
         let sends = self.0.borrow();
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -370,3 +370,19 @@
     assert!(left < 3.1, "it may have been sent until now: {left}");
     assert!(budget.left(late + 2 * RULES.window_ms, RULES, 4.0) >= 4.0);
 }
+
+// Guards against a process that stands still between a grant and the send.
+#[test]
+fn charge_of_a_repeat_that_is_sent_late_lasts_a_window_from_the_send() {
+    let mut budget = RepeatBudget::default();
+    let work = Work::default();
+    let reason = RepeatReason::CallFailed;
+    let permit = budget.repeat(20_000, RULES, 4.0, reason, &work);
+    let sent_at = 20_000 + 2 * RULES.window_ms;
+    let send = permit.as_ref().expect("the share covers it").send();
+    send.begin(sent_at, false);
+    send.settle();
+    let last = sent_at + RULES.window_ms;
+    assert!(budget.left(last, RULES, 4.0) < 3.1);
+    assert!(budget.left(last + 2 * RULES.window_ms, RULES, 4.0) >= 4.0);
+}
