--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod mechanisms;
 mod metrics;
 mod odd_values;
+mod odd_values_fuzzed;
 mod regions;
 mod repeats;
 mod reservations;
