--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -72,13 +72,13 @@
         work: &Work,
     ) -> Option<SendPermit> {
         let left = self.left(now, rules, share);
+        let kept = match reason.is_hedge() {
+            true => share * KEPT_FROM_HEDGES,
+            false => 0.0,
+        };
         let to_hold = self.charges.to_hold(now, work);
         let from_share = match to_hold {
             0 => {
-                let kept = match reason.is_hedge() {
-                    true => share * KEPT_FROM_HEDGES,
-                    false => 0.0,
-                };
                 if left < 1.0 + kept {
                     return None;
                 }
@@ -88,7 +88,7 @@
                 let held = (self.charges.held() + to_hold) as f64;
                 let may_hold = (share * HELD_PART).max(1.0) + ROUNDING;
                 let of_share = share - self.charges.of_share() + ROUNDING;
-                if held > may_hold || of_share < to_hold as f64 {
+                if held > may_hold || of_share < to_hold as f64 + kept {
                     return None;
                 }
                 1.0
--- a/crates/routing/src/repeats/charges.rs
+++ b/crates/routing/src/repeats/charges.rs
@@ -19,6 +19,8 @@
     work: Work,
     /// Repeats that were granted; some of their charges may have expired.
     granted: usize,
+    /// When all sends were found to be settled.
+    settled_at: Option<Millis>,
     charges: Vec<Charge>,
 }
 
@@ -62,16 +64,25 @@
     /// Applies what has become of the sends. `cover` says which part of a repeat the share covers
     /// that doesn't have to hold it any more.
     pub fn update(&mut self, now: Millis, rules: BudgetRules, mut cover: impl FnMut() -> f64) {
-        let charged_ms = rules.window_ms + rules.arrival_ms;
         for repeated in &mut self.0 {
             let late = repeated.work.late(now, rules.arrival_ms);
+            if repeated.settled_at.is_none() && repeated.work.unsettled(now) == 0 {
+                repeated.settled_at = Some(now);
+            }
             repeated.hold(late);
             repeated.release(now, late, &mut cover);
-            // A permit may be used long after it was granted.
-            let sent_at = repeated.work.sent_at();
+            let (sent_at, settled_at) = (repeated.work.sent_at(), repeated.settled_at);
             repeated.charges.retain(|charge| match charge {
                 Charge::Held => true,
-                Charge::Aging { since, .. } => sent_at.max(*since) + charged_ms >= now,
+                Charge::Aging { since, .. } => {
+                    // A permit may be used long after it was granted, or by somebody else.
+                    let is_followed = sent_at >= *since;
+                    let arrives_by = match settled_at.filter(|_| is_followed) {
+                        Some(settled_at) => settled_at.max(*since),
+                        None => sent_at.max(*since) + rules.arrival_ms,
+                    };
+                    arrives_by + rules.window_ms >= now
+                }
             });
         }
         self.0
@@ -92,6 +103,7 @@
         let repeated = self.of(work);
         let since = now;
         repeated.granted += 1;
+        repeated.settled_at = None;
         repeated.charges.push(Charge::Aging { since, of_share });
         repeated.hold(unsettled);
     }
@@ -113,6 +125,7 @@
             self.0.push(Repeated {
                 work: work.clone(),
                 granted: 0,
+                settled_at: None,
                 charges: Vec::new(),
             });
             self.0.len() - 1
