Back off from a stage worker only if it doesn't close the connection of a call that was given up

A call that was given up after 4 s counted as unread at once, so that its worker got no other call for 4 s, although one that runs closes the connection within a round trip.

Now the worker backs off once 60 ms have passed without that. It gets no call before, as its last one failed. Sends that were given up are forgotten after 120 s, whatever is heard of their connection.

--- a/crates/gateway/src/pools/batcher/workers.rs
+++ b/crates/gateway/src/pools/batcher/workers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_stages::{HallKey, WorkerKey};
@@ -11,6 +12,10 @@
 use super::Batcher;
 use crate::traffic::Traffic;
 
+/// Time after a call was given up until its target counts as stalled. A worker whose call failed gets
+/// no other one for longer.
+const STALL_NOTICE_TIME: Duration = Duration::from_millis(60);
+
 /// Targets and halls by the keys that the queue uses.
 #[derive(Default)]
 pub(super) struct Workers {
@@ -42,14 +47,26 @@
 }
 
 impl Batcher {
-    /// Stops calls to a worker while its target is backing off or seems to stand still.
+    /// Stops calls to a worker while its target is backing off or stands still.
     pub(in crate::pools) fn apply_backoff(&self, cx: &Traffic, worker: WorkerKey, target: &Target) {
-        let probe_at = target.stall.borrow().probe_at(cx.clock.now());
-        if let Some(until) = cx.backoff_until(target).max(probe_at) {
+        let stalled_until = target.stall.borrow().until(cx.clock.now());
+        if let Some(until) = cx.backoff_until(target).max(stalled_until) {
             self.queue.borrow_mut().back_off(worker, until);
         }
     }
 
+    /// The same once it is known whether the target closes the connection of a call that was given
+    /// up, which it does unless it stands still.
+    pub(in crate::pools) async fn apply_stall(
+        self: Rc<Self>,
+        cx: Rc<Traffic>,
+        worker: WorkerKey,
+        target: Rc<Target>,
+    ) {
+        tokio::time::sleep(STALL_NOTICE_TIME).await;
+        self.apply_backoff(&cx, worker, &target);
+    }
+
     /// Applies the speed that a worker's target reported last, if it did.
     pub(in crate::pools) fn apply_speed(&self, worker: WorkerKey, target: &Target) {
         if let Some((percent, received_at)) = target.reported_work_percent() {
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -128,6 +128,10 @@
         .borrow_mut()
         .end_call(started.call, end, cx.clock.now());
     batcher.apply_backoff(&cx, started.worker, &target);
+    if end == CallEnd::Failed {
+        let (batcher, cx, target) = (batcher.clone(), cx.clone(), target.clone());
+        actix_rt::spawn(batcher.apply_stall(cx, started.worker, target));
+    }
     batcher.apply_speed(started.worker, &target);
     requeue_unfinished(&cx, &batcher, unfinished, end);
     batcher.pump();
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -9,6 +9,9 @@
 /// that answers a later request ends that time.
 pub const LOST_MS: Millis = 60_000;
 
+/// The same for a send that was given up and whose connection is watched, which ends before.
+const MAX_ABANDONED_MS: Millis = 2 * LOST_MS;
+
 /// How far a send is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
@@ -109,7 +112,8 @@
         match self.0.state.get() {
             State::Settled => true,
             State::Lost(at) => at + LOST_MS <= now,
-            State::Permitted(_) | State::Sent(_) | State::Abandoned(_) => false,
+            State::Abandoned(at) => at + MAX_ABANDONED_MS <= now,
+            State::Permitted(_) | State::Sent(_) => false,
         }
     }
 
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -70,7 +70,7 @@
 
     /// When the target may be probed, if it stands still then; `None` if it has closed all
     /// connections.
-    pub fn probe_at(&self, now: Millis) -> Option<Millis> {
+    fn probe_at(&self, now: Millis) -> Option<Millis> {
         let since = self.oldest(now)? + CLOSE_MS;
         let is_watched = self.abandoned.iter().any(TrackedSend::is_watched);
         let first = match is_watched {
