Settle a piece that its owner ended before its repeat is asked for

The send of a piece through an owner whose process has ended counted as one that may still arrive until its repeat was granted, so that only the part of the share could cover it that may be held. Seen when the change was read again; no test shows it.

--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -80,8 +80,8 @@
     last_piece_id: Cell<u64>,
 }
 
-/// A piece that the owner of its queue sends. Settled when dropped: from then on the owner, which
-/// knows of the end, answers for it.
+/// A piece that the owner of its queue sends. Its send is settled when this is dropped: an owner that
+/// told the outcome holds charges itself for what may still arrive.
 struct PassedOn(Option<TrackedSend>);
 
 impl PassedOn {
@@ -90,7 +90,7 @@
         PassedOn(Some(permit.send().clone()))
     }
 
-    /// The owner is lost, and may still send it.
+    /// Records that the owner is lost and may still send the piece.
     fn lose(mut self, cx: &Traffic, owner: PeerId) {
         if let Some(send) = self.0.take() {
             cx.peers.record_lost_send(cx.clock.now(), owner, send);
@@ -174,8 +174,9 @@
                     let passed_on = PassedOn::begin(cx, &permitted);
                     let message = self.message(cx, &queue, &piece_request, permitted);
                     let outcome = link.request_piece(message).await;
-                    if outcome.as_ref().is_err_and(|lost| lost.may_run_on) {
-                        passed_on.lose(cx, link.peer.id);
+                    match &outcome {
+                        Err(lost) if lost.may_run_on => passed_on.lose(cx, link.peer.id),
+                        Ok(_) | Err(_) => drop(passed_on),
                     }
                     match outcome {
                         Ok(peers::PieceOutcome::Completed(completed)) => {
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -11,8 +11,8 @@
 const EARNED_PART: f64 = 0.5;
 /// Part of the share that hedges may not use.
 const KEPT_FROM_HEDGES: f64 = 0.5;
-/// Part of the share that sends which may arrive in any later window may hold: with it, all shares
-/// and those of the processes that follow them stay within the allowance.
+/// Part of the share that may be held for sends that arrive in any later window. A process that
+/// follows this one doesn't know of them, and uses a whole share beside.
 const HELD_PART: f64 = 0.65;
 /// Number of steps of a window in which earnings are added up.
 const STEPS_PER_WINDOW: Millis = 50;
@@ -60,9 +60,8 @@
     }
 
     /// Permits `work` to be sent once more; `None` if neither earnings nor `share` cover it. Hedges
-    /// leave half of the share to repeats of what has failed. What earlier sends of the work may
-    /// still make arrive in any later window is held against the share, but not all of it:
-    /// the process that follows this one doesn't know of it.
+    /// leave half of the share to repeats of what has failed. If an earlier send of the work may still
+    /// arrive, that may be in a window without requests, so that only `share` can cover it.
     pub fn repeat(
         &mut self,
         now: Millis,
