--- a/crates/connect/tests/suite/abandoned.rs
+++ b/crates/connect/tests/suite/abandoned.rs
@@ -46,15 +46,9 @@
     listener.accept().await.expect("loopback").0
 }
 
-// Guards against requests that count as gone while their target may still read them.
-#[actix_rt::test]
-async fn abandoned_request_ends_when_its_peer_closes_the_connection() {
-    let listener = listener().await;
-    let addr = listener.local_addr().expect("a local address");
-    let end = abandon(&Pool::new(addr, RULES)).await;
-    tokio::time::sleep(MOMENT).await;
-    assert_eq!(end.get(), None);
-    let mut peer = accept(&listener).await;
+/// Has the peer read the request and then close the connection, which ends the request.
+async fn assert_ends_when_peer_closes(listener: &TcpListener, end: &Cell<Option<End>>) {
+    let mut peer = accept(listener).await;
     let mut read = Vec::new();
     // Ends since the other direction is closed.
     peer.read_to_end(&mut read).await.expect("it is readable");
@@ -66,6 +60,17 @@
     assert_eq!(end.get(), Some(End::ByPeer));
 }
 
+// Guards against requests that count as gone while their target may still read them.
+#[actix_rt::test]
+async fn abandoned_request_ends_when_its_peer_closes_the_connection() {
+    let listener = listener().await;
+    let addr = listener.local_addr().expect("a local address");
+    let end = abandon(&Pool::new(addr, RULES)).await;
+    tokio::time::sleep(MOMENT).await;
+    assert_eq!(end.get(), None);
+    assert_ends_when_peer_closes(&listener, &end).await;
+}
+
 #[actix_rt::test]
 async fn answer_that_comes_after_a_request_was_given_up_ends_it() {
     let listener = listener().await;
@@ -123,15 +128,7 @@
     let listener = listener().await;
     let (pool, _task) = relayed_pool(&listener).await;
     let end = abandon(&pool).await;
-    let mut peer = accept(&listener).await;
-    let mut read = Vec::new();
-    peer.read_to_end(&mut read).await.expect("it is readable");
-    assert!(read.starts_with(b"GET /"));
-    tokio::time::sleep(MOMENT).await;
-    assert_eq!(end.get(), None);
-    drop(peer);
-    tokio::time::sleep(MOMENT).await;
-    assert_eq!(end.get(), Some(End::ByPeer));
+    assert_ends_when_peer_closes(&listener, &end).await;
 }
 
 #[actix_rt::test]
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -81,7 +81,7 @@
                 if left < 1.0 + kept {
                     return None;
                 }
-                self.spend_earned(1.0)
+                spend_earned(&mut self.earned, 1.0)
             }
             _ => {
                 let held = (self.charges.held() + to_hold) as f64;
@@ -135,10 +135,6 @@
         self.charges
             .update(now, rules, || spend_earned(earned, 1.0));
     }
-
-    fn spend_earned(&mut self, amount: f64) -> f64 {
-        spend_earned(&mut self.earned, amount)
-    }
 }
 
 /// Spends earnings, oldest first, and returns what they don't cover.
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -125,13 +125,9 @@
         }
     }
 
-    fn is_permitted(&self) -> bool {
-        matches!(self.0.state.get(), State::Permitted(_))
-    }
-
     /// Forgets a permit that wasn't used.
     pub(super) fn drop_permit(&self) {
-        if self.is_permitted() {
+        if let State::Permitted(_) = self.0.state.get() {
             self.settle();
         }
     }
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -64,32 +64,22 @@
 
     /// Until when the target should get nothing; `None` while it runs or may be probed.
     pub fn until(&self, now: Millis) -> Option<Millis> {
-        self.probe_at(now)
-            .filter(|until| *until > now && self.since(now).is_some())
-    }
-
-    /// When the target may be probed, if it stands still then; `None` if it has closed all
-    /// connections.
-    fn probe_at(&self, now: Millis) -> Option<Millis> {
-        let since = self.oldest(now)? + CLOSE_MS;
+        let since = self.since(now)?;
         let is_watched = self.abandoned.iter().any(TrackedSend::is_watched);
         let first = match is_watched {
             true => WATCHED_PROBE_MS,
             false => PROBE_MS,
         };
         let interval = (first << self.probes.min(u8::BITS)).min(MAX_PROBE_MS);
-        Some(since.max(self.probed_at) + interval)
+        let until = since.max(self.probed_at) + interval;
+        (until > now).then_some(until)
     }
 
     /// Since when it stands still.
     fn since(&self, now: Millis) -> Option<Millis> {
-        let since = self.oldest(now)? + CLOSE_MS;
-        (since <= now).then_some(since)
-    }
-
-    /// When the first of the sends was given up that may still arrive.
-    fn oldest(&self, now: Millis) -> Option<Millis> {
         let abandoned = self.abandoned.iter();
-        abandoned.filter_map(|send| send.abandoned_at(now)).min()
+        let oldest = abandoned.filter_map(|send| send.abandoned_at(now)).min()?;
+        let since = oldest + CLOSE_MS;
+        (since <= now).then_some(since)
     }
 }
