--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -215,6 +215,11 @@
     gauge!("hollowsail_held_repeats", "service" => service.to_string()).set(held as f64);
 }
 
+/// Sets the repeats of the last window, and held ones, that are charged to the fixed allowance.
+pub fn set_charged_repeats(service: &str, charged: f64) {
+    gauge!("hollowsail_charged_repeats", "service" => service.to_string()).set(charged);
+}
+
 /// Counts an attempt or call whose answer nobody waited for any more, by how its connection ended.
 pub fn count_abandoned(service: &str, end: &'static str) {
     counter!("hollowsail_abandoned_sends_total", "service" => service.to_string(), "end" => end)
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -227,6 +227,7 @@
         for (service, budget) in budgets.iter_mut() {
             budget.update(now, rules(bounds));
             metrics::set_held_repeats(service, budget.held());
+            metrics::set_charged_repeats(service, budget.charged());
         }
         drop(budgets);
         let tallies = self.tallies.take();
@@ -234,8 +235,9 @@
             .into_iter()
             .filter(|(_, tally)| tally.granted + tally.refused > 0);
         for (service, tally) in with_repeats {
-            let (left, held) = self.with_budget(&service, |budget| {
-                (budget.left(now, rules(bounds), share), budget.held())
+            let (left, held, charged) = self.with_budget(&service, |budget| {
+                let left = budget.left(now, rules(bounds), share);
+                (left, budget.held(), budget.charged())
             });
             let Tally {
                 requests,
@@ -244,8 +246,8 @@
             } = tally;
             let fields = format_args!(
                 "service={service} requests={requests} granted={granted} refused={refused} \
-                 left={left:.2} held={held} share={share:.2} hosts={hosts} hosts_at={hosts_at} \
-                 hosts_age_ms={hosts_age_ms} earlier_runs={} recorded={is_recorded}",
+                 left={left:.2} held={held} charged={charged:.2} share={share:.2} hosts={hosts} \
+                 hosts_at={hosts_at} hosts_age_ms={hosts_age_ms} earlier_runs={} recorded={is_recorded}",
                 DisplayRuns(earlier_runs)
             );
             log.line(events::REPEAT_BUDGET, fields);
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -115,6 +115,11 @@
         self.charges.held()
     }
 
+    /// Repeats of the last window, and held ones, that are charged to the share, with fractions.
+    pub fn charged(&self) -> f64 {
+        self.charges.of_share()
+    }
+
     fn earn(&mut self, now: Millis, rules: BudgetRules, amount: f64) {
         let step_ms = rules.window_ms / STEPS_PER_WINDOW;
         match self.earned.back_mut() {
