Add failing tests of repeats while hosts join

Hosts that start one after the other, or that are replaced by hosts of other names, send more repeats than are allowed, counted by what the targets receive.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod evacuated_halls;
 mod fixture;
 mod forwarding;
+mod joining_hosts;
 mod libraries;
 mod limits;
 mod mechanisms;
