--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -9,7 +9,6 @@
 
 use super::follow::Subscription;
 use super::source::Origin;
-use super::stopped_runs;
 use super::Control;
 use crate::feed::KeyGroup;
 use crate::peers::{PeerRecord, PREFIX};
@@ -75,9 +74,6 @@
         self.log_peers_gone(&gone, "not_listed");
         if self.entries_listed_at.get().is_none() {
             self.entries_listed_at.set(Some(now));
-            let keys = range.items.iter().map(|item| item.key.as_str());
-            let known = stopped_runs::count_earlier(&self.me, keys);
-            self.set_earlier_runs(known);
         }
         self.publish();
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -25,10 +25,10 @@
 mod peer_state;
 mod records;
 mod refusals;
+mod repeat_units;
 mod rollouts;
 mod settle;
 mod source;
-mod stopped_runs;
 mod store_link;
 mod usable;
 
@@ -39,11 +39,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwap;
 use hollowsail_fleet::{EvacuatedHalls, Newest, Position, TargetRegistry, WarmUps};
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Store};
 use hollowsail_platform::targets::TargetRecord;
-use hollowsail_routing::repeats::EarlierRuns;
 use hollowsail_routing::Millis;
 
 use self::backoff::Backoff;
@@ -60,7 +60,9 @@
 use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::peers::PeerRecord;
+use crate::repeats::SharedShare;
 use crate::rollouts::{Orders, PhaseReceiver, PhaseRecords};
+use crate::traffic::FromControl;
 use crate::view::{Published, View};
 
 /// Time after the store is reachable again within which a record may reappear, in
@@ -89,15 +91,17 @@
     is_list_long: Cell<bool>,
     /// When the first list of entries was applied.
     entries_listed_at: Cell<Option<Millis>>,
-    /// By the first list of entries that can be relied on.
-    earlier_runs: Cell<Option<EarlierRuns>>,
     /// Whether the store answers, and the epoch that the state belongs to.
     store_link: StoreLink,
     pauses: WatchPauses,
     /// Changes received by this entry, served to others of its hall.
     feeds: Arc<Feeds>,
     /// What the loops that follow lists do, and how far they are.
-    lists: Arc<ListStates>,
+    lists: ListStates,
+    /// This process's units of the allowance of repeats, which traffic uses.
+    repeat_share: SharedShare,
+    /// May be reloaded.
+    settings: Arc<ArcSwap<Settings>>,
     followers: Followers,
     seeds: Vec<SocketAddr>,
     /// This entry's record.
@@ -118,13 +122,17 @@
 
 impl Control {
     pub fn new(
-        settings: &Settings,
+        reloaded: Arc<ArcSwap<Settings>>,
         me: PeerRecord,
         clock: Clock,
-        published: Arc<Published>,
-        feeds: Arc<Feeds>,
-        lists: Arc<ListStates>,
+        shared: FromControl,
     ) -> Rc<Self> {
+        let settings = reloaded.load_full();
+        let FromControl {
+            published,
+            feeds,
+            repeat_share,
+        } = shared;
         Rc::new(Control {
             store: Store::new(&settings.store),
             clock,
@@ -132,7 +140,7 @@
             published,
             configuration: RefCell::default(),
             evacuated: RefCell::default(),
-            registry: RefCell::new(TargetRegistry::new(epoch::target_timing(settings))),
+            registry: RefCell::new(TargetRegistry::new(epoch::target_timing(&settings))),
             warm_ups: RefCell::default(),
             new_versions: RefCell::new(NewVersions::new(&settings.bounds)),
             orders: RefCell::default(),
@@ -141,11 +149,12 @@
             lists_read: Cell::new(0),
             is_list_long: Cell::new(false),
             entries_listed_at: Cell::new(None),
-            earlier_runs: Cell::new(None),
             store_link: StoreLink::default(),
             pauses: WatchPauses::new(&settings.bounds),
             feeds,
-            lists,
+            lists: ListStates::default(),
+            repeat_share,
+            settings: reloaded.clone(),
             followers: Followers::default(),
             seeds: settings.seeds.clone(),
             me,
@@ -169,6 +178,7 @@
         self.keep_running(|cx| follow::follow(cx, operators::SUBSCRIPTION));
         self.keep_running(|cx| follow::follow(cx, records::SUBSCRIPTION));
         self.keep_running(own_record::maintain);
+        self.keep_running(repeat_units::maintain);
         self.keep_running(|cx| follow::follow(cx, membership::SUBSCRIPTION));
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
@@ -213,7 +223,6 @@
             records: self.records_for_peers(),
             is_store_reachable: self.store_link.is_reachable(),
             peers: self.peers_now(),
-            earlier_runs: self.earlier_runs.get(),
             refused: self.refused.borrow().clone(),
             orders: self.orders.borrow().all(),
             rollout_records: self.rollout_records.borrow().clone(),
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -140,8 +140,7 @@
 }
 
 impl Control {
-    /// Removes this entry's record, so that peers stop using it at once, and leaves the mark of this run
-    /// meanwhile.
+    /// Removes this entry's record, so that peers stop using it at once.
     pub async fn deregister(&self) {
         self.is_stopping.set(true);
         // Entries that follow the store through this one switch at once.
@@ -149,8 +148,7 @@
         let Some(lease) = self.lease.take() else {
             return;
         };
-        let (ended, ()) = tokio::join!(self.store.end_lease(lease), self.mark_stopped());
-        if let Err(err) = ended {
+        if let Err(err) = self.store.end_lease(lease).await {
             let fields = format_args!("state=leaving why=\"{err}\"");
             self.log.line(events::MEMBER, fields);
         }
--- /dev/null
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -0,0 +1,256 @@
+//! Maintains this process's units of the allowance of repeats, as keys in the store.
+//!
+//! Carries out what [`hollowsail_fleet::quota`] decides: once a second, and when little of the share is left,
+//! a round begins; most of them need no call. The units are in force for traffic as soon as the store has confirmed them, and until the lease may
+//! end ([`SharedShare`](crate::repeats::SharedShare)). A planned stop gives up what nothing is charged to;
+//! all else stays taken until the lease ends.
+
+use std::collections::BTreeSet;
+use std::ops::Range;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hollowsail_fleet::quota::{
+    self, ListedUnit, Quota, QuotaCall, QuotaReply, QuotaTiming, UnitId, UnitList,
+};
+use hollowsail_fleet::Position;
+use hollowsail_observe::events;
+use hollowsail_platform::settings::Bounds;
+use hollowsail_platform::store::{Lease, StoreError};
+use hollowsail_routing::repeats::LOST_MS;
+use hollowsail_routing::Millis;
+use rand::Rng;
+
+use super::Control;
+use crate::metrics;
+use crate::repeats::ARRIVAL_MS;
+
+/// Key prefix of the units; their numbers follow.
+const PREFIX: &str = "hollowsail-repeats/";
+/// Key of the mark that the units of earlier epochs have run out; its value is an epoch.
+const SETTLED_KEY: &str = "hollowsail-repeats/settled";
+/// Most units that an allowance is divided into.
+const MAX_UNITS: f64 = 10_000.0;
+/// Time between two rounds while enough of the share is left, and in any case.
+const ROUND_INTERVAL: Duration = Duration::from_secs(1);
+const MIN_INTERVAL: Duration = Duration::from_millis(10);
+/// Delay before units are written again in a new epoch.
+const NEW_EPOCH_DELAY: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(10);
+/// How long units may be used while the store doesn't answer, in milliseconds.
+const USE_MS: Millis = 40_000;
+/// Time between two calls that extend the lease, in milliseconds.
+const EXTEND_MS: Millis = 6_000;
+
+/// The units, and what the store knows of this process.
+struct Units<'a> {
+    cx: &'a Rc<Control>,
+    quota: Quota,
+    lease: Option<Lease>,
+    /// Value of the keys.
+    owner: Vec<u8>,
+}
+
+/// Maintains the units until a planned stop.
+pub async fn maintain(cx: Rc<Control>) {
+    let mut units = Units {
+        cx: &cx,
+        quota: Quota::new(timing(&cx.settings.load().bounds)),
+        lease: None,
+        owner: cx.me.key_under("").into_bytes(),
+    };
+    while !cx.is_stopping.get() {
+        if cx.store_link.is_reachable() {
+            units.delay_in_new_epoch().await;
+            units.run_round().await;
+        }
+        tokio::time::sleep(MIN_INTERVAL).await;
+        let pressed = cx.repeat_share.until_pressed();
+        // Returns an error after the interval.
+        let _in_time = tokio::time::timeout(ROUND_INTERVAL, pressed).await;
+    }
+    units.run_last_round().await;
+}
+
+fn timing(bounds: &Bounds) -> QuotaTiming {
+    let window_ms = (bounds.retry_window_s * 1_000.0) as Millis;
+    QuotaTiming {
+        use_ms: USE_MS,
+        settle_ms: LOST_MS + ARRIVAL_MS + window_ms,
+        extend_ms: EXTEND_MS,
+    }
+}
+
+/// Units of the whole allowance.
+fn total(bounds: &Bounds) -> u32 {
+    bounds.retry_extra.clamp(0.0, MAX_UNITS) as u32
+}
+
+fn key_of(unit: UnitId) -> String {
+    format!("{PREFIX}{}", unit.0)
+}
+
+fn unit_of(key: &str) -> Option<UnitId> {
+    let number = key.strip_prefix(PREFIX)?.parse().ok()?;
+    Some(UnitId(number))
+}
+
+impl Units<'_> {
+    /// Lets the more urgent records be written first after the store was restored. What is held stays
+    /// usable meanwhile, and nobody else claims it.
+    async fn delay_in_new_epoch(&self) {
+        if self
+            .lease
+            .is_some_and(|lease| lease.epoch() < self.cx.store.epoch())
+        {
+            let delay = rand::rng().random_range(NEW_EPOCH_DELAY);
+            tokio::time::sleep(delay).await;
+        }
+    }
+
+    async fn run_round(&mut self) {
+        let total = total(&self.cx.settings.load().bounds);
+        let hosts = self.count_hosts();
+        metrics::set_repeat_hosts(hosts);
+        let part = quota::target(total, hosts);
+        let target = match self.cx.repeat_share.lock().is_pressed() {
+            true => quota::pressed_target(total, hosts),
+            false => part,
+        };
+        self.give_up(self.quota.surplus(total, target));
+        self.quota.begin_round(total, part, target);
+        let held = self.quota.held();
+        self.make_calls().await;
+        if self.quota.held() != held {
+            self.log_held(&format!("target={target} total={total} hosts={hosts}"));
+        }
+    }
+
+    /// Removes the keys of units that nothing is charged to; they can be claimed at once.
+    async fn run_last_round(&mut self) {
+        self.give_up(self.quota.held());
+        self.quota.begin_last_round();
+        self.make_calls().await;
+        self.log_held("why=stopping");
+    }
+
+    fn log_held(&self, details: &str) {
+        let fields = format_args!(
+            "held={} epoch={} {details}",
+            self.quota.held(),
+            self.cx.store.epoch()
+        );
+        self.cx.log.line(events::REPEAT_UNITS, fields);
+    }
+
+    /// Hosts that have a record, and this one.
+    fn count_hosts(&self) -> usize {
+        let peers = self.cx.peers_now();
+        let own = std::iter::once(self.cx.me.host.as_str());
+        let listed = peers.iter().map(|peer| peer.host.as_str());
+        listed.chain(own).collect::<BTreeSet<&str>>().len()
+    }
+
+    fn give_up(&mut self, units: usize) {
+        let given_up = self.cx.repeat_share.lock().give_up(units);
+        self.quota.give_up(given_up);
+    }
+
+    async fn make_calls(&mut self) {
+        while let Some(call) = self.next_call() {
+            let sent_at = self.cx.clock.now();
+            let result = self.make_call(&call).await;
+            self.record(sent_at, &call, result);
+        }
+    }
+
+    fn next_call(&mut self) -> Option<QuotaCall> {
+        let now = self.cx.clock.now();
+        self.quota.next_call(now, &mut rand::rng())
+    }
+
+    async fn make_call(&mut self, call: &QuotaCall) -> Result<QuotaReply, StoreError> {
+        let store = &self.cx.store;
+        let done_at = match call {
+            QuotaCall::TakeLease => {
+                let ttl = Duration::from_millis(self.quota.timing().ttl_ms());
+                self.lease = Some(store.lease(ttl.max(self.cx.min_lease)).await?);
+                Position::default()
+            }
+            QuotaCall::ExtendLease => {
+                store.renew(self.lease()?).await?;
+                Position::default()
+            }
+            QuotaCall::List { allow_stale } => {
+                let range = store.range(PREFIX, *allow_stale).await?;
+                let listed = range.items.iter();
+                let units = listed.clone().filter_map(|item| {
+                    let is_own = item.value == self.owner;
+                    let unit = ListedUnit {
+                        at: item.at,
+                        is_own,
+                    };
+                    Some((unit_of(&item.key)?, unit))
+                });
+                let mut marks = listed.filter(|item| item.key == SETTLED_KEY);
+                let settled = marks.find_map(|item| {
+                    let epoch = std::str::from_utf8(&item.value).ok()?;
+                    Some((item.at, epoch.parse().ok()?))
+                });
+                return Ok(QuotaReply::Listed(UnitList {
+                    units: units.collect(),
+                    settled,
+                }));
+            }
+            QuotaCall::Write(writes) => {
+                let keys = writes.iter();
+                let keys: Vec<_> = keys
+                    .map(|write| (key_of(write.unit), write.expected))
+                    .collect();
+                store.put_each(&keys, &self.owner, self.lease()?).await?
+            }
+            QuotaCall::Remove(keys) => {
+                let keys = keys.iter().map(|(unit, at)| (key_of(*unit), *at));
+                store.remove_each(&keys.collect::<Vec<_>>()).await?
+            }
+            QuotaCall::MarkSettled { epoch, expected } => {
+                let value = epoch.to_string();
+                let puts = [(SETTLED_KEY, value.as_bytes())];
+                store.put_all(*expected, &puts).await?
+            }
+        };
+        Ok(QuotaReply::Done(done_at))
+    }
+
+    fn lease(&self) -> Result<Lease, StoreError> {
+        self.lease.ok_or(StoreError::LeaseExpired)
+    }
+
+    fn record(
+        &mut self,
+        sent_at: Millis,
+        call: &QuotaCall,
+        result: Result<QuotaReply, StoreError>,
+    ) {
+        let store = &self.cx.store;
+        let now = self.cx.clock.now();
+        let reply = match result {
+            Ok(reply) => reply,
+            Err(StoreError::Conflict) => QuotaReply::Conflict,
+            Err(StoreError::LeaseExpired) => QuotaReply::LeaseEnded,
+            Err(err) => {
+                self.cx.store_failed(&err);
+                match err.is_outcome_unknown() {
+                    true => QuotaReply::Unknown,
+                    false => QuotaReply::Refused,
+                }
+            }
+        };
+        self.quota
+            .record_epoch(now, store.epoch(), store.was_restored());
+        let epoch = self.lease.map_or(store.epoch(), |lease| lease.epoch());
+        self.quota.record_reply(now, sent_at, epoch, call, reply);
+        let usable = self.quota.usable(now);
+        let mut share = self.cx.repeat_share.lock();
+        share.set_units(usable.count, usable.until);
+    }
+}
--- a/crates/gateway/src/list_states.rs
+++ b/crates/gateway/src/list_states.rs
@@ -45,7 +45,7 @@
     activity: Activity,
 }
 
-/// States of all lists; written by the control thread, read by both threads.
+/// States of all lists.
 #[derive(Default)]
 pub struct ListStates([Mutex<ListState>; KeyGroup::COUNT]);
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -226,9 +226,13 @@
         .increment(1);
 }
 
-/// Sets this entry's share of the fixed allowance of repeats, and the hosts that it is divided by.
-pub fn set_repeat_share(share: f64, hosts: usize) {
+/// Sets this entry's share of the fixed allowance of repeats.
+pub fn set_repeat_share(share: f64) {
     gauge!("hollowsail_repeat_share").set(share);
+}
+
+/// Sets the hosts by which this entry decides how many units of the allowance of repeats it claims.
+pub fn set_repeat_hosts(hosts: usize) {
     gauge!("hollowsail_repeat_hosts").set(hosts as f64);
 }
 
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -4,25 +4,49 @@
 //! first send of each request or piece, and each repeat that is within this host's share; it logs and
 //! counts every repeat that it grants or refuses.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap};
 use std::fmt;
+use std::sync::{Arc, Mutex, MutexGuard};
 
-use hollowsail_fleet::known_hosts::COUNTED_FOR_MS;
-use hollowsail_fleet::{KnownHosts, Position};
 use hollowsail_observe::events;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_routing::repeats::{
-    BudgetRules, Claim, EarlierRuns, RepeatBudget, RepeatReason, SendPermit, Work,
+    BudgetRules, RepeatBudget, RepeatReason, SendPermit, Share, Work,
 };
 use hollowsail_routing::Millis;
+use tokio::sync::Notify;
 
 use crate::log::Log;
 use crate::metrics;
 
 /// How much later than it is sent work may reach its target, in milliseconds.
-const ARRIVAL_MS: Millis = 1_000;
+pub const ARRIVAL_MS: Millis = 1_000;
+
+/// This process's share of the fixed allowance: control sets the units that it holds, traffic those that
+/// are charged.
+#[derive(Debug, Clone, Default)]
+pub struct SharedShare(Arc<LockedShare>);
+
+#[derive(Debug, Default)]
+struct LockedShare {
+    share: Mutex<Share>,
+    /// Notified when a repeat is asked for and little of the share is left.
+    pressed: Notify,
+}
+
+impl SharedShare {
+    pub fn lock(&self) -> MutexGuard<'_, Share> {
+        let share = self.0.share.lock();
+        share.expect("no thread panics while holding the lock")
+    }
+
+    /// Waits until little of the share is left.
+    pub async fn until_pressed(&self) {
+        self.0.pressed.notified().await;
+    }
+}
 
 /// Work that is to be sent again.
 #[derive(Debug, Clone, Copy)]
@@ -67,32 +91,13 @@
     }
 }
 
-/// Earlier runs in a log line, with a question mark if one may be missing.
-struct DisplayRuns(Option<EarlierRuns>);
-
-impl fmt::Display for DisplayRuns {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.0 {
-            None => f.write_str("unknown"),
-            Some(EarlierRuns {
-                known,
-                may_miss_one,
-            }) => write!(f, "{known}{}", if may_miss_one { "?" } else { "" }),
-        }
-    }
-}
-
-/// Budgets of all services, and the hosts that share them.
-#[derive(Default)]
+/// Budgets of all services, and this process's share in them.
 pub struct Repeats {
     /// By service name.
     budgets: RefCell<HashMap<String, RepeatBudget>>,
     /// What each service got since the last report.
     tallies: RefCell<BTreeMap<String, Tally>>,
-    hosts: RefCell<KnownHosts>,
-    standing: Cell<Standing>,
-    /// Since when the store doesn't answer this host; peers may forget it some time later.
-    unreachable_since: Cell<Option<Millis>>,
+    share: SharedShare,
 }
 
 /// Sends to a service in a window.
@@ -104,31 +109,13 @@
     refused: u64,
 }
 
-/// What entitles this process to its host's share.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct Standing {
-    /// Earlier runs on this host that may have used its share lately; `None` before any list of them
-    /// that can be relied on.
-    pub earlier_runs: Option<EarlierRuns>,
-    /// Its own record is in the store, by which later runs know of it.
-    pub is_recorded: bool,
-}
-
 impl Repeats {
-    /// Applies a list of the hosts that have a record.
-    pub fn update_hosts<'a>(&self, now: Millis, listed: impl Iterator<Item = &'a str>) {
-        self.hosts.borrow_mut().update(now, listed);
-    }
-
-    /// Applies what entitles this process to its host's share.
-    pub fn update_standing(&self, standing: Standing) {
-        self.standing.set(standing);
-    }
-
-    /// Applies whether the store answers this host.
-    pub fn update_store(&self, now: Millis, is_reachable: bool) {
-        let since = self.unreachable_since.get().unwrap_or(now);
-        self.unreachable_since.set((!is_reachable).then_some(since));
+    pub fn new(share: SharedShare) -> Self {
+        Repeats {
+            budgets: RefCell::default(),
+            tallies: RefCell::default(),
+            share,
+        }
     }
 
     /// Permits the first send of a caller's request, and counts the request.
@@ -147,15 +134,21 @@
         log: &Log,
         repeat: &Repeat<'_>,
     ) -> Option<SendPermit> {
-        let share = self.share(now, bounds);
+        let mut shared = self.share.lock();
+        let share = shared.at(now);
         let (permit, left, held) = self.with_budget(repeat.service, |budget| {
             let permit = budget.repeat(now, rules(bounds), share, repeat.reason, repeat.work);
+            shared.raise_charged(budget.charged());
             (
                 permit,
                 budget.left(now, rules(bounds), share),
                 budget.held(),
             )
         });
+        if shared.is_pressed() {
+            self.share.0.pressed.notify_one();
+        }
+        drop(shared);
         let (event, result) = match &permit {
             Some(_) => (events::REPEATED, "granted"),
             None => (events::REPEAT_REFUSED, "refused"),
@@ -169,11 +162,9 @@
             None => "request",
         };
         metrics::count_repeat(repeat.service, work, repeat.reason.name(), result);
-        let hosts = self.hosts.borrow().count(now).unwrap_or(0);
         let unsettled = repeat.work.unsettled(now);
         let fields = format_args!(
-            "{repeat} left={left:.2} share={share:.2} hosts={hosts} unsettled={unsettled} \
-             held={held}"
+            "{repeat} left={left:.2} share={share:.2} unsettled={unsettled} held={held}"
         );
         log.line(event, fields);
         permit
@@ -186,50 +177,25 @@
         }
     }
 
-    /// Repeats that this process may charge to the fixed allowance in a window.
-    fn share(&self, now: Millis, bounds: &Bounds) -> f64 {
-        let standing = self.standing.get();
-        let is_counted = match self.unreachable_since.get() {
-            Some(since) => now < since + COUNTED_FOR_MS,
-            None => true,
-        };
-        let is_entitled = is_counted && standing.is_recorded;
-        let hosts = self.hosts.borrow().count(now).filter(|_| is_entitled);
-        let (Some(earlier_runs), Some(hosts)) = (standing.earlier_runs, hosts) else {
-            return 0.0;
-        };
-        let claim = Claim {
-            running_ms: now,
-            earlier_runs,
-            hosts,
-        };
-        claim.share(bounds.retry_extra, rules(bounds))
-    }
-
-    /// Logs what the services with repeats got since the last report, and begins anew. `listed` is the
-    /// position of the list of hosts, and its age.
-    pub fn report(
-        &self,
-        now: Millis,
-        bounds: &Bounds,
-        log: &Log,
-        listed: Option<(Position, Millis)>,
-    ) {
-        let Standing {
-            earlier_runs,
-            is_recorded,
-        } = self.standing.get();
-        let share = self.share(now, bounds);
-        let hosts = self.hosts.borrow().count(now).unwrap_or(0);
-        let (hosts_at, hosts_age_ms) = listed.unwrap_or_default();
-        metrics::set_repeat_share(share, hosts);
+    /// Sets which units are charged, for control, which gives up others.
+    pub fn update_charges(&self, now: Millis, bounds: &Bounds) {
         let mut budgets = self.budgets.borrow_mut();
-        for (service, budget) in budgets.iter_mut() {
+        let charged = budgets.values_mut().map(|budget| {
             budget.update(now, rules(bounds));
+            budget.charged()
+        });
+        let charged = charged.fold(0.0, f64::max);
+        self.share.lock().set_charged(charged);
+    }
+
+    /// Logs what the services with repeats got since the last report, and begins anew.
+    pub fn report(&self, now: Millis, bounds: &Bounds, log: &Log) {
+        let share = self.share.lock().at(now);
+        metrics::set_repeat_share(share);
+        for (service, budget) in self.budgets.borrow().iter() {
             metrics::set_held_repeats(service, budget.held());
             metrics::set_charged_repeats(service, budget.charged());
         }
-        drop(budgets);
         let tallies = self.tallies.take();
         let with_repeats = tallies
             .into_iter()
@@ -246,9 +212,7 @@
             } = tally;
             let fields = format_args!(
                 "service={service} requests={requests} granted={granted} refused={refused} \
-                 left={left:.2} held={held} charged={charged:.2} share={share:.2} hosts={hosts} \
-                 hosts_at={hosts_at} hosts_age_ms={hosts_age_ms} earlier_runs={} recorded={is_recorded}",
-                DisplayRuns(earlier_runs)
+                 left={left:.2} held={held} charged={charged:.2} share={share:.2}"
             );
             log.line(events::REPEAT_BUDGET, fields);
         }
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -15,17 +15,14 @@
 use crate::clock::Clock;
 use crate::control::Control;
 use crate::crashes::Crashes;
-use crate::feed::Feeds;
 use crate::list_proofs::ListProofs;
-use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::Mechanisms;
 use crate::peers::{capacity_of, PeerId, PeerRecord};
 use crate::request;
 use crate::rollouts::{self, Rollouts};
 use crate::stop;
-use crate::traffic::{FromControl, Traffic};
-use crate::view::Published;
+use crate::traffic::{FromControl, ToControl, Traffic};
 use crate::{callers, event_loop_lag, host_load, metrics, peers, reach, readiness};
 
 /// Reason why the gateway did not start.
@@ -116,33 +113,26 @@
     let addrs = listeners.addrs.clone();
     let host = settings.host.clone();
     let me = own_record(&settings, addrs.peers);
-    let published = Arc::new(Published::default());
-    let feeds = Arc::new(Feeds::default());
-    let lists = Arc::new(ListStates::default());
+    let shared = FromControl::default();
     let (stop, stopping) = oneshot::channel();
     let (crashes, refusals) = Crashes::new();
     let (phases, phase_receiver) = rollouts::phase_channel();
     let (proofs, proof_receiver) = ListProofs::new();
     let hall = settings.hall.clone();
-    let control_settings = settings.clone();
+    let metrics_addr = settings.metrics_addr();
     let settings = Arc::new(ArcSwap::from_pointee(settings));
     let traffic = Traffic::prepare(
         settings.clone(),
         me.clone(),
         mechanisms,
         clock,
-        FromControl {
-            published: published.clone(),
-            feeds: feeds.clone(),
-            lists: lists.clone(),
-            proofs,
-        },
+        shared.clone(),
+        ToControl { proofs, phases },
         crashes,
-        phases,
     );
     start_traffic(traffic, listeners, stopping).await?;
     let addrs = Listen {
-        metrics: metrics::serve(control_settings.metrics_addr()),
+        metrics: metrics::serve(metrics_addr),
         ..addrs
     };
     let log = Log::new(&host);
@@ -153,7 +143,7 @@
             addrs.callers, addrs.readiness, addrs.peers, addrs.metrics, hall, me.id.0
         ),
     );
-    let control = Control::new(&control_settings, me, clock, published, feeds, lists);
+    let control = Control::new(settings.clone(), me, clock, shared);
     control.spawn(refusals, phase_receiver, proof_receiver);
     Ok(Running {
         addrs,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -20,18 +20,17 @@
 use crate::callers::admission::Admission;
 use crate::clock::Clock;
 use crate::crashes::Crashes;
-use crate::feed::{Feeds, KeyGroup};
+use crate::feed::Feeds;
 use crate::host_load::HostLoad;
 use crate::latch::Latch;
 use crate::list_proofs::ListProofs;
-use crate::list_states::ListStates;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
 use crate::peers::{PeerId, PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
-use crate::repeats::{Repeat, Repeats, Standing};
+use crate::repeats::{Repeat, Repeats, SharedShare};
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::stream_origins::StreamOrigins;
@@ -49,8 +48,8 @@
 /// request may wait for one.
 const CONNECTION_LOG_INTERVAL_MS: Millis = 5_000;
 
-/// Shortest interval between reports of repeats, whatever window the settings have.
-const MIN_REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between updates of the charges of repeats; also the shortest one between reports.
+const CHARGES_INTERVAL: Duration = Duration::from_secs(1);
 
 /// True when the targets or the services they belong to changed between two views.
 fn targets_changed(before: &View, newest: &View) -> bool {
@@ -75,11 +74,17 @@
 }
 
 /// State that the control thread shares with traffic.
+#[derive(Clone, Default)]
 pub struct FromControl {
     pub published: Arc<Published>,
     pub feeds: Arc<Feeds>,
-    pub lists: Arc<ListStates>,
+    pub repeat_share: SharedShare,
+}
+
+/// Channels to the control thread.
+pub struct ToControl {
     pub proofs: ListProofs,
+    pub phases: mpsc::Sender<RecordPhase>,
 }
 
 /// State shared by all requests.
@@ -93,8 +98,6 @@
     published: Arc<Published>,
     /// Changes received from the store, for peers that request them.
     pub feeds: Arc<Feeds>,
-    /// State of the lists that control follows.
-    lists: Arc<ListStates>,
     proofs: ListProofs,
     view: RefCell<Arc<View>>,
     targets: RefCell<TargetTable>,
@@ -148,11 +151,10 @@
         FromControl {
             published,
             feeds,
-            lists,
-            proofs,
+            repeat_share,
         }: FromControl,
+        ToControl { proofs, phases }: ToControl,
         crashes: Crashes,
-        phases: mpsc::Sender<RecordPhase>,
     ) -> impl FnOnce() -> Rc<Traffic> + Send {
         move || {
             let load = HostLoad::default();
@@ -174,13 +176,12 @@
                 view: RefCell::new(published.load()),
                 published,
                 feeds,
-                lists,
                 proofs,
                 settings,
                 clock,
                 targets: RefCell::new(reach::target_table(cx)),
                 reach: Reach::default(),
-                repeats: Repeats::default(),
+                repeats: Repeats::new(repeat_share),
                 latencies: RefCell::default(),
                 prefill_times: RefCell::default(),
                 in_flight: Cell::new(0),
@@ -234,18 +235,13 @@
             changed = targets.update(now, deployment, usable, draining);
         }
         let peers_changed = !Arc::ptr_eq(&before.peers, &newest.peers);
-        let now = self.clock.now();
-        self.repeats.update_store(now, newest.is_store_reachable);
-        if peers_changed || before.earlier_runs != newest.earlier_runs {
-            self.update_sharing_hosts(now, &newest);
-        }
         if peers_changed {
             self.peers.update(self, &newest.peers);
             self.stream_origins
                 .retain_peers(|run| self.peers.is_live(PeerId(run)));
         }
         self.stream_origins.update_versions(
-            now,
+            self.clock.now(),
             &newest.targets.versions,
             newest.knows_all_targets(),
             newest.records.lists_read,
@@ -265,20 +261,6 @@
         }
     }
 
-    /// Updates the hosts that share the budgets of repeats, and this one's standing among them.
-    fn update_sharing_hosts(&self, now: Millis, newest: &View) {
-        self.repeats.update_standing(Standing {
-            earlier_runs: newest.earlier_runs,
-            is_recorded: newest.peers.iter().any(|peer| peer.id == self.me.id),
-        });
-        // The list lacks this host until its own record is in the store.
-        let own = std::iter::once(self.me.host.as_str());
-        let listed = newest.peers.iter().map(|peer| peer.host.as_str());
-        if !newest.peers.is_empty() {
-            self.repeats.update_hosts(now, listed.chain(own));
-        }
-    }
-
     /// Updates queues and schedulers with the usable targets.
     pub fn propagate_targets(self: &Rc<Self>) {
         self.pools.update_targets(self);
@@ -476,16 +458,19 @@
         self.repeats.hold_for_peer(self.clock.now(), service, work);
     }
 
-    /// Logs the repeats of the last window, at the end of each window, until the thread ends.
+    /// Says which units of the allowance of repeats are charged, and logs the repeats at the end of each
+    /// window, until the thread ends.
     pub async fn report_repeats(self: Rc<Self>) {
+        let mut reported_at = self.clock.now();
         loop {
-            let window = Duration::try_from_secs_f64(self.settings().bounds.retry_window_s);
-            let window = window.unwrap_or(MIN_REPORT_INTERVAL);
-            tokio::time::sleep(window.max(MIN_REPORT_INTERVAL)).await;
+            tokio::time::sleep(CHARGES_INTERVAL).await;
             let (now, settings) = (self.clock.now(), self.settings());
-            let listed = self.lists.freshness(KeyGroup::Entries, now);
-            self.repeats
-                .report(now, &settings.bounds, &self.log, listed);
+            self.repeats.update_charges(now, &settings.bounds);
+            let window_ms = (settings.bounds.retry_window_s * 1_000.0) as Millis;
+            if reported_at + window_ms <= now {
+                reported_at = now;
+                self.repeats.report(now, &settings.bounds, &self.log);
+            }
         }
     }
 
--- a/crates/gateway/src/view.rs
+++ b/crates/gateway/src/view.rs
@@ -7,7 +7,6 @@
 use hollowsail_fleet::{EvacuatedHalls, Position};
 use hollowsail_platform::deployment::Deployment;
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
-use hollowsail_routing::repeats::EarlierRuns;
 use hollowsail_routing::Millis;
 use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
@@ -38,9 +37,6 @@
     /// Live entries, including this one once its record is in the store. Shared with the
     /// previous view unless they changed.
     pub peers: Arc<[PeerRecord]>,
-    /// Earlier runs on this host that may have ended shortly before this one began; `None` before there
-    /// is a list of entries that can be relied on.
-    pub earlier_runs: Option<EarlierRuns>,
     /// Refused requests that crash targets.
     pub refused: RefusedRequests,
     /// Rollout orders of the operators.
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -81,11 +81,12 @@
     CHOICE_OUTDATED, 233, "choice_outdated", Info, "A target that was chosen for a request isn't in use any more when the request is to be sent; the line says how long the request has waited since then.";
     RELAY_RETIRED, 234, "relay_retired", Info, "A target isn't in use any more to which this entry relays a connection of a peer; the connection carries no further request.";
     CALLERS_REFUSED, 235, "callers_refused", Info, "This host's link or processor is full and peers have room: it stops listening for callers for a moment, and asks those that it serves to connect anew.";
-    REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what this entry may still repeat now, its share of the fixed allowance, and the hosts that share.";
+    REPEATED, 236, "repeated", Info, "Work that a service may have got is sent to it again; the line says why, what this entry may still repeat now, and its share of the fixed allowance.";
     REPEAT_REFUSED, 237, "repeat_refused", Warn, "Work is not sent to a service again, since this entry's share of the repeats is used up; its request ends.";
-    REPEAT_BUDGET, 238, "repeat_budget", Info, "The repeats of a service in the last window at this entry: the requests that earned some, those granted and refused, and the share of the fixed allowance with the hosts that it is divided by.";
+    REPEAT_BUDGET, 238, "repeat_budget", Info, "The repeats of a service in the last window at this entry: the requests that earned some, those granted and refused, and what is charged to its share of the fixed allowance.";
     ROOM_TOTALS, 239, "room_totals", Info, "Requests that the owner of a contended queue admitted and refused by cause, beside the queue's capacity, demand and claims of flows; every second while it refuses some.";
     ABANDONED_SEND_ENDED, 240, "abandoned_send_ended", Info, "The connection of an attempt or call ended whose answer nobody waited for any more; the line says after what time, and whether the target closed it, which shows that it has read what it wants of the request.";
+    REPEAT_UNITS, 241, "repeat_units", Info, "This entry claimed units of the fixed allowance of repeats in the store, gave some up, or lost them; the line says how many it holds, and what it aims at.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -11,9 +11,6 @@
 const EARNED_PART: f64 = 0.5;
 /// Part of the share that hedges may not use.
 const KEPT_FROM_HEDGES: f64 = 0.5;
-/// Part of the share that may be held for sends that arrive in any later window. A process that
-/// follows this one doesn't know of them, and uses a whole share beside.
-const HELD_PART: f64 = 0.65;
 /// Number of steps of a window in which earnings are added up.
 const STEPS_PER_WINDOW: Millis = 50;
 /// Allows for rounding in sums of fractions.
@@ -37,8 +34,8 @@
     amount: f64,
 }
 
-/// Grants repeats from what requests earned in the last window, and then from the process's share of
-/// the fixed allowance.
+/// Grants repeats from the process's share of the fixed allowance. What requests have earned in the last
+/// window covers repeats once their sends have settled, so that the share is free again.
 #[derive(Debug, Clone, Default)]
 pub struct RepeatBudget {
     /// What requests earned and no repeat has spent, oldest first.
@@ -59,9 +56,9 @@
         SendPermit::new(now, &Work::default())
     }
 
-    /// Permits `work` to be sent once more; `None` if neither earnings nor `share` cover it. Hedges
-    /// leave half of the share to repeats of what has failed. If an earlier send of the work may still
-    /// arrive, that may be in a window without requests, so that only `share` can cover it.
+    /// Permits `work` to be sent once more; `None` if `share` doesn't cover it. Hedges leave half of the
+    /// share to repeats of what has failed. Whatever requests have earned, a send that isn't settled yet
+    /// may arrive in a window without requests, so that the share has to cover it until then.
     pub fn repeat(
         &mut self,
         now: Millis,
@@ -70,31 +67,18 @@
         reason: RepeatReason,
         work: &Work,
     ) -> Option<SendPermit> {
-        let left = self.left(now, rules, share);
         let kept = match reason.is_hedge() {
             true => share * KEPT_FROM_HEDGES,
             false => 0.0,
         };
+        let left = self.left(now, rules, share);
         let to_hold = self.charges.to_hold(now, work);
-        let from_share = match to_hold {
-            0 => {
-                if left < 1.0 + kept {
-                    return None;
-                }
-                spend_earned(&mut self.earned, 1.0)
-            }
-            _ => {
-                let held = (self.charges.held() + to_hold) as f64;
-                let may_hold = (share * HELD_PART).max(1.0) + ROUNDING;
-                let of_share = share - self.charges.of_share() + ROUNDING;
-                if held > may_hold || of_share < to_hold as f64 + kept {
-                    return None;
-                }
-                1.0
-            }
-        };
-        self.charges.add(now, work, from_share);
-        Some(SendPermit::new(now, work))
+        if left < to_hold as f64 + kept {
+            return None;
+        }
+        let permit = SendPermit::new(now, work);
+        self.charges.add(now, work);
+        Some(permit)
     }
 
     /// Records that somebody else was told that `work` failed, and may have it sent again.
@@ -102,15 +86,13 @@
         self.charges.hold_all(now, work);
     }
 
-    /// Repeats that are covered now, with fractions.
+    /// Repeats that the share covers now, with fractions.
     pub fn left(&mut self, now: Millis, rules: BudgetRules, share: f64) -> f64 {
         self.update(now, rules);
-        let earned = self.earned.iter().map(|step| step.amount).sum::<f64>();
-        let of_share = (share - self.charges.of_share()).max(0.0);
-        earned + of_share + ROUNDING
+        (share - self.charges.of_share()).max(0.0) + ROUNDING
     }
 
-    /// Number of repeats whose sends may arrive in any later window.
+    /// Number of repeats whose sends may still arrive.
     pub fn held(&self) -> usize {
         self.charges.held()
     }
--- a/crates/routing/src/repeats/charges.rs
+++ b/crates/routing/src/repeats/charges.rs
@@ -7,7 +7,7 @@
 /// What covers one repeat.
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Charge {
-    /// The share covers it whole, for as long as one of the sends may arrive late.
+    /// The share covers it whole, for as long as one of the sends may still arrive.
     Held,
     /// The share covers this part of it, and requests earned the rest. Expires a window later.
     Aging { since: Millis, of_share: f64 },
@@ -19,8 +19,6 @@
     work: Work,
     /// Repeats that were granted; some of their charges may have expired.
     granted: usize,
-    /// When all sends were found to be settled.
-    settled_at: Option<Millis>,
     charges: Vec<Charge>,
 }
 
@@ -30,9 +28,9 @@
         charges.filter(|charge| **charge == Charge::Held).count()
     }
 
-    /// Holds as many charges as sends may arrive late, but one: the first arrival is no repeat.
-    fn hold(&mut self, late: usize) {
-        for _ in self.held()..late.min(self.granted) {
+    /// Holds as many charges as sends may arrive, but one: the first arrival is no repeat.
+    fn hold(&mut self, unsettled: usize) {
+        for _ in self.held()..unsettled.min(self.granted) {
             let mut charges = self.charges.iter_mut();
             match charges.find(|charge| **charge != Charge::Held) {
                 Some(charge) => *charge = Charge::Held,
@@ -43,8 +41,8 @@
 
     /// Has the charges of sends that have settled expire. `cover` says which part of one the share
     /// covers.
-    fn release(&mut self, now: Millis, late: usize, mut cover: impl FnMut() -> f64) {
-        let released = self.held().saturating_sub(late);
+    fn release(&mut self, now: Millis, unsettled: usize, mut cover: impl FnMut() -> f64) {
+        let released = self.held().saturating_sub(unsettled);
         let held = self.charges.iter_mut();
         let held = held.filter(|charge| **charge == Charge::Held);
         for charge in held.take(released) {
@@ -65,24 +63,17 @@
     /// that doesn't have to hold it any more.
     pub fn update(&mut self, now: Millis, rules: BudgetRules, mut cover: impl FnMut() -> f64) {
         for repeated in &mut self.0 {
-            let late = repeated.work.late(now, rules.arrival_ms);
-            if repeated.settled_at.is_none() && repeated.work.unsettled(now) == 0 {
-                repeated.settled_at = Some(now);
-            }
-            repeated.hold(late);
-            repeated.release(now, late, &mut cover);
-            let (sent_at, settled_at) = (repeated.work.sent_at(), repeated.settled_at);
+            let unsettled = repeated.work.unsettled(now);
+            repeated.hold(unsettled);
+            repeated.release(now, unsettled, &mut cover);
+            // Somebody else may use a permit that was passed on.
+            let arrival_ms = match repeated.work.has_unused() {
+                true => rules.arrival_ms,
+                false => 0,
+            };
             repeated.charges.retain(|charge| match charge {
                 Charge::Held => true,
-                Charge::Aging { since, .. } => {
-                    // A permit may be used long after it was granted, or by somebody else.
-                    let is_followed = sent_at >= *since;
-                    let arrives_by = match settled_at.filter(|_| is_followed) {
-                        Some(settled_at) => settled_at.max(*since),
-                        None => sent_at.max(*since) + rules.arrival_ms,
-                    };
-                    arrives_by + rules.window_ms >= now
-                }
+                Charge::Aging { since, .. } => *since + arrival_ms + rules.window_ms >= now,
             });
         }
         self.0
@@ -93,18 +84,16 @@
     pub fn to_hold(&self, now: Millis, work: &Work) -> usize {
         let repeated = self.0.iter().find(|repeated| repeated.work.is_same(work));
         let (granted, held) = repeated.map_or((0, 0), |known| (known.granted, known.held()));
-        work.unsettled(now).min(granted + 1).saturating_sub(held)
+        let sends = work.unsettled(now) + 1;
+        sends.min(granted + 1).saturating_sub(held)
     }
 
-    /// Charges a repeat of which the share covers this part, and holds charges of sends that may
-    /// still arrive.
-    pub fn add(&mut self, now: Millis, work: &Work, of_share: f64) {
+    /// Charges a repeat that was permitted, for as long as sends of its work may arrive.
+    pub fn add(&mut self, now: Millis, work: &Work) {
         let unsettled = work.unsettled(now);
         let repeated = self.of(work);
-        let since = now;
         repeated.granted += 1;
-        repeated.settled_at = None;
-        repeated.charges.push(Charge::Aging { since, of_share });
+        repeated.charges.push(Charge::Held);
         repeated.hold(unsettled);
     }
 
@@ -125,7 +114,6 @@
             self.0.push(Repeated {
                 work: work.clone(),
                 granted: 0,
-                settled_at: None,
                 charges: Vec::new(),
             });
             self.0.len() - 1
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -1,51 +1,51 @@
-//! How much of the fixed allowance of repeats one process may use in a window.
-//!
-//! The allowance is divided by the hosts that may exist. Earlier processes of a host may have used its
-//! share in this window, so one that follows them begins with a part of what is kept back for that.
+//! How much of the fixed allowance of repeats this process may use in a window.
 
-use super::BudgetRules;
 use crate::Millis;
 
-/// Part of the allowance that all hosts use together.
-const HELD_PART: f64 = 0.6;
-/// Part that is kept back for processes that follow others within a window. Each of them may use half
-/// of what those before it left.
-const KEPT_BACK_PART: f64 = 1.0 - HELD_PART;
-
-/// Earlier processes of its host that a process knows of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct EarlierRuns {
-    /// Those that may have ended within a window of its start.
-    pub known: u32,
-    /// The store that tells of them was restored from an older copy, which may lack one.
-    pub may_miss_one: bool,
+/// Units of the allowance that this process holds, each of which covers one repeat in a window.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Share {
+    units: usize,
+    /// Until when they may be used.
+    until: Millis,
+    /// Units that repeats of the last window, and held ones, are charged to.
+    charged: usize,
 }
 
-impl EarlierRuns {
-    fn count(self) -> u32 {
-        self.known + u32::from(self.may_miss_one)
+impl Share {
+    /// Sets the units that are held.
+    pub fn set_units(&mut self, units: usize, until: Millis) {
+        self.units = units;
+        self.until = until;
     }
-}
 
-/// What a process knows about its claim to its host's share.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Claim {
-    /// Time since the start of the process, in milliseconds.
-    pub running_ms: Millis,
-    pub earlier_runs: EarlierRuns,
-    /// Hosts that may send work to the service, including this one.
-    pub hosts: usize,
-}
+    /// Sets what is charged, as the most that any service is, with fractions.
+    pub fn set_charged(&mut self, charged: f64) {
+        self.charged = charged.ceil() as usize;
+    }
+
+    /// Records that this much is charged for one of the services.
+    pub fn raise_charged(&mut self, charged: f64) {
+        self.charged = self.charged.max(charged.ceil() as usize);
+    }
+
+    /// Repeats that may be charged in a window.
+    pub fn at(&self, now: Millis) -> f64 {
+        match now < self.until {
+            true => self.units as f64,
+            false => 0.0,
+        }
+    }
+
+    /// True if something is charged to at least half of the units.
+    pub fn is_pressed(&self) -> bool {
+        self.charged > 0 && 2 * self.charged >= self.units
+    }
 
-impl Claim {
-    /// Repeats that the process may charge to the allowance in a window.
-    pub fn share(&self, extra: f64, rules: BudgetRules) -> f64 {
-        let is_past_window = self.running_ms > rules.window_ms + rules.arrival_ms;
-        let earlier_runs = self.earlier_runs.count();
-        let part = match earlier_runs {
-            1.. if !is_past_window => KEPT_BACK_PART * 0.5f64.powf(f64::from(earlier_runs)),
-            _ => HELD_PART,
-        };
-        extra * part / self.hosts.max(1) as f64
+    /// Gives up at most this many units, and none that something is charged to. Returns their number.
+    pub fn give_up(&mut self, units: usize) -> usize {
+        let given_up = units.min(self.units.saturating_sub(self.charged));
+        self.units -= given_up;
+        given_up
     }
 }
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -23,9 +23,10 @@
     Abandoned(Millis),
     /// Nothing more will be heard of it since this time.
     Lost(Millis),
-    /// It can't arrive any more: it was answered, its target closed the connection, or it was
-    /// never sent.
+    /// It can't arrive any more: it was answered, or its target closed the connection.
     Settled,
+    /// Its permit was dropped before it was sent.
+    Unused,
 }
 
 /// One send of a request or piece.
@@ -35,8 +36,6 @@
 #[derive(Debug)]
 struct Tracked {
     state: Cell<State>,
-    /// When it was sent last; 0 if it wasn't.
-    sent_at: Cell<Millis>,
     /// It passes through another host, which may keep it longer than its target does.
     is_relayed: Cell<bool>,
 }
@@ -45,7 +44,6 @@
     pub(super) fn permitted(now: Millis) -> Self {
         TrackedSend(Rc::new(Tracked {
             state: Cell::new(State::Permitted(now)),
-            sent_at: Cell::new(0),
             is_relayed: Cell::new(false),
         }))
     }
@@ -53,7 +51,6 @@
     /// Records that it is sent, directly or through another host.
     pub fn begin(&self, now: Millis, is_relayed: bool) {
         self.0.is_relayed.set(is_relayed);
-        self.0.sent_at.set(now);
         self.0.state.set(State::Sent(now));
     }
 
@@ -103,32 +100,24 @@
         match self.0.state.get() {
             _ if self.is_settled(now) => None,
             State::Abandoned(at) | State::Lost(at) => Some(at),
-            State::Permitted(_) | State::Sent(_) | State::Settled => None,
+            State::Permitted(_) | State::Sent(_) | State::Settled | State::Unused => None,
         }
     }
 
     /// True if it can't arrive any more.
     pub fn is_settled(&self, now: Millis) -> bool {
         match self.0.state.get() {
-            State::Settled => true,
+            State::Settled | State::Unused => true,
             State::Lost(at) => at + LOST_MS <= now,
             State::Abandoned(at) => at + MAX_ABANDONED_MS <= now,
             State::Permitted(_) | State::Sent(_) => false,
         }
     }
 
-    /// True if it may arrive later than `arrival_ms` after it was permitted or sent.
-    fn is_late(&self, now: Millis, arrival_ms: Millis) -> bool {
-        match self.0.state.get() {
-            State::Permitted(at) | State::Sent(at) => at + arrival_ms < now,
-            State::Abandoned(_) | State::Lost(_) | State::Settled => !self.is_settled(now),
-        }
-    }
-
     /// Forgets a permit that wasn't used.
     pub(super) fn drop_permit(&self) {
         if let State::Permitted(_) = self.0.state.get() {
-            self.settle();
+            self.0.state.set(State::Unused);
         }
     }
 }
@@ -151,11 +140,11 @@
         sends.iter().filter(|send| !send.is_settled(now)).count()
     }
 
-    /// When one of the sends was made last; 0 if none was.
-    pub(super) fn sent_at(&self) -> Millis {
+    /// True if a permit was dropped without being used here.
+    pub(super) fn has_unused(&self) -> bool {
         let sends = self.0.borrow();
-        let sent_at = sends.iter().map(|send| send.0.sent_at.get());
-        sent_at.max().unwrap_or(0)
+        let is_unused = |send: &TrackedSend| send.0.state.get() == State::Unused;
+        sends.iter().any(is_unused)
     }
 
     /// True if a send was given up that its target may not have read.
@@ -164,17 +153,6 @@
         sends.iter().any(|send| send.abandoned_at(now).is_some())
     }
 
-    /// Number of sends that may arrive later than the rules take work to arrive: those that others
-    /// followed, that were given up, or that are under way for long.
-    pub(super) fn late(&self, now: Millis, arrival_ms: Millis) -> usize {
-        let sends = self.0.borrow();
-        let Some((last, earlier)) = sends.split_last() else {
-            return 0;
-        };
-        let unsettled = earlier.iter().filter(|send| !send.is_settled(now));
-        unsettled.count() + usize::from(last.is_late(now, arrival_ms))
-    }
-
     pub(super) fn is_same(&self, other: &Work) -> bool {
         Rc::ptr_eq(&self.0, &other.0)
     }
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -20,10 +20,20 @@
 mod reachability;
 mod repeats;
 mod scheduler;
+mod shared_allowance;
 mod speed;
 mod stall;
 mod warm_up;
 
+/// As [`config`], with this many times the cases.
+pub fn config_of_many(seed: u64, times: u32) -> proptest::test_runner::Config {
+    let config = config(seed);
+    proptest::test_runner::Config {
+        cases: config.cases * times,
+        ..config
+    }
+}
+
 /// Fixed seed for reproducible cases; `HOLLOWSAIL_CASES` sets their number.
 pub fn config(seed: u64) -> proptest::test_runner::Config {
     let cases = std::env::var("HOLLOWSAIL_CASES")
--- /dev/null
+++ b/crates/routing/tests/suite/shared_allowance/incidents.rs
@@ -0,0 +1,79 @@
+//! Sequences that exceeded the allowance once, from which the search begins.
+
+use super::store::Link;
+use super::{Millis, Play, Press, Step};
+
+const ALL_READ: u8 = 0;
+const FIRST_UNREAD: u8 = 1;
+
+fn press(host: usize, unread: u8) -> Step {
+    let press = Press {
+        requests: 20,
+        repeats: 3,
+        unread,
+        late_ms: 0,
+        permits_wait: false,
+    };
+    Step::Press(host, press)
+}
+
+fn start_all(hosts: std::ops::Range<usize>, apart_ms: Millis) -> Vec<Step> {
+    let each = hosts.map(|host| [Step::Start(host), Step::Wait(apart_ms)]);
+    each.flatten().collect()
+}
+
+fn press_all(hosts: std::ops::Range<usize>, unread: u8) -> Vec<Step> {
+    hosts.map(|host| press(host, unread)).collect()
+}
+
+fn play(parts: &[Vec<Step>]) -> Play {
+    Play {
+        hosts: 12,
+        extra: 56.0,
+        steps: parts.concat(),
+    }
+}
+
+/// Hosts that join in turn, each pressed at once.
+fn joins() -> Play {
+    let join = |host| vec![Step::Start(host), Step::Wait(800), press(host, ALL_READ)];
+    play(&(0..8).map(join).collect::<Vec<_>>())
+}
+
+/// A host whose processes are killed in series.
+fn kills() -> Play {
+    let generation = || vec![Step::Start(0), Step::Wait(700), press(0, ALL_READ)];
+    play(&(0..14).map(|_| generation()).collect::<Vec<_>>())
+}
+
+/// A store that goes back, and hosts that start before the others have written their records again.
+fn restores() -> Play {
+    let restore = vec![Step::Restore(30_000, false)];
+    let first = [start_all(0..4, 500), vec![Step::Wait(40_000)]].concat();
+    let links = (0..4).map(|host| Step::SetLink(host, Link::Down)).collect();
+    let second = [start_all(4..12, 500), press_all(0..12, ALL_READ)].concat();
+    play(&[first, links, restore, second])
+}
+
+/// Targets that stand still, and read everything at once.
+fn unread_sends() -> Play {
+    let round = || [press_all(0..8, FIRST_UNREAD), vec![Step::Wait(11_500)]].concat();
+    let rounds = (0..4).map(|_| round()).collect::<Vec<_>>().concat();
+    play(&[start_all(0..8, 100), rounds, vec![Step::ReadAll]])
+}
+
+/// Hosts that know of no others, that the store doesn't answer any more, and others in their place.
+fn cuts() -> Play {
+    let start_alone = |hosts: std::ops::Range<usize>| {
+        let each = hosts.map(|host| [Step::Start(host), Step::Believe(host, 1), Step::Wait(3_000)]);
+        each.flatten().collect::<Vec<_>>()
+    };
+    let links = (0..6).map(|host| Step::SetLink(host, Link::Down)).collect();
+    let gap = vec![Step::Wait(150_000)];
+    let pressed = press_all(0..12, ALL_READ);
+    play(&[start_alone(0..6), links, gap, start_alone(6..12), pressed])
+}
+
+pub fn all() -> [Play; 5] {
+    [joins(), kills(), restores(), unread_sends(), cuts()]
+}
