Claim units only once the hosts are known, and give them back at the end of a planned stop

A process that starts claimed units as if it were alone, since it had no list of hosts yet, and those of a planned stop stayed taken until the lease ended.

The first claim waits up to 0.5 s for the list of hosts. At the end of a planned stop, when nothing is sent any more, units that nothing is charged to are removed, and those whose sends have settled pass to a lease of a window; only those of sends that may still arrive stay for the whole time. Units may be used for 20 s without the store, instead of 40, so that those of a killed process are free 20 s sooner. Hosts borrow only what leaves 0.35 of all units free.

--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -40,7 +40,9 @@
 pub struct QuotaTiming {
     /// How long units may be used after a call was sent that extended their lease.
     pub use_ms: Millis,
-    /// How long the use of a unit counts.
+    /// How long the use of a unit counts if what was sent has settled.
+    pub window_ms: Millis,
+    /// How long it counts in any case.
     pub settle_ms: Millis,
     /// Time between two calls that extend the lease.
     pub extend_ms: Millis,
@@ -90,6 +92,9 @@
     Write(Vec<UnitWrite>),
     /// Removes keys that are at these positions, all or none.
     Remove(Vec<(UnitId, Position)>),
+    /// Puts keys that are at these positions under a lease of this length that nobody extends, all or
+    /// none.
+    Retire(Vec<(UnitId, Position)>, Millis),
     /// Marks the units before an epoch as run out, if the mark is at this position.
     MarkSettled {
         epoch: u64,
@@ -157,6 +162,8 @@
     held: BTreeMap<UnitId, Position>,
     /// Keys of units that were given up.
     to_remove: Vec<(UnitId, Position)>,
+    /// Keys of units whose use counts for a window.
+    to_retire: Vec<(UnitId, Position)>,
     /// Until when calls that weren't confirmed may be done.
     unknown_until: Millis,
     /// Before this time a list would show nothing new.
@@ -173,6 +180,7 @@
             extended: BTreeMap::new(),
             held: BTreeMap::new(),
             to_remove: Vec::new(),
+            to_retire: Vec::new(),
             unknown_until: 0,
             next_list_at: 0,
             round: Round::default(),
@@ -229,8 +237,12 @@
         };
     }
 
-    /// Begins the last round, which only removes the keys of units that were given up.
-    pub fn begin_last_round(&mut self) {
+    /// Begins the last round, after which no unit is used: nothing counts of `spare` units, and `settled`
+    /// ones count for a window.
+    pub fn begin_last_round(&mut self, spare: usize, settled: usize) {
+        self.give_up(spare);
+        let retired = (0..settled).map_while(|_| self.held.pop_last());
+        self.to_retire.extend(retired);
         self.round = Round {
             is_over: true,
             ..Round::default()
@@ -243,6 +255,11 @@
             let first = self.to_remove.len().saturating_sub(MAX_KEYS);
             return Some(QuotaCall::Remove(self.to_remove.split_off(first)));
         }
+        if !self.to_retire.is_empty() {
+            let first = self.to_retire.len().saturating_sub(MAX_KEYS);
+            let keys = self.to_retire.split_off(first);
+            return Some(QuotaCall::Retire(keys, self.timing.window_ms));
+        }
         if self.round.is_over {
             return None;
         }
@@ -312,6 +329,7 @@
         self.lease = None;
         // These are positions of an earlier epoch; a list shows what is left of them.
         self.to_remove.clear();
+        self.to_retire.clear();
         self.next_list_at = 0;
         self.round.list = None;
     }
@@ -373,7 +391,7 @@
                 }
                 self.settle(*epoch);
             }
-            QuotaCall::List { .. } => {}
+            QuotaCall::List { .. } | QuotaCall::Retire(..) => {}
         }
     }
 
--- a/crates/fleet/src/quota/plan.rs
+++ b/crates/fleet/src/quota/plan.rs
@@ -17,8 +17,10 @@
 const TARGET_PART: f64 = 0.6;
 /// Part of all units that a process claims in a round, since many may start together.
 const CLAIM_PART: f64 = 0.125;
+/// The same where all are few.
+const MIN_CLAIM: usize = 4;
 /// Part of all units that stays free for processes that start, when others borrow units.
-const FREE_PART: f64 = 0.25;
+const FREE_PART: f64 = 0.35;
 /// How many times its part a process may hold while it needs more.
 const MAX_BORROWED: usize = 2;
 
@@ -103,7 +105,7 @@
         let is_free =
             |unit: &UnitId| !list.units.contains_key(unit) && !self.held.contains_key(unit);
         let mut free: Vec<UnitId> = free.filter(is_free).collect();
-        let at_once = (f64::from(total) * CLAIM_PART).ceil() as usize;
+        let at_once = ((f64::from(total) * CLAIM_PART) as usize).max(MIN_CLAIM);
         // Some are left for processes that start next.
         let most = at_once.min(free.len().div_ceil(2));
         let kept = (f64::from(total) * FREE_PART).ceil() as usize;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -56,6 +56,7 @@
 use crate::clock::Clock;
 use crate::crashes::{RefusalReceiver, RefusedRequests};
 use crate::feed::Feeds;
+use crate::latch::Latch;
 use crate::list_proofs::ProofReceiver;
 use crate::list_states::ListStates;
 use crate::log::Log;
@@ -115,6 +116,9 @@
     lease: Cell<Option<Lease>>,
     /// A planned stop began; the record isn't written any more.
     is_stopping: Cell<bool>,
+    /// Nothing is sent any more, and the units of repeats are given up.
+    retiring: Latch,
+    retired: Latch,
     view_number: Cell<u64>,
     /// Parts of the last view that stay valid until the registries change.
     derived: Derived,
@@ -163,6 +167,8 @@
             min_lease: Duration::from_millis(settings.store.shortest_lease_ms),
             lease: Cell::new(None),
             is_stopping: Cell::new(false),
+            retiring: Latch::default(),
+            retired: Latch::default(),
             view_number: Cell::new(0),
             derived: Derived::default(),
         })
--- a/crates/gateway/src/control/repeat_units.rs
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -2,8 +2,8 @@
 //!
 //! Carries out what [`hollowsail_fleet::quota`] decides: once a second, and when little of the share is left,
 //! a round begins; most of them need no call. The units are in force for traffic as soon as the store has confirmed them, and until the lease may
-//! end ([`SharedShare`](crate::repeats::SharedShare)). A planned stop gives up what nothing is charged to;
-//! all else stays taken until the lease ends.
+//! end ([`SharedShare`](crate::repeats::SharedShare)). At the end of a planned stop units are free again as
+//! soon as nothing counts of them; those of a killed process stay taken until their lease ends.
 
 use std::collections::BTreeSet;
 use std::ops::Range;
@@ -17,7 +17,7 @@
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_platform::store::{Lease, StoreError};
-use hollowsail_routing::repeats::LOST_MS;
+use hollowsail_routing::repeats::{RetiredUnits, LOST_MS};
 use hollowsail_routing::Millis;
 use rand::Rng;
 
@@ -34,10 +34,14 @@
 /// Time between two rounds while enough of the share is left, and in any case.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
+/// Longest time that a planned stop waits for the store to have the units back.
+const RETIRE_TIMEOUT: Duration = Duration::from_millis(250);
+/// How long the list of hosts is awaited before units are claimed, in milliseconds.
+const LIST_WAIT_MS: Millis = 500;
 /// Delay before units are written again in a new epoch.
 const NEW_EPOCH_DELAY: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(10);
 /// How long units may be used while the store doesn't answer, in milliseconds.
-const USE_MS: Millis = 40_000;
+const USE_MS: Millis = 20_000;
 /// Time between two calls that extend the lease, in milliseconds.
 const EXTEND_MS: Millis = 6_000;
 
@@ -50,7 +54,7 @@
     owner: Vec<u8>,
 }
 
-/// Maintains the units until a planned stop.
+/// Maintains the units until the end of a planned stop.
 pub async fn maintain(cx: Rc<Control>) {
     let mut units = Units {
         cx: &cx,
@@ -58,23 +62,42 @@
         lease: None,
         owner: cx.me.key_under("").into_bytes(),
     };
-    while !cx.is_stopping.get() {
+    units.wait_for_hosts().await;
+    while !cx.retiring.is_set() {
         if cx.store_link.is_reachable() {
             units.delay_in_new_epoch().await;
             units.run_round().await;
         }
         tokio::time::sleep(MIN_INTERVAL).await;
-        let pressed = cx.repeat_share.until_pressed();
-        // Returns an error after the interval.
-        let _in_time = tokio::time::timeout(ROUND_INTERVAL, pressed).await;
+        tokio::select! {
+            () = tokio::time::sleep(ROUND_INTERVAL) => {}
+            () = cx.repeat_share.until_pressed() => {}
+            () = cx.retiring.wait() => {}
+        }
     }
     units.run_last_round().await;
+    cx.retired.set();
+}
+
+impl Control {
+    /// Gives up the units once nothing is sent any more, as far as that takes no longer than
+    /// [`RETIRE_TIMEOUT`].
+    pub async fn retire_units(&self) {
+        self.retiring.set();
+        let retired = tokio::time::timeout(RETIRE_TIMEOUT, self.retired.wait()).await;
+        if retired.is_err() {
+            let fields =
+                format_args!("state=leaving why=\"units of repeats stay until their lease ends\"");
+            self.log.line(events::MEMBER, fields);
+        }
+    }
 }
 
 fn timing(bounds: &Bounds) -> QuotaTiming {
     let window_ms = (bounds.retry_window_s * 1_000.0) as Millis;
     QuotaTiming {
         use_ms: USE_MS,
+        window_ms: ARRIVAL_MS + window_ms,
         settle_ms: LOST_MS + ARRIVAL_MS + window_ms,
         extend_ms: EXTEND_MS,
     }
@@ -125,10 +148,9 @@
         }
     }
 
-    /// Removes the keys of units that nothing is charged to; they can be claimed at once.
     async fn run_last_round(&mut self) {
-        self.give_up(self.quota.held());
-        self.quota.begin_last_round();
+        let RetiredUnits { spare, settled } = self.cx.repeat_share.lock().retire();
+        self.quota.begin_last_round(spare, settled);
         self.make_calls().await;
         self.log_held("why=stopping");
     }
@@ -142,6 +164,14 @@
         self.cx.log.line(events::REPEAT_UNITS, fields);
     }
 
+    /// Waits for the first list of hosts, for a limited time.
+    async fn wait_for_hosts(&self) {
+        let control = self.cx;
+        while control.entries_listed_at.get().is_none() && control.clock.now() < LIST_WAIT_MS {
+            tokio::time::sleep(MIN_INTERVAL).await;
+        }
+    }
+
     /// Hosts that have a record, and this one.
     fn count_hosts(&self) -> usize {
         let peers = self.cx.peers_now();
@@ -212,6 +242,13 @@
                 let keys = keys.iter().map(|(unit, at)| (key_of(*unit), *at));
                 store.remove_each(&keys.collect::<Vec<_>>()).await?
             }
+            QuotaCall::Retire(keys, ttl_ms) => {
+                let ttl = Duration::from_millis(*ttl_ms);
+                let lease = store.lease(ttl.max(self.cx.min_lease)).await?;
+                let keys = keys.iter().map(|(unit, at)| (key_of(*unit), Some(*at)));
+                let keys: Vec<_> = keys.collect();
+                store.put_each(&keys, &self.owner, lease).await?
+            }
             QuotaCall::MarkSettled { epoch, expected } => {
                 let value = epoch.to_string();
                 let puts = [(SETTLED_KEY, value.as_bytes())];
--- a/crates/gateway/src/latch.rs
+++ b/crates/gateway/src/latch.rs
@@ -18,6 +18,10 @@
         self.changed.notify_waiters();
     }
 
+    pub fn is_set(&self) -> bool {
+        self.is_set.get()
+    }
+
     /// Waits until the condition is true.
     pub async fn wait(&self) {
         while !self.is_set.get() {
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -180,12 +180,14 @@
     /// Sets which units are charged, for control, which gives up others.
     pub fn update_charges(&self, now: Millis, bounds: &Bounds) {
         let mut budgets = self.budgets.borrow_mut();
-        let charged = budgets.values_mut().map(|budget| {
+        let charges = budgets.values_mut().map(|budget| {
             budget.update(now, rules(bounds));
-            budget.charged()
+            (budget.charged(), budget.held())
         });
-        let charged = charged.fold(0.0, f64::max);
-        self.share.lock().set_charged(charged);
+        let most = charges.fold((0.0, 0), |most: (f64, usize), (charged, held)| {
+            (most.0.max(charged), most.1.max(held))
+        });
+        self.share.lock().set_charged(most.0, most.1);
     }
 
     /// Logs what the services with repeats got since the last report, and begins anew.
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -98,10 +98,12 @@
     /// Runs a planned stop; the process may exit when it returns.
     pub async fn stop(self) {
         let (done, ended) = oneshot::channel();
-        actix_rt::spawn(async move { self.control.deregister().await });
+        let control = self.control.clone();
+        actix_rt::spawn(async move { control.deregister().await });
         if self.stop.send(done).is_ok() && ended.await.is_err() {
             log::warn!("the traffic thread ended before the planned stop finished");
         }
+        self.control.retire_units().await;
         self.log.line(events::LEFT, format_args!(""));
     }
 }
--- a/crates/routing/src/repeats/mod.rs
+++ b/crates/routing/src/repeats/mod.rs
@@ -21,5 +21,5 @@
 pub use budget::{BudgetRules, RepeatBudget};
 pub use permit::{SendPermit, SendPermits};
 pub use reason::RepeatReason;
-pub use share::Share;
+pub use share::{RetiredUnits, Share};
 pub use work::{TrackedSend, Work, LOST_MS};
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -10,6 +10,19 @@
     until: Millis,
     /// Units that repeats of the last window, and held ones, are charged to.
     charged: usize,
+    /// Those of them whose sends may still arrive.
+    held: usize,
+    /// Nothing is sent any more.
+    is_retired: bool,
+}
+
+/// Units of a process that ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RetiredUnits {
+    /// Nothing is charged to them.
+    pub spare: usize,
+    /// Charged for sends that have settled.
+    pub settled: usize,
 }
 
 impl Share {
@@ -19,9 +32,11 @@
         self.until = until;
     }
 
-    /// Sets what is charged, as the most that any service is, with fractions.
-    pub fn set_charged(&mut self, charged: f64) {
+    /// Sets what is charged, as the most that any service is, with fractions, and how many repeats of
+    /// any service may still arrive.
+    pub fn set_charged(&mut self, charged: f64, held: usize) {
         self.charged = charged.ceil() as usize;
+        self.held = held;
     }
 
     /// Records that this much is charged for one of the services.
@@ -31,7 +46,7 @@
 
     /// Repeats that may be charged in a window.
     pub fn at(&self, now: Millis) -> f64 {
-        match now < self.until {
+        match now < self.until && !self.is_retired {
             true => self.units as f64,
             false => 0.0,
         }
@@ -48,4 +63,14 @@
         self.units -= given_up;
         given_up
     }
+
+    /// Ends the use of all units.
+    pub fn retire(&mut self) -> RetiredUnits {
+        self.is_retired = true;
+        let charged = self.charged.min(self.units);
+        RetiredUnits {
+            spare: self.units - charged,
+            settled: charged.saturating_sub(self.held),
+        }
+    }
 }
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -2,7 +2,7 @@
 
 use hollowsail_fleet::quota;
 use hollowsail_routing::repeats::{
-    BudgetRules, RepeatBudget, RepeatReason, Share, TrackedSend, Work,
+    BudgetRules, RepeatBudget, RepeatReason, RetiredUnits, Share, TrackedSend, Work,
 };
 use hollowsail_routing::Millis;
 use proptest::collection::vec;
@@ -169,10 +169,20 @@
     share.raise_charged(1.2);
     share.raise_charged(0.5);
     assert_eq!((share.give_up(9), share.at(0)), (2, 2.0));
-    share.set_charged(0.0);
+    share.set_charged(0.0, 0);
     assert_eq!((share.give_up(9), share.at(0)), (2, 0.0));
 }
 
+// Guards against units that are free again while sends of a process that has ended may still arrive.
+#[test]
+fn share_of_a_process_that_ends_keeps_units_of_unsettled_sends() {
+    let mut share = Share::default();
+    share.set_units(6, 20_000);
+    share.set_charged(3.5, 1);
+    let RetiredUnits { spare, settled } = share.retire();
+    assert_eq!((spare, settled, share.at(0)), (2, 3, 0.0));
+}
+
 #[test]
 fn hedges_leave_half_of_the_share() {
     let mut budget = RepeatBudget::default();
--- a/crates/routing/tests/suite/shared_allowance/incidents.rs
+++ b/crates/routing/tests/suite/shared_allowance/incidents.rs
@@ -8,7 +8,7 @@
 
 fn press(host: usize, unread: u8) -> Step {
     let press = Press {
-        requests: 20,
+        requests: 12,
         repeats: 3,
         unread,
         late_ms: 0,
@@ -34,12 +34,31 @@
     }
 }
 
-/// Hosts that join in turn, each pressed at once.
+/// Hosts that join in turn, each pressed at once; the others learn of it.
 fn joins() -> Play {
-    let join = |host| vec![Step::Start(host), Step::Wait(800), press(host, ALL_READ)];
+    let join = |host: usize| {
+        let learn = (0..host).map(|other| Step::Believe(other, host + 1));
+        let start = [Step::Start(host), Step::Wait(800), press(host, ALL_READ)];
+        start.into_iter().chain(learn).collect()
+    };
     play(&(0..8).map(join).collect::<Vec<_>>())
 }
 
+/// Hosts that join one that has used a large share, and that now knows of many.
+fn joins_after_use() -> Play {
+    let alone = vec![Step::Start(0), Step::Wait(8_000), press(0, ALL_READ)];
+    let learn = vec![Step::Believe(0, 12), Step::Wait(1_200)];
+    let others = (1..5).flat_map(|host| [Step::Start(host), Step::Believe(host, 1)]);
+    let claim = vec![Step::Wait(5_000)];
+    play(&[
+        alone,
+        learn,
+        others.collect(),
+        claim,
+        press_all(1..5, ALL_READ),
+    ])
+}
+
 /// A host whose processes are killed in series.
 fn kills() -> Play {
     let generation = || vec![Step::Start(0), Step::Wait(700), press(0, ALL_READ)];
@@ -74,6 +93,13 @@
     play(&[start_alone(0..6), links, gap, start_alone(6..12), pressed])
 }
 
-pub fn all() -> [Play; 5] {
-    [joins(), kills(), restores(), unread_sends(), cuts()]
+pub fn all() -> [Play; 6] {
+    [
+        joins(),
+        joins_after_use(),
+        kills(),
+        restores(),
+        unread_sends(),
+        cuts(),
+    ]
 }
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -28,7 +28,8 @@
     arrival_ms: 1_000,
 };
 const TIMING: QuotaTiming = QuotaTiming {
-    use_ms: 40_000,
+    use_ms: 20_000,
+    window_ms: RULES.window_ms + RULES.arrival_ms,
     settle_ms: LOST_MS + RULES.window_ms + RULES.arrival_ms,
     extend_ms: 6_000,
 };
--- a/crates/routing/tests/suite/shared_allowance/store.rs
+++ b/crates/routing/tests/suite/shared_allowance/store.rs
@@ -228,6 +228,22 @@
                     self.state.units.remove(unit);
                 }
             }
+            QuotaCall::Retire(keys, ttl_ms) => {
+                let mut listed = keys.iter();
+                if !listed.all(|(unit, at)| self.is_expected(*unit, Some(*at))) {
+                    return QuotaReply::Conflict;
+                }
+                self.next_lease += 1;
+                let lease = Lease(self.next_lease);
+                self.state.leases.insert(lease, now + ttl_ms);
+                let unit = Unit {
+                    owner: run,
+                    revision,
+                    lease,
+                };
+                let units = keys.iter().map(|(id, _)| (*id, unit));
+                self.state.units.extend(units);
+            }
             QuotaCall::MarkSettled { epoch, expected } => {
                 let known = self.state.settled.map(|(revision, _)| revision);
                 if known != expected.map(|at| at.revision) {
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -1,7 +1,9 @@
 //! Processes on hosts, the store that they share, and targets that may stand still.
 
 use hollowsail_fleet::quota::{self, Quota};
-use hollowsail_routing::repeats::{RepeatBudget, RepeatReason, SendPermit, Share, TrackedSend};
+use hollowsail_routing::repeats::{
+    RepeatBudget, RepeatReason, RetiredUnits, SendPermit, Share, TrackedSend,
+};
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
@@ -129,7 +131,7 @@
             next_round: self.now,
             waiting: Vec::new(),
         });
-        self.run_round(host);
+        self.run_round(host, false);
     }
 
     /// The process is gone. What it sent arrives all the same.
@@ -145,7 +147,6 @@
         };
         if process.stopping.is_none() && !process.is_paused {
             process.stopping = Some(self.now);
-            self.run_round(host);
         }
     }
 
@@ -174,47 +175,50 @@
             return;
         }
         if process.stopping.is_some_and(|at| at + GRACE_MS <= self.now) {
+            self.send_waiting(host);
+            self.run_round(host, true);
             return self.end(host);
         }
-        let is_due = process.stopping.is_none() && process.next_round <= self.now;
+        let is_due = process.next_round <= self.now;
         self.send_waiting(host);
         if is_due {
-            self.run_round(host);
+            self.run_round(host, false);
         }
     }
 
     fn run_extra_round(&mut self, host: usize) {
         let process = self.hosts[host].as_ref();
-        if process.is_some_and(|process| !process.is_paused && process.stopping.is_none()) {
-            self.run_round(host);
+        if process.is_some_and(|process| !process.is_paused) {
+            self.run_round(host, false);
         }
     }
 
-    fn run_round(&mut self, host: usize) {
+    fn run_round(&mut self, host: usize, is_last: bool) {
         let Some(process) = &mut self.hosts[host] else {
             return;
         };
         let clock = self.now - process.started;
         process.next_round = self.now + ROUND_MS;
         process.budget.update(clock, RULES);
-        process.share.set_charged(match self.defect {
-            Some(Defect::ChargedUnitsGivenUp) => 0.0,
-            _ => process.budget.charged(),
-        });
+        match self.defect {
+            Some(Defect::ChargedUnitsGivenUp) => process.share.set_charged(0.0, 0),
+            _ => process
+                .share
+                .set_charged(process.budget.charged(), process.budget.held()),
+        }
         let total = self.extra as u32;
         let part = quota::target(total, process.believed_hosts);
-        let target = match process.stopping {
-            None if process.share.is_pressed() => {
-                quota::pressed_target(total, process.believed_hosts)
-            }
-            None => part,
-            Some(_) => 0,
+        let target = match process.share.is_pressed() {
+            true => quota::pressed_target(total, process.believed_hosts),
+            false => part,
         };
-        let surplus = process.quota.surplus(total, target);
-        process.quota.give_up(process.share.give_up(surplus));
-        match process.stopping {
-            None => process.quota.begin_round(total, part, target),
-            Some(_) => process.quota.begin_last_round(),
+        if is_last {
+            let RetiredUnits { spare, settled } = process.share.retire();
+            process.quota.begin_last_round(spare, settled);
+        } else {
+            let surplus = process.quota.surplus(total, target);
+            process.quota.give_up(process.share.give_up(surplus));
+            process.quota.begin_round(total, part, target);
         }
         while let Some(call) = process.quota.next_call(clock, &mut self.rng) {
             let (store, run) = (&mut self.store, process.run);
