Add a soak of hosts that join in turn, and report how much of the allowance of repeats is used

The soaks so far start all gateways before the callers and have many requests, so that they don't come near the allowance. Several seeds end with those that used most of the allowance.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -6,6 +6,9 @@
 use hollowsail_bench::run::BenchError;
 use hollowsail_bench::soak::{self, SoakOptions};
 
+/// Number of seeds that are listed by the repeats that they use.
+const MAX_TIGHTEST: usize = 5;
+
 /// run real gateways before an emulated platform under a drawn plan of faults, and check
 /// what callers and targets see
 #[derive(FromArgs)]
@@ -59,6 +62,11 @@
     #[argh(switch)]
     restores: bool,
 
+    /// play only hosts that start one after the other and are killed, replaced under other names,
+    /// stopped and paused, while targets fail most of what they get; --seconds has no effect
+    #[argh(switch)]
+    joining_hosts: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -75,6 +83,7 @@
 impl Arguments {
     pub async fn run(self) -> Result<bool, BenchError> {
         let mut all_succeeded = true;
+        let mut used = Vec::new();
         for seed in self.seed..self.seed + self.seeds {
             let options = SoakOptions {
                 seed,
@@ -88,6 +97,7 @@
                 failing_targets: self.failing_targets,
                 suspended_targets: self.suspended_targets,
                 restores: self.restores,
+                joining_hosts: self.joining_hosts,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
@@ -96,7 +106,23 @@
                 .map_err(|source| BenchError::Soak { source })?;
             println!("{report}");
             all_succeeded &= report.is_success();
+            used.push((seed, report.used_repeats));
+        }
+        if used.len() > 1 {
+            println!("{}", describe_tightest(used));
         }
         Ok(all_succeeded)
     }
 }
+
+/// The seeds whose repeats came nearest to what is allowed.
+fn describe_tightest(mut used: Vec<(u64, f64)>) -> String {
+    used.sort_by(|(_, a), (_, b)| b.total_cmp(a));
+    let tightest = used.iter().take(MAX_TIGHTEST);
+    let tightest = tightest.map(|(seed, used)| format!("{seed} ({used:.2})"));
+    let tightest: Vec<String> = tightest.collect();
+    format!(
+        "seeds that used most of the allowed repeats: {}",
+        tightest.join(", ")
+    )
+}
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -55,6 +55,7 @@
         room: room.summary,
         streams: streams.summary,
         repeats: repeats.summary,
+        used_repeats: repeats.used,
         failures,
         ..SoakReport::of_attempts(options, observations, attempts)
     }
@@ -108,6 +109,10 @@
             ..
         } => Some("--failing-targets"),
         SoakOptions { restores: true, .. } => Some("--restores"),
+        SoakOptions {
+            joining_hosts: true,
+            ..
+        } => Some("--joining-hosts"),
         SoakOptions {
             suspended_targets: true,
             ..
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -184,6 +184,7 @@
         };
         SoakReport {
             repeats: repeats.summary,
+            used_repeats: repeats.used,
             failures,
             ..SoakReport::of_attempts(&options, observations, attempts)
         }
--- /dev/null
+++ b/crates/bench/src/soak/joining_hosts.rs
@@ -0,0 +1,95 @@
+//! Soak of the fixed allowance of repeats: hosts start one after the other, and are killed, replaced by
+//! hosts of other names, stopped and paused, while targets fail most of what they get from the start.
+//!
+//! Requests are few, so that the fixed allowance is nearly all that there is ([`super::repeats`]).
+
+use std::ops::Range;
+use std::time::Duration;
+
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+use super::failing_targets::{callers, host_section, play, SECTIONS, SERVICES};
+use super::plan::{EntryFault, PlannedFault, SoakPlan};
+use super::report::SoakReport;
+use super::{SoakError, SoakOptions};
+
+/// Separates this random stream from others of the same seed.
+const STREAM: u64 = 0x6a6f_696e;
+/// Length of a run.
+const LENGTH: Duration = Duration::from_secs(30);
+/// Time in which hosts are disturbed, in milliseconds.
+const UNTIL_MS: u64 = 26_000;
+/// Time between the starts of two hosts, in milliseconds.
+const APART_MS: Range<u64> = 100..2_500;
+/// Faults of each host after its start, and how long they last, in milliseconds.
+const FAULTS_PER_HOST: usize = 2;
+const FAULT_MS: Range<u64> = 100..2_500;
+/// Percentage of what they get that targets fail.
+const FAILING_PERCENT: Range<u32> = 60..100;
+const FAILURE_MODES: [&str; 3] = ["error", "refuse", "break"];
+
+/// Runs once.
+pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
+    let plan = draw(options);
+    let played = play(options, &plan, callers(options)).await?;
+    Ok(played.report(options, &plan, Vec::new()))
+}
+
+fn draw(options: &SoakOptions) -> SoakPlan {
+    let SoakOptions { seed, entries, .. } = *options;
+    let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
+    let mut sections = vec![SECTIONS.to_string()];
+    for (service, targets) in SERVICES {
+        sections.push(failing_section(&mut rng, service, targets));
+    }
+    for what in ["hosts-cut", "store-silent"] {
+        if rng.random_bool(0.5) {
+            sections.push(host_section(&mut rng, what, entries));
+        }
+    }
+    let mut faults = Vec::new();
+    let mut start_ms = 0;
+    for entry in 0..entries {
+        if entry > 0 {
+            start_ms += rng.random_range(APART_MS);
+            faults.push(PlannedFault {
+                fault: EntryFault::Join,
+                entry,
+                at: Duration::from_millis(start_ms),
+                duration: Duration::ZERO,
+            });
+        }
+        let from_ms = start_ms.min(UNTIL_MS - 1);
+        let later = (0..FAULTS_PER_HOST).map(|_| draw_fault(&mut rng, entry, from_ms));
+        faults.extend(later);
+    }
+    SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+}
+
+/// Section of a time, as long as the run, in which all targets of a service fail.
+fn failing_section(rng: &mut SmallRng, service: &str, targets: usize) -> String {
+    let percent = rng.random_range(FAILING_PERCENT);
+    let how = FAILURE_MODES.choose(rng).expect("there are modes");
+    let for_ms = LENGTH.as_millis();
+    format!(
+        "[trouble.{service}-failing]\nwhat = targets-failing\nservice = {service}\n\
+         targets = {targets}\npercent = {percent}\nhow = {how}\nat_ms = 1\nfor_ms = {for_ms}\n"
+    )
+}
+
+fn draw_fault(rng: &mut SmallRng, entry: usize, from_ms: u64) -> PlannedFault {
+    let kinds = [
+        EntryFault::Kill,
+        EntryFault::Stop,
+        EntryFault::Pause,
+        EntryFault::Replace,
+    ];
+    PlannedFault {
+        fault: *kinds.choose(rng).expect("there are kinds"),
+        entry,
+        at: Duration::from_millis(rng.random_range(from_ms..UNTIL_MS)),
+        duration: Duration::from_millis(rng.random_range(FAULT_MS)),
+    }
+}
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod departures;
 mod failing_targets;
 mod fragile;
+mod joining_hosts;
 mod plan;
 mod processes;
 mod repeats;
@@ -68,6 +69,8 @@
     pub suspended_targets: bool,
     /// A store that is restored from older copies, beside targets that leave and fail.
     pub restores: bool,
+    /// Hosts that start one after the other, and are replaced, while targets fail.
+    pub joining_hosts: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -114,6 +117,9 @@
     if options.restores {
         return restores::run(options).await;
     }
+    if options.joining_hosts {
+        return joining_hosts::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -47,6 +47,10 @@
     Stop,
     /// SIGSTOP, then SIGCONT.
     Pause,
+    /// The first start, while others run.
+    Join,
+    /// SIGKILL, then a start under another host name after a delay.
+    Replace,
 }
 
 /// A scheduled gateway fault.
@@ -231,6 +235,15 @@
         }
     }
 
+    /// True if a gateway starts only during the run.
+    pub fn joins_later(&self, entry: usize) -> bool {
+        let mut joins = self
+            .faults
+            .iter()
+            .filter(|planned| planned.fault == EntryFault::Join);
+        joins.any(|planned| planned.entry == entry)
+    }
+
     /// Lists the gateway faults, one per line.
     pub fn describe_faults(&self) -> String {
         let lines = self.faults.iter().map(|planned| {
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -116,6 +116,8 @@
     child: RefCell<Option<Child>>,
     failed_checks: Cell<u32>,
     starts: Cell<u32>,
+    /// Times that its host was replaced by one of another name.
+    replacements: Cell<u32>,
     /// Restarts in progress; an exit meanwhile is expected.
     restarts_in_progress: Cell<u32>,
 }
@@ -200,10 +202,16 @@
             started: Instant::now(),
             is_over: Cell::new(false),
         };
-        for index in 0..fleet.gateways.len() {
+        let is_first = |index: &usize| !plan.joins_later(*index);
+        let first: Vec<usize> = (0..fleet.gateways.len()).filter(is_first).collect();
+        for gateway in &fleet.gateways {
+            gateway.failed_checks.set(MAX_FAILED_CHECKS);
+        }
+        for index in first.iter().copied() {
             fleet.start_gateway(index)?;
         }
-        for index in 0..fleet.gateways.len() {
+        for index in first {
+            fleet.gateways[index].failed_checks.set(0);
             if !fleet.is_ready_within(index, READY_TIMEOUT).await {
                 return Err(SoakError::NotReady {
                     process: fleet.gateways[index].config.host.clone(),
@@ -312,6 +320,12 @@
             }
             EntryFault::Kill => self.restart(planned, Signal::KILL).await,
             EntryFault::Stop => self.restart(planned, Signal::TERM).await,
+            EntryFault::Join => self.start_if_absent(planned.entry),
+            EntryFault::Replace => {
+                let replacements = &self.gateways[planned.entry].replacements;
+                replacements.set(replacements.get() + 1);
+                self.restart(planned, Signal::KILL).await;
+            }
         }
         self.is_ready_within(planned.entry, READY_TIMEOUT).await;
         self.observations
@@ -350,25 +364,28 @@
             drop(gateway.child.take());
         }
         tokio::time::sleep(planned.duration).await;
-        if gateway.child.borrow().is_none() {
-            if let Err(err) = self.start_gateway(planned.entry) {
-                self.observations
-                    .borrow_mut()
-                    .exit_failures
-                    .push(err.to_string());
-            }
-        }
+        self.start_if_absent(planned.entry);
         gateway
             .restarts_in_progress
             .set(gateway.restarts_in_progress.get() - 1);
     }
 
+    fn start_if_absent(&self, index: usize) {
+        if self.gateways[index].child.borrow().is_some() {
+            return;
+        }
+        if let Err(err) = self.start_gateway(index) {
+            let mut observations = self.observations.borrow_mut();
+            observations.exit_failures.push(err.to_string());
+        }
+    }
+
     fn start_gateway(&self, index: usize) -> Result<(), SoakError> {
         let gateway = &self.gateways[index];
-        let host = &gateway.config.host;
+        let config = gateway.present_config();
+        let host = &config.host;
         let settings = self.folder.join(format!("{host}.yaml"));
-        std::fs::write(&settings, gateway.config.settings())
-            .context(FolderSnafu { path: &settings })?;
+        std::fs::write(&settings, config.settings()).context(FolderSnafu { path: &settings })?;
         let start = gateway.starts.get() + 1;
         gateway.starts.set(start);
         let output = self.folder.join(format!("{host}.{start}.log"));
@@ -428,12 +445,25 @@
             child: RefCell::new(None),
             failed_checks: Cell::new(0),
             starts: Cell::new(0),
+            replacements: Cell::new(0),
             restarts_in_progress: Cell::new(0),
         }
     }
 }
 
 impl Gateway {
+    /// Its settings, under the name that its host has now.
+    fn present_config(&self) -> EntryConfig {
+        let config = self.config.clone();
+        match self.replacements.get() {
+            0 => config,
+            number => EntryConfig {
+                host: format!("{}-new-{number}", config.host),
+                ..config
+            },
+        }
+    }
+
     /// Exit status if the process has exited since the last call.
     fn try_exit_status(&self) -> Option<ExitStatus> {
         let mut child = self.child.borrow_mut();
--- a/crates/bench/src/soak/repeats.rs
+++ b/crates/bench/src/soak/repeats.rs
@@ -23,6 +23,8 @@
 pub struct RepeatReport {
     pub failures: Vec<Failure>,
     pub summary: String,
+    /// Largest part of the allowance of any service that is used.
+    pub used: f64,
 }
 
 pub fn evaluate(
@@ -51,7 +53,11 @@
     };
     let exceeded = worst.iter().filter(|(_, worst)| worst.is_exceeded());
     let windows: Vec<String> = worst.iter().map(describe).collect();
+    let used = worst
+        .iter()
+        .map(|(_, worst)| worst.repeats as f64 / worst.allowed);
     RepeatReport {
+        used: used.fold(0.0, f64::max),
         failures: exceeded
             .map(|worst| Failure::new(FailureKind::Repeats, describe(worst)))
             .collect(),
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -113,6 +113,8 @@
     pub streams: String,
     /// Repeats of work by service.
     pub repeats: String,
+    /// Largest part of the repeats that are allowed in a window that a service got.
+    pub used_repeats: f64,
     pub failures: Vec<Failure>,
 }
 
--- a/crates/bench/tests/suite/soak_report.rs
+++ b/crates/bench/tests/suite/soak_report.rs
@@ -20,6 +20,7 @@
         room: "no room".to_string(),
         streams: "streams".to_string(),
         repeats: "repeats".to_string(),
+        used_repeats: 0.5,
         mode: None,
         failures: versions.chain([cut]).collect(),
     };
