Log units that are given up, bound the window of their lease, and split the reading of their list

A change of the number of units was compared with the number after some had been given up, so that giving up left no line. No decision changes.

--- a/crates/gateway/src/control/repeat_units.rs
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -6,7 +6,6 @@
 //! soon as nothing counts of them; those of a killed process stay taken until their lease ends.
 
 use std::collections::BTreeSet;
-use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +15,7 @@
 use hollowsail_fleet::Position;
 use hollowsail_observe::events;
 use hollowsail_platform::settings::Bounds;
-use hollowsail_platform::store::{Lease, StoreError};
+use hollowsail_platform::store::{Lease, Range, StoreError};
 use hollowsail_routing::repeats::{RetiredUnits, LOST_MS};
 use hollowsail_routing::Millis;
 use rand::Rng;
@@ -31,6 +30,8 @@
 const SETTLED_KEY: &str = "hollowsail-repeats/settled";
 /// Most units that an allowance is divided into.
 const MAX_UNITS: f64 = 10_000.0;
+/// Longest window of an allowance, in seconds.
+const MAX_WINDOW_S: f64 = 3_600.0;
 /// Time between two rounds while enough of the share is left, and in any case.
 const ROUND_INTERVAL: Duration = Duration::from_secs(1);
 const MIN_INTERVAL: Duration = Duration::from_millis(10);
@@ -39,7 +40,7 @@
 /// How long the list of hosts is awaited before units are claimed, in milliseconds.
 const LIST_WAIT_MS: Millis = 500;
 /// Delay before units are written again in a new epoch.
-const NEW_EPOCH_DELAY: Range<Duration> = Duration::from_secs(3)..Duration::from_secs(10);
+const NEW_EPOCH_DELAY: std::ops::Range<Duration> = Duration::from_secs(3)..Duration::from_secs(10);
 /// How long units may be used while the store doesn't answer, in milliseconds.
 const USE_MS: Millis = 20_000;
 /// Time between two calls that extend the lease, in milliseconds.
@@ -94,7 +95,8 @@
 }
 
 fn timing(bounds: &Bounds) -> QuotaTiming {
-    let window_ms = (bounds.retry_window_s * 1_000.0) as Millis;
+    let window_s = bounds.retry_window_s.clamp(0.0, MAX_WINDOW_S);
+    let window_ms = (window_s * 1_000.0) as Millis;
     QuotaTiming {
         use_ms: USE_MS,
         window_ms: ARRIVAL_MS + window_ms,
@@ -117,6 +119,28 @@
     Some(UnitId(number))
 }
 
+/// The units in a list of their keys, and the mark. Keys that can't be read are nobody's.
+fn list_units(range: &Range, owner: &[u8]) -> UnitList {
+    let items = range.items.iter();
+    let units = items.clone().filter_map(|item| {
+        let is_own = item.value == owner;
+        let unit = ListedUnit {
+            at: item.at,
+            is_own,
+        };
+        Some((unit_of(&item.key)?, unit))
+    });
+    let mut marks = items.filter(|item| item.key == SETTLED_KEY);
+    let settled = marks.find_map(|item| {
+        let epoch = std::str::from_utf8(&item.value).ok()?;
+        Some((item.at, epoch.parse().ok()?))
+    });
+    UnitList {
+        units: units.collect(),
+        settled,
+    }
+}
+
 impl Units<'_> {
     /// Lets the more urgent records be written first after the store was restored. What is held stays
     /// usable meanwhile, and nobody else claims it.
@@ -133,6 +157,7 @@
     async fn run_round(&mut self) {
         let total = total(&self.cx.settings.load().bounds);
         let hosts = self.count_hosts();
+        let held = self.quota.held();
         metrics::set_repeat_hosts(hosts);
         let part = quota::target(total, hosts);
         let target = match self.cx.repeat_share.lock().is_pressed() {
@@ -141,7 +166,6 @@
         };
         self.give_up(self.quota.surplus(total, target));
         self.quota.begin_round(total, part, target);
-        let held = self.quota.held();
         self.make_calls().await;
         if self.quota.held() != held {
             self.log_held(&format!("target={target} total={total} hosts={hosts}"));
@@ -212,24 +236,7 @@
             }
             QuotaCall::List { allow_stale } => {
                 let range = store.range(PREFIX, *allow_stale).await?;
-                let listed = range.items.iter();
-                let units = listed.clone().filter_map(|item| {
-                    let is_own = item.value == self.owner;
-                    let unit = ListedUnit {
-                        at: item.at,
-                        is_own,
-                    };
-                    Some((unit_of(&item.key)?, unit))
-                });
-                let mut marks = listed.filter(|item| item.key == SETTLED_KEY);
-                let settled = marks.find_map(|item| {
-                    let epoch = std::str::from_utf8(&item.value).ok()?;
-                    Some((item.at, epoch.parse().ok()?))
-                });
-                return Ok(QuotaReply::Listed(UnitList {
-                    units: units.collect(),
-                    settled,
-                }));
+                return Ok(QuotaReply::Listed(list_units(&range, &self.owner)));
             }
             QuotaCall::Write(writes) => {
                 let keys = writes.iter();
