Leave a part of the share to repeats of work whose earlier sends have settled

A repeat of a piece whose owner was lost is charged for as long as the lost owner may still send it, up to a minute.

The model is unchanged and finds nothing.

--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -11,6 +11,9 @@
 const EARNED_PART: f64 = 0.5;
 /// Part of the share that hedges may not use.
 const KEPT_FROM_HEDGES: f64 = 0.5;
+/// Part of the share for work whose earlier sends may still arrive. Such a charge may last for a minute,
+/// and other repeats have to be covered meanwhile.
+const UNREAD_PART: f64 = 0.65;
 /// Number of steps of a window in which earnings are added up.
 const STEPS_PER_WINDOW: Millis = 50;
 /// Allows for rounding in sums of fractions.
@@ -76,6 +79,12 @@
         if left < to_hold as f64 + kept {
             return None;
         }
+        if work.unsettled(now) > 0 {
+            let unread = self.charges.held_for_earlier(now) as f64 + 1.0;
+            if unread > (share * UNREAD_PART).max(1.0) + ROUNDING {
+                return None;
+            }
+        }
         let permit = SendPermit::new(now, work);
         self.charges.add(now, work);
         Some(permit)
--- a/crates/routing/src/repeats/charges.rs
+++ b/crates/routing/src/repeats/charges.rs
@@ -131,6 +131,15 @@
         amounts.sum()
     }
 
+    /// Number of charges that are held for sends that others followed.
+    pub fn held_for_earlier(&self, now: Millis) -> usize {
+        let held = self.0.iter().map(|repeated| {
+            let earlier = repeated.work.unsettled_earlier(now);
+            repeated.held().min(earlier)
+        });
+        held.sum()
+    }
+
     /// Number of charges that are held.
     pub fn held(&self) -> usize {
         self.0.iter().map(Repeated::held).sum()
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -140,6 +140,13 @@
         sends.iter().filter(|send| !send.is_settled(now)).count()
     }
 
+    /// Number of sends but the last one that may still arrive.
+    pub(super) fn unsettled_earlier(&self, now: Millis) -> usize {
+        let sends = self.0.borrow();
+        let earlier = sends.split_last().map_or(&[][..], |(_, earlier)| earlier);
+        earlier.iter().filter(|send| !send.is_settled(now)).count()
+    }
+
     /// True if a permit was dropped without being used here.
     pub(super) fn has_unused(&self) -> bool {
         let sends = self.0.borrow();
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -280,6 +280,18 @@
     }
 }
 
+// Guards against a share that is used up for a minute by work whose first sends may still arrive.
+#[test]
+fn repeats_of_unread_work_leave_a_part_of_the_share() {
+    let mut budget = RepeatBudget::default();
+    let unread = (0..9).filter_map(|_| repeat_abandoned(&mut budget, 20_000, 4.0));
+    let unread: Vec<TrackedSend> = unread.collect();
+    assert_eq!(unread.len(), 2);
+    let reason = RepeatReason::CallFailed;
+    let failed = budget.repeat(20_001, RULES, 4.0, reason, &Work::default());
+    assert!(failed.is_some());
+}
+
 // Guards against repeats for which a charge counts that has just been released.
 #[test]
 fn each_repeat_of_the_same_work_is_charged() {
