Keep units of repeats that were granted just before a planned stop ends

Whether sends may still arrive was updated once a second, while what is charged rose with each grant. So a process that ended within a second of a repeat could pass that repeat's unit to the lease of a window although its send wasn't settled. A grant now raises both.

--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -138,7 +138,7 @@
         let share = shared.at(now);
         let (permit, left, held) = self.with_budget(repeat.service, |budget| {
             let permit = budget.repeat(now, rules(bounds), share, repeat.reason, repeat.work);
-            shared.raise_charged(budget.charged());
+            shared.raise_charged(budget.charged(), budget.held());
             (
                 permit,
                 budget.left(now, rules(bounds), share),
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -39,9 +39,11 @@
         self.held = held;
     }
 
-    /// Records that this much is charged for one of the services.
-    pub fn raise_charged(&mut self, charged: f64) {
+    /// Records that this much is charged for one of the services, and that so many of its repeats may
+    /// still arrive.
+    pub fn raise_charged(&mut self, charged: f64, held: usize) {
         self.charged = self.charged.max(charged.ceil() as usize);
+        self.held = self.held.max(held);
     }
 
     /// Repeats that may be charged in a window.
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -166,13 +166,24 @@
 fn share_keeps_units_that_repeats_are_charged_to() {
     let mut share = Share::default();
     share.set_units(4, 20_000);
-    share.raise_charged(1.2);
-    share.raise_charged(0.5);
+    share.raise_charged(1.2, 0);
+    share.raise_charged(0.5, 0);
     assert_eq!((share.give_up(9), share.at(0)), (2, 2.0));
     share.set_charged(0.0, 0);
     assert_eq!((share.give_up(9), share.at(0)), (2, 0.0));
 }
 
+// Guards against units of repeats that were granted since the charges were updated.
+#[test]
+fn share_of_a_process_that_ends_keeps_units_of_its_last_repeats() {
+    let mut share = Share::default();
+    share.set_units(6, 20_000);
+    share.set_charged(1.0, 0);
+    share.raise_charged(3.0, 2);
+    let RetiredUnits { spare, settled } = share.retire();
+    assert_eq!((spare, settled), (3, 1));
+}
+
 // Guards against units that are free again while sends of a process that has ended may still arrive.
 #[test]
 fn share_of_a_process_that_ends_keeps_units_of_unsettled_sends() {
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -202,6 +202,8 @@
         process.budget.update(clock, RULES);
         match self.defect {
             Some(Defect::ChargedUnitsGivenUp) => process.share.set_charged(0.0, 0),
+            // Traffic doesn't say it once more before a process ends.
+            _ if is_last => {}
             _ => process
                 .share
                 .set_charged(process.budget.charged(), process.budget.held()),
@@ -299,7 +301,8 @@
                 let reason = RepeatReason::AttemptFailed;
                 let granted = process.budget.repeat(clock, RULES, share, reason, &work);
                 let Some(granted) = granted else { break };
-                process.share.raise_charged(process.budget.charged());
+                let budget = &process.budget;
+                process.share.raise_charged(budget.charged(), budget.held());
                 permit = granted;
             }
         }
