--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -128,9 +128,13 @@
 
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
-    let plan = draw(options);
-    let played = play(options, &plan, callers(options)).await?;
-    Ok(played.report(options, &plan, Vec::new()))
+    run_plan(options, &draw(options)).await
+}
+
+/// Plays a plan with the callers of these routes, and checks promises and repeats.
+pub async fn run_plan(options: &SoakOptions, plan: &SoakPlan) -> Result<SoakReport, SoakError> {
+    let played = play(options, plan, callers(options)).await?;
+    Ok(played.report(options, plan, Vec::new()))
 }
 
 /// The callers of these routes.
--- a/crates/bench/src/soak/joining_hosts.rs
+++ b/crates/bench/src/soak/joining_hosts.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::failing_targets::{callers, host_section, play, SECTIONS, SERVICES};
+use super::failing_targets::{host_section, run_plan, SECTIONS, SERVICES};
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
 use super::report::SoakReport;
 use super::{SoakError, SoakOptions};
@@ -32,9 +32,7 @@
 
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
-    let plan = draw(options);
-    let played = play(options, &plan, callers(options)).await?;
-    Ok(played.report(options, &plan, Vec::new()))
+    run_plan(options, &draw(options)).await
 }
 
 fn draw(options: &SoakOptions) -> SoakPlan {
--- a/crates/bench/src/soak/suspended_targets.rs
+++ b/crates/bench/src/soak/suspended_targets.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::failing_targets::{
-    callers, draw_faults, failing_section, host_section, play, SECTIONS, SERVICES,
+    draw_faults, failing_section, host_section, run_plan, SECTIONS, SERVICES,
 };
 use super::plan::SoakPlan;
 use super::report::SoakReport;
@@ -34,9 +34,7 @@
 
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
-    let plan = draw(options);
-    let played = play(options, &plan, callers(options)).await?;
-    Ok(played.report(options, &plan, Vec::new()))
+    run_plan(options, &draw(options)).await
 }
 
 fn draw(options: &SoakOptions) -> SoakPlan {
