Measure a target's answers from their send, not from the arrival of the request

What callers saw: while targets of a service stood still again and again, requests waited longer with each stop before they were sent elsewhere (215 ms, 478 ms, 1.02 s in three stops of targets that answer in 10 ms), and more of them were lost, since more were stuck in each stop than repeats were left.

Cause: the time from the arrival of a request to its answer went into the latency window of its service. It includes earlier attempts, so one in a hundred repeated requests made the 99th percentile the timeout of an attempt and more, and the timeout twice that: each stop doubled it. The same time counted against the target that answered, as if it were slow.

Change: latency and health of a target count from the send of the attempt that it answered, as the timeout and the speed do.

--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -118,13 +118,15 @@
     target: &Target,
     sent: BootInstant,
 ) {
-    let ms = admitted.arrived.elapsed().as_millis() as u64;
+    // Waiting for a target and earlier attempts say nothing of this one.
+    let took = sent.elapsed();
+    let ms = took.as_millis() as u64;
     let typical = cx
         .typical_ms(&admitted.deployment, attempts.service)
         .unwrap_or(ms);
     let has_speed = choose::has_speed(cx, target);
     if has_speed {
-        let took_ms = sent.elapsed().as_secs_f64() * 1_000.0;
+        let took_ms = took.as_secs_f64() * 1_000.0;
         target.record_speed(cx.clock.now(), took_ms, typical as f64);
     }
     // A slow target that serves in time gets less work by its speed, and isn't ejected.
--- a/crates/gateway/tests/suite/suspended_targets.rs
+++ b/crates/gateway/tests/suite/suspended_targets.rs
@@ -43,6 +43,8 @@
 struct Played {
     requests: usize,
     served: usize,
+    /// Longest time to an answer or a refusal.
+    slowest: Duration,
     /// Repeats in the worst window, and those allowed there.
     worst: Option<(usize, f64)>,
 }
@@ -94,19 +96,26 @@
         async move {
             tokio::time::sleep_until((start + at).into()).await;
             let call = Call::new("GET", "/safe/x").with("X-Request-Id", &format!("{number:016x}"));
-            (at, call.send(callers).await.status == 200)
+            let sent = Instant::now();
+            let is_served = call.send(callers).await.status == 200;
+            (at, is_served, sent.elapsed())
         }
     }));
     let (sent, ()) = futures_util::future::join(sending, suspending).await;
     // What the targets had not read yet arrives now.
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let times: Vec<Duration> = sent.iter().map(|(at, _)| *at).collect();
+    let times: Vec<Duration> = sent.iter().map(|(at, ..)| *at).collect();
     let received = targets.iter().flat_map(TargetStandin::received);
     let arrivals = received.map(|request| (request.received_at, request.request_id().to_string()));
     let worst = ALLOWANCE.worst_window(&repeats(arrivals.collect(), start), &times);
     Played {
         requests,
-        served: sent.iter().filter(|(_, is_served)| *is_served).count(),
+        served: sent.iter().filter(|(_, is_served, _)| *is_served).count(),
+        slowest: sent
+            .iter()
+            .map(|(.., took)| *took)
+            .max()
+            .unwrap_or_default(),
         worst: worst.map(|worst| (worst.repeats, worst.allowed)),
     }
 }
@@ -138,6 +147,16 @@
     assert!(played.lost() <= 36, "{played:?}");
 }
 
+// Guards against timeouts of attempts that grow with each request that had to be repeated.
+#[actix_rt::test]
+async fn repeated_requests_do_not_lengthen_the_timeouts_of_later_ones() {
+    let times: Vec<(u64, u64)> = (0..3)
+        .map(|n| (1_000 + n * 2_000, 2_500 + n * 2_000))
+        .collect();
+    let played = play(4, &times, Duration::from_millis(7_400)).await;
+    assert!(played.slowest <= Duration::from_millis(500), "{played:?}");
+}
+
 /// Sends requests with four pieces each while two of four stage workers stand still for 9 s.
 async fn play_stages() -> Played {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -184,10 +203,12 @@
                 .with("X-Pieces", "4")
                 .with("X-Piece-Key", "the-key")
                 .body("prompt");
-            call.send(callers).await.status == 200
+            let sent = Instant::now();
+            let is_served = call.send(callers).await.status == 200;
+            (is_served, sent.elapsed())
         }
     }));
-    let (served, ()) = futures_util::future::join(sending, suspending).await;
+    let (answers, ()) = futures_util::future::join(sending, suspending).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     let calls = workers.iter().flat_map(stage_runs);
     let arrivals = calls.flat_map(|call| {
@@ -200,8 +221,13 @@
     // No route leads to the stage service, so that requests earn no repeats there.
     let worst = ALLOWANCE.worst_window(&repeats(arrivals.collect(), start), &[]);
     Played {
-        requests: served.len(),
-        served: served.into_iter().filter(|is_served| *is_served).count(),
+        requests: answers.len(),
+        served: answers.iter().filter(|(is_served, _)| *is_served).count(),
+        slowest: answers
+            .iter()
+            .map(|(_, took)| *took)
+            .max()
+            .unwrap_or_default(),
         worst: worst.map(|worst| (worst.repeats, worst.allowed)),
     }
 }
