Choose calls by passing over requests once for each hall

Cause: for each free worker, choosing a call passed over every waiting piece, and for a piece that prefers a hall over all workers and calls.

Change: pieces that arrive together and are alike wait as one cohort (batch::waiting). The groups of a hall are found once for all its free workers, and when a hall's workers are expected to be free once for all pieces. Without a free worker nothing is chosen.

--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -48,20 +48,15 @@
             self.calibrate(false, now);
             return None;
         }
-        self.update_order(now);
-        let mut free = self.free_workers(now);
-        free.sort_by(|a, b| {
-            self.load_score(*a, now)
-                .total_cmp(&self.load_score(*b, now))
-        });
-        let started = free.into_iter().find_map(|worker| {
-            let pieces = self.choose_pieces(worker, now);
-            (!pieces.is_empty()).then(|| self.start(worker, pieces, now))
-        });
-        if started.is_none() {
-            self.calibrate(!self.has_idle_worker(now), now);
+        let free = self.free_workers(now);
+        if !free.is_empty() {
+            self.update_order(now);
         }
-        started
+        let Some((worker, pieces)) = self.choose_call(free, now) else {
+            self.calibrate(!self.has_idle_worker(now), now);
+            return None;
+        };
+        Some(self.start(worker, pieces, now))
     }
 
     fn start(&mut self, worker: WorkerKey, chosen: Vec<PieceKey>, now: Millis) -> StartedCall {
@@ -71,7 +66,7 @@
             piece.calls += 1;
             let result_bytes = piece.order.result_bytes;
             pieces.push(StartedPiece { key, result_bytes });
-            self.waiting.remove(&(piece.rank, key));
+            self.waiting.remove(piece.place);
             if let Some(group) = self.groups.get_mut(&piece.order.group) {
                 group.started = true;
             }
@@ -122,7 +117,7 @@
                 continue;
             };
             piece.calls -= 1;
-            if piece.calls == 0 && !self.waiting.contains(&(piece.rank, key)) {
+            if piece.calls == 0 && !self.waiting.contains(piece.place) {
                 unfinished.push(key);
             }
         }
@@ -147,9 +142,9 @@
                 let Some(piece) = self.pieces.get_mut(*key) else {
                     continue;
                 };
-                let is_waiting = self.waiting.contains(&(piece.rank, *key));
+                let is_waiting = self.waiting.contains(piece.place);
                 if !is_waiting && may_repeat(&mut piece.job) {
-                    self.waiting.insert((piece.rank, *key));
+                    piece.wait_in(&mut self.waiting, *key);
                 }
             }
         }
--- a/crates/stages/src/batch/capacity.rs
+++ b/crates/stages/src/batch/capacity.rs
@@ -6,6 +6,7 @@
 
 use slotmap::SecondaryMap;
 
+use super::waiting::Cohort;
 use super::workers::Worker;
 use super::{BatchQueue, PoolRules, WorkerKey};
 use crate::reservations::demand::{Supply, SupplyChange};
@@ -117,6 +118,13 @@
     pub cost: PieceCost,
 }
 
+impl Capacity {
+    /// Cost of waiting pieces.
+    pub fn cost_of(&self, cohort: &Cohort) -> f64 {
+        self.cost.of(cohort.len() as f64, cohort.bytes() as f64)
+    }
+}
+
 /// What the capacity of a worker depends on.
 #[derive(Debug, Clone, Copy)]
 struct Model {
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -4,7 +4,13 @@
 //! slots left and the worker has memory for the results. In the order by due time, a call
 //! is no longer than the due time of its most urgent group allows.
 
-use super::{BatchQueue, GroupKey, HallKey, PieceKey, WorkerKey};
+use std::collections::HashMap;
+use std::iter;
+
+use slotmap::SecondaryMap;
+
+use super::waiting::Cohort;
+use super::{BatchQueue, GroupKey, HallKey, PieceKey, PieceOrder, WorkerKey};
 use crate::reservations::QueueOrder;
 use crate::Millis;
 
@@ -27,45 +33,89 @@
     Other { priority: u8, is_late: bool },
 }
 
+/// When a worker of a hall is expected to be free.
+type FreeFrom = HashMap<HallKey, Millis>;
+
+/// Waiting pieces of a group that are eligible in one hall; never empty.
+type EligibleGroup<'a> = Vec<&'a Cohort>;
+
+fn len(group: &[&Cohort]) -> usize {
+    group.iter().map(|cohort| cohort.len()).sum()
+}
+
+fn bytes(group: &[&Cohort]) -> u64 {
+    group.iter().map(|cohort| cohort.bytes()).sum()
+}
+
+fn pieces<'a>(group: &'a [&Cohort]) -> impl Iterator<Item = PieceKey> + 'a {
+    group.iter().flat_map(|cohort| cohort.pieces())
+}
+
 impl<T> BatchQueue<T> {
+    /// The next call to one of the `free` workers: the least loaded one that finds pieces.
+    pub(super) fn choose_call(
+        &self,
+        mut free: Vec<WorkerKey>,
+        now: Millis,
+    ) -> Option<(WorkerKey, Vec<PieceKey>)> {
+        free.sort_by(|a, b| {
+            self.load_score(*a, now)
+                .total_cmp(&self.load_score(*b, now))
+        });
+        let free_from = self.halls_free_from(now);
+        let mut groups_by_hall: HashMap<HallKey, Vec<EligibleGroup>> = HashMap::new();
+        free.into_iter().find_map(|worker| {
+            let hall = self.workers[worker].hall;
+            let groups = groups_by_hall
+                .entry(hall)
+                .or_insert_with(|| self.groups_for(hall, &free_from, now));
+            let pieces = self.choose_pieces(worker, groups, now);
+            (!pieces.is_empty()).then_some((worker, pieces))
+        })
+    }
+
     /// Pieces for a call to a worker, group by group.
-    pub(super) fn choose_pieces(&self, worker: WorkerKey, now: Millis) -> Vec<PieceKey> {
+    fn choose_pieces(
+        &self,
+        worker: WorkerKey,
+        groups: &[EligibleGroup],
+        now: Millis,
+    ) -> Vec<PieceKey> {
         let mut chosen = Vec::new();
         let mut free_memory = self.free_memory(worker, now);
         let reserves_memory = self.has_most_free_memory(worker, now);
         // A slow worker is probed with one group instead of a whole batch.
         let is_slow = self.is_probed(worker);
         let limits = self.slow_worker_limits(worker, now);
-        let groups = self.groups_for(worker, now);
         let call_limit = self.call_limit(worker, groups.first(), now);
         for group in groups {
             if is_slow && !chosen.is_empty() {
                 break;
             }
-            let is_excluded = |limits| !self.is_within(limits, &group, &chosen);
+            let is_excluded = |limits| !self.is_within(limits, group, &chosen);
             if limits.as_ref().is_some_and(is_excluded) {
                 continue;
             }
             let slots = call_limit - chosen.len();
-            let key = self.group_of(group[0]);
+            let key = group[0].order.group;
             if self.groups.get(&key).is_some_and(|group| group.is_isolated) {
-                let isolated = self.take_fitting(&group, slots, free_memory);
+                let isolated = take_fitting(group, slots, free_memory);
                 if chosen.is_empty() && !isolated.is_empty() && !self.is_in_call(key) {
                     return isolated;
                 }
                 continue;
             }
-            let bytes: u64 = group.iter().map(|key| self.result_bytes(*key)).sum();
-            if group.len() <= slots && bytes <= free_memory {
+            let bytes = bytes(group);
+            if len(group) <= slots && bytes <= free_memory {
                 free_memory -= bytes;
-                chosen.extend(group);
-            } else if chosen.is_empty() && self.can_split(&group) {
-                chosen.extend(self.take_fitting(&group, slots, free_memory));
+                chosen.extend(pieces(group));
+            } else if chosen.is_empty() && self.can_split(group) {
+                chosen.extend(take_fitting(group, slots, free_memory));
                 break;
-            } else if self.is_small(&group[..slots.min(group.len())], free_memory) {
+            } else if is_small(group, slots, free_memory) {
                 // These pieces add no fixed cost to this call, and the rest of the group
                 // goes first in the next one.
-                chosen.extend(self.take_fitting(&group, slots, free_memory));
+                chosen.extend(take_fitting(group, slots, free_memory));
                 break;
             } else if bytes > free_memory && reserves_memory {
                 // Memory released from now on is reserved for this group; the groups
@@ -77,17 +127,17 @@
     }
 
     /// Maximum number of pieces of a call whose most urgent group is `first`.
-    fn call_limit(&self, worker: WorkerKey, first: Option<&Vec<PieceKey>>, now: Millis) -> usize {
+    fn call_limit(&self, worker: WorkerKey, first: Option<&EligibleGroup>, now: Millis) -> usize {
         let full = self.rules.batch;
         let Some(first) = first.filter(|_| self.keeps_due_times) else {
             return full;
         };
-        let due = self.pieces[first[0]].order.due;
+        let due = first[0].order.due;
         let slowness = self.slowness(worker, now).max(1.0);
         let left_ms = due.saturating_sub(now) as f64 / slowness;
         let allowed = (left_ms - self.rules.call_ms) / self.rules.piece_ms.max(f64::MIN_POSITIVE);
         // The group is late in any call, so a shorter one gains nothing.
-        if allowed < first.len() as f64 {
+        if allowed < len(first) as f64 {
             return full;
         }
         let smallest = (full as f64 * MIN_CALL_SHARE).ceil();
@@ -119,63 +169,56 @@
         healthy.all(|(key, _)| (self.free_memory(key, now), key) <= own)
     }
 
-    /// Waiting pieces that are eligible for a worker, by group: started groups first, then
+    /// Waiting pieces that are eligible for the workers of a hall, by group: started groups first, then
     /// those that a later call would make late, then the others. The last two are ordered
     /// by priority; late groups go last within a priority, unless their inputs occupy
     /// memory elsewhere.
-    fn groups_for(&self, worker: WorkerKey, now: Millis) -> Vec<Vec<PieceKey>> {
-        let hall = self.workers[worker].hall;
+    fn groups_for(
+        &self,
+        hall: HallKey,
+        free_from: &FreeFrom,
+        now: Millis,
+    ) -> Vec<EligibleGroup<'_>> {
         let earliest_end = now + self.rules.expected_ms(self.rules.batch) as Millis;
-        let waiting = self.waiting.iter().map(|(_, key)| *key);
-        let eligible: Vec<PieceKey> = waiting
-            .filter(|key| self.is_eligible_in(hall, *key, now))
+        let cohorts = self.waiting.cohorts();
+        let eligible: Vec<&Cohort> = cohorts
+            .filter(|cohort| is_eligible_in(hall, cohort, free_from, now))
             .collect();
-        let mut groups: Vec<Vec<PieceKey>> = eligible
-            .chunk_by(|a, b| self.group_of(*a) == self.group_of(*b))
-            .map(<[PieceKey]>::to_vec)
+        let mut groups: Vec<EligibleGroup> = eligible
+            .chunk_by(|a, b| a.order.group == b.order.group)
+            .map(<[&Cohort]>::to_vec)
             .collect();
-        groups.sort_by_cached_key(|group| self.group_order(group[0], earliest_end));
+        groups.sort_by_cached_key(|group| self.group_order(&group[0].order, earliest_end));
         groups
     }
 
-    pub(super) fn group_of(&self, key: PieceKey) -> GroupKey {
-        self.pieces[key].order.group
-    }
-
-    /// True when a piece may run in a hall now. A piece waits for its preferred hall only
-    /// if a worker there is expected to be free before the wait ends.
-    fn is_eligible_in(&self, hall: HallKey, key: PieceKey, now: Millis) -> bool {
-        let piece = &self.pieces[key];
-        if !piece.order.halls.contains(hall) {
-            return false;
+    /// When a worker of each hall is expected to be free, unless all its workers drain or hang.
+    fn halls_free_from(&self, now: Millis) -> FreeFrom {
+        let mut call_ends: SecondaryMap<WorkerKey, Millis> = SecondaryMap::new();
+        for call in self.calls.values().filter(|call| !call.overdue) {
+            let end = call.started + call.expected_ms as Millis;
+            let earliest = call_ends
+                .get(call.worker)
+                .map_or(end, |other| end.min(*other));
+            call_ends.insert(call.worker, earliest);
         }
-        let preferred = piece.order.hall.filter(|preferred| *preferred != hall);
-        preferred.is_none_or(|preferred| {
-            let anywhere_from = piece.anywhere_from;
-            anywhere_from <= now || !self.has_worker_free_by(preferred, anywhere_from)
-        })
-    }
-
-    /// True when a worker of the hall is expected to be free by the given time.
-    fn has_worker_free_by(&self, hall: HallKey, by: Millis) -> bool {
-        self.workers.iter().any(|(key, worker)| {
-            let unavailable = worker.draining || worker.next_call_at(by, self.limit_share) > by;
+        let mut free_from = FreeFrom::new();
+        for (key, worker) in self.workers.iter().filter(|(_, worker)| !worker.draining) {
             let has_capacity = worker.calls < self.rules.running;
-            worker.hall == hall
-                && !unavailable
-                && (has_capacity || self.has_call_ending_by(key, by))
-        })
-    }
-
-    /// True when a call of the worker is expected to end by the given time.
-    fn has_call_ending_by(&self, worker: WorkerKey, by: Millis) -> bool {
-        let mut calls = self.calls.values().filter(|call| call.worker == worker);
-        calls.any(|call| !call.overdue && call.started + call.expected_ms as Millis <= by)
+            let call_end = match has_capacity {
+                true => Some(now),
+                false => call_ends.get(key).copied(),
+            };
+            let Some(call_end) = call_end else { continue };
+            let from = call_end.max(worker.next_call_at(now, self.limit_share));
+            let earliest = free_from.entry(worker.hall).or_insert(from);
+            *earliest = from.min(*earliest);
+        }
+        free_from
     }
 
-    /// Order of the group of a piece, when a call that starts now ends at `earliest_end`.
-    fn group_order(&self, first: PieceKey, earliest_end: Millis) -> GroupOrder {
-        let order = &self.pieces[first].order;
+    /// Order of a group, when a call that starts now ends at `earliest_end`.
+    fn group_order(&self, order: &PieceOrder, earliest_end: Millis) -> GroupOrder {
         if self.is_started(order.group) {
             return GroupOrder::Started;
         }
@@ -202,32 +245,40 @@
     }
 
     /// A group may be split when it is started already, or takes more than half a batch.
-    fn can_split(&self, group: &[PieceKey]) -> bool {
-        self.is_started(self.group_of(group[0])) || group.len() > self.rules.batch / 2
+    fn can_split(&self, group: &[&Cohort]) -> bool {
+        self.is_started(group[0].order.group) || len(group) > self.rules.batch / 2
     }
+}
 
-    /// True when the results of `pieces` take a small part of the free memory.
-    fn is_small(&self, pieces: &[PieceKey], free_memory: u64) -> bool {
-        let bytes: u64 = pieces.iter().map(|key| self.result_bytes(*key)).sum();
-        bytes as f64 <= free_memory as f64 * PARTIAL_GROUP_MEMORY_SHARE
+/// True when pieces may run in a hall now. They wait for their preferred hall only if a worker
+/// there is expected to be free before the wait ends.
+fn is_eligible_in(hall: HallKey, cohort: &Cohort, free_from: &FreeFrom, now: Millis) -> bool {
+    if !cohort.order.halls.contains(hall) {
+        return false;
     }
+    let preferred = cohort.order.hall.filter(|preferred| *preferred != hall);
+    preferred.is_none_or(|preferred| {
+        let from = free_from.get(&preferred);
+        cohort.anywhere_from <= now || from.is_none_or(|from| *from > cohort.anywhere_from)
+    })
+}
 
-    /// As many pieces of a group as slots and memory allow, each counted at the size of the
-    /// largest result.
-    fn take_fitting(&self, group: &[PieceKey], slots: usize, free_memory: u64) -> Vec<PieceKey> {
-        let largest = group
-            .iter()
-            .map(|key| self.result_bytes(*key))
-            .max()
-            .unwrap_or(0);
-        let fitting = free_memory
-            .checked_div(largest)
-            .map_or(usize::MAX, |count| count as usize);
-        let count = fitting.min(slots);
-        group.iter().copied().take(count).collect()
-    }
+/// True when the results of the first `slots` pieces of a group take a small part of the free memory.
+fn is_small(group: &[&Cohort], slots: usize, free_memory: u64) -> bool {
+    let sizes = group
+        .iter()
+        .flat_map(|cohort| iter::repeat_n(cohort.order.result_bytes, cohort.len()));
+    let bytes: u64 = sizes.take(slots).sum();
+    bytes as f64 <= free_memory as f64 * PARTIAL_GROUP_MEMORY_SHARE
+}
 
-    fn result_bytes(&self, key: PieceKey) -> u64 {
-        self.pieces[key].order.result_bytes
-    }
+/// As many pieces of a group as slots and memory allow, each counted at the size of the largest
+/// result.
+fn take_fitting(group: &[&Cohort], slots: usize, free_memory: u64) -> Vec<PieceKey> {
+    let sizes = group.iter().map(|cohort| cohort.order.result_bytes);
+    let largest = sizes.max().unwrap_or(0);
+    let fitting = free_memory
+        .checked_div(largest)
+        .map_or(usize::MAX, |count| count as usize);
+    pieces(group).take(fitting.min(slots)).collect()
 }
--- a/crates/stages/src/batch/load.rs
+++ b/crates/stages/src/batch/load.rs
@@ -40,12 +40,11 @@
     pub fn load(&self, now: Millis) -> QueueLoad {
         let mut ahead: BTreeMap<u8, u32> = BTreeMap::new();
         let mut bytes = 0;
-        for (_, key) in &self.waiting {
-            let order = &self.pieces[*key].order;
-            bytes += order.result_bytes;
+        for cohort in self.waiting.cohorts() {
+            bytes += cohort.bytes();
             // A late piece goes behind those that can be in time.
-            if order.due >= now {
-                *ahead.entry(order.priority).or_default() += 1;
+            if cohort.order.due >= now {
+                *ahead.entry(cohort.order.priority).or_default() += cohort.len() as u32;
             }
         }
         let average_bytes = bytes / self.waiting.len().max(1) as u64;
--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -12,9 +12,10 @@
 mod retention;
 mod speeds;
 mod types;
+mod waiting;
 mod workers;
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 
 use hollowsail_routing::LimitShare;
 use slotmap::SlotMap;
@@ -22,6 +23,7 @@
 use self::calls::Call;
 use self::capacity::Calibration;
 use self::retention::Retention;
+use self::waiting::{Cohort, Place, Waiting};
 use self::workers::Worker;
 use crate::reservations::flows::Flows;
 use crate::reservations::table::Reservations;
@@ -41,9 +43,6 @@
 /// Shorter waits move more bytes between halls; longer ones delay the later stages.
 const MAX_HALL_WAIT_MS: Millis = 300;
 
-/// Priority, due time, order of arrival. Pieces that arrive together stay together.
-type Rank = (u8, Millis, u64);
-
 /// Number of unfinished pieces of a group, and whether any piece was started.
 #[derive(Debug, Default)]
 struct Group {
@@ -57,7 +56,7 @@
 #[derive(Debug)]
 struct Piece<T> {
     order: PieceOrder,
-    rank: Rank,
+    place: Place,
     /// Time from which it may run outside its preferred hall.
     anywhere_from: Millis,
     /// Number of calls in progress that contain it.
@@ -65,16 +64,21 @@
     job: T,
 }
 
+impl<T> Piece<T> {
+    /// Queues it at its place.
+    fn wait_in(&self, waiting: &mut Waiting, key: PieceKey) {
+        waiting.insert(key, self.place, &self.order, self.anywhere_from);
+    }
+}
+
 #[derive(Debug)]
 pub struct BatchQueue<T> {
     rules: PoolRules,
     workers: SlotMap<WorkerKey, Worker>,
     pieces: SlotMap<PieceKey, Piece<T>>,
     calls: SlotMap<CallKey, Call>,
-    waiting: BTreeSet<(Rank, PieceKey)>,
+    waiting: Waiting,
     groups: HashMap<GroupKey, Group>,
-    /// Number of pieces pushed so far; orders pieces by arrival.
-    arrivals: u64,
     retention: Retention,
     /// Share of the workers' rate limits that this queue uses.
     limit_share: LimitShare,
@@ -98,9 +102,8 @@
             workers: SlotMap::with_key(),
             pieces: SlotMap::with_key(),
             calls: SlotMap::with_key(),
-            waiting: BTreeSet::new(),
+            waiting: Waiting::default(),
             groups: HashMap::new(),
-            arrivals: 0,
             retention: Retention::default(),
             limit_share: LimitShare::default(),
             has_speeds: false,
@@ -124,16 +127,16 @@
 
     /// Adds a waiting piece.
     pub fn push(&mut self, order: PieceOrder, job: T, now: Millis) -> PieceKey {
-        self.arrivals += 1;
-        let rank = (order.priority, order.due, self.arrivals);
+        let anywhere_from = self.anywhere_from(&order, now);
+        let place = self.waiting.next_place(&order, anywhere_from);
         let key = self.pieces.insert(Piece {
             order,
-            rank,
-            anywhere_from: self.anywhere_from(&order, now),
+            place,
+            anywhere_from,
             calls: 0,
             job,
         });
-        self.waiting.insert((rank, key));
+        self.waiting.insert(key, place, &order, anywhere_from);
         self.groups.entry(order.group).or_default().pieces += 1;
         key
     }
@@ -167,7 +170,7 @@
     /// Removes a completed or cancelled piece. `None` when it was removed before.
     pub fn finish(&mut self, piece: PieceKey) -> Option<T> {
         let state = self.pieces.remove(piece)?;
-        self.waiting.remove(&(state.rank, piece));
+        self.waiting.remove(state.place);
         self.leave_group(state.order.group);
         Some(state.job)
     }
@@ -185,7 +188,7 @@
     /// Queues a piece again that is in no call any more.
     pub fn requeue(&mut self, piece: PieceKey) {
         if let Some(state) = self.pieces.get(piece) {
-            self.waiting.insert((state.rank, piece));
+            state.wait_in(&mut self.waiting, piece);
         }
     }
 
@@ -197,11 +200,10 @@
     /// Waiting pieces that have expired, or whose turn is expected too late; the caller
     /// finishes them.
     pub fn expired(&self, now: Millis) -> Vec<PieceKey> {
-        let mut expired: Vec<PieceKey> = self
-            .waiting
-            .iter()
-            .map(|(_, key)| *key)
-            .filter(|key| self.pieces[*key].order.expires <= now)
+        let cohorts = self.waiting.cohorts();
+        let mut expired: Vec<PieceKey> = cohorts
+            .filter(|cohort| cohort.order.expires <= now)
+            .flat_map(Cohort::pieces)
             .collect();
         expired.extend(self.expiring_before_turn(now));
         expired
@@ -211,7 +213,6 @@
     /// the queue; the caller finishes each.
     pub fn take_waiting(&mut self) -> Vec<PieceKey> {
         let is_in_no_call = |key: &PieceKey| self.pieces[*key].calls == 0;
-        let waiting = self.waiting.iter().map(|(_, key)| *key);
-        waiting.filter(is_in_no_call).collect()
+        self.waiting.pieces().filter(is_in_no_call).collect()
     }
 }
--- a/crates/stages/src/batch/order.rs
+++ b/crates/stages/src/batch/order.rs
@@ -7,6 +7,7 @@
 //! as well.
 
 use super::capacity::Capacity;
+use super::waiting::Cohort;
 use super::{BatchQueue, PieceKey};
 use crate::reservations::demand::{all_fit, Need};
 use crate::reservations::QueueOrder;
@@ -86,20 +87,18 @@
         if capacity.supply.rate <= 0.0 || self.waiting_fits(&capacity, now) {
             return Vec::new();
         }
-        let waiting: Vec<PieceKey> = self.waiting.iter().map(|(_, key)| *key).collect();
+        let waiting: Vec<&Cohort> = self.waiting.cohorts().collect();
         let mut ahead = -capacity.supply.idle;
         let mut expiring = Vec::new();
-        for group in waiting.chunk_by(|a, b| self.group_of(*a) == self.group_of(*b)) {
+        for group in waiting.chunk_by(|a, b| a.order.group == b.order.group) {
             let turn = now + (ahead.max(0.0) / capacity.supply.rate) as Millis;
-            let expires = self.pieces[group[0]].order.expires;
-            if expires > now && expires < turn && !self.is_started(self.group_of(group[0])) {
-                expiring.extend_from_slice(group);
+            let order = &group[0].order;
+            if order.expires > now && order.expires < turn && !self.is_started(order.group) {
+                expiring.extend(group.iter().flat_map(|cohort| cohort.pieces()));
                 continue;
             }
-            let bytes = group.iter().map(|key| self.pieces[*key].order.result_bytes);
-            ahead += capacity
-                .cost
-                .of(group.len() as f64, bytes.sum::<u64>() as f64);
+            let cohorts = group.iter();
+            ahead += cohorts.map(|cohort| capacity.cost_of(cohort)).sum::<f64>();
         }
         expiring
     }
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -253,14 +253,12 @@
     /// callers included that are to return without a reservation.
     fn backlog_ms(&self, request: &RoomRequest, test: &Test) -> Millis {
         let urgency = request.flow.urgency;
-        let waiting = self
-            .waiting
-            .range(..((urgency.saturating_add(1), 0, 0), Default::default()));
+        let waiting = self.waiting.ahead_of(urgency);
         let reserved = self.reservations.values();
         let reserved = reserved.filter(|reservation| reservation.flow.urgency <= urgency);
         let reserved: f64 = reserved.map(pieces_of).map(f64::from).sum();
         let returning = self.reservations.pieces_to_return(urgency);
-        let pieces = waiting.count() as f64 + reserved + returning;
+        let pieces = waiting as f64 + reserved + returning;
         let backlog_ms = pieces / test.capacity.supply.rate.max(f64::MIN_POSITIVE);
         let longest = max_return(request);
         (backlog_ms as Millis).clamp(MIN_RETURN_MS.min(longest), longest)
@@ -282,14 +280,13 @@
     /// Needs of the waiting pieces. Pieces that arrived together are one need.
     pub(super) fn waiting_needs(&self, capacity: &Capacity, now: Millis) -> Vec<Need> {
         let mut needs: Vec<Need> = Vec::new();
-        for ((_, due, _), key) in &self.waiting {
-            let bytes = self.pieces[*key].order.result_bytes as f64;
-            let cost = capacity.cost.of(1.0, bytes);
-            match needs.last_mut().filter(|need| need.due == *due) {
+        for cohort in self.waiting.cohorts() {
+            let (due, cost) = (cohort.order.due, capacity.cost_of(cohort));
+            match needs.last_mut().filter(|need| need.due == due) {
                 Some(need) => need.cost += cost,
                 None => needs.push(Need {
                     ready: now,
-                    due: *due,
+                    due,
                     cost,
                 }),
             }
@@ -375,13 +372,13 @@
     pub fn room_by_flow(&self, _now: Millis) -> Vec<FlowRoom> {
         let flows = self.flows.iter();
         let rooms = flows.map(|(flow, state)| {
-            let level = self.waiting.iter();
-            let level = level.filter(|((priority, ..), _)| *priority == flow.urgency);
+            let level = self.waiting.cohorts();
+            let level = level.filter(|cohort| cohort.order.priority == flow.urgency);
             let reserved = self.reservations.values();
             let reserved = reserved.filter(|reservation| reservation.flow == flow);
             FlowRoom {
                 flow,
-                level_waiting: level.count() as u32,
+                level_waiting: level.map(|cohort| cohort.len() as u32).sum(),
                 reserved: reserved.map(pieces_of).fold(0, u32::saturating_add),
                 offered_per_s: state.offered * 1_000.0,
                 entitled_per_s: state.entitled * 1_000.0,
--- a/crates/stages/src/batch/speeds.rs
+++ b/crates/stages/src/batch/speeds.rs
@@ -5,7 +5,8 @@
 //! It gets other groups only if no faster worker is expected to end them sooner. Faster workers
 //! choose first, so it gets what they leave.
 
-use super::{BatchQueue, HallKey, Piece, PieceKey, WorkerKey};
+use super::waiting::Cohort;
+use super::{BatchQueue, HallKey, PieceKey, WorkerKey};
 use crate::Millis;
 
 /// Slowness from which a worker's groups are checked against their due times; below it the
@@ -103,39 +104,39 @@
     pub(super) fn is_within(
         &self,
         limits: &SlowWorkerLimits,
-        group: &[PieceKey],
+        group: &[&Cohort],
         chosen: &[PieceKey],
     ) -> bool {
         let Some(first) = group.first() else {
             return false;
         };
-        let pieces = (chosen.len() + group.len()).min(self.rules.batch);
+        let added: usize = group.iter().map(|cohort| cohort.len()).sum();
+        let pieces = (chosen.len() + added).min(self.rules.batch);
         let ends = limits.now + self.rules.expected_ms(pieces) * limits.slowness;
         // A piece that is late even at the usual speed doesn't limit the call.
         let usual_end = limits.now + self.rules.expected_ms(1);
-        let due = |key: &PieceKey| self.pieces[*key].order.due as f64;
-        let is_lost = |key: &PieceKey| due(key) < usual_end;
-        let delays_chosen = |key: &PieceKey| due(key) < ends && !is_lost(key);
+        let is_lost = |due: f64| due < usual_end;
+        let delays_chosen = |key: &PieceKey| {
+            let due = self.pieces[*key].order.due as f64;
+            due < ends && !is_lost(due)
+        };
         if chosen.iter().any(delays_chosen) {
             return false;
         }
-        let may_be_late = chosen.is_empty() || is_lost(first);
-        due(first) >= ends || (may_be_late && !self.ends_sooner_elsewhere(limits, *first, ends))
+        let due = first.order.due as f64;
+        let may_be_late = chosen.is_empty() || is_lost(due);
+        due >= ends || (may_be_late && !self.ends_sooner_elsewhere(limits, first, ends))
     }
 
     /// True when faster workers are expected to complete all waiting pieces before `ends`.
-    fn ends_sooner_elsewhere(&self, limits: &SlowWorkerLimits, piece: PieceKey, ends: f64) -> bool {
-        let Piece {
-            order,
-            anywhere_from,
-            ..
-        } = &self.pieces[piece];
+    fn ends_sooner_elsewhere(&self, limits: &SlowWorkerLimits, first: &Cohort, ends: f64) -> bool {
+        let (order, anywhere_from) = (&first.order, first.anywhere_from);
         let can_take = |other: &&FasterWorker| {
             order.halls.contains(other.hall) && other.free_memory >= order.result_bytes
         };
         let may_start_at = |other: &FasterWorker| {
             let is_preferred = order.hall.is_none_or(|hall| hall == other.hall);
-            let anywhere_from = if is_preferred { 0 } else { *anywhere_from };
+            let anywhere_from = if is_preferred { 0 } else { anywhere_from };
             other.free_at.max(anywhere_from as f64)
         };
         let faster = limits.faster.iter().filter(can_take);
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -1,8 +1,10 @@
 //! Tests for batching: which pieces share a call, and which worker gets it.
 
+use std::time::{Duration, Instant};
+
 use hollowsail_stages::{
-    BatchQueue, CallEnd, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules, StartedCall,
-    WorkerKey, WorkerState,
+    BatchQueue, CallEnd, GroupKey, HallKey, Halls, PieceKey, PieceOrder, PoolRules, QueueOrder,
+    StartedCall, WorkerKey, WorkerState,
 };
 
 const HERE: HallKey = HallKey(0);
@@ -620,3 +622,43 @@
     assert!(!halls.contains(THERE) && !halls.contains(HallKey(128)));
     assert!(Halls::ALL.contains(HallKey(128)));
 }
+
+/// A queue with 120 free workers in three halls, where 700 requests wait with eight pieces each.
+fn taken_over_backlog(rules: PoolRules) -> BatchQueue<u64> {
+    let mut queue = BatchQueue::new(rules);
+    queue.set_order(QueueOrder::Deadline);
+    for worker in 0..120 {
+        queue.add_worker(HallKey(worker % 3));
+    }
+    for group in 0..700 {
+        let waiting = PieceOrder {
+            priority: (group % 3) as u8,
+            due: 1_000 + group,
+            hall: Some(HallKey((group % 3) as u16)),
+            ..order(group)
+        };
+        push(&mut queue, waiting, 8);
+    }
+    queue
+}
+
+// Guards against a new owner that lags for longer than its calls last while it chooses them.
+#[test]
+fn owner_that_takes_over_a_backlog_starts_its_calls_in_time() {
+    let rules = PoolRules {
+        batch: 38,
+        call_ms: 240.0,
+        piece_ms: 5.0,
+        ..rules()
+    };
+    let start_all = |_| {
+        let mut queue = taken_over_backlog(rules);
+        let began = Instant::now();
+        let calls = std::iter::from_fn(|| queue.next_call(1)).count();
+        assert_eq!(calls, 120);
+        began.elapsed()
+    };
+    let fastest = (0..3).map(start_all).min().expect("three tries");
+    let call = Duration::from_millis(rules.expected_ms(rules.batch) as u64);
+    assert!(fastest < call, "took {fastest:?}, a call takes {call:?}");
+}
