--- a/crates/stages/src/batch/mod.rs
+++ b/crates/stages/src/batch/mod.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod capacity;
 mod choose;
+mod eligible;
 mod load;
 mod order;
 mod reserve;
