Count windows of repeats in one place for both tests of their bound

The model of many processes and the tests of one budget had the same count and the same rules, copied.

--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod progress;
 mod random_admission;
 mod reachability;
+mod repeat_windows;
 mod repeats;
 mod scheduler;
 mod shared_allowance;
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -2,17 +2,13 @@
 
 use hollowsail_fleet::quota;
 use hollowsail_routing::repeats::{
-    BudgetRules, RepeatBudget, RepeatReason, RetiredUnits, Share, TrackedSend, Work,
+    RepeatBudget, RepeatReason, RetiredUnits, Share, TrackedSend, Work,
 };
 use hollowsail_routing::Millis;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
-const RULES: BudgetRules = BudgetRules {
-    ratio: 0.2,
-    window_ms: 10_000,
-    arrival_ms: 1_000,
-};
+use crate::repeat_windows::{WorstWindow, RULES};
 
 /// What callers and targets of one service see.
 #[derive(Debug, Default)]
@@ -24,21 +20,7 @@
 impl Seen {
     /// Greatest excess of repeats over what is allowed, in all windows. All times are in order.
     fn worst_excess(&self, extra: f64) -> f64 {
-        let window = RULES.window_ms;
-        let count = |times: &[Millis], from: Millis, shift: Millis| {
-            let until = times.partition_point(|at| *at + shift <= from + window);
-            until - times.partition_point(|at| *at + shift < from)
-        };
-        let mut starts: Vec<Millis> = self.repeats.iter().chain(&self.requests).copied().collect();
-        starts.dedup();
-        let starts = starts.iter();
-        let starts = starts.flat_map(|at| [*at, *at + 1, at.saturating_sub(window)]);
-        let excess = starts.map(|from| {
-            let requests = [0, window / 2, window].map(|by| count(&self.requests, from, by));
-            let most = requests.into_iter().max().unwrap_or(0);
-            count(&self.repeats, from, 0) as f64 - RULES.ratio * most as f64 - extra
-        });
-        excess.fold(f64::MIN, f64::max)
+        WorstWindow::of(&self.requests, &self.repeats, extra).excess()
     }
 }
 
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -11,22 +11,17 @@
 mod world;
 
 use hollowsail_fleet::QuotaTiming;
-use hollowsail_routing::repeats::{BudgetRules, LOST_MS};
+use hollowsail_routing::repeats::LOST_MS;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
-use self::arrivals::WorstWindow;
 use self::store::Link;
 use self::world::World;
 use crate::config_of_many;
+use crate::repeat_windows::{WorstWindow, RULES};
 
 type Millis = u64;
 
-const RULES: BudgetRules = BudgetRules {
-    ratio: 0.2,
-    window_ms: 10_000,
-    arrival_ms: 1_000,
-};
 const TIMING: QuotaTiming = QuotaTiming {
     use_ms: 20_000,
     window_ms: RULES.window_ms + RULES.arrival_ms,
--- a/crates/routing/tests/suite/shared_allowance/search.rs
+++ b/crates/routing/tests/suite/shared_allowance/search.rs
@@ -6,8 +6,8 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::arrivals::WorstWindow;
 use super::{incidents, plays, Defect, Play};
+use crate::repeat_windows::WorstWindow;
 
 const SEED: u64 = 83;
 /// Random sequences, how many of them are changed, and how often each is.
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -11,7 +11,7 @@
 use super::store::{Lease, Link, Run, Store};
 use super::{Defect, Millis, Press, Step, RULES, TIMING};
 
-/// Time between two rounds of a process, and between two looks at the world, in milliseconds.
+/// Time between two rounds of calls of a process, and between two steps of the model, in milliseconds.
 const ROUND_MS: Millis = 1_000;
 const TICK_MS: Millis = 250;
 /// How long a process goes on after a planned stop began.
