--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -240,13 +240,42 @@
 pub fn failing_section(rng: &mut SmallRng, service: &str, targets: usize, number: usize) -> String {
     let at_ms = rng.random_range(FROM_MS..UNTIL_MS - FAILING_MS.end / 2);
     let for_ms = rng.random_range(FAILING_MS);
-    let count = rng.random_range(targets / 2..=targets);
-    let percent = rng.random_range(30..=95);
-    let how = FAILURE_MODES.choose(rng).expect("there are modes");
-    format!(
-        "[trouble.{service}-{number}]\nwhat = targets-failing\nservice = {service}\n\
-         targets = {count}\npercent = {percent}\nhow = {how}\nat_ms = {at_ms}\nfor_ms = {for_ms}\n"
-    )
+    let failing = Failing {
+        targets: rng.random_range(targets / 2..=targets),
+        percent: rng.random_range(30..=95),
+        how: FAILURE_MODES.choose(rng).expect("there are modes"),
+        at_ms,
+        for_ms,
+    };
+    failing.section(service, number)
+}
+
+/// A time in which targets of a service fail a part of what they get.
+pub struct Failing {
+    pub targets: usize,
+    pub percent: u32,
+    /// As the emulator's settings name it.
+    pub how: &'static str,
+    pub at_ms: u64,
+    pub for_ms: u64,
+}
+
+impl Failing {
+    /// Its section in the emulator's settings; `number` tells the times of a service apart.
+    pub fn section(&self, service: &str, number: usize) -> String {
+        let Failing {
+            targets,
+            percent,
+            how,
+            at_ms,
+            for_ms,
+        } = self;
+        format!(
+            "[trouble.{service}-{number}]\nwhat = targets-failing\nservice = {service}\n\
+             targets = {targets}\npercent = {percent}\nhow = {how}\nat_ms = {at_ms}\n\
+             for_ms = {for_ms}\n"
+        )
+    }
 }
 
 /// Section of a time in which up to half of the hosts are cut off from all targets, or the store is
--- a/crates/bench/src/soak/joining_hosts.rs
+++ b/crates/bench/src/soak/joining_hosts.rs
@@ -10,7 +10,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 
-use super::failing_targets::{host_section, run_plan, SECTIONS, SERVICES};
+use super::failing_targets::{host_section, run_plan, Failing, SECTIONS, SERVICES};
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
 use super::report::SoakReport;
 use super::{SoakError, SoakOptions};
@@ -40,7 +40,14 @@
     let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
     let mut sections = vec![SECTIONS.to_string()];
     for (service, targets) in SERVICES {
-        sections.push(failing_section(&mut rng, service, targets));
+        let failing = Failing {
+            targets,
+            percent: rng.random_range(FAILING_PERCENT),
+            how: FAILURE_MODES.choose(&mut rng).expect("there are modes"),
+            at_ms: 1,
+            for_ms: LENGTH.as_millis() as u64,
+        };
+        sections.push(failing.section(service, 0));
     }
     for what in ["hosts-cut", "store-silent"] {
         if rng.random_bool(0.5) {
@@ -66,17 +73,6 @@
     SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
 }
 
-/// Section of a time, as long as the run, in which all targets of a service fail.
-fn failing_section(rng: &mut SmallRng, service: &str, targets: usize) -> String {
-    let percent = rng.random_range(FAILING_PERCENT);
-    let how = FAILURE_MODES.choose(rng).expect("there are modes");
-    let for_ms = LENGTH.as_millis();
-    format!(
-        "[trouble.{service}-failing]\nwhat = targets-failing\nservice = {service}\n\
-         targets = {targets}\npercent = {percent}\nhow = {how}\nat_ms = 1\nfor_ms = {for_ms}\n"
-    )
-}
-
 fn draw_fault(rng: &mut SmallRng, entry: usize, from_ms: u64) -> PlannedFault {
     let kinds = [
         EntryFault::Kill,
