--- a/crates/fleet/src/quota/mod.rs
+++ b/crates/fleet/src/quota/mod.rs
@@ -350,11 +350,7 @@
         match reply {
             QuotaReply::Done(at) => self.record_done(sent_at, epoch, call, at),
             QuotaReply::Listed(list) => self.record_list(list),
-            QuotaReply::Conflict => {
-                self.round.list = None;
-                self.round.conflicts += 1;
-                self.round.is_over |= self.round.conflicts >= MAX_CONFLICTS;
-            }
+            QuotaReply::Conflict => self.record_conflict(),
             QuotaReply::LeaseEnded => self.record_lease_end(epoch),
             QuotaReply::Refused => self.round.is_over = true,
             QuotaReply::Unknown => {
@@ -414,6 +410,11 @@
             self.held.retain(|_, at| at.epoch != epoch);
             self.extended.remove(&epoch);
         }
+        self.record_conflict();
+    }
+
+    /// The list of this round doesn't hold any more.
+    fn record_conflict(&mut self) {
         self.round.list = None;
         self.round.conflicts += 1;
         self.round.is_over |= self.round.conflicts >= MAX_CONFLICTS;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -158,7 +158,7 @@
             feeds,
             lists: ListStates::default(),
             repeat_share,
-            settings: reloaded.clone(),
+            settings: reloaded,
             followers: Followers::default(),
             seeds: settings.seeds.clone(),
             me,
--- a/crates/gateway/src/control/repeat_units.rs
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -1,9 +1,10 @@
 //! Maintains this process's units of the allowance of repeats, as keys in the store.
 //!
 //! Carries out what [`hollowsail_fleet::quota`] decides: once a second, and when little of the share is left,
-//! a round begins; most of them need no call. The units are in force for traffic as soon as the store has confirmed them, and until the lease may
-//! end ([`SharedShare`](crate::repeats::SharedShare)). At the end of a planned stop units are free again as
-//! soon as nothing counts of them; those of a killed process stay taken until their lease ends.
+//! a round begins; most of them need no call. The units are in force for traffic as soon as the store has
+//! confirmed them, and until the lease may end ([`SharedShare`](crate::repeats::SharedShare)). At the end of
+//! a planned stop units are free again as soon as nothing counts of them; those of a killed process stay
+//! taken until their lease ends.
 
 use std::collections::BTreeSet;
 use std::rc::Rc;
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -138,12 +138,9 @@
         let share = shared.at(now);
         let (permit, left, held) = self.with_budget(repeat.service, |budget| {
             let permit = budget.repeat(now, rules(bounds), share, repeat.reason, repeat.work);
-            shared.raise_charged(budget.charged(), budget.held());
-            (
-                permit,
-                budget.left(now, rules(bounds), share),
-                budget.held(),
-            )
+            let held = budget.held();
+            shared.raise_charged(budget.charged(), held);
+            (permit, budget.left(now, rules(bounds), share), held)
         });
         if shared.is_pressed() {
             self.share.0.pressed.notify_one();
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -49,9 +49,11 @@
             return None;
         }
         let free = self.free_workers(now);
-        if !free.is_empty() {
-            self.update_order(now);
+        if free.is_empty() {
+            self.calibrate(true, now);
+            return None;
         }
+        self.update_order(now);
         let Some((worker, pieces)) = self.choose_call(free, now) else {
             self.calibrate(!self.has_idle_worker(now), now);
             return None;
--- a/crates/stages/src/batch/choose.rs
+++ b/crates/stages/src/batch/choose.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::iter;
 
-use super::eligible::EligibleGroup;
+use super::eligible::{bytes, len, pieces, EligibleGroup};
 use super::waiting::Cohort;
 use super::{BatchQueue, GroupKey, HallKey, PieceKey, WorkerKey};
 use crate::Millis;
@@ -165,15 +165,3 @@
         .map_or(usize::MAX, |count| count as usize);
     pieces(group).take(fitting.min(slots)).collect()
 }
-
-fn len(group: &[&Cohort]) -> usize {
-    group.iter().map(|cohort| cohort.len()).sum()
-}
-
-fn bytes(group: &[&Cohort]) -> u64 {
-    group.iter().map(|cohort| cohort.bytes()).sum()
-}
-
-fn pieces<'a>(group: &'a [&Cohort]) -> impl Iterator<Item = PieceKey> + 'a {
-    group.iter().flat_map(|cohort| cohort.pieces())
-}
--- a/crates/stages/src/batch/eligible.rs
+++ b/crates/stages/src/batch/eligible.rs
@@ -6,7 +6,7 @@
 use slotmap::SecondaryMap;
 
 use super::waiting::Cohort;
-use super::{BatchQueue, HallKey, PieceOrder, WorkerKey};
+use super::{BatchQueue, HallKey, PieceKey, PieceOrder, WorkerKey};
 use crate::reservations::QueueOrder;
 use crate::Millis;
 
@@ -113,3 +113,17 @@
         cohort.anywhere_from <= now || from.is_none_or(|from| *from > cohort.anywhere_from)
     })
 }
+
+/// Number of pieces of a group.
+pub(super) fn len(group: &[&Cohort]) -> usize {
+    group.iter().map(|cohort| cohort.len()).sum()
+}
+
+/// Total size of a group's results, in bytes.
+pub(super) fn bytes(group: &[&Cohort]) -> u64 {
+    group.iter().map(|cohort| cohort.bytes()).sum()
+}
+
+pub(super) fn pieces<'a>(group: &'a [&Cohort]) -> impl Iterator<Item = PieceKey> + 'a {
+    group.iter().flat_map(|cohort| cohort.pieces())
+}
--- a/crates/stages/src/batch/order.rs
+++ b/crates/stages/src/batch/order.rs
@@ -8,7 +8,7 @@
 
 use super::capacity::Capacity;
 use super::waiting::Cohort;
-use super::{BatchQueue, PieceKey};
+use super::{eligible, BatchQueue, PieceKey};
 use crate::reservations::demand::{all_fit, Need};
 use crate::reservations::QueueOrder;
 use crate::Millis;
@@ -94,7 +94,7 @@
             let turn = now + (ahead.max(0.0) / capacity.supply.rate) as Millis;
             let order = &group[0].order;
             if order.expires > now && order.expires < turn && !self.is_started(order.group) {
-                expiring.extend(group.iter().flat_map(|cohort| cohort.pieces()));
+                expiring.extend(eligible::pieces(group));
                 continue;
             }
             let cohorts = group.iter();
--- a/crates/stages/src/batch/speeds.rs
+++ b/crates/stages/src/batch/speeds.rs
@@ -6,7 +6,7 @@
 //! choose first, so it gets what they leave.
 
 use super::waiting::Cohort;
-use super::{BatchQueue, HallKey, PieceKey, WorkerKey};
+use super::{eligible, BatchQueue, HallKey, PieceKey, WorkerKey};
 use crate::Millis;
 
 /// Slowness from which a worker's groups are checked against their due times; below it the
@@ -110,8 +110,7 @@
         let Some(first) = group.first() else {
             return false;
         };
-        let added: usize = group.iter().map(|cohort| cohort.len()).sum();
-        let pieces = (chosen.len() + added).min(self.rules.batch);
+        let pieces = (chosen.len() + eligible::len(group)).min(self.rules.batch);
         let ends = limits.now + self.rules.expected_ms(pieces) * limits.slowness;
         // A piece that is late even at the usual speed doesn't limit the call.
         let usual_end = limits.now + self.rules.expected_ms(1);
