--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -220,6 +220,11 @@
     gauge!("hollowsail_charged_repeats", "service" => service.to_string()).set(charged);
 }
 
+/// Sets the charges that this entry's share of the fixed allowance doesn't cover.
+pub fn set_uncovered_repeats(service: &str, uncovered: f64) {
+    gauge!("hollowsail_uncovered_repeats", "service" => service.to_string()).set(uncovered);
+}
+
 /// Counts an attempt or call whose answer nobody waited for any more, by how its connection ended.
 pub fn count_abandoned(service: &str, end: &'static str) {
     counter!("hollowsail_abandoned_sends_total", "service" => service.to_string(), "end" => end)
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -194,6 +194,7 @@
         for (service, budget) in self.budgets.borrow().iter() {
             metrics::set_held_repeats(service, budget.held());
             metrics::set_charged_repeats(service, budget.charged());
+            metrics::set_uncovered_repeats(service, (budget.charged() - share).max(0.0));
         }
         let tallies = self.tallies.take();
         let with_repeats = tallies
@@ -211,7 +212,9 @@
             } = tally;
             let fields = format_args!(
                 "service={service} requests={requests} granted={granted} refused={refused} \
-                 left={left:.2} held={held} charged={charged:.2} share={share:.2}"
+                 left={left:.2} held={held} charged={charged:.2} share={share:.2} \
+                 uncovered={:.2}",
+                (charged - share).max(0.0)
             );
             log.line(events::REPEAT_BUDGET, fields);
         }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -22,6 +22,7 @@
 use hyper::body::{Body, Incoming};
 
 use super::digest;
+use super::pending::{PendingKey, WaitsFor};
 use crate::answer::Refusal;
 use crate::crashes::{PromptParts, Trial};
 use crate::mechanisms::Mechanism;
@@ -47,6 +48,7 @@
 
 /// A request that passed admission.
 pub struct Admitted {
+    pub pending: PendingKey,
     pub deployment: Arc<Deployment>,
     pub route: RouteKey,
     pub organisation: Option<OrganisationKey>,
@@ -206,6 +208,7 @@
 /// Admits a request, or rejects it with the reason for the caller.
 pub async fn admit(
     cx: &Rc<Traffic>,
+    pending: PendingKey,
     head: Parts,
     body: Incoming,
     arrived: BootInstant,
@@ -228,6 +231,7 @@
     let deadline = arrived + caller.deadline.map_or(longest, |own| own.min(longest));
     let max_bytes = deployment.limits.max_body_bytes;
     let body = read_body(body, max_bytes, deadline).await.map_err(reject)?;
+    cx.pending.set(pending, WaitsFor::Stages);
     let halls = allowed_halls(cx, &deployment, route, organisation);
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
     let route_priority = deployment.route(route).priority;
@@ -239,6 +243,7 @@
         false => urgency(priority, 0),
     };
     Ok(Admitted {
+        pending,
         deployment,
         route,
         organisation,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -18,6 +18,7 @@
 use http_body_util::Full;
 
 use super::admit::Admitted;
+use super::pending::WaitsFor;
 use crate::connections::{self, InUse};
 use crate::placement::Placement;
 use crate::target_calls::{self, Unanswered};
@@ -195,6 +196,7 @@
     drop(waiting);
     let in_flight = target.track_request(options.prefill_tokens);
     let (connection, in_use) = connected.unzip();
+    cx.pending.set(admitted.pending, WaitsFor::Answer);
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
     let sending = target_calls::send(cx, target, connection, req, reuse, permit.into());
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -15,6 +15,7 @@
 use super::admit::Admitted;
 use super::attempt::{self, AttemptOptions, TargetAnswer, Unconnected};
 use super::attempts::Attempts;
+use super::pending::WaitsFor;
 use super::prepare::Prepared;
 use super::{relay, retry, select, stream, unservable, RequestStats};
 use crate::answer::{AnswerStream, Refusal};
@@ -62,6 +63,7 @@
         if admitted.remaining().is_zero() {
             return Err(attempts.deadline_refusal());
         }
+        cx.pending.set(admitted.pending, WaitsFor::Target);
         unservable::check_crashes(cx, admitted).map_err(|refusal| attempts.refusal_for(refusal))?;
         let selected = select::next_target(cx, admitted, prepared, attempts).await?;
         let (mut target, others, placed) = (selected.target, selected.others, selected.placed);
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -13,6 +13,7 @@
 mod dispatch;
 mod event_splitter;
 mod forecast;
+mod pending;
 mod prepare;
 mod relay;
 mod retry;
@@ -25,6 +26,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events as catalogue, ErrorKind};
+use hollowsail_platform::headers;
 use hollowsail_routing::repeats::RepeatReason;
 use hyper::body::Incoming;
 
@@ -34,10 +36,12 @@
 use crate::traffic::Traffic;
 
 use attempts::{Attempts, Destination};
+use pending::{PendingKey, WaitsFor};
 
 pub use admit::Admitted;
 pub use attempt::{Failure, Unconnected};
 pub use forecast::max_return;
+pub use pending::PendingRequests;
 pub use prepare::{stage_due, stage_graph};
 pub use stream_version::copy_records_when_contested;
 
@@ -58,7 +62,9 @@
     let arrived = BootInstant::now();
     let (head, body) = req.into_parts();
     let mut stats = RequestStats::default();
-    let admitted = match admit::admit(&cx, head, body, arrived).await {
+    let id = headers::request_id(&head.headers).unwrap_or("none");
+    let mut pending = PendingAnswer::new(&cx, id, arrived);
+    let admitted = match admit::admit(&cx, pending.key, head, body, arrived).await {
         Ok(admitted) => Rc::new(admitted),
         Err(rejected) => {
             let id = rejected.request_id.as_deref();
@@ -67,12 +73,13 @@
                 route: "none",
                 service: "none",
             };
+            pending.finished();
             log_end(&cx, &labels, &stats, arrived, Err(&rejected.refusal));
             return rejected.refusal.into_response(id);
         }
     };
-    let mut pending = PendingAnswer::new(&cx, &admitted);
-    let answered = answer(&cx, &admitted, &mut stats, &mut pending).await;
+    pending.admitted = Some(admitted.clone());
+    let answered = answer(&cx, &admitted, &mut stats).await;
     pending.finished();
     let labels = LogLabels {
         request_id: &admitted.caller.request_id,
@@ -95,17 +102,17 @@
 /// caller disconnected.
 struct PendingAnswer {
     cx: Rc<Traffic>,
-    admitted: Rc<Admitted>,
-    phase: &'static str,
+    key: PendingKey,
+    admitted: Option<Rc<Admitted>>,
     is_finished: bool,
 }
 
 impl PendingAnswer {
-    fn new(cx: &Rc<Traffic>, admitted: &Rc<Admitted>) -> Self {
+    fn new(cx: &Rc<Traffic>, request_id: &str, arrived: BootInstant) -> Self {
         PendingAnswer {
             cx: cx.clone(),
-            admitted: admitted.clone(),
-            phase: "stages",
+            key: cx.pending.add(request_id, arrived),
+            admitted: None,
             is_finished: false,
         }
     }
@@ -117,21 +124,23 @@
 
 impl Drop for PendingAnswer {
     fn drop(&mut self) {
-        if self.is_finished {
+        let waits_for = self.cx.pending.waits_for(self.key);
+        self.cx.pending.remove(self.key);
+        let Some(admitted) = self.admitted.take().filter(|_| !self.is_finished) else {
             return;
-        }
+        };
         self.cx.log.line(
             catalogue::CALLER_LEFT,
             format_args!(
                 "request={} route={} phase={} ms={}",
-                self.admitted.caller.request_id,
-                self.admitted.route().name,
-                self.phase,
-                self.admitted.arrived.elapsed().as_millis(),
+                admitted.caller.request_id,
+                admitted.route().name,
+                waits_for.map_or("none", WaitsFor::name),
+                admitted.arrived.elapsed().as_millis(),
             ),
         );
-        let took = self.admitted.arrived.elapsed();
-        metrics::count_request(self.admitted.service_name(), "caller_left", 0, took);
+        let took = admitted.arrived.elapsed();
+        metrics::count_request(admitted.service_name(), "caller_left", 0, took);
     }
 }
 
@@ -139,7 +148,6 @@
     cx: &Rc<Traffic>,
     admitted: &Rc<Admitted>,
     stats: &mut RequestStats,
-    pending: &mut PendingAnswer,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     unservable::check(cx, admitted)?;
     unservable::begin_trials(cx, admitted).await?;
@@ -155,9 +163,9 @@
     let stage_deadline = admitted.stage_deadline(room.is_complete(&admitted.caller.pieces));
     let mut stage_reruns = 0;
     loop {
-        pending.phase = "stages";
+        cx.pending.set(admitted.pending, WaitsFor::Stages);
         let prepared = prepare::run(cx, admitted, &room, stage_deadline).await?;
-        pending.phase = "target";
+        cx.pending.set(admitted.pending, WaitsFor::Target);
         stats.stages_ms = admitted.arrived.elapsed().as_millis() as u64;
         let attempts = Attempts::new(admitted, destination.clone(), permit);
         match dispatch::run(cx, admitted, prepared, attempts, stats).await {
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -40,6 +40,7 @@
     accepting.abort();
     log_step(cx, events::STOP_DRAINED);
     sleep(FLUSH_TIME).await;
+    cx.pending.log_all(&cx.log);
 }
 
 /// Waits until no caller is connected and nothing is relayed for peers, at most until `latest`.
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -31,6 +31,7 @@
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
 use crate::repeats::{Repeat, Repeats, SharedShare};
+use crate::request::PendingRequests;
 use crate::reservations::Reservations;
 use crate::rollouts::{RecordPhase, Rollouts};
 use crate::stream_origins::StreamOrigins;
@@ -120,6 +121,8 @@
     latencies: RefCell<HashMap<String, LatencyWindow>>,
     /// Recent times to the first event, by service name.
     prefill_times: RefCell<HashMap<String, PrefillTimes>>,
+    /// Requests that have no answer yet.
+    pub pending: PendingRequests,
     /// Requests from their head to the end of their response.
     pub in_flight: Cell<usize>,
     /// Open connections of callers.
@@ -184,6 +187,7 @@
                 repeats: Repeats::new(repeat_share),
                 latencies: RefCell::default(),
                 prefill_times: RefCell::default(),
+                pending: PendingRequests::default(),
                 in_flight: Cell::new(0),
                 connections: Cell::new(0),
                 stopping: Cell::new(Stopping::No),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -46,6 +46,7 @@
     HOST_WOKE, 110, "host_woke", Warn, "The host was suspended; deadlines, leases and other timeouts kept running meanwhile.";
     PANICKED, 111, "panicked", Error, "A task ended by a panic at this place; the message is on standard error.";
     FATAL_SIGNAL, 112, "fatal_signal", Error, "The process ends by the signal of a faulty instruction; the line says where it is, how far from the program's own code, and its bytes.";
+    STOP_UNANSWERED, 113, "stop_unanswered", Error, "The process exits at the end of a planned stop while a request has no answer; the line says what it waits for.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt returned no valid answer.";
