--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -275,7 +275,7 @@
 }
 
 impl Answer {
-    fn parse(bytes: &[u8]) -> Option<Self> {
+    pub fn parse(bytes: &[u8]) -> Option<Self> {
         let text = String::from_utf8_lossy(bytes);
         let (head, body) = text.split_once("\r\n\r\n")?;
         let status = head.split(' ').nth(1)?.parse().ok()?;
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -38,4 +38,5 @@
 mod target_limits;
 mod target_restarts;
 mod target_speeds;
+mod two_senders;
 mod warm_up;
--- /dev/null
+++ b/crates/gateway/tests/suite/two_senders.rs
@@ -0,0 +1,153 @@
+//! Pieces that the owner of their queue sends first, and their requester once more.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant};
+
+use futures_util::future::join_all;
+use hollowsail_gateway::Running;
+use hollowsail_platform::settings::Settings;
+use hollowsail_platform_emulator::{RepeatAllowance, WorstWindow};
+use hollowsail_platform_standins::target::results;
+use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
+use serde_json::{json, Value};
+
+use crate::fixture::{
+    self, gateway_at, single_event_stream, stage_runs, wait_for_entries, Answer, Call,
+};
+
+const ALLOWANCE: RepeatAllowance = RepeatAllowance {
+    ratio: 0.2,
+    extra: 40.0,
+    window: Duration::from_secs(2),
+};
+const HOSTS: usize = 6;
+/// Workers that stand still from a round on, and those that never do.
+const STILL_WORKERS: usize = 3;
+const RUNNING_WORKERS: usize = 3;
+const ROUNDS: usize = 5;
+const ROUND_INTERVAL: Duration = Duration::from_millis(3_200);
+
+fn settings(store: &StoreStandin, number: usize) -> Settings {
+    let mut settings = fixture::settings(&format!("host-{number}"), "hall-a", store.addr);
+    settings.bounds.retry_ratio = ALLOWANCE.ratio;
+    settings.bounds.retry_extra = ALLOWANCE.extra;
+    settings.bounds.retry_window_s = ALLOWANCE.window.as_secs_f64();
+    settings
+}
+
+/// Hosts that share workers.
+struct Site {
+    hosts: Vec<Running>,
+    workers: Vec<TargetStandin>,
+    _store: StoreStandin,
+    _engine: TargetStandin,
+}
+
+impl Site {
+    async fn start() -> Self {
+        let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
+        let route = json!({ "stages": stages, "target_latency_ms": 1500, "timeout_ms": 30000 });
+        let deployment = DeploymentJson::new(1)
+            .engines("engines")
+            .stage_service("encoders", 16, 20.0, 10.0)
+            .route("/staged/", "stream", "engines", route);
+        let store = StoreStandin::start().await;
+        store.put("op/config", &deployment.bytes());
+        let engine = TargetStandin::start(single_event_stream).await;
+        store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
+        let mut workers = Vec::new();
+        for number in 0..ROUNDS * STILL_WORKERS + RUNNING_WORKERS {
+            let worker = TargetStandin::start(|request| {
+                vec![
+                    Step::Wait(Duration::from_millis(30)),
+                    Step::Write(results(request, "producer")),
+                ]
+            })
+            .await;
+            let id = format!("i-{number}");
+            store.put_target(&id, "encoders", worker.addr, "hall-a", "ready");
+            workers.push(worker);
+        }
+        let mut hosts = Vec::new();
+        for number in 0..HOSTS {
+            hosts.push(gateway_at(settings(&store, number)).await);
+            wait_for_entries("the host is recorded", &store, number + 1).await;
+        }
+        // Lets all hosts claim their units.
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        Site {
+            hosts,
+            workers,
+            _store: store,
+            _engine: engine,
+        }
+    }
+
+    /// Sends requests of four pieces each through all hosts.
+    async fn send(&self, from: usize, count: usize) -> Vec<Answer> {
+        let calls = (from..from + count).map(|number| {
+            let callers = self.hosts[number % HOSTS].addrs.callers;
+            async move {
+                let call = Call::new("POST", "/staged/")
+                    .with("X-Request-Id", &format!("{number:016x}"))
+                    .with("X-Token-Counts", "100,10")
+                    .with("X-Prompt-Prefix", "aa:60,bb:40")
+                    .with("X-Deadline-Ms", "20000")
+                    .with("X-Pieces", "4")
+                    .with("X-Piece-Key", "the-key")
+                    .body("prompt");
+                call.send(callers).await
+            }
+        });
+        join_all(calls).await
+    }
+
+    fn worst_window(&self, begun: Instant) -> Option<WorstWindow> {
+        let calls = self.workers.iter().flat_map(stage_runs);
+        let mut arrivals: Vec<(Instant, String)> = calls
+            .flat_map(|call| {
+                let work = |piece: Value| format!("{}/{}", piece["id"], piece["piece"]);
+                let pieces: Vec<String> = call.pieces().into_iter().map(work).collect();
+                pieces.into_iter().map(move |work| (call.received_at, work))
+            })
+            .collect();
+        arrivals.sort();
+        let mut seen = HashSet::new();
+        arrivals.retain(|(_, work)| !seen.insert(work.clone()));
+        let repeats: Vec<Duration> = arrivals.iter().map(|(at, _)| *at - begun).collect();
+        // No route leads to the stage service.
+        // No route leads to the stage service.
+        ALLOWANCE.worst_window(&repeats, &[])
+    }
+}
+
+// Guards against an owner that lets pieces be repeated whose late arrival no unit of it covers.
+#[actix_rt::test]
+async fn pieces_that_their_owner_gave_up_stay_within_the_allowance() {
+    let site = Site::start().await;
+    let site = &site;
+    let begun = Instant::now();
+    // Calls time out after 4 s; what was repeated then is charged for a window.
+    let rounds = (0..ROUNDS).map(|round| async move {
+        tokio::time::sleep(ROUND_INTERVAL * round as u32).await;
+        let workers = &site.workers[round * STILL_WORKERS..][..STILL_WORKERS];
+        workers.iter().for_each(TargetStandin::suspend);
+        site.send(round * 1_000, 36).await
+    });
+    let reading = async {
+        tokio::time::sleep(ROUND_INTERVAL * ROUNDS as u32 + Duration::from_millis(1_600)).await;
+        let still = &site.workers[..ROUNDS * STILL_WORKERS];
+        still.iter().for_each(TargetStandin::resume);
+    };
+    let (answers, ()) = futures_util::future::join(join_all(rounds), reading).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let answers = answers.concat();
+    let worst = site.worst_window(begun);
+    let served = answers.iter().filter(|answer| answer.status == 200).count();
+    println!("{worst:?}, {served} of {} served", answers.len());
+    assert!(
+        worst.is_none_or(|worst| !worst.is_exceeded()),
+        "{worst:?}, {served} of {} served",
+        answers.len()
+    );
+}
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -18,7 +18,7 @@
 const TIMEOUT: Duration = Duration::from_secs(10);
 
 /// A running `hollowsail gateway`; killed when dropped.
-struct Gateway {
+pub(crate) struct Gateway {
     child: Child,
     lines: Receiver<String>,
 }
@@ -44,17 +44,38 @@
 
 /// Writes the settings of a gateway on `host`.
 pub(crate) fn settings(directory: &Path, host: &str, store: SocketAddr, grace_s: u32) -> PathBuf {
+    write_settings(directory, host, store, &format!("grace_s: {grace_s}"), 260).0
+}
+
+/// Writes the settings of a gateway with a memory limit; also returns its address for callers.
+pub(crate) fn settings_with_memory(
+    directory: &Path,
+    host: &str,
+    store: SocketAddr,
+    memory_mb: u64,
+) -> (PathBuf, SocketAddr) {
+    write_settings(directory, host, store, "grace_s: 8", memory_mb)
+}
+
+/// Writes the settings of a gateway whose bounds end with the lines `bounds`.
+pub(crate) fn write_settings(
+    directory: &Path,
+    host: &str,
+    store: SocketAddr,
+    bounds: &str,
+    memory_mb: u64,
+) -> (PathBuf, SocketAddr) {
     let [callers, readiness, peers, metrics] = [(); 4].map(|()| free_addr());
     let text = format!(
         "node: {host}\nip: 127.0.0.1\nzone: hall-a\n\
          listen:\n  front: {callers}\n  readiness: {readiness}\n  control: {peers}\n  metrics: {metrics}\n\
-         limits:\n  memory_mb: 260\n  max_fds: 4100\n\
-         bounds:\n  drain_ms: 2000\n  grace_s: {grace_s}\n  config_apply_ms: 2000\n\
+         limits:\n  memory_mb: {memory_mb}\n  max_fds: 4100\n\
+         bounds:\n  drain_ms: 2000\n  config_apply_ms: 2000\n  {bounds}\n\
          platform:\n  address: {store}\nheartbeat_ms: 1200\n"
     );
     let path = directory.join(format!("{host}.yaml"));
     std::fs::write(&path, text).expect("settings can be written");
-    path
+    (path, callers)
 }
 
 /// Starts the process with its standard output in a pipe.
@@ -68,7 +89,7 @@
 }
 
 impl Gateway {
-    fn start(settings: &Path) -> Self {
+    pub(crate) fn start(settings: &Path) -> Self {
         let mut child = spawn(&own_program(), settings);
         let stdout = BufReader::new(child.stdout.take().expect("piped"));
         let (tx, lines) = channel();
@@ -80,7 +101,7 @@
     }
 
     /// Waits for a log line that contains `event`, without blocking the stand-ins on this thread.
-    async fn wait_for_line(&self, event: &str) -> String {
+    pub(crate) async fn wait_for_line(&self, event: &str) -> String {
         let deadline = std::time::Instant::now() + TIMEOUT;
         while std::time::Instant::now() < deadline {
             match self.lines.try_recv() {
@@ -92,7 +113,30 @@
         panic!("no log line with {event} within {TIMEOUT:?}");
     }
 
-    fn signal(&self, name: &str) {
+    /// Reads the log from now on without keeping it.
+    pub(crate) fn discard_lines(&mut self) {
+        let lines = std::mem::replace(&mut self.lines, channel().1);
+        std::thread::spawn(move || lines.into_iter().for_each(drop));
+    }
+
+    pub(crate) fn is_running(&mut self) -> bool {
+        let ended = self.child.try_wait();
+        ended.expect("the process status can be read").is_none()
+    }
+
+    /// Most memory that the process has used so far.
+    pub(crate) fn peak_memory_mb(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        let kilobytes: u64 = kilobytes
+            .and_then(|peak| peak.trim().parse().ok())
+            .expect("the peak is a number of kilobytes");
+        kilobytes >> 10
+    }
+
+    pub(crate) fn signal(&self, name: &str) {
         let status = Command::new("kill")
             .args([name, &self.child.id().to_string()])
             .status()
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod daemon;
+mod endless_answers;
 mod gateway;
 mod local_platform;
 mod mixed_builds;
