Charge work that two processes send until nothing of either can arrive

Cause: a piece is sent by the owner of its queue, and once more by its requester when the owner fails it or is lost. Who charges the first of these sends wasn't asked of anybody: an owner without repeats charged it beyond its units; a requester took it for settled when the owner's process had ended, or as soon as the owner accepted any message again, though it might still have the piece in its queue or at a worker that stands still. Class: a charge that is concluded, or made, without somebody having to grant it.

Change: repeats::PassedOn counts a piece at an owner as one send that may still arrive, unless it was done or never sent. The requester asks the owner (/hollowsail/dropped-pieces) until that one has dropped the piece and charges what may still arrive by its own units (RepeatBudget::cover), or nothing is left. A permit for a repeat may not be used any more once the units that cover it may be somebody else's.

Why it works: at each moment one of the two has a unit for each send beyond the first, and a unit is in one place only (the store's lease).

--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -18,6 +18,7 @@
 use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 
+use super::dropped_pieces::DROPPED_PIECES_PATH;
 use super::messages::{
     Envelope, Message, PieceId, PieceOutcome, PlacementId, PlacementReply, ProducePieceRequest,
     TargetReportMessage, PATH, TARGET_REPORTS_PATH,
@@ -112,6 +113,8 @@
     outbox: RefCell<Vec<Message>>,
     /// To the requester of a piece: it is sent to a worker.
     pub started_pieces: Rc<BatchedCalls<PieceId, ()>>,
+    /// Questions about pieces that the peer doesn't send any more.
+    pub dropped_pieces: Rc<BatchedCalls<PieceId, bool>>,
     awaited: RefCell<HashMap<PieceId, AwaitedPiece>>,
     awaited_placements: RefCell<HashMap<PlacementId, mpsc::UnboundedSender<PlacementReply>>>,
     is_sending: Cell<bool>,
@@ -170,6 +173,7 @@
             reports: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, TARGET_REPORTS_PATH),
             parts: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, PARTS_PATH),
             started_pieces: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, STARTED_PIECES_PATH),
+            dropped_pieces: BatchedCalls::new(cx.me.id.0, dialer(), peer.addr, DROPPED_PIECES_PATH),
             peer,
             outbox: RefCell::default(),
             awaited: RefCell::default(),
@@ -270,6 +274,10 @@
         self.last_received.set(Instant::now());
     }
 
+    pub fn is_closed(&self) -> bool {
+        self.is_closed.get()
+    }
+
     /// True while replies from the peer are pending.
     fn is_awaiting(&self) -> bool {
         !self.awaited.borrow().is_empty() || !self.awaited_placements.borrow().is_empty()
@@ -346,7 +354,7 @@
     }
 
     /// Delivers an envelope and closes the link on failure. True when it was accepted.
-    async fn deliver(&self, messages: Vec<Message>) -> bool {
+    async fn deliver(self: &Rc<Self>, messages: Vec<Message>) -> bool {
         let Some(cx) = self.cx.upgrade() else {
             return false;
         };
@@ -362,7 +370,7 @@
         };
         let Err(err) = result else {
             self.record_activity();
-            cx.peers.clear_suspicion(self.peer.id);
+            cx.peers.record_in_touch(&cx, self);
             return true;
         };
         let end = match err {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -16,6 +16,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::{TcpListener, TcpStream};
 
+use super::dropped_pieces::{self, DroppedPiecesCall, DROPPED_PIECES_PATH};
 use super::messages::{
     Envelope, Message, TargetReportCall, TargetReportMessage, PATH, TARGET_REPORTS_PATH,
 };
@@ -90,6 +91,7 @@
         RESERVATIONS_PATH if is_post && cx.has(Mechanism::Reservations) => reserve(cx, req).await,
         PARTS_PATH if is_post => part_messages(cx, req).await,
         STARTED_PIECES_PATH if is_post => started_pieces(cx, req).await,
+        DROPPED_PIECES_PATH if is_post => dropped_pieces(cx, req).await,
         TARGET_REPORTS_PATH if is_post => target_report_messages(cx, req).await,
         ROOM_PATH if is_post && cx.has(Mechanism::CallerAdmission) => room(cx, req).await,
         STREAMS_PATH if is_post => stream_origins(cx, req).await,
@@ -297,6 +299,15 @@
     Ok(no_replies())
 }
 
+/// Answers what has become of pieces that this entry doesn't send any more for a peer.
+async fn dropped_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
+    let call: DroppedPiecesCall = read(req).await?;
+    let replies = dropped_pieces::handle_call(cx, &call);
+    Ok(rmp_serde::to_vec(&replies)
+        .expect("these types always encode")
+        .into())
+}
+
 /// The response to a call none of whose messages expects a reply.
 fn no_replies() -> Bytes {
     let no_replies: [(); 0] = [];
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -207,7 +207,7 @@
     #[serde(rename = "Made")]
     Completed(CompletedPiece),
     /// After [`PieceFailure::NoRoom`] the requester may have it sent again if its own budget of
-    /// repeats allows that; the owner's doesn't.
+    /// repeats allows that; the owner's doesn't. Sends of the owner may still arrive.
     Failed(PieceFailure),
     /// Not started; the queue has another owner now. Gives the permit back.
     Moved,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -6,6 +6,7 @@
 //! disagree on an owner for a short time, which costs latency but not correctness. Owners that
 //! do not respond are skipped.
 
+mod dropped_pieces;
 mod link;
 mod listen;
 mod messages;
@@ -25,12 +26,13 @@
 use hollowsail_streams::holders::{self, HolderCandidate};
 use hollowsail_streams::StreamKey;
 
+use self::dropped_pieces::LostSends;
 use self::link::PeerEnd;
 use crate::stream_origins::Holder;
 use crate::target_reports;
 use crate::traffic::Traffic;
 
-pub use link::{Link, LinkLost};
+pub use link::{Link, LinkLost, RemoteOutcome};
 pub use listen::{read, start};
 pub use messages::{
     CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome, PlacementId,
@@ -119,8 +121,8 @@
     runs: RefCell<LiveRuns<PeerId, PeerRecord>>,
     links: RefCell<HashMap<PeerId, Rc<Link>>>,
     suspects: RefCell<HashMap<PeerId, Suspicion>>,
-    /// Sends of pieces that peers may still make whose links were lost.
-    lost_sends: RefCell<HashMap<PeerId, Vec<TrackedSend>>>,
+    /// Pieces that peers may have sent, and don't send for this entry any more.
+    lost_sends: LostSends,
     /// Peers that reported themselves as lagging, and until when that applies.
     lagging: RefCell<HashMap<PeerId, Millis>>,
     /// When the first list of entries was received.
@@ -136,7 +138,7 @@
             runs: RefCell::new(LiveRuns::new(|peer: &PeerRecord| peer.id)),
             links: RefCell::default(),
             suspects: RefCell::default(),
-            lost_sends: RefCell::default(),
+            lost_sends: LostSends::default(),
             lagging: RefCell::default(),
             first_listed: Cell::new(None),
             ownership_stable_since: Cell::new(0),
@@ -389,24 +391,22 @@
         }
     }
 
-    /// A peer accepted a message: clears its suspicion. What it got before the link to it was lost
-    /// it has read by now.
-    pub fn clear_suspicion(&self, peer: PeerId) {
-        self.suspects.borrow_mut().remove(&peer);
-        let sends = self.lost_sends.borrow_mut().remove(&peer);
-        let sends = sends.into_iter().flatten();
-        sends.for_each(|send| send.settle());
+    /// A peer accepted a message: clears its suspicion, and asks about pieces that it may have sent.
+    pub fn record_in_touch(&self, cx: &Rc<Traffic>, link: &Rc<Link>) {
+        self.suspects.borrow_mut().remove(&link.peer.id);
+        dropped_pieces::ask(cx, link);
     }
 
-    /// Records that a peer whose link was lost may still send a piece.
-    pub fn record_lost_send(&self, now: Millis, peer: PeerId, send: TrackedSend) {
-        send.lose(now);
-        let mut lost = self.lost_sends.borrow_mut();
-        lost.retain(|_, sends| {
-            sends.retain(|send| !send.is_settled(now));
-            !sends.is_empty()
-        });
-        lost.entry(peer).or_default().push(send);
+    /// Records that a piece isn't awaited any more of which a peer may have made sends.
+    pub fn record_lost_send(
+        &self,
+        cx: &Rc<Traffic>,
+        link: &Rc<Link>,
+        id: PieceId,
+        send: TrackedSend,
+    ) {
+        self.lost_sends.add(cx.clock.now(), link.peer.id, id, send);
+        dropped_pieces::ask(cx, link);
     }
 
     /// A peer did not respond: it owns nothing until the suspicion ends.
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 
 use hollowsail_platform::pieces::PieceFailure;
-use hollowsail_routing::repeats::SendPermit;
+use hollowsail_routing::repeats::{SendPermit, Work};
 use hollowsail_routing::Millis;
 use hollowsail_stages::{PieceKey, StartedCall, StartedPiece};
 use hollowsail_targets::Target;
@@ -42,9 +42,7 @@
             // The requester may have stopped waiting.
             Some((Reply::Local(sender), _)) => drop(sender.send(LocalOutcome::Failed(failure))),
             Some((Reply::Peer(requester), work)) => {
-                if let Some(cx) = self.cx.upgrade() {
-                    cx.hold_repeats_for_peer(self.service(), &work);
-                }
+                self.record_dropped((requester.link.peer.id, requester.id), work);
                 self.answer_peer(&requester, PieceOutcome::Failed(failure))
             }
             None => {}
@@ -136,8 +134,9 @@
 
     /// Cancels a peer's piece, or releases its result if the piece is complete.
     pub fn cancel_piece(self: &Rc<Self>, from: PeerId, id: PieceId) {
-        if let Some(key) = self.peer_pieces.borrow_mut().remove(&(from, id)) {
-            self.queue.borrow_mut().finish(key);
+        let key = self.peer_pieces.borrow_mut().remove(&(from, id));
+        if let Some(key) = key {
+            self.drop_piece((from, id), key);
             return;
         }
         let handle = self
@@ -151,13 +150,29 @@
         }
     }
 
+    /// Stops the work on a peer's piece.
+    fn drop_piece(&self, piece: (PeerId, PieceId), key: PieceKey) {
+        let job = self.queue.borrow_mut().finish(key);
+        if let Some(job) = job {
+            self.record_dropped(piece, job.work);
+        }
+    }
+
+    /// Keeps the sends of a peer's piece that may still arrive, for which the peer asks.
+    fn record_dropped(&self, piece: (PeerId, PieceId), work: Work) {
+        if let Some(cx) = self.cx.upgrade() {
+            let now = cx.clock.now();
+            cx.pools.record_dropped(now, piece, self.service(), work);
+        }
+    }
+
     /// Cancels the pieces and releases the results of a lost peer.
     pub fn requester_lost(self: &Rc<Self>, peer: PeerId) {
         self.load_sent.borrow_mut().remove(&peer);
-        self.peer_pieces.borrow_mut().retain(|(peer_id, _), key| {
-            let is_kept = *peer_id != peer;
+        self.peer_pieces.borrow_mut().retain(|piece, key| {
+            let is_kept = piece.0 != peer;
             if !is_kept {
-                self.queue.borrow_mut().finish(*key);
+                self.drop_piece(*piece, *key);
             }
             is_kept
         });
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -43,7 +43,7 @@
     #[snafu(display("{source}"))]
     Unsent {
         source: SendError,
-        permits: SendPermits,
+        permits: Option<SendPermits>,
     },
     /// The connection broke after the call was sent.
     #[snafu(display("{source}"))]
@@ -55,7 +55,7 @@
     #[snafu(display("no response within {} ms", CALL_TIMEOUT.as_millis()))]
     TimedOut,
     #[snafu(display("the target left before the call was sent"))]
-    TargetLeft { permits: SendPermits },
+    TargetLeft { permits: Option<SendPermits> },
     #[snafu(display("the response carries the id of another call"))]
     Foreign,
     #[snafu(display("refused by the target with status {status}"))]
@@ -204,9 +204,12 @@
 }
 
 /// Gives pieces that weren't sent their permits back.
-fn return_permits(batcher: &Batcher, sent_pieces: &[CallPiece], permits: SendPermits) {
+fn return_permits(batcher: &Batcher, sent_pieces: &[CallPiece], permits: Option<SendPermits>) {
     let mut queue = batcher.queue.borrow_mut();
-    for (sent, permit) in sent_pieces.iter().zip(permits.into_vec()) {
+    for (sent, permit) in sent_pieces
+        .iter()
+        .zip(permits.into_iter().flat_map(SendPermits::into_vec))
+    {
         if let Some(job) = queue.job_mut(sent.started.key) {
             job.permit.get_or_insert(permit);
         }
@@ -260,10 +263,11 @@
 }
 
 fn call_error(unanswered: Unanswered) -> CallError {
-    match (unanswered.error, unanswered.permits) {
-        (SendError::Withdrawn { .. }, Some(permits)) => CallError::TargetLeft { permits },
-        (source, Some(permits)) => CallError::Unsent { source, permits },
-        (source, None) => CallError::Send { source },
+    let permits = unanswered.permits;
+    match unanswered.error {
+        SendError::Withdrawn { .. } => CallError::TargetLeft { permits },
+        source if source.nothing_sent() => CallError::Unsent { source, permits },
+        source => CallError::Send { source },
     }
 }
 
--- /dev/null
+++ b/crates/gateway/src/pools/dropped.rs
@@ -0,0 +1,64 @@
+//! Pieces of peers that aren't sent any more, of which sends may still arrive at workers.
+//!
+//! A peer whose piece failed, or that was out of touch, asks what has become of it. It is told that
+//! nothing can arrive, or that this entry charges what can. Otherwise the peer goes on charging it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+
+use hollowsail_routing::repeats::{Work, LOST_MS};
+use hollowsail_routing::Millis;
+
+use crate::peers::{PeerId, PieceId};
+
+/// How long a piece is remembered, in milliseconds. Its own message may arrive after the question.
+const REMEMBERED_MS: Millis = 2 * LOST_MS;
+/// Most pieces that are remembered.
+const MAX_PIECES: usize = 50_000;
+
+struct DroppedPiece {
+    service: String,
+    work: Work,
+    dropped_at: Millis,
+}
+
+#[derive(Default)]
+pub struct DroppedPieces(RefCell<HashMap<(PeerId, PieceId), DroppedPiece>>);
+
+impl DroppedPieces {
+    /// Remembers a piece that isn't sent from now on, with its sends.
+    pub fn add(&self, now: Millis, from: PeerId, id: PieceId, service: &str, work: Work) {
+        let mut pieces = self.0.borrow_mut();
+        if pieces.len() >= MAX_PIECES {
+            pieces.retain(|_, piece| now < piece.dropped_at + REMEMBERED_MS);
+        }
+        let dropped = DroppedPiece {
+            service: service.to_string(),
+            work,
+            dropped_at: now,
+        };
+        pieces.insert((from, id), dropped);
+    }
+
+    /// True if a peer was told that the piece isn't sent.
+    pub fn contains(&self, from: PeerId, id: PieceId) -> bool {
+        self.0.borrow().contains_key(&(from, id))
+    }
+
+    /// The service of a piece, and its sends there. A piece that wasn't known has none, and is remembered
+    /// from now on.
+    pub fn find(&self, now: Millis, from: PeerId, id: PieceId) -> (String, Work) {
+        if !self.contains(from, id) {
+            self.add(now, from, id, "", Work::default());
+        }
+        let pieces = self.0.borrow();
+        let piece = &pieces[&(from, id)];
+        (piece.service.clone(), piece.work.clone())
+    }
+
+    /// Forgets what has been remembered for long enough.
+    pub fn prune(&self, now: Millis) {
+        let mut pieces = self.0.borrow_mut();
+        pieces.retain(|_, piece| now < piece.dropped_at + REMEMBERED_MS);
+    }
+}
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -8,6 +8,7 @@
 
 mod batcher;
 mod call;
+mod dropped;
 mod retained;
 mod worker_crash;
 
@@ -17,7 +18,7 @@
 
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
 use hollowsail_platform::pieces::{Piece, PieceFailure};
-use hollowsail_routing::repeats::{RepeatReason, SendPermit, TrackedSend, Work};
+use hollowsail_routing::repeats::{PassedOn, PassedOnEnd, RepeatReason, SendPermit, Work};
 use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::QueueLoad;
 use hollowsail_targets::Target;
@@ -25,7 +26,7 @@
 use crate::mechanisms::Mechanism;
 use crate::peers::{
     self, Link, LinkLost, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest,
-    UnneededResult, WorkerHandover,
+    RemoteOutcome, UnneededResult, WorkerHandover,
 };
 use crate::repeats::Repeat;
 use crate::reservations::{ReservationReply, Reserve};
@@ -33,6 +34,7 @@
 use crate::traffic::Traffic;
 
 use batcher::LocalOutcome;
+use dropped::DroppedPieces;
 
 pub use batcher::Batcher;
 pub use retained::RetainedResult;
@@ -78,30 +80,54 @@
     /// Load reports of owners, with the time of receipt.
     loads: RefCell<HashMap<String, (Millis, QueueLoad)>>,
     last_piece_id: Cell<u64>,
+    /// Pieces of peers that aren't sent any more.
+    dropped: DroppedPieces,
 }
 
-/// A piece that the owner of its queue sends. Its send is settled when this is dropped: an owner that
-/// told the outcome holds charges itself for what may still arrive.
-struct PassedOn(Option<TrackedSend>);
+/// A piece that the owner of its queue sends, until it has told the outcome or is lost.
+struct PieceAtOwner<'a> {
+    cx: &'a Rc<Traffic>,
+    link: &'a Rc<Link>,
+    id: PieceId,
+    passed_on: PassedOn,
+    is_ended: bool,
+}
 
-impl PassedOn {
-    fn begin(cx: &Traffic, permit: &SendPermit) -> Self {
-        permit.send().begin(cx.clock.now(), true);
-        PassedOn(Some(permit.send().clone()))
+impl<'a> PieceAtOwner<'a> {
+    fn begin(cx: &'a Rc<Traffic>, link: &'a Rc<Link>, id: PieceId, permit: SendPermit) -> Self {
+        PieceAtOwner {
+            cx,
+            link,
+            id,
+            passed_on: PassedOn::begin(cx.clock.now(), permit),
+            is_ended: false,
+        }
     }
 
-    /// Records that the owner is lost and may still send the piece.
-    fn lose(mut self, cx: &Traffic, owner: PeerId) {
-        if let Some(send) = self.0.take() {
-            cx.peers.record_lost_send(cx.clock.now(), owner, send);
+    /// Records what became of the piece. The owner is asked about sends that may still arrive.
+    fn end(mut self, outcome: &RemoteOutcome) {
+        self.is_ended = true;
+        let end = match outcome {
+            Ok(peers::PieceOutcome::Completed(_)) => PassedOnEnd::Done,
+            Ok(peers::PieceOutcome::Moved) => PassedOnEnd::Unsent,
+            Ok(peers::PieceOutcome::Failed(_)) => PassedOnEnd::Unsettled,
+            Err(lost) if lost.may_be_sent => PassedOnEnd::Unsettled,
+            Err(_) => PassedOnEnd::Unsent,
+        };
+        let unsettled = self.passed_on.end(self.cx.clock.now(), end);
+        if let Some(send) = unsettled {
+            let peers = &self.cx.peers;
+            peers.record_lost_send(self.cx, self.link, self.id, send);
         }
     }
 }
 
-impl Drop for PassedOn {
+impl Drop for PieceAtOwner<'_> {
+    /// The request doesn't wait for the piece any more.
     fn drop(&mut self) {
-        if let Some(send) = &self.0 {
-            send.settle();
+        if !self.is_ended {
+            let now = self.cx.clock.now();
+            self.passed_on.end(now, PassedOnEnd::Unsettled);
         }
     }
 }
@@ -171,13 +197,10 @@
                     }
                 }
                 Owner::Peer(link) => {
-                    let passed_on = PassedOn::begin(cx, &permitted);
-                    let message = self.message(cx, &queue, &piece_request, permitted);
+                    let message = self.message(cx, &queue, &piece_request);
+                    let at_owner = PieceAtOwner::begin(cx, &link, message.id, permitted);
                     let outcome = link.request_piece(message).await;
-                    match &outcome {
-                        Err(lost) if lost.may_run_on => passed_on.lose(cx, link.peer.id),
-                        Ok(_) | Err(_) => drop(passed_on),
-                    }
+                    at_owner.end(&outcome);
                     match outcome {
                         Ok(peers::PieceOutcome::Completed(completed)) => {
                             let bytes = piece_request.result_bytes;
@@ -195,13 +218,12 @@
         Err(PieceFailure::Failed)
     }
 
-    /// The message that passes a piece, and the permit for its next send, to an owner.
+    /// The message that passes a piece to an owner; the permit for its next send goes with it.
     fn message(
         &self,
         cx: &Traffic,
         queue: &str,
         piece_request: &PieceRequest,
-        _permit: SendPermit,
     ) -> ProducePieceRequest {
         let number = self.last_piece_id.get() + 1;
         self.last_piece_id.set(number);
@@ -262,6 +284,10 @@
     /// Accepts a piece from a peer. Sends it back if this entry is lagging and another one owns
     /// the queue.
     pub fn accept_piece(&self, cx: &Rc<Traffic>, from: &PeerRecord, request: ProducePieceRequest) {
+        if self.dropped.contains(from.id, request.id) {
+            // The peer has asked about it before this message arrived, and has it sent by others.
+            return;
+        }
         let link = cx.peers.link_to(cx, from);
         if cx.lag.get().is_lagging() && matches!(owner_of(cx, &request.queue), Owner::Peer(_)) {
             link.send(Message::PieceEnded(request.id, peers::PieceOutcome::Moved));
@@ -314,6 +340,28 @@
         }
     }
 
+    /// Remembers the sends of a peer's piece that isn't sent any more.
+    fn record_dropped(
+        &self,
+        now: Millis,
+        (from, id): (PeerId, PieceId),
+        service: &str,
+        work: Work,
+    ) {
+        if work.unsettled(now) > 0 {
+            self.dropped.add(now, from, id, service, work);
+        }
+    }
+
+    /// Drops a peer's piece. True if nothing of it can arrive any more, or this entry charges what can.
+    pub fn answer_for(&self, cx: &Traffic, from: PeerId, id: PieceId) -> bool {
+        let now = cx.clock.now();
+        self.dropped.prune(now);
+        self.cancel_piece(from, id);
+        let (service, work) = self.dropped.find(now, from, id);
+        cx.cover_repeats(&service, &work)
+    }
+
     /// Cancels a peer's piece, or releases its result if the piece is complete.
     pub fn cancel_piece(&self, from: PeerId, id: PieceId) {
         let all = self.all();
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -138,6 +138,7 @@
         let share = shared.at(now);
         let (permit, left, held) = self.with_budget(repeat.service, |budget| {
             let permit = budget.repeat(now, rules(bounds), share, repeat.reason, repeat.work);
+            let permit = permit.map(|permit| permit.with_expiry(shared.until()));
             let held = budget.held();
             shared.raise_charged(budget.charged(), held);
             (permit, budget.left(now, rules(bounds), share), held)
@@ -167,11 +168,19 @@
         permit
     }
 
-    /// Records that a peer was told that its piece failed, of which sends may still arrive.
-    pub fn hold_for_peer(&self, now: Millis, service: &str, work: &Work) {
-        if work.unsettled(now) > 0 {
-            self.with_budget(service, |budget| budget.hold_for_others(now, work));
+    /// Charges the sends of a peer's piece that may still arrive, so that the peer needn't. False if this
+    /// host's share doesn't cover that.
+    pub fn cover(&self, now: Millis, bounds: &Bounds, service: &str, work: &Work) -> bool {
+        if work.unsettled(now) == 0 {
+            return true;
         }
+        let mut shared = self.share.lock();
+        let share = shared.at(now);
+        self.with_budget(service, |budget| {
+            let is_covered = budget.cover(now, rules(bounds), share, work);
+            shared.raise_charged(budget.charged(), budget.held());
+            is_covered
+        })
     }
 
     /// Sets which units are charged, for control, which gives up others.
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -207,12 +207,12 @@
         Ok(Ok(answer)) => answer,
         Ok(Err(Unanswered { error, permits })) => {
             let permit = permits.and_then(|permits| permits.into_vec().pop());
-            return Err(match permit {
-                Some(permit) => Failure {
-                    permit: Some(permit),
+            return Err(match error.nothing_sent() {
+                true => Failure {
+                    permit,
                     ..Failure::not_connected(&error)
                 },
-                None => Failure::connection_lost(error.to_string()),
+                false => Failure::connection_lost(error.to_string()),
             });
         }
         Err(_) => {
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -137,7 +137,7 @@
 /// Why new work got no answer.
 pub struct Unanswered {
     pub error: SendError,
-    /// Given back if the target got nothing.
+    /// Given back if the target got nothing, unless they may not be used any more.
     pub permits: Option<SendPermits>,
 }
 
@@ -152,7 +152,7 @@
     reuse: Reuse,
     permits: SendPermits,
 ) -> Result<Answer, Unanswered> {
-    let is_wanted = || cx.is_in_use(target);
+    let is_valid = |permits: &SendPermits| permits.are_valid(cx.clock.now());
     let connection = match connection {
         Some(connection) => connection,
         None => match target.pool.connect(reuse, None).await {
@@ -163,6 +163,7 @@
             }
         },
     };
+    let is_wanted = || cx.is_in_use(target) && is_valid(&permits);
     let sending = Sending::begin(cx, target, &permits, connection.is_relayed());
     let on_end = Some(sending.on_end());
     let sent = send_if(cx, target, connection, req, reuse, is_wanted, on_end).await;
@@ -173,10 +174,8 @@
         }
         Err(error) if error.nothing_sent() => {
             sending.withdraw();
-            Err(Unanswered {
-                permits: Some(permits),
-                error,
-            })
+            let permits = Some(permits).filter(is_valid);
+            Err(Unanswered { permits, error })
         }
         Err(error) => Err(Unanswered {
             permits: None,
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -457,9 +457,10 @@
         self.repeats.grant(now, &settings.bounds, &self.log, repeat)
     }
 
-    /// See [`Repeats::hold_for_peer`].
-    pub fn hold_repeats_for_peer(&self, service: &str, work: &Work) {
-        self.repeats.hold_for_peer(self.clock.now(), service, work);
+    /// See [`Repeats::cover`].
+    pub fn cover_repeats(&self, service: &str, work: &Work) -> bool {
+        let (now, settings) = (self.clock.now(), self.settings());
+        self.repeats.cover(now, &settings.bounds, service, work)
     }
 
     /// Says which units of the allowance of repeats are charged, and logs the repeats at the end of each
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -64,8 +64,8 @@
         SendPermit::new(now, &Work::default())
     }
 
-    /// Permits the first send of a piece of a stage, which is no request of a caller.
-    pub fn first_of_piece(now: Millis) -> SendPermit {
+    /// Permits the first send of work that is no request of a caller: a piece of a stage.
+    pub fn first_without_request(now: Millis) -> SendPermit {
         SendPermit::new(now, &Work::default())
     }
 
@@ -100,9 +100,20 @@
         Some(permit)
     }
 
-    /// Records that somebody else was told that `work` failed, and may have it sent again.
-    pub fn hold_for_others(&mut self, now: Millis, work: &Work) {
-        self.charges.hold_all(now, work);
+    /// Charges all sends of `work` that may still arrive, so that somebody else may have it sent again
+    /// without charging them. False if `share` doesn't cover that.
+    pub fn cover(&mut self, now: Millis, rules: BudgetRules, share: f64, work: &Work) -> bool {
+        let to_hold = self.charges.to_hold_all(now, work);
+        if to_hold == 0 {
+            return true;
+        }
+        let unread = (self.charges.held() + to_hold) as f64;
+        let is_covered = to_hold as f64 <= self.left(now, rules, share)
+            && unread <= (share * UNREAD_PART).max(1.0) + ROUNDING;
+        if is_covered {
+            self.charges.hold_all(now, work);
+        }
+        is_covered
     }
 
     /// Repeats that the share covers now, with fractions.
--- a/crates/routing/src/repeats/charges.rs
+++ b/crates/routing/src/repeats/charges.rs
@@ -97,8 +97,15 @@
         repeated.hold(unsettled);
     }
 
-    /// Holds charges for all sends of `work` that may still arrive, after somebody else was told
-    /// that it failed and may repeat it.
+    /// Charges that the share has to hold, beyond those that it holds, for all sends of `work` that may
+    /// still arrive.
+    pub fn to_hold_all(&self, now: Millis, work: &Work) -> usize {
+        let repeated = self.0.iter().find(|repeated| repeated.work.is_same(work));
+        let held = repeated.map_or(0, Repeated::held);
+        work.unsettled(now).saturating_sub(held)
+    }
+
+    /// Holds charges for all sends of `work` that may still arrive.
     pub fn hold_all(&mut self, now: Millis, work: &Work) {
         let unsettled = work.unsettled(now);
         if unsettled > 0 {
--- a/crates/routing/src/repeats/mod.rs
+++ b/crates/routing/src/repeats/mod.rs
@@ -13,12 +13,14 @@
 
 mod budget;
 mod charges;
+mod passed_on;
 mod permit;
 mod reason;
 mod share;
 mod work;
 
 pub use budget::{BudgetRules, RepeatBudget};
+pub use passed_on::{PassedOn, PassedOnEnd};
 pub use permit::{SendPermit, SendPermits};
 pub use reason::RepeatReason;
 pub use share::{RetiredUnits, Share};
--- a/crates/routing/src/repeats/permit.rs
+++ b/crates/routing/src/repeats/permit.rs
@@ -10,6 +10,8 @@
 pub struct SendPermit {
     work: Work,
     send: TrackedSend,
+    /// It may not be used from this time on; `None` for a first send.
+    expires: Option<Millis>,
 }
 
 impl SendPermit {
@@ -18,6 +20,7 @@
         SendPermit {
             work: work.clone(),
             send: work.permit(now),
+            expires: None,
         }
     }
 
@@ -27,6 +30,17 @@
         SendPermit::new(now, work)
     }
 
+    /// The same permit, which may not be used once the units that cover it may be others'.
+    pub fn with_expiry(mut self, expires: Millis) -> Self {
+        self.expires = Some(expires);
+        self
+    }
+
+    /// True if it may be used now.
+    pub fn is_valid(&self, now: Millis) -> bool {
+        self.expires.is_none_or(|expires| now < expires)
+    }
+
     /// The request or piece that it permits to send.
     pub fn work(&self) -> &Work {
         &self.work
@@ -55,6 +69,11 @@
         (!permits.is_empty()).then_some(SendPermits(permits))
     }
 
+    /// True if all of them may be used now.
+    pub fn are_valid(&self, now: Millis) -> bool {
+        self.0.iter().all(|permit| permit.is_valid(now))
+    }
+
     /// The sends that they permit.
     pub fn sends(&self) -> impl Iterator<Item = &TrackedSend> {
         self.0.iter().map(SendPermit::send)
--- a/crates/routing/src/repeats/share.rs
+++ b/crates/routing/src/repeats/share.rs
@@ -54,6 +54,11 @@
         }
     }
 
+    /// When the units may not be used any more.
+    pub fn until(&self) -> Millis {
+        self.until
+    }
+
     /// True if something is charged to at least half of the units.
     pub fn is_pressed(&self) -> bool {
         self.charged > 0 && 2 * self.charged >= self.units
--- a/crates/routing/tests/suite/shared_allowance/incidents.rs
+++ b/crates/routing/tests/suite/shared_allowance/incidents.rs
@@ -7,8 +7,12 @@
 const FIRST_UNREAD: u8 = 1;
 
 fn press(host: usize, unread: u8) -> Step {
+    press_requests(host, 12, unread)
+}
+
+fn press_requests(host: usize, requests: usize, unread: u8) -> Step {
     let press = Press {
-        requests: 12,
+        requests,
         repeats: 3,
         unread,
         late_ms: 0,
@@ -48,14 +52,16 @@
 fn joins_after_use() -> Play {
     let alone = vec![Step::Start(0), Step::Wait(8_000), press(0, ALL_READ)];
     let learn = vec![Step::Believe(0, 12), Step::Wait(1_200)];
-    let others = (1..5).flat_map(|host| [Step::Start(host), Step::Believe(host, 1)]);
+    let others = (1..7).flat_map(|host| [Step::Start(host), Step::Believe(host, 1)]);
     let claim = vec![Step::Wait(5_000)];
     play(&[
         alone,
         learn,
         others.collect(),
         claim,
-        press_all(1..5, ALL_READ),
+        (1..7)
+            .map(|host| press_requests(host, 5, ALL_READ))
+            .collect(),
     ])
 }
 
@@ -93,7 +99,65 @@
     play(&[start_alone(0..6), links, gap, start_alone(6..12), pressed])
 }
 
-pub fn all() -> [Play; 6] {
+/// Targets that stand still with pieces of one process, which others repeat, window after window.
+fn pieces_at_still_targets(after_each: impl Fn(usize) -> Vec<Step>) -> Play {
+    let round = |round: usize| {
+        let owner = 8 + round;
+        let pass = (0..8).map(|host| Step::Pass(host, owner, 4)).collect();
+        let send = vec![Step::SendPassed(owner, true)];
+        let wait = vec![Step::Wait(11_500)];
+        [pass, send, after_each(owner), wait].concat()
+    };
+    let rounds = (0..4).map(round).collect::<Vec<_>>().concat();
+    let start = [start_all(0..12, 100), vec![Step::Wait(9_000)]].concat();
+    play(&[
+        start,
+        rounds,
+        press_all(0..8, ALL_READ),
+        vec![Step::ReadAll],
+    ])
+}
+
+/// The process gives them up.
+fn pieces_given_up() -> Play {
+    pieces_at_still_targets(|owner| vec![Step::GiveUp(owner), Step::Ask(owner)])
+}
+
+/// The process is killed.
+fn pieces_of_killed_processes() -> Play {
+    pieces_at_still_targets(|owner| vec![Step::Kill(owner), Step::Start(owner)])
+}
+
+/// The process is out of touch for a moment.
+fn pieces_of_lost_processes() -> Play {
+    pieces_at_still_targets(|owner| vec![Step::LoseTouch(owner), Step::Ask(owner)])
+}
+
+/// A process that stands still until its units are others'.
+fn permits_that_wait() -> Play {
+    let waiting = Press {
+        requests: 40,
+        repeats: 1,
+        unread: ALL_READ,
+        late_ms: 0,
+        permits_wait: true,
+    };
+    let start_alone = |host: usize| {
+        vec![
+            Step::Start(host),
+            Step::Believe(host, 1),
+            Step::Wait(40_000),
+        ]
+    };
+    play(&[
+        start_alone(0),
+        vec![Step::Press(0, waiting), Step::Wait(110_000)],
+        start_alone(1),
+        vec![press(1, ALL_READ), Step::Resume(0)],
+    ])
+}
+
+pub fn all() -> [Play; 10] {
     [
         joins(),
         joins_after_use(),
@@ -101,5 +165,9 @@
         restores(),
         unread_sends(),
         cuts(),
+        pieces_given_up(),
+        pieces_of_killed_processes(),
+        pieces_of_lost_processes(),
+        permits_that_wait(),
     ]
 }
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -6,6 +6,7 @@
 
 mod arrivals;
 mod incidents;
+mod pieces;
 mod search;
 mod store;
 mod world;
@@ -49,6 +50,14 @@
     ChargedUnitsGivenUp,
     /// Writes don't depend on what the store has.
     UnguardedWrites,
+    /// A process charges more than its units cover when somebody else may repeat its work.
+    UncoveredCharges,
+    /// What a process had sent that has ended counts as read.
+    EndedIsSettled,
+    /// What a process had that is in touch again counts as read.
+    HeardIsSettled,
+    /// A permit is used whenever its process goes on.
+    PermitsLast,
 }
 
 /// Requests, and how their attempts fare.
@@ -84,6 +93,16 @@
     Press(usize, Press),
     /// Targets read what they haven't read.
     ReadAll,
+    /// The first host has the second one send this many pieces.
+    Pass(usize, usize, usize),
+    /// A host sends the pieces that it has for others; targets read them, or stand still.
+    SendPassed(usize, bool),
+    /// A host stops waiting for targets that stand still.
+    GiveUp(usize),
+    /// Others lose touch with a host that has their pieces.
+    LoseTouch(usize),
+    /// Others ask a host what has become of their pieces.
+    Ask(usize),
 }
 
 fn press() -> impl Strategy<Value = Press> {
@@ -153,6 +172,11 @@
         1 => (0..40_000u64, any::<bool>()).prop_map(|(lost, keeps)| Step::Restore(lost, keeps)),
         14 => (host(), press()).prop_map(|(host, press)| Step::Press(host, press)),
         2 => Just(Step::ReadAll),
+        4 => (host(), host(), 1..9usize).prop_map(|(from, to, count)| Step::Pass(from, to, count)),
+        4 => (host(), prop::bool::weighted(0.7)).prop_map(|(host, still)| Step::SendPassed(host, still)),
+        2 => host().prop_map(Step::GiveUp),
+        2 => host().prop_map(Step::LoseTouch),
+        2 => host().prop_map(Step::Ask),
     ]
 }
 
@@ -221,6 +245,10 @@
         Defect::UsedWithoutLease,
         Defect::ChargedUnitsGivenUp,
         Defect::UnguardedWrites,
+        Defect::UncoveredCharges,
+        Defect::EndedIsSettled,
+        Defect::HeardIsSettled,
+        Defect::PermitsLast,
     ] {
         let (play, worst) = search::nearest(Some(defect));
         println!("{defect:?}: {worst:?}");
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -2,12 +2,13 @@
 
 use hollowsail_fleet::quota::{self, Quota};
 use hollowsail_routing::repeats::{
-    RepeatBudget, RepeatReason, RetiredUnits, SendPermit, Share, TrackedSend,
+    RepeatBudget, RepeatReason, RetiredUnits, SendPermit, Share, TrackedSend, Work,
 };
 use rand::rngs::SmallRng;
 use rand::SeedableRng;
 
 use super::arrivals::Arrivals;
+use super::pieces::Pieces;
 use super::store::{Lease, Link, Run, Store};
 use super::{Defect, Millis, Press, Step, RULES, TIMING};
 
@@ -16,21 +17,27 @@
 const TICK_MS: Millis = 250;
 /// How long a process goes on after a planned stop began.
 const GRACE_MS: Millis = 8_000;
-/// Longest time that sends stay unread, or that a permit waits.
+/// Longest time that sends stay unread.
 const MAX_UNREAD_MS: Millis = 50_000;
+/// Longest time that a permit waits.
+const MAX_PERMIT_WAIT_MS: Millis = 150_000;
+/// How much faster than others, or slower, clocks run, in parts of a thousand.
+const CLOCK_RATES: [u64; 3] = [1_000, 990, 1_010];
 
 /// One process. Its clock starts with it.
-struct Process {
-    run: Run,
+pub(super) struct Process {
+    pub run: Run,
     started: Millis,
+    /// Milliseconds that its clock counts in a second.
+    clock_rate: u64,
     lease: Option<Lease>,
     quota: Quota,
-    share: Share,
-    budget: RepeatBudget,
+    pub share: Share,
+    pub budget: RepeatBudget,
     /// Hosts that it takes to exist.
     believed_hosts: usize,
     link: Link,
-    is_paused: bool,
+    pub is_paused: bool,
     /// When its planned stop began.
     stopping: Option<Millis>,
     next_round: Millis,
@@ -38,6 +45,27 @@
     waiting: Vec<(SendPermit, u64, Millis)>,
 }
 
+impl Process {
+    /// Its clock at this time.
+    pub fn clock(&self, now: Millis) -> Millis {
+        (now - self.started) * self.clock_rate / 1_000
+    }
+
+    /// Permits work to be sent again, if its share covers that.
+    pub fn repeat(
+        &mut self,
+        clock: Millis,
+        reason: RepeatReason,
+        work: &Work,
+    ) -> Option<SendPermit> {
+        let share = self.share.at(clock);
+        let permit = self.budget.repeat(clock, RULES, share, reason, work)?;
+        let budget = &self.budget;
+        self.share.raise_charged(budget.charged(), budget.held());
+        Some(permit.with_expiry(self.share.until()))
+    }
+}
+
 /// A send that its target hasn't read.
 struct Unread {
     send: TrackedSend,
@@ -52,15 +80,16 @@
 
 /// Everything that runs.
 pub struct World {
-    now: Millis,
+    pub(super) now: Millis,
     extra: f64,
     store: Store,
-    hosts: Vec<Option<Process>>,
+    pub(super) hosts: Vec<Option<Process>>,
     unread: Vec<Unread>,
+    pub(super) pieces: Pieces,
     pub arrivals: Arrivals,
     next_run: u64,
     next_work: u64,
-    defect: Option<Defect>,
+    pub(super) defect: Option<Defect>,
     rng: SmallRng,
 }
 
@@ -72,6 +101,7 @@
             store: Store::new(defect),
             hosts: (0..hosts).map(|_| None).collect(),
             unread: Vec::new(),
+            pieces: Pieces::default(),
             arrivals: Arrivals::default(),
             next_run: 0,
             next_work: 0,
@@ -103,6 +133,11 @@
             }
             Step::Press(host, press) => self.press(host % hosts, press),
             Step::ReadAll => self.read(true),
+            Step::Pass(from, to, count) => self.pass(from % hosts, to % hosts, count),
+            Step::SendPassed(host, still) => self.send_passed(host % hosts, still),
+            Step::GiveUp(host) => self.give_up(host % hosts),
+            Step::LoseTouch(host) => self.lose_touch(host % hosts),
+            Step::Ask(host) => self.ask(host % hosts),
         }
     }
 
@@ -120,6 +155,7 @@
         self.hosts[host] = Some(Process {
             run: Run(self.next_run),
             started: self.now,
+            clock_rate: CLOCK_RATES[host % CLOCK_RATES.len()],
             lease: None,
             quota: Quota::new(TIMING),
             share: Share::default(),
@@ -138,6 +174,7 @@
     fn end(&mut self, host: usize) {
         if let Some(process) = self.hosts[host].take() {
             self.store.forget(process.lease);
+            self.end_pieces_of(process.run);
         }
     }
 
@@ -168,7 +205,7 @@
             return;
         };
         let waits = process.waiting.first().map(|(_, _, since)| *since);
-        if waits.is_some_and(|since| since + MAX_UNREAD_MS <= self.now) {
+        if waits.is_some_and(|since| since + MAX_PERMIT_WAIT_MS <= self.now) {
             process.is_paused = false;
         }
         if process.is_paused {
@@ -197,7 +234,7 @@
         let Some(process) = &mut self.hosts[host] else {
             return;
         };
-        let clock = self.now - process.started;
+        let clock = process.clock(self.now);
         process.next_round = self.now + ROUND_MS;
         process.budget.update(clock, RULES);
         match self.defect {
@@ -253,7 +290,7 @@
         if process.is_paused {
             return;
         }
-        let clock = now - process.started;
+        let clock = process.clock(now);
         for _ in 0..press.requests {
             self.next_work += 1;
             let work_id = self.next_work;
@@ -294,15 +331,15 @@
                 if attempt == press.repeats {
                     break;
                 }
-                let share = match self.defect {
-                    Some(Defect::SharedByKnownHosts) => 0.6 * extra / running as f64,
-                    _ => process.share.at(clock),
-                };
                 let reason = RepeatReason::AttemptFailed;
-                let granted = process.budget.repeat(clock, RULES, share, reason, &work);
+                let granted = match self.defect {
+                    Some(Defect::SharedByKnownHosts) => {
+                        let share = 0.6 * extra / running as f64;
+                        process.budget.repeat(clock, RULES, share, reason, &work)
+                    }
+                    _ => process.repeat(clock, reason, &work),
+                };
                 let Some(granted) = granted else { break };
-                let budget = &process.budget;
-                process.share.raise_charged(budget.charged(), budget.held());
                 permit = granted;
             }
         }
@@ -316,14 +353,35 @@
         let Some(process) = &mut self.hosts[host] else {
             return;
         };
-        let clock = self.now - process.started;
+        let clock = process.clock(self.now);
+        let lasts = self.defect == Some(Defect::PermitsLast);
         for (permit, work, _) in process.waiting.drain(..) {
+            if !permit.is_valid(clock) && !lasts {
+                continue;
+            }
             permit.send().begin(clock, false);
             permit.send().settle();
             self.arrivals.record(self.now, work);
         }
     }
 
+    /// A number for new work.
+    pub(super) fn new_work(&mut self) -> u64 {
+        self.next_work += 1;
+        self.next_work
+    }
+
+    /// A target that stands still gets work.
+    pub(super) fn leave_unread(&mut self, run: Run, work: u64, send: TrackedSend) {
+        self.unread.push(Unread {
+            send,
+            work,
+            due: self.now + MAX_UNREAD_MS,
+            is_abandoned: true,
+            run,
+        });
+    }
+
     /// Targets read what is due, or everything; the processes that sent it learn that.
     fn read(&mut self, is_all: bool) {
         let now = self.now;
