Answer every request before a planned stop ends, and send none that can't end

What callers saw: in a planned stop in calm, requests that came late in the grace were sent and cut without an answer, also those that may not be repeated (LOST).

Cause: whether the entry still takes requests was asked once, when the head was read. A request that then waited, for its body, a scheduler, a connection, a backoff, was sent however late that was; only the wait for stages ended with the process, so that everything else was closed without a word. Class: a decision taken once, at the first step, that later steps don't ask again.

Change: routing::planned_stop decides from the time left, what recent requests of the service took (streams: whole streams), the deadline, and whether the request may be repeated; nothing known counts as the deadline for one that can't be repeated. It is asked before the stages, before each choice of a target, and at the send itself, after any wait for a connection. What can't end is refused with 503 and a Retry-After of 50 ms, since other entries serve at once. All waits of a request are raced with the end of the stop in one place: what no target got is refused 0.5 s before the exit, what one may have run is answered with 502 0.2 s before it. A stop also waits for calls that this entry makes for peers.

Why it works: the time is asked again at each point after which something is sent, and no wait can outlast the race.

--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -398,6 +398,14 @@
         all.iter().for_each(|batcher| batcher.requester_lost(peer));
     }
 
+    /// True while calls of this entry's queues are in progress.
+    pub fn has_running_calls(&self) -> bool {
+        let batchers = self.batchers.borrow();
+        batchers
+            .values()
+            .any(|batcher| batcher.queue.borrow().running() > 0)
+    }
+
     /// Returns true if a matching worker of the service runs pieces or retains results.
     pub fn has_work_at(&self, service: &str, matches: impl Fn(&Target) -> bool) -> bool {
         let of_service = |batcher: &Rc<Batcher>| {
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -26,6 +26,7 @@
 use crate::answer::Refusal;
 use crate::crashes::{PromptParts, Trial};
 use crate::mechanisms::Mechanism;
+use crate::stop;
 use crate::traffic::{Stopping, Traffic};
 
 /// Share of the caller's event timeout that may pass before the answer starts.
@@ -38,8 +39,6 @@
 const OVERDUE_TARGET_WAIT_SHARE: f64 = 0.1;
 /// Higher priority values are clamped to this one.
 const MAX_PRIORITY: u8 = 15;
-/// Retry-After during shutdown: short, but long enough to spread the retries.
-const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// How long a request waits for the first configuration of an entry that has just started.
 /// Refusing at once would make all callers of a starting fleet retry together.
 const CONFIGURATION_TIMEOUT: Duration = Duration::from_millis(300);
@@ -230,7 +229,10 @@
     let longest = deployment.route(route).timeout;
     let deadline = arrived + caller.deadline.map_or(longest, |own| own.min(longest));
     let max_bytes = deployment.limits.max_body_bytes;
-    let body = read_body(body, max_bytes, deadline).await.map_err(reject)?;
+    let body = tokio::select! {
+        body = read_body(body, max_bytes, deadline) => body.map_err(reject)?,
+        refusal = stop::refusal_at_exit(cx, pending) => return Err(reject(refusal)),
+    };
     cx.pending.set(pending, WaitsFor::Stages);
     let halls = allowed_halls(cx, &deployment, route, organisation);
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
@@ -297,8 +299,7 @@
 /// The configuration for a new request, or a refusal when the entry is shutting down or has none.
 async fn deployment(cx: &Rc<Traffic>) -> Result<Arc<Deployment>, Refusal> {
     if cx.stopping.get() == Stopping::RefusingNew {
-        let refusal = Refusal::new(ErrorKind::Stopping, "this entry is shutting down");
-        return Err(refusal.with_retry_after(STOPPING_RETRY_AFTER));
+        return Err(stop::refusal("this entry is shutting down"));
     }
     match tokio::time::timeout(CONFIGURATION_TIMEOUT, cx.wait_for_deployment()).await {
         Ok(deployment) => Ok(deployment),
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -21,6 +21,7 @@
 use super::pending::WaitsFor;
 use crate::connections::{self, InUse};
 use crate::placement::Placement;
+use crate::stop;
 use crate::target_calls::{self, Unanswered};
 use crate::traffic::Traffic;
 
@@ -199,7 +200,9 @@
     cx.pending.set(admitted.pending, WaitsFor::Answer);
     let sent = BootInstant::now();
     let req = request_for(admitted, target, options);
-    let sending = target_calls::send(cx, target, connection, req, reuse, permit.into());
+    let service = admitted.deployment.service_named(&target.record.service);
+    let may_send = || service.is_none_or(|service| stop::may_send(cx, admitted, service));
+    let sending = target_calls::send(cx, target, connection, req, reuse, permit.into(), may_send);
     let timeout_at = options
         .timeout
         .map_or(options.deadline, |timeout| sent + timeout);
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -9,7 +9,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Repeat;
-use hollowsail_routing::{Progress, Reason};
+use hollowsail_routing::{stage_status, Progress, Reason, StageStatus};
 use hollowsail_targets::Target;
 
 use super::admit::Admitted;
@@ -20,6 +20,7 @@
 use super::{relay, retry, select, stream, unservable, RequestStats};
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
+use crate::stop;
 use crate::traffic::Traffic;
 
 /// An attempt times out after this multiple of the service's 99th-percentile latency ...
@@ -45,7 +46,7 @@
         }
         match relay::buffered(cx, admitted, answer, &mut attempts).await {
             relay::Buffered::Response(response) => return Ok(*response),
-            relay::Buffered::Retry => {}
+            relay::Buffered::Retry => cx.pending.set_may_have_run(admitted.pending),
         }
     }
 }
@@ -65,6 +66,8 @@
         }
         cx.pending.set(admitted.pending, WaitsFor::Target);
         unservable::check_crashes(cx, admitted).map_err(|refusal| attempts.refusal_for(refusal))?;
+        stop::check(cx, admitted, attempts.service)
+            .map_err(|refusal| attempts.refusal_for(refusal))?;
         let selected = select::next_target(cx, admitted, prepared, attempts).await?;
         let (mut target, others, placed) = (selected.target, selected.others, selected.placed);
         let timeout = timeout(cx, admitted, attempts);
@@ -96,6 +99,9 @@
                 log_outdated_choice(cx, admitted, &target, attempts.last_sent);
             }
             Err(failure) => {
+                if stage_status([failure.progress]) != StageStatus::NotRun {
+                    cx.pending.set_may_have_run(admitted.pending);
+                }
                 placed
                     .into_iter()
                     .for_each(|mut placed| match failure.progress {
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -33,15 +33,15 @@
 use crate::answer::{AnswerStream, Refusal};
 use crate::metrics;
 use crate::reservations::{self, ReservedRoom};
+use crate::stop;
 use crate::traffic::Traffic;
 
 use attempts::{Attempts, Destination};
-use pending::{PendingKey, WaitsFor};
 
 pub use admit::Admitted;
 pub use attempt::{Failure, Unconnected};
 pub use forecast::max_return;
-pub use pending::PendingRequests;
+pub use pending::{PendingKey, PendingRequests, WaitsFor};
 pub use prepare::{stage_due, stage_graph};
 pub use stream_version::copy_records_when_contested;
 
@@ -79,7 +79,11 @@
         }
     };
     pending.admitted = Some(admitted.clone());
-    let answered = answer(&cx, &admitted, &mut stats).await;
+    let answered = tokio::select! {
+        biased;
+        answered = answer(&cx, &admitted, &mut stats) => answered,
+        refusal = stop::refusal_at_exit(&cx, admitted.pending) => Err(refusal),
+    };
     pending.finished();
     let labels = LogLabels {
         request_id: &admitted.caller.request_id,
@@ -150,6 +154,9 @@
     stats: &mut RequestStats,
 ) -> Result<http::Response<AnswerStream>, Refusal> {
     unservable::check(cx, admitted)?;
+    if let Some((service, _)) = admitted.route().services.first() {
+        stop::check(cx, admitted, *service)?;
+    }
     unservable::begin_trials(cx, admitted).await?;
     let resumed_at = stream_version::find(cx, admitted).await?;
     let room = match &resumed_at {
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -42,6 +42,8 @@
     id: String,
     since: BootInstant,
     waits_for: WaitsFor,
+    /// A target may have run it in an earlier attempt.
+    may_have_run: bool,
 }
 
 /// All requests of this entry that have no answer yet.
@@ -55,6 +57,7 @@
             id: id.to_string(),
             since,
             waits_for: WaitsFor::Body,
+            may_have_run: false,
         })
     }
 
@@ -69,6 +72,20 @@
         }
     }
 
+    /// Records that a target may have run it in an attempt that has ended.
+    pub fn set_may_have_run(&self, key: PendingKey) {
+        if let Some(request) = self.0.borrow_mut().get_mut(key) {
+            request.may_have_run = true;
+        }
+    }
+
+    /// False if no target has run it, nor runs it now.
+    pub fn may_have_run(&self, key: PendingKey) -> bool {
+        let requests = self.0.borrow();
+        let request = requests.get(key);
+        request.is_some_and(|request| request.may_have_run || request.waits_for == WaitsFor::Answer)
+    }
+
     /// `None` once it is answered.
     pub fn waits_for(&self, key: PendingKey) -> Option<WaitsFor> {
         self.0.borrow().get(key).map(|request| request.waits_for)
--- a/crates/gateway/src/request/prepare/mod.rs
+++ b/crates/gateway/src/request/prepare/mod.rs
@@ -21,6 +21,7 @@
 use crate::answer::Refusal;
 use crate::mechanisms::Mechanism;
 use crate::reservations::{times, ReservedRoom};
+use crate::stop;
 use crate::traffic::Traffic;
 
 pub use self::prepared::Prepared;
@@ -64,10 +65,9 @@
             ErrorKind::CannotFinish,
             "the stages were not completed before their deadline",
         )),
-        () = cx.final_shutdown.wait() => Err(Refusal::new(
-            ErrorKind::Stopping,
-            "this entry stopped before the stages completed",
-        )),
+        () = cx.final_shutdown.wait() => {
+            Err(stop::refusal("this entry stopped before the stages completed"))
+        }
     }
 }
 
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -220,6 +220,9 @@
     fn finish(&mut self) -> Option<Result<Bytes, BodyFault>> {
         self.is_done = true;
         self.answer.target.observe(Observation::Answered(1), 1);
+        let (service, took) = (self.attempts.service, self.answer.sent.elapsed());
+        self.cx
+            .record_stream_time(&self.admitted.deployment, service, took);
         if let Some(placed) = &mut self.answer.placed {
             placed.completed();
         }
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -142,8 +142,8 @@
 }
 
 /// Sends new work and waits for the headers of its answer, on `connection` if the request waited
-/// for one ([`crate::connections`]). Withdraws it if the target leaves before it is sent. The
-/// caller bounds the time; dropping the future closes the connection.
+/// for one ([`crate::connections`]). Withdraws it if the target leaves, or `may_send` is false, before
+/// it is sent. The caller bounds the time; dropping the future closes the connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
@@ -151,6 +151,7 @@
     req: Request<Full<Bytes>>,
     reuse: Reuse,
     permits: SendPermits,
+    may_send: impl Fn() -> bool,
 ) -> Result<Answer, Unanswered> {
     let is_valid = |permits: &SendPermits| permits.are_valid(cx.clock.now());
     let connection = match connection {
@@ -163,7 +164,7 @@
             }
         },
     };
-    let is_wanted = || cx.is_in_use(target) && is_valid(&permits);
+    let is_wanted = || cx.is_in_use(target) && is_valid(&permits) && may_send();
     let sending = Sending::begin(cx, target, &permits, connection.is_relayed());
     let on_end = Some(sending.on_end());
     let sent = send_if(cx, target, connection, req, reuse, is_wanted, on_end).await;
@@ -220,7 +221,7 @@
     max_bytes: usize,
     permits: SendPermits,
 ) -> Result<CompleteAnswer, Unanswered> {
-    let answer = send(cx, target, None, req, Reuse::Any, permits).await?;
+    let answer = send(cx, target, None, req, Reuse::Any, permits, || true).await?;
     Ok(read(answer, max_bytes).await)
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
+use hollowsail_clock::BootInstant;
 use hollowsail_fleet::Throttle;
 use hollowsail_observe::LogThrottle;
 use hollowsail_platform::deployment::{Deployment, ServiceKey};
@@ -119,6 +120,8 @@
     repeats: Repeats,
     /// Recent latencies of requests, by service name.
     latencies: RefCell<HashMap<String, LatencyWindow>>,
+    /// Recent times of whole streams, by service name.
+    stream_times: RefCell<HashMap<String, LatencyWindow>>,
     /// Recent times to the first event, by service name.
     prefill_times: RefCell<HashMap<String, PrefillTimes>>,
     /// Requests that have no answer yet.
@@ -136,6 +139,10 @@
     pub lag: Cell<EventLoopLag>,
     /// Set shortly before the process exits: requests not sent to a target yet are refused.
     pub final_shutdown: Latch,
+    /// During a planned stop, when requests that targets haven't answered are answered by this entry.
+    pub last_answers_at: Cell<Option<BootInstant>>,
+    /// Set then.
+    pub last_answers: Latch,
     /// Notified when idle connections of callers have to close.
     pub close_idle: Notify,
     /// Notified with each view that has a configuration.
@@ -186,6 +193,7 @@
                 reach: Reach::default(),
                 repeats: Repeats::new(repeat_share),
                 latencies: RefCell::default(),
+                stream_times: RefCell::default(),
                 prefill_times: RefCell::default(),
                 pending: PendingRequests::default(),
                 in_flight: Cell::new(0),
@@ -195,6 +203,8 @@
                 admission: Admission::default(),
                 lag: Cell::default(),
                 final_shutdown: Latch::default(),
+                last_answers_at: Cell::default(),
+                last_answers: Latch::default(),
                 close_idle: Notify::new(),
                 configured: Notify::new(),
                 targets_changed: Notify::new(),
@@ -499,6 +509,29 @@
         window.record(self.clock.now(), ms);
     }
 
+    /// Records the time of a whole stream.
+    pub fn record_stream_time(&self, deployment: &Deployment, service: ServiceKey, took: Duration) {
+        let name = &deployment.service(service).name;
+        let mut times = self.stream_times.borrow_mut();
+        let window = times.entry(name.clone()).or_default();
+        window.record(self.clock.now(), took.as_millis() as u64);
+    }
+
+    /// What nearly all recent streams, or other requests, took at a service; `None` if there were none.
+    pub fn usual_time(
+        &self,
+        deployment: &Deployment,
+        service: ServiceKey,
+        is_stream: bool,
+    ) -> Option<Duration> {
+        let times = match is_stream {
+            true => self.stream_times.borrow(),
+            false => self.latencies.borrow(),
+        };
+        let usual = times.get(&deployment.service(service).name)?.usual()?;
+        Some(Duration::from_millis(usual))
+    }
+
     /// Records the time from the send of a generation to its first event.
     pub fn record_prefill(
         &self,
--- a/crates/gateway/tests/suite/stopping.rs
+++ b/crates/gateway/tests/suite/stopping.rs
@@ -157,18 +157,24 @@
 }
 
 /// A route for requests that may run only once, and one for others, to a service whose targets accept
-/// a number of connections; the target answers after the time that its requests are known to take.
-async fn serving_late_requests(connections: u32, after: Duration) -> (Running, TargetStandin) {
+/// a number of connections. The target has answered one request after the time `known`; others take
+/// `after`.
+async fn serving_late_requests(
+    connections: u32,
+    known: Duration,
+    after: Duration,
+) -> (Running, TargetStandin) {
     let fields = json!({ "timeout_ms": 9000, "target_latency_ms": 9000 });
     let deployment = DeploymentJson::new(1)
         .service_with_connections("plain", connections)
         .route("/safe/", "safe", "plain", fields.clone())
         .route("/unsafe/", "unsafe", "plain", fields.clone());
     let script = move |request: &ReceivedRequest| {
-        vec![
-            Step::Wait(after),
-            Step::Write(answer(request, 200, "whole")),
-        ]
+        let time = match request.earlier_requests {
+            0 => known,
+            _ => after,
+        };
+        vec![Step::Wait(time), Step::Write(answer(request, 200, "whole"))]
     };
     let (fixture, target) = Fixture::serving(&deployment, "plain", script).await;
     let call = Call::new("GET", "/safe/").with("X-Deadline-Ms", "9000");
@@ -179,14 +185,14 @@
 // Guards against requests that are sent late in a stop, and cut when the process exits.
 #[actix_rt::test]
 async fn bodies_that_come_late_in_a_stop_are_not_sent() {
-    let (gateway, target) = serving_late_requests(100, ms(1_500)).await;
+    let (gateway, target) = serving_late_requests(100, ms(1_500), ms(1_500)).await;
     let before = target.received().len();
     let late = |body_at| LateRequest {
         path: "/unsafe/",
         head_at: ms(1_200),
         body_at,
     };
-    for answer in answers_in_stop(gateway, &[late(ms(1_700)), late(ms(2_400))]).await {
+    for answer in answers_in_stop(gateway, &[late(ms(1_700)), late(ms(2_000))]).await {
         let answer = answer.expect("it is answered before the process exits");
         assert!(answer.status == 503 && answer.is_whole, "{answer:?}");
         assert!(answer.header("retry-after").is_some());
@@ -196,7 +202,7 @@
 
 #[actix_rt::test]
 async fn bodies_that_come_in_time_for_a_short_answer_are_served() {
-    let (gateway, _target) = serving_late_requests(100, ms(100)).await;
+    let (gateway, _target) = serving_late_requests(100, ms(100), ms(100)).await;
     let late = |path| LateRequest {
         path,
         head_at: ms(1_200),
@@ -211,7 +217,7 @@
 // Guards against requests that wait for a connection until the process exits.
 #[actix_rt::test]
 async fn requests_that_wait_for_a_connection_in_a_stop_are_refused() {
-    let (gateway, target) = serving_late_requests(1, ms(1_500)).await;
+    let (gateway, target) = serving_late_requests(1, ms(1_500), ms(1_500)).await;
     let before = target.received().len();
     let requests = ["/safe/", "/safe/", "/unsafe/"].map(|path| LateRequest::at(path, ms(100)));
     let answers = answers_in_stop(gateway, &requests).await;
@@ -229,7 +235,7 @@
 // Guards against a connection that closes without an answer while the target still works.
 #[actix_rt::test]
 async fn requests_that_outlast_a_stop_get_an_answer() {
-    let (gateway, _target) = serving_late_requests(100, ms(4_000)).await;
+    let (gateway, _target) = serving_late_requests(100, ms(100), ms(4_000)).await;
     let requests = ["/safe/", "/unsafe/"].map(|path| LateRequest::at(path, ms(100)));
     for answer in answers_in_stop(gateway, &requests).await {
         let answer = answer.expect("it is answered before the process exits");
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -54,6 +54,14 @@
         self.started = now;
     }
 
+    /// What nearly all requests took, in milliseconds; the longest of them where there are few. `None`
+    /// without samples.
+    pub fn usual(&self) -> Option<u64> {
+        let longest = self.current.max().max(self.previous.max());
+        let has_samples = !self.current.is_empty() || !self.previous.is_empty();
+        self.quantile(0.99).or(has_samples.then_some(longest))
+    }
+
     /// Latency in milliseconds at quantile `share` (0 to 1), from the fuller
     /// window; `None` with too few samples.
     pub fn quantile(&self, share: f64) -> Option<u64> {
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod host_capacity;
 pub mod latency;
 pub mod limit;
+pub mod planned_stop;
 pub mod policy;
 pub mod prefill_times;
 pub mod progress;
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -14,6 +14,7 @@
 mod limit;
 mod occupancy;
 mod part_ledger;
+mod planned_stop;
 mod prefill_times;
 mod progress;
 mod random_admission;
