--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -105,7 +105,7 @@
         if begun.contains_key(&index) {
             return None;
         }
-        let permit = RepeatBudget::first_without_request(now);
+        let permit = RepeatBudget::first_of_piece(now);
         begun.insert(index, permit.work().clone());
         Some(permit)
     }
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -64,8 +64,8 @@
         SendPermit::new(now, &Work::default())
     }
 
-    /// Permits the first send of work that is no request of a caller: a piece of a stage.
-    pub fn first_without_request(now: Millis) -> SendPermit {
+    /// Permits the first send of a piece of a stage, which is no request of a caller.
+    pub fn first_of_piece(now: Millis) -> SendPermit {
         SendPermit::new(now, &Work::default())
     }
 
--- a/crates/routing/tests/suite/shared_allowance/pieces.rs
+++ b/crates/routing/tests/suite/shared_allowance/pieces.rs
@@ -64,7 +64,7 @@
         };
         let (requester_clock, sender_clock) = (clock_of(from), clock_of(to));
         for _ in 0..count {
-            let permit = RepeatBudget::first_without_request(requester_clock);
+            let permit = RepeatBudget::first_of_piece(requester_clock);
             let requested = permit.work().clone();
             let sent = Work::default();
             let piece = Piece {
