Bound all bytes that a host keeps for others by its memory

What callers saw: a target that sent bytes without end filled the memory of the host that had called it, whose process ended with all other requests on it (LOST).

Cause: each answer was bounded (1 MiB of a body or an event, 0.4 MB of a head by the HTTP library), the sum of all wasn't, and a body that said it was longer was read up to the bound before it failed. Class: a bound for each, none for all.

Change: routing::kept_bytes keeps an account for each body of a request, message of a peer, answer of a target (what its connection has received and nobody has taken, and what is buffered), and answer that a caller hasn't read. Together they have a quarter of memory_mb. When answers exceed it, the largest one of the source that has most is ended and counts as a failure of its target; HS0242 names the source. Requests and messages of peers may have half of that, and get 503 beyond it. A declared length beyond the bound fails at once. The longest head is 32 KiB, with interim answers 64 KiB; a name of a stage's result is at most 1 KiB.

Why it works: nothing that others send is kept without an account, and the source that sends most loses first, so that answers of others stay.

--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -1,11 +1,14 @@
 //! The streamed body of an answer, which returns its connection to the pool at its end.
 
+use std::future::poll_fn;
+use std::pin::Pin;
+
 use bytes::Bytes;
-use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming};
 
 use crate::framing::Framing;
 use crate::pool::Returning;
+use crate::received::Received;
 use crate::BodyError;
 
 /// Reads an answer in chunks. Dropping it before the end closes the connection, which cancels
@@ -13,15 +16,22 @@
 pub struct AnswerBody {
     incoming: Incoming,
     framing: Framing,
+    received: Received,
     returning: Option<Returning>,
 }
 
 impl AnswerBody {
     /// Creates a body; `returning` holds its connection if that may be reused.
-    pub(crate) fn new(incoming: Incoming, framing: Framing, returning: Option<Returning>) -> Self {
+    pub(crate) fn new(
+        incoming: Incoming,
+        framing: Framing,
+        received: Received,
+        returning: Option<Returning>,
+    ) -> Self {
         AnswerBody {
             incoming,
             framing,
+            received,
             returning,
         }
     }
@@ -34,9 +44,10 @@
     /// Returns the next bytes; `None` after the last. On an error the answer is incomplete.
     pub async fn chunk(&mut self) -> Option<Result<Bytes, BodyError>> {
         loop {
-            match self.incoming.frame().await {
+            match self.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(data) = frame.into_data() {
+                        self.received.take(data.len());
                         return Some(Ok(data));
                     }
                 }
@@ -54,8 +65,27 @@
         }
     }
 
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+        poll_fn(|cx| {
+            let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+            if polled.is_pending() {
+                self.received.take_all();
+            }
+            polled
+        })
+        .await
+    }
+
+    /// True if the body says that it has more bytes to come than this.
+    pub fn is_longer_than(&self, max_len: usize) -> bool {
+        self.incoming.size_hint().lower() > max_len as u64
+    }
+
     /// Buffers the rest of the body; `None` when it is longer than `max_len` bytes.
     pub async fn collect(mut self, max_len: usize) -> Result<Option<Bytes>, BodyError> {
+        if self.is_longer_than(max_len) {
+            return Ok(None);
+        }
         let mut buffer: Vec<u8> = Vec::new();
         while let Some(chunk) = self.chunk().await {
             let chunk = chunk?;
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -24,6 +24,7 @@
 mod framing;
 mod liveness;
 mod pool;
+mod received;
 mod relayed;
 mod transport;
 
@@ -38,6 +39,7 @@
 pub use framing::Framing;
 pub use liveness::Liveness;
 pub use pool::{connect_first, Connection, Exchange, Pool, PoolRules, Reuse, SendError};
+pub use received::OnReceived;
 pub use relayed::{relay, RelayedPeer, RelayedStream};
 pub use transport::{RelayWay, Transport, Way};
 
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -18,7 +18,7 @@
 use http::{HeaderMap, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{handshake, SendRequest};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
 
@@ -28,6 +28,7 @@
 use crate::dialer::{Dialer, ProcessState, Unreached};
 use crate::ending::{OnEnd, Unanswered};
 use crate::framing::Framing;
+use crate::received::{OnReceived, Received, MAX_HEAD_BYTES};
 use crate::relayed::Retired;
 use crate::transport::{Transport, Way};
 
@@ -87,6 +88,9 @@
     /// The request was withdrawn while it had no connection.
     #[snafu(display("nothing was sent: {addr} is no longer wanted"))]
     Withdrawn { addr: SocketAddr },
+    /// The answer was ended before its head was complete, since the host keeps too many bytes.
+    #[snafu(display("the answer of {addr} was ended for want of memory"))]
+    GaveWay { addr: SocketAddr },
     /// The connection failed after the request was handed to it.
     #[snafu(display("the connection to {addr} broke after a request was sent: {source}"))]
     Broken {
@@ -98,7 +102,7 @@
 impl SendError {
     /// True when the peer received no part of the request.
     pub fn nothing_sent(&self) -> bool {
-        !matches!(self, SendError::Broken { .. })
+        !matches!(self, SendError::Broken { .. } | SendError::GaveWay { .. })
     }
 }
 
@@ -108,6 +112,7 @@
     way: Way,
     retired: Retired,
     unanswered: Unanswered,
+    received: Received,
 }
 
 impl Channel {
@@ -143,6 +148,7 @@
     since: BootInstant,
     /// Until when the request may wait for another connection.
     wait_ends: Option<BootInstant>,
+    on_received: Option<OnReceived>,
 }
 
 /// A request whose answer head was received, with its connection.
@@ -236,6 +242,7 @@
             is_new,
             since: BootInstant::now(),
             wait_ends,
+            on_received: None,
         })
     }
 
@@ -309,16 +316,22 @@
             }
         }
         let (way, retired) = (stream.way(), stream.retired());
-        let (sender, mut conn) = handshake(TokioIo::new(stream))
+        let received = stream.received().clone();
+        let mut http = Builder::new();
+        http.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, mut conn) = http
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|_| SendError::NotSent { addr: self.addr })?;
         let open = dialling.opened();
         let unanswered = Unanswered::default();
         let ending = unanswered.clone();
+        let ended = received.clone();
         // Errors are returned by the send in progress; on an idle connection they only close
         // it, which `is_ready` shows.
         actix_rt::spawn(async move {
             drop(poll_fn(|cx| conn.poll_without_shutdown(cx)).await);
+            ended.end();
             ending.close(conn.into_parts().io.into_inner()).await;
             drop(open);
         });
@@ -327,6 +340,7 @@
             way,
             retired,
             unanswered,
+            received,
         })
     }
 
@@ -402,6 +416,12 @@
 }
 
 impl Connection {
+    /// Calls `on_received` with the bytes of the answer that were received and not taken.
+    pub fn counted_by(mut self, on_received: OnReceived) -> Self {
+        self.on_received = Some(on_received);
+        self
+    }
+
     /// True if it passes through a relay.
     pub fn is_relayed(&self) -> bool {
         matches!(self.channel.way, Way::Relay(_))
@@ -435,9 +455,12 @@
             }
             let unanswered = connection.channel.unanswered.clone();
             unanswered.begin(on_end.as_ref());
+            let received = connection.channel.received.clone();
+            received.begin(connection.on_received.clone());
             match connection.channel.sender.try_send_request(req).await {
                 Ok(response) => {
                     unanswered.finish();
+                    received.head_taken();
                     return Ok(connection.answered(response));
                 }
                 Err(mut failed) => match failed.take_message() {
@@ -455,8 +478,10 @@
             let max_wait = connection
                 .wait_ends
                 .map(|ends| ends.saturating_since(BootInstant::now()));
+            let on_received = connection.on_received.take();
             drop(connection);
             connection = pool.connect(reuse, max_wait).await?;
+            connection.on_received = on_received;
         }
     }
 
@@ -508,16 +533,21 @@
     /// last byte if `reusable`.
     pub fn into_body(self, reusable: bool) -> (http::response::Parts, AnswerBody) {
         let framing = Framing::of(&self.response, self.returning.channel.way);
+        let received = self.returning.channel.received.clone();
         let (parts, incoming) = self.response.into_parts();
         let returning =
             Some(self.returning).filter(|returning| reusable && returning.keep_for.is_some());
-        (parts, AnswerBody::new(incoming, framing, returning))
+        (
+            parts,
+            AnswerBody::new(incoming, framing, received, returning),
+        )
     }
 }
 
 impl Returning {
     /// Returns the connection to the pool once it is ready for another request.
     pub(crate) fn finish(mut self) {
+        self.channel.received.end();
         let Some(keep_for) = self.keep_for else {
             return;
         };
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -12,6 +12,7 @@
 use crate::byte_counts::{ByteCounts, Counted};
 use crate::ending::End;
 use crate::liveness::Liveness;
+use crate::received::Received;
 use crate::relayed::{RelayedStream, Retired};
 
 /// How a connection reaches its peer.
@@ -38,6 +39,7 @@
     observer: Option<Rc<Liveness>>,
     /// How the direction from the peer ended, once it has.
     end: Option<End>,
+    received: Received,
 }
 
 enum Stream {
@@ -54,6 +56,7 @@
             stream: Stream::Direct(stream),
             observer: None,
             end: None,
+            received: Received::default(),
         }
     }
 
@@ -64,6 +67,7 @@
             stream: Stream::Counted(Counted::new(stream, counts)),
             observer: None,
             end: None,
+            received: Received::default(),
         }
     }
 
@@ -82,9 +86,15 @@
             stream: Stream::Relayed(stream),
             observer: None,
             end: None,
+            received: Received::default(),
         }
     }
 
+    /// What was received of an answer and isn't taken yet.
+    pub(crate) fn received(&self) -> &Received {
+        &self.received
+    }
+
     pub(crate) fn way(&self) -> Way {
         self.way
     }
@@ -138,7 +148,11 @@
             Stream::Counted(stream) => Pin::new(stream).poll_read(cx, buf),
             Stream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
         };
-        if buf.filled().len() > before {
+        let count = buf.filled().len() - before;
+        if count > 0 {
+            if let Err(err) = self.received.add(count) {
+                return Poll::Ready(Err(err));
+            }
             self.observer
                 .iter()
                 .for_each(|peers| peers.record_received());
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -17,7 +17,7 @@
     /// The connection to the target failed.
     #[snafu(display("the target's response was interrupted: {source}"))]
     Target {
-        source: hollowsail_connect::BodyError,
+        source: crate::kept_body::KeptBodyError,
     },
     /// The target's connection ended before the stream did.
     #[snafu(display("the target's stream ended inside an event"))]
--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -16,6 +16,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+use crate::kept_bytes::AnswerAccount;
+
 /// State of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -28,22 +30,26 @@
 }
 
 /// Shared by the socket, the service and the time limits of one connection.
-#[derive(Debug)]
 pub struct Activity {
     phase: Cell<Phase>,
     /// Notified when a head begins, since its time limit is shorter.
     head_began: Notify,
     /// The connection has to end with a reset.
     must_reset: Cell<bool>,
+    /// Bytes of answers that the caller hasn't read.
+    unsent: Cell<usize>,
+    account: Rc<AnswerAccount>,
 }
 
 impl Activity {
     /// State of a connection that was just accepted.
-    pub fn new() -> Rc<Self> {
+    pub fn new(account: Rc<AnswerAccount>) -> Rc<Self> {
         Rc::new(Activity {
             phase: Cell::new(Phase::Idle(Instant::now())),
             head_began: Notify::new(),
             must_reset: Cell::new(false),
+            unsent: Cell::new(0),
+            account,
         })
     }
 
@@ -67,6 +73,28 @@
         self.must_reset.set(true);
     }
 
+    /// Bytes of an answer are to be sent.
+    pub fn add_unsent(&self, bytes: usize) {
+        self.set_unsent(self.unsent.get() + bytes);
+    }
+
+    fn set_unsent(&self, bytes: usize) {
+        self.unsent.set(bytes);
+        self.account.set_buffered(bytes);
+    }
+
+    /// Records bytes that the caller's system has taken.
+    fn on_sent(&self, sent: &Poll<std::io::Result<usize>>) {
+        if let (Poll::Ready(Ok(sent)), unsent @ 1..) = (sent, self.unsent.get()) {
+            self.set_unsent(unsent.saturating_sub(*sent));
+        }
+    }
+
+    /// Waits until the unread bytes have to be given up.
+    pub async fn answer_ended(&self) {
+        self.account.ended().await;
+    }
+
     fn on_bytes(&self) {
         if let Phase::Idle(_) = self.phase.get() {
             self.phase.set(Phase::Head(Instant::now()));
@@ -139,7 +167,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let sent = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.activity.on_sent(&sent);
+        sent
     }
 
     fn poll_write_vectored(
@@ -147,7 +177,9 @@
         cx: &mut Context<'_>,
         bufs: &[std::io::IoSlice<'_>],
     ) -> Poll<std::io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let sent = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.activity.on_sent(&sent);
+        sent
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -63,8 +63,15 @@
         log::debug!("cannot set TCP_NODELAY on a caller's connection: {err}");
         return;
     }
+    let caller = match stream.peer_addr() {
+        Ok(caller) => caller,
+        Err(err) => {
+            log::debug!("a caller's connection has ended: {err}");
+            return;
+        }
+    };
     let limits = limits(cx);
-    let activity = Activity::new();
+    let activity = Activity::new(cx.kept.answer(caller));
     let service = service_fn(|req: Request<Incoming>| {
         activity.request_began();
         let in_flight = InFlight::begin(cx, &activity, req.version());
@@ -90,6 +97,7 @@
                 }
                 return;
             }
+            () = activity.answer_ended() => return,
             () = cx.close_idle.notified() => connection.as_mut().graceful_shutdown(),
             () = activity.timed_out(&limits) => {
                 if let Phase::Head(_) = activity.phase() {
--- a/crates/gateway/src/callers/in_flight.rs
+++ b/crates/gateway/src/callers/in_flight.rs
@@ -63,6 +63,10 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyFault>>> {
         let polled = self.body.as_mut().poll_frame(cx);
+        if let Poll::Ready(Some(Ok(frame))) = &polled {
+            let bytes = frame.data_ref().map_or(0, Bytes::len);
+            self.in_flight.activity.add_unsent(bytes);
+        }
         if matches!(polled, Poll::Ready(Some(Err(_)))) && self.in_flight.ends_with_connection {
             self.in_flight.activity.reset_at_end();
         }
--- a/crates/gateway/src/host_load.rs
+++ b/crates/gateway/src/host_load.rs
@@ -77,6 +77,7 @@
         tokio::time::sleep(MEASURE_INTERVAL).await;
         let now = cx.load.totals();
         metrics::set_host_bytes(now.received, now.sent);
+        metrics::set_kept_bytes(cx.kept.totals());
         if now.accepted > before.accepted || now.requests > before.requests {
             log_load(&cx, &before, &now);
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,8 @@
 mod event_loop_lag;
 mod feed;
 mod host_load;
+mod kept_body;
+mod kept_bytes;
 mod latch;
 mod list_proofs;
 mod list_states;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -11,6 +11,7 @@
 use hollowsail_observe::recorder;
 use hollowsail_platform::settings::METRICS_PATH;
 use hollowsail_rollout::{Arm, Outcome};
+use hollowsail_routing::kept_bytes::KeptTotals;
 use hollowsail_routing::Millis;
 use hollowsail_stages::RoomTotals;
 use http::{Request, Response, StatusCode};
@@ -220,6 +221,17 @@
     gauge!("hollowsail_charged_repeats", "service" => service.to_string()).set(charged);
 }
 
+/// Sets the bytes that this host keeps.
+pub fn set_kept_bytes(kept: KeptTotals) {
+    gauge!("hollowsail_kept_bytes", "kept" => "request").set(kept.requests as f64);
+    gauge!("hollowsail_kept_bytes", "kept" => "answer").set(kept.answers as f64);
+}
+
+/// Counts an answer that was ended for want of memory.
+pub fn count_ended_answer() {
+    counter!("hollowsail_answers_gave_way_total").increment(1);
+}
+
 /// Sets the charges that this entry's share of the fixed allowance doesn't cover.
 pub fn set_uncovered_repeats(service: &str, uncovered: f64) {
     gauge!("hollowsail_uncovered_repeats", "service" => service.to_string()).set(uncovered);
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use hollowsail_connect::{set_options, Counted};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_targets::LimitKind;
@@ -138,15 +138,28 @@
 }
 
 /// Reads and decodes the body of a peer's request.
-pub async fn read<T: DeserializeOwned>(req: Request<Incoming>) -> Result<T, StatusCode> {
-    let body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES)
-        .collect()
-        .await;
-    let body = body.map_err(|err| {
-        log::warn!("cannot receive a peer's message: {err}");
-        StatusCode::BAD_REQUEST
-    })?;
-    rmp_serde::from_slice(&body.to_bytes()).map_err(|err| {
+pub async fn read<T: DeserializeOwned>(
+    cx: &Traffic,
+    req: Request<Incoming>,
+) -> Result<T, StatusCode> {
+    let account = cx.kept.request();
+    let mut body = Limited::new(req.into_body(), MAX_MESSAGE_BYTES);
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|err| {
+            log::warn!("cannot receive a peer's message: {err}");
+            StatusCode::BAD_REQUEST
+        })?;
+        if let Ok(data) = frame.into_data() {
+            let before = bytes.capacity();
+            bytes.extend_from_slice(&data);
+            if !account.try_add(bytes.capacity() - before) {
+                log::warn!("no room for a peer's message: this host keeps too many bytes");
+                return Err(StatusCode::SERVICE_UNAVAILABLE);
+            }
+        }
+    }
+    rmp_serde::from_slice(&bytes).map_err(|err| {
         log::warn!(
             "cannot decode a peer's message: {err}; check that all entries run the same version"
         );
@@ -155,7 +168,7 @@
 }
 
 async fn handle_envelope(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let envelope: Envelope = read(req).await?;
+    let envelope: Envelope = read(cx, req).await?;
     cx.peers.observed(cx, &envelope.from);
     cx.peers
         .set_lagging(cx, envelope.from.id, envelope.is_lagging);
@@ -172,7 +185,7 @@
 
 /// Returns the state that is newer than the requester's.
 async fn state(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let request: StateRequest = read(req).await?;
+    let request: StateRequest = read(cx, req).await?;
     let view = cx.view();
     let deployment = view.deployment.as_ref();
     let version = deployment.map(|deployment| deployment.version);
@@ -198,7 +211,7 @@
 
 /// Returns whether this host can serve callers of others.
 async fn room(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let RoomRequest {} = read(req).await?;
+    let RoomRequest {} = read(cx, req).await?;
     let reply = admission::reply(cx);
     Ok(rmp_serde::to_vec(&reply)
         .expect("these types always encode")
@@ -207,7 +220,7 @@
 
 /// Returns the targets that are draining by their records or by their own reports.
 async fn draining(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let DrainingRequest {} = read(req).await?;
+    let DrainingRequest {} = read(cx, req).await?;
     Ok(rmp_serde::to_vec(&draining_targets(cx))
         .expect("these types always encode")
         .into())
@@ -215,7 +228,7 @@
 
 /// Returns the targets that get no new work whatever their record says.
 async fn retired(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let RetiredRequest {} = read(req).await?;
+    let RetiredRequest {} = read(cx, req).await?;
     let retired = RetiredTargets {
         draining: draining_targets(cx),
         restored: cx.view().targets.restored.clone(),
@@ -238,7 +251,7 @@
 
 /// Returns all target records if they are newer than the requester's and this entry follows them.
 async fn records_if_newer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let request: RecordsRequest = read(req).await?;
+    let request: RecordsRequest = read(cx, req).await?;
     let view = cx.view();
     let records = Some(&view.records).filter(|_| view.is_store_reachable);
     let newer = records.filter(|known| known.at > request.after);
@@ -250,7 +263,7 @@
 
 /// Returns all target records unless the requester has them, with those that are missing.
 async fn targets_if_newer(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let request: TargetListRequest = read(req).await?;
+    let request: TargetListRequest = read(cx, req).await?;
     let view = cx.view();
     let may_answer = view.is_store_reachable || !request.must_follow;
     let records = Some(&view.records).filter(|_| may_answer);
@@ -267,7 +280,7 @@
 
 /// Returns changes of the store as soon as there are any.
 async fn changes(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let request: FeedRequest = read(req).await?;
+    let request: FeedRequest = read(cx, req).await?;
     let answer = cx.feeds.answer(&request).await;
     Ok(rmp_serde::to_vec(&answer)
         .expect("these types always encode")
@@ -276,7 +289,7 @@
 
 /// Decides on requests for capacity in the queues that this entry owns.
 async fn reserve(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let call: ReservationCall = read(req).await?;
+    let call: ReservationCall = read(cx, req).await?;
     let replies = reservations::handle_call(cx, &call);
     Ok(rmp_serde::to_vec(&replies)
         .expect("these types always encode")
@@ -285,7 +298,7 @@
 
 /// Handles messages on parts of prompts that crash targets.
 async fn part_messages(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let call: PartCall = read(req).await?;
+    let call: PartCall = read(cx, req).await?;
     let replies = cx.crashes.handle_part_call(cx, call);
     Ok(rmp_serde::to_vec(&replies)
         .expect("these types always encode")
@@ -294,14 +307,14 @@
 
 /// Handles notices that pieces are sent to workers; none has a reply.
 async fn started_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let call: StartedPiecesCall = read(req).await?;
+    let call: StartedPiecesCall = read(cx, req).await?;
     started_pieces::handle_call(cx, &call);
     Ok(no_replies())
 }
 
 /// Answers what has become of pieces that this entry doesn't send any more for a peer.
 async fn dropped_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let call: DroppedPiecesCall = read(req).await?;
+    let call: DroppedPiecesCall = read(cx, req).await?;
     let replies = dropped_pieces::handle_call(cx, &call);
     Ok(rmp_serde::to_vec(&replies)
         .expect("these types always encode")
@@ -321,7 +334,7 @@
     cx: &Rc<Traffic>,
     req: Request<Incoming>,
 ) -> Result<Bytes, Rejection> {
-    let call: TargetReportCall = read(req).await?;
+    let call: TargetReportCall = read(cx, req).await?;
     for message in call.requests {
         match message {
             TargetReportMessage::RefusalLimit {
@@ -340,7 +353,7 @@
 
 /// Holds copies of records of streams, and returns them.
 async fn stream_origins(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
-    let call: OriginCall = read(req).await?;
+    let call: OriginCall = read(cx, req).await?;
     let needs_proof = cx.stream_origins.call_needs_proof(cx.clock.now(), &call);
     let is_current = needs_proof && cx.prove_target_list().await;
     let now = cx.clock.now();
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -20,6 +20,7 @@
 
 use super::batcher::{Batcher, Job, PendingRelease};
 use super::worker_crash;
+use crate::kept_body::KeptBodyError;
 use crate::metrics;
 use crate::target_calls::{self, Unanswered};
 use crate::traffic::Traffic;
@@ -49,9 +50,7 @@
     #[snafu(display("{source}"))]
     Send { source: SendError },
     #[snafu(display("connection lost before the end of the response: {source}"))]
-    CutOff {
-        source: hollowsail_connect::BodyError,
-    },
+    CutOff { source: KeptBodyError },
     #[snafu(display("no response within {} ms", CALL_TIMEOUT.as_millis()))]
     TimedOut,
     #[snafu(display("the target left before the call was sent"))]
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -59,7 +59,7 @@
 ) -> Result<Response<Full<Bytes>>, StatusCode> {
     let upgrade = hyper::upgrade::on(&mut req);
     let protocol = protocol_for(req.headers());
-    let request: RelayRequest = peers::read(req).await?;
+    let request: RelayRequest = peers::read(cx, req).await?;
     if request.to != cx.me.id {
         return Err(StatusCode::MISDIRECTED_REQUEST);
     }
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -25,6 +25,7 @@
 use super::pending::{PendingKey, WaitsFor};
 use crate::answer::Refusal;
 use crate::crashes::{PromptParts, Trial};
+use crate::kept_bytes::RequestAccount;
 use crate::mechanisms::Mechanism;
 use crate::stop;
 use crate::traffic::{Stopping, Traffic};
@@ -58,6 +59,7 @@
     pub head: Parts,
     pub caller: CallerHeaders,
     pub body: Bytes,
+    _body_account: RequestAccount,
     pub arrived: BootInstant,
     /// Earlier of the caller's deadline and the route's time limit.
     pub deadline: BootInstant,
@@ -229,8 +231,9 @@
     let longest = deployment.route(route).timeout;
     let deadline = arrived + caller.deadline.map_or(longest, |own| own.min(longest));
     let max_bytes = deployment.limits.max_body_bytes;
+    let body_account = cx.kept.request();
     let body = tokio::select! {
-        body = read_body(body, max_bytes, deadline) => body.map_err(reject)?,
+        body = read_body(&body_account, body, max_bytes, deadline) => body.map_err(reject)?,
         refusal = stop::refusal_at_exit(cx, pending) => return Err(reject(refusal)),
     };
     cx.pending.set(pending, WaitsFor::Stages);
@@ -254,6 +257,7 @@
         head,
         caller,
         body,
+        _body_account: body_account,
         arrived,
         deadline,
         halls,
@@ -347,6 +351,7 @@
 }
 
 async fn read_body(
+    account: &RequestAccount,
     mut body: Incoming,
     max_bytes: usize,
     deadline: BootInstant,
@@ -357,12 +362,21 @@
             format!("the body exceeds {max_bytes} bytes"),
         )
     };
-    if body.size_hint().lower() > max_bytes as u64 {
+    let no_room = || {
+        let detail = "this host keeps too many bytes of other requests";
+        Refusal::new(ErrorKind::Overloaded, detail)
+    };
+    let declared = body.size_hint().lower();
+    if declared > max_bytes as u64 {
         return Err(too_large());
     }
+    let declared = declared as usize;
+    if !account.try_add(declared) {
+        return Err(no_room());
+    }
     let latest = deadline.min(BootInstant::now() + MAX_BODY_TIME);
     let read = async {
-        let mut bytes = BytesMut::new();
+        let mut bytes = BytesMut::with_capacity(declared);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|err| {
                 Refusal::new(
@@ -374,7 +388,11 @@
                 if bytes.len() + data.len() > max_bytes {
                     return Err(too_large());
                 }
+                let before = bytes.capacity();
                 bytes.extend_from_slice(&data);
+                if !account.try_add(bytes.capacity() - before) {
+                    return Err(no_room());
+                }
             }
         }
         Ok(bytes.freeze())
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
-use hollowsail_connect::{AnswerBody, Reuse, SendError};
+use hollowsail_connect::{Reuse, SendError};
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
@@ -20,6 +20,7 @@
 use super::admit::Admitted;
 use super::pending::WaitsFor;
 use crate::connections::{self, InUse};
+use crate::kept_body::KeptBody;
 use crate::placement::Placement;
 use crate::stop;
 use crate::target_calls::{self, Unanswered};
@@ -32,7 +33,7 @@
 /// A target's answer whose body has not been read.
 pub struct TargetAnswer {
     pub parts: Parts,
-    pub body: AnswerBody,
+    pub body: KeptBody,
     pub target: Rc<Target>,
     pub in_flight: InFlight,
     /// Counts the connection, if the service has few.
--- a/crates/gateway/src/request/event_splitter.rs
+++ b/crates/gateway/src/request/event_splitter.rs
@@ -62,6 +62,14 @@
         self.partial.len()
     }
 
+    /// Bytes of memory that the incomplete event takes.
+    pub fn buffered(&self) -> usize {
+        match self.partial.is_empty() {
+            true => 0,
+            false => self.partial.capacity(),
+        }
+    }
+
     /// Removes and returns the bytes after the last complete event.
     pub fn take_partial(&mut self) -> Bytes {
         std::mem::take(&mut self.partial).freeze()
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -111,7 +111,9 @@
                 tokio::time::timeout_at(latest.to_instant().into(), self.answer.body.chunk()).await;
             match chunk {
                 Ok(Some(Ok(bytes))) => {
-                    if let Some(events) = self.splitter.push(&bytes) {
+                    let events = self.splitter.push(&bytes);
+                    self.answer.body.set_buffered(self.splitter.buffered());
+                    if let Some(events) = events {
                         self.on_first_event();
                         self.record_survival();
                         if let Some(copies) = self.copies.take() {
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -8,9 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use hollowsail_connect::{
-    AnswerBody, BodyError, Connection, End, Exchange, OnEnd, Reuse, SendError,
-};
+use hollowsail_connect::{Connection, End, Exchange, OnEnd, Reuse, SendError};
 use hollowsail_observe::events;
 use hollowsail_platform::headers::{self, TargetHeaders};
 use hollowsail_routing::repeats::{SendPermits, TrackedSend};
@@ -20,6 +18,8 @@
 use http::{Request, StatusCode};
 use http_body_util::Full;
 
+use crate::kept_body::{KeptBody, KeptBodyError};
+use crate::kept_bytes::AnswerAccount;
 use crate::metrics;
 use crate::target_reports;
 use crate::traffic::Traffic;
@@ -114,13 +114,15 @@
     /// It names another request: a faulty target has answered that one twice.
     pub is_foreign: bool,
     exchange: Exchange,
+    account: Rc<AnswerAccount>,
 }
 
 impl Answer {
     /// Splits the answer into its headers and its body. The connection of a foreign answer isn't
     /// used again, since the answer to this request is still to come.
-    pub fn into_body(self) -> (Parts, AnswerBody) {
-        self.exchange.into_body(!self.is_foreign)
+    pub fn into_body(self) -> (Parts, KeptBody) {
+        let (parts, body) = self.exchange.into_body(!self.is_foreign);
+        (parts, KeptBody::new(body, self.account))
     }
 }
 
@@ -131,7 +133,7 @@
     /// See [`Answer::is_foreign`].
     pub is_foreign: bool,
     /// `None` when it is longer than the caller accepts; an error when it was interrupted.
-    pub body: Result<Option<Bytes>, BodyError>,
+    pub body: Result<Option<Bytes>, KeptBodyError>,
 }
 
 /// Why new work got no answer.
@@ -196,7 +198,17 @@
 ) -> Result<Answer, SendError> {
     let request_id = headers::request_id(req.headers()).map(str::to_string);
     let sent_at = cx.clock.now();
-    let exchange = connection.send_if(req, reuse, is_wanted, on_end).await?;
+    let account = cx.kept.answer(target.record.addr);
+    let sending = connection
+        .counted_by(account.on_received())
+        .send_if(req, reuse, is_wanted, on_end);
+    let exchange = tokio::select! {
+        exchange = sending => exchange?,
+        () = account.ended() => {
+            let addr = target.record.addr;
+            return Err(SendError::GaveWay { addr });
+        }
+    };
     let response = exchange.response();
     let head = TargetHeaders::read(response.status(), response.headers());
     let named = head.request_id.as_ref().zip(request_id.as_ref());
@@ -209,6 +221,7 @@
         head,
         is_foreign,
         exchange,
+        account,
     })
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -23,6 +23,7 @@
 use crate::crashes::Crashes;
 use crate::feed::Feeds;
 use crate::host_load::HostLoad;
+use crate::kept_bytes::KeptBytes;
 use crate::latch::Latch;
 use crate::list_proofs::ListProofs;
 use crate::log::Log;
@@ -131,6 +132,8 @@
     /// Open connections of callers.
     pub connections: Cell<usize>,
     pub stopping: Cell<Stopping>,
+    /// Bytes that this host keeps for others.
+    pub kept: Rc<KeptBytes>,
     /// What this host's processor and link carry.
     pub load: HostLoad,
     /// Decides on new connections of callers.
@@ -169,8 +172,10 @@
         move || {
             let load = HostLoad::default();
             let stream_origins = StreamOrigins::new(me.id.0, load.peers.clone());
+            let log = Log::new(&settings.load().host);
             Rc::new_cyclic(|cx| Traffic {
-                log: Log::new(&settings.load().host),
+                kept: KeptBytes::new(settings.load().limits.memory_mb, log.clone()),
+                log,
                 me,
                 mechanisms,
                 peers: Peers::default(),
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -88,6 +88,7 @@
     ROOM_TOTALS, 239, "room_totals", Info, "Requests that the owner of a contended queue admitted and refused by cause, beside the queue's capacity, demand and claims of flows; every second while it refuses some.";
     ABANDONED_SEND_ENDED, 240, "abandoned_send_ended", Info, "The connection of an attempt or call ended whose answer nobody waited for any more; the line says after what time, and whether the target closed it, which shows that it has read what it wants of the request.";
     REPEAT_UNITS, 241, "repeat_units", Info, "This entry claimed units of the fixed allowance of repeats in the store, gave some up, or lost them; the line says how many it holds, and what it aims at.";
+    ANSWER_GAVE_WAY, 242, "answer_gave_way", Warn, "The bytes that this host keeps exceed their part of its memory: an answer was ended, the largest of the source (a target, or a caller that doesn't read) that has most of them.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod event_loop_lag;
 pub mod health;
 pub mod host_capacity;
+pub mod kept_bytes;
 pub mod latency;
 pub mod limit;
 pub mod planned_stop;
--- a/crates/routing/tests/suite/main.rs
+++ b/crates/routing/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod event_loop_lag;
 mod health;
 mod host_capacity;
+mod kept_bytes;
 mod limit;
 mod occupancy;
 mod part_ledger;
