Add a soak of planned stops in calm

Each request that a gateway has read, or passed on, and whose connection ends without a complete answer is a failure.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -67,6 +67,11 @@
     #[argh(switch)]
     joining_hosts: bool,
 
+    /// play only gateways that are stopped in calm, beside requests whose body comes late and targets
+    /// that are full or take long; --seconds has no effect
+    #[argh(switch)]
+    planned_stops: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -98,6 +103,7 @@
                 suspended_targets: self.suspended_targets,
                 restores: self.restores,
                 joining_hosts: self.joining_hosts,
+                planned_stops: self.planned_stops,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -26,6 +26,8 @@
 /// Share of requests that callers cancel, and the upper limit of the time until they do.
 const CANCEL_SHARE: f64 = 0.04;
 const MAX_CANCEL_DELAY_MS: u64 = 120;
+/// Length of a body that comes later than its head.
+const BODY_BYTES: usize = 64;
 /// How long a caller waits beyond the route's timeout.
 const TIMEOUT_GRACE: Duration = Duration::from_secs(2);
 
@@ -53,6 +55,8 @@
     pub events: Vec<StreamEvent>,
     /// The stream that it resumed.
     pub resumed: Option<ResumedStream>,
+    /// When the last byte of the request was sent at the earliest.
+    pub body_sent: Instant,
 }
 
 /// The callers of a run.
@@ -248,6 +252,11 @@
             request.path = format!("{}{:x}-{content:x}", route.path, self.number);
             request.api_key = contender.organisation.map(api_key);
             request.middle_part = contender.part.map(str::to_string);
+            if !contender.max_body_delay.is_zero() {
+                let delay = contender.max_body_delay;
+                request.body_after = Some(delay.mul_f64(self.rng.random_range(0.0..1.0)));
+                request.body_bytes = BODY_BYTES;
+            }
         }
         let sent = Instant::now();
         let response = tokio::time::timeout(timeout, connection.call(&request)).await;
@@ -274,6 +283,7 @@
             outcome,
             events: events.unwrap_or_default(),
             resumed,
+            body_sent: sent + request.body_after.unwrap_or_default(),
         };
         self.shared.attempts.borrow_mut().push(attempt.clone());
         Some(attempt)
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -117,6 +117,10 @@
             suspended_targets: true,
             ..
         } => Some("--suspended-targets"),
+        SoakOptions {
+            planned_stops: true,
+            ..
+        } => Some("--planned-stops"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/contention.rs
+++ b/crates/bench/src/soak/contention.rs
@@ -84,6 +84,8 @@
     pub active: Option<(Duration, Duration)>,
     /// A part of its prompts that crashes targets.
     pub part: Option<&'static str>,
+    /// Longest time between the head of a request and its body.
+    pub max_body_delay: Duration,
 }
 
 impl Contender {
@@ -94,6 +96,7 @@
             organisation: None,
             active: None,
             part: None,
+            max_body_delay: Duration::ZERO,
         }
     }
 }
@@ -145,6 +148,7 @@
                 organisation: Some(organisation),
                 active: None,
                 part: None,
+                max_body_delay: Duration::ZERO,
             })
         });
     let steady = steady.flat_map(|contender| std::iter::repeat_n(contender, STEADY_CALLERS));
@@ -153,6 +157,7 @@
         organisation: Some(BURST_ORGANISATION),
         active: Some((burst.at, burst.at + burst.duration)),
         part: None,
+        max_body_delay: Duration::ZERO,
     };
     let few = Contender::of_path(FEW_PATH);
     let in_burst = std::iter::repeat_n(in_burst, BURST_CALLERS);
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -168,6 +168,10 @@
 }
 
 impl Played {
+    pub fn attempts(&self) -> &[Attempt] {
+        &self.attempts
+    }
+
     /// Checks promises and repeats, beside these failures.
     pub fn report(
         &self,
--- a/crates/bench/src/soak/fragile.rs
+++ b/crates/bench/src/soak/fragile.rs
@@ -78,10 +78,12 @@
         organisation: None,
         active: None,
         part: None,
+        max_body_delay: Duration::ZERO,
     };
     let fatal = Contender {
         active: Some(fragile),
         part: Some(PART),
+        max_body_delay: Duration::ZERO,
         ..caller.clone()
     };
     let callers = std::iter::repeat_n(caller, CALLERS);
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -19,6 +19,7 @@
 mod fragile;
 mod joining_hosts;
 mod plan;
+mod planned_stops;
 mod processes;
 mod repeats;
 mod report;
@@ -71,6 +72,8 @@
     pub restores: bool,
     /// Hosts that start one after the other, and are replaced, while targets fail.
     pub joining_hosts: bool,
+    /// Gateways that are stopped in calm, beside requests that take long.
+    pub planned_stops: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -120,6 +123,9 @@
     if options.joining_hosts {
         return joining_hosts::run(options).await;
     }
+    if options.planned_stops {
+        return planned_stops::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/versions.rs
+++ b/crates/bench/src/soak/versions.rs
@@ -88,6 +88,7 @@
         organisation: None,
         active: None,
         part: None,
+        max_body_delay: Duration::ZERO,
     });
     callers
         .into_iter()
