Leave answers that end at their deadline out of those that a stop cuts

The soak counted a stream as cut by a planned stop whose target hangs and whose route's timeout passes while its gateway happens to stop. The users' rule on cut requests doesn't count those whose deadline or route's timeout was reached; the check takes just that out, by the caller's clock.

--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -163,13 +163,18 @@
     Some(Failure::new(kind, description))
 }
 
+/// True if the attempt ended no sooner than its route's timeout, which is a cause of its own.
+pub fn has_timed_out(attempt: &Attempt) -> bool {
+    attempt.ended - attempt.sent >= Duration::from_millis(attempt.route.timeout_ms)
+}
+
 fn is_late(attempt: &Attempt) -> bool {
     let end = Duration::from_millis(attempt.route.timeout_ms) + TIMEOUT_SLACK;
     attempt.ended - attempt.sent > end
 }
 
 /// True if a target executed the request and its connection broke during a planned stop of
-/// its gateway, with no other fault and no target to explain it.
+/// its gateway, with no other fault, timeout or target to explain it.
 fn is_cut_by_stop(attempt: &Attempt, plan: &SoakPlan, observations: &Observations) -> bool {
     let is_stop = |disturbance: &Disturbance| disturbance.fault == EntryFault::Stop;
     let is_other = |disturbance: &Disturbance| disturbance.fault != EntryFault::Stop;
@@ -178,6 +183,7 @@
         Some(Outcome::Unknown { why }) if why.starts_with("status")
     );
     is_connection
+        && !has_timed_out(attempt)
         && !observations.cut.contains(&attempt.id)
         && !cut::breaks_connections_of(attempt, plan, observations)
         && !cut::loses_relay_of(attempt, plan, observations)
--- a/crates/bench/src/soak/planned_stops.rs
+++ b/crates/bench/src/soak/planned_stops.rs
@@ -11,6 +11,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::callers::Attempt;
+use super::checks;
 use super::contention::Contender;
 use super::failing_targets::play;
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
@@ -144,6 +145,7 @@
             || observations.ran.contains(&attempt.id);
         let is_unanswered = !why.starts_with("status")
             && is_read
+            && !checks::has_timed_out(attempt)
             && !observations.cut.contains(&attempt.id)
             && is_stopped(observations, attempt.entry, attempt.sent, attempt.ended);
         let description = || {
