Add tests of unread answers and of request bodies that are kept

300 callers, memory_mb 120: answers of 0.9 MB that nobody reads, and bodies of 0.9 MB whose target takes 4 s.

--- a/tests/suite/endless_answers.rs
+++ b/tests/suite/endless_answers.rs
@@ -1,5 +1,6 @@
 //! Targets that send bytes without end, before a gateway process whose memory is limited.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -17,6 +18,8 @@
 const MEMORY_MB: u64 = 120;
 const CALLERS: usize = 300;
 const SOUND_CALLS: usize = 40;
+/// Length of large answers and bodies.
+const LARGE_BYTES: usize = 900_000;
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// The start of an answer, and bytes without end.
@@ -52,11 +55,58 @@
     all.len()
 }
 
+/// Sends a request and reads nothing of its answer.
+async fn send_without_reading(callers: SocketAddr, number: usize) {
+    let Ok(mut stream) = TcpStream::connect(callers).await else {
+        return;
+    };
+    let request = format!(
+        "GET /faulty/ HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {number:016x}\r\n\
+         X-Deadline-Ms: 8000\r\n\r\n"
+    );
+    if stream.write_all(request.as_bytes()).await.is_ok() {
+        tokio::time::sleep(Duration::from_secs(5)).await;
+    }
+}
+
+/// Sends a request with a long body.
+async fn send_body(callers: SocketAddr, number: usize) {
+    let Ok(mut stream) = TcpStream::connect(callers).await else {
+        return;
+    };
+    let request = format!(
+        "POST /faulty/ HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {number:016x}\r\n\
+         X-Deadline-Ms: 8000\r\nContent-Length: {LARGE_BYTES}\r\nConnection: close\r\n\r\n"
+    );
+    let body = vec![b'x'; LARGE_BYTES];
+    let (mut from, mut to) = stream.split();
+    let sending = async {
+        // A gateway without room answers before it has read the body.
+        let _sent = to.write_all(request.as_bytes()).await;
+        let _sent = to.write_all(&body).await;
+    };
+    let mut answer = Vec::new();
+    let _answered = futures_util::future::join(sending, from.read_to_end(&mut answer)).await;
+}
+
 /// Has callers get answers of a faulty target while others are served by a sound one.
 async fn check_endless(kind: &str, script: fn(&ReceivedRequest) -> Vec<Step>) {
+    check(kind, script, |callers| async move {
+        join_all((0..CALLERS).map(|number| send(callers, "/faulty/", number))).await;
+    })
+    .await;
+}
+
+/// Has callers press a gateway while others are served beside them.
+async fn check<F: Future<Output = ()>>(
+    kind: &str,
+    script: fn(&ReceivedRequest) -> Vec<Step>,
+    press: impl FnOnce(SocketAddr) -> F,
+) {
     let store = StoreStandin::start().await;
     let fields = json!({ "timeout_ms": 9000 });
     let deployment = DeploymentJson::new(1)
+        .limit("max_body_bytes", LARGE_BYTES as u64)
         .service("faulty")
         .service("sound")
         .route("/faulty/", kind, "faulty", fields.clone())
@@ -73,7 +123,6 @@
     gateway.wait_for_line("HS0310").await;
     gateway.discard_lines();
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let calls = join_all((0..CALLERS).map(|number| send(callers, "/faulty/", number)));
     let sound_calls = async {
         let mut served = 0;
         for _ in 0..SOUND_CALLS {
@@ -82,7 +131,7 @@
         }
         served
     };
-    let (_calls, served) = futures_util::future::join(calls, sound_calls).await;
+    let ((), served) = futures_util::future::join(press(callers), sound_calls).await;
     assert!(gateway.is_running(), "the process ended");
     let peak = gateway.peak_memory_mb();
     println!("peak {peak} MB, {served} of {SOUND_CALLS} sound calls served");
@@ -127,3 +176,31 @@
     })
     .await;
 }
+
+// Guards against answers that callers don't read, and that fill the memory of the host.
+#[actix_rt::test]
+async fn unread_answers_leave_memory_for_others() {
+    let script = |request: &ReceivedRequest| {
+        let body = "x".repeat(LARGE_BYTES);
+        vec![Step::Write(answer(request, 200, &body))]
+    };
+    check("safe", script, |callers| async move {
+        join_all((0..CALLERS).map(|number| send_without_reading(callers, number))).await;
+    })
+    .await;
+}
+
+// Guards against bodies of requests that fill the memory of the host.
+#[actix_rt::test]
+async fn bodies_of_waiting_requests_leave_memory_for_others() {
+    let script = |request: &ReceivedRequest| {
+        vec![
+            Step::Wait(Duration::from_secs(4)),
+            Step::Write(answer(request, 200, "whole")),
+        ]
+    };
+    check("unsafe", script, |callers| async move {
+        join_all((0..CALLERS).map(|number| send_body(callers, number))).await;
+    })
+    .await;
+}
