Look a request up again once its body is complete

What callers saw: nothing reported; the same class as requests that a stop cuts, a decision taken at a request's first step that its send doesn't ask again.

Cause: route, key and limits came from the configuration in force when the head was read.

Evidence: late_body_goes_by_the_configuration_of_its_end failed before: the request ran at the service of the old configuration.

Change: if another configuration is in force when the body is complete, the request is looked up in that one, and refused if it has no route or key there.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -225,18 +225,29 @@
         request_id: Some(caller.request_id.clone()),
         refusal,
     };
-    let deployment = deployment(cx).await.map_err(reject)?;
-    let route = find_route(&deployment, &head).map_err(reject)?;
-    let organisation = find_organisation(&deployment, route, &caller).map_err(reject)?;
-    let longest = deployment.route(route).timeout;
-    let deadline = arrived + caller.deadline.map_or(longest, |own| own.min(longest));
-    let max_bytes = deployment.limits.max_body_bytes;
+    let at_head = deployment(cx).await.map_err(reject)?;
+    let found = Found::by(at_head.clone(), &head, &caller).map_err(reject)?;
+    let deadline = found.deadline(&caller, arrived);
+    let max_bytes = found.deployment.limits.max_body_bytes;
     let body_account = cx.kept.request();
     let body = tokio::select! {
         body = read_body(&body_account, body, max_bytes, deadline) => body.map_err(reject)?,
         refusal = stop::refusal_at_exit(cx, pending) => return Err(reject(refusal)),
     };
     cx.pending.set(pending, WaitsFor::Stages);
+    // Another configuration may be in force since the head was received.
+    let found = match cx.deployment() {
+        Some(newest) if !Arc::ptr_eq(&newest, &at_head) => {
+            Found::by(newest, &head, &caller).map_err(reject)?
+        }
+        _ => found,
+    };
+    let deadline = found.deadline(&caller, arrived);
+    let Found {
+        deployment,
+        route,
+        organisation,
+    } = found;
     let halls = allowed_halls(cx, &deployment, route, organisation);
     let own_priority = organisation.and_then(|key| deployment.organisation(key).priority);
     let route_priority = deployment.route(route).priority;
@@ -268,6 +279,35 @@
     })
 }
 
+/// What a configuration says of a request.
+struct Found {
+    deployment: Arc<Deployment>,
+    route: RouteKey,
+    organisation: Option<OrganisationKey>,
+}
+
+impl Found {
+    /// Looks a request up in a configuration, or refuses it.
+    fn by(
+        deployment: Arc<Deployment>,
+        head: &Parts,
+        caller: &CallerHeaders,
+    ) -> Result<Self, Refusal> {
+        let route = find_route(&deployment, head)?;
+        let organisation = find_organisation(&deployment, route, caller)?;
+        Ok(Found {
+            deployment,
+            route,
+            organisation,
+        })
+    }
+
+    fn deadline(&self, caller: &CallerHeaders, arrived: BootInstant) -> BootInstant {
+        let longest = self.deployment.route(self.route).timeout;
+        arrived + caller.deadline.map_or(longest, |own| own.min(longest))
+    }
+}
+
 /// Data halls that both the route and the organisation allow. A hall without a region in the
 /// settings is allowed only where every region is.
 fn allowed_halls(
--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -7,6 +7,8 @@
 use hollowsail_platform_standins::target::{answer, not_run};
 use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::fixture::{eventually, Call, Fixture};
 
@@ -388,3 +390,32 @@
     assert_eq!(got.status, 504, "it may have run: {got:?}");
     assert_eq!(target.received().len(), 31);
 }
+
+// Guards against requests that go where a configuration led that changed while their body came.
+#[actix_rt::test]
+async fn late_body_goes_by_the_configuration_of_its_end() {
+    let (fixture, before) = serving(good).await;
+    let after = TargetStandin::start(good).await;
+    fixture.add("i-2", "other", &after);
+    let mut caller = TcpStream::connect(fixture.gateway.addrs.callers)
+        .await
+        .expect("the gateway listens");
+    let head = "POST /once/ HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: 00000000deadbeef\r\n\
+                X-Deadline-Ms: 2500\r\nContent-Length: 4\r\nConnection: close\r\n\r\n";
+    caller.write_all(head.as_bytes()).await.expect("it reads");
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let moved = DeploymentJson::new(8)
+        .service("plain")
+        .service("other")
+        .route("/once/", "unsafe", "other", json!({}));
+    fixture.store.put("op/config", &moved.bytes());
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    caller.write_all(b"body").await.expect("it reads");
+    let mut answer = String::new();
+    caller
+        .read_to_string(&mut answer)
+        .await
+        .expect("the answer is complete");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!((before.received().len(), after.received().len()), (0, 1));
+}
