Bound what an entry remembers of pieces that peers ask about

A peer's question about many pieces pruned the remembered ones once for each of them, and remembered every id that it named. They are pruned once for a call now, and at most 20,000 ids without sends are remembered.

--- a/crates/gateway/src/peers/dropped_pieces.rs
+++ b/crates/gateway/src/peers/dropped_pieces.rs
@@ -88,7 +88,6 @@
 
 /// Answers a peer's questions.
 pub fn handle_call(cx: &Rc<Traffic>, call: &DroppedPiecesCall) -> Vec<bool> {
-    let ids = call.requests.iter();
-    ids.map(|id| cx.pools.answer_for(cx, PeerId(call.from), *id))
-        .collect()
+    let from = PeerId(call.from);
+    cx.pools.answer_for(cx, from, &call.requests)
 }
--- a/crates/gateway/src/pools/dropped.rs
+++ b/crates/gateway/src/pools/dropped.rs
@@ -13,8 +13,8 @@
 
 /// How long a piece is remembered, in milliseconds. Its own message may arrive after the question.
 const REMEMBERED_MS: Millis = 2 * LOST_MS;
-/// Most pieces that are remembered.
-const MAX_PIECES: usize = 50_000;
+/// Most pieces without sends that are remembered.
+const MAX_UNKNOWN: usize = 20_000;
 
 struct DroppedPiece {
     service: String,
@@ -28,16 +28,12 @@
 impl DroppedPieces {
     /// Remembers a piece that isn't sent from now on, with its sends.
     pub fn add(&self, now: Millis, from: PeerId, id: PieceId, service: &str, work: Work) {
-        let mut pieces = self.0.borrow_mut();
-        if pieces.len() >= MAX_PIECES {
-            pieces.retain(|_, piece| now < piece.dropped_at + REMEMBERED_MS);
-        }
         let dropped = DroppedPiece {
             service: service.to_string(),
             work,
             dropped_at: now,
         };
-        pieces.insert((from, id), dropped);
+        self.0.borrow_mut().insert((from, id), dropped);
     }
 
     /// True if a peer was told that the piece isn't sent.
@@ -45,15 +41,19 @@
         self.0.borrow().contains_key(&(from, id))
     }
 
-    /// The service of a piece, and its sends there. A piece that wasn't known has none, and is remembered
-    /// from now on.
-    pub fn find(&self, now: Millis, from: PeerId, id: PieceId) -> (String, Work) {
-        if !self.contains(from, id) {
+    /// The service of a piece, and its sends there. `None` if there are none; such a piece is remembered,
+    /// too, while there are not too many.
+    pub fn find(&self, now: Millis, from: PeerId, id: PieceId) -> Option<(String, Work)> {
+        let pieces = self.0.borrow();
+        if let Some(piece) = pieces.get(&(from, id)) {
+            return Some((piece.service.clone(), piece.work.clone()));
+        }
+        let has_room = pieces.len() < MAX_UNKNOWN;
+        drop(pieces);
+        if has_room {
             self.add(now, from, id, "", Work::default());
         }
-        let pieces = self.0.borrow();
-        let piece = &pieces[&(from, id)];
-        (piece.service.clone(), piece.work.clone())
+        None
     }
 
     /// Forgets what has been remembered for long enough.
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -353,13 +353,17 @@
         }
     }
 
-    /// Drops a peer's piece. True if nothing of it can arrive any more, or this entry charges what can.
-    pub fn answer_for(&self, cx: &Traffic, from: PeerId, id: PieceId) -> bool {
+    /// Drops pieces of a peer. Says for each if nothing of it can arrive any more, or this entry charges
+    /// what can.
+    pub fn answer_for(&self, cx: &Traffic, from: PeerId, ids: &[PieceId]) -> Vec<bool> {
         let now = cx.clock.now();
         self.dropped.prune(now);
-        self.cancel_piece(from, id);
-        let (service, work) = self.dropped.find(now, from, id);
-        cx.cover_repeats(&service, &work)
+        let answers = ids.iter().map(|id| {
+            self.cancel_piece(from, *id);
+            let dropped = self.dropped.find(now, from, *id);
+            dropped.is_none_or(|(service, work)| cx.cover_repeats(&service, &work))
+        });
+        answers.collect()
     }
 
     /// Cancels a peer's piece, or releases its result if the piece is complete.
