--- a/crates/gateway/src/peers/dropped_pieces.rs
+++ b/crates/gateway/src/peers/dropped_pieces.rs
@@ -58,7 +58,9 @@
 pub fn ask(cx: &Rc<Traffic>, link: &Rc<Link>) {
     let peer = link.peer.id;
     let lost = &cx.peers.lost_sends;
-    if lost.unsettled(cx.clock.now(), peer).is_empty() || !lost.asked.borrow_mut().insert(peer) {
+    let is_needed =
+        !link.dropped_pieces.is_unsupported() && !lost.unsettled(cx.clock.now(), peer).is_empty();
+    if !is_needed || !lost.asked.borrow_mut().insert(peer) {
         return;
     }
     let (cx, link) = (cx.clone(), link.clone());
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -50,21 +50,13 @@
 pub struct LinkLost {
     /// A worker may have got the piece, or may get it yet.
     pub may_be_sent: bool,
-    /// The peer may still send it: its process may stand still, or run behind a cut.
-    pub may_run_on: bool,
 }
 
 impl LinkLost {
     /// The message wasn't sent.
-    const UNSENT: LinkLost = LinkLost {
-        may_be_sent: false,
-        may_run_on: false,
-    };
+    const UNSENT: LinkLost = LinkLost { may_be_sent: false };
     /// The link was dropped with what waited for it.
-    const UNKNOWN: LinkLost = LinkLost {
-        may_be_sent: true,
-        may_run_on: true,
-    };
+    const UNKNOWN: LinkLost = LinkLost { may_be_sent: true };
 }
 
 /// What is known of a peer whose link is lost.
@@ -306,11 +298,9 @@
             let lost = match end {
                 PeerEnd::Ended => LinkLost {
                     may_be_sent: awaited.is_started,
-                    may_run_on: false,
                 },
                 PeerEnd::Unknown => LinkLost {
                     may_be_sent: is_delivered,
-                    may_run_on: is_delivered,
                 },
             };
             // The receiver may be gone.
