Tell requesters that their pieces are sent before they are

What callers saw: repeats beyond what is allowed (BUDGET), as far as it is this.

Cause: a requester takes a piece for unsent, and has it sent again without a charge, if the owner of its queue has ended without a notice that it sends the piece. The notice left at the moment of the send: an owner that was killed within some milliseconds of a call's start hid its pieces. Class: a conclusion from what wasn't seen, beyond the moment for which it is proven.

--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -305,11 +305,13 @@
         .into())
 }
 
-/// Handles notices that pieces are sent to workers; none has a reply.
+/// Handles notices that pieces are about to be sent to workers.
 async fn started_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: StartedPiecesCall = read(cx, req).await?;
-    started_pieces::handle_call(cx, &call);
-    Ok(no_replies())
+    let replies = started_pieces::handle_call(cx, &call);
+    Ok(rmp_serde::to_vec(&replies)
+        .expect("these types always encode")
+        .into())
 }
 
 /// Answers what has become of pieces that this entry doesn't send any more for a peer.
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use futures_util::future::join_all;
 use hollowsail_platform::pieces::PieceFailure;
 use hollowsail_routing::repeats::{SendPermit, Work};
 use hollowsail_routing::Millis;
@@ -92,13 +93,22 @@
         }
     }
 
-    /// Tells the requesters of pieces that these are sent to a worker.
-    pub(in crate::pools) fn notify_started(&self, pieces: impl Iterator<Item = PieceKey>) {
-        let queue = self.queue.borrow();
-        for key in pieces {
-            if let Some(Reply::Peer(requester)) = queue.job(key).map(|job| &job.reply) {
-                requester.link.started_pieces.send(requester.id);
-            }
+    /// Tells the requesters of pieces that these are about to be sent to a worker, and waits for a moment
+    /// until they know: a requester that isn't told has a piece sent again if this entry ends.
+    pub(in crate::pools) async fn notify_started(&self, pieces: impl Iterator<Item = PieceKey>) {
+        let requesters: Vec<_> = pieces.filter_map(|key| self.requester_of(key)).collect();
+        let notices = requesters
+            .iter()
+            .map(|(link, id)| link.started_pieces.request(*id));
+        // A requester that doesn't answer in time may be lost; its pieces are due all the same.
+        let _told = join_all(notices).await;
+    }
+
+    /// The peer that waits for a piece, and its id there.
+    fn requester_of(&self, key: PieceKey) -> Option<(Rc<Link>, PieceId)> {
+        match &self.queue.borrow().job(key)?.reply {
+            Reply::Peer(requester) => Some((requester.link.clone(), requester.id)),
+            Reply::Local(_) => None,
         }
     }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -86,10 +86,11 @@
     started: StartedCall,
     target: Rc<Target>,
 ) {
+    let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
+    let keys = sent_pieces.iter().map(|sent| sent.started.key);
+    batcher.notify_started(keys).await;
     let begun_ms = cx.clock.now();
     let sent_at = BootInstant::now();
-    let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
-    batcher.notify_started(sent_pieces.iter().map(|sent| sent.started.key));
     let exchange = exchange(&cx, &target, &sent_pieces, permits);
     let result = match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
         Ok(result) => result,
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -58,6 +58,8 @@
     HeardIsSettled,
     /// A permit is used whenever its process goes on.
     PermitsLast,
+    /// A process says that it sends a piece only after it did.
+    LateNotices,
 }
 
 /// Requests, and how their attempts fare.
@@ -249,6 +251,7 @@
         Defect::EndedIsSettled,
         Defect::HeardIsSettled,
         Defect::PermitsLast,
+        Defect::LateNotices,
     ] {
         let (play, worst) = search::nearest(Some(defect));
         println!("{defect:?}: {worst:?}");
--- a/crates/routing/tests/suite/shared_allowance/pieces.rs
+++ b/crates/routing/tests/suite/shared_allowance/pieces.rs
@@ -6,7 +6,7 @@
 
 use super::store::Run;
 use super::world::World;
-use super::{Defect, RULES};
+use super::{Defect, Millis, RULES};
 
 /// A piece at the process that sends it.
 struct Piece {
@@ -21,6 +21,8 @@
     sent: Work,
     /// Permits the sender's first send.
     permit: Option<SendPermit>,
+    /// When it was sent.
+    sent_at: Option<Millis>,
 }
 
 /// A send of another process that may still arrive.
@@ -74,6 +76,7 @@
                 requested,
                 passed_on: Some(PassedOn::begin(requester_clock, permit)),
                 permit: Some(SendPermit::from_peer(sender_clock, &sent)),
+                sent_at: None,
                 sent,
             };
             self.pieces.pieces.push(piece);
@@ -94,6 +97,7 @@
             let Some(permit) = permit else { return true };
             let send = permit.send().clone();
             send.begin(clock, false);
+            piece.sent_at = Some(self.now);
             if still {
                 self.leave_unread(run, piece.work, send);
                 return true;
@@ -198,9 +202,11 @@
             pieces.into_iter().partition(|piece| piece.sender == run);
         self.pieces.pieces = kept;
         for mut piece in ended {
-            let end = match piece.permit {
-                Some(_) => PassedOnEnd::Unsent,
-                None => PassedOnEnd::Unsettled,
+            let has_notice = self.defect != Some(Defect::LateNotices);
+            let is_known = piece.sent_at.is_some_and(|at| has_notice || at < self.now);
+            let end = match is_known {
+                false => PassedOnEnd::Unsent,
+                true => PassedOnEnd::Unsettled,
             };
             let is_awaited = piece.passed_on.is_some();
             self.end_passed_on(&mut piece, end);
