Buffer bodies of answers in one loop

KeptBody::collect repeated AnswerBody::collect, with the bound, the declared length and the loop, to tell the account what is buffered. AnswerBody::collect_counted does that for both; an answer that has to give way ends the whole read.

--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -76,14 +76,19 @@
         .await
     }
 
-    /// True if the body says that it has more bytes to come than this.
-    pub fn is_longer_than(&self, max_len: usize) -> bool {
-        self.incoming.size_hint().lower() > max_len as u64
+    /// Buffers the rest of the body; `None` when it is longer than `max_len` bytes, by its own word or as
+    /// soon as that shows.
+    pub async fn collect(self, max_len: usize) -> Result<Option<Bytes>, BodyError> {
+        self.collect_counted(max_len, |_| {}).await
     }
 
-    /// Buffers the rest of the body; `None` when it is longer than `max_len` bytes.
-    pub async fn collect(mut self, max_len: usize) -> Result<Option<Bytes>, BodyError> {
-        if self.is_longer_than(max_len) {
+    /// The same; calls `on_buffered` with the size of the buffer after each chunk.
+    pub async fn collect_counted(
+        mut self,
+        max_len: usize,
+        on_buffered: impl Fn(usize),
+    ) -> Result<Option<Bytes>, BodyError> {
+        if self.incoming.size_hint().lower() > max_len as u64 {
             return Ok(None);
         }
         let mut buffer: Vec<u8> = Vec::new();
@@ -93,6 +98,7 @@
                 return Ok(None);
             }
             buffer.extend_from_slice(&chunk);
+            on_buffered(buffer.capacity());
         }
         Ok(Some(buffer.into()))
     }
--- a/crates/gateway/src/kept_body.rs
+++ b/crates/gateway/src/kept_body.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use hollowsail_connect::{AnswerBody, BodyError, Framing};
 use snafu::Snafu;
 
@@ -53,19 +53,14 @@
 
     /// Buffers the rest of the body; `None` when it is longer than `max_len` bytes, by its own word or as
     /// soon as that shows.
-    pub async fn collect(mut self, max_len: usize) -> Result<Option<Bytes>, KeptBodyError> {
-        if self.body.is_longer_than(max_len) {
-            return Ok(None);
-        }
-        let mut buf = BytesMut::new();
-        while let Some(chunk) = self.chunk().await {
-            let chunk = chunk?;
-            if buf.len() + chunk.len() > max_len {
-                return Ok(None);
+    pub async fn collect(self, max_len: usize) -> Result<Option<Bytes>, KeptBodyError> {
+        let KeptBody { body, account } = self;
+        tokio::select! {
+            biased;
+            () = account.ended() => Err(KeptBodyError::GaveWay),
+            read = body.collect_counted(max_len, |bytes| account.set_buffered(bytes)) => {
+                read.map_err(|source| KeptBodyError::Target { source })
             }
-            buf.extend_from_slice(&chunk);
-            self.set_buffered(buf.capacity());
         }
-        Ok(Some(buf.freeze()))
     }
 }
