--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
+use serde::Serialize;
 use tokio::net::{TcpListener, TcpStream};
 
 use super::dropped_pieces::{self, DroppedPiecesCall, DROPPED_PIECES_PATH};
@@ -167,6 +168,11 @@
     })
 }
 
+fn encode(reply: &impl Serialize) -> Bytes {
+    let encoded = rmp_serde::to_vec(reply).expect("these types always encode");
+    encoded.into()
+}
+
 async fn handle_envelope(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let envelope: Envelope = read(cx, req).await?;
     cx.peers.observed(cx, &envelope.from);
@@ -204,26 +210,20 @@
         refused: cx.crashes.refused(cx),
         orders: view.orders.clone(),
     };
-    Ok(rmp_serde::to_vec(&answer)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&answer))
 }
 
 /// Returns whether this host can serve callers of others.
 async fn room(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let RoomRequest {} = read(cx, req).await?;
     let reply = admission::reply(cx);
-    Ok(rmp_serde::to_vec(&reply)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&reply))
 }
 
 /// Returns the targets that are draining by their records or by their own reports.
 async fn draining(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let DrainingRequest {} = read(cx, req).await?;
-    Ok(rmp_serde::to_vec(&draining_targets(cx))
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&draining_targets(cx)))
 }
 
 /// Returns the targets that get no new work whatever their record says.
@@ -233,9 +233,7 @@
         draining: draining_targets(cx),
         restored: cx.view().targets.restored.clone(),
     };
-    Ok(rmp_serde::to_vec(&retired)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&retired))
 }
 
 fn draining_targets(cx: &Rc<Traffic>) -> Vec<Incarnation> {
@@ -256,9 +254,7 @@
     let records = Some(&view.records).filter(|_| view.is_store_reachable);
     let newer = records.filter(|known| known.at > request.after);
     let answer = newer.map(RecordsSnapshot::from);
-    Ok(rmp_serde::to_vec(&answer)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&answer))
 }
 
 /// Returns all target records unless the requester has them, with those that are missing.
@@ -273,62 +269,48 @@
     };
     let wanted = records.filter(is_wanted);
     let answer = wanted.map(|known| TargetList::of(known, cx.clock.now()));
-    Ok(rmp_serde::to_vec(&answer)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&answer))
 }
 
 /// Returns changes of the store as soon as there are any.
 async fn changes(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let request: FeedRequest = read(cx, req).await?;
     let answer = cx.feeds.answer(&request).await;
-    Ok(rmp_serde::to_vec(&answer)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&answer))
 }
 
 /// Decides on requests for capacity in the queues that this entry owns.
 async fn reserve(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: ReservationCall = read(cx, req).await?;
     let replies = reservations::handle_call(cx, &call);
-    Ok(rmp_serde::to_vec(&replies)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&replies))
 }
 
 /// Handles messages on parts of prompts that crash targets.
 async fn part_messages(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: PartCall = read(cx, req).await?;
     let replies = cx.crashes.handle_part_call(cx, call);
-    Ok(rmp_serde::to_vec(&replies)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&replies))
 }
 
 /// Handles notices that pieces are about to be sent to workers.
 async fn started_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: StartedPiecesCall = read(cx, req).await?;
     let replies = started_pieces::handle_call(cx, &call);
-    Ok(rmp_serde::to_vec(&replies)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&replies))
 }
 
 /// Answers what has become of pieces that this entry doesn't send any more for a peer.
 async fn dropped_pieces(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let call: DroppedPiecesCall = read(cx, req).await?;
     let replies = dropped_pieces::handle_call(cx, &call);
-    Ok(rmp_serde::to_vec(&replies)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&replies))
 }
 
 /// The response to a call none of whose messages expects a reply.
 fn no_replies() -> Bytes {
     let no_replies: [(); 0] = [];
-    rmp_serde::to_vec(&no_replies)
-        .expect("these types always encode")
-        .into()
+    encode(&no_replies)
 }
 
 /// Handles reports of targets; none has a reply.
@@ -360,9 +342,7 @@
     let is_current = needs_proof && cx.prove_target_list().await;
     let now = cx.clock.now();
     let replies = cx.stream_origins.handle_call(now, call, is_current);
-    Ok(rmp_serde::to_vec(&replies)
-        .expect("these types always encode")
-        .into())
+    Ok(encode(&replies))
 }
 
 fn handle_message(cx: &Rc<Traffic>, from: &PeerRecord, message: Message) {
