--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -9,7 +9,7 @@
 use hollowsail_platform_standins::{
     DeploymentJson, ReceivedRequest, Step, StoreStandin, TargetStandin,
 };
-use serde_json::json;
+use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -73,6 +73,17 @@
     target.received().into_iter().filter(runs).collect()
 }
 
+/// When pieces arrived at workers, each with a name that its repeats share.
+pub fn piece_arrivals(workers: &[TargetStandin]) -> Vec<(Instant, String)> {
+    let calls = workers.iter().flat_map(stage_runs);
+    let arrivals = calls.flat_map(|call| {
+        let work = |piece: Value| format!("{}/{}", piece["id"], piece["piece"]);
+        let pieces: Vec<String> = call.pieces().into_iter().map(work).collect();
+        pieces.into_iter().map(move |work| (call.received_at, work))
+    });
+    arrivals.collect()
+}
+
 /// Fields of an entry's encoded record: run, host, address, hall, capacity.
 pub type EntryRecord = (u64, String, SocketAddr, String, u32);
 
--- a/crates/gateway/tests/suite/joining_hosts.rs
+++ b/crates/gateway/tests/suite/joining_hosts.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::json;
 
-use crate::fixture::{self, gateway_at, stage_runs, Call};
+use crate::fixture::{self, gateway_at, piece_arrivals, Call};
 
 const ALLOWANCE: RepeatAllowance = RepeatAllowance {
     ratio: 0.2,
@@ -113,15 +113,8 @@
     }
 
     fn check_pieces(&self) {
-        let calls = self.workers.iter().flat_map(stage_runs);
-        let arrivals = calls.flat_map(|call| {
-            let work = |piece: serde_json::Value| format!("{}/{}", piece["id"], piece["piece"]);
-            let pieces = call.pieces().into_iter().map(work);
-            let arrived = pieces.map(|work| (call.received_at, work));
-            arrived.collect::<Vec<_>>()
-        });
         // No route leads to the stage service.
-        let worst = self.worst_window(arrivals.collect(), &[]);
+        let worst = self.worst_window(piece_arrivals(&self.workers), &[]);
         assert!(!worst.is_exceeded(), "{worst:?}");
     }
 }
--- a/crates/gateway/tests/suite/suspended_targets.rs
+++ b/crates/gateway/tests/suite/suspended_targets.rs
@@ -9,9 +9,9 @@
 use hollowsail_platform_emulator::RepeatAllowance;
 use hollowsail_platform_standins::target::results;
 use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
-use serde_json::{json, Value};
+use serde_json::json;
 
-use crate::fixture::{self, gateway_at, single_event_stream, stage_runs, Call};
+use crate::fixture::{self, gateway_at, piece_arrivals, single_event_stream, Call};
 
 const TARGETS: usize = 6;
 /// Time between two requests.
@@ -210,16 +210,8 @@
     }));
     let (answers, ()) = futures_util::future::join(sending, suspending).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let calls = workers.iter().flat_map(stage_runs);
-    let arrivals = calls.flat_map(|call| {
-        let piece = |piece: Value| format!("{}/{}", piece["id"], piece["piece"]);
-        let pieces: Vec<_> = call.pieces().into_iter().map(piece).collect();
-        pieces
-            .into_iter()
-            .map(move |piece| (call.received_at, piece))
-    });
     // No route leads to the stage service, so that requests earn no repeats there.
-    let worst = ALLOWANCE.worst_window(&repeats(arrivals.collect(), start), &[]);
+    let worst = ALLOWANCE.worst_window(&repeats(piece_arrivals(&workers), start), &[]);
     Played {
         requests: answers.len(),
         served: answers.iter().filter(|(is_served, _)| *is_served).count(),
--- a/crates/gateway/tests/suite/two_senders.rs
+++ b/crates/gateway/tests/suite/two_senders.rs
@@ -9,10 +9,10 @@
 use hollowsail_platform_emulator::{RepeatAllowance, WorstWindow};
 use hollowsail_platform_standins::target::results;
 use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
-use serde_json::{json, Value};
+use serde_json::json;
 
 use crate::fixture::{
-    self, gateway_at, single_event_stream, stage_runs, wait_for_entries, Answer, Call,
+    self, gateway_at, piece_arrivals, single_event_stream, wait_for_entries, Answer, Call,
 };
 
 const ALLOWANCE: RepeatAllowance = RepeatAllowance {
@@ -103,14 +103,7 @@
     }
 
     fn worst_window(&self, begun: Instant) -> Option<WorstWindow> {
-        let calls = self.workers.iter().flat_map(stage_runs);
-        let mut arrivals: Vec<(Instant, String)> = calls
-            .flat_map(|call| {
-                let work = |piece: Value| format!("{}/{}", piece["id"], piece["piece"]);
-                let pieces: Vec<String> = call.pieces().into_iter().map(work).collect();
-                pieces.into_iter().map(move |work| (call.received_at, work))
-            })
-            .collect();
+        let mut arrivals = piece_arrivals(&self.workers);
         arrivals.sort();
         let mut seen = HashSet::new();
         arrivals.retain(|(_, work)| !seen.insert(work.clone()));
