Use what the soak has for callers and disturbances

Whether a stop overlaps an attempt is what Observations::is_undisturbed says; callers that differ in one field from Contender::of_path name just that one. Plans and checks are the same.

--- a/crates/bench/src/soak/contention.rs
+++ b/crates/bench/src/soak/contention.rs
@@ -144,20 +144,15 @@
         .into_iter()
         .flat_map(|path| {
             ORGANISATIONS.map(|organisation| Contender {
-                path,
                 organisation: Some(organisation),
-                active: None,
-                part: None,
-                max_body_delay: Duration::ZERO,
+                ..Contender::of_path(path)
             })
         });
     let steady = steady.flat_map(|contender| std::iter::repeat_n(contender, STEADY_CALLERS));
     let in_burst = Contender {
-        path: LESS_URGENT_PATH,
         organisation: Some(BURST_ORGANISATION),
         active: Some((burst.at, burst.at + burst.duration)),
-        part: None,
-        max_body_delay: Duration::ZERO,
+        ..Contender::of_path(LESS_URGENT_PATH)
     };
     let few = Contender::of_path(FEW_PATH);
     let in_burst = std::iter::repeat_n(in_burst, BURST_CALLERS);
--- a/crates/bench/src/soak/fragile.rs
+++ b/crates/bench/src/soak/fragile.rs
@@ -73,17 +73,10 @@
 
 /// The callers of the service.
 pub fn callers(fragile: (Duration, Duration)) -> impl Iterator<Item = Contender> {
-    let caller = Contender {
-        path: PATH,
-        organisation: None,
-        active: None,
-        part: None,
-        max_body_delay: Duration::ZERO,
-    };
+    let caller = Contender::of_path(PATH);
     let fatal = Contender {
         active: Some(fragile),
         part: Some(PART),
-        max_body_delay: Duration::ZERO,
         ..caller.clone()
     };
     let callers = std::iter::repeat_n(caller, CALLERS);
--- a/crates/bench/src/soak/planned_stops.rs
+++ b/crates/bench/src/soak/planned_stops.rs
@@ -4,7 +4,7 @@
 //! Whatever a gateway has read gets a complete answer before the process is gone.
 
 use std::ops::Range;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use hollowsail_platform_emulator::caller::Outcome;
 use rand::rngs::SmallRng;
@@ -147,7 +147,12 @@
             && is_read
             && !checks::has_timed_out(attempt)
             && !observations.cut.contains(&attempt.id)
-            && is_stopped(observations, attempt.entry, attempt.sent, attempt.ended);
+            && !observations.is_undisturbed(
+                attempt.entry,
+                attempt.sent,
+                attempt.ended,
+                Duration::ZERO,
+            );
         let description = || {
             format!(
                 "request {} at {} of gateway {} got no answer for {} ms after its last byte: {why}",
@@ -164,8 +169,3 @@
     });
     unanswered.collect()
 }
-
-fn is_stopped(observations: &Observations, entry: usize, from: Instant, until: Instant) -> bool {
-    let mut disturbances = observations.disturbances.iter();
-    disturbances.any(|stop| stop.entry == entry && from <= stop.until && stop.from <= until)
-}
--- a/crates/bench/src/soak/versions.rs
+++ b/crates/bench/src/soak/versions.rs
@@ -83,13 +83,7 @@
 
 /// The callers of these routes.
 pub fn callers() -> impl Iterator<Item = Contender> {
-    let callers = [RESUMED_PATH, TAKEN_UP_PATH].map(|path| Contender {
-        path,
-        organisation: None,
-        active: None,
-        part: None,
-        max_body_delay: Duration::ZERO,
-    });
+    let callers = [RESUMED_PATH, TAKEN_UP_PATH].map(Contender::of_path);
     callers
         .into_iter()
         .flat_map(|caller| std::iter::repeat_n(caller, CALLERS))
