--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -35,7 +35,8 @@
         .iter()
         .filter(|attempt| attempt.contender.is_none());
     let uncontended: Vec<Attempt> = uncontended.cloned().collect();
-    failures.extend(cut::find_violation(plan, observations, &uncontended));
+    let cut = cut::evaluate(plan, observations, &uncontended);
+    failures.extend(cut.failure);
     failures.extend(crowding::find_violation(plan, observations, attempts));
     let whole = count(&uncontended, |outcome| *outcome == Outcome::Whole);
     let total = uncontended.len();
@@ -53,6 +54,7 @@
     failures.extend(repeats.failures);
     SoakReport {
         room: room.summary,
+        cut: cut.summary,
         streams: streams.summary,
         repeats: repeats.summary,
         used_repeats: repeats.used,
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -109,6 +109,8 @@
     pub ran: usize,
     /// Refusals for want of room, by route.
     pub room: String,
+    /// Service of gateways that were cut off from all targets.
+    pub cut: String,
     /// Streams that callers took up.
     pub streams: String,
     /// Repeats of work by service.
@@ -120,7 +122,7 @@
 
 impl SoakReport {
     fn write_summaries(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let summaries = [&self.room, &self.streams, &self.repeats];
+        let summaries = [&self.room, &self.cut, &self.streams, &self.repeats];
         let mut summaries = summaries.into_iter().filter(|text| !text.is_empty());
         summaries.try_for_each(|text| write!(f, "\n{text}"))
     }
--- a/crates/bench/tests/suite/soak_report.rs
+++ b/crates/bench/tests/suite/soak_report.rs
@@ -18,6 +18,7 @@
         unknown: 10,
         ran: 70,
         room: "no room".to_string(),
+        cut: "behind the cut".to_string(),
         streams: "streams".to_string(),
         repeats: "repeats".to_string(),
         used_repeats: 0.5,
@@ -30,6 +31,7 @@
         "40 x events of a stream",
         "1 x served too little behind a cut",
         "gateway 1 served too little",
+        "behind the cut",
         "--seed 203 --seconds 24 --entries 4",
     ] {
         assert!(text.contains(line), "{line:?} in {text}");
