--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use futures_util::future::join_all;
+use futures_util::future::{join, join_all};
 use hollowsail_gateway::Running;
 use hollowsail_platform_standins::target::{
     answer, chunk, event, last_chunk, results, stream_head, unframed,
@@ -24,6 +24,8 @@
 /// Requests of each kind that are sent at once before and after a cut. More than there are
 /// connections from before.
 const REQUESTS: usize = 12;
+/// Time between bursts of requests.
+const BURST_INTERVAL: Duration = Duration::from_millis(200);
 /// Time from the return of the links until all is as before.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 /// How long a target works on a request.
@@ -244,6 +246,47 @@
     assert!(failed.is_empty(), "{failed:?}");
 }
 
+/// Cuts one of two entries off while all workers of a stage service are busy, and returns the first
+/// tries of both entries that failed after the contact time.
+async fn failed_with_workers_in_calls(mode: LinkMode, cut: usize) -> Vec<Answer> {
+    let fleet = &Fleet::start(2).await;
+    let burst = || async {
+        let bursts = (0..2).map(|entry| fleet.failed_first_tries(entry, Kind::Staged));
+        join_all(bursts).await.concat()
+    };
+    let failed = burst().await;
+    assert!(failed.is_empty(), "before the cut: {failed:?}");
+    fleet.hosts[cut].links.set_mode(mode);
+    let rounds = CONTACT_TIME.as_millis() / BURST_INTERVAL.as_millis();
+    let load = join_all((0..rounds as u32).map(|round| async move {
+        tokio::time::sleep(BURST_INTERVAL * round).await;
+        burst().await
+    }));
+    let judged = async {
+        tokio::time::sleep(CONTACT_TIME).await;
+        burst().await
+    };
+    join(load, judged).await.1
+}
+
+/// Guards against workers that stay taken by calls whose answers can't arrive.
+#[actix_rt::test]
+async fn busy_workers_of_a_host_that_hears_no_answers_get_work_through_peers() {
+    for cut in 0..2 {
+        let failed = failed_with_workers_in_calls(LinkMode::AnswersLost, cut).await;
+        assert!(failed.is_empty(), "entry {cut} cut off: {failed:?}");
+    }
+}
+
+/// The same where calls don't arrive either.
+#[actix_rt::test]
+async fn busy_workers_of_a_host_whose_connections_hang_get_work_through_peers() {
+    for cut in 0..2 {
+        let failed = failed_with_workers_in_calls(LinkMode::Silent, cut).await;
+        assert!(failed.is_empty(), "entry {cut} cut off: {failed:?}");
+    }
+}
+
 #[actix_rt::test]
 async fn half_of_the_hosts_serve_first_tries_while_cut_off() {
     let fleet = Fleet::start(4).await;
