Don't take lost links for workers that stand still

What callers saw: for the 8 s in which one host heard no answers of its targets, half of the requests with stages were refused at all hosts, after their deadline.

Cause: a send that is given up and that the target doesn't close counts as a sign of a target that stands still, which then gets a probe after 4 s. Behind a cut nothing is closed. Calls kept their workers for 4 s before that. The owner of a queue that was cut off while all workers were in calls made four calls in 8 s. The same reasoning had an error in the other direction: an answer settled what had been given up before on any way, also when it came through a relay and the bytes still waited in the host's own link, so that the charge of a repeat was given back too early.

Change: a call on a direct connection ends when the host finds that it reaches no target; what was sent directly without an answer then is no sign of the target and is settled by its own connection only; answers through relays settle no direct sends.

--- a/crates/bench/src/soak/cut.rs
+++ b/crates/bench/src/soak/cut.rs
@@ -85,9 +85,9 @@
     for attempt in attempts.iter().filter(|attempt| !is_served(attempt)) {
         let outcome = match &attempt.outcome {
             Some(Outcome::Whole) => "late",
-            Some(Outcome::NotRun { why, .. } | Outcome::Unknown { why } | Outcome::Wrong { why }) => {
-                why.lines().next().unwrap_or("no reason")
-            }
+            Some(
+                Outcome::NotRun { why, .. } | Outcome::Unknown { why } | Outcome::Wrong { why },
+            ) => why.lines().next().unwrap_or("no reason"),
             None => "cancelled",
         };
         *counts.entry((&attempt.route.path, outcome)).or_default() += 1;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -91,6 +91,9 @@
     /// The answer was ended before its head was complete, since the host keeps too many bytes.
     #[snafu(display("the answer of {addr} was ended for want of memory"))]
     GaveWay { addr: SocketAddr },
+    /// The host reaches nothing directly any more, so that no answer can come.
+    #[snafu(display("the links of this host were lost before {addr} answered"))]
+    LinkLost { addr: SocketAddr },
     /// The connection failed after the request was handed to it.
     #[snafu(display("the connection to {addr} broke after a request was sent: {source}"))]
     Broken {
@@ -102,7 +105,10 @@
 impl SendError {
     /// True when the peer received no part of the request.
     pub fn nothing_sent(&self) -> bool {
-        !matches!(self, SendError::Broken { .. } | SendError::GaveWay { .. })
+        !matches!(
+            self,
+            SendError::Broken { .. } | SendError::GaveWay { .. } | SendError::LinkLost { .. }
+        )
     }
 }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -51,6 +51,9 @@
     Send { source: SendError },
     #[snafu(display("connection lost before the end of the response: {source}"))]
     CutOff { source: KeptBodyError },
+    /// No answer can come over the links of this host, which says nothing of the target.
+    #[snafu(display("{source}"))]
+    LinkLost { source: SendError },
     #[snafu(display("no response within {} ms", CALL_TIMEOUT.as_millis()))]
     TimedOut,
     #[snafu(display("the target left before the call was sent"))]
@@ -145,7 +148,7 @@
         Err(CallError::TimedOut) => Some(Outcome::TimedOut(ms)),
         Err(CallError::Refused { .. } | CallError::TargetLeft { .. }) => None,
         Err(err) if err.is_cut_off() => Some(Outcome::Broken),
-        Err(CallError::Unsent { .. }) => None,
+        Err(CallError::Unsent { .. } | CallError::LinkLost { .. }) => None,
         Err(_) => Some(Outcome::Failed),
     }
 }
@@ -266,6 +269,7 @@
     let permits = unanswered.permits;
     match unanswered.error {
         SendError::Withdrawn { .. } => CallError::TargetLeft { permits },
+        source @ SendError::LinkLost { .. } => CallError::LinkLost { source },
         source if source.nothing_sent() => CallError::Unsent { source, permits },
         source => CallError::Send { source },
     }
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -24,6 +24,7 @@
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Millis, Reachability};
 use hollowsail_targets::TargetTable;
+use tokio::sync::watch;
 
 use crate::metrics;
 use crate::peers::PeerId;
@@ -45,6 +46,8 @@
 #[derive(Default)]
 pub struct Reach {
     state: RefCell<Reachability<SocketAddr>>,
+    /// True while the host is cut off from all targets, for those that wait for it.
+    cut_off: watch::Sender<bool>,
     /// Observes the direct connections to all targets.
     liveness: Rc<Liveness>,
     /// When relays last failed to reach a target.
@@ -137,6 +140,18 @@
         self.state.borrow().is_cut_off()
     }
 
+    /// Waits until this host reaches no target.
+    pub async fn wait_cut_off(&self) {
+        let mut cut_off = self.cut_off.subscribe();
+        // Fails only once the sender, which lives as long as this host, is gone.
+        let _ = cut_off.wait_for(|is_cut_off| *is_cut_off).await;
+    }
+
+    /// True if a link of this host may hold what was sent directly at `sent_at` and has no answer.
+    pub fn may_hold(&self, sent_at: Millis) -> bool {
+        self.state.borrow().was_cut_off_since(sent_at)
+    }
+
     /// When a request that is refused since this host is isolated may be sent again.
     pub fn isolation_retry_after(&self) -> Duration {
         Duration::from_millis(ISOLATED_MS)
@@ -187,11 +202,19 @@
         state.is_cut_off() || state.is_failing(cx.clock.now(), target)
     }
 
+    fn record_cut_off(&self, cx: &Traffic) {
+        for target in cx.targets().all() {
+            target.stall.borrow_mut().record_links_lost();
+        }
+        self.cut_off.send_replace(true);
+    }
+
     fn record_reached(&self, cx: &Traffic, addr: SocketAddr) {
         let cut_off_ms = self.state.borrow_mut().record_reached(cx.clock.now(), addr);
         let Some(cut_off_ms) = cut_off_ms else {
             return;
         };
+        self.cut_off.send_replace(false);
         metrics::set_cut_off(false);
         let fields = format_args!("target_addr={addr} cut_off_ms={cut_off_ms}");
         cx.log.line(events::TARGETS_REACHABLE, fields);
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -60,6 +60,7 @@
     let is_new = cx.reach.state.borrow_mut().record_failed_probe(now);
     if is_new {
         metrics::set_cut_off(true);
+        cx.reach.record_cut_off(cx);
         cx.prune_connections();
         let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
         let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -30,6 +30,7 @@
     target: &'a Target,
     sends: Rc<[TrackedSend]>,
     sent_at: Millis,
+    is_relayed: bool,
 }
 
 impl<'a> Sending<'a> {
@@ -49,6 +50,7 @@
             target,
             sends,
             sent_at,
+            is_relayed,
         }
     }
 
@@ -86,7 +88,7 @@
         let now = self.cx.clock.now();
         self.sends.iter().for_each(TrackedSend::settle);
         let mut stall = self.target.stall.borrow_mut();
-        stall.record_answered(now, self.sent_at);
+        stall.record_answered(now, self.sent_at, self.is_relayed);
     }
 
     /// Nothing was sent.
@@ -103,7 +105,9 @@
         // All are on one connection.
         let abandoned = self.sends.first();
         if let Some(send) = abandoned.filter(|send| send.abandoned_at(now).is_some()) {
-            self.target.stall.borrow_mut().record_abandoned(now, send);
+            if self.is_relayed || !self.cx.reach.may_hold(self.sent_at) {
+                self.target.stall.borrow_mut().record_abandoned(now, send);
+            }
         }
     }
 }
@@ -225,8 +229,9 @@
     })
 }
 
-/// Sends new work on any connection and reads up to `max_bytes` of its answer. The caller bounds
-/// the time; dropping the future closes the connection.
+/// Sends new work on any connection and reads up to `max_bytes` of its answer. Ends when the work
+/// was sent directly and this host loses its links to all targets. The caller bounds the time;
+/// dropping the future closes the connection.
 pub async fn call(
     cx: &Rc<Traffic>,
     target: &Target,
@@ -234,8 +239,27 @@
     max_bytes: usize,
     permits: SendPermits,
 ) -> Result<CompleteAnswer, Unanswered> {
-    let answer = send(cx, target, None, req, Reuse::Any, permits, || true).await?;
-    Ok(read(answer, max_bytes).await)
+    let connection = match target.pool.connect(Reuse::Any, None).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            let permits = Some(permits);
+            return Err(Unanswered { error, permits });
+        }
+    };
+    let is_direct = !connection.is_relayed();
+    let answered = async {
+        let connection = Some(connection);
+        let answer = send(cx, target, connection, req, Reuse::Any, permits, || true).await?;
+        Ok(read(answer, max_bytes).await)
+    };
+    tokio::select! {
+        biased;
+        answered = answered => answered,
+        () = cx.reach.wait_cut_off(), if is_direct => {
+            let addr = target.record.addr;
+            Err(Unanswered { error: SendError::LinkLost { addr }, permits: None })
+        }
+    }
 }
 
 /// The same for a request that ends earlier work, which a target that leaves gets, too.
--- a/crates/routing/src/reachability.rs
+++ b/crates/routing/src/reachability.rs
@@ -71,6 +71,8 @@
     last_reached: Option<Millis>,
     last_probe: Option<Millis>,
     cut_off_since: Option<Millis>,
+    /// When the last cut ended.
+    cut_off_until: Option<Millis>,
 }
 
 impl<K> Default for Reachability<K> {
@@ -80,6 +82,7 @@
             last_reached: None,
             last_probe: None,
             cut_off_since: None,
+            cut_off_until: None,
         }
     }
 }
@@ -91,6 +94,7 @@
         self.last_reached = Some(now);
         self.failed.retain(|(failed, _)| *failed != target);
         let since = self.cut_off_since.take()?;
+        self.cut_off_until = Some(now);
         self.failed.clear();
         Some(now.saturating_sub(since))
     }
@@ -142,6 +146,11 @@
         self.cut_off_since.is_some()
     }
 
+    /// True if the host reached no target at some time since `at`.
+    pub fn was_cut_off_since(&self, at: Millis) -> bool {
+        self.is_cut_off() || self.cut_off_until.is_some_and(|until| until >= at)
+    }
+
     /// True while connects to a target fail: the last one did, not long ago.
     pub fn is_failing(&self, now: Millis, target: K) -> bool {
         let mut failed = self.failed.iter();
--- a/crates/routing/src/repeats/work.rs
+++ b/crates/routing/src/repeats/work.rs
@@ -54,6 +54,11 @@
         self.0.state.set(State::Sent(now));
     }
 
+    /// True if it was sent through another host.
+    pub fn is_relayed(&self) -> bool {
+        self.0.is_relayed.get()
+    }
+
     /// Records that nothing was sent after all.
     pub fn withdraw(&self, now: Millis) {
         self.0.state.set(State::Permitted(now));
--- a/crates/routing/src/stall.rs
+++ b/crates/routing/src/stall.rs
@@ -2,7 +2,8 @@
 //!
 //! A process that runs closes the connections of requests that nobody waits for any more. One that
 //! stands still keeps them, and everything else that it is sent, so it gets no more than a probe
-//! now and then until it has closed them or answered something.
+//! now and then until it has closed them or answered something. A send that may be held by a link
+//! of this host says nothing of the target, and an answer says nothing of the send.
 
 use crate::repeats::TrackedSend;
 use crate::Millis;
@@ -17,7 +18,7 @@
 /// Maximum time between probes, in milliseconds.
 const MAX_PROBE_MS: Millis = 8_000;
 
-/// Sends to one target that were given up.
+/// Sends to one target that were given up, unless a link of this host may hold them.
 #[derive(Debug, Clone, Default)]
 pub struct Stall {
     abandoned: Vec<TrackedSend>,
@@ -46,10 +47,18 @@
         }
     }
 
-    /// Records that the target answered a request that was sent at `sent_at`.
-    pub fn record_answered(&mut self, now: Millis, sent_at: Millis) {
-        let abandoned = self.abandoned.iter();
-        abandoned.for_each(|send| send.target_answered(sent_at));
+    /// Records that this host has lost its links: what it sent directly may be held there.
+    pub fn record_links_lost(&mut self) {
+        self.abandoned.retain(TrackedSend::is_relayed);
+    }
+
+    /// Records that the target answered a request that was sent at `sent_at`, directly or through
+    /// another host. What was sent directly has arrived only if the answer came directly, too.
+    pub fn record_answered(&mut self, now: Millis, sent_at: Millis, is_relayed: bool) {
+        if !is_relayed {
+            let abandoned = self.abandoned.iter();
+            abandoned.for_each(|send| send.target_answered(sent_at));
+        }
         // What was given up before, and may wait at a relay, says nothing of the target any more.
         let is_later = |send: &TrackedSend| send.abandoned_at(now).is_some_and(|at| at >= sent_at);
         self.abandoned.retain(is_later);
--- a/crates/routing/tests/suite/reachability.rs
+++ b/crates/routing/tests/suite/reachability.rs
@@ -77,3 +77,14 @@
     };
     assert_eq!(isolated.plan(), ConnectPlan::Neither);
 }
+
+#[test]
+fn end_of_a_cut_is_remembered() {
+    let mut reach = Reachability::default();
+    reach.record_reached(1_000, "a");
+    assert!(!reach.was_cut_off_since(0));
+    reach.record_failed_probe(2_000);
+    assert!(reach.was_cut_off_since(2_500));
+    reach.record_reached(4_000, "a");
+    assert!(reach.was_cut_off_since(3_900) && !reach.was_cut_off_since(4_100));
+}
