Confirm the ends of answers of targets that leave, too

What callers saw: streams without a length that a leaving target was writing when its process ended were passed on as complete, with half of their events missing.

Cause: where only the connection marks the end, the gateway checks that the target still runs, but not for one that leaves, since that may have ended after its answer. It may as well have ended in the middle of it. The relay had the same exemption.

Change: the end counts if the target accepts connections after it, whether it leaves or not.

--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -70,7 +70,7 @@
     let target = cx.target(&request.target).ok_or(TARGET_SILENT)?;
     let stream = connect(cx, &target, &request).await?;
     let state = RelayedPeer {
-        is_running: is_running(cx.clone(), target.clone()),
+        is_running: is_running(target.clone()),
         is_unwanted: until_unwanted(cx.clone(), target),
         may_retire: protocol == RETIRING_PROTOCOL,
     };
@@ -123,11 +123,9 @@
     state.has_reached_within(cx.clock.now(), TRUSTED_MS)
 }
 
-/// True if the end of a target's connection wasn't due to a crash. A target that has left may have
-/// ended after it.
-async fn is_running(cx: Rc<Traffic>, target: Rc<Target>) -> bool {
-    let is_in_use = cx.target(target.incarnation()).is_some();
-    !is_in_use || target.process_state().await == ProcessState::Running
+/// True if the end of a target's connection wasn't due to the end of its process.
+async fn is_running(target: Rc<Target>) -> bool {
+    target.process_state().await == ProcessState::Running
 }
 
 /// Waits until a target isn't in use any more.
--- a/crates/gateway/tests/suite/answer_ends.rs
+++ b/crates/gateway/tests/suite/answer_ends.rs
@@ -5,13 +5,14 @@
 
 use std::time::Duration;
 
+use futures_util::future::join;
 use hollowsail_platform_standins::target::{answer, event, stream_head, unframed};
 use hollowsail_platform_standins::{DeploymentJson, ReceivedRequest, Step, TargetStandin};
 use serde_json::json;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-use crate::fixture::{Answer, Call, Fixture};
+use crate::fixture::{eventually, Answer, Call, Fixture};
 
 /// Pause before a connection closes, so that its last bytes are read first.
 const BEFORE_CLOSE: Duration = Duration::from_millis(20);
@@ -213,6 +214,63 @@
     assert_eq!(got.status, 502, "it may have run");
 }
 
+/// Time in which a target that is leaving goes on with an answer.
+const LEAVING_TIME: Duration = Duration::from_millis(500);
+
+/// Sends a request whose target says that it leaves while it answers, and ends its answer with the
+/// last of `steps`.
+async fn answered_by_a_leaving_target(
+    service: &str,
+    request: &Call,
+    steps: fn(&ReceivedRequest) -> Vec<Step>,
+    end: Step,
+) -> Answer {
+    let script = move |request: &ReceivedRequest| {
+        let mut steps = steps(request);
+        steps.pop();
+        steps.extend([Step::Wait(LEAVING_TIME), end.clone()]);
+        steps
+    };
+    let (fixture, target) = Fixture::serving(&deployment(), service, script).await;
+    let leave = async {
+        eventually("the target answers", || !target.received().is_empty()).await;
+        let store = &fixture.store;
+        store.put_target("i-1", service, target.addr, "hall-a", "draining");
+    };
+    join(fixture.call(request), leave).await.0
+}
+
+fn plain_without_length(request: &ReceivedRequest) -> Vec<Step> {
+    unframed_answer(request, Step::Close)
+}
+
+/// Guards against taking the end of a leaving target for the end of its answer.
+#[actix_rt::test]
+async fn unframed_stream_cut_by_the_end_of_a_leaving_engine_is_not_complete() {
+    let request = generation("/once/");
+    let got = answered_by_a_leaving_target("engines", &request, crashing_stream, Step::Crash).await;
+    assert_eq!((got.status, got.is_whole), (200, false));
+    assert_eq!(got.body, events(1..=2));
+}
+
+/// The same for an answer that isn't a stream.
+#[actix_rt::test]
+async fn unframed_answer_cut_by_the_end_of_a_leaving_target_is_not_complete() {
+    let request = Call::new("POST", "/plain/x");
+    let steps = plain_without_length;
+    let got = answered_by_a_leaving_target("plain", &request, steps, Step::Crash).await;
+    assert_eq!(got.status, 502, "it may have run");
+}
+
+#[actix_rt::test]
+async fn unframed_answer_of_a_leaving_target_that_runs_is_complete() {
+    let request = Call::new("POST", "/plain/x");
+    let steps = plain_without_length;
+    let got = answered_by_a_leaving_target("plain", &request, steps, Step::Close).await;
+    assert_eq!((got.status, got.is_whole), (200, true));
+    assert_eq!(got.body, "the body");
+}
+
 /// Requests an interrupted stream over HTTP/1.0 and reads to the end of the connection.
 async fn read_interrupted_stream_as_http_1_0() -> std::io::Result<usize> {
     let script = |request: &ReceivedRequest| unframed_stream(request, &event(1)[..8]);
--- a/crates/gateway/tests/suite/cut_off.rs
+++ b/crates/gateway/tests/suite/cut_off.rs
@@ -164,6 +164,13 @@
         }
     }
 
+    /// Refuses new connections to the last target: links would accept them when it is gone.
+    fn close_links_to_last_target(&self) {
+        let target = self.targets.last().expect("the target").addr;
+        let hosts = self.hosts.iter();
+        hosts.for_each(|host| host.links.close_target(target));
+    }
+
     /// Requests received for any `X-Request-Id` more than once, on routes that allow one run.
     fn repeated(&self) -> Vec<String> {
         let received = self.targets.iter().flat_map(TargetStandin::received);
@@ -485,10 +492,7 @@
 async fn answer_is_not_complete_when_its_target_crashes_behind_a_relay() {
     let lose_target = async |fleet: &mut Fleet| {
         fleet.hosts[0].links.set_mode(LinkMode::Silent);
-        // The other links would still accept connections when their target is gone.
-        let target = fleet.targets.last().expect("the target").addr;
-        let hosts = fleet.hosts.iter();
-        hosts.for_each(|host| host.links.close_target(target));
+        fleet.close_links_to_last_target();
     };
     let (answer, runs) = relayed_once_by(slow_and_crashing, lose_target).await;
     assert_eq!((answer.status, runs), (502, 1), "{answer:?}");
@@ -603,15 +607,27 @@
     assert!(failed.is_empty(), "{failed:?}");
 }
 
+async fn leave(fleet: &mut Fleet) {
+    let target = fleet.targets.last().expect("the target").addr;
+    let store = &fleet.store;
+    store.put_target("i-plain", "plain", target, "hall-a", "draining");
+}
+
 /// Guards against cutting answers under way when a relay hears that their target leaves.
 #[actix_rt::test]
 async fn relayed_answer_ends_well_while_its_target_leaves() {
-    let leave = async |fleet: &mut Fleet| {
-        let target = fleet.targets.last().expect("the target").addr;
-        let store = &fleet.store;
-        store.put_target("i-plain", "plain", target, "hall-a", "draining");
-    };
     let (answer, runs) = relayed_once(leave).await;
     assert_eq!((answer.status, runs), (200, 1), "{answer:?}");
     assert_eq!((answer.is_whole, answer.body.as_str()), (true, "the body"));
 }
+
+/// Guards against a relay that takes the end of a leaving target for the end of its answer.
+#[actix_rt::test]
+async fn relayed_answer_cut_by_the_end_of_a_leaving_target_is_not_complete() {
+    let leave_and_end = async |fleet: &mut Fleet| {
+        leave(fleet).await;
+        fleet.close_links_to_last_target();
+    };
+    let (answer, runs) = relayed_once_by(slow_and_crashing, leave_and_end).await;
+    assert_eq!((answer.status, runs), (502, 1), "{answer:?}");
+}
