--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -9,3 +9,4 @@
 mod mixed_rollouts;
 mod output;
 mod process;
+mod restarts_in_outages;
