Let hosts without a configuration own nothing, and learn from peers that talk to them

What callers saw: while the store was silent and one host had restarted, up to all requests with stages at healthy hosts were refused within milliseconds, stage_failed; the restarted host served nobody until the store was back.

Cause: a process that has just started is live as soon as peers hear from it, and owns queues by its name. Without a configuration it answered that the service doesn't exist, which ended the piece. It asked only peers of its list and seeds for what it lacked, and had neither.

Change: a host without a configuration sets the flag of hosts that lag, so that its keys go to the next owner, and sends pieces back unsent. A process without a list of peers asks those that talk to it.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -60,7 +60,7 @@
 use crate::list_proofs::ProofReceiver;
 use crate::list_states::ListStates;
 use crate::log::Log;
-use crate::peers::PeerRecord;
+use crate::peers::{HeardPeers, PeerRecord};
 use crate::repeats::SharedShare;
 use crate::rollouts::{Orders, PhaseReceiver, PhaseRecords};
 use crate::traffic::FromControl;
@@ -105,6 +105,7 @@
     settings: Arc<ArcSwap<Settings>>,
     followers: Followers,
     seeds: Vec<SocketAddr>,
+    heard_peers: Arc<HeardPeers>,
     /// This entry's record.
     me: PeerRecord,
     peers: RefCell<TargetRegistry<PeerRecord>>,
@@ -136,6 +137,7 @@
             published,
             feeds,
             repeat_share,
+            heard_peers,
         } = shared;
         Rc::new(Control {
             store: Store::new(&settings.store),
@@ -161,6 +163,7 @@
             settings: reloaded,
             followers: Followers::default(),
             seeds: settings.seeds.clone(),
+            heard_peers,
             me,
             peers: RefCell::new(TargetRegistry::new(epoch::entry_timing())),
             refused: RefCell::default(),
--- a/crates/gateway/src/control/peer_state.rs
+++ b/crates/gateway/src/control/peer_state.rs
@@ -57,13 +57,14 @@
     }
 }
 
-/// Chooses random peers, or seeds if no peer is known.
+/// Chooses random peers, or of the seeds and those that talk to this entry if no peer is known.
 pub(super) fn choose_peers(cx: &Control) -> Vec<SocketAddr> {
     let peers = cx.peers.borrow();
     let known = peers.usable().filter(|peer| peer.id != cx.me.id);
     let mut addrs: Vec<SocketAddr> = known.map(|peer| peer.addr).collect();
     if addrs.is_empty() {
         addrs.clone_from(&cx.seeds);
+        addrs.extend(cx.heard_peers.addrs());
     }
     addrs.retain(|addr| *addr != cx.me.addr);
     addrs
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -351,7 +351,7 @@
         let envelope = Envelope {
             from: cx.me.clone(),
             to: self.peer.id,
-            is_lagging: cx.lag.get().is_lagging(),
+            is_lagging: cx.declines_ownership(),
             messages,
         };
         let result = match tokio::time::timeout(DELIVERY_TIMEOUT, self.post(&envelope)).await {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -175,6 +175,9 @@
 
 async fn handle_envelope(cx: &Rc<Traffic>, req: Request<Incoming>) -> Result<Bytes, Rejection> {
     let envelope: Envelope = read(cx, req).await?;
+    if !cx.peers.is_listed() {
+        cx.heard_peers.record(envelope.from.addr);
+    }
     cx.peers.observed(cx, &envelope.from);
     cx.peers
         .set_lagging(cx, envelope.from.id, envelope.is_lagging);
--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -43,7 +43,7 @@
     pub from: PeerRecord,
     /// The run that is addressed; any other run at the address rejects the envelope.
     pub to: PeerId,
-    /// The sender's event loop lags, so it should own no keys for now.
+    /// The sender's event loop lags, or it has no configuration, so it should own no keys for now.
     #[serde(rename = "is_slow")]
     pub is_lagging: bool,
     pub messages: Vec<Message>,
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -7,6 +7,7 @@
 //! do not respond are skipped.
 
 mod dropped_pieces;
+mod heard;
 mod link;
 mod listen;
 mod messages;
@@ -32,6 +33,7 @@
 use crate::target_reports;
 use crate::traffic::Traffic;
 
+pub use heard::HeardPeers;
 pub use link::{Link, LinkLost, RemoteOutcome};
 pub use listen::{read, start};
 pub use messages::{
@@ -72,7 +74,7 @@
     Peer(Rc<Link>),
 }
 
-/// How long a peer that reported itself as lagging owns nothing, in milliseconds.
+/// How long a peer that declines ownership owns nothing, in milliseconds.
 const LAGGING_MS: Millis = 3_000;
 
 /// A peer that did not respond.
@@ -123,7 +125,7 @@
     suspects: RefCell<HashMap<PeerId, Suspicion>>,
     /// Pieces that peers may have sent, and don't send for this entry any more.
     lost_sends: LostSends,
-    /// Peers that reported themselves as lagging, and until when that applies.
+    /// Peers that lag or have no configuration, by their own report, and until when that applies.
     lagging: RefCell<HashMap<PeerId, Millis>>,
     /// When the first list of entries was received.
     first_listed: Cell<Option<Millis>>,
@@ -345,7 +347,7 @@
             .collect();
         let lagging = self.lagging.borrow();
         let is_lagging = |peer: &PeerRecord| match peer.id == cx.me.id {
-            true => cx.lag.get().is_lagging(),
+            true => cx.declines_ownership(),
             false => lagging.get(&peer.id).is_some_and(|until| *until > now),
         };
         let candidates = usable.iter().map(|peer| Candidate {
@@ -377,7 +379,7 @@
         others.map(|peer| self.link_to(cx, peer)).collect()
     }
 
-    /// Records a peer's report on whether its event loop lags.
+    /// Records a peer's report on whether it lags, or has no configuration.
     pub fn set_lagging(&self, cx: &Rc<Traffic>, peer: PeerId, is_lagging: bool) {
         let mut lagging = self.lagging.borrow_mut();
         let was_lagging = match is_lagging {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -281,15 +281,16 @@
         Some(batcher)
     }
 
-    /// Accepts a piece from a peer. Sends it back if this entry is lagging and another one owns
-    /// the queue.
+    /// Accepts a piece from a peer. Sends it back if this entry has no configuration, or is lagging
+    /// and another one owns the queue.
     pub fn accept_piece(&self, cx: &Rc<Traffic>, from: &PeerRecord, request: ProducePieceRequest) {
         if self.dropped.contains(from.id, request.id) {
             // The peer has asked about it before this message arrived, and has it sent by others.
             return;
         }
         let link = cx.peers.link_to(cx, from);
-        if cx.lag.get().is_lagging() && matches!(owner_of(cx, &request.queue), Owner::Peer(_)) {
+        let has_owner = || matches!(owner_of(cx, &request.queue), Owner::Peer(_));
+        if cx.deployment().is_none() || (cx.lag.get().is_lagging() && has_owner()) {
             link.send(Message::PieceEnded(request.id, peers::PieceOutcome::Moved));
             return;
         }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -28,7 +28,7 @@
 use crate::list_proofs::ListProofs;
 use crate::log::Log;
 use crate::mechanisms::{Mechanism, Mechanisms};
-use crate::peers::{PeerId, PeerRecord, Peers};
+use crate::peers::{HeardPeers, PeerId, PeerRecord, Peers};
 use crate::placement::Placements;
 use crate::pools::Pools;
 use crate::reach::{self, Reach};
@@ -82,6 +82,8 @@
     pub published: Arc<Published>,
     pub feeds: Arc<Feeds>,
     pub repeat_share: SharedShare,
+    /// Peers that the control thread asks when it knows no others.
+    pub heard_peers: Arc<HeardPeers>,
 }
 
 /// Channels to the control thread.
@@ -106,6 +108,7 @@
     targets: RefCell<TargetTable>,
     pub reach: Reach,
     pub peers: Peers,
+    pub heard_peers: Arc<HeardPeers>,
     pub pools: Pools,
     pub placements: Placements,
     pub crashes: Crashes,
@@ -165,6 +168,7 @@
             published,
             feeds,
             repeat_share,
+            heard_peers,
         }: FromControl,
         ToControl { proofs, phases }: ToControl,
         crashes: Crashes,
@@ -179,6 +183,7 @@
                 me,
                 mechanisms,
                 peers: Peers::default(),
+                heard_peers,
                 pools: Pools::default(),
                 placements: Placements::default(),
                 crashes,
@@ -397,6 +402,11 @@
         self.view.borrow().deployment.clone()
     }
 
+    /// True while this entry should own no keys: its event loop lags, or it has no configuration.
+    pub fn declines_ownership(&self) -> bool {
+        self.lag.get().is_lagging() || self.deployment_in_use().is_none()
+    }
+
     /// True when new connections are accepted.
     pub fn is_ready(self: &Rc<Self>) -> bool {
         let serves = self.stopping.get() == Stopping::No && !self.reach.is_isolated(self);
