Pass on until when missing records aren't final

Cause: a follower marks what it passes on as not final for 2.3 s after its outage, without saying how much of that is left, and each receiver began the time anew.

Change: the response says how long it still holds, in a header that older builds ignore. An older follower's mark counts for the full time, as before.

--- a/crates/gateway/src/control/settle.rs
+++ b/crates/gateway/src/control/settle.rs
@@ -20,18 +20,22 @@
     ) -> bool {
         match origin {
             Origin::Store => registry.borrow().is_unsettled(self.clock.now()),
-            Origin::Follower { is_unsettled } => is_unsettled,
+            Origin::Follower { unsettled_until } => unsettled_until.is_some(),
         }
     }
 
     /// Marks both registries if a store follower lost the store until recently. This entry
     /// may not have noticed, as it calls the store only now and then.
     pub(super) fn note_follower_outage(&self, origin: Origin) {
-        if origin == (Origin::Follower { is_unsettled: true }) {
-            let now = self.clock.now();
-            self.registry.borrow_mut().outage_reported(now);
-            self.peers.borrow_mut().outage_reported(now);
-        }
+        let Origin::Follower {
+            unsettled_until: Some(until),
+        } = origin
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        self.registry.borrow_mut().outage_reported_until(now, until);
+        self.peers.borrow_mut().outage_reported_until(now, until);
     }
 
     /// Removes records that are still missing once the registry has settled; `report_gone`
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -19,8 +19,8 @@
 use hollowsail_platform::store::{Changes, Range, StoreError};
 use hollowsail_routing::Millis;
 
-use super::Control;
-use crate::feed::{FeedRequest, FeedResponse, KeyGroup, FEED_PATH};
+use super::{Control, RECORD_RETURN_MS};
+use crate::feed::{self, FeedRequest, FeedResponse, KeyGroup, FEED_PATH};
 use crate::peer_call::{self, QueryError};
 use crate::peers::PeerRecord;
 
@@ -58,8 +58,8 @@
 pub enum Origin {
     Store,
     Follower {
-        /// The follower lost the store until recently: a deleted record may reappear.
-        is_unsettled: bool,
+        /// The follower lost the store until recently: a deleted record may reappear until then.
+        unsettled_until: Option<Millis>,
     },
 }
 
@@ -119,21 +119,28 @@
             };
             self.feeds.set_followed(keys, false);
             match self.query_follower(&follower, keys, after).await {
-                Ok(FeedResponse::Changed {
-                    changes,
-                    is_unsettled,
-                }) => {
-                    return Ok((
-                        Received::Changes(changes),
-                        Origin::Follower { is_unsettled },
-                    ))
+                Ok((
+                    FeedResponse::Changed {
+                        changes,
+                        is_unsettled,
+                    },
+                    unsettled_for,
+                )) => {
+                    let origin = self.follower_origin(is_unsettled, unsettled_for);
+                    return Ok((Received::Changes(changes), origin));
                 }
-                Ok(FeedResponse::List {
-                    range,
-                    is_unsettled,
-                }) => return Ok((Received::List(range), Origin::Follower { is_unsettled })),
-                Ok(FeedResponse::NothingNew) => self.confirm_list(keys, after),
-                Ok(FeedResponse::Unknown) => {
+                Ok((
+                    FeedResponse::List {
+                        range,
+                        is_unsettled,
+                    },
+                    unsettled_for,
+                )) => {
+                    let origin = self.follower_origin(is_unsettled, unsettled_for);
+                    return Ok((Received::List(range), origin));
+                }
+                Ok((FeedResponse::NothingNew, _)) => self.confirm_list(keys, after),
+                Ok((FeedResponse::Unknown, _)) => {
                     self.is_list_long
                         .set(keys == KeyGroup::Targets || self.is_list_long.get());
                     if keys == KeyGroup::Targets && self.may_query_hall() {
@@ -141,7 +148,7 @@
                     }
                     return self.watch_store(prefix, after, STARTUP_WATCH_WAIT).await;
                 }
-                Ok(FeedResponse::NotFollowing) => {
+                Ok((FeedResponse::NotFollowing, _)) => {
                     self.skip(
                         &follower,
                         NOT_FOLLOWING_SKIP_MS,
@@ -234,12 +241,23 @@
         self.log.line(events::MEMBER, fields);
     }
 
+    /// The origin of a follower's response. An older build doesn't say how long it is unsettled.
+    fn follower_origin(&self, is_unsettled: bool, unsettled_for: Option<Duration>) -> Origin {
+        let longest = Duration::from_millis(RECORD_RETURN_MS);
+        let unsettled_for = unsettled_for.unwrap_or(longest).min(longest);
+        let until = self.clock.now() + unsettled_for.as_millis() as Millis;
+        Origin::Follower {
+            unsettled_until: is_unsettled.then_some(until),
+        }
+    }
+
+    /// Queries a follower; also returns for how long missing records aren't final there.
     async fn query_follower(
         &self,
         follower: &PeerRecord,
         keys: KeyGroup,
         after: Position,
-    ) -> Result<FeedResponse, QueryError> {
+    ) -> Result<(FeedResponse, Option<Duration>), QueryError> {
         let wait = match keys {
             KeyGroup::Operators | KeyGroup::Targets => FEED_WAIT,
             KeyGroup::Entries => ENTRIES_FEED_WAIT,
@@ -250,7 +268,9 @@
             wait_ms: wait.as_millis() as u64,
         };
         let pool = self.pool_of(follower.addr);
-        peer_call::query(&pool, FEED_PATH, &request, wait + ANSWER_SLACK).await
+        let timeout = wait + ANSWER_SLACK;
+        let answered = peer_call::query_with_headers(&pool, FEED_PATH, &request, timeout).await;
+        answered.map(|(response, headers)| (response, feed::unsettled_for(&headers)))
     }
 
     pub(super) fn pool_of(&self, addr: SocketAddr) -> Rc<Pool> {
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -11,6 +11,7 @@
 
 use hollowsail_fleet::{ChangesSince, Position, WatchLog};
 use hollowsail_platform::store::{Change, Changes, Item, Range};
+use http::{HeaderMap, HeaderName};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
@@ -67,6 +68,22 @@
     pub wait_ms: u64,
 }
 
+/// Time until records that are missing at the sender are final, in milliseconds. A header, since
+/// older builds decode messages of a fixed length only.
+static UNSETTLED_MS: HeaderName = HeaderName::from_static("hollowsail-unsettled-ms");
+
+/// Says for how long missing records aren't final.
+pub fn set_unsettled_for(headers: &mut HeaderMap, unsettled_for: Duration) {
+    let ms = u64::try_from(unsettled_for.as_millis()).unwrap_or(u64::MAX);
+    headers.insert(UNSETTLED_MS.clone(), ms.into());
+}
+
+/// For how long missing records aren't final at the sender, if it says so.
+pub fn unsettled_for(headers: &HeaderMap) -> Option<Duration> {
+    let ms = headers.get(&UNSETTLED_MS)?.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 /// Response to a [`FeedRequest`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum FeedResponse {
@@ -235,6 +252,14 @@
         followed.any(|is_followed| is_followed)
     }
 
+    /// Time until records that are missing after an outage are final; zero if they are now.
+    pub fn unsettled_for(&self) -> Duration {
+        let until = self.store().unsettled_until;
+        until.map_or(Duration::ZERO, |until| {
+            until.saturating_duration_since(Instant::now())
+        })
+    }
+
     /// Answers a peer as soon as there are changes, or after its waiting time.
     pub async fn answer(&self, request: &FeedRequest) -> FeedResponse {
         let until = Instant::now() + Duration::from_millis(request.wait_ms);
--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -6,7 +6,8 @@
 
 use bytes::Bytes;
 use hollowsail_connect::{CompleteAnswer, Dialer, Pool, PoolRules};
-use http::{Request, StatusCode};
+use http::response::Parts;
+use http::{HeaderMap, Request, StatusCode};
 use http_body_util::Full;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
@@ -69,6 +70,17 @@
     payload: &impl Serialize,
     timeout: Duration,
 ) -> Result<A, QueryError> {
+    let answered = query_with_headers(pool, path, payload, timeout).await;
+    answered.map(|(answer, _)| answer)
+}
+
+/// The same with the headers of the response.
+pub async fn query_with_headers<A: DeserializeOwned>(
+    pool: &Rc<Pool>,
+    path: &str,
+    payload: &impl Serialize,
+    timeout: Duration,
+) -> Result<(A, HeaderMap), QueryError> {
     let req = request(path, payload);
     tokio::time::timeout(timeout, pool.call(req, MAX_RESPONSE_BYTES))
         .await
@@ -77,12 +89,15 @@
         .and_then(decode)
 }
 
-fn decode<A: DeserializeOwned>(response: CompleteAnswer) -> Result<A, QueryError> {
+fn decode<A: DeserializeOwned>(response: CompleteAnswer) -> Result<(A, HeaderMap), QueryError> {
     let whole = response
         .body
         .map_err(|source| QueryError::Truncated { source })?;
-    let status = response.head.status;
+    let Parts {
+        status, headers, ..
+    } = response.head;
     let body = whole.filter(|_| status == StatusCode::OK);
     let body = body.ok_or(QueryError::Status { status })?;
-    rmp_serde::from_slice(&body).map_err(|source| QueryError::Malformed { source })
+    let answer = rmp_serde::from_slice(&body).map_err(|source| QueryError::Malformed { source })?;
+    Ok((answer, headers))
 }
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -31,7 +31,7 @@
 use crate::callers::admission::{self, RoomRequest, ROOM_PATH};
 use crate::callers::listen::accept_each;
 use crate::crashes::{PartCall, PARTS_PATH};
-use crate::feed::{FeedRequest, FEED_PATH};
+use crate::feed::{self, FeedRequest, FEED_PATH};
 use crate::mechanisms::Mechanism;
 use crate::reach::{self, RELAY_PATH};
 use crate::reservations::{self, ReservationCall, RESERVATIONS_PATH};
@@ -105,6 +105,10 @@
     };
     let mut response = Response::new(Full::new(body));
     *response.status_mut() = status;
+    if path == FEED_PATH {
+        let unsettled_for = cx.feeds.unsettled_for();
+        feed::set_unsettled_for(response.headers_mut(), unsettled_for);
+    }
     response
 }
 
--- a/crates/gateway/tests/suite/store_followers.rs
+++ b/crates/gateway/tests/suite/store_followers.rs
@@ -226,3 +226,30 @@
         }
     }
 }
+
+/// Guards against hosts that keep a target longer than the follower from which they hear that it went.
+#[actix_rt::test]
+async fn target_that_goes_after_an_outage_goes_at_all_hosts_when_it_goes_at_followers() {
+    let hall = Hall::start().await;
+    let next = TargetStandin::start(|request| vec![Step::Write(answer(request, 200, "two"))]).await;
+    hall.store
+        .put_target("i-2", "plain", next.addr, "hall-a", "ready");
+    let followers = hall.followers();
+    let set_mode = |mode| {
+        let endpoints = followers.iter().map(|index| &hall.endpoints[*index]);
+        endpoints.for_each(|endpoint| endpoint.set_mode(mode));
+    };
+    set_mode(StoreMode::Refusing);
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    set_mode(StoreMode::Up);
+    // The others follow again, and records that are missing at followers aren't final yet.
+    tokio::time::sleep(Duration::from_millis(1_900)).await;
+    hall.store.delete("servers/i-1");
+    tokio::time::sleep(Duration::from_millis(1_600)).await;
+    for (gateway, name) in hall.gateways.iter().zip(&hall.names) {
+        for _ in 0..4 {
+            let got = Call::new("GET", "/v1/").send(gateway.addrs.callers).await;
+            assert_eq!(got.body, "two", "{name} uses the target that is gone");
+        }
+    }
+}
