Don't count calls over lost links as slow

Cause: a call that is overdue marks its worker as slow. Where the host's links were lost that says nothing of the worker, but it then got two pieces each 800 ms, and such small calls, which take a little longer through a peer, kept it slow.

Change: a call that ends since links were lost gives its worker the slowness back that it had before, and counts neither as a failure of the worker nor of its pieces.

Evidence: overdue_call_over_a_lost_link_leaves_no_trace_at_its_worker fails without the change.

--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -109,9 +109,10 @@
         Ok(_) if sent_pieces.is_empty() => CallEnd::Refused,
         Ok(_) => CallEnd::Answered,
         Err(CallError::Refused { .. } | CallError::TargetLeft { .. }) => CallEnd::Refused,
+        Err(CallError::LinkLost { .. }) => CallEnd::LinkLost,
         Err(_) => CallEnd::Failed,
     };
-    if end == CallEnd::Failed {
+    if matches!(end, CallEnd::Failed | CallEnd::LinkLost) {
         batcher.retain_unanswered(&started);
     }
     if result.as_ref().is_err_and(CallError::is_cut_off) {
--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -21,6 +21,8 @@
     pub usual_ms: f64,
     /// Its pieces were queued again for other workers.
     pub overdue: bool,
+    /// Slowness of its worker when it started.
+    pub slowness_before: f64,
 }
 
 impl Call {
@@ -86,6 +88,7 @@
             expected_ms: usual_ms * self.known_slowness(worker, now),
             usual_ms,
             overdue: false,
+            slowness_before: self.workers[worker].slowness,
         });
         StartedCall {
             call,
--- a/crates/stages/src/batch/types.rs
+++ b/crates/stages/src/batch/types.rs
@@ -116,4 +116,6 @@
     Refused,
     /// No answer was received.
     Failed,
+    /// No answer can be received for a reason that isn't the worker's.
+    LinkLost,
 }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -331,6 +331,12 @@
                 worker.backoff_until = now + (FAILURE_BACKOFF_MS << doublings);
                 worker.failures += 1;
             }
+            CallEnd::LinkLost => {
+                if call.overdue {
+                    worker.slowness = call.slowness_before;
+                }
+                worker.backoff_until = now + REFUSED_BACKOFF_MS;
+            }
         }
         if worker.draining && worker.calls == 0 {
             self.workers.remove(call.worker);
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -378,6 +378,23 @@
     assert!(queue.end_call(slow.call, CallEnd::Answered, 900).is_empty());
 }
 
+/// Guards against workers that are slow to their queue because the host's links were lost.
+#[test]
+fn overdue_call_over_a_lost_link_leaves_no_trace_at_its_worker() {
+    let mut queue = BatchQueue::new(rules());
+    queue.add_worker(HERE);
+    push(&mut queue, order(1), 1);
+    let call = queue.next_call(0).expect("the worker is free");
+    assert_eq!(queue.take_overdue(400, |_| true), [call.worker]);
+    queue.end_call(call.call, CallEnd::LinkLost, 600);
+    push(&mut queue, order(2), 1);
+    let call = queue.next_call(650).expect("the worker is free");
+    // A little longer than usual, as through a peer.
+    finish(&mut queue, &call, 650 + 2 * 110);
+    push(&mut queue, order(3), 1);
+    assert!(queue.next_call(880).is_some(), "the worker isn't slow");
+}
+
 #[test]
 fn slow_worker_is_probed_at_intervals() {
     let mut queue = BatchQueue::new(rules());
