Take connections, wait for cuts and buffer request bytes in one way each

Calls to stage workers took their connection beside the code of other sends; the start of a cut was kept in a watch channel beside the state that it repeated; and bodies of callers and of peers added what a buffer grows by in two places. Behaviour is the same: 84 tests of cuts, stops, stages, suspended targets, forwarding and two senders pass, and 8 of endless answers and restarts.

--- a/crates/gateway/src/kept_bytes.rs
+++ b/crates/gateway/src/kept_bytes.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 
+use bytes::BytesMut;
 use hollowsail_connect::OnReceived;
 use hollowsail_observe::events;
 use hollowsail_routing::kept_bytes::{AccountKey, ByteBudget, Kept, KeptTotals};
@@ -167,6 +168,13 @@
         let mut budget = self.kept.budget.borrow_mut();
         budget.try_add(self.key, bytes as u64)
     }
+
+    /// Appends bytes to a buffer, and adds what the buffer has grown by. False if there is no room.
+    pub fn try_extend(&self, buf: &mut BytesMut, bytes: &[u8]) -> bool {
+        let before = buf.capacity();
+        buf.extend_from_slice(bytes);
+        self.try_add(buf.capacity() - before)
+    }
 }
 
 impl Drop for RequestAccount {
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -156,9 +156,7 @@
             StatusCode::BAD_REQUEST
         })?;
         if let Ok(data) = frame.into_data() {
-            let before = bytes.capacity();
-            bytes.extend_from_slice(&data);
-            if !account.try_add(bytes.capacity() - before) {
+            if !account.try_extend(&mut bytes, &data) {
                 log::warn!("no room for a peer's message: this host keeps too many bytes");
                 return Err(StatusCode::SERVICE_UNAVAILABLE);
             }
--- a/crates/gateway/src/reach/mod.rs
+++ b/crates/gateway/src/reach/mod.rs
@@ -24,7 +24,7 @@
 use hollowsail_platform::targets::{Incarnation, TargetRecord};
 use hollowsail_routing::{Millis, Reachability};
 use hollowsail_targets::TargetTable;
-use tokio::sync::watch;
+use tokio::sync::Notify;
 
 use crate::metrics;
 use crate::peers::PeerId;
@@ -46,8 +46,8 @@
 #[derive(Default)]
 pub struct Reach {
     state: RefCell<Reachability<SocketAddr>>,
-    /// True while the host is cut off from all targets, for those that wait for it.
-    cut_off: watch::Sender<bool>,
+    /// Notified when the host is cut off from all targets.
+    cut_off_began: Notify,
     /// Observes the direct connections to all targets.
     liveness: Rc<Liveness>,
     /// When relays last failed to reach a target.
@@ -142,9 +142,9 @@
 
     /// Waits until this host reaches no target.
     pub async fn wait_cut_off(&self) {
-        let mut cut_off = self.cut_off.subscribe();
-        // Fails only once the sender, which lives as long as this host, is gone.
-        let _ = cut_off.wait_for(|is_cut_off| *is_cut_off).await;
+        while !self.is_cut_off() {
+            self.cut_off_began.notified().await;
+        }
     }
 
     /// True if a link of this host may hold what was sent directly at `sent_at` and has no answer.
@@ -206,7 +206,7 @@
         for target in cx.targets().all() {
             target.stall.borrow_mut().record_links_lost();
         }
-        self.cut_off.send_replace(true);
+        self.cut_off_began.notify_waiters();
     }
 
     fn record_reached(&self, cx: &Traffic, addr: SocketAddr) {
@@ -214,7 +214,6 @@
         let Some(cut_off_ms) = cut_off_ms else {
             return;
         };
-        self.cut_off.send_replace(false);
         metrics::set_cut_off(false);
         let fields = format_args!("target_addr={addr} cut_off_ms={cut_off_ms}");
         cx.log.line(events::TARGETS_REACHABLE, fields);
--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -428,9 +428,7 @@
                 if bytes.len() + data.len() > max_bytes {
                     return Err(too_large());
                 }
-                let before = bytes.capacity();
-                bytes.extend_from_slice(&data);
-                if !account.try_add(bytes.capacity() - before) {
+                if !account.try_extend(&mut bytes, &data) {
                     return Err(no_room());
                 }
             }
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -160,15 +160,9 @@
     may_send: impl Fn() -> bool,
 ) -> Result<Answer, Unanswered> {
     let is_valid = |permits: &SendPermits| permits.are_valid(cx.clock.now());
-    let connection = match connection {
-        Some(connection) => connection,
-        None => match target.pool.connect(reuse, None).await {
-            Ok(connection) => connection,
-            Err(error) => {
-                let permits = Some(permits);
-                return Err(Unanswered { error, permits });
-            }
-        },
+    let (connection, permits) = match connection {
+        Some(connection) => (connection, permits),
+        None => connect(target, reuse, permits).await?,
     };
     let is_wanted = || cx.is_in_use(target) && is_valid(&permits) && may_send();
     let sending = Sending::begin(cx, target, &permits, connection.is_relayed());
@@ -191,6 +185,21 @@
     }
 }
 
+/// Takes a connection for new work; gives the permits back with it, or in the error.
+async fn connect(
+    target: &Target,
+    reuse: Reuse,
+    permits: SendPermits,
+) -> Result<(Connection, SendPermits), Unanswered> {
+    match target.pool.connect(reuse, None).await {
+        Ok(connection) => Ok((connection, permits)),
+        Err(error) => Err(Unanswered {
+            error,
+            permits: Some(permits),
+        }),
+    }
+}
+
 async fn send_if(
     cx: &Rc<Traffic>,
     target: &Target,
@@ -239,13 +248,7 @@
     max_bytes: usize,
     permits: SendPermits,
 ) -> Result<CompleteAnswer, Unanswered> {
-    let connection = match target.pool.connect(Reuse::Any, None).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            let permits = Some(permits);
-            return Err(Unanswered { error, permits });
-        }
-    };
+    let (connection, permits) = connect(target, Reuse::Any, permits).await?;
     let is_direct = !connection.is_relayed();
     let answered = async {
         let connection = Some(connection);
