Start the stage site of three tests of repeats in one fixture

The tests of two senders, suspended targets and joining hosts each had the same store, route, workers, settings and request of four pieces.

--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -5,7 +5,8 @@
 
 use hollowsail_gateway::{start, Mechanisms, Running};
 use hollowsail_platform::settings::Settings;
-use hollowsail_platform_standins::target::{chunk, event, last_chunk, stream_head};
+use hollowsail_platform_emulator::RepeatAllowance;
+use hollowsail_platform_standins::target::{chunk, event, last_chunk, results, stream_head};
 use hollowsail_platform_standins::{
     DeploymentJson, ReceivedRequest, Step, StoreStandin, TargetStandin,
 };
@@ -42,6 +43,66 @@
     Settings::parse(&text).expect("the settings are valid")
 }
 
+/// The same with the repeats that are allowed.
+pub fn settings_allowing(allowance: &RepeatAllowance, host: &str, store: SocketAddr) -> Settings {
+    let mut settings = settings(host, "hall-a", store);
+    settings.bounds.retry_ratio = allowance.ratio;
+    settings.bounds.retry_extra = allowance.extra;
+    settings.bounds.retry_window_s = allowance.window.as_secs_f64();
+    settings
+}
+
+/// A store with a route whose requests have pieces of a stage service, its workers, and an engine.
+pub struct StageSite {
+    pub store: StoreStandin,
+    pub workers: Vec<TargetStandin>,
+    _engine: TargetStandin,
+}
+
+impl StageSite {
+    /// Starts workers that take `work` for each call of up to `batch` pieces.
+    pub async fn start(workers: usize, batch: u32, work: Duration, timeout_ms: u64) -> Self {
+        let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
+        let route =
+            json!({ "stages": stages, "target_latency_ms": 1500, "timeout_ms": timeout_ms });
+        let deployment = DeploymentJson::new(1)
+            .engines("engines")
+            .stage_service("encoders", batch, 20.0, 10.0)
+            .route("/staged/", "stream", "engines", route);
+        let store = StoreStandin::start().await;
+        store.put("op/config", &deployment.bytes());
+        let engine = TargetStandin::start(single_event_stream).await;
+        store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
+        let mut started = Vec::new();
+        for number in 0..workers {
+            let worker = TargetStandin::start(move |request| {
+                vec![Step::Wait(work), Step::Write(results(request, "producer"))]
+            })
+            .await;
+            let id = format!("i-{number}");
+            store.put_target(&id, "encoders", worker.addr, "hall-a", "ready");
+            started.push(worker);
+        }
+        StageSite {
+            store,
+            workers: started,
+            _engine: engine,
+        }
+    }
+}
+
+/// A request of four pieces on the route of a [`StageSite`].
+pub fn staged_call(id: &str, deadline_ms: u64) -> Call {
+    Call::new("POST", "/staged/")
+        .with("X-Request-Id", id)
+        .with("X-Token-Counts", "100,10")
+        .with("X-Prompt-Prefix", "aa:60,bb:40")
+        .with("X-Deadline-Ms", &deadline_ms.to_string())
+        .with("X-Pieces", "4")
+        .with("X-Piece-Key", "the-key")
+        .body("prompt")
+}
+
 /// A configuration with one route for safe requests to one plain service.
 pub fn plain_deployment(version: u64, prefix: &str) -> DeploymentJson {
     DeploymentJson::new(version)
--- a/crates/gateway/tests/suite/joining_hosts.rs
+++ b/crates/gateway/tests/suite/joining_hosts.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::json;
 
-use crate::fixture::{self, gateway_at, piece_arrivals, Call};
+use crate::fixture::{gateway_at, piece_arrivals, settings_allowing, staged_call, Call};
 
 const ALLOWANCE: RepeatAllowance = RepeatAllowance {
     ratio: 0.2,
@@ -26,11 +26,7 @@
 const TARGETS: usize = 6;
 
 fn settings(store: &StoreStandin, host: &str) -> Settings {
-    let mut settings = fixture::settings(host, "hall-a", store.addr);
-    settings.bounds.retry_ratio = ALLOWANCE.ratio;
-    settings.bounds.retry_extra = ALLOWANCE.extra;
-    settings.bounds.retry_window_s = ALLOWANCE.window.as_secs_f64();
-    settings
+    settings_allowing(&ALLOWANCE, host, store.addr)
 }
 
 fn deployment() -> DeploymentJson {
@@ -134,14 +130,7 @@
 /// Sends requests of four pieces each that fail at every worker.
 async fn send_staged(callers: SocketAddr, host: usize, count: usize) {
     let calls = (0..count).map(|number| async move {
-        let call = Call::new("POST", "/staged/")
-            .with("X-Request-Id", &format!("{host:08x}{number:08x}"))
-            .with("X-Token-Counts", "100,10")
-            .with("X-Prompt-Prefix", "aa:60,bb:40")
-            .with("X-Deadline-Ms", "10000")
-            .with("X-Pieces", "4")
-            .with("X-Piece-Key", "the-key")
-            .body("prompt");
+        let call = staged_call(&format!("{host:08x}{number:08x}"), 10_000);
         call.send(callers).await
     });
     join_all(calls).await;
--- a/crates/gateway/tests/suite/suspended_targets.rs
+++ b/crates/gateway/tests/suite/suspended_targets.rs
@@ -7,11 +7,10 @@
 use futures_util::future::join_all;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform_emulator::RepeatAllowance;
-use hollowsail_platform_standins::target::results;
-use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
+use hollowsail_platform_standins::{DeploymentJson, StoreStandin, TargetStandin};
 use serde_json::json;
 
-use crate::fixture::{self, gateway_at, piece_arrivals, single_event_stream, Call};
+use crate::fixture::{gateway_at, piece_arrivals, settings_allowing, staged_call, Call, StageSite};
 
 const TARGETS: usize = 6;
 /// Time between two requests.
@@ -23,11 +22,7 @@
 };
 
 fn settings(store: &StoreStandin) -> Settings {
-    let mut settings = fixture::settings("host-1", "hall-a", store.addr);
-    settings.bounds.retry_ratio = ALLOWANCE.ratio;
-    settings.bounds.retry_extra = ALLOWANCE.extra;
-    settings.bounds.retry_window_s = ALLOWANCE.window.as_secs_f64();
-    settings
+    settings_allowing(&ALLOWANCE, "host-1", store.addr)
 }
 
 /// When work arrived that was not the first arrival of it, since `start`.
@@ -159,30 +154,9 @@
 
 /// Sends requests with four pieces each while two of four stage workers stand still for 9 s.
 async fn play_stages() -> Played {
-    let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
-    let route = json!({ "stages": stages, "target_latency_ms": 1500, "timeout_ms": 6000 });
-    let deployment = DeploymentJson::new(1)
-        .engines("engines")
-        .stage_service("encoders", 4, 20.0, 10.0)
-        .route("/staged/", "stream", "engines", route);
-    let store = StoreStandin::start().await;
-    store.put("op/config", &deployment.bytes());
-    let engine = TargetStandin::start(single_event_stream).await;
-    store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
-    let mut workers = Vec::new();
-    for number in 0..4 {
-        let worker = TargetStandin::start(|request| {
-            vec![
-                Step::Wait(Duration::from_millis(40)),
-                Step::Write(results(request, "producer")),
-            ]
-        })
-        .await;
-        let id = format!("i-{number}");
-        store.put_target(&id, "encoders", worker.addr, "hall-a", "ready");
-        workers.push(worker);
-    }
-    let gateway = gateway_at(settings(&store)).await;
+    let site = StageSite::start(4, 4, Duration::from_millis(40), 6_000).await;
+    let workers = &site.workers;
+    let gateway = gateway_at(settings(&site.store)).await;
     tokio::time::sleep(Duration::from_millis(2_500)).await;
     let start = Instant::now();
     let suspending = async {
@@ -195,14 +169,7 @@
         let callers = gateway.addrs.callers;
         async move {
             tokio::time::sleep_until((start + PAUSE * 4 * number).into()).await;
-            let call = Call::new("POST", "/staged/")
-                .with("X-Request-Id", &format!("{number:016x}"))
-                .with("X-Token-Counts", "100,10")
-                .with("X-Prompt-Prefix", "aa:60,bb:40")
-                .with("X-Deadline-Ms", "6000")
-                .with("X-Pieces", "4")
-                .with("X-Piece-Key", "the-key")
-                .body("prompt");
+            let call = staged_call(&format!("{number:016x}"), 6_000);
             let sent = Instant::now();
             let is_served = call.send(callers).await.status == 200;
             (is_served, sent.elapsed())
@@ -211,7 +178,7 @@
     let (answers, ()) = futures_util::future::join(sending, suspending).await;
     tokio::time::sleep(Duration::from_millis(500)).await;
     // No route leads to the stage service, so that requests earn no repeats there.
-    let worst = ALLOWANCE.worst_window(&repeats(piece_arrivals(&workers), start), &[]);
+    let worst = ALLOWANCE.worst_window(&repeats(piece_arrivals(workers), start), &[]);
     Played {
         requests: answers.len(),
         served: answers.iter().filter(|(is_served, _)| *is_served).count(),
--- a/crates/gateway/tests/suite/two_senders.rs
+++ b/crates/gateway/tests/suite/two_senders.rs
@@ -5,14 +5,11 @@
 
 use futures_util::future::join_all;
 use hollowsail_gateway::Running;
-use hollowsail_platform::settings::Settings;
 use hollowsail_platform_emulator::{RepeatAllowance, WorstWindow};
-use hollowsail_platform_standins::target::results;
-use hollowsail_platform_standins::{DeploymentJson, Step, StoreStandin, TargetStandin};
-use serde_json::json;
+use hollowsail_platform_standins::TargetStandin;
 
 use crate::fixture::{
-    self, gateway_at, piece_arrivals, single_event_stream, wait_for_entries, Answer, Call,
+    gateway_at, piece_arrivals, settings_allowing, staged_call, wait_for_entries, Answer, StageSite,
 };
 
 const ALLOWANCE: RepeatAllowance = RepeatAllowance {
@@ -27,60 +24,26 @@
 const ROUNDS: usize = 5;
 const ROUND_INTERVAL: Duration = Duration::from_millis(3_200);
 
-fn settings(store: &StoreStandin, number: usize) -> Settings {
-    let mut settings = fixture::settings(&format!("host-{number}"), "hall-a", store.addr);
-    settings.bounds.retry_ratio = ALLOWANCE.ratio;
-    settings.bounds.retry_extra = ALLOWANCE.extra;
-    settings.bounds.retry_window_s = ALLOWANCE.window.as_secs_f64();
-    settings
-}
-
 /// Hosts that share workers.
 struct Site {
     hosts: Vec<Running>,
-    workers: Vec<TargetStandin>,
-    _store: StoreStandin,
-    _engine: TargetStandin,
+    shared: StageSite,
 }
 
 impl Site {
     async fn start() -> Self {
-        let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
-        let route = json!({ "stages": stages, "target_latency_ms": 1500, "timeout_ms": 30000 });
-        let deployment = DeploymentJson::new(1)
-            .engines("engines")
-            .stage_service("encoders", 16, 20.0, 10.0)
-            .route("/staged/", "stream", "engines", route);
-        let store = StoreStandin::start().await;
-        store.put("op/config", &deployment.bytes());
-        let engine = TargetStandin::start(single_event_stream).await;
-        store.put_target("i-engine", "engines", engine.addr, "hall-a", "ready");
-        let mut workers = Vec::new();
-        for number in 0..ROUNDS * STILL_WORKERS + RUNNING_WORKERS {
-            let worker = TargetStandin::start(|request| {
-                vec![
-                    Step::Wait(Duration::from_millis(30)),
-                    Step::Write(results(request, "producer")),
-                ]
-            })
-            .await;
-            let id = format!("i-{number}");
-            store.put_target(&id, "encoders", worker.addr, "hall-a", "ready");
-            workers.push(worker);
-        }
+        let workers = ROUNDS * STILL_WORKERS + RUNNING_WORKERS;
+        let shared = StageSite::start(workers, 16, Duration::from_millis(30), 30_000).await;
         let mut hosts = Vec::new();
         for number in 0..HOSTS {
-            hosts.push(gateway_at(settings(&store, number)).await);
-            wait_for_entries("the host is recorded", &store, number + 1).await;
+            let host = format!("host-{number}");
+            let settings = settings_allowing(&ALLOWANCE, &host, shared.store.addr);
+            hosts.push(gateway_at(settings).await);
+            wait_for_entries("the host is recorded", &shared.store, number + 1).await;
         }
         // Lets all hosts claim their units.
         tokio::time::sleep(Duration::from_secs(4)).await;
-        Site {
-            hosts,
-            workers,
-            _store: store,
-            _engine: engine,
-        }
+        Site { hosts, shared }
     }
 
     /// Sends requests of four pieces each through all hosts.
@@ -88,14 +51,7 @@
         let calls = (from..from + count).map(|number| {
             let callers = self.hosts[number % HOSTS].addrs.callers;
             async move {
-                let call = Call::new("POST", "/staged/")
-                    .with("X-Request-Id", &format!("{number:016x}"))
-                    .with("X-Token-Counts", "100,10")
-                    .with("X-Prompt-Prefix", "aa:60,bb:40")
-                    .with("X-Deadline-Ms", "20000")
-                    .with("X-Pieces", "4")
-                    .with("X-Piece-Key", "the-key")
-                    .body("prompt");
+                let call = staged_call(&format!("{number:016x}"), 20_000);
                 call.send(callers).await
             }
         });
@@ -103,7 +59,7 @@
     }
 
     fn worst_window(&self, begun: Instant) -> Option<WorstWindow> {
-        let mut arrivals = piece_arrivals(&self.workers);
+        let mut arrivals = piece_arrivals(&self.shared.workers);
         arrivals.sort();
         let mut seen = HashSet::new();
         arrivals.retain(|(_, work)| !seen.insert(work.clone()));
@@ -123,13 +79,13 @@
     // Calls time out after 4 s; what was repeated then is charged for a window.
     let rounds = (0..ROUNDS).map(|round| async move {
         tokio::time::sleep(ROUND_INTERVAL * round as u32).await;
-        let workers = &site.workers[round * STILL_WORKERS..][..STILL_WORKERS];
+        let workers = &site.shared.workers[round * STILL_WORKERS..][..STILL_WORKERS];
         workers.iter().for_each(TargetStandin::suspend);
         site.send(round * 1_000, 36).await
     });
     let reading = async {
         tokio::time::sleep(ROUND_INTERVAL * ROUNDS as u32 + Duration::from_millis(1_600)).await;
-        let still = &site.workers[..ROUNDS * STILL_WORKERS];
+        let still = &site.shared.workers[..ROUNDS * STILL_WORKERS];
         still.iter().for_each(TargetStandin::resume);
     };
     let (answers, ()) = futures_util::future::join(join_all(rounds), reading).await;
