Judge all three bounds of repeated work, and play targets as processes

Cause: the rule about repeated work has three bounds. Soaks judged one, repeats in a window; nothing recorded at how many targets one attempt of a caller ran, nor the time that targets were given. And all emulated targets were tasks of one process, so that none was ended or suspended by a signal with the system's buffers behind it.

Change: targets report each arrival with the time it was given.

--- a/crates/bench/src/commands/mod.rs
+++ b/crates/bench/src/commands/mod.rs
@@ -8,6 +8,7 @@
 mod platform;
 mod run;
 mod soak;
+mod target;
 
 use argh::FromArgs;
 use hollowsail_bench::run::BenchError;
@@ -24,6 +25,7 @@
     Platform(platform::Arguments),
     Run(run::Arguments),
     Soak(soak::Arguments),
+    Target(target::Arguments),
 }
 
 impl Command {
@@ -37,6 +39,7 @@
             Command::Platform(arguments) => arguments.run().await,
             Command::Run(arguments) => arguments.run().await,
             Command::Soak(arguments) => arguments.run().await,
+            Command::Target(arguments) => arguments.run().await,
         }
     }
 }
--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -72,6 +72,11 @@
     #[argh(switch)]
     planned_stops: bool,
 
+    /// play only targets that are processes of their own, which are killed, suspended, slow and fail,
+    /// beside gateways that are killed, stopped and paused in series; --seconds has no effect
+    #[argh(switch)]
+    target_processes: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -104,6 +109,7 @@
                 restores: self.restores,
                 joining_hosts: self.joining_hosts,
                 planned_stops: self.planned_stops,
+                target_processes: self.target_processes,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -9,6 +9,7 @@
 use hollowsail_config::{Deployment, Faults, SourceFile};
 use hollowsail_local::localize::ReadError;
 use hollowsail_local::{read_directory, LocalError, LocalFleet, LocalOptions};
+use hollowsail_platform_emulator::StartError;
 use hollowsail_routing::Switches;
 use hollowsail_standins::engine::EngineTimes;
 use hollowsail_standins::Profile;
@@ -39,6 +40,8 @@
     Scenario { source: Faults },
     #[snafu(display("{source}"))]
     Soak { source: SoakError },
+    #[snafu(display("{source}"))]
+    Target { source: StartError },
     #[snafu(display("{message}"))]
     Usage { message: String },
 }
--- a/crates/bench/src/soak/callers.rs
+++ b/crates/bench/src/soak/callers.rs
@@ -31,6 +31,8 @@
 /// How long a caller waits beyond the route's timeout.
 const TIMEOUT_GRACE: Duration = Duration::from_secs(2);
 
+/// Number of retries of callers that retry at once.
+const IMPATIENT_RETRIES: u32 = 3;
 /// Maximum number of tries for a stream that may be resumed.
 const MAX_STREAM_TRIES: u32 = 4;
 /// Pause before a caller takes up a stream that was broken off.
@@ -185,23 +187,29 @@
         uses[self.rng.random_range(0..uses.len())].clone()
     }
 
-    /// Sends a request and retries it once if allowed: after a refusal with the requested
-    /// delay, and after an unknown outcome on a route that is safe to repeat.
+    /// Sends a request and retries it if allowed: after a refusal with the requested delay, and after
+    /// an unknown outcome on a route that is safe to repeat. Impatient callers retry at once.
     async fn send_with_retry(&mut self, route: &Rc<RouteModel>) {
         let content = self.requests;
-        let outcome = self
-            .attempt(route, content, None)
-            .await
-            .map(|attempt| attempt.outcome);
-        let pause = match outcome.flatten() {
-            Some(Outcome::NotRun { after, .. }) => after.unwrap_or(PAUSE),
-            Some(Outcome::Unknown { .. }) if route.kind == RouteKind::Safe => PAUSE,
-            _ => return,
-        };
-        if pause.as_millis() as u64 <= route.timeout_ms / 3 {
+        let contender = self.contender.as_ref();
+        let is_impatient = contender.is_some_and(|contender| contender.is_impatient);
+        let retries = if is_impatient { IMPATIENT_RETRIES } else { 1 };
+        for retry in 0..=retries {
+            let outcome = self
+                .attempt(route, content, None)
+                .await
+                .map(|attempt| attempt.outcome);
+            let pause = match outcome.flatten() {
+                Some(Outcome::NotRun { after, .. }) => after.unwrap_or(PAUSE),
+                Some(Outcome::Unknown { .. }) if route.kind == RouteKind::Safe => PAUSE,
+                _ => return,
+            };
+            let pause = if is_impatient { Duration::ZERO } else { pause };
+            if retry == retries || pause.as_millis() as u64 > route.timeout_ms / 3 {
+                return;
+            }
             tokio::time::sleep(pause).await;
             self.connection = None;
-            self.attempt(route, content, None).await;
         }
     }
 
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -11,8 +11,8 @@
 use super::plan::{EntryFault, SoakPlan};
 use super::processes::{Disturbance, Observations};
 use super::report::{Failure, FailureKind, SoakReport};
+use super::{attempt_bounds, departures, fragile, repeats, room, versions, SoakOptions};
 use super::{crowding, cut};
-use super::{departures, fragile, repeats, room, versions, SoakOptions};
 
 /// How far a response may exceed its route's timeout.
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
@@ -52,7 +52,10 @@
     failures.extend(streams.failures);
     let repeats = repeats::evaluate(plan, observations, attempts);
     failures.extend(repeats.failures);
+    let attempt_bounds = attempt_bounds::evaluate(plan, observations, attempts);
+    failures.extend(attempt_bounds.failures);
     SoakReport {
+        attempt_bounds: attempt_bounds.summary,
         room: room.summary,
         cut: cut.summary,
         streams: streams.summary,
@@ -123,6 +126,10 @@
             planned_stops: true,
             ..
         } => Some("--planned-stops"),
+        SoakOptions {
+            target_processes: true,
+            ..
+        } => Some("--target-processes"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/contention.rs
+++ b/crates/bench/src/soak/contention.rs
@@ -86,6 +86,8 @@
     pub part: Option<&'static str>,
     /// Longest time between the head of a request and its body.
     pub max_body_delay: Duration,
+    /// It retries at once, and more often.
+    pub is_impatient: bool,
 }
 
 impl Contender {
@@ -97,6 +99,7 @@
             active: None,
             part: None,
             max_body_delay: Duration::ZERO,
+            is_impatient: false,
         }
     }
 }
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -19,7 +19,7 @@
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_MODES};
 use super::processes::{Fleet, Observations};
 use super::report::{Failure, SoakReport};
-use super::{repeats, SoakError, SoakOptions, SETTLE};
+use super::{attempt_bounds, repeats, SoakError, SoakOptions, SETTLE};
 
 /// Separates this random stream from others of the same seed.
 const STREAM: u64 = 0x6661_696c;
@@ -186,6 +186,8 @@
         failures.extend(checks::find_violations(plan, observations, attempts));
         let repeats = repeats::evaluate(plan, observations, attempts);
         failures.extend(repeats.failures);
+        let attempt_bounds = attempt_bounds::evaluate(plan, observations, attempts);
+        failures.extend(attempt_bounds.failures);
         let options = SoakOptions {
             seconds: plan.duration.as_secs(),
             ..options.clone()
@@ -193,6 +195,7 @@
         SoakReport {
             repeats: repeats.summary,
             used_repeats: repeats.used,
+            attempt_bounds: attempt_bounds.summary,
             failures,
             ..SoakReport::of_attempts(&options, observations, attempts)
         }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -6,8 +6,9 @@
 //! not refuse many requests ([`brittle`]), for some whose targets leave without a record
 //! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]); for a time most of their
 //! connections go to one gateway ([`crowding`]);
-//! [`checks`], [`repeats`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
+//! [`checks`], [`repeats`], [`attempt_bounds`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
+mod attempt_bounds;
 mod brittle;
 mod callers;
 mod checks;
@@ -27,6 +28,7 @@
 mod room;
 mod small_hosts;
 mod suspended_targets;
+mod target_processes;
 mod versions;
 
 use std::path::{Path, PathBuf};
@@ -74,6 +76,8 @@
     pub joining_hosts: bool,
     /// Gateways that are stopped in calm, beside requests that take long.
     pub planned_stops: bool,
+    /// Targets that are processes of their own, beside gateways that are disturbed in series.
+    pub target_processes: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -126,6 +130,9 @@
     if options.planned_stops {
         return planned_stops::run(options).await;
     }
+    if options.target_processes {
+        return target_processes::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -16,13 +16,14 @@
 use hollowsail_platform_emulator::entry::{
     self, EntryConfig, HostLimits, GRACE_S, SETTINGS_VARIABLE,
 };
-use hollowsail_platform_emulator::{caller, Site};
+use hollowsail_platform_emulator::{caller, AttemptTargets, Site};
 use rustix::process::{kill_process, Pid, Signal};
 use serde::Deserialize;
 use snafu::ResultExt;
 use tokio::io::{AsyncBufReadExt, BufReader};
 use tokio::process::{Child, ChildStdin, ChildStdout, Command};
 
+use super::attempt_bounds::Arrival;
 use super::departures::LateSend;
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
 use super::repeats::Repeat;
@@ -69,6 +70,10 @@
     pub platform_started: Option<Instant>,
     /// Work that a service got once more.
     pub repeats: Vec<Repeat>,
+    /// All work that targets got.
+    pub arrivals: Vec<Arrival>,
+    /// Targets that each request ran at.
+    pub attempt_targets: AttemptTargets,
     /// Crashes of targets under a part of prompts.
     pub fatal_crashes: Vec<Instant>,
     /// Requests with that part that reached targets too late: the gateway, and when.
@@ -146,6 +151,9 @@
     state: Option<String>,
     request: Option<String>,
     target: Option<String>,
+    stage: Option<u64>,
+    piece: Option<u64>,
+    given_ms: Option<u64>,
     host: Option<usize>,
     bound_ms: Option<u64>,
     reason: Option<String>,
@@ -155,6 +163,17 @@
 }
 
 impl EventLine {
+    /// The work that a target got.
+    fn arrival(&self) -> Option<Arrival> {
+        Some(Arrival {
+            service: self.service.clone()?,
+            request: self.request.clone()?,
+            piece: self.stage.zip(self.piece),
+            at: Duration::from_millis(self.at_ms),
+            given: self.given_ms.map(Duration::from_millis),
+        })
+    }
+
     /// The request to a target that had left, as of now.
     fn late_send(&self) -> Option<LateSend> {
         let (entry, bound_ms) = (self.host?, self.bound_ms?);
@@ -566,8 +585,16 @@
         };
         let mut observations = observations.borrow_mut();
         let late_send = event.late_send();
+        if event.event == "arrived" {
+            observations.arrivals.extend(event.arrival());
+            continue;
+        }
         match (event.event.as_str(), event.request) {
-            ("ran", Some(request)) => drop(observations.ran.insert(request)),
+            ("ran", Some(request)) => {
+                let target = event.target.unwrap_or_default();
+                observations.attempt_targets.record(&request, &target);
+                observations.ran.insert(request);
+            }
             ("trouble", _) if event.name.as_deref() == Some(CUT_TROUBLE) => {
                 match event.state.as_deref() {
                     Some("begins") => observations.cut_from = Some(Instant::now()),
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -47,6 +47,10 @@
     BesideFatalPart,
     /// More work that a service got more than once than the settings allow.
     Repeats,
+    /// Attempts that ran at more targets than their routes allow.
+    AttemptTargets,
+    /// Work that targets were given more time for than remained.
+    GivenTime,
 }
 
 impl fmt::Display for FailureKind {
@@ -69,6 +73,8 @@
             FailureKind::FatalPart => "a part that crashes targets reaches few more",
             FailureKind::BesideFatalPart => "served too little beside a part that crashes targets",
             FailureKind::Repeats => "repeats within their budget",
+            FailureKind::AttemptTargets => "attempts within their number of targets",
+            FailureKind::GivenTime => "time that targets are given",
             FailureKind::StreamEvents => "events of a stream",
             FailureKind::StreamsNotResumed => "streams not resumed",
         };
@@ -117,12 +123,20 @@
     pub repeats: String,
     /// Largest part of the repeats that are allowed in a window that a service got.
     pub used_repeats: f64,
+    /// What is used of the bounds of single attempts.
+    pub attempt_bounds: String,
     pub failures: Vec<Failure>,
 }
 
 impl SoakReport {
     fn write_summaries(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let summaries = [&self.room, &self.cut, &self.streams, &self.repeats];
+        let summaries = [
+            &self.room,
+            &self.cut,
+            &self.streams,
+            &self.repeats,
+            &self.attempt_bounds,
+        ];
         let mut summaries = summaries.into_iter().filter(|text| !text.is_empty());
         summaries.try_for_each(|text| write!(f, "\n{text}"))
     }
