--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -38,5 +38,6 @@
 mod target_limits;
 mod target_restarts;
 mod target_speeds;
+mod time_left;
 mod two_senders;
 mod warm_up;
