Tell targets what is left when work is sent

What callers saw: nothing by itself; workers went on with pieces whose request had been cancelled, in the place of those that could still be in time.

Cause: the time that is left was computed where work is decided on. A piece carried the number that its requester computed through the wait in its owner's queue and through each further send, up to seconds later. A request's headers were written before there was a connection. Class: a time left that is kept as a number, and not as the moment at which it ends.

Evidence: by what workers read, a piece that is sent again 1.2 s later, or that has waited 0.9 s, was told the same time as at first (1.216 s and 0.917 s beyond what remains).

Change: pieces have a deadline on the clock of the process that has them; what is left is computed for each message to an owner and for each call, once there is a connection. So it is for the headers of requests.

Why it works: the number is made from the deadline after the last wait that this process knows of. Processes of the build before and of this one understand each other: the message is the same.

All 330 tests of the gateway pass.

--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -47,6 +47,8 @@
 /// A piece that is waiting or in progress.
 pub(super) struct Job {
     pub piece: Piece,
+    /// Time at which its request's stages are cancelled.
+    pub deadline: Millis,
     /// Digest of its request's content; equal requests have equal digests.
     pub request: RequestDigest,
     /// Failed attempts.
@@ -235,6 +237,7 @@
         };
         let job = Job {
             piece: piece_request.piece,
+            deadline: piece_request.deadline,
             request: piece_request.request,
             failures: 0,
             last_failure: None,
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -12,7 +12,7 @@
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::repeats::{RepeatReason, SendPermit, SendPermits};
-use hollowsail_routing::RequestDigest;
+use hollowsail_routing::{Millis, RequestDigest};
 use hollowsail_stages::{CallEnd, PieceKey, StartedCall, StartedPiece, WorkerKey};
 use hollowsail_targets::Target;
 use http::StatusCode;
@@ -186,6 +186,8 @@
 pub(super) struct CallPiece {
     pub started: StartedPiece,
     piece: Piece,
+    /// Time at which its request's stages are cancelled.
+    deadline: Millis,
     pub request: RequestDigest,
 }
 
@@ -200,6 +202,7 @@
         let piece = CallPiece {
             started: *started,
             piece: job.piece.clone(),
+            deadline: job.deadline,
             request: job.request,
         };
         Some((piece, permit))
@@ -235,12 +238,13 @@
         return Ok(Vec::new());
     };
     let call_id = call_id();
-    let req = pieces::run_request(
-        target.incarnation(),
-        &call_id,
-        sent_pieces.iter().map(|sent| &sent.piece),
-    );
-    let answer = target_calls::call(cx, target, req, MAX_RESPONSE_BYTES, permits)
+    let request = || {
+        let now = cx.clock.now();
+        let pieces = sent_pieces.iter();
+        let pieces = pieces.map(|sent| (&sent.piece, sent.deadline.saturating_sub(now)));
+        pieces::run_request(target.incarnation(), &call_id, pieces)
+    };
+    let answer = target_calls::call(cx, target, request, MAX_RESPONSE_BYTES, permits)
         .await
         .map_err(call_error)?;
     if answer.is_foreign {
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -63,6 +63,8 @@
     pub due: Millis,
     /// Time after which its result is no longer needed.
     pub expires: Millis,
+    /// Time at which its request's stages are cancelled; workers are told what is left until then.
+    pub deadline: Millis,
     /// Estimated size of its result.
     pub result_bytes: u64,
     /// Whether its inputs are large results.
@@ -231,7 +233,10 @@
         ProducePieceRequest {
             id: PieceId(number),
             queue: queue.to_string(),
-            piece: piece_request.piece.clone(),
+            piece: Piece {
+                remaining_ms: piece_request.deadline.saturating_sub(now),
+                ..piece_request.piece.clone()
+            },
             request: piece_request.request,
             priority: piece_request.priority,
             due_in_ms: piece_request.due as i64 - now as i64,
@@ -302,6 +307,7 @@
         };
         let now = cx.clock.now();
         let piece_request = PieceRequest {
+            deadline: now.saturating_add(request.piece.remaining_ms),
             piece: request.piece,
             request: request.request,
             priority: request.priority,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -200,10 +200,11 @@
     let (connection, in_use) = connected.unzip();
     cx.pending.set(admitted.pending, WaitsFor::Answer);
     let sent = BootInstant::now();
-    let req = request_for(admitted, target, options);
     let service = admitted.deployment.service_named(&target.record.service);
     let may_send = || service.is_none_or(|service| stop::may_send(cx, admitted, service));
-    let sending = target_calls::send(cx, target, connection, req, reuse, permit.into(), may_send);
+    let make_req = || request_for(admitted, target, options);
+    let permits = permit.into();
+    let sending = target_calls::send(cx, target, connection, make_req, reuse, permits, may_send);
     let timeout_at = options
         .timeout
         .map_or(options.deadline, |timeout| sent + timeout);
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -84,16 +84,17 @@
 
     /// The request to the pools for a piece.
     fn piece_request(&self, index: PieceIndex) -> PieceRequest {
-        let clock = &self.cx.clock;
+        let deadline = self.cx.clock.millis_at(self.deadline);
         PieceRequest {
             piece: self.piece(index),
             request: self.admitted.digest(),
             priority: self.admitted.urgency,
             due: self.due(index.stage),
-            expires: clock.millis_at(self.deadline).saturating_sub(
+            expires: deadline.saturating_sub(
                 self.graph
                     .critical_path_ms_after(index.stage, &|_| MIN_STAGE_MS),
             ),
+            deadline,
             result_bytes: self.stages[index.stage].result_bytes,
             has_large_inputs: self.input_bytes(index) >= LARGE_RESULT_BYTES,
             hall: self.preferred_hall(index),
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -148,13 +148,14 @@
 }
 
 /// Sends new work and waits for the headers of its answer, on `connection` if the request waited
-/// for one ([`crate::connections`]). Withdraws it if the target leaves, or `may_send` is false, before
+/// for one ([`crate::connections`]). The request is made once there is a connection, so that the time
+/// that it leaves is current. Withdraws it if the target leaves, or `may_send` is false, before
 /// it is sent. The caller bounds the time; dropping the future closes the connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
     connection: Option<Connection>,
-    req: Request<Full<Bytes>>,
+    make_req: impl FnOnce() -> Request<Full<Bytes>>,
     reuse: Reuse,
     permits: SendPermits,
     may_send: impl Fn() -> bool,
@@ -167,7 +168,7 @@
     let is_wanted = || cx.is_in_use(target) && is_valid(&permits) && may_send();
     let sending = Sending::begin(cx, target, &permits, connection.is_relayed());
     let on_end = Some(sending.on_end());
-    let sent = send_if(cx, target, connection, req, reuse, is_wanted, on_end).await;
+    let sent = send_if(cx, target, connection, make_req(), reuse, is_wanted, on_end).await;
     match sent {
         Ok(answer) => {
             sending.answered();
@@ -244,7 +245,7 @@
 pub async fn call(
     cx: &Rc<Traffic>,
     target: &Target,
-    req: Request<Full<Bytes>>,
+    make_req: impl FnOnce() -> Request<Full<Bytes>>,
     max_bytes: usize,
     permits: SendPermits,
 ) -> Result<CompleteAnswer, Unanswered> {
@@ -252,7 +253,17 @@
     let is_direct = !connection.is_relayed();
     let answered = async {
         let connection = Some(connection);
-        let answer = send(cx, target, connection, req, Reuse::Any, permits, || true).await?;
+        let may_send = || true;
+        let answer = send(
+            cx,
+            target,
+            connection,
+            make_req,
+            Reuse::Any,
+            permits,
+            may_send,
+        )
+        .await?;
         Ok(read(answer, max_bytes).await)
     };
     tokio::select! {
