--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_emulator::caller::Outcome;
+use hollowsail_platform_emulator::entry::GRACE_S;
 
 use super::callers::Attempt;
 use super::plan::{EntryFault, SoakPlan};
@@ -18,6 +19,10 @@
 const TIMEOUT_SLACK: Duration = Duration::from_millis(500);
 /// How long after its end a fault still excuses its gateway.
 pub const RECOVERY_GRACE: Duration = Duration::from_secs(1);
+/// Part of a planned stop in which work of targets may be cut that still goes on, if its request was sent
+/// no later than some time after the stop began.
+const LAST_PART_OF_STOP: f64 = 1.0 / 6.0;
+const LATEST_IN_STOP: Duration = Duration::from_secs(3);
 /// Minimum share of whole answers; below it too few attempts exercise the checks.
 const MIN_WHOLE_SHARE: f64 = 0.5;
 
@@ -193,6 +198,7 @@
     );
     is_connection
         && !has_timed_out(attempt)
+        && !outlasts_stop(attempt, observations)
         && !observations.cut.contains(&attempt.id)
         && !cut::breaks_connections_of(attempt, plan, observations)
         && !cut::loses_relay_of(attempt, plan, observations)
@@ -201,6 +207,20 @@
         && !is_excused(attempt, observations, is_other)
 }
 
+/// True if a target was still at work on the attempt in the last part of a planned stop of its gateway,
+/// which had it before the stop or soon after.
+fn outlasts_stop(attempt: &Attempt, observations: &Observations) -> bool {
+    let grace = Duration::from_secs(u64::from(GRACE_S));
+    let mut stops = observations.disturbances.iter();
+    !observations.answered.contains(&attempt.id)
+        && stops.any(|stop| {
+            stop.entry == attempt.entry
+                && stop.fault == EntryFault::Stop
+                && attempt.sent <= stop.from + LATEST_IN_STOP
+                && attempt.ended >= stop.from + grace.mul_f64(1.0 - LAST_PART_OF_STOP)
+        })
+}
+
 /// True if a matching fault of the attempt's gateway overlapped the attempt.
 fn is_excused(
     attempt: &Attempt,
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -60,6 +60,8 @@
     pub ran: HashSet<String>,
     /// IDs of requests of which a stage worker got a piece.
     pub pieces: HashSet<String>,
+    /// IDs of requests to which a target has sent all of its response.
+    pub answered: HashSet<String>,
     /// IDs of requests whose response a target broke off.
     pub cut: HashSet<String>,
     /// Broken promises that the platform reported.
@@ -601,6 +603,7 @@
                     _ => observations.cut_until = Some(Instant::now()),
                 }
             }
+            ("answered", Some(request)) => drop(observations.answered.insert(request)),
             ("cut", Some(request)) => drop(observations.cut.insert(request)),
             ("pieces", Some(request)) => drop(observations.pieces.insert(request)),
             ("repeat", _) => observations
