Share the failure modes of soaks

The soak of target processes had its own copy of the list that the soak of failing targets draws from.

--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -36,7 +36,8 @@
 const FAILING_MS: Range<u64> = 3_000..9_000;
 /// How long gateways are cut off from all targets, or the store is silent for them, in milliseconds.
 const CUT_MS: u64 = 6_000;
-const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
+/// How targets fail, as the emulator's settings name it.
+pub const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
 
 pub const SECTIONS: &str = "\
 [service.plain]
--- a/crates/bench/src/soak/target_processes.rs
+++ b/crates/bench/src/soak/target_processes.rs
@@ -13,7 +13,7 @@
 use rand::{Rng, SeedableRng};
 
 use super::contention::Contender;
-use super::failing_targets::{draw_faults, play, Failing};
+use super::failing_targets::{draw_faults, play, Failing, FAILURE_MODES};
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
 use super::report::SoakReport;
 use super::{SoakError, SoakOptions};
@@ -40,7 +40,6 @@
 const USUAL_ERRORS_PERCENT: u32 = 14;
 /// One in so many callers retries at once.
 const IMPATIENT: usize = 3;
-const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
 
 const SECTIONS: &str = "\
 target_processes = 1
