Play the start, the end, standstills and parts of a core in target-process soaks, and add failing tests

Cause: soaks disturbed gateways only once all were ready, never all at once, for 2.5 s at most, and judged no bound on hosts with a part of a core. The model of the shared allowance had no requests that callers send while a process stands still.

Change: `--target-processes` draws, each for half of its runs, starts beside the load, a loss of power of all gateways, one standstill of 11 to 13 s, stops of all in series, stage workers that fail 40 to 95 % of what they get, and gateways that run in four turns. The turns are shared with `--small-hosts`. The model keeps what callers send to a paused process until it goes on. A test of slow workers took a refusal for a whole answer, which is how it could wait for a call that never came; it asks for the status now.

A message addressed to another run has this host's queues taken for the sender's.

--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -19,6 +19,7 @@
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_MODES};
 use super::processes::{Fleet, Observations};
 use super::report::{Failure, SoakReport};
+use super::turns::Turns;
 use super::{attempt_bounds, repeats, SoakError, SoakOptions, SETTLE};
 
 /// Separates this random stream from others of the same seed.
@@ -156,11 +157,19 @@
     plan: &SoakPlan,
     callers: impl Iterator<Item = Contender>,
 ) -> Result<Played, SoakError> {
-    let fleet = Rc::new(Fleet::start(options, plan, HostLimits::default()).await?);
+    let limits = HostLimits {
+        core_share: 1.0 / plan.turns as f64,
+        ..HostLimits::default()
+    };
+    let fleet = Rc::new(Fleet::start(options, plan, limits).await?);
+    let turns = Turns::start(plan, &fleet);
     let load = Load::of_contenders(options, plan, &fleet, callers);
     fleet.run_faults(plan).await;
     tokio::time::sleep(SETTLE).await;
     let attempts = load.stop().await;
+    if let Some(turns) = turns {
+        turns.stop().await;
+    }
     let observations = fleet.shut_down().await;
     Ok(Played {
         observations,
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -29,6 +29,7 @@
 mod small_hosts;
 mod suspended_targets;
 mod target_processes;
+mod turns;
 mod versions;
 
 use std::path::{Path, PathBuf};
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -77,6 +77,8 @@
     pub fragile: (Duration, Duration),
     /// When most new connections go to one gateway.
     pub crowding: Crowding,
+    /// Groups of gateways that run in turn, which gives each this part of a core; 1 if all run at once.
+    pub turns: usize,
     pub duration: Duration,
 }
 
@@ -211,6 +213,7 @@
             burst,
             fragile,
             crowding: Crowding::draw(seed, latest, entries),
+            turns: 1,
             duration: Duration::from_secs(seconds),
         }
     }
@@ -257,7 +260,8 @@
             format!("{at} ms: {fault:?} gateway {entry} for {duration} ms\n")
         });
         let cut = format!("gateways {:?} are cut off from all targets\n", self.cut);
-        lines.chain([self.burst.to_string(), cut]).collect()
+        let turns = format!("gateways run in {} turns\n", self.turns);
+        lines.chain([self.burst.to_string(), cut, turns]).collect()
     }
 
     /// The route that is added during the run.
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -28,6 +28,7 @@
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
 use super::repeats::Repeat;
 use super::report::{Failure, FailureKind};
+use super::turns::ROUND;
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
 
 /// Time limit for the platform or a gateway to become ready.
@@ -127,6 +128,8 @@
     replacements: Cell<u32>,
     /// Restarts in progress; an exit meanwhile is expected.
     restarts_in_progress: Cell<u32>,
+    /// Pauses in progress.
+    pauses: Cell<u32>,
 }
 
 /// The processes of a run.
@@ -139,6 +142,8 @@
     observations: Rc<RefCell<Observations>>,
     started: Instant,
     is_over: Cell<bool>,
+    /// Gateways run in turn ([`super::turns`]).
+    has_turns: bool,
 }
 
 /// An event that the platform prints as a line of JSON.
@@ -222,6 +227,7 @@
             observations,
             started: Instant::now(),
             is_over: Cell::new(false),
+            has_turns: plan.turns > 1,
         };
         let is_first = |index: &usize| !plan.joins_later(*index);
         let first: Vec<usize> = (0..fleet.gateways.len()).filter(is_first).collect();
@@ -262,9 +268,13 @@
         }
     }
 
-    /// Process ids of the gateways that run.
+    /// Process ids of the gateways that run and aren't paused.
     pub fn pids(&self) -> Vec<Pid> {
-        let ids = self.gateways.iter().map(|gateway| {
+        let running = self
+            .gateways
+            .iter()
+            .filter(|gateway| gateway.pauses.get() == 0);
+        let ids = running.map(|gateway| {
             let child = gateway.child.borrow();
             child.as_ref().and_then(Child::id)
         });
@@ -334,11 +344,7 @@
         tokio::time::sleep(planned.at.saturating_sub(self.started.elapsed())).await;
         let from = Instant::now();
         match planned.fault {
-            EntryFault::Pause => {
-                self.signal(planned.entry, Signal::STOP);
-                tokio::time::sleep(planned.duration).await;
-                self.signal(planned.entry, Signal::CONT);
-            }
+            EntryFault::Pause => self.pause(planned).await,
             EntryFault::Kill => self.restart(planned, Signal::KILL).await,
             EntryFault::Stop => self.restart(planned, Signal::TERM).await,
             EntryFault::Join => self.start_if_absent(planned.entry),
@@ -360,6 +366,19 @@
             });
     }
 
+    /// Suspends a gateway, once gateways that run in turn leave it alone.
+    async fn pause(&self, planned: PlannedFault) {
+        let pauses = &self.gateways[planned.entry].pauses;
+        pauses.set(pauses.get() + 1);
+        if self.has_turns {
+            tokio::time::sleep(ROUND + LEAST_LAG).await;
+        }
+        self.signal(planned.entry, Signal::STOP);
+        tokio::time::sleep(planned.duration).await;
+        self.signal(planned.entry, Signal::CONT);
+        pauses.set(pauses.get() - 1);
+    }
+
     fn signal(&self, index: usize, signal: Signal) {
         let child = self.gateways[index].child.borrow();
         let id = child.as_ref().and_then(Child::id);
@@ -468,6 +487,7 @@
             starts: Cell::new(0),
             replacements: Cell::new(0),
             restarts_in_progress: Cell::new(0),
+            pauses: Cell::new(0),
         }
     }
 }
--- a/crates/bench/src/soak/small_hosts.rs
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -11,8 +11,6 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use hollowsail_platform_emulator::caller::{CallerRequest, Connection, Outcome};
@@ -21,17 +19,15 @@
 use rand::rngs::SmallRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use rustix::process::{kill_process, Pid, Signal};
 
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
 use super::processes::{Fleet, Observations};
 use super::report::{Failure, FailureKind, SoakReport};
+use super::turns::Turns;
 use super::{SoakError, SoakOptions, SETTLE};
 
-/// Number of groups of gateways that run in turn, and how long a group runs: each gateway has an eighth
-/// of a core.
+/// Number of groups of gateways that run in turn: each has an eighth of a core.
 const GROUPS: usize = 8;
-const TURN: Duration = Duration::from_millis(2);
 /// Share of the link that callers may use, and that targets may use: both processes that play them
 /// know only their own part of what the link carries.
 const LINK_PART: f64 = 0.85;
@@ -255,9 +251,10 @@
     };
     let link_mbps = limits.link_mbps * LINK_PART;
     let sections = format!("link_mbps = {link_mbps}\n\n{SECTIONS}");
-    let soak_plan = SoakPlan::of_site(options, &sections, kill.into_iter().collect(), LENGTH);
+    let mut soak_plan = SoakPlan::of_site(options, &sections, kill.into_iter().collect(), LENGTH);
+    soak_plan.turns = if options.whole_cores { 1 } else { GROUPS };
     let fleet = Rc::new(Fleet::start(options, &soak_plan, limits).await?);
-    let turns = (!options.whole_cores).then(|| Turns::start(fleet.clone()));
+    let turns = Turns::start(&soak_plan, &fleet);
     let shared = Rc::new(Shared {
         plan,
         fleet: fleet.clone(),
@@ -288,58 +285,6 @@
     Ok(evaluate(options, &shared, &observations))
 }
 
-/// Lets the gateways run in turn.
-struct Turns {
-    is_over: Arc<AtomicBool>,
-    task: actix_rt::task::JoinHandle<()>,
-}
-
-impl Turns {
-    fn start(fleet: Rc<Fleet>) -> Self {
-        let is_over = Arc::new(AtomicBool::new(false));
-        let over = is_over.clone();
-        let task = actix_rt::spawn(async move {
-            while !over.load(Ordering::Relaxed) {
-                // A gateway may have been started again.
-                let pids = fleet.pids();
-                let over = over.clone();
-                let round = actix_rt::task::spawn_blocking(move || take_turns(&pids, &over));
-                if round.await.is_err() {
-                    return;
-                }
-            }
-        });
-        Turns { is_over, task }
-    }
-
-    async fn stop(self) {
-        self.is_over.store(true, Ordering::Relaxed);
-        // It ends with its round.
-        let _ended = self.task.await;
-    }
-}
-
-/// Lets each group run some times, then all, so that none stays stopped.
-fn take_turns(pids: &[Pid], is_over: &AtomicBool) {
-    const ROUNDS: usize = 16;
-    let signal = |group: usize, signal| {
-        for pid in pids.iter().skip(group).step_by(GROUPS) {
-            // Fails once the process has ended.
-            let _sent = kill_process(*pid, signal);
-        }
-    };
-    (0..GROUPS).for_each(|group| signal(group, Signal::STOP));
-    for turn in 0..ROUNDS * GROUPS {
-        if is_over.load(Ordering::Relaxed) {
-            break;
-        }
-        signal(turn % GROUPS, Signal::CONT);
-        std::thread::sleep(TURN);
-        signal(turn % GROUPS, Signal::STOP);
-    }
-    (0..GROUPS).for_each(|group| signal(group, Signal::CONT));
-}
-
 async fn call_until_end(shared: Rc<Shared>, number: usize, mut rng: SmallRng) {
     let mut connection = None;
     while shared.started.elapsed() < LENGTH {
--- a/crates/bench/src/soak/target_processes.rs
+++ b/crates/bench/src/soak/target_processes.rs
@@ -20,11 +20,25 @@
 
 /// Separates this random stream from others of the same seed.
 const STREAM: u64 = 0x7072_6f63;
+/// Separates the random stream of the start and the end from the one of the troubles between them.
+const ENDS_STREAM: u64 = 0x656e_6473;
 /// Time in which targets and gateways are disturbed, in milliseconds.
-const FROM_MS: u64 = 3_000;
+const FROM_MS: u64 = 0;
 const UNTIL_MS: u64 = 30_000;
 /// Length of a run: targets have read everything by then.
-const LENGTH: Duration = Duration::from_secs(42);
+const LENGTH: Duration = Duration::from_secs(44);
+/// When gateways start that do so beside the load, in milliseconds.
+const START_MS: Range<u64> = 0..800;
+/// When all gateways lose power at once, in milliseconds.
+const POWER_LOST_MS: Range<u64> = 6_000..24_000;
+/// From when on gateways are stopped one after the other, and the time between two stops, in milliseconds.
+const STOPS_FROM_MS: u64 = 30_000;
+const STOPS_APART_MS: Range<u64> = 50..700;
+/// When a gateway is paused for longer than a window of repeats, and how long, in milliseconds.
+const LONG_PAUSE_AT_MS: Range<u64> = 4_000..16_000;
+const LONG_PAUSE_MS: Range<u64> = 11_000..13_000;
+/// Turns of gateways in runs in which each has a quarter of a core.
+const QUARTER_CORE_TURNS: usize = 4;
 /// Disturbances of each service.
 const PER_SERVICE: Range<usize> = 2..6;
 /// How long targets are away, and stand still for a moment or for long, in milliseconds.
@@ -150,6 +164,10 @@
 priority = 2
 ";
 
+/// Percentage of what they get that stage workers fail for a whole run, in half of the runs, and how.
+const PRESSED_PERCENT: Range<u32> = 40..95;
+const PRESSED_MODES: [&str; 3] = ["error", "refuse", "break"];
+
 /// Services, with the number of their targets.
 const SERVICES: [(&str, usize); 5] = [
     ("engines", 12),
@@ -213,7 +231,76 @@
     if rng.random_bool(0.5) {
         faults.extend(kill_together(&mut rng, entries));
     }
-    SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+    let mut rng = SmallRng::seed_from_u64(seed ^ ENDS_STREAM);
+    if rng.random_bool(0.5) {
+        let stages = SERVICES.iter().filter(|(service, _)| is_stage(service));
+        let failing = stages.map(|(service, targets)| {
+            let failing = Failing {
+                targets: *targets,
+                percent: rng.random_range(PRESSED_PERCENT),
+                how: PRESSED_MODES.choose(&mut rng).expect("there are modes"),
+                at_ms: 1,
+                for_ms: LENGTH.as_millis() as u64,
+            };
+            failing.section(service, 0)
+        });
+        sections.extend(failing);
+    }
+    faults.extend(disturb_ends(&mut rng, entries));
+    SoakPlan {
+        turns: *[1, QUARTER_CORE_TURNS]
+            .choose(&mut rng)
+            .expect("there are two"),
+        ..SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
+    }
+}
+
+fn is_stage(service: &str) -> bool {
+    !["engines", "plain"].contains(&service)
+}
+
+/// What happens to gateways once in a run, each in half of the runs: most of them start beside the load,
+/// all lose power at once, one stands still for longer than a window, all are stopped in series at the end.
+fn disturb_ends(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
+    let fault = |fault, entry, at_ms, for_ms| PlannedFault {
+        fault,
+        entry,
+        at: Duration::from_millis(at_ms),
+        duration: Duration::from_millis(for_ms),
+    };
+    let mut faults = Vec::new();
+    if rng.random_bool(0.5) {
+        let joins = (1..entries).map(|entry| {
+            let at_ms = rng.random_range(START_MS);
+            fault(EntryFault::Join, entry, at_ms, 0)
+        });
+        faults.extend(joins);
+    }
+    if rng.random_bool(0.5) {
+        let at_ms = rng.random_range(POWER_LOST_MS);
+        let kills = (0..entries).map(|entry| {
+            let for_ms = rng.random_range(FAULT_MS);
+            fault(EntryFault::Kill, entry, at_ms, for_ms)
+        });
+        faults.extend(kills);
+    }
+    if rng.random_bool(0.5) {
+        let (entry, at_ms) = (
+            rng.random_range(0..entries),
+            rng.random_range(LONG_PAUSE_AT_MS),
+        );
+        let for_ms = rng.random_range(LONG_PAUSE_MS);
+        faults.push(fault(EntryFault::Pause, entry, at_ms, for_ms));
+    }
+    if rng.random_bool(0.5) {
+        let mut at_ms = STOPS_FROM_MS;
+        let stops = (0..entries).map(|entry| {
+            at_ms += rng.random_range(STOPS_APART_MS);
+            fault(EntryFault::Stop, entry, at_ms, rng.random_range(FAULT_MS))
+        });
+        faults.extend(stops);
+    }
+    faults
 }
 
 /// Kills over half of the gateways at one moment.
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -11,6 +11,7 @@
 mod cut_answers;
 mod cut_off;
 mod draining;
+mod earlier_runs;
 mod evacuated_halls;
 mod fixture;
 mod forwarding;
--- a/crates/gateway/tests/suite/target_speeds.rs
+++ b/crates/gateway/tests/suite/target_speeds.rs
@@ -44,7 +44,7 @@
     tokio::time::sleep(Duration::from_millis(300)).await;
     for _ in 0..REQUESTS {
         let got = fixture.call(&Call::new("GET", "/a/x")).await;
-        assert!(got.is_whole, "{got:?}");
+        assert!(got.status == 200 && got.is_whole, "{got:?}");
     }
     [first.received().len(), second.received().len()]
 }
@@ -86,7 +86,7 @@
     fixture.add("i-engine", "engines", &engine);
     for number in 0..REQUESTS {
         let got = fixture.call(&staged(number)).await;
-        assert!(got.is_whole, "{got:?}");
+        assert!(got.status == 200 && got.is_whole, "{got:?}");
     }
     eventually("all pieces were produced", || {
         stage_runs(&slow).len() + stage_runs(&usual).len() >= REQUESTS
--- a/crates/routing/tests/suite/shared_allowance/incidents.rs
+++ b/crates/routing/tests/suite/shared_allowance/incidents.rs
@@ -157,7 +157,29 @@
     ])
 }
 
-pub fn all() -> [Play; 10] {
+/// Hosts that stand still for longer than a window while callers send them requests, and then fail all
+/// that they get.
+pub fn stands_still() -> Play {
+    let all = || 0..8usize;
+    let unread = Press {
+        requests: 100,
+        repeats: 0,
+        unread: ALL_READ,
+        late_ms: 0,
+        permits_wait: false,
+    };
+    play(&[
+        start_all(all(), 100),
+        vec![Step::Wait(2_000)],
+        all().map(Step::Pause).collect(),
+        all().map(|host| Step::Press(host, unread)).collect(),
+        vec![Step::Wait(12_000)],
+        all().map(Step::Resume).collect(),
+        press_all(all(), ALL_READ),
+    ])
+}
+
+pub fn all() -> [Play; 11] {
     [
         joins(),
         joins_after_use(),
@@ -169,5 +191,6 @@
         pieces_of_killed_processes(),
         pieces_of_lost_processes(),
         permits_that_wait(),
+        stands_still(),
     ]
 }
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -236,6 +236,13 @@
     );
 }
 
+// Guards against repeats that are earned by requests of a window that is over.
+#[test]
+fn requests_read_after_a_standstill_earn_nothing() {
+    let worst = incidents::stands_still().worst_window(None);
+    assert!(!worst.is_exceeded(), "{worst:?}");
+}
+
 // Guards against a search that can't find what it is for.
 #[test]
 fn search_finds_each_defect() {
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -43,6 +43,8 @@
     next_round: Millis,
     /// Permits that were granted and are used later, with the work that they are for.
     waiting: Vec<(SendPermit, u64, Millis)>,
+    /// Requests that callers sent while it was paused.
+    unread: Vec<Press>,
 }
 
 impl Process {
@@ -121,6 +123,7 @@
             Step::Resume(host) => {
                 self.with(host, |process| process.is_paused = false);
                 self.send_waiting(host % hosts);
+                self.read_requests(host % hosts);
             }
             Step::Round(host) => self.run_extra_round(host % hosts),
             Step::Believe(host, count) => {
@@ -166,6 +169,7 @@
             stopping: None,
             next_round: self.now,
             waiting: Vec::new(),
+            unread: Vec::new(),
         });
         self.run_round(host, false);
     }
@@ -218,6 +222,7 @@
         }
         let is_due = process.next_round <= self.now;
         self.send_waiting(host);
+        self.read_requests(host);
         if is_due {
             self.run_round(host, false);
         }
@@ -280,21 +285,48 @@
         process.share.set_units(units, until);
     }
 
-    /// Sends requests, and repeats them as often as wanted and permitted.
+    /// Callers send requests.
     fn press(&mut self, host: usize, press: Press) {
-        let (now, extra) = (self.now, self.extra);
-        let running = self.hosts.iter().flatten().count();
+        let now = self.now;
         let Some(process) = &mut self.hosts[host] else {
             return;
         };
+        for _ in 0..press.requests {
+            self.arrivals.request(now);
+        }
         if process.is_paused {
-            return;
+            return process.unread.push(press);
         }
+        self.serve(host, press);
+    }
+
+    /// Reads what callers sent while the process was paused.
+    fn read_requests(&mut self, host: usize) {
+        let process = self.hosts[host].as_mut();
+        let unread = process.map(|process| std::mem::take(&mut process.unread));
+        for press in unread.into_iter().flatten() {
+            let permits_wait = false;
+            self.serve(
+                host,
+                Press {
+                    permits_wait,
+                    ..press
+                },
+            );
+        }
+    }
+
+    /// Sends requests that were read, and repeats them as often as wanted and permitted.
+    fn serve(&mut self, host: usize, press: Press) {
+        let (now, extra) = (self.now, self.extra);
+        let running = self.hosts.iter().flatten().count();
+        let Some(process) = &mut self.hosts[host] else {
+            return;
+        };
         let clock = process.clock(now);
         for _ in 0..press.requests {
             self.next_work += 1;
             let work_id = self.next_work;
-            self.arrivals.request(now);
             let first = process.budget.first_of_request(clock, RULES);
             let work = first.work().clone();
             let mut permit = first;
