Let requests earn repeats from when their callers may have sent them

What callers saw: nothing; targets may get more repeats in a window than are allowed. The bound counts a request when its caller sends it.

Cause: a request earned repeats from when it was read. A host that stood still for longer than a window reads what waited in its sockets, and may spend what that earns in a window without requests. Class: a time at which something was noticed, taken for the time at which it happened.

Change: a request earns from the last time at which the event loop had provably read all that had arrived, which is the last timer of the lag measurement but one; what was sent longer ago than earnings last earns nothing. The same rule dates a request's earnings 50 to 100 ms back on a host that runs.

Why it works: what arrived before the last timer but one was read before the last one, since the loop has gone round between them.

--- a/crates/gateway/src/request/admit.rs
+++ b/crates/gateway/src/request/admit.rs
@@ -61,6 +61,8 @@
     pub body: Bytes,
     _body_account: RequestAccount,
     pub arrived: BootInstant,
+    /// Earliest time at which the caller may have sent it.
+    pub sent_after: Millis,
     /// Earlier of the caller's deadline and the route's time limit.
     pub deadline: BootInstant,
     /// Data halls in which it may run and its results may be stored; `None` allows all.
@@ -214,6 +216,7 @@
     body: Incoming,
     arrived: BootInstant,
 ) -> Result<Admitted, Rejected> {
+    let sent_after = cx.lag.get().all_read_until();
     let caller = CallerHeaders::read(&head.headers).map_err(|fault| Rejected {
         request_id: None,
         refusal: Refusal::new(
@@ -270,6 +273,7 @@
         body,
         _body_account: body_account,
         arrived,
+        sent_after,
         deadline,
         halls,
         digest: OnceCell::new(),
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -165,7 +165,8 @@
         None => reserve_room(cx, admitted).await?,
     };
     let destination = Destination::choose(admitted, resumed_at.as_ref());
-    let mut permit = cx.permit_request(&admitted.deployment.service(destination.service).name);
+    let service = &admitted.deployment.service(destination.service).name;
+    let mut permit = cx.permit_request(service, admitted.sent_after);
     let work = permit.work().clone();
     let stage_deadline = admitted.stage_deadline(room.is_complete(&admitted.caller.pieces));
     let mut stage_reruns = 0;
--- a/crates/routing/src/event_loop_lag.rs
+++ b/crates/routing/src/event_loop_lag.rs
@@ -26,12 +26,15 @@
     is_lagging: bool,
     /// When its timers became on time.
     on_time_since: Option<Millis>,
+    /// When the last timer fired, and the one before.
+    fired: [Millis; 2],
 }
 
 impl EventLoopLag {
     /// Records a timer that fired `late` milliseconds late. Returns true when the process
     /// starts or stops lagging.
     pub fn record(&mut self, now: Millis, late: Millis) -> bool {
+        self.fired = [now, self.fired[0]];
         let late = late.min(MAX_SAMPLE_MS) as f64;
         self.lag_ms += SAMPLE_WEIGHT * (late - self.lag_ms);
         if self.lag_ms >= ON_TIME_MS {
@@ -49,6 +52,12 @@
         self.is_lagging != was_lagging
     }
 
+    /// What reached the process's sockets before this time was read: the event loop has gone round
+    /// since.
+    pub fn all_read_until(&self) -> Millis {
+        self.fired[1]
+    }
+
     /// True while the process is lagging.
     pub fn is_lagging(&self) -> bool {
         self.is_lagging
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -34,6 +34,11 @@
 }
 
 impl BudgetRules {
+    /// True while a request that was sent at `at` covers repeats that are sent now.
+    fn is_earned(&self, now: Millis, at: Millis) -> bool {
+        at + self.window_ms.saturating_sub(self.arrival_ms) >= now
+    }
+
     /// How long a repeat is charged after it has arrived, in milliseconds.
     pub(super) fn charge_ms(&self) -> Millis {
         (self.window_ms as f64 * (1.0 + CLOCK_TOLERANCE)) as Millis
@@ -51,16 +56,25 @@
 /// window covers repeats once their sends have settled, so that the share is free again.
 #[derive(Debug, Clone, Default)]
 pub struct RepeatBudget {
-    /// What requests earned and no repeat has spent, oldest first.
+    /// What requests earned and no repeat has spent.
     earned: VecDeque<Step>,
     charges: Charges,
 }
 
 impl RepeatBudget {
-    /// Permits the first send of a request of a caller, and counts the request.
-    pub fn first_of_request(&mut self, now: Millis, rules: BudgetRules) -> SendPermit {
+    /// Permits the first send of a request of a caller, and counts the request in the window that
+    /// begins at `sent_at`, the earliest time at which the caller may have sent it.
+    pub fn first_of_request(
+        &mut self,
+        now: Millis,
+        sent_at: Millis,
+        rules: BudgetRules,
+    ) -> SendPermit {
         self.update(now, rules);
-        self.earn(now, rules, rules.ratio * EARNED_PART);
+        let sent_at = sent_at.min(now);
+        if rules.is_earned(now, sent_at) {
+            self.earn(sent_at, rules, rules.ratio * EARNED_PART);
+        }
         SendPermit::new(now, &Work::default())
     }
 
@@ -132,29 +146,25 @@
         self.charges.of_share()
     }
 
-    fn earn(&mut self, now: Millis, rules: BudgetRules, amount: f64) {
+    fn earn(&mut self, at: Millis, rules: BudgetRules, amount: f64) {
         let step_ms = rules.window_ms / STEPS_PER_WINDOW;
+        // A whole step expires with its first earning.
         match self.earned.back_mut() {
-            Some(step) if step.first + step_ms > now => step.amount += amount,
-            _ => self.earned.push_back(Step { first: now, amount }),
+            Some(step) if (step.first..step.first + step_ms).contains(&at) => step.amount += amount,
+            _ => self.earned.push_back(Step { first: at, amount }),
         }
     }
 
     /// Applies what has become of the sends until now.
     pub fn update(&mut self, now: Millis, rules: BudgetRules) {
-        let earned_ms = rules.window_ms.saturating_sub(rules.arrival_ms);
-        // A whole step expires with its first earning.
-        let is_earned = |step: &Step| step.first + earned_ms >= now;
-        while self.earned.front().is_some_and(|step| !is_earned(step)) {
-            self.earned.pop_front();
-        }
+        self.earned.retain(|step| rules.is_earned(now, step.first));
         let earned = &mut self.earned;
         self.charges
             .update(now, rules, || spend_earned(earned, 1.0));
     }
 }
 
-/// Spends earnings, oldest first, and returns what they don't cover.
+/// Spends earnings, in the order in which requests were read, and returns what they don't cover.
 fn spend_earned(earned: &mut VecDeque<Step>, mut amount: f64) -> f64 {
     while let Some(oldest) = earned.front_mut() {
         if oldest.amount > amount {
--- a/crates/routing/tests/suite/event_loop_lag.rs
+++ b/crates/routing/tests/suite/event_loop_lag.rs
@@ -51,3 +51,14 @@
     let changes = times.filter(|(index, late)| lag.record(*index as u64 * INTERVAL_MS, *late));
     assert_eq!(changes.count(), 2);
 }
+
+// Guards against requests that count as sent when a process reads them after it stood still.
+#[test]
+fn first_timer_after_a_standstill_doesnt_show_that_all_was_read() {
+    let mut lag = EventLoopLag::default();
+    assert_eq!(lag.all_read_until(), 0);
+    run(&mut lag, 0, 1_000, 1);
+    assert_eq!(lag.all_read_until(), 900);
+    lag.record(13_000, 12_000);
+    assert_eq!(lag.all_read_until(), 950);
+}
--- a/crates/routing/tests/suite/repeats.rs
+++ b/crates/routing/tests/suite/repeats.rs
@@ -52,7 +52,7 @@
     }
 
     fn request(&mut self, now: Millis) {
-        let _permit = self.budget.first_of_request(now, RULES);
+        let _permit = self.budget.first_of_request(now, now, RULES);
     }
 }
 
@@ -124,7 +124,7 @@
 #[test]
 fn repeats_that_may_still_arrive_are_covered_by_the_share() {
     let mut budget = RepeatBudget::default();
-    (0..100).for_each(|_| drop(budget.first_of_request(20_000, RULES)));
+    (0..100).for_each(|_| drop(budget.first_of_request(20_000, 20_000, RULES)));
     let mut sent = Vec::new();
     for _ in 0..9 {
         let reason = RepeatReason::AttemptFailed;
@@ -194,7 +194,7 @@
 /// A request whose first send is given up, and is repeated if the budget permits that. Returns the
 /// abandoned send; the repeat is answered at once.
 fn repeat_abandoned(budget: &mut RepeatBudget, now: Millis, share: f64) -> Option<TrackedSend> {
-    let first = budget.first_of_request(now, RULES);
+    let first = budget.first_of_request(now, now, RULES);
     let (work, abandoned) = (first.work().clone(), first.send().clone());
     abandoned.begin(now, false);
     abandoned.abandon(now);
@@ -306,7 +306,7 @@
 #[test]
 fn repeats_of_sends_that_targets_close_at_once_cost_what_they_did() {
     let mut budget = RepeatBudget::default();
-    (0..100).for_each(|_| drop(budget.first_of_request(20_000, RULES)));
+    (0..100).for_each(|_| drop(budget.first_of_request(20_000, 20_000, RULES)));
     let repeats = (0..200).filter(|_| {
         let abandoned = repeat_abandoned(&mut budget, 20_000, 4.0);
         abandoned.inspect(TrackedSend::settle).is_some()
--- a/crates/routing/tests/suite/shared_allowance/mod.rs
+++ b/crates/routing/tests/suite/shared_allowance/mod.rs
@@ -60,6 +60,8 @@
     PermitsLast,
     /// A process says that it sends a piece only after it did.
     LateNotices,
+    /// Requests earn from when they are read.
+    ReadIsSent,
 }
 
 /// Requests, and how their attempts fare.
@@ -259,6 +261,7 @@
         Defect::HeardIsSettled,
         Defect::PermitsLast,
         Defect::LateNotices,
+        Defect::ReadIsSent,
     ] {
         let (play, worst) = search::nearest(Some(defect));
         println!("{defect:?}: {worst:?}");
--- a/crates/routing/tests/suite/shared_allowance/world.rs
+++ b/crates/routing/tests/suite/shared_allowance/world.rs
@@ -45,6 +45,8 @@
     waiting: Vec<(SendPermit, u64, Millis)>,
     /// Requests that callers sent while it was paused.
     unread: Vec<Press>,
+    /// When it had last read all that callers had sent.
+    read_until: Millis,
 }
 
 impl Process {
@@ -170,6 +172,7 @@
             next_round: self.now,
             waiting: Vec::new(),
             unread: Vec::new(),
+            read_until: self.now,
         });
         self.run_round(host, false);
     }
@@ -223,6 +226,8 @@
         let is_due = process.next_round <= self.now;
         self.send_waiting(host);
         self.read_requests(host);
+        let now = self.now;
+        self.with(host, |process| process.read_until = now);
         if is_due {
             self.run_round(host, false);
         }
@@ -324,10 +329,14 @@
             return;
         };
         let clock = process.clock(now);
+        let sent_at = match self.defect {
+            Some(Defect::ReadIsSent) => clock,
+            _ => process.clock(process.read_until),
+        };
         for _ in 0..press.requests {
             self.next_work += 1;
             let work_id = self.next_work;
-            let first = process.budget.first_of_request(clock, RULES);
+            let first = process.budget.first_of_request(clock, sent_at, RULES);
             let work = first.work().clone();
             let mut permit = first;
             for attempt in 0..=press.repeats {
