Keep this run of a host when a message names another one

What callers saw: requests with stages are refused with stage_failed although all workers are free, until the other process sends no more or the store lists this run again.

Cause: the sender of a message was taken for the new run of a known host before the message was known to be for this run, and also where that host was this one. Its queues then belonged to the sender. A late message of an earlier run does it, or a process of another site that reaches a reused address. Class: a message that isn't addressed to a process, taken as evidence by it.

Change: only a message to this run says who runs, and no run replaces the one that reads it.

--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -180,12 +180,13 @@
     if !cx.peers.is_listed() {
         cx.heard_peers.record(envelope.from.addr);
     }
-    cx.peers.observed(cx, &envelope.from);
-    cx.peers
-        .set_lagging(cx, envelope.from.id, envelope.is_lagging);
+    // A sender that doesn't know this run may be no peer of it.
     if envelope.to != cx.me.id {
         return Err(wrong_run(cx));
     }
+    cx.peers.observed(cx, &envelope.from);
+    cx.peers
+        .set_lagging(cx, envelope.from.id, envelope.is_lagging);
     let link = cx.peers.link_to(cx, &envelope.from);
     link.record_activity();
     for message in envelope.messages {
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -203,9 +203,10 @@
     }
 
     /// A message from an entry was received. A new run of a known host replaces the previous
-    /// run at once.
+    /// run at once, but none replaces this one.
     pub fn observed(&self, cx: &Rc<Traffic>, peer: &PeerRecord) {
-        let Some(old) = self.previous_run(peer) else {
+        let previous = self.previous_run(peer);
+        let Some(old) = previous.filter(|old| *old != cx.me.id) else {
             return;
         };
         cx.log.line(
