Keep the time that is left for a piece in messages only

Cause: a piece had a number of milliseconds that was overwritten wherever it was passed on, and that nothing read before then. Class: a time left that is kept as a number.

Change: pieces have no time of their own; the message to an owner has one, at the same place of its encoding, so that builds before this one serve beside it. No behaviour changes.

--- a/crates/gateway/src/peers/messages.rs
+++ b/crates/gateway/src/peers/messages.rs
@@ -229,12 +229,49 @@
     pub handle: String,
 }
 
+/// A piece with the time that is left for it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct PassedPiece {
+    request_id: String,
+    stage: u16,
+    piece: u32,
+    /// Time until the request's deadline when the message is made, in milliseconds.
+    pub remaining_ms: u64,
+    piece_key: Option<String>,
+    inputs: Vec<String>,
+}
+
+impl PassedPiece {
+    pub fn new(piece: &Piece, remaining_ms: u64) -> Self {
+        PassedPiece {
+            request_id: piece.request_id.clone(),
+            stage: piece.stage,
+            piece: piece.piece,
+            remaining_ms,
+            piece_key: piece.piece_key.clone(),
+            inputs: piece.inputs.clone(),
+        }
+    }
+}
+
+impl From<PassedPiece> for Piece {
+    fn from(passed: PassedPiece) -> Self {
+        Piece {
+            request_id: passed.request_id,
+            stage: passed.stage,
+            piece: passed.piece,
+            piece_key: passed.piece_key,
+            inputs: passed.inputs,
+        }
+    }
+}
+
 /// A piece for the owner of a queue to produce.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ProducePieceRequest {
     pub id: PieceId,
     pub queue: String,
-    pub piece: Piece,
+    pub piece: PassedPiece,
     /// Digest of the request's content, equal for requests with the same content.
     pub request: RequestDigest,
     /// 0 is the most urgent.
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -37,9 +37,9 @@
 pub use link::{Link, LinkLost, RemoteOutcome};
 pub use listen::{read, start};
 pub use messages::{
-    CompletedPiece, CrashedRunReport, LimitNotice, Message, PieceId, PieceOutcome, PlacementId,
-    PlacementReply, PlacementStep, ProducePieceRequest, TargetReportMessage, UnneededResult,
-    VerdictNotice, WorkerHandover,
+    CompletedPiece, CrashedRunReport, LimitNotice, Message, PassedPiece, PieceId, PieceOutcome,
+    PlacementId, PlacementReply, PlacementStep, ProducePieceRequest, TargetReportMessage,
+    UnneededResult, VerdictNotice, WorkerHandover,
 };
 pub use record::{capacity_of, PeerId, PeerRecord, PREFIX};
 pub use state::{
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -25,8 +25,8 @@
 
 use crate::mechanisms::Mechanism;
 use crate::peers::{
-    self, Link, LinkLost, Message, Owner, PeerId, PeerRecord, PieceId, ProducePieceRequest,
-    RemoteOutcome, UnneededResult, WorkerHandover,
+    self, Link, LinkLost, Message, Owner, PassedPiece, PeerId, PeerRecord, PieceId,
+    ProducePieceRequest, RemoteOutcome, UnneededResult, WorkerHandover,
 };
 use crate::repeats::Repeat;
 use crate::reservations::{ReservationReply, Reserve};
@@ -233,10 +233,10 @@
         ProducePieceRequest {
             id: PieceId(number),
             queue: queue.to_string(),
-            piece: Piece {
-                remaining_ms: piece_request.deadline.saturating_sub(now),
-                ..piece_request.piece.clone()
-            },
+            piece: PassedPiece::new(
+                &piece_request.piece,
+                piece_request.deadline.saturating_sub(now),
+            ),
             request: piece_request.request,
             priority: piece_request.priority,
             due_in_ms: piece_request.due as i64 - now as i64,
@@ -308,7 +308,7 @@
         let now = cx.clock.now();
         let piece_request = PieceRequest {
             deadline: now.saturating_add(request.piece.remaining_ms),
-            piece: request.piece,
+            piece: request.piece.into(),
             request: request.request,
             priority: request.priority,
             due: now.saturating_add_signed(request.due_in_ms),
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -123,16 +123,14 @@
         })
     }
 
-    /// The piece as it is sent to a worker; only a piece without inputs has a key.
+    /// The piece; only one without inputs has a key.
     fn piece(&self, index: PieceIndex) -> Piece {
         let inputs = self.graph.inputs_of(index.stage);
         let piece_key = self.admitted.caller.piece_key.clone();
-        let remaining = self.deadline.saturating_since(BootInstant::now());
         Piece {
             request_id: self.admitted.caller.request_id.clone(),
             stage: index.stage as u16,
             piece: index.piece as u32,
-            remaining_ms: remaining.as_millis() as u64,
             piece_key: piece_key.filter(|_| inputs.is_empty()),
             inputs,
         }
