Take a record of a second restore for a copy, whatever its age

Cause: a target that was gone and that a restored store lists again gets nothing. When the store was restored once more, its record counted as the same copy only at the same revision. A copy of another age has another revision, so that it counted as written by the target.

Change: whatever the first full list of an epoch has may be a copy, for targets that are listed already as for those that aren't. A target that lives writes its record again within a heartbeat, at a later position.

Evidence: target_that_is_gone_stays_unused_after_a_second_restore failed before (usable in epoch 3) and passes.

--- a/crates/fleet/src/target_registry/entry.rs
+++ b/crates/fleet/src/target_registry/entry.rs
@@ -49,16 +49,16 @@
 }
 
 impl<R> Entry<R> {
-    /// State after another record of the same incarnation; `is_copy` when that is the known
-    /// record, read from a restored store.
-    pub fn state_after(&self, meta: &RecordMeta, is_copy: bool) -> State {
-        let is_same_record = is_copy || meta.at == self.at;
+    /// State after another record of the same incarnation; `may_be_copy` when the store may have been
+    /// restored with it.
+    pub fn state_after(&self, meta: &RecordMeta, may_be_copy: bool) -> State {
+        let is_not_new = may_be_copy || meta.at == self.at;
         match self.state {
             State::Draining => State::Draining,
             _ if meta.draining => State::Draining,
             // Written before it was found missing.
             State::Unconfirmed if meta.at <= self.missing_at => State::Unconfirmed,
-            State::Restored if is_same_record => State::Restored,
+            State::Restored if is_not_new => State::Restored,
             _ => State::Recorded,
         }
     }
--- a/crates/fleet/src/target_registry/mod.rs
+++ b/crates/fleet/src/target_registry/mod.rs
@@ -146,7 +146,11 @@
         let same = known.filter(|known| known.incarnation == meta.incarnation);
         let is_copy = same.is_some_and(|known| is_restored_copy(known, &meta, &record));
         let state = match known {
-            Some(_) => same.map_or(meta.state(), |known| known.state_after(&meta, is_copy)),
+            Some(_) => same.map_or(meta.state(), |known| {
+                let is_of_new_epoch = known.at.epoch < meta.at.epoch;
+                let may_be_copy = is_copy || is_of_new_epoch && self.may_be_copy(&meta);
+                known.state_after(&meta, may_be_copy)
+            }),
             None => self.state_of_unknown(id, &meta),
         };
         // A peer may list what is known already.
@@ -194,14 +198,19 @@
         true
     }
 
+    /// True unless the record was written since the store was restored: until the first full list of the
+    /// epoch, or by that list, it may be part of the older copy, which may be of any age.
+    fn may_be_copy(&self, meta: &RecordMeta) -> bool {
+        self.listed.epoch < meta.at.epoch || meta.at <= self.listed
+    }
+
     /// State that a record gives to a target that isn't registered.
     fn state_of_unknown(&self, id: &str, meta: &RecordMeta) -> State {
-        let may_be_copy = self.listed.epoch < meta.at.epoch || meta.at <= self.listed;
         let removed = self.removed.last(id);
         let removed = removed.filter(|removed| {
             removed.incarnation == meta.incarnation && removed.at.epoch < meta.at.epoch
         });
-        match removed.filter(|_| may_be_copy) {
+        match removed.filter(|_| self.may_be_copy(meta)) {
             Some(removed) if removed.was_draining => State::Draining,
             Some(_) if !meta.draining => State::Restored,
             _ => meta.state(),
--- a/crates/fleet/tests/suite/target_registry.rs
+++ b/crates/fleet/tests/suite/target_registry.rs
@@ -289,6 +289,29 @@
     assert_eq!(usable(&registry), ["a"]);
 }
 
+/// Guards against a copy of another age, in a store that is restored once more, taken for a record that its
+/// target wrote.
+#[test]
+fn target_that_is_gone_stays_unused_after_a_second_restore() {
+    let mut registry: TargetRegistry<&str> = TargetRegistry::new(TIMING);
+    let of_epoch = |epoch: u64, revision: u64| RecordMeta {
+        at: Position::new(epoch, revision),
+        incarnation: 1,
+        draining: false,
+    };
+    registry.put("a", of_epoch(1, 9), "a");
+    assert!(registry.apply_deletion("a", Position::new(1, 12), false));
+    for (epoch, revision) in [(2, 7), (3, 5), (4, 6)] {
+        let now = 1_000 * epoch;
+        registry.epoch_began(now);
+        registry.put("a", of_epoch(epoch, revision), "a");
+        registry.reconcile(&["a"], Position::new(epoch, 8), now);
+        assert_eq!(usable(&registry), [""; 0], "in epoch {epoch}");
+    }
+    registry.put("a", of_epoch(4, 9), "a");
+    assert_eq!(usable(&registry), ["a"]);
+}
+
 /// Guards against a restored record that is read only after peers have said that its target drains.
 #[test]
 fn target_that_a_peer_knows_to_drain_is_unused_once_it_is_listed() {
