--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -371,7 +371,7 @@
         let pauses = &self.gateways[planned.entry].pauses;
         pauses.set(pauses.get() + 1);
         if self.has_turns {
-            tokio::time::sleep(ROUND + LEAST_LAG).await;
+            tokio::time::sleep(2 * ROUND).await;
         }
         self.signal(planned.entry, Signal::STOP);
         tokio::time::sleep(planned.duration).await;
--- a/crates/bench/src/soak/turns.rs
+++ b/crates/bench/src/soak/turns.rs
@@ -12,7 +12,8 @@
 
 /// How long a group of gateways runs.
 const TURN: Duration = Duration::from_millis(2);
-/// Time after which the processes are listed anew. All run at its end, so that none stays stopped.
+/// Time after which the processes are listed anew, without delays. All run at its end, so that none stays
+/// stopped.
 pub const ROUND: Duration = Duration::from_millis(256);
 
 /// Lets groups of gateways run in turn until it is stopped.
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -118,18 +118,18 @@
         }
     }
 
-    /// Permits the first send of a caller's request, which was sent at `sent_at` at the earliest, and
-    /// counts the request.
+    /// Permits the first send of a caller's request, which was sent after `sent_after`, and counts the
+    /// request.
     pub fn permit_request(
         &self,
         now: Millis,
-        sent_at: Millis,
+        sent_after: Millis,
         bounds: &Bounds,
         service: &str,
     ) -> SendPermit {
         self.tally(service, |tally| tally.requests += 1);
         self.with_budget(service, |budget| {
-            budget.first_of_request(now, sent_at, rules(bounds))
+            budget.first_of_request(now, sent_after, rules(bounds))
         })
     }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -470,12 +470,12 @@
         is_complete
     }
 
-    /// Permits the first send of a caller's request to a service. It was sent at `sent_at` at the
-    /// earliest.
-    pub fn permit_request(&self, service: &str, sent_at: Millis) -> SendPermit {
+    /// Permits the first send of a caller's request to a service. It was sent after
+    /// `sent_after`.
+    pub fn permit_request(&self, service: &str, sent_after: Millis) -> SendPermit {
         let (now, settings) = (self.clock.now(), self.settings());
         self.repeats
-            .permit_request(now, sent_at, &settings.bounds, service)
+            .permit_request(now, sent_after, &settings.bounds, service)
     }
 
     /// Permits to send work again; `None` if this host's share of the repeats is used up.
--- a/crates/routing/src/repeats/budget.rs
+++ b/crates/routing/src/repeats/budget.rs
@@ -63,17 +63,17 @@
 
 impl RepeatBudget {
     /// Permits the first send of a request of a caller, and counts the request in the window that
-    /// begins at `sent_at`, the earliest time at which the caller may have sent it.
+    /// begins at `sent_after`, the earliest time at which the caller may have sent it.
     pub fn first_of_request(
         &mut self,
         now: Millis,
-        sent_at: Millis,
+        sent_after: Millis,
         rules: BudgetRules,
     ) -> SendPermit {
         self.update(now, rules);
-        let sent_at = sent_at.min(now);
-        if rules.is_earned(now, sent_at) {
-            self.earn(sent_at, rules, rules.ratio * EARNED_PART);
+        let at = sent_after.min(now);
+        if rules.is_earned(now, at) {
+            self.earn(at, rules, rules.ratio * EARNED_PART);
         }
         SendPermit::new(now, &Work::default())
     }
