Send a piece only while its requester waits for it, and don't bring killed runs back

What targets saw: more repeats at a stage service than are allowed.

Timeline, from the logs: a gateway is killed (8.1 s) and starts again; it is stopped 0.5 s later (9.56 s) and removes its record. Peers still list the record of the killed run, take that for the host's new run, and so the run that stops for ended. What it had not said to have started counts as unsent, and goes to another owner for free. At 9.59 s both owners send the same pieces to workers, 4 ms apart: the first one's notice that it is about to do so was answered as any other, though nobody waited for the pieces there.

Cause: a requester concluded from a record that was older than what it knew that a process had ended; and an owner asked, and sent whatever it was told. Class: a conclusion from what wasn't seen, and a check whose answer nobody reads.

Change: the newest run of a host stays the newest for as long as records of the host exist (fleet::newest_runs). Older builds reply as if they waited, and take the new reply for none.

Why it works: a piece that was passed on for free isn't waited for at its first owner, whose notice comes before the send, whatever made its requester take it for ended.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -10,6 +10,7 @@
 mod live_runs;
 mod membership;
 mod newest;
+mod newest_runs;
 mod ownership;
 mod relays;
 mod restored_store;
--- a/crates/gateway/src/control/derived.rs
+++ b/crates/gateway/src/control/derived.rs
@@ -4,10 +4,9 @@
 //! cost time in proportion to the number of entries, and the other way around.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use hollowsail_fleet::{EvacuatedHalls, Position};
+use hollowsail_fleet::{EvacuatedHalls, NewestRuns, Position};
 use hollowsail_platform::targets::TargetRecord;
 
 use super::Control;
@@ -27,6 +26,7 @@
 #[derive(Default)]
 pub(super) struct Derived {
     peers: AsOf<Arc<[PeerRecord]>>,
+    newest_runs: RefCell<NewestRuns>,
     records: AsOf<Records>,
     targets: AsOf<(EvacuatedHalls, Arc<Targets>)>,
 }
@@ -46,18 +46,14 @@
 
 impl Control {
     /// One record per host, that of its newest run. The record of a killed run stays until
-    /// its lease expires.
+    /// its lease expires, also after a later run has removed its own.
     pub(super) fn peers_now(&self) -> Arc<[PeerRecord]> {
         let registry = self.peers.borrow();
         as_of(&self.derived.peers, registry.change_count(), || {
-            let mut newest: BTreeMap<&str, (Position, &PeerRecord)> = BTreeMap::new();
-            for (at, peer) in registry.usable_with_positions() {
-                let known = newest.entry(&peer.host).or_insert((at, peer));
-                if at > known.0 {
-                    *known = (at, peer);
-                }
-            }
-            newest.into_values().map(|(_, peer)| peer.clone()).collect()
+            let records = registry.usable_with_positions();
+            let mut newest_runs = self.derived.newest_runs.borrow_mut();
+            let newest = newest_runs.choose(records, |peer: &PeerRecord| &peer.host);
+            newest.into_iter().cloned().collect()
         })
     }
 
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -24,7 +24,7 @@
     TargetReportMessage, PATH, TARGET_REPORTS_PATH,
 };
 use super::record::PeerRecord;
-use super::started_pieces::STARTED_PIECES_PATH;
+use super::started_pieces::{StartedReply, STARTED_PIECES_PATH};
 use crate::batched_calls::BatchedCalls;
 use crate::crashes::{PartMessage, TrialReply, PARTS_PATH};
 use crate::peer_call::request;
@@ -104,7 +104,7 @@
     pub parts: Rc<BatchedCalls<PartMessage, TrialReply>>,
     outbox: RefCell<Vec<Message>>,
     /// To the requester of a piece: it is sent to a worker.
-    pub started_pieces: Rc<BatchedCalls<PieceId, ()>>,
+    pub started_pieces: Rc<BatchedCalls<PieceId, StartedReply>>,
     /// Questions about pieces that the peer doesn't send any more.
     pub dropped_pieces: Rc<BatchedCalls<PieceId, bool>>,
     awaited: RefCell<HashMap<PieceId, AwaitedPiece>>,
@@ -208,11 +208,11 @@
         rx.await.unwrap_or(Err(LinkLost::UNKNOWN))
     }
 
-    /// Records that the peer sends a piece to a worker.
-    pub fn record_started(&self, id: PieceId) {
-        if let Some(awaited) = self.awaited.borrow_mut().get_mut(&id) {
-            awaited.is_started = true;
-        }
+    /// Records that the peer sends a piece to a worker. False if no requester waits for the piece.
+    pub fn record_started(&self, id: PieceId) -> bool {
+        let mut awaited = self.awaited.borrow_mut();
+        let awaited = awaited.get_mut(&id);
+        awaited.map(|awaited| awaited.is_started = true).is_some()
     }
 
     /// Requests a placement from a scheduler of the peer. The caller bounds the time.
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -94,14 +94,23 @@
     }
 
     /// Tells the requesters of pieces that these are about to be sent to a worker, and waits for a moment
-    /// until they know: a requester that isn't told has a piece sent again if this entry ends.
-    pub(in crate::pools) async fn notify_started(&self, pieces: impl Iterator<Item = PieceKey>) {
+    /// until they know: a requester that isn't told has a piece sent again if this entry ends. Pieces that
+    /// nobody waits for any more are dropped: their requesters may have taken this entry for ended.
+    pub(in crate::pools) async fn notify_started(
+        self: &Rc<Self>,
+        pieces: impl Iterator<Item = PieceKey>,
+    ) {
         let requesters: Vec<_> = pieces.filter_map(|key| self.requester_of(key)).collect();
         let notices = requesters
             .iter()
             .map(|(link, id)| link.started_pieces.request(*id));
         // A requester that doesn't answer in time may be lost; its pieces are due all the same.
-        let _told = join_all(notices).await;
+        let replies = join_all(notices).await;
+        for ((link, id), reply) in requesters.iter().zip(replies) {
+            if reply == Ok(Some(false)) {
+                self.cancel_piece(link.peer.id, *id);
+            }
+        }
     }
 
     /// The peer that waits for a piece, and its id there.
