Look once, just before the send, which pieces of a call are awaited

The call took its pieces before the notices to their requesters, and filtered them a second time after. It takes them after the notices only. Behaviour stays: pieces that are cancelled meanwhile aren't sent, and their permits go with them.

--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -89,11 +89,9 @@
     started: StartedCall,
     target: Rc<Target>,
 ) {
-    let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
-    let keys = sent_pieces.iter().map(|sent| sent.started.key);
+    let keys = started.pieces.iter().map(|piece| piece.key);
     batcher.notify_started(keys).await;
-    // Pieces may have been cancelled meanwhile.
-    let (sent_pieces, permits) = still_awaited(&batcher, sent_pieces, permits);
+    let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
     let begun_ms = cx.clock.now();
     let sent_at = BootInstant::now();
     let exchange = exchange(&cx, &target, &sent_pieces, permits);
@@ -212,19 +210,6 @@
     awaited.unzip()
 }
 
-/// The pieces of a call that are still awaited, with their permits.
-fn still_awaited(
-    batcher: &Batcher,
-    pieces: Vec<CallPiece>,
-    permits: Vec<SendPermit>,
-) -> (Vec<CallPiece>, Vec<SendPermit>) {
-    let queue = batcher.queue.borrow();
-    let pieces = pieces.into_iter().zip(permits);
-    pieces
-        .filter(|(piece, _)| queue.job(piece.started.key).is_some())
-        .unzip()
-}
-
 /// Gives pieces that weren't sent their permits back.
 fn return_permits(batcher: &Batcher, sent_pieces: &[CallPiece], permits: Option<SendPermits>) {
     let mut queue = batcher.queue.borrow_mut();
