Say plainly which run of a host is replaced, and whether a piece is awaited

One lookup for each host instead of three cases, and a match instead of a map with a side effect. Behaviour stays. The test of killed runs fails with the comparison taken out.

--- a/crates/fleet/src/newest_runs.rs
+++ b/crates/fleet/src/newest_runs.rs
@@ -31,16 +31,11 @@
         }
         self.by_host
             .retain(|host, _| newest.contains_key(host.as_str()));
-        newest.retain(|host, (at, _)| match self.by_host.get_mut(*host) {
-            Some(known) if *at >= *known => {
-                *known = *at;
-                true
-            }
-            Some(_) => *at == Position::default(),
-            None => {
-                self.by_host.insert(host.to_string(), *at);
-                true
-            }
+        newest.retain(|host, (at, _)| {
+            let known = self.by_host.entry(host.to_string()).or_default();
+            let is_replaced = *at < *known && *at != Position::default();
+            *known = (*known).max(*at);
+            !is_replaced
         });
         newest.into_values().map(|(_, record)| record).collect()
     }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -210,9 +210,13 @@
 
     /// Records that the peer sends a piece to a worker. False if no requester waits for the piece.
     pub fn record_started(&self, id: PieceId) -> bool {
-        let mut awaited = self.awaited.borrow_mut();
-        let awaited = awaited.get_mut(&id);
-        awaited.map(|awaited| awaited.is_started = true).is_some()
+        match self.awaited.borrow_mut().get_mut(&id) {
+            Some(awaited) => {
+                awaited.is_started = true;
+                true
+            }
+            None => false,
+        }
     }
 
     /// Requests a placement from a scheduler of the peer. The caller bounds the time.
