--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -39,6 +39,8 @@
 const CUT_MS: u64 = 6_000;
 /// How targets fail, as the emulator's settings name it.
 pub const FAILURE_MODES: [&str; 5] = ["error", "refuse", "break", "lose-answer", "hang"];
+/// Those that senders see at once.
+const PROMPT_FAILURE_MODES: [&str; 3] = ["error", "refuse", "break"];
 
 pub const SECTIONS: &str = "\
 [service.plain]
@@ -244,11 +246,13 @@
     for_ms: Range<u64>,
 ) -> Vec<PlannedFault> {
     let kinds = [EntryFault::Kill, EntryFault::Stop, EntryFault::Pause];
-    let faults = (0..count).map(|_| PlannedFault {
-        fault: *kinds.choose(rng).expect("there are kinds"),
-        entry: rng.random_range(0..entries),
-        at: Duration::from_millis(rng.random_range(at_ms.clone())),
-        duration: Duration::from_millis(rng.random_range(for_ms.clone())),
+    let faults = (0..count).map(|_| {
+        PlannedFault::of_ms(
+            *kinds.choose(rng).expect("there are kinds"),
+            rng.random_range(0..entries),
+            rng.random_range(at_ms.clone()),
+            rng.random_range(for_ms.clone()),
+        )
     });
     faults.collect()
 }
@@ -278,6 +282,23 @@
 }
 
 impl Failing {
+    /// A whole run in which all targets of a service fail a part of what they get, as senders see at once.
+    pub fn for_whole_run(
+        rng: &mut SmallRng,
+        targets: usize,
+        percent: Range<u32>,
+        length: Duration,
+    ) -> Self {
+        let modes = PROMPT_FAILURE_MODES;
+        Failing {
+            targets,
+            percent: rng.random_range(percent),
+            how: modes.choose(rng).expect("there are modes"),
+            at_ms: 1,
+            for_ms: length.as_millis() as u64,
+        }
+    }
+
     /// Its section in the emulator's settings; `number` tells the times of a service apart.
     pub fn section(&self, service: &str, number: usize) -> String {
         let Failing {
--- a/crates/bench/src/soak/joining_hosts.rs
+++ b/crates/bench/src/soak/joining_hosts.rs
@@ -28,7 +28,6 @@
 const FAULT_MS: Range<u64> = 100..2_500;
 /// Percentage of what they get that targets fail.
 const FAILING_PERCENT: Range<u32> = 60..100;
-const FAILURE_MODES: [&str; 3] = ["error", "refuse", "break"];
 
 /// Runs once.
 pub async fn run(options: &SoakOptions) -> Result<SoakReport, SoakError> {
@@ -40,13 +39,7 @@
     let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
     let mut sections = vec![SECTIONS.to_string()];
     for (service, targets) in SERVICES {
-        let failing = Failing {
-            targets,
-            percent: rng.random_range(FAILING_PERCENT),
-            how: FAILURE_MODES.choose(&mut rng).expect("there are modes"),
-            at_ms: 1,
-            for_ms: LENGTH.as_millis() as u64,
-        };
+        let failing = Failing::for_whole_run(&mut rng, targets, FAILING_PERCENT, LENGTH);
         sections.push(failing.section(service, 0));
     }
     for what in ["hosts-cut", "store-silent"] {
@@ -59,12 +52,7 @@
     for entry in 0..entries {
         if entry > 0 {
             start_ms += rng.random_range(APART_MS);
-            faults.push(PlannedFault {
-                fault: EntryFault::Join,
-                entry,
-                at: Duration::from_millis(start_ms),
-                duration: Duration::ZERO,
-            });
+            faults.push(PlannedFault::of_ms(EntryFault::Join, entry, start_ms, 0));
         }
         let from_ms = start_ms.min(UNTIL_MS - 1);
         let later = (0..FAULTS_PER_HOST).map(|_| draw_fault(&mut rng, entry, from_ms));
@@ -80,10 +68,10 @@
         EntryFault::Pause,
         EntryFault::Replace,
     ];
-    PlannedFault {
-        fault: *kinds.choose(rng).expect("there are kinds"),
+    PlannedFault::of_ms(
+        *kinds.choose(rng).expect("there are kinds"),
         entry,
-        at: Duration::from_millis(rng.random_range(from_ms..UNTIL_MS)),
-        duration: Duration::from_millis(rng.random_range(FAULT_MS)),
-    }
+        rng.random_range(from_ms..UNTIL_MS),
+        rng.random_range(FAULT_MS),
+    )
 }
--- a/crates/bench/src/soak/plan.rs
+++ b/crates/bench/src/soak/plan.rs
@@ -63,6 +63,18 @@
     pub duration: Duration,
 }
 
+impl PlannedFault {
+    /// A fault that begins at a time and lasts for another, both in milliseconds.
+    pub fn of_ms(fault: EntryFault, entry: usize, at_ms: u64, for_ms: u64) -> Self {
+        PlannedFault {
+            fault,
+            entry,
+            at: Duration::from_millis(at_ms),
+            duration: Duration::from_millis(for_ms),
+        }
+    }
+}
+
 /// The plan of a soak run.
 #[derive(Debug, Clone)]
 pub struct SoakPlan {
--- a/crates/bench/src/soak/planned_stops.rs
+++ b/crates/bench/src/soak/planned_stops.rs
@@ -126,11 +126,13 @@
     let SoakOptions { seed, entries, .. } = *options;
     let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
     // One gateway stays, so that callers are served elsewhere.
-    let stops = (0..entries.saturating_sub(1) * STOPS_PER_GATEWAY).map(|_| PlannedFault {
-        fault: EntryFault::Stop,
-        entry: rng.random_range(1..entries),
-        at: Duration::from_millis(rng.random_range(STOPS_MS)),
-        duration: Duration::from_millis(rng.random_range(DOWN_MS)),
+    let stops = (0..entries.saturating_sub(1) * STOPS_PER_GATEWAY).map(|_| {
+        PlannedFault::of_ms(
+            EntryFault::Stop,
+            rng.random_range(1..entries),
+            rng.random_range(STOPS_MS),
+            rng.random_range(DOWN_MS),
+        )
     });
     SoakPlan::of_site(options, SECTIONS, stops.collect(), LENGTH)
 }
--- a/crates/bench/src/soak/target_processes.rs
+++ b/crates/bench/src/soak/target_processes.rs
@@ -164,9 +164,8 @@
 priority = 2
 ";
 
-/// Percentage of what they get that stage workers fail for a whole run, in half of the runs, and how.
+/// Percentage of what they get that stage workers fail for a whole run, in half of the runs.
 const PRESSED_PERCENT: Range<u32> = 40..95;
-const PRESSED_MODES: [&str; 3] = ["error", "refuse", "break"];
 
 /// Services, with the number of their targets.
 const SERVICES: [(&str, usize); 5] = [
@@ -235,13 +234,7 @@
     if rng.random_bool(0.5) {
         let stages = SERVICES.iter().filter(|(service, _)| is_stage(service));
         let failing = stages.map(|(service, targets)| {
-            let failing = Failing {
-                targets: *targets,
-                percent: rng.random_range(PRESSED_PERCENT),
-                how: PRESSED_MODES.choose(&mut rng).expect("there are modes"),
-                at_ms: 1,
-                for_ms: LENGTH.as_millis() as u64,
-            };
+            let failing = Failing::for_whole_run(&mut rng, *targets, PRESSED_PERCENT, LENGTH);
             failing.section(service, 0)
         });
         sections.extend(failing);
@@ -262,12 +255,7 @@
 /// What happens to gateways once in a run, each in half of the runs: most of them start beside the load,
 /// all lose power at once, one stands still for longer than a window, all are stopped in series at the end.
 fn disturb_ends(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
-    let fault = |fault, entry, at_ms, for_ms| PlannedFault {
-        fault,
-        entry,
-        at: Duration::from_millis(at_ms),
-        duration: Duration::from_millis(for_ms),
-    };
+    let fault = PlannedFault::of_ms;
     let mut faults = Vec::new();
     if rng.random_bool(0.5) {
         let joins = (1..entries).map(|entry| {
@@ -305,13 +293,8 @@
 
 /// Kills over half of the gateways at one moment.
 fn kill_together(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
-    let at = Duration::from_millis(rng.random_range(FROM_MS..UNTIL_MS));
-    let kill = |entry| PlannedFault {
-        fault: EntryFault::Kill,
-        entry,
-        at,
-        duration: Duration::from_millis(FAULT_MS.end),
-    };
+    let at_ms = rng.random_range(FROM_MS..UNTIL_MS);
+    let kill = |entry| PlannedFault::of_ms(EntryFault::Kill, entry, at_ms, FAULT_MS.end);
     (0..entries.div_ceil(2) + 1).map(kill).collect()
 }
 
