Post to peers' paths in one fixture, and guard runs of other hosts

Three tests wrote the same request, two the same answer and the same reading of a run. The check of whom a message is addressed to had no test of its own: with it taken out only sender_of_a_message_to_another_run_doesnt_replace_a_ run_of_its_host fails, as sender_with_the_name_of_this_host does with the other check out. Assertions of tests that exist stay.

--- a/crates/gateway/tests/suite/earlier_runs.rs
+++ b/crates/gateway/tests/suite/earlier_runs.rs
@@ -7,13 +7,15 @@
 use serde_json::json;
 
 use crate::fixture::{
-    exchange, single_event_stream, stage_runs, staged_call, EntryRecord, Fixture,
+    post, put_entry_record, run_of_entry, single_event_stream, stage_runs, staged_call,
+    EntryRecord, Fixture, MESSAGES_PATH,
 };
 
-const MESSAGES_PATH: &str = "/hollowsail/messages";
 /// No run of the test has these ids.
 const OTHER_RUN: u64 = 77;
 const ADDRESSED_RUN: u64 = 78;
+/// It has a record in the store.
+const LISTED_RUN: u64 = 79;
 /// Far above the capacity of the gateway, which owns nothing beside it.
 const LARGE_CAPACITY: u32 = 10_000_000;
 
@@ -52,36 +54,22 @@
         }
     }
 
-    /// The run of the gateway, from its record.
-    fn run(&self) -> u64 {
-        let store = &self.fixture.store;
-        let keys = store.keys("hollowsail/peers/");
-        let value = store.value(&keys[0]).expect("the gateway has a record");
-        let record: EntryRecord = rmp_serde::from_slice(&value).expect("it decodes");
-        record.0
-    }
-
-    /// Sends the gateway a message to a run; returns the status.
-    async fn send_to(&self, addressed: u64) -> String {
-        let sender = (
-            OTHER_RUN,
-            "host-1".to_string(),
-            self.other.addr,
-            "hall-a".to_string(),
-            LARGE_CAPACITY,
-        );
-        let envelope: Envelope = (sender, addressed, false, []);
+    /// Sends the gateway a message to a run, from one of the other process on this host; returns the
+    /// status.
+    async fn send_to(&self, addressed: u64, host: &str) -> String {
+        let envelope: Envelope = (self.other(OTHER_RUN, host), addressed, false, []);
         let body = rmp_serde::to_vec(&envelope).expect("it encodes");
-        let head = format!(
-            "POST {MESSAGES_PATH} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
-             Content-Length: {}\r\n\r\n",
-            body.len()
-        );
         let peers = self.fixture.gateway.addrs.peers;
-        let answer = exchange(peers, &[head.as_bytes(), &body].concat()).await;
+        let answer = post(peers, MESSAGES_PATH, &body).await;
         String::from_utf8_lossy(&answer)[9..12].to_string()
     }
 
+    /// Record of a run at the address of the other process.
+    fn other(&self, run: u64, host: &str) -> EntryRecord {
+        let (addr, hall) = (self.other.addr, "hall-a".to_string());
+        (run, host.to_string(), addr, hall, LARGE_CAPACITY)
+    }
+
     /// Checks that the gateway's own queue serves a request.
     async fn check_served(&self) {
         tokio::time::sleep(Duration::from_millis(300)).await;
@@ -99,7 +87,7 @@
 #[actix_rt::test]
 async fn sender_of_a_message_to_another_run_doesnt_replace_this_run() {
     let runs = TwoRuns::start().await;
-    assert_eq!(runs.send_to(ADDRESSED_RUN).await, "421");
+    assert_eq!(runs.send_to(ADDRESSED_RUN, "host-1").await, "421");
     runs.check_served().await;
 }
 
@@ -107,6 +95,30 @@
 #[actix_rt::test]
 async fn sender_with_the_name_of_this_host_doesnt_replace_this_run() {
     let runs = TwoRuns::start().await;
-    assert_eq!(runs.send_to(runs.run()).await, "204");
+    let run = run_of_entry(&runs.fixture.store);
+    assert_eq!(runs.send_to(run, "host-1").await, "204");
     runs.check_served().await;
 }
+
+/// Guards against pieces that are sent to an unknown process which claims the name of another host.
+#[actix_rt::test]
+async fn sender_of_a_message_to_another_run_doesnt_replace_a_run_of_its_host() {
+    let runs = TwoRuns::start().await;
+    let listed = TargetStandin::start(|_| vec![Step::Close]).await;
+    let record = (
+        LISTED_RUN,
+        "host-2".to_string(),
+        listed.addr,
+        "hall-a".to_string(),
+        LARGE_CAPACITY,
+    );
+    put_entry_record(&runs.fixture.store, &record);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(runs.send_to(ADDRESSED_RUN, "host-2").await, "421");
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let req = staged_call("0000000000000001", 3_000);
+    let got = runs.fixture.call(&req).await;
+    assert!(!listed.received().is_empty(), "it owns the queue: {got:?}");
+    let received = runs.other.received();
+    assert!(received.is_empty(), "{received:?}");
+}
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -145,6 +145,9 @@
     arrivals.collect()
 }
 
+/// Path of messages between entries.
+pub const MESSAGES_PATH: &str = "/hollowsail/messages";
+
 /// Fields of an entry's encoded record: run, host, address, hall, capacity.
 pub type EntryRecord = (u64, String, SocketAddr, String, u32);
 
@@ -157,6 +160,15 @@
     );
 }
 
+/// Run of the only entry that has a record in the store.
+pub fn run_of_entry(store: &StoreStandin) -> u64 {
+    let keys = store.keys("hollowsail/peers/");
+    assert_eq!(keys.len(), 1, "{keys:?}");
+    let value = store.value(&keys[0]).expect("the entry has a record");
+    let record: EntryRecord = rmp_serde::from_slice(&value).expect("a record");
+    record.0
+}
+
 /// Waits until the store has `entries` records of entries.
 pub async fn wait_for_entries(description: &str, store: &StoreStandin, entries: usize) {
     eventually(description, || {
@@ -325,6 +337,21 @@
     }
 }
 
+/// Posts a body to a path of a gateway for its peers; returns the whole answer.
+pub async fn post(addr: SocketAddr, path: &str, body: &[u8]) -> Vec<u8> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    exchange(addr, &[head.as_bytes(), body].concat()).await
+}
+
+/// A peer's answer with this body.
+pub fn peer_answer(body: &[u8]) -> Vec<u8> {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+    [head.as_bytes(), body].concat()
+}
+
 /// Writes bytes and reads until the other side closes the connection.
 pub async fn exchange(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
     let mut stream = TcpStream::connect(addr).await.expect("the server listens");
--- a/crates/gateway/tests/suite/reservations.rs
+++ b/crates/gateway/tests/suite/reservations.rs
@@ -21,7 +21,7 @@
 use serde_json::json;
 
 use crate::fixture::{
-    eventually, exchange, gateway, gateway_with, put_entry_record, scrape, settings,
+    eventually, gateway, gateway_with, peer_answer, post, put_entry_record, scrape, settings,
     single_event_stream, stage_runs, wait_for_entries, Call,
 };
 
@@ -175,8 +175,7 @@
 /// A reply to each Reserve of a call.
 fn replies(replies: &[Reply]) -> Vec<Step> {
     let body = rmp_serde::to_vec(replies).expect("replies always encode");
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-    vec![Step::Write([head.into_bytes(), body].concat())]
+    vec![Step::Write(peer_answer(&body))]
 }
 
 /// The same reply to each Reserve of a call.
@@ -215,13 +214,8 @@
     wait_for_metric(gateway, &format!("{counter}{labels} {admissions}")).await;
 }
 
-async fn post(addr: SocketAddr, body: &[u8]) -> String {
-    let head = format!(
-        "POST {RESERVATIONS_PATH} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
-         Content-Length: {}\r\n\r\n",
-        body.len()
-    );
-    let answer = exchange(addr, &[head.as_bytes(), body].concat()).await;
+async fn post_call(addr: SocketAddr, body: &[u8]) -> String {
+    let answer = post(addr, RESERVATIONS_PATH, body).await;
     String::from_utf8_lossy(&answer).into_owned()
 }
 
@@ -407,7 +401,7 @@
     let got = request("/later/", 1).send(gateway.addrs.callers).await;
     assert!(got.is_whole && got.status == 200, "{got:?}");
     assert!(messages(&owner).is_empty());
-    let answer = post(gateway.addrs.peers, &[]).await;
+    let answer = post_call(gateway.addrs.peers, &[]).await;
     assert!(answer.starts_with("HTTP/1.1 404"), "{answer}");
 }
 
@@ -437,7 +431,7 @@
     let lines = logged();
     let platform = Platform::start("serving", Duration::ZERO).await;
     let gateway = platform.gateway(Mechanisms::default()).await;
-    let answer = post(gateway.addrs.peers, b"\xc1 is no message").await;
+    let answer = post_call(gateway.addrs.peers, b"\xc1 is no message").await;
     assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
     let is_logged = |text: &str| {
         let lines = lines.lock().expect("no test panics here");
@@ -461,7 +455,7 @@
     let send = |message: Message| {
         let call = ReservationCall(5, vec![message]);
         let body = rmp_serde::to_vec(&call).expect("calls always encode");
-        async move { post(gateway.addrs.peers, &body).await }
+        async move { post_call(gateway.addrs.peers, &body).await }
     };
     let answer = send(Message::Reserve(reserve)).await;
     assert!(answer.contains("Reserved"), "{answer}");
@@ -485,7 +479,7 @@
     let call = ReservationCall(5, vec![Message::Reserve(reserve)]);
     let body = rmp_serde::to_vec(&call).expect("calls always encode");
     let began = Instant::now();
-    let answer = post(gateway.addrs.peers, &body).await;
+    let answer = post_call(gateway.addrs.peers, &body).await;
     assert!(answer.contains("Reserved"), "{answer}");
     wait_for_metric(
         &gateway,
--- a/crates/gateway/tests/suite/two_senders.rs
+++ b/crates/gateway/tests/suite/two_senders.rs
@@ -1,7 +1,6 @@
 //! Pieces that the owner of their queue sends first, and their requester once more.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use futures_util::future::join_all;
@@ -11,8 +10,8 @@
 use serde::Serialize;
 
 use crate::fixture::{
-    eventually, exchange, gateway_at, piece_arrivals, settings_allowing, stage_runs, staged_call,
-    wait_for_entries, Answer, EntryRecord, StageSite,
+    eventually, gateway_at, peer_answer, piece_arrivals, post, run_of_entry, settings_allowing,
+    stage_runs, staged_call, wait_for_entries, Answer, EntryRecord, StageSite, MESSAGES_PATH,
 };
 
 const ALLOWANCE: RepeatAllowance = RepeatAllowance {
@@ -104,7 +103,6 @@
     );
 }
 
-const MESSAGES_PATH: &str = "/hollowsail/messages";
 const STARTED_PIECES_PATH: &str = "/hollowsail/started-pieces";
 const RUN_OF_REQUESTER: u64 = 77;
 const PIECE: u64 = 5;
@@ -135,21 +133,6 @@
     ProducePiece(ProducePiece),
 }
 
-/// Sends a gateway's message path a body; returns the answer.
-async fn post(addr: SocketAddr, path: &str, body: &[u8]) -> Vec<u8> {
-    let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
-        body.len()
-    );
-    exchange(addr, &[head.as_bytes(), body].concat()).await
-}
-
-/// A complete answer with a body of a message.
-fn answer_with(body: &[u8]) -> Vec<u8> {
-    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
-    [head.as_bytes(), body].concat()
-}
-
 /// Calls that a worker gets after the owner of its queue has told the requester of a piece that it is about to
 /// send it, by the requester's reply.
 async fn calls_after_reply(reply: Option<bool>) -> usize {
@@ -162,16 +145,13 @@
         let answer = match req.path.as_str() {
             STARTED_PIECES_PATH => {
                 let replies = rmp_serde::to_vec(&[reply]).expect("it encodes");
-                answer_with(&replies)
+                peer_answer(&replies)
             }
             _ => b"HTTP/1.1 204 No Content\r\n\r\n".to_vec(),
         };
         vec![Step::Write(answer)]
     })
     .await;
-    let key = &shared.store.keys("hollowsail/peers/")[0];
-    let record = shared.store.value(key).expect("the owner has a record");
-    let record: EntryRecord = rmp_serde::from_slice(&record).expect("it decodes");
     let sender: EntryRecord = (
         RUN_OF_REQUESTER,
         "host-2".to_string(),
@@ -200,7 +180,7 @@
         None,
         None,
     ));
-    let envelope = (sender, record.0, false, [message]);
+    let envelope = (sender, run_of_entry(&shared.store), false, [message]);
     let body = rmp_serde::to_vec(&envelope).expect("it encodes");
     let accepted = post(owner.addrs.peers, MESSAGES_PATH, &body).await;
     assert!(accepted.starts_with(b"HTTP/1.1 204"), "{accepted:?}");
