Judge repeats by what was granted, and play restarts in place

Cause: soaks compared repeats with the bound, so that repeats which nobody granted stayed below it in most runs, and calls that are answered 421 weren't read, though their pieces count as arrivals.

Change: every soak compares what each service got beyond the first arrival of each request and piece with the grants (HS0236) in all gateways' logs. One left over fails the run, and is named with its times, targets and senders: call_ended has the id of the call now.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -77,6 +77,11 @@
     #[argh(switch)]
     target_processes: bool,
 
+    /// play only gateways and targets that are killed and start again at once on the same address, beside
+    /// a store that does writes late, resets connections, or is silent; --seconds has no effect
+    #[argh(switch)]
+    quick_restarts: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -110,6 +115,7 @@
                 joining_hosts: self.joining_hosts,
                 planned_stops: self.planned_stops,
                 target_processes: self.target_processes,
+                quick_restarts: self.quick_restarts,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/commands/target.rs
+++ b/crates/bench/src/commands/target.rs
@@ -1,5 +1,6 @@
 //! `hollowsail-bench target`: serves one target of an emulated platform until standard input closes.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -30,6 +31,10 @@
     #[argh(option)]
     id: String,
 
+    /// address that it listens at; a free one when absent
+    #[argh(option)]
+    listen: Option<SocketAddr>,
+
     /// how long the platform has been running, in milliseconds
     #[argh(option, default = "0")]
     elapsed_ms: u64,
@@ -42,6 +47,7 @@
             service: self.service,
             number: self.number,
             id: self.id,
+            listen: self.listen,
             elapsed: Duration::from_millis(self.elapsed_ms),
         };
         let events = Events::new(|line| println!("{line}"));
--- a/crates/bench/src/soak/attempt_bounds.rs
+++ b/crates/bench/src/soak/attempt_bounds.rs
@@ -18,6 +18,7 @@
 #[derive(Debug, Clone)]
 pub struct Arrival {
     pub service: String,
+    pub target: String,
     pub request: String,
     /// Stage and piece; `None` for the request itself.
     pub piece: Option<(u64, u64)>,
@@ -25,6 +26,8 @@
     pub at: Duration,
     /// Time that it may take.
     pub given: Option<Duration>,
+    /// Id of the call that brought a piece.
+    pub call: Option<String>,
 }
 
 /// Result of the checks.
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -57,6 +57,7 @@
     failures.extend(streams.failures);
     let repeats = repeats::evaluate(plan, observations, attempts);
     failures.extend(repeats.failures);
+    failures.extend(observations.grants.evaluate(&observations.arrivals));
     let attempt_bounds = attempt_bounds::evaluate(plan, observations, attempts);
     failures.extend(attempt_bounds.failures);
     SoakReport {
@@ -135,6 +136,10 @@
             target_processes: true,
             ..
         } => Some("--target-processes"),
+        SoakOptions {
+            quick_restarts: true,
+            ..
+        } => Some("--quick-restarts"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -6,7 +6,7 @@
 //! not refuse many requests ([`brittle`]), for some whose targets leave without a record
 //! ([`departures`]), and for one whose engines crash under a part of prompts ([`fragile`]); for a time most of their
 //! connections go to one gateway ([`crowding`]);
-//! [`checks`], [`repeats`], [`attempt_bounds`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
+//! [`checks`], [`repeats`], [`grants`], [`attempt_bounds`], [`room`], [`cut`], [`versions`], [`departures`] and [`fragile`] compare callers' results with the targets' executions. Settings and logs stay in the run's folder.
 
 mod attempt_bounds;
 mod brittle;
@@ -18,10 +18,12 @@
 mod departures;
 mod failing_targets;
 mod fragile;
+mod grants;
 mod joining_hosts;
 mod plan;
 mod planned_stops;
 mod processes;
+mod quick_restarts;
 mod repeats;
 mod report;
 mod restores;
@@ -43,6 +45,8 @@
 
 use crate::scenario::read_source;
 
+pub use attempt_bounds::Arrival;
+pub use grants::{GrantLog, Ungranted, WorkKey};
 pub use report::{Failure, FailureKind, SoakReport};
 
 use callers::Load;
@@ -79,6 +83,8 @@
     pub planned_stops: bool,
     /// Targets that are processes of their own, beside gateways that are disturbed in series.
     pub target_processes: bool,
+    /// Gateways and targets that are killed and start again at once on the same address.
+    pub quick_restarts: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -134,6 +140,9 @@
     if options.target_processes {
         return target_processes::run(options).await;
     }
+    if options.quick_restarts {
+        return quick_restarts::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -25,6 +25,7 @@
 
 use super::attempt_bounds::Arrival;
 use super::departures::LateSend;
+use super::grants::GrantLog;
 use super::plan::{EntryFault, PlannedFault, SoakPlan, CUT_TROUBLE};
 use super::repeats::Repeat;
 use super::report::{Failure, FailureKind};
@@ -75,6 +76,8 @@
     pub repeats: Vec<Repeat>,
     /// All work that targets got.
     pub arrivals: Vec<Arrival>,
+    /// What gateways logged about repeats.
+    pub grants: GrantLog,
     /// Targets that each request ran at.
     pub attempt_targets: AttemptTargets,
     /// Crashes of targets under a part of prompts.
@@ -161,6 +164,7 @@
     stage: Option<u64>,
     piece: Option<u64>,
     given_ms: Option<u64>,
+    call: Option<String>,
     host: Option<usize>,
     bound_ms: Option<u64>,
     reason: Option<String>,
@@ -174,10 +178,12 @@
     fn arrival(&self) -> Option<Arrival> {
         Some(Arrival {
             service: self.service.clone()?,
+            target: self.target.clone()?,
             request: self.request.clone()?,
             piece: self.stage.zip(self.piece),
             at: Duration::from_millis(self.at_ms),
             given: self.given_ms.map(Duration::from_millis),
+            call: self.call.clone(),
         })
     }
 
@@ -474,7 +480,15 @@
                     .push("the platform did not exit".to_string());
             }
         }
-        std::mem::take(&mut *self.observations.borrow_mut())
+        let mut observations = self.observations.take();
+        match GrantLog::read(&self.folder) {
+            Ok(grants) => observations.grants = grants,
+            Err(err) => {
+                let failure = format!("cannot read the logs: {err}");
+                observations.exit_failures.push(failure);
+            }
+        }
+        observations
     }
 }
 
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -47,6 +47,8 @@
     BesideFatalPart,
     /// More work that a service got more than once than the settings allow.
     Repeats,
+    /// Work that a service got once more though no gateway granted that.
+    Ungranted,
     /// Attempts that ran at more targets than their routes allow.
     AttemptTargets,
     /// Work that targets were given more time for than remained.
@@ -73,6 +75,7 @@
             FailureKind::FatalPart => "a part that crashes targets reaches few more",
             FailureKind::BesideFatalPart => "served too little beside a part that crashes targets",
             FailureKind::Repeats => "repeats within their budget",
+            FailureKind::Ungranted => "repeats are granted",
             FailureKind::AttemptTargets => "attempts within their number of targets",
             FailureKind::GivenTime => "time that targets are given",
             FailureKind::StreamEvents => "events of a stream",
--- a/crates/bench/src/soak/small_hosts.rs
+++ b/crates/bench/src/soak/small_hosts.rs
@@ -455,6 +455,7 @@
     let mut failures: Vec<Failure> = observations.broken.clone();
     let processes = observations.exit_failures.iter();
     failures.extend(processes.map(|failure| Failure::new(FailureKind::Process, failure)));
+    failures.extend(observations.grants.evaluate(&observations.arrivals));
     let mut lines = vec![format!(
         "with --small-hosts --callers {} --link-mbps {}: gateway {} crowded by {:?}, killed: {}",
         options.callers, options.link_mbps, shared.plan.entry, shared.plan.crowd, shared.plan.kills
--- a/crates/bench/src/soak/target_processes.rs
+++ b/crates/bench/src/soak/target_processes.rs
@@ -55,7 +55,8 @@
 /// One in so many callers retries at once.
 const IMPATIENT: usize = 3;
 
-const SECTIONS: &str = "\
+/// The site.
+pub const SECTIONS: &str = "\
 target_processes = 1
 
 [service.engines]
@@ -165,8 +166,10 @@
 ";
 
 /// Percentage of what they get that stage workers fail for a whole run, in half of the runs.
-const PRESSED_PERCENT: Range<u32> = 40..95;
+pub const PRESSED_PERCENT: Range<u32> = 40..95;
 
+/// Stage services, with the number of their targets.
+pub const STAGE_SERVICES: [(&str, usize); 3] = [("encoders", 3), ("workers", 5), ("finishers", 5)];
 /// Services, with the number of their targets.
 const SERVICES: [(&str, usize); 5] = [
     ("engines", 12),
@@ -191,7 +194,8 @@
     Ok(played.report(options, &plan, Vec::new()))
 }
 
-fn callers(options: &SoakOptions) -> impl Iterator<Item = Contender> {
+/// The callers of its routes.
+pub fn callers(options: &SoakOptions) -> impl Iterator<Item = Contender> {
     let paths = SHARES
         .iter()
         .flat_map(|(path, callers)| std::iter::repeat_n(*path, *callers));
@@ -203,17 +207,22 @@
     })
 }
 
-fn draw(options: &SoakOptions) -> SoakPlan {
-    let SoakOptions { seed, entries, .. } = *options;
-    let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
+/// Section of the errors of the service whose requests may be repeated.
+pub fn usual_errors(length: Duration) -> String {
     let usual_errors = Failing {
         targets: 3,
         percent: USUAL_ERRORS_PERCENT,
         how: "error",
         at_ms: 1,
-        for_ms: LENGTH.as_millis() as u64,
+        for_ms: length.as_millis() as u64,
     };
-    let mut sections = vec![SECTIONS.to_string(), usual_errors.section("plain", 0)];
+    usual_errors.section("plain", 0)
+}
+
+fn draw(options: &SoakOptions) -> SoakPlan {
+    let SoakOptions { seed, entries, .. } = *options;
+    let mut rng = SmallRng::seed_from_u64(seed ^ STREAM);
+    let mut sections = vec![SECTIONS.to_string(), usual_errors(LENGTH)];
     for (service, targets) in SERVICES {
         for number in 1..=rng.random_range(PER_SERVICE) {
             sections.push(disturbance(&mut rng, service, targets, number));
@@ -232,8 +241,7 @@
     }
     let mut rng = SmallRng::seed_from_u64(seed ^ ENDS_STREAM);
     if rng.random_bool(0.5) {
-        let stages = SERVICES.iter().filter(|(service, _)| is_stage(service));
-        let failing = stages.map(|(service, targets)| {
+        let failing = STAGE_SERVICES.iter().map(|(service, targets)| {
             let failing = Failing::for_whole_run(&mut rng, *targets, PRESSED_PERCENT, LENGTH);
             failing.section(service, 0)
         });
@@ -248,10 +256,6 @@
     }
 }
 
-fn is_stage(service: &str) -> bool {
-    !["engines", "plain"].contains(&service)
-}
-
 /// What happens to gateways once in a run, each in half of the runs: most of them start beside the load,
 /// all lose power at once, one stands still for longer than a window, all are stopped in series at the end.
 fn disturb_ends(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod history;
 mod limited;
 mod scenario;
+mod soak_grants;
 mod soak_report;
 
 use std::path::Path;
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -94,13 +94,22 @@
     let (sent_pieces, permits) = awaited_pieces(&batcher, &started);
     let begun_ms = cx.clock.now();
     let sent_at = BootInstant::now();
-    let exchange = exchange(&cx, &target, &sent_pieces, permits);
+    let call_id = call_id();
+    let exchange = exchange(&cx, &target, &sent_pieces, permits, &call_id);
     let result = match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
         Ok(result) => result,
         Err(_) => Err(CallError::TimedOut),
     };
     let took = Duration::from_millis(cx.clock.now() - begun_ms);
-    record_end(&cx, &batcher, &target, sent_pieces.len(), took, &result);
+    record_end(
+        &cx,
+        &batcher,
+        &target,
+        &call_id,
+        sent_pieces.len(),
+        took,
+        &result,
+    );
     if let Some(outcome) = outcome_of(took, &result).filter(|_| !sent_pieces.is_empty()) {
         cx.rollouts.observe("pieces", &target, outcome);
     }
@@ -159,6 +168,7 @@
     cx: &Traffic,
     batcher: &Batcher,
     target: &Target,
+    call_id: &str,
     pieces: usize,
     took: Duration,
     result: &Result<Vec<PieceResult>, CallError>,
@@ -174,7 +184,7 @@
     cx.log.line(
         events::CALL_ENDED,
         format_args!(
-            "queue={} target={} pieces={pieces} ms={} outcome=\"{outcome}\"",
+            "queue={} target={} call={call_id} pieces={pieces} ms={} outcome=\"{outcome}\"",
             batcher.name(),
             target.incarnation().id,
             took.as_millis(),
@@ -233,16 +243,16 @@
     target: &Target,
     sent_pieces: &[CallPiece],
     permits: Vec<SendPermit>,
+    call_id: &str,
 ) -> Result<Vec<PieceResult>, CallError> {
     let Some(permits) = SendPermits::new(permits) else {
         return Ok(Vec::new());
     };
-    let call_id = call_id();
     let request = || {
         let now = cx.clock.now();
         let pieces = sent_pieces.iter();
         let pieces = pieces.map(|sent| (&sent.piece, sent.deadline.saturating_sub(now)));
-        pieces::run_request(target.incarnation(), &call_id, pieces)
+        pieces::run_request(target.incarnation(), call_id, pieces)
     };
     let answer = target_calls::call(cx, target, request, MAX_RESPONSE_BYTES, permits)
         .await
