--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -82,6 +82,11 @@
     #[argh(switch)]
     quick_restarts: bool,
 
+    /// play only thousands of pieces a second, beside gateways that stand still for a moment and stage
+    /// workers that end; --seconds has no effect
+    #[argh(switch)]
+    stage_load: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -116,6 +121,7 @@
                 planned_stops: self.planned_stops,
                 target_processes: self.target_processes,
                 quick_restarts: self.quick_restarts,
+                stage_load: self.stage_load,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -140,6 +140,9 @@
             quick_restarts: true,
             ..
         } => Some("--quick-restarts"),
+        SoakOptions {
+            stage_load: true, ..
+        } => Some("--stage-load"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -29,6 +29,7 @@
 mod restores;
 mod room;
 mod small_hosts;
+mod stage_load;
 mod suspended_targets;
 mod target_processes;
 mod turns;
@@ -85,6 +86,8 @@
     pub target_processes: bool,
     /// Gateways and targets that are killed and start again at once on the same address.
     pub quick_restarts: bool,
+    /// Thousands of pieces a second, beside gateways that stand still for a moment.
+    pub stage_load: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -143,6 +146,9 @@
     if options.quick_restarts {
         return quick_restarts::run(options).await;
     }
+    if options.stage_load {
+        return stage_load::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -401,8 +401,9 @@
         gateway
             .restarts_in_progress
             .set(gateway.restarts_in_progress.get() + 1);
+        let start = gateway.starts.get();
         self.signal(planned.entry, signal);
-        if !gateway.exits_within(EXIT_TIMEOUT).await {
+        if !gateway.exits_within(start, EXIT_TIMEOUT).await {
             let (host, timeout_s) = (&gateway.config.host, EXIT_TIMEOUT.as_secs());
             let failure = format!("{host} had not exited {timeout_s} s after {signal:?}");
             self.observations.borrow_mut().exit_failures.push(failure);
@@ -527,11 +528,15 @@
         Some(status)
     }
 
-    /// Waits for the process to exit; false on timeout.
-    async fn exits_within(&self, timeout: Duration) -> bool {
+    /// Waits for the process of a start to exit; false on timeout. Another fault may have started the
+    /// next one already.
+    async fn exits_within(&self, start: u32, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
         while Instant::now() < deadline {
-            if self.try_exit_status().is_some() || self.child.borrow().is_none() {
+            if self.starts.get() != start
+                || self.try_exit_status().is_some()
+                || self.child.borrow().is_none()
+            {
                 return true;
             }
             tokio::time::sleep(EXIT_POLL_INTERVAL).await;
--- a/crates/bench/tests/suite/soak_grants.rs
+++ b/crates/bench/tests/suite/soak_grants.rs
@@ -8,7 +8,7 @@
 HS0236 repeated service=workers request=r1 stage=1 piece=4 why=call_failed left=3.00
 HS0236 repeated service=plain request=r2 why=failed left=3.00
 HS0237 repeat_refused service=workers request=r1 stage=1 piece=5 why=call_failed
-HS0221 call_ended queue=workers/0 target=workers-2 call=c1 pieces=6 ms=80 outcome=\"answered\"
+HS0210 call_ended entry=host-3 queue=workers/0 target=workers-2 call=c1 pieces=6 ms=80 outcome=\"answered\"
 ";
 
 fn arrival(service: &str, request: &str, piece: Option<(u64, u64)>, at_ms: u64) -> Arrival {
