--- a/crates/gateway/src/pools/batcher/decision_log.rs
+++ b/crates/gateway/src/pools/batcher/decision_log.rs
@@ -95,8 +95,8 @@
         format_args!(
             "queue={name} admitted={} full={} over_share={} too_early={} flows={} capacity={:.0} \
              calibration={:.2} offered={:.0} entitled={:.0} waiting={:.0} reserved={:.0} \
-             held={:.0} returned={} lapsed={} claimed={:.0} claimed_per_s={:.0} (requests; \
-             pieces; pieces per second)",
+             held={:.0} returned={} lapsed={} claimed={:.0} claimed_per_s={:.0} workers={} \
+             busy={} no_memory={} backing_off={} slow={} (requests; pieces; pieces per second)",
             decisions.admitted,
             decisions.full,
             decisions.over_share,
@@ -112,7 +112,12 @@
             totals.returned,
             totals.lapsed,
             totals.claimed,
-            totals.claimed_per_s
+            totals.claimed_per_s,
+            totals.workers.all,
+            totals.workers.busy,
+            totals.workers.without_memory,
+            totals.workers.backing_off,
+            totals.workers.slow
         ),
     );
 }
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -5,6 +5,7 @@
 
 use std::rc::Rc;
 
+use hollowsail_observe::events;
 use hollowsail_routing::Millis;
 
 use super::results::ResultRecord;
@@ -22,6 +23,16 @@
         if waiting.is_empty() && self.queue.borrow().running() == 0 {
             return;
         }
+        if let Some(cx) = self.cx.upgrade() {
+            let calls = self.queue.borrow().running();
+            let fields = format_args!(
+                "queue={} to={} waiting={} calls={calls}",
+                self.name,
+                to.peer.host,
+                waiting.len()
+            );
+            cx.log.line(events::QUEUE_HANDED_OVER, fields);
+        }
         to.send(Message::TakeOver {
             queue: self.name.clone(),
             workers: self.workers_at_hand_over(),
@@ -59,6 +70,16 @@
     /// Accounts for the calls and results of the previous owner at the workers.
     pub fn take_over(self: &Rc<Self>, workers: &[WorkerHandover]) {
         let now = self.now();
+        if let Some(cx) = self.cx.upgrade() {
+            let bytes = workers.iter().map(|worker| worker.state.retained_bytes);
+            let fields = format_args!(
+                "queue={} workers={} retained_bytes={}",
+                self.name,
+                workers.len(),
+                bytes.sum::<u64>()
+            );
+            cx.log.line(events::QUEUE_TAKEN_OVER, fields);
+        }
         for handed_over in workers {
             let known = self.workers.borrow().worker(&handed_over.target);
             let Some(worker) = known else { continue };
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -89,6 +89,8 @@
     ABANDONED_SEND_ENDED, 240, "abandoned_send_ended", Info, "The connection of an attempt or call ended whose answer nobody waited for any more; the line says after what time, and whether the target closed it, which shows that it has read what it wants of the request.";
     REPEAT_UNITS, 241, "repeat_units", Info, "This entry claimed units of the fixed allowance of repeats in the store, gave some up, or lost them; the line says how many it holds, and what it aims at.";
     ANSWER_GAVE_WAY, 242, "answer_gave_way", Warn, "The bytes that this host keeps exceed their part of its memory: an answer was ended, the largest of the source (a target, or a caller that doesn't read) that has most of them.";
+    QUEUE_HANDED_OVER, 243, "queue_handed_over", Info, "This entry passes a queue on to another owner; the line says how many pieces waited, and how many calls it still makes.";
+    QUEUE_TAKEN_OVER, 244, "queue_taken_over", Info, "This entry got the state of a queue's workers from an earlier owner; the line says how many workers, and the bytes that they retain by it.";
     CONFIGURATION_IN_FORCE, 301, "configuration_in_force", Info, "A revision is in force at this entry.";
     CONFIGURATION_ACCEPTED, 302, "configuration_accepted", Info, "This entry accepted an apply.";
     CONFIGURATION_REFUSED, 303, "configuration_refused", Warn, "An apply was refused.";
--- a/crates/stages/src/batch/capacity.rs
+++ b/crates/stages/src/batch/capacity.rs
@@ -177,6 +177,14 @@
 }
 
 impl<T> BatchQueue<T> {
+    /// Mean size of recent results, in bytes; 1 before the first.
+    pub(super) fn mean_result_bytes(&self) -> u64 {
+        self.calibration
+            .mix
+            .mean_bytes()
+            .map_or(1, |bytes| bytes as u64)
+    }
+
     /// Capacity now; `bytes` is the size of a result before any piece was started.
     pub(super) fn capacity(&self, bytes: u64, now: Millis) -> Capacity {
         let model = self.model(bytes);
--- a/crates/stages/src/batch/reserve.rs
+++ b/crates/stages/src/batch/reserve.rs
@@ -347,6 +347,7 @@
             waiting: waiting.iter().map(|need| need.cost).sum(),
             returned: self.reservations.returned,
             lapsed: self.reservations.lapsed,
+            workers: self.worker_totals(now),
             ..RoomTotals::default()
         };
         for reservation in self.reservations.values() {
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -10,6 +10,7 @@
 
 use super::calls::Call;
 use super::{BatchQueue, CallEnd, HallKey, WorkerKey};
+use crate::reservations::WorkerTotals;
 use crate::Millis;
 
 /// Weight of the newest call in the moving average of a worker's slowness.
@@ -343,6 +344,24 @@
         }
     }
 
+    /// Counts the workers by what keeps them from calls.
+    pub(super) fn worker_totals(&self, now: Millis) -> WorkerTotals {
+        let mut totals = WorkerTotals::default();
+        let bytes = self.mean_result_bytes();
+        for (key, worker) in &self.workers {
+            totals.all += 1;
+            totals.slow += usize::from(worker.is_slow());
+            if worker.calls >= self.rules.running {
+                totals.busy += 1;
+            } else if worker.next_call_at(now, self.limit_share) > now {
+                totals.backing_off += 1;
+            } else if self.free_memory(key, now) < bytes {
+                totals.without_memory += 1;
+            }
+        }
+        totals
+    }
+
     /// State of a worker, for the next owner of the queue.
     pub fn worker_state(&self, worker: WorkerKey, now: Millis) -> Option<WorkerState> {
         let state = self.workers.get(worker)?;
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -16,7 +16,7 @@
 pub use graph::{PieceIndex, StageGraph, StageSpec};
 pub use reservations::{
     Flow, FlowRoom, QueueOrder, RefusalCause, ReservationKey, RoomDecision, RoomRefusal,
-    RoomRequest, RoomTotals, StageRoom,
+    RoomRequest, RoomTotals, StageRoom, WorkerTotals,
 };
 
 /// Milliseconds since the owning process started.
--- a/crates/stages/src/reservations/mod.rs
+++ b/crates/stages/src/reservations/mod.rs
@@ -11,5 +11,5 @@
 
 pub use self::types::{
     Flow, FlowRoom, QueueOrder, RefusalCause, ReservationKey, RoomDecision, RoomRefusal,
-    RoomRequest, RoomTotals, StageRoom,
+    RoomRequest, RoomTotals, StageRoom, WorkerTotals,
 };
--- a/crates/stages/src/reservations/types.rs
+++ b/crates/stages/src/reservations/types.rs
@@ -108,6 +108,21 @@
     pub claimed: f64,
     /// Pieces per second that it leaves them from then on.
     pub claimed_per_s: f64,
+    pub workers: WorkerTotals,
+}
+
+/// Workers of a queue at one time, and why some get no call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct WorkerTotals {
+    pub all: usize,
+    /// Running a call.
+    pub busy: usize,
+    /// Idle, without memory for a result of the average size.
+    pub without_memory: usize,
+    /// Idle, and not to be called yet after a failure, a refusal or a slow call.
+    pub backing_off: usize,
+    /// Counted as slow, whatever else.
+    pub slow: usize,
 }
 
 /// Order in which waiting pieces are taken.
