--- a/crates/stages/tests/suite/main.rs
+++ b/crates/stages/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Example and property tests for the stage graph and the batch queue.
 
 mod batch;
+mod change_of_owner;
 mod graph;
 mod limited;
 mod many_flows;
