Compare a worker of a stage queue with the others before it counts as slow

What callers saw: requests with stages refused for want of room for seconds, while the queue's owner had thousands of waiting pieces and called few of its workers.

Cause: a worker whose calls take twice as long as expected counts as slow, and gets one group every 800 ms. An owner that lags, or that shares the workers with another owner for a moment, measures that for all of them, and the queue does a tenth to a fifth of what it can. Class: what is common to all that is measured taken for a property of each.

Change: a worker is slow if its calls take twice as long as those of the others in the median. A worker without others is compared with the expected time, as before. Queues whose workers report their speed aren't affected.

--- a/crates/stages/src/batch/calls.rs
+++ b/crates/stages/src/batch/calls.rs
@@ -158,6 +158,9 @@
                 worker.mark_slow();
             }
         }
+        if !workers.is_empty() {
+            self.update_slow_workers();
+        }
         workers
     }
 }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -15,7 +15,8 @@
 
 /// Weight of the newest call in the moving average of a worker's slowness.
 const NEWEST_CALL_WEIGHT: f64 = 0.4;
-/// Slowness from which a worker counts as slow.
+/// Slowness from which a worker counts as slow, as a multiple of the median of the other workers. What
+/// all have in common isn't theirs: their owner lags, or another one calls them too.
 const SLOW_FACTOR: f64 = 2.0;
 /// Interval between calls to a slow worker, in milliseconds.
 const PROBE_MS: Millis = 800;
@@ -96,6 +97,8 @@
     pub draining: bool,
     /// Moving average of the ratio of actual to expected call time.
     pub slowness: f64,
+    /// Slower than the others.
+    is_slow: bool,
     /// The same where workers report their speed, by answers and reports.
     pub speed: TargetSpeed,
     /// Rate limit over all entries together, in calls per second.
@@ -107,6 +110,18 @@
     release_priority_until: Millis,
 }
 
+/// Lower median of sorted values, one of which, `own`, is left out; 1 where there is no other.
+fn median_without(sorted: &[f64], own: f64) -> f64 {
+    let position = sorted.partition_point(|value| *value < own);
+    let middle = sorted.len().saturating_sub(2) / 2;
+    let index = if middle < position {
+        middle
+    } else {
+        middle + 1
+    };
+    sorted.get(index).copied().unwrap_or(1.0)
+}
+
 impl Worker {
     /// Earliest time of the next call, regardless of calls in progress.
     pub fn next_call_at(&self, now: Millis, share: LimitShare) -> Millis {
@@ -120,10 +135,6 @@
         self.gate.record_sent(now, self.limit, share);
     }
 
-    fn is_slow(&self) -> bool {
-        self.slowness >= SLOW_FACTOR
-    }
-
     /// Counts it as slow because one of its calls is overdue.
     pub fn mark_slow(&mut self) {
         self.slowness = self.slowness.max(SLOW_FACTOR);
@@ -144,6 +155,7 @@
             failures: 0,
             draining: false,
             slowness: 1.0,
+            is_slow: false,
             speed: TargetSpeed::default(),
             limit: None,
             gate: LimitGate::default(),
@@ -196,6 +208,7 @@
                 self.workers.remove(worker);
             }
         }
+        self.update_slow_workers();
     }
 
     pub(super) fn free_workers(&self, now: Millis) -> Vec<WorkerKey> {
@@ -213,12 +226,16 @@
     /// True when a worker accepts work and its last call was answered in time.
     pub(super) fn is_healthy(&self, worker: WorkerKey, now: Millis) -> bool {
         let state = &self.workers[worker];
-        !state.draining && state.failures == 0 && self.slowness(worker, now) < SLOW_FACTOR
+        let is_slow = match self.has_speeds {
+            true => self.slowness(worker, now) >= SLOW_FACTOR,
+            false => state.is_slow,
+        };
+        !state.draining && state.failures == 0 && !is_slow
     }
 
     /// True when a slow worker gets one group at a time because its speed isn't known.
     pub(super) fn is_probed(&self, worker: WorkerKey) -> bool {
-        !self.has_speeds && self.workers[worker].is_slow()
+        !self.has_speeds && self.workers[worker].is_slow
     }
 
     /// Slowness plus used share of memory; the worker with the lowest score goes first.
@@ -320,11 +337,7 @@
                 worker.speed.record_answer(took_ms, call.usual_ms, now);
                 worker.slowness += NEWEST_CALL_WEIGHT * (ratio - worker.slowness);
                 worker.failures = 0;
-                worker.backoff_until = if worker.is_slow() && !has_speeds {
-                    now + PROBE_MS
-                } else {
-                    now
-                };
+                worker.backoff_until = now;
             }
             CallEnd::Refused => worker.backoff_until = now + REFUSED_BACKOFF_MS,
             CallEnd::Failed => {
@@ -342,6 +355,24 @@
         if worker.draining && worker.calls == 0 {
             self.workers.remove(call.worker);
         }
+        self.update_slow_workers();
+        let worker = self.workers.get_mut(call.worker);
+        if let Some(worker) = worker.filter(|worker| worker.is_slow) {
+            if end == CallEnd::Answered && !has_speeds {
+                worker.backoff_until = now + PROBE_MS;
+            }
+        }
+    }
+
+    /// Compares each worker with the others.
+    pub(super) fn update_slow_workers(&mut self) {
+        let in_use = self.workers.values().filter(|worker| !worker.draining);
+        let mut all: Vec<f64> = in_use.map(|worker| worker.slowness).collect();
+        all.sort_unstable_by(f64::total_cmp);
+        for worker in self.workers.values_mut() {
+            let usual = median_without(&all, worker.slowness).max(1.0);
+            worker.is_slow = worker.slowness >= SLOW_FACTOR * usual;
+        }
     }
 
     /// Counts the workers by what keeps them from calls.
@@ -350,7 +381,7 @@
         let bytes = self.mean_result_bytes();
         for (key, worker) in &self.workers {
             totals.all += 1;
-            totals.slow += usize::from(worker.is_slow());
+            totals.slow += usize::from(worker.is_slow);
             if worker.calls >= self.rules.running {
                 totals.busy += 1;
             } else if worker.next_call_at(now, self.limit_share) > now {
@@ -387,5 +418,6 @@
             state.slowness = state.slowness.max(previous.slowness);
             state.speed.carry_over(previous.slowness, now);
         }
+        self.update_slow_workers();
     }
 }
