Count the state of a queue's workers once, however often it is handed over

Cause: an owner that has lost a queue hands the state of the workers over each time that a record or a peer's lag changes, for as long as it has calls under way, and the next owner added the retained bytes up each time. Class: a report of a state that is added as if it were a change.

Change: what an earlier owner reports replaces what is left of its last report, if that is less, and shrinks evenly until its results are gone.

Why it works: state_that_is_handed_over_again_counts_once failed before (1,600,000 of 400,000 bytes after four reports) and passes now.

--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -8,7 +8,6 @@
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
 
-use super::results::ResultRecord;
 use super::{Batcher, LocalOutcome, Reply};
 use crate::peers::{self, Link, Message, WorkerHandover};
 
@@ -83,18 +82,8 @@
         for handed_over in workers {
             let known = self.workers.borrow().worker(&handed_over.target);
             let Some(worker) = known else { continue };
-            self.queue
-                .borrow_mut()
-                .take_over(worker, &handed_over.state, now);
-            let name = format!("taken over/{}/{now}", handed_over.target.id);
-            let result = ResultRecord {
-                worker,
-                bytes: handed_over.state.retained_bytes,
-                called_at: None,
-                expires: now + INHERITED_RESULT_MS,
-                peer: None,
-            };
-            self.results.borrow_mut().insert(name, result);
+            let mut queue = self.queue.borrow_mut();
+            queue.take_over(worker, &handed_over.state, INHERITED_RESULT_MS, now);
         }
         self.pump_soon();
     }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -130,6 +130,11 @@
             .max(self.backoff_until)
     }
 
+    /// Memory that results occupy, in bytes.
+    fn occupied_bytes(&self, now: Millis) -> u64 {
+        self.retained_bytes + self.unaccounted.bytes_at(now)
+    }
+
     /// Counts a call towards the rate limit.
     pub fn record_call(&mut self, now: Millis, share: LimitShare) {
         self.gate.record_sent(now, self.limit, share);
@@ -240,8 +245,8 @@
 
     /// Slowness plus used share of memory; the worker with the lowest score goes first.
     pub(super) fn load_score(&self, worker: WorkerKey, now: Millis) -> f64 {
-        let retained_bytes = self.workers[worker].retained_bytes as f64;
-        self.slowness(worker, now) + retained_bytes / self.rules.result_bytes.max(1) as f64
+        let occupied = self.workers[worker].occupied_bytes(now) as f64;
+        self.slowness(worker, now) + occupied / self.rules.result_bytes.max(1) as f64
     }
 
     /// Memory of a worker that is still available to results, in bytes.
@@ -251,8 +256,8 @@
             let smaller = state.full_for_bytes.saturating_sub(1);
             return self.small_results_memory().min(smaller);
         }
-        let occupied = state.retained_bytes + state.unaccounted.bytes_at(now);
-        self.usable_memory().saturating_sub(occupied)
+        self.usable_memory()
+            .saturating_sub(state.occupied_bytes(now))
     }
 
     /// Memory of a worker that is filled with results, in bytes.
@@ -402,18 +407,31 @@
             .filter(|call| call.worker == worker)
             .map(|call| call.started + call.expected_ms as Millis);
         Some(WorkerState {
-            retained_bytes: state.retained_bytes,
+            retained_bytes: state.occupied_bytes(now),
             busy_ms: ends.max().unwrap_or(0).saturating_sub(now),
             slowness: self.slowness(worker, now),
         })
     }
 
-    /// Adds the state that the previous owner reported for a worker. Its memory is released
-    /// with [`BatchQueue::release_memory`]. Slowness is carried over, so that a slow worker doesn't
-    /// get a whole batch from each new owner.
-    pub fn take_over(&mut self, worker: WorkerKey, previous: &WorkerState, now: Millis) {
+    /// Heeds the state that a previous owner reports for a worker, however often it does. The memory that
+    /// its results occupy shrinks evenly over `retention_ms`. Slowness is carried over, so that a slow
+    /// worker doesn't get a whole batch from each new owner.
+    pub fn take_over(
+        &mut self,
+        worker: WorkerKey,
+        previous: &WorkerState,
+        retention_ms: Millis,
+        now: Millis,
+    ) {
         if let Some(state) = self.workers.get_mut(worker) {
-            state.retained_bytes += previous.retained_bytes;
+            let inherited = Unaccounted {
+                bytes: previous.retained_bytes,
+                since: now,
+                retention_ms,
+            };
+            if inherited.bytes > state.unaccounted.bytes_at(now) {
+                state.unaccounted = inherited;
+            }
             state.backoff_until = state.backoff_until.max(now + previous.busy_ms);
             state.slowness = state.slowness.max(previous.slowness);
             state.speed.carry_over(previous.slowness, now);
--- a/crates/stages/tests/suite/batch.rs
+++ b/crates/stages/tests/suite/batch.rs
@@ -438,7 +438,7 @@
     assert_eq!(queue.worker_state(worker, 40), Some(state));
     let mut next: BatchQueue<u64> = BatchQueue::new(rules());
     let worker = next.add_worker(HERE);
-    next.take_over(worker, &state, 40);
+    next.take_over(worker, &state, 800, 40);
     push(&mut next, order(2), 2);
     assert!(
         next.next_call(100).is_none(),
@@ -517,7 +517,7 @@
         .expect("the worker exists");
     let mut next = BatchQueue::new(rules());
     let worker = next.add_worker(HERE);
-    next.take_over(worker, &state, 2_000);
+    next.take_over(worker, &state, 800, 2_000);
     push(&mut next, order(2), 1);
     push(&mut next, order(3), 2);
     let probe = next.next_call(2_000).expect("the worker is probed");
--- a/crates/stages/tests/suite/change_of_owner.rs
+++ b/crates/stages/tests/suite/change_of_owner.rs
@@ -95,7 +95,7 @@
         slowness: 1.0,
     };
     for now in [0, 20, 40, 60] {
-        queue.take_over(workers[0], &state, now);
+        queue.take_over(workers[0], &state, 800, now);
     }
     let known = queue
         .worker_state(workers[0], 60)
