Release the memory of a result that another one replaces

What callers saw: an owner of a queue with thousands of waiting pieces that calls 7 of its 42 workers, until it loses the queue for good.

Cause: memory taken over from an earlier owner was accounted for under a name made of the worker and the millisecond. Two reports in the same one left the first without an entry that would release it, so that the worker seemed full from then on. Class: an entry that is overwritten with what it accounts for.

--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -79,7 +79,7 @@
             expires: now + self.retention_ms.get(),
             requester: peer,
         };
-        self.results.borrow_mut().insert(&handle, result);
+        self.retain_result(&handle, result);
         match reply {
             // If the request has stopped waiting, dropping the result releases it.
             Some(Reply::Local(sender)) => drop(sender.send(LocalOutcome::Completed(
--- a/crates/gateway/src/pools/batcher/results.rs
+++ b/crates/gateway/src/pools/batcher/results.rs
@@ -50,7 +50,16 @@
             expires: self.now() + self.retention_ms.get(),
             requester: None,
         };
-        self.results.borrow_mut().insert(&name, result);
+        self.retain_result(&name, result);
+    }
+
+    /// Accounts for a result.
+    pub(super) fn retain_result(&self, handle: &str, result: RetainedRecord<(PeerId, PieceId)>) {
+        let replaced = self.results.borrow_mut().insert(handle, result);
+        if let Some(replaced) = replaced {
+            let mut queue = self.queue.borrow_mut();
+            queue.release_memory(replaced.worker, replaced.bytes);
+        }
     }
 
     /// Applies the outcome of a call that releases results. Results that may not be released stay
--- a/crates/stages/src/retained.rs
+++ b/crates/stages/src/retained.rs
@@ -46,15 +46,17 @@
 }
 
 impl<R: Copy + Eq + Hash> RetainedResults<R> {
-    /// Adds a result, or replaces the one with its handle.
-    pub fn insert(&mut self, handle: &str, record: RetainedRecord<R>) {
-        self.remove(handle);
+    /// Adds a result. Returns the one that had its handle, whose memory isn't accounted for any more.
+    #[must_use]
+    pub fn insert(&mut self, handle: &str, record: RetainedRecord<R>) -> Option<RetainedRecord<R>> {
+        let replaced = self.remove(handle);
         let handle: Rc<str> = handle.into();
         let key = self.records.insert((handle.clone(), record));
         self.by_handle.insert(handle, key);
         if let Some(requester) = record.requester {
             self.by_requester.insert(requester, key);
         }
+        replaced
     }
 
     /// Removes a result; `None` if there is none with this handle.
--- a/crates/stages/tests/suite/retained.rs
+++ b/crates/stages/tests/suite/retained.rs
@@ -16,8 +16,10 @@
 
 fn filled(count: u64) -> RetainedResults<u64> {
     let mut results = RetainedResults::default();
-    (0..count)
-        .for_each(|number| results.insert(&format!("10.0.0.1:80/{number}"), record(number, 10)));
+    for number in 0..count {
+        let replaced = results.insert(&format!("10.0.0.1:80/{number}"), record(number, 10));
+        assert_eq!(replaced, None);
+    }
     results
 }
 
@@ -58,7 +60,7 @@
 #[test]
 fn requester_of_two_results_keeps_the_newer() {
     let mut results = filled(1);
-    results.insert("again", record(0, 20));
+    assert_eq!(results.insert("again", record(0, 20)), None);
     assert_eq!(results.remove("10.0.0.1:80/0"), Some(record(0, 10)));
     assert_eq!(results.handle_of(&0).as_deref(), Some("again"));
 }
@@ -66,8 +68,17 @@
 #[test]
 fn expired_results_are_taken_once() {
     let mut results = filled(4);
-    results.insert("later", record(9, 30));
+    assert_eq!(results.insert("later", record(9, 30)), None);
     assert_eq!(results.take_expired(10).len(), 4);
     assert_eq!(results.take_expired(10), []);
     assert!(results.contains("later") && !results.is_empty());
 }
+
+/// Guards against memory that nobody releases since another result took its place.
+#[test]
+fn result_that_replaces_another_gives_it_back() {
+    let mut results = filled(1);
+    let replaced = results.insert("10.0.0.1:80/0", record(7, 40));
+    assert_eq!(replaced, Some(record(0, 10)));
+    assert_eq!((results.handle_of(&0), results.values().count()), (None, 1));
+}
