Tell peers at once when a lagging entry may own queues again, and hand over once

What callers saw: calls that take twice as long and refusals for want of room for seconds after the owner of a queue has lagged.

Cause: each peer keeps for 3 s that an entry lags, from the last envelope that said so. One that is on time again told only those to whom it had something to send, so that for up to 3 s some hosts sent their pieces to it and others to the owner in between. Both called the same workers. Meanwhile the owner in between handed the workers' state over with each changed record. Class: a view that each host keeps for a time of its own.

Change: an entry that has told peers that it lags, or has no configuration, tells these peers with an empty envelope when that is over, sixteen at a time. The state of the workers is handed over once to each next owner.

--- a/crates/gateway/src/event_loop_lag.rs
+++ b/crates/gateway/src/event_loop_lag.rs
@@ -40,5 +40,8 @@
         );
         cx.log.line(events::PACE, fields);
         cx.pools.hand_over(cx);
+        if !cx.declines_ownership() {
+            cx.peers.end_declining(cx);
+        }
     }
 }
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -112,6 +112,8 @@
     is_sending: Cell<bool>,
     is_probing: Cell<bool>,
     last_received: Cell<Instant>,
+    /// The peer knows from the last envelope that this entry declines ownership.
+    told_declining: Cell<bool>,
     is_closed: Cell<bool>,
 }
 
@@ -173,6 +175,7 @@
             is_sending: Cell::new(false),
             is_probing: Cell::new(false),
             last_received: Cell::new(Instant::now()),
+            told_declining: Cell::new(false),
             is_closed: Cell::new(false),
         })
     }
@@ -347,6 +350,13 @@
         }
     }
 
+    /// Tells the peer that this entry may own keys again, if the peer was told otherwise.
+    pub async fn end_declining(self: &Rc<Self>) {
+        if self.told_declining.get() && !self.is_sending.get() && !self.is_closed.get() {
+            self.deliver(Vec::new()).await;
+        }
+    }
+
     /// Delivers an envelope and closes the link on failure. True when it was accepted.
     async fn deliver(self: &Rc<Self>, messages: Vec<Message>) -> bool {
         let Some(cx) = self.cx.upgrade() else {
@@ -363,6 +373,7 @@
             Err(_) => Err(LinkError::TimedOut),
         };
         let Err(err) = result else {
+            self.told_declining.set(envelope.is_lagging);
             self.record_activity();
             cx.peers.record_in_touch(&cx, self);
             return true;
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -19,6 +19,7 @@
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 
+use futures_util::future::join_all;
 use hollowsail_fleet::ownership::{self, Candidate};
 use hollowsail_fleet::LiveRuns;
 use hollowsail_observe::events;
@@ -74,6 +75,9 @@
     Peer(Rc<Link>),
 }
 
+/// Peers that are told at the same time that this entry may own keys again.
+const MAX_NOTICES: usize = 16;
+
 /// How long a peer that declines ownership owns nothing, in milliseconds.
 const LAGGING_MS: Millis = 3_000;
 
@@ -394,6 +398,21 @@
         }
     }
 
+    /// Tells all peers that were told otherwise that this entry may own keys again. Peers that learn it
+    /// only from the next message for them would go on with another owner until then.
+    pub fn end_declining(&self, cx: &Rc<Traffic>) {
+        let links: Vec<Rc<Link>> = self.links.borrow().values().cloned().collect();
+        let cx = cx.clone();
+        actix_rt::spawn(async move {
+            for links in links.chunks(MAX_NOTICES) {
+                if cx.declines_ownership() {
+                    return;
+                }
+                join_all(links.iter().map(Link::end_declining)).await;
+            }
+        });
+    }
+
     /// A peer accepted a message: clears its suspicion, and asks about pieces that it may have sent.
     pub fn record_in_touch(&self, cx: &Rc<Traffic>, link: &Rc<Link>) {
         self.suspects.borrow_mut().remove(&link.peer.id);
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -7,6 +7,7 @@
 
 use hollowsail_observe::events;
 use hollowsail_routing::Millis;
+use hollowsail_stages::PieceKey;
 
 use super::{Batcher, LocalOutcome, Reply};
 use crate::peers::{self, Link, Message, WorkerHandover};
@@ -16,19 +17,30 @@
 const INHERITED_RESULT_MS: Millis = 800;
 
 impl Batcher {
-    /// Hands the waiting pieces and the state of the workers over to a new owner.
+    /// Returns the waiting pieces, and hands the state of the workers over to a new owner.
     pub fn hand_over(&self, to: &Rc<Link>) {
         let waiting = self.queue.borrow_mut().take_waiting();
         if waiting.is_empty() && self.queue.borrow().running() == 0 {
             return;
         }
+        if self.handed_over_to.replace(Some(to.peer.id)) != Some(to.peer.id) {
+            self.hand_over_workers(to, waiting.len());
+        }
+        self.return_pieces(waiting);
+    }
+
+    /// This entry owns the queue, again or still.
+    pub fn keep(&self) {
+        self.handed_over_to.set(None);
+    }
+
+    /// Tells a new owner the state of the workers.
+    fn hand_over_workers(&self, to: &Rc<Link>, waiting: usize) {
         if let Some(cx) = self.cx.upgrade() {
             let calls = self.queue.borrow().running();
             let fields = format_args!(
-                "queue={} to={} waiting={} calls={calls}",
-                self.name,
-                to.peer.host,
-                waiting.len()
+                "queue={} to={} waiting={waiting} calls={calls}",
+                self.name, to.peer.host
             );
             cx.log.line(events::QUEUE_HANDED_OVER, fields);
         }
@@ -36,6 +48,10 @@
             queue: self.name.clone(),
             workers: self.workers_at_hand_over(),
         });
+    }
+
+    /// Returns waiting pieces to their requesters.
+    fn return_pieces(&self, waiting: Vec<PieceKey>) {
         for piece in waiting {
             let job = self.queue.borrow_mut().finish(piece);
             match job.map(|job| (job.reply, job.permit)) {
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -92,6 +92,8 @@
     /// Some worker reports a limit.
     has_limits: Cell<bool>,
     ownership_age: OwnershipAge,
+    /// The owner that was told the state of the workers, while this entry isn't the owner.
+    handed_over_to: Cell<Option<PeerId>>,
     is_pump_scheduled: Cell<bool>,
     is_ticking: Cell<bool>,
     is_releasing: Cell<bool>,
@@ -135,6 +137,7 @@
             retention_ms: Cell::new(pool.retention.as_millis() as Millis),
             has_limits: Cell::new(false),
             ownership_age: OwnershipAge::default(),
+            handed_over_to: Cell::new(None),
             is_pump_scheduled: Cell::new(false),
             is_ticking: Cell::new(false),
             is_releasing: Cell::new(false),
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -397,8 +397,9 @@
     /// Hands over the queues that another entry owns now.
     pub fn hand_over(&self, cx: &Rc<Traffic>) {
         for batcher in self.all() {
-            if let Owner::Peer(link) = owner_of(cx, batcher.name()) {
-                batcher.hand_over(&link);
+            match owner_of(cx, batcher.name()) {
+                Owner::Peer(link) => batcher.hand_over(&link),
+                Owner::Me => batcher.keep(),
             }
         }
     }
