Notify each requester once of the pieces of a call, and share pieces with calls

An owner sent one notice with a reply, a timer and a channel for each piece of a call, and copied each piece with all of its inputs into the call.

The notices of a call to one requester share a message, a timer and a reply; calls share the pieces of the queue.

--- a/crates/gateway/src/batched_calls.rs
+++ b/crates/gateway/src/batched_calls.rs
@@ -49,10 +49,11 @@
     Silent,
 }
 
+/// Messages that are sent and replied to together.
 struct Outgoing<M, R> {
-    message: M,
-    /// Set for messages that expect a reply.
-    reply: Option<oneshot::Sender<Result<R, NoReply>>>,
+    messages: Vec<M>,
+    /// Set for messages that expect replies.
+    replies: Option<oneshot::Sender<Result<Vec<R>, NoReply>>>,
 }
 
 /// Sends messages to one address of a peer.
@@ -95,16 +96,23 @@
     /// Sends a message and waits for its reply. After [`NoReply::Silent`] the peer may have
     /// handled it.
     pub async fn request(self: &Rc<Self>, message: M) -> Result<R, NoReply> {
+        let replies = self.request_all(vec![message]).await?;
+        replies.into_iter().next().ok_or(NoReply::Silent)
+    }
+
+    /// Sends messages that share a call and waits for their replies; none of them after
+    /// [`NoReply::Silent`].
+    pub async fn request_all(self: &Rc<Self>, messages: Vec<M>) -> Result<Vec<R>, NoReply> {
         if self.is_unsupported.get() {
             return Err(NoReply::Unsupported);
         }
-        let (sender, reply) = oneshot::channel();
+        let (sender, replies) = oneshot::channel();
         self.push(Outgoing {
-            message,
-            reply: Some(sender),
+            messages,
+            replies: Some(sender),
         });
-        match tokio::time::timeout(REPLY_TIMEOUT, reply).await {
-            Ok(Ok(reply)) => reply,
+        match tokio::time::timeout(REPLY_TIMEOUT, replies).await {
+            Ok(Ok(replies)) => replies,
             Ok(Err(_)) | Err(_) => Err(NoReply::Silent),
         }
     }
@@ -113,8 +121,8 @@
     pub fn send(self: &Rc<Self>, message: M) {
         if !self.is_unsupported.get() {
             self.push(Outgoing {
-                message,
-                reply: None,
+                messages: vec![message],
+                replies: None,
             });
         }
     }
@@ -148,29 +156,38 @@
     /// The messages to send, without those whose reply nobody waits for any more.
     fn take_batch(&self) -> Vec<Outgoing<M, R>> {
         let mut batch = std::mem::take(&mut *self.outbox.borrow_mut());
-        batch.retain(|outgoing| !outgoing.reply.as_ref().is_some_and(|to| to.is_closed()));
+        batch.retain(|outgoing| !outgoing.replies.as_ref().is_some_and(|to| to.is_closed()));
         batch
     }
 
     async fn call(&self, batch: Vec<Outgoing<M, R>>) {
-        let (requests, waiting): (Vec<_>, Vec<_>) = batch
+        let (messages, waiting): (Vec<_>, Vec<_>) = batch
             .into_iter()
-            .map(|outgoing| (outgoing.message, outgoing.reply))
+            .map(|outgoing| {
+                let expected = outgoing.messages.len();
+                (outgoing.messages, (expected, outgoing.replies))
+            })
             .unzip();
         let call = Call {
             from: self.from,
-            requests,
+            requests: messages.into_iter().flatten().collect(),
         };
         let answer = query::<Vec<R>>(&self.pool, self.path, &call, CALL_TIMEOUT).await;
         let replies = answer.map_err(|err| self.no_reply(err));
         let mut replies = replies.map(Vec::into_iter);
-        for waiting in waiting.into_iter().flatten() {
-            let reply = match &mut replies {
-                Ok(replies) => replies.next().ok_or(NoReply::Silent),
+        for (expected, waiting) in waiting {
+            let Some(waiting) = waiting else { continue };
+            let replies = match &mut replies {
+                Ok(replies) => {
+                    let replies: Vec<R> = replies.take(expected).collect();
+                    Some(replies)
+                        .filter(|replies| replies.len() == expected)
+                        .ok_or(NoReply::Silent)
+                }
                 Err(no_reply) => Err(*no_reply),
             };
             // The request may have stopped waiting.
-            let _sent = waiting.send(reply);
+            let _sent = waiting.send(replies);
         }
     }
 
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -46,7 +46,7 @@
 
 /// A piece that is waiting or in progress.
 pub(super) struct Job {
-    pub piece: Piece,
+    pub piece: Rc<Piece>,
     /// Time at which its request's stages are cancelled.
     pub deadline: Millis,
     /// Digest of its request's content; equal requests have equal digests.
@@ -239,7 +239,7 @@
             halls,
         };
         let job = Job {
-            piece: piece_request.piece,
+            piece: Rc::new(piece_request.piece),
             deadline: piece_request.deadline,
             request: piece_request.request,
             failures: 0,
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -2,6 +2,7 @@
 //!
 //! Peers also receive reports of the queue's load along with the outcomes.
 
+use std::collections::HashMap;
 use std::rc::Rc;
 
 use futures_util::future::join_all;
@@ -99,16 +100,23 @@
         self: &Rc<Self>,
         pieces: impl Iterator<Item = PieceKey>,
     ) {
-        let requesters: Vec<_> = pieces.filter_map(|key| self.requester_of(key)).collect();
-        let notices = requesters
-            .iter()
-            .map(|(link, id)| link.started_pieces.request(*id));
-        // A requester that doesn't answer in time may be lost; its pieces are due all the same.
+        let mut by_requester: HashMap<PeerId, (Rc<Link>, Vec<PieceId>)> = HashMap::new();
+        for (link, id) in pieces.filter_map(|key| self.requester_of(key)) {
+            let (_, ids) = by_requester
+                .entry(link.peer.id)
+                .or_insert_with(|| (link, Vec::new()));
+            ids.push(id);
+        }
+        let notices = by_requester
+            .values()
+            .map(|(link, ids)| link.started_pieces.request_all(ids.clone()));
         let replies = join_all(notices).await;
-        for ((link, id), reply) in requesters.iter().zip(replies) {
-            if reply == Ok(Some(false)) {
-                self.cancel_piece(link.peer.id, *id);
-            }
+        for ((link, ids), replies) in by_requester.values().zip(replies) {
+            // A requester that doesn't answer in time may be lost; its pieces are due all the same.
+            let replies = replies.unwrap_or_default();
+            let dropped = ids.iter().zip(replies);
+            let dropped = dropped.filter(|(_, reply)| *reply == Some(false));
+            dropped.for_each(|(id, _)| self.cancel_piece(link.peer.id, *id));
         }
     }
 
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -195,7 +195,7 @@
 /// A piece that is part of a call.
 pub(super) struct CallPiece {
     pub started: StartedPiece,
-    piece: Piece,
+    piece: Rc<Piece>,
     /// Time at which its request's stages are cancelled.
     deadline: Millis,
     pub request: RequestDigest,
@@ -251,7 +251,7 @@
     let request = || {
         let now = cx.clock.now();
         let pieces = sent_pieces.iter();
-        let pieces = pieces.map(|sent| (&sent.piece, sent.deadline.saturating_sub(now)));
+        let pieces = pieces.map(|sent| (&*sent.piece, sent.deadline.saturating_sub(now)));
         pieces::run_request(target.incarnation(), call_id, pieces)
     };
     let answer = target_calls::call(cx, target, request, MAX_RESPONSE_BYTES, permits)
