--- a/crates/bench/src/soak/grants.rs
+++ b/crates/bench/src/soak/grants.rs
@@ -62,10 +62,15 @@
         }
     }
 
+    /// The gateway that made a call of pieces, if its log has the end of the call.
+    pub fn sender_of(&self, call: &str) -> Option<&str> {
+        self.senders.get(call).map(String::as_str)
+    }
+
     fn sender(&self, arrival: &Arrival) -> &str {
-        let call = arrival.call.as_ref();
-        let sender = call.and_then(|call| self.senders.get(call));
-        sender.map_or("unknown", String::as_str)
+        let call = arrival.call.as_deref();
+        call.and_then(|call| self.sender_of(call))
+            .unwrap_or("unknown")
     }
 
     /// Finds work that arrived more often than its first send and the grants explain.
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -20,6 +20,7 @@
 mod fragile;
 mod grants;
 mod joining_hosts;
+mod owners;
 mod plan;
 mod planned_stops;
 mod processes;
@@ -48,6 +49,7 @@
 
 pub use attempt_bounds::Arrival;
 pub use grants::{GrantLog, Ungranted, WorkKey};
+pub use owners::{longest as longest_disagreement, Disagreement};
 pub use report::{Failure, FailureKind, SoakReport};
 
 use callers::Load;
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -49,6 +49,8 @@
     Repeats,
     /// Work that a service got once more though no gateway granted that.
     Ungranted,
+    /// Gateways that owned one queue at the same time for too long.
+    Owners,
     /// Attempts that ran at more targets than their routes allow.
     AttemptTargets,
     /// Work that targets were given more time for than remained.
@@ -76,6 +78,7 @@
             FailureKind::BesideFatalPart => "served too little beside a part that crashes targets",
             FailureKind::Repeats => "repeats within their budget",
             FailureKind::Ungranted => "repeats are granted",
+            FailureKind::Owners => "a queue has one owner",
             FailureKind::AttemptTargets => "attempts within their number of targets",
             FailureKind::GivenTime => "time that targets are given",
             FailureKind::StreamEvents => "events of a stream",
@@ -126,6 +129,8 @@
     pub repeats: String,
     /// Largest part of the repeats that are allowed in a window that a service got.
     pub used_repeats: f64,
+    /// The longest time in which a queue had two owners.
+    pub owners: String,
     /// What is used of the bounds of single attempts.
     pub attempt_bounds: String,
     pub failures: Vec<Failure>,
@@ -138,6 +143,7 @@
             &self.cut,
             &self.streams,
             &self.repeats,
+            &self.owners,
             &self.attempt_bounds,
         ];
         let mut summaries = summaries.into_iter().filter(|text| !text.is_empty());
--- a/crates/bench/src/soak/stage_load.rs
+++ b/crates/bench/src/soak/stage_load.rs
@@ -1,6 +1,6 @@
 //! Soak of the owners of stage queues: callers ask for thousands of pieces a second, while gateways stand
-//! still for a moment, so that queues move to other owners with their backlog, and many stage workers
-//! end at once.
+//! still for a moment or lag, so that queues move to other owners and back, and many stage workers end at
+//! once. Two owners may call the workers of a service for a moment only ([`super::owners`]).
 
 use std::ops::Range;
 use std::time::Duration;
@@ -10,7 +10,9 @@
 
 use super::contention::Contender;
 use super::failing_targets::play;
+use super::owners;
 use super::plan::{EntryFault, PlannedFault, SoakPlan};
+use super::processes::Observations;
 use super::report::SoakReport;
 use super::{SoakError, SoakOptions};
 
@@ -19,11 +21,17 @@
 /// Time in which gateways and workers are disturbed, in milliseconds.
 const DISTURBED_MS: Range<u64> = 5_000..16_000;
 /// Length of a run.
-const LENGTH: Duration = Duration::from_secs(20);
+const LENGTH: Duration = Duration::from_secs(26);
 /// How long a gateway stands still, in milliseconds.
 const PAUSE_MS: Range<u64> = 60..600;
 /// Pauses of each gateway on average.
-const PAUSES: usize = 2;
+const PAUSES: usize = 1;
+/// Times in which a gateway gets a quarter of its time, so that it lags and its queues move: for every
+/// third gateway on average, as a series of pauses and the time from one to the next, in milliseconds.
+const SLOWED_GATEWAYS_DIVISOR: usize = 3;
+const SLOWED_PAUSES: u64 = 10;
+const SLOWED_PAUSE_MS: u64 = 120;
+const SLOWED_INTERVAL_MS: u64 = 160;
 
 const SECTIONS: &str = "\
 [service.engines]
@@ -102,7 +110,19 @@
     let plan = draw(options);
     let paths = PATHS.into_iter().cycle().take(options.callers);
     let played = play(options, &plan, paths.map(Contender::of_path)).await?;
-    Ok(played.report(options, &plan, Vec::new()))
+    let Observations {
+        arrivals, grants, ..
+    } = &played.observations;
+    let longest = owners::longest(arrivals, grants);
+    let failures = owners::evaluate(longest.as_ref()).into_iter().collect();
+    let report = played.report(options, &plan, failures);
+    Ok(SoakReport {
+        owners: match longest {
+            Some(longest) => format!("two owners at most: {longest}"),
+            None => "each queue had one owner".to_string(),
+        },
+        ..report
+    })
 }
 
 fn draw(options: &SoakOptions) -> SoakPlan {
@@ -122,6 +142,13 @@
         let (at_ms, for_ms) = (rng.random_range(DISTURBED_MS), rng.random_range(PAUSE_MS));
         PlannedFault::of_ms(EntryFault::Pause, entry, at_ms, for_ms)
     });
-    let pauses = pauses.collect();
+    let mut pauses: Vec<PlannedFault> = pauses.collect();
+    for _ in 0..entries.div_ceil(SLOWED_GATEWAYS_DIVISOR) {
+        let (entry, from_ms) = (rng.random_range(0..entries), rng.random_range(DISTURBED_MS));
+        pauses.extend((0..SLOWED_PAUSES).map(|number| {
+            let at_ms = from_ms + number * SLOWED_INTERVAL_MS;
+            PlannedFault::of_ms(EntryFault::Pause, entry, at_ms, SLOWED_PAUSE_MS)
+        }));
+    }
     SoakPlan::of_site(options, &sections.join("\n"), pauses, LENGTH)
 }
--- a/crates/bench/tests/suite/main.rs
+++ b/crates/bench/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod limited;
 mod scenario;
 mod soak_grants;
+mod soak_owners;
 mod soak_report;
 
 use std::path::Path;
--- a/crates/bench/tests/suite/soak_report.rs
+++ b/crates/bench/tests/suite/soak_report.rs
@@ -22,6 +22,7 @@
         streams: "streams".to_string(),
         repeats: "repeats".to_string(),
         used_repeats: 0.5,
+        owners: "owners".to_string(),
         attempt_bounds: "attempts".to_string(),
         mode: None,
         failures: versions.chain([cut]).collect(),
