Don't take pieces for unsent whose notice may have come during a standstill

Cause: the owner of a queue gives notice before it sends a piece, and doesn't wait for long. A requester that stood still meanwhile missed the notice, and when the owner ended, it had the piece sent again without a grant. Class: a conclusion from what wasn't seen, beyond the moment up to which everything was seen.

Change: a requester that stood still since it passed a piece on, by its own timers or by one that is overdue, needs a grant when the owner ends. Notices are sent also after their sender has stopped to wait for the replies.

--- a/crates/bench/src/soak/quick_restarts.rs
+++ b/crates/bench/src/soak/quick_restarts.rs
@@ -1,5 +1,5 @@
 //! Soak of processes that are killed and start again at once on the same address: gateways, and targets
-//! that are processes, in series; beside planned stops, and a store that does writes late, resets
+//! that are processes, in series and after others stood still; beside planned stops, and a store that does writes late, resets
 //! connections, or is silent while leases run out.
 //!
 //! The site is that of [`super::target_processes`].
@@ -31,6 +31,11 @@
 const KILLS_APART_MS: Range<u64> = 300..2_500;
 /// Planned stops of each gateway on average.
 const STOPS: usize = 1;
+/// Standstills of gateways that are followed by a kill of another one, how long they last, and the time
+/// from their end to the kill, in milliseconds.
+const STANDSTILLS: usize = 8;
+const STANDSTILL_MS: Range<u64> = 400..1_000;
+const KILLED_AFTER_MS: Range<u64> = 0..800;
 /// Times that targets of a stage service are killed.
 const TARGET_KILLS: Range<usize> = 3..9;
 /// Percentage of hosts for which the store is away, and how long, in milliseconds.
@@ -74,9 +79,25 @@
         PlannedFault::of_ms(EntryFault::Stop, entry, at_ms, away_ms)
     });
     faults.extend(stops);
+    faults.extend((0..STANDSTILLS).flat_map(|_| standstill_before_kill(&mut rng, entries)));
     SoakPlan::of_site(options, &sections.join("\n"), faults, LENGTH)
 }
 
+/// A gateway that stands still, and another one that is killed soon after it went on: what the first one
+/// missed of the second it doesn't get any more.
+fn standstill_before_kill(rng: &mut SmallRng, entries: usize) -> [PlannedFault; 2] {
+    let (paused, at_ms) = (rng.random_range(0..entries), rng.random_range(DISTURBED_MS));
+    let killed = (paused + rng.random_range(1..entries)) % entries;
+    let for_ms = rng.random_range(STANDSTILL_MS);
+    let kill_ms = at_ms + for_ms + rng.random_range(KILLED_AFTER_MS);
+    let pause = PlannedFault::of_ms(EntryFault::Pause, paused, at_ms, for_ms);
+    let away_ms = rng.random_range(AWAY_MS);
+    [
+        pause,
+        PlannedFault::of_ms(EntryFault::Kill, killed, kill_ms, away_ms),
+    ]
+}
+
 /// Section of targets that are killed, and start again on the same address.
 fn target_kill(rng: &mut SmallRng, service: &str, targets: usize, number: usize) -> String {
     let (at_ms, away_ms) = (rng.random_range(DISTURBED_MS), rng.random_range(AWAY_MS));
--- a/crates/gateway/src/batched_calls.rs
+++ b/crates/gateway/src/batched_calls.rs
@@ -52,6 +52,8 @@
 /// Messages that are sent and replied to together.
 struct Outgoing<M, R> {
     messages: Vec<M>,
+    /// Sent also when nobody waits for the replies any more.
+    is_notice: bool,
     /// Set for messages that expect replies.
     replies: Option<oneshot::Sender<Result<Vec<R>, NoReply>>>,
 }
@@ -96,19 +98,28 @@
     /// Sends a message and waits for its reply. After [`NoReply::Silent`] the peer may have
     /// handled it.
     pub async fn request(self: &Rc<Self>, message: M) -> Result<R, NoReply> {
-        let replies = self.request_all(vec![message]).await?;
+        let replies = self.exchange(vec![message], false).await?;
         replies.into_iter().next().ok_or(NoReply::Silent)
     }
 
-    /// Sends messages that share a call and waits for their replies; none of them after
-    /// [`NoReply::Silent`].
-    pub async fn request_all(self: &Rc<Self>, messages: Vec<M>) -> Result<Vec<R>, NoReply> {
+    /// Sends messages that share a call and waits for their replies. After [`NoReply::Silent`] the peer
+    /// may have handled them, or may yet.
+    pub async fn notify_all(self: &Rc<Self>, messages: Vec<M>) -> Result<Vec<R>, NoReply> {
+        self.exchange(messages, true).await
+    }
+
+    async fn exchange(
+        self: &Rc<Self>,
+        messages: Vec<M>,
+        is_notice: bool,
+    ) -> Result<Vec<R>, NoReply> {
         if self.is_unsupported.get() {
             return Err(NoReply::Unsupported);
         }
         let (sender, replies) = oneshot::channel();
         self.push(Outgoing {
             messages,
+            is_notice,
             replies: Some(sender),
         });
         match tokio::time::timeout(REPLY_TIMEOUT, replies).await {
@@ -122,6 +133,7 @@
         if !self.is_unsupported.get() {
             self.push(Outgoing {
                 messages: vec![message],
+                is_notice: true,
                 replies: None,
             });
         }
@@ -153,10 +165,13 @@
         }
     }
 
-    /// The messages to send, without those whose reply nobody waits for any more.
+    /// The messages to send, without those that only ask and whose reply nobody waits for any more.
     fn take_batch(&self) -> Vec<Outgoing<M, R>> {
         let mut batch = std::mem::take(&mut *self.outbox.borrow_mut());
-        batch.retain(|outgoing| !outgoing.replies.as_ref().is_some_and(|to| to.is_closed()));
+        batch.retain(|outgoing| {
+            let replies = outgoing.replies.as_ref();
+            outgoing.is_notice || !replies.is_some_and(|to| to.is_closed())
+        });
         batch
     }
 
--- a/crates/gateway/src/event_loop_lag.rs
+++ b/crates/gateway/src/event_loop_lag.rs
@@ -5,11 +5,12 @@
 
 use hollowsail_clock::{suspended, BootInstant};
 use hollowsail_observe::events;
+use hollowsail_routing::event_loop_lag::MEASURE_INTERVAL_MS;
 
 use crate::traffic::Traffic;
 
 /// Interval between measurements.
-const MEASURE_INTERVAL: Duration = Duration::from_millis(50);
+const MEASURE_INTERVAL: Duration = Duration::from_millis(MEASURE_INTERVAL_MS);
 
 /// Measures until the thread ends.
 pub async fn watch(cx: Rc<Traffic>) {
--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use hollowsail_connect::{dial, DialError, Dialer, Pool, PoolRules, SendError};
 use hollowsail_platform::targets::Incarnation;
-use hollowsail_routing::Demand;
+use hollowsail_routing::{Demand, Millis};
 use hollowsail_targets::LimitKind;
 use http::StatusCode;
 use snafu::Snafu;
@@ -71,6 +71,7 @@
 /// A piece that the peer is to produce.
 struct AwaitedPiece {
     outcome: oneshot::Sender<RemoteOutcome>,
+    requested_at: Millis,
     /// The peer said that it sends it to a worker.
     is_started: bool,
 }
@@ -202,6 +203,7 @@
         let (outcome, rx) = oneshot::channel();
         let awaited = AwaitedPiece {
             outcome,
+            requested_at: self.now(),
             is_started: false,
         };
         self.awaited.borrow_mut().insert(id, awaited);
@@ -211,6 +213,16 @@
         rx.await.unwrap_or(Err(LinkLost::UNKNOWN))
     }
 
+    /// Current time; 0 once the entry's traffic is dropped.
+    fn now(&self) -> Millis {
+        self.cx.upgrade().map_or(0, |cx| cx.clock.now())
+    }
+
+    fn has_stalled_since(&self, since: Millis) -> bool {
+        let cx = self.cx.upgrade();
+        cx.is_none_or(|cx| cx.lag.get().has_stalled_since(since, cx.clock.now()))
+    }
+
     /// Records that the peer sends a piece to a worker. False if no requester waits for the piece.
     pub fn record_started(&self, id: PieceId) -> bool {
         match self.awaited.borrow_mut().get_mut(&id) {
@@ -303,8 +315,9 @@
         for (id, awaited) in waiting {
             let is_delivered = !undelivered.contains(&id);
             let lost = match end {
+                // The notice may have been missed while this process stood still.
                 PeerEnd::Ended => LinkLost {
-                    may_be_sent: awaited.is_started,
+                    may_be_sent: awaited.is_started || self.has_stalled_since(awaited.requested_at),
                 },
                 PeerEnd::Unknown => LinkLost {
                     may_be_sent: is_delivered,
--- a/crates/gateway/src/pools/batcher/replies.rs
+++ b/crates/gateway/src/pools/batcher/replies.rs
@@ -109,7 +109,7 @@
         }
         let notices = by_requester
             .values()
-            .map(|(link, ids)| link.started_pieces.request_all(ids.clone()));
+            .map(|(link, ids)| link.started_pieces.notify_all(ids.clone()));
         let replies = join_all(notices).await;
         for ((link, ids), replies) in by_requester.values().zip(replies) {
             // A requester that doesn't answer in time may be lost; its pieces are due all the same.
--- a/crates/routing/src/event_loop_lag.rs
+++ b/crates/routing/src/event_loop_lag.rs
@@ -6,6 +6,8 @@
 
 use crate::Millis;
 
+/// Time from one timer to the next, in milliseconds.
+pub const MEASURE_INTERVAL_MS: Millis = 50;
 /// Weight of the newest timer in the average lag.
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Average lag from which a process counts as lagging. Healthy processes are late by one or two
@@ -19,6 +21,10 @@
 /// handed its work over is on time at once, even on a slow host.
 const RECOVERY_MS: Millis = 4_000;
 
+/// A timer that fires this late shows that the process stood still, in milliseconds. Peers give up a message
+/// that isn't answered in a little more.
+const STALL_MS: Millis = 200;
+
 /// Average timer lag of a process, and whether it counts as lagging.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct EventLoopLag {
@@ -28,6 +34,8 @@
     on_time_since: Option<Millis>,
     /// When the last timer fired, and the one before.
     fired: [Millis; 2],
+    /// When the process last went on after it stood still.
+    stalled_until: Option<Millis>,
 }
 
 impl EventLoopLag {
@@ -35,6 +43,9 @@
     /// starts or stops lagging.
     pub fn record(&mut self, now: Millis, late: Millis) -> bool {
         self.fired = [now, self.fired[0]];
+        if late >= STALL_MS {
+            self.stalled_until = Some(now);
+        }
         let late = late.min(MAX_SAMPLE_MS) as f64;
         self.lag_ms += SAMPLE_WEIGHT * (late - self.lag_ms);
         if self.lag_ms >= ON_TIME_MS {
@@ -58,6 +69,13 @@
         self.fired[1]
     }
 
+    /// True if the process stood still at some time after `since`, so that it may have missed messages
+    /// whose senders didn't wait for it. The first timer after it may still be due.
+    pub fn has_stalled_since(&self, since: Millis, now: Millis) -> bool {
+        let is_overdue = now >= self.fired[0] + MEASURE_INTERVAL_MS + STALL_MS;
+        is_overdue || self.stalled_until.is_some_and(|until| until >= since)
+    }
+
     /// True while the process is lagging.
     pub fn is_lagging(&self) -> bool {
         self.is_lagging
--- a/crates/routing/tests/suite/event_loop_lag.rs
+++ b/crates/routing/tests/suite/event_loop_lag.rs
@@ -62,3 +62,16 @@
     lag.record(13_000, 12_000);
     assert_eq!(lag.all_read_until(), 950);
 }
+
+/// Guards against conclusions from messages that were missed while the process stood still.
+#[test]
+fn standstill_is_remembered_for_what_began_before_its_end() {
+    let mut lag = EventLoopLag::default();
+    run(&mut lag, 0, 1_000, 2);
+    assert!(!lag.has_stalled_since(0, 1_100));
+    assert!(lag.has_stalled_since(1_000, 1_450), "no timer fired since");
+    lag.record(1_500, 450);
+    run(&mut lag, 1_550, 1_000, 2);
+    assert!(lag.has_stalled_since(1_100, 2_600) && lag.has_stalled_since(1_500, 2_600));
+    assert!(!lag.has_stalled_since(1_501, 2_600));
+}
