--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -246,6 +246,7 @@
             return;
         }
         let before = self.view.borrow().clone();
+        let declined_ownership = self.declines_ownership();
         self.crashes
             .apply_listed(self, &before.refused, &newest.refused);
         let targets_changed = targets_changed(&before, &newest);
@@ -283,6 +284,9 @@
         if self.deployment_in_use().is_some() {
             self.configured.notify_waiters();
         }
+        if declined_ownership && !self.declines_ownership() {
+            self.peers.end_declining(self);
+        }
     }
 
     /// Updates queues and schedulers with the usable targets.
