--- a/src/bin/hollowsail/main.rs
+++ b/src/bin/hollowsail/main.rs
@@ -8,11 +8,6 @@
 use hollowsail::Context;
 use hollowsail_observe::faults;
 use hollowsail_observe::output::LineOutput;
-use mimalloc::MiMalloc;
-
-/// Owners of stage queues allocate and free memory for thousands of short-lived pieces a second.
-#[global_allocator]
-static ALLOCATOR: MiMalloc = MiMalloc;
 
 /// Serves multi-stage model pipelines.
 #[derive(FromArgs)]
