Send the end of declining after the envelopes that are under way

An entry that may own queues again told a peer in an envelope of its own, beside those that the link sent at that moment, though a link sends one at a time; and it told nothing at all while an envelope was under way that still said that it lags.

The link sends it with its other envelopes now, and goes on until the peer has the present word. No test shows the difference: it takes an envelope that is under way at the end of a lag.

--- a/crates/gateway/src/peers/link.rs
+++ b/crates/gateway/src/peers/link.rs
@@ -353,7 +353,7 @@
         tokio::time::sleep(BATCH_DELAY).await;
         loop {
             let messages = std::mem::take(&mut *self.outbox.borrow_mut());
-            if messages.is_empty() {
+            if messages.is_empty() && !self.owes_end_of_declining() {
                 self.is_sending.set(false);
                 return;
             }
@@ -363,13 +363,20 @@
         }
     }
 
-    /// Tells the peer that this entry may own keys again, if the peer was told otherwise.
+    /// Tells the peer that this entry may own keys again, if the peer was told otherwise. Envelopes that
+    /// are being sent are followed by one that says so.
     pub async fn end_declining(self: &Rc<Self>) {
-        if self.told_declining.get() && !self.is_sending.get() && !self.is_closed.get() {
-            self.deliver(Vec::new()).await;
+        if self.owes_end_of_declining() && !self.is_closed.get() && !self.is_sending.replace(true) {
+            self.clone().send_all().await;
         }
     }
 
+    /// True while the peer knows that this entry declines ownership, though it doesn't any more.
+    fn owes_end_of_declining(&self) -> bool {
+        let cx = self.cx.upgrade();
+        self.told_declining.get() && cx.is_some_and(|cx| !cx.declines_ownership())
+    }
+
     /// Delivers an envelope and closes the link on failure. True when it was accepted.
     async fn deliver(self: &Rc<Self>, messages: Vec<Message>) -> bool {
         let Some(cx) = self.cx.upgrade() else {
