--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -57,7 +57,6 @@
     failures.extend(streams.failures);
     let repeats = repeats::evaluate(plan, observations, attempts);
     failures.extend(repeats.failures);
-    failures.extend(observations.grants.evaluate(&observations.arrivals));
     let attempt_bounds = attempt_bounds::evaluate(plan, observations, attempts);
     failures.extend(attempt_bounds.failures);
     SoakReport {
@@ -72,7 +71,7 @@
     }
 }
 
-/// Promises that targets, processes and answers broke.
+/// Promises that targets, processes and answers broke, and repeats that nobody granted.
 pub fn find_violations(
     plan: &SoakPlan,
     observations: &Observations,
@@ -83,7 +82,8 @@
     let exits = exits.map(|failure| Failure::new(FailureKind::Process, failure));
     let attempts = attempts.iter();
     let wrong = attempts.filter_map(|attempt| find_violation(attempt, plan, observations));
-    broken.chain(exits).chain(wrong).collect()
+    let ungranted = observations.grants.evaluate(&observations.arrivals);
+    broken.chain(exits).chain(wrong).chain(ungranted).collect()
 }
 
 impl SoakReport {
--- a/crates/bench/src/soak/failing_targets.rs
+++ b/crates/bench/src/soak/failing_targets.rs
@@ -198,7 +198,6 @@
         failures.extend(checks::find_violations(plan, observations, attempts));
         let repeats = repeats::evaluate(plan, observations, attempts);
         failures.extend(repeats.failures);
-        failures.extend(observations.grants.evaluate(&observations.arrivals));
         let attempt_bounds = attempt_bounds::evaluate(plan, observations, attempts);
         failures.extend(attempt_bounds.failures);
         let options = SoakOptions {
--- a/crates/bench/src/soak/grants.rs
+++ b/crates/bench/src/soak/grants.rs
@@ -52,8 +52,9 @@
         for line in text.lines() {
             let has = |event: &str| line.split_whitespace().any(|word| word == event);
             if has("HS0236") {
-                let granted = work_of(line).map(|work| self.granted.entry(work).or_default());
-                granted.into_iter().for_each(|count| *count += 1);
+                if let Some(work) = work_of(line) {
+                    *self.granted.entry(work).or_default() += 1;
+                }
             } else if has("HS0100") {
                 self.incomplete.push(process.to_string());
             } else if let (Some(_), Some(call)) = (field(line, "queue"), field(line, "call")) {
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -30,7 +30,7 @@
     }
 
     /// This entry owns the queue, again or still.
-    pub fn keep(&self) {
+    pub fn mark_owned(&self) {
         self.handed_over_to.set(None);
     }
 
--- a/crates/gateway/src/pools/mod.rs
+++ b/crates/gateway/src/pools/mod.rs
@@ -399,7 +399,7 @@
         for batcher in self.all() {
             match owner_of(cx, batcher.name()) {
                 Owner::Peer(link) => batcher.hand_over(&link),
-                Owner::Me => batcher.keep(),
+                Owner::Me => batcher.mark_owned(),
             }
         }
     }
--- a/crates/stages/src/batch/workers.rs
+++ b/crates/stages/src/batch/workers.rs
@@ -330,7 +330,6 @@
 
     /// Updates a worker's slowness and backoff after a call.
     pub(super) fn record_call_end(&mut self, call: &Call, end: CallEnd, now: Millis) {
-        let has_speeds = self.has_speeds;
         let Some(worker) = self.workers.get_mut(call.worker) else {
             return;
         };
@@ -361,11 +360,9 @@
             self.workers.remove(call.worker);
         }
         self.update_slow_workers();
-        let worker = self.workers.get_mut(call.worker);
-        if let Some(worker) = worker.filter(|worker| worker.is_slow) {
-            if end == CallEnd::Answered && !has_speeds {
-                worker.backoff_until = now + PROBE_MS;
-            }
+        let is_in_use = self.workers.contains_key(call.worker);
+        if end == CallEnd::Answered && is_in_use && self.is_probed(call.worker) {
+            self.back_off(call.worker, now + PROBE_MS);
         }
     }
 
