--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -262,6 +262,15 @@
     Answer::parse(&bytes).map_or(0, |answer| answer.status)
 }
 
+/// Sends a request until it is answered with 200.
+pub async fn eventually_served(addr: SocketAddr, req: &Call) {
+    let until = Instant::now() + WAIT_TIMEOUT;
+    while req.send(addr).await.status != 200 {
+        assert!(Instant::now() < until, "{req:?} is never served");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 async fn call_until_served(addr: SocketAddr, req: &Call) -> Answer {
     let until = Instant::now() + WAIT_TIMEOUT;
     loop {
