--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -87,6 +87,12 @@
     #[argh(switch)]
     stage_load: bool,
 
+    /// play only targets that are processes of their own and spoil the heads of their answers, answer
+    /// early and reset, or answer with odd statuses, beside gateways that are killed, stopped and paused
+    /// in series; --seconds has no effect
+    #[argh(switch)]
+    spoiling_targets: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -122,6 +128,7 @@
                 target_processes: self.target_processes,
                 quick_restarts: self.quick_restarts,
                 stage_load: self.stage_load,
+                spoiling_targets: self.spoiling_targets,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -143,6 +143,10 @@
         SoakOptions {
             stage_load: true, ..
         } => Some("--stage-load"),
+        SoakOptions {
+            spoiling_targets: true,
+            ..
+        } => Some("--spoiling-targets"),
         _ => None,
     }
 }
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -30,6 +30,7 @@
 mod restores;
 mod room;
 mod small_hosts;
+mod spoiling_targets;
 mod stage_load;
 mod suspended_targets;
 mod target_processes;
@@ -90,6 +91,8 @@
     pub quick_restarts: bool,
     /// Thousands of pieces a second, beside gateways that stand still for a moment.
     pub stage_load: bool,
+    /// Targets that are processes of their own and spoil their answers.
+    pub spoiling_targets: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -151,6 +154,9 @@
     if options.stage_load {
         return stage_load::run(options).await;
     }
+    if options.spoiling_targets {
+        return spoiling_targets::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/target_processes.rs
+++ b/crates/bench/src/soak/target_processes.rs
@@ -171,7 +171,7 @@
 /// Stage services, with the number of their targets.
 pub const STAGE_SERVICES: [(&str, usize); 3] = [("encoders", 3), ("workers", 5), ("finishers", 5)];
 /// Services, with the number of their targets.
-const SERVICES: [(&str, usize); 5] = [
+pub const SERVICES: [(&str, usize); 5] = [
     ("engines", 12),
     ("plain", 3),
     ("encoders", 3),
@@ -258,7 +258,7 @@
 
 /// What happens to gateways once in a run, each in half of the runs: most of them start beside the load,
 /// all lose power at once, one stands still for longer than a window, all are stopped in series at the end.
-fn disturb_ends(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
+pub fn disturb_ends(rng: &mut SmallRng, entries: usize) -> Vec<PlannedFault> {
     let fault = PlannedFault::of_ms;
     let mut faults = Vec::new();
     if rng.random_bool(0.5) {
