Don't pass on a target's Content-Length

What callers saw: nobody has reported it. A target that answers in chunks and states a Content-Length beside them had that length passed on with a body that is framed anew. A debug build panics ("payload claims content-length of 94, custom content-length header claims 3"), a release build writes all of the body behind the shorter length, and the rest stands on the caller's connection where its next answer is due: a target can answer requests of others.

Cause: headers that frame one message were copied with the others; only Transfer-Encoding was left out. The relay between entries copied the length of a peer in the same way, beside a body that it streams.

--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -31,8 +31,8 @@
 
 /// Headers copied from the caller's request.
 const REQUEST_HEADERS: [HeaderName; 4] = [ACCEPT, AUTHORIZATION, CONTENT_LENGTH, CONTENT_TYPE];
-/// Headers copied from the peer's response.
-const RESPONSE_HEADERS: [HeaderName; 3] = [CONTENT_TYPE, CONTENT_LENGTH, RETRY_AFTER];
+/// Headers copied from the peer's response, whose body is streamed in chunks of this entry's own.
+const RESPONSE_HEADERS: [HeaderName; 2] = [CONTENT_TYPE, RETRY_AFTER];
 
 /// Failure of a relay without a response.
 #[derive(Debug)]
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -10,7 +10,8 @@
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::{Observation, Progress};
 use hollowsail_targets::Target;
-use http::Response;
+use http::response::Parts;
+use http::{header, Method, Response};
 
 use super::admit::Admitted;
 use super::attempt::{Failure, TargetAnswer};
@@ -86,7 +87,11 @@
                 record_answer(cx, admitted, attempts, &target, sent);
                 record_passed(cx, admitted, &target);
             }
-            return Buffered::Response(Box::new(caller_response(parts, full_body(bytes))));
+            return Buffered::Response(Box::new(caller_response(
+                admitted,
+                &parts,
+                full_body(bytes),
+            )));
         }
         Ok(Ok(None)) => failure(format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes")),
         Ok(Err(err)) => Failure::cut_off(begun, format!("the answer ended early: {err}")),
@@ -139,13 +144,22 @@
     cx.record_latency(&admitted.deployment, attempts.service, ms);
 }
 
-/// The response for the caller, without connection headers.
+/// The response for the caller. The server states the length of its body, or sends chunks; nothing that
+/// frames it is the target's.
 pub(super) fn caller_response(
-    parts: http::response::Parts,
+    admitted: &Admitted,
+    parts: &Parts,
     body: AnswerStream,
 ) -> Response<AnswerStream> {
     let mut response = Response::new(body);
     *response.status_mut() = parts.status;
     *response.headers_mut() = without_connection_headers(&parts.headers);
+    // States the length of the body that a GET would have.
+    let length = parts.headers.get(header::CONTENT_LENGTH);
+    if let (&Method::HEAD, Some(length)) = (&admitted.head.method, length) {
+        response
+            .headers_mut()
+            .insert(header::CONTENT_LENGTH, length.clone());
+    }
     response
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -61,16 +61,7 @@
     mut attempts: Attempts,
 ) -> Response<AnswerStream> {
     attempts.version = Some(answer.target.record.version.clone());
-    let parts = {
-        let mut parts = Response::new(()).into_parts().0;
-        parts.status = answer.parts.status;
-        parts.headers = answer.parts.headers.clone();
-        // The total length may differ after the stream is resumed at another target.
-        if admitted.route().repeat.is_repeatable() {
-            parts.headers.remove(header::CONTENT_LENGTH);
-        }
-        parts
-    };
+    let parts = answer.parts.clone();
     let copies = stream_version::record(cx, admitted, &answer.target);
     let stream = RelayedStream {
         cx: cx.clone(),
@@ -88,7 +79,7 @@
         let next = stream.next().await?;
         Some((next.map(Frame::data), stream))
     });
-    caller_response(parts, Box::pin(StreamBody::new(frames)))
+    caller_response(admitted, &parts, Box::pin(StreamBody::new(frames)))
 }
 
 /// False when the headers of an answer declare a body of another type.
--- a/crates/gateway/tests/suite/spoilt_heads.rs
+++ b/crates/gateway/tests/suite/spoilt_heads.rs
@@ -464,6 +464,18 @@
     assert_eq!((names, body), (expected, BODY));
 }
 
+// Guards against a length of the target's beside a body that is framed anew.
+#[actix_rt::test]
+async fn length_of_a_stream_is_not_passed_on() {
+    let fixture = Fixture::start(&deployment()).await;
+    let spoiling = Spoiling::start(None).await;
+    spoiling.add_to(&fixture);
+    *spoiling.rest.borrow_mut() = Rest::of_length("/stream/x");
+    let got = fixture.call(&call("/stream/x", 1)).await;
+    assert_eq!((got.status, got.header("content-length")), (200, None));
+    assert_eq!((got.body, got.is_whole), (events(), true));
+}
+
 // Guards against a seal that a target has taken out on the way.
 #[actix_rt::test]
 async fn answer_whose_connection_field_names_its_seal_is_not_passed_on_as_a_success() {
