Check the framing of answers before the library reads them

What callers saw: a target sent an answer whose head was spoilt where it tells the length of the body; the caller got another body as a complete answer.

Cause: what the library accepts was taken for what the target meant. A line feed alone ends a line, and an empty one the head; a coding that isn't chunked, or a framing field whose name is spoilt, leaves the body to the end of the connection; what follows a body whose length is too small, or a status without a body, was thrown away with the connection.

The first rule that is broken ends the connection, and is SendError::Malformed or BodyError::Malformed: a failure of the target that is counted against its health and its version, not a lost connection; the send is settled, since the target has it. Bytes that have come with a complete answer and begin no other one spoil it; later ones, and another answer, leave it as it was.

--- a/crates/connect/src/body.rs
+++ b/crates/connect/src/body.rs
@@ -4,12 +4,25 @@
 use std::pin::Pin;
 
 use bytes::Bytes;
+use hollowsail_framing::Fault;
 use hyper::body::{Body, Frame, Incoming};
+use snafu::Snafu;
 
 use crate::framing::Framing;
 use crate::pool::Returning;
+use crate::reading::Reading;
 use crate::received::Received;
-use crate::BodyError;
+
+/// Why a body ended early.
+#[derive(Debug, Snafu)]
+pub enum BodyError {
+    /// The connection failed.
+    #[snafu(display("{source}"))]
+    Connection { source: hyper::Error },
+    /// The answer breaks a rule, so that nobody can tell where its body ends.
+    #[snafu(display("the answer has {fault}"))]
+    Malformed { fault: Fault },
+}
 
 /// Reads an answer in chunks. Dropping it before the end closes the connection, which cancels
 /// the work at the peer.
@@ -17,6 +30,7 @@
     incoming: Incoming,
     framing: Framing,
     received: Received,
+    reading: Reading,
     returning: Option<Returning>,
 }
 
@@ -26,12 +40,14 @@
         incoming: Incoming,
         framing: Framing,
         received: Received,
+        reading: Reading,
         returning: Option<Returning>,
     ) -> Self {
         AnswerBody {
             incoming,
             framing,
             received,
+            reading,
             returning,
         }
     }
@@ -51,9 +67,12 @@
                         return Some(Ok(data));
                     }
                 }
-                Some(Err(err)) => {
+                Some(Err(source)) => {
                     self.returning = None;
-                    return Some(Err(err));
+                    return Some(Err(match self.reading.fault() {
+                        Some(fault) => BodyError::Malformed { fault },
+                        None => BodyError::Connection { source },
+                    }));
                 }
                 None => {
                     if let Some(returning) = self.returning.take() {
@@ -65,7 +84,7 @@
         }
     }
 
-    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, BodyError>> {
+    async fn frame(&mut self) -> Option<Result<Frame<Bytes>, hyper::Error>> {
         poll_fn(|cx| {
             let polled = Pin::new(&mut self.incoming).poll_frame(cx);
             if polled.is_pending() {
--- a/crates/connect/src/framing.rs
+++ b/crates/connect/src/framing.rs
@@ -19,16 +19,13 @@
 }
 
 impl Framing {
-    /// Framing of an answer whose body wasn't read yet.
+    /// Framing of an answer whose body wasn't read yet. An answer with another coding than chunked was
+    /// rejected ([`hollowsail_framing`]).
     pub(crate) fn of(response: &Response<impl Body>, way: Way) -> Self {
         if response.body().size_hint().exact().is_some() {
             return Framing::Length;
         }
-        let encodings = response.headers().get_all(header::TRANSFER_ENCODING);
-        let is_chunked = encodings
-            .iter()
-            .filter_map(|value| value.to_str().ok())
-            .any(|value| value.to_ascii_lowercase().contains("chunked"));
+        let is_chunked = response.headers().contains_key(header::TRANSFER_ENCODING);
         match way {
             _ if is_chunked => Framing::Chunked,
             Way::Relay(relay) if relay.confirms_end => Framing::ConfirmedConnection,
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -12,6 +12,9 @@
 //! [`Pool::call`] does both for answers that are buffered. [`CrashCheck`] distinguishes a
 //! crashed peer from a broken connection. A [`Dialer`] may reach the peer through a relay
 //! ([`RelayedStream`]).
+//!
+//! The bytes of answers are checked by [`hollowsail_framing`] before the library reads them; an answer that
+//! breaks a rule is [`SendError::Malformed`] or [`BodyError::Malformed`], and its connection closes.
 
 mod body;
 mod byte_counts;
@@ -24,11 +27,12 @@
 mod framing;
 mod liveness;
 mod pool;
+mod reading;
 mod received;
 mod relayed;
 mod transport;
 
-pub use body::AnswerBody;
+pub use body::{AnswerBody, BodyError};
 pub use byte_counts::{ByteCounts, Counted};
 pub use call::CompleteAnswer;
 pub use capacity::{soonest, Availability, PoolStats};
@@ -42,6 +46,3 @@
 pub use received::OnReceived;
 pub use relayed::{relay, RelayedPeer, RelayedStream};
 pub use transport::{RelayWay, Transport, Way};
-
-/// A connection failure before the end of a body.
-pub type BodyError = hyper::Error;
--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -15,7 +15,8 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use hollowsail_clock::BootInstant;
-use http::{HeaderMap, Request, Response};
+use hollowsail_framing::Fault;
+use http::{HeaderMap, Method, Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
@@ -28,6 +29,7 @@
 use crate::dialer::{Dialer, ProcessState, Unreached};
 use crate::ending::{OnEnd, Unanswered};
 use crate::framing::Framing;
+use crate::reading::Reading;
 use crate::received::{OnReceived, Received, MAX_HEAD_BYTES};
 use crate::relayed::Retired;
 use crate::transport::{Transport, Way};
@@ -94,6 +96,9 @@
     /// The host reaches nothing directly any more, so that no answer can come.
     #[snafu(display("the links of this host were lost before {addr} answered"))]
     LinkLost { addr: SocketAddr },
+    /// The head of the answer breaks a rule. The peer has the request.
+    #[snafu(display("the answer of {addr} has {fault}"))]
+    Malformed { addr: SocketAddr, fault: Fault },
     /// The connection failed after the request was handed to it.
     #[snafu(display("the connection to {addr} broke after a request was sent: {source}"))]
     Broken {
@@ -103,11 +108,19 @@
 }
 
 impl SendError {
+    /// True when the peer answered in a way that breaks a rule.
+    pub fn is_malformed(&self) -> bool {
+        matches!(self, SendError::Malformed { .. })
+    }
+
     /// True when the peer received no part of the request.
     pub fn nothing_sent(&self) -> bool {
         !matches!(
             self,
-            SendError::Broken { .. } | SendError::GaveWay { .. } | SendError::LinkLost { .. }
+            SendError::Broken { .. }
+                | SendError::Malformed { .. }
+                | SendError::GaveWay { .. }
+                | SendError::LinkLost { .. }
         )
     }
 }
@@ -119,6 +132,7 @@
     retired: Retired,
     unanswered: Unanswered,
     received: Received,
+    reading: Reading,
 }
 
 impl Channel {
@@ -323,6 +337,7 @@
         }
         let (way, retired) = (stream.way(), stream.retired());
         let received = stream.received().clone();
+        let reading = stream.reading().clone();
         let mut http = Builder::new();
         http.max_buf_size(MAX_HEAD_BYTES);
         let (sender, mut conn) = http
@@ -332,12 +347,13 @@
         let open = dialling.opened();
         let unanswered = Unanswered::default();
         let ending = unanswered.clone();
-        let ended = received.clone();
+        let ended = (received.clone(), reading.clone());
         // Errors are returned by the send in progress; on an idle connection they only close
         // it, which `is_ready` shows.
         actix_rt::spawn(async move {
             drop(poll_fn(|cx| conn.poll_without_shutdown(cx)).await);
-            ended.end();
+            ended.0.end();
+            ended.1.end();
             ending.close(conn.into_parts().io.into_inner()).await;
             drop(open);
         });
@@ -347,6 +363,7 @@
             retired,
             unanswered,
             received,
+            reading,
         })
     }
 
@@ -463,6 +480,8 @@
             unanswered.begin(on_end.as_ref());
             let received = connection.channel.received.clone();
             received.begin(connection.on_received.clone());
+            let is_head = req.method() == Method::HEAD;
+            connection.channel.reading.begin(is_head);
             match connection.channel.sender.try_send_request(req).await {
                 Ok(response) => {
                     unanswered.finish();
@@ -519,13 +538,14 @@
 
     /// The error when a connection failed after the request was written.
     fn broken(self, source: hyper::Error) -> SendError {
+        let addr = self.pool.addr;
+        if let Some(fault) = self.channel.reading.fault() {
+            return SendError::Malformed { addr, fault };
+        }
         if self.is_new {
             self.pool.record_failed_dial();
         }
-        SendError::Broken {
-            addr: self.pool.addr,
-            source,
-        }
+        SendError::Broken { addr, source }
     }
 }
 
@@ -539,13 +559,14 @@
     /// last byte if `reusable`.
     pub fn into_body(self, reusable: bool) -> (http::response::Parts, AnswerBody) {
         let framing = Framing::of(&self.response, self.returning.channel.way);
-        let received = self.returning.channel.received.clone();
+        let channel = &self.returning.channel;
+        let (received, reading) = (channel.received.clone(), channel.reading.clone());
         let (parts, incoming) = self.response.into_parts();
         let returning =
             Some(self.returning).filter(|returning| reusable && returning.keep_for.is_some());
         (
             parts,
-            AnswerBody::new(incoming, framing, received, returning),
+            AnswerBody::new(incoming, framing, received, reading, returning),
         )
     }
 }
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -4,7 +4,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -12,6 +12,7 @@
 use crate::byte_counts::{ByteCounts, Counted};
 use crate::ending::End;
 use crate::liveness::Liveness;
+use crate::reading::Reading;
 use crate::received::Received;
 use crate::relayed::{RelayedStream, Retired};
 
@@ -40,8 +41,14 @@
     /// How the direction from the peer ended, once it has.
     end: Option<End>,
     received: Received,
+    reading: Reading,
+    /// Bytes after an answer were read to check them; the connection carries no other one.
+    is_spent: bool,
 }
 
+/// Bytes that tell another answer from the rest of a body.
+const SURPLUS_BYTES: usize = 16;
+
 enum Stream {
     Direct(TcpStream),
     Counted(Counted<TcpStream>),
@@ -51,24 +58,12 @@
 impl Transport {
     /// A direct connection that nobody observes.
     pub fn direct(stream: TcpStream) -> Self {
-        Transport {
-            way: Way::Direct,
-            stream: Stream::Direct(stream),
-            observer: None,
-            end: None,
-            received: Received::default(),
-        }
+        Self::new(Way::Direct, Stream::Direct(stream))
     }
 
     /// A direct connection whose bytes are counted.
     pub fn counted(stream: TcpStream, counts: Arc<ByteCounts>) -> Self {
-        Transport {
-            way: Way::Direct,
-            stream: Stream::Counted(Counted::new(stream, counts)),
-            observer: None,
-            end: None,
-            received: Received::default(),
-        }
+        Self::new(Way::Direct, Stream::Counted(Counted::new(stream, counts)))
     }
 
     /// The same connection, with an observer of its traffic.
@@ -81,12 +76,18 @@
 
     /// A connection through a relay.
     pub fn relayed(stream: RelayedStream, way: RelayWay) -> Self {
+        Self::new(Way::Relay(way), Stream::Relayed(stream))
+    }
+
+    fn new(way: Way, stream: Stream) -> Self {
         Transport {
-            way: Way::Relay(way),
-            stream: Stream::Relayed(stream),
+            way,
+            stream,
             observer: None,
             end: None,
             received: Received::default(),
+            reading: Reading::default(),
+            is_spent: false,
         }
     }
 
@@ -95,6 +96,11 @@
         &self.received
     }
 
+    /// The check of the answers on it.
+    pub(crate) fn reading(&self) -> &Reading {
+        &self.reading
+    }
+
     pub(crate) fn way(&self) -> Way {
         self.way
     }
@@ -135,12 +141,13 @@
     }
 }
 
-impl AsyncRead for Transport {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
+impl Transport {
+    /// Reads from the stream, and records how its direction ended.
+    fn poll_stream(
+        &mut self,
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    ) -> Poll<io::Result<usize>> {
         let before = buf.filled().len();
         let has_room = buf.remaining() > 0;
         let polled = match &mut self.stream {
@@ -148,23 +155,60 @@
             Stream::Counted(stream) => Pin::new(stream).poll_read(cx, buf),
             Stream::Relayed(stream) => Pin::new(stream).poll_read(cx, buf),
         };
-        let count = buf.filled().len() - before;
-        if count > 0 {
-            if let Err(err) = self.received.add(count) {
-                return Poll::Ready(Err(err));
-            }
-            self.observer
-                .iter()
-                .for_each(|peers| peers.record_received());
-        }
-        if let (Poll::Ready(result), true) = (&polled, has_room) {
-            let read = match result {
-                Ok(()) => Ok(buf.filled().len() - before),
-                Err(err) => Err(err.kind().into()),
-            };
+        let read = ready!(polled).map(|()| buf.filled().len() - before);
+        if has_room {
             self.end = self.end.or(self.end_of_read(&read));
         }
-        polled
+        Poll::Ready(read)
+    }
+
+    /// Fails if what was received breaks a rule of answers. The peer has read a request that it answers.
+    fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
+        let checked = self.reading.check(bytes);
+        if checked.is_err() {
+            self.end = self.end.or(Some(End::ByPeer));
+        }
+        checked
+    }
+
+    /// Checks what has come after an answer that is complete by its length.
+    fn check_surplus(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        let mut buf = [0; SURPLUS_BYTES];
+        let mut buf = ReadBuf::new(&mut buf);
+        match self.poll_stream(cx, &mut buf) {
+            Poll::Ready(Ok(count)) if count > 0 => {
+                self.is_spent = true;
+                self.check(buf.filled())
+            }
+            // The end of the connection shows again.
+            Poll::Ready(_) | Poll::Pending => Ok(()),
+        }
+    }
+}
+
+impl AsyncRead for Transport {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        if self.is_spent {
+            return Poll::Ready(Err(io::ErrorKind::ConnectionAborted.into()));
+        }
+        let before = buf.filled().len();
+        let count = ready!(self.poll_stream(cx, buf))?;
+        if count == 0 {
+            return Poll::Ready(Ok(()));
+        }
+        self.received.add(count)?;
+        self.observer
+            .iter()
+            .for_each(|peers| peers.record_received());
+        self.check(&buf.filled()[before..])?;
+        if self.reading.is_complete() {
+            self.check_surplus(cx)?;
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/crates/gateway/src/kept_body.rs
+++ b/crates/gateway/src/kept_body.rs
@@ -19,6 +19,18 @@
     GaveWay,
 }
 
+impl KeptBodyError {
+    /// True when the answer breaks a rule, so that nobody can tell where its body ends.
+    pub fn is_malformed(&self) -> bool {
+        matches!(
+            self,
+            KeptBodyError::Target {
+                source: BodyError::Malformed { .. }
+            }
+        )
+    }
+}
+
 /// A body with its account.
 pub struct KeptBody {
     body: AnswerBody,
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -49,7 +49,7 @@
     /// The connection broke after the call was sent.
     #[snafu(display("{source}"))]
     Send { source: SendError },
-    #[snafu(display("connection lost before the end of the response: {source}"))]
+    #[snafu(display("the response ended early: {source}"))]
     CutOff { source: KeptBodyError },
     /// No answer can come over the links of this host, which says nothing of the target.
     #[snafu(display("{source}"))]
@@ -74,7 +74,8 @@
     /// Returns true if the connection was lost after the call was sent.
     fn is_cut_off(&self) -> bool {
         match self {
-            CallError::Send { .. } | CallError::CutOff { .. } => true,
+            CallError::Send { source } => !source.is_malformed(),
+            CallError::CutOff { source } => !source.is_malformed(),
             // Without a length, the end of the connection marks the end of the response.
             CallError::Malformed { source } => source.is_eof(),
             _ => false,
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -70,7 +70,7 @@
     pub is_connection_lost: bool,
     /// When the headers of the answer were received, if they were.
     pub begun: Option<BootInstant>,
-    /// The target answered with an error status.
+    /// The target answered with an error status, or in a way that breaks a rule.
     pub is_error_answer: bool,
     /// Set when it got none of the few connections to the service.
     pub unconnected: Option<Unconnected>,
@@ -104,6 +104,14 @@
         }
     }
 
+    /// The target's answer breaks a rule of its framing; the request may have run.
+    pub fn malformed(reason: impl Into<String>) -> Self {
+        Failure {
+            is_error_answer: true,
+            ..Failure::new(Progress::Broken, reason)
+        }
+    }
+
     /// Outcome that counts for the target's version, `after` the send; `None` if the failure
     /// doesn't count.
     pub fn outcome(&self, after: Duration) -> Option<Outcome> {
@@ -217,6 +225,7 @@
                     permit,
                     ..Failure::not_connected(&error)
                 },
+                false if error.is_malformed() => Failure::malformed(error.to_string()),
                 false => Failure::connection_lost(error.to_string()),
             });
         }
--- a/crates/gateway/src/request/relay.rs
+++ b/crates/gateway/src/request/relay.rs
@@ -94,6 +94,7 @@
             )));
         }
         Ok(Ok(None)) => failure(format!("the answer exceeds {MAX_BUFFERED_BYTES} bytes")),
+        Ok(Err(err)) if err.is_malformed() => Failure::malformed(err.to_string()),
         Ok(Err(err)) => Failure::cut_off(begun, format!("the answer ended early: {err}")),
         Err(_) => failure("the answer was incomplete at the deadline".to_string()),
     };
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -243,7 +243,12 @@
         if let Some(placed) = &mut self.answer.placed {
             placed.failed();
         }
-        let failure = Failure::cut_off(self.answer.begun, fault.to_string());
+        let failure = match fault {
+            BodyFault::Target { source } if source.is_malformed() => {
+                Failure::malformed(fault.to_string())
+            }
+            _ => Failure::cut_off(self.answer.begun, fault.to_string()),
+        };
         let target = self.answer.target.clone();
         let (cx, admitted) = (&self.cx.clone(), &self.admitted.clone());
         if retry::handle_failure(cx, admitted, &mut self.attempts, &target, failure)
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -179,10 +179,15 @@
             let permits = Some(permits).filter(is_valid);
             Err(Unanswered { permits, error })
         }
-        Err(error) => Err(Unanswered {
-            permits: None,
-            error,
-        }),
+        Err(error) => {
+            if error.is_malformed() {
+                sending.answered();
+            }
+            Err(Unanswered {
+                permits: None,
+                error,
+            })
+        }
     }
 }
 
