Reject requests whose heads can be read in two ways

What callers saw: nothing; a request whose head another reader takes for two requests, or for one with another body, was served. Nothing is hidden in it towards targets, as requests are framed anew, but callers' proxies and this system could disagree on where the next request on a connection begins.

Cause: as for answers, what the library accepts was taken for what was meant: a line feed alone ends a line, Content-Length beside Transfer-Encoding, codings beside chunked, repeated Content-Length and Host.

Change: the socket of a caller checks heads as they arrive (framing::RequestReader). A malformed one is answered 400 with the rule, logged (bad_input, HS0108), and ends its connection once the requests before it are answered. Chunks of bodies are left to the library.

Requests before a malformed one on the same connection, and 16 sound ones written in unusual ways, are served as before.

--- a/crates/framing/src/fault.rs
+++ b/crates/framing/src/fault.rs
@@ -13,6 +13,8 @@
     LongLine,
     #[snafu(display("a malformed status line"))]
     StatusLine,
+    #[snafu(display("a malformed request line"))]
+    RequestLine,
     /// Also a line without a colon, and one that continues the line before.
     #[snafu(display("a line without a valid field name"))]
     FieldName,
--- a/crates/framing/tests/suite/main.rs
+++ b/crates/framing/tests/suite/main.rs
@@ -2,3 +2,4 @@
 
 mod answers;
 mod grammar;
+mod requests;
--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -1,16 +1,19 @@
 //! Tracks the state of a caller's connection for its time limits.
 //!
 //! A connection is idle, receives a request head, or runs a request; the first two have time
-//! limits. The socket reports received bytes, the service reports requests.
+//! limits. The socket reports received bytes, the service reports requests. The socket also checks the
+//! heads of requests before the library reads them ([`hollowsail_framing`]).
 
 use std::cell::Cell;
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Instant;
 
 use hollowsail_connect::{ByteCounts, Counted};
+use hollowsail_framing::{Fault, RequestReader};
 use hollowsail_platform::deployment::CallerLimits;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -36,6 +39,8 @@
     head_began: Notify,
     /// The connection has to end with a reset.
     must_reset: Cell<bool>,
+    /// The rule that a request breaks, which ends the connection.
+    fault: Cell<Option<Fault>>,
     /// Bytes of answers that the caller hasn't read.
     unsent: Cell<usize>,
     account: Rc<AnswerAccount>,
@@ -48,6 +53,7 @@
             phase: Cell::new(Phase::Idle(Instant::now())),
             head_began: Notify::new(),
             must_reset: Cell::new(false),
+            fault: Cell::new(None),
             unsent: Cell::new(0),
             account,
         })
@@ -73,6 +79,11 @@
         self.must_reset.set(true);
     }
 
+    /// The rule that a request breaks, once everything before that request is answered.
+    pub fn fault(&self) -> Option<Fault> {
+        self.fault.get()
+    }
+
     /// Bytes of an answer are to be sent.
     pub fn add_unsent(&self, bytes: usize) {
         self.set_unsent(self.unsent.get() + bytes);
@@ -121,10 +132,11 @@
     }
 }
 
-/// A socket that reports received bytes, and counts all.
+/// A socket that reports received bytes, counts all, and checks requests.
 pub struct ObservedStream {
     stream: Counted<TcpStream>,
     activity: Rc<Activity>,
+    requests: RequestReader,
 }
 
 impl ObservedStream {
@@ -132,8 +144,14 @@
         ObservedStream {
             stream: Counted::new(stream, counts),
             activity,
+            requests: RequestReader::default(),
         }
     }
+
+    /// The socket, whose bytes are neither checked nor reported any more.
+    pub fn get_mut(&mut self) -> &mut Counted<TcpStream> {
+        &mut self.stream
+    }
 }
 
 impl Drop for ObservedStream {
@@ -152,12 +170,26 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
+        if let Some(fault) = self.activity.fault.get() {
+            return match self.activity.phase() {
+                // The requests before it are answered first; the library reads on after each.
+                Phase::Busy => Poll::Pending,
+                _ => Poll::Ready(Err(std::io::Error::new(ErrorKind::InvalidData, fault))),
+            };
+        }
         let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
         if buf.filled().len() > before {
             self.activity.on_bytes();
         }
-        polled
+        if let Err(malformed) = self.requests.read(&buf.filled()[before..]) {
+            self.activity.fault.set(Some(malformed.fault));
+            buf.set_filled(before + malformed.sound_bytes);
+            if malformed.sound_bytes == 0 {
+                return self.poll_read(cx, buf);
+            }
+        }
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -191,6 +223,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        // The rejection is still to be written.
+        if self.activity.fault.get().is_some() {
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,21 +1,22 @@
 //! Serves one connection of a caller.
 //!
-//! `hyper` reads requests and writes responses. It drops a handler when its caller
+//! `hyper` reads requests, which [`super::activity`] has checked, and writes responses. It drops a handler when its caller
 //! disconnects, which also closes the connection to the target; `actix-web` would run the
 //! handler to its end.
 
 use std::convert::Infallible;
-use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use hollowsail_observe::events;
+use hollowsail_framing::Fault;
+use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::CallerLimits;
 use http::{header, HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use super::activity::{Activity, ObservedStream, Phase};
@@ -30,6 +31,8 @@
     header_timeout: Duration::from_secs(3),
     idle_timeout: Duration::from_secs(15),
 };
+/// Time in which a caller can read the rejection of a malformed request.
+const REJECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Smallest buffer that `hyper` accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
@@ -83,22 +86,24 @@
         activity.clone(),
         cx.load.callers.clone(),
     ));
-    let mut connection = pin!(http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .auto_date_header(false)
         // A connection accepted during a planned stop carries one request.
         .keep_alive(cx.stopping.get() == Stopping::No)
         .max_buf_size(limits.max_header_bytes.max(MIN_BUFFER_BYTES))
-        .serve_connection(io, service));
+        .serve_connection(io, service);
     loop {
         tokio::select! {
-            ended = connection.as_mut() => {
-                if let Err(err) = ended {
+            ended = &mut connection => {
+                if let Some(fault) = activity.fault() {
+                    reject(cx, connection.into_parts().io.into_inner(), fault).await;
+                } else if let Err(err) = ended {
                     log::debug!("a caller's connection failed: {err}");
                 }
                 return;
             }
             () = activity.answer_ended() => return,
-            () = cx.close_idle.notified() => connection.as_mut().graceful_shutdown(),
+            () = cx.close_idle.notified() => std::pin::Pin::new(&mut connection).graceful_shutdown(),
             () = activity.timed_out(&limits) => {
                 if let Phase::Head(_) = activity.phase() {
                     cx.log.line(events::BAD_INPUT, format_args!("why=\"request head timed out\""));
@@ -109,6 +114,35 @@
     }
 }
 
+/// Rejects a request that can be read in two ways, and closes the connection: nobody can tell where the next
+/// request begins.
+async fn reject(cx: &Traffic, mut stream: ObservedStream, fault: Fault) {
+    cx.log.line(
+        events::BAD_INPUT,
+        format_args!("why=\"the request has {fault}\""),
+    );
+    let row = ErrorKind::BadRequest.answer();
+    let text = format!("{}: the request has {fault}; {}\n", row.name, row.advice);
+    let answer = format!(
+        "HTTP/1.1 {} Bad Request\r\nContent-Type: text/plain\r\nConnection: close\r\n\
+         Content-Length: {}\r\n\r\n{text}",
+        row.status,
+        text.len()
+    );
+    let socket = stream.get_mut();
+    let rejecting = async {
+        socket.write_all(answer.as_bytes()).await?;
+        socket.shutdown().await?;
+        // A close with unread bytes would reset the connection, and the answer with it.
+        let mut buf = [0; 1024];
+        while socket.read(&mut buf).await? > 0 {}
+        std::io::Result::Ok(())
+    };
+    if let Ok(Err(err)) = tokio::time::timeout(REJECT_TIMEOUT, rejecting).await {
+        log::debug!("a caller's connection failed while its request was rejected: {err}");
+    }
+}
+
 /// Answers one request.
 async fn answer(
     cx: Rc<Traffic>,
--- a/crates/gateway/tests/suite/request_heads.rs
+++ b/crates/gateway/tests/suite/request_heads.rs
@@ -1,8 +1,12 @@
 //! Requests whose heads can be read in two ways: none of them may reach a target.
 
+use std::time::Duration;
+
 use hollowsail_platform_standins::target::answer;
 use hollowsail_platform_standins::{DeploymentJson, Step, TargetStandin};
 use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 use crate::fixture::{exchange, Answer, Call, Fixture};
 
@@ -124,6 +128,34 @@
     }
 }
 
+// Guards against sound requests that are lost since the one behind them is malformed.
+#[actix_rt::test]
+async fn requests_before_an_ambiguous_one_are_served() {
+    let (fixture, target) = fixture().await;
+    let sound = format!("{FIRST}Content-Length: 6\r\n\r\nprompt");
+    let bad = format!("{FIRST}Content-Length: 6, 6\r\n\r\nprompt");
+    for cut in [sound.len() + 20, 2 * sound.len(), 2 * sound.len() + 40] {
+        let before = target.received().len();
+        let all = [sound.as_str(), &sound, &bad].concat();
+        let (first, last) = all.as_bytes().split_at(cut);
+        let mut caller = TcpStream::connect(fixture.gateway.addrs.callers)
+            .await
+            .expect("the gateway listens");
+        caller.write_all(first).await.expect("the gateway reads");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        caller.write_all(last).await.expect("the gateway reads");
+        let mut got = String::new();
+        caller
+            .read_to_string(&mut got)
+            .await
+            .expect("it closes in good order");
+        let answers = got.split("HTTP/1.1 ").skip(1);
+        let statuses: Vec<&str> = answers.filter_map(|answer| answer.get(..3)).collect();
+        assert_eq!(statuses, ["200", "200", "400"], "cut at {cut}: {got}");
+        assert_eq!(target.received().len() - before, 2);
+    }
+}
+
 #[actix_rt::test]
 async fn sound_requests_are_served_however_they_are_written() {
     let (fixture, target) = fixture().await;
