Tell another answer that a read cuts from the rest of a body

An answer whose body ends within seven bytes of the end of a read, with another answer behind it, was rejected: the bytes up to the end of the read were too few to tell the other answer by. Now they are compared as far as they go, and what has come behind is read before it is decided; a part of another answer without the rest still counts as a spoilt length.

second_answer_leaves_the_first_whole_and_ends_its_connection (new; failed with Surplus before). New as well: pools and the store with malformed answers, lengths that are too small wherever a read ends.

--- a/crates/connect/src/reading.rs
+++ b/crates/connect/src/reading.rs
@@ -30,13 +30,24 @@
 
     /// Checks bytes from the peer. Fails when the answer breaks a rule.
     pub fn check(&self, bytes: &[u8]) -> io::Result<()> {
-        self.0.reader.borrow_mut().read(bytes).map_err(|fault| {
+        let checked = self.0.reader.borrow_mut().read(bytes);
+        self.record(checked)
+    }
+
+    /// Nothing more has come behind a complete answer. Fails if what came isn't another one.
+    pub fn check_surplus(&self) -> io::Result<()> {
+        let checked = self.0.reader.borrow().check_surplus();
+        self.record(checked)
+    }
+
+    fn record(&self, checked: Result<(), Fault>) -> io::Result<()> {
+        checked.map_err(|fault| {
             self.0.fault.set(Some(fault));
             io::Error::new(io::ErrorKind::InvalidData, fault)
         })
     }
 
-    /// True when the answer is complete by its length, so that nothing may follow it.
+    /// True when the answer is complete by its length, so that nothing but another one may follow it.
     pub fn is_complete(&self) -> bool {
         self.0.reader.borrow().is_complete()
     }
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -162,27 +162,29 @@
         Poll::Ready(read)
     }
 
-    /// Fails if what was received breaks a rule of answers. The peer has read a request that it answers.
-    fn check(&mut self, bytes: &[u8]) -> io::Result<()> {
-        let checked = self.reading.check(bytes);
-        if checked.is_err() {
-            self.end = self.end.or(Some(End::ByPeer));
-        }
-        checked
-    }
-
-    /// Checks what has come after an answer that is complete by its length.
+    /// Reads what has come behind an answer that is complete by its length, and checks it.
     fn check_surplus(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         let mut buf = [0; SURPLUS_BYTES];
         let mut buf = ReadBuf::new(&mut buf);
-        match self.poll_stream(cx, &mut buf) {
-            Poll::Ready(Ok(count)) if count > 0 => {
-                self.is_spent = true;
-                self.check(buf.filled())
-            }
-            // The end of the connection shows again.
-            Poll::Ready(_) | Poll::Pending => Ok(()),
+        // An error or the end of the connection shows again.
+        if let Poll::Ready(Ok(1..)) = self.poll_stream(cx, &mut buf) {
+            self.is_spent = true;
+            self.reading.check(buf.filled())?;
         }
+        self.reading.check_surplus()
+    }
+
+    /// Checks what was received of an answer.
+    fn check(&mut self, bytes: &[u8], cx: &mut Context<'_>) -> io::Result<()> {
+        let mut checked = self.reading.check(bytes);
+        if checked.is_ok() && self.reading.is_complete() {
+            checked = self.check_surplus(cx);
+        }
+        if checked.is_err() {
+            // The peer has read a request that it answers.
+            self.end = self.end.or(Some(End::ByPeer));
+        }
+        checked
     }
 }
 
@@ -204,11 +206,7 @@
         self.observer
             .iter()
             .for_each(|peers| peers.record_received());
-        self.check(&buf.filled()[before..])?;
-        if self.reading.is_complete() {
-            self.check_surplus(cx)?;
-        }
-        Poll::Ready(Ok(()))
+        Poll::Ready(self.check(&buf.filled()[before..], cx))
     }
 }
 
--- a/crates/connect/tests/suite/main.rs
+++ b/crates/connect/tests/suite/main.rs
@@ -3,5 +3,6 @@
 mod abandoned;
 mod dial;
 mod limited;
+mod malformed;
 mod relayed;
 mod server;
--- a/crates/framing/src/answer.rs
+++ b/crates/framing/src/answer.rs
@@ -27,8 +27,9 @@
     Body(BodyReader),
     /// The body ends with the connection.
     UntilClose,
-    /// The answer is complete by the length of its body, or has none.
-    Complete,
+    /// The answer is complete by the length of its body, or has none. So many bytes have come behind it
+    /// that may begin another answer.
+    Complete(usize),
 }
 
 #[derive(Debug)]
@@ -53,9 +54,17 @@
         self.state = State::Idle;
     }
 
-    /// True when an answer is complete by a length, so that nothing may follow it.
+    /// True when an answer is complete by a length, so that nothing but another answer may follow it.
     pub fn is_complete(&self) -> bool {
-        matches!(self.state, State::Complete)
+        matches!(self.state, State::Complete(_))
+    }
+
+    /// Nothing more has come behind an answer that is complete. Fails if what came isn't another one.
+    pub fn check_surplus(&self) -> Result<(), Fault> {
+        match self.state {
+            State::Complete(1..) => Err(Fault::Surplus),
+            _ => Ok(()),
+        }
     }
 
     /// Reads the next bytes of the connection. Fails at the first rule that the answer breaks.
@@ -71,18 +80,25 @@
                     if after.is_some() {
                         // The last chunk ends a body whatever follows it.
                         self.state = match is_counted {
-                            true => State::Complete,
+                            true => State::Complete(0),
                             false => State::Idle,
                         };
                     }
                     after
                 }
-                // Another answer leaves this one as it is.
-                State::Complete if bytes.starts_with(ANSWER_START) => {
-                    self.state = State::Idle;
+                State::Complete(surplus) => {
+                    let expected = &ANSWER_START[*surplus..];
+                    let len = expected.len().min(bytes.len());
+                    if bytes[..len] != expected[..len] {
+                        return Err(Fault::Surplus);
+                    }
+                    *surplus += len;
+                    if *surplus == ANSWER_START.len() {
+                        // Another answer leaves this one as it is.
+                        self.state = State::Idle;
+                    }
                     None
                 }
-                State::Complete => return Err(Fault::Surplus),
             };
         }
         Ok(())
@@ -118,11 +134,11 @@
             101 => Err(Fault::ProtocolSwitch),
             100..=199 | 204 if has_body && !self.is_to_head => Err(Fault::UnexpectedBody),
             100..=199 => Ok(State::StatusLine),
-            204 | 304 => Ok(State::Complete),
-            _ if self.is_to_head => Ok(State::Complete),
+            204 | 304 => Ok(State::Complete(0)),
+            _ if self.is_to_head => Ok(State::Complete(0)),
             _ if fields.is_chunked => Ok(State::Body(BodyReader::Chunks(ChunkReader::default()))),
             _ => match fields.length {
-                Some(0) => Ok(State::Complete),
+                Some(0) => Ok(State::Complete(0)),
                 Some(length) => Ok(State::Body(BodyReader::Length(length))),
                 None if fields.ends_connection(*version) => Ok(State::UntilClose),
                 None => Err(Fault::NoLength),
