Answer what is before a malformed request, and only that

A malformed request ended its connection at once when the library read on beside a request in progress, a 400 was written behind an answer that had closed the connection, and a caller that left behind one wasn't noticed. Now the fault is handed over when the requests before it are answered, nothing is written after a close, and the socket is still read for the caller's end.

bytes_behind_the_last_request_of_a_connection_get_no_answer and caller_that_leaves_behind_a_malformed_request_is_noticed (new).

--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -347,13 +347,13 @@
         let open = dialling.opened();
         let unanswered = Unanswered::default();
         let ending = unanswered.clone();
-        let ended = (received.clone(), reading.clone());
+        let (counted, checked) = (received.clone(), reading.clone());
         // Errors are returned by the send in progress; on an idle connection they only close
         // it, which `is_ready` shows.
         actix_rt::spawn(async move {
             drop(poll_fn(|cx| conn.poll_without_shutdown(cx)).await);
-            ended.0.end();
-            ended.1.end();
+            counted.end();
+            checked.end();
             ending.close(conn.into_parts().io.into_inner()).await;
             drop(open);
         });
--- a/crates/connect/src/transport.rs
+++ b/crates/connect/src/transport.rs
@@ -16,6 +16,10 @@
 use crate::received::Received;
 use crate::relayed::{RelayedStream, Retired};
 
+/// Number of bytes behind a complete answer that are read at once, to tell another answer from the rest of a
+/// body.
+const SURPLUS_BYTES: usize = 16;
+
 /// How a connection reaches its peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Way {
@@ -46,9 +50,6 @@
     is_spent: bool,
 }
 
-/// Bytes that tell another answer from the rest of a body.
-const SURPLUS_BYTES: usize = 16;
-
 enum Stream {
     Direct(TcpStream),
     Counted(Counted<TcpStream>),
--- a/crates/gateway/src/callers/activity.rs
+++ b/crates/gateway/src/callers/activity.rs
@@ -39,7 +39,7 @@
     head_began: Notify,
     /// The connection has to end with a reset.
     must_reset: Cell<bool>,
-    /// The rule that a request breaks, which ends the connection.
+    /// Why the library was told that the connection failed.
     fault: Cell<Option<Fault>>,
     /// Bytes of answers that the caller hasn't read.
     unsent: Cell<usize>,
@@ -79,7 +79,7 @@
         self.must_reset.set(true);
     }
 
-    /// The rule that a request breaks, once everything before that request is answered.
+    /// The rule that a request breaks, once the requests before it are answered. The connection ends.
     pub fn fault(&self) -> Option<Fault> {
         self.fault.get()
     }
@@ -137,6 +137,8 @@
     stream: Counted<TcpStream>,
     activity: Rc<Activity>,
     requests: RequestReader,
+    /// The rule that a request breaks; nothing after it is passed on.
+    malformed: Option<Fault>,
 }
 
 impl ObservedStream {
@@ -145,6 +147,7 @@
             stream: Counted::new(stream, counts),
             activity,
             requests: RequestReader::default(),
+            malformed: None,
         }
     }
 
@@ -152,6 +155,23 @@
     pub fn get_mut(&mut self) -> &mut Counted<TcpStream> {
         &mut self.stream
     }
+
+    /// Ends the direction from the caller after a malformed request: with an error once the requests
+    /// before it are answered, or when the caller leaves before that.
+    fn poll_malformed(&mut self, cx: &mut Context<'_>, fault: Fault) -> Poll<std::io::Result<()>> {
+        if self.activity.phase() != Phase::Busy {
+            self.activity.fault.set(Some(fault));
+            return Poll::Ready(Err(std::io::Error::new(ErrorKind::InvalidData, fault)));
+        }
+        let mut discarded = [0; 1024];
+        let mut discarded = ReadBuf::new(&mut discarded);
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut discarded))?;
+        if discarded.filled().is_empty() {
+            return Poll::Ready(Ok(()));
+        }
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
 }
 
 impl Drop for ObservedStream {
@@ -170,12 +190,8 @@
         cx: &mut Context<'_>,
         buf: &mut ReadBuf<'_>,
     ) -> Poll<std::io::Result<()>> {
-        if let Some(fault) = self.activity.fault.get() {
-            return match self.activity.phase() {
-                // The requests before it are answered first; the library reads on after each.
-                Phase::Busy => Poll::Pending,
-                _ => Poll::Ready(Err(std::io::Error::new(ErrorKind::InvalidData, fault))),
-            };
+        if let Some(fault) = self.malformed {
+            return self.poll_malformed(cx, fault);
         }
         let before = buf.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
@@ -183,10 +199,10 @@
             self.activity.on_bytes();
         }
         if let Err(malformed) = self.requests.read(&buf.filled()[before..]) {
-            self.activity.fault.set(Some(malformed.fault));
+            self.malformed = Some(malformed.fault);
             buf.set_filled(before + malformed.sound_bytes);
             if malformed.sound_bytes == 0 {
-                return self.poll_read(cx, buf);
+                return self.poll_malformed(cx, malformed.fault);
             }
         }
         Poll::Ready(Ok(()))
--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -1,10 +1,11 @@
 //! Serves one connection of a caller.
 //!
-//! `hyper` reads requests, which [`super::activity`] has checked, and writes responses. It drops a handler when its caller
+//! `hyper` reads requests and writes responses. It drops a handler when its caller
 //! disconnects, which also closes the connection to the target; `actix-web` would run the
-//! handler to its end.
+//! handler to its end. Heads that can be read in two ways don't reach it ([`super::activity`]).
 
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -103,7 +104,7 @@
                 return;
             }
             () = activity.answer_ended() => return,
-            () = cx.close_idle.notified() => std::pin::Pin::new(&mut connection).graceful_shutdown(),
+            () = cx.close_idle.notified() => Pin::new(&mut connection).graceful_shutdown(),
             () = activity.timed_out(&limits) => {
                 if let Phase::Head(_) = activity.phase() {
                     cx.log.line(events::BAD_INPUT, format_args!("why=\"request head timed out\""));
@@ -114,8 +115,8 @@
     }
 }
 
-/// Rejects a request that can be read in two ways, and closes the connection: nobody can tell where the next
-/// request begins.
+/// Rejects a request that can be read in two ways and closes the connection, since nobody can tell where
+/// the next request begins.
 async fn reject(cx: &Traffic, mut stream: ObservedStream, fault: Fault) {
     cx.log.line(
         events::BAD_INPUT,
--- a/crates/gateway/tests/suite/request_heads.rs
+++ b/crates/gateway/tests/suite/request_heads.rs
@@ -1,5 +1,6 @@
 //! Requests whose heads can be read in two ways: none of them may reach a target.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use hollowsail_platform_standins::target::answer;
@@ -8,7 +9,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::fixture::{exchange, Answer, Call, Fixture};
+use crate::fixture::{eventually, exchange, Answer, Call, Fixture};
 
 fn deployment() -> DeploymentJson {
     DeploymentJson::new(1)
@@ -156,6 +157,57 @@
     }
 }
 
+// Guards against an answer that nobody waits for, behind the one that closes the connection.
+#[actix_rt::test]
+async fn bytes_behind_the_last_request_of_a_connection_get_no_answer() {
+    let (fixture, _target) = fixture().await;
+    for behind in ["\n", "x\n", "GET / HTTP/1.1\n"] {
+        let request =
+            format!("{FIRST}Connection: close\r\nContent-Length: 6\r\n\r\nprompt{behind}");
+        let bytes = exchange(fixture.gateway.addrs.callers, request.as_bytes()).await;
+        let text = String::from_utf8_lossy(&bytes);
+        assert_eq!(text.matches("HTTP/1.1").count(), 1, "{behind:?}: {text}");
+        assert!(text.ends_with("served"), "{behind:?}: {text}");
+    }
+}
+
+// Guards against work that goes on after its caller has left behind a malformed request.
+#[actix_rt::test]
+async fn caller_that_leaves_behind_a_malformed_request_is_noticed() {
+    let script = |_: &_| vec![Step::Wait(Duration::from_secs(2)), Step::Close];
+    let (fixture, target) = Fixture::serving(&deployment(), "plain", script).await;
+    let sound = format!("{FIRST}Content-Length: 6\r\n\r\nprompt");
+    let callers = fixture.gateway.addrs.callers;
+    eventually_received(&target, callers, &sound).await;
+    let before = target.disconnects();
+    let mut caller = TcpStream::connect(callers)
+        .await
+        .expect("the gateway listens");
+    let both = sound + "GET / HTTP/1.1\nX: y\r\n\r\n";
+    caller
+        .write_all(both.as_bytes())
+        .await
+        .expect("the gateway reads");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    drop(caller);
+    eventually("the target's work ends", || target.disconnects() > before).await;
+}
+
+/// Sends a request until the target has got it once, and leaves.
+async fn eventually_received(target: &TargetStandin, callers: SocketAddr, request: &str) {
+    while target.received().is_empty() {
+        let mut caller = TcpStream::connect(callers)
+            .await
+            .expect("the gateway listens");
+        caller
+            .write_all(request.as_bytes())
+            .await
+            .expect("the gateway reads");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    eventually("it has left", || target.disconnects() > 0).await;
+}
+
 #[actix_rt::test]
 async fn sound_requests_are_served_however_they_are_written() {
     let (fixture, target) = fixture().await;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -41,7 +41,7 @@
     HAND_OVER_FAILED, 105, "hand_over_failed", Warn, "No successor accepted the ledger; its tickets end as unknown.";
     ADOPTED_LEDGER, 106, "adopted_ledger", Info, "This entry answers for a stopped entry's tickets.";
     LEFT, 107, "left", Info, "The stop is complete; peers were notified of the entry that answers for this entry's tickets.";
-    BAD_INPUT, 108, "bad_input", Warn, "A connection was closed because its caller exceeded a limit.";
+    BAD_INPUT, 108, "bad_input", Warn, "A connection was closed because its caller exceeded a limit, or sent a request that can be read in two ways.";
     RELOADED, 109, "reloaded", Info, "The settings file was reloaded.";
     HOST_WOKE, 110, "host_woke", Warn, "The host was suspended; deadlines, leases and other timeouts kept running meanwhile.";
     PANICKED, 111, "panicked", Error, "A task ended by a panic at this place; the message is on standard error.";
