--- a/crates/local/tests/suite/answers.rs
+++ b/crates/local/tests/suite/answers.rs
@@ -1,6 +1,10 @@
 //! Callers get complete answers to their own requests; crossed, cut or
 //! wrong-length answers of targets are never forwarded.
 
+use std::time::Duration;
+
+use hollowsail_clients::http::single_use_client;
+use hollowsail_clients::target::{self, Call};
 use hollowsail_entry::ErrorKind;
 use hollowsail_local::Caller;
 use hollowsail_routing::{Outcome, StageStatus};
@@ -8,6 +12,7 @@
 use serde_json::json;
 
 use crate::fixture::{self, BOTH_KEY, NORTH_KEY};
+use crate::raw_target::{good_answer, Behaviour, RawTarget};
 
 fn faults(change: impl FnOnce(&mut TargetFaults)) -> TargetFaults {
     let mut faults = TargetFaults::default();
@@ -164,3 +169,50 @@
     }
     fleet.shut_down().await;
 }
+
+// Guards against an output that isn't the target's, as the length of its body is spoilt.
+#[actix_rt::test]
+async fn spoilt_heads_of_targets_give_no_other_output() {
+    let call = Call {
+        dispatch: "a/b/1".into(),
+        stage: "b".into(),
+        model: None,
+        adapter: None,
+        priority: 0,
+        session: None,
+        max_tokens: 0,
+        from_token: 0,
+        input: json!(null),
+    };
+    let sound = String::from_utf8(good_answer(&call.dispatch)).expect("text");
+    let (before, after) = sound
+        .split_once("content-length: ")
+        .expect("it has a length");
+    let (len, rest) = after.split_once("\r\n").expect("a line");
+    let mut outputs = 0;
+    for line in [
+        format!("content-length: {len}"),
+        format!("x: a\n\r\ncontent-length: {len}"),
+        format!("\r\ncontent-length: {len}"),
+        format!("content-length: {}", &len[..1]),
+        format!("content-length: 1{len}"),
+        format!("content-length: +{len}"),
+        format!("content-length: {len}, {len}"),
+        format!("content-length : {len}"),
+        format!("content-length: {len}\r\ntransfer-encoding: chunked"),
+        "transfer-encoding: chunked".into(),
+        "transfer-encoding: gzip".into(),
+        "xontent-length: 9".into(),
+        "content-length: 0".into(),
+    ] {
+        let answer = format!("{before}{line}\r\n{rest}").into_bytes();
+        let spoilt = RawTarget::start(Behaviour::AnswerAndClose(answer)).await;
+        let time = Duration::from_secs(2);
+        let got = target::call(&single_use_client(), spoilt.address, "org", &call, time).await;
+        if let Ok((output, _)) = got {
+            assert_eq!(output, json!({ "done": "raw" }), "{line:?}");
+            outputs += 1;
+        }
+    }
+    assert!(outputs > 0, "the sound answer is taken");
+}
