--- a/crates/gateway/src/callers/connection.rs
+++ b/crates/gateway/src/callers/connection.rs
@@ -5,7 +5,6 @@
 //! handler to its end. Heads that can be read in two ways don't reach it ([`super::activity`]).
 
 use std::convert::Infallible;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -104,7 +103,7 @@
                 return;
             }
             () = activity.answer_ended() => return,
-            () = cx.close_idle.notified() => Pin::new(&mut connection).graceful_shutdown(),
+            () = cx.close_idle.notified() => std::pin::Pin::new(&mut connection).graceful_shutdown(),
             () = activity.timed_out(&limits) => {
                 if let Phase::Head(_) = activity.phase() {
                     cx.log.line(events::BAD_INPUT, format_args!("why=\"request head timed out\""));
