Don't take the first of two ids or seals for the only one

What callers saw: nobody has reported it. An answer with the id of its request and another one was passed on with both, so that a caller that reads the last takes it for another request's; the same for seals. A request with two ids ran under the first, and its target got both.

Cause: the first value of a header was taken where there are more.

--- a/crates/gateway/tests/suite/request_heads.rs
+++ b/crates/gateway/tests/suite/request_heads.rs
@@ -157,6 +157,19 @@
     }
 }
 
+// Guards against a run under an id that the caller doesn't mean.
+#[actix_rt::test]
+async fn request_with_two_ids_reaches_no_target() {
+    let (fixture, target) = fixture().await;
+    let before = target.received().len();
+    let call = format!(
+        "{FIRST}X-Request-Id: 0000000000000002\r\nConnection: close\r\nContent-Length: 6\r\n\r\nprompt"
+    );
+    let bytes = exchange(fixture.gateway.addrs.callers, call.as_bytes()).await;
+    let status = Answer::parse(&bytes).map(|got| got.status);
+    assert_eq!((status, target.received().len()), (Some(400), before));
+}
+
 // Guards against an answer that nobody waits for, behind the one that closes the connection.
 #[actix_rt::test]
 async fn bytes_behind_the_last_request_of_a_connection_get_no_answer() {
--- a/crates/gateway/tests/suite/spoilt_heads.rs
+++ b/crates/gateway/tests/suite/spoilt_heads.rs
@@ -491,6 +491,21 @@
     }
 }
 
+// Guards against an answer that a caller takes for another request's.
+#[actix_rt::test]
+async fn answer_with_two_ids_or_two_seals_is_not_passed_on() {
+    let fixture = Fixture::start(&deployment()).await;
+    let spoiling = Spoiling::start(None).await;
+    spoiling.add_to(&fixture);
+    assert_eq!(fixture.call(&call("/once/x", 1)).await.status, 200);
+    for field in ["X-Request-Id: 0000000000000009", "X-Response-Seal: forged"] {
+        let rest = format!("{field}\r\nContent-Length: 14\r\n\r\n{BODY}");
+        *spoiling.rest.borrow_mut() = Rest(rest.into_bytes());
+        let got = fixture.call(&call("/once/x", 2)).await;
+        assert_eq!(got.status, 502, "{field}: {got:?}");
+    }
+}
+
 /// Answers to a request of this method with this status line and these fields, without a body.
 async fn bodiless(method: &'static str, status: &str, fields: &str) -> String {
     let fixture = Fixture::start(&deployment()).await;
