--- a/crates/bench/src/soak/checks.rs
+++ b/crates/bench/src/soak/checks.rs
@@ -182,7 +182,10 @@
         ),
         _ if is_late(attempt) && !is_excused(attempt, observations, |_| true) => (
             FailureKind::Late,
-            format!("request {id} at gateway {entry} ended after {took_ms} ms"),
+            format!(
+                "request {id} at gateway {entry} ended after {took_ms} ms; its caller was up to {} ms late itself",
+                observations.max_lag(attempt.sent, attempt.ended).as_millis()
+            ),
         ),
         _ => return None,
     };
