Begin to judge a backoff once a target has refused a request

On a fast machine these are over before the target is tried, so that its first request, some time later, counted as one in its backoff (1 where 0 are due: none had been refused).

--- a/crates/gateway/tests/suite/backoff.rs
+++ b/crates/gateway/tests/suite/backoff.rs
@@ -20,6 +20,8 @@
 
 /// Retry-After of the targets, in seconds.
 const BACKOFF_S: f64 = 1.5;
+/// Time in which a target among others gets a first request.
+const REFUSED_WITHIN: Duration = Duration::from_secs(10);
 
 fn deployment() -> DeploymentJson {
     let stages = json!([{ "service": "encoders", "after": [], "bytes": 1000 }]);
@@ -83,11 +85,10 @@
     fixture.add("i-1", "plain", &refusing.target);
     fixture.add("i-2", "plain", &serving.target);
     refusing.is_full.set(true);
-    for _ in 0..400 {
+    let until = Instant::now() + REFUSED_WITHIN;
+    while refusing.target.received().is_empty() {
+        assert!(Instant::now() < until, "the target isn't tried");
         fixture.call(&plain()).await;
-        if !refusing.target.received().is_empty() {
-            break;
-        }
     }
     let (refused, started) = (refusing.target.received().len(), Instant::now());
     while started.elapsed() < Duration::from_secs_f64(BACKOFF_S * 0.8) {
