Start gateways behind links in one place for the tests of spoilt and cut answers

Both tests through a relay started two gateways with links of their own in the same loop. The tests and their assertions are unchanged; both pass (relayed_spoilt_heads_do_not_give_callers_another_body, relayed_answers_that_targets_cut_after_any_byte_do_not_look_whole).

--- a/crates/gateway/tests/suite/cut_answers.rs
+++ b/crates/gateway/tests/suite/cut_answers.rs
@@ -14,7 +14,7 @@
 };
 use serde_json::json;
 
-use crate::fixture::{gateway_at, settings, single_event_stream, stage_runs, wait_for_entries};
+use crate::fixture::{gateways_behind_links, single_event_stream, stage_runs};
 use crate::fixture::{Answer, Call, Fixture};
 
 const BODY: &str = "the whole body";
@@ -235,13 +235,7 @@
         for service in ["plain", "engines"] {
             store.put_target(service, service, target.addr, "hall-a", "ready");
         }
-        let mut hosts = Vec::new();
-        for number in 0..2 {
-            let (endpoint, links) = store.add_host().await;
-            let settings = settings(&format!("host-{number}"), "hall-a", endpoint.addr);
-            hosts.push((gateway_at(settings).await, links));
-        }
-        wait_for_entries("both entries", &store, 2).await;
+        let hosts = gateways_behind_links(&store, 2).await;
         let (cut_off, links) = &hosts[0];
         assert!(is_served_whole(cut_off, kind).await, "{}", kind.path);
         links.set_mode(LinkMode::Refusing);
--- a/crates/gateway/tests/suite/fixture.rs
+++ b/crates/gateway/tests/suite/fixture.rs
@@ -8,7 +8,7 @@
 use hollowsail_platform_emulator::RepeatAllowance;
 use hollowsail_platform_standins::target::{chunk, event, last_chunk, results, stream_head};
 use hollowsail_platform_standins::{
-    DeploymentJson, ReceivedRequest, Step, StoreStandin, TargetStandin,
+    DeploymentJson, HostLinks, ReceivedRequest, Step, StoreStandin, TargetStandin,
 };
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -227,6 +227,21 @@
     gateway_at(settings(host, hall, store.addr)).await
 }
 
+/// Starts gateways in one hall, each with links of its own, and waits until they know each other.
+pub async fn gateways_behind_links(
+    store: &StoreStandin,
+    count: usize,
+) -> Vec<(Running, HostLinks)> {
+    let mut hosts = Vec::new();
+    for number in 0..count {
+        let (endpoint, links) = store.add_host().await;
+        let settings = settings(&format!("host-{number}"), "hall-a", endpoint.addr);
+        hosts.push((gateway_at(settings).await, links));
+    }
+    wait_for_entries("all entries", store, count).await;
+    hosts
+}
+
 /// Starts a gateway with some settings and waits until it is ready.
 pub async fn gateway_at(settings: Settings) -> Running {
     gateway_with(settings, Mechanisms::default()).await
--- a/crates/gateway/tests/suite/spoilt_heads.rs
+++ b/crates/gateway/tests/suite/spoilt_heads.rs
@@ -15,7 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-use crate::fixture::{gateway_at, settings, wait_for_entries, Answer, Call, Fixture};
+use crate::fixture::{gateways_behind_links, Answer, Call, Fixture};
 
 const BODY: &str = "the whole body";
 /// Pause before a connection ends, so that what was written is read first.
@@ -377,13 +377,7 @@
     for service in ["plain", "engines"] {
         store.put_target(service, service, spoiling.target.addr, "hall-a", "ready");
     }
-    let mut hosts = Vec::new();
-    for number in 0..2 {
-        let (endpoint, links) = store.add_host().await;
-        let settings = settings(&format!("host-{number}"), "hall-a", endpoint.addr);
-        hosts.push((gateway_at(settings).await, links));
-    }
-    wait_for_entries("both entries", &store, 2).await;
+    let hosts = gateways_behind_links(&store, 2).await;
     let (cut_off, links) = &hosts[0];
     links.set_mode(LinkMode::Refusing);
     for path in ["/once/x", "/stream/x"] {
