Play spoilt heads on a route whose streams may be resumed, too

60 heads by hand on /resumable/, the target closes, resets or keeps the connection: 0 of 60 complete with another body in each of three plays. No run of this route was made with the fixes taken out.

--- a/crates/gateway/tests/suite/spoilt_heads.rs
+++ b/crates/gateway/tests/suite/spoilt_heads.rs
@@ -24,6 +24,7 @@
 const READ_TIME: Duration = Duration::from_millis(300);
 
 fn deployment() -> DeploymentJson {
+    let resumable = json!({ "stream_resume": true });
     DeploymentJson::new(1)
         .limit("max_body_bytes", 8 << 20)
         .service("plain")
@@ -31,6 +32,7 @@
         .route("/once/", "unsafe", "plain", json!({}))
         .engines("engines")
         .route("/stream/", "stream", "engines", json!({}))
+        .route("/resumable/", "stream", "engines", resumable)
 }
 
 fn events() -> String {
@@ -39,7 +41,7 @@
 
 fn body_of(path: &str) -> String {
     match path {
-        "/stream/x" => events(),
+        "/stream/x" | "/resumable/x" => events(),
         _ => BODY.to_string(),
     }
 }
@@ -51,7 +53,7 @@
     };
     let call = call.with("X-Request-Id", &format!("{number:016x}"));
     match path {
-        "/stream/x" => call
+        "/stream/x" | "/resumable/x" => call
             .with("X-Token-Counts", "100,10")
             .with("X-Prompt-Prefix", "aa:60,bb:40"),
         _ => call,
@@ -329,7 +331,7 @@
 // Guards against a body that isn't the target's in a complete answer.
 #[actix_rt::test]
 async fn spoilt_heads_of_targets_do_not_give_callers_another_body() {
-    for path in ["/once/x", "/safe/x", "/stream/x"] {
+    for path in ["/once/x", "/safe/x", "/stream/x", "/resumable/x"] {
         for end in [Some(Step::Close), Some(Step::Reset), None] {
             let description = format!("{path}, {end:?}");
             let played = play_at_new_target(path, end, written_by_hand(path)).await;
