Log and count the pages of lists, and loops that start again

Which loop of the control thread panics, and how often, and whether a list that counts as read was whole can't be told from the log: a loop that stands at the same input writes the same panic as one that met it once, and a list that is read without end or cut short leaves no line.

- loop_restarted (HS0114) and hollowsail_loop_restarts_total name the loop.
- list_read (HS0322) has the pages and items of a list that was read to its end, and hollowsail_list_pages_total counts pages: a read without end raises the counter and never writes the line.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use hollowsail_fleet::Position;
+use hollowsail_observe::events;
 use hollowsail_platform::store::{Changes, Item, Range, StoreError};
 
 use super::backoff::Backoff;
@@ -18,6 +19,7 @@
 use super::Control;
 use crate::feed::KeyGroup;
 use crate::list_states::Activity;
+use crate::metrics;
 
 /// Longest pause after changes from a store follower, which costs the store nothing and
 /// pauses on its own.
@@ -138,6 +140,8 @@
     let may_query = subscription.keys == KeyGroup::Targets;
     let mut has_queried = false;
     let mut reading = cx.store.read_pages(subscription.prefix, allow_stale);
+    let list = subscription.keys.name();
+    let mut pages = 0;
     loop {
         if may_query && !has_queried && cx.may_query_hall() {
             has_queried = true;
@@ -151,8 +155,14 @@
             false => cx.store_answered(),
         }
         (subscription.on_page)(cx, items);
+        pages += 1;
+        metrics::count_list_page(list);
         if reading.is_complete() {
-            return Ok(ListSource::Store(reading.into_range()));
+            let range = reading.into_range();
+            let (items, at) = (range.items.len(), range.at);
+            let fields = format_args!("list={list} pages={pages} items={items} at={at}");
+            cx.log.line(events::LIST_READ, fields);
+            return Ok(ListSource::Store(range));
         }
         cx.is_list_long.set(true);
     }
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -41,6 +41,7 @@
 
 use arc_swap::ArcSwap;
 use hollowsail_fleet::{EvacuatedHalls, Newest, Position, TargetRegistry, WarmUps};
+use hollowsail_observe::events;
 use hollowsail_platform::settings::Settings;
 use hollowsail_platform::store::{Lease, Store};
 use hollowsail_platform::targets::TargetRecord;
@@ -60,6 +61,7 @@
 use crate::list_proofs::ProofReceiver;
 use crate::list_states::ListStates;
 use crate::log::Log;
+use crate::metrics;
 use crate::peers::{HeardPeers, PeerRecord};
 use crate::repeats::SharedShare;
 use crate::rollouts::{Orders, PhaseReceiver, PhaseRecords};
@@ -184,32 +186,39 @@
         to_record: PhaseReceiver,
         proofs: ProofReceiver,
     ) {
-        self.keep_running(|cx| follow::follow(cx, operators::SUBSCRIPTION));
-        self.keep_running(|cx| follow::follow(cx, records::SUBSCRIPTION));
-        self.keep_running(own_record::maintain);
-        self.keep_running(repeat_units::maintain);
-        self.keep_running(|cx| follow::follow(cx, membership::SUBSCRIPTION));
+        self.keep_running("operators", |cx| {
+            follow::follow(cx, operators::SUBSCRIPTION)
+        });
+        self.keep_running("targets", |cx| follow::follow(cx, records::SUBSCRIPTION));
+        self.keep_running("own_record", own_record::maintain);
+        self.keep_running("repeat_units", repeat_units::maintain);
+        self.keep_running("entries", |cx| follow::follow(cx, membership::SUBSCRIPTION));
         actix_rt::spawn(refusals::persist(self.clone(), refused));
         actix_rt::spawn(rollouts::persist(self.clone(), to_record));
         actix_rt::spawn(list_proofs::answer(self.clone(), proofs));
-        self.keep_running(peer_state::follow);
-        self.keep_running(catch_up::follow);
-        self.keep_running(list_reports::report);
+        self.keep_running("peer_state", peer_state::follow);
+        self.keep_running("catch_up", catch_up::follow);
+        self.keep_running("list_reports", list_reports::report);
     }
 
-    /// Runs a loop on this thread, and starts it again after a panic, which is logged where it
-    /// happens: an entry that no longer follows a list would go on with an old one.
-    fn keep_running<F>(self: &Rc<Self>, run: impl Fn(Rc<Self>) -> F + 'static)
+    /// Runs a loop on this thread, and starts it again after a panic: an entry that no longer
+    /// follows a list would go on with an old one.
+    fn keep_running<F>(self: &Rc<Self>, name: &'static str, run: impl Fn(Rc<Self>) -> F + 'static)
     where
         F: Future<Output = ()> + 'static,
     {
         let cx = self.clone();
         actix_rt::spawn(async move {
             let mut backoff = Backoff::default();
+            let mut restarts = 0;
             while actix_rt::spawn(run(cx.clone()))
                 .await
                 .is_err_and(|ended| ended.is_panic())
             {
+                restarts += 1;
+                metrics::count_loop_restart(name);
+                let fields = format_args!("loop={name} restarts={restarts}");
+                cx.log.line(events::LOOP_RESTARTED, fields);
                 backoff.pause().await;
             }
         });
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -211,6 +211,16 @@
         .set(Duration::from_millis(age_ms).as_secs_f64());
 }
 
+/// Counts a page of a list that was read from the store.
+pub fn count_list_page(list: &'static str) {
+    counter!("hollowsail_list_pages_total", "list" => list).increment(1);
+}
+
+/// Counts the restart of a loop of the control thread after a panic.
+pub fn count_loop_restart(name: &'static str) {
+    counter!("hollowsail_loop_restarts_total", "loop" => name).increment(1);
+}
+
 /// Sets the number of repeats whose sends may arrive in any later window.
 pub fn set_held_repeats(service: &str, held: usize) {
     gauge!("hollowsail_held_repeats", "service" => service.to_string()).set(held as f64);
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -47,6 +47,7 @@
     PANICKED, 111, "panicked", Error, "A task ended by a panic at this place; the message is on standard error.";
     FATAL_SIGNAL, 112, "fatal_signal", Error, "The process ends by the signal of a faulty instruction; the line says where it is, how far from the program's own code, and its bytes.";
     STOP_UNANSWERED, 113, "stop_unanswered", Error, "The process exits at the end of a planned stop while a request has no answer; the line says what it waits for.";
+    LOOP_RESTARTED, 114, "loop_restarted", Error, "A loop of the control thread ended by a panic and starts again; the line says which one, and how often since the process started.";
     ROUTE, 201, "route", Info, "A target was chosen for an attempt.";
     NO_ROUTE, 202, "no_route", Warn, "No target could be chosen.";
     ATTEMPT_FAILED, 203, "attempt_failed", Warn, "An attempt returned no valid answer.";
@@ -112,6 +113,7 @@
     VERSION_HELD, 319, "version_held", Info, "A service has targets of a version that is new to this entry; they wait for the operators' order, if there is one.";
     TARGETS_LISTED, 320, "targets_listed", Info, "Many target records arrived together, or have to be read from another source.";
     LIST_BEHIND, 321, "list_behind", Warn, "A list that this entry follows in the store stays behind the store's newest epoch; the line says what the loop that follows it does.";
+    LIST_READ, 322, "list_read", Info, "A list in the store was read to its end; the line says how many pages and items it had.";
     MEMBER, 401, "member", Info, "A member's health or stop state changed.";
     PACE, 402, "pace", Warn, "This entry started or stopped keeping up with its work.";
     HOST_LOAD, 403, "host_load", Info, "What this host carried in the last second: connections and requests of callers, the event-loop lag, and bytes by the other end.";
