Add failing tests of keys that other writers chose

The store's stand-in took queries as they stood, so that no test could notice a key that isn't encoded.

--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod fixture;
 mod forwarding;
 mod joining_hosts;
+mod keys_of_other_writers;
 mod libraries;
 mod limits;
 mod mechanisms;
