--- a/crates/fleet/src/watch_log.rs
+++ b/crates/fleet/src/watch_log.rs
@@ -2,7 +2,8 @@
 //!
 //! Like the store's own watch it returns the changes after a position, or reports that they
 //! are no longer known. Positions are the same at every source, so a follower can continue at
-//! another one. The log holds every change between two positions of one epoch, up to a limit.
+//! another one. The log holds every change between two positions of one epoch, up to limits on
+//! their number and size.
 
 use std::collections::VecDeque;
 
@@ -29,6 +30,11 @@
     /// Each change with its position.
     changes: VecDeque<(Position, C)>,
     capacity: usize,
+    /// Size of a change in bytes.
+    size_of: fn(&C) -> usize,
+    /// Sizes of all changes in the log.
+    bytes: usize,
+    max_bytes: usize,
 }
 
 impl<C: Clone> WatchLog<C> {
@@ -39,6 +45,18 @@
             to: Position::default(),
             changes: VecDeque::new(),
             capacity,
+            size_of: |_| 0,
+            bytes: 0,
+            max_bytes: usize::MAX,
+        }
+    }
+
+    /// Also limits the sizes of all changes together, in bytes.
+    pub fn with_max_bytes(self, max_bytes: usize, size_of: fn(&C) -> usize) -> Self {
+        WatchLog {
+            size_of,
+            max_bytes,
+            ..self
         }
     }
 
@@ -47,16 +65,22 @@
         self.from = at;
         self.to = at;
         self.changes.clear();
+        self.bytes = 0;
     }
 
     /// Appends all changes after [`WatchLog::end`] up to `to`, each with its position.
     pub fn extend(&mut self, changes: impl IntoIterator<Item = (Position, C)>, to: Position) {
-        self.changes.extend(changes);
+        for (at, change) in changes {
+            self.bytes += (self.size_of)(&change);
+            self.changes.push_back((at, change));
+        }
         self.to = self.to.max(to);
-        while self.changes.len() > self.capacity {
-            if let Some((dropped, _)) = self.changes.pop_front() {
-                self.from = dropped;
-            }
+        while self.changes.len() > self.capacity || self.bytes > self.max_bytes {
+            let Some((at, dropped)) = self.changes.pop_front() else {
+                break;
+            };
+            self.bytes -= (self.size_of)(&dropped);
+            self.from = at;
         }
     }
 
--- a/crates/fleet/tests/suite/watch_log.rs
+++ b/crates/fleet/tests/suite/watch_log.rs
@@ -142,6 +142,19 @@
     assert_eq!(log.since(at(4)), ChangesSince::NothingNew);
 }
 
+#[test]
+fn log_of_large_changes_drops_oldest() {
+    let mut log = WatchLog::new(8).with_max_bytes(5, |text: &&str| text.len());
+    log.extend([(at(1), "aa"), (at(2), "bb"), (at(3), "cc")], at(3));
+    assert_eq!(log.since(at(0)), ChangesSince::Unknown);
+    let (changes, to) = (vec!["bb", "cc"], at(3));
+    assert_eq!(log.since(at(1)), ChangesSince::Changes { changes, to });
+    log.extend([(at(4), "longer")], at(5));
+    assert_eq!(log.since(at(3)), ChangesSince::Unknown);
+    let (changes, to) = (Vec::new(), at(5));
+    assert_eq!(log.since(at(4)), ChangesSince::Changes { changes, to });
+}
+
 #[test]
 fn log_returns_no_changes_to_another_epoch() {
     let mut log = WatchLog::new(8);
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -22,6 +22,9 @@
 /// a large deployment restart.
 const MAX_CHANGES: usize = 2_000;
 
+/// Maximum size of these changes, in bytes, as other writers may write large values among them.
+const MAX_CHANGE_BYTES: usize = 4 << 20;
+
 /// Maximum number of target changes in one response. Beyond it the requester fetches all
 /// records from an entry of its hall, which takes a fraction of the bytes.
 const MAX_SENT_CHANGES: usize = 400;
@@ -139,7 +142,7 @@
     fn default() -> Self {
         let feed = || {
             Mutex::new(Feed {
-                log: WatchLog::new(MAX_CHANGES),
+                log: WatchLog::new(MAX_CHANGES).with_max_bytes(MAX_CHANGE_BYTES, Change::size),
                 items: None,
                 is_followed: false,
             })
