--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -7,6 +7,7 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use hollowsail_observe::output::write_line;
 
 /// Loads a fleet of entries and stand-ins on loopback, and measures.
 #[derive(FromArgs)]
@@ -16,7 +17,9 @@
 }
 
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off")).init();
+    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("off"))
+        .format(write_line)
+        .init();
     let arguments: HollowsailBench = argh::from_env();
     match actix_rt::System::new().block_on(arguments.command.run()) {
         Ok(passed) => ExitCode::from(u8::from(!passed)),
--- a/crates/entry/src/apply.rs
+++ b/crates/entry/src/apply.rs
@@ -6,6 +6,7 @@
 //! resent until its result is known. Finally waits until every live entry reports the
 //! revision.
 
+use hollowsail_observe::text::Quoted;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -113,9 +114,10 @@
 }
 
 fn log_refused(worker: &Worker, why: &str) {
-    worker
-        .entry
-        .log(events::CONFIGURATION_REFUSED, format_args!("why=\"{why}\""));
+    worker.entry.log(
+        events::CONFIGURATION_REFUSED,
+        format_args!("why={}", Quoted(&why)),
+    );
 }
 
 /// Revision of the apply, newest head, and the chunks of that head.
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,6 +4,7 @@
 //! [`dispatch`](mod@crate::dispatch) makes the call. This module classifies the result
 //! of the attempt, reports it to the control thread and decides whether to retry.
 
+use hollowsail_observe::text::{Field, Quoted};
 use std::time::{Duration, Instant};
 
 use hollowsail_clients::target::{CallError, SendProgress, TargetReports};
@@ -107,7 +108,8 @@
     let counted = entry.crashes.record_crash(entry.now(), task.job, sent_at);
     let fields = format_args!(
         "request={} target={} counted={counted:?}",
-        task.job.request, route.name
+        Field(&task.job.request),
+        Field(&route.name)
     );
     entry.log(events::TARGET_ENDED, fields);
     true
@@ -225,8 +227,9 @@
     task.worker.entry.log(
         events::ATTEMPT_FAILED,
         format_args!(
-            "dispatch={dispatch} target={} progress={progress:?} reason=\"{err}\"",
-            route.name
+            "dispatch={dispatch} target={} progress={progress:?} reason={}",
+            Field(&route.name),
+            Quoted(&err)
         ),
     );
 }
--- a/crates/entry/src/control/config_sync.rs
+++ b/crates/entry/src/control/config_sync.rs
@@ -5,6 +5,7 @@
 //! An entry without any configuration uses both. Failed store calls are retried
 //! with randomised exponential backoff.
 
+use hollowsail_observe::text::{Field, Quoted};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -162,7 +163,7 @@
     fn on_store_failure(&mut self, err: &StoreError) {
         if self.config_sync.failures == 0 {
             self.entry
-                .log(events::STORE_LOST, format_args!("reason=\"{err}\""));
+                .log(events::STORE_LOST, format_args!("reason={}", Quoted(&err)));
         }
         self.config_sync.failures += 1;
     }
@@ -180,7 +181,10 @@
         let Ok(head) = rmp_serde::from_slice::<Head>(bytes) else {
             self.entry.log(
                 events::CONFIGURATION_UNREADABLE,
-                format_args!("version={version} reason=\"malformed configuration head\""),
+                format_args!(
+                    "version={} reason=\"malformed configuration head\"",
+                    Field(&version)
+                ),
             );
             return;
         };
@@ -263,7 +267,7 @@
             }
             Err(reason) => self.entry.log(
                 events::CONFIGURATION_UNREADABLE,
-                format_args!("source={source} reason=\"{reason}\""),
+                format_args!("source={source} reason={}", Quoted(&reason)),
             ),
         }
     }
--- a/crates/entry/src/control/health.rs
+++ b/crates/entry/src/control/health.rs
@@ -5,6 +5,7 @@
 //! the revision changes, and builds the parts of the view that routing and
 //! deadlines read.
 
+use hollowsail_observe::text::Field;
 use std::collections::HashMap;
 use std::sync::atomic::AtomicU32;
 use std::sync::{Arc, Mutex};
@@ -296,7 +297,7 @@
             let target = configuration.deployment.target(key);
             self.entry.log(
                 events::TARGET_EJECTED,
-                format_args!("target={}", target.name),
+                format_args!("target={}", Field(&target.name)),
             );
         }
     }
--- a/crates/entry/src/control/host_list.rs
+++ b/crates/entry/src/control/host_list.rs
@@ -4,6 +4,7 @@
 //! others read it when a peer reports a different list, and every
 //! `MAX_LIST_AGE_MS`. The list's tag makes the server skip an unchanged list.
 
+use hollowsail_observe::text::Field;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -113,7 +114,7 @@
         if self.fleet.hosts.mark_leaving(name) {
             self.entry.log(
                 events::HOST_LEAVING,
-                format_args!("host={name} source={source}"),
+                format_args!("host={} source={source}", Field(&name)),
             );
             self.publish();
         }
--- a/crates/entry/src/pipeline.rs
+++ b/crates/entry/src/pipeline.rs
@@ -4,6 +4,7 @@
 //! allowed; its output is the input of the next stage. The attempts' progress
 //! determines the stage's status ([`stage_status`]).
 
+use hollowsail_observe::text::Field;
 use std::time::Instant;
 
 use hollowsail_config::Stage;
@@ -176,8 +177,12 @@
     worker.entry.log(
         events::REQUEST_ENDED,
         format_args!(
-            "request={} run={} org={} pipeline={pipeline} outcome={:?} kind={kind} ms={ms}",
-            job.request, job.run, job.org, answer.outcome
+            "request={} run={} org={} pipeline={} outcome={:?} kind={kind} ms={ms}",
+            Field(&job.request),
+            job.run,
+            Field(&job.org),
+            Field(&pipeline),
+            answer.outcome
         ),
     );
 }
--- a/crates/entry/src/relay.rs
+++ b/crates/entry/src/relay.rs
@@ -5,6 +5,7 @@
 //! is made from the headers; body and answer are streamed through. The number of
 //! hops is bounded, so that differing views can't cause a loop.
 
+use hollowsail_observe::text::{Field, Quoted};
 use std::time::Duration;
 
 use actix_web::error::PayloadError;
@@ -65,7 +66,7 @@
 ) -> Result<HttpResponse, RelayError> {
     worker.entry.log(
         events::RELAYED,
-        format_args!("request={} to={}", relay.request, peer.name),
+        format_args!("request={} to={}", Field(&relay.request), Field(&peer.name)),
     );
     match build_request(worker, peer, relay)
         .send_stream(relay.body.clone())
@@ -76,8 +77,10 @@
             worker.entry.log(
                 events::RELAY_FAILED,
                 format_args!(
-                    "request={} to={} reason=\"{err}\"",
-                    relay.request, peer.name
+                    "request={} to={} reason={}",
+                    Field(&relay.request),
+                    Field(&peer.name),
+                    Quoted(&err)
                 ),
             );
             Err(RelayError::NotSent)
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -6,6 +6,7 @@
 //! concurrency; when all are full the request waits at the service's [`Gate`], most
 //! urgent first.
 
+use hollowsail_observe::text::{Field, Quoted};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -217,11 +218,12 @@
     task.worker.entry.log(
         events::ROUTE,
         format_args!(
-            "request={} run={} stage={} attempt={attempt} target={} why={} candidates={} remaining_ms={}",
-            job.request,
+            "request={} run={} stage={} attempt={attempt} target={} why={} candidates={} \
+             remaining_ms={}",
+            Field(&job.request),
             job.run,
-            task.stage.name,
-            search.deployment.target(choice.target).name,
+            Field(&task.stage.name),
+            Field(&search.deployment.target(choice.target).name),
             choice.reason.name(),
             search.candidates.len(),
             job.remaining_ms()
@@ -253,8 +255,11 @@
     task.worker.entry.log(
         events::NO_ROUTE,
         format_args!(
-            "request={} run={} stage={} attempt={attempt} why=\"{why}\"",
-            task.job.request, task.job.run, task.stage.name
+            "request={} run={} stage={} attempt={attempt} why={}",
+            Field(&task.job.request),
+            task.job.run,
+            Field(&task.stage.name),
+            Quoted(&why)
         ),
     );
 }
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -1,5 +1,6 @@
 //! Start and stop of an entry: listeners, traffic threads and the control thread.
 
+use hollowsail_observe::text::Field;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::time::Duration;
@@ -131,7 +132,7 @@
         format_args!(
             "incarnation={incarnation:x} hall={} callers={callers_address} \
              peers={peers_address} operators={operators_address}",
-            entry.settings.hall
+            Field(&entry.settings.hall)
         ),
     );
     Ok(RunningEntry {
--- a/crates/entry/src/stop.rs
+++ b/crates/entry/src/stop.rs
@@ -5,6 +5,7 @@
 //! flight, hands the ledger over to a peer and announces the successor. The
 //! listeners are closed after that.
 
+use hollowsail_observe::text::Field;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
@@ -72,7 +73,10 @@
         };
         match send_ledger(entry, &member, &hand_over).await {
             HandOverResult::Adopted => {
-                entry.log(events::HANDED_OVER, format_args!("to={}", member.name));
+                entry.log(
+                    events::HANDED_OVER,
+                    format_args!("to={}", Field(&member.name)),
+                );
                 return Some(member.incarnation);
             }
             HandOverResult::Refused => {}
--- a/crates/gateway/src/connections.rs
+++ b/crates/gateway/src/connections.rs
@@ -10,6 +10,7 @@
 
 use hollowsail_connect::{connect_first, Connection, Pool, PoolStats, Reuse, SendError};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::deployment::Service;
 use hollowsail_routing::connections::{is_scarce, share};
 use hollowsail_routing::Progress;
@@ -142,15 +143,16 @@
     cx.log.line(
         events::CONNECTIONS,
         format_args!(
-            "service={service} why={why} target={} share={} in_use={} idle={} waiting={} \
+            "service={} why={why} target={} share={} in_use={} idle={} waiting={} \
              resets={} entries={}",
-            target.incarnation().id,
+            Field(&service),
+            Field(&target.incarnation().id),
             target.pool.limit().unwrap_or(0),
             stats.open.saturating_sub(stats.idle),
             stats.idle,
             stats.waiting,
             stats.resets,
-            cx.peers.count(),
+            cx.peers.count()
         ),
     );
 }
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::deployment::Deployment;
 
 use super::Control;
@@ -21,7 +22,7 @@
         let deployment = match Deployment::decode(source) {
             Ok(deployment) => deployment,
             Err(err) => {
-                let fields = format_args!("from={from} why=\"{err}\"");
+                let fields = format_args!("from={from} why={}", Quoted(&err));
                 self.log.line(events::CONFIGURATION_UNREADABLE, fields);
                 return;
             }
@@ -43,9 +44,9 @@
             events::CONFIGURATION_IN_FORCE,
             format_args!(
                 "version={} before={before} routes={} services={} from={from}",
-                deployment.version,
+                Field(&deployment.version),
                 deployment.routes.len(),
-                deployment.services.len(),
+                deployment.services.len()
             ),
         );
         self.publish();
--- a/crates/gateway/src/control/evacuated_halls.rs
+++ b/crates/gateway/src/control/evacuated_halls.rs
@@ -2,6 +2,7 @@
 
 use hollowsail_fleet::EvacuatedHalls;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::operators::evacuated_hall;
 use hollowsail_platform::store::{Change, Changes, Range};
 
@@ -50,7 +51,7 @@
         let names: Vec<&str> = halls.names().collect();
         let fields = format_args!(
             "halls={} as_of={} from={from}",
-            names.join(","),
+            Field(&names.join(",")),
             halls.as_of()
         );
         self.log.line(events::HALLS_EMPTIED, fields);
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -5,6 +5,7 @@
 
 use hollowsail_fleet::{Position, RecordMeta};
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::store::{Change, Changes, Item, Range};
 
 use super::follow::Subscription;
@@ -80,7 +81,7 @@
 
     fn log_peers_gone(&self, gone: &[String], why: &str) {
         for key in gone {
-            let fields = format_args!("key={key} state=gone why={why}");
+            let fields = format_args!("key={} state=gone why={why}", Field(&key));
             self.log.line(events::MEMBER, fields);
         }
     }
@@ -104,14 +105,16 @@
         let record: PeerRecord = match rmp_serde::from_slice(&item.value) {
             Ok(record) => record,
             Err(err) => {
-                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                let fields = format_args!("key={} why={}", Field(&item.key), Quoted(&err));
                 self.log.line(events::RECORD_UNREADABLE, fields);
                 return false;
             }
         };
         let line = format!(
             "peer={} addr={} hall={}",
-            record.host, record.addr, record.hall
+            Field(&record.host),
+            record.addr,
+            Field(&record.hall)
         );
         let changed = self
             .peers
--- a/crates/gateway/src/control/new_versions.rs
+++ b/crates/gateway/src/control/new_versions.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_platform::targets::TargetRecord;
 use hollowsail_routing::Millis;
@@ -98,7 +99,9 @@
         }
         let held_for = self.new_versions.borrow().held_for;
         let fields = format_args!(
-            "service={service} version={version} for_ms={}",
+            "service={} version={} for_ms={}",
+            Field(&service),
+            Field(&version),
             held_for.as_millis()
         );
         self.log.line(events::VERSION_HELD, fields);
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Quoted;
 use hollowsail_platform::store::{Lease, StoreError};
 
 use super::backoff::Backoff;
@@ -43,7 +44,7 @@
             cx.store_failed(&err);
             cx.log.line(
                 events::MEMBER,
-                format_args!("state=unrecorded why=\"{err}\""),
+                format_args!("state=unrecorded why={}", Quoted(&err)),
             );
             let is_epoch_over = lease.is_some_and(|lease| lease.epoch() < cx.store.epoch());
             if !is_epoch_over {
@@ -149,7 +150,7 @@
             return;
         };
         if let Err(err) = self.store.end_lease(lease).await {
-            let fields = format_args!("state=leaving why=\"{err}\"");
+            let fields = format_args!("state=leaving why={}", Quoted(&err));
             self.log.line(events::MEMBER, fields);
         }
     }
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -5,6 +5,7 @@
 
 use hollowsail_fleet::{Position, RecordMeta};
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::store::{Change, Changes, Item, Range};
 use hollowsail_platform::targets::{self, Incarnation, TargetRecord, PREFIX};
 
@@ -125,10 +126,11 @@
             Ok(record) => self.put_record(record, item.at, batch_size),
             Err(err) => {
                 let fields = format_args!(
-                    "key={} at={} bytes={} why=\"{err}\"",
-                    item.key,
+                    "key={} at={} bytes={} why={}",
+                    Field(&item.key),
                     item.at,
-                    item.value.len()
+                    item.value.len(),
+                    Quoted(&err)
                 );
                 self.log.line(events::RECORD_UNREADABLE, fields);
                 let gone = self.registry.borrow_mut().mark_malformed(id, item.at);
@@ -200,8 +202,11 @@
         let changed = registry.put(id, metadata, record.clone());
         if changed && batch_size < SUMMARY_THRESHOLD {
             let fields = format_args!(
-                "target={id} born={started} service={} addr={} hall={} draining={draining} at={at}",
-                record.service, record.addr, record.hall
+                "target={} born={started} service={} addr={} hall={} draining={draining} at={at}",
+                Field(&id),
+                Field(&record.service),
+                record.addr,
+                Field(&record.hall)
             );
             self.log.line(events::TARGET_RECORD, fields);
         }
@@ -210,7 +215,7 @@
 
     fn log_gone(&self, gone: &[String], why: &str) {
         for incarnation in gone {
-            let fields = format_args!("target={incarnation} why={why}");
+            let fields = format_args!("target={} why={why}", Field(&incarnation));
             self.log.line(events::TARGET_GONE, fields);
         }
     }
--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -9,6 +9,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::store::{Change, Item, StoreError};
 use hollowsail_routing::crashes::requests::MAX_REFUSAL_MS;
 use hollowsail_routing::{Millis, RequestDigest};
@@ -94,7 +95,7 @@
         };
         cx.store_failed(&err);
         let content = refusal.request;
-        let fields = format_args!("content={content} standing=unrecorded why=\"{err}\"");
+        let fields = format_args!("content={content} standing=unrecorded why={}", Quoted(&err));
         cx.log.line(events::REQUEST_STANDING, fields);
         backoff.pause().await;
     }
@@ -153,7 +154,7 @@
         match rmp_serde::from_slice::<RefusalRecord>(&item.value) {
             Ok(record) => self.insert_refusal(request, record.for_ms),
             Err(err) => {
-                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                let fields = format_args!("key={} why={}", Field(&item.key), Quoted(&err));
                 self.log.line(events::RECORD_UNREADABLE, fields);
                 false
             }
--- a/crates/gateway/src/control/repeat_units.rs
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -15,6 +15,7 @@
 };
 use hollowsail_fleet::Position;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_platform::store::{Lease, Range, StoreError};
 use hollowsail_routing::repeats::{RetiredUnits, LOST_MS};
@@ -169,7 +170,10 @@
         self.quota.begin_round(total, part, target);
         self.make_calls().await;
         if self.quota.held() != held {
-            self.log_held(&format!("target={target} total={total} hosts={hosts}"));
+            self.log_held(&format!(
+                "target={} total={total} hosts={hosts}",
+                Field(&target)
+            ));
         }
     }
 
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::operators::{
     decode_rollout, encode_rollout_status, rollout_service, rollout_status_key, RolloutState,
 };
@@ -84,9 +85,13 @@
     let (service, version) = (&order.service, &order.version);
     let outcome = match written {
         Ok(phase) => format!("phase={}", phase.name()),
-        Err(err) => format!("phase=unwritten why=\"{err}\""),
+        Err(err) => format!("phase=unwritten why={}", Quoted(&err)),
     };
-    let fields = format_args!("service={service} version={version} order={at} {outcome}");
+    let fields = format_args!(
+        "service={} version={} order={at} {outcome}",
+        Field(&service),
+        Field(&version)
+    );
     cx.log.line(events::ROLLOUT_RECORDED, fields);
 }
 
@@ -141,7 +146,12 @@
         match decode_rollout(service, &item.value) {
             Ok(order) => Some(PlacedOrder { order, at: item.at }),
             Err(err) => {
-                let fields = format_args!("key={} at={} why=\"{err}\"", item.key, item.at);
+                let fields = format_args!(
+                    "key={} at={} why={}",
+                    Field(&item.key),
+                    item.at,
+                    Quoted(&err)
+                );
                 self.log.line(events::ROLLOUT_ORDER_UNREADABLE, fields);
                 None
             }
@@ -180,7 +190,7 @@
         match rmp_serde::from_slice(&item.value) {
             Ok(recorded) => Some(recorded),
             Err(err) => {
-                let fields = format_args!("key={} why=\"{err}\"", item.key);
+                let fields = format_args!("key={} why={}", Field(&item.key), Quoted(&err));
                 self.log.line(events::RECORD_UNREADABLE, fields);
                 None
             }
--- a/crates/gateway/src/control/source.rs
+++ b/crates/gateway/src/control/source.rs
@@ -16,6 +16,7 @@
 use hollowsail_fleet::ownership::Candidate;
 use hollowsail_fleet::{store_followers, Position};
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::store::{Changes, Range, StoreError};
 use hollowsail_routing::Millis;
 
@@ -235,8 +236,9 @@
         let mut skipped_until = self.followers.skipped_until.borrow_mut();
         skipped_until.insert(follower.host.clone(), until);
         let fields = format_args!(
-            "peer={} state=no_reader for_ms={for_ms} why=\"{why}\"",
-            follower.host
+            "peer={} state=no_reader for_ms={for_ms} why={}",
+            Field(&follower.host),
+            Quoted(&why)
         );
         self.log.line(events::MEMBER, fields);
     }
--- a/crates/gateway/src/control/store_link.rs
+++ b/crates/gateway/src/control/store_link.rs
@@ -9,6 +9,7 @@
 
 use hollowsail_fleet::store_contact::{ContactChange, StoreContact};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Quoted;
 use hollowsail_platform::store::StoreError;
 use hollowsail_routing::Millis;
 use tokio::sync::watch;
@@ -129,7 +130,7 @@
             self.registry.borrow_mut().store_unreachable();
             self.feeds.store_unreachable();
             self.log
-                .line(events::STORE_LOST, format_args!("why=\"{err}\""));
+                .line(events::STORE_LOST, format_args!("why={}", Quoted(&err)));
             metrics::count_store_outage();
             self.publish();
         }
--- a/crates/gateway/src/control/usable.rs
+++ b/crates/gateway/src/control/usable.rs
@@ -5,6 +5,7 @@
 
 use hollowsail_fleet::{EvacuatedHalls, WarmUpRecord};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_streams::ListedVersion;
 use hollowsail_targets::UsableTarget;
@@ -49,7 +50,11 @@
         let marked: Vec<&Incarnation> = received.iter().filter(&mut mark).collect();
         drop(registry);
         for target in &marked {
-            let fields = format_args!("target={} born={} by=peer", target.id, target.started);
+            let fields = format_args!(
+                "target={} born={} by=peer",
+                Field(&target.id),
+                target.started
+            );
             self.log.line(events::TARGET_LEAVES, fields);
         }
         if !marked.is_empty() {
@@ -79,7 +84,8 @@
         for target in &marked {
             let fields = format_args!(
                 "target={} at={} why=told_by_peer",
-                target.incarnation.id, target.at
+                Field(&target.incarnation.id),
+                target.at
             );
             self.log.line(events::TARGET_GONE, fields);
         }
--- a/crates/gateway/src/peers/mod.rs
+++ b/crates/gateway/src/peers/mod.rs
@@ -23,6 +23,7 @@
 use hollowsail_fleet::ownership::{self, Candidate};
 use hollowsail_fleet::LiveRuns;
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_routing::repeats::TrackedSend;
 use hollowsail_routing::Millis;
 use hollowsail_streams::holders::{self, HolderCandidate};
@@ -217,7 +218,9 @@
             events::MEMBER,
             format_args!(
                 "peer={} addr={} hall={} state=live why=heard",
-                peer.host, peer.addr, peer.hall
+                Field(&peer.host),
+                peer.addr,
+                Field(&peer.hall)
             ),
         );
         self.runs.borrow_mut().observed(old, peer.clone());
@@ -441,8 +444,10 @@
         cx.log.line(
             events::MEMBER,
             format_args!(
-                "peer={} state=suspect for_ms={} why=\"{why}\"",
-                peer.host, suspicion.duration_ms
+                "peer={} state=suspect for_ms={} why={}",
+                Field(&peer.host),
+                suspicion.duration_ms,
+                Quoted(&why)
             ),
         );
         cx.pools.requester_lost(peer.id);
--- a/crates/gateway/src/placement/scheduler.rs
+++ b/crates/gateway/src/placement/scheduler.rs
@@ -8,6 +8,7 @@
 
 use hollowsail_fleet::rendezvous;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::{
     Demand, DemandKey, DemandQueue, EngineScheduler, Millis, PlacementEnd, PlacementKey,
@@ -284,7 +285,11 @@
 
     fn log_ejected(&self, cx: &Traffic, ejected: &[Incarnation]) {
         for engine in ejected {
-            let fields = format_args!("desk={} target={} why=answers", self.name, engine.id);
+            let fields = format_args!(
+                "desk={} target={} why=answers",
+                Field(&self.name),
+                Field(&engine.id)
+            );
             cx.log.line(events::TARGET_EJECTED, fields);
         }
     }
--- a/crates/gateway/src/pools/batcher/decision_log.rs
+++ b/crates/gateway/src/pools/batcher/decision_log.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{BatchQueue, RefusalCause, RoomDecision};
 
@@ -93,10 +94,11 @@
     cx.log.line(
         events::ROOM_TOTALS,
         format_args!(
-            "queue={name} admitted={} full={} over_share={} too_early={} flows={} capacity={:.0} \
+            "queue={} admitted={} full={} over_share={} too_early={} flows={} capacity={:.0} \
              calibration={:.2} offered={:.0} entitled={:.0} waiting={:.0} reserved={:.0} \
              held={:.0} returned={} lapsed={} claimed={:.0} claimed_per_s={:.0} workers={} \
              busy={} no_memory={} backing_off={} slow={} (requests; pieces; pieces per second)",
+            Field(&name),
             decisions.admitted,
             decisions.full,
             decisions.over_share,
@@ -144,8 +146,9 @@
     cx.log.line(
         events::ROOM_BY_FLOW,
         format_args!(
-            "queue={name} refused={refusals} flows=\"{text}\" \
-             (urgency/organisation:offered/entitled/reserved, pieces per second)"
+            "queue={} refused={refusals} flows=\"{text}\" \
+             (urgency/organisation:offered/entitled/reserved, pieces per second)",
+            Field(&name)
         ),
     );
 }
--- a/crates/gateway/src/pools/batcher/hand_over.rs
+++ b/crates/gateway/src/pools/batcher/hand_over.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_routing::Millis;
 use hollowsail_stages::PieceKey;
 
@@ -40,7 +41,8 @@
             let calls = self.queue.borrow().running();
             let fields = format_args!(
                 "queue={} to={} waiting={waiting} calls={calls}",
-                self.name, to.peer.host
+                Field(&self.name),
+                Field(&to.peer.host)
             );
             cx.log.line(events::QUEUE_HANDED_OVER, fields);
         }
@@ -89,7 +91,7 @@
             let bytes = workers.iter().map(|worker| worker.state.retained_bytes);
             let fields = format_args!(
                 "queue={} workers={} retained_bytes={}",
-                self.name,
+                Field(&self.name),
                 workers.len(),
                 bytes.sum::<u64>()
             );
--- a/crates/gateway/src/pools/batcher/mod.rs
+++ b/crates/gateway/src/pools/batcher/mod.rs
@@ -19,6 +19,7 @@
 
 use hollowsail_fleet::rendezvous;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::deployment::StagePool;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
 use hollowsail_routing::repeats::{RepeatReason, SendPermit, Work};
@@ -346,7 +347,8 @@
             if let Some(target) = self.workers.borrow().target(worker) {
                 let fields = format_args!(
                     "queue={} target={} why=call_overdue",
-                    self.name, target.record.incarnation.id
+                    Field(&self.name),
+                    Field(&target.record.incarnation.id)
                 );
                 cx.log.line(events::TARGET_EJECTED, fields);
             }
--- a/crates/gateway/src/pools/batcher/reserved.rs
+++ b/crates/gateway/src/pools/batcher/reserved.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_routing::Millis;
 use hollowsail_stages::{
@@ -103,7 +104,10 @@
             format_args!(
                 "request={} queue={} cause={cause} urgency={} organisation={organisation} \
                  retry_after_ms={}",
-                request.request_id, self.name, request.urgency, refusal.retry_after_ms
+                Field(&request.request_id),
+                Field(&self.name),
+                request.urgency,
+                refusal.retry_after_ms
             ),
         );
         ReservationReply::Refused(RoomRefused {
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -9,6 +9,7 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_connect::SendError;
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::pieces::{self, Piece, PieceFailure, PieceResult};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::repeats::{RepeatReason, SendPermit, SendPermits};
@@ -185,10 +186,11 @@
     cx.log.line(
         events::CALL_ENDED,
         format_args!(
-            "queue={} target={} call={call_id} pieces={pieces} ms={} outcome=\"{outcome}\"",
-            batcher.name(),
-            target.incarnation().id,
+            "queue={} target={} call={call_id} pieces={pieces} ms={} outcome={}",
+            Field(&batcher.name()),
+            Field(&target.incarnation().id),
             took.as_millis(),
+            Quoted(&outcome)
         ),
     );
 }
@@ -359,11 +361,11 @@
         events::PIECE_FAILED,
         format_args!(
             "service={} request={} stage={} piece={} target={} why={failure:?}",
-            target.record.service,
-            piece.request_id,
+            Field(&target.record.service),
+            Field(&piece.request_id),
             piece.stage,
             piece.piece,
-            target.incarnation().id,
+            Field(&target.incarnation().id)
         ),
     );
     if matches!(failure, PieceFailure::Late | PieceFailure::InputGone) {
--- a/crates/gateway/src/pools/worker_crash.rs
+++ b/crates/gateway/src/pools/worker_crash.rs
@@ -9,6 +9,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_routing::RequestDigest;
 use hollowsail_stages::PieceKey;
 use hollowsail_targets::Target;
@@ -42,9 +43,9 @@
     for request in &requests {
         let fields = format_args!(
             "queue={} content={request} target={} requests={}",
-            batcher.name(),
-            target.incarnation().id,
-            requests.len(),
+            Field(&batcher.name()),
+            Field(&target.incarnation().id),
+            requests.len()
         );
         cx.log.line(events::TARGET_ENDED, fields);
         cx.crashes.target_crashed(cx, *request, run);
--- a/crates/gateway/src/reach/accept.rs
+++ b/crates/gateway/src/reach/accept.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use hollowsail_connect::{relay, Counted, DialError, ProcessState, RelayedPeer};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_targets::Target;
 use http::{header, HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
@@ -133,7 +134,7 @@
     while cx.is_in_use(&target) {
         cx.targets_changed.notified().await;
     }
-    let fields = format_args!("target={}", target.incarnation().id);
+    let fields = format_args!("target={}", Field(&target.incarnation().id));
     cx.log.line(events::RELAY_RETIRED, fields);
 }
 
--- a/crates/gateway/src/reach/probe.rs
+++ b/crates/gateway/src/reach/probe.rs
@@ -9,6 +9,7 @@
 use futures_util::FutureExt;
 use hollowsail_connect::DialError;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Quoted;
 use hollowsail_targets::Target;
 use rand::seq::IteratorRandom;
 use tokio::time::Instant;
@@ -63,7 +64,7 @@
         cx.reach.record_cut_off(cx);
         cx.prune_connections();
         let (probed, silent_ms) = (targets.len(), silent_for.as_millis());
-        let fields = format_args!("probed={probed} silent_ms={silent_ms} why=\"{err}\"");
+        let fields = format_args!("probed={probed} silent_ms={silent_ms} why={}", Quoted(&err));
         cx.log.line(events::TARGETS_UNREACHABLE, fields);
     }
     if is_new || cx.reach.lacks_relays() {
--- a/crates/gateway/src/reach/relays.rs
+++ b/crates/gateway/src/reach/relays.rs
@@ -11,6 +11,7 @@
 };
 use hollowsail_fleet::relays::{order, Place, RelayCandidate};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use http::{header, HeaderValue, StatusCode};
 use hyper::client::conn::http1::handshake;
 use hyper_util::rt::TokioIo;
@@ -150,12 +151,13 @@
         ids.filter(|id| is_counted(*id)).count()
     };
     let fields = format_args!(
-        "target={} target_hall={hall} live={} eligible={} suspected={} unable={}",
-        endpoint.incarnation.id,
+        "target={} target_hall={} live={} eligible={} suspected={} unable={}",
+        Field(&endpoint.incarnation.id),
+        Field(&hall),
         peers.len(),
         eligible.len(),
         count(&|id| cx.peers.is_suspected(cx, id)),
-        count(&|id| unable.contains_key(&id)),
+        count(&|id| unable.contains_key(&id))
     );
     cx.log.line(events::NO_RELAY, fields);
 }
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -10,6 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::pieces::Piece;
 use hollowsail_platform::settings::Bounds;
 use hollowsail_routing::repeats::{
@@ -83,7 +84,7 @@
         let Repeat {
             service, request, ..
         } = self;
-        write!(f, "service={service} request={request}")?;
+        write!(f, "service={} request={}", Field(&service), Field(&request))?;
         if let Some((stage, piece)) = self.piece {
             write!(f, " stage={stage} piece={piece}")?;
         }
@@ -227,9 +228,10 @@
                 refused,
             } = tally;
             let fields = format_args!(
-                "service={service} requests={requests} granted={granted} refused={refused} \
+                "service={} requests={requests} granted={granted} refused={refused} \
                  left={left:.2} held={held} charged={charged:.2} share={share:.2} \
                  uncovered={:.2}",
+                Field(&service),
                 (charged - share).max(0.0)
             );
             log.line(events::REPEAT_BUDGET, fields);
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::Field;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::{stage_status, Progress, Reason, StageStatus};
@@ -119,7 +120,11 @@
 fn log_outdated_choice(cx: &Traffic, admitted: &Admitted, target: &Target, chosen_at: BootInstant) {
     let (request, target) = (&admitted.caller.request_id, &target.incarnation().id);
     let waited_ms = chosen_at.elapsed().as_millis();
-    let fields = format_args!("request={request} target={target} waited_ms={waited_ms}");
+    let fields = format_args!(
+        "request={} target={} waited_ms={waited_ms}",
+        Field(&request),
+        Field(&target)
+    );
     cx.log.line(events::CHOICE_OUTDATED, fields);
 }
 
--- a/crates/gateway/src/request/mod.rs
+++ b/crates/gateway/src/request/mod.rs
@@ -25,6 +25,7 @@
 use std::rc::Rc;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_observe::{events as catalogue, ErrorKind};
 use hollowsail_platform::headers;
 use hollowsail_routing::repeats::RepeatReason;
@@ -137,10 +138,10 @@
             catalogue::CALLER_LEFT,
             format_args!(
                 "request={} route={} phase={} ms={}",
-                admitted.caller.request_id,
-                admitted.route().name,
+                Field(&admitted.caller.request_id),
+                Field(&admitted.route().name),
                 waits_for.map_or("none", WaitsFor::name),
-                admitted.arrived.elapsed().as_millis(),
+                admitted.arrived.elapsed().as_millis()
             ),
         );
         let took = admitted.arrived.elapsed();
@@ -218,16 +219,17 @@
     cx.log.line(
         catalogue::REQUEST_ENDED,
         format_args!(
-            "request={} route={} status={} kind={kind} why=\"{detail}\" \
+            "request={} route={} status={} kind={kind} why={} \
              attempts={} target={} stages_ms={} ms={} view={}",
-            labels.request_id,
-            labels.route,
+            Field(&labels.request_id),
+            Field(&labels.route),
             status.as_u16(),
+            Quoted(&detail),
             stats.attempts,
-            stats.last_target,
+            Field(&stats.last_target),
             stats.stages_ms,
             took.as_millis(),
-            cx.view_number(),
+            cx.view_number()
         ),
     );
     metrics::count_request(labels.service, kind, status.as_u16(), took);
--- a/crates/gateway/src/request/pending.rs
+++ b/crates/gateway/src/request/pending.rs
@@ -4,6 +4,7 @@
 
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use slotmap::{new_key_type, SlotMap};
 
 use crate::log::Log;
@@ -96,7 +97,7 @@
         for request in self.0.borrow().values() {
             let fields = format_args!(
                 "request={} phase={} ms={}",
-                request.id,
+                Field(&request.id),
                 request.waits_for.name(),
                 request.since.elapsed().as_millis()
             );
--- a/crates/gateway/src/request/prepare/stage_run.rs
+++ b/crates/gateway/src/request/prepare/stage_run.rs
@@ -8,6 +8,7 @@
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::Field;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::Stage;
 use hollowsail_platform::pieces::{Piece, PieceFailure};
@@ -193,11 +194,12 @@
         self.cx.log.line(
             events::STAGE_MADE,
             format_args!(
-                "request={} stage={stage} service={} pieces={} last_maker={last_worker} ms={}",
-                self.admitted.caller.request_id,
-                self.admitted.deployment.service(service).name,
+                "request={} stage={stage} service={} pieces={} last_maker={} ms={}",
+                Field(&self.admitted.caller.request_id),
+                Field(&self.admitted.deployment.service(service).name),
                 self.admitted.caller.pieces.get(stage).copied().unwrap_or(0),
-                self.admitted.arrived.elapsed().as_millis(),
+                Field(&last_worker),
+                self.admitted.arrived.elapsed().as_millis()
             ),
         );
     }
--- a/crates/gateway/src/request/retry.rs
+++ b/crates/gateway/src/request/retry.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_routing::repeats::{RepeatReason, SendPermit, Work};
@@ -83,11 +84,11 @@
     cx.log.line(
         events::ATTEMPT_FAILED,
         format_args!(
-            "request={} content={} target={} progress={progress:?} why=\"{}\"",
-            admitted.caller.request_id,
+            "request={} content={} target={} progress={progress:?} why={}",
+            Field(&admitted.caller.request_id),
             admitted.digest(),
-            target.incarnation().id,
-            failure.reason,
+            Field(&target.incarnation().id),
+            Quoted(&failure.reason)
         ),
     );
     let outcome = match stage_status([progress]) {
@@ -120,8 +121,10 @@
     });
     let parts = admitted.prompt().labels();
     let fields = format_args!(
-        "request={request_id} content={digest} target={id} answering_ms={answering_ms} \
-         parts={parts}"
+        "request={} content={digest} target={} answering_ms={answering_ms} \
+         parts={parts}",
+        Field(&request_id),
+        Field(&id)
     );
     cx.log.line(events::TARGET_ENDED, fields);
     cx.crashes.target_crashed(cx, digest, run);
@@ -136,7 +139,7 @@
 fn record_target_failure(cx: &Rc<Traffic>, service: ServiceKey, target: &Target) {
     target.observe(Observation::Failed, 1);
     for ejected in cx.targets().eject_worst(service, cx.clock.now()) {
-        let fields = format_args!("target={} why=failures", ejected.incarnation().id);
+        let fields = format_args!("target={} why=failures", Field(&ejected.incarnation().id));
         cx.log.line(events::TARGET_EJECTED, fields);
     }
 }
--- a/crates/gateway/src/request/select.rs
+++ b/crates/gateway/src/request/select.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::Field;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::targets::Incarnation;
 use hollowsail_routing::warm_up::{BYPASS_SHARE, NO_SCHEDULER_SHARE};
@@ -396,18 +397,18 @@
         format_args!(
             "request={} target={} addr={} hall={} version={} reason={} candidates={candidates} \
              in_flight={} left_ms={} view={}",
-            admitted.caller.request_id,
-            target.incarnation().id,
+            Field(&admitted.caller.request_id),
+            Field(&target.incarnation().id),
             target.record.addr,
-            target.record.hall,
-            target.record.version,
+            Field(&target.record.hall),
+            Field(&target.record.version),
             reason.name(),
             target.in_flight.get(),
             admitted
                 .deadline
                 .saturating_since(BootInstant::now())
                 .as_millis(),
-            cx.view_number(),
+            cx.view_number()
         ),
     );
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use futures_util::stream;
 use hollowsail_clock::BootInstant;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::crashes::parts::SURVIVAL_MS;
@@ -201,11 +202,11 @@
             events::STREAM_ENDED,
             format_args!(
                 "request={} target={} by={end} framing={} after={} partial_bytes={}",
-                self.admitted.caller.request_id,
-                self.answer.target.incarnation().id,
+                Field(&self.admitted.caller.request_id),
+                Field(&self.answer.target.incarnation().id),
                 self.answer.body.framing().name(),
-                self.splitter.last_id().unwrap_or("none"),
-                self.splitter.partial_len(),
+                Field(&self.splitter.last_id().unwrap_or("none")),
+                self.splitter.partial_len()
             ),
         );
     }
@@ -229,9 +230,10 @@
         self.cx.log.line(
             events::ATTEMPT_FAILED,
             format_args!(
-                "request={} target={} progress=Broken why=\"{fault}\"",
-                self.admitted.caller.request_id,
-                self.answer.target.incarnation().id,
+                "request={} target={} progress=Broken why={}",
+                Field(&self.admitted.caller.request_id),
+                Field(&self.answer.target.incarnation().id),
+                Quoted(&fault)
             ),
         );
         Some(Err(fault))
@@ -300,11 +302,11 @@
         self.cx.log.line(
             events::STREAM_NOT_RESUMED,
             format_args!(
-                "request={} from={} kind={} why=\"{}\"",
-                self.admitted.caller.request_id,
-                self.answer.target.incarnation().id,
+                "request={} from={} kind={} why={}",
+                Field(&self.admitted.caller.request_id),
+                Field(&self.answer.target.incarnation().id),
                 refusal.kind.answer().name,
-                refusal.detail,
+                Quoted(&refusal.detail)
             ),
         );
         false
@@ -316,12 +318,12 @@
             events::STREAM_RESUMED,
             format_args!(
                 "request={} from={} from_version={} to={} to_version={} after={}",
-                self.admitted.caller.request_id,
-                self.answer.target.incarnation().id,
-                self.answer.target.record.version,
-                answer.target.incarnation().id,
-                answer.target.record.version,
-                after.unwrap_or("start"),
+                Field(&self.admitted.caller.request_id),
+                Field(&self.answer.target.incarnation().id),
+                Field(&self.answer.target.record.version),
+                Field(&answer.target.incarnation().id),
+                Field(&answer.target.record.version),
+                Field(&after.unwrap_or("start"))
             ),
         );
         // The new target sends the interrupted event again in full.
--- a/crates/gateway/src/request/stream_version.rs
+++ b/crates/gateway/src/request/stream_version.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hollowsail_observe::text::Field;
 use hollowsail_observe::{events, ErrorKind};
 use hollowsail_platform::deployment::ServiceKey;
 use hollowsail_routing::Millis;
@@ -217,10 +218,11 @@
     cx.log.line(
         events::STREAM_TAKEN_UP,
         format_args!(
-            "request={} resumes={} after={} version={version} known_by={known_by}",
-            caller.request_id,
-            caller.resumes.as_deref().unwrap_or("none"),
-            caller.last_event_id.as_deref().unwrap_or("none"),
+            "request={} resumes={} after={} version={} known_by={known_by}",
+            Field(&caller.request_id),
+            Field(&caller.resumes.as_deref().unwrap_or("none")),
+            Field(&caller.last_event_id.as_deref().unwrap_or("none")),
+            Field(&version)
         ),
     );
 }
--- a/crates/gateway/src/reservations/owner.rs
+++ b/crates/gateway/src/reservations/owner.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_stages::shares::MIN_WEIGHT;
 
 use super::messages::{ReservationCall, ReservationMessage, ReservationReply, Reserve};
@@ -43,7 +44,9 @@
             events::ROOM_WEIGHT,
             format_args!(
                 "queue={} organisation={:016x} weight={} used={MIN_WEIGHT}",
-                request.queue, request.organisation, request.weight
+                Field(&request.queue),
+                request.organisation,
+                request.weight
             ),
         );
     }
--- a/crates/gateway/src/rollouts/leader.rs
+++ b/crates/gateway/src/rollouts/leader.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_rollout::{Arm, Millis, Phase, Plan, Progress, Rollout, Step};
 use tokio::sync::oneshot;
 
@@ -52,9 +53,9 @@
             Step::RollBack(fault) => {
                 let fields = format_args!(
                     "service={} version={} order={} {fault}",
-                    active.service(),
-                    active.placed.order.version,
-                    active.placed.at,
+                    Field(&active.service()),
+                    Field(&active.placed.order.version),
+                    active.placed.at
                 );
                 cx.log.line(events::ROLLOUT_TAKEN_BACK, fields);
                 self.enter(cx, active, Phase::RolledBack, "evidence");
--- a/crates/gateway/src/rollouts/mod.rs
+++ b/crates/gateway/src/rollouts/mod.rs
@@ -18,6 +18,7 @@
 
 use hollowsail_fleet::rendezvous;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_rollout::{Arm, Millis, Outcome, Phase};
 use hollowsail_routing::Versions;
 use hollowsail_targets::Target;
@@ -140,8 +141,9 @@
         cx.log.line(
             events::ROLLOUT_ORDERED,
             format_args!(
-                "service={service} version={} within_ms={} at={}",
-                placed.order.version,
+                "service={} version={} within_ms={} at={}",
+                Field(&service),
+                Field(&placed.order.version),
                 placed.order.within.as_millis(),
                 placed.at
             ),
@@ -184,12 +186,12 @@
             events::ROLLOUT_PHASE,
             format_args!(
                 "service={} version={} order={} phase={} before={} by={by} elapsed_ms={}",
-                active.service(),
-                active.placed.order.version,
+                Field(&active.service()),
+                Field(&active.placed.order.version),
                 active.placed.at,
                 phase.name(),
                 before.name(),
-                active.elapsed_ms(cx.clock.now()),
+                active.elapsed_ms(cx.clock.now())
             ),
         );
         cx.propagate_targets();
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -7,6 +7,7 @@
 use actix_rt::Arbiter;
 use arc_swap::ArcSwap;
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::settings::{Listen, Settings};
 use snafu::{ResultExt, Snafu};
 use tokio::sync::oneshot;
@@ -142,7 +143,12 @@
         events::STARTED,
         format_args!(
             "callers={} readiness={} peers={} metrics={:?} hall={} run={:016x}",
-            addrs.callers, addrs.readiness, addrs.peers, addrs.metrics, hall, me.id.0
+            addrs.callers,
+            addrs.readiness,
+            addrs.peers,
+            addrs.metrics,
+            Field(&hall),
+            me.id.0
         ),
     );
     let control = Control::new(settings.clone(), me, clock, shared);
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use hollowsail_connect::{Connection, End, Exchange, OnEnd, Reuse, SendError};
 use hollowsail_observe::events;
+use hollowsail_observe::text::Field;
 use hollowsail_platform::headers::{self, TargetHeaders};
 use hollowsail_routing::repeats::{SendPermits, TrackedSend};
 use hollowsail_routing::Millis;
@@ -76,8 +77,8 @@
             metrics::count_abandoned(&record.service, end);
             let fields = format_args!(
                 "service={} target={} end={end} after_ms={}",
-                record.service,
-                record.incarnation.id,
+                Field(&record.service),
+                Field(&record.incarnation.id),
                 now - abandoned_at
             );
             cx.log.line(events::ABANDONED_SEND_ENDED, fields);
--- a/crates/gateway/src/target_reports.rs
+++ b/crates/gateway/src/target_reports.rs
@@ -32,6 +32,7 @@
 
 use hollowsail_fleet::SendTime;
 use hollowsail_observe::events;
+use hollowsail_observe::text::{Field, Quoted};
 use hollowsail_platform::headers::{
     AdvertisedLimit, MalformedHeader, TargetHeaders, OTHER_INCARNATION,
 };
@@ -84,7 +85,11 @@
     let rest = rest.map(|_| REFUSAL_BACKOFF);
     let backoff = head.retry_after.filter(|_| is_unavailable).max(rest);
     if let Some(backoff) = backoff.filter(|backoff| cx.record_backoff(incarnation, *backoff)) {
-        let fields = format_args!("target={} for_ms={}", incarnation.id, backoff.as_millis());
+        let fields = format_args!(
+            "target={} for_ms={}",
+            Field(&incarnation.id),
+            backoff.as_millis()
+        );
         cx.log.line(events::TARGET_RESTS, fields);
     }
 }
@@ -124,14 +129,18 @@
     for MalformedHeader { header, text } in &head.malformed {
         metrics::count_unusable_header(header);
         if cx.is_header_log_due(incarnation, header) {
-            let fields = format_args!("target={} word={header} text=\"{text}\"", incarnation.id);
+            let fields = format_args!(
+                "target={} word={header} text={}",
+                Field(&incarnation.id),
+                Quoted(&text)
+            );
             cx.log.line(events::TARGET_WORD_UNREADABLE, fields);
         }
     }
     for header in &head.unrecognised {
         metrics::count_unusable_header(header);
         if cx.is_header_log_due(incarnation, header) {
-            let fields = format_args!("target={} word={header}", incarnation.id);
+            let fields = format_args!("target={} word={header}", Field(&incarnation.id));
             cx.log.line(events::TARGET_WORD_UNKNOWN, fields);
         }
     }
@@ -330,7 +339,8 @@
     );
     let fields = format_args!(
         "target={} born={} per_s={per_s} asked_ms={sent_age} heard_ms={received_age} by={by}",
-        incarnation.id, incarnation.started,
+        Field(&incarnation.id),
+        incarnation.started
     );
     let event = match report.kind {
         LimitKind::Requests => events::TARGET_LIMIT,
@@ -342,7 +352,8 @@
 fn log_draining(cx: &Traffic, incarnation: &Incarnation, by: &str) {
     let fields = format_args!(
         "target={} born={} by={by}",
-        incarnation.id, incarnation.started
+        Field(&incarnation.id),
+        incarnation.started
     );
     cx.log.line(events::TARGET_LEAVES, fields);
 }
--- a/crates/observe/src/faults.rs
+++ b/crates/observe/src/faults.rs
@@ -3,12 +3,15 @@
 //! A panic ends its task and is logged with its place. Signals that a faulty instruction raises end
 //! the process, which has no other chance to say why.
 
+use std::any::Any;
+use std::backtrace::{Backtrace, BacktraceStatus};
 use std::ffi::{c_int, c_void};
 use std::io::{self, Cursor, Write};
 
 use libc::siginfo_t;
 
 use crate::events;
+use crate::text::OneLine;
 
 /// Signals of faulty instructions. The standard library reports those of faulty accesses to memory.
 const REPORTED_SIGNALS: [c_int; 3] = [libc::SIGILL, libc::SIGFPE, libc::SIGTRAP];
@@ -19,7 +22,6 @@
 
 /// Logs panics and fatal signals from now on; fails where a handler can't be installed.
 pub fn log_faults() -> io::Result<()> {
-    let print_message = std::panic::take_hook();
     std::panic::set_hook(Box::new(move |panic| {
         let event = events::PANICKED;
         let thread = std::thread::current();
@@ -34,11 +36,28 @@
             event.name,
             place.as_deref().unwrap_or("unknown")
         );
-        print_message(panic);
+        let message = payload_text(panic.payload());
+        // The standard library prints the same, with the message as it is.
+        eprintln!(
+            "\nthread '{}' panicked at {}:\n{}",
+            OneLine(name),
+            place.as_deref().unwrap_or("unknown"),
+            OneLine(message)
+        );
+        let trace = Backtrace::capture();
+        if trace.status() == BacktraceStatus::Captured {
+            eprintln!("stack backtrace:\n{trace}");
+        }
     }));
     REPORTED_SIGNALS.into_iter().try_for_each(install)
 }
 
+fn payload_text(payload: &dyn Any) -> &str {
+    let text = payload.downcast_ref::<&str>().copied();
+    let text = text.or_else(|| payload.downcast_ref::<String>().map(String::as_str));
+    text.unwrap_or("a value that is no text")
+}
+
 fn install(signal: c_int) -> io::Result<()> {
     let handler: extern "C" fn(c_int, *mut siginfo_t, *mut c_void) = end_by;
     // SAFETY: zero is a valid value of the structure, and the handler has the type that SA_SIGINFO
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,5 +1,6 @@
 //! Observability of the daemons: numbered log events, the closed list of error
-//! kinds, and the recorder behind the metrics address.
+//! kinds, the recorder behind the metrics address, and the escaping of text from
+//! outside.
 
 pub mod events;
 pub mod faults;
@@ -7,6 +8,8 @@
 pub mod log_throttle;
 pub mod output;
 pub mod recorder;
+pub mod text;
 
 pub use kinds::ErrorKind;
 pub use log_throttle::LogThrottle;
+pub use text::{Field, OneLine, Quoted};
--- a/crates/observe/tests/suite/main.rs
+++ b/crates/observe/tests/suite/main.rs
@@ -1,5 +1,6 @@
-//! Tests of the documented tables and of log throttling.
+//! Tests of the documented tables, of log throttling and of text in lines.
 
 mod catalogues;
 mod faults;
 mod log_throttle;
+mod text;
--- a/src/bin/hollowsail/main.rs
+++ b/src/bin/hollowsail/main.rs
@@ -7,7 +7,7 @@
 use argh::FromArgs;
 use hollowsail::Context;
 use hollowsail_observe::faults;
-use hollowsail_observe::output::LineOutput;
+use hollowsail_observe::output::{write_line, LineOutput};
 
 /// Serves multi-stage model pipelines.
 #[derive(FromArgs)]
@@ -35,6 +35,7 @@
 fn init_log(default_level: &str, to_output: bool) {
     let mut builder =
         env_logger::Builder::from_env(env_logger::Env::default().default_filter_or(default_level));
+    builder.format(write_line);
     if to_output {
         match LineOutput::open() {
             Ok(output) => {
--- a/tests/suite/gateway.rs
+++ b/tests/suite/gateway.rs
@@ -216,7 +216,7 @@
 }
 
 /// Sends a GET request with an id; returns the response.
-async fn get(addr: SocketAddr, path: &str, id: &str) -> std::io::Result<String> {
+pub(crate) async fn get(addr: SocketAddr, path: &str, id: &str) -> std::io::Result<String> {
     let mut stream = TcpStream::connect(addr).await?;
     let request = format!(
         "GET {path} HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: {id}\r\nConnection: close\r\n\r\n"
--- a/tests/suite/main.rs
+++ b/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod check;
 mod daemon;
 mod endless_answers;
+mod forged_lines;
 mod gateway;
 mod local_platform;
 mod mixed_builds;
