Escape names of other processes in what the commands print

Cause: `hollowsail status` and the other commands printed names, versions and errors from other processes as they were, so that a name could command the operator's terminal or print lines of its own.

Change: Context::print and print_error write exactly one line and escape what a terminal obeys. Faults of files are printed a line each, and the report as JSON with \u escapes, which read back as the same values.

--- a/crates/config/src/fault.rs
+++ b/crates/config/src/fault.rs
@@ -40,6 +40,14 @@
         faults.sort_by(|a, b| (&a.file, a.line, &a.field).cmp(&(&b.file, b.line, &b.field)));
         Faults(faults)
     }
+
+    /// How many faults there are, and what to do.
+    pub fn advice(&self) -> String {
+        format!(
+            "{} fault(s); nothing was changed. Correct them and try again.",
+            self.0.len()
+        )
+    }
 }
 
 impl fmt::Display for Faults {
@@ -47,11 +55,7 @@
         for fault in &self.0 {
             writeln!(f, "{fault}")?;
         }
-        write!(
-            f,
-            "{} fault(s); nothing was changed. Correct them and try again.",
-            self.0.len()
-        )
+        f.write_str(&self.advice())
     }
 }
 
--- a/src/ops/apply.rs
+++ b/src/ops/apply.rs
@@ -51,8 +51,9 @@
     {
         Ok(result) => print_result(cx, &request.apply_id, result),
         Err(err) => {
+            cx.print_error(format_args!("error: {err}"));
             cx.print_error(format_args!(
-                "error: {err}\nIt may have been accepted: apply again with --base {} --id {}",
+                "It may have been accepted: apply again with --base {} --id {}",
                 request.base, request.apply_id
             ));
             Exit::CannotRun
@@ -76,7 +77,7 @@
             Exit::Failure
         }
         ApplyResult::Faulty { faults } => {
-            cx.print_error(Faults(faults));
+            cx.print_faults(&Faults(faults));
             Exit::Failure
         }
         ApplyResult::Conflict {
--- a/src/ops/check.rs
+++ b/src/ops/check.rs
@@ -34,7 +34,7 @@
             Exit::Success
         }
         Err(faults) => {
-            cx.print_error(faults);
+            cx.print_faults(&faults);
             Exit::Failure
         }
     }
--- a/src/ops/entry.rs
+++ b/src/ops/entry.rs
@@ -21,7 +21,7 @@
     let settings = match Settings::read(&source) {
         Ok(settings) => settings,
         Err(faults) => {
-            cx.print_error(faults);
+            cx.print_faults(&faults);
             return Exit::CannotRun;
         }
     };
--- a/src/ops/local.rs
+++ b/src/ops/local.rs
@@ -4,6 +4,7 @@
 
 use hollowsail_config::Deployment;
 use hollowsail_local::caller::Request;
+use hollowsail_local::fleet::LocalError;
 use hollowsail_local::{read_directory, Caller, LocalFleet, LocalOptions, Once, OPERATOR_KEY};
 use hollowsail_routing::Outcome;
 use serde_json::json;
@@ -37,6 +38,10 @@
         };
         let fleet = match LocalFleet::start(&files, options).await {
             Ok(fleet) => fleet,
+            Err(LocalError::Check { source }) => {
+                cx.print_faults(&source);
+                return Exit::CannotRun;
+            }
             Err(err) => {
                 cx.print_error(format_args!("error: {err}"));
                 return Exit::CannotRun;
--- a/src/ops/local_platform.rs
+++ b/src/ops/local_platform.rs
@@ -50,6 +50,10 @@
     match try_run(cx, local).await {
         Ok(true) => Exit::Success,
         Ok(false) => Exit::Failure,
+        Err(LocalError::Site { source }) => {
+            cx.print_faults(&source);
+            Exit::CannotRun
+        }
         Err(err) => {
             cx.print_error(format_args!("error: {err}"));
             Exit::CannotRun
--- a/src/ops/status.rs
+++ b/src/ops/status.rs
@@ -19,9 +19,8 @@
         }
     };
     if json {
-        match serde_json::to_string_pretty(&report) {
-            Ok(text) => cx.print(text),
-            Err(err) => cx.print_error(format_args!("error: {err}")),
+        if let Err(err) = cx.print_json(&report) {
+            cx.print_error(format_args!("error: {err}"));
         }
     } else {
         print(cx, &report);
--- a/tests/suite/output.rs
+++ b/tests/suite/output.rs
@@ -3,10 +3,12 @@
 use expect_test::expect;
 use hollowsail::ops::{apply, call, status};
 use hollowsail::{Context, Exit};
+use hollowsail_config::{Fault, Faults};
 use hollowsail_entry::apply::ApplyResult;
 use hollowsail_entry::control::messages::{MemberStatus, TargetStatus};
 use hollowsail_entry::control::StatusReport;
 use hollowsail_entry::{AnswerBody, ErrorKind, StageReport};
+use hollowsail_observe::text::is_unprintable;
 use hollowsail_routing::StageStatus;
 use serde_json::json;
 
@@ -147,3 +149,51 @@
     "#]]
     .assert_eq(&captured(|cx| status::print(cx, &report)));
 }
+
+/// Guards against names that command the operator's terminal or print lines of their own.
+#[test]
+fn names_of_other_processes_stay_in_their_line() {
+    let odd = "a\u{1b}[2J\r\n\u{9b}\u{202e}b";
+    let member = MemberStatus {
+        name: odd.into(),
+        hall: odd.into(),
+        incarnation: "1f".into(),
+        health: "Alive".into(),
+        stopping: "No".into(),
+        revision: 3,
+        heard_ms_ago: None,
+    };
+    let report = StatusReport {
+        entry: odd.into(),
+        revision: 3,
+        revision_age_ms: None,
+        apply_id: Some(odd.into()),
+        standing: odd.into(),
+        store_age_ms: None,
+        ledger_open: 0,
+        ledger_records: 0,
+        members: vec![member],
+        targets: vec![],
+    };
+    let fault = Fault {
+        file: odd.into(),
+        line: 1,
+        field: odd.into(),
+        message: odd.into(),
+    };
+    let printed = captured(|cx| {
+        status::print(cx, &report);
+        cx.print_faults(&Faults(vec![fault]));
+    });
+    assert_eq!(printed.lines().count(), 8, "{printed}");
+    let is_raw = |c: char| c != '\n' && is_unprintable(c);
+    assert!(!printed.contains(is_raw), "{printed:?}");
+    assert!(
+        printed.contains(r"a\u{1b}[2J\r\n\u{9b}\u{202e}b"),
+        "{printed}"
+    );
+    let json = captured(|cx| cx.print_json(&report).expect("the report is JSON"));
+    assert!(!json.contains(is_raw), "{json:?}");
+    let read: StatusReport = serde_json::from_str(&json).expect("the output is JSON");
+    assert_eq!((read.entry.as_str(), read.standing.as_str()), (odd, odd));
+}
