Refuse names, handles and event ids that no header can hold

Cause: a value that isn't a header value was left out of a request without a word (`if let Ok(value) = HeaderValue::from_str(..)`), and values with blanks at their ends, which readers trim, or commas in a list were sent as others. What callers saw: a target whose id holds a line feed, NUL or DEL got requests without X-Expect-Instance, so that they ran at any process at its address; a stream whose last event had an id with NUL was resumed without Last-Event-Id, and began anew inside the same answer; a handle with a comma became two inputs, one with a control character dropped X-Inputs as a whole; an id of invalid UTF-8 was replaced by another one.

`rewrite_for_target`, `run_request` and `release_request` return an error instead of a request that means another thing (handles and records also come from peers of other builds). It becomes SendError::Unsendable: nothing is sent, no target is blamed, and the permit is given back.

Why it works: no request is made from a value that wasn't checked, as the check makes the header value, and a request that can't be made isn't sent.

--- a/crates/connect/src/pool.rs
+++ b/crates/connect/src/pool.rs
@@ -87,6 +87,9 @@
         /// When the request may be sent again.
         retry_after: Duration,
     },
+    /// A value of the request can't be sent.
+    #[snafu(display("nothing was sent: a value of the request to {addr} is invalid: {reason}"))]
+    Unsendable { addr: SocketAddr, reason: String },
     /// The request was withdrawn while it had no connection.
     #[snafu(display("nothing was sent: {addr} is no longer wanted"))]
     Withdrawn { addr: SocketAddr },
--- a/crates/gateway/src/pools/call.rs
+++ b/crates/gateway/src/pools/call.rs
@@ -430,10 +430,14 @@
     }
     let handles = releases.iter().map(|release| release.handle.clone());
     let handles: Vec<String> = handles.collect();
-    let req = pieces::release_request(target.incarnation(), &call_id(), &handles);
-    let call = target_calls::call_to_clean_up(&cx, &target, req, MAX_RESPONSE_BYTES);
-    let answer = tokio::time::timeout(RELEASE_TIMEOUT, call).await;
-    let is_answered = matches!(answer, Ok(Ok(answer)) if answer.status == StatusCode::OK);
+    let is_answered = match pieces::release_request(target.incarnation(), &call_id(), &handles) {
+        Ok(req) => {
+            let call = target_calls::call_to_clean_up(&cx, &target, req, MAX_RESPONSE_BYTES);
+            let answer = tokio::time::timeout(RELEASE_TIMEOUT, call).await;
+            matches!(answer, Ok(Ok(answer)) if answer.status == StatusCode::OK)
+        }
+        Err(_) => false,
+    };
     if !is_answered {
         log::debug!(
             "results at {} may not be released; the target drops them after its retention time",
--- a/crates/gateway/src/request/attempt.rs
+++ b/crates/gateway/src/request/attempt.rs
@@ -8,11 +8,12 @@
 use hollowsail_clock::BootInstant;
 use hollowsail_connect::{Reuse, SendError};
 use hollowsail_platform::deployment::Repeat;
-use hollowsail_platform::headers::{self, TargetHeaders, TargetRequestHeaders};
+use hollowsail_platform::headers::{self, InvalidValue, TargetHeaders, TargetRequestHeaders};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::repeats::SendPermit;
 use hollowsail_routing::Progress;
 use hollowsail_targets::{InFlight, Target};
+use http::header::HeaderValue;
 use http::response::Parts;
 use http::{Request, StatusCode};
 use http_body_util::Full;
@@ -52,6 +53,8 @@
     Rejected,
     /// No connection became free in time.
     NotInTime,
+    /// A value of the request can't be sent.
+    Unsendable,
     /// The targets changed before the request was sent, so that another one may be better.
     TargetsChanged,
 }
@@ -132,6 +135,7 @@
             SendError::NoConnection { retry_after, .. } => {
                 (Some(Unconnected::NotInTime), Some(*retry_after))
             }
+            SendError::Unsendable { .. } => (Some(Unconnected::Unsendable), None),
             SendError::Withdrawn { .. } => (Some(Unconnected::TargetsChanged), None),
             _ => (None, None),
         };
@@ -168,7 +172,7 @@
     /// deadline if `None`.
     pub timeout: Option<Duration>,
     /// Id of the event after which the stream is resumed.
-    pub resume_after: Option<&'a str>,
+    pub resume_after: Option<&'a HeaderValue>,
     /// Prompt tokens to prefill.
     pub prefill_tokens: u64,
 }
@@ -261,7 +265,7 @@
     admitted: &Admitted,
     target: &Target,
     options: &AttemptOptions<'_>,
-) -> Request<Full<bytes::Bytes>> {
+) -> Result<Request<Full<bytes::Bytes>>, InvalidValue> {
     let is_engine = admitted.caller.generation.is_some();
     let to = TargetRequestHeaders {
         incarnation: target.incarnation(),
@@ -275,8 +279,8 @@
     let mut req = Request::new(Full::from(admitted.body.clone()));
     *req.method_mut() = admitted.head.method.clone();
     *req.uri_mut() = path.map_or_else(http::Uri::default, |path| path.clone().into());
-    *req.headers_mut() = headers::rewrite_for_target(&admitted.head.headers, &to);
-    req
+    *req.headers_mut() = headers::rewrite_for_target(&admitted.head.headers, &to)?;
+    Ok(req)
 }
 
 /// Checks that the answer carries the request's id and, if successful, the seal.
--- a/crates/gateway/src/request/dispatch.rs
+++ b/crates/gateway/src/request/dispatch.rs
@@ -11,6 +11,7 @@
 use hollowsail_platform::deployment::Repeat;
 use hollowsail_routing::{stage_status, Progress, Reason, StageStatus};
 use hollowsail_targets::Target;
+use http::header::HeaderValue;
 
 use super::admit::Admitted;
 use super::attempt::{self, AttemptOptions, TargetAnswer, Unconnected};
@@ -58,7 +59,7 @@
     admitted: &Admitted,
     prepared: &Prepared,
     attempts: &mut Attempts,
-    resume_after: Option<&str>,
+    resume_after: Option<&HeaderValue>,
 ) -> Result<TargetAnswer, Refusal> {
     loop {
         if admitted.remaining().is_zero() {
@@ -141,7 +142,7 @@
     admitted: &Admitted,
     prepared: &'a Prepared,
     timeout: Option<Duration>,
-    resume_after: Option<&'a str>,
+    resume_after: Option<&'a HeaderValue>,
 ) -> AttemptOptions<'a> {
     let generation = admitted.caller.generation.as_ref();
     AttemptOptions {
--- a/crates/gateway/src/request/event_splitter.rs
+++ b/crates/gateway/src/request/event_splitter.rs
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     partial: BytesMut,
-    last_id: Option<String>,
+    last_id: Option<Bytes>,
     has_events: bool,
 }
 
@@ -34,7 +34,7 @@
     }
 
     /// Id of the last complete event that had one.
-    pub fn last_id(&self) -> Option<&str> {
+    pub fn last_id(&self) -> Option<&[u8]> {
         self.last_id.as_deref()
     }
 
@@ -91,9 +91,9 @@
 }
 
 /// The value of the last `id` field.
-fn last_id(events: &[u8]) -> Option<String> {
+fn last_id(events: &[u8]) -> Option<Bytes> {
     events
         .rsplit(|byte| matches!(byte, b'\n' | b'\r'))
         .find_map(|line| line.strip_prefix(b"id:"))
-        .map(|value| String::from_utf8_lossy(value).trim().to_string())
+        .map(|value| Bytes::copy_from_slice(value.trim_ascii()))
 }
--- a/crates/gateway/src/request/stream.rs
+++ b/crates/gateway/src/request/stream.rs
@@ -11,10 +11,11 @@
 use futures_util::stream;
 use hollowsail_clock::BootInstant;
 use hollowsail_observe::{events, ErrorKind};
+use hollowsail_platform::headers::{value_of, InvalidValue};
 use hollowsail_rollout::Outcome;
 use hollowsail_routing::crashes::parts::SURVIVAL_MS;
 use hollowsail_routing::Observation;
-use http::{header, HeaderMap, Response};
+use http::{header, HeaderMap, HeaderValue, Response};
 use http_body::Frame;
 use http_body_util::StreamBody;
 
@@ -204,7 +205,7 @@
                 self.admitted.caller.request_id,
                 self.answer.target.incarnation().id,
                 self.answer.body.framing().name(),
-                self.splitter.last_id().unwrap_or("none"),
+                String::from_utf8_lossy(self.splitter.last_id().unwrap_or(b"none")),
                 self.splitter.partial_len(),
             ),
         );
@@ -262,11 +263,13 @@
             let detail = format!("no other target runs version {version}");
             return self.log_not_resumed(&Refusal::new(ErrorKind::NoTarget, detail));
         }
-        let after = self
-            .splitter
-            .last_id()
-            .or(self.admitted.caller.last_event_id.as_deref());
-        let after = after.map(str::to_string);
+        let after = match self.resume_point() {
+            Ok(after) => after,
+            Err(fault) => {
+                let detail = format!("the id of the last event can't be sent: {fault}");
+                return self.log_not_resumed(&Refusal::new(ErrorKind::TargetFailed, detail));
+            }
+        };
         let prepared = match self.prepared.take() {
             Some(prepared) => prepared,
             None => match prepare::run(
@@ -282,7 +285,7 @@
             },
         };
         let attempts = &mut self.attempts;
-        let next = dispatch::next_answer(cx, admitted, &prepared, attempts, after.as_deref());
+        let next = dispatch::next_answer(cx, admitted, &prepared, attempts, after.as_ref());
         let answer = match next.await {
             Ok(answer) => answer,
             Err(refusal) => return self.log_not_resumed(&refusal),
@@ -291,10 +294,17 @@
         if !answer.parts.status.is_success() {
             return false;
         }
-        self.continue_with(answer, after.as_deref());
+        self.continue_with(answer, after.as_ref());
         true
     }
 
+    /// Id of the event that the next target is to resume after; `None` to begin at the start.
+    fn resume_point(&self) -> Result<Option<HeaderValue>, InvalidValue> {
+        let from_caller = self.admitted.caller.last_event_id.as_deref();
+        let last = self.splitter.last_id().or(from_caller.map(str::as_bytes));
+        last.map(value_of).transpose()
+    }
+
     /// Logs why a stream could not be resumed.
     fn log_not_resumed(&self, refusal: &Refusal) -> bool {
         self.cx.log.line(
@@ -311,7 +321,7 @@
     }
 
     /// Continues the stream with another target's answer.
-    fn continue_with(&mut self, answer: TargetAnswer, after: Option<&str>) {
+    fn continue_with(&mut self, answer: TargetAnswer, after: Option<&HeaderValue>) {
         self.cx.log.line(
             events::STREAM_RESUMED,
             format_args!(
@@ -321,7 +331,7 @@
                 self.answer.target.record.version,
                 answer.target.incarnation().id,
                 answer.target.record.version,
-                after.unwrap_or("start"),
+                String::from_utf8_lossy(after.map_or(b"start", HeaderValue::as_bytes)),
             ),
         );
         // The new target sends the interrupted event again in full.
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use hollowsail_connect::{Connection, End, Exchange, OnEnd, Reuse, SendError};
 use hollowsail_observe::events;
-use hollowsail_platform::headers::{self, TargetHeaders};
+use hollowsail_platform::headers::{self, InvalidValue, TargetHeaders};
 use hollowsail_routing::repeats::{SendPermits, TrackedSend};
 use hollowsail_routing::Millis;
 use hollowsail_targets::Target;
@@ -149,13 +149,13 @@
 
 /// Sends new work and waits for the headers of its answer, on `connection` if the request waited
 /// for one ([`crate::connections`]). The request is made once there is a connection, so that the time
-/// that it leaves is current. Withdraws it if the target leaves, or `may_send` is false, before
+/// that it leaves is current; nothing is sent if it can't be made. Withdraws it if the target leaves, or `may_send` is false, before
 /// it is sent. The caller bounds the time; dropping the future closes the connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
     connection: Option<Connection>,
-    make_req: impl FnOnce() -> Request<Full<Bytes>>,
+    make_req: impl FnOnce() -> Result<Request<Full<Bytes>>, InvalidValue>,
     reuse: Reuse,
     permits: SendPermits,
     may_send: impl Fn() -> bool,
@@ -165,10 +165,22 @@
         Some(connection) => (connection, permits),
         None => connect(target, reuse, permits).await?,
     };
+    let req = match make_req() {
+        Ok(req) => req,
+        Err(fault) => {
+            return Err(Unanswered {
+                permits: Some(permits),
+                error: SendError::Unsendable {
+                    addr: target.record.addr,
+                    reason: fault.to_string(),
+                },
+            })
+        }
+    };
     let is_wanted = || cx.is_in_use(target) && is_valid(&permits) && may_send();
     let sending = Sending::begin(cx, target, &permits, connection.is_relayed());
     let on_end = Some(sending.on_end());
-    let sent = send_if(cx, target, connection, make_req(), reuse, is_wanted, on_end).await;
+    let sent = send_if(cx, target, connection, req, reuse, is_wanted, on_end).await;
     match sent {
         Ok(answer) => {
             sending.answered();
@@ -250,7 +262,7 @@
 pub async fn call(
     cx: &Rc<Traffic>,
     target: &Target,
-    make_req: impl FnOnce() -> Request<Full<Bytes>>,
+    make_req: impl FnOnce() -> Result<Request<Full<Bytes>>, InvalidValue>,
     max_bytes: usize,
     permits: SendPermits,
 ) -> Result<CompleteAnswer, Unanswered> {
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -21,6 +21,7 @@
 mod limits;
 mod mechanisms;
 mod metrics;
+mod names_in_headers;
 mod odd_values;
 mod odd_values_fuzzed;
 mod regions;
