Add a soak with entries of other writers in the store

No soak kept entries with odd keys or large values in the store, so that gateways that panicked at one, or read their lists short, passed all of them.

A target is added in each phase. After each, once the run has settled: every target whose service spreads its load gets work, and each undisturbed gateway serves each route. Besides: no gateway takes 20 s to be ready, pages of lists stay within what starts and the store's disturbances explain, memory stays below memory_mb, no log tells of a panic, and the checks of the other soaks. Engines are chosen by prompt, so that some may rightly get nothing; their route is judged instead.

--- a/crates/bench/src/commands/soak.rs
+++ b/crates/bench/src/commands/soak.rs
@@ -93,6 +93,11 @@
     #[argh(switch)]
     spoiling_targets: bool,
 
+    /// play only entries of other writers in the store, with odd keys and large values, beside a lost
+    /// history, a restored store, and gateways that start again; --seconds has no effect
+    #[argh(switch)]
+    foreign_entries: bool,
+
     /// bandwidth of the link of each small host, in megabits per second
     #[argh(option, default = "10.0")]
     link_mbps: f64,
@@ -129,6 +134,7 @@
                 quick_restarts: self.quick_restarts,
                 stage_load: self.stage_load,
                 spoiling_targets: self.spoiling_targets,
+                foreign_entries: self.foreign_entries,
                 link_mbps: self.link_mbps,
                 whole_cores: self.whole_cores,
             };
--- a/crates/bench/src/soak/mod.rs
+++ b/crates/bench/src/soak/mod.rs
@@ -17,6 +17,7 @@
 mod cut;
 mod departures;
 mod failing_targets;
+mod foreign_entries;
 mod fragile;
 mod grants;
 mod joining_hosts;
@@ -93,6 +94,8 @@
     pub stage_load: bool,
     /// Targets that are processes of their own and spoil their answers.
     pub spoiling_targets: bool,
+    /// Entries of other writers in the store, beside gateways that start again.
+    pub foreign_entries: bool,
     /// Small hosts have a whole core, so that only their links are narrow.
     pub whole_cores: bool,
 }
@@ -157,6 +160,9 @@
     if options.spoiling_targets {
         return spoiling_targets::run(options).await;
     }
+    if options.foreign_entries {
+        return foreign_entries::run(options).await;
+    }
     let plan = SoakPlan::draw(options.seed, options.seconds, options.entries);
     let fleet = Rc::new(Fleet::start(options, &plan, HostLimits::default()).await?);
     let load = Load::start(options, &plan, &fleet);
--- a/crates/bench/src/soak/processes.rs
+++ b/crates/bench/src/soak/processes.rs
@@ -4,7 +4,7 @@
 //! records exits, restarts and the platform's events.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::fs::File;
 use std::io::{BufWriter, Write};
 use std::net::SocketAddr;
@@ -33,7 +33,7 @@
 use super::{FolderSnafu, SoakError, SoakOptions, StartSnafu};
 
 /// Time limit for the platform or a gateway to become ready.
-const READY_TIMEOUT: Duration = Duration::from_secs(20);
+pub const READY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time limit for a gateway to exit after a signal, with a margin for one that is paused.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(GRACE_S as u64 + 4);
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -91,6 +91,12 @@
     pub cut_from: Option<Instant>,
     pub cut_until: Option<Instant>,
     pub started: Option<Instant>,
+    /// Pages of lists that each gateway has read.
+    pub list_calls: HashMap<usize, u64>,
+    /// Largest memory of each gateway, in megabytes.
+    pub max_memory_mb: HashMap<usize, u64>,
+    /// Lines of gateways' logs that tell of a panic.
+    pub panics: Vec<String>,
     /// When this process, which the callers run in, was late, and by how much.
     pub lags: Vec<(Instant, Duration)>,
 }
@@ -165,6 +171,7 @@
     piece: Option<u64>,
     given_ms: Option<u64>,
     call: Option<String>,
+    calls: Option<u64>,
     host: Option<usize>,
     bound_ms: Option<u64>,
     reason: Option<String>,
@@ -304,6 +311,7 @@
                 });
             }
             self.record_unexpected_exits();
+            self.record_memory();
             tokio::time::sleep(READINESS_POLL_INTERVAL).await;
         }
     }
@@ -321,6 +329,16 @@
         }
     }
 
+    fn record_memory(&self) {
+        let mut observations = self.observations.borrow_mut();
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            let id = gateway.child.borrow().as_ref().and_then(Child::id);
+            let resident_mb = id.and_then(resident_mb).unwrap_or_default();
+            let max_mb = observations.max_memory_mb.entry(index).or_default();
+            *max_mb = resident_mb.max(*max_mb);
+        }
+    }
+
     /// Injects the gateway faults on schedule and returns at the end of the run.
     pub async fn run_faults(self: &Rc<Self>, plan: &SoakPlan) {
         let polling = actix_rt::spawn(self.clone().poll_readiness());
@@ -482,6 +500,7 @@
             }
         }
         let mut observations = self.observations.take();
+        observations.panics = read_panics(&self.folder);
         match GrantLog::read(&self.folder) {
             Ok(grants) => observations.grants = grants,
             Err(err) => {
@@ -550,6 +569,31 @@
     }
 }
 
+/// Resident memory of a process, in megabytes.
+fn resident_mb(pid: u32) -> Option<u64> {
+    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status
+        .lines()
+        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+    let kb: u64 = line.trim().strip_suffix(" kB")?.parse().ok()?;
+    Some(kb / 1_024)
+}
+
+/// Lines that tell of a panic, in the logs of gateways.
+fn read_panics(folder: &Path) -> Vec<String> {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    let paths = files.map(|file| file.path());
+    let logs = paths.filter(|path| path.extension().is_some_and(|extension| extension == "log"));
+    let mut panics = Vec::new();
+    for path in logs {
+        let log = std::fs::read(&path).unwrap_or_default();
+        let log = String::from_utf8_lossy(&log);
+        let lines = log.lines().filter(|line| line.contains("panicked"));
+        panics.extend(lines.map(|line| format!("{}: {line}", path.display())));
+    }
+    panics
+}
+
 fn folder_for(options: &SoakOptions) -> Result<PathBuf, SoakError> {
     let name = format!("soak-{}-{}", options.seed, std::process::id());
     let folder = options.folder.clone();
@@ -657,6 +701,7 @@
                     at: Duration::from_millis(event.at_ms),
                 })),
             ("late_send", _) => observations.late_sends.extend(late_send),
+            ("list_calls", _) => observations.list_calls.extend(event.host.zip(event.calls)),
             ("fatal_crash", _) => observations.fatal_crashes.push(Instant::now()),
             ("late_fatal_request", _) => {
                 let late = event.host.map(|entry| (entry, Instant::now()));
--- a/crates/bench/src/soak/report.rs
+++ b/crates/bench/src/soak/report.rs
@@ -53,6 +53,16 @@
     Owners,
     /// Attempts that ran at more targets than their routes allow.
     AttemptTargets,
+    /// A target in the store that got no work.
+    IdleTarget,
+    /// A gateway that served a route too little.
+    Unserved,
+    /// More pages of lists read than starts explain.
+    ListCalls,
+    /// A gateway that took more memory than its settings allow.
+    Memory,
+    /// A panic in a gateway's log.
+    Panic,
     /// Work that targets were given more time for than remained.
     GivenTime,
 }
@@ -80,6 +90,11 @@
             FailureKind::Ungranted => "repeats are granted",
             FailureKind::Owners => "a queue has one owner",
             FailureKind::AttemptTargets => "attempts within their number of targets",
+            FailureKind::IdleTarget => "target without work",
+            FailureKind::Unserved => "served too little",
+            FailureKind::ListCalls => "reads of lists end",
+            FailureKind::Memory => "memory of gateways",
+            FailureKind::Panic => "panic",
             FailureKind::GivenTime => "time that targets are given",
             FailureKind::StreamEvents => "events of a stream",
             FailureKind::StreamsNotResumed => "streams not resumed",
