Let the panic hook outlive a closed standard error

Cause: the hook writes the message itself since it escapes it, by eprintln, which panics where standard error can't be written; a panic in the hook ends the process.

Change: the result of the writes is ignored, as in the standard library's hook. By reading; the observe suite passes, 12 of 12.

--- a/crates/observe/src/faults.rs
+++ b/crates/observe/src/faults.rs
@@ -38,7 +38,10 @@
         );
         let message = payload_text(panic.payload());
         // The standard library prints the same, with the message as it is.
-        eprintln!(
+        // Standard error may be closed; a hook that panics would end the process.
+        let mut stderr = io::stderr();
+        let _written = writeln!(
+            stderr,
             "\nthread '{}' panicked at {}:\n{}",
             OneLine(name),
             place.as_deref().unwrap_or("unknown"),
@@ -46,7 +49,7 @@
         );
         let trace = Backtrace::capture();
         if trace.status() == BacktraceStatus::Captured {
-            eprintln!("stack backtrace:\n{trace}");
+            let _written = writeln!(stderr, "stack backtrace:\n{trace}");
         }
     }));
     REPORTED_SIGNALS.into_iter().try_for_each(install)
