Go on with what is known while a list can't be completed

What callers saw: a gateway that starts while one list in the store can't be read to its end serves nothing. If it is the operators' list, it isn't ready either, for as long as that stands, though the configuration was in the pages that it read, or at its peers.

Cause: errors of the store's client that aren't outages went to store_failed, which passes over all but outages: no line, no count. A list took effect only as a whole (but for targets), and peers were asked only while the store was away. The list was read again every 300 to 600 ms, all of its pages each time, and after a lost history without a pause.

- list_unreadable (HS0323) names the list, the cause with the key, and how often in a row: the first time, then every 30 s. hollowsail_list_faults_total counts them.
- What was read of the operators' and entries' lists is applied; what is missing from it stays.
Targets took effect page by page before.
- Peers are asked for the lists that can't be completed, and for these alone.
- Pauses grow to 5 s, and begin anew once changes arrive or the list was followed for 5 s.
A second lost history without a change between pauses, too.
A watch needs the position of a whole list, so that changes are seen only by reads: a configuration that comes while its list can't be completed takes up to 5 s, or comes from a peer.
- hollowsail_list_followed shows the state.
Readiness is as before: one that waits for whole lists would take a fleet out at once that restarts while the store is away, and a deployment without targets can't be told from one whose list isn't read yet.

--- a/crates/gateway/src/control/follow.rs
+++ b/crates/gateway/src/control/follow.rs
@@ -12,9 +12,10 @@
 
 use hollowsail_fleet::Position;
 use hollowsail_observe::events;
-use hollowsail_platform::store::{Changes, Item, Range, StoreError};
+use hollowsail_platform::store::{Change, Changes, Item, Range, StoreError};
 
 use super::backoff::Backoff;
+use super::list_faults::{self, ListFaults};
 use super::source::{Origin, Received};
 use super::Control;
 use crate::feed::KeyGroup;
@@ -42,6 +43,8 @@
     pub probes: bool,
     /// Applies one page of the list as soon as it is read.
     pub on_page: fn(&Rc<Control>, &[Item]),
+    /// Applies what was read of a list that can't be completed; what is missing from it stays.
+    pub on_part: fn(&Rc<Control>, &Changes),
     /// Applies the whole list.
     pub on_list: fn(&Rc<Control>, &Range),
     /// Applies changes. Returns the pause before the next watch, which lets successive
@@ -52,19 +55,25 @@
 /// Follows the keys until the thread ends.
 pub async fn follow(cx: Rc<Control>, subscription: Subscription) {
     let mut backoff = Backoff::default();
+    let mut faults = ListFaults::new(subscription.keys);
     let is_first = cx.lists.freshness(subscription.keys, 0).is_none();
     let mut allow_stale = subscription.allow_stale_start && is_first;
     loop {
-        let result = follow_once(&cx, &subscription, allow_stale, &mut backoff).await;
+        let result = follow_once(&cx, &subscription, allow_stale, &mut backoff, &mut faults).await;
         allow_stale = false;
         match result {
             Ok(()) => {}
-            Err(StoreError::HistoryLost) => cx.delay_in_new_epoch(subscription.keys).await,
+            Err(StoreError::HistoryLost) => {
+                faults.history_lost().await;
+                cx.delay_in_new_epoch(subscription.keys).await;
+            }
             Err(err) => {
                 cx.store_failed(&err);
                 cx.lists
                     .set_activity(subscription.keys, Activity::BackingOff);
-                backoff.pause().await;
+                if !faults.pause_after(&cx, &err).await {
+                    backoff.pause().await;
+                }
                 if !subscription.probes {
                     cx.lists
                         .set_activity(subscription.keys, Activity::AwaitingStore);
@@ -81,7 +90,9 @@
     subscription: &Subscription,
     allow_stale: bool,
     backoff: &mut Backoff,
+    faults: &mut ListFaults,
 ) -> Result<(), StoreError> {
+    faults.begin();
     cx.lists.set_activity(subscription.keys, Activity::Reading);
     let mut position = match read_all(cx, subscription, allow_stale).await? {
         ListSource::Store(range) => cx.apply_list(subscription, &range),
@@ -92,13 +103,15 @@
         }
     };
     backoff.reset();
+    faults.record_list(cx);
     cx.confirm_list(subscription.keys, position);
     cx.lists.set_activity(subscription.keys, Activity::Watching);
     loop {
-        match cx
+        let received = cx
             .next_changes(subscription.keys, subscription.prefix, position)
-            .await?
-        {
+            .await?;
+        faults.record_changes();
+        match received {
             (Received::Changes(changes), origin) => {
                 position = changes.at;
                 cx.confirm_list(subscription.keys, position);
@@ -122,6 +135,14 @@
     }
 }
 
+/// Items of a list as changes that put them.
+fn puts_of(range: Range) -> Changes {
+    Changes {
+        changes: range.items.into_iter().map(Change::Put).collect(),
+        at: range.at,
+    }
+}
+
 /// Where a complete list was read.
 enum ListSource {
     Store(Range),
@@ -149,7 +170,15 @@
                 return Ok(ListSource::HallPeer(at));
             }
         }
-        let items = reading.next_page().await?;
+        let items = match reading.next_page().await {
+            Ok(items) => items,
+            Err(err) => {
+                if list_faults::may_stand(&err) {
+                    (subscription.on_part)(cx, &puts_of(reading.into_range()));
+                }
+                return Err(err);
+            }
+        };
         match allow_stale {
             true => cx.store_answered_stale(),
             false => cx.store_answered(),
--- a/crates/gateway/src/control/membership.rs
+++ b/crates/gateway/src/control/membership.rs
@@ -32,6 +32,7 @@
     probes: false,
     // Owners depend on the whole list, so pages aren't applied on their own.
     on_page: |_, _| {},
+    on_part: |cx, changes| cx.apply_peer_changes(changes, Origin::Store),
     on_list: |cx, range| {
         cx.apply_peer_list(range);
         cx.settle_peers_later();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -3,8 +3,8 @@
 //! Three loops ([`follow`]) follow the operators' keys, the targets' records and the
 //! entries' records; a fourth maintains this entry's own record ([`own_record`]). Changes
 //! come from the store or from a store follower of this hall ([`source`]). [`store_link`] has the
-//! store's reachability, on which the loops wait. While the store is unreachable, [`peer_state`]
-//! queries peers; [`epoch`] and [`catch_up`] handle a store restored from an older copy. All of
+//! store's reachability, on which the loops wait. While the store is unreachable or a
+//! list can't be completed ([`list_faults`]), [`peer_state`] queries peers; [`epoch`] and [`catch_up`] handle a store restored from an older copy. All of
 //! them publish through [`Control::publish`].
 
 mod backoff;
@@ -15,6 +15,7 @@
 mod evacuated_halls;
 mod follow;
 mod hall_records;
+mod list_faults;
 mod list_proofs;
 mod list_reports;
 mod membership;
@@ -50,6 +51,7 @@
 use self::backoff::Backoff;
 use self::configuration::Configuration;
 use self::derived::Derived;
+use self::list_faults::IncompleteLists;
 use self::new_versions::NewVersions;
 use self::pauses::WatchPauses;
 use self::source::Followers;
@@ -101,6 +103,7 @@
     feeds: Arc<Feeds>,
     /// What the loops that follow lists do, and how far they are.
     lists: ListStates,
+    incomplete_lists: IncompleteLists,
     /// This process's units of the allowance of repeats, which traffic uses.
     repeat_share: SharedShare,
     /// May be reloaded.
@@ -161,6 +164,7 @@
             pauses: WatchPauses::new(&settings.bounds),
             feeds,
             lists: ListStates::default(),
+            incomplete_lists: IncompleteLists::default(),
             repeat_share,
             settings: reloaded,
             followers: Followers::default(),
--- a/crates/gateway/src/control/operators.rs
+++ b/crates/gateway/src/control/operators.rs
@@ -22,6 +22,7 @@
     allow_stale_start: false,
     probes: true,
     on_page: |_, _| {},
+    on_part: |cx, changes| cx.apply_operator_changes(changes),
     on_list: |cx, range| cx.apply_operator_keys(range),
     on_changes: |cx, changes, _| {
         cx.apply_operator_changes(changes);
--- a/crates/gateway/src/control/records.rs
+++ b/crates/gateway/src/control/records.rs
@@ -24,6 +24,8 @@
     allow_stale_start: true,
     probes: false,
     on_page: |cx, items| cx.apply_record_page(items),
+    // Its pages are applied already.
+    on_part: |_, _| {},
     on_list: |cx, range| {
         cx.apply_record_list(range);
         cx.settle_records_later();
--- a/crates/gateway/src/list_states.rs
+++ b/crates/gateway/src/list_states.rs
@@ -84,6 +84,7 @@
                 activity,
             } = *list;
             drop(list);
+            metrics::set_list_followed(keys.name(), activity == Activity::Watching);
             let Some(age_ms) = freshness.age(now) else {
                 continue;
             };
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -216,6 +216,16 @@
     counter!("hollowsail_list_pages_total", "list" => list).increment(1);
 }
 
+/// Counts a read of a list that can't be completed, or changes that don't advance.
+pub fn count_list_fault(list: &'static str) {
+    counter!("hollowsail_list_faults_total", "list" => list).increment(1);
+}
+
+/// Sets whether a list was read to its end and is followed.
+pub fn set_list_followed(list: &'static str, is_followed: bool) {
+    gauge!("hollowsail_list_followed", "list" => list).set(f64::from(u8::from(is_followed)));
+}
+
 /// Counts the restart of a loop of the control thread after a panic.
 pub fn count_loop_restart(name: &'static str) {
     counter!("hollowsail_loop_restarts_total", "loop" => name).increment(1);
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -44,4 +44,5 @@
 mod target_speeds;
 mod time_left;
 mod two_senders;
+mod unreadable_lists;
 mod warm_up;
--- a/crates/observe/src/events.rs
+++ b/crates/observe/src/events.rs
@@ -114,6 +114,7 @@
     TARGETS_LISTED, 320, "targets_listed", Info, "Many target records arrived together, or have to be read from another source.";
     LIST_BEHIND, 321, "list_behind", Warn, "A list that this entry follows in the store stays behind the store's newest epoch; the line says what the loop that follows it does.";
     LIST_READ, 322, "list_read", Info, "A list in the store was read to its end; the line says how many pages and items it had.";
+    LIST_UNREADABLE, 323, "list_unreadable", Warn, "A list in the store can't be read to its end, or followed, although the store answers; the line says why and how often in a row, and comes again every 30 s while that stands. What was read is in force.";
     MEMBER, 401, "member", Info, "A member's health or stop state changed.";
     PACE, 402, "pace", Warn, "This entry started or stopped keeping up with its work.";
     HOST_LOAD, 403, "host_load", Info, "What this host carried in the last second: connections and requests of callers, the event-loop lag, and bytes by the other end.";
