Pause longer for loops that panic again, and restart those with receivers

A loop of the control thread that meets the same input after each restart panicked every 300 to 600 ms for ever, and read its whole list each time. The loops that write refusals and phases of roll-outs, and that answer requests for proofs, weren't restarted: one panic ended them until the next start of the process.

The receivers are in a lock that each run holds until it ends, so that the next run goes on with the request after the one that made it panic.

--- a/crates/gateway/src/control/list_proofs.rs
+++ b/crates/gateway/src/control/list_proofs.rs
@@ -6,7 +6,7 @@
 use hollowsail_fleet::Position;
 use hollowsail_platform::targets::PREFIX;
 
-use super::Control;
+use super::{Control, Shared};
 use crate::list_proofs::{ProofReceiver, ProofRequest};
 
 /// Timeout of the store's answer. Nobody waits for it any longer.
@@ -17,7 +17,8 @@
 const APPLY_INTERVAL: Duration = Duration::from_millis(2);
 
 /// Answers requests until the thread ends; one answer of the store serves all that wait for it.
-pub async fn answer(cx: Rc<Control>, mut requests: ProofReceiver) {
+pub async fn answer(cx: Rc<Control>, requests: Shared<ProofReceiver>) {
+    let mut requests = requests.lock().await;
     while let Some(first) = requests.recv().await {
         let mut waiting: Vec<ProofRequest> = vec![first];
         while let Ok(next) = requests.try_recv() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -15,6 +15,7 @@
 mod evacuated_halls;
 mod follow;
 mod hall_records;
+mod keep_running;
 mod list_faults;
 mod list_proofs;
 mod list_reports;
@@ -47,10 +48,11 @@
 use hollowsail_platform::store::{Lease, Store};
 use hollowsail_platform::targets::TargetRecord;
 use hollowsail_routing::Millis;
+use tokio::sync::Mutex;
 
-use self::backoff::Backoff;
 use self::configuration::Configuration;
 use self::derived::Derived;
+pub use self::keep_running::keep_running;
 use self::list_faults::IncompleteLists;
 use self::new_versions::NewVersions;
 use self::pauses::WatchPauses;
@@ -74,6 +76,13 @@
 /// milliseconds: the operators' two seconds and a margin.
 const RECORD_RETURN_MS: u64 = 2_300;
 
+/// Receiver of a loop's requests, which each run of the loop locks until it ends.
+type Shared<T> = Rc<Mutex<T>>;
+
+fn shared<T>(receiver: T) -> Shared<T> {
+    Rc::new(Mutex::new(receiver))
+}
+
 pub struct Control {
     store: Store,
     clock: Clock,
@@ -197,35 +206,34 @@
         self.keep_running("own_record", own_record::maintain);
         self.keep_running("repeat_units", repeat_units::maintain);
         self.keep_running("entries", |cx| follow::follow(cx, membership::SUBSCRIPTION));
-        actix_rt::spawn(refusals::persist(self.clone(), refused));
-        actix_rt::spawn(rollouts::persist(self.clone(), to_record));
-        actix_rt::spawn(list_proofs::answer(self.clone(), proofs));
+        let refused = shared(refused);
+        self.keep_running("refusals", move |cx| refusals::persist(cx, refused.clone()));
+        let to_record = shared(to_record);
+        self.keep_running("rollouts", move |cx| {
+            rollouts::persist(cx, to_record.clone())
+        });
+        let proofs = shared(proofs);
+        self.keep_running("list_proofs", move |cx| {
+            list_proofs::answer(cx, proofs.clone())
+        });
         self.keep_running("peer_state", peer_state::follow);
         self.keep_running("catch_up", catch_up::follow);
         self.keep_running("list_reports", list_reports::report);
     }
 
-    /// Runs a loop on this thread, and starts it again after a panic: an entry that no longer
-    /// follows a list would go on with an old one.
+    /// Keeps a loop running on this thread. An entry that no longer follows a list would go on
+    /// with an old one.
     fn keep_running<F>(self: &Rc<Self>, name: &'static str, run: impl Fn(Rc<Self>) -> F + 'static)
     where
         F: Future<Output = ()> + 'static,
     {
-        let cx = self.clone();
-        actix_rt::spawn(async move {
-            let mut backoff = Backoff::default();
-            let mut restarts = 0;
-            while actix_rt::spawn(run(cx.clone()))
-                .await
-                .is_err_and(|ended| ended.is_panic())
-            {
-                restarts += 1;
-                metrics::count_loop_restart(name);
-                let fields = format_args!("loop={name} restarts={restarts}");
-                cx.log.line(events::LOOP_RESTARTED, fields);
-                backoff.pause().await;
-            }
-        });
+        let (cx, log) = (self.clone(), self.log.clone());
+        let on_panic = move |panics| {
+            metrics::count_loop_restart(name);
+            let fields = format_args!("loop={name} restarts={panics}");
+            log.line(events::LOOP_RESTARTED, fields);
+        };
+        actix_rt::spawn(keep_running(move || run(cx.clone()), on_panic));
     }
 
     /// Publishes the present state as a new view.
--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -17,7 +17,7 @@
 use super::backoff::Backoff;
 use super::epoch;
 use super::source::Origin;
-use super::Control;
+use super::{Control, Shared};
 use crate::crashes::{NewRefusal, RefusalChange, RefusalReceiver, PREFIX};
 
 /// Attempts at writing a refusal, after which only the running entries know it.
@@ -58,7 +58,8 @@
 
 /// Writes refusals to the store as traffic decides them, and again when the store was
 /// restored from an older copy.
-pub async fn persist(cx: Rc<Control>, mut decided: RefusalReceiver) {
+pub async fn persist(cx: Rc<Control>, decided: Shared<RefusalReceiver>) {
+    let mut decided = decided.lock().await;
     let mut written: Vec<Written> = Vec::new();
     let mut epoch = cx.store.epoch();
     loop {
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -13,14 +13,15 @@
 use hollowsail_rollout::Phase;
 
 use super::backoff::Backoff;
-use super::Control;
+use super::{Control, Shared};
 use crate::rollouts::{Orders, PhaseReceiver, PlacedOrder, RecordPhase, RecordedPhase, PREFIX};
 
 /// Attempts at writing a phase; after that the leader has to request it again.
 const MAX_TRIES: u32 = 4;
 
 /// Writes phases to the store as leaders decide them.
-pub async fn persist(cx: Rc<Control>, mut decided: PhaseReceiver) {
+pub async fn persist(cx: Rc<Control>, decided: Shared<PhaseReceiver>) {
+    let mut decided = decided.lock().await;
     while let Some(RecordPhase {
         placed,
         phase,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -48,6 +48,7 @@
 mod traffic;
 mod view;
 
+pub use control::keep_running;
 pub use mechanisms::{Mechanism, Mechanisms, UnknownMechanism};
 pub use reservations::contended_services;
 pub use start::{start, Running, StartError};
--- a/crates/gateway/tests/suite/main.rs
+++ b/crates/gateway/tests/suite/main.rs
@@ -19,6 +19,7 @@
 mod keys_of_other_writers;
 mod libraries;
 mod limits;
+mod loop_restarts;
 mod mechanisms;
 mod metrics;
 mod odd_values;
