Warn of expects and panics in what serves

An expect on what other processes wrote ended a loop for ever, and nothing told it from one that can't fail.

What stays says why it can't fail; locks are taken in one place (lock.rs). The crates ledger, config and entry don't have the lint yet.

--- a/crates/clients/src/lib.rs
+++ b/crates/clients/src/lib.rs
@@ -4,6 +4,14 @@
 //! of protocol affects one file. The clients are `awc` clients: they stay on
 //! the thread that created them, follow no redirects and never resend.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod host_list;
 pub mod http;
 pub mod store;
--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -5,6 +5,14 @@
 //! [`BootInstant::to_instant`] converts it for timers. A timer that was set before a suspension fires
 //! late by its length, so the code behind it checks the deadline again.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 use std::cmp::Ordering;
 use std::ops::{Add, Sub};
 use std::time::{Duration, Instant};
--- a/crates/connect/src/lib.rs
+++ b/crates/connect/src/lib.rs
@@ -16,6 +16,14 @@
 //! The bytes of answers are checked by [`hollowsail_framing`] before the library reads them; an answer that
 //! breaks a rule is [`SendError::Malformed`] or [`BodyError::Malformed`], and its connection closes.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod body;
 mod byte_counts;
 mod call;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,6 +5,14 @@
 //! through the store; [`TargetRegistry`] registers the targets, and [`ownership`] assigns owners.
 //! All state machines are free of I/O: time and randomness are arguments.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod accept;
 pub mod connectivity;
 pub mod evacuated_halls;
--- a/crates/framing/src/lib.rs
+++ b/crates/framing/src/lib.rs
@@ -5,6 +5,14 @@
 //! connection before a library gets them, and name the first rule of RFC 9112 that a message breaks
 //! ([`Fault`]). They hold one line of a head, and nothing of a body. They touch no socket.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod answer;
 mod body;
 mod fault;
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -75,6 +75,10 @@
         self
     }
 
+    #[expect(
+        clippy::expect_used,
+        reason = "the table of kinds has valid statuses, as a test of the catalogues shows"
+    )]
     pub fn status(&self) -> StatusCode {
         StatusCode::from_u16(self.kind.answer().status)
             .expect("every error kind has a valid status")
--- a/crates/gateway/src/control/own_record.rs
+++ b/crates/gateway/src/control/own_record.rs
@@ -56,6 +56,7 @@
 /// Writes the record and renews its lease until that fails.
 async fn maintain_once(cx: &Rc<Control>, backoff: &mut Backoff) -> Result<(), StoreError> {
     let lease = cx.store.lease(LEASE.max(cx.min_lease)).await?;
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let value = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
     match cx.store.put(&cx.me.key(), None, &value, lease).await {
         Ok(_) => {}
--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -107,6 +107,7 @@
     let record = RefusalRecord {
         for_ms: refusal.duration.as_millis() as Millis,
     };
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let value = rmp_serde::to_vec(&record).expect("this type always encodes");
     // Another entry's record, or that of an expired refusal, may be present.
     let current = cx.store.get(&key).await?;
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -62,6 +62,7 @@
         order: placed.at,
         phase,
     };
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let record = rmp_serde::to_vec(&recorded).expect("this type always encodes");
     let status_key = rollout_status_key(service);
     let status = encode_rollout_status(&placed.order, state_of(phase));
--- a/crates/gateway/src/control/store_link.rs
+++ b/crates/gateway/src/control/store_link.rs
@@ -36,6 +36,7 @@
         self.0.borrow().epoch()
     }
 
+    #[expect(clippy::expect_used, reason = "send_modify calls the function once")]
     fn update<T>(&self, record: impl FnOnce(&mut StoreContact) -> T) -> T {
         let mut result = None;
         self.0.send_modify(|contact| result = Some(record(contact)));
@@ -53,11 +54,16 @@
     }
 
     /// Waits for an epoch other than the known one, and returns it.
+    #[expect(clippy::expect_used, reason = "an epoch that is known stays known")]
     pub async fn next_epoch(&self, known: Option<u64>) -> u64 {
         let contact = self.until(|contact| contact.epoch() != known).await;
         contact.epoch().expect("an epoch that is known stays known")
     }
 
+    #[expect(
+        clippy::expect_used,
+        reason = "the sender lives as long as this reference"
+    )]
     async fn until(&self, is_met: impl Fn(&StoreContact) -> bool) -> StoreContact {
         let mut changes = self.0.subscribe();
         let met = changes.wait_for(is_met).await;
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,6 +15,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
+use crate::lock::lock;
+
 /// Path that accepts a [`FeedRequest`] and returns a [`FeedResponse`].
 pub const FEED_PATH: &str = "/hollowsail/feed";
 
@@ -158,15 +160,11 @@
 
 impl Feeds {
     fn feed(&self, keys: KeyGroup) -> MutexGuard<'_, Feed> {
-        self.feeds[keys.position()]
-            .lock()
-            .expect("no thread panics while holding the lock")
+        lock(&self.feeds[keys.position()])
     }
 
     fn store(&self) -> MutexGuard<'_, StoreState> {
-        self.store
-            .lock()
-            .expect("no thread panics while holding the lock")
+        lock(&self.store)
     }
 
     /// Changes a feed, and wakes all that wait for an answer.
@@ -244,11 +242,7 @@
     /// True when this entry follows any keys on behalf of its hall.
     pub fn is_followed(&self) -> bool {
         let feeds = self.feeds.iter();
-        let mut followed = feeds.map(|feed| {
-            feed.lock()
-                .expect("no thread panics while holding the lock")
-                .is_followed
-        });
+        let mut followed = feeds.map(|feed| lock(feed).is_followed);
         followed.any(|is_followed| is_followed)
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,14 @@
 //! Names of the platform are defined in `hollowsail-platform`; decisions are made in
 //! `hollowsail-routing`, `hollowsail-stages` and `hollowsail-fleet`.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod answer;
 mod batched_calls;
 mod callers;
@@ -25,6 +33,7 @@
 mod latch;
 mod list_proofs;
 mod list_states;
+mod lock;
 mod log;
 mod mechanisms;
 mod metrics;
--- a/crates/gateway/src/list_states.rs
+++ b/crates/gateway/src/list_states.rs
@@ -10,6 +10,7 @@
 use hollowsail_routing::Millis;
 
 use crate::feed::KeyGroup;
+use crate::lock::lock;
 use crate::log::Log;
 use crate::metrics;
 
@@ -51,9 +52,7 @@
 
 impl ListStates {
     fn list(&self, keys: KeyGroup) -> MutexGuard<'_, ListState> {
-        self.0[keys.position()]
-            .lock()
-            .expect("no thread panics while holding the lock")
+        lock(&self.0[keys.position()])
     }
 
     /// Sets what the loop that follows a list does.
--- a/crates/gateway/src/peer_call.rs
+++ b/crates/gateway/src/peer_call.rs
@@ -44,6 +44,10 @@
 }
 
 /// A request to a peer with a body in MessagePack.
+#[expect(
+    clippy::expect_used,
+    reason = "paths are constants, and messages plain structs, which always encode"
+)]
 pub fn request(path: &str, body: &impl Serialize) -> Request<Full<Bytes>> {
     let body = rmp_serde::to_vec(body).expect("messages to peers always encode");
     Request::post(path)
--- a/crates/gateway/src/peers/listen.rs
+++ b/crates/gateway/src/peers/listen.rs
@@ -135,6 +135,7 @@
 
 /// Rejects a message that is addressed to another run, with the record of this run.
 fn wrong_run(cx: &Traffic) -> Rejection {
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let record = rmp_serde::to_vec(&cx.me).expect("this type always encodes");
     Rejection {
         status: StatusCode::MISDIRECTED_REQUEST,
@@ -171,6 +172,7 @@
 }
 
 fn encode(reply: &impl Serialize) -> Bytes {
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let encoded = rmp_serde::to_vec(reply).expect("these types always encode");
     encoded.into()
 }
--- a/crates/gateway/src/repeats.rs
+++ b/crates/gateway/src/repeats.rs
@@ -18,6 +18,7 @@
 use hollowsail_routing::Millis;
 use tokio::sync::Notify;
 
+use crate::lock::lock;
 use crate::log::Log;
 use crate::metrics;
 
@@ -38,8 +39,7 @@
 
 impl SharedShare {
     pub fn lock(&self) -> MutexGuard<'_, Share> {
-        let share = self.0.share.lock();
-        share.expect("no thread panics while holding the lock")
+        lock(&self.0.share)
     }
 
     /// Waits until little of the share is left.
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -6,6 +6,14 @@
 //! a good one is completed once nothing runs at the old version. No I/O, clock or randomness:
 //! all are arguments.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod arm;
 mod evidence;
 mod phase;
--- a/crates/routing/src/latency.rs
+++ b/crates/routing/src/latency.rs
@@ -31,6 +31,7 @@
     }
 }
 
+#[expect(clippy::expect_used, reason = "constant bounds are valid")]
 fn new_histogram() -> Histogram<u32> {
     Histogram::new_with_bounds(1, MAX_LATENCY_MS, 2).expect("constant histogram bounds are valid")
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,6 +4,14 @@
 //! Every module is a plain state machine or a pure function. Callers pass in facts
 //! (latencies, refusals, load reports), the clock and random numbers.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod admission;
 pub mod budget;
 pub mod choose;
--- a/crates/routing/src/scheduler/mod.rs
+++ b/crates/routing/src/scheduler/mod.rs
@@ -501,6 +501,7 @@
         }
     }
 
+    #[expect(clippy::expect_used, reason = "placements are on engines of the table")]
     fn add_placement(
         &mut self,
         now: Millis,
--- a/crates/stages/src/lib.rs
+++ b/crates/stages/src/lib.rs
@@ -4,6 +4,14 @@
 //! Both are state machines without I/O: events and times go in, decisions come out. Their
 //! owners make the calls to workers.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod batch;
 pub mod graph;
 pub mod reservations;
--- a/crates/streams/src/lib.rs
+++ b/crates/streams/src/lib.rs
@@ -6,6 +6,14 @@
 //! only one version can have served. An entry that resumes a stream passes what it and the
 //! holders know to [`find_origin`]. All of it is free of I/O: time is an argument.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod holders;
 pub mod origin;
 pub mod origin_table;
--- a/crates/targets/src/lib.rs
+++ b/crates/targets/src/lib.rs
@@ -6,6 +6,14 @@
 //! [`TargetReports`] keeps what incarnations report of themselves, which outlives their
 //! records. [`Target::has_crashed`] distinguishes a crashed target from a broken connection.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod limit_report;
 mod reports;
 mod table;
--- a/src/bin/hollowsail/main.rs
+++ b/src/bin/hollowsail/main.rs
@@ -1,5 +1,13 @@
 //! The `hollowsail` command: parses arguments and runs the operation of the subcommand.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 mod commands;
 
 use std::process::ExitCode;
