--- a/crates/gateway/src/control/refusals.rs
+++ b/crates/gateway/src/control/refusals.rs
@@ -18,7 +18,7 @@
 use super::backoff::Backoff;
 use super::epoch;
 use super::source::Origin;
-use super::Control;
+use super::{Control, Shared};
 use crate::crashes::{NewRefusal, RefusalChange, RefusalReceiver, PREFIX};
 
 /// Attempts at writing a refusal, after which only the running entries know it.
@@ -59,7 +59,8 @@
 
 /// Writes refusals to the store as traffic decides them, and again when the store was
 /// restored from an older copy.
-pub async fn persist(cx: Rc<Control>, mut decided: RefusalReceiver) {
+pub async fn persist(cx: Rc<Control>, decided: Shared<RefusalReceiver>) {
+    let mut decided = decided.lock().await;
     let mut written: Vec<Written> = Vec::new();
     let mut epoch = cx.store.epoch();
     loop {
@@ -107,6 +108,7 @@
     let record = RefusalRecord {
         for_ms: refusal.duration.as_millis() as Millis,
     };
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let value = rmp_serde::to_vec(&record).expect("this type always encodes");
     // Another entry's record, or that of an expired refusal, may be present.
     let current = cx.store.get(&key).await?;
--- a/crates/gateway/src/control/rollouts.rs
+++ b/crates/gateway/src/control/rollouts.rs
@@ -14,14 +14,15 @@
 use hollowsail_rollout::Phase;
 
 use super::backoff::Backoff;
-use super::Control;
+use super::{Control, Shared};
 use crate::rollouts::{Orders, PhaseReceiver, PlacedOrder, RecordPhase, RecordedPhase, PREFIX};
 
 /// Attempts at writing a phase; after that the leader has to request it again.
 const MAX_TRIES: u32 = 4;
 
 /// Writes phases to the store as leaders decide them.
-pub async fn persist(cx: Rc<Control>, mut decided: PhaseReceiver) {
+pub async fn persist(cx: Rc<Control>, decided: Shared<PhaseReceiver>) {
+    let mut decided = decided.lock().await;
     while let Some(RecordPhase {
         placed,
         phase,
@@ -62,6 +63,7 @@
         order: placed.at,
         phase,
     };
+    #[expect(clippy::expect_used, reason = "plain structs always encode")]
     let record = rmp_serde::to_vec(&recorded).expect("this type always encodes");
     let status_key = rollout_status_key(service);
     let status = encode_rollout_status(&placed.order, state_of(phase));
--- a/crates/gateway/src/list_states.rs
+++ b/crates/gateway/src/list_states.rs
@@ -10,6 +10,7 @@
 use hollowsail_routing::Millis;
 
 use crate::feed::KeyGroup;
+use crate::lock::lock;
 use crate::log::Log;
 use crate::metrics;
 
@@ -51,9 +52,7 @@
 
 impl ListStates {
     fn list(&self, keys: KeyGroup) -> MutexGuard<'_, ListState> {
-        self.0[keys.position()]
-            .lock()
-            .expect("no thread panics while holding the lock")
+        lock(&self.0[keys.position()])
     }
 
     /// Sets what the loop that follows a list does.
@@ -84,6 +83,7 @@
                 activity,
             } = *list;
             drop(list);
+            metrics::set_list_followed(keys.name(), activity == Activity::Watching);
             let Some(age_ms) = freshness.age(now) else {
                 continue;
             };
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -2,6 +2,14 @@
 //! kinds, the recorder behind the metrics address, and the escaping of text from
 //! outside.
 
+#![warn(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::panic,
+    clippy::unreachable,
+    clippy::todo
+)]
+
 pub mod events;
 pub mod faults;
 pub mod kinds;
