Count only keys that are spelt as their own as units of repeats and digests

A key such as hollowsail-repeats/+5 or /05 of another writer was read as unit 5, so that a few hundred of them took the whole allowance: no gateway held a unit, and repeats were refused for ever. Digests of refused requests were read from upper case and from a plus, too, so that two keys could stand for one.

A key counts only if it is what would be written for what was read from it.

units_that_are_spelt_otherwise_are_not_taken fails with the check taken out (no unit in 10 s).

--- a/crates/gateway/src/control/repeat_units.rs
+++ b/crates/gateway/src/control/repeat_units.rs
@@ -116,9 +116,10 @@
     format!("{PREFIX}{}", unit.0)
 }
 
+/// The unit of a key. Numbers that are spelt otherwise are another writer's.
 fn unit_of(key: &str) -> Option<UnitId> {
     let number = key.strip_prefix(PREFIX)?.parse().ok()?;
-    Some(UnitId(number))
+    Some(UnitId(number)).filter(|unit| key_of(*unit) == key)
 }
 
 /// The units in a list of their keys, and the mark. Keys that can't be read are nobody's.
--- a/crates/gateway/tests/suite/keys_of_other_writers.rs
+++ b/crates/gateway/tests/suite/keys_of_other_writers.rs
@@ -142,3 +142,23 @@
         eventually("the peer gets messages", || !peer.received().is_empty()).await;
     }
 }
+
+// Guards against an allowance of repeats that counts as taken by keys that nobody here writes.
+#[actix_rt::test]
+async fn units_that_are_spelt_otherwise_are_not_taken() {
+    let store = site().await;
+    for number in 0..200 {
+        for odd in [format!("+{number}"), format!("0{number}")] {
+            store.put(&format!("hollowsail-repeats/{odd}"), b"none");
+        }
+    }
+    let fixture = start(store).await;
+    let is_own = |key: &String| {
+        let number = key.trim_start_matches("hollowsail-repeats/");
+        number == "0" || !number.starts_with(['+', '0'])
+    };
+    eventually("the gateway holds units", || {
+        fixture.store.keys("hollowsail-repeats/").iter().any(is_own)
+    })
+    .await;
+}
--- a/crates/routing/src/request_digest.rs
+++ b/crates/routing/src/request_digest.rs
@@ -34,7 +34,7 @@
         Self::of([b"prompt part", service.as_bytes(), part.as_bytes()])
     }
 
-    /// Parses the output of [`fmt::Display`].
+    /// Parses the output of [`fmt::Display`], and no other spelling of it.
     pub fn parse(text: &str) -> Option<Self> {
         let mut bytes = [0; RequestDigest::BYTES];
         if text.len() != 2 * bytes.len() || !text.is_ascii() {
@@ -43,7 +43,7 @@
         for (index, byte) in bytes.iter_mut().enumerate() {
             *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
         }
-        Some(RequestDigest(bytes))
+        Some(RequestDigest(bytes)).filter(|digest| digest.to_string() == text)
     }
 }
 
--- a/crates/routing/tests/suite/crash_ledger.rs
+++ b/crates/routing/tests/suite/crash_ledger.rs
@@ -163,7 +163,7 @@
 fn digest_parses_its_own_text() {
     let digest = RequestDigest([0xa7; RequestDigest::BYTES]);
     assert_eq!(RequestDigest::parse(&digest.to_string()), Some(digest));
-    for bad in ["", "a7", "zz", "ä"] {
+    for bad in ["", "a7", "zz", "ä", "A7", "+7"] {
         assert_eq!(RequestDigest::parse(bad), None);
         assert_eq!(RequestDigest::parse(&bad.repeat(16)).is_some(), bad == "a7");
     }
