--- a/crates/gateway/tests/suite/forwarding.rs
+++ b/crates/gateway/tests/suite/forwarding.rs
@@ -223,14 +223,17 @@
     let second = TargetStandin::start(|request| vec![Step::Write(answer(request, 200, "b"))]).await;
     fixture.add("i-2", "plain", &second);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    for number in 0..6 {
-        let call = Call::new("POST", "/once/").with("X-Request-Id", &format!("{number:016x}"));
+    let mut sent = 0;
+    // Either target may be chosen for any request.
+    while sent < 6 || (target.received().is_empty() && sent < 100) {
+        let call = Call::new("POST", "/once/").with("X-Request-Id", &format!("{sent:016x}"));
         let got = fixture.call(&call).await;
         assert!([200, 502].contains(&got.status), "{got:?}");
+        sent += 1;
     }
     let received = target.received().len() + second.received().len();
     assert!(!target.received().is_empty());
-    assert_eq!(received, 6, "each request is sent once");
+    assert_eq!(received, sent, "each request is sent once");
 }
 
 #[actix_rt::test]
