--- a/crates/entry/src/control/config_sync.rs
+++ b/crates/entry/src/control/config_sync.rs
@@ -5,7 +5,7 @@
 //! An entry without any configuration uses both. Failed store calls are retried
 //! with randomised exponential backoff.
 
-use hollowsail_observe::text::{Field, Quoted};
+use hollowsail_observe::text::Quoted;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -181,10 +181,7 @@
         let Ok(head) = rmp_serde::from_slice::<Head>(bytes) else {
             self.entry.log(
                 events::CONFIGURATION_UNREADABLE,
-                format_args!(
-                    "version={} reason=\"malformed configuration head\"",
-                    Field(&version)
-                ),
+                format_args!("version={version} reason=\"malformed configuration head\""),
             );
             return;
         };
--- a/crates/gateway/src/control/configuration.rs
+++ b/crates/gateway/src/control/configuration.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hollowsail_observe::events;
-use hollowsail_observe::text::{Field, Quoted};
+use hollowsail_observe::text::Quoted;
 use hollowsail_platform::deployment::Deployment;
 
 use super::Control;
@@ -44,7 +44,7 @@
             events::CONFIGURATION_IN_FORCE,
             format_args!(
                 "version={} before={before} routes={} services={} from={from}",
-                Field(&deployment.version),
+                deployment.version,
                 deployment.routes.len(),
                 deployment.services.len()
             ),
--- a/crates/gateway/src/target_calls.rs
+++ b/crates/gateway/src/target_calls.rs
@@ -150,8 +150,9 @@
 
 /// Sends new work and waits for the headers of its answer, on `connection` if the request waited
 /// for one ([`crate::connections`]). The request is made once there is a connection, so that the time
-/// that it leaves is current; nothing is sent if it can't be made. Withdraws it if the target leaves, or `may_send` is false, before
-/// it is sent. The caller bounds the time; dropping the future closes the connection.
+/// that it leaves is current; nothing is sent if it can't be made. Withdraws it if the target leaves,
+/// or `may_send` is false, before it is sent. The caller bounds the time; dropping the future closes
+/// the connection.
 pub async fn send(
     cx: &Rc<Traffic>,
     target: &Target,
--- a/crates/gateway/tests/suite/unreadable_lists.rs
+++ b/crates/gateway/tests/suite/unreadable_lists.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use hollowsail_gateway::{start, Mechanisms, Running};
-use hollowsail_platform_standins::target::answer;
-use hollowsail_platform_standins::{Step, StoreMode, StoreStandin, TargetStandin};
+use hollowsail_platform_standins::{StoreMode, StoreStandin, TargetStandin};
 
 use crate::fixture::{
     eventually_served, gateway, plain_deployment, ready_status, scrape, settings, Call,
@@ -17,17 +16,14 @@
 /// Most calls for one list in [`PLAY`], at two for each read.
 const MAX_CALLS: usize = 20;
 
-async fn target() -> TargetStandin {
-    TargetStandin::start(|request| vec![Step::Write(answer(request, 200, "ok"))]).await
-}
-
 fn call() -> Call {
     Call::new("GET", "/safe/x")
 }
 
 /// A store with one target; `keys_before` fill the operators' pages before the configuration.
 async fn site(keys_before: &[&str]) -> (StoreStandin, TargetStandin) {
-    let (store, target) = (StoreStandin::start().await, target().await);
+    let store = StoreStandin::start().await;
+    let target = TargetStandin::answering("ok", Duration::ZERO).await;
     for key in keys_before {
         store.put(key, b"none");
     }
--- a/crates/observe/src/recorder.rs
+++ b/crates/observe/src/recorder.rs
@@ -87,7 +87,7 @@
             '\\' => bounded.push_str("\\\\"),
             // The exporter escapes it.
             '\n' => bounded.push(c),
-            c if is_unprintable(c) => bounded.extend(format!("\\{}", c.escape_default()).chars()),
+            c if is_unprintable(c) => bounded.push_str(&format!("\\{}", c.escape_default())),
             c => bounded.push(c),
         }
     }
